--- /dev/null
+++ b/src/pomelobarrow/decision/errors.py
@@ -0,0 +1,54 @@
+"""Typed refusals; each message names the remedy."""
+
+import enum
+
+from attrs import frozen
+
+
+class Run(enum.Enum):
+    """Say whether a request may have run."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+class Kind(enum.Enum):
+    """Enumerate the problem kinds a caller can meet, with HTTP status."""
+
+    MALFORMED_BODY = ("malformed_body", 400)
+    BODY_TOO_LARGE = ("body_too_large", 413)
+    BAD_DEADLINE = ("bad_deadline", 400)
+    BAD_IDEMPOTENCY_KEY = ("bad_idempotency_key", 400)
+    BAD_HOME_REGION = ("bad_home_region", 400)
+    UNKNOWN_ACCOUNT = ("unknown_account", 401)
+    UNKNOWN_CLASS = ("unknown_class", 400)
+    UNKNOWN_MODEL = ("unknown_model", 400)
+    UNKNOWN_SERVICE = ("unknown_service", 404)
+    ACCOUNT_LIMIT = ("account_limit", 429)
+    OVERLOADED = ("overloaded", 503)
+    NO_CAPACITY = ("no_capacity", 503)
+    HOME_UNREACHABLE = ("home_unreachable", 503)
+    DEADLINE_PASSED = ("deadline_passed", 504)
+    DRAINING = ("draining", 503)
+    NOT_READY = ("not_ready", 503)
+    OUTCOME_UNKNOWN = ("outcome_unknown", 502)
+    STILL_RUNNING = ("still_running", 409)
+    NOT_A_PEER = ("not_a_peer", 403)
+
+    def __init__(self, label: str, status: int) -> None:
+        self.label = label
+        self.status = status
+
+
+KIND_BY_LABEL = {kind.label: kind for kind in Kind}
+
+
+@frozen(kw_only=True)
+class Refusal:
+    """Tell a caller that a request was not answered, whether it ran and what to do."""
+
+    kind: Kind
+    run: Run
+    detail: str
+    remedy: str
+    retry_at_unix_s: float | None = None
--- /dev/null
+++ b/src/pomelobarrow/decision/work.py
@@ -0,0 +1,73 @@
+"""What the decision logic knows of a request, a backend server and its load."""
+
+from attrs import field, frozen
+
+from pomelobarrow.decision.configuration import Rank
+
+
+@frozen(kw_only=True)
+class Work:
+    """Describe one accepted request; all times are Unix seconds by this VM's clock."""
+
+    request_id: str
+    class_name: str
+    account: str
+    rank: Rank
+    pool: str
+    model: str | None
+    home_region: str
+    home_bound: bool
+    repeatable: bool
+    prompt_tokens: int
+    expected_output_tokens: int
+    # Hashes of the prompt's leading blocks, longest prefix last.
+    prefix_hashes: tuple[int, ...] = ()
+    accepted_unix_s: float
+    first_token_due_unix_s: float
+    deadline_unix_s: float
+
+
+@frozen(kw_only=True)
+class BackendServer:
+    """Describe a backend server as the platform lists it."""
+
+    name: str
+    region: str
+    failure_domain: str
+    address: str
+    pool: str
+    slots: int
+    kv_capacity_tokens: int
+    leaving: bool = False
+    checks_fencing: bool = False
+
+
+@frozen(kw_only=True)
+class LoadReport:
+    """Hold a backend server's own report; it lags, so it says when it was true."""
+
+    server: str
+    measured_unix_s: float
+    running: int
+    waiting: int
+    kv_tokens_used: int = 0
+    queued_prefill_tokens: int = 0
+    leaving: bool = False
+
+
+@frozen(kw_only=True)
+class InFlight:
+    """Count what one entry VM has in flight on one backend server."""
+
+    requests: int = 0
+    tokens: int = 0
+
+
+@frozen(kw_only=True)
+class Placement:
+    """Name the backend server chosen and why."""
+
+    server: BackendServer
+    expected_wait_s: float
+    cached_tokens: int = 0
+    reason: str = field(default="")
