--- /dev/null
+++ b/src/pomelobarrow/decision/admission.py
@@ -0,0 +1,83 @@
+"""Admit a request into the queue, or refuse it at once with the remedy."""
+
+from collections.abc import Callable
+from random import Random
+
+from result import Err, Result
+
+from pomelobarrow.decision.configuration import Account
+from pomelobarrow.decision.errors import Kind, Refusal, Run
+from pomelobarrow.decision.limits import AccountLimits
+from pomelobarrow.decision.retries import retry_after_unix_s
+from pomelobarrow.decision.work import Work
+from pomelobarrow.decision.work_queue import WorkQueue
+
+
+def admit(
+    work: Work,
+    account: Account,
+    *,
+    queue: WorkQueue,
+    limits: AccountLimits,
+    expected_wait_s: float,
+    expected_service_s: float,
+    now_unix_s: float,
+    random: Random,
+) -> Result[Work, Refusal]:
+    """Return the work, counted against its account, or the refusal.
+
+    The caller of an admitted request calls `limits.release` once when it ends.
+    """
+    refusal = _refuse_late(work, expected_wait_s, expected_service_s, now_unix_s, random)
+    refusal = refusal or _refuse_full(work, queue, expected_wait_s, now_unix_s, random)
+    if refusal is not None:
+        return Err(refusal)
+    return limits.admit(account, now_unix_s).map(lambda _: work).map_err(_over_limit(account))
+
+
+def _refuse_late(
+    work: Work, wait_s: float, service_s: float, now_unix_s: float, random: Random
+) -> Refusal | None:
+    if work.deadline_unix_s <= now_unix_s:
+        return Refusal(
+            kind=Kind.DEADLINE_PASSED,
+            run=Run.NO,
+            detail="the deadline had passed before the request could start",
+            remedy="send a later Pomelobarrow-Deadline",
+        )
+    if now_unix_s + wait_s + service_s <= work.deadline_unix_s:
+        return None
+    return Refusal(
+        kind=Kind.OVERLOADED,
+        run=Run.NO,
+        detail=f"the answer is expected in {wait_s + service_s:.1f} s, after the deadline",
+        remedy="come back at Retry-After, or send a later Pomelobarrow-Deadline",
+        retry_at_unix_s=retry_after_unix_s(wait_s, now_unix_s, random),
+    )
+
+
+def _refuse_full(
+    work: Work, queue: WorkQueue, wait_s: float, now_unix_s: float, random: Random
+) -> Refusal | None:
+    if not queue.is_full(work.rank):
+        return None
+    return Refusal(
+        kind=Kind.OVERLOADED,
+        run=Run.NO,
+        detail=f"the queue of {work.rank.value} work for {work.pool} is full",
+        remedy="come back at Retry-After",
+        retry_at_unix_s=retry_after_unix_s(wait_s, now_unix_s, random),
+    )
+
+
+def _over_limit(account: Account) -> Callable[[float], Refusal]:
+    def refuse(retry_at_unix_s: float) -> Refusal:
+        return Refusal(
+            kind=Kind.ACCOUNT_LIMIT,
+            run=Run.NO,
+            detail=f"account {account.name} is over its published limits",
+            remedy="come back at Retry-After, or ask the operator for a higher limit",
+            retry_at_unix_s=retry_at_unix_s,
+        )
+
+    return refuse
--- /dev/null
+++ b/src/pomelobarrow/decision/region_choice.py
@@ -0,0 +1,155 @@
+"""Choose the region that serves a request."""
+
+import enum
+from collections import defaultdict
+from collections.abc import Mapping
+from random import Random
+
+from attrs import frozen
+
+from pomelobarrow.decision.work import Work
+
+# A view older than this may describe a region that is lost.
+LOAD_GOOD_FOR_S = 5.0
+# A region that was lost takes its work back over this time, since its caches are cold.
+SLOW_START_S = 20.0
+SLOW_START_SHARE = 0.1
+MAX_SHARE_CREDIT = 5.0
+
+
+class RegionReason(enum.Enum):
+    """Say why a region was chosen."""
+
+    HOME_BOUND = "work may not leave its home region"
+    HOME_MEETS_TARGET = "home meets the target"
+    HOME_IS_FIRST = "no other region meets the target either"
+    HOME_LOST = "home can't be reached"
+    HOME_OVERLOADED = "home misses the target and this region meets it"
+    HOME_WARMS_UP = "home has just come back with cold caches"
+    SHARE_USED_UP = "the class's share outside home is used up"
+    NO_REGION = "no region with servers of the pool is known"
+
+
+@frozen(kw_only=True)
+class RegionLoad:
+    """Hold one region's load of one pool as last heard."""
+
+    region: str
+    pool: str
+    expected_wait_s: float
+    round_trip_s: float
+    measured_unix_s: float
+    servers: int
+    # What the prompt costs where its prefix isn't cached.
+    cold_prefill_s: float = 0.0
+    # When the region was heard again after a loss.
+    returned_unix_s: float = float("-inf")
+
+
+@frozen(kw_only=True)
+class RegionChoice:
+    """Name the region, or None where nothing may serve the request, and why."""
+
+    region: str | None
+    reason: RegionReason
+
+
+class ShareOutsideHome:
+    """Keep this VM's own traffic under each class's largest share outside home.
+
+    Each request earns its class the share as credit and one served outside spends a whole one.
+    Every VM holds to it for its own requests, so their sum does too, with no coordination.
+    """
+
+    def __init__(self, max_share_by_class: Mapping[str, float] | None = None) -> None:
+        self._max_share_by_class = dict(max_share_by_class or {})
+        self._credit: defaultdict[str, float] = defaultdict(float)
+
+    def set_max_shares(self, max_share_by_class: Mapping[str, float]) -> None:
+        """Take over the published shares."""
+        self._max_share_by_class = dict(max_share_by_class)
+
+    def allows(self, class_name: str) -> bool:
+        """Say whether the next request may be served outside its home."""
+        return self._credit[class_name] + self._share(class_name) >= 1.0 - 1e-9
+
+    def record(self, class_name: str, outside: bool) -> None:
+        """Count one request that was sent to its region."""
+        credit = self._credit[class_name] + self._share(class_name) - (1.0 if outside else 0.0)
+        self._credit[class_name] = min(MAX_SHARE_CREDIT, credit)
+
+    def _share(self, class_name: str) -> float:
+        return self._max_share_by_class.get(class_name, 0.0)
+
+
+def choose_region(
+    work: Work,
+    own_region: str,
+    loads: Mapping[str, RegionLoad],
+    share: ShareOutsideHome,
+    now_unix_s: float,
+    random: Random,
+) -> RegionChoice:
+    """Return home unless another region meets the target that home misses."""
+    home = _usable(loads.get(work.home_region), own_region, now_unix_s)
+    if work.home_bound:
+        return RegionChoice(region=work.home_region, reason=RegionReason.HOME_BOUND)
+    reason = _reason_to_leave(work, own_region, home, now_unix_s, random)
+    if reason is RegionReason.HOME_MEETS_TARGET:
+        return RegionChoice(region=work.home_region, reason=reason)
+    best = _best_elsewhere(work, own_region, loads, now_unix_s)
+    if best is None or (home is not None and not _meets_target(work, best, own_region, now_unix_s)):
+        return _stay(work, home, RegionReason.HOME_IS_FIRST)
+    if not share.allows(work.class_name):
+        return _stay(work, home, RegionReason.SHARE_USED_UP)
+    return RegionChoice(region=best.region, reason=reason)
+
+
+def _stay(work: Work, home: RegionLoad | None, reason: RegionReason) -> RegionChoice:
+    if home is not None:
+        return RegionChoice(region=work.home_region, reason=reason)
+    lost = RegionReason.NO_REGION if reason is RegionReason.HOME_IS_FIRST else reason
+    return RegionChoice(region=None, reason=lost)
+
+
+def _reason_to_leave(
+    work: Work, own_region: str, home: RegionLoad | None, now_unix_s: float, random: Random
+) -> RegionReason:
+    if home is None:
+        return RegionReason.HOME_LOST
+    if not _meets_target(work, home, own_region, now_unix_s, cold=False):
+        return RegionReason.HOME_OVERLOADED
+    ramp = (now_unix_s - home.returned_unix_s) / SLOW_START_S
+    if random.random() > max(SLOW_START_SHARE, ramp):
+        return RegionReason.HOME_WARMS_UP
+    return RegionReason.HOME_MEETS_TARGET
+
+
+def _best_elsewhere(
+    work: Work, own_region: str, loads: Mapping[str, RegionLoad], now_unix_s: float
+) -> RegionLoad | None:
+    others = [
+        load
+        for region, load in loads.items()
+        if region != work.home_region and _usable(load, own_region, now_unix_s)
+    ]
+    return min(others, key=lambda load: _first_token_s(load, own_region, cold=True), default=None)
+
+
+def _usable(load: RegionLoad | None, own_region: str, now_unix_s: float) -> RegionLoad | None:
+    if load is None or load.servers <= 0:
+        return None
+    is_fresh = now_unix_s - load.measured_unix_s <= LOAD_GOOD_FOR_S
+    return load if is_fresh or load.region == own_region else None
+
+
+def _first_token_s(load: RegionLoad, own_region: str, cold: bool) -> float:
+    trip_s = 0.0 if load.region == own_region else load.round_trip_s
+    return load.expected_wait_s + trip_s + (load.cold_prefill_s if cold else 0.0)
+
+
+def _meets_target(
+    work: Work, load: RegionLoad, own_region: str, now_unix_s: float, cold: bool = True
+) -> bool:
+    first_token_unix_s = now_unix_s + _first_token_s(load, own_region, cold)
+    return first_token_unix_s <= min(work.first_token_due_unix_s, work.deadline_unix_s)
--- /dev/null
+++ b/src/pomelobarrow/decision/retries.py
@@ -0,0 +1,73 @@
+"""Decide whether an attempt is made again and when a refused caller should come back."""
+
+import enum
+from random import Random
+
+from attrs import define
+
+from pomelobarrow.decision.errors import Run
+from pomelobarrow.decision.work import Work
+
+BUDGET_RATIO = 0.1
+BUDGET_MAX = 10.0
+MAX_ATTEMPTS = 3
+MIN_RETRY_AFTER_S = 0.5
+RETRY_JITTER = 0.5
+
+
+class RetryVerdict(enum.Enum):
+    """Say whether to try again, or why not."""
+
+    RETRY = "retry"
+    MAY_HAVE_RUN = "may have run and is not idempotent"
+    DEADLINE = "the deadline leaves no time"
+    ATTEMPTS = "tried often enough"
+    BUDGET = "the class's retry budget is used up"
+
+
+@define
+class RetryBudget:
+    """Hold one class's retry tokens: successes fill it, retries spend it."""
+
+    # A full start lets single failures be retried before any success is seen.
+    _tokens: float = BUDGET_MAX
+
+    def observe_success(self) -> None:
+        """Earn a part of a retry."""
+        self._tokens = min(BUDGET_MAX, self._tokens + BUDGET_RATIO)
+
+    def has_token(self) -> bool:
+        """Say whether a retry can be paid for."""
+        return self._tokens >= 1.0
+
+    def spend(self) -> None:
+        """Pay for one retry."""
+        self._tokens -= 1.0
+
+
+def retry_verdict(
+    work: Work,
+    run: Run,
+    attempts: int,
+    budget: RetryBudget,
+    expected_wait_s: float,
+    now_unix_s: float,
+) -> RetryVerdict:
+    """Judge a failed attempt and spend the budget where the verdict is to retry."""
+    checks = (
+        (run is Run.UNKNOWN and not work.repeatable, RetryVerdict.MAY_HAVE_RUN),
+        (now_unix_s + expected_wait_s >= work.deadline_unix_s, RetryVerdict.DEADLINE),
+        (attempts >= MAX_ATTEMPTS, RetryVerdict.ATTEMPTS),
+        (not budget.has_token(), RetryVerdict.BUDGET),
+    )
+    for fails, verdict in checks:
+        if fails:
+            return verdict
+    budget.spend()
+    return RetryVerdict.RETRY
+
+
+def retry_after_unix_s(expected_wait_s: float, now_unix_s: float, random: Random) -> float:
+    """Return when to come back, spread so that refused callers don't return together."""
+    base_s = max(MIN_RETRY_AFTER_S, expected_wait_s)
+    return now_unix_s + base_s * (1.0 + RETRY_JITTER * random.random())
--- /dev/null
+++ b/src/pomelobarrow/decision/server_health.py
@@ -0,0 +1,51 @@
+"""Eject a failing backend server for a while and let it back slowly."""
+
+from attrs import define
+
+FIRST_EJECTION_S = 1.0
+MAX_EJECTION_S = 30.0
+FAILURES_BEFORE_EJECTION = 2
+SLOW_START_S = 10.0
+SLOW_START_SHARE = 0.2
+
+
+@define
+class ServerHealth:
+    """Count a server's failures in a row."""
+
+    _failures: int = 0
+    _ejections: int = 0
+    _ejected_until_unix_s: float = float("-inf")
+    _back_unix_s: float = float("-inf")
+
+    def mark_failed(self, now_unix_s: float) -> None:
+        """Count a failure; several in a row eject the server, each time for longer."""
+        if self.is_ejected(now_unix_s):
+            return
+        self._failures += 1
+        # A server that just came back has to prove itself: one failure is enough then.
+        if self._failures < FAILURES_BEFORE_EJECTION and self._ejections == 0:
+            return
+        self._eject(now_unix_s)
+
+    def mark_ok(self, now_unix_s: float) -> None:
+        """Forget the failures; forget the ejections once slow start is over."""
+        self._failures = 0
+        if self.admitted_share(now_unix_s) >= 1.0:
+            self._ejections = 0
+
+    def is_ejected(self, now_unix_s: float) -> bool:
+        """Say whether the server gets no work now."""
+        return now_unix_s < self._ejected_until_unix_s
+
+    def admitted_share(self, now_unix_s: float) -> float:
+        """Return the share of its slots that a server may fill as it comes back."""
+        ramp = (now_unix_s - self._back_unix_s) / SLOW_START_S
+        return max(SLOW_START_SHARE, min(1.0, ramp))
+
+    def _eject(self, now_unix_s: float) -> None:
+        ejection_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2.0**self._ejections)
+        self._ejections += 1
+        self._failures = 0
+        self._ejected_until_unix_s = now_unix_s + ejection_s
+        self._back_unix_s = self._ejected_until_unix_s
--- /dev/null
+++ b/src/pomelobarrow/decision/service_times.py
@@ -0,0 +1,51 @@
+"""Learn how fast a pool's backend servers prefill and how long a request holds a slot."""
+
+from attrs import define
+
+DECAY = 0.98
+DEFAULT_PREFILL_TOKENS_PER_S = 10_000.0
+DEFAULT_HOLD_S = 1.0
+# Shorter prompts say more about the network than about the engine.
+MIN_PREFILL_SAMPLE_TOKENS = 256
+
+
+@define
+class _DecayingRatio:
+    """Divide two sums in which older samples count less."""
+
+    numerator: float
+    denominator: float = 1.0
+
+    def add(self, numerator: float, denominator: float) -> None:
+        self.numerator = self.numerator * DECAY + numerator
+        self.denominator = self.denominator * DECAY + denominator
+
+    def value(self) -> float:
+        return self.numerator / self.denominator
+
+
+class ServiceTimes:
+    """Hold the learned times of one pool."""
+
+    def __init__(self) -> None:
+        self._prefill = _DecayingRatio(1.0 / DEFAULT_PREFILL_TOKENS_PER_S)
+        self._hold = _DecayingRatio(DEFAULT_HOLD_S)
+
+    @property
+    def s_per_prefill_token(self) -> float:
+        """Return the seconds that one uncached prompt token takes."""
+        return self._prefill.value()
+
+    @property
+    def hold_s(self) -> float:
+        """Return the seconds that a request holds its slot."""
+        return self._hold.value()
+
+    def observe_start(self, tokens_ahead: int, elapsed_s: float) -> None:
+        """Take in one first token and the prefill that stood before it."""
+        if tokens_ahead >= MIN_PREFILL_SAMPLE_TOKENS and elapsed_s > 0:
+            self._prefill.add(elapsed_s, tokens_ahead)
+
+    def observe_finish(self, elapsed_s: float) -> None:
+        """Take in one finished request."""
+        self._hold.add(max(0.0, elapsed_s), 1.0)
