--- a/src/pomelobarrow/decision/checks.py
+++ b/src/pomelobarrow/decision/checks.py
@@ -162,7 +162,7 @@
     """Read a mapping by its specification; collect what was read and every fault."""
     if not isinstance(value, Mapping):
         remedy = "give a mapping with the fields " + ", ".join(specs)
-        return {}, [Fault(path=path, seen=describe_kind(value), remedy=remedy)]
+        return {}, [Fault(path=path or "(whole)", seen=describe_kind(value), remedy=remedy)]
     fields: dict[str, Any] = {}
     faults = _unknown_fields(path, value, specs)
     for field_name, spec in specs.items():
