Add the platform, engine, service and fault proxy stand-ins

Change: `python -m pomelobarrow.standin platform|engine|service|proxy`, and cleo commands of the same names in standin/commands.py. The batch, the prefix cache, the keyspace and the fault rules are plain state without I/O; HTTP and TCP are apart from them. The proxy holds the bytes of a cut direction and delivers them after it heals, as TCP does, and lets a new connection's first bytes wait for a round trip, as a handshake does.

Ruled out: dropping the bytes of a cut direction, which no TCP connection shows its ends; ticking an idle engine; making up for late steps in a burst.

--- /dev/null
+++ b/src/pomelobarrow/standin/orders.py
@@ -0,0 +1,24 @@
+"""Take orders to load models or change role, with or without fencing."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from attrs import define, field
+
+
+@define(kw_only=True)
+class OrderBook:
+    """Hold what an engine was told to do."""
+
+    checks_fencing: bool
+    fencing: int = 0
+    log: list[dict[str, Any]] = field(factory=list)
+
+    def take(self, order: Mapping[str, Any]) -> bool:
+        """Log an order and say whether it is carried out."""
+        fencing = int(order["fencing"])
+        is_refused = self.checks_fencing and fencing < self.fencing
+        self.log.append({**order, "refused": is_refused})
+        if not is_refused:
+            self.fencing = fencing
+        return not is_refused
--- /dev/null
+++ b/src/pomelobarrow/standin/platform_server.py
@@ -0,0 +1,195 @@
+"""Stand in for the platform: configuration, VM list and directory."""
+
+import asyncio
+import enum
+import time
+from pathlib import Path
+from typing import Any
+
+import orjson
+from aiohttp import web
+from attrs import define, field, frozen
+
+from pomelobarrow.standin.keyspace import Keyspace, RevisionTooLargeError
+from pomelobarrow.standin.read_limit import ReadLimit
+from pomelobarrow.standin.runtime import Handler, is_control, json_answer, read_json, serve_app
+
+KEYSPACES = ("config", "vms")
+MAX_WAIT_S = 300.0
+
+
+class Mode(enum.Enum):
+    """Say how the platform misbehaves."""
+
+    UP = "up"
+    DOWN = "down"
+    STALE = "stale"
+    SLOW = "slow"
+    REVERT = "revert"
+
+
+@frozen(kw_only=True)
+class PlatformOptions:
+    """Hold the command line of the platform stand-in."""
+
+    listen: str = field(metadata={"help": "Address to listen on, host:port"})
+    seed_file: str = field(default="", metadata={"help": "JSON file published as revision 1"})
+    max_reads_per_s: float = field(default=2000.0, metadata={"help": "Reads a second allowed"})
+    vms_lag_s: float = field(default=0.0, metadata={"help": "Seconds the VM list lags behind"})
+
+
+@define
+class Platform:
+    """Hold the keyspaces, the mode and the reads that wait."""
+
+    limit: ReadLimit
+    lag_s_by_keyspace: dict[str, float]
+    keyspaces: dict[str, Keyspace] = field(factory=lambda: {name: Keyspace() for name in KEYSPACES})
+    mode: Mode = Mode.UP
+    delay_s: float = 0.0
+    frozen_revisions: dict[str, int] = field(factory=dict)
+    waiting: int = 0
+    changed: asyncio.Event = field(factory=asyncio.Event)
+
+    def publish(self, name: str, changes: dict[str, Any]) -> int:
+        """Publish one revision and reveal it once the keyspace's lag is over."""
+        keyspace = self.keyspaces[name]
+        revision = keyspace.publish(changes)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.lag_s_by_keyspace.get(name, 0.0), self._reveal, name, revision)
+        return revision
+
+    def _reveal(self, name: str, revision: int) -> None:
+        self.keyspaces[name].reveal(revision)
+        self.notify()
+
+    def notify(self) -> None:
+        """Wake every waiting read."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def readable_revision(self, name: str) -> int:
+        """Return the revision that readers see as head."""
+        visible = self.keyspaces[name].visible_revision
+        return self.frozen_revisions.get(name, visible) if self.mode is Mode.STALE else visible
+
+    def set_mode(self, mode: Mode, *, delay_s: float, revision: int | None, keyspace: str) -> None:
+        """Change the mode and let waiting reads meet it at once."""
+        self.frozen_revisions = {
+            name: space.visible_revision for name, space in self.keyspaces.items()
+        }
+        if mode is Mode.STALE and revision is not None:
+            self.frozen_revisions[keyspace] = revision
+        if mode is Mode.REVERT:
+            self.keyspaces[keyspace].revert(revision or 0)
+        self.mode = mode
+        self.delay_s = delay_s
+        self.notify()
+
+
+def misbehave_middleware(platform: Platform) -> Any:
+    """Build the middleware that counts reads and plays down, slow and limited."""
+
+    @web.middleware
+    async def misbehave(request: web.Request, handler: Handler) -> web.StreamResponse:
+        if is_control(request):
+            return await handler(request)
+        if platform.mode is Mode.DOWN:
+            return json_answer({"error": "down"}, status=503)
+        if not platform.limit.take(time.monotonic()):
+            return json_answer({"error": "too many reads"}, status=429)
+        if platform.mode is Mode.SLOW:
+            await asyncio.sleep(platform.delay_s)
+        return await handler(request)
+
+    return misbehave
+
+
+async def wait_for_newer(platform: Platform, name: str, after: int, wait_s: float) -> None:
+    """Wait until the head passes a revision, the platform goes down or the time is over."""
+    platform.waiting += 1
+    try:
+        async with asyncio.timeout(min(wait_s, MAX_WAIT_S)):
+            while platform.mode is not Mode.DOWN and platform.readable_revision(name) <= after:
+                await platform.changed.wait()
+    except TimeoutError:
+        pass
+    finally:
+        platform.waiting -= 1
+
+
+def routes(platform: Platform) -> list[web.RouteDef]:
+    """Bind the platform's handlers."""
+
+    async def read_changes(request: web.Request) -> web.Response:
+        name = request.match_info["name"]
+        if name not in platform.keyspaces:
+            raise web.HTTPNotFound(text=f"read one of {', '.join(KEYSPACES)}")
+        after = int(request.query.get("after", "0"))
+        await wait_for_newer(platform, name, after, float(request.query.get("wait_s", "0")))
+        if platform.mode is Mode.DOWN:
+            return json_answer({"error": "down"}, status=503)
+        at_revision = platform.readable_revision(name)
+        return json_answer(platform.keyspaces[name].changes_after(after, at_revision))
+
+    async def read_directory(request: web.Request) -> web.Response:
+        values = platform.keyspaces["vms"].values(platform.readable_revision("vms"))
+        vms = [
+            {
+                "name": key.removeprefix("vms/"),
+                "region": vm["region"],
+                "caller_address": vm["caller_address"],
+            }
+            for key, vm in values.items()
+            if vm["role"] == "entry"
+        ]
+        return json_answer({"vms": vms})
+
+    async def publish(request: web.Request) -> web.Response:
+        body = await read_json(request)
+        try:
+            revision = platform.publish(body["keyspace"], body["changes"])
+        except RevisionTooLargeError as error:
+            return json_answer({"error": str(error)}, status=413)
+        return json_answer({"revision": revision})
+
+    async def set_mode(request: web.Request) -> web.Response:
+        body = await read_json(request)
+        platform.set_mode(
+            Mode(body["mode"]),
+            delay_s=float(body.get("delay_s", 0.0)),
+            revision=body.get("revision"),
+            keyspace=body.get("keyspace", "config"),
+        )
+        return json_answer({"mode": platform.mode.value})
+
+    async def counters(request: web.Request) -> web.Response:
+        limit = platform.limit
+        return json_answer(
+            {"reads": limit.reads, "refused": limit.refused, "waiting": platform.waiting}
+        )
+
+    return [
+        web.get("/v1/keyspaces/{name}/changes", read_changes),
+        web.get("/v1/directory", read_directory),
+        web.post("/admin/publish", publish),
+        web.post("/admin/mode", set_mode),
+        web.get("/admin/counters", counters),
+    ]
+
+
+def publish_seed(platform: Platform, seed_file: str) -> None:
+    """Publish a seed file's keyspaces as their first revision, seen at once."""
+    for name, changes in orjson.loads(Path(seed_file).read_bytes()).items():
+        platform.keyspaces[name].reveal(platform.keyspaces[name].publish(changes))
+
+
+async def main(options: PlatformOptions) -> None:
+    """Serve the platform until told to stop."""
+    limit = ReadLimit(max_reads_per_s=options.max_reads_per_s)
+    platform = Platform(limit, {"vms": options.vms_lag_s})
+    if options.seed_file:
+        publish_seed(platform, options.seed_file)
+    app = web.Application(middlewares=[misbehave_middleware(platform)])
+    app.add_routes(routes(platform))
+    await serve_app(app, options.listen, cancel_when_lost=True)
--- /dev/null
+++ b/src/pomelobarrow/standin/service.py
@@ -0,0 +1,145 @@
+"""Stand in for a plain service: answers any method and path, and logs each run."""
+
+import asyncio
+import time
+from collections import deque
+from typing import Any
+
+from aiohttp import web
+from attrs import define, field, frozen
+
+from pomelobarrow.standin.load_report import LaggingReport
+from pomelobarrow.standin.run_log import MAX_LOGGED_RUNS, Run, RunState, header_int, runs_payload
+from pomelobarrow.standin.runtime import (
+    MAX_BODY_BYTES,
+    Gate,
+    gate_middleware,
+    json_answer,
+    read_json,
+    refused_unrun,
+    serve_app,
+)
+
+
+@frozen(kw_only=True)
+class ServiceOptions:
+    """Hold the command line of the service stand-in."""
+
+    listen: str = field(metadata={"help": "Address to listen on, host:port"})
+    name: str = field(default="service", metadata={"help": "Name in load reports"})
+    latency_s: float = field(default=0.0, metadata={"help": "Seconds each call takes"})
+    slots: int = field(default=64, metadata={"help": "Calls run at the same time"})
+    report_lag_s: float = field(default=0.2, metadata={"help": "Age of load reports"})
+
+
+@define
+class Service:
+    """Hold the service's run log and modes."""
+
+    name: str
+    latency_s: float
+    slots: asyncio.Semaphore
+    runs: deque[Run] = field(factory=lambda: deque(maxlen=MAX_LOGGED_RUNS))
+    gate: Gate = field(factory=Gate)
+    running: int = 0
+    waiting: int = 0
+    leaving: bool = False
+    refuse: bool = False
+
+    def measure(self) -> dict[str, Any]:
+        """Measure the load."""
+        return {
+            "server": self.name,
+            "measured_unix_s": time.time(),
+            "running": self.running,
+            "waiting": self.waiting,
+            "kv_tokens_used": 0,
+            "queued_prefill_tokens": 0,
+            "leaving": self.leaving,
+            "fencing": 0,
+        }
+
+    def refusal_reason(self) -> str | None:
+        """Say why a new call isn't run, if so."""
+        reasons = {"leaving": self.leaving, "refused": self.refuse}
+        return next((reason for reason, applies in reasons.items() if applies), None)
+
+    async def run(self, run: Run) -> None:
+        """Run one call; it has its effect from the start, whoever still listens."""
+        self.waiting += 1
+        async with self.slots:
+            self.waiting -= 1
+            self.running += 1
+            run.start(time.time())
+            self.runs.append(run)
+            await asyncio.sleep(self.latency_s)
+            run.end(RunState.FINISHED, time.time())
+            self.running -= 1
+
+
+def new_run(request: web.Request) -> Run:
+    """Make the log entry of one call."""
+    headers = request.headers
+    return Run(
+        request_id=headers.get("X-Request-Id", ""),
+        attempt=header_int(headers, "X-Attempt"),
+        marker=headers.get("X-Marker", ""),
+        class_name=headers.get("Pomelobarrow-Class", ""),
+        priority=header_int(headers, "X-Priority"),
+    )
+
+
+def routes(service: Service, report: LaggingReport) -> list[web.RouteDef]:
+    """Bind the service's handlers."""
+
+    async def call(request: web.Request) -> web.Response:
+        body = await request.read()
+        if reason := service.refusal_reason():
+            return refused_unrun(reason)
+        run = new_run(request)
+        await service.run(run)
+        if body:
+            return web.Response(body=body, content_type=request.content_type)
+        return json_answer(
+            {
+                "service": service.name,
+                "method": request.method,
+                "path": request.path_qs,
+                "marker": run.marker,
+            }
+        )
+
+    async def load(request: web.Request) -> web.Response:
+        return json_answer(report.published())
+
+    async def runs(request: web.Request) -> web.Response:
+        return json_answer(runs_payload(service.runs))
+
+    async def set_mode(request: web.Request) -> web.Response:
+        body = await read_json(request)
+        service.leaving = body.get("leaving", service.leaving)
+        service.refuse = body.get("refuse", service.refuse)
+        service.latency_s = body.get("latency_s", service.latency_s)
+        service.gate.set_frozen(body.get("frozen", not service.gate.opened.is_set()))
+        return json_answer({"leaving": service.leaving, "refuse": service.refuse})
+
+    return [
+        web.get("/v1/load", load),
+        web.get("/admin/runs", runs),
+        web.post("/admin/mode", set_mode),
+        web.route("*", "/{path:.*}", call),
+    ]
+
+
+async def main(options: ServiceOptions) -> None:
+    """Serve the plain service until told to stop."""
+    service = Service(options.name, options.latency_s, asyncio.Semaphore(options.slots))
+    report = LaggingReport(service.measure, options.report_lag_s)
+    app = web.Application(
+        middlewares=[gate_middleware(service.gate)], client_max_size=MAX_BODY_BYTES
+    )
+    app.add_routes(routes(service, report))
+    async with asyncio.TaskGroup() as tasks:
+        measuring = tasks.create_task(report.keep_measuring())
+        await serve_app(app, options.listen)
+        measuring.cancel()
