--- /dev/null
+++ b/src/pomelobarrow/decision/keyspace.py
@@ -0,0 +1,342 @@
+"""A copy of a revisioned keyspace that never reverts.
+
+The observed values hold every change up to `observed_revision`; the values in force are the last
+observed ones that the validator accepted whole. Two copies that observed the same revision with
+different digests (a lost change, or one revision published twice) send each other everything and
+keep, for each key, the newest revision, of equal ones the larger fingerprint. That choice is a
+maximum: it doesn't depend on order or repetition, so all copies that exchange reach the same state.
+"""
+
+import bisect
+import enum
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from types import MappingProxyType
+from typing import Any
+
+import orjson
+import xxhash
+from attrs import define, field, frozen
+
+DIGEST_MASK = 2**64 - 1
+TOMBSTONES_KEPT = 4_096
+LOG_SLACK = 64
+
+
+@frozen
+class Change:
+    """Hold one key's value at a revision; None deletes the key."""
+
+    revision: int
+    key: str
+    value: Any | None
+
+
+@frozen(kw_only=True)
+class Delta:
+    """Carry the newest change of each key after a revision, complete up to the head."""
+
+    name: str
+    after_revision: int
+    head_revision: int
+    changes: tuple[Change, ...]
+
+
+@frozen(kw_only=True)
+class KeyspaceSummary:
+    """Sum up what a copy observed, for comparison with another's."""
+
+    name: str
+    revision: int
+    digest: int
+
+
+class ApplyOutcome(enum.Enum):
+    """Enumerate what became of a batch of changes."""
+
+    IN_FORCE = "in_force"
+    INVALID = "invalid"
+    INCOMPLETE = "incomplete"
+    STALE = "stale"
+    GAP = "gap"
+    MALFORMED = "malformed"
+
+
+@frozen(kw_only=True)
+class ApplyResult:
+    """Say what became of a batch and which keys in force it changed."""
+
+    outcome: ApplyOutcome
+    changed_keys: frozenset[str] = frozenset()
+    refused_reason: tuple[Any, ...] = ()
+
+    @property
+    def applied(self) -> bool:
+        """Say whether the values in force moved."""
+        return self.outcome is ApplyOutcome.IN_FORCE
+
+
+@define
+class KeyspaceCounters:
+    """Count what an operator should see."""
+
+    applied: int = 0
+    invalid: int = 0
+    stale: int = 0
+    gaps: int = 0
+    conflicts: int = 0
+    malformed: int = 0
+
+
+Validator = Callable[[Mapping[str, Any], frozenset[str], int], tuple[Any, ...]]
+
+
+def accept_all(
+    _values: Mapping[str, Any], _changed: frozenset[str], _revision: int
+) -> tuple[Any, ...]:
+    """Accept any values."""
+    return ()
+
+
+def fingerprint(change: Change) -> int:
+    """Hash a change; the value's spelling (order of fields, spaces) doesn't count."""
+    value = orjson.dumps(change.value, option=orjson.OPT_SORT_KEYS)
+    return xxhash.xxh64_intdigest(f"{change.revision}\0{change.key}\0".encode() + value)
+
+
+@frozen
+class _Kept:
+    change: Change
+    fingerprint: int
+
+    @property
+    def order(self) -> tuple[int, int]:
+        return (self.change.revision, self.fingerprint)
+
+
+@define
+class _Pending:
+    """Hold the pages received of a batch that isn't complete yet."""
+
+    received_revision: int
+    batch: dict[str, _Kept] = field(factory=dict)
+
+
+@define
+class KeyspaceCopy:
+    """Hold what was observed of a keyspace and what is in force of it."""
+
+    name: str
+    validator: Validator = accept_all
+    tombstones_kept: int = TOMBSTONES_KEPT
+    revision: int = field(default=0, init=False)
+    observed_revision: int = field(default=0, init=False)
+    digest: int = field(default=0, init=False)
+    # Deletions up to here may be unknown to this copy, so it can't serve a delta from before.
+    tombstone_floor: int = field(default=0, init=False)
+    counters: KeyspaceCounters = field(factory=KeyspaceCounters, init=False)
+    refused_reason: tuple[Any, ...] = field(default=(), init=False)
+    _kept: dict[str, _Kept] = field(factory=dict, init=False, repr=False)
+    _observed_values: dict[str, Any] = field(factory=dict, init=False, repr=False)
+    _values: dict[str, Any] = field(factory=dict, init=False, repr=False)
+    # Keys whose observed value isn't in force yet.
+    _waiting: set[str] = field(factory=set, init=False, repr=False)
+    # (revision, key) in order; an item whose key has changed since is stale and skipped.
+    _log: list[tuple[int, str]] = field(factory=list, init=False, repr=False)
+    _tombstones: int = field(default=0, init=False)
+    _pending: _Pending | None = field(default=None, init=False, repr=False)
+    # The revision observed before a restart; nothing older may take its place.
+    _least_head: int = field(default=0, init=False)
+
+    @property
+    def values(self) -> Mapping[str, Any]:
+        """Return the values in force, a view that follows later changes."""
+        return MappingProxyType(self._values)
+
+    @property
+    def summary(self) -> KeyspaceSummary:
+        """Return what a heartbeat says of this copy."""
+        return KeyspaceSummary(name=self.name, revision=self.observed_revision, digest=self.digest)
+
+    @property
+    def ask_after_revision(self) -> int:
+        """Return the revision from which to ask for the next page."""
+        return self._pending.received_revision if self._pending else self.observed_revision
+
+    def needs(self, other: KeyspaceSummary) -> int | None:
+        """Return the revision after which to ask the other copy, None when in step with it."""
+        if other.revision > self.observed_revision:
+            return self.observed_revision
+        if other.revision == self.observed_revision and other.digest != self.digest:
+            return 0
+        return None
+
+    def apply(
+        self,
+        changes: Sequence[Change],
+        head_revision: int,
+        *,
+        after_revision: int | None = None,
+        complete: bool = True,
+    ) -> ApplyResult:
+        """Take a batch of the changes after a revision (the one last asked for by default)."""
+        after = self.ask_after_revision if after_revision is None else after_revision
+        if head_revision < max(self.observed_revision, self._least_head):
+            self.counters.stale += 1
+            return ApplyResult(outcome=ApplyOutcome.STALE)
+        # With changes missing in between, a deletion or a key could be lost for good, while the
+        # revision says that nothing is.
+        if after > self.ask_after_revision:
+            self.counters.gaps += 1
+            return ApplyResult(outcome=ApplyOutcome.GAP)
+        try:
+            batch = [_checked(change, head_revision) for change in changes]
+        except (TypeError, ValueError) as error:
+            self.counters.malformed += 1
+            return ApplyResult(outcome=ApplyOutcome.MALFORMED, refused_reason=(str(error),))
+        if not complete:
+            return self._accumulate(batch, after)
+        return self._observe(self._with_pending(batch, after), head_revision)
+
+    def changes_after(self, revision: int) -> Delta:
+        """Return what another copy lacks; it starts later than asked where deletions are unknown.
+
+        A copy that gets a gap in reply to its own observed revision calls `restart` and asks
+        after 0.
+        """
+        after = revision if revision == 0 else max(revision, self.tombstone_floor)
+        start = bisect.bisect_right(self._log, (after, chr(0x10FFFF)))
+        newest = (self._kept[key].change for _, key in self._log[start:] if key in self._kept)
+        return Delta(
+            name=self.name,
+            after_revision=after,
+            head_revision=self.observed_revision,
+            changes=tuple(newest),
+        )
+
+    def restart(self) -> None:
+        """Forget what was observed, to ask for everything; the values in force stay."""
+        self._least_head = max(self._least_head, self.observed_revision)
+        self._waiting.update(self._values)
+        self.observed_revision = self.digest = self.tombstone_floor = self._tombstones = 0
+        self._kept.clear()
+        self._observed_values.clear()
+        self._log.clear()
+        self._pending = None
+
+    def _accumulate(self, batch: list[_Kept], after: int) -> ApplyResult:
+        pending = self._pending or _Pending(self.observed_revision)
+        _merge(pending.batch, batch)
+        last_revision = max((kept.change.revision for kept in batch), default=after)
+        pending.received_revision = max(pending.received_revision, last_revision)
+        self._pending = pending
+        return ApplyResult(outcome=ApplyOutcome.INCOMPLETE)
+
+    def _with_pending(self, batch: list[_Kept], after: int) -> list[_Kept]:
+        if self._pending is None or after <= self.observed_revision:
+            return batch
+        _merge(self._pending.batch, batch)
+        return list(self._pending.batch.values())
+
+    def _observe(self, batch: list[_Kept], head_revision: int) -> ApplyResult:
+        news = [kept for kept in batch if self._is_news(kept)]
+        if head_revision == self.observed_revision and not news:
+            self.counters.stale += 1
+            return ApplyResult(outcome=ApplyOutcome.STALE)
+        if self.observed_revision == 0:
+            self.tombstone_floor = head_revision
+        for kept in news:
+            self._keep(kept)
+        self._append_to_log(news)
+        self.observed_revision = head_revision
+        if self._pending and self._pending.received_revision <= head_revision:
+            self._pending = None
+        self._prune()
+        return self._put_in_force()
+
+    def _is_news(self, kept: _Kept) -> bool:
+        old = self._kept.get(kept.change.key)
+        if old is not None and old.fingerprint == kept.fingerprint:
+            return False
+        is_newer = old is None or kept.order > old.order
+        is_conflict = kept.change.revision <= self.observed_revision and (
+            is_newer or (old is not None and old.change.revision == kept.change.revision)
+        )
+        self.counters.conflicts += is_conflict
+        return is_newer
+
+    def _keep(self, kept: _Kept) -> None:
+        change = kept.change
+        self._forget(change.key)
+        self._kept[change.key] = kept
+        self._waiting.add(change.key)
+        if change.value is None:
+            self._tombstones += 1
+            return
+        self._observed_values[change.key] = change.value
+        self.digest = (self.digest + kept.fingerprint) & DIGEST_MASK
+
+    def _forget(self, key: str) -> None:
+        old = self._kept.pop(key, None)
+        if old is None:
+            return
+        if old.change.value is None:
+            self._tombstones -= 1
+            return
+        del self._observed_values[key]
+        self.digest = (self.digest - old.fingerprint) & DIGEST_MASK
+
+    def _append_to_log(self, news: list[_Kept]) -> None:
+        added = sorted((kept.change.revision, kept.change.key) for kept in news)
+        in_order = not self._log or not added or self._log[-1] <= added[0]
+        self._log.extend(added)
+        if not in_order or len(self._log) > 2 * len(self._kept) + LOG_SLACK:
+            self._rebuild_log()
+
+    def _rebuild_log(self) -> None:
+        self._log = sorted((kept.change.revision, key) for key, kept in self._kept.items())
+
+    def _prune(self) -> None:
+        # VMs come and go for ever, and so would their tombstones stay. A copy that is behind the
+        # floor is told so and starts from the whole.
+        if self._tombstones <= self.tombstones_kept:
+            return
+        dead = [kept.change for kept in self._kept.values() if kept.change.value is None]
+        dead.sort(key=lambda change: change.revision)
+        for change in dead[: len(dead) - self.tombstones_kept // 2]:
+            self._forget(change.key)
+            self.tombstone_floor = max(self.tombstone_floor, change.revision)
+        self._rebuild_log()
+
+    def _put_in_force(self) -> ApplyResult:
+        changed = frozenset(self._waiting)
+        if changed:
+            candidate = MappingProxyType(self._observed_values)
+            self.refused_reason = self.validator(candidate, changed, self.observed_revision)
+        if changed and self.refused_reason:
+            self.counters.invalid += 1
+            return ApplyResult(outcome=ApplyOutcome.INVALID, refused_reason=self.refused_reason)
+        for key in changed:
+            if key in self._observed_values:
+                self._values[key] = self._observed_values[key]
+            else:
+                self._values.pop(key, None)
+        self._waiting.clear()
+        self.revision = self.observed_revision
+        self.counters.applied += 1
+        return ApplyResult(outcome=ApplyOutcome.IN_FORCE, changed_keys=changed)
+
+
+def _checked(change: Change, head_revision: int) -> _Kept:
+    if not 0 < change.revision <= head_revision:
+        raise ValueError(
+            f"change of {change.key!r} has revision {change.revision}, the head is "
+            f"{head_revision}: ask the sender again, or another one"
+        )
+    return _Kept(change, fingerprint(change))
+
+
+def _merge(into: dict[str, _Kept], batch: Iterable[_Kept]) -> None:
+    for kept in batch:
+        old = into.get(kept.change.key)
+        if old is None or kept.order > old.order:
+            into[kept.change.key] = kept
--- /dev/null
+++ b/src/pomelobarrow/decision/membership.py
@@ -0,0 +1,310 @@
+"""Which entry VMs exist, which of them answer, and who took over from those that left."""
+
+import enum
+from collections.abc import Iterable
+
+from attrs import define, evolve, field, frozen
+
+from pomelobarrow.decision.rendezvous import rendezvous_spread
+from pomelobarrow.decision.silence import HeartbeatTimer
+
+WATCHERS = 2
+RELAYS = 2
+FORGET_AFTER_S = 600.0
+SUCCESSOR_KEPT_S = 3_600.0
+SUCCESSORS_KEPT = 1_024
+
+
+class Phase(enum.Enum):
+    """Enumerate a daemon's phases; within an incarnation they only advance."""
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"
+    LEFT = "left"
+
+
+PHASE_ORDER = {phase.value: place for place, phase in enumerate(Phase)}
+
+
+@frozen(kw_only=True)
+class Member:
+    """Describe one incarnation of an entry VM's daemon."""
+
+    vm: str
+    incarnation: int = 0
+    region: str
+    failure_domain: str = ""
+    caller_address: str = ""
+    peer_address: str = ""
+    phase: str = Phase.READY.value
+    heard_unix_s: float = 0.0
+    sequence: int = 0
+    successor: str = ""
+
+
+@frozen(kw_only=True)
+class ListedVm:
+    """Hold an entry VM as the platform's list has it; the list lags."""
+
+    vm: str
+    region: str = ""
+    failure_domain: str = ""
+    caller_address: str = ""
+    peer_address: str = ""
+    leaving: bool = False
+
+
+@define
+class _Record:
+    member: Member
+    timer: HeartbeatTimer
+    # Whether this VM itself was heard, not only others that spoke of it.
+    direct: bool = False
+
+
+@frozen
+class _Handover:
+    successor: str
+    learned_unix_s: float
+
+
+@define
+class MembershipView:
+    """Hold one daemon's own view of the entry VMs; another daemon's may differ for a while."""
+
+    own_vm: str
+    own_region: str
+    forget_after_s: float = FORGET_AFTER_S
+    own: Member = field(init=False)
+    superseded: bool = field(default=False, init=False)
+    _records: dict[str, _Record] = field(factory=dict, init=False, repr=False)
+    _listed: dict[str, ListedVm] = field(factory=dict, init=False, repr=False)
+    _handovers: dict[tuple[str, int], _Handover] = field(factory=dict, init=False, repr=False)
+    _pause_unix_s: float | None = field(default=None, init=False)
+    _latest_unix_s: float = field(default=0.0, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.own = Member(vm=self.own_vm, region=self.own_region)
+
+    def _time(self, now_unix_s: float | None) -> float:
+        """Return the time given, else the latest one told by an observation."""
+        if now_unix_s is None:
+            return self._latest_unix_s
+        self._latest_unix_s = now_unix_s
+        return now_unix_s
+
+    def observe_own(self, member: Member) -> None:
+        """State this daemon's own description."""
+        self.own = member
+
+    def observe_listed(self, vms: Iterable[ListedVm]) -> None:
+        """Take the platform's list, whole."""
+        self._listed = {listed.vm: listed for listed in vms}
+
+    def observe_heartbeat(self, member: Member, now_unix_s: float) -> bool:
+        """Take a heartbeat from the member itself; False for one that is out of date."""
+        if member.vm == self.own_vm:
+            return False
+        heard = evolve(member, heard_unix_s=self._time(now_unix_s))
+        record = self._records.get(member.vm)
+        if record is None or member.incarnation > record.member.incarnation:
+            record = self._records[member.vm] = _Record(heard, HeartbeatTimer())
+        elif not _is_newer_heartbeat(member, record):
+            return False
+        record.member = _advance(record.member, heard)
+        record.direct = True
+        record.timer.hear(now_unix_s)
+        self._note_successor(record.member, now_unix_s)
+        return True
+
+    def observe_summary(self, member: Member, now_unix_s: float) -> bool:
+        """Take what another daemon says of a member; it never goes before direct evidence."""
+        if member.vm == self.own_vm:
+            # A replacement runs under our name: its ids and ours must not be mixed up.
+            self.superseded |= member.incarnation > self.own.incarnation
+            return False
+        self._note_successor(member, now_unix_s)
+        heard_unix_s = min(member.heard_unix_s, now_unix_s)
+        # Old news about a VM that was forgotten would bring it back, from daemon to daemon.
+        if now_unix_s - heard_unix_s > self.forget_after_s:
+            return False
+        said = evolve(member, heard_unix_s=heard_unix_s)
+        record = self._records.get(member.vm)
+        if record is None or member.incarnation > record.member.incarnation:
+            self._records[member.vm] = _Record(said, HeartbeatTimer(heard_unix_s))
+            return True
+        if member.incarnation < record.member.incarnation:
+            return False
+        self._take_word(record, said, now_unix_s)
+        return True
+
+    def _take_word(self, record: _Record, said: Member, now_unix_s: float) -> None:
+        record.member = evolve(record.member, phase=_later_phase(record.member, said))
+        # A member that stopped speaking to us may still speak to others, say because its region's
+        # relays changed. Until its own silence is too long, its own word counts alone.
+        record.direct &= not record.timer.is_overdue(now_unix_s)
+        if not record.direct and said.heard_unix_s > record.member.heard_unix_s:
+            record.member = evolve(record.member, heard_unix_s=said.heard_unix_s)
+            record.timer.hear_of(said.heard_unix_s)
+
+    def observe_leave(self, vm: str, incarnation: int, successor: str, now_unix_s: float) -> None:
+        """Take a planned stop: the member gets no new work, its ids go to the successor."""
+        if successor:
+            self._handovers[(vm, incarnation)] = _Handover(successor, now_unix_s)
+        record = self._records.get(vm)
+        if record is not None and record.member.incarnation == incarnation:
+            record.member = evolve(record.member, phase=Phase.LEFT.value, successor=successor)
+
+    def observe_pause(self, now_unix_s: float, gap_s: float) -> None:
+        """Distrust the view after this process stood still; restart every timer."""
+        self._pause_unix_s = self._time(now_unix_s)
+        # The others' heartbeats wait unread in the sockets. Judged by the clock alone, every
+        # member would look dead because we slept.
+        for record in self._records.values():
+            if not record.timer.is_overdue(now_unix_s - gap_s):
+                record.timer.restart(now_unix_s)
+
+    def is_trusted(self, now_unix_s: float) -> bool:
+        """Say whether, since the last pause, each member has spoken or had its time to."""
+        if self._pause_unix_s is None:
+            return True
+        waiting = (
+            record
+            for record in self._records.values()
+            if record.direct and record.timer.awaits_first(now_unix_s)
+        )
+        if any(waiting):
+            return False
+        self._pause_unix_s = None
+        return True
+
+    def suspects(self, now_unix_s: float) -> frozenset[str]:
+        """Return the members whose silence exceeds what their heartbeats led us to expect."""
+        return frozenset(
+            vm
+            for vm, record in self._records.items()
+            if record.timer.is_overdue(now_unix_s) and record.member.phase != Phase.LEFT.value
+        )
+
+    def live(
+        self, region: str | None = None, now_unix_s: float | None = None
+    ) -> tuple[Member, ...]:
+        """Return this daemon's own member and all that answer, by name."""
+        now_unix_s = self._time(now_unix_s)
+        heard = (
+            record.member
+            for record in self._records.values()
+            if record.member.phase != Phase.LEFT.value and not record.timer.is_overdue(now_unix_s)
+        )
+        members = [member for member in (self.own, *heard) if region in (None, member.region)]
+        return tuple(sorted(members, key=lambda member: member.vm))
+
+    def live_peers(
+        self, region: str | None = None, now_unix_s: float | None = None
+    ) -> tuple[Member, ...]:
+        """Return the live members but this daemon's own."""
+        members = self.live(region, now_unix_s)
+        return tuple(member for member in members if member.vm != self.own_vm)
+
+    def usable_entries(
+        self, region: str | None = None, now_unix_s: float | None = None
+    ) -> tuple[Member, ...]:
+        """Return the live members that take new work."""
+        return tuple(member for member in self.live(region, now_unix_s) if self._is_usable(member))
+
+    def _is_usable(self, member: Member) -> bool:
+        listed = self._listed.get(member.vm)
+        return member.phase == Phase.READY.value and not (listed and listed.leaving)
+
+    def known(self) -> tuple[Member, ...]:
+        """Return every member not yet forgotten, for summaries to others."""
+        return tuple(record.member for record in self._records.values())
+
+    def get(self, vm: str) -> Member | None:
+        """Return the newest incarnation known of a VM."""
+        if vm == self.own_vm:
+            return self.own
+        record = self._records.get(vm)
+        return record.member if record else None
+
+    def contacts(self, now_unix_s: float) -> tuple[ListedVm, ...]:
+        """Return the listed VMs that don't answer yet, to be tried."""
+        live = {member.vm for member in self.live(now_unix_s=now_unix_s)}
+        return tuple(listed for vm, listed in sorted(self._listed.items()) if vm not in live)
+
+    def successor_of(self, vm: str, incarnation: int) -> str | None:
+        """Return the VM that took over an incarnation's request ids."""
+        handover = self._handovers.get((vm, incarnation))
+        return handover.successor if handover else None
+
+    def forget(self, now_unix_s: float) -> tuple[str, ...]:
+        """Drop members that left or fell silent long ago, and return their names."""
+        gone = [
+            vm
+            for vm, record in self._records.items()
+            if record.timer.silence_s(now_unix_s) > self.forget_after_s
+        ]
+        for vm in gone:
+            del self._records[vm]
+        self._forget_handovers(now_unix_s)
+        return tuple(gone)
+
+    def _forget_handovers(self, now_unix_s: float) -> None:
+        oldest_unix_s = now_unix_s - SUCCESSOR_KEPT_S
+        kept = [item for item in self._handovers.items() if item[1].learned_unix_s > oldest_unix_s]
+        kept.sort(key=lambda item: item[1].learned_unix_s)
+        self._handovers = dict(kept[-SUCCESSORS_KEPT:])
+
+    def _note_successor(self, member: Member, now_unix_s: float) -> None:
+        key = (member.vm, member.incarnation)
+        if member.successor and key not in self._handovers:
+            self._handovers[key] = _Handover(member.successor, now_unix_s)
+
+
+def _is_newer_heartbeat(member: Member, record: _Record) -> bool:
+    if member.incarnation < record.member.incarnation:
+        return False
+    return not record.direct or member.sequence > record.member.sequence
+
+
+def _phase_place(phase: str) -> int:
+    return PHASE_ORDER.get(phase, 0)
+
+
+def _later_phase(first: Member, second: Member) -> str:
+    return max(first.phase, second.phase, key=_phase_place)
+
+
+def _advance(old: Member, new: Member) -> Member:
+    """Take the newer description, without going back to an earlier phase."""
+    return evolve(new, phase=_later_phase(old, new), successor=new.successor or old.successor)
+
+
+def _watch_key(region: str) -> str:
+    return f"watch/{region}"
+
+
+def _pick(key: str, members: Iterable[Member], count: int) -> tuple[Member, ...]:
+    return rendezvous_spread(
+        key, members, count, lambda member: member.vm, lambda member: member.failure_domain
+    )
+
+
+def watchers(
+    view: MembershipView, region: str, count: int = WATCHERS, now_unix_s: float | None = None
+) -> tuple[Member, ...]:
+    """Return the members of a region that read the platform for it."""
+    return _pick(_watch_key(region), view.live(region, now_unix_s), count)
+
+
+def relays(
+    view: MembershipView,
+    own_region: str,
+    other_region: str,
+    count: int = RELAYS,
+    now_unix_s: float | None = None,
+) -> tuple[Member, ...]:
+    """Return the members of own_region that exchange with the other one."""
+    key = f"relay/{min(own_region, other_region)}/{max(own_region, other_region)}"
+    return _pick(key, view.live(own_region, now_unix_s), count)
--- /dev/null
+++ b/src/pomelobarrow/decision/request_ids.py
@@ -0,0 +1,381 @@
+"""The ledger that runs each issued request id at most once.
+
+Memory is bounded by `max_entries` ids, used or not, of ENTRY_BYTES each, plus `max_kept_bytes` of
+answers: ids issued per second times their life times ENTRY_BYTES, plus the answers kept. An id is
+counted from its issue, so there is always room to record its use.
+"""
+
+import enum
+import heapq
+import itertools
+import math
+from collections import Counter
+from collections.abc import Iterator
+
+from attrs import define, evolve, field, frozen
+from result import Err
+
+from pomelobarrow.decision.issued_id import (
+    IdFault,
+    Issuer,
+    format_id,
+    is_authentic,
+    parse_issuer,
+)
+
+__all__ = [
+    "Claim",
+    "ClaimKind",
+    "EntryState",
+    "HandedOverError",
+    "IdFault",
+    "Issuer",
+    "LedgerEntry",
+    "LedgerExport",
+    "Outcome",
+    "RequestIdLedger",
+    "entries_needed",
+    "memory_bound_bytes",
+    "parse_issuer",
+]
+
+LIFE_S = 600.0
+MAX_ENTRIES = 65_536
+MAX_KEPT_BYTES = 32 * 1024 * 1024
+MAX_BODY_BYTES = 256 * 1024
+# One used id: its text, the entry, and its places in the tables.
+ENTRY_BYTES = 1_024
+
+
+class EntryState(enum.Enum):
+    """Enumerate what became of a used id."""
+
+    RUNNING = "running"
+    FINISHED = "finished"
+    LOST = "lost"
+
+
+class ClaimKind(enum.Enum):
+    """Enumerate the answers to the claim of an id."""
+
+    FRESH = "fresh"
+    RUNNING = "running"
+    FINISHED = "finished"
+    FORGED = "forged"
+    EXPIRED = "expired"
+    NOT_MINE = "not_mine"
+    RETIRED = "retired"
+
+
+@frozen
+class Outcome:
+    """Hold how a request ended; the body is None where it was too large to keep."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes | None = None
+    run: str = "yes"
+
+    @property
+    def size_bytes(self) -> int:
+        """Return what keeping this outcome costs beside the entry itself."""
+        header_bytes = sum(len(name) + len(value) for name, value in self.headers)
+        return header_bytes + len(self.body or b"")
+
+
+OUTCOME_UNKNOWN = Outcome(status=502, run="unknown")
+
+
+@frozen
+class Claim:
+    """Answer a claim; FINISHED carries the outcome, one with run "unknown" for a lost request."""
+
+    kind: ClaimKind
+    outcome: Outcome | None = None
+
+
+@frozen(kw_only=True)
+class LedgerEntry:
+    """Hold one used id."""
+
+    request_id: str
+    account: str
+    expires_unix_s: float
+    state: EntryState = EntryState.RUNNING
+    outcome: Outcome | None = None
+
+
+@frozen(kw_only=True)
+class LedgerExport:
+    """Carry one issuer's used ids and its secret to the successor."""
+
+    secret: bytes
+    entries: tuple[LedgerEntry, ...]
+    # Used ids that expired up to here may be missing from the entries.
+    expired_through_unix_s: float
+
+
+class HandedOverError(Exception):
+    """Report a second hand-over to another successor."""
+
+    def __init__(self, successor: str) -> None:
+        super().__init__(
+            f"the ids were already handed to {successor!r}, which may have run some of them: "
+            "answer repeats with run unknown"
+        )
+
+
+@define
+class _Book:
+    """Hold one issuing process's secret and how far its expired ids were forgotten."""
+
+    secret: bytes
+    expired_through_unix_s: float = -math.inf
+    ids: dict[str, None] = field(factory=dict)
+
+
+@define
+class _Second:
+    """Hold what expires in one second."""
+
+    used: set[str] = field(factory=set)
+    issued: Counter[str] = field(factory=Counter)
+
+
+@define
+class RequestIdLedger:
+    """Issue request ids and let each run at most once until it expires."""
+
+    vm: str
+    incarnation: int
+    secret: bytes = field(repr=False)
+    max_kept_bytes: int = MAX_KEPT_BYTES
+    max_entries: int = MAX_ENTRIES
+    life_s: float = LIFE_S
+    max_body_bytes: int = MAX_BODY_BYTES
+    retired: bool = field(default=False, init=False)
+    kept_bytes: int = field(default=0, init=False)
+    issued_unexpired: int = field(default=0, init=False)
+    _books: dict[tuple[str, int], _Book] = field(factory=dict, init=False, repr=False)
+    _entries: dict[str, LedgerEntry] = field(factory=dict, init=False, repr=False)
+    _seconds: dict[float, _Second] = field(factory=dict, init=False, repr=False)
+    _expiries: list[float] = field(factory=list, init=False, repr=False)
+    _serials: Iterator[int] = field(factory=itertools.count, init=False, repr=False)
+    _issued_of_account: Counter[str] = field(factory=Counter, init=False, repr=False)
+    _latest_unix_s: float = field(default=-math.inf, init=False)
+    _adopted_entries: int = field(default=0, init=False)
+    _successor: str | None = field(default=None, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._books[self._own_key] = _Book(self.secret)
+
+    @property
+    def _own_key(self) -> tuple[str, int]:
+        return (self.vm, self.incarnation)
+
+    @property
+    def issuers(self) -> tuple[tuple[str, int], ...]:
+        """Return the (vm, incarnation) pairs whose ids are kept here."""
+        return tuple(self._books)
+
+    @property
+    def free_entries(self) -> int:
+        """Return how many more ids can be issued or taken over."""
+        return self.max_entries - self.issued_unexpired - self._adopted_entries
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def issue(self, account: str, count: int, now_unix_s: float) -> tuple[str, ...]:
+        """Issue up to `count` ids to an account, fewer where the room is short."""
+        self.expire(now_unix_s)
+        if self.retired:
+            return ()
+        # An account holds at most as many ids as stay free, so that one that asks without end
+        # leaves room for the others.
+        fair = (self.free_entries - self._issued_of_account[account]) // 2
+        given = max(0, min(count, fair))
+        if not given:
+            return ()
+        expires_unix_s = math.floor(self._latest_unix_s + self.life_s)
+        self._count_issued(account, given, expires_unix_s)
+        return tuple(self._new_id(account, expires_unix_s) for _ in range(given))
+
+    def _new_id(self, account: str, expires_unix_s: float) -> str:
+        serial = next(self._serials)
+        return format_id(self.secret, self.vm, self.incarnation, expires_unix_s, serial, account)
+
+    def _count_issued(self, account: str, count: int, expires_unix_s: float) -> None:
+        self._second(expires_unix_s).issued[account] += count
+        self._issued_of_account[account] += count
+        self.issued_unexpired += count
+
+    def claim(self, request_id: str, account: str, now_unix_s: float) -> Claim:
+        """Answer whether the id may run now; FRESH is given once and marks it running."""
+        self.expire(now_unix_s)
+        parsed = parse_issuer(request_id)
+        if isinstance(parsed, Err):
+            return Claim(ClaimKind.FORGED)
+        issuer = parsed.ok_value
+        book = self._books.get(issuer.key)
+        if book is None:
+            return Claim(ClaimKind.NOT_MINE)
+        if not is_authentic(request_id, book.secret, account):
+            return Claim(ClaimKind.FORGED)
+        entry = self._entries.get(request_id)
+        if entry is not None:
+            return _claim_of(entry)
+        # The latest time seen counts, not the clock's: an id forgotten at its expiry would be
+        # fresh again after the clock was set back.
+        if issuer.expires_unix_s <= max(self._latest_unix_s, book.expired_through_unix_s):
+            return Claim(ClaimKind.EXPIRED)
+        if self.retired or not self._has_room_for(issuer.key):
+            return Claim(ClaimKind.RETIRED)
+        self._add(
+            issuer.key,
+            LedgerEntry(
+                request_id=request_id, account=account, expires_unix_s=issuer.expires_unix_s
+            ),
+        )
+        return Claim(ClaimKind.FRESH)
+
+    def _has_room_for(self, key: tuple[str, int]) -> bool:
+        return key == self._own_key or self.free_entries > 0
+
+    def finish(self, request_id: str, outcome: Outcome) -> bool:
+        """Keep the outcome of a running id, without its body where that doesn't fit."""
+        if not self._is_running(request_id):
+            return False
+        self._settle(request_id, EntryState.FINISHED, self._fitting(outcome))
+        return True
+
+    def lose(self, request_id: str) -> bool:
+        """Record that nobody will learn how a running id ended."""
+        if not self._is_running(request_id):
+            return False
+        self._settle(request_id, EntryState.LOST, OUTCOME_UNKNOWN)
+        return True
+
+    def release_unrun(self, request_id: str) -> bool:
+        """Let a running id be used again, after a refusal that is certain not to have run."""
+        if not self._is_running(request_id):
+            return False
+        self._remove(request_id)
+        return True
+
+    def retire(self) -> None:
+        """Let no id start here any more; those in progress still end here."""
+        self.retired = True
+
+    def export(self, successor: str = "", issuer: tuple[str, int] | None = None) -> LedgerExport:
+        """Retire, and return one issuer's book (own by default) for the one successor."""
+        # With two successors each could run an unused id. The first one named may hold the
+        # secret even if its answer was lost, so no other gets it.
+        if self._successor not in (None, successor):
+            raise HandedOverError(self._successor or "")
+        self._successor = successor
+        self.retire()
+        book = self._books[issuer or self._own_key]
+        return LedgerExport(
+            secret=book.secret,
+            entries=tuple(self._entries[request_id] for request_id in book.ids),
+            expired_through_unix_s=max(book.expired_through_unix_s, self._latest_unix_s),
+        )
+
+    def adopt(self, vm: str, incarnation: int, export: LedgerExport) -> bool:
+        """Take over a stopped issuer's ids; False where there is no room, and nothing changed."""
+        key = (vm, incarnation)
+        known = self._books.get(key)
+        news = [entry for entry in export.entries if entry.request_id not in self._entries]
+        if self.retired or key == self._own_key or len(news) > self.free_entries:
+            return False
+        if known is not None and known.secret != export.secret:
+            return False
+        book = self._books.setdefault(key, _Book(export.secret))
+        book.expired_through_unix_s = max(
+            book.expired_through_unix_s, export.expired_through_unix_s
+        )
+        for entry in news:
+            self._add(key, self._as_adopted(entry))
+        return True
+
+    def _as_adopted(self, entry: LedgerEntry) -> LedgerEntry:
+        if entry.state is EntryState.RUNNING:
+            return evolve(entry, state=EntryState.LOST, outcome=OUTCOME_UNKNOWN)
+        return evolve(entry, outcome=self._fitting(entry.outcome or OUTCOME_UNKNOWN))
+
+    def expire(self, now_unix_s: float) -> int:
+        """Forget the ids that have expired, and return how many used ones there were."""
+        self._latest_unix_s = max(self._latest_unix_s, now_unix_s)
+        forgotten = 0
+        while self._expiries and self._expiries[0] <= self._latest_unix_s:
+            second = self._seconds.pop(heapq.heappop(self._expiries))
+            forgotten += len(second.used)
+            for request_id in tuple(second.used):
+                self._drop(request_id)
+            self._uncount_issued(second.issued)
+        return forgotten
+
+    def _uncount_issued(self, issued: Counter[str]) -> None:
+        self.issued_unexpired -= issued.total()
+        self._issued_of_account.subtract(issued)
+        for account in issued:
+            if not self._issued_of_account[account]:
+                del self._issued_of_account[account]
+
+    def _is_running(self, request_id: str) -> bool:
+        entry = self._entries.get(request_id)
+        return entry is not None and entry.state is EntryState.RUNNING
+
+    def _fitting(self, outcome: Outcome) -> Outcome:
+        room_bytes = self.max_kept_bytes - self.kept_bytes
+        if outcome.size_bytes <= min(room_bytes, self.max_body_bytes):
+            return outcome
+        return evolve(outcome, headers=(), body=None)
+
+    def _settle(self, request_id: str, state: EntryState, outcome: Outcome) -> None:
+        entry = self._entries[request_id]
+        self._entries[request_id] = evolve(entry, state=state, outcome=outcome)
+        self.kept_bytes += outcome.size_bytes
+
+    def _add(self, key: tuple[str, int], entry: LedgerEntry) -> None:
+        self._entries[entry.request_id] = entry
+        self._books[key].ids[entry.request_id] = None
+        self._second(entry.expires_unix_s).used.add(entry.request_id)
+        self._adopted_entries += key != self._own_key
+        self.kept_bytes += entry.outcome.size_bytes if entry.outcome else 0
+
+    def _remove(self, request_id: str) -> None:
+        expires_unix_s = self._entries[request_id].expires_unix_s
+        self._seconds[expires_unix_s].used.discard(request_id)
+        self._drop(request_id)
+
+    def _drop(self, request_id: str) -> None:
+        entry = self._entries.pop(request_id)
+        key = parse_issuer(request_id).unwrap().key
+        self._books[key].ids.pop(request_id)
+        self._adopted_entries -= key != self._own_key
+        self.kept_bytes -= entry.outcome.size_bytes if entry.outcome else 0
+
+    def _second(self, expires_unix_s: float) -> _Second:
+        second = self._seconds.get(expires_unix_s)
+        if second is None:
+            second = self._seconds[expires_unix_s] = _Second()
+            heapq.heappush(self._expiries, expires_unix_s)
+        return second
+
+
+def _claim_of(entry: LedgerEntry) -> Claim:
+    if entry.state is EntryState.RUNNING:
+        return Claim(ClaimKind.RUNNING)
+    return Claim(ClaimKind.FINISHED, entry.outcome)
+
+
+def entries_needed(ids_per_s: float, life_s: float = LIFE_S) -> int:
+    """Return how many entries a rate of issue fills."""
+    return math.ceil(ids_per_s * life_s)
+
+
+def memory_bound_bytes(max_entries: int = MAX_ENTRIES, max_kept_bytes: int = MAX_KEPT_BYTES) -> int:
+    """Return the most memory a ledger takes."""
+    return max_entries * ENTRY_BYTES + max_kept_bytes
--- /dev/null
+++ b/src/pomelobarrow/decision/silence.py
@@ -0,0 +1,73 @@
+"""Judge a member's silence by the heartbeats it used to send."""
+
+from attrs import define, field
+
+FLOOR_S = 2.5
+CEILING_S = 15.0
+# Weights of a new interval in the mean and in the deviation, as in TCP's retransmission timer.
+MEAN_GAIN = 1 / 8
+DEVIATION_GAIN = 1 / 4
+# A lossless link delays a heartbeat by a few deviations; two are also allowed to be lost.
+MEANS_ALLOWED = 3.0
+DEVIATIONS_ALLOWED = 4.0
+
+
+@define
+class HeartbeatTimer:
+    """Hold when a member was last heard and how regularly it speaks."""
+
+    heard_unix_s: float | None = None
+    mean_s: float | None = field(default=None, init=False)
+    deviation_s: float = field(default=0.0, init=False)
+    _restarted_unix_s: float | None = field(default=None, init=False)
+
+    def hear(self, now_unix_s: float) -> None:
+        """Take a heartbeat."""
+        if self.heard_unix_s is not None and self._restarted_unix_s is None:
+            self._learn(now_unix_s - self.heard_unix_s)
+        self.heard_unix_s = now_unix_s
+        self._restarted_unix_s = None
+
+    def hear_of(self, heard_unix_s: float) -> None:
+        """Take word from another that it was heard; this says nothing of its interval."""
+        self.heard_unix_s = heard_unix_s
+        self._restarted_unix_s = None
+        self.mean_s = None
+
+    def restart(self, now_unix_s: float) -> None:
+        """Count the silence from now; the interval under way teaches nothing."""
+        self._restarted_unix_s = now_unix_s
+
+    def _learn(self, interval_s: float) -> None:
+        # The end of a long silence is no interval: it would stretch the timeout to the ceiling.
+        if not 0 <= interval_s <= CEILING_S:
+            return
+        if self.mean_s is None:
+            self.mean_s, self.deviation_s = interval_s, interval_s / 2
+            return
+        error_s = abs(interval_s - self.mean_s)
+        self.deviation_s += DEVIATION_GAIN * (error_s - self.deviation_s)
+        self.mean_s += MEAN_GAIN * (interval_s - self.mean_s)
+
+    @property
+    def timeout_s(self) -> float:
+        """Return the silence after which the member is suspect."""
+        if self.mean_s is None:
+            return CEILING_S
+        expected_s = MEANS_ALLOWED * self.mean_s + DEVIATIONS_ALLOWED * self.deviation_s
+        return min(max(expected_s, FLOOR_S), CEILING_S)
+
+    def silence_s(self, now_unix_s: float) -> float:
+        """Return how long it has been silent, not counting time before a restart."""
+        since_unix_s = self._restarted_unix_s
+        if since_unix_s is None:
+            since_unix_s = self.heard_unix_s if self.heard_unix_s is not None else now_unix_s
+        return max(0.0, now_unix_s - since_unix_s)
+
+    def is_overdue(self, now_unix_s: float) -> bool:
+        """Say whether the silence exceeds the timeout."""
+        return self.silence_s(now_unix_s) > self.timeout_s
+
+    def awaits_first(self, now_unix_s: float) -> bool:
+        """Say whether it was neither heard since the restart nor overdue yet."""
+        return self._restarted_unix_s is not None and not self.is_overdue(now_unix_s)
