--- /dev/null
+++ b/src/pomelobarrow/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What operators use: the command line, logs, metrics and traces."""
--- /dev/null
+++ b/src/pomelobarrow/operators/logs.py
@@ -0,0 +1,95 @@
+"""Log JSON lines to stderr, each with its request and trace."""
+
+import logging
+import sys
+from collections.abc import Callable, MutableMapping
+from contextlib import AbstractContextManager
+from typing import Any
+
+import orjson
+import structlog
+from structlog.contextvars import bound_contextvars, merge_contextvars
+from structlog.tracebacks import ExceptionDictTransformer
+
+from pomelobarrow.kernel.settings import LogLevel
+from pomelobarrow.operators.output import ByteStream, LossyStream
+from pomelobarrow.operators.redaction import redact, redact_line
+
+Event = MutableMapping[str, Any]
+Processor = Callable[[Any, str, Event], Any]
+
+# Below this level libraries tell of every connection, which a busy VM can't afford.
+LIBRARY_LEVEL = logging.WARNING
+
+
+def configure_logs(level: LogLevel, vm: str, stream: ByteStream | None = None) -> None:
+    """Send structlog's and the standard library's log events to a stream as JSON lines."""
+    output = LossyStream(stream or sys.stderr.buffer)
+    number = logging.getLevelNamesMapping()[level.name]
+    structlog.configure(
+        processors=[*_processors(vm), _render],
+        wrapper_class=structlog.make_filtering_bound_logger(number),
+        logger_factory=structlog.BytesLoggerFactory(file=output),  # type: ignore[arg-type]
+        cache_logger_on_first_use=False,
+    )
+    logging.basicConfig(
+        handlers=[_library_handler(output, vm)], level=max(number, LIBRARY_LEVEL), force=True
+    )
+
+
+def request_logs(request_id: str, trace_id: str = "") -> AbstractContextManager[None]:
+    """Put the request and trace into every event of a block; afterwards they are gone."""
+    if trace_id:
+        return bound_contextvars(request_id=request_id, trace_id=trace_id)
+    return bound_contextvars(request_id=request_id)
+
+
+def _processors(vm: str) -> list[Processor]:
+    def add_vm(logger: Any, method: str, event: Event) -> Event:
+        event["vm"] = vm
+        return event
+
+    # Local variables stay out of tracebacks: they hold bodies and tokens.
+    traceback = ExceptionDictTransformer(show_locals=False)
+    return [
+        merge_contextvars,
+        structlog.processors.add_log_level,
+        structlog.processors.TimeStamper(fmt="iso", utc=True),
+        add_vm,
+        structlog.processors.ExceptionRenderer(traceback),
+        redact,
+    ]
+
+
+def _render(logger: Any, method: str, event: Event) -> bytes:
+    return redact_line(orjson.dumps(event, default=repr))
+
+
+def _library_handler(output: LossyStream, vm: str) -> logging.Handler:
+    handler = _LineHandler(output)
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(
+            foreign_pre_chain=_processors(vm),
+            processors=[
+                structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+                lambda logger, method, event: _render(logger, method, event).decode(),
+            ],
+        )
+    )
+    return handler
+
+
+class _LineHandler(logging.Handler):
+    """Write each formatted record as one line."""
+
+    def __init__(self, output: LossyStream) -> None:
+        super().__init__()
+        self._output = output
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record."""
+        try:
+            self._output.write(self.format(record).encode() + b"\n")
+            self._output.flush()
+        except Exception:
+            self.handleError(record)
--- /dev/null
+++ b/src/pomelobarrow/operators/metrics.py
@@ -0,0 +1,231 @@
+"""Count what this VM does, cheaply per request, and render it for Prometheus."""
+
+from collections.abc import Callable, Mapping
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from aioprometheus.histogram import Histogram as HistogramSeries
+
+CONTENT_TYPE_HEADER = "Content-Type"
+# From a ping's 25 ms to a long draft's ten minutes.
+REQUEST_BUCKETS_S = (0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120, 300, 600)
+TOKEN_GAP_BUCKETS_S = (0.005, 0.01, 0.02, 0.03, 0.05, 0.1, 0.2, 0.5, 1)
+
+LabelValues = tuple[str, ...]
+SeriesReader = Callable[[], Mapping[LabelValues, float]]
+
+_ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
+
+
+class CounterFamily:
+    """Count events by label values.
+
+    aioprometheus turns the labels into JSON at each step; here they stay a tuple and the
+    collector is filled when it is rendered.
+    """
+
+    def __init__(self, registry: Registry, name: str, doc: str, labels: LabelValues) -> None:
+        self._collector = Counter(name, doc, registry=registry)
+        self._labels = labels
+        self._counts: dict[LabelValues, float] = {}
+
+    def inc(self, *values: str) -> None:
+        """Count one event."""
+        self._counts[values] = self._counts.get(values, 0) + 1
+
+    def value(self, *values: str) -> float:
+        """Return how many events were counted."""
+        return self._counts.get(values, 0)
+
+    def fill(self) -> None:
+        """Bring the collector up to date."""
+        for values, count in self._counts.items():
+            self._collector.set(_label(self._labels, values), count)
+
+
+class GaugeFamily:
+    """Show present values by label values, set or read when rendered."""
+
+    def __init__(self, registry: Registry, name: str, doc: str, labels: LabelValues) -> None:
+        self._collector = Gauge(name, doc, registry=registry)
+        self._labels = labels
+        self._values: dict[LabelValues, float] = {}
+        self._reader: SeriesReader | None = None
+
+    def set(self, value: float, *values: str) -> None:
+        """Set one value."""
+        self._values[values] = value
+
+    def add(self, change: float, *values: str) -> None:
+        """Change one value."""
+        self._values[values] = self._values.get(values, 0) + change
+
+    def read_from(self, reader: SeriesReader) -> None:
+        """Take all values from a function at each rendering."""
+        self._reader = reader
+
+    def value(self, *values: str) -> float:
+        """Return one value."""
+        return self._series().get(values, 0)
+
+    def fill(self) -> None:
+        """Bring the collector up to date and drop series that are no more."""
+        self._collector.values.clear()
+        for values, value in self._series().items():
+            self._collector.set(_label(self._labels, values), value)
+
+    def _series(self) -> Mapping[LabelValues, float]:
+        return self._reader() if self._reader else self._values
+
+
+class HistogramFamily:
+    """Observe durations by label values."""
+
+    def __init__(
+        self,
+        registry: Registry,
+        name: str,
+        doc: str,
+        labels: LabelValues,
+        buckets_s: tuple[float, ...],
+    ) -> None:
+        self._collector = Histogram(name, doc, registry=registry, buckets=buckets_s)
+        self._labels = labels
+        self._buckets_s = buckets_s
+        self._series: dict[LabelValues, HistogramSeries] = {}
+
+    def observe(self, value: float, *values: str) -> None:
+        """Take one observation."""
+        series = self._series.get(values)
+        if series is None:
+            series = self._series[values] = HistogramSeries(*self._buckets_s)
+        series.observe(value)
+
+    def count(self, *values: str) -> int:
+        """Return how many observations were taken."""
+        series = self._series.get(values)
+        return series.observations if series else 0
+
+    def fill(self) -> None:
+        """Bring the collector up to date."""
+        for values, series in self._series.items():
+            self._collector.set_value(_label(self._labels, values), series)
+
+
+class Metrics:
+    """Hold every metric of this VM.
+
+    Label values come from the published configuration or from enumerations, never from a caller,
+    so that no caller can grow the number of series.
+    """
+
+    def __init__(self) -> None:
+        registry = Registry()
+        self._registry = registry
+        self.requests = CounterFamily(
+            registry,
+            "pomelobarrow_requests_total",
+            "Requests that ended here.",
+            ("class", "outcome"),
+        )
+        self.refusals = CounterFamily(
+            registry,
+            "pomelobarrow_refusals_total",
+            "Requests refused, by problem kind and whether they ran.",
+            ("kind", "run"),
+        )
+        self.forwards = CounterFamily(
+            registry,
+            "pomelobarrow_forwards_total",
+            "Requests passed on to a peer in another region.",
+            ("class", "region"),
+        )
+        self.retries = CounterFamily(
+            registry,
+            "pomelobarrow_retries_total",
+            "Attempts after a request's first one.",
+            ("class",),
+        )
+        self.refused_revisions = CounterFamily(
+            registry,
+            "pomelobarrow_refused_revisions_total",
+            "Published revisions refused because they have faults.",
+            ("keyspace",),
+        )
+        self.revision = GaugeFamily(
+            registry,
+            "pomelobarrow_configuration_revision",
+            "Revision in force.",
+            ("keyspace",),
+        )
+        self.in_flight = GaugeFamily(
+            registry,
+            "pomelobarrow_requests_in_flight",
+            "Requests accepted and not ended.",
+            ("class",),
+        )
+        self.queue_depth = GaugeFamily(
+            registry,
+            "pomelobarrow_queue_depth",
+            "Requests waiting for a backend server.",
+            ("pool",),
+        )
+        self.first_token_s = HistogramFamily(
+            registry,
+            "pomelobarrow_first_token_seconds",
+            "Time from acceptance to the first byte of the answer.",
+            ("class",),
+            REQUEST_BUCKETS_S,
+        )
+        self.duration_s = HistogramFamily(
+            registry,
+            "pomelobarrow_request_duration_seconds",
+            "Time from acceptance to the end of the answer.",
+            ("class", "outcome"),
+            REQUEST_BUCKETS_S,
+        )
+        self.token_gap_mean_s = HistogramFamily(
+            registry,
+            "pomelobarrow_token_gap_mean_seconds",
+            "Mean time between chunks, one observation a streamed request.",
+            ("class",),
+            TOKEN_GAP_BUCKETS_S,
+        )
+        self.token_gap_max_s = HistogramFamily(
+            registry,
+            "pomelobarrow_token_gap_max_seconds",
+            "Longest time between chunks, one observation a streamed request.",
+            ("class",),
+            TOKEN_GAP_BUCKETS_S,
+        )
+        self._families = [
+            each
+            for each in vars(self).values()
+            if isinstance(each, CounterFamily | GaugeFamily | HistogramFamily)
+        ]
+
+    def observe_stream(
+        self,
+        class_name: str,
+        first_chunk_s: float,
+        last_chunk_s: float,
+        chunks: int,
+        max_gap_s: float,
+    ) -> None:
+        """Take the token gaps of one finished stream; one chunk has no gap."""
+        if chunks < 2:
+            return
+        self.token_gap_mean_s.observe((last_chunk_s - first_chunk_s) / (chunks - 1), class_name)
+        self.token_gap_max_s.observe(max_gap_s, class_name)
+
+    def render(self) -> tuple[bytes, str]:
+        """Return the metrics in Prometheus's text format and its content type."""
+        for family in self._families:
+            family.fill()
+        content, headers = render(self._registry, [])
+        return content, headers[CONTENT_TYPE_HEADER]
+
+
+def _label(names: LabelValues, values: LabelValues) -> dict[str, str]:
+    # aioprometheus writes label values as they are; a quote would break the whole answer.
+    escaped = (value.translate(_ESCAPES) for value in values)
+    return dict(zip(names, escaped, strict=True))
--- /dev/null
+++ b/src/pomelobarrow/operators/redaction.py
@@ -0,0 +1,71 @@
+"""Take secrets, tokens and bodies out of log events."""
+
+import functools
+import re
+from collections.abc import Mapping, MutableMapping
+from typing import Any
+
+REDACTED = "[redacted]"
+MAX_DEPTH = 6
+# Field names are written in code, so few are seen; the bound is for keys of logged mappings.
+MAX_CACHED_KEYS = 1024
+
+_SECRET_KEY_PATTERN = re.compile(
+    r"secret|token|authorization|password|api_?key|cookie|body|prompt|content|messages|payload",
+    re.IGNORECASE,
+)
+# Counts such as prompt_tokens are no secret; a number under any of these names is kept.
+_HARMLESS = (int, float, bool, type(None))
+# Written without IGNORECASE, which makes the search several times slower.
+_CREDENTIALS_PATTERN = re.compile(
+    rb"([Bb](?:[Ee][Aa][Rr][Ee][Rr]|[Aa][Ss][Ii][Cc])(?: |\\[tnr])+)[^\s'\"\\,)\]}]+"
+)
+
+
+def redact(logger: Any, method: str, event: MutableMapping[str, Any]) -> MutableMapping[str, Any]:
+    """Redact an event's fields by their names; the first two arguments are structlog's."""
+    for key, value in event.items():
+        # Nearly every field is one of these, and every request logs a dozen.
+        if type(value) in _HARMLESS or (type(value) is str and not _is_secret(key)):
+            continue
+        event[key] = _redact_field(key, value, 0)
+    return event
+
+
+def redact_line(line: bytes) -> bytes:
+    """Redact credentials that stand anywhere in a rendered line."""
+    return _CREDENTIALS_PATTERN.sub(rb"\1" + REDACTED.encode(), line)
+
+
+@functools.lru_cache(MAX_CACHED_KEYS)
+def _is_secret(key: str | bytes) -> bool:
+    text = key if isinstance(key, str) else key.decode("latin-1")
+    return _SECRET_KEY_PATTERN.search(text) is not None
+
+
+def _redact_field(key: object, value: Any, depth: int) -> Any:
+    if isinstance(value, _HARMLESS):
+        return value
+    if isinstance(key, str | bytes) and _is_secret(key):
+        return REDACTED
+    return _redact_value(value, depth)
+
+
+def _redact_value(value: Any, depth: int) -> Any:
+    if isinstance(value, (str, *_HARMLESS)):
+        return value
+    if depth >= MAX_DEPTH or isinstance(value, bytes | bytearray | memoryview):
+        return REDACTED
+    if isinstance(value, Mapping):
+        return {str(key): _redact_field(key, each, depth + 1) for key, each in value.items()}
+    if isinstance(value, list | tuple | set | frozenset):
+        return _redact_sequence(list(value), depth)
+    return repr(value)
+
+
+def _redact_sequence(values: list[Any], depth: int) -> list[Any]:
+    # Headers come as pairs; the first half is the key.
+    if len(values) == 2 and isinstance(values[0], str | bytes):
+        key = values[0] if isinstance(values[0], str) else values[0].decode("latin-1")
+        return [key, _redact_field(key, values[1], depth + 1)]
+    return [_redact_value(each, depth + 1) for each in values]
