Bound the prefix index and the scan of a full queue, count KV memory

Cause: a full pool was looked through once for each waiting request at every free slot; the prefix index forgot a whole server at a gap; reports of a VM with a skewed clock were taken as they came. Change: queues are sorted lists with at most four skips, a late request is ordered by its deadline; the index is a least-recently-used list per server of the engine's own size; report times are corrected where their lag can't be real; requests count against KV memory. Ruled out: a need-dependent KV check, since small requests would pass a large one for ever.

--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -1,10 +1,12 @@
 """Keep what this VM knows of its region's backend servers."""
 
+from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 
 from attrs import frozen
 
 from pomelobarrow.decision.prefix_index import PrefixIndex
+from pomelobarrow.decision.report_clock import ReportClock
 from pomelobarrow.decision.server_health import ServerHealth
 from pomelobarrow.decision.server_load import Charge, ServerLoad
 from pomelobarrow.decision.service_times import ServiceTimes
@@ -18,10 +20,13 @@
     """Show one usable backend server as a choice sees it."""
 
     server: BackendServer
-    in_flight: InFlight
+    requests: int
+    # Prompt tokens still to be computed.
+    tokens: int
+    # Tokens that the requests in flight may come to hold.
+    kv_tokens: int
     # Slots that work may fill now; fewer during slow start.
     slots: float
-    kv_tokens_used: int
 
 
 class LoadTable:
@@ -33,6 +38,7 @@
         self._servers: dict[str, BackendServer] = {}
         self._loads: dict[str, ServerLoad] = {}
         self._health: dict[str, ServerHealth] = {}
+        self._clocks: defaultdict[str, ReportClock] = defaultdict(ReportClock)
         self._charges: dict[str, Charge] = {}
         self._peers: dict[str, Mapping[str, InFlight]] = {}
         self._heard_unix_s: dict[str, float] = {}
@@ -47,15 +53,18 @@
         gone = set(self._loads) - set(self._servers)
         for name in gone:
             # Requests that still run there are released by id and need the entry until then.
-            if self._loads[name].own == NOTHING:
-                del self._loads[name], self._health[name]
-                self.prefixes.observe_gap(name)
+            if self._loads[name].own_requests == 0:
+                self._forget_server(name)
+        capacities = {s.name: s.kv_capacity_tokens for s in self._servers.values()}
+        self.prefixes.set_capacities(capacities)
 
     def observe_report(self, report: LoadReport, received_unix_s: float) -> None:
-        """Take in a server's report; a report from the future counts as measured now."""
+        """Take in a server's report."""
         load = self._loads.get(report.server)
-        if load is not None:
-            load.observe_report(report, min(report.measured_unix_s, received_unix_s))
+        if load is None:
+            return
+        clock = self._clocks[report.server]
+        load.observe_report(report, clock.local_unix_s(report.measured_unix_s, received_unix_s))
 
     def observe_peer(self, vm: str, in_flight: Mapping[str, InFlight], now_unix_s: float) -> None:
         """Take in what a peer has in flight on each server."""
@@ -76,14 +85,27 @@
             if load is not None:
                 load.forget_peer(vm)
 
-    def charge(self, request_id: str, server_name: str, tokens: int, now_unix_s: float) -> None:
-        """Count a placement; `tokens` is the prompt's uncached part."""
-        load = self._loads.setdefault(server_name, ServerLoad())
+    def charge(
+        self,
+        request_id: str,
+        server_name: str,
+        tokens: int,
+        now_unix_s: float,
+        kv_tokens: int = 0,
+    ) -> None:
+        """Count a placement: its uncached prompt tokens, and all tokens it may come to hold."""
         self.release(request_id, now_unix_s)
-        tokens_ahead = load.estimate(now_unix_s).tokens + tokens
-        charge = Charge(server_name, tokens, now_unix_s, tokens_ahead)
+        load = self._loads.setdefault(server_name, ServerLoad())
+        charge = Charge(
+            server_name=server_name,
+            tokens=tokens,
+            kv_tokens=kv_tokens,
+            charged_unix_s=now_unix_s,
+            tokens_ahead=load.tokens(now_unix_s) + tokens,
+        )
         self._charges[request_id] = charge
         load.add(charge)
+        self._times_of(server_name).observe_kv(kv_tokens)
 
     def started(self, request_id: str, now_unix_s: float) -> None:
         """Note a request's first token."""
@@ -106,7 +128,7 @@
 
     def in_flight(self) -> Mapping[str, InFlight]:
         """Return this VM's own counts, for heartbeats."""
-        return {name: load.own for name, load in self._loads.items() if load.own != NOTHING}
+        return {name: load.own for name, load in self._loads.items() if load.own_requests}
 
     def mark_failed(self, server_name: str, now_unix_s: float) -> None:
         """Note that a server could not be reached or broke off."""
@@ -141,13 +163,23 @@
 
     def _state(self, server: BackendServer, now_unix_s: float) -> ServerState:
         load = self._loads[server.name]
+        requests = load.requests(now_unix_s)
+        kv_tokens_of_others = (requests - load.own_requests) * self.service_times(
+            server.pool
+        ).kv_tokens
         return ServerState(
             server=server,
-            in_flight=load.estimate(now_unix_s),
+            requests=requests,
+            tokens=load.tokens(now_unix_s),
+            kv_tokens=load.own_kv_tokens + round(kv_tokens_of_others),
             slots=server.slots * self._health[server.name].admitted_share(now_unix_s),
-            kv_tokens_used=load.report.kv_tokens_used if load.report else 0,
         )
 
+    def _forget_server(self, name: str) -> None:
+        self._loads.pop(name, None)
+        self._health.pop(name, None)
+        self._clocks.pop(name, None)
+
     def _times_of(self, server_name: str) -> ServiceTimes:
         server = self._servers.get(server_name)
         return self.service_times(server.pool if server else "")
--- a/src/pomelobarrow/decision/prefix_index.py
+++ b/src/pomelobarrow/decision/prefix_index.py
@@ -1,80 +1,76 @@
 """Remember which backend servers hold which prompt prefixes."""
 
-from collections import OrderedDict
-from collections.abc import Iterable, Sequence
-
-from attrs import define, field
+from collections import OrderedDict, defaultdict
+from collections.abc import Iterable, Mapping, Sequence
 
 from pomelobarrow.decision.costs import BLOCK_TOKENS
 
-# About 100 bytes each: 20,000 blocks stay near 2 MB.
-MAX_BLOCKS = 20_000
 STORED = "stored"
+DEFAULT_CAPACITY_BLOCKS = 512
+# About 150 bytes each: all servers together stay under 20 MB.
+MAX_BLOCKS = 120_000
 
 
-@define
 class PrefixIndex:
-    """Map block hashes to servers, from own placements and from late, gappy cache events."""
-
-    max_blocks: int = MAX_BLOCKS
-    _servers_by_block: OrderedDict[int, set[str]] = field(factory=OrderedDict)
-
-    def observe_placement(self, server: str, prefix_hashes: Iterable[int]) -> None:
+    """Map block hashes to servers, from own placements and from late, gappy cache events.
+
+    Each server's part is a least-recently-used list as large as the engine's own cache. So a missed
+    eviction, which would draw prompts to a server that has to compute them again, is forgotten
+    about when the engine forgets it too.
+    """
+
+    def __init__(self) -> None:
+        self._blocks: defaultdict[str, OrderedDict[int, None]] = defaultdict(OrderedDict)
+        self._capacity_blocks: dict[str, int] = {}
+
+    def set_capacities(self, kv_capacity_tokens: Mapping[str, int]) -> None:
+        """Take over the servers and their cache sizes; forget every other server."""
+        share = MAX_BLOCKS // max(1, len(kv_capacity_tokens))
+        self._capacity_blocks = {
+            server: max(1, min(share, tokens // BLOCK_TOKENS))
+            for server, tokens in kv_capacity_tokens.items()
+        }
+        for server in set(self._blocks) - set(kv_capacity_tokens):
+            del self._blocks[server]
+
+    def observe_placement(self, server: str, prefix_hashes: Sequence[int]) -> None:
         """Expect a server to hold the prompt that it was just given."""
-        for block in prefix_hashes:
-            self._store(server, block)
+        self._store(server, prefix_hashes)
 
     def observe_event(self, server: str, kind: str, block: int) -> None:
         """Take in one cache event of an engine."""
         if kind == STORED:
-            self._store(server, block)
+            self._store(server, (block,))
             return
-        self._evict(server, block)
+        self._blocks[server].pop(block, None)
 
     def observe_gap(self, server: str) -> None:
-        """Forget a server's blocks once its events were missed."""
-        # A missed eviction would draw prompts to a server that has to compute them again. A missed
-        # store costs one recomputed prefill, after which the own placement is known again.
-        for block in [b for b, servers in self._servers_by_block.items() if server in servers]:
-            self._evict(server, block)
-
-    def forget_servers(self, kept: frozenset[str]) -> None:
-        """Forget every server that is not kept."""
-        known = set().union(*self._servers_by_block.values())
-        for server in known - kept:
-            self.observe_gap(server)
+        """Forget the older half of a server's blocks once its events were missed."""
+        blocks = self._blocks[server]
+        for _ in range(len(blocks) // 2):
+            blocks.popitem(last=False)
 
     def cached_tokens(self, server: str, prefix_hashes: Sequence[int]) -> int:
         """Count the leading prompt tokens that a server is expected to hold."""
-        return self.cached_tokens_by_server(prefix_hashes).get(server, 0)
-
-    def cached_tokens_by_server(self, prefix_hashes: Sequence[int]) -> dict[str, int]:
-        """Count the leading prompt tokens that each server is expected to hold."""
-        tokens: dict[str, int] = {}
-        holders: set[str] | None = None
-        for depth, block in enumerate(prefix_hashes, start=1):
-            servers = self._servers_by_block.get(block)
-            if not servers:
-                break
-            holders = set(servers) if holders is None else holders & servers
-            if not holders:
+        blocks = self._blocks.get(server)
+        if not blocks:
+            return 0
+        depth = 0
+        for block in prefix_hashes:
+            if block not in blocks:
                 break
-            tokens.update(dict.fromkeys(holders, depth * BLOCK_TOKENS))
-        return tokens
+            depth += 1
+        return depth * BLOCK_TOKENS
 
     def __len__(self) -> int:
-        return len(self._servers_by_block)
-
-    def _store(self, server: str, block: int) -> None:
-        self._servers_by_block.setdefault(block, set()).add(server)
-        self._servers_by_block.move_to_end(block)
-        while len(self._servers_by_block) > self.max_blocks:
-            self._servers_by_block.popitem(last=False)
-
-    def _evict(self, server: str, block: int) -> None:
-        servers = self._servers_by_block.get(block)
-        if servers is None:
-            return
-        servers.discard(server)
-        if not servers:
-            del self._servers_by_block[block]
+        return sum(len(blocks) for blocks in self._blocks.values())
+
+    def _store(self, server: str, prefix_hashes: Iterable[int]) -> None:
+        blocks = self._blocks[server]
+        # Later blocks go in first, so that a prefix outlives what builds on it.
+        for block in reversed(tuple(prefix_hashes)):
+            blocks[block] = None
+            blocks.move_to_end(block)
+        capacity = self._capacity_blocks.get(server, DEFAULT_CAPACITY_BLOCKS)
+        while len(blocks) > capacity:
+            blocks.popitem(last=False)
--- a/src/pomelobarrow/decision/server_choice.py
+++ b/src/pomelobarrow/decision/server_choice.py
@@ -20,7 +20,10 @@
     with_room = [s for s in states if has_room(s, work.rank)]
     if not with_room:
         return None
-    cached = table.prefixes.cached_tokens_by_server(work.prefix_hashes)
+    cached = {
+        s.server.name: table.prefixes.cached_tokens(s.server.name, work.prefix_hashes)
+        for s in with_room
+    }
     times = table.service_times(work.pool)
     placements = [_placement(s, work, cached.get(s.server.name, 0), times) for s in with_room]
     random.shuffle(placements)
@@ -29,7 +32,9 @@
 
 def has_room(state: ServerState, rank: Rank) -> bool:
     """Say whether a server may get one more request of a rank."""
-    return state.in_flight.requests < state.slots * SLOT_ALLOWANCE[rank]
+    # The request's own size isn't asked: small ones would else pass a large one for ever.
+    has_kv_room = state.kv_tokens < state.server.kv_capacity_tokens or state.requests == 0
+    return has_kv_room and state.requests < state.slots * SLOT_ALLOWANCE[rank]
 
 
 def expected_wait_s(
@@ -37,8 +42,8 @@
 ) -> float:
     """Return the seconds until the first token on a server."""
     uncached_tokens = max(0, work.prompt_tokens - cached_tokens)
-    prefill_s = (state.in_flight.tokens + uncached_tokens) * times.s_per_prefill_token
-    over_slots = max(0.0, state.in_flight.requests + 1 - state.slots)
+    prefill_s = (state.tokens + uncached_tokens) * times.s_per_prefill_token
+    over_slots = max(0.0, state.requests + 1 - state.slots)
     return prefill_s + over_slots * times.hold_s / max(state.slots, 1.0)
 
 
--- a/src/pomelobarrow/decision/server_load.py
+++ b/src/pomelobarrow/decision/server_load.py
@@ -1,37 +1,39 @@
 """Estimate one backend server's load from own charges, peers' counts and a lagging report."""
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from pomelobarrow.decision.work import InFlight, LoadReport
 
-# Released charges are kept this long for a report that was measured before their release.
+# A released charge is kept this long for a report that was measured before its release.
 RELEASED_KEPT_S = 10.0
 # An older report says nothing of the present.
 REPORT_GOOD_FOR_S = 10.0
 NOTHING = InFlight()
 
 
-@define
+@define(kw_only=True)
 class Charge:
     """Hold what one own request takes of a server."""
 
     server_name: str
+    # Prompt tokens that the engine has to compute before the first token.
     tokens: int
+    kv_tokens: int
     charged_unix_s: float
     tokens_ahead: int = 0
     started_unix_s: float | None = None
     released_unix_s: float | None = None
 
-    def held_at(self, unix_s: float) -> InFlight:
-        """Return what the charge took at a past time."""
-        if self.charged_unix_s > unix_s or _is_past(self.released_unix_s, unix_s):
-            return NOTHING
-        return InFlight(
-            requests=1, tokens=0 if _is_past(self.started_unix_s, unix_s) else self.tokens
-        )
+    def is_held_at(self, unix_s: float) -> bool:
+        """Say whether the request was on its server at a past time."""
+        return self.charged_unix_s <= unix_s and not _is_past(self.released_unix_s, unix_s)
+
+    def tokens_at(self, unix_s: float) -> int:
+        """Count the tokens that were still to be computed at a past time."""
+        return 0 if _is_past(self.started_unix_s, unix_s) else self.tokens
 
 
-@frozen
+@define
 class _PeerCount:
     near: InFlight
     latest: InFlight
@@ -41,112 +43,105 @@
 class ServerLoad:
     """Add up what a server has in flight.
 
-    The report counts everything up to when it was measured. Own charges since then, and the
-    change in the counts of every peer heard since then, are added. So one report serves many
-    placements, and a peer that is not heard is still counted by the report.
+    A report counts everything up to when it was measured, whoever sent it. Own charges since then,
+    and the change in the counts of each peer heard since then, come on top. So one late report
+    serves many placements, and a dead or unheard peer's requests stay counted.
     """
 
-    _own: InFlight = NOTHING
+    own_requests: int = 0
+    own_tokens: int = 0
+    own_kv_tokens: int = 0
+    report: LoadReport | None = None
+    measured_unix_s: float = float("-inf")
     _charges: list[Charge] = field(factory=list)
-    _report: LoadReport | None = None
-    _measured_unix_s: float = float("-inf")
-    _own_in_report: InFlight = NOTHING
     _peers: dict[str, _PeerCount] = field(factory=dict)
-    _peers_near: InFlight = NOTHING
-    _peers_latest: InFlight = NOTHING
+    _peers_latest_requests: int = 0
+    _peers_latest_tokens: int = 0
+    # What the report counts beyond own charges and the peers heard since.
+    _rest_requests: int = 0
+    _rest_tokens: int = 0
 
     @property
     def own(self) -> InFlight:
         """Return what this VM has in flight."""
-        return self._own
+        return InFlight(requests=self.own_requests, tokens=self.own_tokens)
 
-    @property
-    def report(self) -> LoadReport | None:
-        """Return the newest report."""
-        return self._report
+    def requests(self, now_unix_s: float) -> int:
+        """Count the requests in flight here now, as far as is known."""
+        rest = max(0, self._rest_requests) if self._is_report_good(now_unix_s) else 0
+        return self.own_requests + self._peers_latest_requests + rest
 
-    @property
-    def measured_unix_s(self) -> float:
-        """Return when the newest report was true, by this VM's clock."""
-        return self._measured_unix_s
+    def tokens(self, now_unix_s: float) -> int:
+        """Count the prompt tokens still to be computed here."""
+        rest = max(0, self._rest_tokens) if self._is_report_good(now_unix_s) else 0
+        return self.own_tokens + self._peers_latest_tokens + rest
 
     def add(self, charge: Charge) -> None:
         """Count a charge."""
         self._charges.append(charge)
-        self._own = _plus(self._own, InFlight(requests=1, tokens=charge.tokens))
+        self.own_requests += 1
+        self.own_tokens += charge.tokens
+        self.own_kv_tokens += charge.kv_tokens
 
     def start(self, charge: Charge, now_unix_s: float) -> None:
         """Take off the prefill of a charge whose first token came."""
         if charge.started_unix_s is not None:
             return
         charge.started_unix_s = now_unix_s
-        self._own = _minus(self._own, InFlight(tokens=charge.tokens))
+        self.own_tokens -= charge.tokens
 
     def release(self, charge: Charge, now_unix_s: float) -> None:
         """Take off a charge whose request ended."""
         self.start(charge, now_unix_s)
         charge.released_unix_s = now_unix_s
-        self._own = _minus(self._own, InFlight(requests=1))
+        self.own_requests -= 1
+        self.own_kv_tokens -= charge.kv_tokens
         self._drop_released(now_unix_s)
 
     def observe_report(self, report: LoadReport, measured_unix_s: float) -> None:
-        """Start from a newer report."""
-        if measured_unix_s <= self._measured_unix_s:
+        """Count from a newer report on."""
+        if measured_unix_s <= self.measured_unix_s:
             return
-        self._report = report
-        self._measured_unix_s = measured_unix_s
-        held = [charge.held_at(measured_unix_s) for charge in self._charges]
-        self._own_in_report = InFlight(
-            requests=sum(h.requests for h in held), tokens=sum(h.tokens for h in held)
-        )
+        self.report = report
+        self.measured_unix_s = measured_unix_s
+        held = [c for c in self._charges if c.is_held_at(measured_unix_s)]
+        held_tokens = sum(c.tokens_at(measured_unix_s) for c in held)
+        self._rest_requests = report.running + report.waiting - len(held)
+        self._rest_tokens = report.queued_prefill_tokens - held_tokens
         self._peers.clear()
-        self._peers_near = self._peers_latest = NOTHING
+        self._peers_latest_requests = self._peers_latest_tokens = 0
         self._drop_released(measured_unix_s)
 
     def observe_peer(self, vm: str, count: InFlight, heard_since_report: bool) -> None:
-        """Take in a peer's count; `heard_since_report` tells of an earlier, empty one."""
-        old = self._peers.get(vm)
-        near = old.near if old else (NOTHING if heard_since_report else count)
-        latest = old.latest if old else NOTHING
-        self._peers[vm] = _PeerCount(near, count)
-        self._peers_near = _minus(_plus(self._peers_near, near), old.near if old else NOTHING)
-        self._peers_latest = _minus(_plus(self._peers_latest, count), latest)
+        """Take in a peer's count; `heard_since_report` says that an empty one came before."""
+        if vm not in self._peers:
+            near = NOTHING if heard_since_report else count
+            self._peers[vm] = _PeerCount(near, NOTHING)
+            self._rest_requests -= near.requests
+            self._rest_tokens -= near.tokens
+        self._replace_latest(self._peers[vm], count)
 
     def forget_peer(self, vm: str) -> None:
         """Leave a peer's requests to the reports."""
-        old = self._peers.pop(vm, None)
-        if old is None:
+        peer = self._peers.pop(vm, None)
+        if peer is None:
             return
-        self._peers_near = _minus(self._peers_near, old.near)
-        self._peers_latest = _minus(self._peers_latest, old.latest)
-
-    def estimate(self, now_unix_s: float) -> InFlight:
-        """Return everything in flight here now, as far as is known."""
-        return _plus(_plus(self._own, self._peers_latest), self._unexplained(now_unix_s))
-
-    def _unexplained(self, now_unix_s: float) -> InFlight:
-        """Return the part of the report that neither own charges nor peers explain."""
-        if self._report is None or now_unix_s - self._measured_unix_s > REPORT_GOOD_FOR_S:
-            return NOTHING
-        reported = InFlight(
-            requests=self._report.running + self._report.waiting,
-            tokens=self._report.queued_prefill_tokens,
-        )
-        rest = _minus(_minus(reported, self._own_in_report), self._peers_near)
-        return InFlight(requests=max(0, rest.requests), tokens=max(0, rest.tokens))
+        self._replace_latest(peer, NOTHING)
+        self._rest_requests += peer.near.requests
+        self._rest_tokens += peer.near.tokens
+
+    def _replace_latest(self, peer: _PeerCount, count: InFlight) -> None:
+        self._peers_latest_requests += count.requests - peer.latest.requests
+        self._peers_latest_tokens += count.tokens - peer.latest.tokens
+        peer.latest = count
+
+    def _is_report_good(self, now_unix_s: float) -> bool:
+        return now_unix_s - self.measured_unix_s <= REPORT_GOOD_FOR_S
 
     def _drop_released(self, now_unix_s: float) -> None:
-        oldest = max(self._measured_unix_s, now_unix_s - RELEASED_KEPT_S)
-        self._charges = [c for c in self._charges if not _is_past(c.released_unix_s, oldest)]
+        oldest_unix_s = max(self.measured_unix_s, now_unix_s - RELEASED_KEPT_S)
+        self._charges = [c for c in self._charges if not _is_past(c.released_unix_s, oldest_unix_s)]
 
 
 def _is_past(event_unix_s: float | None, unix_s: float) -> bool:
     return event_unix_s is not None and event_unix_s <= unix_s
-
-
-def _plus(a: InFlight, b: InFlight) -> InFlight:
-    return InFlight(requests=a.requests + b.requests, tokens=a.tokens + b.tokens)
-
-
-def _minus(a: InFlight, b: InFlight) -> InFlight:
-    return InFlight(requests=a.requests - b.requests, tokens=a.tokens - b.tokens)
--- a/src/pomelobarrow/decision/service_times.py
+++ b/src/pomelobarrow/decision/service_times.py
@@ -30,6 +30,7 @@
     def __init__(self) -> None:
         self._prefill = _DecayingRatio(1.0 / DEFAULT_PREFILL_TOKENS_PER_S)
         self._hold = _DecayingRatio(DEFAULT_HOLD_S)
+        self._kv = _DecayingRatio(0.0)
 
     @property
     def s_per_prefill_token(self) -> float:
@@ -41,6 +42,15 @@
         """Return the seconds that a request holds its slot."""
         return self._hold.value()
 
+    @property
+    def kv_tokens(self) -> float:
+        """Return the KV cache tokens that a request may come to hold."""
+        return self._kv.value()
+
+    def observe_kv(self, kv_tokens: int) -> None:
+        """Take in one placed request's tokens."""
+        self._kv.add(kv_tokens, 1.0)
+
     def observe_start(self, tokens_ahead: int, elapsed_s: float) -> None:
         """Take in one first token and the prefill that stood before it."""
         if tokens_ahead >= MIN_PREFILL_SAMPLE_TOKENS and elapsed_s > 0:
--- a/src/pomelobarrow/decision/work_queue.py
+++ b/src/pomelobarrow/decision/work_queue.py
@@ -1,7 +1,7 @@
 """Order the work that waits for a backend server of one pool."""
 
-import heapq
-from collections.abc import Callable
+from bisect import bisect_left, bisect_right, insort
+from collections.abc import Callable, Iterator
 
 from attrs import field, frozen
 
@@ -9,16 +9,11 @@
 from pomelobarrow.decision.work import Work
 
 MAX_WAITING = {Rank.PAYING: 2_000, Rank.TRIAL: 500}
-# A peer that is not heard any more must not hold trial work back for good.
+# A peer that isn't heard any more must not hold trial work back for good.
 PEER_WAITING_GOOD_FOR_S = 2.0
-RANK_ORDER = (Rank.PAYING, Rank.TRIAL)
-
-
-@frozen(kw_only=True)
-class _PeerWaiting:
-    paying: int
-    trial: int
-    heard_unix_s: float
+# Work that finds no room is skipped, as the next may be free to use other servers. Few are asked:
+# a full pool would else be looked through once for each waiting request at every free slot.
+MAX_SKIPPED = 4
 
 
 @frozen(order=True)
@@ -28,33 +23,41 @@
     work: Work = field(order=False)
 
 
+@frozen(kw_only=True)
+class _PeerWaiting:
+    paying: int
+    trial: int
+    heard_unix_s: float
+
+
 class WorkQueue:
-    """Hold waiting work: paying before trial, then by the time it is due."""
+    """Hold waiting work: paying before trial, then by the time it is due.
+
+    Work is due at its class's target for the first token. Once that is missed it is due at its
+    deadline: so one late request doesn't make the next ones late too, and none is late for good.
+    """
 
     def __init__(self, pool: str) -> None:
         self.pool = pool
         self._sequence = 0
-        self._heaps: dict[Rank, list[_Entry]] = {rank: [] for rank in Rank}
+        self._ordered: dict[Rank, list[_Entry]] = {rank: [] for rank in Rank}
         self._by_id: dict[str, _Entry] = {}
-        self._counts: dict[Rank, int] = dict.fromkeys(Rank, 0)
         self._peers: dict[str, _PeerWaiting] = {}
 
     def is_full(self, rank: Rank) -> bool:
         """Say whether a rank's bound is reached."""
-        return self._counts[rank] >= MAX_WAITING[rank]
+        return self.waiting(rank) >= MAX_WAITING[rank]
 
     def push(self, work: Work, now_unix_s: float) -> None:
         """Add work; the same request twice counts once."""
         if work.request_id in self._by_id:
             return
         self._sequence += 1
-        entry = _Entry(_due(work, now_unix_s), self._sequence, work)
-        self._by_id[work.request_id] = entry
-        self._counts[work.rank] += 1
-        heapq.heappush(self._heaps[work.rank], entry)
+        self._insert(_Entry(due_unix_s(work, now_unix_s), self._sequence, work))
 
     def pop_next(self, now_unix_s: float, may_take: Callable[[Work], bool]) -> Work | None:
-        """Take the first work that may be taken; trial only when no paying work waits."""
+        """Take the first work that may be taken; trial only while no paying work waits."""
+        self._put_late_ones_back(now_unix_s)
         work = self._pop(Rank.PAYING, may_take)
         if work is not None or self.paying_waits(now_unix_s):
             return work
@@ -65,20 +68,26 @@
         entry = self._by_id.pop(request_id, None)
         if entry is None:
             return False
-        self._counts[entry.work.rank] -= 1
-        self._prune(entry.work.rank)
+        ordered = self._ordered[entry.work.rank]
+        del ordered[bisect_left(ordered, entry)]
         return True
 
-    def expired(self, now_unix_s: float) -> list[Work]:
-        """Take out the work whose deadline has passed."""
-        late = [e.work for e in self._by_id.values() if e.work.deadline_unix_s <= now_unix_s]
+    def expired(
+        self, now_unix_s: float, service_s: Callable[[Work], float] = lambda work: 0.0
+    ) -> list[Work]:
+        """Take out the work that can no longer finish by its deadline."""
+        late = [
+            entry.work
+            for entry in self._by_id.values()
+            if entry.work.deadline_unix_s <= now_unix_s + service_s(entry.work)
+        ]
         for work in late:
             self.remove(work.request_id)
         return late
 
     def waiting(self, rank: Rank) -> int:
         """Count a rank's waiting work here."""
-        return self._counts[rank]
+        return len(self._ordered[rank])
 
     def observe_peer_waiting(self, vm: str, paying: int, now_unix_s: float, trial: int = 0) -> None:
         """Take in how much work waits at a peer of this region."""
@@ -90,61 +99,56 @@
 
     def paying_waits(self, now_unix_s: float) -> bool:
         """Say whether paying work waits here or at a peer."""
-        return self._counts[Rank.PAYING] > 0 or any(
-            peer.paying > 0 for peer in self._heard_peers(now_unix_s)
-        )
+        if self._ordered[Rank.PAYING]:
+            return True
+        return any(peer.paying for peer in self._heard_peers(now_unix_s))
 
     def expected_wait_s(self, work: Work, drain_per_s: float, now_unix_s: float) -> float:
         """Return the seconds until new work would leave the queue."""
-        ahead = self._ahead_of(work, now_unix_s) + self._ahead_at_peers(work.rank, now_unix_s)
+        ahead = self._ahead_here(work, now_unix_s) + self._ahead_at_peers(work.rank, now_unix_s)
         return ahead / max(drain_per_s, 1e-6)
 
-    def _ahead_of(self, work: Work, now_unix_s: float) -> int:
-        due_unix_s = _due(work, now_unix_s)
-        same = sum(
-            1
-            for entry in self._by_id.values()
-            if entry.work.rank is work.rank and entry.due_unix_s <= due_unix_s
-        )
-        return same + (self._counts[Rank.PAYING] if work.rank is Rank.TRIAL else 0)
+    def _ahead_here(self, work: Work, now_unix_s: float) -> int:
+        entry = _Entry(due_unix_s(work, now_unix_s), self._sequence + 1, work)
+        same_rank = bisect_right(self._ordered[work.rank], entry)
+        return same_rank + (self.waiting(Rank.PAYING) if work.rank is Rank.TRIAL else 0)
 
     def _ahead_at_peers(self, rank: Rank, now_unix_s: float) -> int:
-        peers = self._heard_peers(now_unix_s)
-        return sum(p.paying + (p.trial if rank is Rank.TRIAL else 0) for p in peers)
+        counts_trial = rank is Rank.TRIAL
+        return sum(
+            peer.paying + (peer.trial if counts_trial else 0)
+            for peer in self._heard_peers(now_unix_s)
+        )
 
-    def _heard_peers(self, now_unix_s: float) -> list[_PeerWaiting]:
+    def _heard_peers(self, now_unix_s: float) -> Iterator[_PeerWaiting]:
         oldest_unix_s = now_unix_s - PEER_WAITING_GOOD_FOR_S
-        return [peer for peer in self._peers.values() if peer.heard_unix_s >= oldest_unix_s]
+        return (peer for peer in self._peers.values() if peer.heard_unix_s >= oldest_unix_s)
+
+    def _insert(self, entry: _Entry) -> None:
+        self._by_id[entry.work.request_id] = entry
+        insort(self._ordered[entry.work.rank], entry)
 
     def _pop(self, rank: Rank, may_take: Callable[[Work], bool]) -> Work | None:
-        skipped: list[_Entry] = []
-        taken: Work | None = None
-        heap = self._heaps[rank]
-        while heap and taken is None:
-            entry = heapq.heappop(heap)
-            if self._by_id.get(entry.work.request_id) is not entry:
-                continue
+        for entry in self._ordered[rank][: MAX_SKIPPED + 1]:
             if may_take(entry.work):
-                taken = entry.work
-                continue
-            skipped.append(entry)
-        for entry in skipped:
-            heapq.heappush(heap, entry)
-        if taken is not None:
-            self.remove(taken.request_id)
-        return taken
-
-    def _prune(self, rank: Rank) -> None:
-        """Drop removed entries once they outnumber the waiting ones."""
-        heap = self._heaps[rank]
-        if len(heap) <= 2 * self._counts[rank] + 16:
-            return
-        self._heaps[rank] = [e for e in heap if self._by_id.get(e.work.request_id) is e]
-        heapq.heapify(self._heaps[rank])
-
-
-def _due(work: Work, now_unix_s: float) -> float:
-    """Return when work must start: its target, or its deadline once the target is lost."""
-    if work.first_token_due_unix_s >= now_unix_s:
-        return min(work.first_token_due_unix_s, work.deadline_unix_s)
-    return work.deadline_unix_s
+                self.remove(entry.work.request_id)
+                return entry.work
+        return None
+
+    def _put_late_ones_back(self, now_unix_s: float) -> None:
+        """Order the entries whose target has passed by their deadline."""
+        for ordered in self._ordered.values():
+            while ordered and ordered[0].due_unix_s < now_unix_s:
+                entry = ordered[0]
+                due = due_unix_s(entry.work, now_unix_s)
+                if due <= entry.due_unix_s:
+                    break
+                del ordered[0]
+                self._insert(_Entry(due, entry.sequence, entry.work))
+
+
+def due_unix_s(work: Work, now_unix_s: float) -> float:
+    """Return when work is due: at its target, or at its deadline once the target has passed."""
+    if work.first_token_due_unix_s < now_unix_s:
+        return work.deadline_unix_s
+    return min(work.first_token_due_unix_s, work.deadline_unix_s)
