Close ways for an id to run twice and for a page to lose a key

Cause: read over, a ledger could be exported again to a restarted successor, which would run an unused id twice; a last page from a lagging reader lacked keys that the earlier pages had left out; a delta without its after_revision could hide a gap after a restart. Change: export gives the secret once; adopt takes a book once; pages remember the highest head; apply requires after_revision; refused_reasons is plural; types in files of their own; heartbeats that arrive together don't shrink the timeout. Ruled out: pinning the export to a named successor, since a restarted one has the same name.

--- a/src/pomelobarrow/decision/keyspace.py
+++ b/src/pomelobarrow/decision/keyspace.py
@@ -8,73 +8,38 @@
 """
 
 import bisect
-import enum
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from types import MappingProxyType
 from typing import Any
 
-import orjson
-import xxhash
 from attrs import define, field, frozen
 
+from pomelobarrow.decision.keyspace_types import (
+    ApplyOutcome,
+    ApplyResult,
+    Change,
+    Delta,
+    KeyspaceSummary,
+    fingerprint,
+)
+
+__all__ = [
+    "ApplyOutcome",
+    "ApplyResult",
+    "Change",
+    "Delta",
+    "KeyspaceCopy",
+    "KeyspaceCounters",
+    "KeyspaceSummary",
+    "Validator",
+    "accept_all",
+]
+
 DIGEST_MASK = 2**64 - 1
 TOMBSTONES_KEPT = 4_096
 LOG_SLACK = 64
 
 
-@frozen
-class Change:
-    """Hold one key's value at a revision; None deletes the key."""
-
-    revision: int
-    key: str
-    value: Any | None
-
-
-@frozen(kw_only=True)
-class Delta:
-    """Carry the newest change of each key after a revision, complete up to the head."""
-
-    name: str
-    after_revision: int
-    head_revision: int
-    changes: tuple[Change, ...]
-
-
-@frozen(kw_only=True)
-class KeyspaceSummary:
-    """Sum up what a copy observed, for comparison with another's."""
-
-    name: str
-    revision: int
-    digest: int
-
-
-class ApplyOutcome(enum.Enum):
-    """Enumerate what became of a batch of changes."""
-
-    IN_FORCE = "in_force"
-    INVALID = "invalid"
-    INCOMPLETE = "incomplete"
-    STALE = "stale"
-    GAP = "gap"
-    MALFORMED = "malformed"
-
-
-@frozen(kw_only=True)
-class ApplyResult:
-    """Say what became of a batch and which keys in force it changed."""
-
-    outcome: ApplyOutcome
-    changed_keys: frozenset[str] = frozenset()
-    refused_reason: tuple[Any, ...] = ()
-
-    @property
-    def applied(self) -> bool:
-        """Say whether the values in force moved."""
-        return self.outcome is ApplyOutcome.IN_FORCE
-
-
 @define
 class KeyspaceCounters:
     """Count what an operator should see."""
@@ -97,12 +62,6 @@
     return ()
 
 
-def fingerprint(change: Change) -> int:
-    """Hash a change; the value's spelling (order of fields, spaces) doesn't count."""
-    value = orjson.dumps(change.value, option=orjson.OPT_SORT_KEYS)
-    return xxhash.xxh64_intdigest(f"{change.revision}\0{change.key}\0".encode() + value)
-
-
 @frozen
 class _Kept:
     change: Change
@@ -118,6 +77,7 @@
     """Hold the pages received of a batch that isn't complete yet."""
 
     received_revision: int
+    head_revision: int = 0
     batch: dict[str, _Kept] = field(factory=dict)
 
 
@@ -134,7 +94,7 @@
     # Deletions up to here may be unknown to this copy, so it can't serve a delta from before.
     tombstone_floor: int = field(default=0, init=False)
     counters: KeyspaceCounters = field(factory=KeyspaceCounters, init=False)
-    refused_reason: tuple[Any, ...] = field(default=(), init=False)
+    refused_reasons: tuple[Any, ...] = field(default=(), init=False)
     _kept: dict[str, _Kept] = field(factory=dict, init=False, repr=False)
     _observed_values: dict[str, Any] = field(factory=dict, init=False, repr=False)
     _values: dict[str, Any] = field(factory=dict, init=False, repr=False)
@@ -175,27 +135,26 @@
         changes: Sequence[Change],
         head_revision: int,
         *,
-        after_revision: int | None = None,
+        after_revision: int,
         complete: bool = True,
     ) -> ApplyResult:
-        """Take a batch of the changes after a revision (the one last asked for by default)."""
-        after = self.ask_after_revision if after_revision is None else after_revision
+        """Take the changes after a revision up to the head, or a part of them."""
         if head_revision < max(self.observed_revision, self._least_head):
             self.counters.stale += 1
             return ApplyResult(outcome=ApplyOutcome.STALE)
         # With changes missing in between, a deletion or a key could be lost for good, while the
         # revision says that nothing is.
-        if after > self.ask_after_revision:
+        if after_revision > self.ask_after_revision:
             self.counters.gaps += 1
             return ApplyResult(outcome=ApplyOutcome.GAP)
         try:
             batch = [_checked(change, head_revision) for change in changes]
         except (TypeError, ValueError) as error:
             self.counters.malformed += 1
-            return ApplyResult(outcome=ApplyOutcome.MALFORMED, refused_reason=(str(error),))
+            return ApplyResult(outcome=ApplyOutcome.MALFORMED, refused_reasons=(str(error),))
         if not complete:
-            return self._accumulate(batch, after)
-        return self._observe(self._with_pending(batch, after), head_revision)
+            return self._accumulate(batch, after_revision, head_revision)
+        return self._complete(batch, after_revision, head_revision)
 
     def changes_after(self, revision: int) -> Delta:
         """Return what another copy lacks; it starts later than asked where deletions are unknown.
@@ -223,19 +182,28 @@
         self._log.clear()
         self._pending = None
 
-    def _accumulate(self, batch: list[_Kept], after: int) -> ApplyResult:
+    def _accumulate(
+        self, batch: list[_Kept], after_revision: int, head_revision: int
+    ) -> ApplyResult:
         pending = self._pending or _Pending(self.observed_revision)
         _merge(pending.batch, batch)
-        last_revision = max((kept.change.revision for kept in batch), default=after)
+        last_revision = max((kept.change.revision for kept in batch), default=after_revision)
         pending.received_revision = max(pending.received_revision, last_revision)
+        pending.head_revision = max(pending.head_revision, head_revision)
         self._pending = pending
         return ApplyResult(outcome=ApplyOutcome.INCOMPLETE)
 
-    def _with_pending(self, batch: list[_Kept], after: int) -> list[_Kept]:
-        if self._pending is None or after <= self.observed_revision:
-            return batch
-        _merge(self._pending.batch, batch)
-        return list(self._pending.batch.values())
+    def _complete(self, batch: list[_Kept], after_revision: int, head_revision: int) -> ApplyResult:
+        pending = self._pending
+        if pending is None or after_revision <= self.observed_revision:
+            return self._observe(batch, head_revision)
+        # The earlier pages left out the keys that change again before their head. A last page from
+        # a reader that lags behind that head lacks those keys too.
+        if head_revision < pending.head_revision:
+            self.counters.stale += 1
+            return ApplyResult(outcome=ApplyOutcome.STALE)
+        _merge(pending.batch, batch)
+        return self._observe(list(pending.batch.values()), head_revision)
 
     def _observe(self, batch: list[_Kept], head_revision: int) -> ApplyResult:
         news = [kept for kept in batch if self._is_news(kept)]
@@ -311,10 +279,10 @@
         changed = frozenset(self._waiting)
         if changed:
             candidate = MappingProxyType(self._observed_values)
-            self.refused_reason = self.validator(candidate, changed, self.observed_revision)
-        if changed and self.refused_reason:
+            self.refused_reasons = self.validator(candidate, changed, self.observed_revision)
+        if changed and self.refused_reasons:
             self.counters.invalid += 1
-            return ApplyResult(outcome=ApplyOutcome.INVALID, refused_reason=self.refused_reason)
+            return ApplyResult(outcome=ApplyOutcome.INVALID, refused_reasons=self.refused_reasons)
         for key in changed:
             if key in self._observed_values:
                 self._values[key] = self._observed_values[key]
--- a/src/pomelobarrow/decision/membership.py
+++ b/src/pomelobarrow/decision/membership.py
@@ -124,11 +124,11 @@
             # A replacement runs under our name: its ids and ours must not be mixed up.
             self.superseded |= member.incarnation > self.own.incarnation
             return False
-        self._note_successor(member, now_unix_s)
-        heard_unix_s = min(member.heard_unix_s, now_unix_s)
+        heard_unix_s = min(member.heard_unix_s, self._time(now_unix_s))
         # Old news about a VM that was forgotten would bring it back, from daemon to daemon.
         if now_unix_s - heard_unix_s > self.forget_after_s:
             return False
+        self._note_successor(member, now_unix_s)
         said = evolve(member, heard_unix_s=heard_unix_s)
         record = self._records.get(member.vm)
         if record is None or member.incarnation > record.member.incarnation:
@@ -148,10 +148,12 @@
             record.member = evolve(record.member, heard_unix_s=said.heard_unix_s)
             record.timer.hear_of(said.heard_unix_s)
 
-    def observe_leave(self, vm: str, incarnation: int, successor: str, now_unix_s: float) -> None:
+    def observe_leave(
+        self, vm: str, incarnation: int, successor: str, now_unix_s: float | None = None
+    ) -> None:
         """Take a planned stop: the member gets no new work, its ids go to the successor."""
         if successor:
-            self._handovers[(vm, incarnation)] = _Handover(successor, now_unix_s)
+            self._handovers[(vm, incarnation)] = _Handover(successor, self._time(now_unix_s))
         record = self._records.get(vm)
         if record is not None and record.member.incarnation == incarnation:
             record.member = evolve(record.member, phase=Phase.LEFT.value, successor=successor)
--- a/src/pomelobarrow/decision/request_ids.py
+++ b/src/pomelobarrow/decision/request_ids.py
@@ -5,14 +5,13 @@
 counted from its issue, so there is always room to record its use.
 """
 
-import enum
 import heapq
 import itertools
 import math
 from collections import Counter
 from collections.abc import Iterator
 
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, field
 from result import Err
 
 from pomelobarrow.decision.issued_id import (
@@ -22,6 +21,15 @@
     is_authentic,
     parse_issuer,
 )
+from pomelobarrow.decision.ledger_types import (
+    OUTCOME_UNKNOWN,
+    Claim,
+    ClaimKind,
+    EntryState,
+    LedgerEntry,
+    LedgerExport,
+    Outcome,
+)
 
 __all__ = [
     "Claim",
@@ -47,81 +55,13 @@
 ENTRY_BYTES = 1_024
 
 
-class EntryState(enum.Enum):
-    """Enumerate what became of a used id."""
-
-    RUNNING = "running"
-    FINISHED = "finished"
-    LOST = "lost"
-
-
-class ClaimKind(enum.Enum):
-    """Enumerate the answers to the claim of an id."""
-
-    FRESH = "fresh"
-    RUNNING = "running"
-    FINISHED = "finished"
-    FORGED = "forged"
-    EXPIRED = "expired"
-    NOT_MINE = "not_mine"
-    RETIRED = "retired"
-
-
-@frozen
-class Outcome:
-    """Hold how a request ended; the body is None where it was too large to keep."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...] = ()
-    body: bytes | None = None
-    run: str = "yes"
-
-    @property
-    def size_bytes(self) -> int:
-        """Return what keeping this outcome costs beside the entry itself."""
-        header_bytes = sum(len(name) + len(value) for name, value in self.headers)
-        return header_bytes + len(self.body or b"")
-
-
-OUTCOME_UNKNOWN = Outcome(status=502, run="unknown")
-
-
-@frozen
-class Claim:
-    """Answer a claim; FINISHED carries the outcome, one with run "unknown" for a lost request."""
-
-    kind: ClaimKind
-    outcome: Outcome | None = None
-
-
-@frozen(kw_only=True)
-class LedgerEntry:
-    """Hold one used id."""
-
-    request_id: str
-    account: str
-    expires_unix_s: float
-    state: EntryState = EntryState.RUNNING
-    outcome: Outcome | None = None
-
-
-@frozen(kw_only=True)
-class LedgerExport:
-    """Carry one issuer's used ids and its secret to the successor."""
-
-    secret: bytes
-    entries: tuple[LedgerEntry, ...]
-    # Used ids that expired up to here may be missing from the entries.
-    expired_through_unix_s: float
-
-
 class HandedOverError(Exception):
-    """Report a second hand-over to another successor."""
+    """Report a second export of the same ids."""
 
-    def __init__(self, successor: str) -> None:
+    def __init__(self, vm: str, incarnation: int) -> None:
         super().__init__(
-            f"the ids were already handed to {successor!r}, which may have run some of them: "
-            "answer repeats with run unknown"
+            f"the ids of {vm!r} ({incarnation}) were exported before, and whoever got them may "
+            "have run some: answer repeats with run unknown"
         )
 
 
@@ -131,6 +71,8 @@
 
     secret: bytes
     expired_through_unix_s: float = -math.inf
+    kept_until_unix_s: float = math.inf
+    is_exported: bool = False
     ids: dict[str, None] = field(factory=dict)
 
 
@@ -164,7 +106,6 @@
     _issued_of_account: Counter[str] = field(factory=Counter, init=False, repr=False)
     _latest_unix_s: float = field(default=-math.inf, init=False)
     _adopted_entries: int = field(default=0, init=False)
-    _successor: str | None = field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
         self._books[self._own_key] = _Book(self.secret)
@@ -267,15 +208,18 @@
         """Let no id start here any more; those in progress still end here."""
         self.retired = True
 
-    def export(self, successor: str = "", issuer: tuple[str, int] | None = None) -> LedgerExport:
-        """Retire, and return one issuer's book (own by default) for the one successor."""
-        # With two successors each could run an unused id. The first one named may hold the
-        # secret even if its answer was lost, so no other gets it.
-        if self._successor not in (None, successor):
-            raise HandedOverError(self._successor or "")
-        self._successor = successor
+    def export(self, issuer: tuple[str, int] | None = None) -> LedgerExport:
+        """Retire, and return one issuer's book (own by default), once, for one successor.
+
+        Send it once. Send it to another only where nothing was handed to the transport: two
+        successors, or one that restarted in between, would each run an unused id.
+        """
+        key = issuer or self._own_key
+        book = self._books[key]
+        if book.is_exported:
+            raise HandedOverError(*key)
+        book.is_exported = True
         self.retire()
-        book = self._books[issuer or self._own_key]
         return LedgerExport(
             secret=book.secret,
             entries=tuple(self._entries[request_id] for request_id in book.ids),
@@ -285,17 +229,14 @@
     def adopt(self, vm: str, incarnation: int, export: LedgerExport) -> bool:
         """Take over a stopped issuer's ids; False where there is no room, and nothing changed."""
         key = (vm, incarnation)
-        known = self._books.get(key)
-        news = [entry for entry in export.entries if entry.request_id not in self._entries]
-        if self.retired or key == self._own_key or len(news) > self.free_entries:
-            return False
-        if known is not None and known.secret != export.secret:
+        if self.retired or key in self._books or len(export.entries) > self.free_entries:
             return False
-        book = self._books.setdefault(key, _Book(export.secret))
-        book.expired_through_unix_s = max(
-            book.expired_through_unix_s, export.expired_through_unix_s
+        self._books[key] = _Book(
+            export.secret,
+            expired_through_unix_s=export.expired_through_unix_s,
+            kept_until_unix_s=max(self._latest_unix_s, export.expired_through_unix_s) + self.life_s,
         )
-        for entry in news:
+        for entry in export.entries:
             self._add(key, self._as_adopted(entry))
         return True
 
@@ -314,8 +255,18 @@
             for request_id in tuple(second.used):
                 self._drop(request_id)
             self._uncount_issued(second.issued)
+        self._drop_old_books()
         return forgotten
 
+    def _drop_old_books(self) -> None:
+        old = [
+            key
+            for key, book in self._books.items()
+            if not book.ids and book.kept_until_unix_s < self._latest_unix_s
+        ]
+        for key in old:
+            del self._books[key]
+
     def _uncount_issued(self, issued: Counter[str]) -> None:
         self.issued_unexpired -= issued.total()
         self._issued_of_account.subtract(issued)
--- a/src/pomelobarrow/decision/silence.py
+++ b/src/pomelobarrow/decision/silence.py
@@ -8,6 +8,7 @@
 MEAN_GAIN = 1 / 8
 DEVIATION_GAIN = 1 / 4
 # A lossless link delays a heartbeat by a few deviations; two are also allowed to be lost.
+BURST_SHARE = 1 / 4
 MEANS_ALLOWED = 3.0
 DEVIATIONS_ALLOWED = 4.0
 
@@ -20,23 +21,28 @@
     mean_s: float | None = field(default=None, init=False)
     deviation_s: float = field(default=0.0, init=False)
     _restarted_unix_s: float | None = field(default=None, init=False)
+    # Whether the last word came from the member itself, so that the next one ends an interval.
+    _in_interval: bool = field(default=False, init=False)
 
     def hear(self, now_unix_s: float) -> None:
         """Take a heartbeat."""
-        if self.heard_unix_s is not None and self._restarted_unix_s is None:
+        if self.heard_unix_s is not None and self._in_interval:
             self._learn(now_unix_s - self.heard_unix_s)
         self.heard_unix_s = now_unix_s
         self._restarted_unix_s = None
+        self._in_interval = True
 
     def hear_of(self, heard_unix_s: float) -> None:
         """Take word from another that it was heard; this says nothing of its interval."""
         self.heard_unix_s = heard_unix_s
-        self._restarted_unix_s = None
         self.mean_s = None
+        self._restarted_unix_s = None
+        self._in_interval = False
 
     def restart(self, now_unix_s: float) -> None:
         """Count the silence from now; the interval under way teaches nothing."""
         self._restarted_unix_s = now_unix_s
+        self._in_interval = False
 
     def _learn(self, interval_s: float) -> None:
         # The end of a long silence is no interval: it would stretch the timeout to the ceiling.
@@ -45,6 +51,10 @@
         if self.mean_s is None:
             self.mean_s, self.deviation_s = interval_s, interval_s / 2
             return
+        # Heartbeats that waited in a socket arrive together. Learnt from, they would shrink the
+        # timeout, and a healthy member would be suspect.
+        if interval_s < self.mean_s * BURST_SHARE:
+            return
         error_s = abs(interval_s - self.mean_s)
         self.deviation_s += DEVIATION_GAIN * (error_s - self.deviation_s)
         self.mean_s += MEAN_GAIN * (interval_s - self.mean_s)
