Add the command line

Cause: operators start, check and question daemons from one program. Exit codes: 0, 1 on a fault, 2 on wrong usage; a mistake gives a message and a remedy, never a traceback. Ruled out: cleo's own error rendering: it exits with 1 for any mistake and shows a traceback.

--- a/src/pomelobarrow/kernel/yaml_file.py
+++ b/src/pomelobarrow/kernel/yaml_file.py
@@ -66,7 +66,7 @@
     """Decode YAML; a fault names the line only."""
     try:
         # The loader derives from SafeLoader, so it builds plain values only.
-        return Ok(yaml.load(content, Loader=_UniqueKeyLoader))  # noqa: S506
+        return Ok(yaml.load(content, Loader=_UniqueKeyLoader))
     except yaml.MarkedYAMLError as error:
         # The parser's own words aren't shown: they may quote a part of a secret.
         line = error.problem_mark.line + 1 if error.problem_mark else 1
--- /dev/null
+++ b/src/pomelobarrow/operators/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one module each."""
--- /dev/null
+++ b/src/pomelobarrow/operators/commands/serve.py
@@ -0,0 +1,35 @@
+"""Run the daemon."""
+
+from result import Err
+
+from pomelobarrow.kernel.settings import load_settings
+from pomelobarrow.operators.commands.base import OperatorCommand
+from pomelobarrow.operators.commands.check import SETTINGS_OPTION
+
+
+class ServeCommand(OperatorCommand):
+    """Serve callers on this VM."""
+
+    name = "serve"
+    description = "Serve callers on this VM until told to stop."
+    options = [SETTINGS_OPTION]
+    help = """
+Logs JSON lines to stderr. SIGTERM or SIGINT stops it gracefully: requests in progress finish,
+new ones are refused. A second signal stops it at once.
+Exit code: 0 after a planned stop, 1 on a fault, 2 wrong usage.
+
+  pomelobarrow serve --settings vm.yaml
+"""
+
+    def handle(self) -> int:
+        """Load the settings and run until the daemon ends."""
+        loaded = load_settings(self.required_option("settings"))
+        if isinstance(loaded, Err):
+            return self.fail(loaded.err_value)
+        # The daemon brings in every room; the other commands needn't wait for that.
+        from pomelobarrow.kernel.daemon import run_daemon
+        from pomelobarrow.operators.logs import configure_logs
+
+        settings = loaded.ok_value
+        configure_logs(settings.operators.log_level, settings.vm)
+        return run_daemon(settings)
--- /dev/null
+++ b/src/pomelobarrow/operators/commands/status.py
@@ -0,0 +1,26 @@
+"""Show a running daemon's status."""
+
+from pomelobarrow.operators.commands.daemon_client import (
+    ADDRESS_OPTION,
+    JSON_OPTION,
+    TIMEOUT_OPTION,
+    AskingCommand,
+)
+
+
+class StatusCommand(AskingCommand):
+    """Show what a daemon knows and does."""
+
+    name = "status"
+    description = "Show what a running daemon knows and does."
+    options = [ADDRESS_OPTION, JSON_OPTION, TIMEOUT_OPTION]
+    help = """
+Asks GET /v1/status: revisions in force, peers, backend servers, queues.
+Exit code: 0 answered, 1 not reached or refused, 2 wrong usage.
+
+  pomelobarrow status --address 10.0.1.4:8080
+"""
+
+    def handle(self) -> int:
+        """Ask and print."""
+        return self.show_answer("/v1/status", {})
