--- /dev/null
+++ b/Makefile
@@ -0,0 +1,55 @@
+# Each target sets up .venv from the lock file first; the stamp makes a second run quick.
+PYTHON ?= python3.11
+DEPLOYMENT ?= rondinella
+PYTEST_ARGS ?=
+
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PROTO_STAMP := $(VENV)/.installed-proto
+PROTO := src/pomelobarrow/peers/peers.proto
+PIP_INSTALL := $(BIN)/python -m pip install --quiet --disable-pip-version-check
+
+.DEFAULT_GOAL := test
+.PHONY: test lint demo proofs bench bench-check capacity proto clean
+
+test: $(STAMP)
+	@$(BIN)/python -m pytest $(PYTEST_ARGS)
+
+lint: $(STAMP)
+	@$(BIN)/black --check --quiet . || { $(BIN)/black --check .; exit 1; }
+	@$(BIN)/ruff check --quiet .
+	@$(BIN)/mypy
+
+demo: $(STAMP)
+	@$(BIN)/python -m demo --deployment $(DEPLOYMENT)
+
+proofs: $(STAMP)
+	@$(BIN)/python -m pytest -m proof $(PYTEST_ARGS)
+
+bench: $(STAMP)
+	@$(BIN)/python -m bench
+
+bench-check: $(STAMP)
+	@$(BIN)/python -m bench --check
+
+capacity: $(STAMP)
+	@$(BIN)/python -m bench.capacity
+
+# The generated code is committed; only a changed peers.proto needs this.
+proto: $(PROTO_STAMP)
+	@PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -I src \
+		--python_out=src --pyi_out=src --grpclib_python_out=src $(PROTO)
+
+clean:
+	@rm -rf $(VENV)
+
+$(STAMP): requirements.lock pyproject.toml
+	@$(PYTHON) -m venv $(VENV)
+	@$(PIP_INSTALL) --requirement requirements.lock
+	@$(PIP_INSTALL) --no-deps --no-build-isolation --editable .
+	@touch $@
+
+$(PROTO_STAMP): $(STAMP) requirements-proto.lock
+	@$(PIP_INSTALL) --requirement requirements-proto.lock
+	@touch $@
