--- /dev/null
+++ b/harness/processes.py
@@ -0,0 +1,95 @@
+"""Start processes, wait until they are ready, and end just those."""
+
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+from attrs import define, field
+
+STOP_TIMEOUT_S = 5.0
+# Below the range that the system gives to outgoing connections, which would take a port first.
+PORT_RANGE = range(12_000, 32_000)
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on now."""
+    held: list[socket.socket] = []
+    chooser = random.Random(os.urandom(8))
+    try:
+        while len(held) < count:
+            each = socket.socket()
+            each.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                each.bind(("127.0.0.1", chooser.choice(PORT_RANGE)))
+            except OSError:
+                each.close()
+                continue
+            held.append(each)
+        return [each.getsockname()[1] for each in held]
+    finally:
+        for each in held:
+            each.close()
+
+
+@define
+class Processes:
+    """Hold the processes started here, by name, and a folder for their files."""
+
+    folder: Path = field(factory=lambda: Path(tempfile.mkdtemp(prefix="pomelobarrow-")))
+    running: dict[str, "subprocess.Popen[bytes]"] = field(factory=dict)
+
+    def start(self, name: str, arguments: Iterable[str]) -> "subprocess.Popen[bytes]":
+        """Start a module of this project; its log goes to the folder."""
+        with (self.folder / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", *arguments], stdout=subprocess.PIPE, stderr=log
+            )
+        self.running[name] = process
+        return process
+
+    def start_announcing(self, name: str, arguments: Iterable[str]) -> dict[str, Any]:
+        """Start a stand-in and return the line by which it says that it is ready."""
+        process = self.start(name, arguments)
+        assert process.stdout is not None
+        line = process.stdout.readline()
+        if not line:
+            raise RuntimeError(f"{name} did not start: {self.log(name)[-2000:]}")
+        announced: dict[str, Any] = json.loads(line)
+        return announced
+
+    def log(self, name: str) -> str:
+        """Return what a process wrote to its log."""
+        return (self.folder / f"{name}.log").read_text(errors="replace")
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self.running[name].send_signal(number)
+
+    def wait(self, name: str, timeout_s: float) -> int:
+        """Return the exit code of a process that ends."""
+        process = self.running.pop(name)
+        code = process.wait(timeout_s)
+        if process.stdout is not None:
+            process.stdout.close()
+        return code
+
+    def kill(self, name: str) -> None:
+        """End one process at once."""
+        self.signal(name, signal.SIGKILL)
+        self.wait(name, STOP_TIMEOUT_S)
+
+    def stop_all(self) -> None:
+        """End every process started here."""
+        for process in self.running.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for name in list(self.running):
+            self.wait(name, STOP_TIMEOUT_S)
--- /dev/null
+++ b/src/pomelobarrow/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Speak to engines and plain services."""
--- /dev/null
+++ b/src/pomelobarrow/backends/engine.py
@@ -0,0 +1,238 @@
+"""Run one attempt on an engine: send, relay the stream, resume it, cancel it."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+
+import aiohttp
+import orjson
+from attrs import define, field
+
+from pomelobarrow.backends.events import EventCounter
+from pomelobarrow.backends.sessions import CONNECT_TIMEOUT_S, BackendSessions
+from pomelobarrow.backends.whole_answer import TooLargeError, WholeAnswer
+from pomelobarrow.decision.attempt import Attempt, AttemptEvent, AttemptState
+from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.decision.work import BackendServer
+from pomelobarrow.dispatch.answers import (
+    SERVER_SENT_EVENTS,
+    AnswerHead,
+    AnswerSink,
+    AttemptResult,
+    CallerGoneError,
+)
+from pomelobarrow.dispatch.request import GatewayRequest
+from pomelobarrow.kernel.clock import now_unix_s
+
+CHAT_PATH = "/v1/chat/completions"
+PRIORITY_BY_RANK = {Rank.PAYING: "0", Rank.TRIAL: "1"}
+# A stream on a forgotten connection brings no byte and no error. Engines step every few
+# milliseconds, so this much silence means the connection or the engine, never a slow token.
+NEXT_BYTE_TIMEOUT_S = 5.0
+CANCEL_TIMEOUT_S = 1.0
+MAX_RESUMES = 3
+RESUME_PAUSE_S = 0.2
+MAX_WHOLE_ANSWER_BYTES = 16 << 20
+HEAD_STREAM = (("Content-Type", SERVER_SENT_EVENTS), ("Cache-Control", "no-cache"))
+HEAD_WHOLE = (("Content-Type", "application/json"),)
+LOST = (aiohttp.ClientError, TimeoutError, OSError)
+
+
+@define(kw_only=True)
+class EngineAttempt:
+    """Hold what one attempt on one engine has achieved so far."""
+
+    sessions: BackendSessions
+    request: GatewayRequest
+    server: BackendServer
+    attempt: Attempt
+    number: int
+    sink: AnswerSink
+    on_first_byte: Callable[[], None]
+    counter: EventCounter = field(factory=EventCounter)
+    whole: WholeAnswer | None = None
+    head_passed: bool = False
+
+    async def run(self) -> AttemptResult:
+        """Run to an end; a cancelled caller cancels the engine's work too."""
+        if not self.request.is_streamed:
+            self.whole = WholeAnswer(MAX_WHOLE_ANSWER_BYTES)
+        try:
+            async with asyncio.timeout(self._remaining_s()):
+                return await self._send_and_relay()
+        except TimeoutError:
+            await self._cancel()
+            return self._lost("the deadline passed")
+        except TooLargeError as error:
+            await self._cancel()
+            return self._lost(str(error))
+        except (CallerGoneError, asyncio.CancelledError):
+            await asyncio.shield(self._cancel())
+            raise
+
+    async def _send_and_relay(self) -> AttemptResult:
+        try:
+            refused = await self._send()
+            if refused is not None:
+                return refused
+        except LOST as error:
+            if self.attempt.state is AttemptState.NOT_SENT:
+                return self._result(f"not reached: {error!r}")
+        return await self._resume_until_ended()
+
+    async def _send(self) -> AttemptResult | None:
+        session = self.sessions.for_request(self.request.work.repeatable)
+        async with session.post(
+            self.sessions.url(self.server.address, CHAT_PATH),
+            data=_streaming_body(self.request),
+            headers=self._headers(),
+            timeout=_timeout(),
+            trace_request_ctx=self._about_to_send,
+        ) as response:
+            if response.status != 200:
+                return await self._refused(response)
+            self.attempt.apply(AttemptEvent.FIRST_BYTE)
+            await self._relay(response.content.iter_any())
+        return None
+
+    async def _refused(self, response: aiohttp.ClientResponse) -> AttemptResult:
+        """Take the engine's word that nothing ran; without it the outcome is unknown."""
+        body = await response.read()
+        if _says_not_run(response.status, body):
+            self.attempt.apply(AttemptEvent.REFUSE_UNRUN)
+            return self._result(f"refused with {response.status}")
+        if 400 <= response.status < 500:
+            self.attempt.apply(AttemptEvent.FIRST_BYTE)
+            await self._pass_head(response.status, HEAD_WHOLE)
+            await self.sink.chunk(body)
+            return await self._finish()
+        return self._lost(f"answered {response.status}")
+
+    async def _relay(self, chunks: AsyncIterator[bytes]) -> None:
+        counter = self.counter
+        async for data in chunks:
+            events = counter.feed(data)
+            if not events:
+                continue
+            if self.whole is not None:
+                self.whole.feed(events)
+                continue
+            if not self.head_passed:
+                await self._pass_head(200, HEAD_STREAM)
+            await self.sink.chunk(events)
+
+    async def _resume_until_ended(self) -> AttemptResult:
+        """Fetch the rest from the same engine; asking for events never runs anything again."""
+        for _ in range(MAX_RESUMES):
+            if self.counter.is_ended:
+                return await self._finish()
+            if not await self._resume():
+                break
+        if self.counter.is_ended:
+            return await self._finish()
+        return await self._give_up()
+
+    async def _resume(self) -> bool:
+        self.counter.drop_partial()
+        path = f"/v1/requests/{self.request.work.request_id}/events"
+        params = {"offset": str(self.counter.whole_events)}
+        try:
+            async with self.sessions.fresh.get(
+                self.sessions.url(self.server.address, path), params=params, timeout=_timeout()
+            ) as response:
+                if response.status != 200:
+                    return False
+                if self.attempt.state is AttemptState.SENT:
+                    self.attempt.apply(AttemptEvent.FIRST_BYTE)
+                await self._relay(response.content.iter_any())
+                return True
+        except LOST:
+            await asyncio.sleep(RESUME_PAUSE_S)
+            return True
+
+    async def _give_up(self) -> AttemptResult:
+        if await self._cancel() == "not_run" and self.attempt.state is AttemptState.SENT:
+            self.attempt.apply(AttemptEvent.CONFIRM_CANCELLED_UNRUN)
+            return self._result("cancelled before it ran")
+        return self._lost("the stream broke off and could not be resumed")
+
+    async def _finish(self) -> AttemptResult:
+        if self.whole is not None and not self.head_passed:
+            body = self.whole.body()
+            await self._pass_head(200, (*HEAD_WHOLE, ("Content-Length", str(len(body)))))
+            await self.sink.chunk(body)
+        await self.sink.end()
+        self.attempt.apply(AttemptEvent.END)
+        return self._result("")
+
+    async def _pass_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+        self.head_passed = True
+        self.on_first_byte()
+        await self.sink.head(AnswerHead(status, headers, self.server.name))
+
+    async def _cancel(self) -> str:
+        if self.attempt.state is AttemptState.NOT_SENT:
+            return "not_run"
+        path = f"/v1/requests/{self.request.work.request_id}"
+        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
+        try:
+            async with self.sessions.fresh.delete(
+                self.sessions.url(self.server.address, path), timeout=timeout
+            ) as response:
+                body = orjson.loads(await response.read())
+                return str(body.get("outcome", "unknown"))
+        except (*LOST, ValueError):
+            return "unknown"
+
+    def _lost(self, detail: str) -> AttemptResult:
+        self.attempt.apply(AttemptEvent.LOSE)
+        return self._result(detail)
+
+    def _result(self, detail: str) -> AttemptResult:
+        return AttemptResult(
+            state=self.attempt.state,
+            head_passed=self.head_passed,
+            detail=detail,
+            server=self.server.name,
+        )
+
+    def _about_to_send(self) -> None:
+        self.attempt.apply(AttemptEvent.SEND)
+
+    def _headers(self) -> dict[str, str]:
+        headers = {
+            "Content-Type": "application/json",
+            "X-Request-Id": self.request.work.request_id,
+            "X-Attempt": str(self.number),
+            "X-Priority": PRIORITY_BY_RANK[self.request.work.rank],
+            "X-Resumable": "1",
+        }
+        if self.request.traceparent:
+            headers["traceparent"] = self.request.traceparent
+        return headers
+
+    def _remaining_s(self) -> float:
+        return max(0.0, self.request.work.deadline_unix_s - now_unix_s())
+
+
+def _timeout() -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S, sock_read=NEXT_BYTE_TIMEOUT_S)
+
+
+def _streaming_body(request: GatewayRequest) -> bytes:
+    """Ask for a stream always: its silence shows a lost connection and it can be resumed."""
+    if request.is_streamed:
+        return request.body
+    body = orjson.loads(request.body)
+    body["stream"] = True
+    body["stream_options"] = {"include_usage": True}
+    return orjson.dumps(body)
+
+
+def _says_not_run(status: int, body: bytes) -> bool:
+    if status != 503:
+        return False
+    try:
+        answer = orjson.loads(body)
+    except ValueError:
+        return False
+    return isinstance(answer, dict) and answer.get("run") == "no"
--- /dev/null
+++ b/src/pomelobarrow/backends/events.py
@@ -0,0 +1,33 @@
+"""Count server-sent events so that a broken stream can be resumed at the right one."""
+
+from attrs import define
+
+SEPARATOR = b"\n\n"
+END_EVENT = b"data: [DONE]\n\n"
+
+
+@define
+class EventCounter:
+    """Split a byte stream at event borders; only whole events are passed on."""
+
+    whole_events: int = 0
+    is_ended: bool = False
+    _partial: bytes = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole events that these bytes complete."""
+        if self._partial:
+            data = self._partial + data
+        border = len(data) if data.endswith(SEPARATOR) else data.rfind(SEPARATOR) + len(SEPARATOR)
+        if border < len(SEPARATOR):
+            self._partial = data
+            return b""
+        self._partial = data[border:]
+        whole = data[:border] if self._partial else data
+        self.whole_events += whole.count(SEPARATOR)
+        self.is_ended = whole.endswith(END_EVENT)
+        return whole
+
+    def drop_partial(self) -> None:
+        """Forget a half event; the resumed stream brings it again."""
+        self._partial = b""
--- /dev/null
+++ b/src/pomelobarrow/backends/plugin.py
@@ -0,0 +1,111 @@
+"""The back ends' plug-in: sessions, attempts and load reports."""
+
+from collections.abc import Awaitable, Callable
+
+from mode import Service
+
+from pomelobarrow.backends.engine import EngineAttempt
+from pomelobarrow.backends.reports import LoadPoller
+from pomelobarrow.backends.service import ServiceAttempt
+from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.decision.attempt import Attempt
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.membership import MembershipView
+from pomelobarrow.decision.work import BackendServer, Placement
+from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
+from pomelobarrow.dispatch.local import AttemptRunner, LocalDispatch
+from pomelobarrow.dispatch.request import GatewayRequest
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.kernel.context import Context
+from pomelobarrow.kernel.hooks import PhasedService, StartPhase, hookimpl
+from pomelobarrow.platform.keyspaces import VMS, PublishedState
+
+ATTEMPT_BY_IS_CHAT = {True: EngineAttempt, False: ServiceAttempt}
+
+
+class SessionsService(Service):
+    """Close the sessions at the end."""
+
+    def __init__(self, sessions: BackendSessions) -> None:
+        super().__init__()
+        self._sessions = sessions
+
+    async def on_stop(self) -> None:
+        """Close the connections to backend servers."""
+        await self._sessions.close()
+
+
+@hookimpl
+def provide_parts(context: Context) -> None:
+    """Register how backend servers are reached."""
+    context.provide(BackendSessions, lambda c: BackendSessions(c.settings.dial))
+    context.provide(LoadTable, lambda c: LoadTable(c.settings.region))
+    context.provide(LoadPoller, _poller)
+    context.provide(AttemptRunnerPart, lambda c: AttemptRunnerPart(_runner(c)))
+
+
+@hookimpl
+def services(context: Context) -> list[PhasedService]:
+    """Poll loads; keep the list of servers current."""
+    published, table = context.get(PublishedState), context.get(LoadTable)
+
+    def on_applied(name: str, source: str) -> None:
+        if name == VMS:
+            table.set_servers(published.backend_servers.values())
+
+    published.listeners.append(on_applied)
+    return [
+        PhasedService(StartPhase.BACKENDS, SessionsService(context.get(BackendSessions))),
+        PhasedService(StartPhase.BACKENDS, context.get(LoadPoller)),
+    ]
+
+
+class AttemptRunnerPart:
+    """Hold the function that runs one attempt."""
+
+    def __init__(self, run: AttemptRunner) -> None:
+        self.run = run
+
+
+def _runner(context: Context) -> AttemptRunner:
+    def run(
+        request: GatewayRequest,
+        placement: Placement,
+        attempt: Attempt,
+        number: int,
+        sink: AnswerSink,
+        on_first_byte: Callable[[], None],
+    ) -> Awaitable[AttemptResult]:
+        make = ATTEMPT_BY_IS_CHAT[request.is_chat]
+        return make(
+            sessions=context.get(BackendSessions),
+            request=request,
+            server=placement.server,
+            attempt=attempt,
+            number=number,
+            sink=sink,
+            on_first_byte=on_first_byte,
+        ).run()
+
+    return run
+
+
+def _poller(context: Context) -> LoadPoller:
+    settings, published = context.settings, context.get(PublishedState)
+
+    def own_region_servers() -> list[BackendServer]:
+        servers = published.backend_servers.values()
+        return [server for server in servers if server.region == settings.region]
+
+    def live_vms() -> list[str]:
+        members = context.get(MembershipView).live(settings.region, now_unix_s())
+        return [member.vm for member in members]
+
+    return LoadPoller(
+        own_vm=settings.vm,
+        sessions=context.get(BackendSessions),
+        table=context.get(LoadTable),
+        servers=own_region_servers,
+        live_vms=live_vms,
+        on_report=lambda pool: context.get(LocalDispatch).pump(pool),
+    )
--- /dev/null
+++ b/src/pomelobarrow/backends/reports.py
@@ -0,0 +1,113 @@
+"""Poll the load and cache events of the backend servers that fall to this VM."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import aiohttp
+import orjson
+from mode import Service
+
+from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.rendezvous import rendezvous
+from pomelobarrow.decision.work import BackendServer, LoadReport
+from pomelobarrow.kernel.clock import now_unix_s
+
+POLL_EVERY_S = 1.0
+POLL_TIMEOUT_S = 1.0
+# Two VMs poll each server, so that one frozen VM leaves no server unseen.
+POLLERS = 2
+REPORT_GOOD_FOR_S = 5.0
+
+
+class LoadPoller(Service):
+    """Poll this VM's share of the region's servers; peers pass their share on."""
+
+    def __init__(
+        self,
+        *,
+        own_vm: str,
+        sessions: BackendSessions,
+        table: LoadTable,
+        servers: Callable[[], Iterable[BackendServer]],
+        live_vms: Callable[[], Iterable[str]],
+        on_report: Callable[[str], None],
+    ) -> None:
+        super().__init__()
+        self._own_vm = own_vm
+        self._sessions = sessions
+        self._table = table
+        self._servers = servers
+        self._live_vms = live_vms
+        self._on_report = on_report
+        self._reports: dict[str, LoadReport] = {}
+        self._next_event: dict[str, int] = {}
+        self._random = random.Random()
+
+    def own_reports(self) -> list[LoadReport]:
+        """Return the fresh reports that this VM has polled itself."""
+        oldest_unix_s = now_unix_s() - REPORT_GOOD_FOR_S
+        return [each for each in self._reports.values() if each.measured_unix_s >= oldest_unix_s]
+
+    @Service.task
+    async def _poll_all(self) -> None:
+        while not self.should_stop:
+            live = tuple(self._live_vms())
+            mine = [
+                server
+                for server in self._servers()
+                if self._own_vm in rendezvous(server.name, live, POLLERS)
+            ]
+            await asyncio.gather(*(self._poll(server) for server in mine))
+            await self.sleep(POLL_EVERY_S * self._random.uniform(0.8, 1.2))
+
+    async def _poll(self, server: BackendServer) -> None:
+        body = await self._get(server, "/v1/load")
+        if body is None:
+            return
+        now = now_unix_s()
+        report = _report(server.name, body, now)
+        self._reports[server.name] = report
+        self._table.observe_report(report, now)
+        self._on_report(server.pool)
+        if body.get("kind", "engine") == "engine":
+            await self._poll_cache(server)
+
+    async def _poll_cache(self, server: BackendServer) -> None:
+        after = self._next_event.get(server.name, 0)
+        body = await self._get(server, f"/v1/cache/events?after={after}")
+        if body is None:
+            return
+        prefixes, expected = self._table.prefixes, after
+        for event in body.get("events", ()):
+            # A gap may have held evictions: trusting the old view would send work to a cache
+            # that is cold, so what was known of the server is dropped.
+            if expected and event["sequence"] > expected + 1:
+                prefixes.observe_gap(server.name)
+            expected = event["sequence"]
+            prefixes.observe_event(server.name, event["kind"], event["block"])
+        self._next_event[server.name] = body.get("next", expected)
+
+    async def _get(self, server: BackendServer, path: str) -> dict[str, Any] | None:
+        timeout = aiohttp.ClientTimeout(total=POLL_TIMEOUT_S)
+        url = self._sessions.url(server.address, path)
+        try:
+            async with self._sessions.pooled.get(url, timeout=timeout) as response:
+                body = orjson.loads(await response.read()) if response.status == 200 else None
+                return body if isinstance(body, dict) else None
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return None
+
+
+def _report(name: str, body: dict[str, Any], received_unix_s: float) -> LoadReport:
+    return LoadReport(
+        server=name,
+        measured_unix_s=min(float(body.get("measured_unix_s", received_unix_s)), received_unix_s),
+        running=int(body.get("running", 0)),
+        waiting=int(body.get("waiting", 0)),
+        kv_tokens_used=int(body.get("kv_tokens_used", 0)),
+        queued_prefill_tokens=int(body.get("queued_prefill_tokens", 0)),
+        leaving=bool(body.get("leaving", False)),
+    )
--- /dev/null
+++ b/src/pomelobarrow/backends/service.py
@@ -0,0 +1,94 @@
+"""Run one attempt on a plain service."""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+from attrs import define
+
+from pomelobarrow.backends.engine import LOST, _says_not_run
+from pomelobarrow.backends.sessions import CONNECT_TIMEOUT_S, BackendSessions
+from pomelobarrow.decision.attempt import Attempt, AttemptEvent, AttemptState
+from pomelobarrow.decision.work import BackendServer
+from pomelobarrow.dispatch.answers import AnswerHead, AnswerSink, AttemptResult
+from pomelobarrow.dispatch.request import GatewayRequest
+from pomelobarrow.kernel.clock import now_unix_s
+
+HOP_BY_HOP = frozenset(
+    {"connection", "keep-alive", "transfer-encoding", "upgrade", "te", "trailer", "host"}
+)
+
+
+@define(kw_only=True)
+class ServiceAttempt:
+    """Hold what one call of a plain service has achieved so far."""
+
+    sessions: BackendSessions
+    request: GatewayRequest
+    server: BackendServer
+    attempt: Attempt
+    number: int
+    sink: AnswerSink
+    on_first_byte: Callable[[], None]
+    head_passed: bool = False
+
+    async def run(self) -> AttemptResult:
+        """Call once; nothing is resent below this level."""
+        remaining_s = max(0.0, self.request.work.deadline_unix_s - now_unix_s())
+        try:
+            async with asyncio.timeout(remaining_s):
+                return await self._call()
+        except LOST as error:
+            if self.attempt.state is not AttemptState.FINISHED:
+                self.attempt.apply(AttemptEvent.LOSE)
+            return self._result(repr(error))
+
+    async def _call(self) -> AttemptResult:
+        session = self.sessions.for_request(self.request.work.repeatable)
+        async with session.request(
+            self.request.method,
+            self.sessions.url(self.server.address, self.request.path),
+            data=self.request.body or None,
+            headers=self._headers(),
+            timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
+            allow_redirects=False,
+            trace_request_ctx=lambda: self.attempt.apply(AttemptEvent.SEND),
+        ) as response:
+            if response.status == 503 and _says_not_run(503, body := await response.read()):
+                self.attempt.apply(AttemptEvent.REFUSE_UNRUN)
+                return self._result("refused with 503")
+            self.attempt.apply(AttemptEvent.FIRST_BYTE)
+            await self._pass_on(response, body if response.status == 503 else None)
+        self.attempt.apply(AttemptEvent.END)
+        return self._result("")
+
+    async def _pass_on(self, response: aiohttp.ClientResponse, body: bytes | None) -> None:
+        self.head_passed = True
+        self.on_first_byte()
+        await self.sink.head(AnswerHead(response.status, _end_to_end(response), self.server.name))
+        if body is not None:
+            await self.sink.chunk(body)
+        else:
+            async for data in response.content.iter_any():
+                await self.sink.chunk(data)
+        await self.sink.end()
+
+    def _headers(self) -> list[tuple[str, str]]:
+        headers = [each for each in self.request.headers if each[0].lower() not in HOP_BY_HOP]
+        headers.append(("X-Request-Id", self.request.work.request_id))
+        headers.append(("X-Attempt", str(self.number)))
+        if self.request.traceparent:
+            headers.append(("traceparent", self.request.traceparent))
+        return headers
+
+    def _result(self, detail: str) -> AttemptResult:
+        return AttemptResult(
+            state=self.attempt.state,
+            head_passed=self.head_passed,
+            detail=detail,
+            server=self.server.name,
+        )
+
+
+def _end_to_end(response: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
+    return tuple((k, v) for k, v in response.headers.items() if k.lower() not in HOP_BY_HOP)
--- /dev/null
+++ b/src/pomelobarrow/backends/sessions.py
@@ -0,0 +1,62 @@
+"""HTTP sessions towards backend servers."""
+
+import asyncio
+from collections.abc import Mapping
+
+import aiohttp
+from aiohttp.tracing import TraceConfig
+
+CONNECT_TIMEOUT_S = 1.0
+KEEPALIVE_S = 15.0
+MAX_CONNECTIONS = 4096
+READ_BUFFER_BYTES = 1 << 18
+
+
+class BackendSessions:
+    """Hold a pooled session and one that opens a new connection for every request."""
+
+    def __init__(self, dial: Mapping[str, str]) -> None:
+        self._dial = dial
+        self.pooled = _session(force_close=False)
+        # A pooled connection that went silent swallows the request: the symptom is a ping that
+        # may or may not have run. A new connection can't have been forgotten on its way, and
+        # aiohttp resends idempotent methods only on a reused one, so neither can happen here.
+        self.fresh = _session(force_close=True)
+
+    def url(self, address: str, path: str) -> str:
+        """Return where to reach a path at a published address."""
+        return f"http://{self._dial.get(address, address)}{path}"
+
+    def for_request(self, repeatable: bool) -> aiohttp.ClientSession:
+        """Return the session that is safe for such a request."""
+        return self.pooled if repeatable else self.fresh
+
+    async def close(self) -> None:
+        """Close both sessions."""
+        await asyncio.gather(self.pooled.close(), self.fresh.close())
+
+
+def _session(force_close: bool) -> aiohttp.ClientSession:
+    options: dict[str, float] = {} if force_close else {"keepalive_timeout": KEEPALIVE_S}
+    connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS, force_close=force_close, **options)  # type: ignore[arg-type]
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        read_bufsize=READ_BUFFER_BYTES,
+        trace_configs=[_send_tracing()],
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+
+
+def _send_tracing() -> TraceConfig:
+    """Tell the attempt that the next step hands bytes to the transport."""
+    tracing = TraceConfig()
+
+    async def about_to_send(session: object, context: object, params: object) -> None:
+        on_send = getattr(context, "trace_request_ctx", None)
+        if on_send is not None:
+            on_send()
+
+    tracing.on_connection_create_end.append(about_to_send)
+    tracing.on_connection_reuseconn.append(about_to_send)
+    return tracing
--- /dev/null
+++ b/src/pomelobarrow/backends/whole_answer.py
@@ -0,0 +1,63 @@
+"""Put a streamed answer together for a caller that wants it whole."""
+
+from typing import Any
+
+import orjson
+
+from pomelobarrow.backends.events import END_EVENT, SEPARATOR
+
+DATA = b"data: "
+
+
+class TooLargeError(ValueError):
+    """Report an answer past the bound; ask for a stream instead."""
+
+
+class WholeAnswer:
+    """Collect events and build the usual whole JSON shape from them."""
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._size_bytes = 0
+        self._parts: list[bytes] = []
+
+    def feed(self, data: bytes) -> None:
+        """Take whole events."""
+        self._size_bytes += len(data)
+        if self._size_bytes > self._max_bytes:
+            raise TooLargeError(f"answer past {self._max_bytes} bytes: ask for a stream")
+        self._parts.append(data)
+
+    def body(self) -> bytes:
+        """Return the whole answer as JSON."""
+        events = b"".join(self._parts).removesuffix(END_EVENT).split(SEPARATOR)
+        chunks = [orjson.loads(each.removeprefix(DATA)) for each in events if each]
+        return orjson.dumps(_merge(chunks))
+
+
+def _merge(chunks: list[dict[str, Any]]) -> dict[str, Any]:
+    first = chunks[0] if chunks else {}
+    merged: dict[str, Any] = {key: first[key] for key in ("id", "created", "model") if key in first}
+    usage = [chunk["usage"] for chunk in chunks if chunk.get("usage")]
+    merged["object"] = "chat.completion"
+    merged["choices"] = [_choice(index, chunks) for index in _indexes(chunks)]
+    if usage:
+        merged["usage"] = usage[-1]
+    return merged
+
+
+def _indexes(chunks: list[dict[str, Any]]) -> list[int]:
+    return sorted({each["index"] for chunk in chunks for each in chunk.get("choices", ())})
+
+
+def _choice(index: int, chunks: list[dict[str, Any]]) -> dict[str, Any]:
+    parts = [
+        each for chunk in chunks for each in chunk.get("choices", ()) if each["index"] == index
+    ]
+    content = "".join(each.get("delta", {}).get("content") or "" for each in parts)
+    reasons = [each["finish_reason"] for each in parts if each.get("finish_reason")]
+    return {
+        "index": index,
+        "message": {"role": "assistant", "content": content},
+        "finish_reason": reasons[-1] if reasons else "stop",
+    }
--- /dev/null
+++ b/src/pomelobarrow/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The interface for callers and the HTTP server that carries it."""
--- /dev/null
+++ b/src/pomelobarrow/callers/gateway.py
@@ -0,0 +1,266 @@
+"""Serve callers: check a request, dispatch it, answer it."""
+
+import itertools
+from collections.abc import Callable, Mapping
+
+from aiohttp import web
+from attrs import define, field
+from result import Err, Ok, Result
+
+from pomelobarrow.callers import parsing
+from pomelobarrow.callers.problems import problem_response
+from pomelobarrow.callers.sinks import HttpSink
+from pomelobarrow.decision.configuration import Account, Configuration, WorkClass
+from pomelobarrow.decision.errors import Kind, Refusal, Run
+from pomelobarrow.decision.work import Work
+from pomelobarrow.dispatch.answers import Headers
+from pomelobarrow.dispatch.entry import EntryDispatch
+from pomelobarrow.dispatch.events import RequestEnded
+from pomelobarrow.dispatch.refusals import refuse
+from pomelobarrow.dispatch.request import GatewayRequest
+from pomelobarrow.kernel.clock import now_unix_s
+
+TRACEPARENT_HEADER = "traceparent"
+# A plain service gets the caller's headers, but never what identifies it to the gateway.
+PRIVATE_HEADERS = frozenset(
+    {"authorization", "idempotency-key", "content-length", "traceparent", "host", "connection"}
+)
+PRIVATE_PREFIX = "pomelobarrow-"
+
+
+@define(kw_only=True)
+class Checked:
+    """Hold what the headers of a request say."""
+
+    account: Account
+    work_class: WorkClass
+    home_region: str
+    deadline_unix_s: float
+    key: str | None
+
+
+@define(kw_only=True)
+class CallerGateway:
+    """Hold what all callers' requests on this VM share."""
+
+    vm: str
+    region: str
+    incarnation: int
+    configuration: Callable[[], Configuration | None]
+    regions: Callable[[], frozenset[str]]
+    entry: EntryDispatch
+    observe: Callable[[object], None]
+    is_draining: Callable[[], bool]
+    not_ready_reason: Callable[[], str | None]
+    _serial: "itertools.count[int]" = field(factory=itertools.count)
+
+    async def chat(self, request: web.Request) -> web.StreamResponse:
+        """Answer POST /v1/chat/completions."""
+        return await self._serve(request, self._build_chat)
+
+    async def service(self, request: web.Request) -> web.StreamResponse:
+        """Answer a call of a plain service."""
+        return await self._serve(request, self._build_service)
+
+    def check_headers(
+        self, headers: Mapping[str, str], configuration: Configuration
+    ) -> Result[Checked, Refusal]:
+        """Check everything that doesn't need the body."""
+        account = parsing.find_account(headers, configuration)
+        if isinstance(account, Err):
+            return account
+        work_class = parsing.find_class(headers.get(parsing.CLASS_HEADER), configuration)
+        if isinstance(work_class, Err):
+            return work_class
+        found = work_class.ok_value
+        given_deadline = headers.get(parsing.DEADLINE_HEADER)
+        deadline = parsing.read_deadline(given_deadline, found, now_unix_s())
+        if isinstance(deadline, Err):
+            return deadline
+        given_home = headers.get(parsing.HOME_HEADER)
+        home = parsing.read_home(given_home, account.ok_value, found, self.regions(), self.region)
+        if isinstance(home, Err):
+            return home
+        return self._check_key(
+            Checked(
+                account=account.ok_value,
+                work_class=found,
+                home_region=home.ok_value,
+                deadline_unix_s=deadline.ok_value,
+                key=headers.get(parsing.KEY_HEADER),
+            )
+        )
+
+    def _check_key(self, checked: Checked) -> Result[Checked, Refusal]:
+        """Refuse a key that the caller made up where the work may run only once.
+
+        Two entry VMs can't agree on who owns such a key while their lists of VMs differ: both
+        would run it. Repeatable work needs no key, so there it is left aside.
+        """
+        if checked.key is None or parsing.is_issued(checked.key):
+            return Ok(checked)
+        if checked.work_class.repeatable:
+            checked.key = None
+            return Ok(checked)
+        return Err(
+            refuse(
+                Kind.BAD_IDEMPOTENCY_KEY,
+                Run.NO,
+                "the key was not issued by this system",
+                remedy="send an id from the request_ids of GET /v1/entries",
+            )
+        )
+
+    async def _serve(
+        self,
+        request: web.Request,
+        build: Callable[
+            [web.Request, Checked, Configuration, bytes], Result[GatewayRequest, Refusal]
+        ],
+    ) -> web.StreamResponse:
+        started_unix_s = now_unix_s()
+        configuration, reason = self.configuration(), self.not_ready_reason()
+        if configuration is None or reason:
+            return problem_response(refuse(Kind.NOT_READY, Run.NO, reason or "not ready"))
+        checked = self.check_headers(request.headers, configuration)
+        if isinstance(checked, Err):
+            return self._refused(checked.err_value, started_unix_s)
+        if self.is_draining() and checked.ok_value.key is None:
+            return problem_response(refuse(Kind.DRAINING, Run.NO, "this VM is stopping"))
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return self._refused(self._too_large(request), started_unix_s)
+        built = build(request, checked.ok_value, configuration, body)
+        if isinstance(built, Err):
+            return self._refused(built.err_value, started_unix_s)
+        return await self._answer(request, built.ok_value, checked.ok_value.account)
+
+    async def _answer(
+        self, request: web.Request, gateway_request: GatewayRequest, account: Account
+    ) -> web.StreamResponse:
+        sink = HttpSink(request, gateway_request.work.request_id)
+        refusal: Refusal | None = None
+        outcome = "caller_gone"
+        try:
+            refusal = await self.entry.dispatch(gateway_request, account, sink)
+            outcome = "answered" if refusal is None else "refused"
+        finally:
+            self._report(gateway_request.work, sink, outcome, refusal)
+        if sink.response is not None:
+            return sink.response
+        assert refusal is not None
+        return problem_response(refusal, gateway_request.work.request_id)
+
+    def _build_chat(
+        self, request: web.Request, checked: Checked, configuration: Configuration, body: bytes
+    ) -> Result[GatewayRequest, Refusal]:
+        chat = parsing.read_chat_body(body)
+        if isinstance(chat, Err):
+            return chat
+        model = parsing.check_model(chat.ok_value.model, checked.work_class, configuration)
+        if isinstance(model, Err):
+            return model
+        work = self._work(checked, chat.ok_value)
+        return Ok(self._request(request, checked, work, body, chat.ok_value.is_streamed, True))
+
+    def _build_service(
+        self, request: web.Request, checked: Checked, configuration: Configuration, body: bytes
+    ) -> Result[GatewayRequest, Refusal]:
+        name = request.match_info["name"]
+        service = parsing.check_service(name, checked.work_class, configuration)
+        if isinstance(service, Err):
+            return service
+        return Ok(self._request(request, checked, self._work(checked, None), body, False, False))
+
+    def _work(self, checked: Checked, chat: parsing.ChatBody | None) -> Work:
+        return parsing.build_work(
+            request_id=checked.key or f"{self.vm}-{self.incarnation:x}-{next(self._serial):x}",
+            account=checked.account,
+            work_class=checked.work_class,
+            home_region=checked.home_region,
+            deadline_unix_s=checked.deadline_unix_s,
+            now_unix_s=now_unix_s(),
+            expected_output_tokens=parsing.DEFAULT_OUTPUT_TOKENS,
+            chat=chat,
+        )
+
+    def _request(
+        self,
+        request: web.Request,
+        checked: Checked,
+        work: Work,
+        body: bytes,
+        is_streamed: bool,
+        is_chat: bool,
+    ) -> GatewayRequest:
+        return GatewayRequest(
+            work=work,
+            work_class=checked.work_class,
+            is_chat=is_chat,
+            is_streamed=is_streamed,
+            is_claimed=checked.key is not None,
+            method=request.method,
+            path=request.path if is_chat else _service_path(request),
+            headers=() if is_chat else _public_headers(request.headers),
+            body=body,
+            traceparent=request.headers.get(TRACEPARENT_HEADER, ""),
+        )
+
+    def _too_large(self, request: web.Request) -> Refusal:
+        limit_bytes = request.client_max_size
+        return refuse(
+            Kind.BODY_TOO_LARGE,
+            Run.NO,
+            f"the body is past {limit_bytes} bytes",
+            remedy="send less, or ask the operator for a higher max_body_bytes",
+        )
+
+    def _refused(self, refusal: Refusal, started_unix_s: float) -> web.Response:
+        self.observe(
+            RequestEnded(
+                request_id="",
+                class_name="",
+                account="",
+                outcome="refused",
+                kind=refusal.kind.label,
+                run=refusal.run.value,
+                region=self.region,
+                accepted_unix_s=started_unix_s,
+                ended_unix_s=now_unix_s(),
+            )
+        )
+        return problem_response(refusal)
+
+    def _report(self, work: Work, sink: HttpSink, outcome: str, refusal: Refusal | None) -> None:
+        self.observe(
+            RequestEnded(
+                request_id=work.request_id,
+                class_name=work.class_name,
+                account=work.account,
+                outcome=outcome,
+                kind=refusal.kind.label if refusal else "",
+                run=refusal.run.value if refusal else "",
+                server=sink.server,
+                region=self.region,
+                accepted_unix_s=work.accepted_unix_s,
+                first_byte_unix_s=sink.first_byte_unix_s,
+                ended_unix_s=now_unix_s(),
+                max_gap_s=sink.max_gap_s,
+                chunks=sink.chunks,
+            )
+        )
+
+
+def _service_path(request: web.Request) -> str:
+    """Return the path below the service's name, as the caller spelled it."""
+    prefix = f"/services/{request.match_info['name']}"
+    return request.raw_path.removeprefix(prefix) or "/"
+
+
+def _public_headers(headers: Mapping[str, str]) -> Headers:
+    return tuple(
+        (name, value)
+        for name, value in headers.items()
+        if name.lower() not in PRIVATE_HEADERS and not name.lower().startswith(PRIVATE_PREFIX)
+    )
--- /dev/null
+++ b/src/pomelobarrow/callers/plugin.py
@@ -0,0 +1,150 @@
+"""The callers' plug-in: the HTTP server and its routes."""
+
+from aiohttp import web
+from mode import Service
+from result import Err
+
+from pomelobarrow.callers import parsing
+from pomelobarrow.callers.entries import EntryDirectory
+from pomelobarrow.callers.gateway import CallerGateway
+from pomelobarrow.callers.operations import Operations, json_response
+from pomelobarrow.callers.problems import problem_response
+from pomelobarrow.decision.errors import Kind, Run
+from pomelobarrow.decision.membership import MembershipView
+from pomelobarrow.decision.request_ids import RequestIdLedger
+from pomelobarrow.dispatch.dispatcher import Dispatcher
+from pomelobarrow.dispatch.entry import EntryDispatch
+from pomelobarrow.dispatch.refusals import refuse
+from pomelobarrow.kernel.context import Context
+from pomelobarrow.kernel.hooks import PhasedService, StartPhase, hookimpl
+from pomelobarrow.peers.region_loads import RegionLoads
+from pomelobarrow.platform.keyspaces import PublishedState
+
+MAX_HEADER_BYTES = 16 << 10
+KEEPALIVE_S = 75.0
+SHUTDOWN_TIMEOUT_S = 1.0
+
+
+class CallerServer(Service):
+    """Listen for callers."""
+
+    def __init__(self, context: Context) -> None:
+        super().__init__()
+        self._context = context
+        self._runner: web.AppRunner | None = None
+
+    async def on_start(self) -> None:
+        """Open the listening socket with the routes of all plug-ins."""
+        settings = self._context.settings.callers
+        app = web.Application(client_max_size=settings.max_body_bytes)
+        for routes in self._context.hooks.hook.routes(context=self._context):
+            app.add_routes(routes)
+        # Without handler_cancellation an answer goes on for a caller that has left, and its
+        # engine's slot stays taken.
+        self._runner = web.AppRunner(
+            app,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+            max_field_size=MAX_HEADER_BYTES,
+        )
+        await self._runner.setup()
+        host, _, port = settings.listen.rpartition(":")
+        await web.TCPSite(self._runner, host, int(port), reuse_address=True).start()
+
+    async def on_stop(self) -> None:
+        """Close the listening socket and idle connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+
+@hookimpl
+def provide_parts(context: Context) -> None:
+    """Register what answers callers."""
+    context.provide(Operations, _operations)
+    context.provide(CallerGateway, _gateway)
+    context.provide(EntryDirectory, _directory)
+
+
+@hookimpl
+def services(context: Context) -> list[PhasedService]:
+    """Serve callers last, once everything else runs."""
+    return [PhasedService(StartPhase.CALLERS, CallerServer(context))]
+
+
+@hookimpl
+def routes(context: Context) -> list[web.RouteDef]:
+    """Return the caller's and the operator's interface."""
+    gateway, operations = context.get(CallerGateway), context.get(Operations)
+    return [
+        web.get("/v1/entries", _entries_handler(context)),
+        web.post("/v1/chat/completions", gateway.chat),
+        web.route("*", "/services/{name}", gateway.service),
+        web.route("*", "/services/{name}/{rest:.*}", gateway.service),
+        web.get("/healthz", operations.health),
+        web.get("/readyz", operations.readiness),
+        web.get("/v1/status", operations.status),
+        web.get("/v1/explain", operations.explain),
+    ]
+
+
+def _entries_handler(context: Context):  # type: ignore[no-untyped-def]
+    published, gateway = context.get(PublishedState), context.get(CallerGateway)
+    directory, loads = context.get(EntryDirectory), context.get(RegionLoads)
+
+    async def entries(request: web.Request) -> web.Response:
+        configuration = published.configuration
+        if configuration is None:
+            return problem_response(refuse(Kind.NOT_READY, Run.NO, "no configuration yet"))
+        account = parsing.find_account(request.headers, configuration)
+        if isinstance(account, Err):
+            return problem_response(account.err_value)
+        work_class = parsing.find_class(request.query.get("class"), configuration)
+        if isinstance(work_class, Err):
+            return problem_response(work_class.err_value)
+        home = account.ok_value.home_region or gateway.region
+        trips = {
+            region: load.round_trip_s
+            for region, load in loads.for_pool(work_class.ok_value.pool).items()
+        }
+        return json_response(directory.answer(account.ok_value, home, trips))
+
+    return entries
+
+
+def _operations(context: Context) -> Operations:
+    return Operations(
+        context=context,
+        published=context.get(PublishedState),
+        dispatcher=context.get(Dispatcher),
+    )
+
+
+def _gateway(context: Context) -> CallerGateway:
+    settings, published = context.settings, context.get(PublishedState)
+
+    def regions() -> frozenset[str]:
+        vms = published.entry_vms.values()
+        return frozenset(vm.region for vm in vms) | {settings.region}
+
+    def not_ready_reason() -> str | None:
+        if context.is_draining:
+            return None
+        return context.get(Operations).not_ready_reason()
+
+    return CallerGateway(
+        vm=settings.vm,
+        region=settings.region,
+        incarnation=context.incarnation,
+        configuration=lambda: published.configuration,
+        regions=regions,
+        entry=context.get(EntryDispatch),
+        observe=context.observe,
+        is_draining=lambda: context.is_draining,
+        not_ready_reason=not_ready_reason,
+    )
+
+
+def _directory(context: Context) -> EntryDirectory:
+    return EntryDirectory(view=context.get(MembershipView), ledger=context.get(RequestIdLedger))
--- /dev/null
+++ b/src/pomelobarrow/dispatch/claims.py
@@ -0,0 +1,180 @@
+"""Run a request under an issued id at most once, wherever the repeat arrives."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any
+
+from attrs import define, field
+from result import Err
+
+from pomelobarrow.decision.attempt import Attempt, AttemptState
+from pomelobarrow.decision.errors import Kind, Refusal, Run
+from pomelobarrow.decision.request_ids import (
+    Claim,
+    ClaimKind,
+    Issuer,
+    Outcome,
+    RequestIdLedger,
+    parse_issuer,
+)
+from pomelobarrow.decision.retries import retry_after_unix_s
+from pomelobarrow.dispatch.answers import AnswerHead, AnswerSink
+from pomelobarrow.dispatch.dispatcher import Dispatcher
+from pomelobarrow.dispatch.recording import RecordingSink
+from pomelobarrow.dispatch.refusals import refuse
+from pomelobarrow.dispatch.request import GatewayRequest
+from pomelobarrow.kernel.clock import now_unix_s
+
+REMEDY_NEW_ID = "take a request id from GET /v1/entries and send that as Idempotency-Key"
+STILL_RUNNING_PAUSE_S = 1.0
+
+ClaimAnswer = Callable[[Claim, GatewayRequest, AnswerSink], Coroutine[Any, Any, Refusal | None]]
+
+
+@define(kw_only=True)
+class ClaimedDispatch:
+    """Answer requests that carry an issued id."""
+
+    ledger: RequestIdLedger
+    dispatcher: Dispatcher
+    rng: Random = field(factory=Random)
+    _running: set["asyncio.Task[Refusal | None]"] = field(factory=set)
+
+    async def dispatch(self, request: GatewayRequest, sink: AnswerSink) -> Refusal | None:
+        """Claim the id here, or pass the request on to the VM that issued it."""
+        parsed = parse_issuer(request.work.request_id)
+        if isinstance(parsed, Err):
+            return _not_issued(parsed.err_value.detail)
+        issuer = parsed.ok_value
+        if issuer.key in self.ledger.issuers:
+            return await self._claim(request, sink)
+        if request.forwarded_by is not None:
+            return self._issuer_gone()
+        return await self._pass_to_issuer(issuer, request, sink)
+
+    async def wait_until_idle(self) -> None:
+        """Return once no claimed request runs any more."""
+        while self._running:
+            await asyncio.wait(self._running)
+
+    async def _claim(self, request: GatewayRequest, sink: AnswerSink) -> Refusal | None:
+        work = request.work
+        claim = self.ledger.claim(work.request_id, work.account, now_unix_s())
+        return await self._answers()[claim.kind](claim, request, sink)
+
+    def _answers(self) -> dict[ClaimKind, ClaimAnswer]:
+        return {
+            ClaimKind.FRESH: self._run_fresh,
+            ClaimKind.RUNNING: self._say_still_running,
+            ClaimKind.FINISHED: self._repeat_outcome,
+            ClaimKind.FORGED: self._say_forged,
+            ClaimKind.EXPIRED: self._say_expired,
+            ClaimKind.NOT_MINE: self._say_gone,
+            ClaimKind.RETIRED: self._say_retired,
+        }
+
+    async def _run_fresh(
+        self, claim: Claim, request: GatewayRequest, sink: AnswerSink
+    ) -> Refusal | None:
+        """Run to the end even if the caller leaves: its repeat gets the outcome."""
+        recorder = RecordingSink(sink)
+        task = asyncio.create_task(self._run_recorded(request, recorder))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            recorder.detach()
+            raise
+
+    async def _run_recorded(
+        self, request: GatewayRequest, recorder: RecordingSink
+    ) -> Refusal | None:
+        request_id = request.work.request_id
+        try:
+            refusal = await self.dispatcher.dispatch(request, recorder)
+        except BaseException:
+            self.ledger.lose(request_id)
+            raise
+        if refusal is None:
+            self.ledger.finish(request_id, recorder.outcome())
+        elif refusal.run is Run.NO:
+            self.ledger.release_unrun(request_id)
+        else:
+            self.ledger.lose(request_id)
+        return refusal
+
+    async def _pass_to_issuer(
+        self, issuer: Issuer, request: GatewayRequest, sink: AnswerSink
+    ) -> Refusal | None:
+        """Send the repeat to its issuer once; only the issuer's own word counts as "not run"."""
+        attempt = Attempt()
+        result = await self.dispatcher.forwarder.forward_to_issuer(
+            issuer.vm, issuer.incarnation, request, attempt, sink
+        )
+        if result.is_finished:
+            return None
+        if result.refusal is not None and not result.head_passed:
+            return result.refusal
+        refusal = self._issuer_gone(result.detail)
+        if result.head_passed:
+            await sink.broken(refusal)
+        elif result.state is AttemptState.REFUSED_UNRUN:
+            return self._issuer_gone("the issuer did not take it")
+        return refusal
+
+    async def _say_still_running(
+        self, claim: Claim, request: GatewayRequest, sink: AnswerSink
+    ) -> Refusal | None:
+        retry_at_unix_s = retry_after_unix_s(STILL_RUNNING_PAUSE_S, now_unix_s(), self.rng)
+        return Refusal(
+            kind=Kind.STILL_RUNNING,
+            run=Run.UNKNOWN,
+            detail="the first request with this id still runs",
+            remedy="repeat it with the same Idempotency-Key at the time in Retry-After",
+            retry_at_unix_s=retry_at_unix_s,
+        )
+
+    async def _repeat_outcome(
+        self, claim: Claim, request: GatewayRequest, sink: AnswerSink
+    ) -> Refusal | None:
+        outcome = claim.outcome or Outcome(status=502, run="unknown")
+        if outcome.run == "unknown":
+            return refuse(Kind.OUTCOME_UNKNOWN, Run.UNKNOWN, "the first one's outcome is unknown")
+        if outcome.body is None:
+            return refuse(Kind.ANSWER_NOT_KEPT, Run.UNKNOWN, "it ran; its answer was too large")
+        await sink.head(AnswerHead(outcome.status, outcome.headers))
+        await sink.chunk(outcome.body)
+        await sink.end()
+        return None
+
+    async def _say_forged(
+        self, claim: Claim, request: GatewayRequest, sink: AnswerSink
+    ) -> Refusal | None:
+        return _not_issued("the id was not issued to this account")
+
+    async def _say_expired(
+        self, claim: Claim, request: GatewayRequest, sink: AnswerSink
+    ) -> Refusal | None:
+        detail = "the id has expired; a first request under it may have run"
+        return refuse(Kind.OUTCOME_UNKNOWN, Run.UNKNOWN, detail)
+
+    async def _say_gone(
+        self, claim: Claim, request: GatewayRequest, sink: AnswerSink
+    ) -> Refusal | None:
+        return self._issuer_gone()
+
+    async def _say_retired(
+        self, claim: Claim, request: GatewayRequest, sink: AnswerSink
+    ) -> Refusal | None:
+        detail = "the VM that issued the id is stopping; this id was not used here"
+        return refuse(Kind.DRAINING, Run.UNKNOWN, detail, remedy=REMEDY_NEW_ID)
+
+    def _issuer_gone(self, detail: str = "") -> Refusal:
+        text = "the VM that issued the id can't be asked whether it ran"
+        return refuse(Kind.OUTCOME_UNKNOWN, Run.UNKNOWN, f"{text}: {detail}" if detail else text)
+
+
+def _not_issued(detail: str) -> Refusal:
+    return refuse(Kind.BAD_IDEMPOTENCY_KEY, Run.NO, detail, remedy=REMEDY_NEW_ID)
--- /dev/null
+++ b/src/pomelobarrow/dispatch/dispatcher.py
@@ -0,0 +1,213 @@
+"""Bring one request to an end: choose the region, attempt, try again or refuse."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+from attrs import define, field
+
+from pomelobarrow.decision.attempt import Attempt, AttemptState, may_try_again, run_verdict
+from pomelobarrow.decision.errors import Kind, Refusal, Run
+from pomelobarrow.decision.region_choice import (
+    RegionChoice,
+    RegionLoad,
+    RegionReason,
+    ShareOutsideHome,
+    choose_region,
+)
+from pomelobarrow.decision.retries import (
+    RetryBudget,
+    RetryVerdict,
+    retry_after_unix_s,
+    retry_verdict,
+)
+from pomelobarrow.decision.work import Work
+from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
+from pomelobarrow.dispatch.events import Forwarded
+from pomelobarrow.dispatch.forwarder import Forwarder
+from pomelobarrow.dispatch.local import LocalDispatch
+from pomelobarrow.dispatch.refusals import RefusedError, refuse
+from pomelobarrow.dispatch.request import GatewayRequest
+from pomelobarrow.kernel.clock import now_unix_s
+
+BACKOFF_FLOOR_S = 0.2
+BACKOFF_CEILING_S = 5.0
+UNRUN_PAUSE_S = 0.02
+# Repeatable work is late rather than lost: once its quick tries are used up it goes on at the
+# backoff's pace, which can't amplify an overload, until its deadline.
+PATIENT_VERDICTS = frozenset({RetryVerdict.BUDGET, RetryVerdict.ATTEMPTS})
+
+
+@define(kw_only=True)
+class Tries:
+    """Hold what the attempts of one request have shown so far."""
+
+    states: list[AttemptState] = field(factory=list)
+    bad_servers: set[str] = field(factory=set)
+    bad_peers: set[str] = field(factory=set)
+    bad_regions: set[str] = field(factory=set)
+    last_refusal: Refusal | None = None
+
+    @property
+    def run(self) -> Run:
+        """Say whether anything may have run."""
+        return run_verdict(self.states)
+
+    def observe(self, region: str, result: AttemptResult) -> None:
+        """Note whom to leave out of the next attempt."""
+        self.states.append(result.state)
+        self.last_refusal = result.refusal or self.last_refusal
+        if result.peer:
+            self.bad_peers.add(result.peer)
+            self.bad_regions.add(region)
+        elif result.server:
+            self.bad_servers.add(result.server)
+
+
+@define(kw_only=True)
+class Dispatcher:
+    """Hold what all requests of this VM share."""
+
+    own_region: str
+    local: LocalDispatch
+    forwarder: Forwarder
+    share: ShareOutsideHome
+    observe: Callable[[object], None]
+    budgets: dict[str, RetryBudget] = field(factory=dict)
+    rng: Random = field(factory=Random)
+
+    async def dispatch(self, request: GatewayRequest, sink: AnswerSink) -> Refusal | None:
+        """Answer the request whole through the sink, or return why not."""
+        tries = Tries()
+        while True:
+            try:
+                region, result = await self._attempt(request, sink, tries)
+            except RefusedError as error:
+                return self._final(error.refusal, tries)
+            tries.observe(region, result)
+            if result.is_finished:
+                self._budget(request.work).observe_success()
+                return None
+            if result.head_passed:
+                return await self._break_off(sink, result)
+            refusal = await self._pause_or_refuse(request, result, tries)
+            if refusal is not None:
+                return self._final(refusal, tries)
+
+    def choose(self, work: Work, bad_regions: set[str]) -> RegionChoice:
+        """Return where such work would go now."""
+        now = now_unix_s()
+        loads = dict(self.forwarder.region_loads(work))
+        loads[self.own_region] = self.own_load(work, now)
+        for region in bad_regions:
+            loads.pop(region, None)
+        return choose_region(work, self.own_region, loads, self.share, now, self.rng)
+
+    def own_load(self, work: Work, now: float) -> RegionLoad:
+        """Return this region's load for such work."""
+        table = self.local.table
+        cold_tokens = work.prompt_tokens * table.service_times(work.pool).s_per_prefill_token
+        return RegionLoad(
+            region=self.own_region,
+            pool=work.pool,
+            expected_wait_s=self.local.expected_wait_s(work),
+            round_trip_s=0.0,
+            measured_unix_s=now,
+            servers=len(table.usable(work.pool, now)),
+            cold_prefill_s=cold_tokens,
+        )
+
+    async def _attempt(
+        self, request: GatewayRequest, sink: AnswerSink, tries: Tries
+    ) -> tuple[str, AttemptResult]:
+        region = self._region(request, tries)
+        attempt = Attempt()
+        if region == self.own_region:
+            excluded = frozenset(tries.bad_servers)
+            number = len(tries.states) + 1
+            return region, await self.local.run(request, attempt, number, excluded, sink)
+        excluded = frozenset(tries.bad_peers)
+        result = await self.forwarder.forward_to_region(region, request, attempt, sink, excluded)
+        return region, result
+
+    def _region(self, request: GatewayRequest, tries: Tries) -> str:
+        """Return the region to try; a forwarded request stays here whatever the views say."""
+        work = request.work
+        if request.forwarded_by is not None:
+            if work.home_bound and work.home_region != self.own_region:
+                raise RefusedError(
+                    refuse(Kind.HOME_UNREACHABLE, Run.NO, "this VM is outside the home region")
+                )
+            return self.own_region
+        choice = self.choose(work, tries.bad_regions)
+        if choice.region is None:
+            raise RefusedError(self._no_region(work, choice))
+        if not tries.states:
+            self.share.record(work.class_name, choice.region != work.home_region)
+        if choice.region != self.own_region:
+            self.observe(
+                Forwarded(work.request_id, work.class_name, choice.region, choice.reason.value)
+            )
+        return choice.region
+
+    def _no_region(self, work: Work, choice: RegionChoice) -> Refusal:
+        now = now_unix_s()
+        retry_at_unix_s = retry_after_unix_s(self.local.expected_wait_s(work), now, self.rng)
+        kind = Kind.NO_CAPACITY
+        if choice.reason is RegionReason.HOME_LOST:
+            kind = Kind.HOME_UNREACHABLE
+        return refuse(kind, Run.NO, choice.reason.value, retry_at_unix_s)
+
+    async def _pause_or_refuse(
+        self, request: GatewayRequest, result: AttemptResult, tries: Tries
+    ) -> Refusal | None:
+        work, now = request.work, now_unix_s()
+        if not may_try_again(tries.states, work.repeatable):
+            return refuse(Kind.OUTCOME_UNKNOWN, Run.UNKNOWN, result.detail)
+        if request.forwarded_by is not None and result.refusal is not None:
+            return result.refusal
+        verdict = retry_verdict(work, tries.run, len(tries.states), self._budget(work), 0.0, now)
+        if verdict is RetryVerdict.RETRY:
+            await asyncio.sleep(UNRUN_PAUSE_S)
+            return None
+        if verdict in PATIENT_VERDICTS and work.repeatable:
+            return await self._back_off(work, tries)
+        return self._given_up(work, result, tries, verdict)
+
+    async def _back_off(self, work: Work, tries: Tries) -> Refusal | None:
+        pause_s = min(BACKOFF_CEILING_S, BACKOFF_FLOOR_S * 2 ** len(tries.states))
+        pause_s *= self.rng.uniform(0.5, 1.0)
+        now = now_unix_s()
+        if now + pause_s >= work.deadline_unix_s:
+            return refuse(Kind.DEADLINE_PASSED, tries.run, "the retries reached the deadline")
+        await asyncio.sleep(pause_s)
+        tries.bad_servers.clear()
+        tries.bad_peers.clear()
+        tries.bad_regions.clear()
+        return None
+
+    def _given_up(
+        self, work: Work, result: AttemptResult, tries: Tries, verdict: RetryVerdict
+    ) -> Refusal:
+        if tries.last_refusal is not None:
+            return tries.last_refusal
+        if verdict is RetryVerdict.DEADLINE:
+            return refuse(Kind.DEADLINE_PASSED, tries.run, result.detail)
+        now = now_unix_s()
+        retry_at_unix_s = retry_after_unix_s(self.local.expected_wait_s(work), now, self.rng)
+        kind = Kind.NO_CAPACITY if tries.run is Run.NO else Kind.OUTCOME_UNKNOWN
+        return refuse(kind, tries.run, f"{verdict.value}: {result.detail}", retry_at_unix_s)
+
+    def _final(self, refusal: Refusal, tries: Tries) -> Refusal:
+        """Never say "not run" where an earlier attempt may have run."""
+        if refusal.run is Run.NO and tries.run is Run.UNKNOWN:
+            return refuse(Kind.OUTCOME_UNKNOWN, Run.UNKNOWN, refusal.detail)
+        return refusal
+
+    async def _break_off(self, sink: AnswerSink, result: AttemptResult) -> Refusal:
+        refusal = refuse(Kind.OUTCOME_UNKNOWN, Run.UNKNOWN, result.detail)
+        await sink.broken(refusal)
+        return refusal
+
+    def _budget(self, work: Work) -> RetryBudget:
+        return self.budgets.setdefault(work.class_name, RetryBudget())
--- /dev/null
+++ b/src/pomelobarrow/dispatch/entry.py
@@ -0,0 +1,61 @@
+"""Take a request from a caller or a peer and count it until it ends."""
+
+import asyncio
+
+from attrs import define, field
+from result import Err
+
+from pomelobarrow.decision.admission import admit_account
+from pomelobarrow.decision.configuration import Account
+from pomelobarrow.decision.errors import Refusal
+from pomelobarrow.decision.limits import AccountLimits
+from pomelobarrow.dispatch.answers import AnswerSink
+from pomelobarrow.dispatch.claims import ClaimedDispatch
+from pomelobarrow.dispatch.dispatcher import Dispatcher
+from pomelobarrow.dispatch.request import GatewayRequest
+from pomelobarrow.kernel.clock import now_unix_s
+
+
+@define(kw_only=True)
+class EntryDispatch:
+    """Admit requests and count those in progress."""
+
+    dispatcher: Dispatcher
+    claims: ClaimedDispatch
+    limits: AccountLimits
+    in_progress: int = 0
+    _idle: asyncio.Event = field(factory=asyncio.Event)
+
+    async def dispatch(
+        self, request: GatewayRequest, account: Account, sink: AnswerSink
+    ) -> Refusal | None:
+        """Answer a caller's request, within its account's limits."""
+        admitted = admit_account(request.work, account, self.limits, now_unix_s())
+        if isinstance(admitted, Err):
+            return admitted.err_value
+        try:
+            return await self._counted(request, sink)
+        finally:
+            self.limits.release(account.name)
+
+    async def dispatch_forwarded(self, request: GatewayRequest, sink: AnswerSink) -> Refusal | None:
+        """Answer a peer's request; its entry VM has counted it against the account."""
+        return await self._counted(request, sink)
+
+    async def wait_until_idle(self) -> None:
+        """Return once nothing is in progress on this VM."""
+        while self.in_progress:
+            self._idle.clear()
+            await self._idle.wait()
+        await self.claims.wait_until_idle()
+
+    async def _counted(self, request: GatewayRequest, sink: AnswerSink) -> Refusal | None:
+        self.in_progress += 1
+        try:
+            if request.is_claimed:
+                return await self.claims.dispatch(request, sink)
+            return await self.dispatcher.dispatch(request, sink)
+        finally:
+            self.in_progress -= 1
+            if not self.in_progress:
+                self._idle.set()
--- /dev/null
+++ b/src/pomelobarrow/dispatch/events.py
@@ -0,0 +1,45 @@
+"""Events about requests."""
+
+from attrs import frozen
+
+
+@frozen(kw_only=True)
+class RequestEnded:
+    """Report how one request ended on this VM."""
+
+    request_id: str
+    class_name: str
+    account: str
+    outcome: str
+    kind: str = ""
+    run: str = ""
+    server: str = ""
+    forwarded_by: str = ""
+    region: str = ""
+    attempts: int = 1
+    accepted_unix_s: float
+    first_byte_unix_s: float | None = None
+    ended_unix_s: float
+    max_gap_s: float = 0.0
+    chunks: int = 0
+
+
+@frozen
+class AttemptEnded:
+    """Report how one attempt ended."""
+
+    request_id: str
+    class_name: str
+    server: str
+    state: str
+    detail: str
+
+
+@frozen
+class Forwarded:
+    """Report that a request was passed on to a peer."""
+
+    request_id: str
+    class_name: str
+    region: str
+    reason: str
--- /dev/null
+++ b/src/pomelobarrow/dispatch/local.py
@@ -0,0 +1,206 @@
+"""Place waiting work on this region's backend servers and run it there."""
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from attrs import define, field
+from mode import Service
+
+from pomelobarrow.decision.admission import refuse_unservable
+from pomelobarrow.decision.attempt import Attempt, AttemptState
+from pomelobarrow.decision.errors import Kind, Run
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.server_choice import choose_server
+from pomelobarrow.decision.work import Placement, Work
+from pomelobarrow.decision.work_queue import WorkQueue
+from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
+from pomelobarrow.dispatch.events import AttemptEnded
+from pomelobarrow.dispatch.refusals import RefusedError, refuse
+from pomelobarrow.dispatch.request import GatewayRequest
+from pomelobarrow.kernel.clock import now_unix_s
+
+SWEEP_EVERY_S = 0.05
+LOOP_STEPS_BEFORE_SENDING = 2
+
+# Runs one attempt on a placed server.
+AttemptRunner = Callable[
+    [GatewayRequest, Placement, Attempt, int, AnswerSink, Callable[[], None]],
+    Awaitable[AttemptResult],
+]
+
+
+@define(kw_only=True)
+class Waiter:
+    """Hold one request waiting for a backend server."""
+
+    request: GatewayRequest
+    excluded: frozenset[str]
+    placed: "asyncio.Future[Placement]"
+
+
+@define(kw_only=True)
+class LocalDispatch:
+    """Hold the queues of this region's pools and what is known of its servers."""
+
+    table: LoadTable
+    run_attempt: AttemptRunner
+    observe: Callable[[object], None]
+    rng: Random = field(factory=Random)
+    queues: dict[str, WorkQueue] = field(factory=dict)
+    _waiters: dict[str, Waiter] = field(factory=dict)
+    _serial: "itertools.count[int]" = field(factory=itertools.count)
+
+    def queue(self, pool: str) -> WorkQueue:
+        """Return the pool's queue."""
+        if pool not in self.queues:
+            self.queues[pool] = WorkQueue(pool)
+        return self.queues[pool]
+
+    async def run(
+        self,
+        request: GatewayRequest,
+        attempt: Attempt,
+        number: int,
+        excluded: frozenset[str],
+        sink: AnswerSink,
+    ) -> AttemptResult:
+        """Wait for a place, run one attempt there and give the place back."""
+        self._check_room(request.work)
+        placement = await self._wait_for_place(request, excluded)
+        work, server = request.work, placement.server
+        self.table.prefixes.observe_placement(server.name, work.prefix_hashes)
+        try:
+            await self._let_cancellations_in()
+            result = await self.run_attempt(
+                request, placement, attempt, number, sink, lambda: self._started(work)
+            )
+        finally:
+            self.table.release(work.request_id, now_unix_s())
+            self.pump(work.pool)
+        self._judge_server(result)
+        self.observe(
+            AttemptEnded(
+                work.request_id, work.class_name, server.name, result.state.value, result.detail
+            )
+        )
+        return result
+
+    async def _let_cancellations_in(self) -> None:
+        """Read what the sockets hold before anything is sent.
+
+        A process that was frozen wakes with requests whose callers have long left, and would
+        run them although the entry VM has answered. The first step of the loop reads the closed
+        connections and the second cancels what depended on them.
+        """
+        for _ in range(LOOP_STEPS_BEFORE_SENDING):
+            await asyncio.sleep(0)
+
+    def expected_wait_s(self, work: Work) -> float:
+        """Return the seconds that new work would wait for a place here."""
+        now = now_unix_s()
+        drain_per_s = self.table.drain_per_s(work.pool, now)
+        return self.queue(work.pool).expected_wait_s(work, drain_per_s, now)
+
+    def _check_room(self, work: Work) -> None:
+        refusal = refuse_unservable(
+            work,
+            queue=self.queue(work.pool),
+            expected_wait_s=self.expected_wait_s(work),
+            expected_service_s=0.0,
+            now_unix_s=now_unix_s(),
+            random=self.rng,
+        )
+        if refusal is not None:
+            raise RefusedError(refusal)
+
+    def pump(self, pool: str) -> None:
+        """Place as much waiting work as has room now."""
+        queue = self.queue(pool)
+        now = now_unix_s()
+        while self._place_next(queue, now):
+            pass
+
+    def sweep(self) -> None:
+        """Refuse at once what can no longer finish, then place what has room."""
+        now = now_unix_s()
+        for pool, queue in self.queues.items():
+            for work in queue.expired(now):
+                self._refuse_expired(work)
+            if self._waiters:
+                self.pump(pool)
+
+    def _place_next(self, queue: WorkQueue, now: float) -> bool:
+        found: list[Placement] = []
+
+        def may_take(work: Work) -> bool:
+            waiter = self._waiters[work.request_id]
+            placement = choose_server(self.table, work, now, self.rng, waiter.excluded)
+            if placement is not None:
+                found.append(placement)
+            return placement is not None
+
+        work = queue.pop_next(now, may_take)
+        if work is None:
+            return False
+        waiter = self._waiters.pop(work.request_id)
+        placement = found[-1]
+        tokens = work.prompt_tokens - placement.cached_tokens
+        self.table.charge(work.request_id, placement.server.name, tokens, now)
+        waiter.placed.set_result(placement)
+        return True
+
+    async def _wait_for_place(self, request: GatewayRequest, excluded: frozenset[str]) -> Placement:
+        work = request.work
+        placed: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
+        waiter = Waiter(request=request, excluded=excluded, placed=placed)
+        self._waiters[work.request_id] = waiter
+        self.queue(work.pool).push(work, now_unix_s())
+        self.pump(work.pool)
+        try:
+            return await placed
+        except asyncio.CancelledError:
+            self._abandon(work, placed)
+            raise
+
+    def _abandon(self, work: Work, placed: "asyncio.Future[Placement]") -> None:
+        """Leave the queue; a place given in the same loop step goes back too."""
+        self._waiters.pop(work.request_id, None)
+        self.queue(work.pool).remove(work.request_id)
+        if placed.done() and not placed.cancelled():
+            self.table.release(work.request_id, now_unix_s())
+
+    def _refuse_expired(self, work: Work) -> None:
+        waiter = self._waiters.pop(work.request_id, None)
+        if waiter is None or waiter.placed.done():
+            return
+        refusal = refuse(Kind.DEADLINE_PASSED, Run.NO, "it can no longer finish by its deadline")
+        waiter.placed.set_exception(RefusedError(refusal))
+
+    def _started(self, work: Work) -> None:
+        self.table.started(work.request_id, now_unix_s())
+
+    def _judge_server(self, result: AttemptResult) -> None:
+        verdict = {
+            AttemptState.FINISHED: self.table.mark_ok,
+            AttemptState.NOT_SENT: self.table.mark_failed,
+            AttemptState.UNKNOWN: self.table.mark_failed,
+            AttemptState.REFUSED_UNRUN: self.table.mark_failed,
+        }.get(result.state)
+        if verdict is not None:
+            verdict(result.server, now_unix_s())
+
+
+class QueueSweeper(Service):
+    """Sweep the queues while work waits."""
+
+    def __init__(self, local: LocalDispatch) -> None:
+        super().__init__()
+        self._local = local
+
+    @Service.task
+    async def _sweep(self) -> None:
+        while not self.should_stop:
+            self._local.sweep()
+            await self.sleep(SWEEP_EVERY_S)
--- /dev/null
+++ b/src/pomelobarrow/dispatch/plugin.py
@@ -0,0 +1,101 @@
+"""The dispatch plug-in: queues, claims and the dispatcher."""
+
+import secrets
+
+from pomelobarrow.backends.plugin import AttemptRunnerPart
+from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.decision.limits import AccountLimits
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.region_choice import ShareOutsideHome
+from pomelobarrow.decision.request_ids import RequestIdLedger
+from pomelobarrow.dispatch.claims import ClaimedDispatch
+from pomelobarrow.dispatch.dispatcher import Dispatcher
+from pomelobarrow.dispatch.entry import EntryDispatch
+from pomelobarrow.dispatch.forwarder import Forwarder
+from pomelobarrow.dispatch.local import LocalDispatch, QueueSweeper
+from pomelobarrow.kernel.context import Context
+from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
+from pomelobarrow.platform.keyspaces import CONFIG, PublishedState
+
+SECRET_BYTES = 32
+
+
+@hookimpl
+def provide_parts(context: Context) -> None:
+    """Register what brings requests to an end."""
+    context.provide(AccountLimits, lambda _: AccountLimits())
+    context.provide(ShareOutsideHome, lambda _: ShareOutsideHome())
+    context.provide(LocalDispatch, _local)
+    context.provide(Dispatcher, _dispatcher)
+    context.provide(RequestIdLedger, _ledger)
+    context.provide(ClaimedDispatch, _claims)
+    context.provide(EntryDispatch, _entry)
+
+
+@hookimpl
+def services(context: Context) -> list[PhasedService]:
+    """Sweep the queues; follow the classes' published shares."""
+    published, share = context.get(PublishedState), context.get(ShareOutsideHome)
+
+    def on_applied(name: str, source: str) -> None:
+        if name == CONFIG and published.configuration is not None:
+            classes = published.configuration.classes.values()
+            share.set_max_shares({each.name: each.max_share_outside_home for each in classes})
+
+    published.listeners.append(on_applied)
+    sweeper = QueueSweeper(context.get(LocalDispatch))
+    return [PhasedService(StartPhase.DISPATCH, sweeper)]
+
+
+@hookimpl
+def status(context: Context) -> StatusSection:
+    """Say what is in progress and what waits."""
+    local, entry = context.get(LocalDispatch), context.get(EntryDispatch)
+    values = {
+        "in_progress": entry.in_progress,
+        "used_request_ids": len(context.get(RequestIdLedger)),
+        "waiting": {
+            pool: {rank.value: queue.waiting(rank) for rank in Rank}
+            for pool, queue in local.queues.items()
+        },
+        "in_flight": {
+            name: each.requests for name, each in context.get(LoadTable).in_flight().items()
+        },
+    }
+    return StatusSection("dispatch", values)
+
+
+def _local(context: Context) -> LocalDispatch:
+    return LocalDispatch(
+        table=context.get(LoadTable),
+        run_attempt=context.get(AttemptRunnerPart).run,
+        observe=context.observe,
+    )
+
+
+def _dispatcher(context: Context) -> Dispatcher:
+    return Dispatcher(
+        own_region=context.settings.region,
+        local=context.get(LocalDispatch),
+        forwarder=context.get(Forwarder),  # type: ignore[type-abstract]
+        share=context.get(ShareOutsideHome),
+        observe=context.observe,
+    )
+
+
+def _ledger(context: Context) -> RequestIdLedger:
+    return RequestIdLedger(
+        context.settings.vm, context.incarnation, secrets.token_bytes(SECRET_BYTES)
+    )
+
+
+def _claims(context: Context) -> ClaimedDispatch:
+    return ClaimedDispatch(ledger=context.get(RequestIdLedger), dispatcher=context.get(Dispatcher))
+
+
+def _entry(context: Context) -> EntryDispatch:
+    return EntryDispatch(
+        dispatcher=context.get(Dispatcher),
+        claims=context.get(ClaimedDispatch),
+        limits=context.get(AccountLimits),
+    )
--- /dev/null
+++ b/src/pomelobarrow/dispatch/refusals.py
@@ -0,0 +1,41 @@
+"""Build typed refusals; each names what to do next."""
+
+from pomelobarrow.decision.errors import Kind, Refusal, Run
+
+REMEDY_LATER = "come back at the time in Retry-After"
+REMEDY_OTHER_ENTRY = "ask GET /v1/entries for another entry VM"
+REMEDY_UNKNOWN = "check at the receiver whether it ran before sending it again"
+REMEDY_DEADLINE = "send it again with a later Pomelobarrow-Deadline if it is still wanted"
+REMEDY_BY_KIND = {
+    Kind.OVERLOADED: REMEDY_LATER,
+    Kind.NO_CAPACITY: REMEDY_LATER,
+    Kind.HOME_UNREACHABLE: REMEDY_LATER,
+    Kind.ACCOUNT_LIMIT: REMEDY_LATER,
+    Kind.DEADLINE_PASSED: REMEDY_DEADLINE,
+    Kind.DRAINING: REMEDY_OTHER_ENTRY,
+    Kind.NOT_READY: REMEDY_OTHER_ENTRY,
+    Kind.OUTCOME_UNKNOWN: REMEDY_UNKNOWN,
+    Kind.ANSWER_NOT_KEPT: "it ran to its end; don't send it again",
+    Kind.STILL_RUNNING: "repeat it under the same Idempotency-Key at the time in Retry-After",
+}
+
+
+def refuse(
+    kind: Kind, run: Run, detail: str, retry_at_unix_s: float | None = None, remedy: str = ""
+) -> Refusal:
+    """Return a refusal with the remedy that belongs to its kind."""
+    return Refusal(
+        kind=kind,
+        run=run,
+        detail=detail,
+        remedy=remedy or REMEDY_BY_KIND.get(kind, REMEDY_LATER),
+        retry_at_unix_s=retry_at_unix_s if run is Run.NO else None,
+    )
+
+
+class RefusedError(Exception):
+    """Carry a refusal up to whoever answers."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
--- /dev/null
+++ b/src/pomelobarrow/dispatch/request.py
@@ -0,0 +1,27 @@
+"""A request as the dispatcher sees it."""
+
+from attrs import frozen
+
+from pomelobarrow.decision.configuration import WorkClass
+from pomelobarrow.decision.work import Work
+from pomelobarrow.dispatch.answers import Headers
+
+
+@frozen(kw_only=True)
+class GatewayRequest:
+    """Hold a checked request with the work it stands for."""
+
+    work: Work
+    work_class: WorkClass
+    is_chat: bool
+    is_streamed: bool
+    # True where request_id was issued by an entry VM, which lets it run at most once.
+    is_claimed: bool = False
+    method: str
+    path: str
+    headers: Headers = ()
+    body: bytes = b""
+    traceparent: str = ""
+    # Set on a request that another entry VM passed on: it runs here or is refused, so no
+    # view of the fleet, however wrong, can send it in a circle.
+    forwarded_by: str | None = None
--- /dev/null
+++ b/src/pomelobarrow/kernel/daemon.py
@@ -0,0 +1,104 @@
+"""The daemon: a service tree, its start and its planned stop."""
+
+import asyncio
+import signal
+import time
+from collections.abc import Awaitable, Iterable
+
+import structlog
+from mode import Service
+
+from pomelobarrow.kernel.context import Context
+from pomelobarrow.kernel.hooks import PhasedService
+from pomelobarrow.kernel.plugins import load_plugins
+from pomelobarrow.kernel.settings import Settings
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+
+log = structlog.get_logger(__name__)
+
+
+class Daemon(Service):
+    """Run the services of all plug-ins as one tree."""
+
+    def __init__(self, context: Context) -> None:
+        super().__init__()
+        self.context = context
+
+    async def on_first_start(self) -> None:
+        """Add the plug-ins' services in the order of their phases."""
+        for phased in sorted(_services(self.context), key=lambda each: each.phase):
+            await self.add_runtime_dependency(phased.service)
+
+
+def new_incarnation() -> int:
+    """Return a number that grows from start to start of the same VM."""
+    return time.time_ns() // 1_000
+
+
+def build_context(settings: Settings) -> Context:
+    """Load the plug-ins and let them register their parts."""
+    hooks = load_plugins()
+    context = Context(settings, new_incarnation(), hooks)
+    hooks.hook.provide_parts(context=context)
+    return context
+
+
+def run_daemon(settings: Settings) -> int:
+    """Serve until a planned stop has finished; return the exit code."""
+    return asyncio.run(_serve(build_context(settings)))
+
+
+async def _serve(context: Context) -> int:
+    stop_asked, stop_now = asyncio.Event(), asyncio.Event()
+    _handle_signals(stop_asked, stop_now)
+    daemon = Daemon(context)
+    try:
+        await daemon.start()
+    except Exception as error:
+        log.error("start failed", error=repr(error), remedy="check the settings and addresses")
+        await daemon.stop()
+        return EXIT_FAILED
+    log.info("started", vm=context.settings.vm, incarnation=context.incarnation)
+    await _first(stop_asked.wait(), daemon.wait_until_stopped())
+    await _drain(context, stop_now)
+    await daemon.stop()
+    return EXIT_FAILED if daemon.crashed else EXIT_OK
+
+
+async def _drain(context: Context, stop_now: asyncio.Event) -> None:
+    log.info("draining", vm=context.settings.vm)
+    context.is_draining = True
+    drains = context.hooks.hook.drain(context=context)
+    await _first(_all(drains), stop_now.wait())
+    log.info("drained", vm=context.settings.vm, at_once=stop_now.is_set())
+
+
+def _services(context: Context) -> list[PhasedService]:
+    return [each for part in context.hooks.hook.services(context=context) for each in part]
+
+
+def _handle_signals(stop_asked: asyncio.Event, stop_now: asyncio.Event) -> None:
+    def on_signal() -> None:
+        if stop_asked.is_set():
+            stop_now.set()
+        stop_asked.set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+
+
+async def _all(awaitables: Iterable[Awaitable[None]]) -> None:
+    await asyncio.gather(*awaitables)
+
+
+async def _first(*awaitables: Awaitable[object]) -> None:
+    tasks = [asyncio.ensure_future(each) for each in awaitables]
+    try:
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/src/pomelobarrow/kernel/hooks.py
@@ -0,0 +1,74 @@
+"""The named hooks that plug-ins implement."""
+
+import enum
+from typing import TYPE_CHECKING, Any
+
+import pluggy
+from aiohttp import web
+from attrs import frozen
+from mode import Service
+
+if TYPE_CHECKING:
+    from pomelobarrow.kernel.context import Context
+
+PROJECT = "pomelobarrow"
+hookspec = pluggy.HookspecMarker(PROJECT)
+hookimpl = pluggy.HookimplMarker(PROJECT)
+
+
+class StartPhase(enum.IntEnum):
+    """Order services at start; a stop runs the other way round."""
+
+    PLATFORM = 1
+    PEERS = 2
+    BACKENDS = 3
+    DISPATCH = 4
+    CALLERS = 5
+
+
+@frozen
+class PhasedService:
+    """Name a service and the phase it starts in."""
+
+    phase: StartPhase
+    service: Service
+
+
+@frozen
+class StatusSection:
+    """Hold one part of the status answer."""
+
+    name: str
+    values: dict[str, Any]
+
+
+class Hooks:
+    """Specify what a plug-in may contribute."""
+
+    @hookspec
+    def provide_parts(self, context: "Context") -> None:
+        """Register factories for shared parts."""
+
+    @hookspec
+    def services(self, context: "Context") -> list[PhasedService]:  # type: ignore[empty-body]
+        """Return the services to run."""
+
+    @hookspec
+    def routes(self, context: "Context") -> list[web.RouteDef]:  # type: ignore[empty-body]
+        """Return HTTP routes to serve to callers and operators."""
+
+    @hookspec
+    def status(self, context: "Context") -> StatusSection:  # type: ignore[empty-body]
+        """Return this plug-in's part of the status answer."""
+
+    @hookspec
+    def not_ready_reason(self, context: "Context") -> str | None:
+        """Return why this VM can't serve yet, or None."""
+
+    @hookspec
+    def drain(self, context: "Context") -> Any:
+        """Return an awaitable that ends once this plug-in has let its work finish."""
+
+    @hookspec
+    def observe(self, event: object) -> None:
+        """Take note of a typed event, such as a finished request."""
--- /dev/null
+++ b/src/pomelobarrow/operators/plugin.py
@@ -0,0 +1,153 @@
+"""The operators' plug-in: metrics, traces and one log line a request."""
+
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+from aiohttp import web
+
+from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.dispatch.events import AttemptEnded, Forwarded, RequestEnded
+from pomelobarrow.dispatch.local import LocalDispatch
+from pomelobarrow.kernel.context import Context
+from pomelobarrow.kernel.hooks import hookimpl
+from pomelobarrow.operators.metrics import Metrics
+from pomelobarrow.operators.traces import Traces
+from pomelobarrow.peers.events import PauseNoticed, PeerRefused
+from pomelobarrow.platform.events import KeyspaceApplied, KeyspaceRefused, PlatformUnreachable
+
+log = structlog.get_logger(__name__)
+
+
+class Observer:
+    """Count events and log the ones an operator wants to read."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._on: dict[type, Callable[[Any], None]] = {
+            RequestEnded: self._request_ended,
+            AttemptEnded: self._attempt_ended,
+            Forwarded: self._forwarded,
+            KeyspaceApplied: self._keyspace_applied,
+            KeyspaceRefused: self._keyspace_refused,
+            PlatformUnreachable: self._platform_unreachable,
+            PauseNoticed: self._pause_noticed,
+            PeerRefused: self._peer_refused,
+        }
+
+    def observe(self, event: object) -> None:
+        """Take one event; unknown ones are someone else's."""
+        handler = self._on.get(type(event))
+        if handler is not None:
+            handler(event)
+
+    def _request_ended(self, event: RequestEnded) -> None:
+        metrics = self._metrics
+        metrics.requests.inc(event.class_name, event.outcome)
+        if event.kind:
+            metrics.refusals.inc(event.kind, event.run)
+        duration_s = event.ended_unix_s - event.accepted_unix_s
+        metrics.duration_s.observe(duration_s, event.class_name, event.outcome)
+        if event.first_byte_unix_s is not None:
+            first_s = event.first_byte_unix_s - event.accepted_unix_s
+            metrics.first_token_s.observe(first_s, event.class_name)
+            metrics.observe_stream(
+                event.class_name,
+                event.first_byte_unix_s,
+                event.ended_unix_s,
+                event.chunks,
+                event.max_gap_s,
+            )
+        log.info(
+            "request ended",
+            request_id=event.request_id,
+            class_name=event.class_name,
+            account=event.account,
+            outcome=event.outcome,
+            kind=event.kind,
+            run=event.run,
+            server=event.server,
+            duration_s=round(duration_s, 4),
+        )
+
+    def _attempt_ended(self, event: AttemptEnded) -> None:
+        if event.detail:
+            self._metrics.retries.inc(event.class_name)
+            log.warning(
+                "attempt failed",
+                request_id=event.request_id,
+                server=event.server,
+                state=event.state,
+                detail=event.detail,
+            )
+
+    def _forwarded(self, event: Forwarded) -> None:
+        self._metrics.forwards.inc(event.class_name, event.region)
+        log.info(
+            "forwarded",
+            request_id=event.request_id,
+            region=event.region,
+            reason=event.reason,
+        )
+
+    def _keyspace_applied(self, event: KeyspaceApplied) -> None:
+        self._metrics.revision.set(event.revision, event.keyspace)
+
+    def _keyspace_refused(self, event: KeyspaceRefused) -> None:
+        self._metrics.refused_revisions.inc(event.keyspace)
+
+    def _platform_unreachable(self, event: PlatformUnreachable) -> None:
+        log.warning(
+            "platform unreachable",
+            address=event.address,
+            reason=event.reason,
+            remedy="check platform.addresses; peers keep this VM current meanwhile",
+        )
+
+    def _pause_noticed(self, event: PauseNoticed) -> None:
+        log.warning("this process stood still", gap_s=round(event.gap_s, 3))
+
+    def _peer_refused(self, event: PeerRefused) -> None:
+        log.warning("call refused", path=event.path, remedy="give both VMs the same peers.keys")
+
+
+@hookimpl
+def provide_parts(context: Context) -> None:
+    """Register metrics and traces."""
+    settings = context.settings
+    context.provide(Metrics, lambda _: Metrics())
+    context.provide(
+        Traces, lambda _: Traces(settings.operators.trace, settings.vm, settings.region)
+    )
+    observer = Observer(context.get(Metrics))
+    context.hooks.register(_ObserverPlugin(observer))
+
+
+class _ObserverPlugin:
+    """Give the hook a place that knows this daemon's metrics."""
+
+    def __init__(self, observer: Observer) -> None:
+        self._observer = observer
+
+    @hookimpl
+    def observe(self, event: object) -> None:
+        """Pass the event to the observer."""
+        self._observer.observe(event)
+
+
+@hookimpl
+def routes(context: Context) -> list[web.RouteDef]:
+    """Serve the metrics."""
+    metrics = context.get(Metrics)
+
+    async def render(request: web.Request) -> web.Response:
+        _set_gauges(metrics, context.get(LocalDispatch))
+        content, content_type = metrics.render()
+        return web.Response(body=content, headers={"Content-Type": content_type})
+
+    return [web.get("/metrics", render)]
+
+
+def _set_gauges(metrics: Metrics, local: LocalDispatch) -> None:
+    for pool, queue in local.queues.items():
+        metrics.queue_depth.set(sum(queue.waiting(rank) for rank in Rank), pool)
--- /dev/null
+++ b/src/pomelobarrow/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Between entry VMs: heartbeats, configuration relay, forwarding and hand-over."""
--- /dev/null
+++ b/src/pomelobarrow/peers/forward_client.py
@@ -0,0 +1,244 @@
+"""Pass a request on to one peer and relay its answer."""
+
+import asyncio
+from collections.abc import Mapping
+from random import Random
+
+from attrs import define, field
+from grpclib.client import Channel
+
+from pomelobarrow.decision.attempt import Attempt, AttemptEvent, AttemptState
+from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.decision.errors import KIND_BY_LABEL, Kind, Refusal, Run
+from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.region_choice import RegionLoad
+from pomelobarrow.decision.work import Work
+from pomelobarrow.dispatch.answers import AnswerHead, AnswerSink, AttemptResult, CallerGoneError
+from pomelobarrow.dispatch.refusals import refuse
+from pomelobarrow.dispatch.request import GatewayRequest
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.calls import LOST, start_call
+from pomelobarrow.peers.keys import PeerKeys
+from pomelobarrow.peers.links import PeerLink
+from pomelobarrow.peers.peers_grpc import PeerStub
+from pomelobarrow.peers.region_loads import RegionLoads
+from pomelobarrow.peers.table import PeerTable
+
+FORWARD_PATH = "/pomelobarrow.peers.v1.Peer/Forward"
+CANCEL_PATH = "/pomelobarrow.peers.v1.Peer/Cancel"
+CANCEL_TIMEOUT_S = 1.5
+
+
+@define(kw_only=True)
+class PeerForwarder:
+    """Hold what forwarding needs of the peers."""
+
+    own: Member
+    view: MembershipView
+    table: PeerTable
+    loads: RegionLoads
+    keys: PeerKeys
+    rng: Random = field(factory=Random)
+
+    def region_loads(self, work: Work) -> Mapping[str, RegionLoad]:
+        """Return what is known of the other regions' pools."""
+        return self.loads.for_pool(work.pool)
+
+    async def forward_to_region(
+        self,
+        region: str,
+        request: GatewayRequest,
+        attempt: Attempt,
+        sink: AnswerSink,
+        excluded: frozenset[str],
+    ) -> AttemptResult:
+        """Send to a live peer of a region, a linked one first."""
+        members = self.view.usable_entries(region, now_unix_s())
+        candidates = [each for each in members if each.vm not in excluded]
+        if not candidates:
+            detail = f"no entry VM of {region} can be reached"
+            refusal = refuse(Kind.HOME_UNREACHABLE, Run.NO, detail, now_unix_s() + 1.0)
+            return AttemptResult(state=attempt.state, detail=detail, refusal=refusal)
+        member = min(candidates, key=lambda each: (not self._is_up(each.vm), self.rng.random()))
+        return await self._forward(member, request, attempt, sink)
+
+    async def forward_to_issuer(
+        self, vm: str, incarnation: int, request: GatewayRequest, attempt: Attempt, sink: AnswerSink
+    ) -> AttemptResult:
+        """Send to the VM that issued the request's id, or to its successor."""
+        successor = self.view.successor_of(vm, incarnation)
+        member = self.view.get(successor or vm)
+        if member is None or (successor is None and member.incarnation != incarnation):
+            return AttemptResult(state=attempt.state, detail=f"{vm} is not known in that start")
+        return await self._forward(member, request, attempt, sink)
+
+    def _is_up(self, vm: str) -> bool:
+        link = self.table.links.get(vm)
+        return link is not None and link.is_up
+
+    async def _forward(
+        self, member: Member, request: GatewayRequest, attempt: Attempt, sink: AnswerSink
+    ) -> AttemptResult:
+        link = await self.table.link_to(member)
+        run = Forward(
+            forwarder=self, member=member, link=link, request=request, attempt=attempt, sink=sink
+        )
+        try:
+            async with asyncio.timeout(max(0.0, request.work.deadline_unix_s - now_unix_s())):
+                return await run.run()
+        except TimeoutError:
+            return await run.lose("the deadline passed")
+        except (CallerGoneError, asyncio.CancelledError):
+            await asyncio.shield(run.cancel())
+            raise
+
+
+@define(kw_only=True)
+class Forward:
+    """Hold what one forward has achieved so far."""
+
+    forwarder: PeerForwarder
+    member: Member
+    link: PeerLink
+    request: GatewayRequest
+    attempt: Attempt
+    sink: AnswerSink
+    head_passed: bool = False
+
+    async def run(self) -> AttemptResult:
+        """Send, relay the answer, and learn how it ended."""
+        channel = self.link.channel
+        is_own_channel = channel is None
+        if channel is None:
+            channel = self.link.open_channel()
+        try:
+            return await self._converse(channel)
+        except LOST as error:
+            return await self.lose(repr(error))
+        finally:
+            if is_own_channel:
+                channel.close()
+
+    async def lose(self, detail: str) -> AttemptResult:
+        """Ask on a new connection whether it ran; without a clear answer it may have."""
+        if self.attempt.state is AttemptState.NOT_SENT:
+            return self._result(detail)
+        self.attempt.apply(AttemptEvent.LOSE)
+        outcome = await self.cancel()
+        if outcome == "not_run" and not self.head_passed:
+            self.attempt.apply(AttemptEvent.CONFIRM_CANCELLED_UNRUN)
+        return self._result(detail)
+
+    async def cancel(self) -> str:
+        """Tell the peer to drop the request; return what it says became of it."""
+        if self.attempt.state is AttemptState.NOT_SENT:
+            return "not_run"
+        channel = self.link.open_channel()
+        message = pb.CancelRequest(
+            request_id=self.request.work.request_id,
+            forwarded_by=self.forwarder.own.vm,
+            executor_incarnation=self.member.incarnation,
+        )
+        metadata = self.forwarder.keys.metadata(self.forwarder.own.vm, CANCEL_PATH)
+        try:
+            async with asyncio.timeout(CANCEL_TIMEOUT_S):
+                reply = await PeerStub(channel).Cancel(message, metadata=metadata)
+                return str(reply.outcome)
+        except (*LOST, AttributeError):
+            return "unknown"
+        finally:
+            channel.close()
+
+    async def _converse(self, channel: Channel) -> AttemptResult:
+        metadata = self.forwarder.keys.metadata(self.forwarder.own.vm, FORWARD_PATH)
+        message = self._message()
+        async with PeerStub(channel).Forward.open(metadata=metadata) as stream:
+            # Headers alone start nothing: the peer acts on the message that follows them.
+            await start_call(stream)
+            self.attempt.apply(AttemptEvent.SEND)
+            await stream.send_message(message, end=True)
+            while True:
+                event = await stream.recv_message()
+                if event is None:
+                    return await self.lose("the answer stopped without an end")
+                result = await self._take(event)
+                if result is not None:
+                    return result
+
+    async def _take(self, event: pb.ForwardEvent) -> AttemptResult | None:
+        kind = event.WhichOneof("kind")
+        if kind == "chunk":
+            await self.sink.chunk(event.chunk)
+            return None
+        if kind == "head":
+            await self._take_head(event.head)
+            return None
+        if kind == "refusal":
+            return self._take_refusal(event.refusal)
+        return await self._take_end(event.end)
+
+    async def _take_head(self, head: pb.Head) -> None:
+        self.attempt.apply(AttemptEvent.FIRST_BYTE)
+        self.head_passed = True
+        headers = tuple((each.name, each.value) for each in head.headers)
+        await self.sink.head(AnswerHead(head.status, headers, head.server))
+
+    async def _take_end(self, end: pb.End) -> AttemptResult:
+        if not end.complete:
+            self.attempt.apply(AttemptEvent.LOSE)
+            return self._result(end.detail)
+        await self.sink.end()
+        self.attempt.apply(AttemptEvent.END)
+        return self._result("")
+
+    def _take_refusal(self, message: pb.Refusal) -> AttemptResult:
+        refusal = self._refusal(message)
+        is_unrun = refusal.run is Run.NO
+        self.attempt.apply(AttemptEvent.REFUSE_UNRUN if is_unrun else AttemptEvent.LOSE)
+        return self._result(refusal.detail, refusal)
+
+    def _refusal(self, message: pb.Refusal) -> Refusal:
+        offset_s = self.forwarder.table.clock_offset_s(self.member.vm)
+        retry_at_unix_s = message.retry_at_unix_s - offset_s if message.retry_at_unix_s else None
+        return Refusal(
+            kind=KIND_BY_LABEL.get(message.kind, Kind.OUTCOME_UNKNOWN),
+            run=Run(message.run),
+            detail=message.detail,
+            remedy=message.remedy,
+            retry_at_unix_s=retry_at_unix_s,
+        )
+
+    def _message(self) -> pb.ForwardRequest:
+        work, own = self.request.work, self.forwarder.own
+        return pb.ForwardRequest(
+            request_id=work.request_id,
+            forwarded_by=own.vm,
+            forwarded_by_incarnation=own.incarnation,
+            deadline_unix_s=work.deadline_unix_s,
+            class_name=work.class_name,
+            account=work.account,
+            home_region=work.home_region,
+            method=self.request.method,
+            path=self.request.path,
+            headers=[pb.Header(name=name, value=value) for name, value in self.request.headers],
+            body=self.request.body,
+            traceparent=self.request.traceparent,
+            is_claim=self.request.is_claimed,
+            is_streamed=self.request.is_streamed,
+            is_chat=self.request.is_chat,
+            model=work.model or "",
+            prompt_tokens=work.prompt_tokens,
+            expected_output_tokens=work.expected_output_tokens,
+            prefix_hashes=work.prefix_hashes,
+            is_trial=work.rank is Rank.TRIAL,
+        )
+
+    def _result(self, detail: str, refusal: Refusal | None = None) -> AttemptResult:
+        return AttemptResult(
+            state=self.attempt.state,
+            head_passed=self.head_passed,
+            detail=detail,
+            peer=self.member.vm,
+            refusal=refusal,
+        )
--- /dev/null
+++ b/src/pomelobarrow/peers/hand_over.py
@@ -0,0 +1,115 @@
+"""Hand the request ids of a stopping VM to one successor."""
+
+import asyncio
+
+import structlog
+
+from pomelobarrow.decision.membership import Member
+from pomelobarrow.decision.request_ids import (
+    EntryState,
+    HandedOverError,
+    LedgerEntry,
+    LedgerExport,
+    Outcome,
+    RequestIdLedger,
+)
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.calls import LOST
+from pomelobarrow.peers.keys import PeerKeys
+from pomelobarrow.peers.links import PeerLink
+from pomelobarrow.peers.peers_grpc import PeerStub
+
+HAND_OVER_PATH = "/pomelobarrow.peers.v1.Peer/HandOver"
+HAND_OVER_TIMEOUT_S = 3.0
+
+log = structlog.get_logger(__name__)
+
+
+async def hand_over(
+    ledger: RequestIdLedger, own: Member, link: PeerLink, keys: PeerKeys
+) -> tuple[tuple[str, int], ...]:
+    """Send every book to the successor; return the issuers that it accepted."""
+    accepted = []
+    for vm, incarnation in ledger.issuers:
+        try:
+            export = ledger.export((vm, incarnation))
+        except HandedOverError as error:
+            log.warning("not handed over", issuer=vm, reason=str(error))
+            continue
+        if await _send(_message(vm, incarnation, export, own.vm), own.vm, link, keys):
+            accepted.append((vm, incarnation))
+    return tuple(accepted)
+
+
+def adopt_message(ledger: RequestIdLedger, message: pb.HandOverRequest) -> bool:
+    """Take over another VM's ids; False where there is no room for them."""
+    export = LedgerExport(
+        secret=message.secret,
+        entries=tuple(_entry(each) for each in message.entries),
+        expired_through_unix_s=message.expired_through_unix_s,
+    )
+    return ledger.adopt(message.vm, message.incarnation, export)
+
+
+async def _send(message: pb.HandOverRequest, own_vm: str, link: PeerLink, keys: PeerKeys) -> bool:
+    channel = link.open_channel()
+    try:
+        async with asyncio.timeout(HAND_OVER_TIMEOUT_S):
+            metadata = keys.metadata(own_vm, HAND_OVER_PATH)
+            reply = await PeerStub(channel).HandOver(message, metadata=metadata)
+            return bool(reply.accepted)
+    except (*LOST, AttributeError) as error:
+        # Whether it arrived is in doubt. The ids stay retired here and the successor's word
+        # counts if it has them, so none can run twice; without it repeats get "unknown".
+        log.warning("hand-over in doubt", successor=link.peer.vm, error=repr(error))
+        return False
+    finally:
+        channel.close()
+
+
+def _message(vm: str, incarnation: int, export: LedgerExport, own_vm: str) -> pb.HandOverRequest:
+    return pb.HandOverRequest(
+        vm=vm,
+        incarnation=incarnation,
+        secret=export.secret,
+        entries=[_entry_message(entry) for entry in export.entries],
+        expired_through_unix_s=export.expired_through_unix_s,
+        from_vm=own_vm,
+    )
+
+
+def _entry_message(entry: LedgerEntry) -> pb.LedgerEntry:
+    message = pb.LedgerEntry(
+        request_id=entry.request_id,
+        account=entry.account,
+        expires_unix_s=entry.expires_unix_s,
+        state=entry.state.value,
+    )
+    if entry.outcome is not None:
+        message.has_outcome = True
+        message.status = entry.outcome.status
+        message.run = entry.outcome.run
+        message.has_body = entry.outcome.body is not None
+        message.body = entry.outcome.body or b""
+        message.headers.extend(
+            pb.Header(name=name, value=value) for name, value in entry.outcome.headers
+        )
+    return message
+
+
+def _entry(message: pb.LedgerEntry) -> LedgerEntry:
+    outcome = None
+    if message.has_outcome:
+        outcome = Outcome(
+            status=message.status,
+            headers=tuple((each.name, each.value) for each in message.headers),
+            body=message.body if message.has_body else None,
+            run=message.run,
+        )
+    return LedgerEntry(
+        request_id=message.request_id,
+        account=message.account,
+        expires_unix_s=message.expires_unix_s,
+        state=EntryState(message.state),
+        outcome=outcome,
+    )
--- /dev/null
+++ b/src/pomelobarrow/peers/plugin.py
@@ -0,0 +1,209 @@
+"""The peers' plug-in: membership, configuration relay, forwarding and hand-over."""
+
+from collections.abc import Awaitable
+
+from pomelobarrow.backends.reports import LoadPoller
+from pomelobarrow.decision.clocks import ClockOffsets
+from pomelobarrow.decision.limits import AccountLimits
+from pomelobarrow.decision.membership import ListedVm, Member, MembershipView, Phase
+from pomelobarrow.decision.request_ids import RequestIdLedger
+from pomelobarrow.dispatch.entry import EntryDispatch
+from pomelobarrow.dispatch.forwarder import Forwarder
+from pomelobarrow.dispatch.local import LocalDispatch
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.kernel.context import Context
+from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.exchange import Exchange
+from pomelobarrow.peers.forward_client import PeerForwarder
+from pomelobarrow.peers.forward_server import ForwardServer
+from pomelobarrow.peers.hand_over import hand_over
+from pomelobarrow.peers.heartbeats import Heartbeats
+from pomelobarrow.peers.joining import Joining
+from pomelobarrow.peers.keys import PeerKeys
+from pomelobarrow.peers.links import PeerLink
+from pomelobarrow.peers.region_loads import RegionLoads
+from pomelobarrow.peers.server import PeerHandlers, PeerServer
+from pomelobarrow.peers.table import PeerTable
+from pomelobarrow.platform.keyspaces import PublishedState
+from pomelobarrow.platform.watcher import PlatformWatcher
+
+
+@hookimpl
+def provide_parts(context: Context) -> None:
+    """Register the peers' parts."""
+    context.provide(MembershipView, _view)
+    context.provide(ClockOffsets, lambda _: ClockOffsets())
+    context.provide(RegionLoads, lambda _: RegionLoads())
+    context.provide(PeerKeys, lambda c: PeerKeys(c.settings.peers.keys))
+    context.provide(Heartbeats, _heartbeats)
+    context.provide(Exchange, _exchange)
+    context.provide(PeerTable, _table)
+    context.provide(Forwarder, _forwarder)  # type: ignore[type-abstract]
+    context.provide(ForwardServer, _forward_server)
+    context.provide(Joining, _joining)
+
+
+@hookimpl
+def services(context: Context) -> list[PhasedService]:
+    """Serve peers and keep links to them."""
+    handlers = PeerHandlers(
+        context=context,
+        keys=context.get(PeerKeys),
+        exchange=context.get(Exchange),
+        heartbeats=context.get(Heartbeats),
+        forwards=context.get(ForwardServer),
+        ledger=context.get(RequestIdLedger),
+    )
+    return [
+        PhasedService(StartPhase.PEERS, PeerServer(context, handlers)),
+        PhasedService(StartPhase.PEERS, context.get(PeerTable)),
+        PhasedService(StartPhase.BACKENDS, context.get(Joining)),
+    ]
+
+
+@hookimpl
+def not_ready_reason(context: Context) -> str | None:
+    """Say that this VM has yet to hear its peers."""
+    return None if context.get(Joining).is_joined else "joining the fleet"
+
+
+@hookimpl
+def status(context: Context) -> StatusSection:
+    """Say which peers are known and how they are reached."""
+    view, table, now = context.get(MembershipView), context.get(PeerTable), now_unix_s()
+    suspects = view.suspects(now)
+    members = {
+        member.vm: {
+            "region": member.region,
+            "phase": member.phase,
+            "suspect": member.vm in suspects,
+            "linked": member.vm in table.links and table.links[member.vm].is_up,
+        }
+        for member in view.known()
+    }
+    return StatusSection("peers", members)
+
+
+@hookimpl
+def drain(context: Context) -> Awaitable[None]:
+    """Leave the entries, wait for the work in progress, hand the ids over."""
+    return _drain(context)
+
+
+async def _drain(context: Context) -> None:
+    table, ledger = context.get(PeerTable), context.get(RequestIdLedger)
+    ledger.retire()
+    table.set_phase(Phase.LEAVING)
+    await context.get(EntryDispatch).wait_until_idle()
+    await _leave(context, table, ledger)
+
+
+async def _leave(context: Context, table: PeerTable, ledger: RequestIdLedger) -> None:
+    own = context.get(MembershipView).own
+    successor = _successor(context)
+    issuers: tuple[tuple[str, int], ...] = ()
+    if successor is not None:
+        link = await table.link_to(successor)
+        issuers = await hand_over(ledger, own, link, context.get(PeerKeys))
+    for vm, incarnation in {*issuers, (own.vm, own.incarnation)}:
+        name = successor.vm if successor and (vm, incarnation) in issuers else ""
+        table.broadcast(
+            pb.PeerMessage(leave=pb.Leave(vm=vm, incarnation=incarnation, successor=name))
+        )
+    await table.flush()
+
+
+def _successor(context: Context) -> Member | None:
+    view = context.get(MembershipView)
+    entries = view.usable_entries(view.own_region, now_unix_s())
+    others = [member for member in entries if member.vm != view.own_vm]
+    return min(others, key=lambda member: member.vm, default=None)
+
+
+def _view(context: Context) -> MembershipView:
+    settings = context.settings
+    view = MembershipView(settings.vm, settings.region)
+    view.observe_own(
+        Member(
+            vm=settings.vm,
+            incarnation=context.incarnation,
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            caller_address=settings.callers.advertise,
+            peer_address=settings.peers.advertise,
+            phase=Phase.STARTING.value,
+        )
+    )
+    return view
+
+
+def _heartbeats(context: Context) -> Heartbeats:
+    return Heartbeats(
+        view=context.get(MembershipView),
+        offsets=context.get(ClockOffsets),
+        published=context.get(PublishedState),
+        local=context.get(LocalDispatch),
+        limits=context.get(AccountLimits),
+        region_loads=context.get(RegionLoads),
+        own_reports=lambda: context.get(LoadPoller).own_reports(),
+    )
+
+
+def _exchange(context: Context) -> Exchange:
+    return Exchange(
+        view=context.get(MembershipView),
+        published=context.get(PublishedState),
+        heartbeats=context.get(Heartbeats),
+    )
+
+
+def _table(context: Context) -> PeerTable:
+    def make_link(peer: ListedVm) -> PeerLink:
+        return PeerLink(
+            peer=peer,
+            own_vm=context.settings.vm,
+            own_region=context.settings.region,
+            dial=context.settings.address_to_dial,
+            keys=context.get(PeerKeys),
+            exchange=context.get(Exchange),
+            heartbeats=context.get(Heartbeats),
+        )
+
+    return PeerTable(
+        view=context.get(MembershipView),
+        published=context.get(PublishedState),
+        heartbeats=context.get(Heartbeats),
+        exchange=context.get(Exchange),
+        seeds=context.settings.peers.seeds,
+        make_link=make_link,
+        observe=context.observe,
+    )
+
+
+def _forwarder(context: Context) -> PeerForwarder:
+    return PeerForwarder(
+        own=context.get(MembershipView).own,
+        view=context.get(MembershipView),
+        table=context.get(PeerTable),
+        loads=context.get(RegionLoads),
+        keys=context.get(PeerKeys),
+    )
+
+
+def _forward_server(context: Context) -> ForwardServer:
+    return ForwardServer(
+        incarnation=context.incarnation,
+        configuration=lambda: context.get(PublishedState).configuration,
+        entry=context.get(EntryDispatch),
+        offsets=context.get(ClockOffsets),
+    )
+
+
+def _joining(context: Context) -> Joining:
+    return Joining(
+        context.get(PeerTable),
+        context.get(Exchange),
+        context.get(PublishedState),
+        context.get(PlatformWatcher),
+    )
--- /dev/null
+++ b/src/pomelobarrow/peers/region_loads.py
@@ -0,0 +1,38 @@
+"""Keep what was heard of other regions' pools."""
+
+from attrs import define, evolve, field
+
+from pomelobarrow.decision.region_choice import LOAD_GOOD_FOR_S, RegionLoad
+
+# A region silent for this long counts as lost, so that its return is a slow start.
+LOST_AFTER_S = 10.0
+
+
+@define
+class RegionLoads:
+    """Hold the newest load of each region and pool, in this VM's clock."""
+
+    _loads: dict[tuple[str, str], RegionLoad] = field(factory=dict)
+
+    def observe(self, load: RegionLoad) -> None:
+        """Take a load that is newer than the one held."""
+        key = (load.region, load.pool)
+        old = self._loads.get(key)
+        if old is None:
+            self._loads[key] = load
+            return
+        if load.measured_unix_s <= old.measured_unix_s:
+            return
+        was_lost = load.measured_unix_s - old.measured_unix_s > LOST_AFTER_S
+        returned_unix_s = load.measured_unix_s if was_lost else old.returned_unix_s
+        round_trip_s = load.round_trip_s or old.round_trip_s
+        self._loads[key] = evolve(load, returned_unix_s=returned_unix_s, round_trip_s=round_trip_s)
+
+    def for_pool(self, pool: str) -> dict[str, RegionLoad]:
+        """Return what each region's load of a pool was when last heard."""
+        return {region: load for (region, name), load in self._loads.items() if name == pool}
+
+    def fresh(self, now_unix_s: float) -> list[RegionLoad]:
+        """Return the loads worth passing on."""
+        oldest_unix_s = now_unix_s - LOAD_GOOD_FOR_S
+        return [load for load in self._loads.values() if load.measured_unix_s >= oldest_unix_s]
--- /dev/null
+++ b/src/pomelobarrow/peers/table.py
@@ -0,0 +1,210 @@
+"""Decide which peers to keep links to, and keep them."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from attrs import evolve
+from mode import Service
+
+from pomelobarrow.decision.clocks import PauseDetector
+from pomelobarrow.decision.membership import (
+    ListedVm,
+    Member,
+    MembershipView,
+    Phase,
+    relays,
+    watchers,
+)
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.events import PauseNoticed
+from pomelobarrow.peers.exchange import Exchange
+from pomelobarrow.peers.heartbeats import Heartbeats
+from pomelobarrow.peers.links import PeerLink
+from pomelobarrow.platform.keyspaces import VMS, PublishedState
+
+REVIEW_EVERY_S = 0.5
+ON_DEMAND_KEPT_S = 60.0
+SEED_PREFIX = "seed "
+
+LinkFactory = Callable[[ListedVm], PeerLink]
+
+
+class PeerTable(Service):
+    """Hold the links: all peers of the region, a few relays to others, and those in use."""
+
+    def __init__(
+        self,
+        *,
+        view: MembershipView,
+        published: PublishedState,
+        heartbeats: Heartbeats,
+        exchange: Exchange,
+        seeds: tuple[str, ...],
+        make_link: LinkFactory,
+        observe: Callable[[object], None],
+    ) -> None:
+        super().__init__()
+        self.links: dict[str, PeerLink] = {}
+        self._view = view
+        self._published = published
+        self._heartbeats = heartbeats
+        self._exchange = exchange
+        self._seeds = seeds
+        self._make_link = make_link
+        self._observe = observe
+        self._on_demand_until_unix_s: dict[str, float] = {}
+        self._pauses = PauseDetector(REVIEW_EVERY_S)
+        self._random = random.Random()
+        published.listeners.append(self._on_applied)
+
+    async def on_start(self) -> None:
+        """Dial the seeds, so that a VM can join while the platform is out of reach."""
+        for seed in self._seeds:
+            await self._open(ListedVm(vm=SEED_PREFIX + seed, peer_address=seed))
+
+    @Service.task
+    async def _review_all(self) -> None:
+        while not self.should_stop:
+            self._notice_pause()
+            await self.review()
+            await self.sleep(REVIEW_EVERY_S)
+
+    async def review(self) -> None:
+        """Open the links that are wanted and close the others."""
+        now = now_unix_s()
+        wanted = self._wanted(now)
+        for vm, peer in wanted.items():
+            if vm not in self.links:
+                await self._open(peer)
+        for vm in [each for each in self.links if not self._is_kept(each, wanted, now)]:
+            await self._close(vm)
+        for vm in self._view.suspects(now):
+            self._heartbeats.forget(vm)
+        self._view.forget(now)
+
+    async def link_to(self, member: Member) -> PeerLink:
+        """Return a link to a peer, opening it for a while where none is kept."""
+        self._on_demand_until_unix_s[member.vm] = now_unix_s() + ON_DEMAND_KEPT_S
+        link = self.links.get(member.vm)
+        return link if link is not None else await self._open(_listed(member))
+
+    def reachable(self) -> list[str]:
+        """Return the peers whose links are up."""
+        return [link.peer.vm for link in self.links.values() if link.is_up]
+
+    def broadcast(self, message: pb.PeerMessage) -> None:
+        """Send to every linked peer."""
+        for link in self.links.values():
+            link.send(message)
+
+    async def flush(self) -> None:
+        """Wait until what was queued for the linked peers is on its way."""
+        await asyncio.gather(*(link.flush() for link in self.links.values()))
+
+    def set_phase(self, phase: Phase) -> None:
+        """Change what this VM says of itself and say it at once."""
+        self._view.observe_own(evolve(self._view.own, phase=phase.value))
+        for vm, link in self.links.items():
+            link.send(pb.PeerMessage(heartbeat=self._heartbeats.echo(vm)))
+
+    def clock_offset_s(self, vm: str) -> float:
+        """Return a peer's clock minus ours."""
+        return self._heartbeats.offsets.offset_s(vm)
+
+    def is_watcher(self, keyspace: str) -> bool:
+        """Tell whether this VM reads the platform for its region."""
+        chosen = watchers(self._view, self._view.own_region, now_unix_s=now_unix_s())
+        return any(member.vm == self._view.own_vm for member in chosen)
+
+    async def wait_for_answers(self, timeout_s: float) -> None:
+        """Return once each linked peer has spoken, or the time is up."""
+        waits = [asyncio.create_task(link.first_answer.wait()) for link in self.links.values()]
+        if not waits:
+            return
+        _, pending = await asyncio.wait(waits, timeout=timeout_s)
+        for task in pending:
+            task.cancel()
+
+    def _wanted(self, now: float) -> dict[str, ListedVm]:
+        own = self._view.own_vm
+        known = {m.vm: _listed(m) for m in self._view.live_peers(now_unix_s=now)}
+        known.update({vm.vm: vm for vm in self._view.contacts(now) if vm.vm != own})
+        local = {vm: p for vm, p in known.items() if p.region == self._view.own_region}
+        return local | self._wanted_relays(known, now)
+
+    def _wanted_relays(self, known: dict[str, ListedVm], now: float) -> dict[str, ListedVm]:
+        wanted: dict[str, ListedVm] = {}
+        for region in {p.region for p in known.values()} - {self._view.own_region, ""}:
+            if not self._relays_to(region, now):
+                continue
+            live = relays(self._view, region, self._view.own_region, now_unix_s=now)
+            chosen = [_listed(member) for member in live] or [
+                peer for peer in known.values() if peer.region == region
+            ][:2]
+            wanted.update({peer.vm: peer for peer in chosen})
+        return wanted
+
+    def _relays_to(self, region: str, now: float) -> bool:
+        chosen = relays(self._view, self._view.own_region, region, now_unix_s=now)
+        return any(member.vm == self._view.own_vm for member in chosen)
+
+    def _is_kept(self, vm: str, wanted: dict[str, ListedVm], now: float) -> bool:
+        if vm.startswith(SEED_PREFIX):
+            # A seed's link gives way once the same VM is linked under its own name.
+            return self.links[vm].peer.vm not in wanted
+        return vm in wanted or now < self._on_demand_until_unix_s.get(vm, 0.0)
+
+    async def _open(self, peer: ListedVm) -> PeerLink:
+        link = self._make_link(peer)
+        self.links[peer.vm] = link
+        await self.add_runtime_dependency(link)
+        return link
+
+    async def _close(self, vm: str) -> None:
+        link = self.links.pop(vm)
+        self._on_demand_until_unix_s.pop(vm, None)
+        await self.remove_dependency(link)
+        await link.stop()
+
+    def _on_applied(self, name: str, source: str) -> None:
+        if name == VMS:
+            self._view.observe_listed(_listed_vms(self._published))
+        if not self._exchange.is_first_hand(source):
+            return
+        for vm, link in self.links.items():
+            delta = self._exchange.fresh_delta_for(name, vm)
+            if delta is not None:
+                link.send(delta)
+
+    def _notice_pause(self) -> None:
+        now = now_unix_s()
+        gap_s = self._pauses.tick(now)
+        if gap_s:
+            self._view.observe_pause(now, gap_s)
+            self._observe(PauseNoticed(gap_s))
+
+
+def _listed(member: Member) -> ListedVm:
+    return ListedVm(
+        vm=member.vm,
+        region=member.region,
+        failure_domain=member.failure_domain,
+        caller_address=member.caller_address,
+        peer_address=member.peer_address,
+    )
+
+
+def _listed_vms(published: PublishedState) -> list[ListedVm]:
+    return [
+        ListedVm(
+            vm=vm.name,
+            region=vm.region,
+            failure_domain=vm.failure_domain,
+            caller_address=vm.caller_address,
+            peer_address=vm.peer_address,
+            leaving=vm.leaving,
+        )
+        for vm in published.entry_vms.values()
+    ]
