Start the harness's processes side by side

Cause: stand-ins started one after another. Change: start all, then read their ready lines. Ruled out: nothing else changed.

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -223,7 +223,7 @@
         seed = self.processes.folder / "seed.json"
         values = {"config": configuration_values(self.deployment), "vms": self.vm_values()}
         seed.write_text(json.dumps(values))
-        self.processes.start_announcing(
+        self.processes.start(
             "platform",
             (
                 "pomelobarrow.standin",
@@ -235,14 +235,21 @@
             ),
         )
         for name in self.servers:
-            self.start_server(name)
+            self._start_server(name)
         arguments = ["pomelobarrow.standin", "proxy", "--control", f"{HOST}:0"]
         for route in self._routes:
             arguments += ["--route", route]
-        self.control = self.processes.start_announcing("proxy", arguments)["control"]
+        self.processes.start("proxy", arguments)
+        for name in ("platform", *self.servers):
+            self.processes.announcement(name)
+        self.control = self.processes.announcement("proxy")["control"]
 
     def start_server(self, name: str) -> None:
-        """Start a backend server's stand-in."""
+        """Start a backend server's stand-in again and wait until it is ready."""
+        self._start_server(name)
+        self.processes.announcement(name)
+
+    def _start_server(self, name: str) -> None:
         plan = self.servers[name]
         arguments = [
             "pomelobarrow.standin",
@@ -255,7 +262,7 @@
             str(plan.pool.slots),
             *plan.pool.options,
         ]
-        self.processes.start_announcing(name, arguments)
+        self.processes.start(name, arguments)
 
     def vm_values(self) -> dict[str, Any]:
         """Return what the platform lists."""
--- a/harness/processes.py
+++ b/harness/processes.py
@@ -55,11 +55,11 @@
         self.running[name] = process
         return process
 
-    def start_announcing(self, name: str, arguments: Iterable[str]) -> dict[str, Any]:
-        """Start a stand-in and return the line by which it says that it is ready."""
-        process = self.start(name, arguments)
-        assert process.stdout is not None
-        line = process.stdout.readline()
+    def announcement(self, name: str) -> dict[str, Any]:
+        """Return the line by which a stand-in says that it is ready, waiting for it."""
+        stream = self.running[name].stdout
+        assert stream is not None
+        line = stream.readline()
         if not line:
             raise RuntimeError(f"{name} did not start: {self.log(name)[-2000:]}")
         announced: dict[str, Any] = json.loads(line)
