--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 STAMP := $(VENV)/.installed
 PROTO_STAMP := $(VENV)/.installed-proto
 PROTO := src/pomelobarrow/peers/peers.proto
-PIP_INSTALL := $(BIN)/python -m pip install --quiet --disable-pip-version-check
+PIP_INSTALL := $(BIN)/python -m pip install -qq --disable-pip-version-check
 
 .DEFAULT_GOAL := test
 .PHONY: test lint demo proofs bench bench-check capacity proto clean
