Print the proofs of a run as a table with their figures

Cause: `make proofs` ran the marked tests but showed nothing of what they measured. Change: a `figure` fixture records measured values; the terminal summary joins each proof with its row in docs/proofs/*.md and prints promise, faults, test id, figures and result of that run. `make proofs-page` assembles docs/PROOFS.md from the rows. Ruled out: stating promise and faults in the marker as well; they would stand twice.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 PIP_INSTALL := $(BIN)/python -m pip install -qq --disable-pip-version-check
 
 .DEFAULT_GOAL := test
-.PHONY: test lint demo proofs bench bench-check capacity proto clean
+.PHONY: test lint demo proofs proofs-page bench bench-check capacity proto clean
 
 test: $(STAMP)
 	@$(BIN)/python -m pytest $(PYTEST_ARGS)
@@ -27,6 +27,9 @@
 proofs: $(STAMP)
 	@$(BIN)/python -m pytest -m proof $(PYTEST_ARGS)
 
+proofs-page: $(STAMP)
+	@$(BIN)/python tests/proof_rows.py
+
 bench: $(STAMP)
 	@$(BIN)/python -m bench
 
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,3 @@
+"""Fixtures that several test files share."""
+
+pytest_plugins = ["proof_report"]
