Let a test's caller bring its own session to a plain service

Cause: the proofs of "not run" need new connections with a timeout, and a check that the answer is the caller's own. Change: `call_service` takes a session and compares the marker that the service names. Ruled out: a second set of caller tools.

--- a/tests/callers.py
+++ b/tests/callers.py
@@ -93,15 +93,24 @@
 
 
 async def call_service(
-    fleet: Fleet, address: str, account: str, class_name: str, path: str, **headers: str
+    fleet: Fleet,
+    address: str,
+    account: str,
+    class_name: str,
+    path: str,
+    session: aiohttp.ClientSession | None = None,
+    **headers: str,
 ) -> Reply:
-    """Post one call of a plain service."""
+    """Post one call of a plain service; its answer names the marker that it was sent."""
     reply = Reply(marker=f"marker-{next(_serials)}")
+    reply.expected = reply.marker
     sent = fleet.headers(account, class_name, X_Marker=reply.marker, **headers)
+    url = f"http://{address}{path}"
     try:
-        async with fleet.session.post(f"http://{address}{path}", headers=sent) as response:
+        async with (session or fleet.session).post(url, headers=sent) as response:
             reply.status, answer = response.status, await response.json(content_type=None)
             reply.is_whole = True
+            reply.text = str(answer.get("marker", ""))
             if response.content_type == "application/problem+json":
                 reply.problem = answer
     except (aiohttp.ClientError, OSError, ValueError, TimeoutError) as error:
