Give each harness process a block of ports of its own

Change: a process guards one block of 400 ports for its life and takes ports from it in turn. Ruled out: a retry of the start; it would hide a daemon that fails to start for another reason. Conclusion: no two harness processes share a port.

--- a/harness/processes.py
+++ b/harness/processes.py
@@ -17,26 +17,56 @@
 STOP_TIMEOUT_S = 5.0
 # Below the range that the system gives to outgoing connections, which would take a port first.
 PORT_RANGE = range(12_000, 32_000)
+BLOCK_PORTS = 400
+# Held until this process ends: the first port of its block, and the block's next port to try.
+_guards: list[socket.socket] = []
+_next_ports: list[int] = []
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on now."""
-    held: list[socket.socket] = []
-    chooser = random.Random(os.urandom(8))
-    try:
-        while len(held) < count:
-            each = socket.socket()
-            each.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                each.bind(("127.0.0.1", chooser.choice(PORT_RANGE)))
-            except OSError:
-                each.close()
-                continue
-            held.append(each)
-        return [each.getsockname()[1] for each in held]
-    finally:
-        for each in held:
-            each.close()
+    """Return ports that nothing listens on now, from a block of this process's own.
+
+    Two harnesses that drew from one range took the same port in the seconds between the choice
+    and the daemon's start, which then failed. Nobody else draws from a guarded block.
+    """
+    if not _guards:
+        _take_block()
+    first = _guards[0].getsockname()[1]
+    ports: list[int] = []
+    for _ in range(len(_next_ports)):
+        port = _next_ports.pop(0)
+        _next_ports.append(port)
+        if _is_free(port):
+            ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise RuntimeError(f"fewer than {count} free ports from {first} on: stop what listens there")
+
+
+def _take_block() -> None:
+    firsts = list(PORT_RANGE[::BLOCK_PORTS])
+    random.Random(os.urandom(8)).shuffle(firsts)
+    for first in firsts:
+        guard = socket.socket()
+        try:
+            guard.bind(("127.0.0.1", first))
+        except OSError:
+            guard.close()
+            continue
+        _guards.append(guard)
+        _next_ports.extend(range(first + 1, first + BLOCK_PORTS))
+        return
+    raise RuntimeError("every block of ports is taken: end the other harnesses")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
 
 
 @define
