--- a/src/pomelobarrow/dispatch/dispatcher.py
+++ b/src/pomelobarrow/dispatch/dispatcher.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from random import Random
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from pomelobarrow.decision.attempt import Attempt, AttemptState, may_try_again, run_verdict
 from pomelobarrow.decision.errors import Kind, Refusal, Run
@@ -179,13 +179,22 @@
         pause_s *= self.rng.uniform(0.5, 1.0)
         now = now_unix_s()
         if now + pause_s >= work.deadline_unix_s:
-            return refuse(Kind.DEADLINE_PASSED, tries.run, "the retries reached the deadline")
+            return self._out_of_time(work, tries)
         await asyncio.sleep(pause_s)
         tries.bad_servers.clear()
         tries.bad_peers.clear()
         tries.bad_regions.clear()
         return None
 
+    def _out_of_time(self, work: Work, tries: Tries) -> Refusal:
+        """Name what held the work up and, where nothing ran, when to come back."""
+        now = now_unix_s()
+        retry_at_unix_s = retry_after_unix_s(self.local.expected_wait_s(work), now, self.rng)
+        if tries.run is Run.NO and tries.last_refusal is not None:
+            return evolve(tries.last_refusal, retry_at_unix_s=retry_at_unix_s)
+        detail = "the retries reached the deadline"
+        return refuse(Kind.DEADLINE_PASSED, tries.run, detail, retry_at_unix_s)
+
     def _given_up(
         self, work: Work, result: AttemptResult, tries: Tries, verdict: RetryVerdict
     ) -> Refusal:
