Test the stand-ins as processes and mend the proxy's connection ends

Cause: the stand-ins had only been tried by hand. The first test run showed that the proxy kept a connection open after both of its ends had finished, and would have connected to the target for a client that it refused.

The proxy closes a connection once both directions ended, and never connects for a refused one.

Ruled out: closing both directions at the first end, since a caller may finish sending first.

--- a/src/pomelobarrow/standin/lane.py
+++ b/src/pomelobarrow/standin/lane.py
@@ -18,10 +18,12 @@
     delay_s: float
     # The handshake of a real connection takes a round trip before the first byte may leave.
     open_at_s: float
+    on_end: Callable[[], None] = lambda: None
     source: asyncio.Transport | None = None
     sink: asyncio.Transport | None = None
     delivered_bytes: int = 0
     is_held: bool = False
+    is_ended: bool = False
     _is_sink_full: bool = False
     _is_reading: bool = True
     _pending: deque[tuple[float, bytes]] = field(factory=deque)
@@ -101,6 +103,8 @@
             sink.close()
         elif not sink.is_closing():
             sink.write_eof()
+        self.is_ended = True
+        self.on_end()
 
     def _check_budget(self) -> None:
         if self._budget_bytes is not None and self._budget_bytes <= 0:
--- a/src/pomelobarrow/standin/relay.py
+++ b/src/pomelobarrow/standin/relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
 from functools import partial
 
 from attrs import define, field
@@ -30,6 +31,17 @@
     transport.abort()
 
 
+def finish(transport: asyncio.Transport) -> None:
+    """Close a connection once what was written is sent."""
+    transport.close()
+
+
+CLOSERS: dict[Fault, Callable[[asyncio.Transport], None]] = {
+    Fault.REFUSE: reset,
+    Fault.CLOSE: finish,
+}
+
+
 class Side(asyncio.Protocol):
     """Feed what one end sends into its lane and slow the other lane down when it is full."""
 
@@ -108,6 +120,11 @@
     lanes: dict[Direction, Lane]
     fault: Fault = Fault.PASS
     _connecting: asyncio.Task[None] | None = None
+    _has_no_target: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        for lane in self.lanes.values():
+            lane.on_end = self._close_if_ended
 
     @property
     def client(self) -> asyncio.Transport | None:
@@ -130,11 +147,8 @@
     def suffer(self, fault: Fault) -> None:
         """Apply a fault to this connection alone."""
         self.fault = fault
-        for transport in (self.client, self.target):
-            if transport is not None and fault is Fault.REFUSE:
-                reset(transport)
-            elif transport is not None and fault is Fault.CLOSE:
-                transport.close()
+        if close := CLOSERS.get(fault):
+            self._close(close)
         self.refresh()
 
     def arm(self, trigger: Trigger | None) -> None:
@@ -151,25 +165,40 @@
         held = HELD_BY_FAULT[self.route.fault] | HELD_BY_FAULT[self.fault]
         for direction, lane in self.lanes.items():
             lane.set_held(direction in held)
-        if self._connecting is None and held != BOTH:
+        if self._connecting is None and held != BOTH and not self._has_no_target:
             self._connecting = asyncio.get_running_loop().create_task(self._connect())
 
     def forget_if_over(self) -> None:
         """Leave the route once both ends are closed."""
-        ends = (self.client, self.target)
-        if self in self.route.connections and all(end is None or end.is_closing() for end in ends):
+        is_target_over = self.target.is_closing() if self.target else self._has_no_target
+        is_client_over = self.client is None or self.client.is_closing()
+        if self in self.route.connections and is_client_over and is_target_over:
             self.route.connections.discard(self)
             for direction, lane in self.lanes.items():
                 self.route.closed_bytes[direction] += lane.delivered_bytes
                 lane.close()
 
+    def _close(self, close: Callable[[asyncio.Transport], None]) -> None:
+        if self.target is None:
+            self._has_no_target = True
+            if self._connecting is not None:
+                self._connecting.cancel()
+        for transport in (self.client, self.target):
+            if transport is not None:
+                close(transport)
+        self.forget_if_over()
+
+    def _close_if_ended(self) -> None:
+        if all(lane.is_ended for lane in self.lanes.values()):
+            self._close(finish)
+
     async def _connect(self) -> None:
         host, port = parse_address(self.route.target)
         side = TargetSide(self)
         try:
             await asyncio.get_running_loop().create_connection(lambda: side, host, port)
         except OSError:
-            self.suffer(Fault.REFUSE)
+            self._close(reset)
 
 
 class ClientSide(Side):
--- /dev/null
+++ b/tests/test_standin_service.py
@@ -0,0 +1,47 @@
+"""The service stand-in answers anything and logs what ran."""
+
+import asyncio
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from standin_harness import Standin, call, eventually, standins
+
+
+@pytest.fixture
+def service() -> Iterator[Standin]:
+    with standins() as start:
+        yield start("service", "--name", "hooks")
+
+
+async def runs(service: Standin) -> list[tuple[Any, ...]]:
+    logged = (await call("GET", service.listening, "/admin/runs")).body["runs"]
+    return [(run["request_id"], run["marker"], run["state"]) for run in logged]
+
+
+@pytest.mark.parametrize("method", ["GET", "DELETE", "PATCH"])
+async def test_any_method_is_answered_and_logged(service: Standin, method: str) -> None:
+    answer = await call(method, service.listening, "/a?b=1", headers={"X-Marker": "m1"})
+    told = {"service": "hooks", "method": method, "path": "/a?b=1", "marker": "m1"}
+    assert answer.body == told
+    assert await runs(service) == [("", "m1", "finished")]
+
+
+async def test_body_is_echoed(service: Standin) -> None:
+    assert (await call("POST", service.listening, "/", {"ping": 1})).body == {"ping": 1}
+
+
+async def test_call_runs_to_its_end_when_the_caller_left(service: Standin) -> None:
+    await call("POST", service.listening, "/admin/mode", {"latency_s": 0.2})
+    calling = asyncio.create_task(call("GET", service.listening, "/", None, {"X-Request-Id": "r"}))
+    await eventually(lambda: runs(service), lambda seen: seen == [("r", "", "running")])
+    calling.cancel()
+    await eventually(lambda: runs(service), lambda seen: seen == [("r", "", "finished")])
+
+
+@pytest.mark.parametrize(("mode", "reason"), [("leaving", "leaving"), ("refuse", "refused")])
+async def test_refused_call_is_not_run(service: Standin, mode: str, reason: str) -> None:
+    await call("POST", service.listening, "/admin/mode", {mode: True})
+    answer = await call("POST", service.listening, "/", {})
+    assert (answer.status, answer.body) == (503, {"run": "no", "reason": reason})
+    assert await runs(service) == []
