Split admission: the account's limit at the entry, the room where it runs

A forwarded request is counted against its account once, at its entry VM, but checked for room in the region that runs it. Ruled out: passing unlimited limits into admit for forwarded requests.

--- a/src/pomelobarrow/decision/admission.py
+++ b/src/pomelobarrow/decision/admission.py
@@ -28,13 +28,40 @@
 
     The caller of an admitted request calls `limits.release` once when it ends.
     """
-    refusal = _refuse_late(work, expected_wait_s, expected_service_s, now_unix_s, random)
-    refusal = refusal or _refuse_full(work, queue, expected_wait_s, now_unix_s, random)
+    refusal = refuse_unservable(
+        work,
+        queue=queue,
+        expected_wait_s=expected_wait_s,
+        expected_service_s=expected_service_s,
+        now_unix_s=now_unix_s,
+        random=random,
+    )
     if refusal is not None:
         return Err(refusal)
+    return admit_account(work, account, limits, now_unix_s)
+
+
+def admit_account(
+    work: Work, account: Account, limits: AccountLimits, now_unix_s: float
+) -> Result[Work, Refusal]:
+    """Count the work against its account, or refuse it."""
     return limits.admit(account, now_unix_s).map(lambda _: work).map_err(_over_limit(account))
 
 
+def refuse_unservable(
+    work: Work,
+    *,
+    queue: WorkQueue,
+    expected_wait_s: float,
+    expected_service_s: float,
+    now_unix_s: float,
+    random: Random,
+) -> Refusal | None:
+    """Refuse work that can no longer finish here or finds the queue full."""
+    late = _refuse_late(work, expected_wait_s, expected_service_s, now_unix_s, random)
+    return late or _refuse_full(work, queue, expected_wait_s, now_unix_s, random)
+
+
 def _refuse_late(
     work: Work, wait_s: float, service_s: float, now_unix_s: float, random: Random
 ) -> Refusal | None:
