--- a/src/pomelobarrow/kernel/plugins.py
+++ b/src/pomelobarrow/kernel/plugins.py
@@ -1,8 +1,8 @@
 """Find and register plug-ins."""
 
 import importlib
-import importlib.util
 import pkgutil
+from pathlib import Path
 
 import pluggy
 
@@ -18,14 +18,15 @@
     manager = pluggy.PluginManager(PROJECT)
     manager.add_hookspecs(Hooks)
     for room in pkgutil.iter_modules(pomelobarrow.__path__):
-        _register_room(manager, room)
+        if room.ispkg and _has_plugin(room.name):
+            name = f"{pomelobarrow.__name__}.{room.name}.{PLUGIN_MODULE}"
+            manager.register(importlib.import_module(name), name=name)
     manager.load_setuptools_entrypoints(ENTRY_POINT_GROUP)
     manager.check_pending()
     return manager
 
 
-def _register_room(manager: pluggy.PluginManager, room: pkgutil.ModuleInfo) -> None:
-    name = f"{pomelobarrow.__name__}.{room.name}.{PLUGIN_MODULE}"
-    if not room.ispkg or importlib.util.find_spec(name) is None:
-        return
-    manager.register(importlib.import_module(name), name=name)
+def _has_plugin(room: str) -> bool:
+    """Look for the file: asking the import system would load the room, stand-ins too."""
+    folders = [Path(each) / room for each in pomelobarrow.__path__]
+    return any((folder / f"{PLUGIN_MODULE}.py").is_file() for folder in folders)
