--- a/src/pomelobarrow/platform/client.py
+++ b/src/pomelobarrow/platform/client.py
@@ -10,6 +10,8 @@
 from pomelobarrow.decision.keyspace import Change
 
 READ_TIMEOUT_S = 5.0
+# The platform answers in milliseconds; a watch that is later than this by more is silent.
+WATCH_MARGIN_S = 2.0
 CONNECT_TIMEOUT_S = 1.0
 
 
@@ -27,7 +29,8 @@
 ) -> Result[Page, str]:
     """Read the changes after a revision; wait for one where wait_s is positive."""
     url = f"{address}/v1/keyspaces/{keyspace}/changes"
-    timeout = aiohttp.ClientTimeout(total=wait_s + READ_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+    total_s = wait_s + WATCH_MARGIN_S if wait_s else READ_TIMEOUT_S
+    timeout = aiohttp.ClientTimeout(total=total_s, sock_connect=CONNECT_TIMEOUT_S)
     params = {"after": str(after), "wait_s": str(wait_s)}
     try:
         async with session.get(url, params=params, timeout=timeout) as response:
