--- a/src/pomelobarrow/decision/keyspace.py
+++ b/src/pomelobarrow/decision/keyspace.py
@@ -5,6 +5,9 @@
 different digests (a lost change, or one revision published twice) send each other everything and
 keep, for each key, the newest revision, of equal ones the larger fingerprint. That choice is a
 maximum: it doesn't depend on order or repetition, so all copies that exchange reach the same state.
+
+A copy that observed a refused revision without the good one before it takes the values in force
+from another copy; they never depend on which copy was there at which time.
 """
 
 import bisect
@@ -98,8 +101,9 @@
     _kept: dict[str, _Kept] = field(factory=dict, init=False, repr=False)
     _observed_values: dict[str, Any] = field(factory=dict, init=False, repr=False)
     _values: dict[str, Any] = field(factory=dict, init=False, repr=False)
-    # Keys whose observed value isn't in force yet.
+    # Keys whose observed value isn't in force yet, and the changes still in force for them.
     _waiting: set[str] = field(factory=set, init=False, repr=False)
+    _superseded: dict[str, Change] = field(factory=dict, init=False, repr=False)
     # (revision, key) in order; an item whose key has changed since is stale and skipped.
     _log: list[tuple[int, str]] = field(factory=list, init=False, repr=False)
     _tombstones: int = field(default=0, init=False)
@@ -115,7 +119,12 @@
     @property
     def summary(self) -> KeyspaceSummary:
         """Return what a heartbeat says of this copy."""
-        return KeyspaceSummary(name=self.name, revision=self.observed_revision, digest=self.digest)
+        return KeyspaceSummary(
+            name=self.name,
+            revision=self.observed_revision,
+            digest=self.digest,
+            revision_in_force=self.revision,
+        )
 
     @property
     def ask_after_revision(self) -> int:
@@ -130,6 +139,49 @@
             return 0
         return None
 
+    def lacks_in_force(self, other: KeyspaceSummary) -> bool:
+        """Say whether the other copy has in force what this one, refusing a later one, lacks."""
+        return bool(self.refused_reasons) and other.revision_in_force > self.revision
+
+    def in_force_after(self, revision: int) -> Delta:
+        """Return what is in force here and was changed after a revision."""
+        after = revision if revision == 0 else max(revision, self.tombstone_floor)
+        settled = (kept.change for key, kept in self._kept.items() if key not in self._waiting)
+        changes = [
+            change for change in (*settled, *self._superseded.values()) if change.revision > after
+        ]
+        return Delta(
+            name=self.name,
+            after_revision=after,
+            head_revision=self.revision,
+            changes=tuple(changes),
+        )
+
+    def apply_in_force(self, delta: Delta) -> ApplyResult:
+        """Put in force what another copy has, while a later revision stays refused.
+
+        The platform shows only the newest value of a key. A VM that starts while that one is
+        invalid would find nothing to serve on, although every other VM does.
+        """
+        if not self.refused_reasons or delta.head_revision <= self.revision:
+            return ApplyResult(outcome=ApplyOutcome.STALE)
+        if delta.after_revision > self.revision:
+            return ApplyResult(outcome=ApplyOutcome.GAP)
+        candidate = dict(self._values) if delta.after_revision else {}
+        for change in delta.changes:
+            candidate[change.key] = change.value
+        candidate = {key: value for key, value in candidate.items() if value is not None}
+        changed = frozenset(change.key for change in delta.changes)
+        if reasons := self.validator(candidate, changed, delta.head_revision):
+            return ApplyResult(outcome=ApplyOutcome.INVALID, refused_reasons=reasons)
+        self._waiting.update(changed, self._values)
+        self._superseded.update((change.key, change) for change in delta.changes)
+        self._values.clear()
+        self._values.update(candidate)
+        self.revision = delta.head_revision
+        self.counters.applied += 1
+        return ApplyResult(outcome=ApplyOutcome.IN_FORCE, changed_keys=changed)
+
     def apply(
         self,
         changes: Sequence[Change],
@@ -175,7 +227,10 @@
     def restart(self) -> None:
         """Forget what was observed, to ask for everything; the values in force stay."""
         self._least_head = max(self._least_head, self.observed_revision)
-        self._waiting.update(self._values)
+        self._superseded.update(
+            (key, kept.change) for key, kept in self._kept.items() if key not in self._waiting
+        )
+        self._waiting.update(self._kept, self._values)
         self.observed_revision = self.digest = self.tombstone_floor = self._tombstones = 0
         self._kept.clear()
         self._observed_values.clear()
@@ -234,6 +289,9 @@
 
     def _keep(self, kept: _Kept) -> None:
         change = kept.change
+        old = self._kept.get(change.key)
+        if old is not None and change.key not in self._waiting:
+            self._superseded[change.key] = old.change
         self._forget(change.key)
         self._kept[change.key] = kept
         self._waiting.add(change.key)
@@ -289,6 +347,7 @@
             else:
                 self._values.pop(key, None)
         self._waiting.clear()
+        self._superseded.clear()
         self.revision = self.observed_revision
         self.counters.applied += 1
         return ApplyResult(outcome=ApplyOutcome.IN_FORCE, changed_keys=changed)
--- a/src/pomelobarrow/decision/keyspace_types.py
+++ b/src/pomelobarrow/decision/keyspace_types.py
@@ -34,6 +34,7 @@
     name: str
     revision: int
     digest: int
+    revision_in_force: int = 0
 
 
 class ApplyOutcome(enum.Enum):
--- a/src/pomelobarrow/peers/exchange.py
+++ b/src/pomelobarrow/peers/exchange.py
@@ -7,7 +7,7 @@
 import structlog
 from attrs import define, field
 
-from pomelobarrow.decision.keyspace import ApplyOutcome, Change, KeyspaceSummary
+from pomelobarrow.decision.keyspace import ApplyOutcome, Change, Delta, KeyspaceSummary
 from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
@@ -33,7 +33,8 @@
     heartbeats: Heartbeats
     _next_pull_unix_s: dict[str, float] = field(factory=dict)
     _gapped: set[str] = field(factory=set)
-    _peer_revisions: dict[tuple[str, str], int] = field(factory=dict)
+    # Per peer and keyspace, what its last heartbeat or our last push says that it holds.
+    _peer_copies: dict[str, dict[str, KeyspaceSummary]] = field(factory=dict)
 
     def handle(self, message: pb.PeerMessage, peer_vm: str, reply: Reply) -> None:
         """Take one message and answer through reply where it asks for something."""
@@ -48,26 +49,19 @@
         if handler is not None:
             handler(getattr(message, kind), peer_vm, reply)
 
-    def delta_for(self, name: str, after_revision: int) -> pb.PeerMessage:
-        """Return the changes of a keyspace after a revision."""
-        delta = self.published.copies[name].changes_after(after_revision)
-        return pb.PeerMessage(
-            delta=pb.KeyspaceDelta(
-                name=name,
-                after_revision=delta.after_revision,
-                head_revision=delta.head_revision,
-                changes=[_change_message(change) for change in delta.changes],
-            )
-        )
+    def forget(self, peer_vm: str) -> None:
+        """Drop what a peer said that left for good."""
+        self._peer_copies.pop(peer_vm, None)
 
     def fresh_delta_for(self, name: str, peer_vm: str) -> pb.PeerMessage | None:
         """Return the change that a peer has not said to have, for pushing it at once."""
         copy = self.published.copies[name]
-        known = self._peer_revisions.get((peer_vm, name))
-        if known is None or known >= copy.observed_revision:
+        summaries = self._peer_copies.get(peer_vm, {})
+        known = summaries.get(name)
+        if known is None or known.revision >= copy.observed_revision:
             return None
-        self._peer_revisions[(peer_vm, name)] = copy.observed_revision
-        return self.delta_for(name, known)
+        summaries[name] = copy.summary
+        return _delta_message(copy.changes_after(known.revision))
 
     def _on_heartbeat(self, heartbeat: pb.Heartbeat, peer_vm: str, reply: Reply) -> None:
         if not self.heartbeats.take(heartbeat):
@@ -75,37 +69,44 @@
         for state in heartbeat.keyspaces:
             if state.name not in self.published.copies:
                 continue
-            self._peer_revisions[(peer_vm, state.name)] = state.revision
-            self._pull_if_behind(state, reply)
-
-    def _pull_if_behind(self, state: pb.KeyspaceState, reply: Reply) -> None:
-        copy = self.published.copies[state.name]
-        summary = KeyspaceSummary(name=state.name, revision=state.revision, digest=state.digest)
-        after = copy.needs(summary)
-        now = now_unix_s()
-        if after is None or now < self._next_pull_unix_s.get(state.name, 0.0):
+            summary = _summary(state)
+            self._peer_copies.setdefault(peer_vm, {})[state.name] = summary
+            self._pull_if_behind(summary, reply)
+
+    def _pull_if_behind(self, summary: KeyspaceSummary, reply: Reply) -> None:
+        copy, now = self.published.copies[summary.name], now_unix_s()
+        after, in_force = copy.needs(summary), False
+        if after is None and copy.lacks_in_force(summary):
+            after, in_force = copy.revision, True
+        if after is None or now < self._next_pull_unix_s.get(summary.name, 0.0):
             return
-        self._next_pull_unix_s[state.name] = now + PULL_PAUSE_S
-        request = pb.KeyspaceRequest(name=state.name, after_revision=after)
-        reply(pb.PeerMessage(request=request))
+        self._next_pull_unix_s[summary.name] = now + PULL_PAUSE_S
+        reply(_request_message(summary.name, after, in_force))
 
     def _on_delta(self, delta: pb.KeyspaceDelta, peer_vm: str, reply: Reply) -> None:
         if delta.name not in self.published.copies:
             return
-        changes = [_change(each) for each in delta.changes]
+        self._next_pull_unix_s.pop(delta.name, None)
+        if delta.in_force:
+            self._take_in_force(_delta(delta), peer_vm, reply)
+            return
         result = self.published.apply(
             delta.name,
-            changes,
+            _delta(delta).changes,
             delta.head_revision,
             after_revision=delta.after_revision,
             source=SOURCE_PEER + peer_vm,
         )
-        self._next_pull_unix_s.pop(delta.name, None)
         if result.outcome is ApplyOutcome.GAP:
             self._fill_gap(delta.name, reply)
         else:
             self._gapped.discard(delta.name)
 
+    def _take_in_force(self, delta: Delta, peer_vm: str, reply: Reply) -> None:
+        result = self.published.apply_in_force(delta, SOURCE_PEER + peer_vm)
+        if result.outcome is ApplyOutcome.GAP:
+            reply(_request_message(delta.name, 0, in_force=True))
+
     def _fill_gap(self, name: str, reply: Reply) -> None:
         """Ask from where this copy stands; start over when even that answer starts too late.
 
@@ -116,12 +117,16 @@
         if name in self._gapped:
             copy.restart()
         self._gapped.add(name)
-        request = pb.KeyspaceRequest(name=name, after_revision=copy.observed_revision)
-        reply(pb.PeerMessage(request=request))
+        reply(_request_message(name, copy.observed_revision))
 
     def _on_request(self, request: pb.KeyspaceRequest, peer_vm: str, reply: Reply) -> None:
-        if request.name in self.published.copies:
-            reply(self.delta_for(request.name, request.after_revision))
+        copy = self.published.copies.get(request.name)
+        if copy is None:
+            return
+        if request.in_force:
+            reply(_delta_message(copy.in_force_after(request.after_revision), in_force=True))
+        else:
+            reply(_delta_message(copy.changes_after(request.after_revision)))
 
     def _on_leave(self, leave: pb.Leave, peer_vm: str, reply: Reply) -> None:
         self.view.observe_leave(leave.vm, leave.incarnation, leave.successor, now_unix_s())
@@ -129,18 +134,62 @@
 
     def is_behind(self, reachable: Iterable[str]) -> bool:
         """Tell whether a reachable peer has said to hold a higher revision than this VM."""
-        vms = set(reachable)
-        return any(
-            vm in vms and revision > self.published.copies[name].observed_revision
-            for (vm, name), revision in self._peer_revisions.items()
-        )
+        summaries = (self._peer_copies.get(vm, {}).values() for vm in reachable)
+        return any(self._lacks(summary) for held in summaries for summary in held)
+
+    def _lacks(self, summary: KeyspaceSummary) -> bool:
+        copy = self.published.copies[summary.name]
+        is_behind = summary.revision > copy.observed_revision
+        return is_behind or summary.revision_in_force > copy.revision
+
+    def passes_on(self, source: str, to_region: str) -> bool:
+        """Tell whether a change from a source is pushed on to a linked peer of a region.
 
-    def is_first_hand(self, source: str) -> bool:
-        """Tell whether a change came from the platform or from another region."""
-        if source == SOURCE_PLATFORM:
+        Whoever had it from the platform or from elsewhere tells its own region, whose VMs need
+        not tell each other again. A link to another region always gets it: the VM that read the
+        platform may hold no such link itself.
+        """
+        own_region = self.view.own_region
+        if source == SOURCE_PLATFORM or to_region != own_region:
             return True
         member = self.view.get(source.removeprefix(SOURCE_PEER))
-        return member is not None and member.region != self.view.own_region
+        return member is not None and member.region != own_region
+
+
+def _summary(state: pb.KeyspaceState) -> KeyspaceSummary:
+    return KeyspaceSummary(
+        name=state.name,
+        revision=state.revision,
+        digest=state.digest,
+        revision_in_force=state.revision_in_force,
+    )
+
+
+def _request_message(name: str, after_revision: int, in_force: bool = False) -> pb.PeerMessage:
+    return pb.PeerMessage(
+        request=pb.KeyspaceRequest(name=name, after_revision=after_revision, in_force=in_force)
+    )
+
+
+def _delta_message(delta: Delta, in_force: bool = False) -> pb.PeerMessage:
+    return pb.PeerMessage(
+        delta=pb.KeyspaceDelta(
+            name=delta.name,
+            after_revision=delta.after_revision,
+            head_revision=delta.head_revision,
+            changes=[_change_message(change) for change in delta.changes],
+            in_force=in_force,
+        )
+    )
+
+
+def _delta(message: pb.KeyspaceDelta) -> Delta:
+    return Delta(
+        name=message.name,
+        after_revision=message.after_revision,
+        head_revision=message.head_revision,
+        changes=tuple(_change(each) for each in message.changes),
+    )
 
 
 def _change_message(change: Change) -> pb.Change:
--- a/src/pomelobarrow/peers/heartbeats.py
+++ b/src/pomelobarrow/peers/heartbeats.py
@@ -35,6 +35,8 @@
     _summaries_sent: int = 0
     # Per peer: its last heartbeat's sending time and when it came, to be echoed.
     _echoes: dict[str, tuple[float, float]] = field(factory=dict)
+    # Per peer: incarnation and sequence of the last heartbeat that carried loads.
+    _last_full: dict[str, tuple[int, int]] = field(factory=dict)
 
     def echo(self, peer: str) -> pb.Heartbeat:
         """Return the short answer to a peer's heartbeat: who we are and how far we are."""
@@ -53,7 +55,12 @@
             echo_sent_unix_s=sent_unix_s,
             echo_received_unix_s=received_unix_s,
             keyspaces=[
-                pb.KeyspaceState(name=name, revision=copy.observed_revision, digest=copy.digest)
+                pb.KeyspaceState(
+                    name=name,
+                    revision=copy.observed_revision,
+                    digest=copy.digest,
+                    revision_in_force=copy.revision,
+                )
                 for name, copy in self.published.copies.items()
             ],
         )
@@ -76,21 +83,47 @@
     def take(self, heartbeat: pb.Heartbeat) -> bool:
         """Learn from a peer's heartbeat; False for one that is out of date."""
         now = now_unix_s()
-        if not self.view.observe_heartbeat(_member(heartbeat), now):
+        is_newest = self.view.observe_heartbeat(_member(heartbeat), now)
+        if is_newest:
+            self._echoes[heartbeat.vm] = (heartbeat.sent_unix_s, now)
+            self._take_times(heartbeat, now)
+        if self._is_news_of_loads(heartbeat):
+            self._take_loads(heartbeat, now)
+        return is_newest
+
+    def _is_news_of_loads(self, heartbeat: pb.Heartbeat) -> bool:
+        """Tell whether these loads are newer than the ones held.
+
+        A peer speaks on two connections, its own and ours. The short answer on ours may overtake
+        its full heartbeat; were that one dropped as old, the loads in it would be lost.
+        """
+        if not (heartbeat.pools or heartbeat.servers):
             return False
-        self._echoes[heartbeat.vm] = (heartbeat.sent_unix_s, now)
-        self._take_times(heartbeat, now)
+        order = (heartbeat.incarnation, heartbeat.sequence)
+        if order <= self._last_full.get(heartbeat.vm, (0, 0)):
+            return False
+        self._last_full[heartbeat.vm] = order
+        return True
+
+    def _take_loads(self, heartbeat: pb.Heartbeat, now: float) -> None:
         self._take_members(heartbeat, now)
         self._take_pools(heartbeat, now)
         if heartbeat.region == self.view.own_region:
             self._take_servers(heartbeat, now)
             rates = {each.account: each.requests_per_s for each in heartbeat.accounts}
             self.limits.observe_peer_demand(heartbeat.vm, rates, now)
-        return True
+
+    def forget_for_good(self, vm: str) -> None:
+        """Drop all that is kept of a VM that was replaced or silent for long."""
+        self.forget(vm)
+        self.offsets.forget(vm)
+        self._echoes.pop(vm, None)
+        self._last_full.pop(vm, None)
 
     def forget(self, vm: str) -> None:
         """Drop what a peer said that left or fell silent."""
         self.local.table.forget_peer(vm)
+        self.limits.forget_peer(vm)
         for queue in self.local.queues.values():
             queue.forget_peer(vm)
 
@@ -110,9 +143,6 @@
 
     def _take_servers(self, heartbeat: pb.Heartbeat, now: float) -> None:
         table = self.local.table
-        is_full = heartbeat.pools or heartbeat.servers
-        if not is_full:
-            return
         in_flight = {
             each.server: InFlight(requests=each.in_flight_requests, tokens=each.in_flight_tokens)
             for each in heartbeat.servers
--- a/src/pomelobarrow/peers/links.py
+++ b/src/pomelobarrow/peers/links.py
@@ -46,6 +46,8 @@
         super().__init__()
         self.peer = peer
         self.channel: Channel | None = None
+        # Whether the other end has spoken on this connection. The system of a frozen VM still
+        # accepts connections, so one that is merely open says nothing.
         self.is_up = False
         self.last_heard_unix_s = 0.0
         self.first_answer = asyncio.Event()
@@ -57,17 +59,18 @@
         self._heartbeats = heartbeats
         self._outbox: asyncio.Queue[pb.PeerMessage] = asyncio.Queue()
         self._unsent = 0
+        self._is_open = False
         self._random = random.Random()
 
     def send(self, message: pb.PeerMessage) -> None:
         """Queue a message; it is lost if the connection is."""
-        if self.is_up:
+        if self._is_open:
             self._unsent += 1
             self._outbox.put_nowait(message)
 
     async def flush(self) -> None:
         """Wait until the queued messages are sent, or the link is lost."""
-        while self.is_up and self._unsent:
+        while self._is_open and self._unsent:
             await asyncio.sleep(FLUSH_CHECK_EVERY_S)
 
     def open_channel(self) -> Channel:
@@ -101,7 +104,7 @@
             await start_call(stream)
             self._outbox = asyncio.Queue()
             self._unsent = 0
-            self.is_up = True
+            self._is_open = True
             tasks = [
                 asyncio.create_task(self._beat()),
                 asyncio.create_task(self._send_all(stream)),
@@ -137,6 +140,7 @@
             if message is None:
                 return
             self.last_heard_unix_s = now_unix_s()
+            self.is_up = True
             self._exchange.handle(message, self._peer_name(message), self.send)
             self.first_answer.set()
 
@@ -150,7 +154,7 @@
         return self.peer.vm
 
     def _drop(self) -> None:
-        self.is_up = False
+        self.is_up = self._is_open = False
         if self.channel is not None:
             self.channel.close()
             self.channel = None
--- a/src/pomelobarrow/peers/table.py
+++ b/src/pomelobarrow/peers/table.py
@@ -27,6 +27,10 @@
 REVIEW_EVERY_S = 0.5
 ON_DEMAND_KEPT_S = 60.0
 SEED_PREFIX = "seed "
+# Of a region that doesn't answer, this many listed VMs are tried at a time, the next ones in turn:
+# the list lags, and the first two may long be gone.
+CONTACTS_TRIED = 2
+CONTACT_TURN_S = 10.0
 
 LinkFactory = Callable[[ListedVm], PeerLink]
 
@@ -61,8 +65,13 @@
 
     async def on_start(self) -> None:
         """Dial the seeds, so that a VM can join while the platform is out of reach."""
+        await self._dial_seeds()
+
+    async def _dial_seeds(self) -> None:
         for seed in self._seeds:
-            await self._open(ListedVm(vm=SEED_PREFIX + seed, peer_address=seed))
+            name = SEED_PREFIX + seed
+            if name not in self.links:
+                await self._open(ListedVm(vm=name, peer_address=seed))
 
     @Service.task
     async def _review_all(self) -> None:
@@ -74,6 +83,10 @@
     async def review(self) -> None:
         """Open the links that are wanted and close the others."""
         now = now_unix_s()
+        self._name_seeds()
+        # After a long cut all peers are forgotten; without the seeds nobody would be asked again.
+        if not self.reachable():
+            await self._dial_seeds()
         wanted = self._wanted(now)
         for vm, peer in wanted.items():
             if vm not in self.links:
@@ -82,7 +95,16 @@
             await self._close(vm)
         for vm in self._view.suspects(now):
             self._heartbeats.forget(vm)
-        self._view.forget(now)
+        for vm in self._view.forget(now):
+            self._heartbeats.forget_for_good(vm)
+            self._exchange.forget(vm)
+
+    def _name_seeds(self) -> None:
+        """Keep a seed's link under the name of the VM that answered on it."""
+        for key in [each for each in self.links if each.startswith(SEED_PREFIX)]:
+            vm = self.links[key].peer.vm
+            if vm != key and vm not in self.links:
+                self.links[vm] = self.links.pop(key)
 
     async def link_to(self, member: Member) -> PeerLink:
         """Return a link to a peer, opening it for a while where none is kept."""
@@ -140,9 +162,7 @@
             if not self._relays_to(region, now):
                 continue
             live = relays(self._view, region, self._view.own_region, now_unix_s=now)
-            chosen = [_listed(member) for member in live] or [
-                peer for peer in known.values() if peer.region == region
-            ][:2]
+            chosen = [_listed(member) for member in live] or _contacts_in_turn(known, region, now)
             wanted.update({peer.vm: peer for peer in chosen})
         return wanted
 
@@ -152,8 +172,8 @@
 
     def _is_kept(self, vm: str, wanted: dict[str, ListedVm], now: float) -> bool:
         if vm.startswith(SEED_PREFIX):
-            # A seed's link gives way once the same VM is linked under its own name.
-            return self.links[vm].peer.vm not in wanted
+            name = self.links[vm].peer.vm
+            return name == vm or name not in self.links
         return vm in wanted or now < self._on_demand_until_unix_s.get(vm, 0.0)
 
     async def _open(self, peer: ListedVm) -> PeerLink:
@@ -163,7 +183,11 @@
         return link
 
     async def _close(self, vm: str) -> None:
-        link = self.links.pop(vm)
+        # Joining reviews too: while one review waits here, the other may close or rename the link.
+        # Without this check the daemon crashed at its start.
+        link = self.links.pop(vm, None)
+        if link is None:
+            return
         self._on_demand_until_unix_s.pop(vm, None)
         await self.remove_dependency(link)
         await link.stop()
@@ -171,9 +195,9 @@
     def _on_applied(self, name: str, source: str) -> None:
         if name == VMS:
             self._view.observe_listed(_listed_vms(self._published))
-        if not self._exchange.is_first_hand(source):
-            return
         for vm, link in self.links.items():
+            if not self._exchange.passes_on(source, link.peer.region):
+                continue
             delta = self._exchange.fresh_delta_for(name, vm)
             if delta is not None:
                 link.send(delta)
@@ -186,6 +210,12 @@
             self._observe(PauseNoticed(gap_s))
 
 
+def _contacts_in_turn(known: dict[str, ListedVm], region: str, now: float) -> list[ListedVm]:
+    contacts = [peer for peer in known.values() if peer.region == region]
+    start = int(now / CONTACT_TURN_S) * CONTACTS_TRIED % len(contacts)
+    return (contacts + contacts)[start : start + min(CONTACTS_TRIED, len(contacts))]
+
+
 def _listed(member: Member) -> ListedVm:
     return ListedVm(
         vm=member.vm,
--- a/src/pomelobarrow/platform/keyspaces.py
+++ b/src/pomelobarrow/platform/keyspaces.py
@@ -9,7 +9,7 @@
 
 from pomelobarrow.decision.configuration import Configuration
 from pomelobarrow.decision.configuration_check import ConfigurationChecker
-from pomelobarrow.decision.keyspace import ApplyResult, Change, KeyspaceCopy
+from pomelobarrow.decision.keyspace import ApplyResult, Change, Delta, KeyspaceCopy
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.platform.events import KeyspaceApplied, KeyspaceRefused
@@ -64,6 +64,13 @@
             self._put_in_force(name, source)
         return result
 
+    def apply_in_force(self, delta: Delta, source: str) -> ApplyResult:
+        """Put a peer's values in force while a later revision stays refused here."""
+        result = self.copies[delta.name].apply_in_force(delta)
+        if result.applied:
+            self._put_in_force(delta.name, source)
+        return result
+
     def _check_configuration(
         self, values: Mapping[str, Any], changed: frozenset[str], revision: int
     ) -> tuple[str, ...]:
