Add the load tool

Cause: measurements need callers that send at a given rate, however late answers are, and that check each answer whole.

Ruled out: counting from the moment of sending, which hides the wait behind a stalled loop; a fixed number of callers that wait for their answers, which slows the rate under overload.

Conclusion: tried against a fake entry only; a run against daemons is still to come.

--- a/src/pomelobarrow/standin/commands.py
+++ b/src/pomelobarrow/standin/commands.py
@@ -10,7 +10,7 @@
 from cleo.helpers import option
 from cleo.io.inputs.option import Option
 
-from pomelobarrow.standin import engine, fault_proxy, platform_server, service
+from pomelobarrow.standin import engine, fault_proxy, load, platform_server, service
 
 Main = Callable[[Any], Coroutine[Any, Any, None]]
 EXIT_USAGE = 2
@@ -99,9 +99,19 @@
     options = cleo_options(program.options_class)
 
 
+class StandinLoadCommand(StandinCommand):
+    """Run the load tool."""
+
+    name = "standin load"
+    description = "Send requests to entry VMs and sum up what came back"
+    program = Program(load.LoadOptions, load.main)
+    options = cleo_options(program.options_class)
+
+
 COMMANDS: list[type[Command]] = [
     StandinPlatformCommand,
     StandinEngineCommand,
     StandinServiceCommand,
     StandinProxyCommand,
+    StandinLoadCommand,
 ]
--- /dev/null
+++ b/src/pomelobarrow/standin/load_entries.py
@@ -0,0 +1,68 @@
+"""Keep what the entry VMs told a caller: which of them to use, and issued request ids."""
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Mapping
+from typing import Any
+
+import aiohttp
+from attrs import define, field
+
+from pomelobarrow.standin.load_results import parse_object
+
+DISCOVERY_TIMEOUT = aiohttp.ClientTimeout(total=2.0)
+
+
+class NoEntryError(ConnectionError):
+    """Tell that no entry VM answered; start one or name another with --entry."""
+
+
+@define(kw_only=True)
+class EntryBook:
+    """Hold one class's entries, best first, until they are no longer good."""
+
+    session: aiohttp.ClientSession
+    class_name: str
+    token: str
+    known_addresses: tuple[str, ...]
+    addresses: list[str] = field(factory=list)
+    request_ids: deque[str] = field(factory=deque)
+    good_until_unix_s: float = 0.0
+    _refreshing: asyncio.Lock = field(factory=asyncio.Lock)
+
+    async def best(self, needs_id: bool) -> tuple[str, str]:
+        """Return the entry to use, and a request id if one is needed."""
+        async with self._refreshing:
+            if time.time() >= self.good_until_unix_s or (needs_id and not self.request_ids):
+                await self._refresh()
+        request_id = self.request_ids.popleft() if needs_id and self.request_ids else ""
+        return self.addresses[0], request_id
+
+    def drop(self, address: str) -> None:
+        """Use another entry from now on, after one wasn't reached."""
+        self.addresses = [other for other in self.addresses if other != address]
+        if not self.addresses:
+            self.good_until_unix_s = 0.0
+
+    async def _refresh(self) -> None:
+        for address in dict.fromkeys((*self.addresses, *self.known_addresses)):
+            if answer := await self._ask(address):
+                self.addresses = [entry["address"] for entry in answer["entries"]] or [address]
+                self.request_ids = deque(answer.get("request_ids", ()))
+                self.good_until_unix_s = float(answer["good_until_unix_s"])
+                return
+        raise NoEntryError(f"no entry VM told its list for class {self.class_name}")
+
+    async def _ask(self, address: str) -> Mapping[str, Any]:
+        url = f"http://{address}/v1/entries"
+        try:
+            async with self.session.get(
+                url,
+                params={"class": self.class_name},
+                headers={"Authorization": f"Bearer {self.token}"},
+                timeout=DISCOVERY_TIMEOUT,
+            ) as response:
+                return parse_object(await response.read()) if response.status == 200 else {}
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return {}
--- /dev/null
+++ b/src/pomelobarrow/standin/load_results.py
@@ -0,0 +1,110 @@
+"""Judge answers and sum a load run up."""
+
+import enum
+import math
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import orjson
+from attrs import define, field
+
+from pomelobarrow.standin.answer import expected_answer
+
+PERCENTILES = (50, 95, 99)
+DONE = b"[DONE]"
+DATA_PREFIX = b"data: "
+
+
+class Outcome(enum.Enum):
+    """Say what the caller knows of its request."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    # No entry VM could be reached, so nothing was sent.
+    UNREACHED = "unreached"
+    # Looks whole, but isn't the answer to this request.
+    WRONG = "wrong"
+
+
+OUTCOME_BY_RUN = {"no": Outcome.REFUSED, "unknown": Outcome.UNKNOWN}
+
+
+@define
+class ClassResults:
+    """Count one class's outcomes and keep the times of its answered requests."""
+
+    outcomes: Counter[Outcome] = field(factory=Counter)
+    kinds: Counter[str] = field(factory=Counter)
+    first_byte_s: list[float] = field(factory=list)
+    end_s: list[float] = field(factory=list)
+
+    def payload(self) -> dict[str, Any]:
+        """Build the class's part of the summary."""
+        return {
+            "sent": self.outcomes.total(),
+            **{outcome.value: self.outcomes[outcome] for outcome in Outcome},
+            "problem_kinds": dict(self.kinds),
+            "first_byte_s": percentiles(self.first_byte_s),
+            "end_s": percentiles(self.end_s),
+        }
+
+
+def percentiles(values: Iterable[float]) -> dict[str, float]:
+    """Return the nearest-rank percentiles; none of no values."""
+    ordered = sorted(values)
+    if not ordered:
+        return {}
+    return {
+        f"p{percent}": round(ordered[math.ceil(len(ordered) * percent / 100) - 1], 6)
+        for percent in PERCENTILES
+    }
+
+
+def parse_object(data: bytes) -> dict[str, Any]:
+    """Parse a JSON object; anything else counts as an empty one."""
+    try:
+        parsed = orjson.loads(data)
+    except orjson.JSONDecodeError:
+        return {}
+    return parsed if isinstance(parsed, dict) else {}
+
+
+def judge_chat(
+    body: Mapping[str, Any], status: int, content_type: str, answer: bytes
+) -> tuple[Outcome, str]:
+    """Judge the answer to a chat request; a problem's kind comes with it."""
+    events = _events(answer) if content_type == "text/event-stream" else [answer]
+    parsed = [parse_object(event) for event in events]
+    problem = next((item for item in parsed if "kind" in item), None)
+    if status != 200 or problem:
+        return _judge_problem(problem or {})
+    if content_type == "text/event-stream" and (not events or events[-1] != DONE):
+        return Outcome.UNKNOWN, "broken_off"
+    text = "".join(_text(item) for item in parsed)
+    return (Outcome.ANSWERED if text == expected_answer(body) else Outcome.WRONG), ""
+
+
+def judge_service(body: Mapping[str, Any], status: int, answer: bytes) -> tuple[Outcome, str]:
+    """Judge the answer of a plain service, which echoes the body."""
+    parsed = parse_object(answer)
+    if status != 200:
+        return _judge_problem(parsed)
+    return (Outcome.ANSWERED if parsed == body else Outcome.WRONG), ""
+
+
+def _judge_problem(problem: Mapping[str, Any]) -> tuple[Outcome, str]:
+    run = str(problem.get("run", "unknown"))
+    return OUTCOME_BY_RUN.get(run, Outcome.UNKNOWN), str(problem.get("kind", "not_a_problem"))
+
+
+def _events(answer: bytes) -> list[bytes]:
+    lines = answer.split(b"\n")
+    return [line.removeprefix(DATA_PREFIX) for line in lines if line.startswith(DATA_PREFIX)]
+
+
+def _text(payload: Mapping[str, Any]) -> str:
+    choice: Mapping[str, Any] = next(iter(payload.get("choices") or ()), {})
+    part = choice.get("delta") or choice.get("message") or {}
+    return str(part.get("content") or "")
