Let every answer leave the process before a planned stop ends it

Cause: work counted as ended once its last bytes were in a transport's buffer. The exit dropped that buffer, so a slow reader missed the answer's end; a request whose body was still coming was cut; a forward that arrived after the idle check began and was cut; a fresh issued id met at its stopping issuer was answered "unknown" although nothing had run; one stopping VM made its whole region count as unreachable. Change: a `close` hook after `drain`: close the listener, answer what is still on its way with a refusal that closes the connection, wait for the handlers and for empty transports. A request is turned away after its body too; forwards are refused unrun while draining, which leaves out the VM and not its region. An unused id is "run: no" until the hand-over begins. A second SIGTERM still ends all of this at once. Ruled out: a fixed time before the exit (cuts slow readers, holds up the others); closing idle connections first (resets the request that crosses the close).

--- a/src/pomelobarrow/callers/gateway.py
+++ b/src/pomelobarrow/callers/gateway.py
@@ -125,17 +125,28 @@
         checked = self.check_headers(request.headers, configuration)
         if isinstance(checked, Err):
             return self._refused(checked.err_value, started_unix_s)
-        if self.is_draining() and checked.ok_value.key is None:
-            return problem_response(refuse(Kind.DRAINING, Run.NO, "this VM is stopping"))
+        if self._must_go_elsewhere(checked.ok_value):
+            return self._refused(self._stopping(), started_unix_s)
         try:
             body = await request.read()
         except web.HTTPRequestEntityTooLarge:
             return self._refused(self._too_large(request), started_unix_s)
+        # The stop may have been asked for while the body came. Started now, the request would
+        # hold the stop up, or begin after everything else was found idle and be cut off.
+        if self._must_go_elsewhere(checked.ok_value):
+            return self._refused(self._stopping(), started_unix_s)
         built = build(request, checked.ok_value, configuration, body)
         if isinstance(built, Err):
             return self._refused(built.err_value, started_unix_s)
         return await self._answer(request, built.ok_value, checked.ok_value.account)
 
+    def _must_go_elsewhere(self, checked: Checked) -> bool:
+        """Tell whether new work is turned away; a repeat can still learn its outcome here."""
+        return self.is_draining() and checked.key is None
+
+    def _stopping(self) -> Refusal:
+        return refuse(Kind.DRAINING, Run.NO, "this VM is stopping")
+
     async def _answer(
         self, request: web.Request, gateway_request: GatewayRequest, account: Account
     ) -> web.StreamResponse:
--- a/src/pomelobarrow/callers/plugin.py
+++ b/src/pomelobarrow/callers/plugin.py
@@ -1,7 +1,8 @@
 """The callers' plug-in: the HTTP server and its routes."""
 
+from collections.abc import Awaitable
+
 from aiohttp import web
-from mode import Service
 from result import Err
 
 from pomelobarrow.callers import parsing
@@ -9,6 +10,7 @@
 from pomelobarrow.callers.gateway import CallerGateway
 from pomelobarrow.callers.operations import Operations, json_response
 from pomelobarrow.callers.problems import problem_response
+from pomelobarrow.callers.server import CallerServer
 from pomelobarrow.decision.errors import Kind, Run
 from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.request_ids import RequestIdLedger
@@ -20,44 +22,6 @@
 from pomelobarrow.peers.region_loads import RegionLoads
 from pomelobarrow.platform.keyspaces import PublishedState
 
-MAX_HEADER_BYTES = 16 << 10
-KEEPALIVE_S = 75.0
-SHUTDOWN_TIMEOUT_S = 1.0
-
-
-class CallerServer(Service):
-    """Listen for callers."""
-
-    def __init__(self, context: Context) -> None:
-        super().__init__()
-        self._context = context
-        self._runner: web.AppRunner | None = None
-
-    async def on_start(self) -> None:
-        """Open the listening socket with the routes of all plug-ins."""
-        settings = self._context.settings.callers
-        app = web.Application(client_max_size=settings.max_body_bytes)
-        for routes in self._context.hooks.hook.routes(context=self._context):
-            app.add_routes(routes)
-        # Without handler_cancellation an answer goes on for a caller that has left, and its
-        # engine's slot stays taken.
-        self._runner = web.AppRunner(
-            app,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=KEEPALIVE_S,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-            max_field_size=MAX_HEADER_BYTES,
-        )
-        await self._runner.setup()
-        host, _, port = settings.listen.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port), reuse_address=True).start()
-
-    async def on_stop(self) -> None:
-        """Close the listening socket and idle connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
-
 
 @hookimpl
 def provide_parts(context: Context) -> None:
@@ -65,12 +29,19 @@
     context.provide(Operations, _operations)
     context.provide(CallerGateway, _gateway)
     context.provide(EntryDirectory, _directory)
+    context.provide(CallerServer, CallerServer)
 
 
 @hookimpl
 def services(context: Context) -> list[PhasedService]:
     """Serve callers last, once everything else runs."""
-    return [PhasedService(StartPhase.CALLERS, CallerServer(context))]
+    return [PhasedService(StartPhase.CALLERS, context.get(CallerServer))]
+
+
+@hookimpl
+def close(context: Context) -> Awaitable[None]:
+    """Close the callers' sockets once every answer has left."""
+    return context.get(CallerServer).close()
 
 
 @hookimpl
--- a/src/pomelobarrow/dispatch/claims.py
+++ b/src/pomelobarrow/dispatch/claims.py
@@ -39,6 +39,8 @@
     ledger: RequestIdLedger
     dispatcher: Dispatcher
     rng: Random = field(factory=Random)
+    # Set before the ids are sent to a successor: from then on it may run them.
+    is_handing_over: bool = False
     _running: set["asyncio.Task[Refusal | None]"] = field(factory=set)
 
     async def dispatch(self, request: GatewayRequest, sink: AnswerSink) -> Refusal | None:
@@ -169,7 +171,8 @@
         self, claim: Claim, request: GatewayRequest, sink: AnswerSink
     ) -> Refusal | None:
         detail = "the VM that issued the id is stopping; this id was not used here"
-        return refuse(Kind.DRAINING, Run.UNKNOWN, detail, remedy=REMEDY_NEW_ID)
+        run = Run.UNKNOWN if self.is_handing_over else Run.NO
+        return refuse(Kind.DRAINING, run, detail, remedy=REMEDY_NEW_ID)
 
     def _issuer_gone(self, detail: str = "") -> Refusal:
         text = "the VM that issued the id can't be asked whether it ran"
--- a/src/pomelobarrow/dispatch/dispatcher.py
+++ b/src/pomelobarrow/dispatch/dispatcher.py
@@ -59,7 +59,10 @@
         self.last_refusal = result.refusal or self.last_refusal
         if result.peer:
             self.bad_peers.add(result.peer)
-            self.bad_regions.add(region)
+            # One VM that stops says nothing of its region: left out, home-bound work would be
+            # refused although the VM next to it takes it.
+            if result.refusal is None or result.refusal.kind is not Kind.DRAINING:
+                self.bad_regions.add(region)
         elif result.server:
             self.bad_servers.add(result.server)
 
--- a/src/pomelobarrow/kernel/daemon.py
+++ b/src/pomelobarrow/kernel/daemon.py
@@ -70,11 +70,17 @@
 async def _drain(context: Context, stop_now: asyncio.Event) -> None:
     log.info("draining", vm=context.settings.vm)
     context.is_draining = True
-    drains = context.hooks.hook.drain(context=context)
-    await _first(_all(drains), stop_now.wait())
+    await _first(_finish(context), stop_now.wait())
     log.info("drained", vm=context.settings.vm, at_once=stop_now.is_set())
 
 
+async def _finish(context: Context) -> None:
+    """Let the work in progress end, then let the answers leave the sockets."""
+    await _all(context.hooks.hook.drain(context=context))
+    log.info("closing", vm=context.settings.vm)
+    await _all(context.hooks.hook.close(context=context))
+
+
 def _services(context: Context) -> list[PhasedService]:
     return [each for part in context.hooks.hook.services(context=context) for each in part]
 
--- a/src/pomelobarrow/kernel/hooks.py
+++ b/src/pomelobarrow/kernel/hooks.py
@@ -69,6 +69,10 @@
     def drain(self, context: "Context") -> Any:
         """Return an awaitable that ends once this plug-in has let its work finish."""
 
+    @hookspec
+    def close(self, context: "Context") -> Any:
+        """Return an awaitable that ends once all that was answered has left the sockets."""
+
     @hookspec
     def observe(self, event: object) -> None:
         """Take note of a typed event, such as a finished request."""
--- a/src/pomelobarrow/peers/forward_server.py
+++ b/src/pomelobarrow/peers/forward_server.py
@@ -65,6 +65,7 @@
     configuration: Callable[[], Configuration | None]
     entry: EntryDispatch
     offsets: ClockOffsets
+    is_draining: Callable[[], bool] = lambda: False
     _tasks: dict[tuple[str, str], "asyncio.Task[Refusal | None]"] = field(factory=dict)
     _cancelled_until_unix_s: dict[tuple[str, str], float] = field(factory=dict)
     _seen: dict[tuple[str, str], float] = field(factory=dict)
@@ -116,6 +117,10 @@
                 del self._tasks[key]
 
     def _request(self, message: pb.ForwardRequest, vm: str) -> GatewayRequest | Refusal:
+        # The entry VM sent it before it heard of the stop. Begun after everything here was found
+        # idle, it would be cut off and its outcome lost; refused unrun, it goes elsewhere.
+        if self.is_draining() and not message.is_claim:
+            return refuse(Kind.DRAINING, Run.NO, "this VM is stopping")
         configuration = self.configuration()
         work_class = configuration.classes.get(message.class_name) if configuration else None
         if work_class is None:
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -7,6 +7,7 @@
 from pomelobarrow.decision.limits import AccountLimits
 from pomelobarrow.decision.membership import ListedVm, Member, MembershipView, Phase
 from pomelobarrow.decision.request_ids import RequestIdLedger
+from pomelobarrow.dispatch.claims import ClaimedDispatch
 from pomelobarrow.dispatch.entry import EntryDispatch
 from pomelobarrow.dispatch.forwarder import Forwarder
 from pomelobarrow.dispatch.local import LocalDispatch
@@ -42,21 +43,14 @@
     context.provide(Forwarder, _forwarder)  # type: ignore[type-abstract]
     context.provide(ForwardServer, _forward_server)
     context.provide(Joining, _joining)
+    context.provide(PeerServer, _server)
 
 
 @hookimpl
 def services(context: Context) -> list[PhasedService]:
     """Serve peers and keep links to them."""
-    handlers = PeerHandlers(
-        context=context,
-        keys=context.get(PeerKeys),
-        exchange=context.get(Exchange),
-        heartbeats=context.get(Heartbeats),
-        forwards=context.get(ForwardServer),
-        ledger=context.get(RequestIdLedger),
-    )
     return [
-        PhasedService(StartPhase.PEERS, PeerServer(context, handlers)),
+        PhasedService(StartPhase.PEERS, context.get(PeerServer)),
         PhasedService(StartPhase.PEERS, context.get(PeerTable)),
         PhasedService(StartPhase.BACKENDS, context.get(Joining)),
     ]
@@ -91,6 +85,12 @@
     return _drain(context)
 
 
+@hookimpl
+def close(context: Context) -> Awaitable[None]:
+    """Let the answers to peers leave."""
+    return context.get(PeerServer).close()
+
+
 async def _drain(context: Context) -> None:
     table, ledger = context.get(PeerTable), context.get(RequestIdLedger)
     ledger.retire()
@@ -103,6 +103,7 @@
     own = context.get(MembershipView).own
     successor = _successor(context)
     issuers: tuple[tuple[str, int], ...] = ()
+    context.get(ClaimedDispatch).is_handing_over = True
     if successor is not None:
         link = await table.link_to(successor)
         issuers = await hand_over(ledger, own, link, context.get(PeerKeys))
@@ -197,7 +198,20 @@
         configuration=lambda: context.get(PublishedState).configuration,
         entry=context.get(EntryDispatch),
         offsets=context.get(ClockOffsets),
+        is_draining=lambda: context.is_draining,
+    )
+
+
+def _server(context: Context) -> PeerServer:
+    handlers = PeerHandlers(
+        context=context,
+        keys=context.get(PeerKeys),
+        exchange=context.get(Exchange),
+        heartbeats=context.get(Heartbeats),
+        forwards=context.get(ForwardServer),
+        ledger=context.get(RequestIdLedger),
     )
+    return PeerServer(context, handlers)
 
 
 def _joining(context: Context) -> Joining:
--- a/src/pomelobarrow/peers/server.py
+++ b/src/pomelobarrow/peers/server.py
@@ -1,7 +1,8 @@
 """Serve the other entry VMs."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 
 import structlog
 from grpclib.const import Status
@@ -10,6 +11,7 @@
 from mode import Service
 
 from pomelobarrow.decision.request_ids import RequestIdLedger
+from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.events import PeerRefused
@@ -20,6 +22,11 @@
 from pomelobarrow.peers.keys import PeerKeys
 from pomelobarrow.peers.peers_grpc import PeerBase
 
+CLOSE_POLL_S = 0.02
+# A forward sent before its sender heard of the stop is still on its way.
+LAST_REFUSALS_S = 0.25
+# Once all work has ended, a call that stays open belongs to a peer that fell silent.
+CLOSE_TIMEOUT_S = 5.0
 SERVICE_PATH = "/pomelobarrow.peers.v1.Peer/"
 
 log = structlog.get_logger(__name__)
@@ -44,6 +51,13 @@
         self._heartbeats = heartbeats
         self._forwards = forwards
         self._ledger = ledger
+        self._open_calls = 0
+
+    async def wait_until_answered(self) -> None:
+        """Return once no call but the exchange of heartbeats is open, or its peer is silent."""
+        until_unix_s = now_unix_s() + CLOSE_TIMEOUT_S
+        while self._open_calls and now_unix_s() < until_unix_s:
+            await asyncio.sleep(CLOSE_POLL_S)
 
     async def Exchange(self, stream: Stream[pb.PeerMessage, pb.PeerMessage]) -> None:  # noqa: N802
         """Take a peer's messages and answer each heartbeat."""
@@ -62,15 +76,19 @@
         self, stream: Stream[pb.ForwardRequest, pb.ForwardEvent]
     ) -> None:
         """Run a request here or refuse it."""
-        await self._forwards.forward(stream, self._peer(stream.metadata, "Forward"))
+        vm = self._peer(stream.metadata, "Forward")
+        with self._counted():
+            await self._forwards.forward(stream, vm)
+            await _flush(stream)
 
     async def Cancel(self, stream: Stream[pb.CancelRequest, pb.CancelReply]) -> None:  # noqa: N802
         """Drop a forwarded request."""
         vm = self._peer(stream.metadata, "Cancel")
-        message = await stream.recv_message()
-        if message is not None:
-            outcome = self._forwards.cancel(message, vm)
-            await stream.send_message(pb.CancelReply(outcome=outcome))
+        with self._counted():
+            message = await stream.recv_message()
+            if message is not None:
+                outcome = self._forwards.cancel(message, vm)
+                await stream.send_message(pb.CancelReply(outcome=outcome))
 
     async def HandOver(  # noqa: N802
         self, stream: Stream[pb.HandOverRequest, pb.HandOverReply]
@@ -82,6 +100,14 @@
             accepted = not self._context.is_draining and adopt_message(self._ledger, message)
             await stream.send_message(pb.HandOverReply(accepted=accepted))
 
+    @contextmanager
+    def _counted(self) -> Iterator[None]:
+        self._open_calls += 1
+        try:
+            yield
+        finally:
+            self._open_calls -= 1
+
     def _peer(self, metadata: Mapping[str, object] | None, method: str) -> str:
         path = SERVICE_PATH + method
         vm = self._keys.caller_vm(metadata or {}, path)
@@ -100,6 +126,7 @@
     def __init__(self, context: Context, handlers: PeerHandlers) -> None:
         super().__init__()
         self._listen = context.settings.peers.listen
+        self._handlers = handlers
         self._server = Server([handlers])
 
     async def on_start(self) -> None:
@@ -107,6 +134,11 @@
         host, _, port = self._listen.rpartition(":")
         await self._server.start(host, int(port))
 
+    async def close(self) -> None:
+        """Refuse what is still on its way; return once every answer has left this process."""
+        await asyncio.sleep(LAST_REFUSALS_S)
+        await self._handlers.wait_until_answered()
+
     async def on_stop(self) -> None:
         """Close the listening socket and the streams."""
         self._server.close()
@@ -118,3 +150,11 @@
 ) -> None:
     while True:
         await stream.send_message(await outbox.get())
+
+
+async def _flush(stream: Stream[pb.ForwardRequest, pb.ForwardEvent]) -> None:
+    """Return once the transport is empty: what it still holds is lost when the process ends."""
+    # grpclib has no public way to the transport.
+    transport = stream.peer._transport if stream.peer else None
+    while transport and transport.get_write_buffer_size() and not transport.is_closing():
+        await asyncio.sleep(CLOSE_POLL_S)
--- /dev/null
+++ b/tests/test_proof_planned_stop.py
@@ -0,0 +1,383 @@
+"""Point 8: a planned stop cuts off nothing in progress."""
+
+import asyncio
+import json
+import socket
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+from attrs import define
+from callers import Reply, call_service, chat, chat_body, entries, request_ids, wait_until
+from proof_report import Figure
+
+from harness.fleet import Fleet
+
+STREAM_TOKENS = 400
+EXIT_TIMEOUT_S = 40.0
+SLOW_READER_ROOM_BYTES = 16 << 10
+LARGEST_ANSWER_BYTES = 7 << 20
+BUFFER_STEP_BYTES = 16 << 10
+BUFFER_PROBE_S = 0.5
+
+
+class Held:
+    """Hold long streams that have begun."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.tasks: list[asyncio.Task[Reply]] = []
+        self._begun: list[asyncio.Event] = []
+
+    def start(self, vm: str, account: str, class_name: str, model: str, **headers: str) -> None:
+        """Send one long stream to an entry VM."""
+        begun = asyncio.Event()
+        body = chat_body(model, STREAM_TOKENS, "Read this lockfile. " * 40)
+        address = self.fleet.entries[vm].advertised_caller
+        sending = chat(self.fleet, address, account, class_name, body, begun.set, **headers)
+        task = asyncio.create_task(sending)
+        task.add_done_callback(lambda _: begun.set())
+        self.tasks.append(task)
+        self._begun.append(begun)
+
+    async def wait_begun(self) -> None:
+        """Return once every stream has brought its first token or ended."""
+        await asyncio.gather(*(begun.wait() for begun in self._begun))
+
+    async def replies(self) -> list[Reply]:
+        """Return all replies."""
+        return list(await asyncio.gather(*self.tasks))
+
+
+class Callers:
+    """Hold callers that go on asking the system which entry VM to use."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.replies: list[Reply] = []
+        self.turned_away = 0
+        self._going = True
+
+    async def keep_sending(self, region: str) -> None:
+        """Send short requests one after the other, each until it is answered."""
+        account = f"paying-{region}"
+        async with aiohttp.ClientSession() as session:
+            while self._going:
+                self.replies.append(await self._until_answered(session, account))
+
+    def stop(self) -> None:
+        """Let each caller finish its last request."""
+        self._going = False
+
+    async def _until_answered(self, session: aiohttp.ClientSession, account: str) -> Reply:
+        body = chat_body("note-small", 8)
+        for address in await self._addresses(account):
+            reply = await chat(
+                self.fleet, address, account, "changelog-note", body, session=session
+            )
+            if reply.run != "no" and "ClientConnectorError" not in reply.error:
+                return reply
+            self.turned_away += 1
+        return reply
+
+    async def _addresses(self, account: str) -> list[str]:
+        for plan in self.fleet.entries.values():
+            try:
+                answer = await entries(
+                    self.fleet, plan.advertised_caller, account, "changelog-note"
+                )
+            except (aiohttp.ClientError, OSError, ValueError):
+                continue
+            if "entries" in answer:
+                return [each["address"] for each in answer["entries"]]
+        raise AssertionError("no entry VM answered")
+
+
+@asynccontextmanager
+async def steady_callers(fleet: Fleet) -> AsyncIterator[Callers]:
+    """Keep two callers of each region busy."""
+    callers = Callers(fleet)
+    regions = fleet.deployment.regions * 2
+    tasks = [asyncio.create_task(callers.keep_sending(region)) for region in regions]
+    try:
+        yield callers
+    finally:
+        callers.stop()
+        await asyncio.gather(*tasks)
+
+
+async def wait_for_exit(fleet: Fleet, vm: str) -> int:
+    """Return the exit code of a process that ends."""
+    process = fleet.processes.running[vm]
+
+    async def has_ended() -> bool:
+        return process.poll() is not None
+
+    await wait_until(has_ended, EXIT_TIMEOUT_S)
+    return fleet.processes.wait(vm, 1.0)
+
+
+async def seconds_until_unlisted(fleet: Fleet, vm: str, neighbour: str) -> float:
+    """Return how long another VM of the region goes on listing this one."""
+    started_s = time.monotonic()
+    plan = fleet.entries[vm]
+
+    async def is_unlisted() -> bool:
+        answer = await entries(
+            fleet, fleet.direct(neighbour), f"paying-{plan.region}", "changelog-note"
+        )
+        return vm not in [each["vm"] for each in answer["entries"]]
+
+    await wait_until(is_unlisted)
+    return time.monotonic() - started_s
+
+
+@define
+class SlowReader:
+    """Hold a caller that has asked for its own bytes back and reads none of them yet."""
+
+    marker: str
+    answer_bytes: int
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    async def read_answer(self) -> bytes:
+        """Read the answer's body to its end."""
+        await self.reader.readuntil(b"\r\n\r\n")
+        return await self.reader.read()
+
+
+async def ask_without_reading(fleet: Fleet, vm: str, answer_bytes: int) -> SlowReader:
+    """Ask for an answer of so many bytes, with little room for what was not read yet."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READER_ROOM_BYTES)
+    sock.connect(("127.0.0.1", fleet.entries[vm].caller_port))
+    reader, writer = await asyncio.open_connection(sock=sock, limit=SLOW_READER_ROOM_BYTES)
+    marker = f"slow-{time.monotonic()}"
+    more = {"Content_Length": str(answer_bytes), "X_Marker": marker}
+    headers = fleet.headers("paying-milan", "status-check", **more)
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    start = f"POST /services/webhooks/x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n{lines}\r\n"
+    writer.write(start.encode() + b"x" * answer_bytes)
+    return SlowReader(marker, answer_bytes, reader, writer)
+
+
+async def is_passed_on(fleet: Fleet, vm: str, slow: SlowReader) -> bool:
+    """Tell whether the gateway gets rid of an answer that is not read."""
+
+    async def is_idle() -> bool:
+        ended = [run["marker"] for run in await fleet.runs() if run["state"] == "finished"]
+        values = (await fleet.status(vm))["dispatch"]
+        return slow.marker in ended and not values["in_progress"]
+
+    try:
+        await wait_until(is_idle, BUFFER_PROBE_S)
+    except TimeoutError:
+        return False
+    return True
+
+
+async def ask_for_the_most(fleet: Fleet, vm: str) -> SlowReader:
+    """Ask for the largest answer that counts as given before any of it is read.
+
+    The sockets' buffers are full then, and its last bytes wait in the process.
+    """
+    least, most = 0, LARGEST_ANSWER_BYTES
+    while True:
+        middle = (least + most) // 2
+        slow = await ask_without_reading(fleet, vm, middle)
+        is_given = await is_passed_on(fleet, vm, slow)
+        if is_given and most - least <= BUFFER_STEP_BYTES:
+            return slow
+        slow.writer.close()
+        least, most = (middle, most) if is_given else (max(0, least - BUFFER_STEP_BYTES), middle)
+
+
+async def is_stopping(fleet: Fleet, vm: str) -> bool:
+    """Tell whether a VM has begun its planned stop."""
+    return '"draining"' in fleet.processes.log(vm)
+
+
+async def is_closing_or_gone(fleet: Fleet, vm: str) -> bool:
+    """Tell whether a stopping VM has found its work ended."""
+    has_ended = fleet.processes.running[vm].poll() is not None
+    return has_ended or '"closing"' in fleet.processes.log(vm)
+
+
+def hold_streams(fleet: Fleet, vm: str) -> Held:
+    """Start streams through a VM, passed on by it, and passed on to its region."""
+    regions = fleet.deployment.regions
+    region = fleet.entries[vm].region
+    other = regions[(regions.index(region) + 1) % len(regions)]
+    held = Held(fleet)
+    for _ in range(2):
+        held.start(vm, f"paying-{region}", "draft", "draft-large")
+        held.start(vm, f"paying-{other}", "draft", "draft-large")
+        for entry in fleet.in_region(other):
+            held.start(entry, f"paying-{region}", "draft", "draft-large")
+    return held
+
+
+@pytest.mark.proof
+async def test_rolling_replacement_cuts_nothing_off(rondinella: Fleet, figure: Figure) -> None:
+    # Callers read long drafts while every entry VM is stopped and started again in turn. Streams
+    # run on the stopping VM, from it to a peer, and from a peer to it; others keep asking which
+    # entry to use. A stop that closes too early shows as a stream without its end, a refusal that
+    # leaves the outcome open, or a reset connection.
+    fleet, replies, unlisted_s, stop_s = rondinella, [], [], []
+    async with steady_callers(fleet) as callers:
+        for vm, plan in fleet.entries.items():
+            held = hold_streams(fleet, vm)
+            await held.wait_begun()
+            neighbour = next(each for each in fleet.in_region(plan.region) if each != vm)
+            started_s = time.monotonic()
+            fleet.terminate(vm)
+            unlisted_s.append(await seconds_until_unlisted(fleet, vm, neighbour))
+            body = chat_body("note-small")
+            refused = await chat(
+                fleet, plan.advertised_caller, f"paying-{plan.region}", "changelog-note", body
+            )
+            assert (refused.status, refused.problem["kind"], refused.run) == (503, "draining", "no")
+            replies += await held.replies()
+            assert await wait_for_exit(fleet, vm) == 0
+            stop_s.append(time.monotonic() - started_s)
+            fleet.start_entry(vm)
+            await fleet.wait_ready(vm)
+    cut = [each for each in (*replies, *callers.replies) if not each.is_answered]
+    figure("daemons replaced", len(fleet.entries))
+    figure("long streams", len(replies))
+    figure("short requests", len(callers.replies))
+    figure("sent on to the next entry", callers.turned_away)
+    figure("not answered whole", len(cut))
+    figure("most seconds until unlisted", max(unlisted_s))
+    figure("most seconds of a stop", max(stop_s))
+    assert [(each.status, each.problem, each.error) for each in cut] == []
+
+
+@pytest.mark.proof
+async def test_ids_of_a_stopped_vm_are_answered_by_its_successor(
+    vasktoru: Fleet, figure: Figure
+) -> None:
+    # A trader sends a Quick Query under an issued id and the issuer is stopped while it runs.
+    # The answer still comes whole; after the stop its repeat at another VM gets that same answer
+    # and runs nothing, and an id that was not used yet runs once.
+    fleet, account = vasktoru, "paying-tallinn"
+    first_id, second_id, *_ = await request_ids(
+        fleet, fleet.direct("tallinn-1"), account, "quick-query"
+    )
+    begun = asyncio.Event()
+    body = chat_body("contract-reader", STREAM_TOKENS)
+
+    async def send(vm: str, key: str, body: dict[str, object]) -> Reply:
+        return await chat(
+            fleet,
+            fleet.direct(vm),
+            account,
+            "quick-query",
+            body,
+            begun.set,
+            Idempotency_Key=key,
+        )
+
+    running = asyncio.create_task(send("tallinn-1", first_id, body))
+    await begun.wait()
+    fleet.terminate("tallinn-1")
+    await wait_until(lambda: is_stopping(fleet, "tallinn-1"))
+    unused = chat_body("contract-reader")
+    for vm in ("tallinn-1", "tallinn-2"):
+        refused = await send(vm, second_id, unused)
+        assert (refused.status, refused.problem["kind"], refused.run) == (503, "draining", "no")
+    first = await running
+    assert first.is_answered
+    assert await wait_for_exit(fleet, "tallinn-1") == 0
+    for vm in ("tallinn-2", "rotterdam-1", "warsaw-2"):
+        repeat = await send(vm, first_id, body)
+        assert (repeat.text, repeat.is_whole) == (first.text, True)
+        fresh = await send(vm, second_id, unused)
+        assert fresh.is_answered
+    counts = [run["marker"] for run in await fleet.runs()]
+    figure("runs of the first id", counts.count(first.marker))
+    figure("runs of the unused id", counts.count(unused["metadata"]["marker"]))
+    assert counts.count(first.marker) == 1
+    assert counts.count(unused["metadata"]["marker"]) == 1
+
+
+@pytest.mark.proof
+async def test_requests_that_meet_the_stop_run_only_if_answered(
+    rondinella: Fleet, figure: Figure
+) -> None:
+    # Callers who haven't heard of the stop go on sending pings, which may not be doubled, on open
+    # connections until the stopping VM is gone. A connection that is reset tells a caller nothing,
+    # so it must only ever hit a ping that was not run; a refusal says so itself.
+    fleet, vm, replies = rondinella, "milan-1", list[Reply]()
+    address, path = fleet.direct(vm), "/services/webhooks/ping"
+
+    async def hammer() -> None:
+        while True:
+            reply = await call_service(fleet, address, "paying-milan", "webhook-ping", path)
+            if "ClientConnectorError" in reply.error:
+                return
+            replies.append(reply)
+
+    async def has_answered() -> bool:
+        return len(replies) > 100
+
+    held = hold_streams(fleet, vm)
+    hammers = [asyncio.create_task(hammer()) for _ in range(8)]
+    await held.wait_begun()
+    await wait_until(has_answered)
+    fleet.terminate(vm)
+    await asyncio.gather(*hammers)
+    assert await wait_for_exit(fleet, vm) == 0
+    ran = {run["marker"] for run in await fleet.runs()}
+    refused = [each for each in replies if each.problem]
+    reset = [each for each in replies if each.error]
+    figure("pings", len(replies))
+    figure("refused", len(refused))
+    figure("reset", len(reset))
+    figure("refused or reset but run", sum(each.marker in ran for each in (*refused, *reset)))
+    assert all(each.is_answered for each in await held.replies())
+    assert {each.run for each in refused} == {"no"}
+    assert not [each for each in (*refused, *reset) if each.marker in ran]
+
+
+@pytest.mark.proof
+async def test_a_slow_reader_gets_its_whole_answer(rondinella: Fleet, figure: Figure) -> None:
+    # A build server reads a large answer slowly. The gateway has all of it, and part of that still
+    # waits in the process when the stop is asked for; an exit then would cut the answer's end off.
+    fleet, vm = rondinella, "milan-1"
+    slow = await ask_for_the_most(fleet, vm)
+    fleet.terminate(vm)
+    await wait_until(lambda: is_closing_or_gone(fleet, vm))
+    read = await slow.read_answer()
+    figure("answer bytes", slow.answer_bytes)
+    figure("bytes missing", slow.answer_bytes - len(read))
+    assert len(read) == slow.answer_bytes
+    assert await wait_for_exit(fleet, vm) == 0
+
+
+@pytest.mark.proof
+async def test_a_request_still_being_sent_is_refused_not_cut(
+    rondinella: Fleet, figure: Figure
+) -> None:
+    # A caller is in the middle of sending a large repository when the stop is asked for. It has
+    # not run, and the caller must be told so rather than find its connection reset.
+    fleet, vm = rondinella, "milan-1"
+    reader, writer = await asyncio.open_connection(*fleet.direct(vm).split(":"))
+    body = json.dumps(chat_body("note-small")).encode()
+    headers = fleet.headers("paying-milan", "changelog-note", Content_Length=str(len(body)))
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    writer.write(f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n{lines}\r\n".encode())
+    writer.write(body[:-1])
+    await writer.drain()
+
+    fleet.terminate(vm)
+    await wait_until(lambda: is_stopping(fleet, vm))
+    writer.write(body[-1:])
+    answer = await reader.read()
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b'"run":"no"' in answer
+    assert await wait_for_exit(fleet, vm) == 0
+    figure("requests refused while being sent", 1)
