Plan one delivery at a time in the fault proxy

Cause: each chunk cancelled and made anew the timer of a delayed direction; one proxy serves a whole demo, so its CPU time per token counts.

Change: a chunk that comes while a delivery is planned only joins the queue.

Ruled out: one timer per chunk, which the loop may fire out of order at equal times.

--- a/src/pomelobarrow/standin/engine_routes.py
+++ b/src/pomelobarrow/standin/engine_routes.py
@@ -78,7 +78,8 @@
             engine.release(job)
 
     async def cancel(request: web.Request) -> web.Response:
-        return json_answer({"outcome": engine.cancel(request.match_info["id"])})
+        outcome = engine.cancel(request.match_info["id"])
+        return json_answer({"outcome": outcome, "uptime_s": engine.uptime_s()})
 
     async def load(request: web.Request) -> web.Response:
         return json_answer(report.published())
--- a/src/pomelobarrow/standin/engine_state.py
+++ b/src/pomelobarrow/standin/engine_state.py
@@ -40,6 +40,11 @@
     _numbers: int = 0
     _next_step_s: float = 0.0
     _is_stepping: bool = False
+    _started_s: float = field(factory=time.monotonic)
+
+    def uptime_s(self) -> float:
+        """Return how long this process has been there, by its own clock."""
+        return time.monotonic() - self._started_s
 
     def measure(self) -> dict[str, Any]:
         """Measure the load."""
--- a/src/pomelobarrow/standin/lane.py
+++ b/src/pomelobarrow/standin/lane.py
@@ -47,7 +47,9 @@
         due_at_s = max(asyncio.get_running_loop().time(), self.open_at_s) + self.delay_s
         self._pending.append((due_at_s, data))
         self._pending_bytes += len(data)
-        self.pump()
+        # With a delivery planned, what came before isn't due yet, and so neither is this.
+        if self._timer is None or self._pending_bytes > MAX_PENDING_BYTES:
+            self.pump()
 
     def set_held(self, held: bool) -> None:
         """Let nothing through, or go on with what waited."""
