Send a call once whatever its method, and believe "not run" only of a witness

(2) An engine killed and restarted after it ran a query says "not_run" in good faith when asked to cancel. (3) At the deadline the engine's "not_run" was thrown away. (4) A redirect was followed. (5) A stream that broke off more than three times was given up although each resume brought more. (6) Bytes after the end event were passed on. Change: a client middleware turns those errors into one on which aiohttp doesn't send again; the engine's cancel answer carries uptime_s, and not_run counts only from a process that was there when the request was sent (without the field never); the cancel's outcome is used at the deadline too; no redirects; only resumes that bring nothing count; the first end event ends the answer. Ruled out: clearing aiohttp's private _retry_connection; comparing Unix times of two machines. Conclusion: an engine that doesn't report its uptime gives "unknown" more often, never a wrong "no".

--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -32,6 +32,10 @@
 MAX_RESUMES = 3
 RESUME_PAUSE_S = 0.2
 MAX_WHOLE_ANSWER_BYTES = 16 << 20
+NOT_RUN = "not_run"
+UNKNOWN = "unknown"
+# Covers a step of this VM's clock between sending and asking.
+UPTIME_MARGIN_S = 1.0
 HEAD_STREAM = (("Content-Type", SERVER_SENT_EVENTS), ("Cache-Control", "no-cache"))
 HEAD_WHOLE = (("Content-Type", "application/json"),)
 LOST = (aiohttp.ClientError, TimeoutError, OSError)
@@ -51,6 +55,7 @@
     counter: EventCounter = field(factory=EventCounter)
     whole: WholeAnswer | None = None
     head_passed: bool = False
+    sent_unix_s: float = 0.0
 
     async def run(self) -> AttemptResult:
         """Run to an end; a cancelled caller cancels the engine's work too."""
@@ -60,11 +65,9 @@
             async with asyncio.timeout(self._remaining_s()):
                 return await self._send_and_relay()
         except TimeoutError:
-            await self._cancel()
-            return self._lost("the deadline passed")
+            return await self._give_up("the deadline passed")
         except TooLargeError as error:
-            await self._cancel()
-            return self._lost(str(error))
+            return await self._give_up(str(error))
         except (CallerGoneError, asyncio.CancelledError):
             await asyncio.shield(self._cancel())
             raise
@@ -86,6 +89,7 @@
             data=_streaming_body(self.request),
             headers=self._headers(),
             timeout=_timeout(),
+            allow_redirects=False,
             trace_request_ctx=self._about_to_send,
         ) as response:
             if response.status != 200:
@@ -122,14 +126,16 @@
 
     async def _resume_until_ended(self) -> AttemptResult:
         """Fetch the rest from the same engine; asking for events never runs anything again."""
-        for _ in range(MAX_RESUMES):
-            if self.counter.is_ended:
-                return await self._finish()
+        # Only resumes that bring nothing count: a long stream may break off many times.
+        fruitless = 0
+        while not self.counter.is_ended and fruitless < MAX_RESUMES:
+            events_before = self.counter.whole_events
             if not await self._resume():
                 break
+            fruitless = 0 if self.counter.whole_events > events_before else fruitless + 1
         if self.counter.is_ended:
             return await self._finish()
-        return await self._give_up()
+        return await self._give_up("the stream broke off and could not be resumed")
 
     async def _resume(self) -> bool:
         self.counter.drop_partial()
@@ -149,11 +155,13 @@
             await asyncio.sleep(RESUME_PAUSE_S)
             return True
 
-    async def _give_up(self) -> AttemptResult:
-        if await self._cancel() == "not_run" and self.attempt.state is AttemptState.SENT:
+    async def _give_up(self, reason: str) -> AttemptResult:
+        """End the attempt; only the engine's word that it never began makes it "not run"."""
+        outcome = await self._cancel()
+        if outcome == NOT_RUN and self.attempt.state is AttemptState.SENT:
             self.attempt.apply(AttemptEvent.CONFIRM_CANCELLED_UNRUN)
-            return self._result("cancelled before it ran")
-        return self._lost("the stream broke off and could not be resumed")
+            return self._result(f"{reason}; cancelled before it ran")
+        return self._lost(reason)
 
     async def _finish(self) -> AttemptResult:
         if self.whole is not None and not self.head_passed:
@@ -171,7 +179,7 @@
 
     async def _cancel(self) -> str:
         if self.attempt.state is AttemptState.NOT_SENT:
-            return "not_run"
+            return NOT_RUN
         path = f"/v1/requests/{self.request.work.request_id}"
         timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
         try:
@@ -179,9 +187,23 @@
                 self.sessions.url(self.server.address, path), timeout=timeout
             ) as response:
                 body = orjson.loads(await response.read())
-                return str(body.get("outcome", "unknown"))
         except (*LOST, ValueError):
-            return "unknown"
+            return UNKNOWN
+        return self._credible(body) if isinstance(body, dict) else UNKNOWN
+
+    def _credible(self, body: dict[str, object]) -> str:
+        """Believe "not_run" only of a process that was there when the request was sent.
+
+        A restarted engine never saw the id and says "not_run" in good faith of what its
+        predecessor ran. The uptime is by its own clock and compared with our own waiting time, so
+        no two clocks need to agree.
+        """
+        outcome, uptime_s = str(body.get("outcome", UNKNOWN)), body.get("uptime_s")
+        if outcome != NOT_RUN:
+            return outcome
+        sent_for_s = now_unix_s() - self.sent_unix_s
+        is_witness = isinstance(uptime_s, (int, float)) and uptime_s > sent_for_s + UPTIME_MARGIN_S
+        return NOT_RUN if is_witness else UNKNOWN
 
     def _lost(self, detail: str) -> AttemptResult:
         self.attempt.apply(AttemptEvent.LOSE)
@@ -196,6 +218,7 @@
         )
 
     def _about_to_send(self) -> None:
+        self.sent_unix_s = now_unix_s()
         self.attempt.apply(AttemptEvent.SEND)
 
     def _headers(self) -> dict[str, str]:
--- a/src/pomelobarrow/backends/events.py
+++ b/src/pomelobarrow/backends/events.py
@@ -15,7 +15,9 @@
     _partial: bytes = b""
 
     def feed(self, data: bytes) -> bytes:
-        """Return the whole events that these bytes complete."""
+        """Return the whole events that these bytes complete, up to the end event."""
+        if self.is_ended:
+            return b""
         if self._partial:
             data = self._partial + data
         border = len(data) if data.endswith(SEPARATOR) else data.rfind(SEPARATOR) + len(SEPARATOR)
@@ -25,8 +27,12 @@
         self._partial = data[border:]
         whole = data[:border] if self._partial else data
         self.whole_events += whole.count(SEPARATOR)
-        self.is_ended = whole.endswith(END_EVENT)
-        return whole
+        # A second end, or anything after the first, belongs to no answer.
+        end = whole.find(END_EVENT)
+        if end < 0:
+            return whole
+        self.is_ended = True
+        return whole[: end + len(END_EVENT)]
 
     def drop_partial(self) -> None:
         """Forget a half event; the resumed stream brings it again."""
--- a/src/pomelobarrow/backends/sessions.py
+++ b/src/pomelobarrow/backends/sessions.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 import aiohttp
+from aiohttp import ClientHandlerType
 from aiohttp.tracing import TraceConfig
 
 CONNECT_TIMEOUT_S = 1.0
@@ -12,6 +13,10 @@
 READ_BUFFER_BYTES = 1 << 18
 
 
+class BrokenConnectionError(aiohttp.ClientConnectionError):
+    """Report a connection lost after the request may have left; nothing was sent again."""
+
+
 class BackendSessions:
     """Hold a pooled session and one that opens a new connection for every request."""
 
@@ -19,8 +24,7 @@
         self._dial = dial
         self.pooled = _session(force_close=False)
         # A pooled connection that went silent swallows the request: the symptom is a ping that
-        # may or may not have run. A new connection can't have been forgotten on its way, and
-        # aiohttp resends idempotent methods only on a reused one, so neither can happen here.
+        # may or may not have run. A new connection can't have been forgotten on its way.
         self.fresh = _session(force_close=True)
 
     def url(self, address: str, path: str) -> str:
@@ -45,9 +49,26 @@
         read_bufsize=READ_BUFFER_BYTES,
         trace_configs=[_send_tracing()],
         cookie_jar=aiohttp.DummyCookieJar(),
+        middlewares=(_never_resend,),
     )
 
 
+async def _never_resend(
+    request: aiohttp.ClientRequest, handler: ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Turn the errors on which aiohttp sends a GET, PUT or DELETE again into one on which it won't.
+
+    The first may have arrived: a PUT that may not be repeated would run twice. Whether to try
+    again is for the dispatcher to say, which knows the class and how far the attempt got.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise BrokenConnectionError(repr(error)) from error
+
+
 def _send_tracing() -> TraceConfig:
     """Tell the attempt that the next step hands bytes to the transport."""
     tracing = TraceConfig()
--- /dev/null
+++ b/tests/test_backends_attempts.py
@@ -0,0 +1,238 @@
+import asyncio
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import aiohttp
+import pytest
+from aiohttp import web
+from attrs import define, field
+
+from pomelobarrow.backends.engine import EngineAttempt
+from pomelobarrow.backends.events import END_EVENT, EventCounter
+from pomelobarrow.backends.service import ServiceAttempt
+from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.decision.attempt import Attempt, AttemptState
+from pomelobarrow.decision.configuration import Rank, WorkClass
+from pomelobarrow.decision.errors import Refusal
+from pomelobarrow.decision.work import BackendServer, Work
+from pomelobarrow.dispatch.answers import AnswerHead, AttemptResult
+from pomelobarrow.dispatch.request import GatewayRequest
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+EVENTS = b"".join(b'data: {"n": %d}\n\n' % number for number in range(6)) + END_EVENT
+
+
+@define
+class Sink:
+    """Keep an answer."""
+
+    status: int = 0
+    body: bytes = b""
+    is_whole: bool = False
+
+    async def head(self, head: AnswerHead) -> None:
+        self.status = head.status
+
+    async def chunk(self, data: bytes) -> None:
+        self.body += data
+
+    async def end(self) -> None:
+        self.is_whole = True
+
+    async def broken(self, refusal: Refusal) -> None:
+        raise AssertionError("an attempt leaves this to the dispatcher")
+
+
+@define
+class Backend:
+    """Hold a server whose handlers a test gives, and count the calls."""
+
+    handlers: dict[str, Handler] = field(factory=dict)
+    calls: list[str] = field(factory=list)
+    address: str = ""
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        self.calls.append(request.method)
+        return await self.handlers[request.method](request)
+
+
+@pytest.fixture
+async def backend() -> AsyncIterator[Backend]:
+    held = Backend()
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", held.handle)
+    runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0][:2]
+    held.address = f"{host}:{port}"
+    yield held
+    await runner.cleanup()
+
+
+def request_for(method: str, is_chat: bool, repeatable: bool, deadline_s: float) -> GatewayRequest:
+    now = time.time()
+    work = Work(
+        request_id="id-1",
+        class_name="query",
+        account="a",
+        rank=Rank.PAYING,
+        pool="p",
+        model=None,
+        home_region="r",
+        home_bound=False,
+        repeatable=repeatable,
+        prompt_tokens=1,
+        expected_output_tokens=1,
+        accepted_unix_s=now,
+        first_token_due_unix_s=now + 1,
+        deadline_unix_s=now + deadline_s,
+    )
+    work_class = WorkClass(
+        name="query", pool="p", first_token_target_s=1.0, finish_target_s=1.0, repeatable=repeatable
+    )
+    return GatewayRequest(
+        work=work,
+        work_class=work_class,
+        is_chat=is_chat,
+        is_streamed=True,
+        method=method,
+        path="/orders",
+        body=b"{}",
+    )
+
+
+async def attempt(
+    backend: Backend,
+    make: Any,
+    method: str = "POST",
+    repeatable: bool = False,
+    deadline_s: float = 5.0,
+) -> tuple[AttemptResult, Sink]:
+    sessions, sink = BackendSessions({}), Sink()
+    server = BackendServer(
+        name="s",
+        region="r",
+        failure_domain="d",
+        address=backend.address,
+        pool="p",
+        slots=1,
+        kv_capacity_tokens=0,
+    )
+    try:
+        result = await make(
+            sessions=sessions,
+            request=request_for(method, make is EngineAttempt, repeatable, deadline_s),
+            server=server,
+            attempt=Attempt(),
+            number=1,
+            sink=sink,
+            on_first_byte=lambda: None,
+        ).run()
+    finally:
+        await sessions.close()
+    return result, sink
+
+
+async def drop(request: web.Request) -> web.StreamResponse:
+    assert request.transport is not None
+    request.transport.close()
+    return web.Response()
+
+
+async def never(request: web.Request) -> web.StreamResponse:
+    await asyncio.Event().wait()
+    raise AssertionError
+
+
+def answer(payload: dict[str, Any], status: int = 200) -> Handler:
+    async def handler(request: web.Request) -> web.StreamResponse:
+        return web.json_response(payload, status=status)
+
+    return handler
+
+
+def events(start: int, end: int) -> Handler:
+    async def handler(request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse(headers={"Content-Length": str(len(EVENTS))})
+        await response.prepare(request)
+        await response.write(EVENTS[start:end])
+        return await drop(request)
+
+    return handler
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
+@pytest.mark.parametrize("repeatable", [True, False])
+async def test_a_call_is_sent_once_whatever_its_method(
+    backend: Backend, method: str, repeatable: bool
+) -> None:
+    """A service takes a call and drops the connection before it answers.
+
+    aiohttp sends a GET, PUT or DELETE again by itself then, on a new connection as well; a call
+    that may not be repeated would run twice.
+    """
+    backend.handlers[method] = drop
+    result, _ = await attempt(backend, ServiceAttempt, method, repeatable)
+    assert backend.calls == [method]
+    assert result.state is AttemptState.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("payload", "state"),
+    [
+        ({"outcome": "not_run", "uptime_s": 60.0}, AttemptState.REFUSED_UNRUN),
+        ({"outcome": "not_run", "uptime_s": 0.5}, AttemptState.UNKNOWN),
+        ({"outcome": "not_run"}, AttemptState.UNKNOWN),
+        ({"outcome": "cancelled", "uptime_s": 60.0}, AttemptState.UNKNOWN),
+    ],
+)
+async def test_an_engine_started_since_the_request_was_sent_cannot_say_not_run(
+    backend: Backend, payload: dict[str, Any], state: AttemptState
+) -> None:
+    """An engine takes a query, restarts, and is asked at the deadline to cancel it."""
+    backend.handlers = {"POST": never, "DELETE": answer(payload)}
+    result, _ = await attempt(backend, EngineAttempt, deadline_s=0.1)
+    assert result.state is state
+
+
+async def test_a_redirect_is_not_followed(backend: Backend) -> None:
+    async def redirect(request: web.Request) -> web.StreamResponse:
+        return web.Response(status=307, headers={"Location": "/elsewhere"})
+
+    backend.handlers = {"POST": redirect}
+    result, _ = await attempt(backend, EngineAttempt)
+    assert backend.calls == ["POST"]
+    assert result.state is AttemptState.UNKNOWN
+
+
+async def test_a_stream_that_breaks_off_often_is_resumed_to_its_end(backend: Backend) -> None:
+    """An engine's connection closes after each event; each resume brings the next ones."""
+    size = EVENTS.index(b"\n\n") + 2
+
+    async def resume(request: web.Request) -> web.StreamResponse:
+        start = int(request.query["offset"]) * size
+        return await events(start, start + size + 3)(request)
+
+    backend.handlers = {"POST": events(0, 5), "GET": resume}
+    result, sink = await attempt(backend, EngineAttempt)
+    assert result.state is AttemptState.FINISHED
+    assert sink.body == EVENTS
+    assert sink.is_whole
+
+
+def test_nothing_after_the_end_event_is_passed_on() -> None:
+    counter = EventCounter()
+    assert counter.feed(EVENTS + b"data: late\n\n") == EVENTS
+    assert counter.feed(END_EVENT) == b""
+    assert counter.is_ended
+
+
+async def test_the_library_still_resends_without_the_safeguard(backend: Backend) -> None:
+    """Fail once aiohttp no longer sends again by itself: the safeguard can go then."""
+    backend.handlers["PUT"] = drop
+    async with aiohttp.ClientSession() as session:
+        with pytest.raises(aiohttp.ServerDisconnectedError):
+            await session.put(f"http://{backend.address}/")
+    assert backend.calls == ["PUT", "PUT"]
