Give engines fenced orders from one VM each, and ask only engines for cache events

Change: decision/orders.py (what is due, fencing numbers from the revision), backends/orders.py (sender), models take a version and pools a role; the poller asks by the pool's kind. Ruled out: counting on from the engine's highest number (docs/design/orders.md).

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -244,12 +244,12 @@
             self.processes.announcement(name)
         self.control = self.processes.announcement("proxy")["control"]
 
-    def start_server(self, name: str) -> None:
+    def start_server(self, name: str, *options: str) -> None:
         """Start a backend server's stand-in again and wait until it is ready."""
-        self._start_server(name)
+        self._start_server(name, *options)
         self.processes.announcement(name)
 
-    def _start_server(self, name: str) -> None:
+    def _start_server(self, name: str, *options: str) -> None:
         plan = self.servers[name]
         arguments = [
             "pomelobarrow.standin",
@@ -261,6 +261,7 @@
             "--slots",
             str(plan.pool.slots),
             *plan.pool.options,
+            *options,
         ]
         self.processes.start(name, arguments)
 
--- /dev/null
+++ b/src/pomelobarrow/backends/orders.py
@@ -0,0 +1,86 @@
+"""Send engines the orders that follow from the configuration."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import aiohttp
+import orjson
+import structlog
+from mode import Service
+
+from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.decision.configuration import Configuration
+from pomelobarrow.decision.orders import FencedOrders, Order, OrderBook
+from pomelobarrow.decision.work import BackendServer
+from pomelobarrow.kernel.clock import now_unix_s
+
+ORDERS_PATH = "/v1/orders"
+CHECK_EVERY_S = 1.0
+# Shorter than an order's life, so that none is still on its way when a new owner starts.
+SEND_TIMEOUT_S = 2.0
+TAKEN = 200
+OLD_NUMBER = 409
+
+log = structlog.get_logger(__name__)
+
+
+class OrderSender(Service):
+    """Bring the engines that fall to this VM to what is published."""
+
+    def __init__(
+        self,
+        *,
+        book: OrderBook,
+        sessions: BackendSessions,
+        owned: Callable[[], Iterable[BackendServer]],
+        configuration: Callable[[], Configuration | None],
+    ) -> None:
+        super().__init__()
+        self._book = book
+        self._sessions = sessions
+        self._owned = owned
+        self._configuration = configuration
+
+    @Service.task
+    async def _keep_sending(self) -> None:
+        while not self.should_stop:
+            configuration = self._configuration()
+            if configuration is not None:
+                for due in self._book.due(self._owned(), configuration, now_unix_s()):
+                    await self._send_all(due)
+            await self.sleep(CHECK_EVERY_S)
+
+    async def _send_all(self, due: FencedOrders) -> None:
+        for order in due.orders:
+            if not await self._send(due, order):
+                return
+        self._book.observe_taken(due)
+        log.info("orders taken", server=due.server.name, revision=due.revision)
+
+    async def _send(self, due: FencedOrders, order: Order) -> bool:
+        # A VM that froze in the middle of sending wakes with orders that another may have
+        # replaced; past their expiry they are dropped here, whatever the engine checks.
+        if now_unix_s() >= due.expires_unix_s:
+            return False
+        url = self._sessions.url(due.server.address, ORDERS_PATH)
+        timeout = aiohttp.ClientTimeout(total=SEND_TIMEOUT_S)
+        try:
+            async with self._sessions.fresh.post(
+                url, data=orjson.dumps(_body(due, order)), timeout=timeout
+            ) as response:
+                return self._take_answer(due, response.status, orjson.loads(await response.read()))
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            log.warning("order not sent", server=due.server.name, error=repr(error))
+            return False
+
+    def _take_answer(self, due: FencedOrders, status: int, answer: dict[str, Any]) -> bool:
+        if status == OLD_NUMBER:
+            self._book.observe_highest(due.server.name, int(answer.get("fencing", 0)))
+        return status == TAKEN
+
+
+def _body(due: FencedOrders, order: Order) -> dict[str, Any]:
+    body: dict[str, Any] = {"order": order.kind.value, "fencing": due.fencing}
+    fields = {"model": order.model, "version": order.version, "role": order.role}
+    body["expires_unix_s"] = due.expires_unix_s
+    return body | {name: value for name, value in fields.items() if value}
--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -5,12 +5,16 @@
 from mode import Service
 
 from pomelobarrow.backends.engine import EngineAttempt
+from pomelobarrow.backends.orders import OrderSender
 from pomelobarrow.backends.reports import LoadPoller
 from pomelobarrow.backends.service import ServiceAttempt
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.attempt import Attempt
+from pomelobarrow.decision.configuration import PoolKind
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.membership import MembershipView
+from pomelobarrow.decision.orders import OrderBook
+from pomelobarrow.decision.rendezvous import rendezvous
 from pomelobarrow.decision.work import BackendServer, Placement
 from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
 from pomelobarrow.dispatch.local import AttemptRunner, LocalDispatch
@@ -18,6 +22,7 @@
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, hookimpl
+from pomelobarrow.peers.events import PauseNoticed
 from pomelobarrow.platform.keyspaces import VMS, PublishedState
 
 ATTEMPT_BY_IS_CHAT = {True: EngineAttempt, False: ServiceAttempt}
@@ -42,6 +47,8 @@
     context.provide(LoadTable, lambda c: LoadTable(c.settings.region))
     context.provide(LoadPoller, _poller)
     context.provide(AttemptRunnerPart, lambda c: AttemptRunnerPart(_runner(c)))
+    context.provide(OrderBook, lambda _: OrderBook())
+    context.hooks.register(_PauseObserver(context))
 
 
 @hookimpl
@@ -57,9 +64,23 @@
     return [
         PhasedService(StartPhase.BACKENDS, SessionsService(context.get(BackendSessions))),
         PhasedService(StartPhase.BACKENDS, context.get(LoadPoller)),
+        PhasedService(StartPhase.BACKENDS, _order_sender(context)),
     ]
 
 
+class _PauseObserver:
+    """Tell the order book that this process stood still."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    @hookimpl
+    def observe(self, event: object) -> None:
+        """Distrust the ownership of engines after a pause."""
+        if isinstance(event, PauseNoticed):
+            self._context.get(OrderBook).observe_pause(now_unix_s())
+
+
 class AttemptRunnerPart:
     """Hold the function that runs one attempt."""
 
@@ -91,21 +112,48 @@
 
 
 def _poller(context: Context) -> LoadPoller:
-    settings, published = context.settings, context.get(PublishedState)
-
-    def own_region_servers() -> list[BackendServer]:
-        servers = published.backend_servers.values()
-        return [server for server in servers if server.region == settings.region]
-
-    def live_vms() -> list[str]:
-        members = context.get(MembershipView).live(settings.region, now_unix_s())
-        return [member.vm for member in members]
-
     return LoadPoller(
-        own_vm=settings.vm,
+        own_vm=context.settings.vm,
         sessions=context.get(BackendSessions),
         table=context.get(LoadTable),
-        servers=own_region_servers,
-        live_vms=live_vms,
+        servers=lambda: _own_region_servers(context),
+        live_vms=lambda: _live_vms(context),
+        is_engine=lambda server: _is_engine(context, server),
         on_report=lambda pool: context.get(LocalDispatch).pump(pool),
     )
+
+
+def _is_engine(context: Context, server: BackendServer) -> bool:
+    configuration = context.get(PublishedState).configuration
+    pool = configuration.pools.get(server.pool) if configuration else None
+    return pool is not None and pool.kind is PoolKind.ENGINE
+
+
+def _order_sender(context: Context) -> OrderSender:
+    published, own_vm = context.get(PublishedState), context.settings.vm
+
+    def owned() -> list[BackendServer]:
+        live = tuple(_live_vms(context))
+        servers = _own_region_servers(context)
+        return [each for each in servers if (own_vm,) == rendezvous(_owner_key(each), live, 1)]
+
+    return OrderSender(
+        book=context.get(OrderBook),
+        sessions=context.get(BackendSessions),
+        owned=owned,
+        configuration=lambda: published.configuration,
+    )
+
+
+def _owner_key(server: BackendServer) -> str:
+    return f"orders/{server.name}"
+
+
+def _own_region_servers(context: Context) -> list[BackendServer]:
+    servers = context.get(PublishedState).backend_servers.values()
+    return [server for server in servers if server.region == context.settings.region]
+
+
+def _live_vms(context: Context) -> list[str]:
+    members = context.get(MembershipView).live(context.settings.region, now_unix_s())
+    return [member.vm for member in members]
--- a/src/pomelobarrow/backends/reports.py
+++ b/src/pomelobarrow/backends/reports.py
@@ -33,6 +33,7 @@
         table: LoadTable,
         servers: Callable[[], Iterable[BackendServer]],
         live_vms: Callable[[], Iterable[str]],
+        is_engine: Callable[[BackendServer], bool],
         on_report: Callable[[str], None],
     ) -> None:
         super().__init__()
@@ -41,6 +42,7 @@
         self._table = table
         self._servers = servers
         self._live_vms = live_vms
+        self._is_engine = is_engine
         self._on_report = on_report
         self._reports: dict[str, LoadReport] = {}
         self._next_event: dict[str, int] = {}
@@ -72,7 +74,8 @@
         self._reports[server.name] = report
         self._table.observe_report(report, now)
         self._on_report(server.pool)
-        if body.get("kind", "engine") == "engine":
+        # A plain service would run a question about its cache as one of its own calls.
+        if self._is_engine(server):
             await self._poll_cache(server)
 
     async def _poll_cache(self, server: BackendServer) -> None:
--- a/src/pomelobarrow/decision/configuration.py
+++ b/src/pomelobarrow/decision/configuration.py
@@ -43,10 +43,11 @@
 
 @frozen(kw_only=True)
 class ModelSpec:
-    """Name a model and the pool that serves it."""
+    """Name a model, the pool that serves it and the version that it should serve."""
 
     name: str
     pool: str
+    version: str = ""
 
 
 @frozen(kw_only=True)
@@ -68,6 +69,7 @@
     name: str
     kind: PoolKind
     service: str | None = None
+    role: str = ""
 
 
 @frozen(kw_only=True)
--- a/src/pomelobarrow/decision/configuration_check.py
+++ b/src/pomelobarrow/decision/configuration_check.py
@@ -131,6 +131,7 @@
         specs={
             "kind": FieldSpec(reader=choice(PoolKind), required=True),
             "service": FieldSpec(reader=optional(name)),
+            "role": FieldSpec(reader=name),
         },
         build=Pool,
         check=_check_pool,
@@ -151,7 +152,10 @@
         required=True,
     ),
     "models": _Section(
-        specs={"pool": FieldSpec(reader=name, required=True)},
+        specs={
+            "pool": FieldSpec(reader=name, required=True),
+            "version": FieldSpec(reader=name),
+        },
         build=ModelSpec,
         check=_no_check,
         required=False,
--- /dev/null
+++ b/src/pomelobarrow/decision/orders.py
@@ -0,0 +1,146 @@
+"""Decide which orders an engine is due, and the fencing number each carries."""
+
+import enum
+from collections.abc import Iterable
+
+from attrs import define, field, frozen
+
+from pomelobarrow.decision.configuration import Configuration
+from pomelobarrow.decision.work import BackendServer
+
+# A fencing number holds the revision above these bits and a count below them.
+COUNT_BITS = 16
+# A former owner's order is out of its hands after this time, so a new owner waits as long.
+ORDER_LIFE_S = 5.0
+RETRY_AFTER_S = 10.0
+
+
+class OrderKind(enum.Enum):
+    """Enumerate orders; only the first kind is harmless when repeated or reordered."""
+
+    LOAD_MODEL = "load_model"
+    SERVE_VERSION = "serve_version"
+    CHANGE_ROLE = "change_role"
+
+
+# Loading adds a version beside the others. Serving or changing the role replaces what was there:
+# on an engine that ignores fencing numbers, a late order of a frozen VM would undo a newer one.
+HARMLESS = frozenset({OrderKind.LOAD_MODEL})
+
+
+@frozen(kw_only=True)
+class Order:
+    """State what one engine is to do; it follows from the configuration alone."""
+
+    kind: OrderKind
+    model: str = ""
+    version: str = ""
+    role: str = ""
+
+
+@frozen(kw_only=True)
+class FencedOrders:
+    """Hold the orders to send to one engine now."""
+
+    server: BackendServer
+    revision: int
+    fencing: int
+    expires_unix_s: float
+    orders: tuple[Order, ...]
+
+
+def next_fencing(revision: int, highest_seen: int) -> int | None:
+    """Return the number for an order of a revision, or None where the engine has seen a later one.
+
+    Counting on from the highest number alone would let a VM that slept through a change give its
+    old orders a number that the engine accepts.
+    """
+    if highest_seen >> COUNT_BITS > revision:
+        return None
+    return max(revision << COUNT_BITS, highest_seen + 1)
+
+
+def orders_for(server: BackendServer, configuration: Configuration) -> tuple[Order, ...]:
+    """Return all orders of a configuration that may be sent to this engine."""
+    due = [*_model_orders(server, configuration), *_role_orders(server, configuration)]
+    return tuple(each for each in due if server.checks_fencing or each.kind in HARMLESS)
+
+
+def _model_orders(server: BackendServer, configuration: Configuration) -> list[Order]:
+    models = sorted(configuration.models.values(), key=lambda model: model.name)
+    return [
+        Order(kind=kind, model=model.name, version=model.version)
+        for model in models
+        if model.pool == server.pool and model.version
+        for kind in (OrderKind.LOAD_MODEL, OrderKind.SERVE_VERSION)
+    ]
+
+
+def _role_orders(server: BackendServer, configuration: Configuration) -> list[Order]:
+    pool = configuration.pools.get(server.pool)
+    return [Order(kind=OrderKind.CHANGE_ROLE, role=pool.role)] if pool and pool.role else []
+
+
+@define
+class _Engine:
+    owned_since_unix_s: float
+    highest_seen: int = 0
+    done: tuple[Order, ...] | None = None
+    next_try_unix_s: float = 0.0
+
+
+@define
+class OrderBook:
+    """Hold which engines this VM gives orders to and what they have taken."""
+
+    _engines: dict[str, _Engine] = field(factory=dict)
+
+    def due(
+        self, owned: Iterable[BackendServer], configuration: Configuration, now_unix_s: float
+    ) -> list[FencedOrders]:
+        """Return what to send now; an engine newly owned waits until older orders have expired."""
+        servers = {server.name: server for server in owned}
+        self._engines = {
+            name: self._engines.get(name) or _Engine(now_unix_s + ORDER_LIFE_S) for name in servers
+        }
+        found = (self._due(server, configuration, now_unix_s) for server in servers.values())
+        return [each for each in found if each is not None]
+
+    def observe_pause(self, now_unix_s: float) -> None:
+        """Start over after this process stood still: another VM may own the engines by now."""
+        for engine in self._engines.values():
+            engine.owned_since_unix_s = now_unix_s + ORDER_LIFE_S
+
+    def observe_taken(self, sent: FencedOrders) -> None:
+        """Note that an engine took the orders."""
+        engine = self._engines.get(sent.server.name)
+        if engine is not None:
+            engine.done = sent.orders
+            engine.highest_seen = max(engine.highest_seen, sent.fencing)
+
+    def observe_highest(self, server: str, highest_seen: int) -> None:
+        """Note the highest number that an engine says it has seen."""
+        engine = self._engines.get(server)
+        if engine is not None:
+            engine.highest_seen = max(engine.highest_seen, highest_seen)
+            engine.next_try_unix_s = 0.0
+
+    def _due(
+        self, server: BackendServer, configuration: Configuration, now_unix_s: float
+    ) -> FencedOrders | None:
+        engine = self._engines[server.name]
+        orders = orders_for(server, configuration)
+        is_early = now_unix_s < max(engine.owned_since_unix_s, engine.next_try_unix_s)
+        if is_early or not orders or orders == engine.done:
+            return None
+        fencing = next_fencing(configuration.revision, engine.highest_seen)
+        if fencing is None:
+            return None
+        engine.next_try_unix_s = now_unix_s + RETRY_AFTER_S
+        return FencedOrders(
+            server=server,
+            revision=configuration.revision,
+            fencing=fencing,
+            expires_unix_s=now_unix_s + ORDER_LIFE_S,
+            orders=orders,
+        )
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,97 @@
+"""Orders to engines: fencing, what may go to engines that check none, and two racing owners."""
+
+import pytest
+from attrs import evolve
+
+from harness.deployments import RONDINELLA, configuration_values
+from pomelobarrow.decision.configuration_check import check_configuration
+from pomelobarrow.decision.orders import (
+    COUNT_BITS,
+    ORDER_LIFE_S,
+    OrderBook,
+    OrderKind,
+    next_fencing,
+    orders_for,
+)
+from pomelobarrow.decision.work import BackendServer
+from pomelobarrow.standin.orders import OrderBook as EngineOrders
+
+CHECKING = BackendServer(
+    name="e1",
+    region="milan",
+    failure_domain="milan-a",
+    address="127.0.0.1:1",
+    pool="drafting",
+    slots=8,
+    kv_capacity_tokens=1,
+    checks_fencing=True,
+)
+IGNORING = evolve(CHECKING, checks_fencing=False)
+
+
+def configuration(version, revision):
+    values = configuration_values(RONDINELLA)
+    values["models/draft-large"] = {"pool": "drafting", "version": version}
+    return check_configuration(values, revision).unwrap()
+
+
+def served(engine):
+    taken = [
+        each for each in engine.log if not each["refused"] and each["order"] == "serve_version"
+    ]
+    return [each["version"] for each in taken]
+
+
+def deliver(sent, engine):
+    return all(
+        engine.take({"order": each.kind.value, "version": each.version, "fencing": sent.fencing})
+        for each in sent.orders
+    )
+
+
+@pytest.mark.parametrize(
+    ("revision", "highest_seen", "expected"),
+    [
+        pytest.param(3, 0, 3 << COUNT_BITS, id="new-engine"),
+        pytest.param(3, (3 << COUNT_BITS) + 5, (3 << COUNT_BITS) + 6, id="same-revision"),
+        pytest.param(3, 4 << COUNT_BITS, None, id="later-revision-seen"),
+    ],
+)
+def test_number_never_passes_a_later_revision(revision, highest_seen, expected):
+    assert next_fencing(revision, highest_seen) == expected
+
+
+def test_engines_that_ignore_numbers_get_harmless_orders_only():
+    kinds = {order.kind for order in orders_for(IGNORING, configuration("v1", 2))}
+    assert kinds == {OrderKind.LOAD_MODEL}
+
+
+def test_new_owner_waits_until_older_orders_have_expired():
+    book, published = OrderBook(), configuration("v1", 2)
+    assert book.due([CHECKING], published, 100.0) == []
+    assert book.due([CHECKING], published, 100.0 + ORDER_LIFE_S)
+
+
+@pytest.mark.parametrize("server", [CHECKING, IGNORING], ids=["checks", "ignores"])
+def test_owner_that_wakes_from_a_freeze_undoes_nothing(server):
+    """The operator sees version 2 served, and it stays so.
+
+    The first owner prepares orders for version 1 and freezes. Another VM takes over, waits, and
+    orders version 2. The first wakes and its old orders arrive last: an engine that checks refuses
+    them, and one that doesn't was never sent an order that could replace anything.
+    """
+    engine = EngineOrders(checks_fencing=server.checks_fencing)
+    first, second = OrderBook(), OrderBook()
+    first.due([server], configuration("v1", 2), 0.0)
+    (late,) = first.due([server], configuration("v1", 2), ORDER_LIFE_S)
+    second.due([server], configuration("v2", 3), ORDER_LIFE_S)
+    (current,) = second.due([server], configuration("v2", 3), 2 * ORDER_LIFE_S)
+    assert deliver(current, engine)
+    deliver(late, engine)
+    assert served(engine) in (["v2"], [])
+    first.observe_highest(server.name, engine.fencing)
+    first.observe_pause(3 * ORDER_LIFE_S)
+    assert first.due([server], configuration("v1", 2), 3 * ORDER_LIFE_S) == []
+    assert not server.checks_fencing or not first.due(
+        [server], configuration("v1", 2), 9 * ORDER_LIFE_S
+    )
