Name each forward by its own count, and make "not run" under an issued id final

After one was cancelled as "unknown", the caller's repeat through the same entry was refused there as "not run" although the first had run, and a draft's retry could not go back to that peer for ten minutes. (2) A claimed request that its issuer sent to another region arrived as a claim there and always ended as "unknown". (3) A refusal before the ledger was asked (account limit, class not known, deadline, malformed repeat) said "not run" of ids that had run. (4) A refused id was free again, so a copy still on its way could run after the caller was told "not run". (5) A cancelled forward that still waited for a server ended as "unknown". (6) What a peer remembers of forwards was only forgotten when one was cancelled. (7) A link opened on demand was closed 60 s later under a stream that still ran. Change: forwards carry the sender's incarnation and count; ForwardBook remembers seen and cancelled ones for a bounded time; only forward_to_issuer claims; early refusals of a repeat say "unknown" or, at the issuer, what the ledger knows; a refusal under an id is recorded as its outcome (id_refused); Cancel waits for the task and reads its attempts; a link in use is kept. Conclusion: a caller refused with "no" takes a new id; the remedy says so.

--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -69,7 +69,7 @@
         except TooLargeError as error:
             return await self._give_up(str(error))
         except (CallerGoneError, asyncio.CancelledError):
-            await asyncio.shield(self._cancel())
+            await asyncio.shield(self._give_up("nobody waits for the answer"))
             raise
 
     async def _send_and_relay(self) -> AttemptResult:
--- a/src/pomelobarrow/decision/errors.py
+++ b/src/pomelobarrow/decision/errors.py
@@ -34,6 +34,7 @@
     OUTCOME_UNKNOWN = ("outcome_unknown", 502)
     STILL_RUNNING = ("still_running", 409)
     ANSWER_NOT_KEPT = ("answer_not_kept", 409)
+    ID_REFUSED = ("id_refused", 409)
     NOT_A_PEER = ("not_a_peer", 403)
 
     def __init__(self, label: str, status: int) -> None:
--- a/src/pomelobarrow/dispatch/claims.py
+++ b/src/pomelobarrow/dispatch/claims.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 from result import Err
 
 from pomelobarrow.decision.attempt import Attempt, AttemptState
@@ -27,6 +27,7 @@
 from pomelobarrow.kernel.clock import now_unix_s
 
 REMEDY_NEW_ID = "take a request id from GET /v1/entries and send that as Idempotency-Key"
+REMEDY_REPEAT = "repeat it under the same Idempotency-Key at the time in Retry-After"
 STILL_RUNNING_PAUSE_S = 1.0
 
 ClaimAnswer = Callable[[Claim, GatewayRequest, AnswerSink], Coroutine[Any, Any, Refusal | None]]
@@ -55,6 +56,21 @@
             return self._issuer_gone()
         return await self._pass_to_issuer(issuer, request, sink)
 
+    async def refuse(
+        self, request: GatewayRequest, refusal: Refusal, sink: AnswerSink
+    ) -> Refusal | None:
+        """Refuse a request before it was dispatched; a repeat still learns the first's outcome."""
+        work = request.work
+        parsed = parse_issuer(work.request_id)
+        if isinstance(parsed, Err):
+            return _not_issued(parsed.err_value.detail)
+        if parsed.ok_value.key not in self.ledger.issuers:
+            return evolve(refusal, run=Run.UNKNOWN, remedy=REMEDY_REPEAT)
+        claim = self.ledger.claim(work.request_id, work.account, now_unix_s())
+        if claim.kind is ClaimKind.FRESH:
+            return self._record_refusal(work.request_id, refusal)
+        return await self._answers()[claim.kind](claim, request, sink)
+
     async def wait_until_idle(self) -> None:
         """Return once no claimed request runs any more."""
         while self._running:
@@ -101,11 +117,20 @@
             raise
         if refusal is None:
             self.ledger.finish(request_id, recorder.outcome())
-        elif refusal.run is Run.NO:
-            self.ledger.release_unrun(request_id)
-        else:
+            return None
+        return self._record_refusal(request_id, refusal)
+
+    def _record_refusal(self, request_id: str, refusal: Refusal) -> Refusal:
+        """Make a refusal final: another copy of the request may still be on its way here.
+
+        Were the id free again, that copy could run after the caller was told "not run" and had
+        sent the request anew: one order placed twice.
+        """
+        if refusal.run is Run.UNKNOWN:
             self.ledger.lose(request_id)
-        return refusal
+            return refusal
+        self.ledger.finish(request_id, Outcome(status=refusal.kind.status, run=Run.NO.value))
+        return evolve(refusal, remedy=f"{refusal.remedy}; {REMEDY_NEW_ID}")
 
     async def _pass_to_issuer(
         self, issuer: Issuer, request: GatewayRequest, sink: AnswerSink
@@ -134,7 +159,7 @@
             kind=Kind.STILL_RUNNING,
             run=Run.UNKNOWN,
             detail="the first request with this id still runs",
-            remedy="repeat it with the same Idempotency-Key at the time in Retry-After",
+            remedy=REMEDY_REPEAT,
             retry_at_unix_s=retry_at_unix_s,
         )
 
@@ -142,6 +167,8 @@
         self, claim: Claim, request: GatewayRequest, sink: AnswerSink
     ) -> Refusal | None:
         outcome = claim.outcome or Outcome(status=502, run="unknown")
+        if outcome.run == Run.NO.value:
+            return refuse(Kind.ID_REFUSED, Run.NO, "the first one was refused and never ran")
         if outcome.run == "unknown":
             return refuse(Kind.OUTCOME_UNKNOWN, Run.UNKNOWN, "the first one's outcome is unknown")
         if outcome.body is None:
--- a/src/pomelobarrow/dispatch/dispatcher.py
+++ b/src/pomelobarrow/dispatch/dispatcher.py
@@ -125,6 +125,7 @@
     ) -> tuple[str, AttemptResult]:
         region = self._region(request, tries)
         attempt = Attempt()
+        request.attempts.append(attempt)
         if region == self.own_region:
             excluded = frozenset(tries.bad_servers)
             number = len(tries.states) + 1
--- a/src/pomelobarrow/dispatch/entry.py
+++ b/src/pomelobarrow/dispatch/entry.py
@@ -32,12 +32,19 @@
         """Answer a caller's request, within its account's limits."""
         admitted = admit_account(request.work, account, self.limits, now_unix_s())
         if isinstance(admitted, Err):
-            return admitted.err_value
+            return await self._over_limit(request, admitted.err_value, sink)
         try:
             return await self._counted(request, sink)
         finally:
             self.limits.release(account.name)
 
+    async def _over_limit(
+        self, request: GatewayRequest, refusal: Refusal, sink: AnswerSink
+    ) -> Refusal | None:
+        if request.is_claimed:
+            return await self.claims.refuse(request, refusal, sink)
+        return refusal
+
     async def dispatch_forwarded(self, request: GatewayRequest, sink: AnswerSink) -> Refusal | None:
         """Answer a peer's request; its entry VM has counted it against the account."""
         return await self._counted(request, sink)
--- a/src/pomelobarrow/dispatch/request.py
+++ b/src/pomelobarrow/dispatch/request.py
@@ -1,7 +1,8 @@
 """A request as the dispatcher sees it."""
 
-from attrs import frozen
+from attrs import field, frozen
 
+from pomelobarrow.decision.attempt import Attempt
 from pomelobarrow.decision.configuration import WorkClass
 from pomelobarrow.decision.work import Work
 from pomelobarrow.dispatch.answers import Headers
@@ -25,3 +26,5 @@
     # Set on a request that another entry VM passed on: it runs here or is refused, so no
     # view of the fleet, however wrong, can send it in a circle.
     forwarded_by: str | None = None
+    # Filled in as attempts start, so that whoever cancels can say whether any may have run.
+    attempts: list[Attempt] = field(factory=list, eq=False)
--- a/src/pomelobarrow/peers/forward_client.py
+++ b/src/pomelobarrow/peers/forward_client.py
@@ -1,6 +1,7 @@
 """Pass a request on to one peer and relay its answer."""
 
 import asyncio
+import itertools
 from collections.abc import Mapping
 from random import Random
 
@@ -40,6 +41,7 @@
     loads: RegionLoads
     keys: PeerKeys
     rng: Random = field(factory=Random)
+    _serials: "itertools.count[int]" = field(factory=itertools.count)
 
     def region_loads(self, work: Work) -> Mapping[str, RegionLoad]:
         """Return what is known of the other regions' pools."""
@@ -61,7 +63,8 @@
             refusal = refuse(Kind.HOME_UNREACHABLE, Run.NO, detail, now_unix_s() + 1.0)
             return AttemptResult(state=attempt.state, detail=detail, refusal=refusal)
         member = min(candidates, key=lambda each: (not self._is_up(each.vm), self.rng.random()))
-        return await self._forward(member, request, attempt, sink)
+        # The id is claimed here or needs no claim: the peer just runs the request.
+        return await self._forward(member, request, attempt, sink, is_claim=False)
 
     async def forward_to_issuer(
         self, vm: str, incarnation: int, request: GatewayRequest, attempt: Attempt, sink: AnswerSink
@@ -71,22 +74,34 @@
         member = self.view.get(successor or vm)
         if member is None or (successor is None and member.incarnation != incarnation):
             return AttemptResult(state=attempt.state, detail=f"{vm} is not known in that start")
-        return await self._forward(member, request, attempt, sink)
+        return await self._forward(member, request, attempt, sink, is_claim=True)
 
     def _is_up(self, vm: str) -> bool:
         link = self.table.links.get(vm)
         return link is not None and link.is_up
 
     async def _forward(
-        self, member: Member, request: GatewayRequest, attempt: Attempt, sink: AnswerSink
+        self,
+        member: Member,
+        request: GatewayRequest,
+        attempt: Attempt,
+        sink: AnswerSink,
+        is_claim: bool,
     ) -> AttemptResult:
-        link = await self.table.link_to(member)
         run = Forward(
-            forwarder=self, member=member, link=link, request=request, attempt=attempt, sink=sink
+            forwarder=self,
+            member=member,
+            link=await self.table.link_to(member),
+            request=request,
+            attempt=attempt,
+            sink=sink,
+            is_claim=is_claim,
+            serial=next(self._serials),
         )
         try:
             async with asyncio.timeout(max(0.0, request.work.deadline_unix_s - now_unix_s())):
-                return await run.run()
+                with run.link.in_use():
+                    return await run.run()
         except TimeoutError:
             return await run.lose("the deadline passed")
         except (CallerGoneError, asyncio.CancelledError):
@@ -104,6 +119,8 @@
     request: GatewayRequest
     attempt: Attempt
     sink: AnswerSink
+    is_claim: bool
+    serial: int
     head_passed: bool = False
 
     async def run(self) -> AttemptResult:
@@ -140,6 +157,9 @@
             request_id=self.request.work.request_id,
             forwarded_by=self.forwarder.own.vm,
             executor_incarnation=self.member.incarnation,
+            forwarded_by_incarnation=self.forwarder.own.incarnation,
+            serial=self.serial,
+            deadline_unix_s=self.request.work.deadline_unix_s,
         )
         metadata = self.forwarder.keys.metadata(self.forwarder.own.vm, CANCEL_PATH)
         try:
@@ -226,7 +246,8 @@
             headers=[pb.Header(name=name, value=value) for name, value in self.request.headers],
             body=self.request.body,
             traceparent=self.request.traceparent,
-            is_claim=self.request.is_claimed,
+            is_claim=self.is_claim,
+            serial=self.serial,
             is_streamed=self.request.is_streamed,
             is_chat=self.request.is_chat,
             model=work.model or "",
--- a/src/pomelobarrow/peers/forward_server.py
+++ b/src/pomelobarrow/peers/forward_server.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 from grpclib.exceptions import StreamTerminatedError
 
+from pomelobarrow.decision.attempt import run_verdict
 from pomelobarrow.decision.clocks import ClockOffsets
 from pomelobarrow.decision.configuration import Configuration, Rank, WorkClass
 from pomelobarrow.decision.errors import Kind, Refusal, Run
@@ -16,10 +17,12 @@
 from pomelobarrow.dispatch.request import GatewayRequest
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.forward_book import ForwardBook, ForwardKey
 
 NOT_RUN = "not_run"
 UNKNOWN = "unknown"
-CANCELLED_KEPT_S = 600.0
+# Shorter than the entry VM waits for the answer.
+CANCEL_TIMEOUT_S = 1.0
 
 
 class ForwardSink:
@@ -57,6 +60,24 @@
             raise CallerGoneError("the entry VM closed the stream") from error
 
 
+@define(kw_only=True)
+class Running:
+    """Hold one forwarded request while it runs here."""
+
+    request: GatewayRequest
+    task: "asyncio.Task[Refusal | None]"
+
+    async def cancel(self) -> str:
+        """End it; "not_run" where every attempt so far is certain not to have run."""
+        self.task.cancel()
+        await asyncio.wait({self.task}, timeout=CANCEL_TIMEOUT_S)
+        # A claimed request goes on without its task, so that a repeat gets its outcome.
+        if not self.task.cancelled() or self.request.is_claimed:
+            return UNKNOWN
+        states = [attempt.state for attempt in self.request.attempts]
+        return NOT_RUN if run_verdict(states) is Run.NO else UNKNOWN
+
+
 @define(kw_only=True)
 class ForwardServer:
     """Hold the forwarded requests that this VM knows of."""
@@ -66,9 +87,8 @@
     entry: EntryDispatch
     offsets: ClockOffsets
     is_draining: Callable[[], bool] = lambda: False
-    _tasks: dict[tuple[str, str], "asyncio.Task[Refusal | None]"] = field(factory=dict)
-    _cancelled_until_unix_s: dict[tuple[str, str], float] = field(factory=dict)
-    _seen: dict[tuple[str, str], float] = field(factory=dict)
+    book: ForwardBook = field(factory=ForwardBook)
+    _running: dict[ForwardKey, Running] = field(factory=dict)
 
     async def forward(self, stream, vm: str) -> None:  # type: ignore[no-untyped-def]
         """Answer one forwarded request."""
@@ -80,32 +100,31 @@
         if refusal is not None and not sink.head_passed:
             await sink.send(pb.ForwardEvent(refusal=_refusal_message(refusal)))
 
-    def cancel(self, request: pb.CancelRequest, vm: str) -> str:
+    async def cancel(self, request: pb.CancelRequest, vm: str) -> str:
         """Drop a request; say "not_run" only where that is certain and stays so."""
         if request.executor_incarnation != self.incarnation:
             # Whoever ran under this name before may have run it.
             return UNKNOWN
-        key = (vm, request.request_id)
-        self._forget_cancelled()
-        self._cancelled_until_unix_s[key] = now_unix_s() + CANCELLED_KEPT_S
-        task = self._tasks.get(key)
-        if task is not None:
-            task.cancel()
-            return UNKNOWN
-        return UNKNOWN if key in self._seen else NOT_RUN
+        key = ForwardKey(vm, request.forwarded_by_incarnation, request.serial)
+        running = self._running.get(key)
+        if running is not None:
+            return await running.cancel()
+        deadline_unix_s = self.offsets.to_local(vm, request.deadline_unix_s)
+        is_certain = self.book.cancel(key, deadline_unix_s, now_unix_s())
+        return NOT_RUN if is_certain else UNKNOWN
 
     async def _run(self, message: pb.ForwardRequest, vm: str, sink: ForwardSink) -> Refusal | None:
-        key = (vm, message.request_id)
+        key = ForwardKey(vm, message.forwarded_by_incarnation, message.serial)
         # The entry VM may have been told "not run" while this message sat in a buffer, say
         # because this process was frozen. Running it now would make that untrue.
-        if key in self._cancelled_until_unix_s:
-            return refuse(Kind.DEADLINE_PASSED, Run.NO, "the entry VM has cancelled it")
+        if self.book.is_cancelled(key):
+            return refuse(Kind.DEADLINE_PASSED, _run(message), "the entry VM has cancelled it")
         request = self._request(message, vm)
         if isinstance(request, Refusal):
             return request
-        self._note_seen(key, request.work.deadline_unix_s)
+        self.book.note_seen(key, now_unix_s())
         task = asyncio.ensure_future(self.entry.dispatch_forwarded(request, sink))
-        self._tasks[key] = task
+        self._running[key] = Running(request=request, task=task)
         try:
             return await task
         except CallerGoneError:
@@ -113,8 +132,7 @@
         finally:
             if not task.done():
                 task.cancel()
-            if self._tasks.get(key) is task:
-                del self._tasks[key]
+            del self._running[key]
 
     def _request(self, message: pb.ForwardRequest, vm: str) -> GatewayRequest | Refusal:
         # The entry VM sent it before it heard of the stop. Begun after everything here was found
@@ -124,9 +142,9 @@
         configuration = self.configuration()
         work_class = configuration.classes.get(message.class_name) if configuration else None
         if work_class is None:
-            return refuse(Kind.NOT_READY, Run.NO, "the class is not known here yet")
+            return refuse(Kind.NOT_READY, _run(message), "the class is not known here yet")
         deadline_unix_s = self.offsets.to_local(vm, message.deadline_unix_s)
-        if deadline_unix_s <= now_unix_s():
+        if deadline_unix_s <= now_unix_s() and not message.is_claim:
             return refuse(Kind.DEADLINE_PASSED, Run.NO, "the deadline passed on the way")
         return GatewayRequest(
             work=_work(message, work_class, deadline_unix_s),
@@ -142,14 +160,13 @@
             forwarded_by=vm,
         )
 
-    def _note_seen(self, key: tuple[str, str], deadline_unix_s: float) -> None:
-        self._seen[key] = deadline_unix_s + CANCELLED_KEPT_S
 
-    def _forget_cancelled(self) -> None:
-        now = now_unix_s()
-        for kept in (self._cancelled_until_unix_s, self._seen):
-            for key in [key for key, until_unix_s in kept.items() if until_unix_s < now]:
-                del kept[key]
+def _run(message: pb.ForwardRequest) -> Run:
+    """Say what a refusal before any look at the ledger may claim.
+
+    An earlier request under the same issued id may have run here. Only the ledger knows.
+    """
+    return Run.UNKNOWN if message.is_claim else Run.NO
 
 
 def _work(message: pb.ForwardRequest, work_class: WorkClass, deadline_unix_s: float) -> Work:
--- a/src/pomelobarrow/peers/links.py
+++ b/src/pomelobarrow/peers/links.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import structlog
 from grpclib.client import Channel
@@ -61,6 +62,21 @@
         self._unsent = 0
         self._is_open = False
         self._random = random.Random()
+        self._uses = 0
+
+    @property
+    def is_in_use(self) -> bool:
+        """Tell whether a forward runs over this link; closing it would break the answer off."""
+        return self._uses > 0
+
+    @contextmanager
+    def in_use(self) -> Iterator[None]:
+        """Keep the link while a forward runs over it."""
+        self._uses += 1
+        try:
+            yield
+        finally:
+            self._uses -= 1
 
     def send(self, message: pb.PeerMessage) -> None:
         """Queue a message; it is lost if the connection is."""
--- a/src/pomelobarrow/peers/server.py
+++ b/src/pomelobarrow/peers/server.py
@@ -87,7 +87,7 @@
         with self._counted():
             message = await stream.recv_message()
             if message is not None:
-                outcome = self._forwards.cancel(message, vm)
+                outcome = await self._forwards.cancel(message, vm)
                 await stream.send_message(pb.CancelReply(outcome=outcome))
 
     async def HandOver(  # noqa: N802
--- a/src/pomelobarrow/peers/table.py
+++ b/src/pomelobarrow/peers/table.py
@@ -174,7 +174,8 @@
         if vm.startswith(SEED_PREFIX):
             name = self.links[vm].peer.vm
             return name == vm or name not in self.links
-        return vm in wanted or now < self._on_demand_until_unix_s.get(vm, 0.0)
+        is_asked_for = now < self._on_demand_until_unix_s.get(vm, 0.0)
+        return vm in wanted or is_asked_for or self.links[vm].is_in_use
 
     async def _open(self, peer: ListedVm) -> PeerLink:
         link = self._make_link(peer)
