--- a/src/pomelobarrow/decision/request_ids.py
+++ b/src/pomelobarrow/decision/request_ids.py
@@ -127,6 +127,10 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    def entries(self) -> Iterator[LedgerEntry]:
+        """Yield the used ids."""
+        return iter(self._entries.values())
+
     def issue(self, account: str, count: int, now_unix_s: float) -> tuple[str, ...]:
         """Issue up to `count` ids to an account, fewer where the room is short."""
         self.expire(now_unix_s)
--- /dev/null
+++ b/tests/test_keyspace.py
@@ -0,0 +1,192 @@
+"""A copy of a keyspace never reverts, and all copies converge whatever the order and loss."""
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import given, settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from pomelobarrow.decision.keyspace import ApplyOutcome, Change, KeyspaceCopy
+
+KEYS = ("a", "b", "c", "d")
+COPIES = 3
+INVALID = "invalid"
+copies = st.integers(0, COPIES - 1)
+values = st.sampled_from([1, 2, {"x": 1}, None, None, INVALID])
+publications = st.dictionaries(st.sampled_from(KEYS), values, min_size=1, max_size=2)
+
+
+def refuse_invalid(values, changed, revision):
+    return tuple(f"{key} is invalid" for key, value in values.items() if value == INVALID)
+
+
+class Platform:
+    """Keep every state ever published, and read them as the platform's pages do."""
+
+    def __init__(self):
+        self.states = [{}]
+        self.newest = [{}]
+
+    def publish(self, changes):
+        revision = len(self.states)
+        state = {**self.states[-1], **changes}
+        self.states.append({key: value for key, value in state.items() if value is not None})
+        self.newest.append({**self.newest[-1], **dict.fromkeys(changes, revision)})
+
+    def changes_after(self, after, head):
+        items = sorted((revision, key) for key, revision in self.newest[head].items())
+        changes = [Change(rev, key, self.states[head].get(key)) for rev, key in items]
+        return [
+            change
+            for change in changes
+            if change.revision > after and (after or change.value is not None)
+        ]
+
+
+class ConfigurationNeverReverts(RuleBasedStateMachine):
+    """Copies read a lagging platform in pages and gossip over a network that loses and repeats."""
+
+    def __init__(self):
+        super().__init__()
+        self.platform = Platform()
+        self.copies = [self.new_copy() for _ in range(COPIES)]
+        self.seen_revision = [0] * COPIES
+        self.network = []
+
+    def new_copy(self):
+        return KeyspaceCopy("config", refuse_invalid, tombstones_kept=2)
+
+    @rule(changes=publications)
+    def publish(self, changes):
+        self.platform.publish(changes)
+
+    @rule(index=copies, lag=st.integers(0, 2), page_changes=st.integers(1, 3))
+    def ask_platform(self, index, lag, page_changes):
+        head = max(0, len(self.platform.states) - 1 - lag)
+        after = self.copies[index].ask_after_revision
+        changes = self.platform.changes_after(after, head)
+        page = changes[:page_changes]
+        page += [each for each in changes[page_changes:] if each.revision == page[-1].revision]
+        self.network.append((index, page, head, after, len(page) == len(changes)))
+
+    @rule(index=copies, peer=copies)
+    def ask_peer(self, index, peer):
+        after = self.copies[index].needs(self.copies[peer].summary)
+        if after is not None:
+            delta = self.copies[peer].changes_after(after)
+            message = (index, delta.changes, delta.head_revision, delta.after_revision, True)
+            self.network.append(message)
+
+    @rule(data=st.data())
+    def deliver_any(self, data):
+        if self.network:
+            self.deliver(data.draw(st.sampled_from(self.network[-6:]), "message"))
+
+    def deliver(self, message):
+        index, changes, head, after, complete = message
+        copy = self.copies[index]
+        result = copy.apply(changes, head, after_revision=after, complete=complete)
+        if result.outcome is ApplyOutcome.GAP:
+            copy.restart()
+
+    @rule(index=copies)
+    def replace(self, index):
+        self.copies[index] = self.new_copy()
+        self.seen_revision[index] = 0
+        self.network = [message for message in self.network if message[0] != index]
+
+    @invariant()
+    def values_in_force_are_exactly_one_valid_published_revision(self):
+        for index, copy in enumerate(self.copies):
+            assert dict(copy.values) == self.platform.states[copy.revision]
+            assert INVALID not in copy.values.values()
+            assert copy.revision >= self.seen_revision[index]
+            self.seen_revision[index] = copy.revision
+            assert copy.counters.conflicts == 0
+
+    def teardown(self):
+        self.ask_platform(0, 0, 100)
+        self.deliver(self.network[-1])
+        for _ in range(4):
+            for index in range(COPIES):
+                before = len(self.network)
+                self.ask_peer(index, (index + 1) % COPIES)
+                for message in self.network[before:]:
+                    self.deliver(message)
+        head = len(self.platform.states) - 1
+        assert {copy.observed_revision for copy in self.copies} == {head}
+        assert len({copy.digest for copy in self.copies}) == 1
+        if INVALID not in self.platform.states[head].values():
+            assert {copy.revision for copy in self.copies} == {head}
+
+
+ConfigurationNeverReverts.TestCase.settings = settings(max_examples=200, stateful_step_count=40)
+TestConfigurationNeverReverts = ConfigurationNeverReverts.TestCase
+
+histories = st.lists(
+    st.builds(Change, st.integers(1, 5), st.sampled_from(KEYS), st.sampled_from([1, 2, None])),
+    max_size=6,
+)
+
+
+@given(st.lists(histories, min_size=3, max_size=3), st.permutations([0, 1, 2]))
+def test_copies_with_conflicting_histories_of_one_revision_converge(all_histories, order):
+    group = [KeyspaceCopy("config") for _ in all_histories]
+    for copy, history in zip(group, all_histories, strict=True):
+        copy.apply(history, 5, after_revision=0)
+    for index in list(order) * 2:
+        for peer in group:
+            if group[index].needs(peer.summary) == 0:
+                group[index].apply(peer.changes_after(0).changes, 5, after_revision=0)
+    assert len({copy.digest for copy in group}) == 1
+    assert group[0].values == group[1].values == group[2].values
+
+
+@pytest.fixture
+def copy():
+    filled = KeyspaceCopy("config", refuse_invalid, tombstones_kept=4)
+    filled.apply([Change(3, "a", 1), Change(4, "b", 2)], 4, after_revision=0)
+    return filled
+
+
+@pytest.mark.parametrize(
+    ("changes", "head", "after", "outcome"),
+    [
+        pytest.param([Change(2, "a", 9)], 3, 0, ApplyOutcome.STALE, id="lower revision"),
+        pytest.param([Change(3, "a", 1)], 4, 0, ApplyOutcome.STALE, id="same again"),
+        pytest.param([Change(9, "a", 9)], 9, 7, ApplyOutcome.GAP, id="gap before it"),
+        pytest.param([Change(9, "a", 9)], 8, 4, ApplyOutcome.MALFORMED, id="past its own head"),
+        pytest.param([Change(5, "a", {1})], 5, 4, ApplyOutcome.MALFORMED, id="not JSON"),
+        pytest.param([Change(5, "a", INVALID)], 5, 4, ApplyOutcome.INVALID, id="invalid"),
+    ],
+)
+def test_refused_batches_leave_the_values_in_force(copy, changes, head, after, outcome):
+    result = copy.apply(changes, head, after_revision=after)
+    assert result.outcome is outcome
+    assert (copy.revision, dict(copy.values)) == (4, {"a": 1, "b": 2})
+
+
+def test_a_valid_revision_brings_what_an_invalid_one_held_back(copy):
+    copy.apply([Change(5, "a", 7), Change(5, "b", INVALID)], 5, after_revision=4)
+    assert copy.refused_reasons == ("b is invalid",)
+    result = copy.apply([Change(6, "b", 8)], 6, after_revision=5)
+    assert result.changed_keys == {"a", "b"}
+    assert (dict(copy.values), copy.refused_reasons) == ({"a": 7, "b": 8}, ())
+
+
+def test_one_revision_with_two_contents_is_counted_and_settled_the_same_way(copy):
+    other = KeyspaceCopy("config")
+    other.apply([Change(3, "a", 1), Change(4, "b", 99)], 4, after_revision=0)
+    assert copy.needs(other.summary) == other.needs(copy.summary) == 0
+    copy.apply(other.changes_after(0).changes, 4, after_revision=0)
+    other.apply(copy.changes_after(0).changes, 4, after_revision=0)
+    assert copy.values == other.values
+    assert copy.counters.conflicts == 1
+
+
+def test_tombstones_stay_bounded_while_vms_come_and_go(copy):
+    for revision in range(5, 500, 2):
+        copy.apply([Change(revision, f"vms/{revision}", 1)], revision, after_revision=4)
+        gone = Change(revision + 1, f"vms/{revision}", None)
+        copy.apply([gone], revision + 1, after_revision=revision)
+    assert len(copy.changes_after(0).changes) <= 2 + 4
+    assert copy.changes_after(10).after_revision > 10
