--- a/tests/callers.py
+++ b/tests/callers.py
@@ -23,6 +23,7 @@
     """Hold what a caller got: a whole answer, a problem, or neither."""
 
     marker: str
+    class_name: str = ""
     status: int = 0
     text: str = ""
     is_whole: bool = False
@@ -74,7 +75,8 @@
     **headers: str,
 ) -> Reply:
     """Send one chat request and read its answer to the end."""
-    reply = Reply(marker=body["metadata"]["marker"], expected=expected_answer(body))
+    marker, expected = body["metadata"]["marker"], expected_answer(body)
+    reply = Reply(marker=marker, class_name=class_name, expected=expected)
     url = f"http://{address}/v1/chat/completions"
     sent = fleet.headers(account, class_name, **headers)
     try:
@@ -99,10 +101,11 @@
     class_name: str,
     path: str,
     session: aiohttp.ClientSession | None = None,
+    marker: str = "",
     **headers: str,
 ) -> Reply:
     """Post one call of a plain service; its answer names the marker that it was sent."""
-    reply = Reply(marker=f"marker-{next(_serials)}")
+    reply = Reply(marker=marker or f"marker-{next(_serials)}", class_name=class_name)
     reply.expected = reply.marker
     sent = fleet.headers(account, class_name, X_Marker=reply.marker, **headers)
     url = f"http://{address}{path}"
