Let the fault proxy pass an end to a connection that was reset unnoticed

Cause: a direction held by a fault isn't read, so its reset goes unnoticed; when the route passed again, write_eof raised ENOTCONN, the fault order was answered with 500 and the routes after that one kept their faults. Change: such a sink is closed. Ruled out: reading held directions: they are to be silent. Conclusion: a heal reaches every route.

--- a/src/pomelobarrow/standin/lane.py
+++ b/src/pomelobarrow/standin/lane.py
@@ -11,6 +11,14 @@
 END = b""
 
 
+def _end_writing(sink: asyncio.Transport) -> None:
+    """Pass an end on; a sink whose reading is paused may have been reset without a notice."""
+    try:
+        sink.write_eof()
+    except OSError:
+        sink.abort()
+
+
 @define(eq=False)
 class Lane:
     """Hold the bytes on their way in one direction."""
@@ -104,7 +112,7 @@
         if self.source is None or self.source.is_closing():
             sink.close()
         elif not sink.is_closing():
-            sink.write_eof()
+            _end_writing(sink)
         self.is_ended = True
         self.on_end()
 
