Choose servers by unbiased counts, by prompt groups and with stale views spread

Cause: trials with the in-memory fakes showed that counting peers' requests twice made servers look full that weren't, that many VMs all sent to the one server that looked emptiest, and that a VM which sees a twentieth of the traffic rarely knows which server holds a prompt's prefix. Change: a report is compared with own charges and peers' counts of its own time; old counts shrink towards their mean and choices spread as unseen work would fill the servers; prompts of one group rendezvous-hash to one server; a margin for uncertain counts keeps servers from idling. Ruled out: the least count of all (herds with 20 VMs), only positive differences (biased upward), the smooth slot term (no gain).

--- /dev/null
+++ b/bench/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small in-memory fakes that drive the pure decision logic."""
--- /dev/null
+++ b/bench/fakes/daemon.py
@@ -0,0 +1,47 @@
+"""One entry VM's decision state, without any I/O."""
+
+from collections.abc import Callable, Mapping
+from random import Random
+
+from attrs import define, field
+from fakes.traffic import Arrival
+
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.work import BackendServer, InFlight, LoadReport, Work
+from pomelobarrow.decision.work_queue import WorkQueue
+
+
+@define(kw_only=True, eq=False)
+class FakeDaemon:
+    """Hold what one entry VM knows."""
+
+    name: str
+    table: LoadTable
+    queue: WorkQueue
+    random: Random
+    servers: list[BackendServer]
+    # Servers this daemon may use; all but in the subset way.
+    excluded: frozenset[str] = frozenset()
+    is_up: bool = True
+    is_frozen: bool = False
+    turn: int = 0
+    arrivals: dict[str, Arrival] = field(factory=dict)
+    peer_counts: dict[str, Mapping[str, InFlight]] = field(factory=dict)
+    # Reports polled since the last heartbeat, which passes them on.
+    fresh_reports: list[LoadReport] = field(factory=list)
+    # What VMs of the same row told, to be passed on along the column.
+    row_reports: list[LoadReport] = field(factory=list)
+    row_waiting: dict[str, tuple[int, ...]] = field(factory=dict)
+
+    @property
+    def works(self) -> bool:
+        """Say whether the daemon runs at all."""
+        return self.is_up and not self.is_frozen
+
+    def exchanged_requests(self, server: str) -> int:
+        """Count a server's requests in flight from here and, as last heard, from the peers."""
+        own = self.table.in_flight().get(server, InFlight()).requests
+        return own + sum(c[server].requests for c in self.peer_counts.values() if server in c)
+
+
+Pick = Callable[[FakeDaemon, Work, float], str | None]
--- /dev/null
+++ b/bench/fakes/region.py
@@ -0,0 +1,302 @@
+"""One region: daemons that place requests on fake engines."""
+
+from collections.abc import Callable, Mapping, Sequence
+from random import Random
+
+from attrs import define, frozen
+from fakes.clock import Clock
+from fakes.daemon import FakeDaemon
+from fakes.engine import FakeEngine, Job
+from fakes.traffic import Arrival, Source, Traffic
+from fakes.ways import Way
+
+from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.rendezvous import rendezvous
+from pomelobarrow.decision.work import BackendServer, InFlight, LoadReport, Work
+from pomelobarrow.decision.work_queue import WorkQueue
+from pomelobarrow.peers.grid import neighbours
+
+POLLERS = 2
+PRIORITY = {Rank.PAYING: 0, Rank.TRIAL: 1}
+
+
+@frozen(kw_only=True)
+class RegionSpec:
+    """Give a region's sizes and times."""
+
+    daemons: int = 2
+    servers: int = 5
+    slots: int = 8
+    step_s: float = 0.003
+    prefill_tokens_per_s: float = 20_000.0
+    cache_tokens: int = 65_536
+    kv_capacity_tokens: int = 200_000
+    report_lag_s: float = 0.5
+    report_every_s: float = 1.0
+    heartbeat_s: float = 1.0
+    hop_s: float = 0.001
+    detect_s: float = 1.5
+    event_loss_every: int = 50
+
+
+@define(kw_only=True, eq=False)
+class Record:
+    """Hold what became of one request."""
+
+    work: Work
+    daemon: str
+    first_token_unix_s: float | None = None
+    finished_unix_s: float | None = None
+    cached_tokens: int = 0
+    refused: bool = False
+
+    @property
+    def first_token_s(self) -> float:
+        """Return the seconds to the first token, endless if none came."""
+        if self.first_token_unix_s is None:
+            return float("inf")
+        return self.first_token_unix_s - self.work.accepted_unix_s
+
+
+class FakeRegion:
+    """Wire daemons, engines, heartbeats and reports to one clock."""
+
+    def __init__(
+        self, clock: Clock, spec: RegionSpec, way: Way, seed: int, pool: str, name: str = "home"
+    ) -> None:
+        self.clock, self.spec, self.way, self.pool, self.name = clock, spec, way, pool, name
+        self.random = Random(f"{seed}/{name}")
+        self.records: list[Record] = []
+        self._record_by_id: dict[str, Record] = {}
+        self.forwards = 0
+        self.placements = 0
+        self.state_messages = 0
+        self._rows: dict[str, list[FakeDaemon]] = {}
+        self._columns: dict[str, list[FakeDaemon]] = {}
+        servers = [self._server(i) for i in range(spec.servers)]
+        self.engines = {s.name: self._engine(s) for s in servers}
+        seen: set[int] = set()
+        for engine in self.engines.values():
+            engine.share_sets(seen)
+        self.daemons = [self._daemon(i, servers, seed) for i in range(spec.daemons)]
+        self._start_exchange()
+
+    # How arrivals come in
+
+    def feed(self, source: Source, rate_per_s: Callable[[float], float], end_unix_s: float) -> None:
+        """Let a class's requests arrive at random daemons."""
+
+        def arrive() -> None:
+            now = self.clock.now_unix_s
+            if now >= end_unix_s:
+                return
+            self.receive(source.draw(now))
+            self.clock.after(source.gap_s(rate_per_s(now)), arrive)
+
+        self.clock.after(source.gap_s(rate_per_s(0.0)), arrive)
+
+    def receive(self, arrival: Arrival) -> None:
+        """Let a caller reach a daemon that works; callers move on from a dead one."""
+        alive = [d for d in self.daemons if d.works]
+        daemon = self.random.choice(alive)
+        record = Record(work=arrival.work, daemon=daemon.name)
+        self.records.append(record)
+        self._record_by_id[arrival.work.request_id] = record
+        self.accept(daemon, arrival)
+
+    def accept(self, daemon: FakeDaemon, arrival: Arrival) -> None:
+        """Place or queue one request at a daemon."""
+        daemon.arrivals[arrival.work.request_id] = arrival
+        if not self.way.has_queue:
+            self._place(daemon, arrival.work, self.way.pick(daemon, arrival.work, self.now))
+            return
+        daemon.queue.push(arrival.work, self.now)
+        self.pump(daemon)
+
+    @property
+    def now(self) -> float:
+        """Return the clock's time."""
+        return self.clock.now_unix_s
+
+    def pump(self, daemon: FakeDaemon) -> None:
+        """Place waiting work while there is room."""
+        picked: list[str | None] = [None]
+
+        def may_take(work: Work) -> bool:
+            picked[0] = self.way.pick(daemon, work, self.now)
+            return picked[0] is not None
+
+        while daemon.works:
+            work = daemon.queue.pop_next(self.now, may_take)
+            if work is None:
+                return
+            self._place(daemon, work, picked[0])
+
+    def _place(self, daemon: FakeDaemon, work: Work, server: str | None) -> None:
+        assert server is not None
+        arrival = daemon.arrivals.pop(work.request_id)
+        prefixes = daemon.table.prefixes
+        cached = prefixes.cached_tokens(server, work.prefix_hashes) if self._affine else 0
+        kv_tokens = work.prompt_tokens + work.expected_output_tokens
+        tokens = max(0, work.prompt_tokens - cached)
+        daemon.table.charge(work.request_id, server, tokens, self.now, kv_tokens)
+        if self._affine:
+            prefixes.observe_placement(server, work.prefix_hashes)
+        self.placements += 1
+        job = Job(
+            work=work,
+            output_tokens=arrival.output_tokens,
+            priority=PRIORITY[work.rank],
+            on_first_token=lambda job: self._first_token(daemon, job),
+            on_finish=lambda job: self._finish(daemon, job),
+        )
+        self.clock.after(self.spec.hop_s, lambda: self._submit(server, job))
+
+    def _submit(self, server: str, job: Job) -> None:
+        if self.engines[server].is_up:
+            self.engines[server].submit(job)
+
+    def _first_token(self, daemon: FakeDaemon, job: Job) -> None:
+        record = self._record_by_id[job.work.request_id]
+        record.first_token_unix_s = self.now
+        record.cached_tokens = job.cached_tokens
+        if daemon.works:
+            daemon.table.started(job.work.request_id, self.now)
+
+    def _finish(self, daemon: FakeDaemon, job: Job) -> None:
+        self._record_by_id[job.work.request_id].finished_unix_s = self.now
+        if daemon.works:
+            daemon.table.release(job.work.request_id, self.now)
+            self.pump(daemon)
+
+    # What daemons tell each other: neighbours of the peers' grid, as the daemons do
+
+    def _start_exchange(self) -> None:
+        spec = self.spec
+        by_name = {d.name: d for d in self.daemons}
+        for daemon in self.daemons:
+            near = neighbours(daemon.name, by_name)
+            self._rows[daemon.name] = [by_name[vm] for vm in sorted(near.row)]
+            self._columns[daemon.name] = [by_name[vm] for vm in sorted(near.column)]
+            first = self.random.random() * spec.heartbeat_s
+            self.clock.every(spec.heartbeat_s, first, lambda d=daemon: self._heartbeat(d))
+        for engine in self.engines.values():
+            first = self.random.random() * spec.report_every_s
+            pollers = rendezvous(engine.server.name, by_name, POLLERS)
+            for vm in pollers:
+                self.clock.every(
+                    spec.report_every_s,
+                    first,
+                    lambda e=engine, d=by_name[vm]: self._poll(e, d),
+                )
+
+    def _poll(self, engine: FakeEngine, daemon: FakeDaemon) -> None:
+        if not engine.is_up or not daemon.works:
+            return
+        self.state_messages += 1
+        report = engine.report()
+        if report is None:
+            return
+        daemon.table.observe_report(report, self.now)
+        daemon.fresh_reports.append(report)
+        self._pass_cache_events(engine, daemon)
+        self.pump(daemon)
+
+    def _pass_cache_events(self, engine: FakeEngine, daemon: FakeDaemon) -> None:
+        if not self._affine:
+            return
+        lossy = 1.0 / self.spec.event_loss_every
+        for kind, block in engine.events_for(daemon.name):
+            if self.random.random() > lossy:
+                daemon.table.prefixes.observe_event(engine.server.name, kind, block)
+
+    def _heartbeat(self, sender: FakeDaemon) -> None:
+        if not sender.works:
+            return
+        in_flight = dict(sender.table.in_flight())
+        own, sender.fresh_reports = sender.fresh_reports, []
+        from_row, sender.row_reports = sender.row_reports, []
+        waiting = (sender.queue.waiting(Rank.PAYING), sender.queue.waiting(Rank.TRIAL))
+        row_waiting = [waiting, *sender.row_waiting.values()]
+        row_sum = tuple(sum(each) for each in zip(*row_waiting, strict=True))
+        for peer in self._rows[sender.name]:
+            if peer.works:
+                peer.row_reports.extend(own)
+                peer.row_waiting[sender.name] = waiting
+                self._tell(sender.name, peer, in_flight, own, waiting)
+        for peer in self._columns[sender.name]:
+            if peer.works:
+                self._tell(sender.name, peer, in_flight, own + from_row, row_sum)
+
+    def _tell(
+        self,
+        sender: str,
+        peer: FakeDaemon,
+        in_flight: Mapping[str, InFlight],
+        reports: Sequence[LoadReport],
+        waiting: tuple[int, ...],
+    ) -> None:
+        self.state_messages += 1
+        for report in reports:
+            peer.table.observe_report(report, self.now)
+        if not self.way.exchanges:
+            return
+        peer.peer_counts[sender] = in_flight
+        peer.table.observe_peer(sender, in_flight, self.now)
+        peer.queue.observe_peer_waiting(sender, waiting[0], self.now, waiting[1])
+        self.pump(peer)
+
+    @property
+    def _affine(self) -> bool:
+        return self.way.uses_prefixes
+
+    # How it is built
+
+    def _server(self, number: int) -> BackendServer:
+        return BackendServer(
+            name=f"{self.name}-{self.pool}-{number}",
+            region=self.name,
+            failure_domain=f"{self.name}-{number % 3}",
+            address="",
+            pool=self.pool,
+            slots=self.spec.slots,
+            kv_capacity_tokens=self.spec.kv_capacity_tokens,
+        )
+
+    def _engine(self, server: BackendServer) -> FakeEngine:
+        return FakeEngine(
+            clock=self.clock,
+            server=server,
+            step_s=self.spec.step_s,
+            prefill_tokens_per_s=self.spec.prefill_tokens_per_s,
+            cache_blocks=self.spec.cache_tokens // 128,
+            report_lag_s=self.spec.report_lag_s,
+        )
+
+    def _daemon(self, number: int, servers: Sequence[BackendServer], seed: int) -> FakeDaemon:
+        name = f"{self.name}-vm-{number}"
+        table = LoadTable(self.name)
+        table.set_servers(servers)
+        excluded = frozenset[str]()
+        if self.way.subset is not None:
+            names = [s.name for s in servers]
+            excluded = frozenset(names) - set(rendezvous(name, names, self.way.subset))
+        return FakeDaemon(
+            name=name,
+            table=table,
+            queue=WorkQueue(self.pool),
+            random=Random(f"{seed}/{name}"),
+            servers=[s for s in servers if s.name not in excluded],
+            excluded=excluded,
+        )
+
+
+def feed_at_load(
+    region: FakeRegion, traffic: Traffic, load: float, seed: int, end_s: float
+) -> None:
+    """Feed one class at a share of the region's cold capacity."""
+    spec = region.spec
+    per_engine = traffic.cold_capacity_per_s(spec.slots, spec.step_s, spec.prefill_tokens_per_s)
+    rate_per_s = load * per_engine * spec.servers
+    region.feed(Source(traffic, seed, region.name), lambda _: rate_per_s, end_s)
--- /dev/null
+++ b/bench/fakes/ways.py
@@ -0,0 +1,82 @@
+"""Ways to choose a server, the shipped one among them."""
+
+from attrs import frozen
+from fakes.daemon import FakeDaemon, Pick
+
+from pomelobarrow.decision.server_choice import choose_server
+from pomelobarrow.decision.work import BackendServer, Work
+
+
+@frozen(kw_only=True)
+class Way:
+    """Name a way and say what it needs."""
+
+    name: str
+    pick: Pick
+    # Waiting work stays at the daemon while no server has room.
+    has_queue: bool = False
+    # Entries send to the one daemon that dispatches to a server.
+    has_owner: bool = False
+    subset: int | None = None
+    uses_prefixes: bool = False
+    exchanges: bool = True
+
+
+def pick_random(daemon: FakeDaemon, work: Work, now_unix_s: float) -> str:
+    """Pick any server."""
+    return daemon.random.choice(daemon.servers).name
+
+
+def pick_in_turn(daemon: FakeDaemon, work: Work, now_unix_s: float) -> str:
+    """Pick the next server."""
+    daemon.turn += 1
+    return daemon.servers[daemon.turn % len(daemon.servers)].name
+
+
+def pick_least_reported(daemon: FakeDaemon, work: Work, now_unix_s: float) -> str:
+    """Pick the server with the fewest requests in its last report."""
+    return min(_shuffled(daemon), key=lambda s: _reported(daemon, s)).name
+
+
+def pick_two_choices_own(daemon: FakeDaemon, work: Work, now_unix_s: float) -> str:
+    """Pick the one of two random servers with fewer own requests."""
+    counts = daemon.table.in_flight()
+    two = _shuffled(daemon)[:2]
+    return min(two, key=lambda s: counts[s.name].requests if s.name in counts else 0).name
+
+
+def pick_two_choices_exchanged(daemon: FakeDaemon, work: Work, now_unix_s: float) -> str:
+    """Pick the one of two random servers with fewer own and peers' requests."""
+    return min(_shuffled(daemon)[:2], key=lambda s: daemon.exchanged_requests(s.name)).name
+
+
+def pick_least_exchanged(daemon: FakeDaemon, work: Work, now_unix_s: float) -> str:
+    """Pick the server with the fewest own and peers' requests."""
+    return min(_shuffled(daemon), key=lambda s: daemon.exchanged_requests(s.name)).name
+
+
+def pick_shipped(daemon: FakeDaemon, work: Work, now_unix_s: float) -> str | None:
+    """Pick as the gateway does."""
+    placement = choose_server(daemon.table, work, now_unix_s, daemon.random, daemon.excluded)
+    return placement.server.name if placement else None
+
+
+def _shuffled(daemon: FakeDaemon) -> list[BackendServer]:
+    return daemon.random.sample(daemon.servers, len(daemon.servers))
+
+
+def _reported(daemon: FakeDaemon, server: BackendServer) -> int:
+    report = daemon.table.report(server.name)
+    return report.running + report.waiting if report else 0
+
+
+BASELINES = (
+    Way(name="random", pick=pick_random, exchanges=False),
+    Way(name="round robin", pick=pick_in_turn, exchanges=False),
+    Way(name="least reported load", pick=pick_least_reported, exchanges=False),
+    Way(name="two choices, own in flight", pick=pick_two_choices_own, exchanges=False),
+    Way(name="two choices, exchanged in flight", pick=pick_two_choices_exchanged),
+    Way(name="least exchanged in flight", pick=pick_least_exchanged),
+)
+CHARGED = Way(name="cost-charged, no affinity", pick=pick_shipped, has_queue=True)
+SHIPPED = Way(name="cost-charged, affinity", pick=pick_shipped, has_queue=True, uses_prefixes=True)
--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -1,10 +1,12 @@
 """Keep what this VM knows of its region's backend servers."""
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 
 from attrs import frozen
 
+from pomelobarrow.decision.peer_counts import NOTHING, PeerCounts
 from pomelobarrow.decision.prefix_index import PrefixIndex
 from pomelobarrow.decision.report_clock import ReportClock
 from pomelobarrow.decision.server_health import ServerHealth
@@ -12,7 +14,8 @@
 from pomelobarrow.decision.service_times import ServiceTimes
 from pomelobarrow.decision.work import BackendServer, InFlight, LoadReport
 
-NOTHING = InFlight()
+HEARD_EWMA_WEIGHT = 0.1
+MAX_HEARD_GAP_S = 5.0
 
 
 @frozen(kw_only=True)
@@ -21,8 +24,11 @@
 
     server: BackendServer
     requests: int
-    # Prompt tokens still to be computed.
-    tokens: int
+    # By how many the count of others' requests may be off.
+    requests_deviation: float
+    # Prompt tokens still to be computed: of this VM's requests, known exactly, and of all others.
+    own_tokens: int
+    others_tokens: int
     # Tokens that the requests in flight may come to hold.
     kv_tokens: int
     # Slots that work may fill now; fewer during slow start.
@@ -40,8 +46,8 @@
         self._health: dict[str, ServerHealth] = {}
         self._clocks: defaultdict[str, ReportClock] = defaultdict(ReportClock)
         self._charges: dict[str, Charge] = {}
-        self._peers: dict[str, Mapping[str, InFlight]] = {}
-        self._heard_unix_s: dict[str, float] = {}
+        self._peers: dict[str, PeerCounts] = {}
+        self._heard_every_s = 0.0
         self._times: dict[str, ServiceTimes] = {}
 
     def set_servers(self, servers: Iterable[BackendServer]) -> None:
@@ -64,26 +70,29 @@
         if load is None:
             return
         clock = self._clocks[report.server]
-        load.observe_report(report, clock.local_unix_s(report.measured_unix_s, received_unix_s))
+        measured_unix_s = clock.local_unix_s(report.measured_unix_s, received_unix_s)
+        near = {vm: peer.near(report.server, measured_unix_s) for vm, peer in self._peers.items()}
+        load.observe_report(report, measured_unix_s, near)
 
     def observe_peer(self, vm: str, in_flight: Mapping[str, InFlight], now_unix_s: float) -> None:
         """Take in what a peer has in flight on each server."""
-        heard_unix_s = self._heard_unix_s.get(vm, float("-inf"))
-        for name in {**self._peers.get(vm, {}), **in_flight}:
+        old = self._peers.get(vm, PeerCounts())
+        if vm in self._peers:
+            gap_s = min(now_unix_s - old.latest_unix_s, MAX_HEARD_GAP_S)
+            self._heard_every_s += HEARD_EWMA_WEIGHT * (gap_s - self._heard_every_s)
+        self._peers[vm] = old.after(in_flight, now_unix_s)
+        for name in old.latest.keys() | in_flight.keys():
             load = self._loads.get(name)
             if load is not None:
-                heard_since_report = heard_unix_s >= load.measured_unix_s
-                load.observe_peer(vm, in_flight.get(name, NOTHING), heard_since_report)
-        self._peers[vm] = dict(in_flight)
-        self._heard_unix_s[vm] = now_unix_s
+                load.replace_peer(old.latest.get(name, NOTHING), in_flight.get(name, NOTHING))
 
     def forget_peer(self, vm: str) -> None:
         """Drop a peer's counts; what it left running is in the servers' reports."""
-        self._heard_unix_s.pop(vm, None)
-        for name in self._peers.pop(vm, {}):
-            load = self._loads.get(name)
-            if load is not None:
-                load.forget_peer(vm)
+        peer = self._peers.pop(vm, None)
+        if peer is None:
+            return
+        for name, load in self._loads.items():
+            load.forget_peer(vm, peer.latest.get(name, NOTHING))
 
     def charge(
         self,
@@ -101,11 +110,11 @@
             tokens=tokens,
             kv_tokens=kv_tokens,
             charged_unix_s=now_unix_s,
-            tokens_ahead=load.tokens(now_unix_s) + tokens,
+            tokens_ahead=self._tokens_ahead(server_name, load, now_unix_s),
         )
         self._charges[request_id] = charge
         load.add(charge)
-        self._times_of(server_name).observe_kv(kv_tokens)
+        self._times_of(server_name).observe_charge(tokens, kv_tokens)
 
     def started(self, request_id: str, now_unix_s: float) -> None:
         """Note a request's first token."""
@@ -114,7 +123,9 @@
             return
         self._loads[charge.server_name].start(charge, now_unix_s)
         times = self._times_of(charge.server_name)
-        times.observe_start(charge.tokens_ahead, now_unix_s - charge.charged_unix_s)
+        if charge.tokens_ahead is not None:
+            tokens = charge.tokens_ahead + charge.tokens
+            times.observe_start(tokens, now_unix_s - charge.charged_unix_s)
 
     def release(self, request_id: str, now_unix_s: float) -> None:
         """Note that a request ended, however it ended."""
@@ -148,6 +159,23 @@
         # refuse work that a server could run, so all are tried.
         return [self._state(s, now_unix_s) for s in healthy or staying]
 
+    @property
+    def view_age_s(self) -> float:
+        """Return how old what peers told is on average."""
+        return self._heard_every_s / 2.0
+
+    def unseen_s(self, states: Sequence[ServerState], pool: str) -> float:
+        """Return the seconds of prefill that peers have placed since they were last heard."""
+        times = self.service_times(pool)
+        peers_requests = sum(s.requests - self._loads[s.server.name].own_requests for s in states)
+        placed_per_s = peers_requests / max(times.hold_s, 1e-3)
+        return placed_per_s * self.view_age_s * times.tokens * times.s_per_prefill_token
+
+    def report(self, server_name: str) -> LoadReport | None:
+        """Return a server's newest report."""
+        load = self._loads.get(server_name)
+        return load.report if load else None
+
     def service_times(self, pool: str) -> ServiceTimes:
         """Return what was learned of a pool."""
         return self._times.setdefault(pool, ServiceTimes())
@@ -163,18 +191,30 @@
 
     def _state(self, server: BackendServer, now_unix_s: float) -> ServerState:
         load = self._loads[server.name]
+        times = self.service_times(server.pool)
         requests = load.requests(now_unix_s)
-        kv_tokens_of_others = (requests - load.own_requests) * self.service_times(
-            server.pool
-        ).kv_tokens
+        others = requests - load.own_requests
+        # As many come as go; either count varies by its square root.
+        unseen = 2.0 * others * self.view_age_s / max(times.hold_s, 1e-3)
         return ServerState(
             server=server,
             requests=requests,
-            tokens=load.tokens(now_unix_s),
-            kv_tokens=load.own_kv_tokens + round(kv_tokens_of_others),
+            requests_deviation=math.sqrt(unseen),
+            own_tokens=load.own_tokens,
+            others_tokens=load.tokens(now_unix_s) - load.own_tokens,
+            kv_tokens=load.own_kv_tokens + round(others * times.kv_tokens),
             slots=server.slots * self._health[server.name].admitted_share(now_unix_s),
         )
 
+    def _tokens_ahead(self, name: str, load: ServerLoad, now_unix_s: float) -> int | None:
+        """Return the prefill before a new request, where that is all it waits for."""
+        server = self._servers.get(name)
+        if server is None:
+            return None
+        state = self._state(server, now_unix_s)
+        surely_has_slot = state.requests + 2.0 * state.requests_deviation < server.slots
+        return load.tokens(now_unix_s) if surely_has_slot else None
+
     def _forget_server(self, name: str) -> None:
         self._loads.pop(name, None)
         self._health.pop(name, None)
--- /dev/null
+++ b/src/pomelobarrow/decision/peer_counts.py
@@ -0,0 +1,34 @@
+"""Keep what a peer said it has in flight, now and one heartbeat ago."""
+
+from collections.abc import Mapping
+
+from attrs import field, frozen
+
+from pomelobarrow.decision.work import InFlight
+
+NOTHING = InFlight()
+NEVER = float("-inf")
+
+
+@frozen(kw_only=True)
+class PeerCounts:
+    """Hold a peer's last two heartbeats."""
+
+    latest: Mapping[str, InFlight] = field(factory=dict)
+    latest_unix_s: float = NEVER
+    previous: Mapping[str, InFlight] = field(factory=dict)
+    previous_unix_s: float = NEVER
+
+    def after(self, in_flight: Mapping[str, InFlight], now_unix_s: float) -> "PeerCounts":
+        """Return the counts with one more heartbeat."""
+        return PeerCounts(
+            latest=dict(in_flight),
+            latest_unix_s=now_unix_s,
+            previous=self.latest,
+            previous_unix_s=self.latest_unix_s,
+        )
+
+    def near(self, server: str, unix_s: float) -> InFlight:
+        """Return the count of the heartbeat that is nearest to a time."""
+        is_latest = abs(self.latest_unix_s - unix_s) <= abs(self.previous_unix_s - unix_s)
+        return (self.latest if is_latest else self.previous).get(server, NOTHING)
--- a/src/pomelobarrow/decision/prefix_index.py
+++ b/src/pomelobarrow/decision/prefix_index.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 from pomelobarrow.decision.costs import BLOCK_TOKENS
+from pomelobarrow.decision.prefix_popularity import PrefixPopularity
 
 STORED = "stored"
 DEFAULT_CAPACITY_BLOCKS = 512
@@ -22,6 +23,7 @@
     def __init__(self) -> None:
         self._blocks: defaultdict[str, OrderedDict[int, None]] = defaultdict(OrderedDict)
         self._capacity_blocks: dict[str, int] = {}
+        self._popularity = PrefixPopularity()
 
     def set_capacities(self, kv_capacity_tokens: Mapping[str, int]) -> None:
         """Take over the servers and their cache sizes; forget every other server."""
@@ -35,8 +37,18 @@
 
     def observe_placement(self, server: str, prefix_hashes: Sequence[int]) -> None:
         """Expect a server to hold the prompt that it was just given."""
+        shared_depth = max((self._depth(s, prefix_hashes) for s in self._blocks), default=0)
+        self._popularity.observe(prefix_hashes, self._max_group_share, shared_depth)
         self._store(server, prefix_hashes)
 
+    def group_key(self, prefix_hashes: Sequence[int]) -> int | None:
+        """Return the block that names a prompt's group, the same on every VM."""
+        return self._popularity.group_key(prefix_hashes, self._max_group_share)
+
+    def typical_group_tokens(self) -> int:
+        """Return the tokens that a prompt of a known group shares with earlier ones."""
+        return round(self._popularity.group_depth * BLOCK_TOKENS)
+
     def observe_event(self, server: str, kind: str, block: int) -> None:
         """Take in one cache event of an engine."""
         if kind == STORED:
@@ -52,6 +64,17 @@
 
     def cached_tokens(self, server: str, prefix_hashes: Sequence[int]) -> int:
         """Count the leading prompt tokens that a server is expected to hold."""
+        return self._depth(server, prefix_hashes) * BLOCK_TOKENS
+
+    def __len__(self) -> int:
+        return sum(len(blocks) for blocks in self._blocks.values())
+
+    @property
+    def _max_group_share(self) -> float:
+        # A group that fills half a server leaves it room for others.
+        return 0.5 / max(1, len(self._capacity_blocks))
+
+    def _depth(self, server: str, prefix_hashes: Sequence[int]) -> int:
         blocks = self._blocks.get(server)
         if not blocks:
             return 0
@@ -60,10 +83,7 @@
             if block not in blocks:
                 break
             depth += 1
-        return depth * BLOCK_TOKENS
-
-    def __len__(self) -> int:
-        return sum(len(blocks) for blocks in self._blocks.values())
+        return depth
 
     def _store(self, server: str, prefix_hashes: Iterable[int]) -> None:
         blocks = self._blocks[server]
--- a/src/pomelobarrow/decision/report_clock.py
+++ b/src/pomelobarrow/decision/report_clock.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 
 # No report is this old when it arrives, unless the two clocks differ.
-PLAUSIBLE_LAG_S = 2.0
+PLAUSIBLE_LAG_S = 5.0
 WINDOW = 32
 
 
--- a/src/pomelobarrow/decision/server_load.py
+++ b/src/pomelobarrow/decision/server_load.py
@@ -1,5 +1,8 @@
 """Estimate one backend server's load from own charges, peers' counts and a lagging report."""
 
+from collections import deque
+from collections.abc import Mapping
+
 from attrs import define, field
 
 from pomelobarrow.decision.work import InFlight, LoadReport
@@ -8,6 +11,7 @@
 RELEASED_KEPT_S = 10.0
 # An older report says nothing of the present.
 REPORT_GOOD_FOR_S = 10.0
+REPORTS_COMPARED = 2
 NOTHING = InFlight()
 
 
@@ -20,7 +24,8 @@
     tokens: int
     kv_tokens: int
     charged_unix_s: float
-    tokens_ahead: int = 0
+    # None where the request may have waited for more than prefill.
+    tokens_ahead: int | None = None
     started_unix_s: float | None = None
     released_unix_s: float | None = None
 
@@ -33,19 +38,27 @@
         return 0 if _is_past(self.started_unix_s, unix_s) else self.tokens
 
 
-@define
-class _PeerCount:
-    near: InFlight
-    latest: InFlight
+@define(kw_only=True)
+class _Unexplained:
+    """Hold what one report counts beyond own charges and what each peer told of that time."""
+
+    requests: int
+    tokens: int
+    peers: dict[str, InFlight]
+
+    def forget_peer(self, vm: str) -> None:
+        count = self.peers.pop(vm, NOTHING)
+        self.requests += count.requests
+        self.tokens += count.tokens
 
 
 @define
 class ServerLoad:
     """Add up what a server has in flight.
 
-    A report counts everything up to when it was measured, whoever sent it. Own charges since then,
-    and the change in the counts of each peer heard since then, come on top. So one late report
-    serves many placements, and a dead or unheard peer's requests stay counted.
+    Own charges are exact and peers' counts are fresher than reports, so both count at once; one
+    late report serves many placements. A report is compared with what both were when it was
+    measured, and the difference is what nobody tells of, such as a dead VM's requests.
     """
 
     own_requests: int = 0
@@ -54,12 +67,9 @@
     report: LoadReport | None = None
     measured_unix_s: float = float("-inf")
     _charges: list[Charge] = field(factory=list)
-    _peers: dict[str, _PeerCount] = field(factory=dict)
-    _peers_latest_requests: int = 0
-    _peers_latest_tokens: int = 0
-    # What the report counts beyond own charges and the peers heard since.
-    _rest_requests: int = 0
-    _rest_tokens: int = 0
+    _peers_requests: int = 0
+    _peers_tokens: int = 0
+    _unexplained: deque[_Unexplained] = field(factory=lambda: deque(maxlen=REPORTS_COMPARED))
 
     @property
     def own(self) -> InFlight:
@@ -68,13 +78,13 @@
 
     def requests(self, now_unix_s: float) -> int:
         """Count the requests in flight here now, as far as is known."""
-        rest = max(0, self._rest_requests) if self._is_report_good(now_unix_s) else 0
-        return self.own_requests + self._peers_latest_requests + rest
+        unexplained = self._mean_difference([u.requests for u in self._unexplained], now_unix_s)
+        return self.own_requests + max(0, self._peers_requests + unexplained)
 
     def tokens(self, now_unix_s: float) -> int:
         """Count the prompt tokens still to be computed here."""
-        rest = max(0, self._rest_tokens) if self._is_report_good(now_unix_s) else 0
-        return self.own_tokens + self._peers_latest_tokens + rest
+        unexplained = self._mean_difference([u.tokens for u in self._unexplained], now_unix_s)
+        return self.own_tokens + max(0, self._peers_tokens + unexplained)
 
     def add(self, charge: Charge) -> None:
         """Count a charge."""
@@ -98,45 +108,46 @@
         self.own_kv_tokens -= charge.kv_tokens
         self._drop_released(now_unix_s)
 
-    def observe_report(self, report: LoadReport, measured_unix_s: float) -> None:
-        """Count from a newer report on."""
+    def observe_report(
+        self, report: LoadReport, measured_unix_s: float, peers: Mapping[str, InFlight]
+    ) -> None:
+        """Compare a newer report with own charges and peers' counts of its time."""
         if measured_unix_s <= self.measured_unix_s:
             return
         self.report = report
         self.measured_unix_s = measured_unix_s
         held = [c for c in self._charges if c.is_held_at(measured_unix_s)]
-        held_tokens = sum(c.tokens_at(measured_unix_s) for c in held)
-        self._rest_requests = report.running + report.waiting - len(held)
-        self._rest_tokens = report.queued_prefill_tokens - held_tokens
-        self._peers.clear()
-        self._peers_latest_requests = self._peers_latest_tokens = 0
+        requests = len(held) + sum(count.requests for count in peers.values())
+        tokens = sum(c.tokens_at(measured_unix_s) for c in held)
+        tokens += sum(count.tokens for count in peers.values())
+        self._unexplained.append(
+            _Unexplained(
+                requests=report.running + report.waiting - requests,
+                tokens=report.queued_prefill_tokens - tokens,
+                peers=dict(peers),
+            )
+        )
         self._drop_released(measured_unix_s)
 
-    def observe_peer(self, vm: str, count: InFlight, heard_since_report: bool) -> None:
-        """Take in a peer's count; `heard_since_report` says that an empty one came before."""
-        if vm not in self._peers:
-            near = NOTHING if heard_since_report else count
-            self._peers[vm] = _PeerCount(near, NOTHING)
-            self._rest_requests -= near.requests
-            self._rest_tokens -= near.tokens
-        self._replace_latest(self._peers[vm], count)
+    def replace_peer(self, old: InFlight, new: InFlight) -> None:
+        """Take in a peer's new count."""
+        self._peers_requests += new.requests - old.requests
+        self._peers_tokens += new.tokens - old.tokens
 
-    def forget_peer(self, vm: str) -> None:
+    def forget_peer(self, vm: str, last: InFlight) -> None:
         """Leave a peer's requests to the reports."""
-        peer = self._peers.pop(vm, None)
-        if peer is None:
-            return
-        self._replace_latest(peer, NOTHING)
-        self._rest_requests += peer.near.requests
-        self._rest_tokens += peer.near.tokens
-
-    def _replace_latest(self, peer: _PeerCount, count: InFlight) -> None:
-        self._peers_latest_requests += count.requests - peer.latest.requests
-        self._peers_latest_tokens += count.tokens - peer.latest.tokens
-        peer.latest = count
-
-    def _is_report_good(self, now_unix_s: float) -> bool:
-        return now_unix_s - self.measured_unix_s <= REPORT_GOOD_FOR_S
+        self.replace_peer(last, NOTHING)
+        for unexplained in self._unexplained:
+            unexplained.forget_peer(vm)
+
+    def _mean_difference(self, differences: list[int], now_unix_s: float) -> int:
+        """Return the mean difference of the last reports, of either sign."""
+        # Counts and reports aren't of quite the same time, so that one report is often off by a
+        # few. Were only what is too much added, servers would look full that aren't.
+        is_old = now_unix_s - self.measured_unix_s > REPORT_GOOD_FOR_S
+        if is_old or not differences:
+            return 0
+        return round(sum(differences) / len(differences))
 
     def _drop_released(self, now_unix_s: float) -> None:
         oldest_unix_s = max(self.measured_unix_s, now_unix_s - RELEASED_KEPT_S)
--- a/src/pomelobarrow/decision/service_times.py
+++ b/src/pomelobarrow/decision/service_times.py
@@ -31,6 +31,7 @@
         self._prefill = _DecayingRatio(1.0 / DEFAULT_PREFILL_TOKENS_PER_S)
         self._hold = _DecayingRatio(DEFAULT_HOLD_S)
         self._kv = _DecayingRatio(0.0)
+        self._tokens = _DecayingRatio(0.0)
 
     @property
     def s_per_prefill_token(self) -> float:
@@ -47,8 +48,14 @@
         """Return the KV cache tokens that a request may come to hold."""
         return self._kv.value()
 
-    def observe_kv(self, kv_tokens: int) -> None:
+    @property
+    def tokens(self) -> float:
+        """Return the prompt tokens that a request leaves to compute."""
+        return self._tokens.value()
+
+    def observe_charge(self, tokens: int, kv_tokens: int) -> None:
         """Take in one placed request's tokens."""
+        self._tokens.add(tokens, 1.0)
         self._kv.add(kv_tokens, 1.0)
 
     def observe_start(self, tokens_ahead: int, elapsed_s: float) -> None:
