Trace a span for each hop, with traceparent in and out

Cause: traces were built but nothing started a span. Change: spans "entry", "forward", "forwarded" and "attempt"; each hop passes its own traceparent on. With traces off the caller's passes unchanged and the request isn't copied. Ruled out: a span for each queue step; the attempt's start shows the wait. Conclusion: cost with traces off not measured here.

--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -1,6 +1,6 @@
 """The back ends' plug-in: sessions, attempts and load reports."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 from mode import Service
 
@@ -22,6 +22,7 @@
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, hookimpl
+from pomelobarrow.operators.traces import Traces
 from pomelobarrow.peers.events import PauseNoticed
 from pomelobarrow.platform.keyspaces import VMS, PublishedState
 
@@ -89,24 +90,29 @@
 
 
 def _runner(context: Context) -> AttemptRunner:
-    def run(
+    sessions, traces = context.get(BackendSessions), context.get(Traces)
+
+    async def run(
         request: GatewayRequest,
         placement: Placement,
         attempt: Attempt,
         number: int,
         sink: AnswerSink,
         on_first_byte: Callable[[], None],
-    ) -> Awaitable[AttemptResult]:
-        make = ATTEMPT_BY_IS_CHAT[request.is_chat]
-        return make(
-            sessions=context.get(BackendSessions),
-            request=request,
-            server=placement.server,
-            attempt=attempt,
-            number=number,
-            sink=sink,
-            on_first_byte=on_first_byte,
-        ).run()
+    ) -> AttemptResult:
+        server, make = placement.server, ATTEMPT_BY_IS_CHAT[request.is_chat]
+        with traces.span("attempt", request.traceparent, server=server.name, number=number) as span:
+            result = await make(
+                sessions=sessions,
+                request=request.with_traceparent(span.traceparent),
+                server=server,
+                attempt=attempt,
+                number=number,
+                sink=sink,
+                on_first_byte=on_first_byte,
+            ).run()
+            span.set("state", result.state.value)
+            return result
 
     return run
 
--- a/src/pomelobarrow/dispatch/entry.py
+++ b/src/pomelobarrow/dispatch/entry.py
@@ -14,6 +14,7 @@
 from pomelobarrow.dispatch.dispatcher import Dispatcher
 from pomelobarrow.dispatch.request import GatewayRequest
 from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.operators.traces import Traces
 
 
 @define(kw_only=True)
@@ -23,6 +24,7 @@
     dispatcher: Dispatcher
     claims: ClaimedDispatch
     limits: AccountLimits
+    traces: Traces
     in_progress: int = 0
     _idle: asyncio.Event = field(factory=asyncio.Event)
 
@@ -34,7 +36,7 @@
         if isinstance(admitted, Err):
             return await self._over_limit(request, admitted.err_value, sink)
         try:
-            return await self._counted(request, sink)
+            return await self._counted("entry", request, sink)
         finally:
             self.limits.release(account.name)
 
@@ -47,7 +49,7 @@
 
     async def dispatch_forwarded(self, request: GatewayRequest, sink: AnswerSink) -> Refusal | None:
         """Answer a peer's request; its entry VM has counted it against the account."""
-        return await self._counted(request, sink)
+        return await self._counted("forwarded", request, sink)
 
     async def wait_until_idle(self) -> None:
         """Return once nothing is in progress on this VM."""
@@ -56,13 +58,25 @@
             await self._idle.wait()
         await self.claims.wait_until_idle()
 
-    async def _counted(self, request: GatewayRequest, sink: AnswerSink) -> Refusal | None:
+    async def _counted(self, hop: str, request: GatewayRequest, sink: AnswerSink) -> Refusal | None:
         self.in_progress += 1
         try:
-            if request.is_claimed:
-                return await self.claims.dispatch(request, sink)
-            return await self.dispatcher.dispatch(request, sink)
+            return await self._traced(hop, request, sink)
         finally:
             self.in_progress -= 1
             if not self.in_progress:
                 self._idle.set()
+
+    async def _traced(self, hop: str, request: GatewayRequest, sink: AnswerSink) -> Refusal | None:
+        work = request.work
+        with self.traces.span(
+            hop, request.traceparent, request_id=work.request_id, class_name=work.class_name
+        ) as span:
+            refusal = await self._dispatch(request.with_traceparent(span.traceparent), sink)
+            span.set("outcome", refusal.kind.label if refusal else "answered")
+            return refusal
+
+    async def _dispatch(self, request: GatewayRequest, sink: AnswerSink) -> Refusal | None:
+        if request.is_claimed:
+            return await self.claims.dispatch(request, sink)
+        return await self.dispatcher.dispatch(request, sink)
--- a/src/pomelobarrow/dispatch/plugin.py
+++ b/src/pomelobarrow/dispatch/plugin.py
@@ -15,6 +15,7 @@
 from pomelobarrow.dispatch.local import LocalDispatch, QueueSweeper
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
+from pomelobarrow.operators.traces import Traces
 from pomelobarrow.platform.keyspaces import CONFIG, PublishedState
 
 SECRET_BYTES = 32
@@ -98,4 +99,5 @@
         dispatcher=context.get(Dispatcher),
         claims=context.get(ClaimedDispatch),
         limits=context.get(AccountLimits),
+        traces=context.get(Traces),
     )
--- a/src/pomelobarrow/dispatch/request.py
+++ b/src/pomelobarrow/dispatch/request.py
@@ -1,6 +1,8 @@
 """A request as the dispatcher sees it."""
 
-from attrs import field, frozen
+from typing import Self
+
+from attrs import evolve, field, frozen
 
 from pomelobarrow.decision.attempt import Attempt
 from pomelobarrow.decision.configuration import WorkClass
@@ -28,3 +30,9 @@
     forwarded_by: str | None = None
     # Filled in as attempts start, so that whoever cancels can say whether any may have run.
     attempts: list[Attempt] = field(factory=list, eq=False)
+
+    def with_traceparent(self, traceparent: str) -> Self:
+        """Return the request as the next hop is to get it; itself where traces are off."""
+        if traceparent == self.traceparent:
+            return self
+        return evolve(self, traceparent=traceparent)
--- a/src/pomelobarrow/peers/forward_client.py
+++ b/src/pomelobarrow/peers/forward_client.py
@@ -18,6 +18,7 @@
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.dispatch.request import GatewayRequest
 from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.operators.traces import Traces
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.calls import LOST, start_call, take_back_cancels
 from pomelobarrow.peers.keys import PeerKeys
@@ -40,6 +41,7 @@
     table: PeerTable
     loads: RegionLoads
     keys: PeerKeys
+    traces: Traces
     rng: Random = field(factory=Random)
     _serials: "itertools.count[int]" = field(factory=itertools.count)
 
@@ -87,6 +89,20 @@
         attempt: Attempt,
         sink: AnswerSink,
         is_claim: bool,
+    ) -> AttemptResult:
+        with self.traces.span("forward", request.traceparent, peer=member.vm) as span:
+            request = request.with_traceparent(span.traceparent)
+            result = await self._forward_once(member, request, attempt, sink, is_claim)
+            span.set("state", result.state.value)
+            return result
+
+    async def _forward_once(
+        self,
+        member: Member,
+        request: GatewayRequest,
+        attempt: Attempt,
+        sink: AnswerSink,
+        is_claim: bool,
     ) -> AttemptResult:
         run = Forward(
             forwarder=self,
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -14,6 +14,7 @@
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
+from pomelobarrow.operators.traces import Traces
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.exchange import Exchange
 from pomelobarrow.peers.forward_client import PeerForwarder
@@ -189,6 +190,7 @@
         table=context.get(PeerTable),
         loads=context.get(RegionLoads),
         keys=context.get(PeerKeys),
+        traces=context.get(Traces),
     )
 
 
