--- a/tests/run_checks.py
+++ b/tests/run_checks.py
@@ -14,7 +14,7 @@
 
 from harness.fleet import Fleet
 
-GRACE_S = 8.0
+PATIENCE = aiohttp.ClientTimeout(total=8.0)
 PROMPT = "which grade, which premium? " * 160
 
 
@@ -63,10 +63,11 @@
 
 
 @asynccontextmanager
-async def caller_session() -> AsyncIterator[aiohttp.ClientSession]:
+async def caller_session(
+    timeout: aiohttp.ClientTimeout = PATIENCE,
+) -> AsyncIterator[aiohttp.ClientSession]:
     """Yield a session that opens a connection for each request and gives up at last."""
     connector = aiohttp.TCPConnector(limit=0, force_close=True)
-    timeout = aiohttp.ClientTimeout(total=GRACE_S)
     async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
         yield session
 
