Pass repeated headers on, and check the dispatcher's verdict over mixed attempts

Cause: an answer's headers went through a dict, so the first of two Set-Cookie lines was lost: not the whole answer. The verdict over attempts that end differently had no test. Change: a multidict; a hypothesis test drives the dispatcher through any mixture of attempts. Ruled out: nothing. Conclusion: no fault found in the dispatcher's verdict.

--- a/src/pomelobarrow/callers/sinks.py
+++ b/src/pomelobarrow/callers/sinks.py
@@ -1,6 +1,7 @@
 """Write an answer to the caller's connection."""
 
 from aiohttp import web
+from multidict import CIMultiDict
 
 from pomelobarrow.callers.problems import problem_event
 from pomelobarrow.decision.errors import Refusal
@@ -33,7 +34,7 @@
     async def head(self, head: AnswerHead) -> None:
         """Send status and headers."""
         self.server = head.server
-        response = web.StreamResponse(status=head.status, headers=dict(head.headers))
+        response = web.StreamResponse(status=head.status, headers=CIMultiDict(head.headers))
         response.headers[REQUEST_ID_HEADER] = self._request_id
         response.headers[SERVER_HEADER] = head.server
         self.response = response
--- /dev/null
+++ b/tests/test_dispatch_verdicts.py
@@ -0,0 +1,155 @@
+import time
+from random import Random
+from typing import Any
+
+import pytest
+from aiohttp import ClientSession, web
+from attrs import define, field
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from pomelobarrow.callers.sinks import HttpSink
+from pomelobarrow.decision.attempt import UNRUN_STATES, Attempt, AttemptState
+from pomelobarrow.decision.configuration import Rank, WorkClass
+from pomelobarrow.decision.errors import Kind, Refusal, Run
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.region_choice import RegionLoad, ShareOutsideHome
+from pomelobarrow.decision.work import Work
+from pomelobarrow.dispatch import dispatcher as module
+from pomelobarrow.dispatch.answers import AnswerHead, AnswerSink, AttemptResult
+from pomelobarrow.dispatch.dispatcher import Dispatcher
+from pomelobarrow.dispatch.refusals import RefusedError, refuse
+from pomelobarrow.dispatch.request import GatewayRequest
+
+NO_ROOM = refuse(Kind.OVERLOADED, Run.NO, "the queue is full")
+# A peer's own word; its refusal says what its state says.
+PEER_REFUSALS = {AttemptState.REFUSED_UNRUN: NO_ROOM}
+STATES = st.sampled_from(
+    [
+        AttemptState.NOT_SENT,
+        AttemptState.REFUSED_UNRUN,
+        AttemptState.UNKNOWN,
+        AttemptState.FINISHED,
+    ]
+)
+# What each attempt comes to: no room before it begins, or a state with or without a head passed.
+ENDS = st.one_of(st.none(), st.tuples(STATES, st.booleans()))
+
+
+@define
+class Sink:
+    """Count how an answer ends."""
+
+    broken_off: int = 0
+
+    async def broken(self, refusal: Refusal) -> None:
+        self.broken_off += 1
+
+
+@define
+class Attempts:
+    """End attempts as a test says, here and at a peer, and keep what they came to."""
+
+    ends: list[tuple[AttemptState, bool] | None]
+    table: LoadTable = field(factory=lambda: LoadTable("r"))
+    states: list[AttemptState] = field(factory=list)
+
+    def expected_wait_s(self, work: Work) -> float:
+        return 0.0
+
+    def region_loads(self, work: Work) -> dict[str, RegionLoad]:
+        return {}
+
+    async def run(self, request: Any, attempt: Attempt, *rest: Any) -> AttemptResult:
+        end = self.ends.pop(0) if self.ends else None
+        if end is None:
+            raise RefusedError(NO_ROOM)
+        state, head_passed = end
+        head_passed = head_passed and state not in UNRUN_STATES
+        self.states.append(state)
+        refusal = PEER_REFUSALS.get(state)
+        return AttemptResult(state=state, head_passed=head_passed, server="s", refusal=refusal)
+
+
+def request_of(repeatable: bool) -> GatewayRequest:
+    now = time.time()
+    work = Work(
+        request_id="id",
+        class_name="c",
+        account="a",
+        rank=Rank.PAYING,
+        pool="p",
+        model=None,
+        home_region="r",
+        home_bound=True,
+        repeatable=repeatable,
+        prompt_tokens=0,
+        expected_output_tokens=0,
+        accepted_unix_s=now,
+        first_token_due_unix_s=now + 1,
+        deadline_unix_s=now + 60,
+    )
+    work_class = WorkClass(name="c", pool="p", first_token_target_s=1, finish_target_s=60)
+    return GatewayRequest(
+        work=work, work_class=work_class, is_chat=True, is_streamed=True, method="POST", path="/"
+    )
+
+
+@pytest.fixture(autouse=True)
+def without_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name in ("UNRUN_PAUSE_S", "BACKOFF_FLOOR_S", "BACKOFF_CEILING_S"):
+        monkeypatch.setattr(module, name, 0.0)
+
+
+@given(ends=st.lists(ENDS, max_size=8), repeatable=st.booleans())
+@settings(deadline=None, suppress_health_check=[HealthCheck.function_scoped_fixture])
+async def test_the_verdict_follows_from_all_attempts(
+    ends: list[tuple[AttemptState, bool] | None], repeatable: bool
+) -> None:
+    """Attempts end in any mixture: not sent, refused, unknown, broken off, whole.
+
+    Work that may not be repeated is not tried again once it may have run, nothing is tried again
+    once a caller has seen a part of an answer, and "not run" needs every attempt to be certain.
+    """
+    attempts: Any = Attempts(list(ends))
+    dispatcher = Dispatcher(
+        own_region="r",
+        local=attempts,
+        forwarder=attempts,
+        share=ShareOutsideHome(),
+        observe=lambda event: None,
+        rng=Random(0),
+    )
+    sink: Any = Sink()
+    answering: AnswerSink = sink
+    refusal = await dispatcher.dispatch(request_of(repeatable), answering)
+    states = attempts.states
+    may_have_run = [each for each in states if each not in UNRUN_STATES]
+    assert (refusal is None) == (AttemptState.FINISHED in states)
+    assert states.count(AttemptState.FINISHED) <= 1
+    if not repeatable:
+        assert len(may_have_run) <= 1
+        assert not may_have_run or states[-1] is may_have_run[0]
+    if refusal is not None and refusal.run is Run.NO:
+        assert may_have_run == []
+    assert sink.broken_off <= 1
+
+
+async def test_headers_that_come_twice_are_passed_on_twice() -> None:
+    async def handle(request: web.Request) -> web.StreamResponse:
+        sink = HttpSink(request, "id")
+        await sink.head(AnswerHead(200, (("Set-Cookie", "a=1"), ("Set-Cookie", "b=2"))))
+        await sink.end()
+        assert sink.response is not None
+        return sink.response
+
+    app = web.Application()
+    app.router.add_get("/", handle)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    async with ClientSession() as session:
+        port = runner.addresses[0][1]
+        async with session.get(f"http://127.0.0.1:{port}/") as response:
+            assert response.headers.getall("Set-Cookie") == ["a=1", "b=2"]
+    await runner.cleanup()
