--- /dev/null
+++ b/src/pomelobarrow/decision/demand.py
@@ -0,0 +1,80 @@
+"""Measure what an account's callers ask for and hold what peers were told of it."""
+
+import math
+from collections import deque
+
+from attrs import define, field
+
+STEADY_HALF_LIFE_S = 4.0
+QUICK_HALF_LIFE_S = 0.7
+# A quick average off by this many deviations tells of a jump and not of chance.
+JUMP_DEVIATIONS = 3.5
+# More than peers need to be told a rate again, so that what is announced here is always told.
+ANNOUNCE_CHANGE = 0.3
+# Told a little high, so that a rate that rose by less than is told again finds room.
+ANNOUNCE_HEADROOM = 1.2
+
+
+@define
+class _Average:
+    half_life_s: float
+    _rate_per_s: float = 0.0
+    _updated_unix_s: float = 0.0
+
+    def at(self, now_unix_s: float) -> float:
+        age_s = max(0.0, now_unix_s - self._updated_unix_s)
+        return self._rate_per_s * 0.5 ** (age_s / self.half_life_s)
+
+    def count(self, now_unix_s: float) -> None:
+        self.set(self.at(now_unix_s) + math.log(2.0) / self.half_life_s, now_unix_s)
+
+    def set(self, rate_per_s: float, now_unix_s: float) -> None:
+        self._rate_per_s = rate_per_s
+        self._updated_unix_s = now_unix_s
+
+
+@define
+class Demand:
+    """Average one account's requests a second, refused ones included."""
+
+    _steady: _Average = field(factory=lambda: _Average(STEADY_HALF_LIFE_S))
+    _quick: _Average = field(factory=lambda: _Average(QUICK_HALF_LIFE_S))
+    # When each announced rate came into force.
+    _announced: deque[tuple[float, float]] = field(factory=deque)
+
+    def count(self, now_unix_s: float) -> None:
+        """Count one request."""
+        self._steady.count(now_unix_s)
+        self._quick.count(now_unix_s)
+
+    def rate_per_s(self, now_unix_s: float) -> float:
+        """Return the rate of late: steady, but quick to follow callers who come or leave."""
+        steady, quick = self._steady.at(now_unix_s), self._quick.at(now_unix_s)
+        deviation = math.sqrt(max(steady, quick) * math.log(2.0) / (2.0 * QUICK_HALF_LIFE_S))
+        if abs(quick - steady) <= JUMP_DEVIATIONS * deviation:
+            return steady
+        self._steady.set(quick, now_unix_s)
+        return quick
+
+    def announce(self, now_unix_s: float) -> float:
+        """Return the rate to tell peers; small moves are kept back."""
+        rate = ANNOUNCE_HEADROOM * self.rate_per_s(now_unix_s)
+        old = self._announced[-1][1] if self._announced else 0.0
+        if abs(rate - old) <= ANNOUNCE_CHANGE * max(rate, old):
+            return old
+        self._announced.append((now_unix_s, rate))
+        return rate
+
+    def heard_by_all(self, now_unix_s: float, delivery_s: float) -> float:
+        """Return the lowest rate that some peer may still hold as this VM's.
+
+        A VM that took a larger share as its demand rose would take it before its peers make room:
+        together they would pass the limit for as long as the news takes.
+        """
+        oldest_unix_s = now_unix_s - delivery_s
+        while len(self._announced) > 1 and self._announced[1][0] <= oldest_unix_s:
+            self._announced.popleft()
+        rates = [rate for _, rate in self._announced]
+        if not rates or self._announced[0][0] > oldest_unix_s:
+            return 0.0
+        return min(rates)
