Count a claimed run against its account until it ends, not until its caller leaves

Cause: a run under an issued id goes on when its caller leaves, but its place in the account's limit was given back at once: by leaving again and again an account kept any number running. Change: the place is given back when the run ends; a repeat that finds it running gives its own back at once. Ruled out: cancelling the run: its outcome is what the repeat asks for. Conclusion: the limit holds for runs left alone as well.

--- a/src/pomelobarrow/dispatch/claims.py
+++ b/src/pomelobarrow/dispatch/claims.py
@@ -43,6 +43,7 @@
     # Set before the ids are sent to a successor: from then on it may run them.
     is_handing_over: bool = False
     _running: set["asyncio.Task[Refusal | None]"] = field(factory=set)
+    _left: dict[str, "asyncio.Task[Refusal | None]"] = field(factory=dict)
 
     async def dispatch(self, request: GatewayRequest, sink: AnswerSink) -> Refusal | None:
         """Claim the id here, or pass the request on to the VM that issued it."""
@@ -71,6 +72,18 @@
             return self._record_refusal(work.request_id, refusal)
         return await self._answers()[claim.kind](claim, request, sink)
 
+    def after_run(self, request_id: str, then: Callable[[], None]) -> None:
+        """Call back once the run that this id's caller has just left is over, or now.
+
+        An account that left its requests running would otherwise get room for more at once, and
+        keep any number of them running past its limit.
+        """
+        task = self._left.pop(request_id, None)
+        if task is None:
+            then()
+        else:
+            task.add_done_callback(lambda _: then())
+
     async def wait_until_idle(self) -> None:
         """Return once no claimed request runs any more."""
         while self._running:
@@ -104,6 +117,8 @@
             return await asyncio.shield(task)
         except asyncio.CancelledError:
             recorder.detach()
+            if not task.done():
+                self._left[request.work.request_id] = task
             raise
 
     async def _run_recorded(
--- a/src/pomelobarrow/dispatch/entry.py
+++ b/src/pomelobarrow/dispatch/entry.py
@@ -1,6 +1,7 @@
 """Take a request from a caller or a peer and count it until it ends."""
 
 import asyncio
+from functools import partial
 
 from attrs import define, field
 from result import Err
@@ -38,7 +39,8 @@
         try:
             return await self._counted("entry", request, sink)
         finally:
-            self.limits.release(account.name)
+            release = partial(self.limits.release, account.name)
+            self.claims.after_run(request.work.request_id, release)
 
     async def _over_limit(
         self, request: GatewayRequest, refusal: Refusal, sink: AnswerSink
--- a/tests/test_dispatch_claims.py
+++ b/tests/test_dispatch_claims.py
@@ -133,11 +133,17 @@
     first = asyncio.create_task(claimed.dispatch(request_of(request_id), Sink()))
     await steps()
     first.cancel()
+    await steps()
+    over: list[str] = []
+    claimed.after_run(request_id, lambda: over.append("first"))
     repeat = await claimed.dispatch(request_of(request_id), Sink())
+    claimed.after_run(request_id, lambda: over.append("repeat"))
     assert repeat is not None
     assert repeat.kind is Kind.STILL_RUNNING
+    assert over == ["repeat"]
     dispatcher.waiting[0].set_result(None)
     await steps()
+    assert over == ["repeat", "first"]
     sink = Sink()
     assert await claimed.dispatch(request_of(request_id), sink) is None
     assert (sink.body, sink.is_whole) == (b"done", True)
