--- /dev/null
+++ b/tests/test_proof_two_faults.py
@@ -0,0 +1,124 @@
+"""Two faults at once."""
+
+import asyncio
+import time
+
+import pytest
+from callers import Reply, chat, chat_body, wait_until
+from proof_report import Figure
+
+from harness.fleet import Fleet
+
+STREAM_TOKENS = 300
+STREAMS = 6
+EXIT_TIMEOUT_S = 60.0
+
+
+class Streams:
+    """Hold long streams, and know when each has begun."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.tasks: list[asyncio.Task[Reply]] = []
+        self._begun: list[asyncio.Event] = []
+
+    def start(self, vm: str, account: str, class_name: str, model: str, **headers: str) -> None:
+        """Send one long stream to an entry VM."""
+        begun = asyncio.Event()
+        body = chat_body(model, STREAM_TOKENS, "Read this contract. " * 40)
+        address = self.fleet.direct(vm)
+        sending = chat(self.fleet, address, account, class_name, body, begun.set, **headers)
+        task = asyncio.create_task(sending)
+        task.add_done_callback(lambda _: begun.set())
+        self.tasks.append(task)
+        self._begun.append(begun)
+
+    async def wait_begun(self) -> None:
+        """Return once every stream has brought its first token or ended."""
+        await asyncio.gather(*(begun.wait() for begun in self._begun))
+
+    async def replies(self) -> list[Reply]:
+        """Return all replies."""
+        return list(await asyncio.gather(*self.tasks))
+
+
+def report(figure: Figure, replies: list[Reply], runs: list[str]) -> None:
+    """Record how the requests ended."""
+    figure("requests", len(replies))
+    figure("answered whole", sum(each.is_answered for each in replies))
+    figure("told: may have run", sum(each.run == "unknown" for each in replies))
+    figure("told: not run", sum(each.run == "no" for each in replies))
+    figure("cut without a word", sum(each.is_cut for each in replies))
+    figure(
+        "told not run but run", sum(each.run == "no" and each.marker in runs for each in replies)
+    )
+
+
+@pytest.mark.proof
+async def test_a_frozen_peer_and_a_killed_engine(vasktoru: Fleet, figure: Figure) -> None:
+    # Reviews that belong to Warsaw are read through Tallinn. One of Warsaw's entry VMs freezes and
+    # one of its two engines is killed at the same moment, then the frozen VM wakes. Reviews may
+    # come late, but each ends whole or with an error event, none is told "not run" that ran, and
+    # what comes afterwards is answered.
+    fleet, account = vasktoru, "paying-warsaw"
+    streams = Streams(fleet)
+    for _ in range(STREAMS):
+        for vm in fleet.in_region("tallinn"):
+            streams.start(vm, account, "contract-review", "contract-reader")
+    await streams.wait_begun()
+    started_s = time.monotonic()
+    fleet.freeze("warsaw-1")
+    fleet.processes.kill("contracts-warsaw-1")
+    replies = await streams.replies()
+    figure("seconds until all had ended", time.monotonic() - started_s)
+    fleet.thaw("warsaw-1")
+    fleet.start_server("contracts-warsaw-1")
+    later = Streams(fleet)
+    for vm in fleet.entries:
+        later.start(vm, account, "contract-review", "contract-reader")
+    afterwards = await later.replies()
+    runs = [run["marker"] for run in await fleet.runs()]
+    report(figure, replies, runs)
+    figure("afterwards answered whole", sum(each.is_answered for each in afterwards))
+    assert not [each for each in replies if each.is_cut]
+    assert not [each for each in replies if each.run == "no" and each.marker in runs]
+    assert all(each.is_answered for each in afterwards)
+
+
+@pytest.mark.proof
+async def test_silent_connections_during_a_rolling_stop(rondinella: Fleet, figure: Figure) -> None:
+    # While the entry VMs are replaced in turn, every open connection between regions and to the
+    # engines falls silent for good. The stop must neither cut the drafts in progress nor wait for
+    # connections that will never speak again.
+    fleet, replies, stops_s = rondinella, [], []
+    for vm, plan in fleet.entries.items():
+        streams = Streams(fleet)
+        other = next(each for each in fleet.deployment.regions if each != plan.region)
+        for region in (plan.region, other) * 2:
+            streams.start(vm, f"paying-{region}", "draft", "draft-large")
+        for entry in fleet.in_region(other):
+            streams.start(entry, f"paying-{plan.region}", "draft", "draft-large")
+        await streams.wait_begun()
+        started_s = time.monotonic()
+        fleet.terminate(vm)
+        await fleet.fault("peer/*", "silent")
+        await fleet.fault("server/*", "silent")
+        replies += await streams.replies()
+        assert await wait_for_exit(fleet, vm) == 0
+        stops_s.append(time.monotonic() - started_s)
+        fleet.start_entry(vm)
+        await fleet.wait_ready(vm)
+    figure("daemons replaced", len(stops_s))
+    figure("most seconds of a stop", max(stops_s))
+    report(figure, replies, [run["marker"] for run in await fleet.runs()])
+    assert not [each for each in replies if each.is_cut]
+
+
+async def wait_for_exit(fleet: Fleet, vm: str) -> int:
+    """Return the exit code of a process that ends."""
+
+    async def has_ended() -> bool:
+        return fleet.processes.running[vm].poll() is not None
+
+    await wait_until(has_ended, EXIT_TIMEOUT_S)
+    return fleet.processes.wait(vm, 1.0)
