Send an answer's headers together with its first bytes

Cause: a profile showed 6.9% of a daemon's time in a socket write of its own for the headers of each answer. Change: the sink's response holds its headers until the first bytes of the body, which follow at once. Ruled out: a web.Response with the whole body: streams have none.

--- a/src/pomelobarrow/callers/sinks.py
+++ b/src/pomelobarrow/callers/sinks.py
@@ -17,6 +17,17 @@
 SERVER_HEADER = "Pomelobarrow-Backend-Server"
 
 
+class _Response(web.StreamResponse):
+    """Send the headers together with the first bytes of the body.
+
+    An answer's head is passed on only when its first bytes are there, so nothing comes later; a
+    write of its own for the headers cost a fourteenth of a request's CPU. Where a later aiohttp
+    has no such switch, the headers go out at once again.
+    """
+
+    _send_headers_immediately = False
+
+
 class HttpSink:
     """Pass an answer on to one caller and note its timing."""
 
@@ -34,7 +45,7 @@
     async def head(self, head: AnswerHead) -> None:
         """Send status and headers."""
         self.server = head.server
-        response = web.StreamResponse(status=head.status, headers=CIMultiDict(head.headers))
+        response = _Response(status=head.status, headers=CIMultiDict(head.headers))
         response.headers[REQUEST_ID_HEADER] = self._request_id
         response.headers[SERVER_HEADER] = head.server
         self.response = response
