Add the bench of the two deployments, and let a plug-in choose the server

Change: bench/ runs scenarios on the harness's fleets; the choice of the server is a plain function held by LocalDispatch, and run_daemon takes extra plug-ins, so that the baselines live in bench/ alone. Ruled out: a setting for the policy in the daemon; a second daemon.

--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,249 @@
+"""Run the scenarios of one deployment on real daemons."""
+
+import asyncio
+import hashlib
+import sys
+import time
+from collections.abc import Callable, Coroutine, Iterator
+from typing import Any
+
+import aiohttp
+import yaml
+from attrs import define, evolve, field, frozen
+
+from bench import measures
+from bench.measures import Observed
+from bench.sending import Callers, Record
+from bench.traffic import Arrival, DeploymentTraffic, Load, arrivals
+from harness.deployments import PAYING_ACCOUNT, token_of
+from harness.fleet import HOST, Fleet
+from pomelobarrow.standin.load_results import Outcome
+
+FaultStarter = Callable[[], Coroutine[None, None, None]]
+GATEWAY = "gateway"
+ROUND_ROBIN = "round-robin"
+LEAST_LOAD = "least-load"
+METERED = "metered"
+METERED_PER_S = 8.0
+# Offered by all regions together, as a multiple of the account's limit.
+METERED_OFFERED = 3.0
+LIMIT_WINDOW_S = 10.0
+RAMP_S = 3.0
+SETTLE_S = 1.0
+CALIBRATION_IN_FLIGHT = 1.5
+CALIBRATION_WARM_SHARE = 0.4
+
+
+@frozen(kw_only=True)
+class Durations:
+    """State how long each part takes."""
+
+    calibration_s: float
+    comparison_s: float
+    overload_s: float
+    recovery_s: float
+    fault_s: float
+    region_lost_s: float
+    healed_s: float
+
+
+WHOLE = Durations(
+    calibration_s=8.0,
+    comparison_s=20.0,
+    overload_s=20.0,
+    recovery_s=8.0,
+    fault_s=10.0,
+    region_lost_s=18.0,
+    healed_s=8.0,
+)
+SHORT = Durations(
+    calibration_s=6.0,
+    comparison_s=12.0,
+    overload_s=12.0,
+    recovery_s=5.0,
+    fault_s=6.0,
+    region_lost_s=14.0,
+    healed_s=4.0,
+)
+
+
+@define
+class BenchFleet(Fleet):
+    """Hold a deployment whose daemons use one policy."""
+
+    policy: str = GATEWAY
+
+    def start_entry(self, vm: str) -> None:
+        """Start an entry VM's daemon, with the baseline's plug-in where one is named."""
+        if self.policy == GATEWAY:
+            super().start_entry(vm)
+            return
+        path = self.processes.folder / f"{vm}.yaml"
+        path.write_text(yaml.safe_dump(self._settings(self.entries[vm])))
+        arguments = ("bench.baseline_daemon", "--policy", self.policy, "--settings", str(path))
+        self.processes.start(vm, arguments)
+
+
+@define(kw_only=True)
+class Bench:
+    """Hold one fleet, its callers' session and the measured capacity."""
+
+    fleet: BenchFleet
+    traffic: DeploymentTraffic
+    session: aiohttp.ClientSession
+    durations: Durations
+    capacity_per_s: float = 0.0
+    observed: list[Observed] = field(factory=list)
+
+    def callers(self) -> Callers:
+        """Return callers whose clock starts now."""
+        directory = {
+            region: [
+                self.fleet.entries[vm].advertised_caller for vm in self.fleet.in_region(region)
+            ]
+            for region in self.traffic.deployment.regions
+        }
+        return Callers(
+            traffic=self.traffic,
+            session=self.session,
+            directory=directory,
+            started_s=time.monotonic(),
+        )
+
+    def engines(self) -> list[str]:
+        """Return the engines' names."""
+        return [
+            name
+            for name, server in self.fleet.servers.items()
+            if server.pool.name == self.traffic.engine_pool
+        ]
+
+    def say(self, text: str) -> None:
+        """Tell on stderr how far the bench is."""
+        name, policy = self.traffic.deployment.name, self.fleet.policy
+        print(f"{time.strftime('%X')} {name} {policy}: {text}", file=sys.stderr, flush=True)
+
+    async def calibrate(self) -> float:
+        """Measure the engine requests a second that full engines answer."""
+        duration_s = self.durations.calibration_s
+        load = Load(
+            name=f"calibration-{self.fleet.policy}",
+            duration_s=duration_s,
+            paying=1.0,
+            peak_share=0.0,
+            services=False,
+        )
+        planned = arrivals(self.traffic, load, 400.0)
+        callers = self.callers()
+        ended_s: list[float] = []
+        warm_s = duration_s * CALIBRATION_WARM_SHARE
+        async with asyncio.TaskGroup() as tasks:
+            for region, engines in self.traffic.engines_by_region.items():
+                queue = iter([each for each in planned if each.region == region])
+                in_flight = round(engines * self._slots() * CALIBRATION_IN_FLIGHT)
+                for _ in range(in_flight):
+                    tasks.create_task(_keep_sending(callers, queue, duration_s, ended_s))
+        counted = [each for each in ended_s if warm_s <= each < duration_s]
+        self.capacity_per_s = len(counted) / (duration_s - warm_s)
+        self.say(f"capacity {self.capacity_per_s:.1f} requests a second")
+        return self.capacity_per_s
+
+    async def run(
+        self,
+        load: Load,
+        fault: FaultStarter | None = None,
+        planned: list[Arrival] | None = None,
+    ) -> Observed:
+        """Run one scenario, with a fault on the way, and keep what it left behind."""
+        planned = planned or arrivals(self.traffic, load, self.capacity_per_s)
+        self.say(f"{load.name}: {len(planned)} requests")
+        callers, started_unix_s = self.callers(), time.time()
+        faulting = asyncio.create_task(fault()) if fault else None
+        records = await callers.send_all(planned)
+        if faulting:
+            await faulting
+        raw = await self._runs()
+        observed = Observed(
+            traffic=self.traffic,
+            name=load.name,
+            policy=self.fleet.policy,
+            duration_s=load.duration_s,
+            records=records,
+            runs=measures.engine_runs(raw, records, started_unix_s),
+            engine_slots=self._slots(),
+        )
+        self.observed.append(observed)
+        await asyncio.sleep(SETTLE_S)
+        return observed
+
+    async def metered(self, duration_s: float) -> dict[str, Any]:
+        """Offer an account thrice its limit at VMs of all regions; count what got through."""
+        account = _metered_account()
+        await self.fleet.publish("config", {f"accounts/{METERED}": account})
+        await asyncio.sleep(2.0 * SETTLE_S)
+        each = next(c for c in self.traffic.classes if not c.is_chat)
+        rate_per_s = METERED_PER_S * METERED_OFFERED
+        regions = self.traffic.deployment.regions
+        planned = [
+            Arrival(
+                at_s=number / rate_per_s,
+                class_name=each.name,
+                rank=PAYING_ACCOUNT,
+                region=regions[_metered_place(number, len(regions))],
+                document=0,
+                marker=f"metered/{number}",
+            )
+            for number in range(int(duration_s * rate_per_s))
+        ]
+        records = await self.callers().send_all(planned, account=METERED)
+        passed = [
+            answer
+            for record in records
+            for answer in record.tries
+            if answer.outcome in (Outcome.ANSWERED, Outcome.UNKNOWN)
+        ]
+        most = measures.most_in_window([each.sent_s for each in passed], LIMIT_WINDOW_S)
+        return {
+            "limit_per_s": METERED_PER_S,
+            "offered_per_s": rate_per_s,
+            "most_in_10_s": most,
+            "overshoot": round(most / (METERED_PER_S * LIMIT_WINDOW_S) - 1.0, 4),
+            "answered": len(passed),
+        }
+
+    async def _runs(self) -> list[dict[str, Any]]:
+        found: list[dict[str, Any]] = []
+        for name in self.engines():
+            server = self.fleet.servers[name]
+            answer = await self.fleet.get(f"{HOST}:{server.port}", "/admin/runs")
+            found += [{**run, "server": name, "region": server.region} for run in answer["runs"]]
+        return found
+
+    def _slots(self) -> int:
+        return self.traffic.deployment.pools[0].slots
+
+
+async def _keep_sending(
+    callers: Callers, queue: Iterator[Arrival], duration_s: float, ended_s: list[float]
+) -> None:
+    for arrival in queue:
+        at_s = callers.now_s()
+        if at_s >= duration_s:
+            return
+        record: Record = await callers.send(evolve(arrival, at_s=at_s))
+        if record.last.outcome is Outcome.ANSWERED:
+            ended_s.append(callers.now_s())
+
+
+def _metered_account() -> dict[str, Any]:
+    return {
+        "token_sha256": [hashlib.sha256(token_of(METERED).encode()).hexdigest()],
+        "rank": PAYING_ACCOUNT,
+        "max_requests_per_s": METERED_PER_S,
+        "max_requests_in_flight": 1_000,
+    }
+
+
+def _metered_place(number: int, regions: int) -> int:
+    """Move the demand from region to region, as the day does."""
+    return (number // 40 + (number % 3 == 0)) % regions
--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -25,6 +25,8 @@
 LOOP_STEPS_BEFORE_SENDING = 2
 MIN_DRAIN_PER_S = 1e-6
 
+# Returns the placement of some work, or None while no server has room for it.
+ServerChooser = Callable[[LoadTable, Work, float, Random, frozenset[str]], Placement | None]
 # Runs one attempt on a placed server.
 AttemptRunner = Callable[
     [GatewayRequest, Placement, Attempt, int, AnswerSink, Callable[[], None]],
@@ -48,6 +50,7 @@
     table: LoadTable
     run_attempt: AttemptRunner
     observe: Callable[[object], None]
+    choose: ServerChooser = choose_server
     rng: Random = field(factory=Random)
     queues: dict[str, WorkQueue] = field(factory=dict)
     _waiters: dict[str, Waiter] = field(factory=dict)
@@ -140,7 +143,7 @@
 
         def may_take(work: Work) -> bool:
             waiter = self._waiters[work.request_id]
-            placement = choose_server(self.table, work, now, self.rng, waiter.excluded)
+            placement = self.choose(self.table, work, now, self.rng, waiter.excluded)
             if placement is not None:
                 found.append(placement)
             return placement is not None
--- a/src/pomelobarrow/kernel/daemon.py
+++ b/src/pomelobarrow/kernel/daemon.py
@@ -37,17 +37,19 @@
     return time.time_ns() // 1_000
 
 
-def build_context(settings: Settings) -> Context:
+def build_context(settings: Settings, extra_plugins: Iterable[object] = ()) -> Context:
     """Load the plug-ins and let them register their parts."""
     hooks = load_plugins()
+    for plugin in extra_plugins:
+        hooks.register(plugin)
     context = Context(settings, new_incarnation(), hooks)
     hooks.hook.provide_parts(context=context)
     return context
 
 
-def run_daemon(settings: Settings) -> int:
+def run_daemon(settings: Settings, extra_plugins: Iterable[object] = ()) -> int:
     """Serve until a planned stop has finished; return the exit code."""
-    return asyncio.run(_serve(build_context(settings)))
+    return asyncio.run(_serve(build_context(settings, extra_plugins)))
 
 
 async def _serve(context: Context) -> int:
