Prove the membership view and the clock offsets, and mend two ways to misjudge silence

Cause, found by the new tests: after the clock was set back, what others said of a member counted as old until the clock had caught up; two heartbeats that came together at the start made the next ordinary interval look like silence. Change: a pause brings heard times back to now; a timeout is trusted after four intervals, until then the ceiling holds. Tests: a machine of heartbeats, old messages, rumours and sleeps; offsets against the true one; watchers and relays the same everywhere. Ruled out: a smallest interval: the pace of heartbeats isn't this module's to know. A year of replacements (62,000) leaves no member and no successor.

--- a/src/pomelobarrow/decision/membership.py
+++ b/src/pomelobarrow/decision/membership.py
@@ -164,6 +164,9 @@
         # The others' heartbeats wait unread in the sockets. Judged by the clock alone, every
         # member would look dead because we slept.
         for record in self._records.values():
+            # After the clock was set back, words would look old until it has caught up.
+            heard_unix_s = min(record.member.heard_unix_s, now_unix_s)
+            record.member = evolve(record.member, heard_unix_s=heard_unix_s)
             if not record.timer.is_overdue(now_unix_s - gap_s):
                 record.timer.restart(now_unix_s)
 
--- a/src/pomelobarrow/decision/silence.py
+++ b/src/pomelobarrow/decision/silence.py
@@ -7,8 +7,11 @@
 # Weights of a new interval in the mean and in the deviation, as in TCP's retransmission timer.
 MEAN_GAIN = 1 / 8
 DEVIATION_GAIN = 1 / 4
-# A lossless link delays a heartbeat by a few deviations; two are also allowed to be lost.
+# Intervals shorter than this share of the mean come from heartbeats that waited together.
 BURST_SHARE = 1 / 4
+# Too few intervals say little of the pace; a first short one would make the next look like silence.
+INTERVALS_TO_TRUST = 4
+# A lossless link delays a heartbeat by a few deviations; two are also allowed to be lost.
 MEANS_ALLOWED = 3.0
 DEVIATIONS_ALLOWED = 4.0
 
@@ -20,6 +23,7 @@
     heard_unix_s: float | None = None
     mean_s: float | None = field(default=None, init=False)
     deviation_s: float = field(default=0.0, init=False)
+    _intervals: int = field(default=0, init=False)
     _restarted_unix_s: float | None = field(default=None, init=False)
     # Whether the last word came from the member itself, so that the next one ends an interval.
     _in_interval: bool = field(default=False, init=False)
@@ -36,6 +40,7 @@
         """Take word from another that it was heard; this says nothing of its interval."""
         self.heard_unix_s = heard_unix_s
         self.mean_s = None
+        self._intervals = 0
         self._restarted_unix_s = None
         self._in_interval = False
 
@@ -48,6 +53,7 @@
         # The end of a long silence is no interval: it would stretch the timeout to the ceiling.
         if not 0 <= interval_s <= CEILING_S:
             return
+        self._intervals += 1
         if self.mean_s is None:
             self.mean_s, self.deviation_s = interval_s, interval_s / 2
             return
@@ -64,6 +70,8 @@
         """Return the silence after which the member is suspect."""
         if self.mean_s is None:
             return CEILING_S
+        if self._intervals < INTERVALS_TO_TRUST:
+            return CEILING_S
         expected_s = MEANS_ALLOWED * self.mean_s + DEVIATIONS_ALLOWED * self.deviation_s
         return min(max(expected_s, FLOOR_S), CEILING_S)
 
--- /dev/null
+++ b/tests/test_clocks.py
@@ -0,0 +1,68 @@
+"""Clock offsets stay within their stated error, and pauses are noticed."""
+
+import math
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import given
+
+from pomelobarrow.decision.clocks import ClockOffsets, PauseDetector
+
+delays_s = st.floats(0.0, 0.5)
+
+
+def exchange(offsets, at_unix_s, offset_s, there_s, back_s, held_s=0.3):
+    """Send a heartbeat at a time by our clock, and take in the peer's that echoes it."""
+    arrived_unix_s = at_unix_s + there_s
+    answered_unix_s = arrived_unix_s + held_s
+    return offsets.observe(
+        "peer",
+        echo_sent_unix_s=at_unix_s,
+        echo_received_unix_s=arrived_unix_s + offset_s,
+        sent_unix_s=answered_unix_s + offset_s,
+        received_unix_s=answered_unix_s + back_s,
+    )
+
+
+@given(st.floats(-1e5, 1e5), st.lists(st.tuples(delays_s, delays_s), min_size=1, max_size=12))
+def test_the_true_offset_lies_within_the_stated_error(offset_s, delays):
+    offsets = ClockOffsets()
+    for turn, (there_s, back_s) in enumerate(delays):
+        exchange(offsets, 1e6 + turn, offset_s, there_s, back_s)
+    error_s = offsets.error_s("peer") + 1e-6
+    assert abs(offsets.offset_s("peer") - offset_s) <= error_s
+    assert error_s <= min(sum(trip) / 2 for trip in delays[-8:]) + 1e-5
+    assert offsets.to_local("peer", 1e6 + offset_s) == pytest.approx(1e6, abs=error_s)
+
+
+def test_a_peer_whose_clock_is_set_is_believed_at_once():
+    # The peer's clock is corrected by an hour. Deadlines it sends by the new clock would be an
+    # hour off for as long as the better, older samples are kept.
+    offsets = ClockOffsets()
+    exchange(offsets, 1_000.0, 3_600.0, 0.01, 0.01)
+    exchange(offsets, 1_001.0, 0.0, 0.2, 0.2)
+    assert offsets.offset_s("peer") == pytest.approx(0.0, abs=0.01)
+
+
+def test_an_unknown_peer_has_no_offset_and_no_bound():
+    offsets = ClockOffsets()
+    assert (offsets.to_local("peer", 5.0), offsets.error_s("peer")) == (5.0, math.inf)
+    assert not exchange(offsets, 1_000.0, 0.0, 0.0, -1.0)
+    assert not exchange(offsets, 0.0, 0.0, 0.1, 0.1)
+    exchange(offsets, 1_000.0, 9.0, 0.1, 0.1)
+    offsets.forget("peer")
+    assert offsets.offset_s("peer") == 0.0
+
+
+@pytest.mark.parametrize(
+    ("ticks_unix_s", "gap_s"),
+    [
+        pytest.param([10.0], 0.0, id="first tick"),
+        pytest.param([10.0, 11.0, 13.5], 0.0, id="busy loop"),
+        pytest.param([10.0, 11.0, 71.0], 60.0, id="process stopped"),
+        pytest.param([10.0, 11.0, 4.0], 7.0, id="clock set back"),
+    ],
+)
+def test_a_gap_between_ticks_tells_of_a_pause(ticks_unix_s, gap_s):
+    detector = PauseDetector(expected_interval_s=1.0)
+    assert [detector.tick(tick) for tick in ticks_unix_s][-1] == gap_s
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,227 @@
+"""The view of the entry VMs: who answers, who is suspect, who took over from whom."""
+
+import random
+from collections import Counter
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from pomelobarrow.decision.membership import (
+    ListedVm,
+    Member,
+    MembershipView,
+    Phase,
+    relays,
+    watchers,
+)
+from pomelobarrow.decision.rendezvous import rendezvous
+from pomelobarrow.decision.silence import CEILING_S, FLOOR_S, HeartbeatTimer
+
+VMS = ("vm-b", "vm-c")
+vms = st.sampled_from(VMS)
+PHASES = [phase.value for phase in Phase]
+
+
+def member(vm="vm-b", incarnation=1, sequence=1, phase="ready", **fields):
+    fields = {"region": "milan", **fields}
+    return Member(vm=vm, incarnation=incarnation, sequence=sequence, phase=phase, **fields)
+
+
+def view_of(*members, now_unix_s=100.0):
+    view = MembershipView("vm-a", "milan")
+    for each in members:
+        view.observe_heartbeat(each, now_unix_s)
+    return view
+
+
+def live_names(view, now_unix_s, region=None):
+    return {each.vm for each in view.live_peers(region, now_unix_s)}
+
+
+class ViewFollowsEvidence(RuleBasedStateMachine):
+    """One daemon hears members, old messages and rumours, and sleeps now and then."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_unix_s = 1_000.0
+        self.view = view_of()
+        self.incarnation = dict.fromkeys(VMS, 1)
+        self.sequence = Counter()
+        # When a VM was last heard by anyone, by this daemon itself, and when this one last slept.
+        self.heard, self.direct = {}, {}
+        self.woke_unix_s = 0.0
+        self.best = dict.fromkeys(VMS, (0, 0))
+
+    @rule(vm=vms, phase=st.sampled_from(PHASES[:3]))
+    def heartbeat(self, vm, phase):
+        self.sequence[vm] += 1
+        sent = member(vm, self.incarnation[vm], self.sequence[vm], phase)
+        assert self.view.observe_heartbeat(sent, self.now_unix_s)
+        self.heard[vm] = self.direct[vm] = self.now_unix_s
+
+    @rule(vm=vms, phase=st.sampled_from(PHASES), age_s=st.sampled_from([0.0, 20.0, 700.0]))
+    def rumour(self, vm, phase, age_s):
+        heard_unix_s = self.now_unix_s - age_s
+        said = member(vm, self.incarnation[vm], 0, phase, heard_unix_s=heard_unix_s)
+        if self.view.observe_summary(said, self.now_unix_s):
+            self.heard[vm] = max(self.heard.get(vm, 0.0), heard_unix_s)
+
+    @rule(vm=vms, back=st.integers(0, 1))
+    def late_messages_change_nothing(self, vm, back):
+        incarnation = self.incarnation[vm] - 1
+        before = self.view.get(vm)
+        if before is not None and before.incarnation > incarnation:
+            old = member(vm, incarnation, 999, "ready", heard_unix_s=self.now_unix_s)
+            assert not self.view.observe_heartbeat(old, self.now_unix_s)
+            assert not self.view.observe_summary(old, self.now_unix_s)
+            assert self.view.get(vm) == before
+
+    @rule(vm=vms)
+    def restart(self, vm):
+        self.incarnation[vm] += 1
+        self.sequence[vm] = 0
+        self.direct.pop(vm, None)
+
+    @rule(step_s=st.sampled_from([0.5, 1.0, 4.0, 20.0, 650.0]))
+    def time_passes(self, step_s):
+        self.now_unix_s += step_s
+        for vm in self.view.forget(self.now_unix_s):
+            self.best[vm] = (0, 0)
+
+    @rule(gap_s=st.sampled_from([10.0, 100.0, -30.0]))
+    def sleep(self, gap_s):
+        before = live_names(self.view, self.now_unix_s)
+        self.now_unix_s += gap_s
+        self.view.observe_pause(self.now_unix_s, abs(gap_s))
+        assert live_names(self.view, self.now_unix_s) >= before
+        self.woke_unix_s = self.now_unix_s
+
+    @invariant()
+    def newest_incarnation_and_latest_phase_stay(self):
+        for vm in VMS:
+            seen = self.view.get(vm)
+            if seen is not None:
+                place = (seen.incarnation, PHASES.index(seen.phase))
+                assert place >= self.best[vm]
+                self.best[vm] = place
+
+    @invariant()
+    def who_speaks_is_live_and_who_is_silent_is_not(self):
+        live = live_names(self.view, self.now_unix_s)
+        assert not live & self.view.suspects(self.now_unix_s)
+        for vm in VMS:
+            seen = self.view.get(vm)
+            if seen is None or seen.phase == Phase.LEFT.value:
+                assert vm not in live
+            elif 0 <= self.now_unix_s - self.direct.get(vm, 0.0) <= FLOOR_S:
+                assert vm in live
+            elif self.now_unix_s - max(self.heard[vm], self.woke_unix_s) > CEILING_S:
+                assert vm not in live
+
+
+TestViewFollowsEvidence = ViewFollowsEvidence.TestCase
+
+
+def test_after_a_pause_the_view_is_distrusted_until_each_member_spoke_or_had_its_time():
+    # The daemon sleeps for a minute while its peers go on. By the clock alone all of them would
+    # be dead, and it would take over their work.
+    view = view_of(member("vm-b"), member("vm-c"))
+    view.observe_pause(160.0, 60.0)
+    assert live_names(view, 160.0) == {"vm-b", "vm-c"}
+    assert not view.is_trusted(160.0)
+    view.observe_heartbeat(member("vm-b", sequence=2), 161.0)
+    assert not view.is_trusted(161.0)
+    assert view.is_trusted(160.0 + CEILING_S + 0.1)
+    assert live_names(view, 160.0 + CEILING_S + 0.1) == {"vm-b"}
+
+
+def test_a_member_dead_before_our_pause_stays_dead():
+    view = view_of(member())
+    view.observe_pause(200.0, 60.0)
+    assert view.suspects(200.0) == {"vm-b"}
+
+
+def test_rumours_count_again_after_the_clock_was_set_back():
+    view = view_of()
+    view.observe_summary(member(heard_unix_s=5_000.0), 5_000.0)
+    view.observe_pause(1_000.0, 4_000.0)
+    view.observe_summary(member(heard_unix_s=1_020.0), 1_020.0)
+    assert live_names(view, 1_021.0) == {"vm-b"}
+
+
+def test_planned_stop_names_the_successor_for_that_incarnation_only():
+    view = view_of(member())
+    view.observe_leave("vm-b", 1, "vm-c", 101.0)
+    view.observe_heartbeat(member(sequence=2), 102.0)
+    assert live_names(view, 102.0) == set()
+    view.observe_heartbeat(member(incarnation=2), 103.0)
+    assert live_names(view, 103.0) == {"vm-b"}
+    assert view.successor_of("vm-b", 1) == "vm-c"
+    assert view.successor_of("vm-b", 2) is None
+
+
+@pytest.mark.parametrize(
+    ("phase", "listed_leaving", "usable"),
+    [
+        pytest.param("ready", False, True, id="ready"),
+        pytest.param("starting", False, False, id="starting"),
+        pytest.param("leaving", False, False, id="says it leaves"),
+        pytest.param("ready", True, False, id="listed as leaving"),
+    ],
+)
+def test_callers_are_sent_to_ready_members_that_stay(phase, listed_leaving, usable):
+    view = view_of(member(phase=phase))
+    view.observe_listed([ListedVm(vm="vm-b", leaving=listed_leaving), ListedVm(vm="vm-z")])
+    assert ("vm-b" in {each.vm for each in view.usable_entries(None, 100.0)}) == usable
+    assert [each.vm for each in view.contacts(100.0)] == ["vm-z"]
+
+
+def test_a_year_of_replacements_leaves_no_trace():
+    view = view_of()
+    for number in range(62_000):
+        now_unix_s = number * 500.0
+        view.observe_heartbeat(member(f"vm-{number}", number + 1), now_unix_s)
+        view.observe_leave(f"vm-{number}", number + 1, "vm-z", now_unix_s)
+        if number % 10 == 0:
+            view.forget(now_unix_s)
+    view.forget(now_unix_s + 4_000.0)
+    assert view.known() == ()
+    assert view.successor_of("vm-61999", 62_000) is None
+
+
+@pytest.mark.parametrize(("interval_s", "within_s"), [(0.5, 2.6), (1.0, 5.0), (3.0, 15.0)])
+def test_silence_is_noticed_by_the_pace_that_it_breaks(interval_s, within_s):
+    rng = random.Random(7)
+    timer = HeartbeatTimer()
+    now_unix_s, false_alarms = 0.0, 0
+    for _ in range(2_000):
+        now_unix_s += interval_s * rng.uniform(0.7, 1.3) * (2 if rng.random() < 0.02 else 1)
+        false_alarms += timer.is_overdue(now_unix_s)
+        timer.hear(now_unix_s)
+        timer.hear(now_unix_s + 0.001)
+        now_unix_s += 0.001
+    assert false_alarms == 0
+    assert timer.is_overdue(now_unix_s + within_s)
+
+
+def test_watchers_and_relays_are_few_the_same_everywhere_and_in_different_failure_domains():
+    members = [member(f"vm-{n}", failure_domain=f"d{n % 3}") for n in range(12)]
+    views = [MembershipView(each.vm, "milan") for each in members]
+    for view, own in zip(views, members, strict=True):
+        view.observe_own(own)
+        for each in members:
+            view.observe_heartbeat(each, 100.0)
+    for choose in (watchers, lambda view, region: relays(view, region, "turin")):
+        choices = {tuple(each.vm for each in choose(view, "milan")) for view in views}
+        assert len(choices) == 1
+        assert len({each.failure_domain for each in choose(views[0], "milan")}) == 2
+
+
+def test_a_lost_member_moves_only_its_own_keys():
+    names = [f"vm-{n}" for n in range(10)]
+    keys = [f"key-{n}" for n in range(1_000)]
+    before = {key: rendezvous(key, names, 1) for key in keys}
+    moved = [key for key in keys if rendezvous(key, names[1:], 1) != before[key]]
+    assert moved == [key for key in keys if before[key] == ("vm-0",)]
+    assert 50 < len(moved) < 150
