Write down a daemon's overhead as measured on a busy machine

Ruled out: keeping the best run. Conclusion: whether the aim a request is held is open until a run on a quiet machine.

--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import json
+import os
 import statistics
 import sys
 import time
@@ -213,7 +214,8 @@
         for _ in range(ROUNDS):
             for way in ways:
                 await measure_round(session, way, samples[way.name])
-        return _results(samples, idle_mb, _memory_mb(daemon))
+        results = _results(samples, idle_mb, _memory_mb(daemon))
+        return results | {"machine": {"cores": os.cpu_count(), "load_1min": os.getloadavg()[0]}}
 
 
 def _ways(fleet: Fleet, engine: str, relay: str) -> list[Way]:
--- a/bench/overhead_table.py
+++ b/bench/overhead_table.py
@@ -31,6 +31,10 @@
 Logs, metrics and admission are on. "Two daemons" counts the CPU of both.
 """
 
+LOAD_TEXT = """\
+At the run's end the machine's load average over a minute was {load_1min:.1f} on {cores} cores. On a
+busy machine the ratios move by a third from run to run; judge the aims on a quiet one."""
+
 
 def section(results: dict[str, Any]) -> str:
     """Return the section as Markdown."""
@@ -53,8 +57,8 @@
     lines.append(
         f"| aim for one daemon | {aims['cpu_per_request']:.2f} | {aims['cpu_per_token']:.2f} |"
     )
-    text = "Memory of the daemon (resident): idle {idle:.0f} MB, loaded {loaded:.0f} MB."
-    return [*lines, "", text.format(**memory)]
+    text = "Memory of the daemon (resident): idle {idle:.0f} MB, after the load {loaded:.0f} MB."
+    return [*lines, "", text.format(**memory), "", LOAD_TEXT.format(**results["machine"])]
 
 
 def write_table(results: dict[str, Any]) -> None:
