Forward only over connections that heartbeats watch, and answer soon after the deadline

(2) Past its deadline a caller waited up to 1.5 s for the peer's or engine's word on whether its request ran. Change: a forward waits up to 1.5 s for the link to be up and uses its connection, else it counts as not sent; past the deadline the word is awaited 0.3 s (peer) and 0.2 s (engine), and the cancellation goes on behind the answer. The proofs that kill in mid-run wait until each request runs or is answered: one waited for six runs of which one had been refused. Ruled out: a heartbeat on each forward; answering "unknown" at the deadline with no wait, which loses every "not run" that the receiver could give.

--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -20,6 +20,7 @@
     AttemptResult,
     CallerGoneError,
 )
+from pomelobarrow.dispatch.background import wait_briefly
 from pomelobarrow.dispatch.request import GatewayRequest
 from pomelobarrow.kernel.clock import now_unix_s
 
@@ -29,6 +30,8 @@
 # milliseconds, so this much silence means the connection or the engine, never a slow token.
 NEXT_BYTE_TIMEOUT_S = 5.0
 CANCEL_TIMEOUT_S = 1.0
+# Past its deadline the caller waits no longer than this for the engine's word.
+LAST_WORD_S = 0.2
 MAX_RESUMES = 3
 RESUME_PAUSE_S = 0.2
 MAX_WHOLE_ANSWER_BYTES = 16 << 20
@@ -65,7 +68,7 @@
             async with asyncio.timeout(self._remaining_s()):
                 return await self._send_and_relay()
         except TimeoutError:
-            return await self._give_up("the deadline passed")
+            return await self._give_up("the deadline passed", LAST_WORD_S)
         except TooLargeError as error:
             return await self._give_up(str(error))
         except (CallerGoneError, asyncio.CancelledError):
@@ -155,9 +158,9 @@
             await asyncio.sleep(RESUME_PAUSE_S)
             return True
 
-    async def _give_up(self, reason: str) -> AttemptResult:
+    async def _give_up(self, reason: str, within_s: float = CANCEL_TIMEOUT_S) -> AttemptResult:
         """End the attempt; only the engine's word that it never began makes it "not run"."""
-        outcome = await self._cancel()
+        outcome = await wait_briefly(self._cancel(), within_s, UNKNOWN)
         if outcome == NOT_RUN and self.attempt.state is AttemptState.SENT:
             self.attempt.apply(AttemptEvent.CONFIRM_CANCELLED_UNRUN)
             return self._result(f"{reason}; cancelled before it ran")
--- a/src/pomelobarrow/peers/forward_client.py
+++ b/src/pomelobarrow/peers/forward_client.py
@@ -15,6 +15,7 @@
 from pomelobarrow.decision.region_choice import RegionLoad
 from pomelobarrow.decision.work import Work
 from pomelobarrow.dispatch.answers import AnswerHead, AnswerSink, AttemptResult, CallerGoneError
+from pomelobarrow.dispatch.background import wait_briefly
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.dispatch.request import GatewayRequest
 from pomelobarrow.kernel.clock import now_unix_s
@@ -30,6 +31,8 @@
 FORWARD_PATH = "/pomelobarrow.peers.v1.Peer/Forward"
 CANCEL_PATH = "/pomelobarrow.peers.v1.Peer/Cancel"
 CANCEL_TIMEOUT_S = 1.5
+# Past its deadline the caller waits no longer for the peer's word: two round trips between regions.
+LAST_WORD_S = 0.3
 
 
 @define(kw_only=True)
@@ -119,7 +122,7 @@
                 with run.link.in_use():
                     return await run.run()
         except TimeoutError:
-            return await run.lose("the deadline passed")
+            return await run.lose("the deadline passed", LAST_WORD_S)
         except (CallerGoneError, asyncio.CancelledError):
             await asyncio.shield(run.cancel())
             raise
@@ -141,25 +144,18 @@
 
     async def run(self) -> AttemptResult:
         """Send, relay the answer, and learn how it ended."""
-        channel = self.link.channel
-        is_own_channel = channel is None
-        if channel is None:
-            channel = self.link.open_channel()
         try:
             with take_back_cancels():
-                return await self._converse(channel)
+                return await self._converse(await self.link.up_channel())
         except LOST as error:
             return await self.lose(repr(error))
-        finally:
-            if is_own_channel:
-                channel.close()
 
-    async def lose(self, detail: str) -> AttemptResult:
+    async def lose(self, detail: str, within_s: float = CANCEL_TIMEOUT_S) -> AttemptResult:
         """Ask on a new connection whether it ran; without a clear answer it may have."""
         if self.attempt.state is AttemptState.NOT_SENT:
             return self._result(detail)
         self.attempt.apply(AttemptEvent.LOSE)
-        outcome = await self.cancel()
+        outcome = await wait_briefly(self.cancel(), within_s, "unknown")
         if outcome == "not_run" and not self.head_passed:
             self.attempt.apply(AttemptEvent.CONFIRM_CANCELLED_UNRUN)
         return self._result(detail)
--- a/src/pomelobarrow/peers/links.py
+++ b/src/pomelobarrow/peers/links.py
@@ -12,7 +12,7 @@
 from pomelobarrow.decision.membership import ListedVm
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
-from pomelobarrow.peers.calls import LOST, start_call
+from pomelobarrow.peers.calls import CONNECT_TIMEOUT_S, LOST, start_call
 from pomelobarrow.peers.exchange import Exchange
 from pomelobarrow.peers.heartbeats import Heartbeats
 from pomelobarrow.peers.keys import PeerKeys
@@ -63,6 +63,20 @@
         self._is_open = False
         self._random = random.Random()
         self._uses = 0
+        self._up = asyncio.Event()
+
+    async def up_channel(self) -> Channel:
+        """Return the connection that heartbeats watch, waiting a moment for it to come up.
+
+        A forward on a connection of its own would wait without end once that falls silent.
+        """
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await self._up.wait()
+        except TimeoutError as error:
+            raise ConnectionError(f"no connection to {self.peer.vm}") from error
+        assert self.channel is not None
+        return self.channel
 
     @property
     def is_in_use(self) -> bool:
@@ -157,6 +171,7 @@
                 return
             self.last_heard_unix_s = now_unix_s()
             self.is_up = True
+            self._up.set()
             self._exchange.handle(message, self._peer_name(message), self.send)
             self.first_answer.set()
 
@@ -171,6 +186,7 @@
 
     def _drop(self) -> None:
         self.is_up = self._is_open = False
+        self._up.clear()
         if self.channel is not None:
             self.channel.close()
             self.channel = None
--- a/tests/test_dispatch_verdicts.py
+++ b/tests/test_dispatch_verdicts.py
@@ -1,3 +1,4 @@
+import asyncio
 import time
 from random import Random
 from typing import Any
@@ -17,6 +18,7 @@
 from pomelobarrow.decision.work import Work
 from pomelobarrow.dispatch import dispatcher as module
 from pomelobarrow.dispatch.answers import AnswerHead, AnswerSink, AttemptResult
+from pomelobarrow.dispatch.background import wait_briefly
 from pomelobarrow.dispatch.dispatcher import Dispatcher
 from pomelobarrow.dispatch.refusals import RefusedError, refuse
 from pomelobarrow.dispatch.request import GatewayRequest
@@ -135,6 +137,20 @@
     assert sink.broken_off <= 1
 
 
+async def test_work_that_nobody_waits_for_goes_on_to_its_end() -> None:
+    may_end, ended = asyncio.Event(), asyncio.Event()
+
+    async def work() -> str:
+        await may_end.wait()
+        ended.set()
+        return "word"
+
+    assert await wait_briefly(work(), 0.0, "none yet") == "none yet"
+    may_end.set()
+    await ended.wait()
+    assert await wait_briefly(work(), 60.0, "none yet") == "word"
+
+
 async def test_headers_that_come_twice_are_passed_on_twice() -> None:
     async def handle(request: web.Request) -> web.StreamResponse:
         sink = HttpSink(request, "id")
--- a/tests/test_proof_not_run.py
+++ b/tests/test_proof_not_run.py
@@ -78,6 +78,21 @@
     )
 
 
+async def ask_until_run(
+    fleet: Fleet, session: aiohttp.ClientSession, log: RunLog, way: tuple[str, str], asks: Any
+) -> list["asyncio.Task[Reply]"]:
+    """Send requests and return once each of them runs or has got its reply."""
+    before = (await log.starts()).total()
+    asking = [asyncio.create_task(ask.send(fleet, session, *way)) for ask in asks]
+
+    async def all_run() -> bool:
+        replied = sum(task.done() for task in asking)
+        return (await log.starts()).total() - before + replied >= len(asking)
+
+    await wait_until(all_run)
+    return asking
+
+
 async def check(fleet: Fleet, log: RunLog, replies: list[Reply], figure: Figure) -> None:
     await settle(fleet, log)
     starts = await log.starts()
@@ -166,18 +181,12 @@
     way, asks = ("rotterdam-1", "paying-rotterdam"), (evolve(QUERY, tokens=200, deadline_s=4.0),)
     await serves_again(fleet, session, [(QUERY, *way)])
     await fleet.fault("server/rotterdam/contracts-*", "cut_to_client")
-    asking = asyncio.create_task(ask_all(fleet, session, [way], asks * 6))
-    before = (await log.starts()).total()
-
-    async def all_run() -> bool:
-        return (await log.starts()).total() >= before + 6
-
-    await wait_until(all_run)
+    asking = await ask_until_run(fleet, session, log, way, asks * 6)
     for name in ENGINES:
         await log.kill(name)
     for name in ENGINES:
         await log.revive(name)
-    await check(fleet, log, await asking, figure)
+    await check(fleet, log, await asyncio.gather(*asking), figure)
 
 
 async def test_not_run_is_true_when_the_peer_is_killed(
@@ -192,17 +201,11 @@
     way = ("tallinn-1", "paying-rotterdam")
     asks = tuple(evolve(each, tokens=200, deadline_s=4.0) for each in ASKS)
     await serves_again(fleet, session, [(QUERY, *way), (DESK_CALL, *way)])
-    before = (await log.starts()).total()
-    asking = asyncio.create_task(ask_all(fleet, session, [way], asks * 2))
-
-    async def some_run() -> bool:
-        return (await log.starts()).total() >= before + 6
-
-    await wait_until(some_run)
+    asking = await ask_until_run(fleet, session, log, way, asks * 2)
     for vm in PEERS:
         fleet.processes.kill(vm)
         fleet.start_entry(vm)
-    replies = await asking
+    replies = await asyncio.gather(*asking)
     await fleet.wait_ready(*PEERS)
     await check(fleet, log, replies, figure)
 
