Leave out a peer's message that can't be read

Cause: a change whose value isn't JSON raised out of the exchange; it would end the link's service, and the next link would bring the same message again. Found by drawing messages at random. Change: such a message is logged and left out before anything of it is applied. Ruled out: catching every error there; it would hide faults of this daemon's own. Conclusion: holds for what was drawn.

--- a/src/pomelobarrow/peers/exchange.py
+++ b/src/pomelobarrow/peers/exchange.py
@@ -46,8 +46,14 @@
             "leave": self._on_leave,
         }
         handler = handlers.get(kind or "")
-        if handler is not None:
+        if handler is None:
+            return
+        # Raised further, it would end the link's service and with it this daemon, and the next
+        # link would bring the same message again. Nothing is applied before all of it is read.
+        try:
             handler(getattr(message, kind), peer_vm, reply)
+        except orjson.JSONDecodeError as error:
+            log.warning("message left out", peer=peer_vm, kind=kind, error=str(error))
 
     def forget(self, peer_vm: str) -> None:
         """Drop what a peer said that left for good."""
--- /dev/null
+++ b/tests/test_peers_exchange_fuzz.py
@@ -0,0 +1,105 @@
+"""Whatever a peer says, a daemon neither fails nor loses what it holds."""
+
+import math
+from pathlib import Path
+from typing import Any
+from unittest.mock import create_autospec
+
+import orjson
+from google.protobuf.descriptor import Descriptor, FieldDescriptor
+from google.protobuf.message import Message
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.decision.membership import MembershipView
+from pomelobarrow.kernel.context import Context
+from pomelobarrow.kernel.daemon import build_context
+from pomelobarrow.kernel.settings import check_settings
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.exchange import Exchange
+from pomelobarrow.peers.heartbeats import Heartbeats
+from pomelobarrow.platform.keyspaces import PublishedState
+
+VM = "milan-1"
+NAMES = ("milan-1", "milan-2", "turin-1", "config", "vms", "classes/note", "vms/milan-2", "")
+VALUES = (b"{}", b"null", b"{", b"\xff", orjson.dumps({"state": "live", "role": "entry"}))
+UINT32 = st.integers(0, 2**32 - 1)
+UINT64 = st.sampled_from((0, 1, 2, 3, 2**64 - 1)) | st.integers(0, 2**64 - 1)
+BY_TYPE: dict[int, st.SearchStrategy[Any]] = {
+    FieldDescriptor.TYPE_STRING: st.sampled_from(NAMES) | st.text(max_size=5),
+    FieldDescriptor.TYPE_BYTES: st.sampled_from(VALUES) | st.binary(max_size=5),
+    FieldDescriptor.TYPE_BOOL: st.booleans(),
+    FieldDescriptor.TYPE_DOUBLE: st.floats(),
+    FieldDescriptor.TYPE_FLOAT: st.floats(width=32),
+    FieldDescriptor.TYPE_UINT32: UINT32,
+    FieldDescriptor.TYPE_FIXED32: UINT32,
+    FieldDescriptor.TYPE_UINT64: UINT64,
+    FieldDescriptor.TYPE_FIXED64: UINT64,
+}
+
+
+def field_values(field: FieldDescriptor) -> st.SearchStrategy[Any]:
+    """Return a strategy for one field."""
+    if field.type == FieldDescriptor.TYPE_MESSAGE:
+        single = fields_of(field.message_type)
+    else:
+        single = BY_TYPE[field.type]
+    return st.lists(single, max_size=3) if field.is_repeated else single
+
+
+def fields_of(descriptor: Descriptor) -> st.SearchStrategy[dict[str, Any]]:
+    """Return a strategy for a message's fields."""
+    optional = {field.name: field_values(field) for field in descriptor.fields}
+    return st.fixed_dictionaries({}, optional=optional)
+
+
+def build(kind: str, fields: dict[str, Any]) -> pb.PeerMessage:
+    """Return a peer's message of one kind."""
+    return pb.PeerMessage(**{kind: fields})
+
+
+MESSAGES = st.sampled_from(list(pb.PeerMessage.DESCRIPTOR.fields)).flatmap(
+    lambda field: fields_of(field.message_type).map(lambda fields: build(field.name, fields))
+)
+
+
+def daemon_parts() -> Context:
+    """Return a daemon's parts without its services."""
+    checked = check_settings(
+        {
+            "vm": VM,
+            "region": "milan",
+            "failure_domain": "milan-a",
+            "callers": {"listen": "127.0.0.1:1", "advertise": "127.0.0.1:1"},
+            "peers": {
+                "listen": "127.0.0.1:2",
+                "advertise": "127.0.0.1:2",
+                "keys": [{"id": "k1", "secret": "a-shared-secret-of-tests"}],
+            },
+            "platform": {"addresses": ["http://127.0.0.1:3"]},
+        },
+        Path(),
+    )
+    context = build_context(checked.unwrap())
+    # The sessions need a running loop, and nothing here is sent.
+    context.provide(BackendSessions, lambda _: create_autospec(BackendSessions))
+    return context
+
+
+@settings(suppress_health_check=[HealthCheck.too_slow], deadline=None, max_examples=300)
+@given(st.lists(st.tuples(st.sampled_from(NAMES), MESSAGES), max_size=6))
+def test_no_message_harms_a_daemon(told: list[tuple[str, pb.PeerMessage]]) -> None:
+    context = daemon_parts()
+    exchange, heartbeats = context.get(Exchange), context.get(Heartbeats)
+    view, published = context.get(MembershipView), context.get(PublishedState)
+    own, revisions = view.own, dict.fromkeys(published.copies, 0)
+    replies: list[Message] = []
+    for peer_vm, message in told:
+        exchange.handle(message, peer_vm, replies.append)
+        assert view.own == own
+        for name, copy in published.copies.items():
+            assert copy.observed_revision >= revisions[name]
+            revisions[name] = copy.observed_revision
+        assert all(math.isfinite(heartbeats.offsets.offset_s(vm)) for vm in NAMES)
+    assert published.configuration is None
