Test the hand-over of request ids, also in doubt

Cause: nothing tested what a lost or silent successor leaves behind, and a ledger state unknown to this version raised in the successor. Change: tests with a silent and a closed successor; an unknown state counts as lost. Ruled out: a second offer to another VM; both could run an unused id. Conclusion: in doubt no id is usable at the stopping VM.

--- a/src/pomelobarrow/peers/hand_over.py
+++ b/src/pomelobarrow/peers/hand_over.py
@@ -21,6 +21,8 @@
 
 HAND_OVER_PATH = "/pomelobarrow.peers.v1.Peer/HandOver"
 HAND_OVER_TIMEOUT_S = 3.0
+# A state that only a newer version knows is as good as lost: its repeats are answered "unknown".
+_STATE_BY_VALUE = {state.value: state for state in EntryState}
 
 log = structlog.get_logger(__name__)
 
@@ -110,6 +112,6 @@
         request_id=message.request_id,
         account=message.account,
         expires_unix_s=message.expires_unix_s,
-        state=EntryState(message.state),
+        state=_STATE_BY_VALUE.get(message.state, EntryState.LOST),
         outcome=outcome,
     )
--- /dev/null
+++ b/tests/test_peers_hand_over.py
@@ -0,0 +1,104 @@
+import asyncio
+from collections.abc import Callable
+from types import SimpleNamespace
+
+import pytest
+from grpclib.client import Channel
+
+from pomelobarrow.decision.membership import Member
+from pomelobarrow.decision.request_ids import ClaimKind, Outcome, RequestIdLedger
+from pomelobarrow.kernel.settings import PeerKey
+from pomelobarrow.peers import hand_over as module
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.hand_over import adopt_message, hand_over
+from pomelobarrow.peers.keys import PeerKeys
+from pomelobarrow.peers.links import PeerLink
+
+NOW_UNIX_S = 1_800_000_000.0
+OWN = Member(
+    vm="milan-1",
+    incarnation=1,
+    region="milan",
+    failure_domain="milan-a",
+    caller_address="127.0.0.1:1",
+    peer_address="127.0.0.1:2",
+    phase="leaving",
+)
+KEYS = PeerKeys([PeerKey(id="k1", secret="a-shared-secret-of-tests")])
+OUTCOME = Outcome(status=200, headers=(("Content-Type", "text/plain"),), body=b"done")
+
+
+def stopping_ledger() -> tuple[RequestIdLedger, dict[str, str]]:
+    """Return a ledger with one id of each state, by state."""
+    ledger = RequestIdLedger("milan-1", 1, b"s" * 32)
+    names = ("unused", "finished", "running")
+    ids = dict(zip(names, ledger.issue("shop", len(names), NOW_UNIX_S), strict=True))
+    for name in ("finished", "running"):
+        ledger.claim(ids[name], "shop", NOW_UNIX_S)
+    ledger.finish(ids["finished"], OUTCOME)
+    return ledger, ids
+
+
+def link_to(port: int) -> PeerLink:
+    """Return the little of a link that a hand-over uses."""
+    make: Callable[[], Channel] = lambda: Channel("127.0.0.1", port)  # noqa: E731
+    return SimpleNamespace(open_channel=make, peer=SimpleNamespace(vm="milan-2"))  # type: ignore[return-value]
+
+
+async def captured_message(
+    monkeypatch: pytest.MonkeyPatch, ledger: RequestIdLedger
+) -> pb.HandOverRequest:
+    """Return what a hand-over would send."""
+    sent: list[pb.HandOverRequest] = []
+
+    async def send(message: pb.HandOverRequest, *_: object) -> bool:
+        sent.append(message)
+        return True
+
+    monkeypatch.setattr(module, "_send", send)
+    assert await hand_over(ledger, OWN, link_to(1), KEYS) == (("milan-1", 1),)
+    return sent[0]
+
+
+async def test_the_successor_answers_for_each_id(monkeypatch: pytest.MonkeyPatch) -> None:
+    ledger, ids = stopping_ledger()
+    message = await captured_message(monkeypatch, ledger)
+    successor = RequestIdLedger("milan-2", 1, b"t" * 32)
+    assert adopt_message(successor, pb.HandOverRequest.FromString(message.SerializeToString()))
+    claims = {name: successor.claim(each, "shop", NOW_UNIX_S) for name, each in ids.items()}
+    assert claims["finished"].outcome == OUTCOME
+    assert claims["unused"].kind is ClaimKind.FRESH
+    assert claims["running"].outcome is not None
+    assert claims["running"].outcome.run == "unknown"
+    assert ledger.claim(ids["unused"], "shop", NOW_UNIX_S).kind is ClaimKind.RETIRED
+
+
+async def test_a_state_of_a_newer_version_is_unknown(monkeypatch: pytest.MonkeyPatch) -> None:
+    ledger, ids = stopping_ledger()
+    message = await captured_message(monkeypatch, ledger)
+    for entry in message.entries:
+        entry.state = "paused"
+        entry.has_outcome = False
+    successor = RequestIdLedger("milan-2", 1, b"t" * 32)
+    assert adopt_message(successor, message)
+    claim = successor.claim(ids["finished"], "shop", NOW_UNIX_S)
+    assert claim.outcome is not None
+    assert claim.outcome.run == "unknown"
+
+
+@pytest.mark.parametrize("is_listening", [True, False])
+async def test_a_hand_over_in_doubt_leaves_no_id_usable_here(
+    monkeypatch: pytest.MonkeyPatch, is_listening: bool
+) -> None:
+    # The successor takes the connection and says nothing, or is gone. Whether it has the ids is
+    # not known, so the stopping VM must run none of them and not offer them to another.
+    monkeypatch.setattr(module, "HAND_OVER_TIMEOUT_S", 0.05)
+    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    if not is_listening:
+        server.close()
+    ledger, ids = stopping_ledger()
+    assert await hand_over(ledger, OWN, link_to(port), KEYS) == ()
+    assert await hand_over(ledger, OWN, link_to(port), KEYS) == ()
+    assert ledger.claim(ids["unused"], "shop", NOW_UNIX_S).kind is ClaimKind.RETIRED
+    server.close()
