Say when to come back in every refusal that passes by itself

Cause: draining, not_ready and some home_unreachable refusals had run "no" without Retry-After, so a caller could only ask again at once. Change: a default pause by kind where no wait was estimated. Ruled out: a time on "unknown" refusals: coming back is what they warn of.

--- a/src/pomelobarrow/dispatch/refusals.py
+++ b/src/pomelobarrow/dispatch/refusals.py
@@ -1,6 +1,7 @@
 """Build typed refusals; each names what to do next."""
 
 from pomelobarrow.decision.errors import Kind, Refusal, Run
+from pomelobarrow.kernel.clock import now_unix_s
 
 REMEDY_LATER = "come back at the time in Retry-After"
 REMEDY_OTHER_ENTRY = "ask GET /v1/entries for another entry VM"
@@ -20,11 +21,24 @@
     Kind.STILL_RUNNING: "repeat it under the same Idempotency-Key at the time in Retry-After",
 }
 
+# What passes by itself gets a time to come back even where no wait could be estimated: a caller
+# without one asks again at once, and again.
+PAUSE_S_BY_KIND = {
+    Kind.OVERLOADED: 1.0,
+    Kind.NO_CAPACITY: 1.0,
+    Kind.HOME_UNREACHABLE: 1.0,
+    Kind.ACCOUNT_LIMIT: 1.0,
+    Kind.DRAINING: 1.0,
+    Kind.NOT_READY: 1.0,
+}
+
 
 def refuse(
     kind: Kind, run: Run, detail: str, retry_at_unix_s: float | None = None, remedy: str = ""
 ) -> Refusal:
-    """Return a refusal with the remedy that belongs to its kind."""
+    """Return a refusal with the remedy and the time to come back that belong to its kind."""
+    if retry_at_unix_s is None and kind in PAUSE_S_BY_KIND:
+        retry_at_unix_s = now_unix_s() + PAUSE_S_BY_KIND[kind]
     return Refusal(
         kind=kind,
         run=run,
