--- /dev/null
+++ b/bench/capacity_region.py
@@ -0,0 +1,337 @@
+"""Run the state exchange of one region's daemons in memory, under a steady load.
+
+There is one clock, and nothing is simulated but the time: heartbeats are built, serialized, parsed
+and taken in by the daemon's own code.
+"""
+
+import time
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from typing import Any
+from unittest.mock import patch
+
+from attrs import define, field, frozen
+
+from pomelobarrow.backends.reports import POLLERS, POLLS_PER_S
+from pomelobarrow.decision.clocks import ClockOffsets
+from pomelobarrow.decision.keyspace import Change
+from pomelobarrow.decision.limits import AccountLimits
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.region_choice import RegionLoad
+from pomelobarrow.decision.rendezvous import rendezvous
+from pomelobarrow.decision.work import LoadReport
+from pomelobarrow.dispatch.local import LocalDispatch
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.grid import neighbours
+from pomelobarrow.peers.heartbeats import Heartbeats
+from pomelobarrow.peers.region_loads import RegionLoads
+from pomelobarrow.platform.keyspaces import CONFIG, VMS, PublishedState
+
+START_UNIX_S = 1_800_000_000.0
+POOLS = ("drafting", "webhooks")
+SLOTS = 16
+HOLD_S = 6.0
+REQUESTS_PER_DAEMON_S = 5.6
+REPORT_VALUES = {"waiting": 1, "kv_tokens_used": 30_000, "queued_prefill_tokens": 400}
+
+
+@frozen(kw_only=True)
+class RegionSize:
+    """Say what one region holds and what it knows of the rest."""
+
+    daemons: int
+    servers: int
+    other_daemons: int = 0
+    other_regions: int = 0
+    accounts: int = 60
+
+
+@frozen(kw_only=True)
+class ExchangeCost:
+    """Hold what an average daemon spent a second on the exchange inside its region."""
+
+    size: RegionSize
+    cpu_s_per_s: float
+    bytes_per_s: float
+    messages_per_s: float
+
+
+@define
+class _Clock:
+    unix_s: float = START_UNIX_S
+
+    def now(self) -> float:
+        return self.unix_s
+
+
+@define
+class _Node:
+    vm: str
+    heartbeats: Heartbeats
+    table: LoadTable
+    limits: AccountLimits
+    view: MembershipView
+    region_loads: RegionLoads
+    reports: dict[str, LoadReport]
+    random: Random
+    running: deque[tuple[float, str, str]] = field(factory=deque)
+    placed: int = 0
+
+
+@define
+class SimulatedRegion:
+    """Hold the daemons of one region."""
+
+    size: RegionSize
+    clock: _Clock = field(factory=_Clock)
+    nodes: dict[str, _Node] = field(factory=dict)
+    bytes_sent: int = 0
+    messages: int = 0
+    _published: Any = None
+    _pollers: dict[str, tuple[str, ...]] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self._published = published_state(self.size)
+        vms = [f"r00-vm{n:03d}" for n in range(self.size.daemons)]
+        for number, vm in enumerate(vms):
+            self.nodes[vm] = self._node(vm, number)
+        for node in self.nodes.values():
+            node.heartbeats.set_neighbours(neighbours(node.vm, vms))
+        for name in self._published.backend_servers:
+            self._pollers[name] = rendezvous(name, vms, POLLERS)
+
+    def run(self, warm_s: int, measure_s: int) -> ExchangeCost:
+        """Let some seconds pass; return the cost of the last ones."""
+        with patch("pomelobarrow.peers.heartbeats.now_unix_s", self.clock.now):
+            for _ in range(warm_s):
+                self._second()
+            self.bytes_sent = self.messages = 0
+            cpu_s = sum(self._second() for _ in range(measure_s))
+        daemon_s = self.size.daemons * measure_s
+        return ExchangeCost(
+            size=self.size,
+            cpu_s_per_s=cpu_s / daemon_s,
+            # What one sends another one receives.
+            bytes_per_s=2 * self.bytes_sent / daemon_s,
+            messages_per_s=2 * self.messages / daemon_s,
+        )
+
+    def _second(self) -> float:
+        """Let one second pass; return the processor time of the exchange."""
+        self.clock.unix_s += 1.0
+        for node in self.nodes.values():
+            self._serve_requests(node)
+            self._poll(node)
+            self._hear_other_regions(node)
+        started_s = time.process_time()
+        for node in self.nodes.values():
+            for peer in self.links_of(node.vm):
+                self._beat(node, self.nodes[peer])
+        return time.process_time() - started_s
+
+    def links_of(self, vm: str) -> list[str]:
+        """Return the daemons of the region that a daemon dials."""
+        return sorted(self.nodes[vm].heartbeats.neighbours.all)
+
+    def _beat(self, sender: _Node, receiver: _Node) -> None:
+        self._pass(sender.heartbeats.full(receiver.vm, same_region=True), receiver)
+        self._pass(receiver.heartbeats.echo(sender.vm), sender)
+
+    def _pass(self, heartbeat: pb.Heartbeat, receiver: _Node) -> None:
+        data = pb.PeerMessage(heartbeat=heartbeat).SerializeToString()
+        self.bytes_sent += len(data)
+        self.messages += 1
+        self.clock.unix_s += 1e-6
+        receiver.heartbeats.take(pb.PeerMessage.FromString(data).heartbeat)
+
+    def _serve_requests(self, node: _Node) -> None:
+        now = self.clock.now()
+        while node.running and node.running[0][0] <= now:
+            _, request_id, account = node.running.popleft()
+            node.table.release(request_id, now)
+        arrivals = int(REQUESTS_PER_DAEMON_S + node.random.random())
+        servers = list(self._published.backend_servers)
+        for _ in range(arrivals):
+            node.placed += 1
+            request_id = f"{node.vm}-{node.placed}"
+            node.table.charge(request_id, node.random.choice(servers), 500, now)
+            node.table.started(request_id, now)
+            account = self._account(node)
+            node.limits.admit(account, now)
+            node.limits.release(account.name)
+            node.running.append((now + HOLD_S, request_id, account.name))
+
+    def _account(self, node: _Node) -> Any:
+        accounts = self._published.configuration.accounts
+        return accounts[f"account-{node.random.randrange(self.size.accounts):03d}"]
+
+    def _poll(self, node: _Node) -> None:
+        now = self.clock.now()
+        own = [name for name, pollers in self._pollers.items() if node.vm in pollers]
+        share = min(1.0, POLLS_PER_S / max(len(own), 1))
+        for name in own:
+            if node.random.random() < share:
+                running = node.random.randrange(SLOTS)
+                report = LoadReport(
+                    server=name, measured_unix_s=now - 0.2, running=running, **REPORT_VALUES
+                )
+                node.reports[name] = report
+                node.table.observe_report(report, now)
+
+    def _hear_other_regions(self, node: _Node) -> None:
+        """Let the first two daemons, as relays, hear all other regions."""
+        if node.vm not in ("r00-vm000", "r00-vm001"):
+            return
+        now = self.clock.now()
+        for region in range(1, self.size.other_regions + 1):
+            for pool in POOLS:
+                node.region_loads.observe(_region_load(f"r{region:02d}", pool, now))
+        for member in other_members(self.size, now):
+            node.view.observe_summary(member, now)
+
+    def _node(self, vm: str, number: int) -> _Node:
+        view = MembershipView(vm, "r00")
+        view.observe_own(_member("r00", vm, number))
+        table, limits, region_loads = LoadTable("r00"), AccountLimits(), RegionLoads()
+        table.set_servers(self._published.backend_servers.values())
+        reports: dict[str, LoadReport] = {}
+        heartbeats = Heartbeats(
+            view=view,
+            offsets=ClockOffsets(),
+            published=self._published,
+            local=LocalDispatch(table=table, run_attempt=_no_attempt, observe=lambda event: None),
+            limits=limits,
+            region_loads=region_loads,
+            own_reports=lambda: list(reports.values()),
+        )
+        for member in other_members(self.size, self.clock.now()):
+            view.observe_summary(member, self.clock.now())
+        return _Node(
+            vm=vm,
+            heartbeats=heartbeats,
+            table=table,
+            limits=limits,
+            view=view,
+            region_loads=region_loads,
+            reports=reports,
+            random=Random(number),
+        )
+
+
+def other_members(size: RegionSize, heard_unix_s: float) -> list[Member]:
+    """Return the daemons of the other regions."""
+    numbers = range(size.other_daemons)
+    regions = max(1, size.other_regions)
+    return [_member(f"r{1 + n % regions:02d}", f"x-vm{n:03d}", n, heard_unix_s) for n in numbers]
+
+
+def published_state(size: RegionSize) -> PublishedState:
+    """Return both keyspaces in force at a size."""
+    published = PublishedState(observe=lambda event: None)
+    config, vms = config_changes(size.accounts), vms_changes(size)
+    published.apply(CONFIG, config, 1, after_revision=0, source="bench")
+    published.apply(VMS, vms, 1, after_revision=0, source="bench")
+    return published
+
+
+def config_changes(accounts: int, models: int = 24) -> list[Change]:
+    """Return the published configuration with so many accounts and models."""
+    values: dict[str, Any] = {"deployment": {"objective": "cost"}}
+    values |= {f"pools/{pool}": {"kind": "engine"} for pool in POOLS}
+    values |= {f"models/model-{n:02d}": {"pool": POOLS[n % 2]} for n in range(models)}
+    times = {"first_token_target_s": 1.0, "finish_target_s": 10.0}
+    values |= {f"classes/class-{n}": {"pool": POOLS[n % 2], **times} for n in range(8)}
+    values |= {f"accounts/account-{n:03d}": account_value(n) for n in range(accounts)}
+    return [Change(revision=1, key=key, value=value) for key, value in values.items()]
+
+
+def account_value(number: int) -> dict[str, Any]:
+    """Return how an account is published."""
+    return {
+        "token_sha256": [f"{number:064x}"],
+        "home_region": "r00",
+        "max_requests_per_s": 10.0,
+        "max_requests_in_flight": 100,
+    }
+
+
+def vms_changes(size: RegionSize) -> list[Change]:
+    """Return the published list of VMs."""
+    values: dict[str, Any] = {}
+    for number in range(size.daemons):
+        member = _member("r00", f"r00-vm{number:03d}", number)
+        values[f"vms/{member.vm}"] = _entry_value(member)
+    for member in other_members(size, 0.0):
+        values[f"vms/{member.vm}"] = _entry_value(member)
+    for number in range(size.servers):
+        values[f"vms/drafting-r00-{number:03d}"] = server_value("r00", number)
+    return [Change(revision=1, key=key, value=value) for key, value in values.items()]
+
+
+def server_value(region: str, number: int) -> dict[str, Any]:
+    """Return how a backend server is published."""
+    return {
+        "role": "backend_server",
+        "state": "live",
+        "region": region,
+        "failure_domain": f"{region}-{'ab'[number % 2]}",
+        "address": f"10.1.{number // 250}.{number % 250}:8100",
+        "pool": POOLS[0],
+        "slots": SLOTS,
+    }
+
+
+def _entry_value(member: Member) -> dict[str, Any]:
+    return {
+        "role": "entry",
+        "state": "live",
+        "region": member.region,
+        "failure_domain": member.failure_domain,
+        "caller_address": member.caller_address,
+        "peer_address": member.peer_address,
+    }
+
+
+def _member(region: str, vm: str, number: int, heard_unix_s: float = 0.0) -> Member:
+    address = f"10.0.{number // 250}.{number % 250}"
+    return Member(
+        vm=vm,
+        incarnation=1_764_000_000_000_000 + number,
+        region=region,
+        failure_domain=f"{region}-{'ab'[number % 2]}",
+        caller_address=f"{address}:8080",
+        peer_address=f"{address}:8090",
+        heard_unix_s=heard_unix_s,
+    )
+
+
+def _region_load(region: str, pool: str, measured_unix_s: float) -> RegionLoad:
+    return RegionLoad(
+        region=region,
+        pool=pool,
+        expected_wait_s=0.1,
+        round_trip_s=0.11,
+        measured_unix_s=measured_unix_s,
+        servers=129,
+    )
+
+
+def _no_attempt(*parts: object) -> Any:
+    raise NotImplementedError("nothing is sent here")
+
+
+def measure_exchange(
+    sizes: list[RegionSize],
+    note: Callable[[ExchangeCost], None],
+    warm_s: int = 12,
+    measure_s: int = 4,
+) -> list[ExchangeCost]:
+    """Return the cost at each size."""
+    costs = []
+    for size in sizes:
+        cost = SimulatedRegion(size).run(warm_s, measure_s)
+        note(cost)
+        costs.append(cost)
+    return costs
--- a/src/pomelobarrow/backends/reports.py
+++ b/src/pomelobarrow/backends/reports.py
@@ -16,6 +16,8 @@
 from pomelobarrow.kernel.clock import now_unix_s
 
 POLL_EVERY_S = 1.0
+# A VM with many servers polls each less often: its polls cost the same however large the fleet.
+POLLS_PER_S = 3.0
 POLL_TIMEOUT_S = 1.0
 # Two VMs poll each server, so that one frozen VM leaves no server unseen.
 POLLERS = 2
@@ -46,6 +48,8 @@
         self._on_report = on_report
         self._reports: dict[str, LoadReport] = {}
         self._next_event: dict[str, int] = {}
+        self._live: tuple[str, ...] = ()
+        self._is_own: dict[str, bool] = {}
         self._random = random.Random()
 
     def own_reports(self) -> list[LoadReport]:
@@ -56,14 +60,24 @@
     @Service.task
     async def _poll_all(self) -> None:
         while not self.should_stop:
-            live = tuple(self._live_vms())
-            mine = [
-                server
-                for server in self._servers()
-                if self._own_vm in rendezvous(server.name, live, POLLERS)
-            ]
+            mine = self._own_share()
             await asyncio.gather(*(self._poll(server) for server in mine))
-            await self.sleep(POLL_EVERY_S * self._random.uniform(0.8, 1.2))
+            pause_s = max(POLL_EVERY_S, len(mine) / POLLS_PER_S)
+            await self.sleep(pause_s * self._random.uniform(0.8, 1.2))
+
+    def _own_share(self) -> list[BackendServer]:
+        live = tuple(self._live_vms())
+        if live != self._live:
+            self._live = live
+            self._is_own.clear()
+        return [server for server in self._servers() if self._polls(server.name)]
+
+    def _polls(self, name: str) -> bool:
+        # Ranking some dozens of VMs for each of some hundreds of servers at every poll took as
+        # much processor time as the polls; the ranks only change with the live VMs.
+        if name not in self._is_own:
+            self._is_own[name] = self._own_vm in rendezvous(name, self._live, POLLERS)
+        return self._is_own[name]
 
     async def _poll(self, server: BackendServer) -> None:
         body = await self._get(server, "/v1/load")
--- a/src/pomelobarrow/decision/membership.py
+++ b/src/pomelobarrow/decision/membership.py
@@ -144,6 +144,29 @@
         self._take_word(record, said, now_unix_s)
         return True
 
+    def observe_alive(
+        self,
+        vm: str,
+        incarnation: int,
+        heard_unix_s: float,
+        now_unix_s: float,
+        timeout_s: float | None = None,
+    ) -> bool:
+        """Take word that a known member was heard; say whether that was news.
+
+        With a timeout, words are expected so often that their end means what silence does.
+        """
+        record = self._records.get(vm)
+        if record is None or record.member.incarnation != incarnation:
+            return False
+        heard_unix_s = min(heard_unix_s, self._time(now_unix_s))
+        record.direct &= not record.timer.is_overdue(now_unix_s)
+        if record.direct or heard_unix_s <= record.member.heard_unix_s:
+            return False
+        record.member = evolve(record.member, heard_unix_s=heard_unix_s)
+        record.timer.hear_of(heard_unix_s, timeout_s)
+        return True
+
     def _take_word(self, record: _Record, said: Member, now_unix_s: float) -> None:
         record.member = evolve(record.member, phase=_later_phase(record.member, said))
         # A member that stopped speaking to us may still speak to others, say because its region's
--- a/src/pomelobarrow/decision/silence.py
+++ b/src/pomelobarrow/decision/silence.py
@@ -25,6 +25,7 @@
     deviation_s: float = field(default=0.0, init=False)
     _intervals: int = field(default=0, init=False)
     _restarted_unix_s: float | None = field(default=None, init=False)
+    _word_timeout_s: float | None = field(default=None, init=False)
     # Whether the last word came from the member itself, so that the next one ends an interval.
     _in_interval: bool = field(default=False, init=False)
 
@@ -36,8 +37,9 @@
         self._restarted_unix_s = None
         self._in_interval = True
 
-    def hear_of(self, heard_unix_s: float) -> None:
+    def hear_of(self, heard_unix_s: float, timeout_s: float | None = None) -> None:
         """Take word from another that it was heard; this says nothing of its interval."""
+        self._word_timeout_s = timeout_s
         self.heard_unix_s = heard_unix_s
         self.mean_s = None
         self._intervals = 0
@@ -69,7 +71,7 @@
     def timeout_s(self) -> float:
         """Return the silence after which the member is suspect."""
         if self.mean_s is None:
-            return CEILING_S
+            return self._word_timeout_s or CEILING_S
         if self._intervals < INTERVALS_TO_TRUST:
             return CEILING_S
         expected_s = MEANS_ALLOWED * self.mean_s + DEVIATIONS_ALLOWED * self.deviation_s
--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -22,6 +22,7 @@
 from pomelobarrow.kernel.clock import now_unix_s
 
 SWEEP_EVERY_S = 0.05
+IDLE_SWEEP_EVERY_S = 0.25
 LOOP_STEPS_BEFORE_SENDING = 2
 MIN_DRAIN_PER_S = 1e-6
 
@@ -129,6 +130,11 @@
         while self._waiters and self._place_next(queue, now):
             pass
 
+    @property
+    def has_waiting(self) -> bool:
+        """Say whether a request waits for a place."""
+        return bool(self._waiters)
+
     def sweep(self) -> None:
         """Refuse at once what can no longer finish, then place what has room."""
         now = now_unix_s()
@@ -210,4 +216,5 @@
     async def _sweep(self) -> None:
         while not self.should_stop:
             self._local.sweep()
-            await self.sleep(SWEEP_EVERY_S)
+            # Twenty wake-ups a second with nothing to do cost a sixth of an idle VM's budget.
+            await self.sleep(SWEEP_EVERY_S if self._local.has_waiting else IDLE_SWEEP_EVERY_S)
--- a/src/pomelobarrow/peers/heartbeats.py
+++ b/src/pomelobarrow/peers/heartbeats.py
@@ -2,27 +2,43 @@
 
 import itertools
 from collections.abc import Callable, Iterable
+from functools import partial
 
 from attrs import define, field
 
 from pomelobarrow.decision.clocks import ClockOffsets
-from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.limits import AccountLimits
 from pomelobarrow.decision.membership import Member, MembershipView
-from pomelobarrow.decision.region_choice import RegionLoad
-from pomelobarrow.decision.work import InFlight, LoadReport
+from pomelobarrow.decision.work import LoadReport
 from pomelobarrow.dispatch.local import LocalDispatch
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.demand_news import DemandNews, SentDemand
+from pomelobarrow.peers.grid import LinkKind, Neighbours
+from pomelobarrow.peers.member_news import MemberNews, SentMembers
+from pomelobarrow.peers.pool_news import PoolNews, SentPools
 from pomelobarrow.peers.region_loads import RegionLoads
+from pomelobarrow.peers.server_news import SentServers, ServerNews
 from pomelobarrow.platform.keyspaces import PublishedState
 
-SUMMARIES_PER_HEARTBEAT = 8
+
+@define
+class _Sent:
+    """Hold what was sent on the stream that this VM opened to one peer."""
+
+    members: SentMembers = field(factory=SentMembers)
+    servers: SentServers = field(factory=SentServers)
+    pools: SentPools = field(factory=SentPools)
+    demand: SentDemand = field(factory=SentDemand)
 
 
 @define(kw_only=True)
 class Heartbeats:
-    """Hold what heartbeats are made of and what they teach."""
+    """Hold what heartbeats are made of and what they teach.
+
+    A stream's first heartbeat with loads is whole, and the next ones tell what changed since. A
+    stream keeps its order and loses nothing; when it breaks, the next one starts whole.
+    """
 
     view: MembershipView
     offsets: ClockOffsets
@@ -31,200 +47,206 @@
     limits: AccountLimits
     region_loads: RegionLoads
     own_reports: Callable[[], Iterable[LoadReport]]
+    neighbours: Neighbours = field(factory=Neighbours, init=False)
+    _members: MemberNews = field(init=False)
+    _servers: ServerNews = field(init=False)
+    _pools: PoolNews = field(init=False)
+    _demand: DemandNews = field(init=False)
     _sequence: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
-    _summaries_sent: int = 0
+    _started_unix_s: float = field(factory=lambda: now_unix_s())
     # Per peer: its last heartbeat's sending time and when it came, to be echoed.
     _echoes: dict[str, tuple[float, float]] = field(factory=dict)
+    # Peers that have echoed a heartbeat of this incarnation, so that they know who we are.
+    _know_us: set[str] = field(factory=set)
     # Per peer: incarnation and sequence of the last heartbeat that carried loads.
     _last_full: dict[str, tuple[int, int]] = field(factory=dict)
-
-    def echo(self, peer: str) -> pb.Heartbeat:
-        """Return the short answer to a peer's heartbeat: who we are and how far we are."""
-        own = self.view.own
-        sent_unix_s, received_unix_s = self._echoes.get(peer, (0.0, 0.0))
-        return pb.Heartbeat(
-            vm=own.vm,
-            incarnation=own.incarnation,
-            region=own.region,
-            failure_domain=own.failure_domain,
-            caller_address=own.caller_address,
-            peer_address=own.peer_address,
-            phase=own.phase,
-            sequence=next(self._sequence),
-            sent_unix_s=now_unix_s(),
-            echo_sent_unix_s=sent_unix_s,
-            echo_received_unix_s=received_unix_s,
-            keyspaces=[
-                pb.KeyspaceState(
-                    name=name,
-                    revision=copy.observed_revision,
-                    digest=copy.digest,
-                    revision_in_force=copy.revision,
-                )
-                for name, copy in self.published.copies.items()
-            ],
+    _sent: dict[str, _Sent] = field(factory=dict)
+    # Per peer: what the last answer on its stream said of the keyspaces.
+    _keyspaces_told: dict[str, list[pb.KeyspaceState]] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self._members = MemberNews(self.view)
+        self._servers = ServerNews(
+            table=self.local.table,
+            servers=lambda: self.published.backend_servers,
+            own_reports=self.own_reports,
+        )
+        self._pools = PoolNews(
+            own_region=self.view.own_region,
+            offsets=self.offsets,
+            published=self.published,
+            local=self.local,
+            region_loads=self.region_loads,
+        )
+        self._demand = DemandNews(
+            limits=self.limits, configuration=lambda: self.published.configuration
         )
 
-    def full(self, peer: str, same_region: bool) -> pb.Heartbeat:
-        """Return a heartbeat with the loads that this peer can use."""
-        heartbeat = self.echo(peer)
+    def set_neighbours(self, neighbours: Neighbours) -> None:
+        """Take over which peers of the region this VM exchanges heartbeats with."""
+        self.neighbours = neighbours
+        self.limits.set_region_vms(neighbours.region_vms)
+
+    def echo(self, peer: str, is_first: bool = False) -> pb.Heartbeat:
+        """Return the short answer to a peer's heartbeat: who we are and how far we are.
+
+        After the first one on a stream an answer states the keyspaces where they moved.
+        """
+        heartbeat = self._base(peer, now_unix_s(), is_first)
+        keyspaces = self._keyspaces()
+        if is_first or keyspaces != self._keyspaces_told.get(peer):
+            heartbeat.keyspaces.extend(keyspaces)
+        if not is_first:
+            self._keyspaces_told[peer] = keyspaces
+        return heartbeat
+
+    def full(self, peer: str, same_region: bool, is_first: bool = False) -> pb.Heartbeat:
+        """Return a heartbeat with the loads that are new to this peer."""
         now = now_unix_s()
-        heartbeat.pools.extend(self._own_pools(now))
-        heartbeat.members.extend(self._summaries())
+        is_first = is_first or peer not in self._sent
+        if is_first:
+            self._sent[peer] = _Sent()
+        sent = self._sent[peer]
+        heartbeat = self._base(peer, now, is_first)
+        heartbeat.keyspaces.extend(self._keyspaces())
+        heartbeat.has_loads = True
+        heartbeat.is_whole = is_first
+        kind = self.neighbours.kind(peer, same_region)
+        self._members.write(heartbeat, sent.members, peer, kind, self.neighbours, now)
+        self._pools.write(heartbeat, sent.pools, kind, self.neighbours, now)
         if same_region:
-            heartbeat.servers.extend(self._servers())
-            heartbeat.pools.extend(_pool_load(each) for each in self.region_loads.fresh(now))
-            heartbeat.accounts.extend(
-                pb.AccountDemand(account=account, requests_per_s=rate)
-                for account, rate in self.limits.demand(now).items()
-            )
+            self._servers.write(heartbeat, sent.servers, kind, now)
+            self._demand.write(heartbeat, sent.demand, kind, self.neighbours, now)
         return heartbeat
 
     def take(self, heartbeat: pb.Heartbeat) -> bool:
         """Learn from a peer's heartbeat; False for one that is out of date."""
         now = now_unix_s()
-        is_newest = self.view.observe_heartbeat(_member(heartbeat), now)
+        member = self._member(heartbeat)
+        if member is None:
+            return False
+        kind = self.neighbours.kind(heartbeat.vm, member.region == self.view.own_region)
+        is_newest = self.view.observe_heartbeat(member, now)
         if is_newest:
             self._echoes[heartbeat.vm] = (heartbeat.sent_unix_s, now)
+            self._members.heard_directly(heartbeat.vm, kind)
+            self._note_whether_known(heartbeat)
             self._take_times(heartbeat, now)
         if self._is_news_of_loads(heartbeat):
-            self._take_loads(heartbeat, now)
+            self._take_loads(heartbeat, member, kind, now)
         return is_newest
 
-    def _is_news_of_loads(self, heartbeat: pb.Heartbeat) -> bool:
-        """Tell whether these loads are newer than the ones held.
-
-        A peer speaks on two connections, its own and ours. The short answer on ours may overtake
-        its full heartbeat; were that one dropped as old, the loads in it would be lost.
-        """
-        if not (heartbeat.pools or heartbeat.servers):
-            return False
-        order = (heartbeat.incarnation, heartbeat.sequence)
-        if order <= self._last_full.get(heartbeat.vm, (0, 0)):
-            return False
-        self._last_full[heartbeat.vm] = order
-        return True
-
-    def _take_loads(self, heartbeat: pb.Heartbeat, now: float) -> None:
-        self._take_members(heartbeat, now)
-        self._take_pools(heartbeat, now)
-        if heartbeat.region == self.view.own_region:
-            self._take_servers(heartbeat, now)
-            rates = {each.account: each.requests_per_s for each in heartbeat.accounts}
-            self.limits.observe_peer_demand(heartbeat.vm, rates, now)
-
     def forget_for_good(self, vm: str) -> None:
         """Drop all that is kept of a VM that was replaced or silent for long."""
         self.forget(vm)
         self.offsets.forget(vm)
+        self._members.forget(vm)
+        self._know_us.discard(vm)
         self._echoes.pop(vm, None)
         self._last_full.pop(vm, None)
+        self._sent.pop(vm, None)
+        self._keyspaces_told.pop(vm, None)
 
     def forget(self, vm: str) -> None:
         """Drop what a peer said that left or fell silent."""
         self.local.table.forget_peer(vm)
         self.limits.forget_peer(vm)
+        self._servers.forget(vm)
+        self._demand.forget(vm)
         for queue in self.local.queues.values():
             queue.forget_peer(vm)
 
-    def _take_times(self, heartbeat: pb.Heartbeat, now: float) -> None:
-        self.offsets.observe(
-            heartbeat.vm,
-            sent_unix_s=heartbeat.sent_unix_s,
-            echo_sent_unix_s=heartbeat.echo_sent_unix_s,
-            echo_received_unix_s=heartbeat.echo_received_unix_s,
-            received_unix_s=now,
+    def _base(self, peer: str, now: float, is_first: bool) -> pb.Heartbeat:
+        own = self.view.own
+        sent_unix_s, received_unix_s = self._echoes.get(peer, (0.0, 0.0))
+        heartbeat = pb.Heartbeat(
+            vm=own.vm,
+            incarnation=own.incarnation,
+            phase=own.phase,
+            sequence=next(self._sequence),
+            sent_unix_s=now,
+            echo_sent_unix_s=sent_unix_s,
+            echo_received_unix_s=received_unix_s,
         )
+        if is_first or peer not in self._know_us:
+            heartbeat.region = own.region
+            heartbeat.failure_domain = own.failure_domain
+            heartbeat.caller_address = own.caller_address
+            heartbeat.peer_address = own.peer_address
+        return heartbeat
 
-    def _take_members(self, heartbeat: pb.Heartbeat, now: float) -> None:
-        for each in heartbeat.members:
-            heard_unix_s = self.offsets.to_local(heartbeat.vm, each.heard_unix_s)
-            self.view.observe_summary(_summarized(each, heard_unix_s), now)
+    def _keyspaces(self) -> list[pb.KeyspaceState]:
+        return [
+            pb.KeyspaceState(
+                name=name,
+                revision=copy.observed_revision,
+                digest=copy.digest,
+                revision_in_force=copy.revision,
+            )
+            for name, copy in self.published.copies.items()
+        ]
+
+    def _member(self, heartbeat: pb.Heartbeat) -> Member | None:
+        """Return who speaks; a heartbeat without a description is of a member known already."""
+        if heartbeat.region:
+            return _member(heartbeat)
+        known = self.view.get(heartbeat.vm)
+        if known is None or known.incarnation != heartbeat.incarnation:
+            # We forgot a peer that thinks it is known. Unechoed, its next heartbeat tells all.
+            self._echoes.pop(heartbeat.vm, None)
+            return None
+        return Member(
+            vm=known.vm,
+            incarnation=known.incarnation,
+            region=known.region,
+            failure_domain=known.failure_domain,
+            caller_address=known.caller_address,
+            peer_address=known.peer_address,
+            phase=heartbeat.phase,
+            sequence=heartbeat.sequence,
+        )
 
-    def _take_servers(self, heartbeat: pb.Heartbeat, now: float) -> None:
-        table = self.local.table
-        in_flight = {
-            each.server: InFlight(requests=each.in_flight_requests, tokens=each.in_flight_tokens)
-            for each in heartbeat.servers
-            if each.in_flight_requests
-        }
-        table.observe_peer(heartbeat.vm, in_flight, now)
-        for each in heartbeat.servers:
-            if each.report_unix_s:
-                measured_unix_s = self.offsets.to_local(heartbeat.vm, each.report_unix_s)
-                table.observe_report(_report(each, measured_unix_s), now)
+    def _note_whether_known(self, heartbeat: pb.Heartbeat) -> None:
+        if heartbeat.echo_sent_unix_s >= self._started_unix_s:
+            self._know_us.add(heartbeat.vm)
+        else:
+            self._know_us.discard(heartbeat.vm)
 
-    def _take_pools(self, heartbeat: pb.Heartbeat, now: float) -> None:
-        for each in heartbeat.pools:
-            if each.region == self.view.own_region:
-                if heartbeat.region == each.region:
-                    queue = self.local.queue(each.pool)
-                    queue.observe_peer_waiting(
-                        heartbeat.vm, each.waiting_paying, now, each.waiting_trial
-                    )
-                continue
-            measured_unix_s = self.offsets.to_local(heartbeat.vm, each.measured_unix_s)
-            self.region_loads.observe(self._region_load(heartbeat, each, measured_unix_s))
+    def _is_news_of_loads(self, heartbeat: pb.Heartbeat) -> bool:
+        """Tell whether these loads are newer than the ones held.
 
-    def _region_load(
-        self, heartbeat: pb.Heartbeat, each: pb.PoolLoad, measured_unix_s: float
-    ) -> RegionLoad:
-        best = self.offsets.best(heartbeat.vm) if heartbeat.region == each.region else None
-        return RegionLoad(
-            region=each.region,
-            pool=each.pool,
-            expected_wait_s=each.expected_wait_s,
-            round_trip_s=best.round_trip_s if best is not None else each.round_trip_s,
-            measured_unix_s=measured_unix_s,
-            servers=each.servers,
-        )
+        A peer speaks on two connections, its own and ours. The short answer on ours may overtake
+        its full heartbeat; were that one dropped as old, the loads in it would be lost.
+        """
+        if not heartbeat.has_loads:
+            return False
+        order = (heartbeat.incarnation, heartbeat.sequence)
+        if order <= self._last_full.get(heartbeat.vm, (0, 0)):
+            return False
+        self._last_full[heartbeat.vm] = order
+        return True
 
-    def _own_pools(self, now: float) -> list[pb.PoolLoad]:
-        pools = {server.pool for server in self.published.backend_servers.values()}
-        return [self._own_pool(pool, now) for pool in sorted(pools)]
+    def _take_loads(
+        self, heartbeat: pb.Heartbeat, member: Member, kind: LinkKind, now: float
+    ) -> None:
+        to_local = partial(self.offsets.to_local, heartbeat.vm)
+        sent = self._sent.get(heartbeat.vm, _Sent()).members
+        is_sparse = self.neighbours.is_sparse
+        self._members.take(heartbeat, sent, kind, is_sparse, now, to_local)
+        self._pools.take(heartbeat, member.region, kind, now, to_local)
+        if kind is not LinkKind.OTHER_REGION:
+            self._servers.take(heartbeat, kind, now, to_local)
+            self._demand.take(heartbeat, now)
 
-    def _own_pool(self, pool: str, now: float) -> pb.PoolLoad:
-        queue, table = self.local.queue(pool), self.local.table
-        waiting_paying = queue.waiting(Rank.PAYING)
-        return pb.PoolLoad(
-            region=self.view.own_region,
-            pool=pool,
-            expected_wait_s=waiting_paying / max(table.drain_per_s(pool, now), 1e-6),
-            waiting_paying=waiting_paying,
-            waiting_trial=queue.waiting(Rank.TRIAL),
-            servers=len(table.usable(pool, now)),
-            measured_unix_s=now,
+    def _take_times(self, heartbeat: pb.Heartbeat, now: float) -> None:
+        self.offsets.observe(
+            heartbeat.vm,
+            sent_unix_s=heartbeat.sent_unix_s,
+            echo_sent_unix_s=heartbeat.echo_sent_unix_s,
+            echo_received_unix_s=heartbeat.echo_received_unix_s,
+            received_unix_s=now,
         )
 
-    def _servers(self) -> list[pb.ServerLoad]:
-        loads: dict[str, pb.ServerLoad] = {}
-        for name, in_flight in self.local.table.in_flight().items():
-            loads[name] = pb.ServerLoad(
-                server=name,
-                in_flight_requests=in_flight.requests,
-                in_flight_tokens=in_flight.tokens,
-            )
-        for report in self.own_reports():
-            load = loads.setdefault(report.server, pb.ServerLoad(server=report.server))
-            load.report_unix_s = report.measured_unix_s
-            load.report_running = report.running
-            load.report_waiting = report.waiting
-            load.report_kv_tokens_used = report.kv_tokens_used
-            load.report_queued_prefill_tokens = report.queued_prefill_tokens
-            load.report_leaving = report.leaving
-        return list(loads.values())
-
-    def _summaries(self) -> list[pb.MemberSummary]:
-        """Return a few members in turn; sending all at once would outgrow the byte budget."""
-        known = self.view.known()
-        if not known:
-            return []
-        count = min(SUMMARIES_PER_HEARTBEAT, len(known))
-        start = self._summaries_sent % len(known)
-        self._summaries_sent += count
-        turn = (known + known)[start : start + count]
-        return [_summary(member) for member in turn]
-
 
 def _member(heartbeat: pb.Heartbeat) -> Member:
     return Member(
@@ -237,54 +259,3 @@
         phase=heartbeat.phase,
         sequence=heartbeat.sequence,
     )
-
-
-def _summarized(each: pb.MemberSummary, heard_unix_s: float) -> Member:
-    return Member(
-        vm=each.vm,
-        incarnation=each.incarnation,
-        region=each.region,
-        failure_domain=each.failure_domain,
-        caller_address=each.caller_address,
-        peer_address=each.peer_address,
-        phase=each.phase,
-        heard_unix_s=heard_unix_s,
-        successor=each.successor,
-    )
-
-
-def _summary(member: Member) -> pb.MemberSummary:
-    return pb.MemberSummary(
-        vm=member.vm,
-        incarnation=member.incarnation,
-        region=member.region,
-        failure_domain=member.failure_domain,
-        caller_address=member.caller_address,
-        peer_address=member.peer_address,
-        phase=member.phase,
-        heard_unix_s=member.heard_unix_s,
-        successor=member.successor,
-    )
-
-
-def _report(each: pb.ServerLoad, measured_unix_s: float) -> LoadReport:
-    return LoadReport(
-        server=each.server,
-        measured_unix_s=measured_unix_s,
-        running=each.report_running,
-        waiting=each.report_waiting,
-        kv_tokens_used=each.report_kv_tokens_used,
-        queued_prefill_tokens=each.report_queued_prefill_tokens,
-        leaving=each.report_leaving,
-    )
-
-
-def _pool_load(load: RegionLoad) -> pb.PoolLoad:
-    return pb.PoolLoad(
-        region=load.region,
-        pool=load.pool,
-        expected_wait_s=load.expected_wait_s,
-        servers=load.servers,
-        measured_unix_s=load.measured_unix_s,
-        round_trip_s=load.round_trip_s,
-    )
--- a/src/pomelobarrow/peers/links.py
+++ b/src/pomelobarrow/peers/links.py
@@ -151,8 +151,11 @@
                 await _reset(stream)
 
     async def _beat(self) -> None:
+        is_first = True
         while True:
-            heartbeat = self._heartbeats.full(self.peer.vm, self.peer.region == self._own_region)
+            same_region = self.peer.region == self._own_region
+            heartbeat = self._heartbeats.full(self.peer.vm, same_region, is_first)
+            is_first = False
             self.send(pb.PeerMessage(heartbeat=heartbeat))
             await asyncio.sleep(HEARTBEAT_EVERY_S * self._random.uniform(0.9, 1.1))
 
--- /dev/null
+++ b/src/pomelobarrow/peers/member_news.py
@@ -0,0 +1,209 @@
+"""Tell a peer which members changed and which were heard, and take in what it tells."""
+
+from collections.abc import Callable, Sequence
+
+import xxhash
+from attrs import define, field
+
+from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.grid import LinkKind, Neighbours, passes_on
+
+REFRESH_EVERY_S = 0.5
+DESCRIPTIONS_PER_HEARTBEAT = 32
+HEARD_PER_HEARTBEAT = 64
+# The time by which a word on a member must be newer than the last one to be told again: inside
+# the region, to another region of one's own members, and of third regions' members, which only
+# counts while those can't be reached directly.
+NEAR_WORD_EVERY_S = 0.1
+WORD_EVERY_S = 4.0
+OWN_REGION_WORD_EVERY_S = 3.0
+THIRD_REGION_WORD_EVERY_S = 10.0
+# Two hops of a second each, and a heartbeat lost on either.
+NEAR_WORD_TIMEOUT_S = 5.0
+AGE_UNIT_S = 0.1
+MAX_AGE_S = 60.0
+
+ToLocal = Callable[[float], float]
+
+
+@define
+class SentMembers:
+    """Hold what one peer was told and has told of members."""
+
+    version: int = 0
+    heard_unix_s: dict[str, float] = field(factory=dict)
+
+
+@define
+class MemberNews:
+    """Follow the members' descriptions and where news of them came from."""
+
+    view: MembershipView
+    _version: int = 0
+    _version_of: dict[str, int] = field(factory=dict)
+    _described: dict[str, tuple[int, str, str]] = field(factory=dict)
+    _refresh_unix_s: float = 0.0
+    _known: tuple[Member, ...] = ()
+    _told: dict[LinkKind, Sequence[tuple[Member, float]]] = field(factory=dict)
+    _by_key: dict[int, tuple[str, int]] = field(factory=dict)
+    _key_of: dict[str, int] = field(factory=dict)
+    _came: dict[str, LinkKind] = field(factory=dict)
+
+    def write(
+        self,
+        heartbeat: pb.Heartbeat,
+        sent: SentMembers,
+        peer: str,
+        kind: LinkKind,
+        neighbours: Neighbours,
+        now_unix_s: float,
+    ) -> None:
+        """Add the changed descriptions and the members heard since the last time."""
+        self._refresh(now_unix_s)
+        self._write_descriptions(heartbeat, sent)
+        for member, every_s in self._told_to(kind, neighbours):
+            newer_s = member.heard_unix_s - sent.heard_unix_s.get(member.vm, 0.0)
+            if newer_s >= every_s and member.vm != peer:
+                self._write_heard(heartbeat, sent, member, now_unix_s)
+            if len(heartbeat.heard_keys) >= HEARD_PER_HEARTBEAT:
+                return
+
+    def take(
+        self,
+        heartbeat: pb.Heartbeat,
+        sent: SentMembers,
+        kind: LinkKind,
+        is_sparse: bool,
+        now_unix_s: float,
+        to_local: ToLocal,
+    ) -> None:
+        """Take in descriptions, then who was heard."""
+        for summary in heartbeat.members:
+            member = _summarized(summary, to_local(summary.heard_unix_s))
+            self.view.observe_summary(member, now_unix_s)
+            self._came[member.vm] = kind
+        self._refresh(now_unix_s, at_once=bool(heartbeat.members))
+        sent_unix_s = to_local(heartbeat.sent_unix_s)
+        for key, age in zip(heartbeat.heard_keys, heartbeat.heard_ages, strict=False):
+            if key in self._by_key:
+                heard_unix_s = sent_unix_s - age * AGE_UNIT_S
+                self._take_heard(key, heard_unix_s, sent, kind, is_sparse, now_unix_s)
+
+    def heard_directly(self, vm: str, kind: LinkKind) -> None:
+        """Note that a member spoke itself."""
+        self._came[vm] = kind
+
+    def forget(self, vm: str) -> None:
+        """Drop a member that is gone for good."""
+        self._version_of.pop(vm, None)
+        self._described.pop(vm, None)
+        self._came.pop(vm, None)
+        self._by_key.pop(self._key_of.pop(vm, 0), None)
+
+    def _take_heard(
+        self,
+        key: int,
+        heard_unix_s: float,
+        sent: SentMembers,
+        kind: LinkKind,
+        is_sparse: bool,
+        now_unix_s: float,
+    ) -> None:
+        vm, incarnation = self._by_key[key]
+        sent.heard_unix_s[vm] = max(sent.heard_unix_s.get(vm, 0.0), heard_unix_s)
+        timeout_s = NEAR_WORD_TIMEOUT_S if is_sparse else None
+        if self.view.observe_alive(vm, incarnation, heard_unix_s, now_unix_s, timeout_s):
+            self._came[vm] = kind
+
+    def _refresh(self, now_unix_s: float, at_once: bool = False) -> None:
+        """Give each member whose description changed the next version."""
+        if not at_once and now_unix_s < self._refresh_unix_s:
+            return
+        self._refresh_unix_s = now_unix_s + REFRESH_EVERY_S
+        self._known = self.view.known()
+        self._told.clear()
+        for member in self._known:
+            description = (member.incarnation, member.phase, member.successor)
+            if self._described.get(member.vm) != description:
+                self._described[member.vm] = description
+                self._version += 1
+                self._version_of[member.vm] = self._version
+                self._note_key(member)
+
+    def _note_key(self, member: Member) -> None:
+        # Four bytes name a VM and its incarnation. Two of a few hundred share them once in tens
+        # of thousands of fleets; a dead one would then seem alive for as long as its twin lives,
+        # and a request forwarded to it would come back as not sent.
+        key = xxhash.xxh32_intdigest(f"{member.vm}\0{member.incarnation}".encode())
+        self._by_key.pop(self._key_of.get(member.vm, 0), None)
+        self._key_of[member.vm] = key
+        self._by_key[key] = (member.vm, member.incarnation)
+
+    def _write_descriptions(self, heartbeat: pb.Heartbeat, sent: SentMembers) -> None:
+        if sent.version == self._version:
+            return
+        news = sorted((v, vm) for vm, v in self._version_of.items() if v > sent.version)
+        told = news[:DESCRIPTIONS_PER_HEARTBEAT]
+        for _, vm in told:
+            member = self.view.get(vm)
+            if member is not None:
+                heartbeat.members.append(_summary(member))
+        sent.version = told[-1][0] if len(told) < len(news) else self._version
+
+    def _told_to(self, kind: LinkKind, neighbours: Neighbours) -> Sequence[tuple[Member, float]]:
+        """Return the members that a kind of peer is told of, and how often."""
+        if kind not in self._told:
+            rules = ((each, self._word_every_s(each, kind, neighbours)) for each in self._known)
+            self._told[kind] = [(each, every_s) for each, every_s in rules if every_s is not None]
+        return self._told[kind]
+
+    def _word_every_s(self, member: Member, kind: LinkKind, neighbours: Neighbours) -> float | None:
+        is_own_region = member.region == self.view.own_region
+        if kind is LinkKind.OTHER_REGION:
+            return OWN_REGION_WORD_EVERY_S if is_own_region else THIRD_REGION_WORD_EVERY_S
+        if is_own_region:
+            # In a sparse region the others hear of a neighbour's silence from its neighbours
+            # only, so they are told of its every heartbeat.
+            is_told = neighbours.is_sparse and member.vm in neighbours.all
+            return NEAR_WORD_EVERY_S if is_told else None
+        return WORD_EVERY_S if passes_on(self._came.get(member.vm), kind) else None
+
+    def _write_heard(
+        self, heartbeat: pb.Heartbeat, sent: SentMembers, member: Member, now_unix_s: float
+    ) -> None:
+        age_s = now_unix_s - member.heard_unix_s
+        key = self._key_of.get(member.vm)
+        if key is None or not 0 <= age_s <= MAX_AGE_S:
+            return
+        sent.heard_unix_s[member.vm] = member.heard_unix_s
+        heartbeat.heard_keys.append(key)
+        heartbeat.heard_ages.append(round(age_s / AGE_UNIT_S))
+
+
+def _summarized(each: pb.MemberSummary, heard_unix_s: float) -> Member:
+    return Member(
+        vm=each.vm,
+        incarnation=each.incarnation,
+        region=each.region,
+        failure_domain=each.failure_domain,
+        caller_address=each.caller_address,
+        peer_address=each.peer_address,
+        phase=each.phase,
+        heard_unix_s=heard_unix_s,
+        successor=each.successor,
+    )
+
+
+def _summary(member: Member) -> pb.MemberSummary:
+    return pb.MemberSummary(
+        vm=member.vm,
+        incarnation=member.incarnation,
+        region=member.region,
+        failure_domain=member.failure_domain,
+        caller_address=member.caller_address,
+        peer_address=member.peer_address,
+        phase=member.phase,
+        heard_unix_s=member.heard_unix_s,
+        successor=member.successor,
+    )
--- /dev/null
+++ b/src/pomelobarrow/peers/pool_news.py
@@ -0,0 +1,172 @@
+"""Tell a peer how loaded pools are here and elsewhere, and take in what it tells."""
+
+from collections.abc import Callable
+
+from attrs import define, field, frozen
+
+from pomelobarrow.decision.clocks import ClockOffsets
+from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.decision.region_choice import RegionLoad
+from pomelobarrow.dispatch.local import LocalDispatch
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.grid import LinkKind, Neighbours, passes_on
+from pomelobarrow.peers.region_loads import RegionLoads
+from pomelobarrow.platform.keyspaces import PublishedState
+
+# Summing up a pool of some hundred servers costs more than the rest of a heartbeat; all heartbeats
+# of this time share one sum.
+SUMMED_UP_EVERY_S = 1.0
+REGION_TOLD_EVERY_S = 1.5
+ROW_WAITING_GOOD_FOR_S = 2.0
+MIN_DRAIN_PER_S = 1e-6
+MS_PER_S = 1e3
+
+ToLocal = Callable[[float], float]
+
+
+@define
+class SentPools:
+    """Hold what one peer was told of pools."""
+
+    waiting_pools: frozenset[str] = frozenset()
+    measured_unix_s: dict[tuple[str, str], float] = field(factory=dict)
+
+
+@frozen
+class _Waiting:
+    paying: int
+    trial: int
+    heard_unix_s: float
+
+
+NOBODY = _Waiting(paying=0, trial=0, heard_unix_s=0.0)
+
+
+@define(kw_only=True)
+class PoolNews:
+    """Exchange waiting work inside the region and the pools' loads between regions."""
+
+    own_region: str
+    offsets: ClockOffsets
+    published: PublishedState
+    local: LocalDispatch
+    region_loads: RegionLoads
+    _own: list[pb.PoolLoad] = field(factory=list)
+    _own_until_unix_s: float = 0.0
+    _waiting: dict[tuple[str, str], _Waiting] = field(factory=dict)
+
+    def write(
+        self,
+        heartbeat: pb.Heartbeat,
+        sent: SentPools,
+        kind: LinkKind,
+        neighbours: Neighbours,
+        now_unix_s: float,
+    ) -> None:
+        """Add what this peer can use."""
+        if kind is LinkKind.OTHER_REGION:
+            heartbeat.pools.extend(self._own_pools(now_unix_s))
+            return
+        row = neighbours.row if kind is LinkKind.COLUMN else frozenset()
+        self._write_waiting(heartbeat, sent, row, now_unix_s)
+        for load in self.region_loads.fresh(now_unix_s):
+            if passes_on(self.region_loads.came(load), kind):
+                self._write_region(heartbeat, sent, load, now_unix_s)
+
+    def take(
+        self,
+        heartbeat: pb.Heartbeat,
+        sender_region: str,
+        kind: LinkKind,
+        now_unix_s: float,
+        to_local: ToLocal,
+    ) -> None:
+        """Take in what a peer tells of pools."""
+        sent_unix_s = to_local(heartbeat.sent_unix_s)
+        for each in heartbeat.pools:
+            region = each.region or sender_region
+            if region != self.own_region:
+                measured_unix_s = sent_unix_s - each.age_ms / MS_PER_S
+                load = self._region_load(heartbeat.vm, region, each, measured_unix_s, kind)
+                self.region_loads.observe(load, kind)
+            elif kind is not LinkKind.OTHER_REGION:
+                self._take_waiting(heartbeat.vm, each, now_unix_s)
+
+    def _take_waiting(self, vm: str, each: pb.PoolLoad, now_unix_s: float) -> None:
+        paying, trial = each.waiting_paying, each.waiting_trial
+        self._waiting[vm, each.pool] = _Waiting(paying, trial, now_unix_s)
+        self.local.queue(each.pool).observe_peer_waiting(vm, paying, now_unix_s, trial)
+
+    def _write_waiting(
+        self, heartbeat: pb.Heartbeat, sent: SentPools, row: frozenset[str], now_unix_s: float
+    ) -> None:
+        told = set()
+        for pool, queue in self.local.queues.items():
+            of_row = [self._waiting_at(vm, pool, now_unix_s) for vm in row]
+            paying = queue.waiting(Rank.PAYING) + sum(each.paying for each in of_row)
+            trial = queue.waiting(Rank.TRIAL) + sum(each.trial for each in of_row)
+            if paying or trial:
+                told.add(pool)
+            if paying or trial or pool in sent.waiting_pools:
+                heartbeat.pools.append(
+                    pb.PoolLoad(pool=pool, waiting_paying=paying, waiting_trial=trial)
+                )
+        sent.waiting_pools = frozenset(told)
+
+    def _waiting_at(self, vm: str, pool: str, now_unix_s: float) -> _Waiting:
+        waiting = self._waiting.get((vm, pool), NOBODY)
+        is_fresh = now_unix_s - waiting.heard_unix_s <= ROW_WAITING_GOOD_FOR_S
+        return waiting if is_fresh else NOBODY
+
+    def _write_region(
+        self, heartbeat: pb.Heartbeat, sent: SentPools, load: RegionLoad, now_unix_s: float
+    ) -> None:
+        key = (load.region, load.pool)
+        if load.measured_unix_s - sent.measured_unix_s.get(key, 0.0) < REGION_TOLD_EVERY_S:
+            return
+        sent.measured_unix_s[key] = load.measured_unix_s
+        heartbeat.pools.append(
+            pb.PoolLoad(
+                region=load.region,
+                pool=load.pool,
+                expected_wait_s=load.expected_wait_s,
+                servers=load.servers,
+                age_ms=max(0, round((now_unix_s - load.measured_unix_s) * MS_PER_S)),
+                round_trip_s=load.round_trip_s,
+            )
+        )
+
+    def _region_load(
+        self, vm: str, region: str, each: pb.PoolLoad, measured_unix_s: float, kind: LinkKind
+    ) -> RegionLoad:
+        best = self.offsets.best(vm) if kind is LinkKind.OTHER_REGION else None
+        return RegionLoad(
+            region=region,
+            pool=each.pool,
+            expected_wait_s=each.expected_wait_s,
+            round_trip_s=best.round_trip_s if best is not None else each.round_trip_s,
+            measured_unix_s=measured_unix_s,
+            servers=each.servers,
+        )
+
+    def _own_pools(self, now_unix_s: float) -> list[pb.PoolLoad]:
+        if not 0 <= self._own_until_unix_s - now_unix_s <= SUMMED_UP_EVERY_S:
+            pools = {server.pool for server in self.published.backend_servers.values()}
+            self._own = [self._own_pool(pool, now_unix_s) for pool in sorted(pools)]
+            self._own_until_unix_s = now_unix_s + SUMMED_UP_EVERY_S
+        return self._own
+
+    def _own_pool(self, pool: str, now_unix_s: float) -> pb.PoolLoad:
+        queue, table = self.local.queue(pool), self.local.table
+        waiting_paying = queue.waiting(Rank.PAYING)
+        expected_wait_s = 0.0
+        if waiting_paying:
+            drain_per_s = max(table.drain_per_s(pool, now_unix_s), MIN_DRAIN_PER_S)
+            expected_wait_s = waiting_paying / drain_per_s
+        return pb.PoolLoad(
+            pool=pool,
+            expected_wait_s=expected_wait_s,
+            waiting_paying=waiting_paying,
+            waiting_trial=queue.waiting(Rank.TRIAL),
+            servers=len(table.usable(pool, now_unix_s)),
+        )
--- a/src/pomelobarrow/peers/region_loads.py
+++ b/src/pomelobarrow/peers/region_loads.py
@@ -3,6 +3,7 @@
 from attrs import define, evolve, field
 
 from pomelobarrow.decision.region_choice import LOAD_GOOD_FOR_S, RegionLoad
+from pomelobarrow.peers.grid import LinkKind
 
 # A region silent for this long counts as lost, so that its return is a slow start.
 LOST_AFTER_S = 10.0
@@ -13,16 +14,18 @@
     """Hold the newest load of each region and pool, in this VM's clock."""
 
     _loads: dict[tuple[str, str], RegionLoad] = field(factory=dict)
+    _came: dict[tuple[str, str], LinkKind] = field(factory=dict)
 
-    def observe(self, load: RegionLoad) -> None:
-        """Take a load that is newer than the one held."""
+    def observe(self, load: RegionLoad, came: LinkKind = LinkKind.OTHER_REGION) -> None:
+        """Take a load that is newer than the one held, and where it came from."""
         key = (load.region, load.pool)
         old = self._loads.get(key)
+        if old is not None and load.measured_unix_s <= old.measured_unix_s:
+            return
+        self._came[key] = came
         if old is None:
             self._loads[key] = load
             return
-        if load.measured_unix_s <= old.measured_unix_s:
-            return
         was_lost = load.measured_unix_s - old.measured_unix_s > LOST_AFTER_S
         returned_unix_s = load.measured_unix_s if was_lost else old.returned_unix_s
         round_trip_s = load.round_trip_s or old.round_trip_s
@@ -36,3 +39,7 @@
         """Return the loads worth passing on."""
         oldest_unix_s = now_unix_s - LOAD_GOOD_FOR_S
         return [load for load in self._loads.values() if load.measured_unix_s >= oldest_unix_s]
+
+    def came(self, load: RegionLoad) -> LinkKind | None:
+        """Return what kind of peer told of a load."""
+        return self._came.get((load.region, load.pool))
--- a/src/pomelobarrow/peers/server.py
+++ b/src/pomelobarrow/peers/server.py
@@ -64,11 +64,14 @@
         vm = self._peer(stream.metadata, "Exchange")
         outbox: asyncio.Queue[pb.PeerMessage] = asyncio.Queue()
         sending = asyncio.create_task(_send_all(stream, outbox))
+        is_first = True
         try:
             async for message in stream:
                 self._exchange.handle(message, vm, outbox.put_nowait)
                 if message.WhichOneof("kind") == "heartbeat":
-                    outbox.put_nowait(pb.PeerMessage(heartbeat=self._heartbeats.echo(vm)))
+                    answer = self._heartbeats.echo(vm, is_first)
+                    is_first = False
+                    outbox.put_nowait(pb.PeerMessage(heartbeat=answer))
         finally:
             sending.cancel()
 
--- /dev/null
+++ b/src/pomelobarrow/peers/server_news.py
@@ -0,0 +1,162 @@
+"""Tell a peer what changed on the region's backend servers, and take in what it tells."""
+
+from collections.abc import Callable, Iterable, Mapping
+
+import xxhash
+from attrs import define, field
+
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.work import BackendServer, InFlight, LoadReport
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.grid import LinkKind, passes_on
+
+PASSED_ON_FOR_S = 5.0
+NOTHING = InFlight()
+MS_PER_S = 1e3
+
+ToLocal = Callable[[float], float]
+
+
+@define
+class SentServers:
+    """Hold what one peer was told of servers."""
+
+    in_flight: dict[str, InFlight] = field(factory=dict)
+    measured_unix_s: dict[str, float] = field(factory=dict)
+
+
+@define(kw_only=True)
+class ServerNews:
+    """Exchange counts in flight with neighbours; spread load reports over the region."""
+
+    table: LoadTable
+    servers: Callable[[], Mapping[str, BackendServer]]
+    own_reports: Callable[[], Iterable[LoadReport]]
+    _counts: dict[str, dict[int, InFlight]] = field(factory=dict)
+    # Reports that neighbours of the row polled, to be passed on along the column.
+    _row_reports: dict[str, LoadReport] = field(factory=dict)
+    _named: Mapping[str, BackendServer] | None = None
+    _name_by_key: dict[int, str] = field(factory=dict)
+    _keys: dict[str, int] = field(factory=dict)
+
+    def write(
+        self, heartbeat: pb.Heartbeat, sent: SentServers, kind: LinkKind, now_unix_s: float
+    ) -> None:
+        """Add the counts and reports that are new to this peer."""
+        self._write_counts(heartbeat, sent)
+        for report in self.own_reports():
+            self._write_report(heartbeat, sent, report, now_unix_s, is_passed_on=False)
+        if passes_on(LinkKind.ROW, kind):
+            self._drop_old_reports(now_unix_s)
+            for report in self._row_reports.values():
+                self._write_report(heartbeat, sent, report, now_unix_s, is_passed_on=True)
+
+    def take(
+        self, heartbeat: pb.Heartbeat, kind: LinkKind, now_unix_s: float, to_local: ToLocal
+    ) -> None:
+        """Take in a peer's counts and the reports it tells of."""
+        names = self._names()
+        counts = self._merge_counts(heartbeat)
+        by_name = {names[key]: count for key, count in counts.items() if key in names}
+        self.table.observe_peer(heartbeat.vm, by_name, now_unix_s)
+        sent_unix_s = to_local(heartbeat.sent_unix_s)
+        for each in heartbeat.reports:
+            name = names.get(each.server_key)
+            if name is None:
+                continue
+            report = _report(name, each, sent_unix_s - each.age_ms / MS_PER_S)
+            self.table.observe_report(report, now_unix_s)
+            if kind is LinkKind.ROW and not each.is_passed_on:
+                self._row_reports[name] = report
+
+    def forget(self, vm: str) -> None:
+        """Drop what a peer told."""
+        self._counts.pop(vm, None)
+
+    def _merge_counts(self, heartbeat: pb.Heartbeat) -> dict[int, InFlight]:
+        counts = self._counts.setdefault(heartbeat.vm, {})
+        if heartbeat.is_whole:
+            counts.clear()
+        changed = zip(
+            heartbeat.server_keys,
+            heartbeat.in_flight_requests,
+            heartbeat.in_flight_tokens,
+            strict=False,
+        )
+        for key, requests, tokens in changed:
+            if requests:
+                counts[key] = InFlight(requests=requests, tokens=tokens)
+            else:
+                counts.pop(key, None)
+        return counts
+
+    def _write_counts(self, heartbeat: pb.Heartbeat, sent: SentServers) -> None:
+        own = dict(self.table.in_flight())
+        for name in sent.in_flight.keys() | own.keys():
+            count = own.get(name, NOTHING)
+            if sent.in_flight.get(name, NOTHING) != count:
+                heartbeat.server_keys.append(self._key(name))
+                heartbeat.in_flight_requests.append(count.requests)
+                heartbeat.in_flight_tokens.append(count.tokens)
+        sent.in_flight = own
+
+    def _write_report(
+        self,
+        heartbeat: pb.Heartbeat,
+        sent: SentServers,
+        report: LoadReport,
+        now_unix_s: float,
+        is_passed_on: bool,
+    ) -> None:
+        if report.measured_unix_s <= sent.measured_unix_s.get(report.server, 0.0):
+            return
+        sent.measured_unix_s[report.server] = report.measured_unix_s
+        heartbeat.reports.append(
+            pb.ServerReport(
+                server_key=self._key(report.server),
+                age_ms=max(0, round((now_unix_s - report.measured_unix_s) * MS_PER_S)),
+                running=report.running,
+                waiting=report.waiting,
+                kv_tokens_used=report.kv_tokens_used,
+                queued_prefill_tokens=report.queued_prefill_tokens,
+                is_leaving=report.leaving,
+                is_passed_on=is_passed_on,
+            )
+        )
+
+    def _drop_old_reports(self, now_unix_s: float) -> None:
+        oldest_unix_s = now_unix_s - PASSED_ON_FOR_S
+        for name, report in list(self._row_reports.items()):
+            if report.measured_unix_s < oldest_unix_s:
+                del self._row_reports[name]
+
+    def _key(self, name: str) -> int:
+        # Four bytes name a server. Two of a few hundred share them once in tens of thousands of
+        # fleets; their loads would then count for one of them only, and own charges and reports
+        # of the other would go on without the peers' part.
+        key = self._keys.get(name)
+        if key is None:
+            key = self._keys[name] = xxhash.xxh32_intdigest(name.encode())
+        return key
+
+    def _names(self) -> dict[int, str]:
+        servers = self.servers()
+        if servers is not self._named:
+            self._named = servers
+            self._keys.clear()
+            own_region = self.table.own_region
+            names = [each.name for each in servers.values() if each.region == own_region]
+            self._name_by_key = {self._key(name): name for name in names}
+        return self._name_by_key
+
+
+def _report(name: str, each: pb.ServerReport, measured_unix_s: float) -> LoadReport:
+    return LoadReport(
+        server=name,
+        measured_unix_s=measured_unix_s,
+        running=each.running,
+        waiting=each.waiting,
+        kv_tokens_used=each.kv_tokens_used,
+        queued_prefill_tokens=each.queued_prefill_tokens,
+        leaving=each.is_leaving,
+    )
--- a/src/pomelobarrow/peers/table.py
+++ b/src/pomelobarrow/peers/table.py
@@ -20,6 +20,7 @@
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.events import PauseNoticed
 from pomelobarrow.peers.exchange import Exchange
+from pomelobarrow.peers.grid import neighbours
 from pomelobarrow.peers.heartbeats import Heartbeats
 from pomelobarrow.peers.links import PeerLink
 from pomelobarrow.platform.keyspaces import VMS, PublishedState
@@ -36,7 +37,7 @@
 
 
 class PeerTable(Service):
-    """Hold the links: all peers of the region, a few relays to others, and those in use."""
+    """Hold the links: neighbours in the region, a few relays to others, and those in use."""
 
     def __init__(
         self,
@@ -129,7 +130,7 @@
         """Change what this VM says of itself and say it at once."""
         self._view.observe_own(evolve(self._view.own, phase=phase.value))
         for vm, link in self.links.items():
-            link.send(pb.PeerMessage(heartbeat=self._heartbeats.echo(vm)))
+            link.send(pb.PeerMessage(heartbeat=self._heartbeats.echo(vm, is_first=True)))
 
     def clock_offset_s(self, vm: str) -> float:
         """Return a peer's clock minus ours."""
@@ -154,7 +155,10 @@
         known = {m.vm: _listed(m) for m in self._view.live_peers(now_unix_s=now)}
         known.update({vm.vm: vm for vm in self._view.contacts(now) if vm.vm != own})
         local = {vm: p for vm, p in known.items() if p.region == self._view.own_region}
-        return local | self._wanted_relays(known, now)
+        near = neighbours(own, local)
+        self._heartbeats.set_neighbours(near)
+        wanted = {vm: peer for vm, peer in local.items() if vm in near.all}
+        return wanted | self._wanted_relays(known, now)
 
     def _wanted_relays(self, known: dict[str, ListedVm], now: float) -> dict[str, ListedVm]:
         wanted: dict[str, ListedVm] = {}
