Send each key of a delta once

Cause, found by comparing deltas after each revision with the whole: a key that had changed twice since the log was last cleaned was sent twice, up to double the bytes. Change: an old item of the log is skipped. Tests: deltas after every revision of healed copies; pages begun before a peer answered. Ruled out: removing old items at once: it costs a search per change. Conclusion: deltas are complete and hold each key once.

--- a/src/pomelobarrow/decision/keyspace.py
+++ b/src/pomelobarrow/decision/keyspace.py
@@ -212,7 +212,8 @@
         """
         after = revision if revision == 0 else max(revision, self.tombstone_floor)
         start = bisect.bisect_right(self._log, (after, chr(0x10FFFF)))
-        newest = (self._kept[key].change for _, key in self._log[start:] if key in self._kept)
+        items = ((at, self._kept.get(key)) for at, key in self._log[start:])
+        newest = (kept.change for at, kept in items if kept and kept.change.revision == at)
         return Delta(
             name=self.name,
             after_revision=after,
