--- a/src/pomelobarrow/decision/membership.py
+++ b/src/pomelobarrow/decision/membership.py
@@ -82,7 +82,6 @@
     own_region: str
     forget_after_s: float = FORGET_AFTER_S
     own: Member = field(init=False)
-    superseded: bool = field(default=False, init=False)
     _records: dict[str, _Record] = field(factory=dict, init=False, repr=False)
     _listed: dict[str, ListedVm] = field(factory=dict, init=False, repr=False)
     _handovers: dict[tuple[str, int], _Handover] = field(factory=dict, init=False, repr=False)
@@ -126,8 +125,6 @@
     def observe_summary(self, member: Member, now_unix_s: float) -> bool:
         """Take what another daemon says of a member; it never goes before direct evidence."""
         if member.vm == self.own_vm:
-            # A replacement runs under our name: its ids and ours must not be mixed up.
-            self.superseded |= member.incarnation > self.own.incarnation
             return False
         heard_unix_s = min(member.heard_unix_s, self._time(now_unix_s))
         # Old news about a VM that was forgotten would bring it back, from daemon to daemon.
@@ -346,5 +343,12 @@
     now_unix_s: float | None = None,
 ) -> tuple[Member, ...]:
     """Return the members of own_region that exchange with the other one."""
+    return relays_among(view.live(own_region, now_unix_s), own_region, other_region, count)
+
+
+def relays_among(
+    members: Iterable[Member], own_region: str, other_region: str, count: int = RELAYS
+) -> tuple[Member, ...]:
+    """Return those of own_region's live members that exchange with the other one."""
     key = f"relay/{min(own_region, other_region)}/{max(own_region, other_region)}"
-    return _pick(key, view.live(own_region, now_unix_s), count)
+    return _pick(key, members, count)
--- a/src/pomelobarrow/peers/table.py
+++ b/src/pomelobarrow/peers/table.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections import defaultdict
+from collections.abc import Callable, Iterable
 
 from attrs import evolve
 from mode import Service
@@ -13,7 +14,7 @@
     Member,
     MembershipView,
     Phase,
-    relays,
+    relays_among,
     watchers,
 )
 from pomelobarrow.kernel.clock import now_unix_s
@@ -139,7 +140,7 @@
     def is_watcher(self, keyspace: str) -> bool:
         """Tell whether this VM reads the platform for its region."""
         chosen = watchers(self._view, self._view.own_region, now_unix_s=now_unix_s())
-        return any(member.vm == self._view.own_vm for member in chosen)
+        return self._is_among(chosen)
 
     async def wait_for_answers(self, timeout_s: float) -> None:
         """Return once each linked peer has spoken, or the time is up."""
@@ -162,17 +163,20 @@
 
     def _wanted_relays(self, known: dict[str, ListedVm], now: float) -> dict[str, ListedVm]:
         wanted: dict[str, ListedVm] = {}
-        for region in {p.region for p in known.values()} - {self._view.own_region, ""}:
-            if not self._relays_to(region, now):
+        live: defaultdict[str, list[Member]] = defaultdict(list)
+        for member in self._view.live(now_unix_s=now):
+            live[member.region].append(member)
+        own = self._view.own_region
+        for region in {p.region for p in known.values()} - {own, ""}:
+            if not self._is_among(relays_among(live[own], own, region)):
                 continue
-            live = relays(self._view, region, self._view.own_region, now_unix_s=now)
-            chosen = [_listed(member) for member in live] or _contacts_in_turn(known, region, now)
+            chosen = [_listed(member) for member in relays_among(live[region], region, own)]
+            chosen = chosen or _contacts_in_turn(known, region, now)
             wanted.update({peer.vm: peer for peer in chosen})
         return wanted
 
-    def _relays_to(self, region: str, now: float) -> bool:
-        chosen = relays(self._view, self._view.own_region, region, now_unix_s=now)
-        return any(member.vm == self._view.own_vm for member in chosen)
+    def _is_among(self, members: Iterable[Member]) -> bool:
+        return any(member.vm == self._view.own_vm for member in members)
 
     def _is_kept(self, vm: str, wanted: dict[str, ListedVm], now: float) -> bool:
         if vm.startswith(SEED_PREFIX):
