Keep passing on words of far members, and measure the capacity slopes

Cause: a description taken from a neighbour marked a far member as told by that neighbour, so the relay that hears it no longer passed on its words; all VMs of a sparse region suspected it after 15 s. The short timeout of words inside a sparse region also held for other regions' members.

--- a/bench/capacity_fleet.py
+++ b/bench/capacity_fleet.py
@@ -121,6 +121,10 @@
             await asyncio.sleep(POLL_S / 2)
         return time.monotonic() - started_s
 
+    def port_of(self, vm: str) -> int:
+        """Return the port on which a daemon serves callers."""
+        return self._ports[f"caller/{vm}"]
+
     async def _all_at(self, revision: int) -> bool:
         answers = await asyncio.gather(*(self._revision(vm) for vm in self.vms))
         return min(answers) >= revision
--- a/bench/capacity_region.py
+++ b/bench/capacity_region.py
@@ -19,7 +19,6 @@
 from pomelobarrow.decision.limits import AccountLimits
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.membership import Member, MembershipView
-from pomelobarrow.decision.region_choice import RegionLoad
 from pomelobarrow.decision.rendezvous import rendezvous
 from pomelobarrow.decision.work import LoadReport
 from pomelobarrow.dispatch.local import LocalDispatch
@@ -30,11 +29,11 @@
 from pomelobarrow.platform.keyspaces import CONFIG, VMS, PublishedState
 
 START_UNIX_S = 1_800_000_000.0
-POOLS = ("drafting", "webhooks")
+POOLS = ("drafting", "webhooks", "reading", "desk")
 SLOTS = 16
 HOLD_S = 6.0
+CROSS_WARM_S = 15
 REQUESTS_PER_DAEMON_S = 5.6
-REPORT_VALUES = {"waiting": 1, "kv_tokens_used": 30_000, "queued_prefill_tokens": 400}
 
 
 @frozen(kw_only=True)
@@ -90,6 +89,7 @@
     bytes_sent: int = 0
     messages: int = 0
     _published: Any = None
+    _stopped: set[str] = field(factory=set)
     _pollers: dict[str, tuple[str, ...]] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
@@ -121,16 +121,39 @@
     def _second(self) -> float:
         """Let one second pass; return the processor time of the exchange."""
         self.clock.unix_s += 1.0
-        for node in self.nodes.values():
+        for node in self._running():
             self._serve_requests(node)
             self._poll(node)
             self._hear_other_regions(node)
         started_s = time.process_time()
-        for node in self.nodes.values():
+        for node in self._running():
             for peer in self.links_of(node.vm):
-                self._beat(node, self.nodes[peer])
+                if peer not in self._stopped:
+                    self._beat(node, self.nodes[peer])
         return time.process_time() - started_s
 
+    def stop(self, vm: str) -> None:
+        """Let a daemon die."""
+        self._stopped.add(vm)
+
+    def _running(self) -> list[_Node]:
+        return [node for vm, node in self.nodes.items() if vm not in self._stopped]
+
+    def cross_link_bytes_per_s(self, seconds: int = 10) -> float:
+        """Return the bytes of one link to another region, both ways, after its first second."""
+        node = self.nodes["r00-vm000"]
+        total = 0
+        with patch("pomelobarrow.peers.heartbeats.now_unix_s", self.clock.now):
+            for second in range(-CROSS_WARM_S, seconds):
+                self.clock.unix_s += 1.0
+                self._hear_other_regions(node)
+                messages = (
+                    node.heartbeats.full("x-vm000", same_region=False),
+                    node.heartbeats.echo("x-vm000"),
+                )
+                total += sum(each.ByteSize() for each in messages) if second >= 0 else 0
+        return 2 * total / seconds / 2
+
     def links_of(self, vm: str) -> list[str]:
         """Return the daemons of the region that a daemon dials."""
         return sorted(self.nodes[vm].heartbeats.neighbours.all)
@@ -175,7 +198,12 @@
             if node.random.random() < share:
                 running = node.random.randrange(SLOTS)
                 report = LoadReport(
-                    server=name, measured_unix_s=now - 0.2, running=running, **REPORT_VALUES
+                    server=name,
+                    measured_unix_s=now - 0.2,
+                    running=running,
+                    waiting=1,
+                    kv_tokens_used=30_000,
+                    queued_prefill_tokens=400,
                 )
                 node.reports[name] = report
                 node.table.observe_report(report, now)
@@ -185,11 +213,10 @@
         if node.vm not in ("r00-vm000", "r00-vm001"):
             return
         now = self.clock.now()
-        for region in range(1, self.size.other_regions + 1):
-            for pool in POOLS:
-                node.region_loads.observe(_region_load(f"r{region:02d}", pool, now))
-        for member in other_members(self.size, now):
-            node.view.observe_summary(member, now)
+        for number, member in enumerate(other_members(self.size, now)):
+            # The first of each region's daemons tells the loads of its region.
+            pools = POOLS if number < self.size.other_regions else ()
+            node.heartbeats.take(_heartbeat(member, pools, now))
 
     def _node(self, vm: str, number: int) -> _Node:
         view = MembershipView(vm, "r00")
@@ -307,14 +334,19 @@
     )
 
 
-def _region_load(region: str, pool: str, measured_unix_s: float) -> RegionLoad:
-    return RegionLoad(
-        region=region,
-        pool=pool,
-        expected_wait_s=0.1,
-        round_trip_s=0.11,
-        measured_unix_s=measured_unix_s,
-        servers=129,
+def _heartbeat(member: Member, pools: tuple[str, ...], now_unix_s: float) -> pb.Heartbeat:
+    return pb.Heartbeat(
+        vm=member.vm,
+        incarnation=member.incarnation,
+        region=member.region,
+        failure_domain=member.failure_domain,
+        caller_address=member.caller_address,
+        peer_address=member.peer_address,
+        phase=member.phase,
+        sequence=int(now_unix_s - START_UNIX_S + 1) * 1_000,
+        sent_unix_s=now_unix_s,
+        has_loads=True,
+        pools=[pb.PoolLoad(pool=pool, expected_wait_s=0.1, servers=129) for pool in pools],
     )
 
 
@@ -325,7 +357,7 @@
 def measure_exchange(
     sizes: list[RegionSize],
     note: Callable[[ExchangeCost], None],
-    warm_s: int = 12,
+    warm_s: int = 14,
     measure_s: int = 4,
 ) -> list[ExchangeCost]:
     """Return the cost at each size."""
--- a/src/pomelobarrow/peers/member_news.py
+++ b/src/pomelobarrow/peers/member_news.py
@@ -81,8 +81,11 @@
         """Take in descriptions, then who was heard."""
         for summary in heartbeat.members:
             member = _summarized(summary, to_local(summary.heard_unix_s))
+            held = self.view.get(member.vm)
             self.view.observe_summary(member, now_unix_s)
-            self._came[member.vm] = kind
+            # Whoever already hears of a member more freshly goes on passing that on.
+            if held is None or held.heard_unix_s < member.heard_unix_s:
+                self._came[member.vm] = kind
         self._refresh(now_unix_s, at_once=bool(heartbeat.members))
         sent_unix_s = to_local(heartbeat.sent_unix_s)
         for key, age in zip(heartbeat.heard_keys, heartbeat.heard_ages, strict=False):
@@ -112,7 +115,9 @@
     ) -> None:
         vm, incarnation = self._by_key[key]
         sent.heard_unix_s[vm] = max(sent.heard_unix_s.get(vm, 0.0), heard_unix_s)
-        timeout_s = NEAR_WORD_TIMEOUT_S if is_sparse else None
+        member = self.view.get(vm)
+        is_near = is_sparse and member is not None and member.region == self.view.own_region
+        timeout_s = NEAR_WORD_TIMEOUT_S if is_near else None
         if self.view.observe_alive(vm, incarnation, heard_unix_s, now_unix_s, timeout_s):
             self._came[vm] = kind
 
--- /dev/null
+++ b/tests/test_state_exchange.py
@@ -0,0 +1,57 @@
+"""What the daemons of a simulated region know of each other after some seconds."""
+
+import pytest
+
+from bench.capacity_region import RegionSize, SimulatedRegion
+
+SIZE = RegionSize(daemons=14, servers=28, other_daemons=20, other_regions=2, accounts=6)
+WARM_S = 12
+
+
+@pytest.fixture
+def warm_region() -> SimulatedRegion:
+    region = SimulatedRegion(SIZE)
+    region.run(warm_s=WARM_S, measure_s=1)
+    return region
+
+
+def test_every_daemon_hears_of_every_other(warm_region: SimulatedRegion) -> None:
+    now = warm_region.clock.unix_s
+
+    for node in warm_region.nodes.values():
+        live = {member.vm for member in node.view.live("r00", now)}
+        assert live == set(warm_region.nodes)
+
+
+def test_reports_reach_every_daemon(warm_region: SimulatedRegion) -> None:
+    now = warm_region.clock.unix_s
+
+    for node in warm_region.nodes.values():
+        reports = [node.table.report(f"drafting-r00-{n:03d}") for n in range(SIZE.servers)]
+        ages_s = [now - report.measured_unix_s for report in reports if report is not None]
+        assert len(ages_s) == SIZE.servers
+        assert max(ages_s) < 10.0
+
+
+def test_loads_of_other_regions_reach_every_daemon(warm_region: SimulatedRegion) -> None:
+    now = warm_region.clock.unix_s
+
+    for node in warm_region.nodes.values():
+        assert {load.region for load in node.region_loads.fresh(now)} == {"r01", "r02"}
+
+
+def test_a_dead_daemon_is_suspected_within_seconds(warm_region: SimulatedRegion) -> None:
+    """A VM dies in a region so large that most VMs exchange nothing with it.
+
+    Its neighbours miss its heartbeats; the others only miss the words on it. All must stop
+    choosing it within a few seconds.
+    """
+    dead = "r00-vm005"
+    warm_region.stop(dead)
+
+    warm_region.run(warm_s=0, measure_s=7)
+
+    now = warm_region.clock.unix_s
+    others = [node for vm, node in warm_region.nodes.items() if vm != dead]
+    assert all(dead in node.view.suspects(now) for node in others)
+    assert {vm for node in others for vm in node.view.suspects(now)} == {dead}
