--- a/tests/proof_rows.py
+++ b/tests/proof_rows.py
@@ -35,9 +35,10 @@
 
 
 def find_row(rows: list[ProofRow], test_id: str) -> ProofRow | None:
-    """Return the row of a test; a row without brackets stands for all its parameters."""
+    """Return the row of a test; one without brackets or of a class stands for all in it."""
     by_id = {row.test_id: row for row in rows}
-    return by_id.get(test_id) or by_id.get(test_id.partition("[")[0])
+    ids = (test_id, test_id.partition("[")[0], test_id.rpartition("::")[0])
+    return next((by_id[each] for each in ids if each in by_id), None)
 
 
 def assembled_page() -> str:
--- a/tests/test_dispatch_claims.py
+++ b/tests/test_dispatch_claims.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from typing import Any
 
+import pytest
 from attrs import define, evolve, field
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -253,4 +254,5 @@
 
 
 TestOneIdAtMostOnce = OneIdAtMostOnce.TestCase
+TestOneIdAtMostOnce.pytestmark = [pytest.mark.proof]
 TestOneIdAtMostOnce.settings = settings(max_examples=150, stateful_step_count=20, deadline=None)
