--- a/tests/regions.py
+++ b/tests/regions.py
@@ -27,12 +27,21 @@
 
 async def cut_outgoing(fleet: Fleet, region: str) -> None:
     """Hold back what a region's entry VMs send to the others; they still hear them."""
+    await _cut_one_way(fleet, region, "cut_to_target", "cut_to_client")
+
+
+async def cut_incoming(fleet: Fleet, region: str) -> None:
+    """Hold back what the others send to a region's entry VMs; they are still heard."""
+    await _cut_one_way(fleet, region, "cut_to_client", "cut_to_target")
+
+
+async def _cut_one_way(fleet: Fleet, region: str, opened_inside: str, opened_outside: str) -> None:
     for vm, plan in fleet.entries.items():
         if plan.region != region:
-            await fleet.fault(f"peer/{region}/{vm}", "cut_to_target")
+            await fleet.fault(f"peer/{region}/{vm}", opened_inside)
             continue
         for other in set(fleet.deployment.regions) - {region}:
-            await fleet.fault(f"peer/{other}/{vm}", "cut_to_client")
+            await fleet.fault(f"peer/{other}/{vm}", opened_outside)
 
 
 async def heal(fleet: Fleet) -> None:
