--- a/tests/test_proof_planned_stop.py
+++ b/tests/test_proof_planned_stop.py
@@ -2,54 +2,19 @@
 
 import asyncio
 import json
-import socket
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import aiohttp
 import pytest
-from attrs import define
 from callers import Reply, call_service, chat, chat_body, entries, request_ids, wait_until
+from held_streams import STREAM_TOKENS, Held, wait_for_exit
 from proof_report import Figure
+from slow_reader import ask_for_the_most
 
 from harness.fleet import Fleet
 
-STREAM_TOKENS = 400
-EXIT_TIMEOUT_S = 40.0
-SLOW_READER_ROOM_BYTES = 16 << 10
-LARGEST_ANSWER_BYTES = 7 << 20
-BUFFER_STEP_BYTES = 16 << 10
-BUFFER_PROBE_S = 0.5
-
-
-class Held:
-    """Hold long streams that have begun."""
-
-    def __init__(self, fleet: Fleet) -> None:
-        self.fleet = fleet
-        self.tasks: list[asyncio.Task[Reply]] = []
-        self._begun: list[asyncio.Event] = []
-
-    def start(self, vm: str, account: str, class_name: str, model: str, **headers: str) -> None:
-        """Send one long stream to an entry VM."""
-        begun = asyncio.Event()
-        body = chat_body(model, STREAM_TOKENS, "Read this lockfile. " * 40)
-        address = self.fleet.entries[vm].advertised_caller
-        sending = chat(self.fleet, address, account, class_name, body, begun.set, **headers)
-        task = asyncio.create_task(sending)
-        task.add_done_callback(lambda _: begun.set())
-        self.tasks.append(task)
-        self._begun.append(begun)
-
-    async def wait_begun(self) -> None:
-        """Return once every stream has brought its first token or ended."""
-        await asyncio.gather(*(begun.wait() for begun in self._begun))
-
-    async def replies(self) -> list[Reply]:
-        """Return all replies."""
-        return list(await asyncio.gather(*self.tasks))
-
 
 class Callers:
     """Hold callers that go on asking the system which entry VM to use."""
@@ -108,17 +73,6 @@
         await asyncio.gather(*tasks)
 
 
-async def wait_for_exit(fleet: Fleet, vm: str) -> int:
-    """Return the exit code of a process that ends."""
-    process = fleet.processes.running[vm]
-
-    async def has_ended() -> bool:
-        return process.poll() is not None
-
-    await wait_until(has_ended, EXIT_TIMEOUT_S)
-    return fleet.processes.wait(vm, 1.0)
-
-
 async def seconds_until_unlisted(fleet: Fleet, vm: str, neighbour: str) -> float:
     """Return how long another VM of the region goes on listing this one."""
     started_s = time.monotonic()
@@ -134,67 +88,6 @@
     return time.monotonic() - started_s
 
 
-@define
-class SlowReader:
-    """Hold a caller that has asked for its own bytes back and reads none of them yet."""
-
-    marker: str
-    answer_bytes: int
-    reader: asyncio.StreamReader
-    writer: asyncio.StreamWriter
-
-    async def read_answer(self) -> bytes:
-        """Read the answer's body to its end."""
-        await self.reader.readuntil(b"\r\n\r\n")
-        return await self.reader.read()
-
-
-async def ask_without_reading(fleet: Fleet, vm: str, answer_bytes: int) -> SlowReader:
-    """Ask for an answer of so many bytes, with little room for what was not read yet."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READER_ROOM_BYTES)
-    sock.connect(("127.0.0.1", fleet.entries[vm].caller_port))
-    reader, writer = await asyncio.open_connection(sock=sock, limit=SLOW_READER_ROOM_BYTES)
-    marker = f"slow-{time.monotonic()}"
-    more = {"Content_Length": str(answer_bytes), "X_Marker": marker}
-    headers = fleet.headers("paying-milan", "status-check", **more)
-    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-    start = f"POST /services/webhooks/x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n{lines}\r\n"
-    writer.write(start.encode() + b"x" * answer_bytes)
-    return SlowReader(marker, answer_bytes, reader, writer)
-
-
-async def is_passed_on(fleet: Fleet, vm: str, slow: SlowReader) -> bool:
-    """Tell whether the gateway gets rid of an answer that is not read."""
-
-    async def is_idle() -> bool:
-        ended = [run["marker"] for run in await fleet.runs() if run["state"] == "finished"]
-        values = (await fleet.status(vm))["dispatch"]
-        return slow.marker in ended and not values["in_progress"]
-
-    try:
-        await wait_until(is_idle, BUFFER_PROBE_S)
-    except TimeoutError:
-        return False
-    return True
-
-
-async def ask_for_the_most(fleet: Fleet, vm: str) -> SlowReader:
-    """Ask for the largest answer that counts as given before any of it is read.
-
-    The sockets' buffers are full then, and its last bytes wait in the process.
-    """
-    least, most = 0, LARGEST_ANSWER_BYTES
-    while True:
-        middle = (least + most) // 2
-        slow = await ask_without_reading(fleet, vm, middle)
-        is_given = await is_passed_on(fleet, vm, slow)
-        if is_given and most - least <= BUFFER_STEP_BYTES:
-            return slow
-        slow.writer.close()
-        least, most = (middle, most) if is_given else (max(0, least - BUFFER_STEP_BYTES), middle)
-
-
 async def is_stopping(fleet: Fleet, vm: str) -> bool:
     """Tell whether a VM has begun its planned stop."""
     return '"draining"' in fleet.processes.log(vm)
--- a/tests/test_proof_two_faults.py
+++ b/tests/test_proof_two_faults.py
@@ -1,45 +1,15 @@
 """Two faults at once."""
 
-import asyncio
 import time
 
 import pytest
-from callers import Reply, chat, chat_body, request_ids, wait_until
+from callers import Reply, chat, chat_body, request_ids
+from held_streams import Held, wait_for_exit
 from proof_report import Figure
 
 from harness.fleet import Fleet
 
-STREAM_TOKENS = 300
 STREAMS = 6
-EXIT_TIMEOUT_S = 60.0
-
-
-class Streams:
-    """Hold long streams, and know when each has begun."""
-
-    def __init__(self, fleet: Fleet) -> None:
-        self.fleet = fleet
-        self.tasks: list[asyncio.Task[Reply]] = []
-        self._begun: list[asyncio.Event] = []
-
-    def start(self, vm: str, account: str, class_name: str, model: str, **headers: str) -> None:
-        """Send one long stream to an entry VM."""
-        begun = asyncio.Event()
-        body = chat_body(model, STREAM_TOKENS, "Read this contract. " * 40)
-        address = self.fleet.direct(vm)
-        sending = chat(self.fleet, address, account, class_name, body, begun.set, **headers)
-        task = asyncio.create_task(sending)
-        task.add_done_callback(lambda _: begun.set())
-        self.tasks.append(task)
-        self._begun.append(begun)
-
-    async def wait_begun(self) -> None:
-        """Return once every stream has brought its first token or ended."""
-        await asyncio.gather(*(begun.wait() for begun in self._begun))
-
-    async def replies(self) -> list[Reply]:
-        """Return all replies."""
-        return list(await asyncio.gather(*self.tasks))
 
 
 def report(figure: Figure, replies: list[Reply], runs: list[str]) -> None:
@@ -61,7 +31,7 @@
     # come late, but each ends whole or with an error event, none is told "not run" that ran, and
     # what comes afterwards is answered.
     fleet, account = vasktoru, "paying-warsaw"
-    streams = Streams(fleet)
+    streams = Held(fleet)
     for _ in range(STREAMS):
         for vm in fleet.in_region("tallinn"):
             streams.start(vm, account, "contract-review", "contract-reader")
@@ -73,7 +43,7 @@
     figure("seconds until all had ended", time.monotonic() - started_s)
     fleet.thaw("warsaw-1")
     fleet.start_server("contracts-warsaw-1")
-    later = Streams(fleet)
+    later = Held(fleet)
     for vm in fleet.entries:
         later.start(vm, account, "contract-review", "contract-reader")
     afterwards = await later.replies()
@@ -92,7 +62,7 @@
     # connections that will never speak again.
     fleet, replies, stops_s = rondinella, [], []
     for vm, plan in fleet.entries.items():
-        streams = Streams(fleet)
+        streams = Held(fleet)
         other = next(each for each in fleet.deployment.regions if each != plan.region)
         for region in (plan.region, other) * 2:
             streams.start(vm, f"paying-{region}", "draft", "draft-large")
@@ -146,13 +116,3 @@
     assert counts[1] <= 1
     assert not [each for each in replies if each.run == "no" and each.marker in markers]
     assert not [each for each in replies if each.is_cut]
-
-
-async def wait_for_exit(fleet: Fleet, vm: str) -> int:
-    """Return the exit code of a process that ends."""
-
-    async def has_ended() -> bool:
-        return fleet.processes.running[vm].poll() is not None
-
-    await wait_until(has_ended, EXIT_TIMEOUT_S)
-    return fleet.processes.wait(vm, 1.0)
