Prove that home-bound work never runs outside its home

Cause: a peer whose configuration didn't bind the class yet ran what a newer one had sent it under an issued id; a home that isn't the account's was believed when forwarded. Home-bound work whose home could not be reached was held until the caller's deadline. Where the home's entry VMs had refused, the caller was told that they could not be reached. Change: a forward says whether the sender binds the work, and the stricter side counts; the executor checks the account's home; a home out of reach is refused at once while nothing was sent; the two reasons are told apart. Ruled out: a cut-off region refusing all work of other homes: it would refuse unbound queries in each partition; a class that becomes home-bound gets a new name instead.

--- a/src/pomelobarrow/dispatch/dispatcher.py
+++ b/src/pomelobarrow/dispatch/dispatcher.py
@@ -170,6 +170,14 @@
             return refuse(Kind.OUTCOME_UNKNOWN, Run.UNKNOWN, result.detail)
         if request.forwarded_by is not None and result.refusal is not None:
             return result.refusal
+        # Home-bound work has nowhere else to go. Held here until its deadline it would only keep
+        # its caller from an entry VM that reaches home; once home has had it, it is tried on.
+        if (
+            work.home_bound
+            and set(tries.states) == {AttemptState.NOT_SENT}
+            and _is_home_lost(result)
+        ):
+            return result.refusal
         verdict = retry_verdict(work, tries.run, len(tries.states), self._budget(work), 0.0, now)
         if verdict is RetryVerdict.RETRY:
             await asyncio.sleep(UNRUN_PAUSE_S)
@@ -224,3 +232,7 @@
 
     def _budget(self, work: Work) -> RetryBudget:
         return self.budgets.setdefault(work.class_name, RetryBudget())
+
+
+def _is_home_lost(result: AttemptResult) -> bool:
+    return result.refusal is not None and result.refusal.kind is Kind.HOME_UNREACHABLE
--- a/src/pomelobarrow/peers/forward_client.py
+++ b/src/pomelobarrow/peers/forward_client.py
@@ -64,9 +64,8 @@
         members = self.view.usable_entries(region, now_unix_s())
         candidates = [each for each in members if each.vm not in excluded]
         if not candidates:
-            detail = f"no entry VM of {region} can be reached"
-            refusal = refuse(Kind.HOME_UNREACHABLE, Run.NO, detail, now_unix_s() + 1.0)
-            return AttemptResult(state=attempt.state, detail=detail, refusal=refusal)
+            refusal = _nobody_left(region, has_refused=bool(members))
+            return AttemptResult(state=attempt.state, detail=refusal.detail, refusal=refusal)
         member = min(candidates, key=lambda each: (not self._is_up(each.vm), self.rng.random()))
         # The id is claimed here or needs no claim: the peer just runs the request.
         return await self._forward(member, request, attempt, sink, is_claim=False)
@@ -128,6 +127,15 @@
             raise
 
 
+def _nobody_left(region: str, has_refused: bool) -> Refusal:
+    retry_at_unix_s = now_unix_s() + 1.0
+    if has_refused:
+        detail = f"every entry VM of {region} has refused it"
+        return refuse(Kind.NO_CAPACITY, Run.NO, detail, retry_at_unix_s)
+    detail = f"no entry VM of {region} can be reached"
+    return refuse(Kind.HOME_UNREACHABLE, Run.NO, detail, retry_at_unix_s)
+
+
 @define(kw_only=True)
 class Forward:
     """Hold what one forward has achieved so far."""
@@ -267,6 +275,7 @@
             expected_output_tokens=work.expected_output_tokens,
             prefix_hashes=work.prefix_hashes,
             is_trial=work.rank is Rank.TRIAL,
+            home_bound=work.home_bound,
         )
 
     def _result(self, detail: str, refusal: Refusal | None = None) -> AttemptResult:
--- a/src/pomelobarrow/peers/forward_server.py
+++ b/src/pomelobarrow/peers/forward_server.py
@@ -143,6 +143,9 @@
         work_class = configuration.classes.get(message.class_name) if configuration else None
         if work_class is None:
             return refuse(Kind.NOT_READY, _run(message), "the class is not known here yet")
+        is_bound = work_class.home_bound or message.home_bound
+        if is_bound and not _is_home(message, configuration):
+            return refuse(Kind.BAD_HOME_REGION, Run.NO, "the account's home is another region")
         deadline_unix_s = self.offsets.to_local(vm, message.deadline_unix_s)
         if deadline_unix_s <= now_unix_s() and not message.is_claim:
             return refuse(Kind.DEADLINE_PASSED, Run.NO, "the deadline passed on the way")
@@ -169,6 +172,12 @@
     return Run.UNKNOWN if message.is_claim else Run.NO
 
 
+def _is_home(message: pb.ForwardRequest, configuration: Configuration | None) -> bool:
+    account = configuration.accounts.get(message.account) if configuration else None
+    home_region = account.home_region if account else None
+    return home_region in (None, message.home_region)
+
+
 def _work(message: pb.ForwardRequest, work_class: WorkClass, deadline_unix_s: float) -> Work:
     now = now_unix_s()
     return Work(
@@ -179,7 +188,9 @@
         pool=work_class.pool,
         model=message.model or None,
         home_region=message.home_region,
-        home_bound=work_class.home_bound,
+        # Either side may not know yet that the class was bound to its home; the stricter one
+        # counts, so that the work leaves home only where both know that it may.
+        home_bound=work_class.home_bound or message.home_bound,
         repeatable=work_class.repeatable,
         prompt_tokens=message.prompt_tokens,
         expected_output_tokens=message.expected_output_tokens,
