--- a/bench/fakes/daemon.py
+++ b/bench/fakes/daemon.py
@@ -4,8 +4,8 @@
 from random import Random
 
 from attrs import define, field
-from fakes.traffic import Arrival
 
+from bench.fakes.traffic import Arrival
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.work import BackendServer, InFlight, LoadReport, Work
 from pomelobarrow.decision.work_queue import WorkQueue
@@ -22,8 +22,13 @@
     servers: list[BackendServer]
     # Servers this daemon may use; all but in the subset way.
     excluded: frozenset[str] = frozenset()
-    is_up: bool = True
-    is_frozen: bool = False
+    # Servers whose requests another daemon dispatches; used in the owner way only.
+    not_owned: frozenset[str] = frozenset()
+    works: bool = True
+    # Peers still count on this daemon.
+    is_listed: bool = True
+    # What arrived while it didn't work.
+    inbox: list[Callable[[], None]] = field(factory=list)
     turn: int = 0
     arrivals: dict[str, Arrival] = field(factory=dict)
     peer_counts: dict[str, Mapping[str, InFlight]] = field(factory=dict)
@@ -33,10 +38,12 @@
     row_reports: list[LoadReport] = field(factory=list)
     row_waiting: dict[str, tuple[int, ...]] = field(factory=dict)
 
-    @property
-    def works(self) -> bool:
-        """Say whether the daemon runs at all."""
-        return self.is_up and not self.is_frozen
+    def run(self, event: Callable[[], None]) -> None:
+        """Run an event now, or when the daemon works again."""
+        if self.works:
+            event()
+        else:
+            self.inbox.append(event)
 
     def exchanged_requests(self, server: str) -> int:
         """Count a server's requests in flight from here and, as last heard, from the peers."""
--- a/bench/fakes/engine.py
+++ b/bench/fakes/engine.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable, Iterator
 
 from attrs import define, field
-from fakes.clock import Clock
 
+from bench.fakes.clock import Clock
 from pomelobarrow.decision.work import BackendServer, LoadReport, Work
 
 BLOCK_TOKENS = 128
--- /dev/null
+++ b/bench/fakes/record.py
@@ -0,0 +1,31 @@
+"""What became of one request."""
+
+from attrs import define
+
+from pomelobarrow.decision.errors import Refusal
+from pomelobarrow.decision.work import Work
+
+
+@define(kw_only=True, eq=False)
+class Record:
+    """Hold the times of one request."""
+
+    work: Work
+    first_token_unix_s: float | None = None
+    finished_unix_s: float | None = None
+    cached_tokens: int = 0
+    refusal: Refusal | None = None
+    served_in: str | None = None
+
+    @property
+    def first_token_s(self) -> float:
+        """Return the seconds to the first token, endless if none came."""
+        if self.first_token_unix_s is None:
+            return float("inf")
+        return self.first_token_unix_s - self.work.accepted_unix_s
+
+    @property
+    def met_target(self) -> bool:
+        """Say whether the first token came in time."""
+        first_unix_s = self.first_token_unix_s
+        return first_unix_s is not None and first_unix_s <= self.work.first_token_due_unix_s
--- a/bench/fakes/region.py
+++ b/bench/fakes/region.py
@@ -1,16 +1,20 @@
 """One region: daemons that place requests on fake engines."""
 
 from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 from random import Random
 
-from attrs import define, frozen
-from fakes.clock import Clock
-from fakes.daemon import FakeDaemon
-from fakes.engine import FakeEngine, Job
-from fakes.traffic import Arrival, Source, Traffic
-from fakes.ways import Way
+from attrs import frozen
 
+from bench.fakes.clock import Clock
+from bench.fakes.daemon import FakeDaemon
+from bench.fakes.engine import FakeEngine, Job
+from bench.fakes.record import Record
+from bench.fakes.traffic import Arrival, Source, Traffic
+from bench.fakes.ways import Way
+from pomelobarrow.decision.admission import refuse_unservable
 from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.decision.errors import Refusal
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.rendezvous import rendezvous
 from pomelobarrow.decision.work import BackendServer, InFlight, LoadReport, Work
@@ -36,29 +40,11 @@
     report_every_s: float = 1.0
     heartbeat_s: float = 1.0
     hop_s: float = 0.001
-    detect_s: float = 1.5
+    # From a VM's death or freeze until its peers stop counting on it.
+    detect_s: float = 3.5
     event_loss_every: int = 50
 
 
-@define(kw_only=True, eq=False)
-class Record:
-    """Hold what became of one request."""
-
-    work: Work
-    daemon: str
-    first_token_unix_s: float | None = None
-    finished_unix_s: float | None = None
-    cached_tokens: int = 0
-    refused: bool = False
-
-    @property
-    def first_token_s(self) -> float:
-        """Return the seconds to the first token, endless if none came."""
-        if self.first_token_unix_s is None:
-            return float("inf")
-        return self.first_token_unix_s - self.work.accepted_unix_s
-
-
 class FakeRegion:
     """Wire daemons, engines, heartbeats and reports to one clock."""
 
@@ -70,6 +56,11 @@
         self.records: list[Record] = []
         self._record_by_id: dict[str, Record] = {}
         self.forwards = 0
+        # Forwards that met a silent owner.
+        self.stuck = 0
+        # Admission refuses what can't finish by its deadline or finds the queue full.
+        self.admits = False
+        self.on_refused: Callable[[Arrival, Refusal], None] = lambda arrival, refusal: None
         self.placements = 0
         self.state_messages = 0
         self._rows: dict[str, list[FakeDaemon]] = {}
@@ -80,6 +71,7 @@
         for engine in self.engines.values():
             engine.share_sets(seen)
         self.daemons = [self._daemon(i, servers, seed) for i in range(spec.daemons)]
+        self._assign_owners()
         self._start_exchange()
 
     # How arrivals come in
@@ -94,31 +86,60 @@
             self.receive(source.draw(now))
             self.clock.after(source.gap_s(rate_per_s(now)), arrive)
 
-        self.clock.after(source.gap_s(rate_per_s(0.0)), arrive)
+        self.clock.after(source.gap_s(rate_per_s(self.now)), arrive)
 
-    def receive(self, arrival: Arrival) -> None:
+    def receive(self, arrival: Arrival) -> Record:
         """Let a caller reach a daemon that works; callers move on from a dead one."""
-        alive = [d for d in self.daemons if d.works]
-        daemon = self.random.choice(alive)
-        record = Record(work=arrival.work, daemon=daemon.name)
+        record = Record(work=arrival.work)
         self.records.append(record)
-        self._record_by_id[arrival.work.request_id] = record
-        self.accept(daemon, arrival)
+        self.serve(record, arrival)
+        return record
 
-    def accept(self, daemon: FakeDaemon, arrival: Arrival) -> None:
-        """Place or queue one request at a daemon."""
-        daemon.arrivals[arrival.work.request_id] = arrival
-        if not self.way.has_queue:
-            self._place(daemon, arrival.work, self.way.pick(daemon, arrival.work, self.now))
-            return
-        daemon.queue.push(arrival.work, self.now)
-        self.pump(daemon)
+    def serve(self, record: Record, arrival: Arrival) -> None:
+        """Run a request that arrived here or was sent here by another region."""
+        self._record_by_id[arrival.work.request_id] = record
+        working = [d for d in self.daemons if d.works]
+        if working:
+            self._accept(self.random.choice(working), arrival)
 
     @property
     def now(self) -> float:
         """Return the clock's time."""
         return self.clock.now_unix_s
 
+    def _accept(self, daemon: FakeDaemon, arrival: Arrival) -> None:
+        work = arrival.work
+        daemon.arrivals[work.request_id] = arrival
+        if self.way.has_owner:
+            self._send_to_owner(daemon, arrival)
+        elif not self.way.has_queue:
+            self._place(daemon, work, self.way.pick(daemon, work, self.now))
+        elif not self._refuses(daemon, work):
+            daemon.queue.push(work, self.now)
+            self.pump(daemon)
+
+    def expected_wait_s(self, daemon: FakeDaemon, work: Work) -> float:
+        """Return the wait in the queue, as the dispatcher reckons it."""
+        drain_per_s = daemon.table.drain_per_s(self.pool, self.now)
+        return daemon.queue.expected_wait_s(work, drain_per_s, self.now)
+
+    def _refuses(self, daemon: FakeDaemon, work: Work) -> bool:
+        if not self.admits:
+            return False
+        refusal = refuse_unservable(
+            work,
+            queue=daemon.queue,
+            expected_wait_s=self.expected_wait_s(daemon, work),
+            expected_service_s=daemon.table.service_times(self.pool).hold_s,
+            now_unix_s=self.now,
+            random=daemon.random,
+        )
+        if refusal is None:
+            return False
+        self._record_by_id[work.request_id].refusal = refusal
+        self.on_refused(daemon.arrivals.pop(work.request_id), refusal)
+        return True
+
     def pump(self, daemon: FakeDaemon) -> None:
         """Place waiting work while there is room."""
         picked: list[str | None] = [None]
@@ -159,17 +180,98 @@
 
     def _first_token(self, daemon: FakeDaemon, job: Job) -> None:
         record = self._record_by_id[job.work.request_id]
-        record.first_token_unix_s = self.now
         record.cached_tokens = job.cached_tokens
-        if daemon.works:
+
+        def take() -> None:
+            record.first_token_unix_s = self.now
             daemon.table.started(job.work.request_id, self.now)
 
+        daemon.run(take)
+
     def _finish(self, daemon: FakeDaemon, job: Job) -> None:
-        self._record_by_id[job.work.request_id].finished_unix_s = self.now
-        if daemon.works:
+        record = self._record_by_id[job.work.request_id]
+
+        def take() -> None:
+            record.finished_unix_s = self.now
             daemon.table.release(job.work.request_id, self.now)
             self.pump(daemon)
 
+        daemon.run(take)
+
+    # Dispatch by owner: the one hop is spent inside the region
+
+    def _send_to_owner(self, entry: FakeDaemon, arrival: Arrival) -> None:
+        work = arrival.work
+        server = self.way.pick(entry, work, self.now) or entry.servers[0].name
+        owner = self._owner(server)
+        if owner is entry:
+            entry.queue.push(work, self.now)
+            self.pump(entry)
+            return
+        del entry.arrivals[work.request_id]
+        entry.table.prefixes.observe_placement(server, work.prefix_hashes)
+        self.forwards += 1
+        # Until the owner's heartbeat counts it, the entry counts what it sent there itself.
+        mark = f"sent {work.request_id}"
+        entry.table.charge(mark, server, work.prompt_tokens, self.now)
+        self.clock.after(self.spec.heartbeat_s, lambda: entry.table.release(mark, self.now))
+        self.clock.after(self.spec.hop_s, lambda: self._take_forward(entry, owner, arrival))
+
+    def _take_forward(self, entry: FakeDaemon, owner: FakeDaemon, arrival: Arrival) -> None:
+        if not owner.works:
+            self._resend_later(entry, arrival)
+            return
+        owner.arrivals[arrival.work.request_id] = arrival
+        owner.queue.push(arrival.work, self.now)
+        self.pump(owner)
+
+    def _resend_later(self, entry: FakeDaemon, arrival: Arrival) -> None:
+        """Hold a request whose owner is silent until the peers know that it is."""
+        self.stuck += 1
+
+        def resend() -> None:
+            if entry.works:
+                entry.arrivals[arrival.work.request_id] = arrival
+                self._send_to_owner(entry, arrival)
+
+        self.clock.after(self.spec.detect_s, resend)
+
+    def _owner(self, server: str) -> FakeDaemon:
+        owner = rendezvous(server, [d.name for d in self.daemons if d.is_listed], 1)[0]
+        return next(d for d in self.daemons if d.name == owner)
+
+    def _assign_owners(self) -> None:
+        for daemon in self.daemons:
+            servers = [s for s in self.engines if self._owner(s) is not daemon]
+            daemon.not_owned = frozenset(servers)
+
+    # Faults
+
+    def stop(self, daemon: FakeDaemon, frozen_s: float | None = None) -> None:
+        """Kill a daemon, or freeze it for a while; peers notice later."""
+        daemon.works = False
+        self.clock.after(self.spec.detect_s, lambda: self._notice(daemon))
+        if frozen_s is not None:
+            self.clock.after(frozen_s, lambda: self._thaw(daemon))
+
+    def _notice(self, gone: FakeDaemon) -> None:
+        if gone.works:
+            return
+        gone.is_listed = False
+        for daemon in self.daemons:
+            daemon.table.forget_peer(gone.name)
+            daemon.queue.forget_peer(gone.name)
+            daemon.peer_counts.pop(gone.name, None)
+        self._assign_owners()
+
+    def _thaw(self, daemon: FakeDaemon) -> None:
+        daemon.works = daemon.is_listed = True
+        inbox, daemon.inbox = daemon.inbox, []
+        for event in inbox:
+            event()
+        self._assign_owners()
+        self.pump(daemon)
+
     # What daemons tell each other: neighbours of the peers' grid, as the daemons do
 
     def _start_exchange(self) -> None:
@@ -180,16 +282,13 @@
             self._rows[daemon.name] = [by_name[vm] for vm in sorted(near.row)]
             self._columns[daemon.name] = [by_name[vm] for vm in sorted(near.column)]
             first = self.random.random() * spec.heartbeat_s
-            self.clock.every(spec.heartbeat_s, first, lambda d=daemon: self._heartbeat(d))
+            self.clock.every(spec.heartbeat_s, first, partial(self._heartbeat, daemon))
         for engine in self.engines.values():
             first = self.random.random() * spec.report_every_s
             pollers = rendezvous(engine.server.name, by_name, POLLERS)
             for vm in pollers:
-                self.clock.every(
-                    spec.report_every_s,
-                    first,
-                    lambda e=engine, d=by_name[vm]: self._poll(e, d),
-                )
+                poll = partial(self._poll, engine, by_name[vm])
+                self.clock.every(spec.report_every_s, first, poll)
 
     def _poll(self, engine: FakeEngine, daemon: FakeDaemon) -> None:
         if not engine.is_up or not daemon.works:
--- a/bench/fakes/traffic.py
+++ b/bench/fakes/traffic.py
@@ -7,8 +7,8 @@
 
 import xxhash
 from attrs import frozen
-from fakes.engine import BLOCK_TOKENS
 
+from bench.fakes.engine import BLOCK_TOKENS
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.work import Work
 
--- a/bench/fakes/ways.py
+++ b/bench/fakes/ways.py
@@ -1,8 +1,8 @@
 """Ways to choose a server, the shipped one among them."""
 
 from attrs import frozen
-from fakes.daemon import FakeDaemon, Pick
 
+from bench.fakes.daemon import FakeDaemon, Pick
 from pomelobarrow.decision.server_choice import choose_server
 from pomelobarrow.decision.work import BackendServer, Work
 
@@ -61,6 +61,14 @@
     return placement.server.name if placement else None
 
 
+def pick_by_owner(daemon: FakeDaemon, work: Work, now_unix_s: float) -> str | None:
+    """Pick among the servers that this daemon dispatches to, or any while it only forwards."""
+    is_queued = work.request_id in daemon.arrivals and daemon.queue.holds(work.request_id)
+    excluded = daemon.not_owned if is_queued else frozenset()
+    placement = choose_server(daemon.table, work, now_unix_s, daemon.random, excluded)
+    return placement.server.name if placement else None
+
+
 def _shuffled(daemon: FakeDaemon) -> list[BackendServer]:
     return daemon.random.sample(daemon.servers, len(daemon.servers))
 
@@ -80,3 +88,21 @@
 )
 CHARGED = Way(name="cost-charged, no affinity", pick=pick_shipped, has_queue=True)
 SHIPPED = Way(name="cost-charged, affinity", pick=pick_shipped, has_queue=True, uses_prefixes=True)
+OWNER = Way(
+    name="dispatch by owner",
+    pick=pick_by_owner,
+    has_queue=True,
+    has_owner=True,
+    uses_prefixes=True,
+)
+
+
+def subset(servers: int) -> Way:
+    """Return the shipped way over a rendezvous subset of the servers for each daemon."""
+    return Way(
+        name=f"subset of {servers}",
+        pick=pick_shipped,
+        has_queue=True,
+        uses_prefixes=True,
+        subset=servers,
+    )
--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -4,8 +4,9 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 
-from attrs import frozen
+from attrs import define
 
+from pomelobarrow.decision.group_servers import GroupServers
 from pomelobarrow.decision.peer_counts import NOTHING, PeerCounts
 from pomelobarrow.decision.prefix_index import PrefixIndex
 from pomelobarrow.decision.report_clock import ReportClock
@@ -18,12 +19,13 @@
 MAX_HEARD_GAP_S = 5.0
 
 
-@frozen(kw_only=True)
+@define(kw_only=True)
 class ServerState:
     """Show one usable backend server as a choice sees it."""
 
     server: BackendServer
     requests: int
+    others_requests: int
     # By how many the count of others' requests may be off.
     requests_deviation: float
     # Prompt tokens still to be computed: of this VM's requests, known exactly, and of all others.
@@ -42,6 +44,7 @@
         self.own_region = own_region
         self.prefixes = PrefixIndex()
         self._servers: dict[str, BackendServer] = {}
+        self._pools: dict[str, tuple[BackendServer, ...]] = {}
         self._loads: dict[str, ServerLoad] = {}
         self._health: dict[str, ServerHealth] = {}
         self._clocks: defaultdict[str, ReportClock] = defaultdict(ReportClock)
@@ -49,10 +52,15 @@
         self._peers: dict[str, PeerCounts] = {}
         self._heard_every_s = 0.0
         self._times: dict[str, ServiceTimes] = {}
+        self._groups: defaultdict[str, GroupServers] = defaultdict(GroupServers)
 
     def set_servers(self, servers: Iterable[BackendServer]) -> None:
         """Take over the platform's list; servers of other regions are left out."""
         self._servers = {s.name: s for s in servers if s.region == self.own_region}
+        pools = {server.pool for server in self._servers.values()}
+        self._pools = {
+            pool: tuple(s for s in self._servers.values() if s.pool == pool) for pool in pools
+        }
         for name in self._servers:
             self._loads.setdefault(name, ServerLoad())
             self._health.setdefault(name, ServerHealth())
@@ -151,13 +159,30 @@
         if server_name in self._health:
             self._health[server_name].mark_ok(now_unix_s)
 
+    def pool_servers(self, pool: str) -> tuple[BackendServer, ...]:
+        """Return the listed servers of a pool."""
+        return self._pools.get(pool, ())
+
     def usable(self, pool: str, now_unix_s: float) -> Sequence[ServerState]:
         """Return the servers of a pool that may get new work."""
-        staying = [s for s in self._servers.values() if s.pool == pool and not self._leaves(s)]
+        return self.states(self.usable_servers(pool, now_unix_s), pool, now_unix_s)
+
+    def usable_servers(self, pool: str, now_unix_s: float) -> Sequence[BackendServer]:
+        """Return the servers of a pool that may get new work, without their state."""
+        staying = [s for s in self.pool_servers(pool) if not self._leaves(s)]
         healthy = [s for s in staying if not self._health[s.name].is_ejected(now_unix_s)]
         # When every server is ejected, the fault is likelier on this side; an empty pool would
         # refuse work that a server could run, so all are tried.
-        return [self._state(s, now_unix_s) for s in healthy or staying]
+        return healthy or staying
+
+    def states(
+        self, servers: Iterable[BackendServer], pool: str, now_unix_s: float
+    ) -> list[ServerState]:
+        """Return the state of some servers of a pool."""
+        times = self.service_times(pool)
+        # As many come as go; either count varies by its square root.
+        unseen_share = 2.0 * self.view_age_s / max(times.hold_s, 1e-3)
+        return [self._state(s, unseen_share, times.kv_tokens, now_unix_s) for s in servers]
 
     @property
     def view_age_s(self) -> float:
@@ -167,10 +192,13 @@
     def unseen_s(self, states: Sequence[ServerState], pool: str) -> float:
         """Return the seconds of prefill that peers have placed since they were last heard."""
         times = self.service_times(pool)
-        peers_requests = sum(s.requests - self._loads[s.server.name].own_requests for s in states)
-        placed_per_s = peers_requests / max(times.hold_s, 1e-3)
+        placed_per_s = sum(s.others_requests for s in states) / max(times.hold_s, 1e-3)
         return placed_per_s * self.view_age_s * times.tokens * times.s_per_prefill_token
 
+    def group_servers(self, pool: str, key: int) -> tuple[BackendServer, ...]:
+        """Return the servers that a prompt group hashes to, the same on every VM."""
+        return self._groups[pool].of(key, self.pool_servers(pool))
+
     def report(self, server_name: str) -> LoadReport | None:
         """Return a server's newest report."""
         load = self._loads.get(server_name)
@@ -178,31 +206,37 @@
 
     def service_times(self, pool: str) -> ServiceTimes:
         """Return what was learned of a pool."""
-        return self._times.setdefault(pool, ServiceTimes())
+        times = self._times.get(pool)
+        if times is None:
+            times = self._times[pool] = ServiceTimes()
+        return times
 
     def drain_per_s(self, pool: str, now_unix_s: float) -> float:
         """Return how many requests a second the pool finishes when full."""
-        slots = sum(state.slots for state in self.usable(pool, now_unix_s))
+        slots = sum(
+            server.slots * self._health[server.name].admitted_share(now_unix_s)
+            for server in self.usable_servers(pool, now_unix_s)
+        )
         return slots / max(self.service_times(pool).hold_s, 1e-3)
 
     def _leaves(self, server: BackendServer) -> bool:
         report = self._loads[server.name].report
         return server.leaving or (report is not None and report.leaving)
 
-    def _state(self, server: BackendServer, now_unix_s: float) -> ServerState:
+    def _state(
+        self, server: BackendServer, unseen_share: float, kv_tokens: float, now_unix_s: float
+    ) -> ServerState:
         load = self._loads[server.name]
-        times = self.service_times(server.pool)
         requests = load.requests(now_unix_s)
         others = requests - load.own_requests
-        # As many come as go; either count varies by its square root.
-        unseen = 2.0 * others * self.view_age_s / max(times.hold_s, 1e-3)
         return ServerState(
             server=server,
             requests=requests,
-            requests_deviation=math.sqrt(unseen),
+            others_requests=others,
+            requests_deviation=math.sqrt(others * unseen_share),
             own_tokens=load.own_tokens,
             others_tokens=load.tokens(now_unix_s) - load.own_tokens,
-            kv_tokens=load.own_kv_tokens + round(others * times.kv_tokens),
+            kv_tokens=load.own_kv_tokens + round(others * kv_tokens),
             slots=server.slots * self._health[server.name].admitted_share(now_unix_s),
         )
 
@@ -211,7 +245,7 @@
         server = self._servers.get(name)
         if server is None:
             return None
-        state = self._state(server, now_unix_s)
+        state = self.states((server,), server.pool, now_unix_s)[0]
         surely_has_slot = state.requests + 2.0 * state.requests_deviation < server.slots
         return load.tokens(now_unix_s) if surely_has_slot else None
 
--- a/src/pomelobarrow/decision/prefix_index.py
+++ b/src/pomelobarrow/decision/prefix_index.py
@@ -37,10 +37,17 @@
 
     def observe_placement(self, server: str, prefix_hashes: Sequence[int]) -> None:
         """Expect a server to hold the prompt that it was just given."""
-        shared_depth = max((self._depth(s, prefix_hashes) for s in self._blocks), default=0)
+        key = self.group_key(prefix_hashes)
+        holders = (s for s in self._blocks if key is not None and self.holds(s, key))
+        shared_depth = max((self._depth(s, prefix_hashes) for s in holders), default=0)
         self._popularity.observe(prefix_hashes, self._max_group_share, shared_depth)
         self._store(server, prefix_hashes)
 
+    def holds(self, server: str, block: int) -> bool:
+        """Say whether a server is expected to hold a block."""
+        blocks = self._blocks.get(server)
+        return blocks is not None and block in blocks
+
     def group_key(self, prefix_hashes: Sequence[int]) -> int | None:
         """Return the block that names a prompt's group, the same on every VM."""
         return self._popularity.group_key(prefix_hashes, self._max_group_share)
--- a/src/pomelobarrow/decision/server_load.py
+++ b/src/pomelobarrow/decision/server_load.py
@@ -70,6 +70,8 @@
     _peers_requests: int = 0
     _peers_tokens: int = 0
     _unexplained: deque[_Unexplained] = field(factory=lambda: deque(maxlen=REPORTS_COMPARED))
+    _unexplained_requests: int = 0
+    _unexplained_tokens: int = 0
 
     @property
     def own(self) -> InFlight:
@@ -78,12 +80,12 @@
 
     def requests(self, now_unix_s: float) -> int:
         """Count the requests in flight here now, as far as is known."""
-        unexplained = self._mean_difference([u.requests for u in self._unexplained], now_unix_s)
+        unexplained = self._unexplained_requests if self._is_report_good(now_unix_s) else 0
         return self.own_requests + max(0, self._peers_requests + unexplained)
 
     def tokens(self, now_unix_s: float) -> int:
         """Count the prompt tokens still to be computed here."""
-        unexplained = self._mean_difference([u.tokens for u in self._unexplained], now_unix_s)
+        unexplained = self._unexplained_tokens if self._is_report_good(now_unix_s) else 0
         return self.own_tokens + max(0, self._peers_tokens + unexplained)
 
     def add(self, charge: Charge) -> None:
@@ -127,6 +129,7 @@
                 peers=dict(peers),
             )
         )
+        self._sum_up_unexplained()
         self._drop_released(measured_unix_s)
 
     def replace_peer(self, old: InFlight, new: InFlight) -> None:
@@ -139,15 +142,18 @@
         self.replace_peer(last, NOTHING)
         for unexplained in self._unexplained:
             unexplained.forget_peer(vm)
+        self._sum_up_unexplained()
 
-    def _mean_difference(self, differences: list[int], now_unix_s: float) -> int:
-        """Return the mean difference of the last reports, of either sign."""
+    def _is_report_good(self, now_unix_s: float) -> bool:
+        return now_unix_s - self.measured_unix_s <= REPORT_GOOD_FOR_S
+
+    def _sum_up_unexplained(self) -> None:
+        """Take the mean difference of the last reports, of either sign."""
         # Counts and reports aren't of quite the same time, so that one report is often off by a
         # few. Were only what is too much added, servers would look full that aren't.
-        is_old = now_unix_s - self.measured_unix_s > REPORT_GOOD_FOR_S
-        if is_old or not differences:
-            return 0
-        return round(sum(differences) / len(differences))
+        reports = len(self._unexplained) or 1
+        self._unexplained_requests = round(sum(u.requests for u in self._unexplained) / reports)
+        self._unexplained_tokens = round(sum(u.tokens for u in self._unexplained) / reports)
 
     def _drop_released(self, now_unix_s: float) -> None:
         oldest_unix_s = max(self.measured_unix_s, now_unix_s - RELEASED_KEPT_S)
--- a/src/pomelobarrow/decision/work_queue.py
+++ b/src/pomelobarrow/decision/work_queue.py
@@ -85,6 +85,10 @@
             self.remove(work.request_id)
         return late
 
+    def holds(self, request_id: str) -> bool:
+        """Say whether a request waits here."""
+        return request_id in self._by_id
+
     def waiting(self, rank: Rank) -> int:
         """Count a rank's waiting work here."""
         return len(self._ordered[rank])
