Refuse trial work that can no longer finish before it is started

Cause: at 2x overload trial work that had waited almost to its deadline was started and cut off there: half an answer or an unknown outcome for its caller, and engine time and cache room taken from paying work for nothing. Ruled out: the same for paying work, whose own time may be far below the mean.

--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -10,6 +10,7 @@
 
 from pomelobarrow.decision.admission import refuse_unservable
 from pomelobarrow.decision.attempt import Attempt, AttemptState
+from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.errors import Kind, Run
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.server_choice import choose_server
@@ -139,11 +140,19 @@
         """Refuse at once what can no longer finish, then place what has room."""
         now = now_unix_s()
         for pool, queue in self.queues.items():
-            for work in queue.expired(now):
+            for work in queue.expired(now, self._least_service_s):
                 self._refuse_expired(work)
             if self._waiters:
                 self.pump(pool)
 
+    def _least_service_s(self, work: Work) -> float:
+        """Return the seconds that work needs once it is placed, or it is refused as too late.
+
+        Started late, trial work was cut off at its deadline: its caller had half an answer and the
+        engine had worked for nothing. Paying work may always try, as its time is only a mean.
+        """
+        return self.table.service_times(work.pool).hold_s if work.rank is Rank.TRIAL else 0.0
+
     def _place_next(self, queue: WorkQueue, now: float) -> bool:
         found: list[Placement] = []
 
