Tell who is refused as too late when to come back, within half a minute

Change: the refusal carries Retry-After from the expected wait, which is bounded to 30 s (45 s with its spread) wherever it is told. Ruled out: holding the refusal back until the deadline, which the users rule out.

--- a/src/pomelobarrow/decision/retries.py
+++ b/src/pomelobarrow/decision/retries.py
@@ -12,6 +12,8 @@
 BUDGET_MAX = 10.0
 MAX_ATTEMPTS = 3
 MIN_RETRY_AFTER_S = 0.5
+# A pool that has just lost its servers drains at no rate, which says nothing of when it is back.
+MAX_RETRY_AFTER_S = 30.0
 RETRY_JITTER = 0.5
 
 
@@ -69,5 +71,5 @@
 
 def retry_after_unix_s(expected_wait_s: float, now_unix_s: float, random: Random) -> float:
     """Return when to come back, spread so that refused callers don't return together."""
-    base_s = max(MIN_RETRY_AFTER_S, expected_wait_s)
+    base_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, expected_wait_s))
     return now_unix_s + base_s * (1.0 + RETRY_JITTER * random.random())
--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -13,6 +13,7 @@
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.errors import Kind, Run
 from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.retries import retry_after_unix_s
 from pomelobarrow.decision.server_choice import choose_server
 from pomelobarrow.decision.work import Placement, Work
 from pomelobarrow.decision.work_queue import WorkQueue
@@ -197,7 +198,9 @@
         waiter = self._waiters.pop(work.request_id, None)
         if waiter is None or waiter.placed.done():
             return
-        refusal = refuse(Kind.DEADLINE_PASSED, Run.NO, "it can no longer finish by its deadline")
+        wait_s, detail = self.expected_wait_s(work), "it can no longer finish by its deadline"
+        retry_at_unix_s = retry_after_unix_s(wait_s, now_unix_s(), self.rng)
+        refusal = refuse(Kind.DEADLINE_PASSED, Run.NO, detail, retry_at_unix_s)
         waiter.placed.set_exception(RefusedError(refusal))
 
     def _started(self, work: Work) -> None:
