--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -1,5 +1,6 @@
 """Work out one daemon's cost at the letter's size from the measured slopes."""
 
+import math
 from collections.abc import Mapping, Sequence
 
 from attrs import frozen
@@ -18,7 +19,7 @@
     TOKENS_PER_S,
 )
 from bench.capacity_state import Slope
-from pomelobarrow.backends.reports import POLLERS, POLLS_PER_S
+from pomelobarrow.backends.reports import POLLERS, poll_every_s
 from pomelobarrow.decision.membership import RELAYS, WATCHERS
 from pomelobarrow.decision.request_ids import LIFE_S, MAX_KEPT_BYTES
 from pomelobarrow.peers.grid import neighbours
@@ -172,7 +173,8 @@
 
 
 def _polls_per_s(daemons: int, servers: int) -> float:
-    return min(servers * min(POLLERS, daemons) / daemons, POLLS_PER_S)
+    own = servers * min(POLLERS, daemons) / daemons
+    return own / poll_every_s(math.ceil(own))
 
 
 def _polls(measured: Measured, daemons: int, servers: int) -> Cost:
--- a/bench/capacity_region.py
+++ b/bench/capacity_region.py
@@ -13,7 +13,7 @@
 
 from attrs import define, field, frozen
 
-from pomelobarrow.backends.reports import POLLERS, POLLS_PER_S
+from pomelobarrow.backends.reports import POLLERS, poll_every_s
 from pomelobarrow.decision.clocks import ClockOffsets
 from pomelobarrow.decision.keyspace import Change
 from pomelobarrow.decision.limits import AccountLimits
@@ -109,7 +109,7 @@
                 self._second()
             self.bytes_sent = self.messages = 0
             cpu_s = sum(self._second() for _ in range(measure_s))
-        daemon_s = self.size.daemons * measure_s
+        daemon_s = self.size.daemons * max(measure_s, 1)
         return ExchangeCost(
             size=self.size,
             cpu_s_per_s=cpu_s / daemon_s,
@@ -193,7 +193,7 @@
     def _poll(self, node: _Node) -> None:
         now = self.clock.now()
         own = [name for name, pollers in self._pollers.items() if node.vm in pollers]
-        share = min(1.0, POLLS_PER_S / max(len(own), 1))
+        share = 1.0 / poll_every_s(len(own))
         for name in own:
             if node.random.random() < share:
                 running = node.random.randrange(SLOTS)
--- a/src/pomelobarrow/backends/reports.py
+++ b/src/pomelobarrow/backends/reports.py
@@ -16,14 +16,21 @@
 from pomelobarrow.kernel.clock import now_unix_s
 
 POLL_EVERY_S = 1.0
-# A VM with many servers polls each less often: its polls cost the same however large the fleet.
-POLLS_PER_S = 3.0
+# A VM with more servers than these polls each less often, so that its polls and what it tells of
+# them cost the same however many servers there are.
+FEW_SERVERS = 6
+POLLS_PER_S = 2.0
 POLL_TIMEOUT_S = 1.0
 # Two VMs poll each server, so that one frozen VM leaves no server unseen.
 POLLERS = 2
 REPORT_GOOD_FOR_S = 5.0
 
 
+def poll_every_s(servers: int) -> float:
+    """Return how often a VM polls each of so many servers."""
+    return POLL_EVERY_S if servers <= FEW_SERVERS else servers / POLLS_PER_S
+
+
 class LoadPoller(Service):
     """Poll this VM's share of the region's servers; peers pass their share on."""
 
@@ -62,8 +69,7 @@
         while not self.should_stop:
             mine = self._own_share()
             await asyncio.gather(*(self._poll(server) for server in mine))
-            pause_s = max(POLL_EVERY_S, len(mine) / POLLS_PER_S)
-            await self.sleep(pause_s * self._random.uniform(0.8, 1.2))
+            await self.sleep(poll_every_s(len(mine)) * self._random.uniform(0.8, 1.2))
 
     def _own_share(self) -> list[BackendServer]:
         live = tuple(self._live_vms())
