Charge a placement its KV memory, with output expected from the class's answers

Change: a finished attempt tells its output tokens, each class's mean is learned from them, and a placement is charged prompt and expected output. Ruled out: learning at the entry from the caller's stream, which would need a look into each event.

--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -218,6 +218,8 @@
             head_passed=self.head_passed,
             detail=detail,
             server=self.server.name,
+            # An event brings one token; the last one is the end.
+            output_tokens=max(0, self.counter.whole_events - 1),
         )
 
     def _about_to_send(self) -> None:
--- a/src/pomelobarrow/callers/gateway.py
+++ b/src/pomelobarrow/callers/gateway.py
@@ -46,6 +46,8 @@
     observe: Callable[[object], None]
     is_draining: Callable[[], bool]
     not_ready_reason: Callable[[], str | None]
+    # Returns what a class's answers have come to so far.
+    expected_output_tokens: Callable[[str], int]
     _serial: "itertools.count[int]" = field(factory=itertools.count)
 
     async def chat(self, request: web.Request) -> web.StreamResponse:
@@ -192,7 +194,7 @@
             home_region=checked.home_region,
             deadline_unix_s=checked.deadline_unix_s,
             now_unix_s=now_unix_s(),
-            expected_output_tokens=parsing.DEFAULT_OUTPUT_TOKENS,
+            expected_output_tokens=self.expected_output_tokens(checked.work_class.name),
             chat=chat,
         )
 
--- a/src/pomelobarrow/callers/plugin.py
+++ b/src/pomelobarrow/callers/plugin.py
@@ -16,6 +16,7 @@
 from pomelobarrow.decision.request_ids import RequestIdLedger
 from pomelobarrow.dispatch.dispatcher import Dispatcher
 from pomelobarrow.dispatch.entry import EntryDispatch
+from pomelobarrow.dispatch.local import LocalDispatch
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, hookimpl
@@ -114,6 +115,7 @@
         observe=context.observe,
         is_draining=lambda: context.is_draining,
         not_ready_reason=not_ready_reason,
+        expected_output_tokens=context.get(LocalDispatch).outputs.expected_tokens,
     )
 
 
--- a/src/pomelobarrow/dispatch/answers.py
+++ b/src/pomelobarrow/dispatch/answers.py
@@ -49,6 +49,7 @@
     head_passed: bool = False
     detail: str = ""
     server: str = ""
+    output_tokens: int = 0
     retry_at_unix_s: float | None = None
     refusal: Refusal | None = None
     peer: str = ""
--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -11,6 +11,7 @@
 from pomelobarrow.decision.admission import refuse_unservable
 from pomelobarrow.decision.attempt import Attempt, AttemptState
 from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.decision.costs import OutputEstimate, prefill_tokens
 from pomelobarrow.decision.errors import Kind, Run
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.retries import retry_after_unix_s
@@ -54,6 +55,7 @@
     run_attempt: AttemptRunner
     observe: Callable[[object], None]
     choose: ServerChooser = choose_server
+    outputs: OutputEstimate = field(factory=OutputEstimate)
     rng: Random = field(factory=Random)
     queues: dict[str, WorkQueue] = field(factory=dict)
     _waiters: dict[str, Waiter] = field(factory=dict)
@@ -87,6 +89,8 @@
             self.table.release(work.request_id, now_unix_s())
             self.pump(work.pool)
         self._judge_server(result)
+        if result.is_finished and result.output_tokens:
+            self.outputs.observe(work.class_name, result.output_tokens)
         self.observe(
             AttemptEnded(
                 work.request_id, work.class_name, server.name, result.state.value, result.detail
@@ -169,8 +173,9 @@
             return False
         waiter = self._waiters.pop(work.request_id)
         placement = found[-1]
-        tokens = work.prompt_tokens - placement.cached_tokens
-        self.table.charge(work.request_id, placement.server.name, tokens, now)
+        tokens = prefill_tokens(work, placement.cached_tokens)
+        kv_tokens = work.prompt_tokens + work.expected_output_tokens
+        self.table.charge(work.request_id, placement.server.name, tokens, now, kv_tokens)
         waiter.placed.set_result(placement)
         return True
 
