--- a/src/pomelobarrow/decision/server_choice.py
+++ b/src/pomelobarrow/decision/server_choice.py
@@ -55,7 +55,18 @@
     # The request's own size isn't asked: small ones would else pass a large one for ever.
     has_kv_room = state.kv_tokens < state.server.kv_capacity_tokens or state.requests == 0
     margin = ROOM_MARGIN_DEVIATIONS * state.requests_deviation
-    return has_kv_room and state.requests < state.slots * SLOT_ALLOWANCE[rank] + margin
+    has_slot = state.requests < state.slots * SLOT_ALLOWANCE[rank] + margin
+    return has_kv_room and has_slot and not _is_in_the_way(state, rank)
+
+
+def _is_in_the_way(state: ServerState, rank: Rank) -> bool:
+    """Say whether trial work would stand before paying work in an engine's prefill.
+
+    An engine computes the prompts that it has started in turn, whatever their rank. With a batch of
+    long trial prompts there, a short paying one got its first token late although it had gone first
+    in every queue. One trial prompt at a time keeps the engine busy and is the most to wait for.
+    """
+    return rank is Rank.TRIAL and state.own_tokens + state.others_tokens > 0
 
 
 def _sample(servers: Sequence[BackendServer], random: Random) -> Sequence[BackendServer]:
