Tell other regions an account's demand, so that its limit holds in all of them

Change: heartbeats between regions carry the region's sum, and what is shared out evenly is shared by the VMs of all regions heard. Ruled out: a smaller change before a rate is told again (no difference). In a region of more than two VMs only its relays hear of other regions' demand; passing it on needs a field that names the region.

--- a/src/pomelobarrow/decision/limits.py
+++ b/src/pomelobarrow/decision/limits.py
@@ -101,12 +101,15 @@
         return {name: rate for name, rate in rates.items() if rate >= SMALLEST_TOLD_PER_S}
 
     def _view(self, account: str, now_unix_s: float) -> _View:
-        vms = max(len(self._peers) + 1, self._region_vms)
+        region_vms = max(len(self._peers) + 1, self._region_vms)
         is_sparse = self._region_vms > len(self._peers) + 1
         delivery_s = SPARSE_DELIVERY_S if is_sparse else DELIVERY_S
         own_per_s = self._demand[account].heard_by_all(now_unix_s, delivery_s)
-        told = (*self._held(self._peers, now_unix_s), *self._held(self._regions, now_unix_s))
+        regions = tuple(self._held(self._regions, now_unix_s))
+        told = (*self._held(self._peers, now_unix_s), *regions)
         others_per_s = sum(each.rates.get(account, 0.0) for each in told)
+        # Other regions tell their demand, not their VMs, and are taken to be as large as this one.
+        vms = region_vms * (1 + len(regions))
         return _View(own_per_s=own_per_s, total_per_s=own_per_s + others_per_s, vms=vms)
 
     def _held(self, told: Mapping[str, _Told], now_unix_s: float) -> Iterable[_Told]:
--- a/src/pomelobarrow/peers/demand_news.py
+++ b/src/pomelobarrow/peers/demand_news.py
@@ -1,6 +1,6 @@
 """Tell a peer which accounts' demand changed, and take in what it tells."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import xxhash
 from attrs import define, field
@@ -27,7 +27,11 @@
 
 @define(kw_only=True)
 class DemandNews:
-    """Exchange demand: a VM's own along its row, the sum of its row along its column."""
+    """Exchange demand: a VM's own along its row, the sum of its row along its column.
+
+    Other regions are told the region's sum. Without it each region would admit the whole of an
+    account's limit: callers who moved from region to region got it once in each.
+    """
 
     limits: AccountLimits
     configuration: Callable[[], Configuration | None]
@@ -48,8 +52,7 @@
         if neighbours.is_sparse and sent.beats % SPARSE_EVERY_BEATS != 1:
             return
         rates = {account_key(n): rate for n, rate in self.limits.demand(now_unix_s).items()}
-        if kind is LinkKind.COLUMN:
-            self._add_row(rates, neighbours)
+        self._add(rates, _summed_up(kind, neighbours))
         for key in sent.rate_by_key.keys() | rates.keys():
             rate = rates.get(key, 0.0)
             rate = rate if rate >= SMALLEST_TOLD_PER_S else 0.0
@@ -58,8 +61,8 @@
                 heartbeat.account_rates.append(rate)
                 sent.rate_by_key[key] = rate
 
-    def take(self, heartbeat: pb.Heartbeat, now_unix_s: float) -> None:
-        """Take in a peer's demand, which is its whole row's on a column."""
+    def take(self, heartbeat: pb.Heartbeat, kind: LinkKind, now_unix_s: float) -> None:
+        """Take in a peer's demand: its own, its row's or its region's."""
         rates = self._rates.setdefault(heartbeat.vm, {})
         if heartbeat.is_whole:
             rates.clear()
@@ -67,14 +70,17 @@
             rates[key] = rate
         names = self._names()
         by_name = {names[key]: rate for key, rate in rates.items() if key in names and rate}
-        self.limits.observe_peer_demand(heartbeat.vm, by_name, now_unix_s)
+        if kind is LinkKind.OTHER_REGION:
+            self.limits.observe_region_demand(heartbeat.region, by_name, now_unix_s)
+        else:
+            self.limits.observe_peer_demand(heartbeat.vm, by_name, now_unix_s)
 
     def forget(self, vm: str) -> None:
         """Drop what a peer told."""
         self._rates.pop(vm, None)
 
-    def _add_row(self, rates: dict[int, float], neighbours: Neighbours) -> None:
-        for vm in neighbours.row:
+    def _add(self, rates: dict[int, float], vms: Iterable[str]) -> None:
+        for vm in vms:
             for key, rate in self._rates.get(vm, {}).items():
                 rates[key] = rates.get(key, 0.0) + rate
 
@@ -91,5 +97,12 @@
     return xxhash.xxh32_intdigest(name.encode())
 
 
+def _summed_up(kind: LinkKind, neighbours: Neighbours) -> frozenset[str]:
+    """Return whose demand goes with a VM's own over a kind of link."""
+    return {LinkKind.COLUMN: neighbours.row, LinkKind.OTHER_REGION: neighbours.all}.get(
+        kind, frozenset()
+    )
+
+
 def _has_moved(old: float, new: float) -> bool:
     return abs(new - old) > CHANGE_TOLD * max(old, new)
--- a/src/pomelobarrow/peers/heartbeats.py
+++ b/src/pomelobarrow/peers/heartbeats.py
@@ -116,7 +116,7 @@
         self._pools.write(heartbeat, sent.pools, kind, self.neighbours, now)
         if same_region:
             self._servers.write(heartbeat, sent.servers, kind, now)
-            self._demand.write(heartbeat, sent.demand, kind, self.neighbours, now)
+        self._demand.write(heartbeat, sent.demand, kind, self.neighbours, now)
         return heartbeat
 
     def take(self, heartbeat: pb.Heartbeat) -> bool:
@@ -236,7 +236,7 @@
         self._pools.take(heartbeat, member.region, kind, now, to_local)
         if kind is not LinkKind.OTHER_REGION:
             self._servers.take(heartbeat, kind, now, to_local)
-            self._demand.take(heartbeat, now)
+        self._demand.take(heartbeat, kind, now)
 
     def _take_times(self, heartbeat: pb.Heartbeat, now: float) -> None:
         self.offsets.observe(
