Compare policies with equally warm caches, and let load fall below capacity

Cause: the gateway's comparison ran first thing on its fleet, round robin's after its calibration, so only the gateway met cold caches; the load after the overload, with all who came back, was above capacity; and demand for the metered account jumped every 1.7 s from its first second on. Change: each policy is calibrated before it is compared; after the overload paying load is 20%; the metered account is asked for evenly, then moving every 3 s, with and without the first 3 s. Ruled out: counting second tries of a load above capacity, which is not the aim.

--- a/bench/report.py
+++ b/bench/report.py
@@ -27,8 +27,8 @@
 entry VMs for each deployment, all connections through the fault-injecting proxy with the brief's
 delays, time not scaled, both deployments side by side on one machine. So that they fit on it, an
 engine has 4 slots; a step computes {prefill}. Load is stated as a share of the capacity measured in
-the same run; the comparison of policies is loaded to 85% of what *round robin* can stand, so that no
-policy is past its capacity there. How to read and run it: [how-to/bench](how-to/bench.md).
+the same run; the comparison of policies is loaded to 85% of what *round robin* can stand, so that
+no policy is past its capacity there. How to read and run it: [how-to/bench](how-to/bench.md).
 """
 PREFILL = "64 prompt tokens at Vasktoru and 32 at Rondinella"
 CLASS_COLUMNS = (
--- a/bench/sequence.py
+++ b/bench/sequence.py
@@ -26,6 +26,8 @@
 COMPARED = 0.85
 PAYING = 0.70
 TRIAL = 1.30
+# Low enough that with all who come back the load is below capacity.
+RECOVERY = 0.20
 STEADY = 0.60
 # A region's callers spread over those left, so that what may move has room there.
 LOST = 0.45
@@ -57,14 +59,17 @@
         await bench.run(_comparison(durations))
         observed += bench.observed
     async with bench_on(traffic, LEAST_LOAD, durations) as bench:
+        capacities[LEAST_LOAD] = await bench.calibrate()
         # All policies get what the round robin can stand, so that none is past its capacity.
         bench.capacity_per_s = capacities[ROUND_ROBIN]
         await bench.run(_comparison(durations))
         observed += bench.observed
     async with bench_on(traffic, GATEWAY, durations) as bench:
+        # Calibrated first as the others are, or its caches alone would be cold.
+        capacities[GATEWAY] = await bench.calibrate()
         bench.capacity_per_s = capacities[ROUND_ROBIN]
         await bench.run(_comparison(durations))
-        capacities[GATEWAY] = await bench.calibrate()
+        bench.capacity_per_s = capacities[GATEWAY]
         results = await _gateway_scenarios(bench, is_whole)
         observed += bench.observed
     return {
@@ -81,7 +86,7 @@
 async def _gateway_scenarios(bench: Bench, is_whole: bool) -> dict[str, Any]:
     durations = bench.durations
     results = {"overload": await _overload(bench)}
-    results["metered"] = await bench.metered(durations.overload_s)
+    results["metered"] = await bench.metered()
     if is_whole:
         await bench.run(Load(name="steady", duration_s=durations.fault_s, paying=STEADY))
         for name, fault in faults.SINGLE_FAULTS.items():
@@ -118,7 +123,7 @@
 
 
 def _recovery(bench: Bench, durations: Durations) -> list[Any]:
-    load = Load(name="recovery", duration_s=durations.recovery_s, paying=PAYING)
+    load = Load(name="recovery", duration_s=durations.recovery_s, paying=RECOVERY)
     later = arrivals(bench.traffic, load, bench.capacity_per_s)
     return [faults.moved(each, durations.overload_s) for each in later]
 
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -153,12 +153,18 @@
 
 
 def _limits(name: str, results: Results) -> Target:
-    overshoot = results["metered"]["overshoot"]
+    metered = results["metered"]
+    overshoot = metered["even"]["once_known"]
+    more = {
+        "from its first second": metered["even"]["from_start"],
+        "moving between regions": metered["moving"]["once_known"],
+    }
+    rest = ", ".join(f"{name} {_percent(each)}" for name, each in more.items())
     return Target(
         deployment=name,
         name="account limit's overshoot over 10 s, three times the limit offered in all regions",
         aim="at most 10%",
-        measured=_percent(overshoot),
+        measured=f"{_percent(overshoot)} ({rest})",
         is_met=overshoot <= MAX_OVERSHOOT,
     )
 
