Link relays in pairs where there are many regions, and rank engines for orders once

Two parts were waste: four links each way for each pair of regions where two carry the same, and a rendezvous rank of every server every second for orders (the poller remembered its ranks, the sender of orders did not: logic stood twice). Change: with more than four other regions a relay links to its partner only; ServerShare keeps the ranks for both users. Ruled out: longer heartbeat intervals (region loads would pass their 5 s of freshness over two hops).

--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -70,7 +70,7 @@
 
 def cross_links(daemons: int) -> float:
     """Return the mean number of links that a daemon dials to other regions."""
-    return (REGIONS - 1) * RELAYS * RELAYS / daemons
+    return (REGIONS - 1) * RELAYS / daemons
 
 
 def control_costs(measured: Measured, daemons: int) -> list[Cost]:
--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -9,12 +9,12 @@
 from pomelobarrow.backends.reports import LoadPoller
 from pomelobarrow.backends.service import ServiceAttempt
 from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.backends.shares import ServerShare
 from pomelobarrow.decision.attempt import Attempt
 from pomelobarrow.decision.configuration import PoolKind
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.orders import OrderBook
-from pomelobarrow.decision.rendezvous import rendezvous
 from pomelobarrow.decision.work import BackendServer, Placement
 from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
 from pomelobarrow.dispatch.local import AttemptRunner, LocalDispatch
@@ -136,25 +136,15 @@
 
 
 def _order_sender(context: Context) -> OrderSender:
-    published, own_vm = context.get(PublishedState), context.settings.vm
-
-    def owned() -> list[BackendServer]:
-        live = tuple(_live_vms(context))
-        servers = _own_region_servers(context)
-        return [each for each in servers if (own_vm,) == rendezvous(_owner_key(each), live, 1)]
-
+    share = ServerShare(own_vm=context.settings.vm, purpose="orders", vms_per_server=1)
     return OrderSender(
         book=context.get(OrderBook),
         sessions=context.get(BackendSessions),
-        owned=owned,
-        configuration=lambda: published.configuration,
+        owned=lambda: share.of(_own_region_servers(context), _live_vms(context)),
+        configuration=lambda: context.get(PublishedState).configuration,
     )
 
 
-def _owner_key(server: BackendServer) -> str:
-    return f"orders/{server.name}"
-
-
 def _own_region_servers(context: Context) -> list[BackendServer]:
     servers = context.get(PublishedState).backend_servers.values()
     return [server for server in servers if server.region == context.settings.region]
--- a/src/pomelobarrow/backends/reports.py
+++ b/src/pomelobarrow/backends/reports.py
@@ -10,8 +10,8 @@
 from mode import Service
 
 from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.backends.shares import ServerShare
 from pomelobarrow.decision.load_table import LoadTable
-from pomelobarrow.decision.rendezvous import rendezvous
 from pomelobarrow.decision.work import BackendServer, LoadReport
 from pomelobarrow.kernel.clock import now_unix_s
 
@@ -46,7 +46,7 @@
         on_report: Callable[[str], None],
     ) -> None:
         super().__init__()
-        self._own_vm = own_vm
+        self._share = ServerShare(own_vm=own_vm, purpose="load", vms_per_server=POLLERS)
         self._sessions = sessions
         self._table = table
         self._servers = servers
@@ -55,8 +55,6 @@
         self._on_report = on_report
         self._reports: dict[str, LoadReport] = {}
         self._next_event: dict[str, int] = {}
-        self._live: tuple[str, ...] = ()
-        self._is_own: dict[str, bool] = {}
         self._random = random.Random()
 
     def own_reports(self) -> list[LoadReport]:
@@ -67,24 +65,10 @@
     @Service.task
     async def _poll_all(self) -> None:
         while not self.should_stop:
-            mine = self._own_share()
+            mine = self._share.of(self._servers(), self._live_vms())
             await asyncio.gather(*(self._poll(server) for server in mine))
             await self.sleep(poll_every_s(len(mine)) * self._random.uniform(0.8, 1.2))
 
-    def _own_share(self) -> list[BackendServer]:
-        live = tuple(self._live_vms())
-        if live != self._live:
-            self._live = live
-            self._is_own.clear()
-        return [server for server in self._servers() if self._polls(server.name)]
-
-    def _polls(self, name: str) -> bool:
-        # Ranking some dozens of VMs for each of some hundreds of servers at every poll took as
-        # much processor time as the polls; the ranks only change with the live VMs.
-        if name not in self._is_own:
-            self._is_own[name] = self._own_vm in rendezvous(name, self._live, POLLERS)
-        return self._is_own[name]
-
     async def _poll(self, server: BackendServer) -> None:
         body = await self._get(server, "/v1/load")
         if body is None:
--- a/src/pomelobarrow/peers/table.py
+++ b/src/pomelobarrow/peers/table.py
@@ -32,6 +32,9 @@
 # Of a region that doesn't answer, this many listed VMs are tried at a time, the next ones in turn:
 # the list lags, and the first two may long be gone.
 CONTACTS_TRIED = 2
+# With more other regions than this each relay links to its partner there only. In a fleet of many
+# regions the links between them cost a small region's VMs more than all else.
+ALL_PAIRS_UP_TO_REGIONS = 4
 CONTACT_TURN_S = 10.0
 
 LinkFactory = Callable[[ListedVm], PeerLink]
@@ -167,10 +170,15 @@
         for member in self._view.live(now_unix_s=now):
             live[member.region].append(member)
         own = self._view.own_region
-        for region in {p.region for p in known.values()} - {own, ""}:
-            if not self._is_among(relays_among(live[own], own, region)):
+        regions = {p.region for p in known.values()} - {own, ""}
+        for region in regions:
+            names = [member.vm for member in relays_among(live[own], own, region)]
+            if self._view.own_vm not in names:
                 continue
-            chosen = [_listed(member) for member in relays_among(live[region], region, own)]
+            partners = relays_among(live[region], region, own)
+            if len(regions) > ALL_PAIRS_UP_TO_REGIONS:
+                partners = _partner(partners, names.index(self._view.own_vm))
+            chosen = [_listed(member) for member in partners]
             chosen = chosen or _contacts_in_turn(known, region, now)
             wanted.update({peer.vm: peer for peer in chosen})
         return wanted
@@ -220,6 +228,11 @@
             self._observe(PauseNoticed(gap_s))
 
 
+def _partner(relays: tuple[Member, ...], place: int) -> tuple[Member, ...]:
+    """Return the relay of the same place: two separate links instead of four a pair of regions."""
+    return relays[place : place + 1] or relays[:1]
+
+
 def _contacts_in_turn(known: dict[str, ListedVm], region: str, now: float) -> list[ListedVm]:
     contacts = [peer for peer in known.values() if peer.region == region]
     start = int(now / CONTACT_TURN_S) * CONTACTS_TRIED % len(contacts)
