Look ahead in a full pool's queue, learn the queue's pace, and line up refused callers

Cause: in trials with the in-memory fakes a pool that was overloaded for a while stayed so: with one free slot at a time prompts went to servers that don't hold their prefix, and the prefill took the capacity. Admission promised what a queue ordered by due time can't keep; refused callers came back together and were refused again; all VMs of a region spilled to the same other region. Change: next_placement lets waiting work whose prefix the free server holds pass up to 15 others; queues learn seconds per request ahead from waits that came true; Retry-After is the next place in a line that is as fast as a fifth of the queue's pace; spilling spreads by spare time; pool_wait reckons a region's wait with its servers' prefill. The dispatch room still takes the first in the queue; it should call next_placement and pool_wait.expected_wait_s.

--- /dev/null
+++ b/bench/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the pure decision logic, one matter a module."""
--- a/bench/fakes/daemon.py
+++ b/bench/fakes/daemon.py
@@ -1,6 +1,6 @@
 """One entry VM's decision state, without any I/O."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from random import Random
 
 from attrs import define, field
@@ -16,14 +16,16 @@
     """Hold what one entry VM knows."""
 
     name: str
-    table: LoadTable
-    queue: WorkQueue
+    region: str
+    pool: str
     random: Random
     servers: list[BackendServer]
     # Servers this daemon may use; all but in the subset way.
     excluded: frozenset[str] = frozenset()
     # Servers whose requests another daemon dispatches; used in the owner way only.
     not_owned: frozenset[str] = frozenset()
+    table: LoadTable = field(init=False)
+    queue: WorkQueue = field(init=False)
     works: bool = True
     # Peers still count on this daemon.
     is_listed: bool = True
@@ -38,6 +40,15 @@
     row_reports: list[LoadReport] = field(factory=list)
     row_waiting: dict[str, tuple[int, ...]] = field(factory=dict)
 
+    def start_anew(self, servers: Iterable[BackendServer]) -> None:
+        """Forget everything, as a replaced VM."""
+        self.table = LoadTable(self.region)
+        self.table.set_servers(servers)
+        self.queue = WorkQueue(self.pool)
+        self.arrivals.clear()
+        self.peer_counts.clear()
+        self.works = self.is_listed = True
+
     def run(self, event: Callable[[], None]) -> None:
         """Run an event now, or when the daemon works again."""
         if self.works:
--- a/bench/fakes/engine.py
+++ b/bench/fakes/engine.py
@@ -68,6 +68,7 @@
         self.running.clear()
         self._waiting.clear()
         self._cache.clear()
+        self._reports.clear()
         self._kv_tokens = 0
 
     def come_back(self) -> None:
@@ -81,6 +82,8 @@
 
     def measure(self) -> None:
         """Measure the load; the report is published once it is as old as the lag."""
+        if not self.is_up:
+            return
         now = self.clock.now_unix_s
         prefill_s = max(0.0, self._pipe_free_unix_s - now)
         waiting_tokens = sum(job.work.prompt_tokens for _, _, job in self._waiting)
--- /dev/null
+++ b/bench/fakes/fleet.py
@@ -0,0 +1,206 @@
+"""Three regions whose daemons choose the region as well."""
+
+from collections.abc import Callable, Mapping
+from functools import partial
+from random import Random
+
+from attrs import evolve, frozen
+
+from bench.fakes.clock import Clock
+from bench.fakes.daemon import FakeDaemon
+from bench.fakes.record import Record
+from bench.fakes.region import FakeRegion, RegionSpec
+from bench.fakes.traffic import Arrival, Source
+from bench.fakes.ways import Way
+from pomelobarrow.decision.pool_wait import expected_wait_s
+from pomelobarrow.decision.region_choice import (
+    RegionChoice,
+    RegionLoad,
+    ShareOutsideHome,
+    choose_region,
+)
+from pomelobarrow.decision.work import Work
+
+ONE_WAY_S = 0.055
+TOLD_EVERY_S = 1.0
+# A forward that gets no answer is tried elsewhere after this.
+SILENT_FORWARD_S = 1.5
+# A region unheard for longer counts as lost when it is heard again.
+LOST_AFTER_S = 5.0
+
+ChooseRegion = Callable[
+    [Work, str, Mapping[str, RegionLoad], ShareOutsideHome, float, Random], RegionChoice
+]
+
+
+@frozen(kw_only=True)
+class FleetSpec:
+    """Give the regions' names and sizes."""
+
+    names: tuple[str, ...] = ("Milan", "Turin", "Bologna")
+    region: RegionSpec = RegionSpec()
+    max_share_by_class: Mapping[str, float]
+    has_slow_start: bool = True
+
+
+class FakeFleet:
+    """Let arrivals choose a region, then run them there."""
+
+    def __init__(
+        self, spec: FleetSpec, way: Way, choose: ChooseRegion, seed: int, pool: str
+    ) -> None:
+        self.clock = Clock()
+        self.spec = spec
+        self.choose = choose
+        self.random = Random(f"{seed}/fleet")
+        self.regions = {
+            name: FakeRegion(self.clock, spec.region, way, seed, pool, name) for name in spec.names
+        }
+        self.shares = {
+            daemon.name: ShareOutsideHome(spec.max_share_by_class)
+            for region in self.regions.values()
+            for daemon in region.daemons
+        }
+        self.records: list[Record] = []
+        self.unserved = 0
+        self.probe: Work | None = None
+        # What each region has heard of the others.
+        self._heard: dict[tuple[str, str], RegionLoad] = {}
+        for region in self.regions.values():
+            region.admits = True
+            self.clock.every(TOLD_EVERY_S, self.random.random(), partial(self._tell, region))
+
+    def feed(self, source: Source, rate_per_s: Callable[[float], float], end_unix_s: float) -> None:
+        """Let a class's requests arrive at its home, or elsewhere while that is lost."""
+
+        def arrive() -> None:
+            now = self.clock.now_unix_s
+            if now >= end_unix_s:
+                return
+            self._receive(source.draw(now))
+            self.clock.after(source.gap_s(rate_per_s(now)), arrive)
+
+        self.clock.after(source.gap_s(rate_per_s(0.0)), arrive)
+
+    def _receive(self, arrival: Arrival) -> None:
+        self.probe = arrival.work
+        record = Record(work=arrival.work)
+        self.records.append(record)
+        entry = self.regions[arrival.work.home_region]
+        if entry.is_lost:
+            entry = self.random.choice([r for r in self.regions.values() if not r.is_lost])
+        daemon = self.random.choice([d for d in entry.daemons if d.works])
+        self._dispatch(record, arrival, entry, daemon, frozenset())
+
+    def _dispatch(
+        self,
+        record: Record,
+        arrival: Arrival,
+        entry: FakeRegion,
+        daemon: FakeDaemon,
+        bad_regions: frozenset[str],
+    ) -> None:
+        work = arrival.work
+        loads = {
+            name: load
+            for name, load in self._loads(entry, daemon, work).items()
+            if name not in bad_regions
+        }
+        share = self.shares[daemon.name]
+        choice = self.choose(work, entry.name, loads, share, self.clock.now_unix_s, daemon.random)
+        if choice.region is None:
+            self.unserved += 1
+            return
+        if not bad_regions:
+            share.record(work.class_name, choice.region != work.home_region)
+        target = self.regions[choice.region]
+        if target is entry:
+            target.serve(record, arrival)
+            return
+
+        def arrive() -> None:
+            if not target.is_lost:
+                target.serve(record, arrival)
+                return
+            bad = bad_regions | {target.name}
+            self.clock.after(
+                SILENT_FORWARD_S, lambda: self._dispatch(record, arrival, entry, daemon, bad)
+            )
+
+        self.clock.after(ONE_WAY_S, arrive)
+
+    def _loads(self, entry: FakeRegion, daemon: FakeDaemon, work: Work) -> dict[str, RegionLoad]:
+        now = self.clock.now_unix_s
+        cold_s = work.prompt_tokens * daemon.table.service_times(work.pool).s_per_prefill_token
+        loads = {
+            name: evolve(load, cold_prefill_s=cold_s)
+            for (hearer, name), load in self._heard.items()
+            if hearer == entry.name
+        }
+        loads[entry.name] = RegionLoad(
+            region=entry.name,
+            pool=work.pool,
+            expected_wait_s=expected_wait_s(daemon.table, daemon.queue, work, now),
+            round_trip_s=0.0,
+            measured_unix_s=now,
+            servers=len(daemon.table.usable_servers(work.pool, now)),
+            cold_prefill_s=cold_s,
+        )
+        return loads
+
+    def _tell(self, region: FakeRegion) -> None:
+        if region.is_lost or self.probe is None:
+            return
+        now = self.clock.now_unix_s
+        daemon = region.daemons[0]
+        load = RegionLoad(
+            region=region.name,
+            pool=region.pool,
+            expected_wait_s=expected_wait_s(daemon.table, daemon.queue, self.probe, now),
+            round_trip_s=2.0 * ONE_WAY_S,
+            measured_unix_s=now,
+            servers=len(daemon.table.usable_servers(region.pool, now)),
+        )
+        self.clock.after(ONE_WAY_S, lambda: self._hear(load))
+
+    def _hear(self, load: RegionLoad) -> None:
+        for name, region in self.regions.items():
+            if name == load.region or region.is_lost:
+                continue
+            old = self._heard.get((name, load.region))
+            returned_unix_s = old.returned_unix_s if old else load.returned_unix_s
+            was_lost = old and load.measured_unix_s - old.measured_unix_s > LOST_AFTER_S
+            if was_lost and self.spec.has_slow_start:
+                returned_unix_s = load.measured_unix_s
+            self._heard[name, load.region] = evolve(load, returned_unix_s=returned_unix_s)
+
+
+def choose_home(
+    work: Work,
+    own_region: str,
+    loads: Mapping[str, RegionLoad],
+    share: ShareOutsideHome,
+    now_unix_s: float,
+    random: Random,
+) -> RegionChoice:
+    """Stay at home while it is heard; a way to compare with."""
+    home = {name: load for name, load in loads.items() if name == work.home_region}
+    return choose_region(work, own_region, home or loads, share, now_unix_s, random)
+
+
+def choose_least(
+    work: Work,
+    own_region: str,
+    loads: Mapping[str, RegionLoad],
+    share: ShareOutsideHome,
+    now_unix_s: float,
+    random: Random,
+) -> RegionChoice:
+    """Take the least expected wait, trip counted; a way to compare with."""
+    fresh = {n: load for n, load in loads.items() if now_unix_s - load.measured_unix_s <= 5.0}
+    waits_s = {name: load.expected_wait_s + load.round_trip_s for name, load in fresh.items()}
+    least = min(waits_s, key=lambda name: waits_s[name])
+    if least != work.home_region and not share.allows(work.class_name):
+        least = work.home_region
+    choice = choose_region(work, own_region, {least: loads[least]}, share, now_unix_s, random)
+    return evolve(choice, region=least)
--- a/bench/fakes/region.py
+++ b/bench/fakes/region.py
@@ -1,7 +1,6 @@
 """One region: daemons that place requests on fake engines."""
 
-from collections.abc import Callable, Mapping, Sequence
-from functools import partial
+from collections.abc import Callable, Sequence
 from random import Random
 
 from attrs import frozen
@@ -9,19 +8,18 @@
 from bench.fakes.clock import Clock
 from bench.fakes.daemon import FakeDaemon
 from bench.fakes.engine import FakeEngine, Job
+from bench.fakes.exchange import Exchange
 from bench.fakes.record import Record
 from bench.fakes.traffic import Arrival, Source, Traffic
 from bench.fakes.ways import Way
 from pomelobarrow.decision.admission import refuse_unservable
 from pomelobarrow.decision.configuration import Rank
-from pomelobarrow.decision.errors import Refusal
-from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.errors import Kind, Refusal, Run
+from pomelobarrow.decision.next_placement import next_placement
+from pomelobarrow.decision.pool_wait import expected_wait_s
 from pomelobarrow.decision.rendezvous import rendezvous
-from pomelobarrow.decision.work import BackendServer, InFlight, LoadReport, Work
-from pomelobarrow.decision.work_queue import WorkQueue
-from pomelobarrow.peers.grid import neighbours
+from pomelobarrow.decision.work import BackendServer, Work
 
-POLLERS = 2
 PRIORITY = {Rank.PAYING: 0, Rank.TRIAL: 1}
 
 
@@ -58,13 +56,14 @@
         self.forwards = 0
         # Forwards that met a silent owner.
         self.stuck = 0
+        # Trial requests that were placed at a daemon where paying work waited.
+        self.paying_passed_by_trial = 0
         # Admission refuses what can't finish by its deadline or finds the queue full.
         self.admits = False
+        self.refused_late = 0
+        self.is_lost = False
         self.on_refused: Callable[[Arrival, Refusal], None] = lambda arrival, refusal: None
         self.placements = 0
-        self.state_messages = 0
-        self._rows: dict[str, list[FakeDaemon]] = {}
-        self._columns: dict[str, list[FakeDaemon]] = {}
         servers = [self._server(i) for i in range(spec.servers)]
         self.engines = {s.name: self._engine(s) for s in servers}
         seen: set[int] = set()
@@ -72,7 +71,8 @@
             engine.share_sets(seen)
         self.daemons = [self._daemon(i, servers, seed) for i in range(spec.daemons)]
         self._assign_owners()
-        self._start_exchange()
+        self.exchange = Exchange(self)
+        self.exchange.start()
 
     # How arrivals come in
 
@@ -98,6 +98,7 @@
     def serve(self, record: Record, arrival: Arrival) -> None:
         """Run a request that arrived here or was sent here by another region."""
         self._record_by_id[arrival.work.request_id] = record
+        record.served_in = self.name
         working = [d for d in self.daemons if d.works]
         if working:
             self._accept(self.random.choice(working), arrival)
@@ -118,44 +119,73 @@
             daemon.queue.push(work, self.now)
             self.pump(daemon)
 
-    def expected_wait_s(self, daemon: FakeDaemon, work: Work) -> float:
-        """Return the wait in the queue, as the dispatcher reckons it."""
-        drain_per_s = daemon.table.drain_per_s(self.pool, self.now)
-        return daemon.queue.expected_wait_s(work, drain_per_s, self.now)
-
     def _refuses(self, daemon: FakeDaemon, work: Work) -> bool:
         if not self.admits:
             return False
         refusal = refuse_unservable(
             work,
             queue=daemon.queue,
-            expected_wait_s=self.expected_wait_s(daemon, work),
+            expected_wait_s=expected_wait_s(daemon.table, daemon.queue, work, self.now),
             expected_service_s=daemon.table.service_times(self.pool).hold_s,
             now_unix_s=self.now,
             random=daemon.random,
         )
-        if refusal is None:
-            return False
+        if refusal is not None:
+            self._refuse(daemon, work, refusal)
+        return refusal is not None
+
+    def _refuse(self, daemon: FakeDaemon, work: Work, refusal: Refusal) -> None:
         self._record_by_id[work.request_id].refusal = refusal
         self.on_refused(daemon.arrivals.pop(work.request_id), refusal)
-        return True
+
+    def sweep(self, daemon: FakeDaemon) -> None:
+        """Refuse what waits and can no longer finish."""
+        hold_s = daemon.table.service_times(self.pool).hold_s
+        for work in daemon.queue.expired(self.now, lambda _: hold_s):
+            refusal = Refusal(
+                kind=Kind.DEADLINE_PASSED,
+                run=Run.NO,
+                detail="it can no longer finish by its deadline",
+                remedy="come back at Retry-After",
+                retry_at_unix_s=daemon.queue.retry_at_unix_s(
+                    work.rank, hold_s, self.now, daemon.random
+                ),
+            )
+            self.refused_late += 1
+            self._refuse(daemon, work, refusal)
 
     def pump(self, daemon: FakeDaemon) -> None:
         """Place waiting work while there is room."""
+        while daemon.works and self._place_next(daemon):
+            pass
+
+    def _place_next(self, daemon: FakeDaemon) -> bool:
+        if self.way.has_owner or not self.way.looks_ahead:
+            return self._place_first(daemon)
+        placed = next_placement(
+            daemon.queue, daemon.table, lambda _: daemon.excluded, self.now, daemon.random
+        )
+        if placed is None:
+            return False
+        self._place(daemon, placed.work, placed.placement.server.name)
+        return True
+
+    def _place_first(self, daemon: FakeDaemon) -> bool:
         picked: list[str | None] = [None]
 
         def may_take(work: Work) -> bool:
             picked[0] = self.way.pick(daemon, work, self.now)
             return picked[0] is not None
 
-        while daemon.works:
-            work = daemon.queue.pop_next(self.now, may_take)
-            if work is None:
-                return
+        work = daemon.queue.pop_next(self.now, may_take)
+        if work is not None:
             self._place(daemon, work, picked[0])
+        return work is not None
 
     def _place(self, daemon: FakeDaemon, work: Work, server: str | None) -> None:
         assert server is not None
+        if work.rank is Rank.TRIAL and daemon.queue.waiting(Rank.PAYING):
+            self.paying_passed_by_trial += 1
         arrival = daemon.arrivals.pop(work.request_id)
         prefixes = daemon.table.prefixes
         cached = prefixes.cached_tokens(server, work.prefix_hashes) if self._affine else 0
@@ -264,6 +294,24 @@
             daemon.peer_counts.pop(gone.name, None)
         self._assign_owners()
 
+    def lose(self) -> None:
+        """Lose every engine and daemon of the region with all they hold."""
+        self.is_lost = True
+        for engine in self.engines.values():
+            engine.lose_everything()
+        for daemon in self.daemons:
+            daemon.works = False
+            daemon.inbox.clear()
+
+    def come_back(self) -> None:
+        """Come back with new daemons, which know nothing, and cold caches."""
+        self.is_lost = False
+        for engine in self.engines.values():
+            engine.come_back()
+        servers = [engine.server for engine in self.engines.values()]
+        for daemon in self.daemons:
+            daemon.start_anew(servers)
+
     def _thaw(self, daemon: FakeDaemon) -> None:
         daemon.works = daemon.is_listed = True
         inbox, daemon.inbox = daemon.inbox, []
@@ -272,80 +320,6 @@
         self._assign_owners()
         self.pump(daemon)
 
-    # What daemons tell each other: neighbours of the peers' grid, as the daemons do
-
-    def _start_exchange(self) -> None:
-        spec = self.spec
-        by_name = {d.name: d for d in self.daemons}
-        for daemon in self.daemons:
-            near = neighbours(daemon.name, by_name)
-            self._rows[daemon.name] = [by_name[vm] for vm in sorted(near.row)]
-            self._columns[daemon.name] = [by_name[vm] for vm in sorted(near.column)]
-            first = self.random.random() * spec.heartbeat_s
-            self.clock.every(spec.heartbeat_s, first, partial(self._heartbeat, daemon))
-        for engine in self.engines.values():
-            first = self.random.random() * spec.report_every_s
-            pollers = rendezvous(engine.server.name, by_name, POLLERS)
-            for vm in pollers:
-                poll = partial(self._poll, engine, by_name[vm])
-                self.clock.every(spec.report_every_s, first, poll)
-
-    def _poll(self, engine: FakeEngine, daemon: FakeDaemon) -> None:
-        if not engine.is_up or not daemon.works:
-            return
-        self.state_messages += 1
-        report = engine.report()
-        if report is None:
-            return
-        daemon.table.observe_report(report, self.now)
-        daemon.fresh_reports.append(report)
-        self._pass_cache_events(engine, daemon)
-        self.pump(daemon)
-
-    def _pass_cache_events(self, engine: FakeEngine, daemon: FakeDaemon) -> None:
-        if not self._affine:
-            return
-        lossy = 1.0 / self.spec.event_loss_every
-        for kind, block in engine.events_for(daemon.name):
-            if self.random.random() > lossy:
-                daemon.table.prefixes.observe_event(engine.server.name, kind, block)
-
-    def _heartbeat(self, sender: FakeDaemon) -> None:
-        if not sender.works:
-            return
-        in_flight = dict(sender.table.in_flight())
-        own, sender.fresh_reports = sender.fresh_reports, []
-        from_row, sender.row_reports = sender.row_reports, []
-        waiting = (sender.queue.waiting(Rank.PAYING), sender.queue.waiting(Rank.TRIAL))
-        row_waiting = [waiting, *sender.row_waiting.values()]
-        row_sum = tuple(sum(each) for each in zip(*row_waiting, strict=True))
-        for peer in self._rows[sender.name]:
-            if peer.works:
-                peer.row_reports.extend(own)
-                peer.row_waiting[sender.name] = waiting
-                self._tell(sender.name, peer, in_flight, own, waiting)
-        for peer in self._columns[sender.name]:
-            if peer.works:
-                self._tell(sender.name, peer, in_flight, own + from_row, row_sum)
-
-    def _tell(
-        self,
-        sender: str,
-        peer: FakeDaemon,
-        in_flight: Mapping[str, InFlight],
-        reports: Sequence[LoadReport],
-        waiting: tuple[int, ...],
-    ) -> None:
-        self.state_messages += 1
-        for report in reports:
-            peer.table.observe_report(report, self.now)
-        if not self.way.exchanges:
-            return
-        peer.peer_counts[sender] = in_flight
-        peer.table.observe_peer(sender, in_flight, self.now)
-        peer.queue.observe_peer_waiting(sender, waiting[0], self.now, waiting[1])
-        self.pump(peer)
-
     @property
     def _affine(self) -> bool:
         return self.way.uses_prefixes
@@ -375,20 +349,20 @@
 
     def _daemon(self, number: int, servers: Sequence[BackendServer], seed: int) -> FakeDaemon:
         name = f"{self.name}-vm-{number}"
-        table = LoadTable(self.name)
-        table.set_servers(servers)
         excluded = frozenset[str]()
         if self.way.subset is not None:
             names = [s.name for s in servers]
             excluded = frozenset(names) - set(rendezvous(name, names, self.way.subset))
-        return FakeDaemon(
+        daemon = FakeDaemon(
             name=name,
-            table=table,
-            queue=WorkQueue(self.pool),
+            region=self.name,
+            pool=self.pool,
             random=Random(f"{seed}/{name}"),
             servers=[s for s in servers if s.name not in excluded],
             excluded=excluded,
         )
+        daemon.start_anew(servers)
+        return daemon
 
 
 def feed_at_load(
--- a/bench/fakes/ways.py
+++ b/bench/fakes/ways.py
@@ -19,6 +19,8 @@
     has_owner: bool = False
     subset: int | None = None
     uses_prefixes: bool = False
+    # Waiting work whose prefix the free server holds may pass others.
+    looks_ahead: bool = False
     exchanges: bool = True
 
 
@@ -87,7 +89,16 @@
     Way(name="least exchanged in flight", pick=pick_least_exchanged),
 )
 CHARGED = Way(name="cost-charged, no affinity", pick=pick_shipped, has_queue=True)
-SHIPPED = Way(name="cost-charged, affinity", pick=pick_shipped, has_queue=True, uses_prefixes=True)
+FIRST_ONLY = Way(
+    name="cost-charged, affinity, first only", pick=pick_shipped, has_queue=True, uses_prefixes=True
+)
+SHIPPED = Way(
+    name="cost-charged, affinity",
+    pick=pick_shipped,
+    has_queue=True,
+    uses_prefixes=True,
+    looks_ahead=True,
+)
 OWNER = Way(
     name="dispatch by owner",
     pick=pick_by_owner,
@@ -104,5 +115,6 @@
         pick=pick_shipped,
         has_queue=True,
         uses_prefixes=True,
+        looks_ahead=True,
         subset=servers,
     )
--- a/src/pomelobarrow/decision/admission.py
+++ b/src/pomelobarrow/decision/admission.py
@@ -8,7 +8,6 @@
 from pomelobarrow.decision.configuration import Account
 from pomelobarrow.decision.errors import Kind, Refusal, Run
 from pomelobarrow.decision.limits import AccountLimits
-from pomelobarrow.decision.retries import retry_after_unix_s
 from pomelobarrow.decision.work import Work
 from pomelobarrow.decision.work_queue import WorkQueue
 
@@ -58,12 +57,20 @@
     random: Random,
 ) -> Refusal | None:
     """Refuse work that can no longer finish here or finds the queue full."""
-    late = _refuse_late(work, expected_wait_s, expected_service_s, now_unix_s, random)
-    return late or _refuse_full(work, queue, expected_wait_s, now_unix_s, random)
+
+    def retry_at_unix_s() -> float:
+        return queue.retry_at_unix_s(work.rank, expected_wait_s, now_unix_s, random)
+
+    late = _refuse_late(work, expected_wait_s, expected_service_s, now_unix_s, retry_at_unix_s)
+    return late or _refuse_full(work, queue, retry_at_unix_s)
 
 
 def _refuse_late(
-    work: Work, wait_s: float, service_s: float, now_unix_s: float, random: Random
+    work: Work,
+    wait_s: float,
+    service_s: float,
+    now_unix_s: float,
+    retry_at_unix_s: Callable[[], float],
 ) -> Refusal | None:
     if work.deadline_unix_s <= now_unix_s:
         return Refusal(
@@ -79,12 +86,12 @@
         run=Run.NO,
         detail=f"the answer is expected in {wait_s + service_s:.1f} s, after the deadline",
         remedy="come back at Retry-After, or send a later Pomelobarrow-Deadline",
-        retry_at_unix_s=retry_after_unix_s(wait_s, now_unix_s, random),
+        retry_at_unix_s=retry_at_unix_s(),
     )
 
 
 def _refuse_full(
-    work: Work, queue: WorkQueue, wait_s: float, now_unix_s: float, random: Random
+    work: Work, queue: WorkQueue, retry_at_unix_s: Callable[[], float]
 ) -> Refusal | None:
     if not queue.is_full(work.rank):
         return None
@@ -93,7 +100,7 @@
         run=Run.NO,
         detail=f"the queue of {work.rank.value} work for {work.pool} is full",
         remedy="come back at Retry-After",
-        retry_at_unix_s=retry_after_unix_s(wait_s, now_unix_s, random),
+        retry_at_unix_s=retry_at_unix_s(),
     )
 
 
--- /dev/null
+++ b/src/pomelobarrow/decision/pool_wait.py
@@ -0,0 +1,33 @@
+"""Reckon how long new work waits in a region's pool."""
+
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.work import Work
+from pomelobarrow.decision.work_queue import WorkQueue
+
+MIN_DRAIN_PER_S = 1e-6
+# Work of a full pool waits at least for the next slot.
+SLOTS_AHEAD = 1.0
+
+
+def expected_wait_s(table: LoadTable, queue: WorkQueue, work: Work, now_unix_s: float) -> float:
+    """Return the seconds until a server turns to new work: in the queue, then at the server.
+
+    The queue alone says nothing of a pool that is about to be full: its servers' prefill stands
+    before the first token, and a region that tells no more than its queue draws work it delays.
+    """
+    ahead = queue.ahead(work, now_unix_s)
+    drain_per_s = max(table.drain_per_s(work.pool, now_unix_s), MIN_DRAIN_PER_S)
+    s_per_ahead = max(1.0 / drain_per_s, queue.s_per_ahead(work.rank, now_unix_s))
+    return ahead * s_per_ahead + server_wait_s(table, work.pool, now_unix_s)
+
+
+def server_wait_s(table: LoadTable, pool: str, now_unix_s: float) -> float:
+    """Return the mean prefill and slot wait of a pool's servers."""
+    states = table.usable(pool, now_unix_s)
+    if not states:
+        return float("inf")
+    times = table.service_times(pool)
+    tokens = sum(s.own_tokens + s.others_tokens for s in states) / len(states)
+    slots = sum(s.slots for s in states)
+    over_slots = max(0.0, sum(s.requests for s in states) + SLOTS_AHEAD - slots)
+    return tokens * times.s_per_prefill_token + over_slots * times.hold_s / max(slots, 1.0)
--- a/src/pomelobarrow/decision/region_choice.py
+++ b/src/pomelobarrow/decision/region_choice.py
@@ -91,18 +91,28 @@
     random: Random,
 ) -> RegionChoice:
     """Return home unless another region meets the target that home misses."""
-    home = _usable(loads.get(work.home_region), own_region, now_unix_s)
     if work.home_bound:
         return RegionChoice(region=work.home_region, reason=RegionReason.HOME_BOUND)
+    usable = {
+        name: load for name, load in loads.items() if _is_usable(load, own_region, now_unix_s)
+    }
+    home = usable.pop(work.home_region, None)
     reason = _reason_to_leave(work, own_region, home, now_unix_s, random)
     if reason is RegionReason.HOME_MEETS_TARGET:
         return RegionChoice(region=work.home_region, reason=reason)
-    best = _best_elsewhere(work, own_region, loads, now_unix_s)
-    if best is None or (home is not None and not _meets_target(work, best, own_region, now_unix_s)):
+    others = list(usable.values())
+    in_time = [load for load in others if _spare_s(work, load, own_region, now_unix_s) > 0.0]
+    if not in_time and (home is not None or not others):
         return _stay(work, home, RegionReason.HOME_IS_FIRST)
     if not share.allows(work.class_name):
         return _stay(work, home, RegionReason.SHARE_USED_UP)
-    return RegionChoice(region=best.region, reason=reason)
+    if not in_time:
+        least = min(others, key=lambda load: _first_token_s(load, own_region))
+        return RegionChoice(region=least.region, reason=reason)
+    # Every VM of an overloaded region sees the same loads. Were the least loaded region taken, it
+    # would get all that spills and be overloaded before its next heartbeat says so.
+    weights = [load.servers * _spare_s(work, load, own_region, now_unix_s) for load in in_time]
+    return RegionChoice(region=random.choices(in_time, weights)[0].region, reason=reason)
 
 
 def _stay(work: Work, home: RegionLoad | None, reason: RegionReason) -> RegionChoice:
@@ -117,7 +127,7 @@
 ) -> RegionReason:
     if home is None:
         return RegionReason.HOME_LOST
-    if not _meets_target(work, home, own_region, now_unix_s, cold=False):
+    if _spare_s(work, home, own_region, now_unix_s, is_cold=False) <= 0.0:
         return RegionReason.HOME_OVERLOADED
     ramp = (now_unix_s - home.returned_unix_s) / SLOW_START_S
     if random.random() > max(SLOW_START_SHARE, ramp):
@@ -125,31 +135,19 @@
     return RegionReason.HOME_MEETS_TARGET
 
 
-def _best_elsewhere(
-    work: Work, own_region: str, loads: Mapping[str, RegionLoad], now_unix_s: float
-) -> RegionLoad | None:
-    others = [
-        load
-        for region, load in loads.items()
-        if region != work.home_region and _usable(load, own_region, now_unix_s)
-    ]
-    return min(others, key=lambda load: _first_token_s(load, own_region, cold=True), default=None)
-
-
-def _usable(load: RegionLoad | None, own_region: str, now_unix_s: float) -> RegionLoad | None:
-    if load is None or load.servers <= 0:
-        return None
+def _is_usable(load: RegionLoad, own_region: str, now_unix_s: float) -> bool:
     is_fresh = now_unix_s - load.measured_unix_s <= LOAD_GOOD_FOR_S
-    return load if is_fresh or load.region == own_region else None
+    return load.servers > 0 and (is_fresh or load.region == own_region)
 
 
-def _first_token_s(load: RegionLoad, own_region: str, cold: bool) -> float:
+def _first_token_s(load: RegionLoad, own_region: str, is_cold: bool = True) -> float:
     trip_s = 0.0 if load.region == own_region else load.round_trip_s
-    return load.expected_wait_s + trip_s + (load.cold_prefill_s if cold else 0.0)
+    return load.expected_wait_s + trip_s + (load.cold_prefill_s if is_cold else 0.0)
 
 
-def _meets_target(
-    work: Work, load: RegionLoad, own_region: str, now_unix_s: float, cold: bool = True
-) -> bool:
-    first_token_unix_s = now_unix_s + _first_token_s(load, own_region, cold)
-    return first_token_unix_s <= min(work.first_token_due_unix_s, work.deadline_unix_s)
+def _spare_s(
+    work: Work, load: RegionLoad, own_region: str, now_unix_s: float, is_cold: bool = True
+) -> float:
+    """Return the seconds by which a region would be early, negative if late."""
+    first_token_unix_s = now_unix_s + _first_token_s(load, own_region, is_cold)
+    return min(work.first_token_due_unix_s, work.deadline_unix_s) - first_token_unix_s
--- a/src/pomelobarrow/decision/server_choice.py
+++ b/src/pomelobarrow/decision/server_choice.py
@@ -20,6 +20,8 @@
 COMPARED_SERVERS = 16
 # How surely the server that a prompt's group hashes to holds the group's prefix, unseen.
 GROUP_SERVER_TRUST = 0.7
+WARM = "prompt cache"
+LEAST_WAIT = "least expected wait"
 
 
 @frozen
@@ -104,7 +106,7 @@
         server=server,
         expected_wait_s=first_token_s(chosen),
         cached_tokens=min(cached_tokens, work.prompt_tokens),
-        reason="least expected wait" if chosen == emptiest else "prompt cache",
+        reason=WARM if warm.tokens(states[chosen]) else LEAST_WAIT,
     )
 
 
--- a/src/pomelobarrow/decision/work_queue.py
+++ b/src/pomelobarrow/decision/work_queue.py
@@ -2,10 +2,13 @@
 
 from bisect import bisect_left, bisect_right, insort
 from collections.abc import Callable, Iterator
+from random import Random
 
 from attrs import field, frozen
 
 from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.decision.queue_pace import QueuePace
+from pomelobarrow.decision.retry_line import RetryLine
 from pomelobarrow.decision.work import Work
 
 MAX_WAITING = {Rank.PAYING: 2_000, Rank.TRIAL: 500}
@@ -43,6 +46,8 @@
         self._ordered: dict[Rank, list[_Entry]] = {rank: [] for rank in Rank}
         self._by_id: dict[str, _Entry] = {}
         self._peers: dict[str, _PeerWaiting] = {}
+        self._pace = {rank: QueuePace() for rank in Rank}
+        self._retry_lines = {rank: RetryLine() for rank in Rank}
 
     def is_full(self, rank: Rank) -> bool:
         """Say whether a rank's bound is reached."""
@@ -52,22 +57,35 @@
         """Add work; the same request twice counts once."""
         if work.request_id in self._by_id:
             return
+        self._pace[work.rank].pushed(work.request_id, self.ahead(work, now_unix_s), now_unix_s)
         self._sequence += 1
         self._insert(_Entry(due_unix_s(work, now_unix_s), self._sequence, work))
 
     def pop_next(self, now_unix_s: float, may_take: Callable[[Work], bool]) -> Work | None:
         """Take the first work that may be taken; trial only while no paying work waits."""
+        for work in self.first(MAX_SKIPPED + 1, now_unix_s):
+            if may_take(work):
+                self.take(work, now_unix_s)
+                return work
+        return None
+
+    def take(self, work: Work, now_unix_s: float) -> None:
+        """Take out work that found a server."""
+        self._pace[work.rank].taken(work.request_id, now_unix_s)
+        self.remove(work.request_id)
+
+    def first(self, count: int, now_unix_s: float) -> list[Work]:
+        """Return the work that is next: paying, or trial while no paying work waits."""
         self._put_late_ones_back(now_unix_s)
-        work = self._pop(Rank.PAYING, may_take)
-        if work is not None or self.paying_waits(now_unix_s):
-            return work
-        return self._pop(Rank.TRIAL, may_take)
+        rank = Rank.PAYING if self.paying_waits(now_unix_s) else Rank.TRIAL
+        return [entry.work for entry in self._ordered[rank][:count]]
 
     def remove(self, request_id: str) -> bool:
         """Drop work that its caller gave up; say whether it waited here."""
         entry = self._by_id.pop(request_id, None)
         if entry is None:
             return False
+        self._pace[entry.work.rank].left(request_id)
         ordered = self._ordered[entry.work.rank]
         del ordered[bisect_left(ordered, entry)]
         return True
@@ -107,10 +125,24 @@
             return True
         return any(peer.paying for peer in self._heard_peers(now_unix_s))
 
+    def ahead(self, work: Work, now_unix_s: float) -> int:
+        """Count what would go before new work, here and at peers."""
+        return self._ahead_here(work, now_unix_s) + self._ahead_at_peers(work.rank, now_unix_s)
+
     def expected_wait_s(self, work: Work, drain_per_s: float, now_unix_s: float) -> float:
-        """Return the seconds until new work would leave the queue."""
-        ahead = self._ahead_here(work, now_unix_s) + self._ahead_at_peers(work.rank, now_unix_s)
-        return ahead / max(drain_per_s, 1e-6)
+        """Return the seconds until new work would leave the queue, by the servers' speed."""
+        return self.ahead(work, now_unix_s) / max(drain_per_s, 1e-6)
+
+    def s_per_ahead(self, rank: Rank, now_unix_s: float) -> float:
+        """Return the seconds that each request ahead has cost of late, zero where unknown."""
+        return self._pace[rank].s_per_ahead(now_unix_s)
+
+    def retry_at_unix_s(
+        self, rank: Rank, expected_wait_s: float, now_unix_s: float, random: Random
+    ) -> float:
+        """Return when a caller whose work is refused should come back."""
+        taken_per_s = self._pace[rank].taken_per_s(now_unix_s)
+        return self._retry_lines[rank].book(expected_wait_s, taken_per_s, now_unix_s, random)
 
     def _ahead_here(self, work: Work, now_unix_s: float) -> int:
         entry = _Entry(due_unix_s(work, now_unix_s), self._sequence + 1, work)
@@ -132,13 +164,6 @@
         self._by_id[entry.work.request_id] = entry
         insort(self._ordered[entry.work.rank], entry)
 
-    def _pop(self, rank: Rank, may_take: Callable[[Work], bool]) -> Work | None:
-        for entry in self._ordered[rank][: MAX_SKIPPED + 1]:
-            if may_take(entry.work):
-                self.remove(entry.work.request_id)
-                return entry.work
-        return None
-
     def _put_late_ones_back(self, now_unix_s: float) -> None:
         """Order the entries whose target has passed by their deadline."""
         for ordered in self._ordered.values():
