Let the dispatch room take waiting work whose prefix the free server holds

Ruled out: pool_wait.expected_wait_s as it is: without a server it is endless, and what may wait for one would be refused at once.

--- a/src/pomelobarrow/decision/next_placement.py
+++ b/src/pomelobarrow/decision/next_placement.py
@@ -12,6 +12,8 @@
 
 # How many of the first in the queue may be passed by one whose prefix the free server holds.
 LOOKED_AT = 16
+# Returns the placement of some work, or None while no server has room for it.
+ServerChooser = Callable[[LoadTable, Work, float, Random, frozenset[str]], Placement | None]
 
 
 @frozen
@@ -28,6 +30,7 @@
     excluded: Callable[[Work], frozenset[str]],
     now_unix_s: float,
     random: Random,
+    choose: ServerChooser = choose_server,
 ) -> Placed | None:
     """Take the first work that finds its prefix where there is room, else the first with room.
 
@@ -37,7 +40,7 @@
     """
     first: Placed | None = None
     for work in queue.first(LOOKED_AT, now_unix_s):
-        placement = choose_server(table, work, now_unix_s, random, excluded(work))
+        placement = choose(table, work, now_unix_s, random, excluded(work))
         if placement is None:
             continue
         placed = Placed(work, placement)
--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -14,7 +14,7 @@
 from pomelobarrow.decision.costs import OutputEstimate, prefill_tokens
 from pomelobarrow.decision.errors import Kind, Run
 from pomelobarrow.decision.load_table import LoadTable
-from pomelobarrow.decision.retries import retry_after_unix_s
+from pomelobarrow.decision.next_placement import ServerChooser, next_placement
 from pomelobarrow.decision.server_choice import choose_server
 from pomelobarrow.decision.work import Placement, Work
 from pomelobarrow.decision.work_queue import WorkQueue
@@ -29,8 +29,6 @@
 LOOP_STEPS_BEFORE_SENDING = 2
 MIN_DRAIN_PER_S = 1e-6
 
-# Returns the placement of some work, or None while no server has room for it.
-ServerChooser = Callable[[LoadTable, Work, float, Random, frozenset[str]], Placement | None]
 # Runs one attempt on a placed server.
 AttemptRunner = Callable[
     [GatewayRequest, Placement, Attempt, int, AnswerSink, Callable[[], None]],
@@ -111,11 +109,13 @@
     def expected_wait_s(self, work: Work) -> float:
         """Return the seconds that new work would wait for a place here."""
         now = now_unix_s()
-        ahead = self.queue(work.pool).expected_wait_s(work, drain_per_s=1.0, now_unix_s=now)
+        queue = self.queue(work.pool)
+        ahead = queue.ahead(work, now)
         if not ahead:
             # Mostly nothing waits, and adding up the servers costs more than all the rest here.
             return 0.0
-        return ahead / max(self.table.drain_per_s(work.pool, now), MIN_DRAIN_PER_S)
+        drain_per_s = max(self.table.drain_per_s(work.pool, now), MIN_DRAIN_PER_S)
+        return ahead * max(1.0 / drain_per_s, queue.s_per_ahead(work.rank, now))
 
     def _check_room(self, work: Work) -> None:
         refusal = refuse_unservable(
@@ -159,26 +159,20 @@
         return self.table.service_times(work.pool).hold_s if work.rank is Rank.TRIAL else 0.0
 
     def _place_next(self, queue: WorkQueue, now: float) -> bool:
-        found: list[Placement] = []
-
-        def may_take(work: Work) -> bool:
-            waiter = self._waiters[work.request_id]
-            placement = self.choose(self.table, work, now, self.rng, waiter.excluded)
-            if placement is not None:
-                found.append(placement)
-            return placement is not None
-
-        work = queue.pop_next(now, may_take)
-        if work is None:
+        placed = next_placement(queue, self.table, self._excluded, now, self.rng, self.choose)
+        if placed is None:
             return False
+        work, placement = placed.work, placed.placement
         waiter = self._waiters.pop(work.request_id)
-        placement = found[-1]
         tokens = prefill_tokens(work, placement.cached_tokens)
         kv_tokens = work.prompt_tokens + work.expected_output_tokens
         self.table.charge(work.request_id, placement.server.name, tokens, now, kv_tokens)
         waiter.placed.set_result(placement)
         return True
 
+    def _excluded(self, work: Work) -> frozenset[str]:
+        return self._waiters[work.request_id].excluded
+
     async def _wait_for_place(self, request: GatewayRequest, excluded: frozenset[str]) -> Placement:
         work = request.work
         placed: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
@@ -204,7 +198,8 @@
         if waiter is None or waiter.placed.done():
             return
         wait_s, detail = self.expected_wait_s(work), "it can no longer finish by its deadline"
-        retry_at_unix_s = retry_after_unix_s(wait_s, now_unix_s(), self.rng)
+        queue = self.queue(work.pool)
+        retry_at_unix_s = queue.retry_at_unix_s(work.rank, wait_s, now_unix_s(), self.rng)
         refusal = refuse(Kind.DEADLINE_PASSED, Run.NO, detail, retry_at_unix_s)
         waiter.placed.set_exception(RefusedError(refusal))
 
