Resume a forwarded stream through any peer of its region

Cause: a stream passed on between regions ended with an error event when the link to its executing peer was lost or that peer was killed or frozen, although the engine still held the work.

Change: the entry VM counts the whole events it has passed on and, when the forward is lost after the first token, calls Resume at a live peer of that region, which fetches the rest from the same backend server. The code behind Resume can only ask for events. A peer whose connection to the entry VM is lost no longer cancels the engine's work; a reset stream, Cancel and the deadline still do. Cancel with keeps_work ends a relay that another peer has taken over.

Ruled out: a buffer at the executing peer (dies with it), a restart elsewhere (computes twice, barred for what may not be repeated), fields in Forward (an older peer would run the request anew), a cancel by the executing peer after a grace (could hit the stream its neighbour has taken over; the engine's 30 s without a reader are the grace). docs/design/resume.md.

Conclusion: a lost link or peer is a pause for the caller. The price: when an entry VM dies, its streams in other regions go on for 30 s at most.

--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -59,6 +59,8 @@
     whole: WholeAnswer | None = None
     head_passed: bool = False
     sent_unix_s: float = 0.0
+    # True where another VM has sent the request and only the rest is fetched here.
+    is_rest: bool = False
 
     async def run(self) -> AttemptResult:
         """Run to an end; a cancelled caller cancels the engine's work too."""
@@ -66,15 +68,28 @@
             self.whole = WholeAnswer(MAX_WHOLE_ANSWER_BYTES)
         try:
             async with asyncio.timeout(self._remaining_s()):
+                if self.is_rest:
+                    return await self._resume_until_ended()
                 return await self._send_and_relay()
         except TimeoutError:
             return await self._give_up("the deadline passed", LAST_WORD_S)
         except TooLargeError as error:
             return await self._give_up(str(error))
         except (CallerGoneError, asyncio.CancelledError):
-            await asyncio.shield(self._give_up("nobody waits for the answer"))
+            if not self._may_be_resumed():
+                await asyncio.shield(self._give_up("nobody waits for the answer"))
             raise
 
+    def _may_be_resumed(self) -> bool:
+        """Tell whether the entry VM may fetch the rest through another VM.
+
+        When the link to the entry VM is lost, its caller may still wait. Cancelled here, the
+        engine would bring the other VM an error in the middle of the answer. The engine itself
+        drops what nobody reads for 30 s and sees every reader, which no single VM does.
+        """
+        is_begun = self.is_rest or (self.head_passed and self.request.is_streamed)
+        return is_begun and self.request.is_reader_lost()
+
     async def _send_and_relay(self) -> AttemptResult:
         try:
             refused = await self._send()
@@ -138,7 +153,9 @@
             fruitless = 0 if self.counter.whole_events > events_before else fruitless + 1
         if self.counter.is_ended:
             return await self._finish()
-        return await self._give_up("the stream broke off and could not be resumed")
+        reason = "the stream broke off and could not be resumed"
+        # Where this VM can't reach the engine, another one may.
+        return self._lost(reason) if self.is_rest else await self._give_up(reason)
 
     async def _resume(self) -> bool:
         self.counter.drop_partial()
--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -5,12 +5,13 @@
 from mode import Service
 
 from pomelobarrow.backends.engine import EngineAttempt
+from pomelobarrow.backends.events import EventCounter
 from pomelobarrow.backends.orders import OrderSender
 from pomelobarrow.backends.reports import LoadPoller
 from pomelobarrow.backends.service import ServiceAttempt
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.backends.shares import ServerShare
-from pomelobarrow.decision.attempt import Attempt
+from pomelobarrow.decision.attempt import Attempt, AttemptEvent
 from pomelobarrow.decision.configuration import PoolKind
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.membership import MembershipView
@@ -19,6 +20,7 @@
 from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
 from pomelobarrow.dispatch.local import AttemptRunner, LocalDispatch
 from pomelobarrow.dispatch.request import GatewayRequest
+from pomelobarrow.dispatch.resumed import RestFetcher
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, hookimpl
@@ -47,7 +49,7 @@
     context.provide(BackendSessions, lambda c: BackendSessions(c.settings.dial))
     context.provide(LoadTable, lambda c: LoadTable(c.settings.region))
     context.provide(LoadPoller, _poller)
-    context.provide(AttemptRunnerPart, lambda c: AttemptRunnerPart(_runner(c)))
+    context.provide(AttemptRunnerPart, lambda c: AttemptRunnerPart(_runner(c), _fetcher(c)))
     context.provide(OrderBook, lambda _: OrderBook())
     context.hooks.register(_PauseObserver(context))
 
@@ -83,10 +85,11 @@
 
 
 class AttemptRunnerPart:
-    """Hold the function that runs one attempt."""
+    """Hold the functions that run one attempt and that fetch the rest of one."""
 
-    def __init__(self, run: AttemptRunner) -> None:
+    def __init__(self, run: AttemptRunner, fetch_rest: RestFetcher) -> None:
         self.run = run
+        self.fetch_rest = fetch_rest
 
 
 def _runner(context: Context) -> AttemptRunner:
@@ -117,6 +120,33 @@
     return run
 
 
+def _fetcher(context: Context) -> RestFetcher:
+    sessions, traces = context.get(BackendSessions), context.get(Traces)
+
+    async def fetch_rest(
+        request: GatewayRequest, server: BackendServer, from_event: int, sink: AnswerSink
+    ) -> AttemptResult:
+        attempt = Attempt()
+        # Another VM has sent it.
+        attempt.apply(AttemptEvent.SEND)
+        with traces.span("rest", request.traceparent, server=server.name) as span:
+            result = await EngineAttempt(
+                sessions=sessions,
+                request=request,
+                server=server,
+                attempt=attempt,
+                number=1,
+                sink=sink,
+                on_first_byte=lambda: None,
+                counter=EventCounter(whole_events=from_event),
+                is_rest=True,
+            ).run()
+            span.set("state", result.state.value)
+            return result
+
+    return fetch_rest
+
+
 def _poller(context: Context) -> LoadPoller:
     return LoadPoller(
         own_vm=context.settings.vm,
--- a/src/pomelobarrow/dispatch/entry.py
+++ b/src/pomelobarrow/dispatch/entry.py
@@ -1,6 +1,7 @@
 """Take a request from a caller or a peer and count it until it ends."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from functools import partial
 
 from attrs import define, field
@@ -14,9 +15,12 @@
 from pomelobarrow.dispatch.claims import ClaimedDispatch
 from pomelobarrow.dispatch.dispatcher import Dispatcher
 from pomelobarrow.dispatch.request import GatewayRequest
+from pomelobarrow.dispatch.resumed import ResumedDispatch
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.operators.traces import Traces
 
+Runner = Callable[[GatewayRequest], Awaitable[Refusal | None]]
+
 
 @define(kw_only=True)
 class EntryDispatch:
@@ -24,6 +28,7 @@
 
     dispatcher: Dispatcher
     claims: ClaimedDispatch
+    resumed: ResumedDispatch
     limits: AccountLimits
     traces: Traces
     in_progress: int = 0
@@ -37,7 +42,7 @@
         if isinstance(admitted, Err):
             return await self._over_limit(request, admitted.err_value, sink)
         try:
-            return await self._counted("entry", request, sink)
+            return await self._counted("entry", request, partial(self._dispatch, sink=sink))
         finally:
             release = partial(self.limits.release, account.name)
             self.claims.after_run(request.work.request_id, release)
@@ -51,7 +56,14 @@
 
     async def dispatch_forwarded(self, request: GatewayRequest, sink: AnswerSink) -> Refusal | None:
         """Answer a peer's request; its entry VM has counted it against the account."""
-        return await self._counted("forwarded", request, sink)
+        return await self._counted("forwarded", request, partial(self._dispatch, sink=sink))
+
+    async def resume_forwarded(
+        self, request: GatewayRequest, server: str, from_event: int, sink: AnswerSink
+    ) -> Refusal | None:
+        """Fetch the rest of a peer's stream; nothing here can run it."""
+        fetch = partial(self.resumed.fetch, server_name=server, from_event=from_event, sink=sink)
+        return await self._counted("resumed", request, fetch)
 
     async def wait_until_idle(self) -> None:
         """Return once nothing is in progress on this VM."""
@@ -60,21 +72,21 @@
             await self._idle.wait()
         await self.claims.wait_until_idle()
 
-    async def _counted(self, hop: str, request: GatewayRequest, sink: AnswerSink) -> Refusal | None:
+    async def _counted(self, hop: str, request: GatewayRequest, run: Runner) -> Refusal | None:
         self.in_progress += 1
         try:
-            return await self._traced(hop, request, sink)
+            return await self._traced(hop, request, run)
         finally:
             self.in_progress -= 1
             if not self.in_progress:
                 self._idle.set()
 
-    async def _traced(self, hop: str, request: GatewayRequest, sink: AnswerSink) -> Refusal | None:
+    async def _traced(self, hop: str, request: GatewayRequest, run: Runner) -> Refusal | None:
         work = request.work
         with self.traces.span(
             hop, request.traceparent, request_id=work.request_id, class_name=work.class_name
         ) as span:
-            refusal = await self._dispatch(request.with_traceparent(span.traceparent), sink)
+            refusal = await run(request.with_traceparent(span.traceparent))
             span.set("outcome", refusal.kind.label if refusal else "answered")
             return refusal
 
--- a/src/pomelobarrow/dispatch/plugin.py
+++ b/src/pomelobarrow/dispatch/plugin.py
@@ -13,6 +13,7 @@
 from pomelobarrow.dispatch.entry import EntryDispatch
 from pomelobarrow.dispatch.forwarder import Forwarder
 from pomelobarrow.dispatch.local import LocalDispatch, QueueSweeper
+from pomelobarrow.dispatch.resumed import ResumedDispatch
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
 from pomelobarrow.operators.traces import Traces
@@ -98,6 +99,9 @@
     return EntryDispatch(
         dispatcher=context.get(Dispatcher),
         claims=context.get(ClaimedDispatch),
+        resumed=ResumedDispatch(
+            table=context.get(LoadTable), fetch_rest=context.get(AttemptRunnerPart).fetch_rest
+        ),
         limits=context.get(AccountLimits),
         traces=context.get(Traces),
     )
--- a/src/pomelobarrow/dispatch/request.py
+++ b/src/pomelobarrow/dispatch/request.py
@@ -1,5 +1,6 @@
 """A request as the dispatcher sees it."""
 
+from collections.abc import Callable
 from typing import Self
 
 from attrs import evolve, field, frozen
@@ -28,6 +29,9 @@
     # Set on a request that another entry VM passed on: it runs here or is refused, so no
     # view of the fleet, however wrong, can send it in a circle.
     forwarded_by: str | None = None
+    # Asked when the reader has gone: True where it may fetch the rest of a stream through another
+    # VM, so that the backend server must not be told to cancel.
+    is_reader_lost: Callable[[], bool] = field(default=lambda: False, eq=False)
     # Filled in as attempts start, so that whoever cancels can say whether any may have run.
     attempts: list[Attempt] = field(factory=list, eq=False)
 
--- /dev/null
+++ b/src/pomelobarrow/dispatch/resumed.py
@@ -0,0 +1,40 @@
+"""Fetch the rest of a stream that another entry VM of this region relayed before."""
+
+from collections.abc import Awaitable, Callable
+
+from attrs import define
+
+from pomelobarrow.decision.errors import Kind, Refusal, Run
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.work import BackendServer
+from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
+from pomelobarrow.dispatch.refusals import refuse
+from pomelobarrow.dispatch.request import GatewayRequest
+
+# Fetches the events of a request from one on; it can't send the request.
+RestFetcher = Callable[[GatewayRequest, BackendServer, int, AnswerSink], Awaitable[AttemptResult]]
+
+
+@define(kw_only=True)
+class ResumedDispatch:
+    """Hold what fetching the rest of a stream needs."""
+
+    table: LoadTable
+    fetch_rest: RestFetcher
+
+    async def fetch(
+        self, request: GatewayRequest, server_name: str, from_event: int, sink: AnswerSink
+    ) -> Refusal | None:
+        """Relay the rest from the server that runs the request, or return why not."""
+        listed = self.table.pool_servers(request.work.pool)
+        server = next((each for each in listed if each.name == server_name), None)
+        if server is None:
+            detail = f"{server_name} isn't listed in this region"
+            return refuse(Kind.OUTCOME_UNKNOWN, Run.UNKNOWN, detail)
+        result = await self.fetch_rest(request, server, from_event, sink)
+        if result.is_finished:
+            return None
+        refusal = refuse(Kind.OUTCOME_UNKNOWN, Run.UNKNOWN, result.detail)
+        if result.head_passed:
+            await sink.broken(refusal)
+        return refusal
--- a/src/pomelobarrow/peers/forward_client.py
+++ b/src/pomelobarrow/peers/forward_client.py
@@ -22,6 +22,8 @@
 from pomelobarrow.operators.traces import Traces
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.calls import LOST, start_call, take_back_cancels
+from pomelobarrow.peers.forward_cancel import CANCEL_TIMEOUT_S, cancel_forward
+from pomelobarrow.peers.forward_resume import Relayed, RestOfForward
 from pomelobarrow.peers.keys import PeerKeys
 from pomelobarrow.peers.links import PeerLink
 from pomelobarrow.peers.peers_grpc import PeerStub
@@ -29,8 +31,6 @@
 from pomelobarrow.peers.table import PeerTable
 
 FORWARD_PATH = "/pomelobarrow.peers.v1.Peer/Forward"
-CANCEL_PATH = "/pomelobarrow.peers.v1.Peer/Cancel"
-CANCEL_TIMEOUT_S = 1.5
 # Past its deadline the caller waits no longer for the peer's word: two round trips between regions.
 LAST_WORD_S = 0.3
 
@@ -48,6 +48,10 @@
     rng: Random = field(factory=Random)
     _serials: "itertools.count[int]" = field(factory=itertools.count)
 
+    def next_serial(self) -> int:
+        """Count one more forward."""
+        return next(self._serials)
+
     def region_loads(self, work: Work) -> Mapping[str, RegionLoad]:
         """Return what is known of the other regions' pools."""
         return self.loads.for_pool(work.pool)
@@ -114,7 +118,7 @@
             attempt=attempt,
             sink=sink,
             is_claim=is_claim,
-            serial=next(self._serials),
+            serial=self.next_serial(),
         )
         try:
             async with asyncio.timeout(max(0.0, request.work.deadline_unix_s - now_unix_s())):
@@ -149,6 +153,7 @@
     is_claim: bool
     serial: int
     head_passed: bool = False
+    relayed: Relayed = field(factory=Relayed)
 
     async def run(self) -> AttemptResult:
         """Send, relay the answer, and learn how it ended."""
@@ -156,7 +161,36 @@
             with take_back_cancels():
                 return await self._converse(await self.link.up_channel())
         except LOST as error:
-            return await self.lose(repr(error))
+            return await self._resume_or_lose(repr(error))
+
+    async def _resume_or_lose(self, detail: str) -> AttemptResult:
+        """Fetch the rest through any peer of the region; the engine still holds the work."""
+        if not self.relayed.is_resumable:
+            return await self.lose(detail)
+        rest = self._rest()
+        await rest.release(self.member, self.serial)
+        if not await rest.fetch():
+            return await self.lose(detail)
+        return await self._finish()
+
+    def _rest(self) -> RestOfForward:
+        message = self._message()
+        message.ClearField("headers")
+        message.ClearField("body")
+        forwarder = self.forwarder
+        return RestOfForward(
+            own=forwarder.own,
+            view=forwarder.view,
+            table=forwarder.table,
+            keys=forwarder.keys,
+            traces=forwarder.traces,
+            rng=forwarder.rng,
+            next_serial=forwarder.next_serial,
+            region=self.member.region,
+            message=message,
+            sink=self.sink,
+            relayed=self.relayed,
+        )
 
     async def lose(self, detail: str, within_s: float = CANCEL_TIMEOUT_S) -> AttemptResult:
         """Ask on a new connection whether it ran; without a clear answer it may have."""
@@ -172,7 +206,6 @@
         """Tell the peer to drop the request; return what it says became of it."""
         if self.attempt.state is AttemptState.NOT_SENT:
             return "not_run"
-        channel = self.link.open_channel()
         message = pb.CancelRequest(
             request_id=self.request.work.request_id,
             forwarded_by=self.forwarder.own.vm,
@@ -181,16 +214,7 @@
             serial=self.serial,
             deadline_unix_s=self.request.work.deadline_unix_s,
         )
-        metadata = self.forwarder.keys.metadata(self.forwarder.own.vm, CANCEL_PATH)
-        try:
-            with take_back_cancels():
-                async with asyncio.timeout(CANCEL_TIMEOUT_S):
-                    reply = await PeerStub(channel).Cancel(message, metadata=metadata)
-                    return str(reply.outcome)
-        except (*LOST, AttributeError):
-            return "unknown"
-        finally:
-            channel.close()
+        return await cancel_forward(self.link, self.forwarder.keys, message)
 
     async def _converse(self, channel: Channel) -> AttemptResult:
         metadata = self.forwarder.keys.metadata(self.forwarder.own.vm, FORWARD_PATH)
@@ -203,7 +227,7 @@
             while True:
                 event = await stream.recv_message()
                 if event is None:
-                    return await self.lose("the answer stopped without an end")
+                    raise ConnectionError("the answer stopped without an end")
                 result = await self._take(event)
                 if result is not None:
                     return result
@@ -211,6 +235,7 @@
     async def _take(self, event: pb.ForwardEvent) -> AttemptResult | None:
         kind = event.WhichOneof("kind")
         if kind == "chunk":
+            self.relayed.observe_chunk(event.chunk)
             await self.sink.chunk(event.chunk)
             return None
         if kind == "head":
@@ -223,6 +248,7 @@
     async def _take_head(self, head: pb.Head) -> None:
         self.attempt.apply(AttemptEvent.FIRST_BYTE)
         self.head_passed = True
+        self.relayed.observe_head(head, self.request.is_streamed)
         headers = tuple((each.name, each.value) for each in head.headers)
         await self.sink.head(AnswerHead(head.status, headers, head.server))
 
@@ -230,6 +256,9 @@
         if not end.complete:
             self.attempt.apply(AttemptEvent.LOSE)
             return self._result(end.detail)
+        return await self._finish()
+
+    async def _finish(self) -> AttemptResult:
         await self.sink.end()
         self.attempt.apply(AttemptEvent.END)
         return self._result("")
--- a/src/pomelobarrow/peers/forward_server.py
+++ b/src/pomelobarrow/peers/forward_server.py
@@ -1,9 +1,10 @@
 """Run what a peer passed on, or refuse it; nothing here can pass it on again."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 from grpclib.exceptions import StreamTerminatedError
 
 from pomelobarrow.decision.attempt import run_verdict
@@ -31,6 +32,7 @@
     def __init__(self, stream) -> None:  # type: ignore[no-untyped-def]
         self._stream = stream
         self.head_passed = False
+        self.is_taken_over = False
 
     async def head(self, head: AnswerHead) -> None:
         """Send status and headers."""
@@ -52,6 +54,16 @@
         """Say that the answer stops short."""
         await self.send(pb.ForwardEvent(end=pb.End(complete=False, detail=refusal.detail)))
 
+    def is_lost(self) -> bool:
+        """Tell whether the entry VM may fetch the rest elsewhere.
+
+        It resets the stream of a caller that left, on a connection that stays open. A closed
+        connection says nothing of the caller.
+        """
+        # grpclib has no public way to the transport.
+        transport = self._stream.peer._transport if self._stream.peer else None
+        return self.is_taken_over or transport is None or transport.is_closing()
+
     async def send(self, event: pb.ForwardEvent) -> None:
         """Send one event."""
         try:
@@ -66,6 +78,7 @@
 
     request: GatewayRequest
     task: "asyncio.Task[Refusal | None]"
+    sink: ForwardSink
 
     async def cancel(self) -> str:
         """End it; "not_run" where every attempt so far is certain not to have run."""
@@ -100,6 +113,16 @@
         if refusal is not None and not sink.head_passed:
             await sink.send(pb.ForwardEvent(refusal=_refusal_message(refusal)))
 
+    async def resume(self, stream, vm: str) -> None:  # type: ignore[no-untyped-def]
+        """Relay the rest of a stream from the server that runs it, or refuse."""
+        message = await stream.recv_message()
+        if message is None:
+            return
+        sink = ForwardSink(stream)
+        refusal = await self._fetch(message, vm, sink)
+        if refusal is not None and not sink.head_passed:
+            await sink.send(pb.ForwardEvent(refusal=_refusal_message(refusal)))
+
     async def cancel(self, request: pb.CancelRequest, vm: str) -> str:
         """Drop a request; say "not_run" only where that is certain and stays so."""
         if request.executor_incarnation != self.incarnation:
@@ -108,6 +131,7 @@
         key = ForwardKey(vm, request.forwarded_by_incarnation, request.serial)
         running = self._running.get(key)
         if running is not None:
+            running.sink.is_taken_over = request.keeps_work
             return await running.cancel()
         deadline_unix_s = self.offsets.to_local(vm, request.deadline_unix_s)
         is_certain = self.book.cancel(key, deadline_unix_s, now_unix_s())
@@ -122,9 +146,29 @@
         request = self._request(message, vm)
         if isinstance(request, Refusal):
             return request
+        request = evolve(request, is_reader_lost=sink.is_lost)
+        answer = self.entry.dispatch_forwarded(request, sink)
+        return await self._answer(key, request, sink, answer)
+
+    async def _fetch(self, message: pb.ResumeRequest, vm: str, sink: ForwardSink) -> Refusal | None:
+        request = self._request(message.request, vm)
+        if isinstance(request, Refusal):
+            return request
+        request = evolve(request, is_reader_lost=sink.is_lost)
+        key = ForwardKey(vm, message.request.forwarded_by_incarnation, message.request.serial)
+        answer = self.entry.resume_forwarded(request, message.server, message.from_event, sink)
+        return await self._answer(key, request, sink, answer)
+
+    async def _answer(
+        self,
+        key: ForwardKey,
+        request: GatewayRequest,
+        sink: ForwardSink,
+        answer: Coroutine[Any, Any, Refusal | None],
+    ) -> Refusal | None:
         self.book.note_seen(key, now_unix_s())
-        task = asyncio.ensure_future(self.entry.dispatch_forwarded(request, sink))
-        self._running[key] = Running(request=request, task=task)
+        task = asyncio.ensure_future(answer)
+        self._running[key] = Running(request=request, task=task, sink=sink)
         try:
             return await task
         except CallerGoneError:
--- a/src/pomelobarrow/peers/peers_grpc.py
+++ b/src/pomelobarrow/peers/peers_grpc.py
@@ -22,6 +22,10 @@
     async def Forward(self, stream: 'grpclib.server.Stream[pomelobarrow.peers.peers_pb2.ForwardRequest, pomelobarrow.peers.peers_pb2.ForwardEvent]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Resume(self, stream: 'grpclib.server.Stream[pomelobarrow.peers.peers_pb2.ResumeRequest, pomelobarrow.peers.peers_pb2.ForwardEvent]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Cancel(self, stream: 'grpclib.server.Stream[pomelobarrow.peers.peers_pb2.CancelRequest, pomelobarrow.peers.peers_pb2.CancelReply]') -> None:
         pass
@@ -44,6 +48,12 @@
                 pomelobarrow.peers.peers_pb2.ForwardRequest,
                 pomelobarrow.peers.peers_pb2.ForwardEvent,
             ),
+            '/pomelobarrow.peers.v1.Peer/Resume': grpclib.const.Handler(
+                self.Resume,
+                grpclib.const.Cardinality.UNARY_STREAM,
+                pomelobarrow.peers.peers_pb2.ResumeRequest,
+                pomelobarrow.peers.peers_pb2.ForwardEvent,
+            ),
             '/pomelobarrow.peers.v1.Peer/Cancel': grpclib.const.Handler(
                 self.Cancel,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -74,6 +84,12 @@
             pomelobarrow.peers.peers_pb2.ForwardRequest,
             pomelobarrow.peers.peers_pb2.ForwardEvent,
         )
+        self.Resume = grpclib.client.UnaryStreamMethod(
+            channel,
+            '/pomelobarrow.peers.v1.Peer/Resume',
+            pomelobarrow.peers.peers_pb2.ResumeRequest,
+            pomelobarrow.peers.peers_pb2.ForwardEvent,
+        )
         self.Cancel = grpclib.client.UnaryUnaryMethod(
             channel,
             '/pomelobarrow.peers.v1.Peer/Cancel',
--- a/src/pomelobarrow/peers/server.py
+++ b/src/pomelobarrow/peers/server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
+from typing import Any
 
 import structlog
 from grpclib.const import Status
@@ -84,6 +85,13 @@
             await self._forwards.forward(stream, vm)
             await _flush(stream)
 
+    async def Resume(self, stream: Stream[pb.ResumeRequest, pb.ForwardEvent]) -> None:  # noqa: N802
+        """Fetch the rest of a forwarded stream."""
+        vm = self._peer(stream.metadata, "Resume")
+        with self._counted():
+            await self._forwards.resume(stream, vm)
+            await _flush(stream)
+
     async def Cancel(self, stream: Stream[pb.CancelRequest, pb.CancelReply]) -> None:  # noqa: N802
         """Drop a forwarded request."""
         vm = self._peer(stream.metadata, "Cancel")
@@ -155,7 +163,7 @@
         await stream.send_message(await outbox.get())
 
 
-async def _flush(stream: Stream[pb.ForwardRequest, pb.ForwardEvent]) -> None:
+async def _flush(stream: Stream[Any, pb.ForwardEvent]) -> None:
     """Return once the transport is empty: what it still holds is lost when the process ends."""
     # grpclib has no public way to the transport.
     transport = stream.peer._transport if stream.peer else None
--- a/tests/peer_calls.py
+++ b/tests/peer_calls.py
@@ -10,6 +10,7 @@
 from pomelobarrow.kernel.settings import PeerKey
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.forward_client import FORWARD_PATH
+from pomelobarrow.peers.forward_resume import RESUME_PATH
 from pomelobarrow.peers.keys import PeerKeys
 from pomelobarrow.peers.peers_grpc import PeerStub
 
@@ -55,6 +56,20 @@
     return result
 
 
+async def resume(fleet: Fleet, vm: str, message: pb.ResumeRequest, by: str) -> Forwarded:
+    """Ask an entry VM past the proxy for the rest of a stream."""
+    keys = PeerKeys((PeerKey(**PEER_KEY),))
+    channel, result = Channel(HOST, fleet.entries[vm].peer_port), Forwarded()
+    try:
+        async with PeerStub(channel).Resume.open(metadata=keys.metadata(by, RESUME_PATH)) as call:
+            await call.send_message(message, end=True)
+            async for event in call:
+                _take(event, result)
+    finally:
+        channel.close()
+    return result
+
+
 def _take(event: pb.ForwardEvent, result: Forwarded) -> None:
     kind = event.WhichOneof("kind")
     if kind == "refusal":
--- a/tests/test_proof_peers_only.py
+++ b/tests/test_proof_peers_only.py
@@ -30,6 +30,17 @@
         path="/stranger",
         headers=[pb.Header(name="X-Marker", value="stranger")],
     ),
+    "Resume": pb.ResumeRequest(
+        request=pb.ForwardRequest(
+            request_id="stranger-1",
+            forwarded_by="milan-2",
+            deadline_unix_s=time.time() + 600.0,
+            class_name="draft",
+            account="paying-milan",
+            home_region="milan",
+        ),
+        server="drafting-milan-1",
+    ),
     "Cancel": pb.CancelRequest(request_id="stranger-1", forwarded_by="milan-2"),
     "HandOver": pb.HandOverRequest(vm="milan-2", incarnation=1, secret=b"s" * 32),
     "Exchange": pb.PeerMessage(
