--- a/tests/test_proof_isolation.py
+++ b/tests/test_proof_isolation.py
@@ -102,9 +102,9 @@
     rondinella: Fleet, figure: Figure, cut: Cut, has_platform: bool
 ) -> None:
     # Callers in Milan and in Turin ask on while Milan's links to the other regions are cut, both
-    # ways, only outwards or only inwards, with and without the platform. Nobody notices: each is answered in
-    # its own region. A daemon started in Milan meanwhile serves too, on what the VM beside it
-    # holds. After healing all views agree again.
+    # ways, only outwards or only inwards, with and without the platform. Nobody notices: each is
+    # answered in its own region. A daemon started in Milan meanwhile serves too, on what the VM
+    # beside it holds. After healing all views agree again.
     fleet = rondinella
     turin, (milan, replaced) = fleet.in_region("turin"), fleet.in_region(CUT)
     async with traffic(fleet, milan) as own, traffic(fleet, *turin) as others:
