Give waiting work its server by half the time to its target; add the decision bench

Cause: work due at its target got its server just too late in an overload. Change: work is due half-way to its target, then at its deadline; `python -m bench.decision_bench` compares ways to choose servers, dispatch, order, spill, limit and send back, in memory. Ruled out: first come, target alone, deadline alone, target then deadline.

--- /dev/null
+++ b/bench/decisions/account_limits.py
@@ -0,0 +1,184 @@
+"""Measure how far VMs without shared state pass an account's limit."""
+
+from bisect import bisect_left
+from collections.abc import Callable
+from random import Random
+from typing import Any, Protocol
+
+from attrs import define, field
+from result import Err, Ok, Result
+
+from pomelobarrow.decision.configuration import Account
+from pomelobarrow.decision.demand import Demand
+from pomelobarrow.decision.limits import AccountLimits
+from pomelobarrow.decision.rate_meter import RateMeter
+
+ACCOUNT = "shops"
+HEARTBEAT_S = 1.0
+TICK_S = 0.01
+SECONDS = 60.0
+WINDOW_S = 10.0
+STEADY_UNIX_S = 20.0
+CHANGE_TOLD = 0.25
+PARTED_FROM_UNIX_S = 15.0
+
+# Requests a second asked for at one VM, as a multiple of the limit.
+Offer = Callable[[int, float, int], float]
+
+
+class Limiter(Protocol):
+    """Admit requests and exchange demand."""
+
+    def admit(self, account: Account, now_unix_s: float) -> Result[None, float]:
+        """Admit one request or say when to come back."""
+
+    def demand(self, now_unix_s: float) -> dict[str, float]:
+        """Return the demand to tell."""
+
+    def observe_peer_demand(self, vm: str, rates: dict[str, float], now_unix_s: float) -> None:
+        """Take in a peer's demand."""
+
+
+@define
+class EvenLimiter:
+    """Give each VM the same part of the limit; a way to compare with."""
+
+    vms: int
+    _meter: RateMeter = field(factory=RateMeter)
+
+    def admit(self, account: Account, now_unix_s: float) -> Result[None, float]:
+        """Admit within the even part."""
+        return _meter(self._meter, account.max_requests_per_s / self.vms, now_unix_s)
+
+    def demand(self, now_unix_s: float) -> dict[str, float]:
+        """Tell nothing."""
+        return {}
+
+    def observe_peer_demand(self, vm: str, rates: dict[str, float], now_unix_s: float) -> None:
+        """Take in nothing."""
+
+
+@define
+class EagerLimiter:
+    """Give each VM its part of the demand as it sees it now; a way to compare with."""
+
+    vms: int
+    _meter: RateMeter = field(factory=RateMeter)
+    _demand: Demand = field(factory=Demand)
+    _peers: dict[str, float] = field(factory=dict)
+
+    def admit(self, account: Account, now_unix_s: float) -> Result[None, float]:
+        """Admit within the share that the own demand has of all known."""
+        self._demand.count(now_unix_s)
+        own = self._demand.rate_per_s(now_unix_s)
+        share = own / max(own + sum(self._peers.values()), 1e-9)
+        return _meter(self._meter, account.max_requests_per_s * share, now_unix_s)
+
+    def demand(self, now_unix_s: float) -> dict[str, float]:
+        """Tell the rate of now."""
+        return {ACCOUNT: self._demand.rate_per_s(now_unix_s)}
+
+    def observe_peer_demand(self, vm: str, rates: dict[str, float], now_unix_s: float) -> None:
+        """Take in a peer's rate."""
+        self._peers[vm] = rates.get(ACCOUNT, 0.0)
+
+
+def _shipped(vms: int) -> Limiter:
+    limits = AccountLimits()
+    limits.set_region_vms(vms)
+    return limits  # type: ignore[return-value]
+
+
+WAYS: dict[str, Callable[[int], Limiter]] = {
+    "even": EvenLimiter,
+    "eager": EagerLimiter,
+    "shipped": _shipped,
+}
+OFFERS: dict[str, Offer] = {
+    "80%, all VMs": lambda vm, now, vms: 0.8 / vms,
+    "80%, one VM": lambda vm, now, vms: 0.8 if vm == 0 else 0.0,
+    "300%, all VMs": lambda vm, now, vms: 3.0 / vms,
+    "300%, all VMs from 20 s on": lambda vm, now, vms: 3.0 / vms if now > STEADY_UNIX_S else 0.0,
+    "300%, one VM": lambda vm, now, vms: 3.0 if vm == 0 else 0.0,
+    "300%, moving each 5 s": lambda vm, now, vms: 3.0 if vm == int(now / 5.0) % vms else 0.0,
+}
+
+
+def run(way: str, offer: str, limit_per_s: float, vms: int, seed: int) -> dict[str, Any]:
+    """Measure one way under one demand."""
+    return _run(way, OFFERS[offer], limit_per_s, vms, seed) | {"offer": offer}
+
+
+def run_parted(limit_per_s: float, vms: int, seed: int) -> dict[str, Any]:
+    """Part the VMs in two halves for good, with more demand than limit in both."""
+    result = _run("shipped", OFFERS["300%, all VMs"], limit_per_s, vms, seed, is_parted=True)
+    return result | {"offer": "300%, parted in two from 15 s on"}
+
+
+def _run(
+    way: str, offer: Offer, limit_per_s: float, vms: int, seed: int, is_parted: bool = False
+) -> dict[str, Any]:
+    random = Random(seed)
+    account = Account(
+        name=ACCOUNT,
+        token_sha256=(),
+        max_requests_per_s=limit_per_s,
+        max_requests_in_flight=1_000_000,
+    )
+    limiters = [WAYS[way](vms) for _ in range(vms)]
+    next_beat = [random.random() * HEARTBEAT_S for _ in limiters]
+    told = [0.0] * vms
+    admitted: list[float] = []
+    offered: list[float] = []
+    for tick in range(round(SECONDS / TICK_S)):
+        now = tick * TICK_S
+        for vm, limiter in enumerate(limiters):
+            if now >= next_beat[vm]:
+                next_beat[vm] = now + HEARTBEAT_S * random.uniform(0.9, 1.1)
+                _tell(limiters, vm, told, now, is_parted and now > PARTED_FROM_UNIX_S)
+            for _ in range(_arrivals(offer(vm, now, vms) * limit_per_s * TICK_S, random)):
+                offered.append(now)
+                if isinstance(limiter.admit(account, now), Ok):
+                    admitted.append(now)
+                    if isinstance(limiter, AccountLimits):
+                        limiter.release(ACCOUNT)
+    steady_s = SECONDS - STEADY_UNIX_S
+    offered_per_s = sum(at > STEADY_UNIX_S for at in offered) / steady_s
+    admitted_per_s = sum(at > STEADY_UNIX_S for at in admitted) / steady_s
+    return {
+        "way": way,
+        "limit_per_s": limit_per_s,
+        "vms": vms,
+        "seed": seed,
+        "worst_10_s": _worst_window(admitted) / (limit_per_s * WINDOW_S),
+        "served_of_allowed": admitted_per_s / min(limit_per_s, offered_per_s),
+    }
+
+
+def _tell(limiters: list[Limiter], vm: int, told: list[float], now: float, is_parted: bool) -> None:
+    rate = limiters[vm].demand(now).get(ACCOUNT, 0.0)
+    if abs(rate - told[vm]) > CHANGE_TOLD * max(rate, told[vm]):
+        told[vm] = rate
+    half = len(limiters) // 2
+    for peer, limiter in enumerate(limiters):
+        is_cut = is_parted and (peer < half) != (vm < half)
+        if peer != vm and not is_cut:
+            limiter.observe_peer_demand(f"vm-{vm}", {ACCOUNT: told[vm]}, now)
+
+
+def _arrivals(mean: float, random: Random) -> int:
+    whole = int(mean)
+    return whole + (random.random() < mean - whole)
+
+
+def _meter(meter: RateMeter, rate_per_s: float, now_unix_s: float) -> Result[None, float]:
+    retry_at_unix_s = meter.next_unix_s(rate_per_s, now_unix_s)
+    if retry_at_unix_s > now_unix_s:
+        return Err(retry_at_unix_s)
+    meter.count(now_unix_s)
+    return Ok(None)
+
+
+def _worst_window(times: list[float]) -> int:
+    starts = [0.25 * step for step in range(round((SECONDS - WINDOW_S) * 4) + 1)]
+    return max(bisect_left(times, at + WINDOW_S) - bisect_left(times, at) for at in starts)
--- /dev/null
+++ b/bench/decisions/jobs.py
@@ -0,0 +1,96 @@
+"""List the runs of each group."""
+
+from collections.abc import Callable
+from typing import Any
+
+from attrs import frozen
+
+from bench.decisions import (
+    account_limits,
+    overload,
+    queue_order,
+    region_loss,
+    retry_after,
+    server_ways,
+)
+
+SEEDS = (1, 2, 3)
+OVERLOAD_S = 75.0
+
+
+@frozen
+class Job:
+    """Name one run: a module, its function and the arguments."""
+
+    run: Callable[..., dict[str, Any]]
+    arguments: tuple[Any, ...]
+
+
+def run_job(job: Job) -> dict[str, Any]:
+    """Run one job in a worker process."""
+    return job.run(*job.arguments)
+
+
+def _server_ways(
+    sizes: tuple[tuple[str, int, int, float], ...], seeds: tuple[int, ...]
+) -> list[Job]:
+    return [
+        Job(server_ways.run, (kind, way, daemons, servers, seconds, seed))
+        for kind, daemons, servers, seconds in sizes
+        for way in server_ways.WAYS
+        if _makes_sense(way, daemons, servers)
+        for seed in seeds
+    ]
+
+
+def _makes_sense(way: str, daemons: int, servers: int) -> bool:
+    """Leave out subsets that would leave servers without a daemon, or be all servers."""
+    if not way.startswith("subset"):
+        return True
+    size = int(way.rpartition(" ")[2])
+    return size < servers <= size * daemons // 2
+
+
+def _limits() -> list[Job]:
+    jobs = [
+        Job(account_limits.run, (way, offer, limit, vms, 1))
+        for way in account_limits.WAYS
+        for offer in account_limits.OFFERS
+        for limit, vms in ((5.0, 6), (20.0, 2), (20.0, 6), (100.0, 6))
+    ]
+    return jobs + [Job(account_limits.run_parted, (20.0, 6, 1))]
+
+
+GROUPS: dict[str, Callable[[], list[Job]]] = {
+    "servers-small": lambda: _server_ways((("draft", 2, 5, 90.0), ("draft", 20, 5, 90.0)), SEEDS),
+    "servers-review": lambda: _server_ways(
+        (("review", 2, 9, 120.0), ("review", 20, 9, 120.0)), SEEDS
+    ),
+    "servers-large-2": lambda: _server_ways((("draft", 2, 130, 12.0),), (1,)),
+    "servers-large-20": lambda: _server_ways((("draft", 20, 130, 12.0),), (1,)),
+    "daemon-faults": lambda: [
+        Job(server_ways.run_fault, (way, fault, seed))
+        for way in ("cost-charged, affinity", "dispatch by owner")
+        for fault in ("dead", "frozen")
+        for seed in SEEDS
+    ],
+    "queue-order": lambda: [
+        Job(queue_order.run, (order, seed)) for order in queue_order.ORDERS for seed in SEEDS
+    ],
+    "overload": lambda: [Job(overload.run, (seed, OVERLOAD_S)) for seed in SEEDS],
+    "region-loss": lambda: [
+        Job(region_loss.run_loss, (seed, load, has_slow_start))
+        for load in (0.7, 0.9, 1.1)
+        for has_slow_start in (True, False)
+        for seed in SEEDS
+    ],
+    "region-peak": lambda: [
+        Job(region_loss.run_peak, (seed, way))
+        for way in ("home", "least wait", "shipped")
+        for seed in SEEDS
+    ],
+    "limits": _limits,
+    "retry-after": lambda: [
+        Job(retry_after.run, (seed, way)) for way in retry_after.WAYS for seed in SEEDS
+    ],
+}
--- a/bench/fakes/record.py
+++ b/bench/fakes/record.py
@@ -16,6 +16,8 @@
     cached_tokens: int = 0
     refusal: Refusal | None = None
     served_in: str | None = None
+    # The daemon that the caller reached.
+    entry: str | None = None
 
     @property
     def first_token_s(self) -> float:
--- a/bench/fakes/region.py
+++ b/bench/fakes/region.py
@@ -111,6 +111,7 @@
     def _accept(self, daemon: FakeDaemon, arrival: Arrival) -> None:
         work = arrival.work
         daemon.arrivals[work.request_id] = arrival
+        self._record_by_id[work.request_id].entry = daemon.name
         if self.way.has_owner:
             self._send_to_owner(daemon, arrival)
         elif not self.way.has_queue:
@@ -357,6 +358,7 @@
             name=name,
             region=self.name,
             pool=self.pool,
+            due=self.way.due,
             random=Random(f"{seed}/{name}"),
             servers=[s for s in servers if s.name not in excluded],
             excluded=excluded,
--- a/src/pomelobarrow/decision/work_queue.py
+++ b/src/pomelobarrow/decision/work_queue.py
@@ -18,6 +18,12 @@
 # a full pool would else be looked through once for each waiting request at every free slot.
 MAX_SKIPPED = 4
 
+# The part of the time to the first-token target that work may spend in the queue.
+QUEUE_PART_OF_TARGET = 0.5
+
+# Says at a time when work is due.
+Due = Callable[[Work, float], float]
+
 
 @frozen(order=True)
 class _Entry:
@@ -36,12 +42,14 @@
 class WorkQueue:
     """Hold waiting work: paying before trial, then by the time it is due.
 
-    Work is due at its class's target for the first token. Once that is missed it is due at its
-    deadline: so one late request doesn't make the next ones late too, and none is late for good.
+    Work is due some time before its class's target for the first token. Once that can't be met it
+    is due at its deadline: so one late request doesn't make the next ones late too, and none is
+    late for good.
     """
 
-    def __init__(self, pool: str) -> None:
+    def __init__(self, pool: str, due: Due | None = None) -> None:
         self.pool = pool
+        self._due = due or due_unix_s
         self._sequence = 0
         self._ordered: dict[Rank, list[_Entry]] = {rank: [] for rank in Rank}
         self._by_id: dict[str, _Entry] = {}
@@ -59,7 +67,7 @@
             return
         self._pace[work.rank].pushed(work.request_id, self.ahead(work, now_unix_s), now_unix_s)
         self._sequence += 1
-        self._insert(_Entry(due_unix_s(work, now_unix_s), self._sequence, work))
+        self._insert(_Entry(self._due(work, now_unix_s), self._sequence, work))
 
     def pop_next(self, now_unix_s: float, may_take: Callable[[Work], bool]) -> Work | None:
         """Take the first work that may be taken; trial only while no paying work waits."""
@@ -145,7 +153,7 @@
         return self._retry_lines[rank].book(expected_wait_s, taken_per_s, now_unix_s, random)
 
     def _ahead_here(self, work: Work, now_unix_s: float) -> int:
-        entry = _Entry(due_unix_s(work, now_unix_s), self._sequence + 1, work)
+        entry = _Entry(self._due(work, now_unix_s), self._sequence + 1, work)
         same_rank = bisect_right(self._ordered[work.rank], entry)
         return same_rank + (self.waiting(Rank.PAYING) if work.rank is Rank.TRIAL else 0)
 
@@ -169,7 +177,7 @@
         for ordered in self._ordered.values():
             while ordered and ordered[0].due_unix_s < now_unix_s:
                 entry = ordered[0]
-                due = due_unix_s(entry.work, now_unix_s)
+                due = self._due(entry.work, now_unix_s)
                 if due <= entry.due_unix_s:
                     break
                 del ordered[0]
@@ -177,7 +185,11 @@
 
 
 def due_unix_s(work: Work, now_unix_s: float) -> float:
-    """Return when work is due: at its target, or at its deadline once the target has passed."""
-    if work.first_token_due_unix_s < now_unix_s:
-        return work.deadline_unix_s
-    return min(work.first_token_due_unix_s, work.deadline_unix_s)
+    """Return when work should get a server, or its deadline once that is too late for the target.
+
+    The other part of the time to the target is for the prefill and the batch on the server. Were
+    work due at the target itself, in an overload each would get its server just too late.
+    """
+    target_s = work.first_token_due_unix_s - work.accepted_unix_s
+    due = work.accepted_unix_s + QUEUE_PART_OF_TARGET * target_s
+    return work.deadline_unix_s if due < now_unix_s else min(due, work.deadline_unix_s)
