--- a/bench/decisions/decision_table.py
+++ b/bench/decisions/decision_table.py
@@ -6,19 +6,40 @@
 from typing import Any
 
 Row = Mapping[str, Any]
-SERVER_COLUMNS = ("p50 s", "p99 s", "hit share", "recomputed/request", "messages/request")
+# Numbers that tell runs apart rather than being measured.
+LABELS = ("load", "vms", "limit_per_s", "daemons", "servers")
 
 
 def write(results: Mapping[str, Sequence[Row]]) -> str:
     """Return all tables as Markdown."""
     parts = ["# Decision bench\n"]
     for group, rows in sorted(results.items()):
-        parts.append(f"## {group}\n")
-        is_server_ways = bool(rows) and "first_token_s" in rows[0]
-        parts.append(_server_ways(rows) if is_server_ways else _means(rows))
+        names = list(rows[0])
+        lines = _head(names) + [_line(row.get(name, "") for name in names) for row in rows]
+        parts.append(f"## {group}\n\n" + "\n".join(lines) + "\n")
     return "\n".join(parts)
 
 
+def pooled(rows: Sequence[Row]) -> list[dict[str, Any]]:
+    """Put runs together that differ in their seed only."""
+    same: defaultdict[tuple[Any, ...], list[Row]] = defaultdict(list)
+    for row in rows:
+        same[tuple((k, v) for k, v in row.items() if _is_label(k, v))].append(row)
+    return [dict(label) | _together(alike) for label, alike in same.items()]
+
+
+def _together(rows: Sequence[Row]) -> dict[str, Any]:
+    figures: dict[str, Any] = {"seeds": len(rows)}
+    for name, value in rows[0].items():
+        if name == "first_token_s":
+            first_s = sorted(each for row in rows for each in row[name])
+            figures["first_token_p50_s"] = percentile(first_s, 0.5)
+            figures["first_token_p99_s"] = percentile(first_s, 0.99)
+        elif name != "seed" and not _is_label(name, value):
+            figures[name] = _mean_of(row[name] for row in rows)
+    return figures
+
+
 def percentile(ordered: Sequence[float], share: float) -> float:
     """Return a percentile of sorted values."""
     if not ordered:
@@ -26,41 +47,8 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
-def _server_ways(rows: Sequence[Row]) -> str:
-    """Pool the seeds of each way and size."""
-    pooled: defaultdict[tuple[Any, ...], list[Row]] = defaultdict(list)
-    for row in rows:
-        pooled[row["kind"], row["daemons"], row["servers"], row["way"]].append(row)
-    lines = _head(("kind", "daemons", "servers", "way", *SERVER_COLUMNS))
-    for key, same in pooled.items():
-        first_s = sorted(value for row in same for value in row["first_token_s"])
-        cells = [
-            percentile(first_s, 0.5),
-            percentile(first_s, 0.99),
-            _mean(row["hit_share"] for row in same),
-            _mean(row["recomputed_tokens_per_request"] for row in same),
-            _mean(row["messages_per_request"] for row in same),
-        ]
-        lines.append(_line((*key, *cells)))
-    return "\n".join(lines) + "\n"
-
-
-def _means(rows: Sequence[Row]) -> str:
-    """Average the numbers of rows that differ in their seed only."""
-    pooled: defaultdict[tuple[Any, ...], list[Row]] = defaultdict(list)
-    for row in rows:
-        pooled[tuple((k, v) for k, v in row.items() if _is_label(k, v))].append(row)
-    names = [k for k, _ in next(iter(pooled))]
-    numbers = [k for k, v in rows[0].items() if not _is_label(k, v) and k != "seed"]
-    lines = _head((*names, *numbers))
-    for key, same in pooled.items():
-        cells = [_mean_of(row[number] for row in same) for number in numbers]
-        lines.append(_line((*(value for _, value in key), *cells)))
-    return "\n".join(lines) + "\n"
-
-
 def _is_label(key: str, value: Any) -> bool:
-    return isinstance(value, str | bool) or key in ("load", "vms", "limit_per_s")
+    return isinstance(value, str | bool) or key in LABELS
 
 
 def _mean_of(values: Iterable[Any]) -> Any:
