Tell "not run" of a forward that ended unrun at its deadline

A forwarded request waited at home until its deadline; the entry VM's time ran out at the same moment, its reset ended the forward at the peer, and the cancellation that followed found it only "seen"; it also took a new connection of two round trips, longer than the last word may take. Ruled out: a longer last word (the caller waits for it past its deadline).

--- a/src/pomelobarrow/peers/forward_book.py
+++ b/src/pomelobarrow/peers/forward_book.py
@@ -44,6 +44,15 @@
         self._seen.add(key)
         self._push(self._seen_until, now_unix_s + SEEN_KEPT_S, key)
 
+    def note_unrun(self, key: ForwardKey, deadline_unix_s: float, now_unix_s: float) -> None:
+        """Note that a forward ended here without having run, and bar it.
+
+        An entry VM that gives up resets the stream and then asks. The reset comes first and ends
+        the forward; taken as merely seen, it would be "unknown" though nothing ran.
+        """
+        self._seen.discard(key)
+        self.cancel(key, deadline_unix_s, now_unix_s)
+
     def cancel(self, key: ForwardKey, deadline_unix_s: float, now_unix_s: float) -> bool:
         """Bar a forward; True where it never came, so that it is certain not to run."""
         self.forget(now_unix_s)
--- a/src/pomelobarrow/peers/forward_server.py
+++ b/src/pomelobarrow/peers/forward_server.py
@@ -148,7 +148,17 @@
             return request
         request = evolve(request, is_reader_lost=sink.is_lost)
         answer = self.entry.dispatch_forwarded(request, sink)
-        return await self._answer(key, request, sink, answer)
+        try:
+            return await self._answer(key, request, sink, answer)
+        finally:
+            self._note_if_unrun(key, request)
+
+    def _note_if_unrun(self, key: ForwardKey, request: GatewayRequest) -> None:
+        # A claimed request goes on without its stream.
+        if request.is_claimed or key in self._running:
+            return
+        if run_verdict(attempt.state for attempt in request.attempts) is Run.NO:
+            self.book.note_unrun(key, request.work.deadline_unix_s, now_unix_s())
 
     async def _fetch(self, message: pb.ResumeRequest, vm: str, sink: ForwardSink) -> Refusal | None:
         request = self._request(message.request, vm)
@@ -174,9 +184,20 @@
         except CallerGoneError:
             return None
         finally:
-            if not task.done():
+            # Left in the table, a task that still ends is asked for its outcome, not the book.
+            if task.done():
+                del self._running[key]
+            else:
                 task.cancel()
-            del self._running[key]
+                task.add_done_callback(lambda _: self._running.pop(key, None))
+
+    def _back_s(self, vm: str) -> float:
+        """Return how long an answer takes to the entry VM.
+
+        A refusal given at the very deadline arrives after it, and the caller was told "unknown".
+        """
+        best = self.offsets.best(vm)
+        return best.round_trip_s / 2 if best is not None else 0.0
 
     def _request(self, message: pb.ForwardRequest, vm: str) -> GatewayRequest | Refusal:
         # The entry VM sent it before it heard of the stop. Begun after everything here was found
@@ -190,7 +211,7 @@
         is_bound = work_class.home_bound or message.home_bound
         if is_bound and not _is_home(message, configuration):
             return refuse(Kind.BAD_HOME_REGION, Run.NO, "the account's home is another region")
-        deadline_unix_s = self.offsets.to_local(vm, message.deadline_unix_s)
+        deadline_unix_s = self.offsets.to_local(vm, message.deadline_unix_s) - self._back_s(vm)
         if deadline_unix_s <= now_unix_s() and not message.is_claim:
             return refuse(Kind.DEADLINE_PASSED, Run.NO, "the deadline passed on the way")
         return GatewayRequest(
--- a/tests/test_forward_book.py
+++ b/tests/test_forward_book.py
@@ -33,6 +33,13 @@
         if self.book.cancel(key, DEADLINE_S, self.now_unix_s):
             self.told_unrun.add(key)
 
+    @rule(key=KEYS)
+    def end_unrun(self, key: ForwardKey) -> None:
+        if key not in self.ran and not self.book.is_cancelled(key):
+            self.book.note_seen(key, self.now_unix_s)
+            self.book.note_unrun(key, DEADLINE_S, self.now_unix_s)
+            self.cancel(key)
+
     @rule(passed_s=st.floats(0.0, SEEN_KEPT_S * 3))
     def wait(self, passed_s: float) -> None:
         self.now_unix_s += passed_s
@@ -46,6 +53,15 @@
 TestCancelledStaysUnrun.settings = settings(max_examples=200, deadline=None)
 
 
+def test_forward_that_ended_unrun_is_told_so_and_barred() -> None:
+    book, key = ForwardBook(), ForwardKey("vm-1", 1, 1)
+    book.note_seen(key, 0.0)
+    assert not book.cancel(key, DEADLINE_S, 1.0)
+    book.note_unrun(key, DEADLINE_S, 2.0)
+    assert book.cancel(key, DEADLINE_S, 3.0)
+    assert book.is_cancelled(key)
+
+
 def test_what_was_seen_is_forgotten_in_time() -> None:
     book = ForwardBook()
     for serial in range(1_000):
