--- a/bench/decision_bench.py
+++ b/bench/decision_bench.py
@@ -27,7 +27,7 @@
         started_s = time.monotonic()
         rows = _run(GROUPS[group]())
         results[group] = decision_table.pooled(rows)
-        path.write_text(json.dumps(results, indent=1, sort_keys=True) + "\n")
+        path.write_text(json.dumps(results, indent=1) + "\n")
         print(f"{group}: {len(rows)} runs in {time.monotonic() - started_s:.0f} s", flush=True)
     text = decision_table.write(results)
     (RESULTS / "decisions.md").write_text(text)
--- a/bench/decisions/jobs.py
+++ b/bench/decisions/jobs.py
@@ -11,8 +11,10 @@
     queue_order,
     region_loss,
     retry_after,
+    retry_budget,
     server_ways,
 )
+from bench.fakes.ways import FIRST_ONLY, SHIPPED
 
 SEEDS = (1, 2, 3)
 OVERLOAD_S = 75.0
@@ -84,12 +86,22 @@
         for has_slow_start in (True, False)
         for seed in SEEDS
     ],
+    "look-ahead": lambda: [
+        Job(region_loss.run_loss, (seed, 1.1, True, way))
+        for way in (FIRST_ONLY, SHIPPED)
+        for seed in SEEDS
+    ],
     "region-peak": lambda: [
         Job(region_loss.run_peak, (seed, way))
         for way in ("home", "least wait", "shipped")
         for seed in SEEDS
     ],
     "limits": _limits,
+    "retry-budget": lambda: [
+        Job(retry_budget.run, (way, seed))
+        for way in ("none", "three attempts", "budget")
+        for seed in SEEDS
+    ],
     "retry-after": lambda: [
         Job(retry_after.run, (seed, way)) for way in retry_after.WAYS for seed in SEEDS
     ],
--- a/bench/decisions/overload.py
+++ b/bench/decisions/overload.py
@@ -37,6 +37,7 @@
         "busy_share": both["busy_share"],
         "busy_share_alone": alone["busy_share"],
         "idle_slots_while_trial_waits": both["idle_slots_while_trial_waits"],
+        "idle_engines_while_trial_waits": both["idle_engines_while_trial_waits"],
         "paying_passed_by_trial": both["paying_passed_by_trial"],
     }
 
@@ -60,6 +61,7 @@
         review, query = (evolve(t, rank=trial_rank) for t in (TRIAL_REVIEW, TRIAL_QUERY))
         _feed(region, seed, _mix(review, query, TRIAL_LOAD * per_s), seconds)
     idle: list[float] = []
+    idle_engines: list[float] = []
     busy: list[float] = []
 
     def look() -> None:
@@ -67,6 +69,7 @@
         slots = sum(e.idle_slots for e in region.engines.values())
         busy.append(1.0 - slots / (spec.slots * spec.servers))
         if trial_waits:
+            idle_engines.append(sum(not e.running for e in region.engines.values()) / spec.servers)
             idle.append(slots / (spec.slots * spec.servers))
 
     region.clock.every(SAMPLE_EVERY_S, WARM_UP_S, look)
@@ -79,7 +82,8 @@
         "met_count": sum(r.met_target for r in paying),
         "trial_finished_per_s": len(trial) / (seconds - WARM_UP_S - 10.0),
         "busy_share": sum(busy) / len(busy),
-        "idle_slots_while_trial_waits": sum(idle) / len(idle) if idle else 0.0,
+        "idle_slots_while_trial_waits": _mean(idle),
+        "idle_engines_while_trial_waits": _mean(idle_engines),
         "paying_passed_by_trial": region.paying_passed_by_trial,
     }
 
@@ -95,6 +99,10 @@
         region.feed(source, lambda now, per_s=per_s: per_s, seconds)  # type: ignore[misc]
 
 
+def _mean(values: list[float]) -> float:
+    return sum(values) / len(values) if values else 0.0
+
+
 def _met_share(records: list[Record], class_name: str) -> float:
     of_class = [r for r in records if r.work.class_name == class_name]
     return sum(r.met_target for r in of_class) / max(1, len(of_class))
--- a/bench/decisions/region_loss.py
+++ b/bench/decisions/region_loss.py
@@ -9,7 +9,7 @@
 from bench.fakes.fleet import ChooseRegion, FakeFleet, FleetSpec, choose_home, choose_least
 from bench.fakes.record import Record
 from bench.fakes.traffic import Source
-from bench.fakes.ways import SHIPPED
+from bench.fakes.ways import SHIPPED, Way
 from pomelobarrow.decision.region_choice import choose_region
 
 LOST_UNIX_S = 40.0
@@ -25,10 +25,10 @@
 SHARES = {FREE.class_name: 1.0, LIMITED.class_name: 0.2, BOUND.class_name: 0.0}
 
 
-def run_loss(seed: int, load: float, has_slow_start: bool) -> dict[str, Any]:
+def run_loss(seed: int, load: float, has_slow_start: bool, way: Way = SHIPPED) -> dict[str, Any]:
     """Lose Milan for a while with three classes running."""
     spec = FleetSpec(region=RONDINELLA, max_share_by_class=SHARES, has_slow_start=has_slow_start)
-    fleet = FakeFleet(spec, SHIPPED, choose_region, seed, DRAFT.pool)
+    fleet = FakeFleet(spec, way, choose_region, seed, DRAFT.pool)
     for name in spec.names:
         for traffic, part in ((FREE, 0.6), (LIMITED, 0.2), (BOUND, 0.2)):
             rate_per_s = part * load * _per_s(spec)
@@ -41,13 +41,14 @@
     in_flight = [r for r in free if _was_cut_off(r)]
     served = [r for r in free if not _was_cut_off(r)]
     return {
+        "way": way.name,
         "load": load,
         "slow_start": has_slow_start,
         "missed_after_loss_s": _longest_miss_s(served, LOST_UNIX_S, BACK_UNIX_S),
         "missed_after_return_s": _longest_miss_s(served, BACK_UNIX_S, END_UNIX_S - 5.0),
         "missed_before_s": _longest_miss_s(served, WARM_UP_S, LOST_UNIX_S - 3.0),
         "cut_off": len(in_flight),
-        "recomputed_after_return": sum(
+        "recomputed_tokens": sum(
             e.recomputed_tokens for r in fleet.regions.values() for e in r.engines.values()
         ),
         "bound_outside": _outside(fleet.records, BOUND.class_name),
--- /dev/null
+++ b/bench/decisions/retry_budget.py
@@ -0,0 +1,62 @@
+"""Measure what retries add to the load while many attempts fail."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from bench.decisions.sizes import DRAFT
+from bench.fakes.traffic import Source
+from pomelobarrow.decision.errors import Run
+from pomelobarrow.decision.retries import MAX_ATTEMPTS, RetryBudget, RetryVerdict, retry_verdict
+
+REQUESTS = 20_000
+FAILING_SHARE = 0.7
+USUAL_FAILING_SHARE = 0.01
+# The middle fifth of the requests meets failing servers.
+BAD_FROM, BAD_UP_TO = 0.4, 0.6
+
+MayRetry = Callable[[int], bool]
+
+
+def run(way: str, seed: int) -> dict[str, Any]:
+    """Send requests through a stretch in which most attempts fail."""
+    random, budget = Random(seed), RetryBudget()
+    work = Source(DRAFT, seed).draw(0.0).work
+
+    def within_budget(attempts: int) -> bool:
+        return retry_verdict(work, Run.NO, attempts, budget, 0.0, 0.0) is RetryVerdict.RETRY
+
+    ways: dict[str, MayRetry] = {
+        "none": lambda attempts: False,
+        "three attempts": lambda attempts: attempts < MAX_ATTEMPTS,
+        "budget": within_budget,
+    }
+    attempts = {"usual": 0, "failing": 0}
+    requests = {"usual": 0, "failing": 0}
+    answered = {"usual": 0, "failing": 0}
+    for number in range(REQUESTS):
+        is_bad = BAD_FROM <= number / REQUESTS < BAD_UP_TO
+        stretch = "failing" if is_bad else "usual"
+        failing = FAILING_SHARE if is_bad else USUAL_FAILING_SHARE
+        made, succeeded = _send(random, failing, ways[way])
+        requests[stretch] += 1
+        attempts[stretch] += made
+        answered[stretch] += succeeded
+        if succeeded:
+            budget.observe_success()
+    return {
+        "way": way,
+        "seed": seed,
+        "attempts_per_request": {k: attempts[k] / requests[k] for k in requests},
+        "answered": {k: answered[k] / requests[k] for k in requests},
+    }
+
+
+def _send(random: Random, failing: float, may_retry: MayRetry) -> tuple[int, bool]:
+    attempts = 0
+    while True:
+        attempts += 1
+        if random.random() >= failing:
+            return attempts, True
+        if not may_retry(attempts):
+            return attempts, False
