Try home where its load was never heard

Change: home never heard of is tried; the forward refuses at once where no entry VM there is known. Ruled out: waiting for all regions before being ready (a region cut off would start late).

--- a/src/pomelobarrow/dispatch/dispatcher.py
+++ b/src/pomelobarrow/dispatch/dispatcher.py
@@ -144,6 +144,8 @@
                 )
             return self.own_region
         choice = self.choose(work, tries.bad_regions)
+        if choice.region is None and self._is_home_unheard(work, tries):
+            choice = RegionChoice(region=work.home_region, reason=RegionReason.HOME_IS_FIRST)
         if choice.region is None:
             raise RefusedError(self._no_region(work, choice))
         if not tries.states:
@@ -154,6 +156,16 @@
             )
         return choice.region
 
+    def _is_home_unheard(self, work: Work, tries: Tries) -> bool:
+        """Tell whether home's load was never heard, as on a VM that has just started.
+
+        Taken for a lost home, its work was refused although home would run it. The forward finds
+        out at once whether an entry VM there can be reached.
+        """
+        if work.home_region == self.own_region or work.home_region in tries.bad_regions:
+            return False
+        return work.home_region not in self.forwarder.region_loads(work)
+
     def _no_region(self, work: Work, choice: RegionChoice) -> Refusal:
         now = now_unix_s()
         retry_at_unix_s = retry_after_unix_s(self.local.expected_wait_s(work), now, self.rng)
