Name the shared check of a refusal as public

Cause: service.py took a private function of engine.py. Change: says_not_run, with a doc comment; behaviour as before. Ruled out: a module of its own for one function.

--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -119,7 +119,7 @@
     async def _refused(self, response: aiohttp.ClientResponse) -> AttemptResult:
         """Take the engine's word that nothing ran; without it the outcome is unknown."""
         body = await response.read()
-        if _says_not_run(response.status, body):
+        if says_not_run(response.status, body):
             self.attempt.apply(AttemptEvent.REFUSE_UNRUN)
             return self._result(f"refused with {response.status}")
         if 400 <= response.status < 500:
@@ -273,7 +273,8 @@
     return orjson.dumps(body)
 
 
-def _says_not_run(status: int, body: bytes) -> bool:
+def says_not_run(status: int, body: bytes) -> bool:
+    """Tell whether a backend server itself states that the request did not run."""
     if status != 503:
         return False
     try:
--- a/src/pomelobarrow/backends/service.py
+++ b/src/pomelobarrow/backends/service.py
@@ -6,7 +6,7 @@
 import aiohttp
 from attrs import define
 
-from pomelobarrow.backends.engine import LOST, _says_not_run
+from pomelobarrow.backends.engine import LOST, says_not_run
 from pomelobarrow.backends.sessions import CONNECT_TIMEOUT_S, BackendSessions
 from pomelobarrow.decision.attempt import Attempt, AttemptEvent, AttemptState
 from pomelobarrow.decision.work import BackendServer
@@ -54,7 +54,7 @@
             allow_redirects=False,
             trace_request_ctx=lambda: self.attempt.apply(AttemptEvent.SEND),
         ) as response:
-            if response.status == 503 and _says_not_run(503, body := await response.read()):
+            if response.status == 503 and says_not_run(503, body := await response.read()):
                 self.attempt.apply(AttemptEvent.REFUSE_UNRUN)
                 return self._result("refused with 503")
             self.attempt.apply(AttemptEvent.FIRST_BYTE)
