--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -24,7 +24,7 @@
 from pomelobarrow.decision.request_ids import LIFE_S, MAX_KEPT_BYTES
 from pomelobarrow.peers.grid import neighbours
 from pomelobarrow.peers.table import REVIEW_EVERY_S
-from pomelobarrow.platform.watcher import IDLE_READ_EVERY_S, WAIT_S
+from pomelobarrow.published.watcher import IDLE_READ_EVERY_S, WAIT_S
 
 CHANGE_BYTES = 300
 KEYSPACES = 2
--- a/bench/capacity_region.py
+++ b/bench/capacity_region.py
@@ -26,7 +26,7 @@
 from pomelobarrow.peers.grid import neighbours
 from pomelobarrow.peers.heartbeats import Heartbeats
 from pomelobarrow.peers.region_loads import RegionLoads
-from pomelobarrow.platform.keyspaces import CONFIG, VMS, PublishedState
+from pomelobarrow.published.keyspaces import CONFIG, VMS, PublishedState
 
 START_UNIX_S = 1_800_000_000.0
 POOLS = ("drafting", "webhooks", "reading", "desk")
--- a/bench/capacity_state.py
+++ b/bench/capacity_state.py
@@ -27,7 +27,7 @@
 from pomelobarrow.decision.server_choice import choose_server
 from pomelobarrow.decision.work import Work
 from pomelobarrow.decision.work_queue import WorkQueue
-from pomelobarrow.platform.keyspaces import CONFIG, PublishedState
+from pomelobarrow.published.keyspaces import CONFIG, PublishedState
 
 NOW_UNIX_S = START_UNIX_S
 BLOCKS_PER_PROMPT = 16
--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from attrs import evolve
 from mode import Service
 
 from pomelobarrow.backends.engine import EngineAttempt
@@ -26,7 +27,7 @@
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, hookimpl
 from pomelobarrow.operators.traces import Traces
 from pomelobarrow.peers.events import PauseNoticed
-from pomelobarrow.platform.keyspaces import VMS, PublishedState
+from pomelobarrow.published.keyspaces import PublishedState
 
 ATTEMPT_BY_IS_CHAT = {True: EngineAttempt, False: ServiceAttempt}
 
@@ -60,8 +61,9 @@
     published, table = context.get(PublishedState), context.get(LoadTable)
 
     def on_applied(name: str, source: str) -> None:
-        if name == VMS:
-            table.set_servers(published.backend_servers.values())
+        configuration = published.configuration
+        table.closed_domains = configuration.evacuated_domains if configuration else frozenset()
+        table.set_servers(_sized_servers(published))
 
     published.listeners.append(on_applied)
     return [
@@ -152,7 +154,7 @@
         own_vm=context.settings.vm,
         sessions=context.get(BackendSessions),
         table=context.get(LoadTable),
-        servers=lambda: _own_region_servers(context),
+        servers=lambda: _reporting_servers(context),
         live_vms=lambda: _live_vms(context),
         is_engine=lambda server: _is_engine(context, server),
         on_report=lambda pool: context.get(LocalDispatch).pump(pool),
@@ -170,14 +172,34 @@
     return OrderSender(
         book=context.get(OrderBook),
         sessions=context.get(BackendSessions),
-        owned=lambda: share.of(_own_region_servers(context), _live_vms(context)),
+        owned=lambda: share.of(_reporting_servers(context), _live_vms(context)),
         configuration=lambda: context.get(PublishedState).configuration,
     )
 
 
-def _own_region_servers(context: Context) -> list[BackendServer]:
-    servers = context.get(PublishedState).backend_servers.values()
-    return [server for server in servers if server.region == context.settings.region]
+def _sized_servers(published: PublishedState) -> list[BackendServer]:
+    """Return the listed servers with the memory that their pool states, where it does."""
+    routing = published.configuration.routing if published.configuration else None
+    tokens_by_pool = {p.name: p.kv_capacity_tokens for p in routing.pools} if routing else {}
+    return [
+        (
+            evolve(server, kv_capacity_tokens=tokens)
+            if (tokens := tokens_by_pool.get(server.pool))
+            else server
+        )
+        for server in published.backend_servers.values()
+    ]
+
+
+def _reporting_servers(context: Context) -> list[BackendServer]:
+    """Return this region's servers that speak the engines' or services' own protocol."""
+    published = context.get(PublishedState)
+    pools = published.configuration.pools if published.configuration else {}
+    return [
+        server
+        for server in published.backend_servers.values()
+        if server.region == context.settings.region and server.pool in pools
+    ]
 
 
 def _live_vms(context: Context) -> list[str]:
--- a/src/pomelobarrow/backends/sessions.py
+++ b/src/pomelobarrow/backends/sessions.py
@@ -1,16 +1,24 @@
 """HTTP sessions towards backend servers."""
 
 import asyncio
+import functools
+import socket
 from collections.abc import Mapping
 
 import aiohttp
 from aiohttp import ClientHandlerType
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.tracing import TraceConfig
 
 CONNECT_TIMEOUT_S = 1.0
 KEEPALIVE_S = 15.0
 MAX_CONNECTIONS = 4096
 READ_BUFFER_BYTES = 1 << 18
+# A silent connection is given up after about 3 s: a second of silence, then two probes.
+PROBE_AFTER_S = 1
+PROBE_EVERY_S = 1
+PROBES = 2
+UNACKNOWLEDGED_MS = 3_000
 
 
 class BrokenConnectionError(aiohttp.ClientConnectionError):
@@ -41,8 +49,16 @@
 
 
 def _session(force_close: bool) -> aiohttp.ClientSession:
+    loop = asyncio.get_running_loop()
     options: dict[str, float] = {} if force_close else {"keepalive_timeout": KEEPALIVE_S}
-    connector = aiohttp.TCPConnector(limit=MAX_CONNECTIONS, force_close=force_close, **options)  # type: ignore[arg-type]
+    connector = aiohttp.TCPConnector(
+        limit=MAX_CONNECTIONS,
+        force_close=force_close,
+        socket_factory=_watched_socket,
+        **options,  # type: ignore[arg-type]
+    )
+    # aiohttp has no public way to choose the protocol's class.
+    connector._factory = functools.partial(ResetAwareHandler, loop=loop)  # type: ignore[assignment]
     return aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
@@ -53,6 +69,36 @@
     )
 
 
+class ResetAwareHandler(ResponseHandler):
+    """Tell a body without a length that was cut off from one that ended.
+
+    Such a body ends with its connection, and aiohttp takes a reset for that end too: the caller
+    would get half an answer that looks whole.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail the body that is being read where the connection was reset."""
+        if exc is not None and self._payload is not None:
+            self._payload.set_exception(aiohttp.ClientPayloadError("the connection was reset"))
+        super().connection_lost(exc)
+
+
+def _watched_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    """Return a socket that notices by itself when nothing comes back.
+
+    A connection that something on its way has forgotten, or whose other end lost power, stays
+    silent for good, and its request would wait until its deadline. The probes end it instead.
+    """
+    family, kind, protocol, _, _ = address
+    made = socket.socket(family=family, type=kind, proto=protocol)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_EVERY_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBES)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    return made
+
+
 async def _never_resend(
     request: aiohttp.ClientRequest, handler: ClientHandlerType
 ) -> aiohttp.ClientResponse:
--- a/src/pomelobarrow/callers/operations.py
+++ b/src/pomelobarrow/callers/operations.py
@@ -17,7 +17,7 @@
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
-from pomelobarrow.platform.keyspaces import PublishedState
+from pomelobarrow.published.keyspaces import PublishedState
 
 
 @define(kw_only=True)
--- a/src/pomelobarrow/callers/plugin.py
+++ b/src/pomelobarrow/callers/plugin.py
@@ -21,7 +21,7 @@
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, hookimpl
 from pomelobarrow.peers.region_loads import RegionLoads
-from pomelobarrow.platform.keyspaces import PublishedState
+from pomelobarrow.published.keyspaces import PublishedState
 
 
 @hookimpl
--- a/src/pomelobarrow/callers/server.py
+++ b/src/pomelobarrow/callers/server.py
@@ -65,7 +65,7 @@
         transports = [each.transport for each in runner.server.connections]
         runner.server.pre_shutdown()
         await runner.server.shutdown(None)
-        await _flush([each for each in transports if each is not None])
+        await flush([each for each in transports if each is not None])
 
     async def on_stop(self) -> None:
         """Close whatever is still open."""
@@ -85,7 +85,7 @@
             response.force_close()
 
 
-async def _flush(transports: Iterable[asyncio.Transport]) -> None:
+async def flush(transports: Iterable[asyncio.Transport]) -> None:
     """Return once the transports are empty, or their readers have stopped reading.
 
     An answer counts as given once it is in the transport's buffer. An exit drops that buffer, and
--- a/src/pomelobarrow/callers/sinks.py
+++ b/src/pomelobarrow/callers/sinks.py
@@ -17,7 +17,7 @@
 SERVER_HEADER = "Pomelobarrow-Backend-Server"
 
 
-class _Response(web.StreamResponse):
+class LateHeadResponse(web.StreamResponse):
     """Send the headers together with the first bytes of the body.
 
     An answer's head is passed on only when its first bytes are there, so nothing comes later; a
@@ -45,7 +45,7 @@
     async def head(self, head: AnswerHead) -> None:
         """Send status and headers."""
         self.server = head.server
-        response = _Response(status=head.status, headers=CIMultiDict(head.headers))
+        response = LateHeadResponse(status=head.status, headers=CIMultiDict(head.headers))
         response.headers[REQUEST_ID_HEADER] = self._request_id
         response.headers[SERVER_HEADER] = head.server
         self.response = response
--- a/src/pomelobarrow/decision/configuration.py
+++ b/src/pomelobarrow/decision/configuration.py
@@ -5,6 +5,8 @@
 
 from attrs import field, frozen
 
+from pomelobarrow.decision.routing import Routing
+
 
 class Rank(enum.Enum):
     """Say whether work is paid for; paying work goes before trial work everywhere."""
@@ -83,3 +85,7 @@
     accounts: Mapping[str, Account] = field(factory=dict)
     pools: Mapping[str, Pool] = field(factory=dict)
     account_by_token_sha256: Mapping[str, Account] = field(factory=dict)
+    # Routes of requests that are relayed as they came; None where none are published.
+    routing: Routing | None = None
+    # Failure domains whose backend servers get no new work.
+    evacuated_domains: frozenset[str] = frozenset()
--- a/src/pomelobarrow/decision/configuration_check.py
+++ b/src/pomelobarrow/decision/configuration_check.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Any
 
+import cattrs
 from attrs import define, field, frozen
 from result import Err, Ok, Result
 
@@ -34,10 +35,13 @@
     Rank,
     WorkClass,
 )
+from pomelobarrow.decision.routing import Routing
 
 __all__ = ["ConfigurationChecker", "Fault", "check_configuration"]
 
 DEPLOYMENT_KEY = "deployment"
+ROUTING_KEY = "routing"
+EVACUATIONS = "evacuations"
 MAX_TARGET_S = 7 * 86_400
 MAX_REQUESTS_PER_S = 1_000_000
 MAX_REQUESTS_IN_FLIGHT = 1_000_000
@@ -201,12 +205,13 @@
         self._parsed = {key: self._parse(key, value) for key, value in values.items()}
         faults = [fault for parsed in self._parsed.values() for fault in parsed.faults]
         sections = _by_section(self._parsed.values())
-        faults.extend(_missing_sections(sections))
+        if ROUTING_KEY not in values:
+            faults.extend(_missing_sections(sections))
         for check in _REFERENCE_CHECKS:
             faults.extend(check(sections))
         if faults:
             return Err(tuple(faults))
-        return Ok(_build(revision, self._parsed.get(DEPLOYMENT_KEY), sections))
+        return Ok(_build(revision, self._parsed, sections))
 
     def _parse(self, key: Any, value: object) -> _Parsed:
         known = self._parsed.get(key)
@@ -226,7 +231,11 @@
     if key == DEPLOYMENT_KEY:
         fields, faults = read_fields(DEPLOYMENT_KEY, value, _DEPLOYMENT_SPECS)
         return _Parsed(value=value, fields=fields, faults=tuple(faults))
+    if key == ROUTING_KEY:
+        return _parse_routing(value)
     section_name, _, item_name = key.partition("/") if isinstance(key, str) else ("", "", "")
+    if section_name == EVACUATIONS:
+        return _Parsed(value=value)
     section = _SECTIONS.get(section_name)
     if section is None:
         return _bad_key(value, show_name(key), "an unknown key", _KEY_REMEDY)
@@ -245,6 +254,15 @@
     )
 
 
+def _parse_routing(value: object) -> _Parsed:
+    try:
+        return _Parsed(value=value, item=cattrs.structure(value, Routing))
+    except (cattrs.BaseValidationError, TypeError, ValueError) as error:
+        seen = "; ".join(cattrs.transform_error(error, path=ROUTING_KEY)[:3])
+        fault = Fault(path=ROUTING_KEY, seen=seen, remedy="publish a corrected version")
+        return _Parsed(value=value, faults=(fault,))
+
+
 def _bad_key(value: object, path: str, seen: str, remedy: str) -> _Parsed:
     return _Parsed(value=value, faults=(Fault(path=path, seen=seen, remedy=remedy),))
 
@@ -312,10 +330,18 @@
                 yield Fault(path=path, seen=seen, remedy=remedy)
 
 
+def _names_under(section_name: str, keys: Iterable[Any]) -> Iterator[str]:
+    prefix = f"{section_name}/"
+    return (key.removeprefix(prefix) for key in keys if str(key).startswith(prefix))
+
+
 _REFERENCE_CHECKS = (_pool_references, _model_pool_kinds, _duplicate_services, _duplicate_tokens)
 
 
-def _build(revision: int, deployment: _Parsed | None, sections: _Sections) -> Configuration:
+def _build(
+    revision: int, parsed_by_key: Mapping[Any, _Parsed], sections: _Sections
+) -> Configuration:
+    deployment, routing = parsed_by_key.get(DEPLOYMENT_KEY), parsed_by_key.get(ROUTING_KEY)
     tables: dict[str, dict[str, Any]] = {
         section_name: {item_name: parsed.item for item_name, parsed in items.items()}
         for section_name, items in sections.items()
@@ -330,5 +356,7 @@
         revision=revision,
         objective=objective,
         account_by_token_sha256=account_by_token_sha256,
+        routing=routing.item if routing else None,
+        evacuated_domains=frozenset(_names_under(EVACUATIONS, parsed_by_key)),
         **tables,
     )
--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -43,6 +43,8 @@
     def __init__(self, own_region: str) -> None:
         self.own_region = own_region
         self.prefixes = PrefixIndex()
+        # Failure domains that are being emptied: their servers get no new work.
+        self.closed_domains: frozenset[str] = frozenset()
         self._servers: dict[str, BackendServer] = {}
         self._pools: dict[str, tuple[BackendServer, ...]] = {}
         self._loads: dict[str, ServerLoad] = {}
@@ -170,6 +172,8 @@
     def usable_servers(self, pool: str, now_unix_s: float) -> Sequence[BackendServer]:
         """Return the servers of a pool that may get new work, without their state."""
         staying = [s for s in self.pool_servers(pool) if not self._leaves(s)]
+        # A lapsed lease is no proof that a server is gone; where others hold theirs, they go first.
+        staying = [s for s in staying if not s.is_lapsed] or staying
         healthy = [s for s in staying if not self._health[s.name].is_ejected(now_unix_s)]
         # When every server is ejected, the fault is likelier on this side; an empty pool would
         # refuse work that a server could run, so all are tried.
@@ -221,7 +225,8 @@
 
     def _leaves(self, server: BackendServer) -> bool:
         report = self._loads[server.name].report
-        return server.leaving or (report is not None and report.leaving)
+        is_closed = server.failure_domain in self.closed_domains
+        return is_closed or server.leaving or (report is not None and report.leaving)
 
     def _state(
         self, server: BackendServer, unseen_share: float, kv_tokens: float, now_unix_s: float
--- a/src/pomelobarrow/decision/server_choice.py
+++ b/src/pomelobarrow/decision/server_choice.py
@@ -1,6 +1,6 @@
 """Choose the backend server that answers first."""
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from random import Random
 
 from attrs import frozen
@@ -24,6 +24,10 @@
 LEAST_WAIT = "least expected wait"
 
 
+# Says whether a server may get one more request of a rank.
+Admission = Callable[[ServerState, Rank], bool]
+
+
 @frozen
 class _Warm:
     """Hold the servers that may have a prompt's prefix, with the tokens expected there."""
@@ -35,30 +39,43 @@
         return self.tokens_by_name.get(state.server.name, 0.0)
 
 
+def has_room(state: ServerState, rank: Rank) -> bool:
+    """Say whether a server may get one more request of a rank."""
+    # The request's own size isn't asked: small ones would else pass a large one for ever.
+    has_kv_room = state.kv_tokens < state.server.kv_capacity_tokens or state.requests == 0
+    margin = ROOM_MARGIN_DEVIATIONS * state.requests_deviation
+    has_slot = state.requests < state.slots * SLOT_ALLOWANCE[rank] + margin
+    return has_kv_room and has_slot and not _is_in_the_way(state, rank)
+
+
 def choose_server(
-    table: LoadTable, work: Work, now_unix_s: float, random: Random, excluded: frozenset[str]
+    table: LoadTable,
+    work: Work,
+    now_unix_s: float,
+    random: Random,
+    excluded: frozenset[str],
+    admits: Admission = has_room,
 ) -> Placement | None:
     """Return the placement with the least expected wait, or None while nothing has room."""
     usable = [s for s in table.usable_servers(work.pool, now_unix_s) if s.name not in excluded]
     warm = _warm_servers(table, work, usable)
     compared = table.states(_sample(usable, random), work.pool, now_unix_s)
-    if len(compared) < len(usable) and not _with_room(compared, work):
+    if len(compared) < len(usable) and not _with_room(compared, work, admits):
         compared = table.states(usable, work.pool, now_unix_s)
-    if not _with_room(compared, work):
+    if not _with_room(compared, work, admits):
         return None
     seen = {state.server.name for state in compared}
     others = [server for server in warm.servers if server.name not in seen]
     compared += table.states(others, work.pool, now_unix_s)
-    return _least_wait(table, work, compared, warm, random)
+    return _least_wait(table, work, compared, warm, random, admits)
 
 
-def has_room(state: ServerState, rank: Rank) -> bool:
-    """Say whether a server may get one more request of a rank."""
-    # The request's own size isn't asked: small ones would else pass a large one for ever.
-    has_kv_room = state.kv_tokens < state.server.kv_capacity_tokens or state.requests == 0
-    margin = ROOM_MARGIN_DEVIATIONS * state.requests_deviation
-    has_slot = state.requests < state.slots * SLOT_ALLOWANCE[rank] + margin
-    return has_kv_room and has_slot and not _is_in_the_way(state, rank)
+def least_wait_s(table: LoadTable, pool: str, now_unix_s: float) -> float:
+    """Return the seconds until the first of a pool's servers turns to new work."""
+    states = table.usable(pool, now_unix_s)
+    if not states:
+        return 0.0
+    return min(_waits_s(states, table.service_times(pool), table.view_age_s))
 
 
 def _is_in_the_way(state: ServerState, rank: Rank) -> bool:
@@ -77,14 +94,19 @@
     return random.sample(servers, COMPARED_SERVERS)
 
 
-def _with_room(states: Sequence[ServerState], work: Work) -> list[ServerState]:
-    return [state for state in states if has_room(state, work.rank)]
+def _with_room(states: Sequence[ServerState], work: Work, admits: Admission) -> list[ServerState]:
+    return [state for state in states if admits(state, work.rank)]
 
 
 def _least_wait(
-    table: LoadTable, work: Work, compared: Sequence[ServerState], warm: _Warm, random: Random
+    table: LoadTable,
+    work: Work,
+    compared: Sequence[ServerState],
+    warm: _Warm,
+    random: Random,
+    admits: Admission,
 ) -> Placement:
-    states = _with_room(compared, work)
+    states = _with_room(compared, work, admits)
     times = table.service_times(work.pool)
     waits_s = _waits_s(states, times, table.view_age_s)
     # What peers place comes to the servers with room, also what replaces work on the full ones.
--- a/src/pomelobarrow/decision/work.py
+++ b/src/pomelobarrow/decision/work.py
@@ -40,6 +40,10 @@
     kv_capacity_tokens: int
     leaving: bool = False
     checks_fencing: bool = False
+    # Until then it bears few requests.
+    cold_until_unix_s: float = 0.0
+    # Its lease lapsed without a word that it leaves: gone, or the list's keeper was away.
+    is_lapsed: bool = False
 
 
 @frozen(kw_only=True)
--- a/src/pomelobarrow/dispatch/plugin.py
+++ b/src/pomelobarrow/dispatch/plugin.py
@@ -17,7 +17,7 @@
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
 from pomelobarrow.operators.traces import Traces
-from pomelobarrow.platform.keyspaces import CONFIG, PublishedState
+from pomelobarrow.published.keyspaces import CONFIG, PublishedState
 
 SECRET_BYTES = 32
 
--- a/src/pomelobarrow/kernel/settings.py
+++ b/src/pomelobarrow/kernel/settings.py
@@ -20,6 +20,7 @@
     read_fields,
     show_name,
 )
+from pomelobarrow.decision.retry_share import RetryBound
 from pomelobarrow.kernel.yaml_file import read_file
 
 DEFAULT_MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -88,6 +89,28 @@
     addresses: tuple[str, ...]
 
 
+@frozen(kw_only=True)
+class RelaySettings:
+    """Hold where requests are relayed as they came, and the bounds that hold for it."""
+
+    front_listen: str
+    readiness_listen: str
+    directory_listen: str
+    # Where peers of other regions send requests; the port is the same on all VMs.
+    hop_listen: str
+    region_by_failure_domain: Mapping[str, str]
+    # A planned stop that lasts longer is cut off.
+    stop_within_s: float
+    # The longest time for which clients keep an answer of the directory.
+    max_entry_age_s: float
+    retry_bound: RetryBound
+
+    @property
+    def hop_port(self) -> int:
+        """Return the port on which peers take requests of other regions."""
+        return int(self.hop_listen.rpartition(":")[2])
+
+
 @frozen(kw_only=True)
 class OperatorSettings:
     """Hold what operators see of this VM."""
@@ -107,6 +130,8 @@
     peers: PeerSettings
     platform: PlatformSettings
     operators: OperatorSettings = Factory(OperatorSettings)
+    # None where requests come by the product's own interface only.
+    relay: RelaySettings | None = None
     # Advertised address to the address to dial instead, such as a proxy's in a test.
     dial: Mapping[str, str] = Factory(dict)
 
--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -197,6 +197,32 @@
             ("class",),
             TOKEN_GAP_BUCKETS_S,
         )
+        self.relay_requests = CounterFamily(
+            registry,
+            "pomelobarrow_relay_requests_total",
+            "Relayed requests that ended here, by what the client got.",
+            ("route", "outcome", "status"),
+        )
+        self.relay_attempts = CounterFamily(
+            registry,
+            "pomelobarrow_relay_attempts_total",
+            "Sendings of relayed requests to a backend server or a peer, by their end.",
+            ("pool", "end"),
+        )
+        self.relay_first_answer_s = HistogramFamily(
+            registry,
+            "pomelobarrow_relay_first_answer_seconds",
+            "Time from acceptance to the first of the answer of relayed requests.",
+            ("route",),
+            REQUEST_BUCKETS_S,
+        )
+        self.relay_attempt_s = HistogramFamily(
+            registry,
+            "pomelobarrow_relay_attempt_seconds",
+            "Time that one sending of a relayed request took.",
+            ("pool", "end"),
+            REQUEST_BUCKETS_S,
+        )
         self._families = [
             each
             for each in vars(self).values()
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -5,6 +5,7 @@
 
 import structlog
 from aiohttp import web
+from attrs import asdict
 
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.dispatch.events import AttemptEnded, Forwarded, RequestEnded
@@ -14,7 +15,13 @@
 from pomelobarrow.operators.metrics import Metrics
 from pomelobarrow.operators.traces import Traces
 from pomelobarrow.peers.events import PauseNoticed, PeerRefused
-from pomelobarrow.platform.events import KeyspaceApplied, KeyspaceRefused, PlatformUnreachable
+from pomelobarrow.published.events import (
+    KeyspaceApplied,
+    KeyspaceRefused,
+    PlatformReachable,
+    PlatformUnreachable,
+)
+from pomelobarrow.relay.events import RelayAttemptEnded, RelayEnded, RelayPlaced
 
 log = structlog.get_logger(__name__)
 
@@ -33,7 +40,11 @@
             KeyspaceApplied: self._keyspace_applied,
             KeyspaceRefused: self._keyspace_refused,
             PlatformUnreachable: self._platform_unreachable,
+            PlatformReachable: self._platform_reachable,
             PauseNoticed: self._pause_noticed,
+            RelayPlaced: self._relay_placed,
+            RelayAttemptEnded: self._relay_attempt_ended,
+            RelayEnded: self._relay_ended,
             PeerRefused: self._peer_refused,
         }
 
@@ -101,11 +112,27 @@
     def _platform_unreachable(self, event: PlatformUnreachable) -> None:
         self._log.warning(
             "platform unreachable",
-            address=event.address,
             reason=event.reason,
             remedy="check platform.addresses; peers keep this VM current meanwhile",
         )
 
+    def _platform_reachable(self, event: PlatformReachable) -> None:
+        self._log.info("platform reachable again")
+
+    def _relay_placed(self, event: RelayPlaced) -> None:
+        self._log.info("relay placed", **asdict(event))
+
+    def _relay_attempt_ended(self, event: RelayAttemptEnded) -> None:
+        self._metrics.relay_attempts.inc(event.pool, event.end)
+        self._metrics.relay_attempt_s.observe(event.took_s, event.pool, event.end)
+        self._log.info("relay attempt ended", **asdict(event))
+
+    def _relay_ended(self, event: RelayEnded) -> None:
+        self._metrics.relay_requests.inc(event.route, event.outcome, str(event.status))
+        if event.first_answer_s is not None:
+            self._metrics.relay_first_answer_s.observe(event.first_answer_s, event.route)
+        self._log.info("relay ended", **asdict(event))
+
     def _pause_noticed(self, event: PauseNoticed) -> None:
         self._log.warning("this process stood still", gap_s=round(event.gap_s, 3))
 
--- a/src/pomelobarrow/peers/exchange.py
+++ b/src/pomelobarrow/peers/exchange.py
@@ -12,8 +12,8 @@
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.heartbeats import Heartbeats
-from pomelobarrow.platform.keyspaces import PublishedState
-from pomelobarrow.platform.watcher import SOURCE_PLATFORM
+from pomelobarrow.published.keyspaces import PublishedState
+from pomelobarrow.published.watcher import SOURCE_PLATFORM
 
 # One pull at a time: after a change all peers of a region know it, and asking each of them for
 # it would multiply the bytes by the size of the region.
--- a/src/pomelobarrow/peers/heartbeats.py
+++ b/src/pomelobarrow/peers/heartbeats.py
@@ -19,7 +19,7 @@
 from pomelobarrow.peers.pool_news import PoolNews, SentPools
 from pomelobarrow.peers.region_loads import RegionLoads
 from pomelobarrow.peers.server_news import SentServers, ServerNews
-from pomelobarrow.platform.keyspaces import PublishedState
+from pomelobarrow.published.keyspaces import PublishedState
 
 
 @define
--- a/src/pomelobarrow/peers/joining.py
+++ b/src/pomelobarrow/peers/joining.py
@@ -9,8 +9,8 @@
 from pomelobarrow.decision.membership import Phase
 from pomelobarrow.peers.exchange import Exchange
 from pomelobarrow.peers.table import PeerTable
-from pomelobarrow.platform.keyspaces import PublishedState
-from pomelobarrow.platform.watcher import PlatformWatcher
+from pomelobarrow.published.keyspaces import PublishedState
+from pomelobarrow.published.watcher import PlatformWatcher
 
 PLATFORM_WAIT_S = 2.0
 PEERS_WAIT_S = 2.0
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -27,8 +27,8 @@
 from pomelobarrow.peers.region_loads import RegionLoads
 from pomelobarrow.peers.server import PeerHandlers, PeerServer
 from pomelobarrow.peers.table import PeerTable
-from pomelobarrow.platform.keyspaces import PublishedState
-from pomelobarrow.platform.watcher import PlatformWatcher
+from pomelobarrow.published.keyspaces import PublishedState
+from pomelobarrow.published.watcher import PlatformWatcher
 
 
 @hookimpl
--- a/src/pomelobarrow/peers/pool_news.py
+++ b/src/pomelobarrow/peers/pool_news.py
@@ -7,11 +7,12 @@
 from pomelobarrow.decision.clocks import ClockOffsets
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.region_choice import RegionLoad
+from pomelobarrow.decision.server_choice import least_wait_s
 from pomelobarrow.dispatch.local import LocalDispatch
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.grid import LinkKind, Neighbours, passes_on
 from pomelobarrow.peers.region_loads import RegionLoads
-from pomelobarrow.platform.keyspaces import PublishedState
+from pomelobarrow.published.keyspaces import PublishedState
 
 # Summing up a pool of some hundred servers costs more than the rest of a heartbeat; all heartbeats
 # of this time share one sum.
@@ -159,10 +160,10 @@
     def _own_pool(self, pool: str, now_unix_s: float) -> pb.PoolLoad:
         queue, table = self.local.queue(pool), self.local.table
         waiting_paying = queue.waiting(Rank.PAYING)
-        expected_wait_s = 0.0
+        expected_wait_s = least_wait_s(table, pool, now_unix_s)
         if waiting_paying:
             drain_per_s = max(table.drain_per_s(pool, now_unix_s), MIN_DRAIN_PER_S)
-            expected_wait_s = waiting_paying / drain_per_s
+            expected_wait_s += waiting_paying / drain_per_s
         return pb.PoolLoad(
             pool=pool,
             expected_wait_s=expected_wait_s,
--- a/src/pomelobarrow/peers/table.py
+++ b/src/pomelobarrow/peers/table.py
@@ -24,7 +24,7 @@
 from pomelobarrow.peers.grid import neighbours
 from pomelobarrow.peers.heartbeats import Heartbeats
 from pomelobarrow.peers.links import PeerLink
-from pomelobarrow.platform.keyspaces import VMS, PublishedState
+from pomelobarrow.published.keyspaces import VMS, PublishedState
 
 REVIEW_EVERY_S = 0.5
 ON_DEMAND_KEPT_S = 60.0
--- a/src/pomelobarrow/platform/__init__.py
+++ b/src/pomelobarrow/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Reading and watching what the platform publishes; nothing is ever written."""
+"""The adapter to the platform: it translates what the platform says and decides nothing."""
--- /dev/null
+++ b/src/pomelobarrow/platform/daemon.py
@@ -0,0 +1,23 @@
+"""Run the daemon on the settings that the platform lays."""
+
+import sys
+
+from result import Err
+
+from pomelobarrow.kernel.daemon import run_daemon
+from pomelobarrow.operators.logs import configure_logs
+from pomelobarrow.platform.settings import load_settings
+
+EXIT_FAULT = 1
+
+
+def main() -> int:
+    """Serve until told to stop; return the exit code."""
+    loaded = load_settings()
+    if isinstance(loaded, Err):
+        for fault in loaded.err_value:
+            print(fault, file=sys.stderr)
+        return EXIT_FAULT
+    settings = loaded.ok_value
+    configure_logs(settings.operators.log_level, settings.vm)
+    return run_daemon(settings)
--- a/src/pomelobarrow/platform/plugin.py
+++ b/src/pomelobarrow/platform/plugin.py
@@ -1,52 +1,22 @@
-"""The platform's plug-in: keyspaces and their watcher."""
+"""The adapter's plug-in: the store's reader, and the wire's words where requests are relayed."""
 
 from pomelobarrow.kernel.context import Context
-from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
-from pomelobarrow.peers.table import PeerTable
-from pomelobarrow.platform.keyspaces import CONFIG, VMS, PublishedState
-from pomelobarrow.platform.watcher import PlatformWatcher
+from pomelobarrow.kernel.hooks import hookimpl
+from pomelobarrow.platform.records import own_sources, platform_sources
+from pomelobarrow.platform.store import Store
+from pomelobarrow.platform.wire import platform_wire
+from pomelobarrow.published.reading import StoreReader
+from pomelobarrow.relay.wire import RelayWire
 
 
 @hookimpl
 def provide_parts(context: Context) -> None:
-    """Register the keyspaces and their watcher."""
-    context.provide(PublishedState, lambda c: PublishedState(observe=c.observe))
-    context.provide(PlatformWatcher, _watcher)
+    """Register the store's reader and the wire's translation."""
+    context.provide(StoreReader, _reader)
+    context.provide(RelayWire, lambda _: platform_wire())
 
 
-@hookimpl
-def services(context: Context) -> list[PhasedService]:
-    """Watch the platform."""
-    return [PhasedService(StartPhase.PLATFORM, context.get(PlatformWatcher))]
-
-
-@hookimpl
-def not_ready_reason(context: Context) -> str | None:
-    """Say that no configuration is in force yet."""
-    published = context.get(PublishedState)
-    missing = [name for name in (CONFIG, VMS) if not published.copies[name].revision]
-    return f"no {missing[0]} in force yet" if missing else None
-
-
-@hookimpl
-def status(context: Context) -> StatusSection:
-    """Say which revisions are in force."""
-    copies = context.get(PublishedState).copies
-    values = {
-        name: {
-            "revision": copy.revision,
-            "observed_revision": copy.observed_revision,
-            "digest": f"{copy.digest:016x}",
-            "refused": [str(reason) for reason in copy.refused_reasons],
-        }
-        for name, copy in copies.items()
-    }
-    return StatusSection("keyspaces", values)
-
-
-def _watcher(context: Context) -> PlatformWatcher:
-    return PlatformWatcher(
-        context,
-        context.get(PublishedState),
-        lambda name: context.get(PeerTable).is_watcher(name),
-    )
+def _reader(context: Context) -> StoreReader:
+    relay = context.settings.relay
+    sources = platform_sources(relay.region_by_failure_domain) if relay else own_sources()
+    return Store(addresses=context.settings.platform.addresses, sources=sources).reader()
--- /dev/null
+++ b/src/pomelobarrow/platform/records.py
@@ -0,0 +1,159 @@
+"""Translate what the platform's store holds into the product's keyspaces."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import cattrs
+
+from pomelobarrow.decision.configuration_check import EVACUATIONS, ROUTING_KEY
+from pomelobarrow.decision.routing import (
+    CallerLimits,
+    PoolShare,
+    RelayPool,
+    Route,
+    RouteKind,
+    Routing,
+)
+from pomelobarrow.platform.store import KeyspaceSource
+from pomelobarrow.published.keyspaces import CONFIG, VMS
+from pomelobarrow.published.vms import KEY_PREFIX, ROLE_BACKEND_SERVER, STATE_LEAVING
+
+OPERATOR_PREFIX = "op/"
+CONFIG_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+SERVER_PREFIX = "servers/"
+STATE_DRAINING = "draining"
+STATE_READY = "ready"
+MS_PER_S = 1_000.0
+
+KIND_BY_WORD = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "stream": RouteKind.STREAM,
+}
+
+
+def platform_sources(
+    region_by_failure_domain: Mapping[str, str],
+) -> Mapping[str, KeyspaceSource]:
+    """Return where the keyspaces lie in the users' store."""
+
+    def server_value(stored_key: str, entry: Mapping[str, Any]) -> dict[str, Any]:
+        return _server(entry, region_by_failure_domain)
+
+    return {
+        CONFIG: KeyspaceSource(
+            prefix=OPERATOR_PREFIX, key_of=_operator_key, value_of=_operator_value
+        ),
+        VMS: KeyspaceSource(prefix=SERVER_PREFIX, key_of=_server_key, value_of=server_value),
+    }
+
+
+def own_sources() -> Mapping[str, KeyspaceSource]:
+    """Return where the keyspaces lie in a store that holds the product's own values."""
+
+    def config_key(stored_key: str) -> str:
+        return stored_key.removeprefix(f"{CONFIG}/")
+
+    return {
+        CONFIG: KeyspaceSource(prefix=f"{CONFIG}/", key_of=config_key, value_of=_as_it_is),
+        VMS: KeyspaceSource(prefix=f"{VMS}/", key_of=str, value_of=_as_it_is),
+    }
+
+
+def _as_it_is(stored_key: str, value: Any) -> Any:
+    return value
+
+
+def _operator_key(stored_key: str) -> str | None:
+    if stored_key == CONFIG_KEY:
+        return ROUTING_KEY
+    if stored_key.startswith(EVACUATION_PREFIX):
+        return f"{EVACUATIONS}/{stored_key.removeprefix(EVACUATION_PREFIX)}"
+    return None
+
+
+def _operator_value(stored_key: str, value: Mapping[str, Any]) -> Any:
+    if stored_key != CONFIG_KEY:
+        return {}
+    return cattrs.unstructure(_routing(value))
+
+
+def _server_key(stored_key: str) -> str:
+    return KEY_PREFIX + stored_key.removeprefix(SERVER_PREFIX)
+
+
+def _server(
+    entry: Mapping[str, Any], region_by_failure_domain: Mapping[str, str]
+) -> dict[str, Any]:
+    leaving = entry["State"] == STATE_DRAINING
+    return {
+        "role": ROLE_BACKEND_SERVER,
+        "region": region_by_failure_domain.get(entry["Zone"], ""),
+        "failure_domain": entry["Zone"],
+        "state": STATE_LEAVING if leaving else STATE_READY,
+        "address": entry["Address"],
+        "pool": entry["Service"],
+        "slots": int(entry["Slots"]),
+        "cold_left_s": float(entry.get("ColdLeftMs") or 0.0) / MS_PER_S,
+        # The entry goes when the server falls silent, at times also while the store is away.
+        "leased": True,
+    }
+
+
+def _routing(config: Mapping[str, Any]) -> Routing:
+    return Routing(
+        version=int(config["Version"]),
+        routes=tuple(_route(route) for route in config["Routes"]),
+        pools=tuple(_pool(service) for service in config["Services"]),
+        limits=_limits(config.get("Limits") or {}),
+    )
+
+
+def _route(route: Mapping[str, Any]) -> Route:
+    timeout_s = float(route["TimeoutMs"]) / MS_PER_S
+    return Route(
+        name=str(route["Name"]),
+        host=str(route["Host"]),
+        path_prefix=str(route["Prefix"]),
+        kind=KIND_BY_WORD[route["Kind"]],
+        pools=_shares(route),
+        # Counts backend servers, the first one included.
+        max_attempts=max(1, int(route.get("Attempts") or 1)),
+        urgency=int(route.get("Priority") or 0),
+        is_resumable=bool(route.get("Resumable")),
+        timeout_s=timeout_s,
+        first_answer_target_s=float(route.get("GoalMs") or route["TimeoutMs"]) / MS_PER_S,
+        gap_target_s=float(route.get("GapGoalMs") or 0.0) / MS_PER_S,
+        home_regions=tuple(route.get("HomeRegions") or ()),
+    )
+
+
+def _shares(route: Mapping[str, Any]) -> tuple[PoolShare, ...]:
+    split = route.get("Split")
+    if not split:
+        return (PoolShare(pool=str(route["Service"])),)
+    return tuple(
+        PoolShare(pool=str(part["Service"]), weight=float(part["Weight"])) for part in split
+    )
+
+
+def _pool(service: Mapping[str, Any]) -> RelayPool:
+    engine = service.get("Engine") or {}
+    return RelayPool(
+        name=str(service["Name"]),
+        max_connections=int(service.get("MaxConnections") or 0),
+        cold_requests_per_s=float(service.get("ColdPerS") or 0.0),
+        cold_s=float(service.get("ColdS") or 0.0),
+        kv_capacity_tokens=int(engine.get("KvTokens") or 0),
+    )
+
+
+def _limits(limits: Mapping[str, Any]) -> CallerLimits:
+    default = CallerLimits()
+    return CallerLimits(
+        header_bytes=int(limits.get("HeaderBytes") or default.header_bytes),
+        body_bytes=int(limits.get("BodyBytes") or default.body_bytes),
+        header_s=float(limits.get("HeaderMs") or default.header_s * MS_PER_S) / MS_PER_S,
+        idle_s=float(limits.get("IdleMs") or default.idle_s * MS_PER_S) / MS_PER_S,
+    )
--- /dev/null
+++ b/src/pomelobarrow/platform/settings.py
@@ -0,0 +1,92 @@
+"""Translate the settings file that the platform lays on each machine."""
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from result import Err, Ok, Result
+
+from pomelobarrow.decision.checks import Fault
+from pomelobarrow.decision.retry_share import RetryBound
+from pomelobarrow.kernel.settings import (
+    CallerSettings,
+    PeerKey,
+    PeerSettings,
+    PlatformSettings,
+    RelaySettings,
+    Settings,
+)
+from pomelobarrow.kernel.yaml_file import read_file
+
+SETTINGS_VARIABLE = "POMELOBARROW_SETTINGS"
+# The platform names no port for metrics, and the deploy file needs one that is known beforehand.
+# This is the one that the Prometheus project lists for exporters.
+METRICS_PORT = 9464
+MS_PER_S = 1_000.0
+PEER_KEY_ID = "platform"
+
+_REMEDY = "lay the settings file that the platform's pages describe"
+
+
+def load_settings(path: str | Path | None = None) -> Result[Settings, tuple[Fault, ...]]:
+    """Read the file named, else the one that the environment names."""
+    named = path or os.environ.get(SETTINGS_VARIABLE)
+    if not named:
+        seen = f"no {SETTINGS_VARIABLE}"
+        return Err((Fault(path="environment", seen=seen, remedy=f"set it; {_REMEDY}"),))
+    decoded = read_file(Path(named))
+    if isinstance(decoded, Err):
+        return Err((decoded.err_value,))
+    return translate_settings(decoded.ok_value)
+
+
+def translate_settings(decoded: Any) -> Result[Settings, tuple[Fault, ...]]:
+    """Translate a decoded file; fields that the product has no use for are left aside."""
+    try:
+        return Ok(_settings(decoded))
+    except (KeyError, IndexError, TypeError, ValueError) as error:
+        return Err((Fault(path="settings", seen=f"{error!r}", remedy=_REMEDY),))
+
+
+def _settings(decoded: Mapping[str, Any]) -> Settings:
+    listen, bounds = decoded["Listen"], decoded["Bounds"]
+    ip = str(decoded["Ip"])
+    store_address = str(decoded["Platform"]["Address"])
+    return Settings(
+        vm=str(decoded["Node"]),
+        region=str(decoded["Region"]),
+        failure_domain=str(decoded["Zone"]),
+        # Members tell each other the address that the directory gives to clients.
+        callers=CallerSettings(listen=f"{ip}:{METRICS_PORT}", advertise=listen["Front"]),
+        peers=PeerSettings(
+            listen=listen["Control"],
+            advertise=listen["Control"],
+            keys=(_peer_key(store_address),),
+            seeds=tuple(seed for seed in decoded["Seeds"] if seed != listen["Control"]),
+        ),
+        platform=PlatformSettings(addresses=(f"http://{store_address}",)),
+        relay=RelaySettings(
+            front_listen=listen["Front"],
+            readiness_listen=listen["Ready"],
+            directory_listen=listen["Directory"],
+            hop_listen=f"{ip}:{int(decoded['InternalPorts'][0])}",
+            region_by_failure_domain=dict(decoded["Zones"]),
+            stop_within_s=float(bounds["GraceS"]),
+            max_entry_age_s=float(bounds["ttl_max_s"]),
+            retry_bound=RetryBound(
+                ratio=float(bounds["BudgetRatio"]),
+                slack=float(bounds["BudgetSlack"]),
+                window_s=float(bounds["BudgetWindowS"]),
+            ),
+        ),
+    )
+
+
+def _peer_key(store_address: str) -> PeerKey:
+    """Return the key of all daemons before one store.
+
+    The platform hands out no secret and lets nobody else into its network, so this keeps no one
+    out; it keeps the daemons of two deployments from taking each other for peers.
+    """
+    return PeerKey(id=PEER_KEY_ID, secret=f"deployment-at-{store_address}")
--- /dev/null
+++ b/src/pomelobarrow/platform/store.py
@@ -0,0 +1,158 @@
+"""Read the platform's store: list a prefix, then watch it from a revision."""
+
+import base64
+import binascii
+import random
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+import aiohttp
+import orjson
+import structlog
+from attrs import define, field, frozen
+from result import Err, Ok, Result
+
+from pomelobarrow.decision.keyspace import Change
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.published.reading import Page, ReadError, ReadFailure, StoreReader
+
+RANGE_PATH = "/kv-range"
+WATCH_PATH = "/kv-watch"
+HISTORY_GONE_STATUS = 410
+MS_PER_S = 1_000.0
+# The store answers in milliseconds; this much later, a slow store is told from a lost answer.
+ANSWER_TIMEOUT_S = 1.5
+CONNECT_TIMEOUT_S = 1.0
+# A thousand pages are far more than any keyspace has; past that the listing doesn't end.
+MAX_PAGES = 1_000
+
+log = structlog.get_logger(__name__)
+
+
+@frozen(kw_only=True)
+class KeyspaceSource:
+    """Say where a keyspace lies in the store and how its items translate."""
+
+    prefix: str
+    key_of: Callable[[str], str | None]
+    value_of: Callable[[str, Any], Any]
+
+
+@define(kw_only=True)
+class Store:
+    """Hold the session to the store and the keyspaces read from it."""
+
+    addresses: Sequence[str]
+    sources: Mapping[str, KeyspaceSource]
+    _random: random.Random = field(factory=random.Random)
+    _session: aiohttp.ClientSession | None = field(default=None, init=False)
+
+    def reader(self) -> StoreReader:
+        """Return the functions that the watch reads with."""
+        return StoreReader(read_all=self.read_all, read_changes=self.read_changes, close=self.close)
+
+    async def read_all(self, keyspace: str) -> Result[Page, ReadError]:
+        """Return all items as of the first page's revision.
+
+        Pages are no snapshot. What changed after the first page is left out here and comes with
+        the watch that goes on from that page's revision.
+        """
+        source = self.sources[keyspace]
+        changes: list[Change] = []
+        head_revision, last_key = 0, ""
+        for _ in range(MAX_PAGES):
+            params = {"Prefix": source.prefix} | ({"after": last_key} if last_key else {})
+            answer = await self._call(RANGE_PATH, params, ANSWER_TIMEOUT_S)
+            if isinstance(answer, Err):
+                return answer
+            try:
+                page = answer.ok_value
+                head_revision = head_revision or int(page["StoreRevision"])
+                items = page["items"]
+                changes += [each for item in items if (each := _change(source, item)) is not None]
+                if not page["HasMore"] or not items:
+                    break
+                last_key = items[-1]["Key"]
+            except (KeyError, TypeError, ValueError) as error:
+                return Err(ReadError(failure=ReadFailure.MALFORMED, detail=repr(error)))
+        settled = tuple(change for change in changes if change.revision <= head_revision)
+        return Ok(Page(changes=settled, head_revision=head_revision))
+
+    async def read_changes(
+        self, keyspace: str, after_revision: int, until_unix_s: float
+    ) -> Result[Page, ReadError]:
+        """Return the changes after a revision, waiting for one until the time given."""
+        source = self.sources[keyspace]
+        wait_s = max(0.0, until_unix_s - now_unix_s())
+        params = {
+            "Prefix": source.prefix,
+            "after": str(after_revision),
+            "WaitMs": str(int(wait_s * MS_PER_S)),
+        }
+        answer = await self._call(WATCH_PATH, params, wait_s + ANSWER_TIMEOUT_S)
+        if isinstance(answer, Err):
+            return answer
+        try:
+            events = answer.ok_value["events"]
+            changes = tuple(each for item in events if (each := _change(source, item)) is not None)
+            head = int(answer.ok_value["StoreRevision"])
+        except (KeyError, TypeError, ValueError) as error:
+            return Err(ReadError(failure=ReadFailure.MALFORMED, detail=repr(error)))
+        return Ok(Page(changes=changes, head_revision=head))
+
+    async def close(self) -> None:
+        """Close the session."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _call(
+        self, path: str, params: Mapping[str, str], timeout_s: float
+    ) -> Result[dict[str, Any], ReadError]:
+        """Ask the addresses in turn until one answers."""
+        result: Result[dict[str, Any], ReadError] = Err(ReadError(failure=ReadFailure.UNREACHABLE))
+        for address in self._random.sample(self.addresses, len(self.addresses)):
+            result = await self._call_one(f"{address}{path}", params, timeout_s)
+            if not isinstance(result, Err):
+                return result
+            if result.err_value.failure is ReadFailure.HISTORY_GONE:
+                return result
+        return result
+
+    async def _call_one(
+        self, url: str, params: Mapping[str, str], timeout_s: float
+    ) -> Result[dict[str, Any], ReadError]:
+        # A connection on which an answer was lost stays silent for good, so that none is kept.
+        if self._session is None:
+            connector = aiohttp.TCPConnector(force_close=True)
+            self._session = aiohttp.ClientSession(connector=connector)
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            async with self._session.get(url, params=params, timeout=timeout) as response:
+                body = await response.read()
+                if response.status == HISTORY_GONE_STATUS:
+                    return Err(ReadError(failure=ReadFailure.HISTORY_GONE))
+                if response.status != 200:
+                    detail = f"status {response.status}"
+                    return Err(ReadError(failure=ReadFailure.REFUSED, detail=detail))
+                return Ok(orjson.loads(body))
+        except ValueError as error:
+            return Err(ReadError(failure=ReadFailure.MALFORMED, detail=repr(error)))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Err(ReadError(failure=ReadFailure.UNREACHABLE, detail=repr(error)))
+
+
+def _change(source: KeyspaceSource, item: Mapping[str, Any]) -> Change | None:
+    stored_key, revision = item["Key"], int(item["Revision"])
+    key = source.key_of(stored_key)
+    if key is None:
+        return None
+    if item.get("Tombstone"):
+        return Change(revision=revision, key=key, value=None)
+    try:
+        decoded = orjson.loads(base64.b64decode(item["Value"], validate=True))
+        value = source.value_of(stored_key, decoded)
+    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        # One unreadable item must not keep all others from being read.
+        log.warning("item left out", key=stored_key, revision=revision, error=repr(error))
+        return None
+    return Change(revision=revision, key=key, value=value)
--- /dev/null
+++ b/src/pomelobarrow/platform/wire.py
@@ -0,0 +1,204 @@
+"""Translate the headers of requests and answers, and the calls that clients make beside them."""
+
+import re
+from collections.abc import Mapping, Sequence
+
+import orjson
+from aiohttp import ClientResponse
+from result import Err, Ok, Result
+
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.relay.messages import (
+    Headers,
+    PromptPart,
+    RelayRequest,
+    RequestHead,
+    ServerAnswerHead,
+    ServerLoadNote,
+)
+from pomelobarrow.relay.wire import DirectoryQuery, RelayWire, ServerOrder
+
+READINESS_PATH = "/readiness"
+DIRECTORY_PATH = "/resolution"
+
+REQUEST_ID = "Pomelobarrow-Request-Id"
+# How many milliseconds the sender will still wait.
+TIME_LEFT = "Pomelobarrow-Request-Deadline"
+MODEL = "Pomelobarrow-Model"
+# Tokens of the prompt, then the most tokens of the answer.
+TOKEN_COUNTS = "Pomelobarrow-Token-Count"
+# The prompt's parts in order, each as hexadecimal id and tokens.
+PROMPT_PARTS = "Pomelobarrow-Prompt-Prefix"
+LAST_EVENT_ID = "Last-Event-Id"
+TARGET_SERVER = "Pomelobarrow-Target-Instance"
+PRIORITY = "Pomelobarrow-Request-Priority"
+SEAL = "Pomelobarrow-Response-Seal"
+NOT_RUN = "Pomelobarrow-Not-Executed"
+SERVER_LOAD = "Pomelobarrow-Server-Load"
+
+WRONG_SERVER_STATUS = 421
+MAX_PRIORITY = 9
+MS_PER_S = 1_000.0
+
+# For the system alone to set. A client could reserve or pin memory with them, or take over what
+# another request left in a server's memory.
+SYSTEM_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        TARGET_SERVER,
+        PRIORITY,
+        "Pomelobarrow-Expected-Version",
+        "Pomelobarrow-Hold",
+        "Pomelobarrow-Pin-Duration",
+        "Pomelobarrow-Kv-Backup",
+        "Kv-From",
+        "Kv-Fetch",
+    )
+)
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Peers mark with these what they say to each other.
+PEER_PREFIX = "pomelobarrow-peer-"
+
+_EVENT_ID_PATTERN = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+
+
+def platform_wire() -> RelayWire:
+    """Return the translation for the relay."""
+    return RelayWire(
+        readiness_path=READINESS_PATH,
+        directory_path=DIRECTORY_PATH,
+        read_request=read_request,
+        server_headers=server_headers,
+        peer_headers=peer_headers,
+        read_answer=read_answer,
+        read_directory_query=read_directory_query,
+        directory_answer=directory_answer,
+        event_id=event_id,
+    )
+
+
+def read_request(headers: Mapping[str, str]) -> Result[RequestHead, str]:
+    """Read a client's headers; the error says what is wrong with them."""
+    named = {each.strip().lower() for each in headers.get("Connection", "").split(",")}
+    request_id = headers.get(REQUEST_ID, "")
+    if not request_id:
+        return Err(f"{REQUEST_ID} is missing")
+    try:
+        time_left_ms = headers.get(TIME_LEFT)
+        prompt_tokens, _, output_tokens = headers.get(TOKEN_COUNTS, "0,0").partition(",")
+        return Ok(
+            RequestHead(
+                request_id=request_id,
+                headers=tuple(
+                    (name, value) for name, value in headers.items() if _goes_on(name, named)
+                ),
+                patience_s=float(time_left_ms) / MS_PER_S if time_left_ms else None,
+                model=headers.get(MODEL),
+                prompt_tokens=int(prompt_tokens),
+                max_output_tokens=int(output_tokens or 0),
+                prompt_parts=_prompt_parts(headers.get(PROMPT_PARTS, "")),
+                last_event_id=headers.get(LAST_EVENT_ID, ""),
+            )
+        )
+    except ValueError as error:
+        return Err(f"a header's number can't be read: {error}")
+
+
+def server_headers(request: RelayRequest, order: ServerOrder) -> Headers:
+    """Return the headers for a backend server."""
+    replaced = {TIME_LEFT.lower()}
+    added = [
+        ("Host", request.host),
+        (TIME_LEFT, _time_left_ms(order.deadline_unix_s)),
+        (TARGET_SERVER, order.server),
+        (PRIORITY, str(min(MAX_PRIORITY, request.route.urgency))),
+    ]
+    if order.resume_after:
+        replaced.add(LAST_EVENT_ID.lower())
+        added.append((LAST_EVENT_ID, order.resume_after))
+    return _without(request.head.headers, replaced) + tuple(added)
+
+
+def peer_headers(request: RelayRequest) -> Headers:
+    """Return the headers for a peer."""
+    time_left = (TIME_LEFT, _time_left_ms(request.work.deadline_unix_s))
+    kept = _without(request.head.headers, {TIME_LEFT.lower()})
+    return kept + (("Host", request.host), time_left)
+
+
+def read_answer(response: ClientResponse) -> ServerAnswerHead:
+    """Read the head of a backend server's answer."""
+    headers = response.headers
+    named = {each.strip().lower() for each in headers.get("Connection", "").split(",")}
+    return ServerAnswerHead(
+        status=response.status,
+        headers=tuple((name, value) for name, value in headers.items() if _goes_on(name, named)),
+        request_id=headers.get(REQUEST_ID, ""),
+        is_sealed=SEAL in headers,
+        is_not_run=NOT_RUN in headers or response.status == WRONG_SERVER_STATUS,
+        load=_load_note(headers.get(SERVER_LOAD, "")),
+    )
+
+
+def read_directory_query(query: Mapping[str, str]) -> DirectoryQuery:
+    """Read what a client asks the directory."""
+    return DirectoryQuery(
+        host=query.get("Name", ""),
+        region=query.get("Region", ""),
+        failure_domain=query.get("Zone", ""),
+    )
+
+
+def directory_answer(addresses: Sequence[str], good_for_s: float) -> bytes:
+    """Return the body of the directory's answer."""
+    return orjson.dumps({"Addresses": list(addresses), "TtlS": good_for_s})
+
+
+def event_id(event: bytes) -> str:
+    """Return an event's id, empty where it has none."""
+    match = _EVENT_ID_PATTERN.search(event)
+    return match[1].decode("latin-1") if match else ""
+
+
+def _goes_on(name: str, named_by_connection: set[str]) -> bool:
+    lower = name.lower()
+    is_private = lower in SYSTEM_HEADERS or lower in CONNECTION_HEADERS
+    return not is_private and lower not in named_by_connection and not _is_peers(lower)
+
+
+def _is_peers(lower_name: str) -> bool:
+    return lower_name.startswith(PEER_PREFIX)
+
+
+def _without(headers: Headers, lower_names: set[str]) -> Headers:
+    return tuple(each for each in headers if each[0].lower() not in lower_names)
+
+
+def _time_left_ms(deadline_unix_s: float) -> str:
+    return str(max(0, int((deadline_unix_s - now_unix_s()) * MS_PER_S)))
+
+
+def _prompt_parts(text: str) -> tuple[PromptPart, ...]:
+    pairs = (each.partition(":") for each in text.split(",") if each)
+    return tuple(PromptPart(id=id_.strip(), tokens=int(tokens)) for id_, _, tokens in pairs)
+
+
+def _load_note(text: str) -> ServerLoadNote | None:
+    parts = text.split(",")
+    if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return ServerLoadNote(running=running, waiting=waiting, slots=slots)
--- a/src/pomelobarrow/platform/events.py
+++ b/src/pomelobarrow/published/events.py
@@ -24,7 +24,11 @@
 
 @frozen
 class PlatformUnreachable:
-    """Report that a read of the platform failed."""
+    """Report that reads of the platform began to fail."""
 
-    address: str
     reason: str
+
+
+@frozen
+class PlatformReachable:
+    """Report that the platform answers again."""
--- a/src/pomelobarrow/platform/keyspaces.py
+++ b/src/pomelobarrow/published/keyspaces.py
@@ -12,11 +12,13 @@
 from pomelobarrow.decision.keyspace import ApplyResult, Change, Delta, KeyspaceCopy
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.kernel.clock import now_unix_s
-from pomelobarrow.platform.events import KeyspaceApplied, KeyspaceRefused
-from pomelobarrow.platform.vms import EntryVm, check_vms, parse_vms
+from pomelobarrow.published.events import KeyspaceApplied, KeyspaceRefused
+from pomelobarrow.published.vms import EntryVm, VmList, check_vms
 
 CONFIG = "config"
 VMS = "vms"
+# Names a change that came of no news but of time that passed.
+SOURCE_LAPSE = "lapsed leases"
 
 log = structlog.get_logger(__name__)
 
@@ -31,11 +33,10 @@
     checker: ConfigurationChecker = field(factory=ConfigurationChecker)
     copies: dict[str, KeyspaceCopy] = field(init=False)
     configuration: Configuration | None = None
-    entry_vms: Mapping[str, EntryVm] = field(factory=dict)
-    backend_servers: Mapping[str, BackendServer] = field(factory=dict)
     listeners: list[AppliedListener] = field(factory=list)
 
     _checked: Configuration | None = field(default=None, init=False)
+    _vms: VmList = field(factory=VmList, init=False)
 
     def __attrs_post_init__(self) -> None:
         self.copies = {
@@ -43,6 +44,21 @@
             VMS: KeyspaceCopy(VMS, validator=check_vms),
         }
 
+    @property
+    def entry_vms(self) -> Mapping[str, EntryVm]:
+        """Return the listed entry VMs by name."""
+        return self._vms.entries
+
+    @property
+    def backend_servers(self) -> Mapping[str, BackendServer]:
+        """Return the listed backend servers by name."""
+        return self._vms.servers
+
+    def drop_lapsed(self) -> None:
+        """Give up the servers whose lapsed leases weren't renewed in time."""
+        if self._vms.drop_lapsed(now_unix_s()):
+            self._tell(VMS, SOURCE_LAPSE)
+
     def apply(
         self,
         name: str,
@@ -85,9 +101,12 @@
         if name == CONFIG:
             self.configuration = self._checked
         else:
-            self.entry_vms, self.backend_servers = parse_vms(copy.values)
+            self._vms.update(copy.values, now_unix_s())
         log.info("in force", keyspace=name, revision=copy.revision, source=source)
         self.observe(KeyspaceApplied(name, copy.revision, now_unix_s(), source))
+        self._tell(name, source)
+
+    def _tell(self, name: str, source: str) -> None:
         for listener in self.listeners:
             listener(name, source)
 
--- /dev/null
+++ b/src/pomelobarrow/relay/answer.py
@@ -0,0 +1,65 @@
+"""Write one relayed request's answer to whoever asked."""
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from pomelobarrow.callers.sinks import LateHeadResponse
+from pomelobarrow.dispatch.answers import CallerGoneError
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.relay.messages import Headers
+
+
+class ClientAnswer:
+    """Pass an answer on and note its timing; nothing can be tried elsewhere once it is started."""
+
+    def __init__(self, incoming: web.BaseRequest, closes: bool) -> None:
+        self.first_byte_unix_s: float | None = None
+        self.status = 0
+        self._incoming = incoming
+        # Whether the connection ends with this answer.
+        self._closes = closes
+        self.response: web.StreamResponse | None = None
+
+    @property
+    def is_started(self) -> bool:
+        """Say whether a part of the answer has been passed on."""
+        return self.response is not None
+
+    async def whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Pass on a complete answer."""
+        response = web.Response(status=status, headers=CIMultiDict(headers), body=body)
+        await self._prepare(response)
+        await self._checked(response.write_eof())
+
+    async def open(self, status: int, headers: Headers) -> None:
+        """Begin a stream; its head leaves with the first events."""
+        await self._prepare(LateHeadResponse(status=status, headers=CIMultiDict(headers)))
+
+    async def send(self, data: bytes) -> None:
+        """Pass on the next bytes of a stream."""
+        assert self.response is not None
+        self.first_byte_unix_s = self.first_byte_unix_s or now_unix_s()
+        await self._checked(self.response.write(data))
+
+    async def finish(self) -> None:
+        """End a stream that is whole."""
+        assert self.response is not None
+        await self._checked(self.response.write_eof())
+
+    def break_off(self) -> None:
+        """Close the connection without the end mark, so that the answer can't look complete."""
+        if self._incoming.transport is not None:
+            self._incoming.transport.close()
+
+    async def _prepare(self, response: web.StreamResponse) -> None:
+        self.status = response.status
+        if self._closes:
+            response.force_close()
+        self.response = response
+        await self._checked(response.prepare(self._incoming))
+
+    async def _checked(self, step) -> None:  # type: ignore[no-untyped-def]
+        try:
+            await step
+        except (ConnectionError, RuntimeError) as error:
+            raise CallerGoneError("the client closed its connection") from error
--- /dev/null
+++ b/src/pomelobarrow/relay/attempt.py
@@ -0,0 +1,146 @@
+"""Send a request once, to a backend server or a peer, and bring its answer back."""
+
+from collections.abc import Callable
+
+import aiohttp
+from attrs import define, field, frozen
+from yarl import URL
+
+from pomelobarrow.backends.engine import LOST
+from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.decision.attempt import UNRUN_STATES, Attempt, AttemptEvent, AttemptState
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.relay.answer import ClientAnswer
+from pomelobarrow.relay.event_splitter import EventSplitter
+from pomelobarrow.relay.messages import (
+    AttemptEnd,
+    AttemptReport,
+    Headers,
+    RelayRequest,
+    ServerAnswerHead,
+    WholeAnswer,
+)
+
+# aiohttp would add these; the server is to see what the client sent.
+SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
+STATUS_OK = 200
+
+
+@frozen(kw_only=True)
+class Target:
+    """Say where a request is sent, with which headers and how the answer's head reads."""
+
+    name: str
+    address: str
+    headers: Callable[[], Headers]
+    read_answer: Callable[[aiohttp.ClientResponse], ServerAnswerHead]
+    connect_timeout_s: float
+
+
+@define(kw_only=True)
+class RelayAttempt:
+    """Hold what one sending of a request has brought so far."""
+
+    sessions: BackendSessions
+    request: RelayRequest
+    target: Target
+    sink: ClientAnswer
+    splitter: EventSplitter
+    on_first_answer: Callable[[ServerAnswerHead], None]
+    state: Attempt = field(factory=Attempt)
+    first_answer_unix_s: float | None = None
+
+    @property
+    def is_surely_unrun(self) -> bool:
+        """Say whether the request can't have run in this attempt."""
+        return self.state.state in UNRUN_STATES
+
+    async def run(self) -> AttemptReport:
+        """Send once; nothing is sent again below this level."""
+        self.splitter.restart()
+        try:
+            return await self._exchange()
+        except LOST as error:
+            return self._lost(repr(error))
+
+    async def _exchange(self) -> AttemptReport:
+        request = self.request
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self.target.connect_timeout_s)
+        # A kept connection may have been forgotten by the other end, or still hold a late answer
+        # to an earlier request. A new one costs a round trip and has neither fault.
+        async with self.sessions.fresh.request(
+            request.method,
+            URL(self.sessions.url(self.target.address, request.target), encoded=True),
+            data=request.body or None,
+            headers=self.target.headers(),
+            skip_auto_headers=SKIPPED_AUTO_HEADERS,
+            timeout=timeout,
+            allow_redirects=False,
+            trace_request_ctx=lambda: self.state.apply(AttemptEvent.SEND),
+        ) as response:
+            head = self.target.read_answer(response)
+            if head.is_not_run:
+                self.state.apply(AttemptEvent.REFUSE_UNRUN)
+                return self._report(AttemptEnd.REFUSED, f"status {head.status}")
+            if fault := self._fault(head):
+                return self._lost(fault)
+            if request.route.is_stream and head.status == STATUS_OK:
+                return await self._pass_events(response, head)
+            return await self._read_whole(response, head)
+
+    def _fault(self, head: ServerAnswerHead) -> str:
+        """Return why an answer can't be the one to this request, or nothing."""
+        if head.lost_detail:
+            return head.lost_detail
+        # A faulty server may send another request's answer, or bytes that only look like one.
+        if head.request_id != self.request.head.request_id:
+            return "the answer belongs to another request"
+        if head.is_success and not head.is_sealed:
+            return "the answer is not the server's own"
+        return ""
+
+    async def _read_whole(
+        self, response: aiohttp.ClientResponse, head: ServerAnswerHead
+    ) -> AttemptReport:
+        body = await response.read()
+        self._note_first_answer(head)
+        self.state.apply(AttemptEvent.END)
+        return self._report(AttemptEnd.ANSWERED, answer=WholeAnswer(head=head, body=body))
+
+    async def _pass_events(
+        self, response: aiohttp.ClientResponse, head: ServerAnswerHead
+    ) -> AttemptReport:
+        async for data in response.content.iter_any():
+            events = self.splitter.feed(data)
+            if not events:
+                continue
+            self._note_first_answer(head)
+            # A resumed stream keeps the head that the client already has.
+            if not self.sink.is_started:
+                await self.sink.open(head.status, head.headers)
+            await self.sink.send(events)
+        if not self.splitter.is_between_events:
+            return self._lost("the stream ended in the middle of an event")
+        if not self.sink.is_started:
+            return self._lost("the stream held no event")
+        await self.sink.finish()
+        self.state.apply(AttemptEvent.END)
+        return self._report(AttemptEnd.PASSED_ON)
+
+    def _note_first_answer(self, head: ServerAnswerHead) -> None:
+        if self.first_answer_unix_s is None:
+            self.first_answer_unix_s = now_unix_s()
+            self.state.apply(AttemptEvent.FIRST_BYTE)
+            self.on_first_answer(head)
+
+    def _lost(self, detail: str) -> AttemptReport:
+        self.state.apply(AttemptEvent.LOSE)
+        is_unsent = self.state.state is AttemptState.NOT_SENT
+        return self._report(AttemptEnd.NOT_SENT if is_unsent else AttemptEnd.LOST, detail)
+
+    def _report(
+        self, end: AttemptEnd, detail: str = "", answer: WholeAnswer | None = None
+    ) -> AttemptReport:
+        return AttemptReport(
+            end=end, detail=detail, answer=answer, first_answer_unix_s=self.first_answer_unix_s
+        )
--- /dev/null
+++ b/src/pomelobarrow/relay/directory.py
@@ -0,0 +1,64 @@
+"""Tell clients which entry VMs to use, and the platform whether this one is ready."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+from attrs import define
+
+from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.routing import Routing
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.relay.wire import DirectoryQuery, RelayWire
+
+# Some clients keep an answer three times as long: the sooner it ends, the sooner they learn of a VM
+# that is gone.
+GOOD_FOR_S = 1.0
+MAX_ADDRESSES = 16
+# With fewer VMs in the client's failure domain the others of its region are named too.
+ENOUGH_NEAR = 2
+
+
+@define(kw_only=True)
+class RelayDirectory:
+    """Hold what the directory's answers are made from."""
+
+    view: MembershipView
+    wire: RelayWire
+    routing: Callable[[], Routing | None]
+    not_ready_reason: Callable[[], str | None]
+
+    async def answer(self, incoming: web.BaseRequest) -> web.StreamResponse:
+        """Answer a client that asks where to connect."""
+        if incoming.path != self.wire.directory_path:
+            return web.Response(status=404)
+        query = self.wire.read_directory_query(incoming.query)
+        members = self._members(query)
+        if not members:
+            return web.Response(status=503)
+        addresses = [member.caller_address for member in members[:MAX_ADDRESSES]]
+        body = self.wire.directory_answer(addresses, GOOD_FOR_S)
+        return web.Response(body=body, content_type="application/json")
+
+    async def readiness(self, incoming: web.BaseRequest) -> web.StreamResponse:
+        """Answer the platform's check."""
+        reason = self.not_ready_reason()
+        return web.Response(status=503 if reason else 200, text=f"{reason or 'ready'}\n")
+
+    def _members(self, query: DirectoryQuery) -> list[Member]:
+        """Return the VMs nearest to a client.
+
+        Work that is bound to other regions is passed on from the client's own one, and only where
+        that has no VM left the client is sent to a home.
+        """
+        members = self.view.usable_entries(now_unix_s=now_unix_s())
+        near = [member for member in members if member.region == query.region]
+        same_domain = [m for m in near if m.failure_domain == query.failure_domain]
+        if len(same_domain) >= ENOUGH_NEAR:
+            return same_domain
+        return near or self._at_home(query.host, list(members)) or list(members)
+
+    def _at_home(self, host: str, members: list[Member]) -> list[Member]:
+        routing = self.routing()
+        routes = routing.routes_of_host(host) if routing else ()
+        homes = {region for route in routes for region in route.home_regions}
+        return [member for member in members if member.region in homes]
--- /dev/null
+++ b/src/pomelobarrow/relay/front.py
@@ -0,0 +1,175 @@
+"""Take requests from clients and peers and hand them to the relay."""
+
+import asyncio
+from collections.abc import Callable
+from functools import partial
+
+from aiohttp import web
+from attrs import define, field
+from result import Err, Ok, Result
+
+from pomelobarrow.callers.headers import check_text
+from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.decision.errors import Kind, Refusal, Run
+from pomelobarrow.decision.routing import Route, Routing
+from pomelobarrow.decision.work import Work
+from pomelobarrow.dispatch.answers import CallerGoneError
+from pomelobarrow.dispatch.refusals import refuse
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.relay.answer import ClientAnswer
+from pomelobarrow.relay.hop import HopNote, read_hop_note
+from pomelobarrow.relay.messages import RelayRequest, RequestHead
+from pomelobarrow.relay.prompts import shared_blocks
+from pomelobarrow.relay.relay import Relay
+from pomelobarrow.relay.wire import RelayWire
+
+REMEDY_REQUEST = "send the request as the interface describes it"
+
+
+@define(kw_only=True)
+class RelayFront:
+    """Hold what the listeners for clients and for peers share."""
+
+    own_region: str
+    relay: Relay
+    wire: RelayWire
+    routing: Callable[[], Routing | None]
+    is_draining: Callable[[], bool]
+    closed_connections: int = field(default=0, init=False)
+
+    async def from_client(self, incoming: web.BaseRequest) -> web.StreamResponse:
+        """Answer a client."""
+        return await self._serve(incoming, None)
+
+    async def from_peer(self, incoming: web.BaseRequest) -> web.StreamResponse:
+        """Answer a peer that passes a request on."""
+        note = read_hop_note(incoming.headers)
+        if note is None:
+            return await self._refuse(incoming, _malformed("no note of the peer that sends it"))
+        return await self._serve(incoming, note)
+
+    async def _serve(self, incoming: web.BaseRequest, note: HopNote | None) -> web.StreamResponse:
+        accepted_unix_s = now_unix_s()
+        routing = self.routing()
+        if routing is None:
+            refusal = refuse(Kind.NOT_READY, Run.NO, "no configuration yet")
+            return await self._refuse(incoming, refusal)
+        read = self._read(incoming, routing, note)
+        if isinstance(read, Err):
+            return await self._refuse(incoming, read.err_value)
+        head, route = read.ok_value
+        body = await _read_body(incoming)
+        if isinstance(body, Err):
+            return await self._refuse(incoming, body.err_value)
+        request = self._request(incoming, head, route, note, accepted_unix_s, body.ok_value)
+        sink = ClientAnswer(incoming, closes=self.is_draining())
+        await self.relay.answer(request, routing, sink)
+        return sink.response or _closed(incoming)
+
+    def _read(
+        self, incoming: web.BaseRequest, routing: Routing, note: HopNote | None
+    ) -> Result[tuple[RequestHead, Route], Refusal]:
+        readable = check_text(incoming.raw_path, incoming.headers)
+        if isinstance(readable, Err):
+            return readable
+        if not incoming.raw_path.startswith("/"):
+            return Err(_malformed("the target is no path"))
+        route = routing.find(incoming.headers.get("Host", ""), _path(incoming.raw_path))
+        if route is None:
+            return Err(_no_route(note))
+        head = self.wire.read_request(incoming.headers)
+        if isinstance(head, Err):
+            return Err(_malformed(head.err_value))
+        return Ok((head.ok_value, route))
+
+    def _request(
+        self,
+        incoming: web.BaseRequest,
+        head: RequestHead,
+        route: Route,
+        note: HopNote | None,
+        accepted_unix_s: float,
+        body: bytes,
+    ) -> RelayRequest:
+        return RelayRequest(
+            head=head,
+            route=route,
+            work=self._work(head, route, accepted_unix_s),
+            method=incoming.method,
+            host=incoming.headers["Host"],
+            target=incoming.raw_path,
+            body=body,
+            forwarded_by=note.forwarded_by if note else "",
+            attempts_left=note.attempts_left if note else route.max_attempts,
+        )
+
+    def _work(self, head: RequestHead, route: Route, accepted_unix_s: float) -> Work:
+        patience_s = min(head.patience_s or route.timeout_s, route.timeout_s)
+        return Work(
+            request_id=head.request_id,
+            class_name=route.name,
+            account="",
+            rank=Rank.PAYING,
+            pool=route.choose_pool(self.relay.rng),
+            model=head.model,
+            home_region=self.own_region,
+            home_bound=not route.may_run_in(self.own_region),
+            repeatable=route.is_repeatable,
+            prompt_tokens=head.prompt_tokens,
+            expected_output_tokens=head.max_output_tokens,
+            prefix_hashes=shared_blocks(head.prompt_parts),
+            accepted_unix_s=accepted_unix_s,
+            first_token_due_unix_s=accepted_unix_s + route.first_answer_target_s,
+            deadline_unix_s=accepted_unix_s + patience_s,
+        )
+
+    async def _refuse(self, incoming: web.BaseRequest, refusal: Refusal) -> web.StreamResponse:
+        sink = ClientAnswer(incoming, closes=self.is_draining())
+        try:
+            await self.relay.refuse(refusal, "", sink)
+        except CallerGoneError:
+            return _closed(incoming)
+        return sink.response or _closed(incoming)
+
+
+async def _read_body(incoming: web.BaseRequest) -> Result[bytes, Refusal]:
+    try:
+        return Ok(await incoming.read() if incoming.can_read_body else b"")
+    except web.HTTPRequestEntityTooLarge:
+        detail = "the body is too large"
+        return Err(refuse(Kind.BODY_TOO_LARGE, Run.NO, detail, remedy="send less"))
+    except web.RequestPayloadError:
+        return Err(_malformed("the body's framing is broken"))
+
+
+def _path(target: str) -> str:
+    return target.partition("?")[0]
+
+
+def _malformed(detail: str) -> Refusal:
+    return refuse(Kind.MALFORMED_REQUEST, Run.NO, detail, remedy=REMEDY_REQUEST)
+
+
+def _no_route(note: HopNote | None) -> Refusal:
+    """Return the refusal of an unknown route.
+
+    A peer that passed it on knows the route: this VM is behind and must not say that there is none.
+    """
+    if note is not None:
+        return refuse(Kind.NOT_READY, Run.NO, "the route is not known here yet")
+    remedy = "ask for a host and path that are published"
+    return refuse(Kind.UNKNOWN_SERVICE, Run.NO, "no route matches", remedy=remedy)
+
+
+def _closed(incoming: web.BaseRequest) -> web.StreamResponse:
+    """Close the connection of a client that has left and return what aiohttp wants to see."""
+    if incoming.transport is not None:
+        incoming.transport.close()
+    return web.Response(status=499)
+
+
+def request_factory(
+    max_body_bytes: int, loop: asyncio.AbstractEventLoop
+) -> Callable[..., web.BaseRequest]:
+    """Return what builds requests whose bodies may have a certain size."""
+    return partial(web.BaseRequest, loop=loop, client_max_size=max_body_bytes)
--- /dev/null
+++ b/src/pomelobarrow/relay/hop.py
@@ -0,0 +1,79 @@
+"""What VMs tell each other when one passes a request on to a peer in another region."""
+
+from collections.abc import Callable, Mapping
+
+import aiohttp
+from attrs import evolve, frozen
+
+from pomelobarrow.decision.errors import Refusal, Run
+from pomelobarrow.decision.membership import Member
+from pomelobarrow.relay.attempt import Target
+from pomelobarrow.relay.messages import Headers, RelayRequest, ServerAnswerHead
+from pomelobarrow.relay.wire import RelayWire
+
+FROM_HEADER = "Pomelobarrow-Peer-From"
+ATTEMPTS_HEADER = "Pomelobarrow-Peer-Attempts"
+RUN_HEADER = "Pomelobarrow-Peer-Run"
+# Two round trips between the farthest regions, and a lost packet.
+CONNECT_TIMEOUT_S = 0.6
+
+
+@frozen(kw_only=True)
+class HopNote:
+    """Hold what a peer says of the request that it passes on."""
+
+    forwarded_by: str
+    attempts_left: int
+
+
+def read_hop_note(headers: Mapping[str, str]) -> HopNote | None:
+    """Return what a peer says, or None where it says nothing that can be read."""
+    attempts = headers.get(ATTEMPTS_HEADER, "")
+    forwarded_by = headers.get(FROM_HEADER, "")
+    if not forwarded_by or not attempts.isdecimal():
+        return None
+    return HopNote(forwarded_by=forwarded_by, attempts_left=int(attempts))
+
+
+def refusal_headers(refusal: Refusal) -> Headers:
+    """Return what tells the VM that passed a request on whether it ran."""
+    return ((RUN_HEADER, refusal.run.value),)
+
+
+def peer_target(
+    member: Member,
+    hop_port: int,
+    own_vm: str,
+    request: RelayRequest,
+    attempts_left: int,
+    wire: RelayWire,
+) -> Target:
+    """Return how a request is sent to a peer."""
+
+    def headers() -> Headers:
+        note = ((FROM_HEADER, own_vm), (ATTEMPTS_HEADER, str(max(1, attempts_left))))
+        return wire.peer_headers(request) + note
+
+    host = member.peer_address.rpartition(":")[0]
+    return Target(
+        name=member.vm,
+        address=f"{host}:{hop_port}",
+        headers=headers,
+        read_answer=_peer_answer_reader(wire.read_answer),
+        connect_timeout_s=CONNECT_TIMEOUT_S,
+    )
+
+
+def _peer_answer_reader(
+    read_answer: Callable[[aiohttp.ClientResponse], ServerAnswerHead],
+) -> Callable[[aiohttp.ClientResponse], ServerAnswerHead]:
+    def read(response: aiohttp.ClientResponse) -> ServerAnswerHead:
+        head = read_answer(response)
+        run = response.headers.get(RUN_HEADER)
+        if run is None:
+            return evolve(head, is_not_run=False)
+        is_not_run = run == Run.NO.value
+        lost_detail = "" if is_not_run else f"the peer answered {response.status}"
+        return evolve(head, is_not_run=is_not_run, lost_detail=lost_detail)
+
+    return read
--- /dev/null
+++ b/src/pomelobarrow/relay/messages.py
@@ -0,0 +1,118 @@
+"""Requests and answers that are relayed as they came."""
+
+import enum
+
+from attrs import field, frozen
+
+from pomelobarrow.decision.errors import Refusal
+from pomelobarrow.decision.routing import Route
+from pomelobarrow.decision.work import Work
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@frozen(kw_only=True)
+class PromptPart:
+    """Name a part of a prompt, the same in all prompts that share it, and its length."""
+
+    id: str
+    tokens: int
+
+
+@frozen(kw_only=True)
+class RequestHead:
+    """Hold what the headers of a request say; `headers` go on to the backend server."""
+
+    request_id: str
+    headers: Headers
+    # What the client is ready to wait; None where it doesn't say.
+    patience_s: float | None = None
+    model: str | None = None
+    prompt_tokens: int = 0
+    max_output_tokens: int = 0
+    prompt_parts: tuple[PromptPart, ...] = ()
+    # The last event that the client has of a stream that broke off.
+    last_event_id: str = ""
+
+
+@frozen(kw_only=True)
+class RelayRequest:
+    """Hold a request that is being relayed; `target` is its path and query, byte for byte."""
+
+    head: RequestHead
+    route: Route
+    work: Work
+    method: str
+    host: str
+    target: str
+    body: bytes = field(default=b"", repr=False)
+    # The VM that passed it on. Such a request runs here or is refused: were it passed on again,
+    # two VMs with different views could send it in a circle.
+    forwarded_by: str = ""
+    # How many backend servers it may still be sent to.
+    attempts_left: int = 1
+
+
+@frozen(kw_only=True)
+class ServerLoadNote:
+    """Hold what an answer says of its server's load."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@frozen(kw_only=True)
+class ServerAnswerHead:
+    """Hold the head of a backend server's answer; `headers` go on to the client."""
+
+    status: int
+    headers: Headers
+    request_id: str = ""
+    # Whether the server vouches for the answer as its own.
+    is_sealed: bool = False
+    # Whether the server says that the request did not run.
+    is_not_run: bool = False
+    load: ServerLoadNote | None = None
+    # Why a peer can't say whether the request ran; empty on a backend server's answer.
+    lost_detail: str = ""
+
+    @property
+    def is_success(self) -> bool:
+        """Say whether the request succeeded."""
+        return 200 <= self.status < 300
+
+
+@frozen(kw_only=True)
+class WholeAnswer:
+    """Hold a backend server's answer that is complete."""
+
+    head: ServerAnswerHead
+    body: bytes = field(default=b"", repr=False)
+
+
+class AttemptEnd(enum.Enum):
+    """Enumerate how an attempt on one server or peer can end."""
+
+    # Nothing was sent.
+    NOT_SENT = "not sent"
+    # The server says that it did not run the request.
+    REFUSED = "refused unrun"
+    # A whole answer is at hand and not passed on yet.
+    ANSWERED = "answered"
+    # The answer has been passed on whole.
+    PASSED_ON = "passed on"
+    # No whole answer came; the request may have run.
+    LOST = "lost"
+
+
+@frozen(kw_only=True)
+class AttemptReport:
+    """Tell how an attempt ended and why."""
+
+    end: AttemptEnd
+    detail: str = ""
+    answer: WholeAnswer | None = None
+    # Set where a peer refused in its own name.
+    refusal: Refusal | None = None
+    first_answer_unix_s: float | None = None
--- /dev/null
+++ b/src/pomelobarrow/relay/placement.py
@@ -0,0 +1,195 @@
+"""Decide where a relayed request goes next: a backend server here, a peer elsewhere, nowhere."""
+
+from collections.abc import Callable, Mapping, Sequence
+from random import Random
+
+from attrs import define, field, frozen
+
+from pomelobarrow.decision.cold_start import ColdLimiter
+from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.decision.load_table import LoadTable, ServerState
+from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.region_choice import LOAD_GOOD_FOR_S, RegionLoad
+from pomelobarrow.decision.rendezvous import rendezvous
+from pomelobarrow.decision.routing import Routing
+from pomelobarrow.decision.server_choice import choose_server
+from pomelobarrow.decision.work import BackendServer, Placement
+from pomelobarrow.relay.messages import RelayRequest
+
+# Servers queue some requests themselves. Past this many in flight for each slot they refuse, or the
+# wait would exceed any target.
+MAX_IN_FLIGHT_PER_SLOT = 4.0
+# A region is left while its servers need longer than this part of the target; below it, the trip
+# and the cold prompt elsewhere cost more than the wait here.
+LEAVE_AT_TARGET_SHARE = 0.35
+# Where another region's round trip isn't known yet, the slowest that is usual between regions.
+UNKNOWN_ROUND_TRIP_S = 0.15
+# Longer prompts go where the same group went before, so that one cache holds them.
+LONG_PROMPT_TOKENS = 2_000
+HERE_IS_BEST = "this region answers first"
+HOME_ELSEWHERE = "the route is bound to other regions"
+HERE_IS_LATE = "this region would be late"
+NOTHING_HERE = "this region has no server for it"
+
+
+@frozen(kw_only=True)
+class OnServer:
+    """Name a backend server of this region."""
+
+    placement: Placement
+    reason: str = HERE_IS_BEST
+
+
+@frozen(kw_only=True)
+class OnPeer:
+    """Name a peer in another region."""
+
+    member: Member
+    reason: str
+    expected_first_answer_s: float
+
+
+@frozen(kw_only=True)
+class Nowhere:
+    """Say why a request can't be sent anywhere."""
+
+    reason: str
+    wait_s: float = 0.0
+
+
+Decision = OnServer | OnPeer | Nowhere
+
+
+@define(kw_only=True)
+class Excluded:
+    """Hold whom a request has been to, or could not reach."""
+
+    servers: set[str] = field(factory=set)
+    peers: set[str] = field(factory=set)
+    regions: set[str] = field(factory=set)
+
+
+@define(kw_only=True)
+class Placer:
+    """Hold what placing depends on."""
+
+    own_region: str
+    table: LoadTable
+    view: MembershipView
+    cold: ColdLimiter
+    region_loads: Callable[[str], Mapping[str, RegionLoad]]
+    rng: Random = field(factory=Random)
+
+    def place(
+        self, request: RelayRequest, routing: Routing, excluded: Excluded, now_unix_s: float
+    ) -> Decision:
+        """Return where a request goes next."""
+        here = self._choose_here(request, routing, excluded, now_unix_s)
+        if request.forwarded_by:
+            return OnServer(placement=here) if here else Nowhere(reason=NOTHING_HERE)
+        if here is not None and not self._is_late(request, here):
+            return OnServer(placement=here)
+        elsewhere = self._choose_elsewhere(request, here, excluded, now_unix_s)
+        if elsewhere is not None:
+            return elsewhere
+        if here is not None:
+            return OnServer(placement=here)
+        return Nowhere(reason=NOTHING_HERE)
+
+    def _choose_here(
+        self, request: RelayRequest, routing: Routing, excluded: Excluded, now_unix_s: float
+    ) -> Placement | None:
+        if not request.route.may_run_in(self.own_region):
+            return None
+        cold = self._cold_servers(request.work.pool, routing, now_unix_s)
+        barred = frozenset(excluded.servers | cold)
+        return choose_server(self.table, request.work, now_unix_s, self.rng, barred, _admits)
+
+    def _cold_servers(self, pool: str, routing: Routing, now_unix_s: float) -> set[str]:
+        """Return the cold servers that this VM may not send to now."""
+        spec = routing.pool_by_name.get(pool)
+        rate_per_s = spec.cold_requests_per_s if spec else 0.0
+        servers = self.table.pool_servers(pool)
+        cold = [server for server in servers if server.cold_until_unix_s > now_unix_s]
+        if not cold or not rate_per_s:
+            return set()
+        vms = [member.vm for member in self.view.live(self.own_region, now_unix_s)]
+        return {
+            server.name
+            for server in cold
+            if not self.cold.allows(server, rate_per_s, vms, now_unix_s)
+        }
+
+    def note_placed(self, server: BackendServer, now_unix_s: float) -> None:
+        """Count a placement against a cold server's allowance."""
+        if server.cold_until_unix_s > now_unix_s:
+            self.cold.take(server.name)
+
+    def _is_late(self, request: RelayRequest, here: Placement) -> bool:
+        bound_s = LEAVE_AT_TARGET_SHARE * request.route.first_answer_target_s
+        return here.expected_wait_s > bound_s
+
+    def _choose_elsewhere(
+        self,
+        request: RelayRequest,
+        here: Placement | None,
+        excluded: Excluded,
+        now_unix_s: float,
+    ) -> OnPeer | None:
+        expected_s = self._expected_elsewhere(request, excluded, now_unix_s)
+        if here is not None:
+            expected_s = {r: s for r, s in expected_s.items() if s < here.expected_wait_s}
+        if not expected_s:
+            return None
+        region = self._choose_region(request, expected_s)
+        member = self._choose_member(region, excluded, now_unix_s)
+        if member is None:
+            return None
+        is_bound = not request.route.may_run_in(self.own_region)
+        late_or_none = HERE_IS_LATE if here is not None else NOTHING_HERE
+        return OnPeer(
+            member=member,
+            reason=HOME_ELSEWHERE if is_bound else late_or_none,
+            expected_first_answer_s=expected_s[region],
+        )
+
+    def _expected_elsewhere(
+        self, request: RelayRequest, excluded: Excluded, now_unix_s: float
+    ) -> dict[str, float]:
+        """Return the seconds to the first answer by region, for the regions that may serve it."""
+        loads = self.region_loads(request.work.pool)
+        members = self.view.usable_entries(now_unix_s=now_unix_s)
+        regions = {member.region for member in members if member.vm not in excluded.peers}
+        regions -= {self.own_region, *excluded.regions}
+        prefill_s = self.table.service_times(request.work.pool).s_per_prefill_token
+        cold_s = request.work.prompt_tokens * prefill_s
+        found: dict[str, float] = {}
+        for region in regions:
+            load = loads.get(region)
+            if not request.route.may_run_in(region) or (load is not None and not load.servers):
+                continue
+            is_known = load is not None and now_unix_s - load.measured_unix_s <= LOAD_GOOD_FOR_S
+            wait_s = load.expected_wait_s if load is not None and is_known else 0.0
+            round_trip_s = (load.round_trip_s if load else 0.0) or UNKNOWN_ROUND_TRIP_S
+            found[region] = wait_s + round_trip_s + cold_s
+        return found
+
+    def _choose_region(self, request: RelayRequest, expected_s: Mapping[str, float]) -> str:
+        """Spread over the regions by how early each is; long prompts keep to one."""
+        target_s = request.route.first_answer_target_s
+        in_time = [region for region, wait_s in expected_s.items() if wait_s < target_s]
+        if not in_time:
+            return min(expected_s, key=lambda region: expected_s[region])
+        if request.work.prompt_tokens >= LONG_PROMPT_TOKENS and request.head.prompt_parts:
+            return rendezvous(request.head.prompt_parts[0].id, in_time, 1)[0]
+        weights = [target_s - expected_s[region] for region in in_time]
+        return self.rng.choices(in_time, weights)[0]
+
+    def _choose_member(self, region: str, excluded: Excluded, now_unix_s: float) -> Member | None:
+        members: Sequence[Member] = self.view.usable_entries(region, now_unix_s)
+        members = [member for member in members if member.vm not in excluded.peers]
+        return self.rng.choice(members) if members else None
+
+
+def _admits(state: ServerState, rank: Rank) -> bool:
+    return state.requests < MAX_IN_FLIGHT_PER_SLOT * state.server.slots
--- /dev/null
+++ b/src/pomelobarrow/relay/plugin.py
@@ -0,0 +1,162 @@
+"""The relay's plug-in: its listeners and what they share; nothing where none are set."""
+
+from collections.abc import Awaitable
+
+from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.callers.operations import Operations
+from pomelobarrow.decision.cold_start import ColdLimiter
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.membership import MembershipView
+from pomelobarrow.decision.retry_share import RetryShare
+from pomelobarrow.decision.routing import Routing
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.kernel.context import Context
+from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
+from pomelobarrow.kernel.settings import RelaySettings
+from pomelobarrow.peers.region_loads import RegionLoads
+from pomelobarrow.published.keyspaces import PublishedState
+from pomelobarrow.relay.directory import GOOD_FOR_S, RelayDirectory
+from pomelobarrow.relay.front import RelayFront
+from pomelobarrow.relay.listeners import Listener, RelayListeners
+from pomelobarrow.relay.placement import Placer
+from pomelobarrow.relay.relay import Relay
+from pomelobarrow.relay.wire import RelayWire
+
+MAX_BODY_BYTES = 4 << 20
+# Clients keep the directory's answer three times as long as it is good, and open connections to
+# the VMs it named until then.
+LATE_CLIENTS_S = 3 * GOOD_FOR_S
+# The last of a planned stop: closing the sockets and leaving the peers.
+CLOSING_S = 1.0
+
+
+@hookimpl
+def provide_parts(context: Context) -> None:
+    """Register what relays requests."""
+    context.provide(Placer, _placer)
+    context.provide(Relay, _relay)
+    context.provide(RelayFront, _front)
+    context.provide(RelayDirectory, _directory)
+    context.provide(RelayListeners, _listeners)
+
+
+@hookimpl
+def services(context: Context) -> list[PhasedService]:
+    """Listen last, once everything else runs."""
+    if context.settings.relay is None:
+        return []
+    return [PhasedService(StartPhase.CALLERS, context.get(RelayListeners))]
+
+
+@hookimpl
+def status(context: Context) -> StatusSection:
+    """Say what is in progress."""
+    if context.settings.relay is None:
+        return StatusSection("relay", {})
+    return StatusSection("relay", {"in_progress": context.get(Relay).in_progress})
+
+
+@hookimpl
+def drain(context: Context) -> Awaitable[None]:
+    """Serve late clients, and finish what is in progress."""
+    return _drain(context)
+
+
+@hookimpl
+def close(context: Context) -> Awaitable[None]:
+    """Close the sockets once every answer has left."""
+    return _close(context)
+
+
+async def _drain(context: Context) -> None:
+    relay = context.settings.relay
+    if relay is None:
+        return
+    now = now_unix_s()
+    listeners = context.get(RelayListeners)
+    await listeners.wait_until_idle(now + LATE_CLIENTS_S, now + relay.stop_within_s - CLOSING_S)
+
+
+async def _close(context: Context) -> None:
+    if context.settings.relay is not None:
+        await context.get(RelayListeners).close()
+
+
+def _routing(context: Context) -> Routing | None:
+    configuration = context.get(PublishedState).configuration
+    return configuration.routing if configuration else None
+
+
+def _relay_settings(context: Context) -> RelaySettings:
+    assert context.settings.relay is not None
+    return context.settings.relay
+
+
+def _placer(context: Context) -> Placer:
+    loads = context.get(RegionLoads)
+    return Placer(
+        own_region=context.settings.region,
+        table=context.get(LoadTable),
+        view=context.get(MembershipView),
+        cold=ColdLimiter(own_vm=context.settings.vm),
+        region_loads=loads.for_pool,
+    )
+
+
+def _relay(context: Context) -> Relay:
+    settings = _relay_settings(context)
+    return Relay(
+        own_vm=context.settings.vm,
+        own_region=context.settings.region,
+        hop_port=settings.hop_port,
+        placer=context.get(Placer),
+        sessions=context.get(BackendSessions),
+        wire=context.get(RelayWire),
+        retries=RetryShare(bound=settings.retry_bound),
+        observe=context.observe,
+    )
+
+
+def _front(context: Context) -> RelayFront:
+    return RelayFront(
+        own_region=context.settings.region,
+        relay=context.get(Relay),
+        wire=context.get(RelayWire),
+        routing=lambda: _routing(context),
+        is_draining=lambda: context.is_draining,
+    )
+
+
+def _directory(context: Context) -> RelayDirectory:
+    return RelayDirectory(
+        view=context.get(MembershipView),
+        wire=context.get(RelayWire),
+        routing=lambda: _routing(context),
+        not_ready_reason=context.get(Operations).not_ready_reason,
+    )
+
+
+def _listeners(context: Context) -> RelayListeners:
+    settings = _relay_settings(context)
+    front, directory = context.get(RelayFront), context.get(RelayDirectory)
+    return RelayListeners(
+        listeners=(
+            Listener(
+                name="clients",
+                address=settings.front_listen,
+                handler=front.from_client,
+                max_body_bytes=MAX_BODY_BYTES,
+            ),
+            Listener(
+                name="peers",
+                address=settings.hop_listen,
+                handler=front.from_peer,
+                max_body_bytes=MAX_BODY_BYTES,
+            ),
+            Listener(
+                name="readiness", address=settings.readiness_listen, handler=directory.readiness
+            ),
+            Listener(name="directory", address=settings.directory_listen, handler=directory.answer),
+        ),
+        in_progress=lambda: context.get(Relay).in_progress,
+    )
--- /dev/null
+++ b/src/pomelobarrow/relay/prompts.py
@@ -0,0 +1,29 @@
+"""Name the blocks of a prompt by its parts, for the index of prompt caches."""
+
+import functools
+from collections.abc import Sequence
+
+import xxhash
+
+from pomelobarrow.decision.costs import BLOCK_TOKENS
+from pomelobarrow.relay.messages import PromptPart
+
+MAX_CACHED_PARTS = 4_096
+
+
+def shared_blocks(parts: Sequence[PromptPart]) -> tuple[int, ...]:
+    """Return the hashes of the blocks that other prompts may share, in order.
+
+    The last part belongs to the request alone: nobody will ask for its blocks again.
+    """
+    blocks: tuple[int, ...] = ()
+    for part in parts[:-1]:
+        blocks += _part_blocks(blocks[-1] if blocks else 0, part.id, part.tokens)
+    return blocks
+
+
+@functools.lru_cache(MAX_CACHED_PARTS)
+def _part_blocks(predecessor: int, part_id: str, tokens: int) -> tuple[int, ...]:
+    seed = xxhash.xxh64_intdigest(part_id.encode(), seed=predecessor)
+    count = round(tokens / BLOCK_TOKENS)
+    return tuple(xxhash.xxh64_intdigest(number.to_bytes(4), seed=seed) for number in range(count))
--- /dev/null
+++ b/src/pomelobarrow/relay/relay.py
@@ -0,0 +1,313 @@
+"""Bring one relayed request to an end: place it, send it, try again or refuse."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+import orjson
+from attrs import define, field
+
+from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.callers.problems import problem_body
+from pomelobarrow.decision.costs import prefill_tokens
+from pomelobarrow.decision.errors import Kind, Refusal, Run
+from pomelobarrow.decision.retry_share import RetryShare
+from pomelobarrow.decision.routing import Routing
+from pomelobarrow.decision.work import Placement
+from pomelobarrow.dispatch.answers import CallerGoneError
+from pomelobarrow.dispatch.refusals import refuse
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.relay.answer import ClientAnswer
+from pomelobarrow.relay.attempt import RelayAttempt, Target
+from pomelobarrow.relay.event_splitter import EventSplitter
+from pomelobarrow.relay.events import RelayAttemptEnded, RelayEnded, RelayPlaced
+from pomelobarrow.relay.hop import peer_target, refusal_headers
+from pomelobarrow.relay.messages import (
+    AttemptEnd,
+    AttemptReport,
+    RelayRequest,
+    ServerAnswerHead,
+)
+from pomelobarrow.relay.next_step import Step, Tries, last_step, wants_retry
+from pomelobarrow.relay.placement import Excluded, Nowhere, OnPeer, OnServer, Placer
+from pomelobarrow.relay.wire import RelayWire, ServerOrder
+
+# A connection inside a region takes a millisecond or two; a server that doesn't answer in this
+# time, a retransmission included, is taken to be gone.
+SERVER_CONNECT_TIMEOUT_S = 0.35
+# A client comes back after this long at least, so that what was refused isn't all back at once.
+MIN_RETRY_AFTER_S = 0.15
+RETRY_JITTER = 0.5
+PROBLEM_CONTENT_TYPE = ("Content-Type", "application/problem+json")
+
+
+@define(kw_only=True)
+class Course:
+    """Hold how far one request has got."""
+
+    request: RelayRequest
+    sink: ClientAnswer
+    routing: Routing
+    tries: Tries
+    splitter: EventSplitter
+    excluded: Excluded = field(factory=Excluded)
+    first_answer_unix_s: float | None = None
+
+
+@define(kw_only=True)
+class Relay:
+    """Hold what all relayed requests of this VM share."""
+
+    own_vm: str
+    own_region: str
+    hop_port: int
+    placer: Placer
+    sessions: BackendSessions
+    wire: RelayWire
+    retries: RetryShare
+    observe: Callable[[object], None]
+    rng: Random = field(factory=Random)
+    in_progress: int = 0
+
+    async def answer(self, request: RelayRequest, routing: Routing, sink: ClientAnswer) -> None:
+        """Answer a request, whole or with an honest refusal."""
+        course = Course(
+            request=request,
+            sink=sink,
+            routing=routing,
+            tries=Tries(request=request),
+            splitter=EventSplitter(
+                event_id=self.wire.event_id, last_event_id=request.head.last_event_id
+            ),
+        )
+        self.in_progress += 1
+        outcome = "client gone"
+        try:
+            outcome = await self._answer(course)
+        except CallerGoneError:
+            pass
+        finally:
+            self.in_progress -= 1
+            self._note_end(course, outcome)
+
+    async def _answer(self, course: Course) -> str:
+        left_s = course.request.work.deadline_unix_s - now_unix_s()
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
+                step = await self._try_all(course)
+        except TimeoutError:
+            course.tries.last_detail = "the time was up"
+            step = last_step(course.tries, course.sink.is_started)
+        return await self._conclude(course, step)
+
+    async def _try_all(self, course: Course) -> Step:
+        while True:
+            decision = self.placer.place(
+                course.request, course.routing, course.excluded, now_unix_s()
+            )
+            if isinstance(decision, Nowhere):
+                course.tries.last_detail = course.tries.last_detail or decision.reason
+                return last_step(course.tries, course.sink.is_started)
+            report = await self._send(course, decision)
+            course.tries.note(report)
+            if report.end is AttemptEnd.PASSED_ON:
+                return Step.DONE
+            if wants_retry(course.tries, report) and self._may_repeat(course, report):
+                continue
+            if report.end is AttemptEnd.ANSWERED:
+                assert report.answer is not None
+                head = report.answer.head
+                await course.sink.whole(head.status, head.headers, report.answer.body)
+                return Step.DONE
+            return last_step(course.tries, course.sink.is_started)
+
+    def _may_repeat(self, course: Course, report: AttemptReport) -> bool:
+        if report.end is AttemptEnd.NOT_SENT:
+            return True
+        live_vms = len(self.placer.view.live(now_unix_s=now_unix_s()))
+        return self.retries.take_repeat(course.request.work.pool, live_vms, now_unix_s())
+
+    async def _send(self, course: Course, decision: OnServer | OnPeer) -> AttemptReport:
+        course.tries.attempts += 1
+        self._note_placed(course, decision)
+        if isinstance(decision, OnServer):
+            return await self._send_to_server(course, decision.placement)
+        return await self._send_to_peer(course, decision)
+
+    async def _send_to_server(self, course: Course, placement: Placement) -> AttemptReport:
+        request, server, table = course.request, placement.server, self.placer.table
+        work, now = request.work, now_unix_s()
+        tokens = prefill_tokens(work, placement.cached_tokens)
+        kv_tokens = tokens + work.expected_output_tokens
+        if course.tries.attempts_left == request.attempts_left:
+            self.retries.note_first(work.pool, now)
+        self.placer.note_placed(server, now)
+        table.prefixes.observe_placement(server.name, work.prefix_hashes)
+        table.charge(work.request_id, server.name, tokens, now, kv_tokens)
+        order = ServerOrder(
+            server=server.name,
+            deadline_unix_s=work.deadline_unix_s,
+            resume_after=course.splitter.last_event_id if course.sink.is_started else "",
+        )
+        target = Target(
+            name=server.name,
+            address=server.address,
+            headers=lambda: self.wire.server_headers(request, order),
+            read_answer=self.wire.read_answer,
+            connect_timeout_s=SERVER_CONNECT_TIMEOUT_S,
+        )
+        try:
+            report = await self._run(course, target)
+        finally:
+            table.release(work.request_id, now_unix_s())
+        self._judge_server(server.name, report)
+        if report.end is not AttemptEnd.PASSED_ON:
+            course.excluded.servers.add(server.name)
+        return report
+
+    async def _send_to_peer(self, course: Course, decision: OnPeer) -> AttemptReport:
+        target = peer_target(
+            decision.member,
+            self.hop_port,
+            self.own_vm,
+            course.request,
+            course.tries.attempts_left,
+            self.wire,
+        )
+        report = await self._run(course, target)
+        if report.end is not AttemptEnd.PASSED_ON:
+            course.excluded.peers.add(decision.member.vm)
+        if report.end is AttemptEnd.REFUSED:
+            course.excluded.regions.add(decision.member.region)
+        return report
+
+    async def _run(self, course: Course, target: Target) -> AttemptReport:
+        started_unix_s = now_unix_s()
+        report = AttemptReport(end=AttemptEnd.LOST, detail="given up")
+
+        def note_first_answer(head: ServerAnswerHead) -> None:
+            course.first_answer_unix_s = course.first_answer_unix_s or now_unix_s()
+            self.placer.table.started(course.request.work.request_id, now_unix_s())
+
+        attempt = RelayAttempt(
+            sessions=self.sessions,
+            request=course.request,
+            target=target,
+            sink=course.sink,
+            splitter=course.splitter,
+            on_first_answer=note_first_answer,
+        )
+        try:
+            report = await attempt.run()
+        except BaseException:
+            # Whoever cancels has to know whether the server may have got the request.
+            course.tries.may_have_run |= not attempt.is_surely_unrun
+            raise
+        finally:
+            self._note_attempt(course, target, report, started_unix_s)
+        return report
+
+    def _judge_server(self, name: str, report: AttemptReport) -> None:
+        judges = {
+            AttemptEnd.PASSED_ON: self.placer.table.mark_ok,
+            AttemptEnd.ANSWERED: self.placer.table.mark_ok,
+            AttemptEnd.NOT_SENT: self.placer.table.mark_failed,
+            AttemptEnd.LOST: self.placer.table.mark_failed,
+        }
+        judge = judges.get(report.end)
+        if judge is not None:
+            judge(name, now_unix_s())
+
+    async def _conclude(self, course: Course, step: Step) -> str:
+        """Give the client what is left to give; return the outcome's name."""
+        if step is Step.DONE:
+            return "answered"
+        if step is Step.BREAK_OFF:
+            course.sink.break_off()
+            return "broken off"
+        if step is Step.PASS_ON:
+            assert course.tries.failure is not None
+            head = course.tries.failure.head
+            await course.sink.whole(head.status, head.headers, course.tries.failure.body)
+            return "answered"
+        refusal = self._refusal(course, step)
+        await self.refuse(refusal, course.request.work.request_id, course.sink)
+        return "refused" if refusal.run is Run.NO else "failed"
+
+    def _refusal(self, course: Course, step: Step) -> Refusal:
+        work, detail = course.request.work, course.tries.last_detail
+        if step is Step.FAIL:
+            is_late = now_unix_s() >= work.deadline_unix_s
+            kind = Kind.DEADLINE_PASSED if is_late else Kind.OUTCOME_UNKNOWN
+            return refuse(kind, Run.UNKNOWN, detail)
+        pause_s = MIN_RETRY_AFTER_S * self.rng.uniform(1.0, 1.0 + RETRY_JITTER)
+        return refuse(Kind.NO_CAPACITY, Run.NO, detail, now_unix_s() + pause_s)
+
+    async def refuse(self, refusal: Refusal, request_id: str, sink: ClientAnswer) -> None:
+        """Answer in this system's own name."""
+        headers = (PROBLEM_CONTENT_TYPE, *refusal_headers(refusal))
+        if refusal.retry_at_unix_s is not None:
+            pause_s = max(0.0, refusal.retry_at_unix_s - now_unix_s())
+            headers += (("Retry-After", f"{pause_s:.2f}"),)
+        body = orjson.dumps(problem_body(refusal, request_id))
+        await sink.whole(refusal.kind.status, headers, body)
+
+    def _note_placed(self, course: Course, decision: OnServer | OnPeer) -> None:
+        work, table = course.request.work, self.placer.table
+        if isinstance(decision, OnServer):
+            target, region = decision.placement.server.name, self.own_region
+            expected_s = decision.placement.expected_wait_s
+        else:
+            target, region = decision.member.vm, decision.member.region
+            expected_s = decision.expected_first_answer_s
+        now = now_unix_s()
+        self.observe(
+            RelayPlaced(
+                request_id=work.request_id,
+                route=course.request.route.name,
+                pool=work.pool,
+                routing_version=course.routing.version,
+                attempt=course.tries.attempts,
+                target=target,
+                target_region=region,
+                reason=decision.reason,
+                expected_first_answer_s=expected_s,
+                view_age_s=table.view_age_s,
+                servers_usable=len(table.usable_servers(work.pool, now)),
+                time_left_s=work.deadline_unix_s - now,
+            )
+        )
+
+    def _note_attempt(
+        self, course: Course, target: Target, report: AttemptReport, started_unix_s: float
+    ) -> None:
+        self.observe(
+            RelayAttemptEnded(
+                request_id=course.request.work.request_id,
+                route=course.request.route.name,
+                pool=course.request.work.pool,
+                attempt=course.tries.attempts,
+                target=target.name,
+                end=report.end.value,
+                status=report.answer.head.status if report.answer else 0,
+                detail=report.detail,
+                took_s=now_unix_s() - started_unix_s,
+            )
+        )
+
+    def _note_end(self, course: Course, outcome: str) -> None:
+        work, first_unix_s = course.request.work, course.first_answer_unix_s
+        self.observe(
+            RelayEnded(
+                request_id=work.request_id,
+                route=course.request.route.name,
+                outcome=outcome,
+                status=course.sink.status,
+                detail=course.tries.last_detail,
+                routing_version=course.routing.version,
+                attempts=course.tries.attempts,
+                forwarded_by=course.request.forwarded_by,
+                took_s=now_unix_s() - work.accepted_unix_s,
+                first_answer_s=first_unix_s - work.accepted_unix_s if first_unix_s else None,
+            )
+        )
--- a/tests/test_peers_exchange_fuzz.py
+++ b/tests/test_peers_exchange_fuzz.py
@@ -19,7 +19,7 @@
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.exchange import Exchange
 from pomelobarrow.peers.heartbeats import Heartbeats
-from pomelobarrow.platform.keyspaces import PublishedState
+from pomelobarrow.published.keyspaces import PublishedState
 
 VM = "milan-1"
 NAMES = ("milan-1", "milan-2", "turin-1", "config", "vms", "classes/note", "vms/milan-2", "")
