Let a peer send once, tell it where to resume; test relays before scripted servers

Ruled out: handing the attempts left over to the peer (the entry VM can't know what a lost peer used).

--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -119,24 +119,16 @@
 
 def server_headers(request: RelayRequest, order: ServerOrder) -> Headers:
     """Return the headers for a backend server."""
-    replaced = {TIME_LEFT.lower()}
-    added = [
-        ("Host", request.host),
-        (TIME_LEFT, _time_left_ms(order.deadline_unix_s)),
+    addressed = (
         (TARGET_SERVER, order.server),
         (PRIORITY, str(min(MAX_PRIORITY, request.route.urgency))),
-    ]
-    if order.resume_after:
-        replaced.add(LAST_EVENT_ID.lower())
-        added.append((LAST_EVENT_ID, order.resume_after))
-    return _without(request.head.headers, replaced) + tuple(added)
+    )
+    return _passed_on(request, order.deadline_unix_s, order.resume_after) + addressed
 
 
-def peer_headers(request: RelayRequest) -> Headers:
+def peer_headers(request: RelayRequest, resume_after: str) -> Headers:
     """Return the headers for a peer."""
-    time_left = (TIME_LEFT, _time_left_ms(request.work.deadline_unix_s))
-    kept = _without(request.head.headers, {TIME_LEFT.lower()})
-    return kept + (("Host", request.host), time_left)
+    return _passed_on(request, request.work.deadline_unix_s, resume_after)
 
 
 def read_answer(response: ClientResponse) -> ServerAnswerHead:
@@ -173,6 +165,16 @@
     return match[1].decode("latin-1") if match else ""
 
 
+def _passed_on(request: RelayRequest, deadline_unix_s: float, resume_after: str) -> Headers:
+    """Return the client's headers with the time that is left and where to resume."""
+    replacing = [("Host", request.host), (TIME_LEFT, _time_left_ms(deadline_unix_s))]
+    if resume_after:
+        replacing.append((LAST_EVENT_ID, resume_after))
+    names = {name.lower() for name, _ in replacing}
+    kept = tuple(each for each in request.head.headers if each[0].lower() not in names)
+    return kept + tuple(replacing)
+
+
 def _goes_on(name: str, named_by_connection: set[str]) -> bool:
     lower = name.lower()
     is_private = lower in SYSTEM_HEADERS or lower in CONNECTION_HEADERS
@@ -183,10 +185,6 @@
     return lower_name.startswith(PEER_PREFIX)
 
 
-def _without(headers: Headers, lower_names: set[str]) -> Headers:
-    return tuple(each for each in headers if each[0].lower() not in lower_names)
-
-
 def _time_left_ms(deadline_unix_s: float) -> str:
     return str(max(0, int((deadline_unix_s - now_unix_s()) * MS_PER_S)))
 
--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -17,7 +17,7 @@
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.answer import ClientAnswer
-from pomelobarrow.relay.hop import HopNote, read_hop_note
+from pomelobarrow.relay.hop import ATTEMPTS_OF_PEER, read_forwarder
 from pomelobarrow.relay.messages import RelayRequest, RequestHead
 from pomelobarrow.relay.prompts import shared_blocks
 from pomelobarrow.relay.relay import Relay
@@ -39,35 +39,35 @@
 
     async def from_client(self, incoming: web.BaseRequest) -> web.StreamResponse:
         """Answer a client."""
-        return await self._serve(incoming, None)
+        return await self._serve(incoming, "")
 
     async def from_peer(self, incoming: web.BaseRequest) -> web.StreamResponse:
         """Answer a peer that passes a request on."""
-        note = read_hop_note(incoming.headers)
-        if note is None:
-            return await self._refuse(incoming, _malformed("no note of the peer that sends it"))
-        return await self._serve(incoming, note)
+        forwarded_by = read_forwarder(incoming.headers)
+        if not forwarded_by:
+            return await self._refuse(incoming, _malformed("the peer that sends it isn't named"))
+        return await self._serve(incoming, forwarded_by)
 
-    async def _serve(self, incoming: web.BaseRequest, note: HopNote | None) -> web.StreamResponse:
+    async def _serve(self, incoming: web.BaseRequest, forwarded_by: str) -> web.StreamResponse:
         accepted_unix_s = now_unix_s()
         routing = self.routing()
         if routing is None:
             refusal = refuse(Kind.NOT_READY, Run.NO, "no configuration yet")
             return await self._refuse(incoming, refusal)
-        read = self._read(incoming, routing, note)
+        read = self._read(incoming, routing, forwarded_by)
         if isinstance(read, Err):
             return await self._refuse(incoming, read.err_value)
         head, route = read.ok_value
         body = await _read_body(incoming)
         if isinstance(body, Err):
             return await self._refuse(incoming, body.err_value)
-        request = self._request(incoming, head, route, note, accepted_unix_s, body.ok_value)
+        request = self._request(incoming, head, route, forwarded_by, accepted_unix_s, body.ok_value)
         sink = ClientAnswer(incoming, closes=self.is_draining())
         await self.relay.answer(request, routing, sink)
         return sink.response or _closed(incoming)
 
     def _read(
-        self, incoming: web.BaseRequest, routing: Routing, note: HopNote | None
+        self, incoming: web.BaseRequest, routing: Routing, forwarded_by: str
     ) -> Result[tuple[RequestHead, Route], Refusal]:
         readable = check_text(incoming.raw_path, incoming.headers)
         if isinstance(readable, Err):
@@ -76,7 +76,7 @@
             return Err(_malformed("the target is no path"))
         route = routing.find(incoming.headers.get("Host", ""), _path(incoming.raw_path))
         if route is None:
-            return Err(_no_route(note))
+            return Err(_no_route(forwarded_by))
         head = self.wire.read_request(incoming.headers)
         if isinstance(head, Err):
             return Err(_malformed(head.err_value))
@@ -87,7 +87,7 @@
         incoming: web.BaseRequest,
         head: RequestHead,
         route: Route,
-        note: HopNote | None,
+        forwarded_by: str,
         accepted_unix_s: float,
         body: bytes,
     ) -> RelayRequest:
@@ -99,8 +99,8 @@
             host=incoming.headers["Host"],
             target=incoming.raw_path,
             body=body,
-            forwarded_by=note.forwarded_by if note else "",
-            attempts_left=note.attempts_left if note else route.max_attempts,
+            forwarded_by=forwarded_by,
+            attempts_left=ATTEMPTS_OF_PEER if forwarded_by else route.max_attempts,
         )
 
     def _work(self, head: RequestHead, route: Route, accepted_unix_s: float) -> Work:
@@ -150,12 +150,12 @@
     return refuse(Kind.MALFORMED_REQUEST, Run.NO, detail, remedy=REMEDY_REQUEST)
 
 
-def _no_route(note: HopNote | None) -> Refusal:
+def _no_route(forwarded_by: str) -> Refusal:
     """Return the refusal of an unknown route.
 
     A peer that passed it on knows the route: this VM is behind and must not say that there is none.
     """
-    if note is not None:
+    if forwarded_by:
         return refuse(Kind.NOT_READY, Run.NO, "the route is not known here yet")
     remedy = "ask for a host and path that are published"
     return refuse(Kind.UNKNOWN_SERVICE, Run.NO, "no route matches", remedy=remedy)
--- a/src/pomelobarrow/relay/hop.py
+++ b/src/pomelobarrow/relay/hop.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 
 import aiohttp
-from attrs import evolve, frozen
+from attrs import evolve
 
 from pomelobarrow.decision.errors import Refusal, Run
 from pomelobarrow.decision.membership import Member
@@ -12,27 +12,20 @@
 from pomelobarrow.relay.wire import RelayWire
 
 FROM_HEADER = "Pomelobarrow-Peer-From"
-ATTEMPTS_HEADER = "Pomelobarrow-Peer-Attempts"
 RUN_HEADER = "Pomelobarrow-Peer-Run"
 # Two round trips between the farthest regions, and a lost packet.
 CONNECT_TIMEOUT_S = 0.6
 
 
-@frozen(kw_only=True)
-class HopNote:
-    """Hold what a peer says of the request that it passes on."""
+# A peer sends a request to one server only. Were it to try again itself, the VM that passed the
+# request on couldn't know how many servers have had it, and would send it to more than the route
+# allows.
+ATTEMPTS_OF_PEER = 1
 
-    forwarded_by: str
-    attempts_left: int
 
-
-def read_hop_note(headers: Mapping[str, str]) -> HopNote | None:
-    """Return what a peer says, or None where it says nothing that can be read."""
-    attempts = headers.get(ATTEMPTS_HEADER, "")
-    forwarded_by = headers.get(FROM_HEADER, "")
-    if not forwarded_by or not attempts.isdecimal():
-        return None
-    return HopNote(forwarded_by=forwarded_by, attempts_left=int(attempts))
+def read_forwarder(headers: Mapping[str, str]) -> str:
+    """Return the VM that passed a request on, empty where none did."""
+    return headers.get(FROM_HEADER, "")
 
 
 def refusal_headers(refusal: Refusal) -> Headers:
@@ -45,14 +38,13 @@
     hop_port: int,
     own_vm: str,
     request: RelayRequest,
-    attempts_left: int,
+    resume_after: str,
     wire: RelayWire,
 ) -> Target:
     """Return how a request is sent to a peer."""
 
     def headers() -> Headers:
-        note = ((FROM_HEADER, own_vm), (ATTEMPTS_HEADER, str(max(1, attempts_left))))
-        return wire.peer_headers(request) + note
+        return wire.peer_headers(request, resume_after) + ((FROM_HEADER, own_vm),)
 
     host = member.peer_address.rpartition(":")[0]
     return Target(
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -147,7 +147,7 @@
         order = ServerOrder(
             server=server.name,
             deadline_unix_s=work.deadline_unix_s,
-            resume_after=course.splitter.last_event_id if course.sink.is_started else "",
+            resume_after=self._resume_after(course),
         )
         target = Target(
             name=server.name,
@@ -171,7 +171,7 @@
             self.hop_port,
             self.own_vm,
             course.request,
-            course.tries.attempts_left,
+            self._resume_after(course),
             self.wire,
         )
         report = await self._run(course, target)
@@ -181,6 +181,10 @@
             course.excluded.regions.add(decision.member.region)
         return report
 
+    def _resume_after(self, course: Course) -> str:
+        """Return the last event that the client has of this answer."""
+        return course.splitter.last_event_id if course.sink.is_started else ""
+
     async def _run(self, course: Course, target: Target) -> AttemptReport:
         started_unix_s = now_unix_s()
         report = AttemptReport(end=AttemptEnd.LOST, detail="given up")
--- a/src/pomelobarrow/relay/wire.py
+++ b/src/pomelobarrow/relay/wire.py
@@ -43,8 +43,9 @@
     read_request: Callable[[Mapping[str, str]], Result[RequestHead, str]]
     # The headers of a request on its way to a backend server.
     server_headers: Callable[[RelayRequest, ServerOrder], Headers]
-    # The headers of a request on its way to a peer, with the time that is left.
-    peer_headers: Callable[[RelayRequest], Headers]
+    # The headers of a request on its way to a peer: with the time that is left, and to go on after
+    # an event of a stream that broke off.
+    peer_headers: Callable[[RelayRequest, str], Headers]
     read_answer: Callable[[ClientResponse], ServerAnswerHead]
     read_directory_query: Callable[[Mapping[str, str]], DirectoryQuery]
     # Addresses, and the seconds for which they are good.
--- /dev/null
+++ b/tests/relay_harness.py
@@ -0,0 +1,170 @@
+"""Relays of several regions in this process, before scripted servers."""
+
+from collections.abc import AsyncIterator, Mapping
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from attrs import define, field
+from scripted_server import Script, ScriptedServer
+
+from harness.processes import free_ports
+from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.decision.cold_start import ColdLimiter
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.retry_share import RetryBound, RetryShare
+from pomelobarrow.decision.routing import PoolShare, Route, RouteKind, Routing
+from pomelobarrow.decision.work import BackendServer
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.platform.wire import platform_wire
+from pomelobarrow.relay.front import RelayFront
+from pomelobarrow.relay.listeners import Listener, RelayListeners
+from pomelobarrow.relay.placement import Placer
+from pomelobarrow.relay.relay import Relay
+
+HOST = "shop.example"
+POOL = "engines"
+PLENTY = RetryBound(ratio=1.0, slack=1_000.0, window_s=10.0)
+
+
+def route(kind: RouteKind, **more: object) -> Route:
+    """Return a route under its kind's name."""
+    fields: dict[str, object] = {
+        "name": kind.value,
+        "host": HOST,
+        "path_prefix": f"/{kind.value}/",
+        "kind": kind,
+        "pools": (PoolShare(pool=POOL),),
+        "timeout_s": 5.0,
+        "first_answer_target_s": 1.0,
+    }
+    return Route(**{**fields, **more})  # type: ignore[arg-type]
+
+
+@define(kw_only=True)
+class RelayVm:
+    """Hold one VM's relay and where it listens."""
+
+    region: str
+    host: str
+    front_port: int
+    relay: Relay
+    listeners: RelayListeners
+    events: list[object] = field(factory=list)
+
+    @property
+    def url(self) -> str:
+        """Return where clients connect."""
+        return f"http://{self.host}:{self.front_port}"
+
+
+@define(kw_only=True)
+class RelayFleet:
+    """Hold a running VM of each region and all servers."""
+
+    vms: Mapping[str, RelayVm]
+    servers: Mapping[str, ScriptedServer]
+
+
+@asynccontextmanager
+async def relay_fleet(
+    routes: tuple[Route, ...],
+    servers_by_region: Mapping[str, Mapping[str, Script]],
+    bound: RetryBound = PLENTY,
+) -> AsyncIterator[RelayFleet]:
+    """Run a VM for each region, each on a loopback address of its own."""
+    async with AsyncExitStack() as stack:
+        front_port, hop_port = free_ports(2)
+        hosts = {region: f"127.0.0.{place + 1}" for place, region in enumerate(servers_by_region)}
+        servers: dict[str, ScriptedServer] = {}
+        listed: list[BackendServer] = []
+        for region, scripts in servers_by_region.items():
+            for name, script in scripts.items():
+                server = ScriptedServer(name=name, host=hosts[region], script=script)
+                servers[name] = await stack.enter_async_context(server)
+                listed.append(_listed(name, region, server.address))
+        routing = Routing(version=1, routes=routes)
+        vms = {}
+        for region in servers_by_region:
+            vm = _vm(region, hosts, front_port, hop_port, routing, listed, bound)
+            await vm.listeners.start()
+            stack.push_async_callback(vm.listeners.stop)
+            stack.push_async_callback(vm.relay.sessions.close)
+            vms[region] = vm
+        yield RelayFleet(vms=vms, servers=servers)
+
+
+def _listed(name: str, region: str, address: str) -> BackendServer:
+    return BackendServer(
+        name=name,
+        region=region,
+        failure_domain=f"{region}-a",
+        address=address,
+        pool=POOL,
+        slots=8,
+        kv_capacity_tokens=100_000,
+    )
+
+
+def _vm(
+    region: str,
+    hosts: Mapping[str, str],
+    front_port: int,
+    hop_port: int,
+    routing: Routing,
+    listed: list[BackendServer],
+    bound: RetryBound,
+) -> RelayVm:
+    table = LoadTable(region)
+    table.set_servers(listed)
+    events: list[object] = []
+    view = _view(region, hosts)
+    relay = Relay(
+        own_vm=f"vm-{region}",
+        own_region=region,
+        hop_port=hop_port,
+        placer=Placer(
+            own_region=region,
+            table=table,
+            view=view,
+            cold=ColdLimiter(own_vm=f"vm-{region}"),
+            region_loads=lambda pool: {},
+        ),
+        sessions=BackendSessions({}),
+        wire=platform_wire(),
+        retries=RetryShare(bound=bound),
+        observe=events.append,
+    )
+    front = RelayFront(
+        own_region=region,
+        relay=relay,
+        wire=relay.wire,
+        routing=lambda: routing,
+        is_draining=lambda: False,
+    )
+    listeners = RelayListeners(
+        (
+            Listener(
+                name="clients", address=f"{hosts[region]}:{front_port}", handler=front.from_client
+            ),
+            Listener(name="peers", address=f"{hosts[region]}:{hop_port}", handler=front.from_peer),
+        ),
+        in_progress=lambda: relay.in_progress,
+    )
+    return RelayVm(
+        region=region,
+        host=hosts[region],
+        front_port=front_port,
+        relay=relay,
+        listeners=listeners,
+        events=events,
+    )
+
+
+def _view(own_region: str, hosts: Mapping[str, str]) -> MembershipView:
+    view = MembershipView(f"vm-{own_region}", own_region)
+    for region, host in hosts.items():
+        member = Member(
+            vm=f"vm-{region}", incarnation=1, region=region, peer_address=f"{host}:1", sequence=1
+        )
+        view.observe_heartbeat(member, now_unix_s())
+    return view
--- /dev/null
+++ b/tests/scripted_server.py
@@ -0,0 +1,156 @@
+"""A backend server of relayed requests that does what a test tells it, byte for byte."""
+
+import asyncio
+import struct
+from collections.abc import Awaitable, Callable
+from socket import SO_LINGER, SOL_SOCKET
+from typing import Self
+
+from attrs import define, field, frozen
+
+SEAL = "seal-of-the-server"
+
+
+@frozen(kw_only=True)
+class Received:
+    """Hold a request as it came."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@define(kw_only=True)
+class Exchange:
+    """Hold one request and the connection to answer it on."""
+
+    received: Received
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    server: "ScriptedServer"
+
+    def write_head(self, status: int, **more: str) -> None:
+        """Write an answer's head with the request's id and the seal."""
+        fields = {
+            "Pomelobarrow-Request-Id": self.received.headers["pomelobarrow-request-id"],
+            "Pomelobarrow-Response-Seal": SEAL,
+            **{name.replace("_", "-"): value for name, value in more.items()},
+        }
+        lines = [f"HTTP/1.1 {status} X", *(f"{name}: {value}" for name, value in fields.items())]
+        self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+
+    def write_chunk(self, data: bytes) -> None:
+        """Write one chunk of a chunked body."""
+        self.writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def reset(self) -> None:
+        """Reset the connection: without the option a close would end it in good order."""
+        socket = self.writer.get_extra_info("socket")
+        socket.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
+
+Script = Callable[[Exchange], Awaitable[None]]
+
+
+@define(kw_only=True)
+class ScriptedServer:
+    """Hold a listening server, its script and what it received."""
+
+    name: str
+    host: str
+    script: Script
+    received: list[Received] = field(factory=list)
+    lost: asyncio.Event = field(factory=asyncio.Event)
+    _server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> Self:
+        self._server = await asyncio.start_server(self._serve, self.host, 0)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        assert self._server is not None
+        self._server.close()
+
+    @property
+    def address(self) -> str:
+        """Return where it listens."""
+        assert self._server is not None
+        return f"{self.host}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        line, *fields = head.strip().split("\r\n")
+        headers = {name.lower(): value for name, value in (each.split(": ", 1) for each in fields)}
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+        received = Received(line=line, headers=headers, body=body)
+        self.received.append(received)
+        await self.script(Exchange(received=received, reader=reader, writer=writer, server=self))
+        if not writer.transport.is_closing():
+            writer.close()
+
+
+def answers(status: int = 200, body: bytes = b"whole") -> Script:
+    """Answer whole."""
+
+    async def script(exchange: Exchange) -> None:
+        exchange.write_head(status, Content_Length=str(len(body)))
+        exchange.writer.write(body)
+
+    return script
+
+
+def refuses(status: int = 503) -> Script:
+    """Say that the request did not run."""
+
+    async def script(exchange: Exchange) -> None:
+        exchange.write_head(status, Pomelobarrow_Not_Executed="1", Content_Length="0")
+
+    return script
+
+
+def resets() -> Script:
+    """Reset the connection without an answer."""
+
+    async def script(exchange: Exchange) -> None:
+        exchange.reset()
+
+    return script
+
+
+def event(number: int) -> bytes:
+    """Return an event of a stream."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+def streams(last: int, breaks_after: int | None = None, half: bytes = b"") -> Script:
+    """Stream events after the one asked for, or break off after one and the half of the next."""
+
+    async def script(exchange: Exchange) -> None:
+        first = int(exchange.received.headers.get("last-event-id", "0")) + 1
+        exchange.write_head(200, Content_Type="text/event-stream", Transfer_Encoding="chunked")
+        for number in range(first, last + 1):
+            exchange.write_chunk(event(number))
+            await exchange.writer.drain()
+            if number == breaks_after:
+                if half:
+                    exchange.write_chunk(half)
+                await exchange.writer.drain()
+                await asyncio.sleep(0)
+                # A reset drops what the reader hasn't read yet; the end without the last chunk
+                # is as incomplete.
+                exchange.writer.close()
+                return
+        exchange.writer.write(b"0\r\n\r\n")
+
+    return script
+
+
+def holds() -> Script:
+    """Answer nothing until the connection is lost."""
+
+    async def script(exchange: Exchange) -> None:
+        await exchange.reader.read()
+        exchange.server.lost.set()
+
+    return script
