--- a/bench/capacity_fleet.py
+++ b/bench/capacity_fleet.py
@@ -162,7 +162,9 @@
     def _start_daemon(self, vm: str) -> None:
         path = self.processes.folder / f"{vm}.yaml"
         path.write_text(yaml.safe_dump(self._settings(vm)))
-        self.processes.start(vm, ("pomelobarrow", "serve", "--settings", str(path)))
+        self.processes.start(
+            vm, ("pomelobarrow", "serve", "--settings", str(path)), announces=False
+        )
 
     async def _wait_ready(self, vm: str) -> None:
         assert self._session is not None
--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -86,7 +86,9 @@
         """Start an entry VM's daemon."""
         path = self.processes.folder / f"{vm}.yaml"
         path.write_text(yaml.safe_dump(self._settings(self.entries[vm])))
-        self.processes.start(vm, ("pomelobarrow", "serve", "--settings", str(path)))
+        self.processes.start(
+            vm, ("pomelobarrow", "serve", "--settings", str(path)), announces=False
+        )
 
     async def wait_ready(self, *vms: str) -> None:
         """Return once these entry VMs say that they serve."""
--- a/harness/processes.py
+++ b/harness/processes.py
@@ -76,11 +76,18 @@
     folder: Path = field(factory=lambda: Path(tempfile.mkdtemp(prefix="pomelobarrow-")))
     running: dict[str, "subprocess.Popen[bytes]"] = field(factory=dict)
 
-    def start(self, name: str, arguments: Iterable[str]) -> "subprocess.Popen[bytes]":
-        """Start a module of this project; its log goes to the folder."""
+    def start(
+        self, name: str, arguments: Iterable[str], announces: bool = True
+    ) -> "subprocess.Popen[bytes]":
+        """Start a module of this project; its log goes to the folder.
+
+        Stand-ins announce on standard output where they listen; daemons log there.
+        """
         with (self.folder / f"{name}.log").open("ab") as log:
             process = subprocess.Popen(
-                [sys.executable, "-m", *arguments], stdout=subprocess.PIPE, stderr=log
+                [sys.executable, "-m", *arguments],
+                stdout=subprocess.PIPE if announces else log,
+                stderr=log,
             )
         self.running[name] = process
         return process
--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -161,6 +161,11 @@
         if server_name in self._health:
             self._health[server_name].mark_ok(now_unix_s)
 
+    def is_ejected(self, server_name: str, now_unix_s: float) -> bool:
+        """Say whether a server gets no work because it failed of late."""
+        health = self._health.get(server_name)
+        return health is not None and health.is_ejected(now_unix_s)
+
     def pool_servers(self, pool: str) -> tuple[BackendServer, ...]:
         """Return the listed servers of a pool."""
         return self._pools.get(pool, ())
--- a/src/pomelobarrow/kernel/daemon.py
+++ b/src/pomelobarrow/kernel/daemon.py
@@ -3,11 +3,14 @@
 import asyncio
 import signal
 import time
-from collections.abc import Awaitable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 import structlog
+from attrs import fields_dict
 from mode import Service
+from result import Err, Result
 
+from pomelobarrow.decision.checks import Fault
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService
 from pomelobarrow.kernel.plugins import load_plugins
@@ -16,6 +19,8 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 
+SettingsLoader = Callable[[], Result[Settings, tuple[Fault, ...]]]
+
 log = structlog.get_logger(__name__)
 
 
@@ -47,14 +52,35 @@
     return context
 
 
-def run_daemon(settings: Settings, extra_plugins: Iterable[object] = ()) -> int:
+def run_daemon(
+    settings: Settings,
+    extra_plugins: Iterable[object] = (),
+    reload: SettingsLoader | None = None,
+) -> int:
     """Serve until a planned stop has finished; return the exit code."""
-    return asyncio.run(_serve(build_context(settings, extra_plugins)))
+    return asyncio.run(_serve(build_context(settings, extra_plugins), reload))
+
+
+def reload_settings(context: Context, loaded: Result[Settings, tuple[Fault, ...]]) -> None:
+    """Take over settings that were read again; those with faults leave the old ones in force."""
+    if isinstance(loaded, Err):
+        faults = [str(fault) for fault in loaded.err_value]
+        log.error("settings refused", faults=faults, remedy="correct the file and send SIGHUP")
+        return
+    old, new = context.settings, loaded.ok_value
+    changed = [name for name in fields_dict(Settings) if getattr(old, name) != getattr(new, name)]
+    context.settings = new
+    context.hooks.hook.reloaded(context=context)
+    log.info("settings reloaded", changed=changed)
 
 
-async def _serve(context: Context) -> int:
+async def _serve(context: Context, reload: SettingsLoader | None) -> int:
     stop_asked, stop_now = asyncio.Event(), asyncio.Event()
     _handle_signals(stop_asked, stop_now)
+    if reload is not None:
+        # Unhandled, the signal would end the process and cut off every answer.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, lambda: reload_settings(context, reload()))
     daemon = Daemon(context)
     try:
         await daemon.start()
--- a/src/pomelobarrow/kernel/hooks.py
+++ b/src/pomelobarrow/kernel/hooks.py
@@ -73,6 +73,10 @@
     def close(self, context: "Context") -> Any:
         """Return an awaitable that ends once all that was answered has left the sockets."""
 
+    @hookspec
+    def reloaded(self, context: "Context") -> None:
+        """Take over settings that were read again; addresses count from the next start."""
+
     @hookspec
     def observe(self, event: object) -> None:
         """Take note of a typed event, such as a finished request."""
--- a/src/pomelobarrow/operators/commands/serve.py
+++ b/src/pomelobarrow/operators/commands/serve.py
@@ -14,8 +14,8 @@
     description = "Serve callers on this VM until told to stop."
     options = [SETTINGS_OPTION]
     help = """
-Logs JSON lines to stderr. SIGTERM or SIGINT stops it gracefully: requests in progress finish,
-new ones are refused. A second signal stops it at once.
+Logs JSON lines to standard output. SIGTERM or SIGINT stops it gracefully: requests in progress
+finish, new ones are refused. A second signal stops it at once. SIGHUP reads the settings again.
 Exit code: 0 after a planned stop, 1 on a fault, 2 wrong usage.
 
   pomelobarrow serve --settings vm.yaml
@@ -23,7 +23,8 @@
 
     def handle(self) -> int:
         """Load the settings and run until the daemon ends."""
-        loaded = load_settings(self.required_option("settings"))
+        path = self.required_option("settings")
+        loaded = load_settings(path)
         if isinstance(loaded, Err):
             return self.fail(loaded.err_value)
         # The daemon brings in every room; the other commands needn't wait for that.
@@ -32,4 +33,4 @@
 
         settings = loaded.ok_value
         configure_logs(settings.operators.log_level, settings.vm)
-        return run_daemon(settings)
+        return run_daemon(settings, reload=lambda: load_settings(path))
--- a/src/pomelobarrow/operators/logs.py
+++ b/src/pomelobarrow/operators/logs.py
@@ -1,4 +1,4 @@
-"""Log JSON lines to stderr, each with its request and trace."""
+"""Log JSON lines to standard output, each with its request and trace."""
 
 import logging
 import sys
@@ -11,8 +11,9 @@
 from structlog.contextvars import bound_contextvars, merge_contextvars
 from structlog.tracebacks import ExceptionDictTransformer
 
+from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.settings import LogLevel
-from pomelobarrow.operators.output import ByteStream, LossyStream
+from pomelobarrow.operators.output import ByteStream, LossyStream, bounded_fd
 from pomelobarrow.operators.redaction import redact, redact_line
 
 Event = MutableMapping[str, Any]
@@ -24,7 +25,7 @@
 
 def configure_logs(level: LogLevel, vm: str, stream: ByteStream | None = None) -> None:
     """Send structlog's and the standard library's log events to a stream as JSON lines."""
-    output = LossyStream(stream or sys.stderr.buffer)
+    output = LossyStream(stream or bounded_fd(sys.stdout.fileno(), now_unix_s))
     number = logging.getLevelNamesMapping()[level.name]
     structlog.configure(
         processors=[*_processors(vm), _render],
--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -209,6 +209,12 @@
             "Sendings of relayed requests to a backend server or a peer, by their end.",
             ("pool", "end"),
         )
+        self.ejections = CounterFamily(
+            registry,
+            "pomelobarrow_server_ejections_total",
+            "Times that a backend server was left out because it failed.",
+            ("pool",),
+        )
         self.relay_first_answer_s = HistogramFamily(
             registry,
             "pomelobarrow_relay_first_answer_seconds",
--- a/src/pomelobarrow/operators/output.py
+++ b/src/pomelobarrow/operators/output.py
@@ -1,8 +1,18 @@
 """Write lines for operators without ever failing the work they describe."""
 
 import contextlib
+import os
+import stat
+from collections.abc import Callable
 from typing import Protocol
 
+import orjson
+
+# A daemon logs a handful of lines a request. Past this rate, that of some hundred requests a
+# second, lines are dropped: a storm of requests must not become a storm of writes.
+MAX_LINES_PER_S = 1_000.0
+MAX_BURST_LINES = 2_000.0
+
 
 class ByteStream(Protocol):
     """Take bytes, as `sys.stderr.buffer` does."""
@@ -34,3 +44,72 @@
         """Flush, or drop what can't be."""
         with contextlib.suppress(OSError, ValueError):
             self._stream.flush()
+
+
+class BoundedStream:
+    """Write lines without ever waiting for the reader, and say how many were dropped.
+
+    A reader that stops reading fills the pipe, and the next write would hold up every request of
+    the process until it reads on.
+    """
+
+    def __init__(self, write: Callable[[bytes], int], clock_s: Callable[[], float]) -> None:
+        self._write = write
+        self._clock_s = clock_s
+        self._allowance = MAX_BURST_LINES
+        self._filled_s = clock_s()
+        self._dropped = 0
+        # The part of a line that the pipe had no room for.
+        self._rest = b""
+
+    def write(self, data: bytes, /) -> int:
+        """Write a line, or count it as dropped."""
+        if not self._may_write():
+            self._dropped += 1
+            return len(data)
+        note, dropped = self._note(), self._dropped
+        self._dropped = 0
+        if not self._put(note + data):
+            self._dropped = dropped + 1
+        return len(data)
+
+    def flush(self) -> None:
+        """Do nothing: lines aren't kept back."""
+
+    def _may_write(self) -> bool:
+        now_s = self._clock_s()
+        refill = max(0.0, now_s - self._filled_s) * MAX_LINES_PER_S
+        self._allowance = min(MAX_BURST_LINES, self._allowance + refill)
+        self._filled_s = now_s
+        if self._allowance < 1.0:
+            return False
+        self._allowance -= 1.0
+        return True
+
+    def _note(self) -> bytes:
+        if not self._dropped:
+            return b""
+        fields = {"event": "log lines dropped", "level": "warning", "lines": self._dropped}
+        return orjson.dumps(fields) + b"\n"
+
+    def _put(self, data: bytes) -> bool:
+        """Write what fits; say whether the data is written or will be."""
+        try:
+            written = self._write(self._rest + data)
+        except BlockingIOError:
+            return False
+        except OSError:
+            # The reader is gone for good.
+            self._rest = b""
+            return False
+        self._rest = (self._rest + data)[written:]
+        return True
+
+
+def bounded_fd(fd: int, clock_s: Callable[[], float]) -> BoundedStream:
+    """Return a stream to an open file that never waits for its reader."""
+    mode = os.fstat(fd).st_mode
+    # Of a terminal the setting would outlive this process, and files don't make a writer wait.
+    if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
+        os.set_blocking(fd, False)
+    return BoundedStream(lambda data: os.write(fd, data), clock_s)
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -21,7 +21,13 @@
     PlatformReachable,
     PlatformUnreachable,
 )
-from pomelobarrow.relay.events import RelayAttemptEnded, RelayEnded, RelayPlaced
+from pomelobarrow.relay.events import (
+    RelayAttemptEnded,
+    RelayEnded,
+    RelayPlaced,
+    ServerBack,
+    ServerEjected,
+)
 
 log = structlog.get_logger(__name__)
 
@@ -45,6 +51,8 @@
             RelayPlaced: self._relay_placed,
             RelayAttemptEnded: self._relay_attempt_ended,
             RelayEnded: self._relay_ended,
+            ServerEjected: self._server_ejected,
+            ServerBack: self._server_back,
             PeerRefused: self._peer_refused,
         }
 
@@ -133,6 +141,13 @@
             self._metrics.relay_first_answer_s.observe(event.first_answer_s, event.route)
         self._log.info("relay ended", **asdict(event))
 
+    def _server_ejected(self, event: ServerEjected) -> None:
+        self._metrics.ejections.inc(event.pool)
+        self._log.warning("server ejected", **asdict(event))
+
+    def _server_back(self, event: ServerBack) -> None:
+        self._log.info("server back", **asdict(event))
+
     def _pause_noticed(self, event: PauseNoticed) -> None:
         self._log.warning("this process stood still", gap_s=round(event.gap_s, 3))
 
--- a/src/pomelobarrow/peers/links.py
+++ b/src/pomelobarrow/peers/links.py
@@ -116,13 +116,19 @@
             try:
                 await self._converse()
             except LOST as error:
-                log.debug("peer link lost", peer=self.peer.vm, error=repr(error))
+                self._note_lost(error)
             finally:
                 self._drop()
             held = now_unix_s() - started_unix_s > SILENT_AFTER_S * 2
             pause_s = RECONNECT_FLOOR_S if held else min(pause_s * 2, RECONNECT_CEILING_S)
             await self.sleep(pause_s * self._random.uniform(0.5, 1.0))
 
+    def _note_lost(self, error: Exception) -> None:
+        # A peer that stays away is tried again and again: only the loss itself is news.
+        level = log.info if self.is_up else log.debug
+        silent_s = now_unix_s() - self.last_heard_unix_s if self.last_heard_unix_s else None
+        level("peer link lost", peer=self.peer.vm, error=repr(error), silent_s=silent_s)
+
     async def on_stop(self) -> None:
         """Close the connection."""
         self._drop()
@@ -173,9 +179,11 @@
             if message is None:
                 return
             self.last_heard_unix_s = now_unix_s()
+            self._exchange.handle(message, self._peer_name(message), self.send)
+            if not self.is_up:
+                log.info("peer link up", peer=self.peer.vm, region=self.peer.region)
             self.is_up = True
             self._up.set()
-            self._exchange.handle(message, self._peer_name(message), self.send)
             self.first_answer.set()
 
     def _peer_name(self, message: pb.PeerMessage) -> str:
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -80,6 +80,12 @@
     return StatusSection("peers", members)
 
 
+@hookimpl
+def reloaded(context: Context) -> None:
+    """Dial the seeds of the settings that were read again."""
+    context.get(PeerTable).set_seeds(context.settings.peers.seeds)
+
+
 @hookimpl
 def drain(context: Context) -> Awaitable[None]:
     """Leave the entries, wait for the work in progress, hand the ids over."""
--- a/src/pomelobarrow/peers/table.py
+++ b/src/pomelobarrow/peers/table.py
@@ -72,6 +72,10 @@
         """Dial the seeds, so that a VM can join while the platform is out of reach."""
         await self._dial_seeds()
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Use other seeds from the next time that nobody can be reached."""
+        self._seeds = seeds
+
     async def _dial_seeds(self) -> None:
         for seed in self._seeds:
             name = SEED_PREFIX + seed
--- a/src/pomelobarrow/platform/daemon.py
+++ b/src/pomelobarrow/platform/daemon.py
@@ -20,4 +20,4 @@
         return EXIT_FAULT
     settings = loaded.ok_value
     configure_logs(settings.operators.log_level, settings.vm)
-    return run_daemon(settings)
+    return run_daemon(settings, reload=load_settings)
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -38,6 +38,23 @@
     took_s: float
 
 
+@frozen(kw_only=True)
+class ServerEjected:
+    """Report that a server gets no work for a while because it failed."""
+
+    server: str
+    pool: str
+    detail: str
+
+
+@frozen(kw_only=True)
+class ServerBack:
+    """Report that a server that was ejected has answered."""
+
+    server: str
+    pool: str
+
+
 @frozen(kw_only=True)
 class RelayEnded:
     """Report what the client got."""
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -13,14 +13,20 @@
 from pomelobarrow.decision.errors import Kind, Refusal, Run
 from pomelobarrow.decision.retry_share import RetryShare
 from pomelobarrow.decision.routing import Routing
-from pomelobarrow.decision.work import Placement
+from pomelobarrow.decision.work import BackendServer, Placement
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.answer import ClientAnswer
 from pomelobarrow.relay.attempt import RelayAttempt, Target
 from pomelobarrow.relay.event_splitter import EventSplitter
-from pomelobarrow.relay.events import RelayAttemptEnded, RelayEnded, RelayPlaced
+from pomelobarrow.relay.events import (
+    RelayAttemptEnded,
+    RelayEnded,
+    RelayPlaced,
+    ServerBack,
+    ServerEjected,
+)
 from pomelobarrow.relay.hop import peer_target, refusal_headers
 from pomelobarrow.relay.messages import (
     AttemptEnd,
@@ -68,6 +74,7 @@
     observe: Callable[[object], None]
     rng: Random = field(factory=Random)
     in_progress: int = 0
+    _ejected: set[str] = field(factory=set, init=False)
 
     async def answer(self, request: RelayRequest, routing: Routing, sink: ClientAnswer) -> None:
         """Answer a request, whole or with an honest refusal."""
@@ -160,7 +167,7 @@
             report = await self._run(course, target)
         finally:
             table.release(work.request_id, now_unix_s())
-        self._judge_server(server.name, report)
+        self._judge_server(server, report)
         if report.end is not AttemptEnd.PASSED_ON:
             course.excluded.servers.add(server.name)
         return report
@@ -211,16 +218,19 @@
             self._note_attempt(course, target, report, started_unix_s)
         return report
 
-    def _judge_server(self, name: str, report: AttemptReport) -> None:
-        judges = {
-            AttemptEnd.PASSED_ON: self.placer.table.mark_ok,
-            AttemptEnd.ANSWERED: self.placer.table.mark_ok,
-            AttemptEnd.NOT_SENT: self.placer.table.mark_failed,
-            AttemptEnd.LOST: self.placer.table.mark_failed,
-        }
-        judge = judges.get(report.end)
-        if judge is not None:
-            judge(name, now_unix_s())
+    def _judge_server(self, server: BackendServer, report: AttemptReport) -> None:
+        """Learn from how an attempt ended; a refusal says nothing against a server."""
+        table, name, now = self.placer.table, server.name, now_unix_s()
+        if report.end in (AttemptEnd.PASSED_ON, AttemptEnd.ANSWERED):
+            table.mark_ok(name, now)
+            if name in self._ejected:
+                self._ejected.discard(name)
+                self.observe(ServerBack(server=name, pool=server.pool))
+        elif report.end is not AttemptEnd.REFUSED:
+            table.mark_failed(name, now)
+            if table.is_ejected(name, now) and name not in self._ejected:
+                self._ejected.add(name)
+                self.observe(ServerEjected(server=name, pool=server.pool, detail=report.detail))
 
     async def _conclude(self, course: Course, step: Step) -> str:
         """Give the client what is left to give; return the outcome's name."""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -12,6 +12,7 @@
 from operator_examples import PUBLISHED, SETTINGS
 
 import pomelobarrow.kernel.daemon
+from pomelobarrow.kernel.daemon import SettingsLoader
 from pomelobarrow.kernel.settings import Settings
 from pomelobarrow.operators import cli
 from pomelobarrow.operators.commands.base import EXIT_FAULT, EXIT_OK, EXIT_USAGE
@@ -97,7 +98,8 @@
 def test_serve_returns_the_daemons_exit_code(
     settings_file: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    def run_daemon(settings: Settings) -> int:
+    def run_daemon(settings: Settings, reload: SettingsLoader) -> int:
+        assert reload().ok_value == settings
         return len(settings.vm)
 
     monkeypatch.setattr(pomelobarrow.kernel.daemon, "run_daemon", run_daemon)
--- a/tests/test_house_rules.py
+++ b/tests/test_house_rules.py
@@ -27,6 +27,10 @@
     "threading",
     "time",
 }
+PLATFORM_WORDS = re.compile(
+    "Request-Deadline|Target-Instance|Response-Seal|Not-Executed|Server-Load|Prompt-Prefix"
+    "|StoreRevision|kv-watch|kv-range|HomeRegions|TimeoutMs|GoalMs|InternalPorts|ColdLeftMs"
+)
 MACHINE_PATH = re.compile(r"(?<![\w.:/-])/(?:work|root|home|tmp|opt|Users)/\w")
 
 
@@ -77,6 +81,28 @@
     assert naming == {"operators/cli.py"}
 
 
+def test_only_the_adapter_names_what_is_on_the_platforms_wire() -> None:
+    """The platform's names are decoded once; elsewhere the project's own stand."""
+    naming = {
+        source.relative_to(PACKAGE).as_posix()
+        for source in PACKAGE.rglob("*.py")
+        if not {PACKAGE / "platform", PACKAGE / "standin"} & set(source.parents)
+        and PLATFORM_WORDS.search(source.read_text(encoding="utf-8"))
+    }
+    assert naming == set()
+
+
+def test_adapter_only_translates() -> None:
+    """Decisions and state that lasts belong to the product's own rooms."""
+    deciding = [
+        f"{source.name} imports {module}"
+        for source in (PACKAGE / "platform").glob("*.py")
+        for module in imported_modules(source)
+        if module in ("random", "mode") and source.name != "store.py"
+    ]
+    assert deciding == []
+
+
 def test_files_stay_short() -> None:
     lengths = {
         path.relative_to(ROOT).as_posix(): len(path.read_text(encoding="utf-8").splitlines())
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -9,6 +9,7 @@
 
 from pomelobarrow.kernel.settings import LogLevel
 from pomelobarrow.operators.logs import configure_logs, request_logs
+from pomelobarrow.operators.output import MAX_BURST_LINES, BoundedStream
 from pomelobarrow.operators.redaction import REDACTED
 
 
@@ -100,3 +101,48 @@
         structlog.get_logger().info("request ended")
     finally:
         structlog.reset_defaults()
+
+
+class Pipe:
+    """Take as many bytes as there is room for, as a pipe whose reader may stop does."""
+
+    def __init__(self, room: int) -> None:
+        self.room = room
+        self.taken = b""
+
+    def write(self, data: bytes) -> int:
+        if not self.room:
+            raise BlockingIOError
+        part = data[: self.room]
+        self.room -= len(part)
+        self.taken += part
+        return len(part)
+
+
+def test_reader_that_stops_reading_holds_up_nobody() -> None:
+    """The reader of the logs stops and the pipe is full; a request logs a line.
+
+    A blocking write would hold up the process. The line is dropped, the half one is finished
+    first when there is room again, and a note tells how many are missing.
+    """
+    pipe = Pipe(room=6)
+    output = BoundedStream(pipe.write, lambda: 0.0)
+    for line in (b"one\n", b"two\n", b"three\n", b"four\n"):
+        output.write(line)
+    pipe.room = 1_000
+    output.write(b"five\n")
+    first, second, note, last = pipe.taken.splitlines()
+    assert (first, second, last) == (b"one", b"two", b"five")
+    assert orjson.loads(note)["lines"] == 2
+
+
+def test_storm_of_lines_is_bounded_and_counted() -> None:
+    pipe, now_s = Pipe(room=10**9), [0.0]
+    output = BoundedStream(pipe.write, lambda: now_s[0])
+    for _ in range(int(MAX_BURST_LINES) + 50):
+        output.write(b"line\n")
+    now_s[0] = 1.0
+    output.write(b"line\n")
+    lines = pipe.taken.splitlines()
+    assert lines.count(b"line") == MAX_BURST_LINES + 1
+    assert orjson.loads(lines[-2])["lines"] == 50
