--- a/src/pomelobarrow/decision/cold_start.py
+++ b/src/pomelobarrow/decision/cold_start.py
@@ -11,7 +11,7 @@
 # send its first request at once, the server would get them all in one second and crash.
 MAX_SENDERS = 3
 # VMs whose views of the region differ may name more senders; this much of the rate is left free.
-RATE_SHARE = 0.6
+RATE_SHARE = 0.8
 
 
 @define
--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -161,6 +161,11 @@
         if server_name in self._health:
             self._health[server_name].mark_ok(now_unix_s)
 
+    def eject(self, server_name: str, now_unix_s: float) -> None:
+        """Leave a server out for a while."""
+        if server_name in self._health:
+            self._health[server_name].eject(now_unix_s)
+
     def is_ejected(self, server_name: str, now_unix_s: float) -> bool:
         """Say whether a server gets no work because it failed of late."""
         health = self._health.get(server_name)
--- a/src/pomelobarrow/decision/retry_share.py
+++ b/src/pomelobarrow/decision/retry_share.py
@@ -44,13 +44,17 @@
         """Count a request's first arrival at a server."""
         self._pools[pool].firsts.append(now_unix_s)
 
-    def take_repeat(self, pool: str, live_vms: int, now_unix_s: float) -> bool:
-        """Count one more arrival where the bound leaves room for it."""
+    def has_room(self, pool: str, live_vms: int, now_unix_s: float) -> bool:
+        """Say whether the bound leaves room for one more arrival."""
         counts = self._pools[pool]
         counts.drop_before(now_unix_s - self.bound.window_s)
         slack = self.bound.slack / max(1, live_vms)
         allowed = SAFETY_SHARE * (self.bound.ratio * len(counts.firsts) + slack)
-        if len(counts.repeats) + 1 > allowed:
+        return len(counts.repeats) + 1 <= allowed
+
+    def take_repeat(self, pool: str, live_vms: int, now_unix_s: float) -> bool:
+        """Count one more arrival where the bound leaves room for it."""
+        if not self.has_room(pool, live_vms, now_unix_s):
             return False
-        counts.repeats.append(now_unix_s)
+        self._pools[pool].repeats.append(now_unix_s)
         return True
--- a/src/pomelobarrow/decision/server_choice.py
+++ b/src/pomelobarrow/decision/server_choice.py
@@ -20,6 +20,8 @@
 COMPARED_SERVERS = 16
 # How surely the server that a prompt's group hashes to holds the group's prefix, unseen.
 GROUP_SERVER_TRUST = 0.7
+# The same where the caller names the part that is shared: nobody else's guess is in it.
+NAMED_GROUP_TRUST = 0.9
 WARM = "prompt cache"
 LEAST_WAIT = "least expected wait"
 
@@ -151,9 +153,23 @@
         yield over_slots * hold_s / max(state.slots, 1.0)
 
 
+def _group_key(table: LoadTable, work: Work) -> int | None:
+    """Return what names a prompt's group, the same on every VM."""
+    if work.shared_tokens and work.prefix_hashes:
+        return work.prefix_hashes[0]
+    return table.prefixes.group_key(work.prefix_hashes)
+
+
+def _assumed_tokens(table: LoadTable, work: Work) -> float:
+    """Return the tokens that a group's own server is expected to hold, unseen."""
+    if work.shared_tokens:
+        return NAMED_GROUP_TRUST * work.shared_tokens
+    return GROUP_SERVER_TRUST * table.prefixes.typical_group_tokens()
+
+
 def _warm_servers(table: LoadTable, work: Work, usable: Sequence[BackendServer]) -> _Warm:
     prefixes = table.prefixes
-    key = prefixes.group_key(work.prefix_hashes)
+    key = _group_key(table, work)
     if key is None:
         return _Warm({}, ())
     holders = [server for server in usable if prefixes.holds(server.name, key)]
@@ -161,6 +177,6 @@
     names = {server.name for server in usable}
     group = [s for s in table.group_servers(work.pool, key) if s.name in names][:1]
     for server in group:
-        assumed = GROUP_SERVER_TRUST * prefixes.typical_group_tokens()
+        assumed = _assumed_tokens(table, work)
         tokens[server.name] = max(tokens.get(server.name, 0.0), assumed)
     return _Warm(tokens, tuple({server.name: server for server in (*holders, *group)}.values()))
--- a/src/pomelobarrow/decision/server_health.py
+++ b/src/pomelobarrow/decision/server_health.py
@@ -28,6 +28,11 @@
             return
         self._eject(now_unix_s)
 
+    def eject(self, now_unix_s: float) -> None:
+        """Eject at once a server that does far worse than the others."""
+        if not self.is_ejected(now_unix_s):
+            self._eject(now_unix_s)
+
     def mark_ok(self, now_unix_s: float) -> None:
         """Forget the failures; forget the ejections once slow start is over."""
         self._failures = 0
--- a/src/pomelobarrow/decision/work.py
+++ b/src/pomelobarrow/decision/work.py
@@ -22,6 +22,8 @@
     expected_output_tokens: int
     # Hashes of the prompt's leading blocks, longest prefix last.
     prefix_hashes: tuple[int, ...] = ()
+    # Where the caller says how much of its prompt others share; the hashes are then of that part.
+    shared_tokens: int = 0
     accepted_unix_s: float
     first_token_due_unix_s: float
     deadline_unix_s: float
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -1,5 +1,6 @@
 """Send a request once, to a backend server or a peer, and bring its answer back."""
 
+import asyncio
 from collections.abc import Callable
 
 import aiohttp
@@ -47,7 +48,10 @@
     sink: ClientAnswer
     splitter: EventSplitter
     on_first_answer: Callable[[ServerAnswerHead], None]
+    # When to give up on a server that hasn't begun to answer; None to wait for it.
+    first_answer_due_unix_s: float | None = None
     state: Attempt = field(factory=Attempt)
+    _patience: asyncio.Timeout | None = field(default=None, init=False)
     first_answer_unix_s: float | None = None
 
     @property
@@ -58,8 +62,12 @@
     async def run(self) -> AttemptReport:
         """Send once; nothing is sent again below this level."""
         self.splitter.restart()
+        patience_s = None
+        if self.first_answer_due_unix_s is not None:
+            patience_s = max(0.0, self.first_answer_due_unix_s - now_unix_s())
         try:
-            return await self._exchange()
+            async with asyncio.timeout(patience_s) as self._patience:
+                return await self._exchange()
         except LOST as error:
             return self._lost(repr(error))
 
@@ -130,6 +138,8 @@
     def _note_first_answer(self, head: ServerAnswerHead) -> None:
         if self.first_answer_unix_s is None:
             self.first_answer_unix_s = now_unix_s()
+            if self._patience is not None:
+                self._patience.reschedule(None)
             self.state.apply(AttemptEvent.FIRST_BYTE)
             self.on_first_answer(head)
 
--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -118,6 +118,7 @@
             prompt_tokens=head.prompt_tokens,
             expected_output_tokens=head.max_output_tokens,
             prefix_hashes=shared_blocks(head.prompt_parts),
+            shared_tokens=head.shared_tokens,
             accepted_unix_s=accepted_unix_s,
             first_token_due_unix_s=accepted_unix_s + route.first_answer_target_s,
             deadline_unix_s=accepted_unix_s + patience_s,
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -34,6 +34,11 @@
     # The last event that the client has of a stream that broke off.
     last_event_id: str = ""
 
+    @property
+    def shared_tokens(self) -> int:
+        """Return the tokens of the prompt that others share."""
+        return sum(part.tokens for part in self.prompt_parts[:-1])
+
 
 @frozen(kw_only=True)
 class RelayRequest:
--- a/src/pomelobarrow/relay/placement.py
+++ b/src/pomelobarrow/relay/placement.py
@@ -7,6 +7,7 @@
 
 from pomelobarrow.decision.cold_start import ColdLimiter
 from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.decision.group_owners import GroupOwners
 from pomelobarrow.decision.load_table import LoadTable, ServerState
 from pomelobarrow.decision.membership import Member, MembershipView
 from pomelobarrow.decision.region_choice import LOAD_GOOD_FOR_S, RegionLoad
@@ -26,6 +27,11 @@
 UNKNOWN_ROUND_TRIP_S = 0.15
 # Longer prompts go where the same group went before, so that one cache holds them.
 LONG_PROMPT_TOKENS = 2_000
+# Elsewhere a prompt is only sent for its warm cache while that is expected to be early.
+OWNER_AT_TARGET_SHARE = 0.6
+# Less than this part of a shared prompt in a cache here counts as not there.
+WARM_SHARE = 0.5
+WARM_ELSEWHERE = "another region keeps this prompt warm"
 HERE_IS_BEST = "this region answers first"
 HOME_ELSEWHERE = "the route is bound to other regions"
 HERE_IS_LATE = "this region would be late"
@@ -78,6 +84,8 @@
     view: MembershipView
     cold: ColdLimiter
     region_loads: Callable[[str], Mapping[str, RegionLoad]]
+    servers: Callable[[], Mapping[str, BackendServer]]
+    owners: GroupOwners = field(factory=GroupOwners)
     rng: Random = field(factory=Random)
 
     def place(
@@ -87,6 +95,9 @@
         here = self._choose_here(request, routing, excluded, now_unix_s)
         if request.forwarded_by:
             return OnServer(placement=here) if here else Nowhere(reason=NOTHING_HERE)
+        owner = self._choose_owner(request, here, excluded, now_unix_s)
+        if owner is not None:
+            return owner
         if here is not None and not self._is_late(request, here):
             return OnServer(placement=here)
         elsewhere = self._choose_elsewhere(request, here, excluded, now_unix_s)
@@ -125,6 +136,44 @@
         if server.cold_until_unix_s > now_unix_s:
             self.cold.take(server.name)
 
+    def _choose_owner(
+        self,
+        request: RelayRequest,
+        here: Placement | None,
+        excluded: Excluded,
+        now_unix_s: float,
+    ) -> OnPeer | None:
+        """Return a peer of the region that keeps a long shared prompt warm, unless it is here.
+
+        Reading such a prompt again costs an engine more than the trip costs the request.
+        """
+        shared_tokens = request.work.shared_tokens
+        if shared_tokens < LONG_PROMPT_TOKENS:
+            return None
+        if here is not None and here.cached_tokens >= WARM_SHARE * shared_tokens:
+            return None
+        work = request.work
+        region = self.owners.region(
+            request.head.prompt_parts[0].id,
+            work.pool,
+            request.route,
+            self.servers(),
+            self.table.closed_domains,
+        )
+        load = self.region_loads(work.pool).get(region)
+        if region in ("", self.own_region) or load is None or region in excluded.regions:
+            return None
+        if now_unix_s - load.measured_unix_s > LOAD_GOOD_FOR_S or not load.servers:
+            return None
+        prefill_s = self.table.service_times(work.pool).s_per_prefill_token
+        own_s = (work.prompt_tokens - shared_tokens) * prefill_s
+        expected_s = load.expected_wait_s + (load.round_trip_s or UNKNOWN_ROUND_TRIP_S) + own_s
+        member = self._choose_member(region, excluded, now_unix_s)
+        is_early = expected_s < OWNER_AT_TARGET_SHARE * request.route.first_answer_target_s
+        if member is None or not is_early:
+            return None
+        return OnPeer(member=member, reason=WARM_ELSEWHERE, expected_first_answer_s=expected_s)
+
     def _is_late(self, request: RelayRequest, here: Placement) -> bool:
         bound_s = LEAVE_AT_TARGET_SHARE * request.route.first_answer_target_s
         return here.expected_wait_s > bound_s
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -93,13 +93,14 @@
 
 
 def _placer(context: Context) -> Placer:
-    loads = context.get(RegionLoads)
+    loads, published = context.get(RegionLoads), context.get(PublishedState)
     return Placer(
         own_region=context.settings.region,
         table=context.get(LoadTable),
         view=context.get(MembershipView),
         cold=ColdLimiter(own_vm=context.settings.vm),
         region_loads=loads.for_pool,
+        servers=lambda: published.backend_servers,
     )
 
 
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -128,6 +128,7 @@
             view=view,
             cold=ColdLimiter(own_vm=f"vm-{region}"),
             region_loads=lambda pool: {},
+            servers=lambda: {server.name: server for server in listed},
         ),
         sessions=BackendSessions({}),
         wire=platform_wire(),
