--- a/src/pomelobarrow/decision/service_times.py
+++ b/src/pomelobarrow/decision/service_times.py
@@ -5,8 +5,10 @@
 DECAY = 0.98
 DEFAULT_PREFILL_TOKENS_PER_S = 10_000.0
 DEFAULT_HOLD_S = 1.0
-# Shorter prompts say more about the network than about the engine.
-MIN_PREFILL_SAMPLE_TOKENS = 256
+# The first token of a shorter prompt takes what any first token takes: the network, the batch that
+# is under way, the first step. Read as prefill, 90 ms for 380 tokens made an engine look ten times
+# slower than it was, and work left its region for waits that weren't there.
+SHORT_PROMPT_TOKENS = 1_024
 
 
 @define
@@ -21,7 +23,7 @@
         self.denominator = self.denominator * DECAY + denominator
 
     def value(self) -> float:
-        return self.numerator / self.denominator
+        return self.numerator / self.denominator if self.denominator else 0.0
 
 
 class ServiceTimes:
@@ -29,6 +31,7 @@
 
     def __init__(self) -> None:
         self._prefill = _DecayingRatio(1.0 / DEFAULT_PREFILL_TOKENS_PER_S)
+        self._base = _DecayingRatio(0.0, 0.0)
         self._hold = _DecayingRatio(DEFAULT_HOLD_S)
         self._kv = _DecayingRatio(0.0)
         self._tokens = _DecayingRatio(0.0)
@@ -60,8 +63,12 @@
 
     def observe_start(self, tokens_ahead: int, elapsed_s: float) -> None:
         """Take in one first token and the prefill that stood before it."""
-        if tokens_ahead >= MIN_PREFILL_SAMPLE_TOKENS and elapsed_s > 0:
-            self._prefill.add(elapsed_s, tokens_ahead)
+        if elapsed_s <= 0:
+            return
+        if tokens_ahead < SHORT_PROMPT_TOKENS:
+            self._base.add(elapsed_s, 1.0)
+            return
+        self._prefill.add(max(0.0, elapsed_s - self._base.value()), tokens_ahead)
 
     def observe_finish(self, elapsed_s: float) -> None:
         """Take in one finished request."""
--- a/src/pomelobarrow/relay/placement.py
+++ b/src/pomelobarrow/relay/placement.py
@@ -25,6 +25,8 @@
 LEAVE_AT_TARGET_SHARE = 0.35
 # Where another region's round trip isn't known yet, the slowest that is usual between regions.
 UNKNOWN_ROUND_TRIP_S = 0.15
+# Past this part of the target a long prompt isn't started at all.
+BEHIND_AT_TARGET_SHARE = 1.0
 # Longer prompts go where the same group went before, so that one cache holds them.
 LONG_PROMPT_TOKENS = 2_000
 # Elsewhere a prompt is only sent for its warm cache while that is expected to be early.
@@ -35,6 +37,7 @@
 HERE_IS_BEST = "this region answers first"
 HOME_ELSEWHERE = "the route is bound to other regions"
 HERE_IS_LATE = "this region would be late"
+ALL_BEHIND = "every server is too far behind"
 NOTHING_HERE = "this region has no server for it"
 
 
@@ -75,13 +78,39 @@
     regions: set[str] = field(factory=set)
 
 
+# Going through all members for each request cost a twentieth of a VM's time in a fleet of 75; what
+# changes within this time is noticed by the attempt itself.
+MEMBERS_GOOD_FOR_S = 0.2
+
+
+@define(kw_only=True)
+class LiveMembers:
+    """Hold the members that live and those that take work, as of a moment ago."""
+
+    view: MembershipView
+    live: Sequence[Member] = ()
+    usable: Sequence[Member] = ()
+    _good_until_unix_s: float = 0.0
+
+    def refresh(self, now_unix_s: float) -> None:
+        """Look again where the last look is old."""
+        if not 0.0 <= self._good_until_unix_s - now_unix_s <= MEMBERS_GOOD_FOR_S:
+            self.live = self.view.live(now_unix_s=now_unix_s)
+            self.usable = self.view.usable_entries(now_unix_s=now_unix_s)
+            self._good_until_unix_s = now_unix_s + MEMBERS_GOOD_FOR_S
+
+    def usable_in(self, region: str) -> list[Member]:
+        """Return the members of a region that take work."""
+        return [member for member in self.usable if member.region == region]
+
+
 @define(kw_only=True)
 class Placer:
     """Hold what placing depends on."""
 
     own_region: str
     table: LoadTable
-    view: MembershipView
+    members: LiveMembers
     cold: ColdLimiter
     region_loads: Callable[[str], Mapping[str, RegionLoad]]
     servers: Callable[[], Mapping[str, BackendServer]]
@@ -92,9 +121,10 @@
         self, request: RelayRequest, routing: Routing, excluded: Excluded, now_unix_s: float
     ) -> Decision:
         """Return where a request goes next."""
+        self.members.refresh(now_unix_s)
         here = self._choose_here(request, routing, excluded, now_unix_s)
         if request.forwarded_by:
-            return OnServer(placement=here) if here else Nowhere(reason=NOTHING_HERE)
+            return self._here_or_nowhere(request, here)
         owner = self._choose_owner(request, here, excluded, now_unix_s)
         if owner is not None:
             return owner
@@ -102,10 +132,27 @@
             return OnServer(placement=here)
         elsewhere = self._choose_elsewhere(request, here, excluded, now_unix_s)
         if elsewhere is not None:
-            return elsewhere
-        if here is not None:
-            return OnServer(placement=here)
-        return Nowhere(reason=NOTHING_HERE)
+            return self._unless_behind(request, elsewhere, elsewhere.expected_first_answer_s)
+        return self._here_or_nowhere(request, here)
+
+    def _here_or_nowhere(self, request: RelayRequest, here: Placement | None) -> Decision:
+        if here is None:
+            return Nowhere(reason=NOTHING_HERE)
+        return self._unless_behind(request, OnServer(placement=here), here.expected_wait_s)
+
+    def _unless_behind(
+        self, request: RelayRequest, decision: OnServer | OnPeer, expected_s: float
+    ) -> Decision:
+        """Refuse a long prompt where even the best server is too far behind.
+
+        Engines take whatever comes. With more prompts than they can read they answer all of them
+        late, many past their deadlines, and what they read for those was in vain. Some refused at
+        once leave the others on time; a client that comes back finds the engines further on.
+        """
+        if request.work.prompt_tokens < LONG_PROMPT_TOKENS:
+            return decision
+        bound_s = BEHIND_AT_TARGET_SHARE * request.route.first_answer_target_s
+        return Nowhere(reason=ALL_BEHIND, wait_s=expected_s) if expected_s > bound_s else decision
 
     def _choose_here(
         self, request: RelayRequest, routing: Routing, excluded: Excluded, now_unix_s: float
@@ -124,7 +171,7 @@
         cold = [server for server in servers if server.cold_until_unix_s > now_unix_s]
         if not cold or not rate_per_s:
             return set()
-        vms = [member.vm for member in self.view.live(self.own_region, now_unix_s)]
+        vms = [member.vm for member in self.members.live if member.region == self.own_region]
         return {
             server.name
             for server in cold
@@ -168,7 +215,7 @@
         prefill_s = self.table.service_times(work.pool).s_per_prefill_token
         own_s = (work.prompt_tokens - shared_tokens) * prefill_s
         expected_s = load.expected_wait_s + (load.round_trip_s or UNKNOWN_ROUND_TRIP_S) + own_s
-        member = self._choose_member(region, excluded, now_unix_s)
+        member = self._choose_member(region, excluded)
         is_early = expected_s < OWNER_AT_TARGET_SHARE * request.route.first_answer_target_s
         if member is None or not is_early:
             return None
@@ -191,7 +238,7 @@
         if not expected_s:
             return None
         region = self._choose_region(request, expected_s)
-        member = self._choose_member(region, excluded, now_unix_s)
+        member = self._choose_member(region, excluded)
         if member is None:
             return None
         is_bound = not request.route.may_run_in(self.own_region)
@@ -207,8 +254,8 @@
     ) -> dict[str, float]:
         """Return the seconds to the first answer by region, for the regions that may serve it."""
         loads = self.region_loads(request.work.pool)
-        members = self.view.usable_entries(now_unix_s=now_unix_s)
-        regions = {member.region for member in members if member.vm not in excluded.peers}
+        members = (m for m in self.members.usable if m.vm not in excluded.peers)
+        regions = {member.region for member in members}
         regions -= {self.own_region, *excluded.regions}
         prefill_s = self.table.service_times(request.work.pool).s_per_prefill_token
         cold_s = request.work.prompt_tokens * prefill_s
@@ -234,9 +281,8 @@
         weights = [target_s - expected_s[region] for region in in_time]
         return self.rng.choices(in_time, weights)[0]
 
-    def _choose_member(self, region: str, excluded: Excluded, now_unix_s: float) -> Member | None:
-        members: Sequence[Member] = self.view.usable_entries(region, now_unix_s)
-        members = [member for member in members if member.vm not in excluded.peers]
+    def _choose_member(self, region: str, excluded: Excluded) -> Member | None:
+        members = [m for m in self.members.usable_in(region) if m.vm not in excluded.peers]
         return self.rng.choice(members) if members else None
 
 
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -18,7 +18,7 @@
 from pomelobarrow.relay.directory import GOOD_FOR_S, RelayDirectory
 from pomelobarrow.relay.front import RelayFront
 from pomelobarrow.relay.listeners import Listener, RelayListeners
-from pomelobarrow.relay.placement import Placer
+from pomelobarrow.relay.placement import LiveMembers, Placer
 from pomelobarrow.relay.relay import Relay
 from pomelobarrow.relay.wire import RelayWire
 
@@ -97,7 +97,7 @@
     return Placer(
         own_region=context.settings.region,
         table=context.get(LoadTable),
-        view=context.get(MembershipView),
+        members=LiveMembers(view=context.get(MembershipView)),
         cold=ColdLimiter(own_vm=context.settings.vm),
         region_loads=loads.for_pool,
         servers=lambda: published.backend_servers,
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -149,7 +149,7 @@
     def _may_repeat(self, course: Course, report: AttemptReport) -> bool:
         if report.end is AttemptEnd.NOT_SENT:
             return True
-        live_vms = len(self.placer.view.live(now_unix_s=now_unix_s()))
+        live_vms = len(self.placer.members.live)
         return self.retries.take_repeat(course.request.work.pool, live_vms, now_unix_s())
 
     async def _send(self, course: Course, decision: OnServer | OnPeer) -> AttemptReport:
@@ -215,7 +215,7 @@
         route, tries, now = course.request.route, course.tries, now_unix_s()
         if not route.is_repeatable or tries.attempts_left < 2:
             return None
-        live_vms = len(self.placer.view.live(now_unix_s=now))
+        live_vms = len(self.placer.members.live)
         if not self.retries.has_room(course.request.work.pool, live_vms, now):
             return None
         usual_s = self._first_answer_s.get(route.name, 0.0)
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -18,7 +18,7 @@
 from pomelobarrow.platform.wire import platform_wire
 from pomelobarrow.relay.front import RelayFront
 from pomelobarrow.relay.listeners import Listener, RelayListeners
-from pomelobarrow.relay.placement import Placer
+from pomelobarrow.relay.placement import LiveMembers, Placer
 from pomelobarrow.relay.relay import Relay
 
 HOST = "shop.example"
@@ -125,7 +125,7 @@
         placer=Placer(
             own_region=region,
             table=table,
-            view=view,
+            members=LiveMembers(view=view),
             cold=ColdLimiter(own_vm=f"vm-{region}"),
             region_loads=lambda pool: {},
             servers=lambda: {server.name: server for server in listed},
