--- /dev/null
+++ b/tests/test_platform_records.py
@@ -0,0 +1,116 @@
+"""Store items become the product's keyspace values, the same at every reader."""
+
+from typing import Any
+
+import pytest
+from result import Ok
+
+from pomelobarrow.decision.configuration_check import check_configuration
+from pomelobarrow.decision.routing import PoolShare, RouteKind
+from pomelobarrow.platform.records import platform_sources
+from pomelobarrow.published.keyspaces import CONFIG, VMS
+from pomelobarrow.published.vms import check_vms
+
+SOURCES = platform_sources({"hall-a": "tallinn"})
+ENTRY: dict[str, Any] = {
+    "Service": "p1",
+    "Address": "10.128.0.9:8080",
+    "Zone": "hall-a",
+    "Version": "v1",
+    "Slots": 96,
+    "State": "ready",
+    "ColdLeftMs": 1500,
+    "Sequence": 4,
+}
+ROUTE: dict[str, Any] = {
+    "Name": "r1",
+    "Host": "shop.example",
+    "Prefix": "/a/",
+    "Kind": "stream",
+    "TimeoutMs": 4000,
+    "GoalMs": 600,
+    "Priority": 1,
+    "Service": "p1",
+    "Attempts": 2,
+    "Resumable": True,
+    "GapGoalMs": 400,
+    "HomeRegions": ["tallinn"],
+}
+CONFIGURATION: dict[str, Any] = {
+    "Version": 7,
+    "Routes": [ROUTE],
+    "Services": [
+        {"Name": "p1", "MaxConnections": 490, "ColdPerS": 9.7, "Engine": {"KvTokens": 419295}},
+        {"Name": "p2", "MaxConnections": 100},
+    ],
+    "Limits": {"HeaderBytes": 16384, "BodyBytes": 4194304, "HeaderMs": 3000, "IdleMs": 15000},
+}
+
+
+def server_value(**more: Any) -> Any:
+    return SOURCES[VMS].value_of("servers/i-1", {**ENTRY, **more})
+
+
+def routing(configuration: dict[str, Any]) -> Any:
+    source = SOURCES[CONFIG]
+    values = {source.key_of("op/config"): source.value_of("op/config", configuration)}
+    checked = check_configuration(values, 1)
+    assert isinstance(checked, Ok)
+    return checked.ok_value.routing
+
+
+def test_server_entry_is_a_listed_backend_server() -> None:
+    value = server_value()
+    assert check_vms({"vms/i-1": value}, frozenset({"vms/i-1"}), 1) == ()
+    assert (value["region"], value["pool"], value["state"]) == ("tallinn", "p1", "ready")
+    assert value["cold_left_s"] == 1.5
+
+
+def test_draining_server_is_leaving() -> None:
+    assert server_value(State="draining", RemainingMs=2000)["state"] == "leaving"
+
+
+def test_count_of_heartbeats_is_no_news() -> None:
+    assert server_value(Sequence=5) == server_value()
+
+
+def test_route_keeps_what_it_allows() -> None:
+    [route] = routing(CONFIGURATION).routes
+    assert (route.kind, route.max_attempts, route.urgency) == (RouteKind.STREAM, 2, 1)
+    assert (route.timeout_s, route.first_answer_target_s, route.gap_target_s) == (4.0, 0.6, 0.4)
+    assert route.is_resumable
+    assert route.home_regions == ("tallinn",)
+
+
+def test_split_becomes_shares() -> None:
+    split = [{"Service": "p1", "Weight": 90}, {"Service": "p2", "Weight": 10}]
+    changed = {**{k: v for k, v in ROUTE.items() if k != "Service"}, "Split": split}
+    [route] = routing({**CONFIGURATION, "Routes": [changed]}).routes
+    assert route.pools == (PoolShare(pool="p1", weight=90.0), PoolShare(pool="p2", weight=10.0))
+
+
+def test_pool_keeps_what_its_cold_servers_bear() -> None:
+    pools = routing(CONFIGURATION).pool_by_name
+    assert (pools["p1"].cold_requests_per_s, pools["p1"].kv_capacity_tokens) == (9.7, 419_295)
+    assert pools["p2"].cold_requests_per_s == 0.0
+
+
+def test_evacuation_closes_its_failure_domain() -> None:
+    source = SOURCES[CONFIG]
+    keys = ("op/config", "op/evacuate/hall-a")
+    items = {"op/config": CONFIGURATION, "op/evacuate/hall-a": {}}
+    values = {source.key_of(key): source.value_of(key, items[key]) for key in keys}
+    checked = check_configuration(values, 1)
+    assert isinstance(checked, Ok)
+    assert checked.ok_value.evacuated_domains == {"hall-a"}
+
+
+def test_key_of_nobody_here_is_left_aside() -> None:
+    assert SOURCES[CONFIG].key_of("op/other") is None
+
+
+@pytest.mark.parametrize("missing", ["Version", "Routes", "Services"])
+def test_unreadable_configuration_raises_what_the_store_client_logs(missing: str) -> None:
+    broken = {name: value for name, value in CONFIGURATION.items() if name != missing}
+    with pytest.raises(KeyError, match=missing):
+        SOURCES[CONFIG].value_of("op/config", broken)
--- /dev/null
+++ b/tests/test_relay_placement.py
@@ -0,0 +1,210 @@
+"""Where a relayed request goes: to a server here, to a peer elsewhere, or nowhere."""
+
+from attrs import evolve
+from relay_harness import POOL, route
+
+from pomelobarrow.decision.cold_start import ColdLimiter
+from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.region_choice import RegionLoad
+from pomelobarrow.decision.routing import RelayPool, Route, RouteKind, Routing
+from pomelobarrow.decision.work import BackendServer, Work
+from pomelobarrow.relay.messages import PromptPart, RelayRequest, RequestHead
+from pomelobarrow.relay.placement import (
+    ALL_BEHIND,
+    HERE_IS_LATE,
+    HOME_ELSEWHERE,
+    NOTHING_HERE,
+    WARM_ELSEWHERE,
+    Excluded,
+    LiveMembers,
+    Nowhere,
+    OnPeer,
+    OnServer,
+    Placer,
+)
+
+NOW = 1_000.0
+STREAM = route(RouteKind.STREAM, is_resumable=True, max_attempts=2)
+ROUTING = Routing(pools=(RelayPool(name=POOL, cold_requests_per_s=10.0),))
+
+
+def server(name: str, region: str, **more: object) -> BackendServer:
+    fields: dict[str, object] = {
+        "name": name,
+        "region": region,
+        "failure_domain": f"{region}-1",
+        "address": "10.0.0.1:1",
+        "pool": POOL,
+        "slots": 8,
+        "kv_capacity_tokens": 400_000,
+    }
+    return BackendServer(**{**fields, **more})  # type: ignore[arg-type]
+
+
+def placer(*servers: BackendServer, waits_s: dict[str, float] | None = None) -> Placer:
+    """Return what places for region a, with peers in b and c as far as their waits are given."""
+    waits_s = {"b": 0.0, "c": 0.0} if waits_s is None else waits_s
+    view = MembershipView("vm-a", "a")
+    for region in waits_s:
+        view.observe_heartbeat(
+            Member(vm=f"vm-{region}", incarnation=1, region=region, sequence=1), NOW
+        )
+    table = LoadTable("a")
+    table.set_servers(servers)
+    loads = {
+        region: RegionLoad(
+            region=region,
+            pool=POOL,
+            expected_wait_s=wait_s,
+            round_trip_s=0.1,
+            measured_unix_s=NOW,
+            servers=1,
+        )
+        for region, wait_s in waits_s.items()
+    }
+    return Placer(
+        own_region="a",
+        table=table,
+        members=LiveMembers(view=view),
+        cold=ColdLimiter(own_vm="vm-a"),
+        region_loads=lambda pool: loads,
+        servers=lambda: {each.name: each for each in servers},
+    )
+
+
+def request(to: Route = STREAM, shared: int = 0, own: int = 300, **more: object) -> RelayRequest:
+    parts = (PromptPart(id="ab", tokens=shared), PromptPart(id="cd", tokens=own))
+    work = Work(
+        request_id="r1",
+        class_name=to.name,
+        account="",
+        rank=Rank.PAYING,
+        pool=POOL,
+        model=None,
+        home_region="a",
+        home_bound=False,
+        repeatable=to.is_repeatable,
+        prompt_tokens=shared + own,
+        expected_output_tokens=100,
+        shared_tokens=shared,
+        prefix_hashes=(1,) * (shared // 128),
+        accepted_unix_s=NOW,
+        first_token_due_unix_s=NOW + to.first_answer_target_s,
+        deadline_unix_s=NOW + to.timeout_s,
+    )
+    head = RequestHead(request_id="r1", headers=(), prompt_parts=parts)
+    fields = {"head": head, "route": to, "work": work, "method": "POST", "host": "", "target": "/"}
+    return RelayRequest(**{**fields, **more})  # type: ignore[arg-type]
+
+
+def place(by: Placer, what: RelayRequest) -> OnServer | OnPeer | Nowhere:
+    return by.place(what, ROUTING, Excluded(), NOW)
+
+
+def load(by: Placer, name: str, tokens: int) -> None:
+    """Put prompts before a server whose speed is known: a second for 100,000 tokens."""
+    times = by.table.service_times(POOL)
+    for _ in range(300):
+        times.observe_start(100_000, 1.0)
+    by.table.charge("earlier", name, tokens, NOW)
+
+
+def test_free_server_here_is_taken() -> None:
+    decision = place(placer(server("s1", "a"), server("s2", "b")), request())
+    assert isinstance(decision, OnServer)
+    assert decision.placement.server.name == "s1"
+
+
+def test_late_region_is_left_for_an_earlier_one() -> None:
+    by = placer(server("s1", "a"), waits_s={"b": 0.0})
+    load(by, "s1", 60_000)
+    decision = place(by, request())
+    assert isinstance(decision, OnPeer)
+    assert (decision.member.vm, decision.reason) == ("vm-b", HERE_IS_LATE)
+
+
+def test_late_region_is_kept_while_the_others_are_later() -> None:
+    by = placer(server("s1", "a"), waits_s={"b": 5.0})
+    load(by, "s1", 60_000)
+    assert isinstance(place(by, request()), OnServer)
+
+
+def test_work_bound_to_other_regions_goes_there() -> None:
+    bound = evolve(STREAM, home_regions=("c",))
+    decision = place(placer(server("s1", "a")), request(bound))
+    assert isinstance(decision, OnPeer)
+    assert (decision.member.vm, decision.reason) == ("vm-c", HOME_ELSEWHERE)
+
+
+def test_work_bound_to_an_unreachable_region_is_refused_and_runs_nowhere_else() -> None:
+    bound = evolve(STREAM, home_regions=("c",))
+    decision = place(placer(server("s1", "a"), waits_s={"b": 0.0}), request(bound))
+    assert decision == Nowhere(reason=NOTHING_HERE)
+
+
+def test_forwarded_request_is_never_passed_on() -> None:
+    """Two VMs each believe that the other region is earlier."""
+    by = placer(server("s1", "a"), waits_s={"b": 0.0})
+    load(by, "s1", 60_000)
+    assert isinstance(place(by, request(forwarded_by="vm-b")), OnServer)
+    assert place(placer(), request(forwarded_by="vm-b")) == Nowhere(reason=NOTHING_HERE)
+
+
+def test_long_shared_prompt_goes_to_the_region_that_keeps_it_warm() -> None:
+    by = placer(server("s1", "b"), server("s2", "b"))
+    decision = place(by, request(shared=13_312))
+    assert isinstance(decision, OnPeer)
+    assert (decision.member.vm, decision.reason) == ("vm-b", WARM_ELSEWHERE)
+
+
+def test_prompt_that_is_warm_here_stays() -> None:
+    by = placer(server("s0", "a"), server("s1", "b"), server("s2", "b"), server("s3", "b"))
+    what = request(shared=13_312)
+    by.table.prefixes.observe_placement("s0", what.work.prefix_hashes)
+    assert isinstance(place(by, what), OnServer)
+
+
+def test_owner_that_is_behind_is_not_waited_for() -> None:
+    by = placer(server("s0", "a"), server("s1", "b"), server("s2", "b"), waits_s={"b": 0.9})
+    assert isinstance(place(by, request(shared=13_312)), OnServer)
+
+
+def test_long_prompt_is_refused_where_every_server_is_behind() -> None:
+    """Engines have more prompts before them than they can read within the target.
+
+    Sent on, all would be answered late and many not at all. Short prompts, which cost next to
+    nothing, still go.
+    """
+    by = placer(server("s1", "a"), waits_s={"b": 3.0})
+    load(by, "s1", 250_000)
+    refused = place(by, request(own=4_000))
+    assert isinstance(refused, Nowhere)
+    assert (refused.reason, refused.wait_s > 2.0) == (ALL_BEHIND, True)
+    assert isinstance(place(by, request(own=300)), OnServer)
+
+
+def test_cold_server_gets_few_requests() -> None:
+    by = placer(server("s1", "a", cold_until_unix_s=NOW + 3.0), waits_s={})
+    first = place(by, request())
+    assert isinstance(first, OnServer)
+    by.note_placed(first.placement.server, NOW)
+    assert place(by, request()) == Nowhere(reason=NOTHING_HERE)
+
+
+def test_closed_domain_gets_nothing() -> None:
+    by = placer(server("s1", "a"), waits_s={})
+    by.table.closed_domains = frozenset({"a-1"})
+    assert place(by, request()) == Nowhere(reason=NOTHING_HERE)
+
+
+def test_lapsed_server_goes_last() -> None:
+    by = placer(server("s1", "a", is_lapsed=True), server("s2", "a"), waits_s={})
+    names = set()
+    for _ in range(20):
+        decision = place(by, request())
+        assert isinstance(decision, OnServer)
+        names.add(decision.placement.server.name)
+    assert names == {"s2"}
+    assert isinstance(place(placer(server("s1", "a", is_lapsed=True)), request()), OnServer)
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,159 @@
+"""The store client and the watch, before a store that pages, forgets and fails."""
+
+import base64
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+from attrs import define, field
+from result import Err, Ok
+
+from pomelobarrow.decision.keyspace import KeyspaceCopy
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.platform.store import KeyspaceSource, Store
+from pomelobarrow.published.reading import ReadFailure
+
+PAGE_ITEMS = 2
+KEYSPACE = "things"
+SOURCE = KeyspaceSource(
+    prefix="things/",
+    key_of=lambda key: key.removeprefix("things/"),
+    value_of=lambda key, value: value,
+)
+
+
+@define(slots=False)
+class FakeStore:
+    """Hold items by key as (revision, value) and what goes wrong."""
+
+    items: dict[str, tuple[int, Any]] = field(factory=dict)
+    revision: int = 1
+    gone: bool = False
+    status: int = 200
+    # Called after each page of a listing.
+    after_page: Any = None
+
+    def put(self, key: str, value: Any) -> None:
+        self.revision += 1
+        self.items[f"things/{key}"] = (self.revision, value)
+
+    def item(self, key: str) -> dict[str, Any]:
+        revision, value = self.items[key]
+        if value is None:
+            return {"Key": key, "Revision": revision, "Tombstone": True}
+        coded = base64.b64encode(json.dumps(value).encode()).decode()
+        return {"Key": key, "Revision": revision, "Value": coded, "Created": 1, "Lease": 0}
+
+    async def list_items(self, request: web.Request) -> web.Response:
+        if self.status != 200:
+            return web.Response(status=self.status)
+        after = request.query.get("after", "")
+        keys = sorted(k for k, (_, value) in self.items.items() if value is not None and k > after)
+        body = {
+            "items": [self.item(key) for key in keys[:PAGE_ITEMS]],
+            "HasMore": len(keys) > PAGE_ITEMS,
+            "StoreRevision": self.revision,
+        }
+        if self.after_page:
+            self.after_page()
+        return web.json_response(body)
+
+    async def watch(self, request: web.Request) -> web.Response:
+        if self.gone:
+            return web.Response(status=410)
+        after = int(request.query["after"])
+        keys = sorted((rev, key) for key, (rev, _) in self.items.items() if rev > after)
+        events = [self.item(key) for _, key in keys]
+        return web.json_response({"events": events, "StoreRevision": self.revision})
+
+
+@define
+class Client:
+    fake: FakeStore
+    store: Store
+
+
+@pytest.fixture
+async def client() -> AsyncIterator[Client]:
+    fake = FakeStore()
+    app = web.Application()
+    app.add_routes([web.get("/kv-range", fake.list_items), web.get("/kv-watch", fake.watch)])
+    async with TestServer(app) as server:
+        address = str(server.make_url("")).rstrip("/")
+        store = Store(addresses=(address,), sources={KEYSPACE: SOURCE})
+        yield Client(fake, store)
+        await store.close()
+
+
+async def read_into(copy: KeyspaceCopy, client: Client) -> None:
+    page = (await client.store.read_all(KEYSPACE)).unwrap()
+    copy.apply(page.changes, page.head_revision, after_revision=0)
+
+
+async def test_listing_takes_all_pages(client: Client) -> None:
+    for number in range(5):
+        client.fake.put(f"k{number}", number)
+    copy = KeyspaceCopy(KEYSPACE)
+    await read_into(copy, client)
+    assert dict(copy.values) == {f"k{number}": number for number in range(5)}
+
+
+async def test_change_between_two_pages_comes_with_the_watch(client: Client) -> None:
+    """A key is deleted and another changed while a reader goes from page to page.
+
+    Read as one snapshot, the deleted key would stay for good and the changed one be newer than the
+    revision that the watch goes on from.
+    """
+    for number in range(4):
+        client.fake.put(f"k{number}", "old")
+
+    def change_once() -> None:
+        client.fake.after_page = None
+        client.fake.put("k0", None)
+        client.fake.put("k3", "new")
+
+    client.fake.after_page = change_once
+    copy = KeyspaceCopy(KEYSPACE)
+    await read_into(copy, client)
+    after = copy.observed_revision
+    page = (await client.store.read_changes(KEYSPACE, after, now_unix_s())).unwrap()
+    copy.apply(page.changes, page.head_revision, after_revision=after)
+    assert dict(copy.values) == {"k1": "old", "k2": "old", "k3": "new"}
+
+
+async def test_forgotten_history_is_told_apart(client: Client) -> None:
+    client.fake.gone = True
+    result = await client.store.read_changes(KEYSPACE, 1, now_unix_s())
+    assert isinstance(result, Err)
+    assert result.err_value.failure is ReadFailure.HISTORY_GONE
+
+
+@pytest.mark.parametrize("status", [429, 503])
+async def test_refused_call_says_so(client: Client, status: int) -> None:
+    client.fake.status = status
+    result = await client.store.read_all(KEYSPACE)
+    assert isinstance(result, Err)
+    assert result.err_value.failure is ReadFailure.REFUSED
+    assert result.err_value.detail == f"status {status}"
+
+
+async def test_unreadable_item_is_left_out_and_the_others_are_read(client: Client) -> None:
+    client.fake.put("k1", "fine")
+    client.fake.put("k2", "x")
+    broken = client.fake.item("things/k2") | {"Value": "no base64!"}
+    item = client.fake.item
+    client.fake.item = lambda key: broken if key == "things/k2" else item(key)  # type: ignore
+    copy = KeyspaceCopy(KEYSPACE)
+    await read_into(copy, client)
+    assert dict(copy.values) == {"k1": "fine"}
+
+
+async def test_address_that_answers_is_used(client: Client) -> None:
+    client.fake.put("k1", 1)
+    [address] = client.store.addresses
+    store = Store(addresses=("http://127.0.0.1:9", address), sources={KEYSPACE: SOURCE})
+    assert isinstance(await store.read_all(KEYSPACE), Ok)
+    await store.close()
