--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,172 @@
+"""Send requests as clients do and check what they get against what the servers ran."""
+
+import asyncio
+import itertools
+import time
+from random import Random
+
+import aiohttp
+from attrs import define, field, frozen
+
+from soak.faults import DRAINING, Faults, Span
+from soak.fleet import HOST, KINDS, TIMEOUT_MS, SoakFleet
+from soak.servers import REQUEST_ID, events_after, whole_body
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+CONNECT_TIMEOUT_S = 1.0
+# After the route's timeout an answer may take this long on a busy machine.
+ANSWER_SLACK_S = 1.5
+DRAIN_WITHIN_S = 3.0
+# Bounds count only where nothing was wrong for this long.
+CALM_S = 6.0
+LOST = (aiohttp.ClientError, TimeoutError, OSError)
+
+
+@frozen(kw_only=True)
+class Outcome:
+    """Hold what a client saw of one request."""
+
+    request_id: str
+    kind: str
+    vm: str
+    sent_s: float
+    ended_s: float
+    # None where the connection ended without a whole answer.
+    status: int | None
+    body: bytes = b""
+    is_connected: bool = True
+
+
+@define(kw_only=True, slots=False)
+class Clients:
+    """Hold the clients' requests and what became of them."""
+
+    fleet: SoakFleet
+    random: Random
+    outcomes: list[Outcome] = field(factory=list)
+    _ids: "itertools.count[int]" = field(factory=itertools.count)
+
+    async def run(self, until_s: float) -> None:
+        """Send until a time; wait for what is under way."""
+        tasks: set[asyncio.Task[None]] = set()
+        timeout = aiohttp.ClientTimeout(total=30, sock_connect=CONNECT_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while time.monotonic() < until_s:
+                tasks.add(asyncio.create_task(self._send(session)))
+                await asyncio.sleep(self.random.uniform(0.01, 0.05))
+            await asyncio.gather(*tasks)
+
+    async def _send(self, session: aiohttp.ClientSession) -> None:
+        daemon = self.random.choice(self.fleet.daemons)
+        kind = self.random.choice(sorted(KINDS))
+        request_id = f"r{next(self._ids)}"
+        headers = {
+            "Host": HOST,
+            REQUEST_ID: request_id,
+            "Pomelobarrow-Request-Deadline": str(TIMEOUT_MS + 2_000),
+        }
+        url = f"http://{self.fleet.front(daemon)}/{kind}/x"
+        sent_s, status, body, is_connected = time.monotonic(), None, b"", True
+        try:
+            async with session.post(url, headers=headers, data=b"body") as response:
+                body = await response.read()
+                status = response.status
+        except aiohttp.ClientConnectorError:
+            is_connected = False
+        except LOST:
+            pass
+        self.outcomes.append(
+            Outcome(
+                request_id=request_id,
+                kind=kind,
+                vm=daemon.vm,
+                sent_s=sent_s,
+                ended_s=time.monotonic(),
+                status=status,
+                body=body,
+                is_connected=is_connected,
+            )
+        )
+
+
+def broken_promises(clients: Clients, faults: Faults) -> list[str]:
+    """Return what was promised and not kept, a line each."""
+    found = [line for each in clients.outcomes for line in _of_one(each, clients.fleet, faults)]
+    return found + _late_at_draining_servers(clients.fleet, faults)
+
+
+def _of_one(outcome: Outcome, fleet: SoakFleet, faults: Faults) -> list[str]:
+    runs, kind = fleet.runs.counts[outcome.request_id], KINDS[outcome.kind][0]
+    name = f"{outcome.request_id} ({outcome.kind} at {outcome.vm})"
+    may_repeat = kind == "idempotent" or KINDS[outcome.kind][2]
+    took_s = outcome.ended_s - outcome.sent_s
+    bound_s = TIMEOUT_MS / 1_000 + ANSWER_SLACK_S
+    checks = (
+        (runs > 1 and not may_repeat, f"{name} ran {runs} times"),
+        (outcome.status in NOT_RUN_STATUSES and runs > 0, f"{name} was refused and ran"),
+        (outcome.status == 200 and not _is_whole(outcome), f"{name} got {outcome.body[:80]!r}"),
+        (
+            took_s > bound_s and not _disturbed(faults, outcome, ("daemon",)),
+            f"{name} took {took_s:.1f} s",
+        ),
+        (
+            outcome.status is None and outcome.is_connected and _is_planned_cut(outcome, faults),
+            f"{name} was cut by a planned stop",
+        ),
+    )
+    return [line for is_broken, line in checks if is_broken]
+
+
+def _is_whole(outcome: Outcome) -> bool:
+    if KINDS[outcome.kind][0] == "stream":
+        return outcome.body == b"".join(events_after(outcome.request_id, 0))
+    return outcome.body == whole_body(outcome.request_id)
+
+
+def _disturbed(faults: Faults, outcome: Outcome, kinds: tuple[str, ...]) -> bool:
+    return any(
+        span.what in kinds
+        and span.from_s < outcome.ended_s
+        and span.until_s > outcome.sent_s - CALM_S
+        for span in faults.spans
+    )
+
+
+def _is_planned_cut(outcome: Outcome, faults: Faults) -> bool:
+    """Tell whether only a planned stop can have cut a request off."""
+    stops = [s for s in faults.spans if s.what == "planned stop" and s.where == outcome.vm]
+    is_during = any(s.from_s - 1.0 < outcome.sent_s < s.until_s for s in stops)
+    is_broken_by_server = KINDS[outcome.kind][0] == "stream"
+    is_calm = not _disturbed(faults, outcome, ("daemon", "server"))
+    return is_during and is_calm and not is_broken_by_server
+
+
+def _late_at_draining_servers(fleet: SoakFleet, faults: Faults) -> list[str]:
+    """Return what reached a server long after it said that it drains, in calm times."""
+    found = []
+    for span in faults.spans:
+        if span.what != DRAINING or _is_any_other(faults, span):
+            continue
+        found += [
+            f"{request_id} reached {span.where}, which drains"
+            for request_id, at_s in fleet.runs.arrivals[span.where]
+            if span.from_s + DRAIN_WITHIN_S < at_s < span.until_s
+        ]
+    return found
+
+
+def _is_any_other(faults: Faults, span: Span) -> bool:
+    """Tell whether the store or a daemon was disturbed during a span or shortly before."""
+    return any(
+        other.what in ("store", "daemon", "planned stop")
+        and other.from_s < span.until_s
+        and other.until_s > span.from_s - CALM_S
+        for other in faults.spans
+    )
+
+
+def served_share(clients: Clients, since_s: float) -> float:
+    """Return the share of the requests since a time that got what they asked for."""
+    late = [outcome for outcome in clients.outcomes if outcome.sent_s >= since_s]
+    served = [outcome for outcome in late if outcome.status == 200]
+    return len(served) / len(late) if late else 0.0
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,186 @@
+"""Start the daemons, the store and the servers of one soak, with a proxy before the latter."""
+
+from collections.abc import Mapping
+from contextlib import AsyncExitStack
+from random import Random
+from typing import Any, Self
+
+import aiohttp
+import yaml
+from aiohttp import web
+from attrs import define, field
+
+from harness.processes import Processes, free_ports
+from soak.servers import Runs, SoakServer
+from soak.store import SoakStore
+
+ROOT_HOST = "127.0.0.1"
+POOL = "pool"
+HOST = "shop.example"
+REGIONS = ("ra", "rb")
+KINDS = {
+    "plain": ("idempotent", 2, False),
+    "once": ("non_idempotent", 1, False),
+    "stream": ("stream", 1, False),
+    "resumable": ("stream", 3, True),
+}
+TIMEOUT_MS = 3_000
+
+
+@define(kw_only=True)
+class Daemon:
+    """Name a daemon and its address of loopback."""
+
+    vm: str
+    region: str
+    ip: str
+
+
+@define(kw_only=True, slots=False)
+class SoakFleet:
+    """Hold everything that one soak runs."""
+
+    random: Random
+    daemons_per_region: int = 2
+    servers_per_region: int = 2
+    store: SoakStore = field(factory=SoakStore)
+    runs: Runs = field(factory=Runs)
+    processes: Processes = field(factory=Processes)
+    daemons: list[Daemon] = field(factory=list)
+    servers: dict[str, SoakServer] = field(factory=dict)
+    version: int = 0
+    _ports: Mapping[str, int] = field(factory=dict)
+    _stack: AsyncExitStack = field(factory=AsyncExitStack)
+    _control: str = ""
+    _store_address: str = ""
+
+    async def __aenter__(self) -> Self:
+        names = ("Front", "Ready", "Control", "Directory", "hop", "metrics")
+        self._ports = dict(zip(names, free_ports(len(names)), strict=True))
+        self._plan_daemons()
+        await self._start_store_and_servers()
+        for daemon in self.daemons:
+            self.start_daemon(daemon)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        self.processes.stop_all()
+        await self._stack.aclose()
+
+    def front(self, daemon: Daemon) -> str:
+        """Return where clients reach a daemon."""
+        return f"{daemon.ip}:{self._ports['Front']}"
+
+    def readiness(self, daemon: Daemon) -> str:
+        """Return where a daemon says whether it is ready."""
+        return f"http://{daemon.ip}:{self._ports['Ready']}/readiness"
+
+    def start_daemon(self, daemon: Daemon) -> None:
+        """Start a daemon's program."""
+        path = self.processes.folder / f"{daemon.vm}.yaml"
+        path.write_text(yaml.safe_dump(self._settings(daemon)))
+        arguments = ("soak.serve", str(path), str(self._ports["metrics"]))
+        self.processes.start(daemon.vm, arguments, announces=False)
+
+    def publish_configuration(self) -> None:
+        """Publish the next version."""
+        self.version += 3
+        routes = [
+            {
+                "Name": name,
+                "Host": HOST,
+                "Prefix": f"/{name}/",
+                "Kind": kind,
+                "TimeoutMs": TIMEOUT_MS,
+                "GoalMs": 500,
+                "Service": POOL,
+                "Attempts": attempts,
+                "Resumable": resumable,
+            }
+            for name, (kind, attempts, resumable) in KINDS.items()
+        ]
+        services = [{"Name": POOL, "MaxConnections": 500}]
+        config = {"Version": self.version, "Routes": routes, "Services": services, "Limits": {}}
+        self.store.put("op/config", config)
+
+    def list_server(self, name: str, state: str = "ready") -> None:
+        """Write a server's entry."""
+        server = self.servers[name]
+        entry = {
+            "Service": POOL,
+            "Address": server.address,
+            "Zone": f"{server.region}-1",
+            "Slots": 16,
+            "State": state,
+            "ColdLeftMs": 0,
+        }
+        self.store.put(f"servers/{name}", entry)
+
+    async def fault(self, routes: str, mode: str) -> None:
+        """Set a fault on the proxy's routes that a pattern names."""
+        url = f"http://{self._control}/faults"
+        order = {"routes": routes, "mode": mode}
+        async with aiohttp.ClientSession() as session, session.post(url, json=order) as response:
+            response.raise_for_status()
+
+    def _plan_daemons(self) -> None:
+        for region in REGIONS:
+            for number in range(self.daemons_per_region):
+                ip = f"127.0.{REGIONS.index(region) + 1}.{number + 1}"
+                self.daemons.append(Daemon(vm=f"{region}-{number + 1}", region=region, ip=ip))
+
+    async def _start_store_and_servers(self) -> None:
+        app = web.Application()
+        app.add_routes(self.store.routes())
+        routes = {"store": await self._listen(web.AppRunner(app))}
+        for region in REGIONS:
+            for number in range(self.servers_per_region):
+                name = f"server-{region}-{number + 1}"
+                seeded = Random(self.random.random())
+                server = SoakServer(name=name, region=region, runs=self.runs, random=seeded)
+                runner = web.ServerRunner(web.Server(server.answer))
+                routes[name] = await self._listen(runner)
+                self.servers[name] = server
+        ports = dict(zip(routes, free_ports(len(routes)), strict=True))
+        arguments = ["pomelobarrow.standin", "proxy", "--control", f"{ROOT_HOST}:0"]
+        for name, target in routes.items():
+            arguments += ["--route", f"{name}={ROOT_HOST}:{ports[name]},{target},0.001"]
+        self.processes.start("proxy", arguments)
+        self._control = self.processes.announcement("proxy")["control"]
+        self._store_address = f"{ROOT_HOST}:{ports['store']}"
+        self.publish_configuration()
+        for name, server in self.servers.items():
+            server.address = f"{ROOT_HOST}:{ports[name]}"
+            self.list_server(name)
+
+    async def _listen(self, runner: web.BaseRunner) -> str:
+        await runner.setup()
+        site = web.TCPSite(runner, ROOT_HOST, 0)
+        await site.start()
+        self._stack.push_async_callback(runner.cleanup)
+        host, port = runner.addresses[0][:2]
+        return f"{host}:{port}"
+
+    def _settings(self, daemon: Daemon) -> dict[str, Any]:
+        listen = {
+            name: f"{daemon.ip}:{self._ports[name]}"
+            for name in ("Front", "Ready", "Control", "Directory")
+        }
+        return {
+            "Node": daemon.vm,
+            "Ip": daemon.ip,
+            "Zone": f"{daemon.region}-1",
+            "Region": daemon.region,
+            "Zones": {f"{region}-1": region for region in REGIONS},
+            "Listen": listen,
+            "InternalPorts": [self._ports["hop"], self._ports["hop"]],
+            "Seeds": [f"{each.ip}:{self._ports['Control']}" for each in self.daemons[:3]],
+            "Bounds": {
+                "GraceS": 6,
+                "BudgetRatio": 0.2,
+                "BudgetWindowS": 10,
+                "BudgetSlack": 50,
+                "ttl_max_s": 5,
+            },
+            "Platform": {"Address": self._store_address},
+        }
