Count what peers may have placed unseen against a server's slots

Change: the deviation of others' counts is added before slots are compared. Ruled out: counting fewer slots.

--- a/src/pomelobarrow/decision/server_choice.py
+++ b/src/pomelobarrow/decision/server_choice.py
@@ -149,7 +149,9 @@
 def _slot_waits_s(states: Sequence[ServerState], times: ServiceTimes) -> Iterator[float]:
     hold_s = times.hold_s
     for state in states:
-        over_slots = max(0.0, state.requests + 1 - state.slots)
+        # What peers have placed unseen may be there already: a server that looks just full isn't.
+        requests = state.requests + 1 + state.requests_deviation
+        over_slots = max(0.0, requests - state.slots)
         yield over_slots * hold_s / max(state.slots, 1.0)
 
 
