Prefer servers of the own failure domain and peers beside a group's server; fewer store calls

Change: a near server while it begins within a tenth of the target; the hop goes to a VM beside the owner; changes are read in bundles of 0.25 s.

--- a/src/pomelobarrow/decision/group_owners.py
+++ b/src/pomelobarrow/decision/group_owners.py
@@ -1,4 +1,4 @@
-"""Name the region whose servers keep a prompt group warm, the same on every VM."""
+"""Name the server that keeps a prompt group warm, the same on every VM."""
 
 from collections.abc import Mapping
 
@@ -21,32 +21,30 @@
     """
 
     _servers: Mapping[str, BackendServer] = field(factory=dict)
-    _region_by_group: dict[tuple[str, str], str] = field(factory=dict)
+    _owner_by_group: dict[tuple[str, str], BackendServer | None] = field(factory=dict)
 
-    def region(
+    def owner(
         self,
         group: str,
         pool: str,
         route: Route,
         servers: Mapping[str, BackendServer],
         closed_domains: frozenset[str],
-    ) -> str:
-        """Return the group's region, empty where no server may serve the route."""
-        if servers is not self._servers or len(self._region_by_group) >= MAX_GROUPS:
+    ) -> BackendServer | None:
+        """Return the group's server, None where none may serve the route."""
+        if servers is not self._servers or len(self._owner_by_group) >= MAX_GROUPS:
             self._servers = servers
-            self._region_by_group.clear()
+            self._owner_by_group.clear()
         key = (route.name, group)
-        region = self._region_by_group.get(key)
-        if region is None:
+        if key not in self._owner_by_group:
             names = [
                 server.name
                 for server in servers.values()
                 if server.pool == pool and _is_eligible(server, route, closed_domains)
             ]
             chosen = rendezvous(group, names, 1)
-            region = servers[chosen[0]].region if chosen else ""
-            self._region_by_group[key] = region
-        return region
+            self._owner_by_group[key] = servers[chosen[0]] if chosen else None
+        return self._owner_by_group[key]
 
 
 def _is_eligible(server: BackendServer, route: Route, closed_domains: frozenset[str]) -> bool:
--- a/src/pomelobarrow/published/watcher.py
+++ b/src/pomelobarrow/published/watcher.py
@@ -20,8 +20,9 @@
 # for the end of the poll, so that one is short; twelve polls in three seconds are four reads a
 # second for a whole fleet, of the two thousand that the platform gives.
 WAIT_S = 3.0
-# A burst of changes is read in bundles of this length, and not with one call each.
-READ_EVERY_S = 0.1
+# A burst of changes is read in bundles of this length, and not with one call each: calls cost, and
+# a change has seconds to be in force.
+READ_EVERY_S = 0.25
 # A daemon that isn't a watcher relies on its peers; this read only bounds how long it can stay
 # behind when both watchers of its region fail together.
 IDLE_READ_EVERY_S = 30.0
--- a/src/pomelobarrow/relay/placement.py
+++ b/src/pomelobarrow/relay/placement.py
@@ -25,6 +25,8 @@
 LEAVE_AT_TARGET_SHARE = 0.35
 # Where another region's round trip isn't known yet, the slowest that is usual between regions.
 UNKNOWN_ROUND_TRIP_S = 0.15
+# A near server is taken while it is expected to begin within this part of the target.
+NEAR_AT_TARGET_SHARE = 0.1
 # Past this part of the target a long prompt isn't started at all.
 BEHIND_AT_TARGET_SHARE = 1.0
 # Longer prompts go where the same group went before, so that one cache holds them.
@@ -109,6 +111,7 @@
     """Hold what placing depends on."""
 
     own_region: str
+    own_failure_domain: str
     table: LoadTable
     members: LiveMembers
     cold: ColdLimiter
@@ -161,8 +164,31 @@
             return None
         cold = self._cold_servers(request.work.pool, routing, now_unix_s)
         barred = frozenset(excluded.servers | cold)
+        near = self._choose_near(request, barred, now_unix_s)
+        if near is not None:
+            return near
         return choose_server(self.table, request.work, now_unix_s, self.rng, barred, _admits)
 
+    def _choose_near(
+        self, request: RelayRequest, barred: frozenset[str], now_unix_s: float
+    ) -> Placement | None:
+        """Return a server of this VM's own failure domain that is as good as any, if there is one.
+
+        Bytes between failure domains cost, and gain nothing where a near server is free.
+        """
+        work = request.work
+        servers = self.table.pool_servers(work.pool)
+        far = {s.name for s in servers if s.failure_domain != self.own_failure_domain}
+        if not far or len(far) == len(servers):
+            return None
+        near = choose_server(self.table, work, now_unix_s, self.rng, barred | far, admits=_admits)
+        if near is None or near.expected_wait_s > NEAR_AT_TARGET_SHARE * (
+            request.route.first_answer_target_s
+        ):
+            return None
+        is_warm = near.cached_tokens >= WARM_SHARE * work.shared_tokens
+        return near if is_warm or work.shared_tokens < LONG_PROMPT_TOKENS else None
+
     def _cold_servers(self, pool: str, routing: Routing, now_unix_s: float) -> set[str]:
         """Return the cold servers that this VM may not send to now."""
         spec = routing.pool_by_name.get(pool)
@@ -200,22 +226,24 @@
         if here is not None and here.cached_tokens >= WARM_SHARE * shared_tokens:
             return None
         work = request.work
-        region = self.owners.region(
+        owner = self.owners.owner(
             request.head.prompt_parts[0].id,
             work.pool,
             request.route,
             self.servers(),
             self.table.closed_domains,
         )
-        load = self.region_loads(work.pool).get(region)
-        if region in ("", self.own_region) or load is None or region in excluded.regions:
+        if owner is None or owner.region == self.own_region or owner.region in excluded.regions:
+            return None
+        load = self.region_loads(work.pool).get(owner.region)
+        if load is None:
             return None
         if now_unix_s - load.measured_unix_s > LOAD_GOOD_FOR_S or not load.servers:
             return None
         prefill_s = self.table.service_times(work.pool).s_per_prefill_token
         own_s = (work.prompt_tokens - shared_tokens) * prefill_s
         expected_s = load.expected_wait_s + (load.round_trip_s or UNKNOWN_ROUND_TRIP_S) + own_s
-        member = self._choose_member(region, excluded)
+        member = self._choose_member(owner.region, excluded, owner.failure_domain)
         is_early = expected_s < OWNER_AT_TARGET_SHARE * request.route.first_answer_target_s
         if member is None or not is_early:
             return None
@@ -281,9 +309,13 @@
         weights = [target_s - expected_s[region] for region in in_time]
         return self.rng.choices(in_time, weights)[0]
 
-    def _choose_member(self, region: str, excluded: Excluded) -> Member | None:
+    def _choose_member(
+        self, region: str, excluded: Excluded, failure_domain: str = ""
+    ) -> Member | None:
+        """Return a peer of a region, one beside the server where that is known."""
         members = [m for m in self.members.usable_in(region) if m.vm not in excluded.peers]
-        return self.rng.choice(members) if members else None
+        beside = [member for member in members if member.failure_domain == failure_domain]
+        return self.rng.choice(beside or members) if members else None
 
 
 def _admits(state: ServerState, rank: Rank) -> bool:
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -96,6 +96,7 @@
     loads, published = context.get(RegionLoads), context.get(PublishedState)
     return Placer(
         own_region=context.settings.region,
+        own_failure_domain=context.settings.failure_domain,
         table=context.get(LoadTable),
         members=LiveMembers(view=context.get(MembershipView)),
         cold=ColdLimiter(own_vm=context.settings.vm),
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -124,6 +124,7 @@
         hop_port=hop_port,
         placer=Placer(
             own_region=region,
+            own_failure_domain=f"{region}-a",
             table=table,
             members=LiveMembers(view=view),
             cold=ColdLimiter(own_vm=f"vm-{region}"),
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -66,6 +66,7 @@
     }
     return Placer(
         own_region="a",
+        own_failure_domain="a-1",
         table=table,
         members=LiveMembers(view=view),
         cold=ColdLimiter(own_vm="vm-a"),
@@ -208,3 +209,31 @@
         names.add(decision.placement.server.name)
     assert names == {"s2"}
     assert isinstance(place(placer(server("s1", "a", is_lapsed=True)), request()), OnServer)
+
+
+def test_free_server_of_the_own_failure_domain_goes_first() -> None:
+    far = server("s2", "a", failure_domain="a-2")
+    chosen = set()
+    for _ in range(20):
+        decision = place(placer(server("s1", "a"), far), request())
+        assert isinstance(decision, OnServer)
+        chosen.add(decision.placement.server.name)
+    assert chosen == {"s1"}
+
+
+def test_busy_server_of_the_own_failure_domain_is_passed_over() -> None:
+    by = placer(server("s1", "a"), server("s2", "a", failure_domain="a-2"), waits_s={})
+    load(by, "s1", 50_000)
+    decision = place(by, request())
+    assert isinstance(decision, OnServer)
+    assert decision.placement.server.name == "s2"
+
+
+def test_peer_beside_the_groups_server_gets_its_prompts() -> None:
+    by = placer(server("s1", "b", failure_domain="b-2"), waits_s={"b": 0.0})
+    beside = Member(vm="vm-b2", incarnation=1, region="b", failure_domain="b-2", sequence=1)
+    by.members.view.observe_heartbeat(beside, NOW)
+    for _ in range(10):
+        decision = place(by, request(shared=13_312))
+        assert isinstance(decision, OnPeer)
+        assert decision.member.vm == "vm-b2"
