Never write a failure into a stream that began; heed a client without time left

Cause: read in the diff: a stream resumed on a server that answers 500 got that answer written into its body; a client that says 0 ms was given the route's timeout. Change: as named; two tests that hung or failed before.

--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -104,7 +104,9 @@
         )
 
     def _work(self, head: RequestHead, route: Route, accepted_unix_s: float) -> Work:
-        patience_s = min(head.patience_s or route.timeout_s, route.timeout_s)
+        patience_s = route.timeout_s
+        if head.patience_s is not None:
+            patience_s = min(head.patience_s, patience_s)
         return Work(
             request_id=head.request_id,
             class_name=route.name,
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -70,8 +70,8 @@
     retries: RetryShare
     observe: Callable[[object], None]
     rng: Random = field(factory=Random)
-    in_progress: int = 0
     judge: ServerJudge
+    in_progress: int = 0
     first_answers: FirstAnswers = field(factory=FirstAnswers)
 
     async def answer(self, request: RelayRequest, routing: Routing, sink: ClientAnswer) -> None:
@@ -119,7 +119,8 @@
                 return Step.DONE
             if wants_retry(course.tries, report) and self._may_repeat(course, report):
                 continue
-            if report.end is AttemptEnd.ANSWERED:
+            # In the middle of a stream an answer of its own would be read as a part of its body.
+            if report.end is AttemptEnd.ANSWERED and not course.sink.is_started:
                 assert report.answer is not None
                 head = report.answer.head
                 await course.sink.whole(head.status, head.headers, report.answer.body)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -277,3 +277,24 @@
     async with relay_fleet((ONCE,), {"a": {"s1": answers()}}) as fleet:
         answer = await ask(fleet.vms["a"], "/elsewhere/")
     assert answer.status == 404
+
+
+async def test_failure_after_a_stream_began_is_not_written_into_it() -> None:
+    """The client has two events of a stream; its server breaks off, the next one answers 500.
+
+    Passed on as an answer of its own, the 500 would stand in the middle of the stream's body. The
+    stream is broken off instead.
+    """
+    script = _breaks_off_once(streams(4, breaks_after=2), answers(500, b"why"))
+    async with relay_fleet((RESUMABLE,), {"a": {"s1": script, "s2": script}}) as fleet:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await ask(fleet.vms["a"], "/stream/")
+
+
+async def test_client_that_waits_no_longer_gets_no_server_to_work() -> None:
+    """The client says that it has no time left; the route allows seconds."""
+    async with relay_fleet((ONCE,), {"a": {"s1": answers()}}) as fleet:
+        headers = {"Pomelobarrow-Request-Deadline": "0"}
+        answer = await ask(fleet.vms["a"], "/non_idempotent/", headers=headers)
+        arrivals = len(fleet.servers["s1"].received)
+    assert (answer.status, arrivals) == (503, 0)
