--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 PYTHON ?= python3.11
 DEPLOYMENT ?= rondinella
 PYTEST_ARGS ?=
+# Most tests wait for processes, so that more run side by side than a small machine has cores.
+PYTEST_WORKERS ?= 5
 
 VENV := .venv
 BIN := $(VENV)/bin
@@ -14,7 +16,7 @@
 .PHONY: test lint demo proofs proofs-page bench bench-check capacity proto clean
 
 test: $(STAMP)
-	@$(BIN)/python -m pytest $(PYTEST_ARGS)
+	@$(BIN)/python -m pytest -n $(PYTEST_WORKERS) --dist worksteal $(PYTEST_ARGS)
 
 lint: $(STAMP)
 	@$(BIN)/black --check --quiet . || { $(BIN)/black --check .; exit 1; }
