A command that collects a request's lines and states the cause they prove

Cause: on-call engineers have only logs; with grep they have to know which VM passed a request to which. Ruled out: asking the daemons (nothing is kept there).

--- a/src/pomelobarrow/operators/cli.py
+++ b/src/pomelobarrow/operators/cli.py
@@ -16,6 +16,7 @@
 from pomelobarrow.operators.commands.explain import ExplainCommand
 from pomelobarrow.operators.commands.serve import ServeCommand
 from pomelobarrow.operators.commands.status import StatusCommand
+from pomelobarrow.operators.commands.trace_request import TraceRequestCommand
 
 COMMANDS: tuple[type[Command], ...] = (
     ServeCommand,
@@ -23,6 +24,7 @@
     ConfigCheckCommand,
     StatusCommand,
     ExplainCommand,
+    TraceRequestCommand,
 )
 STANDIN_MODULE = "pomelobarrow.standin.commands"
 HELP_ALONE = (["--help"], ["-h"])
--- /dev/null
+++ b/src/pomelobarrow/operators/request_trail.py
@@ -0,0 +1,105 @@
+"""Find in the logs of all VMs what became of one request, and why."""
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import orjson
+from attrs import frozen
+
+PLACED = "relay placed"
+ATTEMPT_ENDED = "relay attempt ended"
+ENDED = "relay ended"
+FIRST_SERVER_ERROR_STATUS = 500
+
+Line = Mapping[str, Any]
+
+
+@frozen(kw_only=True)
+class Trail:
+    """Hold a request's lines in the order of their times, and the cause that they prove."""
+
+    lines: tuple[Line, ...]
+    cause: str
+
+
+def find_trail(request_id: str, raw_lines: Iterable[str]) -> Trail:
+    """Collect a request's lines from any number of logs; what isn't JSON is passed over."""
+    lines = [line for raw in raw_lines if (line := _parse(request_id, raw)) is not None]
+    lines.sort(key=lambda line: str(line.get("timestamp", "")))
+    return Trail(lines=tuple(lines), cause=_cause(lines))
+
+
+def _parse(request_id: str, raw: str) -> Line | None:
+    # Most lines are of other requests, and a collector may have put words before the JSON.
+    if request_id not in raw:
+        return None
+    try:
+        line = orjson.loads(raw[raw.index("{") :])
+    except ValueError:
+        return None
+    is_of_request = isinstance(line, dict) and line.get("request_id") == request_id
+    return line if is_of_request else None
+
+
+def _cause(lines: list[Line]) -> str:
+    ends = [line for line in lines if line.get("event") == ENDED and not line.get("forwarded_by")]
+    if not ends:
+        return f"can't be proved: no line '{ENDED}' of the VM that took the request"
+    end = ends[-1]
+    explain = _EXPLAIN_BY_OUTCOME.get(str(end.get("outcome")))
+    if explain is None:
+        return f"can't be proved: outcome {end.get('outcome')!r} is unknown"
+    return explain(end, lines)
+
+
+def _last_attempt(lines: list[Line]) -> Line:
+    """Return the last sending to a backend server, else to a peer, else nothing."""
+    attempts = [line for line in lines if line.get("event") == ATTEMPT_ENDED]
+    vms = {line.get("vm") for line in lines}
+    at_servers = [line for line in attempts if line.get("target") not in vms]
+    return (at_servers or attempts or [{}])[-1]
+
+
+def _explain_refused(end: Line, lines: list[Line]) -> str:
+    attempt = _last_attempt(lines)
+    if not attempt:
+        return f"refused unsent: {end.get('detail')}"
+    return f"refused unrun: {attempt['target']} {attempt['end']} ({attempt['detail']})"
+
+
+def _explain_failed(end: Line, lines: list[Line]) -> str:
+    attempt = _last_attempt(lines)
+    if not attempt:
+        return f"failed: {end.get('detail')}"
+    took_s = attempt["took_s"]
+    seen = f"{attempt['target']} {attempt['end']} after {took_s:.3f} s ({attempt['detail']})"
+    return f"outcome unknown, it may have run: {seen}"
+
+
+def _explain_broken_off(end: Line, lines: list[Line]) -> str:
+    attempt = _last_attempt(lines)
+    return f"the stream was broken off: {attempt.get('target')} ({end.get('detail')})"
+
+
+def _explain_answered(end: Line, lines: list[Line]) -> str:
+    if int(end.get("status", 0)) >= FIRST_SERVER_ERROR_STATUS:
+        return f"{_last_attempt(lines).get('target')} answered {end['status']} itself"
+    return f"no failure: answered {end.get('status')}, the first of it after {_first_answer(end)}"
+
+
+def _explain_gone(end: Line, lines: list[Line]) -> str:
+    return f"the client left after {end['took_s']:.3f} s; the first answer: {_first_answer(end)}"
+
+
+def _first_answer(end: Line) -> str:
+    first_s = end.get("first_answer_s")
+    return "none" if first_s is None else f"{first_s:.3f} s"
+
+
+_EXPLAIN_BY_OUTCOME: Mapping[str, Callable[[Line, list[Line]], str]] = {
+    "refused": _explain_refused,
+    "failed": _explain_failed,
+    "broken off": _explain_broken_off,
+    "answered": _explain_answered,
+    "client gone": _explain_gone,
+}
