Ignore SIGHUP until it is handled; refuse a silent member's late heartbeat

The state machine of membership found that a delayed heartbeat brings back a member that only others spoke of since. Change: the program's first step ignores the signal; a heartbeat's number counts whoever spoke of the member last; the soak tells which daemons ended by themselves; ids of one test no longer hold addresses, which kept xdist from collecting.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -45,6 +45,7 @@
         calm_s = time.monotonic()
         await clients.run(calm_s + CALM_RUN_S)
         broken, served = broken_promises(clients, faults), served_share(clients, calm_s)
+        broken += fleet.ended_daemons()
         if served < LEAST_SERVED_SHARE:
             broken.append(f"only {served:.0%} were served after all faults were over")
         if broken:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -82,6 +82,11 @@
         arguments = ("soak.serve", str(path), str(self._ports["metrics"]))
         self.processes.start(daemon.vm, arguments, announces=False)
 
+    def ended_daemons(self) -> list[str]:
+        """Return the daemons that ended by themselves, with their exit codes."""
+        codes = {each.vm: self.processes.running[each.vm].poll() for each in self.daemons}
+        return [f"{vm} ended by itself: {code}" for vm, code in codes.items() if code is not None]
+
     def publish_configuration(self) -> None:
         """Publish the next version."""
         self.version += 3
--- a/src/pomelobarrow/decision/membership.py
+++ b/src/pomelobarrow/decision/membership.py
@@ -311,7 +311,10 @@
 def _is_newer_heartbeat(member: Member, record: _Record) -> bool:
     if member.incarnation < record.member.incarnation:
         return False
-    return not record.direct or member.sequence > record.member.sequence
+    # Also of a member that only others spoke of since: a heartbeat that was on its way for long
+    # would else bring a silent member back to life.
+    is_first = not record.direct and record.member.sequence == 0
+    return is_first or member.sequence > record.member.sequence
 
 
 def _phase_place(phase: str) -> int:
--- a/src/pomelobarrow/operators/commands/serve.py
+++ b/src/pomelobarrow/operators/commands/serve.py
@@ -1,5 +1,7 @@
 """Run the daemon."""
 
+import signal
+
 from result import Err
 
 from pomelobarrow.kernel.settings import load_settings
@@ -23,6 +25,8 @@
 
     def handle(self) -> int:
         """Load the settings and run until the daemon ends."""
+        # Until the daemon handles it, the signal would end the process.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         path = self.required_option("settings")
         loaded = load_settings(path)
         if isinstance(loaded, Err):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -60,7 +60,7 @@
         {"chunk": memoryview(b"s3cr3t")},
         {"deep": [[[[[[[["s3cr3t"]]]]]]]]},
     ],
-    ids=str,
+    ids=lambda fields: next(iter(fields)),
 )
 def test_secrets_and_bodies_are_redacted(stream: io.BytesIO, fields: dict[str, Any]) -> None:
     structlog.get_logger().info("request", **fields)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -258,3 +258,19 @@
     moved = [key for key in keys if rendezvous(key, names[1:], 1) != before[key]]
     assert moved == [key for key in keys if before[key] == ("vm-0",)]
     assert 50 < len(moved) < 150
+
+
+def test_late_heartbeat_does_not_bring_a_silent_member_back() -> None:
+    """A member falls silent; another VM says that it was heard a while ago.
+
+    Its last heartbeat, sent before the silence and delayed on its way, arrives once more. Taken as
+    new, the member would count as live and get requests.
+    """
+    view = MembershipView("vm-a", "milan")
+    heard = Member(vm="vm-b", incarnation=1, region="milan", phase="starting", sequence=1)
+    assert view.observe_heartbeat(heard, 1_000.0)
+    rumour = Member(
+        vm="vm-b", incarnation=1, region="milan", phase="starting", heard_unix_s=1_000.0
+    )
+    view.observe_summary(rumour, 1_020.0)
+    assert not view.observe_heartbeat(heard, 1_020.0)
