Drop what nothing reads: servers' load notes, a counter, a constant, a class of one list

Cause: read in the diff: each answer's load header was decoded and used by nobody; closed_connections and a constant had no reader; the listeners' state class held one list. Change: removed; behaviour as before. Ruled out: feeding the load notes to the load table (a change of policy, to be measured first).

--- a/src/pomelobarrow/platform/settings.py
+++ b/src/pomelobarrow/platform/settings.py
@@ -23,7 +23,6 @@
 # The platform names no port for metrics, and the deploy file needs one that is known beforehand.
 # This is the one that the Prometheus project lists for exporters.
 METRICS_PORT = 9464
-MS_PER_S = 1_000.0
 PEER_KEY_ID = "platform"
 
 _REMEDY = "lay the settings file that the platform's pages describe"
--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -14,7 +14,6 @@
     RelayRequest,
     RequestHead,
     ServerAnswerHead,
-    ServerLoadNote,
 )
 from pomelobarrow.relay.wire import DirectoryQuery, RelayWire, ServerOrder
 
@@ -34,7 +33,6 @@
 PRIORITY = "Pomelobarrow-Request-Priority"
 SEAL = "Pomelobarrow-Response-Seal"
 NOT_RUN = "Pomelobarrow-Not-Executed"
-SERVER_LOAD = "Pomelobarrow-Server-Load"
 
 WRONG_SERVER_STATUS = 421
 MAX_PRIORITY = 9
@@ -141,7 +139,6 @@
         request_id=headers.get(REQUEST_ID, ""),
         is_sealed=SEAL in headers,
         is_not_run=NOT_RUN in headers or response.status == WRONG_SERVER_STATUS,
-        load=_load_note(headers.get(SERVER_LOAD, "")),
     )
 
 
@@ -192,11 +189,3 @@
 def _prompt_parts(text: str) -> tuple[PromptPart, ...]:
     pairs = (each.partition(":") for each in text.split(",") if each)
     return tuple(PromptPart(id=id_.strip(), tokens=int(tokens)) for id_, _, tokens in pairs)
-
-
-def _load_note(text: str) -> ServerLoadNote | None:
-    parts = text.split(",")
-    if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return ServerLoadNote(running=running, waiting=waiting, slots=slots)
--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from aiohttp import web
-from attrs import define, field
+from attrs import define
 from result import Err, Ok, Result
 
 from pomelobarrow.callers.headers import check_text
@@ -35,7 +35,6 @@
     wire: RelayWire
     routing: Callable[[], Routing | None]
     is_draining: Callable[[], bool]
-    closed_connections: int = field(default=0, init=False)
 
     async def from_client(self, incoming: web.BaseRequest) -> web.StreamResponse:
         """Answer a client."""
--- a/src/pomelobarrow/relay/listeners.py
+++ b/src/pomelobarrow/relay/listeners.py
@@ -5,7 +5,7 @@
 
 import structlog
 from aiohttp import web
-from attrs import define, field, frozen
+from attrs import define, frozen
 from mode import Service
 
 from pomelobarrow.callers.server import flush
@@ -40,11 +40,6 @@
     socket: asyncio.Server
 
 
-@define(kw_only=True, eq=False)
-class _State:
-    opened: list[_Open] = field(factory=list)
-
-
 class RelayListeners(Service):
     """Hold the listening sockets."""
 
@@ -52,7 +47,7 @@
         super().__init__()
         self._listeners = listeners
         self._in_progress = in_progress
-        self._state = _State()
+        self._opened: list[_Open] = []
 
     async def on_start(self) -> None:
         """Open all sockets."""
@@ -75,7 +70,7 @@
             socket = await loop.create_server(
                 server, host, int(port), backlog=BACKLOG, reuse_address=True
             )
-            self._state.opened.append(_Open(server, socket))
+            self._opened.append(_Open(server, socket))
             log.info("listening", purpose=listener.name, address=listener.address)
 
     async def wait_until_idle(self, since_unix_s: float, until_unix_s: float) -> None:
@@ -88,21 +83,21 @@
 
     async def close(self) -> None:
         """Take no more connections; return once every answer has left this process."""
-        for each in self._state.opened:
+        for each in self._opened:
             each.socket.close()
         # A connection accepted just before has its request still on the way.
         await asyncio.sleep(LAST_REFUSALS_S)
         while self._in_progress():
             await asyncio.sleep(IDLE_CHECK_EVERY_S)
         transports = []
-        for each in self._state.opened:
+        for each in self._opened:
             transports += [connection.transport for connection in each.server.connections]
             each.server.pre_shutdown()
-        for each in self._state.opened:
+        for each in self._opened:
             await each.server.shutdown(1.0)
         await flush([each for each in transports if each is not None])
 
     async def on_stop(self) -> None:
         """Close whatever is still open."""
-        for each in self._state.opened:
+        for each in self._opened:
             each.socket.close()
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -58,15 +58,6 @@
     attempts_left: int = 1
 
 
-@frozen(kw_only=True)
-class ServerLoadNote:
-    """Hold what an answer says of its server's load."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @frozen(kw_only=True)
 class ServerAnswerHead:
     """Hold the head of a backend server's answer; `headers` go on to the client."""
@@ -78,7 +69,6 @@
     is_sealed: bool = False
     # Whether the server says that the request did not run.
     is_not_run: bool = False
-    load: ServerLoadNote | None = None
     # Why a peer can't say whether the request ran; empty on a backend server's answer.
     lost_detail: str = ""
 
