Count a region as lost by how long nothing newer of it was known

Cause, traced with a log line at each load taken (7 runs of the proof): after a cut a connection delivers the heartbeats that it held back, measured 0.2 to 3 s before; the gap between two measurements was 11.2 to 16.6 s where the silence was 15 s and more, and may fall under the 10 s that count as a loss. Ruled out: the length of the early sample; the pool's name; clock offsets (the times told fit the receivers' clocks). Change: the silence is measured against this VM's clock and, for a region never heard, from this VM's start. Before: test_work_returns_slowly_to_a_region_that_was_lost failed 1 of 5, 1 of 3 and 1 of 6.

--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -36,7 +36,7 @@
     """Register the peers' parts."""
     context.provide(MembershipView, _view)
     context.provide(ClockOffsets, lambda _: ClockOffsets())
-    context.provide(RegionLoads, lambda _: RegionLoads())
+    context.provide(RegionLoads, lambda _: RegionLoads(started_unix_s=now_unix_s()))
     context.provide(PeerKeys, lambda c: PeerKeys(c.settings.peers.keys))
     context.provide(Heartbeats, _heartbeats)
     context.provide(Exchange, _exchange)
--- a/src/pomelobarrow/peers/pool_news.py
+++ b/src/pomelobarrow/peers/pool_news.py
@@ -89,7 +89,7 @@
             if region != self.own_region:
                 measured_unix_s = sent_unix_s - each.age_ms / MS_PER_S
                 load = self._region_load(heartbeat.vm, region, each, measured_unix_s, kind)
-                self.region_loads.observe(load, kind)
+                self.region_loads.observe(load, now_unix_s, kind)
             elif kind is not LinkKind.OTHER_REGION:
                 self._take_waiting(heartbeat.vm, each, now_unix_s)
 
