Refuse to name entry VMs where none that takes work is known

Cause: a VM listens for callers while it still joins; asked then, with a configuration from the platform and no peer heard yet, it answered 200 with an empty list, good for ten seconds. The rolling replacement's callers ask the restarted VM first and took it at its word. A quiet start shows only 'itself' for 0.2 s (3 of 3 starts polled), so the empty answer needs a loaded machine. Ruled out: a draining VM alone (it names its peers). Change: not_ready, run no, with the remedy and a time to come back. The test failed first.

--- a/src/pomelobarrow/callers/entries.py
+++ b/src/pomelobarrow/callers/entries.py
@@ -4,10 +4,13 @@
 from typing import Any
 
 from attrs import define, field
+from result import Err, Ok, Result
 
 from pomelobarrow.decision.configuration import Account
+from pomelobarrow.decision.errors import Kind, Refusal, Run
 from pomelobarrow.decision.membership import Member, MembershipView
 from pomelobarrow.decision.request_ids import RequestIdLedger
+from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
 
 GOOD_FOR_S = 10.0
@@ -23,18 +26,26 @@
     ledger: RequestIdLedger
     rng: Random = field(factory=Random)
 
-    def answer(self, account: Account, home_region: str, round_trips_s: dict[str, float]) -> Any:
+    def answer(
+        self, account: Account, home_region: str, round_trips_s: dict[str, float]
+    ) -> Result[Any, Refusal]:
         """Return the entries, best first, and a few request ids."""
         now = now_unix_s()
         members = list(self.view.usable_entries(now_unix_s=now))
+        # A VM that is joining, or leaves as the last one it knows, would name nobody. A caller
+        # that keeps such an answer for as long as it is good has no one to send to; a refusal
+        # makes it ask another VM at once.
+        if not members:
+            return Err(refuse(Kind.NOT_READY, Run.NO, "no entry VM that takes work is known yet"))
         # Callers all take the first entry; without the shuffle one VM of the region got them all.
         self.rng.shuffle(members)
         members.sort(key=lambda member: self._order(member, home_region, round_trips_s))
-        return {
+        answer = {
             "entries": [_entry(member) for member in members[:MAX_ENTRIES]],
             "good_until_unix_s": now + GOOD_FOR_S,
             "request_ids": list(self.ledger.issue(account.name, REQUEST_IDS, now)),
         }
+        return Ok(answer)
 
     def _order(
         self, member: Member, home_region: str, round_trips_s: dict[str, float]
--- a/src/pomelobarrow/callers/plugin.py
+++ b/src/pomelobarrow/callers/plugin.py
@@ -80,7 +80,10 @@
             region: load.round_trip_s
             for region, load in loads.for_pool(work_class.ok_value.pool).items()
         }
-        return json_response(directory.answer(account.ok_value, home, trips))
+        answer = directory.answer(account.ok_value, home, trips)
+        if isinstance(answer, Err):
+            return problem_response(answer.err_value)
+        return json_response(answer.ok_value)
 
     return entries
 
