Don't count a peer that reached no server as an attempt

The VM that had passed the request on took them for its one attempt and refused as well, with seconds left and servers of its own (some late, but free). Ruled out: the peer's refusal being wrong (its region had no server it could use); a bound on repeats (ratio not reached). Change: a peer says 'unsent' where no server got the request; that uses up neither an attempt nor a repeat, and the region is left out. At most three such turns.

--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -89,7 +89,8 @@
             head = self.target.read_answer(response)
             if head.is_not_run:
                 self.state.apply(AttemptEvent.REFUSE_UNRUN)
-                return self._report(AttemptEnd.REFUSED, f"status {head.status}")
+                end = AttemptEnd.TURNED_BACK if head.is_unsent else AttemptEnd.REFUSED
+                return self._report(end, f"status {head.status}")
             if fault := self._fault(head):
                 return self._lost(fault)
             if request.route.is_stream and head.status == STATUS_OK:
--- a/src/pomelobarrow/relay/hop.py
+++ b/src/pomelobarrow/relay/hop.py
@@ -13,6 +13,9 @@
 
 FROM_HEADER = "Pomelobarrow-Peer-From"
 RUN_HEADER = "Pomelobarrow-Peer-Run"
+# Said in place of "no" by a peer that sent the request to no server. Counted like an attempt, a
+# peer without a free server would use up what the route allows while other regions have some.
+UNSENT = "unsent"
 # Two round trips between the farthest regions, and a lost packet.
 CONNECT_TIMEOUT_S = 0.6
 
@@ -28,9 +31,10 @@
     return headers.get(FROM_HEADER, "")
 
 
-def refusal_headers(refusal: Refusal) -> Headers:
+def refusal_headers(refusal: Refusal, was_sent: bool) -> Headers:
     """Return what tells the VM that passed a request on whether it ran."""
-    return ((RUN_HEADER, refusal.run.value),)
+    is_unsent = refusal.run is Run.NO and not was_sent
+    return ((RUN_HEADER, UNSENT if is_unsent else refusal.run.value),)
 
 
 def peer_target(
@@ -64,8 +68,9 @@
         run = response.headers.get(RUN_HEADER)
         if run is None:
             return evolve(head, is_not_run=False)
-        is_not_run = run == Run.NO.value
+        is_unsent = run == UNSENT
+        is_not_run = is_unsent or run == Run.NO.value
         lost_detail = "" if is_not_run else f"the peer answered {response.status}"
-        return evolve(head, is_not_run=is_not_run, lost_detail=lost_detail)
+        return evolve(head, is_not_run=is_not_run, is_unsent=is_unsent, lost_detail=lost_detail)
 
     return read
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -69,6 +69,8 @@
     is_sealed: bool = False
     # Whether the server says that the request did not run.
     is_not_run: bool = False
+    # Whether a peer says that it sent the request to no server.
+    is_unsent: bool = False
     # Why a peer can't say whether the request ran; empty on a backend server's answer.
     lost_detail: str = ""
 
@@ -91,6 +93,8 @@
 
     # Nothing was sent.
     NOT_SENT = "not sent"
+    # A peer refused it and sent it to no server.
+    TURNED_BACK = "turned back"
     # The server says that it did not run the request.
     REFUSED = "refused unrun"
     # A whole answer is at hand and not passed on yet.
--- a/src/pomelobarrow/relay/next_step.py
+++ b/src/pomelobarrow/relay/next_step.py
@@ -6,6 +6,7 @@
 
 from pomelobarrow.relay.messages import AttemptEnd, AttemptReport, RelayRequest, WholeAnswer
 
+REACHED_NO_SERVER = frozenset({AttemptEnd.NOT_SENT, AttemptEnd.TURNED_BACK})
 # Nothing was sent, so that trying again can't run anything twice; a region that is cut off would
 # else be tried until the deadline.
 MAX_UNSENT = 3
@@ -47,7 +48,7 @@
     def note(self, report: AttemptReport) -> None:
         """Take in how an attempt ended."""
         self.last_detail = report.detail or self.last_detail
-        if report.end is AttemptEnd.NOT_SENT:
+        if report.end in REACHED_NO_SERVER:
             self.unsent += 1
             return
         self.attempts_left -= 1
@@ -55,6 +56,11 @@
         if report.answer is not None and not report.answer.head.is_success:
             self.failure = report.answer
 
+    @property
+    def was_sent(self) -> bool:
+        """Say whether any server has got the request."""
+        return self.attempts_left < self.request.attempts_left
+
     @property
     def may_send_again(self) -> bool:
         """Say whether the request may be sent to one more server."""
@@ -64,7 +70,7 @@
 
 def wants_retry(tries: Tries, report: AttemptReport) -> bool:
     """Say whether another attempt could do better."""
-    if report.end is AttemptEnd.NOT_SENT:
+    if report.end in REACHED_NO_SERVER:
         return tries.unsent < MAX_UNSENT
     if report.end is AttemptEnd.ANSWERED:
         assert report.answer is not None
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -29,7 +29,7 @@
     RelayRequest,
     ServerAnswerHead,
 )
-from pomelobarrow.relay.next_step import Step, Tries, last_step, wants_retry
+from pomelobarrow.relay.next_step import REACHED_NO_SERVER, Step, Tries, last_step, wants_retry
 from pomelobarrow.relay.placement import Excluded, Nowhere, OnPeer, OnServer, Placer
 from pomelobarrow.relay.wire import RelayWire, ServerOrder
 
@@ -128,7 +128,7 @@
             return last_step(course.tries, course.sink.is_started)
 
     def _may_repeat(self, course: Course, report: AttemptReport) -> bool:
-        if report.end is AttemptEnd.NOT_SENT:
+        if report.end in REACHED_NO_SERVER:
             return True
         live_vms = len(self.placer.members.live)
         return self.retries.take_repeat(course.request.work.pool, live_vms, now_unix_s())
@@ -145,7 +145,7 @@
         work, now = request.work, now_unix_s()
         tokens = prefill_tokens(work, placement.cached_tokens)
         kv_tokens = tokens + work.expected_output_tokens
-        if course.tries.attempts_left == request.attempts_left:
+        if not course.tries.was_sent:
             self.retries.note_first(work.pool, now)
         self.placer.note_placed(server, now)
         table.prefixes.observe_placement(server.name, work.prefix_hashes)
@@ -183,7 +183,7 @@
         report = await self._run(course, target)
         if report.end is not AttemptEnd.PASSED_ON:
             course.excluded.peers.add(decision.member.vm)
-        if report.end is AttemptEnd.REFUSED:
+        if report.end in (AttemptEnd.REFUSED, AttemptEnd.TURNED_BACK):
             course.excluded.regions.add(decision.member.region)
         return report
 
@@ -245,7 +245,8 @@
             await course.sink.whole(head.status, head.headers, course.tries.failure.body)
             return "answered"
         refusal = self._refusal(course, step)
-        await self.refuse(refusal, course.request.work.request_id, course.sink)
+        request_id = course.request.work.request_id
+        await self.refuse(refusal, request_id, course.sink, course.tries.was_sent)
         return "refused" if refusal.run is Run.NO else "failed"
 
     def _refusal(self, course: Course, step: Step) -> Refusal:
@@ -260,9 +261,11 @@
             pause_s = max(pause_s, RETRY_AFTER_SHARE * (work.deadline_unix_s - now_unix_s()))
         return refuse(Kind.NO_CAPACITY, Run.NO, detail, now_unix_s() + pause_s)
 
-    async def refuse(self, refusal: Refusal, request_id: str, sink: ClientAnswer) -> None:
+    async def refuse(
+        self, refusal: Refusal, request_id: str, sink: ClientAnswer, was_sent: bool = False
+    ) -> None:
         """Answer in this system's own name."""
-        headers = (PROBLEM_CONTENT_TYPE, *refusal_headers(refusal))
+        headers = (PROBLEM_CONTENT_TYPE, *refusal_headers(refusal, was_sent))
         if refusal.retry_at_unix_s is not None:
             pause_s = max(0.0, refusal.retry_at_unix_s - now_unix_s())
             headers += (("Retry-After", f"{pause_s:.2f}"),)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -90,6 +90,21 @@
     assert (answer.status, arrivals) == (500, 2)
 
 
+async def test_peer_without_a_server_uses_up_no_attempt() -> None:
+    """The route allows one server and is bound to two regions; the client asks a third.
+
+    The region that it is sent to has lost its servers, which this VM hasn't heard yet. Its peer
+    refuses at once. Counted as the one attempt, the client was refused while the other region's
+    server was free.
+    """
+    bound = route(RouteKind.NON_IDEMPOTENT, home_regions=("b", "c"))
+    servers = {"a": {}, "b": {}, "c": {"s1": answers()}}
+    nothing = RetryBound(ratio=0.0, slack=0.0, window_s=10.0)
+    async with relay_fleet((bound,), servers, nothing) as fleet:
+        answers_got = [await ask(fleet.vms["a"], "/non_idempotent/") for _ in range(8)]
+    assert [answer.status for answer in answers_got] == [200] * 8
+
+
 async def test_stream_resumed_over_a_peer_repeats_no_event() -> None:
     """The client reads a stream that a server of another region runs.
 
