Close the store's connections after its watch has ended

The session closed under a watch that was waiting; the call failed, the next address was tried on the closed session, and the watch crashed with a trace (2 lines, one stop of three). Ruled out: a hang at the stop (the process had logged 'drained' and ended). Change: the connections close in on_shutdown, after the futures. The test failed first.

--- a/src/pomelobarrow/published/watcher.py
+++ b/src/pomelobarrow/published/watcher.py
@@ -67,8 +67,11 @@
         for name in self._state.copies:
             self.add_future(self._watch(name))
 
-    async def on_stop(self) -> None:
-        """Close the connections to the store."""
+    async def on_shutdown(self) -> None:
+        """Close the connections to the store, once no watch uses them any more.
+
+        Closed earlier, a watch under way would try the next address on a closed session and crash.
+        """
         await self._reader.close()
 
     async def _first_read(self) -> None:
--- /dev/null
+++ b/tests/test_published_watcher.py
@@ -0,0 +1,63 @@
+"""The watch of the store follows it while the daemon runs, and ends in good order."""
+
+import asyncio
+from types import SimpleNamespace
+
+from result import Err, Ok, Result
+
+from pomelobarrow.published.keyspaces import PublishedState
+from pomelobarrow.published.reading import Page, ReadError, ReadFailure, StoreReader
+from pomelobarrow.published.watcher import PlatformWatcher
+
+NOBODY_REACHED = ReadError(failure=ReadFailure.UNREACHABLE)
+
+
+class Store:
+    """Answer the first read and hold every later one until the connections are closed."""
+
+    def __init__(self) -> None:
+        self.held = asyncio.Event()
+        self.closed = asyncio.Event()
+        self.calls_after_close = 0
+
+    async def read_all(self, name: str) -> Result[Page, ReadError]:
+        return Ok(Page(changes=(), head_revision=1))
+
+    async def read_changes(
+        self, name: str, after: int, until_unix_s: float
+    ) -> Result[Page, ReadError]:
+        self.held.set()
+        await self.closed.wait()
+        # The call that was under way fails, and the next address is tried.
+        await asyncio.sleep(0)
+        self.calls_after_close += 1
+        return Err(NOBODY_REACHED)
+
+    async def close(self) -> None:
+        self.closed.set()
+        await asyncio.sleep(0)
+
+
+async def test_watch_ends_before_its_connections_close() -> None:
+    """An operator stops a daemon while its watch waits for changes.
+
+    The connections to the store close first; the watch sees a failure, tries the next address on a
+    closed session and crashes: an error with a trace in the log of every planned stop.
+    """
+    store = Store()
+    reader = StoreReader(
+        read_all=store.read_all, read_changes=store.read_changes, close=store.close
+    )
+    events: list[object] = []
+    watcher = PlatformWatcher(
+        context=SimpleNamespace(observe=events.append),  # type: ignore[arg-type]
+        state=PublishedState(observe=events.append),
+        reader=reader,
+        is_watcher=lambda name: True,
+    )
+    await watcher.start()
+    async with asyncio.timeout(5):
+        await store.held.wait()
+        await watcher.stop()
+    assert store.closed.is_set()
+    assert store.calls_after_close == 0
