Give a silent server up only where a repeat is free at that time

Ruled out: the connection's own timeout (0.35 s; these were sent). Change: the repeat is taken at the end of the patience; where none is free the request waits on and asks again after as long. The test failed first.

--- a/src/pomelobarrow/decision/retry_share.py
+++ b/src/pomelobarrow/decision/retry_share.py
@@ -44,8 +44,7 @@
         """Count a request's first arrival at a server."""
         self._pools[pool].firsts.append(now_unix_s)
 
-    def has_room(self, pool: str, live_vms: int, now_unix_s: float) -> bool:
-        """Say whether the bound leaves room for one more arrival."""
+    def _has_room(self, pool: str, live_vms: int, now_unix_s: float) -> bool:
         counts = self._pools[pool]
         counts.drop_before(now_unix_s - self.bound.window_s)
         slack = self.bound.slack / max(1, live_vms)
@@ -54,7 +53,7 @@
 
     def take_repeat(self, pool: str, live_vms: int, now_unix_s: float) -> bool:
         """Count one more arrival where the bound leaves room for it."""
-        if not self.has_room(pool, live_vms, now_unix_s):
+        if not self._has_room(pool, live_vms, now_unix_s):
             return False
         self._pools[pool].repeats.append(now_unix_s)
         return True
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -38,6 +38,19 @@
     connect_timeout_s: float
 
 
+@frozen(kw_only=True)
+class Patience:
+    """Say how long to wait for a server's first answer, and whether another may be tried then.
+
+    Asked only when the time has passed: many requests wait for one server at a time, and what was
+    free for each of them when it was sent is enough for a few. The others, given up with no second
+    attempt left to them, would fail where waiting may still bring an answer.
+    """
+
+    lasts_s: float
+    may_give_up: Callable[[], bool]
+
+
 @define(kw_only=True)
 class RelayAttempt:
     """Hold what one sending of a request has brought so far."""
@@ -48,11 +61,11 @@
     sink: ClientAnswer
     splitter: EventSplitter
     on_first_answer: Callable[[ServerAnswerHead], None]
-    # When to give up on a server that hasn't begun to answer; None to wait for it.
-    first_answer_due_unix_s: float | None = None
+    patience: Patience | None = None
     state: Attempt = field(factory=Attempt)
-    _patience: asyncio.Timeout | None = field(default=None, init=False)
     first_answer_unix_s: float | None = None
+    _giving_up: asyncio.Timeout | None = field(default=None, init=False)
+    _alarm: asyncio.TimerHandle | None = field(default=None, init=False)
 
     @property
     def is_surely_unrun(self) -> bool:
@@ -62,14 +75,33 @@
     async def run(self) -> AttemptReport:
         """Send once; nothing is sent again below this level."""
         self.splitter.restart()
-        patience_s = None
-        if self.first_answer_due_unix_s is not None:
-            patience_s = max(0.0, self.first_answer_due_unix_s - now_unix_s())
         try:
-            async with asyncio.timeout(patience_s) as self._patience:
+            async with asyncio.timeout(None) as self._giving_up:
+                self._set_alarm()
                 return await self._exchange()
         except LOST as error:
             return self._lost(repr(error))
+        finally:
+            self._stop_alarm()
+
+    def _set_alarm(self) -> None:
+        if self.patience is not None:
+            loop = asyncio.get_running_loop()
+            self._alarm = loop.call_later(self.patience.lasts_s, self._lose_patience)
+
+    def _stop_alarm(self) -> None:
+        if self._alarm is not None:
+            self._alarm.cancel()
+            self._alarm = None
+
+    def _lose_patience(self) -> None:
+        """Give up on a silent server where another may be tried now, else wait on."""
+        assert self.patience is not None
+        assert self._giving_up is not None
+        if self.patience.may_give_up():
+            self._giving_up.reschedule(asyncio.get_running_loop().time())
+        else:
+            self._set_alarm()
 
     async def _exchange(self) -> AttemptReport:
         request = self.request
@@ -139,8 +171,7 @@
     def _note_first_answer(self, head: ServerAnswerHead) -> None:
         if self.first_answer_unix_s is None:
             self.first_answer_unix_s = now_unix_s()
-            if self._patience is not None:
-                self._patience.reschedule(None)
+            self._stop_alarm()
             self.state.apply(AttemptEvent.FIRST_BYTE)
             self.on_first_answer(head)
 
--- a/src/pomelobarrow/relay/judging.py
+++ b/src/pomelobarrow/relay/judging.py
@@ -81,10 +81,9 @@
         usual_s = self._usual_s.setdefault(route, took_s)
         self._usual_s[route] = usual_s + FIRST_ANSWER_WEIGHT * (took_s - usual_s)
 
-    def due_unix_s(self, route: str, now_unix_s: float) -> float:
-        """Return when a server that was sent a request now should have begun to answer."""
-        usual_s = self._usual_s.get(route, 0.0)
-        return now_unix_s + max(PATIENCE_FLOOR_S, PATIENCE_FACTOR * usual_s)
+    def patience_s(self, route: str) -> float:
+        """Return within what time a server should have begun to answer."""
+        return max(PATIENCE_FLOOR_S, PATIENCE_FACTOR * self._usual_s.get(route, 0.0))
 
 
 def _has_failed(report: AttemptReport) -> bool:
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -18,7 +18,7 @@
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.answer import ClientAnswer
-from pomelobarrow.relay.attempt import RelayAttempt, Target
+from pomelobarrow.relay.attempt import Patience, RelayAttempt, Target
 from pomelobarrow.relay.event_splitter import EventSplitter
 from pomelobarrow.relay.events import RelayAttemptEnded, RelayEnded, RelayPlaced
 from pomelobarrow.relay.hop import peer_target, refusal_headers
@@ -55,6 +55,8 @@
     splitter: EventSplitter
     excluded: Excluded = field(factory=Excluded)
     first_answer_unix_s: float | None = None
+    # Whether one more arrival at a server is counted already.
+    has_repeat: bool = False
 
 
 @define(kw_only=True)
@@ -130,6 +132,10 @@
     def _may_repeat(self, course: Course, report: AttemptReport) -> bool:
         if report.end in REACHED_NO_SERVER:
             return True
+        had_repeat, course.has_repeat = course.has_repeat, False
+        return had_repeat or self._take_repeat(course)
+
+    def _take_repeat(self, course: Course) -> bool:
         live_vms = len(self.placer.members.live)
         return self.retries.take_repeat(course.request.work.pool, live_vms, now_unix_s())
 
@@ -163,7 +169,7 @@
             connect_timeout_s=SERVER_CONNECT_TIMEOUT_S,
         )
         try:
-            report = await self._run(course, target, self._first_answer_due(course))
+            report = await self._run(course, target, self._patience(course))
         finally:
             table.release(work.request_id, now_unix_s())
         self.judge.judge(server, report, placement.expected_wait_s, now)
@@ -191,18 +197,21 @@
         """Return the last event that the client has of this answer."""
         return course.splitter.last_event_id if course.sink.is_started else ""
 
-    def _first_answer_due(self, course: Course) -> float | None:
-        """Return when to give up on a silent server, None where no other could be tried."""
-        route, tries, now = course.request.route, course.tries, now_unix_s()
-        if not route.is_repeatable or tries.attempts_left < 2:
-            return None
-        live_vms = len(self.placer.members.live)
-        if not self.retries.has_room(course.request.work.pool, live_vms, now):
+    def _patience(self, course: Course) -> Patience | None:
+        """Return how long to wait for a silent server, None where no other could be tried."""
+        route = course.request.route
+        if not route.is_repeatable or course.tries.attempts_left < 2:
             return None
-        return self.first_answers.due_unix_s(route.name, now)
+
+        def take_repeat() -> bool:
+            course.has_repeat = self._take_repeat(course)
+            return course.has_repeat
+
+        patience_s = self.first_answers.patience_s(route.name)
+        return Patience(lasts_s=patience_s, may_give_up=take_repeat)
 
     async def _run(
-        self, course: Course, target: Target, first_answer_due_unix_s: float | None = None
+        self, course: Course, target: Target, patience: Patience | None = None
     ) -> AttemptReport:
         started_unix_s = now_unix_s()
         report = AttemptReport(end=AttemptEnd.LOST, detail="given up")
@@ -220,7 +229,7 @@
             sink=course.sink,
             splitter=course.splitter,
             on_first_answer=note_first_answer,
-            first_answer_due_unix_s=first_answer_due_unix_s,
+            patience=patience,
         )
         try:
             report = await attempt.run()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -19,9 +19,10 @@
     streams,
 )
 
-from pomelobarrow.decision.retry_share import RetryBound
+from pomelobarrow.decision.retry_share import SAFETY_SHARE, RetryBound
 from pomelobarrow.decision.routing import RouteKind
 from pomelobarrow.relay.events import RelayEnded
+from pomelobarrow.relay.judging import PATIENCE_FLOOR_S
 
 IDEMPOTENT = route(RouteKind.IDEMPOTENT, max_attempts=2)
 ONCE = route(RouteKind.NON_IDEMPOTENT)
@@ -288,6 +289,39 @@
     assert (answer.status, arrivals) == (500, 1)
 
 
+async def test_silent_server_is_waited_for_where_no_repeat_is_left() -> None:
+    """Several clients wait for one server that is silent for a while; one repeat is allowed.
+
+    Each is sent while the repeat is still free. When their patience ends one takes it; the others,
+    given up as well, failed with nobody left to try, though the server answers them all.
+    """
+    slow = _answers_when_asked_again()
+    one = RetryBound(ratio=0.0, slack=1.5 / SAFETY_SHARE, window_s=60.0)
+    servers = {"a": {"s1": slow, "s2": slow}}
+    async with relay_fleet((IDEMPOTENT,), servers, one) as fleet:
+        asked = [ask(fleet.vms["a"], "/idempotent/") for _ in range(4)]
+        got = await asyncio.gather(*asked)
+        arrivals = sum(len(server.received) for server in fleet.servers.values())
+    assert [answer.status for answer in got] == [200] * 4
+    assert arrivals == 5
+
+
+def _answers_when_asked_again() -> Script:
+    """Hold every answer back until a fifth request has come, and some more."""
+    arrivals, fifth = 0, asyncio.Event()
+
+    async def script(exchange: Exchange) -> None:
+        nonlocal arrivals
+        arrivals += 1
+        if arrivals == 5:
+            await asyncio.sleep(PATIENCE_FLOOR_S)
+            fifth.set()
+        await fifth.wait()
+        await answers()(exchange)
+
+    return script
+
+
 async def test_unknown_route_is_not_found() -> None:
     async with relay_fleet((ONCE,), {"a": {"s1": answers()}}) as fleet:
         answer = await ask(fleet.vms["a"], "/elsewhere/")
--- a/tests/test_relay_judging.py
+++ b/tests/test_relay_judging.py
@@ -75,7 +75,7 @@
 
 def test_patience_follows_what_a_route_takes() -> None:
     first = FirstAnswers()
-    assert first.due_unix_s("r", 100.0) == 100.0 + PATIENCE_FLOOR_S
+    assert first.patience_s("r") == PATIENCE_FLOOR_S
     for _ in range(200):
         first.learn("r", 0.5)
-    assert first.due_unix_s("r", 100.0) == 102.0
+    assert first.patience_s("r") == 2.0
