Let patience last over the queue that was known when a request was sent

Ruled out: servers that hang (they answered others meanwhile); the connection's timeout. Change: twice the expected wait comes on top of the usual patience. The test failed first. Kept: work isn't thrown away, and servers aren't ejected for their queues.

--- a/src/pomelobarrow/relay/judging.py
+++ b/src/pomelobarrow/relay/judging.py
@@ -18,6 +18,10 @@
 # many times what the route's answers take of late, and no sooner than the floor.
 PATIENCE_FACTOR = 4.0
 PATIENCE_FLOOR_S = 0.3
+# A queue that was known when the request was sent may take this many times as long as expected.
+# Without it, requests behind a queue were given up and sent to the next server's queue: work thrown
+# away just where there is too much of it, and failures once the bound on repeats was reached.
+QUEUE_FACTOR = 2.0
 FIRST_ANSWER_WEIGHT = 0.05
 
 
@@ -81,9 +85,10 @@
         usual_s = self._usual_s.setdefault(route, took_s)
         self._usual_s[route] = usual_s + FIRST_ANSWER_WEIGHT * (took_s - usual_s)
 
-    def patience_s(self, route: str) -> float:
+    def patience_s(self, route: str, expected_wait_s: float) -> float:
         """Return within what time a server should have begun to answer."""
-        return max(PATIENCE_FLOOR_S, PATIENCE_FACTOR * self._usual_s.get(route, 0.0))
+        usual_s = max(PATIENCE_FLOOR_S, PATIENCE_FACTOR * self._usual_s.get(route, 0.0))
+        return usual_s + QUEUE_FACTOR * expected_wait_s
 
 
 def _has_failed(report: AttemptReport) -> bool:
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -169,7 +169,7 @@
             connect_timeout_s=SERVER_CONNECT_TIMEOUT_S,
         )
         try:
-            report = await self._run(course, target, self._patience(course))
+            report = await self._run(course, target, self._patience(course, placement))
         finally:
             table.release(work.request_id, now_unix_s())
         self.judge.judge(server, report, placement.expected_wait_s, now)
@@ -197,7 +197,7 @@
         """Return the last event that the client has of this answer."""
         return course.splitter.last_event_id if course.sink.is_started else ""
 
-    def _patience(self, course: Course) -> Patience | None:
+    def _patience(self, course: Course, placement: Placement) -> Patience | None:
         """Return how long to wait for a silent server, None where no other could be tried."""
         route = course.request.route
         if not route.is_repeatable or course.tries.attempts_left < 2:
@@ -207,7 +207,7 @@
             course.has_repeat = self._take_repeat(course)
             return course.has_repeat
 
-        patience_s = self.first_answers.patience_s(route.name)
+        patience_s = self.first_answers.patience_s(route.name, placement.expected_wait_s)
         return Patience(lasts_s=patience_s, may_give_up=take_repeat)
 
     async def _run(
--- a/tests/test_relay_judging.py
+++ b/tests/test_relay_judging.py
@@ -9,7 +9,7 @@
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay import judging
 from pomelobarrow.relay.events import ServerBack, ServerEjected
-from pomelobarrow.relay.judging import PATIENCE_FLOOR_S, FirstAnswers, ServerJudge
+from pomelobarrow.relay.judging import PATIENCE_FLOOR_S, QUEUE_FACTOR, FirstAnswers, ServerJudge
 from pomelobarrow.relay.messages import (
     AttemptEnd,
     AttemptReport,
@@ -75,7 +75,18 @@
 
 def test_patience_follows_what_a_route_takes() -> None:
     first = FirstAnswers()
-    assert first.patience_s("r") == PATIENCE_FLOOR_S
+    assert first.patience_s("r", 0.0) == PATIENCE_FLOOR_S
     for _ in range(200):
         first.learn("r", 0.5)
-    assert first.patience_s("r") == 2.0
+    assert first.patience_s("r", 0.0) == 2.0
+
+
+def test_patience_lasts_over_a_known_queue() -> None:
+    """A request is sent to a server with a queue of 1.3 s; the route usually answers in 0.1 s.
+
+    Given up after 0.4 s, before its turn can have come, its place in the queue is lost, and the
+    next server's queue grows by a request that has waited already.
+    """
+    first, expected_s = FirstAnswers(), 1.3
+    first.learn("r", 0.1)
+    assert first.patience_s("r", expected_s) > QUEUE_FACTOR * expected_s
