Pass over a peer that takes no connection for a moment

Ruled out: the membership's timeout (heartbeats on links that are up say nothing of new connections). Change: a failed connection leaves the peer out for 0.5 s, then twice as long, 4 s at most; an answer ends it.

--- a/src/pomelobarrow/relay/placement.py
+++ b/src/pomelobarrow/relay/placement.py
@@ -10,6 +10,7 @@
 from pomelobarrow.decision.group_owners import GroupOwners
 from pomelobarrow.decision.load_table import LoadTable, ServerState
 from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.peer_reach import PeerReach
 from pomelobarrow.decision.region_choice import LOAD_GOOD_FOR_S, RegionLoad
 from pomelobarrow.decision.rendezvous import rendezvous
 from pomelobarrow.decision.routing import Routing
@@ -90,6 +91,7 @@
     """Hold the members that live and those that take work, as of a moment ago."""
 
     view: MembershipView
+    reach: PeerReach = field(factory=PeerReach)
     live: Sequence[Member] = ()
     usable: Sequence[Member] = ()
     _good_until_unix_s: float = 0.0
@@ -98,9 +100,18 @@
         """Look again where the last look is old."""
         if not 0.0 <= self._good_until_unix_s - now_unix_s <= MEMBERS_GOOD_FOR_S:
             self.live = self.view.live(now_unix_s=now_unix_s)
-            self.usable = self.view.usable_entries(now_unix_s=now_unix_s)
+            self.usable = [
+                member
+                for member in self.view.usable_entries(now_unix_s=now_unix_s)
+                if not self.reach.is_left_out(member.vm, now_unix_s)
+            ]
             self._good_until_unix_s = now_unix_s + MEMBERS_GOOD_FOR_S
 
+    def note_unreached(self, vm: str, now_unix_s: float) -> None:
+        """Pass over a peer to which no connection could be made."""
+        self.reach.note_unreached(vm, now_unix_s)
+        self._good_until_unix_s = 0.0
+
     def usable_in(self, region: str) -> list[Member]:
         """Return the members of a region that take work."""
         return [member for member in self.usable if member.region == region]
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -187,6 +187,10 @@
             self.wire,
         )
         report = await self._run(course, target)
+        if report.end is AttemptEnd.NOT_SENT:
+            self.placer.members.note_unreached(decision.member.vm, now_unix_s())
+        elif report.end is not AttemptEnd.LOST:
+            self.placer.members.reach.note_reached(decision.member.vm)
         if report.end is not AttemptEnd.PASSED_ON:
             course.excluded.peers.add(decision.member.vm)
         if report.end in (AttemptEnd.REFUSED, AttemptEnd.TURNED_BACK):
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -7,6 +7,7 @@
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.peer_reach import FIRST_PAUSE_S
 from pomelobarrow.decision.region_choice import RegionLoad
 from pomelobarrow.decision.routing import RelayPool, Route, RouteKind, Routing
 from pomelobarrow.decision.work import BackendServer, Work
@@ -229,6 +230,23 @@
     assert decision.placement.server.name == "s2"
 
 
+def test_peer_that_takes_no_connection_is_passed_over() -> None:
+    """A region is cut off, or its VM says that it is ready and takes no connection.
+
+    Until its silence counts, seconds later, every request for it waits for a connection in vain.
+    After the first one, those that follow go elsewhere; after the pause it is tried again.
+    """
+    bound = route(RouteKind.IDEMPOTENT, home_regions=("b", "c"))
+    by = placer(waits_s={"b": 0.0, "c": 0.0})
+    by.members.note_unreached("vm-b", NOW)
+    targets = {place(by, request(bound)).member.vm for _ in range(20)}  # type: ignore[union-attr]
+    assert targets == {"vm-c"}
+    by.members.note_unreached("vm-c", NOW)
+    assert place(by, request(bound)) == Nowhere(reason=NOTHING_HERE)
+    later = by.place(request(bound), ROUTING, Excluded(), NOW + FIRST_PAUSE_S + 0.01)
+    assert isinstance(later, OnPeer)
+
+
 def test_peer_beside_the_groups_server_gets_its_prompts() -> None:
     by = placer(server("s1", "b", failure_domain="b-2"), waits_s={"b": 0.0})
     beside = Member(vm="vm-b2", incarnation=1, region="b", failure_domain="b-2", sequence=1)
