Log what a placement was decided on, and what was known where there was none

Change: 'relay placed nowhere' with this region's servers listed, usable and cold, the regions heard of and where the request has been; 'relay placed' with the prompt's lengths, its group and the tokens thought to be cached. trace-request says it in the cause of a refusal.

--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -25,6 +25,7 @@
     RelayAttemptEnded,
     RelayEnded,
     RelayPlaced,
+    RelayPlacedNowhere,
     ServerBack,
     ServerEjected,
 )
@@ -49,6 +50,7 @@
             PlatformReachable: self._platform_reachable,
             PauseNoticed: self._pause_noticed,
             RelayPlaced: self._relay_placed,
+            RelayPlacedNowhere: self._relay_placed_nowhere,
             RelayAttemptEnded: self._relay_attempt_ended,
             RelayEnded: self._relay_ended,
             ServerEjected: self._server_ejected,
@@ -130,6 +132,9 @@
     def _relay_placed(self, event: RelayPlaced) -> None:
         self._log.info("relay placed", **asdict(event))
 
+    def _relay_placed_nowhere(self, event: RelayPlacedNowhere) -> None:
+        self._log.warning("relay placed nowhere", **asdict(event))
+
     def _relay_attempt_ended(self, event: RelayAttemptEnded) -> None:
         self._metrics.relay_attempts.inc(event.pool, event.end)
         self._metrics.relay_attempt_s.observe(event.took_s, event.pool, event.end)
--- a/src/pomelobarrow/operators/request_trail.py
+++ b/src/pomelobarrow/operators/request_trail.py
@@ -6,7 +6,7 @@
 import orjson
 from attrs import frozen
 
-PLACED = "relay placed"
+PLACED_NOWHERE = "relay placed nowhere"
 ATTEMPT_ENDED = "relay attempt ended"
 ENDED = "relay ended"
 FIRST_SERVER_ERROR_STATUS = 500
@@ -63,10 +63,20 @@
 def _explain_refused(end: Line, lines: list[Line]) -> str:
     attempt = _last_attempt(lines)
     if not attempt:
-        return f"refused unsent: {end.get('detail')}"
+        return f"refused unsent: {end.get('detail')}{_seen_then(lines)}"
     return f"refused unrun: {attempt['target']} {attempt['end']} ({attempt['detail']})"
 
 
+def _seen_then(lines: list[Line]) -> str:
+    """Return what the VM knew of servers when it found none."""
+    seen = [line for line in lines if line.get("event") == PLACED_NOWHERE]
+    if not seen:
+        return ""
+    last = seen[-1]
+    here = f"{last['servers_usable']} of {last['servers_listed']} servers usable here"
+    return f" ({here}, {last['servers_cold']} cold; elsewhere {last['servers_elsewhere']})"
+
+
 def _explain_failed(end: Line, lines: list[Line]) -> str:
     attempt = _last_attempt(lines)
     if not attempt:
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -17,12 +17,41 @@
     target_region: str
     reason: str
     expected_first_answer_s: float
+    prompt_tokens: int
+    # What others share of the prompt, under the name of its first part, and how much of that the
+    # server is thought to hold.
+    group: str
+    shared_tokens: int
+    cached_tokens: int
     # The mean age of what peers told of their own requests.
     view_age_s: float
     servers_usable: int
     time_left_s: float
 
 
+@frozen(kw_only=True)
+class RelayPlacedNowhere:
+    """Report that nobody may get a request now, and what that was decided on."""
+
+    request_id: str
+    route: str
+    pool: str
+    routing_version: int
+    attempts: int
+    reason: str
+    # The wait that was too long; 0 where there is no server at all.
+    expected_wait_s: float
+    # This region's servers of the pool: listed, not ejected nor leaving, and cold.
+    servers_listed: int
+    servers_usable: int
+    servers_cold: int
+    # Other regions heard of late, with how many servers of the pool, and whom it has been to.
+    servers_elsewhere: dict[str, int]
+    excluded: list[str]
+    view_age_s: float
+    time_left_s: float
+
+
 @frozen(kw_only=True)
 class RelayAttemptEnded:
     """Report how one sending of a request ended."""
--- a/src/pomelobarrow/relay/placement.py
+++ b/src/pomelobarrow/relay/placement.py
@@ -80,6 +80,10 @@
     peers: set[str] = field(factory=set)
     regions: set[str] = field(factory=set)
 
+    def names(self) -> list[str]:
+        """Return all of them, for logs."""
+        return sorted(self.servers | self.peers | self.regions)
+
 
 # Going through all members for each request cost a twentieth of a VM's time in a fleet of 75; what
 # changes within this time is noticed by the attempt itself.
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -11,6 +11,7 @@
 from pomelobarrow.callers.problems import problem_body
 from pomelobarrow.decision.costs import prefill_tokens
 from pomelobarrow.decision.errors import Kind, Refusal, Run
+from pomelobarrow.decision.region_choice import LOAD_GOOD_FOR_S
 from pomelobarrow.decision.retry_share import RetryShare
 from pomelobarrow.decision.routing import Routing
 from pomelobarrow.decision.work import Placement
@@ -20,7 +21,12 @@
 from pomelobarrow.relay.answer import ClientAnswer
 from pomelobarrow.relay.attempt import Patience, RelayAttempt, Target
 from pomelobarrow.relay.event_splitter import EventSplitter
-from pomelobarrow.relay.events import RelayAttemptEnded, RelayEnded, RelayPlaced
+from pomelobarrow.relay.events import (
+    RelayAttemptEnded,
+    RelayEnded,
+    RelayPlaced,
+    RelayPlacedNowhere,
+)
 from pomelobarrow.relay.hop import peer_target, refusal_headers
 from pomelobarrow.relay.judging import FirstAnswers, ServerJudge
 from pomelobarrow.relay.messages import (
@@ -114,6 +120,7 @@
             )
             if isinstance(decision, Nowhere):
                 course.tries.last_detail = course.tries.last_detail or decision.reason
+                self._note_nowhere(course, decision)
                 return last_step(course.tries, course.sink.is_started)
             report = await self._send(course, decision)
             course.tries.note(report)
@@ -290,9 +297,11 @@
         if isinstance(decision, OnServer):
             target, region = decision.placement.server.name, self.own_region
             expected_s = decision.placement.expected_wait_s
+            cached_tokens = decision.placement.cached_tokens
         else:
             target, region = decision.member.vm, decision.member.region
-            expected_s = decision.expected_first_answer_s
+            expected_s, cached_tokens = decision.expected_first_answer_s, 0
+        parts = course.request.head.prompt_parts
         now = now_unix_s()
         self.observe(
             RelayPlaced(
@@ -305,12 +314,43 @@
                 target_region=region,
                 reason=decision.reason,
                 expected_first_answer_s=expected_s,
+                prompt_tokens=work.prompt_tokens,
+                group=parts[0].id if work.shared_tokens else "",
+                shared_tokens=work.shared_tokens,
+                cached_tokens=cached_tokens,
                 view_age_s=table.view_age_s,
                 servers_usable=len(table.usable_servers(work.pool, now)),
                 time_left_s=work.deadline_unix_s - now,
             )
         )
 
+    def _note_nowhere(self, course: Course, decision: Nowhere) -> None:
+        work, table, now = course.request.work, self.placer.table, now_unix_s()
+        listed = table.pool_servers(work.pool)
+        loads = self.placer.region_loads(work.pool).items()
+        self.observe(
+            RelayPlacedNowhere(
+                request_id=work.request_id,
+                route=course.request.route.name,
+                pool=work.pool,
+                routing_version=course.routing.version,
+                attempts=course.tries.attempts,
+                reason=decision.reason,
+                expected_wait_s=decision.wait_s,
+                servers_listed=len(listed),
+                servers_usable=len(table.usable_servers(work.pool, now)),
+                servers_cold=sum(server.cold_until_unix_s > now for server in listed),
+                servers_elsewhere={
+                    region: load.servers
+                    for region, load in loads
+                    if now - load.measured_unix_s <= LOAD_GOOD_FOR_S
+                },
+                excluded=course.excluded.names(),
+                view_age_s=table.view_age_s,
+                time_left_s=work.deadline_unix_s - now,
+            )
+        )
+
     def _note_attempt(
         self, course: Course, target: Target, report: AttemptReport, started_unix_s: float
     ) -> None:
--- a/tests/test_request_trail.py
+++ b/tests/test_request_trail.py
@@ -68,7 +68,8 @@
     async with relay_fleet((ONCE,), {"a": {}}) as fleet:
         observe(fleet)
         await ask(fleet.vms["a"], "/non_idempotent/")
-    assert trail(stream).cause == "refused unsent: this region has no server for it"
+    seen = "0 of 0 servers usable here, 0 cold; elsewhere {}"
+    assert trail(stream).cause == f"refused unsent: this region has no server for it ({seen})"
 
 
 async def test_cause_is_followed_over_a_peer(stream: BytesIO) -> None:
