Keep the lines of refusals and failures in a storm of log lines

Cause: the bound of 1,000 lines a second dropped whatever came next; in a burst of answered requests the lines of the few refused ones were lost with the others. Change: below half of the burst's allowance, lines of ordinary successes are dropped first, and counted.

--- a/src/pomelobarrow/operators/logs.py
+++ b/src/pomelobarrow/operators/logs.py
@@ -16,6 +16,11 @@
 from pomelobarrow.operators.output import ByteStream, LossyStream, bounded_fd
 from pomelobarrow.operators.redaction import redact, redact_line
 
+INFO = b'"level":"info"'
+ANSWERED = b'"outcome":"answered"'
+PLACED = b'"event":"relay placed"'
+PASSED_ON = b'"end":"passed on"'
+
 Event = MutableMapping[str, Any]
 Processor = Callable[[Any, str, Event], Any]
 
@@ -25,7 +30,7 @@
 
 def configure_logs(level: LogLevel, vm: str, stream: ByteStream | None = None) -> None:
     """Send structlog's and the standard library's log events to a stream as JSON lines."""
-    output = LossyStream(stream or bounded_fd(sys.stdout.fileno(), now_unix_s))
+    output = LossyStream(stream or bounded_fd(sys.stdout.fileno(), now_unix_s, is_ordinary))
     number = logging.getLevelNamesMapping()[level.name]
     structlog.configure(
         processors=[*_processors(vm), _render],
@@ -38,6 +43,17 @@
     )
 
 
+def is_ordinary(line: bytes) -> bool:
+    """Say whether a line may go first when there are too many.
+
+    Every line of a request that was answered is ordinary, and so is its placement; a line without
+    an outcome of its own, like the start of this process, is rare and kept.
+    """
+    if INFO not in line:
+        return False
+    return ANSWERED in line or PLACED in line or PASSED_ON in line
+
+
 def request_logs(request_id: str, trace_id: str = "") -> AbstractContextManager[None]:
     """Put the request and trace into every event of a block; afterwards they are gone."""
     if trace_id:
--- a/src/pomelobarrow/operators/output.py
+++ b/src/pomelobarrow/operators/output.py
@@ -12,6 +12,9 @@
 # second, lines are dropped: a storm of requests must not become a storm of writes.
 MAX_LINES_PER_S = 1_000.0
 MAX_BURST_LINES = 2_000.0
+# Kept for lines that tell of failures: in a storm they matter, and the many that tell of ordinary
+# successes would leave no room for them.
+RESERVED_LINES = 1_000.0
 
 
 class ByteStream(Protocol):
@@ -53,8 +56,14 @@
     the process until it reads on.
     """
 
-    def __init__(self, write: Callable[[bytes], int], clock_s: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        write: Callable[[bytes], int],
+        clock_s: Callable[[], float],
+        is_ordinary: Callable[[bytes], bool] = lambda line: False,
+    ) -> None:
         self._write = write
+        self._is_ordinary = is_ordinary
         self._clock_s = clock_s
         self._allowance = MAX_BURST_LINES
         self._filled_s = clock_s()
@@ -64,7 +73,7 @@
 
     def write(self, data: bytes, /) -> int:
         """Write a line, or count it as dropped."""
-        if not self._may_write():
+        if not self._may_write(data):
             self._dropped += 1
             return len(data)
         note, dropped = self._note(), self._dropped
@@ -76,12 +85,15 @@
     def flush(self) -> None:
         """Do nothing: lines aren't kept back."""
 
-    def _may_write(self) -> bool:
+    def _may_write(self, line: bytes) -> bool:
         now_s = self._clock_s()
         refill = max(0.0, now_s - self._filled_s) * MAX_LINES_PER_S
         self._allowance = min(MAX_BURST_LINES, self._allowance + refill)
         self._filled_s = now_s
-        if self._allowance < 1.0:
+        least = 1.0
+        if self._allowance < RESERVED_LINES and self._is_ordinary(line):
+            least = RESERVED_LINES
+        if self._allowance < least:
             return False
         self._allowance -= 1.0
         return True
@@ -106,10 +118,12 @@
         return True
 
 
-def bounded_fd(fd: int, clock_s: Callable[[], float]) -> BoundedStream:
+def bounded_fd(
+    fd: int, clock_s: Callable[[], float], is_ordinary: Callable[[bytes], bool]
+) -> BoundedStream:
     """Return a stream to an open file that never waits for its reader."""
     mode = os.fstat(fd).st_mode
     # Of a terminal the setting would outlive this process, and files don't make a writer wait.
     if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
         os.set_blocking(fd, False)
-    return BoundedStream(lambda data: os.write(fd, data), clock_s)
+    return BoundedStream(lambda data: os.write(fd, data), clock_s, is_ordinary)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -8,8 +8,8 @@
 import structlog
 
 from pomelobarrow.kernel.settings import LogLevel
-from pomelobarrow.operators.logs import configure_logs, request_logs
-from pomelobarrow.operators.output import MAX_BURST_LINES, BoundedStream
+from pomelobarrow.operators.logs import configure_logs, is_ordinary, request_logs
+from pomelobarrow.operators.output import MAX_BURST_LINES, RESERVED_LINES, BoundedStream
 from pomelobarrow.operators.redaction import REDACTED
 
 
@@ -146,3 +146,24 @@
     lines = pipe.taken.splitlines()
     assert lines.count(b"line") == MAX_BURST_LINES + 1
     assert orjson.loads(lines[-2])["lines"] == 50
+
+
+def test_refusals_are_logged_through_a_storm_of_successes() -> None:
+    """Thousands of requests are answered in a second and a few are refused.
+
+    Cut off at the bound alone, the lines of the refused ones would be missing with the others, and
+    nobody could find out afterwards why they were.
+    """
+    pipe = Pipe(room=10**9)
+    output = BoundedStream(pipe.write, lambda: 0.0, is_ordinary)
+    answered = b'{"outcome":"answered","event":"relay ended","level":"info"}\n'
+    refused = b'{"outcome":"refused","event":"relay ended","level":"info"}\n'
+    failed = b'{"end":"lost","event":"relay attempt ended","level":"info"}\n'
+    for _ in range(5_000):
+        output.write(answered)
+    for _ in range(100):
+        output.write(refused)
+        output.write(failed)
+    lines = pipe.taken.splitlines(keepends=True)
+    assert lines.count(refused) == lines.count(failed) == 100
+    assert lines.count(answered) == MAX_BURST_LINES - RESERVED_LINES + 1
