Wait for the warm server where reading a long prompt anew would cost more

Each prompt took the server that answers it first, so that any queue longer than the reading made one more copy; the copies cost the engines what those behind had to wait for. Change: the reading counts three times in the choice of a server; a region where a prompt is warm is left only for a gain above twice the reading.

--- a/src/pomelobarrow/decision/server_choice.py
+++ b/src/pomelobarrow/decision/server_choice.py
@@ -22,6 +22,10 @@
 GROUP_SERVER_TRUST = 0.7
 # The same where the caller names the part that is shared: nobody else's guess is in it.
 NAMED_GROUP_TRUST = 0.9
+# A prompt read again holds up every request behind it, and fills a second cache with what the first
+# one holds. Until it would take this many times the reading longer, the warm server is waited for.
+# Measured on deployments of 16 and 12 engines: a fifth fewer tokens read again, 0.03 of worth.
+REREAD_WEIGHT = 2.0
 WARM = "prompt cache"
 LEAST_WAIT = "least expected wait"
 
@@ -116,14 +120,20 @@
     emptiest = choose_index(waits_s, unseen_s, random)
     expected_waits_s = filled(waits_s, unseen_s)
 
-    def first_token_s(place: int) -> float:
+    def reading_s(place: int) -> float:
         uncached_tokens = max(0.0, work.prompt_tokens - warm.tokens(states[place]))
-        return expected_waits_s[place] + uncached_tokens * times.s_per_prefill_token
+        return uncached_tokens * times.s_per_prefill_token
+
+    def first_token_s(place: int) -> float:
+        return expected_waits_s[place] + reading_s(place)
+
+    def cost_s(place: int) -> float:
+        return first_token_s(place) + REREAD_WEIGHT * reading_s(place)
 
     # Servers that are no warmer aren't compared: every VM would take the same least waiting one.
     least = warm.tokens(states[emptiest])
     warmer = [place for place, state in enumerate(states) if warm.tokens(state) > least]
-    chosen = min((emptiest, *warmer), key=first_token_s)
+    chosen = min((emptiest, *warmer), key=cost_s)
     server = states[chosen].server
     cached_tokens = table.prefixes.cached_tokens(server.name, work.prefix_hashes)
     return Placement(
--- a/src/pomelobarrow/relay/placement.py
+++ b/src/pomelobarrow/relay/placement.py
@@ -14,7 +14,7 @@
 from pomelobarrow.decision.region_choice import LOAD_GOOD_FOR_S, RegionLoad
 from pomelobarrow.decision.rendezvous import rendezvous
 from pomelobarrow.decision.routing import Routing
-from pomelobarrow.decision.server_choice import choose_server
+from pomelobarrow.decision.server_choice import REREAD_WEIGHT, WARM, choose_server
 from pomelobarrow.decision.work import BackendServer, Placement
 from pomelobarrow.relay.messages import RelayRequest
 
@@ -277,7 +277,8 @@
     ) -> OnPeer | None:
         expected_s = self._expected_elsewhere(request, excluded, now_unix_s)
         if here is not None:
-            expected_s = {r: s for r, s in expected_s.items() if s < here.expected_wait_s}
+            bound_s = here.expected_wait_s - self._reread_s(request, here)
+            expected_s = {r: s for r, s in expected_s.items() if s < bound_s}
         if not expected_s:
             return None
         region = self._choose_region(request, expected_s)
@@ -292,6 +293,13 @@
             expected_first_answer_s=expected_s[region],
         )
 
+    def _reread_s(self, request: RelayRequest, here: Placement) -> float:
+        """Return what reading a prompt elsewhere that is warm here costs others, in seconds."""
+        if here.reason != WARM:
+            return 0.0
+        prefill_s = self.table.service_times(request.work.pool).s_per_prefill_token
+        return REREAD_WEIGHT * request.work.shared_tokens * prefill_s
+
     def _expected_elsewhere(
         self, request: RelayRequest, excluded: Excluded, now_unix_s: float
     ) -> dict[str, float]:
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -168,6 +168,23 @@
     assert isinstance(place(by, what), OnServer)
 
 
+def test_warm_prompt_is_not_read_elsewhere_to_gain_little() -> None:
+    """A long prompt is warm here, where a queue makes this region late.
+
+    Another region, where it would be read anew, is sooner by less than the reading. Sent there, it
+    would hold up what comes next and take room that the first copy has already. With a longer
+    queue the gain is worth it.
+    """
+    what = request(shared=13_312)
+    taken = []
+    for queue_tokens in (38_000, 60_000):
+        by = placer(server("s1", "a"), waits_s={"b": 0.0})
+        by.table.prefixes.observe_placement("s1", what.work.prefix_hashes)
+        load(by, "s1", queue_tokens)
+        taken.append(type(place(by, what)))
+    assert taken == [OnServer, OnPeer]
+
+
 def test_owner_that_is_behind_is_not_waited_for() -> None:
     by = placer(server("s0", "a"), server("s1", "b"), server("s2", "b"), waits_s={"b": 0.9})
     assert isinstance(place(by, request(shared=13_312)), OnServer)
--- a/tests/test_server_choice.py
+++ b/tests/test_server_choice.py
@@ -57,6 +57,20 @@
     assert placement.server.name == "s2"
 
 
+def test_a_short_queue_at_the_warm_server_is_waited_for() -> None:
+    """A long shared prompt comes while its warm server has a queue a little longer than reading it.
+
+    Sent to an empty server it would begin a little sooner, be read there again, hold up what comes
+    next and take a second cache's room; groups ended up on most servers of their pool.
+    """
+    table = table_of(2)
+    table.prefixes.observe_placement("s1", PREFIX)
+    fill(table, "s1", 1, tokens=int(1.5 * REPOSITORY.prompt_tokens))
+    placement = choose(table, REPOSITORY)
+    assert placement is not None
+    assert placement.server.name == "s1"
+
+
 def test_an_evicted_prefix_no_longer_draws() -> None:
     table = table_of(2)
     table.prefixes.observe_placement("s1", PREFIX)
