Start the simulated region's loads at its own clock

Change: one argument. tests/test_state_exchange.py and test_bench_capacity.py passed after it; they failed before.

--- a/bench/capacity_region.py
+++ b/bench/capacity_region.py
@@ -221,7 +221,11 @@
     def _node(self, vm: str, number: int) -> _Node:
         view = MembershipView(vm, "r00")
         view.observe_own(_member("r00", vm, number))
-        table, limits, region_loads = LoadTable("r00"), AccountLimits(), RegionLoads()
+        table, limits, region_loads = (
+            LoadTable("r00"),
+            AccountLimits(),
+            RegionLoads(self.clock.unix_s),
+        )
         table.set_servers(self._published.backend_servers.values())
         reports: dict[str, LoadReport] = {}
         heartbeats = Heartbeats(
