Name VMs that still serve late clients before those of other regions

Ruled out: the late refusal of a planned stop (those clients never reached a stopping VM); a wrong view (all members agreed). Change: for hosts with bound routes, VMs that are stopping, of the client's region, then of the homes, go before the rest.

--- a/src/pomelobarrow/relay/directory.py
+++ b/src/pomelobarrow/relay/directory.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 from attrs import define
 
-from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.membership import Member, MembershipView, Phase
 from pomelobarrow.decision.routing import Routing
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.wire import DirectoryQuery, RelayWire
@@ -50,15 +50,37 @@
         Work that is bound to other regions is passed on from the client's own one, and only where
         that has no VM left the client is sent to a home.
         """
-        members = self.view.usable_entries(now_unix_s=now_unix_s())
+        now = now_unix_s()
+        members = list(self.view.usable_entries(now_unix_s=now))
         near = [member for member in members if member.region == query.region]
         same_domain = [m for m in near if m.failure_domain == query.failure_domain]
         if len(same_domain) >= ENOUGH_NEAR:
             return same_domain
-        return near or self._at_home(query.host, list(members)) or list(members)
+        homes = self._homes(query.host)
+        found = near or _within(homes, members)
+        if found or not homes:
+            return found or members
+        return self._stopping(query.region, homes, now) or members
 
-    def _at_home(self, host: str, members: list[Member]) -> list[Member]:
+    def _stopping(self, region: str, homes: set[str], now_unix_s: float) -> list[Member]:
+        """Return the VMs of the client's region, else of its homes, that still serve late clients.
+
+        While a region's VMs are replaced one after the other, all of them may be stopping at a
+        time. Sent to another region, a request that is bound to its homes would only be refused
+        there, after its body has left the regions that it may be in.
+        """
+        stopping = [
+            member
+            for member in self.view.live(now_unix_s=now_unix_s)
+            if member.phase == Phase.LEAVING.value
+        ]
+        return _within({region}, stopping) or _within(homes, stopping)
+
+    def _homes(self, host: str) -> set[str]:
         routing = self.routing()
         routes = routing.routes_of_host(host) if routing else ()
-        homes = {region for route in routes for region in route.home_regions}
-        return [member for member in members if member.region in homes]
+        return {region for route in routes for region in route.home_regions}
+
+
+def _within(regions: set[str], members: list[Member]) -> list[Member]:
+    return [member for member in members if member.region in regions]
