Don't count a pruned deletion that comes again as a conflict

Values were never wrong. Change: a deletion of a key that isn't kept, at or below the floor of pruned tombstones, is no news. The shrunk case is a test of its own and failed first.

--- a/src/pomelobarrow/decision/keyspace.py
+++ b/src/pomelobarrow/decision/keyspace.py
@@ -285,6 +285,11 @@
         old = self._kept.get(kept.change.key)
         if old is not None and old.fingerprint == kept.fingerprint:
             return False
+        # A deletion that was pruned here comes again with a repeated page. Taken as new, it would
+        # be counted as a second content of a revision that has one.
+        is_known_gone = old is None and kept.change.value is None
+        if is_known_gone and kept.change.revision <= self.tombstone_floor:
+            return False
         is_newer = old is None or kept.order > old.order
         is_conflict = kept.change.revision <= self.observed_revision and (
             is_newer or (old is not None and old.change.revision == kept.change.revision)
--- a/tests/test_keyspace.py
+++ b/tests/test_keyspace.py
@@ -200,6 +200,19 @@
     assert (dict(copy.values), copy.refused_reasons) == ({"a": 7, "b": 8}, ())
 
 
+def test_deletions_that_were_pruned_are_no_conflict_when_they_come_again():
+    # A copy takes three deletions and keeps the newest two. The network repeats the same page. The
+    # deletions that were pruned look new, at a revision observed already, and operators see a
+    # conflict of two contents where there is one.
+    copy = KeyspaceCopy("config", refuse_invalid, tombstones_kept=2)
+    copy.apply([Change(1, "a", 1)], 1, after_revision=0)
+    page = [Change(2, "a", None), Change(2, "b", None), Change(3, "c", None)]
+    for _ in range(2):
+        copy.apply(page, 3, after_revision=1)
+    assert copy.counters.conflicts == 0
+    assert (copy.observed_revision, dict(copy.values)) == (3, {})
+
+
 def test_one_revision_with_two_contents_is_counted_and_settled_the_same_way(copy):
     other = KeyspaceCopy("config")
     other.apply([Change(3, "a", 1), Change(4, "b", 99)], 4, after_revision=0)
