Say once what was said twice in the relay, and drop what nothing reads

Cause, from reading the whole change again: whether a region's load is fresh was written five times, which headers go on twice, passing a server's whole answer on twice, the look-up of a host's routes twice; ClientAnswer noted a time, and AttemptReport held a refusal, that nobody read; ColdLimiter.forget had no caller. Ruled out: the shapes of the event records, the settings' data and the listeners, which are alike by form alone; max_entry_age_s, which nobody reads, stays, since without it a settings file that lacks the field would be taken. Change: RegionLoad.is_fresh, _going_on, ClientAnswer.pass_on; the rest removed. Behaviour as before, no test touched.

--- a/src/pomelobarrow/decision/cold_start.py
+++ b/src/pomelobarrow/decision/cold_start.py
@@ -49,8 +49,3 @@
         """Spend the allowance on a placement; a warm server has none."""
         if server_name in self._buckets:
             self._buckets[server_name].tokens = 0.0
-
-    def forget(self, names: Iterable[str]) -> None:
-        """Drop servers that are warm or gone."""
-        for name in names:
-            self._buckets.pop(name, None)
--- a/src/pomelobarrow/decision/region_choice.py
+++ b/src/pomelobarrow/decision/region_choice.py
@@ -45,6 +45,10 @@
     # When the region was heard again after a loss.
     returned_unix_s: float = float("-inf")
 
+    def is_fresh(self, now_unix_s: float) -> bool:
+        """Say whether it still describes the region."""
+        return now_unix_s - self.measured_unix_s <= LOAD_GOOD_FOR_S
+
 
 @frozen(kw_only=True)
 class RegionChoice:
@@ -136,8 +140,7 @@
 
 
 def _is_usable(load: RegionLoad, own_region: str, now_unix_s: float) -> bool:
-    is_fresh = now_unix_s - load.measured_unix_s <= LOAD_GOOD_FOR_S
-    return load.servers > 0 and (is_fresh or load.region == own_region)
+    return load.servers > 0 and (load.is_fresh(now_unix_s) or load.region == own_region)
 
 
 def _first_token_s(load: RegionLoad, own_region: str, is_cold: bool = True) -> float:
--- a/src/pomelobarrow/decision/routing.py
+++ b/src/pomelobarrow/decision/routing.py
@@ -114,7 +114,7 @@
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest prefix that begins the path."""
-        routes = self._by_host.get(host.lower(), ())
+        routes = self.routes_of_host(host)
         return next((route for route in routes if path.startswith(route.path_prefix)), None)
 
     def routes_of_host(self, host: str) -> tuple[Route, ...]:
--- a/src/pomelobarrow/peers/region_loads.py
+++ b/src/pomelobarrow/peers/region_loads.py
@@ -2,7 +2,7 @@
 
 from attrs import define, evolve, field
 
-from pomelobarrow.decision.region_choice import LOAD_GOOD_FOR_S, RegionLoad
+from pomelobarrow.decision.region_choice import RegionLoad
 from pomelobarrow.peers.grid import LinkKind
 
 # A region silent for this long counts as lost, so that its return is a slow start.
@@ -47,8 +47,7 @@
 
     def fresh(self, now_unix_s: float) -> list[RegionLoad]:
         """Return the loads worth passing on."""
-        oldest_unix_s = now_unix_s - LOAD_GOOD_FOR_S
-        return [load for load in self._loads.values() if load.measured_unix_s >= oldest_unix_s]
+        return [load for load in self._loads.values() if load.is_fresh(now_unix_s)]
 
     def came(self, load: RegionLoad) -> LinkKind | None:
         """Return what kind of peer told of a load."""
--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -90,7 +90,6 @@
 
 def read_request(headers: Mapping[str, str]) -> Result[RequestHead, str]:
     """Read a client's headers; the error says what is wrong with them."""
-    named = {each.strip().lower() for each in headers.get("Connection", "").split(",")}
     request_id = headers.get(REQUEST_ID, "")
     if not request_id:
         return Err(f"{REQUEST_ID} is missing")
@@ -100,9 +99,7 @@
         return Ok(
             RequestHead(
                 request_id=request_id,
-                headers=tuple(
-                    (name, value) for name, value in headers.items() if _goes_on(name, named)
-                ),
+                headers=_going_on(headers),
                 patience_s=float(time_left_ms) / MS_PER_S if time_left_ms else None,
                 model=headers.get(MODEL),
                 prompt_tokens=int(prompt_tokens),
@@ -132,10 +129,9 @@
 def read_answer(response: ClientResponse) -> ServerAnswerHead:
     """Read the head of a backend server's answer."""
     headers = response.headers
-    named = {each.strip().lower() for each in headers.get("Connection", "").split(",")}
     return ServerAnswerHead(
         status=response.status,
-        headers=tuple((name, value) for name, value in headers.items() if _goes_on(name, named)),
+        headers=_going_on(headers),
         request_id=headers.get(REQUEST_ID, ""),
         is_sealed=SEAL in headers,
         is_not_run=NOT_RUN in headers or response.status == WRONG_SERVER_STATUS,
@@ -172,6 +168,12 @@
     return kept + tuple(replacing)
 
 
+def _going_on(headers: Mapping[str, str]) -> Headers:
+    """Return the headers that concern more than one connection and aren't the system's own."""
+    named = {each.strip().lower() for each in headers.get("Connection", "").split(",")}
+    return tuple((name, value) for name, value in headers.items() if _goes_on(name, named))
+
+
 def _goes_on(name: str, named_by_connection: set[str]) -> bool:
     lower = name.lower()
     is_private = lower in SYSTEM_HEADERS or lower in CONNECTION_HEADERS
--- a/src/pomelobarrow/relay/answer.py
+++ b/src/pomelobarrow/relay/answer.py
@@ -5,15 +5,13 @@
 
 from pomelobarrow.callers.sinks import LateHeadResponse
 from pomelobarrow.dispatch.answers import CallerGoneError
-from pomelobarrow.kernel.clock import now_unix_s
-from pomelobarrow.relay.messages import Headers
+from pomelobarrow.relay.messages import Headers, WholeAnswer
 
 
 class ClientAnswer:
-    """Pass an answer on and note its timing; nothing can be tried elsewhere once it is started."""
+    """Pass an answer on; nothing can be tried elsewhere once it is started."""
 
     def __init__(self, incoming: web.BaseRequest, closes: bool) -> None:
-        self.first_byte_unix_s: float | None = None
         self.status = 0
         self._incoming = incoming
         # Whether the connection ends with this answer.
@@ -31,6 +29,10 @@
         await self._prepare(response)
         await self._checked(response.write_eof())
 
+    async def pass_on(self, answer: WholeAnswer) -> None:
+        """Pass on a backend server's complete answer."""
+        await self.whole(answer.head.status, answer.head.headers, answer.body)
+
     async def open(self, status: int, headers: Headers) -> None:
         """Begin a stream; its head leaves with the first events."""
         await self._prepare(LateHeadResponse(status=status, headers=CIMultiDict(headers)))
@@ -38,7 +40,6 @@
     async def send(self, data: bytes) -> None:
         """Pass on the next bytes of a stream."""
         assert self.response is not None
-        self.first_byte_unix_s = self.first_byte_unix_s or now_unix_s()
         await self._checked(self.response.write(data))
 
     async def finish(self) -> None:
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -4,7 +4,6 @@
 
 from attrs import field, frozen
 
-from pomelobarrow.decision.errors import Refusal
 from pomelobarrow.decision.routing import Route
 from pomelobarrow.decision.work import Work
 
@@ -112,6 +111,4 @@
     end: AttemptEnd
     detail: str = ""
     answer: WholeAnswer | None = None
-    # Set where a peer refused in its own name.
-    refusal: Refusal | None = None
     first_answer_unix_s: float | None = None
--- a/src/pomelobarrow/relay/placement.py
+++ b/src/pomelobarrow/relay/placement.py
@@ -11,7 +11,7 @@
 from pomelobarrow.decision.load_table import LoadTable, ServerState
 from pomelobarrow.decision.membership import Member, MembershipView
 from pomelobarrow.decision.peer_reach import PeerReach
-from pomelobarrow.decision.region_choice import LOAD_GOOD_FOR_S, RegionLoad
+from pomelobarrow.decision.region_choice import RegionLoad
 from pomelobarrow.decision.rendezvous import rendezvous
 from pomelobarrow.decision.routing import Routing
 from pomelobarrow.decision.server_choice import REREAD_WEIGHT, WARM, choose_server
@@ -253,7 +253,7 @@
         load = self.region_loads(work.pool).get(owner.region)
         if load is None:
             return None
-        if now_unix_s - load.measured_unix_s > LOAD_GOOD_FOR_S or not load.servers:
+        if not load.is_fresh(now_unix_s) or not load.servers:
             return None
         prefill_s = self.table.service_times(work.pool).s_per_prefill_token
         own_s = (work.prompt_tokens - shared_tokens) * prefill_s
@@ -315,8 +315,7 @@
             load = loads.get(region)
             if not request.route.may_run_in(region) or (load is not None and not load.servers):
                 continue
-            is_known = load is not None and now_unix_s - load.measured_unix_s <= LOAD_GOOD_FOR_S
-            wait_s = load.expected_wait_s if load is not None and is_known else 0.0
+            wait_s = load.expected_wait_s if load and load.is_fresh(now_unix_s) else 0.0
             round_trip_s = (load.round_trip_s if load else 0.0) or UNKNOWN_ROUND_TRIP_S
             found[region] = wait_s + round_trip_s + cold_s
         return found
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -11,7 +11,6 @@
 from pomelobarrow.callers.problems import problem_body
 from pomelobarrow.decision.costs import prefill_tokens
 from pomelobarrow.decision.errors import Kind, Refusal, Run
-from pomelobarrow.decision.region_choice import LOAD_GOOD_FOR_S
 from pomelobarrow.decision.retry_share import RetryShare
 from pomelobarrow.decision.routing import Routing
 from pomelobarrow.decision.work import Placement
@@ -131,8 +130,7 @@
             # In the middle of a stream an answer of its own would be read as a part of its body.
             if report.end is AttemptEnd.ANSWERED and not course.sink.is_started:
                 assert report.answer is not None
-                head = report.answer.head
-                await course.sink.whole(head.status, head.headers, report.answer.body)
+                await course.sink.pass_on(report.answer)
                 return Step.DONE
             return last_step(course.tries, course.sink.is_started)
 
@@ -261,8 +259,7 @@
             return "broken off"
         if step is Step.PASS_ON:
             assert course.tries.failure is not None
-            head = course.tries.failure.head
-            await course.sink.whole(head.status, head.headers, course.tries.failure.body)
+            await course.sink.pass_on(course.tries.failure)
             return "answered"
         refusal = self._refusal(course, step)
         request_id = course.request.work.request_id
@@ -341,9 +338,7 @@
                 servers_usable=len(table.usable_servers(work.pool, now)),
                 servers_cold=sum(server.cold_until_unix_s > now for server in listed),
                 servers_elsewhere={
-                    region: load.servers
-                    for region, load in loads
-                    if now - load.measured_unix_s <= LOAD_GOOD_FOR_S
+                    region: load.servers for region, load in loads if load.is_fresh(now)
                 },
                 excluded=course.excluded.names(),
                 view_age_s=table.view_age_s,
