Take a restarted server for a new one, and foreign entries for none

Cause: the identity of a server was its id alone, so that one that started again under its id kept its cached prefixes, counts, failures and ejection here. An entry with an unnamed state counted as ready, one that couldn't be read left the older value in force, and an item without key or revision lost its whole page. Ruled out: dropping an unreadable entry like a deletion; a deletion keeps a leased server for two more seconds. Change: identity is (id, start) in the load table, the outlier records, the cold allowance and the news between VMs; what ends late on the earlier incarnation isn't charged to the new one. Unreadable entries read as an unusable one, items without key or revision are passed over with a log line. A server that vanished and came back no longer has its peers' counts taken off twice.

--- a/src/pomelobarrow/decision/cold_start.py
+++ b/src/pomelobarrow/decision/cold_start.py
@@ -35,17 +35,17 @@
         now_unix_s: float,
     ) -> bool:
         """Say whether this VM may send one more request to a cold server now."""
-        senders = rendezvous(f"cold/{server.name}", region_vms, MAX_SENDERS)
+        senders = rendezvous(f"cold/{server.incarnation}", region_vms, MAX_SENDERS)
         if self.own_vm not in senders:
             return False
         rate = RATE_SHARE * rate_per_s / len(senders)
-        bucket = self._buckets.setdefault(server.name, _Bucket(filled_unix_s=now_unix_s))
+        bucket = self._buckets.setdefault(server.incarnation, _Bucket(filled_unix_s=now_unix_s))
         elapsed_s = max(0.0, now_unix_s - bucket.filled_unix_s)
         bucket.tokens = min(1.0, bucket.tokens + elapsed_s * rate)
         bucket.filled_unix_s = now_unix_s
         return bucket.tokens >= 1.0
 
-    def take(self, server_name: str) -> None:
+    def take(self, server: BackendServer) -> None:
         """Spend the allowance on a placement; a warm server has none."""
-        if server_name in self._buckets:
-            self._buckets[server_name].tokens = 0.0
+        if server.incarnation in self._buckets:
+            self._buckets[server.incarnation].tokens = 0.0
--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -58,7 +58,11 @@
 
     def set_servers(self, servers: Iterable[BackendServer]) -> None:
         """Take over the platform's list; servers of other regions are left out."""
-        self._servers = {s.name: s for s in servers if s.region == self.own_region}
+        listed = {s.name: s for s in servers if s.region == self.own_region}
+        for name in listed.keys() & self._servers.keys():
+            if listed[name].born_unix_ms != self._servers[name].born_unix_ms:
+                self._forget_incarnation(name)
+        self._servers = listed
         pools = {server.pool for server in self._servers.values()}
         self._pools = {
             pool: tuple(s for s in self._servers.values() if s.pool == pool) for pool in pools
@@ -264,10 +268,29 @@
         surely_has_slot = state.requests + 2.0 * state.requests_deviation < server.slots
         return load.tokens(now_unix_s) if surely_has_slot else None
 
+    def is_current(self, server: BackendServer) -> bool:
+        """Say whether a server hasn't started again since."""
+        listed = self._servers.get(server.name)
+        return listed is None or listed.born_unix_ms == server.born_unix_ms
+
+    def _forget_incarnation(self, name: str) -> None:
+        """Begin anew with a server that started again under its name.
+
+        Requests, failures and cached prompts of the incarnation before would be held against it,
+        and their late ends taken off its own counts.
+        """
+        self._forget_server(name)
+        self.prefixes.forget(name)
+        gone = [id_ for id_, charge in self._charges.items() if charge.server_name == name]
+        for request_id in gone:
+            del self._charges[request_id]
+
     def _forget_server(self, name: str) -> None:
         self._loads.pop(name, None)
         self._health.pop(name, None)
         self._clocks.pop(name, None)
+        # Kept, these would be taken off the counts of the next server of that name.
+        self._peers = {vm: counts.without(name) for vm, counts in self._peers.items()}
 
     def _times_of(self, server_name: str) -> ServiceTimes:
         server = self._servers.get(server_name)
--- a/src/pomelobarrow/decision/peer_counts.py
+++ b/src/pomelobarrow/decision/peer_counts.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 from pomelobarrow.decision.work import InFlight
 
@@ -28,6 +28,14 @@
             previous_unix_s=self.latest_unix_s,
         )
 
+    def without(self, server: str) -> "PeerCounts":
+        """Return the counts without a server that is gone or started again."""
+        return evolve(
+            self,
+            latest={name: count for name, count in self.latest.items() if name != server},
+            previous={name: count for name, count in self.previous.items() if name != server},
+        )
+
     def near(self, server: str, unix_s: float) -> InFlight:
         """Return the count of the heartbeat that is nearest to a time."""
         is_latest = abs(self.latest_unix_s - unix_s) <= abs(self.previous_unix_s - unix_s)
--- a/src/pomelobarrow/decision/prefix_index.py
+++ b/src/pomelobarrow/decision/prefix_index.py
@@ -43,6 +43,10 @@
         self._popularity.observe(prefix_hashes, self._max_group_share, shared_depth)
         self._store(server, prefix_hashes)
 
+    def forget(self, server: str) -> None:
+        """Drop what a server held; it started again with an empty cache."""
+        self._blocks.pop(server, None)
+
     def holds(self, server: str, block: int) -> bool:
         """Say whether a server is expected to hold a block."""
         blocks = self._blocks.get(server)
--- a/src/pomelobarrow/decision/work.py
+++ b/src/pomelobarrow/decision/work.py
@@ -44,9 +44,17 @@
     checks_fencing: bool = False
     # Until then it bears few requests.
     cold_until_unix_s: float = 0.0
+    # When this incarnation started; 0 where it isn't told. A server that starts again under its
+    # name is another one: its cache is empty, and what was sent to it before is gone.
+    born_unix_ms: int = 0
     # Its lease lapsed without a word that it leaves: gone, or the list's keeper was away.
     is_lapsed: bool = False
 
+    @property
+    def incarnation(self) -> str:
+        """Return the name and the start, the key of what was learned of this one."""
+        return f"{self.name}@{self.born_unix_ms}"
+
 
 @frozen(kw_only=True)
 class LoadReport:
--- a/src/pomelobarrow/peers/server_news.py
+++ b/src/pomelobarrow/peers/server_news.py
@@ -21,7 +21,7 @@
 class SentServers:
     """Hold what one peer was told of servers."""
 
-    in_flight: dict[str, InFlight] = field(factory=dict)
+    in_flight: dict[int, InFlight] = field(factory=dict)
     measured_unix_s: dict[str, float] = field(factory=dict)
 
 
@@ -91,11 +91,12 @@
         return counts
 
     def _write_counts(self, heartbeat: pb.Heartbeat, sent: SentServers) -> None:
-        own = dict(self.table.in_flight())
-        for name in sent.in_flight.keys() | own.keys():
-            count = own.get(name, NOTHING)
-            if sent.in_flight.get(name, NOTHING) != count:
-                heartbeat.server_keys.append(self._key(name))
+        self._names()
+        own = {self._key(name): count for name, count in self.table.in_flight().items()}
+        for key in sent.in_flight.keys() | own.keys():
+            count = own.get(key, NOTHING)
+            if sent.in_flight.get(key, NOTHING) != count:
+                heartbeat.server_keys.append(key)
                 heartbeat.in_flight_requests.append(count.requests)
                 heartbeat.in_flight_tokens.append(count.tokens)
         sent.in_flight = own
@@ -136,7 +137,10 @@
         # of the other would go on without the peers' part.
         key = self._keys.get(name)
         if key is None:
-            key = self._keys[name] = xxhash.xxh32_intdigest(name.encode())
+            server = self.servers().get(name)
+            # News of the incarnation before has another key, and isn't taken for this one's.
+            identity = server.incarnation if server is not None else name
+            key = self._keys[name] = xxhash.xxh32_intdigest(identity.encode())
         return key
 
     def _names(self) -> dict[int, str]:
--- a/src/pomelobarrow/platform/records.py
+++ b/src/pomelobarrow/platform/records.py
@@ -1,5 +1,7 @@
 """Translate what the platform's store holds into the product's keyspaces."""
 
+import ipaddress
+import math
 from collections.abc import Mapping
 from typing import Any
 
@@ -16,15 +18,21 @@
 )
 from pomelobarrow.platform.store import KeyspaceSource
 from pomelobarrow.published.keyspaces import CONFIG, VMS
-from pomelobarrow.published.vms import KEY_PREFIX, ROLE_BACKEND_SERVER, STATE_LEAVING
+from pomelobarrow.published.vms import (
+    KEY_PREFIX,
+    ROLE_BACKEND_SERVER,
+    ROLE_UNUSABLE,
+    STATE_LEAVING,
+)
 
 OPERATOR_PREFIX = "op/"
 CONFIG_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 SERVER_PREFIX = "servers/"
-STATE_DRAINING = "draining"
 STATE_READY = "ready"
+STATE_BY_WORD = {"ready": STATE_READY, "draining": STATE_LEAVING}
 MS_PER_S = 1_000.0
+MAX_PORT = 65_535
 
 KIND_BY_WORD = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -45,7 +53,12 @@
         CONFIG: KeyspaceSource(
             prefix=OPERATOR_PREFIX, key_of=_operator_key, value_of=_operator_value
         ),
-        VMS: KeyspaceSource(prefix=SERVER_PREFIX, key_of=_server_key, value_of=server_value),
+        VMS: KeyspaceSource(
+            prefix=SERVER_PREFIX,
+            key_of=_server_key,
+            value_of=server_value,
+            unreadable={"role": ROLE_UNUSABLE},
+        ),
     }
 
 
@@ -79,28 +92,58 @@
     return cattrs.unstructure(_routing(value))
 
 
-def _server_key(stored_key: str) -> str:
-    return KEY_PREFIX + stored_key.removeprefix(SERVER_PREFIX)
+def _server_key(stored_key: str) -> str | None:
+    server = stored_key.removeprefix(SERVER_PREFIX)
+    return KEY_PREFIX + server if server else None
 
 
 def _server(
     entry: Mapping[str, Any], region_by_failure_domain: Mapping[str, str]
 ) -> dict[str, Any]:
-    leaving = entry["State"] == STATE_DRAINING
+    failure_domain = _text(entry, "Zone")
     return {
         "role": ROLE_BACKEND_SERVER,
-        "region": region_by_failure_domain.get(entry["Zone"], ""),
-        "failure_domain": entry["Zone"],
-        "state": STATE_LEAVING if leaving else STATE_READY,
-        "address": entry["Address"],
-        "pool": entry["Service"],
-        "slots": int(entry["Slots"]),
-        "cold_left_s": float(entry.get("ColdLeftMs") or 0.0) / MS_PER_S,
+        "region": region_by_failure_domain[failure_domain],
+        "failure_domain": failure_domain,
+        "state": STATE_BY_WORD[_text(entry, "State")],
+        "address": _address(entry),
+        "pool": _text(entry, "Service"),
+        "slots": _whole(entry, "Slots", at_least=1),
+        "cold_left_s": _whole(entry, "ColdLeftMs", default=0) / MS_PER_S,
+        # The start of this incarnation; servers that never start again under their id may leave
+        # it out.
+        "born_unix_ms": _whole(entry, "born", default=0),
         # The entry goes when the server falls silent, at times also while the store is away.
         "leased": True,
     }
 
 
+def _text(entry: Mapping[str, Any], name: str) -> str:
+    value = entry[name]
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"{name}: {value!r} is no text")
+    return value
+
+
+def _address(entry: Mapping[str, Any]) -> str:
+    address = _text(entry, "Address")
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"Address: {address!r} has no port")
+    return address
+
+
+def _whole(
+    entry: Mapping[str, Any], name: str, at_least: int = 0, default: int | None = None
+) -> int:
+    value = entry[name] if default is None else entry.get(name, default)
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not math.isfinite(value) or value != int(value) or value < at_least:
+        raise ValueError(f"{name}: {value!r} is no whole number from {at_least}")
+    return int(value)
+
+
 def _routing(config: Mapping[str, Any]) -> Routing:
     return Routing(
         version=int(config["Version"]),
--- a/src/pomelobarrow/platform/store.py
+++ b/src/pomelobarrow/platform/store.py
@@ -1,7 +1,6 @@
 """Read the platform's store: list a prefix, then watch it from a revision."""
 
 import base64
-import binascii
 import random
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
@@ -26,6 +25,9 @@
 # A thousand pages are far more than any keyspace has; past that the listing doesn't end.
 MAX_PAGES = 1_000
 
+# What decoding another writer's bytes and reading fields of any type can raise.
+UNREADABLE = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
+
 log = structlog.get_logger(__name__)
 
 
@@ -36,6 +38,8 @@
     prefix: str
     key_of: Callable[[str], str | None]
     value_of: Callable[[str, Any], Any]
+    # Stands for an item that can't be read; None where the value before it goes on.
+    unreadable: Any | None = None
 
 
 @define(kw_only=True)
@@ -72,8 +76,8 @@
                 changes += [each for item in items if (each := _change(source, item)) is not None]
                 if not page["HasMore"] or not items:
                     break
-                last_key = items[-1]["Key"]
-            except (KeyError, TypeError, ValueError) as error:
+                last_key = _last_key(items)
+            except (*UNREADABLE, StopIteration) as error:
                 return Err(ReadError(failure=ReadFailure.MALFORMED, detail=repr(error)))
         settled = tuple(change for change in changes if change.revision <= head_revision)
         return Ok(Page(changes=settled, head_revision=head_revision))
@@ -96,7 +100,7 @@
             events = answer.ok_value["events"]
             changes = tuple(each for item in events if (each := _change(source, item)) is not None)
             head = int(answer.ok_value["StoreRevision"])
-        except (KeyError, TypeError, ValueError) as error:
+        except UNREADABLE as error:
             return Err(ReadError(failure=ReadFailure.MALFORMED, detail=repr(error)))
         return Ok(Page(changes=changes, head_revision=head))
 
@@ -141,8 +145,23 @@
             return Err(ReadError(failure=ReadFailure.UNREACHABLE, detail=repr(error)))
 
 
-def _change(source: KeyspaceSource, item: Mapping[str, Any]) -> Change | None:
-    stored_key, revision = item["Key"], int(item["Revision"])
+def _last_key(items: Sequence[Any]) -> str:
+    """Return the key that the next page begins after; another writer's item may have none."""
+    return next(item["Key"] for item in reversed(items) if _is_keyed(item))
+
+
+def _is_keyed(item: Any) -> bool:
+    if not isinstance(item, Mapping) or not isinstance(item.get("Key"), str):
+        return False
+    revision = item.get("Revision")
+    return isinstance(revision, int) and not isinstance(revision, bool) and revision > 0
+
+
+def _change(source: KeyspaceSource, item: Any) -> Change | None:
+    if not _is_keyed(item):
+        log.warning("item left out", error="it has no key or no revision", item=repr(item)[:200])
+        return None
+    stored_key, revision = item["Key"], item["Revision"]
     key = source.key_of(stored_key)
     if key is None:
         return None
@@ -151,8 +170,8 @@
     try:
         decoded = orjson.loads(base64.b64decode(item["Value"], validate=True))
         value = source.value_of(stored_key, decoded)
-    except (KeyError, TypeError, ValueError, binascii.Error) as error:
+    except UNREADABLE as error:
         # One unreadable item must not keep all others from being read.
-        log.warning("item left out", key=stored_key, revision=revision, error=repr(error))
-        return None
-    return Change(revision=revision, key=key, value=value)
+        log.warning("item can't be read", key=stored_key, revision=revision, error=repr(error))
+        value = source.unreadable
+    return None if value is None else Change(revision=revision, key=key, value=value)
--- a/src/pomelobarrow/published/vms.py
+++ b/src/pomelobarrow/published/vms.py
@@ -10,10 +10,13 @@
 KEY_PREFIX = "vms/"
 ROLE_ENTRY = "entry"
 ROLE_BACKEND_SERVER = "backend_server"
+# An entry that nobody here can read: it names no VM, and what it replaces doesn't count any more.
+ROLE_UNUSABLE = "unusable"
 STATE_LEAVING = "leaving"
 REQUIRED_FIELDS = {
     ROLE_ENTRY: ("region", "failure_domain", "state", "caller_address", "peer_address"),
     ROLE_BACKEND_SERVER: ("region", "failure_domain", "state", "address", "pool", "slots"),
+    ROLE_UNUSABLE: (),
 }
 DEFAULT_KV_CAPACITY_TOKENS = 1 << 17
 # Servers register again within two seconds of the return of the list's keeper; one that is not
@@ -57,7 +60,7 @@
     entries: Mapping[str, EntryVm] = field(factory=dict, init=False)
     servers: Mapping[str, BackendServer] = field(factory=dict, init=False)
     _values: dict[str, Any] = field(factory=dict, init=False, repr=False)
-    _parsed: dict[str, EntryVm | BackendServer] = field(factory=dict, init=False, repr=False)
+    _parsed: dict[str, EntryVm | BackendServer | None] = field(factory=dict, init=False, repr=False)
     _lapsed: dict[str, _Lapsed] = field(factory=dict, init=False, repr=False)
 
     def update(self, values: Mapping[str, Any], now_unix_s: float) -> None:
@@ -123,8 +126,10 @@
     )
 
 
-def _parse(key: str, value: Mapping[str, Any], now_unix_s: float) -> EntryVm | BackendServer:
+def _parse(key: str, value: Mapping[str, Any], now_unix_s: float) -> EntryVm | BackendServer | None:
     name = key.removeprefix(KEY_PREFIX)
+    if value["role"] == ROLE_UNUSABLE:
+        return None
     if value["role"] == ROLE_ENTRY:
         return _entry_vm(name, value)
     return _backend_server(name, value, now_unix_s)
@@ -143,4 +148,5 @@
         leaving=value["state"] == STATE_LEAVING,
         checks_fencing=bool(value.get("checks_fencing", False)),
         cold_until_unix_s=now_unix_s + cold_left_s if cold_left_s else 0.0,
+        born_unix_ms=int(value.get("born_unix_ms", 0)),
     )
--- a/src/pomelobarrow/relay/judging.py
+++ b/src/pomelobarrow/relay/judging.py
@@ -42,7 +42,8 @@
         sent_unix_s: float,
     ) -> None:
         """Take in how an attempt ended; a refusal says nothing against a server."""
-        if report.end is AttemptEnd.REFUSED:
+        # The incarnation that it was sent to is gone; its successor has done nothing wrong.
+        if report.end is AttemptEnd.REFUSED or not self.table.is_current(server):
             return
         now = now_unix_s()
         if report.end in (AttemptEnd.PASSED_ON, AttemptEnd.ANSWERED):
@@ -50,25 +51,27 @@
         else:
             self.table.mark_failed(server.name, now)
         slowness = _slowness(report, expected_s, sent_unix_s)
-        self.outliers.observe(server.name, _has_failed(report), slowness)
+        self.outliers.observe(server.incarnation, _has_failed(report), slowness)
         self._eject_outlier(server, report.detail, now)
 
     def _note_answer(self, server: BackendServer, now_unix_s: float) -> None:
         self.table.mark_ok(server.name, now_unix_s)
         # What was under way when the server was left out may still be answered.
-        if server.name in self._ejected and not self.table.is_ejected(server.name, now_unix_s):
-            self._ejected.discard(server.name)
+        if server.incarnation in self._ejected and not self.table.is_ejected(
+            server.name, now_unix_s
+        ):
+            self._ejected.discard(server.incarnation)
             self.observe(ServerBack(server=server.name, pool=server.pool))
 
     def _eject_outlier(self, server: BackendServer, detail: str, now_unix_s: float) -> None:
-        names = (each.name for each in self.table.pool_servers(server.pool))
-        verdict = self.outliers.verdict(server.name, names)
+        names = (each.incarnation for each in self.table.pool_servers(server.pool))
+        verdict = self.outliers.verdict(server.incarnation, names)
         if verdict:
-            self.outliers.forget(server.name)
+            self.outliers.forget(server.incarnation)
             self.table.eject(server.name, now_unix_s)
-        is_news = server.name not in self._ejected
+        is_news = server.incarnation not in self._ejected
         if is_news and self.table.is_ejected(server.name, now_unix_s):
-            self._ejected.add(server.name)
+            self._ejected.add(server.incarnation)
             self.observe(
                 ServerEjected(server=server.name, pool=server.pool, detail=verdict or detail)
             )
--- a/src/pomelobarrow/relay/placement.py
+++ b/src/pomelobarrow/relay/placement.py
@@ -222,7 +222,7 @@
     def note_placed(self, server: BackendServer, now_unix_s: float) -> None:
         """Count a placement against a cold server's allowance."""
         if server.cold_until_unix_s > now_unix_s:
-            self.cold.take(server.name)
+            self.cold.take(server)
 
     def _choose_owner(
         self,
--- /dev/null
+++ b/tests/test_foreign_entries.py
@@ -0,0 +1,200 @@
+"""Entries that another writer put into the store name no server; all others hold."""
+
+import base64
+import json
+from typing import Any
+
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+from attrs import define, field
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Ok
+
+from pomelobarrow.decision.keyspace import Change
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.platform.records import platform_sources
+from pomelobarrow.platform.store import Store, _change
+from pomelobarrow.published.keyspaces import CONFIG, VMS
+from pomelobarrow.published.vms import VmList, check_vms
+
+SOURCES = platform_sources({"hall-a": "tallinn"})
+ENTRY: dict[str, Any] = {
+    "Service": "p1",
+    "Address": "10.128.0.9:8080",
+    "Zone": "hall-a",
+    "Version": "v1",
+    "Slots": 96,
+    "State": "ready",
+    "ColdLeftMs": 0,
+    "Sequence": 4,
+    "born": 1_700_000_000_000,
+}
+UNUSABLE = {"role": "unusable"}
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
+    max_leaves=8,
+)
+
+
+def coded(value: Any) -> str:
+    return base64.b64encode(json.dumps(value).encode()).decode()
+
+
+def item(key: str, value: Any, revision: int = 5) -> dict[str, Any]:
+    return {"Key": key, "Revision": revision, "Value": coded(value)}
+
+
+def read(entry: Any) -> Any:
+    change = _change(SOURCES[VMS], item("servers/i-1", entry))
+    assert change is not None
+    return change.value
+
+
+def is_server(value: Any) -> bool:
+    listed = VmList()
+    assert check_vms({"vms/i-1": value}, frozenset({"vms/i-1"}), 1) == ()
+    listed.update({"vms/i-1": value}, 1.0)
+    return bool(listed.servers)
+
+
+def test_good_entry_names_a_server_with_its_start() -> None:
+    value = read(ENTRY)
+    assert is_server(value)
+    assert value["born_unix_ms"] == 1_700_000_000_000
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("State", "paused"),
+        ("State", 7),
+        ("Zone", "hall-unknown"),
+        ("Zone", ["hall-a"]),
+        ("Address", "10.128.0.9"),
+        ("Address", "10.128.0.9:port"),
+        ("Address", 8080),
+        ("Slots", "many"),
+        ("Slots", 0),
+        ("Slots", True),
+        ("Slots", 1.5),
+        ("Service", None),
+        ("ColdLeftMs", "soon"),
+        ("ColdLeftMs", -1),
+        ("born", "yesterday"),
+        ("born", 1.5),
+    ],
+)
+def test_field_of_another_kind_names_no_server(name: str, value: Any) -> None:
+    assert read({**ENTRY, name: value}) == UNUSABLE
+
+
+@pytest.mark.parametrize("name", ["Service", "Address", "Zone", "Slots", "State"])
+def test_missing_field_names_no_server(name: str) -> None:
+    assert read({key: value for key, value in ENTRY.items() if key != name}) == UNUSABLE
+
+
+@given(JSON)
+def test_any_json_is_read_without_a_crash(entry: Any) -> None:
+    assert not is_server(read(entry))
+
+
+@given(st.dictionaries(st.sampled_from(sorted(ENTRY)), JSON))
+def test_any_foreign_fields_are_read_without_a_crash(changed: dict[str, Any]) -> None:
+    value = read({**ENTRY, **changed})
+    assert value == UNUSABLE or is_server(value)
+
+
+@given(st.binary())
+def test_any_bytes_are_read_without_a_crash(data: bytes) -> None:
+    text = base64.b64encode(data).decode()
+    change = _change(SOURCES[VMS], {"Key": "servers/i-1", "Revision": 5, "Value": text})
+    assert change is not None
+    assert not is_server(change.value)
+
+
+@given(st.text() | JSON)
+def test_any_value_is_read_without_a_crash(value: Any) -> None:
+    change = _change(SOURCES[VMS], {"Key": "servers/i-1", "Revision": 5, "Value": value})
+    assert change is not None
+    assert change.value == UNUSABLE
+
+
+@given(JSON | st.fixed_dictionaries({"Key": JSON, "Revision": JSON, "Value": JSON}))
+def test_any_item_is_read_without_a_crash(foreign: Any) -> None:
+    change = _change(SOURCES[VMS], foreign)
+    assert change is None or change.value in (None, UNUSABLE)
+
+
+@given(JSON)
+def test_bad_configuration_leaves_the_last_one(value: Any) -> None:
+    """A change that isn't passed on leaves what was in force before it."""
+    assert _change(SOURCES[CONFIG], item("op/config", value)) is None
+
+
+@define(slots=False)
+class ForeignStore:
+    """Answer with raw items, one page after another."""
+
+    pages: list[list[Any]] = field(factory=list)
+    asked_after: list[str] = field(factory=list)
+
+    async def list_items(self, request: web.Request) -> web.Response:
+        self.asked_after.append(request.query.get("after", ""))
+        number = len(self.asked_after) - 1
+        has_more = number + 1 < len(self.pages)
+        body = {"items": self.pages[number], "HasMore": has_more, "StoreRevision": 9}
+        return web.json_response(body)
+
+    async def watch(self, request: web.Request) -> web.Response:
+        return web.json_response({"events": self.pages[0], "StoreRevision": 9})
+
+
+async def client(store: ForeignStore) -> tuple[Store, TestServer]:
+    app = web.Application()
+    app.router.add_get("/kv-range", store.list_items)
+    app.router.add_get("/kv-watch", store.watch)
+    server = TestServer(app)
+    await server.start_server()
+    address = f"http://{server.host}:{server.port}"
+    return Store(addresses=(address,), sources=SOURCES), server
+
+
+FOREIGN = [
+    {"Value": "no key"},
+    "no item",
+    {"Key": "servers/i-3", "Revision": "four"},
+    {"Key": 5},
+]
+
+
+async def test_listing_goes_on_over_items_without_key_or_revision() -> None:
+    """The store lists a good entry, four items of another writer and a further page.
+
+    Were the page given up for one item, no server at all would be known.
+    """
+    foreign = ForeignStore(
+        pages=[[item("servers/i-1", ENTRY), *FOREIGN], [item("servers/i-9", ENTRY)]]
+    )
+    store, server = await client(foreign)
+    page = await store.read_all(VMS)
+    await store.close()
+    await server.close()
+    assert isinstance(page, Ok)
+    assert [change.key for change in page.ok_value.changes] == ["vms/i-1", "vms/i-9"]
+    assert foreign.asked_after == ["", "servers/i-1"]
+
+
+async def test_watch_goes_on_over_items_that_cannot_be_read() -> None:
+    bad = {"Key": "servers/i-1", "Revision": 6, "Value": "%%%"}
+    foreign = ForeignStore(pages=[[*FOREIGN, bad, item("servers/i-2", ENTRY, revision=7)]])
+    store, server = await client(foreign)
+    page = await store.read_changes(VMS, 5, now_unix_s() + 1.0)
+    await store.close()
+    await server.close()
+    assert isinstance(page, Ok)
+    first, second = page.ok_value.changes
+    assert first == Change(revision=6, key="vms/i-1", value=UNUSABLE)
+    assert (second.key, second.value["role"]) == ("vms/i-2", "backend_server")
