--- a/src/pomelobarrow/decision/region_choice.py
+++ b/src/pomelobarrow/decision/region_choice.py
@@ -44,6 +44,10 @@
     cold_prefill_s: float = 0.0
     # When the region was heard again after a loss.
     returned_unix_s: float = float("-inf")
+    # Of the server whose streams one more long prompt disturbs least: its requests in flight, and
+    # the prefill before a new one.
+    quiet_streams: int = 0
+    quiet_backlog_s: float = 0.0
 
     def is_fresh(self, now_unix_s: float) -> bool:
         """Say whether it still describes the region."""
--- a/src/pomelobarrow/decision/server_choice.py
+++ b/src/pomelobarrow/decision/server_choice.py
@@ -9,6 +9,7 @@
 from pomelobarrow.decision.load_table import LoadTable, ServerState
 from pomelobarrow.decision.service_times import ServiceTimes
 from pomelobarrow.decision.stale_view import choose_index, filled, shrunk
+from pomelobarrow.decision.stream_pauses import PauseTarget, pause_cost_s
 from pomelobarrow.decision.work import BackendServer, Placement, Work
 
 # Paying work may wait a little at the engine, which runs it before all trial work; trial work
@@ -26,6 +27,8 @@
 # one holds. So its reading counts this many times more than the time that it takes. Measured on
 # deployments of 16 and 7 engines: a fifth fewer tokens read again; 0.04 and no worth gained.
 REREAD_WEIGHT = 2.0
+# What a long prompt takes to read, for comparing servers before the prompt is known.
+LONG_READING_S = 0.1
 WARM = "prompt cache"
 LEAST_WAIT = "least expected wait"
 
@@ -84,6 +87,31 @@
     return min(_waits_s(states, table.service_times(pool), table.view_age_s))
 
 
+@frozen(kw_only=True)
+class QuietServer:
+    """Hold what a long prompt meets at the server whose streams it disturbs least."""
+
+    streams: int = 0
+    backlog_s: float = 0.0
+
+
+def quietest_server(table: LoadTable, pool: str, now_unix_s: float) -> QuietServer:
+    """Return the pool's server where a long prompt makes the fewest streams late."""
+    states = table.usable(pool, now_unix_s)
+    s_per_token = table.service_times(pool).s_per_prefill_token
+    servers = [
+        QuietServer(
+            streams=state.requests, backlog_s=(state.own_tokens + state.others_tokens) * s_per_token
+        )
+        for state in states
+    ]
+    return min(servers, key=_disturbance, default=QuietServer())
+
+
+def _disturbance(server: QuietServer) -> float:
+    return (server.streams + 1) * (server.backlog_s + LONG_READING_S)
+
+
 def _is_in_the_way(state: ServerState, rank: Rank) -> bool:
     """Say whether trial work would stand before paying work in an engine's prefill.
 
@@ -117,7 +145,9 @@
     waits_s = _waits_s(states, times, table.view_age_s)
     # What peers place comes to the servers with room, also what replaces work on the full ones.
     unseen_s = table.unseen_s(compared, work.pool)
-    emptiest = choose_index(waits_s, unseen_s, random)
+    pauses_s = _pause_costs_s(work, states, warm, times)
+    costs_s = [wait + pause for wait, pause in zip(waits_s, pauses_s, strict=True)]
+    emptiest = choose_index(costs_s, unseen_s, random)
     expected_waits_s = filled(waits_s, unseen_s)
 
     def reading_s(place: int) -> float:
@@ -128,7 +158,7 @@
         return expected_waits_s[place] + reading_s(place)
 
     def cost_s(place: int) -> float:
-        return first_token_s(place) + REREAD_WEIGHT * reading_s(place)
+        return first_token_s(place) + REREAD_WEIGHT * reading_s(place) + pauses_s[place]
 
     # Servers that are no warmer aren't compared: every VM would take the same least waiting one.
     least = warm.tokens(states[emptiest])
@@ -139,11 +169,31 @@
     return Placement(
         server=server,
         expected_wait_s=first_token_s(chosen),
+        cost_s=cost_s(chosen),
+        pause_cost_s=pauses_s[chosen],
         cached_tokens=min(cached_tokens, work.prompt_tokens),
         reason=WARM if warm.tokens(states[chosen]) else LEAST_WAIT,
     )
 
 
+def _pause_costs_s(
+    work: Work, states: Sequence[ServerState], warm: _Warm, times: ServiceTimes
+) -> list[float]:
+    """Return what reading the prompt costs each server's streams."""
+    target_s = work.first_token_due_unix_s - work.accepted_unix_s
+    target = PauseTarget(gap_s=work.gap_target_s, first_answer_s=target_s)
+    s_per_token = times.s_per_prefill_token
+    return [
+        pause_cost_s(
+            target,
+            state.requests,
+            (state.own_tokens + state.others_tokens) * s_per_token,
+            max(0.0, work.prompt_tokens - warm.tokens(state)) * s_per_token,
+        )
+        for state in states
+    ]
+
+
 def _waits_s(states: Sequence[ServerState], times: ServiceTimes, age_s: float) -> list[float]:
     """Return the seconds until each server turns to one more request."""
     mean_tokens = sum(s.own_tokens + s.others_tokens for s in states) / len(states)
--- a/src/pomelobarrow/decision/work.py
+++ b/src/pomelobarrow/decision/work.py
@@ -27,6 +27,8 @@
     accepted_unix_s: float
     first_token_due_unix_s: float
     deadline_unix_s: float
+    # The longest pause between two events of a stream that is on time; 0 where none is stated.
+    gap_target_s: float = 0.0
 
 
 @frozen(kw_only=True)
@@ -83,5 +85,9 @@
 
     server: BackendServer
     expected_wait_s: float
+    # The expected wait, and what reading the prompt there costs all others, in seconds.
+    cost_s: float = 0.0
+    # The part of that cost that its reading puts on running streams.
+    pause_cost_s: float = 0.0
     cached_tokens: int = 0
     reason: str = field(default="")
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -64,6 +64,9 @@
     patience: Patience | None = None
     state: Attempt = field(factory=Attempt)
     first_answer_unix_s: float | None = None
+    # The longest time between two events, for logs.
+    longest_pause_s: float = 0.0
+    _last_events_unix_s: float | None = field(default=None, init=False)
     _giving_up: asyncio.Timeout | None = field(default=None, init=False)
     _alarm: asyncio.TimerHandle | None = field(default=None, init=False)
 
@@ -156,6 +159,7 @@
             if not events:
                 continue
             self._note_first_answer(head)
+            self._note_pause()
             # A resumed stream keeps the head that the client already has.
             if not self.sink.is_started:
                 await self.sink.open(head.status, head.headers)
@@ -175,6 +179,12 @@
             self.state.apply(AttemptEvent.FIRST_BYTE)
             self.on_first_answer(head)
 
+    def _note_pause(self) -> None:
+        now = now_unix_s()
+        if self._last_events_unix_s is not None:
+            self.longest_pause_s = max(self.longest_pause_s, now - self._last_events_unix_s)
+        self._last_events_unix_s = now
+
     def _lost(self, detail: str) -> AttemptReport:
         self.state.apply(AttemptEvent.LOSE)
         is_unsent = self.state.state is AttemptState.NOT_SENT
@@ -184,5 +194,9 @@
         self, end: AttemptEnd, detail: str = "", answer: WholeAnswer | None = None
     ) -> AttemptReport:
         return AttemptReport(
-            end=end, detail=detail, answer=answer, first_answer_unix_s=self.first_answer_unix_s
+            end=end,
+            detail=detail,
+            answer=answer,
+            first_answer_unix_s=self.first_answer_unix_s,
+            longest_pause_s=self.longest_pause_s,
         )
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -65,6 +65,8 @@
     status: int
     detail: str
     took_s: float
+    first_answer_s: float | None
+    longest_pause_s: float
 
 
 @frozen(kw_only=True)
--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -127,6 +127,7 @@
             accepted_unix_s=accepted_unix_s,
             first_token_due_unix_s=accepted_unix_s + route.first_answer_target_s,
             deadline_unix_s=accepted_unix_s + patience_s,
+            gap_target_s=route.gap_target_s if route.is_stream else 0.0,
         )
 
     async def _refuse(self, incoming: web.BaseRequest, refusal: Refusal) -> web.StreamResponse:
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -112,3 +112,5 @@
     detail: str = ""
     answer: WholeAnswer | None = None
     first_answer_unix_s: float | None = None
+    # The longest time between two events of a stream; 0 where there was no second one.
+    longest_pause_s: float = 0.0
--- a/src/pomelobarrow/relay/placement.py
+++ b/src/pomelobarrow/relay/placement.py
@@ -12,9 +12,11 @@
 from pomelobarrow.decision.membership import Member, MembershipView
 from pomelobarrow.decision.peer_reach import PeerReach
 from pomelobarrow.decision.region_choice import RegionLoad
+from pomelobarrow.decision.region_cost import Reading, RegionCost, region_cost
 from pomelobarrow.decision.rendezvous import rendezvous
 from pomelobarrow.decision.routing import Routing
-from pomelobarrow.decision.server_choice import REREAD_WEIGHT, WARM, choose_server
+from pomelobarrow.decision.server_choice import choose_server
+from pomelobarrow.decision.stream_pauses import PauseTarget
 from pomelobarrow.decision.work import BackendServer, Placement
 from pomelobarrow.relay.messages import RelayRequest
 
@@ -24,8 +26,9 @@
 # A region is left while its servers need longer than this part of the target; below it, the trip
 # and the cold prompt elsewhere cost more than the wait here.
 LEAVE_AT_TARGET_SHARE = 0.35
-# Where another region's round trip isn't known yet, the slowest that is usual between regions.
-UNKNOWN_ROUND_TRIP_S = 0.15
+# Regions whose costs differ by less are taken as equal: news of them is a second old, and all VMs
+# would send to the one that looked best then.
+ALIKE_AT_S = 0.3
 # A near server is taken while it is expected to begin within this part of the target.
 NEAR_AT_TARGET_SHARE = 0.1
 # Past this part of the target a long prompt isn't started at all.
@@ -255,18 +258,33 @@
             return None
         if not load.is_fresh(now_unix_s) or not load.servers:
             return None
-        prefill_s = self.table.service_times(work.pool).s_per_prefill_token
-        own_s = (work.prompt_tokens - shared_tokens) * prefill_s
-        expected_s = load.expected_wait_s + (load.round_trip_s or UNKNOWN_ROUND_TRIP_S) + own_s
+        reading = self._reading(request, work.prompt_tokens - shared_tokens)
+        cost = region_cost(load, reading, now_unix_s)
         member = self._choose_member(owner.region, excluded, owner.failure_domain)
-        is_early = expected_s < OWNER_AT_TARGET_SHARE * request.route.first_answer_target_s
-        if member is None or not is_early:
+        bound_s = OWNER_AT_TARGET_SHARE * request.route.first_answer_target_s
+        if member is None or cost.first_answer_s >= bound_s:
             return None
-        return OnPeer(member=member, reason=WARM_ELSEWHERE, expected_first_answer_s=expected_s)
+        if here is not None and cost.cost_s >= here.cost_s:
+            return None
+        return OnPeer(
+            member=member,
+            reason=WARM_ELSEWHERE,
+            expected_first_answer_s=cost.first_answer_s,
+        )
+
+    def _reading(self, request: RelayRequest, tokens: int) -> Reading:
+        work = request.work
+        s_per_token = self.table.service_times(work.pool).s_per_prefill_token
+        return Reading(
+            prompt_s=tokens * s_per_token,
+            target=PauseTarget(
+                gap_s=work.gap_target_s, first_answer_s=request.route.first_answer_target_s
+            ),
+        )
 
     def _is_late(self, request: RelayRequest, here: Placement) -> bool:
         bound_s = LEAVE_AT_TARGET_SHARE * request.route.first_answer_target_s
-        return here.expected_wait_s > bound_s
+        return here.expected_wait_s + here.pause_cost_s > bound_s
 
     def _choose_elsewhere(
         self,
@@ -275,13 +293,12 @@
         excluded: Excluded,
         now_unix_s: float,
     ) -> OnPeer | None:
-        expected_s = self._expected_elsewhere(request, excluded, now_unix_s)
+        costs = self._costs_elsewhere(request, excluded, now_unix_s)
         if here is not None:
-            bound_s = here.expected_wait_s - self._reread_s(request, here)
-            expected_s = {r: s for r, s in expected_s.items() if s < bound_s}
-        if not expected_s:
+            costs = {r: cost for r, cost in costs.items() if cost.cost_s < here.cost_s}
+        if not costs:
             return None
-        region = self._choose_region(request, expected_s)
+        region = self._choose_region(request, costs)
         member = self._choose_member(region, excluded)
         if member is None:
             return None
@@ -290,46 +307,39 @@
         return OnPeer(
             member=member,
             reason=HOME_ELSEWHERE if is_bound else late_or_none,
-            expected_first_answer_s=expected_s[region],
+            expected_first_answer_s=costs[region].first_answer_s,
         )
 
-    def _reread_s(self, request: RelayRequest, here: Placement) -> float:
-        """Return what reading a prompt elsewhere that is warm here costs others, in seconds."""
-        if here.reason != WARM:
-            return 0.0
-        prefill_s = self.table.service_times(request.work.pool).s_per_prefill_token
-        return REREAD_WEIGHT * request.work.shared_tokens * prefill_s
-
-    def _expected_elsewhere(
+    def _costs_elsewhere(
         self, request: RelayRequest, excluded: Excluded, now_unix_s: float
-    ) -> dict[str, float]:
-        """Return the seconds to the first answer by region, for the regions that may serve it."""
+    ) -> dict[str, RegionCost]:
+        """Return what the request costs in each other region that may serve it."""
         loads = self.region_loads(request.work.pool)
         members = (m for m in self.members.usable if m.vm not in excluded.peers)
         regions = {member.region for member in members}
         regions -= {self.own_region, *excluded.regions}
-        prefill_s = self.table.service_times(request.work.pool).s_per_prefill_token
-        cold_s = request.work.prompt_tokens * prefill_s
-        found: dict[str, float] = {}
+        reading = self._reading(request, request.work.prompt_tokens)
+        found: dict[str, RegionCost] = {}
         for region in regions:
             load = loads.get(region)
-            if not request.route.may_run_in(region) or (load is not None and not load.servers):
-                continue
-            wait_s = load.expected_wait_s if load and load.is_fresh(now_unix_s) else 0.0
-            round_trip_s = (load.round_trip_s if load else 0.0) or UNKNOWN_ROUND_TRIP_S
-            found[region] = wait_s + round_trip_s + cold_s
+            if request.route.may_run_in(region) and (load is None or load.servers):
+                found[region] = region_cost(load, reading, now_unix_s)
         return found
 
-    def _choose_region(self, request: RelayRequest, expected_s: Mapping[str, float]) -> str:
+    def _choose_region(self, request: RelayRequest, costs: Mapping[str, RegionCost]) -> str:
         """Spread over the regions by how early each is; long prompts keep to one."""
         target_s = request.route.first_answer_target_s
-        in_time = [region for region, wait_s in expected_s.items() if wait_s < target_s]
+        least_s = min(cost.cost_s for cost in costs.values())
+        in_time = {
+            region: target_s - cost.first_answer_s
+            for region, cost in costs.items()
+            if cost.first_answer_s < target_s and cost.cost_s <= least_s + ALIKE_AT_S
+        }
         if not in_time:
-            return min(expected_s, key=lambda region: expected_s[region])
+            return min(costs, key=lambda region: costs[region].first_answer_s)
         if request.work.prompt_tokens >= LONG_PROMPT_TOKENS and request.head.prompt_parts:
-            return rendezvous(request.head.prompt_parts[0].id, in_time, 1)[0]
-        weights = [target_s - expected_s[region] for region in in_time]
-        return self.rng.choices(in_time, weights)[0]
+            return rendezvous(request.head.prompt_parts[0].id, list(in_time), 1)[0]
+        return self.rng.choices(list(in_time), list(in_time.values()))[0]
 
     def _choose_member(
         self, region: str, excluded: Excluded, failure_domain: str = ""
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -360,6 +360,8 @@
                 status=report.answer.head.status if report.answer else 0,
                 detail=report.detail,
                 took_s=now_unix_s() - started_unix_s,
+                first_answer_s=_since(started_unix_s, report.first_answer_unix_s),
+                longest_pause_s=report.longest_pause_s,
             )
         )
 
@@ -376,6 +378,10 @@
                 attempts=course.tries.attempts,
                 forwarded_by=course.request.forwarded_by,
                 took_s=now_unix_s() - work.accepted_unix_s,
-                first_answer_s=first_unix_s - work.accepted_unix_s if first_unix_s else None,
+                first_answer_s=_since(work.accepted_unix_s, first_unix_s),
             )
         )
+
+
+def _since(start_unix_s: float, unix_s: float | None) -> float | None:
+    return None if unix_s is None else unix_s - start_unix_s
