Refuse streams that would be late at once, with a Retry-After in a line

Refused long prompts were told to come back after 0.15 to 0.23 s and were refused again. Change: decision/turning_away.py says, for streams of any length, whether the first answer expected is worth taking, and when a refused caller comes back (the line that the product's own interface books, cut to what a caller heeds). One that has come back is taken while its patience lasts.

--- a/src/pomelobarrow/decision/routing.py
+++ b/src/pomelobarrow/decision/routing.py
@@ -44,6 +44,8 @@
     first_answer_target_s: float
     # The longest pause between two events of a stream that is on time; 0 where none is stated.
     gap_target_s: float = 0.0
+    # A caller leaves a stream that is silent for this long.
+    silence_patience_s: float = float("inf")
     # Empty where any region may serve it.
     home_regions: tuple[str, ...] = ()
 
--- /dev/null
+++ b/src/pomelobarrow/decision/turning_away.py
@@ -0,0 +1,61 @@
+"""Decide whether work that would be late is still taken, and when a refused caller comes back.
+
+Load pattern: more streams come than the servers left after a crash or an evacuation can begin.
+Engines queue whatever comes, so that soon every first answer is seconds late, callers leave, and
+what the engines read for them was in vain. Refused at once instead, the excess leaves those that
+are taken on time; it comes back once the servers have worked off what they hold.
+"""
+
+from random import Random
+
+from attrs import frozen
+
+from pomelobarrow.decision.retry_line import RetryLine
+
+# The estimate of the first answer is off by this factor in one case of four; what might be on time
+# is taken.
+STILL_ON_TIME_FACTOR = 1.25
+# Of the time after which a caller leaves a silent stream, the part that an expected wait may take.
+PATIENCE_SHARE = 0.75
+# A caller heeds a time to come back up to a third of what it has left.
+RETRY_AFTER_SHARE = 0.3
+# Where the wait is cut to that share, all would come back together; they are spread over this part.
+SPREAD_SHARE = 0.5
+# A caller comes back after this long at least, so that what was refused isn't all back at once.
+MIN_RETRY_AFTER_S = 0.15
+
+
+@frozen(kw_only=True)
+class Promise:
+    """Hold what a stream's caller was promised, and what it bears."""
+
+    first_answer_due_unix_s: float
+    # The caller leaves a stream that is silent for this long.
+    silence_patience_s: float
+    # It was refused or cut off before, so that it is late already, and won't come a third time.
+    has_come_back: bool
+
+
+def is_worth_taking(promise: Promise, expected_s: float, now_unix_s: float) -> bool:
+    """Say whether a stream whose first answer is expected so late is better taken than refused."""
+    if promise.has_come_back:
+        return expected_s <= PATIENCE_SHARE * promise.silence_patience_s
+    due_s = promise.first_answer_due_unix_s - now_unix_s
+    return expected_s <= STILL_ON_TIME_FACTOR * due_s
+
+
+def retry_at_unix_s(
+    line: RetryLine,
+    expected_wait_s: float,
+    taken_per_s: float,
+    deadline_unix_s: float,
+    now_unix_s: float,
+    random: Random,
+) -> float:
+    """Return when a refused caller comes back: in turn, and while it still heeds it."""
+    latest_s = RETRY_AFTER_SHARE * max(0.0, deadline_unix_s - now_unix_s)
+    expected_wait_s = min(expected_wait_s, latest_s)
+    pause_s = line.book(expected_wait_s, taken_per_s, now_unix_s, random) - now_unix_s
+    if pause_s > latest_s:
+        pause_s = latest_s * random.uniform(1.0 - SPREAD_SHARE, 1.0)
+    return now_unix_s + max(MIN_RETRY_AFTER_S, pause_s)
--- a/src/pomelobarrow/platform/records.py
+++ b/src/pomelobarrow/platform/records.py
@@ -155,6 +155,8 @@
 
 def _route(route: Mapping[str, Any]) -> Route:
     timeout_s = float(route["TimeoutMs"]) / MS_PER_S
+    first_answer_target_s = float(route.get("GoalMs") or route["TimeoutMs"]) / MS_PER_S
+    gap_target_s = float(route.get("GapGoalMs") or 0.0) / MS_PER_S
     return Route(
         name=str(route["Name"]),
         host=str(route["Host"]),
@@ -166,12 +168,18 @@
         urgency=int(route.get("Priority") or 0),
         is_resumable=bool(route.get("Resumable")),
         timeout_s=timeout_s,
-        first_answer_target_s=float(route.get("GoalMs") or route["TimeoutMs"]) / MS_PER_S,
-        gap_target_s=float(route.get("GapGoalMs") or 0.0) / MS_PER_S,
+        first_answer_target_s=first_answer_target_s,
+        gap_target_s=gap_target_s,
+        silence_patience_s=_silence_patience_s(first_answer_target_s, gap_target_s),
         home_regions=tuple(route.get("HomeRegions") or ()),
     )
 
 
+def _silence_patience_s(first_answer_target_s: float, gap_target_s: float) -> float:
+    """Return after what silence clients leave a stream, as the platform's pages say."""
+    return max(2.0, 4.0 * first_answer_target_s, 8.0 * gap_target_s)
+
+
 def _shares(route: Mapping[str, Any]) -> tuple[PoolShare, ...]:
     split = route.get("Split")
     if not split:
--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -12,6 +12,7 @@
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.errors import Kind, Refusal, Run
 from pomelobarrow.decision.routing import Route, Routing
+from pomelobarrow.decision.turning_away import MIN_RETRY_AFTER_S
 from pomelobarrow.decision.work import Work
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.dispatch.refusals import refuse
@@ -21,7 +22,7 @@
 from pomelobarrow.relay.messages import RelayRequest, RequestHead
 from pomelobarrow.relay.planned_stop import PlannedStop
 from pomelobarrow.relay.prompts import shared_blocks
-from pomelobarrow.relay.relay import MIN_RETRY_AFTER_S, Relay
+from pomelobarrow.relay.relay import Relay
 from pomelobarrow.relay.wire import RelayWire
 
 REMEDY_REQUEST = "send the request as the interface describes it"
--- a/src/pomelobarrow/relay/placement.py
+++ b/src/pomelobarrow/relay/placement.py
@@ -17,6 +17,7 @@
 from pomelobarrow.decision.routing import Routing
 from pomelobarrow.decision.server_choice import choose_server
 from pomelobarrow.decision.stream_pauses import PauseTarget
+from pomelobarrow.decision.turning_away import Promise, is_worth_taking
 from pomelobarrow.decision.work import BackendServer, Placement
 from pomelobarrow.relay.messages import RelayRequest
 
@@ -29,10 +30,11 @@
 # Regions whose costs differ by less are taken as equal: news of them is a second old, and all VMs
 # would send to the one that looked best then.
 ALIKE_AT_S = 0.3
+# A caller that comes for the first time still has its route's whole time; one with less than this
+# part of it has been turned away before.
+FIRST_COME_SHARE = 0.97
 # A near server is taken while it is expected to begin within this part of the target.
 NEAR_AT_TARGET_SHARE = 0.1
-# Past this part of the target a long prompt isn't started at all.
-BEHIND_AT_TARGET_SHARE = 1.0
 # Longer prompts go where the same group went before, so that one cache holds them.
 LONG_PROMPT_TOKENS = 2_000
 # Elsewhere a prompt is only sent for its warm cache while that is expected to be early.
@@ -145,7 +147,7 @@
         self.members.refresh(now_unix_s)
         here = self._choose_here(request, routing, excluded, now_unix_s)
         if request.forwarded_by:
-            return self._here_or_nowhere(request, here)
+            return self._here_or_nowhere(request, here, now_unix_s)
         owner = self._choose_owner(request, here, excluded, now_unix_s)
         if owner is not None:
             return owner
@@ -153,27 +155,31 @@
             return OnServer(placement=here)
         elsewhere = self._choose_elsewhere(request, here, excluded, now_unix_s)
         if elsewhere is not None:
-            return self._unless_behind(request, elsewhere, elsewhere.expected_first_answer_s)
-        return self._here_or_nowhere(request, here)
+            expected_s = elsewhere.expected_first_answer_s
+            return self._unless_behind(request, elsewhere, expected_s, now_unix_s)
+        return self._here_or_nowhere(request, here, now_unix_s)
 
-    def _here_or_nowhere(self, request: RelayRequest, here: Placement | None) -> Decision:
+    def _here_or_nowhere(
+        self, request: RelayRequest, here: Placement | None, now_unix_s: float
+    ) -> Decision:
         if here is None:
             return Nowhere(reason=NOTHING_HERE)
-        return self._unless_behind(request, OnServer(placement=here), here.expected_wait_s)
+        decision = OnServer(placement=here)
+        return self._unless_behind(request, decision, here.expected_wait_s, now_unix_s)
 
     def _unless_behind(
-        self, request: RelayRequest, decision: OnServer | OnPeer, expected_s: float
+        self,
+        request: RelayRequest,
+        decision: OnServer | OnPeer,
+        expected_s: float,
+        now_unix_s: float,
     ) -> Decision:
-        """Refuse a long prompt where even the best server is too far behind.
-
-        Engines take whatever comes. With more prompts than they can read they answer all of them
-        late, many past their deadlines, and what they read for those was in vain. Some refused at
-        once leave the others on time; a client that comes back finds the engines further on.
-        """
-        if request.work.prompt_tokens < LONG_PROMPT_TOKENS:
+        """Refuse a stream where even the best server is too far behind."""
+        if not request.work.prompt_tokens:
+            return decision
+        if is_worth_taking(_promise(request), expected_s, now_unix_s):
             return decision
-        bound_s = BEHIND_AT_TARGET_SHARE * request.route.first_answer_target_s
-        return Nowhere(reason=ALL_BEHIND, wait_s=expected_s) if expected_s > bound_s else decision
+        return Nowhere(reason=ALL_BEHIND, wait_s=expected_s)
 
     def _choose_here(
         self, request: RelayRequest, routing: Routing, excluded: Excluded, now_unix_s: float
@@ -350,5 +356,15 @@
         return self.rng.choice(beside or members) if members else None
 
 
+def _promise(request: RelayRequest) -> Promise:
+    route, work = request.route, request.work
+    granted_s = work.deadline_unix_s - work.accepted_unix_s
+    return Promise(
+        first_answer_due_unix_s=work.first_token_due_unix_s,
+        silence_patience_s=route.silence_patience_s,
+        has_come_back=granted_s < FIRST_COME_SHARE * route.timeout_s,
+    )
+
+
 def _admits(state: ServerState, rank: Rank) -> bool:
     return state.requests < MAX_IN_FLIGHT_PER_SLOT * state.server.slots
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -11,8 +11,10 @@
 from pomelobarrow.callers.problems import problem_body
 from pomelobarrow.decision.costs import prefill_tokens
 from pomelobarrow.decision.errors import Kind, Refusal, Run
+from pomelobarrow.decision.retry_line import RetryLine
 from pomelobarrow.decision.retry_share import RetryShare
 from pomelobarrow.decision.routing import Routing
+from pomelobarrow.decision.turning_away import MIN_RETRY_AFTER_S, retry_at_unix_s
 from pomelobarrow.decision.work import Placement
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.dispatch.refusals import refuse
@@ -41,10 +43,6 @@
 # A connection inside a region takes a millisecond or two; a server that doesn't answer in this
 # time, a retransmission included, is taken to be gone.
 SERVER_CONNECT_TIMEOUT_S = 0.35
-# A client heeds a time to come back up to a third of what it has left.
-RETRY_AFTER_SHARE = 0.3
-# A client comes back after this long at least, so that what was refused isn't all back at once.
-MIN_RETRY_AFTER_S = 0.15
 RETRY_JITTER = 0.5
 PROBLEM_CONTENT_TYPE = ("Content-Type", "application/problem+json")
 
@@ -62,6 +60,8 @@
     first_answer_unix_s: float | None = None
     # Whether one more arrival at a server is counted already.
     has_repeat: bool = False
+    # The wait that was too long when nobody could get the request; 0 where there is no server.
+    nowhere_wait_s: float = 0.0
 
 
 @define(kw_only=True)
@@ -79,6 +79,7 @@
     rng: Random = field(factory=Random)
     judge: ServerJudge
     in_progress: int = 0
+    retry_line: RetryLine = field(factory=RetryLine)
     first_answers: FirstAnswers = field(factory=FirstAnswers)
 
     async def answer(self, request: RelayRequest, routing: Routing, sink: ClientAnswer) -> None:
@@ -119,6 +120,7 @@
             )
             if isinstance(decision, Nowhere):
                 course.tries.last_detail = course.tries.last_detail or decision.reason
+                course.nowhere_wait_s = decision.wait_s
                 self._note_nowhere(course, decision)
                 return last_step(course.tries, course.sink.is_started)
             report = await self._send(course, decision)
@@ -272,11 +274,22 @@
             is_late = now_unix_s() >= work.deadline_unix_s
             kind = Kind.DEADLINE_PASSED if is_late else Kind.OUTCOME_UNKNOWN
             return refuse(kind, Run.UNKNOWN, detail)
-        pause_s = MIN_RETRY_AFTER_S * self.rng.uniform(1.0, 1.0 + RETRY_JITTER)
-        if course.tries.attempts == 0:
-            # No server at all: that lasts longer than a full one does.
-            pause_s = max(pause_s, RETRY_AFTER_SHARE * (work.deadline_unix_s - now_unix_s()))
-        return refuse(Kind.NO_CAPACITY, Run.NO, detail, now_unix_s() + pause_s)
+        now = now_unix_s()
+        if course.tries.attempts and not course.nowhere_wait_s:
+            pause_s = MIN_RETRY_AFTER_S * self.rng.uniform(1.0, 1.0 + RETRY_JITTER)
+            return refuse(Kind.NO_CAPACITY, Run.NO, detail, now + pause_s)
+        # Without any server the queue's pace says nothing; that lasts longer than a full one does.
+        wait_s = course.nowhere_wait_s or max(0.0, work.deadline_unix_s - now)
+        taken_per_s = self.placer.table.drain_per_s(work.pool, now) / self._vms_here
+        retry_at = retry_at_unix_s(
+            self.retry_line, wait_s, taken_per_s, work.deadline_unix_s, now, self.rng
+        )
+        return refuse(Kind.NO_CAPACITY, Run.NO, detail, retry_at)
+
+    @property
+    def _vms_here(self) -> int:
+        members = self.placer.members.live
+        return max(1, sum(member.region == self.own_region for member in members))
 
     async def refuse(
         self, refusal: Refusal, request_id: str, sink: ClientAnswer, was_sent: bool = False
