Learn from streams' pauses which servers make streams late; start with less work

After a loss of power, small machines of the grown site serve nothing until 5 s of start-up have passed (0.6 s of processor time). Change: a pause near or past its target raises what a server costs for a second or two.

--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -12,6 +12,7 @@
 from pomelobarrow.decision.report_clock import ReportClock
 from pomelobarrow.decision.server_health import ServerHealth
 from pomelobarrow.decision.server_load import Charge, ServerLoad
+from pomelobarrow.decision.server_pauses import ServerPauses
 from pomelobarrow.decision.service_times import ServiceTimes
 from pomelobarrow.decision.work import BackendServer, InFlight, LoadReport
 
@@ -35,6 +36,8 @@
     kv_tokens: int
     # Slots that work may fill now; fewer during slow start.
     slots: float
+    # How surely a stream there is late now, from what streams of this VM show.
+    seen_late_share: float = 0.0
 
 
 class LoadTable:
@@ -43,6 +46,7 @@
     def __init__(self, own_region: str) -> None:
         self.own_region = own_region
         self.prefixes = PrefixIndex()
+        self.pauses = ServerPauses()
         # Failure domains that are being emptied: their servers get no new work.
         self.closed_domains: frozenset[str] = frozenset()
         self._servers: dict[str, BackendServer] = {}
@@ -257,6 +261,7 @@
             others_tokens=load.tokens(now_unix_s) - load.own_tokens,
             kv_tokens=load.own_kv_tokens + round(others * kv_tokens),
             slots=server.slots * self._health[server.name].admitted_share(now_unix_s),
+            seen_late_share=self.pauses.late_share(server.name, now_unix_s),
         )
 
     def _tokens_ahead(self, name: str, load: ServerLoad, now_unix_s: float) -> int | None:
@@ -289,6 +294,7 @@
         self._loads.pop(name, None)
         self._health.pop(name, None)
         self._clocks.pop(name, None)
+        self.pauses.forget(name)
         # Kept, these would be taken off the counts of the next server of that name.
         self._peers = {vm: counts.without(name) for vm, counts in self._peers.items()}
 
--- a/src/pomelobarrow/decision/server_choice.py
+++ b/src/pomelobarrow/decision/server_choice.py
@@ -189,6 +189,7 @@
             state.requests,
             (state.own_tokens + state.others_tokens) * s_per_token,
             max(0.0, work.prompt_tokens - warm.tokens(state)) * s_per_token,
+            state.seen_late_share,
         )
         for state in states
     ]
--- a/src/pomelobarrow/decision/stream_pauses.py
+++ b/src/pomelobarrow/decision/stream_pauses.py
@@ -31,11 +31,20 @@
     return min(1.0, max(0.0, (backlog_s - harmless_s) / (harmful_s - harmless_s)))
 
 
-def pause_cost_s(target: PauseTarget, streams: int, backlog_s: float, reading_s: float) -> float:
-    """Return what one more prompt costs the streams of an engine and itself, in seconds."""
+def pause_cost_s(
+    target: PauseTarget,
+    streams: int,
+    backlog_s: float,
+    reading_s: float,
+    seen_late_share: float = 0.0,
+) -> float:
+    """Return what one more prompt costs the streams of an engine and itself, in seconds.
+
+    `seen_late_share` is what its streams show; what is late already can't be made late.
+    """
     if not target.gap_s:
         return 0.0
-    before = late_share(backlog_s, target.gap_s)
-    after = late_share(backlog_s + reading_s, target.gap_s)
+    before = max(seen_late_share, late_share(backlog_s, target.gap_s))
+    after = max(seen_late_share, late_share(backlog_s + reading_s, target.gap_s))
     streams_made_late = (after - before) * streams + after
     return LATE_STREAM_COST * target.first_answer_s * streams_made_late
--- a/src/pomelobarrow/kernel/daemon.py
+++ b/src/pomelobarrow/kernel/daemon.py
@@ -1,6 +1,7 @@
 """The daemon: a service tree, its start and its planned stop."""
 
 import asyncio
+import gc
 import signal
 import time
 from collections.abc import Awaitable, Callable, Iterable
@@ -49,9 +50,16 @@
         hooks.register(plugin)
     context = Context(settings, new_incarnation(), hooks)
     hooks.hook.provide_parts(context=context)
+    _spare_collector()
     return context
 
 
+def _spare_collector() -> None:
+    """Keep the garbage collector from what lasts as long as the process."""
+    gc.freeze()
+    gc.enable()
+
+
 def run_daemon(
     settings: Settings,
     extra_plugins: Iterable[object] = (),
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -61,6 +61,7 @@
     sink: ClientAnswer
     splitter: EventSplitter
     on_first_answer: Callable[[ServerAnswerHead], None]
+    on_pause: Callable[[float], None] = lambda pause_s: None
     patience: Patience | None = None
     state: Attempt = field(factory=Attempt)
     first_answer_unix_s: float | None = None
@@ -182,7 +183,9 @@
     def _note_pause(self) -> None:
         now = now_unix_s()
         if self._last_events_unix_s is not None:
-            self.longest_pause_s = max(self.longest_pause_s, now - self._last_events_unix_s)
+            pause_s = now - self._last_events_unix_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+            self.on_pause(pause_s)
         self._last_events_unix_s = now
 
     def _lost(self, detail: str) -> AttemptReport:
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -14,6 +14,7 @@
 from pomelobarrow.decision.retry_line import RetryLine
 from pomelobarrow.decision.retry_share import RetryShare
 from pomelobarrow.decision.routing import Routing
+from pomelobarrow.decision.server_pauses import ON_TIME_SHARE
 from pomelobarrow.decision.turning_away import MIN_RETRY_AFTER_S, retry_at_unix_s
 from pomelobarrow.decision.work import Placement
 from pomelobarrow.dispatch.answers import CallerGoneError
@@ -176,7 +177,12 @@
             connect_timeout_s=SERVER_CONNECT_TIMEOUT_S,
         )
         try:
-            report = await self._run(course, target, self._patience(course, placement))
+            report = await self._run(
+                course,
+                target,
+                patience=self._patience(course, placement),
+                on_pause=self._pause_watch(course, server.name),
+            )
         finally:
             table.release(work.request_id, now_unix_s())
         self.judge.judge(server, report, placement.expected_wait_s, now)
@@ -221,8 +227,22 @@
         patience_s = self.first_answers.patience_s(route.name, placement.expected_wait_s)
         return Patience(lasts_s=patience_s, may_give_up=take_repeat)
 
+    def _pause_watch(self, course: Course, server: str) -> Callable[[float], None]:
+        """Return what learns from the pauses of a stream."""
+        gap_target_s, pauses = course.request.work.gap_target_s, self.placer.table.pauses
+
+        def observe(pause_s: float) -> None:
+            if gap_target_s and pause_s > ON_TIME_SHARE * gap_target_s:
+                pauses.observe(server, pause_s, gap_target_s, now_unix_s())
+
+        return observe
+
     async def _run(
-        self, course: Course, target: Target, patience: Patience | None = None
+        self,
+        course: Course,
+        target: Target,
+        patience: Patience | None = None,
+        on_pause: Callable[[float], None] = lambda pause_s: None,
     ) -> AttemptReport:
         started_unix_s = now_unix_s()
         report = AttemptReport(end=AttemptEnd.LOST, detail="given up")
@@ -240,6 +260,7 @@
             sink=course.sink,
             splitter=course.splitter,
             on_first_answer=note_first_answer,
+            on_pause=on_pause,
             patience=patience,
         )
         try:
