--- a/deploy/serve.py
+++ b/deploy/serve.py
@@ -11,8 +11,8 @@
 # word. The settings are read later anyway.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 # Starting takes processor time, during which nothing is served after a loss of power. The HTTP
-# library builds a TLS context as it is imported, of all certificates of the machine (0.1 s); nothing
-# here speaks TLS. What imports allocate stays, so that collecting it again and again is in vain.
+# library builds a TLS context as it is imported, of all certificates of the machine (0.1 s), and
+# nothing here speaks TLS. What imports allocate stays, so that collecting it is in vain.
 os.environ["SSL_CERT_FILE"] = os.devnull
 os.environ["SSL_CERT_DIR"] = os.devnull
 gc.disable()
--- a/src/pomelobarrow/decision/group_owners.py
+++ b/src/pomelobarrow/decision/group_owners.py
@@ -9,6 +9,9 @@
 from pomelobarrow.decision.work import BackendServer
 
 MAX_GROUPS = 4_096
+# A region that was sent a group's prompt this lately still holds it: its engines read some 200,000
+# tokens in that time and keep more.
+WARM_FOR_S = 10.0
 
 
 @define
@@ -47,6 +50,28 @@
         return self._owner_by_group[key]
 
 
+@define
+class SentGroups:
+    """Hold where this VM has sent each group's prompts of late.
+
+    A group whose owner is overloaded goes elsewhere for a while. Taken as cold there each time, it
+    would be sent to yet another region, and be read once more.
+    """
+
+    _sent_unix_s: dict[str, dict[str, float]] = field(factory=dict)
+
+    def note(self, group: str, region: str, now_unix_s: float) -> None:
+        """Take in that a prompt of a group was sent to a region."""
+        if group not in self._sent_unix_s and len(self._sent_unix_s) >= MAX_GROUPS:
+            self._sent_unix_s.clear()
+        self._sent_unix_s.setdefault(group, {})[region] = now_unix_s
+
+    def regions(self, group: str, now_unix_s: float) -> list[str]:
+        """Return the regions that were sent a prompt of the group of late."""
+        sent = self._sent_unix_s.get(group, {})
+        return [each for each, unix_s in sent.items() if 0 <= now_unix_s - unix_s <= WARM_FOR_S]
+
+
 def _is_eligible(server: BackendServer, route: Route, closed_domains: frozenset[str]) -> bool:
     is_open = server.failure_domain not in closed_domains
     return is_open and not server.leaving and route.may_run_in(server.region)
--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -2,10 +2,11 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from attrs import define
 
+from pomelobarrow.decision.decaying_rate import DecayingRates
 from pomelobarrow.decision.group_servers import GroupServers
 from pomelobarrow.decision.peer_counts import NOTHING, PeerCounts
 from pomelobarrow.decision.prefix_index import PrefixIndex
@@ -18,6 +19,10 @@
 
 HEARD_EWMA_WEIGHT = 0.1
 MAX_HEARD_GAP_S = 5.0
+# Two of these at one engine make its streams late, so that peers hear of each at once.
+LARGE_CHARGE_TOKENS = 2_000
+# Up to so many VMs in a region, each can tell from its own requests how busy a server is.
+TOLD_APART_BY_VMS = 2.0
 
 
 @define(kw_only=True)
@@ -38,6 +43,8 @@
     slots: float
     # How surely a stream there is late now, from what streams of this VM show.
     seen_late_share: float = 0.0
+    # The share of its time that it spends reading prompts.
+    reading_share: float = 0.0
 
 
 class LoadTable:
@@ -47,8 +54,13 @@
         self.own_region = own_region
         self.prefixes = PrefixIndex()
         self.pauses = ServerPauses()
+        # The VMs that share the region's requests, this one included.
+        self.region_vms = 1
+        self._read_tokens = DecayingRates()
         # Failure domains that are being emptied: their servers get no new work.
         self.closed_domains: frozenset[str] = frozenset()
+        # Called when this VM sends a server what others should know before they send there too.
+        self.large_charge_listeners: list[Callable[[], None]] = []
         self._servers: dict[str, BackendServer] = {}
         self._pools: dict[str, tuple[BackendServer, ...]] = {}
         self._loads: dict[str, ServerLoad] = {}
@@ -132,8 +144,15 @@
         )
         self._charges[request_id] = charge
         load.add(charge)
+        self._read_tokens.add(server_name, tokens, now_unix_s)
+        if tokens >= LARGE_CHARGE_TOKENS:
+            self._tell_large_charge()
         self._times_of(server_name).observe_charge(tokens, kv_tokens)
 
+    def _tell_large_charge(self) -> None:
+        for listener in self.large_charge_listeners:
+            listener()
+
     def started(self, request_id: str, now_unix_s: float) -> None:
         """Note a request's first token."""
         charge = self._charges.get(request_id)
@@ -262,8 +281,23 @@
             kv_tokens=load.own_kv_tokens + round(others * kv_tokens),
             slots=server.slots * self._health[server.name].admitted_share(now_unix_s),
             seen_late_share=self.pauses.late_share(server.name, now_unix_s),
+            reading_share=self._reading_share(server, now_unix_s),
         )
 
+    def _reading_share(self, server: BackendServer, now_unix_s: float) -> float:
+        """Return the share of its time that a server spends reading, from what this VM sends.
+
+        The region's VMs get like shares of the requests. Where they are many, this one sends too
+        little to each server to tell them apart, and the pool's mean counts more.
+        """
+        servers = self.pool_servers(server.pool)
+        of_pool = sum(self._read_tokens.per_s(each.name, now_unix_s) for each in servers)
+        own_weight = min(1.0, TOLD_APART_BY_VMS / self.region_vms)
+        of_server = self._read_tokens.per_s(server.name, now_unix_s)
+        tokens_per_s = own_weight * of_server + (1.0 - own_weight) * of_pool / len(servers)
+        s_per_token = self.service_times(server.pool).s_per_prefill_token
+        return tokens_per_s * self.region_vms * s_per_token
+
     def _tokens_ahead(self, name: str, load: ServerLoad, now_unix_s: float) -> int | None:
         """Return the prefill before a new request, where that is all it waits for."""
         server = self._servers.get(name)
@@ -295,6 +329,7 @@
         self._health.pop(name, None)
         self._clocks.pop(name, None)
         self.pauses.forget(name)
+        self._read_tokens.forget(name)
         # Kept, these would be taken off the counts of the next server of that name.
         self._peers = {vm: counts.without(name) for vm, counts in self._peers.items()}
 
--- a/src/pomelobarrow/decision/region_choice.py
+++ b/src/pomelobarrow/decision/region_choice.py
@@ -7,6 +7,7 @@
 
 from attrs import frozen
 
+from pomelobarrow.decision.stream_pauses import Engine
 from pomelobarrow.decision.work import Work
 
 # A view older than this may describe a region that is lost.
@@ -44,10 +45,8 @@
     cold_prefill_s: float = 0.0
     # When the region was heard again after a loss.
     returned_unix_s: float = float("-inf")
-    # Of the server whose streams one more long prompt disturbs least: its requests in flight, and
-    # the prefill before a new one.
-    quiet_streams: int = 0
-    quiet_backlog_s: float = 0.0
+    # The server whose streams one more long prompt disturbs least.
+    quietest: Engine = Engine()
 
     def is_fresh(self, now_unix_s: float) -> bool:
         """Say whether it still describes the region."""
--- a/src/pomelobarrow/decision/server_choice.py
+++ b/src/pomelobarrow/decision/server_choice.py
@@ -9,7 +9,7 @@
 from pomelobarrow.decision.load_table import LoadTable, ServerState
 from pomelobarrow.decision.service_times import ServiceTimes
 from pomelobarrow.decision.stale_view import choose_index, filled, shrunk
-from pomelobarrow.decision.stream_pauses import PauseTarget, pause_cost_s
+from pomelobarrow.decision.stream_pauses import Engine, PauseTarget, pause_cost_s
 from pomelobarrow.decision.work import BackendServer, Placement, Work
 
 # Paying work may wait a little at the engine, which runs it before all trial work; trial work
@@ -87,29 +87,25 @@
     return min(_waits_s(states, table.service_times(pool), table.view_age_s))
 
 
-@frozen(kw_only=True)
-class QuietServer:
-    """Hold what a long prompt meets at the server whose streams it disturbs least."""
-
-    streams: int = 0
-    backlog_s: float = 0.0
-
-
-def quietest_server(table: LoadTable, pool: str, now_unix_s: float) -> QuietServer:
-    """Return the pool's server where a long prompt makes the fewest streams late."""
+def quietest_engine(table: LoadTable, pool: str, now_unix_s: float) -> Engine:
+    """Return what a long prompt meets at the server whose streams it disturbs least."""
     states = table.usable(pool, now_unix_s)
     s_per_token = table.service_times(pool).s_per_prefill_token
-    servers = [
-        QuietServer(
-            streams=state.requests, backlog_s=(state.own_tokens + state.others_tokens) * s_per_token
-        )
-        for state in states
-    ]
-    return min(servers, key=_disturbance, default=QuietServer())
+    engines = [_engine(state, s_per_token) for state in states]
+    return min(engines, key=_disturbance, default=Engine())
+
+
+def _engine(state: ServerState, s_per_token: float) -> Engine:
+    return Engine(
+        streams=state.requests,
+        backlog_s=(state.own_tokens + state.others_tokens) * s_per_token,
+        reading_share=state.reading_share,
+        seen_late_share=state.seen_late_share,
+    )
 
 
-def _disturbance(server: QuietServer) -> float:
-    return (server.streams + 1) * (server.backlog_s + LONG_READING_S)
+def _disturbance(engine: Engine) -> float:
+    return (engine.streams + 1) * (engine.backlog_s + engine.reading_share + LONG_READING_S)
 
 
 def _is_in_the_way(state: ServerState, rank: Rank) -> bool:
@@ -186,10 +182,8 @@
     return [
         pause_cost_s(
             target,
-            state.requests,
-            (state.own_tokens + state.others_tokens) * s_per_token,
+            _engine(state, s_per_token),
             max(0.0, work.prompt_tokens - warm.tokens(state)) * s_per_token,
-            state.seen_late_share,
         )
         for state in states
     ]
--- a/src/pomelobarrow/decision/stream_pauses.py
+++ b/src/pomelobarrow/decision/stream_pauses.py
@@ -5,13 +5,20 @@
 up every stream there for longer than its pause target, although each first answer is on time.
 """
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 # Below this part of the pause target, a backlog of reading leaves streams on time; from the other
 # on it makes all of them late. Measured on five engines of 70 tokens a ms: streams' longest pauses
 # stay under 0.2 s up to a backlog of 0.15 s, and are 0.42 to 0.48 s from 0.3 s on, of 0.4 s wanted.
-HARMLESS_SHARE = 0.35
-HARMFUL_SHARE = 0.8
+HARMLESS_BACKLOG_SHARE = 0.35
+HARMFUL_BACKLOG_SHARE = 0.8
+# The same for the share of its time that an engine spends reading. Prompts come in clumps, so that
+# a stream of some seconds meets a long backlog sooner or later. Measured there: hardly any stream
+# was late at 20,000 tokens a second, half of them at 45,000, nearly all at 60,000.
+HARMLESS_READING_SHARE = 0.25
+HARMFUL_READING_SHARE = 0.8
+# Over what time one prompt counts into that share: what a stream lasts.
+STREAM_S = 2.0
 # A stream made late costs as much as a first answer that comes later by this part of its target.
 LATE_STREAM_COST = 0.5
 
@@ -24,27 +31,44 @@
     first_answer_s: float
 
 
-def late_share(backlog_s: float, gap_target_s: float) -> float:
-    """Return the share of an engine's streams that a backlog of reading makes late."""
-    harmless_s = HARMLESS_SHARE * gap_target_s
-    harmful_s = HARMFUL_SHARE * gap_target_s
-    return min(1.0, max(0.0, (backlog_s - harmless_s) / (harmful_s - harmless_s)))
+@frozen(kw_only=True)
+class Engine:
+    """Hold what is known of the streams and the reading at one engine."""
+
+    streams: int = 0
+    # Prompts that it has yet to read.
+    backlog_s: float = 0.0
+    # The share of its time that it spends reading.
+    reading_share: float = 0.0
+    # The share of its streams that are seen to be late.
+    seen_late_share: float = 0.0
+
 
+def late_share(engine: Engine, gap_target_s: float) -> float:
+    """Return the share of an engine's streams that are late."""
+    by_backlog = _ramp(
+        engine.backlog_s / gap_target_s, HARMLESS_BACKLOG_SHARE, HARMFUL_BACKLOG_SHARE
+    )
+    by_reading = _ramp(engine.reading_share, HARMLESS_READING_SHARE, HARMFUL_READING_SHARE)
+    return max(by_backlog, by_reading, engine.seen_late_share)
 
-def pause_cost_s(
-    target: PauseTarget,
-    streams: int,
-    backlog_s: float,
-    reading_s: float,
-    seen_late_share: float = 0.0,
-) -> float:
+
+def pause_cost_s(target: PauseTarget, engine: Engine, reading_s: float) -> float:
     """Return what one more prompt costs the streams of an engine and itself, in seconds.
 
-    `seen_late_share` is what its streams show; what is late already can't be made late.
+    What is late already can't be made late.
     """
     if not target.gap_s:
         return 0.0
-    before = max(seen_late_share, late_share(backlog_s, target.gap_s))
-    after = max(seen_late_share, late_share(backlog_s + reading_s, target.gap_s))
-    streams_made_late = (after - before) * streams + after
-    return LATE_STREAM_COST * target.first_answer_s * streams_made_late
+    fuller = evolve(
+        engine,
+        backlog_s=engine.backlog_s + reading_s,
+        reading_share=engine.reading_share + reading_s / STREAM_S,
+    )
+    after = late_share(fuller, target.gap_s)
+    made_late = (after - late_share(engine, target.gap_s)) * engine.streams
+    return LATE_STREAM_COST * target.first_answer_s * (made_late + after)
+
+
+def _ramp(value: float, low: float, high: float) -> float:
+    return min(1.0, max(0.0, (value - low) / (high - low)))
--- a/src/pomelobarrow/peers/pool_news.py
+++ b/src/pomelobarrow/peers/pool_news.py
@@ -1,13 +1,15 @@
 """Tell a peer how loaded pools are here and elsewhere, and take in what it tells."""
 
 from collections.abc import Callable
+from typing import Any
 
 from attrs import define, field, frozen
 
 from pomelobarrow.decision.clocks import ClockOffsets
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.region_choice import RegionLoad
-from pomelobarrow.decision.server_choice import least_wait_s, quietest_server
+from pomelobarrow.decision.server_choice import least_wait_s, quietest_engine
+from pomelobarrow.decision.stream_pauses import Engine
 from pomelobarrow.dispatch.local import LocalDispatch
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.grid import LinkKind, Neighbours, passes_on
@@ -134,8 +136,7 @@
                 servers=load.servers,
                 age_ms=max(0, round((now_unix_s - load.measured_unix_s) * MS_PER_S)),
                 round_trip_s=load.round_trip_s,
-                quiet_streams=load.quiet_streams,
-                quiet_backlog_s=load.quiet_backlog_s,
+                **_quietest_fields(load.quietest),
             )
         )
 
@@ -150,8 +151,12 @@
             round_trip_s=best.round_trip_s if best is not None else each.round_trip_s,
             measured_unix_s=measured_unix_s,
             servers=each.servers,
-            quiet_streams=each.quiet_streams,
-            quiet_backlog_s=each.quiet_backlog_s,
+            quietest=Engine(
+                streams=each.quiet_streams,
+                backlog_s=each.quiet_backlog_s,
+                reading_share=each.quiet_reading_share,
+                seen_late_share=each.quiet_late_share,
+            ),
         )
 
     def _own_pools(self, now_unix_s: float) -> list[pb.PoolLoad]:
@@ -168,13 +173,20 @@
         if waiting_paying:
             drain_per_s = max(table.drain_per_s(pool, now_unix_s), MIN_DRAIN_PER_S)
             expected_wait_s += waiting_paying / drain_per_s
-        quiet = quietest_server(table, pool, now_unix_s)
         return pb.PoolLoad(
             pool=pool,
             expected_wait_s=expected_wait_s,
             waiting_paying=waiting_paying,
             waiting_trial=queue.waiting(Rank.TRIAL),
             servers=len(table.usable(pool, now_unix_s)),
-            quiet_streams=quiet.streams,
-            quiet_backlog_s=quiet.backlog_s,
+            **_quietest_fields(quietest_engine(table, pool, now_unix_s)),
         )
+
+
+def _quietest_fields(engine: Engine) -> dict[str, Any]:
+    return {
+        "quiet_streams": engine.streams,
+        "quiet_backlog_s": engine.backlog_s,
+        "quiet_reading_share": engine.reading_share,
+        "quiet_late_share": engine.seen_late_share,
+    }
--- a/src/pomelobarrow/relay/placement.py
+++ b/src/pomelobarrow/relay/placement.py
@@ -7,7 +7,7 @@
 
 from pomelobarrow.decision.cold_start import ColdLimiter
 from pomelobarrow.decision.configuration import Rank
-from pomelobarrow.decision.group_owners import GroupOwners
+from pomelobarrow.decision.group_owners import GroupOwners, SentGroups
 from pomelobarrow.decision.load_table import LoadTable, ServerState
 from pomelobarrow.decision.membership import Member, MembershipView
 from pomelobarrow.decision.peer_reach import PeerReach
@@ -37,8 +37,6 @@
 NEAR_AT_TARGET_SHARE = 0.1
 # Longer prompts go where the same group went before, so that one cache holds them.
 LONG_PROMPT_TOKENS = 2_000
-# Elsewhere a prompt is only sent for its warm cache while that is expected to be early.
-OWNER_AT_TARGET_SHARE = 0.6
 # Less than this part of a shared prompt in a cache here counts as not there.
 WARM_SHARE = 0.5
 WARM_ELSEWHERE = "another region keeps this prompt warm"
@@ -138,6 +136,7 @@
     region_loads: Callable[[str], Mapping[str, RegionLoad]]
     servers: Callable[[], Mapping[str, BackendServer]]
     owners: GroupOwners = field(factory=GroupOwners)
+    sent_groups: SentGroups = field(factory=SentGroups)
     rng: Random = field(factory=Random)
 
     def place(
@@ -148,10 +147,7 @@
         here = self._choose_here(request, routing, excluded, now_unix_s)
         if request.forwarded_by:
             return self._here_or_nowhere(request, here, now_unix_s)
-        owner = self._choose_owner(request, here, excluded, now_unix_s)
-        if owner is not None:
-            return owner
-        if here is not None and not self._is_late(request, here):
+        if here is not None and not self._may_leave(request, here):
             return OnServer(placement=here)
         elsewhere = self._choose_elsewhere(request, here, excluded, now_unix_s)
         if elsewhere is not None:
@@ -233,50 +229,19 @@
         if server.cold_until_unix_s > now_unix_s:
             self.cold.take(server)
 
-    def _choose_owner(
-        self,
-        request: RelayRequest,
-        here: Placement | None,
-        excluded: Excluded,
-        now_unix_s: float,
-    ) -> OnPeer | None:
-        """Return a peer of the region that keeps a long shared prompt warm, unless it is here.
-
-        Reading such a prompt again costs an engine more than the trip costs the request.
-        """
-        shared_tokens = request.work.shared_tokens
-        if shared_tokens < LONG_PROMPT_TOKENS:
-            return None
-        if here is not None and here.cached_tokens >= WARM_SHARE * shared_tokens:
-            return None
+    def _warm_regions(self, request: RelayRequest, now_unix_s: float) -> dict[str, str]:
+        """Return the regions that keep a long shared prompt warm, each with a failure domain."""
         work = request.work
+        if work.shared_tokens < LONG_PROMPT_TOKENS:
+            return {}
+        group = request.head.prompt_parts[0].id
+        warm = {region: "" for region in self.sent_groups.regions(group, now_unix_s)}
         owner = self.owners.owner(
-            request.head.prompt_parts[0].id,
-            work.pool,
-            request.route,
-            self.servers(),
-            self.table.closed_domains,
-        )
-        if owner is None or owner.region == self.own_region or owner.region in excluded.regions:
-            return None
-        load = self.region_loads(work.pool).get(owner.region)
-        if load is None:
-            return None
-        if not load.is_fresh(now_unix_s) or not load.servers:
-            return None
-        reading = self._reading(request, work.prompt_tokens - shared_tokens)
-        cost = region_cost(load, reading, now_unix_s)
-        member = self._choose_member(owner.region, excluded, owner.failure_domain)
-        bound_s = OWNER_AT_TARGET_SHARE * request.route.first_answer_target_s
-        if member is None or cost.first_answer_s >= bound_s:
-            return None
-        if here is not None and cost.cost_s >= here.cost_s:
-            return None
-        return OnPeer(
-            member=member,
-            reason=WARM_ELSEWHERE,
-            expected_first_answer_s=cost.first_answer_s,
+            group, work.pool, request.route, self.servers(), self.table.closed_domains
         )
+        if owner is not None:
+            warm[owner.region] = owner.failure_domain
+        return warm
 
     def _reading(self, request: RelayRequest, tokens: int) -> Reading:
         work = request.work
@@ -288,7 +253,10 @@
             ),
         )
 
-    def _is_late(self, request: RelayRequest, here: Placement) -> bool:
+    def _may_leave(self, request: RelayRequest, here: Placement) -> bool:
+        """Say whether another region might be better; a short prompt that is early here stays."""
+        if request.work.prompt_tokens >= LONG_PROMPT_TOKENS:
+            return True
         bound_s = LEAVE_AT_TARGET_SHARE * request.route.first_answer_target_s
         return here.expected_wait_s + here.pause_cost_s > bound_s
 
@@ -299,36 +267,53 @@
         excluded: Excluded,
         now_unix_s: float,
     ) -> OnPeer | None:
-        costs = self._costs_elsewhere(request, excluded, now_unix_s)
+        warm = self._warm_regions(request, now_unix_s)
+        costs = self._costs_elsewhere(request, excluded, warm, now_unix_s)
         if here is not None:
             costs = {r: cost for r, cost in costs.items() if cost.cost_s < here.cost_s}
         if not costs:
             return None
         region = self._choose_region(request, costs)
-        member = self._choose_member(region, excluded)
+        member = self._choose_member(region, excluded, warm.get(region, ""))
         if member is None:
             return None
-        is_bound = not request.route.may_run_in(self.own_region)
-        late_or_none = HERE_IS_LATE if here is not None else NOTHING_HERE
+        if request.work.shared_tokens >= LONG_PROMPT_TOKENS:
+            self.sent_groups.note(request.head.prompt_parts[0].id, region, now_unix_s)
         return OnPeer(
             member=member,
-            reason=HOME_ELSEWHERE if is_bound else late_or_none,
+            reason=self._reason_to_leave(request, here, region in warm),
             expected_first_answer_s=costs[region].first_answer_s,
         )
 
+    def _reason_to_leave(
+        self, request: RelayRequest, here: Placement | None, is_warm_there: bool
+    ) -> str:
+        if not request.route.may_run_in(self.own_region):
+            return HOME_ELSEWHERE
+        if here is None:
+            return NOTHING_HERE
+        return WARM_ELSEWHERE if is_warm_there else HERE_IS_LATE
+
     def _costs_elsewhere(
-        self, request: RelayRequest, excluded: Excluded, now_unix_s: float
+        self,
+        request: RelayRequest,
+        excluded: Excluded,
+        warm: Mapping[str, str],
+        now_unix_s: float,
     ) -> dict[str, RegionCost]:
         """Return what the request costs in each other region that may serve it."""
-        loads = self.region_loads(request.work.pool)
+        work = request.work
+        loads = self.region_loads(work.pool)
         members = (m for m in self.members.usable if m.vm not in excluded.peers)
         regions = {member.region for member in members}
         regions -= {self.own_region, *excluded.regions}
-        reading = self._reading(request, request.work.prompt_tokens)
+        cold = self._reading(request, work.prompt_tokens)
+        cached = self._reading(request, work.prompt_tokens - work.shared_tokens)
         found: dict[str, RegionCost] = {}
         for region in regions:
             load = loads.get(region)
             if request.route.may_run_in(region) and (load is None or load.servers):
+                reading = cached if region in warm else cold
                 found[region] = region_cost(load, reading, now_unix_s)
         return found
 
