--- a/src/pomelobarrow/decision/turning_away.py
+++ b/src/pomelobarrow/decision/turning_away.py
@@ -20,7 +20,7 @@
 # A caller heeds a time to come back up to a third of what it has left.
 RETRY_AFTER_SHARE = 0.3
 # Where the wait is cut to that share, all would come back together; they are spread over this part.
-SPREAD_SHARE = 0.5
+SPREAD_SHARE = 0.7
 # A caller comes back after this long at least, so that what was refused isn't all back at once.
 MIN_RETRY_AFTER_S = 0.15
 
--- /dev/null
+++ b/src/pomelobarrow/relay/course.py
@@ -0,0 +1,27 @@
+"""How far one relayed request has got."""
+
+from attrs import define, field
+
+from pomelobarrow.decision.routing import Routing
+from pomelobarrow.relay.answer import ClientAnswer
+from pomelobarrow.relay.event_splitter import EventSplitter
+from pomelobarrow.relay.messages import RelayRequest
+from pomelobarrow.relay.next_step import Tries
+from pomelobarrow.relay.placement import Excluded
+
+
+@define(kw_only=True)
+class Course:
+    """Hold how far one request has got."""
+
+    request: RelayRequest
+    sink: ClientAnswer
+    routing: Routing
+    tries: Tries
+    splitter: EventSplitter
+    excluded: Excluded = field(factory=Excluded)
+    first_answer_unix_s: float | None = None
+    # Whether one more arrival at a server is counted already.
+    has_repeat: bool = False
+    # The wait that was too long when nobody could get the request; 0 where there is no server.
+    nowhere_wait_s: float = 0.0
--- a/src/pomelobarrow/relay/placement.py
+++ b/src/pomelobarrow/relay/placement.py
@@ -290,9 +290,9 @@
     ) -> str:
         if not request.route.may_run_in(self.own_region):
             return HOME_ELSEWHERE
-        if here is None:
-            return NOTHING_HERE
-        return WARM_ELSEWHERE if is_warm_there else HERE_IS_LATE
+        if is_warm_there:
+            return WARM_ELSEWHERE
+        return NOTHING_HERE if here is None else HERE_IS_LATE
 
     def _costs_elsewhere(
         self,
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -22,13 +22,8 @@
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.answer import ClientAnswer
 from pomelobarrow.relay.attempt import Patience, RelayAttempt, Target
+from pomelobarrow.relay.course import Course
 from pomelobarrow.relay.event_splitter import EventSplitter
-from pomelobarrow.relay.events import (
-    RelayAttemptEnded,
-    RelayEnded,
-    RelayPlaced,
-    RelayPlacedNowhere,
-)
 from pomelobarrow.relay.hop import peer_target, refusal_headers
 from pomelobarrow.relay.judging import FirstAnswers, ServerJudge
 from pomelobarrow.relay.messages import (
@@ -38,7 +33,8 @@
     ServerAnswerHead,
 )
 from pomelobarrow.relay.next_step import REACHED_NO_SERVER, Step, Tries, last_step, wants_retry
-from pomelobarrow.relay.placement import Excluded, Nowhere, OnPeer, OnServer, Placer
+from pomelobarrow.relay.placement import Nowhere, OnPeer, OnServer, Placer
+from pomelobarrow.relay.relay_log import RelayLog
 from pomelobarrow.relay.wire import RelayWire, ServerOrder
 
 # A connection inside a region takes a millisecond or two; a server that doesn't answer in this
@@ -48,23 +44,6 @@
 PROBLEM_CONTENT_TYPE = ("Content-Type", "application/problem+json")
 
 
-@define(kw_only=True)
-class Course:
-    """Hold how far one request has got."""
-
-    request: RelayRequest
-    sink: ClientAnswer
-    routing: Routing
-    tries: Tries
-    splitter: EventSplitter
-    excluded: Excluded = field(factory=Excluded)
-    first_answer_unix_s: float | None = None
-    # Whether one more arrival at a server is counted already.
-    has_repeat: bool = False
-    # The wait that was too long when nobody could get the request; 0 where there is no server.
-    nowhere_wait_s: float = 0.0
-
-
 @define(kw_only=True)
 class Relay:
     """Hold what all relayed requests of this VM share."""
@@ -79,10 +58,19 @@
     observe: Callable[[object], None]
     rng: Random = field(factory=Random)
     judge: ServerJudge
+    log: RelayLog = field(init=False)
     in_progress: int = 0
     retry_line: RetryLine = field(factory=RetryLine)
     first_answers: FirstAnswers = field(factory=FirstAnswers)
 
+    def __attrs_post_init__(self) -> None:
+        self.log = RelayLog(
+            own_region=self.own_region,
+            table=self.placer.table,
+            region_loads=self.placer.region_loads,
+            observe=lambda event: self.observe(event),
+        )
+
     async def answer(self, request: RelayRequest, routing: Routing, sink: ClientAnswer) -> None:
         """Answer a request, whole or with an honest refusal."""
         course = Course(
@@ -102,7 +90,7 @@
             pass
         finally:
             self.in_progress -= 1
-            self._note_end(course, outcome)
+            self.log.end(course, outcome)
 
     async def _answer(self, course: Course) -> str:
         left_s = course.request.work.deadline_unix_s - now_unix_s()
@@ -122,7 +110,7 @@
             if isinstance(decision, Nowhere):
                 course.tries.last_detail = course.tries.last_detail or decision.reason
                 course.nowhere_wait_s = decision.wait_s
-                self._note_nowhere(course, decision)
+                self.log.nowhere(course, decision)
                 return last_step(course.tries, course.sink.is_started)
             report = await self._send(course, decision)
             course.tries.note(report)
@@ -149,7 +137,7 @@
 
     async def _send(self, course: Course, decision: OnServer | OnPeer) -> AttemptReport:
         course.tries.attempts += 1
-        self._note_placed(course, decision)
+        self.log.placed(course, decision)
         if isinstance(decision, OnServer):
             return await self._send_to_server(course, decision.placement)
         return await self._send_to_peer(course, decision)
@@ -270,7 +258,7 @@
             course.tries.may_have_run |= not attempt.is_surely_unrun
             raise
         finally:
-            self._note_attempt(course, target, report, started_unix_s)
+            self.log.attempt(course, target, report, started_unix_s)
         return report
 
     async def _conclude(self, course: Course, step: Step) -> str:
@@ -322,100 +310,3 @@
             headers += (("Retry-After", f"{pause_s:.2f}"),)
         body = orjson.dumps(problem_body(refusal, request_id))
         await sink.whole(refusal.kind.status, headers, body)
-
-    def _note_placed(self, course: Course, decision: OnServer | OnPeer) -> None:
-        work, table = course.request.work, self.placer.table
-        if isinstance(decision, OnServer):
-            target, region = decision.placement.server.name, self.own_region
-            expected_s = decision.placement.expected_wait_s
-            cached_tokens = decision.placement.cached_tokens
-        else:
-            target, region = decision.member.vm, decision.member.region
-            expected_s, cached_tokens = decision.expected_first_answer_s, 0
-        parts = course.request.head.prompt_parts
-        now = now_unix_s()
-        self.observe(
-            RelayPlaced(
-                request_id=work.request_id,
-                route=course.request.route.name,
-                pool=work.pool,
-                routing_version=course.routing.version,
-                attempt=course.tries.attempts,
-                target=target,
-                target_region=region,
-                reason=decision.reason,
-                expected_first_answer_s=expected_s,
-                prompt_tokens=work.prompt_tokens,
-                group=parts[0].id if work.shared_tokens else "",
-                shared_tokens=work.shared_tokens,
-                cached_tokens=cached_tokens,
-                view_age_s=table.view_age_s,
-                servers_usable=len(table.usable_servers(work.pool, now)),
-                time_left_s=work.deadline_unix_s - now,
-            )
-        )
-
-    def _note_nowhere(self, course: Course, decision: Nowhere) -> None:
-        work, table, now = course.request.work, self.placer.table, now_unix_s()
-        listed = table.pool_servers(work.pool)
-        loads = self.placer.region_loads(work.pool).items()
-        self.observe(
-            RelayPlacedNowhere(
-                request_id=work.request_id,
-                route=course.request.route.name,
-                pool=work.pool,
-                routing_version=course.routing.version,
-                attempts=course.tries.attempts,
-                reason=decision.reason,
-                expected_wait_s=decision.wait_s,
-                servers_listed=len(listed),
-                servers_usable=len(table.usable_servers(work.pool, now)),
-                servers_cold=sum(server.cold_until_unix_s > now for server in listed),
-                servers_elsewhere={
-                    region: load.servers for region, load in loads if load.is_fresh(now)
-                },
-                excluded=course.excluded.names(),
-                view_age_s=table.view_age_s,
-                time_left_s=work.deadline_unix_s - now,
-            )
-        )
-
-    def _note_attempt(
-        self, course: Course, target: Target, report: AttemptReport, started_unix_s: float
-    ) -> None:
-        self.observe(
-            RelayAttemptEnded(
-                request_id=course.request.work.request_id,
-                route=course.request.route.name,
-                pool=course.request.work.pool,
-                attempt=course.tries.attempts,
-                target=target.name,
-                end=report.end.value,
-                status=report.answer.head.status if report.answer else 0,
-                detail=report.detail,
-                took_s=now_unix_s() - started_unix_s,
-                first_answer_s=_since(started_unix_s, report.first_answer_unix_s),
-                longest_pause_s=report.longest_pause_s,
-            )
-        )
-
-    def _note_end(self, course: Course, outcome: str) -> None:
-        work, first_unix_s = course.request.work, course.first_answer_unix_s
-        self.observe(
-            RelayEnded(
-                request_id=work.request_id,
-                route=course.request.route.name,
-                outcome=outcome,
-                status=course.sink.status,
-                detail=course.tries.last_detail,
-                routing_version=course.routing.version,
-                attempts=course.tries.attempts,
-                forwarded_by=course.request.forwarded_by,
-                took_s=now_unix_s() - work.accepted_unix_s,
-                first_answer_s=_since(work.accepted_unix_s, first_unix_s),
-            )
-        )
-
-
-def _since(start_unix_s: float, unix_s: float | None) -> float | None:
-    return None if unix_s is None else unix_s - start_unix_s
--- /dev/null
+++ b/src/pomelobarrow/relay/relay_log.py
@@ -0,0 +1,126 @@
+"""Tell logs and metrics what became of a relayed request, and what it was decided on."""
+
+from collections.abc import Callable, Mapping
+
+from attrs import define
+
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.region_choice import RegionLoad
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.relay.attempt import Target
+from pomelobarrow.relay.course import Course
+from pomelobarrow.relay.events import (
+    RelayAttemptEnded,
+    RelayEnded,
+    RelayPlaced,
+    RelayPlacedNowhere,
+)
+from pomelobarrow.relay.messages import AttemptReport
+from pomelobarrow.relay.placement import Nowhere, OnPeer, OnServer
+
+
+@define(kw_only=True)
+class RelayLog:
+    """Hold what the events are made of."""
+
+    own_region: str
+    table: LoadTable
+    region_loads: Callable[[str], Mapping[str, RegionLoad]]
+    observe: Callable[[object], None]
+
+    def placed(self, course: Course, decision: OnServer | OnPeer) -> None:
+        work, table = course.request.work, self.table
+        if isinstance(decision, OnServer):
+            target, region = decision.placement.server.name, self.own_region
+            expected_s = decision.placement.expected_wait_s
+            cached_tokens = decision.placement.cached_tokens
+        else:
+            target, region = decision.member.vm, decision.member.region
+            expected_s, cached_tokens = decision.expected_first_answer_s, 0
+        parts = course.request.head.prompt_parts
+        now = now_unix_s()
+        self.observe(
+            RelayPlaced(
+                request_id=work.request_id,
+                route=course.request.route.name,
+                pool=work.pool,
+                routing_version=course.routing.version,
+                attempt=course.tries.attempts,
+                target=target,
+                target_region=region,
+                reason=decision.reason,
+                expected_first_answer_s=expected_s,
+                prompt_tokens=work.prompt_tokens,
+                group=parts[0].id if work.shared_tokens else "",
+                shared_tokens=work.shared_tokens,
+                cached_tokens=cached_tokens,
+                view_age_s=table.view_age_s,
+                servers_usable=len(table.usable_servers(work.pool, now)),
+                time_left_s=work.deadline_unix_s - now,
+            )
+        )
+
+    def nowhere(self, course: Course, decision: Nowhere) -> None:
+        work, table, now = course.request.work, self.table, now_unix_s()
+        listed = table.pool_servers(work.pool)
+        loads = self.region_loads(work.pool).items()
+        self.observe(
+            RelayPlacedNowhere(
+                request_id=work.request_id,
+                route=course.request.route.name,
+                pool=work.pool,
+                routing_version=course.routing.version,
+                attempts=course.tries.attempts,
+                reason=decision.reason,
+                expected_wait_s=decision.wait_s,
+                servers_listed=len(listed),
+                servers_usable=len(table.usable_servers(work.pool, now)),
+                servers_cold=sum(server.cold_until_unix_s > now for server in listed),
+                servers_elsewhere={
+                    region: load.servers for region, load in loads if load.is_fresh(now)
+                },
+                excluded=course.excluded.names(),
+                view_age_s=table.view_age_s,
+                time_left_s=work.deadline_unix_s - now,
+            )
+        )
+
+    def attempt(
+        self, course: Course, target: Target, report: AttemptReport, started_unix_s: float
+    ) -> None:
+        self.observe(
+            RelayAttemptEnded(
+                request_id=course.request.work.request_id,
+                route=course.request.route.name,
+                pool=course.request.work.pool,
+                attempt=course.tries.attempts,
+                target=target.name,
+                end=report.end.value,
+                status=report.answer.head.status if report.answer else 0,
+                detail=report.detail,
+                took_s=now_unix_s() - started_unix_s,
+                first_answer_s=_since(started_unix_s, report.first_answer_unix_s),
+                longest_pause_s=report.longest_pause_s,
+            )
+        )
+
+    def end(self, course: Course, outcome: str) -> None:
+        work, first_unix_s = course.request.work, course.first_answer_unix_s
+        self.observe(
+            RelayEnded(
+                request_id=work.request_id,
+                route=course.request.route.name,
+                outcome=outcome,
+                status=course.sink.status,
+                detail=course.tries.last_detail,
+                routing_version=course.routing.version,
+                attempts=course.tries.attempts,
+                forwarded_by=course.request.forwarded_by,
+                took_s=now_unix_s() - work.accepted_unix_s,
+                first_answer_s=_since(work.accepted_unix_s, first_unix_s),
+            )
+        )
+
+
+def _since(start_unix_s: float, unix_s: float | None) -> float | None:
+    return None if unix_s is None else unix_s - start_unix_s
--- /dev/null
+++ b/tests/test_region_cost.py
@@ -0,0 +1,41 @@
+"""A request's cost in another region, by what was last heard of it."""
+
+from attrs import evolve
+
+from pomelobarrow.decision.region_choice import RegionLoad
+from pomelobarrow.decision.region_cost import UNKNOWN_ROUND_TRIP_S, Reading, region_cost
+from pomelobarrow.decision.stream_pauses import Engine, PauseTarget
+
+NOW = 1_000.0
+READING = Reading(prompt_s=0.1, target=PauseTarget(gap_s=0.4, first_answer_s=1.0))
+LOAD = RegionLoad(
+    region="b",
+    pool="p",
+    expected_wait_s=0.2,
+    round_trip_s=0.11,
+    measured_unix_s=NOW,
+    servers=2,
+)
+BUSY = Engine(streams=50, backlog_s=0.25, reading_share=0.5)
+
+
+def test_first_answer_takes_wait_trip_and_reading() -> None:
+    assert abs(region_cost(LOAD, READING, NOW).first_answer_s - 0.41) < 1e-9
+
+
+def test_busy_streams_cost_beyond_the_own_first_answer() -> None:
+    busy = evolve(LOAD, quietest=BUSY)
+    quiet_cost, busy_cost = region_cost(LOAD, READING, NOW), region_cost(busy, READING, NOW)
+    assert busy_cost.first_answer_s == quiet_cost.first_answer_s
+    assert busy_cost.cost_s > quiet_cost.cost_s + 5.0
+
+
+def test_old_news_counts_for_nothing() -> None:
+    old = evolve(LOAD, quietest=BUSY, measured_unix_s=NOW - 60.0)
+    cost = region_cost(old, READING, NOW)
+    assert abs(cost.first_answer_s - 0.21) < 1e-9
+
+
+def test_region_never_heard_is_as_far_as_regions_are() -> None:
+    cost = region_cost(None, READING, NOW)
+    assert abs(cost.first_answer_s - UNKNOWN_ROUND_TRIP_S - 0.1) < 1e-9
--- /dev/null
+++ b/tests/test_stream_pauses.py
@@ -0,0 +1,38 @@
+"""What a prompt's reading costs the streams of an engine."""
+
+import pytest
+from attrs import evolve
+
+from pomelobarrow.decision.stream_pauses import Engine, PauseTarget, late_share, pause_cost_s
+
+TARGET = PauseTarget(gap_s=0.4, first_answer_s=1.0)
+QUIET = Engine(streams=40, backlog_s=0.05, reading_share=0.1)
+
+
+@pytest.mark.parametrize(
+    ("engine", "share"),
+    [
+        (QUIET, 0.0),
+        (evolve(QUIET, backlog_s=0.4), 1.0),
+        (evolve(QUIET, reading_share=0.9), 1.0),
+        (evolve(QUIET, seen_late_share=0.7), 0.7),
+    ],
+)
+def test_streams_are_late_by_backlog_reading_or_sight(engine: Engine, share: float) -> None:
+    assert late_share(engine, TARGET.gap_s) == pytest.approx(share)
+
+
+def test_prompt_costs_nothing_where_it_makes_no_stream_late() -> None:
+    assert pause_cost_s(TARGET, QUIET, 0.05) == 0.0
+
+
+def test_prompt_costs_each_stream_that_it_makes_late_and_itself() -> None:
+    assert pause_cost_s(TARGET, QUIET, 1.0) == pytest.approx(0.5 * (40 + 1))
+
+
+def test_prompt_costs_only_itself_where_all_streams_are_late() -> None:
+    assert pause_cost_s(TARGET, evolve(QUIET, seen_late_share=1.0), 1.0) == pytest.approx(0.5)
+
+
+def test_pool_without_a_pause_target_has_no_such_cost() -> None:
+    assert pause_cost_s(evolve(TARGET, gap_s=0.0), QUIET, 1.0) == 0.0
