Split a region's servers between long and short prompts; play worst moments in a replay

Cause: spread over all engines, long prompts delay dozens of streams each wherever they are read. A region's servers are split by size (long prompts to as many as their reading needs, taken in the same order by every VM), softly: 0.15 s. A late stream costs 0.1 of its target, its own lateness 0.2.

--- /dev/null
+++ b/bench/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replays of load patterns: the relay's own decisions before a modelled fleet."""
--- /dev/null
+++ b/bench/replay/engine.py
@@ -0,0 +1,135 @@
+"""A modelled engine: prompts are read in chunks between the steps of all running streams."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+from attrs import define, field
+
+CHUNK_TOKENS = 4_096
+STEP_S = 0.0044
+# A step gets longer with the tokens that the running streams hold.
+STEP_S_PER_CONTEXT_TOKEN = 3.5e-8
+PREFILL_S_PER_TOKEN = 1.43e-5
+# Attention over what was read before makes late chunks of a long prompt longer.
+PREFILL_S_PER_PAIR = 5.9e-10
+FIRST_EVENT_S = 0.11
+TOKENS_PER_EVENT = 5
+
+
+@define(kw_only=True, eq=False)
+class Stream:
+    """Hold one request: what it asks for and when its events came."""
+
+    request_id: str
+    group: str
+    shared_tokens: int
+    own_tokens: int
+    events: int
+    urgency: int
+    arrived_unix_s: float
+    on_first_event: Callable[[float], None]
+    on_pause: Callable[[float, float], None]
+    on_end: Callable[[float], None]
+    first_event_unix_s: float | None = None
+    last_event_unix_s: float = 0.0
+    longest_pause_s: float = 0.0
+    unread_tokens: int = 0
+    tokens_made: int = 0
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Return the length of the prompt."""
+        return self.shared_tokens + self.own_tokens
+
+
+@define(kw_only=True, eq=False)
+class ReplayEngine:
+    """Read the most urgent prompts first, chunk by chunk, and make one token a step for each."""
+
+    slots: int
+    cache_tokens: int
+    slowness: float = 1.0
+    read_tokens: int = 0
+    read_again_tokens: int = 0
+    waiting: list[Stream] = field(factory=list)
+    reading: list[Stream] = field(factory=list)
+    running: list[Stream] = field(factory=list)
+    next_step_unix_s: float | None = None
+    _cache: "OrderedDict[str, int]" = field(factory=OrderedDict)
+    _seen: set[str] = field(factory=set)
+
+    def submit(self, stream: Stream, now_unix_s: float) -> None:
+        """Take a request."""
+        self.waiting.append(stream)
+        self.waiting.sort(key=lambda each: (each.urgency, each.arrived_unix_s))
+        if self.next_step_unix_s is None:
+            self._begin_step(now_unix_s)
+
+    def finish_step(self) -> None:
+        """End the step under way: make tokens, and begin the next step."""
+        assert self.next_step_unix_s is not None
+        now = self.next_step_unix_s
+        for stream in list(self.running):
+            self._make_token(stream, now)
+        for stream in [each for each in self.reading if not each.unread_tokens]:
+            self.reading.remove(stream)
+            self.running.append(stream)
+        self._begin_step(now)
+
+    def _begin_step(self, now_unix_s: float) -> None:
+        self._admit()
+        if not self.reading and not self.running:
+            self.next_step_unix_s = None
+            return
+        context = sum(each.prompt_tokens + each.tokens_made for each in self.running)
+        took_s = STEP_S + STEP_S_PER_CONTEXT_TOKEN * context + self._read_chunk_s()
+        self.next_step_unix_s = now_unix_s + took_s * self.slowness
+
+    def _admit(self) -> None:
+        while self.waiting and len(self.reading) + len(self.running) < self.slots:
+            stream = self.waiting.pop(0)
+            stream.unread_tokens = stream.prompt_tokens - self._cached(stream)
+            self.read_tokens += stream.unread_tokens
+            self.reading.append(stream)
+            self.reading.sort(key=lambda each: (each.urgency, each.arrived_unix_s))
+
+    def _read_chunk_s(self) -> float:
+        left, took_s = CHUNK_TOKENS, 0.0
+        for stream in self.reading:
+            tokens = min(left, stream.unread_tokens)
+            stream.unread_tokens -= tokens
+            left -= tokens
+            pairs = tokens * (stream.prompt_tokens - stream.unread_tokens)
+            took_s += tokens * PREFILL_S_PER_TOKEN + pairs * PREFILL_S_PER_PAIR
+            if not left:
+                break
+        return took_s
+
+    def _cached(self, stream: Stream) -> int:
+        """Return the tokens of the prompt that are cached, and cache the shared part."""
+        if not stream.shared_tokens:
+            return 0
+        cached = self._cache.pop(stream.group, 0)
+        if not cached and stream.group in self._seen:
+            self.read_again_tokens += stream.shared_tokens
+        self._seen.add(stream.group)
+        self._cache[stream.group] = stream.shared_tokens
+        while sum(self._cache.values()) > self.cache_tokens:
+            self._cache.popitem(last=False)
+        return cached
+
+    def _make_token(self, stream: Stream, now_unix_s: float) -> None:
+        stream.tokens_made += 1
+        if stream.tokens_made % TOKENS_PER_EVENT and stream.first_event_unix_s is not None:
+            return
+        if stream.first_event_unix_s is None:
+            stream.first_event_unix_s = now_unix_s + FIRST_EVENT_S
+            stream.on_first_event(now_unix_s + FIRST_EVENT_S)
+        else:
+            pause_s = now_unix_s - stream.last_event_unix_s
+            stream.longest_pause_s = max(stream.longest_pause_s, pause_s)
+            stream.on_pause(pause_s, now_unix_s)
+        stream.last_event_unix_s = now_unix_s
+        if stream.tokens_made >= stream.events * TOKENS_PER_EVENT:
+            self.running.remove(stream)
+            stream.on_end(now_unix_s)
--- /dev/null
+++ b/bench/replay/fleet.py
@@ -0,0 +1,324 @@
+"""Entry VMs of several regions that place streams by the relay's own decisions.
+
+Each VM has its own view: peers of its region tell it their counts, and other regions tell their
+loads, both as late as in a real fleet.
+"""
+
+import heapq
+import itertools
+from collections.abc import Callable, Iterable
+from functools import partial
+from random import Random
+
+from attrs import define, field, frozen
+
+from bench.replay.engine import ReplayEngine, Stream
+from pomelobarrow.decision.cold_start import ColdLimiter
+from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.decision.costs import prefill_tokens
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.region_choice import RegionLoad
+from pomelobarrow.decision.routing import Route, RouteKind, Routing
+from pomelobarrow.decision.server_choice import least_wait_s, quietest_engine
+from pomelobarrow.decision.work import BackendServer, Work
+from pomelobarrow.relay.messages import PromptPart, RelayRequest, RequestHead
+from pomelobarrow.relay.placement import Excluded, LiveMembers, Nowhere, OnPeer, OnServer, Placer
+from pomelobarrow.relay.prompts import shared_blocks
+
+START_UNIX_S = 1_000.0
+POOL = "p"
+PEERS_TELL_EVERY_S = 1.0
+REGIONS_TELL_EVERY_S = 1.0
+ROUND_TRIP_S = 0.11
+OWN_PART = PromptPart(id="own", tokens=0)
+
+
+@frozen(kw_only=True)
+class Kind:
+    """Describe a kind of request: its route, its size and how often each region asks."""
+
+    route: Route
+    own_tokens: int
+    events: int
+    groups: int = 0
+    shared_tokens: int = 0
+    # Requests a second by region, between two times after the start.
+    per_s: dict[str, float]
+    from_s: float = 0.0
+    until_s: float = 10.0
+
+
+@define(kw_only=True)
+class Ended:
+    """Hold what became of one request."""
+
+    route: str
+    arrived_s: float
+    outcome: str
+    first_event_s: float | None = None
+    longest_pause_s: float = 0.0
+
+
+@define(kw_only=True, eq=False)
+class _Vm:
+    name: str
+    region: str
+    table: LoadTable
+    placer: Placer
+
+
+@define(kw_only=True)
+class ReplayFleet:
+    """Play requests against regions of engines, given as engines by region."""
+
+    engines_by_region: dict[str, int]
+    kinds: Iterable[Kind]
+    vms_per_region: int = 3
+    slots: int = 128
+    cache_tokens: int = 200_000
+    seed: int = 1
+    # Called with the time since the start, to crash, slow or empty engines as it passes.
+    every_tenth: Callable[["ReplayFleet", float], None] = lambda fleet, at_s: None
+    engines: dict[str, ReplayEngine] = field(factory=dict, init=False)
+    ended: list[Ended] = field(factory=list, init=False)
+    servers: dict[str, BackendServer] = field(factory=dict, init=False)
+    _vms: list[_Vm] = field(factory=list, init=False)
+    _loads: dict[str, RegionLoad] = field(factory=dict, init=False)
+    _events: list[tuple[float, int, Callable[[float], None]]] = field(factory=list, init=False)
+    _serial: "itertools.count[int]" = field(factory=itertools.count, init=False)
+    _rng: Random = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._rng = Random(self.seed)
+        for region, count in self.engines_by_region.items():
+            for number in range(count):
+                self._add_engine(region, f"{region}-{number}")
+        view_by_region = {region: MembershipView("", region) for region in self.engines_by_region}
+        for region in self.engines_by_region:
+            for number in range(self.vms_per_region):
+                self._add_vm(region, f"vm-{region}-{number}", view_by_region)
+
+    def run(self, until_s: float = 20.0) -> list[Ended]:
+        """Play all requests and return what became of them."""
+        self._every(PEERS_TELL_EVERY_S, self._peers_tell)
+        self._every(REGIONS_TELL_EVERY_S, self._regions_tell)
+        self._every(0.1, lambda now: self.every_tenth(self, now - START_UNIX_S))
+        for kind in self.kinds:
+            for region, per_s in kind.per_s.items():
+                self._schedule_arrivals(kind, region, per_s)
+        while self._events and self._events[0][0] <= START_UNIX_S + until_s:
+            at_unix_s, _, action = heapq.heappop(self._events)
+            action(at_unix_s)
+        return self.ended
+
+    def _add_engine(self, region: str, name: str) -> None:
+        self.engines[name] = ReplayEngine(slots=self.slots, cache_tokens=self.cache_tokens)
+        self.servers[name] = BackendServer(
+            name=name,
+            region=region,
+            failure_domain=region,
+            address="10.0.0.1:1",
+            pool=POOL,
+            slots=self.slots,
+            kv_capacity_tokens=self.cache_tokens,
+        )
+
+    def _add_vm(self, region: str, name: str, views: dict[str, MembershipView]) -> None:
+        member = Member(vm=name, incarnation=1, region=region, sequence=1)
+        for view in views.values():
+            view.observe_heartbeat(member, START_UNIX_S)
+        table = LoadTable(region)
+        table.set_servers(self.servers.values())
+        table.region_vms = self.vms_per_region
+        placer = Placer(
+            own_region=region,
+            own_failure_domain=region,
+            table=table,
+            members=LiveMembers(view=views[region]),
+            cold=ColdLimiter(own_vm=name),
+            region_loads=lambda pool: {r: each for r, each in self._loads.items() if r != region},
+            servers=lambda: self.servers,
+            rng=Random(self._rng.random()),
+        )
+        self._vms.append(_Vm(name=name, region=region, table=table, placer=placer))
+
+    def _every(self, pause_s: float, action: Callable[[float], None]) -> None:
+        def again(now_unix_s: float) -> None:
+            action(now_unix_s)
+            self._at(now_unix_s + pause_s, again)
+
+        self._at(START_UNIX_S, again)
+
+    def _at(self, unix_s: float, action: Callable[[float], None]) -> None:
+        heapq.heappush(self._events, (unix_s, next(self._serial), action))
+
+    def _peers_tell(self, now_unix_s: float) -> None:
+        for vm in self._vms:
+            self._tell_region(vm, now_unix_s)
+
+    def _tell_region(self, vm: _Vm, now_unix_s: float) -> None:
+        for peer in self._vms:
+            if peer is not vm and peer.region == vm.region:
+                peer.table.observe_peer(vm.name, vm.table.in_flight(), now_unix_s)
+
+    def _regions_tell(self, now_unix_s: float) -> None:
+        for region in self.engines_by_region:
+            table = next(vm.table for vm in self._vms if vm.region == region)
+            self._loads[region] = RegionLoad(
+                region=region,
+                pool=POOL,
+                expected_wait_s=least_wait_s(table, POOL, now_unix_s),
+                round_trip_s=ROUND_TRIP_S,
+                measured_unix_s=now_unix_s,
+                servers=len(table.usable(POOL, now_unix_s)),
+                quietest=quietest_engine(table, POOL, now_unix_s),
+            )
+        for vm in self._vms:
+            vm.placer.members.usable = [self._member(each) for each in self._vms]
+            vm.placer.members._good_until_unix_s = now_unix_s + 10.0
+
+    def _member(self, vm: _Vm) -> Member:
+        return Member(vm=vm.name, incarnation=1, region=vm.region, sequence=1)
+
+    def _schedule_arrivals(self, kind: Kind, region: str, per_s: float) -> None:
+        at_s = kind.from_s
+        while per_s and (at_s := at_s + self._rng.expovariate(per_s)) < kind.until_s:
+            self._at(START_UNIX_S + at_s, partial(self._arrive, kind, region))
+
+    def _arrive(self, kind: Kind, region: str, now_unix_s: float) -> None:
+        vm = self._rng.choice([each for each in self._vms if each.region == region])
+        request = self._request(kind, now_unix_s)
+        result = Ended(
+            route=kind.route.name, arrived_s=now_unix_s - START_UNIX_S, outcome="unfinished"
+        )
+        self.ended.append(result)
+        decision = vm.placer.place(request, Routing(), Excluded(), now_unix_s)
+        if isinstance(decision, OnPeer):
+            there = next(each for each in self._vms if each.name == decision.member.vm)
+            self._at(
+                now_unix_s + ROUND_TRIP_S,
+                partial(self._place_forwarded, there, kind, request, result),
+            )
+            return
+        self._begin(vm, kind, request, result, decision, now_unix_s)
+
+    def _place_forwarded(
+        self, vm: _Vm, kind: Kind, request: RelayRequest, result: Ended, now_unix_s: float
+    ) -> None:
+        request = RelayRequest(
+            head=request.head,
+            route=request.route,
+            work=request.work,
+            method="POST",
+            host="",
+            target="/",
+            forwarded_by="peer",
+        )
+        decision = vm.placer.place(request, Routing(), Excluded(), now_unix_s)
+        self._begin(vm, kind, request, result, decision, now_unix_s)
+
+    def _begin(
+        self,
+        vm: _Vm,
+        kind: Kind,
+        request: RelayRequest,
+        result: Ended,
+        decision: OnServer | OnPeer | Nowhere,
+        now_unix_s: float,
+    ) -> None:
+        if not isinstance(decision, OnServer):
+            result.outcome = "refused"
+            return
+        work, placement = request.work, decision.placement
+        name, table = placement.server.name, vm.table
+        tokens = prefill_tokens(work, placement.cached_tokens)
+        table.prefixes.observe_placement(name, work.prefix_hashes)
+        table.charge(work.request_id, name, tokens, now_unix_s, tokens)
+
+        def first(at_unix_s: float) -> None:
+            result.first_event_s = at_unix_s - START_UNIX_S - result.arrived_s
+            table.started(work.request_id, at_unix_s)
+
+        def pause(pause_s: float, at_unix_s: float) -> None:
+            result.longest_pause_s = max(result.longest_pause_s, pause_s)
+            if work.gap_target_s:
+                table.pauses.observe(name, pause_s, work.gap_target_s, at_unix_s)
+
+        def end(at_unix_s: float) -> None:
+            result.outcome = "answered"
+            table.release(work.request_id, at_unix_s)
+
+        stream = Stream(
+            request_id=work.request_id,
+            group=request.head.prompt_parts[0].id,
+            shared_tokens=kind.shared_tokens,
+            own_tokens=kind.own_tokens,
+            events=kind.events,
+            urgency=kind.route.urgency,
+            arrived_unix_s=now_unix_s,
+            on_first_event=first,
+            on_pause=pause,
+            on_end=end,
+        )
+        engine = self.engines[name]
+        was_idle = engine.next_step_unix_s is None
+        engine.submit(stream, now_unix_s)
+        if was_idle:
+            self._schedule_step(engine)
+
+    def _schedule_step(self, engine: ReplayEngine) -> None:
+        if engine.next_step_unix_s is not None:
+            self._at(engine.next_step_unix_s, partial(self._step, engine))
+
+    def _step(self, engine: ReplayEngine, now_unix_s: float) -> None:
+        engine.finish_step()
+        self._schedule_step(engine)
+
+    def _request(self, kind: Kind, now_unix_s: float) -> RelayRequest:
+        number = next(self._serial)
+        group = f"{kind.route.name}-{self._rng.randrange(max(1, kind.groups))}"
+        blocks = shared_blocks((PromptPart(id=group, tokens=kind.shared_tokens), OWN_PART))
+        route = kind.route
+        work = Work(
+            request_id=f"r{number}",
+            class_name=route.name,
+            account="",
+            rank=Rank.PAYING,
+            pool=POOL,
+            model=None,
+            home_region="",
+            home_bound=False,
+            repeatable=False,
+            prompt_tokens=kind.shared_tokens + kind.own_tokens,
+            expected_output_tokens=kind.events * 5,
+            prefix_hashes=blocks,
+            shared_tokens=kind.shared_tokens,
+            accepted_unix_s=now_unix_s,
+            first_token_due_unix_s=now_unix_s + route.first_answer_target_s,
+            deadline_unix_s=now_unix_s + route.timeout_s,
+            gap_target_s=route.gap_target_s,
+        )
+        parts = (
+            PromptPart(id=group, tokens=kind.shared_tokens),
+            PromptPart(id=f"own-{number}", tokens=kind.own_tokens),
+        )
+        head = RequestHead(request_id=work.request_id, headers=(), prompt_parts=parts)
+        return RelayRequest(head=head, route=route, work=work, method="POST", host="", target="/")
+
+
+def stream_route(name: str, urgency: int, **more: object) -> Route:
+    """Return a route of streams as the deployments have them."""
+    fields: dict[str, object] = {
+        "name": name,
+        "host": "h",
+        "path_prefix": f"/{name}/",
+        "kind": RouteKind.STREAM,
+        "pools": (),
+        "urgency": urgency,
+        "timeout_s": 15.0,
+        "first_answer_target_s": 0.8,
+        "gap_target_s": 0.4,
+        "silence_patience_s": 3.2,
+    }
+    return Route(**{**fields, **more})  # type: ignore[arg-type]
--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from attrs import define
 
@@ -15,12 +15,11 @@
 from pomelobarrow.decision.server_load import Charge, ServerLoad
 from pomelobarrow.decision.server_pauses import ServerPauses
 from pomelobarrow.decision.service_times import ServiceTimes
+from pomelobarrow.decision.size_split import LONG_PROMPT_TOKENS
 from pomelobarrow.decision.work import BackendServer, InFlight, LoadReport
 
 HEARD_EWMA_WEIGHT = 0.1
 MAX_HEARD_GAP_S = 5.0
-# Two of these at one engine make its streams late, so that peers hear of each at once.
-LARGE_CHARGE_TOKENS = 2_000
 # Up to so many VMs in a region, each can tell from its own requests how busy a server is.
 TOLD_APART_BY_VMS = 2.0
 
@@ -57,10 +56,9 @@
         # The VMs that share the region's requests, this one included.
         self.region_vms = 1
         self._read_tokens = DecayingRates()
+        self._tokens_by_size = DecayingRates()
         # Failure domains that are being emptied: their servers get no new work.
         self.closed_domains: frozenset[str] = frozenset()
-        # Called when this VM sends a server what others should know before they send there too.
-        self.large_charge_listeners: list[Callable[[], None]] = []
         self._servers: dict[str, BackendServer] = {}
         self._pools: dict[str, tuple[BackendServer, ...]] = {}
         self._loads: dict[str, ServerLoad] = {}
@@ -145,13 +143,21 @@
         self._charges[request_id] = charge
         load.add(charge)
         self._read_tokens.add(server_name, tokens, now_unix_s)
-        if tokens >= LARGE_CHARGE_TOKENS:
-            self._tell_large_charge()
+        self._note_size(server_name, tokens, now_unix_s)
         self._times_of(server_name).observe_charge(tokens, kv_tokens)
 
-    def _tell_large_charge(self) -> None:
-        for listener in self.large_charge_listeners:
-            listener()
+    def _note_size(self, server_name: str, tokens: int, now_unix_s: float) -> None:
+        server = self._servers.get(server_name)
+        if server is not None and tokens:
+            is_long = tokens >= LONG_PROMPT_TOKENS
+            self._tokens_by_size.add(_size_key(server.pool, is_long), tokens, now_unix_s)
+
+    def size_reading_share(self, pool: str, is_long: bool, now_unix_s: float) -> float:
+        """Return the share of a pool's time that reading long, or short, prompts takes."""
+        servers = max(1, len(self.usable_servers(pool, now_unix_s)))
+        tokens_per_s = self._tokens_by_size.per_s(_size_key(pool, is_long), now_unix_s)
+        s_per_token = self.service_times(pool).s_per_prefill_token
+        return tokens_per_s * self.region_vms * s_per_token / servers
 
     def started(self, request_id: str, now_unix_s: float) -> None:
         """Note a request's first token."""
@@ -336,3 +342,7 @@
     def _times_of(self, server_name: str) -> ServiceTimes:
         server = self._servers.get(server_name)
         return self.service_times(server.pool if server else "")
+
+
+def _size_key(pool: str, is_long: bool) -> str:
+    return f"{pool}/{'long' if is_long else 'short'}"
--- a/src/pomelobarrow/decision/server_choice.py
+++ b/src/pomelobarrow/decision/server_choice.py
@@ -8,6 +8,11 @@
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.load_table import LoadTable, ServerState
 from pomelobarrow.decision.service_times import ServiceTimes
+from pomelobarrow.decision.size_split import (
+    LONG_PROMPT_TOKENS,
+    long_prompt_servers,
+    wrong_side_cost_s,
+)
 from pomelobarrow.decision.stale_view import choose_index, filled, shrunk
 from pomelobarrow.decision.stream_pauses import Engine, PauseTarget, pause_cost_s
 from pomelobarrow.decision.work import BackendServer, Placement, Work
@@ -27,6 +32,10 @@
 # one holds. So its reading counts this many times more than the time that it takes. Measured on
 # deployments of 16 and 7 engines: a fifth fewer tokens read again; 0.04 and no worth gained.
 REREAD_WEIGHT = 2.0
+# A pool that reads less of short prompts than this has none to keep apart.
+MIN_SHORT_SHARE = 0.005
+# Targets are shares of seconds; none is shorter.
+MIN_TARGET_S = 0.05
 # What a long prompt takes to read, for comparing servers before the prompt is known.
 LONG_READING_S = 0.1
 WARM = "prompt cache"
@@ -76,7 +85,7 @@
     seen = {state.server.name for state in compared}
     others = [server for server in warm.servers if server.name not in seen]
     compared += table.states(others, work.pool, now_unix_s)
-    return _least_wait(table, work, compared, warm, random, admits)
+    return _least_wait(table, work, compared, warm, random, admits, now_unix_s)
 
 
 def least_wait_s(table: LoadTable, pool: str, now_unix_s: float) -> float:
@@ -135,13 +144,17 @@
     warm: _Warm,
     random: Random,
     admits: Admission,
+    now_unix_s: float,
 ) -> Placement:
     states = _with_room(compared, work, admits)
     times = table.service_times(work.pool)
     waits_s = _waits_s(states, times, table.view_age_s)
     # What peers place comes to the servers with room, also what replaces work on the full ones.
     unseen_s = table.unseen_s(compared, work.pool)
-    pauses_s = _pause_costs_s(work, states, warm, times)
+    target = _pause_target(work)
+    pauses_s = _pause_costs_s(work, target, states, warm, times)
+    sides_s = _side_costs_s(table, work, states, now_unix_s)
+    pauses_s = [pause + side for pause, side in zip(pauses_s, sides_s, strict=True)]
     costs_s = [wait + pause for wait, pause in zip(waits_s, pauses_s, strict=True)]
     emptiest = choose_index(costs_s, unseen_s, random)
     expected_waits_s = filled(waits_s, unseen_s)
@@ -172,12 +185,34 @@
     )
 
 
+def _pause_target(work: Work) -> PauseTarget:
+    target_s = max(MIN_TARGET_S, work.first_token_due_unix_s - work.accepted_unix_s)
+    return PauseTarget(gap_s=work.gap_target_s, first_answer_s=target_s)
+
+
+def _side_costs_s(
+    table: LoadTable, work: Work, states: Sequence[ServerState], now_unix_s: float
+) -> list[float]:
+    """Return what it costs each server's streams to get a prompt of this size."""
+    if not work.gap_target_s:
+        return [0.0] * len(states)
+    servers = table.usable_servers(work.pool, now_unix_s)
+    long_share = table.size_reading_share(work.pool, True, now_unix_s)
+    short_share = table.size_reading_share(work.pool, False, now_unix_s)
+    for_long = long_prompt_servers(work.pool, servers, long_share, short_share > MIN_SHORT_SHARE)
+    is_split = len(for_long) < len(servers)
+    is_long = work.prompt_tokens >= LONG_PROMPT_TOKENS
+    return [wrong_side_cost_s(is_long, state.server.name in for_long, is_split) for state in states]
+
+
 def _pause_costs_s(
-    work: Work, states: Sequence[ServerState], warm: _Warm, times: ServiceTimes
+    work: Work,
+    target: PauseTarget,
+    states: Sequence[ServerState],
+    warm: _Warm,
+    times: ServiceTimes,
 ) -> list[float]:
     """Return what reading the prompt costs each server's streams."""
-    target_s = work.first_token_due_unix_s - work.accepted_unix_s
-    target = PauseTarget(gap_s=work.gap_target_s, first_answer_s=target_s)
     s_per_token = times.s_per_prefill_token
     return [
         pause_cost_s(
--- a/src/pomelobarrow/decision/stream_pauses.py
+++ b/src/pomelobarrow/decision/stream_pauses.py
@@ -19,8 +19,10 @@
 HARMFUL_READING_SHARE = 0.8
 # Over what time one prompt counts into that share: what a stream lasts.
 STREAM_S = 2.0
-# A stream made late costs as much as a first answer that comes later by this part of its target.
-LATE_STREAM_COST = 0.5
+# Another stream made late costs as much as a first answer that comes later by this part of its
+# target; the own one costs more, as that is surer.
+LATE_STREAM_COST = 0.1
+OWN_LATE_COST = 0.2
 
 
 @frozen(kw_only=True)
@@ -67,7 +69,8 @@
     )
     after = late_share(fuller, target.gap_s)
     made_late = (after - late_share(engine, target.gap_s)) * engine.streams
-    return LATE_STREAM_COST * target.first_answer_s * (made_late + after)
+    share = LATE_STREAM_COST * made_late + OWN_LATE_COST * after
+    return share * target.first_answer_s
 
 
 def _ramp(value: float, low: float, high: float) -> float:
--- a/src/pomelobarrow/peers/links.py
+++ b/src/pomelobarrow/peers/links.py
@@ -20,10 +20,6 @@
 
 EXCHANGE_PATH = "/pomelobarrow.peers.v1.Peer/Exchange"
 HEARTBEAT_EVERY_S = 1.0
-# Early heartbeats follow each other no faster. VMs that heard of each other's long prompts a second
-# later sent them to the same engine: of the prompts that overfilled one, half had met another VM's
-# that this one hadn't heard of.
-HURRIED_GAP_S = 0.1
 # The other end answers each heartbeat. Three unanswered ones mean that the connection was
 # forgotten on its way or that the peer is gone; a new connection tells the two apart.
 SILENT_AFTER_S = 3.2
@@ -67,7 +63,6 @@
         self._is_open = False
         self._random = random.Random()
         self._uses = 0
-        self._hurried = asyncio.Event()
         self._up = asyncio.Event()
 
     async def up_channel(self) -> Channel:
@@ -97,10 +92,6 @@
         finally:
             self._uses -= 1
 
-    def hurry(self) -> None:
-        """Send the next heartbeat soon; it has news that others decide by."""
-        self._hurried.set()
-
     def send(self, message: pb.PeerMessage) -> None:
         """Queue a message; it is lost if the connection is."""
         if self._is_open:
@@ -172,17 +163,7 @@
             heartbeat = self._heartbeats.full(self.peer.vm, same_region, is_first)
             is_first = False
             self.send(pb.PeerMessage(heartbeat=heartbeat))
-            await self._until_next_beat()
-
-    async def _until_next_beat(self) -> None:
-        sent_unix_s = now_unix_s()
-        self._hurried.clear()
-        try:
-            async with asyncio.timeout(HEARTBEAT_EVERY_S * self._random.uniform(0.9, 1.1)):
-                await self._hurried.wait()
-        except TimeoutError:
-            return
-        await asyncio.sleep(max(0.0, sent_unix_s + HURRIED_GAP_S - now_unix_s()))
+            await asyncio.sleep(HEARTBEAT_EVERY_S * self._random.uniform(0.9, 1.1))
 
     async def _send_all(self, stream) -> None:  # type: ignore[no-untyped-def]
         while True:
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -5,7 +5,6 @@
 from pomelobarrow.backends.reports import LoadPoller
 from pomelobarrow.decision.clocks import ClockOffsets
 from pomelobarrow.decision.limits import AccountLimits
-from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.membership import ListedVm, Member, MembershipView, Phase
 from pomelobarrow.decision.request_ids import RequestIdLedger
 from pomelobarrow.dispatch.claims import ClaimedDispatch
@@ -179,7 +178,7 @@
             heartbeats=context.get(Heartbeats),
         )
 
-    table = PeerTable(
+    return PeerTable(
         view=context.get(MembershipView),
         published=context.get(PublishedState),
         heartbeats=context.get(Heartbeats),
@@ -188,8 +187,6 @@
         make_link=make_link,
         observe=context.observe,
     )
-    context.get(LoadTable).large_charge_listeners.append(table.hurry_neighbours)
-    return table
 
 
 def _forwarder(context: Context) -> PeerForwarder:
--- a/src/pomelobarrow/peers/table.py
+++ b/src/pomelobarrow/peers/table.py
@@ -125,12 +125,6 @@
         """Return the peers whose links are up."""
         return [link.peer.vm for link in self.links.values() if link.is_up]
 
-    def hurry_neighbours(self) -> None:
-        """Tell the region's VMs soon what this one has sent to a server."""
-        for vm in self._heartbeats.neighbours.all:
-            if vm in self.links:
-                self.links[vm].hurry()
-
     def broadcast(self, message: pb.PeerMessage) -> None:
         """Send to every linked peer."""
         for link in self.links.values():
