Weigh late streams less and what other streams show more; reckon reading shares once a choice

At 0.1 a slow engine, whose streams are late for sure, was hardly avoided. Profiled with processor time charged, placing took 1.6 of 3.5 s of a daemon on the grown site, two fifths of that in summing up the pool's reading for each of its servers. Change: 0.1 of the target for each stream likely made late, 0.6 where others at the engine show it. The pool's reading share is reckoned once; the order of a pool's servers is kept; regions are compared in the order of their names, so that the replay plays alike in every process.

--- a/src/pomelobarrow/decision/decaying_rate.py
+++ b/src/pomelobarrow/decision/decaying_rate.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 HALF_LIFE_S = 1.5
+SHARE_EACH_S = math.log(2.0) / HALF_LIFE_S
 
 
 @define
@@ -32,7 +33,7 @@
     def per_s(self, key: str, now_unix_s: float) -> float:
         """Return the amount a second."""
         total = self._sums.get(key)
-        return total.at(now_unix_s) * math.log(2.0) / HALF_LIFE_S if total else 0.0
+        return total.at(now_unix_s) * SHARE_EACH_S if total else 0.0
 
     def forget(self, key: str) -> None:
         """Drop a key."""
--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -154,7 +154,7 @@
 
     def size_reading_share(self, pool: str, is_long: bool, now_unix_s: float) -> float:
         """Return the share of a pool's time that reading long, or short, prompts takes."""
-        servers = max(1, len(self.usable_servers(pool, now_unix_s)))
+        servers = max(1, len(self.pool_servers(pool)))
         tokens_per_s = self._tokens_by_size.per_s(_size_key(pool, is_long), now_unix_s)
         s_per_token = self.service_times(pool).s_per_prefill_token
         return tokens_per_s * self.region_vms * s_per_token / servers
@@ -229,7 +229,8 @@
         times = self.service_times(pool)
         # As many come as go; either count varies by its square root.
         unseen_share = 2.0 * self.view_age_s / max(times.hold_s, 1e-3)
-        return [self._state(s, unseen_share, times.kv_tokens, now_unix_s) for s in servers]
+        of_pool = self._reading_share_of_pool(pool, now_unix_s)
+        return [self._state(s, unseen_share, of_pool, times, now_unix_s) for s in servers]
 
     @property
     def view_age_s(self) -> float:
@@ -272,7 +273,12 @@
         return is_closed or server.leaving or (report is not None and report.leaving)
 
     def _state(
-        self, server: BackendServer, unseen_share: float, kv_tokens: float, now_unix_s: float
+        self,
+        server: BackendServer,
+        unseen_share: float,
+        reading_share_of_pool: float,
+        times: ServiceTimes,
+        now_unix_s: float,
     ) -> ServerState:
         load = self._loads[server.name]
         requests = load.requests(now_unix_s)
@@ -284,25 +290,31 @@
             requests_deviation=math.sqrt(others * unseen_share),
             own_tokens=load.own_tokens,
             others_tokens=load.tokens(now_unix_s) - load.own_tokens,
-            kv_tokens=load.own_kv_tokens + round(others * kv_tokens),
+            kv_tokens=load.own_kv_tokens + round(others * times.kv_tokens),
             slots=server.slots * self._health[server.name].admitted_share(now_unix_s),
             seen_late_share=self.pauses.late_share(server.name, now_unix_s),
-            reading_share=self._reading_share(server, now_unix_s),
+            reading_share=self._reading_share(server, reading_share_of_pool, times, now_unix_s),
         )
 
-    def _reading_share(self, server: BackendServer, now_unix_s: float) -> float:
+    def _reading_share(
+        self,
+        server: BackendServer,
+        share_of_pool: float,
+        times: ServiceTimes,
+        now_unix_s: float,
+    ) -> float:
         """Return the share of its time that a server spends reading, from what this VM sends.
 
         The region's VMs get like shares of the requests. Where they are many, this one sends too
         little to each server to tell them apart, and the pool's mean counts more.
         """
-        servers = self.pool_servers(server.pool)
-        of_pool = sum(self._read_tokens.per_s(each.name, now_unix_s) for each in servers)
         own_weight = min(1.0, TOLD_APART_BY_VMS / self.region_vms)
-        of_server = self._read_tokens.per_s(server.name, now_unix_s)
-        tokens_per_s = own_weight * of_server + (1.0 - own_weight) * of_pool / len(servers)
-        s_per_token = self.service_times(server.pool).s_per_prefill_token
-        return tokens_per_s * self.region_vms * s_per_token
+        tokens_per_s = self._read_tokens.per_s(server.name, now_unix_s) * self.region_vms
+        share = tokens_per_s * times.s_per_prefill_token
+        return own_weight * share + (1.0 - own_weight) * share_of_pool
+
+    def _reading_share_of_pool(self, pool: str, now_unix_s: float) -> float:
+        return sum(self.size_reading_share(pool, is_long, now_unix_s) for is_long in (True, False))
 
     def _tokens_ahead(self, name: str, load: ServerLoad, now_unix_s: float) -> int | None:
         """Return the prefill before a new request, where that is all it waits for."""
--- a/src/pomelobarrow/decision/size_split.py
+++ b/src/pomelobarrow/decision/size_split.py
@@ -6,6 +6,7 @@
 follows the load, and all VMs take the servers in the same order with nothing exchanged.
 """
 
+import functools
 import math
 from collections.abc import Sequence
 
@@ -15,6 +16,8 @@
 # Of its time, what an engine for long prompts spends reading: more leaves no room for their clumps.
 READING_SHARE = 0.4
 LONG_PROMPT_TOKENS = 2_000
+# Lists of servers whose order is kept; hashing some tens of them for each request costs too much.
+MAX_ORDERS = 64
 # A server on the wrong side of the border costs so much more. The gain of a first answer that is
 # sooner by more than that is worth crossing it.
 WRONG_SIDE_COST_S = 0.15
@@ -29,7 +32,12 @@
         return frozenset(names)
     count = math.ceil(long_reading_share * len(names) / READING_SHARE)
     count = min(len(names) - 1, max(1, count))
-    return frozenset(rendezvous(f"long prompts/{pool}", names, count))
+    return frozenset(_in_order(pool, tuple(names))[:count])
+
+
+@functools.lru_cache(MAX_ORDERS)
+def _in_order(pool: str, names: tuple[str, ...]) -> tuple[str, ...]:
+    return rendezvous(f"long prompts/{pool}", names, len(names))
 
 
 def wrong_side_cost_s(is_long: bool, is_for_long: bool, is_split: bool) -> float:
--- a/src/pomelobarrow/decision/stream_pauses.py
+++ b/src/pomelobarrow/decision/stream_pauses.py
@@ -5,7 +5,7 @@
 up every stream there for longer than its pause target, although each first answer is on time.
 """
 
-from attrs import evolve, frozen
+from attrs import frozen
 
 # Below this part of the pause target, a backlog of reading leaves streams on time; from the other
 # on it makes all of them late. Measured on five engines of 70 tokens a ms: streams' longest pauses
@@ -19,10 +19,11 @@
 HARMFUL_READING_SHARE = 0.8
 # Over what time one prompt counts into that share: what a stream lasts.
 STREAM_S = 2.0
-# Another stream made late costs as much as a first answer that comes later by this part of its
-# target; the own one costs more, as that is surer.
+# A stream made late costs as much as a first answer that comes later by this part of its target.
+# More would send long prompts far, or refuse them, for a delay that is only likely.
 LATE_STREAM_COST = 0.1
-OWN_LATE_COST = 0.2
+# Its own lateness costs a stream this part where others at the engine show it: that is sure.
+SEEN_LATE_COST = 0.6
 
 
 @frozen(kw_only=True)
@@ -48,11 +49,9 @@
 
 def late_share(engine: Engine, gap_target_s: float) -> float:
     """Return the share of an engine's streams that are late."""
-    by_backlog = _ramp(
-        engine.backlog_s / gap_target_s, HARMLESS_BACKLOG_SHARE, HARMFUL_BACKLOG_SHARE
+    return _late_share(
+        engine.backlog_s / gap_target_s, engine.reading_share, engine.seen_late_share
     )
-    by_reading = _ramp(engine.reading_share, HARMLESS_READING_SHARE, HARMFUL_READING_SHARE)
-    return max(by_backlog, by_reading, engine.seen_late_share)
 
 
 def pause_cost_s(target: PauseTarget, engine: Engine, reading_s: float) -> float:
@@ -62,15 +61,20 @@
     """
     if not target.gap_s:
         return 0.0
-    fuller = evolve(
-        engine,
-        backlog_s=engine.backlog_s + reading_s,
-        reading_share=engine.reading_share + reading_s / STREAM_S,
+    after = _late_share(
+        (engine.backlog_s + reading_s) / target.gap_s,
+        engine.reading_share + reading_s / STREAM_S,
+        engine.seen_late_share,
     )
-    after = late_share(fuller, target.gap_s)
     made_late = (after - late_share(engine, target.gap_s)) * engine.streams
-    share = LATE_STREAM_COST * made_late + OWN_LATE_COST * after
-    return share * target.first_answer_s
+    own = max(LATE_STREAM_COST * after, SEEN_LATE_COST * engine.seen_late_share)
+    return (LATE_STREAM_COST * made_late + own) * target.first_answer_s
+
+
+def _late_share(backlog_share: float, reading_share: float, seen_late_share: float) -> float:
+    by_backlog = _ramp(backlog_share, HARMLESS_BACKLOG_SHARE, HARMFUL_BACKLOG_SHARE)
+    by_reading = _ramp(reading_share, HARMLESS_READING_SHARE, HARMFUL_READING_SHARE)
+    return max(by_backlog, by_reading, seen_late_share)
 
 
 def _ramp(value: float, low: float, high: float) -> float:
--- a/src/pomelobarrow/relay/placement.py
+++ b/src/pomelobarrow/relay/placement.py
@@ -310,7 +310,7 @@
         cold = self._reading(request, work.prompt_tokens)
         cached = self._reading(request, work.prompt_tokens - work.shared_tokens)
         found: dict[str, RegionCost] = {}
-        for region in regions:
+        for region in sorted(regions):
             load = loads.get(region)
             if request.route.may_run_in(region) and (load is None or load.servers):
                 reading = cached if region in warm else cold
