--- a/tests/test_proof_home.py
+++ b/tests/test_proof_home.py
@@ -31,6 +31,11 @@
     return await asyncio.gather(*(review(fleet, vm, **more) for vm in fleet.entries))
 
 
+def unanswered(replies: list[Reply]) -> list[Reply]:
+    """Return the replies that are no whole right answers, for a failure's report."""
+    return [reply for reply in replies if not reply.is_answered]
+
+
 def outside(fleet: Fleet) -> list[str]:
     return [vm for vm, plan in fleet.entries.items() if plan.region != HOME]
 
@@ -53,7 +58,7 @@
     # Callers ask entry VMs of every region. In reach, home runs the work. Once home is cut off,
     # the others have idle engines and refuse all the same: nothing ran, come back then, while
     # home's own callers are served. Healed, home runs it again.
-    assert all(reply.is_answered for reply in await review_everywhere(vasktoru))
+    assert unanswered(await review_everywhere(vasktoru)) == []
     await cut_region(vasktoru, HOME)
     for vm in outside(vasktoru):
         await wait_until(lambda vm=vm: _suspects_home(vasktoru, vm))
@@ -65,7 +70,7 @@
     assert all([(await review(vasktoru, vm)).is_answered for vm in vasktoru.in_region(HOME)])
     await heal(vasktoru)
     await wait_converged(vasktoru)
-    assert all(reply.is_answered for reply in await review_everywhere(vasktoru))
+    assert unanswered(await review_everywhere(vasktoru)) == []
     assert await regions_run(vasktoru) == {HOME}
 
 
@@ -115,7 +120,7 @@
             vasktoru.start_server(server.name)
         else:
             await vasktoru.post(f"127.0.0.1:{server.port}", "/admin/mode", {"refuse": False})
-    assert all(reply.is_answered for reply in await review_everywhere(vasktoru))
+    assert unanswered(await review_everywhere(vasktoru)) == []
     assert await regions_run(vasktoru) == {HOME}
 
 
