Hold requests for a moment while a VM that has just started reads its lists

Change: a request waits up to 0.3 s for the first read; a store that doesn't answer refuses as before. Measured: the test failed before (503).

--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -25,6 +25,11 @@
 from pomelobarrow.relay.relay import Relay
 from pomelobarrow.relay.wire import RelayWire
 
+# A VM that starts again listens a moment before it has read its lists. After a loss of power all
+# clients come in that moment: refused, each comes back late, where the lists take a few reads of
+# some milliseconds. A store that doesn't answer must not hold callers for longer than this.
+HOLD_AT_START_S = 0.3
+CHECK_EVERY_S = 0.02
 REMEDY_REQUEST = "send the request as the interface describes it"
 
 
@@ -38,6 +43,8 @@
     routing: Callable[[], Routing | None]
     is_draining: Callable[[], bool]
     planned_stop: PlannedStop = field(factory=PlannedStop)
+    # Whether this VM has heard which backend servers there are.
+    knows_servers: Callable[[], bool] = lambda: True
 
     async def from_client(self, incoming: web.BaseRequest) -> web.StreamResponse:
         """Answer a client."""
@@ -52,7 +59,7 @@
 
     async def _serve(self, incoming: web.BaseRequest, forwarded_by: str) -> web.StreamResponse:
         accepted_unix_s = now_unix_s()
-        routing = self.routing()
+        routing = await self._routing_once_known(accepted_unix_s)
         if routing is None:
             refusal = refuse(Kind.NOT_READY, Run.NO, "no configuration yet")
             return await self._refuse(incoming, refusal)
@@ -70,6 +77,15 @@
         await self.relay.answer(request, routing, sink)
         return sink.response or _closed(incoming)
 
+    async def _routing_once_known(self, accepted_unix_s: float) -> Routing | None:
+        """Return what is published, waiting a moment where this VM has just started."""
+        give_up_unix_s = accepted_unix_s + HOLD_AT_START_S
+        while self.routing() is None or not self.knows_servers():
+            if now_unix_s() >= give_up_unix_s:
+                break
+            await asyncio.sleep(CHECK_EVERY_S)
+        return self.routing()
+
     def _read(
         self, incoming: web.BaseRequest, routing: Routing, forwarded_by: str
     ) -> Result[tuple[RequestHead, Route], Refusal]:
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -14,7 +14,7 @@
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
 from pomelobarrow.kernel.settings import RelaySettings
 from pomelobarrow.peers.region_loads import RegionLoads
-from pomelobarrow.published.keyspaces import PublishedState
+from pomelobarrow.published.keyspaces import VMS, PublishedState
 from pomelobarrow.relay.directory import GOOD_FOR_S, RelayDirectory
 from pomelobarrow.relay.front import RelayFront
 from pomelobarrow.relay.judging import ServerJudge
@@ -132,6 +132,7 @@
         routing=lambda: _routing(context),
         is_draining=lambda: context.is_draining,
         planned_stop=context.get(PlannedStop),
+        knows_servers=lambda: context.get(PublishedState).copies[VMS].observed_revision > 0,
     )
 
 
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -50,6 +50,7 @@
     host: str
     front_port: int
     relay: Relay
+    front: RelayFront
     listeners: RelayListeners
     planned_stop: PlannedStop
     events: list[object] = field(factory=list)
@@ -162,6 +163,7 @@
         host=hosts[region],
         front_port=front_port,
         relay=relay,
+        front=front,
         listeners=listeners,
         events=events,
         planned_stop=stop,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -369,3 +369,23 @@
     assert (early.status, late.status, short.status, arrivals) == (200, 503, 200, 2)
     assert "draining" in late.body.decode()
     assert 0.0 < float(late.headers["Retry-After"]) < 1.0
+
+
+async def test_request_that_comes_while_the_lists_are_read_is_answered() -> None:
+    """All VMs start again after a loss of power, and clients come at once.
+
+    A VM listens before it has read the configuration and the list of servers. Refused, its clients
+    would come back late; the lists are there a few milliseconds on.
+    """
+    async with relay_fleet((IDEMPOTENT,), {"a": {"s1": answers()}}) as fleet:
+        front, reads = fleet.vms["a"].front, iter([False, False, False])
+        routing = front.routing()
+        front.routing = lambda: routing if next(reads, True) else None
+        assert (await ask(fleet.vms["a"], "/idempotent/x")).status == 200
+
+
+async def test_vm_whose_lists_do_not_come_refuses() -> None:
+    async with relay_fleet((IDEMPOTENT,), {"a": {"s1": answers()}}) as fleet:
+        fleet.vms["a"].front.routing = lambda: None
+        refused = await ask(fleet.vms["a"], "/idempotent/x")
+    assert (refused.status, float(refused.headers["Retry-After"]) > 0.0) == (503, True)
