Send cold long prompts to their owners first again; late streams weigh 0.05

Owners elsewhere were weighed against what the engines here had before them, and a late stream's weight moved warm prompts to cold engines. Also: reading rates and the live members are modules of their own.

--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -22,8 +22,9 @@
 from pomelobarrow.decision.routing import Route, RouteKind, Routing
 from pomelobarrow.decision.server_choice import least_wait_s, quietest_engine
 from pomelobarrow.decision.work import BackendServer, Work
+from pomelobarrow.relay.live_members import LiveMembers
 from pomelobarrow.relay.messages import PromptPart, RelayRequest, RequestHead
-from pomelobarrow.relay.placement import Excluded, LiveMembers, Nowhere, OnPeer, OnServer, Placer
+from pomelobarrow.relay.placement import Excluded, Nowhere, OnPeer, OnServer, Placer
 from pomelobarrow.relay.prompts import shared_blocks
 
 START_UNIX_S = 1_000.0
@@ -130,7 +131,7 @@
             view.observe_heartbeat(member, START_UNIX_S)
         table = LoadTable(region)
         table.set_servers(self.servers.values())
-        table.region_vms = self.vms_per_region
+        table.reading.region_vms = self.vms_per_region
         placer = Placer(
             own_region=region,
             own_failure_domain=region,
--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -6,10 +6,10 @@
 
 from attrs import define
 
-from pomelobarrow.decision.decaying_rate import DecayingRates
 from pomelobarrow.decision.group_servers import GroupServers
 from pomelobarrow.decision.peer_counts import NOTHING, PeerCounts
 from pomelobarrow.decision.prefix_index import PrefixIndex
+from pomelobarrow.decision.reading_rates import ReadingRates
 from pomelobarrow.decision.report_clock import ReportClock
 from pomelobarrow.decision.server_health import ServerHealth
 from pomelobarrow.decision.server_load import Charge, ServerLoad
@@ -19,8 +19,6 @@
 
 HEARD_EWMA_WEIGHT = 0.1
 MAX_HEARD_GAP_S = 5.0
-# Up to so many VMs in a region, each can tell from its own requests how busy a server is.
-TOLD_APART_BY_VMS = 2.0
 
 
 @define(kw_only=True)
@@ -52,10 +50,7 @@
         self.own_region = own_region
         self.prefixes = PrefixIndex()
         self.pauses = ServerPauses()
-        # The VMs that share the region's requests, this one included.
-        self.region_vms = 1
-        self._read_tokens = DecayingRates()
-        self._pool_tokens = DecayingRates()
+        self.reading = ReadingRates()
         # Failure domains that are being emptied: their servers get no new work.
         self.closed_domains: frozenset[str] = frozenset()
         self._servers: dict[str, BackendServer] = {}
@@ -141,8 +136,7 @@
         )
         self._charges[request_id] = charge
         load.add(charge)
-        self._read_tokens.add(server_name, tokens, now_unix_s)
-        self._pool_tokens.add(self._pool_of(server_name), tokens, now_unix_s)
+        self.reading.add(server_name, self._pool_of(server_name), tokens, now_unix_s)
         self._times_of(server_name).observe_charge(tokens, kv_tokens)
 
     def started(self, request_id: str, now_unix_s: float) -> None:
@@ -215,7 +209,9 @@
         times = self.service_times(pool)
         # As many come as go; either count varies by its square root.
         unseen_share = 2.0 * self.view_age_s / max(times.hold_s, 1e-3)
-        of_pool = self._reading_share_of_pool(pool, times, now_unix_s)
+        of_pool = self.reading.share_of_pool(
+            pool, len(self.pool_servers(pool)), times.s_per_prefill_token, now_unix_s
+        )
         return [self._state(s, unseen_share, of_pool, times, now_unix_s) for s in servers]
 
     @property
@@ -280,7 +276,9 @@
             kv_tokens=load.own_kv_tokens + round(others * times.kv_tokens),
             slots=server.slots * self._health[server.name].admitted_share(now_unix_s),
             seen_late_share=self.pauses.late_share(server.name, now_unix_s),
-            reading_share=self._reading_share(server, reading_share_of_pool, times, now_unix_s),
+            reading_share=self.reading.share(
+                server.name, reading_share_of_pool, times.s_per_prefill_token, now_unix_s
+            ),
         )
 
     def _unheard_factor(self, load: ServerLoad) -> float:
@@ -292,29 +290,7 @@
         """
         if load.report is not None or not self._peers:
             return 1.0
-        return max(1.0, (self.region_vms - 1) / len(self._peers))
-
-    def _reading_share(
-        self,
-        server: BackendServer,
-        share_of_pool: float,
-        times: ServiceTimes,
-        now_unix_s: float,
-    ) -> float:
-        """Return the share of its time that a server spends reading, from what this VM sends.
-
-        The region's VMs get like shares of the requests. Where they are many, this one sends too
-        little to each server to tell them apart, and the pool's mean counts more.
-        """
-        own_weight = min(1.0, TOLD_APART_BY_VMS / self.region_vms)
-        tokens_per_s = self._read_tokens.per_s(server.name, now_unix_s) * self.region_vms
-        share = tokens_per_s * times.s_per_prefill_token
-        return own_weight * share + (1.0 - own_weight) * share_of_pool
-
-    def _reading_share_of_pool(self, pool: str, times: ServiceTimes, now_unix_s: float) -> float:
-        tokens_per_s = self._pool_tokens.per_s(pool, now_unix_s) * self.region_vms
-        servers = max(1, len(self.pool_servers(pool)))
-        return tokens_per_s * times.s_per_prefill_token / servers
+        return max(1.0, (self.reading.region_vms - 1) / len(self._peers))
 
     def _tokens_ahead(self, name: str, load: ServerLoad, now_unix_s: float) -> int | None:
         """Return the prefill before a new request, where that is all it waits for."""
@@ -347,7 +323,7 @@
         self._health.pop(name, None)
         self._clocks.pop(name, None)
         self.pauses.forget(name)
-        self._read_tokens.forget(name)
+        self.reading.forget(name)
         # Kept, these would be taken off the counts of the next server of that name.
         self._peers = {vm: counts.without(name) for vm, counts in self._peers.items()}
 
--- a/src/pomelobarrow/decision/stream_pauses.py
+++ b/src/pomelobarrow/decision/stream_pauses.py
@@ -21,9 +21,9 @@
 STREAM_S = 2.0
 # A stream made late costs as much as a first answer that comes later by this part of its target.
 # More would send long prompts far, or refuse them, for a delay that is only likely.
-LATE_STREAM_COST = 0.1
+LATE_STREAM_COST = 0.05
 # Its own lateness costs a stream this part where others at the engine show it: that is sure.
-SEEN_LATE_COST = 0.6
+SEEN_LATE_COST = 0.3
 
 
 @frozen(kw_only=True)
--- a/src/pomelobarrow/peers/heartbeats.py
+++ b/src/pomelobarrow/peers/heartbeats.py
@@ -86,7 +86,7 @@
         """Take over which peers of the region this VM exchanges heartbeats with."""
         self.neighbours = neighbours
         self.limits.set_region_vms(neighbours.region_vms)
-        self.local.table.region_vms = neighbours.region_vms
+        self.local.table.reading.region_vms = neighbours.region_vms
 
     def echo(self, peer: str, is_first: bool = False) -> pb.Heartbeat:
         """Return the short answer to a peer's heartbeat: who we are and how far we are.
--- a/src/pomelobarrow/relay/placement.py
+++ b/src/pomelobarrow/relay/placement.py
@@ -1,6 +1,6 @@
 """Decide where a relayed request goes next: a backend server here, a peer elsewhere, nowhere."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 from random import Random
 
 from attrs import define, field, frozen
@@ -9,8 +9,7 @@
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.group_owners import GroupOwners, SentGroups
 from pomelobarrow.decision.load_table import LoadTable, ServerState
-from pomelobarrow.decision.membership import Member, MembershipView
-from pomelobarrow.decision.peer_reach import PeerReach
+from pomelobarrow.decision.membership import Member
 from pomelobarrow.decision.region_choice import RegionLoad
 from pomelobarrow.decision.region_cost import Reading, RegionCost, region_cost
 from pomelobarrow.decision.rendezvous import rendezvous
@@ -19,6 +18,7 @@
 from pomelobarrow.decision.stream_pauses import PauseTarget
 from pomelobarrow.decision.turning_away import Promise, is_worth_taking
 from pomelobarrow.decision.work import BackendServer, Placement
+from pomelobarrow.relay.live_members import LiveMembers
 from pomelobarrow.relay.messages import RelayRequest
 
 # Servers queue some requests themselves. Past this many in flight for each slot they refuse, or the
@@ -30,6 +30,9 @@
 # Regions whose costs differ by less are taken as equal: news of them is a second old, and all VMs
 # would send to the one that looked best then.
 ALIKE_AT_S = 0.3
+# A region that isn't late is left only for one that costs less by this much: what is known of that
+# is a second old, and bytes between regions are paid for.
+LEAVE_MARGIN_S = 0.15
 # A caller that comes for the first time still has its route's whole time; one with less than this
 # part of it has been turned away before.
 FIRST_COME_SHARE = 0.97
@@ -37,6 +40,8 @@
 NEAR_AT_TARGET_SHARE = 0.1
 # Longer prompts go where the same group went before, so that one cache holds them.
 LONG_PROMPT_TOKENS = 2_000
+# Elsewhere a prompt is only sent for its warm cache while that is expected to be early.
+OWNER_AT_TARGET_SHARE = 0.6
 # Less than this part of a shared prompt in a cache here counts as not there.
 WARM_SHARE = 0.5
 WARM_ELSEWHERE = "another region keeps this prompt warm"
@@ -88,42 +93,6 @@
         return sorted(self.servers | self.peers | self.regions)
 
 
-# Going through all members for each request cost a twentieth of a VM's time in a fleet of 75; what
-# changes within this time is noticed by the attempt itself.
-MEMBERS_GOOD_FOR_S = 0.2
-
-
-@define(kw_only=True)
-class LiveMembers:
-    """Hold the members that live and those that take work, as of a moment ago."""
-
-    view: MembershipView
-    reach: PeerReach = field(factory=PeerReach)
-    live: Sequence[Member] = ()
-    usable: Sequence[Member] = ()
-    _good_until_unix_s: float = 0.0
-
-    def refresh(self, now_unix_s: float) -> None:
-        """Look again where the last look is old."""
-        if not 0.0 <= self._good_until_unix_s - now_unix_s <= MEMBERS_GOOD_FOR_S:
-            self.live = self.view.live(now_unix_s=now_unix_s)
-            self.usable = [
-                member
-                for member in self.view.usable_entries(now_unix_s=now_unix_s)
-                if not self.reach.is_left_out(member.vm, now_unix_s)
-            ]
-            self._good_until_unix_s = now_unix_s + MEMBERS_GOOD_FOR_S
-
-    def note_unreached(self, vm: str, now_unix_s: float) -> None:
-        """Pass over a peer to which no connection could be made."""
-        self.reach.note_unreached(vm, now_unix_s)
-        self._good_until_unix_s = 0.0
-
-    def usable_in(self, region: str) -> list[Member]:
-        """Return the members of a region that take work."""
-        return [member for member in self.usable if member.region == region]
-
-
 @define(kw_only=True)
 class Placer:
     """Hold what placing depends on."""
@@ -149,7 +118,8 @@
             return self._here_or_nowhere(request, here, now_unix_s)
         if here is not None and not self._may_leave(request, here):
             return OnServer(placement=here)
-        elsewhere = self._choose_elsewhere(request, here, excluded, now_unix_s)
+        elsewhere = self._choose_owner(request, here, excluded, now_unix_s)
+        elsewhere = elsewhere or self._choose_elsewhere(request, here, excluded, now_unix_s)
         if elsewhere is not None:
             expected_s = elsewhere.expected_first_answer_s
             return self._unless_behind(request, elsewhere, expected_s, now_unix_s)
@@ -236,13 +206,51 @@
             return {}
         group = request.head.group
         warm = {region: "" for region in self.sent_groups.regions(group, now_unix_s)}
-        owner = self.owners.owner(
-            group, work.pool, request.route, self.servers(), self.table.closed_domains
-        )
+        owner = self._owner(request)
         if owner is not None:
             warm[owner.region] = owner.failure_domain
         return warm
 
+    def _choose_owner(
+        self,
+        request: RelayRequest,
+        here: Placement | None,
+        excluded: Excluded,
+        now_unix_s: float,
+    ) -> OnPeer | None:
+        """Return a peer of the region that keeps a long shared prompt warm, unless it is here.
+
+        Reading such a prompt again costs an engine more than the trip costs the request. Weighed
+        against what the engines here have before them, twice as many were read again.
+        """
+        work = request.work
+        if work.shared_tokens < LONG_PROMPT_TOKENS:
+            return None
+        if here is not None and here.cached_tokens >= WARM_SHARE * work.shared_tokens:
+            return None
+        owner = self._owner(request)
+        if owner is None or owner.region == self.own_region or owner.region in excluded.regions:
+            return None
+        load = self.region_loads(work.pool).get(owner.region)
+        if load is None or not load.is_fresh(now_unix_s) or not load.servers:
+            return None
+        reading = self._reading(request, work.prompt_tokens - work.shared_tokens)
+        expected_s = region_cost(load, reading, now_unix_s).first_answer_s
+        member = self._choose_member(owner.region, excluded, owner.failure_domain)
+        is_early = expected_s < OWNER_AT_TARGET_SHARE * request.route.first_answer_target_s
+        if member is None or not is_early:
+            return None
+        return OnPeer(member=member, reason=WARM_ELSEWHERE, expected_first_answer_s=expected_s)
+
+    def _owner(self, request: RelayRequest) -> BackendServer | None:
+        return self.owners.owner(
+            request.head.group,
+            request.work.pool,
+            request.route,
+            self.servers(),
+            self.table.closed_domains,
+        )
+
     def _reading(self, request: RelayRequest, tokens: int) -> Reading:
         work = request.work
         s_per_token = self.table.service_times(work.pool).s_per_prefill_token
@@ -257,6 +265,9 @@
         """Say whether another region might be better; a short prompt that is early here stays."""
         if request.work.prompt_tokens >= LONG_PROMPT_TOKENS:
             return True
+        return self._is_late(request, here)
+
+    def _is_late(self, request: RelayRequest, here: Placement) -> bool:
         bound_s = LEAVE_AT_TARGET_SHARE * request.route.first_answer_target_s
         return here.expected_wait_s + here.pause_cost_s > bound_s
 
@@ -270,7 +281,8 @@
         warm = self._warm_regions(request, now_unix_s)
         costs = self._costs_elsewhere(request, excluded, warm, now_unix_s)
         if here is not None:
-            costs = {r: cost for r, cost in costs.items() if cost.cost_s < here.cost_s}
+            bound_s = here.cost_s - (0.0 if self._is_late(request, here) else LEAVE_MARGIN_S)
+            costs = {r: cost for r, cost in costs.items() if cost.cost_s < bound_s}
         if not costs:
             return None
         region = self._choose_region(request, costs)
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -19,7 +19,8 @@
 from pomelobarrow.relay.front import RelayFront
 from pomelobarrow.relay.judging import ServerJudge
 from pomelobarrow.relay.listeners import Listener, RelayListeners
-from pomelobarrow.relay.placement import LiveMembers, Placer
+from pomelobarrow.relay.live_members import LiveMembers
+from pomelobarrow.relay.placement import Placer
 from pomelobarrow.relay.planned_stop import PlannedStop
 from pomelobarrow.relay.relay import Relay
 from pomelobarrow.relay.wire import RelayWire
--- a/tests/test_load_table.py
+++ b/tests/test_load_table.py
@@ -146,7 +146,7 @@
     VM fills it up at the same time.
     """
     table = table_of(1)
-    table.region_vms = 9
+    table.reading.region_vms = 9
     for number in range(4):
         table.observe_peer(f"vm-{number}", {"s1": InFlight(requests=2, tokens=500)}, 1.0)
     table.charge("r1", "s1", 100, 1.0)
@@ -157,7 +157,7 @@
 
 def test_reports_tell_of_vms_that_are_not_heard() -> None:
     table = table_of(1)
-    table.region_vms = 9
+    table.reading.region_vms = 9
     table.observe_peer("vm-2", {"s1": InFlight(requests=2)}, 1.0)
     table.observe_report(report("s1", 1.1, running=7), 1.5)
     assert requests(table, 1.5) == 7
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -12,6 +12,7 @@
 from pomelobarrow.decision.region_choice import RegionLoad
 from pomelobarrow.decision.routing import RelayPool, Route, RouteKind, Routing
 from pomelobarrow.decision.work import BackendServer, Work
+from pomelobarrow.relay.live_members import LiveMembers
 from pomelobarrow.relay.messages import PromptPart, RelayRequest, RequestHead
 from pomelobarrow.relay.placement import (
     ALL_BEHIND,
@@ -20,7 +21,6 @@
     NOTHING_HERE,
     WARM_ELSEWHERE,
     Excluded,
-    LiveMembers,
     Nowhere,
     OnPeer,
     OnServer,
