--- a/src/pomelobarrow/relay/relay_log.py
+++ b/src/pomelobarrow/relay/relay_log.py
@@ -29,6 +29,7 @@
     observe: Callable[[object], None]
 
     def placed(self, course: Course, decision: OnServer | OnPeer) -> None:
+        """Report where a request is sent."""
         work, table = course.request.work, self.table
         if isinstance(decision, OnServer):
             target, region = decision.placement.server.name, self.own_region
@@ -60,6 +61,7 @@
         )
 
     def nowhere(self, course: Course, decision: Nowhere) -> None:
+        """Report that nobody may get a request now."""
         work, table, now = course.request.work, self.table, now_unix_s()
         listed = table.pool_servers(work.pool)
         loads = self.region_loads(work.pool).items()
@@ -87,6 +89,7 @@
     def attempt(
         self, course: Course, target: Target, report: AttemptReport, started_unix_s: float
     ) -> None:
+        """Report how one sending ended."""
         self.observe(
             RelayAttemptEnded(
                 request_id=course.request.work.request_id,
@@ -104,6 +107,7 @@
         )
 
     def end(self, course: Course, outcome: str) -> None:
+        """Report what the client got."""
         work, first_unix_s = course.request.work, course.first_answer_unix_s
         self.observe(
             RelayEnded(
