Log when a VM is judged silent or heard again, and whom the directory names

Cause: the record of a VM that was named to callers long after it lost its power doesn't tell why: nothing said when a view changed its mind, on whose word, or whom the directory led callers to. Change: the peer table reports each change of judgement with the evidence, its age and the silence allowed; the directory reports when its answer for a failure domain changes, with the ages of those named and left out; a counter of the changes by evidence. The choice of watchers and relays has a module of its own. Ruled out: a line for each answer of the directory, thousands an hour. Behaviour is unchanged.

--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -20,7 +20,7 @@
 )
 from bench.capacity_state import Slope
 from pomelobarrow.backends.reports import POLLERS, poll_every_s
-from pomelobarrow.decision.membership import RELAYS, WATCHERS
+from pomelobarrow.decision.member_roles import RELAYS, WATCHERS
 from pomelobarrow.decision.request_ids import LIFE_S, MAX_KEPT_BYTES
 from pomelobarrow.peers.grid import neighbours
 from pomelobarrow.peers.table import REVIEW_EVERY_S
--- /dev/null
+++ b/src/pomelobarrow/decision/member_roles.py
@@ -0,0 +1,47 @@
+"""Choose which VMs read the platform for a region and which exchange with other regions."""
+
+from collections.abc import Iterable
+
+from pomelobarrow.decision.membership import Member, MembershipView, name_of
+from pomelobarrow.decision.rendezvous import rendezvous_spread
+
+WATCHERS = 2
+RELAYS = 2
+
+
+def _domain_of(member: Member) -> str:
+    return member.failure_domain
+
+
+def _watch_key(region: str) -> str:
+    return f"watch/{region}"
+
+
+def _pick(key: str, members: Iterable[Member], count: int) -> tuple[Member, ...]:
+    return rendezvous_spread(key, members, count, name_of, _domain_of)
+
+
+def watchers(
+    view: MembershipView, region: str, count: int = WATCHERS, now_unix_s: float | None = None
+) -> tuple[Member, ...]:
+    """Return the members of a region that read the platform for it."""
+    return _pick(_watch_key(region), view.live(region, now_unix_s), count)
+
+
+def relays(
+    view: MembershipView,
+    own_region: str,
+    other_region: str,
+    count: int = RELAYS,
+    now_unix_s: float | None = None,
+) -> tuple[Member, ...]:
+    """Return the members of own_region that exchange with the other one."""
+    return relays_among(view.live(own_region, now_unix_s), own_region, other_region, count)
+
+
+def relays_among(
+    members: Iterable[Member], own_region: str, other_region: str, count: int = RELAYS
+) -> tuple[Member, ...]:
+    """Return those of own_region's live members that exchange with the other one."""
+    key = f"relay/{min(own_region, other_region)}/{max(own_region, other_region)}"
+    return _pick(key, members, count)
--- a/src/pomelobarrow/decision/membership.py
+++ b/src/pomelobarrow/decision/membership.py
@@ -6,11 +6,8 @@
 
 from attrs import define, evolve, field, frozen
 
-from pomelobarrow.decision.rendezvous import rendezvous_spread
 from pomelobarrow.decision.silence import HeartbeatTimer
 
-WATCHERS = 2
-RELAYS = 2
 FORGET_AFTER_S = 600.0
 SUCCESSOR_KEPT_S = 3_600.0
 SUCCESSORS_KEPT = 1_024
@@ -58,12 +55,27 @@
     leaving: bool = False
 
 
+@frozen(kw_only=True)
+class Judgement:
+    """Say whether a member counts as live, and on which evidence."""
+
+    member: Member
+    is_live: bool
+    # The peer whose word on it counts, empty where it was heard itself.
+    told_by: str
+    heard_age_s: float
+    # The silence after which it is suspect.
+    allowed_silence_s: float
+
+
 @define
 class _Record:
     member: Member
     timer: HeartbeatTimer
     # Whether this VM itself was heard, not only others that spoke of it.
     direct: bool = False
+    # The peer whose word was taken last, empty where it was heard itself.
+    told_by: str = ""
 
     def is_live(self, now_unix_s: float) -> bool:
         return self.member.phase != LEFT and not self.timer.is_overdue(now_unix_s)
@@ -132,11 +144,12 @@
             return False
         record.member = _advance(record.member, heard)
         record.direct = True
+        record.told_by = ""
         record.timer.hear(now_unix_s)
         self._note_successor(record.member, now_unix_s)
         return True
 
-    def observe_summary(self, member: Member, now_unix_s: float) -> bool:
+    def observe_summary(self, member: Member, now_unix_s: float, told_by: str = "") -> bool:
         """Take what another daemon says of a member; it never goes before direct evidence."""
         if member.vm == self.own_vm:
             return False
@@ -148,11 +161,12 @@
         said = evolve(member, heard_unix_s=heard_unix_s)
         record = self._records.get(member.vm)
         if record is None or member.incarnation > record.member.incarnation:
-            self._records[member.vm] = _Record(said, HeartbeatTimer(heard_unix_s))
+            timer = HeartbeatTimer(heard_unix_s)
+            self._records[member.vm] = _Record(said, timer, told_by=told_by)
             return True
         if member.incarnation < record.member.incarnation:
             return False
-        self._take_word(record, said, now_unix_s)
+        self._take_word(record, said, now_unix_s, told_by)
         return True
 
     def observe_alive(
@@ -162,6 +176,7 @@
         heard_unix_s: float,
         now_unix_s: float,
         timeout_s: float | None = None,
+        told_by: str = "",
     ) -> bool:
         """Take word that a known member was heard; say whether that was news.
 
@@ -176,9 +191,10 @@
             return False
         record.member = evolve(record.member, heard_unix_s=heard_unix_s)
         record.timer.hear_of(heard_unix_s, timeout_s)
+        record.told_by = told_by
         return True
 
-    def _take_word(self, record: _Record, said: Member, now_unix_s: float) -> None:
+    def _take_word(self, record: _Record, said: Member, now_unix_s: float, told_by: str) -> None:
         record.member = evolve(record.member, phase=_later_phase(record.member, said))
         # A member that stopped speaking to us may still speak to others, say because its region's
         # relays changed. Until its own silence is too long, its own word counts alone.
@@ -186,6 +202,7 @@
         if not record.direct and said.heard_unix_s > record.member.heard_unix_s:
             record.member = evolve(record.member, heard_unix_s=said.heard_unix_s)
             record.timer.hear_of(said.heard_unix_s)
+            record.told_by = told_by
 
     def observe_leave(
         self, vm: str, incarnation: int, successor: str, now_unix_s: float | None = None
@@ -232,6 +249,20 @@
             if record.timer.is_overdue(judged_unix_s) and record.member.phase != LEFT
         )
 
+    def judgements(self, now_unix_s: float) -> tuple[Judgement, ...]:
+        """Return how each other member is judged."""
+        judged_unix_s = self._judged(now_unix_s)
+        return tuple(
+            Judgement(
+                member=record.member,
+                is_live=record.is_live(judged_unix_s),
+                told_by=record.told_by,
+                heard_age_s=now_unix_s - record.member.heard_unix_s,
+                allowed_silence_s=record.timer.timeout_s,
+            )
+            for record in self._records.values()
+        )
+
     def live(
         self, region: str | None = None, now_unix_s: float | None = None
     ) -> tuple[Member, ...]:
@@ -244,7 +275,7 @@
         ]
         if region in (None, self.own.region):
             members.append(self.own)
-        return tuple(sorted(members, key=_name_of))
+        return tuple(sorted(members, key=name_of))
 
     def live_peers(
         self, region: str | None = None, now_unix_s: float | None = None
@@ -330,43 +361,6 @@
     return evolve(new, phase=_later_phase(old, new), successor=new.successor or old.successor)
 
 
-def _name_of(member: Member) -> str:
+def name_of(member: Member) -> str:
+    """Return a member's name, its place in every order."""
     return member.vm
-
-
-def _domain_of(member: Member) -> str:
-    return member.failure_domain
-
-
-def _watch_key(region: str) -> str:
-    return f"watch/{region}"
-
-
-def _pick(key: str, members: Iterable[Member], count: int) -> tuple[Member, ...]:
-    return rendezvous_spread(key, members, count, _name_of, _domain_of)
-
-
-def watchers(
-    view: MembershipView, region: str, count: int = WATCHERS, now_unix_s: float | None = None
-) -> tuple[Member, ...]:
-    """Return the members of a region that read the platform for it."""
-    return _pick(_watch_key(region), view.live(region, now_unix_s), count)
-
-
-def relays(
-    view: MembershipView,
-    own_region: str,
-    other_region: str,
-    count: int = RELAYS,
-    now_unix_s: float | None = None,
-) -> tuple[Member, ...]:
-    """Return the members of own_region that exchange with the other one."""
-    return relays_among(view.live(own_region, now_unix_s), own_region, other_region, count)
-
-
-def relays_among(
-    members: Iterable[Member], own_region: str, other_region: str, count: int = RELAYS
-) -> tuple[Member, ...]:
-    """Return those of own_region's live members that exchange with the other one."""
-    key = f"relay/{min(own_region, other_region)}/{max(own_region, other_region)}"
-    return _pick(key, members, count)
--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -215,6 +215,12 @@
             "Times that a backend server was left out because it failed.",
             ("pool",),
         )
+        self.member_changes = CounterFamily(
+            registry,
+            "pomelobarrow_member_changes_total",
+            "Times that a VM fell silent or was heard again, by who told of it last.",
+            ("change", "told_by"),
+        )
         self.relay_first_answer_s = HistogramFamily(
             registry,
             "pomelobarrow_relay_first_answer_seconds",
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -14,7 +14,7 @@
 from pomelobarrow.kernel.hooks import hookimpl
 from pomelobarrow.operators.metrics import Metrics
 from pomelobarrow.operators.traces import Traces
-from pomelobarrow.peers.events import PauseNoticed, PeerRefused
+from pomelobarrow.peers.events import MemberJudged, PauseNoticed, PeerRefused
 from pomelobarrow.published.events import (
     KeyspaceApplied,
     KeyspaceRefused,
@@ -22,6 +22,7 @@
     PlatformUnreachable,
 )
 from pomelobarrow.relay.events import (
+    DirectoryChanged,
     RelayAttemptEnded,
     RelayEnded,
     RelayPlaced,
@@ -56,6 +57,8 @@
             ServerEjected: self._server_ejected,
             ServerBack: self._server_back,
             PeerRefused: self._peer_refused,
+            MemberJudged: self._member_judged,
+            DirectoryChanged: self._directory_changed,
         }
 
     def observe(self, event: object) -> None:
@@ -156,6 +159,14 @@
     def _pause_noticed(self, event: PauseNoticed) -> None:
         self._log.warning("this process stood still", gap_s=round(event.gap_s, 3))
 
+    def _member_judged(self, event: MemberJudged) -> None:
+        change = "heard" if event.is_live else "silent"
+        self._metrics.member_changes.inc(change, "peer" if event.told_by else "itself")
+        self._log.info(f"member {change}", **asdict(event))
+
+    def _directory_changed(self, event: DirectoryChanged) -> None:
+        self._log.info("directory changed", **asdict(event))
+
     def _peer_refused(self, event: PeerRefused) -> None:
         self._log.warning(
             "call refused", path=event.path, remedy="give both VMs the same peers.keys"
--- a/src/pomelobarrow/peers/member_news.py
+++ b/src/pomelobarrow/peers/member_news.py
@@ -82,7 +82,7 @@
         for summary in heartbeat.members:
             member = _summarized(summary, to_local(summary.heard_unix_s))
             held = self.view.get(member.vm)
-            self.view.observe_summary(member, now_unix_s)
+            self.view.observe_summary(member, now_unix_s, heartbeat.vm)
             # Whoever already hears of a member more freshly goes on passing that on.
             if held is None or held.heard_unix_s < member.heard_unix_s:
                 self._came[member.vm] = kind
@@ -91,7 +91,7 @@
         for key, age in zip(heartbeat.heard_keys, heartbeat.heard_ages, strict=False):
             if key in self._by_key:
                 heard_unix_s = sent_unix_s - age * AGE_UNIT_S
-                self._take_heard(key, heard_unix_s, sent, kind, is_sparse, now_unix_s)
+                self._take_heard(key, heard_unix_s, sent, kind, is_sparse, now_unix_s, heartbeat.vm)
 
     def heard_directly(self, vm: str, kind: LinkKind) -> None:
         """Note that a member spoke itself."""
@@ -112,13 +112,14 @@
         kind: LinkKind,
         is_sparse: bool,
         now_unix_s: float,
+        told_by: str,
     ) -> None:
         vm, incarnation = self._by_key[key]
         sent.heard_unix_s[vm] = max(sent.heard_unix_s.get(vm, 0.0), heard_unix_s)
         member = self.view.get(vm)
         is_near = is_sparse and member is not None and member.region == self.view.own_region
         timeout_s = NEAR_WORD_TIMEOUT_S if is_near else None
-        if self.view.observe_alive(vm, incarnation, heard_unix_s, now_unix_s, timeout_s):
+        if self.view.observe_alive(vm, incarnation, heard_unix_s, now_unix_s, timeout_s, told_by):
             self._came[vm] = kind
 
     def _refresh(self, now_unix_s: float, at_once: bool = False) -> None:
--- a/src/pomelobarrow/peers/table.py
+++ b/src/pomelobarrow/peers/table.py
@@ -9,14 +9,8 @@
 from mode import Service
 
 from pomelobarrow.decision.clocks import PauseDetector
-from pomelobarrow.decision.membership import (
-    ListedVm,
-    Member,
-    MembershipView,
-    Phase,
-    relays_among,
-    watchers,
-)
+from pomelobarrow.decision.member_roles import relays_among, watchers
+from pomelobarrow.decision.membership import ListedVm, Member, MembershipView, Phase
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.events import PauseNoticed
@@ -24,6 +18,7 @@
 from pomelobarrow.peers.grid import neighbours
 from pomelobarrow.peers.heartbeats import Heartbeats
 from pomelobarrow.peers.links import PeerLink
+from pomelobarrow.peers.live_changes import LiveChanges
 from pomelobarrow.published.keyspaces import VMS, PublishedState
 
 REVIEW_EVERY_S = 0.5
@@ -65,6 +60,7 @@
         self._observe = observe
         self._on_demand_until_unix_s: dict[str, float] = {}
         self._pauses = PauseDetector(REVIEW_EVERY_S)
+        self._live_changes = LiveChanges()
         self._random = random.Random()
         published.listeners.append(self._on_applied)
 
@@ -92,6 +88,8 @@
     async def review(self) -> None:
         """Open the links that are wanted and close the others."""
         now = now_unix_s()
+        for change in self._live_changes.observe(self._view.judgements(now)):
+            self._observe(change)
         self._name_seeds()
         # After a long cut all peers are forgotten; without the seeds nobody would be asked again.
         if not self.reachable():
--- a/src/pomelobarrow/relay/directory.py
+++ b/src/pomelobarrow/relay/directory.py
@@ -3,11 +3,12 @@
 from collections.abc import Callable
 
 from aiohttp import web
-from attrs import define
+from attrs import define, field
 
 from pomelobarrow.decision.membership import Member, MembershipView, Phase
 from pomelobarrow.decision.routing import Routing
 from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.relay.directory_log import DirectoryLog
 from pomelobarrow.relay.wire import DirectoryQuery, RelayWire
 
 # Some clients keep an answer three times as long: the sooner it ends, the sooner they learn of a VM
@@ -26,16 +27,22 @@
     wire: RelayWire
     routing: Callable[[], Routing | None]
     not_ready_reason: Callable[[], str | None]
+    observe: Callable[[object], None]
+    _log: DirectoryLog = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._log = DirectoryLog(view=self.view, observe=self.observe)
 
     async def answer(self, incoming: web.BaseRequest) -> web.StreamResponse:
         """Answer a client that asks where to connect."""
         if incoming.path != self.wire.directory_path:
             return web.Response(status=404)
         query = self.wire.read_directory_query(incoming.query)
-        members = self._members(query)
+        members = self._members(query)[:MAX_ADDRESSES]
+        self._log.note(query, members, now_unix_s())
         if not members:
             return web.Response(status=503)
-        addresses = [member.caller_address for member in members[:MAX_ADDRESSES]]
+        addresses = [member.caller_address for member in members]
         body = self.wire.directory_answer(addresses, GOOD_FOR_S)
         return web.Response(body=body, content_type="application/json")
 
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -1,5 +1,7 @@
 """Events about relayed requests, for logs and metrics."""
 
+from collections.abc import Mapping
+
 from attrs import frozen
 
 
@@ -86,6 +88,18 @@
     pool: str
 
 
+@frozen(kw_only=True)
+class DirectoryChanged:
+    """Report that callers of a failure domain are led to other VMs than before."""
+
+    region: str
+    failure_domain: str
+    # Each VM named, with the seconds since it was last heard.
+    named: Mapping[str, float]
+    # The VMs known in that region that aren't named.
+    left_out: Mapping[str, float]
+
+
 @frozen(kw_only=True)
 class RelayEnded:
     """Report what the client got."""
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -143,6 +143,7 @@
         wire=context.get(RelayWire),
         routing=lambda: _routing(context),
         not_ready_reason=context.get(Operations).not_ready_reason,
+        observe=context.observe,
     )
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,14 +7,8 @@
 import pytest
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from pomelobarrow.decision.membership import (
-    ListedVm,
-    Member,
-    MembershipView,
-    Phase,
-    relays,
-    watchers,
-)
+from pomelobarrow.decision.member_roles import relays, watchers
+from pomelobarrow.decision.membership import ListedVm, Member, MembershipView, Phase
 from pomelobarrow.decision.rendezvous import rendezvous
 from pomelobarrow.decision.silence import CEILING_S, FLOOR_S, HeartbeatTimer
 
--- a/tests/test_relay_directory.py
+++ b/tests/test_relay_directory.py
@@ -1,5 +1,6 @@
 """Clients are named VMs that may serve them, the nearest first."""
 
+import pytest
 from attrs import evolve
 from relay_harness import HOST, POOL, route
 
@@ -8,13 +9,16 @@
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.platform.wire import platform_wire
 from pomelobarrow.relay.directory import RelayDirectory
+from pomelobarrow.relay.events import DirectoryChanged
 from pomelobarrow.relay.wire import DirectoryQuery
 
 BOUND = route(RouteKind.IDEMPOTENT, home_regions=("a", "b"), pools=(PoolShare(pool=POOL),))
 FREE = route(RouteKind.IDEMPOTENT)
 
 
-def directory(phases: dict[str, Phase], *routes: object) -> RelayDirectory:
+def directory(
+    phases: dict[str, Phase], *routes: object, observed: list[object] | None = None
+) -> RelayDirectory:
     """Return the directory of region c's VM, with a VM in each region named."""
     view = MembershipView("vm-c", "c")
     own = evolve(view.own, caller_address="vm-c:1", phase=phases["c"].value)
@@ -34,6 +38,7 @@
         wire=platform_wire(),
         routing=lambda: Routing(version=1, routes=routes),  # type: ignore[arg-type]
         not_ready_reason=lambda: None,
+        observe=lambda event: None if observed is None else observed.append(event),
     )
 
 
@@ -63,3 +68,24 @@
 def test_free_request_goes_to_any_region_that_serves() -> None:
     stopping = {"a": Phase.LEAVING, "b": Phase.LEAVING, "c": Phase.READY}
     assert named(directory(stopping, FREE), "a") == ["vm-c"]
+
+
+def test_change_of_the_vms_named_is_reported_once_with_their_age() -> None:
+    # On call one has to see since when callers were led to a VM, and how old what was known of it
+    # was; a line for each answer would be thousands an hour.
+    observed: list[object] = []
+    held = directory({"a": Phase.READY, "c": Phase.READY}, FREE, observed=observed)
+    query = DirectoryQuery(host=HOST, region="a", failure_domain="a-1")
+    now = now_unix_s()
+    held._log.note(query, held._members(query), now + 2.0)
+    held._log.note(query, held._members(query), now + 3.0)
+    assert [type(event) for event in observed] == [DirectoryChanged]
+    [change] = observed
+    assert isinstance(change, DirectoryChanged)
+    assert change.named == {"vm-a": pytest.approx(2.0, abs=0.1)}
+    assert change.left_out == {}
+    held.view.observe_leave("vm-a", 1, "", now)
+    held._log.note(query, held._members(query), now + 4.0)
+    assert isinstance(observed[1], DirectoryChanged)
+    assert observed[1].named == {"vm-c": 0.0}
+    assert observed[1].left_out == {"vm-a": pytest.approx(4.0, abs=0.1)}
