--- a/src/pomelobarrow/relay/directory.py
+++ b/src/pomelobarrow/relay/directory.py
@@ -38,8 +38,9 @@
         if incoming.path != self.wire.directory_path:
             return web.Response(status=404)
         query = self.wire.read_directory_query(incoming.query)
-        members = self._members(query)[:MAX_ADDRESSES]
-        self._log.note(query, members, now_unix_s())
+        now = now_unix_s()
+        members = self._members(query, now)[:MAX_ADDRESSES]
+        self._log.note(query, members, now)
         if not members:
             return web.Response(status=503)
         addresses = [member.caller_address for member in members]
@@ -51,14 +52,13 @@
         reason = self.not_ready_reason()
         return web.Response(status=503 if reason else 200, text=f"{reason or 'ready'}\n")
 
-    def _members(self, query: DirectoryQuery) -> list[Member]:
+    def _members(self, query: DirectoryQuery, now_unix_s: float) -> list[Member]:
         """Return the VMs nearest to a client.
 
         Work that is bound to other regions is passed on from the client's own one, and only where
         that has no VM left the client is sent to a home.
         """
-        now = now_unix_s()
-        members = list(self.view.usable_entries(now_unix_s=now))
+        members = list(self.view.usable_entries(now_unix_s=now_unix_s))
         near = [member for member in members if member.region == query.region]
         same_domain = [m for m in near if m.failure_domain == query.failure_domain]
         if len(same_domain) >= ENOUGH_NEAR:
@@ -67,7 +67,7 @@
         found = near or _within(homes, members)
         if found or not homes:
             return found or members
-        return self._stopping(query.region, homes, now) or members
+        return self._stopping(query.region, homes, now_unix_s) or members
 
     def _stopping(self, region: str, homes: set[str], now_unix_s: float) -> list[Member]:
         """Return the VMs of the client's region, else of its homes, that still serve late clients.
--- a/tests/test_relay_directory.py
+++ b/tests/test_relay_directory.py
@@ -44,7 +44,7 @@
 
 def named(by: RelayDirectory, region: str) -> list[str]:
     query = DirectoryQuery(host=HOST, region=region, failure_domain=f"{region}-1")
-    return [member.vm for member in by._members(query)]
+    return [member.vm for member in by._members(query, now_unix_s())]
 
 
 def test_bound_request_is_not_led_out_of_its_homes_while_they_are_replaced() -> None:
@@ -77,15 +77,15 @@
     held = directory({"a": Phase.READY, "c": Phase.READY}, FREE, observed=observed)
     query = DirectoryQuery(host=HOST, region="a", failure_domain="a-1")
     now = now_unix_s()
-    held._log.note(query, held._members(query), now + 2.0)
-    held._log.note(query, held._members(query), now + 3.0)
+    held._log.note(query, held._members(query, now), now + 2.0)
+    held._log.note(query, held._members(query, now), now + 3.0)
     assert [type(event) for event in observed] == [DirectoryChanged]
     [change] = observed
     assert isinstance(change, DirectoryChanged)
     assert change.named == {"vm-a": pytest.approx(2.0, abs=0.1)}
     assert change.left_out == {}
     held.view.observe_leave("vm-a", 1, "", now)
-    held._log.note(query, held._members(query), now + 4.0)
+    held._log.note(query, held._members(query, now), now + 4.0)
     assert isinstance(observed[1], DirectoryChanged)
     assert observed[1].named == {"vm-c": 0.0}
     assert observed[1].left_out == {"vm-a": pytest.approx(4.0, abs=0.1)}
