Let a word bring a member back only if it spoke after its last heartbeat here

Cause: any word newer than this VM's own last heartbeat replaced the learned pace by 15 s, also a word on that same last heartbeat, which others hear up to an interval later. Ruled out: dropping words on members heard directly (a member whose region's relays changed would be lost); accepting words before the member's own silence is too long (a stalled link would forget its pace); a margin of the shortest silence, 2.5 s (members that leave one's row or column would count as silent for longer). Change: once a member's own silence is too long, a word counts if it is of a heartbeat more than 1.5 s later.

--- a/src/pomelobarrow/decision/membership.py
+++ b/src/pomelobarrow/decision/membership.py
@@ -9,6 +9,9 @@
 from pomelobarrow.decision.silence import HeartbeatTimer
 
 FORGET_AFTER_S = 600.0
+# Heartbeats are 1.1 s apart at most; two VMs hear the last one of a third so far apart at most,
+# and the rest is for delays on the way.
+WORD_MARGIN_S = 1.5
 SUCCESSOR_KEPT_S = 3_600.0
 SUCCESSORS_KEPT = 1_024
 
@@ -80,6 +83,25 @@
     def is_live(self, now_unix_s: float) -> bool:
         return self.member.phase != LEFT and not self.timer.is_overdue(now_unix_s)
 
+    def is_news(self, heard_unix_s: float, now_unix_s: float) -> bool:
+        """Say whether another VM's word shows more of a member than is known here.
+
+        Of a member that spoke here itself, others heard the last heartbeat up to an interval later;
+        their word on that one made a VM without power live for 15 s more. A word on a heartbeat
+        after that shows that it speaks to others, say because its region's relays changed. Until
+        its own silence is too long, its own word counts alone.
+        """
+        if not self.direct:
+            return heard_unix_s > self.member.heard_unix_s
+        spoke_since = heard_unix_s > self.member.heard_unix_s + WORD_MARGIN_S
+        return spoke_since and self.timer.is_overdue(now_unix_s)
+
+    def take_word(self, heard_unix_s: float, told_by: str, timeout_s: float | None = None) -> None:
+        self.direct = False
+        self.told_by = told_by
+        self.member = evolve(self.member, heard_unix_s=heard_unix_s)
+        self.timer.hear_of(heard_unix_s, timeout_s)
+
 
 @frozen
 class _Handover:
@@ -166,7 +188,9 @@
             return True
         if member.incarnation < record.member.incarnation:
             return False
-        self._take_word(record, said, now_unix_s, told_by)
+        record.member = evolve(record.member, phase=_later_phase(record.member, said))
+        if record.is_news(heard_unix_s, now_unix_s):
+            record.take_word(heard_unix_s, told_by)
         return True
 
     def observe_alive(
@@ -186,24 +210,11 @@
         if record is None or record.member.incarnation != incarnation:
             return False
         heard_unix_s = min(heard_unix_s, self._time(now_unix_s))
-        record.direct &= not record.timer.is_overdue(now_unix_s)
-        if record.direct or heard_unix_s <= record.member.heard_unix_s:
+        if not record.is_news(heard_unix_s, now_unix_s):
             return False
-        record.member = evolve(record.member, heard_unix_s=heard_unix_s)
-        record.timer.hear_of(heard_unix_s, timeout_s)
-        record.told_by = told_by
+        record.take_word(heard_unix_s, told_by, timeout_s)
         return True
 
-    def _take_word(self, record: _Record, said: Member, now_unix_s: float, told_by: str) -> None:
-        record.member = evolve(record.member, phase=_later_phase(record.member, said))
-        # A member that stopped speaking to us may still speak to others, say because its region's
-        # relays changed. Until its own silence is too long, its own word counts alone.
-        record.direct &= not record.timer.is_overdue(now_unix_s)
-        if not record.direct and said.heard_unix_s > record.member.heard_unix_s:
-            record.member = evolve(record.member, heard_unix_s=said.heard_unix_s)
-            record.timer.hear_of(said.heard_unix_s)
-            record.told_by = told_by
-
     def observe_leave(
         self, vm: str, incarnation: int, successor: str, now_unix_s: float | None = None
     ) -> None:
