Add the failing test of a dead VM whose pace wasn't known

Cause: the silence allowed is 15 s where fewer than four heartbeats were heard, up to that where a broken link counted as one long interval, and begins anew after each pause of the judging VM; callers were led to a VM for as long.

--- a/tests/test_long_silent_vm.py
+++ b/tests/test_long_silent_vm.py
@@ -30,13 +30,15 @@
     )
 
 
-def view_after_heartbeats(count: int) -> MembershipView:
+def view_after_heartbeats(count: int, gap_before_last_s: float = 1.0) -> MembershipView:
     """Return the view of vm-2, with vm-1's heartbeats of a second each until its power is lost."""
     view = MembershipView("vm-2", REGION)
     view.observe_own(evolve(ready("vm-2"), phase=Phase.READY.value))
-    for number in range(count):
-        heard_unix_s = POWER_LOST_UNIX_S - 0.7 - (count - 1 - number)
+    last_unix_s = POWER_LOST_UNIX_S - 0.7
+    for number in range(count - 1):
+        heard_unix_s = last_unix_s - gap_before_last_s - (count - 2 - number)
         view.observe_heartbeat(ready(LOST, sequence=number + 1), heard_unix_s)
+    view.observe_heartbeat(ready(LOST, sequence=count), last_unix_s)
     return view
 
 
@@ -73,3 +75,25 @@
     assert LOST in view.suspects(silent_unix_s + 1.0)
     assert named(view, silent_unix_s + 1.0) == ["vm-2"]
     assert named(view, POWER_LOST_UNIX_S + NAMED_AT_MOST_S) == ["vm-2"]
+
+
+def test_vm_whose_pace_is_not_known_is_not_named_for_long() -> None:
+    """A VM started again, lost its power 2.4 s later and was named for 14 s more.
+
+    Its neighbour had heard it directly, but fewer than four times: "member silent", told_by empty,
+    heard_age_s 15.4, allowed_silence_s 15.0. A link that was broken for ten seconds stretches the
+    pace that is learned in the same way (allowed_silence_s 13.3), and a pause of the neighbour's
+    own begins the count anew. However long a VM may be hoped to live, callers aren't led to one
+    that nobody has heard for seconds.
+    """
+    started_again = view_after_heartbeats(3)
+
+    link_was_broken = view_after_heartbeats(20, gap_before_last_s=10.0)
+    stood_still = view_after_heartbeats(20)
+    stood_still.observe_pause(POWER_LOST_UNIX_S + 1.0, 1.6)
+    stood_still.observe_pause(POWER_LOST_UNIX_S + 3.0, 1.6)
+    stood_still.observe_pause(POWER_LOST_UNIX_S + 5.0, 1.6)
+
+    for view in (started_again, link_was_broken, stood_still):
+        assert named(view, POWER_LOST_UNIX_S + 1.0) == [LOST, "vm-2"]
+        assert named(view, POWER_LOST_UNIX_S + NAMED_AT_MOST_S) == ["vm-2"]
