Lead callers only to VMs that somebody heard within 5 s

Cause: whom callers are led to followed the silence that a member is allowed, up to 15 s where its pace isn't known, and that count began anew after each pause of the naming VM. Ruled out: a shorter allowance for all (members of other regions are heard of every 3 to 10 s; a pace of 3 s would raise false alarms); counting a pause as silence (a VM that wakes would name nobody). Change: the directory, the entries and the successor of request ids take members heard within 5 s; a pause of this VM's own excuses for 2 s those that were fresh before it. Where a bound host's homes are only heard of, they are named as before rather than another region.

--- a/src/pomelobarrow/callers/entries.py
+++ b/src/pomelobarrow/callers/entries.py
@@ -31,7 +31,7 @@
     ) -> Result[Any, Refusal]:
         """Return the entries, best first, and a few request ids."""
         now = now_unix_s()
-        members = list(self.view.usable_entries(now_unix_s=now))
+        members = self._members(now)
         # A VM that is joining, or leaves as the last one it knows, would name nobody. A caller
         # that keeps such an answer for as long as it is good has no one to send to; a refusal
         # makes it ask another VM at once.
@@ -47,6 +47,12 @@
         }
         return Ok(answer)
 
+    def _members(self, now_unix_s: float) -> list[Member]:
+        """Return the entries to name; other regions' VMs are only heard of every few seconds."""
+        here = self.view.entries_for_callers(self.view.own_region, now_unix_s)
+        usable = self.view.usable_entries(now_unix_s=now_unix_s)
+        return [*here, *(each for each in usable if each.region != self.view.own_region)]
+
     def _order(
         self, member: Member, home_region: str, round_trips_s: dict[str, float]
     ) -> tuple[bool, float]:
--- a/src/pomelobarrow/decision/membership.py
+++ b/src/pomelobarrow/decision/membership.py
@@ -12,6 +12,11 @@
 # Heartbeats are 1.1 s apart at most; two VMs hear the last one of a third so far apart at most,
 # and the rest is for delays on the way.
 WORD_MARGIN_S = 1.5
+# Callers are led to VMs heard within this time. Heartbeats come each second and a silent link is
+# replaced in 4 s; callers keep an answer for 3 s more, so that they leave a dead VM within 8 s.
+NAMED_WITHIN_S = 5.0
+# Peers that wait for this VM to wake are heard within a heartbeat or two.
+WAKE_GRACE_S = 2.0
 SUCCESSOR_KEPT_S = 3_600.0
 SUCCESSORS_KEPT = 1_024
 
@@ -79,6 +84,8 @@
     direct: bool = False
     # The peer whose word was taken last, empty where it was heard itself.
     told_by: str = ""
+    # Until then its age is put down to a pause of this VM's own.
+    excused_until_unix_s: float = 0.0
 
     def is_live(self, now_unix_s: float) -> bool:
         return self.member.phase != LEFT and not self.timer.is_overdue(now_unix_s)
@@ -96,6 +103,18 @@
         spoke_since = heard_unix_s > self.member.heard_unix_s + WORD_MARGIN_S
         return spoke_since and self.timer.is_overdue(now_unix_s)
 
+    def is_fresh(self, now_unix_s: float) -> bool:
+        is_heard = now_unix_s - self.member.heard_unix_s <= NAMED_WITHIN_S
+        return is_heard or now_unix_s <= self.excused_until_unix_s
+
+    def excuse(self, now_unix_s: float, gap_s: float) -> None:
+        """Put a member's age down to a pause of this VM's, if it was fresh before that.
+
+        Without the condition, a VM that stands still again and again would name a dead one as long.
+        """
+        if self.is_fresh(now_unix_s - gap_s):
+            self.excused_until_unix_s = now_unix_s + WAKE_GRACE_S
+
     def take_word(self, heard_unix_s: float, told_by: str, timeout_s: float | None = None) -> None:
         self.direct = False
         self.told_by = told_by
@@ -234,6 +253,7 @@
             # After the clock was set back, words would look old until it has caught up.
             heard_unix_s = min(record.member.heard_unix_s, now_unix_s)
             record.member = evolve(record.member, heard_unix_s=heard_unix_s)
+            record.excuse(now_unix_s, gap_s)
             if not record.timer.is_overdue(now_unix_s - gap_s):
                 record.timer.restart(now_unix_s)
 
@@ -301,6 +321,32 @@
         """Return the live members that take new work."""
         return tuple(member for member in self.live(region, now_unix_s) if self._is_usable(member))
 
+    def entries_for_callers(
+        self, region: str | None = None, now_unix_s: float | None = None
+    ) -> tuple[Member, ...]:
+        """Return the usable entries that were heard a moment ago.
+
+        The silence that a member is allowed follows its pace, and is long while that isn't known:
+        callers were led to a VM without power for 14 s. Work that is passed on to a dead member
+        goes elsewhere after a moment; a caller has to find that out for itself.
+        """
+        return self._fresh(self.usable_entries(region, now_unix_s))
+
+    def leaving_entries_for_callers(self, now_unix_s: float) -> tuple[Member, ...]:
+        """Return the members that are stopping, still serve, and were heard a moment ago."""
+        leaving = Phase.LEAVING.value
+        members = self.live(now_unix_s=now_unix_s)
+        return self._fresh(member for member in members if member.phase == leaving)
+
+    def _fresh(self, members: Iterable[Member]) -> tuple[Member, ...]:
+        now_unix_s = self._judged(self._latest_unix_s)
+        records = self._records
+        return tuple(
+            member
+            for member in members
+            if member.vm == self.own_vm or records[member.vm].is_fresh(now_unix_s)
+        )
+
     def _is_usable(self, member: Member) -> bool:
         listed = self._listed.get(member.vm)
         return member.phase == READY and not (listed and listed.leaving)
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -124,7 +124,7 @@
 
 def _successor(context: Context) -> Member | None:
     view = context.get(MembershipView)
-    entries = view.usable_entries(view.own_region, now_unix_s())
+    entries = view.entries_for_callers(view.own_region, now_unix_s())
     others = [member for member in entries if member.vm != view.own_vm]
     return min(others, key=lambda member: member.vm, default=None)
 
--- a/src/pomelobarrow/relay/directory.py
+++ b/src/pomelobarrow/relay/directory.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 from attrs import define, field
 
-from pomelobarrow.decision.membership import Member, MembershipView, Phase
+from pomelobarrow.decision.membership import Member, MembershipView
 from pomelobarrow.decision.routing import Routing
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.directory_log import DirectoryLog
@@ -58,7 +58,7 @@
         Work that is bound to other regions is passed on from the client's own one, and only where
         that has no VM left the client is sent to a home.
         """
-        members = list(self.view.usable_entries(now_unix_s=now_unix_s))
+        members = list(self.view.entries_for_callers(now_unix_s=now_unix_s))
         near = [member for member in members if member.region == query.region]
         same_domain = [m for m in near if m.failure_domain == query.failure_domain]
         if len(same_domain) >= ENOUGH_NEAR:
@@ -67,7 +67,9 @@
         found = near or _within(homes, members)
         if found or not homes:
             return found or members
-        return self._stopping(query.region, homes, now_unix_s) or members
+        # Of another region's VMs some are only heard of every few seconds.
+        at_home = _within(homes, list(self.view.usable_entries(now_unix_s=now_unix_s)))
+        return at_home or self._stopping(query.region, homes, now_unix_s) or members
 
     def _stopping(self, region: str, homes: set[str], now_unix_s: float) -> list[Member]:
         """Return the VMs of the client's region, else of its homes, that still serve late clients.
@@ -76,11 +78,7 @@
         time. Sent to another region, a request that is bound to its homes would only be refused
         there, after its body has left the regions that it may be in.
         """
-        stopping = [
-            member
-            for member in self.view.live(now_unix_s=now_unix_s)
-            if member.phase == Phase.LEAVING.value
-        ]
+        stopping = list(self.view.leaving_entries_for_callers(now_unix_s))
         return _within({region}, stopping) or _within(homes, stopping)
 
     def _homes(self, host: str) -> set[str]:
