--- a/src/pomelobarrow/decision/member_roles.py
+++ b/src/pomelobarrow/decision/member_roles.py
@@ -28,6 +28,12 @@
     return _pick(_watch_key(region), view.live(region, now_unix_s), count)
 
 
+def reads_platform(view: MembershipView, now_unix_s: float) -> bool:
+    """Say whether this VM reads the platform for its region."""
+    chosen = watchers(view, view.own_region, now_unix_s=now_unix_s)
+    return any(member.vm == view.own_vm for member in chosen)
+
+
 def relays(
     view: MembershipView,
     own_region: str,
--- a/src/pomelobarrow/peers/table.py
+++ b/src/pomelobarrow/peers/table.py
@@ -3,13 +3,13 @@
 import asyncio
 import random
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from attrs import evolve
 from mode import Service
 
 from pomelobarrow.decision.clocks import PauseDetector
-from pomelobarrow.decision.member_roles import relays_among, watchers
+from pomelobarrow.decision.member_roles import reads_platform, relays_among
 from pomelobarrow.decision.membership import ListedVm, Member, MembershipView, Phase
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
@@ -144,8 +144,7 @@
 
     def is_watcher(self, keyspace: str) -> bool:
         """Tell whether this VM reads the platform for its region."""
-        chosen = watchers(self._view, self._view.own_region, now_unix_s=now_unix_s())
-        return self._is_among(chosen)
+        return reads_platform(self._view, now_unix_s())
 
     async def wait_for_answers(self, timeout_s: float) -> None:
         """Return once each linked peer has spoken, or the time is up."""
@@ -185,9 +184,6 @@
             wanted.update({peer.vm: peer for peer in chosen})
         return wanted
 
-    def _is_among(self, members: Iterable[Member]) -> bool:
-        return any(member.vm == self._view.own_vm for member in members)
-
     def _is_kept(self, vm: str, wanted: dict[str, ListedVm], now: float) -> bool:
         if vm.startswith(SEED_PREFIX):
             name = self.links[vm].peer.vm
