Read the platform when all watchers of the region are silent for a moment

Cause: a VM takes a silent watcher's place only once that counts as dead; until then nobody tells it of servers that leave. Ruled out: a third watcher in each region (a sixth more calls, and no help where three fall silent); judging members sooner for all purposes (links and roles would flap). Change: a VM that heard no watcher of its region for 1.6 s, 2.6 s where others only speak of it, reads for itself; it looks every 0.5 s, before 1 s.

--- a/src/pomelobarrow/decision/member_roles.py
+++ b/src/pomelobarrow/decision/member_roles.py
@@ -7,6 +7,10 @@
 
 WATCHERS = 2
 RELAYS = 2
+# A watcher speaks on its own link and answers on ours, each at least every 1.1 s; one that only
+# others speak of is heard a hop of a second later.
+SILENT_WATCHER_S = 1.6
+SILENT_WATCHER_TOLD_OF_S = 2.6
 
 
 def _domain_of(member: Member) -> str:
@@ -29,9 +33,22 @@
 
 
 def reads_platform(view: MembershipView, now_unix_s: float) -> bool:
-    """Say whether this VM reads the platform for its region."""
+    """Say whether this VM reads the platform: for its region, or for want of a watcher.
+
+    When both watchers lose their power, the others rely on them until they count as dead, 3 to 15 s
+    later, and send to servers that have left meanwhile. One read too many costs next to nothing, so
+    that a short silence of all watchers is enough; a leaving server is served for 3 s.
+    """
     chosen = watchers(view, view.own_region, now_unix_s=now_unix_s)
-    return any(member.vm == view.own_vm for member in chosen)
+    if any(member.vm == view.own_vm for member in chosen):
+        return True
+    return not any(_speaks(view, member, now_unix_s) for member in chosen)
+
+
+def _speaks(view: MembershipView, watcher: Member, now_unix_s: float) -> bool:
+    is_direct = view.is_heard_directly(watcher.vm)
+    allowed_s = SILENT_WATCHER_S if is_direct else SILENT_WATCHER_TOLD_OF_S
+    return now_unix_s - watcher.heard_unix_s <= allowed_s
 
 
 def relays(
--- a/src/pomelobarrow/decision/membership.py
+++ b/src/pomelobarrow/decision/membership.py
@@ -362,6 +362,11 @@
         record = self._records.get(vm)
         return record.member if record else None
 
+    def is_heard_directly(self, vm: str) -> bool:
+        """Say whether a member speaks to this VM itself."""
+        record = self._records.get(vm)
+        return record is not None and record.direct
+
     def contacts(self, now_unix_s: float) -> tuple[ListedVm, ...]:
         """Return the listed VMs that don't answer yet, to be tried."""
         live = {member.vm for member in self.live(now_unix_s=now_unix_s)}
--- a/src/pomelobarrow/published/watcher.py
+++ b/src/pomelobarrow/published/watcher.py
@@ -26,6 +26,8 @@
 # A daemon that isn't a watcher relies on its peers; this read only bounds how long it can stay
 # behind when both watchers of its region fail together.
 IDLE_READ_EVERY_S = 30.0
+# Both watchers may fall silent while a server leaves, which is served for 3 s more.
+ROLE_CHECK_EVERY_S = 0.5
 RETRY_FLOOR_S = 0.2
 # A store that is back must be read before the bounds on configuration and draining count again.
 RETRY_CEILING_S = 1.0
@@ -100,8 +102,8 @@
         """Wait for the next rare read, or until this VM becomes a watcher."""
         remaining_s = IDLE_READ_EVERY_S * self._random.uniform(0.5, 1.5)
         while remaining_s > 0 and not self._is_watcher(name) and not self.should_stop:
-            await self.sleep(1.0)
-            remaining_s -= 1.0
+            await self.sleep(ROLE_CHECK_EVERY_S)
+            remaining_s -= ROLE_CHECK_EVERY_S
 
     async def _read(self, name: str, wait_s: float) -> ReadResult:
         after = self._state.copies[name].observed_revision
