Take no message for sent later than it came

Cause: a peer's times were taken as this VM's until a second heartbeat showed the offset, so that one whose clock is ahead made a VM that was gone look heard just now, and its news of pools outdate all others'. Ruled out: leaving words out until the offset is known (a VM that joins learns of the others from its first link). Change: a heartbeat's sending time, clamped to its arrival, is worked out once for members, pools and servers; ages are taken by the peer's own clock.

--- a/src/pomelobarrow/decision/clocks.py
+++ b/src/pomelobarrow/decision/clocks.py
@@ -81,6 +81,15 @@
         """Convert a time by the peer's clock to ours."""
         return unix_s - self.offset_s(peer)
 
+    def sent_unix_s(self, peer: str, sent_unix_s: float, now_unix_s: float) -> float:
+        """Return when a message that is here was sent, by our clock.
+
+        Until a second message shows the offset, the time of a peer whose clock is ahead lies in the
+        future. A VM that it heard long ago would count as heard just now, and what it measured
+        would outdate all that others tell until then.
+        """
+        return min(self.to_local(peer, sent_unix_s), now_unix_s)
+
     def forget(self, peer: str) -> None:
         """Drop what is known of a peer that left."""
         self._samples.pop(peer, None)
--- a/src/pomelobarrow/peers/heartbeats.py
+++ b/src/pomelobarrow/peers/heartbeats.py
@@ -2,7 +2,6 @@
 
 import itertools
 from collections.abc import Callable, Iterable
-from functools import partial
 
 from attrs import define, field
 
@@ -230,13 +229,13 @@
     def _take_loads(
         self, heartbeat: pb.Heartbeat, member: Member, kind: LinkKind, now: float
     ) -> None:
-        to_local = partial(self.offsets.to_local, heartbeat.vm)
+        sent_unix_s = self.offsets.sent_unix_s(heartbeat.vm, heartbeat.sent_unix_s, now)
         sent = self._sent.get(heartbeat.vm, _Sent()).members
         is_sparse = self.neighbours.is_sparse
-        self._members.take(heartbeat, sent, kind, is_sparse, now, to_local)
-        self._pools.take(heartbeat, member.region, kind, now, to_local)
+        self._members.take(heartbeat, sent, kind, is_sparse, now, sent_unix_s)
+        self._pools.take(heartbeat, member.region, kind, now, sent_unix_s)
         if kind is not LinkKind.OTHER_REGION:
-            self._servers.take(heartbeat, kind, now, to_local)
+            self._servers.take(heartbeat, kind, now, sent_unix_s)
         self._demand.take(heartbeat, kind, now)
 
     def _take_times(self, heartbeat: pb.Heartbeat, now: float) -> None:
--- a/src/pomelobarrow/peers/member_news.py
+++ b/src/pomelobarrow/peers/member_news.py
@@ -1,6 +1,6 @@
 """Tell a peer which members changed and which were heard, and take in what it tells."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 import xxhash
 from attrs import define, field
@@ -24,8 +24,6 @@
 AGE_UNIT_S = 0.1
 MAX_AGE_S = 60.0
 
-ToLocal = Callable[[float], float]
-
 
 @define
 class SentMembers:
@@ -76,18 +74,18 @@
         kind: LinkKind,
         is_sparse: bool,
         now_unix_s: float,
-        to_local: ToLocal,
+        sent_unix_s: float,
     ) -> None:
         """Take in descriptions, then who was heard."""
         for summary in heartbeat.members:
-            member = _summarized(summary, to_local(summary.heard_unix_s))
+            age_s = heartbeat.sent_unix_s - summary.heard_unix_s
+            member = _summarized(summary, sent_unix_s - age_s)
             held = self.view.get(member.vm)
             self.view.observe_summary(member, now_unix_s, heartbeat.vm)
             # Whoever already hears of a member more freshly goes on passing that on.
             if held is None or held.heard_unix_s < member.heard_unix_s:
                 self._came[member.vm] = kind
         self._refresh(now_unix_s, at_once=bool(heartbeat.members))
-        sent_unix_s = to_local(heartbeat.sent_unix_s)
         for key, age in zip(heartbeat.heard_keys, heartbeat.heard_ages, strict=False):
             if key in self._by_key:
                 heard_unix_s = sent_unix_s - age * AGE_UNIT_S
--- a/src/pomelobarrow/peers/pool_news.py
+++ b/src/pomelobarrow/peers/pool_news.py
@@ -1,6 +1,5 @@
 """Tell a peer how loaded pools are here and elsewhere, and take in what it tells."""
 
-from collections.abc import Callable
 from typing import Any
 
 from attrs import define, field, frozen
@@ -24,8 +23,6 @@
 MIN_DRAIN_PER_S = 1e-6
 MS_PER_S = 1e3
 
-ToLocal = Callable[[float], float]
-
 
 @define
 class SentPools:
@@ -82,10 +79,9 @@
         sender_region: str,
         kind: LinkKind,
         now_unix_s: float,
-        to_local: ToLocal,
+        sent_unix_s: float,
     ) -> None:
         """Take in what a peer tells of pools."""
-        sent_unix_s = to_local(heartbeat.sent_unix_s)
         for each in heartbeat.pools:
             region = each.region or sender_region
             if region != self.own_region:
--- a/src/pomelobarrow/peers/server_news.py
+++ b/src/pomelobarrow/peers/server_news.py
@@ -14,8 +14,6 @@
 NOTHING = InFlight()
 MS_PER_S = 1e3
 
-ToLocal = Callable[[float], float]
-
 
 @define
 class SentServers:
@@ -52,14 +50,13 @@
                 self._write_report(heartbeat, sent, report, now_unix_s, is_passed_on=True)
 
     def take(
-        self, heartbeat: pb.Heartbeat, kind: LinkKind, now_unix_s: float, to_local: ToLocal
+        self, heartbeat: pb.Heartbeat, kind: LinkKind, now_unix_s: float, sent_unix_s: float
     ) -> None:
         """Take in a peer's counts and the reports it tells of."""
         names = self._names()
         counts = self._merge_counts(heartbeat)
         by_name = {names[key]: count for key, count in counts.items() if key in names}
         self.table.observe_peer(heartbeat.vm, by_name, now_unix_s)
-        sent_unix_s = to_local(heartbeat.sent_unix_s)
         for each in heartbeat.reports:
             name = names.get(each.server_key)
             if name is None:
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -67,3 +67,18 @@
 def test_a_gap_between_ticks_tells_of_a_pause(ticks_unix_s, gap_s):
     detector = PauseDetector(expected_interval_s=1.0)
     assert [detector.tick(tick) for tick in ticks_unix_s][-1] == gap_s
+
+
+def test_message_is_never_sent_later_than_it_came() -> None:
+    # Two messages show a peer's offset; what the first one holds is taken in before.
+    offsets = ClockOffsets()
+    assert offsets.sent_unix_s("vm-b", 1_020.0, now_unix_s=1_000.0) == 1_000.0
+    assert offsets.sent_unix_s("vm-b", 998.0, now_unix_s=1_000.0) == 998.0
+    offsets.observe(
+        "vm-b",
+        sent_unix_s=1_021.0,
+        echo_sent_unix_s=1_000.0,
+        echo_received_unix_s=1_020.5,
+        received_unix_s=1_001.0,
+    )
+    assert offsets.sent_unix_s("vm-b", 1_022.0, now_unix_s=1_003.0) == pytest.approx(1_001.75)
--- a/tests/test_member_news.py
+++ b/tests/test_member_news.py
@@ -1,5 +1,6 @@
 """What a peer tells of members, by a clock that may differ from this VM's."""
 
+from pomelobarrow.decision.clocks import ClockOffsets
 from pomelobarrow.decision.membership import Member, MembershipView
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.grid import LinkKind
@@ -24,13 +25,14 @@
 
 def take(view: MembershipView, heartbeat: pb.Heartbeat) -> None:
     """Take in a heartbeat of a peer whose clock's offset isn't known yet."""
+    sent_unix_s = ClockOffsets().sent_unix_s("vm-c", heartbeat.sent_unix_s, NOW_UNIX_S)
     MemberNews(view).take(
         heartbeat,
         SentMembers(),
         LinkKind.OTHER_REGION,
         is_sparse=False,
         now_unix_s=NOW_UNIX_S,
-        to_local=lambda unix_s: unix_s,
+        sent_unix_s=sent_unix_s,
     )
 
 
@@ -51,6 +53,13 @@
     assert view.suspects(NOW_UNIX_S) == {"vm-b"}
 
 
+def test_word_on_an_unknown_vm_keeps_its_age_whatever_the_peers_clock() -> None:
+    view = MembershipView("vm-a", "milan")
+    take(view, heartbeat_by_clock_ahead(20.0))
+    [judgement] = view.judgements(NOW_UNIX_S)
+    assert judgement.heard_age_s == HEARD_AGO_S
+
+
 def test_word_of_a_peer_whose_clock_is_behind_counts_as_older_at_most() -> None:
     # It may have waited on its way; taken for older than it is, the member is only tried later.
     view = MembershipView("vm-a", "milan")
