Split the membership view: members, one member's record, roles, the view

Change: member.py describes, member_record.py judges one, member_roles.py chooses watchers and relays, membership.py holds the view. Behaviour unchanged.

--- a/bench/capacity_region.py
+++ b/bench/capacity_region.py
@@ -18,7 +18,8 @@
 from pomelobarrow.decision.keyspace import Change
 from pomelobarrow.decision.limits import AccountLimits
 from pomelobarrow.decision.load_table import LoadTable
-from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.member import Member
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.rendezvous import rendezvous
 from pomelobarrow.decision.work import LoadReport
 from pomelobarrow.dispatch.local import LocalDispatch
--- a/bench/capacity_state.py
+++ b/bench/capacity_state.py
@@ -20,8 +20,9 @@
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.keyspace import Change
 from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.member import Member
 from pomelobarrow.decision.member_roles import relays_among
-from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.prefix_index import PrefixIndex
 from pomelobarrow.decision.region_choice import RegionLoad, ShareOutsideHome, choose_region
 from pomelobarrow.decision.request_ids import RequestIdLedger
--- a/bench/replay/fleet.py
+++ b/bench/replay/fleet.py
@@ -17,7 +17,8 @@
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.costs import prefill_tokens
 from pomelobarrow.decision.load_table import LoadTable
-from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.member import Member
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.region_choice import RegionLoad
 from pomelobarrow.decision.routing import Route, RouteKind, Routing
 from pomelobarrow.decision.server_choice import least_wait_s, quietest_engine
--- a/src/pomelobarrow/callers/entries.py
+++ b/src/pomelobarrow/callers/entries.py
@@ -8,7 +8,8 @@
 
 from pomelobarrow.decision.configuration import Account
 from pomelobarrow.decision.errors import Kind, Refusal, Run
-from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.member import Member
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.request_ids import RequestIdLedger
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
--- a/src/pomelobarrow/decision/member_roles.py
+++ b/src/pomelobarrow/decision/member_roles.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable
 
-from pomelobarrow.decision.membership import Member, MembershipView, name_of
+from pomelobarrow.decision.member import Member, name_of
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.rendezvous import rendezvous_spread
 
 WATCHERS = 2
--- a/src/pomelobarrow/decision/membership.py
+++ b/src/pomelobarrow/decision/membership.py
@@ -1,127 +1,28 @@
 """Which entry VMs exist, which of them answer, and who took over from those that left."""
 
-import enum
 import math
 from collections.abc import Iterable
 
 from attrs import define, evolve, field, frozen
 
+from pomelobarrow.decision.member import (
+    LEFT,
+    READY,
+    ListedVm,
+    Member,
+    Phase,
+    advance,
+    later_phase,
+    name_of,
+)
+from pomelobarrow.decision.member_record import Judgement, MemberRecord
 from pomelobarrow.decision.silence import HeartbeatTimer
 
 FORGET_AFTER_S = 600.0
-# Heartbeats are 1.1 s apart at most; two VMs hear the last one of a third so far apart at most,
-# and the rest is for delays on the way.
-WORD_MARGIN_S = 1.5
-# Callers are led to VMs heard within this time. Heartbeats come each second and a silent link is
-# replaced in 4 s; callers keep an answer for 3 s more, so that they leave a dead VM within 8 s.
-NAMED_WITHIN_S = 5.0
-# Peers that wait for this VM to wake are heard within a heartbeat or two.
-WAKE_GRACE_S = 2.0
 SUCCESSOR_KEPT_S = 3_600.0
 SUCCESSORS_KEPT = 1_024
 
 
-class Phase(enum.Enum):
-    """Enumerate a daemon's phases; within an incarnation they only advance."""
-
-    STARTING = "starting"
-    READY = "ready"
-    LEAVING = "leaving"
-    LEFT = "left"
-
-
-READY = Phase.READY.value
-LEFT = Phase.LEFT.value
-PHASE_ORDER = {phase.value: place for place, phase in enumerate(Phase)}
-
-
-@frozen(kw_only=True)
-class Member:
-    """Describe one incarnation of an entry VM's daemon."""
-
-    vm: str
-    incarnation: int = 0
-    region: str
-    failure_domain: str = ""
-    caller_address: str = ""
-    peer_address: str = ""
-    phase: str = READY
-    heard_unix_s: float = 0.0
-    sequence: int = 0
-    successor: str = ""
-
-
-@frozen(kw_only=True)
-class ListedVm:
-    """Hold an entry VM as the platform's list has it; the list lags."""
-
-    vm: str
-    region: str = ""
-    failure_domain: str = ""
-    caller_address: str = ""
-    peer_address: str = ""
-    leaving: bool = False
-
-
-@frozen(kw_only=True)
-class Judgement:
-    """Say whether a member counts as live, and on which evidence."""
-
-    member: Member
-    is_live: bool
-    # The peer whose word on it counts, empty where it was heard itself.
-    told_by: str
-    heard_age_s: float
-    # The silence after which it is suspect.
-    allowed_silence_s: float
-
-
-@define
-class _Record:
-    member: Member
-    timer: HeartbeatTimer
-    # Whether this VM itself was heard, not only others that spoke of it.
-    direct: bool = False
-    # The peer whose word was taken last, empty where it was heard itself.
-    told_by: str = ""
-    # Until then its age is put down to a pause of this VM's own.
-    excused_until_unix_s: float = 0.0
-
-    def is_live(self, now_unix_s: float) -> bool:
-        return self.member.phase != LEFT and not self.timer.is_overdue(now_unix_s)
-
-    def is_news(self, heard_unix_s: float, now_unix_s: float) -> bool:
-        """Say whether another VM's word shows more of a member than is known here.
-
-        Of a member that spoke here itself, others heard the last heartbeat up to an interval later;
-        their word on that one made a VM without power live for 15 s more. A word on a heartbeat
-        after that shows that it speaks to others, say because its region's relays changed. Until
-        its own silence is too long, its own word counts alone.
-        """
-        if not self.direct:
-            return heard_unix_s > self.member.heard_unix_s
-        spoke_since = heard_unix_s > self.member.heard_unix_s + WORD_MARGIN_S
-        return spoke_since and self.timer.is_overdue(now_unix_s)
-
-    def is_fresh(self, now_unix_s: float) -> bool:
-        is_heard = now_unix_s - self.member.heard_unix_s <= NAMED_WITHIN_S
-        return is_heard or now_unix_s <= self.excused_until_unix_s
-
-    def excuse(self, now_unix_s: float, gap_s: float) -> None:
-        """Put a member's age down to a pause of this VM's, if it was fresh before that.
-
-        Without the condition, a VM that stands still again and again would name a dead one as long.
-        """
-        if self.is_fresh(now_unix_s - gap_s):
-            self.excused_until_unix_s = now_unix_s + WAKE_GRACE_S
-
-    def take_word(self, heard_unix_s: float, told_by: str, timeout_s: float | None = None) -> None:
-        self.direct = False
-        self.told_by = told_by
-        self.member = evolve(self.member, heard_unix_s=heard_unix_s)
-        self.timer.hear_of(heard_unix_s, timeout_s)
-
-
 @frozen
 class _Handover:
     successor: str
@@ -136,7 +37,7 @@
     own_region: str
     forget_after_s: float = FORGET_AFTER_S
     own: Member = field(init=False)
-    _records: dict[str, _Record] = field(factory=dict, init=False, repr=False)
+    _records: dict[str, MemberRecord] = field(factory=dict, init=False, repr=False)
     _listed: dict[str, ListedVm] = field(factory=dict, init=False, repr=False)
     _handovers: dict[tuple[str, int], _Handover] = field(factory=dict, init=False, repr=False)
     _pause_unix_s: float | None = field(default=None, init=False)
@@ -180,10 +81,10 @@
         heard = evolve(member, heard_unix_s=self._time(now_unix_s))
         record = self._records.get(member.vm)
         if record is None or member.incarnation > record.member.incarnation:
-            record = self._records[member.vm] = _Record(heard, HeartbeatTimer())
-        elif not _is_newer_heartbeat(member, record):
+            record = self._records[member.vm] = MemberRecord(heard, HeartbeatTimer())
+        elif not record.is_newer(member):
             return False
-        record.member = _advance(record.member, heard)
+        record.member = advance(record.member, heard)
         record.direct = True
         record.told_by = ""
         record.timer.hear(now_unix_s)
@@ -203,11 +104,11 @@
         record = self._records.get(member.vm)
         if record is None or member.incarnation > record.member.incarnation:
             timer = HeartbeatTimer(heard_unix_s)
-            self._records[member.vm] = _Record(said, timer, told_by=told_by)
+            self._records[member.vm] = MemberRecord(said, timer, told_by=told_by)
             return True
         if member.incarnation < record.member.incarnation:
             return False
-        record.member = evolve(record.member, phase=_later_phase(record.member, said))
+        record.member = evolve(record.member, phase=later_phase(record.member, said))
         if record.is_news(heard_unix_s, now_unix_s):
             record.take_word(heard_unix_s, told_by)
         return True
@@ -283,16 +184,7 @@
     def judgements(self, now_unix_s: float) -> tuple[Judgement, ...]:
         """Return how each other member is judged."""
         judged_unix_s = self._judged(now_unix_s)
-        return tuple(
-            Judgement(
-                member=record.member,
-                is_live=record.is_live(judged_unix_s),
-                told_by=record.told_by,
-                heard_age_s=now_unix_s - record.member.heard_unix_s,
-                allowed_silence_s=record.timer.timeout_s,
-            )
-            for record in self._records.values()
-        )
+        return tuple(each.judge(now_unix_s, judged_unix_s) for each in self._records.values())
 
     def live(
         self, region: str | None = None, now_unix_s: float | None = None
@@ -399,30 +291,3 @@
         key = (member.vm, member.incarnation)
         if member.successor and key not in self._handovers:
             self._handovers[key] = _Handover(member.successor, now_unix_s)
-
-
-def _is_newer_heartbeat(member: Member, record: _Record) -> bool:
-    if member.incarnation < record.member.incarnation:
-        return False
-    # Also of a member that only others spoke of since: a heartbeat that was on its way for long
-    # would else bring a silent member back to life.
-    is_first = not record.direct and record.member.sequence == 0
-    return is_first or member.sequence > record.member.sequence
-
-
-def _phase_place(phase: str) -> int:
-    return PHASE_ORDER.get(phase, 0)
-
-
-def _later_phase(first: Member, second: Member) -> str:
-    return max(first.phase, second.phase, key=_phase_place)
-
-
-def _advance(old: Member, new: Member) -> Member:
-    """Take the newer description, without going back to an earlier phase."""
-    return evolve(new, phase=_later_phase(old, new), successor=new.successor or old.successor)
-
-
-def name_of(member: Member) -> str:
-    """Return a member's name, its place in every order."""
-    return member.vm
--- a/src/pomelobarrow/peers/forward_client.py
+++ b/src/pomelobarrow/peers/forward_client.py
@@ -11,7 +11,8 @@
 from pomelobarrow.decision.attempt import Attempt, AttemptEvent, AttemptState
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.errors import KIND_BY_LABEL, Kind, Refusal, Run
-from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.member import Member
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.region_choice import RegionLoad
 from pomelobarrow.decision.work import Work
 from pomelobarrow.dispatch.answers import AnswerHead, AnswerSink, AttemptResult, CallerGoneError
--- a/src/pomelobarrow/peers/forward_resume.py
+++ b/src/pomelobarrow/peers/forward_resume.py
@@ -7,7 +7,8 @@
 from attrs import define, field
 from grpclib.client import Channel
 
-from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.member import Member
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.dispatch.answers import END_EVENT, SERVER_SENT_EVENTS, AnswerSink
 from pomelobarrow.dispatch.background import wait_briefly
 from pomelobarrow.kernel.clock import now_unix_s
--- a/src/pomelobarrow/peers/hand_over.py
+++ b/src/pomelobarrow/peers/hand_over.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from pomelobarrow.decision.membership import Member
+from pomelobarrow.decision.member import Member
 from pomelobarrow.decision.request_ids import (
     EntryState,
     HandedOverError,
--- a/src/pomelobarrow/peers/heartbeats.py
+++ b/src/pomelobarrow/peers/heartbeats.py
@@ -7,7 +7,8 @@
 
 from pomelobarrow.decision.clocks import ClockOffsets
 from pomelobarrow.decision.limits import AccountLimits
-from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.member import Member
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.work import LoadReport
 from pomelobarrow.dispatch.local import LocalDispatch
 from pomelobarrow.kernel.clock import now_unix_s
--- a/src/pomelobarrow/peers/joining.py
+++ b/src/pomelobarrow/peers/joining.py
@@ -6,7 +6,7 @@
 import structlog
 from mode import Service
 
-from pomelobarrow.decision.membership import Phase
+from pomelobarrow.decision.member import Phase
 from pomelobarrow.peers.exchange import Exchange
 from pomelobarrow.peers.table import PeerTable
 from pomelobarrow.published.keyspaces import PublishedState
--- a/src/pomelobarrow/peers/links.py
+++ b/src/pomelobarrow/peers/links.py
@@ -9,7 +9,7 @@
 from grpclib.client import Channel
 from mode import Service
 
-from pomelobarrow.decision.membership import ListedVm
+from pomelobarrow.decision.member import ListedVm
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.calls import CONNECT_TIMEOUT_S, LOST, start_call
--- a/src/pomelobarrow/peers/live_changes.py
+++ b/src/pomelobarrow/peers/live_changes.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field
 
-from pomelobarrow.decision.membership import Judgement
+from pomelobarrow.decision.member_record import Judgement
 from pomelobarrow.peers.events import MemberJudged
 
 
--- a/src/pomelobarrow/peers/member_news.py
+++ b/src/pomelobarrow/peers/member_news.py
@@ -5,7 +5,8 @@
 import xxhash
 from attrs import define, field
 
-from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.member import Member
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.grid import LinkKind, Neighbours, passes_on
 
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -5,7 +5,8 @@
 from pomelobarrow.backends.reports import LoadPoller
 from pomelobarrow.decision.clocks import ClockOffsets
 from pomelobarrow.decision.limits import AccountLimits
-from pomelobarrow.decision.membership import ListedVm, Member, MembershipView, Phase
+from pomelobarrow.decision.member import ListedVm, Member, Phase
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.request_ids import RequestIdLedger
 from pomelobarrow.dispatch.claims import ClaimedDispatch
 from pomelobarrow.dispatch.entry import EntryDispatch
--- a/src/pomelobarrow/relay/directory.py
+++ b/src/pomelobarrow/relay/directory.py
@@ -5,7 +5,8 @@
 from aiohttp import web
 from attrs import define, field
 
-from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.member import Member
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.routing import Routing
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.directory_log import DirectoryLog
--- a/src/pomelobarrow/relay/hop.py
+++ b/src/pomelobarrow/relay/hop.py
@@ -6,7 +6,7 @@
 from attrs import evolve
 
 from pomelobarrow.decision.errors import Refusal, Run
-from pomelobarrow.decision.membership import Member
+from pomelobarrow.decision.member import Member
 from pomelobarrow.relay.attempt import Target
 from pomelobarrow.relay.messages import Headers, RelayRequest, ServerAnswerHead
 from pomelobarrow.relay.wire import RelayWire
--- a/src/pomelobarrow/relay/live_members.py
+++ b/src/pomelobarrow/relay/live_members.py
@@ -4,7 +4,8 @@
 
 from attrs import define, field
 
-from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.member import Member
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.peer_reach import PeerReach
 
 # Going through all members for each request cost a twentieth of a VM's time in a fleet of 75; what
--- a/src/pomelobarrow/relay/placement.py
+++ b/src/pomelobarrow/relay/placement.py
@@ -9,7 +9,7 @@
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.group_owners import GroupOwners, SentGroups
 from pomelobarrow.decision.load_table import LoadTable, ServerState
-from pomelobarrow.decision.membership import Member
+from pomelobarrow.decision.member import Member
 from pomelobarrow.decision.region_choice import RegionLoad
 from pomelobarrow.decision.region_cost import Reading, RegionCost, region_cost
 from pomelobarrow.decision.rendezvous import rendezvous
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -10,7 +10,8 @@
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.cold_start import ColdLimiter
 from pomelobarrow.decision.load_table import LoadTable
-from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.member import Member
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.retry_share import RetryBound, RetryShare
 from pomelobarrow.decision.routing import PoolShare, Route, RouteKind, Routing
 from pomelobarrow.decision.work import BackendServer
--- a/tests/test_callers_entries.py
+++ b/tests/test_callers_entries.py
@@ -6,7 +6,8 @@
 from pomelobarrow.callers.entries import EntryDirectory
 from pomelobarrow.decision.configuration import Account
 from pomelobarrow.decision.errors import Kind, Run
-from pomelobarrow.decision.membership import Member, MembershipView, Phase
+from pomelobarrow.decision.member import Member, Phase
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.request_ids import RequestIdLedger
 from pomelobarrow.kernel.clock import now_unix_s
 
--- a/tests/test_live_changes.py
+++ b/tests/test_live_changes.py
@@ -1,6 +1,7 @@
 """A member that falls silent or is heard again is reported once, with what decided it."""
 
-from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.member import Member
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.peers.events import MemberJudged
 from pomelobarrow.peers.live_changes import LiveChanges
 
--- a/tests/test_long_silent_vm.py
+++ b/tests/test_long_silent_vm.py
@@ -3,7 +3,8 @@
 from attrs import evolve
 from relay_harness import HOST, route
 
-from pomelobarrow.decision.membership import Member, MembershipView, Phase
+from pomelobarrow.decision.member import Member, Phase
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.routing import RouteKind, Routing
 from pomelobarrow.platform.wire import platform_wire
 from pomelobarrow.relay.directory import RelayDirectory
--- a/tests/test_member_news.py
+++ b/tests/test_member_news.py
@@ -1,7 +1,8 @@
 """What a peer tells of members, by a clock that may differ from this VM's."""
 
 from pomelobarrow.decision.clocks import ClockOffsets
-from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.member import Member
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.grid import LinkKind
 from pomelobarrow.peers.member_news import MemberNews, SentMembers
--- a/tests/test_member_roles.py
+++ b/tests/test_member_roles.py
@@ -1,7 +1,8 @@
 """Which VMs read the platform, also while those that should have fallen silent."""
 
+from pomelobarrow.decision.member import Member
 from pomelobarrow.decision.member_roles import reads_platform, watchers
-from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.membership import MembershipView
 
 REGION = "milan"
 VMS = ("vm-1", "vm-2", "vm-3")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,8 +7,9 @@
 import pytest
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from pomelobarrow.decision.member import ListedVm, Member, Phase
 from pomelobarrow.decision.member_roles import relays, watchers
-from pomelobarrow.decision.membership import ListedVm, Member, MembershipView, Phase
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.rendezvous import rendezvous
 from pomelobarrow.decision.silence import CEILING_S, FLOOR_S, HeartbeatTimer
 
--- a/tests/test_peers_hand_over.py
+++ b/tests/test_peers_hand_over.py
@@ -5,7 +5,7 @@
 import pytest
 from grpclib.client import Channel
 
-from pomelobarrow.decision.membership import Member
+from pomelobarrow.decision.member import Member
 from pomelobarrow.decision.request_ids import ClaimKind, Outcome, RequestIdLedger
 from pomelobarrow.kernel.settings import PeerKey
 from pomelobarrow.peers import hand_over as module
--- a/tests/test_relay_directory.py
+++ b/tests/test_relay_directory.py
@@ -4,7 +4,8 @@
 from attrs import evolve
 from relay_harness import HOST, POOL, route
 
-from pomelobarrow.decision.membership import Member, MembershipView, Phase
+from pomelobarrow.decision.member import Member, Phase
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.routing import PoolShare, RouteKind, Routing
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.platform.wire import platform_wire
--- a/tests/test_relay_placement.py
+++ b/tests/test_relay_placement.py
@@ -7,7 +7,8 @@
 from pomelobarrow.decision.cold_start import ColdLimiter
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.load_table import LoadTable
-from pomelobarrow.decision.membership import Member, MembershipView
+from pomelobarrow.decision.member import Member
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.peer_reach import FIRST_PAUSE_S
 from pomelobarrow.decision.region_choice import RegionLoad
 from pomelobarrow.decision.routing import RelayPool, Route, RouteKind, Routing
