--- a/src/pomelobarrow/decision/member_record.py
+++ b/src/pomelobarrow/decision/member_record.py
@@ -40,6 +40,8 @@
     told_by: str = ""
     # Until then its age is put down to a pause of this VM's own.
     excused_until_unix_s: float = 0.0
+    # How it was judged when that was last reported.
+    was_live: bool = False
 
     def is_live(self, now_unix_s: float) -> bool:
         """Say whether it neither left nor is silent for too long."""
@@ -87,11 +89,11 @@
         is_first = not self.direct and self.member.sequence == 0
         return is_first or heartbeat.sequence > self.member.sequence
 
-    def judge(self, now_unix_s: float, judged_unix_s: float) -> Judgement:
-        """Return how the member is judged, its silence counted up to a time."""
+    def judgement(self, now_unix_s: float) -> Judgement:
+        """Return how it was judged last, and on which evidence."""
         return Judgement(
             member=self.member,
-            is_live=self.is_live(judged_unix_s),
+            is_live=self.was_live,
             told_by=self.told_by,
             heard_age_s=now_unix_s - self.member.heard_unix_s,
             allowed_silence_s=self.timer.timeout_s,
--- a/src/pomelobarrow/decision/membership.py
+++ b/src/pomelobarrow/decision/membership.py
@@ -181,10 +181,20 @@
             if record.timer.is_overdue(judged_unix_s) and record.member.phase != LEFT
         )
 
-    def judgements(self, now_unix_s: float) -> tuple[Judgement, ...]:
-        """Return how each other member is judged."""
+    def changed_judgements(self, now_unix_s: float) -> list[Judgement]:
+        """Return how members are judged that were judged otherwise at the last call.
+
+        One that wasn't known then is no change while it counts as silent: old words on VMs that are
+        gone come with each new link.
+        """
         judged_unix_s = self._judged(now_unix_s)
-        return tuple(each.judge(now_unix_s, judged_unix_s) for each in self._records.values())
+        changed = []
+        for record in self._records.values():
+            is_live = record.is_live(judged_unix_s)
+            if is_live != record.was_live:
+                record.was_live = is_live
+                changed.append(record.judgement(now_unix_s))
+        return changed
 
     def live(
         self, region: str | None = None, now_unix_s: float | None = None
--- a/src/pomelobarrow/peers/live_changes.py
+++ b/src/pomelobarrow/peers/live_changes.py
@@ -1,30 +1,13 @@
-"""Notice when a member falls silent in this VM's view, or is heard again."""
-
-from attrs import define, field
+"""Tell when a member falls silent in this VM's view, or is heard again."""
 
 from pomelobarrow.decision.member_record import Judgement
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.peers.events import MemberJudged
 
 
-@define
-class LiveChanges:
-    """Hold how each member was judged last."""
-
-    _was_live: dict[str, bool] = field(factory=dict, init=False)
-
-    def observe(self, judgements: tuple[Judgement, ...]) -> list[MemberJudged]:
-        """Take the present judgements; return those that differ from the last ones.
-
-        A member that wasn't known before is no change while it counts as silent: old words on VMs
-        that are gone come with each new link.
-        """
-        changes = [
-            _judged(each)
-            for each in judgements
-            if each.is_live != self._was_live.get(each.member.vm, False)
-        ]
-        self._was_live = {each.member.vm: each.is_live for each in judgements}
-        return changes
+def live_changes(view: MembershipView, now_unix_s: float) -> list[MemberJudged]:
+    """Return the members that are judged otherwise than at the last call."""
+    return [_judged(each) for each in view.changed_judgements(now_unix_s)]
 
 
 def _judged(judgement: Judgement) -> MemberJudged:
--- a/src/pomelobarrow/peers/table.py
+++ b/src/pomelobarrow/peers/table.py
@@ -19,7 +19,7 @@
 from pomelobarrow.peers.grid import neighbours
 from pomelobarrow.peers.heartbeats import Heartbeats
 from pomelobarrow.peers.links import PeerLink
-from pomelobarrow.peers.live_changes import LiveChanges
+from pomelobarrow.peers.live_changes import live_changes
 from pomelobarrow.published.keyspaces import VMS, PublishedState
 
 REVIEW_EVERY_S = 0.5
@@ -61,7 +61,6 @@
         self._observe = observe
         self._on_demand_until_unix_s: dict[str, float] = {}
         self._pauses = PauseDetector(REVIEW_EVERY_S)
-        self._live_changes = LiveChanges()
         self._random = random.Random()
         published.listeners.append(self._on_applied)
 
@@ -89,7 +88,7 @@
     async def review(self) -> None:
         """Open the links that are wanted and close the others."""
         now = now_unix_s()
-        for change in self._live_changes.observe(self._view.judgements(now)):
+        for change in live_changes(self._view, now):
             self._observe(change)
         self._name_seeds()
         # After a long cut all peers are forgotten; without the seeds nobody would be asked again.
--- a/tests/test_live_changes.py
+++ b/tests/test_live_changes.py
@@ -2,37 +2,32 @@
 
 from pomelobarrow.decision.member import Member
 from pomelobarrow.decision.membership import MembershipView
-from pomelobarrow.peers.events import MemberJudged
-from pomelobarrow.peers.live_changes import LiveChanges
-
-
-def changes_at(changes: LiveChanges, view: MembershipView, now_unix_s: float) -> list[MemberJudged]:
-    return changes.observe(view.judgements(now_unix_s))
+from pomelobarrow.peers.live_changes import live_changes
 
 
 def test_silence_and_return_are_reported_once_with_their_evidence() -> None:
-    view, changes = MembershipView("vm-a", "milan"), LiveChanges()
+    view = MembershipView("vm-a", "milan")
     for second in range(10):
         heard = Member(vm="vm-b", incarnation=7, region="milan", sequence=second + 1)
         view.observe_heartbeat(heard, 100.0 + second)
-    [first] = changes_at(changes, view, 109.0)
+    [first] = live_changes(view, 109.0)
     assert (first.member, first.is_live, first.told_by) == ("vm-b", True, "")
-    assert changes_at(changes, view, 110.0) == []
+    assert live_changes(view, 110.0) == []
 
-    [silent] = changes_at(changes, view, 115.0)
+    [silent] = live_changes(view, 115.0)
     assert not silent.is_live
     assert (silent.incarnation, silent.heard_age_s) == (7, 6.0)
     assert 2.5 <= silent.allowed_silence_s < 6.0
-    assert changes_at(changes, view, 116.0) == []
+    assert live_changes(view, 116.0) == []
 
     word = Member(vm="vm-b", incarnation=7, region="milan", heard_unix_s=116.0)
     view.observe_summary(word, 116.5, "vm-c")
-    [back] = changes_at(changes, view, 116.5)
+    [back] = live_changes(view, 116.5)
     assert (back.is_live, back.told_by, back.heard_age_s) == (True, "vm-c", 0.5)
 
 
 def test_old_word_on_a_vm_that_is_gone_is_no_change() -> None:
-    view, changes = MembershipView("vm-a", "milan"), LiveChanges()
+    view = MembershipView("vm-a", "milan")
     word = Member(vm="vm-b", incarnation=7, region="milan", heard_unix_s=100.0)
     view.observe_summary(word, 200.0, "vm-c")
-    assert changes_at(changes, view, 200.0) == []
+    assert live_changes(view, 200.0) == []
--- a/tests/test_member_news.py
+++ b/tests/test_member_news.py
@@ -57,7 +57,7 @@
 def test_word_on_an_unknown_vm_keeps_its_age_whatever_the_peers_clock() -> None:
     view = MembershipView("vm-a", "milan")
     take(view, heartbeat_by_clock_ahead(20.0))
-    [judgement] = view.judgements(NOW_UNIX_S)
+    [judgement] = view.changed_judgements(NOW_UNIX_S)
     assert judgement.heard_age_s == HEARD_AGO_S
 
 
@@ -65,5 +65,5 @@
     # It may have waited on its way; taken for older than it is, the member is only tried later.
     view = MembershipView("vm-a", "milan")
     take(view, heartbeat_by_clock_ahead(-2.0))
-    [judgement] = view.judgements(NOW_UNIX_S)
+    [judgement] = view.changed_judgements(NOW_UNIX_S)
     assert judgement.heard_age_s == HEARD_AGO_S + 2.0
