--- a/tests/test_callers_entries.py
+++ b/tests/test_callers_entries.py
@@ -42,3 +42,15 @@
     answer = held.answer(ACCOUNT, REGION, {})
     assert isinstance(answer, Ok)
     assert [entry["vm"] for entry in answer.ok_value["entries"]] == ["milan-2"]
+
+
+def test_silent_vm_of_the_own_region_is_named_no_longer_than_others_hear_of_it() -> None:
+    # A VM here was heard seven seconds ago, though its pace isn't known and it may yet live; one of
+    # another region is only heard of every few seconds, and goes on being named.
+    held, now = directory(Phase.READY), now_unix_s()
+    for vm, region in (("milan-2", REGION), ("turin-1", "turin")):
+        told = Member(vm=vm, incarnation=1, region=region, heard_unix_s=now - 7.0)
+        held.view.observe_summary(told, now)
+    answer = held.answer(ACCOUNT, REGION, {})
+    assert isinstance(answer, Ok)
+    assert [each["vm"] for each in answer.ok_value["entries"]] == ["milan-1", "turin-1"]
--- a/tests/test_relay_directory.py
+++ b/tests/test_relay_directory.py
@@ -90,3 +90,14 @@
     assert isinstance(observed[1], DirectoryChanged)
     assert observed[1].named == {"vm-c": 0.0}
     assert observed[1].left_out == {"vm-a": pytest.approx(4.0, abs=0.1)}
+
+
+def test_bound_request_is_led_to_a_home_that_is_only_heard_of() -> None:
+    # Home's VMs were heard of seven seconds ago, as a VM that isn't a relay hears of them. Led to
+    # this region instead, the request would leave its homes with its body and be refused.
+    held = directory({"c": Phase.READY}, BOUND)
+    now = now_unix_s()
+    told = Member(vm="vm-b", incarnation=1, region="b", heard_unix_s=now - 7.0)
+    held.view.observe_summary(told, now)
+    assert named(held, "a") == ["vm-b"]
+    assert named(held, "c") == ["vm-c"]
