Log which requests a backend server ended under

A closed connection is now followed by a bare connection to the same address: refused, the server has ended; accepted or silent, nothing is known. `server ended` names the fingerprints of this VM's requests that were on it, `relay ended` has each request's fingerprint (method, host, path and body), and pomelobarrow_servers_ended_total counts. A server that leaves as planned isn't checked. No decision reads any of it yet.

--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -9,6 +9,7 @@
 from pomelobarrow.backends.events import EventCounter
 from pomelobarrow.backends.orders import OrderSender
 from pomelobarrow.backends.reports import LoadPoller
+from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.backends.service import ServiceAttempt
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.backends.shares import ServerShare
@@ -50,6 +51,7 @@
     context.provide(BackendSessions, lambda c: BackendSessions(c.settings.dial))
     context.provide(LoadTable, lambda c: LoadTable(c.settings.region))
     context.provide(LoadPoller, _poller)
+    context.provide(ServerWatch, _watch)
     context.provide(AttemptRunnerPart, lambda c: AttemptRunnerPart(_runner(c), _fetcher(c)))
     context.provide(OrderBook, lambda _: OrderBook())
     context.hooks.register(_PauseObserver(context))
@@ -149,6 +151,14 @@
     return fetch_rest
 
 
+def _watch(context: Context) -> ServerWatch:
+    return ServerWatch(
+        dial=context.settings.dial,
+        is_staying=context.get(LoadTable).is_staying,
+        observe=context.observe,
+    )
+
+
 def _poller(context: Context) -> LoadPoller:
     return LoadPoller(
         own_vm=context.settings.vm,
--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 from mode import Service
 
+from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.decision.admission import refuse_unservable
 from pomelobarrow.decision.attempt import Attempt, AttemptState
 from pomelobarrow.decision.configuration import Rank
@@ -51,6 +52,7 @@
     table: LoadTable
     run_attempt: AttemptRunner
     observe: Callable[[object], None]
+    watch: ServerWatch = field(factory=ServerWatch)
     choose: ServerChooser = choose_server
     outputs: OutputEstimate = field(factory=OutputEstimate)
     rng: Random = field(factory=Random)
@@ -87,6 +89,8 @@
             self.table.release(work.request_id, now_unix_s())
             self.pump(work.pool)
         self._judge_server(result)
+        if result.state is AttemptState.UNKNOWN:
+            await self.watch.note_closed(server, request.fingerprint)
         if result.is_finished and result.output_tokens:
             self.outputs.observe(work.class_name, result.output_tokens)
         self.observe(
--- a/src/pomelobarrow/dispatch/plugin.py
+++ b/src/pomelobarrow/dispatch/plugin.py
@@ -3,6 +3,7 @@
 import secrets
 
 from pomelobarrow.backends.plugin import AttemptRunnerPart
+from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.limits import AccountLimits
 from pomelobarrow.decision.load_table import LoadTable
@@ -72,6 +73,7 @@
         table=context.get(LoadTable),
         run_attempt=context.get(AttemptRunnerPart).run,
         observe=context.observe,
+        watch=context.get(ServerWatch),
     )
 
 
--- a/src/pomelobarrow/dispatch/request.py
+++ b/src/pomelobarrow/dispatch/request.py
@@ -1,12 +1,14 @@
 """A request as the dispatcher sees it."""
 
 from collections.abc import Callable
+from functools import cached_property
 from typing import Self
 
 from attrs import evolve, field, frozen
 
 from pomelobarrow.decision.attempt import Attempt
 from pomelobarrow.decision.configuration import WorkClass
+from pomelobarrow.decision.fingerprint import fingerprint
 from pomelobarrow.decision.work import Work
 from pomelobarrow.dispatch.answers import Headers
 
@@ -35,6 +37,11 @@
     # Filled in as attempts start, so that whoever cancels can say whether any may have run.
     attempts: list[Attempt] = field(factory=list, eq=False)
 
+    @cached_property
+    def fingerprint(self) -> int:
+        """Return what names this request and those that are the same."""
+        return fingerprint(self.work.account, self.method, "", self.path, self.body)
+
     def with_traceparent(self, traceparent: str) -> Self:
         """Return the request as the next hop is to get it; itself where traces are off."""
         if traceparent == self.traceparent:
--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -215,6 +215,12 @@
             "Times that a backend server was left out because it failed.",
             ("pool",),
         )
+        self.servers_ended = CounterFamily(
+            registry,
+            "pomelobarrow_servers_ended_total",
+            "Times that a backend server ended while requests of this VM were on it.",
+            ("pool",),
+        )
         self.member_changes = CounterFamily(
             registry,
             "pomelobarrow_member_changes_total",
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from attrs import asdict
 
+from pomelobarrow.backends.server_watch import ServerEnded
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.dispatch.events import AttemptEnded, Forwarded, RequestEnded
 from pomelobarrow.dispatch.local import LocalDispatch
@@ -55,6 +56,7 @@
             RelayAttemptEnded: self._relay_attempt_ended,
             RelayEnded: self._relay_ended,
             ServerEjected: self._server_ejected,
+            ServerEnded: self._server_ended,
             ServerBack: self._server_back,
             PeerRefused: self._peer_refused,
             MemberJudged: self._member_judged,
@@ -153,6 +155,10 @@
         self._metrics.ejections.inc(event.pool)
         self._log.warning("server ejected", **asdict(event))
 
+    def _server_ended(self, event: ServerEnded) -> None:
+        self._metrics.servers_ended.inc(event.pool)
+        self._log.warning("server ended", **asdict(event))
+
     def _server_back(self, event: ServerBack) -> None:
         self._log.info("server back", **asdict(event))
 
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -85,7 +85,7 @@
                 self._set_alarm()
                 return await self._exchange()
         except LOST as error:
-            return self._lost(repr(error))
+            return self._lost(repr(error), is_closed=not isinstance(error, TimeoutError))
         finally:
             self._stop_alarm()
 
@@ -190,17 +190,23 @@
             self.on_pause(pause_s)
         self._last_events_unix_s = now
 
-    def _lost(self, detail: str) -> AttemptReport:
+    def _lost(self, detail: str, is_closed: bool = False) -> AttemptReport:
         self.state.apply(AttemptEvent.LOSE)
-        is_unsent = self.state.state is AttemptState.NOT_SENT
-        return self._report(AttemptEnd.NOT_SENT if is_unsent else AttemptEnd.LOST, detail)
+        if self.state.state is AttemptState.NOT_SENT:
+            return self._report(AttemptEnd.NOT_SENT, detail)
+        return self._report(AttemptEnd.LOST, detail, is_closed=is_closed)
 
     def _report(
-        self, end: AttemptEnd, detail: str = "", answer: WholeAnswer | None = None
+        self,
+        end: AttemptEnd,
+        detail: str = "",
+        answer: WholeAnswer | None = None,
+        is_closed: bool = False,
     ) -> AttemptReport:
         return AttemptReport(
             end=end,
             detail=detail,
+            is_closed=is_closed,
             answer=answer,
             first_answer_unix_s=self.first_answer_unix_s,
             longest_pause_s=self.longest_pause_s,
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -106,6 +106,8 @@
 
     request_id: str
     route: str
+    # The same for all requests with the same method, path and body.
+    fingerprint: str
     # "answered", "refused", "failed", "broken off" or "client gone".
     outcome: str
     status: int
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -1,9 +1,11 @@
 """Requests and answers that are relayed as they came."""
 
 import enum
+from functools import cached_property
 
 from attrs import field, frozen
 
+from pomelobarrow.decision.fingerprint import fingerprint
 from pomelobarrow.decision.placement_request import PlacementRequest
 from pomelobarrow.decision.routing import Route
 from pomelobarrow.decision.work import Work
@@ -66,6 +68,11 @@
     # How many backend servers it may still be sent to.
     attempts_left: int = 1
 
+    @cached_property
+    def fingerprint(self) -> int:
+        """Return what names this request and those that are the same."""
+        return fingerprint("", self.method, self.host, self.target, self.body)
+
     @property
     def for_placement(self) -> PlacementRequest:
         """Return what placing needs of it."""
@@ -140,6 +147,8 @@
 
     end: AttemptEnd
     detail: str = ""
+    # Whether the other end closed the connection without a whole answer.
+    is_closed: bool = False
     answer: WholeAnswer | None = None
     first_answer_unix_s: float | None = None
     # The longest time between two events of a stream; 0 where there was no second one.
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 
+from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.callers.operations import Operations
 from pomelobarrow.decision.cold_start import ColdLimiter
@@ -122,6 +123,7 @@
         retries=RetryShare(bound=settings.retry_bound),
         judge=ServerJudge(table=context.get(LoadTable), observe=context.observe),
         observe=context.observe,
+        watch=context.get(ServerWatch),
     )
 
 
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -7,6 +7,7 @@
 import orjson
 from attrs import define, field
 
+from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.callers.problems import problem_body
 from pomelobarrow.decision.costs import prefill_tokens
@@ -58,6 +59,7 @@
     observe: Callable[[object], None]
     rng: Random = field(factory=Random)
     judge: ServerJudge
+    watch: ServerWatch = field(factory=ServerWatch)
     log: RelayLog = field(init=False)
     in_progress: int = 0
     retry_line: RetryLine = field(factory=RetryLine)
@@ -176,6 +178,8 @@
         finally:
             table.release(work.request_id, now_unix_s())
         self.judge.judge(server, report, placement.expected_wait_s, now)
+        if report.is_closed:
+            await self.watch.note_closed(server, request.fingerprint)
         if report.end is not AttemptEnd.PASSED_ON:
             course.excluded.servers.add(server.name)
         return report
--- /dev/null
+++ b/tests/test_server_watch.py
@@ -0,0 +1,66 @@
+"""Which closed connections are taken for the end of a server."""
+
+import asyncio
+
+from attrs import evolve
+from work_builders import SERVER
+
+from pomelobarrow.backends.server_watch import ServerEnded, ServerWatch
+from pomelobarrow.decision.fingerprint import fingerprint
+
+
+async def _hang_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    writer.close()
+
+
+async def _watched(address: str, is_staying: bool = True) -> list[object]:
+    events: list[object] = []
+    watch = ServerWatch(is_staying=lambda server: is_staying, observe=events.append)
+    server = evolve(SERVER, address=address)
+    await asyncio.gather(*(watch.note_closed(server, number) for number in (1, 2, 2)))
+    await asyncio.gather(*(check.task for check in watch._checks.values()))
+    return events
+
+
+async def _free_address() -> str:
+    """Return an address where somebody listened a moment ago."""
+    listening = await asyncio.start_server(_hang_up, "127.0.0.1", 0)
+    host, port = listening.sockets[0].getsockname()
+    listening.close()
+    await listening.wait_closed()
+    return f"{host}:{port}"
+
+
+async def test_server_whose_address_refuses_connections_has_ended() -> None:
+    events = await _watched(await _free_address())
+    assert events == [
+        ServerEnded(
+            server="s1",
+            pool="contracts",
+            requests=2,
+            fingerprints=("0000000000000001", "0000000000000002"),
+        )
+    ]
+
+
+async def test_server_that_closes_a_connection_and_lives_has_not_ended() -> None:
+    listening = await asyncio.start_server(_hang_up, "127.0.0.1", 0)
+    host, port = listening.sockets[0].getsockname()
+    assert await _watched(f"{host}:{port}") == []
+    listening.close()
+
+
+async def test_server_that_leaves_as_planned_counts_as_no_crash() -> None:
+    assert await _watched(await _free_address(), is_staying=False) == []
+
+
+def test_fingerprint_is_of_all_that_comes_again() -> None:
+    parts = ("caller", "POST", "host", "/path", b"body")
+    changed = [
+        fingerprint("other", *parts[1:]),  # type: ignore[arg-type]
+        fingerprint("caller", "GET", "host", "/path", b"body"),
+        fingerprint("caller", "POST", "host", "/pathb", b"ody"),
+        fingerprint("caller", "POST", "hos", "t/path", b"body"),
+        fingerprint("caller", "POST", "host", "/path", b""),
+    ]
+    assert len({fingerprint(*parts), *changed}) == 6  # type: ignore[arg-type]
