--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -62,7 +62,9 @@
     script: Script
     received: list[Received] = field(factory=list)
     lost: asyncio.Event = field(factory=asyncio.Event)
+    has_ended: bool = False
     _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(factory=set)
 
     async def __aenter__(self) -> Self:
         self._server = await asyncio.start_server(self._serve, self.host, 0)
@@ -78,7 +80,16 @@
         assert self._server is not None
         return f"{self.host}:{self._server.sockets[0].getsockname()[1]}"
 
+    def end(self) -> None:
+        """End like a process that crashes: nothing listens, and all connections are closed."""
+        assert self._server is not None
+        self.has_ended = True
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
         line, *fields = head.strip().split("\r\n")
         headers = {name.lower(): value for name, value in (each.split(": ", 1) for each in fields)}
@@ -86,6 +97,7 @@
         received = Received(line=line, headers=headers, body=body)
         self.received.append(received)
         await self.script(Exchange(received=received, reader=reader, writer=writer, server=self))
+        self._writers.discard(writer)
         if not writer.transport.is_closing():
             writer.close()
 
@@ -118,6 +130,21 @@
     return script
 
 
+def ends_on(body: bytes, otherwise: Script) -> Script:
+    """End the server under a request with a certain body."""
+
+    async def script(exchange: Exchange) -> None:
+        if exchange.received.body != body:
+            await otherwise(exchange)
+            return
+        # A stream has sent its head and an event by then.
+        if exchange.received.line.split()[1].startswith("/stream/"):
+            await streams(4, breaks_after=1)(exchange)
+        exchange.server.end()
+
+    return script
+
+
 def event(number: int) -> bytes:
     """Return an event of a stream."""
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
