Stop sending requests that end the servers that run them

What callers saw. One request crashed each server that began to run it and came again under new ids, at VMs of all regions; with each server the streams of all its other callers broke off.

A server that ended was judged, the request it ended under was not: nothing tied two arrivals to each other, a lost attempt went on to the next server, and what one VM saw no other VM knew. The class: blame follows the server alone, so that whatever travels with the work (a request, its retries, its copies) spreads a failure from server to server.

A request is known by the hash of caller, method, host, path and body. A server has ended where it closed a connection with the request on it, is listed and not leaving, and its address refuses the next connection; cut or dark servers prove nothing. Each such crash is told to all VMs at once (a message of its own, passed on by whoever it is new to; a new stream gets all that is held). From the second server on this system sends the request again no more, from the third on it is answered `crashes_servers`, 500 without Retry-After, on both ways in. A whole answer from any server clears it, also of crashes in the next 10 s, so that a status check that three servers of a rack had in common stays clear. A blocked request is let through by one VM at a time after 60 s, and after a fourth crash once more after 600 s. Memory is bounded; entries with one crash go first.

Ruled out: blocking by name from one crash (what else was on the server is innocent), heartbeats as the carrier (six hops of a second between grids of two regions), a 4xx (says that the request is malformed), 502 or 503 (which clients repeat).

--- a/src/pomelobarrow/decision/errors.py
+++ b/src/pomelobarrow/decision/errors.py
@@ -34,6 +34,8 @@
     DRAINING = ("draining", 503)
     NOT_READY = ("not_ready", 503)
     OUTCOME_UNKNOWN = ("outcome_unknown", 502)
+    # No status that clients take for a reason to send it again.
+    CRASHES_SERVERS = ("crashes_servers", 500)
     STILL_RUNNING = ("still_running", 409)
     ANSWER_NOT_KEPT = ("answer_not_kept", 409)
     ID_REFUSED = ("id_refused", 409)
--- a/src/pomelobarrow/dispatch/dispatcher.py
+++ b/src/pomelobarrow/dispatch/dispatcher.py
@@ -23,6 +23,7 @@
 )
 from pomelobarrow.decision.work import Work
 from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
+from pomelobarrow.dispatch.crash_guard import CrashGuard
 from pomelobarrow.dispatch.events import Forwarded
 from pomelobarrow.dispatch.forwarder import Forwarder
 from pomelobarrow.dispatch.local import LocalDispatch
@@ -78,11 +79,14 @@
     observe: Callable[[object], None]
     budgets: dict[str, RetryBudget] = field(factory=dict)
     rng: Random = field(factory=Random)
+    guard: CrashGuard = field(factory=CrashGuard)
 
     async def dispatch(self, request: GatewayRequest, sink: AnswerSink) -> Refusal | None:
         """Answer the request whole through the sink, or return why not."""
         tries = Tries()
         while True:
+            if self.guard.refuses(request.fingerprint):
+                return self._blocked(request, tries)
             try:
                 region, result = await self._attempt(request, sink, tries)
             except RefusedError as error:
@@ -97,6 +101,10 @@
             if refusal is not None:
                 return self._final(refusal, tries)
 
+    def _blocked(self, request: GatewayRequest, tries: Tries) -> Refusal:
+        work = request.work
+        return self.guard.refusal(work.request_id, work.pool, request.fingerprint, tries.run)
+
     def choose(self, work: Work, bad_regions: set[str]) -> RegionChoice:
         """Return where such work would go now."""
         now = now_unix_s()
@@ -178,6 +186,10 @@
         self, request: GatewayRequest, result: AttemptResult, tries: Tries
     ) -> Refusal | None:
         work, now = request.work, now_unix_s()
+        if result.refusal is not None and result.refusal.kind is Kind.CRASHES_SERVERS:
+            return evolve(result.refusal, run=tries.run)
+        if tries.run is Run.UNKNOWN and not self.guard.may_repeat(request.fingerprint):
+            return refuse(Kind.OUTCOME_UNKNOWN, Run.UNKNOWN, result.detail)
         if not may_try_again(tries.states, work.repeatable):
             return refuse(Kind.OUTCOME_UNKNOWN, Run.UNKNOWN, result.detail)
         if request.forwarded_by is not None and result.refusal is not None:
--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -8,7 +8,6 @@
 from attrs import define, field
 from mode import Service
 
-from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.decision.admission import refuse_unservable
 from pomelobarrow.decision.attempt import Attempt, AttemptState
 from pomelobarrow.decision.configuration import Rank
@@ -20,6 +19,7 @@
 from pomelobarrow.decision.work import Placement, Work
 from pomelobarrow.decision.work_queue import WorkQueue
 from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
+from pomelobarrow.dispatch.crash_guard import CrashGuard
 from pomelobarrow.dispatch.events import AttemptEnded
 from pomelobarrow.dispatch.refusals import RefusedError, refuse
 from pomelobarrow.dispatch.request import GatewayRequest
@@ -52,7 +52,7 @@
     table: LoadTable
     run_attempt: AttemptRunner
     observe: Callable[[object], None]
-    watch: ServerWatch = field(factory=ServerWatch)
+    guard: CrashGuard = field(factory=CrashGuard)
     choose: ServerChooser = choose_server
     outputs: OutputEstimate = field(factory=OutputEstimate)
     rng: Random = field(factory=Random)
@@ -82,6 +82,7 @@
         self.table.prefixes.observe_placement(server.name, work.prefix_hashes)
         try:
             await self._let_cancellations_in()
+            self._refuse_blocked(request)
             result = await self.run_attempt(
                 request, placement, attempt, number, sink, lambda: self._started(work)
             )
@@ -90,7 +91,9 @@
             self.pump(work.pool)
         self._judge_server(result)
         if result.state is AttemptState.UNKNOWN:
-            await self.watch.note_closed(server, request.fingerprint)
+            await self.guard.note_closed(server, request.fingerprint)
+        elif result.is_finished:
+            self.guard.note_answered(request.fingerprint)
         if result.is_finished and result.output_tokens:
             self.outputs.observe(work.class_name, result.output_tokens)
         self.observe(
@@ -110,6 +113,14 @@
         for _ in range(LOOP_STEPS_BEFORE_SENDING):
             await asyncio.sleep(0)
 
+    def _refuse_blocked(self, request: GatewayRequest) -> None:
+        """Refuse a request that was found to end servers while it waited for a place."""
+        work = request.work
+        if self.guard.refuses_after_wait(request.fingerprint):
+            raise RefusedError(
+                self.guard.refusal(work.request_id, work.pool, request.fingerprint, Run.NO)
+            )
+
     def expected_wait_s(self, work: Work) -> float:
         """Return the seconds that new work would wait for a place here."""
         now = now_unix_s()
--- a/src/pomelobarrow/dispatch/plugin.py
+++ b/src/pomelobarrow/dispatch/plugin.py
@@ -5,19 +5,24 @@
 from pomelobarrow.backends.plugin import AttemptRunnerPart
 from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.decision.crash_suspects import CrashSuspects
 from pomelobarrow.decision.limits import AccountLimits
 from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.region_choice import ShareOutsideHome
 from pomelobarrow.decision.request_ids import RequestIdLedger
 from pomelobarrow.dispatch.claims import ClaimedDispatch
+from pomelobarrow.dispatch.crash_guard import CrashGuard
 from pomelobarrow.dispatch.dispatcher import Dispatcher
 from pomelobarrow.dispatch.entry import EntryDispatch
 from pomelobarrow.dispatch.forwarder import Forwarder
 from pomelobarrow.dispatch.local import LocalDispatch, QueueSweeper
 from pomelobarrow.dispatch.resumed import ResumedDispatch
+from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
 from pomelobarrow.operators.traces import Traces
+from pomelobarrow.peers.crash_news import CrashNews
 from pomelobarrow.published.keyspaces import CONFIG, PublishedState
 
 SECRET_BYTES = 32
@@ -28,6 +33,8 @@
     """Register what brings requests to an end."""
     context.provide(AccountLimits, lambda _: AccountLimits())
     context.provide(ShareOutsideHome, lambda _: ShareOutsideHome())
+    context.provide(CrashSuspects, lambda c: CrashSuspects(own_vm=c.settings.vm))
+    context.provide(CrashGuard, _guard)
     context.provide(LocalDispatch, _local)
     context.provide(Dispatcher, _dispatcher)
     context.provide(RequestIdLedger, _ledger)
@@ -68,12 +75,23 @@
     return StatusSection("dispatch", values)
 
 
+def _guard(context: Context) -> CrashGuard:
+    view = context.get(MembershipView)
+    return CrashGuard(
+        suspects=context.get(CrashSuspects),
+        watch=context.get(ServerWatch),
+        live_vms=lambda: [member.vm for member in view.live(now_unix_s=now_unix_s())],
+        tell=context.get(CrashNews).tell,
+        observe=context.observe,
+    )
+
+
 def _local(context: Context) -> LocalDispatch:
     return LocalDispatch(
         table=context.get(LoadTable),
         run_attempt=context.get(AttemptRunnerPart).run,
         observe=context.observe,
-        watch=context.get(ServerWatch),
+        guard=context.get(CrashGuard),
     )
 
 
@@ -84,6 +102,7 @@
         forwarder=context.get(Forwarder),  # type: ignore[type-abstract]
         share=context.get(ShareOutsideHome),
         observe=context.observe,
+        guard=context.get(CrashGuard),
     )
 
 
--- a/src/pomelobarrow/dispatch/refusals.py
+++ b/src/pomelobarrow/dispatch/refusals.py
@@ -18,6 +18,7 @@
     Kind.OUTCOME_UNKNOWN: REMEDY_UNKNOWN,
     Kind.ANSWER_NOT_KEPT: "it ran to its end; don't send it again",
     Kind.ID_REFUSED: "take a request id from GET /v1/entries and send that as Idempotency-Key",
+    Kind.CRASHES_SERVERS: "don't send it again as it is: it ends the servers that run it",
     Kind.STILL_RUNNING: "repeat it under the same Idempotency-Key at the time in Retry-After",
 }
 
--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -221,6 +221,12 @@
             "Times that a backend server ended while requests of this VM were on it.",
             ("pool",),
         )
+        self.blocked = CounterFamily(
+            registry,
+            "pomelobarrow_blocked_requests_total",
+            "Requests refused because servers ended under the same request.",
+            ("pool",),
+        )
         self.member_changes = CounterFamily(
             registry,
             "pomelobarrow_member_changes_total",
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -9,6 +9,7 @@
 
 from pomelobarrow.backends.server_watch import ServerEnded
 from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.dispatch.crash_guard import RequestBlocked
 from pomelobarrow.dispatch.events import AttemptEnded, Forwarded, RequestEnded
 from pomelobarrow.dispatch.local import LocalDispatch
 from pomelobarrow.kernel.context import Context
@@ -57,6 +58,7 @@
             RelayEnded: self._relay_ended,
             ServerEjected: self._server_ejected,
             ServerEnded: self._server_ended,
+            RequestBlocked: self._request_blocked,
             ServerBack: self._server_back,
             PeerRefused: self._peer_refused,
             MemberJudged: self._member_judged,
@@ -159,6 +161,10 @@
         self._metrics.servers_ended.inc(event.pool)
         self._log.warning("server ended", **asdict(event))
 
+    def _request_blocked(self, event: RequestBlocked) -> None:
+        self._metrics.blocked.inc(event.pool)
+        self._log.warning("request blocked", **asdict(event))
+
     def _server_back(self, event: ServerBack) -> None:
         self._log.info("server back", **asdict(event))
 
--- a/src/pomelobarrow/peers/exchange.py
+++ b/src/pomelobarrow/peers/exchange.py
@@ -12,6 +12,7 @@
 from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.crash_news import CrashNews
 from pomelobarrow.peers.heartbeats import Heartbeats, SentNews
 from pomelobarrow.published.keyspaces import PublishedState
 from pomelobarrow.published.watcher import SOURCE_PLATFORM
@@ -32,6 +33,7 @@
     view: MembershipView
     published: PublishedState
     heartbeats: Heartbeats
+    crash_news: CrashNews = field(factory=CrashNews)
     _next_pull_unix_s: dict[str, float] = field(factory=dict)
     _gapped: set[str] = field(factory=set)
     # Per peer and keyspace, what its last heartbeat or our last push says that it holds.
@@ -49,6 +51,7 @@
             "leave": self._on_leave,
             "member_request": self._on_member_request,
             "member_descriptions": self._on_member_descriptions,
+            "crash_findings": self._on_crash_findings,
         }
         handler = handlers.get(kind or "")
         if handler is None:
@@ -156,6 +159,9 @@
     ) -> None:
         self.heartbeats.take_members(told, peer_vm)
 
+    def _on_crash_findings(self, told: pb.CrashFindings, peer_vm: str, reply: Reply) -> None:
+        self.crash_news.take(told, peer_vm)
+
     def is_behind(self, reachable: Iterable[str]) -> bool:
         """Tell whether a reachable peer has said to hold a higher revision than this VM."""
         summaries = (self._peer_copies.get(vm, {}).values() for vm in reachable)
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -4,6 +4,7 @@
 
 from pomelobarrow.backends.reports import LoadPoller
 from pomelobarrow.decision.clocks import ClockOffsets
+from pomelobarrow.decision.crash_suspects import CrashSuspects
 from pomelobarrow.decision.limits import AccountLimits
 from pomelobarrow.decision.member import ListedVm, Member, Phase
 from pomelobarrow.decision.membership import MembershipView
@@ -17,6 +18,7 @@
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
 from pomelobarrow.operators.traces import Traces
 from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.crash_news import CrashNews
 from pomelobarrow.peers.exchange import Exchange
 from pomelobarrow.peers.forward_client import PeerForwarder
 from pomelobarrow.peers.forward_server import ForwardServer
@@ -41,6 +43,7 @@
     context.provide(RegionLoads, lambda _: RegionLoads(started_unix_s=now_unix_s()))
     context.provide(PeerKeys, lambda c: PeerKeys(c.settings.peers.keys))
     context.provide(Heartbeats, _heartbeats)
+    context.provide(CrashNews, _crash_news)
     context.provide(Exchange, _exchange)
     context.provide(AcceptedStreams, lambda _: AcceptedStreams())
     context.provide(PeerTable, _table)
@@ -161,11 +164,16 @@
     )
 
 
+def _crash_news(context: Context) -> CrashNews:
+    return CrashNews(suspects=context.get(CrashSuspects), offsets=context.get(ClockOffsets))
+
+
 def _exchange(context: Context) -> Exchange:
     return Exchange(
         view=context.get(MembershipView),
         published=context.get(PublishedState),
         heartbeats=context.get(Heartbeats),
+        crash_news=context.get(CrashNews),
     )
 
 
@@ -188,7 +196,7 @@
             make_stream=_stream_factory(context),
         )
 
-    return PeerTable(
+    table = PeerTable(
         view=context.get(MembershipView),
         published=context.get(PublishedState),
         heartbeats=context.get(Heartbeats),
@@ -198,6 +206,8 @@
         accepted=context.get(AcceptedStreams),
         observe=context.observe,
     )
+    context.get(CrashNews).broadcast = table.send_to_others
+    return table
 
 
 def _forwarder(context: Context) -> PeerForwarder:
--- a/src/pomelobarrow/peers/streams.py
+++ b/src/pomelobarrow/peers/streams.py
@@ -52,10 +52,15 @@
 
     def beat(self) -> None:
         """Send a heartbeat with what is new to the peer."""
-        if self._is_open:
-            is_near = self.peer.region == self.own_region
-            heartbeat = self.heartbeats.full(self.peer.vm, is_near, self._sent)
-            self.send(pb.PeerMessage(heartbeat=heartbeat))
+        if not self._is_open:
+            return
+        is_first = self._sent.is_new
+        is_near = self.peer.region == self.own_region
+        heartbeat = self.heartbeats.full(self.peer.vm, is_near, self._sent)
+        self.send(pb.PeerMessage(heartbeat=heartbeat))
+        if is_first:
+            for message in self.exchange.crash_news.whole():
+                self.send(message)
 
     async def flush(self) -> None:
         """Wait until the queued messages are sent, or the connection is lost."""
--- a/src/pomelobarrow/peers/table.py
+++ b/src/pomelobarrow/peers/table.py
@@ -197,6 +197,14 @@
         for stream in self._streams_up().values():
             stream.send(message)
 
+    def send_to_others(self, message: pb.PeerMessage, but_vm: str) -> None:
+        """Send to every peer but one."""
+        # On a stream whose other end hasn't spoken yet too: what it was told at first is all that
+        # was known then.
+        for stream in self._all_streams():
+            if stream.peer.vm != but_vm:
+                stream.send(message)
+
     async def flush(self) -> None:
         """Wait until what was queued for the linked peers is on its way."""
         await asyncio.gather(*(stream.flush() for stream in self._streams_up().values()))
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -127,8 +127,7 @@
             self.on_head(head)
             if head.is_not_run:
                 self.state.apply(AttemptEvent.REFUSE_UNRUN)
-                end = AttemptEnd.TURNED_BACK if head.is_unsent else AttemptEnd.REFUSED
-                return self._report(end, f"status {head.status}")
+                return self._report(_unrun_end(head), f"status {head.status}")
             if fault := self._fault(head):
                 return self._lost(fault)
             if request.route.is_stream and head.status == STATUS_OK:
@@ -211,3 +210,9 @@
             first_answer_unix_s=self.first_answer_unix_s,
             longest_pause_s=self.longest_pause_s,
         )
+
+
+def _unrun_end(head: ServerAnswerHead) -> AttemptEnd:
+    if head.is_blocked:
+        return AttemptEnd.BLOCKED
+    return AttemptEnd.TURNED_BACK if head.is_unsent else AttemptEnd.REFUSED
--- a/src/pomelobarrow/relay/hop.py
+++ b/src/pomelobarrow/relay/hop.py
@@ -5,7 +5,7 @@
 import aiohttp
 from attrs import evolve
 
-from pomelobarrow.decision.errors import Refusal, Run
+from pomelobarrow.decision.errors import Kind, Refusal, Run
 from pomelobarrow.decision.member import Member
 from pomelobarrow.relay.attempt import Target
 from pomelobarrow.relay.messages import Headers, RelayRequest, ServerAnswerHead
@@ -16,8 +16,14 @@
 # Said in place of "no" by a peer that sent the request to no server. Counted like an attempt, a
 # peer without a free server would use up what the route allows while other regions have some.
 UNSENT = "unsent"
+# Said by a peer that knows servers to end under such requests.
+BLOCKED = "blocked"
+# Names the server that ended under the request, so that whoever passed it on knows before any news
+# of it comes and asks no other region.
+ENDED_HEADER = "Pomelobarrow-Peer-Server-Ended"
 # Two round trips between the farthest regions, and a lost packet.
 CONNECT_TIMEOUT_S = 0.6
+SERVER_KEY_MASK = 0xFFFFFFFF
 
 
 # A peer sends a request to one server only. Were it to try again itself, the VM that passed the
@@ -31,10 +37,15 @@
     return headers.get(FROM_HEADER, "")
 
 
-def refusal_headers(refusal: Refusal, was_sent: bool) -> Headers:
-    """Return what tells the VM that passed a request on whether it ran."""
-    is_unsent = refusal.run is Run.NO and not was_sent
-    return ((RUN_HEADER, UNSENT if is_unsent else refusal.run.value),)
+def refusal_headers(
+    refusal: Refusal, was_sent: bool, ended_server_key: int | None = None
+) -> Headers:
+    """Return what tells the VM that passed a request on whether it ran, and what it ended."""
+    run = refusal.run.value
+    if refusal.run is Run.NO and not was_sent:
+        run = BLOCKED if refusal.kind is Kind.CRASHES_SERVERS else UNSENT
+    ended = () if ended_server_key is None else ((ENDED_HEADER, f"{ended_server_key:x}"),)
+    return ((RUN_HEADER, run), *ended)
 
 
 def peer_target(
@@ -68,9 +79,22 @@
         run = response.headers.get(RUN_HEADER)
         if run is None:
             return evolve(head, is_not_run=False)
-        is_unsent = run == UNSENT
-        is_not_run = is_unsent or run == Run.NO.value
-        lost_detail = "" if is_not_run else f"the peer answered {response.status}"
-        return evolve(head, is_not_run=is_not_run, is_unsent=is_unsent, lost_detail=lost_detail)
+        is_unsent, is_blocked = run == UNSENT, run == BLOCKED
+        is_not_run = is_unsent or is_blocked or run == Run.NO.value
+        return evolve(
+            head,
+            is_not_run=is_not_run,
+            is_unsent=is_unsent,
+            is_blocked=is_blocked,
+            ended_server_key=_ended_server_key(response.headers.get(ENDED_HEADER, "")),
+            lost_detail="" if is_not_run else f"the peer answered {response.status}",
+        )
 
     return read
+
+
+def _ended_server_key(text: str) -> int | None:
+    try:
+        return int(text, 16) & SERVER_KEY_MASK
+    except ValueError:
+        return None
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -105,6 +105,10 @@
     is_not_run: bool = False
     # Whether a peer says that it sent the request to no server.
     is_unsent: bool = False
+    # Whether a peer says that servers ended under such requests, and that it sent this one to none.
+    is_blocked: bool = False
+    # The server that a peer says ended under the request, as hashed in what peers tell each other.
+    ended_server_key: int | None = None
     # What the server has before it: requests that run and that wait. None where it doesn't say.
     counts: ServerCounts | None = None
     # Why a peer can't say whether the request ran; empty on a backend server's answer.
@@ -131,6 +135,8 @@
     NOT_SENT = "not sent"
     # A peer refused it and sent it to no server.
     TURNED_BACK = "turned back"
+    # A peer refused it, as servers ended under such requests, and sent it to no server.
+    BLOCKED = "blocked"
     # The server says that it did not run the request.
     REFUSED = "refused unrun"
     # A whole answer is at hand and not passed on yet.
--- a/src/pomelobarrow/relay/next_step.py
+++ b/src/pomelobarrow/relay/next_step.py
@@ -24,6 +24,8 @@
     REFUSE = "refuse"
     # Say that the request may have run.
     FAIL = "fail"
+    # Refuse for good: servers end under it.
+    BLOCK = "block"
     # A part of the stream is out; close it visibly short.
     BREAK_OFF = "break off"
 
@@ -38,6 +40,10 @@
     attempts_left: int = field(init=False)
     # Whether any server may have run the request.
     may_have_run: bool = False
+    # Whether a peer refused it because servers end under it.
+    is_blocked: bool = False
+    # The server of this region that ended under it last.
+    ended_server_key: int | None = None
     # A server's failure that goes to the client where nothing better comes.
     failure: WholeAnswer | None = None
     last_detail: str = ""
@@ -51,6 +57,9 @@
         if report.end in REACHED_NO_SERVER:
             self.unsent += 1
             return
+        if report.end is AttemptEnd.BLOCKED:
+            self.is_blocked = True
+            return
         self.attempts_left -= 1
         self.may_have_run |= report.end is not AttemptEnd.REFUSED
         if report.answer is not None and not report.answer.head.is_success:
@@ -83,6 +92,8 @@
     """Return what the client gets when there is no further attempt."""
     if is_started:
         return Step.BREAK_OFF
+    if tries.is_blocked:
+        return Step.BLOCK
     if tries.failure is not None:
         return Step.PASS_ON
     return Step.FAIL if tries.may_have_run else Step.REFUSE
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Awaitable
 
-from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.callers.operations import Operations
 from pomelobarrow.decision.cold_start import ColdLimiter
@@ -12,6 +11,7 @@
 from pomelobarrow.decision.placement import Placer
 from pomelobarrow.decision.retry_share import RetryShare
 from pomelobarrow.decision.routing import Routing
+from pomelobarrow.dispatch.crash_guard import CrashGuard
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
@@ -123,7 +123,7 @@
         retries=RetryShare(bound=settings.retry_bound),
         judge=ServerJudge(table=context.get(LoadTable), observe=context.observe),
         observe=context.observe,
-        watch=context.get(ServerWatch),
+        guard=context.get(CrashGuard),
     )
 
 
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -7,7 +7,6 @@
 import orjson
 from attrs import define, field
 
-from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.callers.problems import problem_body
 from pomelobarrow.decision.costs import prefill_tokens
@@ -20,6 +19,7 @@
 from pomelobarrow.decision.turning_away import MIN_RETRY_AFTER_S, retry_at_unix_s
 from pomelobarrow.decision.work import BackendServer, LoadReport, Placement
 from pomelobarrow.dispatch.answers import CallerGoneError
+from pomelobarrow.dispatch.crash_guard import CrashGuard, server_key
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.answer import ClientAnswer
@@ -59,7 +59,7 @@
     observe: Callable[[object], None]
     rng: Random = field(factory=Random)
     judge: ServerJudge
-    watch: ServerWatch = field(factory=ServerWatch)
+    guard: CrashGuard = field(factory=CrashGuard)
     log: RelayLog = field(init=False)
     in_progress: int = 0
     retry_line: RetryLine = field(factory=RetryLine)
@@ -106,6 +106,9 @@
 
     async def _try_all(self, course: Course) -> Step:
         while True:
+            if self.guard.refuses(course.request.fingerprint):
+                course.tries.is_blocked = True
+                return last_step(course.tries, course.sink.is_started)
             decision = self.placer.place(
                 course.request.for_placement, course.routing, course.excluded, now_unix_s()
             )
@@ -131,6 +134,8 @@
     def _may_repeat(self, course: Course, report: AttemptReport) -> bool:
         if report.end in REACHED_NO_SERVER:
             return True
+        if course.tries.may_have_run and not self.guard.may_repeat(course.request.fingerprint):
+            return False
         had_repeat, course.has_repeat = course.has_repeat, False
         return had_repeat or self._take_repeat(course)
 
@@ -178,12 +183,28 @@
         finally:
             table.release(work.request_id, now_unix_s())
         self.judge.judge(server, report, placement.expected_wait_s, now)
-        if report.is_closed:
-            await self.watch.note_closed(server, request.fingerprint)
+        await self._note_whether_ended(course, server, report)
         if report.end is not AttemptEnd.PASSED_ON:
             course.excluded.servers.add(server.name)
         return report
 
+    async def _note_whether_ended(
+        self, course: Course, server: BackendServer, report: AttemptReport
+    ) -> None:
+        """Learn whether a server ended under a request, or answered it."""
+        request = course.request
+        if report.is_closed:
+            await self.guard.note_closed(server, request.fingerprint)
+            if self.guard.has_ended(server, request.fingerprint):
+                course.tries.ended_server_key = server_key(server)
+        elif report.end in (AttemptEnd.PASSED_ON, AttemptEnd.ANSWERED):
+            self.guard.note_answered(request.fingerprint)
+
+    def _note_told(self, request: RelayRequest, head: ServerAnswerHead) -> None:
+        """Take in that a peer's server ended under a request."""
+        if head.ended_server_key is not None:
+            self.guard.note_crash(request.fingerprint, head.ended_server_key)
+
     async def _send_to_peer(self, course: Course, decision: OnPeer) -> AttemptReport:
         target = peer_target(
             decision.member,
@@ -193,7 +214,9 @@
             self._resume_after(course),
             self.wire,
         )
-        report = await self._run(course, target)
+        report = await self._run(
+            course, target, on_head=lambda head: self._note_told(course.request, head)
+        )
         if report.end is AttemptEnd.NOT_SENT:
             self.placer.members.note_unreached(decision.member.vm, now_unix_s())
         elif report.end is not AttemptEnd.LOST:
@@ -219,7 +242,8 @@
     def _patience(self, course: Course, placement: Placement) -> Patience | None:
         """Return how long to wait for a silent server, None where no other could be tried."""
         route = course.request.route
-        if not route.is_repeatable or course.tries.attempts_left < 2:
+        is_suspect = not self.guard.may_repeat(course.request.fingerprint)
+        if not route.is_repeatable or is_suspect or course.tries.attempts_left < 2:
             return None
 
         def take_repeat() -> bool:
@@ -305,11 +329,14 @@
             return "answered"
         refusal = self._refusal(course, step)
         request_id = course.request.work.request_id
-        await self.refuse(refusal, request_id, course.sink, course.tries.was_sent)
+        await self.refuse(refusal, request_id, course.sink, course.tries)
         return "refused" if refusal.run is Run.NO else "failed"
 
     def _refusal(self, course: Course, step: Step) -> Refusal:
         work, detail = course.request.work, course.tries.last_detail
+        if step is Step.BLOCK:
+            run = Run.UNKNOWN if course.tries.may_have_run else Run.NO
+            return self.guard.refusal(work.request_id, work.pool, course.request.fingerprint, run)
         if step is Step.FAIL:
             is_late = now_unix_s() >= work.deadline_unix_s
             kind = Kind.DEADLINE_PASSED if is_late else Kind.OUTCOME_UNKNOWN
@@ -332,10 +359,13 @@
         return max(1, sum(member.region == self.own_region for member in members))
 
     async def refuse(
-        self, refusal: Refusal, request_id: str, sink: ClientAnswer, was_sent: bool = False
+        self, refusal: Refusal, request_id: str, sink: ClientAnswer, tries: Tries | None = None
     ) -> None:
         """Answer in this system's own name."""
-        headers = (PROBLEM_CONTENT_TYPE, *refusal_headers(refusal, was_sent))
+        was_sent = tries is not None and tries.was_sent
+        ended_server_key = tries.ended_server_key if tries is not None else None
+        run_headers = refusal_headers(refusal, was_sent, ended_server_key)
+        headers = (PROBLEM_CONTENT_TYPE, *run_headers)
         if refusal.retry_at_unix_s is not None:
             pause_s = max(0.0, refusal.retry_at_unix_s - now_unix_s())
             headers += (("Retry-After", f"{pause_s:.2f}"),)
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -139,7 +139,8 @@
             return
         # A stream has sent its head and an event by then.
         if exchange.received.line.split()[1].startswith("/stream/"):
-            await streams(4, breaks_after=1)(exchange)
+            last = int(exchange.received.headers.get("last-event-id", "0"))
+            await streams(9, breaks_after=last + 1)(exchange)
         exchange.server.end()
 
     return script
--- /dev/null
+++ b/tests/test_crash_news.py
@@ -0,0 +1,109 @@
+"""How crashes under requests become known to all VMs."""
+
+from collections import Counter, deque
+
+from attrs import define, field
+
+from pomelobarrow.decision.crash_suspects import Crash, CrashSuspects, Suspicion
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.crash_news import CrashNews
+from pomelobarrow.peers.grid import neighbours
+
+REGIONS = 5
+VMS_A_REGION = 65
+RELAYS = 2
+
+
+@define
+class Fleet:
+    """Hold a fleet's views and links, and deliver what is sent."""
+
+    views: dict[str, CrashNews] = field(factory=dict)
+    links: dict[str, set[str]] = field(factory=dict)
+    sent: deque[tuple[str, str, pb.PeerMessage]] = field(factory=deque)
+    bytes_by_vm: Counter[str] = field(factory=Counter)
+
+    def add(self, vm: str) -> None:
+        def broadcast(message: pb.PeerMessage, but_vm: str) -> None:
+            self.sent.extend((vm, to, message) for to in self.links[vm] if to != but_vm)
+
+        self.views[vm] = CrashNews(suspects=CrashSuspects(own_vm=vm), broadcast=broadcast)
+
+    def deliver(self) -> None:
+        while self.sent:
+            source, to, message = self.sent.popleft()
+            self.bytes_by_vm[to] += message.ByteSize()
+            self.views[to].take(message.crash_findings, source)
+
+
+def large_fleet() -> Fleet:
+    """Return regions whose VMs stand in grids, two of each linked to two of every other."""
+    fleet = Fleet()
+    regions = [
+        [f"vm-{region}-{place:02}" for place in range(VMS_A_REGION)] for region in range(REGIONS)
+    ]
+    for names in regions:
+        for vm in names:
+            fleet.add(vm)
+            fleet.links[vm] = set(neighbours(vm, names).all)
+    for names in regions:
+        for relay in names[:RELAYS]:
+            others = (vm for each in regions if each is not names for vm in each[:RELAYS])
+            fleet.links[relay].update(others)
+    return fleet
+
+
+def crash(server_key: int) -> Crash:
+    return Crash(fingerprint=1, server_key=server_key, ended_unix_s=now_unix_s())
+
+
+def note(view: CrashNews, server_key: int) -> None:
+    view.tell(view.suspects.note(crash(server_key)))
+
+
+def test_three_crashes_seen_in_three_regions_are_known_to_all_vms() -> None:
+    """Each VM knew of those it saw itself, and let three servers end before it refused."""
+    fleet = large_fleet()
+    for region in range(3):
+        note(fleet.views[f"vm-{region}-40"], region)
+    fleet.deliver()
+    now = now_unix_s()
+    known = {view.suspects.suspicion(1, now) for view in fleet.views.values()}
+    assert known == {Suspicion.BLOCKED}
+
+
+def test_a_crash_costs_each_vm_a_few_hundred_bytes() -> None:
+    """In a region of 65 VMs each has sixteen neighbours, and any of them may tell."""
+    fleet = large_fleet()
+    note(fleet.views["vm-0-40"], 1)
+    fleet.deliver()
+    assert max(fleet.bytes_by_vm.values()) < 1_000
+
+
+def test_answer_clears_the_request_everywhere() -> None:
+    fleet = large_fleet()
+    for key in range(3):
+        note(fleet.views["vm-0-40"], key)
+    fleet.deliver()
+    answering = fleet.views["vm-3-20"]
+    answering.tell(answering.suspects.answered(1, now_unix_s()))
+    fleet.deliver()
+    assert not any(view.suspects.crashes() for view in fleet.views.values())
+
+
+def test_vm_that_has_just_been_reached_is_told_everything() -> None:
+    knowing, starting = CrashNews(), CrashNews()
+    for key in range(3):
+        note(knowing, key)
+    for message in knowing.whole():
+        starting.take(message.crash_findings, "vm-1")
+    assert starting.suspects.suspicion(1, now_unix_s()) is Suspicion.BLOCKED
+
+
+def test_findings_of_no_possible_time_are_left_out() -> None:
+    view = CrashNews()
+    for sent_unix_s in (float("nan"), float("-inf"), 0.0):
+        finding = pb.CrashFinding(fingerprint=1, server_key=1)
+        view.take(pb.CrashFindings(sent_unix_s=sent_unix_s, findings=[finding]), "vm-1")
+    assert view.suspects.crashes() == []
--- /dev/null
+++ b/tests/test_dispatch_crashing_request.py
@@ -0,0 +1,124 @@
+"""Requests of the product's own interface that end the servers that run them."""
+
+import asyncio
+from typing import Any
+
+import pytest
+from attrs import define, evolve, field
+from test_dispatch_verdicts import Sink, request_of
+from work_builders import SERVER
+
+from pomelobarrow.decision.attempt import Attempt, AttemptState
+from pomelobarrow.decision.errors import Kind, Run
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.region_choice import ShareOutsideHome
+from pomelobarrow.decision.work import Placement
+from pomelobarrow.dispatch import dispatcher as module
+from pomelobarrow.dispatch.answers import AttemptResult
+from pomelobarrow.dispatch.crash_guard import CrashGuard
+from pomelobarrow.dispatch.dispatcher import Dispatcher
+from pomelobarrow.dispatch.local import LocalDispatch
+from pomelobarrow.dispatch.refusals import RefusedError, refuse
+from pomelobarrow.dispatch.request import GatewayRequest
+
+
+@define
+class EndingServers:
+    """Lose each attempt because its server ended, and count the servers."""
+
+    guard: CrashGuard
+    table: LoadTable = field(factory=lambda: LoadTable("r"))
+    ended: int = 0
+
+    def expected_wait_s(self, work: Any) -> float:
+        return 0.0
+
+    def region_loads(self, work: Any) -> dict[str, Any]:
+        return {}
+
+    async def run(self, request: GatewayRequest, attempt: Attempt, *rest: Any) -> AttemptResult:
+        self.ended += 1
+        self.guard.note_crash(request.fingerprint, self.ended)
+        return AttemptResult(state=AttemptState.UNKNOWN, server=f"s{self.ended}")
+
+
+@pytest.fixture(autouse=True)
+def without_pauses(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name in ("UNRUN_PAUSE_S", "BACKOFF_FLOOR_S", "BACKOFF_CEILING_S"):
+        monkeypatch.setattr(module, name, 0.0)
+
+
+def dispatcher_of(servers: Any, guard: CrashGuard) -> Dispatcher:
+    return Dispatcher(
+        own_region="r",
+        local=servers,
+        forwarder=servers,
+        share=ShareOutsideHome(),
+        observe=lambda event: None,
+        guard=guard,
+    )
+
+
+@pytest.mark.parametrize("repeatable", [True, False])
+async def test_crashing_request_that_comes_again_ends_no_fourth_server(repeatable: bool) -> None:
+    guard = CrashGuard()
+    servers = EndingServers(guard)
+    dispatcher = dispatcher_of(servers, guard)
+    refusals = [await dispatcher.dispatch(request_of(repeatable), Sink()) for _ in range(6)]
+    assert servers.ended == 3
+    last = refusals[-1]
+    assert last is not None
+    assert (last.kind, last.run) == (Kind.CRASHES_SERVERS, Run.NO)
+    assert last.retry_at_unix_s is None
+
+
+async def test_request_is_not_repeated_once_two_servers_ended_under_it() -> None:
+    """One caller's request was tried again by itself until a third server had ended."""
+    guard = CrashGuard()
+    servers = EndingServers(guard)
+    refusal = await dispatcher_of(servers, guard).dispatch(request_of(True), Sink())
+    assert servers.ended == 2
+    assert refusal is not None
+    assert (refusal.kind, refusal.run) == (Kind.OUTCOME_UNKNOWN, Run.UNKNOWN)
+
+
+async def test_peers_refusal_of_a_crashing_request_is_final() -> None:
+    """Taken for a busy region, it was followed by an attempt in another one."""
+
+    class Peers(EndingServers):
+        async def run(self, request: Any, attempt: Attempt, *rest: Any) -> AttemptResult:
+            self.ended += 1
+            return AttemptResult(
+                state=AttemptState.REFUSED_UNRUN,
+                peer="vm-1",
+                refusal=refuse(Kind.CRASHES_SERVERS, Run.NO, "known there"),
+            )
+
+    guard = CrashGuard()
+    peers = Peers(guard)
+    refusal = await dispatcher_of(peers, guard).dispatch(request_of(True), Sink())
+    assert (peers.ended, refusal and refusal.kind) == (1, Kind.CRASHES_SERVERS)
+
+
+async def test_request_that_waits_while_its_like_ends_servers_is_refused_unrun() -> None:
+    """Copies that waited in a queue were all sent once they had a place."""
+    guard, ran = CrashGuard(), []
+
+    async def run_attempt(request: GatewayRequest, placement: Placement, *rest: Any) -> Any:
+        ran.append(placement)
+        return AttemptResult(state=AttemptState.FINISHED, server=placement.server.name)
+
+    table = LoadTable("r")
+    local = LocalDispatch(
+        table=table, run_attempt=run_attempt, observe=lambda event: None, guard=guard
+    )
+    request = request_of(True)
+    waiting = asyncio.create_task(local.run(request, Attempt(), 1, frozenset(), Sink()))
+    await asyncio.sleep(0)
+    for key in range(3):
+        guard.note_crash(request.fingerprint, key)
+    table.set_servers([evolve(SERVER, region="r", pool="p")])
+    local.pump("p")
+    with pytest.raises(RefusedError, match="servers ended while they ran this request"):
+        await waiting
+    assert (ran, dict(table.in_flight())) == ([], {})
