Count a server again that comes back under its name and ends again

Where the platform doesn't tell when a server started, one that is back under its name is listed as the same incarnation. Two engines of a region that were restarted by turns ended under one request without an end: their crashes counted as two for good. Found by a proof whose engines come back.

Two ends of one server less than a second apart are one end that several VMs saw; later ones count. test_server_that_comes_back_under_its_name_and_ends_again_counts_again failed before (NONE, now BLOCKED).

--- a/src/pomelobarrow/decision/crash_suspects.py
+++ b/src/pomelobarrow/decision/crash_suspects.py
@@ -29,6 +29,9 @@
 KEPT_S = 3_600.0
 # More crashes change nothing.
 MAX_CRASHES = 8
+# VMs see one end at slightly different times. A platform that doesn't tell when a server started
+# lists it as the same one when it is back, which takes longer than this.
+SAME_END_WITHIN_S = 1.0
 # A caller that changes its body each time adds an entry with each server that it ends. The ones
 # with the fewest crashes go first, many at once, since to choose them takes a look at all.
 MAX_SUSPECTS = 4_096
@@ -76,13 +79,22 @@
 
 @define
 class _Suspect:
-    ended_unix_s_by_server: dict[int, float] = field(factory=dict)
+    crashes: list[Crash] = field(factory=list)
     last_trial_unix_s: float = float("-inf")
 
     @property
     def evidence(self) -> Evidence:
-        ends = self.ended_unix_s_by_server.values()
-        return Evidence(servers_ended=len(ends), newest_unix_s=max(ends))
+        return Evidence(
+            servers_ended=len(self.crashes),
+            newest_unix_s=max(crash.ended_unix_s for crash in self.crashes),
+        )
+
+    def knows(self, crash: Crash) -> bool:
+        return any(
+            known.server_key == crash.server_key
+            and abs(known.ended_unix_s - crash.ended_unix_s) < SAME_END_WITHIN_S
+            for known in self.crashes
+        )
 
 
 @define(kw_only=True)
@@ -106,7 +118,7 @@
     def suspicion(self, fingerprint: int, now_unix_s: float) -> Suspicion:
         """Say what a request may still do."""
         suspect = self._current(fingerprint, now_unix_s)
-        crashes = 0 if suspect is None else len(suspect.ended_unix_s_by_server)
+        crashes = 0 if suspect is None else len(suspect.crashes)
         if crashes >= CRASHES_TO_BLOCK:
             return Suspicion.BLOCKED
         return Suspicion.SUSPECTED if crashes >= CRASHES_TO_SUSPECT else Suspicion.NONE
@@ -114,7 +126,9 @@
     def has_crash(self, fingerprint: int, server_key: int) -> bool:
         """Say whether a server is known to have ended under a request."""
         suspect = self._suspects.get(fingerprint)
-        return suspect is not None and server_key in suspect.ended_unix_s_by_server
+        return suspect is not None and any(
+            crash.server_key == server_key for crash in suspect.crashes
+        )
 
     def evidence(self, fingerprint: int) -> Evidence | None:
         """Return what is held against a request, None where nothing is."""
@@ -123,11 +137,7 @@
 
     def crashes(self) -> list[Crash]:
         """Return all that is held against requests."""
-        return [
-            Crash(fingerprint=fingerprint, server_key=key, ended_unix_s=ended_unix_s)
-            for fingerprint, suspect in self._suspects.items()
-            for key, ended_unix_s in suspect.ended_unix_s_by_server.items()
-        ]
+        return [crash for suspect in self._suspects.values() for crash in suspect.crashes]
 
     def is_on_trial(self, fingerprint: int, now_unix_s: float) -> bool:
         """Say whether a blocked request was let through a moment ago."""
@@ -142,7 +152,7 @@
         suspect = self._current(fingerprint, now_unix_s)
         if suspect is None:
             return True
-        crashes, newest_unix_s = len(suspect.ended_unix_s_by_server), suspect.evidence.newest_unix_s
+        crashes, newest_unix_s = len(suspect.crashes), suspect.evidence.newest_unix_s
         after_s = TRIAL_AFTER_S.get(crashes)
         if after_s is None or now_unix_s < newest_unix_s + after_s:
             return False
@@ -167,10 +177,9 @@
         if suspect is None:
             self._make_room(crash.ended_unix_s)
             suspect = self._suspects[crash.fingerprint] = _Suspect()
-        ends = suspect.ended_unix_s_by_server
-        if crash.server_key in ends or len(ends) >= MAX_CRASHES:
+        if suspect.knows(crash) or len(suspect.crashes) >= MAX_CRASHES:
             return ()
-        ends[crash.server_key] = crash.ended_unix_s
+        suspect.crashes.append(crash)
         return (crash,)
 
     def _note_answered(self, answered: Answered) -> tuple[Finding, ...]:
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -48,6 +48,14 @@
     assert suspects.suspicion(1, 101.0) is Suspicion.NONE
 
 
+def test_server_that_comes_back_under_its_name_and_ends_again_counts_again() -> None:
+    """Where nobody tells when a server started, two servers ended by turns without an end."""
+    suspects = CrashSuspects()
+    for number in range(3):
+        suspects.note(crash(7, 100.0 + 2.0 * number))
+    assert suspects.suspicion(1, 105.0) is Suspicion.BLOCKED
+
+
 def test_requests_beside_the_crashing_one_stay_clear() -> None:
     """Each server that ended had nineteen others on it, new ones each time."""
     suspects = CrashSuspects()
