--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
 from soak.checks import Clients, broken_promises, served_share
 from soak.faults import Faults
 from soak.fleet import SoakFleet
+from soak.fragile import FragileServers
 
 READY_WITHIN_S = 30.0
 SETTLE_S = 8.0
@@ -38,14 +39,22 @@
         await _wait_ready(fleet)
         faults = Faults(fleet=fleet, random=random.Random(drawn.random()))
         clients = Clients(fleet=fleet, random=random.Random(drawn.random()))
+        fragile = FragileServers(fleet=fleet, random=random.Random(drawn.random()))
+        await fragile.start()
         sending = asyncio.create_task(clients.run(time.monotonic() + for_s))
+        until_s = time.monotonic() + for_s + SETTLE_S + CALM_RUN_S
+        sending_fragile = asyncio.create_task(fragile.send_until(until_s))
         await faults.run(for_s)
         await sending
         await asyncio.sleep(SETTLE_S)
         calm_s = time.monotonic()
         await clients.run(calm_s + CALM_RUN_S)
+        await sending_fragile
+        await fragile.stop()
         broken, served = broken_promises(clients, faults), served_share(clients, calm_s)
-        broken += fleet.ended_daemons()
+        broken += fragile.broken_promises() + fleet.ended_daemons()
+        if fragile.served_share(calm_s) < LEAST_SERVED_SHARE:
+            broken.append("servers that had ended are back, and requests aren't served there")
         if served < LEAST_SERVED_SHARE:
             broken.append(f"only {served:.0%} were served after all faults were over")
         if broken:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -24,6 +24,9 @@
     "stream": ("stream", 1, False),
     "resumable": ("stream", 3, True),
 }
+# Apart from the others, so that what is drawn for those stays the same.
+FRAGILE_KIND, FRAGILE_POOL = "fragile", "fragile"
+FRAGILE_KINDS = {FRAGILE_KIND: ("idempotent", 2, False)}
 TIMEOUT_MS = 3_000
 
 
@@ -98,23 +101,29 @@
                 "Kind": kind,
                 "TimeoutMs": TIMEOUT_MS,
                 "GoalMs": 500,
-                "Service": POOL,
+                "Service": FRAGILE_POOL if name in FRAGILE_KINDS else POOL,
                 "Attempts": attempts,
                 "Resumable": resumable,
             }
-            for name, (kind, attempts, resumable) in KINDS.items()
+            for name, (kind, attempts, resumable) in (KINDS | FRAGILE_KINDS).items()
         ]
-        services = [{"Name": POOL, "MaxConnections": 500}]
+        services = [{"Name": name, "MaxConnections": 500} for name in (POOL, FRAGILE_POOL)]
         config = {"Version": self.version, "Routes": routes, "Services": services, "Limits": {}}
         self.store.put("op/config", config)
 
     def list_server(self, name: str, state: str = "ready") -> None:
         """Write a server's entry."""
         server = self.servers[name]
+        self.list_address(name, server.region, server.address, POOL, state)
+
+    def list_address(
+        self, name: str, region: str, address: str, pool: str, state: str = "ready"
+    ) -> None:
+        """Write the entry of a server of any pool."""
         entry = {
-            "Service": POOL,
-            "Address": server.address,
-            "Zone": f"{server.region}-1",
+            "Service": pool,
+            "Address": address,
+            "Zone": f"{region}-1",
             "Slots": 16,
             "State": state,
             "ColdLeftMs": 0,
--- a/src/pomelobarrow/standin/engine_routes.py
+++ b/src/pomelobarrow/standin/engine_routes.py
@@ -9,7 +9,12 @@
 from pomelobarrow.standin.jobs import Job, wait_until_ended, wait_until_started
 from pomelobarrow.standin.load_report import LaggingReport
 from pomelobarrow.standin.run_log import RunState, runs_payload
-from pomelobarrow.standin.runtime import json_answer, read_json, refused_unrun
+from pomelobarrow.standin.runtime import (
+    crash_if_named,
+    json_answer,
+    read_json,
+    refused_unrun,
+)
 
 CANCELLED = {"error": {"type": "cancelled", "message": "the request was cancelled while it ran"}}
 
@@ -61,6 +66,7 @@
         body = await read_json(request)
         if reason := engine.refusal_reason(request.headers.get("X-Request-Id", "")):
             return refused_unrun(reason)
+        await crash_if_named(request, engine.crash_on)
         job = engine.accept(request.headers, body)
         send = stream_answer if body.get("stream") else whole_answer
         try:
@@ -103,6 +109,7 @@
         body = await read_json(request)
         engine.leaving = body.get("leaving", engine.leaving)
         engine.refuse = body.get("refuse", engine.refuse)
+        engine.crash_on = body.get("crash_on", engine.crash_on)
         engine.step_s = body.get("step_s", engine.step_s)
         engine.set_frozen(body.get("frozen", not engine.gate.opened.is_set()))
         return json_answer({"leaving": engine.leaving, "refuse": engine.refuse})
--- a/src/pomelobarrow/standin/engine_state.py
+++ b/src/pomelobarrow/standin/engine_state.py
@@ -32,6 +32,8 @@
     gate: Gate = field(factory=Gate)
     leaving: bool = False
     refuse: bool = False
+    # Requests whose body holds this text end the process.
+    crash_on: str = ""
     runs: deque[Sequence] = field(factory=lambda: deque(maxlen=MAX_LOGGED_RUNS))
     never_start: set[str] = field(factory=set)
     _runs_by_id: dict[str, list[Sequence]] = field(factory=lambda: defaultdict(list))
--- a/src/pomelobarrow/standin/runtime.py
+++ b/src/pomelobarrow/standin/runtime.py
@@ -1,6 +1,7 @@
 """Start, announce and stop one stand-in process."""
 
 import asyncio
+import os
 import signal
 import sys
 from collections.abc import Awaitable, Callable
@@ -14,6 +15,7 @@
 
 SHUTDOWN_TIMEOUT_S = 0.1
 LISTEN_BACKLOG = 1024
+CRASH_EXIT_CODE = 70
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
@@ -53,6 +55,12 @@
     return web.Response(body=orjson.dumps(payload), status=status, content_type="application/json")
 
 
+async def crash_if_named(request: web.Request, crash_on: str) -> None:
+    """End this process as a crash does, where a request's body holds a text."""
+    if crash_on and crash_on in await request.text():
+        os._exit(CRASH_EXIT_CODE)
+
+
 def refused_unrun(reason: str) -> web.Response:
     """Refuse a request before anything ran."""
     return json_answer({"run": "no", "reason": reason}, status=503)
--- a/src/pomelobarrow/standin/service.py
+++ b/src/pomelobarrow/standin/service.py
@@ -13,6 +13,7 @@
 from pomelobarrow.standin.runtime import (
     MAX_BODY_BYTES,
     Gate,
+    crash_if_named,
     gate_middleware,
     json_answer,
     read_json,
@@ -45,6 +46,8 @@
     waiting: int = 0
     leaving: bool = False
     refuse: bool = False
+    # Calls whose body holds this text end the process.
+    crash_on: str = ""
 
     def measure(self) -> dict[str, Any]:
         """Measure the load."""
@@ -96,6 +99,7 @@
         body = await request.read()
         if reason := service.refusal_reason():
             return refused_unrun(reason)
+        await crash_if_named(request, service.crash_on)
         run = new_run(request)
         await service.run(run)
         if body:
@@ -119,6 +123,7 @@
         body = await read_json(request)
         service.leaving = body.get("leaving", service.leaving)
         service.refuse = body.get("refuse", service.refuse)
+        service.crash_on = body.get("crash_on", service.crash_on)
         service.latency_s = body.get("latency_s", service.latency_s)
         service.gate.set_frozen(body.get("frozen", not service.gate.opened.is_set()))
         return json_answer({"leaving": service.leaving, "refuse": service.refuse})
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -214,3 +214,11 @@
         orders = [{"fencing": number, "order": "load_model"} for number in (5, 4, 5)]
         answers = [await call("POST", engine.listening, "/v1/orders", order) for order in orders]
         assert [answer.status for answer in answers] == statuses
+
+
+async def test_request_that_it_is_told_to_crash_on_ends_the_engine(engine: Standin) -> None:
+    await call("POST", engine.listening, "/admin/mode", {"crash_on": "fatal"})
+    with pytest.raises(aiohttp.ClientError):
+        await call("POST", engine.listening, CHAT, chat("fatal"), headers("r1"))
+    with pytest.raises(aiohttp.ClientConnectorError):
+        await call("GET", engine.listening, "/v1/load")
--- a/tests/test_standin_service.py
+++ b/tests/test_standin_service.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+import aiohttp
 import pytest
 from standin_harness import Standin, call, eventually, standins
 
@@ -45,3 +46,12 @@
     answer = await call("POST", service.listening, "/", {})
     assert (answer.status, answer.body) == (503, {"run": "no", "reason": reason})
     assert await runs(service) == []
+
+
+async def test_call_that_it_is_told_to_crash_on_ends_the_process(service: Standin) -> None:
+    await call("POST", service.listening, "/admin/mode", {"crash_on": "fatal"})
+    assert (await call("POST", service.listening, "/", {"a": "harmless"})).status == 200
+    with pytest.raises(aiohttp.ClientError):
+        await call("POST", service.listening, "/", {"a": "fatal"})
+    with pytest.raises(aiohttp.ClientConnectorError):
+        await call("GET", service.listening, "/v1/load")
