--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -31,6 +31,7 @@
     RelayPlacedNowhere,
     ServerBack,
     ServerEjected,
+    ServerLimitNamed,
 )
 
 log = structlog.get_logger(__name__)
@@ -57,6 +58,7 @@
             RelayAttemptEnded: self._relay_attempt_ended,
             RelayEnded: self._relay_ended,
             ServerEjected: self._server_ejected,
+            ServerLimitNamed: self._server_limit_named,
             ServerEnded: self._server_ended,
             RequestBlocked: self._request_blocked,
             ServerBack: self._server_back,
@@ -165,6 +167,9 @@
         self._metrics.blocked.inc(event.pool)
         self._log.warning("request blocked", **asdict(event))
 
+    def _server_limit_named(self, event: ServerLimitNamed) -> None:
+        self._log.info("server limit named", **asdict(event))
+
     def _server_back(self, event: ServerBack) -> None:
         self._log.info("server back", **asdict(event))
 
--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -37,6 +37,9 @@
 # Requests that run, requests that wait, slots.
 SERVER_LOAD = "Pomelobarrow-Server-Load"
 
+# Requests a second that the server takes from all machines together.
+SERVER_LIMIT = "server-limit"
+
 WRONG_SERVER_STATUS = 421
 MAX_PRIORITY = 9
 MS_PER_S = 1_000.0
@@ -132,6 +135,7 @@
 def read_answer(response: ClientResponse) -> ServerAnswerHead:
     """Read the head of a backend server's answer."""
     headers = response.headers
+    limit_header = _limit_header(headers)
     return ServerAnswerHead(
         status=response.status,
         headers=_going_on(headers),
@@ -139,6 +143,8 @@
         is_sealed=SEAL in headers,
         is_not_run=NOT_RUN in headers or response.status == WRONG_SERVER_STATUS,
         counts=_server_counts(headers.get(SERVER_LOAD, "")),
+        limit_text=headers.get(limit_header, ""),
+        limit_header=limit_header,
     )
 
 
@@ -192,6 +198,11 @@
     return str(max(0, int((deadline_unix_s - now_unix_s()) * MS_PER_S)))
 
 
+def _limit_header(headers: Mapping[str, str]) -> str:
+    """Return the name under which a server names its limit, empty where it names none."""
+    return next((name for name in headers if name.lower().endswith(SERVER_LIMIT)), "")
+
+
 def _server_counts(text: str) -> ServerCounts | None:
     """Return what a server tells of its load; None for what can't be read, as servers may err."""
     fields = [field.strip() for field in text.split(",")]
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -255,6 +255,7 @@
 
     def _note_counts(self, server: BackendServer, head: ServerAnswerHead) -> None:
         """Take in what a server says of its load with an answer."""
+        self.log.answered(server.name, head)
         # The incarnation that it was sent to may be gone.
         if head.counts is None or not self.placer.table.is_current(server):
             return
