Share a cold server's rate out by a piece of its own

A limit that a server names for itself is the same matter as what a cold server bears: a rate shared by the VMs of a region with no message for each request. What picks the senders and holds a VM to its part moves to decision/shared_rate.py, for both. Account limits stay apart: a request over its account's share can't go to another account's, so that the shares there have to follow the demand.

Same decisions: at most three senders at an equal part of four fifths of the rate, no burst. The property test and the replay's four patterns pass unchanged but for the time that `take` is given.

--- a/src/pomelobarrow/decision/cold_start.py
+++ b/src/pomelobarrow/decision/cold_start.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-from pomelobarrow.decision.rendezvous import rendezvous
+from pomelobarrow.decision.shared_rate import SharedRates
 from pomelobarrow.decision.work import BackendServer
 
 # Few VMs send to a cold server, each at its part of the rate. Were every VM of a large region to
@@ -14,18 +14,20 @@
 RATE_SHARE = 0.8
 
 
-@define
-class _Bucket:
-    tokens: float = 1.0
-    filled_unix_s: float = 0.0
-
-
 @define(kw_only=True)
 class ColdLimiter:
     """Hold this VM's allowance for each cold server."""
 
     own_vm: str
-    _buckets: dict[str, _Bucket] = field(factory=dict)
+    _rates: SharedRates = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._rates = SharedRates(
+            own_vm=self.own_vm,
+            purpose="cold",
+            senders=lambda rate_per_s: MAX_SENDERS,
+            used_share=RATE_SHARE,
+        )
 
     def allows(
         self,
@@ -35,17 +37,11 @@
         now_unix_s: float,
     ) -> bool:
         """Say whether this VM may send one more request to a cold server now."""
-        senders = rendezvous(f"cold/{server.incarnation}", region_vms, MAX_SENDERS)
-        if self.own_vm not in senders:
-            return False
-        rate = RATE_SHARE * rate_per_s / len(senders)
-        bucket = self._buckets.setdefault(server.incarnation, _Bucket(filled_unix_s=now_unix_s))
-        elapsed_s = max(0.0, now_unix_s - bucket.filled_unix_s)
-        bucket.tokens = min(1.0, bucket.tokens + elapsed_s * rate)
-        bucket.filled_unix_s = now_unix_s
-        return bucket.tokens >= 1.0
-
-    def take(self, server: BackendServer) -> None:
+        key = server.incarnation
+        return (
+            self._rates.next_unix_s(key, rate_per_s, lambda: region_vms, now_unix_s) <= now_unix_s
+        )
+
+    def take(self, server: BackendServer, now_unix_s: float) -> None:
         """Spend the allowance on a placement; a warm server has none."""
-        if server.incarnation in self._buckets:
-            self._buckets[server.incarnation].tokens = 0.0
+        self._rates.take(server.incarnation, now_unix_s)
--- a/src/pomelobarrow/decision/local_choice.py
+++ b/src/pomelobarrow/decision/local_choice.py
@@ -93,7 +93,7 @@
     def note_placed(self, server: BackendServer, now_unix_s: float) -> None:
         """Count a placement against a cold server's allowance."""
         if server.cold_until_unix_s > now_unix_s:
-            self.cold.take(server)
+            self.cold.take(server, now_unix_s)
 
 
 def _admits(state: ServerState, rank: Rank) -> bool:
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -29,7 +29,7 @@
         now_unix_s = tick / 20
         for limiter in limiters:
             if limiter.allows(COLD, rate_per_s, names, now_unix_s):
-                limiter.take(COLD)
+                limiter.take(COLD, now_unix_s)
                 sent_unix_s.append(now_unix_s)
     busiest = max(sum(t <= each < t + 1.0 for each in sent_unix_s) for t in sent_unix_s)
     assert busiest <= rate_per_s * 1.5 + 3
