Keep to the limits that backend servers name for themselves

What callers saw. Servers that took 1.5 and 6.6 requests a second by their own word got 124 and 156 in four seconds; their longest answers took four times as long as before.

Nobody read the limit: the header went on to the client like any other, and arrivals did not change when it was named. The class: what a server says of itself that isn't among the known words is dropped, and where VMs share a bound without a message per request, each by itself would keep it N times over.

Change. decision/server_limits.py holds what each incarnation named last; any answer names, moves or ends it, also a failure; what can't be read is no limit; a new start ends it. As many VMs of the region as the rate has whole requests send at equal parts of nine tenths of it, the same in every view (rendezvous); the others pass the server by. Placing on both ways in leaves out a server until this VM's next turn, and each charge takes one: repeats, hops, coordinators and owners all come through there. Neighbours hear of it with the next heartbeat. A server that takes nothing is asked each ten seconds, since only an answer tells that its limit has ended. Where limits are all that is in the way a relayed request waits while it can be in time, else it is refused at once; Retry-After and queues follow the limited rate. Other regions count on unlimited servers only.

Shares hold for 1 to 12 VMs at any rate to 40, 65 and 340 VMs at 2 and 30; seven VMs use over three quarters of what is offered. Stand-ins and soak name limits.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,7 @@
 from soak.faults import Faults
 from soak.fleet import SoakFleet
 from soak.fragile import FragileServers
+from soak.limited import LimitedServers
 
 READY_WITHIN_S = 30.0
 SETTLE_S = 8.0
@@ -40,21 +41,24 @@
         faults = Faults(fleet=fleet, random=random.Random(drawn.random()))
         clients = Clients(fleet=fleet, random=random.Random(drawn.random()))
         fragile = FragileServers(fleet=fleet, random=random.Random(drawn.random()))
-        await fragile.start()
+        limited = LimitedServers(fleet=fleet, random=random.Random(drawn.random()))
+        await asyncio.gather(fragile.start(), limited.start())
         sending = asyncio.create_task(clients.run(time.monotonic() + for_s))
         until_s = time.monotonic() + for_s + SETTLE_S + CALM_RUN_S
-        sending_fragile = asyncio.create_task(fragile.send_until(until_s))
+        sending_more = asyncio.gather(fragile.send_until(until_s), limited.send_until(until_s))
         await faults.run(for_s)
         await sending
         await asyncio.sleep(SETTLE_S)
         calm_s = time.monotonic()
         await clients.run(calm_s + CALM_RUN_S)
-        await sending_fragile
-        await fragile.stop()
+        await sending_more
+        await asyncio.gather(fragile.stop(), limited.stop())
         broken, served = broken_promises(clients, faults), served_share(clients, calm_s)
-        broken += fragile.broken_promises() + fleet.ended_daemons()
+        broken += fragile.broken_promises() + limited.broken_promises() + fleet.ended_daemons()
         if fragile.served_share(calm_s) < LEAST_SERVED_SHARE:
             broken.append("servers that had ended are back, and requests aren't served there")
+        if limited.served_share(calm_s) < LEAST_SERVED_SHARE:
+            broken.append("requests aren't served beside a server that names a limit")
         if served < LEAST_SERVED_SHARE:
             broken.append(f"only {served:.0%} were served after all faults were over")
         if broken:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,7 +11,7 @@
 from attrs import define, field
 
 from harness.processes import Processes, free_ports
-from soak.servers import Runs, SoakServer
+from soak.servers import REQUEST_ID, Runs, SoakServer
 from soak.store import SoakStore
 
 ROOT_HOST = "127.0.0.1"
@@ -25,9 +25,10 @@
     "resumable": ("stream", 3, True),
 }
 # Apart from the others, so that what is drawn for those stays the same.
-FRAGILE_KIND, FRAGILE_POOL = "fragile", "fragile"
-FRAGILE_KINDS = {FRAGILE_KIND: ("idempotent", 2, False)}
+FRAGILE, LIMITED = "fragile", "limited"
+OWN_POOLS = {FRAGILE: ("idempotent", 2, False), LIMITED: ("idempotent", 2, False)}
 TIMEOUT_MS = 3_000
+LOST = (aiohttp.ClientError, TimeoutError, OSError)
 
 
 @define(kw_only=True)
@@ -101,13 +102,13 @@
                 "Kind": kind,
                 "TimeoutMs": TIMEOUT_MS,
                 "GoalMs": 500,
-                "Service": FRAGILE_POOL if name in FRAGILE_KINDS else POOL,
+                "Service": name if name in OWN_POOLS else POOL,
                 "Attempts": attempts,
                 "Resumable": resumable,
             }
-            for name, (kind, attempts, resumable) in (KINDS | FRAGILE_KINDS).items()
+            for name, (kind, attempts, resumable) in (KINDS | OWN_POOLS).items()
         ]
-        services = [{"Name": name, "MaxConnections": 500} for name in (POOL, FRAGILE_POOL)]
+        services = [{"Name": name, "MaxConnections": 500} for name in (POOL, *OWN_POOLS)]
         config = {"Version": self.version, "Routes": routes, "Services": services, "Limits": {}}
         self.store.put("op/config", config)
 
@@ -130,6 +131,19 @@
         }
         self.store.put(f"servers/{name}", entry)
 
+    async def send(
+        self, session: aiohttp.ClientSession, daemon: Daemon, kind: str, id_: str, body: bytes
+    ) -> int | None:
+        """Send a request of a pool without a proxy; return its status, None where it was lost."""
+        headers = {"Host": HOST, REQUEST_ID: id_, "Pomelobarrow-Request-Deadline": "3000"}
+        url = f"http://{self.front(daemon)}/{kind}/x"
+        try:
+            async with session.post(url, headers=headers, data=body) as response:
+                await response.read()
+                return response.status
+        except LOST:
+            return None
+
     async def fault(self, routes: str, mode: str) -> None:
         """Set a fault on the proxy's routes that a pattern names."""
         url = f"http://{self._control}/faults"
--- a/soak/fragile.py
+++ b/soak/fragile.py
@@ -9,8 +9,8 @@
 from aiohttp import web
 from attrs import define, field
 
-from soak.fleet import FRAGILE_KIND, FRAGILE_POOL, HOST, REGIONS, ROOT_HOST, SoakFleet
-from soak.servers import REQUEST_ID, SoakServer
+from soak.fleet import FRAGILE, REGIONS, ROOT_HOST, SoakFleet
+from soak.servers import SoakServer
 
 CRASHING_BODY = b"ends the server that runs it"
 SERVERS_PER_REGION = 2
@@ -22,7 +22,6 @@
 CRASHES_TO_KNOW = 3
 KNOWN_WITHIN_S = 5.0
 MOST_ARRIVALS = 3
-LOST = (aiohttp.ClientError, TimeoutError, OSError)
 
 
 @define(kw_only=True, slots=False)
@@ -79,18 +78,7 @@
 
     async def _send(self, session: aiohttp.ClientSession, body: bytes) -> int | None:
         daemon = self.random.choice(self.fleet.daemons)
-        url = f"http://{self.fleet.front(daemon)}/{FRAGILE_KIND}/x"
-        headers = {
-            "Host": HOST,
-            REQUEST_ID: f"f{next(self._serial)}",
-            "Pomelobarrow-Request-Deadline": "3000",
-        }
-        try:
-            async with session.post(url, headers=headers, data=body) as response:
-                await response.read()
-                return response.status
-        except LOST:
-            return None
+        return await self.fleet.send(session, daemon, FRAGILE, f"f{next(self._serial)}", body)
 
     async def _start_one(self, region: str, port: int) -> None:
         name = f"fragile-{region}-{next(self._serial)}"
@@ -110,7 +98,7 @@
         runner = self._runners[name] = web.ServerRunner(web.Server(answer))
         await runner.setup()
         await web.TCPSite(runner, ROOT_HOST, port, reuse_address=True).start()
-        self.fleet.list_address(name, region, f"{ROOT_HOST}:{runner.addresses[0][1]}", FRAGILE_POOL)
+        self.fleet.list_address(name, region, f"{ROOT_HOST}:{runner.addresses[0][1]}", FRAGILE)
 
     async def _end(self, name: str, region: str) -> None:
         """Close the listening socket and all connections, as the end of a process does."""
--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -1,7 +1,7 @@
 """Run one attempt on an engine: send, relay the stream, resume it, cancel it."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 
 import aiohttp
 import orjson
@@ -55,6 +55,7 @@
     number: int
     sink: AnswerSink
     on_first_byte: Callable[[], None]
+    on_headers: Callable[[Mapping[str, str]], None] = lambda headers: None
     counter: EventCounter = field(factory=EventCounter)
     whole: WholeAnswer | None = None
     head_passed: bool = False
@@ -110,6 +111,7 @@
             allow_redirects=False,
             trace_request_ctx=self._about_to_send,
         ) as response:
+            self.on_headers(response.headers)
             if response.status != 200:
                 return await self._refused(response)
             self.attempt.apply(AttemptEvent.FIRST_BYTE)
--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -1,6 +1,7 @@
 """The back ends' plug-in: sessions, attempts and load reports."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from functools import partial
 
 from attrs import evolve
 from mode import Service
@@ -11,15 +12,17 @@
 from pomelobarrow.backends.reports import LoadPoller
 from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.backends.service import ServiceAttempt
-from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.backends.sessions import SERVER_LIMIT_HEADER, BackendSessions
 from pomelobarrow.backends.shares import ServerShare
 from pomelobarrow.decision.attempt import Attempt, AttemptEvent
 from pomelobarrow.decision.configuration import PoolKind
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.orders import OrderBook
+from pomelobarrow.decision.server_limits import ServerLimits, parse_limit
 from pomelobarrow.decision.work import BackendServer, Placement
 from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
+from pomelobarrow.dispatch.events import ServerLimitNamed
 from pomelobarrow.dispatch.local import AttemptRunner, LocalDispatch
 from pomelobarrow.dispatch.request import GatewayRequest
 from pomelobarrow.dispatch.resumed import RestFetcher
@@ -49,7 +52,7 @@
 def provide_parts(context: Context) -> None:
     """Register how backend servers are reached."""
     context.provide(BackendSessions, lambda c: BackendSessions(c.settings.dial))
-    context.provide(LoadTable, lambda c: LoadTable(c.settings.region))
+    context.provide(LoadTable, _table)
     context.provide(LoadPoller, _poller)
     context.provide(ServerWatch, _watch)
     context.provide(AttemptRunnerPart, lambda c: AttemptRunnerPart(_runner(c), _fetcher(c)))
@@ -117,6 +120,7 @@
                 number=number,
                 sink=sink,
                 on_first_byte=on_first_byte,
+                on_headers=partial(_note_limit, context, server),
             ).run()
             span.set("state", result.state.value)
             return result
@@ -124,6 +128,17 @@
     return run
 
 
+def _note_limit(context: Context, server: BackendServer, headers: Mapping[str, str]) -> None:
+    """Take in the limit that a server names with an answer, or that it names none."""
+    table = context.get(LoadTable)
+    if not table.is_current(server):
+        return
+    per_s = parse_limit(headers.get(SERVER_LIMIT_HEADER, ""))
+    if table.limits.observe(server.incarnation, per_s, now_unix_s()):
+        named = ServerLimitNamed(server=server.name, limit_per_s=per_s, header=SERVER_LIMIT_HEADER)
+        context.observe(named)
+
+
 def _fetcher(context: Context) -> RestFetcher:
     sessions, traces = context.get(BackendSessions), context.get(Traces)
 
@@ -151,6 +166,12 @@
     return fetch_rest
 
 
+def _table(context: Context) -> LoadTable:
+    table = LoadTable(context.settings.region)
+    table.limits = ServerLimits(own_vm=context.settings.vm, region_vms=lambda: _live_vms(context))
+    return table
+
+
 def _watch(context: Context) -> ServerWatch:
     return ServerWatch(
         dial=context.settings.dial,
--- a/src/pomelobarrow/backends/service.py
+++ b/src/pomelobarrow/backends/service.py
@@ -1,7 +1,7 @@
 """Run one attempt on a plain service."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import aiohttp
 from attrs import define
@@ -30,6 +30,7 @@
     number: int
     sink: AnswerSink
     on_first_byte: Callable[[], None]
+    on_headers: Callable[[Mapping[str, str]], None] = lambda headers: None
     head_passed: bool = False
 
     async def run(self) -> AttemptResult:
@@ -54,6 +55,7 @@
             allow_redirects=False,
             trace_request_ctx=lambda: self.attempt.apply(AttemptEvent.SEND),
         ) as response:
+            self.on_headers(response.headers)
             if response.status == 503 and says_not_run(503, body := await response.read()):
                 self.attempt.apply(AttemptEvent.REFUSE_UNRUN)
                 return self._result("refused with 503")
--- a/src/pomelobarrow/backends/sessions.py
+++ b/src/pomelobarrow/backends/sessions.py
@@ -11,6 +11,8 @@
 from aiohttp.tracing import TraceConfig
 
 CONNECT_TIMEOUT_S = 1.0
+# Requests a second that a server takes from all VMs together, for as long as its answers say so.
+SERVER_LIMIT_HEADER = "X-Server-Limit"
 KEEPALIVE_S = 15.0
 MAX_CONNECTIONS = 4096
 READ_BUFFER_BYTES = 1 << 18
--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
 from attrs import define
 
@@ -12,6 +12,7 @@
 from pomelobarrow.decision.reading_rates import ReadingRates
 from pomelobarrow.decision.report_clock import ReportClock
 from pomelobarrow.decision.server_health import ServerHealth
+from pomelobarrow.decision.server_limits import ServerLimits
 from pomelobarrow.decision.server_load import Charge, ServerLoad
 from pomelobarrow.decision.server_pauses import ServerPauses
 from pomelobarrow.decision.service_times import ServiceTimes
@@ -53,6 +54,7 @@
         self.prefixes = PrefixIndex()
         self.pauses = ServerPauses()
         self.reading = ReadingRates()
+        self.limits = ServerLimits()
         # Failure domains that are being emptied: their servers get no new work.
         self.closed_domains: frozenset[str] = frozenset()
         # Whether one VM for each server places nearly all that it has to read. That VM alone tells
@@ -77,6 +79,7 @@
             if listed[name].born_unix_ms != self._servers[name].born_unix_ms:
                 self._forget_incarnation(name)
         self._servers = listed
+        self.limits.keep_only(listed.values())
         pools = {server.pool for server in self._servers.values()}
         self._pools = {
             pool: tuple(s for s in self._servers.values() if s.pool == pool) for pool in pools
@@ -155,6 +158,8 @@
         )
         self._charges[request_id] = charge
         load.add(charge)
+        if server_name in self._servers:
+            self.limits.take(self._servers[server_name], now_unix_s)
         self.reading.add(server_name, self._pool_of(server_name), tokens, now_unix_s)
         self._times_of(server_name).observe_charge(tokens, kv_tokens)
 
@@ -221,6 +226,16 @@
         # refuse work that a server could run, so all are tried.
         return healthy or staying
 
+    def next_allowed_unix_s(
+        self, pool: str, excluded: Collection[str], now_unix_s: float
+    ) -> float | None:
+        """Return when servers' own limits let this VM send next, None where they let it now."""
+        if not self.limits.named:
+            return None
+        usable = [s for s in self.usable_servers(pool, now_unix_s) if s.name not in excluded]
+        next_unix_s = min((self.limits.next_unix_s(s, now_unix_s) for s in usable), default=0.0)
+        return next_unix_s if next_unix_s > now_unix_s else None
+
     def states(
         self, servers: Iterable[BackendServer], pool: str, now_unix_s: float
     ) -> list[ServerState]:
@@ -266,11 +281,14 @@
 
     def drain_per_s(self, pool: str, now_unix_s: float) -> float:
         """Return how many requests a second the pool finishes when full."""
-        slots = sum(
-            server.slots * self._health[server.name].admitted_share(now_unix_s)
+        hold_s = max(self.service_times(pool).hold_s, 1e-3)
+        return sum(
+            min(
+                server.slots * self._health[server.name].admitted_share(now_unix_s) / hold_s,
+                self.limits.limit_per_s(server),
+            )
             for server in self.usable_servers(pool, now_unix_s)
         )
-        return slots / max(self.service_times(pool).hold_s, 1e-3)
 
     def is_staying(self, server: BackendServer) -> bool:
         """Say whether a server is listed, the same incarnation, and has not said that it leaves."""
--- a/src/pomelobarrow/decision/placement.py
+++ b/src/pomelobarrow/decision/placement.py
@@ -11,6 +11,7 @@
 from pomelobarrow.decision.local_choice import LocalChoice
 from pomelobarrow.decision.placement_request import (
     ALL_BEHIND,
+    HERE_IS_LIMITED,
     NOTHING_HERE,
     Decision,
     Excluded,
@@ -22,6 +23,7 @@
 from pomelobarrow.decision.region_choice import RegionLoad
 from pomelobarrow.decision.remote_choice import RemoteChoice, is_late
 from pomelobarrow.decision.routing import Routing
+from pomelobarrow.decision.server_limits import LEAST_PER_S
 from pomelobarrow.decision.turning_away import Promise, is_worth_taking
 from pomelobarrow.decision.work import BackendServer, Placement
 
@@ -83,8 +85,23 @@
         if elsewhere is not None:
             expected_s = elsewhere.expected_first_answer_s
             return _unless_behind(request, elsewhere, expected_s, now_unix_s)
+        if here is None:
+            return self._nowhere(request, excluded, now_unix_s)
         return here_or_nowhere
 
+    def _nowhere(self, request: PlacementRequest, excluded: Excluded, now_unix_s: float) -> Nowhere:
+        """Say whether nothing but the limits of this region's servers is in the way."""
+        if not request.route.may_run_in(self.own_region):
+            return Nowhere(reason=NOTHING_HERE)
+        pool = request.work.pool
+        next_unix_s = self.table.next_allowed_unix_s(pool, excluded.servers, now_unix_s)
+        if next_unix_s is None:
+            return Nowhere(reason=NOTHING_HERE)
+        # Where others send at the rate, coming back once they have sent is all there is.
+        drain_per_s = max(self.table.drain_per_s(pool, now_unix_s), LEAST_PER_S)
+        wait_s = min(next_unix_s - now_unix_s, 1.0 / drain_per_s)
+        return Nowhere(reason=HERE_IS_LIMITED, wait_s=wait_s, next_unix_s=next_unix_s)
+
     def note_placed(self, server: BackendServer, now_unix_s: float) -> None:
         """Count a placement against a cold server's allowance."""
         self._local.note_placed(server, now_unix_s)
--- a/src/pomelobarrow/decision/placement_request.py
+++ b/src/pomelobarrow/decision/placement_request.py
@@ -16,6 +16,7 @@
 HOME_ELSEWHERE = "the route is bound to other regions"
 HERE_IS_LATE = "this region would be late"
 ALL_BEHIND = "every server is too far behind"
+HERE_IS_LIMITED = "this region's servers take no more requests a second"
 NOTHING_HERE = "this region has no server for it"
 
 
@@ -69,6 +70,8 @@
 
     reason: str
     wait_s: float = 0.0
+    # When a server of this region may be sent to next, where only its own limit is in the way.
+    next_unix_s: float | None = None
 
 
 Decision = OnServer | OnPeer | Nowhere
--- a/src/pomelobarrow/decision/server_choice.py
+++ b/src/pomelobarrow/decision/server_choice.py
@@ -72,7 +72,11 @@
 ) -> Placement | None:
     """Return the placement with the least expected wait, or None while nothing has room."""
     states = states or state_reader(table, work.pool, now_unix_s)
-    usable = [s for s in table.usable_servers(work.pool, now_unix_s) if s.name not in excluded]
+    usable = [
+        server
+        for server in table.usable_servers(work.pool, now_unix_s)
+        if server.name not in excluded and table.limits.allows(server, now_unix_s)
+    ]
     warm = _warm_servers(table, work, usable)
     compared = states(_sample(usable, random))
     if len(compared) < len(usable) and not _with_room(compared, work, admits):
--- a/src/pomelobarrow/decision/shared_rate.py
+++ b/src/pomelobarrow/decision/shared_rate.py
@@ -1,7 +1,7 @@
 """Keep a rate that several VMs share, with no message for each request.
 
-Load pattern: all VMs of a region send to one server that takes few requests a second. A few of them,
-the same in every VM's view, send at an equal part of the rate, and all others send elsewhere.
+Load pattern: all VMs of a region send to one server that takes few requests a second. A few of
+them, the same in every VM's view, send at an equal part of the rate, and all others send elsewhere.
 """
 
 import math
--- a/src/pomelobarrow/dispatch/events.py
+++ b/src/pomelobarrow/dispatch/events.py
@@ -43,3 +43,12 @@
     class_name: str
     region: str
     reason: str
+
+
+@frozen(kw_only=True)
+class ServerLimitNamed:
+    """Report that a server names another limit than before; None where it names none."""
+
+    server: str
+    limit_per_s: float | None
+    header: str
--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -15,6 +15,7 @@
 from pomelobarrow.decision.errors import Kind, Run
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.next_placement import ServerChooser, next_placement
+from pomelobarrow.decision.retries import MAX_RETRY_AFTER_S
 from pomelobarrow.decision.server_choice import choose_server
 from pomelobarrow.decision.work import Placement, Work
 from pomelobarrow.decision.work_queue import WorkQueue
@@ -126,6 +127,9 @@
         now = now_unix_s()
         queue = self.queue(work.pool)
         ahead = queue.ahead(work, now)
+        next_unix_s = self.table.next_allowed_unix_s(work.pool, (), now)
+        if next_unix_s is not None and not ahead:
+            return min(MAX_RETRY_AFTER_S, next_unix_s - now)
         if not ahead:
             # Mostly nothing waits, and adding up the servers costs more than all the rest here.
             return 0.0
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -10,7 +10,7 @@
 from pomelobarrow.backends.server_watch import ServerEnded
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.dispatch.crash_guard import RequestBlocked
-from pomelobarrow.dispatch.events import AttemptEnded, Forwarded, RequestEnded
+from pomelobarrow.dispatch.events import AttemptEnded, Forwarded, RequestEnded, ServerLimitNamed
 from pomelobarrow.dispatch.local import LocalDispatch
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import hookimpl
@@ -31,7 +31,6 @@
     RelayPlacedNowhere,
     ServerBack,
     ServerEjected,
-    ServerLimitNamed,
 )
 
 log = structlog.get_logger(__name__)
--- a/src/pomelobarrow/peers/pool_news.py
+++ b/src/pomelobarrow/peers/pool_news.py
@@ -1,5 +1,6 @@
 """Tell a peer how loaded pools are here and elsewhere, and take in what it tells."""
 
+import math
 from typing import Any
 
 from attrs import define, field, frozen
@@ -174,10 +175,17 @@
             expected_wait_s=expected_wait_s,
             waiting_paying=waiting_paying,
             waiting_trial=queue.waiting(Rank.TRIAL),
-            servers=len(table.usable(pool, now_unix_s)),
+            servers=self._servers_for_others(pool, now_unix_s),
             **_quietest_fields(quietest_engine(table, pool, now_unix_s)),
         )
 
+    def _servers_for_others(self, pool: str, now_unix_s: float) -> int:
+        """Return how many servers other regions may count on; those with a limit hardly count."""
+        limits = self.local.table.limits
+        servers = self.local.table.usable_servers(pool, now_unix_s)
+        unlimited = sum(math.isinf(limits.limit_per_s(server)) for server in servers)
+        return unlimited or min(1, len(servers))
+
 
 def _quietest_fields(engine: Engine) -> dict[str, Any]:
     return {
--- a/src/pomelobarrow/peers/server_news.py
+++ b/src/pomelobarrow/peers/server_news.py
@@ -13,6 +13,10 @@
 PASSED_ON_FOR_S = 5.0
 NOTHING = InFlight()
 MS_PER_S = 1e3
+# A limit above it is none.
+MAX_LIMIT_PER_S = 1e9
+MAX_AGE_MS = 2**32 - 1
+NEVER_TOLD = -1.0
 
 
 @define
@@ -21,6 +25,8 @@
 
     in_flight: dict[int, InFlight] = field(factory=dict)
     measured_unix_s: dict[str, float] = field(factory=dict)
+    # Limits told or heard on the stream, None where one has ended.
+    limits_per_s: dict[int, float | None] = field(factory=dict)
 
 
 @define(kw_only=True)
@@ -42,6 +48,7 @@
     ) -> None:
         """Add the counts and reports that are new to this peer."""
         self._write_counts(heartbeat, sent)
+        self._write_limits(heartbeat, sent, now_unix_s)
         for report in (*self.own_reports(), *self.table.glimpses(now_unix_s)):
             self._write_report(heartbeat, sent, report, now_unix_s, is_passed_on=False)
         if passes_on(LinkKind.ROW, kind):
@@ -57,6 +64,7 @@
         counts = self._merge_counts(heartbeat)
         by_name = {names[key]: count for key, count in counts.items() if key in names}
         self.table.observe_peer(heartbeat.vm, by_name, now_unix_s)
+        self._take_limits(heartbeat, sent_unix_s)
         for each in heartbeat.reports:
             name = names.get(each.server_key)
             if name is None:
@@ -125,6 +133,34 @@
             )
         )
 
+    def _write_limits(self, heartbeat: pb.Heartbeat, sent: SentServers, now_unix_s: float) -> None:
+        """Add the limits that changed; whoever hears one tells its own neighbours."""
+        told = sent.limits_per_s
+        sent.limits_per_s = {}
+        for incarnation, limit in self.table.limits.named.items():
+            key = xxhash.xxh32_intdigest(incarnation.encode())
+            sent.limits_per_s[key] = limit.per_s
+            if told.get(key, NEVER_TOLD) != limit.per_s:
+                age_ms = max(0, round((now_unix_s - limit.named_unix_s) * MS_PER_S))
+                heartbeat.limits.append(
+                    pb.ServerLimit(
+                        server_key=key,
+                        age_ms=min(age_ms, MAX_AGE_MS),
+                        per_s=limit.per_s or 0.0,
+                        has_ended=limit.per_s is None,
+                    )
+                )
+
+    def _take_limits(self, heartbeat: pb.Heartbeat, sent_unix_s: float) -> None:
+        servers, names = self.servers(), self._names()
+        for told in heartbeat.limits:
+            server = servers.get(names.get(told.server_key, ""))
+            if server is None or not 0.0 <= told.per_s <= MAX_LIMIT_PER_S:
+                continue
+            per_s = None if told.has_ended else told.per_s
+            named_unix_s = sent_unix_s - told.age_ms / MS_PER_S
+            self.table.limits.observe(server.incarnation, per_s, named_unix_s)
+
     def _drop_old_reports(self, now_unix_s: float) -> None:
         oldest_unix_s = now_unix_s - PASSED_ON_FOR_S
         for name, report in list(self._row_reports.items()):
--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -7,6 +7,7 @@
 from aiohttp import ClientResponse
 from result import Err, Ok, Result
 
+from pomelobarrow.decision.server_limits import parse_limit
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.messages import (
     Headers,
@@ -37,8 +38,9 @@
 # Requests that run, requests that wait, slots.
 SERVER_LOAD = "Pomelobarrow-Server-Load"
 
-# Requests a second that the server takes from all machines together.
-SERVER_LIMIT = "server-limit"
+# Requests a second that the server takes from all machines together. It is written without the
+# prefix where it is described, but no message that was seen shows it.
+SERVER_LIMITS = ("Server-Limit", "Pomelobarrow-Server-Limit")
 
 WRONG_SERVER_STATUS = 421
 MAX_PRIORITY = 9
@@ -143,7 +145,7 @@
         is_sealed=SEAL in headers,
         is_not_run=NOT_RUN in headers or response.status == WRONG_SERVER_STATUS,
         counts=_server_counts(headers.get(SERVER_LOAD, "")),
-        limit_text=headers.get(limit_header, ""),
+        limit_per_s=parse_limit(headers.get(limit_header, "")),
         limit_header=limit_header,
     )
 
@@ -200,7 +202,7 @@
 
 def _limit_header(headers: Mapping[str, str]) -> str:
     """Return the name under which a server names its limit, empty where it names none."""
-    return next((name for name in headers if name.lower().endswith(SERVER_LIMIT)), "")
+    return next((name for name in SERVER_LIMITS if name in headers), "")
 
 
 def _server_counts(text: str) -> ServerCounts | None:
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -88,15 +88,6 @@
     pool: str
 
 
-@frozen(kw_only=True)
-class ServerLimitNamed:
-    """Report that a server names another limit than before; empty where it names none."""
-
-    server: str
-    limit: str
-    header: str
-
-
 @frozen(kw_only=True)
 class DirectoryChanged:
     """Report that callers of a failure domain are led to other VMs than before."""
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -111,8 +111,9 @@
     ended_server_key: int | None = None
     # What the server has before it: requests that run and that wait. None where it doesn't say.
     counts: ServerCounts | None = None
-    # The requests a second that it says it takes from all VMs together, as written, and the header.
-    limit_text: str = ""
+    # The requests a second that it says it takes from all VMs together. None where it names none.
+    limit_per_s: float | None = None
+    # The header that names it.
     limit_header: str = ""
     # Why a peer can't say whether the request ran; empty on a backend server's answer.
     lost_detail: str = ""
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -20,6 +20,7 @@
 from pomelobarrow.decision.work import BackendServer, LoadReport, Placement
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.dispatch.crash_guard import CrashGuard, server_key
+from pomelobarrow.dispatch.events import ServerLimitNamed
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.answer import ClientAnswer
@@ -42,6 +43,7 @@
 # time, a retransmission included, is taken to be gone.
 SERVER_CONNECT_TIMEOUT_S = 0.35
 RETRY_JITTER = 0.5
+LIMIT_CHECK_S = 0.01
 PROBLEM_CONTENT_TYPE = ("Content-Type", "application/problem+json")
 
 
@@ -112,6 +114,8 @@
             decision = self.placer.place(
                 course.request.for_placement, course.routing, course.excluded, now_unix_s()
             )
+            if isinstance(decision, Nowhere) and await self._wait_for_limit(course, decision):
+                continue
             if isinstance(decision, Nowhere):
                 course.tries.last_detail = course.tries.last_detail or decision.reason
                 course.nowhere_wait_s = decision.wait_s
@@ -131,6 +135,17 @@
                 return Step.DONE
             return last_step(course.tries, course.sink.is_started)
 
+    async def _wait_for_limit(self, course: Course, decision: Nowhere) -> bool:
+        """Wait until a server's own limit lets a request through, where that may be in time."""
+        next_unix_s, now = decision.next_unix_s, now_unix_s()
+        if next_unix_s is None or course.request.forwarded_by:
+            return False
+        if next_unix_s >= course.request.work.first_token_due_unix_s:
+            return False
+        # Of those that wait for the same moment the first one goes; the others look again.
+        await asyncio.sleep(max(LIMIT_CHECK_S, next_unix_s - now))
+        return True
+
     def _may_repeat(self, course: Course, report: AttemptReport) -> bool:
         if report.end in REACHED_NO_SERVER:
             return True
@@ -255,11 +270,18 @@
 
     def _note_counts(self, server: BackendServer, head: ServerAnswerHead) -> None:
         """Take in what a server says of its load with an answer."""
-        self.log.answered(server.name, head)
         # The incarnation that it was sent to may be gone.
-        if head.counts is None or not self.placer.table.is_current(server):
+        if not self.placer.table.is_current(server):
             return
         now = now_unix_s()
+        if self.placer.table.limits.observe(server.incarnation, head.limit_per_s, now):
+            self.observe(
+                ServerLimitNamed(
+                    server=server.name, limit_per_s=head.limit_per_s, header=head.limit_header
+                )
+            )
+        if head.counts is None:
+            return
         glimpse = LoadReport(
             server=server.name,
             measured_unix_s=now,
--- a/src/pomelobarrow/relay/relay_log.py
+++ b/src/pomelobarrow/relay/relay_log.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
-from attrs import define, field
+from attrs import define
 
 from pomelobarrow.decision.fingerprint import readable
 from pomelobarrow.decision.load_table import LoadTable
@@ -16,9 +16,8 @@
     RelayEnded,
     RelayPlaced,
     RelayPlacedNowhere,
-    ServerLimitNamed,
 )
-from pomelobarrow.relay.messages import AttemptReport, ServerAnswerHead
+from pomelobarrow.relay.messages import AttemptReport
 
 
 @define(kw_only=True)
@@ -29,7 +28,6 @@
     table: LoadTable
     region_loads: Callable[[str], Mapping[str, RegionLoad]]
     observe: Callable[[object], None]
-    _limits: dict[str, str] = field(factory=dict, init=False)
 
     def placed(self, course: Course, decision: OnServer | OnPeer) -> None:
         """Report where a request is sent."""
@@ -109,14 +107,6 @@
             )
         )
 
-    def answered(self, server: str, head: ServerAnswerHead) -> None:
-        """Report the limit that a server names where it is another one than before."""
-        if head.limit_text != self._limits.get(server, ""):
-            self._limits[server] = head.limit_text
-            self.observe(
-                ServerLimitNamed(server=server, limit=head.limit_text, header=head.limit_header)
-            )
-
     def end(self, course: Course, outcome: str) -> None:
         """Report what the client got."""
         work, first_unix_s = course.request.work, course.first_answer_unix_s
--- a/src/pomelobarrow/standin/engine.py
+++ b/src/pomelobarrow/standin/engine.py
@@ -13,7 +13,12 @@
 from pomelobarrow.standin.orders import OrderBook
 from pomelobarrow.standin.prefix_cache import PrefixCache
 from pomelobarrow.standin.prompt import BLOCK_TOKENS
-from pomelobarrow.standin.runtime import MAX_BODY_BYTES, gate_middleware, serve_app
+from pomelobarrow.standin.runtime import (
+    MAX_BODY_BYTES,
+    gate_middleware,
+    limit_signal,
+    serve_app,
+)
 
 
 @frozen(kw_only=True)
@@ -76,6 +81,7 @@
     app = web.Application(
         middlewares=[gate_middleware(engine.gate)], client_max_size=MAX_BODY_BYTES
     )
+    app.on_response_prepare.append(limit_signal(lambda: engine.limit_per_s))
     app.add_routes(routes(engine, report))
     async with asyncio.TaskGroup() as tasks:
         measuring = tasks.create_task(report.keep_measuring())
--- a/src/pomelobarrow/standin/engine_state.py
+++ b/src/pomelobarrow/standin/engine_state.py
@@ -34,6 +34,8 @@
     refuse: bool = False
     # Requests whose body holds this text end the process.
     crash_on: str = ""
+    # Named with each answer; None names none.
+    limit_per_s: float | None = None
     runs: deque[Sequence] = field(factory=lambda: deque(maxlen=MAX_LOGGED_RUNS))
     never_start: set[str] = field(factory=set)
     _runs_by_id: dict[str, list[Sequence]] = field(factory=lambda: defaultdict(list))
--- a/src/pomelobarrow/standin/runtime.py
+++ b/src/pomelobarrow/standin/runtime.py
@@ -16,6 +16,7 @@
 SHUTDOWN_TIMEOUT_S = 0.1
 LISTEN_BACKLOG = 1024
 CRASH_EXIT_CODE = 70
+LIMIT_HEADER = "X-Server-Limit"
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
@@ -55,6 +56,16 @@
     return web.Response(body=orjson.dumps(payload), status=status, content_type="application/json")
 
 
+def limit_signal(limit_per_s: Callable[[], float | None]) -> Any:
+    """Build what names a server's limit in the head of each answer."""
+
+    async def name_limit(request: web.Request, response: web.StreamResponse) -> None:
+        if (named := limit_per_s()) is not None:
+            response.headers[LIMIT_HEADER] = str(named)
+
+    return name_limit
+
+
 async def crash_if_named(request: web.Request, crash_on: str) -> None:
     """End this process as a crash does, where a request's body holds a text."""
     if crash_on and crash_on in await request.text():
--- a/src/pomelobarrow/standin/service.py
+++ b/src/pomelobarrow/standin/service.py
@@ -16,6 +16,7 @@
     crash_if_named,
     gate_middleware,
     json_answer,
+    limit_signal,
     read_json,
     refused_unrun,
     serve_app,
@@ -48,6 +49,8 @@
     refuse: bool = False
     # Calls whose body holds this text end the process.
     crash_on: str = ""
+    # Named with each answer; None names none.
+    limit_per_s: float | None = None
 
     def measure(self) -> dict[str, Any]:
         """Measure the load."""
@@ -124,6 +127,7 @@
         service.leaving = body.get("leaving", service.leaving)
         service.refuse = body.get("refuse", service.refuse)
         service.crash_on = body.get("crash_on", service.crash_on)
+        service.limit_per_s = body.get("limit_per_s", service.limit_per_s)
         service.latency_s = body.get("latency_s", service.latency_s)
         service.gate.set_frozen(body.get("frozen", not service.gate.opened.is_set()))
         return json_answer({"leaving": service.leaving, "refuse": service.refuse})
@@ -143,6 +147,7 @@
     app = web.Application(
         middlewares=[gate_middleware(service.gate)], client_max_size=MAX_BODY_BYTES
     )
+    app.on_response_prepare.append(limit_signal(lambda: service.limit_per_s))
     app.add_routes(routes(service, report))
     async with asyncio.TaskGroup() as tasks:
         measuring = tasks.create_task(report.keep_measuring())
--- /dev/null
+++ b/tests/test_dispatch_server_limit.py
@@ -0,0 +1,69 @@
+"""Requests of the product's own interface before a server that names a limit."""
+
+import asyncio
+from typing import Any
+
+from attrs import define, evolve, field
+from test_dispatch_verdicts import Sink, request_of
+from work_builders import SERVER
+
+from pomelobarrow.decision.attempt import Attempt, AttemptState
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.work import Placement
+from pomelobarrow.dispatch.answers import AttemptResult
+from pomelobarrow.dispatch.local import LocalDispatch
+from pomelobarrow.dispatch.request import GatewayRequest
+
+LIMITED = evolve(SERVER, name="s1", region="r", pool="p")
+OTHER = evolve(SERVER, name="s2", region="r", pool="p")
+
+
+@define
+class Naming:
+    """Run each attempt at once on a server that names a limit with its answer."""
+
+    table: LoadTable
+    limit_per_s: float
+    ran: list[str] = field(factory=list)
+
+    async def run(self, request: GatewayRequest, placement: Placement, *rest: Any) -> AttemptResult:
+        server = placement.server
+        self.ran.append(server.name)
+        if server.name == LIMITED.name:
+            self.table.limits.observe(server.incarnation, self.limit_per_s, float(len(self.ran)))
+        return AttemptResult(state=AttemptState.FINISHED, server=server.name)
+
+
+def local_of(servers: list[Any], limit_per_s: float) -> tuple[LocalDispatch, Naming]:
+    table = LoadTable("r")
+    table.set_servers(servers)
+    naming = Naming(table, limit_per_s)
+    local = LocalDispatch(table=table, run_attempt=naming.run, observe=lambda event: None)
+    return local, naming
+
+
+def request(number: int) -> GatewayRequest:
+    plain = request_of(True)
+    return evolve(plain, work=evolve(plain.work, request_id=f"r{number}"))
+
+
+async def test_limited_server_gets_no_more_than_it_says_and_others_the_rest() -> None:
+    """Its queue was empty, so that it was the first choice for every request."""
+    local, naming = local_of([LIMITED, OTHER], 0.01)
+    for number in range(40):
+        await local.run(request(number), Attempt(), 1, frozenset(), Sink())
+    assert len(naming.ran) == 40
+    assert naming.ran.count("s1") <= 2
+
+
+async def test_request_waits_for_its_turn_at_the_only_server() -> None:
+    local, naming = local_of([LIMITED], 20.0)
+    running = [
+        asyncio.create_task(local.run(request(number), Attempt(), 1, frozenset(), Sink()))
+        for number in range(4)
+    ]
+    async with asyncio.timeout(30.0):
+        while not all(task.done() for task in running):
+            local.sweep()
+            await asyncio.sleep(0.01)
+    assert naming.ran == ["s1"] * 4
--- /dev/null
+++ b/tests/test_proof_server_limit.py
@@ -0,0 +1,28 @@
+"""Prove with real daemons that servers that name a limit get no more than that from them all."""
+
+import time
+from random import Random
+
+import pytest
+
+from soak.__main__ import LEAST_SERVED_SHARE, _wait_ready
+from soak.fleet import SoakFleet
+from soak.limited import LimitedServers
+
+pytestmark = pytest.mark.proof
+
+SENDING_S = 14.0
+
+
+async def test_server_that_names_a_limit_gets_no_more_from_two_daemons() -> None:
+    """Each region has two daemons and two servers; one of these takes a request in two seconds."""
+    async with SoakFleet(random=Random(1)) as fleet:
+        await _wait_ready(fleet)
+        limited = LimitedServers(fleet=fleet, random=Random(2))
+        await limited.start()
+        started_s = time.monotonic()
+        await limited.send_until(started_s + SENDING_S)
+        await limited.stop()
+    assert set(limited.arrivals_s) == {"limited-ra", "limited-rb"}
+    assert limited.broken_promises() == []
+    assert limited.served_share(started_s) > LEAST_SERVED_SHARE
--- /dev/null
+++ b/tests/test_server_limit_shares.py
@@ -0,0 +1,174 @@
+"""What servers that name a limit get from all VMs together, and how VMs learn of it."""
+
+import math
+from random import Random
+
+import pytest
+from attrs import evolve
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from work_builders import SERVER, table_of, work
+
+from pomelobarrow.decision.server_choice import choose_server
+from pomelobarrow.decision.server_limits import LEAST_PER_S, ServerLimits, parse_limit
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.grid import LinkKind
+from pomelobarrow.peers.server_news import SentServers, ServerNews
+
+WINDOW_S = 4.0
+TICK_S = 0.01
+
+
+def most_in_window(sent_unix_s: list[float]) -> int:
+    return max(
+        (sum(t <= each < t + WINDOW_S for each in sent_unix_s) for t in sent_unix_s), default=0
+    )
+
+
+def allowed_in_window(limit_per_s: float) -> float:
+    return 1.5 * WINDOW_S * limit_per_s + 5.0
+
+
+def fleet_of(count: int, limit_per_s: float, seen: int | None = None) -> list[ServerLimits]:
+    """Return the views of VMs that have heard of a limit; each may see only some of the others."""
+    names = [f"vm-{number:03}" for number in range(count)]
+    views = []
+    for place, name in enumerate(names):
+        others = names if seen is None else (names + names)[place : place + seen]
+        view = ServerLimits(own_vm=name, region_vms=lambda others=others: others)  # type: ignore[misc]
+        view.observe(SERVER.incarnation, limit_per_s, 0.0)
+        views.append(view)
+    return views
+
+
+def play(views: list[ServerLimits], demand_per_s: float, for_s: float = 12.0) -> list[float]:
+    """Return when requests were sent, that callers bring to the VMs at random."""
+    random, sent_unix_s = Random(1), []
+    for tick in range(int(for_s / TICK_S)):
+        now = tick * TICK_S
+        for view in views:
+            is_asked = random.random() < demand_per_s * TICK_S / len(views)
+            if is_asked and _sends(view, now):
+                sent_unix_s.append(now)
+    return sent_unix_s
+
+
+@settings(deadline=None, max_examples=40)
+@given(st.integers(1, 12), st.floats(0.0, 40.0))
+def test_all_vms_together_keep_to_a_limit(vms: int, limit_per_s: float) -> None:
+    """Each VM of a region has far more requests than the server takes of them all."""
+    sent = play(fleet_of(vms, limit_per_s), demand_per_s=10.0 * limit_per_s + 50.0)
+    assert most_in_window(sent) <= allowed_in_window(limit_per_s)
+
+
+@pytest.mark.parametrize("vms", [65, 340])
+@pytest.mark.parametrize("limit_per_s", [2.0, 30.0])
+def test_many_vms_keep_to_a_limit_below_their_number(vms: int, limit_per_s: float) -> None:
+    sent = play(fleet_of(vms, limit_per_s), demand_per_s=100.0)
+    assert most_in_window(sent) <= allowed_in_window(limit_per_s)
+
+
+@pytest.mark.parametrize("limit_per_s", [2.0, 7.4, 30.0])
+def test_a_server_gets_most_of_what_it_offers(limit_per_s: float) -> None:
+    sent = play(fleet_of(7, limit_per_s), demand_per_s=60.0, for_s=20.0)
+    assert len(sent) / 20.0 >= 0.75 * limit_per_s
+
+
+def test_vms_that_miss_one_of_the_others_keep_to_a_limit() -> None:
+    """Who joins or leaves is seen by some first."""
+    sent = play(fleet_of(8, 7.4, seen=7), demand_per_s=60.0)
+    assert most_in_window(sent) <= allowed_in_window(7.4)
+
+
+def test_limit_that_rises_falls_and_ends_is_followed() -> None:
+    limits = ServerLimits(own_vm="vm-0")
+    seen = []
+    for at, per_s in enumerate((4.0, 20.0, 1.0, None)):
+        limits.observe(SERVER.incarnation, per_s, float(at))
+        seen.append(limits.limit_per_s(SERVER))
+    assert seen == [4.0, 20.0, 1.0, math.inf]
+
+
+def test_older_word_of_a_peer_changes_nothing() -> None:
+    limits = ServerLimits(own_vm="vm-0")
+    assert limits.observe(SERVER.incarnation, 4.0, 10.0)
+    assert not limits.observe(SERVER.incarnation, None, 9.0)
+    assert limits.limit_per_s(SERVER) == 4.0
+
+
+def test_limit_that_fell_from_high_to_low_holds_at_once() -> None:
+    limits = ServerLimits(own_vm="vm-0")
+    limits.observe(SERVER.incarnation, 1_000.0, 0.0)
+    assert limits.allows(SERVER, 0.0)
+    limits.take(SERVER, 0.0)
+    limits.observe(SERVER.incarnation, 0.5, 0.1)
+    sent = [at for at in (0.1 + tick * TICK_S for tick in range(1_000)) if _sends(limits, at)]
+    assert most_in_window(sent) <= allowed_in_window(0.5)
+
+
+def _sends(limits: ServerLimits, now_unix_s: float) -> bool:
+    if not limits.allows(SERVER, now_unix_s):
+        return False
+    limits.take(SERVER, now_unix_s)
+    return True
+
+
+def test_server_that_takes_nothing_is_asked_now_and_then() -> None:
+    """Nobody sent there any more, and nobody learned that the limit had ended."""
+    sent = play(fleet_of(7, 0.0), demand_per_s=100.0, for_s=30.0)
+    assert 2 <= len(sent) <= 30.0 * LEAST_PER_S + 1
+
+
+def test_server_that_starts_again_has_no_limit() -> None:
+    table = table_of(1)
+    table.limits.observe(SERVER.incarnation, 1.0, 0.0)
+    again = evolve(SERVER, born_unix_ms=5)
+    table.set_servers([again])
+    assert (table.limits.limit_per_s(again), dict(table.limits.named)) == (math.inf, {})
+
+
+@pytest.mark.parametrize("text", ["", "x", "-1", "nan", "inf", "1e9", "1,5", "0x10", "1.", ".5"])
+def test_limit_that_cannot_be_read_is_none(text: str) -> None:
+    assert parse_limit(text) is None
+
+
+@pytest.mark.parametrize(("text", "per_s"), [("7.4", 7.4), (" 2 ", 2.0), ("0", 0.0)])
+def test_limit_is_a_decimal_number(text: str, per_s: float) -> None:
+    assert parse_limit(text) == per_s
+
+
+def test_work_goes_past_a_limited_server_to_another_one() -> None:
+    table = table_of(2)
+    table.limits.observe(SERVER.incarnation, 0.5, 0.0)
+    chosen = []
+    for number in range(6):
+        placement = choose_server(table, work(), 0.1, Random(1), frozenset())
+        assert placement is not None
+        table.charge(f"r{number}", placement.server.name, 10, 0.1)
+        chosen.append(placement.server.name)
+    assert chosen.count("s1") <= 1
+
+
+def test_neighbour_hears_of_a_limit_and_of_its_end_with_a_heartbeat() -> None:
+    """A VM that had no answer of the server itself went on sending."""
+    telling, hearing = table_of(1), table_of(1)
+    news = [_news_of(table) for table in (telling, hearing)]
+    sent = SentServers()
+    for at, per_s in ((1.0, 2.0), (2.0, None)):
+        telling.limits.observe(SERVER.incarnation, per_s, at)
+        heartbeat = pb.Heartbeat(vm="vm-0")
+        news[0].write(heartbeat, sent, LinkKind.COLUMN, at + 0.5)
+        news[1].take(heartbeat, LinkKind.COLUMN, at + 0.5, at + 0.5)
+        expected = math.inf if per_s is None else per_s
+        assert hearing.limits.limit_per_s(SERVER) == pytest.approx(expected)
+    heartbeat = pb.Heartbeat(vm="vm-0")
+    news[0].write(heartbeat, sent, LinkKind.COLUMN, 3.5)
+    assert list(heartbeat.limits) == []
+
+
+def _news_of(table: object) -> ServerNews:
+    return ServerNews(
+        table=table,  # type: ignore[arg-type]
+        servers=lambda: {SERVER.name: SERVER},
+        own_reports=list,
+    )
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -1,7 +1,9 @@
 """Servers that name the requests a second that they take from all VMs together."""
 
+import asyncio
 from typing import Any
 
+import pytest
 from relay_harness import ask, relay_fleet, route
 from scripted_server import Exchange, Script
 
@@ -34,3 +36,57 @@
         arrived = len(fleet.servers["s1"].received)
     assert statuses == [200] * 40
     assert arrived <= 3
+
+
+async def test_request_waits_for_a_limited_server_while_it_can_be_in_time() -> None:
+    """The only server takes a few requests a second, and callers come three at a time."""
+    patient = route(RouteKind.IDEMPOTENT, first_answer_target_s=8.0, timeout_s=9.0)
+    async with relay_fleet((patient,), {"a": {"s1": names_limit("8")}}) as fleet:
+        vm = fleet.vms["a"]
+        assert await _ask_many(vm, 2) == [200, 200]
+        late = {"Pomelobarrow-Request-Deadline": "9000"}
+        asking = [
+            ask(
+                vm,
+                f"/idempotent/{number}",
+                headers={"Pomelobarrow-Request-Id": f"w{number}", **late},
+            )
+            for number in range(3)
+        ]
+        answers = await asyncio.gather(*asking)
+    assert [answer.status for answer in answers] == [200] * 3
+
+
+async def test_request_that_a_limit_makes_late_is_refused_at_once_with_a_time() -> None:
+    async with relay_fleet(ROUTES, {"a": {"s1": names_limit("0.2")}}) as fleet:
+        vm = fleet.vms["a"]
+        # The first answer names the limit, and the first request after it is within that.
+        assert await _ask_many(vm, 2) == [200, 200]
+        answer = await ask(vm, "/idempotent/x", headers={"Pomelobarrow-Request-Id": "late"})
+        arrived = len(fleet.servers["s1"].received)
+    assert (answer.status, arrived) == (503, 2)
+    assert 0.0 < float(answer.headers["Retry-After"]) <= 3.0
+
+
+async def test_limit_named_by_a_failure_counts() -> None:
+    async def fails(exchange: Exchange) -> None:
+        exchange.write_head(500, Server_Limit="0.5", Content_Length="0")
+
+    async with relay_fleet((route(RouteKind.NON_IDEMPOTENT),), {"a": {"s1": fails}}) as fleet:
+        vm = fleet.vms["a"]
+        answers = [
+            await ask(vm, "/non_idempotent/x", headers={"Pomelobarrow-Request-Id": f"r{number}"})
+            for number in range(3)
+        ]
+    assert [answer.status for answer in answers] == [500, 500, 503]
+
+
+@pytest.mark.parametrize("prefix", ["", "Pomelobarrow_"])
+async def test_limit_is_read_under_both_names(prefix: str) -> None:
+    async def names(exchange: Exchange) -> None:
+        exchange.write_head(200, **{f"{prefix}Server_Limit": "0.5", "Content_Length": "0"})
+
+    async with relay_fleet(ROUTES, {"a": {"s1": names}}) as fleet:
+        await _ask_many(fleet.vms["a"], 1)
+        limits = fleet.vms["a"].relay.placer.table.limits
+        assert [limit.per_s for limit in limits.named.values()] == [0.5]
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -222,3 +222,15 @@
         await call("POST", engine.listening, CHAT, chat("fatal"), headers("r1"))
     with pytest.raises(aiohttp.ClientConnectorError):
         await call("GET", engine.listening, "/v1/load")
+
+
+async def test_limit_is_named_with_each_answer_until_it_ends(engine: Standin) -> None:
+    named = []
+    for limit_per_s in (2.5, None):
+        await call("POST", engine.listening, "/admin/mode", {"limit_per_s": limit_per_s})
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{engine.listening}/v1/load") as response,
+        ):
+            named.append(response.headers.get("X-Server-Limit"))
+    assert named == ["2.5", None]
--- a/tests/test_standin_service.py
+++ b/tests/test_standin_service.py
@@ -55,3 +55,15 @@
         await call("POST", service.listening, "/", {"a": "fatal"})
     with pytest.raises(aiohttp.ClientConnectorError):
         await call("GET", service.listening, "/v1/load")
+
+
+async def test_limit_is_named_with_each_answer_until_it_ends(service: Standin) -> None:
+    named = []
+    for limit_per_s in (2.5, None):
+        await call("POST", service.listening, "/admin/mode", {"limit_per_s": limit_per_s})
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{service.listening}/v1/load") as response,
+        ):
+            named.append(response.headers.get("X-Server-Limit"))
+    assert named == ["2.5", None]
