Look for no server's end past a request's deadline

On the product's own interface a request that a silent server kept until its deadline was answered up to a tenth of a second after it, while the VM looked whether that server had ended. Nothing is sent again past the deadline, so that nobody needs the finding. Found by reading; test_caller_whose_deadline_passed_waits_for_no_finding fails without the condition.

--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -91,10 +91,7 @@
             self.table.release(work.request_id, now_unix_s())
             self.pump(work.pool)
         self._judge_server(result)
-        if result.state is AttemptState.UNKNOWN:
-            await self.guard.note_closed(server, request.fingerprint)
-        elif result.is_finished:
-            self.guard.note_answered(request.fingerprint)
+        await self._note_whether_ended(request, placement, result)
         if result.is_finished and result.output_tokens:
             self.outputs.observe(work.class_name, result.output_tokens)
         self.observe(
@@ -114,6 +111,16 @@
         for _ in range(LOOP_STEPS_BEFORE_SENDING):
             await asyncio.sleep(0)
 
+    async def _note_whether_ended(
+        self, request: GatewayRequest, placement: Placement, result: AttemptResult
+    ) -> None:
+        """Learn whether a server ended under a request, or answered it."""
+        if result.is_finished:
+            self.guard.note_answered(request.fingerprint)
+        # Past the deadline nothing is sent again, and the caller waits for no finding.
+        elif result.state is AttemptState.UNKNOWN and now_unix_s() < request.work.deadline_unix_s:
+            await self.guard.note_closed(placement.server, request.fingerprint)
+
     def _refuse_blocked(self, request: GatewayRequest) -> None:
         """Refuse a request that was found to end servers while it waited for a place."""
         work = request.work
--- a/tests/test_dispatch_crashing_request.py
+++ b/tests/test_dispatch_crashing_request.py
@@ -1,6 +1,7 @@
 """Requests of the product's own interface that end the servers that run them."""
 
 import asyncio
+import time
 from typing import Any
 
 import pytest
@@ -12,7 +13,7 @@
 from pomelobarrow.decision.errors import Kind, Run
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.region_choice import ShareOutsideHome
-from pomelobarrow.decision.work import Placement
+from pomelobarrow.decision.work import BackendServer, Placement
 from pomelobarrow.dispatch import dispatcher as module
 from pomelobarrow.dispatch.answers import AttemptResult
 from pomelobarrow.dispatch.crash_guard import CrashGuard
@@ -122,3 +123,28 @@
     with pytest.raises(RefusedError, match="servers ended while they ran this request"):
         await waiting
     assert (ran, dict(table.in_flight())) == ([], {})
+
+
+@pytest.mark.parametrize(("left_s", "looked_at"), [(60.0, ["s1"]), (-1.0, [])])
+async def test_caller_whose_deadline_passed_waits_for_no_finding(
+    left_s: float, looked_at: list[str]
+) -> None:
+    """The answer at the deadline came a tenth of a second after it, from a silent server."""
+    seen: list[str] = []
+
+    class Guard(CrashGuard):
+        async def note_closed(self, server: BackendServer, fingerprint: int) -> None:
+            seen.append(server.name)
+
+    async def lose(request: GatewayRequest, placement: Placement, *rest: Any) -> AttemptResult:
+        return AttemptResult(state=AttemptState.UNKNOWN, server=placement.server.name)
+
+    table = LoadTable("r")
+    table.set_servers([evolve(SERVER, region="r", pool="p")])
+    guard = Guard()
+    local = LocalDispatch(table=table, run_attempt=lose, observe=lambda event: None, guard=guard)
+    request = request_of(True)
+    placement = Placement(server=table.pool_servers("p")[0], expected_wait_s=0.0)
+    late = evolve(request, work=evolve(request.work, deadline_unix_s=time.time() + left_s))
+    await local._note_whether_ended(late, placement, await lose(late, placement))
+    assert seen == looked_at
