Give each VM a turn again to try a blocked request

A request that was blocked wrongly and comes seldom met the one turn of five seconds of the VM that it came to by chance only, and stayed refused for an hour. The turns now go round; each VM still tries once at most, and a crash by any trial ends them all until the next, longer time. test_blocked_request_that_comes_seldom_gets_its_trial failed before. Found by reading the change.

--- a/src/pomelobarrow/decision/crash_suspects.py
+++ b/src/pomelobarrow/decision/crash_suspects.py
@@ -147,7 +147,7 @@
     def take_trial(self, fingerprint: int, live_vms: Iterable[str], now_unix_s: float) -> bool:
         """Say whether a blocked request is let through once, to find out whether it may be cleared.
 
-        One VM at a time does so, in an order that all agree on.
+        One VM at a time does so, in an order that all agree on, each of them once.
         """
         suspect = self._current(fingerprint, now_unix_s)
         if suspect is None:
@@ -158,7 +158,8 @@
             return False
         is_tried = suspect.last_trial_unix_s > newest_unix_s
         turn = int((now_unix_s - newest_unix_s - after_s) / TRIAL_TURN_S)
-        if is_tried or turn != self._place(fingerprint, live_vms):
+        vms = {self.own_vm, *live_vms}
+        if is_tried or turn % len(vms) != self._place(fingerprint, vms):
             return False
         suspect.last_trial_unix_s = now_unix_s
         return True
@@ -167,7 +168,7 @@
         """Return how many VMs have their turn before this one."""
         key = f"trial/{fingerprint}"
         own = (weight(key, self.own_vm), self.own_vm)
-        return sum((weight(key, vm), vm) < own for vm in set(live_vms) - {self.own_vm})
+        return sum((weight(key, vm), vm) < own for vm in live_vms)
 
     def _note_crash(self, crash: Crash) -> tuple[Finding, ...]:
         answered_unix_s = self._answered.get(crash.fingerprint, float("-inf"))
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -108,6 +108,17 @@
     assert {vm for _, vm in let_through} == set(VMS)
 
 
+def test_blocked_request_that_comes_seldom_gets_its_trial() -> None:
+    """It comes once a minute, at another VM each time, and missed the one turn of each."""
+    views = [blocked(vm) for vm in VMS]
+    trials = [
+        minute
+        for minute in range(2, 50)
+        if views[minute % len(VMS)].take_trial(1, VMS, 100.0 + 60.0 * minute + minute)
+    ]
+    assert trials
+
+
 def test_crashing_request_ends_two_more_servers_at_most_by_trials() -> None:
     views = [blocked(vm) for vm in VMS]
     ended = 0
