Keep what a peer said last where its link is lost behind it

What callers saw.

Taken for a lost answer, the rest was fetched (there was none) and the attempt ended a second time, which its state rules out; aiohttp closed the connection under the caller's next request. By the same way a refusal was replaced by an outcome of its own making: a Cancel at the peer, and the refusal's text and Retry-After gone.

Ruled out: a server's answer cut short (the log has the request whole).

What a peer says last is kept, and a connection lost behind it changes nothing.

Tests: whole answer, refusal and short answer, each with the connection closed behind the last message, over real connections; all three failed before. Three more keep that an answer lost before its end isn't taken for whole.

--- a/src/pomelobarrow/peers/forward_client.py
+++ b/src/pomelobarrow/peers/forward_client.py
@@ -154,14 +154,19 @@
     serial: int
     head_passed: bool = False
     relayed: Relayed = field(factory=Relayed)
+    # What the peer said last of all; nothing that happens to the connection changes it.
+    _ended: AttemptResult | None = None
 
     async def run(self) -> AttemptResult:
         """Send, relay the answer, and learn how it ended."""
         try:
             with take_back_cancels():
-                return await self._converse(await self.link.up_channel())
+                await self._converse(await self.link.up_channel())
         except LOST as error:
-            return await self._resume_or_lose(repr(error))
+            if self._ended is None:
+                return await self._resume_or_lose(repr(error))
+        assert self._ended is not None
+        return self._ended
 
     async def _resume_or_lose(self, detail: str) -> AttemptResult:
         """Fetch the rest through any peer of the region; the engine still holds the work."""
@@ -216,7 +221,7 @@
         )
         return await cancel_forward(self.link, self.forwarder.keys, message)
 
-    async def _converse(self, channel: Channel) -> AttemptResult:
+    async def _converse(self, channel: Channel) -> None:
         metadata = self.forwarder.keys.metadata(self.forwarder.own.vm, FORWARD_PATH)
         message = self._message()
         async with PeerStub(channel).Forward.open(metadata=metadata) as stream:
@@ -224,13 +229,11 @@
             await start_call(stream)
             self.attempt.apply(AttemptEvent.SEND)
             await stream.send_message(message, end=True)
-            while True:
+            while self._ended is None:
                 event = await stream.recv_message()
                 if event is None:
                     raise ConnectionError("the answer stopped without an end")
-                result = await self._take(event)
-                if result is not None:
-                    return result
+                self._ended = await self._take(event)
 
     async def _take(self, event: pb.ForwardEvent) -> AttemptResult | None:
         kind = event.WhichOneof("kind")
--- /dev/null
+++ b/tests/peer_handlers.py
@@ -0,0 +1,24 @@
+"""Peer handlers of which a test needs one or two."""
+
+from typing import Any
+
+from pomelobarrow.peers.peers_grpc import PeerBase
+
+
+class PeerHandlersStub(PeerBase):
+    """Answer no call; a test replaces the methods it needs."""
+
+    async def Exchange(self, stream: Any) -> None:  # noqa: N802
+        raise NotImplementedError
+
+    async def Forward(self, stream: Any) -> None:  # noqa: N802
+        raise NotImplementedError
+
+    async def Resume(self, stream: Any) -> None:  # noqa: N802
+        raise NotImplementedError
+
+    async def Cancel(self, stream: Any) -> None:  # noqa: N802
+        raise NotImplementedError
+
+    async def HandOver(self, stream: Any) -> None:  # noqa: N802
+        raise NotImplementedError
--- /dev/null
+++ b/tests/test_forward_client.py
@@ -0,0 +1,206 @@
+"""Forwards whose connection is lost at the end of the answer."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, nullcontext
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from attrs import define, field
+from grpclib.client import Channel
+from grpclib.server import Server
+from peer_handlers import PeerHandlersStub
+
+from harness.processes import free_ports
+from pomelobarrow.decision.attempt import Attempt, AttemptState
+from pomelobarrow.decision.configuration import Rank, WorkClass
+from pomelobarrow.decision.errors import Kind, Run
+from pomelobarrow.decision.member import Member
+from pomelobarrow.decision.work import Work
+from pomelobarrow.dispatch.answers import END_EVENT, SERVER_SENT_EVENTS, AnswerHead
+from pomelobarrow.dispatch.request import GatewayRequest
+from pomelobarrow.kernel.settings import PeerKey
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.forward_client import Forward
+from pomelobarrow.peers.keys import PeerKeys
+
+HOST = "127.0.0.1"
+PEER = Member(vm="milan-1", region="milan")
+OWN = Member(vm="turin-1", region="turin")
+TOKEN_EVENT = b"data: token\n\n"
+HEAD = pb.Head(
+    status=200,
+    server="drafting-milan-1",
+    headers=[pb.Header(name="Content-Type", value=SERVER_SENT_EVENTS)],
+)
+WHOLE = (
+    pb.ForwardEvent(head=HEAD),
+    pb.ForwardEvent(chunk=TOKEN_EVENT + END_EVENT),
+    pb.ForwardEvent(end=pb.End(complete=True)),
+)
+REFUSED = (
+    pb.ForwardEvent(
+        refusal=pb.Refusal(kind=Kind.OVERLOADED.label, run=Run.NO.value, detail="no room")
+    ),
+)
+SHORT = (
+    pb.ForwardEvent(head=HEAD),
+    pb.ForwardEvent(end=pb.End(complete=False, detail="it stopped short")),
+)
+
+
+@define
+class Sink:
+    """Keep what a caller gets."""
+
+    told: list[Any] = field(factory=list)
+
+    async def head(self, head: AnswerHead) -> None:
+        self.told.append(head.status)
+
+    async def chunk(self, data: bytes) -> None:
+        self.told.append(data)
+
+    async def end(self) -> None:
+        self.told.append("end")
+
+
+class LosesConnection(PeerHandlersStub):
+    """Answer a forward, then close the connection before the stream's own end."""
+
+    def __init__(self, events: tuple[pb.ForwardEvent, ...]) -> None:
+        self._events = events
+
+    async def Forward(self, stream: Any) -> None:  # noqa: N802
+        await stream.recv_message()
+        for event in self._events:
+            await stream.send_message(event)
+        stream.peer._transport.close()
+        await asyncio.Event().wait()
+
+    async def Cancel(self, stream: Any) -> None:  # noqa: N802
+        await stream.recv_message()
+        await stream.send_message(pb.CancelReply(outcome="unknown"))
+
+
+def request() -> GatewayRequest:
+    now = time.time()
+    work = Work(
+        request_id="r",
+        class_name="c",
+        account="a",
+        rank=Rank.PAYING,
+        pool="p",
+        model=None,
+        home_region="milan",
+        home_bound=True,
+        repeatable=True,
+        prompt_tokens=0,
+        expected_output_tokens=0,
+        accepted_unix_s=now,
+        first_token_due_unix_s=now + 1,
+        deadline_unix_s=now + 60,
+    )
+    work_class = WorkClass(name="c", pool="p", first_token_target_s=1, finish_target_s=60)
+    return GatewayRequest(
+        work=work, work_class=work_class, is_chat=True, is_streamed=True, method="POST", path="/"
+    )
+
+
+@asynccontextmanager
+async def forward_to(handlers: PeerHandlersStub, sink: Sink) -> AsyncIterator[Forward]:
+    """Yield a forward to a peer with these handlers."""
+    (port,) = free_ports(1)
+    server = Server([handlers])
+    await server.start(HOST, port)
+    channel = Channel(HOST, port)
+
+    async def up_channel() -> Channel:
+        return channel
+
+    open_channel: Callable[[], Channel] = lambda: Channel(HOST, port)  # noqa: E731
+    link: Any = SimpleNamespace(
+        up_channel=up_channel,
+        open_channel=open_channel,
+        is_up=False,
+        channel=None,
+        in_use=nullcontext,
+    )
+    table: Any = SimpleNamespace(is_linked=lambda vm: True, clock_offset_s=lambda vm: 0.0)
+    forwarder: Any = SimpleNamespace(
+        own=OWN,
+        view=SimpleNamespace(usable_entries=lambda region, now: []),
+        table=table,
+        keys=PeerKeys((PeerKey(id="k", secret="a-secret-of-the-fleet"),)),
+        traces=None,
+        rng=None,
+        next_serial=lambda: 2,
+    )
+
+    async def link_to(member: Member) -> Any:
+        return link
+
+    table.link_to = link_to
+    try:
+        yield Forward(
+            forwarder=forwarder,
+            member=PEER,
+            link=link,
+            request=request(),
+            attempt=Attempt(),
+            sink=sink,  # type: ignore[arg-type]
+            is_claim=False,
+            serial=1,
+        )
+    finally:
+        channel.close()
+        server.close()
+        await server.wait_closed()
+
+
+async def test_whole_answer_counts_where_its_connection_is_lost_at_once() -> None:
+    """The connection to a peer is lost between the answer's end and the stream's own.
+
+    The caller had its whole answer. Ended a second time, the attempt raised an error, and the
+    caller's connection was closed under its next request.
+    """
+    sink = Sink()
+    async with forward_to(LosesConnection(WHOLE), sink) as forward:
+        result = await forward.run()
+
+    assert result.is_finished
+    assert sink.told == [200, TOKEN_EVENT + END_EVENT, "end"]
+
+
+async def test_refusal_counts_where_its_connection_is_lost_at_once() -> None:
+    """A peer that stops refuses a request and closes the connection."""
+    async with forward_to(LosesConnection(REFUSED), Sink()) as forward:
+        result = await forward.run()
+
+    assert result.state is AttemptState.REFUSED_UNRUN
+    assert result.refusal is not None
+    assert result.refusal.detail == "no room"
+
+
+async def test_short_answer_stays_short_where_its_connection_is_lost_at_once() -> None:
+    """A peer says that the answer stops short and closes the connection."""
+    async with forward_to(LosesConnection(SHORT), Sink()) as forward:
+        result = await forward.run()
+
+    assert (result.state, result.detail) == (AttemptState.UNKNOWN, "it stopped short")
+
+
+@pytest.mark.parametrize("events", [(), WHOLE[:1], WHOLE[:2]], ids=["nothing", "head", "chunk"])
+async def test_answer_lost_before_its_end_is_not_taken_for_whole(
+    events: tuple[pb.ForwardEvent, ...], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A connection is lost before the end was told; only its last event shows it whole."""
+    monkeypatch.setattr("pomelobarrow.peers.forward_resume.TRY_PAUSE_S", 0.0)
+    sink = Sink()
+    async with forward_to(LosesConnection(events), sink) as forward:
+        result = await forward.run()
+
+    assert result.is_finished is (events == WHOLE[:2])
+    assert ("end" in sink.told) is result.is_finished
