Send heartbeats on every stream that a peer has opened

A VM that starts dials its seeds and, once it knows their names, the same VMs by name; for a moment it has two streams to one VM. The VM that accepted both kept the newest alone. When the dialer closed that one, the entry was dropped, and nobody sent a heartbeat on the older stream: its dialer found it silent after 3.2 s and closed the connection, with every forward on it.

All accepted streams are kept; heartbeats go on each, other messages on each peer's newest.

Two tests failed before (the second for want of the method).

--- a/src/pomelobarrow/peers/streams.py
+++ b/src/pomelobarrow/peers/streams.py
@@ -141,22 +141,28 @@
 
 @define
 class AcceptedStreams:
-    """Hold the newest stream that each peer has opened to this VM."""
+    """Hold the streams that peers have opened to this VM, oldest first.
 
-    _by_vm: dict[str, PeerStream] = field(factory=dict)
+    A VM may have two to another for a moment, and closes either.
+    """
+
+    _streams: list[PeerStream] = field(factory=list)
 
     def add(self, stream: PeerStream) -> None:
         """Take a stream that a peer has opened."""
-        self._by_vm[stream.peer.vm] = stream
+        self._streams.append(stream)
 
     def remove(self, stream: PeerStream) -> None:
-        """Drop a stream that has ended, unless a newer one took its place."""
-        if self._by_vm.get(stream.peer.vm) is stream:
-            del self._by_vm[stream.peer.vm]
+        """Drop a stream that has ended."""
+        self._streams.remove(stream)
+
+    def all(self) -> list[PeerStream]:
+        """Return the streams on which the peer has spoken."""
+        return [stream for stream in self._streams if stream.is_up]
 
     def up(self) -> dict[str, PeerStream]:
-        """Return the streams on which the peer has spoken, by the peer's name."""
-        return {vm: stream for vm, stream in self._by_vm.items() if stream.is_up}
+        """Return each peer's newest stream on which it has spoken, by the peer's name."""
+        return {stream.peer.vm: stream for stream in self._streams if stream.is_up}
 
 
 async def _reset(stream: Any) -> None:
--- a/src/pomelobarrow/peers/table.py
+++ b/src/pomelobarrow/peers/table.py
@@ -190,7 +190,7 @@
 
     def _all_streams(self) -> list[PeerStream]:
         dialed = [link.stream for link in self.links.values()]
-        return [*dialed, *self._accepted.up().values()]
+        return [*dialed, *self._accepted.all()]
 
     def broadcast(self, message: pb.PeerMessage) -> None:
         """Send to every linked peer."""
--- a/tests/test_peer_table.py
+++ b/tests/test_peer_table.py
@@ -126,6 +126,35 @@
     assert await fixture.dialed_after(AWAIT_STREAM_S) == {"milan-1", "milan-3"}
 
 
+async def test_an_older_stream_is_told_again_once_the_newer_one_has_ended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A VM that starts dials a seed and, by its name, the same VM once more, then closes one.
+
+    The VM that accepted both forgot the other with it and said nothing on it any more. Its peer
+    gave it up as silent seconds later, and with it every forward in progress there.
+    """
+    fixture = Fixture(monkeypatch, Phase.READY)
+    by_name, by_seed = stream_of("milan-1"), stream_of("milan-1")
+    fixture.accepted.add(by_name)
+    fixture.accepted.add(by_seed)
+    fixture.accepted.remove(by_seed)
+
+    assert fixture.accepted.up() == {"milan-1": by_name}
+    assert await fixture.dialed_after(AWAIT_STREAM_S) == {"milan-3"}
+
+
+async def test_each_accepted_stream_gets_heartbeats(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A stream without heartbeats is given up as silent, with the forwards in progress on it."""
+    fixture = Fixture(monkeypatch, Phase.READY)
+    older, newer = stream_of("milan-1"), stream_of("milan-1")
+    fixture.accepted.add(older)
+    fixture.accepted.add(newer)
+
+    assert fixture.accepted.all() == [older, newer]
+    assert fixture.accepted.up() == {"milan-1": newer}
+
+
 async def test_a_starting_vm_waits_for_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
     fixture = Fixture(monkeypatch, Phase.STARTING)
 
