Say when a stream between VMs is closed by choice

What callers saw. In fleets of more than two VMs a region, ready VMs of other regions counted as silent for two to five seconds shortly after the fleet had started: left out of the entries that callers are given and passed over by forwards.

VMs that start speak to all others. Once the relays between the regions are known, the other streams are closed. A member that spoke itself is allowed 2.5 to 5 s by its pace, and others' words on it count only once that has passed; the words of relays come every 3 to 4 s. Neither end knew that the silence was agreed.

Trusting a relay's word beside a member's own: a VM without power lived on by words on its last heartbeat. A longer silence for all: a dead VM would be served longer.

Before a VM closes a stream it sends `closing`; each end expects words on the other from then on, if it isn't silent already and no other stream is up. A stream that breaks is judged as before, so that a killed VM is found as soon. Older daemons leave the message out.

Tests: four on the view, three on the table; those on the closing itself failed before for want of it.

--- a/src/pomelobarrow/decision/member_record.py
+++ b/src/pomelobarrow/decision/member_record.py
@@ -94,6 +94,11 @@
         self.heard_unix_s = heard_unix_s
         self.timer.hear_of(heard_unix_s, timeout_s)
 
+    def await_words(self) -> None:
+        """Judge it by others' words from now on; they come more seldom than its own."""
+        self.direct = False
+        self.timer.hear_of(self.heard_unix_s)
+
     def is_newer(self, heartbeat: Member) -> bool:
         """Say whether a heartbeat is later than all that was heard of the member."""
         if heartbeat.incarnation < self.member.incarnation:
--- a/src/pomelobarrow/decision/membership.py
+++ b/src/pomelobarrow/decision/membership.py
@@ -147,6 +147,13 @@
         self._live.note(record, record.member)
         return True
 
+    def observe_unlinked(self, vm: str, now_unix_s: float) -> None:
+        """Expect only others' words on a member: the last stream to it was closed by choice."""
+        record = self._records.get(vm)
+        if record is not None and record.is_live(self._time(now_unix_s)):
+            record.await_words()
+            self._live.expire()
+
     def observe_leave(
         self, vm: str, incarnation: int, successor: str, now_unix_s: float | None = None
     ) -> None:
--- a/src/pomelobarrow/peers/exchange.py
+++ b/src/pomelobarrow/peers/exchange.py
@@ -52,6 +52,7 @@
             "member_request": self._on_member_request,
             "member_descriptions": self._on_member_descriptions,
             "crash_findings": self._on_crash_findings,
+            "closing": self._on_closing,
         }
         handler = handlers.get(kind or "")
         if handler is None:
@@ -162,6 +163,9 @@
     def _on_crash_findings(self, told: pb.CrashFindings, peer_vm: str, reply: Reply) -> None:
         self.crash_news.take(told, peer_vm)
 
+    def _on_closing(self, closing: pb.Closing, peer_vm: str, reply: Reply) -> None:
+        self.view.observe_unlinked(peer_vm, now_unix_s())
+
     def is_behind(self, reachable: Iterable[str]) -> bool:
         """Tell whether a reachable peer has said to hold a higher revision than this VM."""
         summaries = (self._peer_copies.get(vm, {}).values() for vm in reachable)
--- a/src/pomelobarrow/peers/streams.py
+++ b/src/pomelobarrow/peers/streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 import structlog
@@ -18,6 +19,8 @@
 SILENT_AFTER_S = 3.2
 FLUSH_CHECK_EVERY_S = 0.01
 RESET_TIMEOUT_S = 0.2
+# Closing holds up the review of all streams; a peer that reads nothing would hold it up for longer.
+CLOSING_TIMEOUT_S = 0.2
 
 log = structlog.get_logger(__name__)
 
@@ -62,6 +65,13 @@
             for message in self.exchange.crash_news.whole():
                 self.send(message)
 
+    async def say_closing(self) -> None:
+        """Tell the peer that this stream ends by choice; return once that is on its way."""
+        self.send(pb.PeerMessage(closing=pb.Closing()))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(CLOSING_TIMEOUT_S):
+                await self.flush()
+
     async def flush(self) -> None:
         """Wait until the queued messages are sent, or the connection is lost."""
         while self._is_open and self._unsent:
--- a/src/pomelobarrow/peers/table.py
+++ b/src/pomelobarrow/peers/table.py
@@ -303,8 +303,12 @@
         if link is None:
             return
         self._on_demand_until_unix_s.pop(vm, None)
+        is_up = link.is_up
+        await link.stream.say_closing()
         await self.remove_dependency(link)
         await link.stop()
+        if is_up and link.peer.vm not in self._streams_up():
+            self._view.observe_unlinked(link.peer.vm, now_unix_s())
 
     def _on_applied(self, name: str, source: str) -> None:
         if name == VMS:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -285,3 +285,45 @@
         last_unix_s = 100.0 + heard - 1
         assert view.suspects(last_unix_s + UNKNOWN_PACE_S) == set()
         assert view.suspects(last_unix_s + UNKNOWN_PACE_S + 0.1) == {"vm-b"}
+
+
+def test_a_member_whose_stream_was_closed_is_not_taken_for_silent() -> None:
+    """Ready VMs of other regions count as dead for some seconds after a fleet has started.
+
+    All VMs speak to each other at first; then most streams between regions are closed, and the next
+    word on those VMs comes from a relay, later than the next heartbeat would have come.
+    """
+    view = view_of()
+    for second in range(10):
+        view.observe_heartbeat(member(sequence=second + 1), 100.0 + second)
+    view.observe_unlinked("vm-b", 109.0)
+
+    assert view.suspects(109.0 + CEILING_S) == set()
+    assert view.suspects(109.0 + CEILING_S + 0.1) == {"vm-b"}
+
+
+def test_words_on_a_member_whose_stream_was_closed_count_at_once() -> None:
+    view = view_of()
+    view.observe_heartbeat(member(sequence=1), 100.0)
+    view.observe_unlinked("vm-b", 100.5)
+
+    assert view.observe_alive("vm-b", 1, 101.0, 104.0, told_by="vm-c")
+    assert view.heard_unix_s("vm-b") == 101.0
+
+
+def test_a_member_that_speaks_again_is_judged_by_its_pace_again() -> None:
+    view = view_of()
+    view.observe_heartbeat(member(sequence=1), 100.0)
+    view.observe_unlinked("vm-b", 100.5)
+    view.observe_heartbeat(member(sequence=2), 101.0)
+
+    assert view.suspects(101.0 + UNKNOWN_PACE_S + 0.1) == {"vm-b"}
+
+
+def test_closing_a_stream_brings_no_silent_member_back() -> None:
+    view = view_of()
+    view.observe_heartbeat(member(sequence=1), 100.0)
+    assert view.suspects(106.0) == {"vm-b"}
+    view.observe_unlinked("vm-b", 106.0)
+
+    assert view.suspects(106.0) == {"vm-b"}
--- a/tests/test_peer_table.py
+++ b/tests/test_peer_table.py
@@ -1,5 +1,6 @@
 """Which of two VMs dials, whose stream is closed where both did, and who reads the platform."""
 
+import asyncio
 from types import SimpleNamespace
 from typing import Any
 
@@ -8,11 +9,12 @@
 
 from pomelobarrow.decision.member import ListedVm, Member, Phase
 from pomelobarrow.decision.membership import MembershipView
+from pomelobarrow.decision.silence import UNKNOWN_PACE_S
 from pomelobarrow.kernel import clock
 from pomelobarrow.peers import table as module
 from pomelobarrow.peers.heartbeats import Heartbeats
 from pomelobarrow.peers.streams import AcceptedStreams, PeerStream
-from pomelobarrow.peers.table import AWAIT_STREAM_S, SETTLE_S, PeerTable
+from pomelobarrow.peers.table import AWAIT_STREAM_S, ON_DEMAND_KEPT_S, SETTLE_S, PeerTable
 
 REGION = "milan"
 
@@ -68,6 +70,10 @@
     def is_read(self, is_read: bool) -> None:
         self._published.is_read = is_read
 
+    @property
+    def view(self) -> MembershipView:
+        return self._view
+
     def forget_peers(self) -> None:
         """Let the table know nobody."""
         self._view._records.clear()
@@ -196,3 +202,52 @@
     fixture.forget_peers()
 
     assert fixture.table.is_watcher()
+
+
+async def test_a_peer_whose_link_is_no_longer_needed_is_not_taken_for_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A VM of another region counts as dead once the link for a forward to it is closed."""
+    fixture = Fixture(monkeypatch, Phase.READY)
+    turin = Member(vm="turin-1", region="turin", sequence=1)
+    await fixture.table.link_to(turin)
+    fixture.now_unix_s += ON_DEMAND_KEPT_S
+    fixture.view.observe_heartbeat(turin, fixture.now_unix_s)
+    # As it would be for any pair of regions with relays of their own.
+    monkeypatch.setattr(fixture.table, "_wanted", lambda now: {})
+
+    assert "turin-1" not in await fixture.dialed_after()
+    assert not fixture.view.is_heard_directly("turin-1")
+    assert "turin-1" not in fixture.view.suspects(fixture.now_unix_s + UNKNOWN_PACE_S + 0.1)
+
+
+async def test_a_peer_with_another_stream_is_judged_by_that_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    fixture = Fixture(monkeypatch, Phase.STARTING)
+    await fixture.dialed_after()
+    fixture.accepted.add(stream_of("milan-1"))
+
+    assert "milan-1" not in await fixture.dialed_after()
+    assert fixture.view.is_heard_directly("milan-1")
+
+
+async def test_a_peer_hears_that_a_stream_is_closed_by_choice() -> None:
+    told: list[Any] = []
+
+    class Stream:
+        """Keep what is sent, and bring nothing."""
+
+        async def send_message(self, message: Any) -> None:
+            told.append(message.WhichOneof("kind"))
+
+        async def recv_message(self) -> None:
+            await asyncio.Event().wait()
+
+    stream = stream_of("turin-1")
+    conversation = asyncio.create_task(stream.accepted(Stream()))
+    await asyncio.sleep(0)
+    await stream.say_closing()
+    conversation.cancel()
+
+    assert told == ["closing"]
