Give no place to a request that was cancelled a moment ago

What callers saw. On the product's own interface a request that ended while a waiting one was being cancelled failed, though it had its answer; the place it freed stayed taken.

A cancelled waiter's future is cancelled at once, but its task leaves the queue in the loop's next step.

Three cases of one test each fail on the code before with that error.

A waiter that is done is passed over; a place given back is given on at once.

--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -191,6 +191,9 @@
             return False
         work, placement = placed.work, placed.placement
         waiter = self._waiters.pop(work.request_id)
+        # Cancelled a moment ago, it gets to leave the queue only in the loop's next step.
+        if waiter.placed.done():
+            return True
         tokens = prefill_tokens(work, placement.cached_tokens)
         kv_tokens = work.prompt_tokens + work.expected_output_tokens
         self.table.charge(work.request_id, placement.server.name, tokens, now, kv_tokens)
@@ -215,11 +218,12 @@
             raise
 
     def _abandon(self, work: Work, placed: "asyncio.Future[Placement]") -> None:
-        """Leave the queue; a place given in the same loop step goes back too."""
+        """Leave the queue; a place given in the same loop step goes to the next."""
         self._waiters.pop(work.request_id, None)
         self.queue(work.pool).remove(work.request_id)
         if placed.done() and not placed.cancelled():
             self.table.release(work.request_id, now_unix_s())
+            self.pump(work.pool)
 
     def _refuse_expired(self, work: Work) -> None:
         waiter = self._waiters.pop(work.request_id, None)
--- /dev/null
+++ b/tests/test_dispatch_places.py
@@ -0,0 +1,158 @@
+"""Places are given to those that still wait for one."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import pytest
+from attrs import define, field
+
+from pomelobarrow.decision.attempt import Attempt, AttemptState
+from pomelobarrow.decision.configuration import Rank, WorkClass
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.work import BackendServer, Placement, Work
+from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
+from pomelobarrow.dispatch.local import LocalDispatch
+from pomelobarrow.dispatch.request import GatewayRequest
+
+POOL = "contracts"
+SERVER = BackendServer(
+    name="engine-1",
+    region="tallinn",
+    failure_domain="tallinn-a",
+    address="",
+    pool=POOL,
+    slots=1,
+    kv_capacity_tokens=200_000,
+)
+STEPS_TO_SETTLE = 10
+
+
+@define
+class Engine:
+    """Run each placed request until the test ends it."""
+
+    ends: list[asyncio.Event] = field(factory=list)
+
+    async def run(
+        self,
+        request: GatewayRequest,
+        placement: Placement,
+        attempt: Attempt,
+        number: int,
+        sink: AnswerSink,
+        on_first_byte: Callable[[], None],
+    ) -> AttemptResult:
+        self.ends.append(end := asyncio.Event())
+        await end.wait()
+        return AttemptResult(state=AttemptState.FINISHED, server=SERVER.name)
+
+
+class Local:
+    """Hold one server's places and the requests that want them."""
+
+    def __init__(self) -> None:
+        self.engine = Engine()
+        self.table = LoadTable("tallinn")
+        self.table.set_servers([SERVER])
+        self.places = 1
+        self.dispatch = LocalDispatch(
+            table=self.table,
+            run_attempt=self.engine.run,
+            observe=lambda event: None,
+            choose=self._choose,
+        )
+
+    async def start(self, request_id: str) -> "asyncio.Task[AttemptResult]":
+        """Start a run of a request, which waits or is placed."""
+        run = self.dispatch.run(request(request_id), Attempt(), 1, frozenset(), None)  # type: ignore[arg-type]
+        task = asyncio.create_task(run)
+        await settle()
+        return task
+
+    def _choose(self, *given: object) -> Placement | None:
+        if self.requests_on_server >= self.places:
+            return None
+        return Placement(server=SERVER, expected_wait_s=0.0)
+
+    @property
+    def requests_on_server(self) -> int:
+        """Count the places that are taken."""
+        return sum(each.requests for each in self.table.in_flight().values())
+
+
+def request(request_id: str) -> GatewayRequest:
+    """Return a request that may wait for long."""
+    now = time.time()
+    work = Work(
+        request_id=request_id,
+        class_name="review",
+        account="desk",
+        rank=Rank.PAYING,
+        pool=POOL,
+        model=None,
+        home_region="tallinn",
+        home_bound=True,
+        repeatable=True,
+        prompt_tokens=100,
+        expected_output_tokens=10,
+        accepted_unix_s=now,
+        first_token_due_unix_s=now + 60.0,
+        deadline_unix_s=now + 600.0,
+    )
+    work_class = WorkClass(name="review", pool=POOL, first_token_target_s=60, finish_target_s=300)
+    return GatewayRequest(
+        work=work, work_class=work_class, is_chat=True, is_streamed=True, method="POST", path="/"
+    )
+
+
+async def settle() -> None:
+    """Let all tasks go on until each waits."""
+    for _ in range(STEPS_TO_SETTLE):
+        await asyncio.sleep(0)
+
+
+@pytest.fixture
+def local() -> Local:
+    return Local()
+
+
+@pytest.mark.parametrize("steps_later", [0, 1])
+async def test_a_place_freed_as_a_waiting_caller_leaves_goes_to_the_next(
+    local: Local, steps_later: int
+) -> None:
+    """A caller leaves in the moment in which another request ends and frees its place.
+
+    The place went to the one that had left: the request that ended failed instead of being
+    answered, and the place stayed taken for good.
+    """
+    first = await local.start("first")
+    leaves = await local.start("leaves")
+    stays = await local.start("stays")
+    local.engine.ends[0].set()
+    for _ in range(steps_later):
+        await asyncio.sleep(0)
+    leaves.cancel()
+    await settle()
+
+    assert first.result().is_finished
+    assert leaves.cancelled()
+    assert local.requests_on_server == 1
+    local.engine.ends[1].set()
+    await settle()
+    assert stays.result().is_finished
+    assert local.requests_on_server == 0
+
+
+async def test_the_sweep_goes_on_beside_a_caller_that_leaves(local: Local) -> None:
+    """The sweep of the queues ended with an error, and nothing was refused in time any more."""
+    holds = await local.start("holds")
+    leaves = await local.start("leaves")
+    leaves.cancel()
+    local.places = 2
+    local.dispatch.sweep()
+    await settle()
+
+    assert leaves.cancelled()
+    assert local.requests_on_server == 1
+    holds.cancel()
