Let each run of a request hold a place of its own

Found by reading, on the same way: a request could wait until its deadline, by default four times its class's target, with servers free.

Waiters, queue entries and charges went by the request's id. A forward that is lost comes again under the same id, at the same VM after a back-off; if its first run there still waits, both share one entry. When the first is cancelled it takes the other's waiter and the entry with it: that one is neither placed nor swept. Where both run, one place was counted, and none once the first had ended.

The place goes by the id and a serial number of this VM; the id on the wire and in the logs is as it was.

--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from random import Random
 
-from attrs import define, field
+from attrs import define, evolve, field
 from mode import Service
 
 from pomelobarrow.decision.admission import refuse_unservable
@@ -41,7 +41,6 @@
 class Waiter:
     """Hold one request waiting for a backend server."""
 
-    request: GatewayRequest
     excluded: frozenset[str]
     placed: "asyncio.Future[Placement]"
 
@@ -78,17 +77,18 @@
     ) -> AttemptResult:
         """Wait for a place, run one attempt there and give the place back."""
         self._check_room(request.work)
-        placement = await self._wait_for_place(request, excluded)
+        wanted = self._with_own_place(request.work)
+        placement = await self._wait_for_place(wanted, excluded)
         work, server = request.work, placement.server
         self.table.prefixes.observe_placement(server.name, work.prefix_hashes)
         try:
             await self._let_cancellations_in()
             self._refuse_blocked(request)
             result = await self.run_attempt(
-                request, placement, attempt, number, sink, lambda: self._started(work)
+                request, placement, attempt, number, sink, lambda: self._started(wanted)
             )
         finally:
-            self.table.release(work.request_id, now_unix_s())
+            self.table.release(wanted.request_id, now_unix_s())
             self.pump(work.pool)
         self._judge_server(result)
         await self._note_whether_ended(request, placement, result)
@@ -101,6 +101,13 @@
         )
         return result
 
+    def _with_own_place(self, work: Work) -> Work:
+        """Return the work under a name that no other run of the same request has.
+
+        A forward that was lost comes again, maybe before its first run here has ended.
+        """
+        return evolve(work, request_id=f"{work.request_id}#{next(self._serial)}")
+
     async def _let_cancellations_in(self) -> None:
         """Read what the sockets hold before anything is sent.
 
@@ -203,10 +210,9 @@
     def _excluded(self, work: Work) -> frozenset[str]:
         return self._waiters[work.request_id].excluded
 
-    async def _wait_for_place(self, request: GatewayRequest, excluded: frozenset[str]) -> Placement:
-        work = request.work
+    async def _wait_for_place(self, work: Work, excluded: frozenset[str]) -> Placement:
         placed: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
-        waiter = Waiter(request=request, excluded=excluded, placed=placed)
+        waiter = Waiter(excluded=excluded, placed=placed)
         self._waiters[work.request_id] = waiter
         self._has_waiting.set()
         self.queue(work.pool).push(work, now_unix_s())
--- a/tests/test_dispatch_places.py
+++ b/tests/test_dispatch_places.py
@@ -1,4 +1,4 @@
-"""Places are given to those that still wait for one."""
+"""Places are given to those that still wait for one, and each run of a request has its own."""
 
 import asyncio
 import time
@@ -156,3 +156,39 @@
     assert leaves.cancelled()
     assert local.requests_on_server == 1
     holds.cancel()
+
+
+async def test_a_repeat_waits_on_where_the_first_run_is_cancelled(local: Local) -> None:
+    """A forward is lost and comes again before its first run here has ended.
+
+    Both waited under one id. The first took the other out of the queue with itself, and nobody
+    placed or refused that one any more: its caller waited for minutes past every target.
+    """
+    other = await local.start("other")
+    first, repeat = await local.start("same"), await local.start("same")
+    first.cancel()
+    await settle()
+    local.engine.ends[0].set()
+    await settle()
+
+    assert other.result().is_finished
+    assert len(local.engine.ends) == 2
+    local.engine.ends[1].set()
+    await settle()
+    assert repeat.result().is_finished
+    assert local.requests_on_server == 0
+
+
+async def test_each_run_of_a_request_holds_a_place_of_its_own(local: Local) -> None:
+    """A place still taken counted as free once another run of the same request had ended."""
+    local.places = 2
+    first, repeat = await local.start("same"), await local.start("same")
+    assert local.requests_on_server == 2
+
+    local.engine.ends[0].set()
+    await settle()
+    assert first.result().is_finished
+    assert local.requests_on_server == 1
+    repeat.cancel()
+    await settle()
+    assert local.requests_on_server == 0
