Connect to a peer once, and fail calls on a lost connection

What callers saw. Nothing yet; daemons logged "Unclosed connection" at the level of errors wherever a link to a peer broke under load.

Cause. grpclib's channel connects anew, unasked, when a call finds its connection lost or closed.

SingleConnection connects at the first call and then no more; the link opens another one itself.

Both tests on a lost and a closed connection fail with grpclib's own channel.

--- a/src/pomelobarrow/peers/calls.py
+++ b/src/pomelobarrow/peers/calls.py
@@ -5,13 +5,36 @@
 from contextlib import contextmanager
 from typing import Any
 
-from grpclib.client import Stream
+from grpclib.client import Channel, Stream
 from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.protocol import H2Protocol
 
 CONNECT_TIMEOUT_S = 1.5
 LOST = (OSError, TimeoutError, GRPCError, StreamTerminatedError)
 
 
+class SingleConnection(Channel):
+    """Connect once; a call on a connection that was lost or closed fails.
+
+    grpclib connects anew instead, unseen by the heartbeats that watch the first connection: a call
+    on one that falls silent would wait until its deadline.
+    """
+
+    _is_used_up = False
+
+    async def __connect__(self) -> H2Protocol:
+        """Return the connection, made at the first call."""
+        is_lost = self._protocol is not None and not self._connected
+        if self._is_used_up or is_lost:
+            raise ConnectionResetError("the connection to the peer was lost or closed")
+        return await super().__connect__()
+
+    def close(self) -> None:
+        """Close the connection for good."""
+        self._is_used_up = True
+        super().close()
+
+
 async def start_call(stream: Stream[Any, Any]) -> None:
     """Connect and send the call's headers; raise one of LOST where that fails."""
     try:
--- a/src/pomelobarrow/peers/links.py
+++ b/src/pomelobarrow/peers/links.py
@@ -11,7 +11,12 @@
 
 from pomelobarrow.decision.member import ListedVm
 from pomelobarrow.kernel.clock import now_unix_s
-from pomelobarrow.peers.calls import CONNECT_TIMEOUT_S, LOST, start_call
+from pomelobarrow.peers.calls import (
+    CONNECT_TIMEOUT_S,
+    LOST,
+    SingleConnection,
+    start_call,
+)
 from pomelobarrow.peers.keys import PeerKeys
 from pomelobarrow.peers.peers_grpc import PeerStub
 from pomelobarrow.peers.streams import SILENT_AFTER_S, PeerStream
@@ -89,7 +94,7 @@
     def open_channel(self) -> Channel:
         """Return a new channel to the peer; nothing is connected until it is used."""
         host, _, port = self._address.rpartition(":")
-        return Channel(host, int(port))
+        return SingleConnection(host, int(port))
 
     @Service.task
     async def _stay_connected(self) -> None:
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -1,12 +1,57 @@
 """Test what calls between peers leave behind when their connection is lost."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import pytest
 from grpclib.exceptions import StreamTerminatedError
+from grpclib.server import Server
 from grpclib.utils import Wrapper
+from peer_handlers import PeerHandlersStub
 
-from pomelobarrow.peers.calls import take_back_cancels
+from harness.processes import free_ports
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.calls import LOST, SingleConnection, take_back_cancels
+from pomelobarrow.peers.peers_grpc import PeerStub
+
+HOST = "127.0.0.1"
+
+
+class Answers(PeerHandlersStub):
+    """Answer each cancellation, and close the connection behind one when told to."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.closes = False
+
+    async def Cancel(self, stream) -> None:  # type: ignore[no-untyped-def]  # noqa: N802
+        self.calls += 1
+        await stream.recv_message()
+        await stream.send_message(pb.CancelReply(outcome="unknown"))
+        await stream.send_trailing_metadata()
+        if self.closes:
+            stream.peer._transport.close()
+
+
+@asynccontextmanager
+async def connection_to(handlers: Answers) -> AsyncIterator[SingleConnection]:
+    """Yield a connection to a peer with these handlers."""
+    (port,) = free_ports(1)
+    server = Server([handlers])
+    await server.start(HOST, port)
+    connection = SingleConnection(HOST, port)
+    try:
+        yield connection
+    finally:
+        connection.close()
+        server.close()
+        await server.wait_closed()
+
+
+async def cancel(connection: SingleConnection) -> str:
+    reply = await PeerStub(connection).Cancel(pb.CancelRequest())
+    return str(reply.outcome)
 
 
 async def wait_on_lost_connection() -> None:
@@ -41,3 +86,37 @@
     task.cancel()
     with pytest.raises(asyncio.CancelledError):
         await task
+
+
+async def test_calls_share_the_connection_that_the_first_one_made() -> None:
+    handlers = Answers()
+    async with connection_to(handlers) as connection:
+        assert [await cancel(connection) for _ in range(3)] == ["unknown"] * 3
+        assert handlers.calls == 3
+
+
+async def test_call_on_a_lost_connection_makes_no_other() -> None:
+    """A forward goes out on a connection that nobody watches.
+
+    The peer has closed the first one, and the call comes before the link has noticed. Connected
+    anew and then silent, it would keep its caller waiting until the deadline.
+    """
+    handlers = Answers()
+    handlers.closes = True
+    async with connection_to(handlers) as connection:
+        await cancel(connection)
+        while connection._connected:
+            await asyncio.sleep(0)
+        with pytest.raises(LOST):
+            await cancel(connection)
+    assert handlers.calls == 1
+
+
+async def test_call_on_a_closed_connection_makes_no_other() -> None:
+    handlers = Answers()
+    async with connection_to(handlers) as connection:
+        await cancel(connection)
+        connection.close()
+        with pytest.raises(LOST):
+            await cancel(connection)
+    assert handlers.calls == 1
