Leave out servers that failed a request only while others are there

What callers saw.

A server that failed an attempt is left out of the next ones. Where all servers of the pool were left out, or the others left it, nothing remained to wait for: the request stayed in the queue until its deadline, whatever became of the servers.

The left-out servers count again where no other usable one is left. Attempts stay counted and paused as before, so that this makes no more of them.

Two tests on the pure queue failed before: the only server failed once; the other server leaves.

--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -208,7 +208,16 @@
         return True
 
     def _excluded(self, work: Work) -> frozenset[str]:
-        return self._waiters[work.request_id].excluded
+        """Return the servers to leave out; none where no other is left, or it would wait for ever.
+
+        The attempts are counted and paused by whoever makes them.
+        """
+        excluded = self._waiters[work.request_id].excluded
+        if not excluded:
+            return excluded
+        usable = self.table.usable_servers(work.pool, now_unix_s())
+        is_other_left = any(server.name not in excluded for server in usable)
+        return excluded if is_other_left else frozenset()
 
     async def _wait_for_place(self, work: Work, excluded: frozenset[str]) -> Placement:
         placed: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
--- a/tests/test_dispatch_places.py
+++ b/tests/test_dispatch_places.py
@@ -3,9 +3,10 @@
 import asyncio
 import time
 from collections.abc import Callable
+from random import Random
 
 import pytest
-from attrs import define, field
+from attrs import define, evolve, field
 
 from pomelobarrow.decision.attempt import Attempt, AttemptState
 from pomelobarrow.decision.configuration import Rank, WorkClass
@@ -63,15 +64,19 @@
             choose=self._choose,
         )
 
-    async def start(self, request_id: str) -> "asyncio.Task[AttemptResult]":
+    async def start(
+        self, request_id: str, excluded: frozenset[str] = frozenset()
+    ) -> "asyncio.Task[AttemptResult]":
         """Start a run of a request, which waits or is placed."""
-        run = self.dispatch.run(request(request_id), Attempt(), 1, frozenset(), None)  # type: ignore[arg-type]
+        run = self.dispatch.run(request(request_id), Attempt(), 1, excluded, None)  # type: ignore[arg-type]
         task = asyncio.create_task(run)
         await settle()
         return task
 
-    def _choose(self, *given: object) -> Placement | None:
-        if self.requests_on_server >= self.places:
+    def _choose(
+        self, table: LoadTable, work: Work, now: float, rng: Random, excluded: frozenset[str]
+    ) -> Placement | None:
+        if self.requests_on_server >= self.places or SERVER.name in excluded:
             return None
         return Placement(server=SERVER, expected_wait_s=0.0)
 
@@ -192,3 +197,30 @@
     repeat.cancel()
     await settle()
     assert local.requests_on_server == 0
+
+
+async def test_request_that_every_server_has_failed_is_tried_there_again(local: Local) -> None:
+    """The only server of a pool refuses a request, and its caller hears nothing for minutes.
+
+    Left out of the next attempt, the server left nobody to wait for: the request stayed in the
+    queue until its deadline, also once the server took work again.
+    """
+    task = await local.start("once more", frozenset({SERVER.name}))
+    assert len(local.engine.ends) == 1
+    local.engine.ends[0].set()
+    await settle()
+    assert task.result().is_finished
+
+
+async def test_server_that_failed_a_request_is_left_out_while_another_is_there(
+    local: Local,
+) -> None:
+    local.table.set_servers([SERVER, evolve(SERVER, name="engine-2")])
+    task = await local.start("elsewhere", frozenset({SERVER.name}))
+    assert not local.engine.ends
+
+    local.table.set_servers([SERVER])
+    local.dispatch.sweep()
+    await settle()
+    assert len(local.engine.ends) == 1
+    task.cancel()
