Send each further attempt to an engine under an id of its own

What became of a lost forward is asked; the executing VM has its engine cancel it, and an engine that says "not run" never starts that id again, so that "not run" stays true. The repeat came under the same id: 503 from each engine that had given its word, each time, until none was left.

The dispatcher names further attempts ID~2, ID~3 on their way to engines. The answer's head names the id to the entry VM, which asks for the rest of a broken stream under that one. Services get the id that they may know repeats by. Ids in answers and of claimed requests are as they were.

Bars for one attempt only: the promise is the engine's, and is about the id.

Tests: ids by attempt (failed before); the rest asked for under the head's id (failed before).

--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -197,7 +197,8 @@
     async def _pass_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         self.head_passed = True
         self.on_first_byte()
-        await self.sink.head(AnswerHead(status, headers, self.server.name))
+        request_id = self.request.work.request_id
+        await self.sink.head(AnswerHead(status, headers, self.server.name, request_id))
 
     async def _cancel(self) -> str:
         if self.attempt.state is AttemptState.NOT_SENT:
--- a/src/pomelobarrow/dispatch/answers.py
+++ b/src/pomelobarrow/dispatch/answers.py
@@ -23,6 +23,8 @@
     status: int
     headers: Headers = ()
     server: str = ""
+    # The id under which the server holds the answer, where that can be resumed.
+    request_id: str = ""
 
 
 class AnswerSink(Protocol):
--- a/src/pomelobarrow/dispatch/dispatcher.py
+++ b/src/pomelobarrow/dispatch/dispatcher.py
@@ -134,9 +134,10 @@
         region = self._region(request, tries)
         attempt = Attempt()
         request.attempts.append(attempt)
+        number = len(tries.states) + 1
+        request = request.for_attempt(number)
         if region == self.own_region:
             excluded = frozenset(tries.bad_servers)
-            number = len(tries.states) + 1
             return region, await self.local.run(request, attempt, number, excluded, sink)
         excluded = frozenset(tries.bad_peers)
         result = await self.forwarder.forward_to_region(region, request, attempt, sink, excluded)
--- a/src/pomelobarrow/dispatch/request.py
+++ b/src/pomelobarrow/dispatch/request.py
@@ -12,6 +12,9 @@
 from pomelobarrow.decision.work import Work
 from pomelobarrow.dispatch.answers import Headers
 
+# Stands between a request's id and the number of a later attempt; needs no escape in a URL.
+ATTEMPT_MARK = "~"
+
 
 @frozen(kw_only=True)
 class GatewayRequest:
@@ -42,6 +45,17 @@
         """Return what names this request and those that are the same."""
         return fingerprint(self.work.account, self.method, "", self.path, self.body)
 
+    def for_attempt(self, number: int) -> Self:
+        """Return the request under an id that no earlier attempt on an engine had.
+
+        An engine refuses an id for good that it has cancelled before its start, so that "not run"
+        stays true of a copy still on its way. A service may know repeats by their id.
+        """
+        if number == 1 or not self.is_chat:
+            return self
+        request_id = f"{self.work.request_id}{ATTEMPT_MARK}{number}"
+        return evolve(self, work=evolve(self.work, request_id=request_id))
+
     def with_traceparent(self, traceparent: str) -> Self:
         """Return the request as the next hop is to get it; itself where traces are off."""
         if traceparent == self.traceparent:
--- a/src/pomelobarrow/peers/forward_client.py
+++ b/src/pomelobarrow/peers/forward_client.py
@@ -180,6 +180,7 @@
 
     def _rest(self) -> RestOfForward:
         message = self._message()
+        message.request_id = self.relayed.request_id or message.request_id
         message.ClearField("headers")
         message.ClearField("body")
         forwarder = self.forwarder
--- a/src/pomelobarrow/peers/forward_resume.py
+++ b/src/pomelobarrow/peers/forward_resume.py
@@ -34,6 +34,8 @@
 
     # The server that runs it; empty where the answer is no stream of events.
     server: str = ""
+    # The id under which that server holds it; empty where it is the forward's.
+    request_id: str = ""
     whole_events: int = 0
     is_ended: bool = False
 
@@ -42,6 +44,7 @@
         content_types = {h.value for h in head.headers if h.name.lower() == "content-type"}
         is_stream = is_streamed and head.status == 200 and SERVER_SENT_EVENTS in content_types
         self.server = head.server if is_stream else ""
+        self.request_id = head.request_id
 
     def observe_chunk(self, data: bytes) -> None:
         """Count the events; the executing VM sends whole ones only."""
--- a/src/pomelobarrow/peers/forward_server.py
+++ b/src/pomelobarrow/peers/forward_server.py
@@ -38,9 +38,10 @@
         """Send status and headers."""
         self.head_passed = True
         headers = [pb.Header(name=name, value=value) for name, value in head.headers]
-        await self.send(
-            pb.ForwardEvent(head=pb.Head(status=head.status, headers=headers, server=head.server))
+        message = pb.Head(
+            status=head.status, headers=headers, server=head.server, request_id=head.request_id
         )
+        await self.send(pb.ForwardEvent(head=message))
 
     async def chunk(self, data: bytes) -> None:
         """Send the next bytes."""
--- a/tests/test_dispatch_verdicts.py
+++ b/tests/test_dispatch_verdicts.py
@@ -5,7 +5,7 @@
 
 import pytest
 from aiohttp import ClientSession, web
-from attrs import define, field
+from attrs import define, evolve, field
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
@@ -55,6 +55,7 @@
     ends: list[tuple[AttemptState, bool] | None]
     table: LoadTable = field(factory=lambda: LoadTable("r"))
     states: list[AttemptState] = field(factory=list)
+    request_ids: list[str] = field(factory=list)
 
     def expected_wait_s(self, work: Work) -> float:
         return 0.0
@@ -66,6 +67,7 @@
         end = self.ends.pop(0) if self.ends else None
         if end is None:
             raise RefusedError(NO_ROOM)
+        self.request_ids.append(request.work.request_id)
         state, head_passed = end
         head_passed = head_passed and state not in UNRUN_STATES
         self.states.append(state)
@@ -169,3 +171,31 @@
         async with session.get(f"http://127.0.0.1:{port}/") as response:
             assert response.headers.getall("Set-Cookie") == ["a=1", "b=2"]
     await runner.cleanup()
+
+
+@pytest.mark.parametrize(
+    ("is_chat", "expected"),
+    [(True, ["id", "id~2", "id~3"]), (False, ["id", "id", "id"])],
+    ids=["engine", "service"],
+)
+async def test_each_attempt_on_an_engine_has_an_id_of_its_own(
+    is_chat: bool, expected: list[str]
+) -> None:
+    """A link breaks, the engine is told to cancel, and it refuses the repeat for good.
+
+    It had promised that this id never runs. Sent again under it, the request came back at once from
+    each engine that had given its word, until the deadline.
+    """
+    refused, finished = (AttemptState.REFUSED_UNRUN, False), (AttemptState.FINISHED, False)
+    attempts: Any = Attempts([refused, refused, finished])
+    dispatcher = Dispatcher(
+        own_region="r",
+        local=attempts,
+        forwarder=attempts,
+        share=ShareOutsideHome(),
+        observe=lambda event: None,
+        rng=Random(0),
+    )
+    request = evolve(request_of(repeatable=True), is_chat=is_chat)
+    assert await dispatcher.dispatch(request, Sink()) is None  # type: ignore[arg-type]
+    assert attempts.request_ids == expected
--- a/tests/test_forward_client.py
+++ b/tests/test_forward_client.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, nullcontext
+from random import Random
 from types import SimpleNamespace
 from typing import Any
 
@@ -72,6 +73,7 @@
 
     def __init__(self, events: tuple[pb.ForwardEvent, ...]) -> None:
         self._events = events
+        self.resumed: list[str] = []
 
     async def Forward(self, stream: Any) -> None:  # noqa: N802
         await stream.recv_message()
@@ -84,6 +86,16 @@
         await stream.recv_message()
         await stream.send_message(pb.CancelReply(outcome="unknown"))
 
+    async def Resume(self, stream: Any) -> None:  # noqa: N802
+        self.resumed.append((await stream.recv_message()).request.request_id)
+        await stream.send_message(pb.ForwardEvent(chunk=END_EVENT))
+        await stream.send_message(pb.ForwardEvent(end=pb.End(complete=True)))
+
+
+def no_span(name: str, traceparent: str, **values: str) -> Any:
+    """Stand in for a span where traces are off."""
+    return nullcontext(SimpleNamespace(set=lambda name, value: None))
+
 
 def request() -> GatewayRequest:
     now = time.time()
@@ -110,7 +122,9 @@
 
 
 @asynccontextmanager
-async def forward_to(handlers: PeerHandlersStub, sink: Sink) -> AsyncIterator[Forward]:
+async def forward_to(
+    handlers: PeerHandlersStub, sink: Sink, peers: tuple[Member, ...] = ()
+) -> AsyncIterator[Forward]:
     """Yield a forward to a peer with these handlers."""
     (port,) = free_ports(1)
     server = Server([handlers])
@@ -131,11 +145,11 @@
     table: Any = SimpleNamespace(is_linked=lambda vm: True, clock_offset_s=lambda vm: 0.0)
     forwarder: Any = SimpleNamespace(
         own=OWN,
-        view=SimpleNamespace(usable_entries=lambda region, now: []),
+        view=SimpleNamespace(usable_entries=lambda region, now: peers),
         table=table,
         keys=PeerKeys((PeerKey(id="k", secret="a-secret-of-the-fleet"),)),
-        traces=None,
-        rng=None,
+        traces=SimpleNamespace(span=no_span),
+        rng=Random(0),
         next_serial=lambda: 2,
     )
 
@@ -204,3 +218,18 @@
 
     assert result.is_finished is (events == WHOLE[:2])
     assert ("end" in sink.told) is result.is_finished
+
+
+async def test_rest_is_asked_for_under_the_id_that_the_engine_knows() -> None:
+    """The peer's second attempt ran under an id of its own; the first one's rest is unknown."""
+    head = pb.Head()
+    head.CopyFrom(HEAD)
+    head.request_id = "r~2"
+    handlers = LosesConnection((pb.ForwardEvent(head=head), pb.ForwardEvent(chunk=TOKEN_EVENT)))
+    sink = Sink()
+    async with forward_to(handlers, sink, peers=(PEER,)) as forward:
+        result = await forward.run()
+
+    assert result.is_finished
+    assert handlers.resumed == ["r~2"]
+    assert sink.told == [200, TOKEN_EVENT, END_EVENT, "end"]
