Ask again for a member's description whose answer was lost

What callers saw. A VM that has long been ready counted as starting with some others, which gave it no work and led no caller to it.

Peers tell each other the keys of descriptions, each once a stream, and ask for those that they lack; a key that one peer was asked for isn't asked of the next for 1.5 s. Where that one's stream is closed before the answer, as most streams of a start are, nobody tells the key again and nobody is asked. The keys of a heartbeat that another stream's had overtaken were dropped unasked as well.

Keys are kept for each stream until they are known or that peer has answered, and asked for again after 1.5 s. A peer that knows none of them any more says so with an empty answer.

Tests: the lost answer (failed before; the former test helped itself with the keys of the first peer); a description that nobody holds any more is asked for once a peer.

--- a/src/pomelobarrow/peers/exchange.py
+++ b/src/pomelobarrow/peers/exchange.py
@@ -50,7 +50,7 @@
             "request": self._on_request,
             "leave": self._on_leave,
             "member_request": self._on_member_request,
-            "member_descriptions": self._on_member_descriptions,
+            "member_descriptions": partial(self._on_member_descriptions, sent=sent),
             "crash_findings": self._on_crash_findings,
             "closing": self._on_closing,
         }
@@ -81,10 +81,12 @@
     def _on_heartbeat(
         self, heartbeat: pb.Heartbeat, peer_vm: str, reply: Reply, sent: SentNews | None
     ) -> None:
-        if not self.heartbeats.take(heartbeat, sent):
-            return
-        if (question := self.heartbeats.ask_for_members(heartbeat)) is not None:
+        is_newest = self.heartbeats.take(heartbeat, sent)
+        # One that another stream's has overtaken may be the only one to tell of a member.
+        if (question := self.heartbeats.ask_for_members(heartbeat, sent)) is not None:
             reply(question)
+        if not is_newest:
+            return
         for state in heartbeat.keyspaces:
             if state.name not in self.published.copies:
                 continue
@@ -156,9 +158,9 @@
             reply(answer)
 
     def _on_member_descriptions(
-        self, told: pb.MemberDescriptions, peer_vm: str, reply: Reply
+        self, told: pb.MemberDescriptions, peer_vm: str, reply: Reply, sent: SentNews | None
     ) -> None:
-        self.heartbeats.take_members(told, peer_vm)
+        self.heartbeats.take_members(told, peer_vm, sent)
 
     def _on_crash_findings(self, told: pb.CrashFindings, peer_vm: str, reply: Reply) -> None:
         self.crash_news.take(told, peer_vm)
--- a/src/pomelobarrow/peers/heartbeats.py
+++ b/src/pomelobarrow/peers/heartbeats.py
@@ -137,26 +137,33 @@
             self._take_loads(heartbeat, member, kind, sent or SentNews(), now)
         return is_newest
 
-    def ask_for_members(self, heartbeat: pb.Heartbeat) -> pb.PeerMessage | None:
+    def ask_for_members(
+        self, heartbeat: pb.Heartbeat, sent: SentNews | None = None
+    ) -> pb.PeerMessage | None:
         """Return the question for the members that a peer tells of and this VM lacks."""
-        keys = self._members.lacking(heartbeat.member_keys, now_unix_s())
+        members = (sent or SentNews()).members
+        keys = self._members.lacking(members, heartbeat.member_keys, now_unix_s())
         return pb.PeerMessage(member_request=pb.MemberRequest(keys=keys)) if keys else None
 
     def describe_members(self, request: pb.MemberRequest) -> Iterator[pb.PeerMessage]:
-        """Yield the answers to a peer that lacks members."""
+        """Yield the answers to a peer that lacks members; an empty one where all are forgotten."""
         told = self._members.describe(request.keys)
-        for start in range(0, len(told), DESCRIPTIONS_PER_MESSAGE):
+        for start in range(0, max(1, len(told)), DESCRIPTIONS_PER_MESSAGE):
             members = told[start : start + DESCRIPTIONS_PER_MESSAGE]
             descriptions = pb.MemberDescriptions(members=members, sent_unix_s=now_unix_s())
             yield pb.PeerMessage(member_descriptions=descriptions)
 
-    def take_members(self, told: pb.MemberDescriptions, peer: str) -> None:
+    def take_members(
+        self, told: pb.MemberDescriptions, peer: str, sent: SentNews | None = None
+    ) -> None:
         """Take the descriptions that a peer was asked for."""
         now, member = now_unix_s(), self.view.get(peer)
         is_near = member is not None and member.region == self.view.own_region
         ahead_s = told.sent_unix_s - self.offsets.sent_unix_s(peer, told.sent_unix_s, now)
         kind = self.neighbours.kind(peer, is_near)
         self._members.take_descriptions(told.members, peer, kind, now, ahead_s)
+        if sent is not None:
+            self._members.note_answered(sent.members)
 
     def forget_for_good(self, vm: str) -> None:
         """Drop all that is kept of a VM that was replaced or silent for long."""
--- a/src/pomelobarrow/peers/member_news.py
+++ b/src/pomelobarrow/peers/member_news.py
@@ -38,6 +38,9 @@
     version: int = 0
     # The descriptions that the peer has told of itself.
     known_keys: set[int] = field(factory=set)
+    # The descriptions that the peer has told of and this VM lacks, and those it was asked for.
+    awaited_keys: dict[int, None] = field(factory=dict)
+    asked_keys: set[int] = field(factory=set)
     heard_unix_s: dict[str, float] = field(factory=dict)
 
 
@@ -123,18 +126,30 @@
                 self._came[member.vm] = kind
         self._refresh(now_unix_s, at_once=is_news)
 
-    def lacking(self, keys: Iterable[int], now_unix_s: float) -> list[int]:
-        """Return the keys of descriptions to ask for: those that nobody was asked for just now."""
+    def lacking(self, sent: SentMembers, keys: Iterable[int], now_unix_s: float) -> list[int]:
+        """Return the keys of descriptions to ask a peer for, but those asked of others just now.
+
+        A peer tells each key once, so that it is kept until this one or another has answered.
+        """
+        awaited, known = sent.awaited_keys, self._vm_by_description
+        awaited.update(dict.fromkeys(keys))
+        for key in [key for key in awaited if key in known]:
+            del awaited[key]
         asked = self._asked_until_unix_s
-        lacking = [
-            key
-            for key in keys
-            if key not in self._vm_by_description and asked.get(key, 0.0) <= now_unix_s
-        ]
-        for key in lacking:
-            asked[key] = now_unix_s + ASKED_FOR_S
+        lacking = [key for key in awaited if asked.get(key, 0.0) <= now_unix_s]
+        if lacking:
+            asked = {key: until for key, until in asked.items() if until > now_unix_s}
+            asked.update(dict.fromkeys(lacking, now_unix_s + ASKED_FOR_S))
+            self._asked_until_unix_s = asked
+            sent.asked_keys.update(lacking)
         return lacking
 
+    def note_answered(self, sent: SentMembers) -> None:
+        """Take in that a peer has answered; what it left out it doesn't know any more."""
+        for key in sent.asked_keys:
+            sent.awaited_keys.pop(key, None)
+        sent.asked_keys.clear()
+
     def describe(self, keys: Iterable[int]) -> list[pb.MemberSummary]:
         """Return the descriptions of members that a peer asks for by key, as they are now."""
         vms = dict.fromkeys(vm for key in keys if (vm := self._vm_by_description.get(key)))
--- a/tests/test_member_news.py
+++ b/tests/test_member_news.py
@@ -75,6 +75,7 @@
     def __init__(self, vm: str, members: int) -> None:
         self.view = MembershipView(vm, "milan")
         self.news, self.sent = MemberNews(self.view), SentMembers()
+        self.streams: dict[str, SentMembers] = {}
         for number in range(members):
             told = Member(vm=f"vm-{number:03d}", incarnation=1, region="milan", heard_unix_s=999.0)
             self.view.observe_summary(told, NOW_UNIX_S)
@@ -89,7 +90,17 @@
         self.news.take(
             heartbeat, self.sent, LinkKind.COLUMN, False, NOW_UNIX_S, heartbeat.sent_unix_s
         )
-        return self.news.lacking(heartbeat.member_keys, NOW_UNIX_S)
+        return self.ask(heartbeat, NOW_UNIX_S)
+
+    def ask(self, heartbeat: pb.Heartbeat, now_unix_s: float) -> list[int]:
+        """Return the keys of the descriptions to ask a peer for at some time."""
+        sent = self.streams.setdefault(heartbeat.vm, SentMembers())
+        return self.news.lacking(sent, heartbeat.member_keys, now_unix_s)
+
+    def take_answer(self, told: list[pb.MemberSummary], peer: str) -> None:
+        """Take what a peer answers."""
+        self.news.take_descriptions(told, peer, LinkKind.COLUMN, NOW_UNIX_S, 0.0)
+        self.news.note_answered(self.streams[peer])
 
 
 def test_descriptions_are_told_once_to_a_vm_that_lacks_them() -> None:
@@ -112,9 +123,36 @@
 def test_a_peer_that_does_not_answer_is_not_asked_alone() -> None:
     first, second, joiner = Peer("milan-1", 3), Peer("milan-2", 3), Peer("milan-3", 0)
     keys = joiner.hear(first.heartbeat())
-    assert joiner.news.lacking(second.heartbeat().member_keys, NOW_UNIX_S + 1.0) == []
+    assert joiner.ask(second.heartbeat(), NOW_UNIX_S + 1.0) == []
+
+    assert joiner.ask(second.heartbeat(), NOW_UNIX_S + 2.0) == keys
+
+
+def test_description_is_asked_for_again_where_the_answer_was_lost() -> None:
+    """A VM that has long been ready counts as starting, and gets no work from some others.
+
+    They were told of its new description once by each neighbour and asked one of these, whose
+    stream was closed before the answer.
+    """
+    first, second, joiner = Peer("milan-1", 3), Peer("milan-2", 3), Peer("milan-3", 0)
+    keys = joiner.hear(first.heartbeat())
+    assert joiner.hear(second.heartbeat()) == []
+
+    assert not second.heartbeat().member_keys
+    assert joiner.ask(second.heartbeat(), NOW_UNIX_S + 2.0) == keys
+    joiner.take_answer(second.news.describe(keys), "milan-2")
+    assert joiner.ask(second.heartbeat(), NOW_UNIX_S + 4.0) == []
+    assert joiner.ask(first.heartbeat(), NOW_UNIX_S + 4.0) == []
+
+
+def test_description_that_nobody_holds_any_more_is_asked_for_once_a_peer() -> None:
+    """A member is described anew between the telling and the answer, which lacks the old key."""
+    first, joiner = Peer("milan-1", 1), Peer("milan-3", 0)
+    keys = joiner.hear(first.heartbeat())
+    joiner.take_answer([], "milan-1")
 
-    assert joiner.news.lacking(second.heartbeat().member_keys or keys, NOW_UNIX_S + 2.0) == keys
+    assert keys
+    assert joiner.ask(first.heartbeat(), NOW_UNIX_S + 60.0) == []
 
 
 def test_a_member_that_stops_is_told_of_anew() -> None:
