--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -37,7 +37,7 @@
     """Run one seed: faults for a time, then calm."""
     drawn = random.Random(seed)
     async with SoakFleet(random=random.Random(drawn.random())) as fleet:
-        await _wait_ready(fleet)
+        await wait_ready(fleet)
         faults = Faults(fleet=fleet, random=random.Random(drawn.random()))
         clients = Clients(fleet=fleet, random=random.Random(drawn.random()))
         fragile = FragileServers(fleet=fleet, random=random.Random(drawn.random()))
@@ -72,7 +72,7 @@
         )
 
 
-async def _wait_ready(fleet: SoakFleet) -> None:
+async def wait_ready(fleet: SoakFleet) -> None:
     async with asyncio.timeout(READY_WITHIN_S), aiohttp.ClientSession() as session:
         for daemon in fleet.daemons:
             while not await _is_ready(session, fleet.readiness(daemon)):
--- a/tests/test_proof_crashing_request.py
+++ b/tests/test_proof_crashing_request.py
@@ -8,7 +8,7 @@
 from proof_report import Figure
 
 from harness.fleet import HOST, Fleet
-from soak.__main__ import _wait_ready
+from soak.__main__ import wait_ready
 from soak.fleet import SoakFleet
 from soak.fragile import CRASHES_TO_KNOW, FragileServers
 
@@ -23,7 +23,7 @@
 async def test_crashing_request_ends_three_servers_of_two_regions_at_most() -> None:
     """It is sent to four daemons of two regions in turn; each saw some of the servers end."""
     async with SoakFleet(random=Random(1)) as fleet:
-        await _wait_ready(fleet)
+        await wait_ready(fleet)
         fragile = FragileServers(fleet=fleet, random=Random(2))
         await fragile.start()
         await fragile.send_until(time.monotonic() + SENDING_S)
--- a/tests/test_proof_server_limit.py
+++ b/tests/test_proof_server_limit.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from soak.__main__ import LEAST_SERVED_SHARE, _wait_ready
+from soak.__main__ import LEAST_SERVED_SHARE, wait_ready
 from soak.fleet import SoakFleet
 from soak.limited import LimitedServers
 
@@ -17,7 +17,7 @@
 async def test_server_that_names_a_limit_gets_no_more_from_two_daemons() -> None:
     """Each region has two daemons and two servers; one of these takes a request in two seconds."""
     async with SoakFleet(random=Random(1)) as fleet:
-        await _wait_ready(fleet)
+        await wait_ready(fleet)
         limited = LimitedServers(fleet=fleet, random=Random(2))
         await limited.start()
         started_s = time.monotonic()
