--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -73,6 +73,7 @@
 
 
 async def wait_ready(fleet: SoakFleet) -> None:
+    """Return once each daemon says that it is ready."""
     async with asyncio.timeout(READY_WITHIN_S), aiohttp.ClientSession() as session:
         for daemon in fleet.daemons:
             while not await _is_ready(session, fleet.readiness(daemon)):
