Keep the attempt ids of a forward's two ends apart

The VM that got a forward numbers with another mark (ID.2). Only the product's own interface sends these ids; the relay doesn't.

--- a/src/pomelobarrow/dispatch/request.py
+++ b/src/pomelobarrow/dispatch/request.py
@@ -12,8 +12,10 @@
 from pomelobarrow.decision.work import Work
 from pomelobarrow.dispatch.answers import Headers
 
-# Stands between a request's id and the number of a later attempt; needs no escape in a URL.
-ATTEMPT_MARK = "~"
+# Stand between a request's id and the number of a later attempt, made by the entry VM or by the VM
+# that it passed the request on to: neither knows the other's numbers. No URL needs them escaped.
+ENTRY_ATTEMPT_MARK = "~"
+FORWARDED_ATTEMPT_MARK = "."
 
 
 @frozen(kw_only=True)
@@ -53,7 +55,8 @@
         """
         if number == 1 or not self.is_chat:
             return self
-        request_id = f"{self.work.request_id}{ATTEMPT_MARK}{number}"
+        mark = ENTRY_ATTEMPT_MARK if self.forwarded_by is None else FORWARDED_ATTEMPT_MARK
+        request_id = f"{self.work.request_id}{mark}{number}"
         return evolve(self, work=evolve(self.work, request_id=request_id))
 
     def with_traceparent(self, traceparent: str) -> Self:
--- a/tests/test_dispatch_verdicts.py
+++ b/tests/test_dispatch_verdicts.py
@@ -199,3 +199,28 @@
     request = evolve(request_of(repeatable=True), is_chat=is_chat)
     assert await dispatcher.dispatch(request, Sink()) is None  # type: ignore[arg-type]
     assert attempts.request_ids == expected
+
+
+async def test_attempts_at_both_ends_of_a_forward_never_share_an_id() -> None:
+    """The entry VM's second attempt is refused by an engine that never saw its first.
+
+    The VM that ran the first forward had made a second attempt of its own, under the same id, and
+    had it cancelled.
+    """
+    failed = (AttemptState.NOT_SENT, False)
+    request_ids = {}
+    for forwarded_by in (None, "vm-b"):
+        attempts: Any = Attempts([failed, failed, (AttemptState.FINISHED, False)])
+        dispatcher = Dispatcher(
+            own_region="r",
+            local=attempts,
+            forwarder=attempts,
+            share=ShareOutsideHome(),
+            observe=lambda event: None,
+            rng=Random(0),
+        )
+        request = evolve(request_of(repeatable=True), forwarded_by=forwarded_by)
+        await dispatcher.dispatch(request, Sink())  # type: ignore[arg-type]
+        request_ids[forwarded_by] = attempts.request_ids
+
+    assert request_ids == {None: ["id", "id~2", "id~3"], "vm-b": ["id", "id.2", "id.3"]}
