Write ages and short keys once for all that peers tell each other

Read again: the crash findings and the limits that servers name had written anew what reports and pool loads had: a time as an age in ms and back (five places in three modules), and four bytes of a name (six places in five modules, two of them new). peers/ages.py and decision/short_key.py hold each once. Nothing else changes: same bytes on the wire, no bound moved. Out with two unused things beside them: the server in ServerWatch's checks, the time given to _make_room. LoadTable.is_staying calls is_current.

--- a/src/pomelobarrow/backends/server_watch.py
+++ b/src/pomelobarrow/backends/server_watch.py
@@ -30,7 +30,6 @@
 
 @define(kw_only=True)
 class _Check:
-    server: BackendServer
     task: "asyncio.Task[None]"
     fingerprints: list[int] = field(factory=list)
 
@@ -61,7 +60,7 @@
         check = self._checks.get(server.incarnation)
         if check is None:
             task = asyncio.create_task(self._run(server))
-            check = self._checks[server.incarnation] = _Check(server=server, task=task)
+            check = self._checks[server.incarnation] = _Check(task=task)
         check.fingerprints.append(fingerprint)
         await asyncio.wait({check.task}, timeout=FINDING_WITHIN_S)
 
--- a/src/pomelobarrow/decision/crash_suspects.py
+++ b/src/pomelobarrow/decision/crash_suspects.py
@@ -176,7 +176,7 @@
             return (Answered(fingerprint=crash.fingerprint, answered_unix_s=answered_unix_s),)
         suspect = self._suspects.get(crash.fingerprint)
         if suspect is None:
-            self._make_room(crash.ended_unix_s)
+            self._make_room()
             suspect = self._suspects[crash.fingerprint] = _Suspect()
         if suspect.knows(crash) or len(suspect.crashes) >= MAX_CRASHES:
             return ()
@@ -207,7 +207,7 @@
                 return
             del self._answered[oldest]
 
-    def _make_room(self, now_unix_s: float) -> None:
+    def _make_room(self) -> None:
         if len(self._suspects) < MAX_SUSPECTS:
             return
         ranked = sorted(self._suspects, key=self._worth_keeping)
--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -293,8 +293,7 @@
     def is_staying(self, server: BackendServer) -> bool:
         """Say whether a server is listed, the same incarnation, and has not said that it leaves."""
         listed = self._servers.get(server.name)
-        is_same = listed is not None and listed.born_unix_ms == server.born_unix_ms
-        return listed is not None and is_same and not self._leaves(listed)
+        return listed is not None and self.is_current(server) and not self._leaves(listed)
 
     def _leaves(self, server: BackendServer) -> bool:
         report = self._loads[server.name].report
--- a/src/pomelobarrow/dispatch/crash_guard.py
+++ b/src/pomelobarrow/dispatch/crash_guard.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Callable, Iterable
 
-import xxhash
 from attrs import define, field, frozen
 
 from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.decision.crash_suspects import Crash, CrashSuspects, Finding, Suspicion
 from pomelobarrow.decision.errors import Kind, Refusal, Run
 from pomelobarrow.decision.fingerprint import readable
+from pomelobarrow.decision.short_key import short_key
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
@@ -108,4 +108,4 @@
 
 def server_key(server: BackendServer) -> int:
     """Return the four bytes that stand for a server's incarnation."""
-    return xxhash.xxh32_intdigest(server.incarnation.encode())
+    return short_key(server.incarnation)
--- a/src/pomelobarrow/peers/crash_news.py
+++ b/src/pomelobarrow/peers/crash_news.py
@@ -9,9 +9,9 @@
 from pomelobarrow.decision.crash_suspects import KEPT_S, Answered, Crash, CrashSuspects, Finding
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.ages import age_ms, time_of
 
 FINDINGS_PER_MESSAGE = 500
-MS_PER_S = 1e3
 
 # Send a message to every peer but one.
 Broadcast = Callable[[pb.PeerMessage, str], None]
@@ -44,7 +44,7 @@
         sent_unix_s = self.offsets.sent_unix_s(peer_vm, told.sent_unix_s, now)
         news: list[Finding] = []
         for each in told.findings:
-            unix_s = sent_unix_s - each.age_ms / MS_PER_S
+            unix_s = time_of(each.age_ms, sent_unix_s)
             # False for a time that is no number, too.
             if now - KEPT_S < unix_s <= now:
                 news += self.suspects.note(_finding(each, unix_s))
@@ -61,12 +61,15 @@
 
 def _message(finding: Finding, now_unix_s: float) -> pb.CrashFinding:
     if isinstance(finding, Answered):
-        age_ms = _age_ms(finding.answered_unix_s, now_unix_s)
-        return pb.CrashFinding(fingerprint=finding.fingerprint, age_ms=age_ms, is_answered=True)
+        return pb.CrashFinding(
+            fingerprint=finding.fingerprint,
+            age_ms=age_ms(finding.answered_unix_s, now_unix_s),
+            is_answered=True,
+        )
     return pb.CrashFinding(
         fingerprint=finding.fingerprint,
         server_key=finding.server_key,
-        age_ms=_age_ms(finding.ended_unix_s, now_unix_s),
+        age_ms=age_ms(finding.ended_unix_s, now_unix_s),
     )
 
 
@@ -76,7 +79,3 @@
     return Crash(
         fingerprint=message.fingerprint, server_key=message.server_key, ended_unix_s=unix_s
     )
-
-
-def _age_ms(unix_s: float, now_unix_s: float) -> int:
-    return max(0, round((now_unix_s - unix_s) * MS_PER_S))
--- a/src/pomelobarrow/peers/demand_news.py
+++ b/src/pomelobarrow/peers/demand_news.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable, Iterable
 
-import xxhash
 from attrs import define, field
 
 from pomelobarrow.decision.configuration import Configuration
 from pomelobarrow.decision.limits import AccountLimits
+from pomelobarrow.decision.short_key import short_key
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.grid import LinkKind, Neighbours
 
@@ -94,7 +94,7 @@
 
 def account_key(name: str) -> int:
     """Return the four bytes that stand for an account in heartbeats."""
-    return xxhash.xxh32_intdigest(name.encode())
+    return short_key(name)
 
 
 def _summed_up(kind: LinkKind, neighbours: Neighbours) -> frozenset[str]:
--- a/src/pomelobarrow/peers/member_news.py
+++ b/src/pomelobarrow/peers/member_news.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Iterable, Sequence
 
-import xxhash
 from attrs import define, field
 
 from pomelobarrow.decision.member import Member
 from pomelobarrow.decision.membership import MembershipView
+from pomelobarrow.decision.short_key import short_key
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.grid import LinkKind, Neighbours, passes_on
 
@@ -208,14 +208,14 @@
         # Four bytes name a VM and its incarnation. Two of a few hundred share them once in tens
         # of thousands of fleets; a dead one would then seem alive for as long as its twin lives,
         # and a request forwarded to it would come back as not sent.
-        key = xxhash.xxh32_intdigest(f"{member.vm}\0{member.incarnation}".encode())
+        key = short_key(f"{member.vm}\0{member.incarnation}")
         self._by_key.pop(self._key_of.get(member.vm, 0), None)
         self._key_of[member.vm] = key
         self._by_key[key] = (member.vm, member.incarnation)
 
     def _note_description(self, member: Member) -> None:
         text = f"{member.vm}\0{member.incarnation}\0{member.phase}\0{member.successor}"
-        key = xxhash.xxh32_intdigest(text.encode())
+        key = short_key(text)
         self._description_key[member.vm] = key
         self._vm_by_description[key] = member.vm
         self._asked_until_unix_s.pop(key, None)
--- a/src/pomelobarrow/peers/pool_news.py
+++ b/src/pomelobarrow/peers/pool_news.py
@@ -12,6 +12,7 @@
 from pomelobarrow.decision.stream_pauses import Engine
 from pomelobarrow.dispatch.local import LocalDispatch
 from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.ages import age_ms, time_of
 from pomelobarrow.peers.grid import LinkKind, Neighbours, passes_on
 from pomelobarrow.peers.region_loads import RegionLoads
 from pomelobarrow.published.keyspaces import PublishedState
@@ -22,7 +23,6 @@
 REGION_TOLD_EVERY_S = 1.5
 ROW_WAITING_GOOD_FOR_S = 2.0
 MIN_DRAIN_PER_S = 1e-6
-MS_PER_S = 1e3
 
 
 @define
@@ -86,7 +86,7 @@
         for each in heartbeat.pools:
             region = each.region or sender_region
             if region != self.own_region:
-                measured_unix_s = sent_unix_s - each.age_ms / MS_PER_S
+                measured_unix_s = time_of(each.age_ms, sent_unix_s)
                 load = self._region_load(heartbeat.vm, region, each, measured_unix_s, kind)
                 self.region_loads.observe(load, now_unix_s, kind)
             elif kind is not LinkKind.OTHER_REGION:
@@ -131,7 +131,7 @@
                 pool=load.pool,
                 expected_wait_s=load.expected_wait_s,
                 servers=load.servers,
-                age_ms=max(0, round((now_unix_s - load.measured_unix_s) * MS_PER_S)),
+                age_ms=age_ms(load.measured_unix_s, now_unix_s),
                 round_trip_s=load.round_trip_s,
                 **_quietest_fields(load.quietest),
             )
--- a/src/pomelobarrow/peers/server_news.py
+++ b/src/pomelobarrow/peers/server_news.py
@@ -2,17 +2,17 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
-import xxhash
 from attrs import define, field
 
 from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.short_key import short_key
 from pomelobarrow.decision.work import BackendServer, InFlight, LoadReport
 from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.ages import age_ms, time_of
 from pomelobarrow.peers.grid import LinkKind, passes_on
 
 PASSED_ON_FOR_S = 5.0
 NOTHING = InFlight()
-MS_PER_S = 1e3
 # A limit above it is none.
 MAX_LIMIT_PER_S = 1e9
 MAX_AGE_MS = 2**32 - 1
@@ -69,7 +69,7 @@
             name = names.get(each.server_key)
             if name is None:
                 continue
-            report = _report(name, each, sent_unix_s - each.age_ms / MS_PER_S)
+            report = _report(name, each, time_of(each.age_ms, sent_unix_s))
             self.table.observe_report(report, now_unix_s)
             # Of glimpses each VM has its own, and hears those of all its neighbours.
             is_passed_on = each.is_passed_on or each.is_glimpse
@@ -122,7 +122,7 @@
         heartbeat.reports.append(
             pb.ServerReport(
                 server_key=self._key(report.server),
-                age_ms=max(0, round((now_unix_s - report.measured_unix_s) * MS_PER_S)),
+                age_ms=age_ms(report.measured_unix_s, now_unix_s),
                 running=report.running,
                 waiting=report.waiting,
                 kv_tokens_used=report.kv_tokens_used,
@@ -138,14 +138,13 @@
         told = sent.limits_per_s
         sent.limits_per_s = {}
         for incarnation, limit in self.table.limits.named.items():
-            key = xxhash.xxh32_intdigest(incarnation.encode())
+            key = short_key(incarnation)
             sent.limits_per_s[key] = limit.per_s
             if told.get(key, NEVER_TOLD) != limit.per_s:
-                age_ms = max(0, round((now_unix_s - limit.named_unix_s) * MS_PER_S))
                 heartbeat.limits.append(
                     pb.ServerLimit(
                         server_key=key,
-                        age_ms=min(age_ms, MAX_AGE_MS),
+                        age_ms=min(age_ms(limit.named_unix_s, now_unix_s), MAX_AGE_MS),
                         per_s=limit.per_s or 0.0,
                         has_ended=limit.per_s is None,
                     )
@@ -158,7 +157,7 @@
             if server is None or not 0.0 <= told.per_s <= MAX_LIMIT_PER_S:
                 continue
             per_s = None if told.has_ended else told.per_s
-            named_unix_s = sent_unix_s - told.age_ms / MS_PER_S
+            named_unix_s = time_of(told.age_ms, sent_unix_s)
             self.table.limits.observe(server.incarnation, per_s, named_unix_s)
 
     def _drop_old_reports(self, now_unix_s: float) -> None:
@@ -176,7 +175,7 @@
             server = self.servers().get(name)
             # News of the incarnation before has another key, and isn't taken for this one's.
             identity = server.incarnation if server is not None else name
-            key = self._keys[name] = xxhash.xxh32_intdigest(identity.encode())
+            key = self._keys[name] = short_key(identity)
         return key
 
     def _names(self) -> dict[int, str]:
