Take in the limit that a server names in one place

Read again: both ways in checked the incarnation, noted the limit and reported a change in lines of their own (relay, backends). dispatch/named_limits.py does so for both; the relay's method now says that it takes in what a server says of itself, not its counts alone.

--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -22,8 +22,8 @@
 from pomelobarrow.decision.server_limits import ServerLimits, parse_limit
 from pomelobarrow.decision.work import BackendServer, Placement
 from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
-from pomelobarrow.dispatch.events import ServerLimitNamed
 from pomelobarrow.dispatch.local import AttemptRunner, LocalDispatch
+from pomelobarrow.dispatch.named_limits import note_named_limit
 from pomelobarrow.dispatch.request import GatewayRequest
 from pomelobarrow.dispatch.resumed import RestFetcher
 from pomelobarrow.kernel.clock import now_unix_s
@@ -129,14 +129,9 @@
 
 
 def _note_limit(context: Context, server: BackendServer, headers: Mapping[str, str]) -> None:
-    """Take in the limit that a server names with an answer, or that it names none."""
-    table = context.get(LoadTable)
-    if not table.is_current(server):
-        return
     per_s = parse_limit(headers.get(SERVER_LIMIT_HEADER, ""))
-    if table.limits.observe(server.incarnation, per_s, now_unix_s()):
-        named = ServerLimitNamed(server=server.name, limit_per_s=per_s, header=SERVER_LIMIT_HEADER)
-        context.observe(named)
+    table = context.get(LoadTable)
+    note_named_limit(table, server, per_s, SERVER_LIMIT_HEADER, context.observe)
 
 
 def _fetcher(context: Context) -> RestFetcher:
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -20,7 +20,7 @@
 from pomelobarrow.decision.work import BackendServer, LoadReport, Placement
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.dispatch.crash_guard import CrashGuard, server_key
-from pomelobarrow.dispatch.events import ServerLimitNamed
+from pomelobarrow.dispatch.named_limits import note_named_limit
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.answer import ClientAnswer
@@ -193,7 +193,7 @@
                 target,
                 patience=self._patience(course, placement),
                 on_pause=self._pause_watch(course, server.name),
-                on_head=lambda head: self._note_counts(server, head),
+                on_head=lambda head: self._note_said(server, head),
             )
         finally:
             table.release(work.request_id, now_unix_s())
@@ -268,20 +268,14 @@
         patience_s = self.first_answers.patience_s(route.name, placement.expected_wait_s)
         return Patience(lasts_s=patience_s, may_give_up=take_repeat)
 
-    def _note_counts(self, server: BackendServer, head: ServerAnswerHead) -> None:
-        """Take in what a server says of its load with an answer."""
+    def _note_said(self, server: BackendServer, head: ServerAnswerHead) -> None:
+        """Take in what a server says of itself with an answer."""
+        table = self.placer.table
+        note_named_limit(table, server, head.limit_per_s, head.limit_header, self.observe)
         # The incarnation that it was sent to may be gone.
-        if not self.placer.table.is_current(server):
+        if head.counts is None or not table.is_current(server):
             return
         now = now_unix_s()
-        if self.placer.table.limits.observe(server.incarnation, head.limit_per_s, now):
-            self.observe(
-                ServerLimitNamed(
-                    server=server.name, limit_per_s=head.limit_per_s, header=head.limit_header
-                )
-            )
-        if head.counts is None:
-            return
         glimpse = LoadReport(
             server=server.name,
             measured_unix_s=now,
@@ -289,7 +283,7 @@
             waiting=head.counts.waiting,
             is_glimpse=True,
         )
-        self.placer.table.observe_glimpse(glimpse, now)
+        table.observe_glimpse(glimpse, now)
 
     def _pause_watch(self, course: Course, server: str) -> Callable[[float], None]:
         """Return what learns from the pauses of a stream."""
