Build requests, dispatchers and peer stubs of tests once

Read again: two new tests built the dispatcher's request anew, three tests its dispatcher, and the stub of a peer's handlers stood in the profile's simulated peer already. tests/gateway_requests.py, dispatcher_of and harness/peer_handlers.py serve all of them.

--- a/bench/profile/peers.py
+++ b/bench/profile/peers.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 from grpclib.server import Server, Stream
 
+from harness.peer_handlers import PeerHandlersStub
 from pomelobarrow.decision.clocks import ClockOffsets
 from pomelobarrow.decision.limits import AccountLimits
 from pomelobarrow.decision.load_table import LoadTable
@@ -21,7 +22,6 @@
 from pomelobarrow.peers.heartbeats import Heartbeats
 from pomelobarrow.peers.keys import PeerKeys
 from pomelobarrow.peers.links import PeerLink
-from pomelobarrow.peers.peers_grpc import PeerBase
 from pomelobarrow.peers.region_loads import RegionLoads
 from pomelobarrow.peers.streams import PeerStream
 from pomelobarrow.published.keyspaces import PublishedState
@@ -58,7 +58,7 @@
     return found
 
 
-class _Handlers(PeerBase):
+class _Handlers(PeerHandlersStub):
     """Answer the daemon's heartbeats as one peer does."""
 
     def __init__(self, peer: "SimulatedPeer") -> None:
@@ -72,18 +72,6 @@
         finally:
             self._peer.accepted.remove(accepted)
 
-    async def Forward(self, stream: Any) -> None:  # noqa: N802
-        raise NotImplementedError
-
-    async def Resume(self, stream: Any) -> None:  # noqa: N802
-        raise NotImplementedError
-
-    async def Cancel(self, stream: Any) -> None:  # noqa: N802
-        raise NotImplementedError
-
-    async def HandOver(self, stream: Any) -> None:  # noqa: N802
-        raise NotImplementedError
-
 
 @define(slots=False, eq=False)
 class SimulatedPeer:
--- a/tests/peer_handlers.py
+++ b/harness/peer_handlers.py
@@ -1,4 +1,4 @@
-"""Peer handlers of which a test needs one or two."""
+"""Peer handlers of which only one or two are needed."""
 
 from typing import Any
 
@@ -6,7 +6,7 @@
 
 
 class PeerHandlersStub(PeerBase):
-    """Answer no call; a test replaces the methods it needs."""
+    """Answer no call; whoever needs some replaces their methods."""
 
     async def Exchange(self, stream: Any) -> None:  # noqa: N802
         raise NotImplementedError
--- a/tests/test_dispatch_crashing_request.py
+++ b/tests/test_dispatch_crashing_request.py
@@ -6,7 +6,8 @@
 
 import pytest
 from attrs import define, evolve, field
-from test_dispatch_verdicts import Sink, request_of
+from gateway_requests import request_of
+from test_dispatch_verdicts import Sink
 from work_builders import SERVER
 
 from pomelobarrow.decision.attempt import Attempt, AttemptState
--- a/tests/test_dispatch_places.py
+++ b/tests/test_dispatch_places.py
@@ -7,9 +7,9 @@
 
 import pytest
 from attrs import define, evolve, field
+from gateway_requests import request_of
 
 from pomelobarrow.decision.attempt import Attempt, AttemptState
-from pomelobarrow.decision.configuration import Rank, WorkClass
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.work import BackendServer, Placement, Work
 from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
@@ -89,26 +89,13 @@
 def request(request_id: str) -> GatewayRequest:
     """Return a request that may wait for long."""
     now = time.time()
-    work = Work(
+    return request_of(
+        repeatable=True,
         request_id=request_id,
-        class_name="review",
-        account="desk",
-        rank=Rank.PAYING,
         pool=POOL,
-        model=None,
-        home_region="tallinn",
-        home_bound=True,
-        repeatable=True,
-        prompt_tokens=100,
-        expected_output_tokens=10,
-        accepted_unix_s=now,
         first_token_due_unix_s=now + 60.0,
         deadline_unix_s=now + 600.0,
     )
-    work_class = WorkClass(name="review", pool=POOL, first_token_target_s=60, finish_target_s=300)
-    return GatewayRequest(
-        work=work, work_class=work_class, is_chat=True, is_streamed=True, method="POST", path="/"
-    )
 
 
 async def settle() -> None:
--- a/tests/test_dispatch_server_limit.py
+++ b/tests/test_dispatch_server_limit.py
@@ -4,7 +4,8 @@
 from typing import Any
 
 from attrs import define, evolve, field
-from test_dispatch_verdicts import Sink, request_of
+from gateway_requests import request_of
+from test_dispatch_verdicts import Sink
 from work_builders import SERVER
 
 from pomelobarrow.decision.attempt import Attempt, AttemptState
@@ -43,8 +44,7 @@
 
 
 def request(number: int) -> GatewayRequest:
-    plain = request_of(True)
-    return evolve(plain, work=evolve(plain.work, request_id=f"r{number}"))
+    return request_of(True, request_id=f"r{number}")
 
 
 async def test_limited_server_gets_no_more_than_it_says_and_others_the_rest() -> None:
--- a/tests/test_dispatch_verdicts.py
+++ b/tests/test_dispatch_verdicts.py
@@ -1,17 +1,16 @@
 import asyncio
-import time
 from random import Random
 from typing import Any
 
 import pytest
 from aiohttp import ClientSession, web
 from attrs import define, evolve, field
+from gateway_requests import request_of
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from pomelobarrow.callers.sinks import HttpSink
 from pomelobarrow.decision.attempt import UNRUN_STATES, Attempt, AttemptState
-from pomelobarrow.decision.configuration import Rank, WorkClass
 from pomelobarrow.decision.errors import Kind, Refusal, Run
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.region_choice import RegionLoad, ShareOutsideHome
@@ -21,7 +20,6 @@
 from pomelobarrow.dispatch.background import wait_briefly
 from pomelobarrow.dispatch.dispatcher import Dispatcher
 from pomelobarrow.dispatch.refusals import RefusedError, refuse
-from pomelobarrow.dispatch.request import GatewayRequest
 
 NO_ROOM = refuse(Kind.OVERLOADED, Run.NO, "the queue is full")
 # A peer's own word; its refusal says what its state says.
@@ -75,27 +73,15 @@
         return AttemptResult(state=state, head_passed=head_passed, server="s", refusal=refusal)
 
 
-def request_of(repeatable: bool) -> GatewayRequest:
-    now = time.time()
-    work = Work(
-        request_id="id",
-        class_name="c",
-        account="a",
-        rank=Rank.PAYING,
-        pool="p",
-        model=None,
-        home_region="r",
-        home_bound=True,
-        repeatable=repeatable,
-        prompt_tokens=0,
-        expected_output_tokens=0,
-        accepted_unix_s=now,
-        first_token_due_unix_s=now + 1,
-        deadline_unix_s=now + 60,
-    )
-    work_class = WorkClass(name="c", pool="p", first_token_target_s=1, finish_target_s=60)
-    return GatewayRequest(
-        work=work, work_class=work_class, is_chat=True, is_streamed=True, method="POST", path="/"
+def dispatcher_of(attempts: Any) -> Dispatcher:
+    """Return a dispatcher whose attempts, here and at peers, end as a test says."""
+    return Dispatcher(
+        own_region="r",
+        local=attempts,
+        forwarder=attempts,
+        share=ShareOutsideHome(),
+        observe=lambda event: None,
+        rng=Random(0),
     )
 
 
@@ -116,14 +102,7 @@
     once a caller has seen a part of an answer, and "not run" needs every attempt to be certain.
     """
     attempts: Any = Attempts(list(ends))
-    dispatcher = Dispatcher(
-        own_region="r",
-        local=attempts,
-        forwarder=attempts,
-        share=ShareOutsideHome(),
-        observe=lambda event: None,
-        rng=Random(0),
-    )
+    dispatcher = dispatcher_of(attempts)
     sink: Any = Sink()
     answering: AnswerSink = sink
     refusal = await dispatcher.dispatch(request_of(repeatable), answering)
@@ -188,14 +167,7 @@
     """
     refused, finished = (AttemptState.REFUSED_UNRUN, False), (AttemptState.FINISHED, False)
     attempts: Any = Attempts([refused, refused, finished])
-    dispatcher = Dispatcher(
-        own_region="r",
-        local=attempts,
-        forwarder=attempts,
-        share=ShareOutsideHome(),
-        observe=lambda event: None,
-        rng=Random(0),
-    )
+    dispatcher = dispatcher_of(attempts)
     request = evolve(request_of(repeatable=True), is_chat=is_chat)
     assert await dispatcher.dispatch(request, Sink()) is None  # type: ignore[arg-type]
     assert attempts.request_ids == expected
@@ -211,14 +183,7 @@
     request_ids = {}
     for forwarded_by in (None, "vm-b"):
         attempts: Any = Attempts([failed, failed, (AttemptState.FINISHED, False)])
-        dispatcher = Dispatcher(
-            own_region="r",
-            local=attempts,
-            forwarder=attempts,
-            share=ShareOutsideHome(),
-            observe=lambda event: None,
-            rng=Random(0),
-        )
+        dispatcher = dispatcher_of(attempts)
         request = evolve(request_of(repeatable=True), forwarded_by=forwarded_by)
         await dispatcher.dispatch(request, Sink())  # type: ignore[arg-type]
         request_ids[forwarded_by] = attempts.request_ids
--- a/tests/test_forward_client.py
+++ b/tests/test_forward_client.py
@@ -1,7 +1,6 @@
 """Forwards whose connection is lost at the end of the answer."""
 
 import asyncio
-import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, nullcontext
 from random import Random
@@ -10,18 +9,16 @@
 
 import pytest
 from attrs import define, field
+from gateway_requests import request_of
 from grpclib.client import Channel
 from grpclib.server import Server
-from peer_handlers import PeerHandlersStub
 
+from harness.peer_handlers import PeerHandlersStub
 from harness.processes import free_ports
 from pomelobarrow.decision.attempt import Attempt, AttemptState
-from pomelobarrow.decision.configuration import Rank, WorkClass
 from pomelobarrow.decision.errors import Kind, Run
 from pomelobarrow.decision.member import Member
-from pomelobarrow.decision.work import Work
 from pomelobarrow.dispatch.answers import END_EVENT, SERVER_SENT_EVENTS, AnswerHead
-from pomelobarrow.dispatch.request import GatewayRequest
 from pomelobarrow.kernel.settings import PeerKey
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.forward_client import Forward
@@ -97,30 +94,6 @@
     return nullcontext(SimpleNamespace(set=lambda name, value: None))
 
 
-def request() -> GatewayRequest:
-    now = time.time()
-    work = Work(
-        request_id="r",
-        class_name="c",
-        account="a",
-        rank=Rank.PAYING,
-        pool="p",
-        model=None,
-        home_region="milan",
-        home_bound=True,
-        repeatable=True,
-        prompt_tokens=0,
-        expected_output_tokens=0,
-        accepted_unix_s=now,
-        first_token_due_unix_s=now + 1,
-        deadline_unix_s=now + 60,
-    )
-    work_class = WorkClass(name="c", pool="p", first_token_target_s=1, finish_target_s=60)
-    return GatewayRequest(
-        work=work, work_class=work_class, is_chat=True, is_streamed=True, method="POST", path="/"
-    )
-
-
 @asynccontextmanager
 async def forward_to(
     handlers: PeerHandlersStub, sink: Sink, peers: tuple[Member, ...] = ()
@@ -162,7 +135,7 @@
             forwarder=forwarder,
             member=PEER,
             link=link,
-            request=request(),
+            request=request_of(repeatable=True, request_id="r", home_region=PEER.region),
             attempt=Attempt(),
             sink=sink,  # type: ignore[arg-type]
             is_claim=False,
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -8,8 +8,8 @@
 from grpclib.exceptions import StreamTerminatedError
 from grpclib.server import Server
 from grpclib.utils import Wrapper
-from peer_handlers import PeerHandlersStub
 
+from harness.peer_handlers import PeerHandlersStub
 from harness.processes import free_ports
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.calls import LOST, SingleConnection, take_back_cancels
