Meter the tokens of an account over all regions without shared state

An operator limits accounts in tokens a second over all VMs. The limiter of the callers' interface counts requests, and its shares follow what each VM was asked for before: an account's long prompts reach each of 90 VMs every half minute, so that a third of what lies below the limit is refused.

--- a/bench/decisions/jobs.py
+++ b/bench/decisions/jobs.py
@@ -13,6 +13,7 @@
     retry_after,
     retry_budget,
     server_ways,
+    token_limits,
 )
 from bench.fakes.ways import FIRST_ONLY, SHIPPED
 
@@ -63,6 +64,16 @@
     return jobs + [Job(account_limits.run_partitioned, (20.0, 6, 1))]
 
 
+def _token_limits() -> list[Job]:
+    return [
+        Job(token_limits.run, (way, demand, limit_per_s, vms, seed))
+        for way in token_limits.WAYS
+        for demand in token_limits.DEMANDS
+        for limit_per_s, vms in ((47_000.0, 7), (47_000.0, 90), (800_000.0, 90), (800_000.0, 340))
+        for seed in SEEDS[:2]
+    ]
+
+
 GROUPS: dict[str, Callable[[], list[Job]]] = {
     "servers-small": lambda: _server_variants(
         (("draft", 2, 5, 90.0), ("draft", 20, 5, 90.0)), SEEDS
@@ -99,6 +110,7 @@
         for seed in SEEDS
     ],
     "limits": _limits,
+    "token-limits": _token_limits,
     "retry-budget": lambda: [
         Job(retry_budget.run, (variant, seed))
         for variant in ("none", "three attempts", "budget")
--- a/src/pomelobarrow/decision/configuration.py
+++ b/src/pomelobarrow/decision/configuration.py
@@ -5,14 +5,19 @@
 
 from attrs import field, frozen
 
+from pomelobarrow.decision.accounts import Account, Rank
 from pomelobarrow.decision.routing import Routing
 
-
-class Rank(enum.Enum):
-    """Whether work is paid for; paying work takes precedence over trial work everywhere."""
-
-    PAYING = "paying"
-    TRIAL = "trial"
+__all__ = [
+    "Account",
+    "Configuration",
+    "ModelSpec",
+    "Objective",
+    "Pool",
+    "PoolKind",
+    "Rank",
+    "WorkClass",
+]
 
 
 class Objective(enum.Enum):
@@ -52,18 +57,6 @@
     version: str = ""
 
 
-@frozen(kw_only=True)
-class Account:
-    """A client account with its limits; only hashes of its tokens are published."""
-
-    name: str
-    token_sha256: tuple[str, ...]
-    rank: Rank = Rank.PAYING
-    home_region: str | None = None
-    max_requests_per_s: float
-    max_requests_in_flight: int
-
-
 @frozen(kw_only=True)
 class Pool:
     """A pool of backend servers."""
--- a/src/pomelobarrow/decision/configuration_check.py
+++ b/src/pomelobarrow/decision/configuration_check.py
@@ -8,6 +8,7 @@
 from attrs import define, field, frozen
 from result import Err, Ok, Result
 
+from pomelobarrow.decision.accounts import MAX_REQUESTS_IN_FLIGHT, MAX_REQUESTS_PER_S
 from pomelobarrow.decision.checks import (
     NAME_PATTERN,
     NAME_REMEDY,
@@ -43,8 +44,6 @@
 ROUTING_KEY = "routing"
 EVACUATIONS = "evacuations"
 MAX_TARGET_S = 7 * 86_400
-MAX_REQUESTS_PER_S = 1_000_000
-MAX_REQUESTS_IN_FLIGHT = 1_000_000
 MAX_TOKENS_PER_ACCOUNT = 64
 
 _SHA256_PATTERN = re.compile(r"[0-9a-f]{64}")
