Admit relayed requests by account keys, and stop revoked keys everywhere

Change: the adapter hashes keys, and all else sees hashes. A request runs for the account that holds its key, on routes and in regions that both allow. Work that waits is checked again before each sending. A VM without a proof answers 503, and 401 only with one. Limits are charged where the client sent the request, once, and refunded if no server got it.

--- a/src/pomelobarrow/decision/errors.py
+++ b/src/pomelobarrow/decision/errors.py
@@ -23,6 +23,7 @@
     BAD_IDEMPOTENCY_KEY = ("bad_idempotency_key", 400)
     BAD_HOME_REGION = ("bad_home_region", 400)
     UNKNOWN_ACCOUNT = ("unknown_account", 401)
+    UNKNOWN_KEY = ("unknown_key", 401)
     UNKNOWN_CLASS = ("unknown_class", 400)
     UNKNOWN_MODEL = ("unknown_model", 400)
     UNKNOWN_SERVICE = ("unknown_service", 404)
--- a/src/pomelobarrow/decision/keyspace.py
+++ b/src/pomelobarrow/decision/keyspace.py
@@ -23,6 +23,7 @@
     ApplyResult,
     Change,
     Delta,
+    KeyspaceCounters,
     KeyspaceSummary,
     fingerprint,
 )
@@ -44,18 +45,6 @@
 LOG_SLACK = 64
 
 
-@define
-class KeyspaceCounters:
-    """Counters of applied and rejected batches, for operators."""
-
-    applied: int = 0
-    invalid: int = 0
-    stale: int = 0
-    gaps: int = 0
-    conflicts: int = 0
-    malformed: int = 0
-
-
 Validator = Callable[[Mapping[str, Any], frozenset[str], int], tuple[Any, ...]]
 
 
@@ -128,6 +117,16 @@
             revision_in_force=self.revision,
         )
 
+    def revision_in_force(self, key: str) -> int:
+        """Return the revision at which a key's value in force was published; 0 if it has none."""
+        change = self._in_force.get(key)
+        return change.revision if change else 0
+
+    def revision_observed(self, key: str) -> int:
+        """Return the revision of a key's newest observed change; 0 if there is none."""
+        entry = self._entries.get(key)
+        return entry.change.revision if entry else 0
+
     @property
     def ask_after_revision(self) -> int:
         """Return the revision after which to request the next page."""
--- a/src/pomelobarrow/decision/keyspace_types.py
+++ b/src/pomelobarrow/decision/keyspace_types.py
@@ -5,7 +5,7 @@
 
 import orjson
 import xxhash
-from attrs import frozen
+from attrs import define, frozen
 
 
 @frozen
@@ -37,6 +37,18 @@
     revision_in_force: int = 0
 
 
+@define
+class KeyspaceCounters:
+    """Counters of applied and rejected batches, for operators."""
+
+    applied: int = 0
+    invalid: int = 0
+    stale: int = 0
+    gaps: int = 0
+    conflicts: int = 0
+    malformed: int = 0
+
+
 class ApplyOutcome(enum.Enum):
     """Outcome of applying a batch of changes."""
 
--- a/src/pomelobarrow/decision/routing.py
+++ b/src/pomelobarrow/decision/routing.py
@@ -6,7 +6,12 @@
 from functools import cached_property
 from random import Random
 
-from attrs import frozen
+from attrs import evolve, frozen
+
+from pomelobarrow.decision.accounts import Account
+
+# Stands for the homes of a route and an account that have none in common. No region has this name.
+NOWHERE = ""
 
 
 class RouteKind(enum.Enum):
@@ -48,6 +53,8 @@
     silence_patience_s: float = float("inf")
     # Regions that may serve the route; empty means all.
     home_regions: tuple[str, ...] = ()
+    # Whether requests need no account's key.
+    is_public: bool = False
 
     @property
     def is_stream(self) -> bool:
@@ -101,6 +108,31 @@
     routes: tuple[Route, ...] = ()
     pools: tuple[RelayPool, ...] = ()
     limits: CallerLimits = CallerLimits()
+    accounts: tuple[Account, ...] = ()
+    # Whether routes that aren't public need an account's key. None in a version that a VM of an
+    # earlier release has read: that release passed on no accounts.
+    needs_account: bool | None = None
+
+    @cached_property
+    def account_by_key_sha256(self) -> Mapping[str, Account]:
+        """Return the accounts by the hashes of their keys."""
+        return {hashed: each for each in self.accounts for hashed in each.token_sha256}
+
+    @cached_property
+    def account_by_name(self) -> Mapping[str, Account]:
+        """Return the accounts by name."""
+        return {account.name: account for account in self.accounts}
+
+    @cached_property
+    def _routes_of_accounts(self) -> dict[tuple[str, str], Route]:
+        return {}
+
+    def route_of_account(self, route: Route, account: Account) -> Route:
+        """Return a route as it applies to an account: its urgency, and only homes of both."""
+        key = (route.name, account.name)
+        if key not in self._routes_of_accounts:
+            self._routes_of_accounts[key] = _route_of_account(route, account)
+        return self._routes_of_accounts[key]
 
     @cached_property
     def _by_host(self) -> Mapping[str, tuple[Route, ...]]:
@@ -124,5 +156,17 @@
         return self._by_host.get(host.lower(), ())
 
 
+def _route_of_account(route: Route, account: Account) -> Route:
+    urgency = route.urgency if account.urgency is None else account.urgency
+    return evolve(route, urgency=urgency, home_regions=_common_homes(route, account))
+
+
+def _common_homes(route: Route, account: Account) -> tuple[str, ...]:
+    if not route.home_regions or not account.home_regions:
+        return route.home_regions or account.home_regions
+    common = tuple(home for home in route.home_regions if home in account.home_regions)
+    return common or (NOWHERE,)
+
+
 def _longest_first(route: Route) -> int:
     return -len(route.path_prefix)
--- a/src/pomelobarrow/kernel/settings.py
+++ b/src/pomelobarrow/kernel/settings.py
@@ -25,6 +25,7 @@
 
 DEFAULT_MAX_BODY_BYTES = 8 * 1024 * 1024
 LARGEST_MAX_BODY_BYTES = 256 * 1024 * 1024
+DEFAULT_REVOCATION_S = 5.0
 MIN_SECRET_CHARACTERS = 16
 MAX_PORT = 65_535
 
@@ -104,6 +105,14 @@
     # The longest time for which clients may cache an answer of the directory.
     max_directory_ttl_s: float
     retry_bound: RetryBound
+    # The time in which the revocation of an account's key takes effect.
+    revocation_s: float = DEFAULT_REVOCATION_S
+    # Whether a VM that can't confirm its configuration must refuse all requests with a key.
+    is_revocation_strict: bool = False
+    # The time in which a new configuration takes effect on all VMs.
+    config_apply_s: float = 0.0
+    # By how much all VMs together may exceed an account's limit in a burst, in the limit's unit.
+    limit_tolerance: float = 0.0
 
     @property
     def hop_port(self) -> int:
--- a/src/pomelobarrow/operators/logs.py
+++ b/src/pomelobarrow/operators/logs.py
@@ -19,7 +19,9 @@
 INFO_FIELD = b'"level":"info"'
 ANSWERED_FIELD = b'"outcome":"answered"'
 RELAY_PLACED_FIELD = b'"event":"relay placed"'
+RELAY_DENIED_FIELD = b'"event":"relay denied"'
 PASSED_ON_FIELD = b'"end":"passed on"'
+FREQUENT_FIELDS = (ANSWERED_FIELD, RELAY_PLACED_FIELD, RELAY_DENIED_FIELD, PASSED_ON_FIELD)
 
 Event = MutableMapping[str, Any]
 Processor = Callable[[Any, str, Event], Any]
@@ -48,12 +50,11 @@
 def is_low_priority(line: bytes) -> bool:
     """Return whether a line is among the first to be dropped above the rate limit.
 
-    These are lines of level info about a placement or about a request that was answered or passed
-    on. A line without an outcome, such as the start of this process, is rare and is kept.
+    These are lines of level info about a placement, about a request that was answered or passed
+    on, or about one that its account's limit refuses. A line without an outcome, such as the start
+    of this process, is rare and is kept.
     """
-    if INFO_FIELD not in line:
-        return False
-    return ANSWERED_FIELD in line or RELAY_PLACED_FIELD in line or PASSED_ON_FIELD in line
+    return INFO_FIELD in line and any(each in line for each in FREQUENT_FIELDS)
 
 
 def request_logs(request_id: str, trace_id: str = "") -> AbstractContextManager[None]:
--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -203,6 +203,12 @@
             "Relayed requests that ended here, by what the client got.",
             ("route", "outcome", "status"),
         )
+        self.relay_denied = CounterFamily(
+            registry,
+            "pomelobarrow_relay_denied_total",
+            "Relayed requests refused by their key or their account's limit, by kind.",
+            ("kind",),
+        )
         self.relay_attempts = CounterFamily(
             registry,
             "pomelobarrow_relay_attempts_total",
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -26,6 +26,7 @@
 from pomelobarrow.relay.events import (
     DirectoryChanged,
     RelayAttemptEnded,
+    RelayDenied,
     RelayEnded,
     RelayNotPlaced,
     RelayPlaced,
@@ -54,6 +55,7 @@
             ProcessPauseDetected: self._process_pause_detected,
             RelayPlaced: self._relay_placed,
             RelayNotPlaced: self._relay_not_placed,
+            RelayDenied: self._relay_denied,
             RelayAttemptEnded: self._relay_attempt_ended,
             RelayEnded: self._relay_ended,
             ServerEjected: self._server_ejected,
@@ -143,6 +145,10 @@
     def _relay_not_placed(self, event: RelayNotPlaced) -> None:
         self._log.warning("relay placed nowhere", **asdict(event))
 
+    def _relay_denied(self, event: RelayDenied) -> None:
+        self._metrics.relay_denied.inc(event.kind)
+        self._log.info("relay denied", **asdict(event))
+
     def _relay_attempt_ended(self, event: RelayAttemptEnded) -> None:
         self._metrics.relay_attempts.inc(event.pool, event.end)
         self._metrics.relay_attempt_s.observe(event.took_s, event.pool, event.end)
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -4,6 +4,7 @@
 
 from pomelobarrow.backends.reports import LoadPoller
 from pomelobarrow.decision.clocks import ClockOffsets
+from pomelobarrow.decision.config_proof import ConfigProof
 from pomelobarrow.decision.crash_suspects import CrashSuspects
 from pomelobarrow.decision.limits import AccountLimits
 from pomelobarrow.decision.member import ListedVm, Member, Phase
@@ -18,7 +19,9 @@
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
 from pomelobarrow.operators.traces import Traces
 from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.config_proofs import ConfigProofs
 from pomelobarrow.peers.crash_updates import CrashUpdates
+from pomelobarrow.peers.datagrams import PeerDatagrams
 from pomelobarrow.peers.exchange import Exchange
 from pomelobarrow.peers.forward_client import PeerForwarder
 from pomelobarrow.peers.forward_server import ForwardServer
@@ -31,9 +34,15 @@
 from pomelobarrow.peers.server import PeerHandlers, PeerServer
 from pomelobarrow.peers.streams import AcceptedStreams, PeerStream
 from pomelobarrow.peers.table import PeerTable
+from pomelobarrow.peers.token_grants import Accounts, TokenGrants
 from pomelobarrow.published.keyspaces import PublishedState
 from pomelobarrow.published.watcher import PlatformWatcher
 
+# The rest covers what the regions' meters don't know of each other yet.
+BURST_TOLERANCE_SHARE = 0.5
+# The rest covers the time until the last VM has the configuration.
+LOWERED_AFTER_SHARE = 0.7
+
 
 @hookimpl
 def provide_parts(context: Context) -> None:
@@ -51,16 +60,23 @@
     context.provide(ForwardServer, _forward_server)
     context.provide(Joining, _joining)
     context.provide(PeerServer, _server)
+    context.provide(PeerDatagrams, _datagrams)
+    context.provide(ConfigProofs, _config_proofs)
+    context.provide(TokenGrants, _token_grants)
 
 
 @hookimpl
 def services(context: Context) -> list[PhasedService]:
     """Serve peers and keep links to them."""
-    return [
+    started = [
         PhasedService(StartPhase.PEERS, context.get(PeerServer)),
         PhasedService(StartPhase.PEERS, context.get(PeerTable)),
         PhasedService(StartPhase.BACKENDS, context.get(Joining)),
     ]
+    if context.settings.relay is None:
+        return started
+    of_relay = (PeerDatagrams, ConfigProofs, TokenGrants)
+    return started + [PhasedService(StartPhase.PEERS, context.get(each)) for each in of_relay]
 
 
 @hookimpl
@@ -135,6 +151,43 @@
     return min(others, key=lambda member: member.vm, default=None)
 
 
+def _datagrams(context: Context) -> PeerDatagrams:
+    relay = context.settings.relay
+    assert relay is not None
+    host = relay.hop_listen.rpartition(":")[0]
+    return PeerDatagrams(context.settings.peers.keys, host, relay.hop_port)
+
+
+def _config_proofs(context: Context) -> ConfigProofs:
+    return ConfigProofs(
+        proof=context.get(ConfigProof),
+        view=context.get(MembershipView),
+        published=context.get(PublishedState),
+        datagrams=context.get(PeerDatagrams),
+        watcher=context.get(PlatformWatcher),
+        is_watcher=context.get(PeerTable).is_watcher,
+    )
+
+
+def _token_grants(context: Context) -> TokenGrants:
+    relay, published = context.settings.relay, context.get(PublishedState)
+    assert relay is not None
+
+    def accounts() -> Accounts:
+        configuration = published.configuration
+        routing = configuration.routing if configuration else None
+        return routing.account_by_name if routing else {}
+
+    return TokenGrants(
+        view=context.get(MembershipView),
+        regions=relay.region_by_failure_domain.values(),
+        accounts=accounts,
+        datagrams=context.get(PeerDatagrams),
+        tolerance=BURST_TOLERANCE_SHARE * relay.limit_tolerance,
+        lowered_after_s=LOWERED_AFTER_SHARE * relay.config_apply_s,
+    )
+
+
 def _view(context: Context) -> MembershipView:
     settings = context.settings
     view = MembershipView(settings.vm, settings.region)
--- a/src/pomelobarrow/platform/records.py
+++ b/src/pomelobarrow/platform/records.py
@@ -7,6 +7,7 @@
 
 import cattrs
 
+from pomelobarrow.decision.accounts import Account, RateLimit, key_sha256
 from pomelobarrow.decision.configuration_check import EVACUATIONS, ROUTING_KEY
 from pomelobarrow.decision.routing import (
     CallerLimits,
@@ -31,6 +32,7 @@
 SERVER_PREFIX = "servers/"
 STATE_READY = "ready"
 STATE_BY_NAME = {"ready": STATE_READY, "draining": STATE_LEAVING}
+UNIT_TOKENS = "tokens"
 MS_PER_S = 1_000.0
 MAX_PORT = 65_535
 
@@ -150,6 +152,32 @@
         routes=tuple(_route(route) for route in config["Routes"]),
         pools=tuple(_pool(service) for service in config["Services"]),
         limits=_limits(config.get("Limits") or {}),
+        accounts=tuple(_account(tenant) for tenant in config.get("Tenants") or ()),
+        needs_account=config.get("Tenants") is not None,
+    )
+
+
+def _account(tenant: Mapping[str, Any]) -> Account:
+    priority = tenant.get("Priority")
+    return Account(
+        name=str(tenant["Name"]),
+        # The keys themselves leave this function in no form: peers and logs see hashes only.
+        token_sha256=tuple(key_sha256(str(key)) for key in tenant.get("Keys") or ()),
+        urgency=None if priority is None else int(priority),
+        home_regions=tuple(tenant.get("HomeRegions") or ()),
+        limit=_rate_limit(tenant),
+    )
+
+
+def _rate_limit(tenant: Mapping[str, Any]) -> RateLimit | None:
+    per_s = float(tenant.get("RatePerS") or 0.0)
+    if not per_s:
+        return None
+    return RateLimit(
+        per_s=per_s,
+        burst=float(tenant.get("Burst") or 0.0),
+        counts_tokens=tenant.get("Unit") == UNIT_TOKENS,
+        default_cost=float(tenant.get("PlainTokens") or 1.0),
     )
 
 
@@ -172,6 +200,7 @@
         gap_target_s=gap_target_s,
         silence_patience_s=_silence_patience_s(first_answer_target_s, gap_target_s),
         home_regions=tuple(route.get("HomeRegions") or ()),
+        is_public=bool(route.get("Public")),
     )
 
 
--- a/src/pomelobarrow/platform/settings.py
+++ b/src/pomelobarrow/platform/settings.py
@@ -10,6 +10,7 @@
 from pomelobarrow.decision.checks import Fault
 from pomelobarrow.decision.retry_share import RetryBound
 from pomelobarrow.kernel.settings import (
+    DEFAULT_REVOCATION_S,
     CallerSettings,
     PeerKey,
     PeerSettings,
@@ -23,6 +24,7 @@
 # The platform assigns no port for metrics, and the deploy file needs one that is known beforehand.
 # This one is on the Prometheus project's list of exporter ports.
 METRICS_PORT = 9464
+MS_PER_S = 1_000.0
 PEER_KEY_ID = "platform"
 
 _REMEDY = "provide the settings file that the platform's documentation describes"
@@ -78,10 +80,19 @@
                 slack=float(bounds["BudgetSlack"]),
                 window_s=float(bounds["BudgetWindowS"]),
             ),
+            revocation_s=_revocation_s(bounds),
+            is_revocation_strict=bool(bounds.get("StrictRevoke")),
+            config_apply_s=float(bounds.get("ApplyMs") or 0.0) / MS_PER_S,
+            limit_tolerance=float(bounds.get("QuotaSlack") or 0.0),
         ),
     )
 
 
+def _revocation_s(bounds: Mapping[str, Any]) -> float:
+    revocation_ms = bounds.get("RevokeMs")
+    return float(revocation_ms) / MS_PER_S if revocation_ms else DEFAULT_REVOCATION_S
+
+
 def _peer_key(store_address: str) -> PeerKey:
     """Return the key that all daemons of one store share.
 
--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -5,8 +5,10 @@
 
 import orjson
 from aiohttp import ClientResponse
+from multidict import MultiMapping
 from result import Err, Ok, Result
 
+from pomelobarrow.decision.accounts import key_sha256
 from pomelobarrow.decision.server_limits import parse_limit
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.messages import (
@@ -42,6 +44,10 @@
 # the name without the prefix; no observed message confirms it, so both names are accepted.
 SERVER_LIMITS = ("Server-Limit", "Pomelobarrow-Server-Limit")
 
+# Identifies the client's account to this system; backend servers get the account's name instead.
+ACCOUNT_KEY = "Pomelobarrow-Key"
+ACCOUNT_NAME = "Pomelobarrow-Tenant"
+
 WRONG_SERVER_STATUS = 421
 MAX_PRIORITY = 9
 MS_PER_S = 1_000.0
@@ -53,6 +59,8 @@
     for name in (
         TARGET_SERVER,
         PRIORITY,
+        ACCOUNT_KEY,
+        ACCOUNT_NAME,
         "Pomelobarrow-Expected-Version",
         "Pomelobarrow-Hold",
         "Pomelobarrow-Pin-Duration",
@@ -101,19 +109,25 @@
     request_id = headers.get(REQUEST_ID, "")
     if not request_id:
         return Err(f"{REQUEST_ID} is missing")
+    keys = _values(headers, ACCOUNT_KEY)
+    if len(keys) > 1:
+        return Err(f"{ACCOUNT_KEY} is given {len(keys)} times")
     try:
         time_left_ms = headers.get(TIME_LEFT)
-        prompt_tokens, _, output_tokens = headers.get(TOKEN_COUNTS, "0,0").partition(",")
+        counts = headers.get(TOKEN_COUNTS)
+        prompt_tokens, output_tokens = _token_counts(counts)
         return Ok(
             RequestHead(
                 request_id=request_id,
                 headers=_end_to_end_headers(headers),
                 time_limit_s=float(time_left_ms) / MS_PER_S if time_left_ms else None,
                 model=headers.get(MODEL),
-                prompt_tokens=int(prompt_tokens),
-                max_output_tokens=int(output_tokens or 0),
+                prompt_tokens=prompt_tokens,
+                max_output_tokens=output_tokens,
+                counted_tokens=None if counts is None else prompt_tokens + output_tokens,
                 prompt_parts=_prompt_parts(headers.get(PROMPT_PARTS, "")),
                 last_event_id=headers.get(LAST_EVENT_ID, ""),
+                key_sha256=key_sha256(keys[0]) if keys and keys[0] else "",
             )
         )
     except ValueError as error:
@@ -122,10 +136,12 @@
 
 def server_headers(request: RelayRequest, options: ServerCallOptions) -> Headers:
     """Return the headers for a backend server."""
-    routing_headers = (
+    routing_headers: Headers = (
         (TARGET_SERVER, options.server),
         (PRIORITY, str(min(MAX_PRIORITY, request.route.urgency))),
     )
+    if request.account is not None:
+        routing_headers += ((ACCOUNT_NAME, request.account.name),)
     return (
         _forwarded_headers(request, options.deadline_unix_s, options.resume_after) + routing_headers
     )
@@ -172,6 +188,22 @@
     return match[1].decode("latin-1") if match else ""
 
 
+def _token_counts(text: str | None) -> tuple[int, int]:
+    prompt_text, _, output_text = (text or "0,0").partition(",")
+    prompt_tokens, output_tokens = int(prompt_text), int(output_text or 0)
+    # A negative count would add to what the client's account may use.
+    if prompt_tokens < 0 or output_tokens < 0:
+        raise ValueError(f"{TOKEN_COUNTS} is negative")
+    return prompt_tokens, output_tokens
+
+
+def _values(headers: Mapping[str, str], name: str) -> list[str]:
+    """Return all values of a header that may be repeated."""
+    if isinstance(headers, MultiMapping):
+        return [str(value).strip() for value in headers.getall(name, ())]
+    return [headers[name]] if name in headers else []
+
+
 def _forwarded_headers(request: RelayRequest, deadline_unix_s: float, resume_after: str) -> Headers:
     """Return the client's headers with the remaining time and the event to resume after."""
     replacements = [("Host", request.host), (TIME_LEFT, _time_left_ms(deadline_unix_s))]
--- a/src/pomelobarrow/published/plugin.py
+++ b/src/pomelobarrow/published/plugin.py
@@ -4,8 +4,10 @@
 
 from mode import Service
 
+from pomelobarrow.decision.config_proof import ConfigProof
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
+from pomelobarrow.kernel.settings import DEFAULT_REVOCATION_S
 from pomelobarrow.peers.table import PeerTable
 from pomelobarrow.published.keyspaces import PublishedState
 from pomelobarrow.published.store_reader import StoreReader
@@ -43,6 +45,7 @@
     """Register the keyspaces and their watcher."""
     context.provide(PublishedState, lambda c: PublishedState(observe=c.observe))
     context.provide(PlatformWatcher, _watcher)
+    context.provide(ConfigProof, _proof)
 
 
 @hookimpl
@@ -78,10 +81,19 @@
     return StatusSection("keyspaces", values)
 
 
+def _proof(context: Context) -> ConfigProof:
+    relay = context.settings.relay
+    return ConfigProof(revocation_s=relay.revocation_s if relay else DEFAULT_REVOCATION_S)
+
+
 def _watcher(context: Context) -> PlatformWatcher:
     table = context.get(PeerTable)
     watcher = PlatformWatcher(
-        context, context.get(PublishedState), context.get(StoreReader), table.is_watcher
+        context,
+        context.get(PublishedState),
+        context.get(StoreReader),
+        table.is_watcher,
+        context.get(ConfigProof),
     )
     table.review_listeners.append(watcher.on_role_review)
     return watcher
--- a/src/pomelobarrow/published/watcher.py
+++ b/src/pomelobarrow/published/watcher.py
@@ -10,11 +10,13 @@
 from mode import Service
 from result import Err, Result
 
+from pomelobarrow.decision.config_proof import ConfigProof, Proof
+from pomelobarrow.decision.configuration_check import ROUTING_KEY
 from pomelobarrow.decision.keyspace import ApplyOutcome
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.published.events import PlatformReachable, PlatformUnreachable
-from pomelobarrow.published.keyspaces import PublishedState
+from pomelobarrow.published.keyspaces import CONFIG, PublishedState
 from pomelobarrow.published.store_reader import Page, ReadError, ReadFailure, StoreReader
 
 # The network may drop a poll's connection without notice to either end; it then stays silent for
@@ -34,6 +36,8 @@
 # draining apply again.
 MAX_RETRY_DELAY_S = 1.0
 SOURCE_PLATFORM = "platform"
+# The copy may lack changes that the read contained.
+UNUSABLE_OUTCOMES = (ApplyOutcome.GAP, ApplyOutcome.MALFORMED)
 
 log = structlog.get_logger(__name__)
 
@@ -55,11 +59,13 @@
         state: PublishedState,
         reader: StoreReader,
         is_watcher: Callable[[], bool],
+        proof: ConfigProof,
     ) -> None:
         super().__init__()
         self._state = state
         self._reader = reader
         self._is_watcher = is_watcher
+        self._proof = proof
         self._context = context
         self._random = random.Random()
         self._is_reachable: bool | None = None
@@ -104,7 +110,7 @@
                 await self._read(name, 0.0)
                 continue
             started_unix_s = now_unix_s()
-            wait_s = LONG_POLL_S * self._random.uniform(0.75, 1.0)
+            wait_s = self._long_poll_s(name) * self._random.uniform(0.75, 1.0)
             result = await self._read(name, wait_s)
             if _may_read_at_once(result, now_unix_s() - started_unix_s, wait_s):
                 retry_delay_s = MIN_RETRY_DELAY_S
@@ -113,6 +119,18 @@
             await self.sleep(retry_delay_s * self._random.uniform(0.5, 1.5))
             retry_delay_s = min(retry_delay_s * 2, MAX_RETRY_DELAY_S)
 
+    def _long_poll_s(self, name: str) -> float:
+        """Return how long a watch waits; where accounts have keys, each watch is a proof."""
+        configuration = self._state.configuration
+        routing = configuration.routing if configuration else None
+        if name == CONFIG and routing is not None and routing.needs_account:
+            return min(LONG_POLL_S, self._proof.refresh_s)
+        return LONG_POLL_S
+
+    async def read_now(self, name: str) -> None:
+        """Read a keyspace's changes at once."""
+        await self._read(name, 0.0)
+
     async def _wait_for_idle_read(self) -> None:
         """Wait until the next idle read is due or this VM becomes a watcher."""
         self._became_watcher.clear()
@@ -121,6 +139,14 @@
                 await self._became_watcher.wait()
 
     async def _read(self, name: str, wait_s: float) -> ReadResult:
+        sent_unix_s = now_unix_s()
+        result = await self._read_changes(name, wait_s)
+        if name == CONFIG and result is not ReadResult.FAILED:
+            revision = self._state.copies[CONFIG].revision_observed(ROUTING_KEY)
+            self._proof.observe(Proof(sent_unix_s, revision))
+        return result
+
+    async def _read_changes(self, name: str, wait_s: float) -> ReadResult:
         after = self._state.copies[name].observed_revision
         if after == 0:
             return await self._read_all(name)
@@ -148,7 +174,7 @@
         applied = self._state.apply(
             name, page.changes, page.head_revision, after_revision=after, source=SOURCE_PLATFORM
         )
-        if applied.outcome is ApplyOutcome.MALFORMED:
+        if applied.outcome in UNUSABLE_OUTCOMES:
             return ReadResult.FAILED
         return ReadResult.CHANGES if page.head_revision > after else ReadResult.NO_CHANGES
 
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -54,6 +54,26 @@
     time_left_s: float
 
 
+@frozen(kw_only=True)
+class RelayDenied:
+    """Report that a request is refused by its key or its account's limit, and why."""
+
+    request_id: str
+    route: str
+    # Empty if the key decided.
+    account: str
+    kind: str
+    detail: str
+    routing_version: int
+    # The age of the proof that the configuration is current; infinity without any.
+    confirmed_age_s: float
+    # What the request costs its account, and the account's limit; 0 if the key decided.
+    cost: float
+    limit_per_s: float
+    forwarded_by: str
+    retry_after_s: float | None
+
+
 @frozen(kw_only=True)
 class RelayAttemptEnded:
     """Report how one attempt of a request ended."""
--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -5,11 +5,12 @@
 from functools import partial
 
 from aiohttp import web
-from attrs import define, field
+from attrs import define, evolve, field
 from result import Err, Ok, Result
 
 from pomelobarrow.callers.headers import check_text
-from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.decision.access import Admission
+from pomelobarrow.decision.accounts import Rank
 from pomelobarrow.decision.errors import ErrorKind, Refusal, RunStatus
 from pomelobarrow.decision.routing import Route, Routing
 from pomelobarrow.decision.stream_admission import MIN_RETRY_AFTER_S
@@ -17,11 +18,14 @@
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.peers.token_grants import Refund
+from pomelobarrow.relay.access import RelayAccess
 from pomelobarrow.relay.answer import ClientAnswer
-from pomelobarrow.relay.hop import ATTEMPTS_OF_PEER, read_forwarder
+from pomelobarrow.relay.hop import ATTEMPTS_OF_PEER, read_forwarder, read_key_sha256
 from pomelobarrow.relay.messages import RelayRequest, RequestHead
 from pomelobarrow.relay.planned_stop import PlannedStop
 from pomelobarrow.relay.prompts import shared_blocks
+from pomelobarrow.relay.refusal_answer import send_refusal
 from pomelobarrow.relay.relay import Relay
 from pomelobarrow.relay.wire import RelayWire
 
@@ -44,6 +48,7 @@
     routing: Callable[[], Routing | None]
     is_draining: Callable[[], bool]
     planned_stop: PlannedStop = field(factory=PlannedStop)
+    access: RelayAccess = field(factory=RelayAccess)
     # Returns whether this VM has received the list of backend servers.
     has_server_list: Callable[[], bool] = lambda: True
 
@@ -70,14 +75,36 @@
         if isinstance(read, Err):
             return await self._refuse(incoming, read.err_value)
         head, route = read.ok_value
+        admitted = self.access.check(routing, route, head, forwarded_by)
+        if isinstance(admitted, Err):
+            return await self._refuse(incoming, admitted.err_value)
+        admission = admitted.ok_value
         body = await _read_body(incoming)
         if isinstance(body, Err):
             return await self._refuse(incoming, body.err_value)
-        request = self._request(incoming, head, route, forwarded_by, accepted_unix_s, body.ok_value)
+        request = self._request(
+            incoming, head, admission, forwarded_by, accepted_unix_s, body.ok_value
+        )
         if not self.planned_stop.can_finish(request.work, accepted_unix_s):
             return await self._refuse(incoming, _stops_too_soon(accepted_unix_s))
+        # The VM that the client sent the request to has charged it already.
+        if forwarded_by:
+            return await self._answer(incoming, request, routing)
+        charged = await self.access.charge(routing, admission, head)
+        if isinstance(charged, Err):
+            return await self._refuse(incoming, charged.err_value)
+        return await self._answer(incoming, request, routing, charged.ok_value)
+
+    async def _answer(
+        self,
+        incoming: web.BaseRequest,
+        request: RelayRequest,
+        routing: Routing,
+        refund: Refund = lambda: None,
+    ) -> web.StreamResponse:
         sink = ClientAnswer(incoming, closes=self.is_draining())
-        await self.relay.answer(request, routing, sink)
+        if not await self.relay.answer(request, routing, sink):
+            refund()
         return sink.response or _closed(incoming)
 
     async def _wait_for_routing(self, accepted_unix_s: float) -> Routing | None:
@@ -103,21 +130,26 @@
         head = self.wire.read_request(incoming.headers)
         if isinstance(head, Err):
             return Err(_malformed(head.err_value))
+        if forwarded_by:
+            hashed = read_key_sha256(incoming.headers)
+            return Ok((evolve(head.ok_value, key_sha256=hashed), route))
         return Ok((head.ok_value, route))
 
     def _request(
         self,
         incoming: web.BaseRequest,
         head: RequestHead,
-        route: Route,
+        admission: Admission,
         forwarded_by: str,
         accepted_unix_s: float,
         body: bytes,
     ) -> RelayRequest:
+        route, account = admission.route, admission.account
         return RelayRequest(
             head=head,
             route=route,
-            work=self._work(head, route, accepted_unix_s),
+            account=account,
+            work=self._work(head, route, account.name if account else "", accepted_unix_s),
             method=incoming.method,
             host=incoming.headers["Host"],
             target=incoming.raw_path,
@@ -126,14 +158,14 @@
             attempts_left=ATTEMPTS_OF_PEER if forwarded_by else route.max_attempts,
         )
 
-    def _work(self, head: RequestHead, route: Route, accepted_unix_s: float) -> Work:
+    def _work(self, head: RequestHead, route: Route, account: str, accepted_unix_s: float) -> Work:
         time_limit_s = route.timeout_s
         if head.time_limit_s is not None:
             time_limit_s = min(head.time_limit_s, time_limit_s)
         return Work(
             request_id=head.request_id,
             class_name=route.name,
-            account="",
+            account=account,
             rank=Rank.PAYING,
             pool=route.choose_pool(self.relay.rng),
             model=head.model,
@@ -153,7 +185,7 @@
     async def _refuse(self, incoming: web.BaseRequest, refusal: Refusal) -> web.StreamResponse:
         sink = ClientAnswer(incoming, closes=self.is_draining())
         try:
-            await self.relay.refuse(refusal, "", sink)
+            await send_refusal(refusal, "", sink)
         except CallerGoneError:
             return _closed(incoming)
         return sink.response or _closed(incoming)
--- a/src/pomelobarrow/relay/hop.py
+++ b/src/pomelobarrow/relay/hop.py
@@ -12,6 +12,8 @@
 from pomelobarrow.relay.wire import RelayWire
 
 FROM_HEADER = "Pomelobarrow-Peer-From"
+# The hash of the account's key, with which the peer decides for itself whether the request may run.
+KEY_HEADER = "Pomelobarrow-Peer-Account-Key"
 RUN_HEADER = "Pomelobarrow-Peer-Run"
 # Sent instead of "no" by a peer that sent the request to no server. If such a refusal counted as an
 # attempt, a peer without a free server would use up the route's attempts while other regions have
@@ -37,6 +39,11 @@
     return headers.get(FROM_HEADER, "")
 
 
+def read_key_sha256(headers: Mapping[str, str]) -> str:
+    """Return the hash of the account's key of a forwarded request; empty if there is none."""
+    return headers.get(KEY_HEADER, "")
+
+
 def refusal_headers(
     refusal: Refusal, was_sent: bool, ended_server_key: int | None = None
 ) -> Headers:
@@ -59,7 +66,10 @@
     """Return the target that sends a request to a peer."""
 
     def headers() -> Headers:
-        return wire.peer_headers(request, resume_after) + ((FROM_HEADER, own_vm),)
+        hop_headers: Headers = ((FROM_HEADER, own_vm),)
+        if request.head.key_sha256:
+            hop_headers += ((KEY_HEADER, request.head.key_sha256),)
+        return wire.peer_headers(request, resume_after) + hop_headers
 
     host = member.peer_address.rpartition(":")[0]
     return Target(
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -5,6 +5,7 @@
 
 from attrs import field, frozen
 
+from pomelobarrow.decision.accounts import Account
 from pomelobarrow.decision.fingerprint import fingerprint
 from pomelobarrow.decision.placement_request import PlacementRequest
 from pomelobarrow.decision.routing import Route
@@ -33,8 +34,12 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
+    # The sum of the token counts that the client states; None if it states none.
+    counted_tokens: int | None = None
     # The last event that the client has received of a stream that broke off.
     last_event_id: str = ""
+    # The hash of the key of the client's account; empty if it sent none.
+    key_sha256: str = field(default="", repr=False)
 
     @property
     def group(self) -> str:
@@ -62,6 +67,8 @@
     host: str
     target: str
     body: bytes = field(default=b"", repr=False)
+    # None on public routes and where no accounts are published.
+    account: Account | None = field(default=None, repr=False)
     # The VM that forwarded it. Such a request runs here or is refused: if it were forwarded again,
     # VMs with different views could send it in a loop.
     forwarded_by: str = ""
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -1,5 +1,6 @@
 """The relay plug-in: its listeners and shared parts; inactive without relay settings."""
 
+import math
 from collections.abc import Awaitable
 
 from pomelobarrow.backends.sessions import BackendSessions
@@ -16,8 +17,11 @@
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
 from pomelobarrow.kernel.settings import RelaySettings
+from pomelobarrow.peers.config_proofs import ConfigProofs
 from pomelobarrow.peers.region_loads import RegionLoads
+from pomelobarrow.peers.token_grants import TokenGrants
 from pomelobarrow.published.keyspaces import VMS, PublishedState
+from pomelobarrow.relay.access import RelayAccess
 from pomelobarrow.relay.directory import ANSWER_VALID_S, RelayDirectory
 from pomelobarrow.relay.front import RelayFront
 from pomelobarrow.relay.health_monitor import ServerHealthMonitor
@@ -40,6 +44,7 @@
     context.provide(Placer, _placer)
     context.provide(Relay, _relay)
     context.provide(PlannedStop, lambda _: PlannedStop())
+    context.provide(RelayAccess, _access)
     context.provide(RelayFront, _front)
     context.provide(RelayDirectory, _directory)
     context.provide(RelayListeners, _listeners)
@@ -55,10 +60,19 @@
 
 @hookimpl
 def status(context: Context) -> StatusSection:
-    """Report the number of requests in progress."""
+    """Report the requests in progress, the confirmation of keys and the metered accounts."""
     if context.settings.relay is None:
         return StatusSection("relay", {})
-    return StatusSection("relay", {"in_progress": context.get(Relay).in_progress})
+    proofs, grants = context.get(ConfigProofs), context.get(TokenGrants)
+    age_s = proofs.proof.age_s(now_unix_s())
+    values = {
+        "in_progress": context.get(Relay).in_progress,
+        # The age of the proof that the configuration in force is current; None without one.
+        "configuration_proof_age_s": age_s if math.isfinite(age_s) else None,
+        "configuration_is_confirmed": proofs.is_confirmed(),
+        "metered_accounts": grants.metered_accounts(),
+    }
+    return StatusSection("relay", values)
 
 
 @hookimpl
@@ -124,6 +138,19 @@
         monitor=ServerHealthMonitor(table=context.get(LoadTable), observe=context.observe),
         observe=context.observe,
         guard=context.get(CrashGuard),
+        may_still_run=context.get(RelayAccess).may_still_run,
+    )
+
+
+def _access(context: Context) -> RelayAccess:
+    proofs, grants = context.get(ConfigProofs), context.get(TokenGrants)
+    return RelayAccess(
+        routing=lambda: _routing(context),
+        is_revocation_strict=_relay_settings(context).is_revocation_strict,
+        is_confirmed=proofs.is_confirmed,
+        confirmed_age_s=lambda: proofs.proof.age_s(now_unix_s()),
+        admit_tokens=grants.admit,
+        observe=context.observe,
     )
 
 
@@ -135,6 +162,7 @@
         routing=lambda: _routing(context),
         is_draining=lambda: context.is_draining,
         planned_stop=context.get(PlannedStop),
+        access=context.get(RelayAccess),
         has_server_list=lambda: context.get(PublishedState).copies[VMS].observed_revision > 0,
     )
 
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -4,11 +4,9 @@
 from collections.abc import Callable
 from random import Random
 
-import orjson
 from attrs import define, field
 
 from pomelobarrow.backends.sessions import BackendSessions
-from pomelobarrow.callers.problems import problem_body
 from pomelobarrow.decision.errors import ErrorKind, Refusal, RunStatus
 from pomelobarrow.decision.placement import Placer
 from pomelobarrow.decision.placement_request import LocalPlacement, NoPlacement, PeerPlacement
@@ -27,10 +25,11 @@
 from pomelobarrow.relay.attempt import FirstAnswerTimeout, RelayAttempt, Target
 from pomelobarrow.relay.event_splitter import EventSplitter
 from pomelobarrow.relay.health_monitor import FirstAnswerTimes, ServerHealthMonitor
-from pomelobarrow.relay.hop import peer_target, refusal_headers
+from pomelobarrow.relay.hop import peer_target
 from pomelobarrow.relay.messages import AttemptEnd, AttemptReport, RelayRequest, ServerAnswerHead
 from pomelobarrow.relay.next_step import UNSENT_ENDS, AttemptHistory, Step, last_step, should_retry
 from pomelobarrow.relay.progress import RequestProgress
+from pomelobarrow.relay.refusal_answer import send_refusal
 from pomelobarrow.relay.relay_log import RelayLog
 from pomelobarrow.relay.wire import RelayWire, ServerCallOptions
 
@@ -39,7 +38,7 @@
 SERVER_CONNECT_TIMEOUT_S = 0.35
 RETRY_JITTER = 0.5
 LIMIT_CHECK_S = 0.01
-PROBLEM_CONTENT_TYPE = ("Content-Type", "application/problem+json")
+KEY_UNCONFIRMED = "the key may have been revoked while the request waited"
 
 
 @define(kw_only=True)
@@ -57,6 +56,8 @@
     rng: Random = field(factory=Random)
     monitor: ServerHealthMonitor
     guard: CrashGuard = field(factory=CrashGuard)
+    # Returns whether the key of an admitted request is still known to be valid.
+    may_still_run: Callable[[RelayRequest], bool] = lambda request: True
     log: RelayLog = field(init=False)
     in_progress: int = 0
     retry_schedule: RetrySchedule = field(factory=RetrySchedule)
@@ -70,8 +71,11 @@
             observe=lambda event: self.observe(event),
         )
 
-    async def answer(self, request: RelayRequest, routing: Routing, sink: ClientAnswer) -> None:
-        """Answer a request completely, or refuse it and state whether it ran."""
+    async def answer(self, request: RelayRequest, routing: Routing, sink: ClientAnswer) -> bool:
+        """Answer a request completely, or refuse it and state whether it ran.
+
+        Return whether it was sent to any server.
+        """
         progress = RequestProgress(
             request=request,
             sink=sink,
@@ -90,6 +94,7 @@
         finally:
             self.in_progress -= 1
             self.log.end(progress, outcome)
+        return progress.history.was_sent or progress.history.may_have_run
 
     async def _answer(self, progress: RequestProgress) -> str:
         left_s = progress.request.work.deadline_unix_s - now_unix_s()
@@ -106,6 +111,9 @@
             if self.guard.refuses(progress.request.fingerprint):
                 progress.history.is_blocked = True
                 return last_step(progress.history, progress.sink.is_started)
+            if not self.may_still_run(progress.request):
+                progress.history.last_detail = KEY_UNCONFIRMED
+                return last_step(progress.history, progress.sink.is_started)
             decision = self.placer.place(
                 progress.request.for_placement, progress.routing, progress.excluded, now_unix_s()
             )
@@ -348,7 +356,7 @@
             return "answered"
         refusal = self._refusal(progress, step)
         request_id = progress.request.work.request_id
-        await self.refuse(refusal, request_id, progress.sink, progress.history)
+        await send_refusal(refusal, request_id, progress.sink, progress.history)
         return "refused" if refusal.run is RunStatus.NO else "failed"
 
     def _refusal(self, progress: RequestProgress, step: Step) -> Refusal:
@@ -376,21 +384,3 @@
     def _local_vms(self) -> int:
         members = self.placer.members.live
         return max(1, sum(member.region == self.own_region for member in members))
-
-    async def refuse(
-        self,
-        refusal: Refusal,
-        request_id: str,
-        sink: ClientAnswer,
-        history: AttemptHistory | None = None,
-    ) -> None:
-        """Send a refusal of this system itself."""
-        was_sent = history is not None and history.was_sent
-        ended_server_key = history.ended_server_key if history is not None else None
-        run_headers = refusal_headers(refusal, was_sent, ended_server_key)
-        headers = (PROBLEM_CONTENT_TYPE, *run_headers)
-        if refusal.retry_at_unix_s is not None:
-            pause_s = max(0.0, refusal.retry_at_unix_s - now_unix_s())
-            headers += (("Retry-After", f"{pause_s:.2f}"),)
-        body = orjson.dumps(problem_body(refusal, request_id))
-        await sink.send_complete(refusal.kind.status, headers, body)
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -1,6 +1,6 @@
 """Run relays of several regions in this process in front of scripted servers."""
 
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Any
 
@@ -10,6 +10,7 @@
 
 from harness.processes import free_ports
 from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.decision.accounts import Account
 from pomelobarrow.decision.cold_start import ColdLimiter
 from pomelobarrow.decision.live_members import LiveMembers
 from pomelobarrow.decision.load_table import LoadTable
@@ -21,6 +22,7 @@
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.platform.wire import platform_wire
+from pomelobarrow.relay.access import RelayAccess
 from pomelobarrow.relay.front import RelayFront
 from pomelobarrow.relay.health_monitor import ServerHealthMonitor
 from pomelobarrow.relay.listeners import Listener, RelayListeners
@@ -102,8 +104,10 @@
     routes: tuple[Route, ...],
     servers_by_region: Mapping[str, Mapping[str, Script]],
     bound: RetryBound = AMPLE_RETRIES,
+    accounts: tuple[Account, ...] | None = None,
+    access_of: Callable[[str], dict[str, Any]] = lambda region: {},
 ) -> AsyncIterator[RelayFleet]:
-    """Run one VM per region, each on its own loopback address."""
+    """Run one VM per region, each on its own loopback address; accounts make keys necessary."""
     async with AsyncExitStack() as stack:
         front_port, hop_port = free_ports(2)
         hosts = {region: f"127.0.0.{index + 1}" for index, region in enumerate(servers_by_region)}
@@ -114,10 +118,12 @@
                 server = ScriptedServer(name=name, host=hosts[region], script=script)
                 servers[name] = await stack.enter_async_context(server)
                 listed.append(_listed(name, region, server.address))
-        routing = Routing(version=1, routes=routes)
+        routing = Routing(
+            version=1, routes=routes, accounts=accounts or (), needs_account=accounts is not None
+        )
         vms = {}
         for region in servers_by_region:
-            vm = _vm(region, hosts, front_port, hop_port, routing, listed, bound)
+            vm = _vm(region, hosts, front_port, hop_port, routing, listed, bound, access_of(region))
             await vm.listeners.start()
             stack.push_async_callback(vm.listeners.stop)
             stack.push_async_callback(vm.relay.sessions.close)
@@ -145,10 +151,12 @@
     routing: Routing,
     listed: list[BackendServer],
     bound: RetryBound,
+    access_options: dict[str, Any],
 ) -> RelayVm:
     table = LoadTable(region)
     table.set_servers(listed)
     events: list[object] = []
+    access = RelayAccess(**{"routing": lambda: routing, "observe": events.append, **access_options})
     view, stop = _view(region, hosts), PlannedStop()
     relay = Relay(
         own_vm=f"vm-{region}",
@@ -168,6 +176,7 @@
         retries=RetryShare(bound=bound),
         monitor=ServerHealthMonitor(table=table, observe=events.append),
         observe=events.append,
+        may_still_run=access.may_still_run,
     )
     front = RelayFront(
         own_region=region,
@@ -176,6 +185,7 @@
         routing=lambda: routing,
         is_draining=lambda: False,
         planned_stop=stop,
+        access=access,
     )
     listeners = RelayListeners(
         (
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -5,6 +5,7 @@
 import pytest
 from result import Ok
 
+from pomelobarrow.decision.accounts import Account, RateLimit, key_sha256
 from pomelobarrow.decision.configuration_check import check_configuration
 from pomelobarrow.decision.routing import PoolShare, RouteKind
 from pomelobarrow.platform.records import platform_sources
@@ -114,3 +115,64 @@
     broken = {name: value for name, value in CONFIGURATION.items() if name != missing}
     with pytest.raises(KeyError, match=missing):
         SOURCES[CONFIG].value_of("op/config", broken)
+
+
+TENANT: dict[str, Any] = {
+    "Name": "huka270",
+    "Keys": ["jbvk9m68k7b2ex5wa5xw", "yhks8nbkxxmibw6kpqk8"],
+    "Priority": 1,
+    "Unit": "tokens",
+    "PlainTokens": 200,
+    "RatePerS": 796386,
+    "Burst": 700000,
+    "HomeRegions": ["tallinn"],
+}
+
+
+def test_accounts_are_translated() -> None:
+    read = routing({**CONFIGURATION, "Tenants": [TENANT]})
+    assert read.needs_account is True
+    assert read.account_by_key_sha256[key_sha256("yhks8nbkxxmibw6kpqk8")] == Account(
+        name="huka270",
+        token_sha256=tuple(key_sha256(key) for key in TENANT["Keys"]),
+        urgency=1,
+        home_regions=("tallinn",),
+        limit=RateLimit(per_s=796_386, burst=700_000, counts_tokens=True, default_cost=200),
+    )
+
+
+def test_published_values_hold_no_key() -> None:
+    """Peers exchange these values and logs may show them."""
+    value = SOURCES[CONFIG].value_of("op/config", {**CONFIGURATION, "Tenants": [TENANT]})
+    assert not [key for key in TENANT["Keys"] if key in str(value)]
+
+
+@pytest.mark.parametrize(
+    ("tenant", "limit", "urgency"),
+    [
+        ({"Name": "n", "Keys": ["k"]}, None, None),
+        ({"Name": "n", "RatePerS": 0, "Burst": 5}, None, None),
+        ({"Name": "n", "RatePerS": 5, "Priority": 0}, RateLimit(per_s=5, burst=0), 0),
+    ],
+    ids=["no limit", "rate of 0", "requests"],
+)
+def test_fields_of_an_account_may_be_missing(
+    tenant: dict[str, Any], limit: RateLimit | None, urgency: int | None
+) -> None:
+    [account] = routing({**CONFIGURATION, "Tenants": [tenant]}).accounts
+    assert (account.limit, account.urgency, account.home_regions) == (limit, urgency, ())
+
+
+@pytest.mark.parametrize(
+    ("more", "needs_account"), [({}, False), ({"Tenants": None}, False), ({"Tenants": []}, True)]
+)
+def test_keys_are_needed_where_accounts_are_published(
+    more: dict[str, Any], needs_account: bool
+) -> None:
+    assert routing({**CONFIGURATION, **more}).needs_account is needs_account
+
+
+def test_public_route_is_translated() -> None:
+    public = {**ROUTE, "Public": True}
+    assert routing({**CONFIGURATION, "Routes": [public]}).routes[0].is_public
+    assert not routing(CONFIGURATION).routes[0].is_public
--- a/tests/test_published_watcher.py
+++ b/tests/test_published_watcher.py
@@ -5,6 +5,7 @@
 
 from result import Err, Ok, Result
 
+from pomelobarrow.decision.config_proof import ConfigProof
 from pomelobarrow.published.keyspaces import PublishedState
 from pomelobarrow.published.store_reader import Page, ReadError, ReadFailure, StoreReader
 from pomelobarrow.published.watcher import PlatformWatcher
@@ -54,6 +55,7 @@
         state=PublishedState(observe=events.append),
         reader=reader,
         is_watcher=lambda: True,
+        proof=ConfigProof(revocation_s=5.0),
     )
     await watcher.start()
     async with asyncio.timeout(5):
