Keep malformed requests and items out of logs and answers

A client that sends a key with a control character, without a colon or in a header of over 16 kB gets a 400 that quotes the line, and the same line goes to the log: aiohttp does both when it can't parse a request. Seen with five malformed heads at a relay in one process: three leaked the key to the log and to the answer. The test of these failed before.

Change: the relay's listeners answer and log a malformed request without its content. The store's reader names the fields of an item that it ignores instead of the item, which may be the configuration with all keys.

Left: the callers' own interface uses aiohttp's application server, whose bearer tokens the log's redaction covers but for a header that is cut in the middle.

--- a/src/pomelobarrow/platform/store.py
+++ b/src/pomelobarrow/platform/store.py
@@ -159,7 +159,9 @@
 
 def _change(source: KeyspaceSource, item: Any) -> Change | None:
     if not _is_keyed(item):
-        log.warning("item ignored", error="it has no key or no revision", item=repr(item)[:200])
+        # The value may hold the keys of accounts.
+        fields = sorted(map(str, item)) if isinstance(item, Mapping) else type(item).__name__
+        log.warning("item ignored", error="it has no key or no revision", fields=fields)
         return None
     stored_key, revision = item["Key"], item["Revision"]
     key = source.key_of(stored_key)
--- a/src/pomelobarrow/relay/listeners.py
+++ b/src/pomelobarrow/relay/listeners.py
@@ -11,6 +11,7 @@
 from pomelobarrow.callers.server import flush
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.front import request_factory
+from pomelobarrow.relay.http_server import HttpServer
 
 MAX_FIELD_BYTES = 16 << 10
 # Longer than the published idle time: clients reuse connections that were idle for most of it.
@@ -55,7 +56,7 @@
         for listener in self._listeners:
             # Without handler_cancellation a request goes on after its client has left, and keeps a
             # slot of its backend server.
-            server = web.Server(
+            server = HttpServer(
                 listener.handler,
                 handler_cancellation=True,
                 request_factory=request_factory(listener.max_body_bytes, loop),
--- a/tests/test_relay_accounts.py
+++ b/tests/test_relay_accounts.py
@@ -1,11 +1,14 @@
 """What clients, peers and servers see of account keys and limits on the relay path."""
 
 import asyncio
+import io
+import logging
 from collections.abc import Callable
 from typing import Any
 
 import aiohttp
 import pytest
+import structlog
 from relay_harness import HOST, Answer, RelayVm, ask, relay_fleet, route
 from result import Err, Ok, Result
 from scripted_server import answers, refuses
@@ -13,6 +16,8 @@
 from pomelobarrow.decision.accounts import Account, RateLimit, key_sha256
 from pomelobarrow.decision.routing import RouteKind, Routing
 from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.kernel.settings import LogLevel
+from pomelobarrow.operators.logs import configure_logs
 from pomelobarrow.peers.token_grants import Refund, Refused
 from pomelobarrow.relay.events import RelayDenied, RelayEnded
 
@@ -86,6 +91,39 @@
     assert KEY.encode() not in body
 
 
+@pytest.mark.parametrize(
+    "header",
+    [
+        b"Pomelobarrow-Key: secret\x01",
+        b"Pomelobarrow-Key: secret" + b"k" * 20_000,
+        b"Pomelobarrow-Key secret",
+        b"Pomelobarrow-Key: secret\xff\xfe",
+        b"Pomelobarrow-Key: secret\r\nContent-Length: x",
+    ],
+    ids=["control character", "too long", "no colon", "no UTF-8", "bad length"],
+)
+async def test_malformed_request_leaks_its_key_to_no_log_or_answer(header: bytes) -> None:
+    """aiohttp logs the line that it can't parse with its error, and sends it back."""
+    logged = io.BytesIO()
+    root = logging.getLogger()
+    handlers, level = root.handlers[:], root.level
+    configure_logs(LogLevel.DEBUG, "vm-a", logged)
+    try:
+        async with relay_fleet((ONCE,), {"a": {"s1": answers()}}, accounts=(SHOPS,)) as fleet:
+            vm = fleet.vms["a"]
+            reader, writer = await asyncio.open_connection(vm.host, vm.front_port)
+            head = f"POST {PATH} HTTP/1.1\r\nHost: {HOST}\r\n".encode()
+            writer.write(head + header + b"\r\n\r\n")
+            answer = await reader.read(4_096)
+            writer.close()
+    finally:
+        structlog.reset_defaults()
+        root.handlers[:], root.level = handlers, level
+    assert b" 400 " in answer.splitlines()[0]
+    assert b"secret" not in answer
+    assert b"secret" not in logged.getvalue()
+
+
 async def test_unconfirmed_configuration_refuses_keys_and_serves_public_routes() -> None:
     options = {"is_confirmed": lambda: False, "is_revocation_strict": True}
     async with relay_fleet(
