Split the reading of a request from its answer, and start meters with a tenth of a second

A meter that starts, as all do after a loss of all VMs, granted 0.02 s of the limit, less than one long prompt of a small account. It starts with 0.1 s and a tenth of the tolerance now.

--- a/src/pomelobarrow/decision/account_meter.py
+++ b/src/pomelobarrow/decision/account_meter.py
@@ -45,8 +45,10 @@
 # The smallest bucket, in seconds of the limit. Where the configuration grants no burst, the
 # requests of a moment would otherwise be refused one by one.
 MIN_BURST_S = 0.1
-# A meter has no memory when it starts, so its bucket starts nearly empty.
-START_S = 0.02
+# A meter has no memory when it starts, so its bucket starts with little: in seconds of the limit,
+# and as a share of the tolerance. After a loss of all VMs, callers return in the same moment.
+START_S = 0.1
+START_TOLERANCE_SHARE = 0.1
 MAX_RETRY_S = 4.0
 MIN_REFILL_SHARE = 0.05
 
@@ -183,7 +185,8 @@
 
     def _refill(self, limit: RateLimit, now_unix_s: float) -> float:
         if self._balance is None:
-            self._balance, self._updated_unix_s = START_S * limit.per_s, now_unix_s
+            self._balance = START_S * limit.per_s + START_TOLERANCE_SHARE * self.tolerance
+            self._updated_unix_s = now_unix_s
         elapsed_s = max(0.0, now_unix_s - self._updated_unix_s)
         self._updated_unix_s = now_unix_s
         parts = 1 + len(self._regions) if self._is_parted(now_unix_s) else 1
@@ -200,8 +203,8 @@
 
     def _unacknowledged(self, now_unix_s: float) -> float:
         """Return the grants that a region which isn't silent has not acknowledged yet."""
-        heard = (other for other in self._regions.values() if not other.is_silent(now_unix_s))
-        return max((self.granted - other.acknowledged for other in heard), default=0.0)
+        active = (each for each in self._regions.values() if not each.is_silent(now_unix_s))
+        return max((self.granted - each.acknowledged for each in active), default=0.0)
 
     def _most_unacknowledged(self, limit: RateLimit) -> float:
         tolerated = UNACKNOWLEDGED_TOLERANCE_SHARE * self.tolerance
--- a/src/pomelobarrow/relay/access.py
+++ b/src/pomelobarrow/relay/access.py
@@ -68,14 +68,12 @@
             routing, request.route, request.head.key_sha256, request.forwarded_by
         ).is_ok()
 
-    async def charge(
-        self, routing: Routing, admission: Admission, head: RequestHead
-    ) -> Result[Refund, Refusal]:
+    async def charge(self, routing: Routing, request: RelayRequest) -> Result[Refund, Refusal]:
         """Take the request's cost from its account's limit; return how to refund it."""
-        account = admission.account
+        account = request.account
         if account is None or account.limit is None:
             return Ok(lambda: None)
-        cost = account.limit.cost(head.counted_tokens)
+        cost = account.limit.cost(request.head.counted_tokens)
         admitted = await self.admit_tokens(account, cost)
         if isinstance(admitted, Ok):
             return admitted
@@ -83,7 +81,7 @@
         kind = ErrorKind.ACCOUNT_LIMIT if refused.is_exhausted else ErrorKind.NOT_READY
         detail = LIMIT_EXHAUSTED if refused.is_exhausted else LIMIT_UNKNOWN
         refusal = refuse(kind, RunStatus.NO, detail, refused.retry_at_unix_s)
-        self._report(refusal, routing, admission.route, head, "", account, cost)
+        self._report(refusal, routing, request.route, request.head, "", account, cost)
         return Err(refusal)
 
     def _check(
--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -71,30 +71,43 @@
         if routing is None:
             refusal = refuse(ErrorKind.NOT_READY, RunStatus.NO, "no configuration yet")
             return await self._refuse(incoming, refusal)
-        read = self._read(incoming, routing, forwarded_by)
-        if isinstance(read, Err):
-            return await self._refuse(incoming, read.err_value)
-        head, route = read.ok_value
-        admitted = self.access.check(routing, route, head, forwarded_by)
+        admitted = await self._admit(incoming, routing, forwarded_by, accepted_unix_s)
         if isinstance(admitted, Err):
             return await self._refuse(incoming, admitted.err_value)
-        admission = admitted.ok_value
-        body = await _read_body(incoming)
-        if isinstance(body, Err):
-            return await self._refuse(incoming, body.err_value)
-        request = self._request(
-            incoming, head, admission, forwarded_by, accepted_unix_s, body.ok_value
-        )
-        if not self.planned_stop.can_finish(request.work, accepted_unix_s):
-            return await self._refuse(incoming, _stops_too_soon(accepted_unix_s))
+        request = admitted.ok_value
         # The VM that the client sent the request to has charged it already.
         if forwarded_by:
             return await self._answer(incoming, request, routing)
-        charged = await self.access.charge(routing, admission, head)
+        charged = await self.access.charge(routing, request)
         if isinstance(charged, Err):
             return await self._refuse(incoming, charged.err_value)
         return await self._answer(incoming, request, routing, charged.ok_value)
 
+    async def _admit(
+        self,
+        incoming: web.BaseRequest,
+        routing: Routing,
+        forwarded_by: str,
+        accepted_unix_s: float,
+    ) -> Result[RelayRequest, Refusal]:
+        """Read a request and check it: its form, route, key and size."""
+        read = self._read(incoming, routing, forwarded_by)
+        if isinstance(read, Err):
+            return read
+        head, route = read.ok_value
+        checked = self.access.check(routing, route, head, forwarded_by)
+        if isinstance(checked, Err):
+            return checked
+        body = await _read_body(incoming)
+        if isinstance(body, Err):
+            return body
+        request = self._request(
+            incoming, head, checked.ok_value, forwarded_by, accepted_unix_s, body.ok_value
+        )
+        if not self.planned_stop.can_finish(request.work, accepted_unix_s):
+            return Err(_stops_too_soon(accepted_unix_s))
+        return Ok(request)
+
     async def _answer(
         self,
         incoming: web.BaseRequest,
