Keep the owners of prompt groups apart for accounts with homes

Cause: the owners of a group are kept by the route's name. The route as it applies to an account has the same name and other homes, so that the owners found for another account's prompt were used. A changed configuration with other homes of a route had the same fault until the list of servers changed.

Change: the owners are kept by pool, homes and group. The test failed before.

--- a/src/pomelobarrow/decision/group_owners.py
+++ b/src/pomelobarrow/decision/group_owners.py
@@ -9,6 +9,8 @@
 from pomelobarrow.decision.work import BackendServer
 
 MAX_GROUPS = 4_096
+# A pool, the regions that may serve a prompt, and the prompt's group.
+_GroupKey = tuple[str, tuple[str, ...], str]
 # The second owner gets what the first can't start in time. A third would mean another prefill of
 # each group's prompt, in a third cache.
 OWNERS_PER_GROUP = 2
@@ -27,7 +29,8 @@
     """
 
     _servers: Mapping[str, BackendServer] = field(factory=dict)
-    _owners_by_group: dict[tuple[str, str], tuple[BackendServer, ...]] = field(factory=dict)
+    # By the regions that may serve the group's prompts, which differ between accounts of a route.
+    _owners_by_group: dict[_GroupKey, tuple[BackendServer, ...]] = field(factory=dict)
 
     def owners(
         self,
@@ -41,7 +44,7 @@
         if servers is not self._servers or len(self._owners_by_group) >= MAX_GROUPS:
             self._servers = servers
             self._owners_by_group.clear()
-        key = (route.name, group)
+        key = (pool, route.home_regions, group)
         if key not in self._owners_by_group:
             names = [
                 server.name
--- a/tests/test_group_owners.py
+++ b/tests/test_group_owners.py
@@ -54,3 +54,20 @@
     assert set(regions(SERVERS, closed=frozenset({"a-1"}))) == {"b"}
     assert set(regions(SERVERS, home_regions=("a",))) == {"a"}
     assert set(regions({}, home_regions=("a",))) == {""}
+
+
+def test_owners_follow_the_homes_of_each_account() -> None:
+    """A prompt of an account with homes was sent to the group's owner in another region.
+
+    The route as it applies to the account has the name of the published route, under which the
+    owners for accounts without homes were kept.
+    """
+    owners, published = GroupOwners(), route("r", "/")
+    for_account = evolve(published, home_regions=("a",))
+    group = next(
+        each
+        for each in GROUPS
+        if owners.owners(each, "p", published, SERVERS, NOTHING_CLOSED)[0].region == "b"
+    )
+    found = owners.owners(group, "p", for_account, SERVERS, NOTHING_CLOSED)
+    assert {each.region for each in found} == {"a"}
