--- a/src/pomelobarrow/decision/account_meter.py
+++ b/src/pomelobarrow/decision/account_meter.py
@@ -21,7 +21,7 @@
 import math
 from collections.abc import Iterable
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 from result import Err, Ok, Result
 
 from pomelobarrow.decision.accounts import RateLimit
@@ -117,9 +117,17 @@
     def __attrs_post_init__(self) -> None:
         self._regions = {region: _Region() for region in self.other_regions}
 
-    def take(self, cost: float, limit: RateLimit, now_unix_s: float) -> Result[None, Exhausted]:
-        """Grant a request's tokens unless the bucket is empty."""
+    def take(
+        self, cost: float, limit: RateLimit, now_unix_s: float, share: float = 1.0
+    ) -> Result[None, Exhausted]:
+        """Grant a request's tokens unless the bucket is empty.
+
+        A meter that stands in for another one, which may still grant tokens itself, refills a share
+        of the limit only.
+        """
         limit = self._limit_in_force(limit, now_unix_s)
+        if share < 1.0:
+            limit = evolve(limit, per_s=share * limit.per_s, burst=0.0)
         balance = self._refill(limit, now_unix_s)
         if balance <= 0.0:
             return Err(self._exhausted(cost, balance, limit, now_unix_s))
--- a/src/pomelobarrow/peers/token_grants.py
+++ b/src/pomelobarrow/peers/token_grants.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import TypedDict
 
-from attrs import define, evolve
+from attrs import define
 from mode import Service
 from result import Err, Ok, Result
 
@@ -185,9 +185,9 @@
     def _take(self, name: str, limit: RateLimit, cost: float) -> Result[None, Exhausted]:
         """Decide as the account's meter, or as its deputy."""
         meters = self._ranked_meters(name, self._view.own_region)
-        if meters and meters[0].vm != self._view.own_vm:
-            limit = evolve(limit, per_s=DEPUTY_SHARE * limit.per_s, burst=0.0)
-        return self._meter(name).take(cost, limit, now_unix_s())
+        is_deputy = bool(meters) and meters[0].vm != self._view.own_vm
+        share = DEPUTY_SHARE if is_deputy else 1.0
+        return self._meter(name).take(cost, limit, now_unix_s(), share)
 
     def _meter(self, name: str) -> AccountMeter:
         if name not in self._meters:
--- a/tests/test_account_meter.py
+++ b/tests/test_account_meter.py
@@ -115,6 +115,15 @@
     assert full.take(900.0, LIMIT, 103.3).is_ok()
 
 
+def test_deputy_grants_its_share_at_once_and_the_whole_limit_in_charge() -> None:
+    """A deputy's share was taken for a lowered limit, which comes into force only later."""
+    full = rested(lowered_after_s=3.0)
+    assert full.take(900.0, LIMIT, 100.0, share=0.2).is_ok()
+    assert full.take(1.0, LIMIT, 100.5, share=0.2).is_err()
+    assert full.take(1.0, LIMIT, 104.6, share=0.2).is_ok()
+    assert full.take(900.0, LIMIT, 106.0).is_ok()
+
+
 @define
 class Fleet:
     """The meters of all regions, with messages that take a time or are cut off."""
