Number queries over UDP from a random number on

A VM that restarts counted its queries from 1 again. A late answer to a query of its previous process carried the number of a newer one, and a proof in it would have counted from when the newer query was sent: younger than it was. Found by reading; the test failed before. An answer that arrives in the turn of the loop in which its query times out no longer raises an error in the event loop.

--- a/src/pomelobarrow/peers/datagrams.py
+++ b/src/pomelobarrow/peers/datagrams.py
@@ -8,6 +8,7 @@
 import hashlib
 import hmac
 import itertools
+import secrets
 from collections.abc import Callable
 from typing import Any
 
@@ -21,6 +22,7 @@
 
 MAC_BYTES = 8
 MAX_WAITING = 4_096
+NUMBER_BITS = 62
 
 Address = tuple[str, int]
 # Sends an answer to the sender of a message.
@@ -73,7 +75,9 @@
         self.handlers: dict[str, Handler] = {}
         self._codec = DatagramCodec(keys=keys)
         self._host = host
-        self._numbers = itertools.count(1)
+        # From a random number on: a late answer to this VM's previous process, whose numbers began
+        # elsewhere, must not pass for the answer to a newer query.
+        self._numbers = itertools.count(secrets.randbits(NUMBER_BITS))
         self._waiting: dict[int, asyncio.Future[Any]] = {}
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -99,7 +103,10 @@
         handler = self.handlers.get(kind)
         if handler is not None:
             handler(content, lambda answer: self.send(addr, answer))
-        elif (waiting := self._waiting.pop(getattr(content, "number", 0), None)) is not None:
+            return
+        waiting = self._waiting.get(getattr(content, "number", 0))
+        # The query may have timed out in this turn of the loop.
+        if waiting is not None and not waiting.done():
             waiting.set_result(content)
 
     def send(self, address: Address, message: pb.Datagram) -> None:
--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -77,3 +77,23 @@
     await end.stop()
     end.send(("127.0.0.1", port), QUERY)
     await asyncio.sleep(0)
+
+
+def test_numbers_of_queries_differ_between_processes() -> None:
+    """A late answer to a query of the previous process looked like one to a newer query.
+
+    A proof in it would count from when the newer query was sent.
+    """
+    ends = [PeerDatagrams((KEY,), "127.0.0.1", 1) for _ in range(2)]
+    assert next(ends[0]._numbers) != next(ends[1]._numbers)
+
+
+async def test_answer_after_the_timeout_is_ignored(
+    pair: tuple[PeerDatagrams, PeerDatagrams],
+) -> None:
+    asking, _ = pair
+    waiting = asyncio.get_running_loop().create_future()
+    waiting.cancel()
+    asking._waiting[7] = waiting
+    answer = pb.Datagram(proof_answer=pb.ProofAnswer(number=7))
+    asking._receive(DatagramCodec(keys=(KEY,)).encode(answer), ("127.0.0.2", 1))
