Keep the daemon up when a peer's ended stream cannot be reset

Cause: the peer ended the stream, and on a slow VM the reset of this side took longer than 0.2 s. The call is then left with its own direction open, which grpclib reports by an error that isn't one of the connection errors that the link expects.

Change: the link takes this error as a lost connection and dials again.

--- a/src/pomelobarrow/peers/links.py
+++ b/src/pomelobarrow/peers/links.py
@@ -7,6 +7,7 @@
 
 import structlog
 from grpclib.client import Channel
+from grpclib.exceptions import ProtocolError
 from mode import Service
 
 from pomelobarrow.decision.member import ListedVm
@@ -25,6 +26,10 @@
 RECONNECT_FLOOR_S = 0.2
 RECONNECT_CEILING_S = 3.0
 
+# grpclib raises a ProtocolError if a call is left whose stream the peer has ended and that could not
+# be reset in time.
+LINK_ERRORS = (*CONNECTION_ERRORS, ProtocolError)
+
 StreamFactory = Callable[[ListedVm], PeerStream]
 
 log = structlog.get_logger(__name__)
@@ -103,7 +108,7 @@
             started_unix_s = now_unix_s()
             try:
                 await self._run_stream()
-            except CONNECTION_ERRORS as error:
+            except LINK_ERRORS as error:
                 self._log_lost(error)
             finally:
                 self._disconnect()
