--- a/src/pomelobarrow/peers/links.py
+++ b/src/pomelobarrow/peers/links.py
@@ -26,8 +26,8 @@
 RECONNECT_FLOOR_S = 0.2
 RECONNECT_CEILING_S = 3.0
 
-# grpclib raises a ProtocolError if a call is left whose stream the peer has ended and that could not
-# be reset in time.
+# grpclib raises a ProtocolError when a call is left whose stream the peer has ended and that could
+# not be reset in time.
 LINK_ERRORS = (*CONNECTION_ERRORS, ProtocolError)
 
 StreamFactory = Callable[[ListedVm], PeerStream]
