--- a/src/pomelobarrow/peers/token_grants.py
+++ b/src/pomelobarrow/peers/token_grants.py
@@ -29,6 +29,8 @@
 # VM that asks. The next one grants this share of it.
 DEPUTY_SHARE = 0.2
 REVIEW_EVERY_S = 0.2
+# The same while no accounts are published.
+UNUSED_REVIEW_EVERY_S = 2.0
 # A refused caller connects again to return, which takes longer than this.
 MAX_WAIT_S = 0.2
 # After a loss of all meters, until the members' views show which VMs are live.
@@ -261,9 +263,10 @@
     @Service.task
     async def _announce_all(self) -> None:
         while not self.should_stop:
-            for account in self._accounts().values():
+            accounts = self._accounts()
+            for account in accounts.values():
                 self._announce(account)
-            await asyncio.sleep(REVIEW_EVERY_S)
+            await asyncio.sleep(REVIEW_EVERY_S if accounts else UNUSED_REVIEW_EVERY_S)
 
     def _announce(self, account: Account) -> None:
         """Send what this VM has granted to the account's meters in the other regions."""
