--- a/src/pomelobarrow/peers/token_grants.py
+++ b/src/pomelobarrow/peers/token_grants.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import TypedDict
 
-from attrs import define
+from attrs import define, frozen
 from mode import Service
 from result import Err, Ok, Result
 
@@ -51,17 +51,18 @@
     limit_per_s: float
 
 
-@define(kw_only=True)
+@frozen(kw_only=True)
 class Refused:
-    """A request beyond its account's limit, or one that no meter could decide on."""
+    """Why a request isn't admitted, and when to retry."""
 
+    # Whether the limit is used up; otherwise no meter answered.
     is_exhausted: bool
     retry_at_unix_s: float
 
 
 @define(kw_only=True)
 class _Local:
-    """What this VM keeps of one account."""
+    """This VM's own allowance of one account, and what it knows of the account's meter."""
 
     allowance: LocalAllowance
     # Until when the meter has no tokens; requests are refused without another query.
