Call one property for the routes in force and one for a VM's host; hash peer secrets once

Read over the whole change: the routes in force were derived in five places and a VM's host in three, and each datagram hashed its key's secret again on the way of a request. Behaviour is the same.

--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -205,7 +205,7 @@
 
 def _servers_with_capacity(published: PublishedState) -> list[BackendServer]:
     """Return the listed servers, with the KV-cache capacity that their pool states, if any."""
-    routing = published.configuration.routing if published.configuration else None
+    routing = published.routing
     tokens_by_pool = {p.name: p.kv_capacity_tokens for p in routing.pools} if routing else {}
     return [
         (
--- a/src/pomelobarrow/decision/member.py
+++ b/src/pomelobarrow/decision/member.py
@@ -37,6 +37,11 @@
     sequence: int = field(default=0, eq=False)
     successor: str = ""
 
+    @property
+    def host(self) -> str:
+        """Return the address of the VM, without a port."""
+        return self.peer_address.rpartition(":")[0]
+
 
 @frozen(kw_only=True)
 class ListedVm:
--- a/src/pomelobarrow/peers/config_proofs.py
+++ b/src/pomelobarrow/peers/config_proofs.py
@@ -63,8 +63,7 @@
     @property
     def is_needed(self) -> bool:
         """Return whether accounts are published, so that requests have keys."""
-        configuration = self._published.configuration
-        routing = configuration.routing if configuration else None
+        routing = self._published.routing
         return routing is not None and bool(routing.needs_account)
 
     @Service.task
@@ -106,9 +105,10 @@
 
     async def _query(self, member: Member) -> None:
         sent_unix_s = now_unix_s()
-        host = member.peer_address.rpartition(":")[0]
         query = pb.Datagram(proof_query=pb.ProofQuery())
-        answer = await self._datagrams.query((host, self._datagrams.port), query, ANSWER_TIMEOUT_S)
+        answer = await self._datagrams.query(
+            (member.host, self._datagrams.port), query, ANSWER_TIMEOUT_S
+        )
         if isinstance(answer, pb.ProofAnswer):
             # The peer's proof has this age when it answers, which is later than the query was sent.
             proven_unix_s = sent_unix_s - answer.age_ms / MS_PER_S
--- a/src/pomelobarrow/peers/datagrams.py
+++ b/src/pomelobarrow/peers/datagrams.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 import structlog
-from attrs import define
+from attrs import define, field
 from google.protobuf.message import DecodeError
 from mode import Service
 
@@ -37,16 +37,21 @@
     """Encode and decode datagrams, each with a keyed hash of its content."""
 
     keys: tuple[PeerKey, ...]
+    _secrets: tuple[bytes, ...] = field(init=False, repr=False)
+
+    def __attrs_post_init__(self) -> None:
+        # The hash function takes keys of a limited length.
+        self._secrets = tuple(hashlib.blake2s(k.secret.encode()).digest() for k in self.keys)
 
     def encode(self, message: pb.Datagram) -> bytes:
         """Return the bytes of a message, signed with the first key."""
         content = message.SerializeToString()
-        return _mac(self.keys[0], content) + content
+        return _mac(self._secrets[0], content) + content
 
     def decode(self, data: bytes) -> pb.Datagram | None:
         """Return a peer's message; None if no key authenticates it or it is malformed."""
         mac, content = data[:MAC_BYTES], data[MAC_BYTES:]
-        if not any(hmac.compare_digest(mac, _mac(key, content)) for key in self.keys):
+        if not any(hmac.compare_digest(mac, _mac(secret, content)) for secret in self._secrets):
             return None
         try:
             return pb.Datagram.FromString(content)
@@ -132,6 +137,5 @@
             self._waiting.pop(number, None)
 
 
-def _mac(key: PeerKey, content: bytes) -> bytes:
-    secret = hashlib.blake2s(key.secret.encode()).digest()
+def _mac(secret: bytes, content: bytes) -> bytes:
     return hashlib.blake2s(content, key=secret, digest_size=MAC_BYTES).digest()
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -174,8 +174,7 @@
     assert relay is not None
 
     def accounts() -> Accounts:
-        configuration = published.configuration
-        routing = configuration.routing if configuration else None
+        routing = published.routing
         return routing.account_by_name if routing else {}
 
     return TokenGrants(
--- a/src/pomelobarrow/peers/token_grants.py
+++ b/src/pomelobarrow/peers/token_grants.py
@@ -212,7 +212,7 @@
         return self._view.memoized(f"meter/{name}/{region}", rank, now)
 
     def _address(self, member: Member) -> Address:
-        return member.peer_address.rpartition(":")[0], self._datagrams.port
+        return member.host, self._datagrams.port
 
     def _account_of(self, key: int) -> Account | None:
         accounts = self._accounts()
--- a/src/pomelobarrow/published/keyspaces.py
+++ b/src/pomelobarrow/published/keyspaces.py
@@ -10,6 +10,7 @@
 from pomelobarrow.decision.configuration import Configuration
 from pomelobarrow.decision.configuration_check import ConfigurationChecker
 from pomelobarrow.decision.keyspace import ApplyResult, Change, Delta, KeyspaceCopy
+from pomelobarrow.decision.routing import Routing
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.published.events import KeyspaceApplied, KeyspaceRefused
@@ -45,6 +46,11 @@
             VMS: KeyspaceCopy(VMS, validator=check_vms),
         }
 
+    @property
+    def routing(self) -> Routing | None:
+        """Return the routes in force, None if none are published."""
+        return self.configuration.routing if self.configuration else None
+
     @property
     def entry_vms(self) -> Mapping[str, EntryVm]:
         """Return the listed entry VMs by name."""
--- a/src/pomelobarrow/published/watcher.py
+++ b/src/pomelobarrow/published/watcher.py
@@ -121,8 +121,7 @@
 
     def _long_poll_s(self, name: str) -> float:
         """Return how long a watch waits; where accounts have keys, each watch is a proof."""
-        configuration = self._state.configuration
-        routing = configuration.routing if configuration else None
+        routing = self._state.routing
         if name == CONFIG and routing is not None and routing.needs_account:
             return min(LONG_POLL_S, self._proof.refresh_s)
         return LONG_POLL_S
--- a/src/pomelobarrow/relay/hop.py
+++ b/src/pomelobarrow/relay/hop.py
@@ -71,10 +71,9 @@
             hop_headers += ((KEY_HEADER, request.head.key_sha256),)
         return wire.peer_headers(request, resume_after) + hop_headers
 
-    host = member.peer_address.rpartition(":")[0]
     return Target(
         name=member.vm,
-        address=f"{host}:{hop_port}",
+        address=f"{member.host}:{hop_port}",
         headers=headers,
         read_answer=_peer_answer_reader(wire.read_answer),
         connect_timeout_s=CONNECT_TIMEOUT_S,
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -103,8 +103,7 @@
 
 
 def _routing(context: Context) -> Routing | None:
-    configuration = context.get(PublishedState).configuration
-    return configuration.routing if configuration else None
+    return context.get(PublishedState).routing
 
 
 def _relay_settings(context: Context) -> RelaySettings:
