Log what a backend server states with each answer

The adapter reads both headers into one typed value, beside the rate limit, and 'relay attempt ended' shows them as is_leaving and backoff_s. Nothing is decided on them yet.

Checked: tests of the adapter (values, malformed values, other statuses), relay, limits and house rules pass.

--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -14,12 +14,13 @@
 from pomelobarrow.backends.service import ServiceAttempt
 from pomelobarrow.backends.sessions import SERVER_LIMIT_HEADER, BackendSessions
 from pomelobarrow.backends.shares import ServerShare
+from pomelobarrow.decision.announcements import ServerAnnouncement, parse_decimal
 from pomelobarrow.decision.attempt import Attempt, AttemptEvent
 from pomelobarrow.decision.configuration import PoolKind
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.orders import OrderBook
-from pomelobarrow.decision.server_limits import ServerLimits, parse_limit
+from pomelobarrow.decision.server_limits import ServerLimits
 from pomelobarrow.decision.work import BackendServer, Placement
 from pomelobarrow.dispatch.advertised_limits import record_advertised_limit
 from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
@@ -129,9 +130,11 @@
 
 
 def _record_limit(context: Context, server: BackendServer, headers: Mapping[str, str]) -> None:
-    per_s = parse_limit(headers.get(SERVER_LIMIT_HEADER, ""))
-    table = context.get(LoadTable)
-    record_advertised_limit(table, server, per_s, SERVER_LIMIT_HEADER, context.observe)
+    announced = ServerAnnouncement(
+        limit_per_s=parse_decimal(headers.get(SERVER_LIMIT_HEADER, "")),
+        limit_header=SERVER_LIMIT_HEADER,
+    )
+    record_advertised_limit(context.get(LoadTable), server, announced, context.observe)
 
 
 def _fetcher(context: Context) -> RestFetcher:
--- a/src/pomelobarrow/decision/server_limits.py
+++ b/src/pomelobarrow/decision/server_limits.py
@@ -1,7 +1,6 @@
 """Observe the request rate limits that backend servers announce for all VMs together."""
 
 import math
-import re
 from collections.abc import Callable, Iterable, Mapping
 
 from attrs import define, field, frozen
@@ -18,7 +17,6 @@
 # A server that announced a limit of zero still gets requests at this rate, since only an answer can
 # show that the limit has ended.
 MIN_LIMIT_PER_S = 0.1
-_DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?")
 
 
 @frozen(kw_only=True)
@@ -29,11 +27,6 @@
     named_unix_s: float
 
 
-def parse_limit(text: str) -> float | None:
-    """Parse a limit header; return None, the same as for no limit, if it is malformed."""
-    return float(text) if _DECIMAL.fullmatch(text.strip()) else None
-
-
 def _senders(rate_per_s: float) -> int:
     return max(1, int(rate_per_s / MIN_SHARE_PER_S))
 
--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from pomelobarrow.decision.accounts import key_sha256
-from pomelobarrow.decision.server_limits import parse_limit
+from pomelobarrow.decision.announcements import ServerAnnouncement, parse_decimal
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.messages import (
     Headers,
@@ -40,15 +40,20 @@
 # The number of running requests, of waiting requests and of slots.
 SERVER_LOAD = "Pomelobarrow-Server-Load"
 
-# The requests a second that the server accepts from all machines together. The platform documents
-# the name without the prefix; no observed message confirms it, so both names are accepted.
+# The requests a second that the server accepts from all machines together, and whether it leaves.
+# The platform documents the names without the prefix; no observed message confirms it, so both
+# forms are accepted.
 SERVER_LIMITS = ("Server-Limit", "Pomelobarrow-Server-Limit")
+SERVER_LEAVING = ("Server-Leaving", "Pomelobarrow-Server-Leaving")
+# With a rejection: the seconds for which the server wants nothing from this machine.
+RETRY_AFTER = "Retry-After"
 
 # Identifies the client's account to this system; backend servers get the account's name instead.
 ACCOUNT_KEY = "Pomelobarrow-Key"
 ACCOUNT_NAME = "Pomelobarrow-Tenant"
 
 WRONG_SERVER_STATUS = 421
+REJECTED_STATUS = 503
 MAX_PRIORITY = 9
 MS_PER_S = 1_000.0
 
@@ -155,7 +160,6 @@
 def read_answer(response: ClientResponse) -> ServerAnswerHead:
     """Parse the head of a backend server's answer."""
     headers = response.headers
-    limit_header = _limit_header(headers)
     return ServerAnswerHead(
         status=response.status,
         headers=_end_to_end_headers(headers),
@@ -163,8 +167,7 @@
         is_sealed=RESPONSE_SEAL in headers,
         is_not_run=NOT_EXECUTED in headers or response.status == WRONG_SERVER_STATUS,
         counts=_server_counts(headers.get(SERVER_LOAD, "")),
-        limit_per_s=parse_limit(headers.get(limit_header, "")),
-        limit_header=limit_header,
+        announced=_announcement(response.status, headers),
     )
 
 
@@ -236,9 +239,21 @@
     return str(max(0, int((deadline_unix_s - now_unix_s()) * MS_PER_S)))
 
 
-def _limit_header(headers: Mapping[str, str]) -> str:
-    """Return the name of the header that states a server's limit, empty if there is none."""
-    return next((name for name in SERVER_LIMITS if name in headers), "")
+def _announcement(status: int, headers: Mapping[str, str]) -> ServerAnnouncement:
+    limit_header = _first_present(SERVER_LIMITS, headers)
+    leaving_header = _first_present(SERVER_LEAVING, headers)
+    is_rejected = status == REJECTED_STATUS
+    return ServerAnnouncement(
+        limit_per_s=parse_decimal(headers.get(limit_header, "")),
+        limit_header=limit_header,
+        is_leaving=headers.get(leaving_header, "").strip() == "1",
+        backoff_s=parse_decimal(headers.get(RETRY_AFTER, "")) if is_rejected else None,
+    )
+
+
+def _first_present(names: Sequence[str], headers: Mapping[str, str]) -> str:
+    """Return the first of the names that a header has, empty if there is none."""
+    return next((name for name in names if name in headers), "")
 
 
 def _server_counts(text: str) -> ServerCounts | None:
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -9,6 +9,7 @@
 
 from pomelobarrow.backends.engine import CONNECTION_ERRORS
 from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.decision.announcements import ServerAnnouncement
 from pomelobarrow.decision.attempt import UNRUN_STATES, Attempt, AttemptEvent, AttemptState
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.answer import ClientAnswer
@@ -71,6 +72,7 @@
     _last_events_unix_s: float | None = field(default=None, init=False)
     _timeout_scope: asyncio.Timeout | None = field(default=None, init=False)
     _timer: asyncio.TimerHandle | None = field(default=None, init=False)
+    _announced: ServerAnnouncement = field(factory=ServerAnnouncement, init=False)
 
     @property
     def is_surely_unrun(self) -> bool:
@@ -124,6 +126,7 @@
             trace_request_ctx=lambda: self.state.apply(AttemptEvent.SEND),
         ) as response:
             head = self.target.read_answer(response)
+            self._announced = head.announced
             self.on_head(head)
             if head.is_not_run:
                 self.state.apply(AttemptEvent.REFUSE_UNRUN)
@@ -209,6 +212,7 @@
             answer=answer,
             first_answer_unix_s=self.first_answer_unix_s,
             longest_pause_s=self.longest_pause_s,
+            announced=self._announced,
         )
 
 
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -89,6 +89,9 @@
     took_s: float
     first_answer_s: float | None
     longest_pause_s: float
+    # What the target stated with its answer: that it leaves, and for how long to send it nothing.
+    is_leaving: bool
+    backoff_s: float | None
 
 
 @frozen(kw_only=True)
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -6,6 +6,7 @@
 from attrs import field, frozen
 
 from pomelobarrow.decision.accounts import Account
+from pomelobarrow.decision.announcements import ServerAnnouncement
 from pomelobarrow.decision.fingerprint import fingerprint
 from pomelobarrow.decision.placement_request import PlacementRequest
 from pomelobarrow.decision.routing import Route
@@ -118,10 +119,7 @@
     ended_server_key: int | None = None
     # The requests that run and wait at the server; None if it reports none.
     counts: ServerCounts | None = None
-    # The limit in requests per second, over all VMs, that it states; None if it states none.
-    limit_per_s: float | None = None
-    # The header that states the limit.
-    limit_header: str = ""
+    announced: ServerAnnouncement = ServerAnnouncement()
     # Why a peer does not state whether the request ran; empty on a backend server's answer.
     lost_detail: str = ""
 
@@ -170,3 +168,5 @@
     first_answer_unix_s: float | None = None
     # The longest time between two events of a stream; 0 if there was no second one.
     longest_pause_s: float = 0.0
+    # What the other end stated with the head of its answer.
+    announced: ServerAnnouncement = ServerAnnouncement()
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -282,7 +282,7 @@
     def _record_server_state(self, server: BackendServer, head: ServerAnswerHead) -> None:
         """Record the load and the limit that a server reports with an answer."""
         table = self.placer.table
-        record_advertised_limit(table, server, head.limit_per_s, head.limit_header, self.observe)
+        record_advertised_limit(table, server, head.announced, self.observe)
         # The server may have been replaced by another incarnation since the request was sent.
         if head.counts is None or not table.is_current_incarnation(server):
             return
--- a/src/pomelobarrow/relay/relay_log.py
+++ b/src/pomelobarrow/relay/relay_log.py
@@ -108,6 +108,8 @@
                 took_s=now_unix_s() - started_unix_s,
                 first_answer_s=_since(started_unix_s, report.first_answer_unix_s),
                 longest_pause_s=report.longest_pause_s,
+                is_leaving=report.announced.is_leaving,
+                backoff_s=report.announced.backoff_s,
             )
         )
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -1,9 +1,10 @@
-"""The load counts in the head of a backend server's answer are parsed."""
+"""The head of a backend server's answer is parsed: load counts and announcements."""
 
 from types import SimpleNamespace
 
 import pytest
 
+from pomelobarrow.decision.announcements import ServerAnnouncement
 from pomelobarrow.platform.wire import read_answer
 from pomelobarrow.relay.messages import ServerCounts
 
@@ -21,3 +22,36 @@
 @pytest.mark.parametrize("text", [None, "", "3", "a,b,c", "-1,0,8", "1.5,0,8", "²,0,8", "x,1,8"])
 def test_malformed_server_load_is_none(text: str | None) -> None:
     assert counts_in(text) is None
+
+
+def announced_in(status: int, **headers: str) -> ServerAnnouncement:
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    answer = SimpleNamespace(status=status, headers=named)
+    return read_answer(answer).announced  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize("prefix", ["", "Pomelobarrow_"])
+@pytest.mark.parametrize("status", [200, 421, 500, 503])
+def test_leaving_header_is_read_from_any_answer(status: int, prefix: str) -> None:
+    assert announced_in(status, **{f"{prefix}Server_Leaving": " 1 "}).is_leaving
+
+
+@pytest.mark.parametrize("text", ["", "0", "no"])
+def test_other_values_of_the_leaving_header_state_nothing(text: str) -> None:
+    assert not announced_in(200, Server_Leaving=text).is_leaving
+
+
+@pytest.mark.parametrize(("text", "backoff_s"), [("3", 3.0), ("0.25", 0.25), ("0", 0.0)])
+def test_retry_after_of_a_rejection_is_read(text: str, backoff_s: float) -> None:
+    assert announced_in(503, Retry_After=text).backoff_s == backoff_s
+
+
+@pytest.mark.parametrize(
+    "text", ["", "-1", "soon", "nan", "inf", "1e3", "9" * 10, "Wed, 21 Oct 2026 07:28:00 GMT"]
+)
+def test_malformed_retry_after_states_nothing(text: str) -> None:
+    assert announced_in(503, Retry_After=text).backoff_s is None
+
+
+def test_retry_after_of_another_status_states_nothing() -> None:
+    assert announced_in(429, Retry_After="3").backoff_s is None
--- a/tests/test_server_limit_shares.py
+++ b/tests/test_server_limit_shares.py
@@ -9,8 +9,9 @@
 from hypothesis import strategies as st
 from work_builders import SERVER, table_of, work
 
+from pomelobarrow.decision.announcements import parse_decimal
 from pomelobarrow.decision.server_choice import choose_server
-from pomelobarrow.decision.server_limits import MIN_LIMIT_PER_S, ServerLimits, parse_limit
+from pomelobarrow.decision.server_limits import MIN_LIMIT_PER_S, ServerLimits
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.grid import LinkKind
 from pomelobarrow.peers.server_updates import SentServers, ServerUpdates
@@ -129,12 +130,12 @@
 
 @pytest.mark.parametrize("text", ["", "x", "-1", "nan", "inf", "1e9", "1,5", "0x10", "1.", ".5"])
 def test_malformed_limit_is_none(text: str) -> None:
-    assert parse_limit(text) is None
+    assert parse_decimal(text) is None
 
 
 @pytest.mark.parametrize(("text", "per_s"), [("7.4", 7.4), (" 2 ", 2.0), ("0", 0.0)])
 def test_limit_is_a_decimal_number(text: str, per_s: float) -> None:
-    assert parse_limit(text) == per_s
+    assert parse_decimal(text) == per_s
 
 
 def test_work_is_placed_on_another_server_when_one_is_at_its_limit() -> None:
