Stop sending to a server whose answer states that it leaves

Callers: from 3 s after a server's answer had said Server-Leaving, the VM that passed the answer on still sent it requests. The server may exit at any time then, and their answers are lost with it.

Cause: only the platform's list and the last load report counted. While the store was away (6 to 20 s of the incident), the list said ready, and nobody read the answers. Class: a statement that arrives by one way is known to that way alone, and the newest message of that way could take it back.

Change: decision/departures.py remembers the incarnations that leave, by all ways, and never takes one back. The published list and the load table are marked from it, so every decision that reads them agrees. A peer that passes on an answer names the server in a header of the hop, and heartbeats carry the departures to all VMs. Load reports go through the same place.

--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -12,21 +12,26 @@
 from pomelobarrow.backends.reports import LoadPoller
 from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.backends.service import ServiceAttempt
-from pomelobarrow.backends.sessions import SERVER_LIMIT_HEADER, BackendSessions
+from pomelobarrow.backends.sessions import (
+    SERVER_LEAVING_HEADER,
+    SERVER_LIMIT_HEADER,
+    BackendSessions,
+)
 from pomelobarrow.backends.shares import ServerShare
 from pomelobarrow.decision.announcements import ServerAnnouncement, parse_decimal
 from pomelobarrow.decision.attempt import Attempt, AttemptEvent
 from pomelobarrow.decision.configuration import PoolKind
+from pomelobarrow.decision.departures import Departures
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.orders import OrderBook
 from pomelobarrow.decision.server_limits import ServerLimits
 from pomelobarrow.decision.work import BackendServer, Placement
-from pomelobarrow.dispatch.advertised_limits import record_advertised_limit
 from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
 from pomelobarrow.dispatch.local import AttemptRunner, LocalDispatch
 from pomelobarrow.dispatch.request import GatewayRequest
 from pomelobarrow.dispatch.resumed import RestFetcher
+from pomelobarrow.dispatch.server_announcements import record_announcement
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, hookimpl
@@ -121,7 +126,7 @@
                 number=number,
                 sink=sink,
                 on_first_byte=on_first_byte,
-                on_headers=partial(_record_limit, context, server),
+                on_headers=partial(_record_announcement, context, server),
             ).run()
             span.set("state", result.state.value)
             return result
@@ -129,12 +134,15 @@
     return run
 
 
-def _record_limit(context: Context, server: BackendServer, headers: Mapping[str, str]) -> None:
+def _record_announcement(
+    context: Context, server: BackendServer, headers: Mapping[str, str]
+) -> None:
     announced = ServerAnnouncement(
         limit_per_s=parse_decimal(headers.get(SERVER_LIMIT_HEADER, "")),
         limit_header=SERVER_LIMIT_HEADER,
+        is_leaving=headers.get(SERVER_LEAVING_HEADER, "").strip() == "1",
     )
-    record_advertised_limit(context.get(LoadTable), server, announced, context.observe)
+    record_announcement(context.get(LoadTable), server, announced, context.observe)
 
 
 def _fetcher(context: Context) -> RestFetcher:
@@ -165,7 +173,7 @@
 
 
 def _table(context: Context) -> LoadTable:
-    table = LoadTable(context.settings.region)
+    table = LoadTable(context.settings.region, context.get(Departures))
     table.limits = ServerLimits(own_vm=context.settings.vm, region_vms=lambda: _live_vms(context))
     return table
 
--- a/src/pomelobarrow/backends/reports.py
+++ b/src/pomelobarrow/backends/reports.py
@@ -71,7 +71,8 @@
 
     async def _poll(self, server: BackendServer) -> None:
         body = await self._get(server, "/v1/load")
-        if body is None:
+        # The report of an incarnation that was replaced says nothing about its successor.
+        if body is None or not self._table.is_current_incarnation(server):
             return
         now = now_unix_s()
         report = _report(server.name, body, now)
--- a/src/pomelobarrow/backends/sessions.py
+++ b/src/pomelobarrow/backends/sessions.py
@@ -13,6 +13,8 @@
 CONNECT_TIMEOUT_S = 1.0
 # Requests per second that a server accepts from all VMs together, as stated by its answers.
 SERVER_LIMIT_HEADER = "X-Server-Limit"
+# "1" in all answers of a server that leaves.
+SERVER_LEAVING_HEADER = "X-Server-Leaving"
 KEEPALIVE_S = 15.0
 MAX_CONNECTIONS = 4096
 READ_BUFFER_BYTES = 1 << 18
--- /dev/null
+++ b/src/pomelobarrow/decision/departures.py
@@ -0,0 +1,86 @@
+"""Remember which backend servers leave, by whatever way they said so.
+
+A server may state that it leaves in its answers, in its load reports and in the platform's list.
+The statement holds for its incarnation and is never taken back: an answer that left the server
+earlier, a delayed report or an old copy of the list may lack it, and the server may exit at any
+time. A server that starts again is another incarnation.
+"""
+
+import enum
+from collections.abc import Callable, Iterable
+
+from attrs import define, evolve, field
+
+from pomelobarrow.decision.short_key import short_key
+from pomelobarrow.decision.work import BackendServer
+
+# A server that has left the list may return to it with an old copy of the list, or as one whose
+# lease is renewed late.
+UNLISTED_RETENTION_S = 600.0
+
+
+class DepartureSource(enum.Enum):
+    """By which way this VM learned that a server leaves."""
+
+    ANSWER = "answer"
+    PEER_ANSWER = "answer passed on by a peer"
+    PEER = "peer"
+    REPORT = "load report"
+
+
+# Called with the key of an incarnation and the way by which its departure became known.
+DepartureListener = Callable[[int, DepartureSource], None]
+
+
+def departure_key(server: BackendServer) -> int:
+    """Return the key of a server's incarnation, as VMs send it to each other."""
+    return short_key(server.incarnation)
+
+
+@define
+class Departures:
+    """The incarnations of servers that leave, by key."""
+
+    # Notified of each departure that is new to this VM.
+    listeners: list[DepartureListener] = field(factory=list)
+    # When each was last listed, or else stated that it leaves.
+    _last_known_unix_s: dict[int, float] = field(factory=dict)
+
+    @property
+    def keys(self) -> frozenset[int]:
+        """Return the keys of all incarnations that leave."""
+        return frozenset(self._last_known_unix_s)
+
+    def observe(self, key: int, source: DepartureSource, now_unix_s: float) -> bool:
+        """Record that an incarnation leaves; return whether this is new."""
+        if key in self._last_known_unix_s:
+            return False
+        self._last_known_unix_s[key] = now_unix_s
+        for listener in self.listeners:
+            listener(key, source)
+        return True
+
+    def is_leaving(self, server: BackendServer) -> bool:
+        """Return whether a server leaves, by its entry in the list or by its own statement."""
+        if server.leaving or not self._last_known_unix_s:
+            return server.leaving
+        return departure_key(server) in self._last_known_unix_s
+
+    def marked(self, server: BackendServer) -> BackendServer:
+        """Return a server with the departure that this VM knows of."""
+        if server.leaving or not self.is_leaving(server):
+            return server
+        return evolve(server, leaving=True)
+
+    def forget_old(self, listed: Iterable[BackendServer], now_unix_s: float) -> None:
+        """Drop the incarnations that have not been listed for a long time."""
+        if not self._last_known_unix_s:
+            return
+        for key in self._last_known_unix_s.keys() & set(map(departure_key, listed)):
+            self._last_known_unix_s[key] = now_unix_s
+        oldest_unix_s = now_unix_s - UNLISTED_RETENTION_S
+        self._last_known_unix_s = {
+            key: unix_s
+            for key, unix_s in self._last_known_unix_s.items()
+            if unix_s >= oldest_unix_s
+        }
--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -4,8 +4,7 @@
 from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
 
-from attrs import define
-
+from pomelobarrow.decision.departures import Departures, DepartureSource, departure_key
 from pomelobarrow.decision.group_servers import GroupServers
 from pomelobarrow.decision.peer_counts import NOTHING, PeerCounts
 from pomelobarrow.decision.prefill_rates import PrefillRates
@@ -15,6 +14,7 @@
 from pomelobarrow.decision.server_limits import ServerLimits
 from pomelobarrow.decision.server_load import Charge, ServerLoad
 from pomelobarrow.decision.server_pauses import ServerPauses
+from pomelobarrow.decision.server_state import ServerState
 from pomelobarrow.decision.service_times import ServiceTimes
 from pomelobarrow.decision.work import BackendServer, InFlight, LoadReport
 
@@ -24,33 +24,13 @@
 MAX_PARTIAL_REPORT_AGE_S = 2.0
 
 
-@define(kw_only=True)
-class ServerState:
-    """The state of one usable backend server, as input of a placement decision."""
-
-    server: BackendServer
-    requests: int
-    others_requests: int
-    # Standard deviation of the estimated number of others' requests.
-    requests_deviation: float
-    # Prompt tokens still to be computed: exact for this VM's requests, an estimate for all others.
-    own_tokens: int
-    others_tokens: int
-    # KV cache tokens that the requests in flight may come to use.
-    kv_tokens: int
-    # Slots that may be filled now; fewer during slow start.
-    slots: float
-    # Share of the server's streams that are late now, from pauses in this VM's own streams.
-    seen_late_share: float = 0.0
-    # Share of its time that the server spends on prefill.
-    prefill_share: float = 0.0
-
-
 class LoadTable:
     """Estimates each server's load from reports, own charges and peers' counts."""
 
-    def __init__(self, own_region: str) -> None:
+    def __init__(self, own_region: str, departures: Departures | None = None) -> None:
         self.own_region = own_region
+        self.departures = departures or Departures()
+        self.departures.listeners.append(self._on_departure)
         self.prefixes = PrefixIndex()
         self.pauses = ServerPauses()
         self.prefill_rates = PrefillRates()
@@ -75,7 +55,8 @@
 
     def set_servers(self, servers: Iterable[BackendServer]) -> None:
         """Replace the servers by the platform's list, without those of other regions."""
-        listed = {s.name: s for s in servers if s.region == self.own_region}
+        own = (server for server in servers if server.region == self.own_region)
+        listed = {server.name: self.departures.marked(server) for server in own}
         for name in listed.keys() & self._servers.keys():
             if listed[name].born_unix_ms != self._servers[name].born_unix_ms:
                 self._forget_incarnation(name)
@@ -103,6 +84,9 @@
         measured_unix_s = clock.local_unix_s(report.measured_unix_s, received_unix_s)
         counts = {vm: peer.near(report.server, measured_unix_s) for vm, peer in self._peers.items()}
         load.observe_report(report, measured_unix_s, counts)
+        if report.leaving and report.server in self._servers:
+            key = departure_key(self._servers[report.server])
+            self.departures.observe(key, DepartureSource.REPORT, received_unix_s)
 
     def observe_partial_report(self, report: LoadReport, now_unix_s: float) -> None:
         """Update a server's load by a report that came with an answer, and keep it for peers."""
@@ -295,9 +279,10 @@
         )
 
     def _is_leaving(self, server: BackendServer) -> bool:
-        report = self._loads[server.name].report
-        is_closed = server.failure_domain in self.closed_domains
-        return is_closed or server.leaving or (report is not None and report.leaving)
+        return server.leaving or server.failure_domain in self.closed_domains
+
+    def _on_departure(self, key: int, source: DepartureSource) -> None:
+        self.set_servers(self._servers.values())
 
     def _state(
         self,
--- a/src/pomelobarrow/decision/local_choice.py
+++ b/src/pomelobarrow/decision/local_choice.py
@@ -12,10 +12,11 @@
 from pomelobarrow.decision.cold_start import ColdLimiter
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.live_members import LiveMembers
-from pomelobarrow.decision.load_table import LoadTable, ServerState
+from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.placement_request import ExcludedTargets, PlacementRequest
 from pomelobarrow.decision.routing import Routing
 from pomelobarrow.decision.server_choice import StateReader, choose_server, state_reader
+from pomelobarrow.decision.server_state import ServerState
 from pomelobarrow.decision.work import BackendServer, Placement
 
 # Servers queue some requests themselves. Beyond this many in flight per slot they refuse requests,
--- a/src/pomelobarrow/decision/server_choice.py
+++ b/src/pomelobarrow/decision/server_choice.py
@@ -6,7 +6,8 @@
 from attrs import frozen
 
 from pomelobarrow.decision.configuration import Rank
-from pomelobarrow.decision.load_table import LoadTable, ServerState
+from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.server_state import ServerState
 from pomelobarrow.decision.service_times import ServiceTimes
 from pomelobarrow.decision.stale_load import choose_index, decayed_to_mean, with_unseen_work
 from pomelobarrow.decision.stream_pauses import EngineLoad, PauseTarget, pause_cost_s
--- a/src/pomelobarrow/dispatch/advertised_limits.py
+++ b/src/pomelobarrow/dispatch/server_announcements.py
@@ -1,25 +1,29 @@
-"""Record the rate limit that a server states with an answer."""
+"""Record what a backend server states about itself with an answer."""
 
 from collections.abc import Callable
 
 from pomelobarrow.decision.announcements import ServerAnnouncement
+from pomelobarrow.decision.departures import DepartureSource, departure_key
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.dispatch.events import ServerLimitNamed
 from pomelobarrow.kernel.clock import now_unix_s
 
 
-def record_advertised_limit(
+def record_announcement(
     table: LoadTable,
     server: BackendServer,
     announced: ServerAnnouncement,
     observe: Callable[[object], None],
 ) -> None:
-    """Record a server's limit, None if its answer states none, and report a change."""
+    """Record a server's departure and rate limit, None if its answer states none."""
+    now = now_unix_s()
+    if announced.is_leaving:
+        table.departures.observe(departure_key(server), DepartureSource.ANSWER, now)
     # The server may have been replaced by another incarnation since the request was sent.
-    if table.is_current_incarnation(server) and table.limits.observe(
-        server.incarnation, announced.limit_per_s, now_unix_s()
-    ):
+    if not table.is_current_incarnation(server):
+        return
+    if table.limits.observe(server.incarnation, announced.limit_per_s, now):
         observe(
             ServerLimitNamed(
                 server=server.name,
--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -227,6 +227,12 @@
             "Times that a backend server ended while requests of this VM were on it.",
             ("pool",),
         )
+        self.servers_leaving = CounterFamily(
+            registry,
+            "pomelobarrow_servers_leaving_total",
+            "Backend servers that leave, by the way in which this VM learned of it first.",
+            ("pool", "source"),
+        )
         self.blocked = CounterFamily(
             registry,
             "pomelobarrow_blocked_requests_total",
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -22,6 +22,7 @@
     KeyspaceRefused,
     PlatformReachable,
     PlatformUnreachable,
+    ServerLeaving,
 )
 from pomelobarrow.relay.events import (
     DirectoryChanged,
@@ -60,6 +61,7 @@
             RelayEnded: self._relay_ended,
             ServerEjected: self._server_ejected,
             ServerLimitNamed: self._server_limit_named,
+            ServerLeaving: self._server_leaving,
             ServerEnded: self._server_ended,
             RequestBlocked: self._request_blocked,
             ServerReadmitted: self._server_readmitted,
@@ -175,6 +177,10 @@
     def _server_limit_named(self, event: ServerLimitNamed) -> None:
         self._log.info("server limit named", **asdict(event))
 
+    def _server_leaving(self, event: ServerLeaving) -> None:
+        self._metrics.servers_leaving.inc(event.pool, event.source)
+        self._log.info("server leaving", **asdict(event))
+
     def _server_readmitted(self, event: ServerReadmitted) -> None:
         self._log.info("server back", **asdict(event))
 
--- a/src/pomelobarrow/peers/heartbeats.py
+++ b/src/pomelobarrow/peers/heartbeats.py
@@ -14,6 +14,7 @@
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.demand_updates import DemandUpdates, SentDemand
+from pomelobarrow.peers.departure_updates import DepartureUpdates, SentDepartures
 from pomelobarrow.peers.grid import LinkKind, Neighbours
 from pomelobarrow.peers.member_updates import (
     DESCRIPTIONS_PER_MESSAGE,
@@ -37,6 +38,7 @@
     pools: SentPools = field(factory=SentPools)
     demand: SentDemand = field(factory=SentDemand)
     times: SentServiceTimes = field(factory=SentServiceTimes)
+    departures: SentDepartures = field(factory=SentDepartures)
 
 
 @define(kw_only=True)
@@ -60,6 +62,7 @@
     _pools: PoolUpdates = field(init=False)
     _demand: DemandUpdates = field(init=False)
     _times: ServiceTimeUpdates = field(init=False)
+    _departures: DepartureUpdates = field(init=False)
     _sequence: "itertools.count[int]" = field(factory=lambda: itertools.count(1))
     _started_unix_s: float = field(factory=lambda: now_unix_s())
     # Per peer: when its last heartbeat was sent and received, to be echoed.
@@ -84,6 +87,7 @@
             region_loads=self.region_loads,
         )
         self._times = ServiceTimeUpdates(self.local.table)
+        self._departures = DepartureUpdates(self.local.table.departures)
         self._demand = DemandUpdates(
             limits=self.limits, configuration=lambda: self.published.configuration
         )
@@ -111,6 +115,7 @@
         kind = self.neighbours.kind(peer, same_region)
         self._members.write(heartbeat, sent.members, peer, kind, self.neighbours, now)
         self._pools.write(heartbeat, sent.pools, kind, self.neighbours, now)
+        self._departures.write(heartbeat, sent.departures)
         if same_region:
             self._servers.write(heartbeat, sent.servers, kind, now)
             self._times.write(heartbeat, sent.times, now)
@@ -127,6 +132,7 @@
         if member is None:
             return False
         kind = self.neighbours.kind(heartbeat.vm, member.region == self.view.own_region)
+        self._departures.apply(heartbeat, now)
         is_newest = self.view.observe_heartbeat(member, now)
         if is_newest:
             self._echoes[heartbeat.vm] = (heartbeat.sent_unix_s, now)
--- a/src/pomelobarrow/published/events.py
+++ b/src/pomelobarrow/published/events.py
@@ -22,6 +22,15 @@
     reasons: tuple[str, ...]
 
 
+@frozen(kw_only=True)
+class ServerLeaving:
+    """Report that a backend server leaves, and the way by which this VM learned of it."""
+
+    server: str
+    pool: str
+    source: str
+
+
 @frozen
 class PlatformUnreachable:
     """Report that reads of the platform began to fail."""
--- a/src/pomelobarrow/published/keyspaces.py
+++ b/src/pomelobarrow/published/keyspaces.py
@@ -9,17 +9,20 @@
 
 from pomelobarrow.decision.configuration import Configuration
 from pomelobarrow.decision.configuration_check import ConfigurationChecker
+from pomelobarrow.decision.departures import Departures, DepartureSource, departure_key
 from pomelobarrow.decision.keyspace import ApplyResult, Change, Delta, KeyspaceCopy
 from pomelobarrow.decision.routing import Routing
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.kernel.clock import now_unix_s
-from pomelobarrow.published.events import KeyspaceApplied, KeyspaceRefused
+from pomelobarrow.published.events import KeyspaceApplied, KeyspaceRefused, ServerLeaving
 from pomelobarrow.published.vms import EntryVm, VmList, check_vms
 
 CONFIG = "config"
 VMS = "vms"
 # The source of a change that removes servers whose leases expired and weren't renewed in time.
 SOURCE_LEASE_EXPIRY = "lapsed leases"
+# The source of a change that marks a server whose departure became known otherwise.
+SOURCE_DEPARTURE = "departure"
 
 log = structlog.get_logger(__name__)
 
@@ -35,12 +38,15 @@
     checker: ConfigurationChecker = field(factory=ConfigurationChecker)
     copies: dict[str, KeyspaceCopy] = field(init=False)
     configuration: Configuration | None = None
+    departures: Departures = field(factory=Departures)
     listeners: list[AppliedListener] = field(factory=list)
 
     _checked_configuration: Configuration | None = field(default=None, init=False)
-    _vms: VmList = field(factory=VmList, init=False)
+    _vms: VmList = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._vms = VmList(departures=self.departures)
+        self.departures.listeners.append(self._on_departure)
         self.copies = {
             CONFIG: KeyspaceCopy(CONFIG, validator=self._check_configuration),
             VMS: KeyspaceCopy(VMS, validator=check_vms),
@@ -123,6 +129,15 @@
         self.observe(KeyspaceApplied(name, copy.revision, now_unix_s(), source))
         self._notify_listeners(name, source)
 
+    def _on_departure(self, key: int, source: DepartureSource) -> None:
+        self._vms.rebuild()
+        for server in self.backend_servers.values():
+            if departure_key(server) == key:
+                self.observe(
+                    ServerLeaving(server=server.name, pool=server.pool, source=source.value)
+                )
+        self._notify_listeners(VMS, SOURCE_DEPARTURE)
+
     def _notify_listeners(self, name: str, source: str) -> None:
         for listener in self.listeners:
             listener(name, source)
--- a/src/pomelobarrow/published/plugin.py
+++ b/src/pomelobarrow/published/plugin.py
@@ -5,6 +5,7 @@
 from mode import Service
 
 from pomelobarrow.decision.config_proof import ConfigProof
+from pomelobarrow.decision.departures import Departures
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
 from pomelobarrow.kernel.settings import DEFAULT_REVOCATION_S
@@ -43,7 +44,8 @@
 @hookimpl
 def provide_parts(context: Context) -> None:
     """Register the keyspaces and their watcher."""
-    context.provide(PublishedState, lambda c: PublishedState(observe=c.observe))
+    context.provide(Departures, lambda _: Departures())
+    context.provide(PublishedState, _state)
     context.provide(PlatformWatcher, _watcher)
     context.provide(ConfigProof, _proof)
 
@@ -81,6 +83,10 @@
     return StatusSection("keyspaces", values)
 
 
+def _state(context: Context) -> PublishedState:
+    return PublishedState(observe=context.observe, departures=context.get(Departures))
+
+
 def _proof(context: Context) -> ConfigProof:
     relay = context.settings.relay
     return ConfigProof(revocation_s=relay.revocation_s if relay else DEFAULT_REVOCATION_S)
--- a/src/pomelobarrow/published/vms.py
+++ b/src/pomelobarrow/published/vms.py
@@ -5,6 +5,7 @@
 
 from attrs import define, evolve, field, frozen
 
+from pomelobarrow.decision.departures import Departures
 from pomelobarrow.decision.work import BackendServer
 
 KEY_PREFIX = "vms/"
@@ -58,6 +59,7 @@
     value is not parsed again.
     """
 
+    departures: Departures = field(factory=Departures, kw_only=True)
     entries: Mapping[str, EntryVm] = field(factory=dict, init=False)
     servers: Mapping[str, BackendServer] = field(factory=dict, init=False)
     _values: dict[str, Any] = field(factory=dict, init=False, repr=False)
@@ -74,7 +76,8 @@
                 self._values[key] = value
                 self._parsed[key] = _parse(key, value, now_unix_s)
                 self._expired.pop(key, None)
-        self._rebuild()
+        self.rebuild()
+        self.departures.forget_old(self.servers.values(), now_unix_s)
 
     @property
     def next_expiry_unix_s(self) -> float | None:
@@ -87,7 +90,7 @@
         for key in due:
             del self._expired[key]
         if due:
-            self._rebuild()
+            self.rebuild()
         return bool(due)
 
     def _keep_if_lease_expired(self, key: str, now_unix_s: float) -> None:
@@ -103,12 +106,13 @@
             until_unix_s = now_unix_s + LEASE_GRACE_S
             self._expired[key] = _ExpiredLease(evolve(server, is_lease_expired=True), until_unix_s)
 
-    def _rebuild(self) -> None:
+    def rebuild(self) -> None:
+        """Derive the lists from the entries and from the departures known otherwise."""
         parsed = self._parsed.values()
         self.entries = {vm.name: vm for vm in parsed if isinstance(vm, EntryVm)}
         servers = [each for each in parsed if isinstance(each, BackendServer)]
         servers += [expired.server for expired in self._expired.values()]
-        self.servers = {server.name: server for server in servers}
+        self.servers = {server.name: self.departures.marked(server) for server in servers}
 
 
 def _faults(key: str, value: Any) -> list[str]:
--- a/src/pomelobarrow/relay/hop.py
+++ b/src/pomelobarrow/relay/hop.py
@@ -5,8 +5,10 @@
 import aiohttp
 from attrs import evolve
 
+from pomelobarrow.decision.departures import departure_key
 from pomelobarrow.decision.errors import ErrorKind, Refusal, RunStatus
 from pomelobarrow.decision.member import Member
+from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.relay.attempt import Target
 from pomelobarrow.relay.messages import Headers, RelayRequest, ServerAnswerHead
 from pomelobarrow.relay.wire import RelayWire
@@ -24,10 +26,14 @@
 # Names the server that crashed while it ran the request. The forwarding VM gets this before any
 # crash update arrives, and tries no other region.
 ENDED_HEADER = "Pomelobarrow-Peer-Server-Ended"
+# Names the server that stated with the answer that it leaves. The VM that passes the answer on to
+# the client must stop sending to that server as well, whether or not it still receives updates.
+LEAVING_HEADER = "Pomelobarrow-Peer-Server-Leaving"
 # Allows for two round trips between the farthest regions and one lost packet.
 CONNECT_TIMEOUT_S = 0.6
 SERVER_KEY_MASK = 0xFFFFFFFF
 
+AnswerReader = Callable[[aiohttp.ClientResponse], ServerAnswerHead]
 
 # A peer sends a request to one server only. If it retried by itself, the forwarding VM could not
 # count the servers that got the request and would exceed the route's limit on attempts.
@@ -55,6 +61,19 @@
     return ((RUN_HEADER, run), *ended)
 
 
+def naming_departure(read_answer: AnswerReader, server: BackendServer) -> AnswerReader:
+    """Return a reader that names a leaving server to the peer which gets the answer."""
+
+    def read(response: aiohttp.ClientResponse) -> ServerAnswerHead:
+        head = read_answer(response)
+        if not head.announced.is_leaving:
+            return head
+        named = (LEAVING_HEADER, f"{departure_key(server):x}")
+        return evolve(head, headers=(*head.headers, named))
+
+    return read
+
+
 def peer_target(
     member: Member,
     hop_port: int,
@@ -80,11 +99,10 @@
     )
 
 
-def _peer_answer_reader(
-    read_answer: Callable[[aiohttp.ClientResponse], ServerAnswerHead],
-) -> Callable[[aiohttp.ClientResponse], ServerAnswerHead]:
+def _peer_answer_reader(read_answer: AnswerReader) -> AnswerReader:
     def read(response: aiohttp.ClientResponse) -> ServerAnswerHead:
-        head = read_answer(response)
+        leaving_key = _server_key(response.headers.get(LEAVING_HEADER, ""))
+        head = evolve(read_answer(response), leaving_server_key=leaving_key)
         run = response.headers.get(RUN_HEADER)
         if run is None:
             return evolve(head, is_not_run=False)
@@ -95,14 +113,14 @@
             is_not_run=is_not_run,
             is_unsent=is_unsent,
             is_blocked=is_blocked,
-            ended_server_key=_ended_server_key(response.headers.get(ENDED_HEADER, "")),
+            ended_server_key=_server_key(response.headers.get(ENDED_HEADER, "")),
             lost_detail="" if is_not_run else f"the peer answered {response.status}",
         )
 
     return read
 
 
-def _ended_server_key(text: str) -> int | None:
+def _server_key(text: str) -> int | None:
     try:
         return int(text, 16) & SERVER_KEY_MASK
     except ValueError:
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -117,6 +117,8 @@
     is_blocked: bool = False
     # The server of a peer that crashed while it ran the request, hashed as in crash updates.
     ended_server_key: int | None = None
+    # The server of a peer that states that it leaves, hashed as in updates between VMs.
+    leaving_server_key: int | None = None
     # The requests that run and wait at the server; None if it reports none.
     counts: ServerCounts | None = None
     announced: ServerAnnouncement = ServerAnnouncement()
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -15,17 +15,17 @@
 from pomelobarrow.decision.routing import Routing
 from pomelobarrow.decision.stream_admission import MIN_RETRY_AFTER_S, retry_at_unix_s
 from pomelobarrow.decision.token_estimates import prefill_tokens
-from pomelobarrow.decision.work import BackendServer, LoadReport, Placement
-from pomelobarrow.dispatch.advertised_limits import record_advertised_limit
+from pomelobarrow.decision.work import BackendServer, Placement
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.dispatch.crash_guard import CrashGuard, server_key
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.answer import ClientAnswer
+from pomelobarrow.relay.answer_records import AnswerRecords
 from pomelobarrow.relay.attempt import FirstAnswerTimeout, RelayAttempt, Target
 from pomelobarrow.relay.event_splitter import EventSplitter
 from pomelobarrow.relay.health_monitor import FirstAnswerTimes, ServerHealthMonitor
-from pomelobarrow.relay.hop import peer_target
+from pomelobarrow.relay.hop import AnswerReader, naming_departure, peer_target
 from pomelobarrow.relay.messages import AttemptEnd, AttemptReport, RelayRequest, ServerAnswerHead
 from pomelobarrow.relay.next_step import UNSENT_ENDS, AttemptHistory, Step, last_step, should_retry
 from pomelobarrow.relay.progress import RequestProgress
@@ -59,6 +59,7 @@
     # Returns whether the key of an admitted request is still known to be valid.
     may_still_run: Callable[[RelayRequest], bool] = lambda request: True
     log: RelayLog = field(init=False)
+    records: AnswerRecords = field(init=False)
     in_progress: int = 0
     retry_schedule: RetrySchedule = field(factory=RetrySchedule)
     first_answer_times: FirstAnswerTimes = field(factory=FirstAnswerTimes)
@@ -70,6 +71,9 @@
             region_loads=self.placer.region_loads,
             observe=lambda event: self.observe(event),
         )
+        self.records = AnswerRecords(
+            table=self.placer.table, guard=self.guard, observe=lambda event: self.observe(event)
+        )
 
     async def answer(self, request: RelayRequest, routing: Routing, sink: ClientAnswer) -> bool:
         """Answer a request completely, or refuse it and state whether it ran.
@@ -193,7 +197,7 @@
             name=server.name,
             address=server.address,
             headers=lambda: self.wire.server_headers(request, options),
-            read_answer=self.wire.read_answer,
+            read_answer=self._answer_reader(request, server),
             connect_timeout_s=SERVER_CONNECT_TIMEOUT_S,
         )
         try:
@@ -202,7 +206,7 @@
                 target,
                 first_answer_timeout=self._first_answer_timeout(progress, placement),
                 on_pause=self._pause_observer(progress, server.name),
-                on_head=lambda head: self._record_server_state(server, head),
+                on_head=lambda head: self.records.of_server(server, head),
             )
         finally:
             table.release(work.request_id, now_unix_s())
@@ -212,6 +216,10 @@
             progress.excluded.servers.add(server.name)
         return report
 
+    def _answer_reader(self, request: RelayRequest, server: BackendServer) -> AnswerReader:
+        read_answer = self.wire.read_answer
+        return naming_departure(read_answer, server) if request.forwarded_by else read_answer
+
     async def _record_server_end(
         self, progress: RequestProgress, server: BackendServer, report: AttemptReport
     ) -> None:
@@ -223,10 +231,6 @@
         elif report.end in (AttemptEnd.PASSED_ON, AttemptEnd.ANSWERED):
             self.guard.note_answered(request.fingerprint)
 
-    def _record_peer_crash(self, request: RelayRequest, head: ServerAnswerHead) -> None:
-        if head.ended_server_key is not None:
-            self.guard.note_crash(request.fingerprint, head.ended_server_key)
-
     async def _send_to_peer(
         self, progress: RequestProgress, decision: PeerPlacement
     ) -> AttemptReport:
@@ -239,7 +243,7 @@
             self.wire,
         )
         report = await self._run(
-            progress, target, on_head=lambda head: self._record_peer_crash(progress.request, head)
+            progress, target, on_head=lambda head: self.records.of_peer(progress.request, head)
         )
         if report.end is AttemptEnd.NOT_SENT:
             self.placer.members.note_connect_failure(decision.member.vm, now_unix_s())
@@ -279,23 +283,6 @@
         time_limit_s = self.first_answer_times.time_limit_s(route.name, placement.expected_wait_s)
         return FirstAnswerTimeout(limit_s=time_limit_s, may_give_up=try_take_retry)
 
-    def _record_server_state(self, server: BackendServer, head: ServerAnswerHead) -> None:
-        """Record the load and the limit that a server reports with an answer."""
-        table = self.placer.table
-        record_advertised_limit(table, server, head.announced, self.observe)
-        # The server may have been replaced by another incarnation since the request was sent.
-        if head.counts is None or not table.is_current_incarnation(server):
-            return
-        now = now_unix_s()
-        partial_report = LoadReport(
-            server=server.name,
-            measured_unix_s=now,
-            running=head.counts.running,
-            waiting=head.counts.waiting,
-            is_partial=True,
-        )
-        table.observe_partial_report(partial_report, now)
-
     def _pause_observer(self, progress: RequestProgress, server: str) -> Callable[[float], None]:
         gap_target_s, pauses = progress.request.work.gap_target_s, self.placer.table.pauses
 
--- a/tests/test_server_leaving.py
+++ b/tests/test_server_leaving.py
@@ -1,6 +1,7 @@
 """Servers that state with their answers that they leave."""
 
 import pytest
+from attrs import evolve
 from relay_harness import RelayVm, ask, relay_fleet, route
 from scripted_server import Exchange, Script, answers, event
 
@@ -57,3 +58,30 @@
         arrived = len(fleet.servers["s1"].received)
     assert statuses == [200] * REQUESTS
     assert arrived <= 1
+
+
+async def test_later_answer_takes_a_departure_back_for_nobody() -> None:
+    """An answer that was under way for longer may lack the statement of an earlier one."""
+    states = iter(["1", ""])
+
+    async def script(exchange: Exchange) -> None:
+        exchange.write_head(200, Server_Leaving=next(states, ""), Content_Length="0")
+
+    async with relay_fleet(ROUTES, {"a": {"s1": script}}) as fleet:
+        vm, server = fleet.vms["a"], fleet.servers["s1"]
+        statuses = await ask_many(vm, "/idempotent/")
+        arrived = len(server.received)
+    assert statuses == [200] + [503] * (REQUESTS - 1)
+    assert arrived == 1
+
+
+async def test_vm_that_passes_on_the_answer_of_a_peers_server_stops_sending_to_it() -> None:
+    """The coordinator of a long prompt's server is a VM of the same region."""
+    bound = route(RouteKind.IDEMPOTENT, max_attempts=2, home_regions=("b",))
+    async with relay_fleet((bound,), {"a": {}, "b": {"s1": leaves()}}) as fleet:
+        answer = await ask(fleet.vms["a"], "/idempotent/")
+        listed = fleet.vms["b"].relay.placer.table.pool_servers("engines")[0]
+        departures = fleet.vms["a"].relay.placer.table.departures
+    assert (answer.status, answer.headers["Server-Leaving"]) == (200, "1")
+    assert departures.is_leaving(evolve(listed, leaving=False))
+    assert not [name for name in answer.headers if name.startswith("Pomelobarrow-Peer")]
