Ignore what another server states with a 421

Callers: a server whose old address had been given to another one was held to that one's rate limit and load, and with departures read from answers it would have been left out for good.

Cause: everything in the head of an answer was recorded for the server that the request was meant for. A 421 says that this is another one.

Change: the adapter marks such answers, and nothing in them is recorded. The new test failed before: the departure, the limit and the load were recorded.

--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -160,12 +160,14 @@
 def read_answer(response: ClientResponse) -> ServerAnswerHead:
     """Parse the head of a backend server's answer."""
     headers = response.headers
+    is_other_server = response.status == WRONG_SERVER_STATUS
     return ServerAnswerHead(
         status=response.status,
         headers=_end_to_end_headers(headers),
         request_id=headers.get(REQUEST_ID, ""),
         is_sealed=RESPONSE_SEAL in headers,
-        is_not_run=NOT_EXECUTED in headers or response.status == WRONG_SERVER_STATUS,
+        is_not_run=NOT_EXECUTED in headers or is_other_server,
+        is_other_server=is_other_server,
         counts=_server_counts(headers.get(SERVER_LOAD, "")),
         announced=_announcement(response.status, headers),
     )
--- a/src/pomelobarrow/relay/answer_records.py
+++ b/src/pomelobarrow/relay/answer_records.py
@@ -23,6 +23,8 @@
 
     def of_server(self, server: BackendServer, head: ServerAnswerHead) -> None:
         """Record what a server states about itself, and its load."""
+        if head.is_other_server:
+            return
         record_announcement(self.table, server, head.announced, self.observe)
         # The server may have been replaced by another incarnation since the request was sent.
         if head.counts is None or not self.table.is_current_incarnation(server):
--- a/src/pomelobarrow/relay/hop.py
+++ b/src/pomelobarrow/relay/hop.py
@@ -66,7 +66,7 @@
 
     def read(response: aiohttp.ClientResponse) -> ServerAnswerHead:
         head = read_answer(response)
-        if not head.announced.is_leaving:
+        if not head.announced.is_leaving or head.is_other_server:
             return head
         named = (LEAVING_HEADER, f"{departure_key(server):x}")
         return evolve(head, headers=(*head.headers, named))
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -111,6 +111,8 @@
     is_sealed: bool = False
     # True if the server states that the request did not run.
     is_not_run: bool = False
+    # True if another server than the intended one answered, such as the next user of its address.
+    is_other_server: bool = False
     # True if a peer states that it sent the request to no server.
     is_unsent: bool = False
     # True if a peer refused the request unsent because such requests crash servers.
--- a/tests/test_server_leaving.py
+++ b/tests/test_server_leaving.py
@@ -85,3 +85,24 @@
     assert (answer.status, answer.headers["Server-Leaving"]) == (200, "1")
     assert departures.is_leaving(evolve(listed, leaving=False))
     assert not [name for name in answer.headers if name.startswith("Pomelobarrow-Peer")]
+
+
+async def test_statements_of_the_next_user_of_an_address_are_not_the_servers_own() -> None:
+    """A 421 is the answer of another server, whose limit, load and departure say nothing here."""
+
+    async def script(exchange: Exchange) -> None:
+        exchange.write_head(
+            421,
+            Server_Leaving="1",
+            Server_Limit="0.5",
+            Pomelobarrow_Server_Load="90,90,8",
+            Content_Length="0",
+        )
+
+    async with relay_fleet(ROUTES, {"a": {"s1": script}}) as fleet:
+        vm = fleet.vms["a"]
+        answer = await ask(vm, "/idempotent/")
+        table = vm.relay.placer.table
+    assert answer.status == 503
+    assert (table.departures.keys, dict(table.limits.named)) == (frozenset(), {})
+    assert table.report("s1") is None
