Keep to the pauses that rejecting servers ask for

Callers: while two drafting servers rejected everything for 9 s, each with Retry-After 3, requests went on to them, were rejected twice and refused, although other servers had room. One VM sent 71 requests in a pause.

Cause: nobody read Retry-After of a server's answer. A rejection frees its place at once, so the rejecting server had the least load in every view and got twice as many requests as before; callers came back after 0.15 s while no server would take them. Class: load is judged by what is in flight, which a server that refuses work keeps at nothing.

Change: decision/server_backoffs.py keeps the pauses beside the rate limits. A paused server is not usable; a request chosen before is checked again when its connection is open and withheld; a VM returns at a random moment after the end, with one request, doubled by each answer; refused callers get the end of the first pause. A paused or leaving server is not ejected.

The hook of sending is the one before the headers are written: there a raised error closes the connection, and pooled and new ones are treated alike.

A property test holds the rule (at most two from 0.5 s on) for random pauses, loads and delays.

--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from pomelobarrow.backends.events import EventCounter
-from pomelobarrow.backends.sessions import CONNECT_TIMEOUT_S, BackendSessions
+from pomelobarrow.backends.sessions import CONNECT_TIMEOUT_S, BackendSessions, WithheldError
 from pomelobarrow.backends.whole_answer import TooLargeError, WholeAnswer
 from pomelobarrow.decision.attempt import Attempt, AttemptEvent, AttemptState
 from pomelobarrow.decision.configuration import Rank
@@ -56,7 +56,10 @@
     number: int
     sink: AnswerSink
     on_first_byte: Callable[[], None]
-    on_headers: Callable[[Mapping[str, str]], None] = lambda headers: None
+    # Takes the status and the headers of the answer.
+    on_head: Callable[[int, Mapping[str, str]], None] = lambda status, headers: None
+    # Returns whether the server still takes requests, asked when the connection is open.
+    may_send: Callable[[], bool] = lambda: True
     counter: EventCounter = field(factory=EventCounter)
     whole: WholeAnswer | None = None
     head_passed: bool = False
@@ -98,6 +101,8 @@
             refused = await self._send()
             if refused is not None:
                 return refused
+        except WithheldError as error:
+            return self._result(str(error))
         except CONNECTION_ERRORS as error:
             if self.attempt.state is AttemptState.NOT_SENT:
                 return self._result(f"connection failed: {error!r}")
@@ -111,9 +116,9 @@
             headers=self._headers(),
             timeout=_timeout(),
             allow_redirects=False,
-            trace_request_ctx=self._mark_sent,
+            trace_request_ctx=self._begin_sending,
         ) as response:
-            self.on_headers(response.headers)
+            self.on_head(response.status, response.headers)
             if response.status != 200:
                 return await self._handle_error_status(response)
             self.attempt.apply(AttemptEvent.FIRST_BYTE)
@@ -250,7 +255,9 @@
             output_tokens=max(0, self.counter.complete_events - 1),
         )
 
-    def _mark_sent(self) -> None:
+    def _begin_sending(self) -> None:
+        if not self.may_send():
+            raise WithheldError
         self.sent_unix_s = now_unix_s()
         self.attempt.apply(AttemptEvent.SEND)
 
--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -13,6 +13,8 @@
 from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.backends.service import ServiceAttempt
 from pomelobarrow.backends.sessions import (
+    REJECTED_STATUS,
+    RETRY_AFTER_HEADER,
     SERVER_LEAVING_HEADER,
     SERVER_LIMIT_HEADER,
     BackendSessions,
@@ -107,6 +109,7 @@
 
 def _runner(context: Context) -> AttemptRunner:
     sessions, traces = context.get(BackendSessions), context.get(Traces)
+    table = context.get(LoadTable)
 
     async def run(
         request: GatewayRequest,
@@ -126,7 +129,8 @@
                 number=number,
                 sink=sink,
                 on_first_byte=on_first_byte,
-                on_headers=partial(_record_announcement, context, server),
+                may_send=lambda: table.takes_requests(server, now_unix_s()),
+                on_head=partial(_record_announcement, context, server),
             ).run()
             span.set("state", result.state.value)
             return result
@@ -135,12 +139,17 @@
 
 
 def _record_announcement(
-    context: Context, server: BackendServer, headers: Mapping[str, str]
+    context: Context, server: BackendServer, status: int, headers: Mapping[str, str]
 ) -> None:
     announced = ServerAnnouncement(
         limit_per_s=parse_decimal(headers.get(SERVER_LIMIT_HEADER, "")),
         limit_header=SERVER_LIMIT_HEADER,
         is_leaving=headers.get(SERVER_LEAVING_HEADER, "").strip() == "1",
+        backoff_s=(
+            parse_decimal(headers.get(RETRY_AFTER_HEADER, ""))
+            if status == REJECTED_STATUS
+            else None
+        ),
     )
     record_announcement(context.get(LoadTable), server, announced, context.observe)
 
--- a/src/pomelobarrow/backends/service.py
+++ b/src/pomelobarrow/backends/service.py
@@ -7,7 +7,7 @@
 from attrs import define
 
 from pomelobarrow.backends.engine import CONNECTION_ERRORS, states_not_run
-from pomelobarrow.backends.sessions import CONNECT_TIMEOUT_S, BackendSessions
+from pomelobarrow.backends.sessions import CONNECT_TIMEOUT_S, BackendSessions, WithheldError
 from pomelobarrow.decision.attempt import Attempt, AttemptEvent, AttemptState
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.dispatch.answers import AnswerHead, AnswerSink, AttemptResult
@@ -30,7 +30,10 @@
     number: int
     sink: AnswerSink
     on_first_byte: Callable[[], None]
-    on_headers: Callable[[Mapping[str, str]], None] = lambda headers: None
+    # Takes the status and the headers of the answer.
+    on_head: Callable[[int, Mapping[str, str]], None] = lambda status, headers: None
+    # Returns whether the server still takes requests, asked when the connection is open.
+    may_send: Callable[[], bool] = lambda: True
     head_passed: bool = False
 
     async def run(self) -> AttemptResult:
@@ -39,6 +42,8 @@
         try:
             async with asyncio.timeout(remaining_s):
                 return await self._call()
+        except WithheldError as error:
+            return self._result(str(error))
         except CONNECTION_ERRORS as error:
             if self.attempt.state is not AttemptState.FINISHED:
                 self.attempt.apply(AttemptEvent.LOSE)
@@ -53,9 +58,9 @@
             headers=self._headers(),
             timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
             allow_redirects=False,
-            trace_request_ctx=lambda: self.attempt.apply(AttemptEvent.SEND),
+            trace_request_ctx=self._begin_sending,
         ) as response:
-            self.on_headers(response.headers)
+            self.on_head(response.status, response.headers)
             if response.status == 503 and states_not_run(503, body := await response.read()):
                 self.attempt.apply(AttemptEvent.REFUSE_UNRUN)
                 return self._result("refused with 503")
@@ -64,6 +69,11 @@
         self.attempt.apply(AttemptEvent.END)
         return self._result("")
 
+    def _begin_sending(self) -> None:
+        if not self.may_send():
+            raise WithheldError
+        self.attempt.apply(AttemptEvent.SEND)
+
     async def _pass_on(self, response: aiohttp.ClientResponse, body: bytes | None) -> None:
         self.head_passed = True
         self.on_first_byte()
--- a/src/pomelobarrow/backends/sessions.py
+++ b/src/pomelobarrow/backends/sessions.py
@@ -15,6 +15,9 @@
 SERVER_LIMIT_HEADER = "X-Server-Limit"
 # "1" in all answers of a server that leaves.
 SERVER_LEAVING_HEADER = "X-Server-Leaving"
+# With a rejection: the seconds for which the server wants nothing from this VM.
+RETRY_AFTER_HEADER = "Retry-After"
+REJECTED_STATUS = 503
 KEEPALIVE_S = 15.0
 MAX_CONNECTIONS = 4096
 READ_BUFFER_BYTES = 1 << 18
@@ -29,6 +32,13 @@
     """Raised if a connection is lost after the request may have been sent; it was not resent."""
 
 
+class WithheldError(Exception):
+    """Raised instead of sending a request whose server announced meanwhile that it takes none."""
+
+    def __init__(self) -> None:
+        super().__init__("the server leaves or asked for a pause after it was chosen")
+
+
 class BackendSessions:
     """Provide a pooled session and one that opens a new connection for every request."""
 
@@ -120,7 +130,10 @@
 
 
 def _send_tracing() -> TraceConfig:
-    """Return tracing that notifies the attempt just before bytes are passed to the transport."""
+    """Return tracing that notifies the attempt just before bytes are passed to the transport.
+
+    The attempt may raise an error then: the connection is closed and nothing is sent.
+    """
     tracing = TraceConfig()
 
     async def about_to_send(session: object, context: object, params: object) -> None:
@@ -128,6 +141,5 @@
         if on_send is not None:
             on_send()
 
-    tracing.on_connection_create_end.append(about_to_send)
-    tracing.on_connection_reuseconn.append(about_to_send)
+    tracing.on_request_headers_sent.append(about_to_send)
     return tracing
--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -6,6 +6,7 @@
 
 from pomelobarrow.decision.departures import Departures, DepartureSource, departure_key
 from pomelobarrow.decision.group_servers import GroupServers
+from pomelobarrow.decision.others_load import extrapolation_factor, others_requests
 from pomelobarrow.decision.peer_counts import NOTHING, PeerCounts
 from pomelobarrow.decision.prefill_rates import PrefillRates
 from pomelobarrow.decision.prefix_index import PrefixIndex
@@ -147,6 +148,9 @@
         if charge is None or charge.started_unix_s is not None:
             return
         self._loads[charge.server_name].start(charge, now_unix_s)
+        server = self._servers.get(charge.server_name)
+        if server is not None and not self.limits.is_empty:
+            self.limits.backoffs.note_answer(server.incarnation, charge.charged_unix_s)
         times = self._times_of(charge.server_name)
         if charge.tokens_ahead is not None:
             tokens = charge.tokens_ahead + charge.tokens
@@ -161,6 +165,9 @@
             hold_s = now_unix_s - charge.charged_unix_s
             self._times_of(charge.server_name).observe_finish(hold_s)
         self._loads[charge.server_name].release(charge, now_unix_s)
+        server = self._servers.get(charge.server_name)
+        if server is not None and not self.limits.is_empty:
+            self.limits.backoffs.release(server.incarnation, charge.charged_unix_s)
 
     def in_flight(self) -> Mapping[str, InFlight]:
         """Return this VM's own requests in flight by server, for heartbeats."""
@@ -199,19 +206,43 @@
         staying = [s for s in self.pool_servers(pool) if not self._is_leaving(s)]
         # An expired lease doesn't prove a server gone, but servers with valid leases are preferred.
         staying = [s for s in staying if not s.is_lease_expired] or staying
-        healthy = [s for s in staying if not self._health[s.name].is_ejected(now_unix_s)]
+        willing = self._without_paused(staying, now_unix_s)
+        healthy = [s for s in willing if not self._health[s.name].is_ejected(now_unix_s)]
         # If every server is ejected, the fault is more likely on this side. All of them are tried
         # then, as an empty pool would refuse work that a server could run.
-        return healthy or staying
+        return healthy or willing
+
+    def _without_paused(
+        self, servers: list[BackendServer], now_unix_s: float
+    ) -> list[BackendServer]:
+        backoffs = self.limits.backoffs
+        if backoffs.is_empty:
+            return servers
+        return [server for server in servers if not backoffs.is_paused(server, now_unix_s)]
+
+    def paused_servers(self, pool: str, now_unix_s: float) -> list[BackendServer]:
+        """Return the servers of a pool that stay and want nothing from this VM now."""
+        backoffs = self.limits.backoffs
+        return [
+            server
+            for server in self.pool_servers(pool)
+            if not self._is_leaving(server) and backoffs.is_paused(server, now_unix_s)
+        ]
+
+    def takes_requests(self, server: BackendServer, now_unix_s: float) -> bool:
+        """Return whether a server stays and has not asked this VM for a pause."""
+        is_paused = self.limits.backoffs.is_paused(server, now_unix_s)
+        return not is_paused and self.is_in_service(server)
 
     def next_allowed_unix_s(
         self, pool: str, excluded: Collection[str], now_unix_s: float
     ) -> float | None:
-        """Return when servers' own rate limits allow the next request, None if they do now."""
-        if not self.limits.named:
+        """Return when servers' limits and pauses allow the next request, None if they do now."""
+        if self.limits.is_empty:
             return None
-        usable = [s for s in self.usable_servers(pool, now_unix_s) if s.name not in excluded]
-        next_unix_s = min((self.limits.next_unix_s(s, now_unix_s) for s in usable), default=0.0)
+        servers = [*self.usable_servers(pool, now_unix_s), *self.paused_servers(pool, now_unix_s)]
+        times = [self.limits.next_unix_s(s, now_unix_s) for s in servers if s.name not in excluded]
+        next_unix_s = min(times, default=0.0)
         return next_unix_s if next_unix_s > now_unix_s else None
 
     def states(
@@ -293,8 +324,9 @@
         now_unix_s: float,
     ) -> ServerState:
         load = self._loads[server.name]
-        others = round(self._others_requests(load, times, now_unix_s))
-        token_factor = 1.0 if self.is_prefill_coordinated else self._extrapolation_factor(load)
+        factor = extrapolation_factor(load, len(self._peers), self.prefill_rates.region_vms)
+        others = round(others_requests(load, times, factor, now_unix_s))
+        token_factor = 1.0 if self.is_prefill_coordinated else factor
         others_tokens = round((load.tokens(now_unix_s) - load.own_tokens) * token_factor)
         return ServerState(
             server=server,
@@ -311,33 +343,6 @@
             ),
         )
 
-    def _others_requests(self, load: ServerLoad, times: ServiceTimes, now_unix_s: float) -> float:
-        """Return the estimated number of requests that all other VMs have on a server.
-
-        A partial report counts while the requests that it covered are still running; its weight
-        decays with the mean request duration. Peers' counts are as good only if all VMs send them
-        here: in one of 65 VMs, those of 14 separate a full server from an empty one only by chance.
-        """
-        known = max(0, load.requests(now_unix_s) - load.own_requests)
-        if not load.has_partial_report:
-            return known * self._extrapolation_factor(load)
-        extrapolated = load.peers_requests * self._extrapolation_factor(load)
-        age_s = max(0.0, now_unix_s - load.measured_unix_s)
-        weight = math.exp(-age_s / max(times.hold_s, 1e-3))
-        return weight * known + (1.0 - weight) * extrapolated
-
-    def _extrapolation_factor(self, load: ServerLoad) -> float:
-        """Return the ratio of all other VMs' requests to those of the VMs that send their counts.
-
-        In a large region a VM receives the counts of only some others. A server's full report
-        includes the requests of the rest. Without one, the rest are assumed to have as many each,
-        since clients spread over all VMs. Without this factor a full server looks two thirds empty.
-        """
-        is_whole = load.report is not None and not load.has_partial_report
-        if is_whole or not self._peers:
-            return 1.0
-        return max(1.0, (self.prefill_rates.region_vms - 1) / len(self._peers))
-
     def _tokens_ahead(self, name: str, load: ServerLoad, now_unix_s: float) -> int | None:
         """Return the prefill tokens ahead of a new request, None if it may wait for a slot too."""
         server = self._servers.get(name)
--- a/src/pomelobarrow/decision/server_limits.py
+++ b/src/pomelobarrow/decision/server_limits.py
@@ -1,10 +1,11 @@
-"""Observe the request rate limits that backend servers announce for all VMs together."""
+"""Keep to what backend servers announce: rate limits over all VMs, and pauses for this VM."""
 
 import math
 from collections.abc import Callable, Iterable, Mapping
 
 from attrs import define, field, frozen
 
+from pomelobarrow.decision.server_backoffs import ServerBackoffs
 from pomelobarrow.decision.shared_rate import SharedRates
 from pomelobarrow.decision.work import BackendServer
 
@@ -33,11 +34,12 @@
 
 @define(kw_only=True)
 class ServerLimits:
-    """The limits of the region's servers, by incarnation, and this VM's shares of them."""
+    """The limits and pauses of the region's servers, by incarnation, and this VM's shares."""
 
     own_vm: str = ""
     # Returns all VMs that send to these servers.
     region_vms: Callable[[], Iterable[str]] = tuple
+    backoffs: ServerBackoffs = field(factory=ServerBackoffs)
     _named: dict[str, NamedLimit] = field(factory=dict)
     _rates: SharedRates = field(init=False)
 
@@ -50,6 +52,11 @@
             burst_s=BURST_S,
         )
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no server has announced anything that limits this VM."""
+        return not self._named and self.backoffs.is_empty
+
     @property
     def named(self) -> Mapping[str, NamedLimit]:
         """Return the state of each server that has announced a limit, by incarnation."""
@@ -74,23 +81,30 @@
 
     def next_unix_s(self, server: BackendServer, now_unix_s: float) -> float:
         """Return when this VM may next send to a server, infinity if only other VMs may."""
+        next_unix_s = self.backoffs.next_unix_s(server, now_unix_s)
         limit_per_s = self.limit_per_s(server)
         if math.isinf(limit_per_s):
-            return now_unix_s
+            return next_unix_s
         key = server.incarnation
-        return self._rates.next_unix_s(key, limit_per_s, self.region_vms, now_unix_s)
+        rate_next_unix_s = self._rates.next_unix_s(key, limit_per_s, self.region_vms, now_unix_s)
+        return max(next_unix_s, rate_next_unix_s)
 
     def allows(self, server: BackendServer, now_unix_s: float) -> bool:
         """Return whether this VM may send to a server now."""
-        return not self._named or self.next_unix_s(server, now_unix_s) <= now_unix_s
+        return self.is_empty or self.next_unix_s(server, now_unix_s) <= now_unix_s
 
     def take(self, server: BackendServer, now_unix_s: float) -> None:
         """Count a request sent to a server."""
+        if self.is_empty:
+            return
+        self.backoffs.take(server.incarnation, now_unix_s)
         if server.incarnation in self._named:
             self._rates.take(server.incarnation, now_unix_s)
 
     def keep_only(self, servers: Iterable[BackendServer]) -> None:
-        """Drop the limits of incarnations that are no longer listed."""
+        """Drop the limits and pauses of incarnations that are no longer listed."""
+        servers = tuple(servers)
+        self.backoffs.keep_only(servers)
         gone = self._named.keys() - {server.incarnation for server in servers}
         for incarnation in gone:
             del self._named[incarnation]
--- a/src/pomelobarrow/dispatch/events.py
+++ b/src/pomelobarrow/dispatch/events.py
@@ -52,3 +52,12 @@
     server: str
     limit_per_s: float | None
     header: str
+
+
+@frozen(kw_only=True)
+class ServerPauseRequested:
+    """Report that a server wants nothing from this VM for a time."""
+
+    server: str
+    pool: str
+    backoff_s: float
--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -9,7 +9,7 @@
 from mode import Service
 
 from pomelobarrow.decision.admission import refuse_unservable
-from pomelobarrow.decision.attempt import Attempt, AttemptState
+from pomelobarrow.decision.attempt import UNRUN_STATES, Attempt, AttemptState
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.errors import ErrorKind, RunStatus
 from pomelobarrow.decision.load_table import LoadTable
@@ -17,7 +17,7 @@
 from pomelobarrow.decision.retries import MAX_RETRY_AFTER_S
 from pomelobarrow.decision.server_choice import choose_server
 from pomelobarrow.decision.token_estimates import OutputEstimate, prefill_tokens
-from pomelobarrow.decision.work import Placement, Work
+from pomelobarrow.decision.work import BackendServer, Placement, Work
 from pomelobarrow.decision.work_queue import WorkQueue
 from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
 from pomelobarrow.dispatch.crash_guard import CrashGuard
@@ -90,7 +90,7 @@
         finally:
             self.table.release(queued.request_id, now_unix_s())
             self.place_waiting(work.pool)
-        self._mark_server(result)
+        self._mark_server(server, result)
         await self._record_server_end(request, placement, result)
         if result.is_finished and result.output_tokens:
             self.output_estimate.observe(work.class_name, result.output_tokens)
@@ -254,7 +254,10 @@
     def _started(self, work: Work) -> None:
         self.table.started(work.request_id, now_unix_s())
 
-    def _mark_server(self, result: AttemptResult) -> None:
+    def _mark_server(self, server: BackendServer, result: AttemptResult) -> None:
+        # A server that leaves or asked for a pause is not failing.
+        if result.state in UNRUN_STATES and not self.table.takes_requests(server, now_unix_s()):
+            return
         mark = {
             AttemptState.FINISHED: self.table.mark_ok,
             AttemptState.NOT_SENT: self.table.mark_failed,
--- a/src/pomelobarrow/dispatch/server_announcements.py
+++ b/src/pomelobarrow/dispatch/server_announcements.py
@@ -6,7 +6,7 @@
 from pomelobarrow.decision.departures import DepartureSource, departure_key
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.work import BackendServer
-from pomelobarrow.dispatch.events import ServerLimitNamed
+from pomelobarrow.dispatch.events import ServerLimitNamed, ServerPauseRequested
 from pomelobarrow.kernel.clock import now_unix_s
 
 
@@ -16,13 +16,16 @@
     announced: ServerAnnouncement,
     observe: Callable[[object], None],
 ) -> None:
-    """Record a server's departure and rate limit, None if its answer states none."""
+    """Record a server's departure, the pause that it asks for and its rate limit, if it has one."""
     now = now_unix_s()
     if announced.is_leaving:
         table.departures.observe(departure_key(server), DepartureSource.ANSWER, now)
     # The server may have been replaced by another incarnation since the request was sent.
     if not table.is_current_incarnation(server):
         return
+    backoff_s = announced.backoff_s or 0.0
+    if table.limits.backoffs.observe(server.incarnation, backoff_s, now):
+        observe(ServerPauseRequested(server=server.name, pool=server.pool, backoff_s=backoff_s))
     if table.limits.observe(server.incarnation, announced.limit_per_s, now):
         observe(
             ServerLimitNamed(
--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -233,6 +233,12 @@
             "Backend servers that leave, by the way in which this VM learned of it first.",
             ("pool", "source"),
         )
+        self.server_pauses = CounterFamily(
+            registry,
+            "pomelobarrow_server_pauses_total",
+            "Times that a backend server asked this VM to send nothing for a while.",
+            ("pool",),
+        )
         self.blocked = CounterFamily(
             registry,
             "pomelobarrow_blocked_requests_total",
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -10,7 +10,13 @@
 from pomelobarrow.backends.server_watch import ServerEnded
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.dispatch.crash_guard import RequestBlocked
-from pomelobarrow.dispatch.events import AttemptEnded, Forwarded, RequestEnded, ServerLimitNamed
+from pomelobarrow.dispatch.events import (
+    AttemptEnded,
+    Forwarded,
+    RequestEnded,
+    ServerLimitNamed,
+    ServerPauseRequested,
+)
 from pomelobarrow.dispatch.local import LocalDispatch
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import hookimpl
@@ -62,6 +68,7 @@
             ServerEjected: self._server_ejected,
             ServerLimitNamed: self._server_limit_named,
             ServerLeaving: self._server_leaving,
+            ServerPauseRequested: self._server_pause_requested,
             ServerEnded: self._server_ended,
             RequestBlocked: self._request_blocked,
             ServerReadmitted: self._server_readmitted,
@@ -177,6 +184,10 @@
     def _server_limit_named(self, event: ServerLimitNamed) -> None:
         self._log.info("server limit named", **asdict(event))
 
+    def _server_pause_requested(self, event: ServerPauseRequested) -> None:
+        self._metrics.server_pauses.inc(event.pool)
+        self._log.info("server asks for a pause", **asdict(event))
+
     def _server_leaving(self, event: ServerLeaving) -> None:
         self._metrics.servers_leaving.inc(event.pool, event.source)
         self._log.info("server leaving", **asdict(event))
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -8,7 +8,7 @@
 from yarl import URL
 
 from pomelobarrow.backends.engine import CONNECTION_ERRORS
-from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.backends.sessions import BackendSessions, WithheldError
 from pomelobarrow.decision.announcements import ServerAnnouncement
 from pomelobarrow.decision.attempt import UNRUN_STATES, Attempt, AttemptEvent, AttemptState
 from pomelobarrow.kernel.clock import now_unix_s
@@ -65,6 +65,8 @@
     on_pause: Callable[[float], None] = lambda pause_s: None
     on_head: Callable[[ServerAnswerHead], None] = lambda head: None
     first_answer_timeout: FirstAnswerTimeout | None = None
+    # Returns whether the target still takes requests, asked when the connection is open.
+    may_send: Callable[[], bool] = lambda: True
     state: Attempt = field(factory=Attempt)
     first_answer_unix_s: float | None = None
     # The longest time between two events; for logs.
@@ -86,6 +88,8 @@
             async with asyncio.timeout(None) as self._timeout_scope:
                 self._start_timer()
                 return await self._exchange()
+        except WithheldError as error:
+            return self._report(AttemptEnd.WITHHELD, str(error))
         except CONNECTION_ERRORS as error:
             return self._lost(repr(error), is_closed=not isinstance(error, TimeoutError))
         finally:
@@ -123,7 +127,7 @@
             skip_auto_headers=SKIPPED_AUTO_HEADERS,
             timeout=timeout,
             allow_redirects=False,
-            trace_request_ctx=lambda: self.state.apply(AttemptEvent.SEND),
+            trace_request_ctx=self._begin_sending,
         ) as response:
             head = self.target.read_answer(response)
             self._announced = head.announced
@@ -137,6 +141,11 @@
                 return await self._forward_events(response, head)
             return await self._read_complete(response, head)
 
+    def _begin_sending(self) -> None:
+        if not self.may_send():
+            raise WithheldError
+        self.state.apply(AttemptEvent.SEND)
+
     def _fault(self, head: ServerAnswerHead) -> str:
         """Return why an answer can't belong to this request; empty if it can."""
         if head.lost_detail:
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -47,6 +47,8 @@
     servers_listed: int
     servers_usable: int
     servers_cold: int
+    # This region's servers of the pool that asked this VM for a pause which has not ended.
+    servers_paused: int
     # Servers of the pool in other regions with a recent report, and the targets already excluded.
     servers_elsewhere: dict[str, int]
     excluded: list[str]
--- a/src/pomelobarrow/relay/health_monitor.py
+++ b/src/pomelobarrow/relay/health_monitor.py
@@ -23,6 +23,7 @@
 # wastes work under overload and causes failures once the retry budget is used up.
 QUEUE_FACTOR = 2.0
 FIRST_ANSWER_WEIGHT = 0.05
+BLAMELESS_ENDS = frozenset({AttemptEnd.REFUSED, AttemptEnd.WITHHELD})
 
 
 @define(kw_only=True)
@@ -41,9 +42,9 @@
         expected_s: float,
         sent_unix_s: float,
     ) -> None:
-        """Record how an attempt ended; a refusal does not count against a server."""
+        """Record how an attempt ended; what a server rejects does not count against it."""
         # If that incarnation was replaced, the failure must not count against its successor.
-        if report.end is AttemptEnd.REFUSED or not self.table.is_current_incarnation(server):
+        if report.end in BLAMELESS_ENDS or not self.table.is_current_incarnation(server):
             return
         now = now_unix_s()
         if report.end in (AttemptEnd.PASSED_ON, AttemptEnd.ANSWERED):
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -146,6 +146,8 @@
 
     # Nothing was sent.
     NOT_SENT = "not sent"
+    # Not sent, since the server announced meanwhile that it takes no requests.
+    WITHHELD = "withheld"
     # A peer refused it without sending it to a server.
     REFUSED_UNSENT = "turned back"
     # A peer refused it unsent because such requests crash servers.
--- a/src/pomelobarrow/relay/next_step.py
+++ b/src/pomelobarrow/relay/next_step.py
@@ -6,7 +6,7 @@
 
 from pomelobarrow.relay.messages import AttemptEnd, AttemptReport, RelayRequest, WholeAnswer
 
-UNSENT_ENDS = frozenset({AttemptEnd.NOT_SENT, AttemptEnd.REFUSED_UNSENT})
+UNSENT_ENDS = frozenset({AttemptEnd.NOT_SENT, AttemptEnd.WITHHELD, AttemptEnd.REFUSED_UNSENT})
 # A retry after an unsent attempt can't run anything twice. The limit prevents retries until the
 # deadline against a region that is cut off.
 MAX_UNSENT = 3
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -207,6 +207,7 @@
                 first_answer_timeout=self._first_answer_timeout(progress, placement),
                 on_pause=self._pause_observer(progress, server.name),
                 on_head=lambda head: self.records.of_server(server, head),
+                may_send=lambda: table.takes_requests(server, now_unix_s()),
             )
         finally:
             table.release(work.request_id, now_unix_s())
@@ -299,6 +300,7 @@
         first_answer_timeout: FirstAnswerTimeout | None = None,
         on_pause: Callable[[float], None] = lambda pause_s: None,
         on_head: Callable[[ServerAnswerHead], None] = lambda head: None,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> AttemptReport:
         started_unix_s = now_unix_s()
         report = AttemptReport(end=AttemptEnd.LOST, detail="given up")
@@ -319,6 +321,7 @@
             on_pause=on_pause,
             on_head=on_head,
             first_answer_timeout=first_answer_timeout,
+            may_send=may_send,
         )
         try:
             report = await attempt.run()
@@ -356,11 +359,14 @@
             kind = ErrorKind.DEADLINE_PASSED if is_late else ErrorKind.OUTCOME_UNKNOWN
             return refuse(kind, RunStatus.UNKNOWN, detail)
         now = now_unix_s()
-        if progress.history.attempts and not progress.unplaced_wait_s:
+        next_unix_s = self.placer.table.next_allowed_unix_s(work.pool, (), now)
+        announced_wait_s = next_unix_s - now if next_unix_s is not None else 0.0
+        wait_s = progress.unplaced_wait_s or announced_wait_s
+        if progress.history.attempts and not wait_s:
             pause_s = MIN_RETRY_AFTER_S * self.rng.uniform(1.0, 1.0 + RETRY_JITTER)
             return refuse(ErrorKind.NO_CAPACITY, RunStatus.NO, detail, now + pause_s)
         # Without any server the drain rate is meaningless, and the outage outlasts a full queue.
-        wait_s = progress.unplaced_wait_s or max(0.0, work.deadline_unix_s - now)
+        wait_s = wait_s or max(0.0, work.deadline_unix_s - now)
         taken_per_s = self.placer.table.drain_per_s(work.pool, now) / self._local_vms
         retry_at = retry_at_unix_s(
             self.retry_schedule, wait_s, taken_per_s, work.deadline_unix_s, now, self.rng
