--- a/src/pomelobarrow/published/watcher.py
+++ b/src/pomelobarrow/published/watcher.py
@@ -173,6 +173,10 @@
         applied = self._state.apply(
             name, page.changes, page.head_revision, after_revision=after, source=SOURCE_PLATFORM
         )
+        if after == 0 and applied.outcome is ApplyOutcome.STALE:
+            log.warning(
+                "listing ignored, as it is older", keyspace=name, head_revision=page.head_revision
+            )
         if applied.outcome in UNUSABLE_OUTCOMES:
             return ReadResult.FAILED
         return ReadResult.CHANGES if page.head_revision > after else ReadResult.NO_CHANGES
