Reproduce the store's return: later changes have no effect

Real watchers read the soak's store, which learns to come back from an older copy: revisions are given out again, the era in its header rises, and a watch from a revision that it doesn't have gets 410. A configuration and a departure written after that are not taken within 4 s. The log shows 'listing ignored', head_revision 4 where 5 had been observed: the first hypothesis.

--- a/soak/store.py
+++ b/soak/store.py
@@ -9,6 +9,16 @@
 from attrs import define, field
 
 MS_PER_S = 1_000.0
+ERA_HEADER = "Store-Era"
+GONE_STATUS = 410
+
+
+@define
+class StoreCopy:
+    """The state of a store at one time."""
+
+    items: dict[str, tuple[int, Any]]
+    revision: int
 
 
 @define(slots=False)
@@ -17,12 +27,26 @@
 
     items: dict[str, tuple[int, Any]] = field(factory=dict)
     revision: int = 1
+    era: int = 1
     changed: asyncio.Event = field(factory=asyncio.Event)
 
     def put(self, key: str, value: Any) -> None:
         """Write a key, or delete it if the value is None, and wake the watches."""
         self.revision += 1
         self.items[key] = (self.revision, value)
+        self._notify()
+
+    def copy(self) -> "StoreCopy":
+        """Return a copy of the present state, to come back from."""
+        return StoreCopy(dict(self.items), self.revision)
+
+    def come_back(self, copy: "StoreCopy") -> None:
+        """Lose all that was written after a copy; its revisions are given out again."""
+        self.items, self.revision = dict(copy.items), copy.revision
+        self.era += 1
+        self._notify()
+
+    def _notify(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -35,17 +59,26 @@
         keys = [k for k, (_, v) in self.items.items() if k.startswith(prefix) and v is not None]
         items = [self._item(key) for key in sorted(keys)]
         body = {"items": items, "HasMore": False, "StoreRevision": self.revision}
-        return web.json_response(body)
+        return self._answer(body)
 
     async def _watch(self, request: web.Request) -> web.Response:
-        prefix, after = request.query["Prefix"], int(request.query["after"])
+        prefix, after, era = request.query["Prefix"], int(request.query["after"]), self.era
         try:
             async with asyncio.timeout(int(request.query["WaitMs"]) / MS_PER_S):
-                while not (events := self._events(prefix, after)):
+                while self._has(after, era) and not (events := self._events(prefix, after)):
                     await self.changed.wait()
         except TimeoutError:
             events = []
-        return web.json_response({"events": events, "StoreRevision": self.revision})
+        if not self._has(after, era):
+            return self._answer({}, GONE_STATUS)
+        return self._answer({"events": events, "StoreRevision": self.revision})
+
+    def _has(self, revision: int, era: int) -> bool:
+        """Return whether a watch that began in an era may go on from a revision."""
+        return era == self.era and revision <= self.revision
+
+    def _answer(self, body: dict[str, Any], status: int = 200) -> web.Response:
+        return web.json_response(body, status=status, headers={ERA_HEADER: str(self.era)})
 
     def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
         changed_keys = sorted(
