--- a/soak/faults.py
+++ b/soak/faults.py
@@ -132,6 +132,7 @@
         await asyncio.sleep(5.0)
         del self.draining_since_s[name]
         self._record(DRAINING, name, started_s)
+        self.fleet.starts[name] += 1
         self.fleet.list_server(name)
 
     async def _publish(self) -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,5 +1,6 @@
 """Start the daemons, store and servers of one soak, the latter two behind a proxy."""
 
+from collections import Counter
 from collections.abc import Mapping
 from contextlib import AsyncExitStack
 from random import Random
@@ -58,6 +59,8 @@
     daemons: list[Daemon] = field(factory=list)
     servers: dict[str, SoakServer] = field(factory=dict)
     version: int = 0
+    # How often each server has started.
+    starts: Counter[str] = field(factory=Counter)
     # The accounts of the configuration.
     tenants: list[dict[str, Any]] = field(factory=list)
     _ports: Mapping[str, int] = field(factory=dict)
@@ -136,6 +139,7 @@
             "Slots": 16,
             "State": state,
             "ColdLeftMs": 0,
+            "born": self.starts[name],
         }
         self.store.put(f"servers/{name}", entry)
 
--- a/src/pomelobarrow/decision/config_proof.py
+++ b/src/pomelobarrow/decision/config_proof.py
@@ -46,6 +46,9 @@
     revocation_s: float
     # By revision, and so by time too: a later read never names an earlier revision.
     _proofs: deque[Proof] = field(factory=deque, init=False)
+    # Proofs of revisions from here on count only from the given time on.
+    _returned_revision: int = field(default=0, init=False)
+    _settled_unix_s: float = field(default=-math.inf, init=False)
 
     @property
     def max_age_s(self) -> float:
@@ -62,9 +65,18 @@
         """Return the newest proof, None if there is none."""
         return self._proofs[-1] if self._proofs else None
 
+    def observe_return(self, first_revision: int, settled_unix_s: float) -> None:
+        """Ignore early proofs of an era, in which the platform lacked what was published last."""
+        self._returned_revision, self._settled_unix_s = first_revision, settled_unix_s
+        self._proofs = deque(proof for proof in self._proofs if not self._is_early(proof))
+
+    def _is_early(self, proof: Proof) -> bool:
+        is_of_era = 0 < self._returned_revision <= proof.revision
+        return is_of_era and proof.unix_s < self._settled_unix_s
+
     def observe(self, proof: Proof) -> None:
         """Record a proof of an own read or of a peer, unless a better one is known."""
-        if any(_supersedes(known, proof) for known in self._proofs):
+        if self._is_early(proof) or any(_supersedes(known, proof) for known in self._proofs):
             return
         others = (known for known in self._proofs if not _supersedes(proof, known))
         oldest_unix_s = proof.unix_s - self.max_age_s
--- a/src/pomelobarrow/decision/departures.py
+++ b/src/pomelobarrow/decision/departures.py
@@ -51,14 +51,19 @@
         """Return the keys of all incarnations that leave."""
         return frozenset(self._last_known_unix_s)
 
-    def observe(self, key: int, source: DepartureSource, now_unix_s: float) -> bool:
-        """Record that an incarnation leaves; return whether this is new."""
+    def record(self, key: int, now_unix_s: float) -> bool:
+        """Record that an incarnation leaves, as listed; return whether this is new."""
+        is_new = key not in self._last_known_unix_s
+        self._last_known_unix_s[key] = now_unix_s
+        return is_new
+
+    def observe(self, key: int, source: DepartureSource, now_unix_s: float) -> None:
+        """Record that an incarnation leaves, and notify the listeners if this is new."""
         if key in self._last_known_unix_s:
-            return False
+            return
         self._last_known_unix_s[key] = now_unix_s
         for listener in self.listeners:
             listener(key, source)
-        return True
 
     def is_leaving(self, server: BackendServer) -> bool:
         """Return whether a server leaves, by its entry in the list or by its own statement."""
--- a/src/pomelobarrow/decision/keyspace.py
+++ b/src/pomelobarrow/decision/keyspace.py
@@ -9,15 +9,20 @@
 
 A copy that observed a refused revision, but not the valid one before it, gets the values in force
 from another copy. The values in force therefore don't depend on when a copy was created.
+
+A store that comes back from an older copy begins a new era, whose revisions are newer than all
+before (`store_position`). Its first listing replaces all that was observed. Values in force stay
+while those of the new era are an older version of them, until the operator publishes again.
 """
 
 import bisect
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from types import MappingProxyType
 from typing import Any
 
-from attrs import define, field, frozen
+from attrs import define, field
 
+from pomelobarrow.decision.keyspace_batch import Entry, PartialBatch, checked_entry, merge, newest
 from pomelobarrow.decision.keyspace_types import (
     ApplyOutcome,
     ApplyResult,
@@ -25,8 +30,11 @@
     Delta,
     KeyspaceCounters,
     KeyspaceSummary,
-    fingerprint,
+    Validator,
+    VersionReader,
+    accept_all,
 )
+from pomelobarrow.decision.store_position import era_of, is_return
 
 __all__ = [
     "ApplyOutcome",
@@ -45,41 +53,13 @@
 LOG_SLACK = 64
 
 
-Validator = Callable[[Mapping[str, Any], frozenset[str], int], tuple[Any, ...]]
-
-
-def accept_all(
-    _values: Mapping[str, Any], _changed: frozenset[str], _revision: int
-) -> tuple[Any, ...]:
-    """Accept any values."""
-    return ()
-
-
-@frozen
-class _Entry:
-    change: Change
-    fingerprint: int
-
-    @property
-    def order(self) -> tuple[int, int]:
-        return (self.change.revision, self.fingerprint)
-
-
-@define
-class _PartialBatch:
-    """Pages received of a batch that isn't complete yet."""
-
-    received_revision: int
-    head_revision: int = 0
-    batch: dict[str, _Entry] = field(factory=dict)
-
-
 @define
 class KeyspaceCopy:
     """One VM's copy of a keyspace: the observed values and the values in force."""
 
     name: str
     validator: Validator = accept_all
+    version_of: VersionReader = lambda values: 0
     tombstones_kept: int = TOMBSTONES_KEPT
     revision: int = field(default=0, init=False)
     observed_revision: int = field(default=0, init=False)
@@ -88,7 +68,13 @@
     tombstone_floor: int = field(default=0, init=False)
     counters: KeyspaceCounters = field(factory=KeyspaceCounters, init=False)
     refused_reasons: tuple[Any, ...] = field(default=(), init=False)
-    _entries: dict[str, _Entry] = field(factory=dict, init=False, repr=False)
+    # True while nothing that is observed comes into force.
+    is_held: bool = field(default=False, init=False)
+    # An observed revision that holds an older version than the one in force.
+    superseded_revision: int = field(default=0, init=False)
+    # True once the store has come back from an older copy.
+    has_seen_return: bool = field(default=False, init=False)
+    _entries: dict[str, Entry] = field(factory=dict, init=False, repr=False)
     _observed_values: dict[str, Any] = field(factory=dict, init=False, repr=False)
     _values: dict[str, Any] = field(factory=dict, init=False, repr=False)
     # The changes behind the values in force, for copies that never observed them.
@@ -98,7 +84,7 @@
     # Sorted (revision, key) pairs; a pair is stale and skipped if its key has changed since.
     _log: list[tuple[int, str]] = field(factory=list, init=False, repr=False)
     _tombstones: int = field(default=0, init=False)
-    _partial: _PartialBatch | None = field(default=None, init=False, repr=False)
+    _partial: PartialBatch | None = field(default=None, init=False, repr=False)
     # The revision observed before a restart; older heads are rejected.
     _min_head_revision: int = field(default=0, init=False)
 
@@ -115,8 +101,19 @@
             revision=self.observed_revision,
             digest=self.digest,
             revision_in_force=self.revision,
+            version=self.version,
         )
 
+    @property
+    def version(self) -> int:
+        """Return the version that the operator gave the values in force; 0 if they have none."""
+        return self.version_of(self.values)
+
+    @property
+    def default_era(self) -> int:
+        """Return the era of revisions that a peer sends without one."""
+        return 0 if self.has_seen_return else era_of(self.observed_revision)
+
     def revision_in_force(self, key: str) -> int:
         """Return the revision at which a key's value in force was published; 0 if it has none."""
         change = self._in_force.get(key)
@@ -141,9 +138,19 @@
         return None
 
     def lacks_in_force(self, other: KeyspaceSummary) -> bool:
-        """Return whether this copy refuses a revision and the other has newer values in force."""
+        """Return whether the other copy has newer values in force that this one can't observe."""
+        if self._is_newer_version_of_earlier_era(other.version, other.revision_in_force):
+            return True
+        if self._is_older_version_of_later_era(other.version, other.revision_in_force):
+            return False
         return bool(self.refused_reasons) and other.revision_in_force > self.revision
 
+    def _is_older_version_of_later_era(self, version: int, revision: int) -> bool:
+        return version < self.version and is_return(self.revision, revision)
+
+    def _is_newer_version_of_earlier_era(self, version: int, revision: int) -> bool:
+        return version > self.version and is_return(revision, self.observed_revision)
+
     def in_force_after(self, revision: int) -> Delta:
         """Return all values in force, or none if they aren't newer than a revision."""
         is_later = self.revision > revision
@@ -160,13 +167,17 @@
         The platform returns only the newest value of a key. Without this, a VM that starts while
         that value is invalid would have no configuration, although every other VM has one.
         """
+        new = {change.key: change for change in delta.changes if change.value is not None}
+        version = self.version_of({key: change.value for key, change in new.items()})
+        if self._is_older_version_of_later_era(version, delta.head_revision):
+            return ApplyResult(outcome=ApplyOutcome.STALE)
+        is_earlier_era = self._is_newer_version_of_earlier_era(version, delta.head_revision)
         # Beyond the observed revision, a change that arrives late would revert the values.
         is_in_range = self.revision < delta.head_revision <= self.observed_revision
-        if not self.refused_reasons or not is_in_range:
+        if not is_earlier_era and not (self.refused_reasons and is_in_range):
             return ApplyResult(outcome=ApplyOutcome.STALE)
         if delta.after_revision > 0:
             return ApplyResult(outcome=ApplyOutcome.GAP)
-        new = {change.key: change for change in delta.changes if change.value is not None}
         changed = frozenset(
             key for key in {*new, *self._in_force} if new.get(key) != self._in_force.get(key)
         )
@@ -177,6 +188,8 @@
             self._set_in_force(key, new.get(key))
         self._unapplied_keys |= changed
         self.revision = delta.head_revision
+        if is_earlier_era:
+            self.superseded_revision = self.observed_revision
         self.counters.applied += 1
         return ApplyResult(outcome=ApplyOutcome.IN_FORCE, changed_keys=changed)
 
@@ -192,11 +205,13 @@
         if head_revision < max(self.observed_revision, self._min_head_revision):
             self.counters.stale += 1
             return ApplyResult(outcome=ApplyOutcome.STALE)
+        if complete and after_revision == 0 and is_return(self.observed_revision, head_revision):
+            self.restart()
         if self._misses_changes_before(head_revision, after_revision, complete):
             self.counters.gaps += 1
             return ApplyResult(outcome=ApplyOutcome.GAP)
         try:
-            batch = _newest(_checked(change, head_revision) for change in changes)
+            batch = newest(checked_entry(change, head_revision) for change in changes)
         except (TypeError, ValueError) as error:
             self.counters.malformed += 1
             return ApplyResult(outcome=ApplyOutcome.MALFORMED, refused_reasons=(str(error),))
@@ -210,15 +225,17 @@
         A copy that receives a delta with a gap after its observed revision calls `restart` and
         requests all changes after 0.
         """
+        if is_return(revision, self.observed_revision):
+            revision = 0
         after = revision if revision == 0 else max(revision, self.tombstone_floor)
         start = bisect.bisect_right(self._log, (after, chr(0x10FFFF)))
         items = ((at, self._entries.get(key)) for at, key in self._log[start:])
-        newest = (entry.change for at, entry in items if entry and entry.change.revision == at)
+        current = (entry.change for at, entry in items if entry and entry.change.revision == at)
         return Delta(
             name=self.name,
             after_revision=after,
             head_revision=self.observed_revision,
-            changes=tuple(newest),
+            changes=tuple(current),
         )
 
     def restart(self) -> None:
@@ -244,19 +261,17 @@
         return after_revision == 0 < self.observed_revision and not is_settled
 
     def _accumulate(
-        self, batch: list[_Entry], after_revision: int, head_revision: int
+        self, batch: list[Entry], after_revision: int, head_revision: int
     ) -> ApplyResult:
-        partial = self._partial or _PartialBatch(self.observed_revision)
-        _merge(partial.batch, batch)
+        partial = self._partial or PartialBatch(self.observed_revision)
+        merge(partial.batch, batch)
         last_revision = max((entry.change.revision for entry in batch), default=after_revision)
         partial.received_revision = max(partial.received_revision, last_revision)
         partial.head_revision = max(partial.head_revision, head_revision)
         self._partial = partial
         return ApplyResult(outcome=ApplyOutcome.INCOMPLETE)
 
-    def _complete(
-        self, batch: list[_Entry], after_revision: int, head_revision: int
-    ) -> ApplyResult:
+    def _complete(self, batch: list[Entry], after_revision: int, head_revision: int) -> ApplyResult:
         partial = self._partial
         if partial is None or after_revision <= self.observed_revision:
             return self._observe(batch, head_revision)
@@ -265,10 +280,11 @@
         if head_revision < partial.head_revision:
             self.counters.stale += 1
             return ApplyResult(outcome=ApplyOutcome.STALE)
-        _merge(partial.batch, batch)
+        merge(partial.batch, batch)
         return self._observe(list(partial.batch.values()), head_revision)
 
-    def _observe(self, batch: list[_Entry], head_revision: int) -> ApplyResult:
+    def _observe(self, batch: list[Entry], head_revision: int) -> ApplyResult:
+        self.has_seen_return |= is_return(self._min_head_revision, head_revision)
         newer = [entry for entry in batch if self._supersedes(entry)]
         if head_revision == self.observed_revision and not newer:
             self.counters.stale += 1
@@ -281,9 +297,9 @@
         self.observed_revision = head_revision
         self._partial = None
         self._prune()
-        return self._put_in_force()
+        return self.put_in_force()
 
-    def _supersedes(self, entry: _Entry) -> bool:
+    def _supersedes(self, entry: Entry) -> bool:
         old = self._entries.get(entry.change.key)
         if old is not None and old.fingerprint == entry.fingerprint:
             return False
@@ -299,7 +315,7 @@
         self.counters.conflicts += is_conflict
         return is_newer
 
-    def _store(self, entry: _Entry) -> None:
+    def _store(self, entry: Entry) -> None:
         change = entry.change
         self._forget(change.key)
         self._entries[change.key] = entry
@@ -320,7 +336,7 @@
         del self._observed_values[key]
         self.digest = (self.digest - old.fingerprint) & DIGEST_MASK
 
-    def _append_to_log(self, newer: list[_Entry]) -> None:
+    def _append_to_log(self, newer: list[Entry]) -> None:
         added = sorted((entry.change.revision, entry.change.key) for entry in newer)
         in_order = not self._log or not added or self._log[-1] <= added[0]
         self._log.extend(added)
@@ -344,8 +360,16 @@
             self.tombstone_floor = max(self.tombstone_floor, change.revision)
         self._rebuild_log()
 
-    def _put_in_force(self) -> ApplyResult:
+    def put_in_force(self) -> ApplyResult:
+        """Put the observed values in force, unless they are held back, older or invalid."""
+        if self.is_held:
+            return ApplyResult(outcome=ApplyOutcome.HELD)
         changed = frozenset(self._unapplied_keys)
+        if changed and (reasons := self._older_version_reasons()):
+            self.superseded_revision = self.observed_revision
+            self.refused_reasons = reasons
+            self.counters.superseded += 1
+            return ApplyResult(outcome=ApplyOutcome.SUPERSEDED, refused_reasons=reasons)
         if changed:
             candidate = MappingProxyType(self._observed_values)
             self.refused_reasons = self.validator(candidate, changed, self.observed_revision)
@@ -360,6 +384,13 @@
         self.counters.applied += 1
         return ApplyResult(outcome=ApplyOutcome.IN_FORCE, changed_keys=changed)
 
+    def _older_version_reasons(self) -> tuple[str, ...]:
+        """Return why the observed values are an older version that a copy of the store brought."""
+        version = self.version_of(self._observed_values)
+        if not self._is_older_version_of_later_era(version, self.observed_revision):
+            return ()
+        return (f"version {version} of the store's copy is older than {self.version} in force",)
+
     def _set_in_force(self, key: str, change: Change | None) -> None:
         if change is None or change.value is None:
             self._in_force.pop(key, None)
@@ -367,25 +398,3 @@
             return
         self._in_force[key] = change
         self._values[key] = change.value
-
-
-def _checked(change: Change, head_revision: int) -> _Entry:
-    if not 0 < change.revision <= head_revision:
-        raise ValueError(
-            f"change of {change.key!r} has revision {change.revision}, past the head "
-            f"{head_revision}: request the changes again, or from another sender"
-        )
-    return _Entry(change, fingerprint(change))
-
-
-def _newest(batch: Iterable[_Entry]) -> list[_Entry]:
-    by_key: dict[str, _Entry] = {}
-    _merge(by_key, batch)
-    return list(by_key.values())
-
-
-def _merge(into: dict[str, _Entry], batch: Iterable[_Entry]) -> None:
-    for entry in batch:
-        old = into.get(entry.change.key)
-        if old is None or entry.order > old.order:
-            into[entry.change.key] = entry
--- a/src/pomelobarrow/decision/keyspace_types.py
+++ b/src/pomelobarrow/decision/keyspace_types.py
@@ -1,12 +1,27 @@
 """Changes of a revisioned keyspace, as exchanged between copies."""
 
 import enum
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import orjson
 import xxhash
 from attrs import define, frozen
 
+# Returns the version that the operator gave to values, 0 if they have none.
+VersionReader = Callable[[Mapping[str, Any]], int]
+Validator = Callable[[Mapping[str, Any], frozenset[str], int], tuple[Any, ...]]
+
+
+def accept_all(
+    _values: Mapping[str, Any], _changed: frozenset[str], _revision: int
+) -> tuple[Any, ...]:
+    """Accept any values."""
+    return ()
+
+
+# A revision is a position in the store: its era and its revision there, as one integer.
+
 
 @frozen
 class Change:
@@ -35,6 +50,8 @@
     revision: int
     digest: int
     revision_in_force: int = 0
+    # The version that the operator gave the values in force; 0 if they have none.
+    version: int = 0
 
 
 @define
@@ -47,6 +64,7 @@
     gaps: int = 0
     conflicts: int = 0
     malformed: int = 0
+    superseded: int = 0
 
 
 class ApplyOutcome(enum.Enum):
@@ -54,6 +72,10 @@
 
     IN_FORCE = "in_force"
     INVALID = "invalid"
+    # Observed and valid, but an older version than the one in force.
+    SUPERSEDED = "superseded"
+    # Observed, and to be put in force later.
+    HELD = "held"
     INCOMPLETE = "incomplete"
     STALE = "stale"
     GAP = "gap"
--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -157,6 +157,18 @@
             "Revision in force.",
             ("keyspace",),
         )
+        self.era = GaugeFamily(
+            registry,
+            "pomelobarrow_configuration_era",
+            "Era of the platform's store that the revision in force is of.",
+            ("keyspace",),
+        )
+        self.store_returns = CounterFamily(
+            registry,
+            "pomelobarrow_store_returns_total",
+            "Times that the platform's store came back from an older copy.",
+            (),
+        )
         self.in_flight = GaugeFamily(
             registry,
             "pomelobarrow_requests_in_flight",
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -29,6 +29,7 @@
     PlatformReachable,
     PlatformUnreachable,
     ServerLeaving,
+    StoreReturned,
 )
 from pomelobarrow.relay.events import (
     DirectoryChanged,
@@ -57,6 +58,7 @@
             Forwarded: self._forwarded,
             KeyspaceApplied: self._keyspace_applied,
             KeyspaceRefused: self._keyspace_refused,
+            StoreReturned: self._store_returned,
             PlatformUnreachable: self._platform_unreachable,
             PlatformReachable: self._platform_reachable,
             ProcessPauseDetected: self._process_pause_detected,
@@ -134,6 +136,11 @@
 
     def _keyspace_applied(self, event: KeyspaceApplied) -> None:
         self._metrics.revision.set(event.revision, event.keyspace)
+        self._metrics.era.set(event.era, event.keyspace)
+
+    def _store_returned(self, event: StoreReturned) -> None:
+        self._metrics.store_returns.inc()
+        self._log.warning("store came back from an older copy", **asdict(event))
 
     def _keyspace_refused(self, event: KeyspaceRefused) -> None:
         self._metrics.refused_revisions.inc(event.keyspace)
--- a/src/pomelobarrow/peers/config_proofs.py
+++ b/src/pomelobarrow/peers/config_proofs.py
@@ -8,10 +8,10 @@
 from mode import Service
 
 from pomelobarrow.decision.config_proof import ConfigProof, Proof
-from pomelobarrow.decision.configuration_check import ROUTING_KEY
 from pomelobarrow.decision.member import Member
 from pomelobarrow.decision.member_roles import WATCHERS, watchers
 from pomelobarrow.decision.membership import MembershipView
+from pomelobarrow.decision.store_position import era_of, position, revision_of
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.datagrams import PeerDatagrams, Reply
@@ -57,8 +57,7 @@
 
     def is_confirmed(self) -> bool:
         """Return whether requests with a key may run under the configuration in force."""
-        revision = self._published.copies[CONFIG].revision_in_force(ROUTING_KEY)
-        return self.proof.confirms(revision, now_unix_s())
+        return self.proof.confirms(self._published.confirmable_revision, now_unix_s())
 
     @property
     def is_needed(self) -> bool:
@@ -112,12 +111,20 @@
         if isinstance(answer, pb.ProofAnswer):
             # The peer's proof has this age when it answers, which is later than the query was sent.
             proven_unix_s = sent_unix_s - answer.age_ms / MS_PER_S
-            self.proof.observe(Proof(proven_unix_s, answer.revision))
+            # A peer of an earlier release states no era, and may hold another one's configuration.
+            era = answer.era or self._published.copies[CONFIG].default_era
+            if era or not self._published.copies[CONFIG].has_seen_return:
+                self.proof.observe(Proof(proven_unix_s, position(era, answer.revision)))
 
     def _answer(self, query: pb.ProofQuery, reply: Reply) -> None:
         newest, age_s = self.proof.newest, self.proof.age_s(now_unix_s())
         if newest is None or age_s > self.proof.max_age_s:
             return
         age_ms = math.ceil(age_s * MS_PER_S)
-        answer = pb.ProofAnswer(number=query.number, age_ms=age_ms, revision=newest.revision)
+        answer = pb.ProofAnswer(
+            number=query.number,
+            age_ms=age_ms,
+            revision=revision_of(newest.revision),
+            era=era_of(newest.revision),
+        )
         reply(pb.Datagram(proof_answer=answer))
--- a/src/pomelobarrow/peers/exchange.py
+++ b/src/pomelobarrow/peers/exchange.py
@@ -8,12 +8,19 @@
 import structlog
 from attrs import define, field
 
-from pomelobarrow.decision.keyspace import ApplyOutcome, Change, Delta, KeyspaceSummary
+from pomelobarrow.decision.keyspace import ApplyOutcome, Delta, KeyspaceSummary
 from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.crash_updates import CrashUpdates
 from pomelobarrow.peers.heartbeats import Heartbeats, SentUpdates
+from pomelobarrow.peers.keyspace_messages import (
+    keyspace_delta,
+    keyspace_request,
+    read_after_revision,
+    read_delta,
+    read_summary,
+)
 from pomelobarrow.published.keyspaces import PublishedState
 from pomelobarrow.published.watcher import SOURCE_PLATFORM
 
@@ -77,7 +84,7 @@
         if known is None or known.revision >= copy.observed_revision:
             return None
         summaries[name] = copy.summary
-        return _delta_message(copy.changes_after(known.revision))
+        return keyspace_delta(copy.changes_after(known.revision))
 
     def _on_heartbeat(
         self, heartbeat: pb.Heartbeat, peer_vm: str, reply: Reply, sent: SentUpdates | None
@@ -91,7 +98,7 @@
         for state in heartbeat.keyspaces:
             if state.name not in self.published.copies:
                 continue
-            summary = _summary(state)
+            summary = read_summary(state, self.published.copies[state.name])
             self._peer_copies.setdefault(peer_vm, {})[state.name] = summary
             self._pull_if_behind(summary, reply)
 
@@ -99,24 +106,25 @@
         copy, now = self.published.copies[summary.name], now_unix_s()
         after, in_force = copy.sync_after_revision(summary), False
         if after is None and copy.lacks_in_force(summary):
-            after, in_force = copy.revision, True
+            after, in_force = min(copy.revision, summary.revision_in_force - 1), True
         if after is None or now < self._next_pull_unix_s.get(summary.name, 0.0):
             return
         self._next_pull_unix_s[summary.name] = now + PULL_INTERVAL_S
-        reply(_request_message(summary.name, after, in_force))
+        reply(keyspace_request(summary.name, after, in_force))
 
     def _on_delta(self, delta: pb.KeyspaceDelta, peer_vm: str, reply: Reply) -> None:
         if delta.name not in self.published.copies:
             return
         self._next_pull_unix_s.pop(delta.name, None)
+        received = read_delta(delta, self.published.copies[delta.name])
         if delta.in_force:
-            self._apply_in_force(_delta(delta), peer_vm, reply)
+            self._apply_in_force(received, peer_vm, reply)
             return
         result = self.published.apply(
-            delta.name,
-            _delta(delta).changes,
-            delta.head_revision,
-            after_revision=delta.after_revision,
+            received.name,
+            received.changes,
+            received.head_revision,
+            after_revision=received.after_revision,
             source=SOURCE_PEER + peer_vm,
         )
         if result.outcome is ApplyOutcome.GAP:
@@ -127,7 +135,7 @@
     def _apply_in_force(self, delta: Delta, peer_vm: str, reply: Reply) -> None:
         result = self.published.apply_in_force(delta, SOURCE_PEER + peer_vm)
         if result.outcome is ApplyOutcome.GAP:
-            reply(_request_message(delta.name, 0, in_force=True))
+            reply(keyspace_request(delta.name, 0, in_force=True))
 
     def _fill_gap(self, name: str, reply: Reply) -> None:
         """Request the changes after this copy's revision; after a second gap, start over.
@@ -139,16 +147,17 @@
         if name in self._keyspaces_with_gap:
             copy.restart()
         self._keyspaces_with_gap.add(name)
-        reply(_request_message(name, copy.observed_revision))
+        reply(keyspace_request(name, copy.observed_revision))
 
     def _on_request(self, request: pb.KeyspaceRequest, peer_vm: str, reply: Reply) -> None:
         copy = self.published.copies.get(request.name)
         if copy is None:
             return
+        after_revision = read_after_revision(request, copy)
         if request.in_force:
-            reply(_delta_message(copy.in_force_after(request.after_revision), in_force=True))
+            reply(keyspace_delta(copy.in_force_after(after_revision), in_force=True))
         else:
-            reply(_delta_message(copy.changes_after(request.after_revision)))
+            reply(keyspace_delta(copy.changes_after(after_revision)))
 
     def _on_leave(self, leave: pb.Leave, peer_vm: str, reply: Reply) -> None:
         self.view.observe_leave(leave.vm, leave.incarnation, leave.successor, now_unix_s())
@@ -176,8 +185,9 @@
 
     def _is_behind_summary(self, summary: KeyspaceSummary) -> bool:
         copy = self.published.copies[summary.name]
-        is_behind = summary.revision > copy.observed_revision
-        return is_behind or summary.revision_in_force > copy.revision
+        is_behind = summary.revision > copy.observed_revision or copy.lacks_in_force(summary)
+        is_newer_in_force = summary.revision_in_force > copy.revision
+        return is_behind or (is_newer_in_force and summary.version >= copy.version)
 
     def pushes_change_to(self, source: str, to_region: str) -> bool:
         """Return whether a change from a source is pushed on to a linked peer of a region.
@@ -191,50 +201,3 @@
             return True
         member = self.view.get(source.removeprefix(SOURCE_PEER))
         return member is not None and member.region != own_region
-
-
-def _summary(state: pb.KeyspaceState) -> KeyspaceSummary:
-    return KeyspaceSummary(
-        name=state.name,
-        revision=state.revision,
-        digest=state.digest,
-        revision_in_force=state.revision_in_force,
-    )
-
-
-def _request_message(name: str, after_revision: int, in_force: bool = False) -> pb.PeerMessage:
-    return pb.PeerMessage(
-        request=pb.KeyspaceRequest(name=name, after_revision=after_revision, in_force=in_force)
-    )
-
-
-def _delta_message(delta: Delta, in_force: bool = False) -> pb.PeerMessage:
-    return pb.PeerMessage(
-        delta=pb.KeyspaceDelta(
-            name=delta.name,
-            after_revision=delta.after_revision,
-            head_revision=delta.head_revision,
-            changes=[_change_message(change) for change in delta.changes],
-            in_force=in_force,
-        )
-    )
-
-
-def _delta(message: pb.KeyspaceDelta) -> Delta:
-    return Delta(
-        name=message.name,
-        after_revision=message.after_revision,
-        head_revision=message.head_revision,
-        changes=tuple(_change(each) for each in message.changes),
-    )
-
-
-def _change_message(change: Change) -> pb.Change:
-    if change.value is None:
-        return pb.Change(revision=change.revision, key=change.key, deleted=True)
-    return pb.Change(revision=change.revision, key=change.key, value=orjson.dumps(change.value))
-
-
-def _change(message: pb.Change) -> Change:
-    value = None if message.deleted else orjson.loads(message.value)
-    return Change(revision=message.revision, key=message.key, value=value)
--- a/src/pomelobarrow/peers/heartbeats.py
+++ b/src/pomelobarrow/peers/heartbeats.py
@@ -16,6 +16,7 @@
 from pomelobarrow.peers.demand_updates import DemandUpdates, SentDemand
 from pomelobarrow.peers.departure_updates import DepartureUpdates, SentDepartures
 from pomelobarrow.peers.grid import LinkKind, Neighbours
+from pomelobarrow.peers.keyspace_messages import keyspace_state
 from pomelobarrow.peers.member_updates import (
     DESCRIPTIONS_PER_MESSAGE,
     MemberUpdates,
@@ -209,15 +210,7 @@
         return heartbeat
 
     def _keyspaces(self) -> list[pb.KeyspaceState]:
-        return [
-            pb.KeyspaceState(
-                name=name,
-                revision=copy.observed_revision,
-                digest=copy.digest,
-                revision_in_force=copy.revision,
-            )
-            for name, copy in self.published.copies.items()
-        ]
+        return [keyspace_state(copy) for copy in self.published.copies.values()]
 
     def _member(self, heartbeat: pb.Heartbeat) -> Member | None:
         """Return the sender; without a description in the heartbeat it must be a known member."""
--- a/src/pomelobarrow/peers/joining.py
+++ b/src/pomelobarrow/peers/joining.py
@@ -7,6 +7,7 @@
 from mode import Service
 
 from pomelobarrow.decision.member import Phase
+from pomelobarrow.decision.store_position import revision_of
 from pomelobarrow.peers.exchange import Exchange
 from pomelobarrow.peers.table import PeerTable
 from pomelobarrow.published.keyspaces import PublishedState
@@ -55,7 +56,7 @@
         return not self._exchange.is_behind(self._table.reachable())
 
     def _revisions(self) -> dict[str, int]:
-        return {name: copy.revision for name, copy in self._published.copies.items()}
+        return {name: revision_of(copy.revision) for name, copy in self._published.copies.items()}
 
 
 async def _wait_at_most(wait: Awaitable[object], timeout_s: float) -> None:
--- a/src/pomelobarrow/platform/store.py
+++ b/src/pomelobarrow/platform/store.py
@@ -12,18 +12,22 @@
 from result import Err, Ok, Result
 
 from pomelobarrow.decision.keyspace import Change
+from pomelobarrow.decision.store_position import MAX_ERA, era_of, position, revision_of
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.published.store_reader import Page, ReadError, ReadFailure, StoreReader
 
 RANGE_PATH = "/kv-range"
 WATCH_PATH = "/kv-watch"
 HISTORY_GONE_STATUS = 410
+# Rises by one each time that the store comes back from an older copy.
+ERA_HEADER = "Store-Era"
 MS_PER_S = 1_000.0
 # The store answers within milliseconds; after this time, an answer counts as lost.
 ANSWER_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 1.0
 # A thousand pages are far more than any keyspace has; the limit stops an endless listing.
 MAX_PAGES = 1_000
+RETURNED_MEANWHILE = "the store came back from an older copy during the listing"
 
 # Errors raised by decoding another writer's bytes and by reading fields of unexpected types.
 DECODE_ERRORS = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
@@ -31,6 +35,14 @@
 log = structlog.get_logger(__name__)
 
 
+@frozen(kw_only=True)
+class StoreAnswer:
+    """A decoded answer of the store and the era that it states."""
+
+    body: dict[str, Any]
+    era: int
+
+
 @frozen(kw_only=True)
 class KeyspaceSource:
     """Where the store holds a keyspace and how its items are translated."""
@@ -50,6 +62,8 @@
     sources: Mapping[str, KeyspaceSource]
     _random: random.Random = field(factory=random.Random)
     _session: aiohttp.ClientSession | None = field(default=None, init=False)
+    # The last era that the store stated; it counts for answers that state none.
+    _era: int = field(default=0, init=False)
 
     def reader(self) -> StoreReader:
         """Return the functions with which the watcher reads the store."""
@@ -63,17 +77,22 @@
         """
         source = self.sources[keyspace]
         changes: list[Change] = []
-        head_revision, last_key = 0, ""
+        head_revision, era, last_key = 0, None, ""
         for _ in range(MAX_PAGES):
             params = {"Prefix": source.prefix} | ({"after": last_key} if last_key else {})
             answer = await self._call(RANGE_PATH, params, ANSWER_TIMEOUT_S)
             if isinstance(answer, Err):
                 return answer
+            era = answer.ok_value.era if era is None else era
+            if answer.ok_value.era != era:
+                return Err(ReadError(failure=ReadFailure.REFUSED, detail=RETURNED_MEANWHILE))
             try:
-                page = answer.ok_value
-                head_revision = head_revision or int(page["StoreRevision"])
+                page = answer.ok_value.body
+                head_revision = head_revision or position(era, int(page["StoreRevision"]))
                 items = page["items"]
-                changes += [each for item in items if (each := _change(source, item)) is not None]
+                changes += [
+                    each for item in items if (each := _change(source, item, era)) is not None
+                ]
                 if not page["HasMore"] or not items:
                     break
                 last_key = _last_key(items)
@@ -90,16 +109,22 @@
         wait_s = max(0.0, until_unix_s - now_unix_s())
         params = {
             "Prefix": source.prefix,
-            "after": str(after_revision),
+            "after": str(revision_of(after_revision)),
             "WaitMs": str(int(wait_s * MS_PER_S)),
         }
         answer = await self._call(WATCH_PATH, params, wait_s + ANSWER_TIMEOUT_S)
         if isinstance(answer, Err):
             return answer
+        body, era = answer.ok_value.body, answer.ok_value.era
+        if era != era_of(after_revision):
+            # The number means another revision there, also if the store has it again.
+            return Err(ReadError(failure=ReadFailure.HISTORY_GONE))
         try:
-            events = answer.ok_value["events"]
-            changes = tuple(each for item in events if (each := _change(source, item)) is not None)
-            head = int(answer.ok_value["StoreRevision"])
+            events = body["events"]
+            changes = tuple(
+                each for item in events if (each := _change(source, item, era)) is not None
+            )
+            head = position(era, int(body["StoreRevision"]))
         except DECODE_ERRORS as error:
             return Err(ReadError(failure=ReadFailure.MALFORMED, detail=repr(error)))
         return Ok(Page(changes=changes, head_revision=head))
@@ -111,9 +136,9 @@
 
     async def _call(
         self, path: str, params: Mapping[str, str], timeout_s: float
-    ) -> Result[dict[str, Any], ReadError]:
+    ) -> Result[StoreAnswer, ReadError]:
         """Call the addresses in random order until one answers."""
-        result: Result[dict[str, Any], ReadError] = Err(ReadError(failure=ReadFailure.UNREACHABLE))
+        result: Result[StoreAnswer, ReadError] = Err(ReadError(failure=ReadFailure.UNREACHABLE))
         for address in self._random.sample(self.addresses, len(self.addresses)):
             result = await self._call_one(f"{address}{path}", params, timeout_s)
             if not isinstance(result, Err):
@@ -124,7 +149,7 @@
 
     async def _call_one(
         self, url: str, params: Mapping[str, str], timeout_s: float
-    ) -> Result[dict[str, Any], ReadError]:
+    ) -> Result[StoreAnswer, ReadError]:
         # A connection on which an answer was lost stays silent for good, so none is reused.
         if self._session is None:
             connector = aiohttp.TCPConnector(force_close=True)
@@ -133,12 +158,13 @@
         try:
             async with self._session.get(url, params=params, timeout=timeout) as response:
                 body = await response.read()
+                self._era = _stated_era(response.headers.get(ERA_HEADER, ""), self._era)
                 if response.status == HISTORY_GONE_STATUS:
                     return Err(ReadError(failure=ReadFailure.HISTORY_GONE))
                 if response.status != 200:
                     detail = f"status {response.status}"
                     return Err(ReadError(failure=ReadFailure.REFUSED, detail=detail))
-                return Ok(orjson.loads(body))
+                return Ok(StoreAnswer(body=orjson.loads(body), era=self._era))
         except ValueError as error:
             return Err(ReadError(failure=ReadFailure.MALFORMED, detail=repr(error)))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -157,13 +183,20 @@
     return isinstance(revision, int) and not isinstance(revision, bool) and revision > 0
 
 
-def _change(source: KeyspaceSource, item: Any) -> Change | None:
+def _stated_era(text: str, known_era: int) -> int:
+    """Return the era that an answer states, counted from 1; the known one if it states none."""
+    if not text.isascii() or not text.isdecimal() or int(text) >= MAX_ERA:
+        return known_era
+    return int(text) + 1
+
+
+def _change(source: KeyspaceSource, item: Any, era: int = 0) -> Change | None:
     if not _is_keyed(item):
         # The value may hold the keys of accounts.
         fields = sorted(map(str, item)) if isinstance(item, Mapping) else type(item).__name__
         log.warning("item ignored", error="it has no key or no revision", fields=fields)
         return None
-    stored_key, revision = item["Key"], item["Revision"]
+    stored_key, revision = item["Key"], position(era, item["Revision"])
     key = source.key_of(stored_key)
     if key is None:
         return None
@@ -174,6 +207,8 @@
         value = source.value_of(stored_key, decoded)
     except DECODE_ERRORS as error:
         # One undecodable item must not prevent all others from being read.
-        log.warning("item can't be decoded", key=stored_key, revision=revision, error=repr(error))
+        log.warning(
+            "item can't be decoded", key=stored_key, revision=item["Revision"], error=repr(error)
+        )
         value = source.value_if_unreadable
     return None if value is None else Change(revision=revision, key=key, value=value)
--- a/src/pomelobarrow/published/events.py
+++ b/src/pomelobarrow/published/events.py
@@ -8,6 +8,7 @@
     """Report that a revision is in force on this VM."""
 
     keyspace: str
+    era: int
     revision: int
     applied_unix_s: float
     source: str
@@ -22,6 +23,14 @@
     reasons: tuple[str, ...]
 
 
+@frozen(kw_only=True)
+class StoreReturned:
+    """Report that the platform's store came back from an older copy, and who showed it first."""
+
+    era: int
+    source: str
+
+
 @frozen(kw_only=True)
 class ServerLeaving:
     """Report that a backend server leaves, and the way by which this VM learned of it."""
--- a/src/pomelobarrow/published/keyspaces.py
+++ b/src/pomelobarrow/published/keyspaces.py
@@ -8,21 +8,35 @@
 from result import Err
 
 from pomelobarrow.decision.configuration import Configuration
-from pomelobarrow.decision.configuration_check import ConfigurationChecker
+from pomelobarrow.decision.configuration_check import ROUTING_KEY, ConfigurationChecker
 from pomelobarrow.decision.departures import Departures, DepartureSource, departure_key
 from pomelobarrow.decision.keyspace import ApplyResult, Change, Delta, KeyspaceCopy
 from pomelobarrow.decision.routing import Routing
+from pomelobarrow.decision.store_position import era_of, position, revision_of
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.kernel.clock import now_unix_s
-from pomelobarrow.published.events import KeyspaceApplied, KeyspaceRefused, ServerLeaving
+from pomelobarrow.published.events import (
+    KeyspaceApplied,
+    KeyspaceRefused,
+    ServerLeaving,
+    StoreReturned,
+)
 from pomelobarrow.published.vms import EntryVm, VmList, check_vms
 
 CONFIG = "config"
 VMS = "vms"
 # The source of a change that removes servers whose leases expired and weren't renewed in time.
 SOURCE_LEASE_EXPIRY = "lapsed leases"
+# The source of a configuration that was held back after the store's return.
+SOURCE_SETTLED = "settled return"
+# After its return from an older copy, the store lacks what was written since that copy; operators
+# and servers write it again within this time. Until then the configuration in force stays, and
+# reads of the store prove nothing.
+RETURN_SETTLE_S = 2.0
 # The source of a change that marks a server whose departure became known otherwise.
 SOURCE_DEPARTURE = "departure"
+# The source of the notification that the store came back from an older copy.
+SOURCE_RETURN = "store's return"
 
 log = structlog.get_logger(__name__)
 
@@ -40,15 +54,22 @@
     configuration: Configuration | None = None
     departures: Departures = field(factory=Departures)
     listeners: list[AppliedListener] = field(factory=list)
+    # Called with the first position of an era and the time from which reads in it count.
+    return_listeners: list[Callable[[int, float], None]] = field(factory=list)
 
     _checked_configuration: Configuration | None = field(default=None, init=False)
     _vms: VmList = field(init=False)
+    _era: int = field(default=0, init=False)
+    # When the configuration of the store's return is put in force; None if there is none.
+    _settled_unix_s: float | None = field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
         self._vms = VmList(departures=self.departures)
         self.departures.listeners.append(self._on_departure)
         self.copies = {
-            CONFIG: KeyspaceCopy(CONFIG, validator=self._check_configuration),
+            CONFIG: KeyspaceCopy(
+                CONFIG, validator=self._check_configuration, version_of=_routing_version
+            ),
             VMS: KeyspaceCopy(VMS, validator=check_vms),
         }
 
@@ -73,14 +94,32 @@
         return all(copy.observed_revision for copy in self.copies.values())
 
     @property
-    def next_expiry_unix_s(self) -> float | None:
-        """Return when the next server with an expired lease is removed, None if there is none."""
-        return self._vms.next_expiry_unix_s
+    def confirmable_revision(self) -> int:
+        """Return the newest published revision of the routes that those in force are as new as."""
+        copy = self.copies[CONFIG]
+        in_force = copy.revision_in_force(ROUTING_KEY)
+        is_superseded = copy.superseded_revision == copy.observed_revision > 0
+        return max(in_force, copy.revision_observed(ROUTING_KEY)) if is_superseded else in_force
 
-    def remove_expired(self) -> None:
-        """Remove the servers whose expired leases weren't renewed within the grace period."""
-        if self._vms.remove_expired(now_unix_s()):
+    @property
+    def next_due_unix_s(self) -> float | None:
+        """Return when the next change by time alone is due, None if there is none."""
+        times = (self._vms.next_expiry_unix_s, self._settled_unix_s)
+        return min((each for each in times if each is not None), default=None)
+
+    def apply_due(self) -> None:
+        """Apply what is due: servers whose leases weren't renewed, a configuration held back."""
+        now = now_unix_s()
+        if self._vms.remove_expired(now):
             self._notify_listeners(VMS, SOURCE_LEASE_EXPIRY)
+        if self._settled_unix_s is not None and self._settled_unix_s <= now:
+            self._settle()
+
+    def _settle(self) -> None:
+        self._settled_unix_s = None
+        copy = self.copies[CONFIG]
+        copy.is_held = False
+        self._conclude(CONFIG, copy.put_in_force(), SOURCE_SETTLED)
 
     def apply(
         self,
@@ -93,15 +132,34 @@
         complete: bool = True,
     ) -> ApplyResult:
         """Record changes from a source and put them in force if they are complete and valid."""
-        copy = self.copies[name]
-        result = copy.apply(
+        self._note_era(era_of(head_revision), source)
+        result = self.copies[name].apply(
             changes, head_revision, after_revision=after_revision, complete=complete
         )
+        self._conclude(name, result, source)
+        return result
+
+    def _conclude(self, name: str, result: ApplyResult, source: str) -> None:
         if result.refused_reasons:
-            self._report_refusal(name, head_revision, result.refused_reasons, source)
+            revision = self.copies[name].observed_revision
+            self._report_refusal(name, revision, result.refused_reasons, source)
         if result.applied:
             self._put_in_force(name, source)
-        return result
+
+    def _note_era(self, era: int, source: str) -> None:
+        """Hold the configuration in force for a while if the store came back from an older copy."""
+        known, self._era = self._era, max(era, self._era)
+        if not 0 < known < era:
+            return
+        now = now_unix_s()
+        settled_unix_s = now + RETURN_SETTLE_S
+        self.observe(StoreReturned(era=era, source=source))
+        if self.copies[CONFIG].revision:
+            self.copies[CONFIG].is_held = True
+            self._settled_unix_s = settled_unix_s
+        for listener in self.return_listeners:
+            listener(position(era, 0), settled_unix_s)
+        self._notify_listeners(CONFIG, SOURCE_RETURN)
 
     def apply_in_force(self, delta: Delta, source: str) -> ApplyResult:
         """Put a peer's values in force while this VM refuses a later revision."""
@@ -124,9 +182,10 @@
         if name == CONFIG:
             self.configuration = self._checked_configuration
         else:
-            self._vms.update(copy.values, now_unix_s())
-        log.info("in force", keyspace=name, revision=copy.revision, source=source)
-        self.observe(KeyspaceApplied(name, copy.revision, now_unix_s(), source))
+            self._vms.update(copy.values, now_unix_s(), era_of(copy.revision))
+        era, revision = era_of(copy.revision), revision_of(copy.revision)
+        log.info("in force", keyspace=name, era=era, revision=revision, source=source)
+        self.observe(KeyspaceApplied(name, era, revision, now_unix_s(), source))
         self._notify_listeners(name, source)
 
     def _on_departure(self, key: int, source: DepartureSource) -> None:
@@ -145,12 +204,20 @@
     def _report_refusal(
         self, name: str, revision: int, reasons: tuple[str, ...], source: str
     ) -> None:
-        self.observe(KeyspaceRefused(name, revision, reasons))
+        self.observe(KeyspaceRefused(name, revision_of(revision), reasons))
         log.warning(
             "revision refused",
             keyspace=name,
-            revision=revision,
+            era=era_of(revision),
+            revision=revision_of(revision),
             reasons=reasons,
             source=source,
             remedy="publish a corrected value under a higher revision",
         )
+
+
+def _routing_version(values: Mapping[str, Any]) -> int:
+    """Return the version of the published routes, 0 if there are none."""
+    routing = values.get(ROUTING_KEY)
+    version = routing.get("version") if isinstance(routing, Mapping) else None
+    return version if isinstance(version, int) else 0
--- a/src/pomelobarrow/published/plugin.py
+++ b/src/pomelobarrow/published/plugin.py
@@ -6,6 +6,7 @@
 
 from pomelobarrow.decision.config_proof import ConfigProof
 from pomelobarrow.decision.departures import Departures
+from pomelobarrow.decision.store_position import era_of, revision_of
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
 from pomelobarrow.kernel.settings import DEFAULT_REVOCATION_S
@@ -18,27 +19,27 @@
 SWEEP_INTERVAL_S = 0.25
 
 
-class ExpiredLeaseSweeper(Service):
-    """Remove servers whose expired leases aren't renewed within the grace period."""
+class DueChanges(Service):
+    """Apply changes that are due by time alone: expired leases, a configuration held back."""
 
     def __init__(self, published: PublishedState) -> None:
         super().__init__()
         self._published = published
-        self._has_expired = asyncio.Event()
+        self._has_due = asyncio.Event()
         published.listeners.append(self._on_applied)
 
     def _on_applied(self, name: str, source: str) -> None:
-        if self._published.next_expiry_unix_s is not None:
-            self._has_expired.set()
+        if self._published.next_due_unix_s is not None:
+            self._has_due.set()
 
     @Service.task
     async def _sweep(self) -> None:
         while not self.should_stop:
-            await self._has_expired.wait()
+            await self._has_due.wait()
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            self._published.remove_expired()
-            if self._published.next_expiry_unix_s is None:
-                self._has_expired.clear()
+            self._published.apply_due()
+            if self._published.next_due_unix_s is None:
+                self._has_due.clear()
 
 
 @hookimpl
@@ -52,10 +53,10 @@
 
 @hookimpl
 def services(context: Context) -> list[PhasedService]:
-    """Return the platform watcher and the sweeper of expired leases."""
+    """Return the platform watcher and the sweeper of changes that are due by time."""
     return [
         PhasedService(StartPhase.PLATFORM, context.get(PlatformWatcher)),
-        PhasedService(StartPhase.PLATFORM, ExpiredLeaseSweeper(context.get(PublishedState))),
+        PhasedService(StartPhase.PLATFORM, DueChanges(context.get(PublishedState))),
     ]
 
 
@@ -73,8 +74,9 @@
     copies = context.get(PublishedState).copies
     values = {
         name: {
-            "revision": copy.revision,
-            "observed_revision": copy.observed_revision,
+            "era": era_of(copy.observed_revision),
+            "revision": revision_of(copy.revision),
+            "observed_revision": revision_of(copy.observed_revision),
             "digest": f"{copy.digest:016x}",
             "refused": [str(reason) for reason in copy.refused_reasons],
         }
@@ -89,7 +91,9 @@
 
 def _proof(context: Context) -> ConfigProof:
     relay = context.settings.relay
-    return ConfigProof(revocation_s=relay.revocation_s if relay else DEFAULT_REVOCATION_S)
+    proof = ConfigProof(revocation_s=relay.revocation_s if relay else DEFAULT_REVOCATION_S)
+    context.get(PublishedState).return_listeners.append(proof.observe_return)
+    return proof
 
 
 def _watcher(context: Context) -> PlatformWatcher:
--- a/src/pomelobarrow/published/watcher.py
+++ b/src/pomelobarrow/published/watcher.py
@@ -8,11 +8,12 @@
 
 import structlog
 from mode import Service
-from result import Err, Result
+from result import Err, Ok, Result
 
 from pomelobarrow.decision.config_proof import ConfigProof, Proof
 from pomelobarrow.decision.configuration_check import ROUTING_KEY
 from pomelobarrow.decision.keyspace import ApplyOutcome
+from pomelobarrow.decision.store_position import era_of, revision_of
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.published.events import PlatformReachable, PlatformUnreachable
@@ -151,15 +152,18 @@
             return await self._read_all(name)
         result = await self._reader.read_changes(name, after, now_unix_s() + wait_s)
         if isinstance(result, Err) and result.err_value.failure is ReadFailure.HISTORY_GONE:
-            log.info("history gone, listing again", keyspace=name, after_revision=after)
+            log.info(
+                "history gone, listing again", keyspace=name, after_revision=revision_of(after)
+            )
             return await self._read_all(name)
         return self._apply_result(name, after, result)
 
     async def _read_all(self, name: str) -> ReadResult:
         result = await self._reader.read_all(name)
+        copy = self._state.copies[name]
         # Changes received from peers in the meantime would make the full listing look like a gap.
-        if not isinstance(result, Err) and self._state.copies[name].observed_revision:
-            self._state.copies[name].restart()
+        if isinstance(result, Ok) and 0 < copy.observed_revision <= result.ok_value.head_revision:
+            copy.restart()
         return self._apply_result(name, 0, result)
 
     def _apply_result(self, name: str, after: int, result: Result[Page, ReadError]) -> ReadResult:
@@ -175,8 +179,13 @@
         )
         if after == 0 and applied.outcome is ApplyOutcome.STALE:
             log.warning(
-                "listing ignored, as it is older", keyspace=name, head_revision=page.head_revision
+                "listing ignored, as it is older",
+                keyspace=name,
+                era=era_of(page.head_revision),
+                head_revision=revision_of(page.head_revision),
             )
+            # Read again at once, it would use up the calls that the platform allows.
+            return ReadResult.FAILED
         if applied.outcome in UNUSABLE_OUTCOMES:
             return ReadResult.FAILED
         return ReadResult.CHANGES if page.head_revision > after else ReadResult.NO_CHANGES
--- a/tests/test_config_proof.py
+++ b/tests/test_config_proof.py
@@ -8,6 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from pomelobarrow.decision.config_proof import ConfigProof, Proof
+from pomelobarrow.decision.store_position import position
 
 REVOCATION_S = 5.0
 
@@ -48,6 +49,19 @@
     assert proof.age_s(101.0) == 0.0
 
 
+def test_early_proofs_after_the_stores_return_count_for_nothing() -> None:
+    """A revocation that was acknowledged last may be missing in the store's copy for a moment."""
+    before, after = position(1, 35), position(2, 28)
+    proof = proof_of(Proof(100.0, before), Proof(101.0, after))
+    proof.observe_return(position(2, 0), 103.0)
+    proof.observe(Proof(102.9, after))
+    assert not proof.confirms(after, 100.1 + proof.max_age_s)
+    assert proof.confirms(before, 100.0 + proof.max_age_s)
+    proof.observe(Proof(103.1, after))
+    assert proof.confirms(after, 104.0)
+    assert not proof.confirms(before, 104.0)
+
+
 @pytest.mark.parametrize("revocation_s", [0.5, 1.0, 5.0, 30.0])
 def test_refreshes_keep_a_proof_valid(revocation_s: float) -> None:
     """Arithmetic of the module's description: a watch, its predecessor and a query."""
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -12,6 +12,7 @@
 from result import Err, Ok
 
 from pomelobarrow.decision.keyspace import KeyspaceCopy
+from pomelobarrow.decision.store_position import era_of, position, revision_of
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.platform.store import KeyspaceSource, Store
 from pomelobarrow.published.store_reader import ReadFailure
@@ -33,6 +34,8 @@
     revision: int = 1
     history_gone: bool = False
     status: int = 200
+    # Headers of each answer.
+    headers: dict[str, str] = field(factory=dict)
     # Called after each page of a listing.
     on_page_served: Any = None
 
@@ -59,7 +62,7 @@
         }
         if self.on_page_served:
             self.on_page_served()
-        return web.json_response(body)
+        return web.json_response(body, headers=self.headers)
 
     async def watch(self, request: web.Request) -> web.Response:
         if self.history_gone:
@@ -67,7 +70,8 @@
         after = int(request.query["after"])
         keys = sorted((rev, key) for key, (rev, _) in self.items.items() if rev > after)
         events = [self.item(key) for _, key in keys]
-        return web.json_response({"events": events, "StoreRevision": self.revision})
+        body = {"events": events, "StoreRevision": self.revision}
+        return web.json_response(body, headers=self.headers)
 
 
 @define
@@ -157,3 +161,54 @@
     store = Store(addresses=("http://127.0.0.1:9", address), sources={KEYSPACE: SOURCE})
     assert isinstance(await store.read_all(KEYSPACE), Ok)
     await store.close()
+
+
+async def test_revisions_are_ordered_by_the_era_of_the_answer(client: Client) -> None:
+    client.fake.put("k1", 1)
+    heads = []
+    for era in ("0", "3", "4"):
+        client.fake.headers = {"Store-Era": era}
+        page = (await client.store.read_all(KEYSPACE)).unwrap()
+        assert page.changes[0].revision <= page.head_revision
+        heads.append(page.head_revision)
+    assert heads == sorted(heads)
+    assert {revision_of(head) for head in heads} == {client.fake.revision}
+    assert [era_of(head) for head in heads] == [1, 4, 5]
+
+
+@pytest.mark.parametrize("text", [None, "", "-1", "two", "1.5", "\u0663", "9" * 12])
+async def test_answer_without_a_valid_era_is_of_the_last_one(
+    client: Client, text: str | None
+) -> None:
+    client.fake.headers = {"Store-Era": "2"}
+    before = (await client.store.read_all(KEYSPACE)).unwrap().head_revision
+    client.fake.headers = {} if text is None else {"Store-Era": text}
+    assert (await client.store.read_all(KEYSPACE)).unwrap().head_revision == before
+
+
+async def test_watch_that_a_later_era_answers_reports_its_history_gone(client: Client) -> None:
+    """The store came back, and has passed the revision asked for again."""
+    client.fake.headers = {"Store-Era": "2"}
+    for number in range(4):
+        client.fake.put(f"k{number}", number)
+    result = await client.store.read_changes(KEYSPACE, position(2, 2), now_unix_s())
+    assert isinstance(result, Err)
+    assert result.err_value.failure is ReadFailure.HISTORY_GONE
+    assert isinstance(await client.store.read_changes(KEYSPACE, position(3, 2), now_unix_s()), Ok)
+
+
+async def test_listing_over_two_eras_is_given_up(client: Client) -> None:
+    for number in range(4):
+        client.fake.put(f"k{number}", number)
+    client.fake.headers = {"Store-Era": "2"}
+
+    pages = []
+
+    def come_back() -> None:
+        pages.append(None)
+        client.fake.headers = {"Store-Era": str(1 + len(pages))}
+
+    client.fake.on_page_served = come_back
+    result = await client.store.read_all(KEYSPACE)
+    assert isinstance(result, Err)
+    assert result.err_value.detail == "the store came back from an older copy during the listing"
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -13,7 +13,8 @@
 from pomelobarrow.decision.config_proof import ConfigProof
 from pomelobarrow.platform.records import platform_sources
 from pomelobarrow.platform.store import Store
-from pomelobarrow.published.keyspaces import PublishedState
+from pomelobarrow.published.keyspaces import CONFIG, PublishedState
+from pomelobarrow.published.plugin import DueChanges
 from pomelobarrow.published.watcher import PlatformWatcher
 from soak.store import SoakStore
 
@@ -68,8 +69,11 @@
             is_watcher=lambda: True,
             proof=ConfigProof(revocation_s=5.0),
         )
+        due = DueChanges(state)
         await watcher.start()
+        await due.start()
         yield Reader(state, watcher, events)
+        await due.stop()
         await watcher.stop()
 
 
@@ -103,3 +107,62 @@
     async with asyncio.timeout(SOON_S):
         while not reader.state.backend_servers["s1"].leaving:
             await asyncio.sleep(0.01)
+
+
+async def test_older_configuration_of_the_stores_copy_is_not_put_in_force(
+    store: SoakStore, reader: Reader
+) -> None:
+    """An acknowledged change was taken back until the operator published again."""
+    await reader.wait_for_version(5)
+    copy = store.copy()
+    store.put("op/config", config(7))
+    await reader.wait_for_version(7)
+    store.come_back(copy)
+    store.put("op/evacuate/z", {})
+    async with asyncio.timeout(SOON_S):
+        while not reader.state.copies[CONFIG].superseded_revision:
+            await asyncio.sleep(0.01)
+    assert reader.version == 7
+    # The keys of version 7 stay valid, as the store holds nothing newer.
+    assert reader.state.confirmable_revision > reader.state.copies[CONFIG].revision
+    store.put("op/config", config(7))
+    async with asyncio.timeout(SOON_S):
+        while "z" not in reader.state.configuration.evacuated_domains:
+            await asyncio.sleep(0.01)
+
+
+async def test_evacuation_stays_in_force_until_the_operator_has_written_it_again(
+    store: SoakStore, reader: Reader
+) -> None:
+    """The store's copy has the same configuration, but not yet the evacuation of a domain."""
+    await reader.wait_for_version(5)
+    copy = store.copy()
+    store.put("op/evacuate/z", {})
+    seen = []
+    reader.state.listeners.append(
+        lambda name, source: seen.append(reader.state.configuration.evacuated_domains)
+    )
+    async with asyncio.timeout(SOON_S):
+        while {"z"} not in seen:
+            await asyncio.sleep(0.01)
+    store.come_back(copy)
+    async with asyncio.timeout(SOON_S):
+        while not reader.state.copies[CONFIG].is_held:
+            await asyncio.sleep(0.01)
+    store.put("op/evacuate/z", {})
+    async with asyncio.timeout(SOON_S):
+        while reader.state.copies[CONFIG].is_held:
+            await asyncio.sleep(0.01)
+    assert seen[seen.index({"z"}) :] == [{"z"}] * len(seen[seen.index({"z"}) :])
+
+
+async def test_listing_of_a_lower_era_changes_nothing(store: SoakStore, reader: Reader) -> None:
+    await reader.wait_for_version(5)
+    store.put("op/config", config(7))
+    await reader.wait_for_version(7)
+    store.era, store.revision = 0, 2
+    store.put("op/config", config(9))
+    async with asyncio.timeout(SOON_S):
+        while not reader.state.copies[CONFIG].counters.stale:
+            await asyncio.sleep(0.01)
+    assert reader.version == 7
--- a/tests/test_vm_list.py
+++ b/tests/test_vm_list.py
@@ -2,7 +2,9 @@
 
 from typing import Any
 
-from pomelobarrow.published.vms import LEASE_GRACE_S, VmList
+import pytest
+
+from pomelobarrow.published.vms import LEASE_GRACE_S, REVIVED_HOLD_S, VmList
 
 VALUE: dict[str, Any] = {
     "role": "backend_server",
@@ -54,3 +56,70 @@
     vms.update({**values, "vms/s2": VALUE}, 102.0)
     assert vms.servers["s1"].cold_until_unix_s == 103.0
     assert vms.servers["s2"].cold_until_unix_s == 0.0
+
+
+def test_server_that_had_gone_is_left_out_while_an_older_copy_lists_it() -> None:
+    """The store came back from a copy that is older than the removal of a server's entry."""
+    vms = VmList()
+    vms.update({"vms/s1": VALUE, "vms/s2": VALUE}, 1.0, era=1)
+    vms.update({"vms/s2": VALUE}, 10.0, era=1)
+    vms.remove_expired(10.0 + LEASE_GRACE_S)
+    vms.update({"vms/s1": dict(VALUE), "vms/s2": VALUE}, 20.0, era=2)
+    assert set(vms.servers) == {"s2"}
+    assert vms.next_expiry_unix_s == 20.0 + REVIVED_HOLD_S
+    vms.update({"vms/s2": VALUE}, 23.0, era=2)
+    assert set(vms.servers) == {"s2"}
+
+
+@pytest.mark.parametrize("how", ["still listed", "written again"])
+def test_server_that_an_older_copy_brought_back_and_that_runs_is_used_again(how: str) -> None:
+    vms = VmList()
+    vms.update({"vms/s1": VALUE}, 1.0, era=1)
+    vms.update({}, 10.0, era=1)
+    vms.remove_expired(10.0 + LEASE_GRACE_S)
+    vms.update({"vms/s1": dict(VALUE)}, 20.0, era=2)
+    assert not vms.servers
+    if how == "still listed":
+        assert vms.remove_expired(20.0 + REVIVED_HOLD_S)
+    else:
+        vms.update({"vms/s1": VALUE | {"cold_left_s": 2.0}}, 21.0, era=2)
+    assert set(vms.servers) == {"s1"}
+
+
+def test_server_that_registers_again_without_a_return_is_used_at_once() -> None:
+    vms = VmList()
+    vms.update({"vms/s1": VALUE}, 1.0, era=1)
+    vms.update({}, 10.0, era=1)
+    vms.remove_expired(10.0 + LEASE_GRACE_S)
+    vms.update({"vms/s1": dict(VALUE)}, 20.0, era=1)
+    assert set(vms.servers) == {"s1"}
+
+
+def test_server_that_an_older_copy_lacks_is_kept_for_two_seconds() -> None:
+    vms = VmList()
+    vms.update({"vms/s1": VALUE}, 1.0, era=1)
+    vms.update({}, 10.0, era=2)
+    assert vms.servers["s1"].is_lease_expired
+    assert not vms.remove_expired(11.9)
+    assert vms.remove_expired(12.0)
+
+
+def test_leaving_server_that_an_older_copy_lists_as_ready_still_leaves() -> None:
+    """The list stated that the server leaves, and the store came back from before that."""
+    vms = VmList()
+    vms.update({"vms/s1": VALUE}, 1.0, era=1)
+    vms.update({"vms/s1": VALUE | {"state": "leaving"}}, 5.0, era=1)
+    vms.update({"vms/s1": dict(VALUE)}, 8.0, era=2)
+    assert vms.servers["s1"].leaving
+    vms.update({"vms/s1": VALUE | {"born_unix_ms": 9}}, 9.0, era=2)
+    assert not vms.servers["s1"].leaving
+
+
+def test_cold_time_in_an_older_copy_does_not_count_again() -> None:
+    cold = VALUE | {"cold_left_s": 8.0}
+    vms = VmList()
+    vms.update({"vms/s1": cold}, 1.0, era=1)
+    vms.update({"vms/s1": dict(cold)}, 8.0, era=2)
+    assert vms.servers["s1"].cold_until_unix_s == 9.0
+    vms.update({"vms/s1": dict(cold)}, 20.0, era=2)
+    assert vms.servers["s1"].cold_until_unix_s == 28.0
