Teach stand-ins and the soak departures, pauses and the store's return

The stand-ins of services and engines state departures in all answers and ask for pauses with rejections; that of the platform comes back in a new era. The soak has three servers a region that leave, start again or reject, with only their answers saying so, and a store that comes back from older copies whose losses are written again, overlapping with all other faults. Its checks are the published bounds.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,6 +9,7 @@
 import aiohttp
 from attrs import frozen
 
+from soak.announcing import AnnouncingServers
 from soak.checks import Clients, find_violations, served_share
 from soak.faults import Faults
 from soak.fleet import SoakFleet
@@ -45,27 +46,35 @@
         fragile = FragileServers(fleet=fleet, random=random.Random(rng.random()))
         limited = LimitedServers(fleet=fleet, random=random.Random(rng.random()))
         keyed = KeyedServers(fleet=fleet, random=random.Random(rng.random()))
-        await asyncio.gather(fragile.start(), limited.start(), keyed.start())
+        announcing = AnnouncingServers(fleet=fleet, random=random.Random(rng.random()))
+        pools = (fragile, limited, keyed, announcing)
+        await asyncio.gather(*(each.start() for each in pools))
         sending = asyncio.create_task(clients.run(time.monotonic() + duration_s))
         until_s = time.monotonic() + duration_s + SETTLE_S + CALM_RUN_S
-        sending_more = asyncio.gather(
-            *(each.send_until(until_s) for each in (fragile, limited, keyed))
+        sending_more = asyncio.gather(*(each.send_until(until_s) for each in pools))
+        announced = asyncio.create_task(announcing.announce_until(time.monotonic() + duration_s))
+        returns_random = random.Random(rng.random())
+        await asyncio.gather(
+            faults.run(duration_s), faults.return_store(duration_s, returns_random)
         )
-        await faults.run(duration_s)
+        await announced
         await sending
         await asyncio.sleep(SETTLE_S)
         calm_started_s = time.monotonic()
         await clients.run(calm_started_s + CALM_RUN_S)
         await sending_more
-        await asyncio.gather(fragile.stop(), limited.stop(), keyed.stop())
+        await asyncio.gather(*(each.stop() for each in pools))
         violations, served = find_violations(clients, faults), served_share(clients, calm_started_s)
         violations += fragile.find_violations() + limited.find_violations()
         violations += keyed.find_violations() + fleet.ended_daemons()
+        violations += announcing.find_violations(faults)
         violations += keyed.find_unserved(calm_started_s, MIN_SERVED_SHARE)
         if fragile.served_share(calm_started_s) < MIN_SERVED_SHARE:
             violations.append("requests are not served by servers that crashed and were restarted")
         if limited.served_share(calm_started_s) < MIN_SERVED_SHARE:
             violations.append("requests are not served while one server announces a rate limit")
+        if announcing.served_share(calm_started_s) < MIN_SERVED_SHARE:
+            violations.append("requests are not served by servers that left or asked for pauses")
         if served < MIN_SERVED_SHARE:
             violations.append(f"only {served:.0%} were served after all faults had ended")
         if violations:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -135,5 +135,24 @@
         self.fleet.starts[name] += 1
         self.fleet.list_server(name)
 
+    async def return_store(self, duration_s: float, random: Random) -> None:
+        """Let the store come back from older copies; what it lost is written again soon.
+
+        Has random choices of its own, so that those of the other faults depend on the seed alone.
+        """
+        store, until_s = self.fleet.store, time.monotonic() + duration_s
+        while time.monotonic() < until_s:
+            await asyncio.sleep(random.uniform(0.2, 3.0))
+            copy = store.copy()
+            await asyncio.sleep(random.uniform(0.2, 3.0))
+            started_s = time.monotonic()
+            await self.fleet.fault("store", "refuse")
+            await asyncio.sleep(random.uniform(0.1, 1.5))
+            lost, era = store.come_back(copy), store.era
+            await self.fleet.fault("store", "pass")
+            await asyncio.sleep(random.uniform(0.0, 1.2))
+            store.write_again(lost, era)
+            self._record("store", "store", started_s)
+
     async def _publish(self) -> None:
         self.fleet.publish_configuration()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -26,11 +26,12 @@
     "resumable": ("stream", 3, True),
 }
 # Kept out of KINDS, so that the random choices among those stay the same for a given seed.
-FRAGILE, LIMITED, KEYED = "fragile", "limited", "keyed"
+FRAGILE, LIMITED, KEYED, ANNOUNCING = "fragile", "limited", "keyed", "announcing"
 DEDICATED_POOLS = {
     FRAGILE: ("idempotent", 2, False),
     LIMITED: ("idempotent", 2, False),
     KEYED: ("non_idempotent", 1, False),
+    ANNOUNCING: ("idempotent", 2, False),
 }
 APPLY_S, REVOCATION_S, LIMIT_WINDOW_S = 5.0, 2.0, 8.0
 TIMEOUT_MS = 3_000
--- a/soak/keyed.py
+++ b/soak/keyed.py
@@ -64,6 +64,12 @@
         """Stop the servers."""
         await asyncio.gather(*(runner.cleanup() for runner in self._runners))
 
+    async def wait_until_served(self) -> None:
+        """Wait until a request with a key in force has been served."""
+        async with asyncio.timeout(LIMIT_WINDOW_S):
+            while not any(status == 200 for _, status in self.statuses):
+                await asyncio.sleep(0.05)
+
     async def send_until(self, until_s: float) -> None:
         """Send with valid, revoked and unknown keys, and replace the valid one now and then."""
         timeout = aiohttp.ClientTimeout(total=10)
--- a/soak/store.py
+++ b/soak/store.py
@@ -28,10 +28,13 @@
     items: dict[str, tuple[int, Any]] = field(factory=dict)
     revision: int = 1
     era: int = 1
+    # The keys written in this era.
+    written: set[str] = field(factory=set)
     changed: asyncio.Event = field(factory=asyncio.Event)
 
     def put(self, key: str, value: Any) -> None:
         """Write a key, or delete it if the value is None, and wake the watches."""
+        self.written.add(key)
         self.revision += 1
         self.items[key] = (self.revision, value)
         self._notify()
@@ -40,11 +43,23 @@
         """Return a copy of the present state, to come back from."""
         return StoreCopy(dict(self.items), self.revision)
 
-    def come_back(self, copy: "StoreCopy") -> None:
-        """Lose all that was written after a copy; its revisions are given out again."""
+    def come_back(self, copy: "StoreCopy") -> dict[str, Any]:
+        """Lose all that was written after a copy and give its revisions out again.
+
+        Return the lost values, which their writers will write again.
+        """
+        lost = {k: v for k, (_, v) in self.items.items() if self.items[k] != copy.items.get(k)}
         self.items, self.revision = dict(copy.items), copy.revision
         self.era += 1
+        self.written.clear()
         self._notify()
+        return lost
+
+    def write_again(self, lost: dict[str, Any], era: int) -> None:
+        """Write lost values again, unless they were written since or were lost once more."""
+        for key, value in lost.items():
+            if era == self.era and key not in self.written:
+                self.put(key, value)
 
     def _notify(self) -> None:
         self.changed.set()
--- a/src/pomelobarrow/standin/engine.py
+++ b/src/pomelobarrow/standin/engine.py
@@ -16,7 +16,6 @@
 from pomelobarrow.standin.runtime import (
     MAX_BODY_BYTES,
     gate_middleware,
-    limit_header_signal,
     serve_app,
 )
 
@@ -81,7 +80,7 @@
     app = web.Application(
         middlewares=[gate_middleware(engine.gate)], client_max_size=MAX_BODY_BYTES
     )
-    app.on_response_prepare.append(limit_header_signal(lambda: engine.limit_per_s))
+    app.on_response_prepare.append(engine.announcements.add_headers)
     app.add_routes(routes(engine, report))
     async with asyncio.TaskGroup() as tasks:
         measuring = tasks.create_task(report.keep_measuring())
--- a/src/pomelobarrow/standin/engine_routes.py
+++ b/src/pomelobarrow/standin/engine_routes.py
@@ -112,7 +112,7 @@
         engine.leaving = body.get("leaving", engine.leaving)
         engine.refuse = body.get("refuse", engine.refuse)
         engine.crash_on = body.get("crash_on", engine.crash_on)
-        engine.limit_per_s = body.get("limit_per_s", engine.limit_per_s)
+        engine.announcements.update(body)
         engine.step_s = body.get("step_s", engine.step_s)
         engine.set_frozen(body.get("frozen", not engine.gate.opened.is_set()))
         return json_response({"leaving": engine.leaving, "refuse": engine.refuse})
--- a/src/pomelobarrow/standin/engine_state.py
+++ b/src/pomelobarrow/standin/engine_state.py
@@ -14,7 +14,7 @@
 from pomelobarrow.standin.orders import EngineOrders
 from pomelobarrow.standin.prefix_cache import PrefixCache
 from pomelobarrow.standin.run_log import MAX_LOGGED_RUNS, RunState, header_int
-from pomelobarrow.standin.runtime import RequestGate
+from pomelobarrow.standin.runtime import Announcements, RequestGate
 
 RESUMABLE_RETENTION_S = 30.0
 
@@ -34,8 +34,7 @@
     refuse: bool = False
     # A request whose body contains this text ends the process, as a crash would.
     crash_on: str = ""
-    # Rate limit sent in a header of each response; None sends no header.
-    limit_per_s: float | None = None
+    announcements: Announcements = field(factory=Announcements)
     runs: deque[Sequence] = field(factory=lambda: deque(maxlen=MAX_LOGGED_RUNS))
     cancelled_before_start_ids: set[str] = field(factory=set)
     _runs_by_id: dict[str, list[Sequence]] = field(factory=lambda: defaultdict(list))
--- a/src/pomelobarrow/standin/platform_server.py
+++ b/src/pomelobarrow/standin/platform_server.py
@@ -24,6 +24,7 @@
 KEYSPACES = ("config", "vms")
 MS_PER_S = 1_000.0
 MAX_WAIT_S = 300.0
+ERA_HEADER = "Store-Era"
 
 
 class Mode(enum.Enum):
@@ -34,6 +35,8 @@
     STALE = "stale"
     SLOW = "slow"
     REVERT = "revert"
+    # The store comes back with its keyspaces as of a revision, in a new era.
+    RETURN = "return"
 
 
 @frozen(kw_only=True)
@@ -57,6 +60,7 @@
     delay_s: float = 0.0
     frozen_revisions: dict[str, int] = field(factory=dict)
     waiting: int = 0
+    era: int = 1
     changed: asyncio.Event = field(factory=asyncio.Event)
 
     def publish(self, name: str, changes: dict[str, Any]) -> int:
@@ -88,7 +92,9 @@
         }
         if mode is Mode.STALE and revision is not None:
             self.frozen_revisions[keyspace] = revision
-        if mode is Mode.REVERT:
+        if mode is Mode.RETURN:
+            self.era += 1
+        if mode in (Mode.REVERT, Mode.RETURN):
             self.keyspaces[keyspace].revert(revision or 0)
         self.mode = mode
         self.delay_s = delay_s
@@ -113,12 +119,26 @@
     return apply_faults
 
 
+def era_header_signal(platform: Platform) -> Any:
+    """Build the signal handler that adds the store's era to the response headers."""
+
+    async def add_era_header(request: web.Request, response: web.StreamResponse) -> None:
+        response.headers[ERA_HEADER] = str(platform.era)
+
+    return add_era_header
+
+
 async def wait_for_newer(platform: Platform, name: str, after: int, wait_s: float) -> None:
-    """Wait until the head passes a revision, the platform goes down or the wait times out."""
+    """Wait until the head passes a revision, the store goes down or returns, or time is up."""
     platform.waiting += 1
+    era = platform.era
     try:
         async with asyncio.timeout(min(wait_s, MAX_WAIT_S)):
-            while platform.mode is not Mode.DOWN and platform.readable_revision(name) <= after:
+            while (
+                platform.mode is not Mode.DOWN
+                and platform.era == era
+                and platform.readable_revision(name) <= after
+            ):
                 await platform.changed.wait()
     except TimeoutError:
         pass
@@ -141,9 +161,12 @@
         name = _requested_keyspace(request)
         after = int(request.query["after"])
         wait_s = int(request.query.get("WaitMs", "0")) / MS_PER_S
+        era = platform.era
         await wait_for_newer(platform, name, after, wait_s)
         if platform.mode is Mode.DOWN:
             return json_response({"error": "down"}, status=503)
+        if platform.era != era or (era > 1 and after > platform.readable_revision(name)):
+            return json_response({"error": "no such revision"}, status=410)
         changes = platform.keyspaces[name].changes_after(after, platform.readable_revision(name))
         events = [_item(name, change) for change in changes.changes]
         return json_response({"events": events, "StoreRevision": changes.head_revision})
@@ -229,5 +252,6 @@
     if options.seed_file:
         publish_seed(platform, options.seed_file)
     app = web.Application(middlewares=[fault_middleware(platform)])
+    app.on_response_prepare.append(era_header_signal(platform))
     app.add_routes(routes(platform))
     await serve_app(app, options.listen, cancel_on_disconnect=True)
--- a/src/pomelobarrow/standin/runtime.py
+++ b/src/pomelobarrow/standin/runtime.py
@@ -4,7 +4,7 @@
 import os
 import signal
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import orjson
@@ -17,6 +17,9 @@
 LISTEN_BACKLOG = 1024
 CRASH_EXIT_CODE = 70
 LIMIT_HEADER = "X-Server-Limit"
+LEAVING_HEADER = "X-Server-Leaving"
+RETRY_AFTER_HEADER = "Retry-After"
+REJECTED_STATUS = 503
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
@@ -56,14 +59,31 @@
     return web.Response(body=orjson.dumps(payload), status=status, content_type="application/json")
 
 
-def limit_header_signal(limit_per_s: Callable[[], float | None]) -> Any:
-    """Build the signal handler that adds the server's rate limit to the response headers."""
-
-    async def add_limit_header(request: web.Request, response: web.StreamResponse) -> None:
-        if (current_per_s := limit_per_s()) is not None:
-            response.headers[LIMIT_HEADER] = str(current_per_s)
-
-    return add_limit_header
+@define
+class Announcements:
+    """What the server states with its responses; set by the control call."""
+
+    # Rate limit; None sends no header.
+    limit_per_s: float | None = None
+    # True if all responses state that the server leaves, although it still runs requests.
+    says_leaving: bool = False
+    # The pause that rejections ask for; None sends no header.
+    backoff_s: float | None = None
+
+    def update(self, body: Mapping[str, Any]) -> None:
+        """Apply a control call."""
+        self.limit_per_s = body.get("limit_per_s", self.limit_per_s)
+        self.says_leaving = body.get("says_leaving", self.says_leaving)
+        self.backoff_s = body.get("backoff_s", self.backoff_s)
+
+    async def add_headers(self, request: web.Request, response: web.StreamResponse) -> None:
+        """Add the headers to a response that is about to be sent."""
+        if self.limit_per_s is not None:
+            response.headers[LIMIT_HEADER] = str(self.limit_per_s)
+        if self.says_leaving:
+            response.headers[LEAVING_HEADER] = "1"
+        if self.backoff_s is not None and response.status == REJECTED_STATUS:
+            response.headers[RETRY_AFTER_HEADER] = str(self.backoff_s)
 
 
 async def crash_if_body_contains(request: web.Request, crash_on: str) -> None:
--- a/src/pomelobarrow/standin/service.py
+++ b/src/pomelobarrow/standin/service.py
@@ -12,11 +12,11 @@
 from pomelobarrow.standin.run_log import MAX_LOGGED_RUNS, Run, RunState, header_int, runs_payload
 from pomelobarrow.standin.runtime import (
     MAX_BODY_BYTES,
+    Announcements,
     RequestGate,
     crash_if_body_contains,
     gate_middleware,
     json_response,
-    limit_header_signal,
     read_json,
     refused_unrun,
     serve_app,
@@ -49,8 +49,7 @@
     refuse: bool = False
     # A call whose body contains this text ends the process, as a crash would.
     crash_on: str = ""
-    # Rate limit sent in a header of each response; None sends no header.
-    limit_per_s: float | None = None
+    announcements: Announcements = field(factory=Announcements)
 
     def measure(self) -> dict[str, Any]:
         """Return a load report for the current moment."""
@@ -127,7 +126,7 @@
         service.leaving = body.get("leaving", service.leaving)
         service.refuse = body.get("refuse", service.refuse)
         service.crash_on = body.get("crash_on", service.crash_on)
-        service.limit_per_s = body.get("limit_per_s", service.limit_per_s)
+        service.announcements.update(body)
         service.latency_s = body.get("latency_s", service.latency_s)
         service.gate.set_frozen(body.get("frozen", not service.gate.opened.is_set()))
         return json_response({"leaving": service.leaving, "refuse": service.refuse})
@@ -147,7 +146,7 @@
     app = web.Application(
         middlewares=[gate_middleware(service.gate)], client_max_size=MAX_BODY_BYTES
     )
-    app.on_response_prepare.append(limit_header_signal(lambda: service.limit_per_s))
+    app.on_response_prepare.append(service.announcements.add_headers)
     app.add_routes(routes(service, report))
     async with asyncio.TaskGroup() as tasks:
         measuring = tasks.create_task(report.keep_measuring())
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+import aiohttp
 import pytest
 from standin_harness import Answer, Standin, call, running_standins, wait_until
 
@@ -147,3 +148,20 @@
         assert (await read(platform, 0, name="vms")).body["head_revision"] == 1
         assert (await read(platform, 0)).body["head_revision"] == 2
         reading.cancel()
+
+
+async def test_return_begins_an_era_and_ends_watches_from_lost_revisions(platform: Standin) -> None:
+    for number in range(3):
+        await publish(platform, {"deployment": {"number": number}})
+    watching = await start_waiting_read(platform, 4)
+    order = {"mode": "return", "keyspace": "config", "revision": 2}
+    await call("POST", platform.listening, "/admin/mode", order)
+    assert (await watching).status == 410
+    assert (await read(platform, 4)).status == 410
+    assert (await read(platform, 0)).body["head_revision"] == 2
+    assert await publish(platform, {"deployment": {"number": 9}}) == 3
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(f"http://{platform.listening}/kv-range?Prefix=config/") as response,
+    ):
+        assert response.headers["Store-Era"] == "2"
--- a/tests/test_standin_service.py
+++ b/tests/test_standin_service.py
@@ -67,3 +67,15 @@
         ):
             named.append(response.headers.get("X-Server-Limit"))
     assert named == ["2.5", None]
+
+
+async def test_announcements_are_sent_as_set(service: Standin) -> None:
+    mode = {"says_leaving": True, "refuse": True, "backoff_s": 1.5}
+    await call("POST", service.listening, "/admin/mode", mode)
+    seen = []
+    async with aiohttp.ClientSession() as session:
+        for path in ("/v1/load", "/call"):
+            async with session.get(f"http://{service.listening}{path}") as response:
+                headers = response.headers
+                seen.append((headers.get("X-Server-Leaving"), headers.get("Retry-After")))
+    assert seen == [("1", None), ("1", "1.5")]
