--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -206,33 +206,33 @@
         staying = [s for s in self.pool_servers(pool) if not self._is_leaving(s)]
         # An expired lease doesn't prove a server gone, but servers with valid leases are preferred.
         staying = [s for s in staying if not s.is_lease_expired] or staying
-        willing = self._without_paused(staying, now_unix_s)
+        willing = self._without_backing_off(staying, now_unix_s)
         healthy = [s for s in willing if not self._health[s.name].is_ejected(now_unix_s)]
         # If every server is ejected, the fault is more likely on this side. All of them are tried
         # then, as an empty pool would refuse work that a server could run.
         return healthy or willing
 
-    def _without_paused(
+    def _without_backing_off(
         self, servers: list[BackendServer], now_unix_s: float
     ) -> list[BackendServer]:
         backoffs = self.limits.backoffs
         if backoffs.is_empty:
             return servers
-        return [server for server in servers if not backoffs.is_paused(server, now_unix_s)]
+        return [server for server in servers if not backoffs.is_backing_off(server, now_unix_s)]
 
-    def paused_servers(self, pool: str, now_unix_s: float) -> list[BackendServer]:
+    def backing_off_servers(self, pool: str, now_unix_s: float) -> list[BackendServer]:
         """Return the servers of a pool that stay and want nothing from this VM now."""
         backoffs = self.limits.backoffs
         return [
             server
             for server in self.pool_servers(pool)
-            if not self._is_leaving(server) and backoffs.is_paused(server, now_unix_s)
+            if not self._is_leaving(server) and backoffs.is_backing_off(server, now_unix_s)
         ]
 
     def takes_requests(self, server: BackendServer, now_unix_s: float) -> bool:
         """Return whether a server stays and has not asked this VM for a pause."""
-        is_paused = self.limits.backoffs.is_paused(server, now_unix_s)
-        return not is_paused and self.is_in_service(server)
+        is_backing_off = self.limits.backoffs.is_backing_off(server, now_unix_s)
+        return not is_backing_off and self.is_in_service(server)
 
     def next_allowed_unix_s(
         self, pool: str, excluded: Collection[str], now_unix_s: float
@@ -240,7 +240,10 @@
         """Return when servers' limits and pauses allow the next request, None if they do now."""
         if self.limits.is_empty:
             return None
-        servers = [*self.usable_servers(pool, now_unix_s), *self.paused_servers(pool, now_unix_s)]
+        servers = [
+            *self.usable_servers(pool, now_unix_s),
+            *self.backing_off_servers(pool, now_unix_s),
+        ]
         times = [self.limits.next_unix_s(s, now_unix_s) for s in servers if s.name not in excluded]
         next_unix_s = min(times, default=0.0)
         return next_unix_s if next_unix_s > now_unix_s else None
--- a/src/pomelobarrow/decision/server_backoffs.py
+++ b/src/pomelobarrow/decision/server_backoffs.py
@@ -63,7 +63,7 @@
         backoff.window, backoff.in_flight = 1, 0
         return is_new
 
-    def is_paused(self, server: BackendServer, now_unix_s: float) -> bool:
+    def is_backing_off(self, server: BackendServer, now_unix_s: float) -> bool:
         """Return whether a server wants nothing from this VM now."""
         if not self._backoffs:
             return False
--- a/src/pomelobarrow/dispatch/events.py
+++ b/src/pomelobarrow/dispatch/events.py
@@ -55,7 +55,7 @@
 
 
 @frozen(kw_only=True)
-class ServerPauseRequested:
+class ServerBackoffRequested:
     """Report that a server wants nothing from this VM for a time."""
 
     server: str
--- a/src/pomelobarrow/dispatch/server_announcements.py
+++ b/src/pomelobarrow/dispatch/server_announcements.py
@@ -6,7 +6,7 @@
 from pomelobarrow.decision.departures import DepartureSource, departure_key
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.work import BackendServer
-from pomelobarrow.dispatch.events import ServerLimitNamed, ServerPauseRequested
+from pomelobarrow.dispatch.events import ServerBackoffRequested, ServerLimitNamed
 from pomelobarrow.kernel.clock import now_unix_s
 
 
@@ -25,7 +25,7 @@
         return
     backoff_s = announced.backoff_s or 0.0
     if table.limits.backoffs.observe(server.incarnation, backoff_s, now):
-        observe(ServerPauseRequested(server=server.name, pool=server.pool, backoff_s=backoff_s))
+        observe(ServerBackoffRequested(server=server.name, pool=server.pool, backoff_s=backoff_s))
     if table.limits.observe(server.incarnation, announced.limit_per_s, now):
         observe(
             ServerLimitNamed(
--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -245,9 +245,9 @@
             "Backend servers that leave, by the way in which this VM learned of it first.",
             ("pool", "source"),
         )
-        self.server_pauses = CounterFamily(
+        self.server_backoffs = CounterFamily(
             registry,
-            "pomelobarrow_server_pauses_total",
+            "pomelobarrow_server_backoffs_total",
             "Times that a backend server asked this VM to send nothing for a while.",
             ("pool",),
         )
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -14,8 +14,8 @@
     AttemptEnded,
     Forwarded,
     RequestEnded,
+    ServerBackoffRequested,
     ServerLimitNamed,
-    ServerPauseRequested,
 )
 from pomelobarrow.dispatch.local import LocalDispatch
 from pomelobarrow.kernel.context import Context
@@ -70,7 +70,7 @@
             ServerEjected: self._server_ejected,
             ServerLimitNamed: self._server_limit_named,
             ServerLeaving: self._server_leaving,
-            ServerPauseRequested: self._server_pause_requested,
+            ServerBackoffRequested: self._server_backoff_requested,
             ServerEnded: self._server_ended,
             RequestBlocked: self._request_blocked,
             ServerReadmitted: self._server_readmitted,
@@ -191,9 +191,9 @@
     def _server_limit_named(self, event: ServerLimitNamed) -> None:
         self._log.info("server limit named", **asdict(event))
 
-    def _server_pause_requested(self, event: ServerPauseRequested) -> None:
-        self._metrics.server_pauses.inc(event.pool)
-        self._log.info("server asks for a pause", **asdict(event))
+    def _server_backoff_requested(self, event: ServerBackoffRequested) -> None:
+        self._metrics.server_backoffs.inc(event.pool)
+        self._log.info("server requests a backoff", **asdict(event))
 
     def _server_leaving(self, event: ServerLeaving) -> None:
         self._metrics.servers_leaving.inc(event.pool, event.source)
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -48,7 +48,7 @@
     servers_usable: int
     servers_cold: int
     # This region's servers of the pool that asked this VM for a pause which has not ended.
-    servers_paused: int
+    servers_backing_off: int
     # Servers of the pool in other regions with a recent report, and the targets already excluded.
     servers_elsewhere: dict[str, int]
     excluded: list[str]
--- a/src/pomelobarrow/relay/relay_log.py
+++ b/src/pomelobarrow/relay/relay_log.py
@@ -78,7 +78,7 @@
                 servers_listed=len(listed),
                 servers_usable=len(table.usable_servers(work.pool, now)),
                 servers_cold=sum(server.cold_until_unix_s > now for server in listed),
-                servers_paused=len(table.paused_servers(work.pool, now)),
+                servers_backing_off=len(table.backing_off_servers(work.pool, now)),
                 servers_elsewhere={
                     region: load.servers for region, load in loads if load.is_fresh(now)
                 },
--- a/tests/test_server_backoffs.py
+++ b/tests/test_server_backoffs.py
@@ -27,20 +27,20 @@
 
 def test_server_is_left_out_until_its_pause_ends() -> None:
     backoffs = backoffs_of((10.0, 3.0))
-    assert backoffs.is_paused(SERVER, 12.9)
+    assert backoffs.is_backing_off(SERVER, 12.9)
     assert 13.0 <= backoffs.next_unix_s(SERVER, 12.9) <= 13.5
-    assert not backoffs.is_paused(SERVER, 13.6)
+    assert not backoffs.is_backing_off(SERVER, 13.6)
 
 
 @pytest.mark.parametrize("pauses", [[(10.0, 3.0), (10.5, 0.2)], [(10.0, 0.2), (10.1, 2.9)]])
 def test_pause_that_ends_last_counts(pauses: list[tuple[float, float]]) -> None:
-    assert backoffs_of(*pauses).is_paused(SERVER, 12.9)
+    assert backoffs_of(*pauses).is_backing_off(SERVER, 12.9)
 
 
 def test_pause_of_no_length_is_none() -> None:
     backoffs = backoffs_of((10.0, 0.0))
     assert backoffs.is_empty
-    assert not backoffs.is_paused(SERVER, 10.0)
+    assert not backoffs.is_backing_off(SERVER, 10.0)
 
 
 def test_only_the_first_of_overlapping_requests_for_a_pause_is_new() -> None:
@@ -52,7 +52,7 @@
 
 def test_new_start_of_a_server_is_not_paused() -> None:
     backoffs = backoffs_of((10.0, 3.0))
-    assert not backoffs.is_paused(AGAIN, 11.0)
+    assert not backoffs.is_backing_off(AGAIN, 11.0)
     backoffs.keep_only([AGAIN])
     assert backoffs.is_empty
 
@@ -96,7 +96,7 @@
     backoffs.take(KEY, 14.0)
     backoffs.observe(KEY, 3.0, 14.1)
     backoffs.release(KEY, 14.0)
-    assert backoffs.is_paused(SERVER, 17.0)
+    assert backoffs.is_backing_off(SERVER, 17.0)
     assert backoffs.next_unix_s(SERVER, 18.0) == 18.0
 
 
@@ -136,4 +136,4 @@
     next_unix_s = table.next_allowed_unix_s(POOL, (), 11.0)
     assert next_unix_s is not None
     assert 13.0 <= next_unix_s <= 13.5
-    assert list(table.paused_servers(POOL, 11.0)) == [first, second]
+    assert list(table.backing_off_servers(POOL, 11.0)) == [first, second]
