Put nothing in force when a hold ends on a copy that has observed nothing

Found by reading: a copy that requests all values again, after a second gap, has observed none for a moment. Had the two seconds after the store's return ended in it, an empty configuration would have come into force. The test failed before: the hold's end was reported as in force.

--- a/src/pomelobarrow/decision/keyspace.py
+++ b/src/pomelobarrow/decision/keyspace.py
@@ -361,8 +361,8 @@
         self._rebuild_log()
 
     def put_in_force(self) -> ApplyResult:
-        """Put the observed values in force, unless they are held back, older or invalid."""
-        if self.is_held:
+        """Put the observed values in force, unless there are none or they are held back."""
+        if self.is_held or not self.observed_revision:
             return ApplyResult(outcome=ApplyOutcome.HELD)
         changed = frozenset(self._unapplied_keys)
         if changed and (reasons := self._older_version_reasons()):
--- a/tests/test_keyspace_eras.py
+++ b/tests/test_keyspace_eras.py
@@ -154,3 +154,13 @@
         listing(copy, era, revision, {ROUTES: version})
     assert {copy.version for copy in copies} == {version}
     assert len({(copy.observed_revision, copy.digest) for copy in copies}) == 1
+
+
+def test_released_hold_puts_no_values_in_force_that_were_not_observed() -> None:
+    """A copy that requests all values again has observed none when the hold ends."""
+    copy = copy_of((1, 35, {ROUTES: 72}))
+    copy.is_held = True
+    copy.restart()
+    copy.is_held = False
+    assert copy.put_in_force().outcome is ApplyOutcome.HELD
+    assert copy.values[ROUTES] == 72
