--- a/src/pomelobarrow/decision/placement_request.py
+++ b/src/pomelobarrow/decision/placement_request.py
@@ -17,7 +17,9 @@
 BOUND_TO_OTHER_REGIONS = "the route is bound to other regions"
 LOCAL_REGION_LATE = "this region would be late"
 ALL_SERVERS_LATE = "every server is too far behind"
-LOCAL_RATE_LIMITED = "this region's servers take no more requests a second"
+LOCAL_RATE_LIMITED = (
+    "this region's servers take no more requests now, by limits or pauses of their own"
+)
 NO_LOCAL_SERVER = "this region has no server for it"
 
 
--- a/src/pomelobarrow/peers/keyspace_messages.py
+++ b/src/pomelobarrow/peers/keyspace_messages.py
@@ -9,13 +9,14 @@
 
 def keyspace_state(copy: KeyspaceCopy) -> pb.KeyspaceState:
     """Return the summary of a copy for heartbeats."""
+    era, era_in_force = era_of(copy.observed_revision), era_of(copy.revision)
     return pb.KeyspaceState(
         name=copy.name,
         revision=revision_of(copy.observed_revision),
         digest=copy.digest,
         revision_in_force=revision_of(copy.revision),
-        era=era_of(copy.observed_revision),
-        era_in_force=era_of(copy.revision),
+        era=era,
+        era_in_force=era_in_force if era_in_force != era else 0,
         version=copy.version,
     )
 
@@ -48,11 +49,12 @@
 
 def read_summary(state: pb.KeyspaceState, copy: KeyspaceCopy) -> KeyspaceSummary:
     """Read a peer's summary of its copy, for comparison with this VM's copy."""
+    era = state.era or copy.default_era
     return KeyspaceSummary(
         name=state.name,
-        revision=position(state.era or copy.default_era, state.revision),
+        revision=position(era, state.revision),
         digest=state.digest,
-        revision_in_force=position(state.era_in_force or copy.default_era, state.revision_in_force),
+        revision_in_force=position(state.era_in_force or era, state.revision_in_force),
         version=state.version,
     )
 
--- a/tests/test_keyspace_eras.py
+++ b/tests/test_keyspace_eras.py
@@ -9,6 +9,8 @@
 
 from pomelobarrow.decision.keyspace import ApplyOutcome, Change, KeyspaceCopy
 from pomelobarrow.decision.store_position import era_of, is_return, position, revision_of
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.keyspace_messages import keyspace_state, read_delta, read_summary
 
 ROUTES = "routes"
 
@@ -164,3 +166,27 @@
     copy.is_held = False
     assert copy.put_in_force().outcome is ApplyOutcome.HELD
     assert copy.values[ROUTES] == 72
+
+
+@pytest.mark.parametrize(
+    "listings",
+    [
+        [(0, 9, {ROUTES: 5})],
+        [(2, 9, {ROUTES: 5})],
+        [(1, 35, {ROUTES: 72}), (2, 28, {ROUTES: 69})],
+    ],
+)
+def test_summary_of_a_copy_survives_the_way_to_a_peer(
+    listings: list[tuple[int, int, dict[str, Any]]],
+) -> None:
+    copy = copy_of(*listings)
+    assert read_summary(keyspace_state(copy), KeyspaceCopy("config")) == copy.summary
+
+
+def test_revisions_of_an_earlier_release_count_until_a_return_is_seen() -> None:
+    """It sends no era, and may hold what the store no longer has."""
+    message = pb.KeyspaceDelta(name="config", head_revision=40)
+    copy = copy_of((2, 9, {ROUTES: 5}))
+    assert read_delta(message, copy).head_revision == position(2, 40)
+    listing(copy, 3, 8, {ROUTES: 5})
+    assert read_delta(message, copy).head_revision == position(0, 40)
