--- a/src/pomelobarrow/decision/departures.py
+++ b/src/pomelobarrow/decision/departures.py
@@ -59,9 +59,8 @@
 
     def observe(self, key: int, source: DepartureSource, now_unix_s: float) -> None:
         """Record that an incarnation leaves, and notify the listeners if this is new."""
-        if key in self._last_known_unix_s:
+        if not self.record(key, now_unix_s):
             return
-        self._last_known_unix_s[key] = now_unix_s
         for listener in self.listeners:
             listener(key, source)
 
