--- a/src/pomelobarrow/decision/departures.py
+++ b/src/pomelobarrow/decision/departures.py
@@ -11,7 +11,7 @@
 
 from attrs import define, evolve, field
 
-from pomelobarrow.decision.short_key import short_key
+from pomelobarrow.decision.short_key import server_key
 from pomelobarrow.decision.work import BackendServer
 
 # A server that has left the list may return to it with an old copy of the list, or as one whose
@@ -32,11 +32,6 @@
 DepartureListener = Callable[[int, DepartureSource], None]
 
 
-def departure_key(server: BackendServer) -> int:
-    """Return the key of a server's incarnation, as VMs send it to each other."""
-    return short_key(server.incarnation)
-
-
 @define
 class Departures:
     """The incarnations of servers that leave, by key."""
@@ -68,7 +63,7 @@
         """Return whether a server leaves, by its entry in the list or by its own statement."""
         if server.leaving or not self._last_known_unix_s:
             return server.leaving
-        return departure_key(server) in self._last_known_unix_s
+        return server_key(server) in self._last_known_unix_s
 
     def marked(self, server: BackendServer) -> BackendServer:
         """Return a server with the departure that this VM knows of."""
@@ -80,7 +75,7 @@
         """Drop the incarnations that have not been listed for a long time."""
         if not self._last_known_unix_s:
             return
-        for key in self._last_known_unix_s.keys() & set(map(departure_key, listed)):
+        for key in self._last_known_unix_s.keys() & set(map(server_key, listed)):
             self._last_known_unix_s[key] = now_unix_s
         oldest_unix_s = now_unix_s - UNLISTED_RETENTION_S
         self._last_known_unix_s = {
--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
 
-from pomelobarrow.decision.departures import Departures, DepartureSource, departure_key
+from pomelobarrow.decision.departures import Departures, DepartureSource
 from pomelobarrow.decision.group_servers import GroupServers
 from pomelobarrow.decision.others_load import extrapolation_factor, others_requests
 from pomelobarrow.decision.peer_counts import NOTHING, PeerCounts
@@ -17,6 +17,7 @@
 from pomelobarrow.decision.server_pauses import ServerPauses
 from pomelobarrow.decision.server_state import ServerState
 from pomelobarrow.decision.service_times import ServiceTimes
+from pomelobarrow.decision.short_key import server_key
 from pomelobarrow.decision.work import BackendServer, InFlight, LoadReport
 
 GAP_EWMA_WEIGHT = 0.1
@@ -86,7 +87,7 @@
         counts = {vm: peer.near(report.server, measured_unix_s) for vm, peer in self._peers.items()}
         load.observe_report(report, measured_unix_s, counts)
         if report.leaving and report.server in self._servers:
-            key = departure_key(self._servers[report.server])
+            key = server_key(self._servers[report.server])
             self.departures.observe(key, DepartureSource.REPORT, received_unix_s)
 
     def observe_partial_report(self, report: LoadReport, now_unix_s: float) -> None:
--- a/src/pomelobarrow/dispatch/crash_guard.py
+++ b/src/pomelobarrow/dispatch/crash_guard.py
@@ -8,7 +8,7 @@
 from pomelobarrow.decision.crash_suspects import Crash, CrashSuspects, Finding, Suspicion
 from pomelobarrow.decision.errors import ErrorKind, Refusal, RunStatus
 from pomelobarrow.decision.fingerprint import format_fingerprint
-from pomelobarrow.decision.short_key import short_key
+from pomelobarrow.decision.short_key import server_key
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
@@ -104,8 +104,3 @@
     def _notify(self, findings: tuple[Finding, ...]) -> None:
         if findings:
             self.notify_peers(findings)
-
-
-def server_key(server: BackendServer) -> int:
-    """Return the four-byte key of a server's incarnation."""
-    return short_key(server.incarnation)
--- a/src/pomelobarrow/dispatch/server_announcements.py
+++ b/src/pomelobarrow/dispatch/server_announcements.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable
 
 from pomelobarrow.decision.announcements import ServerAnnouncement
-from pomelobarrow.decision.departures import DepartureSource, departure_key
+from pomelobarrow.decision.departures import DepartureSource
 from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.short_key import server_key
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.dispatch.events import ServerBackoffRequested, ServerLimitNamed
 from pomelobarrow.kernel.clock import now_unix_s
@@ -19,7 +20,7 @@
     """Record a server's departure, the pause that it asks for and its rate limit, if it has one."""
     now = now_unix_s()
     if announced.is_leaving:
-        table.departures.observe(departure_key(server), DepartureSource.ANSWER, now)
+        table.departures.observe(server_key(server), DepartureSource.ANSWER, now)
     # The server may have been replaced by another incarnation since the request was sent.
     if not table.is_current_incarnation(server):
         return
--- a/src/pomelobarrow/published/keyspaces.py
+++ b/src/pomelobarrow/published/keyspaces.py
@@ -9,9 +9,10 @@
 
 from pomelobarrow.decision.configuration import Configuration
 from pomelobarrow.decision.configuration_check import ROUTING_KEY, ConfigurationChecker
-from pomelobarrow.decision.departures import Departures, DepartureSource, departure_key
+from pomelobarrow.decision.departures import Departures, DepartureSource
 from pomelobarrow.decision.keyspace import ApplyResult, Change, Delta, KeyspaceCopy
 from pomelobarrow.decision.routing import Routing
+from pomelobarrow.decision.short_key import server_key
 from pomelobarrow.decision.store_position import era_of, position, revision_of
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.kernel.clock import now_unix_s
@@ -191,7 +192,7 @@
     def _on_departure(self, key: int, source: DepartureSource) -> None:
         self._vms.rebuild()
         for server in self.backend_servers.values():
-            if departure_key(server) == key:
+            if server_key(server) == key:
                 self.observe(
                     ServerLeaving(server=server.name, pool=server.pool, source=source.value)
                 )
--- a/src/pomelobarrow/published/vms.py
+++ b/src/pomelobarrow/published/vms.py
@@ -5,7 +5,8 @@
 
 from attrs import define, evolve, field, frozen
 
-from pomelobarrow.decision.departures import Departures, departure_key
+from pomelobarrow.decision.departures import Departures
+from pomelobarrow.decision.short_key import server_key
 from pomelobarrow.decision.work import BackendServer
 
 KEY_PREFIX = "vms/"
@@ -155,7 +156,7 @@
         if not isinstance(server, BackendServer):
             return
         if server.leaving:
-            self.departures.record(departure_key(server), now_unix_s)
+            self.departures.record(server_key(server), now_unix_s)
         if is_return and server.incarnation in self._removed:
             self._revived[key] = now_unix_s + REVIVED_HOLD_S
 
--- a/src/pomelobarrow/relay/hop.py
+++ b/src/pomelobarrow/relay/hop.py
@@ -5,9 +5,9 @@
 import aiohttp
 from attrs import evolve
 
-from pomelobarrow.decision.departures import departure_key
 from pomelobarrow.decision.errors import ErrorKind, Refusal, RunStatus
 from pomelobarrow.decision.member import Member
+from pomelobarrow.decision.short_key import server_key
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.relay.attempt import Target
 from pomelobarrow.relay.messages import Headers, RelayRequest, ServerAnswerHead
@@ -68,7 +68,7 @@
         head = read_answer(response)
         if not head.announced.is_leaving or head.is_other_server:
             return head
-        named = (LEAVING_HEADER, f"{departure_key(server):x}")
+        named = (LEAVING_HEADER, f"{server_key(server):x}")
         return evolve(head, headers=(*head.headers, named))
 
     return read
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -13,11 +13,12 @@
 from pomelobarrow.decision.retry_schedule import RetrySchedule
 from pomelobarrow.decision.retry_share import RetryShare
 from pomelobarrow.decision.routing import Routing
+from pomelobarrow.decision.short_key import server_key
 from pomelobarrow.decision.stream_admission import MIN_RETRY_AFTER_S, retry_at_unix_s
 from pomelobarrow.decision.token_estimates import prefill_tokens
 from pomelobarrow.decision.work import BackendServer, Placement
 from pomelobarrow.dispatch.answers import CallerGoneError
-from pomelobarrow.dispatch.crash_guard import CrashGuard, server_key
+from pomelobarrow.dispatch.crash_guard import CrashGuard
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.answer import ClientAnswer
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -4,13 +4,9 @@
 from attrs import evolve
 from work_builders import POOL, REGION, SERVER
 
-from pomelobarrow.decision.departures import (
-    UNLISTED_RETENTION_S,
-    Departures,
-    DepartureSource,
-    departure_key,
-)
+from pomelobarrow.decision.departures import UNLISTED_RETENTION_S, Departures, DepartureSource
 from pomelobarrow.decision.load_table import LoadTable
+from pomelobarrow.decision.short_key import server_key
 from pomelobarrow.decision.work import BackendServer, LoadReport
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.departure_updates import DepartureUpdates, SentDepartures
@@ -46,7 +42,7 @@
 
 def test_leaving_server_is_not_usable_and_its_successor_is() -> None:
     table = table_of(SERVER, OTHER)
-    table.departures.observe(departure_key(SERVER), ANSWER, 1.0)
+    table.departures.observe(server_key(SERVER), ANSWER, 1.0)
     assert usable_names(table) == ["other"]
     assert not table.is_in_service(SERVER)
     table.set_servers([AGAIN, OTHER])
@@ -56,14 +52,14 @@
 def test_no_server_is_usable_where_all_leave() -> None:
     table = table_of(SERVER, OTHER)
     for server in (SERVER, OTHER):
-        table.departures.observe(departure_key(server), ANSWER, 1.0)
+        table.departures.observe(server_key(server), ANSWER, 1.0)
     assert usable_names(table) == []
 
 
 @pytest.mark.parametrize("statement", ["list", "report"])
 def test_later_statement_takes_no_departure_back(statement: str) -> None:
     table = table_of(SERVER, OTHER)
-    table.departures.observe(departure_key(SERVER), ANSWER, 1.0)
+    table.departures.observe(server_key(SERVER), ANSWER, 1.0)
     if statement == "list":
         table.set_servers([SERVER, OTHER])
     else:
@@ -86,7 +82,7 @@
 def test_departure_outlasts_an_entry_that_vanishes_and_returns() -> None:
     vms = VmList()
     vms.update({"vms/s1": READY}, 1.0)
-    vms.departures.observe(departure_key(LISTED), ANSWER, 2.0)
+    vms.departures.observe(server_key(LISTED), ANSWER, 2.0)
     vms.update({}, 3.0)
     vms.update({"vms/s1": dict(READY)}, 4.0)
     assert vms.servers["s1"].leaving
@@ -94,7 +90,7 @@
 
 def test_departure_is_forgotten_long_after_the_server_has_gone() -> None:
     departures = Departures()
-    departures.observe(departure_key(SERVER), ANSWER, 0.0)
+    departures.observe(server_key(SERVER), ANSWER, 0.0)
     departures.forget_old([SERVER], 1_000.0)
     departures.forget_old([], 1_000.0 + UNLISTED_RETENTION_S)
     assert departures.keys
@@ -109,7 +105,7 @@
     published.apply(VMS, [Change(1, "vms/s1", READY)], 1, after_revision=0, source="platform")
     published.listeners.append(lambda name, source: notified.append((name, source)))
     before = published.backend_servers
-    published.departures.observe(departure_key(LISTED), ANSWER, 1.0)
+    published.departures.observe(server_key(LISTED), ANSWER, 1.0)
     assert published.backend_servers["s1"].leaving
     assert published.backend_servers is not before
     assert notified == [(VMS, "departure")]
@@ -118,7 +114,7 @@
 
 def test_departure_reaches_vms_that_are_two_links_away() -> None:
     first, second, third = (DepartureUpdates(Departures()) for _ in range(3))
-    first.departures.observe(departure_key(SERVER), ANSWER, 1.0)
+    first.departures.observe(server_key(SERVER), ANSWER, 1.0)
     sent = SentDepartures()
     for sender, receiver in ((first, second), (second, third)):
         heartbeat = pb.Heartbeat(vm="sender")
@@ -133,7 +129,7 @@
 def test_departure_of_a_server_that_is_listed_later_counts() -> None:
     """An update of a peer overtakes the entry of a server that has just started."""
     table = table_of(OTHER)
-    heartbeat = pb.Heartbeat(vm="peer", leaving_keys=[departure_key(SERVER)])
+    heartbeat = pb.Heartbeat(vm="peer", leaving_keys=[server_key(SERVER)])
     DepartureUpdates(table.departures).apply(heartbeat, 1.0)
     table.set_servers([SERVER, OTHER])
     assert usable_names(table) == ["other"]
