Keep a server's backoff while an older list lacks its incarnation

Cause: pauses were dropped with incarnations that are not listed. Change: time alone ends them; those that ended over a minute ago are forgotten with the next one.

--- a/src/pomelobarrow/decision/server_backoffs.py
+++ b/src/pomelobarrow/decision/server_backoffs.py
@@ -8,7 +8,6 @@
 """
 
 import math
-from collections.abc import Iterable
 from random import Random
 
 from attrs import define, field
@@ -22,6 +21,8 @@
 RECOVERED_WINDOW = 64
 # While requests wait for a place at a returning server, they check again after this time.
 RETURN_CHECK_S = 0.05
+# A server that got no request in this time after its pause has gone or has recovered.
+ENDED_RETENTION_S = 60.0
 
 
 @define
@@ -53,6 +54,7 @@
         """
         if backoff_s <= 0.0:
             return False
+        self._forget_old(now_unix_s)
         backoff = self._backoffs.setdefault(incarnation, _Backoff())
         is_new = backoff.until_unix_s <= now_unix_s
         if now_unix_s + backoff_s <= backoff.until_unix_s:
@@ -101,11 +103,14 @@
         if backoff is not None and backoff.in_flight:
             backoff.in_flight -= 1
 
-    def keep_only(self, servers: Iterable[BackendServer]) -> None:
-        """Drop the pauses of incarnations that are no longer listed."""
-        if not self._backoffs:
-            return
-        for incarnation in self._backoffs.keys() - {server.incarnation for server in servers}:
+    def _forget_old(self, now_unix_s: float) -> None:
+        """Drop pauses that ended long ago.
+
+        An older copy of the list may lack a server for a moment, so the list does not decide.
+        """
+        oldest_unix_s = now_unix_s - ENDED_RETENTION_S
+        old = [key for key, each in self._backoffs.items() if each.return_unix_s < oldest_unix_s]
+        for incarnation in old:
             del self._backoffs[incarnation]
 
     def _returning(self, incarnation: str, sent_unix_s: float) -> _Backoff | None:
--- a/src/pomelobarrow/decision/server_limits.py
+++ b/src/pomelobarrow/decision/server_limits.py
@@ -102,9 +102,7 @@
             self._rates.take(server.incarnation, now_unix_s)
 
     def keep_only(self, servers: Iterable[BackendServer]) -> None:
-        """Drop the limits and pauses of incarnations that are no longer listed."""
-        servers = tuple(servers)
-        self.backoffs.keep_only(servers)
+        """Drop the limits of incarnations that are no longer listed."""
         gone = self._named.keys() - {server.incarnation for server in servers}
         for incarnation in gone:
             del self._named[incarnation]
