Let a daemon that starts confirm nothing by its own early reads

Cause: a daemon that starts can't know that the store has just returned, so its first read counted as proof that its configuration was current; peers' proofs of the era before confirmed it too, as their position is lower.

Change: own reads count from two seconds after an era became known, also the first one; peers prove for a daemon that starts, in its own era and where they have no newer version in force, which their answer states. The unit test failed before in both parts.

--- a/src/pomelobarrow/decision/config_proof.py
+++ b/src/pomelobarrow/decision/config_proof.py
@@ -46,9 +46,11 @@
     revocation_s: float
     # By revision, and so by time too: a later read never names an earlier revision.
     _proofs: deque[Proof] = field(factory=deque, init=False)
-    # Proofs of revisions from here on count only from the given time on.
-    _returned_revision: int = field(default=0, init=False)
+    # The first position of the store's era, and the time from which own reads in it count.
+    _era_start: int = field(default=0, init=False)
     _settled_unix_s: float = field(default=-math.inf, init=False)
+    # Proofs of earlier positions say nothing about the configuration of this VM.
+    _oldest_revision: int = field(default=0, init=False)
 
     @property
     def max_age_s(self) -> float:
@@ -65,18 +67,33 @@
         """Return the newest proof, None if there is none."""
         return self._proofs[-1] if self._proofs else None
 
-    def observe_return(self, first_revision: int, settled_unix_s: float) -> None:
-        """Ignore early proofs of an era, in which the platform lacked what was published last."""
-        self._returned_revision, self._settled_unix_s = first_revision, settled_unix_s
+    def observe_era(self, era_start: int, settled_unix_s: float) -> None:
+        """Ignore own reads of an era until it has settled.
+
+        The platform may just have come back from an older copy, which lacks what was published
+        last. A VM that starts can't tell, and holds no configuration of an earlier era.
+        """
+        if not self._era_start:
+            self._oldest_revision = era_start
+        self._era_start, self._settled_unix_s = era_start, settled_unix_s
         self._proofs = deque(proof for proof in self._proofs if not self._is_early(proof))
 
     def _is_early(self, proof: Proof) -> bool:
-        is_of_era = 0 < self._returned_revision <= proof.revision
+        is_of_era = 0 < self._era_start <= proof.revision
         return is_of_era and proof.unix_s < self._settled_unix_s
 
     def observe(self, proof: Proof) -> None:
-        """Record a proof of an own read or of a peer, unless a better one is known."""
-        if self._is_early(proof) or any(_supersedes(known, proof) for known in self._proofs):
+        """Record a proof of an own read, unless a better one is known."""
+        if not self._is_early(proof):
+            self._record(proof)
+
+    def observe_of_peer(self, proof: Proof) -> None:
+        """Record a proof of a peer, which gives none of its own early reads."""
+        if proof.revision >= self._oldest_revision:
+            self._record(proof)
+
+    def _record(self, proof: Proof) -> None:
+        if any(_supersedes(known, proof) for known in self._proofs):
             return
         others = (known for known in self._proofs if not _supersedes(proof, known))
         oldest_unix_s = proof.unix_s - self.max_age_s
--- a/src/pomelobarrow/peers/config_proofs.py
+++ b/src/pomelobarrow/peers/config_proofs.py
@@ -108,13 +108,21 @@
         answer = await self._datagrams.query(
             (member.host, self._datagrams.port), query, ANSWER_TIMEOUT_S
         )
-        if isinstance(answer, pb.ProofAnswer):
+        if isinstance(answer, pb.ProofAnswer) and self._is_about_own_configuration(answer):
             # The peer's proof has this age when it answers, which is later than the query was sent.
             proven_unix_s = sent_unix_s - answer.age_ms / MS_PER_S
-            # A peer of an earlier release states no era, and may hold another one's configuration.
             era = answer.era or self._published.copies[CONFIG].default_era
-            if era or not self._published.copies[CONFIG].has_seen_return:
-                self.proof.observe(Proof(proven_unix_s, position(era, answer.revision)))
+            self.proof.observe_of_peer(Proof(proven_unix_s, position(era, answer.revision)))
+
+    def _is_about_own_configuration(self, answer: pb.ProofAnswer) -> bool:
+        """Return whether a peer's proof may confirm what is in force here.
+
+        A peer of an earlier release states no era, and after the store's return it may hold another
+        one's configuration. A newer version in force there is one that the store's copy lacks.
+        """
+        copy = self._published.copies[CONFIG]
+        is_of_known_era = bool(answer.era) or not copy.has_seen_return
+        return is_of_known_era and answer.version <= copy.version
 
     def _answer(self, query: pb.ProofQuery, reply: Reply) -> None:
         newest, age_s = self.proof.newest, self.proof.age_s(now_unix_s())
@@ -126,5 +134,6 @@
             age_ms=age_ms,
             revision=revision_of(newest.revision),
             era=era_of(newest.revision),
+            version=self._published.copies[CONFIG].version,
         )
         reply(pb.Datagram(proof_answer=answer))
--- a/src/pomelobarrow/published/keyspaces.py
+++ b/src/pomelobarrow/published/keyspaces.py
@@ -56,7 +56,7 @@
     departures: Departures = field(factory=Departures)
     listeners: list[AppliedListener] = field(factory=list)
     # Called with the first position of an era and the time from which reads in it count.
-    return_listeners: list[Callable[[int, float], None]] = field(factory=list)
+    era_listeners: list[Callable[[int, float], None]] = field(factory=list)
 
     _checked_configuration: Configuration | None = field(default=None, init=False)
     _vms: VmList = field(init=False)
@@ -150,16 +150,19 @@
     def _note_era(self, era: int, source: str) -> None:
         """Hold the configuration in force for a while if the store came back from an older copy."""
         known, self._era = self._era, max(era, self._era)
-        if not 0 < known < era:
+        if era <= known:
             return
-        now = now_unix_s()
-        settled_unix_s = now + RETURN_SETTLE_S
+        settled_unix_s = now_unix_s() + RETURN_SETTLE_S
+        for listener in self.era_listeners:
+            listener(position(era, 0), settled_unix_s)
+        if known:
+            self._hold_configuration(era, settled_unix_s, source)
+
+    def _hold_configuration(self, era: int, settled_unix_s: float, source: str) -> None:
         self.observe(StoreReturned(era=era, source=source))
         if self.copies[CONFIG].revision:
             self.copies[CONFIG].is_held = True
             self._settled_unix_s = settled_unix_s
-        for listener in self.return_listeners:
-            listener(position(era, 0), settled_unix_s)
         self._notify_listeners(CONFIG, SOURCE_RETURN)
 
     def apply_in_force(self, delta: Delta, source: str) -> ApplyResult:
--- a/src/pomelobarrow/published/plugin.py
+++ b/src/pomelobarrow/published/plugin.py
@@ -92,7 +92,7 @@
 def _proof(context: Context) -> ConfigProof:
     relay = context.settings.relay
     proof = ConfigProof(revocation_s=relay.revocation_s if relay else DEFAULT_REVOCATION_S)
-    context.get(PublishedState).return_listeners.append(proof.observe_return)
+    context.get(PublishedState).era_listeners.append(proof.observe_era)
     return proof
 
 
--- a/tests/test_config_proof.py
+++ b/tests/test_config_proof.py
@@ -52,8 +52,11 @@
 def test_early_proofs_after_the_stores_return_count_for_nothing() -> None:
     """A revocation that was acknowledged last may be missing in the store's copy for a moment."""
     before, after = position(1, 35), position(2, 28)
-    proof = proof_of(Proof(100.0, before), Proof(101.0, after))
-    proof.observe_return(position(2, 0), 103.0)
+    proof = ConfigProof(revocation_s=REVOCATION_S)
+    proof.observe_era(position(1, 0), 0.0)
+    for early in (Proof(100.0, before), Proof(101.0, after)):
+        proof.observe(early)
+    proof.observe_era(position(2, 0), 103.0)
     proof.observe(Proof(102.9, after))
     assert not proof.confirms(after, 100.1 + proof.max_age_s)
     assert proof.confirms(before, 100.0 + proof.max_age_s)
@@ -62,6 +65,19 @@
     assert not proof.confirms(before, 104.0)
 
 
+def test_vm_that_starts_just_after_the_stores_return_confirms_nothing_by_itself() -> None:
+    """It read the store's older copy, in which a key was not revoked yet, and served it at once."""
+    proof = ConfigProof(revocation_s=REVOCATION_S)
+    older = position(2, 28)
+    proof.observe_era(position(2, 0), 102.0)
+    proof.observe(Proof(100.0, older))
+    # Peers still prove the configuration of the era before, which this VM doesn't hold.
+    proof.observe_of_peer(Proof(99.9, position(1, 35)))
+    assert not proof.confirms(older, 100.1)
+    proof.observe_of_peer(Proof(100.1, older))
+    assert proof.confirms(older, 100.2)
+
+
 @pytest.mark.parametrize("revocation_s", [0.5, 1.0, 5.0, 30.0])
 def test_refreshes_keep_a_proof_valid(revocation_s: float) -> None:
     """Arithmetic of the module's description: a watch, its predecessor and a query."""
--- a/tests/test_proof_soak.py
+++ b/tests/test_proof_soak.py
@@ -9,10 +9,15 @@
 # SIGHUP, which reloads the settings, ended a daemon that was still importing its modules. Its
 # clients were not served after the faults.
 SIGNAL_DURING_START = (303, 310)
+# A daemon that started just after the store's return served a revoked key.
+START_AFTER_RETURN = (1013, 1037)
+# A list of the store's older copy made a daemon forget a server's pause.
+PAUSE_FORGOTTEN = (1043,)
+REPRODUCED = (*SIGNAL_DURING_START, *START_AFTER_RETURN, *PAUSE_FORGOTTEN)
 
 
 @pytest.mark.parametrize(
-    ("seed", "faults_for_s"), [(1, 5.0), *((seed, 12.0) for seed in SIGNAL_DURING_START)]
+    ("seed", "faults_for_s"), [(1, 5.0), *((seed, 12.0) for seed in REPRODUCED)]
 )
 async def test_promises_hold_while_faults_come_and_go(seed: int, faults_for_s: float) -> None:
     """Clients send requests while daemons are killed, paused and stopped and connections fail.
