Write lost values again from when the soak's store is reachable

Traced: the revocation was lost with the store's copy and written again over five seconds after the return, since the busy soak waited for the proxy's answer first; rb-2 still read revision 38 at 54:42.6 where the revocation was 39.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from random import Random
+from typing import Any
 
 from attrs import define, field, frozen
 
@@ -149,10 +150,16 @@
             await self.fleet.fault("store", "refuse")
             await asyncio.sleep(random.uniform(0.1, 1.5))
             lost, era = store.come_back(copy), store.era
-            await self.fleet.fault("store", "pass")
-            await asyncio.sleep(random.uniform(0.0, 1.2))
-            store.write_again(lost, era)
+            # From when the store is reachable, or a busy machine would stretch the time.
+            await asyncio.gather(
+                self.fleet.fault("store", "pass"),
+                self._write_again(lost, era, random.uniform(0.0, 1.2)),
+            )
             self._record("store", "store", started_s)
 
+    async def _write_again(self, lost: dict[str, Any], era: int, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        self.fleet.store.write_again(lost, era)
+
     async def _publish(self) -> None:
         self.fleet.publish_configuration()
