End the return to a server after a minute in any case

Found by reading: if a server's entry vanishes, or an older list replaces its incarnation, while the first request after its pause is there, that request's place is never released, and this VM would have sent nothing to the server until the next pause of any server. The new test failed before.

--- a/src/pomelobarrow/decision/server_backoffs.py
+++ b/src/pomelobarrow/decision/server_backoffs.py
@@ -21,7 +21,7 @@
 RECOVERED_WINDOW = 64
 # While requests wait for a place at a returning server, they check again after this time.
 RETURN_CHECK_S = 0.05
-# A server that got no request in this time after its pause has gone or has recovered.
+# The return is over after this time, also if a request of it was never released.
 ENDED_RETENTION_S = 60.0
 
 
@@ -79,7 +79,8 @@
             return now_unix_s
         if now_unix_s < backoff.return_unix_s:
             return backoff.return_unix_s
-        has_place = backoff.in_flight < backoff.window
+        is_over = now_unix_s >= backoff.return_unix_s + ENDED_RETENTION_S
+        has_place = is_over or backoff.in_flight < backoff.window
         return now_unix_s if has_place else now_unix_s + RETURN_CHECK_S
 
     def take(self, incarnation: str, now_unix_s: float) -> None:
--- a/tests/test_server_backoffs.py
+++ b/tests/test_server_backoffs.py
@@ -157,3 +157,12 @@
     assert next_unix_s is not None
     assert 13.0 <= next_unix_s <= 13.5
     assert list(table.backing_off_servers(POOL, 11.0)) == [first, second]
+
+
+def test_place_whose_request_is_never_released_does_not_block_the_return_for_good() -> None:
+    """The server's entry vanished while the first request after the pause was there."""
+    backoffs = backoffs_of((10.0, 3.0))
+    backoffs.take(KEY, 14.0)
+    assert backoffs.next_unix_s(SERVER, 15.0) > 15.0
+    late = 14.0 + ENDED_RETENTION_S
+    assert backoffs.next_unix_s(SERVER, late) == late
