--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -1,7 +1,7 @@
 """The platform's store comes back from an older copy and gives revisions out again."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -26,6 +26,12 @@
     return {"Version": version, "Routes": [], "Services": [], "Limits": {}}
 
 
+async def wait_until(condition: Callable[[], object]) -> None:
+    async with asyncio.timeout(SOON_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
 @define(slots=False)
 class Reader:
     """One VM's watcher and what it has in force."""
@@ -39,9 +45,7 @@
         return self.state.routing.version if self.state.routing else 0
 
     async def wait_for_version(self, version: int) -> None:
-        async with asyncio.timeout(SOON_S):
-            while self.version != version:
-                await asyncio.sleep(0.01)
+        await wait_until(lambda: self.version == version)
 
 
 @pytest.fixture
@@ -99,14 +103,10 @@
     copy = store.copy()
     for number in (2, 3):
         store.put(f"servers/s{number}", ENTRY | {"State": "ready"})
-    async with asyncio.timeout(SOON_S):
-        while "s3" not in reader.state.backend_servers:
-            await asyncio.sleep(0.01)
+    await wait_until(lambda: "s3" in reader.state.backend_servers)
     store.come_back(copy)
     store.put("servers/s1", ENTRY | {"State": "draining"})
-    async with asyncio.timeout(SOON_S):
-        while not reader.state.backend_servers["s1"].leaving:
-            await asyncio.sleep(0.01)
+    await wait_until(lambda: reader.state.backend_servers["s1"].leaving)
 
 
 async def test_older_configuration_of_the_stores_copy_is_not_put_in_force(
@@ -119,16 +119,12 @@
     await reader.wait_for_version(7)
     store.come_back(copy)
     store.put("op/evacuate/z", {})
-    async with asyncio.timeout(SOON_S):
-        while not reader.state.copies[CONFIG].superseded_revision:
-            await asyncio.sleep(0.01)
+    await wait_until(lambda: reader.state.copies[CONFIG].superseded_revision)
     assert reader.version == 7
     # The keys of version 7 stay valid, as the store holds nothing newer.
     assert reader.state.confirmable_revision > reader.state.copies[CONFIG].revision
     store.put("op/config", config(7))
-    async with asyncio.timeout(SOON_S):
-        while "z" not in reader.state.configuration.evacuated_domains:
-            await asyncio.sleep(0.01)
+    await wait_until(lambda: "z" in reader.state.configuration.evacuated_domains)
 
 
 async def test_evacuation_stays_in_force_until_the_operator_has_written_it_again(
@@ -142,17 +138,11 @@
     reader.state.listeners.append(
         lambda name, source: seen.append(reader.state.configuration.evacuated_domains)
     )
-    async with asyncio.timeout(SOON_S):
-        while {"z"} not in seen:
-            await asyncio.sleep(0.01)
+    await wait_until(lambda: {"z"} in seen)
     store.come_back(copy)
-    async with asyncio.timeout(SOON_S):
-        while not reader.state.copies[CONFIG].is_held:
-            await asyncio.sleep(0.01)
+    await wait_until(lambda: reader.state.copies[CONFIG].is_held)
     store.put("op/evacuate/z", {})
-    async with asyncio.timeout(SOON_S):
-        while reader.state.copies[CONFIG].is_held:
-            await asyncio.sleep(0.01)
+    await wait_until(lambda: not reader.state.copies[CONFIG].is_held)
     assert seen[seen.index({"z"}) :] == [{"z"}] * len(seen[seen.index({"z"}) :])
 
 
@@ -162,7 +152,5 @@
     await reader.wait_for_version(7)
     store.era, store.revision = 0, 2
     store.put("op/config", config(9))
-    async with asyncio.timeout(SOON_S):
-        while not reader.state.copies[CONFIG].counters.stale:
-            await asyncio.sleep(0.01)
+    await wait_until(lambda: reader.state.copies[CONFIG].counters.stale)
     assert reader.version == 7
