Log pools that this VM can't reach, and peers that refuse for that reason

Callers of VMs that lost their links to all servers got 503 with the words for a region without servers, and a peer's refusal showed as `status 503`.

New: `pool unreachable` with the number of servers that failed in a row and the last failure, `pool reachable again` with the time between, a counter, `unreachable_pools` in the status, and in `relay attempt ended` whether the refusing peer reaches the pool itself (a header of the hop). Nothing else depends on it yet; no decision changes.

--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -227,6 +227,12 @@
             "Sendings of relayed requests to a backend server or a peer, by their end.",
             ("pool", "end"),
         )
+        self.pools_unreachable = CounterFamily(
+            registry,
+            "pomelobarrow_pools_unreachable_total",
+            "Times that this VM reached no backend server of a pool.",
+            ("pool",),
+        )
         self.ejections = CounterFamily(
             registry,
             "pomelobarrow_server_ejections_total",
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -33,6 +33,8 @@
 )
 from pomelobarrow.relay.events import (
     DirectoryChanged,
+    PoolReachable,
+    PoolUnreachable,
     RelayAttemptEnded,
     RelayDenied,
     RelayEnded,
@@ -68,6 +70,8 @@
             RelayAttemptEnded: self._relay_attempt_ended,
             RelayEnded: self._relay_ended,
             ServerEjected: self._server_ejected,
+            PoolUnreachable: self._pool_unreachable,
+            PoolReachable: self._pool_reachable,
             ServerLimitNamed: self._server_limit_named,
             ServerLeaving: self._server_leaving,
             ServerBackoffRequested: self._server_backoff_requested,
@@ -188,6 +192,13 @@
         self._metrics.blocked.inc(event.pool)
         self._log.warning("request blocked", **asdict(event))
 
+    def _pool_unreachable(self, event: PoolUnreachable) -> None:
+        self._metrics.pools_unreachable.inc(event.pool)
+        self._log.warning("pool unreachable", **asdict(event))
+
+    def _pool_reachable(self, event: PoolReachable) -> None:
+        self._log.info("pool reachable again", **asdict(event))
+
     def _server_limit_named(self, event: ServerLimitNamed) -> None:
         self._log.info("server limit named", **asdict(event))
 
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -75,6 +75,7 @@
     _timeout_scope: asyncio.Timeout | None = field(default=None, init=False)
     _timer: asyncio.TimerHandle | None = field(default=None, init=False)
     _announced: ServerAnnouncement = field(factory=ServerAnnouncement, init=False)
+    _has_head: bool = field(default=False, init=False)
 
     @property
     def is_surely_unrun(self) -> bool:
@@ -134,11 +135,11 @@
             trace_request_ctx=self._begin_sending,
         ) as response:
             head = self.target.read_answer(response)
-            self._announced = head.announced
+            self._announced, self._has_head = head.announced, True
             self.on_head(head)
             if head.is_not_run:
                 self.state.apply(AttemptEvent.REFUSE_UNRUN)
-                return self._report(_unrun_end(head), f"status {head.status}")
+                return self._report(_unrun_end(head), _unrun_detail(head))
             if fault := self._fault(head):
                 return self._lost(fault)
             if request.route.is_stream and head.status == STATUS_OK:
@@ -229,6 +230,7 @@
             is_closed=is_closed,
             is_connection_refused=is_connection_refused,
             answer=answer,
+            has_head=self._has_head,
             first_answer_unix_s=self.first_answer_unix_s,
             longest_pause_s=self.longest_pause_s,
             announced=self._announced,
@@ -241,6 +243,11 @@
     return AttemptEnd.REFUSED_UNSENT if head.is_unsent else AttemptEnd.REFUSED
 
 
+def _unrun_detail(head: ServerAnswerHead) -> str:
+    reason = ": the peer reaches no server of the pool" if head.is_pool_unreachable else ""
+    return f"status {head.status}{reason}"
+
+
 def _is_connection_refused(error: BaseException) -> bool:
     os_error = getattr(error, "os_error", error)
     return isinstance(os_error, ConnectionRefusedError)
--- a/src/pomelobarrow/relay/hop.py
+++ b/src/pomelobarrow/relay/hop.py
@@ -29,6 +29,9 @@
 # Names the server that stated with the answer that it leaves. The VM that passes the answer on to
 # the client must stop sending to that server as well, whether or not it still receives updates.
 LEAVING_HEADER = "Pomelobarrow-Peer-Server-Leaving"
+# Sent with a refusal by a peer that reaches no server of the request's pool, so that the refusal
+# doesn't count for the other VMs of its region.
+UNREACHABLE_HEADER = "Pomelobarrow-Peer-Pool-Unreachable"
 # Allows for two round trips between the farthest regions and one lost packet.
 CONNECT_TIMEOUT_S = 0.6
 SERVER_KEY_MASK = 0xFFFFFFFF
@@ -51,14 +54,18 @@
 
 
 def refusal_headers(
-    refusal: Refusal, was_sent: bool, ended_server_key: int | None = None
+    refusal: Refusal,
+    was_sent: bool,
+    ended_server_key: int | None = None,
+    is_pool_unreachable: bool = False,
 ) -> Headers:
-    """Return the headers that state whether a forwarded request ran and which server crashed."""
+    """Return the headers that tell a peer whether its request ran and what prevented it."""
     run = refusal.run.value
     if refusal.run is RunStatus.NO and not was_sent:
         run = BLOCKED if refusal.kind is ErrorKind.CRASHES_SERVERS else UNSENT
     ended = () if ended_server_key is None else ((ENDED_HEADER, f"{ended_server_key:x}"),)
-    return ((RUN_HEADER, run), *ended)
+    unreachable = ((UNREACHABLE_HEADER, "1"),) if is_pool_unreachable else ()
+    return ((RUN_HEADER, run), *ended, *unreachable)
 
 
 def naming_departure(read_answer: AnswerReader, server: BackendServer) -> AnswerReader:
@@ -113,6 +120,7 @@
             is_not_run=is_not_run,
             is_unsent=is_unsent,
             is_blocked=is_blocked,
+            is_pool_unreachable=response.headers.get(UNREACHABLE_HEADER) == "1",
             ended_server_key=_server_key(response.headers.get(ENDED_HEADER, "")),
             lost_detail="" if is_not_run else f"the peer answered {response.status}",
         )
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -117,6 +117,8 @@
     is_unsent: bool = False
     # True if a peer refused the request unsent because such requests crash servers.
     is_blocked: bool = False
+    # True if a peer states that it reaches no server of the pool.
+    is_pool_unreachable: bool = False
     # The server of a peer that crashed while it ran the request, hashed as in crash updates.
     ended_server_key: int | None = None
     # The server of a peer that states that it leaves, hashed as in updates between VMs.
@@ -173,6 +175,8 @@
     # True if the address refused the connection, as that of a process that has ended does.
     is_connection_refused: bool = False
     answer: WholeAnswer | None = None
+    # True if the head of an answer arrived.
+    has_head: bool = False
     first_answer_unix_s: float | None = None
     # The longest time between two events of a stream; 0 if there was no second one.
     longest_pause_s: float = 0.0
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -10,6 +10,7 @@
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.placement import Placer
+from pomelobarrow.decision.reachability import ServerReachability
 from pomelobarrow.decision.retry_share import RetryShare
 from pomelobarrow.decision.routing import Routing
 from pomelobarrow.dispatch.crash_guard import CrashGuard
@@ -27,6 +28,7 @@
 from pomelobarrow.relay.health_monitor import ServerHealthMonitor
 from pomelobarrow.relay.listeners import Listener, RelayListeners
 from pomelobarrow.relay.planned_stop import PlannedStop
+from pomelobarrow.relay.reach_monitor import ReachMonitor
 from pomelobarrow.relay.relay import Relay
 from pomelobarrow.relay.wire import RelayWire
 
@@ -42,6 +44,8 @@
 def provide_parts(context: Context) -> None:
     """Register the parts of the relay."""
     context.provide(Placer, _placer)
+    context.provide(ServerReachability, _reachability)
+    context.provide(ReachMonitor, _reach_monitor)
     context.provide(Relay, _relay)
     context.provide(PlannedStop, lambda _: PlannedStop())
     context.provide(RelayAccess, _access)
@@ -71,6 +75,7 @@
         "configuration_proof_age_s": age_s if math.isfinite(age_s) else None,
         "configuration_is_confirmed": proofs.is_confirmed(),
         "metered_accounts": grants.metered_accounts(),
+        "unreachable_pools": sorted(context.get(ServerReachability).unreachable_pools),
     }
     return StatusSection("relay", values)
 
@@ -124,6 +129,14 @@
     )
 
 
+def _reachability(context: Context) -> ServerReachability:
+    return ServerReachability(pool_servers=context.get(LoadTable).pool_servers)
+
+
+def _reach_monitor(context: Context) -> ReachMonitor:
+    return ReachMonitor(reachability=context.get(ServerReachability), observe=context.observe)
+
+
 def _relay(context: Context) -> Relay:
     settings = _relay_settings(context)
     return Relay(
@@ -136,6 +149,7 @@
         retries=RetryShare(bound=settings.retry_bound),
         monitor=ServerHealthMonitor(table=context.get(LoadTable), observe=context.observe),
         observe=context.observe,
+        reach=context.get(ReachMonitor),
         guard=context.get(CrashGuard),
         may_still_run=context.get(RelayAccess).may_still_run,
     )
--- a/src/pomelobarrow/relay/refusal_answer.py
+++ b/src/pomelobarrow/relay/refusal_answer.py
@@ -17,11 +17,12 @@
     request_id: str,
     sink: ClientAnswer,
     history: AttemptHistory | None = None,
+    is_pool_unreachable: bool = False,
 ) -> None:
-    """Send a refusal; to a peer, it also states whether the request was sent to a server."""
+    """Send a refusal; to a peer, it also states why the request did not run."""
     was_sent = history is not None and history.was_sent
     ended_server_key = history.ended_server_key if history is not None else None
-    run_headers = refusal_headers(refusal, was_sent, ended_server_key)
+    run_headers = refusal_headers(refusal, was_sent, ended_server_key, is_pool_unreachable)
     headers = (PROBLEM_CONTENT_TYPE, *run_headers)
     if refusal.retry_at_unix_s is not None:
         pause_s = max(0.0, refusal.retry_at_unix_s - now_unix_s())
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -30,6 +30,7 @@
 from pomelobarrow.relay.messages import AttemptEnd, AttemptReport, RelayRequest, ServerAnswerHead
 from pomelobarrow.relay.next_step import UNSENT_ENDS, AttemptHistory, Step, last_step, should_retry
 from pomelobarrow.relay.progress import RequestProgress
+from pomelobarrow.relay.reach_monitor import ReachMonitor
 from pomelobarrow.relay.refusal_answer import send_refusal
 from pomelobarrow.relay.relay_log import RelayLog
 from pomelobarrow.relay.wire import RelayWire, ServerCallOptions
@@ -39,6 +40,7 @@
 SERVER_CONNECT_TIMEOUT_S = 0.35
 RETRY_JITTER = 0.5
 LIMIT_CHECK_S = 0.01
+NO_ANSWER_ENDS = frozenset({AttemptEnd.NOT_SENT, AttemptEnd.LOST})
 KEY_UNCONFIRMED = "the key may have been revoked while the request waited"
 
 
@@ -56,6 +58,7 @@
     observe: Callable[[object], None]
     rng: Random = field(factory=Random)
     monitor: ServerHealthMonitor
+    reach: ReachMonitor
     guard: CrashGuard = field(factory=CrashGuard)
     # Returns whether the key of an admitted request is still known to be valid.
     may_still_run: Callable[[RelayRequest], bool] = lambda request: True
@@ -190,6 +193,11 @@
         self.placer.record_placement(server, now)
         table.prefixes.observe_placement(server.name, work.prefix_hashes)
         table.charge(work.request_id, server.name, tokens, now, kv_tokens)
+
+        def on_head(head: ServerAnswerHead) -> None:
+            self.records.of_server(server, head)
+            self.reach.note_answer(server, now)
+
         options = ServerCallOptions(
             server=server.name,
             deadline_unix_s=work.deadline_unix_s,
@@ -208,11 +216,13 @@
                 target,
                 first_answer_timeout=self._first_answer_timeout(progress, placement),
                 on_pause=self._pause_observer(progress, server.name),
-                on_head=lambda head: self.records.of_server(server, head),
+                on_head=on_head,
                 may_send=lambda: table.takes_requests(server, now_unix_s()),
             )
         finally:
             table.release(work.request_id, now_unix_s())
+        if report.end in NO_ANSWER_ENDS and not report.has_head:
+            self.reach.note_failure(server, report.detail)
         self.monitor.monitor(server, report, placement.expected_wait_s, now)
         await self._record_server_end(progress, server, report)
         if report.end is not AttemptEnd.PASSED_ON:
@@ -348,7 +358,8 @@
             return "answered"
         refusal = self._refusal(progress, step)
         request_id = progress.request.work.request_id
-        await send_refusal(refusal, request_id, progress.sink, progress.history)
+        is_unreachable = not self.reach.reachability.is_reachable(progress.request.work.pool)
+        await send_refusal(refusal, request_id, progress.sink, progress.history, is_unreachable)
         return "refused" if refusal.run is RunStatus.NO else "failed"
 
     def _refusal(self, progress: RequestProgress, step: Step) -> Refusal:
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -17,6 +17,7 @@
 from pomelobarrow.decision.member import Member
 from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.placement import Placer
+from pomelobarrow.decision.reachability import ServerReachability
 from pomelobarrow.decision.retry_share import RetryBound, RetryShare
 from pomelobarrow.decision.routing import PoolShare, Route, RouteKind, Routing
 from pomelobarrow.decision.work import BackendServer
@@ -27,6 +28,7 @@
 from pomelobarrow.relay.health_monitor import ServerHealthMonitor
 from pomelobarrow.relay.listeners import Listener, RelayListeners
 from pomelobarrow.relay.planned_stop import PlannedStop
+from pomelobarrow.relay.reach_monitor import ReachMonitor
 from pomelobarrow.relay.relay import Relay
 
 HOST = "shop.example"
@@ -175,6 +177,9 @@
         wire=platform_wire(),
         retries=RetryShare(bound=bound),
         monitor=ServerHealthMonitor(table=table, observe=events.append),
+        reach=ReachMonitor(
+            reachability=ServerReachability(pool_servers=table.pool_servers), observe=events.append
+        ),
         observe=events.append,
         may_still_run=access.may_still_run,
     )
