--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -1,6 +1,6 @@
 """Run relays of several regions in this process in front of scripted servers."""
 
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import Any
 
@@ -61,6 +61,8 @@
     front: RelayFront
     listeners: RelayListeners
     planned_stop: PlannedStop
+    # Overrides of the addresses that the VM connects to.
+    dial: dict[str, str]
     events: list[object] = field(factory=list)
 
     @property
@@ -71,11 +73,23 @@
 
 @define(kw_only=True)
 class RelayFleet:
-    """Represent one running VM per region and all servers."""
+    """Represent the running VMs and all servers.
+
+    The first VM of a region has the region's name as its key; the others add their number.
+    """
 
     vms: Mapping[str, RelayVm]
     servers: Mapping[str, ScriptedServer]
 
+    def lose_links(self, key: str, address: str) -> None:
+        """Make a VM connect to this address in place of all servers."""
+        dial = {server.address: address for server in self.servers.values()}
+        self.vms[key].dial.update(dial)
+
+    def restore_links(self, key: str) -> None:
+        """Let a VM connect to the servers again."""
+        self.vms[key].dial.clear()
+
 
 @frozen
 class Answer:
@@ -108,31 +122,54 @@
     bound: RetryBound = AMPLE_RETRIES,
     accounts: tuple[Account, ...] | None = None,
     access_of: Callable[[str], dict[str, Any]] = lambda region: {},
+    vms_per_region: int = 1,
 ) -> AsyncIterator[RelayFleet]:
-    """Run one VM per region, each on its own loopback address; accounts make keys necessary."""
+    """Run the VMs, each on its own loopback address; accounts make keys necessary."""
     async with AsyncExitStack() as stack:
         front_port, hop_port = free_ports(2)
-        hosts = {region: f"127.0.0.{index + 1}" for index, region in enumerate(servers_by_region)}
+        places = _places(servers_by_region, vms_per_region)
         servers: dict[str, ScriptedServer] = {}
         listed: list[BackendServer] = []
         for region, scripts in servers_by_region.items():
             for name, script in scripts.items():
-                server = ScriptedServer(name=name, host=hosts[region], script=script)
+                server = ScriptedServer(name=name, host=places[region].host, script=script)
                 servers[name] = await stack.enter_async_context(server)
                 listed.append(_listed(name, region, server.address))
         routing = Routing(
             version=1, routes=routes, accounts=accounts or (), needs_account=accounts is not None
         )
         vms = {}
-        for region in servers_by_region:
-            vm = _vm(region, hosts, front_port, hop_port, routing, listed, bound, access_of(region))
+        for key, place in places.items():
+            options = access_of(place.region)
+            vm = _vm(place, places, front_port, hop_port, routing, listed, bound, options)
             await vm.listeners.start()
             stack.push_async_callback(vm.listeners.stop)
             stack.push_async_callback(vm.relay.sessions.close)
-            vms[region] = vm
+            vms[key] = vm
         yield RelayFleet(vms=vms, servers=servers)
 
 
+@frozen(kw_only=True)
+class _Place:
+    """Name, region and host of a VM."""
+
+    vm: str
+    region: str
+    host: str
+
+
+def _places(regions: Iterable[str], vms_per_region: int) -> dict[str, _Place]:
+    keys = [
+        (region, region if number == 1 else f"{region}-{number}")
+        for region in regions
+        for number in range(1, vms_per_region + 1)
+    ]
+    return {
+        key: _Place(vm=f"vm-{key}", region=region, host=f"127.0.0.{index}")
+        for index, (region, key) in enumerate(keys, 1)
+    }
+
+
 def _listed(name: str, region: str, address: str) -> BackendServer:
     return BackendServer(
         name=name,
@@ -146,8 +183,8 @@
 
 
 def _vm(
-    region: str,
-    hosts: Mapping[str, str],
+    place: _Place,
+    places: Mapping[str, _Place],
     front_port: int,
     hop_port: int,
     routing: Routing,
@@ -155,13 +192,14 @@
     bound: RetryBound,
     access_options: dict[str, Any],
 ) -> RelayVm:
+    region, dial = place.region, dict[str, str]()
     table = LoadTable(region)
     table.set_servers(listed)
     events: list[object] = []
     access = RelayAccess(**{"routing": lambda: routing, "observe": events.append, **access_options})
-    view, stop = _view(region, hosts), PlannedStop()
+    view, stop = _view(place, places.values()), PlannedStop()
     relay = Relay(
-        own_vm=f"vm-{region}",
+        own_vm=place.vm,
         own_region=region,
         hop_port=hop_port,
         placer=Placer(
@@ -169,11 +207,11 @@
             own_failure_domain=f"{region}-a",
             table=table,
             members=LiveMembers(view=view),
-            cold=ColdLimiter(own_vm=f"vm-{region}"),
+            cold=ColdLimiter(own_vm=place.vm),
             region_loads=lambda pool: {},
             servers=lambda: {server.name: server for server in listed},
         ),
-        sessions=BackendSessions({}),
+        sessions=BackendSessions(dial),
         wire=platform_wire(),
         retries=RetryShare(bound=bound),
         monitor=ServerHealthMonitor(table=table, observe=events.append),
@@ -195,29 +233,34 @@
     listeners = RelayListeners(
         (
             Listener(
-                name="clients", address=f"{hosts[region]}:{front_port}", handler=front.from_client
+                name="clients", address=f"{place.host}:{front_port}", handler=front.from_client
             ),
-            Listener(name="peers", address=f"{hosts[region]}:{hop_port}", handler=front.from_peer),
+            Listener(name="peers", address=f"{place.host}:{hop_port}", handler=front.from_peer),
         ),
         in_progress=lambda: relay.in_progress,
     )
     return RelayVm(
         region=region,
-        host=hosts[region],
+        host=place.host,
         front_port=front_port,
         relay=relay,
         front=front,
         listeners=listeners,
         events=events,
         planned_stop=stop,
+        dial=dial,
     )
 
 
-def _view(own_region: str, hosts: Mapping[str, str]) -> MembershipView:
-    view = MembershipView(f"vm-{own_region}", own_region)
-    for region, host in hosts.items():
+def _view(own: _Place, places: Iterable[_Place]) -> MembershipView:
+    view = MembershipView(own.vm, own.region)
+    for place in places:
         member = Member(
-            vm=f"vm-{region}", incarnation=1, region=region, peer_address=f"{host}:1", sequence=1
+            vm=place.vm,
+            incarnation=1,
+            region=place.region,
+            peer_address=f"{place.host}:1",
+            sequence=1,
         )
         view.observe_heartbeat(member, now_unix_s())
     return view
--- /dev/null
+++ b/tests/test_relay_lost_links.py
@@ -0,0 +1,70 @@
+"""What clients receive at a VM that has lost its links to all backend servers."""
+
+import pytest
+from lost_links import Loss, lost_address
+from relay_harness import RelayFleet, ask, relay_fleet, route
+from scripted_server import answers, streams
+
+from pomelobarrow.decision.retry_share import RetryBound
+from pomelobarrow.decision.routing import RouteKind
+from pomelobarrow.relay.events import RelayAttemptEnded
+
+NO_RETRIES = RetryBound(ratio=0.0, slack=0.0, window_s=10.0)
+REQUESTS = 12
+
+
+async def _statuses(fleet: RelayFleet, key: str, path: str, requests: int = REQUESTS) -> list[int]:
+    return [(await ask(fleet.vms[key], path)).status for _ in range(requests)]
+
+
+def _attempts(fleet: RelayFleet, key: str) -> int:
+    return sum(isinstance(event, RelayAttemptEnded) for event in fleet.vms[key].events)
+
+
+@pytest.mark.parametrize("loss", list(Loss))
+@pytest.mark.parametrize("kind", list(RouteKind))
+async def test_home_bound_requests_of_a_vm_without_links_run_in_their_home_region(
+    kind: RouteKind, loss: Loss
+) -> None:
+    """The other VM of the region reaches both servers; all requests were refused."""
+    bound = route(kind, home_regions=("a",))
+    script = streams(2) if kind is RouteKind.STREAM else answers()
+    servers = {"a": {"s1": script, "s2": script}, "b": {"s3": script}}
+    async with relay_fleet((bound,), servers, NO_RETRIES, vms_per_region=2) as fleet:
+        with lost_address(loss) as address:
+            fleet.lose_links("a", address)
+            statuses = await _statuses(fleet, "a", f"/{kind.value}/")
+        arrivals = [len(fleet.servers[name].received) for name in ("s1", "s2", "s3")]
+    assert statuses == [200] * REQUESTS
+    assert (sum(arrivals), arrivals[2]) == (REQUESTS, 0)
+
+
+async def test_refusal_by_a_peer_without_links_does_not_count_for_its_region() -> None:
+    """One of two VMs of the home region reaches no server; half of the requests were refused."""
+    bound = route(RouteKind.NON_IDEMPOTENT, home_regions=("b",))
+    servers = {"a": {}, "b": {"s1": answers(), "s2": answers()}}
+    async with relay_fleet((bound,), servers, NO_RETRIES, vms_per_region=2) as fleet:
+        with lost_address(Loss.REFUSED) as address:
+            fleet.lose_links("b", address)
+            statuses = await _statuses(fleet, "a", "/non_idempotent/")
+        # It is asked once and then left out.
+        attempts_at_lost_vm = _attempts(fleet, "b")
+    assert statuses == [200] * REQUESTS
+    assert attempts_at_lost_vm <= 2
+
+
+async def test_requests_are_refused_at_once_where_no_vm_of_the_region_reaches_a_server() -> None:
+    """Each request was sent to every server and refused after all attempts had timed out."""
+    bound = route(RouteKind.IDEMPOTENT, home_regions=("a",))
+    servers = {"a": {"s1": answers(), "s2": answers()}}
+    async with relay_fleet((bound,), servers, vms_per_region=2) as fleet:
+        with lost_address(Loss.SILENT) as address:
+            fleet.lose_links("a", address)
+            fleet.lose_links("a-2", address)
+            first = await ask(fleet.vms["a"], "/idempotent/")
+            attempts = _attempts(fleet, "a"), _attempts(fleet, "a-2")
+            second = await ask(fleet.vms["a"], "/idempotent/")
+            attempts_after = _attempts(fleet, "a"), _attempts(fleet, "a-2")
+    assert (first.status, second.status) == (503, 503)
+    assert attempts_after == attempts
+    assert float(second.headers["Retry-After"]) > 0.0
