Move what a relayed request is refused with to a module of its own

The retry times of refusals (pace of free places, jitter, blocked requests) move to relay/refusal_policy.py without a change of behaviour.

--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -7,19 +7,16 @@
 from attrs import define, field
 
 from pomelobarrow.backends.sessions import BackendSessions
-from pomelobarrow.decision.errors import ErrorKind, Refusal, RunStatus
+from pomelobarrow.decision.errors import RunStatus
 from pomelobarrow.decision.placement import Placer
 from pomelobarrow.decision.placement_request import LocalPlacement, NoPlacement, PeerPlacement
-from pomelobarrow.decision.retry_schedule import RetrySchedule
 from pomelobarrow.decision.retry_share import RetryShare
 from pomelobarrow.decision.routing import Routing
 from pomelobarrow.decision.short_key import server_key
-from pomelobarrow.decision.stream_admission import MIN_RETRY_AFTER_S, retry_at_unix_s
 from pomelobarrow.decision.token_estimates import prefill_tokens
 from pomelobarrow.decision.work import BackendServer, Placement
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.dispatch.crash_guard import CrashGuard
-from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.answer import ClientAnswer
 from pomelobarrow.relay.answer_records import AnswerRecords
@@ -32,13 +29,13 @@
 from pomelobarrow.relay.progress import RequestProgress
 from pomelobarrow.relay.reach_monitor import ReachMonitor
 from pomelobarrow.relay.refusal_answer import send_refusal
+from pomelobarrow.relay.refusal_policy import RefusalPolicy
 from pomelobarrow.relay.relay_log import RelayLog
 from pomelobarrow.relay.wire import RelayWire, ServerCallOptions
 
 # Connecting inside a region takes one or two milliseconds. The limit allows for one retransmission;
 # after it, a server counts as unreachable.
 SERVER_CONNECT_TIMEOUT_S = 0.35
-RETRY_JITTER = 0.5
 LIMIT_CHECK_S = 0.01
 NO_ANSWER_ENDS = frozenset({AttemptEnd.NOT_SENT, AttemptEnd.LOST})
 KEY_UNCONFIRMED = "the key may have been revoked while the request waited"
@@ -64,8 +61,8 @@
     may_still_run: Callable[[RelayRequest], bool] = lambda request: True
     log: RelayLog = field(init=False)
     records: AnswerRecords = field(init=False)
+    refusals: RefusalPolicy = field(init=False)
     in_progress: int = 0
-    retry_schedule: RetrySchedule = field(factory=RetrySchedule)
     first_answer_times: FirstAnswerTimes = field(factory=FirstAnswerTimes)
 
     def __attrs_post_init__(self) -> None:
@@ -78,6 +75,9 @@
         self.records = AnswerRecords(
             table=self.placer.table, guard=self.guard, observe=lambda event: self.observe(event)
         )
+        self.refusals = RefusalPolicy(
+            own_region=self.own_region, placer=self.placer, guard=self.guard, rng=self.rng
+        )
 
     async def answer(self, request: RelayRequest, routing: Routing, sink: ClientAnswer) -> bool:
         """Answer a request completely, or refuse it and state whether it ran.
@@ -356,37 +356,8 @@
             assert progress.history.failure is not None
             await progress.sink.pass_on(progress.history.failure)
             return "answered"
-        refusal = self._refusal(progress, step)
+        refusal = self.refusals.refusal(progress, step)
         request_id = progress.request.work.request_id
         is_unreachable = not self.reach.reachability.is_reachable(progress.request.work.pool)
         await send_refusal(refusal, request_id, progress.sink, progress.history, is_unreachable)
         return "refused" if refusal.run is RunStatus.NO else "failed"
-
-    def _refusal(self, progress: RequestProgress, step: Step) -> Refusal:
-        work, detail = progress.request.work, progress.history.last_detail
-        if step is Step.BLOCK:
-            run = RunStatus.UNKNOWN if progress.history.may_have_run else RunStatus.NO
-            return self.guard.refusal(work.request_id, work.pool, progress.request.fingerprint, run)
-        if step is Step.FAIL:
-            is_late = now_unix_s() >= work.deadline_unix_s
-            kind = ErrorKind.DEADLINE_PASSED if is_late else ErrorKind.OUTCOME_UNKNOWN
-            return refuse(kind, RunStatus.UNKNOWN, detail)
-        now = now_unix_s()
-        next_unix_s = self.placer.table.next_allowed_unix_s(work.pool, (), now)
-        announced_wait_s = next_unix_s - now if next_unix_s is not None else 0.0
-        wait_s = progress.unplaced_wait_s or announced_wait_s
-        if progress.history.attempts and not wait_s:
-            pause_s = MIN_RETRY_AFTER_S * self.rng.uniform(1.0, 1.0 + RETRY_JITTER)
-            return refuse(ErrorKind.NO_CAPACITY, RunStatus.NO, detail, now + pause_s)
-        # Without any server the drain rate is meaningless, and the outage outlasts a full queue.
-        wait_s = wait_s or max(0.0, work.deadline_unix_s - now)
-        taken_per_s = self.placer.table.drain_per_s(work.pool, now) / self._local_vms
-        retry_at = retry_at_unix_s(
-            self.retry_schedule, wait_s, taken_per_s, work.deadline_unix_s, now, self.rng
-        )
-        return refuse(ErrorKind.NO_CAPACITY, RunStatus.NO, detail, retry_at)
-
-    @property
-    def _local_vms(self) -> int:
-        members = self.placer.members.live
-        return max(1, sum(member.region == self.own_region for member in members))
