Serve the requests of a VM without links to servers through its region's VMs

Cause: a VM knew one way to the servers of its region, its own links.

Change: a pool counts as unreachable once each of its servers, or four of a larger pool, failed without an answer in between on a connection opened later. A failure without a recent answer starts a probe of the pool's other servers (a request for no server, answered 421 and run by none), repeated until one answers. Meanwhile placement decides as before, and what would go to an own server goes to a VM of the region that reaches the pool, else to another region, else it is refused at once. VMs name their unreachable pools in heartbeats (4 bytes each, only while there are any) and with refusals, and are left out as coordinators, in other regions' choices and in what regions state of their servers. Failures of own links don't count against servers.

--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -10,6 +10,7 @@
 from pomelobarrow.decision.peer_counts import NOTHING, PeerCounts
 from pomelobarrow.decision.prefill_rates import PrefillRates
 from pomelobarrow.decision.prefix_index import PrefixIndex
+from pomelobarrow.decision.reachability import ServerReachability
 from pomelobarrow.decision.report_clock import ReportClock
 from pomelobarrow.decision.server_health import ServerHealth
 from pomelobarrow.decision.server_limits import ServerLimits
@@ -37,6 +38,7 @@
         self.pauses = ServerPauses()
         self.prefill_rates = PrefillRates()
         self.limits = ServerLimits()
+        self.reachability = ServerReachability(pool_servers=self.staying_servers)
         # Failure domains that are being evacuated: their servers get no new work.
         self.closed_domains: frozenset[str] = frozenset()
         # Whether each server has a coordinating VM that places nearly all of its prefill. That VM's
@@ -184,6 +186,11 @@
         if server_name in self._health:
             self._health[server_name].mark_ok(now_unix_s)
 
+    def forgive(self, server_name: str) -> None:
+        """Drop a server's failures and ejections."""
+        if server_name in self._health:
+            self._health[server_name] = ServerHealth()
+
     def eject(self, server_name: str, now_unix_s: float) -> None:
         """Eject a server for a while."""
         if server_name in self._health:
@@ -198,29 +205,26 @@
         """Return the listed servers of a pool."""
         return self._pools.get(pool, ())
 
+    def staying_servers(self, pool: str) -> list[BackendServer]:
+        """Return the listed servers of a pool that don't leave."""
+        return [s for s in self.pool_servers(pool) if not self._is_leaving(s)]
+
     def usable(self, pool: str, now_unix_s: float) -> Sequence[ServerState]:
         """Return the servers of a pool that may get new work."""
         return self.states(self.usable_servers(pool, now_unix_s), pool, now_unix_s)
 
     def usable_servers(self, pool: str, now_unix_s: float) -> Sequence[BackendServer]:
         """Return the servers of a pool that may get new work, without computing their states."""
-        staying = [s for s in self.pool_servers(pool) if not self._is_leaving(s)]
+        staying = self.staying_servers(pool)
         # An expired lease doesn't prove a server gone, but servers with valid leases are preferred.
         staying = [s for s in staying if not s.is_lease_expired] or staying
-        willing = self._without_backing_off(staying, now_unix_s)
+        backoffs = self.limits.backoffs
+        willing = [s for s in staying if not backoffs.is_backing_off(s, now_unix_s)]
         healthy = [s for s in willing if not self._health[s.name].is_ejected(now_unix_s)]
         # If every server is ejected, the fault is more likely on this side. All of them are tried
         # then, as an empty pool would refuse work that a server could run.
         return healthy or willing
 
-    def _without_backing_off(
-        self, servers: list[BackendServer], now_unix_s: float
-    ) -> list[BackendServer]:
-        backoffs = self.limits.backoffs
-        if backoffs.is_empty:
-            return servers
-        return [server for server in servers if not backoffs.is_backing_off(server, now_unix_s)]
-
     def backing_off_servers(self, pool: str, now_unix_s: float) -> list[BackendServer]:
         """Return the servers of a pool that stay and want nothing from this VM now."""
         backoffs = self.limits.backoffs
--- a/src/pomelobarrow/decision/placement.py
+++ b/src/pomelobarrow/decision/placement.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Mapping
 from random import Random
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from pomelobarrow.decision.cold_start import ColdLimiter
 from pomelobarrow.decision.live_members import LiveMembers
@@ -13,6 +13,7 @@
     ALL_SERVERS_LATE,
     LOCAL_RATE_LIMITED,
     NO_LOCAL_SERVER,
+    POOL_UNREACHABLE,
     ExcludedTargets,
     LocalPlacement,
     NoPlacement,
@@ -20,6 +21,7 @@
     PlacementDecision,
     PlacementRequest,
 )
+from pomelobarrow.decision.reachability import PeerReachability
 from pomelobarrow.decision.region_choice import RegionLoad
 from pomelobarrow.decision.remote_choice import RemoteChoice, is_late
 from pomelobarrow.decision.routing import Routing
@@ -43,6 +45,7 @@
     cold: ColdLimiter
     region_loads: Callable[[str], Mapping[str, RegionLoad]]
     servers: Callable[[], Mapping[str, BackendServer]]
+    peer_reachability: PeerReachability = field(factory=PeerReachability)
     rng: Random = field(factory=Random)
     _local: LocalChoice = field(init=False)
     _remote: RemoteChoice = field(init=False)
@@ -63,6 +66,7 @@
             members=self.members,
             region_loads=self.region_loads,
             servers=self.servers,
+            peer_reachability=self.peer_reachability,
             rng=self.rng,
         )
 
@@ -75,6 +79,39 @@
     ) -> PlacementDecision:
         """Return the server or peer to send the request to, or why there is none."""
         self.members.refresh(now_unix_s)
+        if self.table.reachability.is_reachable(request.work.pool):
+            return self._place_by_load(request, routing, excluded, now_unix_s)
+        if request.is_forwarded:
+            return NoPlacement(reason=POOL_UNREACHABLE)
+        return self._place_through_peer(request, routing, excluded, now_unix_s)
+
+    def _place_through_peer(
+        self,
+        request: PlacementRequest,
+        routing: Routing,
+        excluded: ExcludedTargets,
+        now_unix_s: float,
+    ) -> PlacementDecision:
+        """Place a request whose servers this VM can't reach, but VMs of its region may."""
+        failed = self.table.reachability.failed_servers(request.work.pool)
+        excluded_for_peers = evolve(excluded, servers=excluded.servers - failed)
+        decision = self._place_by_load(request, routing, excluded_for_peers, now_unix_s)
+        if not isinstance(decision, LocalPlacement):
+            return decision
+        local = decision.placement
+        peer = self._remote.peer_in_own_region(request, local, excluded, now_unix_s)
+        if peer is not None:
+            return peer
+        remote = self._remote.choose(request, None, excluded, now_unix_s)
+        return remote or NoPlacement(reason=POOL_UNREACHABLE)
+
+    def _place_by_load(
+        self,
+        request: PlacementRequest,
+        routing: Routing,
+        excluded: ExcludedTargets,
+        now_unix_s: float,
+    ) -> PlacementDecision:
         local = self._local.choose(request, routing, excluded, now_unix_s)
         local_decision = _local_placement(request, local, now_unix_s)
         if request.is_forwarded:
--- a/src/pomelobarrow/decision/placement_request.py
+++ b/src/pomelobarrow/decision/placement_request.py
@@ -20,6 +20,8 @@
 LOCAL_RATE_LIMITED = (
     "this region's servers take no more requests now, by limits or pauses of their own"
 )
+POOL_UNREACHABLE = "this VM reaches no server of the pool"
+REACHED_BY_PEER = "another VM of this region reaches the pool's servers"
 NO_LOCAL_SERVER = "this region has no server for it"
 
 
--- a/src/pomelobarrow/decision/reachability.py
+++ b/src/pomelobarrow/decision/reachability.py
@@ -1,22 +1,34 @@
-"""Decide whether this VM reaches any backend server of a pool.
+"""Decide whether this VM, and each of its peers, reaches any backend server of a pool.
 
 Load pattern: a VM loses its links to all backend servers, while its clients, its peers and the
 store still reach it. A connection that fails alone shows nothing about this VM, since a server may
 crash or stay silent for a moment. So a pool counts as unreachable only after several of its servers
 have failed in a row, without an answer of any of them in between.
+
+Whether the VM's own links or all servers of the pool are at fault makes no difference to it: a peer
+that reaches the pool serves the requests, and without such a peer they are refused at once.
 """
 
+import math
 from collections import defaultdict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
+from random import Random
 
 from attrs import define, field
 
+from pomelobarrow.decision.short_key import short_key
 from pomelobarrow.decision.work import BackendServer
 
 # In a pool with more servers, so many failures in a row are enough.
 MAX_FAILED_SERVERS = 4
 # Older failures say nothing about the links of now.
 FAILURE_RETENTION_S = 10.0
+# An answer on a connection that was opened so recently shows that a failure is the server's own.
+RECENT_CONNECTION_S = 0.5
+# A peer states its unreachable pools with each heartbeat, once a second; one may be late.
+STATEMENT_VALID_S = 3.0
+# After a refusal a peer that sends this VM no heartbeats is tried again.
+REFUSAL_VALID_S = 2.0
 
 
 @define(kw_only=True)
@@ -26,6 +38,8 @@
     pool_servers: Callable[[str], Sequence[BackendServer]]
     # By pool and incarnation: when the last connection without an answer failed.
     _failed: "defaultdict[str, dict[str, float]]" = field(factory=lambda: defaultdict(dict))
+    # By pool: when the newest connection that brought an answer was opened.
+    _connected: dict[str, float] = field(factory=dict)
     # Since when a pool has been unreachable.
     _unreachable: dict[str, float] = field(factory=dict)
 
@@ -37,8 +51,10 @@
         An answer on a connection that was opened before another failed says nothing about it: a
         device on the way may refuse new connections and keep the open ones.
         """
+        previous_unix_s = self._connected.get(server.pool, -math.inf)
+        self._connected[server.pool] = max(previous_unix_s, connected_unix_s)
         failed = self._failed.get(server.pool)
-        if failed is None:
+        if not failed:
             return None
         later = {key: at for key, at in failed.items() if at > connected_unix_s}
         self._failed[server.pool] = later
@@ -52,6 +68,23 @@
         self._unreachable[server.pool] = now_unix_s
         return True
 
+    def is_in_doubt(self, pool: str, now_unix_s: float) -> bool:
+        """Return whether a failure may be due to this VM's links, so that a probe is worth it."""
+        return now_unix_s - self._connected.get(pool, -math.inf) > RECENT_CONNECTION_S
+
+    def servers_to_probe(self, pool: str, rng: Random) -> list[BackendServer]:
+        """Return servers whose answers decide about a pool, those without a failure first."""
+        failed = self.failed_servers(pool)
+        servers = list(self.pool_servers(pool))
+        rng.shuffle(servers)
+        servers.sort(key=lambda server: server.name in failed)
+        return servers[:MAX_FAILED_SERVERS]
+
+    def forget(self, pool: str) -> None:
+        """Drop all records of a pool that has no servers left."""
+        self._failed.pop(pool, None)
+        self._unreachable.pop(pool, None)
+
     def is_reachable(self, pool: str) -> bool:
         """Return whether this VM may reach a server of a pool."""
         return pool not in self._unreachable
@@ -81,3 +114,37 @@
             return None
         del self._unreachable[pool]
         return now_unix_s - since_unix_s
+
+
+@define
+class PeerReachability:
+    """The pools of which peers reach no server, by their own statements."""
+
+    # By VM and key of the pool: until when the statement holds.
+    _unreachable: dict[str, dict[int, float]] = field(factory=dict)
+
+    def observe(self, vm: str, pool_keys: Iterable[int], now_unix_s: float) -> None:
+        """Replace what a peer stated before."""
+        until_by_key = dict.fromkeys(pool_keys, now_unix_s + STATEMENT_VALID_S)
+        if until_by_key:
+            self._unreachable[vm] = until_by_key
+        else:
+            self._unreachable.pop(vm, None)
+
+    def note_refusal(self, vm: str, pool: str, now_unix_s: float) -> None:
+        """Record that a peer refused a request since it reaches no server of the pool."""
+        until_by_key = self._unreachable.setdefault(vm, {})
+        until_by_key[short_key(pool)] = now_unix_s + REFUSAL_VALID_S
+
+    def is_reachable(self, vm: str, pool: str, now_unix_s: float) -> bool:
+        """Return whether a peer may reach a server of a pool."""
+        if not self._unreachable:
+            return True
+        until_by_key = self._unreachable.get(vm)
+        return until_by_key is None or until_by_key.get(short_key(pool), 0.0) <= now_unix_s
+
+    def unreachable_vms(self, pool: str, now_unix_s: float) -> frozenset[str]:
+        """Return the peers that reach no server of a pool."""
+        return frozenset(
+            vm for vm in self._unreachable if not self.is_reachable(vm, pool, now_unix_s)
+        )
--- a/src/pomelobarrow/decision/remote_choice.py
+++ b/src/pomelobarrow/decision/remote_choice.py
@@ -22,11 +22,13 @@
     COORDINATED_BY_PEER,
     LOCAL_REGION_LATE,
     NO_LOCAL_SERVER,
+    REACHED_BY_PEER,
     WARM_ELSEWHERE,
     ExcludedTargets,
     PeerPlacement,
     PlacementRequest,
 )
+from pomelobarrow.decision.reachability import PeerReachability
 from pomelobarrow.decision.region_choice import RegionLoad
 from pomelobarrow.decision.region_cost import PrefillEstimate, RegionCost, region_cost
 from pomelobarrow.decision.rendezvous import rendezvous
@@ -53,6 +55,7 @@
     members: LiveMembers
     region_loads: Callable[[str], Mapping[str, RegionLoad]]
     servers: Callable[[], Mapping[str, BackendServer]]
+    peer_reachability: PeerReachability = field(factory=PeerReachability)
     owners: GroupOwners = field(factory=GroupOwners)
     sent_groups: SentGroups = field(factory=SentGroups)
     rng: Random = field(factory=Random)
@@ -77,8 +80,8 @@
         for server in self._owners(request):
             if server.name in excluded.servers or server.region in excluded.regions:
                 continue
-            members = self.members.usable_in(server.region)
-            member = coordinator_of(server, (m for m in members if m.vm not in excluded.peers))
+            members = self._members_in(server.region, request, excluded, now_unix_s)
+            member = coordinator_of(server, members)
             if member is not None and member.vm == self.members.view.own_vm:
                 if is_local_in_time:
                     return None
@@ -146,7 +149,8 @@
         if not costs:
             return None
         region = self._choose_region(request, costs)
-        member = self._choose_member(region, excluded, warm.get(region, ""))
+        members = self._members_in(region, request, excluded, now_unix_s)
+        member = self._choose_member(members, warm.get(region, ""))
         if member is None:
             return None
         if request.is_long_shared:
@@ -157,6 +161,52 @@
             expected_first_answer_s=costs[region].first_answer_s,
         )
 
+    def peer_in_own_region(
+        self,
+        request: PlacementRequest,
+        local: Placement,
+        excluded: ExcludedTargets,
+        now_unix_s: float,
+    ) -> PeerPlacement | None:
+        """Return a VM that sends the request to this region's servers in place of this one."""
+        if self.own_region in excluded.regions:
+            return None
+        members = self._members_in(self.own_region, request, excluded, now_unix_s)
+        member = self._choose_member(members, local.server.failure_domain)
+        if member is None:
+            return None
+        return PeerPlacement(
+            member=member, reason=REACHED_BY_PEER, expected_first_answer_s=local.expected_wait_s
+        )
+
+    def _members_in(
+        self,
+        region: str,
+        request: PlacementRequest,
+        excluded: ExcludedTargets,
+        now_unix_s: float,
+    ) -> list[Member]:
+        """Return the VMs of a region that may take the request to a server."""
+        return [
+            member
+            for member in self.members.usable_in(region)
+            if self._may_take(member, request, excluded, now_unix_s)
+        ]
+
+    def _may_take(
+        self,
+        member: Member,
+        request: PlacementRequest,
+        excluded: ExcludedTargets,
+        now_unix_s: float,
+    ) -> bool:
+        pool = request.work.pool
+        if member.vm in excluded.peers:
+            return False
+        if member.vm == self.members.view.own_vm:
+            return self.table.reachability.is_reachable(pool)
+        return self.peer_reachability.is_reachable(member.vm, pool, now_unix_s)
+
     def _remote_reason(
         self, request: PlacementRequest, local: Placement | None, is_warm: bool
     ) -> str:
@@ -176,8 +226,11 @@
         """Return the request's cost in each other region that may serve it."""
         work = request.work
         loads = self.region_loads(work.pool)
-        members = (m for m in self.members.usable if m.vm not in excluded.peers)
-        regions = {member.region for member in members}
+        regions = {
+            member.region
+            for member in self.members.usable
+            if self._may_take(member, request, excluded, now_unix_s)
+        }
         regions -= {self.own_region, *excluded.regions}
         cold = self._prefill_estimate(request, work.prompt_tokens)
         cached = self._prefill_estimate(request, work.prompt_tokens - work.shared_tokens)
@@ -204,11 +257,8 @@
             return rendezvous(request.group, list(in_time), 1)[0]
         return self.rng.choices(list(in_time), list(in_time.values()))[0]
 
-    def _choose_member(
-        self, region: str, excluded: ExcludedTargets, failure_domain: str = ""
-    ) -> Member | None:
-        """Return a random peer of a region, in the server's failure domain if that is known."""
-        members = [m for m in self.members.usable_in(region) if m.vm not in excluded.peers]
+    def _choose_member(self, members: list[Member], failure_domain: str = "") -> Member | None:
+        """Return a random VM, in the server's failure domain if that is known."""
         same_domain = [member for member in members if member.failure_domain == failure_domain]
         return self.rng.choice(same_domain or members) if members else None
 
--- a/src/pomelobarrow/peers/heartbeats.py
+++ b/src/pomelobarrow/peers/heartbeats.py
@@ -9,6 +9,8 @@
 from pomelobarrow.decision.limits import AccountLimits
 from pomelobarrow.decision.member import Member
 from pomelobarrow.decision.membership import MembershipView
+from pomelobarrow.decision.reachability import PeerReachability
+from pomelobarrow.decision.short_key import short_key
 from pomelobarrow.decision.work import LoadReport
 from pomelobarrow.dispatch.local import LocalDispatch
 from pomelobarrow.kernel.clock import now_unix_s
@@ -57,6 +59,7 @@
     limits: AccountLimits
     region_loads: RegionLoads
     own_reports: Callable[[], Iterable[LoadReport]]
+    peer_reachability: PeerReachability = field(factory=PeerReachability)
     neighbours: Neighbours = field(factory=Neighbours, init=False)
     _members: MemberUpdates = field(init=False)
     _servers: ServerUpdates = field(init=False)
@@ -86,6 +89,7 @@
             published=self.published,
             local=self.local,
             region_loads=self.region_loads,
+            is_reachable=self._is_reachable_in_region,
         )
         self._times = ServiceTimeUpdates(self.local.table)
         self._departures = DepartureUpdates(self.local.table.departures)
@@ -117,6 +121,8 @@
         self._members.write(heartbeat, sent.members, peer, kind, self.neighbours, now)
         self._pools.write(heartbeat, sent.pools, kind, self.neighbours, now)
         self._departures.write(heartbeat, sent.departures)
+        unreachable_pools = self.local.table.reachability.unreachable_pools
+        heartbeat.unreachable_pool_keys.extend(sorted(map(short_key, unreachable_pools)))
         if same_region:
             self._servers.write(heartbeat, sent.servers, kind, now)
             self._times.write(heartbeat, sent.times, now)
@@ -190,6 +196,16 @@
         for queue in self.local.queues.values():
             queue.forget_peer(vm)
 
+    def _is_reachable_in_region(self, pool: str, now_unix_s: float) -> bool:
+        """Return whether any VM of this region may reach a server of a pool."""
+        if self.local.table.reachability.is_reachable(pool):
+            return True
+        return any(
+            self.peer_reachability.is_reachable(member.vm, pool, now_unix_s)
+            for member in self.view.usable_entries(self.view.own_region, now_unix_s)
+            if member.vm != self.view.own_vm
+        )
+
     def _base(self, peer: str, now: float, is_first: bool) -> pb.Heartbeat:
         own = self.view.own
         sent_unix_s, received_unix_s = self._echoes.get(peer, (0.0, 0.0))
@@ -263,6 +279,7 @@
     ) -> None:
         sent_unix_s = self.offsets.sent_unix_s(heartbeat.vm, heartbeat.sent_unix_s, now)
         is_sparse = self.neighbours.is_sparse
+        self.peer_reachability.observe(member.vm, heartbeat.unreachable_pool_keys, now)
         self._members.apply(heartbeat, sent.members, kind, is_sparse, now, sent_unix_s)
         self._pools.apply(heartbeat, member.region, kind, now, sent_unix_s)
         if kind is not LinkKind.OTHER_REGION:
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -9,6 +9,7 @@
 from pomelobarrow.decision.limits import AccountLimits
 from pomelobarrow.decision.member import ListedVm, Member, Phase
 from pomelobarrow.decision.membership import MembershipView
+from pomelobarrow.decision.reachability import PeerReachability
 from pomelobarrow.decision.request_ids import RequestIdLedger
 from pomelobarrow.dispatch.claims import ClaimedDispatch
 from pomelobarrow.dispatch.entry import EntryDispatch
@@ -49,6 +50,7 @@
     """Register the components of this package."""
     context.provide(MembershipView, _view)
     context.provide(ClockOffsets, lambda _: ClockOffsets())
+    context.provide(PeerReachability, lambda _: PeerReachability())
     context.provide(RegionLoads, lambda _: RegionLoads(started_unix_s=now_unix_s()))
     context.provide(PeerKeys, lambda c: PeerKeys(c.settings.peers.keys))
     context.provide(Heartbeats, _heartbeats)
@@ -213,6 +215,7 @@
         limits=context.get(AccountLimits),
         region_loads=context.get(RegionLoads),
         own_reports=lambda: context.get(LoadPoller).own_reports(),
+        peer_reachability=context.get(PeerReachability),
     )
 
 
--- a/src/pomelobarrow/peers/pool_updates.py
+++ b/src/pomelobarrow/peers/pool_updates.py
@@ -1,6 +1,7 @@
 """Exchange the loads of pools, of this region and of others, with peers."""
 
 import math
+from collections.abc import Callable
 from typing import Any
 
 from attrs import define, field, frozen
@@ -52,6 +53,8 @@
     published: PublishedState
     local: LocalDispatch
     region_loads: RegionLoads
+    # Returns whether any VM of this region may reach a server of a pool.
+    is_reachable: Callable[[str, float], bool] = lambda pool, now_unix_s: True
     _own: list[pb.PoolLoad] = field(factory=list)
     _own_until_unix_s: float = 0.0
     _waiting: dict[tuple[str, str], _Waiting] = field(factory=dict)
@@ -181,6 +184,8 @@
 
     def _servers_for_others(self, pool: str, now_unix_s: float) -> int:
         """Return how many servers other regions may use; limited ones count as one at most."""
+        if not self.is_reachable(pool, now_unix_s):
+            return 0
         limits = self.local.table.limits
         servers = self.local.table.usable_servers(pool, now_unix_s)
         unlimited = sum(math.isinf(limits.limit_per_s(server)) for server in servers)
--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -53,6 +53,8 @@
 ACCOUNT_NAME = "Pomelobarrow-Tenant"
 
 WRONG_SERVER_STATUS = 421
+# The id of no server: whichever gets a request for it answers that it is another one.
+NO_SERVER = "none"
 REJECTED_STATUS = 503
 MAX_PRIORITY = 9
 MS_PER_S = 1_000.0
@@ -102,6 +104,7 @@
         read_request=read_request,
         server_headers=server_headers,
         peer_headers=peer_headers,
+        probe_headers=((TARGET_SERVER, NO_SERVER),),
         read_answer=read_answer,
         read_directory_query=read_directory_query,
         directory_answer=directory_answer,
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -74,8 +74,7 @@
     _last_events_unix_s: float | None = field(default=None, init=False)
     _timeout_scope: asyncio.Timeout | None = field(default=None, init=False)
     _timer: asyncio.TimerHandle | None = field(default=None, init=False)
-    _announced: ServerAnnouncement = field(factory=ServerAnnouncement, init=False)
-    _has_head: bool = field(default=False, init=False)
+    _head: ServerAnswerHead | None = field(default=None, init=False)
 
     @property
     def is_surely_unrun(self) -> bool:
@@ -135,7 +134,7 @@
             trace_request_ctx=self._begin_sending,
         ) as response:
             head = self.target.read_answer(response)
-            self._announced, self._has_head = head.announced, True
+            self._head = head
             self.on_head(head)
             if head.is_not_run:
                 self.state.apply(AttemptEvent.REFUSE_UNRUN)
@@ -224,16 +223,18 @@
         is_closed: bool = False,
         is_connection_refused: bool = False,
     ) -> AttemptReport:
+        head = self._head
         return AttemptReport(
             end=end,
             detail=detail,
             is_closed=is_closed,
             is_connection_refused=is_connection_refused,
             answer=answer,
-            has_head=self._has_head,
+            has_head=head is not None,
+            is_pool_unreachable=head is not None and head.is_pool_unreachable,
             first_answer_unix_s=self.first_answer_unix_s,
             longest_pause_s=self.longest_pause_s,
-            announced=self._announced,
+            announced=head.announced if head is not None else ServerAnnouncement(),
         )
 
 
--- a/src/pomelobarrow/relay/health_monitor.py
+++ b/src/pomelobarrow/relay/health_monitor.py
@@ -1,6 +1,6 @@
 """Eject failing or slow servers by the outcomes of attempts, and track first-answer times."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import define, field
 
@@ -55,6 +55,13 @@
         self.outliers.observe(server.incarnation, _has_failed(report), slowness)
         self._eject_outlier(server, report.detail, now)
 
+    def forgive(self, servers: Iterable[BackendServer]) -> None:
+        """Drop the failures of servers that this VM can't reach for a fault of its own links."""
+        for server in servers:
+            self.table.forgive(server.name)
+            self.outliers.forget(server.incarnation)
+            self._ejected.discard(server.incarnation)
+
     def _note_answer(self, server: BackendServer, now_unix_s: float) -> None:
         self.table.mark_ok(server.name, now_unix_s)
         # A request that was in flight when the server was ejected may still be answered.
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -177,6 +177,8 @@
     answer: WholeAnswer | None = None
     # True if the head of an answer arrived.
     has_head: bool = False
+    # True if a peer refused the request since it reaches no server of the pool.
+    is_pool_unreachable: bool = False
     first_answer_unix_s: float | None = None
     # The longest time between two events of a stream; 0 if there was no second one.
     longest_pause_s: float = 0.0
--- a/src/pomelobarrow/relay/next_step.py
+++ b/src/pomelobarrow/relay/next_step.py
@@ -55,8 +55,9 @@
         """Record how an attempt ended."""
         self.last_detail = report.detail or self.last_detail
         if report.end in UNSENT_ENDS:
-            # A refused connection costs one round trip, and its target is not tried again.
-            self.unsent += not report.is_connection_refused
+            # Both cost one round trip, and their target is not tried again.
+            is_cheap = report.is_connection_refused or report.is_pool_unreachable
+            self.unsent += not is_cheap
             return
         if report.end is AttemptEnd.BLOCKED:
             self.is_blocked = True
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -10,7 +10,7 @@
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.placement import Placer
-from pomelobarrow.decision.reachability import ServerReachability
+from pomelobarrow.decision.reachability import PeerReachability
 from pomelobarrow.decision.retry_share import RetryShare
 from pomelobarrow.decision.routing import Routing
 from pomelobarrow.dispatch.crash_guard import CrashGuard
@@ -44,7 +44,7 @@
 def provide_parts(context: Context) -> None:
     """Register the parts of the relay."""
     context.provide(Placer, _placer)
-    context.provide(ServerReachability, _reachability)
+    context.provide(ServerHealthMonitor, _health_monitor)
     context.provide(ReachMonitor, _reach_monitor)
     context.provide(Relay, _relay)
     context.provide(PlannedStop, lambda _: PlannedStop())
@@ -75,7 +75,7 @@
         "configuration_proof_age_s": age_s if math.isfinite(age_s) else None,
         "configuration_is_confirmed": proofs.is_confirmed(),
         "metered_accounts": grants.metered_accounts(),
-        "unreachable_pools": sorted(context.get(ServerReachability).unreachable_pools),
+        "unreachable_pools": sorted(context.get(LoadTable).reachability.unreachable_pools),
     }
     return StatusSection("relay", values)
 
@@ -105,6 +105,7 @@
 async def _close(context: Context) -> None:
     if context.settings.relay is not None:
         await context.get(RelayListeners).close()
+        await context.get(ReachMonitor).close()
 
 
 def _routing(context: Context) -> Routing | None:
@@ -126,15 +127,22 @@
         cold=ColdLimiter(own_vm=context.settings.vm),
         region_loads=loads.for_pool,
         servers=lambda: published.backend_servers,
+        peer_reachability=context.get(PeerReachability),
     )
 
 
-def _reachability(context: Context) -> ServerReachability:
-    return ServerReachability(pool_servers=context.get(LoadTable).pool_servers)
+def _reach_monitor(context: Context) -> ReachMonitor:
+    return ReachMonitor(
+        reachability=context.get(LoadTable).reachability,
+        sessions=context.get(BackendSessions),
+        wire=context.get(RelayWire),
+        forgive=context.get(ServerHealthMonitor).forgive,
+        observe=context.observe,
+    )
 
 
-def _reach_monitor(context: Context) -> ReachMonitor:
-    return ReachMonitor(reachability=context.get(ServerReachability), observe=context.observe)
+def _health_monitor(context: Context) -> ServerHealthMonitor:
+    return ServerHealthMonitor(table=context.get(LoadTable), observe=context.observe)
 
 
 def _relay(context: Context) -> Relay:
@@ -147,7 +155,7 @@
         sessions=context.get(BackendSessions),
         wire=context.get(RelayWire),
         retries=RetryShare(bound=settings.retry_bound),
-        monitor=ServerHealthMonitor(table=context.get(LoadTable), observe=context.observe),
+        monitor=context.get(ServerHealthMonitor),
         observe=context.observe,
         reach=context.get(ReachMonitor),
         guard=context.get(CrashGuard),
--- a/src/pomelobarrow/relay/reach_monitor.py
+++ b/src/pomelobarrow/relay/reach_monitor.py
@@ -1,21 +1,44 @@
-"""Note which backend servers answer this VM, and report pools that it can't reach."""
+"""Note which backend servers answer this VM, and probe pools that it may not reach."""
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Callable, Iterable
+from random import Random
 
-from attrs import define
+import aiohttp
+from attrs import define, field
 
+from pomelobarrow.backends.engine import CONNECTION_ERRORS
+from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.reachability import ServerReachability
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.events import PoolReachable, PoolUnreachable
+from pomelobarrow.relay.wire import RelayWire
+
+# Clients get the answers of peers meanwhile, so that a later end of the probes costs them one hop.
+FIRST_PAUSE_S = 0.25
+MAX_PAUSE_S = 0.5
+PAUSE_JITTER = 0.2
+# Connecting inside a region takes one or two milliseconds. The limit allows for one retransmission;
+# after it, a server counts as unreachable.
+SERVER_CONNECT_TIMEOUT_S = 0.35
+# A server that is busy reads a request late.
+ANSWER_TIMEOUT_S = 1.0
+PROBE_TIMEOUT = aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S, sock_connect=SERVER_CONNECT_TIMEOUT_S)
 
 
 @define(kw_only=True)
 class ReachMonitor:
-    """Record answers and failed connections of backend servers."""
+    """Record answers and failed connections, and probe a pool until a server of it answers."""
 
     reachability: ServerReachability
+    sessions: BackendSessions
+    wire: RelayWire
+    # Drops the failures of servers that this VM can't reach.
+    forgive: Callable[[Iterable[BackendServer]], None]
     observe: Callable[[object], None]
+    rng: Random = field(factory=Random)
+    _probes: dict[str, "asyncio.Task[None]"] = field(factory=dict, init=False)
 
     def note_answer(self, server: BackendServer, connected_unix_s: float) -> None:
         """Record the head of an answer on a connection that was opened at the given time."""
@@ -27,12 +50,52 @@
 
     def note_failure(self, server: BackendServer, detail: str) -> None:
         """Record a connection that failed or brought no answer."""
-        if self.reachability.note_failure(server, now_unix_s()):
-            self.observe(
-                PoolUnreachable(
-                    pool=server.pool,
-                    servers_failed=len(self.reachability.failed_servers(server.pool)),
-                    servers_listed=len(self.reachability.pool_servers(server.pool)),
-                    detail=detail,
-                )
+        pool, now = server.pool, now_unix_s()
+        if self.reachability.note_failure(server, now):
+            self._report_unreachable(pool, detail)
+        if pool not in self._probes and self.reachability.is_in_doubt(pool, now):
+            self._probes[pool] = asyncio.create_task(self._probe(pool))
+
+    async def close(self) -> None:
+        """Stop all probes."""
+        probes = tuple(self._probes.values())
+        for each in probes:
+            each.cancel()
+        await asyncio.gather(*probes, return_exceptions=True)
+
+    def _report_unreachable(self, pool: str, detail: str) -> None:
+        servers = self.reachability.pool_servers(pool)
+        self.forgive(servers)
+        self.observe(
+            PoolUnreachable(
+                pool=pool,
+                servers_failed=len(self.reachability.failed_servers(pool)),
+                servers_listed=len(servers),
+                detail=detail,
             )
+        )
+
+    async def _probe(self, pool: str) -> None:
+        """Probe servers of a pool until one answers or none is listed."""
+        pause_s = FIRST_PAUSE_S
+        try:
+            while servers := self.reachability.servers_to_probe(pool, self.rng):
+                await asyncio.gather(*(self._probe_server(server) for server in servers))
+                if self.reachability.is_reachable(pool):
+                    return
+                await asyncio.sleep(pause_s * self.rng.uniform(1 - PAUSE_JITTER, 1 + PAUSE_JITTER))
+                pause_s = min(MAX_PAUSE_S, 2.0 * pause_s)
+            self.reachability.forget(pool)
+        finally:
+            del self._probes[pool]
+
+    async def _probe_server(self, server: BackendServer) -> None:
+        started_unix_s = now_unix_s()
+        url = self.sessions.url(server.address, "/")
+        try:
+            async with self.sessions.fresh.get(
+                url, headers=self.wire.probe_headers, timeout=PROBE_TIMEOUT, allow_redirects=False
+            ):
+                self.note_answer(server, started_unix_s)
+        except CONNECTION_ERRORS as error:
+            self.note_failure(server, repr(error))
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -27,15 +27,12 @@
 from pomelobarrow.relay.messages import AttemptEnd, AttemptReport, RelayRequest, ServerAnswerHead
 from pomelobarrow.relay.next_step import UNSENT_ENDS, AttemptHistory, Step, last_step, should_retry
 from pomelobarrow.relay.progress import RequestProgress
-from pomelobarrow.relay.reach_monitor import ReachMonitor
+from pomelobarrow.relay.reach_monitor import SERVER_CONNECT_TIMEOUT_S, ReachMonitor
 from pomelobarrow.relay.refusal_answer import send_refusal
 from pomelobarrow.relay.refusal_policy import RefusalPolicy
 from pomelobarrow.relay.relay_log import RelayLog
 from pomelobarrow.relay.wire import RelayWire, ServerCallOptions
 
-# Connecting inside a region takes one or two milliseconds. The limit allows for one retransmission;
-# after it, a server counts as unreachable.
-SERVER_CONNECT_TIMEOUT_S = 0.35
 LIMIT_CHECK_S = 0.01
 NO_ANSWER_ENDS = frozenset({AttemptEnd.NOT_SENT, AttemptEnd.LOST})
 KEY_UNCONFIRMED = "the key may have been revoked while the request waited"
@@ -223,7 +220,9 @@
             table.release(work.request_id, now_unix_s())
         if report.end in NO_ANSWER_ENDS and not report.has_head:
             self.reach.note_failure(server, report.detail)
-        self.monitor.monitor(server, report, placement.expected_wait_s, now)
+        # Failures of this VM's own links must not count against the servers.
+        if table.reachability.is_reachable(work.pool):
+            self.monitor.monitor(server, report, placement.expected_wait_s, now)
         await self._record_server_end(progress, server, report)
         if report.end is not AttemptEnd.PASSED_ON:
             progress.excluded.servers.add(server.name)
@@ -264,7 +263,11 @@
             self.placer.members.connect_backoff.note_connected(decision.member.vm)
         if report.end is not AttemptEnd.PASSED_ON:
             progress.excluded.peers.add(decision.member.vm)
-        if report.end in (AttemptEnd.REFUSED, AttemptEnd.REFUSED_UNSENT):
+        if report.is_pool_unreachable:
+            self.placer.peer_reachability.note_refusal(
+                decision.member.vm, progress.request.work.pool, now_unix_s()
+            )
+        elif report.end in (AttemptEnd.REFUSED, AttemptEnd.REFUSED_UNSENT):
             self._exclude_refusing_target(progress, decision)
         return report
 
@@ -358,6 +361,7 @@
             return "answered"
         refusal = self.refusals.refusal(progress, step)
         request_id = progress.request.work.request_id
-        is_unreachable = not self.reach.reachability.is_reachable(progress.request.work.pool)
+        reachability = self.placer.table.reachability
+        is_unreachable = not reachability.is_reachable(progress.request.work.pool)
         await send_refusal(refusal, request_id, progress.sink, progress.history, is_unreachable)
         return "refused" if refusal.run is RunStatus.NO else "failed"
--- a/src/pomelobarrow/relay/wire.py
+++ b/src/pomelobarrow/relay/wire.py
@@ -46,6 +46,8 @@
     # Returns the headers of a request to a peer, with the remaining time and the id of the event
     # after which a stream that broke off is to resume.
     peer_headers: Callable[[RelayRequest, str], Headers]
+    # Headers of a request that every backend server rejects unrun, and that needs no free slot.
+    probe_headers: Headers
     read_answer: Callable[[ClientResponse], ServerAnswerHead]
     read_directory_query: Callable[[Mapping[str, str]], DirectoryQuery]
     # Takes the addresses and the seconds for which they are valid.
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -17,7 +17,6 @@
 from pomelobarrow.decision.member import Member
 from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.placement import Placer
-from pomelobarrow.decision.reachability import ServerReachability
 from pomelobarrow.decision.retry_share import RetryBound, RetryShare
 from pomelobarrow.decision.routing import PoolShare, Route, RouteKind, Routing
 from pomelobarrow.decision.work import BackendServer
@@ -145,6 +144,7 @@
             await vm.listeners.start()
             stack.push_async_callback(vm.listeners.stop)
             stack.push_async_callback(vm.relay.sessions.close)
+            stack.push_async_callback(vm.relay.reach.close)
             vms[key] = vm
         yield RelayFleet(vms=vms, servers=servers)
 
@@ -198,6 +198,8 @@
     events: list[object] = []
     access = RelayAccess(**{"routing": lambda: routing, "observe": events.append, **access_options})
     view, stop = _view(place, places.values()), PlannedStop()
+    monitor = ServerHealthMonitor(table=table, observe=events.append)
+    sessions = BackendSessions(dial)
     relay = Relay(
         own_vm=place.vm,
         own_region=region,
@@ -211,12 +213,16 @@
             region_loads=lambda pool: {},
             servers=lambda: {server.name: server for server in listed},
         ),
-        sessions=BackendSessions(dial),
+        sessions=sessions,
         wire=platform_wire(),
         retries=RetryShare(bound=bound),
-        monitor=ServerHealthMonitor(table=table, observe=events.append),
+        monitor=monitor,
         reach=ReachMonitor(
-            reachability=ServerReachability(pool_servers=table.pool_servers), observe=events.append
+            reachability=table.reachability,
+            sessions=sessions,
+            wire=platform_wire(),
+            forgive=monitor.forgive,
+            observe=events.append,
         ),
         observe=events.append,
         may_still_run=access.may_still_run,
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -95,6 +95,10 @@
         headers = {name.lower(): value for name, value in (each.split(": ", 1) for each in fields)}
         body = await reader.readexactly(int(headers.get("content-length", "0")))
         received = Received(line=line, headers=headers, body=body)
+        if headers.get("pomelobarrow-target-instance", self.name) != self.name:
+            writer.write(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
+            writer.close()
+            return
         self.received.append(received)
         await self.script(Exchange(received=received, reader=reader, writer=writer, server=self))
         self._writers.discard(writer)
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -1,11 +1,21 @@
 """Which failed connections show that this VM reaches no server of a pool."""
 
+from random import Random
+
 from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 from work_builders import SERVER
 
-from pomelobarrow.decision.reachability import FAILURE_RETENTION_S, ServerReachability
+from pomelobarrow.decision.reachability import (
+    FAILURE_RETENTION_S,
+    RECENT_CONNECTION_S,
+    REFUSAL_VALID_S,
+    STATEMENT_VALID_S,
+    PeerReachability,
+    ServerReachability,
+)
+from pomelobarrow.decision.short_key import short_key
 
 S1, S2, S3 = (evolve(SERVER, name=name) for name in ("s1", "s2", "s3"))
 MANY = [evolve(SERVER, name=f"s{number}") for number in range(40)]
@@ -91,3 +101,40 @@
             assert reachability.is_reachable(SERVER.pool)
         else:
             reachability.note_failure(MANY[index], now)
+
+
+def test_peers_statement_replaces_the_earlier_ones() -> None:
+    peers = PeerReachability()
+    peers.observe("vm-1", [short_key("p"), short_key("q")], 10.0)
+    peers.observe("vm-1", [short_key("q")], 11.0)
+    assert peers.is_reachable("vm-1", "p", 11.0)
+    assert not peers.is_reachable("vm-1", "q", 11.0)
+    assert peers.unreachable_vms("q", 11.0) == {"vm-1"}
+    peers.observe("vm-1", [], 12.0)
+    assert peers.is_reachable("vm-1", "q", 12.0)
+
+
+def test_peer_that_states_nothing_any_more_is_tried_again() -> None:
+    peers = PeerReachability()
+    peers.observe("vm-1", [short_key("p")], 10.0)
+    peers.note_refusal("vm-2", "p", 10.0)
+    assert not peers.is_reachable("vm-1", "p", 9.9 + STATEMENT_VALID_S)
+    assert peers.is_reachable("vm-1", "p", 10.0 + STATEMENT_VALID_S)
+    assert not peers.is_reachable("vm-2", "p", 9.9 + REFUSAL_VALID_S)
+    assert peers.is_reachable("vm-2", "p", 10.0 + REFUSAL_VALID_S)
+
+
+def test_failure_beside_a_recent_answer_needs_no_probe() -> None:
+    reachability = _reachability(S1, S2)
+    assert reachability.is_in_doubt(SERVER.pool, 10.0)
+    reachability.note_answer(S2, 10.0, 10.1)
+    assert not reachability.is_in_doubt(SERVER.pool, 10.2)
+    assert reachability.is_in_doubt(SERVER.pool, 10.1 + RECENT_CONNECTION_S)
+
+
+def test_servers_without_a_failure_are_probed_first() -> None:
+    reachability = _reachability(*MANY)
+    for server in MANY[4:]:
+        reachability.note_failure(server, 10.0)
+    probed = reachability.servers_to_probe(SERVER.pool, Random(1))
+    assert {server.name for server in probed} == {server.name for server in MANY[:4]}
--- a/tests/test_relay_lost_links.py
+++ b/tests/test_relay_lost_links.py
@@ -1,13 +1,15 @@
 """What clients receive at a VM that has lost its links to all backend servers."""
 
 import pytest
+from callers import wait_until
 from lost_links import Loss, lost_address
-from relay_harness import RelayFleet, ask, relay_fleet, route
+from relay_harness import POOL, RelayFleet, ask, relay_fleet, route
 from scripted_server import answers, streams
 
 from pomelobarrow.decision.retry_share import RetryBound
 from pomelobarrow.decision.routing import RouteKind
-from pomelobarrow.relay.events import RelayAttemptEnded
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.relay.events import PoolReachable, PoolUnreachable, RelayAttemptEnded
 
 NO_RETRIES = RetryBound(ratio=0.0, slack=0.0, window_s=10.0)
 REQUESTS = 12
@@ -68,3 +70,41 @@
     assert (first.status, second.status) == (503, 503)
     assert attempts_after == attempts
     assert float(second.headers["Retry-After"]) > 0.0
+
+
+async def test_vm_sends_requests_itself_again_once_its_links_are_back() -> None:
+    """Failures during the cut ejected the servers for up to half a minute after it."""
+    bound = route(RouteKind.NON_IDEMPOTENT, home_regions=("a",))
+    servers = {"a": {"s1": answers(), "s2": answers()}}
+    async with relay_fleet((bound,), servers, NO_RETRIES, vms_per_region=2) as fleet:
+        vm = fleet.vms["a"]
+        table = vm.relay.placer.table
+
+        async def is_reachable() -> bool:
+            return table.reachability.is_reachable(POOL)
+
+        with lost_address(Loss.REFUSED) as address:
+            fleet.lose_links("a", address)
+            await _statuses(fleet, "a", "/non_idempotent/")
+            assert not table.reachability.is_reachable(POOL)
+        fleet.restore_links("a")
+        await wait_until(is_reachable)
+        attempts_of_peer = _attempts(fleet, "a-2")
+        statuses = await _statuses(fleet, "a", "/non_idempotent/")
+        assert _attempts(fleet, "a-2") == attempts_of_peer
+        usable = table.usable(POOL, now_unix_s())
+    assert statuses == [200] * REQUESTS
+    assert [state.slots for state in usable] == [state.server.slots for state in usable]
+    events = [type(event) for event in vm.events]
+    assert events.count(PoolUnreachable) == events.count(PoolReachable) == 1
+
+
+async def test_crashed_server_beside_a_running_one_is_no_lost_link() -> None:
+    bound = route(RouteKind.NON_IDEMPOTENT, home_regions=("a",))
+    servers = {"a": {"s1": answers(), "s2": answers()}}
+    async with relay_fleet((bound,), servers, NO_RETRIES, vms_per_region=2) as fleet:
+        fleet.servers["s1"].end()
+        statuses = await _statuses(fleet, "a", "/non_idempotent/")
+        assert _attempts(fleet, "a-2") == 0
+    assert statuses == [200] * REQUESTS
+    assert not [event for event in fleet.vms["a"].events if isinstance(event, PoolUnreachable)]
--- a/tests/test_state_exchange.py
+++ b/tests/test_state_exchange.py
@@ -40,6 +40,23 @@
         assert {load.region for load in node.region_loads.fresh(now)} == {"r01", "r02"}
 
 
+def test_neighbours_learn_which_pools_a_vm_reaches_no_server_of(
+    warm_region: SimulatedRegion,
+) -> None:
+    lost = warm_region.nodes["r00-vm005"]
+    pool = next(iter(warm_region.nodes.values())).table.pool_servers("drafting")[0].pool
+    for server in lost.table.pool_servers(pool):
+        lost.table.reachability.note_failure(server, warm_region.clock.unix_s)
+    warm_region.run(warm_s=0, measure_s=2)
+    now = warm_region.clock.unix_s
+    informed = {
+        vm
+        for vm, node in warm_region.nodes.items()
+        if not node.heartbeats.peer_reachability.is_reachable("r00-vm005", pool, now)
+    }
+    assert informed == set(warm_region.links_of("r00-vm005"))
+
+
 def test_a_dead_daemon_is_suspected_within_seconds(warm_region: SimulatedRegion) -> None:
     """A VM fails in a region so large that most VMs exchange no messages with it.
 
