Take refused connections for a crash only while another server accepts one

A refusal now counts only if another server of the region, of any pool, accepts a connection; without any other server to ask it counts as before. Four others at most are asked, in one round trip inside the existing check.

Two tests; the first could not pass before, as the watch asked nobody else (a refused address was all it looked at).

--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -188,9 +188,11 @@
 
 
 def _watch(context: Context) -> ServerWatch:
+    table = context.get(LoadTable)
     return ServerWatch(
         dial=context.settings.dial,
-        is_in_service=context.get(LoadTable).is_in_service,
+        is_in_service=table.is_in_service,
+        other_servers=table.other_servers,
         observe=context.observe,
     )
 
--- a/src/pomelobarrow/backends/server_watch.py
+++ b/src/pomelobarrow/backends/server_watch.py
@@ -1,7 +1,9 @@
 """Detect whether a backend server that closed a connection without an answer has ended."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+import enum
+import random
+from collections.abc import Callable, Mapping, Sequence
 
 from attrs import define, field, frozen
 
@@ -16,6 +18,8 @@
 # at most this long for the result.
 CHECK_TIMEOUT_S = 0.1
 MAX_LOGGED_FINGERPRINTS = 8
+# One that accepts a connection is enough, and several servers may have crashed together.
+MAX_OTHERS_ASKED = 4
 
 
 @frozen(kw_only=True)
@@ -42,12 +46,15 @@
 
     A closed connection alone is no evidence, as running servers and network devices close
     connections too. The address of a server that ended refuses new connections at once. A server
-    that is unreachable or has lost power doesn't respond at all, which proves nothing.
+    that is unreachable or has lost power doesn't respond at all, which proves nothing. Nor does a
+    refusal where no other server accepts a connection either: this VM has lost its own links then.
     """
 
     dial: Mapping[str, str] = field(factory=dict)
     # Returns whether a server is listed and has not announced that it leaves.
     is_in_service: Callable[[BackendServer], bool] = lambda server: True
+    # Returns the other servers of this region.
+    other_servers: Callable[[BackendServer], Sequence[BackendServer]] = lambda server: ()
     on_ended: Callable[[BackendServer, tuple[int, ...]], None] = lambda server, fingerprints: None
     observe: Callable[[object], None] = lambda event: None
     _checks: dict[str, _Check] = field(factory=dict)
@@ -73,13 +80,25 @@
             self._report(server, tuple(dict.fromkeys(check.fingerprints)))
 
     async def _has_ended(self, server: BackendServer) -> bool:
-        host, _, port = self.dial.get(server.address, server.address).rpartition(":")
         for delay_s in CHECK_DELAYS_S:
             await asyncio.sleep(delay_s)
-            if await _refuses_connections(host, int(port)):
-                return True
+            if await self._connect(server) is Connection.REFUSED:
+                return await self._reaches_others(server)
         return False
 
+    async def _reaches_others(self, server: BackendServer) -> bool:
+        """Return whether another server accepts a connection, or there is none to ask."""
+        others = self.other_servers(server)
+        if not others:
+            return True
+        asked = random.sample(others, min(len(others), MAX_OTHERS_ASKED))
+        found = await asyncio.gather(*(self._connect(each) for each in asked))
+        return Connection.ACCEPTED in found
+
+    async def _connect(self, server: BackendServer) -> "Connection":
+        host, _, port = self.dial.get(server.address, server.address).rpartition(":")
+        return await _try_connection(host, int(port))
+
     def _report(self, server: BackendServer, fingerprints: tuple[int, ...]) -> None:
         self.on_ended(server, fingerprints)
         self.observe(
@@ -92,14 +111,21 @@
         )
 
 
-async def _refuses_connections(host: str, port: int) -> bool:
-    """Return whether an address refuses connections."""
+class Connection(enum.Enum):
+    """How an attempt to connect ended."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+async def _try_connection(host: str, port: int) -> Connection:
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, writer = await asyncio.open_connection(host, port)
     except ConnectionRefusedError:
-        return True
+        return Connection.REFUSED
     except (OSError, TimeoutError):
-        return False
+        return Connection.FAILED
     writer.close()
-    return False
+    return Connection.ACCEPTED
--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -205,6 +205,10 @@
         """Return the listed servers of a pool."""
         return self._pools.get(pool, ())
 
+    def other_servers(self, server: BackendServer) -> list[BackendServer]:
+        """Return the listed servers of this region, of any pool, without this one."""
+        return [each for each in self._servers.values() if each.name != server.name]
+
     def staying_servers(self, pool: str) -> list[BackendServer]:
         """Return the listed servers of a pool that don't leave."""
         return [s for s in self.pool_servers(pool) if not self._is_leaving(s)]
--- a/tests/test_server_watch.py
+++ b/tests/test_server_watch.py
@@ -14,10 +14,15 @@
 
 
 async def _events_after_closed_connections(
-    address: str, is_in_service: bool = True
+    address: str, is_in_service: bool = True, other_addresses: tuple[str, ...] = ()
 ) -> list[object]:
     events: list[object] = []
-    watch = ServerWatch(is_in_service=lambda server: is_in_service, observe=events.append)
+    others = [evolve(SERVER, name=each, address=each) for each in other_addresses]
+    watch = ServerWatch(
+        is_in_service=lambda server: is_in_service,
+        other_servers=lambda server: others,
+        observe=events.append,
+    )
     server = evolve(SERVER, address=address)
     await asyncio.gather(*(watch.note_closed(server, number) for number in (1, 2, 2)))
     await asyncio.gather(*(check.task for check in watch._checks.values()))
@@ -52,6 +57,21 @@
     listening.close()
 
 
+async def test_reset_of_the_connections_to_all_servers_is_no_crash() -> None:
+    """A VM that lost its own links reported each server as crashed under its requests."""
+    address, *others = [await _free_address() for _ in range(3)]
+    assert await _events_after_closed_connections(address, other_addresses=tuple(others)) == []
+
+
+async def test_crash_beside_a_server_that_accepts_connections_is_reported() -> None:
+    listening = await asyncio.start_server(_close, "127.0.0.1", 0)
+    host, port = listening.sockets[0].getsockname()
+    others = (await _free_address(), f"{host}:{port}")
+    events = await _events_after_closed_connections(await _free_address(), other_addresses=others)
+    assert [type(event) for event in events] == [ServerEnded]
+    listening.close()
+
+
 async def test_server_that_leaves_as_planned_is_not_reported_as_crashed() -> None:
     assert await _events_after_closed_connections(await _free_address(), is_in_service=False) == []
 
