Probe each unreachable pool until it answers, and count failed connections only

A probe was only started where no server had answered within half a second, so a pool that failed right after an answer got neither a probe nor a request. And what counted as a failure was too much: a request given up at a busy server, or a connection that a full server resets, made a pool of one server unreachable.

Change: whatever makes a pool unreachable also starts the probe. Only a connection that can't be opened, or a probe without an answer, counts as a failure; a request without an answer starts a probe. A failure doesn't count beside an answer on a connection that was opened later.

--- a/src/pomelobarrow/decision/reachability.py
+++ b/src/pomelobarrow/decision/reachability.py
@@ -60,16 +60,23 @@
         self._failed[server.pool] = later
         return self._end_if_reachable(server.pool, now_unix_s)
 
-    def note_failure(self, server: BackendServer, now_unix_s: float) -> bool:
-        """Record a connection without an answer; return whether its pool became unreachable."""
+    def note_failure(self, server: BackendServer, opened_unix_s: float, now_unix_s: float) -> bool:
+        """Record a connection that failed; return whether its pool became unreachable.
+
+        It proves nothing if one that was opened later has been answered.
+        """
+        if self._connected.get(server.pool, -math.inf) > opened_unix_s:
+            return False
         self._failed[server.pool][server.incarnation] = now_unix_s
         if server.pool in self._unreachable or not self._has_failed(server.pool, now_unix_s):
             return False
         self._unreachable[server.pool] = now_unix_s
         return True
 
-    def is_in_doubt(self, pool: str, now_unix_s: float) -> bool:
-        """Return whether a failure may be due to this VM's links, so that a probe is worth it."""
+    def needs_probe(self, pool: str, now_unix_s: float) -> bool:
+        """Return whether a pool is unreachable, or nothing shows that a failure is the server's."""
+        if pool in self._unreachable:
+            return True
         return now_unix_s - self._connected.get(pool, -math.inf) > RECENT_CONNECTION_S
 
     def servers_to_probe(self, pool: str, rng: Random) -> list[BackendServer]:
--- a/src/pomelobarrow/relay/reach_monitor.py
+++ b/src/pomelobarrow/relay/reach_monitor.py
@@ -48,12 +48,20 @@
                 PoolReachable(pool=server.pool, server=server.name, unreachable_s=unreachable_s)
             )
 
-    def note_failure(self, server: BackendServer, detail: str) -> None:
-        """Record a connection that failed or brought no answer."""
-        pool, now = server.pool, now_unix_s()
-        if self.reachability.note_failure(server, now):
-            self._report_unreachable(pool, detail)
-        if pool not in self._probes and self.reachability.is_in_doubt(pool, now):
+    def note_failure(self, server: BackendServer, opened_unix_s: float, detail: str) -> None:
+        """Record a connection that this VM failed to open at the given time, or a failed probe."""
+        if self.reachability.note_failure(server, opened_unix_s, now_unix_s()):
+            self._report_unreachable(server.pool, detail)
+        self.note_silence(server)
+
+    def note_silence(self, server: BackendServer) -> None:
+        """Probe the pool of a server that gave no answer, unless another one has just answered.
+
+        A busy or faulty server may leave a request unanswered, so this counts as no failure itself.
+        """
+        pool = server.pool
+        is_due = self.reachability.needs_probe(pool, now_unix_s())
+        if is_due and pool not in self._probes:
             self._probes[pool] = asyncio.create_task(self._probe(pool))
 
     async def close(self) -> None:
@@ -98,4 +106,4 @@
             ):
                 self.note_answer(server, started_unix_s)
         except CONNECTION_ERRORS as error:
-            self.note_failure(server, repr(error))
+            self.note_failure(server, started_unix_s, repr(error))
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -34,7 +34,6 @@
 from pomelobarrow.relay.wire import RelayWire, ServerCallOptions
 
 LIMIT_CHECK_S = 0.01
-NO_ANSWER_ENDS = frozenset({AttemptEnd.NOT_SENT, AttemptEnd.LOST})
 KEY_UNCONFIRMED = "the key may have been revoked while the request waited"
 
 
@@ -218,8 +217,10 @@
             )
         finally:
             table.release(work.request_id, now_unix_s())
-        if report.end in NO_ANSWER_ENDS and not report.has_head:
-            self.reach.note_failure(server, report.detail)
+        if report.end is AttemptEnd.NOT_SENT:
+            self.reach.note_failure(server, now, report.detail)
+        elif report.end is AttemptEnd.LOST and not report.has_head:
+            self.reach.note_silence(server)
         # Failures of this VM's own links must not count against the servers.
         if table.reachability.is_reachable(work.pool):
             self.monitor.monitor(server, report, placement.expected_wait_s, now)
--- a/tests/test_relay_lost_links.py
+++ b/tests/test_relay_lost_links.py
@@ -108,3 +108,22 @@
         assert _attempts(fleet, "a-2") == 0
     assert statuses == [200] * REQUESTS
     assert not [event for event in fleet.vms["a"].events if isinstance(event, PoolUnreachable)]
+
+
+async def test_pool_that_becomes_unreachable_right_after_an_answer_is_found_again() -> None:
+    """No probe was started beside a recent answer, and no request was sent to the pool any more."""
+    bound = route(RouteKind.NON_IDEMPOTENT, home_regions=("a",))
+    async with relay_fleet((bound,), {"a": {"s1": answers()}}, NO_RETRIES) as fleet:
+        reachability = fleet.vms["a"].relay.placer.table.reachability
+
+        async def is_reachable() -> bool:
+            return reachability.is_reachable(POOL)
+
+        with lost_address(Loss.REFUSED) as address:
+            before = await _statuses(fleet, "a", "/non_idempotent/", 1)
+            fleet.lose_links("a", address)
+            without_links = await _statuses(fleet, "a", "/non_idempotent/", 2)
+        fleet.restore_links("a")
+        await wait_until(is_reachable)
+        after = await _statuses(fleet, "a", "/non_idempotent/", 1)
+    assert (before, without_links, after) == ([200], [503, 503], [200])
