Let the soak cut the links between single VMs and all servers

The proxy had one way to each server for all daemons, so that no run could cut the links of one VM. It has one for each daemon and server now: daemons dial it in place of the listed address. Cuts (connections stay silent or are reset) overlap all other faults, and after them one VM of each region is cut for 5 s in each way: from 2 s on, its clients must be served at least two thirds as often as those of the other VMs.

--- a/harness/serve.py
+++ b/harness/serve.py
@@ -6,6 +6,9 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
+
+from attrs import evolve
 
 PROGRAM = Path(__file__).parent.parent / "deploy" / "serve.py"
 
@@ -17,9 +20,20 @@
 
     os.environ[settings.SETTINGS_VARIABLE] = settings_path
     settings.METRICS_PORT = metrics_port
+    settings.translate_settings = _reading_dial(settings.translate_settings)
     return _profiled(serve, profile_path) if profile_path else serve()
 
 
+def _reading_dial(translate: Callable[[Any], Any]) -> Callable[[Any], Any]:
+    """Return a translation that also reads which addresses to dial in place of others."""
+
+    def translate_with_dial(decoded: Any) -> Any:
+        dial = dict(decoded.get("Dial", {}))
+        return translate(decoded).map(lambda translated: evolve(translated, dial=dial))
+
+    return translate_with_dial
+
+
 def _profiled(serve: Callable[[], int], path: str) -> int:
     profile = cProfile.Profile()
     code = profile.runcall(serve)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,9 +10,15 @@
 from attrs import frozen
 
 from soak.announcing import AnnouncingServers
-from soak.checks import Clients, find_violations, served_share
-from soak.faults import Faults
-from soak.fleet import SoakFleet
+from soak.checks import (
+    Clients,
+    CutVms,
+    find_unserved_at_cut_vms,
+    find_violations,
+    served_share,
+)
+from soak.faults import LINK_CUTS, Faults
+from soak.fleet import REGIONS, SoakFleet
 from soak.fragile import FragileServers
 from soak.keyed import KeyedServers
 from soak.limited import LimitedServers
@@ -20,6 +26,7 @@
 READY_TIMEOUT_S = 30.0
 SETTLE_S = 8.0
 CALM_RUN_S = 3.0
+CUT_RUN_S = 5.0
 # Servers of the soak always fail, refuse or truncate a part of their answers, so that not all
 # requests can be served.
 MIN_SERVED_SHARE = 0.8
@@ -50,24 +57,29 @@
         pools = (fragile, limited, keyed, announcing)
         await asyncio.gather(*(each.start() for each in pools))
         sending = asyncio.create_task(clients.run(time.monotonic() + duration_s))
-        until_s = time.monotonic() + duration_s + SETTLE_S + CALM_RUN_S
+        until_s = time.monotonic() + duration_s + SETTLE_S + CALM_RUN_S + len(LINK_CUTS) * CUT_RUN_S
         sending_more = asyncio.gather(*(each.send_until(until_s) for each in pools))
         announced = asyncio.create_task(announcing.announce_until(time.monotonic() + duration_s))
         returns_random = random.Random(rng.random())
+        links_random = random.Random(rng.random())
         await asyncio.gather(
-            faults.run(duration_s), faults.return_store(duration_s, returns_random)
+            faults.run(duration_s),
+            faults.return_store(duration_s, returns_random),
+            faults.cut_links_at_times(duration_s, links_random),
         )
         await announced
         await sending
         await asyncio.sleep(SETTLE_S)
         calm_started_s = time.monotonic()
         await clients.run(calm_started_s + CALM_RUN_S)
+        cut_vms = await _run_with_cut_links(clients, faults, links_random)
         await sending_more
         await asyncio.gather(*(each.stop() for each in pools))
         violations, served = find_violations(clients, faults), served_share(clients, calm_started_s)
         violations += fragile.find_violations() + limited.find_violations()
         violations += keyed.find_violations() + fleet.ended_daemons()
         violations += announcing.find_violations(faults)
+        violations += find_unserved_at_cut_vms(clients, cut_vms)
         violations += keyed.find_unserved(calm_started_s, MIN_SERVED_SHARE)
         if fragile.served_share(calm_started_s) < MIN_SERVED_SHARE:
             violations.append("requests are not served by servers that crashed and were restarted")
@@ -88,6 +100,22 @@
         )
 
 
+async def _run_with_cut_links(
+    clients: Clients, faults: Faults, rng: random.Random
+) -> tuple[CutVms, ...]:
+    """Send requests while one VM of each region reaches no server, for each kind of cut."""
+    found = []
+    for mode in LINK_CUTS:
+        cut = [rng.choice(clients.fleet.in_region(region)) for region in REGIONS]
+        await asyncio.gather(*(faults.cut(daemon, mode) for daemon in cut))
+        started_s = time.monotonic()
+        await clients.run(started_s + CUT_RUN_S)
+        await asyncio.gather(*(faults.restore(daemon) for daemon in cut))
+        vms = frozenset(daemon.vm for daemon in cut)
+        found.append(CutVms(mode=mode, vms=vms, from_s=started_s, until_s=time.monotonic()))
+    return tuple(found)
+
+
 async def wait_ready(fleet: SoakFleet) -> None:
     """Wait until each daemon reports that it is ready."""
     async with asyncio.timeout(READY_TIMEOUT_S), aiohttp.ClientSession() as session:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import time
+from collections.abc import Iterable
 from random import Random
 
 import aiohttp
@@ -20,6 +21,9 @@
 DRAIN_LIMIT_S = 3.0
 # A fault may affect requests for this long after it ended; limits are checked only later.
 CALM_S = 6.0
+# After this time, VMs without links must serve at least this share of what the others serve.
+CUT_DETECTED_S = 2.0
+MIN_CUT_SHARE = 2 / 3
 REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 
 
@@ -38,6 +42,16 @@
     is_connected: bool = True
 
 
+@frozen(kw_only=True)
+class CutVms:
+    """VMs whose links to all servers were cut, how and when."""
+
+    mode: str
+    vms: frozenset[str]
+    from_s: float
+    until_s: float
+
+
 @define(kw_only=True, slots=False)
 class Clients:
     """Sender of random requests that records their outcomes."""
@@ -170,6 +184,20 @@
     )
 
 
+def find_unserved_at_cut_vms(clients: Clients, cuts: Iterable[CutVms]) -> list[str]:
+    """Return a line for each cut in which its VMs served far fewer requests than the others."""
+    found = []
+    for cut in cuts:
+        served: dict[bool, list[bool]] = {True: [], False: []}
+        for each in clients.outcomes:
+            if cut.from_s + CUT_DETECTED_S <= each.sent_s < cut.until_s:
+                served[each.vm in cut.vms].append(each.status == 200)
+        at_cut, at_others = (sum(each) / max(1, len(each)) for each in served.values())
+        if at_cut < MIN_CUT_SHARE * at_others:
+            found.append(f"{cut.mode}: {at_cut:.0%} served at cut VMs, {at_others:.0%} at others")
+    return found
+
+
 def served_share(clients: Clients, since_s: float) -> float:
     """Return the share of the requests sent since a time that succeeded."""
     late = [outcome for outcome in clients.outcomes if outcome.sent_s >= since_s]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,9 +9,11 @@
 
 from attrs import define, field, frozen
 
-from soak.fleet import Daemon, SoakFleet
+from soak.fleet import Daemon, SoakFleet, link_route
 
 CONNECTION_FAULTS = ("silent", "close", "cut", "cut_to_client", "cut_to_target", "refuse")
+# Connections are accepted and stay silent, or are reset.
+LINK_CUTS = ("cut", "refuse")
 STORE_FAULTS = ("silent", "refuse", "cut")
 STOP_TIMEOUT_S = 8.0
 DRAINING = "draining"
@@ -36,6 +38,8 @@
     spans: list[Span] = field(factory=list)
     # Servers listed as draining, and since when.
     draining_since_s: dict[str, float] = field(factory=dict)
+    # How the links of a VM to all servers are cut now.
+    cut_links: dict[str, str] = field(factory=dict)
     # VMs whose daemon is paused, killed or stopping.
     down: set[str] = field(factory=set)
 
@@ -72,9 +76,11 @@
     async def _fault_server(self) -> None:
         started_s = time.monotonic()
         name = self.random.choice(sorted(self.fleet.servers))
-        await self.fleet.fault(name, self.random.choice(CONNECTION_FAULTS))
+        routes = link_route("*", name)
+        await self.fleet.fault(routes, self.random.choice(CONNECTION_FAULTS))
         await asyncio.sleep(self.random.uniform(0.2, 2.0))
-        await self.fleet.fault(name, "pass")
+        await self.fleet.fault(routes, "pass")
+        await self.cut_again()
         self._record("server", name, started_s)
 
     async def _fault_store(self) -> None:
@@ -161,5 +167,34 @@
         await asyncio.sleep(after_s)
         self.fleet.store.write_again(lost, era)
 
+    async def cut_links_at_times(self, duration_s: float, random: Random) -> None:
+        """Cut all links between some VM and its servers, again and again.
+
+        Has random choices of its own, so that those of the other faults depend on the seed alone.
+        """
+        until_s = time.monotonic() + duration_s
+        while time.monotonic() < until_s:
+            await asyncio.sleep(random.uniform(0.2, 2.0))
+            daemon, started_s = random.choice(self.fleet.daemons), time.monotonic()
+            await self.cut(daemon, random.choice(LINK_CUTS))
+            await asyncio.sleep(random.uniform(0.5, 5.0))
+            await self.restore(daemon)
+            self._record("links", daemon.vm, started_s)
+
+    async def cut(self, daemon: Daemon, mode: str) -> None:
+        """Cut all links between a VM and its servers."""
+        self.cut_links[daemon.vm] = mode
+        await self.fleet.fault(link_route(daemon.vm, "*"), mode)
+
+    async def restore(self, daemon: Daemon) -> None:
+        """End the cut of a VM's links."""
+        del self.cut_links[daemon.vm]
+        await self.fleet.fault(link_route(daemon.vm, "*"), "pass")
+
+    async def cut_again(self) -> None:
+        """Renew the cuts that the end of another fault may have ended."""
+        for vm, mode in tuple(self.cut_links.items()):
+            await self.fleet.fault(link_route(vm, "*"), mode)
+
     async def _publish(self) -> None:
         self.fleet.publish_configuration()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -38,6 +38,11 @@
 REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 
 
+def link_route(vm: str, server: str) -> str:
+    """Return the proxy's route from a daemon to a server; either may be a pattern."""
+    return f"{vm}/{server}"
+
+
 @define(kw_only=True)
 class Daemon:
     """Daemon under test and its loopback address."""
@@ -68,6 +73,8 @@
     _stack: AsyncExitStack = field(factory=AsyncExitStack)
     _control: str = ""
     _store_address: str = ""
+    # By VM: the proxy's address for each server that the VM reaches.
+    _dial: dict[str, dict[str, str]] = field(factory=dict)
 
     async def __aenter__(self) -> Self:
         names = ("Front", "Ready", "Control", "Directory", "hop", "metrics")
@@ -90,6 +97,10 @@
         """Return the URL of a daemon's readiness endpoint."""
         return f"http://{daemon.ip}:{self._ports['Ready']}/readiness"
 
+    def in_region(self, region: str) -> list[Daemon]:
+        """Return the daemons of a region."""
+        return [daemon for daemon in self.daemons if daemon.region == region]
+
     def start_daemon(self, daemon: Daemon) -> None:
         """Start a daemon's process."""
         path = self.processes.folder / f"{daemon.vm}.yaml"
@@ -125,7 +136,7 @@
         self.store.put("op/config", config | {"Tenants": self.tenants})
 
     def list_server(self, name: str, state: str = "ready") -> None:
-        """Write the store entry of a server behind the proxy."""
+        """Write the store entry of a server."""
         server = self.servers[name]
         self.list_address(name, server.region, server.address, POOL, state)
 
@@ -187,7 +198,10 @@
                 rng = Random(self.random.random())
                 server = SoakServer(name=name, region=region, runs=self.runs, random=rng)
                 runner = web.ServerRunner(web.Server(server.answer))
-                routes[name] = await self._listen(runner)
+                address = await self._listen(runner)
+                for daemon in self.in_region(region):
+                    routes[link_route(daemon.vm, name)] = address
+                server.address = address
                 self.servers[name] = server
         ports = dict(zip(routes, free_ports(len(routes)), strict=True))
         arguments = ["pomelobarrow.standin", "proxy", "--control", f"{ROOT_HOST}:0"]
@@ -196,9 +210,12 @@
         self.processes.start("proxy", arguments)
         self._control = self.processes.announcement("proxy")["control"]
         self._store_address = f"{ROOT_HOST}:{ports['store']}"
-        self.publish_configuration()
         for name, server in self.servers.items():
-            server.address = f"{ROOT_HOST}:{ports[name]}"
+            for daemon in self.in_region(server.region):
+                proxied = f"{ROOT_HOST}:{ports[link_route(daemon.vm, name)]}"
+                self._dial.setdefault(daemon.vm, {})[server.address] = proxied
+        self.publish_configuration()
+        for name in self.servers:
             self.list_server(name)
 
     async def _listen(self, runner: web.BaseRunner) -> str:
@@ -237,4 +254,5 @@
                 "QuotaSlack": 0,
             },
             "Platform": {"Address": self._store_address},
+            "Dial": self._dial.get(daemon.vm, {}),
         }
--- a/soak/servers.py
+++ b/soak/servers.py
@@ -40,7 +40,7 @@
     region: str
     runs: Runs
     random: Random
-    # Address for daemons, through the proxy.
+    # Listed address; daemons reach it through the proxy.
     address: str = ""
 
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
