Keep requests at brittle servers within their slots

New term of the users: servers of a pool may state with all answers that they are brittle (Server-Brittle = N).

Here: 120 requests at once at three VMs before two servers of 8 slots that let none wait, 104 rejected.

Change: while the servers of a pool say so, each VM keeps its requests at a server within its own part of nine tenths of the slots; the parts of all VMs never exceed the slots (property test), whatever they know of each other's requests. A rejection leaves a VM one place less than it had requests there, and it regains one every 2 s. A request without a place goes to another region as before, else waits in the VM, woken by the next place that becomes free, or is refused at once where those before it take until its target. The statement holds for the pool, so also for servers that come back; it ends with answers that lack it, or 30 s after the last answer.

The same requests: none rejected, all places used. Nothing changes where no server says so.

--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -22,6 +22,7 @@
 from pomelobarrow.backends.shares import ServerShare
 from pomelobarrow.decision.announcements import ServerAnnouncement, parse_decimal
 from pomelobarrow.decision.attempt import Attempt, AttemptEvent
+from pomelobarrow.decision.brittle_servers import BrittleServers
 from pomelobarrow.decision.configuration import PoolKind
 from pomelobarrow.decision.departures import Departures
 from pomelobarrow.decision.load_table import LoadTable
@@ -183,20 +184,33 @@
 
 def _table(context: Context) -> LoadTable:
     table = LoadTable(context.settings.region, context.get(Departures))
-    table.limits = ServerLimits(own_vm=context.settings.vm, region_vms=lambda: _live_vms(context))
+    own_vm = context.settings.vm
+    table.limits = ServerLimits(
+        own_vm=own_vm,
+        region_vms=lambda: _live_vms(context),
+        brittle=BrittleServers(
+            own_vm=own_vm,
+            region_vms=lambda: _live_vms(context),
+            own_requests=table.own_requests,
+        ),
+    )
     return table
 
 
 def _watch(context: Context) -> ServerWatch:
-    table = context.get(LoadTable)
     return ServerWatch(
         dial=context.settings.dial,
-        is_in_service=table.is_in_service,
-        other_servers=table.other_servers,
+        is_in_service=context.get(LoadTable).is_in_service,
+        other_servers=lambda server: _others_in_region(context, server),
         observe=context.observe,
     )
 
 
+def _others_in_region(context: Context, server: BackendServer) -> list[BackendServer]:
+    servers = context.get(PublishedState).backend_servers.values()
+    return [s for s in servers if s.region == server.region and s.name != server.name]
+
+
 def _poller(context: Context) -> LoadPoller:
     return LoadPoller(
         own_vm=context.settings.vm,
--- a/src/pomelobarrow/decision/announcements.py
+++ b/src/pomelobarrow/decision/announcements.py
@@ -18,6 +18,10 @@
     is_leaving: bool = False
     # The time for which it asks this VM to send nothing; None if it rejects without such a request.
     backoff_s: float | None = None
+    # The rejections a second, over all VMs, beyond which it falls over; None if it states none.
+    max_rejected_per_s: float | None = None
+    # True if it rejected this request.
+    is_rejected: bool = False
 
 
 def parse_decimal(text: str) -> float | None:
--- a/src/pomelobarrow/decision/load_table.py
+++ b/src/pomelobarrow/decision/load_table.py
@@ -176,6 +176,11 @@
         """Return this VM's own requests in flight by server, for heartbeats."""
         return {name: load.own for name, load in self._loads.items() if load.own_requests}
 
+    def own_requests(self, server_name: str) -> int:
+        """Return how many requests this VM has at a server."""
+        load = self._loads.get(server_name)
+        return load.own_requests if load else 0
+
     def mark_failed(self, server_name: str, now_unix_s: float) -> None:
         """Record that a server was unreachable or broke off an answer."""
         if server_name in self._health:
@@ -205,10 +210,6 @@
         """Return the listed servers of a pool."""
         return self._pools.get(pool, ())
 
-    def other_servers(self, server: BackendServer) -> list[BackendServer]:
-        """Return the listed servers of this region, of any pool, without this one."""
-        return [each for each in self._servers.values() if each.name != server.name]
-
     def staying_servers(self, pool: str) -> list[BackendServer]:
         """Return the listed servers of a pool that don't leave."""
         return [s for s in self.pool_servers(pool) if not self._is_leaving(s)]
--- a/src/pomelobarrow/decision/server_limits.py
+++ b/src/pomelobarrow/decision/server_limits.py
@@ -1,10 +1,11 @@
-"""Keep to what backend servers announce: rate limits over all VMs, and pauses for this VM."""
+"""Keep to what backend servers announce: rate limits, pauses for this VM, and brittleness."""
 
 import math
 from collections.abc import Callable, Iterable, Mapping
 
 from attrs import define, field, frozen
 
+from pomelobarrow.decision.brittle_servers import BrittleServers
 from pomelobarrow.decision.server_backoffs import ServerBackoffs
 from pomelobarrow.decision.shared_rate import SharedRates
 from pomelobarrow.decision.work import BackendServer
@@ -40,6 +41,7 @@
     # Returns all VMs that send to these servers.
     region_vms: Callable[[], Iterable[str]] = tuple
     backoffs: ServerBackoffs = field(factory=ServerBackoffs)
+    brittle: BrittleServers = field(factory=BrittleServers)
     _named: dict[str, NamedLimit] = field(factory=dict)
     _rates: SharedRates = field(init=False)
 
@@ -55,7 +57,7 @@
     @property
     def is_empty(self) -> bool:
         """Return whether no server has announced anything that limits this VM."""
-        return not self._named and self.backoffs.is_empty
+        return not self._named and self.backoffs.is_empty and self.brittle.is_empty
 
     @property
     def named(self) -> Mapping[str, NamedLimit]:
@@ -81,7 +83,10 @@
 
     def next_unix_s(self, server: BackendServer, now_unix_s: float) -> float:
         """Return when this VM may next send to a server, infinity if only other VMs may."""
-        next_unix_s = self.backoffs.next_unix_s(server, now_unix_s)
+        next_unix_s = max(
+            self.backoffs.next_unix_s(server, now_unix_s),
+            self.brittle.next_unix_s(server, now_unix_s),
+        )
         limit_per_s = self.limit_per_s(server)
         if math.isinf(limit_per_s):
             return next_unix_s
--- a/src/pomelobarrow/dispatch/events.py
+++ b/src/pomelobarrow/dispatch/events.py
@@ -61,3 +61,13 @@
     server: str
     pool: str
     backoff_s: float
+
+
+@frozen(kw_only=True)
+class PoolBrittle:
+    """Report that a pool's servers state that they fall over when they reject too much."""
+
+    pool: str
+    # The server whose answer stated it first, and the rejections a second that it bears.
+    server: str
+    per_s: float | None
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -13,6 +13,7 @@
 from pomelobarrow.dispatch.events import (
     AttemptEnded,
     Forwarded,
+    PoolBrittle,
     RequestEnded,
     ServerBackoffRequested,
     ServerLimitNamed,
@@ -72,6 +73,7 @@
             ServerEjected: self._server_ejected,
             PoolUnreachable: self._pool_unreachable,
             PoolReachable: self._pool_reachable,
+            PoolBrittle: self._pool_brittle,
             ServerLimitNamed: self._server_limit_named,
             ServerLeaving: self._server_leaving,
             ServerBackoffRequested: self._server_backoff_requested,
@@ -199,6 +201,9 @@
     def _pool_reachable(self, event: PoolReachable) -> None:
         self._log.info("pool reachable again", **asdict(event))
 
+    def _pool_brittle(self, event: PoolBrittle) -> None:
+        self._log.info("pool brittle", **asdict(event))
+
     def _server_limit_named(self, event: ServerLimitNamed) -> None:
         self._log.info("server limit named", **asdict(event))
 
--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -45,6 +45,8 @@
 # forms are accepted.
 SERVER_LIMITS = ("Server-Limit", "Pomelobarrow-Server-Limit")
 SERVER_LEAVING = ("Server-Leaving", "Pomelobarrow-Server-Leaving")
+# The rejections a second, of requests of all machines, beyond which the server falls over.
+SERVER_BRITTLE = ("Server-Brittle", "Pomelobarrow-Server-Brittle")
 # With a rejection: the seconds for which the server wants nothing from this machine.
 RETRY_AFTER = "Retry-After"
 
@@ -253,6 +255,8 @@
         limit_header=limit_header,
         is_leaving=headers.get(leaving_header, "").strip() == "1",
         backoff_s=parse_decimal(headers.get(RETRY_AFTER, "")) if is_rejected else None,
+        max_rejected_per_s=parse_decimal(headers.get(_first_present(SERVER_BRITTLE, headers), "")),
+        is_rejected=is_rejected and NOT_EXECUTED in headers,
     )
 
 
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -26,6 +26,7 @@
 from pomelobarrow.relay.hop import AnswerReader, naming_departure, peer_target
 from pomelobarrow.relay.messages import AttemptEnd, AttemptReport, RelayRequest, ServerAnswerHead
 from pomelobarrow.relay.next_step import UNSENT_ENDS, AttemptHistory, Step, last_step, should_retry
+from pomelobarrow.relay.place_waiters import PlaceWaiters
 from pomelobarrow.relay.progress import RequestProgress
 from pomelobarrow.relay.reach_monitor import SERVER_CONNECT_TIMEOUT_S, ReachMonitor
 from pomelobarrow.relay.refusal_answer import send_refusal
@@ -60,6 +61,7 @@
     refusals: RefusalPolicy = field(init=False)
     in_progress: int = 0
     first_answer_times: FirstAnswerTimes = field(factory=FirstAnswerTimes)
+    place_waiters: PlaceWaiters = field(factory=PlaceWaiters)
 
     def __attrs_post_init__(self) -> None:
         self.log = RelayLog(
@@ -125,7 +127,7 @@
                 continue
             if isinstance(decision, NoPlacement):
                 progress.history.last_detail = progress.history.last_detail or decision.reason
-                progress.unplaced_wait_s = decision.wait_s
+                progress.unplaced_wait_s = progress.unplaced_wait_s or decision.wait_s
                 self.log.not_placed(progress, decision)
                 return last_step(progress.history, progress.sink.is_started)
             report = await self._send(progress, decision)
@@ -143,14 +145,32 @@
             return last_step(progress.history, progress.sink.is_started)
 
     async def _wait_for_limit(self, progress: RequestProgress, decision: NoPlacement) -> bool:
-        """Wait for a server's advertised rate limit if the wait may end before the target time."""
+        """Wait for what servers announced if the wait may end before the target time."""
         next_unix_s, now = decision.next_unix_s, now_unix_s()
         if next_unix_s is None or progress.request.forwarded_by:
             return False
         if next_unix_s >= progress.request.work.first_token_due_unix_s:
             return False
         # One of the requests that wait for the same moment is placed; the others check again.
-        await asyncio.sleep(max(LIMIT_CHECK_S, next_unix_s - now))
+        pause_s, pool = max(LIMIT_CHECK_S, next_unix_s - now), progress.request.work.pool
+        if self.placer.table.limits.brittle.is_brittle(pool, now):
+            return await self._wait_for_place(progress, pause_s)
+        await asyncio.sleep(pause_s)
+        return True
+
+    async def _wait_for_place(self, progress: RequestProgress, timeout_s: float) -> bool:
+        """Wait for a place at a brittle server, unless too many requests wait before this one."""
+        work, table, now = progress.request.work, self.placer.table, now_unix_s()
+        wait_s = table.limits.brittle.expected_wait_s(
+            table.usable_servers(work.pool, now),
+            self.place_waiters.count(work.pool),
+            table.service_times(work.pool).hold_s,
+            now,
+        )
+        if now + wait_s >= work.first_token_due_unix_s:
+            progress.unplaced_wait_s = min(wait_s, max(0.0, work.deadline_unix_s - now))
+            return False
+        await self.place_waiters.wait(work.pool, timeout_s)
         return True
 
     def _may_retry(self, progress: RequestProgress, report: AttemptReport) -> bool:
@@ -217,6 +237,7 @@
             )
         finally:
             table.release(work.request_id, now_unix_s())
+            self.place_waiters.wake_next(work.pool)
         if report.end is AttemptEnd.NOT_SENT:
             self.reach.note_failure(server, now, report.detail)
         elif report.end is AttemptEnd.LOST and not report.has_head:
