Let the soak have brittle servers that also fall silent

The soak had no servers that fall over when they reject too much, and none that a sound server's moment of silence could be tried with. Two a region now state Server-Brittle: 5, get 1.3 times what they can run, let none wait from 5 s on and fall silent for a second at times; falls beyond 2 and a served share under one half are violations. Falls under requests of VMs with faults don't count.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 from attrs import frozen
 
 from soak.announcing import AnnouncingServers
+from soak.brittle import BrittleServers
 from soak.checks import (
     Clients,
     CutVms,
@@ -54,14 +55,15 @@
         limited = LimitedServers(fleet=fleet, random=random.Random(rng.random()))
         keyed = KeyedServers(fleet=fleet, random=random.Random(rng.random()))
         announcing = AnnouncingServers(fleet=fleet, random=random.Random(rng.random()))
-        pools = (fragile, limited, keyed, announcing)
+        returns_random = random.Random(rng.random())
+        links_random = random.Random(rng.random())
+        brittle = BrittleServers(fleet=fleet, random=random.Random(rng.random()))
+        pools = (fragile, limited, keyed, announcing, brittle)
         await asyncio.gather(*(each.start() for each in pools))
         sending = asyncio.create_task(clients.run(time.monotonic() + duration_s))
         until_s = time.monotonic() + duration_s + SETTLE_S + CALM_RUN_S + len(LINK_CUTS) * CUT_RUN_S
         sending_more = asyncio.gather(*(each.send_until(until_s) for each in pools))
         announced = asyncio.create_task(announcing.announce_until(time.monotonic() + duration_s))
-        returns_random = random.Random(rng.random())
-        links_random = random.Random(rng.random())
         await asyncio.gather(
             faults.run(duration_s),
             faults.return_store(duration_s, returns_random),
@@ -79,6 +81,7 @@
         violations += fragile.find_violations() + limited.find_violations()
         violations += keyed.find_violations() + fleet.ended_daemons()
         violations += announcing.find_violations(faults)
+        violations += brittle.find_violations(faults)
         violations += find_unserved_at_cut_vms(clients, cut_vms)
         violations += keyed.find_unserved(calm_started_s, MIN_SERVED_SHARE)
         if fragile.served_share(calm_started_s) < MIN_SERVED_SHARE:
@@ -87,6 +90,7 @@
             violations.append("requests are not served while one server announces a rate limit")
         if announcing.served_share(calm_started_s) < MIN_SERVED_SHARE:
             violations.append("requests are not served by servers that left or asked for pauses")
+        violations += brittle.find_unserved(calm_started_s)
         if served < MIN_SERVED_SHARE:
             violations.append(f"only {served:.0%} were served after all faults had ended")
         if violations:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -27,11 +27,13 @@
 }
 # Kept out of KINDS, so that the random choices among those stay the same for a given seed.
 FRAGILE, LIMITED, KEYED, ANNOUNCING = "fragile", "limited", "keyed", "announcing"
+BRITTLE = "brittle"
 DEDICATED_POOLS = {
     FRAGILE: ("idempotent", 2, False),
     LIMITED: ("idempotent", 2, False),
     KEYED: ("non_idempotent", 1, False),
     ANNOUNCING: ("idempotent", 2, False),
+    BRITTLE: ("idempotent", 2, False),
 }
 APPLY_S, REVOCATION_S, LIMIT_WINDOW_S = 5.0, 2.0, 8.0
 TIMEOUT_MS = 3_000
@@ -141,14 +143,20 @@
         self.list_address(name, server.region, server.address, POOL, state)
 
     def list_address(
-        self, name: str, region: str, address: str, pool: str, state: str = "ready"
+        self,
+        name: str,
+        region: str,
+        address: str,
+        pool: str,
+        state: str = "ready",
+        slots: int = 16,
     ) -> None:
         """Write the store entry of a server of any pool."""
         entry = {
             "Service": pool,
             "Address": address,
             "Zone": f"{region}-1",
-            "Slots": 16,
+            "Slots": slots,
             "State": state,
             "ColdLeftMs": 0,
             "born": self.starts[name],
