Count only requests for a keyed server of the soak as its runs

Requests that name this server are checked as before, and a key that reaches any server still counts as leaked, whatever the request.

--- a/soak/keyed.py
+++ b/soak/keyed.py
@@ -168,7 +168,9 @@
             id_ = request.headers.get(REQUEST_ID, "")
             if KEY in request.headers:
                 self.leaked.append(id_)
-            self.runs.append((id_, request.headers.get(ACCOUNT, ""), time.monotonic()))
+            # Requests for another server are rejected unrun, as those that probe a pool.
+            if request.headers.get("Pomelobarrow-Target-Instance") == name:
+                self.runs.append((id_, request.headers.get(ACCOUNT, ""), time.monotonic()))
             return await server.answer(request)
 
         runner = web.ServerRunner(web.Server(answer))
