Look at peers that reach no server once per placement

Reading the path of a placement for added work: each choice of a region asked for every known VM whether it may take the request. The VMs to leave out are one set now, empty where every VM reaches its servers.

--- a/src/pomelobarrow/decision/reachability.py
+++ b/src/pomelobarrow/decision/reachability.py
@@ -29,6 +29,7 @@
 STATEMENT_VALID_S = 3.0
 # After a refusal a peer that sends this VM no heartbeats is tried again.
 REFUSAL_VALID_S = 2.0
+NO_VMS: frozenset[str] = frozenset()
 
 
 @define(kw_only=True)
@@ -143,12 +144,20 @@
         until_by_key = self._unreachable.setdefault(vm, {})
         until_by_key[short_key(pool)] = now_unix_s + REFUSAL_VALID_S
 
+    def unreachable_vms(self, pool: str, now_unix_s: float) -> frozenset[str]:
+        """Return the peers that reach no server of a pool."""
+        if not self._unreachable:
+            return NO_VMS
+        key = short_key(pool)
+        return frozenset(
+            vm
+            for vm, until_by_key in self._unreachable.items()
+            if until_by_key.get(key, 0.0) > now_unix_s
+        )
+
     def is_reachable(self, vm: str, pool: str, now_unix_s: float) -> bool:
         """Return whether a peer may reach a server of a pool."""
-        if not self._unreachable:
-            return True
-        until_by_key = self._unreachable.get(vm)
-        return until_by_key is None or until_by_key.get(short_key(pool), 0.0) <= now_unix_s
+        return vm not in self.unreachable_vms(pool, now_unix_s)
 
     def forget(self, vm: str) -> None:
         """Drop what a peer that has gone stated."""
--- a/src/pomelobarrow/decision/remote_choice.py
+++ b/src/pomelobarrow/decision/remote_choice.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from random import Random
 
 from attrs import define, field
@@ -187,25 +187,18 @@
         now_unix_s: float,
     ) -> list[Member]:
         """Return the VMs of a region that may take the request to a server."""
-        return [
-            member
-            for member in self.members.usable_in(region)
-            if self._may_take(member, request, excluded, now_unix_s)
-        ]
+        left_out = self._left_out(request, excluded, now_unix_s)
+        return [m for m in self.members.usable_in(region) if m.vm not in left_out]
 
-    def _may_take(
-        self,
-        member: Member,
-        request: PlacementRequest,
-        excluded: ExcludedTargets,
-        now_unix_s: float,
-    ) -> bool:
+    def _left_out(
+        self, request: PlacementRequest, excluded: ExcludedTargets, now_unix_s: float
+    ) -> Collection[str]:
+        """Return the VMs that were tried before or reach no server of the request's pool."""
         pool = request.work.pool
-        if member.vm in excluded.peers:
-            return False
-        if member.vm == self.members.view.own_vm:
-            return self.table.reachability.is_reachable(pool)
-        return self.peer_reachability.is_reachable(member.vm, pool, now_unix_s)
+        left_out = excluded.peers | self.peer_reachability.unreachable_vms(pool, now_unix_s)
+        if not self.table.reachability.is_reachable(pool):
+            left_out.add(self.members.view.own_vm)
+        return left_out
 
     def _remote_reason(
         self, request: PlacementRequest, local: Placement | None, is_warm: bool
@@ -226,11 +219,8 @@
         """Return the request's cost in each other region that may serve it."""
         work = request.work
         loads = self.region_loads(work.pool)
-        regions = {
-            member.region
-            for member in self.members.usable
-            if self._may_take(member, request, excluded, now_unix_s)
-        }
+        left_out = self._left_out(request, excluded, now_unix_s)
+        regions = {member.region for member in self.members.usable if member.vm not in left_out}
         regions -= {self.own_region, *excluded.regions}
         cold = self._prefill_estimate(request, work.prompt_tokens)
         cached = self._prefill_estimate(request, work.prompt_tokens - work.shared_tokens)
