--- a/src/pomelobarrow/dispatch/events.py
+++ b/src/pomelobarrow/dispatch/events.py
@@ -68,6 +68,6 @@
     """Report that a pool's servers state that they fall over when they reject too much."""
 
     pool: str
-    # The server whose answer stated it first, and the rejections a second that it bears.
+    # The server whose answer stated it first, and the rejections a second that it tolerates.
     server: str
     per_s: float | None
