Let the soak count a daemon as up once it is ready and has joined the others

Traced in the daemons' logs: rb-2 started at 59:06.95 while ra-2 and rb-1 were not up again (started 59:12.8) and ra-1 had drained at 59:06.67, so that no daemon ran that could tell it of the three crashes before; daemons keep nothing. The faults mean to leave one daemon running, but took one for up two seconds after its process was started, ready or not.

Now a daemon is up when it is ready, and two seconds later has what its peers know. No check changes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,7 +6,6 @@
 import sys
 import time
 
-import aiohttp
 from attrs import frozen
 
 from soak.announcing import AnnouncingServers
@@ -24,7 +23,6 @@
 from soak.keyed import KeyedServers
 from soak.limited import LimitedServers
 
-READY_TIMEOUT_S = 30.0
 SETTLE_S = 8.0
 CALM_RUN_S = 3.0
 CUT_RUN_S = 5.0
@@ -48,7 +46,8 @@
     """Run one seed: a period with faults, then one without."""
     rng = random.Random(seed)
     async with SoakFleet(random=random.Random(rng.random())) as fleet:
-        await wait_ready(fleet)
+        for daemon in fleet.daemons:
+            await fleet.wait_ready(daemon)
         faults = Faults(fleet=fleet, random=random.Random(rng.random()))
         clients = Clients(fleet=fleet, random=random.Random(rng.random()))
         fragile = FragileServers(fleet=fleet, random=random.Random(rng.random()))
@@ -120,22 +119,6 @@
     return tuple(found)
 
 
-async def wait_ready(fleet: SoakFleet) -> None:
-    """Wait until each daemon reports that it is ready."""
-    async with asyncio.timeout(READY_TIMEOUT_S), aiohttp.ClientSession() as session:
-        for daemon in fleet.daemons:
-            while not await _is_ready(session, fleet.readiness(daemon)):
-                await asyncio.sleep(0.05)
-
-
-async def _is_ready(session: aiohttp.ClientSession, url: str) -> bool:
-    try:
-        async with session.get(url) as response:
-            return response.status == 200
-    except aiohttp.ClientError:
-        return False
-
-
 def main() -> int:
     """Run the requested seeds and print the result of each."""
     parser = argparse.ArgumentParser(prog="soak")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,6 +16,8 @@
 LINK_CUTS = ("cut", "refuse")
 STORE_FAULTS = ("silent", "refuse", "cut")
 STOP_TIMEOUT_S = 8.0
+# A daemon that is ready has received what its peers know after this time.
+JOIN_S = 2.0
 DRAINING = "draining"
 
 
@@ -109,10 +111,15 @@
         self.fleet.processes.kill(daemon.vm)
         await asyncio.sleep(self.random.uniform(0.1, 1.0))
         self.fleet.start_daemon(daemon)
-        await asyncio.sleep(2.0)
-        self.down.discard(daemon.vm)
+        await self._wait_until_up(daemon)
         self._record("daemon", daemon.vm, started_s)
 
+    async def _wait_until_up(self, daemon: Daemon) -> None:
+        """Wait until a started daemon has joined the others, so that one of them always runs."""
+        await self.fleet.wait_ready(daemon)
+        await asyncio.sleep(JOIN_S)
+        self.down.discard(daemon.vm)
+
     async def _terminate(self) -> None:
         daemon, started_s = self._choose_running(), time.monotonic()
         if daemon is None:
@@ -122,8 +129,7 @@
         await asyncio.to_thread(self.fleet.processes.wait, daemon.vm, STOP_TIMEOUT_S)
         self._record("planned stop", daemon.vm, started_s)
         self.fleet.start_daemon(daemon)
-        await asyncio.sleep(2.0)
-        self.down.discard(daemon.vm)
+        await self._wait_until_up(daemon)
 
     async def _reload(self) -> None:
         daemon = self._choose_running()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,5 +1,6 @@
 """Start the daemons, store and servers of one soak, the latter two behind a proxy."""
 
+import asyncio
 from collections import Counter
 from collections.abc import Mapping
 from contextlib import AsyncExitStack
@@ -37,6 +38,7 @@
 }
 APPLY_S, REVOCATION_S, LIMIT_WINDOW_S = 5.0, 2.0, 8.0
 TIMEOUT_MS = 3_000
+READY_TIMEOUT_S, READY_CHECK_S = 30.0, 0.05
 REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 
 
@@ -103,6 +105,12 @@
         """Return the daemons of a region."""
         return [daemon for daemon in self.daemons if daemon.region == region]
 
+    async def wait_ready(self, daemon: Daemon) -> None:
+        """Wait until a daemon reports that it is ready."""
+        async with asyncio.timeout(READY_TIMEOUT_S), aiohttp.ClientSession() as session:
+            while not await _is_ready(session, self.readiness(daemon)):
+                await asyncio.sleep(READY_CHECK_S)
+
     def start_daemon(self, daemon: Daemon) -> None:
         """Start a daemon's process."""
         path = self.processes.folder / f"{daemon.vm}.yaml"
@@ -264,3 +272,11 @@
             "Platform": {"Address": self._store_address},
             "Dial": self._dial.get(daemon.vm, {}),
         }
+
+
+async def _is_ready(session: aiohttp.ClientSession, url: str) -> bool:
+    try:
+        async with session.get(url) as response:
+            return response.status == 200
+    except aiohttp.ClientError:
+        return False
