Try servers that have not failed where no peer reaches an unreachable pool

Four refused connections in a row make a pool of six unreachable, and the request was then refused although the sixth server runs; on a quiet machine the probe that starts with the first failure has that server's answer before the fourth. So the fault is in the rule, and the load only lost a race that callers can lose too.

Where neither a VM of the region nor another region takes the request, a server that has not failed lately is tried, also for a peer's request; only if all have failed is it refused at once.

--- a/src/pomelobarrow/decision/placement.py
+++ b/src/pomelobarrow/decision/placement.py
@@ -82,7 +82,7 @@
         if self.table.reachability.is_reachable(request.work.pool):
             return self._place_by_load(request, routing, excluded, now_unix_s)
         if request.is_forwarded:
-            return NoPlacement(reason=POOL_UNREACHABLE)
+            return self._place_on_untried_server(request, routing, excluded, now_unix_s)
         return self._place_through_peer(request, routing, excluded, now_unix_s)
 
     def _place_through_peer(
@@ -104,9 +104,24 @@
             return peer
         remote = self._remote.choose(request, None, excluded, now_unix_s)
         if remote is None:
-            return NoPlacement(reason=POOL_UNREACHABLE)
+            return self._place_on_untried_server(request, routing, excluded, now_unix_s)
         return _unless_too_late(request, remote, remote.expected_first_answer_s, now_unix_s)
 
+    def _place_on_untried_server(
+        self,
+        request: PlacementRequest,
+        routing: Routing,
+        excluded: ExcludedTargets,
+        now_unix_s: float,
+    ) -> PlacementDecision:
+        """Place a request on a server that has not failed: in a large pool a few stand for all."""
+        failed = self.table.reachability.failed_servers(request.work.pool)
+        without_failed = evolve(excluded, servers=excluded.servers | failed)
+        local = self._local.choose(request, routing, without_failed, now_unix_s)
+        if local is None:
+            return NoPlacement(reason=POOL_UNREACHABLE)
+        return _local_placement(request, local, now_unix_s)
+
     def _place_by_load(
         self,
         request: PlacementRequest,
