Refuse a peer's request at once where another VM may reach the pool

From reading: a VM without links in a region with a larger pool would have tried up to three of the servers that had not failed yet, 0.35 s each on a silent link, before it refused a request that a peer had forwarded. The peer has other VMs to ask. Only where no other VM of the region may reach the pool are such servers tried for it. The new test fails before; relay, placement and peer tests pass.

--- a/src/pomelobarrow/decision/placement.py
+++ b/src/pomelobarrow/decision/placement.py
@@ -81,9 +81,12 @@
         self.members.refresh(now_unix_s)
         if self.table.reachability.is_reachable(request.work.pool):
             return self._place_by_load(request, routing, excluded, now_unix_s)
-        if request.is_forwarded:
-            return self._place_on_untried_server(request, routing, excluded, now_unix_s)
-        return self._place_through_peer(request, routing, excluded, now_unix_s)
+        if not request.is_forwarded:
+            return self._place_through_peer(request, routing, excluded, now_unix_s)
+        # The VM that forwarded the request loses no time and asks another one.
+        if self._remote.has_peer_in_own_region(request, excluded, now_unix_s):
+            return NoPlacement(reason=POOL_UNREACHABLE)
+        return self._place_on_untried_server(request, routing, excluded, now_unix_s)
 
     def _place_through_peer(
         self,
--- a/src/pomelobarrow/decision/remote_choice.py
+++ b/src/pomelobarrow/decision/remote_choice.py
@@ -179,6 +179,12 @@
             member=member, reason=REACHED_BY_PEER, expected_first_answer_s=local.expected_wait_s
         )
 
+    def has_peer_in_own_region(
+        self, request: PlacementRequest, excluded: ExcludedTargets, now_unix_s: float
+    ) -> bool:
+        """Return whether another VM of this region may reach the request's pool."""
+        return bool(self._members_in(self.own_region, request, excluded, now_unix_s))
+
     def _members_in(
         self,
         region: str,
