--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -46,8 +46,7 @@
     """Run one seed: a period with faults, then one without."""
     rng = random.Random(seed)
     async with SoakFleet(random=random.Random(rng.random())) as fleet:
-        for daemon in fleet.daemons:
-            await fleet.wait_ready(daemon)
+        await wait_ready(fleet)
         faults = Faults(fleet=fleet, random=random.Random(rng.random()))
         clients = Clients(fleet=fleet, random=random.Random(rng.random()))
         fragile = FragileServers(fleet=fleet, random=random.Random(rng.random()))
@@ -119,6 +118,12 @@
     return tuple(found)
 
 
+async def wait_ready(fleet: SoakFleet) -> None:
+    """Wait until each daemon reports that it is ready."""
+    for daemon in fleet.daemons:
+        await fleet.wait_ready(daemon)
+
+
 def main() -> int:
     """Run the requested seeds and print the result of each."""
     parser = argparse.ArgumentParser(prog="soak")
