Let no watch of the soak's store skip a key written as its time ends

Cause: in the soak's own store. A watch whose timeout fired in the same iteration of the loop as a write answered with no events, but stated the revision of that write. The reader then asked only for what comes after it. On a busy machine one iteration may last as long as a watch of 0.3 s, so that the watches of all four daemons lose the same write. No daemon has it then, all digests agree, and the revocation is unknown to all until the next write of the key.

Change: the events are read after the wait, together with the revision. No check of the soak is touched.

--- a/soak/store.py
+++ b/soak/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 from typing import Any
 
 import orjson
@@ -78,14 +79,14 @@
 
     async def _watch(self, request: web.Request) -> web.Response:
         prefix, after, era = request.query["Prefix"], int(request.query["after"]), self.era
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(request.query["WaitMs"]) / MS_PER_S):
-                while self._has(after, era) and not (events := self._events(prefix, after)):
+                while self._has(after, era) and not self._events(prefix, after):
                     await self.changed.wait()
-        except TimeoutError:
-            events = []
         if not self._has(after, era):
             return self._answer({}, GONE_STATUS)
+        # A key may have been written in the moment in which the time ended.
+        events = self._events(prefix, after)
         return self._answer({"events": events, "StoreRevision": self.revision})
 
     def _has(self, revision: int, era: int) -> bool:
