Send requests for brittle servers through VMs that have a free place

Callers would have seen: in a region with about as many VMs as a brittle service has slots, VMs whose part is one place or none refuse requests although other VMs of the region have places free.

Cause: each VM used only its own part. The test test_requests_of_vms_without_places_run_through_those_that_have_them (six VMs, one server with four slots) failed before: 503 at the eighth request.

Change: a VM whose places are all in use sends a request through another VM of its region, at random by the places of each, which follow from names that all VMs know. That one lets it wait for a place or refuses it at once; after one refusal the request goes to another region, waits here or is refused. Other regions' requests go to VMs with places too. VMs state to their neighbours which pools told them in the last three seconds that they are brittle (4 bytes each, in the region only); before, only own answers counted. Coordinators of long prompts are not used while a pool is brittle, as they may have no place.

--- a/bench/decisions/jobs.py
+++ b/bench/decisions/jobs.py
@@ -7,6 +7,7 @@
 
 from bench.decisions import (
     account_limits,
+    brittle_places,
     overload,
     queue_order,
     region_loss,
@@ -74,6 +75,17 @@
     ]
 
 
+def _brittle_places() -> list[Job]:
+    return [
+        Job(brittle_places.run, (way, vms, servers, slots, target_s, load, seed))
+        for vms, servers, slots in ((3, 6, 4), (7, 6, 4), (30, 6, 4), (30, 10, 8), (30, 40, 8))
+        for target_s in (0.5, 1.5)
+        for load in (0.7, 1.0, 1.4)
+        for way in brittle_places.WAYS
+        for seed in SEEDS
+    ]
+
+
 GROUPS: dict[str, Callable[[], list[Job]]] = {
     "servers-small": lambda: _server_variants(
         (("draft", 2, 5, 90.0), ("draft", 20, 5, 90.0)), SEEDS
@@ -111,6 +123,7 @@
     ],
     "limits": _limits,
     "token-limits": _token_limits,
+    "brittle-places": _brittle_places,
     "retry-budget": lambda: [
         Job(retry_budget.run, (variant, seed))
         for variant in ("none", "three attempts", "budget")
--- a/src/pomelobarrow/decision/brittle_servers.py
+++ b/src/pomelobarrow/decision/brittle_servers.py
@@ -5,15 +5,20 @@
 and VMs learn of each other's requests a second late. So each VM has its own part of a server's
 slots and keeps its requests there within it; what finds no place waits in the VM. A server that
 ended pushes no work onto the others this way.
+
+In a large region a part is one place or none, which may be free at one VM while requests wait at
+another. So a VM whose places are all in use sends a request through another one that has some.
 """
 
 import math
-from collections.abc import Callable, Iterable
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
 from functools import lru_cache
 
 from attrs import define, field
 
 from pomelobarrow.decision.rendezvous import rendezvous
+from pomelobarrow.decision.short_key import short_key
 from pomelobarrow.decision.work import BackendServer
 
 # A server may still work on requests that this VM gave up.
@@ -24,9 +29,12 @@
 RETENTION_S = 30.0
 # After a rejection a VM regains one place in this time.
 REGAIN_PLACE_S = 2.0
+# What a peer stated of its own answers holds for this time; heartbeats arrive once a second.
+STATEMENT_VALID_S = 3.0
 # A request that waits for a place checks again after this time, should nothing wake it earlier.
 PLACE_CHECK_S = 0.25
-MAX_CACHED_SHARES = 1_024
+# More than a region has servers.
+MAX_CACHED_SERVERS = 1_024
 
 
 @define
@@ -49,18 +57,36 @@
     own_requests: Callable[[str], int] = lambda server_name: 0
     # By pool: when a server last stated that it is brittle.
     _stated: dict[str, float] = field(factory=dict)
+    # By key of the pool: when a peer last stated that servers told it so.
+    _stated_by_peers: dict[int, float] = field(factory=dict)
     _reduced: dict[str, _Reduced] = field(factory=dict)
 
     @property
     def is_empty(self) -> bool:
         """Return whether no pool is known to be brittle."""
-        return not self._stated
+        return not self._stated and not self._stated_by_peers
 
     def is_brittle(self, pool: str, now_unix_s: float) -> bool:
         """Return whether the servers of a pool are brittle now."""
-        if not self._stated:
+        if self._stated and now_unix_s - self._stated.get(pool, -math.inf) < RETENTION_S:
+            return True
+        if not self._stated_by_peers:
             return False
-        return now_unix_s - self._stated.get(pool, -math.inf) < RETENTION_S
+        stated_unix_s = self._stated_by_peers.get(short_key(pool), -math.inf)
+        return now_unix_s - stated_unix_s < STATEMENT_VALID_S
+
+    def stated_lately(self, now_unix_s: float) -> list[str]:
+        """Return the pools whose servers have just told this VM that they are brittle."""
+        oldest_unix_s = now_unix_s - STATEMENT_VALID_S
+        return [pool for pool, at in self._stated.items() if at > oldest_unix_s]
+
+    def observe_of_peer(self, pool_keys: Iterable[int], now_unix_s: float) -> None:
+        """Record the pools whose servers told a peer that they are brittle."""
+        if self._stated_by_peers:
+            oldest_unix_s = now_unix_s - STATEMENT_VALID_S
+            valid = {k: at for k, at in self._stated_by_peers.items() if at > oldest_unix_s}
+            self._stated_by_peers = valid
+        self._stated_by_peers.update(dict.fromkeys(pool_keys, now_unix_s))
 
     def observe(self, pool: str, is_brittle: bool, now_unix_s: float) -> bool:
         """Record what an answer states; return whether the pool has become brittle."""
@@ -68,8 +94,9 @@
             was_brittle = self.is_brittle(pool, now_unix_s)
             self._stated[pool] = now_unix_s
             return not was_brittle
-        if self._stated and now_unix_s - self._stated.get(pool, math.inf) > ENDS_AFTER_S:
-            del self._stated[pool]
+        if not self.is_empty and now_unix_s - self._stated.get(pool, -math.inf) > ENDS_AFTER_S:
+            self._stated.pop(pool, None)
+            self._stated_by_peers.pop(short_key(pool), None)
             self._reduced = {k: each for k, each in self._reduced.items() if each.pool != pool}
         return False
 
@@ -83,12 +110,12 @@
     def places(self, server: BackendServer, now_unix_s: float) -> int:
         """Return how many requests this VM may have at a brittle server."""
         vms = tuple(sorted({self.own_vm, *self.region_vms()}))
-        share = _share(server.name, server.slots, self.own_vm, vms)
+        part = _parts(server.name, server.slots, vms).get(self.own_vm, 0)
         reduced = self._reduced.get(server.incarnation)
         if reduced is None:
-            return share
+            return part
         regained = int((now_unix_s - reduced.rejected_unix_s) / REGAIN_PLACE_S)
-        return min(share, reduced.places + regained)
+        return min(part, reduced.places + regained)
 
     def next_unix_s(self, server: BackendServer, now_unix_s: float) -> float:
         """Return when this VM may send to a server, infinity if only other VMs may."""
@@ -108,10 +135,19 @@
         return (ahead + 1) * hold_s / places if places else math.inf
 
 
-@lru_cache(maxsize=MAX_CACHED_SHARES)
-def _share(server_name: str, slots: int, own_vm: str, vms: tuple[str, ...]) -> int:
-    """Return a VM's part of a server's slots; all VMs with the same view agree on the parts."""
-    used = math.ceil(USED_SHARE * slots)
-    share, remaining = divmod(used, len(vms))
-    has_one_more = remaining and own_vm in rendezvous(f"slots/{server_name}", vms, remaining)
-    return share + bool(has_one_more)
+def places_by_vm(servers: Iterable[BackendServer], vms: Iterable[str]) -> Counter[str]:
+    """Return how many requests each VM of a region may have at brittle servers in all."""
+    names = tuple(sorted(vms))
+    places: Counter[str] = Counter()
+    for server in servers:
+        places.update(_parts(server.name, server.slots, names))
+    return places
+
+
+@lru_cache(maxsize=MAX_CACHED_SERVERS)
+def _parts(server_name: str, slots: int, vms: tuple[str, ...]) -> Mapping[str, int]:
+    """Return the VMs' parts of a server's slots; all VMs with the same view agree on them."""
+    part, remaining = divmod(math.ceil(USED_SHARE * slots), len(vms))
+    places = dict.fromkeys(vms, part) if part else {}
+    places.update(dict.fromkeys(rendezvous(f"slots/{server_name}", vms, remaining), part + 1))
+    return places
--- a/src/pomelobarrow/decision/placement.py
+++ b/src/pomelobarrow/decision/placement.py
@@ -133,14 +133,19 @@
         now_unix_s: float,
     ) -> PlacementDecision:
         local = self._local.choose(request, routing, excluded, now_unix_s)
+        is_brittle = self.table.limits.brittle.is_brittle(request.work.pool, now_unix_s)
+        if is_brittle and local is None:
+            return self._place_without_free_place(request, excluded, now_unix_s)
         local_decision = _local_placement(request, local, now_unix_s)
         if request.is_forwarded:
             return local_decision
         is_accepted_locally = isinstance(local_decision, LocalPlacement)
-        coordinator = self._remote.coordinator(
-            request, local, is_accepted_locally, excluded, now_unix_s
-        )
-        if coordinator is not None:
+        # The coordinator of a brittle server may have no place there.
+        if not is_brittle and (
+            coordinator := self._remote.coordinator(
+                request, local, is_accepted_locally, excluded, now_unix_s
+            )
+        ):
             return coordinator
         if local is not None and not _may_use_other_region(request, local):
             return LocalPlacement(placement=local)
@@ -152,6 +157,16 @@
             return self._no_placement(request, excluded, now_unix_s)
         return local_decision
 
+    def _place_without_free_place(
+        self, request: PlacementRequest, excluded: ExcludedTargets, now_unix_s: float
+    ) -> PlacementDecision:
+        """Place a request while all places of this VM at brittle servers are in use."""
+        if request.is_forwarded:
+            return self._no_placement(request, excluded, now_unix_s)
+        peer = self._remote.peer_with_places(request, excluded, now_unix_s)
+        remote = peer or self._remote.choose(request, None, excluded, now_unix_s)
+        return remote or self._no_placement(request, excluded, now_unix_s)
+
     def _no_placement(
         self, request: PlacementRequest, excluded: ExcludedTargets, now_unix_s: float
     ) -> NoPlacement:
--- a/src/pomelobarrow/decision/placement_request.py
+++ b/src/pomelobarrow/decision/placement_request.py
@@ -22,6 +22,7 @@
 )
 POOL_UNREACHABLE = "this VM reaches no server of the pool"
 REACHED_BY_PEER = "another VM of this region reaches the pool's servers"
+PLACE_AT_PEER = "another VM of this region may send to the pool's brittle servers"
 NO_LOCAL_SERVER = "this region has no server for it"
 
 
--- a/src/pomelobarrow/decision/remote_choice.py
+++ b/src/pomelobarrow/decision/remote_choice.py
@@ -7,11 +7,12 @@
 """
 
 import math
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Mapping, Sequence
 from random import Random
 
 from attrs import define, field
 
+from pomelobarrow.decision.brittle_servers import places_by_vm
 from pomelobarrow.decision.coordinators import coordinator_of
 from pomelobarrow.decision.group_owners import GroupOwners, SentGroups
 from pomelobarrow.decision.live_members import LiveMembers
@@ -22,6 +23,7 @@
     COORDINATED_BY_PEER,
     LOCAL_REGION_LATE,
     NO_LOCAL_SERVER,
+    PLACE_AT_PEER,
     REACHED_BY_PEER,
     WARM_ELSEWHERE,
     ExcludedTargets,
@@ -150,7 +152,7 @@
             return None
         region = self._choose_region(request, costs)
         members = self._members_in(region, request, excluded, now_unix_s)
-        member = self._choose_member(members, warm.get(region, ""))
+        member = self._choose_member(request, members, now_unix_s, warm.get(region, ""))
         if member is None:
             return None
         if request.is_long_shared:
@@ -172,13 +174,31 @@
         if self.own_region in excluded.regions:
             return None
         members = self._members_in(self.own_region, request, excluded, now_unix_s)
-        member = self._choose_member(members, local.server.failure_domain)
+        domain = local.server.failure_domain
+        member = self._choose_member(request, members, now_unix_s, domain)
         if member is None:
             return None
         return PeerPlacement(
             member=member, reason=REACHED_BY_PEER, expected_first_answer_s=local.expected_wait_s
         )
 
+    def peer_with_places(
+        self, request: PlacementRequest, excluded: ExcludedTargets, now_unix_s: float
+    ) -> PeerPlacement | None:
+        """Return a VM of this region that may send to a brittle server, if this one may not now."""
+        if self.own_region in excluded.regions or not request.route.may_run_in(self.own_region):
+            return None
+        members = [
+            member
+            for member in self._members_in(self.own_region, request, excluded, now_unix_s)
+            if member.vm != self.members.view.own_vm
+        ]
+        weights = self._places_of(members, request.work.pool)
+        if not any(weights):
+            return None
+        member = self.rng.choices(members, weights)[0]
+        return PeerPlacement(member=member, reason=PLACE_AT_PEER, expected_first_answer_s=0.0)
+
     def has_peer_in_own_region(
         self, request: PlacementRequest, excluded: ExcludedTargets, now_unix_s: float
     ) -> bool:
@@ -253,11 +273,32 @@
             return rendezvous(request.group, list(in_time), 1)[0]
         return self.rng.choices(list(in_time), list(in_time.values()))[0]
 
-    def _choose_member(self, members: list[Member], failure_domain: str = "") -> Member | None:
+    def _choose_member(
+        self,
+        request: PlacementRequest,
+        members: list[Member],
+        now_unix_s: float,
+        failure_domain: str = "",
+    ) -> Member | None:
         """Return a random VM, in the server's failure domain if that is known."""
+        pool = request.work.pool
+        if self.table.limits.brittle.is_brittle(pool, now_unix_s):
+            weights = self._places_of(members, pool)
+            if any(weights):
+                return self.rng.choices(members, weights)[0]
         same_domain = [member for member in members if member.failure_domain == failure_domain]
         return self.rng.choice(same_domain or members) if members else None
 
+    def _places_of(self, members: Sequence[Member], pool: str) -> list[int]:
+        """Return how many requests each VM of a region may have at the brittle servers there."""
+        if not members:
+            return []
+        region = members[0].region
+        servers = [s for s in self.servers().values() if (s.pool, s.region) == (pool, region)]
+        vms = (member.vm for member in self.members.live if member.region == region)
+        places = places_by_vm(servers, vms)
+        return [places[member.vm] for member in members]
+
 
 def is_late(request: PlacementRequest, local: Placement) -> bool:
     """Return whether the local wait is long enough that other regions are compared."""
--- a/src/pomelobarrow/peers/heartbeats.py
+++ b/src/pomelobarrow/peers/heartbeats.py
@@ -121,9 +121,12 @@
         self._members.write(heartbeat, sent.members, peer, kind, self.neighbours, now)
         self._pools.write(heartbeat, sent.pools, kind, self.neighbours, now)
         self._departures.write(heartbeat, sent.departures)
-        unreachable_pools = self.local.table.reachability.unreachable_pools
+        table = self.local.table
+        unreachable_pools = table.reachability.unreachable_pools
         heartbeat.unreachable_pool_keys.extend(sorted(map(short_key, unreachable_pools)))
         if same_region:
+            brittle_pools = table.limits.brittle.stated_lately(now)
+            heartbeat.brittle_pool_keys.extend(sorted(map(short_key, brittle_pools)))
             self._servers.write(heartbeat, sent.servers, kind, now)
             self._times.write(heartbeat, sent.times, now)
         self._demand.write(heartbeat, sent.demand, kind, self.neighbours, now)
@@ -284,6 +287,7 @@
         self._members.apply(heartbeat, sent.members, kind, is_sparse, now, sent_unix_s)
         self._pools.apply(heartbeat, member.region, kind, now, sent_unix_s)
         if kind is not LinkKind.OTHER_REGION:
+            self.local.table.limits.brittle.observe_of_peer(heartbeat.brittle_pool_keys, now)
             self._servers.apply(heartbeat, kind, now, sent_unix_s)
             self._times.apply(heartbeat, now)
         self._demand.apply(heartbeat, kind, now)
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -147,14 +147,14 @@
     async def _wait_for_limit(self, progress: RequestProgress, decision: NoPlacement) -> bool:
         """Wait for what servers announced if the wait may end before the target time."""
         next_unix_s, now = decision.next_unix_s, now_unix_s()
-        if next_unix_s is None or progress.request.forwarded_by:
-            return False
-        if next_unix_s >= progress.request.work.first_token_due_unix_s:
+        if next_unix_s is None or next_unix_s >= progress.request.work.first_token_due_unix_s:
             return False
         # One of the requests that wait for the same moment is placed; the others check again.
         pause_s, pool = max(LIMIT_CHECK_S, next_unix_s - now), progress.request.work.pool
         if self.placer.table.limits.brittle.is_brittle(pool, now):
             return await self._wait_for_place(progress, pause_s)
+        if progress.request.forwarded_by:
+            return False
         await asyncio.sleep(pause_s)
         return True
 
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -122,6 +122,7 @@
     accounts: tuple[Account, ...] | None = None,
     access_of: Callable[[str], dict[str, Any]] = lambda region: {},
     vms_per_region: int = 1,
+    slots: int = 8,
 ) -> AsyncIterator[RelayFleet]:
     """Run the VMs, each on its own loopback address; accounts make keys necessary."""
     async with AsyncExitStack() as stack:
@@ -133,7 +134,7 @@
             for name, script in scripts.items():
                 server = ScriptedServer(name=name, host=places[region].host, script=script)
                 servers[name] = await stack.enter_async_context(server)
-                listed.append(_listed(name, region, server.address))
+                listed.append(_listed(name, region, server.address, slots))
         routing = Routing(
             version=1, routes=routes, accounts=accounts or (), needs_account=accounts is not None
         )
@@ -170,14 +171,14 @@
     }
 
 
-def _listed(name: str, region: str, address: str) -> BackendServer:
+def _listed(name: str, region: str, address: str, slots: int) -> BackendServer:
     return BackendServer(
         name=name,
         region=region,
         failure_domain=f"{region}-a",
         address=address,
         pool=POOL,
-        slots=8,
+        slots=slots,
         kv_capacity_tokens=100_000,
     )
 
--- a/tests/test_brittle_servers.py
+++ b/tests/test_brittle_servers.py
@@ -14,11 +14,14 @@
     ENDS_AFTER_S,
     REGAIN_PLACE_S,
     RETENTION_S,
+    STATEMENT_VALID_S,
     USED_SHARE,
     BrittleServers,
+    places_by_vm,
 )
 from pomelobarrow.decision.routing import RouteKind
 from pomelobarrow.decision.server_limits import ServerLimits
+from pomelobarrow.decision.short_key import short_key
 
 SLOTS = 8
 MAX_REJECTED = 5
@@ -32,12 +35,13 @@
 class BrittleServer:
     """Script of a server that runs as many requests as it has slots and lets none wait."""
 
+    slots: int = SLOTS
     running: int = 0
     outcomes: "Counter[str]" = field(factory=Counter)
 
     async def __call__(self, exchange: Exchange) -> None:
         """Run or reject a request; say in each answer that the server is brittle."""
-        if self.running >= SLOTS:
+        if self.running >= self.slots:
             self.outcomes["rejected"] += 1
             exchange.write_head(
                 503, Server_Brittle=str(MAX_REJECTED), Pomelobarrow_Not_Executed="1"
@@ -85,6 +89,37 @@
     assert all(float(answer.headers["Retry-After"]) > 0.0 for answer in refused)
 
 
+async def test_requests_of_vms_without_places_run_through_those_that_have_them() -> None:
+    """A server with fewer slots than the region has VMs had no place for most of them."""
+    bound = route(RouteKind.NON_IDEMPOTENT, home_regions=("a",))
+    script = BrittleServer(slots=4)
+    async with relay_fleet((bound,), {"a": {"s1": script}}, vms_per_region=6, slots=4) as fleet:
+        _share_slots(dict(fleet.vms))
+        # Each VM learns from one answer that the server is brittle.
+        first = [await ask(vm, "/non_idempotent/") for vm in fleet.vms.values()]
+        again = [await ask(vm, "/non_idempotent/") for vm in fleet.vms.values()]
+    assert [answer.status for answer in first + again] == [200] * 2 * len(fleet.vms)
+    assert script.outcomes["rejected"] == 0
+
+
+async def test_requests_wait_at_the_vm_whose_places_they_use() -> None:
+    """Requests that peers had forwarded were refused while places were about to become free."""
+    bound = route(RouteKind.NON_IDEMPOTENT, home_regions=("a",), first_answer_target_s=3.0)
+    script = BrittleServer(slots=4)
+    async with relay_fleet((bound,), {"a": {"s1": script}}, vms_per_region=3, slots=4) as fleet:
+        _share_slots(dict(fleet.vms))
+        for vm in fleet.vms.values():
+            for _ in range(WARM_UP_CALLS):
+                await ask(vm, "/non_idempotent/")
+        ids = [{"Pomelobarrow-Request-Id": f"r{number}"} for number in range(8)]
+        calls = (
+            ask(vm, "/non_idempotent/", headers=id_) for vm in fleet.vms.values() for id_ in ids
+        )
+        answers = await asyncio.gather(*calls)
+    assert [answer.status for answer in answers] == [200] * len(answers)
+    assert script.outcomes["rejected"] == 0
+
+
 def _brittle(own_vm: str, vms: list[str], in_flight: dict[str, int]) -> BrittleServers:
     brittle = BrittleServers(
         own_vm=own_vm,
@@ -101,6 +136,27 @@
     server = evolve(SERVER, slots=slots)
     places = [_brittle(name, names, {}).places(server, NOW) for name in names]
     assert USED_SHARE * slots <= sum(places) <= slots
+    assert dict(zip(names, places, strict=True)) == {
+        name: places_by_vm([server], names)[name] for name in names
+    }
+
+
+def test_statement_of_a_peer_holds_for_a_while() -> None:
+    brittle = BrittleServers(own_vm="vm-1")
+    brittle.observe_of_peer([short_key(SERVER.pool)], NOW)
+    assert brittle.is_brittle(SERVER.pool, NOW)
+    # A peer's statement is not passed on, or it would never end.
+    assert brittle.stated_lately(NOW) == []
+    later_unix_s = NOW + STATEMENT_VALID_S
+    assert not brittle.is_brittle(SERVER.pool, later_unix_s)
+    brittle.observe_of_peer([], later_unix_s)
+    assert brittle.is_empty
+
+
+def test_vm_states_pools_only_shortly_after_an_answer() -> None:
+    brittle = _brittle("vm-1", ["vm-1"], {})
+    assert brittle.stated_lately(NOW) == [SERVER.pool]
+    assert brittle.stated_lately(NOW + STATEMENT_VALID_S) == []
 
 
 def test_vm_with_all_its_places_taken_waits() -> None:
--- a/tests/test_state_exchange.py
+++ b/tests/test_state_exchange.py
@@ -57,6 +57,20 @@
     assert informed == set(warm_region.links_of("r00-vm005"))
 
 
+def test_neighbours_learn_which_pools_are_brittle(warm_region: SimulatedRegion) -> None:
+    informed_by, now = warm_region.nodes["r00-vm005"], warm_region.clock.unix_s
+    pool = "drafting"
+    informed_by.table.limits.brittle.observe(pool, True, now)
+    warm_region.run(warm_s=0, measure_s=2)
+    now = warm_region.clock.unix_s
+    informed = {
+        vm
+        for vm, node in warm_region.nodes.items()
+        if node.table.limits.brittle.is_brittle(pool, now)
+    }
+    assert informed == {"r00-vm005", *warm_region.links_of("r00-vm005")}
+
+
 def test_a_dead_daemon_is_suspected_within_seconds(warm_region: SimulatedRegion) -> None:
     """A VM fails in a region so large that most VMs exchange no messages with it.
 
