Run requests of the product's own interface through VMs that reach servers

Callers saw, on the interface of dispatch/: 24 of 24 home-bound requests at a VM without links to its region's servers were held until their deadline and answered 504, while the other VM of the region reached all servers. The relay has sent such requests through the region's VMs since; the own interface forwarded to other regions only.

Change: attempts record answers and failed connections, and probes ask for the load report; the probes moved from relay/ to backends/, where both interfaces use them. A VM that reaches no server of a pool forwards inside its region, leaves out peers that state the same, and refuses at once where none is left. A forwarded request that arrives at such a VM is refused as pool_unreachable, which does not count for its region; older daemons read the new kind as a refusal that ran nothing. A region none of whose VMs reaches the pool counts as one without servers in the choice of a region.

--- a/harness/fleet.py
+++ b/harness/fleet.py
@@ -48,12 +48,14 @@
 
     All connections go through the fault-injecting proxy, on routes named `caller/VM`,
     `peer/REGION/VM` (from a region to a VM's peer port), `server/REGION/NAME` and
-    `platform/REGION`.
+    `platform/REGION`; if VMs have links of their own, from a VM to a server of its region on
+    `link/VM/NAME`.
     """
 
     deployment: Deployment
     seeds: bool = True
     log_level: str = "info"
+    has_vm_links: bool = False
     daemon_options: dict[str, Any] = field(factory=dict)
     processes: Processes = field(factory=Processes)
     entries: dict[str, EntryPlan] = field(factory=dict)
@@ -204,7 +206,8 @@
             for number in range(count)
         ]
         routes = len(names) * (1 + len(deployment.regions)) + len(server_names)
-        ports = iter(free_ports(2 * len(names) + len(server_names) + routes + 5))
+        links = deployment.vms_per_region * len(server_names) if self.has_vm_links else 0
+        ports = iter(free_ports(2 * len(names) + len(server_names) + routes + links + 5))
         self.platform_port = next(ports)
         for region in deployment.regions:
             self._route(f"platform/{region}", next(ports), self.platform_port, 0.0)
@@ -212,6 +215,8 @@
             self._plan_entry(region, number, ports)
         for pool, region, number in server_names:
             self._plan_server(pool, region, number, ports)
+        if self.has_vm_links:
+            self._plan_links(ports)
 
     def _plan_entry(self, region: str, number: int, ports: Any) -> None:
         deployment, vm = self.deployment, f"{region}-{number + 1}"
@@ -241,6 +246,12 @@
             name=name, region=region, pool=pool, port=port, advertised=f"{HOST}:{advertised_port}"
         )
 
+    def _plan_links(self, ports: Any) -> None:
+        for server in self.servers.values():
+            for vm in self.in_region(server.region):
+                delay_s = self.deployment.domain_delay_s
+                self._route(f"link/{vm}/{server.name}", next(ports), server.port, delay_s)
+
     def _route(self, name: str, listen: int, target: int, delay_s: float) -> None:
         self._route_ports[name] = listen
         self._routes.append(f"{name}={HOST}:{listen},{HOST}:{target},{delay_s}")
@@ -325,6 +336,12 @@
             other.advertised_peer: f"{HOST}:{self._route_ports[f'peer/{entry.region}/{other.vm}']}"
             for other in self.entries.values()
         }
+        if self.has_vm_links:
+            dial |= {
+                server.advertised: f"{HOST}:{self._route_ports[f'link/{entry.vm}/{server.name}']}"
+                for server in self.servers.values()
+                if server.region == entry.region
+            }
         seeds = [e.advertised_peer for e in self.entries.values() if e.vm != entry.vm]
         platform_port = self._route_ports[f"platform/{entry.region}"]
         return {
--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -1,7 +1,6 @@
 """Plug-in for backend servers: sessions, attempts, orders and load reports."""
 
 from collections.abc import Callable, Mapping
-from functools import partial
 
 from attrs import evolve
 from mode import Service
@@ -9,6 +8,7 @@
 from pomelobarrow.backends.engine import EngineAttempt
 from pomelobarrow.backends.events import EventCounter
 from pomelobarrow.backends.orders import OrderSender
+from pomelobarrow.backends.reach_monitor import ReachMonitor
 from pomelobarrow.backends.reports import LoadPoller
 from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.backends.service import ServiceAttempt
@@ -21,7 +21,7 @@
 )
 from pomelobarrow.backends.shares import ServerShare
 from pomelobarrow.decision.announcements import ServerAnnouncement, parse_decimal
-from pomelobarrow.decision.attempt import Attempt, AttemptEvent
+from pomelobarrow.decision.attempt import Attempt, AttemptEvent, AttemptState
 from pomelobarrow.decision.brittle_servers import BrittleServers
 from pomelobarrow.decision.configuration import PoolKind
 from pomelobarrow.decision.departures import Departures
@@ -110,7 +110,7 @@
 
 def _runner(context: Context) -> AttemptRunner:
     sessions, traces = context.get(BackendSessions), context.get(Traces)
-    table = context.get(LoadTable)
+    table, reach = context.get(LoadTable), context.get(ReachMonitor)
 
     async def run(
         request: GatewayRequest,
@@ -121,6 +121,17 @@
         on_first_byte: Callable[[], None],
     ) -> AttemptResult:
         server, attempt_class = placement.server, ATTEMPT_BY_IS_CHAT[request.is_chat]
+        opened_unix_s, is_connected = now_unix_s(), False
+
+        def may_send() -> bool:
+            nonlocal is_connected
+            is_connected = True
+            return table.takes_requests(server, now_unix_s())
+
+        def on_head(status: int, headers: Mapping[str, str]) -> None:
+            _record_announcement(context, server, status, headers)
+            reach.note_answer(server, opened_unix_s)
+
         with traces.span("attempt", request.traceparent, server=server.name, number=number) as span:
             result = await attempt_class(
                 sessions=sessions,
@@ -130,11 +141,15 @@
                 number=number,
                 sink=sink,
                 on_first_byte=on_first_byte,
-                may_send=lambda: table.takes_requests(server, now_unix_s()),
-                on_head=partial(_record_announcement, context, server),
+                may_send=may_send,
+                on_head=on_head,
             ).run()
             span.set("state", result.state.value)
-            return result
+        if result.state is AttemptState.NOT_SENT and not is_connected:
+            reach.note_failure(server, opened_unix_s, result.detail)
+        elif result.state is AttemptState.UNKNOWN and not result.head_passed:
+            reach.note_silence(server)
+        return result
 
     return run
 
--- a/src/pomelobarrow/relay/reach_monitor.py
+++ b/src/pomelobarrow/backends/reach_monitor.py
@@ -1,7 +1,7 @@
 """Note which backend servers answer this VM, and probe pools that it may not reach."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from random import Random
 
 import aiohttp
@@ -11,9 +11,8 @@
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.reachability import ServerReachability
 from pomelobarrow.decision.work import BackendServer
+from pomelobarrow.dispatch.events import PoolReachable, PoolUnreachable
 from pomelobarrow.kernel.clock import now_unix_s
-from pomelobarrow.relay.events import PoolReachable, PoolUnreachable
-from pomelobarrow.relay.wire import RelayWire
 
 # Clients get the answers of peers meanwhile, so that a later end of the probes costs them one hop.
 FIRST_PAUSE_S = 0.25
@@ -33,7 +32,9 @@
 
     reachability: ServerReachability
     sessions: BackendSessions
-    wire: RelayWire
+    # What a probe requests; any answer shows that the server is reached.
+    probe_path: str
+    probe_headers: Mapping[str, str]
     # Drops the failures of servers that this VM can't reach.
     forgive: Callable[[Iterable[BackendServer]], None]
     observe: Callable[[object], None]
@@ -99,10 +100,10 @@
 
     async def _probe_server(self, server: BackendServer) -> None:
         started_unix_s = now_unix_s()
-        url = self.sessions.url(server.address, "/")
+        url = self.sessions.url(server.address, self.probe_path)
         try:
             async with self.sessions.fresh.get(
-                url, headers=self.wire.probe_headers, timeout=PROBE_TIMEOUT, allow_redirects=False
+                url, headers=self.probe_headers, timeout=PROBE_TIMEOUT, allow_redirects=False
             ):
                 self.note_answer(server, started_unix_s)
         except CONNECTION_ERRORS as error:
--- a/src/pomelobarrow/backends/reports.py
+++ b/src/pomelobarrow/backends/reports.py
@@ -15,6 +15,7 @@
 from pomelobarrow.decision.work import BackendServer, LoadReport
 from pomelobarrow.kernel.clock import now_unix_s
 
+LOAD_PATH = "/v1/load"
 POLL_EVERY_S = 1.0
 # With more servers than this, each is polled less often, so that the cost of polling and of
 # sending the reports to peers doesn't grow with the number of servers.
@@ -70,7 +71,7 @@
             await asyncio.sleep(poll_every_s(len(assigned)) * self._random.uniform(0.8, 1.2))
 
     async def _poll(self, server: BackendServer) -> None:
-        body = await self._get(server, "/v1/load")
+        body = await self._get(server, LOAD_PATH)
         # The report of an incarnation that was replaced says nothing about its successor.
         if body is None or not self._table.is_current_incarnation(server):
             return
--- a/src/pomelobarrow/dispatch/dispatcher.py
+++ b/src/pomelobarrow/dispatch/dispatcher.py
@@ -8,6 +8,7 @@
 
 from pomelobarrow.decision.attempt import Attempt, AttemptState, may_retry, run_status
 from pomelobarrow.decision.errors import ErrorKind, Refusal, RunStatus
+from pomelobarrow.decision.placement_request import POOL_UNREACHABLE, REACHED_BY_PEER
 from pomelobarrow.decision.region_choice import (
     RegionChoice,
     RegionLoad,
@@ -34,6 +35,10 @@
 BACKOFF_FLOOR_S = 0.2
 BACKOFF_CEILING_S = 5.0
 UNRUN_PAUSE_S = 0.02
+# Another VM of the region that refused for one of these reasons may run the request. If the region
+# were excluded, home-bound work would be refused although it could run there.
+OWN_REASONS = frozenset({ErrorKind.DRAINING, ErrorKind.POOL_UNREACHABLE})
+UNREACHABLE_REGION = "no VM of this region reaches a server of the pool"
 # After these decisions, repeatable work is retried with backoff until its deadline instead of being
 # refused. The backoff keeps such retries from amplifying an overload.
 BACKOFF_DECISIONS = frozenset({RetryDecision.BUDGET, RetryDecision.ATTEMPTS})
@@ -60,9 +65,7 @@
         self.last_refusal = result.refusal or self.last_refusal
         if result.peer:
             self.excluded_peers.add(result.peer)
-            # Other VMs of a stopping VM's region may accept the work. If the region were excluded,
-            # home-bound work would be refused although it could run there.
-            if result.refusal is None or result.refusal.kind is not ErrorKind.DRAINING:
+            if result.refusal is None or result.refusal.kind not in OWN_REASONS:
                 self.excluded_regions.add(region)
         elif result.server:
             self.excluded_servers.add(result.server)
@@ -124,10 +127,16 @@
             expected_wait_s=self.local.expected_wait_s(work),
             round_trip_s=0.0,
             measured_unix_s=now,
-            servers=len(table.usable(work.pool, now)),
+            servers=len(table.usable(work.pool, now)) if self._is_reachable(work.pool) else 0,
             cold_prefill_s=cold_tokens,
         )
 
+    def _is_reachable(self, pool: str) -> bool:
+        """Return whether any VM of this region may reach a server of a pool."""
+        if self.local.table.reachability.is_reachable(pool):
+            return True
+        return self.forwarder.has_peer(self.own_region, pool, frozenset())
+
     async def _attempt(
         self, request: GatewayRequest, sink: AnswerSink, history: AttemptHistory
     ) -> tuple[str, AttemptResult]:
@@ -136,13 +145,27 @@
         request.attempts.append(attempt)
         number = len(history.states) + 1
         request = request.for_attempt(number)
-        if region == self.own_region:
+        if region == self.own_region and self._sends_itself(request, history):
             excluded = frozenset(history.excluded_servers)
             return region, await self.local.run(request, attempt, number, excluded, sink)
         excluded = frozenset(history.excluded_peers)
         result = await self.forwarder.forward_to_region(region, request, attempt, sink, excluded)
         return region, result
 
+    def _sends_itself(self, request: GatewayRequest, history: AttemptHistory) -> bool:
+        """Return whether this VM sends a request to servers of its region, not through a peer."""
+        work = request.work
+        if self.local.table.reachability.is_reachable(work.pool):
+            return True
+        if request.forwarded_by is not None:
+            raise RefusedError(refuse(ErrorKind.POOL_UNREACHABLE, RunStatus.NO, POOL_UNREACHABLE))
+        if not self.forwarder.has_peer(
+            self.own_region, work.pool, frozenset(history.excluded_peers)
+        ):
+            raise RefusedError(refuse(ErrorKind.NO_CAPACITY, RunStatus.NO, UNREACHABLE_REGION))
+        self.observe(Forwarded(work.request_id, work.class_name, self.own_region, REACHED_BY_PEER))
+        return False
+
     def _region(self, request: GatewayRequest, history: AttemptHistory) -> str:
         """Return the region for the next attempt; a forwarded request always stays here."""
         work = request.work
--- a/src/pomelobarrow/dispatch/forwarder.py
+++ b/src/pomelobarrow/dispatch/forwarder.py
@@ -16,6 +16,9 @@
     def region_loads(self, work: Work) -> Mapping[str, RegionLoad]:
         """Return the known load of the pool in other regions."""
 
+    def has_peer(self, region: str, pool: str, excluded: frozenset[str]) -> bool:
+        """Return whether a live peer of a region may reach a server of a pool."""
+
     async def forward_to_region(
         self,
         region: str,
--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -255,6 +255,9 @@
         self.table.started(work.request_id, now_unix_s())
 
     def _mark_server(self, server: BackendServer, result: AttemptResult) -> None:
+        # Failures of this VM's own links must not count against the servers.
+        if not self.table.reachability.is_reachable(server.pool):
+            return
         # A server that leaves or asked for a pause is not failing.
         if result.state in UNRUN_STATES and not self.table.takes_requests(server, now_unix_s()):
             return
--- a/src/pomelobarrow/dispatch/plugin.py
+++ b/src/pomelobarrow/dispatch/plugin.py
@@ -59,8 +59,9 @@
 
 @hookimpl
 def status(context: Context) -> StatusSection:
-    """Report the requests in progress and those that wait."""
+    """Report the requests in progress, those that wait and the pools that can't be reached."""
     local, entry = context.get(LocalDispatch), context.get(EntryDispatch)
+    table = context.get(LoadTable)
     values = {
         "in_progress": entry.in_progress,
         "used_request_ids": len(context.get(RequestIdLedger)),
@@ -68,9 +69,8 @@
             pool: {rank.value: queue.waiting(rank) for rank in Rank}
             for pool, queue in local.queues.items()
         },
-        "in_flight": {
-            name: each.requests for name, each in context.get(LoadTable).in_flight().items()
-        },
+        "in_flight": {name: each.requests for name, each in table.in_flight().items()},
+        "unreachable_pools": sorted(table.reachability.unreachable_pools),
     }
     return StatusSection("dispatch", values)
 
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -14,6 +14,8 @@
     AttemptEnded,
     Forwarded,
     PoolBrittle,
+    PoolReachable,
+    PoolUnreachable,
     RequestEnded,
     ServerBackoffRequested,
     ServerLimitNamed,
@@ -34,8 +36,6 @@
 )
 from pomelobarrow.relay.events import (
     DirectoryChanged,
-    PoolReachable,
-    PoolUnreachable,
     RelayAttemptEnded,
     RelayDenied,
     RelayEnded,
--- a/src/pomelobarrow/peers/forward_client.py
+++ b/src/pomelobarrow/peers/forward_client.py
@@ -13,6 +13,7 @@
 from pomelobarrow.decision.errors import KIND_BY_LABEL, ErrorKind, Refusal, RunStatus
 from pomelobarrow.decision.member import Member
 from pomelobarrow.decision.membership import MembershipView
+from pomelobarrow.decision.reachability import PeerReachability
 from pomelobarrow.decision.region_choice import RegionLoad
 from pomelobarrow.decision.work import Work
 from pomelobarrow.dispatch.answers import AnswerHead, AnswerSink, AttemptResult, CallerGoneError
@@ -47,6 +48,7 @@
     loads: RegionLoads
     keys: PeerKeys
     traces: Traces
+    reachability: PeerReachability = field(factory=PeerReachability)
     rng: Random = field(factory=Random)
     _serials: "itertools.count[int]" = field(factory=itertools.count)
 
@@ -67,14 +69,27 @@
         excluded: frozenset[str],
     ) -> AttemptResult:
         """Send to a live peer of a region, preferably to a linked one."""
-        members = self.view.usable_entries(region, now_unix_s())
-        candidates = [each for each in members if each.vm not in excluded]
+        pool = request.work.pool
+        candidates = self._candidates(region, pool, excluded)
         if not candidates:
-            refusal = _no_peer_refusal(region, has_refused=bool(members))
+            has_members = bool(self.view.usable_entries(region, now_unix_s()))
+            refusal = _no_peer_refusal(region, has_refused=has_members)
             return AttemptResult(state=attempt.state, detail=refusal.detail, refusal=refusal)
         member = min(candidates, key=self._order)
         # The id is claimed here or needs no claim, so that the peer only runs the request.
-        return await self._forward(member, request, attempt, sink, is_claim=False)
+        result = await self._forward(member, request, attempt, sink, is_claim=False)
+        if result.refusal is not None and result.refusal.kind is ErrorKind.POOL_UNREACHABLE:
+            self.reachability.note_refusal(member.vm, pool, now_unix_s())
+        return result
+
+    def has_peer(self, region: str, pool: str, excluded: frozenset[str]) -> bool:
+        """Return whether a live peer of a region may reach a server of a pool."""
+        return bool(self._candidates(region, pool, excluded))
+
+    def _candidates(self, region: str, pool: str, excluded: frozenset[str]) -> list[Member]:
+        now = now_unix_s()
+        left_out = {self.own.vm, *excluded, *self.reachability.unreachable_vms(pool, now)}
+        return [each for each in self.view.usable_entries(region, now) if each.vm not in left_out]
 
     async def forward_to_issuer(
         self, vm: str, incarnation: int, request: GatewayRequest, attempt: Attempt, sink: AnswerSink
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -273,6 +273,7 @@
         loads=context.get(RegionLoads),
         keys=context.get(PeerKeys),
         traces=context.get(Traces),
+        reachability=context.get(PeerReachability),
     )
 
 
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -113,27 +113,6 @@
     pool: str
 
 
-@frozen(kw_only=True)
-class PoolUnreachable:
-    """Report that this VM reaches no server of a pool, and the evidence."""
-
-    pool: str
-    # The servers that failed in a row, and all that are listed in this region.
-    servers_failed: int
-    servers_listed: int
-    # How the last of them failed.
-    detail: str
-
-
-@frozen(kw_only=True)
-class PoolReachable:
-    """Report that a server of a pool that was unreachable has answered this VM again."""
-
-    pool: str
-    server: str
-    unreachable_s: float
-
-
 @frozen(kw_only=True)
 class DirectoryChanged:
     """Report that clients of a failure domain are directed to other VMs than before."""
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -3,6 +3,8 @@
 import math
 from collections.abc import Awaitable
 
+from pomelobarrow.backends.reach_monitor import ReachMonitor
+from pomelobarrow.backends.reports import LOAD_PATH
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.callers.operations import Operations
 from pomelobarrow.decision.cold_start import ColdLimiter
@@ -28,11 +30,11 @@
 from pomelobarrow.relay.health_monitor import ServerHealthMonitor
 from pomelobarrow.relay.listeners import Listener, RelayListeners
 from pomelobarrow.relay.planned_stop import PlannedStop
-from pomelobarrow.relay.reach_monitor import ReachMonitor
 from pomelobarrow.relay.relay import Relay
 from pomelobarrow.relay.wire import RelayWire
 
 MAX_BODY_BYTES = 4 << 20
+RELAY_PROBE_PATH = "/"
 # Clients keep a directory answer for three times its validity and connect to the VMs it names until
 # then.
 LATE_CLIENTS_S = 3 * ANSWER_VALID_S
@@ -75,7 +77,6 @@
         "configuration_proof_age_s": age_s if math.isfinite(age_s) else None,
         "configuration_is_confirmed": proofs.is_confirmed(),
         "metered_accounts": grants.metered_accounts(),
-        "unreachable_pools": sorted(context.get(LoadTable).reachability.unreachable_pools),
     }
     return StatusSection("relay", values)
 
@@ -105,7 +106,7 @@
 async def _close(context: Context) -> None:
     if context.settings.relay is not None:
         await context.get(RelayListeners).close()
-        await context.get(ReachMonitor).close()
+    await context.get(ReachMonitor).close()
 
 
 def _routing(context: Context) -> Routing | None:
@@ -132,10 +133,12 @@
 
 
 def _reach_monitor(context: Context) -> ReachMonitor:
+    is_relay = context.settings.relay is not None
     return ReachMonitor(
         reachability=context.get(LoadTable).reachability,
         sessions=context.get(BackendSessions),
-        wire=context.get(RelayWire),
+        probe_path=RELAY_PROBE_PATH if is_relay else LOAD_PATH,
+        probe_headers=dict(context.get(RelayWire).probe_headers) if is_relay else {},
         forgive=context.get(ServerHealthMonitor).forgive,
         observe=context.observe,
     )
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field
 
+from pomelobarrow.backends.reach_monitor import SERVER_CONNECT_TIMEOUT_S, ReachMonitor
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.errors import RunStatus
 from pomelobarrow.decision.placement import Placer
@@ -28,7 +29,6 @@
 from pomelobarrow.relay.next_step import UNSENT_ENDS, AttemptHistory, Step, last_step, should_retry
 from pomelobarrow.relay.place_waiters import PlaceWaiters
 from pomelobarrow.relay.progress import RequestProgress
-from pomelobarrow.relay.reach_monitor import SERVER_CONNECT_TIMEOUT_S, ReachMonitor
 from pomelobarrow.relay.refusal_answer import send_refusal
 from pomelobarrow.relay.refusal_policy import RefusalPolicy
 from pomelobarrow.relay.relay_log import RelayLog
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -9,6 +9,7 @@
 from scripted_server import Script, ScriptedServer
 
 from harness.processes import free_ports
+from pomelobarrow.backends.reach_monitor import ReachMonitor
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.accounts import Account
 from pomelobarrow.decision.cold_start import ColdLimiter
@@ -27,7 +28,6 @@
 from pomelobarrow.relay.health_monitor import ServerHealthMonitor
 from pomelobarrow.relay.listeners import Listener, RelayListeners
 from pomelobarrow.relay.planned_stop import PlannedStop
-from pomelobarrow.relay.reach_monitor import ReachMonitor
 from pomelobarrow.relay.relay import Relay
 
 HOST = "shop.example"
@@ -221,7 +221,8 @@
         reach=ReachMonitor(
             reachability=table.reachability,
             sessions=sessions,
-            wire=platform_wire(),
+            probe_path="/",
+            probe_headers=dict(platform_wire().probe_headers),
             forgive=monitor.forgive,
             observe=events.append,
         ),
--- a/tests/test_relay_lost_links.py
+++ b/tests/test_relay_lost_links.py
@@ -8,8 +8,9 @@
 
 from pomelobarrow.decision.retry_share import RetryBound
 from pomelobarrow.decision.routing import RouteKind
+from pomelobarrow.dispatch.events import PoolReachable, PoolUnreachable
 from pomelobarrow.kernel.clock import now_unix_s
-from pomelobarrow.relay.events import PoolReachable, PoolUnreachable, RelayAttemptEnded
+from pomelobarrow.relay.events import RelayAttemptEnded
 
 NO_RETRIES = RetryBound(ratio=0.0, slack=0.0, window_s=10.0)
 REQUESTS = 12
