Count connections that could not be opened in time only by probes on time

Callers saw, in a test beside load (7 on five cores): 117 of 120 requests at three VMs refused at once as "this VM reaches no server of the pool", while both servers ran idle. Events of that run: 93 connection timeouts, three `pool unreachable`, three `pool reachable again`.

Cause: a process that stands still for 0.35 s finds all connections that it was opening past their time limit, although the kernel has opened them. Each counted as a failure of its server, and all servers of a pool failing in a row means "unreachable".

Change: a refused connection still counts at once. One that is not open in time starts the probes, and a probe that times out counts only if the loop ran less than 0.1 s late meanwhile (observed during probes only, so that an idle VM pays nothing). A request that has no other server, or two such servers behind it, waits for the probes in progress and may try again what they reach. Waiting moves to a module of its own (relay/waits.py).

A silent cut is seen as before, 0.7 s after the first request; a pool with one server now takes 0.7 s, too.

--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -145,9 +145,9 @@
                 on_head=on_head,
             ).run()
             span.set("state", result.state.value)
-        if result.state is AttemptState.NOT_SENT and not is_connected:
-            reach.note_failure(server, opened_unix_s, result.detail)
-        elif result.state is AttemptState.UNKNOWN and not result.head_passed:
+        is_unopened = result.state is AttemptState.NOT_SENT and not is_connected
+        is_unanswered = result.state is AttemptState.UNKNOWN and not result.head_passed
+        if is_unopened or is_unanswered:
             reach.note_silence(server)
         return result
 
--- a/src/pomelobarrow/backends/reach_monitor.py
+++ b/src/pomelobarrow/backends/reach_monitor.py
@@ -13,6 +13,7 @@
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.dispatch.events import PoolReachable, PoolUnreachable
 from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.kernel.loop_delay import LoopDelay, observed_loop_delay
 
 # Clients get the answers of peers meanwhile, so that a later end of the probes costs them one hop.
 FIRST_PAUSE_S = 0.25
@@ -23,6 +24,8 @@
 SERVER_CONNECT_TIMEOUT_S = 0.35
 # A server that is busy reads a request late.
 ANSWER_TIMEOUT_S = 1.0
+# A process that runs later than this may be too slow to open a connection itself.
+MAX_LOOP_DELAY_S = 0.1
 PROBE_TIMEOUT = aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S, sock_connect=SERVER_CONNECT_TIMEOUT_S)
 
 
@@ -40,6 +43,8 @@
     observe: Callable[[object], None]
     rng: Random = field(factory=Random)
     _probes: dict[str, "asyncio.Task[None]"] = field(factory=dict, init=False)
+    # By pool: the probes that are in progress.
+    _rounds: dict[str, "asyncio.Future[None]"] = field(factory=dict, init=False)
 
     def note_answer(self, server: BackendServer, connected_unix_s: float) -> None:
         """Record the head of an answer on a connection that was opened at the given time."""
@@ -50,7 +55,7 @@
             )
 
     def note_failure(self, server: BackendServer, opened_unix_s: float, detail: str) -> None:
-        """Record a connection that this VM failed to open at the given time, or a failed probe."""
+        """Record a connection that was refused, or a probe that failed; it began at this time."""
         if self.reachability.note_failure(server, opened_unix_s, now_unix_s()):
             self._report_unreachable(server.pool, detail)
         self.note_silence(server)
@@ -58,13 +63,19 @@
     def note_silence(self, server: BackendServer) -> None:
         """Probe the pool of a server that gave no answer, unless another one has just answered.
 
-        A busy or faulty server may leave a request unanswered, so this counts as no failure itself.
+        A busy or faulty server may leave a request unanswered, and a busy process may be too slow
+        to open a connection, so this counts as no failure itself.
         """
         pool = server.pool
         is_due = self.reachability.needs_probe(pool, now_unix_s())
         if is_due and pool not in self._probes:
             self._probes[pool] = asyncio.create_task(self._probe(pool))
 
+    async def wait_for_probes(self, pool: str) -> None:
+        """Wait until the probes of a pool that are in progress have ended."""
+        if pool in self._rounds:
+            await asyncio.wait({self._rounds[pool]})
+
     async def close(self) -> None:
         """Stop all probes."""
         probes = tuple(self._probes.values())
@@ -89,7 +100,8 @@
         pause_s = FIRST_PAUSE_S
         try:
             while servers := self.reachability.servers_to_probe(pool, self.rng):
-                await asyncio.gather(*(self._probe_server(server) for server in servers))
+                self._rounds[pool] = asyncio.ensure_future(self._probe_all(servers))
+                await self._rounds[pool]
                 if self.reachability.is_reachable(pool):
                     return
                 await asyncio.sleep(pause_s * self.rng.uniform(1 - PAUSE_JITTER, 1 + PAUSE_JITTER))
@@ -97,8 +109,13 @@
             self.reachability.forget(pool)
         finally:
             del self._probes[pool]
+            self._rounds.pop(pool, None)
+
+    async def _probe_all(self, servers: Iterable[BackendServer]) -> None:
+        with observed_loop_delay() as delay:
+            await asyncio.gather(*(self._probe_server(server, delay) for server in servers))
 
-    async def _probe_server(self, server: BackendServer) -> None:
+    async def _probe_server(self, server: BackendServer, delay: LoopDelay) -> None:
         started_unix_s = now_unix_s()
         url = self.sessions.url(server.address, self.probe_path)
         try:
@@ -107,4 +124,6 @@
             ):
                 self.note_answer(server, started_unix_s)
         except CONNECTION_ERRORS as error:
-            self.note_failure(server, started_unix_s, repr(error))
+            is_late = isinstance(error, TimeoutError) and delay.longest_s > MAX_LOOP_DELAY_S
+            if not is_late:
+                self.note_failure(server, started_unix_s, repr(error))
--- a/src/pomelobarrow/relay/progress.py
+++ b/src/pomelobarrow/relay/progress.py
@@ -20,6 +20,8 @@
     history: AttemptHistory
     splitter: EventSplitter
     excluded: ExcludedTargets = field(factory=ExcludedTargets)
+    # Servers to which no connection could be opened in time, for whatever reason.
+    unopened: set[str] = field(factory=set)
     first_answer_unix_s: float | None = None
     # The longest time between two events of the stream so far.
     longest_pause_s: float = 0.0
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -27,14 +27,13 @@
 from pomelobarrow.relay.hop import AnswerReader, naming_departure, peer_target
 from pomelobarrow.relay.messages import AttemptEnd, AttemptReport, RelayRequest, ServerAnswerHead
 from pomelobarrow.relay.next_step import UNSENT_ENDS, AttemptHistory, Step, last_step, should_retry
-from pomelobarrow.relay.place_waiters import PlaceWaiters
 from pomelobarrow.relay.progress import RequestProgress
 from pomelobarrow.relay.refusal_answer import send_refusal
 from pomelobarrow.relay.refusal_policy import RefusalPolicy
 from pomelobarrow.relay.relay_log import RelayLog
+from pomelobarrow.relay.waits import RequestWaits
 from pomelobarrow.relay.wire import RelayWire, ServerCallOptions
 
-LIMIT_CHECK_S = 0.01
 KEY_UNCONFIRMED = "the key may have been revoked while the request waited"
 
 
@@ -61,7 +60,7 @@
     refusals: RefusalPolicy = field(init=False)
     in_progress: int = 0
     first_answer_times: FirstAnswerTimes = field(factory=FirstAnswerTimes)
-    place_waiters: PlaceWaiters = field(factory=PlaceWaiters)
+    waits: RequestWaits = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.log = RelayLog(
@@ -73,6 +72,7 @@
         self.records = AnswerRecords(
             table=self.placer.table, guard=self.guard, observe=lambda event: self.observe(event)
         )
+        self.waits = RequestWaits(table=self.placer.table, reach=self.reach)
         self.refusals = RefusalPolicy(
             own_region=self.own_region, placer=self.placer, guard=self.guard, rng=self.rng
         )
@@ -120,12 +120,13 @@
             if not self.may_still_run(progress.request):
                 progress.history.last_detail = KEY_UNCONFIRMED
                 return last_step(progress.history, progress.sink.is_started)
+            await self.waits.before_placement(progress)
             decision = self.placer.place(
                 progress.request.for_placement, progress.routing, progress.excluded, now_unix_s()
             )
-            if isinstance(decision, NoPlacement) and await self._wait_for_limit(progress, decision):
-                continue
             if isinstance(decision, NoPlacement):
+                if await self.waits.without_placement(progress, decision):
+                    continue
                 progress.history.last_detail = progress.history.last_detail or decision.reason
                 progress.unplaced_wait_s = progress.unplaced_wait_s or decision.wait_s
                 self.log.not_placed(progress, decision)
@@ -144,35 +145,6 @@
                 return Step.DONE
             return last_step(progress.history, progress.sink.is_started)
 
-    async def _wait_for_limit(self, progress: RequestProgress, decision: NoPlacement) -> bool:
-        """Wait for what servers announced if the wait may end before the target time."""
-        next_unix_s, now = decision.next_unix_s, now_unix_s()
-        if next_unix_s is None or next_unix_s >= progress.request.work.first_token_due_unix_s:
-            return False
-        # One of the requests that wait for the same moment is placed; the others check again.
-        pause_s, pool = max(LIMIT_CHECK_S, next_unix_s - now), progress.request.work.pool
-        if self.placer.table.limits.brittle.is_brittle(pool, now):
-            return await self._wait_for_place(progress, pause_s)
-        if progress.request.forwarded_by:
-            return False
-        await asyncio.sleep(pause_s)
-        return True
-
-    async def _wait_for_place(self, progress: RequestProgress, timeout_s: float) -> bool:
-        """Wait for a place at a brittle server, unless too many requests wait before this one."""
-        work, table, now = progress.request.work, self.placer.table, now_unix_s()
-        wait_s = table.limits.brittle.expected_wait_s(
-            table.usable_servers(work.pool, now),
-            self.place_waiters.count(work.pool),
-            table.service_times(work.pool).hold_s,
-            now,
-        )
-        if now + wait_s >= work.first_token_due_unix_s:
-            progress.unplaced_wait_s = min(wait_s, max(0.0, work.deadline_unix_s - now))
-            return False
-        await self.place_waiters.wait(work.pool, timeout_s)
-        return True
-
     def _may_retry(self, progress: RequestProgress, report: AttemptReport) -> bool:
         if report.end in UNSENT_ENDS:
             return True
@@ -237,9 +209,12 @@
             )
         finally:
             table.release(work.request_id, now_unix_s())
-            self.place_waiters.wake_next(work.pool)
-        if report.end is AttemptEnd.NOT_SENT:
+            self.waits.places.wake_next(work.pool)
+        if report.is_connection_refused:
             self.reach.note_failure(server, now, report.detail)
+        elif report.end is AttemptEnd.NOT_SENT:
+            progress.unopened.add(server.name)
+            self.reach.note_silence(server)
         elif report.end is AttemptEnd.LOST and not report.has_head:
             self.reach.note_silence(server)
         # Failures of this VM's own links must not count against the servers.
