Keep the product's own interface within its part of brittle servers

Callers saw, with the new stand-ins: both servers of a region end under sixty calls at once, since daemons sent more than the slots and the servers had to reject the rest. The relay has kept to its part since; the own interface did not read the statement.

Change: stand-ins of engines and services reject what may not wait (max_waiting), state how many rejections a second they survive (brittle_per_s) and end beyond it, and fall silent for a time (silent_s); soak and tests may use them. The own interface reads X-Server-Brittle. A VM that has no place at any server of the pool forwards inside its region, as one that reaches none; a forwarded request at such a VM is refused unrun.

--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -15,6 +15,7 @@
 from pomelobarrow.backends.sessions import (
     REJECTED_STATUS,
     RETRY_AFTER_HEADER,
+    SERVER_BRITTLE_HEADER,
     SERVER_LEAVING_HEADER,
     SERVER_LIMIT_HEADER,
     BackendSessions,
@@ -157,15 +158,14 @@
 def _record_announcement(
     context: Context, server: BackendServer, status: int, headers: Mapping[str, str]
 ) -> None:
+    is_rejected = status == REJECTED_STATUS
     announced = ServerAnnouncement(
         limit_per_s=parse_decimal(headers.get(SERVER_LIMIT_HEADER, "")),
         limit_header=SERVER_LIMIT_HEADER,
         is_leaving=headers.get(SERVER_LEAVING_HEADER, "").strip() == "1",
-        backoff_s=(
-            parse_decimal(headers.get(RETRY_AFTER_HEADER, ""))
-            if status == REJECTED_STATUS
-            else None
-        ),
+        backoff_s=parse_decimal(headers.get(RETRY_AFTER_HEADER, "")) if is_rejected else None,
+        max_rejected_per_s=parse_decimal(headers.get(SERVER_BRITTLE_HEADER, "")),
+        is_rejected=is_rejected,
     )
     record_announcement(context.get(LoadTable), server, announced, context.observe)
 
--- a/src/pomelobarrow/backends/sessions.py
+++ b/src/pomelobarrow/backends/sessions.py
@@ -14,6 +14,7 @@
 # Requests per second that a server accepts from all VMs together, as stated by its answers.
 SERVER_LIMIT_HEADER = "X-Server-Limit"
 # "1" in all answers of a server that leaves.
+SERVER_BRITTLE_HEADER = "X-Server-Brittle"
 SERVER_LEAVING_HEADER = "X-Server-Leaving"
 # With a rejection: the seconds for which the server wants nothing from this VM.
 RETRY_AFTER_HEADER = "Retry-After"
--- a/src/pomelobarrow/decision/brittle_servers.py
+++ b/src/pomelobarrow/decision/brittle_servers.py
@@ -12,7 +12,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from functools import lru_cache
 
 from attrs import define, field
@@ -117,6 +117,15 @@
         regained = int((now_unix_s - reduced.rejected_unix_s) / REGAIN_PLACE_S)
         return min(part, reduced.places + regained)
 
+    def vms_without_places(
+        self, servers: Collection[BackendServer], now_unix_s: float
+    ) -> frozenset[str]:
+        """Return the VMs of this region that may send to none of these servers of one pool."""
+        if self.is_empty or not any(self.is_brittle(s.pool, now_unix_s) for s in servers):
+            return frozenset()
+        vms = {self.own_vm, *self.region_vms()}
+        return frozenset(vms - places_by_vm(servers, vms).keys())
+
     def next_unix_s(self, server: BackendServer, now_unix_s: float) -> float:
         """Return when this VM may send to a server, infinity if only other VMs may."""
         if not self.is_brittle(server.pool, now_unix_s):
--- a/src/pomelobarrow/dispatch/dispatcher.py
+++ b/src/pomelobarrow/dispatch/dispatcher.py
@@ -8,7 +8,11 @@
 
 from pomelobarrow.decision.attempt import Attempt, AttemptState, may_retry, run_status
 from pomelobarrow.decision.errors import ErrorKind, Refusal, RunStatus
-from pomelobarrow.decision.placement_request import POOL_UNREACHABLE, REACHED_BY_PEER
+from pomelobarrow.decision.placement_request import (
+    PLACE_AT_PEER,
+    POOL_UNREACHABLE,
+    REACHED_BY_PEER,
+)
 from pomelobarrow.decision.region_choice import (
     RegionChoice,
     RegionLoad,
@@ -38,7 +42,7 @@
 # Another VM of the region that refused for one of these reasons may run the request. If the region
 # were excluded, home-bound work would be refused although it could run there.
 OWN_REASONS = frozenset({ErrorKind.DRAINING, ErrorKind.POOL_UNREACHABLE})
-UNREACHABLE_REGION = "no VM of this region reaches a server of the pool"
+UNREACHABLE_REGION = "no VM of this region reaches a server of the pool or has a place there"
 # After these decisions, repeatable work is retried with backoff until its deadline instead of being
 # refused. The backoff keeps such retries from amplifying an overload.
 BACKOFF_DECISIONS = frozenset({RetryDecision.BUDGET, RetryDecision.ATTEMPTS})
@@ -145,25 +149,34 @@
         request.attempts.append(attempt)
         number = len(history.states) + 1
         request = request.for_attempt(number)
-        if region == self.own_region and self._sends_itself(request, history):
-            excluded = frozenset(history.excluded_servers)
-            return region, await self.local.run(request, attempt, number, excluded, sink)
-        excluded = frozenset(history.excluded_peers)
-        result = await self.forwarder.forward_to_region(region, request, attempt, sink, excluded)
+        excluded_peers = frozenset(history.excluded_peers)
+        if region == self.own_region:
+            excluded_peers |= self._vms_without_places(request.work.pool)
+            if self._sends_itself(request, excluded_peers):
+                excluded = frozenset(history.excluded_servers)
+                return region, await self.local.run(request, attempt, number, excluded, sink)
+        result = await self.forwarder.forward_to_region(
+            region, request, attempt, sink, excluded_peers
+        )
         return region, result
 
-    def _sends_itself(self, request: GatewayRequest, history: AttemptHistory) -> bool:
+    def _vms_without_places(self, pool: str) -> frozenset[str]:
+        """Return the VMs of this region that may send to no server of a brittle pool."""
+        table, now = self.local.table, now_unix_s()
+        return table.limits.brittle.vms_without_places(table.usable_servers(pool, now), now)
+
+    def _sends_itself(self, request: GatewayRequest, excluded_peers: frozenset[str]) -> bool:
         """Return whether this VM sends a request to servers of its region, not through a peer."""
-        work = request.work
-        if self.local.table.reachability.is_reachable(work.pool):
+        work, table = request.work, self.local.table
+        is_reachable = table.reachability.is_reachable(work.pool)
+        if is_reachable and table.limits.brittle.own_vm not in excluded_peers:
             return True
         if request.forwarded_by is not None:
             raise RefusedError(refuse(ErrorKind.POOL_UNREACHABLE, RunStatus.NO, POOL_UNREACHABLE))
-        if not self.forwarder.has_peer(
-            self.own_region, work.pool, frozenset(history.excluded_peers)
-        ):
+        if not self.forwarder.has_peer(self.own_region, work.pool, excluded_peers):
             raise RefusedError(refuse(ErrorKind.NO_CAPACITY, RunStatus.NO, UNREACHABLE_REGION))
-        self.observe(Forwarded(work.request_id, work.class_name, self.own_region, REACHED_BY_PEER))
+        reason = PLACE_AT_PEER if is_reachable else REACHED_BY_PEER
+        self.observe(Forwarded(work.request_id, work.class_name, self.own_region, reason))
         return False
 
     def _region(self, request: GatewayRequest, history: AttemptHistory) -> str:
--- a/src/pomelobarrow/standin/engine.py
+++ b/src/pomelobarrow/standin/engine.py
@@ -13,6 +13,7 @@
 from pomelobarrow.standin.orders import EngineOrders
 from pomelobarrow.standin.prefix_cache import PrefixCache
 from pomelobarrow.standin.prompt import BLOCK_TOKENS
+from pomelobarrow.standin.room import Room
 from pomelobarrow.standin.runtime import (
     MAX_BODY_BYTES,
     gate_middleware,
@@ -70,6 +71,7 @@
         batch=batch,
         cache=cache,
         orders=EngineOrders(checks_fencing=options.checks_fencing),
+        room=Room(slots=options.slots),
     )
 
 
@@ -81,6 +83,7 @@
         middlewares=[gate_middleware(engine.gate)], client_max_size=MAX_BODY_BYTES
     )
     app.on_response_prepare.append(engine.announcements.add_headers)
+    app.on_response_prepare.append(engine.room.add_header)
     app.add_routes(routes(engine, report))
     async with asyncio.TaskGroup() as tasks:
         measuring = tasks.create_task(report.keep_measuring())
--- a/src/pomelobarrow/standin/engine_routes.py
+++ b/src/pomelobarrow/standin/engine_routes.py
@@ -8,6 +8,7 @@
 from pomelobarrow.standin.engine_state import Engine
 from pomelobarrow.standin.jobs import Job, wait_until_ended, wait_until_started
 from pomelobarrow.standin.load_report import LaggingReport
+from pomelobarrow.standin.room import NO_ROOM
 from pomelobarrow.standin.run_log import RunState, runs_payload
 from pomelobarrow.standin.runtime import (
     crash_if_body_contains,
@@ -66,6 +67,8 @@
         body = await read_json(request)
         if reason := engine.refusal_reason(request.headers.get("X-Request-Id", "")):
             return refused_unrun(reason)
+        if engine.has_no_room():
+            return refused_unrun(NO_ROOM)
         await crash_if_body_contains(request, engine.crash_on)
         job = engine.accept(request.headers, body)
         send = stream_answer if body.get("stream") else send_completion
@@ -113,8 +116,11 @@
         engine.refuse = body.get("refuse", engine.refuse)
         engine.crash_on = body.get("crash_on", engine.crash_on)
         engine.announcements.update(body)
+        engine.room.update(body)
         engine.step_s = body.get("step_s", engine.step_s)
         engine.set_frozen(body.get("frozen", not engine.gate.opened.is_set()))
+        if "silent_s" in body:
+            engine.fall_silent(body["silent_s"])
         return json_response({"leaving": engine.leaving, "refuse": engine.refuse})
 
     return [
--- a/src/pomelobarrow/standin/engine_state.py
+++ b/src/pomelobarrow/standin/engine_state.py
@@ -13,6 +13,7 @@
 from pomelobarrow.standin.jobs import Job
 from pomelobarrow.standin.orders import EngineOrders
 from pomelobarrow.standin.prefix_cache import PrefixCache
+from pomelobarrow.standin.room import Room
 from pomelobarrow.standin.run_log import MAX_LOGGED_RUNS, RunState, header_int
 from pomelobarrow.standin.runtime import Announcements, RequestGate
 
@@ -29,6 +30,7 @@
     batch: Batch
     cache: PrefixCache
     orders: EngineOrders
+    room: Room
     gate: RequestGate = field(factory=RequestGate)
     leaving: bool = False
     refuse: bool = False
@@ -71,6 +73,10 @@
         }
         return next((reason for reason, applies in reasons.items() if applies), None)
 
+    def has_no_room(self) -> bool:
+        """Return whether a new request is rejected because too many wait."""
+        return self.room.rejects(len(self.batch.running) + len(self.batch.waiting))
+
     def accept(self, headers: Mapping[str, str], body: Mapping[str, Any]) -> Job:
         """Queue one request; requests are not deduplicated by id."""
         self._last_number += 1
@@ -123,6 +129,11 @@
         self.gate.set_frozen(frozen)
         self.schedule_step()
 
+    def fall_silent(self, silent_s: float) -> None:
+        """Stop stepping and answering for a time."""
+        self.set_frozen(True)
+        asyncio.get_running_loop().call_later(silent_s, self.set_frozen, False)
+
     def schedule_step(self) -> None:
         """Schedule the next step, unless the engine is idle or frozen."""
         if self._is_stepping or self.batch.idle or not self.gate.opened.is_set():
--- a/src/pomelobarrow/standin/runtime.py
+++ b/src/pomelobarrow/standin/runtime.py
@@ -36,6 +36,11 @@
         """Close or open the gate."""
         (self.opened.clear if frozen else self.opened.set)()
 
+    def fall_silent(self, silent_s: float) -> None:
+        """Close the gate for a time."""
+        self.set_frozen(True)
+        asyncio.get_running_loop().call_later(silent_s, self.set_frozen, False)
+
 
 def is_admin_request(request: web.Request) -> bool:
     """Return whether a request configures or inspects the stand-in itself."""
--- a/src/pomelobarrow/standin/service.py
+++ b/src/pomelobarrow/standin/service.py
@@ -9,6 +9,7 @@
 from attrs import define, field, frozen
 
 from pomelobarrow.standin.load_report import LaggingReport
+from pomelobarrow.standin.room import NO_ROOM, Room
 from pomelobarrow.standin.run_log import MAX_LOGGED_RUNS, Run, RunState, header_int, runs_payload
 from pomelobarrow.standin.runtime import (
     MAX_BODY_BYTES,
@@ -50,6 +51,7 @@
     # A call whose body contains this text ends the process, as a crash would.
     crash_on: str = ""
     announcements: Announcements = field(factory=Announcements)
+    room: Room = field(kw_only=True)
 
     def measure(self) -> dict[str, Any]:
         """Return a load report for the current moment."""
@@ -101,6 +103,8 @@
         body = await request.read()
         if reason := service.refusal_reason():
             return refused_unrun(reason)
+        if service.room.rejects(service.running + service.waiting):
+            return refused_unrun(NO_ROOM)
         await crash_if_body_contains(request, service.crash_on)
         run = new_run(request)
         await service.run(run)
@@ -127,8 +131,11 @@
         service.refuse = body.get("refuse", service.refuse)
         service.crash_on = body.get("crash_on", service.crash_on)
         service.announcements.update(body)
+        service.room.update(body)
         service.latency_s = body.get("latency_s", service.latency_s)
         service.gate.set_frozen(body.get("frozen", not service.gate.opened.is_set()))
+        if "silent_s" in body:
+            service.gate.fall_silent(body["silent_s"])
         return json_response({"leaving": service.leaving, "refuse": service.refuse})
 
     return [
@@ -141,12 +148,18 @@
 
 async def main(options: ServiceOptions) -> None:
     """Serve the plain service until the process is stopped."""
-    service = Service(options.name, options.latency_s, asyncio.Semaphore(options.slots))
+    service = Service(
+        options.name,
+        options.latency_s,
+        asyncio.Semaphore(options.slots),
+        room=Room(slots=options.slots),
+    )
     report = LaggingReport(service.measure, options.report_lag_s)
     app = web.Application(
         middlewares=[gate_middleware(service.gate)], client_max_size=MAX_BODY_BYTES
     )
     app.on_response_prepare.append(service.announcements.add_headers)
+    app.on_response_prepare.append(service.room.add_header)
     app.add_routes(routes(service, report))
     async with asyncio.TaskGroup() as tasks:
         measuring = tasks.create_task(report.keep_measuring())
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -234,3 +234,22 @@
         ):
             named.append(response.headers.get("X-Server-Limit"))
     assert named == ["2.5", None]
+
+
+async def test_brittle_engine_rejects_what_may_not_wait(engine: Standin) -> None:
+    mode = {"max_waiting": 0, "brittle_per_s": 100, "frozen": False, "step_s": 60.0}
+    await call("POST", engine.listening, "/admin/mode", mode)
+    calls = [
+        asyncio.create_task(call("POST", engine.listening, CHAT, chat("hello"), headers(f"r{n}")))
+        for n in range(2)
+    ]
+    done, running = await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
+    for each in running:
+        each.cancel()
+    assert [each.result().body for each in done] == [{"run": "no", "reason": "no_room"}]
+
+
+async def test_silent_engine_answers_what_came_meanwhile(engine: Standin) -> None:
+    await call("POST", engine.listening, "/admin/mode", {"silent_s": 0.2})
+    answer = await call("POST", engine.listening, CHAT, chat("hello"), headers("r1"))
+    assert answer.status == 200
--- a/tests/test_standin_service.py
+++ b/tests/test_standin_service.py
@@ -79,3 +79,35 @@
                 headers = response.headers
                 seen.append((headers.get("X-Server-Leaving"), headers.get("Retry-After")))
     assert seen == [("1", None), ("1", "1.5")]
+
+
+async def test_brittle_service_falls_over_after_too_many_rejections() -> None:
+    with running_standins() as start:
+        service = start("service", "--slots", "1", "--latency-s", "30")
+        mode = {"max_waiting": 0, "brittle_per_s": 2}
+        await call("POST", service.listening, "/admin/mode", mode)
+        running = asyncio.create_task(call("GET", service.listening, "/", None, {}))
+        await wait_until(lambda: runs(service), bool)
+        rejected = [await call("GET", service.listening, "/") for _ in range(2)]
+        with pytest.raises(aiohttp.ClientError):
+            await call("GET", service.listening, "/")
+        running.cancel()
+    no_room = {"run": "no", "reason": "no_room"}
+    assert [(each.status, each.body) for each in rejected] == [(503, no_room)] * 2
+
+
+async def test_brittle_service_states_it_with_each_answer(service: Standin) -> None:
+    stated = []
+    for brittle_per_s in (5, None):
+        await call("POST", service.listening, "/admin/mode", {"brittle_per_s": brittle_per_s})
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{service.listening}/call") as response,
+        ):
+            stated.append(response.headers.get("X-Server-Brittle"))
+    assert stated == ["5", None]
+
+
+async def test_silent_service_answers_what_came_meanwhile(service: Standin) -> None:
+    await call("POST", service.listening, "/admin/mode", {"silent_s": 0.2})
+    assert (await call("GET", service.listening, "/")).status == 200
