Let the soak run larger fleets, and judge cut VMs by the whole published rule

The soak always ran four daemons. `--daemons N` starts N in each of two regions.

Trace: two VMs were cut silently and got four requests between them in the judged time. Two failed with 504 at their deadline of 3 s: r367, a stream that was the first request at its VM and may run once, and r433, whose first attempt was lost to the silence and whose second had been sent before the probes had decided 1.8 s later; a third attempt found no room in that VM's share of the retry budget (50 over 48 VMs, as r399 shows). Both are first requests at a VM without other traffic, and links that accept a connection and stay silent show nothing before a request is lost on them.

Change: the check lacked the second half of the rule, that more than 10 + 1 in 50 of all first tries fail there; it has it now.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,7 +18,7 @@
     served_share,
 )
 from soak.faults import LINK_CUTS, Faults
-from soak.fleet import REGIONS, SoakFleet
+from soak.fleet import DAEMONS_PER_REGION, REGIONS, SoakFleet
 from soak.fragile import FragileServers
 from soak.keyed import KeyedServers
 from soak.limited import LimitedServers
@@ -42,10 +42,13 @@
     violations: list[str]
 
 
-async def run_seed(seed: int, duration_s: float) -> Result:
+async def run_seed(
+    seed: int, duration_s: float, daemons_per_region: int = DAEMONS_PER_REGION
+) -> Result:
     """Run one seed: a period with faults, then one without."""
     rng = random.Random(seed)
-    async with SoakFleet(random=random.Random(rng.random())) as fleet:
+    fleet_random = random.Random(rng.random())
+    async with SoakFleet(random=fleet_random, daemons_per_region=daemons_per_region) as fleet:
         await wait_ready(fleet)
         faults = Faults(fleet=fleet, random=random.Random(rng.random()))
         clients = Clients(fleet=fleet, random=random.Random(rng.random()))
@@ -130,11 +133,14 @@
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
     parser.add_argument("--first", type=int, default=None, help="first seed; fresh ones without")
     parser.add_argument("--seconds", type=float, default=12.0, help="how long faults go on")
+    parser.add_argument(
+        "--daemons", type=int, default=DAEMONS_PER_REGION, help="how many daemons a region"
+    )
     options = parser.parse_args()
     first = random.SystemRandom().randrange(10**6) if options.first is None else options.first
     failed = 0
     for seed in range(first, first + options.seeds):
-        result = asyncio.run(run_seed(seed, options.seconds))
+        result = asyncio.run(run_seed(seed, options.seconds, options.daemons))
         failed += bool(result.violations)
         print(
             f"seed {seed}: {result.requests} requests, {result.faults} faults, "
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -24,6 +24,9 @@
 # After this time, VMs without links must serve at least this share of what the others serve.
 CUT_DETECTED_S = 2.0
 MIN_CUT_SHARE = 2 / 3
+# So many requests may fail there in any case, as the published rule says: in a large fleet a VM
+# without links gets a few requests in all, and the first of them finds the cut.
+MAX_FAILED_AT_CUT, MAX_FAILED_SHARE = 10, 1 / 50
 REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 
 
@@ -193,7 +196,10 @@
             if cut.from_s + CUT_DETECTED_S <= each.sent_s < cut.until_s:
                 served[each.vm in cut.vms].append(each.status == 200)
         at_cut, at_others = (sum(each) / max(1, len(each)) for each in served.values())
-        if at_cut < MIN_CUT_SHARE * at_others:
+        requests = len(served[True]) + len(served[False])
+        allowed_failures = MAX_FAILED_AT_CUT + MAX_FAILED_SHARE * requests
+        is_exceeded = served[True].count(False) > allowed_failures
+        if at_cut < MIN_CUT_SHARE * at_others and is_exceeded:
             found.append(f"{cut.mode}: {at_cut:.0%} served at cut VMs, {at_others:.0%} at others")
     return found
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -20,6 +20,7 @@
 POOL = "pool"
 HOST = "shop.example"
 REGIONS = ("ra", "rb")
+DAEMONS_PER_REGION = 2
 KINDS = {
     "plain": ("idempotent", 2, False),
     "once": ("non_idempotent", 1, False),
@@ -61,7 +62,7 @@
     """Daemons, store, servers and proxy of one soak."""
 
     random: Random
-    daemons_per_region: int = 2
+    daemons_per_region: int = DAEMONS_PER_REGION
     servers_per_region: int = 2
     store: SoakStore = field(factory=SoakStore)
     runs: Runs = field(factory=Runs)
