Start probes after any unanswered request and after a peer's statement

`pool unreachable` came on 25 VMs one after the other, from 1.5 to 5.6 s after the cut.

Cause: each VM had to lose requests of its own first. A request that may run once has no limit on its first answer, so that it told nothing until its deadline of 3 s; a repeatable one started the probes when it was given up, which takes a place in the retry budget. And what other VMs of the region had found out was used for choosing peers only.

Change: any request without a first answer after the usual time (four times the route's mean, 0.3 s at least) starts the probes, and goes on waiting where it may not be retried. The first statement of a VM of the region that it reaches no server of a pool starts the probes of that pool at the others. Both are left out while an answer of the pool is under half a second old, so that a busy pool gets no probes.

Evidence: test_request_without_an_answer_starts_probes_also_if_it_may_run_once failed before; test_idle_vm_finds_its_lost_links_from_a_statement_of_a_peer is new (there was nothing to call).

Run: all tests that start no processes. Left: the requests that a VM sends before its probes end, 1.3 s, are lost on such links.

--- a/src/pomelobarrow/backends/reach_monitor.py
+++ b/src/pomelobarrow/backends/reach_monitor.py
@@ -1,7 +1,7 @@
 """Note which backend servers answer this VM, and probe pools that it may not reach."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from random import Random
 
 import aiohttp
@@ -10,6 +10,7 @@
 from pomelobarrow.backends.engine import CONNECTION_ERRORS
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.reachability import ServerReachability
+from pomelobarrow.decision.short_key import short_key
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.dispatch.events import PoolReachable, PoolUnreachable
 from pomelobarrow.kernel.clock import now_unix_s
@@ -71,6 +72,13 @@
         if is_due and pool not in self._probes:
             self._probes[pool] = asyncio.create_task(self._probe(pool))
 
+    def note_peer_statement(self, pool_keys: Collection[int]) -> None:
+        """Probe pools that a VM of this region has found unreachable, before requests are lost."""
+        for pool in self.reachability.answered_pools:
+            servers = self.reachability.pool_servers(pool)
+            if short_key(pool) in pool_keys and servers:
+                self.note_silence(servers[0])
+
     async def wait_for_probes(self, pool: str) -> None:
         """Wait until the probes of a pool that are in progress have ended."""
         if pool in self._rounds:
--- a/src/pomelobarrow/decision/reachability.py
+++ b/src/pomelobarrow/decision/reachability.py
@@ -11,7 +11,7 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from random import Random
 
 from attrs import define, field
@@ -93,6 +93,11 @@
         self._failed.pop(pool, None)
         self._unreachable.pop(pool, None)
 
+    @property
+    def answered_pools(self) -> Collection[str]:
+        """Return the pools of which a server has ever answered this VM."""
+        return self._connected.keys()
+
     def is_reachable(self, pool: str) -> bool:
         """Return whether this VM may reach a server of a pool."""
         return pool not in self._unreachable
@@ -128,16 +133,28 @@
 class PeerReachability:
     """The pools of which peers reach no server, by their own statements."""
 
+    # Called with the keys of pools that a VM of this region did not state before.
+    listeners: list[Callable[[Collection[int]], None]] = field(factory=list)
     # By VM and key of the pool: until when the statement holds.
     _unreachable: dict[str, dict[int, float]] = field(factory=dict)
 
-    def observe(self, vm: str, pool_keys: Iterable[int], now_unix_s: float) -> None:
+    def observe(
+        self,
+        vm: str,
+        pool_keys: Iterable[int],
+        now_unix_s: float,
+        is_same_region: bool = True,
+    ) -> None:
         """Replace what a peer stated before."""
         until_by_key = dict.fromkeys(pool_keys, now_unix_s + STATEMENT_VALID_S)
-        if until_by_key:
-            self._unreachable[vm] = until_by_key
-        else:
+        if not until_by_key:
             self.forget(vm)
+            return
+        new_keys = until_by_key.keys() - self._unreachable.get(vm, {}).keys()
+        self._unreachable[vm] = until_by_key
+        if new_keys and is_same_region:
+            for listener in self.listeners:
+                listener(new_keys)
 
     def note_refusal(self, vm: str, pool: str, now_unix_s: float) -> None:
         """Record that a peer refused a request since it reaches no server of the pool."""
--- a/src/pomelobarrow/peers/heartbeats.py
+++ b/src/pomelobarrow/peers/heartbeats.py
@@ -283,7 +283,12 @@
     ) -> None:
         sent_unix_s = self.offsets.sent_unix_s(heartbeat.vm, heartbeat.sent_unix_s, now)
         is_sparse = self.neighbours.is_sparse
-        self.peer_reachability.observe(member.vm, heartbeat.unreachable_pool_keys, now)
+        self.peer_reachability.observe(
+            member.vm,
+            heartbeat.unreachable_pool_keys,
+            now,
+            is_same_region=kind is not LinkKind.OTHER_REGION,
+        )
         self._members.apply(heartbeat, sent.members, kind, is_sparse, now, sent_unix_s)
         self._pools.apply(heartbeat, member.region, kind, now, sent_unix_s)
         if kind is not LinkKind.OTHER_REGION:
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -134,7 +134,7 @@
 
 def _reach_monitor(context: Context) -> ReachMonitor:
     is_relay = context.settings.relay is not None
-    return ReachMonitor(
+    monitor = ReachMonitor(
         reachability=context.get(LoadTable).reachability,
         sessions=context.get(BackendSessions),
         probe_path=RELAY_PROBE_PATH if is_relay else LOAD_PATH,
@@ -142,6 +142,8 @@
         forgive=context.get(ServerHealthMonitor).forgive,
         observe=context.observe,
     )
+    context.get(PeerReachability).listeners.append(monitor.note_peer_statement)
+    return monitor
 
 
 def _health_monitor(context: Context) -> ServerHealthMonitor:
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -282,19 +282,19 @@
 
     def _first_answer_timeout(
         self, progress: RequestProgress, placement: Placement
-    ) -> FirstAnswerTimeout | None:
-        """Return the limit on the wait for a silent server; None if no other could be tried."""
+    ) -> FirstAnswerTimeout:
+        """Return the limit after which a silent server's pool is probed, and another one tried."""
         route = progress.request.route
         is_suspect = not self.guard.may_repeat(progress.request.fingerprint)
-        if not route.is_repeatable or is_suspect or progress.history.attempts_left < 2:
-            return None
+        may_retry = route.is_repeatable and not is_suspect and progress.history.attempts_left >= 2
 
-        def try_take_retry() -> bool:
-            progress.is_retry_reserved = self._take_retry(progress)
+        def may_give_up() -> bool:
+            self.reach.note_silence(placement.server)
+            progress.is_retry_reserved = may_retry and self._take_retry(progress)
             return progress.is_retry_reserved
 
         time_limit_s = self.first_answer_times.time_limit_s(route.name, placement.expected_wait_s)
-        return FirstAnswerTimeout(limit_s=time_limit_s, may_give_up=try_take_retry)
+        return FirstAnswerTimeout(limit_s=time_limit_s, may_give_up=may_give_up)
 
     def _pause_observer(self, progress: RequestProgress, server: str) -> Callable[[float], None]:
         gap_target_s, pauses = progress.request.work.gap_target_s, self.placer.table.pauses
--- a/tests/lost_links.py
+++ b/tests/lost_links.py
@@ -1,4 +1,4 @@
-"""Addresses that act like a lost link: connections to them are refused or never established."""
+"""Addresses that act like a lost link."""
 
 import enum
 import socket
@@ -8,6 +8,7 @@
 HOST = "127.0.0.1"
 # The kernel queues one connection more than the backlog and drops further SYN packets.
 QUEUED_CONNECTIONS = 2
+UNANSWERED_CONNECTIONS = 100
 
 
 class Loss(enum.Enum):
@@ -15,16 +16,18 @@
 
     REFUSED = "refused"
     SILENT = "silent"
+    # They are established, and nothing sent on them is answered.
+    UNANSWERED = "unanswered"
 
 
 @contextmanager
 def lost_address(loss: Loss) -> Iterator[str]:
-    """Return an address to which no connection is ever established."""
+    """Return an address at which no request is ever answered."""
     with socket.socket() as listener:
         listener.bind((HOST, 0))
         address = listener.getsockname()
-        if loss is Loss.SILENT:
-            listener.listen(0)
+        if loss is not Loss.REFUSED:
+            listener.listen(UNANSWERED_CONNECTIONS if loss is Loss.UNANSWERED else 0)
         queued = [socket.socket() for _ in range(QUEUED_CONNECTIONS)]
         if loss is Loss.SILENT:
             for each in queued:
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -152,3 +152,15 @@
         reachability.note_failure(server, 10.0, 10.0)
     probed = reachability.servers_to_probe(SERVER.pool, Random(1))
     assert {server.name for server in probed} == {server.name for server in MANY[:4]}
+
+
+def test_listeners_learn_what_vms_of_the_region_state_for_the_first_time() -> None:
+    stated: list[set[int]] = []
+    peers = PeerReachability(listeners=[lambda keys: stated.append(set(keys))])
+    peers.observe("vm-2", [1], 10.0)
+    peers.observe("vm-2", [1, 2], 11.0)
+    peers.observe("vm-2", [1, 2], 12.0)
+    peers.observe("vm-9", [3], 12.0, is_same_region=False)
+    peers.observe("vm-2", [], 13.0)
+    peers.observe("vm-2", [1], 14.0)
+    assert stated == [{1}, {2}, {1}]
--- a/tests/test_relay_lost_links.py
+++ b/tests/test_relay_lost_links.py
@@ -1,13 +1,17 @@
 """What clients receive at a VM that has lost its links to all backend servers."""
 
+import asyncio
+
 import pytest
 from callers import wait_until
 from lost_links import Loss, lost_address
 from relay_harness import POOL, RelayFleet, ask, relay_fleet, route
 from scripted_server import answers, streams
 
+from pomelobarrow.decision.reachability import RECENT_CONNECTION_S
 from pomelobarrow.decision.retry_share import RetryBound
 from pomelobarrow.decision.routing import RouteKind
+from pomelobarrow.decision.short_key import short_key
 from pomelobarrow.dispatch.events import PoolReachable, PoolUnreachable
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.events import RelayAttemptEnded
@@ -24,7 +28,7 @@
     return sum(isinstance(event, RelayAttemptEnded) for event in fleet.vms[key].events)
 
 
-@pytest.mark.parametrize("loss", list(Loss))
+@pytest.mark.parametrize("loss", [Loss.REFUSED, Loss.SILENT])
 @pytest.mark.parametrize("kind", list(RouteKind))
 async def test_home_bound_requests_of_a_vm_without_links_run_in_their_home_region(
     kind: RouteKind, loss: Loss
@@ -128,3 +132,41 @@
         await wait_until(is_reachable)
         after = await _statuses(fleet, "a", "/non_idempotent/", 1)
     assert (before, without_links, after) == ([200], [503, 503], [200])
+
+
+async def test_idle_vm_finds_its_lost_links_from_a_statement_of_a_peer() -> None:
+    """Each VM of a region lost the first requests of its own to the same cut."""
+    bound = route(RouteKind.NON_IDEMPOTENT, home_regions=("a",))
+    servers = {"a": {"s1": answers(), "s2": answers()}}
+    async with relay_fleet((bound,), servers, NO_RETRIES) as fleet:
+        vm = fleet.vms["a"]
+        await _statuses(fleet, "a", "/non_idempotent/", 1)
+        reachability = vm.relay.placer.table.reachability
+
+        async def is_unreachable() -> bool:
+            return not reachability.is_reachable(POOL)
+
+        with lost_address(Loss.SILENT) as address:
+            fleet.lose_links("a", address)
+            # The last answer is as old as on an idle VM.
+            reachability._connected[POOL] -= RECENT_CONNECTION_S
+            vm.relay.reach.note_peer_statement({short_key(POOL)})
+            await wait_until(is_unreachable)
+
+
+async def test_request_without_an_answer_starts_probes_also_if_it_may_run_once() -> None:
+    """A connection that stayed silent was noticed only once its request's deadline had passed."""
+    bound = route(RouteKind.NON_IDEMPOTENT, home_regions=("a",))
+    servers = {"a": {"s1": answers(), "s2": answers()}}
+    async with relay_fleet((bound,), servers, NO_RETRIES) as fleet:
+        vm = fleet.vms["a"]
+
+        async def is_unreachable() -> bool:
+            return not vm.relay.placer.table.reachability.is_reachable(POOL)
+
+        with lost_address(Loss.UNANSWERED) as address:
+            fleet.lose_links("a", address)
+            asking = asyncio.create_task(ask(vm, "/non_idempotent/"))
+            await wait_until(is_unreachable)
+            assert not asking.done()
+            asking.cancel()
