Let the soak cut all VMs of a region but one, and judge calm and cuts apart

The users' page says that most or all VMs of a zone may be cut; the soak cut one of each region. With two VMs a region this is the same.

The share served "after all faults" was taken over the calm time and both cuts. The calm time is judged by itself now, by the same 80%; in the cuts, VMs that reach their servers must serve 80% as well (new), and cut VMs are judged by the published rule as before. With four daemons nothing that was counted before is left out of a check.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -74,16 +74,18 @@
         await sending
         await asyncio.sleep(SETTLE_S)
         calm_started_s = time.monotonic()
-        await clients.run(calm_started_s + CALM_RUN_S)
+        calm_until_s = calm_started_s + CALM_RUN_S
+        await clients.run(calm_until_s)
         cut_vms = await _run_with_cut_links(clients, faults, links_random)
         await sending_more
         await asyncio.gather(*(each.stop() for each in pools))
-        violations, served = find_violations(clients, faults), served_share(clients, calm_started_s)
+        violations = find_violations(clients, faults)
+        served = served_share(clients, calm_started_s, calm_until_s)
         violations += fragile.find_violations() + limited.find_violations()
         violations += keyed.find_violations() + fleet.ended_daemons()
         violations += announcing.find_violations(faults)
         violations += brittle.find_violations(faults)
-        violations += find_unserved_at_cut_vms(clients, cut_vms)
+        violations += find_unserved_at_cut_vms(clients, cut_vms, MIN_SERVED_SHARE)
         violations += keyed.find_unserved(calm_started_s, MIN_SERVED_SHARE)
         if fragile.served_share(calm_started_s) < MIN_SERVED_SHARE:
             violations.append("requests are not served by servers that crashed and were restarted")
@@ -108,10 +110,11 @@
 async def _run_with_cut_links(
     clients: Clients, faults: Faults, rng: random.Random
 ) -> tuple[CutVms, ...]:
-    """Send requests while one VM of each region reaches no server, for each kind of cut."""
+    """Send requests while all VMs of each region but one reach no server, for each kind of cut."""
     found = []
     for mode in LINK_CUTS:
-        cut = [rng.choice(clients.fleet.in_region(region)) for region in REGIONS]
+        linked = [rng.choice(clients.fleet.in_region(region)) for region in REGIONS]
+        cut = [daemon for daemon in clients.fleet.daemons if daemon not in linked]
         await asyncio.gather(*(faults.cut(daemon, mode) for daemon in cut))
         started_s = time.monotonic()
         await clients.run(started_s + CUT_RUN_S)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -24,6 +24,8 @@
 # After this time, VMs without links must serve at least this share of what the others serve.
 CUT_DETECTED_S = 2.0
 MIN_CUT_SHARE = 2 / 3
+# VMs that aren't cut are judged by this many requests or more.
+MIN_SAMPLE = 20
 # So many requests may fail there in any case, as the published rule says: in a large fleet a VM
 # without links gets a few requests in all, and the first of them finds the cut.
 MAX_FAILED_AT_CUT, MAX_FAILED_SHARE = 10, 1 / 50
@@ -187,8 +189,10 @@
     )
 
 
-def find_unserved_at_cut_vms(clients: Clients, cuts: Iterable[CutVms]) -> list[str]:
-    """Return a line for each cut in which its VMs served far fewer requests than the others."""
+def find_unserved_at_cut_vms(
+    clients: Clients, cuts: Iterable[CutVms], min_share: float
+) -> list[str]:
+    """Return a line for each cut in which its VMs, or the others, served too few requests."""
     found = []
     for cut in cuts:
         served: dict[bool, list[bool]] = {True: [], False: []}
@@ -201,11 +205,13 @@
         is_exceeded = served[True].count(False) > allowed_failures
         if at_cut < MIN_CUT_SHARE * at_others and is_exceeded:
             found.append(f"{cut.mode}: {at_cut:.0%} served at cut VMs, {at_others:.0%} at others")
+        if len(served[False]) >= MIN_SAMPLE and at_others < min_share:
+            found.append(f"{cut.mode}: {at_others:.0%} served at VMs that reach their servers")
     return found
 
 
-def served_share(clients: Clients, since_s: float) -> float:
-    """Return the share of the requests sent since a time that succeeded."""
-    late = [outcome for outcome in clients.outcomes if outcome.sent_s >= since_s]
+def served_share(clients: Clients, from_s: float, until_s: float) -> float:
+    """Return the share of the requests sent in a time that succeeded."""
+    late = [outcome for outcome in clients.outcomes if from_s <= outcome.sent_s < until_s]
     served = [outcome for outcome in late if outcome.status == 200]
     return len(served) / len(late) if late else 0.0
