Let only probes decide that a VM reaches no server of a pool

Suspected cause, not shown by a run: crashed servers look idle and are chosen first, so that four refused connections in a row are likely in a large pool of which only some have crashed; each counted towards "unreachable", for this VM's requests and those of its peers.

So that a request doesn't run out of servers before they end, it waits for them once it has met two connections that could not be opened or has no other server, unless a later connection of this VM has been answered. Refused servers stay excluded, ones that were not open in time are tried again if a probe reaches them.

Run: the tests of the relay, of lost links and of placement, four times beside load; test_proof_unreachable_servers.

--- a/src/pomelobarrow/backends/reach_monitor.py
+++ b/src/pomelobarrow/backends/reach_monitor.py
@@ -32,7 +32,7 @@
 
 @define(kw_only=True)
 class ReachMonitor:
-    """Record answers and failed connections, and probe a pool until a server of it answers."""
+    """Record answers, and probe a pool that may be unreachable until a server of it answers."""
 
     reachability: ServerReachability
     sessions: BackendSessions
@@ -55,21 +55,27 @@
                 PoolReachable(pool=server.pool, server=server.name, unreachable_s=unreachable_s)
             )
 
-    def note_failure(self, server: BackendServer, opened_unix_s: float, detail: str) -> None:
-        """Record a connection that was refused, or a probe that failed; it began at this time."""
-        if self.reachability.note_failure(server, opened_unix_s, now_unix_s()):
-            self._report_unreachable(server.pool, detail)
-        self.note_silence(server)
-
     def note_silence(self, server: BackendServer) -> None:
         """Probe the pool of a server that gave no answer, unless another one has just answered.
 
-        A busy or faulty server may leave a request unanswered, and a busy process may be too slow
-        to open a connection, so this counts as no failure itself.
+        This counts as no failure itself. A busy server may leave a request unanswered, several may
+        have crashed together, and a busy process may be too slow to open a connection.
         """
-        pool = server.pool
-        is_due = self.reachability.needs_probe(pool, now_unix_s())
-        if is_due and pool not in self._probes:
+        if self.reachability.needs_probe(server.pool, now_unix_s()):
+            self._start_probes(server.pool)
+
+    async def probe_unless_answered(self, pool: str, since_unix_s: float) -> None:
+        """Probe a pool and wait for the end, unless a connection opened since was answered."""
+        if self.reachability.is_answered_since(pool, since_unix_s):
+            return
+        self._start_probes(pool)
+        # The task of the probes begins in the next iteration of the loop.
+        await asyncio.sleep(0)
+        if pool in self._rounds:
+            await asyncio.wait({self._rounds[pool]})
+
+    def _start_probes(self, pool: str) -> None:
+        if pool not in self._probes:
             self._probes[pool] = asyncio.create_task(self._probe(pool))
 
     def note_peer_statement(self, pool_keys: Collection[int]) -> None:
@@ -79,11 +85,6 @@
             if short_key(pool) in pool_keys and servers:
                 self.note_silence(servers[0])
 
-    async def wait_for_probes(self, pool: str) -> None:
-        """Wait until the probes of a pool that are in progress have ended."""
-        if pool in self._rounds:
-            await asyncio.wait({self._rounds[pool]})
-
     async def close(self) -> None:
         """Stop all probes."""
         probes = tuple(self._probes.values())
@@ -134,4 +135,8 @@
         except CONNECTION_ERRORS as error:
             is_late = isinstance(error, TimeoutError) and delay.longest_s > MAX_LOOP_DELAY_S
             if not is_late:
-                self.note_failure(server, started_unix_s, repr(error))
+                self._note_failure(server, started_unix_s, repr(error))
+
+    def _note_failure(self, server: BackendServer, started_unix_s: float, detail: str) -> None:
+        if self.reachability.note_failure(server, started_unix_s, now_unix_s()):
+            self._report_unreachable(server.pool, detail)
--- a/src/pomelobarrow/decision/reachability.py
+++ b/src/pomelobarrow/decision/reachability.py
@@ -66,7 +66,7 @@
 
         It proves nothing if one that was opened later has been answered.
         """
-        if self._connected.get(server.pool, -math.inf) > opened_unix_s:
+        if self.is_answered_since(server.pool, opened_unix_s):
             return False
         self._failed[server.pool][server.incarnation] = now_unix_s
         if server.pool in self._unreachable or not self._has_failed(server.pool, now_unix_s):
@@ -93,6 +93,10 @@
         self._failed.pop(pool, None)
         self._unreachable.pop(pool, None)
 
+    def is_answered_since(self, pool: str, since_unix_s: float) -> bool:
+        """Return whether a connection to the pool that was opened since then brought an answer."""
+        return self._connected.get(pool, -math.inf) > since_unix_s
+
     @property
     def answered_pools(self) -> Collection[str]:
         """Return the pools of which a server has ever answered this VM."""
--- a/src/pomelobarrow/relay/progress.py
+++ b/src/pomelobarrow/relay/progress.py
@@ -20,8 +20,11 @@
     history: AttemptHistory
     splitter: EventSplitter
     excluded: ExcludedTargets = field(factory=ExcludedTargets)
-    # Servers to which no connection could be opened in time, for whatever reason.
-    unopened: set[str] = field(factory=set)
+    # The connections that could not be opened since probes last decided about the pool, when the
+    # last of them began, and the servers among their targets that did not refuse them.
+    unopened_connections: int = 0
+    unopened_unix_s: float = 0.0
+    unopened_in_time: set[str] = field(factory=set)
     first_answer_unix_s: float | None = None
     # The longest time between two events of the stream so far.
     longest_pause_s: float = 0.0
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -210,12 +210,12 @@
         finally:
             table.release(work.request_id, now_unix_s())
             self.waits.places.wake_next(work.pool)
-        if report.is_connection_refused:
-            self.reach.note_failure(server, now, report.detail)
-        elif report.end is AttemptEnd.NOT_SENT:
-            progress.unopened.add(server.name)
-            self.reach.note_silence(server)
-        elif report.end is AttemptEnd.LOST and not report.has_head:
+        if report.end is AttemptEnd.NOT_SENT:
+            progress.unopened_connections += 1
+            progress.unopened_unix_s = now
+            if not report.is_connection_refused:
+                progress.unopened_in_time.add(server.name)
+        if report.end in (AttemptEnd.NOT_SENT, AttemptEnd.LOST) and not report.has_head:
             self.reach.note_silence(server)
         # Failures of this VM's own links must not count against the servers.
         if table.reachability.is_reachable(work.pool):
--- a/src/pomelobarrow/relay/waits.py
+++ b/src/pomelobarrow/relay/waits.py
@@ -12,8 +12,8 @@
 from pomelobarrow.relay.progress import RequestProgress
 
 LIMIT_CHECK_S = 0.01
-# After so many connections that could not be opened in time, the probes are about to end.
-UNOPENED_BEFORE_PROBES_END = 2
+# One server that can't be connected to says little about the pool.
+UNOPENED_BEFORE_PROBES = 2
 
 
 @define(kw_only=True)
@@ -25,15 +25,15 @@
     places: PlaceWaiters = field(factory=PlaceWaiters)
 
     async def before_placement(self, progress: RequestProgress) -> None:
-        """Wait for the result of probes if several servers could not be connected to."""
-        if len(progress.unopened) >= UNOPENED_BEFORE_PROBES_END:
+        """Let probes decide about the pool if several servers could not be connected to."""
+        if progress.unopened_connections >= UNOPENED_BEFORE_PROBES:
             await self._wait_for_probes(progress)
 
     async def without_placement(self, progress: RequestProgress, decision: NoPlacement) -> bool:
         """Wait after a request was not placed; return whether it may be placed now."""
         if await self._wait_for_limit(progress, decision):
             return True
-        if not progress.unopened:
+        if not progress.unopened_connections:
             return False
         await self._wait_for_probes(progress)
         return True
@@ -70,7 +70,8 @@
     async def _wait_for_probes(self, progress: RequestProgress) -> None:
         """Let servers be tried again that answer probes: this VM was too slow to connect then."""
         pool = progress.request.work.pool
-        await self.reach.wait_for_probes(pool)
+        await self.reach.probe_unless_answered(pool, progress.unopened_unix_s)
         failed = self.table.reachability.failed_servers(pool)
-        progress.excluded.servers -= progress.unopened - failed
-        progress.unopened.clear()
+        progress.excluded.servers -= progress.unopened_in_time - failed
+        progress.unopened_in_time.clear()
+        progress.unopened_connections = 0
