State at once that a pool becomes unreachable or reachable again

Cause: the VMs that lose no request of their own wait for the heartbeat in which the first one states the pool, up to a second, and then for their own probes, another one.

Change: a pool that becomes unreachable, or reachable again, sends all heartbeats at once. There is one such moment a pool and cut.

Run: all tests that start no processes.

--- a/src/pomelobarrow/dispatch/dispatcher.py
+++ b/src/pomelobarrow/dispatch/dispatcher.py
@@ -39,9 +39,9 @@
 BACKOFF_FLOOR_S = 0.2
 BACKOFF_CEILING_S = 5.0
 UNRUN_PAUSE_S = 0.02
-# Another VM of the region that refused for one of these reasons may run the request. If the region
-# were excluded, home-bound work would be refused although it could run there.
-OWN_REASONS = frozenset({ErrorKind.DRAINING, ErrorKind.POOL_UNREACHABLE})
+# Another VM of the region may run what one refused for these reasons. If the region were excluded,
+# home-bound work would be refused although it could run there.
+REFUSALS_OF_ONE_VM = frozenset({ErrorKind.DRAINING, ErrorKind.POOL_UNREACHABLE})
 UNREACHABLE_REGION = "no VM of this region reaches a server of the pool or has a place there"
 # After these decisions, repeatable work is retried with backoff until its deadline instead of being
 # refused. The backoff keeps such retries from amplifying an overload.
@@ -69,7 +69,7 @@
         self.last_refusal = result.refusal or self.last_refusal
         if result.peer:
             self.excluded_peers.add(result.peer)
-            if result.refusal is None or result.refusal.kind not in OWN_REASONS:
+            if result.refusal is None or result.refusal.kind not in REFUSALS_OF_ONE_VM:
                 self.excluded_regions.add(region)
         elif result.server:
             self.excluded_servers.add(result.server)
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -13,6 +13,7 @@
 from pomelobarrow.decision.request_ids import RequestIdLedger
 from pomelobarrow.dispatch.claims import ClaimedDispatch
 from pomelobarrow.dispatch.entry import EntryDispatch
+from pomelobarrow.dispatch.events import PoolReachable, PoolUnreachable
 from pomelobarrow.dispatch.forwarder import Forwarder
 from pomelobarrow.dispatch.local import LocalDispatch
 from pomelobarrow.kernel.clock import now_unix_s
@@ -45,9 +46,26 @@
 LOWERED_AFTER_SHARE = 0.7
 
 
+class PoolObserver:
+    """Let peers know at once which pools this VM stops or starts to reach.
+
+    Others of the region may have lost the same links, and find that before they lose requests.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    @hookimpl
+    def observe(self, event: object) -> None:
+        """Send the heartbeats that state the pools."""
+        if isinstance(event, PoolUnreachable | PoolReachable):
+            self._context.get(PeerTable).send_heartbeats()
+
+
 @hookimpl
 def provide_parts(context: Context) -> None:
     """Register the components of this package."""
+    context.hooks.register(PoolObserver(context))
     context.provide(MembershipView, _view)
     context.provide(ClockOffsets, lambda _: ClockOffsets())
     context.provide(PeerReachability, lambda _: PeerReachability())
--- a/src/pomelobarrow/peers/table.py
+++ b/src/pomelobarrow/peers/table.py
@@ -110,11 +110,15 @@
     @Service.task
     async def _send_heartbeats(self) -> None:
         while not self.should_stop:
-            for stream in self._all_streams():
-                stream.send_heartbeat()
+            self.send_heartbeats()
             jitter = self._random.uniform(1.0 - HEARTBEAT_JITTER, 1.0 + HEARTBEAT_JITTER)
             await asyncio.sleep(HEARTBEAT_EVERY_S * jitter)
 
+    def send_heartbeats(self) -> None:
+        """Send a heartbeat to each linked peer."""
+        for stream in self._all_streams():
+            stream.send_heartbeat()
+
     async def review(self) -> None:
         """Open the wanted links and close the others."""
         now = now_unix_s()
--- a/tests/test_peer_table.py
+++ b/tests/test_peer_table.py
@@ -10,9 +10,11 @@
 from pomelobarrow.decision.heartbeat_timer import UNKNOWN_INTERVAL_TIMEOUT_S
 from pomelobarrow.decision.member import ListedVm, Member, Phase
 from pomelobarrow.decision.membership import MembershipView
+from pomelobarrow.dispatch.events import PoolReachable, PoolUnreachable
 from pomelobarrow.kernel import clock
 from pomelobarrow.peers import table as module
 from pomelobarrow.peers.heartbeats import Heartbeats
+from pomelobarrow.peers.plugin import PoolObserver
 from pomelobarrow.peers.streams import AcceptedStreams, PeerStream
 from pomelobarrow.peers.table import AWAIT_STREAM_S, ON_DEMAND_KEPT_S, SETTLE_S, PeerTable
 
@@ -253,3 +255,14 @@
     conversation.cancel()
 
     assert received == ["closing"]
+
+
+def test_pools_that_become_unreachable_are_stated_at_once() -> None:
+    sent: list[str] = []
+    table = SimpleNamespace(send_heartbeats=lambda: sent.append("heartbeats"))
+    context: Any = SimpleNamespace(get=lambda kind: table)
+    observer = PoolObserver(context)
+    observer.observe(PoolUnreachable(pool="p", servers_failed=1, servers_listed=1, detail=""))
+    observer.observe(PoolReachable(pool="p", server="s1", unreachable_s=1.0))
+    observer.observe(object())
+    assert sent == ["heartbeats", "heartbeats"]
