Give the model of the hop proof VMs without links, and the soak a whole calm

The model has both now, and hypothesis chooses VMs that reach no server, so that requests forwarded inside a region are in it: nobody forwards what a peer sent.

The logs show that the calm time began at 25.2 s past, since faults took longer on the busy machine, while those clients' planned time ended at 28.5: four harmless requests were judged, of which a server had failed one (three of four are under 80%). The time is counted from the real begin of the calm now, so that 13 s are judged in any case. No share is changed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -62,7 +62,7 @@
         pools = (fragile, limited, keyed, announcing, brittle)
         await asyncio.gather(*(each.start() for each in pools))
         sending = asyncio.create_task(clients.run(time.monotonic() + duration_s))
-        until_s = time.monotonic() + duration_s + SETTLE_S + CALM_RUN_S + len(LINK_CUTS) * CUT_RUN_S
+        until_s = time.monotonic() + duration_s + SETTLE_S
         sending_more = asyncio.gather(*(each.send_until(until_s) for each in pools))
         announced = asyncio.create_task(announcing.announce_until(time.monotonic() + duration_s))
         await asyncio.gather(
@@ -73,8 +73,12 @@
         await announced
         await sending
         await asyncio.sleep(SETTLE_S)
+        await sending_more
+        # The faults may have taken longer than planned, and the pools are judged from here on.
         calm_started_s = time.monotonic()
         calm_until_s = calm_started_s + CALM_RUN_S
+        until_s = calm_until_s + len(LINK_CUTS) * CUT_RUN_S
+        sending_more = asyncio.gather(*(each.send_until(until_s) for each in pools))
         await clients.run(calm_until_s)
         cut_vms = await _run_with_cut_links(clients, faults, links_random)
         await sending_more
--- a/tests/test_proof_circle.py
+++ b/tests/test_proof_circle.py
@@ -23,6 +23,7 @@
 from pomelobarrow.decision.errors import ErrorKind, Refusal, RunStatus
 from pomelobarrow.decision.region_choice import RegionLoad, ShareOutsideHome
 from pomelobarrow.decision.request_ids import RequestIdLedger
+from pomelobarrow.decision.server_limits import ServerLimits
 from pomelobarrow.decision.work import Work
 from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
 from pomelobarrow.dispatch.claims import ClaimedDispatch
@@ -38,13 +39,18 @@
 
 
 class FakeRegion:
-    """Local servers that refuse every request, whatever load they report."""
+    """Local servers that refuse every request, whatever load they report, or aren't reached."""
 
-    def __init__(self, visits: list[str], vm: str, assumed_servers: int) -> None:
+    def __init__(
+        self, visits: list[str], vm: str, assumed_servers: int, is_reachable: bool
+    ) -> None:
         self.visits, self.vm = visits, vm
         self.table = SimpleNamespace(
             usable=lambda pool, now: range(assumed_servers),
+            usable_servers=lambda pool, now: (),
             service_times=lambda pool: SimpleNamespace(s_per_prefill_token=0.0),
+            reachability=SimpleNamespace(is_reachable=lambda pool: is_reachable),
+            limits=ServerLimits(),
         )
 
     def expected_wait_s(self, work: Work) -> float:
@@ -65,10 +71,16 @@
     def region_loads(self, work: Work) -> dict[str, RegionLoad]:
         return self.loads
 
+    def has_peer(self, region: str, pool: str, excluded: frozenset[str]) -> bool:
+        return self._peer(region) not in excluded
+
     async def forward_to_region(
         self, region: str, request: GatewayRequest, attempt: Attempt, sink: Any, excluded: Any
     ) -> AttemptResult:
-        return await self.model.forward(self.vm, f"{region}-1", request)
+        return await self.model.forward(self.vm, self._peer(region), request)
+
+    def _peer(self, region: str) -> str:
+        return next(vm for vm in VMS if vm.startswith(f"{region}-") and vm != self.vm)
 
     async def forward_to_issuer(
         self, vm: str, incarnation: int, request: GatewayRequest, attempt: Attempt, sink: AnswerSink
@@ -83,6 +95,7 @@
         self.hops: list[tuple[str, str]] = []
         self.visits: list[str] = []
         self.assumed_issuer: dict[str, str] = views["issuers"]
+        self.unreachable: set[str] = views["unreachable"]
         self.claims = {vm: self._claims(vm, views["servers"][vm]) for vm in VMS}
 
     def _claims(self, vm: str, servers: dict[str, int]) -> ClaimedDispatch:
@@ -90,7 +103,9 @@
         loads = {each: _load(each, count) for each, count in servers.items() if each != region}
         dispatcher = Dispatcher(
             own_region=region,
-            local=FakeRegion(self.visits, vm, servers[region]),  # type: ignore[arg-type]
+            local=FakeRegion(  # type: ignore[arg-type]
+                self.visits, vm, servers[region], vm not in self.unreachable
+            ),
             forwarder=FakePeers(self, vm, loads),
             share=ShareOutsideHome({"note": 1.0}),
             observe=lambda event: None,
@@ -163,6 +178,8 @@
             }
         ),
         "issuers": st.fixed_dictionaries({vm: st.sampled_from(VMS) for vm in VMS}),
+        # VMs that reach no server of their region.
+        "unreachable": st.sets(st.sampled_from(VMS)),
     }
 )
 
@@ -186,7 +203,8 @@
     repeatable: bool,
     bound: bool,
 ) -> None:
-    # Six dispatchers have contradictory views of loads and issuers, and no server is free. The VM
+    # Six dispatchers have contradictory views of loads and issuers, some reach no server, and no
+    # server is free. The VM
     # that accepts the request may forward it, and again after a refusal; a VM that receives it from
     # a peer must not, and home-bound work is tried in its home region only.
     model = Model(views)
