Log a server's software version and the event that a placed stream goes on after

Entries' Version is read now (as text, empty where an entry names none) and kept with the listed server; 'relay placed' has software_version and resume_after. No decision uses either yet.

--- a/src/pomelobarrow/decision/work.py
+++ b/src/pomelobarrow/decision/work.py
@@ -50,6 +50,8 @@
     # Start time of this incarnation; 0 if unknown. A server that restarts under the same name is a
     # new incarnation: its cache is empty, and the requests sent to the previous one are lost.
     born_unix_ms: int = 0
+    # The version of its software, not of the weights that it serves; empty if its entry names none.
+    software_version: str = ""
     # The lease expired and the server hadn't announced that it leaves: either the server is gone,
     # or the platform that keeps the list was unreachable.
     is_lease_expired: bool = False
--- a/src/pomelobarrow/platform/records.py
+++ b/src/pomelobarrow/platform/records.py
@@ -115,6 +115,7 @@
         # The start time of this incarnation; servers that never restart under the same id may
         # omit it.
         "born_unix_ms": _integer(entry, "born", default=0),
+        "software_version": _software_version(entry),
         # The entry expires when the server falls silent, at times also while the store is down.
         "leased": True,
     }
@@ -136,6 +137,12 @@
     return address
 
 
+def _software_version(entry: Mapping[str, Any]) -> str:
+    """Return the version of a server's software; entries of some platforms name none."""
+    version = entry.get("Version")
+    return "" if version is None else str(version)
+
+
 def _integer(
     entry: Mapping[str, Any], name: str, at_least: int = 0, default: int | None = None
 ) -> int:
--- a/src/pomelobarrow/published/vms.py
+++ b/src/pomelobarrow/published/vms.py
@@ -217,4 +217,5 @@
         checks_fencing=bool(value.get("checks_fencing", False)),
         cold_until_unix_s=now_unix_s + cold_left_s if cold_left_s else 0.0,
         born_unix_ms=int(value.get("born_unix_ms", 0)),
+        software_version=str(value.get("software_version", "")),
     )
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -19,6 +19,10 @@
     target_region: str
     reason: str
     expected_first_answer_s: float
+    # The software version of the server; empty if it is unknown, as it is behind a peer.
+    software_version: str
+    # The last event that the client has of a stream that is resumed; empty for a new one.
+    resume_after: str
     prompt_tokens: int
     # The group of prompts that share this one's first parts, the tokens that they share, and how
     # many of these the server is estimated to hold in its cache.
--- a/src/pomelobarrow/relay/progress.py
+++ b/src/pomelobarrow/relay/progress.py
@@ -34,3 +34,8 @@
     is_retry_reserved: bool = False
     # The expected wait that was too long when no target was found; 0 if there is no server.
     unplaced_wait_s: float = 0.0
+
+    @property
+    def resume_after(self) -> str:
+        """Return the id of the last event that the client has; empty if it has none."""
+        return self.splitter.last_event_id
--- a/src/pomelobarrow/relay/relay_log.py
+++ b/src/pomelobarrow/relay/relay_log.py
@@ -36,9 +36,11 @@
             target, region = decision.placement.server.name, self.own_region
             expected_s = decision.placement.expected_wait_s
             cached_tokens = decision.placement.cached_tokens
+            software_version = decision.placement.server.software_version
         else:
             target, region = decision.member.vm, decision.member.region
             expected_s, cached_tokens = decision.expected_first_answer_s, 0
+            software_version = ""
         now = now_unix_s()
         self.observe(
             RelayPlaced(
@@ -51,6 +53,8 @@
                 target_region=region,
                 reason=decision.reason,
                 expected_first_answer_s=expected_s,
+                software_version=software_version,
+                resume_after=progress.resume_after,
                 prompt_tokens=work.prompt_tokens,
                 group=progress.request.head.group,
                 shared_tokens=work.shared_tokens,
