--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -29,13 +29,14 @@
 }
 # Kept out of KINDS, so that the random choices among those stay the same for a given seed.
 FRAGILE, LIMITED, KEYED, ANNOUNCING = "fragile", "limited", "keyed", "announcing"
-BRITTLE = "brittle"
+BRITTLE, VERSIONED = "brittle", "versioned"
 DEDICATED_POOLS = {
     FRAGILE: ("idempotent", 2, False),
     LIMITED: ("idempotent", 2, False),
     KEYED: ("non_idempotent", 1, False),
     ANNOUNCING: ("idempotent", 2, False),
     BRITTLE: ("idempotent", 2, False),
+    VERSIONED: ("stream", 3, True),
 }
 APPLY_S, REVOCATION_S, LIMIT_WINDOW_S = 5.0, 2.0, 8.0
 TIMEOUT_MS = 3_000
@@ -159,6 +160,7 @@
         pool: str,
         state: str = "ready",
         slots: int = 16,
+        version: str = "",
     ) -> None:
         """Write the store entry of a server of any pool."""
         entry = {
@@ -170,6 +172,8 @@
             "ColdLeftMs": 0,
             "born": self.starts[name],
         }
+        if version:
+            entry["Version"] = version
         self.store.put(f"servers/{name}", entry)
 
     async def send(
--- a/soak/fragile.py
+++ b/soak/fragile.py
@@ -9,15 +9,13 @@
 from aiohttp import web
 from attrs import define, field
 
-from soak.fleet import FRAGILE, REGIONS, ROOT_HOST, SoakFleet
+from soak.crashing import CrashingServers
+from soak.fleet import FRAGILE, REGIONS, SoakFleet
 from soak.servers import SoakServer
 
 CRASHING_BODY = b"ends the server that runs it"
 SERVERS_PER_REGION = 2
 CRASH_DELAY_S = 0.05
-# A crashed server is unlisted after three heartbeats and later listed again under a new name.
-UNLISTED_AFTER_S = 1.0
-RESTART_AFTER_S = 2.0
 # Once a request has crashed three servers, daemons must block it within this time; no more than
 # MAX_ARRIVALS may arrive later.
 CRASHES_TO_BLOCK = 3
@@ -37,10 +35,13 @@
     harmless_outcomes: list[tuple[float, int | None]] = field(factory=list)
     _serial: "itertools.count[int]" = field(factory=itertools.count)
     _tasks: set[asyncio.Task[None]] = field(factory=set)
-    _runners: dict[str, web.ServerRunner] = field(factory=dict)
+    _servers: CrashingServers = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._servers = CrashingServers(fleet=self.fleet, pool=FRAGILE)
 
     async def start(self) -> None:
-        """Start and list all servers, without the proxy, which would hide a crash from daemons."""
+        """Start and list all servers."""
         for region in REGIONS:
             for _ in range(SERVERS_PER_REGION):
                 await self._start_one(region, 0)
@@ -50,7 +51,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await asyncio.gather(*(runner.cleanup() for runner in self._runners.values()))
+        await self._servers.stop()
 
     async def send_until(self, until_s: float) -> None:
         """Alternate the crashing request with harmless ones, at random daemons."""
@@ -96,28 +97,15 @@
             await self._crash(name, region)
             return web.Response(status=500)
 
-        runner = self._runners[name] = web.ServerRunner(web.Server(answer))
-        await runner.setup()
-        await web.TCPSite(runner, ROOT_HOST, port, reuse_address=True).start()
-        self.fleet.list_address(name, region, f"{ROOT_HOST}:{runner.addresses[0][1]}", FRAGILE)
+        await self._servers.start(name, region, answer, port)
 
     async def _crash(self, name: str, region: str) -> None:
-        """Close the listening socket and all connections, as when a process exits."""
-        runner = self._runners.pop(name, None)
-        if runner is None:
-            return
-        self.crashes_s.append(time.monotonic())
-        port = runner.addresses[0][1]
-        for site in list(runner.sites):
-            await site.stop()
-        assert runner.server is not None
-        for connection in list(runner.server.connections):
-            if connection.transport is not None:
-                connection.transport.abort()
-        self._tasks.add(asyncio.create_task(self._restart(name, region, port)))
+        at_s = time.monotonic()
+        port = await self._servers.crash(name)
+        if port is not None:
+            self.crashes_s.append(at_s)
+            self._tasks.add(asyncio.create_task(self._restart(name, region, port)))
 
     async def _restart(self, name: str, region: str, port: int) -> None:
-        await asyncio.sleep(UNLISTED_AFTER_S)
-        self.fleet.store.put(f"servers/{name}", None)
-        await asyncio.sleep(RESTART_AFTER_S - UNLISTED_AFTER_S)
+        await self._servers.wait_until_unlisted(name)
         await self._start_one(region, port)
