--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,7 @@
 from soak.fragile import FragileServers
 from soak.keyed import KeyedServers
 from soak.limited import LimitedServers
+from soak.versioned import VersionedServers
 
 SETTLE_S = 8.0
 CALM_RUN_S = 3.0
@@ -59,7 +60,8 @@
         returns_random = random.Random(rng.random())
         links_random = random.Random(rng.random())
         brittle = BrittleServers(fleet=fleet, random=random.Random(rng.random()))
-        pools = (fragile, limited, keyed, announcing, brittle)
+        versioned = VersionedServers(fleet=fleet, random=random.Random(rng.random()))
+        pools = (fragile, limited, keyed, announcing, brittle, versioned)
         await asyncio.gather(*(each.start() for each in pools))
         sending = asyncio.create_task(clients.run(time.monotonic() + duration_s))
         until_s = time.monotonic() + duration_s + SETTLE_S
@@ -89,6 +91,7 @@
         violations += keyed.find_violations() + fleet.ended_daemons()
         violations += announcing.find_violations(faults)
         violations += brittle.find_violations(faults)
+        violations += versioned.find_violations() + versioned.find_lost(calm_started_s)
         violations += find_unserved_at_cut_vms(clients, cut_vms, MIN_SERVED_SHARE)
         violations += keyed.find_unserved(calm_started_s, MIN_SERVED_SHARE)
         if fragile.served_share(calm_started_s) < MIN_SERVED_SHARE:
--- a/src/pomelobarrow/decision/errors.py
+++ b/src/pomelobarrow/decision/errors.py
@@ -32,6 +32,7 @@
     NO_CAPACITY = ("no_capacity", 503)
     HOME_UNREACHABLE = ("home_unreachable", 503)
     POOL_UNREACHABLE = ("pool_unreachable", 503)
+    NOT_RESUMABLE = ("not_resumable", 503)
     DEADLINE_PASSED = ("deadline_passed", 504)
     DRAINING = ("draining", 503)
     NOT_READY = ("not_ready", 503)
--- a/src/pomelobarrow/decision/placement.py
+++ b/src/pomelobarrow/decision/placement.py
@@ -14,6 +14,7 @@
     LOCAL_RATE_LIMITED,
     NO_LOCAL_SERVER,
     POOL_UNREACHABLE,
+    SOFTWARE_GONE,
     ExcludedTargets,
     LocalPlacement,
     NoPlacement,
@@ -27,6 +28,7 @@
 from pomelobarrow.decision.routing import Routing
 from pomelobarrow.decision.server_limits import MIN_LIMIT_PER_S
 from pomelobarrow.decision.stream_admission import StreamExpectations, is_worth_taking
+from pomelobarrow.decision.stream_software import exclude_other_software
 from pomelobarrow.decision.work import BackendServer, Placement
 
 # On the first attempt a caller grants the route's whole time limit. One that grants less than this
@@ -79,6 +81,26 @@
     ) -> PlacementDecision:
         """Return the server or peer to send the request to, or why there is none."""
         self.members.refresh(now_unix_s)
+        allowed = self._exclude_other_software(request, excluded)
+        if allowed is None:
+            return NoPlacement(reason=SOFTWARE_GONE)
+        return self._place(request, routing, allowed, now_unix_s)
+
+    def _exclude_other_software(
+        self, request: PlacementRequest, excluded: ExcludedTargets
+    ) -> ExcludedTargets | None:
+        if request.software_key is None:
+            return excluded
+        listed = [s for s in self.servers().values() if s.pool == request.work.pool]
+        return exclude_other_software(request.software_key, listed, excluded)
+
+    def _place(
+        self,
+        request: PlacementRequest,
+        routing: Routing,
+        excluded: ExcludedTargets,
+        now_unix_s: float,
+    ) -> PlacementDecision:
         if self.table.reachability.is_reachable(request.work.pool):
             return self._place_by_load(request, routing, excluded, now_unix_s)
         if not request.is_forwarded:
--- a/src/pomelobarrow/decision/placement_request.py
+++ b/src/pomelobarrow/decision/placement_request.py
@@ -24,6 +24,7 @@
 REACHED_BY_PEER = "another VM of this region reaches the pool's servers"
 PLACE_AT_PEER = "another VM of this region may send to the pool's brittle servers"
 NO_LOCAL_SERVER = "this region has no server for it"
+SOFTWARE_GONE = "no server in service runs the software version that began the stream"
 
 
 @frozen(kw_only=True)
@@ -33,6 +34,8 @@
     route: Route
     work: Work
     group: str = ""
+    # The software that began the stream, as a key; None for a request whose client has no event.
+    software_key: int | None = None
     # Forwarded by a peer: it runs in this region or is refused, and isn't forwarded again.
     is_forwarded: bool = False
 
--- a/src/pomelobarrow/dispatch/refusals.py
+++ b/src/pomelobarrow/dispatch/refusals.py
@@ -20,6 +20,7 @@
     ErrorKind.ANSWER_NOT_KEPT: "the request ran to its end; don't send it again",
     ErrorKind.ID_REFUSED: "take a request id from GET /v1/entries and send that as Idempotency-Key",
     ErrorKind.CRASHES_SERVERS: "don't send it again unchanged: it crashes the servers that run it",
+    ErrorKind.NOT_RESUMABLE: "send the request again from its beginning, without Last-Event-Id",
     ErrorKind.STILL_RUNNING: "repeat it under the same Idempotency-Key at the time in Retry-After",
 }
 
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -11,6 +11,7 @@
 from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.reachability import PeerReachability
 from pomelobarrow.decision.request_ids import RequestIdLedger
+from pomelobarrow.decision.stream_software import StreamSoftware
 from pomelobarrow.dispatch.claims import ClaimedDispatch
 from pomelobarrow.dispatch.entry import EntryDispatch
 from pomelobarrow.dispatch.events import PoolReachable, PoolUnreachable
@@ -34,10 +35,11 @@
 from pomelobarrow.peers.links import PeerLink, StreamFactory
 from pomelobarrow.peers.region_loads import RegionLoads
 from pomelobarrow.peers.server import PeerHandlers, PeerServer
+from pomelobarrow.peers.stream_software import StreamSoftwareUpdates
 from pomelobarrow.peers.streams import AcceptedStreams, PeerStream
 from pomelobarrow.peers.table import PeerTable
 from pomelobarrow.peers.token_grants import Accounts, TokenGrants
-from pomelobarrow.published.keyspaces import PublishedState
+from pomelobarrow.published.keyspaces import VMS, PublishedState
 from pomelobarrow.published.watcher import PlatformWatcher
 
 # The rest covers what the regions' meters don't know of each other yet.
@@ -83,6 +85,8 @@
     context.provide(PeerDatagrams, _datagrams)
     context.provide(ConfigProofs, _config_proofs)
     context.provide(TokenGrants, _token_grants)
+    context.provide(StreamSoftware, lambda _: StreamSoftware())
+    context.provide(StreamSoftwareUpdates, _stream_software)
 
 
 @hookimpl
@@ -95,6 +99,7 @@
     ]
     if context.settings.relay is None:
         return started
+    _follow_servers(context)
     of_relay = (PeerDatagrams, ConfigProofs, TokenGrants)
     return started + [PhasedService(StartPhase.PEERS, context.get(each)) for each in of_relay]
 
@@ -207,6 +212,28 @@
     )
 
 
+def _stream_software(context: Context) -> StreamSoftwareUpdates:
+    relay = context.settings.relay
+    assert relay is not None
+    return StreamSoftwareUpdates(
+        view=context.get(MembershipView),
+        regions=tuple(sorted({*relay.region_by_failure_domain.values(), context.settings.region})),
+        datagrams=context.get(PeerDatagrams),
+        streams=context.get(StreamSoftware),
+    )
+
+
+def _follow_servers(context: Context) -> None:
+    """Let each new list of servers update which software versions serve."""
+    published, streams = context.get(PublishedState), context.get(StreamSoftware)
+
+    def on_applied(name: str, source: str) -> None:
+        if name == VMS:
+            streams.observe_servers(published.backend_servers, now_unix_s())
+
+    published.listeners.append(on_applied)
+
+
 def _view(context: Context) -> MembershipView:
     settings = context.settings
     view = MembershipView(settings.vm, settings.region)
--- /dev/null
+++ b/src/pomelobarrow/peers/stream_software.py
@@ -0,0 +1,131 @@
+"""Share which software began each stream with a few VMs of every region, over datagrams.
+
+A client takes up its stream at any VM, and the VM that began it may be gone by then. While a pool
+has several software versions, a VM sends the record of a stream to one VM per region before the
+client gets the first event; which VM keeps it follows from the stream's key. The VM that a client
+comes back to asks the keepers.
+"""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Sequence
+from itertools import islice
+
+from attrs import define, field
+
+from pomelobarrow.decision.member import Member, name_of
+from pomelobarrow.decision.membership import MembershipView
+from pomelobarrow.decision.rendezvous import rendezvous
+from pomelobarrow.decision.stream_software import StreamBegan, StreamSoftware, stream_key
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.datagrams import PeerDatagrams, Reply
+
+# Streams are spread over the VMs by groups, since ranking all VMs for each stream is slow.
+GROUPS = 256
+# VMs of the own region that are asked. The second one kept the stream if the first has just joined.
+ASKED_IN_REGION = 2
+# A round trip between the farthest regions, and one in which the answering VM is busy.
+ANSWER_TIMEOUT_S = 0.25
+# A record takes 14 bytes, and a datagram must fit into one packet.
+RECORDS_PER_DATAGRAM = 64
+
+
+@define(kw_only=True)
+class StreamSoftwareUpdates:
+    """Send records of streams to their keepers, keep those of peers, and ask for a stream's."""
+
+    view: MembershipView
+    regions: Sequence[str]
+    datagrams: PeerDatagrams
+    streams: StreamSoftware = field(factory=StreamSoftware)
+
+    def __attrs_post_init__(self) -> None:
+        self.streams.publish = self.send
+        self.datagrams.handlers["streams_began"] = self._on_began
+        self.datagrams.handlers["stream_query"] = self._on_query
+
+    def send(self, records: Iterable[StreamBegan]) -> None:
+        """Send records to the keepers of each region."""
+        by_keeper: defaultdict[str, list[StreamBegan]] = defaultdict(list)
+        members: dict[str, Member] = {}
+        for record in records:
+            for region in self.regions:
+                for member in self._keepers(record.stream_key, region)[:1]:
+                    members[member.vm] = member
+                    by_keeper[member.vm].append(record)
+        for vm, kept in by_keeper.items():
+            self._send_to(members[vm], kept)
+
+    async def find(self, request_id: str, is_mixed: bool) -> int | None:
+        """Return the software that began a stream, None if no VM that was asked knows it.
+
+        Where all servers run one version, other regions aren't asked: a VM of the own region knows
+        of another version if this VM's list is out of date.
+        """
+        key = stream_key(request_id)
+        known = self.streams.software_of(key)
+        if known is not None:
+            return known
+        asked = [m for m in self._asked(key, is_mixed) if m.vm != self.view.own_vm]
+        queries = [asyncio.create_task(self._query(member, key)) for member in asked]
+        try:
+            for answer in asyncio.as_completed(queries):
+                if (found := await answer) is not None:
+                    return found
+        finally:
+            for query in queries:
+                query.cancel()
+        return None
+
+    def _asked(self, key: int, is_mixed: bool) -> Iterator[Member]:
+        yield from self._keepers(key, self.view.own_region)
+        if is_mixed:
+            for region in self.regions:
+                if region != self.view.own_region:
+                    yield from self._keepers(key, region)[:1]
+
+    def _keepers(self, key: int, region: str) -> tuple[Member, ...]:
+        """Return a region's live VMs that keep a stream's record, the first in charge."""
+        now, group = now_unix_s(), key % GROUPS
+
+        def rank() -> tuple[Member, ...]:
+            members = {name_of(member): member for member in self.view.live(region, now)}
+            ranked = rendezvous(f"stream/{group}", members, ASKED_IN_REGION)
+            return tuple(members[vm] for vm in ranked)
+
+        return self.view.memoized(f"stream/{group}/{region}", rank, now)
+
+    def _send_to(self, member: Member, records: Sequence[StreamBegan]) -> None:
+        if member.vm == self.view.own_vm:
+            for record in records:
+                self.streams.note_of_peer(record, now_unix_s())
+            return
+        left = iter(records)
+        while batch := list(islice(left, RECORDS_PER_DATAGRAM)):
+            began = pb.StreamsBegan(
+                stream_keys=[each.stream_key for each in batch],
+                software_keys=[each.software_key for each in batch],
+            )
+            self.datagrams.send(self._address(member), pb.Datagram(streams_began=began))
+
+    async def _query(self, member: Member, key: int) -> int | None:
+        query = pb.Datagram(stream_query=pb.StreamQuery(stream_key=key))
+        answer = await self.datagrams.query(self._address(member), query, ANSWER_TIMEOUT_S)
+        is_known = isinstance(answer, pb.StreamAnswer) and answer.is_known
+        return int(answer.software_key) if is_known else None
+
+    def _address(self, member: Member) -> tuple[str, int]:
+        return member.host, self.datagrams.port
+
+    def _on_began(self, began: pb.StreamsBegan, reply: Reply) -> None:
+        now = now_unix_s()
+        for key, software in zip(began.stream_keys, began.software_keys, strict=False):
+            self.streams.note_of_peer(StreamBegan(stream_key=key, software_key=software), now)
+
+    def _on_query(self, query: pb.StreamQuery, reply: Reply) -> None:
+        software = self.streams.software_of(query.stream_key)
+        answer = pb.StreamAnswer(
+            number=query.number, is_known=software is not None, software_key=software or 0
+        )
+        reply(pb.Datagram(stream_answer=answer))
--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -50,6 +50,9 @@
 # With a rejection: the seconds for which the server wants nothing from this machine.
 RETRY_AFTER = "Retry-After"
 
+# The client's request that got the first event of a stream that it takes up.
+RESUMES = ("Resumes", "Pomelobarrow-Resumes")
+
 # Identifies the client's account to this system; backend servers get the account's name instead.
 ACCOUNT_KEY = "Pomelobarrow-Key"
 ACCOUNT_NAME = "Pomelobarrow-Tenant"
@@ -137,6 +140,7 @@
                 counted_tokens=None if counts is None else prompt_tokens + output_tokens,
                 prompt_parts=_prompt_parts(headers.get(PROMPT_PARTS, "")),
                 last_event_id=headers.get(LAST_EVENT_ID, ""),
+                resumes=headers.get(_first_present(RESUMES, headers), ""),
                 key_sha256=key_sha256(keys[0]) if keys and keys[0] else "",
             )
         )
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -65,6 +65,10 @@
     on_pause: Callable[[float], None] = lambda pause_s: None
     on_head: Callable[[ServerAnswerHead], None] = lambda head: None
     first_answer_timeout: FirstAnswerTimeout | None = None
+    # Returns why events of this answer don't fit the stream; empty if they do.
+    join_fault: Callable[[ServerAnswerHead], str] = lambda head: ""
+    # Called before the client gets the first event of this answer.
+    on_first_event: Callable[[ServerAnswerHead], None] = lambda head: None
     # Returns whether the target still takes requests, asked when the connection is open.
     may_send: Callable[[], bool] = lambda: True
     state: Attempt = field(factory=Attempt)
@@ -142,6 +146,8 @@
             if fault := self._fault(head):
                 return self._lost(fault)
             if request.route.is_stream and head.status == STATUS_OK:
+                if fault := self.join_fault(head):
+                    return self._lost(fault)
                 return await self._forward_events(response, head)
             return await self._read_complete(response, head)
 
@@ -176,6 +182,8 @@
             events = self.splitter.feed(data)
             if not events:
                 continue
+            if self.first_answer_unix_s is None:
+                self.on_first_event(head)
             self._note_first_answer(head)
             self._note_pause()
             # The client already has the head of a resumed stream.
--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -21,12 +21,18 @@
 from pomelobarrow.peers.token_grants import Refund
 from pomelobarrow.relay.access import RelayAccess
 from pomelobarrow.relay.answer import ClientAnswer
-from pomelobarrow.relay.hop import ATTEMPTS_OF_PEER, read_forwarder, read_key_sha256
+from pomelobarrow.relay.hop import (
+    ATTEMPTS_OF_PEER,
+    read_forwarder,
+    read_key_sha256,
+    read_software_key,
+)
 from pomelobarrow.relay.messages import RelayRequest, RequestHead
 from pomelobarrow.relay.planned_stop import PlannedStop
 from pomelobarrow.relay.prompts import shared_blocks
 from pomelobarrow.relay.refusal_answer import send_refusal
 from pomelobarrow.relay.relay import Relay
+from pomelobarrow.relay.stream_joins import ResumedStreams
 from pomelobarrow.relay.wire import RelayWire
 
 # A VM that restarts listens shortly before it has read the configuration and the server list. After
@@ -49,6 +55,7 @@
     is_draining: Callable[[], bool]
     planned_stop: PlannedStop = field(factory=PlannedStop)
     access: RelayAccess = field(factory=RelayAccess)
+    resumed: ResumedStreams = field(factory=ResumedStreams)
     # Returns whether this VM has received the list of backend servers.
     has_server_list: Callable[[], bool] = lambda: True
 
@@ -101,9 +108,16 @@
         body = await _read_body(incoming)
         if isinstance(body, Err):
             return body
+        pool = checked.ok_value.route.choose_pool(self.relay.rng)
+        stated = read_software_key(incoming.headers) if forwarded_by else None
+        bound = await self.resumed.bind(head, route, pool, stated)
+        if isinstance(bound, Err):
+            return bound
+        pool, software = bound.ok_value
         request = self._request(
-            incoming, head, checked.ok_value, forwarded_by, accepted_unix_s, body.ok_value
+            incoming, head, checked.ok_value, forwarded_by, accepted_unix_s, body.ok_value, pool
         )
+        request = evolve(request, software_key=software)
         if not self.planned_stop.can_finish(request.work, accepted_unix_s):
             return Err(_stops_too_soon(accepted_unix_s))
         return Ok(request)
@@ -156,13 +170,15 @@
         forwarded_by: str,
         accepted_unix_s: float,
         body: bytes,
+        pool: str,
     ) -> RelayRequest:
         route, account = admission.route, admission.account
+        account_name = account.name if account else ""
         return RelayRequest(
             head=head,
             route=route,
             account=account,
-            work=self._work(head, route, account.name if account else "", accepted_unix_s),
+            work=self._work(head, route, account_name, pool, accepted_unix_s),
             method=incoming.method,
             host=incoming.headers["Host"],
             target=incoming.raw_path,
@@ -171,7 +187,9 @@
             attempts_left=ATTEMPTS_OF_PEER if forwarded_by else route.max_attempts,
         )
 
-    def _work(self, head: RequestHead, route: Route, account: str, accepted_unix_s: float) -> Work:
+    def _work(
+        self, head: RequestHead, route: Route, account: str, pool: str, accepted_unix_s: float
+    ) -> Work:
         time_limit_s = route.timeout_s
         if head.time_limit_s is not None:
             time_limit_s = min(head.time_limit_s, time_limit_s)
@@ -180,7 +198,7 @@
             class_name=route.name,
             account=account,
             rank=Rank.PAYING,
-            pool=route.choose_pool(self.relay.rng),
+            pool=pool,
             model=head.model,
             home_region=self.own_region,
             home_bound=not route.may_run_in(self.own_region),
--- a/src/pomelobarrow/relay/hop.py
+++ b/src/pomelobarrow/relay/hop.py
@@ -8,6 +8,7 @@
 from pomelobarrow.decision.errors import ErrorKind, Refusal, RunStatus
 from pomelobarrow.decision.member import Member
 from pomelobarrow.decision.short_key import server_key
+from pomelobarrow.decision.stream_software import software_key
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.relay.attempt import Target
 from pomelobarrow.relay.messages import Headers, RelayRequest, ServerAnswerHead
@@ -29,12 +30,16 @@
 # Names the server that stated with the answer that it leaves. The VM that passes the answer on to
 # the client must stop sending to that server as well, whether or not it still receives updates.
 LEAVING_HEADER = "Pomelobarrow-Peer-Server-Leaving"
+# The software that began the stream, of which alone a server may go on with it.
+STREAM_SOFTWARE_HEADER = "Pomelobarrow-Peer-Stream-Software"
+# The software of the server that answers a peer's request.
+SERVER_SOFTWARE_HEADER = "Pomelobarrow-Peer-Server-Software"
 # Sent with a refusal by a peer that reaches no server of the request's pool, so that the refusal
 # doesn't count for the other VMs of its region.
 UNREACHABLE_HEADER = "Pomelobarrow-Peer-Pool-Unreachable"
 # Allows for two round trips between the farthest regions and one lost packet.
 CONNECT_TIMEOUT_S = 0.6
-SERVER_KEY_MASK = 0xFFFFFFFF
+KEY_MASK = 0xFFFFFFFF
 
 AnswerReader = Callable[[aiohttp.ClientResponse], ServerAnswerHead]
 
@@ -53,6 +58,11 @@
     return headers.get(KEY_HEADER, "")
 
 
+def read_software_key(headers: Mapping[str, str]) -> int | None:
+    """Return the software that began a forwarded stream; None if the peer doesn't state it."""
+    return _read_key(headers.get(STREAM_SOFTWARE_HEADER, ""))
+
+
 def refusal_headers(
     refusal: Refusal,
     was_sent: bool,
@@ -68,15 +78,20 @@
     return ((RUN_HEADER, run), *ended, *unreachable)
 
 
-def naming_departure(read_answer: AnswerReader, server: BackendServer) -> AnswerReader:
-    """Return a reader that names a leaving server to the peer which gets the answer."""
+def describing_server(read_answer: AnswerReader, server: BackendServer) -> AnswerReader:
+    """Return a reader that tells the peer which gets the answer about the server that sent it.
+
+    It states the server's software, and names the server if that leaves.
+    """
 
     def read(response: aiohttp.ClientResponse) -> ServerAnswerHead:
         head = read_answer(response)
-        if not head.announced.is_leaving or head.is_other_server:
+        if head.is_other_server:
             return head
-        named = (LEAVING_HEADER, f"{server_key(server):x}")
-        return evolve(head, headers=(*head.headers, named))
+        stated: Headers = ((SERVER_SOFTWARE_HEADER, f"{software_key(server):x}"),)
+        if head.announced.is_leaving:
+            stated += ((LEAVING_HEADER, f"{server_key(server):x}"),)
+        return evolve(head, headers=head.headers + stated)
 
     return read
 
@@ -87,14 +102,17 @@
     own_vm: str,
     request: RelayRequest,
     resume_after: str,
+    software: int | None,
     wire: RelayWire,
 ) -> Target:
-    """Return the target that sends a request to a peer."""
+    """Return the target that sends a request to a peer, with the software that it may run on."""
 
     def headers() -> Headers:
         hop_headers: Headers = ((FROM_HEADER, own_vm),)
         if request.head.key_sha256:
             hop_headers += ((KEY_HEADER, request.head.key_sha256),)
+        if software is not None:
+            hop_headers += ((STREAM_SOFTWARE_HEADER, f"{software & KEY_MASK:x}"),)
         return wire.peer_headers(request, resume_after) + hop_headers
 
     return Target(
@@ -108,8 +126,11 @@
 
 def _peer_answer_reader(read_answer: AnswerReader) -> AnswerReader:
     def read(response: aiohttp.ClientResponse) -> ServerAnswerHead:
-        leaving_key = _server_key(response.headers.get(LEAVING_HEADER, ""))
-        head = evolve(read_answer(response), leaving_server_key=leaving_key)
+        head = evolve(
+            read_answer(response),
+            leaving_server_key=_read_key(response.headers.get(LEAVING_HEADER, "")),
+            software_key=_read_key(response.headers.get(SERVER_SOFTWARE_HEADER, "")),
+        )
         run = response.headers.get(RUN_HEADER)
         if run is None:
             return evolve(head, is_not_run=False)
@@ -121,15 +142,15 @@
             is_unsent=is_unsent,
             is_blocked=is_blocked,
             is_pool_unreachable=response.headers.get(UNREACHABLE_HEADER) == "1",
-            ended_server_key=_server_key(response.headers.get(ENDED_HEADER, "")),
+            ended_server_key=_read_key(response.headers.get(ENDED_HEADER, "")),
             lost_detail="" if is_not_run else f"the peer answered {response.status}",
         )
 
     return read
 
 
-def _server_key(text: str) -> int | None:
+def _read_key(text: str) -> int | None:
     try:
-        return int(text, 16) & SERVER_KEY_MASK
+        return int(text, 16) & KEY_MASK
     except ValueError:
         return None
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -39,6 +39,8 @@
     counted_tokens: int | None = None
     # The last event that the client has received of a stream that broke off.
     last_event_id: str = ""
+    # The client's request that got the first event of that stream; empty if the client names none.
+    resumes: str = ""
     # The hash of the key of the client's account; empty if it sent none.
     key_sha256: str = field(default="", repr=False)
 
@@ -75,6 +77,8 @@
     forwarded_by: str = ""
     # The number of backend servers that it may still be sent to.
     attempts_left: int = 1
+    # The software that began the stream that the client takes up, as a key; None for a new request.
+    software_key: int | None = None
 
     @cached_property
     def fingerprint(self) -> int:
@@ -88,6 +92,7 @@
             route=self.route,
             work=self.work,
             group=self.head.group,
+            software_key=self.software_key,
             is_forwarded=bool(self.forwarded_by),
         )
 
@@ -121,6 +126,8 @@
     is_pool_unreachable: bool = False
     # The server of a peer that crashed while it ran the request, hashed as in crash updates.
     ended_server_key: int | None = None
+    # The software of the server of a peer that answers; None if the peer doesn't state it.
+    software_key: int | None = None
     # The server of a peer that states that it leaves, hashed as in updates between VMs.
     leaving_server_key: int | None = None
     # The requests that run and wait at the server; None if it reports none.
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -15,6 +15,7 @@
 from pomelobarrow.decision.reachability import PeerReachability
 from pomelobarrow.decision.retry_share import RetryShare
 from pomelobarrow.decision.routing import Routing
+from pomelobarrow.decision.stream_software import StreamSoftware
 from pomelobarrow.dispatch.crash_guard import CrashGuard
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
@@ -22,6 +23,7 @@
 from pomelobarrow.kernel.settings import RelaySettings
 from pomelobarrow.peers.config_proofs import ConfigProofs
 from pomelobarrow.peers.region_loads import RegionLoads
+from pomelobarrow.peers.stream_software import StreamSoftwareUpdates
 from pomelobarrow.peers.token_grants import TokenGrants
 from pomelobarrow.published.keyspaces import VMS, PublishedState
 from pomelobarrow.relay.access import RelayAccess
@@ -31,6 +33,7 @@
 from pomelobarrow.relay.listeners import Listener, RelayListeners
 from pomelobarrow.relay.planned_stop import PlannedStop
 from pomelobarrow.relay.relay import Relay
+from pomelobarrow.relay.stream_joins import ResumedStreams, StreamJoins
 from pomelobarrow.relay.wire import RelayWire
 
 MAX_BODY_BYTES = 4 << 20
@@ -70,6 +73,7 @@
     if context.settings.relay is None:
         return StatusSection("relay", {})
     proofs, grants = context.get(ConfigProofs), context.get(TokenGrants)
+    streams = context.get(StreamSoftware)
     age_s = proofs.proof.age_s(now_unix_s())
     values = {
         "in_progress": context.get(Relay).in_progress,
@@ -77,6 +81,9 @@
         "configuration_proof_age_s": age_s if math.isfinite(age_s) else None,
         "configuration_is_confirmed": proofs.is_confirmed(),
         "metered_accounts": grants.metered_accounts(),
+        # Pools whose streams may be of several software versions, and the records kept for peers.
+        "pools_of_several_versions": sorted(streams.mixed_pools),
+        "stream_records_kept": streams.kept_records,
     }
     return StatusSection("relay", values)
 
@@ -165,6 +172,7 @@
         reach=context.get(ReachMonitor),
         guard=context.get(CrashGuard),
         may_still_run=context.get(RelayAccess).may_still_run,
+        joins=StreamJoins(streams=context.get(StreamSoftware)),
     )
 
 
@@ -189,10 +197,20 @@
         is_draining=lambda: context.is_draining,
         planned_stop=context.get(PlannedStop),
         access=context.get(RelayAccess),
+        resumed=_resumed(context),
         has_server_list=lambda: context.get(PublishedState).copies[VMS].observed_revision > 0,
     )
 
 
+def _resumed(context: Context) -> ResumedStreams:
+    published = context.get(PublishedState)
+    return ResumedStreams(
+        streams=context.get(StreamSoftware),
+        servers=lambda: published.backend_servers,
+        ask_peers=context.get(StreamSoftwareUpdates).find,
+    )
+
+
 def _directory(context: Context) -> RelayDirectory:
     return RelayDirectory(
         view=context.get(MembershipView),
--- a/src/pomelobarrow/relay/progress.py
+++ b/src/pomelobarrow/relay/progress.py
@@ -1,8 +1,8 @@
 """State of one relayed request across its attempts."""
 
-from attrs import define, field
+from attrs import define, evolve, field
 
-from pomelobarrow.decision.placement_request import ExcludedTargets
+from pomelobarrow.decision.placement_request import ExcludedTargets, PlacementRequest
 from pomelobarrow.decision.routing import Routing
 from pomelobarrow.relay.answer import ClientAnswer
 from pomelobarrow.relay.event_splitter import EventSplitter
@@ -30,11 +30,20 @@
     longest_pause_s: float = 0.0
     # True if the request counts among those that the retry budget is a share of.
     is_arrival_recorded: bool = False
+    # The software that began the stream, as a key; None until the client has an event.
+    software_key: int | None = None
     # True if one retry has been taken from the retry budget and not used yet.
     is_retry_reserved: bool = False
+    # True if no server in service runs the software that began the stream.
+    is_software_gone: bool = False
     # The expected wait that was too long when no target was found; 0 if there is no server.
     unplaced_wait_s: float = 0.0
 
+    @property
+    def for_placement(self) -> PlacementRequest:
+        """Return the data that placement needs, with the software that began the stream."""
+        return evolve(self.request.for_placement, software_key=self.software_key)
+
     @property
     def resume_after(self) -> str:
         """Return the id of the last event that the client has; empty if it has none."""
--- a/src/pomelobarrow/relay/refusal_policy.py
+++ b/src/pomelobarrow/relay/refusal_policy.py
@@ -37,6 +37,8 @@
             is_late = now_unix_s() >= work.deadline_unix_s
             kind = ErrorKind.DEADLINE_PASSED if is_late else ErrorKind.OUTCOME_UNKNOWN
             return refuse(kind, RunStatus.UNKNOWN, detail)
+        if progress.is_software_gone:
+            return refuse(ErrorKind.NOT_RESUMABLE, RunStatus.NO, detail)
         now = now_unix_s()
         next_unix_s = self.placer.table.next_allowed_unix_s(work.pool, (), now)
         announced_wait_s = next_unix_s - now if next_unix_s is not None else 0.0
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -10,10 +10,16 @@
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.errors import RunStatus
 from pomelobarrow.decision.placement import Placer
-from pomelobarrow.decision.placement_request import LocalPlacement, NoPlacement, PeerPlacement
+from pomelobarrow.decision.placement_request import (
+    SOFTWARE_GONE,
+    LocalPlacement,
+    NoPlacement,
+    PeerPlacement,
+)
 from pomelobarrow.decision.retry_share import RetryShare
 from pomelobarrow.decision.routing import Routing
 from pomelobarrow.decision.short_key import server_key
+from pomelobarrow.decision.stream_software import software_key
 from pomelobarrow.decision.token_estimates import prefill_tokens
 from pomelobarrow.decision.work import BackendServer, Placement
 from pomelobarrow.dispatch.answers import CallerGoneError
@@ -24,13 +30,14 @@
 from pomelobarrow.relay.attempt import FirstAnswerTimeout, RelayAttempt, Target
 from pomelobarrow.relay.event_splitter import EventSplitter
 from pomelobarrow.relay.health_monitor import FirstAnswerTimes, ServerHealthMonitor
-from pomelobarrow.relay.hop import AnswerReader, naming_departure, peer_target
+from pomelobarrow.relay.hop import AnswerReader, describing_server, peer_target
 from pomelobarrow.relay.messages import AttemptEnd, AttemptReport, RelayRequest, ServerAnswerHead
 from pomelobarrow.relay.next_step import UNSENT_ENDS, AttemptHistory, Step, last_step, should_retry
 from pomelobarrow.relay.progress import RequestProgress
 from pomelobarrow.relay.refusal_answer import send_refusal
 from pomelobarrow.relay.refusal_policy import RefusalPolicy
 from pomelobarrow.relay.relay_log import RelayLog
+from pomelobarrow.relay.stream_joins import StreamJoins
 from pomelobarrow.relay.waits import RequestWaits
 from pomelobarrow.relay.wire import RelayWire, ServerCallOptions
 
@@ -53,6 +60,7 @@
     monitor: ServerHealthMonitor
     reach: ReachMonitor
     guard: CrashGuard = field(factory=CrashGuard)
+    joins: StreamJoins = field(factory=StreamJoins)
     # Returns whether the key of an admitted request is still known to be valid.
     may_still_run: Callable[[RelayRequest], bool] = lambda request: True
     log: RelayLog = field(init=False)
@@ -90,6 +98,7 @@
             splitter=EventSplitter(
                 event_id=self.wire.event_id, last_event_id=request.head.last_event_id
             ),
+            software_key=request.software_key,
         )
         self.in_progress += 1
         outcome = "client gone"
@@ -122,11 +131,12 @@
                 return last_step(progress.history, progress.sink.is_started)
             await self.waits.before_placement(progress)
             decision = self.placer.place(
-                progress.request.for_placement, progress.routing, progress.excluded, now_unix_s()
+                progress.for_placement, progress.routing, progress.excluded, now_unix_s()
             )
             if isinstance(decision, NoPlacement):
                 if await self.waits.without_placement(progress, decision):
                     continue
+                progress.is_software_gone = decision.reason == SOFTWARE_GONE
                 progress.history.last_detail = progress.history.last_detail or decision.reason
                 progress.unplaced_wait_s = progress.unplaced_wait_s or decision.wait_s
                 self.log.not_placed(progress, decision)
@@ -135,6 +145,7 @@
             progress.history.note(report)
             progress.longest_pause_s = max(progress.longest_pause_s, report.longest_pause_s)
             if report.end is AttemptEnd.PASSED_ON:
+                self.joins.note_complete(progress)
                 return Step.DONE
             if should_retry(progress.history, report) and self._may_retry(progress, report):
                 continue
@@ -202,6 +213,7 @@
             report = await self._run(
                 progress,
                 target,
+                software_of=lambda head: software_key(server),
                 first_answer_timeout=self._first_answer_timeout(progress, placement),
                 on_pause=self._pause_observer(progress, server.name),
                 on_head=on_head,
@@ -227,7 +239,7 @@
 
     def _answer_reader(self, request: RelayRequest, server: BackendServer) -> AnswerReader:
         read_answer = self.wire.read_answer
-        return naming_departure(read_answer, server) if request.forwarded_by else read_answer
+        return describing_server(read_answer, server) if request.forwarded_by else read_answer
 
     async def _record_server_end(
         self, progress: RequestProgress, server: BackendServer, report: AttemptReport
@@ -249,10 +261,15 @@
             self.own_vm,
             progress.request,
             self._resume_after(progress),
+            progress.software_key,
             self.wire,
         )
+        pool = progress.request.work.pool
         report = await self._run(
-            progress, target, on_head=lambda head: self.records.of_peer(progress.request, head)
+            progress,
+            target,
+            software_of=lambda head: self.joins.software_of_peer(head, pool),
+            on_head=lambda head: self.records.of_peer(progress.request, head),
         )
         if report.end is AttemptEnd.NOT_SENT:
             self.placer.members.note_connect_failure(decision.member.vm, now_unix_s())
@@ -261,9 +278,7 @@
         if report.end is not AttemptEnd.PASSED_ON:
             progress.excluded.peers.add(decision.member.vm)
         if report.is_pool_unreachable:
-            self.placer.peer_reachability.note_refusal(
-                decision.member.vm, progress.request.work.pool, now_unix_s()
-            )
+            self.placer.peer_reachability.note_refusal(decision.member.vm, pool, now_unix_s())
         elif report.end in (AttemptEnd.REFUSED, AttemptEnd.REFUSED_UNSENT):
             self._exclude_refusing_target(progress, decision)
         return report
@@ -309,6 +324,7 @@
         self,
         progress: RequestProgress,
         target: Target,
+        software_of: Callable[[ServerAnswerHead], int],
         first_answer_timeout: FirstAnswerTimeout | None = None,
         on_pause: Callable[[float], None] = lambda pause_s: None,
         on_head: Callable[[ServerAnswerHead], None] = lambda head: None,
@@ -332,6 +348,8 @@
             on_first_answer=note_first_answer,
             on_pause=on_pause,
             on_head=on_head,
+            join_fault=lambda head: self.joins.fault(progress, software_of(head)),
+            on_first_event=lambda head: self.joins.bind(progress, software_of(head)),
             first_answer_timeout=first_answer_timeout,
             may_send=may_send,
         )
--- /dev/null
+++ b/src/pomelobarrow/relay/stream_joins.py
@@ -0,0 +1,99 @@
+"""Bind each stream to the software that began it, and determine that of streams taken up again."""
+
+from collections.abc import Awaitable, Callable, Mapping
+
+from attrs import define, field
+from result import Err, Ok, Result
+
+from pomelobarrow.decision.errors import ErrorKind, Refusal, RunStatus
+from pomelobarrow.decision.routing import Route
+from pomelobarrow.decision.stream_software import (
+    UNKNOWN_SOFTWARE,
+    StreamSoftware,
+    software_key,
+    stream_key,
+)
+from pomelobarrow.decision.work import BackendServer
+from pomelobarrow.dispatch.refusals import refuse
+from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.relay.messages import RequestHead, ServerAnswerHead
+from pomelobarrow.relay.progress import RequestProgress
+
+SOFTWARE_UNKNOWN = "no VM knows which software version began the stream"
+OTHER_SOFTWARE = "a server of another software version than the one that began the stream answered"
+
+
+@define(kw_only=True)
+class StreamJoins:
+    """Let a stream go on only at servers of the software that sent its first event."""
+
+    streams: StreamSoftware = field(factory=StreamSoftware)
+
+    def software_of_peer(self, head: ServerAnswerHead, pool: str) -> int:
+        """Return the software of a peer's server; peers of an earlier release don't state it."""
+        if head.software_key is not None:
+            return head.software_key
+        assumed = self.streams.history.assumed(pool, now_unix_s())
+        return UNKNOWN_SOFTWARE if assumed is None else assumed
+
+    def fault(self, progress: RequestProgress, software: int) -> str:
+        """Return why a server's events don't fit the stream; empty if they do."""
+        is_fitting = progress.software_key in (None, software)
+        return "" if is_fitting else OTHER_SOFTWARE
+
+    def bind(self, progress: RequestProgress, software: int) -> None:
+        """Record the software before the client gets the first event of this attempt."""
+        progress.software_key = software
+        work = progress.request.work
+        if not progress.request.forwarded_by and software != UNKNOWN_SOFTWARE:
+            self.streams.note_began(work.request_id, software, work.pool, now_unix_s())
+
+    def note_complete(self, progress: RequestProgress) -> None:
+        """Forget a stream that the client has received whole."""
+        if progress.software_key is not None:
+            self.streams.note_complete(progress.request.work.request_id)
+
+
+@define(kw_only=True)
+class ResumedStreams:
+    """Determine at which software a stream that a client takes up may go on."""
+
+    streams: StreamSoftware = field(factory=StreamSoftware)
+    servers: Callable[[], Mapping[str, BackendServer]] = dict
+    # Asks peers for the software of the stream of a request id; the second argument states whether
+    # its pool has several versions.
+    ask_peers: Callable[[str, bool], Awaitable[int | None]] | None = None
+
+    async def bind(
+        self, head: RequestHead, route: Route, pool: str, stated: int | None
+    ) -> Result[tuple[str, int | None], Refusal]:
+        """Return the pool and the software for a request, or a refusal if they aren't certain.
+
+        The software is None for a new stream. A peer that forwards the request states it.
+        """
+        if not route.is_stream or not head.last_event_id:
+            return Ok((pool, None))
+        software = stated if stated is not None else await self._find(head, route)
+        if software is None:
+            software = self.streams.history.assumed(pool, now_unix_s())
+        if software is None:
+            return Err(refuse(ErrorKind.NOT_RESUMABLE, RunStatus.NO, SOFTWARE_UNKNOWN))
+        return Ok((self._pool_of(software, route) or pool, software))
+
+    async def _find(self, head: RequestHead, route: Route) -> int | None:
+        if not head.resumes:
+            return None
+        if self.ask_peers is None:
+            return self.streams.software_of(stream_key(head.resumes))
+        is_mixed = any(self.streams.is_mixed(share.pool) for share in route.pools)
+        return await self.ask_peers(head.resumes, is_mixed)
+
+    def _pool_of(self, software: int, route: Route) -> str:
+        """Return the route's pool that has servers of this software; empty if none has."""
+        pools = {share.pool for share in route.pools}
+        fitting = (
+            server.pool
+            for server in self.servers().values()
+            if server.pool in pools and software_key(server) == software
+        )
+        return next(fitting, "")
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -20,6 +20,7 @@
 from pomelobarrow.decision.placement import Placer
 from pomelobarrow.decision.retry_share import RetryBound, RetryShare
 from pomelobarrow.decision.routing import PoolShare, Route, RouteKind, Routing
+from pomelobarrow.decision.stream_software import StreamSoftware
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.platform.wire import platform_wire
@@ -29,6 +30,7 @@
 from pomelobarrow.relay.listeners import Listener, RelayListeners
 from pomelobarrow.relay.planned_stop import PlannedStop
 from pomelobarrow.relay.relay import Relay
+from pomelobarrow.relay.stream_joins import ResumedStreams, StreamJoins
 
 HOST = "shop.example"
 POOL = "engines"
@@ -123,8 +125,12 @@
     access_of: Callable[[str], dict[str, Any]] = lambda region: {},
     vms_per_region: int = 1,
     slots: int = 8,
+    versions: Mapping[str, str] | None = None,
 ) -> AsyncIterator[RelayFleet]:
-    """Run the VMs, each on its own loopback address; accounts make keys necessary."""
+    """Run the VMs, each on its own loopback address; accounts make keys necessary.
+
+    Versions are those of the servers' software; servers that aren't named have none.
+    """
     async with AsyncExitStack() as stack:
         front_port, hop_port = free_ports(2)
         places = _places(servers_by_region, vms_per_region)
@@ -134,7 +140,8 @@
             for name, script in scripts.items():
                 server = ScriptedServer(name=name, host=places[region].host, script=script)
                 servers[name] = await stack.enter_async_context(server)
-                listed.append(_listed(name, region, server.address, slots))
+                version = (versions or {}).get(name, "")
+                listed.append(_listed(name, region, server.address, slots, version))
         routing = Routing(
             version=1, routes=routes, accounts=accounts or (), needs_account=accounts is not None
         )
@@ -171,7 +178,7 @@
     }
 
 
-def _listed(name: str, region: str, address: str, slots: int) -> BackendServer:
+def _listed(name: str, region: str, address: str, slots: int, version: str) -> BackendServer:
     return BackendServer(
         name=name,
         region=region,
@@ -180,6 +187,7 @@
         pool=POOL,
         slots=slots,
         kv_capacity_tokens=100_000,
+        software_version=version,
     )
 
 
@@ -196,6 +204,9 @@
     region, dial = place.region, dict[str, str]()
     table = LoadTable(region)
     table.set_servers(listed)
+    by_name = {server.name: server for server in listed}
+    streams = StreamSoftware()
+    streams.observe_servers(by_name, now_unix_s())
     events: list[object] = []
     access = RelayAccess(**{"routing": lambda: routing, "observe": events.append, **access_options})
     view, stop = _view(place, places.values()), PlannedStop()
@@ -212,7 +223,7 @@
             members=LiveMembers(view=view),
             cold=ColdLimiter(own_vm=place.vm),
             region_loads=lambda pool: {},
-            servers=lambda: {server.name: server for server in listed},
+            servers=lambda: by_name,
         ),
         sessions=sessions,
         wire=platform_wire(),
@@ -228,6 +239,7 @@
         ),
         observe=events.append,
         may_still_run=access.may_still_run,
+        joins=StreamJoins(streams=streams),
     )
     front = RelayFront(
         own_region=region,
@@ -237,6 +249,7 @@
         is_draining=lambda: False,
         planned_stop=stop,
         access=access,
+        resumed=ResumedStreams(streams=streams, servers=lambda: by_name),
     )
     listeners = RelayListeners(
         (
--- /dev/null
+++ b/tests/test_relay_software_versions.py
@@ -0,0 +1,160 @@
+"""At which servers a stream goes on where a pool runs several software versions."""
+
+import aiohttp
+import pytest
+from relay_harness import HOST, Answer, RelayFleet, ask, relay_fleet, route
+from scripted_server import event, resets, streams
+
+from pomelobarrow.decision.routing import RouteKind
+from pomelobarrow.relay import relay as relay_module
+
+RESUMABLE = route(RouteKind.STREAM, is_resumable=True, max_attempts=4)
+LAST = 4
+WHOLE = b"".join(event(number) for number in range(1, LAST + 1))
+BREAKS = streams(LAST, breaks_after=2)
+
+
+def _received(fleet: RelayFleet, name: str) -> int:
+    return len(fleet.servers[name].received)
+
+
+async def _begun(vm_url: str) -> bytes:
+    """Receive a stream that breaks off, and return what arrived."""
+    headers = {"Host": HOST, "Pomelobarrow-Request-Id": "r1"}
+    body = b""
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(f"{vm_url}/stream/", headers=headers) as response,
+    ):
+        try:
+            async for data in response.content.iter_any():
+                body += data
+        except aiohttp.ClientPayloadError:
+            return body
+    return body
+
+
+async def _take_up(fleet: RelayFleet, key: str, resumes: str = "r1") -> Answer:
+    headers = {"Pomelobarrow-Request-Id": "r2", "Last-Event-Id": "2"}
+    if resumes:
+        headers["Resumes"] = resumes
+    return await ask(fleet.vms[key], "/stream/", headers=headers)
+
+
+async def test_stream_does_not_go_on_at_another_software_version() -> None:
+    """A stream that broke off went on at the next server, whose version was another one."""
+    servers = {"a": {"s1": BREAKS}, "b": {"s2": streams(LAST)}}
+    async with relay_fleet((RESUMABLE,), servers, versions={"s1": "v1", "s2": "v2"}) as fleet:
+        assert await _begun(fleet.vms["a"].url) == event(1) + event(2)
+        assert _received(fleet, "s2") == 0
+
+
+@pytest.mark.parametrize("region_of_second", ["a", "c"])
+async def test_stream_goes_on_at_a_server_of_its_version(region_of_second: str) -> None:
+    """Servers of the other version have less load, here and in another region."""
+    servers = {"a": {"s1": BREAKS}, "b": {"s2": streams(LAST)}, "c": {}}
+    servers[region_of_second] |= {"s3": streams(LAST)}
+    versions = {"s1": "v1", "s2": "v2", "s3": "v1"}
+    async with relay_fleet((RESUMABLE,), servers, versions=versions) as fleet:
+        table = fleet.vms["a"].relay.placer.table
+        table.mark_failed("s3", 0.0)
+        for _ in range(6):
+            assert (await ask(fleet.vms["a"], "/stream/")).body == WHOLE
+        assert _received(fleet, "s2") == 0
+
+
+async def test_stream_that_a_peer_began_goes_on_at_its_version_only() -> None:
+    """The VM that forwards a request learns the version from the peer's answer."""
+    bound = route(RouteKind.STREAM, is_resumable=True, max_attempts=4, home_regions=("b", "c"))
+    servers = {"a": {}, "b": {"s1": BREAKS}, "c": {"s2": streams(LAST), "s3": streams(LAST)}}
+    versions = {"s1": "v1", "s2": "v2", "s3": "v1"}
+    async with relay_fleet((bound,), servers, versions=versions) as fleet:
+        for _ in range(8):
+            await ask(fleet.vms["a"], "/stream/")
+        resumed = [
+            received
+            for name in ("s2", "s3")
+            for received in fleet.servers[name].received
+            if "last-event-id" in received.headers
+        ]
+        assert resumed != []
+        assert [r for r in fleet.servers["s2"].received if "last-event-id" in r.headers] == []
+
+
+async def test_request_without_an_event_runs_at_any_version() -> None:
+    """Nothing is bound before the client has the first event."""
+    servers = {"a": {"s1": resets(), "s2": streams(LAST)}}
+    async with relay_fleet((RESUMABLE,), servers, versions={"s1": "v1", "s2": "v2"}) as fleet:
+        bodies = [(await ask(fleet.vms["a"], "/stream/")).body for _ in range(6)]
+    assert bodies == [WHOLE] * 6
+
+
+async def test_stream_taken_up_by_its_client_goes_on_at_its_version() -> None:
+    """The VM that began a stream sent its client's next request to a server of any version."""
+    servers = {"a": {"s1": BREAKS}, "b": {"s2": streams(LAST)}}
+    async with relay_fleet((RESUMABLE,), servers, versions={"s1": "v1", "s2": "v2"}) as fleet:
+        await _begun(fleet.vms["a"].url)
+        fleet.servers["s1"].script = streams(LAST)
+        answer = await _take_up(fleet, "a")
+        assert (answer.status, answer.body) == (200, event(3) + event(4))
+        assert _received(fleet, "s2") == 0
+
+
+@pytest.mark.parametrize("resumes", ["unknown", ""])
+async def test_stream_of_unknown_version_is_refused_at_once(resumes: str) -> None:
+    """It went on at any server. No retry time is stated, since no later attempt could go on."""
+    servers = {"a": {"s1": streams(LAST), "s2": streams(LAST)}}
+    async with relay_fleet((RESUMABLE,), servers, versions={"s1": "v1", "s2": "v2"}) as fleet:
+        answer = await _take_up(fleet, "a", resumes)
+        assert _received(fleet, "s1") + _received(fleet, "s2") == 0
+    assert answer.status == 503
+    assert b'"kind":"not_resumable"' in answer.body
+    assert "Retry-After" not in answer.headers
+
+
+async def test_stream_whose_version_is_gone_is_refused_at_once() -> None:
+    """The last server of the version has left."""
+    servers = {"a": {"s1": BREAKS, "s2": streams(LAST)}}
+    async with relay_fleet((RESUMABLE,), servers, versions={"s1": "v1", "s2": "v2"}) as fleet:
+        vm = fleet.vms["a"]
+        while _received(fleet, "s1") == 0:
+            await _begun(vm.url)
+        del vm.relay.placer.servers()["s1"]  # type: ignore[attr-defined]
+        answer = await _take_up(fleet, "a")
+    assert answer.status == 503
+    assert b"no server in service runs the software version" in answer.body
+    assert "Retry-After" not in answer.headers
+
+
+async def test_stream_is_taken_up_anywhere_where_all_servers_run_one_version() -> None:
+    """No VM records streams then, and none is needed."""
+    servers = {"a": {"s1": streams(LAST)}, "b": {"s2": streams(LAST)}}
+    async with relay_fleet((RESUMABLE,), servers, versions={"s1": "v1", "s2": "v1"}) as fleet:
+        answers = [await _take_up(fleet, key, "unknown") for key in ("a", "b")]
+    assert [answer.status for answer in answers] == [200, 200]
+
+
+async def test_events_of_a_peer_of_an_earlier_release_do_not_join_a_stream(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Such a peer states no software, and sends a stream on to any of its servers."""
+    bound = route(RouteKind.STREAM, is_resumable=True, max_attempts=4, home_regions=("b", "c"))
+    servers = {"a": {}, "b": {"s1": BREAKS}, "c": {"s2": BREAKS}}
+    async with relay_fleet((bound,), servers, versions={"s1": "v1", "s2": "v2"}) as fleet:
+        monkeypatch.setattr(relay_module, "describing_server", lambda read, server: read)
+        body = await _begun(fleet.vms["a"].url)
+    assert body == event(1) + event(2)
+
+
+async def test_peer_keeps_a_forwarded_stream_to_its_version() -> None:
+    """All four servers of the peer's region could run it."""
+    bound = route(RouteKind.STREAM, is_resumable=True, max_attempts=8, home_regions=("b",))
+    versions = {"s1": "v1", "s2": "v1", "s3": "v2", "s4": "v2"}
+    servers = {"a": {}, "b": dict.fromkeys(versions, BREAKS)}
+    async with relay_fleet((bound,), servers, versions=versions, vms_per_region=2) as fleet:
+        for _ in range(8):
+            assert (await ask(fleet.vms["a"], "/stream/")).body == WHOLE
+            ran = {versions[name] for name, server in fleet.servers.items() if server.received}
+            assert len(ran) == 1
+            for server in fleet.servers.values():
+                server.received.clear()
--- /dev/null
+++ b/tests/test_stream_software.py
@@ -0,0 +1,146 @@
+"""Which software a stream was begun by, and which servers may go on with it."""
+
+from attrs import evolve
+
+from pomelobarrow.decision.placement_request import ExcludedTargets
+from pomelobarrow.decision.stream_software import (
+    LISTED_EVERYWHERE_S,
+    MAX_STREAMS,
+    STREAM_RETENTION_S,
+    SoftwareHistory,
+    StreamBegan,
+    StreamRecords,
+    StreamSoftware,
+    exclude_other_software,
+    software_key,
+    stream_key,
+)
+from pomelobarrow.decision.work import BackendServer
+
+NOW = 1_000.0
+POOL = "drafters"
+V1 = BackendServer(
+    name="s1",
+    region="a",
+    failure_domain="a-1",
+    address="10.0.0.1:80",
+    pool=POOL,
+    slots=4,
+    kv_capacity_tokens=1_000,
+    software_version="v1",
+)
+V2 = evolve(V1, name="s2", software_version="v2")
+V1_ELSEWHERE = evolve(V1, name="s3", region="b")
+FIRST, SECOND = software_key(V1), software_key(V2)
+
+
+def listed(*servers: BackendServer) -> dict[str, BackendServer]:
+    return {server.name: server for server in servers}
+
+
+def test_software_is_that_of_pool_and_version() -> None:
+    assert software_key(V1) == software_key(V1_ELSEWHERE)
+    assert len({FIRST, SECOND, software_key(evolve(V1, pool="other"))}) == 3
+
+
+def test_servers_whose_entries_name_no_version_share_one() -> None:
+    unnamed = evolve(V1, software_version="")
+    assert software_key(unnamed) == software_key(evolve(unnamed, name="s9"))
+    assert software_key(unnamed) != FIRST
+
+
+def test_unrecorded_stream_is_of_the_only_version() -> None:
+    history = SoftwareHistory()
+    history.observe(listed(V1), NOW)
+    assert history.assumed(POOL, NOW) == FIRST
+
+
+def test_unrecorded_stream_is_of_the_version_before_while_another_has_just_appeared() -> None:
+    history = SoftwareHistory()
+    history.observe(listed(V1), NOW)
+    history.observe(listed(V1, V2), NOW + 1.0)
+    assert history.assumed(POOL, NOW + 1.0) == FIRST
+    assert history.assumed(POOL, NOW + 1.1 + LISTED_EVERYWHERE_S) is None
+
+
+def test_unrecorded_stream_is_of_no_version_if_two_served_at_the_start() -> None:
+    history = SoftwareHistory()
+    history.observe(listed(V1, V2), NOW)
+    assert history.assumed(POOL, NOW) is None
+
+
+def test_version_counts_until_no_stream_of_it_can_be_taken_up() -> None:
+    history = SoftwareHistory()
+    history.observe(listed(V1, V2), NOW)
+    history.observe(listed(V2), NOW + 1.0)
+    assert history.assumed(POOL, NOW + STREAM_RETENTION_S) is None
+    assert history.mixed_pools(NOW + STREAM_RETENTION_S) == {POOL}
+    assert history.assumed(POOL, NOW + STREAM_RETENTION_S + 1.0) == SECOND
+    assert history.mixed_pools(NOW + STREAM_RETENTION_S + 1.0) == set()
+
+
+def test_unlisted_pool_has_no_version() -> None:
+    assert SoftwareHistory().assumed(POOL, NOW) is None
+
+
+def test_first_record_of_a_stream_stays() -> None:
+    records = StreamRecords()
+    records.note(StreamBegan(stream_key=1, software_key=FIRST), NOW)
+    records.note(StreamBegan(stream_key=1, software_key=SECOND), NOW)
+    assert records.software_of(1) == FIRST
+
+
+def test_old_records_are_dropped() -> None:
+    records = StreamRecords()
+    records.note(StreamBegan(stream_key=1, software_key=FIRST), NOW)
+    late = NOW + STREAM_RETENTION_S + 1.0
+    records.note(StreamBegan(stream_key=2, software_key=FIRST), late)
+    assert (records.software_of(1), records.software_of(2)) == (None, FIRST)
+
+
+def test_records_are_bounded() -> None:
+    records = StreamRecords()
+    for key in range(MAX_STREAMS + 5):
+        records.note(StreamBegan(stream_key=key, software_key=FIRST), NOW)
+    assert len(records) == MAX_STREAMS
+    assert records.software_of(0) is None
+
+
+def test_streams_are_published_while_a_pool_has_two_versions() -> None:
+    published: list[StreamBegan] = []
+    streams = StreamSoftware(publish=published.extend)
+    streams.observe_servers(listed(V1), NOW)
+    streams.note_began("r1", FIRST, POOL, NOW)
+    streams.note_began("r2", FIRST, POOL, NOW)
+    streams.note_complete("r2")
+    assert published == []
+    # Those that go on when the second version appears are published then.
+    streams.observe_servers(listed(V1, V2), NOW + 1.0)
+    streams.note_began("r3", SECOND, POOL, NOW + 2.0)
+    keys = [stream_key("r1"), stream_key("r3")]
+    assert [each.stream_key for each in published] == keys
+    assert [streams.software_of(key) for key in keys] == [FIRST, SECOND]
+
+
+def test_streams_of_another_pool_are_not_published() -> None:
+    published: list[StreamBegan] = []
+    streams = StreamSoftware(publish=published.extend)
+    other = evolve(V1, name="s8", pool="other")
+    streams.observe_servers(listed(V1, V2, other), NOW)
+    streams.note_began("r1", software_key(other), "other", NOW)
+    assert published == []
+
+
+def test_servers_of_other_software_and_regions_without_it_are_excluded() -> None:
+    tried = ExcludedTargets(servers={"s9"}, regions={"c"})
+    there = evolve(V2, name="s4", region="b")
+    found = exclude_other_software(SECOND, [V1, V1_ELSEWHERE, V2], tried)
+    assert found == ExcludedTargets(servers={"s9", "s1", "s3"}, regions={"c", "b"})
+    assert exclude_other_software(SECOND, [V1, V2, there], ExcludedTargets()) == ExcludedTargets(
+        servers={"s1"}
+    )
+
+
+def test_software_whose_last_server_leaves_is_gone() -> None:
+    leaving = evolve(V2, leaving=True)
+    assert exclude_other_software(SECOND, [V1, leaving], ExcludedTargets()) is None
--- a/tests/test_token_grants.py
+++ b/tests/test_token_grants.py
@@ -5,21 +5,16 @@
 
 import pytest
 from attrs import define
+from datagram_vms import HOST_BY_VM, KEY, REGION_BY_VM, view_of
 from result import Err, Ok, Result
 
 from harness.processes import free_ports
 from pomelobarrow.decision.accounts import Account, RateLimit
-from pomelobarrow.decision.member import Member
-from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.kernel.clock import now_unix_s
-from pomelobarrow.kernel.settings import PeerKey
 from pomelobarrow.peers import token_grants
 from pomelobarrow.peers.datagrams import PeerDatagrams
 from pomelobarrow.peers.token_grants import Refund, Refused, TokenGrants
 
-KEY = PeerKey(id="k1", secret="a secret of the fleet")
-REGION_BY_VM = {"a-1": "a", "a-2": "a", "a-3": "a", "b-1": "b"}
-HOST_BY_VM = {vm: f"127.0.0.{index + 1}" for index, vm in enumerate(REGION_BY_VM)}
 SHOPS = Account(
     name="shops",
     token_sha256=(),
@@ -38,26 +33,12 @@
         await self.datagrams.stop()
 
 
-def member(vm: str) -> Member:
-    return Member(
-        vm=vm,
-        incarnation=1,
-        region=REGION_BY_VM[vm],
-        peer_address=f"{HOST_BY_VM[vm]}:1",
-        sequence=1,
-    )
-
-
 @asynccontextmanager
 async def fleet() -> AsyncIterator[dict[str, Vm]]:
     [port] = free_ports(1)
     vms = {}
     for vm in REGION_BY_VM:
-        view = MembershipView(vm, REGION_BY_VM[vm])
-        view.observe_own(member(vm))
-        for other in REGION_BY_VM:
-            if other != vm:
-                view.observe_heartbeat(member(other), now_unix_s())
+        view = view_of(vm)
         datagrams = PeerDatagrams((KEY,), HOST_BY_VM[vm], port)
         grants = TokenGrants(
             view=view,
