--- a/bench/decisions/jobs.py
+++ b/bench/decisions/jobs.py
@@ -14,6 +14,7 @@
     retry_after,
     retry_budget,
     server_ways,
+    stream_records,
     token_limits,
 )
 from bench.fakes.ways import FIRST_ONLY, SHIPPED
@@ -86,6 +87,15 @@
     ]
 
 
+def _stream_records() -> list[Job]:
+    return [
+        Job(stream_records.run, (way, vms, seed))
+        for vms, seeds in ((7, SEEDS), (90, SEEDS[:2]), (340, SEEDS[:1]))
+        for way in stream_records.WAYS
+        for seed in seeds
+    ]
+
+
 GROUPS: dict[str, Callable[[], list[Job]]] = {
     "servers-small": lambda: _server_variants(
         (("draft", 2, 5, 90.0), ("draft", 20, 5, 90.0)), SEEDS
@@ -124,6 +134,7 @@
     "limits": _limits,
     "token-limits": _token_limits,
     "brittle-places": _brittle_places,
+    "stream-records": _stream_records,
     "retry-budget": lambda: [
         Job(retry_budget.run, (variant, seed))
         for variant in ("none", "three attempts", "budget")
