--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -29,7 +29,7 @@
 }
 # Kept out of KINDS, so that the random choices among those stay the same for a given seed.
 FRAGILE, LIMITED, KEYED, ANNOUNCING = "fragile", "limited", "keyed", "announcing"
-BRITTLE, VERSIONED = "brittle", "versioned"
+BRITTLE, VERSIONED, PROMPTED = "brittle", "versioned", "prompted"
 DEDICATED_POOLS = {
     FRAGILE: ("idempotent", 2, False),
     LIMITED: ("idempotent", 2, False),
@@ -37,6 +37,7 @@
     ANNOUNCING: ("idempotent", 2, False),
     BRITTLE: ("idempotent", 2, False),
     VERSIONED: ("stream", 3, True),
+    PROMPTED: ("stream", 3, True),
 }
 APPLY_S, REVOCATION_S, LIMIT_WINDOW_S = 5.0, 2.0, 8.0
 TIMEOUT_MS = 3_000
