Block parts of prompts that crash servers, whatever else their requests hold

Cause: crashes were blamed on byte-identical requests alone. No two of these are alike, so that none ever had three crashes. The class of fault: evidence kept under the identity of the whole request, while the cause is shared by many.

Change: a crash also counts for the parts of the prompts that were on the server, but the last one, unless the server had answered the request for 0.25 s, or the part was answered since the pool last answered a prompt without it. So the first part, which all share, is never blamed while others are answered, and no part is while a pool answers nothing. Three servers under three different requests block a part; a request that is tried on several servers counts once. An answer clears a part everywhere.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,7 @@
 from soak.fragile import FragileServers
 from soak.keyed import KeyedServers
 from soak.limited import LimitedServers
+from soak.prompted import PromptedServers
 from soak.versioned import VersionedServers
 
 SETTLE_S = 8.0
@@ -61,7 +62,8 @@
         links_random = random.Random(rng.random())
         brittle = BrittleServers(fleet=fleet, random=random.Random(rng.random()))
         versioned = VersionedServers(fleet=fleet, random=random.Random(rng.random()))
-        pools = (fragile, limited, keyed, announcing, brittle, versioned)
+        prompted = PromptedServers(fleet=fleet, random=random.Random(rng.random()))
+        pools = (fragile, limited, keyed, announcing, brittle, versioned, prompted)
         await asyncio.gather(*(each.start() for each in pools))
         sending = asyncio.create_task(clients.run(time.monotonic() + duration_s))
         until_s = time.monotonic() + duration_s + SETTLE_S
@@ -91,11 +93,14 @@
         violations += keyed.find_violations() + fleet.ended_daemons()
         violations += announcing.find_violations(faults)
         violations += brittle.find_violations(faults)
+        violations += prompted.find_violations()
         violations += versioned.find_violations() + versioned.find_lost(calm_started_s)
         violations += find_unserved_at_cut_vms(clients, cut_vms, MIN_SERVED_SHARE)
         violations += keyed.find_unserved(calm_started_s, MIN_SERVED_SHARE)
         if fragile.served_share(calm_started_s) < MIN_SERVED_SHARE:
             violations.append("requests are not served by servers that crashed and were restarted")
+        if prompted.served_share(calm_started_s) < MIN_SERVED_SHARE:
+            violations.append("sound prompts are not served beside ones that crash servers")
         if limited.served_share(calm_started_s) < MIN_SERVED_SHARE:
             violations.append("requests are not served while one server announces a rate limit")
         if announcing.served_share(calm_started_s) < MIN_SERVED_SHARE:
--- a/src/pomelobarrow/backends/server_watch.py
+++ b/src/pomelobarrow/backends/server_watch.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field, frozen
 
+from pomelobarrow.decision.crash_suspects import RunningRequest
 from pomelobarrow.decision.fingerprint import format_fingerprint
 from pomelobarrow.decision.work import BackendServer
 
@@ -45,7 +46,7 @@
 @define(kw_only=True)
 class _Check:
     task: "asyncio.Task[None]"
-    fingerprints: list[int] = field(factory=list)
+    requests: list[RunningRequest] = field(factory=list)
 
 
 @define(kw_only=True)
@@ -63,11 +64,13 @@
     is_in_service: Callable[[BackendServer], bool] = lambda server: True
     # Returns the other servers of this region.
     other_servers: Callable[[BackendServer], Sequence[BackendServer]] = lambda server: ()
-    on_ended: Callable[[BackendServer, tuple[int, ...]], None] = lambda server, fingerprints: None
+    on_ended: Callable[[BackendServer, tuple[RunningRequest, ...]], None] = (
+        lambda server, requests: None
+    )
     observe: Callable[[object], None] = lambda event: None
     _checks: dict[str, _Check] = field(factory=dict)
 
-    async def note_closed(self, server: BackendServer, fingerprint: int) -> None:
+    async def note_closed(self, server: BackendServer, request: RunningRequest) -> None:
         """Check a server that closed a connection with a request on it, and wait for the result.
 
         A check that takes longer than CHECK_TIMEOUT_S continues in the background.
@@ -78,14 +81,14 @@
         if check is None:
             task = asyncio.create_task(self._run(server))
             check = self._checks[server.incarnation] = _Check(task=task)
-        check.fingerprints.append(fingerprint)
+        check.requests.append(request)
         await asyncio.wait({check.task}, timeout=CHECK_TIMEOUT_S)
 
     async def _run(self, server: BackendServer) -> None:
         has_ended = await self._has_ended(server)
         check = self._checks.pop(server.incarnation)
         if has_ended:
-            self._report(server, tuple(dict.fromkeys(check.fingerprints)))
+            self._report(server, tuple(dict.fromkeys(check.requests)))
 
     async def _has_ended(self, server: BackendServer) -> bool:
         for delay_s in CHECK_DELAYS_S:
@@ -107,8 +110,9 @@
         host, _, port = self.dial.get(server.address, server.address).rpartition(":")
         return await _try_connection(host, int(port))
 
-    def _report(self, server: BackendServer, fingerprints: tuple[int, ...]) -> None:
-        self.on_ended(server, fingerprints)
+    def _report(self, server: BackendServer, requests: tuple[RunningRequest, ...]) -> None:
+        self.on_ended(server, requests)
+        fingerprints = tuple(dict.fromkeys(request.fingerprint for request in requests))
         self.observe(
             ServerEnded(
                 server=server.name,
--- a/src/pomelobarrow/decision/crash_suspects.py
+++ b/src/pomelobarrow/decision/crash_suspects.py
@@ -1,8 +1,9 @@
-"""Decide from the crashes observed by all VMs which requests to block.
+"""Decide from the crashes observed by all VMs which requests to block, by body or by prompt part.
 
 Load pattern: one request is sent repeatedly under new ids, at any VM, and crashes every server that
-starts to run it. Each crash also ends all other streams on that server. The other requests on a
-crashed server are not at fault, nor is a request if a server has answered a byte-identical one.
+starts to run it; or many different requests do, which share a part of their prompts. Each crash
+also ends all other streams on that server. The other requests on a crashed server are not at fault,
+nor is a request if a server has answered a byte-identical one.
 """
 
 import enum
@@ -22,6 +23,9 @@
 # detected one after another over that time.
 ANSWER_CLEARS_FOR_S = 10.0
 ANSWER_RETENTION_S = 600.0
+# A part of prompts that many requests share is answered again soon. One that begins to crash
+# servers would be sent on for longer if an earlier answer cleared it for the time above.
+PART_ANSWER_CLEARS_FOR_S = 3.0
 # A request that was blocked wrongly must be unblocked. After these times, by number of crashes, it
 # is admitted once as a trial. Each crash ends dozens of other requests, so two trials are enough.
 TRIAL_AFTER_S = {3: 60.0, 4: 600.0}
@@ -57,6 +61,15 @@
     # Hash of the server's incarnation.
     server_key: int
     ended_unix_s: float
+    # Hash of the request's id if the fingerprint is of a part of its prompt, else 0. A request that
+    # is tried again beside a crashing one may be on several servers that crash. So crashes count
+    # for a part only if different requests with it were on the servers.
+    request_key: int = 0
+
+    @property
+    def answer_clears_for_s(self) -> float:
+        """Return for how long after an answer a crash doesn't count."""
+        return PART_ANSWER_CLEARS_FOR_S if self.request_key else ANSWER_CLEARS_FOR_S
 
 
 @frozen(kw_only=True)
@@ -70,6 +83,16 @@
 Finding = Crash | Answered
 
 
+@frozen(kw_only=True)
+class RunningRequest:
+    """A request that was on a server when it ended, with its parts that may be at fault."""
+
+    fingerprint: int
+    parts: tuple[int, ...] = ()
+    # Hash of the request's id.
+    key: int = 0
+
+
 @frozen(kw_only=True)
 class Evidence:
     """The crashes for which a request is blocked."""
@@ -91,11 +114,20 @@
         )
 
     def includes(self, crash: Crash) -> bool:
-        return any(
-            known.server_key == crash.server_key
-            and abs(known.ended_unix_s - crash.ended_unix_s) < SAME_CRASH_WITHIN_S
-            for known in self.crashes
-        )
+        return any(_is_same(known, crash) for known in self.crashes)
+
+    def is_cleared_by(self, answered_unix_s: float) -> bool:
+        newest = max(self.crashes, key=lambda crash: crash.ended_unix_s)
+        return newest.ended_unix_s < answered_unix_s + newest.answer_clears_for_s
+
+
+def _is_same(known: Crash, crash: Crash) -> bool:
+    """Return whether two crashes count as one: of one server, or under one request."""
+    is_same_server = (
+        known.server_key == crash.server_key
+        and abs(known.ended_unix_s - crash.ended_unix_s) < SAME_CRASH_WITHIN_S
+    )
+    return is_same_server or 0 < known.request_key == crash.request_key
 
 
 @define(kw_only=True)
@@ -116,6 +148,10 @@
         """Record that a server answered at this VM; return the findings to send to peers."""
         return self._note_answered(Answered(fingerprint=fingerprint, answered_unix_s=now_unix_s))
 
+    def answered_unix_s(self, fingerprint: int) -> float:
+        """Return when a server last answered, minus infinity if it isn't known."""
+        return self._answered.get(fingerprint, float("-inf"))
+
     def suspicion(self, fingerprint: int, now_unix_s: float) -> Suspicion:
         """Return the degree to which a request is restricted."""
         suspect = self._current(fingerprint, now_unix_s)
@@ -136,6 +172,14 @@
         suspect = self._suspects.get(fingerprint)
         return None if suspect is None else suspect.evidence
 
+    def blocked(self, now_unix_s: float) -> dict[int, Evidence]:
+        """Return the blocked requests and parts of prompts, with the evidence."""
+        return {
+            fingerprint: suspect.evidence
+            for fingerprint, suspect in tuple(self._suspects.items())
+            if self.suspicion(fingerprint, now_unix_s) is Suspicion.BLOCKED
+        }
+
     def crashes(self) -> list[Crash]:
         """Return all recorded crashes."""
         return [crash for suspect in self._suspects.values() for crash in suspect.crashes]
@@ -172,8 +216,8 @@
         return sum((weight(key, vm), vm) < own for vm in live_vms)
 
     def _note_crash(self, crash: Crash) -> tuple[Finding, ...]:
-        answered_unix_s = self._answered.get(crash.fingerprint, float("-inf"))
-        if crash.ended_unix_s < answered_unix_s + ANSWER_CLEARS_FOR_S:
+        answered_unix_s = self.answered_unix_s(crash.fingerprint)
+        if crash.ended_unix_s < answered_unix_s + crash.answer_clears_for_s:
             return (Answered(fingerprint=crash.fingerprint, answered_unix_s=answered_unix_s),)
         suspect = self._suspects.get(crash.fingerprint)
         if suspect is None:
@@ -186,14 +230,12 @@
 
     def _note_answered(self, answered: Answered) -> tuple[Finding, ...]:
         fingerprint, answered_unix_s = answered.fingerprint, answered.answered_unix_s
-        if answered_unix_s > self._answered.get(fingerprint, float("-inf")):
+        if answered_unix_s > self.answered_unix_s(fingerprint):
             self._answered[fingerprint] = answered_unix_s
             self._answered.move_to_end(fingerprint)
             self._drop_old_answers(answered_unix_s)
         suspect = self._suspects.get(fingerprint)
-        if suspect is None:
-            return ()
-        if suspect.evidence.newest_unix_s >= answered_unix_s + ANSWER_CLEARS_FOR_S:
+        if suspect is None or not suspect.is_cleared_by(answered_unix_s):
             return ()
         # Only VMs that had recorded crashes forward the answer, so that forwarding terminates: its
         # time changes at each hop as clocks differ, so a repeat would not be recognised.
--- /dev/null
+++ b/src/pomelobarrow/decision/crashing_parts.py
@@ -0,0 +1,42 @@
+"""Decide which parts of the requests on a crashed server may have crashed it.
+
+Load pattern: one part of prompts crashes each server that begins to answer it, whatever else the
+request holds, so that no two such requests are alike. Dozens of other requests are on a server that
+crashes, most of them with the same first part. Servers also crash by themselves, many at once.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+
+from attrs import define, field
+
+# An answer that goes on for this long has been begun by a server that did not crash on it.
+ANSWER_SURVIVED_S = 0.25
+# Answers per pool that are compared with the requests on a crashed server.
+RECENT_ANSWERS = 32
+
+
+@define(kw_only=True)
+class PartAnswers:
+    """The parts of the prompts that servers have recently answered, by pool."""
+
+    # Returns when a server last answered a prompt with a part, minus infinity if never.
+    answered_unix_s: Callable[[int], float]
+    _recent_by_pool: dict[str, deque[tuple[float, frozenset[int]]]] = field(factory=dict)
+
+    def note(self, pool: str, parts: Iterable[int], now_unix_s: float) -> None:
+        """Record an answer to a prompt with these parts."""
+        recent = self._recent_by_pool.setdefault(pool, deque(maxlen=RECENT_ANSWERS))
+        recent.append((now_unix_s, frozenset(parts)))
+
+    def suspects(self, pool: str, parts: Iterable[int]) -> list[int]:
+        """Return the parts without an answer since the pool last answered a prompt without them.
+
+        While a pool answers nothing at all, its servers crash for a reason of their own.
+        """
+        recent = self._recent_by_pool.get(pool, ())
+        return [part for part in parts if self._is_suspect(part, recent)]
+
+    def _is_suspect(self, part: int, recent: Iterable[tuple[float, frozenset[int]]]) -> bool:
+        last_unix_s = self.answered_unix_s(part)
+        return any(at > last_unix_s and part not in others for at, others in recent)
--- a/src/pomelobarrow/dispatch/crash_guard.py
+++ b/src/pomelobarrow/dispatch/crash_guard.py
@@ -1,11 +1,19 @@
 """Block requests that crash the servers that run them."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from types import MappingProxyType
 
 from attrs import define, field, frozen
 
 from pomelobarrow.backends.server_watch import ServerWatch
-from pomelobarrow.decision.crash_suspects import Crash, CrashSuspects, Finding, Suspicion
+from pomelobarrow.decision.crash_suspects import (
+    Crash,
+    CrashSuspects,
+    Finding,
+    RunningRequest,
+    Suspicion,
+)
+from pomelobarrow.decision.crashing_parts import PartAnswers
 from pomelobarrow.decision.errors import ErrorKind, Refusal, RunStatus
 from pomelobarrow.decision.fingerprint import format_fingerprint
 from pomelobarrow.decision.short_key import server_key
@@ -14,6 +22,8 @@
 from pomelobarrow.kernel.clock import now_unix_s
 
 DETAIL = "servers ended while they ran this request (the same caller, path and body)"
+EMPTY: Mapping[int, str] = MappingProxyType({})
+PART_DETAIL = "servers ended when they began to answer prompts with a part of this one"
 
 
 @frozen(kw_only=True)
@@ -22,7 +32,10 @@
 
     request_id: str
     pool: str
+    # Of the request, or of the part of its prompt.
     fingerprint: str
+    # The id of that part as the client sent it; empty if the whole request is blocked.
+    part: str
     servers_ended: int
     newest_age_s: float
 
@@ -32,6 +45,7 @@
     """Collect crash evidence, share it with peers and decide which requests to refuse."""
 
     suspects: CrashSuspects = field(factory=CrashSuspects)
+    part_answers: PartAnswers = field(init=False)
     watch: ServerWatch = field(factory=ServerWatch)
     live_vms: Callable[[], Iterable[str]] = tuple
     notify_peers: Callable[[tuple[Finding, ...]], None] = lambda findings: None
@@ -39,13 +53,16 @@
 
     def __attrs_post_init__(self) -> None:
         self.watch.on_ended = self._note_ended
+        self.part_answers = PartAnswers(answered_unix_s=self.suspects.answered_unix_s)
 
-    def refuses(self, fingerprint: int) -> bool:
+    def refuses(self, fingerprint: int, parts: Iterable[int] = ()) -> bool:
         """Return whether to refuse a request now; at intervals one is admitted as a trial."""
         now = now_unix_s()
-        if self.suspects.suspicion(fingerprint, now) is not Suspicion.BLOCKED:
-            return False
-        return not self.suspects.try_start_trial(fingerprint, self.live_vms(), now)
+        return any(
+            self.suspects.suspicion(each, now) is Suspicion.BLOCKED
+            and not self.suspects.try_start_trial(each, self.live_vms(), now)
+            for each in (fingerprint, *parts)
+        )
 
     def refuses_after_wait(self, fingerprint: int) -> bool:
         """Return whether to refuse a request that was admitted before it waited in a queue."""
@@ -53,54 +70,90 @@
         is_blocked = self.suspects.suspicion(fingerprint, now) is Suspicion.BLOCKED
         return is_blocked and not self.suspects.is_on_trial(fingerprint, now)
 
-    def may_repeat(self, fingerprint: int) -> bool:
+    def may_repeat(self, fingerprint: int, parts: Iterable[int] = ()) -> bool:
         """Return whether a request that a server has lost may be sent to another one."""
-        return self.suspects.suspicion(fingerprint, now_unix_s()) is Suspicion.NONE
-
-    def refusal(self, request_id: str, pool: str, fingerprint: int, run: RunStatus) -> Refusal:
-        """Return the refusal of a blocked request and report it with the evidence."""
-        evidence = self.suspects.evidence(fingerprint)
-        servers_ended = evidence.servers_ended if evidence else 0
-        newest_age_s = now_unix_s() - evidence.newest_unix_s if evidence else 0.0
+        now = now_unix_s()
+        subjects = (fingerprint, *parts)
+        return all(self.suspects.suspicion(each, now) is Suspicion.NONE for each in subjects)
+
+    def refusal(
+        self,
+        request_id: str,
+        pool: str,
+        fingerprint: int,
+        run: RunStatus,
+        parts: Mapping[int, str] = EMPTY,
+    ) -> Refusal:
+        """Return the refusal of a blocked request and report it with the evidence.
+
+        `parts` are the ids of the prompt's parts by their fingerprints.
+        """
+        now = now_unix_s()
+        blocked = next(
+            (p for p in parts if self.suspects.suspicion(p, now) is Suspicion.BLOCKED), None
+        )
+        subject = fingerprint if blocked is None else blocked
+        evidence = self.suspects.evidence(subject)
         self.observe(
             RequestBlocked(
                 request_id=request_id,
                 pool=pool,
-                fingerprint=format_fingerprint(fingerprint),
-                servers_ended=servers_ended,
-                newest_age_s=newest_age_s,
+                fingerprint=format_fingerprint(subject),
+                part="" if blocked is None else parts[blocked],
+                servers_ended=evidence.servers_ended if evidence else 0,
+                newest_age_s=now - evidence.newest_unix_s if evidence else 0.0,
             )
         )
-        return refuse(ErrorKind.CRASHES_SERVERS, run, DETAIL)
+        return refuse(ErrorKind.CRASHES_SERVERS, run, DETAIL if blocked is None else PART_DETAIL)
 
     def note_answered(self, fingerprint: int) -> None:
         """Clear the suspicion of a request that a server has answered completely."""
         self._notify(self.suspects.answered(fingerprint, now_unix_s()))
 
-    async def note_closed(self, server: BackendServer, fingerprint: int) -> None:
+    def note_parts_answered(self, pool: str, parts: Iterable[int]) -> None:
+        """Clear the suspicion of parts of a prompt that a server answers without crashing."""
+        now, distinct = now_unix_s(), tuple(parts)
+        self.part_answers.note(pool, distinct, now)
+        found: list[Finding] = []
+        for part in distinct:
+            found += self.suspects.answered(part, now)
+        self._notify(tuple(found))
+
+    async def note_closed(self, server: BackendServer, request: RunningRequest) -> None:
         """Check whether a server that closed a connection has crashed; return once that is known.
 
         The decision on another attempt then takes this crash into account.
         """
-        await self.watch.note_closed(server, fingerprint)
+        await self.watch.note_closed(server, request)
 
     def has_ended(self, server: BackendServer, fingerprint: int) -> bool:
         """Return whether a server is known to have crashed while it ran a request."""
         return self.suspects.has_crash(fingerprint, server_key(server))
 
-    def note_crash(self, fingerprint: int, server_key: int) -> None:
-        """Record that a server has just crashed while it ran a request."""
-        crash = Crash(fingerprint=fingerprint, server_key=server_key, ended_unix_s=now_unix_s())
-        self._notify(self.suspects.note(crash))
-
-    def _note_ended(self, server: BackendServer, fingerprints: tuple[int, ...]) -> None:
-        now, key = now_unix_s(), server_key(server)
+    def note_crash(self, server_key: int, pool: str, requests: Iterable[RunningRequest]) -> None:
+        """Record that a server has just crashed while it ran requests."""
         found: list[Finding] = []
-        for fingerprint in fingerprints:
-            crash = Crash(fingerprint=fingerprint, server_key=key, ended_unix_s=now)
+        for crash in self._crashes(server_key, pool, requests):
             found += self.suspects.note(crash)
         self._notify(tuple(found))
 
+    def _note_ended(self, server: BackendServer, requests: tuple[RunningRequest, ...]) -> None:
+        self.note_crash(server_key(server), server.pool, requests)
+
+    def _crashes(
+        self, server_key: int, pool: str, requests: Iterable[RunningRequest]
+    ) -> Iterator[Crash]:
+        now = now_unix_s()
+        for request in requests:
+            yield Crash(fingerprint=request.fingerprint, server_key=server_key, ended_unix_s=now)
+            for part in self.part_answers.suspects(pool, request.parts):
+                yield Crash(
+                    fingerprint=part,
+                    server_key=server_key,
+                    ended_unix_s=now,
+                    request_key=request.key,
+                )
+
     def _notify(self, findings: tuple[Finding, ...]) -> None:
         if findings:
             self.notify_peers(findings)
--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -11,6 +11,7 @@
 from pomelobarrow.decision.admission import refuse_unservable
 from pomelobarrow.decision.attempt import UNRUN_STATES, Attempt, AttemptState
 from pomelobarrow.decision.configuration import Rank
+from pomelobarrow.decision.crash_suspects import RunningRequest
 from pomelobarrow.decision.errors import ErrorKind, RunStatus
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.next_placement import ServerChooser, next_placement
@@ -126,7 +127,8 @@
             self.guard.note_answered(request.fingerprint)
         # After the deadline there is no retry, so the caller must not wait for the crash check.
         elif result.state is AttemptState.UNKNOWN and now_unix_s() < request.work.deadline_unix_s:
-            await self.guard.note_closed(placement.server, request.fingerprint)
+            running = RunningRequest(fingerprint=request.fingerprint)
+            await self.guard.note_closed(placement.server, running)
 
     def _refuse_blocked(self, request: GatewayRequest) -> None:
         """Refuse a request that was found to crash servers while it waited in the queue."""
--- a/src/pomelobarrow/dispatch/plugin.py
+++ b/src/pomelobarrow/dispatch/plugin.py
@@ -6,6 +6,7 @@
 from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.decision.configuration import Rank
 from pomelobarrow.decision.crash_suspects import CrashSuspects
+from pomelobarrow.decision.fingerprint import format_fingerprint
 from pomelobarrow.decision.limits import AccountLimits
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.membership import MembershipView
@@ -59,9 +60,9 @@
 
 @hookimpl
 def status(context: Context) -> StatusSection:
-    """Report the requests in progress, those that wait and the pools that can't be reached."""
+    """Report the requests in progress, waiting and blocked, and the pools that can't be reached."""
     local, entry = context.get(LocalDispatch), context.get(EntryDispatch)
-    table = context.get(LoadTable)
+    table, now = context.get(LoadTable), now_unix_s()
     values = {
         "in_progress": entry.in_progress,
         "used_request_ids": len(context.get(RequestIdLedger)),
@@ -71,6 +72,13 @@
         },
         "in_flight": {name: each.requests for name, each in table.in_flight().items()},
         "unreachable_pools": sorted(table.reachability.unreachable_pools),
+        "blocked_requests": {
+            format_fingerprint(each): {
+                "servers_ended": evidence.servers_ended,
+                "newest_age_s": now - evidence.newest_unix_s,
+            }
+            for each, evidence in context.get(CrashSuspects).blocked(now).items()
+        },
     }
     return StatusSection("dispatch", values)
 
--- a/src/pomelobarrow/peers/crash_updates.py
+++ b/src/pomelobarrow/peers/crash_updates.py
@@ -79,6 +79,7 @@
         fingerprint=finding.fingerprint,
         server_key=finding.server_key,
         age_ms=age_ms(finding.ended_unix_s, now_unix_s),
+        request_key=finding.request_key,
     )
 
 
@@ -86,5 +87,8 @@
     if message.is_answered:
         return Answered(fingerprint=message.fingerprint, answered_unix_s=unix_s)
     return Crash(
-        fingerprint=message.fingerprint, server_key=message.server_key, ended_unix_s=unix_s
+        fingerprint=message.fingerprint,
+        server_key=message.server_key,
+        ended_unix_s=unix_s,
+        request_key=message.request_key,
     )
--- a/src/pomelobarrow/relay/answer_records.py
+++ b/src/pomelobarrow/relay/answer_records.py
@@ -10,6 +10,7 @@
 from pomelobarrow.dispatch.crash_guard import CrashGuard
 from pomelobarrow.dispatch.server_announcements import record_announcement
 from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.relay.crash_evidence import running_request
 from pomelobarrow.relay.messages import RelayRequest, ServerAnswerHead
 
 
@@ -42,7 +43,8 @@
     def of_peer(self, request: RelayRequest, head: ServerAnswerHead) -> None:
         """Record the servers that a peer names: one that crashed, and one that leaves."""
         if head.ended_server_key is not None:
-            self.guard.note_crash(request.fingerprint, head.ended_server_key)
+            running = [running_request(request, request.parts_by_fingerprint)]
+            self.guard.note_crash(head.ended_server_key, request.work.pool, running)
         if head.leaving_server_key is not None:
             self.table.departures.observe(
                 head.leaving_server_key, DepartureSource.PEER_ANSWER, now_unix_s()
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -7,7 +7,7 @@
 
 from pomelobarrow.decision.accounts import Account
 from pomelobarrow.decision.announcements import ServerAnnouncement
-from pomelobarrow.decision.fingerprint import fingerprint
+from pomelobarrow.decision.fingerprint import fingerprint, part_fingerprint
 from pomelobarrow.decision.placement_request import PlacementRequest
 from pomelobarrow.decision.routing import Route
 from pomelobarrow.decision.work import Work
@@ -85,6 +85,12 @@
         """Return a hash that is equal for requests with the same method, host, target and body."""
         return fingerprint("", self.method, self.host, self.target, self.body)
 
+    @cached_property
+    def parts_by_fingerprint(self) -> dict[int, str]:
+        """Return the ids of the prompt's parts by fingerprint, without its own last one."""
+        ids = [part.id for part in self.head.prompt_parts[:-1]]
+        return {part_fingerprint(self.work.pool, id_): id_ for id_ in ids}
+
     @property
     def for_placement(self) -> PlacementRequest:
         """Return the data of this request that placement needs."""
--- a/src/pomelobarrow/relay/refusal_policy.py
+++ b/src/pomelobarrow/relay/refusal_policy.py
@@ -32,7 +32,10 @@
         work, detail = progress.request.work, progress.history.last_detail
         if step is Step.BLOCK:
             run = RunStatus.UNKNOWN if progress.history.may_have_run else RunStatus.NO
-            return self.guard.refusal(work.request_id, work.pool, progress.request.fingerprint, run)
+            request = progress.request
+            return self.guard.refusal(
+                work.request_id, work.pool, request.fingerprint, run, request.parts_by_fingerprint
+            )
         if step is Step.FAIL:
             is_late = now_unix_s() >= work.deadline_unix_s
             kind = ErrorKind.DEADLINE_PASSED if is_late else ErrorKind.OUTCOME_UNKNOWN
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -18,7 +18,6 @@
 )
 from pomelobarrow.decision.retry_share import RetryShare
 from pomelobarrow.decision.routing import Routing
-from pomelobarrow.decision.short_key import server_key
 from pomelobarrow.decision.stream_software import software_key
 from pomelobarrow.decision.token_estimates import prefill_tokens
 from pomelobarrow.decision.work import BackendServer, Placement
@@ -28,6 +27,7 @@
 from pomelobarrow.relay.answer import ClientAnswer
 from pomelobarrow.relay.answer_records import AnswerRecords
 from pomelobarrow.relay.attempt import FirstAnswerTimeout, RelayAttempt, Target
+from pomelobarrow.relay.crash_evidence import CrashEvidence
 from pomelobarrow.relay.event_splitter import EventSplitter
 from pomelobarrow.relay.health_monitor import FirstAnswerTimes, ServerHealthMonitor
 from pomelobarrow.relay.hop import AnswerReader, describing_server, peer_target
@@ -63,6 +63,7 @@
     joins: StreamJoins = field(factory=StreamJoins)
     # Returns whether the key of an admitted request is still known to be valid.
     may_still_run: Callable[[RelayRequest], bool] = lambda request: True
+    evidence: CrashEvidence = field(init=False)
     log: RelayLog = field(init=False)
     records: AnswerRecords = field(init=False)
     refusals: RefusalPolicy = field(init=False)
@@ -80,6 +81,7 @@
         self.records = AnswerRecords(
             table=self.placer.table, guard=self.guard, observe=lambda event: self.observe(event)
         )
+        self.evidence = CrashEvidence(guard=self.guard)
         self.waits = RequestWaits(table=self.placer.table, reach=self.reach)
         self.refusals = RefusalPolicy(
             own_region=self.own_region, placer=self.placer, guard=self.guard, rng=self.rng
@@ -123,7 +125,7 @@
 
     async def _run_attempts(self, progress: RequestProgress) -> Step:
         while True:
-            if self.guard.refuses(progress.request.fingerprint):
+            if self.evidence.refuses(progress.request):
                 progress.history.is_blocked = True
                 return last_step(progress.history, progress.sink.is_started)
             if not self.may_still_run(progress.request):
@@ -159,9 +161,7 @@
     def _may_retry(self, progress: RequestProgress, report: AttemptReport) -> bool:
         if report.end in UNSENT_ENDS:
             return True
-        if progress.history.may_have_run and not self.guard.may_repeat(
-            progress.request.fingerprint
-        ):
+        if progress.history.may_have_run and not self.evidence.may_repeat(progress.request):
             return False
         was_reserved, progress.is_retry_reserved = progress.is_retry_reserved, False
         return was_reserved or self._take_retry(progress)
@@ -232,7 +232,7 @@
         # Failures of this VM's own links must not count against the servers.
         if table.reachability.is_reachable(work.pool):
             self.monitor.monitor(server, report, placement.expected_wait_s, now)
-        await self._record_server_end(progress, server, report)
+        await self.evidence.note_end(progress, server, report)
         if report.end is not AttemptEnd.PASSED_ON:
             progress.excluded.servers.add(server.name)
         return report
@@ -241,17 +241,6 @@
         read_answer = self.wire.read_answer
         return describing_server(read_answer, server) if request.forwarded_by else read_answer
 
-    async def _record_server_end(
-        self, progress: RequestProgress, server: BackendServer, report: AttemptReport
-    ) -> None:
-        request = progress.request
-        if report.is_closed:
-            await self.guard.note_closed(server, request.fingerprint)
-            if self.guard.has_ended(server, request.fingerprint):
-                progress.history.ended_server_key = server_key(server)
-        elif report.end in (AttemptEnd.PASSED_ON, AttemptEnd.ANSWERED):
-            self.guard.note_answered(request.fingerprint)
-
     async def _send_to_peer(
         self, progress: RequestProgress, decision: PeerPlacement
     ) -> AttemptReport:
@@ -271,6 +260,7 @@
             software_of=lambda head: self.joins.software_of_peer(head, pool),
             on_head=lambda head: self.records.of_peer(progress.request, head),
         )
+        self.evidence.note_answer(progress.request, report)
         if report.end is AttemptEnd.NOT_SENT:
             self.placer.members.note_connect_failure(decision.member.vm, now_unix_s())
         elif report.end is not AttemptEnd.LOST:
@@ -300,7 +290,7 @@
     ) -> FirstAnswerTimeout:
         """Return the limit after which a silent server's pool is probed, and another one tried."""
         route = progress.request.route
-        is_suspect = not self.guard.may_repeat(progress.request.fingerprint)
+        is_suspect = not self.evidence.may_repeat(progress.request)
         may_retry = route.is_repeatable and not is_suspect and progress.history.attempts_left >= 2
 
         def may_give_up() -> bool:
@@ -313,8 +303,10 @@
 
     def _pause_observer(self, progress: RequestProgress, server: str) -> Callable[[float], None]:
         gap_target_s, pauses = progress.request.work.gap_target_s, self.placer.table.pauses
+        note_survival = self.evidence.pause_observer(progress.request)
 
         def observe(pause_s: float) -> None:
+            note_survival(pause_s)
             if gap_target_s:
                 pauses.observe(server, pause_s, gap_target_s, now_unix_s())
 
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -22,6 +22,7 @@
 from pomelobarrow.decision.routing import PoolShare, Route, RouteKind, Routing
 from pomelobarrow.decision.stream_software import StreamSoftware
 from pomelobarrow.decision.work import BackendServer
+from pomelobarrow.dispatch.crash_guard import CrashGuard
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.platform.wire import platform_wire
 from pomelobarrow.relay.access import RelayAccess
@@ -238,6 +239,7 @@
             observe=events.append,
         ),
         observe=events.append,
+        guard=CrashGuard(observe=events.append),
         may_still_run=access.may_still_run,
         joins=StreamJoins(streams=streams),
     )
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -150,6 +150,21 @@
     return script
 
 
+def crashes_on_part(part: str, otherwise: Script, events: int = 0) -> Script:
+    """End the server under a prompt with a part, after so many events of a stream."""
+
+    async def script(exchange: Exchange) -> None:
+        if part not in exchange.received.headers.get("pomelobarrow-prompt-prefix", ""):
+            await otherwise(exchange)
+            return
+        if events:
+            last = int(exchange.received.headers.get("last-event-id", "0"))
+            await streams(9, breaks_after=last + events, half=b"id: ")(exchange)
+        exchange.server.end()
+
+    return script
+
+
 def event(number: int) -> bytes:
     """Return an event of a stream."""
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
--- a/tests/test_crash_updates.py
+++ b/tests/test_crash_updates.py
@@ -2,7 +2,7 @@
 
 from collections import Counter, deque
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from pomelobarrow.decision.crash_suspects import Crash, CrashSuspects, Suspicion
 from pomelobarrow.kernel.clock import now_unix_s
@@ -107,3 +107,17 @@
         finding = pb.CrashFinding(fingerprint=1, server_key=1)
         view.apply(pb.CrashFindings(sent_unix_s=sent_unix_s, findings=[finding]), "vm-1")
     assert view.suspects.crashes() == []
+
+
+def test_crashes_under_a_part_keep_their_requests_on_the_way() -> None:
+    """Without them, one request that is tried on three servers would block its parts elsewhere."""
+    fleet = large_fleet()
+    first, *_, last = fleet.views
+    for server_key in range(4):
+        found = crash(server_key), evolve(crash(server_key), fingerprint=2, request_key=7)
+        for each in found:
+            fleet.views[first].notify_peers(fleet.views[first].suspects.note(each))
+    fleet.deliver()
+    now = now_unix_s()
+    assert fleet.views[last].suspects.suspicion(1, now) is Suspicion.BLOCKED
+    assert fleet.views[last].suspects.suspicion(2, now) is Suspicion.NONE
--- a/tests/test_dispatch_crashing_request.py
+++ b/tests/test_dispatch_crashing_request.py
@@ -11,6 +11,7 @@
 from work_builders import SERVER
 
 from pomelobarrow.decision.attempt import Attempt, AttemptState
+from pomelobarrow.decision.crash_suspects import RunningRequest
 from pomelobarrow.decision.errors import ErrorKind, RunStatus
 from pomelobarrow.decision.load_table import LoadTable
 from pomelobarrow.decision.region_choice import ShareOutsideHome
@@ -24,6 +25,10 @@
 from pomelobarrow.dispatch.request import GatewayRequest
 
 
+def running(request: GatewayRequest) -> RunningRequest:
+    return RunningRequest(fingerprint=request.fingerprint)
+
+
 @define
 class CrashingServers:
     """Lose each attempt because its server ends, and count these servers."""
@@ -40,7 +45,7 @@
 
     async def run(self, request: GatewayRequest, attempt: Attempt, *rest: Any) -> AttemptResult:
         self.ended += 1
-        self.guard.note_crash(request.fingerprint, self.ended)
+        self.guard.note_crash(self.ended, request.work.pool, [running(request)])
         return AttemptResult(state=AttemptState.UNKNOWN, server=f"s{self.ended}")
 
 
@@ -118,7 +123,7 @@
     waiting = asyncio.create_task(local.run(request, Attempt(), 1, frozenset(), Sink()))
     await asyncio.sleep(0)
     for key in range(3):
-        guard.note_crash(request.fingerprint, key)
+        guard.note_crash(key, request.work.pool, [running(request)])
     table.set_servers([evolve(SERVER, region="r", pool="p")])
     local.place_waiting("p")
     with pytest.raises(RefusedError, match="servers ended while they ran this request"):
@@ -134,7 +139,7 @@
     seen: list[str] = []
 
     class Guard(CrashGuard):
-        async def note_closed(self, server: BackendServer, fingerprint: int) -> None:
+        async def note_closed(self, server: BackendServer, request: RunningRequest) -> None:
             seen.append(server.name)
 
     async def lose(request: GatewayRequest, placement: Placement, *rest: Any) -> AttemptResult:
--- a/tests/test_server_watch.py
+++ b/tests/test_server_watch.py
@@ -6,6 +6,7 @@
 from work_builders import SERVER
 
 from pomelobarrow.backends.server_watch import ServerEnded, ServerWatch
+from pomelobarrow.decision.crash_suspects import RunningRequest
 from pomelobarrow.decision.fingerprint import fingerprint
 
 
@@ -24,7 +25,9 @@
         observe=events.append,
     )
     server = evolve(SERVER, address=address)
-    await asyncio.gather(*(watch.note_closed(server, number) for number in (1, 2, 2)))
+    await asyncio.gather(
+        *(watch.note_closed(server, RunningRequest(fingerprint=n)) for n in (1, 2, 2))
+    )
     await asyncio.gather(*(check.task for check in watch._checks.values()))
     return events
 
