Count crashes that end an answer without length

An answer may have neither a length nor chunks and end with its connection. Where a server crashed inside an event of such a stream, or before the first one, the connection ended without an error, so the relay took the attempt for lost but never asked the server's address whether it still listens: the crash counted for nothing, neither for the request nor for the parts of its prompt. Such an end counts as a closed connection now and starts the check that all others start; a server that still listens isn't blamed by it. Both cases of the new test failed before (no crash recorded within 2 s).

--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -191,9 +191,9 @@
                 await self.sink.open(head.status, head.headers)
             await self.sink.send(events)
         if not self.splitter.is_between_events:
-            return self._lost("the stream ended in the middle of an event")
+            return self._lost("the stream ended in the middle of an event", is_closed=True)
         if not self.sink.is_started:
-            return self._lost("the stream ended before its first event")
+            return self._lost("the stream ended before its first event", is_closed=True)
         await self.sink.finish()
         self.state.apply(AttemptEvent.END)
         return self._report(AttemptEnd.PASSED_ON)
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -165,6 +165,20 @@
     return script
 
 
+def ends_unframed(body: bytes) -> Script:
+    """Answer without length and chunks, and end the server together with the connection."""
+
+    async def script(exchange: Exchange) -> None:
+        exchange.write_head(200, Content_Type="text/event-stream", Connection="close")
+        exchange.writer.write(body)
+        await exchange.writer.drain()
+        exchange.writer.close()
+        await exchange.writer.wait_closed()
+        exchange.server.end()
+
+    return script
+
+
 def event(number: int) -> bytes:
     """Return an event of a stream."""
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
--- a/tests/test_relay_crashing_part.py
+++ b/tests/test_relay_crashing_part.py
@@ -1,12 +1,13 @@
 """A part of prompts that crashes the servers that answer it, and its effect on other requests."""
 
+import asyncio
 import itertools
 from collections.abc import Mapping
 
 import aiohttp
 import pytest
 from relay_harness import Answer, RelayFleet, RelayVm, ask, relay_fleet, route
-from scripted_server import Script, answers, crashes_on_part, streams
+from scripted_server import Script, answers, crashes_on_part, ends_unframed, hangs, streams
 
 from pomelobarrow.decision.crash_suspects import CRASHES_TO_BLOCK
 from pomelobarrow.decision.routing import RouteKind
@@ -106,3 +107,20 @@
         crashes = [crash for suspect in subjects for crash in suspect.crashes]
     # The body, and the middle part: the first one was answered, the last one isn't kept.
     assert len({crash.fingerprint for crash in crashes}) == 2
+
+
+@pytest.mark.parametrize("body", [b"", b"id: 1\ndata: pie"])
+async def test_crash_that_ends_an_answer_without_length_counts(body: bytes) -> None:
+    """Its connection ended without an error, so that the server's address wasn't asked."""
+    servers = {"a": {"a0": ends_unframed(body), "a1": hangs()}}
+    async with relay_fleet(ROUTES, servers) as fleet:
+        vm = fleet.vms["a"]
+        vm.relay.placer.table.mark_failed("a1", 0.0)
+        while not fleet.servers["a0"].has_ended:
+            asking = asyncio.create_task(_ask(vm, "/stream/x", SOUND))
+            await asyncio.wait({asking}, timeout=0.2)
+            asking.cancel()
+        suspects = vm.relay.guard.suspects
+        async with asyncio.timeout(2.0):
+            while not suspects.crashes():
+                await asyncio.sleep(0.01)
