Ask nearby VMs briefly where one version serves, and keep records of resumable streams only

Three things cost callers or the fleet without need: a client that takes up a stream where all servers run one version waited 0.25 s whenever a keeper of its region was down (0.05 s now, and then the single version is assumed as before); streams of routes that aren't resumable were recorded and, with several versions, sent to three VMs each; and a VM that lists no server yet refused with not_resumable and no retry time, though its client need not begin anew (not_ready now). A placement is built once where the binding is unchanged.

--- a/src/pomelobarrow/peers/stream_software.py
+++ b/src/pomelobarrow/peers/stream_software.py
@@ -27,6 +27,8 @@
 ASKED_IN_REGION = 2
 # A round trip between the farthest regions, and one in which the answering VM is busy.
 ANSWER_TIMEOUT_S = 0.25
+# The same inside a region. Where one version serves, an answer is hardly ever needed.
+NEARBY_ANSWER_TIMEOUT_S = 0.05
 # A record takes 14 bytes, and a datagram must fit into one packet.
 RECORDS_PER_DATAGRAM = 64
 
@@ -68,7 +70,8 @@
         if known is not None:
             return known
         asked = [m for m in self._asked(key, is_mixed) if m.vm != self.view.own_vm]
-        queries = [asyncio.create_task(self._query(member, key)) for member in asked]
+        timeout_s = ANSWER_TIMEOUT_S if is_mixed else NEARBY_ANSWER_TIMEOUT_S
+        queries = [asyncio.create_task(self._query(member, key, timeout_s)) for member in asked]
         try:
             for answer in asyncio.as_completed(queries):
                 if (found := await answer) is not None:
@@ -109,9 +112,9 @@
             )
             self.datagrams.send(self._address(member), pb.Datagram(streams_began=began))
 
-    async def _query(self, member: Member, key: int) -> int | None:
+    async def _query(self, member: Member, key: int, timeout_s: float) -> int | None:
         query = pb.Datagram(stream_query=pb.StreamQuery(stream_key=key))
-        answer = await self.datagrams.query(self._address(member), query, ANSWER_TIMEOUT_S)
+        answer = await self.datagrams.query(self._address(member), query, timeout_s)
         is_known = isinstance(answer, pb.StreamAnswer) and answer.is_known
         return int(answer.software_key) if is_known else None
 
--- a/src/pomelobarrow/relay/progress.py
+++ b/src/pomelobarrow/relay/progress.py
@@ -42,7 +42,10 @@
     @property
     def for_placement(self) -> PlacementRequest:
         """Return the data that placement needs, with the software that began the stream."""
-        return evolve(self.request.for_placement, software_key=self.software_key)
+        placed = self.request.for_placement
+        if self.software_key == placed.software_key:
+            return placed
+        return evolve(placed, software_key=self.software_key)
 
     @property
     def resume_after(self) -> str:
--- a/src/pomelobarrow/relay/stream_joins.py
+++ b/src/pomelobarrow/relay/stream_joins.py
@@ -20,6 +20,7 @@
 from pomelobarrow.relay.progress import RequestProgress
 
 SOFTWARE_UNKNOWN = "no VM knows which software version began the stream"
+NO_SERVER_LISTED = "this VM lists no server that the stream could go on at"
 OTHER_SOFTWARE = "a server of another software version than the one that began the stream answered"
 
 
@@ -44,8 +45,9 @@
     def bind(self, progress: RequestProgress, software: int) -> None:
         """Record the software before the client gets the first event of this attempt."""
         progress.software_key = software
-        work = progress.request.work
-        if not progress.request.forwarded_by and software != UNKNOWN_SOFTWARE:
+        request, work = progress.request, progress.request.work
+        is_taken_up_here = request.route.is_resumable and not request.forwarded_by
+        if is_taken_up_here and software != UNKNOWN_SOFTWARE:
             self.streams.note_began(work.request_id, software, work.pool, now_unix_s())
 
     def note_complete(self, progress: RequestProgress) -> None:
@@ -77,9 +79,14 @@
         if software is None:
             software = self.streams.history.assumed(pool, now_unix_s())
         if software is None:
-            return Err(refuse(ErrorKind.NOT_RESUMABLE, RunStatus.NO, SOFTWARE_UNKNOWN))
+            return Err(self._refusal(pool))
         return Ok((self._pool_of(software, route) or pool, software))
 
+    def _refusal(self, pool: str) -> Refusal:
+        is_listed = bool(self.streams.history.recent(pool, now_unix_s()))
+        kind = ErrorKind.NOT_RESUMABLE if is_listed else ErrorKind.NOT_READY
+        return refuse(kind, RunStatus.NO, SOFTWARE_UNKNOWN if is_listed else NO_SERVER_LISTED)
+
     async def _find(self, head: RequestHead, route: Route) -> int | None:
         if not head.resumes:
             return None
