Blame a part of prompts only for most of the crashes in its time

Cause: three servers under three requests were enough, and where half of a pool crashes at once, some sound part is on three of them by chance.

Change: VMs also tell each other that a server ended, whatever was on it. A part is blocked after three crashes if it was on four fifths of the pool's servers that crashed in the meantime, else after five, the bound that the users state. Servers on which one request met several crashes count as explained, the request once.

--- a/src/pomelobarrow/decision/crash_suspects.py
+++ b/src/pomelobarrow/decision/crash_suspects.py
@@ -7,7 +7,7 @@
 """
 
 import enum
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterable
 
 from attrs import define, field, frozen
@@ -26,6 +26,15 @@
 # A part of prompts that many requests share is answered again soon. One that begins to crash
 # servers would be sent on for longer if an earlier answer cleared it for the time above.
 PART_ANSWER_CLEARS_FOR_S = 3.0
+# Servers that crash by themselves at once may have requests with one part on most of them. That
+# part is blamed only if it was on this share of the pool's servers that crashed in the meantime, or
+# if so many crashed under it that further ones must be spared in any case.
+MIN_EXPLAINED_SHARE = 0.8
+CRASHES_TO_BLOCK_ANY_PART = 5
+# Crashes of servers that are kept to compare a part's crashes with.
+MAX_ENDED = 256
+# The fingerprint of the finding that a server has ended, whatever was on it.
+ANY_REQUEST = 0
 # A request that was blocked wrongly must be unblocked. After these times, by number of crashes, it
 # is admitted once as a trial. Each crash ends dozens of other requests, so two trials are enough.
 TRIAL_AFTER_S = {3: 60.0, 4: 600.0}
@@ -65,6 +74,8 @@
     # is tried again beside a crashing one may be on several servers that crash. So crashes count
     # for a part only if different requests with it were on the servers.
     request_key: int = 0
+    # Hash of the server's pool, if the fingerprint is of a part or of any request.
+    pool_key: int = 0
 
     @property
     def answer_clears_for_s(self) -> float:
@@ -113,6 +124,17 @@
             newest_unix_s=max(crash.ended_unix_s for crash in self.crashes),
         )
 
+    @property
+    def is_part(self) -> bool:
+        return self.crashes[0].request_key != 0
+
+    @property
+    def count(self) -> int:
+        """Return how many crashes count: those of different servers, under different requests."""
+        if not self.is_part:
+            return len(self.crashes)
+        return len({crash.request_key for crash in self.crashes})
+
     def includes(self, crash: Crash) -> bool:
         return any(_is_same(known, crash) for known in self.crashes)
 
@@ -122,12 +144,8 @@
 
 
 def _is_same(known: Crash, crash: Crash) -> bool:
-    """Return whether two crashes count as one: of one server, or under one request."""
-    is_same_server = (
-        known.server_key == crash.server_key
-        and abs(known.ended_unix_s - crash.ended_unix_s) < SAME_CRASH_WITHIN_S
-    )
-    return is_same_server or 0 < known.request_key == crash.request_key
+    is_same_time = abs(known.ended_unix_s - crash.ended_unix_s) < SAME_CRASH_WITHIN_S
+    return known.server_key == crash.server_key and is_same_time
 
 
 @define(kw_only=True)
@@ -136,6 +154,7 @@
 
     own_vm: str = ""
     _suspects: dict[int, _Suspect] = field(factory=dict)
+    _ended: deque[Crash] = field(factory=lambda: deque(maxlen=MAX_ENDED))
     _answered: "OrderedDict[int, float]" = field(factory=OrderedDict)
 
     def note(self, finding: Finding) -> tuple[Finding, ...]:
@@ -155,10 +174,26 @@
     def suspicion(self, fingerprint: int, now_unix_s: float) -> Suspicion:
         """Return the degree to which a request is restricted."""
         suspect = self._current(fingerprint, now_unix_s)
-        crashes = 0 if suspect is None else len(suspect.crashes)
-        if crashes >= CRASHES_TO_BLOCK:
-            return Suspicion.BLOCKED
-        return Suspicion.SUSPECTED if crashes >= CRASHES_TO_SUSPECT else Suspicion.NONE
+        if suspect is None or suspect.count < CRASHES_TO_SUSPECT:
+            return Suspicion.NONE
+        is_blocked = suspect.count >= self._crashes_to_block(suspect)
+        return Suspicion.BLOCKED if is_blocked else Suspicion.SUSPECTED
+
+    def _crashes_to_block(self, suspect: _Suspect) -> int:
+        """Return how many crashes block a request or part; more if others happened without it."""
+        if not suspect.is_part:
+            return CRASHES_TO_BLOCK
+        times = [crash.ended_unix_s for crash in suspect.crashes]
+        first_unix_s, last_unix_s = min(times), max(times)
+        others = sum(
+            first_unix_s - SAME_CRASH_WITHIN_S < crash.ended_unix_s
+            and crash.ended_unix_s < last_unix_s + SAME_CRASH_WITHIN_S
+            and crash.pool_key == suspect.crashes[0].pool_key
+            and not suspect.includes(crash)
+            for crash in self._ended
+        )
+        share = len(times) / (len(times) + others)
+        return CRASHES_TO_BLOCK if share >= MIN_EXPLAINED_SHARE else CRASHES_TO_BLOCK_ANY_PART
 
     def has_crash(self, fingerprint: int, server_key: int) -> bool:
         """Return whether a server is recorded as having crashed while running a request."""
@@ -182,7 +217,8 @@
 
     def crashes(self) -> list[Crash]:
         """Return all recorded crashes."""
-        return [crash for suspect in self._suspects.values() for crash in suspect.crashes]
+        under_requests = (each for suspect in self._suspects.values() for each in suspect.crashes)
+        return [*self._ended, *under_requests]
 
     def is_on_trial(self, fingerprint: int, now_unix_s: float) -> bool:
         """Return whether this VM admitted a blocked request as a trial within the last turn."""
@@ -197,7 +233,7 @@
         suspect = self._current(fingerprint, now_unix_s)
         if suspect is None:
             return True
-        crashes, newest_unix_s = len(suspect.crashes), suspect.evidence.newest_unix_s
+        crashes, newest_unix_s = suspect.count, suspect.evidence.newest_unix_s
         after_s = TRIAL_AFTER_S.get(crashes)
         if after_s is None or now_unix_s < newest_unix_s + after_s:
             return False
@@ -216,6 +252,8 @@
         return sum((weight(key, vm), vm) < own for vm in live_vms)
 
     def _note_crash(self, crash: Crash) -> tuple[Finding, ...]:
+        if crash.fingerprint == ANY_REQUEST:
+            return self._note_ended(crash)
         answered_unix_s = self.answered_unix_s(crash.fingerprint)
         if crash.ended_unix_s < answered_unix_s + crash.answer_clears_for_s:
             return (Answered(fingerprint=crash.fingerprint, answered_unix_s=answered_unix_s),)
@@ -228,6 +266,12 @@
         suspect.crashes.append(crash)
         return (crash,)
 
+    def _note_ended(self, crash: Crash) -> tuple[Finding, ...]:
+        if any(_is_same(known, crash) for known in self._ended):
+            return ()
+        self._ended.append(crash)
+        return (crash,)
+
     def _note_answered(self, answered: Answered) -> tuple[Finding, ...]:
         fingerprint, answered_unix_s = answered.fingerprint, answered.answered_unix_s
         if answered_unix_s > self.answered_unix_s(fingerprint):
--- a/src/pomelobarrow/dispatch/crash_guard.py
+++ b/src/pomelobarrow/dispatch/crash_guard.py
@@ -7,6 +7,7 @@
 
 from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.decision.crash_suspects import (
+    ANY_REQUEST,
     Crash,
     CrashSuspects,
     Finding,
@@ -16,7 +17,7 @@
 from pomelobarrow.decision.crashing_parts import PartAnswers
 from pomelobarrow.decision.errors import ErrorKind, Refusal, RunStatus
 from pomelobarrow.decision.fingerprint import format_fingerprint
-from pomelobarrow.decision.short_key import server_key
+from pomelobarrow.decision.short_key import server_key, short_key
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
@@ -143,7 +144,10 @@
     def _crashes(
         self, server_key: int, pool: str, requests: Iterable[RunningRequest]
     ) -> Iterator[Crash]:
-        now = now_unix_s()
+        now, pool_key = now_unix_s(), short_key(pool)
+        yield Crash(
+            fingerprint=ANY_REQUEST, server_key=server_key, ended_unix_s=now, pool_key=pool_key
+        )
         for request in requests:
             yield Crash(fingerprint=request.fingerprint, server_key=server_key, ended_unix_s=now)
             for part in self.part_answers.suspects(pool, request.parts):
@@ -152,6 +156,7 @@
                     server_key=server_key,
                     ended_unix_s=now,
                     request_key=request.key,
+                    pool_key=pool_key,
                 )
 
     def _notify(self, findings: tuple[Finding, ...]) -> None:
--- a/src/pomelobarrow/peers/crash_updates.py
+++ b/src/pomelobarrow/peers/crash_updates.py
@@ -80,6 +80,7 @@
         server_key=finding.server_key,
         age_ms=age_ms(finding.ended_unix_s, now_unix_s),
         request_key=finding.request_key,
+        pool_key=finding.pool_key,
     )
 
 
@@ -91,4 +92,5 @@
         server_key=message.server_key,
         ended_unix_s=unix_s,
         request_key=message.request_key,
+        pool_key=message.pool_key,
     )
