Block a part after five servers, also where its requests ended several each

Found by reading: a part that was on too few of the pool's crashed servers needed crashes under five different requests, but its list is full at eight servers. Four requests that end two servers each would have left it unblocked for good. Five servers under three requests decide now, which is the users' bound. The new decision test plays those four requests beside twenty other crashes; it fails with the rule before by the same reading and can't be built on it (its constant is new).

--- a/src/pomelobarrow/decision/crash_suspects.py
+++ b/src/pomelobarrow/decision/crash_suspects.py
@@ -28,9 +28,9 @@
 PART_ANSWER_CLEARS_FOR_S = 3.0
 # Servers that crash by themselves at once may have requests with one part on most of them. That
 # part is blamed only if it was on this share of the pool's servers that crashed in the meantime, or
-# if so many crashed under it that further ones must be spared in any case.
+# if so many crashed under it that the others must be spared in any case.
 MIN_EXPLAINED_SHARE = 0.8
-CRASHES_TO_BLOCK_ANY_PART = 5
+SERVERS_TO_BLOCK_ANY_PART = 5
 # Crashes of servers that are kept to compare a part's crashes with.
 MAX_ENDED = 256
 # The fingerprint of the finding that a server has ended, whatever was on it.
@@ -106,7 +106,7 @@
 
 @frozen(kw_only=True)
 class Evidence:
-    """The crashes for which a request is blocked."""
+    """The crashes for which a request, or a part of prompts, is blocked."""
 
     servers_ended: int
     newest_unix_s: float
@@ -130,7 +130,7 @@
 
     @property
     def count(self) -> int:
-        """Return how many crashes count: those of different servers, under different requests."""
+        """Return how many crashes count; for a part, those under different requests."""
         if not self.is_part:
             return len(self.crashes)
         return len({crash.request_key for crash in self.crashes})
@@ -150,10 +150,11 @@
 
 @define(kw_only=True)
 class CrashSuspects:
-    """Requests that were running on servers when they crashed, and recently answered requests."""
+    """Requests and parts of prompts that were on servers when they crashed, and answered ones."""
 
     own_vm: str = ""
     _suspects: dict[int, _Suspect] = field(factory=dict)
+    # The servers that crashed, whatever was on them.
     _ended: deque[Crash] = field(factory=lambda: deque(maxlen=MAX_ENDED))
     _answered: "OrderedDict[int, float]" = field(factory=OrderedDict)
 
@@ -172,28 +173,31 @@
         return self._answered.get(fingerprint, float("-inf"))
 
     def suspicion(self, fingerprint: int, now_unix_s: float) -> Suspicion:
-        """Return the degree to which a request is restricted."""
+        """Return the degree to which a request, or requests with a part, are restricted."""
         suspect = self._current(fingerprint, now_unix_s)
         if suspect is None or suspect.count < CRASHES_TO_SUSPECT:
             return Suspicion.NONE
-        is_blocked = suspect.count >= self._crashes_to_block(suspect)
-        return Suspicion.BLOCKED if is_blocked else Suspicion.SUSPECTED
+        return Suspicion.BLOCKED if self._is_blocked(suspect) else Suspicion.SUSPECTED
 
-    def _crashes_to_block(self, suspect: _Suspect) -> int:
-        """Return how many crashes block a request or part; more if others happened without it."""
-        if not suspect.is_part:
-            return CRASHES_TO_BLOCK
+    def _is_blocked(self, suspect: _Suspect) -> bool:
+        if suspect.count < CRASHES_TO_BLOCK:
+            return False
+        is_spared_further = len(suspect.crashes) >= SERVERS_TO_BLOCK_ANY_PART
+        return is_spared_further or not suspect.is_part or self._is_explanation(suspect)
+
+    def _is_explanation(self, suspect: _Suspect) -> bool:
+        """Return whether a part was on most servers of its pool that crashed in its time."""
         times = [crash.ended_unix_s for crash in suspect.crashes]
-        first_unix_s, last_unix_s = min(times), max(times)
-        others = sum(
-            first_unix_s - SAME_CRASH_WITHIN_S < crash.ended_unix_s
-            and crash.ended_unix_s < last_unix_s + SAME_CRASH_WITHIN_S
-            and crash.pool_key == suspect.crashes[0].pool_key
-            and not suspect.includes(crash)
+        from_unix_s, until_unix_s = min(times), max(times)
+        others = [
+            crash
             for crash in self._ended
-        )
-        share = len(times) / (len(times) + others)
-        return CRASHES_TO_BLOCK if share >= MIN_EXPLAINED_SHARE else CRASHES_TO_BLOCK_ANY_PART
+            if crash.pool_key == suspect.crashes[0].pool_key
+            and from_unix_s - SAME_CRASH_WITHIN_S < crash.ended_unix_s
+            and crash.ended_unix_s < until_unix_s + SAME_CRASH_WITHIN_S
+            and not suspect.includes(crash)
+        ]
+        return len(times) >= MIN_EXPLAINED_SHARE * (len(times) + len(others))
 
     def has_crash(self, fingerprint: int, server_key: int) -> bool:
         """Return whether a server is recorded as having crashed while running a request."""
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -3,9 +3,10 @@
 from pomelobarrow.decision.crash_suspects import (
     ANY_REQUEST,
     CRASHES_TO_BLOCK,
-    CRASHES_TO_BLOCK_ANY_PART,
     MAX_ANSWERED,
+    MAX_CRASHES,
     PART_ANSWER_CLEARS_FOR_S,
+    SERVERS_TO_BLOCK_ANY_PART,
     Crash,
     CrashSuspects,
     Suspicion,
@@ -84,16 +85,26 @@
     assert suspects.suspicion(CRASHING, 101.0) is Suspicion.SUSPECTED
 
 
-def test_part_is_blocked_after_five_crashes_whatever_else_crashed() -> None:
+def test_part_is_blocked_after_five_servers_whatever_else_crashed() -> None:
     suspects = CrashSuspects()
     for number in range(20):
         suspects.note(ended(number))
-    for number in range(CRASHES_TO_BLOCK_ANY_PART):
+    for number in range(SERVERS_TO_BLOCK_ANY_PART):
         assert suspects.suspicion(CRASHING, 101.0) is not Suspicion.BLOCKED
         suspects.note(crash(number, number + 1))
     assert suspects.suspicion(CRASHING, 101.0) is Suspicion.BLOCKED
 
 
+def test_part_is_blocked_although_each_request_with_it_ended_two_servers() -> None:
+    """The list of its crashes was full before five requests had been on servers."""
+    suspects = CrashSuspects()
+    for number in range(20):
+        suspects.note(ended(number))
+    for number in range(MAX_CRASHES):
+        suspects.note(crash(number, number // 2 + 1))
+    assert suspects.suspicion(CRASHING, 101.0) is Suspicion.BLOCKED
+
+
 def test_crashes_of_another_pool_or_time_say_nothing_about_a_part() -> None:
     suspects = blocked()
     for number in range(6):
