Publish streams of versions that this VM's list doesn't have yet

Found by reading: a VM published the record of a stream if its own list of servers showed several versions in the pool. With an old list it can get the answer of a newer version from a peer, knows that version from the peer's header, and kept the record to itself; a client that came back elsewhere would have met a VM without it. Every stream that isn't of the one version known for its pool is published now, which also needs no pool. The new decision test fails with the condition before (nothing published).

--- a/src/pomelobarrow/decision/stream_software.py
+++ b/src/pomelobarrow/decision/stream_software.py
@@ -124,9 +124,9 @@
             if listed.last_unix_s >= oldest_unix_s
         }
 
-    def mixed_pools(self, now_unix_s: float) -> frozenset[str]:
-        """Return the pools whose streams may be of several versions."""
-        return frozenset(pool for pool in self._pools if len(self.recent(pool, now_unix_s)) > 1)
+    def recent_by_pool(self, now_unix_s: float) -> dict[str, dict[int, float]]:
+        """Return the same for each pool."""
+        return {pool: self.recent(pool, now_unix_s) for pool in self._pools}
 
     def assumed(self, pool: str, now_unix_s: float) -> int | None:
         """Return the software of a stream of which there is no record, None if it isn't certain.
@@ -153,6 +153,8 @@
     _of_peers: StreamRecords = field(factory=StreamRecords)
     # Pools whose streams may be of several versions.
     mixed_pools: frozenset[str] = frozenset()
+    # The software of the pools that have run a single version.
+    _single: frozenset[int] = frozenset()
 
     @property
     def kept_records(self) -> int:
@@ -162,20 +164,27 @@
     def observe_servers(self, servers: Mapping[str, BackendServer], now_unix_s: float) -> None:
         """Record the list of servers; publish own streams of pools that now have two versions."""
         self.history.observe(servers, now_unix_s)
-        mixed = self.history.mixed_pools(now_unix_s)
+        by_pool = self.history.recent_by_pool(now_unix_s)
+        mixed = frozenset(pool for pool, recent in by_pool.items() if len(recent) > 1)
         for pool in mixed - self.mixed_pools:
-            self.publish(self._own.of_software(self.history.recent(pool, now_unix_s)))
+            self.publish(self._own.of_software(by_pool[pool]))
         self.mixed_pools = mixed
+        self._single = frozenset(
+            software for pool, recent in by_pool.items() if pool not in mixed for software in recent
+        )
 
     def is_mixed(self, pool: str) -> bool:
         """Return whether a pool's streams may be of several versions."""
         return pool in self.mixed_pools
 
-    def note_began(self, request_id: str, software: int, pool: str, now_unix_s: float) -> None:
-        """Record the software that begins a stream of this VM, before its client gets an event."""
+    def note_began(self, request_id: str, software: int, now_unix_s: float) -> None:
+        """Record the software that begins a stream of this VM, before its client gets an event.
+
+        A peer's server may run a version that this VM's list of servers doesn't have yet.
+        """
         began = StreamBegan(stream_key=stream_key(request_id), software_key=software)
         self._own.note(began, now_unix_s)
-        if pool in self.mixed_pools:
+        if software not in self._single:
             self.publish((began,))
 
     def note_complete(self, request_id: str) -> None:
--- a/src/pomelobarrow/dispatch/crash_guard.py
+++ b/src/pomelobarrow/dispatch/crash_guard.py
@@ -23,7 +23,7 @@
 from pomelobarrow.kernel.clock import now_unix_s
 
 DETAIL = "servers ended while they ran this request (the same caller, path and body)"
-EMPTY: Mapping[int, str] = MappingProxyType({})
+NO_PARTS: Mapping[int, str] = MappingProxyType({})
 PART_DETAIL = "servers ended when they began to answer prompts with a part of this one"
 
 
@@ -83,7 +83,7 @@
         pool: str,
         fingerprint: int,
         run: RunStatus,
-        parts: Mapping[int, str] = EMPTY,
+        parts: Mapping[int, str] = NO_PARTS,
     ) -> Refusal:
         """Return the refusal of a blocked request and report it with the evidence.
 
--- a/src/pomelobarrow/relay/stream_joins.py
+++ b/src/pomelobarrow/relay/stream_joins.py
@@ -45,10 +45,10 @@
     def bind(self, progress: RequestProgress, software: int) -> None:
         """Record the software before the client gets the first event of this attempt."""
         progress.software_key = software
-        request, work = progress.request, progress.request.work
+        request = progress.request
         is_taken_up_here = request.route.is_resumable and not request.forwarded_by
         if is_taken_up_here and software != UNKNOWN_SOFTWARE:
-            self.streams.note_began(work.request_id, software, work.pool, now_unix_s())
+            self.streams.note_began(request.work.request_id, software, now_unix_s())
 
     def note_complete(self, progress: RequestProgress) -> None:
         """Forget a stream that the client has received whole."""
--- a/tests/test_stream_software.py
+++ b/tests/test_stream_software.py
@@ -74,9 +74,9 @@
     history.observe(listed(V1, V2), NOW)
     history.observe(listed(V2), NOW + 1.0)
     assert history.assumed(POOL, NOW + STREAM_RETENTION_S) is None
-    assert history.mixed_pools(NOW + STREAM_RETENTION_S) == {POOL}
+    assert len(history.recent(POOL, NOW + STREAM_RETENTION_S)) == 2
     assert history.assumed(POOL, NOW + STREAM_RETENTION_S + 1.0) == SECOND
-    assert history.mixed_pools(NOW + STREAM_RETENTION_S + 1.0) == set()
+    assert list(history.recent(POOL, NOW + STREAM_RETENTION_S + 1.0)) == [SECOND]
 
 
 def test_unlisted_pool_has_no_version() -> None:
@@ -110,13 +110,13 @@
     published: list[StreamBegan] = []
     streams = StreamSoftware(publish=published.extend)
     streams.observe_servers(listed(V1), NOW)
-    streams.note_began("r1", FIRST, POOL, NOW)
-    streams.note_began("r2", FIRST, POOL, NOW)
+    streams.note_began("r1", FIRST, NOW)
+    streams.note_began("r2", FIRST, NOW)
     streams.note_complete("r2")
     assert published == []
     # Those that go on when the second version appears are published then.
     streams.observe_servers(listed(V1, V2), NOW + 1.0)
-    streams.note_began("r3", SECOND, POOL, NOW + 2.0)
+    streams.note_began("r3", SECOND, NOW + 2.0)
     keys = [stream_key("r1"), stream_key("r3")]
     assert [each.stream_key for each in published] == keys
     assert [streams.software_of(key) for key in keys] == [FIRST, SECOND]
@@ -127,10 +127,19 @@
     streams = StreamSoftware(publish=published.extend)
     other = evolve(V1, name="s8", pool="other")
     streams.observe_servers(listed(V1, V2, other), NOW)
-    streams.note_began("r1", software_key(other), "other", NOW)
+    streams.note_began("r1", software_key(other), NOW)
     assert published == []
 
 
+def test_stream_of_a_version_that_is_not_listed_here_is_published() -> None:
+    """A VM with an old list of servers gets the answer of a new one from a peer."""
+    published: list[StreamBegan] = []
+    streams = StreamSoftware(publish=published.extend)
+    streams.observe_servers(listed(V1), NOW)
+    streams.note_began("r1", SECOND, NOW)
+    assert [each.software_key for each in published] == [SECOND]
+
+
 def test_servers_of_other_software_and_regions_without_it_are_excluded() -> None:
     tried = ExcludedTargets(servers={"s9"}, regions={"c"})
     there = evolve(V2, name="s4", region="b")
