--- a/src/pomelobarrow/decision/brittle_servers.py
+++ b/src/pomelobarrow/decision/brittle_servers.py
@@ -57,7 +57,7 @@
     own_requests: Callable[[str], int] = lambda server_name: 0
     # By pool: when a server last stated that it is brittle.
     _stated: dict[str, float] = field(factory=dict)
-    # By key of the pool: when a peer last stated that servers told it so.
+    # By key of the pool: when a peer last stated that its servers are.
     _stated_by_peers: dict[int, float] = field(factory=dict)
     _reduced: dict[str, _Reduced] = field(factory=dict)
 
@@ -76,12 +76,12 @@
         return now_unix_s - stated_unix_s < STATEMENT_VALID_S
 
     def stated_lately(self, now_unix_s: float) -> list[str]:
-        """Return the pools whose servers have just told this VM that they are brittle."""
+        """Return the pools whose servers have just stated to this VM that they are brittle."""
         oldest_unix_s = now_unix_s - STATEMENT_VALID_S
         return [pool for pool, at in self._stated.items() if at > oldest_unix_s]
 
     def observe_of_peer(self, pool_keys: Iterable[int], now_unix_s: float) -> None:
-        """Record the pools whose servers told a peer that they are brittle."""
+        """Record the pools whose servers stated to a peer that they are brittle."""
         if self._stated_by_peers:
             oldest_unix_s = now_unix_s - STATEMENT_VALID_S
             valid = {k: at for k, at in self._stated_by_peers.items() if at > oldest_unix_s}
