Log and count how the software is known of a stream that a client takes up

A request that was refused because no VM knew its stream's version left no line at all, since it is refused before it is relayed; and nothing showed whether a stream went on by a record, by the only version or by what the forwarding VM stated. Each such decision has a line with its inputs now, and a counter by source. No decision changed; the test of the refusal reads the event.

--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -215,6 +215,12 @@
             "Relayed requests that ended here, by what the client got.",
             ("route", "outcome", "status"),
         )
+        self.streams_taken_up = CounterFamily(
+            registry,
+            "pomelobarrow_streams_taken_up_total",
+            "Streams that clients took up again, by how the software that began them is known.",
+            ("source",),
+        )
         self.relay_denied = CounterFamily(
             registry,
             "pomelobarrow_relay_denied_total",
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -43,6 +43,7 @@
     RelayPlaced,
     ServerEjected,
     ServerReadmitted,
+    StreamTakenUp,
 )
 
 log = structlog.get_logger(__name__)
@@ -68,6 +69,7 @@
             RelayPlaced: self._relay_placed,
             RelayNotPlaced: self._relay_not_placed,
             RelayDenied: self._relay_denied,
+            StreamTakenUp: self._stream_taken_up,
             RelayAttemptEnded: self._relay_attempt_ended,
             RelayEnded: self._relay_ended,
             ServerEjected: self._server_ejected,
@@ -171,6 +173,10 @@
         self._metrics.relay_denied.inc(event.kind)
         self._log.info("relay denied", **asdict(event))
 
+    def _stream_taken_up(self, event: StreamTakenUp) -> None:
+        self._metrics.streams_taken_up.inc(event.source)
+        self._log.info("stream taken up", **asdict(event))
+
     def _relay_attempt_ended(self, event: RelayAttemptEnded) -> None:
         self._metrics.relay_attempts.inc(event.pool, event.end)
         self._metrics.relay_attempt_s.observe(event.took_s, event.pool, event.end)
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -80,6 +80,21 @@
     retry_after_s: float | None
 
 
+@frozen(kw_only=True)
+class StreamTakenUp:
+    """Report how the software is known of a stream that a client takes up again."""
+
+    request_id: str
+    route: str
+    pool: str
+    # The request that got the stream's first event, and the last event that the client has.
+    resumes: str
+    resume_after: str
+    # The software versions that the pool's servers have run lately, as this VM knows.
+    versions_listed: int
+    source: str
+
+
 @frozen(kw_only=True)
 class RelayAttemptEnded:
     """Report how one attempt of a request ended."""
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -208,6 +208,7 @@
         streams=context.get(StreamSoftware),
         servers=lambda: published.backend_servers,
         ask_peers=context.get(StreamSoftwareUpdates).find,
+        observe=context.observe,
     )
 
 
--- a/src/pomelobarrow/relay/stream_joins.py
+++ b/src/pomelobarrow/relay/stream_joins.py
@@ -1,5 +1,6 @@
 """Bind each stream to the software that began it, and determine that of streams taken up again."""
 
+import enum
 from collections.abc import Awaitable, Callable, Mapping
 
 from attrs import define, field
@@ -16,6 +17,7 @@
 from pomelobarrow.decision.work import BackendServer
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.relay.events import StreamTakenUp
 from pomelobarrow.relay.messages import RequestHead, ServerAnswerHead
 from pomelobarrow.relay.progress import RequestProgress
 
@@ -24,6 +26,15 @@
 OTHER_SOFTWARE = "a server of another software version than the one that began the stream answered"
 
 
+class SoftwareSource(enum.Enum):
+    """Enumerate how the software of a stream that a client takes up is known."""
+
+    STATED = "the VM that forwards the request"
+    RECORDED = "a record of the stream"
+    ASSUMED = "the only version at that time"
+    UNKNOWN = "unknown"
+
+
 @define(kw_only=True)
 class StreamJoins:
     """Let a stream go on only at servers of the software that sent its first event."""
@@ -65,6 +76,7 @@
     # Asks peers for the software of the stream of a request id; the second argument states whether
     # its pool has several versions.
     ask_peers: Callable[[str, bool], Awaitable[int | None]] | None = None
+    observe: Callable[[object], None] = lambda event: None
 
     async def bind(
         self, head: RequestHead, route: Route, pool: str, stated: int | None
@@ -75,17 +87,37 @@
         """
         if not route.is_stream or not head.last_event_id:
             return Ok((pool, None))
-        software = stated if stated is not None else await self._find(head, route)
-        if software is None:
-            software = self.streams.history.assumed(pool, now_unix_s())
-        if software is None:
-            return Err(self._refusal(pool))
-        return Ok((self._pool_of(software, route) or pool, software))
-
-    def _refusal(self, pool: str) -> Refusal:
-        is_listed = bool(self.streams.history.recent(pool, now_unix_s()))
-        kind = ErrorKind.NOT_RESUMABLE if is_listed else ErrorKind.NOT_READY
-        return refuse(kind, RunStatus.NO, SOFTWARE_UNKNOWN if is_listed else NO_SERVER_LISTED)
+        software, source = await self._software(head, route, pool, stated)
+        listed = self.streams.history.recent(pool, now_unix_s())
+        self.observe(
+            StreamTakenUp(
+                request_id=head.request_id,
+                route=route.name,
+                pool=pool,
+                resumes=head.resumes,
+                resume_after=head.last_event_id,
+                versions_listed=len(listed),
+                source=source.value,
+            )
+        )
+        if software is not None:
+            return Ok((self._pool_of(software, route) or pool, software))
+        if listed:
+            return Err(refuse(ErrorKind.NOT_RESUMABLE, RunStatus.NO, SOFTWARE_UNKNOWN))
+        return Err(refuse(ErrorKind.NOT_READY, RunStatus.NO, NO_SERVER_LISTED))
+
+    async def _software(
+        self, head: RequestHead, route: Route, pool: str, stated: int | None
+    ) -> tuple[int | None, SoftwareSource]:
+        if stated is not None:
+            return stated, SoftwareSource.STATED
+        found = await self._find(head, route)
+        if found is not None:
+            return found, SoftwareSource.RECORDED
+        assumed = self.streams.history.assumed(pool, now_unix_s())
+        if assumed is not None:
+            return assumed, SoftwareSource.ASSUMED
+        return None, SoftwareSource.UNKNOWN
 
     async def _find(self, head: RequestHead, route: Route) -> int | None:
         if not head.resumes:
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -251,7 +251,7 @@
         is_draining=lambda: False,
         planned_stop=stop,
         access=access,
-        resumed=ResumedStreams(streams=streams, servers=lambda: by_name),
+        resumed=ResumedStreams(streams=streams, servers=lambda: by_name, observe=events.append),
     )
     listeners = RelayListeners(
         (
--- a/tests/test_relay_software_versions.py
+++ b/tests/test_relay_software_versions.py
@@ -8,6 +8,7 @@
 from pomelobarrow.decision.routing import RouteKind
 from pomelobarrow.decision.stream_software import stream_key
 from pomelobarrow.relay import relay as relay_module
+from pomelobarrow.relay.events import StreamTakenUp
 
 RESUMABLE = route(RouteKind.STREAM, is_resumable=True, max_attempts=4)
 LAST = 4
@@ -108,6 +109,8 @@
     async with relay_fleet((RESUMABLE,), servers, versions={"s1": "v1", "s2": "v2"}) as fleet:
         answer = await _take_up(fleet, "a", resumes)
         assert _received(fleet, "s1") + _received(fleet, "s2") == 0
+        [event] = [each for each in fleet.vms["a"].events if isinstance(each, StreamTakenUp)]
+    assert (event.resumes, event.versions_listed, event.source) == (resumes, 2, "unknown")
     assert answer.status == 503
     assert b'"kind":"not_resumable"' in answer.body
     assert "Retry-After" not in answer.headers
