Refuse a stream without a record as soon as its pool has two versions

Cause: for five seconds after a second version appeared, a VM took a stream without a record for one of the version before, since streams that began earlier are recorded only once their VM has noticed the second version. Where the record itself is lost, as beside daemons that are killed and paused, that guess joins two versions. The streams that it meant to save are those whose VM ends between the appearance and its next list.

Change: a stream without a record goes on only where the pool has had a single version for two minutes. The decision test for the guess is replaced by one that expects the refusal; it fails on the code before.

--- a/src/pomelobarrow/decision/stream_software.py
+++ b/src/pomelobarrow/decision/stream_software.py
@@ -20,8 +20,6 @@
 STREAM_RETENTION_S = 120.0
 MAX_STREAMS = 16_384
 MAX_CACHED_KEYS = 1_024
-# All VMs list a new server within this time.
-LISTED_EVERYWHERE_S = 5.0
 # The software of a stream whose server is unknown. No server has this key.
 UNKNOWN_SOFTWARE = -1
 
@@ -88,58 +86,36 @@
             self._records.popitem(last=False)
 
 
-@define(kw_only=True)
-class _Listed:
-    """When servers of a software version were listed for the first and for the last time."""
-
-    first_unix_s: float
-    last_unix_s: float
-
-
 @define(kw_only=True)
 class SoftwareHistory:
     """The software versions that servers of each pool have run recently, by the list of servers."""
 
-    _pools: dict[str, dict[int, _Listed]] = field(factory=dict)
+    # By pool and software: when it was listed for the last time.
+    _listed_unix_s: dict[str, dict[int, float]] = field(factory=dict)
 
     def observe(self, servers: Mapping[str, BackendServer], now_unix_s: float) -> None:
         """Record the present list."""
-        known = frozenset(self._pools)
         for server in servers.values():
-            versions = self._pools.setdefault(server.pool, {})
-            # Versions that a pool has from its first list on may have served for long.
-            is_first_list = server.pool not in known
-            first_unix_s = float("-inf") if is_first_list else now_unix_s
-            listed = versions.setdefault(
-                software_key(server), _Listed(first_unix_s=first_unix_s, last_unix_s=now_unix_s)
-            )
-            listed.last_unix_s = now_unix_s
-
-    def recent(self, pool: str, now_unix_s: float) -> dict[int, float]:
-        """Return the versions whose streams may still be taken up, and when each first appeared."""
+            listed = self._listed_unix_s.setdefault(server.pool, {})
+            listed[software_key(server)] = now_unix_s
+
+    def recent(self, pool: str, now_unix_s: float) -> frozenset[int]:
+        """Return the versions whose streams may still be taken up."""
         oldest_unix_s = now_unix_s - STREAM_RETENTION_S
-        return {
-            software: listed.first_unix_s
-            for software, listed in self._pools.get(pool, {}).items()
-            if listed.last_unix_s >= oldest_unix_s
-        }
+        listed = self._listed_unix_s.get(pool, {})
+        return frozenset(key for key, unix_s in listed.items() if unix_s >= oldest_unix_s)
 
-    def recent_by_pool(self, now_unix_s: float) -> dict[str, dict[int, float]]:
+    def recent_by_pool(self, now_unix_s: float) -> dict[str, frozenset[int]]:
         """Return the same for each pool."""
-        return {pool: self.recent(pool, now_unix_s) for pool in self._pools}
+        return {pool: self.recent(pool, now_unix_s) for pool in self._listed_unix_s}
 
     def assumed(self, pool: str, now_unix_s: float) -> int | None:
         """Return the software of a stream of which there is no record, None if it isn't certain.
 
-        VMs record streams only while a pool has several versions. Where another version has just
-        appeared, an unrecorded stream is of the one that served before.
+        VMs publish records of streams only while a pool has several versions.
         """
         recent = self.recent(pool, now_unix_s)
-        if len(recent) == 1:
-            return next(iter(recent))
-        since_unix_s = now_unix_s - LISTED_EVERYWHERE_S
-        established = [software for software, first in recent.items() if first < since_unix_s]
-        return established[0] if len(established) == 1 else None
+        return next(iter(recent)) if len(recent) == 1 else None
 
 
 @define(kw_only=True)
--- a/tests/test_stream_software.py
+++ b/tests/test_stream_software.py
@@ -4,7 +4,6 @@
 
 from pomelobarrow.decision.placement_request import ExcludedTargets
 from pomelobarrow.decision.stream_software import (
-    LISTED_EVERYWHERE_S,
     MAX_STREAMS,
     STREAM_RETENTION_S,
     SoftwareHistory,
@@ -55,15 +54,15 @@
     assert history.assumed(POOL, NOW) == FIRST
 
 
-def test_unrecorded_stream_is_of_the_version_before_while_another_has_just_appeared() -> None:
+def test_unrecorded_stream_is_of_no_version_once_another_has_appeared() -> None:
+    """Its record may be lost, so that a stream of the new version went on at the one before."""
     history = SoftwareHistory()
     history.observe(listed(V1), NOW)
     history.observe(listed(V1, V2), NOW + 1.0)
-    assert history.assumed(POOL, NOW + 1.0) == FIRST
-    assert history.assumed(POOL, NOW + 1.1 + LISTED_EVERYWHERE_S) is None
+    assert history.assumed(POOL, NOW + 1.0) is None
 
 
-def test_unrecorded_stream_is_of_no_version_if_two_served_at_the_start() -> None:
+def test_unrecorded_stream_is_of_no_version_if_two_serve() -> None:
     history = SoftwareHistory()
     history.observe(listed(V1, V2), NOW)
     assert history.assumed(POOL, NOW) is None
@@ -76,7 +75,7 @@
     assert history.assumed(POOL, NOW + STREAM_RETENTION_S) is None
     assert len(history.recent(POOL, NOW + STREAM_RETENTION_S)) == 2
     assert history.assumed(POOL, NOW + STREAM_RETENTION_S + 1.0) == SECOND
-    assert list(history.recent(POOL, NOW + STREAM_RETENTION_S + 1.0)) == [SECOND]
+    assert history.recent(POOL, NOW + STREAM_RETENTION_S + 1.0) == {SECOND}
 
 
 def test_unlisted_pool_has_no_version() -> None:
