Keep each stream's record at another VM of its region, which isn't leaving

The record was at two VMs that were both gone a second later.

Change: a VM isn't the keeper of its own streams, since it knows them anyway, and VMs that are leaving are passed over; the VM that a client comes back to asks by the same rule. Two new tests over real datagrams; both fail with the choice before (by the first, streams of which a-1 was the keeper aren't found).

--- a/src/pomelobarrow/peers/stream_software.py
+++ b/src/pomelobarrow/peers/stream_software.py
@@ -8,12 +8,12 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Sequence
 from itertools import islice
 
 from attrs import define, field
 
-from pomelobarrow.decision.member import Member, name_of
+from pomelobarrow.decision.member import READY, Member, name_of
 from pomelobarrow.decision.membership import MembershipView
 from pomelobarrow.decision.rendezvous import rendezvous
 from pomelobarrow.decision.stream_software import StreamBegan, StreamSoftware, stream_key
@@ -23,7 +23,10 @@
 
 # Streams are spread over the VMs by groups, since ranking all VMs for each stream is slow.
 GROUPS = 256
-# VMs of the own region that are asked. The second one kept the stream if the first has just joined.
+# VMs of a region that are ranked for a group: some of them may be leaving.
+RANKED = 5
+# VMs of the own region that are asked. The second one kept the stream if the first has just joined,
+# or had begun the stream itself.
 ASKED_IN_REGION = 2
 # A round trip between the farthest regions, and one in which the answering VM is busy.
 ANSWER_TIMEOUT_S = 0.25
@@ -53,7 +56,7 @@
         members: dict[str, Member] = {}
         for record in records:
             for region in self.regions:
-                for member in self._keepers(record.stream_key, region)[:1]:
+                for member in self._keepers(record.stream_key, region, 1):
                     members[member.vm] = member
                     by_keeper[member.vm].append(record)
         for vm, kept in by_keeper.items():
@@ -69,7 +72,7 @@
         known = self.streams.software_of(key)
         if known is not None:
             return known
-        asked = [m for m in self._asked(key, is_mixed) if m.vm != self.view.own_vm]
+        asked = self._asked(key, is_mixed)
         timeout_s = ANSWER_TIMEOUT_S if is_mixed else NEARBY_ANSWER_TIMEOUT_S
         queries = [asyncio.create_task(self._query(member, key, timeout_s)) for member in asked]
         try:
@@ -81,29 +84,36 @@
                 query.cancel()
         return None
 
-    def _asked(self, key: int, is_mixed: bool) -> Iterator[Member]:
-        yield from self._keepers(key, self.view.own_region)
+    def _asked(self, key: int, is_mixed: bool) -> list[Member]:
+        asked = self._keepers(key, self.view.own_region, ASKED_IN_REGION)
         if is_mixed:
             for region in self.regions:
                 if region != self.view.own_region:
-                    yield from self._keepers(key, region)[:1]
+                    asked += self._keepers(key, region, 1)
+        return asked
 
-    def _keepers(self, key: int, region: str) -> tuple[Member, ...]:
-        """Return a region's live VMs that keep a stream's record, the first in charge."""
+    def _keepers(self, key: int, region: str, count: int) -> list[Member]:
+        """Return the other VMs of a region that keep a stream's record, the first in charge.
+
+        This VM isn't among them: what it began must be known when it is gone.
+        """
+        staying = (m for m in self._ranked(key, region) if self._is_staying(m))
+        return list(islice(staying, count))
+
+    def _is_staying(self, member: Member) -> bool:
+        known = self.view.get(member.vm)
+        return known is not None and known.phase == READY and member.vm != self.view.own_vm
+
+    def _ranked(self, key: int, region: str) -> tuple[Member, ...]:
         now, group = now_unix_s(), key % GROUPS
 
         def rank() -> tuple[Member, ...]:
             members = {name_of(member): member for member in self.view.live(region, now)}
-            ranked = rendezvous(f"stream/{group}", members, ASKED_IN_REGION)
-            return tuple(members[vm] for vm in ranked)
+            return tuple(members[vm] for vm in rendezvous(f"stream/{group}", members, RANKED))
 
         return self.view.memoized(f"stream/{group}/{region}", rank, now)
 
     def _send_to(self, member: Member, records: Sequence[StreamBegan]) -> None:
-        if member.vm == self.view.own_vm:
-            for record in records:
-                self.streams.note_of_peer(record, now_unix_s())
-            return
         left = iter(records)
         while batch := list(islice(left, RECORDS_PER_DATAGRAM)):
             began = pb.StreamsBegan(
--- a/tests/test_stream_software_updates.py
+++ b/tests/test_stream_software_updates.py
@@ -4,10 +4,12 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from datagram_vms import HOST_BY_VM, KEY, REGION_BY_VM, view_of
+from attrs import evolve
+from datagram_vms import HOST_BY_VM, KEY, REGION_BY_VM, member, view_of
 from test_stream_software import FIRST, SECOND, V1, V2, listed
 
 from harness.processes import free_ports
+from pomelobarrow.decision.member import Phase
 from pomelobarrow.decision.stream_software import StreamSoftware
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import stream_software
@@ -60,6 +62,29 @@
     assert found == [SECOND] * len(STREAMS)
 
 
+async def test_another_vm_of_the_region_keeps_each_stream() -> None:
+    """A region of which the VM that began a stream was the keeper itself forgot it with that VM."""
+    async with fleet() as vms:
+        begin(vms["a-1"])
+        await vms["a-2"].find("r0", is_mixed=True)
+        for vm in ("a-1", "b-1"):
+            await vms[vm].datagrams.stop()
+        found = [await vms["a-3"].find(request_id, is_mixed=True) for request_id in STREAMS]
+    assert found == [FIRST] * len(STREAMS)
+
+
+async def test_vm_that_leaves_gets_no_records() -> None:
+    """It would be gone when a client comes back."""
+    async with fleet() as vms:
+        view = vms["a-1"].view
+        leaving = evolve(member("a-2"), phase=Phase.LEAVING.value, sequence=2)
+        view.observe_heartbeat(leaving, now_unix_s())
+        begin(vms["a-1"])
+        await vms["a-1"].find("never sent", is_mixed=True)
+        kept = {vm: updates.streams.kept_records for vm, updates in vms.items()}
+    assert (kept["a-2"], kept["a-3"]) == (0, len(STREAMS))
+
+
 async def test_vm_with_an_old_list_learns_of_another_version_from_its_region() -> None:
     """It lists one version, so that only VMs of its own region are asked."""
     async with fleet() as vms:
@@ -92,6 +117,6 @@
         vms["a-1"].send(vms["a-1"].streams._own.of_software([FIRST]))
         await vms["a-1"].find("never sent", is_mixed=True)
         kept = {vm: updates.streams.kept_records for vm, updates in vms.items()}
-    # One VM per region keeps each record.
-    assert kept["b-1"] == 4 * RECORDS_PER_DATAGRAM
-    assert kept["a-1"] + kept["a-2"] + kept["a-3"] == 4 * RECORDS_PER_DATAGRAM
+    # One VM per region keeps each record, but not the one that began the stream.
+    assert (kept["a-1"], kept["b-1"]) == (0, 4 * RECORDS_PER_DATAGRAM)
+    assert kept["a-2"] + kept["a-3"] == 4 * RECORDS_PER_DATAGRAM
