--- a/bench/decisions/stream_records.py
+++ b/bench/decisions/stream_records.py
@@ -52,12 +52,14 @@
     def in_region(self, region: str) -> list[_Vm]:
         return [vm for vm in self.vms.values() if vm.region == region]
 
-    def keepers(self, stream: int, region: str, count: int) -> list[_Vm]:
+    def keepers(self, stream: int, region: str, count: int, but: _Vm) -> list[_Vm]:
+        """Return the other VMs of a region that keep a stream's record, the first in charge."""
         key = (stream % 256, region)
         if key not in self.keeper_cache:
             names = [vm.name for vm in self.in_region(region)]
-            self.keeper_cache[key] = rendezvous(f"stream/{key[0]}", names, ASKED_IN_REGION)
-        return [self.vms[name] for name in self.keeper_cache[key][:count]]
+            self.keeper_cache[key] = rendezvous(f"stream/{key[0]}", names, ASKED_IN_REGION + 1)
+        others = [self.vms[name] for name in self.keeper_cache[key] if name != but.name]
+        return others[:count]
 
     def arrives(self, sender: _Vm, receiver: _Vm, size: int) -> bool:
         """Send a datagram; return whether it arrives."""
@@ -91,27 +93,24 @@
         return any(stream in vm.records for vm in answered)
 
 
-def _nobody(fleet: _Fleet, stream: int, region: str) -> list[_Vm]:
+def _nobody(fleet: _Fleet, stream: int, vm: _Vm) -> list[_Vm]:
     return []
 
 
-def _all(fleet: _Fleet, stream: int, region: str) -> list[_Vm]:
+def _all(fleet: _Fleet, stream: int, vm: _Vm) -> list[_Vm]:
     return list(fleet.vms.values())
 
 
-def _one_per_region(fleet: _Fleet, stream: int, region: str) -> list[_Vm]:
-    return [fleet.keepers(stream, each, 1)[0] for each in REGIONS]
+def _one_per_region(fleet: _Fleet, stream: int, vm: _Vm) -> list[_Vm]:
+    return [keeper for each in REGIONS for keeper in fleet.keepers(stream, each, 1, vm)]
 
 
-def _keepers_asked(fleet: _Fleet, stream: int, region: str) -> list[_Vm]:
-    return [
-        vm
-        for each in REGIONS
-        for vm in fleet.keepers(stream, each, ASKED_IN_REGION if each == region else 1)
-    ]
+def _keepers_asked(fleet: _Fleet, stream: int, vm: _Vm) -> list[_Vm]:
+    counts = {region: ASKED_IN_REGION if region == vm.region else 1 for region in REGIONS}
+    return [k for region, count in counts.items() for k in fleet.keepers(stream, region, count, vm)]
 
 
-Chosen = Callable[[_Fleet, int, str], list[_Vm]]
+Chosen = Callable[[_Fleet, int, _Vm], list[_Vm]]
 # The VMs that get a record, and those that are asked when a client comes back.
 WAYS: dict[str, tuple[Chosen, Chosen]] = {
     "all VMs are asked": (_nobody, _all),
@@ -143,7 +142,7 @@
         vm = random.choice(list(fleet.vms.values()))
         if not fleet.is_up(vm):
             return
-        fleet.keep(vm, keeps(fleet, stream, vm.region), stream)
+        fleet.keep(vm, keeps(fleet, stream, vm), stream)
         vm.active.add(stream)
         leaves = random.random() < LEAVE_SHARE
         clock.after(random.uniform(*DURATION_S), lambda: end(vm, stream, leaves))
@@ -162,7 +161,7 @@
         up = [vm for vm in fleet.in_region(region) if fleet.is_up(vm)]
         if up:
             vm = random.choice(up)
-            found.append(fleet.knows(vm, asks(fleet, stream, region), stream))
+            found.append(fleet.knows(vm, asks(fleet, stream, vm), stream))
 
     clock.every(KILL_EVERY_S, KILL_EVERY_S, kill)
     at_unix_s, stream = 0.0, 0
