Don't try requests again whose part has ended two servers; block it after five

Cause, from the logs: crashes were noticed later than the next attempt was placed, so that two requests ended three servers each. They counted as one request each (the first not at all, at a VM that had answered nothing yet), so the part was not even suspected, and three requests that came together five seconds later were tried again, which made five arrivals.

Change: a request isn't tried again once two servers have ended under a part of it, whichever requests they were; and five servers block a part under two requests. A sound request that meets two crashes beside a bad one isn't tried a third time by this until an answer clears its part.

Figures: two new decision tests, which fail with the rule before (by its text: one request never suspected a part; five servers needed three requests).

--- a/src/pomelobarrow/decision/crash_suspects.py
+++ b/src/pomelobarrow/decision/crash_suspects.py
@@ -31,6 +31,8 @@
 # if so many crashed under it that the others must be spared in any case.
 MIN_EXPLAINED_SHARE = 0.8
 SERVERS_TO_BLOCK_ANY_PART = 5
+# So many crash under a single sound request only if it is tried again beside crashing ones.
+REQUESTS_THAT_ENDED_MANY = 2
 # Crashes of servers that are kept to compare a part's crashes with.
 MAX_ENDED = 256
 # The fingerprint of the finding that a server has ended, whatever was on it.
@@ -135,6 +137,10 @@
             return len(self.crashes)
         return len({crash.request_key for crash in self.crashes})
 
+    @property
+    def ended_many(self) -> bool:
+        return len(self.crashes) >= SERVERS_TO_BLOCK_ANY_PART
+
     def includes(self, crash: Crash) -> bool:
         return any(_is_same(known, crash) for known in self.crashes)
 
@@ -175,15 +181,15 @@
     def suspicion(self, fingerprint: int, now_unix_s: float) -> Suspicion:
         """Return the degree to which a request, or requests with a part, are restricted."""
         suspect = self._current(fingerprint, now_unix_s)
-        if suspect is None or suspect.count < CRASHES_TO_SUSPECT:
+        if suspect is None or len(suspect.crashes) < CRASHES_TO_SUSPECT:
             return Suspicion.NONE
         return Suspicion.BLOCKED if self._is_blocked(suspect) else Suspicion.SUSPECTED
 
     def _is_blocked(self, suspect: _Suspect) -> bool:
-        if suspect.count < CRASHES_TO_BLOCK:
-            return False
-        is_spared_further = len(suspect.crashes) >= SERVERS_TO_BLOCK_ANY_PART
-        return is_spared_further or not suspect.is_part or self._is_explanation(suspect)
+        if suspect.ended_many and suspect.count >= REQUESTS_THAT_ENDED_MANY:
+            return True
+        is_enough = suspect.count >= CRASHES_TO_BLOCK
+        return is_enough and (not suspect.is_part or self._is_explanation(suspect))
 
     def _is_explanation(self, suspect: _Suspect) -> bool:
         """Return whether a part was on most servers of its pool that crashed in its time."""
--- a/tests/test_crash_updates.py
+++ b/tests/test_crash_updates.py
@@ -120,4 +120,4 @@
     fleet.deliver()
     now = now_unix_s()
     assert fleet.views[last].suspects.suspicion(1, now) is Suspicion.BLOCKED
-    assert fleet.views[last].suspects.suspicion(2, now) is Suspicion.NONE
+    assert fleet.views[last].suspects.suspicion(2, now) is Suspicion.SUSPECTED
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -71,9 +71,26 @@
 def test_servers_that_crash_under_one_request_count_once_for_its_parts() -> None:
     """A sound request is tried again beside a crashing one, on each server that crashes."""
     suspects = CrashSuspects()
-    for number in range(4):
+    for number in range(SERVERS_TO_BLOCK_ANY_PART):
         suspects.note(crash(number, 7))
+    assert suspects.suspicion(CRASHING, 100.0) is Suspicion.SUSPECTED
+
+
+def test_request_with_a_part_that_ended_two_servers_is_not_tried_again() -> None:
+    """Requests with the part were tried again as long as one request alone had ended servers."""
+    suspects = CrashSuspects()
+    suspects.note(crash(1, 7))
     assert suspects.suspicion(CRASHING, 100.0) is Suspicion.NONE
+    suspects.note(crash(2, 7))
+    assert suspects.suspicion(CRASHING, 100.0) is Suspicion.SUSPECTED
+
+
+def test_part_under_which_two_requests_ended_five_servers_is_blocked() -> None:
+    """Each of them is tried at three servers where their crashes are noticed late."""
+    suspects = CrashSuspects()
+    for number in range(SERVERS_TO_BLOCK_ANY_PART):
+        suspects.note(crash(number, number // 3 + 1))
+    assert suspects.suspicion(CRASHING, 100.0) is Suspicion.BLOCKED
 
 
 def test_part_on_some_of_the_servers_that_crashed_is_not_blocked() -> None:
