--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,6 +28,8 @@
 SETTLE_S = 8.0
 CALM_RUN_S = 3.0
 CUT_RUN_S = 5.0
+# Eight pools get requests at once, and four daemons share the machine with their clients.
+PAUSE_BESIDE_OTHERS_S = (0.04, 0.12)
 # Servers of the soak always fail, refuse or truncate a part of their answers, so that not all
 # requests can be served.
 MIN_SERVED_SHARE = 0.8
@@ -61,8 +63,12 @@
         returns_random = random.Random(rng.random())
         links_random = random.Random(rng.random())
         brittle = BrittleServers(fleet=fleet, random=random.Random(rng.random()))
-        versioned = VersionedServers(fleet=fleet, random=random.Random(rng.random()))
-        prompted = PromptedServers(fleet=fleet, random=random.Random(rng.random()))
+        versioned = VersionedServers(
+            fleet=fleet, random=random.Random(rng.random()), pause_s=PAUSE_BESIDE_OTHERS_S
+        )
+        prompted = PromptedServers(
+            fleet=fleet, random=random.Random(rng.random()), pause_s=PAUSE_BESIDE_OTHERS_S
+        )
         pools = (fragile, limited, keyed, announcing, brittle, versioned, prompted)
         await asyncio.gather(*(each.start() for each in pools))
         sending = asyncio.create_task(clients.run(time.monotonic() + duration_s))
--- a/soak/prompted.py
+++ b/soak/prompted.py
@@ -18,7 +18,6 @@
 # All prompts have the first part; sound ones have one of the others, and some are rare.
 FIRST_PART, CRASHING_PART = "5c1e07a2", "bad0bad0"
 SOUND_PARTS = [f"{number:08x}" for number in range(1, 13)]
-PAUSE_S = (0.02, 0.06)
 CRASHING_SHARE = 0.07
 # Until a server begins to answer, and between its events.
 READ_S, EVENT_S = (0.02, 0.1), 0.02
@@ -36,6 +35,8 @@
 
     fleet: SoakFleet
     random: Random
+    # Between two requests.
+    pause_s: tuple[float, float] = (0.02, 0.06)
     # Arrivals of requests with the part, and the crashes under them.
     arrivals_s: list[float] = field(factory=list)
     crashes_s: list[float] = field(factory=list)
@@ -71,7 +72,7 @@
             while time.monotonic() < until_s:
                 is_crashing = has_crashing_part and self.random.random() < CRASHING_SHARE
                 calls.add(asyncio.create_task(self._send(session, is_crashing)))
-                await asyncio.sleep(self.random.uniform(*PAUSE_S))
+                await asyncio.sleep(self.random.uniform(*self.pause_s))
             await asyncio.gather(*calls)
         await crashing
 
--- a/soak/versioned.py
+++ b/soak/versioned.py
@@ -58,6 +58,8 @@
 
     fleet: SoakFleet
     random: Random
+    # Between two new streams.
+    pause_s: tuple[float, float] = (0.01, 0.05)
     # When each stream was first sent, and its record.
     streams: list[tuple[float, Stream]] = field(factory=list)
     _servers: CrashingServers = field(init=False)
@@ -91,7 +93,7 @@
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while time.monotonic() < until_s:
                 calls.add(asyncio.create_task(self._receive(session)))
-                await asyncio.sleep(self.random.uniform(0.01, 0.05))
+                await asyncio.sleep(self.random.uniform(*self.pause_s))
             await asyncio.gather(*calls)
         await crashing
 
