Note the attempt that began a soak's stream in one place

Read again as a newcomer: the soak's client noted it twice, after the answer and in the handler of errors; a finally clause serves both. A doc comment said that servers at times come back with a new version, which they never do: the versions take turns.

--- a/soak/versioned.py
+++ b/soak/versioned.py
@@ -159,9 +159,9 @@
                 if response.status != 200:
                     return
                 await _read_events(response, stream, leaves_after)
-                if stream.events and not stream.first_attempt:
-                    stream.first_attempt = id_
         except REQUEST_ERRORS:
+            pass
+        finally:
             if stream.events and not stream.first_attempt:
                 stream.first_attempt = id_
 
@@ -188,7 +188,7 @@
         await self._start_one(region, version, port or 0)
 
     async def _upgrade(self, name: str) -> None:
-        """Let a server leave and come back with the other version, or at times with a new one."""
+        """Let a server leave and come back; the versions of such servers take turns."""
         region, version = self._running.pop(name)
         address = self._servers.address(name)
         self.fleet.list_address(name, region, address, VERSIONED, "draining", version=version)
