--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -187,11 +187,14 @@
     slowdown: float = 1.0
     # Loses the answer of each request for which this returns true: it resets the connection.
     loses: Any = None
+    # Returns the wrong load to state with an answer, by the number of the answer; None if sound.
+    spoils: Any = None
     runs: list[Run] = field(default_factory=list)
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     listener: Any = None
     _waiting: int = 0
     _running: int = 0
+    _answered: int = 0
     _free: asyncio.Condition = field(default_factory=asyncio.Condition)
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
@@ -278,11 +281,16 @@
             )
             connection.reset()
             return
+        self._answered += 1
+        load = f"{self._running},{self._waiting},{self.slots}"
+        if self.spoils is not None and (wrong := self.spoils(self._answered)):
+            load = wrong
+            self.record.note(f"worker {self.id} states a wrong load to {request_id}: {wrong}")
         self.record.note(f"worker {self.id} answers {request_id}")
         headers = {
             "Pomelobarrow-Request-Id": request_id,
             "Pomelobarrow-Response-Seal": f"seal-{request_id}",
-            "Pomelobarrow-Server-Load": f"{self._running},{self._waiting},{self.slots}",
+            "Pomelobarrow-Server-Load": load,
         }
         await connection.send(200, headers, f"done {run.body}".encode())
 
