--- a/review/2/case.py
+++ b/review/2/case.py
@@ -33,8 +33,8 @@
 TROUBLES = 7
 # A counter that went below zero, as an unsigned number of 64 bits.
 WRONG_LOAD = "18446744073709551615,0,6"
-# The sheet has 11.8 checks and 29.5 pings a second in three zones.
-CHECKS_PER_S = 14.0
+# The sheet has 41.3 requests a second in three zones, the site file peaks of 2.3 times that.
+CHECKS_PER_S = 24.0
 DEADLINE_S = 3.0
 # The platform starts a process that ended again after a short delay.
 RESTART_S = 0.5
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A route moves while one machine is frozen: does another go back to the old service?"""
+"""A route moves while two machines are dark: does another go back to the old service?"""
 
 import asyncio
 import os
@@ -15,36 +15,38 @@
 from wire import call  # noqa: E402
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ZONES = {"mi-sesto": ("milano", 3), "to-lingotto": ("torino", 2), "bo-navile": ("bologna", 2)}
-HOMES = ["milano", "torino"]
-HOST = "shops.example"
-SERVICES = ("bot-gateway", "bot-gateway-next")
+ZONES = {
+    "tln-hall-d": ("tallinn", 3),
+    "rtm-hall-b": ("rotterdam", 2),
+    "waw-hall-c": ("warsaw", 1),
+}
+HOMES = ["tallinn", "rotterdam"]
+HOST = "desk.example"
+SERVICES = ("desk-app", "desk-app-next")
 # The machine that the clients use; it is outside the route's home regions and stays undisturbed.
-ENTRY = "front-bo-navile-1"
-FROZEN = "front-mi-sesto-1"
-# node_freeze: one machine for 4 s.
-FROZEN_S = 4.0
+ENTRY = "front-waw-hall-c-1"
+DARK = ("front-tln-hall-d-1", "front-tln-hall-d-2")
+# herd_kill, how power: share 0.55 of the machines, for 2 s. Here two of six.
+DARK_S = 2.0
 # Heartbeats and load updates are exchanged for this long before anything happens.
-CALM_S = 10.0
+CALM_S = 12.0
 CHANGED_AFTER_S = 0.1
 AFTERWARDS_S = 7.0
 ROUNDS = 3
 CHECKS_PER_S = 30.0
-DEADLINE_S = 3.0
+DEADLINE_S = 2.0
 DOWNGRADE_S = BOUNDS["DowngradeMs"] / 1000
-# The bound of a slowed machine, which the clients' machine is not.
-SLOWED_DOWNGRADE_S = 8 * DOWNGRADE_S
 
 CONFIG = {
     "Version": 7,
     "Routes": [
         {
-            "Name": "status-check",
+            "Name": "assay-fetch",
             "Host": HOST,
-            "Prefix": "/status/",
+            "Prefix": "/assays/",
             "Kind": "idempotent",
-            "TimeoutMs": 1500,
-            "GoalMs": 500,
+            "TimeoutMs": 1000,
+            "GoalMs": 300,
             "Priority": 2,
             "Service": SERVICES[0],
             "Attempts": 2,
@@ -52,7 +54,7 @@
         }
     ],
     "Services": [
-        {"Name": name, "HealthPath": "/health", "MaxConnections": 100, "ColdS": 0, "ColdPerS": 0}
+        {"Name": name, "HealthPath": "/health", "MaxConnections": 96, "ColdS": 0, "ColdPerS": 0}
         for name in SERVICES
     ],
     "Limits": LIMITS,
@@ -69,7 +71,7 @@
     }
     sent[request_id] = time.monotonic()
     deployment.record.note(f"client sends {request_id} to {machine.name}")
-    answer = await call(machine.front, "GET", "/status/1", headers, timeout_s=DEADLINE_S)
+    answer = await call(machine.front, "GET", "/assays/1", headers, timeout_s=DEADLINE_S)
     deployment.record.note(f"client gets {describe(answer)} to {request_id}")
 
 
@@ -84,16 +86,24 @@
     await asyncio.gather(*tasks)
 
 
-async def freeze(deployment: Deployment) -> None:
-    """Let one machine stand still for a while."""
-    frozen = deployment.machine(FROZEN)
-    deployment.signal(frozen, signal.SIGSTOP)
-    await asyncio.sleep(FROZEN_S)
-    deployment.signal(frozen, signal.SIGCONT)
+async def lose_power(deployment: Deployment) -> None:
+    """Let two machines of a region fall silent at once, and start them again after a while.
+
+    A machine without power answers nothing. A stopped process does the same, where a killed one
+    would reset its connections.
+    """
+    dark = [deployment.machine(name) for name in DARK]
+    for machine in dark:
+        deployment.signal(machine, signal.SIGSTOP)
+    await asyncio.sleep(DARK_S)
+    for machine in dark:
+        deployment.signal(machine, signal.SIGKILL)
+        deployment.wait(machine)
+        deployment.start_machine(machine)
 
 
 async def play(deployment: Deployment) -> int:
-    """Move the route to the other service a few times, each time while a machine is frozen."""
+    """Move the route to the other service a few times, each time while two machines are dark."""
     machine = deployment.machine(ENTRY)
     end = time.monotonic() + ROUNDS * (CALM_S + CHANGED_AFTER_S + AFTERWARDS_S)
     sent: dict[str, float] = {}
@@ -101,7 +111,7 @@
     moves = []
     for number in range(1, ROUNDS + 1):
         await asyncio.sleep(CALM_S)
-        trouble = asyncio.create_task(freeze(deployment)) if HAS_TROUBLE else None
+        trouble = asyncio.create_task(lose_power(deployment)) if HAS_TROUBLE else None
         await asyncio.sleep(CHANGED_AFTER_S)
         service, version = SERVICES[number % 2], CONFIG["Version"] + 2 * number
         changed = deepcopy(CONFIG) | {"Version": version}
@@ -143,9 +153,7 @@
             f"CONFIG broken: {request_id}, sent to {ENTRY} {since_s:.3f} s after a worker of "
             f"{service} had run a request from there, was run by {worker}"
         )
-    after_long = sum(since_s > SLOWED_DOWNGRADE_S for since_s, _, _ in regressed)
-    note(f"{len(runs)} runs after the move to {service}")
-    note(f"{len(regressed)} of them by the old service, {after_long} over {SLOWED_DOWNGRADE_S} s")
+    note(f"{len(runs)} runs after the move to {service}, {len(regressed)} too late by the old one")
     return len(regressed)
 
 
@@ -156,7 +164,7 @@
     try:
         for service in SERVICES:
             for zone in ZONES:
-                await deployment.add_worker(f"i-{service}-{zone}", service, zone, work_s=0.09)
+                await deployment.add_worker(f"i-{service}-{zone}", service, zone, work_s=0.0225)
         deployment.store.put("op/config", CONFIG, "version 7")
         await deployment.start()
         return await play(deployment)
