--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,14 +13,13 @@
 from deployment import (  # noqa: E402
     LIMITS,
     Deployment,
-    Record,
-    Run,
-    Worker,
     describe,
     new_id,
     run_case,
 )
+from record import Record  # noqa: E402
 from wire import Answer, call  # noqa: E402
+from worker import Run, Worker  # noqa: E402
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = {"mi-sesto": ("milano", 3), "to-lingotto": ("torino", 2), "bo-navile": ("bologna", 2)}
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,13 +13,13 @@
     LIMITS,
     Deployment,
     Machine,
-    Record,
-    Worker,
     describe,
     new_id,
     run_case,
 )
+from record import Record  # noqa: E402
 from wire import call  # noqa: E402
+from worker import Worker  # noqa: E402
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = {"mi-sesto": ("milano", 3), "to-lingotto": ("torino", 2), "bo-navile": ("bologna", 2)}
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import base64
 import json
 import os
 import random
@@ -14,16 +13,17 @@
 import socket
 import subprocess
 import tempfile
-import time
 import tomllib
 import traceback
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
-from urllib.parse import parse_qs, urlsplit
 
-from wire import Answer, Connection, Request, call, serve
+from record import Record
+from store import Store
+from wire import Answer, call, serve
+from worker import Worker
 
 ROOT = Path(__file__).resolve().parents[2]
 FRONT, READY, CONTROL, DIRECTORY, STORE, SERVER = 8144, 8140, 8146, 8143, 8142, 8101
@@ -57,246 +57,6 @@
 ID_BITS = 64
 
 
-class Record:
-    """The record of a run: one line for each thing that was sent, answered, run or done."""
-
-    def __init__(self, path: Path) -> None:
-        self._file = path.open("w")
-        self._started = time.monotonic()
-
-    def now(self) -> float:
-        """Return the seconds since the start of the run."""
-        return time.monotonic() - self._started
-
-    def note(self, text: str) -> None:
-        """Write a line."""
-        self._file.write(f"{self.now():9.3f} s  {text}\n")
-        self._file.flush()
-
-
-class Store:
-    """The platform's store, as far as daemons read it."""
-
-    def __init__(self, record: Record) -> None:
-        self._record = record
-        self._revision = 1
-        # By key: the revision of the last change, that of the creation, and the value.
-        self._items: dict[str, tuple[int, int, Any]] = {}
-        self._changed = asyncio.Event()
-        self.acknowledged: dict[str, float] = {}
-
-    def put(self, key: str, value: Any, why: str = "") -> None:
-        """Write an item; None removes it. The acknowledgement is at once."""
-        self._revision += 1
-        old = self._items.get(key)
-        created = old[1] if old and old[2] is not None else self._revision
-        self._items[key] = (self._revision, created, value)
-        self.acknowledged[key] = time.monotonic()
-        if why:
-            self._record.note(f"store acknowledges {key}: {why}")
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    async def handle(self, request: Request, connection: Connection) -> None:
-        """Answer a call of a daemon."""
-        url = urlsplit(request.target)
-        query = {name: values[0] for name, values in parse_qs(url.query).items()}
-        if url.path == "/kv-range":
-            await self._send(connection, self._range(query))
-        elif url.path == "/kv-watch":
-            await self._send(connection, await self._watch(query))
-        elif url.path == "/kv-key" and self._is_present(query.get("Key", "")):
-            found = self._item(query["Key"]) | {"StoreRevision": self._revision}
-            await self._send(connection, found)
-        else:
-            await connection.send(404, {})
-
-    def _is_present(self, key: str) -> bool:
-        return key in self._items and self._items[key][2] is not None
-
-    async def _send(self, connection: Connection, body: dict[str, Any]) -> None:
-        await connection.send(200, {"Content-Type": "application/json"}, json.dumps(body).encode())
-
-    def _range(self, query: dict[str, str]) -> dict[str, Any]:
-        prefix, after = query.get("Prefix", ""), query.get("after", "")
-        keys = sorted(
-            key
-            for key, (_, _, value) in self._items.items()
-            if key.startswith(prefix) and key > after and value is not None
-        )
-        return {
-            "items": [self._item(key) for key in keys[:500]],
-            "HasMore": len(keys) > 500,
-            "StoreRevision": self._revision,
-        }
-
-    async def _watch(self, query: dict[str, str]) -> dict[str, Any]:
-        prefix, after = query.get("Prefix", ""), int(query["after"])
-        try:
-            async with asyncio.timeout(int(query.get("WaitMs", "0")) / 1000):
-                while not self._events(prefix, after):
-                    await self._changed.wait()
-        except TimeoutError:
-            pass
-        return {"events": self._events(prefix, after), "StoreRevision": self._revision}
-
-    def _events(self, prefix: str, after: int) -> list[dict[str, Any]]:
-        found = sorted(
-            (revision, key)
-            for key, (revision, _, _) in self._items.items()
-            if revision > after and key.startswith(prefix)
-        )
-        return [self._item(key) for _, key in found]
-
-    def _item(self, key: str) -> dict[str, Any]:
-        revision, created, value = self._items[key]
-        if value is None:
-            return {"Key": key, "Revision": revision, "Tombstone": True}
-        encoded = base64.b64encode(json.dumps(value).encode()).decode()
-        return {
-            "Key": key,
-            "Value": encoded,
-            "Revision": revision,
-            "Created": created,
-            "Lease": 0,
-        }
-
-
-@dataclass
-class Run:
-    """One run of a request at a worker."""
-
-    request_id: str
-    body: str
-    worker: str
-    started: float
-    ended: str = "runs"
-
-
-@dataclass
-class Worker:
-    """A worker of a plain service: `slots` requests at a time, a short queue, then 503."""
-
-    id: str
-    service: str
-    zone: str
-    address: str
-    record: Record
-    slots: int = 6
-    queue: int = 24
-    work_s: float = 0.09
-    # How many times as long work takes now.
-    slowdown: float = 1.0
-    # Loses the answer of each request for which this returns true: it resets the connection.
-    loses: Any = None
-    # Returns the wrong load to state with an answer, by the number of the answer; None if sound.
-    spoils: Any = None
-    runs: list[Run] = field(default_factory=list)
-    arrivals: list[tuple[float, str]] = field(default_factory=list)
-    listener: Any = None
-    _waiting: int = 0
-    _running: int = 0
-    _answered: int = 0
-    _free: asyncio.Condition = field(default_factory=asyncio.Condition)
-
-    def entry(self, state: str = "ready") -> dict[str, Any]:
-        """Return the worker's entry in the store."""
-        return {
-            "Service": self.service,
-            "Address": self.address,
-            "Zone": self.zone,
-            "Version": "v1",
-            "Slots": self.slots,
-            "State": state,
-            "ColdLeftMs": 0,
-            "Sequence": 1,
-        }
-
-    @property
-    def key(self) -> str:
-        """Return the key of the entry."""
-        return f"servers/{self.id}"
-
-    async def handle(self, request: Request, connection: Connection) -> None:
-        """Answer one request."""
-        request_id = request.headers.get("pomelobarrow-request-id", "")
-        if request.target == "/health" and request.method == "GET":
-            await connection.send(200, {"Pomelobarrow-Instance-Id": self.id})
-        elif request.headers.get("pomelobarrow-target-instance", self.id) != self.id:
-            await connection.send(421, {"Pomelobarrow-Instance-Id": self.id})
-        elif not request_id:
-            await connection.send(400, {"Pomelobarrow-Not-Executed": "1"})
-        else:
-            await self._take(request, request_id, connection)
-
-    async def _take(self, request: Request, request_id: str, connection: Connection) -> None:
-        self.arrivals.append((time.monotonic(), request_id))
-        self.record.note(f"request {request_id} reaches worker {self.id}")
-        if self._waiting >= self.queue:
-            await self._reject(request_id, connection)
-            return
-        gone = asyncio.create_task(connection.closed_by_peer())
-        work = asyncio.create_task(self._work(request, request_id))
-        await asyncio.wait({gone, work}, return_when=asyncio.FIRST_COMPLETED)
-        gone.cancel()
-        if work.done():
-            await self._answer(request_id, work.result(), connection)
-            return
-        work.cancel()
-        await asyncio.gather(work, return_exceptions=True)
-
-    async def _reject(self, request_id: str, connection: Connection) -> None:
-        self.record.note(f"worker {self.id} is full and rejects {request_id}")
-        headers = {"Pomelobarrow-Not-Executed": "1", "Pomelobarrow-Request-Id": request_id}
-        await connection.send(503, headers)
-
-    async def _work(self, request: Request, request_id: str) -> Run:
-        self._waiting += 1
-        try:
-            async with self._free:
-                await self._free.wait_for(lambda: self._running < self.slots)
-                self._running += 1
-        finally:
-            self._waiting -= 1
-        run = Run(request_id, request.body.decode(), self.id, time.monotonic())
-        self.runs.append(run)
-        self.record.note(f"worker {self.id} runs {request_id} ({run.body})")
-        try:
-            await asyncio.sleep(self.work_s * self.slowdown)
-            run.ended = "done"
-            return run
-        except asyncio.CancelledError:
-            run.ended = "dropped, the connection was closed"
-            self.record.note(f"worker {self.id} drops {request_id}: its connection was closed")
-            raise
-        finally:
-            async with self._free:
-                self._running -= 1
-                self._free.notify()
-
-    async def _answer(self, request_id: str, run: Run, connection: Connection) -> None:
-        if self.loses is not None and self.loses(run):
-            run.ended = "done, answer lost"
-            took_ms = (time.monotonic() - run.started) * 1000
-            self.record.note(
-                f"worker {self.id} has run {request_id} for {took_ms:.0f} ms and loses its answer"
-            )
-            connection.reset()
-            return
-        self._answered += 1
-        load = f"{self._running},{self._waiting},{self.slots}"
-        if self.spoils is not None and (wrong := self.spoils(self._answered)):
-            load = wrong
-            self.record.note(f"worker {self.id} states a wrong load to {request_id}: {wrong}")
-        self.record.note(f"worker {self.id} answers {request_id}")
-        headers = {
-            "Pomelobarrow-Request-Id": request_id,
-            "Pomelobarrow-Response-Seal": f"seal-{request_id}",
-            "Pomelobarrow-Server-Load": load,
-        }
-        await connection.send(200, headers, f"done {run.body}".encode())
-
-
 @dataclass
 class Machine:
     """One machine of the system: its place, address and process."""
