--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -29,6 +29,8 @@
 FRONT, READY, CONTROL, DIRECTORY, STORE, SERVER = 8144, 8140, 8146, 8143, 8142, 8101
 INTERNAL = (7660, 7675)
 METRICS = 9464
+# A case that takes longer could not run.
+RUN_LIMIT_S = 112.0
 BOUNDS = {
     "SeedLagS": 3,
     "ReuseAfterS": 2,
@@ -253,7 +255,8 @@
         assert task is not None
         # Without this, all that was started would go on after a timeout.
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-        return await main()
+        async with asyncio.timeout(RUN_LIMIT_S):
+            return await main()
 
     try:
         return asyncio.run(until_stopped())
