--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import sys
 import time
 from pathlib import Path
@@ -23,19 +24,24 @@
 
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = {"mi-sesto": ("milano", 3), "to-lingotto": ("torino", 2), "bo-navile": ("bologna", 2)}
-ZONE = "mi-sesto"
+# A region with two machines, so that wrong answers meet both.
+ZONE = "to-lingotto"
 HOST = "shops.example"
 SERVICE = "bot-gateway"
 # garble: share = 0.35 of the workers, x = 0.02 of their answers, for 5.5 s in the site file. Here:
 # one of three workers, every fiftieth answer.
 SPOILED_EVERY = 50
 TROUBLE_S = 5.5
-PAUSE_S = 5.5
-TROUBLES = 7
+PAUSE_S = 2.5
+TROUBLES = 10
 # A counter that went below zero, as an unsigned number of 64 bits.
 WRONG_LOAD = "18446744073709551615,0,6"
-# The sheet has 41.3 requests a second in three zones, the site file peaks of 2.3 times that.
-CHECKS_PER_S = 24.0
+# The sheet has 41.3 plain requests a second in three zones.
+CHECKS_PER_S = 13.8
+# The site file has so many clients in this zone.
+CLIENTS = 10
+# The site file's mean; the sheet has 90 ms.
+WORK_S = 0.06
 DEADLINE_S = 3.0
 # The platform starts a process that ended again after a short delay.
 RESTART_S = 0.5
@@ -66,20 +72,35 @@
 }
 
 
-async def send(deployment: Deployment, fronts: list[str]) -> None:
-    """Send one request to a machine of the zone; to another one if it doesn't take connections."""
-    request_id = new_id()
-    headers = {
-        "Host": HOST,
-        "Pomelobarrow-Request-Id": request_id,
-        "Pomelobarrow-Request-Deadline": str(int(DEADLINE_S * 1000)),
-    }
-    for front in fronts:
-        deployment.record.note(f"client sends {request_id} to {front}")
-        answer = await call(front, "GET", "/status/1", headers, timeout_s=DEADLINE_S)
-        deployment.record.note(f"client gets {describe(answer)} to {request_id}")
-        if answer.detail != "ConnectionRefusedError":
-            return
+class Client:
+    """A client that picks a machine at random among those that haven't failed it."""
+
+    def __init__(self, deployment: Deployment, fronts: list[str]) -> None:
+        self._deployment = deployment
+        self._fronts = fronts
+        self._failed: set[str] = set()
+
+    async def send(self) -> None:
+        """Send one request; on another connection if the machine takes none."""
+        note, request_id = self._deployment.record.note, new_id()
+        headers = {
+            "Host": HOST,
+            "Pomelobarrow-Request-Id": request_id,
+            "Pomelobarrow-Request-Deadline": str(int(DEADLINE_S * 1000)),
+        }
+        for _ in self._fronts:
+            front = self._pick()
+            note(f"client sends {request_id} to {front}")
+            answer = await call(front, "GET", "/status/1", headers, timeout_s=DEADLINE_S)
+            note(f"client gets {describe(answer)} to {request_id}")
+            if answer.detail != "ConnectionRefusedError":
+                return
+            self._failed.add(front)
+
+    def _pick(self) -> str:
+        if self._failed.issuperset(self._fronts):
+            self._failed.clear()
+        return random.choice([each for each in self._fronts if each not in self._failed])
 
 
 async def restart_ended(deployment: Deployment, ends: dict[str, int]) -> None:
@@ -104,6 +125,7 @@
 async def play(deployment: Deployment, worker: Worker) -> int:
     """Send requests all the while; let the worker spoil some answers now and then."""
     fronts = [machine.front for machine in deployment.machines if machine.zone == ZONE]
+    clients = [Client(deployment, fronts) for _ in range(CLIENTS)]
     ends: dict[str, int] = {}
     platform = asyncio.create_task(restart_ended(deployment, ends))
     tasks = []
@@ -111,11 +133,11 @@
     while (passed_s := time.monotonic() - started) < TROUBLES * (TROUBLE_S + PAUSE_S):
         is_on = HAS_TROUBLE and passed_s % (TROUBLE_S + PAUSE_S) < TROUBLE_S
         worker.spoils = spoils if is_on else None
-        fronts = fronts[1:] + fronts[:1]
-        tasks.append(asyncio.create_task(send(deployment, fronts)))
+        tasks.append(asyncio.create_task(random.choice(clients).send()))
         await asyncio.sleep(1.0 / CHECKS_PER_S)
     await asyncio.gather(*tasks)
-    await asyncio.sleep(8.0)
+    # A process that has begun to end exits within this time.
+    await asyncio.sleep(6.0)
     platform.cancel()
     return judge(deployment, ends)
 
@@ -140,7 +162,7 @@
     deployment = Deployment(ZONES, record)
     try:
         for zone in ZONES:
-            await deployment.add_worker(f"i-{zone}", SERVICE, zone, work_s=0.09)
+            await deployment.add_worker(f"i-{zone}", SERVICE, zone, work_s=WORK_S)
         deployment.store.put("op/config", CONFIG, "version 7")
         await deployment.start()
         await asyncio.sleep(3.0)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -42,24 +42,28 @@
 # Heartbeats and load updates are exchanged for this long before anything happens.
 CALM_S = 12.0
 REMOVED_AFTER_S = 0.1
-# The worker serves for DrainMs and some seconds more, then it exits.
-SERVES_ON_S = 8.0
-LOOKUPS_PER_S = 30.0
 DRAIN_S = BOUNDS["DrainMs"] / 1000
+# The worker serves for DrainMs and a little longer, then it exits.
+SERVES_ON_S = DRAIN_S + 0.3
+# What is under way gets its answer.
+ANSWERS_S = 5.0
+# The site file has 42 lookups a second in a zone at its peak.
+LOOKUPS_PER_S = 40.0
+LOST = "dropped, the worker exited"
 
 CONFIG = {
     "Version": 7,
     "Routes": [
         {
-            "Name": "assay-fetch",
+            "Name": "lot-lookup",
             "Host": HOST,
-            "Prefix": "/assays/",
-            "Kind": "idempotent",
+            "Prefix": "/lots/",
+            "Kind": "non_idempotent",
             "TimeoutMs": 1000,
             "GoalMs": 300,
             "Priority": 2,
             "Service": SERVICE,
-            "Attempts": 2,
+            "Attempts": 1,
             "HomeRegions": [],
         }
     ],
@@ -79,7 +83,8 @@
         "Pomelobarrow-Request-Deadline": "2000",
     }
     deployment.record.note(f"client sends {request_id} to {machine.name}")
-    answer = await call(machine.front, "GET", "/assays/1", headers, timeout_s=2.0)
+    body = f"lot {request_id}".encode()
+    answer = await call(machine.front, "POST", "/lots/1", headers, body, timeout_s=2.0)
     deployment.record.note(f"client gets {describe(answer)} to {request_id}")
 
 
@@ -111,7 +116,7 @@
 async def play(deployment: Deployment) -> int:
     """Take the region's only worker away a few times; return 1 if requests reached it too late."""
     machine = deployment.machine(UNDISTURBED)
-    round_s = CALM_S + REMOVED_AFTER_S + SERVES_ON_S
+    round_s = CALM_S + REMOVED_AFTER_S + SERVES_ON_S + ANSWERS_S
     end = time.monotonic() + ROUNDS * round_s
     clients = asyncio.create_task(load(deployment, machine, end))
     late = 0
@@ -124,6 +129,7 @@
         removed = time.monotonic()
         await asyncio.sleep(SERVES_ON_S)
         await deployment.end_worker(worker)
+        await asyncio.sleep(ANSWERS_S)
         if trouble is not None:
             await trouble
         late += judge(deployment, worker, removed)
@@ -141,6 +147,8 @@
         note(f"DRAIN broken: {request_id} reached {worker.id} {since_s:.3f} s after it was gone")
     last_s = max((since_s for since_s, _ in after_s), default=0.0)
     note(f"{len(after_s)} requests reached {worker.id} after it was gone, the last {last_s:.3f} s")
+    lost = [run.request_id for run in worker.runs if run.ended == LOST]
+    note(f"{len(lost)} accepted requests were lost when {worker.id} exited: {lost}")
     return len(late)
 
 
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -118,7 +118,7 @@
     async def end_worker(self, worker: Worker) -> None:
         """Let a worker exit."""
         self.record.note(f"worker {worker.id} exits")
-        worker.listener.close()
+        worker.exit()
 
     async def start(self) -> None:
         """Start the store and all machines, and wait until each names all in its region."""
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -41,6 +41,8 @@
     runs: list[Run] = field(default_factory=list)
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     listener: Any = None
+    has_exited: bool = False
+    _connections: set[Connection] = field(default_factory=set)
     _waiting: int = 0
     _running: int = 0
     _answered: int = 0
@@ -66,6 +68,20 @@
 
     async def handle(self, request: Request, connection: Connection) -> None:
         """Answer one request."""
+        self._connections.add(connection)
+        try:
+            await self._answer_request(request, connection)
+        finally:
+            self._connections.discard(connection)
+
+    def exit(self) -> None:
+        """End as a process does: accept nothing more and lose what is running."""
+        self.has_exited = True
+        self.listener.close()
+        for connection in self._connections:
+            connection.reset()
+
+    async def _answer_request(self, request: Request, connection: Connection) -> None:
         request_id = request.headers.get("pomelobarrow-request-id", "")
         if request.target == "/health" and request.method == "GET":
             await connection.send(200, {"Pomelobarrow-Instance-Id": self.id})
@@ -113,8 +129,9 @@
             run.ended = "done"
             return run
         except asyncio.CancelledError:
-            run.ended = "dropped, the connection was closed"
-            self.record.note(f"worker {self.id} drops {request_id}: its connection was closed")
+            why = "the worker exited" if self.has_exited else "its connection was closed"
+            run.ended = f"dropped, {why}"
+            self.record.note(f"worker {self.id} drops {request_id}: {why}")
             raise
         finally:
             async with self._free:
