Record attempts before they send: a request that ran is not refused as unrun

Callers saw 503 with Retry-After for a non-idempotent request that had run and whose answer was lost in the last 0.1 s before its time ended.

Cause: the relay recorded an attempt after it, behind the check whether the server has crashed, which waits up to 0.1 s. The end of the request's time in that wait left the attempt unrecorded. A run with logs shows the attempt `lost` 68 ms before `relay ended` with `refused`; that rules out a server's own 503 and an attempt taken for unsent.

The history of a request now holds the state machine of each attempt from before its first byte, and all that a refusal may promise is read from it. RelayAttempt needs such a record, so that no attempt can be left out. Attempts cut off are logged as `cancelled`, not `lost`. Whether a silent server may be given up is decided when the limit has passed, no longer at each sending.

--- a/src/pomelobarrow/decision/requests/attempt_states.py
+++ b/src/pomelobarrow/decision/requests/attempt_states.py
@@ -8,9 +8,9 @@
 import enum
 from collections.abc import Mapping
 
-from attrs import frozen
+from attrs import define, field, frozen
 
-from pomelobarrow.decision.requests.attempt import UNRUN_STATES, AttemptState
+from pomelobarrow.decision.requests.attempt import UNRUN_STATES, Attempt, AttemptState
 
 # With these statuses callers send a request again although it may run only once.
 UNRUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -70,6 +70,29 @@
     return AttemptEnd.CANCELLED_UNSENT if state in UNRUN_STATES else AttemptEnd.CANCELLED
 
 
+@define(kw_only=True)
+class AttemptRecord:
+    """Track one attempt from before its first byte is sent.
+
+    A request whose time ends at any moment is judged by its records, so that an attempt which has
+    been sent counts even if nothing has noted its end yet.
+    """
+
+    progress: Attempt = field(factory=Attempt)
+    # None until the attempt has ended by itself.
+    final_end: AttemptEnd | None = None
+
+    @property
+    def end(self) -> AttemptEnd:
+        """Return how the attempt ended, or how it would end if it were cancelled now."""
+        return self.final_end or cancelled_end(self.progress.state)
+
+    @property
+    def meaning(self) -> EndMeaning:
+        """Return what the attempt says about its request now."""
+        return MEANINGS[self.end]
+
+
 def may_pass_on(status: int, is_repeatable: bool) -> bool:
     """Return whether a server's answer that doesn't state "not run" may go to the caller.
 
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -9,8 +9,8 @@
 from pomelobarrow.backends.sessions import BackendSessions, WithheldError
 from pomelobarrow.backends.single_use import ResponseHead, SingleExchange, SingleRequest
 from pomelobarrow.decision.published.announcements import ServerAnnouncement
-from pomelobarrow.decision.requests.attempt import Attempt, AttemptEvent, AttemptState
-from pomelobarrow.decision.requests.attempt_states import AttemptEnd
+from pomelobarrow.decision.requests.attempt import AttemptEvent, AttemptState
+from pomelobarrow.decision.requests.attempt_states import AttemptEnd, AttemptRecord
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.answer import ClientAnswer
 from pomelobarrow.relay.event_splitter import EventSplitter
@@ -53,6 +53,7 @@
 class RelayAttempt:
     """Send a request to one target and track the state of the answer."""
 
+    record: AttemptRecord
     sessions: BackendSessions
     request: RelayRequest
     target: Target
@@ -68,7 +69,6 @@
     on_first_event: Callable[[ServerAnswerHead], None] = lambda head: None
     # Returns whether the target still takes requests, asked when the connection is open.
     may_send: Callable[[], bool] = lambda: True
-    state: Attempt = field(factory=Attempt)
     first_answer_unix_s: float | None = None
     # The longest time between two events; for logs.
     longest_pause_s: float = 0.0
@@ -142,7 +142,7 @@
         self._head = head
         self.on_head(head)
         if head.is_not_run and head.request_id in ("", self.request.head.request_id):
-            self.state.apply(AttemptEvent.REFUSE_UNRUN)
+            self.record.progress.apply(AttemptEvent.REFUSE_UNRUN)
             return self._report(_unrun_end(head), _unrun_detail(head))
         if fault := self._fault(head):
             return self._lost(fault)
@@ -155,7 +155,7 @@
     def _begin_sending(self) -> None:
         if not self.may_send():
             raise WithheldError
-        self.state.apply(AttemptEvent.SEND)
+        self.record.progress.apply(AttemptEvent.SEND)
 
     def _fault(self, head: ServerAnswerHead) -> str:
         """Return why an answer can't belong to this request; empty if it can."""
@@ -171,7 +171,7 @@
     async def _read_complete(self, response: ResponseHead, head: ServerAnswerHead) -> AttemptReport:
         body = await response.content.read()
         self._note_first_answer(head)
-        self.state.apply(AttemptEvent.END)
+        self.record.progress.apply(AttemptEvent.END)
         return self._report(AttemptEnd.ANSWERED, answer=WholeAnswer(head=head, body=body))
 
     async def _forward_events(
@@ -194,14 +194,14 @@
         if not self.sink.is_started:
             return self._lost("the stream ended before its first event", is_closed=True)
         await self.sink.finish()
-        self.state.apply(AttemptEvent.END)
+        self.record.progress.apply(AttemptEvent.END)
         return self._report(AttemptEnd.PASSED_ON)
 
     def _note_first_answer(self, head: ServerAnswerHead) -> None:
         if self.first_answer_unix_s is None:
             self.first_answer_unix_s = now_unix_s()
             self._cancel_timer()
-            self.state.apply(AttemptEvent.FIRST_BYTE)
+            self.record.progress.apply(AttemptEvent.FIRST_BYTE)
             self.on_first_answer(head)
 
     def _note_pause(self) -> None:
@@ -215,8 +215,8 @@
     def _lost(
         self, detail: str, is_closed: bool = False, is_connection_refused: bool = False
     ) -> AttemptReport:
-        self.state.apply(AttemptEvent.LOSE)
-        if self.state.state is AttemptState.NOT_SENT:
+        self.record.progress.apply(AttemptEvent.LOSE)
+        if self.record.progress.state is AttemptState.NOT_SENT:
             return self._report(
                 AttemptEnd.NOT_SENT, detail, is_connection_refused=is_connection_refused
             )
@@ -231,6 +231,7 @@
         is_connection_refused: bool = False,
     ) -> AttemptReport:
         head = self._head
+        self.record.final_end = end
         return AttemptReport(
             end=end,
             detail=detail,
--- a/src/pomelobarrow/relay/next_step.py
+++ b/src/pomelobarrow/relay/next_step.py
@@ -1,10 +1,11 @@
 """Decide whether to retry after an attempt and what to answer after the last one."""
 
 import enum
+from collections.abc import Iterable
 
 from attrs import define, field
 
-from pomelobarrow.decision.requests.attempt_states import MEANINGS, AttemptEnd, may_pass_on
+from pomelobarrow.decision.requests.attempt_states import AttemptEnd, AttemptRecord, may_pass_on
 from pomelobarrow.relay.messages import AttemptReport, RelayRequest, WholeAnswer
 
 UNSENT_ENDS = frozenset({AttemptEnd.NOT_SENT, AttemptEnd.WITHHELD, AttemptEnd.REFUSED_UNSENT})
@@ -36,11 +37,9 @@
     """Summarise the attempts of one request so far."""
 
     request: RelayRequest
+    # Among them those that sent nothing.
     attempts: int = 0
     unsent: int = 0
-    attempts_left: int = field(init=False)
-    # True if any server may have run the request.
-    may_have_run: bool = False
     # True if it was refused because it crashes servers.
     is_blocked: bool = False
     # The last server of this region that crashed under the request, hashed as in crash updates.
@@ -48,35 +47,54 @@
     # A server's failed answer, sent to the client if no later attempt does better.
     failure: WholeAnswer | None = None
     last_detail: str = ""
+    _records: list[AttemptRecord] = field(factory=list, init=False)
 
-    def __attrs_post_init__(self) -> None:
-        self.attempts_left = self.request.attempts_left
+    def begin_attempt(self) -> AttemptRecord:
+        """Add the next attempt; what it sends counts from its first byte on."""
+        self.attempts += 1
+        record = AttemptRecord()
+        self._records.append(record)
+        return record
 
     def note(self, report: AttemptReport) -> None:
-        """Record how an attempt ended."""
+        """Record what an ended attempt means for the next one and for the final answer."""
         self.last_detail = report.detail or self.last_detail
         if report.end in UNSENT_ENDS:
             # Both cost one round trip, and their target is not tried again.
             is_cheap = report.is_connection_refused or report.is_pool_unreachable
             self.unsent += not is_cheap
-            return
-        if report.end is AttemptEnd.BLOCKED:
+        elif report.end is AttemptEnd.BLOCKED:
             self.is_blocked = True
-            return
-        self.note_end(report.end)
-        if report.answer is not None and not report.answer.head.is_success:
+        elif report.answer is not None and not report.answer.head.is_success:
             self.failure = report.answer
 
-    def note_end(self, end: AttemptEnd) -> None:
-        """Record what an attempt's end says about its request."""
-        meaning = MEANINGS[end]
-        self.attempts_left -= meaning.reached_server
-        self.may_have_run |= meaning.may_run
+    @property
+    def attempts_left(self) -> int:
+        """Return the number of servers that the request may still be sent to."""
+        return self._left_after(self._records)
+
+    def attempts_left_beside(self, current: AttemptRecord) -> int:
+        """Return the number of servers left for other attempts, whether this one is sent or not."""
+        return self._left_after([each for each in self._records if each is not current]) - 1
+
+    def _left_after(self, records: Iterable[AttemptRecord]) -> int:
+        left = self.request.attempts_left
+        for record in records:
+            left -= record.meaning.reached_server
+        return left
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether any server may have run the request, or may still run it."""
+        for record in self._records:  # noqa: SIM110 - any() costs a generator for each request
+            if record.meaning.may_run:
+                return True
+        return False
 
     @property
     def was_sent(self) -> bool:
         """Return whether the request has been sent to any server."""
-        return self.attempts_left < self.request.attempts_left
+        return self._left_after(self._records) < self.request.attempts_left
 
     @property
     def may_send_again(self) -> bool:
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -13,7 +13,7 @@
 from pomelobarrow.decision.placement.placement import Placer
 from pomelobarrow.decision.prompts.token_estimates import prefill_tokens
 from pomelobarrow.decision.published.routing import Routing
-from pomelobarrow.decision.requests.attempt_states import AttemptEnd, cancelled_end
+from pomelobarrow.decision.requests.attempt_states import AttemptEnd, AttemptRecord
 from pomelobarrow.decision.requests.placement_request import (
     SOFTWARE_GONE,
     LocalPlacement,
@@ -153,7 +153,6 @@
                 self.log.not_placed(progress, decision)
                 return last_step(progress.history, progress.sink.is_started)
             report = await self._send(progress, decision)
-            progress.history.note(report)
             progress.longest_pause_s = max(progress.longest_pause_s, report.longest_pause_s)
             if report.end is AttemptEnd.PASSED_ON:
                 self.joins.note_complete(progress)
@@ -188,14 +187,14 @@
     async def _send(
         self, progress: RequestProgress, decision: LocalPlacement | PeerPlacement
     ) -> AttemptReport:
-        progress.history.attempts += 1
+        record = progress.history.begin_attempt()
         self.log.placed(progress, decision)
         if isinstance(decision, LocalPlacement):
-            return await self._send_to_server(progress, decision.placement)
-        return await self._send_to_peer(progress, decision)
+            return await self._send_to_server(progress, record, decision.placement)
+        return await self._send_to_peer(progress, record, decision)
 
     async def _send_to_server(
-        self, progress: RequestProgress, placement: Placement
+        self, progress: RequestProgress, record: AttemptRecord, placement: Placement
     ) -> AttemptReport:
         request, server, table = progress.request, placement.server, self.placer.table
         work, now = request.work, now_unix_s()
@@ -230,9 +229,10 @@
         try:
             report = await self._run(
                 progress,
+                record,
                 target,
                 software_of=lambda head: software_key(server),
-                first_answer_timeout=self._first_answer_timeout(progress, placement),
+                first_answer_timeout=self._first_answer_timeout(progress, record, placement),
                 on_pause=self._pause_observer(progress, server.name),
                 on_head=on_head,
                 on_first_answer=lambda: self.placer.record_first_answer(work, server, now_unix_s()),
@@ -261,7 +261,7 @@
         return describing_server(read_answer, server) if request.forwarded_by else read_answer
 
     async def _send_to_peer(
-        self, progress: RequestProgress, decision: PeerPlacement
+        self, progress: RequestProgress, record: AttemptRecord, decision: PeerPlacement
     ) -> AttemptReport:
         target = peer_target(
             decision.member,
@@ -275,6 +275,7 @@
         pool = progress.request.work.pool
         report = await self._run(
             progress,
+            record,
             target,
             software_of=lambda head: self.joins.software_of_peer(head, pool),
             on_head=lambda head: self.records.of_peer(progress.request, head),
@@ -305,19 +306,20 @@
         return progress.splitter.last_event_id if progress.sink.is_started else ""
 
     def _first_answer_timeout(
-        self, progress: RequestProgress, placement: Placement
+        self, progress: RequestProgress, record: AttemptRecord, placement: Placement
     ) -> FirstAnswerTimeout:
         """Return the limit after which a silent server's pool is probed, and another one tried."""
-        route = progress.request.route
-        is_suspect = not self.evidence.may_repeat(progress.request)
-        may_retry = route.is_repeatable and not is_suspect and progress.history.attempts_left >= 2
+        request, history = progress.request, progress.history
 
         def may_give_up() -> bool:
             self.reach.note_silence(placement.server)
+            may_retry = request.route.is_repeatable and history.attempts_left_beside(record) > 0
+            may_retry = may_retry and self.evidence.may_repeat(request)
             progress.is_retry_reserved = may_retry and self._take_retry(progress)
             return progress.is_retry_reserved
 
-        time_limit_s = self.first_answer_times.time_limit_s(route.name, placement.expected_wait_s)
+        wait_s = placement.expected_wait_s
+        time_limit_s = self.first_answer_times.time_limit_s(request.route.name, wait_s)
         return FirstAnswerTimeout(limit_s=time_limit_s, may_give_up=may_give_up)
 
     def _pause_observer(self, progress: RequestProgress, server: str) -> Callable[[float], None]:
@@ -334,6 +336,7 @@
     async def _run(
         self,
         progress: RequestProgress,
+        record: AttemptRecord,
         target: Target,
         software_of: Callable[[ServerAnswerHead], int],
         first_answer_timeout: FirstAnswerTimeout | None = None,
@@ -343,7 +346,6 @@
         on_first_answer: Callable[[], None] = lambda: None,
     ) -> AttemptReport:
         started_unix_s = now_unix_s()
-        report = AttemptReport(end=AttemptEnd.LOST, detail="given up")
 
         def note_first_answer(head: ServerAnswerHead) -> None:
             progress.first_answer_unix_s = progress.first_answer_unix_s or now_unix_s()
@@ -354,6 +356,7 @@
                 on_first_answer()
 
         attempt = RelayAttempt(
+            record=record,
             sessions=self.sessions,
             request=progress.request,
             target=target,
@@ -370,10 +373,11 @@
         try:
             report = await attempt.run()
         except BaseException:
-            progress.history.note_end(cancelled_end(attempt.state.state))
+            given_up = AttemptReport(end=record.end, detail="given up")
+            self.log.attempt(progress, target, given_up, started_unix_s)
             raise
-        finally:
-            self.log.attempt(progress, target, report, started_unix_s)
+        progress.history.note(report)
+        self.log.attempt(progress, target, report, started_unix_s)
         return report
 
     async def _conclude(self, progress: RequestProgress, step: Step) -> str:
--- a/tests/test_attempt_states.py
+++ b/tests/test_attempt_states.py
@@ -9,7 +9,7 @@
 from pomelobarrow.decision.common.errors import ErrorKind
 from pomelobarrow.decision.published.configuration import Rank
 from pomelobarrow.decision.published.routing import RouteKind
-from pomelobarrow.decision.requests.attempt import AttemptState
+from pomelobarrow.decision.requests.attempt import AttemptEvent, AttemptState
 from pomelobarrow.decision.requests.attempt_states import (
     MEANINGS,
     UNRUN_STATUSES,
@@ -49,11 +49,13 @@
     status: int
     # Ground truth, which the sender can't see.
     runs: bool
+    # True if the request's time ends between the attempt's end and the report on it.
+    is_cut: bool = False
 
 
 def _attempt(end: AttemptEnd, runs: bool = False) -> st.SearchStrategy[Played]:
     statuses = st.sampled_from((200, 404, 408, 421, 429, 500, 502, 503, 504))
-    return st.builds(Played, st.just(end), statuses, st.just(runs))
+    return st.builds(Played, st.just(end), statuses, st.just(runs), st.booleans())
 
 
 ATTEMPTS = st.one_of(
@@ -72,6 +74,20 @@
 )
 
 
+EVENTS_BY_END = {
+    AttemptEnd.NOT_SENT: (AttemptEvent.LOSE,),
+    AttemptEnd.WITHHELD: (),
+    AttemptEnd.CANCELLED_UNSENT: (),
+    AttemptEnd.CANCELLED: (AttemptEvent.SEND,),
+    AttemptEnd.REFUSED_UNSENT: (AttemptEvent.SEND, AttemptEvent.REFUSE_UNRUN),
+    AttemptEnd.BLOCKED: (AttemptEvent.SEND, AttemptEvent.REFUSE_UNRUN),
+    AttemptEnd.REFUSED: (AttemptEvent.SEND, AttemptEvent.REFUSE_UNRUN),
+    AttemptEnd.ANSWERED: (AttemptEvent.SEND, AttemptEvent.FIRST_BYTE, AttemptEvent.END),
+    AttemptEnd.LOST: (AttemptEvent.SEND, AttemptEvent.LOSE),
+}
+CANCELLED_ENDS = (AttemptEnd.CANCELLED, AttemptEnd.CANCELLED_UNSENT)
+
+
 def history() -> AttemptHistory:
     work = Work(
         request_id="r1",
@@ -101,8 +117,13 @@
     seen, made = history(), []
     for attempt in attempts:
         made.append(attempt)
-        if attempt.end in (AttemptEnd.CANCELLED, AttemptEnd.CANCELLED_UNSENT):
-            seen.note_end(attempt.end)
+        record = seen.begin_attempt()
+        for event in EVENTS_BY_END[attempt.end]:
+            record.progress.apply(event)
+        if attempt.end in CANCELLED_ENDS:
+            break
+        record.final_end = attempt.end
+        if attempt.is_cut:
             break
         answer = None
         if attempt.end is AttemptEnd.ANSWERED:
@@ -124,6 +145,7 @@
 @given(st.lists(ATTEMPTS, min_size=1, max_size=6))
 @example([Played(AttemptEnd.ANSWERED, 503, True)])
 @example([Played(AttemptEnd.REFUSED, 503, False), Played(AttemptEnd.CANCELLED, 0, True)])
+@example([Played(AttemptEnd.LOST, 0, True, is_cut=True)])
 def test_promised_status_means_that_no_attempt_runs(attempts: list[Played]) -> None:
     """Guards against a promise "not run" for a request that ran or still runs at a server."""
     status, made = status_after(attempts)
@@ -138,6 +160,20 @@
     assert not any(each.runs for each in made[:-1])
 
 
+@given(st.lists(ATTEMPTS, min_size=1, max_size=4))
+def test_each_attempt_that_reached_a_server_uses_up_one_of_the_routes_attempts(
+    attempts: list[Played],
+) -> None:
+    seen = history()
+    for attempt in attempts:
+        record = seen.begin_attempt()
+        for event in EVENTS_BY_END[attempt.end]:
+            record.progress.apply(event)
+        record.final_end = None if attempt.end in CANCELLED_ENDS else attempt.end
+    reached = sum(MEANINGS[attempt.end].reached_server for attempt in attempts)
+    assert (seen.attempts_left, seen.was_sent) == (4 - reached, reached > 0)
+
+
 def test_every_end_has_a_meaning() -> None:
     assert set(MEANINGS) == set(AttemptEnd)
     assert all(meaning.reached_server or not meaning.may_run for meaning in MEANINGS.values())
