Bound the load that servers state: a large number no longer ends the process

Cause: the header's numbers of requests had no range. The number went into the load table and from there into a field of 32 bits of the next heartbeat, which raised ValueError in the loop that sends heartbeats; the service tree counted as crashed and the daemon exited. A number of over 4,300 digits failed its own request with 502.

parse_count decodes a count within a stated range; up to a million requests are used, others count as not stated, with a log line, an event and pomelobarrow_server_loads_invalid_total.

Failed before: test_load_header_with_large_numbers_does_not_stop_the_heartbeats (ValueError in the heartbeat) and test_load_out_of_range_is_reported_and_counts_as_not_stated.

--- /dev/null
+++ b/src/pomelobarrow/decision/common/bounded.py
@@ -0,0 +1,49 @@
+"""Read the numbers that servers, peers and the store state, each within a range.
+
+A number outside its range counts as not stated. Unchecked, it would reach a field of a message that
+can't hold it, or a computation that fails far from where it came from.
+"""
+
+import math
+from collections.abc import Iterable
+
+UINT32_MAX = 2**32 - 1
+UINT64_MAX = 2**64 - 1
+
+
+def parse_count(text: str, most: int) -> int | None:
+    """Return a decimal count from 0 to `most`; None for anything else."""
+    digits = text.strip()
+    # Checked before the conversion, whose time grows with the square of the length.
+    if len(digits) > len(str(most)) or not (digits.isascii() and digits.isdecimal()):
+        return None
+    return count_or_none(int(digits), most)
+
+
+def count_or_none(value: object, most: int) -> int | None:
+    """Return a whole JSON number from 0 to `most`; None for anything else."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    # Also false for NaN.
+    if not 0 <= value <= most or value != int(value):
+        return None
+    return int(value)
+
+
+def number_or_none(value: object, most: float) -> float | None:
+    """Return a JSON number from 0 to `most`; None for anything else."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return float(value) if 0 <= value <= most else None
+
+
+def saturated(value: float, most: int = UINT32_MAX) -> int:
+    """Return a count for a field of a message, at the nearest end of its range if it is outside."""
+    if math.isnan(value):
+        return 0
+    return int(min(max(0, value), most))
+
+
+def saturated_sum(values: Iterable[int]) -> int:
+    """Return the sum of counts for a field of a message of 32 bits."""
+    return saturated(sum(values))
--- a/src/pomelobarrow/dispatch/events.py
+++ b/src/pomelobarrow/dispatch/events.py
@@ -71,6 +71,14 @@
     pool: str
 
 
+@frozen(kw_only=True)
+class ServerLoadInvalid:
+    """Report that a server states numbers of requests that can't be; they count as not stated."""
+
+    server: str
+    pool: str
+
+
 @frozen(kw_only=True)
 class PoolBrittle:
     """Report that a pool's servers state that they fall over when they reject too much."""
--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -298,6 +298,12 @@
             "Answers in which a backend server stated a slowdown that can't be.",
             ("pool",),
         )
+        self.loads_invalid = CounterFamily(
+            registry,
+            "pomelobarrow_server_loads_invalid_total",
+            "Answers in which a backend server stated numbers of requests that can't be.",
+            ("pool",),
+        )
         self.server_slowdown = GaugeFamily(
             registry,
             "pomelobarrow_server_slowdown",
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -18,6 +18,7 @@
     RequestEnded,
     ServerBackoffRequested,
     ServerLimitNamed,
+    ServerLoadInvalid,
     ServerSlowdownInvalid,
 )
 from pomelobarrow.dispatch.local import LocalDispatch
@@ -79,6 +80,7 @@
             PoolReachable: self._pool_reachable,
             PoolBrittle: self._pool_brittle,
             ServerLimitNamed: self._server_limit_named,
+            ServerLoadInvalid: self._server_load_invalid,
             ServerSlowdownInvalid: self._server_slowdown_invalid,
             ServerLeaving: self._server_leaving,
             ServerBackoffRequested: self._server_backoff_requested,
@@ -218,6 +220,10 @@
     def _server_limit_named(self, event: ServerLimitNamed) -> None:
         self._log.info("server limit named", **event_fields(event))
 
+    def _server_load_invalid(self, event: ServerLoadInvalid) -> None:
+        self._metrics.loads_invalid.inc(event.pool)
+        self._log.warning("server states an invalid load", **event_fields(event))
+
     def _server_slowdown_invalid(self, event: ServerSlowdownInvalid) -> None:
         # Without a log line: a server that states one does so with each answer.
         self._metrics.slowdowns_invalid.inc(event.pool)
--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from pomelobarrow.backends.single_use import ResponseHead
+from pomelobarrow.decision.common.bounded import parse_count
 from pomelobarrow.decision.published.accounts import key_sha256
 from pomelobarrow.decision.published.announcements import ServerAnnouncement, parse_decimal
 from pomelobarrow.kernel.clock import now_unix_s
@@ -70,8 +71,10 @@
 SLOWDOWN_FIELD = 3
 USUAL_PERCENT = 100
 # A server that states a hundredth or a hundred times of the usual time is mistaken.
-SLOWDOWN_PERCENT_RANGE = range(1, 10_001)
-MAX_PERCENT_DIGITS = 5
+MIN_SLOWDOWN_PERCENT = 1
+MAX_SLOWDOWN_PERCENT = 10_000
+# More requests than any server could hold connections for.
+MAX_STATED_REQUESTS = 1_000_000
 
 # Headers that only the system may set. With them a client could reserve or pin a server's memory,
 # or take over what another request left in it.
@@ -185,6 +188,8 @@
     """Parse the head of a backend server's answer."""
     headers = response.headers
     is_other_server = response.status == WRONG_SERVER_STATUS
+    load = headers.get(SERVER_LOAD, "")
+    counts = _server_counts(load) if load else None
     return ServerAnswerHead(
         status=response.status,
         headers=_end_to_end_headers(headers),
@@ -192,7 +197,8 @@
         is_sealed=RESPONSE_SEAL in headers,
         is_not_run=NOT_EXECUTED in headers or is_other_server,
         is_other_server=is_other_server,
-        counts=_server_counts(headers.get(SERVER_LOAD, "")),
+        counts=counts,
+        is_load_invalid=bool(load) and counts is None,
         announced=_announcement(response.status, headers),
     )
 
@@ -291,25 +297,27 @@
 
 
 def _server_counts(text: str) -> ServerCounts | None:
-    """Parse a server's load header; return None if it is malformed, since servers may err."""
-    fields = [field.strip() for field in text.split(",")]
-    if len(fields) < 2 or not all(field.isdecimal() for field in fields[:2]):
+    """Parse a server's load header; return None if it is malformed or out of range."""
+    fields = text.split(",")
+    running = parse_count(fields[0], MAX_STATED_REQUESTS)
+    waiting = parse_count(fields[1], MAX_STATED_REQUESTS) if len(fields) > 1 else None
+    if running is None or waiting is None:
         return None
     stated = fields[SLOWDOWN_FIELD : SLOWDOWN_FIELD + 1]
     slowdown = _slowdown(stated[0]) if stated else None
     return ServerCounts(
-        running=int(fields[0]),
-        waiting=int(fields[1]),
+        running=running,
+        waiting=waiting,
         slowdown=slowdown,
         is_slowdown_invalid=bool(stated) and slowdown is None,
     )
 
 
 def _slowdown(text: str) -> float | None:
-    is_number = text.isascii() and text.isdecimal() and len(text) <= MAX_PERCENT_DIGITS
-    if not is_number or int(text) not in SLOWDOWN_PERCENT_RANGE:
+    percent = parse_count(text, MAX_SLOWDOWN_PERCENT)
+    if percent is None or percent < MIN_SLOWDOWN_PERCENT:
         return None
-    return int(text) / USUAL_PERCENT
+    return percent / USUAL_PERCENT
 
 
 def _prompt_parts(text: str) -> tuple[PromptPart, ...]:
--- a/src/pomelobarrow/relay/answer_records.py
+++ b/src/pomelobarrow/relay/answer_records.py
@@ -8,7 +8,7 @@
 from pomelobarrow.decision.servers.departures import DepartureSource
 from pomelobarrow.decision.servers.load_table import LoadTable
 from pomelobarrow.dispatch.crash_guard import CrashGuard
-from pomelobarrow.dispatch.events import ServerSlowdownInvalid
+from pomelobarrow.dispatch.events import ServerLoadInvalid, ServerSlowdownInvalid
 from pomelobarrow.dispatch.server_announcements import record_announcement
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.crash_evidence import running_request
@@ -28,6 +28,8 @@
         if head.is_other_server:
             return
         record_announcement(self.table, server, head.announced, self.observe)
+        if head.is_load_invalid:
+            self.observe(ServerLoadInvalid(server=server.name, pool=server.pool))
         # The server may have been replaced by another incarnation since the request was sent.
         if head.counts is None or not self.table.is_current_incarnation(server):
             return
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -142,6 +142,8 @@
     leaving_server_key: int | None = None
     # The requests that run and wait at the server; None if it reports none.
     counts: ServerCounts | None = None
+    # True if it reports numbers of requests that can't be.
+    is_load_invalid: bool = False
     announced: ServerAnnouncement = ServerAnnouncement()
     # Why a peer does not state whether the request ran; empty on a backend server's answer.
     lost_detail: str = ""
--- a/tests/test_peers_exchange_fuzz.py
+++ b/tests/test_peers_exchange_fuzz.py
@@ -1,27 +1,21 @@
 """No message of a peer makes a daemon fail or lose its state."""
 
 import math
-from pathlib import Path
 from typing import Any
-from unittest.mock import create_autospec
 
 import orjson
+from daemon_parts import daemon_parts
 from google.protobuf.descriptor import Descriptor, FieldDescriptor
 from google.protobuf.message import Message
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.members.membership import MembershipView
-from pomelobarrow.kernel.context import Context
-from pomelobarrow.kernel.daemon import build_context
-from pomelobarrow.kernel.settings import check_settings
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.exchange import Exchange
 from pomelobarrow.peers.heartbeats import Heartbeats
 from pomelobarrow.published.keyspaces import PublishedState
 
-VM = "milan-1"
 NAMES = ("milan-1", "milan-2", "turin-1", "config", "vms", "classes/note", "vms/milan-2", "")
 VALUES = (b"{}", b"null", b"{", b"\xff", orjson.dumps({"state": "live", "role": "entry"}))
 UINT32 = st.integers(0, 2**32 - 1)
@@ -64,29 +58,6 @@
 )
 
 
-def daemon_parts() -> Context:
-    """Return a daemon's components without its services."""
-    checked = check_settings(
-        {
-            "vm": VM,
-            "region": "milan",
-            "failure_domain": "milan-a",
-            "callers": {"listen": "127.0.0.1:1", "advertise": "127.0.0.1:1"},
-            "peers": {
-                "listen": "127.0.0.1:2",
-                "advertise": "127.0.0.1:2",
-                "keys": [{"id": "k1", "secret": "a-shared-secret-of-tests"}],
-            },
-            "platform": {"addresses": ["http://127.0.0.1:3"]},
-        },
-        Path(),
-    )
-    context = build_context(checked.unwrap())
-    # The sessions need a running loop, and nothing here is sent.
-    context.provide(BackendSessions, lambda _: create_autospec(BackendSessions))
-    return context
-
-
 @settings(suppress_health_check=[HealthCheck.too_slow], deadline=None, max_examples=300)
 @given(st.lists(st.tuples(st.sampled_from(NAMES), MESSAGES), max_size=6))
 def test_no_peer_message_fails_a_daemon(received: list[tuple[str, pb.PeerMessage]]) -> None:
--- /dev/null
+++ b/tests/test_stated_numbers.py
@@ -0,0 +1,94 @@
+"""Numbers that others state, from where they are read to the messages between VMs."""
+
+from types import SimpleNamespace
+
+import pytest
+from daemon_parts import SERVER, VM, daemon_parts, list_server
+from hypothesis import HealthCheck, example, given, settings
+from hypothesis import strategies as st
+
+from pomelobarrow.decision.common.bounded import (
+    UINT32_MAX,
+    count_or_none,
+    number_or_none,
+    parse_count,
+    saturated,
+)
+from pomelobarrow.decision.servers.load_table import LoadTable
+from pomelobarrow.dispatch.events import ServerLoadInvalid
+from pomelobarrow.kernel.context import Context
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.heartbeats import Heartbeats, SentUpdates
+from pomelobarrow.platform.wire import read_answer
+from pomelobarrow.relay.answer_records import AnswerRecords
+
+DIGITS = st.integers(0, 10**40).map(str) | st.integers(4_000, 6_000).map(lambda size: "9" * size)
+FEW = settings(suppress_health_check=[HealthCheck.too_slow], deadline=None, max_examples=50)
+
+
+def heartbeats_to_all_kinds_of_peers(context: Context) -> list[pb.Heartbeat]:
+    """Return what the daemon sends next, each message encoded and decoded again."""
+    heartbeats = context.get(Heartbeats)
+    built = [heartbeats.full("peer", same_region, SentUpdates()) for same_region in (True, False)]
+    return [pb.Heartbeat.FromString(each.SerializeToString()) for each in built]
+
+
+def record_answer(context: Context, load: str) -> list[object]:
+    """Record an answer's load header; return the events."""
+    events: list[object] = []
+    table = context.get(LoadTable)
+    records = AnswerRecords(table=table, guard=None, observe=events.append)  # type: ignore[arg-type]
+    answer = SimpleNamespace(status=200, headers={"Pomelobarrow-Server-Load": load})
+    [server] = table.pool_servers("plain")
+    records.of_server(server, read_answer(answer))  # type: ignore[arg-type]
+    return events
+
+
+@FEW
+@given(st.lists(DIGITS, min_size=2, max_size=5).map(",".join))
+@example("4294967296,0,8")
+@example(f"0,{2**64},8")
+@example("9" * 4_990 + ",0,8")
+def test_load_header_with_large_numbers_does_not_stop_the_heartbeats(load: str) -> None:
+    """Guards against the end of the process that read one spoiled load header."""
+    context = daemon_parts()
+    list_server(context)
+    record_answer(context, load)
+    assert all(each.vm == VM for each in heartbeats_to_all_kinds_of_peers(context))
+
+
+def test_load_out_of_range_is_reported_and_counts_as_not_stated() -> None:
+    context = daemon_parts()
+    list_server(context)
+    record_answer(context, "3,2,8")
+    events = record_answer(context, "4294967296,2,8")
+    report = context.get(LoadTable).report(SERVER)
+    assert events == [ServerLoadInvalid(server=SERVER, pool="plain")]
+    assert report is not None
+    assert (report.running, report.waiting) == (3, 2)
+
+
+@pytest.mark.parametrize("text", ["", "-1", "+1", "1.0", "1e3", "x", "²", "٣", "11", "9" * 5_000])
+def test_text_that_is_no_count_in_range_is_none(text: str) -> None:
+    assert parse_count(text, most=10) is None
+
+
+def test_count_in_range_is_parsed() -> None:
+    assert [parse_count(text, most=10) for text in ("0", " 7 ", "10")] == [0, 7, 10]
+
+
+@pytest.mark.parametrize(
+    "value", [None, True, "3", [], -1, 1.5, 11, float("nan"), float("inf"), 2**70, 1e300]
+)
+def test_value_that_is_no_count_in_range_is_none(value: object) -> None:
+    assert count_or_none(value, most=10) is None
+
+
+@pytest.mark.parametrize("value", [None, False, "3", {}, -0.1, 10.1, float("nan"), float("inf")])
+def test_value_that_is_no_number_in_range_is_none(value: object) -> None:
+    assert number_or_none(value, most=10.0) is None
+
+
+@given(st.floats() | st.integers())
+def test_saturated_number_fits_its_field(value: float) -> None:
+    assert 0 <= saturated(value) <= UINT32_MAX
