Keep the daemon running when a background task raises an error

Callers lost every request on a VM whose background task met one value that it could not handle: the service tree counts as crashed, the daemon takes no new work and exits some seconds later.

Cause: nothing stood between an error in a step and the end of the process. A task of a service now starts again after an error (background_task in place of Service.task, keep_running for futures), a heartbeat goes out without the part that failed and is complete the next time, and a message of a peer that fails is left out. Each is logged as `step failed` with its traceback and counted in pomelobarrow_steps_failed_total.

--- a/src/pomelobarrow/backends/orders.py
+++ b/src/pomelobarrow/backends/orders.py
@@ -13,6 +13,7 @@
 from pomelobarrow.decision.published.configuration import Configuration
 from pomelobarrow.decision.requests.orders import FencedOrders, Order, OrderBook
 from pomelobarrow.decision.requests.work import BackendServer
+from pomelobarrow.kernel.background import background_task
 from pomelobarrow.kernel.clock import now_unix_s
 
 ORDERS_PATH = "/v1/orders"
@@ -42,7 +43,7 @@
         self._owned = owned
         self._configuration = configuration
 
-    @Service.task
+    @background_task
     async def _keep_sending(self) -> None:
         while not self.should_stop:
             configuration = self._configuration()
--- a/src/pomelobarrow/backends/reports.py
+++ b/src/pomelobarrow/backends/reports.py
@@ -13,6 +13,7 @@
 from pomelobarrow.backends.shares import ServerShare
 from pomelobarrow.decision.requests.work import BackendServer, LoadReport
 from pomelobarrow.decision.servers.load_table import LoadTable
+from pomelobarrow.kernel.background import background_task
 from pomelobarrow.kernel.clock import now_unix_s
 
 LOAD_PATH = "/v1/load"
@@ -63,7 +64,7 @@
         oldest_unix_s = now_unix_s() - MAX_REPORT_AGE_S
         return [each for each in self._reports.values() if each.measured_unix_s >= oldest_unix_s]
 
-    @Service.task
+    @background_task
     async def _poll_all(self) -> None:
         while not self.should_stop:
             assigned = self._share.of(self._servers(), self._live_vms())
--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -25,6 +25,7 @@
 from pomelobarrow.dispatch.events import AttemptEnded
 from pomelobarrow.dispatch.refusals import RefusedError, refuse
 from pomelobarrow.dispatch.request import GatewayRequest
+from pomelobarrow.kernel.background import background_task
 from pomelobarrow.kernel.clock import now_unix_s
 
 SWEEP_EVERY_S = 0.05
@@ -280,7 +281,7 @@
         super().__init__()
         self._local = local
 
-    @Service.task
+    @background_task
     async def _sweep(self) -> None:
         while not self.should_stop:
             # Waiting here avoids twenty idle wake-ups a second, a sixth of an idle VM's CPU budget.
--- a/src/pomelobarrow/kernel/daemon.py
+++ b/src/pomelobarrow/kernel/daemon.py
@@ -13,6 +13,7 @@
 from result import Err, Result
 
 from pomelobarrow.decision.published.checks import Fault
+from pomelobarrow.kernel.background import failure_observer
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService
 from pomelobarrow.kernel.plugins import load_plugins
@@ -103,6 +104,7 @@
         # Without a handler, SIGHUP would end the process and cut off every answer.
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, lambda: reload_settings(context, reload()))
+    failure_observer.set(context.observe)
     daemon = Daemon(context)
     try:
         await daemon.start()
--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -316,6 +316,12 @@
             "Requests refused because servers ended under the same request.",
             ("pool",),
         )
+        self.steps_failed = CounterFamily(
+            registry,
+            "pomelobarrow_steps_failed_total",
+            "Steps of background tasks that were left out because they raised an error.",
+            ("step",),
+        )
         self.member_changes = CounterFamily(
             registry,
             "pomelobarrow_member_changes_total",
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -22,6 +22,7 @@
     ServerSlowdownInvalid,
 )
 from pomelobarrow.dispatch.local import LocalDispatch
+from pomelobarrow.kernel.background import StepFailed
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import hookimpl
@@ -90,6 +91,7 @@
             PeerRefused: self._peer_refused,
             MemberLivenessChanged: self._member_liveness_changed,
             DirectoryChanged: self._directory_changed,
+            StepFailed: self._step_failed,
         }
 
     def observe(self, event: object) -> None:
@@ -250,6 +252,10 @@
     def _directory_changed(self, event: DirectoryChanged) -> None:
         self._log.info("directory changed", **event_fields(event))
 
+    def _step_failed(self, event: StepFailed) -> None:
+        self._metrics.steps_failed.inc(event.step)
+        self._log.error("step failed", **event_fields(event))
+
     def _peer_refused(self, event: PeerRefused) -> None:
         self._log.warning(
             "call refused", path=event.path, remedy="give both VMs the same peers.keys"
--- a/src/pomelobarrow/peers/config_proofs.py
+++ b/src/pomelobarrow/peers/config_proofs.py
@@ -12,6 +12,7 @@
 from pomelobarrow.decision.members.membership import MembershipView
 from pomelobarrow.decision.published.config_proof import ConfigProof, Proof
 from pomelobarrow.decision.published.store_position import era_of, position, revision_of
+from pomelobarrow.kernel.background import background_task
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.datagrams import PeerDatagrams, Reply
@@ -65,7 +66,7 @@
         routing = self._published.routing
         return routing is not None and bool(routing.needs_account)
 
-    @Service.task
+    @background_task
     async def _refresh_all(self) -> None:
         while not self.should_stop:
             if self.is_needed and not self._has_own_reads():
--- a/src/pomelobarrow/peers/exchange.py
+++ b/src/pomelobarrow/peers/exchange.py
@@ -10,6 +10,7 @@
 
 from pomelobarrow.decision.members.membership import MembershipView
 from pomelobarrow.decision.published.keyspace import ApplyOutcome, Delta, KeyspaceSummary
+from pomelobarrow.kernel.background import report_failure
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.crash_updates import CrashUpdates
@@ -64,13 +65,14 @@
         handler = handlers.get(kind or "")
         if handler is None:
             return
-        # An unhandled error would end the link's service and with it this daemon, and the next
-        # link would deliver the same message again. A message is parsed in full before any of it is
-        # applied.
+        # An unhandled error would end the link, and the next link would deliver the same message
+        # again.
         try:
             handler(getattr(message, kind), peer_vm, reply)
         except orjson.JSONDecodeError as error:
             log.warning("malformed peer message ignored", peer=peer_vm, kind=kind, error=str(error))
+        except Exception as error:
+            report_failure(f"{kind} of a peer", error)
 
     def forget(self, peer_vm: str) -> None:
         """Drop the recorded revisions of a peer that left for good."""
--- a/src/pomelobarrow/peers/heartbeats.py
+++ b/src/pomelobarrow/peers/heartbeats.py
@@ -1,7 +1,7 @@
 """Build heartbeats and apply those of peers."""
 
 import itertools
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from attrs import define, field
 
@@ -13,6 +13,7 @@
 from pomelobarrow.decision.requests.work import LoadReport
 from pomelobarrow.decision.servers.reachability import PeerReachability
 from pomelobarrow.dispatch.local import LocalDispatch
+from pomelobarrow.kernel.background import report_failure
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.demand_updates import DemandUpdates, SentDemand
@@ -35,6 +36,25 @@
 KEYSPACES = "keyspaces"
 UNREACHABLE = "unreachable pools"
 
+# The fields of each part of a heartbeat, which are left out together.
+FIELDS_BY_PART: Mapping[str, tuple[str, ...]] = {
+    "keyspaces": ("keyspaces",),
+    "members": ("heard_keys", "heard_ages", "member_keys"),
+    "pools": ("pools",),
+    "departures": ("leaving_keys",),
+    "unreachable pools": ("unreachable_pool_keys",),
+    "brittle pools": ("brittle_pool_keys",),
+    "servers": (
+        "server_keys",
+        "in_flight_requests",
+        "in_flight_tokens",
+        "reports",
+        "limits",
+    ),
+    "service times": ("times",),
+    "demand": ("account_keys", "account_rates"),
+}
+
 
 @define
 class SentUpdates:
@@ -48,6 +68,13 @@
     times: SentServiceTimes = field(factory=SentServiceTimes)
     departures: SentDepartures = field(factory=SentDepartures)
 
+    def restart(self) -> None:
+        """Forget what was sent, so that the next heartbeat is complete."""
+        self.is_new = True
+        self.members.restart()
+        self.servers, self.pools, self.demand = SentServers(), SentPools(), SentDemand()
+        self.times, self.departures = SentServiceTimes(), SentDepartures()
+
 
 @define(kw_only=True)
 class Heartbeats:
@@ -123,23 +150,42 @@
         now = now_unix_s()
         is_first, sent.is_new = sent.is_new, False
         heartbeat = self._base(peer, now, is_first)
-        heartbeat.keyspaces.extend(self.round.shared(KEYSPACES, self._keyspaces))
         heartbeat.has_loads = True
         heartbeat.is_whole = is_first
-        kind = self.neighbours.kind(peer, same_region)
-        self._members.write(heartbeat, sent.members, peer, kind, self.neighbours, now)
-        self._pools.write(heartbeat, sent.pools, kind, self.neighbours, now)
-        self._departures.write(heartbeat, sent.departures)
-        unreachable_keys = self.round.shared(UNREACHABLE, self._unreachable_pool_keys)
-        heartbeat.unreachable_pool_keys.extend(unreachable_keys)
-        if same_region:
-            brittle_pools = self.local.table.limits.brittle.stated_lately(now)
-            heartbeat.brittle_pool_keys.extend(sorted(map(short_key, brittle_pools)))
-            self._servers.write(heartbeat, sent.servers, kind, now)
-            self._times.write(heartbeat, sent.times, now)
-        self._demand.write(heartbeat, sent.demand, kind, self.neighbours, now)
+        has_failed = False
+        for part, write in self._parts(heartbeat, peer, same_region, sent, now).items():
+            has_failed |= not _write_part(heartbeat, part, write)
+        if has_failed:
+            sent.restart()
         return heartbeat
 
+    def _parts(
+        self, heartbeat: pb.Heartbeat, peer: str, same_region: bool, sent: SentUpdates, now: float
+    ) -> dict[str, Callable[[], None]]:
+        """Return the functions that write the parts of a heartbeat, by the part's name."""
+        near, kind = self.neighbours, self.neighbours.kind(peer, same_region)
+        parts: dict[str, Callable[[], None]] = {
+            "keyspaces": lambda: heartbeat.keyspaces.extend(
+                self.round.shared(KEYSPACES, self._keyspaces)
+            ),
+            "members": lambda: self._members.write(heartbeat, sent.members, peer, kind, near, now),
+            "pools": lambda: self._pools.write(heartbeat, sent.pools, kind, near, now),
+            "departures": lambda: self._departures.write(heartbeat, sent.departures),
+            "unreachable pools": lambda: heartbeat.unreachable_pool_keys.extend(
+                self.round.shared(UNREACHABLE, self._unreachable_pool_keys)
+            ),
+            "demand": lambda: self._demand.write(heartbeat, sent.demand, kind, near, now),
+        }
+        if same_region:
+            parts["brittle pools"] = lambda: self._write_brittle_pools(heartbeat, now)
+            parts["servers"] = lambda: self._servers.write(heartbeat, sent.servers, kind, now)
+            parts["service times"] = lambda: self._times.write(heartbeat, sent.times, now)
+        return parts
+
+    def _write_brittle_pools(self, heartbeat: pb.Heartbeat, now: float) -> None:
+        brittle_pools = self.local.table.limits.brittle.stated_lately(now)
+        heartbeat.brittle_pool_keys.extend(sorted(map(short_key, brittle_pools)))
+
     def apply(self, heartbeat: pb.Heartbeat, sent: SentUpdates | None = None) -> bool:
         """Apply a peer's heartbeat; return False if a newer one was applied before.
 
@@ -318,6 +364,18 @@
         )
 
 
+def _write_part(heartbeat: pb.Heartbeat, part: str, write: Callable[[], None]) -> bool:
+    """Write one part of a heartbeat; leave it out and return False if that raises an error."""
+    try:
+        write()
+    except Exception as error:
+        for name in FIELDS_BY_PART[part]:
+            heartbeat.ClearField(name)
+        report_failure(f"heartbeat part {part}", error)
+        return False
+    return True
+
+
 def _member(heartbeat: pb.Heartbeat) -> Member:
     return Member(
         vm=heartbeat.vm,
--- a/src/pomelobarrow/peers/joining.py
+++ b/src/pomelobarrow/peers/joining.py
@@ -8,6 +8,7 @@
 
 from pomelobarrow.decision.members.member import Phase
 from pomelobarrow.decision.published.store_position import revision_of
+from pomelobarrow.kernel.background import background_task
 from pomelobarrow.peers.exchange import Exchange
 from pomelobarrow.peers.table import PeerTable
 from pomelobarrow.published.keyspaces import PublishedState
@@ -37,7 +38,7 @@
         self._watcher = watcher
         self.is_joined = False
 
-    @Service.task
+    @background_task
     async def _join(self) -> None:
         await _wait_at_most(self._watcher.first_read_done.wait(), PLATFORM_WAIT_S)
         await self._table.review()
--- a/src/pomelobarrow/peers/links.py
+++ b/src/pomelobarrow/peers/links.py
@@ -11,6 +11,7 @@
 from mode import Service
 
 from pomelobarrow.decision.members.member import ListedVm
+from pomelobarrow.kernel.background import background_task
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers.calls import (
     CONNECT_TIMEOUT_S,
@@ -101,7 +102,7 @@
         host, _, port = self._address.rpartition(":")
         return SingleConnection(host, int(port))
 
-    @Service.task
+    @background_task
     async def _stay_connected(self) -> None:
         pause_s = RECONNECT_FLOOR_S
         while not self.should_stop:
--- a/src/pomelobarrow/peers/member_updates.py
+++ b/src/pomelobarrow/peers/member_updates.py
@@ -44,6 +44,11 @@
     asked_keys: set[int] = field(factory=set)
     last_seen_unix_s: dict[str, float] = field(factory=dict)
 
+    def restart(self) -> None:
+        """Forget what was sent, and not what the peer has named."""
+        self.version = 0
+        self.last_seen_unix_s.clear()
+
 
 @define
 class MemberUpdates:
--- a/src/pomelobarrow/peers/table.py
+++ b/src/pomelobarrow/peers/table.py
@@ -12,6 +12,7 @@
 from pomelobarrow.decision.members.member import ListedVm, Member, Phase
 from pomelobarrow.decision.members.member_roles import reads_platform, relays_among
 from pomelobarrow.decision.members.membership import MembershipView
+from pomelobarrow.kernel.background import background_task
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.events import ProcessPauseDetected
@@ -100,14 +101,14 @@
             if name not in self.links:
                 await self._open(ListedVm(vm=name, peer_address=seed))
 
-    @Service.task
+    @background_task
     async def _review_all(self) -> None:
         while not self.should_stop:
             self._detect_pause()
             await self.review()
             await asyncio.sleep(REVIEW_EVERY_S)
 
-    @Service.task
+    @background_task
     async def _send_heartbeats(self) -> None:
         while not self.should_stop:
             self.send_heartbeats()
--- a/src/pomelobarrow/peers/token_grants.py
+++ b/src/pomelobarrow/peers/token_grants.py
@@ -17,6 +17,7 @@
 from pomelobarrow.decision.members.membership import MembershipView
 from pomelobarrow.decision.published.accounts import Account, RateLimit
 from pomelobarrow.decision.requests.short_key import short_key
+from pomelobarrow.kernel.background import background_task
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.datagrams import Address, PeerDatagrams, Reply
@@ -276,7 +277,7 @@
             meter = self._meter(account.name)
             meter.acknowledge(received.region, received.granted, now_unix_s())
 
-    @Service.task
+    @background_task
     async def _announce_all(self) -> None:
         while not self.should_stop:
             accounts = self._accounts()
--- a/src/pomelobarrow/published/plugin.py
+++ b/src/pomelobarrow/published/plugin.py
@@ -7,6 +7,7 @@
 from pomelobarrow.decision.published.config_proof import ConfigProof
 from pomelobarrow.decision.published.store_position import era_of, revision_of
 from pomelobarrow.decision.servers.departures import Departures
+from pomelobarrow.kernel.background import background_task
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
 from pomelobarrow.kernel.settings import DEFAULT_REVOCATION_S
@@ -32,7 +33,7 @@
         if self._published.next_due_unix_s is not None:
             self._has_due.set()
 
-    @Service.task
+    @background_task
     async def _sweep(self) -> None:
         while not self.should_stop:
             await self._has_due.wait()
--- a/src/pomelobarrow/published/watcher.py
+++ b/src/pomelobarrow/published/watcher.py
@@ -5,6 +5,7 @@
 import enum
 import random
 from collections.abc import Callable
+from functools import partial
 
 import structlog
 from mode import Service
@@ -14,6 +15,7 @@
 from pomelobarrow.decision.published.configuration_check import ROUTING_KEY
 from pomelobarrow.decision.published.keyspace import ApplyOutcome
 from pomelobarrow.decision.published.store_position import era_of, revision_of
+from pomelobarrow.kernel.background import keep_running
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.published.events import PlatformReachable, PlatformUnreachable
@@ -75,9 +77,9 @@
 
     async def on_start(self) -> None:
         """Read each keyspace once, without waiting for the result."""
-        self.add_future(self._first_read())
+        self.add_future(keep_running(self, "_first_read", self._first_read))
         for name in self._state.copies:
-            self.add_future(self._watch(name))
+            self.add_future(keep_running(self, f"_watch {name}", partial(self._watch, name)))
 
     def on_role_review(self) -> None:
         """Wake the idle readers if this VM has become a watcher.
--- a/tests/test_peers_exchange_fuzz.py
+++ b/tests/test_peers_exchange_fuzz.py
@@ -4,16 +4,17 @@
 from typing import Any
 
 import orjson
-from daemon_parts import daemon_parts
+from daemon_parts import daemon_parts, list_server
 from google.protobuf.descriptor import Descriptor, FieldDescriptor
 from google.protobuf.message import Message
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from pomelobarrow.decision.members.membership import MembershipView
+from pomelobarrow.kernel.background import failure_observer
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.exchange import Exchange
-from pomelobarrow.peers.heartbeats import Heartbeats
+from pomelobarrow.peers.heartbeats import Heartbeats, SentUpdates
 from pomelobarrow.published.keyspaces import PublishedState
 
 NAMES = ("milan-1", "milan-2", "turin-1", "config", "vms", "classes/note", "vms/milan-2", "")
@@ -62,15 +63,22 @@
 @given(st.lists(st.tuples(st.sampled_from(NAMES), MESSAGES), max_size=6))
 def test_no_peer_message_fails_a_daemon(received: list[tuple[str, pb.PeerMessage]]) -> None:
     context = daemon_parts()
+    list_server(context)
     exchange, heartbeats = context.get(Exchange), context.get(Heartbeats)
     view, published = context.get(MembershipView), context.get(PublishedState)
-    own, revisions = view.own, dict.fromkeys(published.copies, 0)
+    own = view.own
+    revisions = {name: copy.observed_revision for name, copy in published.copies.items()}
     replies: list[Message] = []
+    failures: list[object] = []
+    failure_observer.set(failures.append)
     for peer_vm, message in received:
         exchange.handle(message, peer_vm, replies.append)
+        for same_region in (True, False):
+            heartbeats.full(peer_vm, same_region, SentUpdates())
         assert view.own == own
         for name, copy in published.copies.items():
             assert copy.observed_revision >= revisions[name]
             revisions[name] = copy.observed_revision
         assert all(math.isfinite(heartbeats.offsets.offset_s(vm)) for vm in NAMES)
     assert published.configuration is None
+    assert failures == []
