Bound the numbers that reach messages from polls, orders and clients

Callers saw the same as with a spoiled load header, by other ways to the same cause: a number without a range reaches a field of a message. Found by reading each path into the messages between VMs:

- a polled load report or cache event with a number of another type or out of range raised an error in the task that polls all servers;
- an answer to an order that is no object, or whose fencing is no number, did so in the task that sends orders;
- a client that states 5 * 10^9 tokens put them into the tokens in flight of a server, a field of 32 bits of the next heartbeat;
- sums of waiting requests, ages of reports that lack a finite time, and the wait for an account's limit had no bound either.

Numbers of servers are read by count_or_none and number_or_none with a stated range; a report out of range is left out and counted like a load header. Where a message is written, counts are at most what its field holds (saturated).

No failing input was found for peers' ages and the limit's wait; these are bounded by reading only.

--- a/src/pomelobarrow/backends/orders.py
+++ b/src/pomelobarrow/backends/orders.py
@@ -10,6 +10,7 @@
 from mode import Service
 
 from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.decision.common.bounded import UINT64_MAX, count_or_none
 from pomelobarrow.decision.published.configuration import Configuration
 from pomelobarrow.decision.requests.orders import FencedOrders, Order, OrderBook
 from pomelobarrow.decision.requests.work import BackendServer
@@ -77,9 +78,11 @@
             log.warning("order not sent", server=due.server.name, error=repr(error))
             return False
 
-    def _handle_answer(self, due: FencedOrders, status: int, answer: dict[str, Any]) -> bool:
+    def _handle_answer(self, due: FencedOrders, status: int, answer: object) -> bool:
         if status == STATUS_OUTDATED_FENCING:
-            self._book.observe_highest_fencing(due.server.name, int(answer.get("fencing", 0)))
+            stated = answer.get("fencing") if isinstance(answer, dict) else None
+            fencing = count_or_none(stated, UINT64_MAX)
+            self._book.observe_highest_fencing(due.server.name, fencing or 0)
         return status == STATUS_ACCEPTED
 
 
--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -228,6 +228,7 @@
 
 def _poller(context: Context) -> LoadPoller:
     return LoadPoller(
+        observe=context.observe,
         own_vm=context.settings.vm,
         sessions=context.get(BackendSessions),
         table=context.get(LoadTable),
--- a/src/pomelobarrow/backends/reports.py
+++ b/src/pomelobarrow/backends/reports.py
@@ -1,18 +1,23 @@
 """Poll the load and cache events of the backend servers assigned to this VM."""
 
 import asyncio
+import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Any
 
 import aiohttp
 import orjson
+from attrs import frozen
 from mode import Service
 
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.backends.shares import ServerShare
+from pomelobarrow.decision.common.bounded import UINT64_MAX, count_or_none, number_or_none
+from pomelobarrow.decision.published.announcements import MAX_STATED_REQUESTS, MAX_STATED_TOKENS
 from pomelobarrow.decision.requests.work import BackendServer, LoadReport
 from pomelobarrow.decision.servers.load_table import LoadTable
+from pomelobarrow.dispatch.events import ServerLoadInvalid
 from pomelobarrow.kernel.background import background_task
 from pomelobarrow.kernel.clock import now_unix_s
 
@@ -26,6 +31,12 @@
 # Two VMs poll each server, so that every server is still polled while one VM is frozen.
 POLLERS = 2
 MAX_REPORT_AGE_S = 5.0
+MOST_BY_FIELD: Mapping[str, int] = {
+    "running": MAX_STATED_REQUESTS,
+    "waiting": MAX_STATED_REQUESTS,
+    "kv_tokens_used": MAX_STATED_TOKENS,
+    "queued_prefill_tokens": MAX_STATED_TOKENS,
+}
 
 
 def poll_every_s(servers: int) -> float:
@@ -46,6 +57,7 @@
         live_vms: Callable[[], Iterable[str]],
         is_engine: Callable[[BackendServer], bool],
         on_report: Callable[[str], None],
+        observe: Callable[[object], None] = lambda event: None,
     ) -> None:
         super().__init__()
         self._share = ServerShare(own_vm=own_vm, purpose="load", vms_per_server=POLLERS)
@@ -55,6 +67,7 @@
         self._live_vms = live_vms
         self._is_engine = is_engine
         self._on_report = on_report
+        self._observe = observe
         self._reports: dict[str, LoadReport] = {}
         self._next_event: dict[str, int] = {}
         self._random = random.Random()
@@ -78,6 +91,9 @@
             return
         now = now_unix_s()
         report = _report(server.name, body, now)
+        if report is None:
+            self._observe(ServerLoadInvalid(server=server.name, pool=server.pool))
+            return
         self._reports[server.name] = report
         self._table.observe_report(report, now)
         self._on_report(server.pool)
@@ -91,14 +107,15 @@
         if body is None:
             return
         prefixes, expected = self._table.prefixes, after
-        for event in body.get("events", ()):
+        for event in _cache_events(body):
             # Evictions may be among the missed events. The server's index is dropped, as an
             # outdated one would route requests to a server whose cache is cold.
-            if expected and event["sequence"] > expected + 1:
+            if expected and event.sequence > expected + 1:
                 prefixes.observe_gap(server.name)
-            expected = event["sequence"]
-            prefixes.observe_event(server.name, event["kind"], event["block"])
-        self._next_event[server.name] = body.get("next", expected)
+            expected = event.sequence
+            prefixes.observe_event(server.name, event.kind, event.block)
+        following = count_or_none(body.get("next", expected), UINT64_MAX)
+        self._next_event[server.name] = expected if following is None else following
 
     async def _get(self, server: BackendServer, path: str) -> dict[str, Any] | None:
         timeout = aiohttp.ClientTimeout(total=POLL_TIMEOUT_S)
@@ -111,13 +128,35 @@
             return None
 
 
-def _report(name: str, body: dict[str, Any], received_unix_s: float) -> LoadReport:
+@frozen(kw_only=True)
+class _CacheEvent:
+    sequence: int
+    kind: str
+    block: int
+
+
+def _cache_events(body: dict[str, Any]) -> Iterator[_CacheEvent]:
+    """Yield the events of a server's cache; malformed ones count as missed."""
+    stated = body.get("events")
+    for each in stated if isinstance(stated, list) else ():
+        fields = each if isinstance(each, dict) else {}
+        sequence = count_or_none(fields.get("sequence"), UINT64_MAX)
+        block = count_or_none(fields.get("block"), UINT64_MAX)
+        if sequence is not None and block is not None:
+            yield _CacheEvent(sequence=sequence, kind=str(fields.get("kind")), block=block)
+
+
+def _report(name: str, body: dict[str, Any], received_unix_s: float) -> LoadReport | None:
+    """Return a server's report; None if any of its numbers is out of range."""
+    measured_unix_s = number_or_none(body.get("measured_unix_s", received_unix_s), math.inf)
+    counts = {
+        field: count_or_none(body.get(field, 0), most) for field, most in MOST_BY_FIELD.items()
+    }
+    if measured_unix_s is None or None in counts.values():
+        return None
     return LoadReport(
         server=name,
-        measured_unix_s=min(float(body.get("measured_unix_s", received_unix_s)), received_unix_s),
-        running=int(body.get("running", 0)),
-        waiting=int(body.get("waiting", 0)),
-        kv_tokens_used=int(body.get("kv_tokens_used", 0)),
-        queued_prefill_tokens=int(body.get("queued_prefill_tokens", 0)),
+        measured_unix_s=min(measured_unix_s, received_unix_s),
         leaving=bool(body.get("leaving", False)),
+        **counts,  # type: ignore[arg-type]
     )
--- a/src/pomelobarrow/decision/common/bounded.py
+++ b/src/pomelobarrow/decision/common/bounded.py
@@ -5,7 +5,6 @@
 """
 
 import math
-from collections.abc import Iterable
 
 UINT32_MAX = 2**32 - 1
 UINT64_MAX = 2**64 - 1
@@ -42,8 +41,3 @@
     if math.isnan(value):
         return 0
     return int(min(max(0, value), most))
-
-
-def saturated_sum(values: Iterable[int]) -> int:
-    """Return the sum of counts for a field of a message of 32 bits."""
-    return saturated(sum(values))
--- a/src/pomelobarrow/decision/published/announcements.py
+++ b/src/pomelobarrow/decision/published/announcements.py
@@ -4,6 +4,11 @@
 
 from attrs import frozen
 
+# More requests than any server holds connections for, and more tokens than the memory of any engine
+# or the longest prompt has.
+MAX_STATED_REQUESTS = 1_000_000
+MAX_STATED_TOKENS = 1_000_000_000
+
 _DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?")
 
 
--- a/src/pomelobarrow/peers/pool_updates.py
+++ b/src/pomelobarrow/peers/pool_updates.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field, frozen
 
+from pomelobarrow.decision.common.bounded import saturated
 from pomelobarrow.decision.members.clocks import ClockOffsets
 from pomelobarrow.decision.placement.region_choice import RegionLoad
 from pomelobarrow.decision.placement.server_choice import least_disturbed_engine, least_wait_s
@@ -111,9 +112,9 @@
             if paying or trial:
                 sent_pools.add(pool)
             if paying or trial or pool in sent.waiting_pools:
-                heartbeat.pools.append(
-                    pb.PoolLoad(pool=pool, waiting_paying=paying, waiting_trial=trial)
-                )
+                load = pb.PoolLoad(pool=pool)
+                load.waiting_paying, load.waiting_trial = saturated(paying), saturated(trial)
+                heartbeat.pools.append(load)
         sent.waiting_pools = frozenset(sent_pools)
 
     def _waiting_at(self, vm: str, pool: str, now_unix_s: float) -> _Waiting:
@@ -194,7 +195,7 @@
 
 def _quietest_fields(engine: EngineLoad) -> dict[str, Any]:
     return {
-        "quiet_streams": engine.streams,
+        "quiet_streams": saturated(engine.streams),
         "quiet_backlog_s": engine.backlog_s,
         "quiet_reading_share": engine.prefill_share,
         "quiet_late_share": engine.seen_late_share,
--- a/src/pomelobarrow/peers/server_updates.py
+++ b/src/pomelobarrow/peers/server_updates.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from pomelobarrow.decision.common.bounded import saturated
 from pomelobarrow.decision.requests.short_key import short_key
 from pomelobarrow.decision.requests.work import BackendServer, InFlight, LoadReport
 from pomelobarrow.decision.servers.load_table import LoadTable
@@ -16,7 +17,6 @@
 NONE_IN_FLIGHT = InFlight()
 # Limits above this value are ignored.
 MAX_LIMIT_PER_S = 1e9
-MAX_AGE_MS = 2**32 - 1
 NEVER_SENT = -1.0
 # What the heartbeats of one round share.
 OWN_COUNTS = "own counts"
@@ -116,8 +116,8 @@
         }
         changed |= {key: NONE_IN_FLIGHT for key in sent_before if key not in own}
         heartbeat.server_keys.extend(changed)
-        heartbeat.in_flight_requests.extend(count.requests for count in changed.values())
-        heartbeat.in_flight_tokens.extend(count.tokens for count in changed.values())
+        heartbeat.in_flight_requests.extend(saturated(each.requests) for each in changed.values())
+        heartbeat.in_flight_tokens.extend(saturated(each.tokens) for each in changed.values())
         sent.in_flight = own
 
     def _refreshed_counts(self) -> dict[int, InFlight]:
@@ -144,10 +144,10 @@
             pb.ServerReport(
                 server_key=self._key(report.server),
                 age_ms=age_ms(report.measured_unix_s, now_unix_s),
-                running=report.running,
-                waiting=report.waiting,
-                kv_tokens_used=report.kv_tokens_used,
-                queued_prefill_tokens=report.queued_prefill_tokens,
+                running=saturated(report.running),
+                waiting=saturated(report.waiting),
+                kv_tokens_used=saturated(report.kv_tokens_used),
+                queued_prefill_tokens=saturated(report.queued_prefill_tokens),
                 is_leaving=report.leaving,
                 is_passed_on=is_passed_on,
                 is_glimpse=report.is_partial,
@@ -165,7 +165,7 @@
                 heartbeat.limits.append(
                     pb.ServerLimit(
                         server_key=key,
-                        age_ms=min(age_ms(limit.named_unix_s, now_unix_s), MAX_AGE_MS),
+                        age_ms=age_ms(limit.named_unix_s, now_unix_s),
                         per_s=limit.per_s or 0.0,
                         has_ended=limit.per_s is None,
                     )
--- a/src/pomelobarrow/peers/token_grants.py
+++ b/src/pomelobarrow/peers/token_grants.py
@@ -12,6 +12,7 @@
 
 from pomelobarrow.decision.accounts.account_meter import AccountMeter, Exhausted
 from pomelobarrow.decision.accounts.local_allowance import LocalAllowance
+from pomelobarrow.decision.common.bounded import UINT32_MAX
 from pomelobarrow.decision.common.rendezvous import rendezvous
 from pomelobarrow.decision.members.member import Member, name_of
 from pomelobarrow.decision.members.membership import MembershipView
@@ -309,4 +310,4 @@
 
 
 def _ms(duration_s: float) -> int:
-    return max(0, math.ceil(duration_s * MS_PER_S))
+    return math.ceil(min(max(0.0, duration_s * MS_PER_S), UINT32_MAX))
--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -11,7 +11,11 @@
 from pomelobarrow.backends.single_use import ResponseHead
 from pomelobarrow.decision.common.bounded import parse_count
 from pomelobarrow.decision.published.accounts import key_sha256
-from pomelobarrow.decision.published.announcements import ServerAnnouncement, parse_decimal
+from pomelobarrow.decision.published.announcements import (
+    MAX_STATED_REQUESTS,
+    ServerAnnouncement,
+    parse_decimal,
+)
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.messages import (
     Headers,
@@ -73,8 +77,6 @@
 # A server that states a hundredth or a hundred times of the usual time is mistaken.
 MIN_SLOWDOWN_PERCENT = 1
 MAX_SLOWDOWN_PERCENT = 10_000
-# More requests than any server could hold connections for.
-MAX_STATED_REQUESTS = 1_000_000
 
 # Headers that only the system may set. With them a client could reserve or pin a server's memory,
 # or take over what another request left in it.
--- a/tests/test_stated_numbers.py
+++ b/tests/test_stated_numbers.py
@@ -1,12 +1,18 @@
 """Numbers that others state, from where they are read to the messages between VMs."""
 
+import json
 from types import SimpleNamespace
 
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 from daemon_parts import SERVER, VM, daemon_parts, list_server
 from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 
+from pomelobarrow.backends.orders import STATUS_OUTDATED_FENCING, OrderSender
+from pomelobarrow.backends.reports import LoadPoller
+from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.common.bounded import (
     UINT32_MAX,
     count_or_none,
@@ -14,6 +20,7 @@
     parse_count,
     saturated,
 )
+from pomelobarrow.decision.requests.orders import OrderBook
 from pomelobarrow.decision.servers.load_table import LoadTable
 from pomelobarrow.dispatch.events import ServerLoadInvalid
 from pomelobarrow.kernel.context import Context
@@ -68,6 +75,87 @@
     assert (report.running, report.waiting) == (3, 2)
 
 
+NUMBERS = (-1, 2**32, 2**64, 1e300, "many", None, [1], {})
+FIELDS = ("running", "waiting", "kv_tokens_used", "queued_prefill_tokens", "measured_unix_s")
+REPORTS = [{field: number} for field in FIELDS for number in NUMBERS]
+EVENTS = (
+    7,
+    [7],
+    [{}],
+    [{"sequence": "first", "kind": "stored", "block": 1}],
+    [{"sequence": 1, "kind": ["stored"], "block": 1e300}],
+)
+
+
+async def poll_once(context: Context, load: object, events: object = ()) -> list[object]:
+    """Poll a server that answers with these bodies; return what was observed."""
+    observed: list[object] = []
+    app = web.Application()
+    app.router.add_get("/v1/load", lambda request: _answer(load))
+    app.router.add_get("/v1/cache/events", lambda request: _answer({"events": events}))
+    async with TestServer(app) as listening:
+        table = context.get(LoadTable)
+        [server] = table.pool_servers("plain")
+        sessions = BackendSessions({server.address: f"{listening.host}:{listening.port}"})
+        poller = LoadPoller(
+            own_vm=VM,
+            sessions=sessions,
+            table=table,
+            servers=lambda: [server],
+            live_vms=lambda: [VM],
+            is_engine=lambda server: True,
+            on_report=lambda pool: None,
+            observe=observed.append,
+        )
+        await poller._poll(server)
+        await sessions.close()
+    return observed
+
+
+async def _answer(body: object) -> web.Response:
+    return web.Response(body=json.dumps(body).encode())
+
+
+@pytest.mark.parametrize("load", REPORTS, ids=str)
+async def test_report_of_a_server_with_numbers_out_of_range_does_not_stop_the_polls(
+    load: dict[str, object],
+) -> None:
+    """Guards against the end of the process that polled one malformed load report."""
+    context = daemon_parts()
+    list_server(context)
+    observed = await poll_once(context, load)
+    assert all(each.vm == VM for each in heartbeats_to_all_kinds_of_peers(context))
+    # A time in the future counts as now.
+    is_usable = load in [{"measured_unix_s": number} for number in (2**32, 2**64, 1e300)]
+    assert bool(observed) is not is_usable
+
+
+@pytest.mark.parametrize("events", EVENTS, ids=str)
+async def test_malformed_cache_events_do_not_stop_the_polls(events: object) -> None:
+    """Guards against the end of the process that polled one malformed cache event."""
+    context = daemon_parts()
+    list_server(context)
+    assert await poll_once(context, {"running": 1}, events) == []
+
+
+@pytest.mark.parametrize("answer", [None, 7, [], {}, {"fencing": [1]}, {"fencing": 1e300}], ids=str)
+def test_malformed_answer_to_an_order_does_not_stop_the_orders(answer: object) -> None:
+    """Guards against the end of the process that sent an order to a faulty engine."""
+    book = OrderBook()
+    sender = OrderSender(sessions=None, book=book, owned=list, configuration=lambda: None)  # type: ignore[arg-type]
+    due = SimpleNamespace(server=SimpleNamespace(name=SERVER))
+    assert not sender._handle_answer(due, STATUS_OUTDATED_FENCING, answer)  # type: ignore[arg-type]
+
+
+def test_tokens_that_a_client_states_do_not_stop_the_heartbeats() -> None:
+    """Guards against the end of the process through the tokens in flight at one server."""
+    context = daemon_parts()
+    list_server(context)
+    context.get(LoadTable).charge("r1", SERVER, 5_000_000_000, 1.0)
+    same_region, _ = heartbeats_to_all_kinds_of_peers(context)
+    assert list(same_region.in_flight_tokens) == [UINT32_MAX]
+
+
 @pytest.mark.parametrize("text", ["", "-1", "+1", "1.0", "1e3", "x", "²", "٣", "11", "9" * 5_000])
 def test_text_that_is_no_count_in_range_is_none(text: str) -> None:
     assert parse_count(text, most=10) is None
