Record no load from an answer that belongs to another request

Callers were placed by numbers of spoiled answers: the head of each answer went into the load table before the check whether it belongs to the request, so that an answer with a wrong id or without a seal changed the load of its server for all callers of the region, until the next sound answer.

The check now comes first, and the load of an answer that fails it counts as not stated. What such a server announces (leaving, limits, pauses) still counts, since a server that leaves may fail.

Failed before: test_load_of_an_answer_to_another_request_is_not_recorded (200 and 503: running 900 in the table, now none).

--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from pomelobarrow.backends.engine import CONNECTION_ERRORS
 from pomelobarrow.backends.sessions import BackendSessions, WithheldError
@@ -139,12 +139,15 @@
 
     async def _read_answer(self, response: ResponseHead) -> AttemptReport:
         head = self.target.read_answer(response)
-        self._head = head
-        self.on_head(head)
-        if head.is_not_run and head.request_id in ("", self.request.head.request_id):
+        is_unrun = head.is_not_run and head.request_id in ("", self.request.head.request_id)
+        fault = "" if is_unrun else self._fault(head)
+        # Of an answer that belongs to another request or is spoiled, any number may be wrong.
+        self._head = evolve(head, counts=None) if fault else head
+        self.on_head(self._head)
+        if is_unrun:
             self.record.progress.apply(AttemptEvent.REFUSE_UNRUN)
             return self._report(_unrun_end(head), _unrun_detail(head))
-        if fault := self._fault(head):
+        if fault:
             return self._lost(fault)
         if self.request.route.is_stream and head.status == STATUS_OK:
             if fault := self.join_fault(head):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -125,6 +125,20 @@
     assert answer.status == 502
 
 
+@pytest.mark.parametrize("status", [200, 503])
+async def test_load_of_an_answer_to_another_request_is_not_recorded(status: int) -> None:
+    """Guards against placement by numbers that a spoiled answer states."""
+
+    async def script(exchange: Exchange) -> None:
+        exchange.received.headers["pomelobarrow-request-id"] = "another"
+        exchange.write_head(status, Pomelobarrow_Server_Load="900,900,8", Content_Length="0")
+
+    async with relay_fleet((ONCE,), {"a": {"s1": script}}) as fleet:
+        answer = await ask(fleet.vms["a"], "/non_idempotent/")
+        report = fleet.vms["a"].relay.placer.table.report("s1")
+    assert (answer.status, report) == (502, None)
+
+
 async def test_rejection_of_another_request_is_no_statement_about_this_one() -> None:
     """Guards against a faulty server that answers with the rejection of another request."""
 
