Read each item of the store by itself: one bad value hides no others

Cause: the adapter accepted any whole number, and the copy of the keyspace, which encodes each value, refused the whole batch for one value over 64 bits. Each later read holds the item again.

The copy now reads each change of a batch by itself (BatchReader): a value that can't be encoded is replaced by the keyspace's own ("unusable" in the list of VMs) or leaves its key unchanged. The adapter bounds Slots, ColdLeftMs, born and the configuration's Version, and items whose revision would count as one of another era are left out. Such items are logged with their key and counted in pomelobarrow_unreadable_items_total.

--- a/src/pomelobarrow/decision/published/keyspace.py
+++ b/src/pomelobarrow/decision/published/keyspace.py
@@ -22,13 +22,7 @@
 
 from attrs import define, field
 
-from pomelobarrow.decision.published.keyspace_batch import (
-    Entry,
-    PartialBatch,
-    checked_entry,
-    merge,
-    newest,
-)
+from pomelobarrow.decision.published.keyspace_batch import BatchReader, Entry, PartialBatch, merge
 from pomelobarrow.decision.published.keyspace_types import (
     ApplyOutcome,
     ApplyResult,
@@ -55,6 +49,7 @@
     validator: Validator = accept_all
     version_of: VersionReader = lambda values: 0
     tombstones_kept: int = TOMBSTONES_KEPT
+    reader: BatchReader = field(factory=BatchReader)
     revision: int = field(default=0, init=False)
     observed_revision: int = field(default=0, init=False)
     digest: int = field(default=0, init=False)
@@ -205,8 +200,8 @@
             self.counters.gaps += 1
             return ApplyResult(outcome=ApplyOutcome.GAP)
         try:
-            batch = newest(checked_entry(change, head_revision) for change in changes)
-        except (TypeError, ValueError) as error:
+            batch = self.reader.read(changes, head_revision)
+        except ValueError as error:
             self.counters.malformed += 1
             return ApplyResult(outcome=ApplyOutcome.MALFORMED, refused_reasons=(str(error),))
         if not complete:
--- a/src/pomelobarrow/decision/published/store_position.py
+++ b/src/pomelobarrow/decision/published/store_position.py
@@ -9,7 +9,7 @@
 # bits to a position, then still fit 64 bits for two thousand eras.
 REVISION_BITS = 36
 MAX_ERA = 2**27
-_REVISION_MASK = 2**REVISION_BITS - 1
+MAX_REVISION = 2**REVISION_BITS - 1
 
 
 def position(era: int, revision: int) -> int:
@@ -24,7 +24,7 @@
 
 def revision_of(store_position: int) -> int:
     """Return the revision of a position, as the store numbers it."""
-    return store_position & _REVISION_MASK
+    return store_position & MAX_REVISION
 
 
 def is_return(before: int, after: int) -> bool:
--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -186,6 +186,12 @@
             "Era of the platform's store that the revision in force is of.",
             ("keyspace",),
         )
+        self.unreadable_items = CounterFamily(
+            registry,
+            "pomelobarrow_unreadable_items_total",
+            "Items of the platform's store that can't be used; all others count.",
+            ("keyspace",),
+        )
         self.store_returns = CounterFamily(
             registry,
             "pomelobarrow_store_returns_total",
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -31,6 +31,7 @@
 from pomelobarrow.operators.traces import Traces
 from pomelobarrow.peers.events import MemberLivenessChanged, PeerRefused, ProcessPauseDetected
 from pomelobarrow.published.events import (
+    ItemUnreadable,
     KeyspaceApplied,
     KeyspaceRefused,
     PlatformReachable,
@@ -66,6 +67,7 @@
             Forwarded: self._forwarded,
             KeyspaceApplied: self._keyspace_applied,
             KeyspaceRefused: self._keyspace_refused,
+            ItemUnreadable: self._item_unreadable,
             StoreReturned: self._store_returned,
             PlatformUnreachable: self._platform_unreachable,
             PlatformReachable: self._platform_reachable,
@@ -153,6 +155,10 @@
         self._metrics.revision.set(event.revision, event.keyspace)
         self._metrics.era.set(event.era, event.keyspace)
 
+    def _item_unreadable(self, event: ItemUnreadable) -> None:
+        self._metrics.unreadable_items.inc(event.keyspace)
+        self._log.warning("item can't be decoded", **event_fields(event))
+
     def _store_returned(self, event: StoreReturned) -> None:
         self._metrics.store_returns.inc()
         self._log.warning("store came back from an older copy", **event_fields(event))
--- a/src/pomelobarrow/peers/keyspace_messages.py
+++ b/src/pomelobarrow/peers/keyspace_messages.py
@@ -2,8 +2,14 @@
 
 import orjson
 
+from pomelobarrow.decision.common.bounded import saturated
 from pomelobarrow.decision.published.keyspace import Change, Delta, KeyspaceCopy, KeyspaceSummary
-from pomelobarrow.decision.published.store_position import era_of, position, revision_of
+from pomelobarrow.decision.published.store_position import (
+    MAX_REVISION,
+    era_of,
+    position,
+    revision_of,
+)
 from pomelobarrow.peers import peers_pb2 as pb
 
 
@@ -52,9 +58,9 @@
     era = state.era or copy.default_era
     return KeyspaceSummary(
         name=state.name,
-        revision=position(era, state.revision),
+        revision=_position(era, state.revision),
         digest=state.digest,
-        revision_in_force=position(state.era_in_force or era, state.revision_in_force),
+        revision_in_force=_position(state.era_in_force or era, state.revision_in_force),
         version=state.version,
     )
 
@@ -63,7 +69,7 @@
     """Read after which revision a peer requests changes; 0 requests all of them."""
     if not request.after_revision:
         return 0
-    return position(request.era or copy.default_era, request.after_revision)
+    return _position(request.era or copy.default_era, request.after_revision)
 
 
 def read_delta(message: pb.KeyspaceDelta, copy: KeyspaceCopy) -> Delta:
@@ -72,8 +78,8 @@
     after = message.after_revision
     return Delta(
         name=message.name,
-        after_revision=position(era, after) if after else 0,
-        head_revision=position(era, message.head_revision),
+        after_revision=_position(era, after) if after else 0,
+        head_revision=_position(era, message.head_revision),
         changes=tuple(_change(each, era) for each in message.changes),
     )
 
@@ -87,4 +93,9 @@
 
 def _change(message: pb.Change, era: int) -> Change:
     value = None if message.deleted else orjson.loads(message.value)
-    return Change(revision=position(era, message.revision), key=message.key, value=value)
+    return Change(revision=_position(era, message.revision), key=message.key, value=value)
+
+
+def _position(era: int, revision: int) -> int:
+    """Return the position of a revision that a peer states, within its era."""
+    return position(era, saturated(revision, MAX_REVISION))
--- a/src/pomelobarrow/platform/plugin.py
+++ b/src/pomelobarrow/platform/plugin.py
@@ -19,4 +19,5 @@
 def _reader(context: Context) -> StoreReader:
     relay = context.settings.relay
     sources = platform_sources(relay.region_by_failure_domain) if relay else native_sources()
-    return Store(addresses=context.settings.platform.addresses, sources=sources).reader()
+    addresses = context.settings.platform.addresses
+    return Store(addresses=addresses, sources=sources, observe=context.observe).reader()
--- a/src/pomelobarrow/platform/records.py
+++ b/src/pomelobarrow/platform/records.py
@@ -7,6 +7,7 @@
 
 import cattrs
 
+from pomelobarrow.decision.common.bounded import UINT64_MAX, count_or_none
 from pomelobarrow.decision.published.accounts import Account, RateLimit, key_sha256
 from pomelobarrow.decision.published.configuration_check import EVACUATIONS, ROUTING_KEY
 from pomelobarrow.decision.published.routing import (
@@ -22,8 +23,8 @@
 from pomelobarrow.published.vms import (
     KEY_PREFIX,
     ROLE_BACKEND_SERVER,
-    ROLE_UNUSABLE,
     STATE_LEAVING,
+    UNUSABLE,
 )
 
 OPERATOR_PREFIX = "op/"
@@ -35,6 +36,11 @@
 UNIT_TOKENS = "tokens"
 MS_PER_S = 1_000.0
 MAX_PORT = 65_535
+# Beyond these an entry is mistaken: a server with more places than any has connections, one that
+# stays cold for over a day, and a start further than a float counts milliseconds.
+MAX_SLOTS = 1_000_000
+MAX_COLD_MS = 86_400_000
+MAX_BORN_UNIX_MS = 2**53
 
 ROUTE_KIND_BY_NAME = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -59,7 +65,7 @@
             prefix=SERVER_PREFIX,
             key_of=_server_key,
             value_of=server_value,
-            value_if_unreadable={"role": ROLE_UNUSABLE},
+            value_if_unreadable=UNUSABLE,
         ),
     }
 
@@ -110,11 +116,11 @@
         "state": STATE_BY_NAME[_text(entry, "State")],
         "address": _address(entry),
         "pool": _text(entry, "Service"),
-        "slots": _integer(entry, "Slots", at_least=1),
-        "cold_left_s": _integer(entry, "ColdLeftMs", default=0) / MS_PER_S,
+        "slots": _integer(entry, "Slots", MAX_SLOTS, at_least=1),
+        "cold_left_s": _integer(entry, "ColdLeftMs", MAX_COLD_MS, default=0) / MS_PER_S,
         # The start time of this incarnation; servers that never restart under the same id may
         # omit it.
-        "born_unix_ms": _integer(entry, "born", default=0),
+        "born_unix_ms": _integer(entry, "born", MAX_BORN_UNIX_MS, default=0),
         "software_version": _software_version(entry),
         # The entry expires when the server falls silent, at times also while the store is down.
         "leased": True,
@@ -144,18 +150,22 @@
 
 
 def _integer(
-    entry: Mapping[str, Any], name: str, at_least: int = 0, default: int | None = None
+    entry: Mapping[str, Any],
+    name: str,
+    at_most: int,
+    at_least: int = 0,
+    default: int | None = None,
 ) -> int:
     value = entry[name] if default is None else entry.get(name, default)
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not math.isfinite(value) or value != int(value) or value < at_least:
-        raise ValueError(f"{name}: {value!r} is not a whole number of at least {at_least}")
-    return int(value)
+    count = count_or_none(value, at_most)
+    if count is None or count < at_least:
+        raise ValueError(f"{name}: {value!r} is no whole number from {at_least} to {at_most}")
+    return count
 
 
 def _routing(config: Mapping[str, Any]) -> Routing:
     return Routing(
-        version=int(config["Version"]),
+        version=_integer(config, "Version", UINT64_MAX),
         routes=tuple(_route(route) for route in config["Routes"]),
         pools=tuple(_pool(service) for service in config["Services"]),
         limits=_limits(config.get("Limits") or {}),
--- a/src/pomelobarrow/platform/store.py
+++ b/src/pomelobarrow/platform/store.py
@@ -2,18 +2,25 @@
 
 import base64
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
 
 import aiohttp
 import orjson
-import structlog
 from attrs import define, field, frozen
 from result import Err, Ok, Result
 
+from pomelobarrow.decision.common.bounded import count_or_none
 from pomelobarrow.decision.published.keyspace import Change
-from pomelobarrow.decision.published.store_position import MAX_ERA, era_of, position, revision_of
+from pomelobarrow.decision.published.store_position import (
+    MAX_ERA,
+    MAX_REVISION,
+    era_of,
+    position,
+    revision_of,
+)
 from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.published.events import ItemUnreadable
 from pomelobarrow.published.store_reader import Page, ReadError, ReadFailure, StoreReader
 
 RANGE_PATH = "/kv-range"
@@ -32,8 +39,6 @@
 # Errors raised by decoding another writer's bytes and by reading fields of unexpected types.
 DECODE_ERRORS = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
 
-log = structlog.get_logger(__name__)
-
 
 @frozen(kw_only=True)
 class StoreAnswer:
@@ -60,6 +65,7 @@
 
     addresses: Sequence[str]
     sources: Mapping[str, KeyspaceSource]
+    observe: Callable[[object], None] = lambda event: None
     _random: random.Random = field(factory=random.Random)
     _session: aiohttp.ClientSession | None = field(default=None, init=False)
     # The last era that the store stated; it counts for answers that state none.
@@ -88,11 +94,9 @@
                 return Err(ReadError(failure=ReadFailure.REFUSED, detail=RETURNED_MEANWHILE))
             try:
                 page = answer.ok_value.body
-                head_revision = head_revision or position(era, int(page["StoreRevision"]))
+                head_revision = head_revision or position(era, _store_revision(page))
                 items = page["items"]
-                changes += [
-                    each for item in items if (each := _change(source, item, era)) is not None
-                ]
+                changes += self._changes(keyspace, items, era)
                 if not page["HasMore"] or not items:
                     break
                 last_key = _last_key(items)
@@ -105,10 +109,10 @@
         self, keyspace: str, after_revision: int, until_unix_s: float
     ) -> Result[Page, ReadError]:
         """Return the changes after a revision, waiting for one until the given time."""
-        source = self.sources[keyspace]
+        prefix = self.sources[keyspace].prefix
         wait_s = max(0.0, until_unix_s - now_unix_s())
         params = {
-            "Prefix": source.prefix,
+            "Prefix": prefix,
             "after": str(revision_of(after_revision)),
             "WaitMs": str(int(wait_s * MS_PER_S)),
         }
@@ -120,15 +124,22 @@
             # The number means another revision there, also if the store has it again.
             return Err(ReadError(failure=ReadFailure.HISTORY_GONE))
         try:
-            events = body["events"]
-            changes = tuple(
-                each for item in events if (each := _change(source, item, era)) is not None
-            )
-            head = position(era, int(body["StoreRevision"]))
+            changes = tuple(self._changes(keyspace, body["events"], era))
+            head = position(era, _store_revision(body))
         except DECODE_ERRORS as error:
             return Err(ReadError(failure=ReadFailure.MALFORMED, detail=repr(error)))
         return Ok(Page(changes=changes, head_revision=head))
 
+    def _changes(self, keyspace: str, items: Iterable[Any], era: int) -> list[Change]:
+        """Return the changes that items hold, each item read by itself."""
+
+        def on_unreadable(key: str, error: str) -> None:
+            self.observe(ItemUnreadable(keyspace=keyspace, key=key, error=error))
+
+        source = self.sources[keyspace]
+        read = [_change(source, item, era, on_unreadable) for item in items]
+        return [change for change in read if change is not None]
+
     async def close(self) -> None:
         """Close the session."""
         if self._session is not None:
@@ -179,8 +190,15 @@
 def _is_keyed(item: Any) -> bool:
     if not isinstance(item, Mapping) or not isinstance(item.get("Key"), str):
         return False
-    revision = item.get("Revision")
-    return isinstance(revision, int) and not isinstance(revision, bool) and revision > 0
+    return bool(count_or_none(item.get("Revision"), MAX_REVISION))
+
+
+def _store_revision(body: Mapping[str, Any]) -> int:
+    """Return the revision up to which an answer holds changes."""
+    revision = count_or_none(body["StoreRevision"], MAX_REVISION)
+    if revision is None:
+        raise ValueError(f"StoreRevision: {body['StoreRevision']!r} is no revision")
+    return revision
 
 
 def _stated_era(text: str, known_era: int) -> int:
@@ -190,13 +208,18 @@
     return int(text) + 1
 
 
-def _change(source: KeyspaceSource, item: Any, era: int = 0) -> Change | None:
+def _change(
+    source: KeyspaceSource,
+    item: Any,
+    era: int = 0,
+    on_unreadable: Callable[[str, str], None] = lambda key, error: None,
+) -> Change | None:
     if not _is_keyed(item):
         # The value may hold the keys of accounts.
         fields = sorted(map(str, item)) if isinstance(item, Mapping) else type(item).__name__
-        log.warning("item ignored", error="it has no key or no revision", fields=fields)
+        on_unreadable("", f"it has no key or no revision, only {fields}")
         return None
-    stored_key, revision = item["Key"], position(era, item["Revision"])
+    stored_key, revision = item["Key"], position(era, int(item["Revision"]))
     key = source.key_of(stored_key)
     if key is None:
         return None
@@ -207,8 +230,6 @@
         value = source.value_of(stored_key, decoded)
     except DECODE_ERRORS as error:
         # One undecodable item must not prevent all others from being read.
-        log.warning(
-            "item can't be decoded", key=stored_key, revision=item["Revision"], error=repr(error)
-        )
+        on_unreadable(stored_key, repr(error))
         value = source.value_if_unreadable
     return None if value is None else Change(revision=revision, key=key, value=value)
--- a/src/pomelobarrow/published/events.py
+++ b/src/pomelobarrow/published/events.py
@@ -23,6 +23,16 @@
     reasons: tuple[str, ...]
 
 
+@frozen(kw_only=True)
+class ItemUnreadable:
+    """Report that an item of the store can't be used; all others count."""
+
+    keyspace: str
+    # The key in the store or in the keyspace; empty if the item has none.
+    key: str
+    error: str
+
+
 @frozen(kw_only=True)
 class StoreReturned:
     """Report that the platform's store came back from an older copy, and who showed it first."""
--- a/src/pomelobarrow/published/keyspaces.py
+++ b/src/pomelobarrow/published/keyspaces.py
@@ -1,6 +1,7 @@
 """The daemon's copies of the published keyspaces and the values parsed from them."""
 
 from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 from typing import Any
 
 import structlog
@@ -17,12 +18,13 @@
 from pomelobarrow.decision.servers.departures import Departures, DepartureSource
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.published.events import (
+    ItemUnreadable,
     KeyspaceApplied,
     KeyspaceRefused,
     ServerLeaving,
     StoreReturned,
 )
-from pomelobarrow.published.vms import EntryVm, VmList, check_vms
+from pomelobarrow.published.vms import UNUSABLE, EntryVm, VmList, check_vms
 
 CONFIG = "config"
 VMS = "vms"
@@ -73,6 +75,9 @@
             ),
             VMS: KeyspaceCopy(VMS, validator=check_vms),
         }
+        for copy in self.copies.values():
+            copy.reader.on_unreadable = partial(self._report_unreadable, copy.name)
+        self.copies[VMS].reader.value_if_unreadable = UNUSABLE
 
     @property
     def routing(self) -> Routing | None:
@@ -205,6 +210,9 @@
         for listener in self.listeners:
             listener(name, source)
 
+    def _report_unreadable(self, name: str, change: Change, error: str) -> None:
+        self.observe(ItemUnreadable(keyspace=name, key=change.key, error=error))
+
     def _report_refusal(
         self, name: str, revision: int, reasons: tuple[str, ...], source: str
     ) -> None:
--- a/src/pomelobarrow/published/vms.py
+++ b/src/pomelobarrow/published/vms.py
@@ -15,6 +15,7 @@
 # The role of an entry that can't be decoded. It describes no VM; a VM that was listed before under
 # its key is removed.
 ROLE_UNUSABLE = "unusable"
+UNUSABLE: Mapping[str, Any] = {"role": ROLE_UNUSABLE}
 STATE_LEAVING = "leaving"
 REQUIRED_FIELDS = {
     ROLE_ENTRY: ("region", "failure_domain", "state", "caller_address", "peer_address"),
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import sys
 from typing import Any
 
 import pytest
@@ -14,9 +15,11 @@
 
 from pomelobarrow.decision.published.keyspace import Change
 from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.operators.metrics import Metrics
+from pomelobarrow.operators.plugin import Observer
 from pomelobarrow.platform.records import platform_sources
 from pomelobarrow.platform.store import Store, _change
-from pomelobarrow.published.keyspaces import CONFIG, VMS
+from pomelobarrow.published.keyspaces import CONFIG, VMS, PublishedState
 from pomelobarrow.published.vms import VmList, check_vms
 
 SOURCES = platform_sources({"hall-a": "tallinn"})
@@ -85,6 +88,10 @@
         ("ColdLeftMs", -1),
         ("born", "yesterday"),
         ("born", 1.5),
+        ("born", 2.0**70),
+        ("Slots", sys.float_info.max),
+        ("Slots", 2**63),
+        ("ColdLeftMs", 2**70),
     ],
 )
 def test_field_with_an_invalid_value_lists_no_server(name: str, value: Any) -> None:
@@ -198,3 +205,74 @@
     first, second = page.ok_value.changes
     assert first == Change(revision=6, key="vms/i-1", value=UNUSABLE)
     assert (second.key, second.value["role"]) == ("vms/i-2", "backend_server")
+
+
+LARGE = (sys.float_info.max, 1e300, 2**64, 2**70, 10**400)
+FOREIGN = [{**ENTRY, name: number} for name in ("Slots", "born", "ColdLeftMs") for number in LARGE]
+DRAINING = {**ENTRY, "State": "draining"}
+
+
+async def published_after(pages: list[list[Any]], is_watch: bool) -> PublishedState:
+    """Return what a daemon has in force after a listing, or after a sound listing and a watch."""
+    observed: list[object] = []
+    published = PublishedState(observe=observed.append)
+    published.apply(VMS, (), 4, after_revision=0, source="test")
+    store, server = await client(ForeignStore(pages=pages))
+    if is_watch:
+        page = await store.read_changes(VMS, 4, now_unix_s() + 1.0)
+    else:
+        published = PublishedState(observe=observed.append)
+        page = await store.read_all(VMS)
+    await store.close()
+    await server.close()
+    head, after = page.unwrap().head_revision, 4 if is_watch else 0
+    published.apply(VMS, page.unwrap().changes, head, after_revision=after, source="store")
+    return published
+
+
+@pytest.mark.parametrize("is_watch", [False, True], ids=["listing", "watch"])
+@pytest.mark.parametrize("foreign", FOREIGN, ids=lambda entry: repr(entry)[-60:])
+async def test_entry_with_a_large_number_hides_no_other_entry(
+    foreign: dict[str, Any], is_watch: bool
+) -> None:
+    """Guards against requests to servers that left, as each later read is refused as well."""
+    items = [
+        item("servers/i-other", foreign, revision=5),
+        item("servers/i-1", DRAINING, revision=6),
+        item("servers/i-2", ENTRY, revision=7),
+    ]
+    published = await published_after([items], is_watch)
+    servers = published.backend_servers
+    assert {name: server.leaving for name, server in servers.items()} == {"i-1": True, "i-2": False}
+
+
+@pytest.mark.parametrize("revision", [2**36, 2**64, 1e300, -1, "5", True])
+async def test_item_with_an_invalid_revision_hides_no_other_item(revision: Any) -> None:
+    """Guards against a revision that counts as one of another era of the store."""
+    items = [{**item("servers/i-other", ENTRY), "Revision": revision}, item("servers/i-2", ENTRY)]
+    published = await published_after([items], is_watch=True)
+    assert list(published.backend_servers) == ["i-2"]
+    assert published.copies[VMS].observed_revision == 9
+
+
+@given(st.dictionaries(st.sampled_from(sorted(ENTRY)), JSON))
+def test_any_foreign_entry_leaves_the_others_in_force(changed: dict[str, Any]) -> None:
+    """Guards against a value that one layer accepts and a later one refuses with its batch."""
+    published = PublishedState(observe=lambda event: None)
+    pairs = (("servers/i-other", {**ENTRY, **changed}), ("servers/i-2", ENTRY))
+    changes = [_change(SOURCES[VMS], item(key, value)) for key, value in pairs]
+    published.apply(VMS, [each for each in changes if each], 5, after_revision=0, source="store")
+    assert "i-2" in published.backend_servers
+
+
+async def test_unreadable_item_is_reported_with_its_key(capsys: pytest.CaptureFixture[str]) -> None:
+    metrics = Metrics()
+    foreign = ForeignStore(pages=[[item("servers/i-other", FOREIGN[0])]])
+    store, server = await client(foreign)
+    store.observe = Observer(metrics).observe
+    await store.read_all(VMS)
+    await store.close()
+    await server.close()
+    content, _ = metrics.render()
+    assert 'pomelobarrow_unreadable_items_total{keyspace="vms"} 1' in content.decode()
+    assert "servers/i-other" in capsys.readouterr().out
