Check each entry of the list of VMs by itself

Cause: the validator of the keyspace judged whether fields are there, for the whole list at once, and the parser relied on their types. VmList now parses each entry by itself, with types and ranges; one that describes no VM is reported like an unreadable item. The validator of the whole list is gone: nothing in the list concerns more than one entry.

Tests that asked the validator now ask the list, whose report must be empty for what the adapter accepts.

--- a/src/pomelobarrow/decision/common/bounded.py
+++ b/src/pomelobarrow/decision/common/bounded.py
@@ -5,6 +5,8 @@
 """
 
 import math
+from collections.abc import Mapping
+from typing import Any
 
 UINT32_MAX = 2**32 - 1
 UINT64_MAX = 2**64 - 1
@@ -41,3 +43,26 @@
     if math.isnan(value):
         return 0
     return int(min(max(0, value), most))
+
+
+def require_count(
+    entry: Mapping[str, Any],
+    name: str,
+    at_most: int,
+    at_least: int = 0,
+    default: int | None = None,
+) -> int:
+    """Return a whole number of an entry; raise ValueError if it is out of range."""
+    value = entry[name] if default is None else entry.get(name, default)
+    count = count_or_none(value, at_most)
+    if count is None or count < at_least:
+        raise ValueError(f"{name}: {value!r} is no whole number from {at_least} to {at_most}")
+    return count
+
+
+def require_text(entry: Mapping[str, Any], name: str) -> str:
+    """Return a text of an entry; raise ValueError if it is none or empty."""
+    value = entry[name]
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{name}: {value!r} is not a non-empty string")
+    return value
--- a/src/pomelobarrow/platform/records.py
+++ b/src/pomelobarrow/platform/records.py
@@ -7,7 +7,7 @@
 
 import cattrs
 
-from pomelobarrow.decision.common.bounded import UINT64_MAX, count_or_none
+from pomelobarrow.decision.common.bounded import UINT64_MAX, require_count, require_text
 from pomelobarrow.decision.published.accounts import Account, RateLimit, key_sha256
 from pomelobarrow.decision.published.configuration_check import EVACUATIONS, ROUTING_KEY
 from pomelobarrow.decision.published.routing import (
@@ -22,6 +22,9 @@
 from pomelobarrow.published.keyspaces import CONFIG, VMS
 from pomelobarrow.published.vms import (
     KEY_PREFIX,
+    MAX_BORN_UNIX_MS,
+    MAX_COLD_S,
+    MAX_SLOTS,
     ROLE_BACKEND_SERVER,
     STATE_LEAVING,
     UNUSABLE,
@@ -36,11 +39,6 @@
 UNIT_TOKENS = "tokens"
 MS_PER_S = 1_000.0
 MAX_PORT = 65_535
-# Beyond these an entry is mistaken: a server with more places than any has connections, one that
-# stays cold for over a day, and a start further than a float counts milliseconds.
-MAX_SLOTS = 1_000_000
-MAX_COLD_MS = 86_400_000
-MAX_BORN_UNIX_MS = 2**53
 
 ROUTE_KIND_BY_NAME = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -108,34 +106,28 @@
 def _server(
     entry: Mapping[str, Any], region_by_failure_domain: Mapping[str, str]
 ) -> dict[str, Any]:
-    failure_domain = _text(entry, "Zone")
+    failure_domain = require_text(entry, "Zone")
     return {
         "role": ROLE_BACKEND_SERVER,
         "region": region_by_failure_domain[failure_domain],
         "failure_domain": failure_domain,
-        "state": STATE_BY_NAME[_text(entry, "State")],
+        "state": STATE_BY_NAME[require_text(entry, "State")],
         "address": _address(entry),
-        "pool": _text(entry, "Service"),
-        "slots": _integer(entry, "Slots", MAX_SLOTS, at_least=1),
-        "cold_left_s": _integer(entry, "ColdLeftMs", MAX_COLD_MS, default=0) / MS_PER_S,
+        "pool": require_text(entry, "Service"),
+        "slots": require_count(entry, "Slots", MAX_SLOTS, at_least=1),
+        "cold_left_s": require_count(entry, "ColdLeftMs", int(MAX_COLD_S * MS_PER_S), default=0)
+        / MS_PER_S,
         # The start time of this incarnation; servers that never restart under the same id may
         # omit it.
-        "born_unix_ms": _integer(entry, "born", MAX_BORN_UNIX_MS, default=0),
+        "born_unix_ms": require_count(entry, "born", MAX_BORN_UNIX_MS, default=0),
         "software_version": _software_version(entry),
         # The entry expires when the server falls silent, at times also while the store is down.
         "leased": True,
     }
 
 
-def _text(entry: Mapping[str, Any], name: str) -> str:
-    value = entry[name]
-    if not isinstance(value, str) or not value:
-        raise TypeError(f"{name}: {value!r} is not a non-empty string")
-    return value
-
-
 def _address(entry: Mapping[str, Any]) -> str:
-    address = _text(entry, "Address")
+    address = require_text(entry, "Address")
     host, _, port = address.rpartition(":")
     ipaddress.IPv4Address(host)
     if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
@@ -149,23 +141,9 @@
     return "" if version is None else str(version)
 
 
-def _integer(
-    entry: Mapping[str, Any],
-    name: str,
-    at_most: int,
-    at_least: int = 0,
-    default: int | None = None,
-) -> int:
-    value = entry[name] if default is None else entry.get(name, default)
-    count = count_or_none(value, at_most)
-    if count is None or count < at_least:
-        raise ValueError(f"{name}: {value!r} is no whole number from {at_least} to {at_most}")
-    return count
-
-
 def _routing(config: Mapping[str, Any]) -> Routing:
     return Routing(
-        version=_integer(config, "Version", UINT64_MAX),
+        version=require_count(config, "Version", UINT64_MAX),
         routes=tuple(_route(route) for route in config["Routes"]),
         pools=tuple(_pool(service) for service in config["Services"]),
         limits=_limits(config.get("Limits") or {}),
--- a/src/pomelobarrow/published/keyspaces.py
+++ b/src/pomelobarrow/published/keyspaces.py
@@ -24,7 +24,7 @@
     ServerLeaving,
     StoreReturned,
 )
-from pomelobarrow.published.vms import UNUSABLE, EntryVm, VmList, check_vms
+from pomelobarrow.published.vms import UNUSABLE, EntryVm, VmList
 
 CONFIG = "config"
 VMS = "vms"
@@ -67,16 +67,18 @@
     _settled_unix_s: float | None = field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._vms = VmList(departures=self.departures)
+        self._vms = VmList(
+            departures=self.departures, on_unreadable=partial(self._report_unreadable, VMS)
+        )
         self.departures.listeners.append(self._on_departure)
         self.copies = {
             CONFIG: KeyspaceCopy(
                 CONFIG, validator=self._check_configuration, version_of=_routing_version
             ),
-            VMS: KeyspaceCopy(VMS, validator=check_vms),
+            VMS: KeyspaceCopy(VMS),
         }
         for copy in self.copies.values():
-            copy.reader.on_unreadable = partial(self._report_unreadable, copy.name)
+            copy.reader.on_unreadable = self._reporter(copy.name)
         self.copies[VMS].reader.value_if_unreadable = UNUSABLE
 
     @property
@@ -210,8 +212,11 @@
         for listener in self.listeners:
             listener(name, source)
 
-    def _report_unreadable(self, name: str, change: Change, error: str) -> None:
-        self.observe(ItemUnreadable(keyspace=name, key=change.key, error=error))
+    def _reporter(self, name: str) -> Callable[[Change, str], None]:
+        return lambda change, error: self._report_unreadable(name, change.key, error)
+
+    def _report_unreadable(self, name: str, key: str, error: str) -> None:
+        self.observe(ItemUnreadable(keyspace=name, key=key, error=error))
 
     def _report_refusal(
         self, name: str, revision: int, reasons: tuple[str, ...], source: str
--- a/src/pomelobarrow/published/vms.py
+++ b/src/pomelobarrow/published/vms.py
@@ -1,10 +1,11 @@
-"""Check and parse the platform's list of VMs."""
+"""Parse the platform's list of VMs, each entry by itself."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from attrs import define, evolve, field, frozen
 
+from pomelobarrow.decision.common.bounded import number_or_none, require_count, require_text
 from pomelobarrow.decision.requests.short_key import server_key
 from pomelobarrow.decision.requests.work import BackendServer
 from pomelobarrow.decision.servers.departures import Departures
@@ -16,12 +17,15 @@
 # its key is removed.
 ROLE_UNUSABLE = "unusable"
 UNUSABLE: Mapping[str, Any] = {"role": ROLE_UNUSABLE}
+# Errors that reading an entry with missing fields or fields of other types raises.
+ENTRY_ERRORS = (LookupError, TypeError, ValueError)
 STATE_LEAVING = "leaving"
-REQUIRED_FIELDS = {
-    ROLE_ENTRY: ("region", "failure_domain", "state", "caller_address", "peer_address"),
-    ROLE_BACKEND_SERVER: ("region", "failure_domain", "state", "address", "pool", "slots"),
-    ROLE_UNUSABLE: (),
-}
+# Beyond these an entry is mistaken: a server has more places than any has connections, or more
+# memory than any engine, or is cold for over a day, or a float can't count its start.
+MAX_SLOTS = 1_000_000
+MAX_KV_CAPACITY_TOKENS = 1_000_000_000
+MAX_COLD_S = 86_400.0
+MAX_BORN_UNIX_MS = 2**53
 DEFAULT_KV_CAPACITY_TOKENS = 1 << 17
 # Servers register again within two seconds of the end of a store outage; a server that hasn't by
 # then has ended.
@@ -45,13 +49,6 @@
     leaving: bool
 
 
-def check_vms(values: Mapping[str, Any], changed: frozenset[str], revision: int) -> tuple[str, ...]:
-    """Return the faults of the changed entries, each with its remedy."""
-    return tuple(
-        fault for key in sorted(changed) if key in values for fault in _faults(key, values[key])
-    )
-
-
 @frozen
 class _ExpiredLease:
     server: BackendServer
@@ -67,10 +64,12 @@
     """
 
     departures: Departures = field(factory=Departures, kw_only=True)
+    # Called with the key of an entry that describes no VM, and with the error.
+    on_unreadable: Callable[[str, str], None] = field(default=lambda key, error: None, kw_only=True)
     entries: Mapping[str, EntryVm] = field(factory=dict, init=False)
     servers: Mapping[str, BackendServer] = field(factory=dict, init=False)
     _values: dict[str, Any] = field(factory=dict, init=False, repr=False)
-    _parsed: dict[str, EntryVm | BackendServer | None] = field(factory=dict, init=False, repr=False)
+    _parsed: "dict[str, Parsed]" = field(factory=dict, init=False, repr=False)
     _expired: dict[str, _ExpiredLease] = field(factory=dict, init=False, repr=False)
     # Incarnations that were removed from the list, and when.
     _removed: dict[str, float] = field(factory=dict, init=False, repr=False)
@@ -90,12 +89,20 @@
         for key, value in values.items():
             if not self._is_known(key, value, is_return):
                 self._values[key] = value
-                self._parsed[key] = _parse(key, value, now_unix_s)
+                self._parsed[key] = self._parse(key, value, now_unix_s)
                 self._expired.pop(key, None)
                 self._note_listed(key, now_unix_s, is_return)
         self.rebuild()
         self.departures.forget_old(self.servers.values(), now_unix_s)
 
+    def _parse(self, key: str, value: Any, now_unix_s: float) -> "Parsed":
+        """Parse an entry; one that describes no VM is reported and hides no other one."""
+        try:
+            return _parse(key, value, now_unix_s)
+        except ENTRY_ERRORS as error:
+            self.on_unreadable(key, repr(error))
+            return None
+
     @property
     def next_expiry_unix_s(self) -> float | None:
         """Return when the next server with an expired lease is removed, None if there is none."""
@@ -174,49 +181,57 @@
         self.servers = {server.name: self.departures.marked(server) for server in servers}
 
 
-def _faults(key: str, value: Any) -> list[str]:
-    if not key.startswith(KEY_PREFIX):
-        return [f"{key}: unknown key; use {KEY_PREFIX}NAME"]
-    role = value.get("role") if isinstance(value, dict) else None
-    if role not in REQUIRED_FIELDS:
-        return [f"{key}.role: {role!r}; use one of {', '.join(REQUIRED_FIELDS)}"]
-    missing = [name for name in REQUIRED_FIELDS[role] if name not in value]
-    return [f"{key}.{name}: missing; state it" for name in missing]
-
-
-def _entry_vm(name: str, value: Mapping[str, Any]) -> EntryVm:
+def _entry_vm(name: str, value: Mapping[str, Any], now_unix_s: float) -> EntryVm:
     return EntryVm(
         name=name,
-        region=value["region"],
-        failure_domain=value["failure_domain"],
-        caller_address=value["caller_address"],
-        peer_address=value["peer_address"],
-        leaving=value["state"] == STATE_LEAVING,
+        region=require_text(value, "region"),
+        failure_domain=require_text(value, "failure_domain"),
+        caller_address=require_text(value, "caller_address"),
+        peer_address=require_text(value, "peer_address"),
+        leaving=require_text(value, "state") == STATE_LEAVING,
     )
 
 
-def _parse(key: str, value: Mapping[str, Any], now_unix_s: float) -> EntryVm | BackendServer | None:
-    name = key.removeprefix(KEY_PREFIX)
-    if value["role"] == ROLE_UNUSABLE:
-        return None
-    if value["role"] == ROLE_ENTRY:
-        return _entry_vm(name, value)
-    return _backend_server(name, value, now_unix_s)
-
-
 def _backend_server(name: str, value: Mapping[str, Any], now_unix_s: float) -> BackendServer:
-    cold_left_s = float(value.get("cold_left_s", 0.0))
+    cold_left_s = number_or_none(value.get("cold_left_s", 0.0), MAX_COLD_S)
+    if cold_left_s is None:
+        raise ValueError(f"cold_left_s: {value['cold_left_s']!r} is no number up to {MAX_COLD_S}")
+    capacity_tokens = require_count(
+        value, "kv_capacity_tokens", MAX_KV_CAPACITY_TOKENS, default=DEFAULT_KV_CAPACITY_TOKENS
+    )
     return BackendServer(
         name=name,
-        region=value["region"],
-        failure_domain=value["failure_domain"],
-        address=value["address"],
-        pool=value["pool"],
-        slots=int(value["slots"]),
-        kv_capacity_tokens=int(value.get("kv_capacity_tokens", DEFAULT_KV_CAPACITY_TOKENS)),
-        leaving=value["state"] == STATE_LEAVING,
+        region=require_text(value, "region"),
+        failure_domain=require_text(value, "failure_domain"),
+        address=require_text(value, "address"),
+        pool=require_text(value, "pool"),
+        slots=require_count(value, "slots", MAX_SLOTS, at_least=1),
+        kv_capacity_tokens=capacity_tokens,
+        leaving=require_text(value, "state") == STATE_LEAVING,
         checks_fencing=bool(value.get("checks_fencing", False)),
         cold_until_unix_s=now_unix_s + cold_left_s if cold_left_s else 0.0,
-        born_unix_ms=int(value.get("born_unix_ms", 0)),
+        born_unix_ms=require_count(value, "born_unix_ms", MAX_BORN_UNIX_MS, default=0),
         software_version=str(value.get("software_version", "")),
     )
+
+
+def _nothing(name: str, value: Mapping[str, Any], now_unix_s: float) -> None:
+    return None
+
+
+Parsed = EntryVm | BackendServer | None
+PARSER_BY_ROLE: Mapping[str, Callable[[str, Mapping[str, Any], float], Parsed]] = {
+    ROLE_ENTRY: _entry_vm,
+    ROLE_BACKEND_SERVER: _backend_server,
+    ROLE_UNUSABLE: _nothing,
+}
+
+
+def _parse(key: str, value: Any, now_unix_s: float) -> Parsed:
+    """Parse an entry; raise one of ENTRY_ERRORS if it describes no VM."""
+    if not key.startswith(KEY_PREFIX):
+        raise ValueError(f"unknown key; use {KEY_PREFIX}NAME")
+    parse = PARSER_BY_ROLE.get(value["role"])
+    if parse is None:
+        raise ValueError(f"role: {value['role']!r}; use one of {', '.join(PARSER_BY_ROLE)}")
+    return parse(key.removeprefix(KEY_PREFIX), value, now_unix_s)
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -20,7 +20,7 @@
 from pomelobarrow.platform.records import platform_sources
 from pomelobarrow.platform.store import Store, _change
 from pomelobarrow.published.keyspaces import CONFIG, VMS, PublishedState
-from pomelobarrow.published.vms import VmList, check_vms
+from pomelobarrow.published.vms import VmList
 
 SOURCES = platform_sources({"hall-a": "tallinn"})
 ENTRY: dict[str, Any] = {
@@ -57,9 +57,11 @@
 
 
 def is_server(value: Any) -> bool:
-    listed = VmList()
-    assert check_vms({"vms/i-1": value}, frozenset({"vms/i-1"}), 1) == ()
+    unreadable: list[str] = []
+    listed = VmList(on_unreadable=lambda key, error: unreadable.append(key))
     listed.update({"vms/i-1": value}, 1.0)
+    # What the adapter has accepted, no later layer refuses.
+    assert unreadable == []
     return bool(listed.servers)
 
 
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -10,7 +10,7 @@
 from pomelobarrow.decision.published.routing import PoolShare, RouteKind
 from pomelobarrow.platform.records import platform_sources
 from pomelobarrow.published.keyspaces import CONFIG, VMS
-from pomelobarrow.published.vms import check_vms
+from pomelobarrow.published.vms import VmList
 
 SOURCES = platform_sources({"hall-a": "tallinn"})
 ENTRY: dict[str, Any] = {
@@ -62,7 +62,9 @@
 
 def test_server_entry_becomes_a_listed_backend_server() -> None:
     value = server_value()
-    assert check_vms({"vms/i-1": value}, frozenset({"vms/i-1"}), 1) == ()
+    listed = VmList()
+    listed.update({"vms/i-1": value}, 1.0)
+    assert list(listed.servers) == ["i-1"]
     assert (value["region"], value["pool"], value["state"]) == ("tallinn", "p1", "ready")
     assert value["cold_left_s"] == 1.5
 
--- a/tests/test_vm_list.py
+++ b/tests/test_vm_list.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from pomelobarrow.decision.published.keyspace import Change
+from pomelobarrow.published.events import ItemUnreadable
+from pomelobarrow.published.keyspaces import VMS, PublishedState
 from pomelobarrow.published.vms import LEASE_GRACE_S, REVIVED_HOLD_S, VmList
 
 VALUE: dict[str, Any] = {
@@ -123,3 +126,36 @@
     assert vms.servers["s1"].cold_until_unix_s == 9.0
     vms.update({"vms/s1": dict(cold)}, 20.0, era=2)
     assert vms.servers["s1"].cold_until_unix_s == 28.0
+
+
+FOREIGN = [
+    *(
+        {**VALUE, name: value}
+        for name in VALUE
+        if name != "leased"
+        for value in (None, 7.5, [], {})
+    ),
+    *({key: each for key, each in VALUE.items() if key != name} for name in ("address", "slots")),
+    {**VALUE, "slots": 0},
+    {**VALUE, "slots": 1e300},
+    {**VALUE, "cold_left_s": "soon"},
+    {**VALUE, "cold_left_s": 1e300},
+    {**VALUE, "born_unix_ms": 2.0**70},
+    {**VALUE, "kv_capacity_tokens": -1},
+    {**VALUE, "role": "printer"},
+    {"role": "entry"},
+    "no object",
+    7,
+]
+
+
+@pytest.mark.parametrize("value", FOREIGN, ids=repr)
+def test_unusable_entry_of_a_list_without_translation_hides_no_other_entry(value: Any) -> None:
+    """Guards against a list that one entry of another writer freezes."""
+    events: list[object] = []
+    published = PublishedState(observe=events.append)
+    changes = [Change(1, "vms/other", value), Change(2, "vms/s1", VALUE)]
+    published.apply(VMS, changes, 2, after_revision=0, source="store")
+    published.apply(VMS, [Change(3, "vms/s2", VALUE)], 3, after_revision=2, source="store")
+    assert set(published.backend_servers) == {"s1", "s2"}
+    assert [each.key for each in events if isinstance(each, ItemUnreadable)] == ["vms/other"]
