Bound the numbers that clients state in the relay's headers

All clients of a VM got no answer after one client's `Pomelobarrow-Prompt-Prefix: aa:,bb:1` (over 25 s, until the VM was killed): each 128 stated tokens are hashed, and nothing bounded their number. A count of 400 digits and a deadline of nan got 500.

Token counts and the tokens of all prompt parts are now at most 2,097,152, what a body of the largest size holds at two bytes a token; parts at most 256; a deadline is a decimal number of milliseconds. Others get 400 that names the header and the range.

--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -25,6 +25,7 @@
     ServerAnswerHead,
     ServerCounts,
 )
+from pomelobarrow.relay.prompts import MAX_BODY_BYTES
 from pomelobarrow.relay.wire import DirectoryQuery, RelayWire, ServerCallOptions
 
 READINESS_PATH = "/readiness"
@@ -66,6 +67,14 @@
 ACCOUNT_KEY = "Pomelobarrow-Key"
 ACCOUNT_NAME = "Pomelobarrow-Tenant"
 
+# As many tokens as a body of the largest size holds, at two bytes a token; each 128 of them are
+# hashed.
+MAX_CLIENT_TOKENS = MAX_BODY_BYTES // 2
+# Each part is looked up among those that crash servers.
+MAX_PROMPT_PARTS = 256
+# The characters of a malformed value that its refusal quotes.
+MAX_QUOTED = 32
+
 WRONG_SERVER_STATUS = 421
 # The id of no server: whichever gets a request for it answers that it is another one.
 NO_SERVER = "none"
@@ -144,14 +153,13 @@
     if len(keys) > 1:
         return Err(f"{ACCOUNT_KEY} is given {len(keys)} times")
     try:
-        time_left_ms = headers.get(TIME_LEFT)
         counts = headers.get(TOKEN_COUNTS)
         prompt_tokens, output_tokens = _token_counts(counts)
         return Ok(
             RequestHead(
                 request_id=request_id,
                 headers=_end_to_end_headers(headers),
-                time_limit_s=float(time_left_ms) / MS_PER_S if time_left_ms else None,
+                time_limit_s=_time_limit_s(headers.get(TIME_LEFT)),
                 model=headers.get(MODEL),
                 prompt_tokens=prompt_tokens,
                 max_output_tokens=output_tokens,
@@ -163,7 +171,7 @@
             )
         )
     except ValueError as error:
-        return Err(f"a header's number is malformed: {error}")
+        return Err(f"a header is malformed: {error}")
 
 
 def server_headers(request: RelayRequest, options: ServerCallOptions) -> Headers:
@@ -227,11 +235,25 @@
 
 def _token_counts(text: str | None) -> tuple[int, int]:
     prompt_text, _, output_text = (text or "0,0").partition(",")
-    prompt_tokens, output_tokens = int(prompt_text), int(output_text or 0)
-    # A negative count would add to what the client's account may use.
-    if prompt_tokens < 0 or output_tokens < 0:
-        raise ValueError(f"{TOKEN_COUNTS} is negative")
-    return prompt_tokens, output_tokens
+    return _tokens(TOKEN_COUNTS, prompt_text), _tokens(TOKEN_COUNTS, output_text or "0")
+
+
+def _tokens(header: str, text: str) -> int:
+    tokens = parse_count(text, MAX_CLIENT_TOKENS)
+    if tokens is None:
+        raise ValueError(
+            f"{header}: {text[:MAX_QUOTED]!r} is no whole number from 0 to {MAX_CLIENT_TOKENS}"
+        )
+    return tokens
+
+
+def _time_limit_s(text: str | None) -> float | None:
+    if not text:
+        return None
+    time_left_ms = parse_decimal(text)
+    if time_left_ms is None:
+        raise ValueError(f"{TIME_LEFT}: {text[:MAX_QUOTED]!r} is no number of milliseconds")
+    return time_left_ms / MS_PER_S
 
 
 def _values(headers: Mapping[str, str], name: str) -> list[str]:
@@ -323,5 +345,14 @@
 
 
 def _prompt_parts(text: str) -> tuple[PromptPart, ...]:
-    pairs = (each.partition(":") for each in text.split(",") if each)
-    return tuple(PromptPart(id=id_.strip(), tokens=int(tokens)) for id_, _, tokens in pairs)
+    if not text:
+        return ()
+    pairs = [each.partition(":") for each in text.split(",") if each]
+    if len(pairs) > MAX_PROMPT_PARTS:
+        raise ValueError(f"{PROMPT_PARTS}: more than {MAX_PROMPT_PARTS} parts")
+    parts = tuple(
+        PromptPart(id=id_.strip(), tokens=_tokens(PROMPT_PARTS, tokens)) for id_, _, tokens in pairs
+    )
+    if sum(part.tokens for part in parts) > MAX_CLIENT_TOKENS:
+        raise ValueError(f"{PROMPT_PARTS}: more than {MAX_CLIENT_TOKENS} tokens in all parts")
+    return parts
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -32,11 +32,11 @@
 from pomelobarrow.relay.health_monitor import ServerHealthMonitor
 from pomelobarrow.relay.listeners import Listener, RelayListeners
 from pomelobarrow.relay.planned_stop import PlannedStop
+from pomelobarrow.relay.prompts import MAX_BODY_BYTES
 from pomelobarrow.relay.relay import Relay
 from pomelobarrow.relay.stream_joins import ResumedStreams, StreamJoins
 from pomelobarrow.relay.wire import RelayWire
 
-MAX_BODY_BYTES = 4 << 20
 RELAY_PROBE_PATH = "/"
 # Clients keep a directory answer for three times its validity and connect to the VMs it names until
 # then.
--- a/src/pomelobarrow/relay/prompts.py
+++ b/src/pomelobarrow/relay/prompts.py
@@ -9,6 +9,8 @@
 from pomelobarrow.relay.messages import PromptPart
 
 MAX_CACHED_PARTS = 4_096
+# A request holds at most this much, so that no prompt is longer.
+MAX_BODY_BYTES = 4 << 20
 
 
 def shared_blocks(parts: Sequence[PromptPart]) -> tuple[int, ...]:
@@ -16,10 +18,10 @@
 
     The last part is unique to the request, so its blocks are never reused.
     """
-    blocks: tuple[int, ...] = ()
+    blocks: list[int] = []
     for part in parts[:-1]:
         blocks += _part_blocks(blocks[-1] if blocks else 0, part.id, part.tokens)
-    return blocks
+    return tuple(blocks)
 
 
 @functools.lru_cache(MAX_CACHED_PARTS)
--- a/tests/test_stated_numbers.py
+++ b/tests/test_stated_numbers.py
@@ -9,6 +9,8 @@
 from daemon_parts import SERVER, VM, daemon_parts, list_server
 from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
+from relay_harness import ask, relay_fleet, route
+from scripted_server import answers
 
 from pomelobarrow.backends.orders import STATUS_OUTDATED_FENCING, OrderSender
 from pomelobarrow.backends.reports import LoadPoller
@@ -20,14 +22,18 @@
     parse_count,
     saturated,
 )
+from pomelobarrow.decision.prompts.token_estimates import BLOCK_TOKENS
+from pomelobarrow.decision.published.routing import RouteKind
 from pomelobarrow.decision.requests.orders import OrderBook
 from pomelobarrow.decision.servers.load_table import LoadTable
 from pomelobarrow.dispatch.events import ServerLoadInvalid
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.heartbeats import Heartbeats, SentUpdates
-from pomelobarrow.platform.wire import read_answer
+from pomelobarrow.platform.wire import MAX_CLIENT_TOKENS, read_answer
 from pomelobarrow.relay.answer_records import AnswerRecords
+from pomelobarrow.relay.messages import PromptPart
+from pomelobarrow.relay.prompts import shared_blocks
 
 DIGITS = st.integers(0, 10**40).map(str) | st.integers(4_000, 6_000).map(lambda size: "9" * size)
 FEW = settings(suppress_health_check=[HealthCheck.too_slow], deadline=None, max_examples=50)
@@ -156,6 +162,41 @@
     assert list(same_region.in_flight_tokens) == [UINT32_MAX]
 
 
+CLIENT_HEADERS = [
+    ("Pomelobarrow-Prompt-Prefix", "aa:99999999999999999999,bb:1"),
+    ("Pomelobarrow-Prompt-Prefix", "aa:1000000000,bb:1"),
+    ("Pomelobarrow-Prompt-Prefix", "aa:2000000,bb:2000000"),
+    ("Pomelobarrow-Prompt-Prefix", "aa:1," * 300),
+    ("Pomelobarrow-Prompt-Prefix", "aa:-1"),
+    ("Pomelobarrow-Prompt-Prefix", "aa"),
+    ("Pomelobarrow-Token-Count", "5000000000,1"),
+    ("Pomelobarrow-Token-Count", "9" * 400),
+    ("Pomelobarrow-Token-Count", "-1,0"),
+    ("Pomelobarrow-Request-Deadline", "nan"),
+    ("Pomelobarrow-Request-Deadline", "inf"),
+    ("Pomelobarrow-Request-Deadline", "-1"),
+    ("Pomelobarrow-Request-Deadline", "9" * 400),
+]
+
+
+@pytest.mark.parametrize(("name", "value"), CLIENT_HEADERS, ids=lambda text: text[:40])
+async def test_client_header_out_of_range_is_refused_and_the_next_request_is_served(
+    name: str, value: str
+) -> None:
+    """Guards against a VM that one client's header stops for all clients."""
+    once = route(RouteKind.NON_IDEMPOTENT)
+    async with relay_fleet((once,), {"a": {"s1": answers()}}) as fleet:
+        refused = await ask(fleet.vms["a"], "/non_idempotent/", headers={name: value})
+        served = await ask(fleet.vms["a"], "/non_idempotent/")
+    assert (refused.status, served.status) == (400, 200)
+    assert f"a header is malformed: {name}: ".encode() in refused.body
+
+
+def test_longest_prompt_that_a_client_may_state_has_a_block_for_each_128_tokens() -> None:
+    parts = (PromptPart(id="aa", tokens=MAX_CLIENT_TOKENS), PromptPart(id="bb", tokens=0))
+    assert len(shared_blocks(parts)) == MAX_CLIENT_TOKENS // BLOCK_TOKENS
+
+
 @pytest.mark.parametrize("text", ["", "-1", "+1", "1.0", "1e3", "x", "²", "٣", "11", "9" * 5_000])
 def test_text_that_is_no_count_in_range_is_none(text: str) -> None:
     assert parse_count(text, most=10) is None
