Leave out amounts of peers that are not finite or negative

A wait of a region that is infinite, negative or no number was compared with those of other regions, so that callers' requests went to that region, or never there, for as long as its peers sent it; a cost or a sum of service times without a finite value spoiled an account's meter or a pool's learned times for good.

Such loads, rates, costs and sums count as not stated.

Failed before: test_load_of_a_region_that_cannot_be_compared_is_unknown (3 cases). The guards of costs, rates and service times have no failing test.

--- a/src/pomelobarrow/decision/common/bounded.py
+++ b/src/pomelobarrow/decision/common/bounded.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 UINT32_MAX = 2**32 - 1
@@ -38,6 +38,11 @@
     return float(value) if 0 <= value <= most else None
 
 
+def are_amounts(values: Iterable[float]) -> bool:
+    """Return whether all values are finite and not negative."""
+    return all(0.0 <= value < math.inf for value in values)
+
+
 def saturated(value: float, most: int = UINT32_MAX) -> int:
     """Return a count for a field of a message, at the nearest end of its range if it is outside."""
     if math.isnan(value):
--- a/src/pomelobarrow/peers/demand_updates.py
+++ b/src/pomelobarrow/peers/demand_updates.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from pomelobarrow.decision.admission.limits import AccountLimits
+from pomelobarrow.decision.common.bounded import are_amounts
 from pomelobarrow.decision.published.configuration import Configuration
 from pomelobarrow.decision.requests.short_key import short_key
 from pomelobarrow.peers import peers_pb2 as pb
@@ -71,7 +72,7 @@
         if heartbeat.is_whole:
             rates.clear()
         for key, rate in zip(heartbeat.account_keys, heartbeat.account_rates, strict=False):
-            rates[key] = rate
+            rates[key] = rate if are_amounts([rate]) else 0.0
         names = self._names()
         by_name = {names[key]: rate for key, rate in rates.items() if key in names and rate}
         if kind is LinkKind.OTHER_REGION:
--- a/src/pomelobarrow/peers/pool_updates.py
+++ b/src/pomelobarrow/peers/pool_updates.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field, frozen
 
-from pomelobarrow.decision.common.bounded import saturated
+from pomelobarrow.decision.common.bounded import are_amounts, saturated
 from pomelobarrow.decision.members.clocks import ClockOffsets
 from pomelobarrow.decision.placement.region_choice import RegionLoad
 from pomelobarrow.decision.placement.server_choice import least_disturbed_engine, least_wait_s
@@ -90,6 +90,8 @@
         for each in heartbeat.pools:
             region = each.region or sender_region
             if region != self.own_region:
+                if not are_amounts(_amounts(each)):
+                    continue
                 measured_unix_s = unix_s_from_age(each.age_ms, sent_unix_s)
                 load = self._region_load(heartbeat.vm, region, each, measured_unix_s, kind)
                 self.region_loads.observe(load, now_unix_s, kind)
@@ -193,6 +195,17 @@
         return unlimited or min(1, len(servers))
 
 
+def _amounts(load: pb.PoolLoad) -> tuple[float, ...]:
+    """Return the numbers of a region's load by which regions are compared."""
+    return (
+        load.expected_wait_s,
+        load.round_trip_s,
+        load.quiet_backlog_s,
+        load.quiet_reading_share,
+        load.quiet_late_share,
+    )
+
+
 def _quietest_fields(engine: EngineLoad) -> dict[str, Any]:
     return {
         "quiet_streams": saturated(engine.streams),
--- a/src/pomelobarrow/peers/service_time_updates.py
+++ b/src/pomelobarrow/peers/service_time_updates.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field
 
+from pomelobarrow.decision.common.bounded import are_amounts
 from pomelobarrow.decision.servers.load_table import LoadTable
 from pomelobarrow.peers import peers_pb2 as pb
 
@@ -48,6 +49,8 @@
         for entry in heartbeat.times:
             if not table.pool_servers(entry.pool):
                 continue
+            if not are_amounts((entry.reading_tokens_per_s, *entry.sums)):
+                continue
             table.prefill_rates.observe_peer(vm, entry.pool, entry.reading_tokens_per_s, now_unix_s)
             if entry.sums:
                 table.service_times(entry.pool).observe_peer(vm, entry.sums)
--- a/src/pomelobarrow/peers/token_grants.py
+++ b/src/pomelobarrow/peers/token_grants.py
@@ -12,7 +12,7 @@
 
 from pomelobarrow.decision.accounts.account_meter import AccountMeter, Exhausted
 from pomelobarrow.decision.accounts.local_allowance import LocalAllowance
-from pomelobarrow.decision.common.bounded import UINT32_MAX
+from pomelobarrow.decision.common.bounded import UINT32_MAX, are_amounts
 from pomelobarrow.decision.common.rendezvous import rendezvous
 from pomelobarrow.decision.members.member import Member, name_of
 from pomelobarrow.decision.members.membership import MembershipView
@@ -231,8 +231,8 @@
 
     def _on_query(self, query: pb.TokenQuery, reply: Reply) -> None:
         account = self._account_of(query.account_key)
-        # Without the account here, the VM that asks turns to the next meter.
-        if account is None:
+        # Without an answer, the VM that asks turns to the next meter.
+        if account is None or not are_amounts([query.cost]):
             return
         answer = pb.TokenAnswer(number=query.number, is_granted=True)
         if account.limit is not None:
@@ -247,7 +247,9 @@
 
     def _on_refund(self, refund: pb.TokenRefund, reply: Reply) -> None:
         account = self._account_of(refund.account_key)
-        if account is not None and self._is_first(refund.number):
+        if account is None or not are_amounts([refund.cost]):
+            return
+        if self._is_first(refund.number):
             self._meter(account.name).refund(refund.cost)
 
     def _is_first(self, number: int) -> bool:
@@ -261,7 +263,7 @@
 
     def _on_use(self, use: pb.TokenUse, reply: Reply) -> None:
         account = self._account_of(use.account_key)
-        if account is not None and account.limit is not None:
+        if account is not None and account.limit is not None and are_amounts([use.granted]):
             meter = self._meter(account.name)
             meter.observe(use.region, use.meter, use.granted, account.limit, now_unix_s())
             received = pb.TokenUseReceived(
@@ -274,7 +276,8 @@
 
     def _on_use_received(self, received: pb.TokenUseReceived, reply: Reply) -> None:
         account = self._account_of(received.account_key)
-        if account is not None and received.meter == self._meter_id:
+        is_own = received.meter == self._meter_id and are_amounts([received.granted])
+        if account is not None and is_own:
             meter = self._meter(account.name)
             meter.acknowledge(received.region, received.granted, now_unix_s())
 
--- a/tests/test_stated_numbers.py
+++ b/tests/test_stated_numbers.py
@@ -1,6 +1,7 @@
 """Numbers that others state, from where they are read to the messages between VMs."""
 
 import json
+import math
 from types import SimpleNamespace
 
 import pytest
@@ -30,6 +31,7 @@
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.heartbeats import Heartbeats, SentUpdates
+from pomelobarrow.peers.region_loads import RegionLoads
 from pomelobarrow.platform.wire import MAX_CLIENT_TOKENS, read_answer
 from pomelobarrow.relay.answer_records import AnswerRecords
 from pomelobarrow.relay.messages import PromptPart
@@ -197,6 +199,16 @@
     assert len(shared_blocks(parts)) == MAX_CLIENT_TOKENS // BLOCK_TOKENS
 
 
+@pytest.mark.parametrize("value", [math.nan, math.inf, -1.0])
+def test_load_of_a_region_that_cannot_be_compared_is_unknown(value: float) -> None:
+    """Guards against a peer whose numbers attract or repel the requests of a region."""
+    context = daemon_parts()
+    heartbeat = pb.Heartbeat(vm="turin-1", incarnation=1, region="turin", has_loads=True)
+    heartbeat.pools.append(pb.PoolLoad(pool="plain", expected_wait_s=value, servers=1))
+    context.get(Heartbeats).apply(heartbeat)
+    assert context.get(RegionLoads).for_pool("plain") == {}
+
+
 @pytest.mark.parametrize("text", ["", "-1", "+1", "1.0", "1e3", "x", "²", "٣", "11", "9" * 5_000])
 def test_text_that_is_no_count_in_range_is_none(text: str) -> None:
     assert parse_count(text, most=10) is None
