--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -207,6 +207,20 @@
     return script
 
 
+def writes(*chunks: bytes, is_whole: bool = True) -> Script:
+    """Stream these bytes, each in a chunk of its own; break off after them unless it is whole."""
+
+    async def script(exchange: Exchange) -> None:
+        exchange.write_head(200, Content_Type="text/event-stream", Transfer_Encoding="chunked")
+        for chunk in chunks:
+            exchange.write_chunk(chunk)
+        if is_whole:
+            exchange.writer.write(b"0\r\n\r\n")
+        await exchange.writer.drain()
+
+    return script
+
+
 def hangs() -> Script:
     """Send no answer until the connection is lost."""
 
--- /dev/null
+++ b/tests/test_relay_stream_joins.py
@@ -0,0 +1,102 @@
+"""What a client receives of a stream that goes on at another server."""
+
+import aiohttp
+import pytest
+from relay_harness import HOST, relay_fleet, route
+from scripted_server import Exchange, Script, event, streams, writes
+
+from pomelobarrow.decision.published.routing import RouteKind
+
+LAST = 4
+COMMENT = b": keep-alive\n\n"
+
+
+def note(number: int) -> bytes:
+    """Return an event without an id."""
+    return b"event: note\ndata: after %d\n\n" % number
+
+
+def events(*numbers: int) -> bytes:
+    """Return events with their ids."""
+    return b"".join(map(event, numbers))
+
+
+async def receive(*runs: Script, **headers: str) -> tuple[bytes, bool]:
+    """Return the bytes of a stream that needs these runs, and whether it looked complete."""
+    scripts = iter(runs)
+
+    async def run_next(exchange: Exchange) -> None:
+        await next(scripts)(exchange)
+
+    resumable = route(RouteKind.STREAM, is_resumable=True, max_attempts=len(runs))
+    servers = {f"s{number}": run_next for number in range(len(runs))}
+    fields = {"Host": HOST, "Pomelobarrow-Request-Id": "r1", **headers}
+    async with (
+        relay_fleet((resumable,), {"a": servers}) as fleet,
+        aiohttp.ClientSession() as session,
+        session.post(f"{fleet.vms['a'].url}/stream/", headers=fields) as response,
+    ):
+        assert response.status == 200
+        body = b""
+        try:
+            async for data in response.content.iter_any():
+                body += data
+        except aiohttp.ClientPayloadError:
+            return body, False
+        return body, True
+
+
+@pytest.mark.parametrize("pieces", [1, 3])
+async def test_comment_after_an_event_makes_no_event_come_twice(pieces: int) -> None:
+    """A comment at the end of a read hid the ids before it."""
+    sent = b"".join(event(number) + COMMENT for number in range(1, pieces + 1))
+    received = await receive(writes(sent, is_whole=False), streams(LAST))
+    assert received == (sent + events(*range(pieces + 1, LAST + 1)), True)
+
+
+async def test_event_without_an_id_makes_no_event_come_twice() -> None:
+    """An event without an id at the end of a read hid the ids before it.
+
+    The server that goes on after an id sends the events without an id that follow it again.
+    """
+    first = writes(event(1) + note(1) + event(2) + note(2), is_whole=False)
+    second = writes(note(2), event(3), note(3), event(4))
+    whole = event(1) + note(1) + event(2) + note(2) + event(3) + note(3) + event(4)
+    assert await receive(first, second) == (whole, True)
+
+
+async def test_stream_without_ids_does_not_begin_again() -> None:
+    """It was sent from its beginning once more, behind what the client had."""
+    first = writes(note(1), note(2), is_whole=False)
+    assert await receive(first, writes(note(1), note(2), note(3))) == (note(1) + note(2), False)
+
+
+async def test_stream_whose_id_was_reset_does_not_begin_again() -> None:
+    """An empty id means that no event is the last one; the one before was taken for it."""
+    first = writes(event(1), b"id\ndata: anonymous\n\n", is_whole=False)
+    body, is_whole = await receive(first, streams(LAST))
+    assert (body, is_whole) == (event(1) + b"id\ndata: anonymous\n\n", False)
+
+
+@pytest.mark.parametrize("begins_at", [1, 2])
+async def test_run_that_goes_back_is_not_joined(begins_at: int) -> None:
+    """A server that ignores the last event id sent the client pieces that it had."""
+    first = writes(events(1, 2), is_whole=False)
+    again = writes(events(*range(begins_at, LAST + 1)))
+    assert await receive(first, again) == (events(1, 2), False)
+    assert await receive(first, again, streams(LAST)) == (events(1, 2, 3, 4), True)
+
+
+async def test_run_that_goes_back_behind_the_clients_last_event_is_not_passed_on() -> None:
+    """A client that takes up a stream got it from its beginning."""
+    again, headers = writes(events(1, 2, 3, 4)), {"Last-Event-Id": "2"}
+    assert await receive(again, streams(LAST), **headers) == (events(3, 4), True)
+
+
+@pytest.mark.parametrize("line_end", [b"\r\n", b"\r"], ids=["CR LF", "CR"])
+async def test_stream_with_other_line_ends_is_passed_on_and_resumed(line_end: bytes) -> None:
+    """Only line feeds ended an event, so that such a stream was refused after its run."""
+    first, rest = (each.replace(b"\n", line_end) for each in (events(1, 2), events(3, 4)))
+    assert await receive(writes(first + rest)) == (first + rest, True)
+    half = rest[: len(rest) // 3]
+    assert await receive(writes(first, half, is_whole=False), writes(rest)) == (first + rest, True)
