Parse streams by the published rules: all line ends, the last id of an event

What callers saw: a stream whose lines end with CR LF or CR ran and got 502, since only two line feeds ended an event. Cause: the relay searched for one separator in place of parsing lines. Change: decision/streams/ server_sent_events.py splits a byte stream into events without I/O, for each of the three line ends and however the bytes are cut into reads (property test); each attempt has a splitter of its own, so that nothing of a broken run is left. The relay's own splitter and the platform's pattern for ids are gone. Which id counts as the last one is as before.

--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -2,7 +2,6 @@
 
 import functools
 import math
-import re
 from collections.abc import Mapping, Sequence
 
 import orjson
@@ -128,8 +127,6 @@
 MAX_CACHED_NAMES = 1_024
 _lower = functools.lru_cache(MAX_CACHED_NAMES)(str.lower)
 
-_EVENT_ID_PATTERN = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
-
 
 def platform_wire() -> RelayWire:
     """Return the translation for the relay."""
@@ -143,7 +140,6 @@
         read_answer=read_answer,
         read_directory_query=read_directory_query,
         directory_answer=directory_answer,
-        event_id=event_id,
     )
 
 
@@ -230,12 +226,6 @@
     return orjson.dumps({"Addresses": list(addresses), "TtlS": ttl_s})
 
 
-def event_id(event: bytes) -> str:
-    """Return an event's id, empty where it has none."""
-    match = _EVENT_ID_PATTERN.search(event)
-    return match[1].decode("latin-1") if match else ""
-
-
 def _token_counts(text: str | None) -> tuple[int, int]:
     prompt_text, _, output_text = (text or "0,0").partition(",")
     try:
--- a/src/pomelobarrow/relay/answer.py
+++ b/src/pomelobarrow/relay/answer.py
@@ -47,10 +47,10 @@
         except (ConnectionError, RuntimeError) as error:
             raise CallerGoneError(CALLER_GONE) from error
 
-    async def finish(self) -> None:
-        """End a complete stream."""
+    async def finish(self, rest: bytes = b"") -> None:
+        """End a complete stream with the bytes after its last event."""
         assert self.response is not None
-        await self._checked(self.response.write_eof())
+        await self._checked(self.response.write_eof(rest))
 
     def break_off(self) -> None:
         """Close the connection without the last chunk, so that the answer is visibly incomplete."""
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -11,9 +11,10 @@
 from pomelobarrow.decision.published.announcements import ServerAnnouncement
 from pomelobarrow.decision.requests.attempt import AttemptEvent, AttemptState
 from pomelobarrow.decision.requests.attempt_states import AttemptEnd, AttemptRecord
+from pomelobarrow.decision.streams.server_sent_events import EventSplitter
+from pomelobarrow.decision.streams.stream_position import StreamPosition
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.answer import ClientAnswer
-from pomelobarrow.relay.event_splitter import EventSplitter
 from pomelobarrow.relay.messages import (
     AttemptReport,
     Headers,
@@ -58,7 +59,7 @@
     request: RelayRequest
     target: Target
     sink: ClientAnswer
-    splitter: EventSplitter
+    position: StreamPosition
     on_first_answer: Callable[[ServerAnswerHead], None]
     on_pause: Callable[[float], None] = lambda pause_s: None
     on_head: Callable[[ServerAnswerHead], None] = lambda head: None
@@ -79,7 +80,6 @@
 
     async def run(self) -> AttemptReport:
         """Send the request once; no lower layer retries it."""
-        self.splitter.restart()
         try:
             async with asyncio.timeout(None) as self._timeout_scope:
                 self._start_timer()
@@ -180,8 +180,9 @@
     async def _forward_events(
         self, response: ResponseHead, head: ServerAnswerHead
     ) -> AttemptReport:
+        splitter = EventSplitter()
         while data := await response.content.readany():
-            events = self.splitter.feed(data)
+            events = splitter.feed(data)
             if not events:
                 continue
             if self.first_answer_unix_s is None:
@@ -191,12 +192,13 @@
             # The client already has the head of a resumed stream.
             if not self.sink.is_started:
                 await self.sink.open(head.status, head.headers)
-            await self.sink.send(events)
-        if not self.splitter.is_between_events:
+            self.position.note_sent(events)
+            await self.sink.send(b"".join(events))
+        if not splitter.is_between_events:
             return self._lost("the stream ended in the middle of an event", is_closed=True)
         if not self.sink.is_started:
             return self._lost("the stream ended before its first event", is_closed=True)
-        await self.sink.finish()
+        await self.sink.finish(splitter.rest)
         self.record.progress.apply(AttemptEvent.END)
         return self._report(AttemptEnd.PASSED_ON)
 
--- a/src/pomelobarrow/relay/progress.py
+++ b/src/pomelobarrow/relay/progress.py
@@ -4,8 +4,8 @@
 
 from pomelobarrow.decision.published.routing import Routing
 from pomelobarrow.decision.requests.placement_request import ExcludedTargets, PlacementRequest
+from pomelobarrow.decision.streams.stream_position import StreamPosition
 from pomelobarrow.relay.answer import ClientAnswer
-from pomelobarrow.relay.event_splitter import EventSplitter
 from pomelobarrow.relay.messages import RelayRequest
 from pomelobarrow.relay.next_step import AttemptHistory
 
@@ -18,7 +18,7 @@
     sink: ClientAnswer
     routing: Routing
     history: AttemptHistory
-    splitter: EventSplitter
+    position: StreamPosition
     excluded: ExcludedTargets = field(factory=ExcludedTargets)
     # The connections that could not be opened since probes last decided about the pool, when the
     # last of them began, and the servers among their targets that did not refuse them.
@@ -50,4 +50,4 @@
     @property
     def resume_after(self) -> str:
         """Return the id of the last event that the client has; empty if it has none."""
-        return self.splitter.last_event_id
+        return self.position.last_event_id
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -21,6 +21,7 @@
     PeerPlacement,
 )
 from pomelobarrow.decision.requests.work import BackendServer, Placement
+from pomelobarrow.decision.streams.stream_position import StreamPosition
 from pomelobarrow.decision.streams.stream_software import software_key
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.dispatch.crash_guard import CrashGuard
@@ -29,7 +30,6 @@
 from pomelobarrow.relay.answer_records import AnswerRecords
 from pomelobarrow.relay.attempt import FirstAnswerTimeout, RelayAttempt, Target
 from pomelobarrow.relay.crash_evidence import CrashEvidence
-from pomelobarrow.relay.event_splitter import EventSplitter
 from pomelobarrow.relay.health_monitor import FirstAnswerTimes, ServerHealthMonitor
 from pomelobarrow.relay.hop import AnswerReader, describing_server, peer_target
 from pomelobarrow.relay.messages import AttemptReport, RelayRequest, ServerAnswerHead
@@ -106,9 +106,7 @@
             sink=sink,
             routing=routing,
             history=AttemptHistory(request=request),
-            splitter=EventSplitter(
-                event_id=self.wire.event_id, last_event_id=request.head.last_event_id
-            ),
+            position=StreamPosition(last_event_id=request.head.last_event_id),
             software_key=request.software_key,
         )
         self.in_progress += 1
@@ -303,7 +301,7 @@
 
     def _resume_after(self, progress: RequestProgress) -> str:
         """Return the id of the last event sent to the client; empty if none was sent."""
-        return progress.splitter.last_event_id if progress.sink.is_started else ""
+        return progress.position.last_event_id if progress.sink.is_started else ""
 
     def _first_answer_timeout(
         self, progress: RequestProgress, record: AttemptRecord, placement: Placement
@@ -361,7 +359,7 @@
             request=progress.request,
             target=target,
             sink=progress.sink,
-            splitter=progress.splitter,
+            position=progress.position,
             on_first_answer=note_first_answer,
             on_pause=on_pause,
             on_head=on_head,
--- a/src/pomelobarrow/relay/wire.py
+++ b/src/pomelobarrow/relay/wire.py
@@ -54,5 +54,3 @@
     read_directory_query: Callable[[Mapping[str, str]], DirectoryQuery]
     # Takes the addresses and the seconds for which they are valid.
     directory_answer: Callable[[Sequence[str], float], bytes]
-    # Returns the id of an event of a stream; empty if it has none.
-    event_id: Callable[[bytes], str]
