Log what each attempt brings of a stream, and what marks its answer's end

The logs had the event after which an attempt was asked to go on, but not what it brought: a run that begins at the wrong event, and an answer whose end only the closed connection marks, could not be told from sound ones. relay attempt ended has events, first_event_id, last_event_id and body_end now. Logic is unchanged: which event counts as the last one is decided as before.

--- a/src/pomelobarrow/backends/single_use.py
+++ b/src/pomelobarrow/backends/single_use.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import enum
 import socket
 from collections.abc import Callable
 
@@ -54,6 +55,16 @@
         return URL(f"http://{self.address}{self.target}", encoded=True)
 
 
+class BodyEnd(enum.Enum):
+    """Enumerate what marks the end of an answer's body."""
+
+    UNKNOWN = "unknown"
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    # Neither a length nor chunks: whatever closes the connection also ends the body.
+    CONNECTION = "connection"
+
+
 @frozen(kw_only=True)
 class ResponseHead:
     """Hold the head of an answer and the reader of its body."""
@@ -62,6 +73,13 @@
     headers: CIMultiDictProxy[str]
     content: aiohttp.StreamReader
 
+    @property
+    def body_end(self) -> BodyEnd:
+        """Return what marks the end of the body."""
+        if "Transfer-Encoding" in self.headers:
+            return BodyEnd.CHUNKS
+        return BodyEnd.LENGTH if "Content-Length" in self.headers else BodyEnd.CONNECTION
+
 
 @define(kw_only=True)
 class SingleExchange:
--- a/src/pomelobarrow/decision/streams/server_sent_events.py
+++ b/src/pomelobarrow/decision/streams/server_sent_events.py
@@ -41,12 +41,15 @@
         An event that ends with a carriage return is complete before the line feed that may follow.
         The next event then begins with that line feed.
         """
-        searched_bytes = max(0, len(self._partial) - _MAX_EVENT_END_BYTES + 1)
-        data = self._partial + data
+        searched_bytes = 0
+        if self._partial:
+            searched_bytes = max(0, len(self._partial) - _MAX_EVENT_END_BYTES + 1)
+            data = self._partial + data
         events, start = [], 0
-        for end in _EVENT_END.finditer(data, searched_bytes):
-            events.append(data[start : end.end()])
-            start = end.end()
+        for found in _EVENT_END.finditer(data, searched_bytes):
+            end = found.end()
+            events.append(data[start:end])
+            start = end
         self._partial = data[start:]
         return events
 
@@ -55,7 +58,9 @@
     """Return the value of the last id field; None if there is none."""
     ids = _ID_FIELD.findall(event)
     # The standard ignores an id that holds a NUL.
-    return next((id_ for id_ in reversed(ids) if b"\0" not in id_), None)
+    while ids and b"\0" in ids[-1]:
+        ids.pop()
+    return ids[-1] if ids else None
 
 
 def event_data(event: bytes) -> bytes | None:
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -7,7 +7,7 @@
 
 from pomelobarrow.backends.engine import CONNECTION_ERRORS
 from pomelobarrow.backends.sessions import BackendSessions, WithheldError
-from pomelobarrow.backends.single_use import ResponseHead, SingleExchange, SingleRequest
+from pomelobarrow.backends.single_use import BodyEnd, ResponseHead, SingleExchange, SingleRequest
 from pomelobarrow.decision.published.announcements import ServerAnnouncement
 from pomelobarrow.decision.requests.attempt import AttemptEvent, AttemptState
 from pomelobarrow.decision.requests.attempt_states import AttemptEnd, AttemptRecord
@@ -77,9 +77,11 @@
     _timeout_scope: asyncio.Timeout | None = field(default=None, init=False)
     _timer: asyncio.TimerHandle | None = field(default=None, init=False)
     _head: ServerAnswerHead | None = field(default=None, init=False)
+    _body_end: BodyEnd = field(default=BodyEnd.UNKNOWN, init=False)
 
     async def run(self) -> AttemptReport:
         """Send the request once; no lower layer retries it."""
+        self.position.begin_run()
         try:
             async with asyncio.timeout(None) as self._timeout_scope:
                 self._start_timer()
@@ -139,6 +141,7 @@
 
     async def _read_answer(self, response: ResponseHead) -> AttemptReport:
         head = self.target.read_answer(response)
+        self._body_end = response.body_end
         is_unrun = head.is_not_run and head.request_id in ("", self.request.head.request_id)
         fault = "" if is_unrun else self._fault(head)
         # Of an answer that belongs to another request or is spoiled, any number may be wrong.
@@ -193,7 +196,7 @@
             if not self.sink.is_started:
                 await self.sink.open(head.status, head.headers)
             self.position.note_sent(events)
-            await self.sink.send(b"".join(events))
+            await self.sink.send(events[0] if len(events) == 1 else b"".join(events))
         if not splitter.is_between_events:
             return self._lost("the stream ended in the middle of an event", is_closed=True)
         if not self.sink.is_started:
@@ -247,6 +250,8 @@
             is_pool_unreachable=head is not None and head.is_pool_unreachable,
             first_answer_unix_s=self.first_answer_unix_s,
             longest_pause_s=self.longest_pause_s,
+            stream=self.position.run,
+            body_end=self._body_end,
             announced=head.announced if head is not None else ServerAnnouncement(),
         )
 
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -119,6 +119,12 @@
     took_s: float
     first_answer_s: float | None
     longest_pause_s: float
+    # Of a stream: the events that were passed on, and the ids of the first and the last of them.
+    events: int
+    first_event_id: str
+    last_event_id: str
+    # What marks the end of the answer's body: "length", "chunks" or "connection".
+    body_end: str
     # What the target stated with its answer: that it leaves, and for how long to send it nothing.
     is_leaving: bool
     backoff_s: float | None
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -4,6 +4,7 @@
 
 from attrs import field, frozen
 
+from pomelobarrow.backends.single_use import BodyEnd
 from pomelobarrow.decision.published.accounts import Account
 from pomelobarrow.decision.published.announcements import ServerAnnouncement
 from pomelobarrow.decision.published.routing import Route
@@ -11,6 +12,7 @@
 from pomelobarrow.decision.requests.fingerprint import fingerprint, part_fingerprint
 from pomelobarrow.decision.requests.placement_request import PlacementRequest
 from pomelobarrow.decision.requests.work import Work
+from pomelobarrow.decision.streams.stream_position import StreamRun
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -180,5 +182,8 @@
     first_answer_unix_s: float | None = None
     # The longest time between two events of a stream; 0 if there was no second one.
     longest_pause_s: float = 0.0
+    # What the attempt brought of a stream, and what marks the end of its answer's body.
+    stream: StreamRun = field(factory=StreamRun)
+    body_end: BodyEnd = BodyEnd.UNKNOWN
     # What the other end stated with the head of its answer.
     announced: ServerAnnouncement = ServerAnnouncement()
--- a/src/pomelobarrow/relay/relay_log.py
+++ b/src/pomelobarrow/relay/relay_log.py
@@ -131,6 +131,10 @@
                 took_s=now_unix_s() - started_unix_s,
                 first_answer_s=_since(started_unix_s, report.first_answer_unix_s),
                 longest_pause_s=report.longest_pause_s,
+                events=report.stream.events,
+                first_event_id=report.stream.first_event_id,
+                last_event_id=report.stream.last_event_id,
+                body_end=report.body_end.value,
                 is_leaving=report.announced.is_leaving,
                 backoff_s=report.announced.backoff_s,
             )
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -6,6 +6,7 @@
 from scripted_server import Exchange, Script, event, streams, writes
 
 from pomelobarrow.decision.published.routing import RouteKind
+from pomelobarrow.relay.events import RelayAttemptEnded
 
 LAST = 4
 COMMENT = b": keep-alive\n\n"
@@ -21,7 +22,9 @@
     return b"".join(map(event, numbers))
 
 
-async def receive(*runs: Script, **headers: str) -> tuple[bytes, bool]:
+async def receive(
+    *runs: Script, log: list[object] | None = None, **headers: str
+) -> tuple[bytes, bool]:
     """Return the bytes of a stream that needs these runs, and whether it looked complete."""
     scripts = iter(runs)
 
@@ -37,13 +40,15 @@
         session.post(f"{fleet.vms['a'].url}/stream/", headers=fields) as response,
     ):
         assert response.status == 200
-        body = b""
+        body, is_whole = b"", True
         try:
             async for data in response.content.iter_any():
                 body += data
         except aiohttp.ClientPayloadError:
-            return body, False
-        return body, True
+            is_whole = False
+        if log is not None:
+            log += fleet.vms["a"].events
+        return body, is_whole
 
 
 @pytest.mark.parametrize("pieces", [1, 3])
@@ -100,3 +105,13 @@
     assert await receive(writes(first + rest)) == (first + rest, True)
     half = rest[: len(rest) // 3]
     assert await receive(writes(first, half, is_whole=False), writes(rest)) == (first + rest, True)
+
+
+async def test_log_shows_where_each_run_of_a_stream_begins_and_ends() -> None:
+    """No line said what an attempt brought, so that a wrong join could not be seen."""
+    events_of: list[object] = []
+    first = writes(events(1, 2), is_whole=False)
+    await receive(first, streams(LAST), log=events_of)
+    ends = [event for event in events_of if isinstance(event, RelayAttemptEnded)]
+    found = [(end.events, end.first_event_id, end.last_event_id, end.body_end) for end in ends]
+    assert found == [(2, "1", "2", "chunks"), (2, "3", "4", "chunks")]
