Take the place in a stream from every event, not from the last of a read

What callers saw: events twice in an answer that goes on at another server, where a server sends comments. Cause: the relay took the id of the last event of each read; a comment, which has none, hid the ids read before it, so that the next server was asked to go on after an older event. Class of fault: a place in a stream derived from how its bytes happen to be read.

Change: the last id among the events of a read counts. test_comment_after_an_event_makes_no_event_come_twice (event 1, events 1 to 3 twice) and the property test of any grouping into reads failed before and pass.

--- a/src/pomelobarrow/decision/streams/stream_position.py
+++ b/src/pomelobarrow/decision/streams/stream_position.py
@@ -33,9 +33,12 @@
         run = self.run
         run.events += len(events)
         run.first_event_id = run.first_event_id or _first_id(events)
-        id_ = event_id(events[-1])
-        if id_:
-            self.last_event_id = run.last_event_id = id_.decode("latin-1")
+        # Events that arrive together may end with comments, which have no id.
+        for event in reversed(events):
+            id_ = event_id(event)
+            if id_:
+                self.last_event_id = run.last_event_id = id_.decode("latin-1")
+                return
 
 
 def _first_id(events: Iterable[bytes]) -> str:
