Send events without an id once where a stream goes on

What callers saw: events without an id came twice at a join. A server that goes on after an id sends the events behind it again, also those without one, which the client had already. Cause: the place in a stream was an id alone.

--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -185,7 +185,7 @@
     ) -> AttemptReport:
         splitter = EventSplitter()
         while data := await response.content.readany():
-            events = splitter.feed(data)
+            events = self.position.select_new(splitter.feed(data))
             if not events:
                 continue
             if self.first_answer_unix_s is None:
--- a/tests/test_stream_position.py
+++ b/tests/test_stream_position.py
@@ -3,7 +3,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pomelobarrow.decision.streams.stream_position import StreamPosition
+from pomelobarrow.decision.streams.stream_position import (
+    MAX_UNIDENTIFIED_EVENTS,
+    StreamPosition,
+)
 
 COMMENT = b": keep-alive\n\n"
 
@@ -41,3 +44,44 @@
     position.note_sent([COMMENT, b"retry: 100\n\n"])
     assert position.is_resumable
     assert position.last_event_id == ""
+
+
+def note(number: int) -> bytes:
+    """Return an event without an id."""
+    return b"data: note %d\n\n" % number
+
+
+def position_after(*events: bytes) -> StreamPosition:
+    """Return the position of a client that has these events, before the next run."""
+    position = StreamPosition()
+    position.note_sent(events)
+    position.begin_run()
+    return position
+
+
+def test_events_without_an_id_are_not_sent_again_after_the_last_id() -> None:
+    """The server that goes on after an id repeats the events without an id behind it."""
+    position = position_after(event(1), note(1), COMMENT, note(2))
+    assert position.select_new([note(1)]) == []
+    assert position.select_new([COMMENT, note(2), note(3), event(2)]) == [
+        COMMENT,
+        note(3),
+        event(2),
+    ]
+
+
+def test_events_that_a_server_does_not_repeat_are_new() -> None:
+    """One that sends its notes once only goes on with other events."""
+    position = position_after(event(1), note(1), note(2))
+    rest = [note(3), note(2), event(2), note(1)]
+    assert position.select_new(rest) == rest
+
+
+def test_too_many_events_without_an_id_make_a_stream_unresumable() -> None:
+    """Without a bound, a stream of one id would fill the memory."""
+    position = position_after(event(1), *(note(n) for n in range(MAX_UNIDENTIFIED_EVENTS)))
+    assert position.is_resumable
+    position.note_sent([note(0)])
+    assert not position.is_resumable
+    position.note_sent([event(2)])
+    assert position.is_resumable
