Check the join: a run that goes back is not passed on

What callers saw: a server that ignores the last event id, or goes on at it instead of after it, was appended as it came: events twice, in an answer that looked complete; a client that took up a stream itself got it from its beginning. Cause: the relay asked for a place and never compared what came. Class of fault: a number that may never go back, hoped for in place of checked.

Change: the first id of a run has to be beyond the last one of the stream, as numbers where both are, and must differ otherwise. Else the attempt is lost with a reason of its own, a flag in its log line and a counter: another server may go on, or the stream breaks off visibly. Ids inside a run are the server's own. A first id that is too far ahead can't be told from a server that counts in steps: first_event_id beside resume_after shows it in the logs.

--- a/src/pomelobarrow/decision/streams/stream_position.py
+++ b/src/pomelobarrow/decision/streams/stream_position.py
@@ -1,4 +1,4 @@
-"""Track which events of a stream the client has."""
+"""Track which events of a stream the client has, and check that a further run continues them."""
 
 from collections import deque
 from collections.abc import Iterable, Sequence
@@ -10,11 +10,17 @@
 
 # Longer ids may be rejected by servers as a header.
 MAX_ID_BYTES = 256
+# Longer numbers count no events and are compared as text.
+MAX_ID_DIGITS = 18
 # Events without an id are remembered until the next id. With more of them, the stream can't be
 # resumed, since its server would repeat them.
 MAX_UNIDENTIFIED_EVENTS = 256
 
 
+class JoinError(ValueError):
+    """Raised if a run does not continue the events that the client has."""
+
+
 @define(kw_only=True)
 class StreamRun:
     """Hold what one run of a stream brought, for logs."""
@@ -37,20 +43,26 @@
     _unidentified: list[int] = field(factory=list, init=False)
     # Those of them that the current run may still repeat.
     _repeatable: deque[int] = field(factory=deque, init=False)
+    _is_join_checked: bool = field(default=False, init=False)
 
     def begin_run(self) -> None:
         """Expect the events of the next run, which was asked to go on after the last event."""
         self.run = StreamRun()
         self._repeatable = deque(self._unidentified)
+        self._is_join_checked = not self.last_event_id
 
     def select_new(self, events: Sequence[bytes]) -> Sequence[bytes]:
-        """Return the events of the current run that the client does not have."""
-        if not self._repeatable:
+        """Return the events of the current run that the client does not have.
+
+        Raises `JoinError` if the first id of the run is not beyond the last one of the stream.
+        """
+        if self._is_join_checked:
             return events
         new: list[bytes] = []
         for index, event in enumerate(events):
-            if event_id(event) is not None:
-                self._repeatable.clear()
+            id_ = event_id(event)
+            if id_ is not None:
+                self._check_join(_header_value(id_))
                 return [*new, *events[index:]]
             if not self._is_repeated(event):
                 new.append(event)
@@ -82,6 +94,11 @@
         if not self.is_resumable:
             self._unidentified = []
 
+    def _check_join(self, first_id: str) -> None:
+        self._is_join_checked = True
+        if not is_beyond(first_id, self.last_event_id):
+            raise JoinError(f"the run goes on with event {first_id} after {self.last_event_id}")
+
     def _is_repeated(self, event: bytes) -> bool:
         if not self._repeatable or event_data(event) is None:
             return False
@@ -91,6 +108,19 @@
         return False
 
 
+def is_beyond(first_id: str, last_id: str) -> bool:
+    """Return whether an id may come after another; ids that aren't numbers only have to differ."""
+    first, last = _number(first_id), _number(last_id)
+    if first is None or last is None:
+        return first_id != last_id
+    return first > last
+
+
+def _number(id_: str) -> int | None:
+    is_number = id_.isascii() and id_.isdecimal() and len(id_) <= MAX_ID_DIGITS
+    return int(id_) if is_number else None
+
+
 def _first_id(events: Iterable[bytes]) -> str:
     ids = (_header_value(event_id(event) or b"") for event in events)
     return next((id_ for id_ in ids if id_), "")
--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -186,6 +186,12 @@
             "Era of the platform's store that the revision in force is of.",
             ("keyspace",),
         )
+        self.join_rejections = CounterFamily(
+            registry,
+            "pomelobarrow_stream_join_rejections_total",
+            "Runs of a stream that did not go on after the client's last event, by pool.",
+            ("pool",),
+        )
         self.unreadable_items = CounterFamily(
             registry,
             "pomelobarrow_unreadable_items_total",
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -195,6 +195,8 @@
     def _relay_attempt_ended(self, event: RelayAttemptEnded) -> None:
         self._metrics.relay_attempts.inc(event.pool, event.end)
         self._metrics.relay_attempt_s.observe(event.took_s, event.pool, event.end)
+        if event.is_join_rejected:
+            self._metrics.join_rejections.inc(event.pool)
         self._log.info("relay attempt ended", **event_fields(event))
 
     def _relay_ended(self, event: RelayEnded) -> None:
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -12,7 +12,7 @@
 from pomelobarrow.decision.requests.attempt import AttemptEvent, AttemptState
 from pomelobarrow.decision.requests.attempt_states import AttemptEnd, AttemptRecord
 from pomelobarrow.decision.streams.server_sent_events import EventSplitter
-from pomelobarrow.decision.streams.stream_position import StreamPosition
+from pomelobarrow.decision.streams.stream_position import JoinError, StreamPosition
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.answer import ClientAnswer
 from pomelobarrow.relay.messages import (
@@ -78,6 +78,7 @@
     _timer: asyncio.TimerHandle | None = field(default=None, init=False)
     _head: ServerAnswerHead | None = field(default=None, init=False)
     _body_end: BodyEnd = field(default=BodyEnd.UNKNOWN, init=False)
+    _is_join_rejected: bool = field(default=False, init=False)
 
     async def run(self) -> AttemptReport:
         """Send the request once; no lower layer retries it."""
@@ -88,6 +89,9 @@
                 return await self._exchange()
         except WithheldError as error:
             return self._report(AttemptEnd.WITHHELD, str(error))
+        except JoinError as error:
+            self._is_join_rejected = True
+            return self._lost(str(error))
         except CONNECTION_ERRORS as error:
             return self._lost(
                 repr(error),
@@ -252,6 +256,7 @@
             longest_pause_s=self.longest_pause_s,
             stream=self.position.run,
             body_end=self._body_end,
+            is_join_rejected=self._is_join_rejected,
             announced=head.announced if head is not None else ServerAnnouncement(),
         )
 
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -185,5 +185,7 @@
     # What the attempt brought of a stream, and what marks the end of its answer's body.
     stream: StreamRun = field(factory=StreamRun)
     body_end: BodyEnd = BodyEnd.UNKNOWN
+    # True if the attempt did not go on after the last event that the client has.
+    is_join_rejected: bool = False
     # What the other end stated with the head of its answer.
     announced: ServerAnnouncement = ServerAnnouncement()
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -218,7 +218,7 @@
         options = ServerCallOptions(
             server=server.name,
             deadline_unix_s=work.deadline_unix_s,
-            resume_after=self._resume_after(progress),
+            resume_after=progress.resume_after,
             copy_from=placement.copy_from,
         )
         target = Target(
@@ -270,7 +270,7 @@
             self.hop_port,
             self.own_vm,
             progress.request,
-            self._resume_after(progress),
+            progress.resume_after,
             progress.software_key,
             self.wire,
         )
@@ -303,10 +303,6 @@
         else:
             progress.excluded.regions.add(decision.member.region)
 
-    def _resume_after(self, progress: RequestProgress) -> str:
-        """Return the id of the last event sent to the client; empty if none was sent."""
-        return progress.position.last_event_id if progress.sink.is_started else ""
-
     def _first_answer_timeout(
         self, progress: RequestProgress, record: AttemptRecord, placement: Placement
     ) -> FirstAnswerTimeout:
--- a/src/pomelobarrow/relay/relay_log.py
+++ b/src/pomelobarrow/relay/relay_log.py
@@ -135,6 +135,7 @@
                 first_event_id=report.stream.first_event_id,
                 last_event_id=report.stream.last_event_id,
                 body_end=report.body_end.value,
+                is_join_rejected=report.is_join_rejected,
                 is_leaving=report.announced.is_leaving,
                 backoff_s=report.announced.backoff_s,
             )
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -94,7 +94,11 @@
     first = writes(events(1, 2), is_whole=False)
     again = writes(events(*range(begins_at, LAST + 1)))
     assert await receive(first, again) == (events(1, 2), False)
-    assert await receive(first, again, streams(LAST)) == (events(1, 2, 3, 4), True)
+    log: list[object] = []
+    received = await receive(first, again, streams(LAST), log=log)
+    assert received == (events(1, 2, 3, 4), True)
+    ends = [event for event in log if isinstance(event, RelayAttemptEnded)]
+    assert [end.is_join_rejected for end in ends] == [False, True, False]
 
 
 async def test_run_that_goes_back_behind_the_clients_last_event_is_not_passed_on() -> None:
--- a/tests/test_stream_position.py
+++ b/tests/test_stream_position.py
@@ -1,11 +1,14 @@
 """Which events of a stream the client has, and which of a further run are new to it."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from pomelobarrow.decision.streams.stream_position import (
     MAX_UNIDENTIFIED_EVENTS,
+    JoinError,
     StreamPosition,
+    is_beyond,
 )
 
 COMMENT = b": keep-alive\n\n"
@@ -85,3 +88,44 @@
     assert not position.is_resumable
     position.note_sent([event(2)])
     assert position.is_resumable
+
+
+@pytest.mark.parametrize("begins_at", [1, 2])
+def test_run_that_goes_back_is_rejected(begins_at: int) -> None:
+    """A server that ignores the last event id begins at the first event."""
+    position = position_after(event(1), event(2))
+    message = f"^the run goes on with event {begins_at} after 2$"
+    with pytest.raises(JoinError, match=message):
+        position.select_new([COMMENT, event(begins_at)])
+
+
+def test_first_run_of_a_stream_may_begin_with_any_id() -> None:
+    position = StreamPosition()
+    position.begin_run()
+    assert position.select_new([event(0), event(7)]) == [event(0), event(7)]
+
+
+def test_ids_within_a_run_are_the_servers_own() -> None:
+    """Only the first id of a run is compared: an answer is passed on as its server sends it."""
+    position = position_after(event(2))
+    run = [event(3), event(1), event(3)]
+    assert position.select_new(run) == run
+
+
+@pytest.mark.parametrize(
+    ("first_id", "last_id", "is_accepted"),
+    [
+        ("8", "7", True),
+        ("10", "9", True),
+        ("7", "7", False),
+        ("6", "7", False),
+        ("007", "7", False),
+        ("b", "a", True),
+        ("a", "a", False),
+        ("a", "7", True),
+        ("1" * 40, "2" * 40, True),
+    ],
+)
+def test_order_of_ids(first_id: str, last_id: str, is_accepted: bool) -> None:
+    """Ids that aren't numbers have no order that the standard names."""
+    assert is_beyond(first_id, last_id) == is_accepted
