Don't take the end of a killed server for the end of its answer

What callers saw: an answer that has neither a length nor chunks ends with its connection. A killed process closes its connections like one that has sent its whole answer (FIN), so that a stream was passed on as complete before its last event, and a part of another answer as the whole of it, with the server's seal.

Cause: the end of a connection was taken for the end of the answer without a look at the server. Only answers without a mark of their end pay for it. What remains: a supervisor that is back within milliseconds, and a server cut off at the same moment.

test_unframed_stream_of_a_killed_server_is_not_taken_for_complete (after 2 and after all events) and test_unframed_answer_of_a_killed_server_is_not_passed_on failed before and pass.

--- a/src/pomelobarrow/backends/single_use.py
+++ b/src/pomelobarrow/backends/single_use.py
@@ -30,6 +30,7 @@
 METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
 FIRST_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS = 101
+BODILESS_STATUSES = frozenset({204, 304})
 BROKEN_CONNECTION_ERRORS = (
     aiohttp.ClientOSError,
     aiohttp.ClientConnectionResetError,
@@ -78,7 +79,8 @@
         """Return what marks the end of the body."""
         if "Transfer-Encoding" in self.headers:
             return BodyEnd.CHUNKS
-        return BodyEnd.LENGTH if "Content-Length" in self.headers else BodyEnd.CONNECTION
+        has_length = "Content-Length" in self.headers or self.status in BODILESS_STATUSES
+        return BodyEnd.LENGTH if has_length else BodyEnd.CONNECTION
 
 
 @define(kw_only=True)
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -1,7 +1,7 @@
 """Send a request once, to a backend server or a peer, and return its answer."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from attrs import define, evolve, field, frozen
 
@@ -24,6 +24,7 @@
 )
 
 STATUS_OK = 200
+CUT_BY_ITS_END = "the answer ended together with its server, without a mark of its end"
 
 
 @frozen(kw_only=True)
@@ -70,6 +71,8 @@
     on_first_event: Callable[[ServerAnswerHead], None] = lambda head: None
     # Returns whether the target still takes requests, asked when the connection is open.
     may_send: Callable[[], bool] = lambda: True
+    # Returns whether the target's process has ended; None if only a complete answer ends that way.
+    has_ended: Callable[[], Awaitable[bool]] | None = None
     first_answer_unix_s: float | None = None
     # The longest time between two events; for logs.
     longest_pause_s: float = 0.0
@@ -180,6 +183,8 @@
 
     async def _read_complete(self, response: ResponseHead, head: ServerAnswerHead) -> AttemptReport:
         body = await response.content.read()
+        if await self._is_cut_by_its_end(response):
+            return self._lost(CUT_BY_ITS_END, is_closed=True)
         self._note_first_answer(head)
         self.record.progress.apply(AttemptEvent.END)
         return self._report(AttemptEnd.ANSWERED, answer=WholeAnswer(head=head, body=body))
@@ -205,10 +210,20 @@
             return self._lost("the stream ended in the middle of an event", is_closed=True)
         if not self.sink.is_started:
             return self._lost("the stream ended before its first event", is_closed=True)
+        if await self._is_cut_by_its_end(response):
+            return self._lost(CUT_BY_ITS_END, is_closed=True)
         await self.sink.finish(splitter.rest)
         self.record.progress.apply(AttemptEvent.END)
         return self._report(AttemptEnd.PASSED_ON)
 
+    async def _is_cut_by_its_end(self, response: ResponseHead) -> bool:
+        """Return whether the server has ended, which may have ended the answer too early.
+
+        The connections of a process that is killed close like that of a complete answer.
+        """
+        is_marked = response.body_end is not BodyEnd.CONNECTION
+        return not is_marked and self.has_ended is not None and await self.has_ended()
+
     def _note_first_answer(self, head: ServerAnswerHead) -> None:
         if self.first_answer_unix_s is None:
             self.first_answer_unix_s = now_unix_s()
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -1,7 +1,7 @@
 """Relay a request: place it, send it, retry or refuse."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 
 from attrs import define, field
@@ -239,6 +239,7 @@
                 on_head=on_head,
                 on_first_answer=lambda: self.placer.record_first_answer(work, server, now_unix_s()),
                 may_send=lambda: table.takes_requests(server, now_unix_s()),
+                has_ended=lambda: self.guard.watch.refuses_connections(server),
             )
         finally:
             table.release(work.request_id, now_unix_s())
@@ -292,17 +293,9 @@
         if report.is_pool_unreachable:
             self.placer.peer_reachability.note_refusal(decision.member.vm, pool, now_unix_s())
         elif report.end in (AttemptEnd.REFUSED, AttemptEnd.REFUSED_UNSENT):
-            self._exclude_refusing_target(progress, decision)
+            progress.exclude_refusing_target(decision)
         return report
 
-    @staticmethod
-    def _exclude_refusing_target(progress: RequestProgress, decision: PeerPlacement) -> None:
-        """Exclude the server whose coordinator refused, or else the region of the peer."""
-        if decision.server:
-            progress.excluded.servers.add(decision.server)
-        else:
-            progress.excluded.regions.add(decision.member.region)
-
     def _first_answer_timeout(
         self, progress: RequestProgress, record: AttemptRecord, placement: Placement
     ) -> FirstAnswerTimeout:
@@ -341,6 +334,7 @@
         on_pause: Callable[[float], None] = lambda pause_s: None,
         on_head: Callable[[ServerAnswerHead], None] = lambda head: None,
         may_send: Callable[[], bool] = lambda: True,
+        has_ended: Callable[[], Awaitable[bool]] | None = None,
         on_first_answer: Callable[[], None] = lambda: None,
     ) -> AttemptReport:
         started_unix_s = now_unix_s()
@@ -367,6 +361,7 @@
             on_first_event=lambda head: self.joins.bind(progress, software_of(head)),
             first_answer_timeout=first_answer_timeout,
             may_send=may_send,
+            has_ended=has_ended,
         )
         try:
             report = await attempt.run()
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -80,11 +80,15 @@
         assert self._server is not None
         return f"{self.host}:{self._server.sockets[0].getsockname()[1]}"
 
-    def end(self) -> None:
-        """Act like a crashed process: stop listening and close all connections."""
+    def stop_listening(self) -> None:
+        """Refuse new connections."""
         assert self._server is not None
         self.has_ended = True
         self._server.close()
+
+    def end(self) -> None:
+        """Act like a crashed process: stop listening and close all connections."""
+        self.stop_listening()
         for writer in self._writers:
             writer.transport.abort()
 
@@ -179,6 +183,29 @@
     return script
 
 
+def writes_unframed(body: bytes) -> Script:
+    """Answer without length and chunks."""
+
+    async def script(exchange: Exchange) -> None:
+        exchange.write_head(200, Content_Type="text/event-stream", Connection="close")
+        exchange.writer.write(body)
+
+    return script
+
+
+def is_killed_after(body: bytes) -> Script:
+    """Answer without length and chunks, and end like a killed process: all its sockets close."""
+
+    async def script(exchange: Exchange) -> None:
+        exchange.write_head(200, Content_Type="text/event-stream", Connection="close")
+        exchange.writer.write(body)
+        await exchange.writer.drain()
+        exchange.server.stop_listening()
+        exchange.writer.close()
+
+    return script
+
+
 def event(number: int) -> bytes:
     """Return an event of a stream."""
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -12,6 +12,7 @@
     answers,
     event,
     hangs,
+    is_killed_after,
     refuses,
     resets,
     streams,
@@ -77,6 +78,16 @@
     return script
 
 
+async def test_unframed_answer_of_a_killed_server_is_not_passed_on() -> None:
+    """The part that had arrived when the process was killed was passed on as the whole answer."""
+    script = _breaks_off_once(is_killed_after(b"who"), answers(body=b"whole"))
+    async with relay_fleet((IDEMPOTENT,), {"a": {"s1": script, "s2": script}}) as fleet:
+        assert (await ask(fleet.vms["a"], "/idempotent/")).body == b"whole"
+    async with relay_fleet((ONCE,), {"a": {"s1": is_killed_after(b"who")}}) as fleet:
+        answer = await ask(fleet.vms["a"], "/non_idempotent/")
+    assert (answer.status, SEAL in str(answer.headers)) == (502, False)
+
+
 async def test_unresumable_stream_breaks_off_visibly() -> None:
     """The server of a stream that may not be resumed breaks off.
 
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -3,7 +3,15 @@
 import aiohttp
 import pytest
 from relay_harness import HOST, relay_fleet, route
-from scripted_server import Exchange, Script, event, streams, writes
+from scripted_server import (
+    Exchange,
+    Script,
+    event,
+    is_killed_after,
+    streams,
+    writes,
+    writes_unframed,
+)
 
 from pomelobarrow.decision.published.routing import RouteKind
 from pomelobarrow.relay.events import RelayAttemptEnded, RelayEnded
@@ -107,6 +115,22 @@
     assert await receive(again, streams(LAST), **headers) == (events(3, 4), True)
 
 
+@pytest.mark.parametrize("pieces", [2, LAST])
+async def test_unframed_stream_of_a_killed_server_is_not_taken_for_complete(pieces: int) -> None:
+    """A killed process closes its connections like one that has sent its whole answer.
+
+    If nothing was missing, the next server has nothing to add.
+    """
+    killed = is_killed_after(events(*range(1, pieces + 1)))
+    assert await receive(killed, streams(LAST)) == (events(1, 2, 3, 4), True)
+    assert await receive(killed) == (events(*range(1, pieces + 1)), False)
+
+
+async def test_unframed_stream_of_a_running_server_is_complete() -> None:
+    body = events(1, 2)
+    assert await receive(writes_unframed(body)) == (body, True)
+
+
 @pytest.mark.parametrize("line_end", [b"\r\n", b"\r"], ids=["CR LF", "CR"])
 async def test_stream_with_other_line_ends_is_passed_on_and_resumed(line_end: bytes) -> None:
     """Only line feeds ended an event, so that such a stream was refused after its run."""
