Reset clients of HTTP/1.0 whose answer breaks off

What callers saw: their answers have no chunks, and the close of the connection after a broken stream looked like its end: complete before its last event. Cause: breaking off means a missing last chunk, which only HTTP/1.1 has. Change: one function closes incomplete answers for the relay and the product's own interface, and resets connections of earlier versions.

test_broken_stream_looks_broken_to_a_client_of_http_1_0 failed before (no reset) and passes.

--- a/src/pomelobarrow/callers/sinks.py
+++ b/src/pomelobarrow/callers/sinks.py
@@ -1,6 +1,9 @@
 """Write an answer to the caller's connection."""
 
-from aiohttp import web
+import socket
+import struct
+
+from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
 from pomelobarrow.callers.problems import problem_event
@@ -15,6 +18,8 @@
 
 REQUEST_ID_HEADER = "Pomelobarrow-Request-Id"
 SERVER_HEADER = "Pomelobarrow-Backend-Server"
+# Linger for no time.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class LateHeadResponse(web.StreamResponse):
@@ -28,6 +33,23 @@
     _send_headers_immediately = False
 
 
+def close_incomplete(request: web.BaseRequest) -> None:
+    """Close a client's connection so that the answer on it is visibly incomplete.
+
+    An answer in chunks lacks its last one then. Clients of HTTP/1.0 get none, and take a regular
+    close for the end of the answer, so their connection is reset.
+    """
+    transport = request.transport
+    if transport is None:
+        return
+    if request.version >= HttpVersion11:
+        transport.close()
+        return
+    connected = transport.get_extra_info("socket")
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
+
+
 class HttpSink:
     """Write an answer to one caller and record its timing."""
 
@@ -85,8 +107,7 @@
         assert self.response is not None
         if self.response.headers.get("Content-Type", "").startswith(SERVER_SENT_EVENTS):
             await self.chunk(problem_event(refusal, self._request_id))
-        if self._request.transport is not None:
-            self._request.transport.close()
+        close_incomplete(self._request)
 
     def _record_timing(self) -> None:
         now = now_unix_s()
--- a/src/pomelobarrow/relay/answer.py
+++ b/src/pomelobarrow/relay/answer.py
@@ -3,7 +3,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from pomelobarrow.callers.sinks import LateHeadResponse
+from pomelobarrow.callers.sinks import LateHeadResponse, close_incomplete
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.relay.messages import Headers, WholeAnswer
 
@@ -53,9 +53,8 @@
         await self._checked(self.response.write_eof(rest))
 
     def break_off(self) -> None:
-        """Close the connection without the last chunk, so that the answer is visibly incomplete."""
-        if self._incoming.transport is not None:
-            self._incoming.transport.close()
+        """Close the connection so that the answer is visibly incomplete."""
+        close_incomplete(self._incoming)
 
     async def _prepare(self, response: web.StreamResponse) -> None:
         self.status = response.status
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -1,5 +1,7 @@
 """What a client receives of a stream that goes on at another server."""
 
+import asyncio
+
 import aiohttp
 import pytest
 from relay_harness import HOST, relay_fleet, route
@@ -126,6 +128,19 @@
     assert await receive(killed) == (events(*range(1, pieces + 1)), False)
 
 
+async def test_broken_stream_looks_broken_to_a_client_of_http_1_0() -> None:
+    """Its answer has no chunks, so that a closed connection ended a complete one."""
+    breaks = writes(events(1, 2), is_whole=False)
+    async with relay_fleet((route(RouteKind.STREAM),), {"a": {"s1": breaks}}) as fleet:
+        vm = fleet.vms["a"]
+        reader, writer = await asyncio.open_connection(vm.host, vm.front_port)
+        fields = f"Host: {HOST}\r\nPomelobarrow-Request-Id: r1\r\nContent-Length: 0\r\n"
+        writer.write(f"POST /stream/ HTTP/1.0\r\n{fields}\r\n".encode())
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+        writer.close()
+
+
 async def test_unframed_stream_of_a_running_server_is_complete() -> None:
     body = events(1, 2)
     assert await receive(writes_unframed(body)) == (body, True)
