Keep a stream whose first event comes as its limit passes

What callers saw: nothing wrong, but a sound stream was given up and resumed at another server, and one that can't be resumed broke off. A daemon that is paused for a second finds the server's first bytes and the limit on its first answer due in one step of its loop: the limit set the end of the attempt to now, the event was passed on, and the attempt was then cancelled. Cause: the timer was cancelled with the first answer, but not the end that it had set. Found by reading; it needs a pause and a read in the same step.

test_first_event_in_the_step_in_which_its_limit_passes_keeps_the_stream failed before (lost, then passed on by the second server) and passes.

--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -114,6 +114,12 @@
             self._timer.cancel()
             self._timer = None
 
+    def _keep_waiting(self) -> None:
+        """Cancel the limit, also if it has just passed, in the step in which the answer came."""
+        self._cancel_timer()
+        if self._timeout_scope is not None:
+            self._timeout_scope.reschedule(None)
+
     def _on_time_limit(self) -> None:
         """Give up on a silent server if another may be tried now; otherwise keep waiting."""
         assert self.first_answer_timeout is not None
@@ -227,7 +233,7 @@
     def _note_first_answer(self, head: ServerAnswerHead) -> None:
         if self.first_answer_unix_s is None:
             self.first_answer_unix_s = now_unix_s()
-            self._cancel_timer()
+            self._keep_waiting()
             self.record.progress.apply(AttemptEvent.FIRST_BYTE)
             self.on_first_answer(head)
 
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -16,7 +16,9 @@
 )
 
 from pomelobarrow.decision.published.routing import RouteKind
+from pomelobarrow.relay.attempt import RelayAttempt
 from pomelobarrow.relay.events import RelayAttemptEnded, RelayEnded
+from pomelobarrow.relay.messages import ServerAnswerHead
 from pomelobarrow.relay.relay import NO_PLACE_TO_RESUME
 
 LAST = 4
@@ -155,6 +157,34 @@
     assert await receive(writes(first, half, is_whole=False), writes(rest)) == (first + rest, True)
 
 
+async def test_first_event_in_the_step_in_which_its_limit_passes_keeps_the_stream(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A daemon that was paused found both due at once, and gave up a server that had answered."""
+    note_first_answer, loop = RelayAttempt._note_first_answer, asyncio.get_running_loop()
+    has_passed = asyncio.Event()
+
+    def pass_limit_too(attempt: RelayAttempt, head: ServerAnswerHead) -> None:
+        if attempt.first_answer_unix_s is None:
+            attempt._on_time_limit()
+            # Behind the callback with which the limit would cancel the attempt.
+            loop.call_soon(has_passed.set)
+        note_first_answer(attempt, head)
+
+    async def one_then_the_rest(exchange: Exchange) -> None:
+        exchange.write_head(200, Transfer_Encoding="chunked")
+        exchange.write_chunk(event(1))
+        await has_passed.wait()
+        exchange.write_chunk(events(2, 3, 4))
+        exchange.writer.write(b"0\r\n\r\n")
+
+    monkeypatch.setattr(RelayAttempt, "_note_first_answer", pass_limit_too)
+    log: list[object] = []
+    received = await receive(one_then_the_rest, streams(LAST), log=log)
+    assert received == (events(1, 2, 3, 4), True)
+    assert [each.end for each in log if isinstance(each, RelayAttemptEnded)] == ["passed on"]
+
+
 async def test_log_shows_where_each_run_of_a_stream_begins_and_ends() -> None:
     """No line said what an attempt brought, so that a wrong join could not be seen."""
     events_of: list[object] = []
