Bound the memory for whole answers: a body without end is given up

What callers saw: a backend server that writes a body without end filled the memory of the VM that relays it, so that the VM ended for all clients.

Cause: the relay read whole answers with `StreamReader.read()`, which lifts aiohttp's flow control and reads until the end or the deadline.

Change: a body is read in parts and given up beyond 16 MiB: the attempt is lost with the exceeded part in its log line and a counter, and its connection is closed. What may be repeated goes to another server within its attempts; for what may run once the answer says that it may have run (502). The server counts as failing. Bodies over 64 KiB take their memory from 32 MiB for the whole process. While it is taken they aren't read on, and TCP holds their servers back; usual answers never wait. Large answers go to the client in slices, since the transport copies what a client hasn't read.

Why it works: each read happens after its bytes are reserved, and a reservation is granted only if the largest one can still grow to its limit.

--- a/src/pomelobarrow/backends/sessions.py
+++ b/src/pomelobarrow/backends/sessions.py
@@ -10,6 +10,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.tracing import TraceConfig
 
+from pomelobarrow.backends.answer_buffers import AnswerBuffers
+
 CONNECT_TIMEOUT_S = 1.0
 # Requests per second that a server accepts from all VMs together, as stated by its answers.
 SERVER_LIMIT_HEADER = "X-Server-Limit"
@@ -45,6 +47,7 @@
 
     def __init__(self, dial: Mapping[str, str]) -> None:
         self._dial = dial
+        self.buffers = AnswerBuffers()
         self.pooled = _session(force_close=False)
         # A network device may have dropped a pooled connection silently. A request sent on it is
         # lost without an error, and its outcome is unknown. A new connection can't be stale.
--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -268,6 +268,12 @@
             "Sendings of relayed requests to a backend server or a peer, by their end.",
             ("pool", "end"),
         )
+        self.answers_over_limit = CounterFamily(
+            registry,
+            "pomelobarrow_answers_over_limit_total",
+            "Answers that were given up because a part of them was larger than its limit.",
+            ("pool", "part"),
+        )
         self.prefix_copies = CounterFamily(
             registry,
             "pomelobarrow_prefix_copies_total",
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -197,6 +197,8 @@
         self._metrics.relay_attempt_s.observe(event.took_s, event.pool, event.end)
         if event.is_join_rejected:
             self._metrics.join_rejections.inc(event.pool)
+        if event.over_limit:
+            self._metrics.answers_over_limit.inc(event.pool, event.over_limit)
         self._log.info("relay attempt ended", **event_fields(event))
 
     def _relay_ended(self, event: RelayEnded) -> None:
--- a/src/pomelobarrow/relay/answer.py
+++ b/src/pomelobarrow/relay/answer.py
@@ -7,6 +7,9 @@
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.relay.messages import Headers, WholeAnswer
 
+Body = bytes | bytearray | memoryview
+# A larger body is sent in slices, each once the client has read most of the one before.
+SLICE_BYTES = 64 << 10
 CALLER_GONE = "the client closed its connection"
 
 
@@ -25,8 +28,11 @@
         """Return whether any part of the answer has been sent."""
         return self.response is not None
 
-    async def send_complete(self, status: int, headers: Headers, body: bytes) -> None:
+    async def send_complete(self, status: int, headers: Headers, body: Body) -> None:
         """Send a complete answer."""
+        if len(body) > SLICE_BYTES:
+            await self._send_in_slices(status, headers, body)
+            return
         response = web.Response(status=status, headers=CIMultiDict(headers), body=body)
         await self._prepare(response)
         await self._checked(response.write_eof())
@@ -35,11 +41,21 @@
         """Send a backend server's complete answer."""
         await self.send_complete(answer.head.status, answer.head.headers, answer.body)
 
+    async def _send_in_slices(self, status: int, headers: Headers, body: Body) -> None:
+        # The transport copies what the client has not read yet.
+        response = LateHeadResponse(status=status, headers=CIMultiDict(headers))
+        response.content_length = len(body)
+        await self._prepare(response)
+        view = memoryview(body)
+        for start in range(0, len(body), SLICE_BYTES):
+            await self.send(view[start : start + SLICE_BYTES])
+        await self.finish()
+
     async def open(self, status: int, headers: Headers) -> None:
         """Begin a stream; its head is sent together with the first events."""
         await self._prepare(LateHeadResponse(status=status, headers=CIMultiDict(headers)))
 
-    async def send(self, data: bytes) -> None:
+    async def send(self, data: Body) -> None:
         """Send the next bytes of a stream."""
         assert self.response is not None
         try:
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -5,6 +5,8 @@
 
 from attrs import define, evolve, field, frozen
 
+from pomelobarrow.backends.answer_buffers import AnswerBuffer
+from pomelobarrow.backends.answer_limits import AnswerTooLargeError
 from pomelobarrow.backends.engine import CONNECTION_ERRORS
 from pomelobarrow.backends.sessions import BackendSessions, WithheldError
 from pomelobarrow.backends.single_use import BodyEnd, ResponseHead, SingleExchange, SingleRequest
@@ -60,6 +62,7 @@
     target: Target
     sink: ClientAnswer
     position: StreamPosition
+    buffer: AnswerBuffer
     on_first_answer: Callable[[ServerAnswerHead], None]
     on_pause: Callable[[float], None] = lambda pause_s: None
     on_head: Callable[[ServerAnswerHead], None] = lambda head: None
@@ -92,6 +95,8 @@
         except JoinError as error:
             self._is_join_rejected = True
             return self._lost(str(error))
+        except AnswerTooLargeError as error:
+            return self._lost(str(error), over_limit=error.part)
         except CONNECTION_ERRORS as error:
             return self._lost(
                 repr(error),
@@ -179,7 +184,7 @@
         return ""
 
     async def _read_complete(self, response: ResponseHead, head: ServerAnswerHead) -> AttemptReport:
-        body = await response.content.read()
+        body = await self.buffer.read(response.content)
         self._note_first_answer(head)
         self.record.progress.apply(AttemptEvent.END)
         return self._report(AttemptEnd.ANSWERED, answer=WholeAnswer(head=head, body=body))
@@ -225,14 +230,18 @@
         self._last_events_unix_s = now
 
     def _lost(
-        self, detail: str, is_closed: bool = False, is_connection_refused: bool = False
+        self,
+        detail: str,
+        is_closed: bool = False,
+        is_connection_refused: bool = False,
+        over_limit: str = "",
     ) -> AttemptReport:
         self.record.progress.apply(AttemptEvent.LOSE)
         if self.record.progress.state is AttemptState.NOT_SENT:
             return self._report(
                 AttemptEnd.NOT_SENT, detail, is_connection_refused=is_connection_refused
             )
-        return self._report(AttemptEnd.LOST, detail, is_closed=is_closed)
+        return self._report(AttemptEnd.LOST, detail, is_closed=is_closed, over_limit=over_limit)
 
     def _report(
         self,
@@ -241,6 +250,7 @@
         answer: WholeAnswer | None = None,
         is_closed: bool = False,
         is_connection_refused: bool = False,
+        over_limit: str = "",
     ) -> AttemptReport:
         head = self._head
         self.record.final_end = end
@@ -249,6 +259,7 @@
             detail=detail,
             is_closed=is_closed,
             is_connection_refused=is_connection_refused,
+            over_limit=over_limit,
             answer=answer,
             has_head=head is not None,
             is_pool_unreachable=head is not None and head.is_pool_unreachable,
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -116,6 +116,8 @@
     end: str
     status: int
     detail: str
+    # The part of the answer that was larger than its limit; empty if none was.
+    over_limit: str
     took_s: float
     first_answer_s: float | None
     longest_pause_s: float
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -161,7 +161,7 @@
     """Represent a complete answer of a backend server."""
 
     head: ServerAnswerHead
-    body: bytes = field(default=b"", repr=False)
+    body: bytes | bytearray = field(default=b"", repr=False)
 
 
 @frozen(kw_only=True)
@@ -174,6 +174,8 @@
     is_closed: bool = False
     # True if the address refused the connection, as that of a process that has ended does.
     is_connection_refused: bool = False
+    # The part of the answer that was larger than its limit; empty if none was.
+    over_limit: str = ""
     answer: WholeAnswer | None = None
     # True if the head of an answer arrived.
     has_head: bool = False
--- a/src/pomelobarrow/relay/progress.py
+++ b/src/pomelobarrow/relay/progress.py
@@ -2,8 +2,13 @@
 
 from attrs import define, evolve, field
 
+from pomelobarrow.backends.answer_buffers import AnswerBuffer
 from pomelobarrow.decision.published.routing import Routing
-from pomelobarrow.decision.requests.placement_request import ExcludedTargets, PlacementRequest
+from pomelobarrow.decision.requests.placement_request import (
+    ExcludedTargets,
+    PeerPlacement,
+    PlacementRequest,
+)
 from pomelobarrow.decision.streams.stream_position import StreamPosition
 from pomelobarrow.relay.answer import ClientAnswer
 from pomelobarrow.relay.messages import RelayRequest
@@ -19,6 +24,7 @@
     routing: Routing
     history: AttemptHistory
     position: StreamPosition
+    buffer: AnswerBuffer
     excluded: ExcludedTargets = field(factory=ExcludedTargets)
     # The connections that could not be opened since probes last decided about the pool, when the
     # last of them began, and the servers among their targets that did not refuse them.
@@ -47,6 +53,13 @@
             return placed
         return evolve(placed, software_key=self.software_key)
 
+    def exclude_refusing_target(self, decision: PeerPlacement) -> None:
+        """Exclude the server whose coordinator refused, or else the region of the peer."""
+        if decision.server:
+            self.excluded.servers.add(decision.server)
+        else:
+            self.excluded.regions.add(decision.member.region)
+
     @property
     def resume_after(self) -> str:
         """Return the id of the last event that the client has; empty if it has none."""
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field
 
+from pomelobarrow.backends.answer_buffers import AnswerBuffer
 from pomelobarrow.backends.reach_monitor import SERVER_CONNECT_TIMEOUT_S, ReachMonitor
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.admission.retry_share import RetryShare
@@ -108,6 +109,7 @@
             routing=routing,
             history=AttemptHistory(request=request),
             position=StreamPosition(last_event_id=request.head.last_event_id),
+            buffer=AnswerBuffer(buffers=self.sessions.buffers),
             software_key=request.software_key,
         )
         self.in_progress += 1
@@ -118,6 +120,7 @@
             pass
         finally:
             self.in_progress -= 1
+            progress.buffer.release()
             self.log.end(progress, outcome)
         return progress.history.was_sent
 
@@ -292,17 +295,9 @@
         if report.is_pool_unreachable:
             self.placer.peer_reachability.note_refusal(decision.member.vm, pool, now_unix_s())
         elif report.end in (AttemptEnd.REFUSED, AttemptEnd.REFUSED_UNSENT):
-            self._exclude_refusing_target(progress, decision)
+            progress.exclude_refusing_target(decision)
         return report
 
-    @staticmethod
-    def _exclude_refusing_target(progress: RequestProgress, decision: PeerPlacement) -> None:
-        """Exclude the server whose coordinator refused, or else the region of the peer."""
-        if decision.server:
-            progress.excluded.servers.add(decision.server)
-        else:
-            progress.excluded.regions.add(decision.member.region)
-
     def _first_answer_timeout(
         self, progress: RequestProgress, record: AttemptRecord, placement: Placement
     ) -> FirstAnswerTimeout:
@@ -360,6 +355,7 @@
             target=target,
             sink=progress.sink,
             position=progress.position,
+            buffer=progress.buffer,
             on_first_answer=note_first_answer,
             on_pause=on_pause,
             on_head=on_head,
--- a/src/pomelobarrow/relay/relay_log.py
+++ b/src/pomelobarrow/relay/relay_log.py
@@ -128,6 +128,7 @@
                 end=report.end.value,
                 status=report.answer.head.status if report.answer else 0,
                 detail=report.detail,
+                over_limit=report.over_limit,
                 took_s=now_unix_s() - started_unix_s,
                 first_answer_s=_since(started_unix_s, report.first_answer_unix_s),
                 longest_pause_s=report.longest_pause_s,
--- /dev/null
+++ b/tests/test_relay_endless_answers.py
@@ -0,0 +1,115 @@
+"""Answers of servers and peers that never end, and what the relay reads of them."""
+
+import asyncio
+
+import pytest
+from endless_answer import STOP_BYTES, EndlessAnswer, chunk, head
+from relay_harness import POOL, Answer, RelayVm, ask, relay_fleet, route
+from scripted_server import answers
+
+from pomelobarrow.backends.answer_buffers import AnswerBuffer
+from pomelobarrow.backends.answer_limits import MAX_WHOLE_ANSWER_BYTES
+from pomelobarrow.decision.published.routing import RouteKind
+from pomelobarrow.operators.metrics import Metrics
+from pomelobarrow.operators.plugin import Observer
+from pomelobarrow.relay.events import RelayAttemptEnded, ServerEjected
+
+# Long enough for a busy machine to read what the limits allow.
+TIMEOUT_S = 30.0
+ONCE = route(RouteKind.NON_IDEMPOTENT, timeout_s=TIMEOUT_S)
+IDEMPOTENT = route(RouteKind.IDEMPOTENT, timeout_s=TIMEOUT_S, max_attempts=2)
+ENDLESS_BODIES = {
+    "until the connection ends": (head(), b"x" * 1_000),
+    "in chunks": (head(Transfer_Encoding="chunked"), chunk(b"x" * 1_000)),
+    "of a length": (head(Content_Length=str(2 * STOP_BYTES)), b"x" * 1_000),
+    "of a failure": (head(500, Transfer_Encoding="chunked"), chunk(b"x" * 1_000)),
+}
+
+
+async def ask_patiently(vm: RelayVm, path: str) -> Answer:
+    deadline_ms = str(int(TIMEOUT_S * 1_000))
+    return await ask(vm, path, headers={"Pomelobarrow-Request-Deadline": deadline_ms})
+
+
+def attempts(vm: RelayVm) -> list[tuple[str, str, str]]:
+    """Return target, end and exceeded limit of each attempt."""
+    ended = [each for each in vm.events if isinstance(each, RelayAttemptEnded)]
+    return [(each.target, each.end, each.over_limit) for each in ended]
+
+
+@pytest.mark.parametrize("name", ENDLESS_BODIES)
+async def test_whole_answer_without_end_is_given_up(name: str) -> None:
+    """Guards against memory that a body fills until the deadline of its request."""
+    start, repeated = ENDLESS_BODIES[name]
+    endless = EndlessAnswer(start=start, repeated=repeated)
+    async with relay_fleet((ONCE,), {"a": {"s1": endless}}) as fleet:
+        answer = await ask_patiently(fleet.vms["a"], "/non_idempotent/")
+    assert endless.was_closed_within(MAX_WHOLE_ANSWER_BYTES)
+    assert (answer.status, len(endless.written_bytes)) == (502, 1)
+    assert "Retry-After" not in answer.headers
+    assert attempts(fleet.vms["a"]) == [("s1", "lost", "body")]
+
+
+async def test_whole_answer_without_end_is_given_up_by_a_peer() -> None:
+    """Guards against a body without end that crosses the hop between two VMs."""
+    endless = EndlessAnswer(start=head(), repeated=b"x" * 1_000)
+    only_b = route(RouteKind.NON_IDEMPOTENT, timeout_s=TIMEOUT_S, home_regions=("b",))
+    async with relay_fleet((only_b,), {"a": {}, "b": {"s1": endless}}) as fleet:
+        answer = await ask_patiently(fleet.vms["a"], "/non_idempotent/")
+    assert endless.was_closed_within(MAX_WHOLE_ANSWER_BYTES)
+    assert (answer.status, len(endless.written_bytes)) == (502, 1)
+    assert attempts(fleet.vms["b"]) == [("s1", "lost", "body")]
+
+
+async def test_repeatable_request_with_an_endless_answer_is_sent_elsewhere() -> None:
+    endless = EndlessAnswer(start=head(), repeated=b"x" * 1_000)
+    scripts = {"s1": endless, "s2": answers(body=b"sound")}
+    async with relay_fleet((IDEMPOTENT,), {"a": scripts}) as fleet:
+        replies = [await ask_patiently(fleet.vms["a"], "/idempotent/") for _ in range(4)]
+    assert {(each.status, each.body) for each in replies} == {(200, b"sound")}
+    assert endless.was_closed_within(MAX_WHOLE_ANSWER_BYTES)
+
+
+async def test_server_with_endless_answers_counts_as_failing() -> None:
+    """Guards against a server that gets one request after the other and ends none of them."""
+    endless = EndlessAnswer(start=head(), repeated=b"x" * 1_000)
+    async with relay_fleet((ONCE,), {"a": {"s1": endless}}) as fleet:
+        vm = fleet.vms["a"]
+        statuses = [(await ask_patiently(vm, "/non_idempotent/")).status for _ in range(2)]
+    metrics = Metrics()
+    for event in vm.events:
+        Observer(metrics).observe(event)
+    assert statuses == [502, 502]
+    assert [each.server for each in vm.events if isinstance(each, ServerEjected)] == ["s1"]
+    assert metrics.answers_over_limit.value(POOL, "body") == 2
+
+
+async def test_answer_up_to_the_limit_reaches_the_client_whole() -> None:
+    """Guards against a large body that is cut, doubled or sent out of order in slices."""
+    body = b"".join(b"%015d\n" % number for number in range(MAX_WHOLE_ANSWER_BYTES // 16))
+    async with relay_fleet((ONCE,), {"a": {"s1": answers(body=body)}}) as fleet:
+        answer = await ask_patiently(fleet.vms["a"], "/non_idempotent/")
+        reserved_bytes = fleet.vms["a"].relay.sessions.buffers.reserved_bytes
+    assert (answer.status, answer.body == body) == (200, True)
+    assert reserved_bytes == 0
+
+
+async def test_large_answer_waits_for_memory_and_holds_its_server_back() -> None:
+    """Guards against memory that many large answers fill together."""
+    large = EndlessAnswer(start=head(), repeated=b"x" * 1_000)
+    async with relay_fleet((ONCE,), {"a": {"s1": large}}) as fleet:
+        vm = fleet.vms["a"]
+        buffers = vm.relay.sessions.buffers
+        taken = [AnswerBuffer(buffers=buffers) for _ in range(2)]
+        for each in taken:
+            await each.reserve(MAX_WHOLE_ANSWER_BYTES)
+        waiting = asyncio.create_task(ask_patiently(vm, "/non_idempotent/"))
+        while not buffers.waiting:
+            await asyncio.sleep(0)
+        fleet.servers["s1"].script = answers(body=b"small")
+        assert (await ask_patiently(vm, "/non_idempotent/")).body == b"small"
+        assert large.was_closed_within(0)
+        assert not waiting.done()
+        for each in taken:
+            each.release()
+        assert (await waiting).status == 502
