Bound the bytes of an answer that bring no content

What callers saw: a server that sent interim answers, empty lines, spaces, chunk sizes or chunk extensions without end kept the relay's parser and its connection busy until the deadline, beside all other requests of the VM.

Cause: aiohttp limits the lines of a head, but not what its parser skips. Interim answers were read in a loop without a limit, and up to 256 KiB of them were parsed at once into thousands of objects.

Change: the protocol that parses answers counts received bytes against those of the content. Beyond 64 KiB, and eight bytes more for each byte of content, it fails the answer and aborts the connection. The relay also reads at most 16 interim answers. 64 KiB are received at once and buffered before a server is held back; it was 256 KiB each.

Why it works: the count is taken where all bytes pass, whatever the parser makes of them, for servers, peers, polls and probes alike. Chunks of one byte, 16 interim answers and a head of 128 long lines are still read (tests).

--- /dev/null
+++ b/src/pomelobarrow/backends/answer_handler.py
@@ -0,0 +1,73 @@
+"""Parse answers, and end the connection of those that have no end."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.streams import EMPTY_PAYLOAD
+
+from pomelobarrow.backends.answer_limits import (
+    FRAMING_PER_CONTENT,
+    MAX_FRAMING_BYTES,
+    RECEIVE_BYTES,
+    AnswerTooLargeError,
+)
+
+HEAD = "head"
+FRAMING = "framing"
+
+
+class AnswerHandler(ResponseHandler):
+    """Raise an error if an answer is reset, or brings too many bytes that are no content.
+
+    A body without a length ends when its connection closes, and aiohttp treats a reset as that end
+    too. The caller would receive a truncated answer that looks complete.
+
+    aiohttp limits the lines of a head, but not what it skips: interim answers, empty lines, spaces,
+    chunk sizes and extensions. A server could keep the parser busy until the deadline.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._received_bytes = 0
+        self._limit_error: AnswerTooLargeError | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limit the bytes that are received at once, which asyncio has no public way to do."""
+        transport.max_size = RECEIVE_BYTES  # type: ignore[attr-defined]
+        super().connection_made(transport)
+
+    def set_response_params(self, **params: Any) -> None:
+        """Prepare for the answer to the next request."""
+        self._received_bytes = 0
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse the bytes; fail the answer if too few of them are content."""
+        super().data_received(data)
+        self._received_bytes += len(data)
+        content = self._payload
+        content_bytes = content.total_bytes if content is not None else 0
+        framing_bytes = self._received_bytes - content_bytes
+        # While reading is paused, some of the received bytes have not been parsed yet.
+        if (
+            framing_bytes > MAX_FRAMING_BYTES + FRAMING_PER_CONTENT * content_bytes
+            and not self._reading_paused
+        ):
+            self._fail(HEAD if content in (None, EMPTY_PAYLOAD) else FRAMING)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail the body that is being read if the connection was reset."""
+        if exc is not None and self._payload is not None:
+            self._payload.set_exception(aiohttp.ClientPayloadError("the connection was reset"))
+        super().connection_lost(self._limit_error or exc)
+
+    def _fail(self, part: str) -> None:
+        error = self._limit_error = AnswerTooLargeError(part, f"{MAX_FRAMING_BYTES} bytes")
+        if self._payload is not None:
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        self._payload = self._parser = None
+        if self.transport is not None:
+            self.transport.abort()
--- a/src/pomelobarrow/backends/sessions.py
+++ b/src/pomelobarrow/backends/sessions.py
@@ -7,10 +7,15 @@
 
 import aiohttp
 from aiohttp import ClientHandlerType
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.tracing import TraceConfig
 
 from pomelobarrow.backends.answer_buffers import AnswerBuffers
+from pomelobarrow.backends.answer_handler import AnswerHandler
+from pomelobarrow.backends.answer_limits import (
+    MAX_HEADER_LINE_BYTES,
+    MAX_HEADER_LINES,
+    READ_BUFFER_BYTES,
+)
 
 CONNECT_TIMEOUT_S = 1.0
 # Requests per second that a server accepts from all VMs together, as stated by its answers.
@@ -23,7 +28,6 @@
 REJECTED_STATUS = 503
 KEEPALIVE_S = 15.0
 MAX_CONNECTIONS = 4096
-READ_BUFFER_BYTES = 1 << 18
 # A silent connection is closed after about 3 s: one second of silence, then two probes.
 PROBE_AFTER_S = 1
 PROBE_EVERY_S = 1
@@ -80,31 +84,20 @@
         **options,  # type: ignore[arg-type]
     )
     # aiohttp has no public way to choose the protocol's class.
-    connector._factory = functools.partial(ResetAwareHandler, loop=loop)  # type: ignore[assignment]
+    connector._factory = functools.partial(AnswerHandler, loop=loop)  # type: ignore[assignment]
     return aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
         read_bufsize=READ_BUFFER_BYTES,
+        max_line_size=MAX_HEADER_LINE_BYTES,
+        max_field_size=MAX_HEADER_LINE_BYTES,
+        max_headers=MAX_HEADER_LINES,
         trace_configs=[_send_tracing()],
         cookie_jar=aiohttp.DummyCookieJar(),
         middlewares=(_never_resend,),
     )
 
 
-class ResetAwareHandler(ResponseHandler):
-    """Raise an error if the connection is reset within a body without a length.
-
-    Such a body ends when its connection closes, and aiohttp treats a reset as that end too. The
-    caller would receive a truncated answer that looks complete.
-    """
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail the body that is being read if the connection was reset."""
-        if exc is not None and self._payload is not None:
-            self._payload.set_exception(aiohttp.ClientPayloadError("the connection was reset"))
-        super().connection_lost(exc)
-
-
 def probed_socket(address: aiohttp.AddrInfoType) -> socket.socket:
     """Return a socket that detects a dead connection by TCP keepalive probes.
 
--- a/src/pomelobarrow/backends/single_use.py
+++ b/src/pomelobarrow/backends/single_use.py
@@ -19,12 +19,15 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
-from pomelobarrow.backends.sessions import (
+from pomelobarrow.backends.answer_handler import HEAD, AnswerHandler
+from pomelobarrow.backends.answer_limits import (
+    MAX_HEADER_LINE_BYTES,
+    MAX_HEADER_LINES,
+    MAX_INTERIM_ANSWERS,
     READ_BUFFER_BYTES,
-    BrokenConnectionError,
-    ResetAwareHandler,
-    probed_socket,
+    AnswerTooLargeError,
 )
+from pomelobarrow.backends.sessions import BrokenConnectionError, probed_socket
 
 # Requests of other methods state the length of their body even if they have none.
 METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
@@ -89,7 +92,7 @@
     connect_timeout_s: float
     # Called when the connection is open; if it raises an error, nothing is sent.
     on_send: Callable[[], None] = lambda: None
-    _protocol: ResetAwareHandler | None = field(default=None, init=False)
+    _protocol: AnswerHandler | None = field(default=None, init=False)
 
     async def start(self) -> ResponseHead:
         """Connect, send the request and return the head of the answer.
@@ -115,7 +118,7 @@
         if self._protocol is not None:
             self._protocol.close()
 
-    async def _connect(self) -> ResetAwareHandler:
+    async def _connect(self) -> AnswerHandler:
         try:
             async with asyncio.timeout(self.connect_timeout_s):
                 return await self._open()
@@ -125,7 +128,7 @@
                 raise aiohttp.ConnectionTimeoutError(detail) from error
             raise aiohttp.ClientConnectorError(self._connection_key(), error) from error
 
-    async def _open(self) -> ResetAwareHandler:
+    async def _open(self) -> AnswerHandler:
         loop = asyncio.get_running_loop()
         host, port = _host_and_port(self.request.address)
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
@@ -134,20 +137,23 @@
             opened.setblocking(False)
             await loop.sock_connect(opened, (host, port))
             _, protocol = await loop.create_connection(
-                lambda: ResetAwareHandler(loop=loop), sock=opened
+                lambda: AnswerHandler(loop=loop), sock=opened
             )
         except BaseException:
             opened.close()
             raise
         return protocol
 
-    async def _send(self, protocol: ResetAwareHandler) -> None:
+    async def _send(self, protocol: AnswerHandler) -> None:
         request = self.request
         protocol.set_response_params(
             skip_payload=request.method == "HEAD",
             read_until_eof=True,
             auto_decompress=False,
             read_bufsize=READ_BUFFER_BYTES,
+            max_line_size=MAX_HEADER_LINE_BYTES,
+            max_field_size=MAX_HEADER_LINE_BYTES,
+            max_headers=MAX_HEADER_LINES,
         )
         writer = StreamWriter(protocol, asyncio.get_running_loop())
         line = f"{request.method} {request.target} HTTP/1.1"
@@ -156,13 +162,14 @@
         await writer.write_eof(request.body)
 
     async def _read_head(
-        self, protocol: ResetAwareHandler
+        self, protocol: AnswerHandler
     ) -> tuple[RawResponseMessage, aiohttp.StreamReader]:
         try:
-            while True:
+            for _ in range(MAX_INTERIM_ANSWERS + 1):
                 message, content = await protocol.read()
                 if message.code >= FIRST_FINAL_STATUS or message.code == SWITCHING_PROTOCOLS:
                     return message, content
+            raise AnswerTooLargeError(HEAD, f"{MAX_INTERIM_ANSWERS} interim answers")
         except HttpProcessingError as error:
             raise aiohttp.ClientResponseError(
                 self._request_info(),
--- a/tests/endless_answer.py
+++ b/tests/endless_answer.py
@@ -1,15 +1,15 @@
 """An answer of a scripted server that doesn't end until the caller closes the connection."""
 
+import asyncio
 from collections.abc import Callable
 
 from attrs import define, field
 from scripted_server import Exchange
 
 BLOCK_BYTES = 64 << 10
-# A caller that has not closed the connection by then never does.
-STOP_BYTES = 96 << 20
 # The most that the sockets of both ends hold beyond what the caller has read.
 SOCKET_BYTES = 16 << 20
+STOP_BYTES = 96 << 20
 
 Start = Callable[[Exchange], None]
 
@@ -20,25 +20,43 @@
 
     start: Start
     repeated: bytes
+    # A caller that has not closed the connection by then is taken for one that never does.
+    stop_bytes: int = STOP_BYTES
     written_bytes: list[int] = field(factory=list)
+    _running: int = field(default=0, init=False)
+    _ended: asyncio.Event = field(factory=asyncio.Event, init=False)
 
     async def __call__(self, exchange: Exchange) -> None:
         """Answer one request."""
+        self._running += 1
+        self._ended.clear()
+        try:
+            await self._answer(exchange)
+        except ConnectionError:
+            pass
+        finally:
+            self._running -= 1
+            if not self._running:
+                self._ended.set()
+
+    async def _answer(self, exchange: Exchange) -> None:
         self.start(exchange)
         block = self.repeated * max(1, BLOCK_BYTES // len(self.repeated))
         number = len(self.written_bytes)
         self.written_bytes.append(0)
-        try:
-            while self.written_bytes[number] < STOP_BYTES:
-                exchange.writer.write(block)
-                self.written_bytes[number] += len(block)
-                await exchange.writer.drain()
-        except ConnectionError:
-            return
+        while self.written_bytes[number] < self.stop_bytes:
+            exchange.writer.write(block)
+            self.written_bytes[number] += len(block)
+            await exchange.writer.drain()
 
-    def was_closed_within(self, max_bytes: int) -> bool:
+    async def is_closed_within(self, max_bytes: int) -> bool:
         """Return whether the callers closed all connections after at most so many bytes."""
-        return bool(self.written_bytes) and max(self.written_bytes) <= max_bytes + SOCKET_BYTES
+        await self._ended.wait()
+        return self.is_read_within(max_bytes)
+
+    def is_read_within(self, max_bytes: int) -> bool:
+        """Return whether the callers have read at most so many bytes of each answer so far."""
+        return max(self.written_bytes) <= max_bytes + SOCKET_BYTES
 
 
 def head(status: int = 200, **fields: str) -> Start:
--- /dev/null
+++ b/tests/test_answer_handler.py
@@ -0,0 +1,132 @@
+"""Bytes of no content that a server sends without end, on both kinds of connections to servers."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+from endless_answer import SOCKET_BYTES, EndlessAnswer, raw
+from scripted_server import Exchange, Script, ScriptedServer
+
+from pomelobarrow.backends.answer_limits import (
+    MAX_FRAMING_BYTES,
+    MAX_HEADER_LINE_BYTES,
+    MAX_HEADER_LINES,
+    MAX_INTERIM_ANSWERS,
+)
+from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.backends.single_use import SingleExchange, SingleRequest
+
+STOP_BYTES = 2 * SOCKET_BYTES
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+INTERIM = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+
+
+async def by_exchange(address: str) -> bytes:
+    """Return a body by a connection for one request."""
+    request = SingleRequest(method="GET", address=address, target="/", headers=(("Host", "x"),))
+    exchange = SingleExchange(request=request, connect_timeout_s=1.0)
+    try:
+        response = await exchange.start()
+        return await response.content.read()
+    finally:
+        exchange.close()
+
+
+async def by_session(address: str) -> bytes:
+    """Return a body by a pooled connection."""
+    sessions = BackendSessions({})
+    try:
+        async with sessions.pooled.get(sessions.url(address, "/")) as response:
+            return await response.read()
+    finally:
+        await sessions.close()
+
+
+Client = Callable[[str], Awaitable[bytes]]
+both_clients = pytest.mark.parametrize("client", [by_exchange, by_session])
+
+
+@asynccontextmanager
+async def serving(script: Script) -> AsyncIterator[str]:
+    """Run a server and yield its address."""
+    async with ScriptedServer(name="s1", host="127.0.0.1", script=script) as server:
+        yield server.address
+
+
+def sends(data: bytes) -> Script:
+    async def script(exchange: Exchange) -> None:
+        exchange.writer.write(data)
+        await exchange.writer.drain()
+
+    return script
+
+
+# What never ends, and what comes before it.
+ENDLESS = {
+    "interim answers": (b"", INTERIM),
+    "empty lines": (b"", b"\r\n"),
+    "bytes of no protocol": (b"", b"\0"),
+    "reason": (b"HTTP/1.1 200 ", b"x"),
+    "header lines": (OK, b"X-A: 1\r\n"),
+    "header name": (OK, b"x"),
+    "header value": (OK + b"X-A: ", b"x"),
+    "folded header value": (OK + b"X-A: 1", b"\r\n  "),
+    "spaces before a header value": (OK + b"X-A:", b" "),
+    "chunk size": (CHUNKED, b"0"),
+    "chunk extension": (CHUNKED + b"5;", b"e"),
+    "chunks of one byte with extensions": (CHUNKED, b"1;" + 1_000 * b"e" + b"\r\nx\r\n"),
+    "trailer lines": (CHUNKED + b"0\r\n", b"X-A: 1\r\n"),
+    "spaces before a trailer value": (CHUNKED + b"0\r\nX-A:", b" "),
+}
+
+
+@both_clients
+@pytest.mark.parametrize("name", ENDLESS)
+async def test_answer_that_brings_no_content_is_given_up(name: str, client: Client) -> None:
+    """Guards against a server that keeps a connection and the parser busy until the deadline."""
+    start, repeated = ENDLESS[name]
+    endless = EndlessAnswer(start=raw(start), repeated=repeated, stop_bytes=STOP_BYTES)
+    async with serving(endless) as address:
+        with pytest.raises(aiohttp.ClientError):
+            await client(address)
+        assert await endless.is_closed_within(MAX_FRAMING_BYTES)
+
+
+async def test_idle_connection_that_brings_answers_without_end_is_closed() -> None:
+    """Guards against memory for answers that nobody asked for on a pooled connection."""
+    answer = OK + b"Content-Length: 2\r\n\r\nok"
+    endless = EndlessAnswer(start=raw(answer), repeated=answer, stop_bytes=STOP_BYTES)
+    sessions = BackendSessions({})
+    async with serving(endless) as address:
+        async with sessions.pooled.get(sessions.url(address, "/")) as response:
+            assert await response.read() == b"ok"
+        assert await endless.is_closed_within(MAX_FRAMING_BYTES)
+        await sessions.close()
+
+
+SOUND = {
+    "many interim answers": MAX_INTERIM_ANSWERS * INTERIM + OK + b"Content-Length: 4\r\n\r\nbody",
+    "large head": OK
+    + b"".join(b"X-%03d: %s\r\n" % (n, 400 * b"v") for n in range(MAX_HEADER_LINES - 1))
+    + b"Content-Length: 4\r\n\r\nbody",
+    "long header line": OK
+    + b"X-A: %s\r\nContent-Length: 4\r\n\r\nbody" % ((MAX_HEADER_LINE_BYTES - 3) * b"v"),
+    "trailer": CHUNKED + b"4\r\nbody\r\n0\r\nX-A: 1\r\n\r\n",
+}
+
+
+@both_clients
+@pytest.mark.parametrize("name", SOUND)
+async def test_unusual_but_sound_answer_is_read(name: str, client: Client) -> None:
+    async with serving(sends(SOUND[name])) as address:
+        assert await client(address) == b"body"
+
+
+@both_clients
+async def test_body_in_chunks_of_one_byte_is_read_whole(client: Client) -> None:
+    """Guards against limits on framing that a sound server of tiny chunks exceeds."""
+    size = 300_000
+    async with serving(sends(CHUNKED + size * b"1\r\nx\r\n" + b"0\r\n\r\n")) as address:
+        assert await client(address) == size * b"x"
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from endless_answer import STOP_BYTES, EndlessAnswer, chunk, head
+from endless_answer import SOCKET_BYTES, STOP_BYTES, EndlessAnswer, chunk, head, raw
 from relay_harness import POOL, Answer, RelayVm, ask, relay_fleet, route
 from scripted_server import answers
 
@@ -16,6 +16,7 @@
 
 # Long enough for a busy machine to read what the limits allow.
 TIMEOUT_S = 30.0
+STOP = 2 * SOCKET_BYTES
 ONCE = route(RouteKind.NON_IDEMPOTENT, timeout_s=TIMEOUT_S)
 IDEMPOTENT = route(RouteKind.IDEMPOTENT, timeout_s=TIMEOUT_S, max_attempts=2)
 ENDLESS_BODIES = {
@@ -44,7 +45,7 @@
     endless = EndlessAnswer(start=start, repeated=repeated)
     async with relay_fleet((ONCE,), {"a": {"s1": endless}}) as fleet:
         answer = await ask_patiently(fleet.vms["a"], "/non_idempotent/")
-    assert endless.was_closed_within(MAX_WHOLE_ANSWER_BYTES)
+    assert await endless.is_closed_within(MAX_WHOLE_ANSWER_BYTES)
     assert (answer.status, len(endless.written_bytes)) == (502, 1)
     assert "Retry-After" not in answer.headers
     assert attempts(fleet.vms["a"]) == [("s1", "lost", "body")]
@@ -56,7 +57,7 @@
     only_b = route(RouteKind.NON_IDEMPOTENT, timeout_s=TIMEOUT_S, home_regions=("b",))
     async with relay_fleet((only_b,), {"a": {}, "b": {"s1": endless}}) as fleet:
         answer = await ask_patiently(fleet.vms["a"], "/non_idempotent/")
-    assert endless.was_closed_within(MAX_WHOLE_ANSWER_BYTES)
+    assert await endless.is_closed_within(MAX_WHOLE_ANSWER_BYTES)
     assert (answer.status, len(endless.written_bytes)) == (502, 1)
     assert attempts(fleet.vms["b"]) == [("s1", "lost", "body")]
 
@@ -67,7 +68,7 @@
     async with relay_fleet((IDEMPOTENT,), {"a": scripts}) as fleet:
         replies = [await ask_patiently(fleet.vms["a"], "/idempotent/") for _ in range(4)]
     assert {(each.status, each.body) for each in replies} == {(200, b"sound")}
-    assert endless.was_closed_within(MAX_WHOLE_ANSWER_BYTES)
+    assert await endless.is_closed_within(MAX_WHOLE_ANSWER_BYTES)
 
 
 async def test_server_with_endless_answers_counts_as_failing() -> None:
@@ -94,6 +95,26 @@
     assert reserved_bytes == 0
 
 
+ENDLESS_FRAMING = {
+    "head": EndlessAnswer(start=raw(b"HTTP/1.1 200 OK\r\nX-A:"), repeated=b" ", stop_bytes=STOP),
+    "framing": EndlessAnswer(
+        start=head(Transfer_Encoding="chunked"), repeated=b"0", stop_bytes=STOP
+    ),
+}
+
+
+@pytest.mark.parametrize("part", ENDLESS_FRAMING)
+async def test_server_that_sends_no_content_without_end_counts_as_failing(part: str) -> None:
+    """Guards against a parser that skips bytes of no content until the deadline."""
+    endless = ENDLESS_FRAMING[part]
+    async with relay_fleet((ONCE,), {"a": {"s1": endless}}) as fleet:
+        vm = fleet.vms["a"]
+        statuses = [(await ask_patiently(vm, "/non_idempotent/")).status for _ in range(2)]
+    assert statuses == [502, 502]
+    assert attempts(vm) == 2 * [("s1", "lost", part)]
+    assert any(isinstance(each, ServerEjected) for each in vm.events)
+
+
 async def test_large_answer_waits_for_memory_and_holds_its_server_back() -> None:
     """Guards against memory that many large answers fill together."""
     large = EndlessAnswer(start=head(), repeated=b"x" * 1_000)
@@ -108,7 +129,7 @@
             await asyncio.sleep(0)
         fleet.servers["s1"].script = answers(body=b"small")
         assert (await ask_patiently(vm, "/non_idempotent/")).body == b"small"
-        assert large.was_closed_within(0)
+        assert large.is_read_within(0)
         assert not waiting.done()
         for each in taken:
             each.release()
