Quote spoiled answers in few characters, without the request's headers

What callers saw: after a server sent bytes that are no answer, the client got a 502 whose `detail` held those bytes and all headers that were sent to the server. Both also stood in the log lines `relay attempt ended` and `relay ended`.

Cause: the text of an error was its `repr`. That of aiohttp's ClientResponseError holds the headers of the request, in which a client may send keys, and the parser's message quotes the line that it could not read, up to all that was received at once.

Change: `describe_error` leaves out the request and ends after 300 characters. The relay, the attempts of the own interface, probes and orders use it.

Why it works: all texts of errors from connections to servers and peers pass through this function.

--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -8,7 +8,12 @@
 from attrs import define, field
 
 from pomelobarrow.backends.events import EventCounter
-from pomelobarrow.backends.sessions import CONNECT_TIMEOUT_S, BackendSessions, WithheldError
+from pomelobarrow.backends.sessions import (
+    CONNECT_TIMEOUT_S,
+    BackendSessions,
+    WithheldError,
+    describe_error,
+)
 from pomelobarrow.backends.whole_answer import TooLargeError, WholeAnswer
 from pomelobarrow.decision.published.configuration import Rank
 from pomelobarrow.decision.requests.attempt import Attempt, AttemptEvent, AttemptState
@@ -105,7 +110,7 @@
             return self._result(str(error))
         except CONNECTION_ERRORS as error:
             if self.attempt.state is AttemptState.NOT_SENT:
-                return self._result(f"connection failed: {error!r}")
+                return self._result(f"connection failed: {describe_error(error)}")
         return await self._resume_until_ended()
 
     async def _send(self) -> AttemptResult | None:
--- a/src/pomelobarrow/backends/orders.py
+++ b/src/pomelobarrow/backends/orders.py
@@ -9,7 +9,7 @@
 import structlog
 from mode import Service
 
-from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.backends.sessions import BackendSessions, describe_error
 from pomelobarrow.decision.common.bounded import UINT64_MAX, count_or_none
 from pomelobarrow.decision.published.configuration import Configuration
 from pomelobarrow.decision.requests.orders import FencedOrders, Order, OrderBook
@@ -75,7 +75,7 @@
                     due, response.status, orjson.loads(await response.read())
                 )
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            log.warning("order not sent", server=due.server.name, error=repr(error))
+            log.warning("order not sent", server=due.server.name, error=describe_error(error))
             return False
 
     def _handle_answer(self, due: FencedOrders, status: int, answer: object) -> bool:
--- a/src/pomelobarrow/backends/reach_monitor.py
+++ b/src/pomelobarrow/backends/reach_monitor.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from pomelobarrow.backends.engine import CONNECTION_ERRORS
-from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.backends.sessions import BackendSessions, describe_error
 from pomelobarrow.decision.requests.short_key import short_key
 from pomelobarrow.decision.requests.work import BackendServer
 from pomelobarrow.decision.servers.reachability import ServerReachability
@@ -135,7 +135,7 @@
         except CONNECTION_ERRORS as error:
             is_late = isinstance(error, TimeoutError) and delay.longest_s > MAX_LOOP_DELAY_S
             if not is_late:
-                self._note_failure(server, started_unix_s, repr(error))
+                self._note_failure(server, started_unix_s, describe_error(error))
 
     def _note_failure(self, server: BackendServer, started_unix_s: float, detail: str) -> None:
         if self.reachability.note_failure(server, started_unix_s, now_unix_s()):
--- a/src/pomelobarrow/backends/service.py
+++ b/src/pomelobarrow/backends/service.py
@@ -7,7 +7,12 @@
 from attrs import define
 
 from pomelobarrow.backends.engine import CONNECTION_ERRORS, states_not_run
-from pomelobarrow.backends.sessions import CONNECT_TIMEOUT_S, BackendSessions, WithheldError
+from pomelobarrow.backends.sessions import (
+    CONNECT_TIMEOUT_S,
+    BackendSessions,
+    WithheldError,
+    describe_error,
+)
 from pomelobarrow.decision.requests.attempt import Attempt, AttemptEvent, AttemptState
 from pomelobarrow.decision.requests.work import BackendServer
 from pomelobarrow.dispatch.answers import AnswerHead, AnswerSink, AttemptResult
@@ -47,7 +52,7 @@
         except CONNECTION_ERRORS as error:
             if self.attempt.state is not AttemptState.FINISHED:
                 self.attempt.apply(AttemptEvent.LOSE)
-            return self._result(repr(error))
+            return self._result(describe_error(error))
 
     async def _call(self) -> AttemptResult:
         session = self.sessions.for_request(self.request.work.repeatable)
--- a/src/pomelobarrow/backends/sessions.py
+++ b/src/pomelobarrow/backends/sessions.py
@@ -33,6 +33,8 @@
 PROBE_EVERY_S = 1
 PROBES = 2
 UNACKNOWLEDGED_MS = 3_000
+# A parser's error quotes what it could not read, which may be all that was received at once.
+MAX_ERROR_CHARACTERS = 300
 
 
 class BrokenConnectionError(aiohttp.ClientConnectionError):
@@ -46,6 +48,15 @@
         super().__init__("the server leaves or asked for a pause after it was chosen")
 
 
+def describe_error(error: BaseException) -> str:
+    """Return the text of an error, without the request's headers, which may contain secrets."""
+    if isinstance(error, aiohttp.ClientResponseError):
+        text = f"{type(error).__name__}({error.message!r})"
+    else:
+        text = repr(error)
+    return text if len(text) <= MAX_ERROR_CHARACTERS else f"{text[:MAX_ERROR_CHARACTERS]}..."
+
+
 class BackendSessions:
     """Provide a pooled session and one that opens a new connection for every request."""
 
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -8,7 +8,7 @@
 from pomelobarrow.backends.answer_buffers import AnswerBuffer
 from pomelobarrow.backends.answer_limits import AnswerTooLargeError
 from pomelobarrow.backends.engine import CONNECTION_ERRORS
-from pomelobarrow.backends.sessions import BackendSessions, WithheldError
+from pomelobarrow.backends.sessions import BackendSessions, WithheldError, describe_error
 from pomelobarrow.backends.single_use import BodyEnd, ResponseHead, SingleExchange, SingleRequest
 from pomelobarrow.decision.published.announcements import ServerAnnouncement
 from pomelobarrow.decision.requests.attempt import AttemptEvent, AttemptState
@@ -99,7 +99,7 @@
             return self._lost(str(error), over_limit=error.part)
         except CONNECTION_ERRORS as error:
             return self._lost(
-                repr(error),
+                describe_error(error),
                 is_closed=not isinstance(error, TimeoutError),
                 is_connection_refused=_is_connection_refused(error),
             )
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -9,6 +9,7 @@
 
 from pomelobarrow.backends.answer_buffers import AnswerBuffer
 from pomelobarrow.backends.answer_limits import MAX_WHOLE_ANSWER_BYTES
+from pomelobarrow.backends.sessions import MAX_ERROR_CHARACTERS
 from pomelobarrow.decision.published.routing import RouteKind
 from pomelobarrow.operators.metrics import Metrics
 from pomelobarrow.operators.plugin import Observer
@@ -115,6 +116,20 @@
     assert any(isinstance(each, ServerEjected) for each in vm.events)
 
 
+@pytest.mark.parametrize("start", [b"", b"HTTP/1.1 200 OK\r\nX-A: \0", b"HTTP/1.1 200 OK\r\n"])
+async def test_spoiled_answer_is_quoted_in_few_characters_and_without_secrets(start: bytes) -> None:
+    """Guards against logs and refusals that hold what a server sent, or the client's headers."""
+    endless = EndlessAnswer(start=raw(start), repeated=b"\0", stop_bytes=STOP)
+    headers = {"X-Api-Key": "client-secret", "Authorization": "Bearer client-secret"}
+    async with relay_fleet((ONCE,), {"a": {"s1": endless}}) as fleet:
+        vm = fleet.vms["a"]
+        answer = await ask(vm, "/non_idempotent/", headers=headers)
+    [ended] = [each for each in vm.events if isinstance(each, RelayAttemptEnded)]
+    assert 0 < len(ended.detail) <= MAX_ERROR_CHARACTERS + len("...")
+    assert len(answer.body) < 10 * MAX_ERROR_CHARACTERS
+    assert "client-secret" not in ended.detail + answer.body.decode()
+
+
 async def test_large_answer_waits_for_memory_and_holds_its_server_back() -> None:
     """Guards against memory that many large answers fill together."""
     large = EndlessAnswer(start=head(), repeated=b"x" * 1_000)
