--- a/src/pomelobarrow/backends/sessions.py
+++ b/src/pomelobarrow/backends/sessions.py
@@ -7,9 +7,16 @@
 
 import aiohttp
 from aiohttp import ClientHandlerType
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.tracing import TraceConfig
 
+from pomelobarrow.backends.answer_buffers import AnswerBuffers
+from pomelobarrow.backends.answer_handler import AnswerHandler
+from pomelobarrow.backends.answer_limits import (
+    MAX_HEADER_LINE_BYTES,
+    MAX_HEADER_LINES,
+    READ_BUFFER_BYTES,
+)
+
 CONNECT_TIMEOUT_S = 1.0
 # Requests per second that a server accepts from all VMs together, as stated by its answers.
 SERVER_LIMIT_HEADER = "X-Server-Limit"
@@ -21,12 +28,13 @@
 REJECTED_STATUS = 503
 KEEPALIVE_S = 15.0
 MAX_CONNECTIONS = 4096
-READ_BUFFER_BYTES = 1 << 18
 # A silent connection is closed after about 3 s: one second of silence, then two probes.
 PROBE_AFTER_S = 1
 PROBE_EVERY_S = 1
 PROBES = 2
 UNACKNOWLEDGED_MS = 3_000
+# A parser's error quotes what it could not read, which may be all that was received at once.
+MAX_ERROR_CHARACTERS = 300
 
 
 class BrokenConnectionError(aiohttp.ClientConnectionError):
@@ -40,11 +48,21 @@
         super().__init__("the server leaves or asked for a pause after it was chosen")
 
 
+def describe_error(error: BaseException) -> str:
+    """Return the text of an error, without the request's headers, which may contain secrets."""
+    if isinstance(error, aiohttp.ClientResponseError):
+        text = f"{type(error).__name__}({error.message!r})"
+    else:
+        text = repr(error)
+    return text if len(text) <= MAX_ERROR_CHARACTERS else f"{text[:MAX_ERROR_CHARACTERS]}..."
+
+
 class BackendSessions:
     """Provide a pooled session and one that opens a new connection for every request."""
 
     def __init__(self, dial: Mapping[str, str]) -> None:
         self._dial = dial
+        self.buffers = AnswerBuffers()
         self.pooled = _session(force_close=False)
         # A network device may have dropped a pooled connection silently. A request sent on it is
         # lost without an error, and its outcome is unknown. A new connection can't be stale.
@@ -77,31 +95,20 @@
         **options,  # type: ignore[arg-type]
     )
     # aiohttp has no public way to choose the protocol's class.
-    connector._factory = functools.partial(ResetAwareHandler, loop=loop)  # type: ignore[assignment]
+    connector._factory = functools.partial(AnswerHandler, loop=loop)  # type: ignore[assignment]
     return aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
         read_bufsize=READ_BUFFER_BYTES,
+        max_line_size=MAX_HEADER_LINE_BYTES,
+        max_field_size=MAX_HEADER_LINE_BYTES,
+        max_headers=MAX_HEADER_LINES,
         trace_configs=[_send_tracing()],
         cookie_jar=aiohttp.DummyCookieJar(),
         middlewares=(_never_resend,),
     )
 
 
-class ResetAwareHandler(ResponseHandler):
-    """Raise an error if the connection is reset within a body without a length.
-
-    Such a body ends when its connection closes, and aiohttp treats a reset as that end too. The
-    caller would receive a truncated answer that looks complete.
-    """
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail the body that is being read if the connection was reset."""
-        if exc is not None and self._payload is not None:
-            self._payload.set_exception(aiohttp.ClientPayloadError("the connection was reset"))
-        super().connection_lost(exc)
-
-
 def probed_socket(address: aiohttp.AddrInfoType) -> socket.socket:
     """Return a socket that detects a dead connection by TCP keepalive probes.
 
--- a/src/pomelobarrow/decision/streams/server_sent_events.py
+++ b/src/pomelobarrow/decision/streams/server_sent_events.py
@@ -2,29 +2,26 @@
 
 import re
 
-from attrs import define
+from attrs import define, field
 
 # A carriage return and a line feed after it are one line end.
 _LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
-_EVENT_END = re.compile(_LINE_END + _LINE_END)
+_EVENT_END = re.compile(rb"(" + _LINE_END + _LINE_END + rb")")
 _MAX_EVENT_END_BYTES = 4
-# A field begins its line; the first line of a stream may begin with a byte order mark.
-_FIELD_START = rb"(?:\A(?:\xef\xbb\xbf)?|[\r\n])"
-_FIELD_VALUE = rb"(?:: ?([^\r\n]*))?(?=[\r\n])"
-_ID_FIELD = re.compile(_FIELD_START + rb"id" + _FIELD_VALUE)
-_DATA_FIELD = re.compile(_FIELD_START + rb"data" + _FIELD_VALUE)
+# May begin the first line of a stream.
+_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
 @define
 class EventSplitter:
     """Hold back an incomplete event until the rest of it arrives."""
 
-    _partial: bytes = b""
+    _partial: bytearray = field(factory=bytearray, init=False)
 
     @property
     def rest(self) -> bytes:
         """Return the bytes after the last complete event."""
-        return self._partial
+        return bytes(self._partial)
 
     @property
     def is_between_events(self) -> bool:
@@ -33,7 +30,7 @@
 
     def restart(self) -> None:
         """Drop the incomplete event of a stream that broke off."""
-        self._partial = b""
+        self._partial.clear()
 
     def feed(self, data: bytes) -> list[bytes]:
         """Return the events that these bytes complete, byte for byte.
@@ -41,22 +38,26 @@
         An event that ends with a carriage return is complete before the line feed that may follow.
         The next event then begins with that line feed.
         """
-        searched_bytes = 0
         if self._partial:
             searched_bytes = max(0, len(self._partial) - _MAX_EVENT_END_BYTES + 1)
-            data = self._partial + data
-        events, start = [], 0
-        for found in _EVENT_END.finditer(data, searched_bytes):
-            end = found.end()
-            events.append(data[start:end])
-            start = end
-        self._partial = data[start:]
+            self._partial += data
+            if not _EVENT_END.search(self._partial, searched_bytes):
+                return []
+            data = bytes(self._partial)
+            self._partial.clear()
+        if b"\r" in data:
+            *parts, rest = _EVENT_END.split(data)
+            events = [event + end for event, end in zip(parts[::2], parts[1::2], strict=True)]
+        else:
+            *parts, rest = data.split(b"\n\n")
+            events = [event + b"\n\n" for event in parts]
+        self._partial += rest
         return events
 
 
 def event_id(event: bytes) -> bytes | None:
     """Return the value of the last id field; None if there is none."""
-    ids = _ID_FIELD.findall(event)
+    ids = _values(event, b"id")
     # The standard ignores an id that holds a NUL.
     while ids and b"\0" in ids[-1]:
         ids.pop()
@@ -68,5 +69,19 @@
 
     Clients ignore all events without data, such as comments, except for their id.
     """
-    lines = _DATA_FIELD.findall(event)
+    lines = _values(event, b"data")
     return b"\n".join(lines) if lines else None
+
+
+def _values(event: bytes, name: bytes) -> list[bytes]:
+    """Return the values of all fields of a name."""
+    values = []
+    size = len(name)
+    for line in event.removeprefix(_BYTE_ORDER_MARK).splitlines():
+        # Most lines are told apart without a call.
+        if line[:size] != name:
+            continue
+        found, _, value = line.partition(b":")
+        if found == name:
+            values.append(value.removeprefix(b" "))
+    return values
--- a/src/pomelobarrow/decision/streams/stream_position.py
+++ b/src/pomelobarrow/decision/streams/stream_position.py
@@ -26,43 +26,52 @@
     """Hold what one run of a stream brought, for logs."""
 
     events: int = 0
-    first_event_id: str = ""
-    last_event_id: str = ""
+    first_id: bytes = b""
+    last_id: bytes = b""
 
 
 @define(kw_only=True)
 class StreamPosition:
     """Hold the last event that was sent to the client, over all runs of one stream."""
 
-    # Empty if the client has no event, or none that a server can go on after.
-    last_event_id: str = ""
-    # True if a server can go on after exactly the events that the client has.
-    is_resumable: bool = True
+    last_id: bytes = b""
     run: StreamRun = field(factory=StreamRun, init=False)
+    # False until the run has an id that is beyond the last one, if there is one to compare.
+    is_join_checked: bool = field(default=False, init=False)
+    _has_events: bool = field(default=False, init=False)
     # The digests of the events without an id that the client got after the last id.
     _unidentified: list[int] = field(factory=list, init=False)
     # Those of them that the current run may still repeat.
     _repeatable: deque[int] = field(factory=deque, init=False)
-    _is_join_checked: bool = field(default=False, init=False)
+
+    @property
+    def last_event_id(self) -> str:
+        """Return the id after which a server can go on; empty if there is none."""
+        return header_value(self.last_id)
+
+    @property
+    def is_resumable(self) -> bool:
+        """Return whether a server can go on after exactly the events that the client has."""
+        if not self.last_event_id:
+            return not self._has_events
+        return len(self._unidentified) <= MAX_UNIDENTIFIED_EVENTS
 
     def begin_run(self) -> None:
         """Expect the events of the next run, which was asked to go on after the last event."""
         self.run = StreamRun()
         self._repeatable = deque(self._unidentified)
-        self._is_join_checked = not self.last_event_id
+        self.is_join_checked = not self.last_event_id
 
     def select_new(self, events: Sequence[bytes]) -> Sequence[bytes]:
-        """Return the events of the current run that the client does not have.
+        """Return the events of a run whose join isn't checked that the client does not have.
 
         Raises `JoinError` if the first id of the run is not beyond the last one of the stream.
         """
-        if self._is_join_checked:
-            return events
         new: list[bytes] = []
         for index, event in enumerate(events):
             id_ = event_id(event)
             if id_ is not None:
-                self._check_join(_header_value(id_))
+                self._check_join(header_value(id_))
                 return [*new, *events[index:]]
             if not self._is_repeated(event):
                 new.append(event)
@@ -72,30 +81,28 @@
         """Record events that are passed on together."""
         run = self.run
         run.events += len(events)
-        run.first_event_id = run.first_event_id or _first_id(events)
+        run.first_id = run.first_id or _first_id(events)
         unidentified: list[int] = []
         # Events that arrive together may end with comments, which have no id.
         for event in reversed(events):
             id_ = event_id(event)
             if id_ is not None:
-                self.last_event_id = run.last_event_id = _header_value(id_)
-                self._unidentified = []
-                self.is_resumable = self.last_event_id != ""
-                break
+                self.last_id = run.last_id = id_
+                self._has_events = True
+                self._unidentified = unidentified[::-1]
+                return
             if event_data(event) is not None:
                 unidentified.append(_digest(event))
         if unidentified:
-            self._note_unidentified(reversed(unidentified))
+            self._note_unidentified(unidentified[::-1])
 
-    def _note_unidentified(self, digests: Iterable[int]) -> None:
-        self._unidentified.extend(digests)
-        is_known = self.last_event_id != "" and len(self._unidentified) <= MAX_UNIDENTIFIED_EVENTS
-        self.is_resumable = self.is_resumable and is_known
-        if not self.is_resumable:
-            self._unidentified = []
+    def _note_unidentified(self, digests: list[int]) -> None:
+        self._has_events = True
+        if len(self._unidentified) <= MAX_UNIDENTIFIED_EVENTS:
+            self._unidentified += digests
 
     def _check_join(self, first_id: str) -> None:
-        self._is_join_checked = True
+        self.is_join_checked = True
         if not is_beyond(first_id, self.last_event_id):
             raise JoinError(f"the run goes on with event {first_id} after {self.last_event_id}")
 
@@ -121,12 +128,11 @@
     return int(id_) if is_number else None
 
 
-def _first_id(events: Iterable[bytes]) -> str:
-    ids = (_header_value(event_id(event) or b"") for event in events)
-    return next((id_ for id_ in ids if id_), "")
+def _first_id(events: Iterable[bytes]) -> bytes:
+    return next((id_ for id_ in map(event_id, events) if id_), b"")
 
 
-def _header_value(id_: bytes) -> str:
+def header_value(id_: bytes) -> str:
     """Return an id as a header carries it; empty if no header can."""
     if len(id_) > MAX_ID_BYTES:
         return ""
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -1,12 +1,14 @@
 """Send a request once, to a backend server or a peer, and return its answer."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from attrs import define, evolve, field, frozen
 
+from pomelobarrow.backends.answer_buffers import AnswerBuffer
+from pomelobarrow.backends.answer_limits import AnswerTooLargeError
 from pomelobarrow.backends.engine import CONNECTION_ERRORS
-from pomelobarrow.backends.sessions import BackendSessions, WithheldError
+from pomelobarrow.backends.sessions import BackendSessions, WithheldError, describe_error
 from pomelobarrow.backends.single_use import BodyEnd, ResponseHead, SingleExchange, SingleRequest
 from pomelobarrow.decision.published.announcements import ServerAnnouncement
 from pomelobarrow.decision.requests.attempt import AttemptEvent, AttemptState
@@ -61,6 +63,7 @@
     target: Target
     sink: ClientAnswer
     position: StreamPosition
+    buffer: AnswerBuffer
     on_first_answer: Callable[[ServerAnswerHead], None]
     on_pause: Callable[[float], None] = lambda pause_s: None
     on_head: Callable[[ServerAnswerHead], None] = lambda head: None
@@ -95,9 +98,11 @@
         except JoinError as error:
             self._is_join_rejected = True
             return self._lost(str(error))
+        except AnswerTooLargeError as error:
+            return self._lost(str(error), over_limit=error.part)
         except CONNECTION_ERRORS as error:
             return self._lost(
-                repr(error),
+                describe_error(error),
                 is_closed=not isinstance(error, TimeoutError),
                 is_connection_refused=_is_connection_refused(error),
             )
@@ -188,7 +193,7 @@
         return ""
 
     async def _read_complete(self, response: ResponseHead, head: ServerAnswerHead) -> AttemptReport:
-        body = await response.content.read()
+        body = await self.buffer.read(response.content)
         if await self._is_cut_by_its_end(response):
             return self._lost(CUT_BY_ITS_END, is_closed=True)
         self._note_first_answer(head)
@@ -200,7 +205,9 @@
     ) -> AttemptReport:
         splitter = EventSplitter()
         while data := await response.content.readany():
-            events = self.position.select_new(splitter.feed(data))
+            events: Sequence[bytes] = splitter.feed(data)
+            if not self.position.is_join_checked:
+                events = self.position.select_new(events)
             if not events:
                 continue
             if self.first_answer_unix_s is None:
@@ -246,14 +253,18 @@
         self._last_events_unix_s = now
 
     def _lost(
-        self, detail: str, is_closed: bool = False, is_connection_refused: bool = False
+        self,
+        detail: str,
+        is_closed: bool = False,
+        is_connection_refused: bool = False,
+        over_limit: str = "",
     ) -> AttemptReport:
         self.record.progress.apply(AttemptEvent.LOSE)
         if self.record.progress.state is AttemptState.NOT_SENT:
             return self._report(
                 AttemptEnd.NOT_SENT, detail, is_connection_refused=is_connection_refused
             )
-        return self._report(AttemptEnd.LOST, detail, is_closed=is_closed)
+        return self._report(AttemptEnd.LOST, detail, is_closed=is_closed, over_limit=over_limit)
 
     def _report(
         self,
@@ -262,6 +273,7 @@
         answer: WholeAnswer | None = None,
         is_closed: bool = False,
         is_connection_refused: bool = False,
+        over_limit: str = "",
     ) -> AttemptReport:
         head = self._head
         self.record.final_end = end
@@ -270,6 +282,7 @@
             detail=detail,
             is_closed=is_closed,
             is_connection_refused=is_connection_refused,
+            over_limit=over_limit,
             answer=answer,
             has_head=head is not None,
             is_pool_unreachable=head is not None and head.is_pool_unreachable,
--- a/src/pomelobarrow/relay/progress.py
+++ b/src/pomelobarrow/relay/progress.py
@@ -2,6 +2,7 @@
 
 from attrs import define, evolve, field
 
+from pomelobarrow.backends.answer_buffers import AnswerBuffer
 from pomelobarrow.decision.published.routing import Routing
 from pomelobarrow.decision.requests.placement_request import (
     ExcludedTargets,
@@ -23,6 +24,7 @@
     routing: Routing
     history: AttemptHistory
     position: StreamPosition
+    buffer: AnswerBuffer
     excluded: ExcludedTargets = field(factory=ExcludedTargets)
     # The connections that could not be opened since probes last decided about the pool, when the
     # last of them began, and the servers among their targets that did not refuse them.
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field
 
+from pomelobarrow.backends.answer_buffers import AnswerBuffer
 from pomelobarrow.backends.reach_monitor import SERVER_CONNECT_TIMEOUT_S, ReachMonitor
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.admission.retry_share import RetryShare
@@ -107,7 +108,10 @@
             sink=sink,
             routing=routing,
             history=AttemptHistory(request=request),
-            position=StreamPosition(last_event_id=request.head.last_event_id),
+            position=StreamPosition(
+                last_id=request.head.last_event_id.encode(errors="surrogateescape")
+            ),
+            buffer=AnswerBuffer(buffers=self.sessions.buffers),
             software_key=request.software_key,
         )
         self.in_progress += 1
@@ -118,6 +122,7 @@
             pass
         finally:
             self.in_progress -= 1
+            progress.buffer.release()
             self.log.end(progress, outcome)
         return progress.history.was_sent
 
@@ -354,6 +359,7 @@
             target=target,
             sink=progress.sink,
             position=progress.position,
+            buffer=progress.buffer,
             on_first_answer=note_first_answer,
             on_pause=on_pause,
             on_head=on_head,
--- a/src/pomelobarrow/relay/relay_log.py
+++ b/src/pomelobarrow/relay/relay_log.py
@@ -14,6 +14,7 @@
     PeerPlacement,
 )
 from pomelobarrow.decision.servers.load_table import LoadTable
+from pomelobarrow.decision.streams.stream_position import header_value
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.attempt import Target
 from pomelobarrow.relay.events import (
@@ -128,12 +129,13 @@
                 end=report.end.value,
                 status=report.answer.head.status if report.answer else 0,
                 detail=report.detail,
+                over_limit=report.over_limit,
                 took_s=now_unix_s() - started_unix_s,
                 first_answer_s=_since(started_unix_s, report.first_answer_unix_s),
                 longest_pause_s=report.longest_pause_s,
                 events=report.stream.events,
-                first_event_id=report.stream.first_event_id,
-                last_event_id=report.stream.last_event_id,
+                first_event_id=header_value(report.stream.first_id),
+                last_event_id=header_value(report.stream.last_id),
                 body_end=report.body_end.value,
                 is_join_rejected=report.is_join_rejected,
                 is_leaving=report.announced.is_leaving,
