Name the end of an answer in the log so that it isn't redacted

What operators saw: body_end of relay attempt ended was always [redacted], since the names of fields that hold bodies are. It is answer_end now, and the test of the line checks that nothing of it is redacted; it failed with the name before.

--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -126,7 +126,7 @@
     first_event_id: str
     last_event_id: str
     # What marks the end of the answer's body: "length", "chunks" or "connection".
-    body_end: str
+    answer_end: str
     # True if the stream would have gone back or come again at the join.
     is_join_rejected: bool
     # What the target stated with its answer: that it leaves, and for how long to send it nothing.
--- a/src/pomelobarrow/relay/relay_log.py
+++ b/src/pomelobarrow/relay/relay_log.py
@@ -136,7 +136,7 @@
                 events=report.stream.events,
                 first_event_id=header_value(report.stream.first_id),
                 last_event_id=header_value(report.stream.last_id),
-                body_end=report.body_end.value,
+                answer_end=report.body_end.value,
                 is_join_rejected=report.is_join_rejected,
                 is_leaving=report.announced.is_leaving,
                 backoff_s=report.announced.backoff_s,
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -16,6 +16,8 @@
 )
 
 from pomelobarrow.decision.published.routing import RouteKind
+from pomelobarrow.operators.event_fields import event_fields
+from pomelobarrow.operators.redaction import redact
 from pomelobarrow.relay.attempt import RelayAttempt
 from pomelobarrow.relay.events import RelayAttemptEnded, RelayEnded
 from pomelobarrow.relay.messages import ServerAnswerHead
@@ -191,5 +193,7 @@
     first = writes(events(1, 2), is_whole=False)
     await receive(first, streams(LAST), log=events_of)
     ends = [event for event in events_of if isinstance(event, RelayAttemptEnded)]
-    found = [(end.events, end.first_event_id, end.last_event_id, end.body_end) for end in ends]
+    found = [(end.events, end.first_event_id, end.last_event_id, end.answer_end) for end in ends]
     assert found == [(2, "1", "2", "chunks"), (2, "3", "4", "chunks")]
+    # A field whose name suggests a secret would not reach the log.
+    assert [redact(None, "info", event_fields(end)) for end in ends] == list(map(event_fields, ends))
