Bound one event of a stream

What callers saw: nothing until their deadline, while an event without end filled the VM's memory; each stream held its incomplete event without a limit. Change: an event may have 1 MiB; beyond 64 KiB it takes memory from the budget for large answers, and its server is held back while none is free. Beyond the limit the attempt is lost (over_limit event, counted): the stream goes on elsewhere or breaks off.

All four cases of test_event_without_end_is_given_up failed with the limit and the reservation switched off (the server wrote its 96 MiB) and pass.

--- a/src/pomelobarrow/decision/streams/server_sent_events.py
+++ b/src/pomelobarrow/decision/streams/server_sent_events.py
@@ -12,12 +12,26 @@
 _BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
+# An event holds a few tokens of text, or a picture at most; it is searched for fields in one step.
+MAX_EVENT_BYTES = 1 << 20
+
+
+class EventTooLargeError(ValueError):
+    """Raised if an event does not end within the largest size."""
+
+
 @define
 class EventSplitter:
     """Hold back an incomplete event until the rest of it arrives."""
 
+    max_event_bytes: int = MAX_EVENT_BYTES
     _partial: bytearray = field(factory=bytearray, init=False)
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the size of the incomplete event."""
+        return len(self._partial)
+
     @property
     def rest(self) -> bytes:
         """Return the bytes after the last complete event."""
@@ -36,12 +50,13 @@
         """Return the events that these bytes complete, byte for byte.
 
         An event that ends with a carriage return is complete before the line feed that may follow.
-        The next event then begins with that line feed.
+        The next event then begins with that line feed. Raises `EventTooLargeError`.
         """
         if self._partial:
             searched_bytes = max(0, len(self._partial) - _MAX_EVENT_END_BYTES + 1)
             self._partial += data
             if not _EVENT_END.search(self._partial, searched_bytes):
+                self._check_size()
                 return []
             data = bytes(self._partial)
             self._partial.clear()
@@ -52,8 +67,13 @@
             *parts, rest = data.split(b"\n\n")
             events = [event + b"\n\n" for event in parts]
         self._partial += rest
+        self._check_size()
         return events
 
+    def _check_size(self) -> None:
+        if len(self._partial) > self.max_event_bytes:
+            raise EventTooLargeError(f"an event exceeds {self.max_event_bytes} bytes")
+
 
 def event_id(event: bytes) -> bytes | None:
     """Return the value of the last id field; None if there is none."""
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -6,14 +6,14 @@
 from attrs import define, evolve, field, frozen
 
 from pomelobarrow.backends.answer_buffers import AnswerBuffer
-from pomelobarrow.backends.answer_limits import AnswerTooLargeError
+from pomelobarrow.backends.answer_limits import UNRESERVED_ANSWER_BYTES, AnswerTooLargeError
 from pomelobarrow.backends.engine import CONNECTION_ERRORS
 from pomelobarrow.backends.sessions import BackendSessions, WithheldError, describe_error
 from pomelobarrow.backends.single_use import BodyEnd, ResponseHead, SingleExchange, SingleRequest
 from pomelobarrow.decision.published.announcements import ServerAnnouncement
 from pomelobarrow.decision.requests.attempt import AttemptEvent, AttemptState
 from pomelobarrow.decision.requests.attempt_states import AttemptEnd, AttemptRecord
-from pomelobarrow.decision.streams.server_sent_events import EventSplitter
+from pomelobarrow.decision.streams.server_sent_events import EventSplitter, EventTooLargeError
 from pomelobarrow.decision.streams.stream_position import JoinError, StreamPosition
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.answer import ClientAnswer
@@ -26,6 +26,7 @@
 )
 
 STATUS_OK = 200
+EVENT = "event"
 CUT_BY_ITS_END = "the answer ended together with its server, without a mark of its end"
 
 
@@ -100,6 +101,8 @@
             return self._lost(str(error))
         except AnswerTooLargeError as error:
             return self._lost(str(error), over_limit=error.part)
+        except EventTooLargeError as error:
+            return self._lost(str(error), over_limit=EVENT)
         except CONNECTION_ERRORS as error:
             return self._lost(
                 describe_error(error),
@@ -205,20 +208,10 @@
     ) -> AttemptReport:
         splitter = EventSplitter()
         while data := await response.content.readany():
-            events: Sequence[bytes] = splitter.feed(data)
-            if not self.position.is_join_checked:
-                events = self.position.select_new(events)
-            if not events:
-                continue
-            if self.first_answer_unix_s is None:
-                self.on_first_event(head)
-            self._note_first_answer(head)
-            self._note_pause()
-            # The client already has the head of a resumed stream.
-            if not self.sink.is_started:
-                await self.sink.open(head.status, head.headers)
-            self.position.note_sent(events)
-            await self.sink.send(events[0] if len(events) == 1 else b"".join(events))
+            await self._pass_on(splitter.feed(data), head)
+            # Until there is memory for more of a large event, its server is held back.
+            if splitter.held_bytes > UNRESERVED_ANSWER_BYTES:
+                await self.buffer.reserve(splitter.held_bytes)
         if not splitter.is_between_events:
             return self._lost("the stream ended in the middle of an event", is_closed=True)
         if not self.sink.is_started:
@@ -229,6 +222,23 @@
         self.record.progress.apply(AttemptEvent.END)
         return self._report(AttemptEnd.PASSED_ON)
 
+    async def _pass_on(self, events: Sequence[bytes], head: ServerAnswerHead) -> None:
+        """Send those of the events that the client does not have."""
+        if not self.position.is_join_checked:
+            events = self.position.select_new(events)
+        if not events:
+            return
+        if self.first_answer_unix_s is None:
+            self.on_first_event(head)
+        self._note_first_answer(head)
+        self._note_pause()
+        # The client already has the head of a resumed stream.
+        if not self.sink.is_started:
+            await self.sink.open(head.status, head.headers)
+        # Recorded first, since a cancelled write has given the events to the connection already.
+        self.position.note_sent(events)
+        await self.sink.send(events[0] if len(events) == 1 else b"".join(events))
+
     async def _is_cut_by_its_end(self, response: ResponseHead) -> bool:
         """Return whether the server has ended, which may have ended the answer too early.
 
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -2,15 +2,17 @@
 
 import asyncio
 
+import aiohttp
 import pytest
 from endless_answer import SOCKET_BYTES, STOP_BYTES, EndlessAnswer, chunk, head, raw
 from relay_harness import POOL, Answer, RelayVm, ask, relay_fleet, route
-from scripted_server import answers
+from scripted_server import Exchange, answers, event
 
 from pomelobarrow.backends.answer_buffers import AnswerBuffer
 from pomelobarrow.backends.answer_limits import MAX_WHOLE_ANSWER_BYTES
 from pomelobarrow.backends.sessions import MAX_ERROR_CHARACTERS
 from pomelobarrow.decision.published.routing import RouteKind
+from pomelobarrow.decision.streams.server_sent_events import MAX_EVENT_BYTES
 from pomelobarrow.operators.metrics import Metrics
 from pomelobarrow.operators.plugin import Observer
 from pomelobarrow.relay.events import RelayAttemptEnded, ServerEjected
@@ -20,6 +22,7 @@
 STOP = 2 * SOCKET_BYTES
 ONCE = route(RouteKind.NON_IDEMPOTENT, timeout_s=TIMEOUT_S)
 IDEMPOTENT = route(RouteKind.IDEMPOTENT, timeout_s=TIMEOUT_S, max_attempts=2)
+STREAM = route(RouteKind.STREAM, timeout_s=TIMEOUT_S, max_attempts=2, is_resumable=True)
 ENDLESS_BODIES = {
     "until the connection ends": (head(), b"x" * 1_000),
     "in chunks": (head(Transfer_Encoding="chunked"), chunk(b"x" * 1_000)),
@@ -52,6 +55,37 @@
     assert attempts(fleet.vms["a"]) == [("s1", "lost", "body")]
 
 
+ENDLESS_EVENTS = {
+    "line": (b"", b"x" * 1_000),
+    "lines": (b"", b"data: x\n"),
+    "comment": (b": ", b"x" * 1_000),
+    "after an event": (event(1), b"data: x\r\n"),
+}
+
+
+@pytest.mark.parametrize("name", ENDLESS_EVENTS)
+async def test_event_without_end_is_given_up(name: str) -> None:
+    """Guards against memory that one event fills until the deadline of its request."""
+    start, repeated = ENDLESS_EVENTS[name]
+
+    def begin(exchange: Exchange) -> None:
+        head()(exchange)
+        if "last-event-id" not in exchange.received.headers:
+            exchange.writer.write(start)
+
+    endless = EndlessAnswer(start=begin, repeated=repeated)
+    async with relay_fleet((STREAM,), {"a": {"s1": endless, "s2": endless}}) as fleet:
+        vm = fleet.vms["a"]
+        try:
+            status = (await ask_patiently(vm, "/stream/")).status
+        except aiohttp.ClientPayloadError:
+            status = 200
+    assert await endless.is_closed_within(MAX_EVENT_BYTES)
+    assert status == (200 if start == event(1) else 502)
+    assert [end for _, end, _ in attempts(vm)] == ["lost", "lost"]
+    assert {part for *_, part in attempts(vm)} == {"event"}
+
+
 async def test_whole_answer_without_end_is_given_up_by_a_peer() -> None:
     """Guards against a body without end that crosses the hop between two VMs."""
     endless = EndlessAnswer(start=head(), repeated=b"x" * 1_000)
@@ -79,8 +113,8 @@
         vm = fleet.vms["a"]
         statuses = [(await ask_patiently(vm, "/non_idempotent/")).status for _ in range(2)]
     metrics = Metrics()
-    for event in vm.events:
-        Observer(metrics).observe(event)
+    for observed in vm.events:
+        Observer(metrics).observe(observed)
     assert statuses == [502, 502]
     assert [each.server for each in vm.events if isinstance(each, ServerEjected)] == ["s1"]
     assert metrics.answers_over_limit.value(POOL, "body") == 2
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -196,4 +196,6 @@
     found = [(end.events, end.first_event_id, end.last_event_id, end.answer_end) for end in ends]
     assert found == [(2, "1", "2", "chunks"), (2, "3", "4", "chunks")]
     # A field whose name suggests a secret would not reach the log.
-    assert [redact(None, "info", event_fields(end)) for end in ends] == list(map(event_fields, ends))
+    assert [redact(None, "info", event_fields(end)) for end in ends] == list(
+        map(event_fields, ends)
+    )
--- a/tests/test_server_sent_events.py
+++ b/tests/test_server_sent_events.py
@@ -6,7 +6,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pomelobarrow.decision.streams.server_sent_events import EventSplitter, event_data, event_id
+from pomelobarrow.decision.streams.server_sent_events import (
+    EventSplitter,
+    EventTooLargeError,
+    event_data,
+    event_id,
+)
 
 LINE_ENDS = ("\n", "\r\n", "\r")
 LINES = st.sampled_from(
@@ -69,6 +74,16 @@
         assert splitter.is_between_events
 
 
+@pytest.mark.parametrize("chunk", [b"x", b"data: x\n", b": \r\n"])
+def test_event_that_does_not_end_is_an_error(chunk: bytes) -> None:
+    """A server that never ends an event would fill the memory."""
+    splitter = EventSplitter(max_event_bytes=100)
+    assert splitter.feed(b"id: 1\n\n" + 90 * b"x") == [b"id: 1\n\n"]
+    endless = (splitter.feed(chunk) for _ in range(100))
+    with pytest.raises(EventTooLargeError, match="^an event exceeds 100 bytes$"):
+        list(endless)
+
+
 @pytest.mark.parametrize(
     ("event", "id_"),
     [
