Fail the body of an answer whose chunks are malformed

What callers saw: a stream whose server sent a chunk without a size stood still until its deadline and was broken off then, though another server could have gone on with it. A whole answer like it became 504 at the deadline.

Cause: aiohttp's parser gives its body up and raises; the error reaches only the reader of the next head, and the end of the connection finds no body to end. The reader of the body waits on a closed connection.

The test fails before (TimeoutError) and passes now.

Change: an error of the connection also fails the body that is being read. Errors that aiohttp hands to the body itself, such as an incomplete length, stay as they are, and a body that has ended is left alone.

--- a/src/pomelobarrow/backends/answer_handler.py
+++ b/src/pomelobarrow/backends/answer_handler.py
@@ -19,11 +19,14 @@
 
 
 class AnswerHandler(ResponseHandler):
-    """Raise an error if an answer is reset, or brings too many bytes that are no content.
+    """Raise an error if an answer is reset, malformed, or brings too many bytes of no content.
 
     A body without a length ends when its connection closes, and aiohttp treats a reset as that end
     too. The caller would receive a truncated answer that looks complete.
 
+    A malformed chunk closes the connection, but aiohttp reports it only to readers of a head. The
+    reader of the body would wait until its deadline.
+
     aiohttp limits the lines of a head, but not what it skips: interim answers, empty lines, spaces,
     chunk sizes and extensions. A server could keep the parser busy until the deadline.
     """
@@ -57,6 +60,20 @@
         ):
             self._fail(HEAD if content in (None, EMPTY_PAYLOAD) else FRAMING)
 
+    def set_exception(self, exc: BaseException, exc_cause: BaseException | None = None) -> None:
+        """Fail the body that is being read together with the connection."""
+        if exc_cause is None:
+            super().set_exception(exc)
+        else:
+            super().set_exception(exc, exc_cause)
+        body = self._payload
+        if body is None or body.is_eof() or body.exception() is not None:
+            return
+        is_known = isinstance(exc, aiohttp.ClientError)
+        body.set_exception(
+            exc if is_known else aiohttp.ClientPayloadError("the framing of the body is malformed")
+        )
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the body that is being read if the connection was reset."""
         if exc is not None and self._payload is not None:
--- a/tests/test_single_use.py
+++ b/tests/test_single_use.py
@@ -16,6 +16,8 @@
 AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 HEADERS = (("X-A", "1"), ("X-B", "two"), ("X-B", "three"), ("Host", "shop.example"))
 OK = b"HTTP/1.1 200 OK\r\n"
+# A reader that is still waiting after this time would wait forever.
+HANG_S = 5.0
 
 
 @define
@@ -147,6 +149,28 @@
         assert await by_exchange(request) == await by_session(request)
 
 
+async def test_malformed_chunk_ends_the_body_with_an_error() -> None:
+    """The reader of a body whose next chunk had no size waited until its deadline."""
+    has_head = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(OK + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n")
+        await has_head.wait()
+        writer.write(b"no size\r\n")
+        await reader.read()
+        writer.close()
+
+    async with await asyncio.start_server(serve, "127.0.0.1", 0) as listening:
+        address = f"127.0.0.1:{listening.sockets[0].getsockname()[1]}"
+        exchange = SingleExchange(request=single_request(address), connect_timeout_s=1.0)
+        response = await exchange.start()
+        has_head.set()
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await asyncio.wait_for(response.content.read(), HANG_S)
+        exchange.close()
+
+
 async def test_refused_connection_is_reported_as_by_a_session() -> None:
     request = single_request(f"127.0.0.1:{free_ports(1)[0]}")
     assert await by_exchange(request) == await by_session(request)
