Keep the order of an answer whose parts end like the end event

What callers saw: on the product's own interface, a part of an answer that ended with the bytes of the end event came after the parts that followed it, and was missing if a second such part followed. That holds for bodies of plain services, and for streams with an event of several data lines of which the last is [DONE].

Cause: the writer of answers recognised the end event by its bytes and held it back, to send it together with the end of the answer. Nothing else was held back behind it.

Evidence: of four parts, the second of which ended so, the caller got the first, the third and the fourth. The test fails before and passes now.

Change: whoever knows that an answer is complete passes its last bytes with the end: an attempt at an engine, a forward to a peer, a repeated outcome. The writer looks into no bytes. An incomplete answer still gets no end event, and a complete one takes no further write. Between VMs the same messages are sent in the same order as before.

--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -69,6 +69,8 @@
     whole: WholeAnswer | None = None
     head_passed: bool = False
     sent_unix_s: float = 0.0
+    # Held back until the answer is known to be complete.
+    _last_events: bytes = field(default=b"", init=False)
     # True if another VM has sent the request and only the remaining events are fetched here.
     is_continuation: bool = False
 
@@ -158,7 +160,10 @@
                 continue
             if not self.head_passed:
                 await self._pass_head(200, STREAM_HEADERS)
-            await self.sink.chunk(events)
+            if counter.is_ended:
+                self._last_events = events
+            else:
+                await self.sink.chunk(events)
 
     async def _resume_until_ended(self) -> AttemptResult:
         """Fetch the remaining events from the same engine, which never runs the request again."""
@@ -202,11 +207,11 @@
         return self._unknown_result(reason)
 
     async def _finish(self) -> AttemptResult:
+        last = self._last_events
         if self.whole is not None and not self.head_passed:
-            body = self.whole.body()
-            await self._pass_head(200, (*JSON_HEADERS, ("Content-Length", str(len(body)))))
-            await self.sink.chunk(body)
-        await self.sink.end()
+            last = self.whole.body()
+            await self._pass_head(200, (*JSON_HEADERS, ("Content-Length", str(len(last)))))
+        await self.sink.end(last)
         self.attempt.apply(AttemptEvent.END)
         return self._result("")
 
--- a/src/pomelobarrow/callers/sinks.py
+++ b/src/pomelobarrow/callers/sinks.py
@@ -9,7 +9,6 @@
 from pomelobarrow.callers.problems import problem_event
 from pomelobarrow.decision.common.errors import Refusal
 from pomelobarrow.dispatch.answers import (
-    END_EVENT,
     SERVER_SENT_EVENTS,
     AnswerHead,
     CallerGoneError,
@@ -62,7 +61,6 @@
         self.chunks = 0
         self.server = ""
         self._last_unix_s = 0.0
-        self._end_event = b""
 
     async def head(self, head: AnswerHead) -> None:
         """Send status and headers."""
@@ -80,21 +78,18 @@
         """Send the next bytes."""
         assert self.response is not None
         self._record_timing()
-        if data.endswith(END_EVENT):
-            # Held back until the answer is known to be complete. Sending it together with the end
-            # of the body saves one write per request.
-            self._end_event = data
-            return
         try:
             await self.response.write(data)
         except (ConnectionError, RuntimeError) as error:
             raise CallerGoneError("the caller closed its connection") from error
 
-    async def end(self) -> None:
-        """Finish a complete answer."""
+    async def end(self, last: bytes = b"") -> None:
+        """Finish a complete answer; one write less than sending its last bytes before."""
         assert self.response is not None
+        if last:
+            self._record_timing()
         try:
-            await self.response.write_eof(self._end_event)
+            await self.response.write_eof(last)
         except (ConnectionError, RuntimeError) as error:
             raise CallerGoneError("the caller closed its connection") from error
 
--- a/src/pomelobarrow/dispatch/answers.py
+++ b/src/pomelobarrow/dispatch/answers.py
@@ -36,8 +36,8 @@
     async def chunk(self, data: bytes) -> None:
         """Send the next bytes of the body."""
 
-    async def end(self) -> None:
-        """Mark the answer as complete."""
+    async def end(self, last: bytes = b"") -> None:
+        """Send the last bytes and mark the answer as complete."""
 
     async def abort(self, refusal: Refusal) -> None:
         """End an incomplete answer so that the caller can't mistake it for a complete one."""
--- a/src/pomelobarrow/dispatch/claims.py
+++ b/src/pomelobarrow/dispatch/claims.py
@@ -201,8 +201,7 @@
                 "the request ran, but its answer was too large to keep",
             )
         await sink.head(AnswerHead(outcome.status, outcome.headers))
-        await sink.chunk(outcome.body)
-        await sink.end()
+        await sink.end(outcome.body)
         return None
 
     async def _refuse_forged(
--- a/src/pomelobarrow/dispatch/recording.py
+++ b/src/pomelobarrow/dispatch/recording.py
@@ -35,24 +35,28 @@
 
     async def chunk(self, data: bytes) -> None:
         """Record the bytes up to the size limit and forward them."""
-        self._size_bytes += len(data)
-        if self._size_bytes <= MAX_BODY_BYTES:
-            self._parts.append(data)
-        else:
-            self._parts.clear()
+        self._record(data)
         if self._sink is not None:
             await self._forward(self._sink.chunk(data))
 
-    async def end(self) -> None:
-        """Forward the end of the answer."""
+    async def end(self, last: bytes = b"") -> None:
+        """Record the last bytes and forward them with the end of the answer."""
+        self._record(last)
         if self._sink is not None:
-            await self._forward(self._sink.end())
+            await self._forward(self._sink.end(last))
 
     async def abort(self, refusal: Refusal) -> None:
         """Forward the abort."""
         if self._sink is not None:
             await self._forward(self._sink.abort(refusal))
 
+    def _record(self, data: bytes) -> None:
+        self._size_bytes += len(data)
+        if self._size_bytes <= MAX_BODY_BYTES:
+            self._parts.append(data)
+        else:
+            self._parts.clear()
+
     async def _forward(self, step: Coroutine[None, None, None]) -> None:
         try:
             await step
--- a/src/pomelobarrow/peers/forward_client.py
+++ b/src/pomelobarrow/peers/forward_client.py
@@ -257,8 +257,7 @@
     async def _handle_event(self, event: pb.ForwardEvent) -> AttemptResult | None:
         kind = event.WhichOneof("kind")
         if kind == "chunk":
-            self.progress.observe_chunk(event.chunk)
-            await self.sink.chunk(event.chunk)
+            await self.progress.pass_on(event.chunk, self.sink)
             return None
         if kind == "head":
             await self._handle_head(event.head)
@@ -281,7 +280,7 @@
         return await self._finish()
 
     async def _finish(self) -> AttemptResult:
-        await self.sink.end()
+        await self.sink.end(self.progress.last_events)
         self.attempt.apply(AttemptEvent.END)
         return self._result("")
 
--- a/src/pomelobarrow/peers/forward_resume.py
+++ b/src/pomelobarrow/peers/forward_resume.py
@@ -38,6 +38,8 @@
     request_id: str = ""
     complete_events: int = 0
     is_ended: bool = False
+    # Held back until the answer is known to be complete.
+    last_events: bytes = b""
 
     def observe_head(self, head: pb.Head, is_streamed: bool) -> None:
         """Record whether the answer is a stream that can be resumed."""
@@ -46,10 +48,18 @@
         self.server = head.server if is_stream else ""
         self.request_id = head.request_id
 
-    def observe_chunk(self, data: bytes) -> None:
-        """Count the events; the executing VM sends complete events only."""
+    async def pass_on(self, data: bytes, sink: AnswerSink) -> None:
+        """Send bytes to the caller, and count the events if they are of a stream."""
+        if not self.is_resumable:
+            await sink.chunk(data)
+            return
+        # The executing VM sends complete events only.
         self.complete_events += data.count(EVENT_SEPARATOR)
         self.is_ended = data.endswith(END_EVENT)
+        if self.is_ended:
+            self.last_events = data
+        else:
+            await sink.chunk(data)
 
     @property
     def is_resumable(self) -> bool:
@@ -145,8 +155,7 @@
             while (event := await stream.recv_message()) is not None:
                 kind = event.WhichOneof("kind")
                 if kind == "chunk":
-                    self.progress.observe_chunk(event.chunk)
-                    await self.sink.chunk(event.chunk)
+                    await self.progress.pass_on(event.chunk, self.sink)
                 elif kind != "head":
                     return kind == "end" and event.end.complete
         return False
--- a/src/pomelobarrow/peers/forward_server.py
+++ b/src/pomelobarrow/peers/forward_server.py
@@ -47,8 +47,10 @@
         """Send the next bytes."""
         await self.send(pb.ForwardEvent(chunk=data))
 
-    async def end(self) -> None:
-        """Send the end of a complete answer."""
+    async def end(self, last: bytes = b"") -> None:
+        """Send the last bytes and the end of a complete answer."""
+        if last:
+            await self.chunk(last)
         await self.send(pb.ForwardEvent(end=pb.End(complete=True)))
 
     async def abort(self, refusal: Refusal) -> None:
--- a/tests/test_backends_attempts.py
+++ b/tests/test_backends_attempts.py
@@ -37,7 +37,8 @@
     async def chunk(self, data: bytes) -> None:
         self.body += data
 
-    async def end(self) -> None:
+    async def end(self, last: bytes = b"") -> None:
+        self.body += last
         self.is_whole = True
 
     async def abort(self, refusal: Refusal) -> None:
--- a/tests/test_callers_sinks.py
+++ b/tests/test_callers_sinks.py
@@ -49,3 +49,16 @@
 
     with pytest.raises(ConnectionResetError):
         await _body(answer, "1.0")
+
+
+async def test_bytes_like_the_end_event_keep_their_place() -> None:
+    """An answer's part that ended like the end event was sent last, or never if there were two."""
+    parts = (b"data: 1\n\n", b"data: x\ndata: [DONE]\n\n", b"data: 2\n\n", b"data: [DONE]\n\n")
+
+    async def answer(sink: HttpSink) -> None:
+        await sink.head(AnswerHead(200, (("Content-Length", str(len(b"".join(parts)))),)))
+        for part in parts:
+            await sink.chunk(part)
+        await sink.end()
+
+    assert await _body(answer) == b"".join(parts)
--- a/tests/test_forward_client.py
+++ b/tests/test_forward_client.py
@@ -63,8 +63,8 @@
     async def chunk(self, data: bytes) -> None:
         self.received.append(data)
 
-    async def end(self) -> None:
-        self.received.append("end")
+    async def end(self, last: bytes = b"") -> None:
+        self.received += [last, "end"] if last else ["end"]
 
 
 class ConnectionLosingPeer(PeerHandlersStub):
