Put a whole answer together from parsed events

What callers saw: a request for a whole answer failed after its run if the engine's stream held a comment, an id or a name of an event, several data lines, or no space after the colon.

Cause: the parts were cut at two line feeds, and what followed the first six bytes of each had to be JSON.

Evidence: of five forms of one answer only the plain one was put together; the others raised JSONDecodeError.

Change: the events are parsed by decision/streams/server_sent_events.py, and those without data are left out.

--- a/src/pomelobarrow/backends/whole_answer.py
+++ b/src/pomelobarrow/backends/whole_answer.py
@@ -4,10 +4,10 @@
 
 import orjson
 
-from pomelobarrow.backends.events import SEPARATOR
-from pomelobarrow.dispatch.answers import END_EVENT
+from pomelobarrow.decision.streams.server_sent_events import EventSplitter, event_data
 
-DATA_PREFIX = b"data: "
+# The data of the end event.
+END_DATA = b"[DONE]"
 
 
 class TooLargeError(ValueError):
@@ -31,8 +31,8 @@
 
     def body(self) -> bytes:
         """Return the answer as JSON."""
-        events = b"".join(self._parts).removesuffix(END_EVENT).split(SEPARATOR)
-        chunks = [orjson.loads(each.removeprefix(DATA_PREFIX)) for each in events if each]
+        contents = map(event_data, EventSplitter().feed(b"".join(self._parts)))
+        chunks = [orjson.loads(each) for each in contents if each not in (None, END_DATA)]
         return orjson.dumps(_merge(chunks))
 
 
