Count the events of engines' streams by the published rules

What callers saw on the product's own interface: events were missing behind a resume if the stream held comments or blocks without data before it; an answer ended as complete at an event that ended with the bytes of the end event; a stream whose lines end with CR LF or CR brought nothing and ended with an error event. The same on the way through a peer, where a lost link is resumed by the entry VM's own count.

Cause: events were counted as occurrences of two line feeds, and the end event was searched anywhere in the bytes, in two places that did so in different ways. Engines number the events that they made, and comments aren't among them.

Change: EventCounter parses with decision/streams/server_sent_events.py and serves both places. It moves to decision/streams, since it does no I/O. On the way through a peer, the entry VM passes whole events on and drops the rest of a lost link's last one. Releases work together: the messages and the number in a call for the rest mean the same as before. Only what an earlier release counts itself is still wrong there.

--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -7,7 +7,6 @@
 import orjson
 from attrs import define, field
 
-from pomelobarrow.backends.events import EventCounter
 from pomelobarrow.backends.sessions import (
     CONNECT_TIMEOUT_S,
     BackendSessions,
@@ -18,6 +17,7 @@
 from pomelobarrow.decision.published.configuration import Rank
 from pomelobarrow.decision.requests.attempt import Attempt, AttemptEvent, AttemptState
 from pomelobarrow.decision.requests.work import BackendServer
+from pomelobarrow.decision.streams.event_counter import EventCounter
 from pomelobarrow.dispatch.answers import (
     SERVER_SENT_EVENTS,
     AnswerHead,
@@ -160,10 +160,11 @@
                 continue
             if not self.head_passed:
                 await self._pass_head(200, STREAM_HEADERS)
+            passed = b"".join(events)
             if counter.is_ended:
-                self._last_events = events
+                self._last_events = passed
             else:
-                await self.sink.chunk(events)
+                await self.sink.chunk(passed)
 
     async def _resume_until_ended(self) -> AttemptResult:
         """Fetch the remaining events from the same engine, which never runs the request again."""
--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -6,7 +6,6 @@
 from mode import Service
 
 from pomelobarrow.backends.engine import EngineAttempt
-from pomelobarrow.backends.events import EventCounter
 from pomelobarrow.backends.orders import OrderSender
 from pomelobarrow.backends.reach_monitor import ReachMonitor
 from pomelobarrow.backends.reports import LoadPoller
@@ -31,6 +30,7 @@
 from pomelobarrow.decision.servers.departures import Departures
 from pomelobarrow.decision.servers.load_table import LoadTable
 from pomelobarrow.decision.servers.server_limits import ServerLimits
+from pomelobarrow.decision.streams.event_counter import EventCounter
 from pomelobarrow.dispatch.answers import AnswerSink, AttemptResult
 from pomelobarrow.dispatch.local import AttemptRunner, LocalDispatch
 from pomelobarrow.dispatch.request import GatewayRequest
--- a/src/pomelobarrow/backends/whole_answer.py
+++ b/src/pomelobarrow/backends/whole_answer.py
@@ -4,10 +4,8 @@
 
 import orjson
 
-from pomelobarrow.decision.streams.server_sent_events import EventSplitter, event_data
-
-# The data of the end event.
-END_DATA = b"[DONE]"
+from pomelobarrow.decision.streams.event_counter import END_DATA
+from pomelobarrow.decision.streams.server_sent_events import event_data
 
 
 class TooLargeError(ValueError):
@@ -20,20 +18,20 @@
     def __init__(self, max_bytes: int) -> None:
         self._max_bytes = max_bytes
         self._size_bytes = 0
-        self._parts: list[bytes] = []
+        self._contents: list[bytes] = []
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, events: list[bytes]) -> None:
         """Add complete events."""
-        self._size_bytes += len(data)
+        self._size_bytes += sum(map(len, events))
         if self._size_bytes > self._max_bytes:
             raise TooLargeError(f"answer larger than {self._max_bytes} bytes: ask for a stream")
-        self._parts.append(data)
+        self._contents += [
+            content for each in events if (content := event_data(each)) not in (None, END_DATA)
+        ]
 
     def body(self) -> bytes:
         """Return the answer as JSON."""
-        contents = map(event_data, EventSplitter().feed(b"".join(self._parts)))
-        chunks = [orjson.loads(each) for each in contents if each not in (None, END_DATA)]
-        return orjson.dumps(_merge(chunks))
+        return orjson.dumps(_merge([orjson.loads(each) for each in self._contents]))
 
 
 def _merge(chunks: list[dict[str, Any]]) -> dict[str, Any]:
--- a/src/pomelobarrow/dispatch/answers.py
+++ b/src/pomelobarrow/dispatch/answers.py
@@ -8,7 +8,6 @@
 from pomelobarrow.decision.requests.attempt import AttemptState
 
 SERVER_SENT_EVENTS = "text/event-stream"
-END_EVENT = b"data: [DONE]\n\n"
 Headers = tuple[tuple[str, str], ...]
 
 
--- a/src/pomelobarrow/peers/forward_resume.py
+++ b/src/pomelobarrow/peers/forward_resume.py
@@ -9,7 +9,8 @@
 
 from pomelobarrow.decision.members.member import Member
 from pomelobarrow.decision.members.membership import MembershipView
-from pomelobarrow.dispatch.answers import END_EVENT, SERVER_SENT_EVENTS, AnswerSink
+from pomelobarrow.decision.streams.event_counter import EventCounter
+from pomelobarrow.dispatch.answers import SERVER_SENT_EVENTS, AnswerSink
 from pomelobarrow.dispatch.background import wait_or_detach
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.operators.traces import Traces
@@ -21,7 +22,6 @@
 from pomelobarrow.peers.table import PeerTable
 
 RESUME_PATH = "/pomelobarrow.peers.v1.Peer/Resume"
-EVENT_SEPARATOR = b"\n\n"
 # Three tries with each of two peers, including the time to detect a lost link, end well within the
 # 30 s for which an engine keeps the work.
 MAX_TRIES_WITHOUT_PROGRESS = 6
@@ -36,8 +36,7 @@
     server: str = ""
     # The id under which that server holds the request; empty if it is the id of the forward.
     request_id: str = ""
-    complete_events: int = 0
-    is_ended: bool = False
+    counter: EventCounter = field(factory=EventCounter)
     # Held back until the answer is known to be complete.
     last_events: bytes = b""
 
@@ -53,13 +52,13 @@
         if not self.is_resumable:
             await sink.chunk(data)
             return
-        # The executing VM sends complete events only.
-        self.complete_events += data.count(EVENT_SEPARATOR)
-        self.is_ended = data.endswith(END_EVENT)
-        if self.is_ended:
-            self.last_events = data
+        events = b"".join(self.counter.feed(data))
+        if not events:
+            return
+        if self.counter.is_ended:
+            self.last_events = events
         else:
-            await sink.chunk(data)
+            await sink.chunk(events)
 
     @property
     def is_resumable(self) -> bool:
@@ -87,16 +86,17 @@
     async def fetch(self) -> bool:
         """Relay the rest of the stream; return False if no peer delivered it."""
         tries_without_progress = 0
-        while not self.progress.is_ended and tries_without_progress < MAX_TRIES_WITHOUT_PROGRESS:
-            events_before = self.progress.complete_events
+        counter = self.progress.counter
+        while not counter.is_ended and tries_without_progress < MAX_TRIES_WITHOUT_PROGRESS:
+            events_before = counter.complete_events
             if await self._try_next():
                 return True
             tries_without_progress = (
-                tries_without_progress + 1 if self.progress.complete_events == events_before else 0
+                tries_without_progress + 1 if counter.complete_events == events_before else 0
             )
             await asyncio.sleep(TRY_PAUSE_S)
-        # If the last event was relayed, only the message that confirms the end was lost.
-        return self.progress.is_ended
+        # If the last event was received, only the message that confirms the end was lost.
+        return counter.is_ended
 
     async def _try_next(self) -> bool:
         members = self.view.usable_entries(self.region, now_unix_s())
@@ -144,10 +144,11 @@
 
     async def _relay(self, channel: Channel) -> bool:
         metadata = self.keys.metadata(self.own.vm, RESUME_PATH)
+        self.progress.counter.drop_partial()
         request = pb.ResumeRequest(
             request=self.message,
             server=self.progress.server,
-            from_event=self.progress.complete_events,
+            from_event=self.progress.counter.complete_events,
         )
         async with PeerStub(channel).Resume.open(metadata=metadata) as stream:
             await start_call(stream)
--- a/tests/test_backends_attempts.py
+++ b/tests/test_backends_attempts.py
@@ -9,7 +9,6 @@
 from attrs import define, field
 
 from pomelobarrow.backends.engine import EngineAttempt
-from pomelobarrow.backends.events import END_EVENT, EventCounter
 from pomelobarrow.backends.service import ServiceAttempt
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.common.errors import Refusal
@@ -20,6 +19,8 @@
 from pomelobarrow.dispatch.request import GatewayRequest
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+EVENT = b"data: token\n\n"
+END_EVENT = b"data: [DONE]\n\n"
 EVENTS = b"".join(b'data: {"n": %d}\n\n' % number for number in range(6)) + END_EVENT
 
 
@@ -223,11 +224,37 @@
     assert sink.is_whole
 
 
-def test_nothing_after_the_end_event_is_passed_on() -> None:
-    counter = EventCounter()
-    assert counter.feed(EVENTS + b"data: late\n\n") == EVENTS
-    assert counter.feed(END_EVENT) == b""
-    assert counter.is_ended
+@pytest.mark.parametrize(
+    ("begun", "counted"),
+    [
+        pytest.param(b": keep-alive\n\n" + EVENT + b": keep-alive\n\n", 1, id="comment"),
+        pytest.param(b"retry: 10\n\n" + EVENT + b"\n\n", 1, id="blocks without data"),
+        pytest.param(b"data: x\ndata: [DONE]\n\n" + EVENT, 2, id="end data as a last line"),
+        pytest.param(EVENT.replace(b"\n", b"\r\n"), 1, id="CR LF"),
+        pytest.param(EVENT.replace(b"\n", b"\r"), 1, id="CR"),
+    ],
+)
+async def test_a_stream_of_any_form_is_resumed_after_the_events_that_came(
+    backend: Backend, begun: bytes, counted: int
+) -> None:
+    """Comments counted as events, so that a resume left events out; other forms ended it."""
+    offsets = []
+
+    async def break_off(request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse(headers={"Content-Length": str(len(begun) + 1)})
+        await response.prepare(request)
+        await response.write(begun)
+        return await close_connection(request)
+
+    async def resume(request: web.Request) -> web.StreamResponse:
+        offsets.append(int(request.query["offset"]))
+        return web.Response(body=END_EVENT)
+
+    backend.handlers = {"POST": break_off, "GET": resume}
+    result, sink = await attempt(backend, EngineAttempt)
+    assert offsets == [counted]
+    assert result.state is AttemptState.FINISHED
+    assert sink.body == begun + END_EVENT
 
 
 async def test_the_library_still_resends_without_the_safeguard(backend: Backend) -> None:
--- a/tests/test_forward_client.py
+++ b/tests/test_forward_client.py
@@ -18,7 +18,7 @@
 from pomelobarrow.decision.common.errors import ErrorKind, RunStatus
 from pomelobarrow.decision.members.member import Member
 from pomelobarrow.decision.requests.attempt import Attempt, AttemptState
-from pomelobarrow.dispatch.answers import END_EVENT, SERVER_SENT_EVENTS, AnswerHead
+from pomelobarrow.dispatch.answers import SERVER_SENT_EVENTS, AnswerHead
 from pomelobarrow.kernel.settings import PeerKey
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.forward_client import Forward
@@ -28,6 +28,7 @@
 PEER = Member(vm="milan-1", region="milan")
 OWN = Member(vm="turin-1", region="turin")
 TOKEN_EVENT = b"data: token\n\n"
+END_EVENT = b"data: [DONE]\n\n"
 HEAD = pb.Head(
     status=200,
     server="drafting-milan-1",
@@ -73,6 +74,7 @@
     def __init__(self, events: tuple[pb.ForwardEvent, ...]) -> None:
         self._events = events
         self.resumed: list[str] = []
+        self.first_events: list[int] = []
 
     async def Forward(self, stream: Any) -> None:  # noqa: N802
         await stream.recv_message()
@@ -86,7 +88,9 @@
         await stream.send_message(pb.CancelReply(outcome="unknown"))
 
     async def Resume(self, stream: Any) -> None:  # noqa: N802
-        self.resumed.append((await stream.recv_message()).request.request_id)
+        message = await stream.recv_message()
+        self.resumed.append(message.request.request_id)
+        self.first_events.append(message.from_event)
         await stream.send_message(pb.ForwardEvent(chunk=END_EVENT))
         await stream.send_message(pb.ForwardEvent(end=pb.End(complete=True)))
 
@@ -212,3 +216,28 @@
     assert result.is_finished
     assert handlers.resumed == ["r~2"]
     assert sink.received == [200, TOKEN_EVENT, END_EVENT, "end"]
+
+
+@pytest.mark.parametrize(
+    ("chunks", "first_event"),
+    [
+        pytest.param((TOKEN_EVENT,), 1, id="plain"),
+        pytest.param((b": keep-alive\n\n" + TOKEN_EVENT, b": keep-alive\n\n"), 1, id="comments"),
+        pytest.param((b"data: x\ndata: [DONE]\n\n",), 1, id="end data as a last line"),
+        pytest.param((TOKEN_EVENT.replace(b"\n", b"\r\n"),), 1, id="CR LF"),
+        pytest.param((b"data: token\r\n\r", b"\ndata: token\r\n\r\n"), 2, id="cut line end"),
+    ],
+)
+async def test_rest_is_fetched_from_the_first_event_that_did_not_come(
+    chunks: tuple[bytes, ...], first_event: int
+) -> None:
+    """Comments counted as events, so that events were left out; other forms ended the answer."""
+    events = tuple(pb.ForwardEvent(chunk=chunk) for chunk in chunks)
+    handlers = ConnectionLosingPeer((pb.ForwardEvent(head=HEAD), *events))
+    sink = Sink()
+    async with forward_to(handlers, sink, peers=(PEER,)) as forward:
+        result = await forward.run()
+
+    assert result.is_finished
+    assert handlers.first_events == [first_event]
+    assert b"".join(sink.received[1:-1]) == b"".join(chunks) + END_EVENT
--- a/tests/test_forward_server.py
+++ b/tests/test_forward_server.py
@@ -8,7 +8,7 @@
 from pomelobarrow.decision.published.configuration_check import check_configuration
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
-from pomelobarrow.peers.forward_server import ForwardServer
+from pomelobarrow.peers.forward_server import ForwardServer, ForwardSink
 
 ENTRY = "milan-1"
 ROUND_TRIP_S = 0.110
@@ -96,3 +96,11 @@
     assert requests == []
     assert events[0].refusal.kind == ErrorKind.DEADLINE_PASSED.label
     assert events[0].refusal.run == "no"
+
+
+async def test_last_events_come_before_the_end_in_a_message_of_their_own() -> None:
+    """Peers of an earlier release read no bytes from the message that confirms the end."""
+    stream = Stream(None)
+    await ForwardSink(stream).end(b"data: [DONE]\n\n")
+    assert [event.WhichOneof("kind") for event in stream.events] == ["chunk", "end"]
+    assert stream.events[0].chunk == b"data: [DONE]\n\n"
--- a/tests/test_whole_answer.py
+++ b/tests/test_whole_answer.py
@@ -12,7 +12,7 @@
 def _body(*events: bytes) -> dict[str, object]:
     answer = WholeAnswer(max_bytes=10_000)
     for event in events:
-        answer.feed(event)
+        answer.feed([event])
     body: dict[str, object] = orjson.loads(answer.body())
     return body
 
