Read streams by one parser in the stand-ins, test clients, soak and bench

What was seen: the load tool took an answer that was cut off within its end event for complete, and a stream whose lines end with CR for a broken one. The clients of the demo and of the tests read lines of one form, the soak cut at two line feeds and raised an error on a comment, so that such forms could not be played.

Change: all of them split streams with decision/streams/server_sent_events.py, which also gives the name of an event.

Evidence: two cases of the load tool fail before and pass now.

--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -19,6 +19,8 @@
 from harness.deployments import RONDINELLA
 from harness.fleet import HOST, Fleet
 from harness.processes import free_ports
+from pomelobarrow.decision.streams.event_counter import END_DATA
+from pomelobarrow.decision.streams.server_sent_events import EventSplitter, event_data
 
 RESULTS = Path(__file__).parent / "results" / "overhead.json"
 LIMIT_S = 90.0
@@ -114,7 +116,8 @@
         async for chunk in response.content.iter_any():
             times_s.append(time.perf_counter())
             ended = chunk
-    if not ended.endswith(b"data: [DONE]\n\n"):
+    last_events = EventSplitter().feed(ended)
+    if not last_events or event_data(last_events[-1]) != END_DATA:
         raise RuntimeError(f"{variant.name}: answer ended without [DONE]")
     gaps_s = (later - earlier for earlier, later in zip(times_s, times_s[1:], strict=False))
     return Timing(first_token_s=times_s[0] - sent_s, gaps_s=tuple(gaps_s))
--- a/demo/calls.py
+++ b/demo/calls.py
@@ -10,11 +10,16 @@
 from attrs import define, field, frozen
 
 from harness.fleet import Fleet
+from pomelobarrow.decision.streams.event_counter import END_DATA
+from pomelobarrow.decision.streams.server_sent_events import (
+    EventSplitter,
+    event_data,
+    event_name,
+)
 from pomelobarrow.standin.answer import expected_answer
 
 CHAT_PATH = "/v1/chat/completions"
 PROBLEM = "application/problem+json"
-DONE_LINE = "data: [DONE]"
 REQUEST_TIMEOUT_S = 25.0
 REQUEST_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
 _serials = itertools.count(1)
@@ -194,21 +199,21 @@
 async def _read_events(
     response: aiohttp.ClientResponse, reply: Reply, on_first_token: Callable[[], None]
 ) -> None:
-    event = ""
-    async for raw in response.content:
-        line = raw.decode().strip()
-        if line.startswith("event: "):
-            event = line.removeprefix("event: ")
-        elif line == DONE_LINE:
-            reply.is_ended = True
-        elif line.startswith("data: "):
-            _apply_event(event, json.loads(line.removeprefix("data: ")), reply, on_first_token)
-
-
-def _apply_event(
-    event: str, payload: dict[str, Any], reply: Reply, on_first_token: Callable[[], None]
-) -> None:
-    if event == "error":
+    splitter = EventSplitter()
+    async for data in response.content.iter_any():
+        for event in splitter.feed(data):
+            _apply_event(event, reply, on_first_token)
+
+
+def _apply_event(event: bytes, reply: Reply, on_first_token: Callable[[], None]) -> None:
+    content = event_data(event)
+    if content is None:
+        return
+    if content == END_DATA:
+        reply.is_ended = True
+        return
+    payload = json.loads(content)
+    if event_name(event) == b"error":
         reply.problem = payload
         return
     if not reply.text:
--- a/soak/versioned.py
+++ b/soak/versioned.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from attrs import define, field
 
+from pomelobarrow.decision.streams.server_sent_events import EventSplitter, event_data, event_id
 from soak.crashing import CrashingServers
 from soak.fleet import HOST, REGIONS, TIMEOUT_MS, VERSIONED, Daemon, SoakFleet
 from soak.servers import REQUEST_ID
@@ -30,7 +31,6 @@
 MAX_MIXED = 2
 MIN_RESUMED = 12
 MIN_RESUMED_SHARE = 0.5
-SEPARATOR = b"\n\n"
 REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 
 
@@ -256,17 +256,17 @@
 
 async def _read_events(response: aiohttp.ClientResponse, stream: Stream, leaves_after: int) -> None:
     """Record events until the stream ends or has as many as the client wants."""
-    buffer = b""
+    splitter = EventSplitter()
     async for data in response.content.iter_any():
-        *events, buffer = (buffer + data).split(SEPARATOR)
+        # Those without data are comments.
+        events = [event for event in splitter.feed(data) if event_data(event) is not None]
         stream.events += [_parse(event) for event in events]
         if len(stream.events) >= leaves_after:
             return
 
 
 def _parse(event: bytes) -> tuple[int, str]:
-    id_, data = event.decode().split("\n")
-    return int(id_.removeprefix("id: ")), data.removeprefix("data: ")
+    return int(event_id(event) or b""), (event_data(event) or b"").decode()
 
 
 def _headers(stream: Stream, id_: str) -> dict[str, str]:
--- a/src/pomelobarrow/decision/streams/server_sent_events.py
+++ b/src/pomelobarrow/decision/streams/server_sent_events.py
@@ -73,6 +73,12 @@
     return b"\n".join(lines) if lines else None
 
 
+def event_name(event: bytes) -> bytes:
+    """Return the value of the last event field; empty if there is none."""
+    names = _values(event, b"event")
+    return names[-1] if names else b""
+
+
 def _values(event: bytes, name: bytes) -> list[bytes]:
     """Return the values of all fields of a name."""
     values = []
--- a/src/pomelobarrow/standin/load_results.py
+++ b/src/pomelobarrow/standin/load_results.py
@@ -9,11 +9,11 @@
 import orjson
 from attrs import define, field
 
+from pomelobarrow.decision.streams.event_counter import END_DATA
+from pomelobarrow.decision.streams.server_sent_events import EventSplitter, event_data
 from pomelobarrow.standin.answer import expected_answer
 
 PERCENTILES = (50, 95, 99)
-DONE = b"[DONE]"
-DATA_PREFIX = b"data: "
 
 
 class Outcome(enum.Enum):
@@ -80,7 +80,7 @@
     problem = next((item for item in parsed if "kind" in item), None)
     if status != 200 or problem:
         return _classify_problem(problem or {})
-    if content_type == "text/event-stream" and (not events or events[-1] != DONE):
+    if content_type == "text/event-stream" and (not events or events[-1] != END_DATA):
         return Outcome.UNKNOWN, "broken_off"
     text = "".join(_text(item) for item in parsed)
     return (Outcome.ANSWERED if text == expected_answer(body) else Outcome.WRONG), ""
@@ -102,8 +102,8 @@
 
 
 def _events(answer: bytes) -> list[bytes]:
-    lines = answer.split(b"\n")
-    return [line.removeprefix(DATA_PREFIX) for line in lines if line.startswith(DATA_PREFIX)]
+    contents = map(event_data, EventSplitter().feed(answer))
+    return [content for content in contents if content is not None]
 
 
 def _text(payload: Mapping[str, Any]) -> str:
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -11,6 +11,12 @@
 from attrs import define, field
 
 from harness.fleet import Fleet
+from pomelobarrow.decision.streams.event_counter import END_DATA
+from pomelobarrow.decision.streams.server_sent_events import (
+    EventSplitter,
+    event_data,
+    event_name,
+)
 from pomelobarrow.standin.answer import expected_answer
 
 POLL_S = 0.02
@@ -146,21 +152,26 @@
 async def _read_events(
     response: aiohttp.ClientResponse, reply: Reply, on_first_token: Callable[[], None]
 ) -> None:
-    name = ""
-    async for raw in response.content:
-        line = raw.decode().strip()
-        if line.startswith("event: "):
-            name = line.removeprefix("event: ")
-        elif line == "data: [DONE]":
-            reply.is_whole = True
-        elif line.startswith("data: "):
-            payload = json.loads(line.removeprefix("data: "))
-            if name == "error":
-                reply.problem = payload
-                continue
-            if not reply.text:
-                on_first_token()
-            reply.text += payload["choices"][0]["delta"].get("content", "")
+    splitter = EventSplitter()
+    async for data in response.content.iter_any():
+        for event in splitter.feed(data):
+            _apply_event(event, reply, on_first_token)
+
+
+def _apply_event(event: bytes, reply: Reply, on_first_token: Callable[[], None]) -> None:
+    content = event_data(event)
+    if content is None:
+        return
+    if content == END_DATA:
+        reply.is_whole = True
+        return
+    payload = json.loads(content)
+    if event_name(event) == b"error":
+        reply.problem = payload
+        return
+    if not reply.text:
+        on_first_token()
+    reply.text += payload["choices"][0]["delta"].get("content", "")
 
 
 def _read_whole(answer: dict[str, Any], reply: Reply) -> None:
--- a/tests/test_server_sent_events.py
+++ b/tests/test_server_sent_events.py
@@ -6,7 +6,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pomelobarrow.decision.streams.server_sent_events import EventSplitter, event_data, event_id
+from pomelobarrow.decision.streams.server_sent_events import (
+    EventSplitter,
+    event_data,
+    event_id,
+    event_name,
+)
 
 LINE_ENDS = ("\n", "\r\n", "\r")
 LINES = st.sampled_from(
@@ -104,3 +109,15 @@
 )
 def test_data_of_an_event(event: bytes, data: bytes | None) -> None:
     assert event_data(event) == data
+
+
+@pytest.mark.parametrize(
+    ("event", "name"),
+    [
+        (b"event: error\ndata: a\n\n", b"error"),
+        (b"data: a\r\nevent:x\r\nevent:error\r\n\r\n", b"error"),
+        (b"data: event: error\n\n", b""),
+    ],
+)
+def test_name_of_an_event(event: bytes, name: bytes) -> None:
+    assert event_name(event) == name
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -10,6 +10,7 @@
 import pytest
 from standin_harness import Standin, call, running_standins, wait_until
 
+from pomelobarrow.decision.streams.server_sent_events import EventSplitter, event_data
 from pomelobarrow.standin.answer import expected_answer
 
 CHAT = "/v1/chat/completions"
@@ -51,7 +52,8 @@
 
 
 def parse_events(text: str) -> list[str]:
-    return [event.removeprefix("data: ") for event in text.split("\n\n") if event]
+    contents = map(event_data, EventSplitter().feed(text.encode()))
+    return [content.decode() for content in contents if content is not None]
 
 
 def text_of(data: list[str]) -> str:
--- a/tests/test_standin_load.py
+++ b/tests/test_standin_load.py
@@ -78,6 +78,9 @@
         pytest.param(RIGHT + DONE_EVENT, Outcome.ANSWERED, id="whole"),
         pytest.param(RIGHT, Outcome.UNKNOWN, id="broken off"),
         pytest.param(RIGHT + RIGHT + DONE_EVENT, Outcome.WRONG, id="doubled"),
+        pytest.param(RIGHT + DONE_EVENT[:-1], Outcome.UNKNOWN, id="cut in the end event"),
+        pytest.param(RIGHT + b": data: x\n\n" + DONE_EVENT, Outcome.ANSWERED, id="comment"),
+        pytest.param((RIGHT + DONE_EVENT).replace(b"\n", b"\r"), Outcome.ANSWERED, id="CR"),
         pytest.param(event({"kind": "x", "run": "unknown"}), Outcome.UNKNOWN, id="problem"),
     ],
 )
