Close idle connections on which an answer to no request arrived

What callers saw on the product's own interface: a repeatable request got the answer to an earlier one, if that one's server had answered twice and the second answer arrived while the connection was idle.

Cause: aiohttp checks for unread answers when a connection becomes idle, but not when it is used again.

The test fails before and passes now.

Change: a connection with an unread answer counts as not connected, so that the pool closes it and opens another one. An answer that arrives only after the next request was sent can't be told apart, since the interface has no id in answers. The relay uses no connection twice and was not affected.

--- a/src/pomelobarrow/backends/answer_handler.py
+++ b/src/pomelobarrow/backends/answer_handler.py
@@ -60,6 +60,14 @@
         ):
             self._fail(HEAD if content in (None, EMPTY_PAYLOAD) else FRAMING)
 
+    def is_connected(self) -> bool:
+        """Return whether a request may be sent; not if an answer to none is waiting to be read.
+
+        Servers may answer a request twice. aiohttp closes the connection if the second answer comes
+        with the first one, but takes one that comes later for the answer to the next request.
+        """
+        return super().is_connected() and not len(self)
+
     def set_exception(self, exc: BaseException, exc_cause: BaseException | None = None) -> None:
         """Fail the body that is being read together with the connection."""
         if exc_cause is None:
--- a/tests/test_backends_attempts.py
+++ b/tests/test_backends_attempts.py
@@ -257,6 +257,40 @@
     assert sink.body == begun + END_EVENT
 
 
+async def test_second_answer_to_one_call_does_not_answer_the_next() -> None:
+    """A service answers a call a second time while the connection is idle."""
+    may_repeat = asyncio.Event()
+
+    def head(body: bytes) -> bytes:
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        if may_repeat.is_set():
+            writer.write(head(b"second"))
+        else:
+            writer.write(head(b"first"))
+            await may_repeat.wait()
+            writer.write(head(b"first again"))
+        await reader.read()
+        writer.close()
+
+    sessions = BackendSessions({})
+    async with await asyncio.start_server(serve, "127.0.0.1", 0) as listening:
+        url = f"http://127.0.0.1:{listening.sockets[0].getsockname()[1]}/"
+        async with sessions.pooled.get(url) as response:
+            assert await response.read() == b"first"
+            assert response.connection is None
+        [[(idle, _)]] = sessions.pooled.connector._conns.values()  # type: ignore[union-attr]
+        may_repeat.set()
+        async with asyncio.timeout(5.0):
+            while not len(idle):
+                await asyncio.sleep(0)
+        async with sessions.pooled.get(url) as response:
+            assert await response.read() == b"second"
+        await sessions.close()
+
+
 async def test_the_library_still_resends_without_the_safeguard(backend: Backend) -> None:
     """Fail once aiohttp no longer resends by itself; the safeguard can then be removed."""
     backend.handlers["PUT"] = close_connection
