--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -7,7 +7,6 @@
 import orjson
 from attrs import define, field
 
-from pomelobarrow.backends.events import EventCounter
 from pomelobarrow.backends.sessions import (
     CONNECT_TIMEOUT_S,
     BackendSessions,
@@ -18,6 +17,8 @@
 from pomelobarrow.decision.published.configuration import Rank
 from pomelobarrow.decision.requests.attempt import Attempt, AttemptEvent, AttemptState
 from pomelobarrow.decision.requests.work import BackendServer
+from pomelobarrow.decision.streams.event_counter import EventCounter
+from pomelobarrow.decision.streams.server_sent_events import EventTooLargeError
 from pomelobarrow.dispatch.answers import (
     SERVER_SENT_EVENTS,
     AnswerHead,
@@ -69,6 +70,8 @@
     whole: WholeAnswer | None = None
     head_passed: bool = False
     sent_unix_s: float = 0.0
+    # Held back until the answer is known to be complete.
+    _last_events: bytes = field(default=b"", init=False)
     # True if another VM has sent the request and only the remaining events are fetched here.
     is_continuation: bool = False
 
@@ -83,7 +86,7 @@
                 return await self._send_and_relay()
         except TimeoutError:
             return await self._give_up("the deadline passed", LATE_CANCEL_TIMEOUT_S)
-        except TooLargeError as error:
+        except (TooLargeError, EventTooLargeError) as error:
             return await self._give_up(str(error))
         except (CallerGoneError, asyncio.CancelledError):
             if not self._may_be_resumed():
@@ -158,7 +161,11 @@
                 continue
             if not self.head_passed:
                 await self._pass_head(200, STREAM_HEADERS)
-            await self.sink.chunk(events)
+            passed = b"".join(events)
+            if counter.is_ended:
+                self._last_events = passed
+            else:
+                await self.sink.chunk(passed)
 
     async def _resume_until_ended(self) -> AttemptResult:
         """Fetch the remaining events from the same engine, which never runs the request again."""
@@ -202,11 +209,11 @@
         return self._unknown_result(reason)
 
     async def _finish(self) -> AttemptResult:
+        last = self._last_events
         if self.whole is not None and not self.head_passed:
-            body = self.whole.body()
-            await self._pass_head(200, (*JSON_HEADERS, ("Content-Length", str(len(body)))))
-            await self.sink.chunk(body)
-        await self.sink.end()
+            last = self.whole.body()
+            await self._pass_head(200, (*JSON_HEADERS, ("Content-Length", str(len(last)))))
+        await self.sink.end(last)
         self.attempt.apply(AttemptEvent.END)
         return self._result("")
 
--- a/tests/test_backends_attempts.py
+++ b/tests/test_backends_attempts.py
@@ -9,17 +9,19 @@
 from attrs import define, field
 
 from pomelobarrow.backends.engine import EngineAttempt
-from pomelobarrow.backends.events import END_EVENT, EventCounter
 from pomelobarrow.backends.service import ServiceAttempt
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.common.errors import Refusal
 from pomelobarrow.decision.published.configuration import Rank, WorkClass
 from pomelobarrow.decision.requests.attempt import Attempt, AttemptState
 from pomelobarrow.decision.requests.work import BackendServer, Work
+from pomelobarrow.decision.streams.server_sent_events import MAX_EVENT_BYTES
 from pomelobarrow.dispatch.answers import AnswerHead, AttemptResult
 from pomelobarrow.dispatch.request import GatewayRequest
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+EVENT = b"data: token\n\n"
+END_EVENT = b"data: [DONE]\n\n"
 EVENTS = b"".join(b'data: {"n": %d}\n\n' % number for number in range(6)) + END_EVENT
 
 
@@ -37,7 +39,8 @@
     async def chunk(self, data: bytes) -> None:
         self.body += data
 
-    async def end(self) -> None:
+    async def end(self, last: bytes = b"") -> None:
+        self.body += last
         self.is_whole = True
 
     async def abort(self, refusal: Refusal) -> None:
@@ -222,11 +225,93 @@
     assert sink.is_whole
 
 
-def test_nothing_after_the_end_event_is_passed_on() -> None:
-    counter = EventCounter()
-    assert counter.feed(EVENTS + b"data: late\n\n") == EVENTS
-    assert counter.feed(END_EVENT) == b""
-    assert counter.is_ended
+@pytest.mark.parametrize(
+    ("begun", "counted"),
+    [
+        pytest.param(b": keep-alive\n\n" + EVENT + b": keep-alive\n\n", 1, id="comment"),
+        pytest.param(b"retry: 10\n\n" + EVENT + b"\n\n", 1, id="blocks without data"),
+        pytest.param(b"data: x\ndata: [DONE]\n\n" + EVENT, 2, id="end data as a last line"),
+        pytest.param(EVENT.replace(b"\n", b"\r\n"), 1, id="CR LF"),
+        pytest.param(EVENT.replace(b"\n", b"\r"), 1, id="CR"),
+    ],
+)
+async def test_a_stream_of_any_form_is_resumed_after_the_events_that_came(
+    backend: Backend, begun: bytes, counted: int
+) -> None:
+    """Comments counted as events, so that a resume left events out; other forms ended it."""
+    offsets = []
+
+    async def break_off(request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse(headers={"Content-Length": str(len(begun) + 1)})
+        await response.prepare(request)
+        await response.write(begun)
+        return await close_connection(request)
+
+    async def resume(request: web.Request) -> web.StreamResponse:
+        offsets.append(int(request.query["offset"]))
+        return web.Response(body=END_EVENT)
+
+    backend.handlers = {"POST": break_off, "GET": resume}
+    result, sink = await attempt(backend, EngineAttempt)
+    assert offsets == [counted]
+    assert result.state is AttemptState.FINISHED
+    assert sink.body == begun + END_EVENT
+
+
+async def test_event_without_end_is_given_up(backend: Backend) -> None:
+    """One event of an engine filled the memory until the deadline."""
+    written_bytes = 0
+
+    async def cancel(request: web.Request) -> web.StreamResponse:
+        return web.json_response({"outcome": "cancelled"})
+
+    async def write_on(request: web.Request) -> web.StreamResponse:
+        nonlocal written_bytes
+        response = web.StreamResponse()
+        await response.prepare(request)
+        while written_bytes < 64 * MAX_EVENT_BYTES:
+            await response.write(b"data: x" * 10_000)
+            written_bytes += 70_000
+        return response
+
+    backend.handlers = {"POST": write_on, "DELETE": cancel}
+    result, _ = await attempt(backend, EngineAttempt)
+    assert result.detail == f"an event exceeds {MAX_EVENT_BYTES} bytes"
+    assert written_bytes < 32 * MAX_EVENT_BYTES
+
+
+async def test_second_answer_to_one_call_does_not_answer_the_next() -> None:
+    """A service answers a call a second time while the connection is idle."""
+    may_repeat = asyncio.Event()
+
+    def head(body: bytes) -> bytes:
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        if may_repeat.is_set():
+            writer.write(head(b"second"))
+        else:
+            writer.write(head(b"first"))
+            await may_repeat.wait()
+            writer.write(head(b"first again"))
+        await reader.read()
+        writer.close()
+
+    sessions = BackendSessions({})
+    async with await asyncio.start_server(serve, "127.0.0.1", 0) as listening:
+        url = f"http://127.0.0.1:{listening.sockets[0].getsockname()[1]}/"
+        async with sessions.pooled.get(url) as response:
+            assert await response.read() == b"first"
+            assert response.connection is None
+        [[(idle, _)]] = sessions.pooled.connector._conns.values()  # type: ignore[union-attr]
+        may_repeat.set()
+        async with asyncio.timeout(5.0):
+            while not len(idle):
+                await asyncio.sleep(0)
+        async with sessions.pooled.get(url) as response:
+            assert await response.read() == b"second"
+        await sessions.close()
 
 
 async def test_the_library_still_resends_without_the_safeguard(backend: Backend) -> None:
