Keep what a VM has observed of a keyspace until its replacement is there

What callers saw, by the code (not timed on running daemons): while the list of servers was discarded, each request of that VM waited up to 0.3 s, as at its start, and a configuration that the store's return had superseded no longer counted as confirmed, so that requests with keys were refused with 503. If the peer that was asked was lost, that lasted until another one's heartbeat or a read of the store. The values in force and their revision did not go back.

Cause: after a second delta that follows no observed revision, the copy was emptied before the whole was requested. Sound peers cause it: a VM that has just started has listed the keyspace, knows no deletions before that and answers each request from before with a gap; a VM one revision behind that hears it first asks it twice. A whole of a later era also emptied the copy before it was read, and left it empty if it was malformed.

That is an explicit example now. test_peers_exchange.py plays sound daemons. On the code before, its four tests and the example fail: observed revision 0 instead of 99; the store's next change refused as a gap; 0 after the malformed list; confirmable position of era 1 instead of era 2.

Change: the copy notes that it awaits all values, and the next listing that is at least as new replaces the observed ones in one step, after it has been read. Changes that follow the observed revision are applied meanwhile. The fuzz test also checks that the revision and the version in force never fall; the state machine of copies draws the new step.

--- a/src/pomelobarrow/decision/published/keyspace.py
+++ b/src/pomelobarrow/decision/published/keyspace.py
@@ -63,6 +63,8 @@
     superseded_revision: int = field(default=0, init=False)
     # True once the store has come back from an older copy.
     has_seen_return: bool = field(default=False, init=False)
+    # True while all values are requested, to replace the observed ones.
+    awaits_all: bool = field(default=False, init=False)
     _entries: dict[str, Entry] = field(factory=dict, init=False, repr=False)
     _observed_values: dict[str, Any] = field(factory=dict, init=False, repr=False)
     _values: dict[str, Any] = field(factory=dict, init=False, repr=False)
@@ -118,10 +120,15 @@
         """Return the revision after which to request the next page."""
         return self._partial.received_revision if self._partial else self.observed_revision
 
+    @property
+    def request_after_revision(self) -> int:
+        """Return the revision after which to request changes of a peer; 0 requests all values."""
+        return 0 if self.awaits_all else self.observed_revision
+
     def sync_after_revision(self, other: KeyspaceSummary) -> int | None:
         """Return the revision after which to request changes, or None if in sync."""
         if other.revision > self.observed_revision:
-            return self.observed_revision
+            return self.request_after_revision
         if other.revision == self.observed_revision and other.digest != self.digest:
             return 0
         return None
@@ -194,9 +201,12 @@
         if head_revision < max(self.observed_revision, self._min_head_revision):
             self.counters.stale += 1
             return ApplyResult(outcome=ApplyOutcome.STALE)
-        if complete and after_revision == 0 and is_return(self.observed_revision, head_revision):
-            self.restart()
-        if self._misses_changes_before(head_revision, after_revision, complete):
+        is_whole = complete and after_revision == 0
+        is_from_return = is_return(self.observed_revision, head_revision)
+        replaces_all = is_whole and (self.awaits_all or is_from_return)
+        if not replaces_all and self._misses_changes_before(
+            head_revision, after_revision, complete
+        ):
             self.counters.gaps += 1
             return ApplyResult(outcome=ApplyOutcome.GAP)
         try:
@@ -204,6 +214,8 @@
         except ValueError as error:
             self.counters.malformed += 1
             return ApplyResult(outcome=ApplyOutcome.MALFORMED, refused_reasons=(str(error),))
+        if replaces_all:
+            self.restart()
         if not complete:
             return self._accumulate(batch, after_revision, head_revision)
         return self._complete(batch, after_revision, head_revision)
@@ -211,7 +223,7 @@
     def changes_after(self, revision: int) -> Delta:
         """Return the changes after a revision, or a later one if deletions are unknown before it.
 
-        A copy that receives a delta with a gap after its observed revision calls `restart` and
+        A copy that receives a delta with a gap after its observed revision calls `await_all` and
         requests all changes after 0.
         """
         if is_return(revision, self.observed_revision):
@@ -227,8 +239,16 @@
             changes=tuple(current),
         )
 
+    def await_all(self) -> None:
+        """Let the next listing of all values replace the observed ones, which stay until then.
+
+        Changes that follow the observed revision are still applied, and end the wait.
+        """
+        self.awaits_all = self.observed_revision > 0
+
     def restart(self) -> None:
-        """Discard the observed values, to request all of them again; the values in force stay."""
+        """Discard the observed values; the values in force stay."""
+        self.awaits_all = False
         self._min_head_revision = max(self._min_head_revision, self.observed_revision)
         self._unapplied_keys.update(self._in_force)
         self.observed_revision = self.digest = self.tombstone_floor = self._tombstones = 0
@@ -284,6 +304,7 @@
             self._store(entry)
         self._append_to_log(newer)
         self.observed_revision = head_revision
+        self.awaits_all = False
         self._partial = None
         self._prune()
         return self.put_in_force()
--- a/src/pomelobarrow/peers/exchange.py
+++ b/src/pomelobarrow/peers/exchange.py
@@ -140,16 +140,16 @@
             reply(keyspace_request(delta.name, 0, in_force=True))
 
     def _fill_gap(self, name: str, reply: Reply) -> None:
-        """Request the changes after this copy's revision; after a second gap, start over.
+        """Request the changes after this copy's revision; after a second gap, all values.
 
         A push can overtake a lost one, which the first request repairs. A second gap means that
         the peer no longer holds the record of the keys deleted in between.
         """
         copy = self.published.copies[name]
         if name in self._keyspaces_with_gap:
-            copy.restart()
+            copy.await_all()
         self._keyspaces_with_gap.add(name)
-        reply(keyspace_request(name, copy.observed_revision))
+        reply(keyspace_request(name, copy.request_after_revision))
 
     def _on_request(self, request: pb.KeyspaceRequest, peer_vm: str, reply: Reply) -> None:
         copy = self.published.copies.get(request.name)
--- a/src/pomelobarrow/published/watcher.py
+++ b/src/pomelobarrow/published/watcher.py
@@ -164,8 +164,8 @@
         result = await self._reader.read_all(name)
         copy = self._state.copies[name]
         # Changes received from peers in the meantime would make the full listing look like a gap.
-        if isinstance(result, Ok) and 0 < copy.observed_revision <= result.ok_value.head_revision:
-            copy.restart()
+        if isinstance(result, Ok) and copy.observed_revision <= result.ok_value.head_revision:
+            copy.await_all()
         return self._apply_result(name, 0, result)
 
     def _apply_result(self, name: str, after: int, result: Result[Page, ReadError]) -> ReadResult:
--- a/tests/test_keyspace.py
+++ b/tests/test_keyspace.py
@@ -114,6 +114,10 @@
     def restart(self, index):
         self.copies[index].restart()
 
+    @rule(index=copies)
+    def await_all(self, index):
+        self.copies[index].await_all()
+
     @rule(index=copies)
     def replace(self, index):
         self.copies[index] = self.new_copy()
--- /dev/null
+++ b/tests/test_peers_exchange.py
@@ -0,0 +1,103 @@
+"""What a VM has observed of a keyspace stays until a peer's message replaces it."""
+
+from typing import Any
+
+from daemon_parts import daemon_parts
+
+from pomelobarrow.decision.published.configuration_check import ROUTING_KEY
+from pomelobarrow.decision.published.keyspace import Change, KeyspaceCopy
+from pomelobarrow.decision.published.store_position import position
+from pomelobarrow.kernel.context import Context
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.exchange import Exchange
+from pomelobarrow.published.keyspaces import CONFIG, VMS, PublishedState
+
+PEER = "milan-2"
+ROUTING = {"routes": [], "pools": [], "accounts": [], "needs_account": True}
+REQUEST_ALL = pb.KeyspaceRequest(name=VMS)
+
+
+def server_entry(name: str, revision: int) -> Change:
+    value = {"role": "backend_server", "region": "milan", "failure_domain": "milan-a"}
+    value |= {"state": "ready", "address": "127.0.0.1:4", "pool": "plain"}
+    return Change(revision=revision, key=f"vms/{name}", value=value | {"slots": 8})
+
+
+def daemon_with_list(revision: int, *names: str) -> Context:
+    """Return a daemon's components that have listed servers at a revision."""
+    context = daemon_parts()
+    changes = [server_entry(name, revision) for name in names]
+    context.get(PublishedState).apply(VMS, changes, revision, after_revision=0, source="test")
+    return context
+
+
+def vm_list(context: Context) -> KeyspaceCopy:
+    return context.get(PublishedState).copies[VMS]
+
+
+def handle(context: Context, message: pb.PeerMessage) -> list[pb.PeerMessage]:
+    """Return a daemon's replies to a message."""
+    replies: list[pb.PeerMessage] = []
+    context.get(Exchange).handle(message, PEER, replies.append)
+    return replies
+
+
+def delta(**fields: Any) -> pb.PeerMessage:
+    return pb.PeerMessage(delta=pb.KeyspaceDelta(name=VMS, **fields))
+
+
+def test_list_of_servers_stays_while_a_peer_that_cannot_fill_a_gap_is_asked_for_all() -> None:
+    """Requests waited for a list of servers that was discarded before the new one arrived.
+
+    The peer has listed the keyspace at 100 and knows no deletions up to there, so that it can't
+    answer for the changes after 99.
+    """
+    behind, started = daemon_with_list(99, "a", "b"), daemon_with_list(100, "b", "c")
+    copy = vm_list(behind)
+    request = pb.PeerMessage(request=pb.KeyspaceRequest(name=VMS, after_revision=99))
+    for expected in (request.request, REQUEST_ALL):
+        (gap,) = handle(started, request)
+        (request,) = handle(behind, gap)
+        assert request.request == expected
+        assert copy.observed_revision == 99
+        assert set(behind.get(PublishedState).backend_servers) == {"a", "b"}
+    (everything,) = handle(started, request)
+    assert handle(behind, everything) == []
+    assert copy.summary == vm_list(started).summary
+    assert set(behind.get(PublishedState).backend_servers) == {"b", "c"}
+
+
+def test_changes_are_taken_while_the_whole_list_is_requested() -> None:
+    """The peer that was asked for all of it may be lost before it answers."""
+    context = daemon_with_list(99, "a")
+    for _ in range(2):
+        handle(context, delta(after_revision=100, head_revision=101))
+    state, added = context.get(PublishedState), server_entry("b", 100)
+    assert state.apply(VMS, [added], 100, after_revision=99, source="platform").applied
+    assert set(state.backend_servers) == {"a", "b"}
+    handle(context, delta(head_revision=101))
+    assert set(state.backend_servers) == {"a", "b"}
+
+
+def test_malformed_list_of_a_later_era_discards_nothing() -> None:
+    """The list that it was to replace was discarded before the new one was read."""
+    context = daemon_parts()
+    state, at = context.get(PublishedState), position(1, 9)
+    state.apply(VMS, [server_entry("a", at)], at, after_revision=0, source="test")
+    past_its_head = pb.Change(revision=5, key="vms/b", value=b"{}")
+    handle(context, delta(era=2, head_revision=4, changes=[past_its_head]))
+    assert vm_list(context).observed_revision == at
+
+
+def test_superseded_configuration_stays_confirmable_while_all_of_it_is_requested() -> None:
+    """Requests with keys were refused while the store's older copy was discarded."""
+    context = daemon_parts()
+    state = context.get(PublishedState)
+    copy = state.copies[CONFIG]
+    for at, version in ((position(1, 35), 72), (position(2, 28), 69)):
+        copy.apply([Change(at, ROUTING_KEY, ROUTING | {"version": version})], at, after_revision=0)
+    assert state.confirmable_revision == position(2, 28)
+    gap = pb.KeyspaceDelta(name=CONFIG, era=2, after_revision=30, head_revision=31)
+    for _ in range(2):
+        handle(context, pb.PeerMessage(delta=gap))
+    assert state.confirmable_revision == position(2, 28)
--- a/tests/test_peers_exchange_fuzz.py
+++ b/tests/test_peers_exchange_fuzz.py
@@ -7,10 +7,11 @@
 from daemon_parts import daemon_parts, list_server
 from google.protobuf.descriptor import Descriptor, FieldDescriptor
 from google.protobuf.message import Message
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 
 from pomelobarrow.decision.members.membership import MembershipView
+from pomelobarrow.decision.published.keyspace import KeyspaceCopy
 from pomelobarrow.kernel.background import failure_observer
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.exchange import Exchange
@@ -54,6 +55,11 @@
     return pb.PeerMessage(**{kind: fields})
 
 
+def numbers_of(copy: KeyspaceCopy) -> tuple[int, int, int]:
+    """Return the numbers of a copy that never go back."""
+    return copy.observed_revision, copy.revision, copy.version
+
+
 MESSAGES = st.sampled_from(list(pb.PeerMessage.DESCRIPTOR.fields)).flatmap(
     lambda field: fields_of(field.message_type).map(lambda fields: build(field.name, fields))
 )
@@ -61,13 +67,14 @@
 
 @settings(suppress_health_check=[HealthCheck.too_slow], deadline=None, max_examples=300)
 @given(st.lists(st.tuples(st.sampled_from(NAMES), MESSAGES), max_size=6))
+@example([("milan-1", build("delta", {"name": "vms", "era": 1}))] * 2)
 def test_no_peer_message_fails_a_daemon(received: list[tuple[str, pb.PeerMessage]]) -> None:
     context = daemon_parts()
     list_server(context)
     exchange, heartbeats = context.get(Exchange), context.get(Heartbeats)
     view, published = context.get(MembershipView), context.get(PublishedState)
     own = view.own
-    revisions = {name: copy.observed_revision for name, copy in published.copies.items()}
+    numbers = {name: numbers_of(copy) for name, copy in published.copies.items()}
     replies: list[Message] = []
     failures: list[object] = []
     failure_observer.set(failures.append)
@@ -77,8 +84,10 @@
             heartbeats.full(peer_vm, same_region, SentUpdates())
         assert view.own == own
         for name, copy in published.copies.items():
-            assert copy.observed_revision >= revisions[name]
-            revisions[name] = copy.observed_revision
+            newest = numbers_of(copy)
+            pairs = zip(newest, numbers[name], strict=True)
+            assert all(new >= old for new, old in pairs)
+            numbers[name] = newest
         assert all(math.isfinite(heartbeats.offsets.offset_s(vm)) for vm in NAMES)
     assert published.configuration is None
     assert failures == []
