Ignore positions of peers that no store can have

What callers would see: a VM that took such a position for its own, and all VMs that hear of it, refused each later change of the store as older, until all of them started again; a VM that starts and hears of one never becomes ready. Not seen on running daemons; found with the fuzz test's message.

Cause: eras of peers were not bounded (the store's are, at 2^27), revisions were reduced to the highest possible one, and an answer without any revision counted as the beginning of its era, newer than all revisions of the era before.

Evidence: test_position_that_no_store_has_is_ignored and test_message_without_revision_or_items_replaces_no_list failed before: the configuration's copy had observed era, or revision 2^36 - 1, and the list of servers was empty after three messages.

Change: a stated era or revision out of the store's range, or revision 0, is no position.

--- a/src/pomelobarrow/peers/keyspace_messages.py
+++ b/src/pomelobarrow/peers/keyspace_messages.py
@@ -2,9 +2,9 @@
 
 import orjson
 
-from pomelobarrow.decision.common.bounded import saturated
 from pomelobarrow.decision.published.keyspace import Change, Delta, KeyspaceCopy, KeyspaceSummary
 from pomelobarrow.decision.published.store_position import (
+    MAX_ERA,
     MAX_REVISION,
     era_of,
     position,
@@ -97,5 +97,9 @@
 
 
 def _position(era: int, revision: int) -> int:
-    """Return the position of a revision that a peer states, within its era."""
-    return position(era, saturated(revision, MAX_REVISION))
+    """Return the position of a revision that a peer states; 0 if no store has such a one.
+
+    A copy that took an impossible position for its own would refuse all that the store publishes.
+    """
+    is_possible = 0 < revision <= MAX_REVISION and era <= MAX_ERA
+    return position(era, revision) if is_possible else 0
--- a/tests/test_peers_exchange.py
+++ b/tests/test_peers_exchange.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import pytest
 from daemon_parts import daemon_parts
 
 from pomelobarrow.decision.published.configuration_check import ROUTING_KEY
@@ -101,3 +102,31 @@
     for _ in range(2):
         handle(context, pb.PeerMessage(delta=gap))
     assert state.confirmable_revision == position(2, 28)
+
+
+@pytest.mark.parametrize("era", [1, 2])
+def test_message_without_revision_or_items_replaces_no_list(era: int) -> None:
+    """The third such message of one peer emptied the list of servers."""
+    context = daemon_with_list(1, "a")
+    for _ in range(3):
+        handle(context, delta(era=era))
+        assert vm_list(context).observed_revision == 1
+        assert set(context.get(PublishedState).backend_servers) == {"a"}
+
+
+@pytest.mark.parametrize(
+    "numbers", [{"era": 2**32 - 1, "head_revision": 7}, {"head_revision": 2**64 - 1}]
+)
+@pytest.mark.parametrize("name", [CONFIG, VMS])
+def test_position_that_no_store_has_is_ignored(name: str, numbers: dict[str, int]) -> None:
+    """It is newer than all that the store publishes, so that no change of the store counted."""
+    context = daemon_with_list(1, "a")
+    handle(context, pb.PeerMessage(delta=pb.KeyspaceDelta(name=name, **numbers)))
+    summary = pb.KeyspaceState(
+        name=name, era=numbers.get("era", 0), revision=numbers["head_revision"]
+    )
+    heartbeat = pb.Heartbeat(vm=PEER, incarnation=1, sequence=1, keyspaces=[summary])
+    assert handle(context, pb.PeerMessage(heartbeat=heartbeat)) == []
+    assert not context.get(Exchange).is_behind([PEER])
+    assert vm_list(context).observed_revision == 1
+    assert context.get(PublishedState).copies[CONFIG].observed_revision == 0
