Let no empty listing of a peer replace a list of servers

What callers would see: one message of one peer, a listing of a later era without any item, emptied the list of servers of a VM, and by its heartbeats that of all VMs; without servers every request is refused. Not seen on running daemons.

Cause: a VM follows a peer's later era in one message, without reading the store.

Evidence: test_list_of_a_peer_without_any_item_replaces_no_list_of_servers failed before (the copy had observed the later era, the list was empty).

Change: such a listing is logged and ignored where values are in force. A peer that really holds none has nothing to serve from; the store's own answer still empties the list, which a test checks.

Left: a peer that sends a listing with wrong items, or a wrong higher revision, is believed, as docs/explanation/trust.md says of holders of the key.

--- a/src/pomelobarrow/decision/published/keyspace_types.py
+++ b/src/pomelobarrow/decision/published/keyspace_types.py
@@ -41,6 +41,11 @@
     head_revision: int
     changes: tuple[Change, ...]
 
+    @property
+    def lists_nothing(self) -> bool:
+        """Return whether this is a listing of all values that holds none."""
+        return self.after_revision == 0 and not self.changes
+
 
 @frozen(kw_only=True)
 class KeyspaceSummary:
--- a/src/pomelobarrow/peers/exchange.py
+++ b/src/pomelobarrow/peers/exchange.py
@@ -118,10 +118,15 @@
         if delta.name not in self.published.copies:
             return
         self._next_pull_unix_s.pop(delta.name, None)
-        received = read_delta(delta, self.published.copies[delta.name])
+        copy = self.published.copies[delta.name]
+        received = read_delta(delta, copy)
         if delta.in_force:
             self._apply_in_force(received, peer_vm, reply)
             return
+        # Without any server or route, all requests are refused; only the store may have it so.
+        if copy.values and received.lists_nothing:
+            log.warning("empty listing of a peer ignored", keyspace=delta.name, peer=peer_vm)
+            return
         result = self.published.apply(
             received.name,
             received.changes,
--- a/tests/test_peers_exchange.py
+++ b/tests/test_peers_exchange.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import orjson
 import pytest
 from daemon_parts import daemon_parts
 
@@ -130,3 +131,22 @@
     assert not context.get(Exchange).is_behind([PEER])
     assert vm_list(context).observed_revision == 1
     assert context.get(PublishedState).copies[CONFIG].observed_revision == 0
+
+
+def test_list_of_a_peer_without_any_item_replaces_no_list_of_servers() -> None:
+    """One message of a later era emptied the list, so that a VM had no server to send to."""
+    context, at = daemon_with_list(position(1, 9), "a"), position(1, 9)
+    for _ in range(3):
+        handle(context, delta(era=2, head_revision=5))
+        assert vm_list(context).observed_revision == at
+        assert set(context.get(PublishedState).backend_servers) == {"a"}
+    b = pb.Change(revision=6, key="vms/b", value=orjson.dumps(server_entry("b", 1).value))
+    handle(context, delta(era=2, head_revision=6, changes=[b]))
+    assert set(context.get(PublishedState).backend_servers) == {"b"}
+
+
+def test_store_without_any_item_empties_the_list_of_servers() -> None:
+    """Guards against a list that is kept although the store itself has no server any more."""
+    context, at = daemon_with_list(position(1, 9), "a"), position(2, 5)
+    context.get(PublishedState).apply(VMS, [], at, after_revision=0, source="platform")
+    assert not context.get(PublishedState).backend_servers
