Bound the length of the messages that peers send on streams

What could happen: a peer that states a message of up to 4 GiB fills a VM's memory; the bytes are read until the call's time is up, on Exchange as long as they keep coming for 3.2 s.

Cause: grpclib reads a message of any stated length and returns the window to the sender meanwhile. Its windows (4 MiB a connection) bound only what nobody has asked for; heads are bounded by h2 (64 KiB). Datagrams are bounded by UDP.

Evidence: test_message_without_end_of_a_dialing_peer_ends_its_connection.

Change: streams of both ends refuse to read more than 48 MiB at once, which is the longest sound message (a hand-over), or a body of callers.max_body_bytes where that is more; the connection is closed, an event, a log line and a counter name the peer's address.

--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -192,6 +192,12 @@
             "Items of the platform's store that can't be used; all others count.",
             ("keyspace",),
         )
+        self.peer_messages_too_long = CounterFamily(
+            registry,
+            "pomelobarrow_peer_messages_too_long_total",
+            "Connections to peers that were closed for the stated length of a message.",
+            (),
+        )
         self.store_answers_too_long = CounterFamily(
             registry,
             "pomelobarrow_store_answers_too_long_total",
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -30,6 +30,7 @@
 from pomelobarrow.operators.metrics import Metrics
 from pomelobarrow.operators.traces import Traces
 from pomelobarrow.peers.events import MemberLivenessChanged, PeerRefused, ProcessPauseDetected
+from pomelobarrow.peers.message_size import PeerMessageTooLong
 from pomelobarrow.published.events import (
     ItemUnreadable,
     KeyspaceApplied,
@@ -93,6 +94,7 @@
             RequestBlocked: self._request_blocked,
             ServerReadmitted: self._server_readmitted,
             PeerRefused: self._peer_refused,
+            PeerMessageTooLong: self._peer_message_too_long,
             MemberLivenessChanged: self._member_liveness_changed,
             DirectoryChanged: self._directory_changed,
             StepFailed: self._step_failed,
@@ -273,6 +275,10 @@
             "call refused", path=event.path, remedy="give both VMs the same peers.keys"
         )
 
+    def _peer_message_too_long(self, event: PeerMessageTooLong) -> None:
+        self._metrics.peer_messages_too_long.inc()
+        self._log.warning("peer message too long", **event_fields(event))
+
 
 @hookimpl
 def provide_parts(context: Context) -> None:
--- a/src/pomelobarrow/peers/calls.py
+++ b/src/pomelobarrow/peers/calls.py
@@ -5,15 +5,17 @@
 from contextlib import contextmanager
 from typing import Any
 
-from grpclib.client import Channel, Stream
+from grpclib.client import Stream
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.protocol import H2Protocol
 
+from pomelobarrow.peers.message_size import BoundedChannel
+
 CONNECT_TIMEOUT_S = 1.5
 CONNECTION_ERRORS = (OSError, TimeoutError, GRPCError, StreamTerminatedError)
 
 
-class SingleConnection(Channel):
+class SingleConnection(BoundedChannel):
     """Connect once; a call on a connection that was lost or closed fails.
 
     grpclib would reconnect instead. The heartbeats monitor the first connection only, so that a
--- /dev/null
+++ b/src/pomelobarrow/peers/message_size.py
@@ -0,0 +1,87 @@
+"""Bound the length of the messages that a peer sends on a stream.
+
+grpclib reads a message of any stated length, up to 4 GiB, into memory.
+"""
+
+from functools import partial
+from typing import Any
+
+from attrs import frozen
+from grpclib.client import Channel
+from grpclib.protocol import Connection, H2Protocol, Stream
+from grpclib.server import Server
+
+from pomelobarrow.kernel.background import failure_observer
+
+# The longest message is a hand-over: all kept answers, and the most request ids at 256 bytes each.
+MAX_MESSAGE_BYTES = 48 << 20
+# What a forwarded request adds to its body.
+MAX_FORWARD_OVERHEAD_BYTES = 1 << 20
+
+
+class MessageTooLongError(ConnectionError):
+    """Raised when a peer states a message that is longer than what is read."""
+
+
+@frozen(kw_only=True)
+class PeerMessageTooLong:
+    """Report that a peer's connection was closed for the length that it stated of a message."""
+
+    address: str
+    stated_bytes: int
+    max_bytes: int
+
+
+class _BoundedStream(Stream):
+    max_message_bytes: int = MAX_MESSAGE_BYTES
+
+    async def recv_data(self, size: int) -> bytes:
+        if size <= self.max_message_bytes:
+            return await super().recv_data(size)
+        address = str(self._transport.get_extra_info("peername"))
+        event = PeerMessageTooLong(
+            address=address, stated_bytes=size, max_bytes=self.max_message_bytes
+        )
+        failure_observer.get()(event)
+        self._transport.abort()
+        raise MessageTooLongError(f"a message of {size} bytes was stated by {address}")
+
+
+class _BoundedProtocol(H2Protocol):
+    max_message_bytes: int = MAX_MESSAGE_BYTES
+
+    def connection_made(self, transport: Any) -> None:
+        super().connection_made(transport)
+        create = partial(_create_stream, self.connection, self.max_message_bytes)
+        self.connection.create_stream = create  # type: ignore[method-assign]
+
+
+def _create_stream(connection: Connection, max_message_bytes: int, **options: Any) -> Stream:
+    stream = _BoundedStream(connection, connection._connection, connection._transport, **options)
+    stream.max_message_bytes = max_message_bytes
+    return stream
+
+
+def _bounded(protocol: H2Protocol, max_message_bytes: int) -> H2Protocol:
+    # grpclib has no public way to set the length of messages.
+    bounded = _BoundedProtocol(protocol.handler, protocol.config, protocol.h2_config)
+    bounded.max_message_bytes = max_message_bytes
+    return bounded
+
+
+class BoundedServer(Server):
+    """Close the connection of a peer that states too long a message."""
+
+    max_message_bytes: int = MAX_MESSAGE_BYTES
+
+    def _protocol_factory(self) -> H2Protocol:
+        return _bounded(super()._protocol_factory(), self.max_message_bytes)
+
+
+class BoundedChannel(Channel):
+    """Close the connection to a peer that states too long a message."""
+
+    max_message_bytes: int = MAX_MESSAGE_BYTES
+
+    def _protocol_factory(self) -> H2Protocol:
+        return _bounded(super()._protocol_factory(), self.max_message_bytes)
--- a/src/pomelobarrow/peers/server.py
+++ b/src/pomelobarrow/peers/server.py
@@ -8,7 +8,7 @@
 import structlog
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
-from grpclib.server import Server, Stream
+from grpclib.server import Stream
 from mode import Service
 
 from pomelobarrow.decision.members.member import ListedVm
@@ -22,6 +22,11 @@
 from pomelobarrow.peers.hand_over import adopt_message
 from pomelobarrow.peers.keys import PeerKeys
 from pomelobarrow.peers.links import StreamFactory
+from pomelobarrow.peers.message_size import (
+    MAX_FORWARD_OVERHEAD_BYTES,
+    MAX_MESSAGE_BYTES,
+    BoundedServer,
+)
 from pomelobarrow.peers.peers_grpc import PeerBase
 from pomelobarrow.peers.streams import AcceptedStreams
 
@@ -136,7 +141,10 @@
         super().__init__()
         self._listen = context.settings.peers.listen
         self._handlers = handlers
-        self._server = Server([handlers])
+        self._server = BoundedServer([handlers])
+        # Forwarded requests may be as long as those of callers.
+        longest_bytes = context.settings.callers.max_body_bytes + MAX_FORWARD_OVERHEAD_BYTES
+        self._server.max_message_bytes = max(MAX_MESSAGE_BYTES, longest_bytes)
 
     async def on_start(self) -> None:
         """Open the listening socket."""
--- /dev/null
+++ b/tests/test_peer_message_size.py
@@ -0,0 +1,155 @@
+"""A peer that sends a message without end."""
+
+import asyncio
+import struct
+from collections.abc import AsyncIterator
+from contextlib import suppress
+from typing import Any
+
+import pytest
+from attrs import define, field
+from grpclib.client import Channel
+from grpclib.server import Server
+
+from harness.peer_handlers import PeerHandlersStub
+from harness.processes import free_ports
+from pomelobarrow.kernel.background import failure_observer
+from pomelobarrow.peers import peers_pb2 as pb
+from pomelobarrow.peers.calls import CONNECTION_ERRORS, SingleConnection
+from pomelobarrow.peers.message_size import (
+    BoundedServer,
+    MessageTooLongError,
+    PeerMessageTooLong,
+)
+from pomelobarrow.peers.peers_grpc import PeerStub
+
+HOST = "127.0.0.1"
+BOUND_BYTES = 1 << 20
+# What the windows of a connection and the sockets of both ends hold.
+IN_TRANSIT_BYTES = 20 << 20
+ENOUGH_BYTES = 64 << 20
+# A message's length is stated in 32 bits.
+ENDLESS = struct.pack("?", False) + struct.pack(">I", 2**32 - 1)
+SEND_ERRORS = (*CONNECTION_ERRORS, AttributeError)
+
+
+@define
+class Sent:
+    """Count what was sent of a message without end."""
+
+    sent_bytes: int = 0
+
+    async def send(self, stream: Any) -> None:
+        """Send until the connection is closed."""
+        block = ENDLESS
+        try:
+            while self.sent_bytes < ENOUGH_BYTES:
+                await stream._stream.send_data(block)
+                self.sent_bytes += len(block)
+                block = bytes(65_536)
+        except SEND_ERRORS:
+            return
+
+
+@define(eq=False)
+class Peer(PeerHandlersStub):
+    """Read what is sent in Exchange, and answer Cancel and Resume with a message without end."""
+
+    sent: Sent = field(factory=Sent)
+    received: list[object] = field(factory=list)
+    errors: list[Exception] = field(factory=list)
+    ended: asyncio.Event = field(factory=asyncio.Event)
+
+    async def Exchange(self, stream: Any) -> None:  # noqa: N802
+        try:
+            while (message := await stream.recv_message()) is not None:
+                self.received.append(message)
+        except CONNECTION_ERRORS as error:
+            self.errors.append(error)
+        finally:
+            self.ended.set()
+
+    async def Cancel(self, stream: Any) -> None:  # noqa: N802
+        await self._answer(stream)
+
+    async def Resume(self, stream: Any) -> None:  # noqa: N802
+        await self._answer(stream)
+
+    async def _answer(self, stream: Any) -> None:
+        await stream.recv_message()
+        await stream.send_initial_metadata()
+        try:
+            await self.sent.send(stream)
+        finally:
+            self.ended.set()
+
+
+@define
+class Connected:
+    peer: Peer
+    server: Server
+    channel: Channel
+    events: list[object]
+
+
+@pytest.fixture
+async def connected() -> AsyncIterator[Connected]:
+    events: list[object] = []
+    failure_observer.set(events.append)
+    (port,) = free_ports(1)
+    peer = Peer()
+    server = BoundedServer([peer])
+    server.max_message_bytes = BOUND_BYTES
+    channel = SingleConnection(HOST, port)
+    channel.max_message_bytes = BOUND_BYTES
+    await server.start(HOST, port)
+    yield Connected(peer, server, channel, events)
+    channel.close()
+    server.close()
+    await server.wait_closed()
+
+
+async def test_message_without_end_of_a_dialing_peer_ends_its_connection(
+    connected: Connected,
+) -> None:
+    """Guards against a VM whose memory fills with one message of up to 4 GiB."""
+    sent = Sent()
+    with suppress(*SEND_ERRORS):
+        async with PeerStub(connected.channel).Exchange.open() as stream:
+            await stream.send_message(pb.PeerMessage(closing=pb.Closing()))
+            sending = asyncio.create_task(sent.send(stream))
+            ended = asyncio.create_task(connected.peer.ended.wait())
+            await asyncio.wait([sending, ended], return_when=asyncio.FIRST_COMPLETED)
+            sending.cancel()
+            connected.channel.close()
+    assert sent.sent_bytes <= BOUND_BYTES + IN_TRANSIT_BYTES
+    assert connected.peer.received == [pb.PeerMessage(closing=pb.Closing())]
+    assert [type(error) for error in connected.peer.errors] == [MessageTooLongError]
+    (event,) = connected.events
+    assert isinstance(event, PeerMessageTooLong)
+    assert (event.stated_bytes, event.max_bytes) == (2**32 - 1, BOUND_BYTES)
+
+
+@pytest.mark.parametrize("method", ["Cancel", "Resume"])
+async def test_answer_without_end_of_a_peer_ends_the_connection(
+    connected: Connected, method: str
+) -> None:
+    """The same of a peer that was asked; calls with one answer have no stream of their own."""
+    stub = PeerStub(connected.channel)
+    call = {"Cancel": stub.Cancel, "Resume": stub.Resume}[method]
+    request = {"Cancel": pb.CancelRequest(), "Resume": pb.ResumeRequest()}[method]
+    with pytest.raises(CONNECTION_ERRORS):
+        await call(request)  # type: ignore[operator]
+    await connected.peer.ended.wait()
+    assert connected.peer.sent.sent_bytes <= BOUND_BYTES + IN_TRANSIT_BYTES
+    assert [type(event) for event in connected.events] == [PeerMessageTooLong]
+
+
+async def test_message_as_long_as_the_bound_is_read(connected: Connected) -> None:
+    """Guards against a bound that ends the connection of a sound peer."""
+    overhead_bytes = 64
+    leave = pb.Leave(vm="a" * (BOUND_BYTES - overhead_bytes))
+    async with PeerStub(connected.channel).Exchange.open() as stream:
+        await stream.send_message(pb.PeerMessage(leave=leave), end=True)
+        assert await stream.recv_message() is None
+    assert connected.peer.received == [pb.PeerMessage(leave=leave)]
