Close connections of clients whose requests have no end

What could happen: a client, or a peer on the hop, that sends empty lines before a request, an extension of a chunk, or a body past its limit keeps a VM reading: the first two for as long as they send, the last for 10 s after its 413.

Cause: aiohttp bounds header lines (128 of 16 KiB) and the body that is kept (client_max_size), and nothing else that a connection receives.

Change: a connection is closed when it has received eight times the largest body and 2 MiB since the last head; eight, as a chunk of one byte takes six. The three counters of inputs that are too long are one, by source.

--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -192,17 +192,11 @@
             "Items of the platform's store that can't be used; all others count.",
             ("keyspace",),
         )
-        self.peer_messages_too_long = CounterFamily(
+        self.inputs_too_long = CounterFamily(
             registry,
-            "pomelobarrow_peer_messages_too_long_total",
-            "Connections to peers that were closed for the stated length of a message.",
-            (),
-        )
-        self.store_answers_too_long = CounterFamily(
-            registry,
-            "pomelobarrow_store_answers_too_long_total",
-            "Answers of the platform's store that were given up after a number of bytes.",
-            (),
+            "pomelobarrow_inputs_too_long_total",
+            "Answers, messages and requests that were given up after a number of bytes.",
+            ("source",),
         )
         self.store_returns = CounterFamily(
             registry,
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -48,6 +48,7 @@
     RelayEnded,
     RelayNotPlaced,
     RelayPlaced,
+    RequestTooLong,
     ServerEjected,
     ServerReadmitted,
     StreamTakenUp,
@@ -78,6 +79,7 @@
             RelayPlaced: self._relay_placed,
             RelayNotPlaced: self._relay_not_placed,
             RelayDenied: self._relay_denied,
+            RequestTooLong: self._request_too_long,
             StreamTakenUp: self._stream_taken_up,
             RelayAttemptEnded: self._relay_attempt_ended,
             RelayEnded: self._relay_ended,
@@ -164,7 +166,7 @@
         self._log.warning("item can't be decoded", **event_fields(event))
 
     def _store_answer_too_long(self, event: StoreAnswerTooLong) -> None:
-        self._metrics.store_answers_too_long.inc()
+        self._metrics.inputs_too_long.inc("store")
         self._log.warning("store's answer too long", **event_fields(event))
 
     def _store_returned(self, event: StoreReturned) -> None:
@@ -196,6 +198,10 @@
         self._metrics.relay_denied.inc(event.kind)
         self._log.info("relay denied", **event_fields(event))
 
+    def _request_too_long(self, event: RequestTooLong) -> None:
+        self._metrics.inputs_too_long.inc(event.listener)
+        self._log.warning("request too long", **event_fields(event))
+
     def _stream_taken_up(self, event: StreamTakenUp) -> None:
         self._metrics.streams_taken_up.inc(event.source)
         self._log.info("stream taken up", **event_fields(event))
@@ -276,7 +282,7 @@
         )
 
     def _peer_message_too_long(self, event: PeerMessageTooLong) -> None:
-        self._metrics.peer_messages_too_long.inc()
+        self._metrics.inputs_too_long.inc("peer stream")
         self._log.warning("peer message too long", **event_fields(event))
 
 
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -172,3 +172,10 @@
     first_answer_s: float | None
     # What missed its target: "first answer", "pause", both or nothing.
     late_by: str
+
+
+@frozen(kw_only=True)
+class RequestTooLong:
+    """Report a connection that was closed because a request on it had no end."""
+
+    listener: str
--- a/src/pomelobarrow/relay/http_server.py
+++ b/src/pomelobarrow/relay/http_server.py
@@ -1,19 +1,59 @@
 """Accept HTTP connections; what a malformed request contains reaches no log and no answer."""
 
+from collections.abc import Callable
+from typing import Any
+
 import structlog
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
 
 log = structlog.get_logger(__name__)
 
+# A chunk of one byte takes six bytes.
+MAX_FRAMING_FACTOR = 8
+# 128 header lines of 16 KiB each, and the request line.
+MAX_HEAD_BYTES = (2 << 20) + (16 << 10)
+
+
+def max_request_bytes(max_body_bytes: int) -> int:
+    """Return how many bytes a connection receives at most from one head to the next."""
+    return MAX_HEAD_BYTES + MAX_FRAMING_FACTOR * max_body_bytes
+
 
 class _RequestHandler(web.RequestHandler):
-    """Reject requests that can't be parsed without a quote of them.
+    """Reject requests that can't be parsed without a quote of them, and those without end.
 
     aiohttp logs the line that it could not parse and sends it back. That line may be the header
-    with an account's key.
+    with an account's key. It bounds heads and bodies, but not chunk extensions, empty lines before
+    a request and what follows a rejected head.
     """
 
+    def __init__(
+        self,
+        manager: web.Server,
+        *,
+        max_bytes: int,
+        on_too_long: Callable[[], None],
+        **options: Any,
+    ) -> None:
+        super().__init__(manager, **options)
+        self._max_bytes = max_bytes
+        self._on_too_long = on_too_long
+        self._bytes_since_head = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrives; close the connection if a request has no end."""
+        heads_before = self._request_count
+        super().data_received(data)
+        if self._request_count != heads_before:
+            self._bytes_since_head = 0
+            return
+        self._bytes_since_head += len(data)
+        if self._bytes_since_head > self._max_bytes and self.transport is not None:
+            self._on_too_long()
+            self.transport.abort()
+            self.force_close()
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -33,6 +73,24 @@
 class HttpServer(web.Server):
     """Create a connection handler for each connection."""
 
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], Any],
+        *,
+        max_body_bytes: int,
+        on_too_long: Callable[[], None],
+        **options: Any,
+    ) -> None:
+        super().__init__(handler, **options)
+        self._max_bytes = max_request_bytes(max_body_bytes)
+        self._on_too_long = on_too_long
+
     def __call__(self) -> web.RequestHandler:
         """Return the handler of a new connection."""
-        return _RequestHandler(self, loop=self._loop, **self._kwargs)
+        return _RequestHandler(
+            self,
+            loop=self._loop,
+            max_bytes=self._max_bytes,
+            on_too_long=self._on_too_long,
+            **self._kwargs,
+        )
--- a/src/pomelobarrow/relay/listeners.py
+++ b/src/pomelobarrow/relay/listeners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import structlog
 from aiohttp import web
@@ -10,6 +11,7 @@
 
 from pomelobarrow.callers.server import flush
 from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.relay.events import RequestTooLong
 from pomelobarrow.relay.front import request_factory
 from pomelobarrow.relay.http_server import HttpServer
 
@@ -44,8 +46,14 @@
 class RelayListeners(Service):
     """Open and close the listening sockets."""
 
-    def __init__(self, listeners: tuple[Listener, ...], in_progress: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        listeners: tuple[Listener, ...],
+        in_progress: Callable[[], int],
+        observe: Callable[[object], None] = lambda event: None,
+    ) -> None:
         super().__init__()
+        self._observe = observe
         self._listeners = listeners
         self._in_progress = in_progress
         self._opened: list[_OpenListener] = []
@@ -58,6 +66,8 @@
             # slot of its backend server.
             server = HttpServer(
                 listener.handler,
+                max_body_bytes=listener.max_body_bytes,
+                on_too_long=partial(self._observe, RequestTooLong(listener=listener.name)),
                 handler_cancellation=True,
                 request_factory=request_factory(listener.max_body_bytes, loop),
                 access_log=None,
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -245,4 +245,5 @@
             Listener(name="directory", address=settings.directory_listen, handler=directory.answer),
         ),
         in_progress=lambda: context.get(Relay).in_progress,
+        observe=context.observe,
     )
