Refuse relayed requests whose bodies don't arrive in their time

What could happen: a client that sends a head and a part of its body keeps its connection and that part of a VM's memory, up to 4 MiB each, for as long as it likes; a planned stop waits for it.

Cause: the relay read bodies without a time; the product's own interface has one.

Evidence: test_request_whose_body_never_ends_is_refused_when_its_time_ends failed before, by the limit of the route and of the client: no answer in 20 s.

Change: both interfaces read bodies with the same function: until the request's deadline, at the latest 60 s. It did not run, so that 408 is right for requests of every kind.

--- a/src/pomelobarrow/callers/bodies.py
+++ b/src/pomelobarrow/callers/bodies.py
@@ -14,7 +14,7 @@
 BODY_TIMEOUT_S = 60.0
 
 
-async def read_body(request: web.Request, deadline_unix_s: float) -> Result[bytes, Refusal]:
+async def read_body(request: web.BaseRequest, deadline_unix_s: float) -> Result[bytes, Refusal]:
     """Return the body as it was sent, without decompressing it."""
     if (request.content_length or 0) > request.client_max_size:
         return Err(_too_large(request))
@@ -49,7 +49,7 @@
     )
 
 
-def _too_large(request: web.Request) -> Refusal:
+def _too_large(request: web.BaseRequest) -> Refusal:
     return refuse(
         ErrorKind.BODY_TOO_LARGE,
         RunStatus.NO,
--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -8,6 +8,7 @@
 from attrs import define, evolve, field
 from result import Err, Ok, Result
 
+from pomelobarrow.callers.bodies import read_body
 from pomelobarrow.callers.headers import check_text
 from pomelobarrow.decision.accounts.access import Admission
 from pomelobarrow.decision.admission.stream_admission import MIN_RETRY_AFTER_S
@@ -105,7 +106,7 @@
         checked = self.access.check(routing, route, head, forwarded_by)
         if isinstance(checked, Err):
             return checked
-        body = await _read_body(incoming)
+        body = await read_body(incoming, accepted_unix_s + _time_limit_s(head, route))
         if isinstance(body, Err):
             return body
         pool = checked.ok_value.route.choose_pool(self.relay.rng)
@@ -198,9 +199,6 @@
     def _work(
         self, head: RequestHead, route: Route, account: str, pool: str, accepted_unix_s: float
     ) -> Work:
-        time_limit_s = route.timeout_s
-        if head.time_limit_s is not None:
-            time_limit_s = min(head.time_limit_s, time_limit_s)
         return Work(
             request_id=head.request_id,
             class_name=route.name,
@@ -217,7 +215,7 @@
             shared_tokens=head.shared_tokens,
             accepted_unix_s=accepted_unix_s,
             first_token_due_unix_s=accepted_unix_s + route.first_answer_target_s,
-            deadline_unix_s=accepted_unix_s + time_limit_s,
+            deadline_unix_s=accepted_unix_s + _time_limit_s(head, route),
             gap_target_s=route.gap_target_s if route.is_stream else 0.0,
         )
 
@@ -230,16 +228,10 @@
         return sink.response or _closed(incoming)
 
 
-async def _read_body(incoming: web.BaseRequest) -> Result[bytes, Refusal]:
-    try:
-        return Ok(await incoming.read() if incoming.can_read_body else b"")
-    except web.HTTPRequestEntityTooLarge:
-        detail = "the request body is too large"
-        return Err(
-            refuse(ErrorKind.BODY_TOO_LARGE, RunStatus.NO, detail, remedy="send a smaller body")
-        )
-    except web.RequestPayloadError:
-        return Err(_malformed("the framing of the request body is invalid"))
+def _time_limit_s(head: RequestHead, route: Route) -> float:
+    """Return the time that a request may take; a client may ask for less than its route allows."""
+    stated_s = head.time_limit_s
+    return route.timeout_s if stated_s is None else min(stated_s, route.timeout_s)
 
 
 def _path(target: str) -> str:
--- a/tests/test_relay_request_time.py
+++ b/tests/test_relay_request_time.py
@@ -4,7 +4,7 @@
 
 import pytest
 from attrs import define
-from relay_harness import RelayFleet, ask, relay_fleet, route
+from relay_harness import HOST, RelayFleet, RelayVm, ask, relay_fleet, route
 from scripted_server import Exchange
 
 from pomelobarrow.backends.server_watch import ServerWatch
@@ -17,6 +17,8 @@
 QUICK = route(RouteKind.NON_IDEMPOTENT, timeout_s=0.3)
 SLOW = route(RouteKind.NON_IDEMPOTENT, timeout_s=5.0)
 DEADLINE_HEADER = "Pomelobarrow-Request-Deadline"
+# Only a connection that is held for good takes this long.
+GIVE_UP_S = 20.0
 
 
 @define
@@ -85,3 +87,30 @@
         await ask(fleet.vms["a"], "/non_idempotent/")
         ends = [e.end for e in fleet.vms["a"].events if isinstance(e, RelayAttemptEnded)]
     assert ends == ["cancelled"]
+
+
+async def send_half_a_body(vm: RelayVm, deadline_ms: str) -> bytes:
+    """Return the head of the answer to a request whose body never ends."""
+    reader, writer = await asyncio.open_connection(vm.host, vm.front_port)
+    headers = {"Host": HOST, "Pomelobarrow-Request-Id": "1", DEADLINE_HEADER: deadline_ms}
+    lines = [f"{name}: {value}" for name, value in (headers | {"Content-Length": "10"}).items()]
+    head = "\r\n".join(["POST /non_idempotent/ HTTP/1.1", *lines, "", ""])
+    writer.write(f"{head}half".encode())
+    answer = await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+    return answer
+
+
+@pytest.mark.parametrize(
+    ("limit", "deadline_ms"), [(QUICK, "3000"), (SLOW, "300")], ids=["route", "client"]
+)
+async def test_request_whose_body_never_ends_is_refused_when_its_time_ends(
+    limit, deadline_ms
+) -> None:
+    """Guards against connections and parts of bodies that clients hold for good."""
+    async with relay_fleet((limit,), {"a": {"s1": runs_and_loses_the_answer}}) as fleet:
+        async with asyncio.timeout(GIVE_UP_S):
+            head = await send_half_a_body(fleet.vms["a"], deadline_ms)
+        runs = len(fleet.servers["s1"].received)
+    assert head.startswith(b"HTTP/1.1 408")
+    assert runs == 0
