--- a/src/pomelobarrow/operators/metrics.py
+++ b/src/pomelobarrow/operators/metrics.py
@@ -198,6 +198,12 @@
             "Items of the platform's store that can't be used; all others count.",
             ("keyspace",),
         )
+        self.inputs_too_long = CounterFamily(
+            registry,
+            "pomelobarrow_inputs_too_long_total",
+            "Answers, messages and requests that were given up after a number of bytes.",
+            ("source",),
+        )
         self.store_returns = CounterFamily(
             registry,
             "pomelobarrow_store_returns_total",
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -30,6 +30,7 @@
 from pomelobarrow.operators.metrics import Metrics
 from pomelobarrow.operators.traces import Traces
 from pomelobarrow.peers.events import MemberLivenessChanged, PeerRefused, ProcessPauseDetected
+from pomelobarrow.peers.message_size import PeerMessageTooLong
 from pomelobarrow.published.events import (
     ItemUnreadable,
     KeyspaceApplied,
@@ -37,6 +38,7 @@
     PlatformReachable,
     PlatformUnreachable,
     ServerLeaving,
+    StoreAnswerTooLong,
     StoreReturned,
 )
 from pomelobarrow.relay.events import (
@@ -46,6 +48,7 @@
     RelayEnded,
     RelayNotPlaced,
     RelayPlaced,
+    RequestTooLong,
     ServerEjected,
     ServerReadmitted,
     StreamTakenUp,
@@ -68,6 +71,7 @@
             KeyspaceApplied: self._keyspace_applied,
             KeyspaceRefused: self._keyspace_refused,
             ItemUnreadable: self._item_unreadable,
+            StoreAnswerTooLong: self._store_answer_too_long,
             StoreReturned: self._store_returned,
             PlatformUnreachable: self._platform_unreachable,
             PlatformReachable: self._platform_reachable,
@@ -75,6 +79,7 @@
             RelayPlaced: self._relay_placed,
             RelayNotPlaced: self._relay_not_placed,
             RelayDenied: self._relay_denied,
+            RequestTooLong: self._request_too_long,
             StreamTakenUp: self._stream_taken_up,
             RelayAttemptEnded: self._relay_attempt_ended,
             RelayEnded: self._relay_ended,
@@ -91,6 +96,7 @@
             RequestBlocked: self._request_blocked,
             ServerReadmitted: self._server_readmitted,
             PeerRefused: self._peer_refused,
+            PeerMessageTooLong: self._peer_message_too_long,
             MemberLivenessChanged: self._member_liveness_changed,
             DirectoryChanged: self._directory_changed,
             StepFailed: self._step_failed,
@@ -159,6 +165,10 @@
         self._metrics.unreadable_items.inc(event.keyspace)
         self._log.warning("item can't be decoded", **event_fields(event))
 
+    def _store_answer_too_long(self, event: StoreAnswerTooLong) -> None:
+        self._metrics.inputs_too_long.inc("store")
+        self._log.warning("store's answer too long", **event_fields(event))
+
     def _store_returned(self, event: StoreReturned) -> None:
         self._metrics.store_returns.inc()
         self._log.warning("store came back from an older copy", **event_fields(event))
@@ -188,6 +198,10 @@
         self._metrics.relay_denied.inc(event.kind)
         self._log.info("relay denied", **event_fields(event))
 
+    def _request_too_long(self, event: RequestTooLong) -> None:
+        self._metrics.inputs_too_long.inc(event.listener)
+        self._log.warning("request too long", **event_fields(event))
+
     def _stream_taken_up(self, event: StreamTakenUp) -> None:
         self._metrics.streams_taken_up.inc(event.source)
         self._log.info("stream taken up", **event_fields(event))
@@ -271,6 +285,10 @@
             "call refused", path=event.path, remedy="give both VMs the same peers.keys"
         )
 
+    def _peer_message_too_long(self, event: PeerMessageTooLong) -> None:
+        self._metrics.inputs_too_long.inc("peer stream")
+        self._log.warning("peer message too long", **event_fields(event))
+
 
 @hookimpl
 def provide_parts(context: Context) -> None:
