--- a/src/pomelobarrow/callers/bodies.py
+++ b/src/pomelobarrow/callers/bodies.py
@@ -18,8 +18,11 @@
     """Return the body as it was sent, without decompressing it."""
     if (request.content_length or 0) > request.client_max_size:
         return Err(_too_large(request))
-    timeout_s = min(BODY_TIMEOUT_S, deadline_unix_s - now_unix_s())
     try:
+        # Most bodies arrive together with their heads.
+        if request.content.is_eof():
+            return Ok(await request.read())
+        timeout_s = min(BODY_TIMEOUT_S, deadline_unix_s - now_unix_s())
         async with asyncio.timeout(max(0.0, timeout_s)):
             return Ok(await request.read())
     except web.HTTPRequestEntityTooLarge:
--- a/src/pomelobarrow/decision/published/keyspace.py
+++ b/src/pomelobarrow/decision/published/keyspace.py
@@ -15,14 +15,20 @@
 while those of the new era are an older version of them, until the operator publishes again.
 """
 
-import bisect
 from collections.abc import Mapping, Sequence
 from types import MappingProxyType
 from typing import Any
 
 from attrs import define, field
 
-from pomelobarrow.decision.published.keyspace_batch import BatchReader, Entry, PartialBatch, merge
+from pomelobarrow.decision.published.keyspace_batch import (
+    BatchReader,
+    ChangeLog,
+    Entry,
+    PartialBatch,
+    merge,
+    oldest_deletions,
+)
 from pomelobarrow.decision.published.keyspace_types import (
     ApplyOutcome,
     ApplyResult,
@@ -38,7 +44,6 @@
 
 DIGEST_MASK = 2**64 - 1
 TOMBSTONES_KEPT = 4_096
-LOG_SLACK = 64
 
 
 @define
@@ -73,7 +78,7 @@
     # Keys whose observed value may differ from the one in force.
     _unapplied_keys: set[str] = field(factory=set, init=False, repr=False)
     # Sorted (revision, key) pairs; a pair is stale and skipped if its key has changed since.
-    _log: list[tuple[int, str]] = field(factory=list, init=False, repr=False)
+    _log: ChangeLog = field(factory=ChangeLog, init=False, repr=False)
     _tombstones: int = field(default=0, init=False)
     _partial: PartialBatch | None = field(default=None, init=False, repr=False)
     # The revision observed before a restart; older heads are rejected.
@@ -229,8 +234,7 @@
         if is_return(revision, self.observed_revision):
             revision = 0
         after = revision if revision == 0 else max(revision, self.tombstone_floor)
-        start = bisect.bisect_right(self._log, (after, chr(0x10FFFF)))
-        items = ((at, self._entries.get(key)) for at, key in self._log[start:])
+        items = ((at, self._entries.get(key)) for at, key in self._log.after(after))
         current = (entry.change for at, entry in items if entry and entry.change.revision == at)
         return Delta(
             name=self.name,
@@ -272,12 +276,8 @@
     def _accumulate(
         self, batch: list[Entry], after_revision: int, head_revision: int
     ) -> ApplyResult:
-        partial = self._partial or PartialBatch(self.observed_revision)
-        merge(partial.batch, batch)
-        last_revision = max((entry.change.revision for entry in batch), default=after_revision)
-        partial.received_revision = max(partial.received_revision, last_revision)
-        partial.head_revision = max(partial.head_revision, head_revision)
-        self._partial = partial
+        self._partial = self._partial or PartialBatch(self.observed_revision)
+        self._partial.add(batch, after_revision, head_revision)
         return ApplyResult(outcome=ApplyOutcome.INCOMPLETE)
 
     def _complete(self, batch: list[Entry], after_revision: int, head_revision: int) -> ApplyResult:
@@ -302,7 +302,7 @@
             self.tombstone_floor = head_revision
         for entry in newer:
             self._store(entry)
-        self._append_to_log(newer)
+        self._log.add(newer, self._entries)
         self.observed_revision = head_revision
         self.awaits_all = False
         self._partial = None
@@ -346,29 +346,15 @@
         del self._observed_values[key]
         self.digest = (self.digest - old.fingerprint) & DIGEST_MASK
 
-    def _append_to_log(self, newer: list[Entry]) -> None:
-        added = sorted((entry.change.revision, entry.change.key) for entry in newer)
-        in_order = not self._log or not added or self._log[-1] <= added[0]
-        self._log.extend(added)
-        if not in_order or len(self._log) > 2 * len(self._entries) + LOG_SLACK:
-            self._rebuild_log()
-
-    def _rebuild_log(self) -> None:
-        self._log = sorted((entry.change.revision, key) for key, entry in self._entries.items())
-
     def _prune(self) -> None:
         # VMs are replaced continuously, so tombstones would accumulate without a limit. A copy that
         # is behind the floor receives a gap and restarts with a full delta.
         if self._tombstones <= self.tombstones_kept:
             return
-        tombstones = [
-            entry.change for entry in self._entries.values() if entry.change.value is None
-        ]
-        tombstones.sort(key=lambda change: change.revision)
-        for change in tombstones[: len(tombstones) - self.tombstones_kept // 2]:
+        for change in oldest_deletions(self._entries.values(), self.tombstones_kept // 2):
             self._forget(change.key)
             self.tombstone_floor = max(self.tombstone_floor, change.revision)
-        self._rebuild_log()
+        self._log.rebuild(self._entries)
 
     def put_in_force(self) -> ApplyResult:
         """Put the observed values in force, unless there are none or they are held back."""
--- a/src/pomelobarrow/decision/published/keyspace_batch.py
+++ b/src/pomelobarrow/decision/published/keyspace_batch.py
@@ -1,12 +1,16 @@
 """Batches of changes that a copy of a keyspace observes."""
 
-from collections.abc import Callable, Iterable
+import bisect
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from attrs import define, evolve, field, frozen
 
 from pomelobarrow.decision.published.keyspace_types import Change, fingerprint
 
+# The replaced changes that the log may hold beyond as many as there are keys.
+LOG_SLACK = 64
+
 
 @frozen
 class Entry:
@@ -29,6 +33,40 @@
     head_revision: int = 0
     batch: dict[str, Entry] = field(factory=dict)
 
+    def add(self, page: list[Entry], after_revision: int, head_revision: int) -> None:
+        """Add a page that was requested after a revision."""
+        merge(self.batch, page)
+        last_revision = max((entry.change.revision for entry in page), default=after_revision)
+        self.received_revision = max(self.received_revision, last_revision)
+        self.head_revision = max(self.head_revision, head_revision)
+
+
+@define
+class ChangeLog:
+    """List the changed keys in the order of their revisions, replaced changes included."""
+
+    _changes: list[tuple[int, str]] = field(factory=list, init=False)
+
+    def after(self, revision: int) -> list[tuple[int, str]]:
+        """Return the revisions and the keys of the changes after a revision."""
+        return self._changes[bisect.bisect_right(self._changes, (revision, chr(0x10FFFF))) :]
+
+    def add(self, newer: Iterable[Entry], entries: Mapping[str, Entry]) -> None:
+        """Add changes; `entries` are the last ones of all keys."""
+        added = sorted((entry.change.revision, entry.change.key) for entry in newer)
+        in_order = not self._changes or not added or self._changes[-1] <= added[0]
+        self._changes.extend(added)
+        if not in_order or len(self._changes) > 2 * len(entries) + LOG_SLACK:
+            self.rebuild(entries)
+
+    def rebuild(self, entries: Mapping[str, Entry]) -> None:
+        """List the last changes only."""
+        self._changes = sorted((entry.change.revision, key) for key, entry in entries.items())
+
+    def clear(self) -> None:
+        """Remove all changes."""
+        self._changes.clear()
+
 
 @define(kw_only=True)
 class BatchReader:
@@ -76,3 +114,10 @@
         old = into.get(entry.change.key)
         if old is None or entry.order > old.order:
             into[entry.change.key] = entry
+
+
+def oldest_deletions(entries: Iterable[Entry], kept: int) -> list[Change]:
+    """Return all deletions but the newest ones, of which this many are kept."""
+    deletions = [entry.change for entry in entries if entry.change.value is None]
+    deletions.sort(key=lambda change: change.revision)
+    return deletions[: len(deletions) - kept]
--- a/src/pomelobarrow/decision/streams/server_sent_events.py
+++ b/src/pomelobarrow/decision/streams/server_sent_events.py
@@ -66,12 +66,13 @@
         else:
             *parts, rest = data.split(b"\n\n")
             events = [event + b"\n\n" for event in parts]
-        self._partial += rest
-        self._check_size()
+        if rest:
+            self._partial += rest
+            self._check_size()
         return events
 
     def _check_size(self) -> None:
-        if len(self._partial) > self.max_event_bytes:
+        if self.held_bytes > self.max_event_bytes:
             raise EventTooLargeError(f"an event exceeds {self.max_event_bytes} bytes")
 
 
@@ -101,13 +102,7 @@
 
 def _values(event: bytes, name: bytes) -> list[bytes]:
     """Return the values of all fields of a name."""
-    values = []
-    size = len(name)
-    for line in event.removeprefix(_BYTE_ORDER_MARK).splitlines():
-        # Most lines are told apart without a call.
-        if line[:size] != name:
-            continue
-        found, _, value = line.partition(b":")
-        if found == name:
-            values.append(value.removeprefix(b" "))
-    return values
+    if event[:1] == _BYTE_ORDER_MARK[:1]:
+        event = event.removeprefix(_BYTE_ORDER_MARK)
+    fields = [line.partition(b":") for line in event.splitlines() if line[:2] == name[:2]]
+    return [value.removeprefix(b" ") for found, _, value in fields if found == name]
--- a/src/pomelobarrow/decision/streams/stream_position.py
+++ b/src/pomelobarrow/decision/streams/stream_position.py
@@ -60,7 +60,7 @@
         """Expect the events of the next run, which was asked to go on after the last event."""
         self.run = StreamRun()
         self._repeatable = deque(self._unidentified)
-        self.is_join_checked = not self.last_event_id
+        self.is_join_checked = not self.last_id
 
     def select_new(self, events: Sequence[bytes]) -> Sequence[bytes]:
         """Return the events of a run whose join isn't checked that the client does not have.
@@ -134,7 +134,7 @@
 
 def header_value(id_: bytes) -> str:
     """Return an id as a header carries it; empty if no header can."""
-    if len(id_) > MAX_ID_BYTES:
+    if not id_ or len(id_) > MAX_ID_BYTES:
         return ""
     try:
         return id_.decode()
