Take no proof from an answer of the store that arrives during a stop

What could happen: a VM that stops ignores a watch's answer, which may hold a revoked key, and still recorded that its configuration had been the newest when the watch was sent. VMs that ask it for its proof at that moment run requests with that key for as long as the proof counts. Not seen on running daemons.

Cause: an answer that isn't applied was reported as one without changes.

Evidence: test_answer_that_arrives_during_a_stop_proves_nothing failed before: a newer proof of revision 1 after an answer with revision 2.

Change: it counts as a failed read.

--- a/src/pomelobarrow/published/watcher.py
+++ b/src/pomelobarrow/published/watcher.py
@@ -169,8 +169,9 @@
         return self._apply_result(name, 0, result)
 
     def _apply_result(self, name: str, after: int, result: Result[Page, ReadError]) -> ReadResult:
+        # What isn't applied proves nothing about the configuration that is known here.
         if self.should_stop:
-            return ReadResult.NO_CHANGES
+            return ReadResult.FAILED
         if isinstance(result, Err):
             self._record_failure(result.err_value)
             return ReadResult.FAILED
