Send an engine its orders again after it has started again under its name

What callers would see: an engine that restarts quickly, so that its entry of the list changes and never goes, loads and serves no model until the configuration's orders change or another VM owns it. Not seen on running daemons.

Cause: accepted orders and fencing numbers were kept by the engine's name, not by its incarnation.

Evidence: test_engine_that_restarts_under_its_name_gets_its_orders_again and test_answer_of_an_engines_previous_process_says_nothing_about_the_next_one failed before: no orders were due for the next process.

Change: a record of another incarnation is dropped; the new one waits for older orders to expire, as with a new owner.

--- a/src/pomelobarrow/decision/requests/orders.py
+++ b/src/pomelobarrow/decision/requests/orders.py
@@ -84,6 +84,7 @@
 
 @define
 class _Engine:
+    incarnation: str
     owned_since_unix_s: float
     highest_seen: int = 0
     done: tuple[Order, ...] | None = None
@@ -102,8 +103,8 @@
         """Return the orders to send now; a newly owned engine waits until older orders expired."""
         servers = {server.name: server for server in owned}
         self._engines = {
-            name: self._engines.get(name) or _Engine(now_unix_s + ORDER_LIFETIME_S)
-            for name in servers
+            name: self._of_incarnation(server) or _new_engine(server, now_unix_s)
+            for name, server in servers.items()
         }
         found = (self._due(server, configuration, now_unix_s) for server in servers.values())
         return [each for each in found if each is not None]
@@ -115,11 +116,16 @@
 
     def observe_accepted(self, sent: FencedOrders) -> None:
         """Record that an engine accepted the orders."""
-        engine = self._engines.get(sent.server.name)
+        engine = self._of_incarnation(sent.server)
         if engine is not None:
             engine.done = sent.orders
             engine.highest_seen = max(engine.highest_seen, sent.fencing)
 
+    def _of_incarnation(self, server: BackendServer) -> _Engine | None:
+        """Return the record of an engine, None if that is of another process under its name."""
+        engine = self._engines.get(server.name)
+        return engine if engine is not None and engine.incarnation == server.incarnation else None
+
     def observe_highest_fencing(self, server: str, highest_seen: int) -> None:
         """Record the highest fencing number that an engine reports."""
         engine = self._engines.get(server)
@@ -146,3 +152,7 @@
             expires_unix_s=now_unix_s + ORDER_LIFETIME_S,
             orders=orders,
         )
+
+
+def _new_engine(server: BackendServer, now_unix_s: float) -> _Engine:
+    return _Engine(server.incarnation, now_unix_s + ORDER_LIFETIME_S)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -95,3 +95,27 @@
     assert not server.checks_fencing or not first.due(
         [server], configuration("v1", 2), 9 * ORDER_LIFETIME_S
     )
+
+
+def test_engine_that_restarts_under_its_name_gets_its_orders_again():
+    """Guards against an engine that serves no model, as its previous process had accepted all."""
+    book, published = OrderBook(), configuration("v1", 2)
+    restarted = evolve(CHECKING, born_unix_ms=1_000)
+    book.due([CHECKING], published, 0.0)
+    (sent,) = book.due([CHECKING], published, ORDER_LIFETIME_S)
+    book.observe_accepted(sent)
+    assert book.due([CHECKING], published, 2 * ORDER_LIFETIME_S) == []
+    assert book.due([restarted], published, 2 * ORDER_LIFETIME_S) == []
+    (again,) = book.due([restarted], published, 3 * ORDER_LIFETIME_S)
+    assert again.orders == sent.orders
+
+
+def test_answer_of_an_engines_previous_process_says_nothing_about_the_next_one():
+    """Guards against orders that count as accepted by a process that never got them."""
+    book, published = OrderBook(), configuration("v1", 2)
+    restarted = evolve(CHECKING, born_unix_ms=1_000)
+    book.due([CHECKING], published, 0.0)
+    (sent,) = book.due([CHECKING], published, ORDER_LIFETIME_S)
+    book.due([restarted], published, ORDER_LIFETIME_S)
+    book.observe_accepted(sent)
+    assert book.due([restarted], published, 2 * ORDER_LIFETIME_S)
