Take load reports at once after a server's clock was set back

What could happen: the VMs of a region have no load of such a server from its reports until 32 of them have come (32 s and more) or its clock has caught up; they place requests by their own counts.

Cause: the order of reports by the server's clock, corrected by the smallest lag of the last 32.

Evidence: test_reports_count_at_once_after_a_servers_clock_was_set_back failed before in its six cases: with a clock set back by 10 s, reports of the next 10 s were dated before the last one.

--- a/src/pomelobarrow/decision/servers/report_clock.py
+++ b/src/pomelobarrow/decision/servers/report_clock.py
@@ -23,7 +23,12 @@
 
     def local_unix_s(self, measured_unix_s: float, received_unix_s: float) -> float:
         """Return the time of measurement by the local clock."""
-        self._lags_s.append(received_unix_s - measured_unix_s)
+        lag_s = received_unix_s - measured_unix_s
+        # The server's clock was set back; by the lags before, reports would seem older than the
+        # last one until they have left the window.
+        if self._lags_s and lag_s > min(self._lags_s) + MAX_PLAUSIBLE_LAG_S:
+            self._lags_s.clear()
+        self._lags_s.append(lag_s)
         smallest_s = min(self._lags_s)
         if 0.0 <= smallest_s <= MAX_PLAUSIBLE_LAG_S:
             return measured_unix_s
