Don't take a transfer coding other than chunks for a mark of the end

What callers saw: an answer with `Transfer-Encoding: identity` (or gzip) ends with its connection, like one without any framing. From a server that was killed it was passed on as complete: a stream before its last event, a part of a whole answer. Logs named its end "chunks".

Cause: body_end looked whether the header is there, not how the body was read. Change: the parser says whether it reads chunks.

test_other_transfer_codings_than_chunks_mark_no_end failed before (two of four events, complete) and passes.

--- a/src/pomelobarrow/backends/single_use.py
+++ b/src/pomelobarrow/backends/single_use.py
@@ -76,11 +76,13 @@
     status: int
     headers: CIMultiDictProxy[str]
     content: aiohttp.StreamReader
+    is_chunked: bool
 
     @property
     def body_end(self) -> BodyEnd:
         """Return what marks the end of the body."""
-        if "Transfer-Encoding" in self.headers:
+        # Other transfer codings mark no end.
+        if self.is_chunked:
             return BodyEnd.CHUNKS
         has_length = "Content-Length" in self.headers or self.status in BODILESS_STATUSES
         return BodyEnd.LENGTH if has_length else BodyEnd.CONNECTION
@@ -108,7 +110,12 @@
         except BROKEN_CONNECTION_ERRORS as error:
             raise BrokenConnectionError(repr(error)) from error
         content.on_eof(self.close)
-        return ResponseHead(status=message.code, headers=message.headers, content=content)
+        return ResponseHead(
+            status=message.code,
+            headers=message.headers,
+            content=content,
+            is_chunked=message.chunked,
+        )
 
     @property
     def is_closed(self) -> bool:
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -193,11 +193,11 @@
     return script
 
 
-def is_killed_after(body: bytes) -> Script:
+def is_killed_after(body: bytes, **more: str) -> Script:
     """Answer without length and chunks, and end like a killed process: all its sockets close."""
 
     async def script(exchange: Exchange) -> None:
-        exchange.write_head(200, Content_Type="text/event-stream", Connection="close")
+        exchange.write_head(200, Content_Type="text/event-stream", Connection="close", **more)
         exchange.writer.write(body)
         await exchange.writer.drain()
         exchange.server.stop_listening()
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -132,6 +132,12 @@
     assert await receive(killed) == (events(*range(1, pieces + 1)), False)
 
 
+async def test_other_transfer_codings_than_chunks_mark_no_end() -> None:
+    """An answer with any transfer coding counted as one whose end is marked."""
+    killed = is_killed_after(events(1, 2), Transfer_Encoding="identity")
+    assert await receive(killed, streams(LAST)) == (events(1, 2, 3, 4), True)
+
+
 async def test_broken_stream_looks_broken_to_a_client_of_http_1_0() -> None:
     """Its answer has no chunks, so that a closed connection ended a complete one."""
     breaks = writes(events(1, 2), is_whole=False)
