Don't ask whether the server has ended after an answer without a body

What callers saw: 502 to a HEAD request that may run once only, if its server ended right after an answer without a length; the answer was whole. Every other such answer cost a connection to its server, and its log line said that its connection ends it.

Cause: what marks the end was taken from the status and the headers alone; answers to HEAD have no body whatever these say.

Both cases of test_answer_to_head_is_complete_without_a_length failed before (502, "connection") and pass. answer_end is "head" for answers without a body.

--- a/src/pomelobarrow/backends/single_use.py
+++ b/src/pomelobarrow/backends/single_use.py
@@ -63,6 +63,8 @@
     """Enumerate what marks the end of an answer's body."""
 
     UNKNOWN = "unknown"
+    # There is no body.
+    HEAD = "head"
     LENGTH = "length"
     CHUNKS = "chunks"
     # Neither a length nor chunks: whatever closes the connection also ends the body.
@@ -76,16 +78,7 @@
     status: int
     headers: CIMultiDictProxy[str]
     content: aiohttp.StreamReader
-    is_chunked: bool
-
-    @property
-    def body_end(self) -> BodyEnd:
-        """Return what marks the end of the body."""
-        # Other transfer codings mark no end.
-        if self.is_chunked:
-            return BodyEnd.CHUNKS
-        has_length = "Content-Length" in self.headers or self.status in BODILESS_STATUSES
-        return BodyEnd.LENGTH if has_length else BodyEnd.CONNECTION
+    body_end: BodyEnd
 
 
 @define(kw_only=True)
@@ -114,7 +107,7 @@
             status=message.code,
             headers=message.headers,
             content=content,
-            is_chunked=message.chunked,
+            body_end=_body_end(self.request.method, message),
         )
 
     @property
@@ -198,6 +191,16 @@
         return RequestInfo(request.url, request.method, headers, request.url)
 
 
+def _body_end(method: str, message: RawResponseMessage) -> BodyEnd:
+    """Return what marks the end of an answer's body."""
+    if method == "HEAD" or message.code in BODILESS_STATUSES:
+        return BodyEnd.HEAD
+    # Other transfer codings mark no end.
+    if message.chunked:
+        return BodyEnd.CHUNKS
+    return BodyEnd.LENGTH if "Content-Length" in message.headers else BodyEnd.CONNECTION
+
+
 def _host_and_port(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host.strip("[]"), int(port)
