Pass on answers to HEAD requests on routes of streams

What callers saw: 502 after the run, with "the stream ended before its first event".

Cause: every 200 on such a route was read as a stream of events.

test_head_request_for_a_stream_is_answered failed before (502) and passes.

--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -173,7 +173,8 @@
             return self._report(_unrun_end(head), _unrun_detail(head))
         if fault:
             return self._lost(fault)
-        if self.request.route.is_stream and head.status == STATUS_OK:
+        is_stream = self.request.route.is_stream and head.status == STATUS_OK
+        if is_stream and response.body_end is not BodyEnd.HEAD:
             if fault := self.join_fault(head):
                 return self._lost(fault)
             return await self._forward_events(response, head)
--- a/tests/test_relay_answers_without_body.py
+++ b/tests/test_relay_answers_without_body.py
@@ -28,3 +28,9 @@
 async def test_answer_to_head_is_complete_without_a_length(script: Script) -> None:
     """It was taken for one that its connection ends, and lost if the server had ended since."""
     assert await head_status(ONCE, script) == (200, ["head"])
+
+
+async def test_head_request_for_a_stream_is_answered() -> None:
+    """It was refused after its run, since its answer brought no event."""
+    asked = route(RouteKind.STREAM, is_resumable=True)
+    assert await head_status(asked, writes_unframed(b"")) == (200, ["head"])
