Check joins only where a stream may be resumed

What callers saw: 502 after the run, where a route's streams may not be resumed and the client names its last event nevertheless, as browsers do on each new connection.

Cause: the check of the first id compares with the client's last event on every route of streams. Change: it does so only on routes whose streams may be resumed, where the client asks for the events after that one.

test_stream_that_may_not_be_resumed_may_begin_anew_for_a_client failed before (502, "the run goes on with event 1 after 5") and passes.

--- a/src/pomelobarrow/relay/progress.py
+++ b/src/pomelobarrow/relay/progress.py
@@ -64,3 +64,9 @@
     def resume_after(self) -> str:
         """Return the id of the last event that the client has; empty if it has none."""
         return self.position.last_event_id
+
+
+def first_position(request: RelayRequest) -> StreamPosition:
+    """Return the client's position; a server may ignore it where no stream may be resumed."""
+    last_id = request.head.last_event_id if request.route.is_resumable else ""
+    return StreamPosition(last_id=last_id.encode(errors="surrogateescape"))
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -22,7 +22,6 @@
     PeerPlacement,
 )
 from pomelobarrow.decision.requests.work import BackendServer, Placement
-from pomelobarrow.decision.streams.stream_position import StreamPosition
 from pomelobarrow.decision.streams.stream_software import software_key
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.dispatch.crash_guard import CrashGuard
@@ -42,7 +41,7 @@
     may_be_passed_on,
     should_retry,
 )
-from pomelobarrow.relay.progress import RequestProgress
+from pomelobarrow.relay.progress import RequestProgress, first_position
 from pomelobarrow.relay.refusal_answer import send_refusal
 from pomelobarrow.relay.refusal_policy import RefusalPolicy
 from pomelobarrow.relay.relay_log import RelayLog
@@ -108,9 +107,7 @@
             sink=sink,
             routing=routing,
             history=AttemptHistory(request=request),
-            position=StreamPosition(
-                last_id=request.head.last_event_id.encode(errors="surrogateescape")
-            ),
+            position=first_position(request),
             buffer=AnswerBuffer(buffers=self.sessions.buffers),
             software_key=request.software_key,
         )
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 import pytest
-from relay_harness import HOST, relay_fleet, route
+from relay_harness import HOST, ask, relay_fleet, route
 from scripted_server import (
     Exchange,
     Script,
@@ -121,6 +121,15 @@
     assert await receive(again, streams(LAST), **headers) == (events(3, 4), True)
 
 
+async def test_stream_that_may_not_be_resumed_may_begin_anew_for_a_client() -> None:
+    """Browsers name their last event on each new connection; the new run was taken for a fault."""
+    scripts = {"a": {"s1": writes(events(1, 2))}}
+    async with relay_fleet((route(RouteKind.STREAM),), scripts) as fleet:
+        answer = await ask(fleet.vms["a"], "/stream/", headers={"Last-Event-Id": "5"})
+        assert fleet.servers["s1"].received[0].headers["last-event-id"] == "5"
+    assert (answer.status, answer.body) == (200, events(1, 2))
+
+
 @pytest.mark.parametrize("pieces", [2, LAST])
 async def test_unframed_stream_of_a_killed_server_is_not_taken_for_complete(pieces: int) -> None:
     """A killed process closes its connections like one that has sent its whole answer.
