Complete streams of which nothing is left

What callers saw: a client whose connection was lost behind the last event takes the stream up and gets 502, as often as it tries: its server rightly ends the stream without an event. And where an answer without a mark of its end has lost its server, the request goes on elsewhere, which adds nothing if nothing was missing; a peer that was asked for the rest stated that the run was lost, so that a whole stream broke off.

Cause: an empty run counts as lost where the VM itself has sent nothing; that the client may have had all events before counted only within one VM. Change: it is lost only where the client names no event. The check of the server stays.

test_client_that_has_all_events_gets_the_end_of_its_stream and both cases of test_stream_of_which_a_peer_has_nothing_left_is_complete failed before (502; broken off) and pass. test_empty_stream_is_not_complete passed before too.

--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -215,10 +215,14 @@
                 await self.buffer.reserve(splitter.held_bytes)
         if not splitter.is_between_events:
             return self._lost("the stream ended in the middle of an event", is_closed=True)
-        if not self.sink.is_started:
+        if not self.sink.is_started and not self.position.last_id:
             return self._lost("the stream ended before its first event", is_closed=True)
         if await self._is_cut_by_its_end(response):
             return self._lost(CUT_BY_ITS_END, is_closed=True)
+        # The client had all events before it took the stream up.
+        if not self.sink.is_started:
+            self._note_first_answer(head)
+            await self.sink.open(head.status, head.headers)
         await self.sink.finish(splitter.rest)
         self.record.progress.apply(AttemptEvent.END)
         return self._report(AttemptEnd.PASSED_ON)
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -121,6 +121,28 @@
     assert await receive(again, streams(LAST), **headers) == (events(3, 4), True)
 
 
+async def test_client_that_has_all_events_gets_the_end_of_its_stream() -> None:
+    """It takes up a stream whose connection was lost behind the last event, and got 502."""
+    assert await receive(streams(LAST), **{"Last-Event-Id": str(LAST)}) == (b"", True)
+
+
+@pytest.mark.parametrize("last", [writes(), writes_unframed(b"")], ids=["chunks", "connection"])
+async def test_stream_of_which_a_peer_has_nothing_left_is_complete(last: Script) -> None:
+    """The peer took the end of the stream for a run that was lost before its first event."""
+    resumable = route(RouteKind.STREAM, is_resumable=True, max_attempts=2)
+    killed = is_killed_after(events(1, 2))
+    async with relay_fleet((resumable,), {"a": {"s1": killed}, "b": {"s2": last}}) as fleet:
+        answer = await ask(fleet.vms["a"], "/stream/")
+        assert fleet.servers["s2"].received[0].headers["last-event-id"] == "2"
+    assert answer.body == events(1, 2)
+
+
+async def test_empty_stream_is_not_complete() -> None:
+    """A server that ends a stream without an event has not answered."""
+    async with relay_fleet((route(RouteKind.STREAM),), {"a": {"s1": writes()}}) as fleet:
+        assert (await ask(fleet.vms["a"], "/stream/")).status == 502
+
+
 async def test_stream_that_may_not_be_resumed_may_begin_anew_for_a_client() -> None:
     """Browsers name their last event on each new connection; the new run was taken for a fault."""
     scripts = {"a": {"s1": writes(events(1, 2))}}
