--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -173,7 +173,8 @@
             return self._report(_unrun_end(head), _unrun_detail(head))
         if fault:
             return self._lost(fault)
-        if self.request.route.is_stream and head.status == STATUS_OK:
+        is_stream = self.request.route.is_stream and head.status == STATUS_OK
+        if is_stream and response.body_end is not BodyEnd.HEAD:
             if fault := self.join_fault(head):
                 return self._lost(fault)
             return await self._forward_events(response, head)
@@ -218,12 +219,16 @@
                 await self.buffer.reserve(splitter.held_bytes)
         if not splitter.is_between_events:
             return self._lost("the stream ended in the middle of an event", is_closed=True)
+        if not self.sink.is_started and not self.position.last_id:
+            return self._lost("the stream ended before its first event", is_closed=True)
         if await self._is_cut_by_its_end(response):
             return self._lost(CUT_BY_ITS_END, is_closed=True)
         if held := self.position.release_held():
             await self._pass_on(held, head)
+        # The client had all events before it took the stream up.
         if not self.sink.is_started:
-            return self._lost("the stream ended before its first event", is_closed=True)
+            self._note_first_answer(head)
+            await self.sink.open(head.status, head.headers)
         await self.sink.finish(splitter.rest)
         self.record.progress.apply(AttemptEvent.END)
         return self._report(AttemptEnd.PASSED_ON)
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 import pytest
-from relay_harness import HOST, relay_fleet, route
+from relay_harness import HOST, ask, relay_fleet, route
 from scripted_server import (
     Exchange,
     Script,
@@ -135,6 +135,37 @@
     assert await receive(again, streams(LAST), **headers) == (events(3, 4), True)
 
 
+async def test_client_that_has_all_events_gets_the_end_of_its_stream() -> None:
+    """It takes up a stream whose connection was lost behind the last event, and got 502."""
+    assert await receive(streams(LAST), **{"Last-Event-Id": str(LAST)}) == (b"", True)
+
+
+@pytest.mark.parametrize("last", [writes(), writes_unframed(b"")], ids=["chunks", "connection"])
+async def test_stream_of_which_a_peer_has_nothing_left_is_complete(last: Script) -> None:
+    """The peer took the end of the stream for a run that was lost before its first event."""
+    resumable = route(RouteKind.STREAM, is_resumable=True, max_attempts=2)
+    killed = is_killed_after(events(1, 2))
+    async with relay_fleet((resumable,), {"a": {"s1": killed}, "b": {"s2": last}}) as fleet:
+        answer = await ask(fleet.vms["a"], "/stream/")
+        assert fleet.servers["s2"].received[0].headers["last-event-id"] == "2"
+    assert answer.body == events(1, 2)
+
+
+async def test_empty_stream_is_not_complete() -> None:
+    """A server that ends a stream without an event has not answered."""
+    async with relay_fleet((route(RouteKind.STREAM),), {"a": {"s1": writes()}}) as fleet:
+        assert (await ask(fleet.vms["a"], "/stream/")).status == 502
+
+
+async def test_stream_that_may_not_be_resumed_may_begin_anew_for_a_client() -> None:
+    """Browsers name their last event on each new connection; the new run was taken for a fault."""
+    scripts = {"a": {"s1": writes(events(1, 2))}}
+    async with relay_fleet((route(RouteKind.STREAM),), scripts) as fleet:
+        answer = await ask(fleet.vms["a"], "/stream/", headers={"Last-Event-Id": "5"})
+        assert fleet.servers["s1"].received[0].headers["last-event-id"] == "5"
+    assert (answer.status, answer.body) == (200, events(1, 2))
+
+
 @pytest.mark.parametrize("pieces", [2, LAST])
 async def test_unframed_stream_of_a_killed_server_is_not_taken_for_complete(pieces: int) -> None:
     """A killed process closes its connections like one that has sent its whole answer.
@@ -146,6 +177,12 @@
     assert await receive(killed) == (events(*range(1, pieces + 1)), False)
 
 
+async def test_other_transfer_codings_than_chunks_mark_no_end() -> None:
+    """An answer with any transfer coding counted as one whose end is marked."""
+    killed = is_killed_after(events(1, 2), Transfer_Encoding="identity")
+    assert await receive(killed, streams(LAST)) == (events(1, 2, 3, 4), True)
+
+
 async def test_broken_stream_looks_broken_to_a_client_of_http_1_0() -> None:
     """Its answer has no chunks, so that a closed connection ended a complete one."""
     breaks = writes(events(1, 2), is_whole=False)
