Read a whole answer whatever is received together with it

What callers saw: 502 for a request that had run and whose server had sent its whole answer with its seal, if the server sent malformed bytes behind it and both were received at once. If they came in two reads, the answer was passed on.

Cause: aiohttp's parser returns the heads that it found only if it could parse all bytes of a read; an error drops them with their bodies.

Change: the handler parses a read up to the end of the final head first, and then the rest. An error there fails a body that isn't complete, as before, and leaves a complete one alone.

--- a/src/pomelobarrow/backends/answer_handler.py
+++ b/src/pomelobarrow/backends/answer_handler.py
@@ -14,6 +14,7 @@
     AnswerTooLargeError,
 )
 
+HEAD_END = b"\r\n\r\n"
 HEAD = "head"
 FRAMING = "framing"
 
@@ -29,11 +30,17 @@
 
     aiohttp limits the lines of a head, but not what it skips: interim answers, empty lines, spaces,
     chunk sizes and extensions. A server could keep the parser busy until the deadline.
+
+    Of bytes that are parsed at once, aiohttp drops a whole answer if what follows it is malformed.
+    A head is therefore parsed before what comes after it.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._received_bytes = 0
+        # The bytes before those that are received next, as far as they may begin the end of a head.
+        self._head_end_part = b""
+        self._has_head = False
         self._limit_error: AnswerTooLargeError | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -44,12 +51,13 @@
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the answer to the next request."""
         self._received_bytes = 0
+        self._head_end_part, self._has_head = b"", False
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
         """Parse the bytes; fail the answer if too few of them are content."""
-        super().data_received(data)
         self._received_bytes += len(data)
+        super().data_received(data if self._has_head else self._parse_heads(data))
         content = self._payload
         content_bytes = content.total_bytes if content is not None else 0
         framing_bytes = self._received_bytes - content_bytes
@@ -60,6 +68,17 @@
         ):
             self._fail(HEAD if content in (None, EMPTY_PAYLOAD) else FRAMING)
 
+    def _parse_heads(self, data: bytes) -> bytes:
+        """Parse bytes up to the end of the head of the final answer; return the others."""
+        while (end := (self._head_end_part + data).find(HEAD_END)) >= 0 and not self._has_head:
+            size = end + len(HEAD_END) - len(self._head_end_part)
+            super().data_received(data[:size])
+            self._head_end_part, data = b"", data[size:]
+            # Interim answers have no body.
+            self._has_head = self._payload not in (None, EMPTY_PAYLOAD)
+        self._head_end_part = (self._head_end_part + data)[1 - len(HEAD_END) :]
+        return data
+
     def is_connected(self) -> bool:
         """Return whether a request may be sent; not if an answer to none is waiting to be read.
 
--- a/tests/test_answer_handler.py
+++ b/tests/test_answer_handler.py
@@ -1,13 +1,16 @@
 """Bytes of no content that a server sends without end, on both kinds of connections to servers."""
 
+import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from unittest.mock import Mock
 
 import aiohttp
 import pytest
 from endless_answer import SOCKET_BYTES, EndlessAnswer, raw
 from scripted_server import Exchange, Script, ScriptedServer
 
+from pomelobarrow.backends.answer_handler import AnswerHandler
 from pomelobarrow.backends.answer_limits import (
     MAX_FRAMING_BYTES,
     MAX_HEADER_LINE_BYTES,
@@ -117,6 +120,38 @@
 }
 
 
+BODY = b"Content-Length: 4\r\n\r\nbody"
+MALFORMED = b"\0\0no answer\r\n\r\n"
+
+
+@both_clients
+@pytest.mark.parametrize(
+    "answer",
+    [
+        pytest.param(OK + BODY, id="length"),
+        pytest.param(CHUNKED + b"4\r\nbody\r\n0\r\n\r\n", id="chunks"),
+        pytest.param(2 * INTERIM + OK + BODY, id="interim answers"),
+    ],
+)
+async def test_whole_answer_is_read_whatever_follows_it(answer: bytes, client: Client) -> None:
+    """An answer was lost if bytes that belong to no answer were received together with it."""
+    async with serving(sends(answer + MALFORMED)) as address:
+        assert await client(address) == b"body"
+
+
+@pytest.mark.parametrize("size", range(1, len(OK + BODY)))
+async def test_whole_answer_is_read_wherever_its_head_is_cut(size: int) -> None:
+    """An answer was lost together with what follows it, also if its head came in two reads."""
+    handler = AnswerHandler(loop=asyncio.get_running_loop())
+    handler.connection_made(Mock(spec=asyncio.Transport, **{"get_extra_info.return_value": None}))
+    handler.set_response_params(read_until_eof=True)
+    data = OK + BODY + MALFORMED
+    handler.data_received(data[:size])
+    handler.data_received(data[size:])
+    _, content = await handler.read()
+    assert await content.read() == b"body"
+
+
 @both_clients
 @pytest.mark.parametrize("name", SOUND)
 async def test_unusual_but_sound_answer_is_read(name: str, client: Client) -> None:
