Don't take the end of a killed plain service for the end of its answer

What callers saw on the product's own interface: a part of an answer as the whole of it, if the answer had neither a length nor chunks and its server's process was killed under it.

Cause: as on the relay, the end of the connection counted as the end of the answer, and a killed process closes its connections like one that has sent all.

Evidence: with a server that stops listening as it closes the connection, the attempt was finished with the first part. With the check left out, the test fails in that case; the answer of a server that goes on listening is complete.

Change: an answer without a mark of its end is complete only if its server still accepts connections, as on the relay. Only such answers pay for the connection. What remains is the same as there: a process that is back at once.

--- a/src/pomelobarrow/backends/service.py
+++ b/src/pomelobarrow/backends/service.py
@@ -1,7 +1,7 @@
 """Run one attempt on a plain service."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 import aiohttp
 from attrs import define
@@ -13,6 +13,7 @@
     WithheldError,
     describe_error,
 )
+from pomelobarrow.backends.single_use import CUT_BY_ITS_END, BodyEnd, body_end
 from pomelobarrow.decision.requests.attempt import Attempt, AttemptEvent, AttemptState
 from pomelobarrow.decision.requests.work import BackendServer
 from pomelobarrow.dispatch.answers import AnswerHead, AnswerSink, AttemptResult
@@ -39,6 +40,8 @@
     on_head: Callable[[int, Mapping[str, str]], None] = lambda status, headers: None
     # Returns whether the server still takes requests, asked when the connection is open.
     may_send: Callable[[], bool] = lambda: True
+    # Returns whether the process of a server has ended; None if only a whole answer ends that way.
+    has_ended: Callable[[BackendServer], Awaitable[bool]] | None = None
     head_passed: bool = False
 
     async def run(self) -> AttemptResult:
@@ -88,8 +91,15 @@
         else:
             async for data in response.content.iter_any():
                 await self.sink.chunk(data)
+            if await self._is_cut_by_its_end(response):
+                raise aiohttp.ClientPayloadError(CUT_BY_ITS_END)
         await self.sink.end()
 
+    async def _is_cut_by_its_end(self, response: aiohttp.ClientResponse) -> bool:
+        """Return whether the server has ended, which may have ended the answer too early."""
+        is_marked = body_end(response.status, response.headers) is not BodyEnd.CONNECTION
+        return not is_marked and self.has_ended is not None and await self.has_ended(self.server)
+
     def _headers(self) -> list[tuple[str, str]]:
         headers = [each for each in self.request.headers if each[0].lower() not in HOP_BY_HOP]
         headers.append(("X-Request-Id", self.request.work.request_id))
--- a/src/pomelobarrow/backends/single_use.py
+++ b/src/pomelobarrow/backends/single_use.py
@@ -7,7 +7,7 @@
 import asyncio
 import enum
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import aiohttp
 from aiohttp import RequestInfo
@@ -34,6 +34,7 @@
 FIRST_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS = 101
 BODILESS_STATUSES = frozenset({204, 304})
+CUT_BY_ITS_END = "the answer ended together with its server, without a mark of its end"
 BROKEN_CONNECTION_ERRORS = (
     aiohttp.ClientOSError,
     aiohttp.ClientConnectionResetError,
@@ -80,10 +81,15 @@
     @property
     def body_end(self) -> BodyEnd:
         """Return what marks the end of the body."""
-        if "Transfer-Encoding" in self.headers:
-            return BodyEnd.CHUNKS
-        has_length = "Content-Length" in self.headers or self.status in BODILESS_STATUSES
-        return BodyEnd.LENGTH if has_length else BodyEnd.CONNECTION
+        return body_end(self.status, self.headers)
+
+
+def body_end(status: int, headers: Mapping[str, str]) -> BodyEnd:
+    """Return what marks the end of the body of an answer."""
+    if "Transfer-Encoding" in headers:
+        return BodyEnd.CHUNKS
+    has_length = "Content-Length" in headers or status in BODILESS_STATUSES
+    return BodyEnd.LENGTH if has_length else BodyEnd.CONNECTION
 
 
 @define(kw_only=True)
--- a/tests/test_backends_attempts.py
+++ b/tests/test_backends_attempts.py
@@ -1,6 +1,7 @@
 import asyncio
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import aiohttp
@@ -9,6 +10,7 @@
 from attrs import define, field
 
 from pomelobarrow.backends.engine import EngineAttempt
+from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.backends.service import ServiceAttempt
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.common.errors import Refusal
@@ -280,6 +282,30 @@
     assert written_bytes < 32 * MAX_EVENT_BYTES
 
 
+@pytest.mark.parametrize("ends", [True, False], ids=["killed", "running"])
+async def test_answer_without_a_mark_of_its_end_is_whole_only_of_a_running_service(
+    ends: bool,
+) -> None:
+    """A killed process closes its connections like one that has sent its whole answer."""
+    backend = Backend()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf")
+        await writer.drain()
+        if ends:
+            listening.close()
+        writer.close()
+
+    async with await asyncio.start_server(serve, "127.0.0.1", 0) as listening:
+        backend.address = f"127.0.0.1:{listening.sockets[0].getsockname()[1]}"
+        called = partial(ServiceAttempt, has_ended=ServerWatch().refuses_connections)
+        result, sink = await attempt(backend, called, "GET")
+    assert sink.body == b"half"
+    assert sink.is_whole is not ends
+    assert result.is_finished is not ends
+
+
 async def test_second_answer_to_one_call_does_not_answer_the_next() -> None:
     """A service answers a call a second time while the connection is idle."""
     may_repeat = asyncio.Event()
