Play streams in many forms in the soak

The soak's servers wrote each event whole, with an id, and clients split answers at two line feeds. Real sockets join and split events at any byte, and published streams may have comments, events without ids and other line ends.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -47,9 +47,8 @@
 
     async def run(self, duration_s: float) -> None:
         """Inject faults for a duration; return once all have ended."""
-        until_s = time.monotonic() + duration_s
-        running: set[asyncio.Task[None]] = set()
-        kinds: tuple[Callable[[], Awaitable[None]], ...] = (
+        await self._inject(
+            duration_s,
             self._fault_server,
             self._fault_store,
             self._pause,
@@ -59,6 +58,14 @@
             self._drain_server,
             self._publish,
         )
+
+    async def disrupt_daemons(self, duration_s: float) -> None:
+        """Pause, kill, stop and reload daemons for a duration; return once all are up again."""
+        await self._inject(duration_s, self._pause, self._kill, self._terminate, self._reload)
+
+    async def _inject(self, duration_s: float, *kinds: Callable[[], Awaitable[None]]) -> None:
+        until_s = time.monotonic() + duration_s
+        running: set[asyncio.Task[None]] = set()
         while time.monotonic() < until_s:
             running.add(asyncio.create_task(self._run_fault(self.random.choice(kinds))))
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -29,7 +29,7 @@
 }
 # Kept out of KINDS, so that the random choices among those stay the same for a given seed.
 FRAGILE, LIMITED, KEYED, ANNOUNCING = "fragile", "limited", "keyed", "announcing"
-BRITTLE, VERSIONED, PROMPTED = "brittle", "versioned", "prompted"
+BRITTLE, VERSIONED, PROMPTED, STREAMED = "brittle", "versioned", "prompted", "streamed"
 DEDICATED_POOLS = {
     FRAGILE: ("idempotent", 2, False),
     LIMITED: ("idempotent", 2, False),
@@ -38,6 +38,7 @@
     BRITTLE: ("idempotent", 2, False),
     VERSIONED: ("stream", 3, True),
     PROMPTED: ("stream", 3, True),
+    STREAMED: ("stream", 3, True),
 }
 APPLY_S, REVOCATION_S, LIMIT_WINDOW_S = 5.0, 2.0, 8.0
 TIMEOUT_MS = 3_000
