Take a switch of protocols that nobody asked for as no answer

What callers saw: a client whose server answered 101 got that 101 with the seal, and then nothing: by the protocol, what follows a 101 is no HTTP, so that clients wait or misread the next answer on the connection.

Cause: the relay took 101 for the head of a final answer, and the attempts of the own interface passed on the response that aiohttp returns for it.

Change: both kinds of connections raise an error for 101, so that the attempt is lost and the connection closed.

Why it works: no request asks for another protocol, since headers that concern only one connection are not forwarded. So a 101 is never an answer.

--- a/src/pomelobarrow/backends/sessions.py
+++ b/src/pomelobarrow/backends/sessions.py
@@ -26,6 +26,7 @@
 # With a rejection: the seconds for which the server wants nothing from this VM.
 RETRY_AFTER_HEADER = "Retry-After"
 REJECTED_STATUS = 503
+SWITCHING_PROTOCOLS = 101
 KEEPALIVE_S = 15.0
 MAX_CONNECTIONS = 4096
 # A silent connection is closed after about 3 s: one second of silence, then two probes.
@@ -41,6 +42,13 @@
     """Raised if a connection is lost after the request may have been sent; it was not resent."""
 
 
+class UnaskedUpgradeError(aiohttp.ClientPayloadError):
+    """Raised if a server switches protocols, which no request asks for."""
+
+    def __init__(self) -> None:
+        super().__init__("the server switched protocols unasked")
+
+
 class WithheldError(Exception):
     """Raised instead of sending a request whose server announced meanwhile that it takes none."""
 
@@ -134,11 +142,15 @@
     are up to the dispatcher, which has the request's class and the progress of the attempt.
     """
     try:
-        return await handler(request)
+        response = await handler(request)
     except aiohttp.ClientConnectorError:
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
         raise BrokenConnectionError(repr(error)) from error
+    if response.status == SWITCHING_PROTOCOLS:
+        response.close()
+        raise UnaskedUpgradeError
+    return response
 
 
 def _send_tracing() -> TraceConfig:
--- a/src/pomelobarrow/backends/single_use.py
+++ b/src/pomelobarrow/backends/single_use.py
@@ -27,12 +27,16 @@
     READ_BUFFER_BYTES,
     AnswerTooLargeError,
 )
-from pomelobarrow.backends.sessions import BrokenConnectionError, probed_socket
+from pomelobarrow.backends.sessions import (
+    SWITCHING_PROTOCOLS,
+    BrokenConnectionError,
+    UnaskedUpgradeError,
+    probed_socket,
+)
 
 # Requests of other methods state the length of their body even if they have none.
 METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
 FIRST_FINAL_STATUS = 200
-SWITCHING_PROTOCOLS = 101
 BODILESS_STATUSES = frozenset({204, 304})
 BROKEN_CONNECTION_ERRORS = (
     aiohttp.ClientOSError,
@@ -169,8 +173,10 @@
         try:
             for _ in range(MAX_INTERIM_ANSWERS + 1):
                 message, content = await protocol.read()
-                if message.code >= FIRST_FINAL_STATUS or message.code == SWITCHING_PROTOCOLS:
+                if message.code >= FIRST_FINAL_STATUS:
                     return message, content
+                if message.code == SWITCHING_PROTOCOLS:
+                    raise UnaskedUpgradeError
             raise AnswerTooLargeError(HEAD, f"{MAX_INTERIM_ANSWERS} interim answers")
         except HttpProcessingError as error:
             raise aiohttp.ClientResponseError(
--- a/tests/test_answer_handler.py
+++ b/tests/test_answer_handler.py
@@ -106,6 +106,17 @@
         await sessions.close()
 
 
+@both_clients
+async def test_switch_of_protocols_that_nobody_asked_for_is_no_answer(client: Client) -> None:
+    """Guards against clients that take the bytes after a passed on 101 for another protocol."""
+    switch = b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"
+    endless = EndlessAnswer(start=raw(switch), repeated=b"x", stop_bytes=STOP_BYTES)
+    async with serving(endless) as address:
+        with pytest.raises(aiohttp.ClientError):
+            await client(address)
+        assert await endless.is_closed_within(MAX_FRAMING_BYTES)
+
+
 SOUND = {
     "many interim answers": MAX_INTERIM_ANSWERS * INTERIM + OK + b"Content-Length: 4\r\n\r\nbody",
     "large head": OK
