Merge whole answers of engines as they arrive, within the memory for large answers

What callers saw: a request of the own interface that asks for no stream took many times the size of its answer in memory while the answer was put together.

Cause: the events were kept until the end and then all parsed at once. The limit of 16 MiB counted their bytes, per request, not for the process.

The bytes are reserved from the memory that all large answers share.

Why it works: what is kept is never larger than the bytes reserved for it.

--- a/src/pomelobarrow/backends/answer_buffers.py
+++ b/src/pomelobarrow/backends/answer_buffers.py
@@ -8,6 +8,7 @@
 
 from pomelobarrow.backends.answer_limits import (
     ANSWER_BUFFER_BYTES,
+    MAX_STATEMENT_BYTES,
     MAX_WHOLE_ANSWER_BYTES,
     RESERVED_STEP_BYTES,
     UNRESERVED_ANSWER_BYTES,
@@ -17,6 +18,18 @@
 BODY = "body"
 
 
+async def read_limited(
+    content: aiohttp.StreamReader, max_bytes: int = MAX_STATEMENT_BYTES
+) -> bytes:
+    """Return a whole body that is short. Raises `AnswerTooLargeError`."""
+    body = b""
+    while data := await content.readany():
+        body += data
+        if len(body) > max_bytes:
+            raise AnswerTooLargeError(BODY, f"{max_bytes} bytes")
+    return body
+
+
 @define(kw_only=True)
 class AnswerBuffers:
     """Divide the memory for large answers among those that are buffered at a time."""
--- a/src/pomelobarrow/backends/answer_limits.py
+++ b/src/pomelobarrow/backends/answer_limits.py
@@ -29,6 +29,11 @@
 # Large bodies take their memory in steps of this size.
 RESERVED_STEP_BYTES = 1 << 20
 
+# What servers state of themselves or of a request: loads, and answers to orders and cancellations.
+MAX_STATEMENT_BYTES = 64 << 10
+# Holds the 20,000 events that a server keeps. A parsed list takes up to twenty times its size.
+MAX_CACHE_EVENTS_BYTES = 2 << 20
+
 
 class AnswerTooLargeError(aiohttp.ClientPayloadError):
     """Raised if a part of an answer is larger than its limit."""
--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -7,13 +7,15 @@
 import orjson
 from attrs import define, field
 
+from pomelobarrow.backends.answer_buffers import AnswerBuffer
+from pomelobarrow.backends.answer_limits import AnswerTooLargeError
 from pomelobarrow.backends.sessions import (
     CONNECT_TIMEOUT_S,
     BackendSessions,
     WithheldError,
     describe_error,
 )
-from pomelobarrow.backends.whole_answer import TooLargeError, WholeAnswer
+from pomelobarrow.backends.whole_answer import WholeAnswer
 from pomelobarrow.decision.published.configuration import Rank
 from pomelobarrow.decision.requests.attempt import Attempt, AttemptEvent, AttemptState
 from pomelobarrow.decision.requests.work import BackendServer
@@ -41,7 +43,6 @@
 LATE_CANCEL_TIMEOUT_S = 0.2
 MAX_RESUMES = 3
 RESUME_DELAY_S = 0.2
-MAX_WHOLE_ANSWER_BYTES = 16 << 20
 NOT_RUN = "not_run"
 UNKNOWN = "unknown"
 # Allows for a step of this VM's clock between sending the request and cancelling it.
@@ -74,11 +75,15 @@
     _last_events: bytes = field(default=b"", init=False)
     # True if another VM has sent the request and only the remaining events are fetched here.
     is_continuation: bool = False
+    _buffer: AnswerBuffer = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._buffer = AnswerBuffer(buffers=self.sessions.buffers)
 
     async def run(self) -> AttemptResult:
         """Run the attempt to its end; cancel the engine's work if the caller disconnects."""
         if not self.request.is_streamed:
-            self.whole = WholeAnswer(MAX_WHOLE_ANSWER_BYTES)
+            self.whole = WholeAnswer()
         try:
             async with asyncio.timeout(self._remaining_s()):
                 if self.is_continuation:
@@ -86,12 +91,16 @@
                 return await self._send_and_relay()
         except TimeoutError:
             return await self._give_up("the deadline passed", LATE_CANCEL_TIMEOUT_S)
-        except (TooLargeError, EventTooLargeError) as error:
+        except AnswerTooLargeError as error:
+            return await self._give_up(f"{error}: ask for a stream")
+        except EventTooLargeError as error:
             return await self._give_up(str(error))
         except (CallerGoneError, asyncio.CancelledError):
             if not self._may_be_resumed():
                 await asyncio.shield(self._give_up("the caller disconnected"))
             raise
+        finally:
+            self._buffer.release()
 
     def _may_be_resumed(self) -> bool:
         """Return whether the entry VM may fetch the remaining events through another VM.
@@ -111,6 +120,8 @@
                 return refused
         except WithheldError as error:
             return self._result(str(error))
+        except AnswerTooLargeError:
+            raise
         except CONNECTION_ERRORS as error:
             if self.attempt.state is AttemptState.NOT_SENT:
                 return self._result(f"connection failed: {describe_error(error)}")
@@ -157,6 +168,7 @@
             if not events:
                 continue
             if self.whole is not None:
+                await self._buffer.reserve(self.whole.size_bytes + sum(map(len, events)))
                 self.whole.feed(events)
                 continue
             if not self.head_passed:
@@ -196,6 +208,8 @@
                     self.attempt.apply(AttemptEvent.FIRST_BYTE)
                 await self._relay(response.content.iter_any())
                 return True
+        except AnswerTooLargeError:
+            raise
         except CONNECTION_ERRORS:
             await asyncio.sleep(RESUME_DELAY_S)
             return True
@@ -230,7 +244,9 @@
         timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
         try:
             async with self.sessions.fresh.delete(
-                self.sessions.url(self.server.address, path), timeout=timeout
+                self.sessions.url(self.server.address, path),
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 body = orjson.loads(await response.read())
         except (*CONNECTION_ERRORS, ValueError):
--- a/tests/endless_answer.py
+++ b/tests/endless_answer.py
@@ -51,6 +51,7 @@
 
     async def is_closed_within(self, max_bytes: int) -> bool:
         """Return whether the callers closed all connections after at most so many bytes."""
+        assert self.written_bytes, "no request has come"
         await self._ended.wait()
         return self.is_read_within(max_bytes)
 
