Bound the errors and statements of servers behind the own interface

What callers saw: an engine or service that answered an error, a poll, an order or a cancellation with a body without end filled the memory of the VM until the deadline, or for each second of polling.

Cause: these bodies were read with `response.read()`, which has no limit.

Change: loads, answers to orders and cancellations and a service's 503 are read up to 64 KiB, cache events up to 2 MiB. Beyond, the call has failed and its connection is closed. Errors of engines count as whole answers. Polls, orders and cancellations follow no redirects, which could lead to any address.

Why it works: no `read()` of an answer without a limit is left in backends/.

--- a/src/pomelobarrow/backends/answer_limits.py
+++ b/src/pomelobarrow/backends/answer_limits.py
@@ -31,7 +31,7 @@
 
 # What servers state of themselves or of a request: loads, and answers to orders and cancellations.
 MAX_STATEMENT_BYTES = 64 << 10
-# Holds the 20,000 events that a server keeps. A parsed list takes up to twenty times its size.
+# Holds the 20,000 events that a server keeps.
 MAX_CACHE_EVENTS_BYTES = 2 << 20
 
 
--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -7,7 +7,7 @@
 import orjson
 from attrs import define, field
 
-from pomelobarrow.backends.answer_buffers import AnswerBuffer
+from pomelobarrow.backends.answer_buffers import AnswerBuffer, read_limited
 from pomelobarrow.backends.answer_limits import AnswerTooLargeError
 from pomelobarrow.backends.sessions import (
     CONNECT_TIMEOUT_S,
@@ -150,7 +150,7 @@
         A 4xx answer is passed on. For any other status the outcome is unknown, unless the engine
         states that the request did not run.
         """
-        body = await response.read()
+        body = bytes(await self._buffer.read(response.content))
         if states_not_run(response.status, body):
             self.attempt.apply(AttemptEvent.REFUSE_UNRUN)
             return self._result(f"refused with {response.status}")
@@ -248,7 +248,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                body = orjson.loads(await response.read())
+                body = orjson.loads(await read_limited(response.content))
         except (*CONNECTION_ERRORS, ValueError):
             return UNKNOWN
         return self._verified_outcome(body) if isinstance(body, dict) else UNKNOWN
--- a/src/pomelobarrow/backends/orders.py
+++ b/src/pomelobarrow/backends/orders.py
@@ -9,6 +9,7 @@
 import structlog
 from mode import Service
 
+from pomelobarrow.backends.answer_buffers import read_limited
 from pomelobarrow.backends.sessions import BackendSessions, describe_error
 from pomelobarrow.decision.common.bounded import UINT64_MAX, count_or_none
 from pomelobarrow.decision.published.configuration import Configuration
@@ -69,11 +70,13 @@
         timeout = aiohttp.ClientTimeout(total=SEND_TIMEOUT_S)
         try:
             async with self._sessions.fresh.post(
-                url, data=orjson.dumps(_body(due, order)), timeout=timeout
+                url,
+                data=orjson.dumps(_body(due, order)),
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
-                return self._handle_answer(
-                    due, response.status, orjson.loads(await response.read())
-                )
+                answer = orjson.loads(await read_limited(response.content))
+                return self._handle_answer(due, response.status, answer)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             log.warning("order not sent", server=due.server.name, error=describe_error(error))
             return False
--- a/src/pomelobarrow/backends/reports.py
+++ b/src/pomelobarrow/backends/reports.py
@@ -11,6 +11,8 @@
 from attrs import frozen
 from mode import Service
 
+from pomelobarrow.backends.answer_buffers import read_limited
+from pomelobarrow.backends.answer_limits import MAX_CACHE_EVENTS_BYTES, MAX_STATEMENT_BYTES
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.backends.shares import ServerShare
 from pomelobarrow.decision.common.bounded import UINT64_MAX, count_or_none, number_or_none
@@ -103,7 +105,8 @@
 
     async def _poll_cache(self, server: BackendServer) -> None:
         after = self._next_event.get(server.name, 0)
-        body = await self._get(server, f"/v1/cache/events?after={after}")
+        path = f"/v1/cache/events?after={after}"
+        body = await self._get(server, path, MAX_CACHE_EVENTS_BYTES)
         if body is None:
             return
         prefixes, expected = self._table.prefixes, after
@@ -117,12 +120,18 @@
         following = count_or_none(body.get("next", expected), UINT64_MAX)
         self._next_event[server.name] = expected if following is None else following
 
-    async def _get(self, server: BackendServer, path: str) -> dict[str, Any] | None:
+    async def _get(
+        self, server: BackendServer, path: str, max_bytes: int = MAX_STATEMENT_BYTES
+    ) -> dict[str, Any] | None:
         timeout = aiohttp.ClientTimeout(total=POLL_TIMEOUT_S)
         url = self._sessions.url(server.address, path)
         try:
-            async with self._sessions.pooled.get(url, timeout=timeout) as response:
-                body = orjson.loads(await response.read()) if response.status == 200 else None
+            async with self._sessions.pooled.get(
+                url, timeout=timeout, allow_redirects=False
+            ) as response:
+                if response.status != 200:
+                    return None
+                body = orjson.loads(await read_limited(response.content, max_bytes))
                 return body if isinstance(body, dict) else None
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return None
--- a/src/pomelobarrow/backends/service.py
+++ b/src/pomelobarrow/backends/service.py
@@ -6,9 +6,11 @@
 import aiohttp
 from attrs import define
 
+from pomelobarrow.backends.answer_buffers import read_limited
 from pomelobarrow.backends.engine import CONNECTION_ERRORS, states_not_run
 from pomelobarrow.backends.sessions import (
     CONNECT_TIMEOUT_S,
+    REJECTED_STATUS,
     BackendSessions,
     WithheldError,
     describe_error,
@@ -66,11 +68,14 @@
             trace_request_ctx=self._begin_sending,
         ) as response:
             self.on_head(response.status, response.headers)
-            if response.status == 503 and states_not_run(503, body := await response.read()):
-                self.attempt.apply(AttemptEvent.REFUSE_UNRUN)
-                return self._result("refused with 503")
+            body = None
+            if response.status == REJECTED_STATUS:
+                body = await read_limited(response.content)
+                if states_not_run(response.status, body):
+                    self.attempt.apply(AttemptEvent.REFUSE_UNRUN)
+                    return self._result("refused with 503")
             self.attempt.apply(AttemptEvent.FIRST_BYTE)
-            await self._pass_on(response, body if response.status == 503 else None)
+            await self._pass_on(response, body)
         self.attempt.apply(AttemptEvent.END)
         return self._result("")
 
