Ask a server for an answer, not for a connection, before its unframed answer counts

A process that ends closes its connections before its listening socket, so that the check's connection was accepted and then reset; only a refused one counted.

Change: the check sends the probe that all servers reject unrun. An answer, or none within 0.3 s, shows that the server runs; a refused connection that it doesn't; after a reset, the check is made once more 0.05 s later, since a server that is full resets connections too. Relay and plain services share it.

test_unframed_stream_of_a_killed_server_is_not_taken_for_complete failed before in the cases of a listening socket that closes late and passes.

--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -111,10 +111,9 @@
 def _runner(context: Context) -> AttemptRunner:
     sessions, traces = context.get(BackendSessions), context.get(Traces)
     table, reach = context.get(LoadTable), context.get(ReachMonitor)
-    has_ended = context.get(ServerWatch).refuses_connections
     attempt_by_is_chat: dict[bool, Callable[..., EngineAttempt | ServiceAttempt]] = {
         True: EngineAttempt,
-        False: partial(ServiceAttempt, has_ended=has_ended),
+        False: partial(ServiceAttempt, has_ended=reach.has_ended),
     }
 
     async def run(
--- a/src/pomelobarrow/backends/reach_monitor.py
+++ b/src/pomelobarrow/backends/reach_monitor.py
@@ -7,6 +7,7 @@
 import aiohttp
 from attrs import define, field
 
+from pomelobarrow.backends.end_check import has_ended
 from pomelobarrow.backends.engine import CONNECTION_ERRORS
 from pomelobarrow.backends.sessions import BackendSessions, describe_error
 from pomelobarrow.decision.requests.short_key import short_key
@@ -74,6 +75,10 @@
         if pool in self._rounds:
             await asyncio.wait({self._rounds[pool]})
 
+    async def has_ended(self, server: BackendServer) -> bool:
+        """Return whether the process of a server has ended."""
+        return await has_ended(self.sessions, server, self.probe_path, self.probe_headers)
+
     def _start_probes(self, pool: str) -> None:
         if pool not in self._probes:
             self._probes[pool] = asyncio.create_task(self._probe(pool))
--- a/src/pomelobarrow/backends/server_watch.py
+++ b/src/pomelobarrow/backends/server_watch.py
@@ -84,14 +84,6 @@
         check.requests.append(request)
         await asyncio.wait({check.task}, timeout=CHECK_TIMEOUT_S)
 
-    async def refuses_connections(self, server: BackendServer) -> bool:
-        """Return whether a server refuses a connection now, as the address of an ended one does."""
-        try:
-            async with asyncio.timeout(CHECK_TIMEOUT_S):
-                return await self._connect(server) is Connection.REFUSED
-        except TimeoutError:
-            return False
-
     async def _run(self, server: BackendServer) -> None:
         has_ended = await self._has_ended(server)
         check = self._checks.pop(server.incarnation)
--- a/src/pomelobarrow/backends/sessions.py
+++ b/src/pomelobarrow/backends/sessions.py
@@ -65,6 +65,12 @@
     return text if len(text) <= MAX_ERROR_CHARACTERS else f"{text[:MAX_ERROR_CHARACTERS]}..."
 
 
+def is_connection_refused(error: BaseException) -> bool:
+    """Return whether an address refused the connection, as that of an ended process does."""
+    os_error = getattr(error, "os_error", error)
+    return isinstance(os_error, ConnectionRefusedError)
+
+
 class BackendSessions:
     """Provide a pooled session and one that opens a new connection for every request."""
 
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -8,7 +8,12 @@
 from pomelobarrow.backends.answer_buffers import AnswerBuffer
 from pomelobarrow.backends.answer_limits import UNRESERVED_ANSWER_BYTES, AnswerTooLargeError
 from pomelobarrow.backends.engine import CONNECTION_ERRORS
-from pomelobarrow.backends.sessions import BackendSessions, WithheldError, describe_error
+from pomelobarrow.backends.sessions import (
+    BackendSessions,
+    WithheldError,
+    describe_error,
+    is_connection_refused,
+)
 from pomelobarrow.backends.single_use import (
     CUT_BY_ITS_END,
     BodyEnd,
@@ -112,7 +117,7 @@
             return self._lost(
                 describe_error(error),
                 is_closed=not isinstance(error, TimeoutError),
-                is_connection_refused=_is_connection_refused(error),
+                is_connection_refused=is_connection_refused(error),
             )
         finally:
             self._cancel_timer()
@@ -326,8 +331,3 @@
 def _unrun_detail(head: ServerAnswerHead) -> str:
     reason = ": the peer reaches no server of the pool" if head.is_pool_unreachable else ""
     return f"status {head.status}{reason}"
-
-
-def _is_connection_refused(error: BaseException) -> bool:
-    os_error = getattr(error, "os_error", error)
-    return isinstance(os_error, ConnectionRefusedError)
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -241,7 +241,7 @@
                 on_head=on_head,
                 on_first_answer=lambda: self.placer.record_first_answer(work, server, now_unix_s()),
                 may_send=lambda: table.takes_requests(server, now_unix_s()),
-                has_ended=lambda: self.guard.watch.refuses_connections(server),
+                has_ended=lambda: self.reach.has_ended(server),
             )
         finally:
             table.release(work.request_id, now_unix_s())
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -63,6 +63,8 @@
     received: list[Received] = field(factory=list)
     lost: asyncio.Event = field(factory=asyncio.Event)
     has_ended: bool = False
+    # True if it resets the next connection and stops listening then.
+    is_ending: bool = False
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(factory=set)
 
@@ -93,6 +95,10 @@
             writer.transport.abort()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.is_ending:
+            self.stop_listening()
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
         line, *fields = head.strip().split("\r\n")
@@ -193,6 +199,19 @@
     return script
 
 
+def is_killed_slowly_after(body: bytes) -> Script:
+    """Answer like a killed process that closes its listening socket after its connections."""
+
+    async def script(exchange: Exchange) -> None:
+        exchange.write_head(200, Content_Type="text/event-stream", Connection="close")
+        exchange.writer.write(body)
+        await exchange.writer.drain()
+        exchange.server.is_ending = True
+        exchange.writer.close()
+
+    return script
+
+
 def is_killed_after(body: bytes, **more: str) -> Script:
     """Answer without length and chunks, and end like a killed process: all its sockets close."""
 
--- a/tests/test_backends_attempts.py
+++ b/tests/test_backends_attempts.py
@@ -9,8 +9,8 @@
 from aiohttp import web
 from attrs import define, field
 
+from pomelobarrow.backends.end_check import has_ended
 from pomelobarrow.backends.engine import EngineAttempt
-from pomelobarrow.backends.server_watch import ServerWatch
 from pomelobarrow.backends.service import ServiceAttempt
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.common.errors import Refusal
@@ -299,8 +299,10 @@
 
     async with await asyncio.start_server(serve, "127.0.0.1", 0) as listening:
         backend.address = f"127.0.0.1:{listening.sockets[0].getsockname()[1]}"
-        called = partial(ServiceAttempt, has_ended=ServerWatch().refuses_connections)
-        result, sink = await attempt(backend, called, "GET")
+        sessions = BackendSessions({})
+        is_ended = partial(has_ended, sessions, path="/", headers={})
+        result, sink = await attempt(backend, partial(ServiceAttempt, has_ended=is_ended), "GET")
+        await sessions.close()
     assert sink.body == b"half"
     assert sink.is_whole is not ends
     assert result.is_finished is not ends
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -1,6 +1,7 @@
 """What a client receives of a stream that goes on at another server."""
 
 import asyncio
+from collections.abc import Callable
 
 import aiohttp
 import pytest
@@ -10,6 +11,7 @@
     Script,
     event,
     is_killed_after,
+    is_killed_slowly_after,
     streams,
     writes,
     writes_unframed,
@@ -166,13 +168,16 @@
     assert (answer.status, answer.body) == (200, events(1, 2))
 
 
+@pytest.mark.parametrize("ends", [is_killed_after, is_killed_slowly_after])
 @pytest.mark.parametrize("pieces", [2, LAST])
-async def test_unframed_stream_of_a_killed_server_is_not_taken_for_complete(pieces: int) -> None:
+async def test_unframed_stream_of_a_killed_server_is_not_taken_for_complete(
+    pieces: int, ends: Callable[[bytes], Script]
+) -> None:
     """A killed process closes its connections like one that has sent its whole answer.
 
-    If nothing was missing, the next server has nothing to add.
+    It may still accept a connection then. If nothing was missing, the next server adds nothing.
     """
-    killed = is_killed_after(events(*range(1, pieces + 1)))
+    killed = ends(events(*range(1, pieces + 1)))
     assert await receive(killed, streams(LAST)) == (events(1, 2, 3, 4), True)
     assert await receive(killed) == (events(*range(1, pieces + 1)), False)
 
