--- a/src/pomelobarrow/backends/answer_buffers.py
+++ b/src/pomelobarrow/backends/answer_buffers.py
@@ -22,12 +22,12 @@
     content: aiohttp.StreamReader, max_bytes: int = MAX_STATEMENT_BYTES
 ) -> bytes:
     """Return a whole body that is short. Raises `AnswerTooLargeError`."""
-    body = b""
+    body = bytearray()
     while data := await content.readany():
         body += data
         if len(body) > max_bytes:
             raise AnswerTooLargeError(BODY, f"{max_bytes} bytes")
-    return body
+    return bytes(body)
 
 
 @define(kw_only=True)
--- a/src/pomelobarrow/backends/sessions.py
+++ b/src/pomelobarrow/backends/sessions.py
@@ -4,6 +4,7 @@
 import functools
 import socket
 from collections.abc import Mapping
+from typing import Any
 
 import aiohttp
 from aiohttp import ClientHandlerType
@@ -99,17 +100,20 @@
         await asyncio.gather(self.pooled.close(), self.fresh.close())
 
 
-def _session(force_close: bool) -> aiohttp.ClientSession:
+def bounded_connector(**options: Any) -> aiohttp.TCPConnector:
+    """Return a connector whose answers have bounded heads and framing."""
+    connector = aiohttp.TCPConnector(**options)
     loop = asyncio.get_running_loop()
-    options: dict[str, float] = {} if force_close else {"keepalive_timeout": KEEPALIVE_S}
-    connector = aiohttp.TCPConnector(
-        limit=MAX_CONNECTIONS,
-        force_close=force_close,
-        socket_factory=probed_socket,
-        **options,  # type: ignore[arg-type]
-    )
     # aiohttp has no public way to choose the protocol's class.
     connector._factory = functools.partial(AnswerHandler, loop=loop)  # type: ignore[assignment]
+    return connector
+
+
+def _session(force_close: bool) -> aiohttp.ClientSession:
+    options: dict[str, float] = {} if force_close else {"keepalive_timeout": KEEPALIVE_S}
+    connector = bounded_connector(
+        limit=MAX_CONNECTIONS, force_close=force_close, socket_factory=probed_socket, **options
+    )
     return aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
--- a/src/pomelobarrow/platform/store.py
+++ b/src/pomelobarrow/platform/store.py
@@ -10,6 +10,9 @@
 from attrs import define, field, frozen
 from result import Err, Ok, Result
 
+from pomelobarrow.backends.answer_buffers import read_limited
+from pomelobarrow.backends.answer_limits import AnswerTooLargeError
+from pomelobarrow.backends.sessions import bounded_connector
 from pomelobarrow.decision.common.bounded import count_or_none
 from pomelobarrow.decision.published.keyspace import Change
 from pomelobarrow.decision.published.store_position import (
@@ -20,11 +23,6 @@
     revision_of,
 )
 from pomelobarrow.kernel.clock import now_unix_s
-from pomelobarrow.platform.bounded_connector import (
-    AnswerTooLongError,
-    BoundedConnector,
-    read_body,
-)
 from pomelobarrow.published.events import ItemUnreadable, StoreAnswerTooLong
 from pomelobarrow.published.store_reader import Page, ReadError, ReadFailure, StoreReader
 
@@ -180,12 +178,12 @@
     ) -> Result[StoreAnswer, ReadError]:
         # A connection on which an answer was lost stays silent for good, so none is reused.
         if self._session is None:
-            connector = BoundedConnector(self.max_answer_bytes)
+            connector = bounded_connector(force_close=True)
             self._session = aiohttp.ClientSession(connector=connector)
         timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         try:
             async with self._session.get(url, params=params, timeout=timeout) as response:
-                body = await read_body(response, self.max_answer_bytes)
+                body = await read_limited(response.content, self.max_answer_bytes)
                 self._era = _stated_era(response.headers.get(ERA_HEADER, ""), self._era)
                 if response.status == HISTORY_GONE_STATUS:
                     return Err(ReadError(failure=ReadFailure.HISTORY_GONE))
@@ -194,7 +192,7 @@
                     return Err(ReadError(failure=ReadFailure.REFUSED, detail=detail))
                 answer = orjson.loads(body)
                 return Ok(StoreAnswer(body=answer, era=self._era, body_bytes=len(body)))
-        except AnswerTooLongError:
+        except AnswerTooLargeError:
             return self._too_long(url, self.max_answer_bytes)
         except ValueError as error:
             return Err(ReadError(failure=ReadFailure.MALFORMED, detail=repr(error)))
