Raise a VM's incarnation above those that its peers know of it

What callers would see: a VM that starts again under its name with its system clock set back by more than it was down serves, and no other VM knows: the directory names it nowhere, nothing is forwarded to it, and its loads and limits count for nobody until it is forgotten after ten minutes of silence. Not seen on running daemons; clocks can't be set there.

Cause: an incarnation is the start time by the system clock, and a heartbeat of a lower incarnation is ignored as a late message of an earlier process, which must stay so.

Evidence: test_vm_that_started_again_with_its_clock_set_back_is_ready_for_others failed before, as did the property over restarts with any clock (clock steps of -1 s and 0 s): the peer still held the incarnation of the process before.

Before it becomes ready, the VM takes the next higher incarnation in all its parts. A VM that is ready keeps its number: peers know its forwards and request ids by it.

Left: a VM that reaches no such peer before it is ready is still ignored by it.

--- a/src/pomelobarrow/decision/members/membership.py
+++ b/src/pomelobarrow/decision/members/membership.py
@@ -39,6 +39,8 @@
     own_region: str
     forget_after_s: float = FORGET_AFTER_S
     own: Member = field(init=False)
+    # The highest incarnation of this VM that another one knows; 0 if none does.
+    own_incarnation_of_peers: int = field(default=0, init=False)
     _records: dict[str, MemberRecord] = field(factory=dict, init=False, repr=False)
     _listed: dict[str, ListedVm] = field(factory=dict, init=False, repr=False)
     _handovers: dict[tuple[str, int], _Handover] = field(factory=dict, init=False, repr=False)
@@ -102,6 +104,8 @@
     def observe_summary(self, member: Member, now_unix_s: float, reported_by: str = "") -> bool:
         """Apply another daemon's description of a member; it never overrides direct evidence."""
         if member.vm == self.own_vm:
+            known = max(self.own_incarnation_of_peers, member.incarnation)
+            self.own_incarnation_of_peers = known
             return False
         last_seen_unix_s = min(member.last_seen_unix_s, self._resolve_unix_s(now_unix_s))
         # An old update about a forgotten VM would make daemons re-add it from one another.
--- a/src/pomelobarrow/decision/requests/request_ids.py
+++ b/src/pomelobarrow/decision/requests/request_ids.py
@@ -134,6 +134,12 @@
         """Return an iterator over the used ids."""
         return iter(self._entries.values())
 
+    def raise_incarnation(self, incarnation: int) -> None:
+        """Issue ids as a later incarnation; nothing may have been issued before."""
+        record = self._issuer_records.pop(self._own_key)
+        self.incarnation = incarnation
+        self._issuer_records[self._own_key] = record
+
     def issue(self, account: str, count: int, now_unix_s: float) -> tuple[str, ...]:
         """Issue up to `count` ids to an account, fewer if capacity is short."""
         self.expire(now_unix_s)
--- a/src/pomelobarrow/peers/forward_client.py
+++ b/src/pomelobarrow/peers/forward_client.py
@@ -42,7 +42,6 @@
 class PeerForwarder:
     """Choose peers and forward requests to them."""
 
-    own: Member
     view: MembershipView
     table: PeerTable
     loads: RegionLoads
@@ -52,6 +51,11 @@
     rng: Random = field(factory=Random)
     _serials: "itertools.count[int]" = field(factory=itertools.count)
 
+    @property
+    def own(self) -> Member:
+        """Return this VM's own description."""
+        return self.view.own
+
     def next_serial(self) -> int:
         """Return the serial of the next forward."""
         return next(self._serials)
--- a/src/pomelobarrow/peers/heartbeats.py
+++ b/src/pomelobarrow/peers/heartbeats.py
@@ -39,7 +39,7 @@
 # The fields of each part of a heartbeat, which are left out together.
 FIELDS_BY_PART: Mapping[str, tuple[str, ...]] = {
     "keyspaces": ("keyspaces",),
-    "members": ("heard_keys", "heard_ages", "member_keys"),
+    "members": ("heard_keys", "heard_ages", "member_keys", "members"),
     "pools": ("pools",),
     "departures": ("leaving_keys",),
     "unreachable pools": ("unreachable_pool_keys",),
@@ -198,6 +198,7 @@
         kind = self.neighbours.kind(heartbeat.vm, member.region == self.view.own_region)
         self._departures.apply(heartbeat, now)
         is_newest = self.view.observe_heartbeat(member, now)
+        self._members.note_incarnation(member)
         if is_newest:
             self._echoes[heartbeat.vm] = (heartbeat.sent_unix_s, now)
             self._members.note_direct_contact(heartbeat.vm, kind)
--- a/src/pomelobarrow/peers/joining.py
+++ b/src/pomelobarrow/peers/joining.py
@@ -1,7 +1,7 @@
 """Join the fleet before serving: contact the peers and catch up with their revisions."""
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 import structlog
 from mode import Service
@@ -30,12 +30,14 @@
         exchange: Exchange,
         published: PublishedState,
         watcher: PlatformWatcher,
+        keep_incarnation_newest: Callable[[], None],
     ) -> None:
         super().__init__()
         self._table = table
         self._exchange = exchange
         self._published = published
         self._watcher = watcher
+        self._keep_incarnation_newest = keep_incarnation_newest
         self.is_joined = False
 
     @background_task
@@ -47,6 +49,7 @@
         # than its peers, and classes and limits would appear to revert for its callers.
         while not self._has_caught_up() and not self.should_stop:
             await self.sleep(CHECK_EVERY_S)
+        self._keep_incarnation_newest()
         self.is_joined = True
         self._table.set_phase(Phase.READY)
         log.info("joined", revisions=self._revisions())
--- a/src/pomelobarrow/peers/member_updates.py
+++ b/src/pomelobarrow/peers/member_updates.py
@@ -79,6 +79,8 @@
     _member_by_key: dict[int, tuple[str, int, bool]] = field(factory=dict)
     _key_by_vm: dict[str, int] = field(factory=dict)
     _source_kind: dict[str, LinkKind] = field(factory=dict)
+    # VMs whose heartbeats are of an earlier incarnation than the one known here.
+    _outdated_vms: set[str] = field(factory=set)
 
     def write(
         self,
@@ -92,6 +94,8 @@
         """Add the keys of new descriptions, and when members were last seen, to a heartbeat."""
         self._refresh(now_unix_s)
         self._write_description_keys(heartbeat, sent)
+        if peer in self._outdated_vms and (member := self.view.get(peer)) is not None:
+            heartbeat.members.append(_summary(member, self.view.last_seen_unix_s(peer)))
         last_seen_of, sent_unix_s = self.view.last_seen_unix_s, sent.last_seen_unix_s
         ages: dict[int, int] = {}
         for vm, every_s in self._members_reported_to(kind, neighbours):
@@ -173,6 +177,14 @@
         members = (self.view.get(vm) for vm in vms)
         return [_summary(each, self.view.last_seen_unix_s(each.vm)) for each in members if each]
 
+    def note_incarnation(self, sender: Member) -> None:
+        """Note whether a sender started again with its clock set back; it is told so then."""
+        known = self.view.get(sender.vm)
+        if known is not None and sender.incarnation < known.incarnation:
+            self._outdated_vms.add(sender.vm)
+        else:
+            self._outdated_vms.discard(sender.vm)
+
     def note_direct_contact(self, vm: str, kind: LinkKind) -> None:
         """Note that a message came from the member itself."""
         self._note_source(vm, kind)
@@ -189,6 +201,7 @@
         self._version_by_vm.pop(vm, None)
         self._description_by_vm.pop(vm, None)
         self._source_kind.pop(vm, None)
+        self._outdated_vms.discard(vm)
         self._member_by_key.pop(self._key_by_vm.pop(vm, 0), None)
         self._description_key_by_vm.pop(vm, None)
         for key in [key for key, of_vm in self._vm_by_description.items() if of_vm == vm]:
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -1,6 +1,7 @@
 """The peers' plug-in: membership, configuration relay, forwarding and hand-over."""
 
 from collections.abc import Awaitable
+from functools import partial
 
 from pomelobarrow.backends.reports import LoadPoller
 from pomelobarrow.decision.admission.limits import AccountLimits
@@ -30,6 +31,7 @@
 from pomelobarrow.peers.forward_server import ForwardServer
 from pomelobarrow.peers.hand_over import hand_over
 from pomelobarrow.peers.heartbeats import Heartbeats
+from pomelobarrow.peers.incarnations import keep_incarnation_newest
 from pomelobarrow.peers.joining import Joining
 from pomelobarrow.peers.keys import PeerKeys
 from pomelobarrow.peers.links import PeerLink, StreamFactory
@@ -312,7 +314,6 @@
 
 def _forwarder(context: Context) -> PeerForwarder:
     return PeerForwarder(
-        own=context.get(MembershipView).own,
         view=context.get(MembershipView),
         table=context.get(PeerTable),
         loads=context.get(RegionLoads),
@@ -350,4 +351,5 @@
         context.get(Exchange),
         context.get(PublishedState),
         context.get(PlatformWatcher),
+        partial(keep_incarnation_newest, context),
     )
--- a/src/pomelobarrow/peers/streams.py
+++ b/src/pomelobarrow/peers/streams.py
@@ -66,6 +66,10 @@
             for message in self.exchange.crash_updates.all_messages():
                 self.send(message)
 
+    def send_all_again(self) -> None:
+        """Let the next heartbeat be complete."""
+        self._sent.restart()
+
     async def send_closing(self) -> None:
         """Notify the peer that this stream closes on purpose, and wait until that is sent."""
         self.send(pb.PeerMessage(closing=pb.Closing()))
--- a/src/pomelobarrow/peers/table.py
+++ b/src/pomelobarrow/peers/table.py
@@ -199,6 +199,11 @@
         dialed = [link.stream for link in self.links.values()]
         return [*dialed, *self._accepted.all()]
 
+    def send_all_again(self) -> None:
+        """Let the next heartbeat on each stream be complete."""
+        for stream in self._all_streams():
+            stream.send_all_again()
+
     def broadcast(self, message: pb.PeerMessage) -> None:
         """Send to every linked peer."""
         for stream in self._streams_up().values():
--- a/tests/daemon_parts.py
+++ b/tests/daemon_parts.py
@@ -16,11 +16,11 @@
 POOL = "plain"
 
 
-def daemon_parts() -> Context:
+def daemon_parts(vm: str = VM) -> Context:
     """Return a daemon's components without its services."""
     checked = check_settings(
         {
-            "vm": VM,
+            "vm": vm,
             "region": "milan",
             "failure_domain": "milan-a",
             "callers": {"listen": "127.0.0.1:1", "advertise": "127.0.0.1:1"},
