Take an account's tokens once where the network repeats a query

What could happen: a datagram that arrives twice takes the cost of a request twice, so that an account gets less than its limit and is refused with 429 too early. Not seen on running daemons.

Cause: refunds were told apart by number, queries were not.

Evidence: test_query_replayed_on_the_way_takes_tokens_once failed before: 20 tokens taken for two queries of 5, one of them received three times.

Change: a meter keeps the answers to its last queries by number and repeats them.

--- a/src/pomelobarrow/peers/token_grants.py
+++ b/src/pomelobarrow/peers/token_grants.py
@@ -4,7 +4,7 @@
 import math
 import random
 from collections.abc import Callable, Iterable, Mapping
-from typing import TypedDict
+from typing import Any, TypedDict
 
 from attrs import define, frozen
 from mode import Service
@@ -39,8 +39,8 @@
 UNREACHABLE_RETRY_S = 0.3
 RETRY_JITTER = 0.3
 MS_PER_S = 1_000.0
-# Many times what a VM's meters are refunded while a datagram is on the way.
-REFUNDS_REMEMBERED = 4_096
+# Many times what a VM's meters are asked and refunded while a datagram is on the way.
+NUMBERS_REMEMBERED = 4_096
 
 # The published accounts by name.
 Accounts = Mapping[str, Account]
@@ -98,8 +98,9 @@
         self._meter_id = self._random.getrandbits(64)
         self._meters: dict[str, AccountMeter] = {}
         self._locals: dict[str, _Local] = {}
-        # Numbers of the refunds applied last.
+        # Numbers of the refunds applied last, and the answers to the last queries by number.
         self._refunds: dict[int, None] = {}
+        self._answers: dict[int, pb.TokenAnswer] = {}
         self._names: tuple[Accounts, dict[int, str]] = ({}, {})
         datagrams.handlers["token_query"] = self._on_query
         datagrams.handlers["token_refund"] = self._on_refund
@@ -234,6 +235,15 @@
         # Without an answer, the VM that asks turns to the next meter.
         if account is None or not are_amounts([query.cost]):
             return
+        # The network may repeat a datagram; its tokens are taken once.
+        answer = self._answers.get(query.number)
+        if answer is None:
+            answer = self._answers[query.number] = self._decide(account, query)
+            _forget_oldest(self._answers)
+        reply(pb.Datagram(token_answer=answer))
+        self._announce(account)
+
+    def _decide(self, account: Account, query: pb.TokenQuery) -> pb.TokenAnswer:
         answer = pb.TokenAnswer(number=query.number, is_granted=True)
         if account.limit is not None:
             taken = self._take(account.name, account.limit, query.cost)
@@ -242,8 +252,7 @@
                 answer.is_granted = False
                 answer.opens_in_ms = _ms(taken.err_value.opens_unix_s - now)
                 answer.retry_in_ms = _ms(taken.err_value.retry_unix_s - now)
-        reply(pb.Datagram(token_answer=answer))
-        self._announce(account)
+        return answer
 
     def _on_refund(self, refund: pb.TokenRefund, reply: Reply) -> None:
         account = self._account_of(refund.account_key)
@@ -257,8 +266,7 @@
         if number and number in self._refunds:
             return False
         self._refunds[number] = None
-        if len(self._refunds) > REFUNDS_REMEMBERED:
-            del self._refunds[next(iter(self._refunds))]
+        _forget_oldest(self._refunds)
         return True
 
     def _on_use(self, use: pb.TokenUse, reply: Reply) -> None:
@@ -312,5 +320,10 @@
                 self._datagrams.send(self._address(member), pb.Datagram(token_use=use))
 
 
+def _forget_oldest(by_number: dict[int, Any]) -> None:
+    if len(by_number) > NUMBERS_REMEMBERED:
+        del by_number[next(iter(by_number))]
+
+
 def _ms(duration_s: float) -> int:
     return math.ceil(min(max(0.0, duration_s * MS_PER_S), UINT32_MAX))
--- a/tests/test_token_grants.py
+++ b/tests/test_token_grants.py
@@ -176,3 +176,17 @@
             refund = pb.TokenRefund(account_key=short_key("shops"), cost=5.0)
             grants._on_refund(refund, lambda answer: None)
     assert refunded == [5.0, 5.0]
+
+
+async def test_query_replayed_on_the_way_takes_tokens_once() -> None:
+    """A duplicated datagram must not use up an account's limit, nor get another answer."""
+    async with fleet() as vms:
+        grants = vms["a-1"].grants
+        answers: list[pb.Datagram] = []
+        for number in (7, 7, 7, 8):
+            query = pb.TokenQuery(number=number, account_key=short_key("shops"), cost=5.0)
+            grants._on_query(query, answers.append)
+        granted = grants.metered_accounts()["shops"]["granted"]
+    assert granted == 10.0
+    assert [each.token_answer.number for each in answers] == [7, 7, 7, 8]
+    assert all(each.token_answer.is_granted for each in answers)
