Keep to published limits of requests above the relay's own

What callers would see: with a published HeaderBytes over 16 KiB, BodyBytes over 4 MiB or IdleMs over 75 s, a request within the limits is refused with 400 or 413, or meets a closed connection. Today's defaults are below.

Cause: the published limits were read and used nowhere; the listeners had constants.

Evidence: test_request_within_the_published_limits_is_served failed before with 400 (a header line of 48 KiB, a body of 192 KiB where the listener's own are 16 and 64 KiB).

Change: each connection to the relay's clients' and peers' addresses takes the larger of both as it opens, up to 256 KiB a header line and 64 MiB a body, which a VM's memory can hold.

Left: HeaderMs is not applied; a head that stops half-way is closed after the idle time.

--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from functools import partial
 
 from aiohttp import web
 from attrs import define, evolve, field
@@ -266,10 +265,3 @@
     if incoming.transport is not None:
         incoming.transport.close()
     return web.Response(status=499)
-
-
-def request_factory(
-    max_body_bytes: int, loop: asyncio.AbstractEventLoop
-) -> Callable[..., web.BaseRequest]:
-    """Return a factory of requests whose bodies may have at most this size."""
-    return partial(web.BaseRequest, loop=loop, client_max_size=max_body_bytes)
--- a/src/pomelobarrow/relay/http_server.py
+++ b/src/pomelobarrow/relay/http_server.py
@@ -1,23 +1,35 @@
 """Accept HTTP connections; what a malformed request contains reaches no log and no answer."""
 
+import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import structlog
 from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
+from attrs import frozen
 
 log = structlog.get_logger(__name__)
 
 # A chunk of one byte takes six bytes.
 MAX_FRAMING_FACTOR = 8
-# 128 header lines of 16 KiB each, and the request line.
-MAX_HEAD_BYTES = (2 << 20) + (16 << 10)
+MAX_HEADER_LINES = 128
 
 
-def max_request_bytes(max_body_bytes: int) -> int:
-    """Return how many bytes a connection receives at most from one head to the next."""
-    return MAX_HEAD_BYTES + MAX_FRAMING_FACTOR * max_body_bytes
+@frozen(kw_only=True)
+class ConnectionLimits:
+    """The largest header line and body of a request, and how long a connection may stay idle."""
+
+    field_bytes: int
+    body_bytes: int
+    idle_s: float
+
+    @property
+    def request_bytes(self) -> int:
+        """Return how many bytes a connection receives at most from one head to the next."""
+        head_bytes = (1 + MAX_HEADER_LINES) * self.field_bytes
+        return head_bytes + MAX_FRAMING_FACTOR * self.body_bytes
 
 
 class _RequestHandler(web.RequestHandler):
@@ -32,12 +44,25 @@
         self,
         manager: web.Server,
         *,
-        max_bytes: int,
+        limits: ConnectionLimits,
         on_too_long: Callable[[], None],
+        loop: asyncio.AbstractEventLoop,
         **options: Any,
     ) -> None:
-        super().__init__(manager, **options)
-        self._max_bytes = max_bytes
+        super().__init__(
+            manager,
+            loop=loop,
+            max_headers=MAX_HEADER_LINES,
+            max_field_size=limits.field_bytes,
+            max_line_size=limits.field_bytes,
+            keepalive_timeout=limits.idle_s,
+            **options,
+        )
+        # aiohttp has one size of bodies for all connections of a server.
+        self._request_factory = partial(
+            web.BaseRequest, loop=loop, client_max_size=limits.body_bytes
+        )
+        self._max_bytes = limits.request_bytes
         self._on_too_long = on_too_long
         self._bytes_since_head = 0
 
@@ -77,12 +102,12 @@
         self,
         handler: Callable[[web.BaseRequest], Any],
         *,
-        max_body_bytes: int,
+        limits: Callable[[], ConnectionLimits],
         on_too_long: Callable[[], None],
         **options: Any,
     ) -> None:
         super().__init__(handler, **options)
-        self._max_bytes = max_request_bytes(max_body_bytes)
+        self._limits = limits
         self._on_too_long = on_too_long
 
     def __call__(self) -> web.RequestHandler:
@@ -90,7 +115,7 @@
         return _RequestHandler(
             self,
             loop=self._loop,
-            max_bytes=self._max_bytes,
+            limits=self._limits(),
             on_too_long=self._on_too_long,
             **self._kwargs,
         )
--- a/src/pomelobarrow/relay/listeners.py
+++ b/src/pomelobarrow/relay/listeners.py
@@ -10,14 +10,19 @@
 from mode import Service
 
 from pomelobarrow.callers.server import flush
+from pomelobarrow.decision.published.routing import CallerLimits
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.events import RequestTooLong
-from pomelobarrow.relay.front import request_factory
-from pomelobarrow.relay.http_server import HttpServer
+from pomelobarrow.relay.http_server import ConnectionLimits, HttpServer
 
-MAX_FIELD_BYTES = 16 << 10
-# Longer than the published idle time: clients reuse connections that were idle for most of it.
+# At least; more where the published limits allow it.
+FIELD_BYTES = 16 << 10
+# Clients reuse connections that were idle for most of the published time.
 KEEPALIVE_S = 75.0
+# Published limits count up to these: a VM has 300 MB.
+MAX_PUBLISHED_FIELD_BYTES = 256 << 10
+MAX_PUBLISHED_BODY_BYTES = 64 << 20
+NONE_PUBLISHED = CallerLimits(header_bytes=0, body_bytes=0, idle_s=0.0)
 BACKLOG = 1_024
 IN_TRANSIT_WAIT_S = 0.25
 IDLE_CHECK_EVERY_S = 0.05
@@ -35,6 +40,18 @@
     address: str
     handler: Handler
     max_body_bytes: int = 1 << 16
+    # Returns the published limits, which hold for requests of routes only.
+    published: Callable[[], CallerLimits] = lambda: NONE_PUBLISHED
+
+    def limits(self) -> ConnectionLimits:
+        """Return the limits of a connection that opens now."""
+        published = self.published()
+        body_bytes = min(published.body_bytes, MAX_PUBLISHED_BODY_BYTES)
+        return ConnectionLimits(
+            field_bytes=max(FIELD_BYTES, min(published.header_bytes, MAX_PUBLISHED_FIELD_BYTES)),
+            body_bytes=max(self.max_body_bytes, body_bytes),
+            idle_s=max(KEEPALIVE_S, published.idle_s),
+        )
 
 
 @define(eq=False)
@@ -66,14 +83,10 @@
             # slot of its backend server.
             server = HttpServer(
                 listener.handler,
-                max_body_bytes=listener.max_body_bytes,
+                limits=listener.limits,
                 on_too_long=partial(self._observe, RequestTooLong(listener=listener.name)),
                 handler_cancellation=True,
-                request_factory=request_factory(listener.max_body_bytes, loop),
                 access_log=None,
-                keepalive_timeout=KEEPALIVE_S,
-                max_field_size=MAX_FIELD_BYTES,
-                max_line_size=MAX_FIELD_BYTES,
                 # Bodies are forwarded unchanged.
                 auto_decompress=False,
             )
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -11,7 +11,7 @@
 from pomelobarrow.decision.members.live_members import LiveMembers
 from pomelobarrow.decision.members.membership import MembershipView
 from pomelobarrow.decision.placement.placement import Placer
-from pomelobarrow.decision.published.routing import Routing
+from pomelobarrow.decision.published.routing import CallerLimits, Routing
 from pomelobarrow.decision.servers.cold_start import ColdLimiter
 from pomelobarrow.decision.servers.load_table import LoadTable
 from pomelobarrow.decision.servers.reachability import PeerReachability
@@ -225,6 +225,11 @@
 def _listeners(context: Context) -> RelayListeners:
     settings = _relay_settings(context)
     front, directory = context.get(RelayFront), context.get(RelayDirectory)
+
+    def limits() -> CallerLimits:
+        routing = _routing(context)
+        return routing.limits if routing is not None else CallerLimits()
+
     return RelayListeners(
         listeners=(
             Listener(
@@ -232,12 +237,14 @@
                 address=settings.front_listen,
                 handler=front.from_client,
                 max_body_bytes=MAX_BODY_BYTES,
+                published=limits,
             ),
             Listener(
                 name="peers",
                 address=settings.hop_listen,
                 handler=front.from_peer,
                 max_body_bytes=MAX_BODY_BYTES,
+                published=limits,
             ),
             Listener(
                 name="readiness", address=settings.readiness_listen, handler=directory.readiness
