--- a/src/pomelobarrow/backends/answer_buffers.py
+++ b/src/pomelobarrow/backends/answer_buffers.py
@@ -82,20 +82,22 @@
     # The part of it for bodies that were read to their end.
     _kept_bytes: int = field(default=0, init=False)
 
-    async def read(self, content: aiohttp.StreamReader) -> bytes | bytearray:
-        """Return a whole body; it is not read on while the memory for it is taken.
+    async def read(self, content: aiohttp.StreamReader) -> tuple[bytes, ...]:
+        """Return the parts of a whole body; it is not read on while the memory for it is taken.
 
         Raises `AnswerTooLargeError`.
         """
         first = await content.readany()
         if content.at_eof():
-            return first
-        body = bytearray(first)
+            return (first,)
+        # The parts aren't joined, which would take as much memory again.
+        parts, size_bytes = [first], len(first)
         while data := await content.readany():
-            await self.reserve(len(body) + len(data))
-            body += data
+            size_bytes += len(data)
+            await self.reserve(size_bytes)
+            parts.append(data)
         self._kept_bytes = self._reserved_bytes
-        return body
+        return tuple(parts)
 
     async def reserve(self, size_bytes: int) -> None:
         """Wait until an answer of this size may be buffered."""
--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -150,7 +150,7 @@
         A 4xx answer is passed on. For any other status the outcome is unknown, unless the engine
         states that the request did not run.
         """
-        body = bytes(await self._buffer.read(response.content))
+        body = b"".join(await self._buffer.read(response.content))
         if states_not_run(response.status, body):
             self.attempt.apply(AttemptEvent.REFUSE_UNRUN)
             return self._result(f"refused with {response.status}")
--- a/src/pomelobarrow/relay/answer.py
+++ b/src/pomelobarrow/relay/answer.py
@@ -7,9 +7,8 @@
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.relay.messages import Headers, WholeAnswer
 
-Body = bytes | bytearray | memoryview
-# A larger body is sent in slices, each once the client has read most of the one before.
-SLICE_BYTES = 64 << 10
+# A larger body is sent in parts, each once the client has read most of the one before.
+MAX_JOINED_BYTES = 64 << 10
 CALLER_GONE = "the client closed its connection"
 
 
@@ -28,34 +27,37 @@
         """Return whether any part of the answer has been sent."""
         return self.response is not None
 
-    async def send_complete(self, status: int, headers: Headers, body: Body) -> None:
+    async def send_complete(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete answer."""
-        if len(body) > SLICE_BYTES:
-            await self._send_in_slices(status, headers, body)
-            return
         response = web.Response(status=status, headers=CIMultiDict(headers), body=body)
         await self._prepare(response)
         await self._checked(response.write_eof())
 
     async def pass_on(self, answer: WholeAnswer) -> None:
         """Send a backend server's complete answer."""
-        await self.send_complete(answer.head.status, answer.head.headers, answer.body)
-
-    async def _send_in_slices(self, status: int, headers: Headers, body: Body) -> None:
+        head, parts = answer.head, answer.body_parts
+        size_bytes = sum(map(len, parts))
+        if size_bytes <= MAX_JOINED_BYTES:
+            await self.send_complete(head.status, head.headers, b"".join(parts))
+        else:
+            await self._send_parts(head.status, head.headers, parts, size_bytes)
+
+    async def _send_parts(
+        self, status: int, headers: Headers, parts: tuple[bytes, ...], size_bytes: int
+    ) -> None:
         # The transport copies what the client has not read yet.
         response = LateHeadResponse(status=status, headers=CIMultiDict(headers))
-        response.content_length = len(body)
+        response.content_length = size_bytes
         await self._prepare(response)
-        view = memoryview(body)
-        for start in range(0, len(body), SLICE_BYTES):
-            await self.send(view[start : start + SLICE_BYTES])
+        for part in parts:
+            await self.send(part)
         await self.finish()
 
     async def open(self, status: int, headers: Headers) -> None:
         """Begin a stream; its head is sent together with the first events."""
         await self._prepare(LateHeadResponse(status=status, headers=CIMultiDict(headers)))
 
-    async def send(self, data: Body) -> None:
+    async def send(self, data: bytes) -> None:
         """Send the next bytes of a stream."""
         assert self.response is not None
         try:
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -207,12 +207,14 @@
         return ""
 
     async def _read_complete(self, response: ResponseHead, head: ServerAnswerHead) -> AttemptReport:
-        body = await self.buffer.read(response.content)
+        body_parts = await self.buffer.read(response.content)
         if await self._is_cut_by_its_end(response):
             return self._lost(CUT_BY_ITS_END, is_closed=True)
         self._note_first_answer(head)
         self.record.progress.apply(AttemptEvent.END)
-        return self._report(AttemptEnd.ANSWERED, answer=WholeAnswer(head=head, body=body))
+        return self._report(
+            AttemptEnd.ANSWERED, answer=WholeAnswer(head=head, body_parts=body_parts)
+        )
 
     async def _forward_events(
         self, response: ResponseHead, head: ServerAnswerHead
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -161,7 +161,7 @@
     """Represent a complete answer of a backend server."""
 
     head: ServerAnswerHead
-    body: bytes | bytearray = field(default=b"", repr=False)
+    body_parts: tuple[bytes, ...] = field(default=(), repr=False)
 
 
 @frozen(kw_only=True)
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -121,7 +121,7 @@
 
 
 async def test_answer_up_to_the_limit_reaches_the_client_whole() -> None:
-    """Guards against a large body that is cut, doubled or sent out of order in slices."""
+    """Guards against a large body that is cut, doubled or sent out of order in parts."""
     body = b"".join(b"%015d\n" % number for number in range(MAX_WHOLE_ANSWER_BYTES // 16))
     async with relay_fleet((ONCE,), {"a": {"s1": answers(body=body)}}) as fleet:
         answer = await ask_patiently(fleet.vms["a"], "/non_idempotent/")
