Free the memory of large answers that clients don't read

What callers saw: requests with large answers could time out at a VM whose memory for them was held by clients that read nothing.

Cause: a server's failure that is sent after the deadline, since a later attempt didn't end in time, is written outside the deadline, and writing waits for the client without a limit. Its reservation was held until then.

Evidence: the new test fails without the limit: 30 s after a request with a deadline of 1 s, the 16 MiB of its failure are still reserved.

Change: sending a large answer ends after 30 s; the connection is then closed so that the answer is visibly incomplete. Small answers aren't affected.

Why it works: a reservation is released when its request ends, and now each request ends.

--- a/src/pomelobarrow/relay/answer.py
+++ b/src/pomelobarrow/relay/answer.py
@@ -1,5 +1,7 @@
 """Write the answer to one relayed request to its client."""
 
+import asyncio
+
 from aiohttp import web
 from multidict import CIMultiDict
 
@@ -9,7 +11,10 @@
 
 # A larger body is sent in parts, each once the client has read most of the one before.
 MAX_JOINED_BYTES = 64 << 10
+# An answer may be sent after its deadline. Its memory is free for other answers again after this.
+MAX_SENDING_S = 30.0
 CALLER_GONE = "the client closed its connection"
+CALLER_SLOW = "the client has not read its answer"
 
 
 class ClientAnswer:
@@ -48,10 +53,15 @@
         # The transport copies what the client has not read yet.
         response = LateHeadResponse(status=status, headers=CIMultiDict(headers))
         response.content_length = size_bytes
-        await self._prepare(response)
-        for part in parts:
-            await self.send(part)
-        await self.finish()
+        try:
+            async with asyncio.timeout(MAX_SENDING_S):
+                await self._prepare(response)
+                for part in parts:
+                    await self.send(part)
+                await self.finish()
+        except TimeoutError as error:
+            self.break_off()
+            raise CallerGoneError(CALLER_SLOW) from error
 
     async def open(self, status: int, headers: Headers) -> None:
         """Begin a stream; its head is sent together with the first events."""
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -4,9 +4,10 @@
 
 import aiohttp
 import pytest
+from callers import wait_until
 from endless_answer import SOCKET_BYTES, STOP_BYTES, EndlessAnswer, chunk, head, raw
-from relay_harness import POOL, Answer, RelayVm, ask, relay_fleet, route
-from scripted_server import Exchange, answers, event
+from relay_harness import HOST, POOL, Answer, RelayVm, ask, relay_fleet, route
+from scripted_server import Exchange, answers, event, hangs
 
 from pomelobarrow.backends.answer_buffers import AnswerBuffer
 from pomelobarrow.backends.answer_limits import MAX_WHOLE_ANSWER_BYTES
@@ -15,7 +16,8 @@
 from pomelobarrow.decision.streams.server_sent_events import MAX_EVENT_BYTES
 from pomelobarrow.operators.metrics import Metrics
 from pomelobarrow.operators.plugin import Observer
-from pomelobarrow.relay.events import RelayAttemptEnded, ServerEjected
+from pomelobarrow.relay import answer as relay_answer
+from pomelobarrow.relay.events import RelayAttemptEnded, RelayEnded, ServerEjected
 
 # Long enough for a busy machine to read what the limits allow.
 TIMEOUT_S = 30.0
@@ -183,3 +185,36 @@
         for each in taken:
             each.release()
         assert (await waiting).status == 502
+
+
+async def test_client_that_does_not_read_holds_no_memory_after_its_deadline(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a failure that is sent after the deadline, to a client that never reads it."""
+    monkeypatch.setattr(relay_answer, "MAX_SENDING_S", 0.1)
+    scripts = iter((answers(500, b"x" * MAX_WHOLE_ANSWER_BYTES), hangs()))
+
+    async def fails_and_hangs(exchange: Exchange) -> None:
+        await next(scripts)(exchange)
+
+    async with relay_fleet(
+        (IDEMPOTENT,), {"a": {"s1": fails_and_hangs, "s2": fails_and_hangs}}
+    ) as f:
+        vm = f.vms["a"]
+        reader, writer = await asyncio.open_connection(vm.host, vm.front_port, limit=1)
+        lines = (
+            "POST /idempotent/ HTTP/1.1",
+            f"Host: {HOST}",
+            "Pomelobarrow-Request-Id: r1",
+            "Pomelobarrow-Request-Deadline: 1000",
+            "Content-Length: 0",
+        )
+        writer.write("\r\n".join((*lines, "", "")).encode())
+
+        async def is_memory_free() -> bool:
+            has_ended = any(isinstance(each, RelayEnded) for each in vm.events)
+            return has_ended and not vm.relay.sessions.buffers.reserved_bytes
+
+        await wait_until(is_memory_free)
+        assert [end for _, end, _ in attempts(vm)][:1] == ["answered"]
+        writer.close()
