Hold back events without an id until the join of a run is checked

What callers saw: where a server ignores the last event id and begins its stream with an event that has none, that event came twice, in an answer that looked complete; with the id that follows in the same read it did not.

Cause: what came before the first id of a further run was passed on as it was read, and the run rejected afterwards. Class of fault: a result that depends on how bytes are read.

Change: events with data but no id are held back, up to 64 KiB, until an id shows that the run goes on after the last event, or the run is complete. Comments are not. A server that sends such events counts as one that answers. A run with more of them is rejected.

test_events_of_a_run_that_are_new_are_the_same_however_they_are_read failed before: [note 2, event 1] after events 1 and 2, in two reads, passed note 2 on, in one read nothing.

--- a/src/pomelobarrow/decision/streams/stream_position.py
+++ b/src/pomelobarrow/decision/streams/stream_position.py
@@ -15,6 +15,9 @@
 # Events without an id are remembered until the next id. With more of them, the stream can't be
 # resumed, since its server would repeat them.
 MAX_UNIDENTIFIED_EVENTS = 256
+# Events without an id are held back until the first id of a further run. A run that brings more of
+# them is rejected, since nothing shows where it begins.
+MAX_HELD_BYTES = 64 << 10
 
 
 class JoinError(ValueError):
@@ -43,6 +46,9 @@
     _unidentified: list[int] = field(factory=list, init=False)
     # Those of them that the current run may still repeat.
     _repeatable: deque[int] = field(factory=deque, init=False)
+    # The events without an id that a run brought before its join is checked.
+    _held: list[bytes] = field(factory=list, init=False)
+    _held_bytes: int = field(default=0, init=False)
 
     @property
     def last_event_id(self) -> str:
@@ -61,19 +67,31 @@
         self.run = StreamRun()
         self._repeatable = deque(self._unidentified)
         self.is_join_checked = not self.last_id
+        self._held, self._held_bytes = [], 0
+
+    def end_run(self) -> list[bytes]:
+        """Return the events held back of a run that is complete or whose join is checked."""
+        self.is_join_checked = True
+        held, self._held = self._held, []
+        return held
 
     def select_new(self, events: Sequence[bytes]) -> Sequence[bytes]:
         """Return the events of a run whose join isn't checked that the client does not have.
 
-        Raises `JoinError` if the first id of the run is not beyond the last one of the stream.
+        Events without an id are held back, since they may be those of a run that goes back. Raises
+        `JoinError` if the first id of the run is not beyond the last one of the stream.
         """
         new: list[bytes] = []
         for index, event in enumerate(events):
             id_ = event_id(event)
             if id_ is not None:
                 self._check_join(header_value(id_))
-                return [*new, *events[index:]]
-            if not self._is_repeated(event):
+                return [*new, *self.end_run(), *events[index:]]
+            if self._is_repeated(event):
+                continue
+            if self._held or event_data(event) is not None:
+                self._hold(event)
+            else:
                 new.append(event)
         return new
 
@@ -101,8 +119,13 @@
         if len(self._unidentified) <= MAX_UNIDENTIFIED_EVENTS:
             self._unidentified += digests
 
+    def _hold(self, event: bytes) -> None:
+        self._held.append(event)
+        self._held_bytes += len(event)
+        if self._held_bytes > MAX_HELD_BYTES:
+            raise JoinError(f"the run has no id in its first {MAX_HELD_BYTES} bytes")
+
     def _check_join(self, first_id: str) -> None:
-        self.is_join_checked = True
         if not is_beyond(first_id, self.last_event_id):
             raise JoinError(f"the run goes on with event {first_id} after {self.last_event_id}")
 
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -219,6 +219,7 @@
             return self._lost("the stream ended before its first event", is_closed=True)
         if await self._is_cut_by_its_end(response):
             return self._lost(CUT_BY_ITS_END, is_closed=True)
+        await self._pass_on(self.position.end_run(), head)
         # The client had all events before it took the stream up.
         if not self.sink.is_started:
             self._note_first_answer(head)
@@ -229,7 +230,8 @@
 
     async def _pass_on(self, events: Sequence[bytes], head: ServerAnswerHead) -> None:
         """Send those of the events that the client does not have."""
-        if not self.position.is_join_checked:
+        if events and not self.position.is_join_checked:
+            self._keep_waiting()
             events = self.position.select_new(events)
         if not events:
             return
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -115,6 +115,12 @@
     assert [end.is_join_rejected for end in ends] == [False, True, False]
 
 
+async def test_run_that_ends_without_an_id_is_passed_on() -> None:
+    """Events without an id wait for the first id of a run, which may have none."""
+    received = await receive(writes(events(1, 2), is_whole=False), writes(note(2), COMMENT))
+    assert received == (events(1, 2) + note(2) + COMMENT, True)
+
+
 async def test_run_that_goes_back_behind_the_clients_last_event_is_not_passed_on() -> None:
     """A client that takes up a stream got it from its beginning."""
     again, headers = writes(events(1, 2, 3, 4)), {"Last-Event-Id": "2"}
--- a/tests/test_stream_position.py
+++ b/tests/test_stream_position.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from pomelobarrow.decision.streams.stream_position import (
+    MAX_HELD_BYTES,
     MAX_UNIDENTIFIED_EVENTS,
     JoinError,
     StreamPosition,
@@ -73,6 +74,45 @@
     ]
 
 
+@given(
+    st.lists(st.sampled_from([COMMENT, note(1), note(2), event(1), event(2), event(3)])),
+    st.data(),
+)
+def test_events_of_a_run_that_are_new_are_the_same_however_they_are_read(
+    run: list[bytes], data: st.DataObject
+) -> None:
+    """Events without an id went out if the id that shows a wrong join came in a later read."""
+    reads = []
+    rest = run
+    while rest:
+        size = data.draw(st.integers(1, len(rest)))
+        reads.append(rest[:size])
+        rest = rest[size:]
+    assert select_all(reads) == select_all([run])
+
+
+def select_all(reads: list[list[bytes]]) -> tuple[list[bytes], bool]:
+    """Return the new events with data of a run, and whether it was rejected."""
+    position = position_after(event(1), event(2), note(1))
+    passed: list[bytes] = []
+    try:
+        for each in reads:
+            passed += each if position.is_join_checked else position.select_new(each)
+        passed += position.end_run()
+    except JoinError:
+        return [each for each in passed if each != COMMENT], True
+    return [each for each in passed if each != COMMENT], False
+
+
+def test_run_without_any_id_is_rejected_beyond_a_limit() -> None:
+    """Without a bound, events that wait for an id would fill the memory."""
+    position = position_after(event(1))
+    large = b"data: %s\n\n" % (b"x" * (MAX_HELD_BYTES // 2))
+    assert position.select_new([large]) == []
+    with pytest.raises(JoinError):
+        position.select_new([large])
+
+
 def test_events_that_a_server_does_not_repeat_are_new() -> None:
     """One that sends its notes once only goes on with other events."""
     position = position_after(event(1), note(1), note(2))
