Give the memory for a large event back once it is sent

What could happen: each stream with one event of over 64 KiB kept 1 MiB or more of the memory for large answers until its end. By the rule that the largest of them can still grow to 16 MiB, seventeen such streams hold back every other large answer and event of the VM, until one of them ends or the deadlines pass.

Cause: reservations end with their request; those of streams were meant for the one event that is incomplete.

test_stream_keeps_no_memory_for_an_event_that_it_has_sent failed before (1,048,576 bytes reserved) and passes.

--- a/src/pomelobarrow/backends/answer_buffers.py
+++ b/src/pomelobarrow/backends/answer_buffers.py
@@ -43,11 +43,13 @@
             self.waiting -= 1
         self._reserved_bytes[buffer] = size_bytes
 
-    def release(self, buffer: "AnswerBuffer") -> None:
-        """Free the memory of a buffer."""
+    def release(self, buffer: "AnswerBuffer", kept_bytes: int = 0) -> None:
+        """Free the memory of a buffer beyond what it keeps."""
         if self._reserved_bytes.pop(buffer, 0):
             self._released.set()
             self._released = asyncio.Event()
+        if kept_bytes:
+            self._reserved_bytes[buffer] = kept_bytes
 
     def _is_free(self, buffer: "AnswerBuffer", size_bytes: int) -> bool:
         # The largest buffer can always grow to its limit. Otherwise buffers that together take all
@@ -94,6 +96,12 @@
             await self.buffers.reserve(self, reserved_bytes)
             self._reserved_bytes = reserved_bytes
 
+    def release_unkept(self) -> None:
+        """Free the memory for what is not held any more, such as an event that has been sent."""
+        if self._reserved_bytes > self._kept_bytes:
+            self.buffers.release(self, self._kept_bytes)
+            self._reserved_bytes = self._kept_bytes
+
     def release(self) -> None:
         """Free the reserved memory."""
         self.buffers.release(self)
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -208,11 +208,17 @@
         self, response: ResponseHead, head: ServerAnswerHead
     ) -> AttemptReport:
         splitter = EventSplitter()
+        # An attempt before may have ended within a large event.
+        was_large = True
         while data := await response.content.readany():
             await self._pass_on(splitter.feed(data), head)
+            is_large = splitter.held_bytes > UNRESERVED_ANSWER_BYTES
             # Until there is memory for more of a large event, its server is held back.
-            if splitter.held_bytes > UNRESERVED_ANSWER_BYTES:
+            if is_large:
                 await self.buffer.reserve(splitter.held_bytes)
+            elif was_large:
+                self.buffer.release_unkept()
+            was_large = is_large
         if not splitter.is_between_events:
             return self._lost("the stream ended in the middle of an event", is_closed=True)
         if not self.sink.is_started and not self.position.last_id:
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -5,11 +5,11 @@
 import aiohttp
 import pytest
 from endless_answer import SOCKET_BYTES, STOP_BYTES, EndlessAnswer, chunk, head, raw
-from relay_harness import POOL, Answer, RelayVm, ask, relay_fleet, route
+from relay_harness import HOST, POOL, Answer, RelayVm, ask, relay_fleet, route
 from scripted_server import Exchange, answers, event
 
 from pomelobarrow.backends.answer_buffers import AnswerBuffer
-from pomelobarrow.backends.answer_limits import MAX_WHOLE_ANSWER_BYTES
+from pomelobarrow.backends.answer_limits import MAX_WHOLE_ANSWER_BYTES, UNRESERVED_ANSWER_BYTES
 from pomelobarrow.backends.sessions import MAX_ERROR_CHARACTERS
 from pomelobarrow.decision.published.routing import RouteKind
 from pomelobarrow.decision.streams.server_sent_events import MAX_EVENT_BYTES
@@ -183,3 +183,29 @@
         for each in taken:
             each.release()
         assert (await waiting).status == 502
+
+
+async def test_stream_keeps_no_memory_for_an_event_that_it_has_sent() -> None:
+    """A long stream kept it to its end, so that few of them held all other large answers back."""
+    has_large, is_checked = asyncio.Event(), asyncio.Event()
+    large, small = b"data: %s\n\n" % (b"x" * 4 * UNRESERVED_ANSWER_BYTES), b"data: x\n\n"
+
+    async def script(exchange: Exchange) -> None:
+        exchange.write_head(200, Transfer_Encoding="chunked")
+        exchange.write_chunk(large)
+        await has_large.wait()
+        exchange.write_chunk(small)
+        await is_checked.wait()
+        exchange.writer.write(b"0\r\n\r\n")
+
+    fields = {"Host": HOST, "Pomelobarrow-Request-Id": "r1"}
+    async with (
+        relay_fleet((route(RouteKind.STREAM),), {"a": {"s1": script}}) as fleet,
+        aiohttp.ClientSession() as session,
+        session.post(f"{fleet.vms['a'].url}/stream/", headers=fields) as response,
+    ):
+        await response.content.readexactly(len(large))
+        has_large.set()
+        await response.content.readexactly(len(small))
+        assert fleet.vms["a"].relay.sessions.buffers.reserved_bytes == 0
+        is_checked.set()
