Don't take the end of a killed service for the end of its answer

What callers saw: on the product's own interface, a part of an answer as the whole of it. A plain service's answer without length and chunks ends with its connection, and a killed process closes its connections like one that has sent its whole answer.

Cause: the same as on the relay, which asks whether the server still accepts connections since; calls of services did not. Change: they ask the same. What marks the end of an answer is decided in one function. An answer that is not complete breaks off, as its head has been passed on.

--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -1,6 +1,7 @@
 """Plug-in for backend servers: sessions, attempts, orders and load reports."""
 
 from collections.abc import Callable, Mapping
+from functools import partial
 
 from attrs import evolve
 from mode import Service
@@ -43,8 +44,6 @@
 from pomelobarrow.peers.events import ProcessPauseDetected
 from pomelobarrow.published.keyspaces import PublishedState
 
-ATTEMPT_BY_IS_CHAT = {True: EngineAttempt, False: ServiceAttempt}
-
 
 class SessionsService(Service):
     """Close the HTTP sessions when the process stops."""
@@ -112,6 +111,11 @@
 def _runner(context: Context) -> AttemptRunner:
     sessions, traces = context.get(BackendSessions), context.get(Traces)
     table, reach = context.get(LoadTable), context.get(ReachMonitor)
+    has_ended = context.get(ServerWatch).refuses_connections
+    attempt_by_is_chat: dict[bool, Callable[..., EngineAttempt | ServiceAttempt]] = {
+        True: EngineAttempt,
+        False: partial(ServiceAttempt, has_ended=has_ended),
+    }
 
     async def run(
         request: GatewayRequest,
@@ -121,7 +125,7 @@
         sink: AnswerSink,
         on_first_byte: Callable[[], None],
     ) -> AttemptResult:
-        server, attempt_class = placement.server, ATTEMPT_BY_IS_CHAT[request.is_chat]
+        server, attempt_class = placement.server, attempt_by_is_chat[request.is_chat]
         opened_unix_s, is_connected = now_unix_s(), False
 
         def may_send() -> bool:
--- a/src/pomelobarrow/backends/service.py
+++ b/src/pomelobarrow/backends/service.py
@@ -1,7 +1,7 @@
 """Run one attempt on a plain service."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 import aiohttp
 from attrs import define
@@ -13,6 +13,7 @@
     WithheldError,
     describe_error,
 )
+from pomelobarrow.backends.single_use import CUT_BY_ITS_END, BodyEnd, body_end
 from pomelobarrow.decision.requests.attempt import Attempt, AttemptEvent, AttemptState
 from pomelobarrow.decision.requests.work import BackendServer
 from pomelobarrow.dispatch.answers import AnswerHead, AnswerSink, AttemptResult
@@ -39,6 +40,8 @@
     on_head: Callable[[int, Mapping[str, str]], None] = lambda status, headers: None
     # Returns whether the server still takes requests, asked when the connection is open.
     may_send: Callable[[], bool] = lambda: True
+    # Returns whether a server's process has ended.
+    has_ended: Callable[[BackendServer], Awaitable[bool]] | None = None
     head_passed: bool = False
 
     async def run(self) -> AttemptResult:
@@ -88,8 +91,18 @@
         else:
             async for data in response.content.iter_any():
                 await self.sink.chunk(data)
+            if await self._is_cut_by_its_end(response):
+                raise aiohttp.ClientPayloadError(CUT_BY_ITS_END)
         await self.sink.end()
 
+    async def _is_cut_by_its_end(self, response: aiohttp.ClientResponse) -> bool:
+        """Return whether the server has ended, which may have ended the answer too early."""
+        codings = response.headers.get("Transfer-Encoding", "").lower().split(",")
+        is_chunked = codings[-1].strip() == "chunked"
+        end = body_end(response.method, response.status, response.headers, is_chunked)
+        is_marked = end is not BodyEnd.CONNECTION
+        return not is_marked and self.has_ended is not None and await self.has_ended(self.server)
+
     def _headers(self) -> list[tuple[str, str]]:
         headers = [each for each in self.request.headers if each[0].lower() not in HOP_BY_HOP]
         headers.append(("X-Request-Id", self.request.work.request_id))
--- a/src/pomelobarrow/backends/single_use.py
+++ b/src/pomelobarrow/backends/single_use.py
@@ -7,7 +7,7 @@
 import asyncio
 import enum
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import aiohttp
 from aiohttp import RequestInfo
@@ -34,6 +34,7 @@
 FIRST_FINAL_STATUS = 200
 SWITCHING_PROTOCOLS = 101
 BODILESS_STATUSES = frozenset({204, 304})
+CUT_BY_ITS_END = "the answer ended together with its server, without a mark of its end"
 BROKEN_CONNECTION_ERRORS = (
     aiohttp.ClientOSError,
     aiohttp.ClientConnectionResetError,
@@ -107,7 +108,7 @@
             status=message.code,
             headers=message.headers,
             content=content,
-            body_end=_body_end(self.request.method, message),
+            body_end=body_end(self.request.method, message.code, message.headers, message.chunked),
         )
 
     @property
@@ -191,14 +192,14 @@
         return RequestInfo(request.url, request.method, headers, request.url)
 
 
-def _body_end(method: str, message: RawResponseMessage) -> BodyEnd:
+def body_end(method: str, status: int, headers: Mapping[str, str], is_chunked: bool) -> BodyEnd:
     """Return what marks the end of an answer's body."""
-    if method == "HEAD" or message.code in BODILESS_STATUSES:
+    if method == "HEAD" or status in BODILESS_STATUSES:
         return BodyEnd.HEAD
     # Other transfer codings mark no end.
-    if message.chunked:
+    if is_chunked:
         return BodyEnd.CHUNKS
-    return BodyEnd.LENGTH if "Content-Length" in message.headers else BodyEnd.CONNECTION
+    return BodyEnd.LENGTH if "Content-Length" in headers else BodyEnd.CONNECTION
 
 
 def _host_and_port(address: str) -> tuple[str, int]:
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -9,7 +9,13 @@
 from pomelobarrow.backends.answer_limits import UNRESERVED_ANSWER_BYTES, AnswerTooLargeError
 from pomelobarrow.backends.engine import CONNECTION_ERRORS
 from pomelobarrow.backends.sessions import BackendSessions, WithheldError, describe_error
-from pomelobarrow.backends.single_use import BodyEnd, ResponseHead, SingleExchange, SingleRequest
+from pomelobarrow.backends.single_use import (
+    CUT_BY_ITS_END,
+    BodyEnd,
+    ResponseHead,
+    SingleExchange,
+    SingleRequest,
+)
 from pomelobarrow.decision.published.announcements import ServerAnnouncement
 from pomelobarrow.decision.requests.attempt import AttemptEvent, AttemptState
 from pomelobarrow.decision.requests.attempt_states import AttemptEnd, AttemptRecord
@@ -27,7 +33,6 @@
 
 STATUS_OK = 200
 EVENT = "event"
-CUT_BY_ITS_END = "the answer ended together with its server, without a mark of its end"
 
 
 @frozen(kw_only=True)
