Don't take a listing that ends too early for the whole

What callers would see: no server, or fewer, if the store's listing breaks off between two pages. Not seen on running daemons; found by reading.

Cause: a page without items ended the listing although it announced more, and so did the limit on pages. Class of fault: an end taken for success.

Change: only a page that announces no more ends a listing; otherwise it is malformed and read again. What is in force stays meanwhile.

test_listing_that_ends_before_its_last_page_is_given_up (two of five items counted as all) and test_listing_of_too_many_pages_is_given_up failed before and pass.

--- a/src/pomelobarrow/platform/store.py
+++ b/src/pomelobarrow/platform/store.py
@@ -113,11 +113,13 @@
                 head_revision = head_revision or position(era, _store_revision(page))
                 items = page["items"]
                 changes += self._changes(keyspace, items, era)
-                if not page["HasMore"] or not items:
+                if not page["HasMore"]:
                     break
                 last_key = _last_key(items)
             except (*DECODE_ERRORS, StopIteration) as error:
-                return Err(ReadError(failure=ReadFailure.MALFORMED, detail=repr(error)))
+                return _malformed(repr(error))
+        else:
+            return _malformed(f"the listing has more than {MAX_PAGES} pages")
         listed = tuple(change for change in changes if change.revision <= head_revision)
         return Ok(Page(changes=listed, head_revision=head_revision))
 
@@ -207,6 +209,10 @@
         return Err(ReadError(failure=ReadFailure.TOO_LONG, detail=detail))
 
 
+def _malformed(detail: str) -> Err[ReadError]:
+    return Err(ReadError(failure=ReadFailure.MALFORMED, detail=detail))
+
+
 def _last_key(items: Sequence[Any]) -> str:
     """Return the last key of a page; items of other writers may have no key."""
     return next(item["Key"] for item in reversed(items) if _is_keyed(item))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -34,6 +34,9 @@
     revision: int = 1
     history_gone: bool = False
     status: int = 200
+    # Set for a store that announces more pages than it has, or begins again with each page.
+    has_more: bool = False
+    ignores_after: bool = False
     # Headers of each answer.
     headers: dict[str, str] = field(factory=dict)
     # Called after each page of a listing.
@@ -53,11 +56,11 @@
     async def list_items(self, request: web.Request) -> web.Response:
         if self.status != 200:
             return web.Response(status=self.status)
-        after = request.query.get("after", "")
+        after = "" if self.ignores_after else request.query.get("after", "")
         keys = sorted(k for k, (_, value) in self.items.items() if value is not None and k > after)
         body = {
             "items": [self.item(key) for key in keys[:PAGE_ITEMS]],
-            "HasMore": len(keys) > PAGE_ITEMS,
+            "HasMore": self.has_more or len(keys) > PAGE_ITEMS,
             "StoreRevision": self.revision,
         }
         if self.on_page_served:
@@ -212,3 +215,29 @@
     result = await client.store.read_all(KEYSPACE)
     assert isinstance(result, Err)
     assert result.err_value.detail == "the store came back from an older copy during the listing"
+
+
+async def test_listing_that_ends_before_its_last_page_is_given_up(client: Client) -> None:
+    """An empty page counted as the end although the store announced more; the rest was dropped."""
+    for number in range(5):
+        client.fake.put(f"k{number}", number)
+
+    def withhold_items() -> None:
+        client.fake.items = {}
+        client.fake.has_more = True
+
+    client.fake.on_page_served = withhold_items
+    result = await client.store.read_all(KEYSPACE)
+    assert result.unwrap_err().failure is ReadFailure.MALFORMED
+
+
+async def test_listing_of_too_many_pages_is_given_up(
+    client: Client, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """After the largest number of pages, what had come counted as the whole."""
+    monkeypatch.setattr("pomelobarrow.platform.store.MAX_PAGES", 3)
+    client.fake.put("k1", 1)
+    client.fake.has_more = True
+    client.fake.ignores_after = True
+    result = await client.store.read_all(KEYSPACE)
+    assert result.unwrap_err().failure is ReadFailure.MALFORMED
