Reject a listing with a page older than its first one

What callers would see: a server or route that was published between the two revisions stays unknown to a VM, whose watch goes on after the first page's revision. The store's pages may not go back, but some behind one address may lag. Not seen on running daemons; found by reading.

Cause: a revision that may never go back was taken from the first page and not compared with the others'.

test_listing_with_an_older_page_is_given_up failed before (accepted) and passes.

--- a/src/pomelobarrow/platform/store.py
+++ b/src/pomelobarrow/platform/store.py
@@ -44,6 +44,7 @@
 MAX_LISTING_BYTES = 32 << 20
 # A thousand pages are far more than any keyspace has; the limit stops an endless listing.
 MAX_PAGES = 1_000
+OLDER_PAGE = "a page of the listing is older than its first one"
 RETURNED_MEANWHILE = "the store came back from an older copy during the listing"
 
 # Errors raised by decoding another writer's bytes and by reading fields of unexpected types.
@@ -110,7 +111,10 @@
                 return Err(ReadError(failure=ReadFailure.REFUSED, detail=RETURNED_MEANWHILE))
             try:
                 page = answer.ok_value.body
-                head_revision = head_revision or position(era, _store_revision(page))
+                page_revision = position(era, _store_revision(page))
+                if page_revision < head_revision:
+                    return _malformed(OLDER_PAGE)
+                head_revision = head_revision or page_revision
                 items = page["items"]
                 changes += self._changes(keyspace, items, era)
                 if not page["HasMore"]:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -241,3 +241,16 @@
     client.fake.ignores_after = True
     result = await client.store.read_all(KEYSPACE)
     assert result.unwrap_err().failure is ReadFailure.MALFORMED
+
+
+async def test_listing_with_an_older_page_is_given_up(client: Client) -> None:
+    """Keys that were published after the older page would be missing for good."""
+    for number in range(5):
+        client.fake.put(f"k{number}", number)
+
+    def go_back() -> None:
+        client.fake.revision = 2
+
+    client.fake.on_page_served = go_back
+    result = await client.store.read_all(KEYSPACE)
+    assert result.unwrap_err().failure is ReadFailure.MALFORMED
