Take no proof from a watch's answer that goes back

What callers would see: a revoked key that goes on at a VM whose store answers from an older state, and at the VMs that ask it for its proof.

Cause: an answer that is older than what is known was ignored, and reported as one without changes. Listings of that kind counted as failed already.

test_answer_from_before_the_known_revision_proves_nothing failed before (a newer proof of the known revision) and passes.

--- a/src/pomelobarrow/published/watcher.py
+++ b/src/pomelobarrow/published/watcher.py
@@ -177,6 +177,9 @@
             return ReadResult.FAILED
         self._record_success()
         page = result.ok_value
+        # An answer from before what is known here shows nothing of what is newest.
+        if page.head_revision < after:
+            return ReadResult.FAILED
         applied = self._state.apply(
             name, page.changes, page.head_revision, after_revision=after, source=SOURCE_PLATFORM
         )
--- a/tests/test_published_watcher.py
+++ b/tests/test_published_watcher.py
@@ -1,4 +1,4 @@
-"""The platform watcher while it stops."""
+"""The platform watcher while it stops, and what its reads prove."""
 
 import asyncio
 from types import SimpleNamespace
@@ -120,3 +120,43 @@
         await read
     assert state.copies[CONFIG].observed_revision == 1
     assert proof.newest == proven
+
+
+@define
+class LaggingStore:
+    """Answer watches from before the listing."""
+
+    async def read_all(self, name: str) -> Result[Page, ReadError]:
+        changes = (Change(2, ROUTING_KEY, ROUTING),) if name == CONFIG else ()
+        return Ok(Page(changes=changes, head_revision=2))
+
+    async def read_changes(
+        self, name: str, after: int, until_unix_s: float
+    ) -> Result[Page, ReadError]:
+        return Ok(Page(changes=(), head_revision=after - 1))
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
+async def test_answer_from_before_the_known_revision_proves_nothing() -> None:
+    """Guards against a revoked key that runs by the word of a store that lags behind."""
+    store, proof = LaggingStore(), ConfigProof(revocation_s=5.0)
+    reader = StoreReader(
+        read_all=store.read_all, read_changes=store.read_changes, close=store.close
+    )
+    watcher = PlatformWatcher(
+        context=SimpleNamespace(observe=lambda event: None),  # type: ignore[arg-type]
+        state=PublishedState(observe=lambda event: None),
+        reader=reader,
+        is_watcher=lambda: False,
+        proof=proof,
+    )
+    await watcher.start()
+    async with asyncio.timeout(5):
+        await watcher.first_read_done.wait()
+    proven = proof.newest
+    await watcher.read_now(CONFIG)
+    await watcher.stop()
+    assert proven is not None
+    assert proof.newest == proven
