Don't complete a stream through a peer without its end event

What callers would see: on the product's own interface, an answer that ends regularly before its last event, while VMs of two releases serve: one of an earlier release finds the end event in the middle of an event, and tells the entry VM that the answer is complete. Not seen on running daemons.

Cause: the entry VM counts the events of the stream itself, but took the peer's message for its end. Class of fault: an end taken for success.

Change: of a stream whose rest can be fetched, the end counts only behind its end event. Else the rest is fetched from the first event that did not come.

Both cases of test_stream_without_its_end_event_is_not_complete failed before (complete, nothing fetched) and pass.

--- a/src/pomelobarrow/peers/forward_client.py
+++ b/src/pomelobarrow/peers/forward_client.py
@@ -277,6 +277,8 @@
         if not end.complete:
             self.attempt.apply(AttemptEvent.LOSE)
             return self._result(end.detail)
+        if not self.progress.may_be_complete:
+            raise ConnectionError("the peer ended the stream before its end event")
         return await self._finish()
 
     async def _finish(self) -> AttemptResult:
--- a/src/pomelobarrow/peers/forward_resume.py
+++ b/src/pomelobarrow/peers/forward_resume.py
@@ -69,6 +69,11 @@
         """Return whether the rest of the stream can be fetched."""
         return bool(self.server)
 
+    @property
+    def may_be_complete(self) -> bool:
+        """Return whether a peer may state now that the answer is complete."""
+        return self.counter.is_ended or not self.is_resumable
+
 
 @define(kw_only=True)
 class ForwardResumption:
@@ -162,5 +167,6 @@
                 if kind == "chunk":
                     await self.progress.pass_on(event.chunk, self.sink)
                 elif kind != "head":
-                    return kind == "end" and event.end.complete
+                    is_complete = kind == "end" and event.end.complete
+                    return is_complete and self.progress.may_be_complete
         return False
--- a/tests/test_forward_client.py
+++ b/tests/test_forward_client.py
@@ -1,8 +1,9 @@
 """Forwards whose connection is lost at the end of the answer."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager, nullcontext
+from itertools import repeat
 from random import Random
 from types import SimpleNamespace
 from typing import Any
@@ -75,6 +76,10 @@
         self._events = events
         self.resumed: list[str] = []
         self.first_events: list[int] = []
+        # What each resume brings.
+        self.rests: Iterator[tuple[pb.ForwardEvent, ...]] = repeat(
+            (pb.ForwardEvent(chunk=END_EVENT), pb.ForwardEvent(end=pb.End(complete=True)))
+        )
 
     async def Forward(self, stream: Any) -> None:  # noqa: N802
         await stream.recv_message()
@@ -91,8 +96,8 @@
         message = await stream.recv_message()
         self.resumed.append(message.request.request_id)
         self.first_events.append(message.from_event)
-        await stream.send_message(pb.ForwardEvent(chunk=END_EVENT))
-        await stream.send_message(pb.ForwardEvent(end=pb.End(complete=True)))
+        for event in next(self.rests):
+            await stream.send_message(event)
 
 
 def no_span(name: str, traceparent: str, **values: str) -> Any:
@@ -241,3 +246,23 @@
     assert result.is_finished
     assert handlers.first_events == [first_event]
     assert b"".join(sink.received[1:-1]) == b"".join(chunks) + END_EVENT
+
+
+@pytest.mark.parametrize("rest_ends_early", [False, True])
+async def test_stream_without_its_end_event_is_not_complete(rest_ends_early: bool) -> None:
+    """A peer of another release may take other bytes for the end of the stream."""
+    complete = pb.ForwardEvent(end=pb.End(complete=True))
+    handlers = ConnectionLosingPeer(
+        (pb.ForwardEvent(head=HEAD), pb.ForwardEvent(chunk=TOKEN_EVENT), complete)
+    )
+    rests = [(pb.ForwardEvent(chunk=END_EVENT), complete)]
+    if rest_ends_early:
+        rests.insert(0, (pb.ForwardEvent(chunk=TOKEN_EVENT), complete))
+    handlers.rests = iter(rests)
+    sink = Sink()
+    async with forward_to(handlers, sink, peers=(PEER,)) as forward:
+        result = await forward.run()
+
+    assert result.is_finished
+    assert handlers.first_events == [1, 2][: len(rests)]
+    assert b"".join(sink.received[1:-1]) == TOKEN_EVENT * len(rests) + END_EVENT
