Check the end of 503 answers of plain services too

What callers saw: the part of a 503 answer that had arrived when its server was killed, as the whole of it. Cause: its body is read before it is known whether the request ran, and passed on by another branch than other bodies, which has no check of the end.

The 503 case of test_end_of_a_killed_service_is_not_the_end_of_its_answer failed before and passes.

--- a/src/pomelobarrow/backends/service.py
+++ b/src/pomelobarrow/backends/service.py
@@ -91,8 +91,8 @@
         else:
             async for data in response.content.iter_any():
                 await self.sink.chunk(data)
-            if await self._is_cut_by_its_end(response):
-                raise aiohttp.ClientPayloadError(CUT_BY_ITS_END)
+        if await self._is_cut_by_its_end(response):
+            raise aiohttp.ClientPayloadError(CUT_BY_ITS_END)
         await self.sink.end()
 
     async def _is_cut_by_its_end(self, response: aiohttp.ClientResponse) -> bool:
