Compare event ids of 64 bits as numbers at a join

What callers would see: events twice, where ids are times in nanoseconds or other numbers of 19 or 20 digits and a server begins its stream again: these ids were compared as text, so that any other one was accepted.

The case of 19 digits of test_order_of_ids failed before and passes.

--- a/src/pomelobarrow/decision/streams/stream_position.py
+++ b/src/pomelobarrow/decision/streams/stream_position.py
@@ -10,8 +10,9 @@
 
 # Longer ids may be rejected by servers as a header.
 MAX_ID_BYTES = 256
-# Longer numbers count no events and are compared as text.
-MAX_ID_DIGITS = 18
+# Numbers of 64 bits, such as times in nanoseconds, are compared as numbers; longer ones are random
+# and compared as text.
+MAX_ID_DIGITS = 20
 # Events without an id are remembered until the next id. With more of them, the stream can't be
 # resumed, since its server would repeat them.
 MAX_UNIDENTIFIED_EVENTS = 256
