Don't eject servers for joins that were rejected

What callers would see: no server in a pool whose servers ignore a last event id that they don't know, once a client has taken streams up with such ids a few times. Ten such requests to two servers ejected them.

Cause: an attempt whose run does not go on after the last event counts as lost, and lost attempts count against their server; but the event is the client's choice, and the server answers new requests well. The counter of rejected joins and the log lines stay.

test_rejected_joins_eject_no_server failed before (ServerEjected) and passes.

--- a/src/pomelobarrow/relay/health_monitor.py
+++ b/src/pomelobarrow/relay/health_monitor.py
@@ -44,8 +44,11 @@
         sent_unix_s: float,
     ) -> None:
         """Record how an attempt ended; what a server rejects does not count against it."""
+        # Clients choose the event after which a stream is to go on.
+        if report.end in BLAMELESS_ENDS or report.is_join_rejected:
+            return
         # If that incarnation was replaced, the failure must not count against its successor.
-        if report.end in BLAMELESS_ENDS or not self.table.is_current_incarnation(server):
+        if not self.table.is_current_incarnation(server):
             return
         now = now_unix_s()
         if report.end in (AttemptEnd.PASSED_ON, AttemptEnd.ANSWERED):
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -19,7 +19,7 @@
 from pomelobarrow.operators.event_fields import event_fields
 from pomelobarrow.operators.redaction import redact
 from pomelobarrow.relay.attempt import RelayAttempt
-from pomelobarrow.relay.events import RelayAttemptEnded, RelayEnded
+from pomelobarrow.relay.events import RelayAttemptEnded, RelayEnded, ServerEjected
 from pomelobarrow.relay.messages import ServerAnswerHead
 from pomelobarrow.relay.relay import NO_PLACE_TO_RESUME
 
@@ -115,6 +115,19 @@
     assert [end.is_join_rejected for end in ends] == [False, True, False]
 
 
+async def test_rejected_joins_eject_no_server() -> None:
+    """A client that names an event which no server knows would take all servers out of service."""
+    resumable = route(RouteKind.STREAM, is_resumable=True, max_attempts=2)
+    again = writes(events(1, 2))
+    async with relay_fleet((resumable,), {"a": {"s1": again, "s2": again}}) as fleet:
+        vm = fleet.vms["a"]
+        for _ in range(10):
+            answer = await ask(vm, "/stream/", headers={"Last-Event-Id": "9"})
+            assert answer.status == 502
+        assert len(fleet.servers["s1"].received) == len(fleet.servers["s2"].received) == 10
+        assert not any(isinstance(each, ServerEjected) for each in vm.events)
+
+
 async def test_run_that_ends_without_an_id_is_passed_on() -> None:
     """Events without an id wait for the first id of a run, which may have none."""
     received = await receive(writes(events(1, 2), is_whole=False), writes(note(2), COMMENT))
