Log what is known of an attempt that its deadline or its client ends

What operators saw: answer_end "unknown", no first_answer_s and no pause for each stream that broke off at its deadline, so that how it was framed could not be told from the log.

Cause: the report of a cancelled attempt was built without what the attempt knew.

test_log_shows_what_a_stream_brought_until_its_deadline failed before ("unknown") and passes.

--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -117,6 +117,10 @@
         finally:
             self._cancel_timer()
 
+    def give_up(self) -> AttemptReport:
+        """Report an attempt that was cancelled."""
+        return self._report(self.record.end, "given up")
+
     def _start_timer(self) -> None:
         if self.first_answer_timeout is not None:
             loop = asyncio.get_running_loop()
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -369,10 +369,7 @@
         try:
             report = await attempt.run()
         except BaseException:
-            given_up = AttemptReport(
-                end=record.end, detail="given up", stream=progress.position.run
-            )
-            self.log.attempt(progress, target, given_up, started_unix_s)
+            self.log.attempt(progress, target, attempt.give_up(), started_unix_s)
             raise
         progress.history.note(report)
         self.log.attempt(progress, target, report, started_unix_s)
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -255,3 +255,21 @@
     assert [redact(None, "info", event_fields(end)) for end in ends] == list(
         map(event_fields, ends)
     )
+
+
+async def test_log_shows_what_a_stream_brought_until_its_deadline() -> None:
+    """The line of an attempt that the deadline ends said neither when nor how it was answered."""
+
+    async def one_then_silence(exchange: Exchange) -> None:
+        exchange.write_head(200, Transfer_Encoding="chunked")
+        exchange.write_chunk(event(1))
+        await exchange.reader.read()
+
+    async with relay_fleet((route(RouteKind.STREAM),), {"a": {"s1": one_then_silence}}) as fleet:
+        vm = fleet.vms["a"]
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await ask(vm, "/stream/", headers={"Pomelobarrow-Request-Deadline": "500"})
+        [end] = [each for each in vm.events if isinstance(each, RelayAttemptEnded)]
+    assert (end.end, end.detail, end.answer_end) == ("cancelled", "given up", "chunks")
+    assert (end.events, end.last_event_id) == (1, "1")
+    assert end.first_answer_s is not None
