Don't let requests keep one large answer while they read another

What callers would see: 504 to every large answer of a VM until the deadlines of two requests pass that each hold a large failed answer of their first attempt and read the next one. Memory is divided so that the largest answer can always grow to its limit; what a request kept beside it was added to that size, so that neither could. Besides, the kept memory added up over attempts, although only the last failed answer is kept.

Change: a request holds one large answer at a time.

--- a/src/pomelobarrow/backends/answer_buffers.py
+++ b/src/pomelobarrow/backends/answer_buffers.py
@@ -43,13 +43,11 @@
             self.waiting -= 1
         self._reserved_bytes[buffer] = size_bytes
 
-    def release(self, buffer: "AnswerBuffer", kept_bytes: int = 0) -> None:
-        """Free the memory of a buffer beyond what it keeps."""
+    def release(self, buffer: "AnswerBuffer") -> None:
+        """Free the memory of a buffer."""
         if self._reserved_bytes.pop(buffer, 0):
             self._released.set()
             self._released = asyncio.Event()
-        if kept_bytes:
-            self._reserved_bytes[buffer] = kept_bytes
 
     def _is_free(self, buffer: "AnswerBuffer", size_bytes: int) -> bool:
         # The largest buffer can always grow to its limit. Otherwise buffers that together take all
@@ -64,18 +62,19 @@
 
 @define(kw_only=True, eq=False)
 class AnswerBuffer:
-    """Hold the reservation of one request's answers, until it has been answered."""
+    """Hold the reservation of the answer that one request reads, until it has been answered."""
 
     buffers: AnswerBuffers
     _reserved_bytes: int = field(default=0, init=False)
-    # The part of it for bodies that were read to their end.
-    _kept_bytes: int = field(default=0, init=False)
 
     async def read(self, content: aiohttp.StreamReader) -> bytes | bytearray:
         """Return a whole body; it is not read on while the memory for it is taken.
 
         Raises `AnswerTooLargeError`.
         """
+        # A request that kept a large answer while it reads another one could wait for one that
+        # does the same.
+        self.release()
         first = await content.readany()
         if content.at_eof():
             return first
@@ -83,26 +82,19 @@
         while data := await content.readany():
             await self.reserve(len(body) + len(data))
             body += data
-        self._kept_bytes = self._reserved_bytes
         return body
 
     async def reserve(self, size_bytes: int) -> None:
         """Wait until an answer of this size may be buffered."""
         if size_bytes > self.buffers.max_answer_bytes:
             raise AnswerTooLargeError(BODY, f"{self.buffers.max_answer_bytes} bytes")
-        needed_bytes = self._kept_bytes + size_bytes
-        if size_bytes > UNRESERVED_ANSWER_BYTES and needed_bytes > self._reserved_bytes:
-            reserved_bytes = -(-needed_bytes // RESERVED_STEP_BYTES) * RESERVED_STEP_BYTES
+        if size_bytes > UNRESERVED_ANSWER_BYTES and size_bytes > self._reserved_bytes:
+            reserved_bytes = -(-size_bytes // RESERVED_STEP_BYTES) * RESERVED_STEP_BYTES
             await self.buffers.reserve(self, reserved_bytes)
             self._reserved_bytes = reserved_bytes
 
-    def release_unkept(self) -> None:
-        """Free the memory for what is not held any more, such as an event that has been sent."""
-        if self._reserved_bytes > self._kept_bytes:
-            self.buffers.release(self, self._kept_bytes)
-            self._reserved_bytes = self._kept_bytes
-
     def release(self) -> None:
         """Free the reserved memory."""
-        self.buffers.release(self)
-        self._reserved_bytes = self._kept_bytes = 0
+        if self._reserved_bytes:
+            self.buffers.release(self)
+            self._reserved_bytes = 0
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -226,7 +226,7 @@
             if is_large:
                 await self.buffer.reserve(splitter.held_bytes)
             elif was_large:
-                self.buffer.release_unkept()
+                self.buffer.release()
             was_large = is_large
         if not splitter.is_between_events:
             return self._lost("the stream ended in the middle of an event", is_closed=True)
--- a/src/pomelobarrow/relay/next_step.py
+++ b/src/pomelobarrow/relay/next_step.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 
+from pomelobarrow.backends.answer_limits import UNRESERVED_ANSWER_BYTES
 from pomelobarrow.decision.requests.attempt_states import AttemptEnd, AttemptRecord, may_pass_on
 from pomelobarrow.relay.messages import AttemptReport, RelayRequest, WholeAnswer
 
@@ -44,7 +45,8 @@
     is_blocked: bool = False
     # The last server of this region that crashed under the request, hashed as in crash updates.
     ended_server_key: int | None = None
-    # A server's failed answer, sent to the client if no later attempt does better.
+    # A server's failed answer, sent to the client if no later attempt does better. A large one is
+    # not kept beside the answer of the next attempt.
     failure: WholeAnswer | None = None
     last_detail: str = ""
     _records: list[AttemptRecord] = field(factory=list, init=False)
@@ -52,6 +54,8 @@
     def begin_attempt(self) -> AttemptRecord:
         """Add the next attempt; what it sends counts from its first byte on."""
         self.attempts += 1
+        if self.failure is not None and len(self.failure.body) > UNRESERVED_ANSWER_BYTES:
+            self.failure = None
         record = AttemptRecord()
         self._records.append(record)
         return record
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -159,6 +159,8 @@
                 self.joins.note_complete(progress)
                 return Step.DONE
             if should_retry(progress.history, report) and self._may_retry(progress, report):
+                # Its answer may be large.
+                del report
                 continue
             if self._may_pass_on(progress, report):
                 assert report.answer is not None
--- a/tests/test_answer_buffers.py
+++ b/tests/test_answer_buffers.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import pytest
+from attrs import define
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -82,3 +83,35 @@
         assert shared.reserved_bytes == 0
 
     asyncio.run(play())
+
+
+@define
+class Content:
+    """A body that arrives step by step."""
+
+    left_steps: int
+
+    async def readany(self) -> bytes:
+        self.left_steps -= 1
+        return b"x" * RESERVED_STEP_BYTES if self.left_steps >= 0 else b""
+
+    def at_eof(self) -> bool:
+        return self.left_steps <= 0
+
+
+async def test_answers_of_later_attempts_never_block_each_other() -> None:
+    """Each request keeps the failed answer of its first attempt while it reads the next one."""
+    shared = buffers()
+    requests = [AnswerBuffer(buffers=shared) for _ in range(2)]
+    for each in requests:
+        await each.read(Content(3))  # type: ignore[arg-type]
+    later = [
+        asyncio.create_task(each.read(Content(3))) for each in requests  # type: ignore[arg-type]
+    ]
+    while shared.waiting < 2 and not any(task.done() for task in later):
+        await asyncio.sleep(0)
+    is_blocked = shared.waiting == 2
+    for task in later:
+        task.cancel()
+    await asyncio.gather(*later, return_exceptions=True)
+    assert not is_blocked
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -6,7 +6,7 @@
 import pytest
 from endless_answer import SOCKET_BYTES, STOP_BYTES, EndlessAnswer, chunk, head, raw
 from relay_harness import HOST, POOL, Answer, RelayVm, ask, relay_fleet, route
-from scripted_server import Exchange, answers, event
+from scripted_server import Exchange, answers, event, resets
 
 from pomelobarrow.backends.answer_buffers import AnswerBuffer
 from pomelobarrow.backends.answer_limits import MAX_WHOLE_ANSWER_BYTES, UNRESERVED_ANSWER_BYTES
@@ -209,3 +209,21 @@
         await response.content.readexactly(len(small))
         assert fleet.vms["a"].relay.sessions.buffers.reserved_bytes == 0
         is_checked.set()
+
+
+@pytest.mark.parametrize(("servers", "status"), [(1, 500), (2, 502)])
+async def test_large_failed_answer_is_passed_on_unless_another_server_is_tried(
+    servers: int, status: int
+) -> None:
+    """Requests that kept one while they read the next one waited for each other."""
+    body = b"x" * 16 * UNRESERVED_ANSWER_BYTES
+    scripts = iter([answers(500, body), resets()])
+
+    async def run_next(exchange: Exchange) -> None:
+        await next(scripts)(exchange)
+
+    names = [f"s{number}" for number in range(servers)]
+    async with relay_fleet((IDEMPOTENT,), {"a": dict.fromkeys(names, run_next)}) as fleet:
+        answer = await ask_patiently(fleet.vms["a"], "/idempotent/")
+        assert sum(len(each.received) for each in fleet.servers.values()) == servers
+    assert (answer.status, answer.body == body) == (status, servers == 1)
