Show that clients which do not read hold other large answers back: one failing test

What callers would see: 504 at their deadline to sound answers of more than 64 KiB that don't arrive in one piece, while two clients don't read theirs of 16 MiB. The memory for an answer is held until its client has it, 32 MiB in all, and nothing but the deadlines of those two ends that.

Not mended here: memory has to have a bound, so that either large answers are passed on as they arrive, or clients that don't read lose theirs.

--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -227,3 +227,27 @@
         answer = await ask_patiently(fleet.vms["a"], "/idempotent/")
         assert sum(len(each.received) for each in fleet.servers.values()) == servers
     assert (answer.status, answer.body == body) == (status, servers == 1)
+
+
+async def test_clients_that_do_not_read_hold_no_other_large_answer_back() -> None:
+    """Two of them, with answers of the largest size, take all memory for large answers."""
+    largest, medium = b"x" * (MAX_WHOLE_ANSWER_BYTES - 1), b"x" * 16 * UNRESERVED_ANSWER_BYTES
+
+    async def script(exchange: Exchange) -> None:
+        is_largest = exchange.received.headers["x-size"] == "largest"
+        await answers(body=largest if is_largest else medium)(exchange)
+
+    async with relay_fleet((ONCE,), {"a": {"s1": script}}) as fleet:
+        vm = fleet.vms["a"]
+        buffers, writers = vm.relay.sessions.buffers, []
+        for number in (1, 2):
+            _, writer = await asyncio.open_connection(vm.host, vm.front_port, limit=1)
+            fields = f"Host: {HOST}\r\nPomelobarrow-Request-Id: r{number}\r\nX-Size: largest\r\n"
+            writer.write(f"GET /non_idempotent/ HTTP/1.1\r\n{fields}\r\n".encode())
+            writers.append(writer)
+            while buffers.reserved_bytes < number * MAX_WHOLE_ANSWER_BYTES:
+                await asyncio.sleep(0)
+        answer = await ask(vm, "/non_idempotent/", headers={"X-Size": "medium"})
+        for writer in writers:
+            writer.transport.abort()
+    assert (answer.status, answer.body == medium) == (200, True)
