--- a/src/pomelobarrow/backends/answer_buffers.py
+++ b/src/pomelobarrow/backends/answer_buffers.py
@@ -75,18 +75,19 @@
 
 @define(kw_only=True, eq=False)
 class AnswerBuffer:
-    """Hold the reservation of one request's answers, until it has been answered."""
+    """Hold the reservation of the answer that one request reads, until it has been answered."""
 
     buffers: AnswerBuffers
     _reserved_bytes: int = field(default=0, init=False)
-    # The part of it for bodies that were read to their end.
-    _kept_bytes: int = field(default=0, init=False)
 
     async def read(self, content: aiohttp.StreamReader) -> tuple[bytes, ...]:
         """Return the parts of a whole body; it is not read on while the memory for it is taken.
 
         Raises `AnswerTooLargeError`.
         """
+        # A request that kept a large answer while it reads another one could wait for one that
+        # does the same.
+        self.release()
         first = await content.readany()
         if content.at_eof():
             return (first,)
@@ -96,20 +97,19 @@
             size_bytes += len(data)
             await self.reserve(size_bytes)
             parts.append(data)
-        self._kept_bytes = self._reserved_bytes
         return tuple(parts)
 
     async def reserve(self, size_bytes: int) -> None:
         """Wait until an answer of this size may be buffered."""
         if size_bytes > self.buffers.max_answer_bytes:
             raise AnswerTooLargeError(BODY, f"{self.buffers.max_answer_bytes} bytes")
-        needed_bytes = self._kept_bytes + size_bytes
-        if size_bytes > UNRESERVED_ANSWER_BYTES and needed_bytes > self._reserved_bytes:
-            reserved_bytes = -(-needed_bytes // RESERVED_STEP_BYTES) * RESERVED_STEP_BYTES
+        if size_bytes > UNRESERVED_ANSWER_BYTES and size_bytes > self._reserved_bytes:
+            reserved_bytes = -(-size_bytes // RESERVED_STEP_BYTES) * RESERVED_STEP_BYTES
             await self.buffers.reserve(self, reserved_bytes)
             self._reserved_bytes = reserved_bytes
 
     def release(self) -> None:
         """Free the reserved memory."""
-        self.buffers.release(self)
-        self._reserved_bytes = self._kept_bytes = 0
+        if self._reserved_bytes:
+            self.buffers.release(self)
+            self._reserved_bytes = 0
--- a/src/pomelobarrow/decision/streams/join_check.py
+++ b/src/pomelobarrow/decision/streams/join_check.py
@@ -7,8 +7,9 @@
 from collections.abc import Sequence
 from itertools import pairwise
 
-# Longer numbers count no events and are compared as text.
-MAX_ID_DIGITS = 18
+# Numbers of 64 bits, such as times in nanoseconds, are compared as numbers; longer ones are random
+# and compared as text.
+MAX_ID_DIGITS = 20
 # A number of equal steps by which a run is known to count.
 MIN_EQUAL_STEPS = 2
 
@@ -25,7 +26,8 @@
 
 def judge_join(last_id: str, ids: Sequence[str]) -> Join:
     """Return whether ids, in the order of their events, continue those up to the last one."""
-    numbers = [_number(id_) for id_ in (last_id, *ids)]
+    # A run is judged by the same ids however many of them are read at a time.
+    numbers = [_number(id_) for id_ in (last_id, *ids[: 1 + MIN_EQUAL_STEPS])]
     if None in numbers:
         return Join.GOES_BACK if ids[0] == last_id else Join.CONTINUES
     first_step, *steps = [after - before for before, after in pairwise(numbers)]  # type: ignore[operator]
--- a/src/pomelobarrow/decision/streams/stream_position.py
+++ b/src/pomelobarrow/decision/streams/stream_position.py
@@ -11,11 +11,12 @@
 
 # Longer ids may be rejected by servers as a header.
 MAX_ID_BYTES = 256
-# Events are held back until three ids are known, unless that many others come between them.
-MAX_HELD_EVENTS = 16
 # Events without an id are remembered until the next id. With more of them, the stream can't be
 # resumed, since its server would repeat them.
 MAX_UNIDENTIFIED_EVENTS = 256
+# The events of a further run that are held back until its ids show where it begins. One that brings
+# more before its first id is rejected.
+MAX_HELD_BYTES = 64 << 10
 
 
 class JoinError(ValueError):
@@ -39,9 +40,10 @@
     run: StreamRun = field(factory=StreamRun, init=False)
     # False until the ids of the run show that it continues the stream, if there is one to continue.
     is_join_checked: bool = field(default=False, init=False)
-    # The first ids of the run, and the events from the first of them on that were not passed on.
+    # The ids of the run and the events that are held back until they show that.
     _first_ids: list[str] = field(factory=list, init=False)
     _held: list[bytes] = field(factory=list, init=False)
+    _held_bytes: int = field(default=0, init=False)
     _has_events: bool = field(default=False, init=False)
     # The digests of the events without an id that the client got after the last id.
     _unidentified: list[int] = field(factory=list, init=False)
@@ -66,22 +68,24 @@
         self._repeatable = deque(self._unidentified)
         self.is_join_checked = not self.last_id
         self._first_ids = []
-        self._held = []
+        self._held, self._held_bytes = [], 0
 
     def select_new(self, events: Iterable[bytes]) -> Sequence[bytes]:
         """Return the events of a run whose join isn't checked that may be passed on.
 
-        Events that the client has are left out. From the first id on, events are held back until
-        the ids show whether the run continues the stream; raises `JoinError` if it doesn't.
+        Events that the client has are left out. Events with data are held back until the ids of the
+        run show whether it continues the stream; raises `JoinError` if it doesn't.
         """
         passed: list[bytes] = []
         for event in events:
             id_ = event_id(event)
             if id_ is not None:
                 self._first_ids.append(header_value(id_))
-            if self._first_ids:
-                self._held.append(event)
-            elif not self._is_repeated(event):
+            elif not self._first_ids and self._is_repeated(event):
+                continue
+            if self._held or id_ is not None or event_data(event) is not None:
+                self._hold(event)
+            else:
                 passed.append(event)
         if self._first_ids and self._continues():
             return [*passed, *self.release_held()]
@@ -117,6 +121,12 @@
         if len(self._unidentified) <= MAX_UNIDENTIFIED_EVENTS:
             self._unidentified += digests
 
+    def _hold(self, event: bytes) -> None:
+        self._held.append(event)
+        self._held_bytes += len(event)
+        if self._held_bytes > MAX_HELD_BYTES and not self._first_ids:
+            raise JoinError(f"the run has no id in its first {MAX_HELD_BYTES} bytes")
+
     def _continues(self) -> bool:
         ids = self._first_ids
         join = judge_join(self.last_event_id, ids)
@@ -124,7 +134,7 @@
             raise JoinError(
                 f"the run {join.value}: events {', '.join(ids)} after {self.last_event_id}"
             )
-        return join is Join.CONTINUES or len(self._held) >= MAX_HELD_EVENTS
+        return join is Join.CONTINUES or self._held_bytes > MAX_HELD_BYTES
 
     def _is_repeated(self, event: bytes) -> bool:
         if not self._repeatable or event_data(event) is None:
--- a/src/pomelobarrow/platform/store.py
+++ b/src/pomelobarrow/platform/store.py
@@ -42,6 +42,7 @@
 MAX_LISTING_BYTES = 32 << 20
 # A thousand pages are far more than any keyspace has; the limit stops an endless listing.
 MAX_PAGES = 1_000
+OLDER_PAGE = "a page of the listing is older than its first one"
 RETURNED_MEANWHILE = "the store came back from an older copy during the listing"
 
 # Errors raised by decoding another writer's bytes and by reading fields of unexpected types.
@@ -108,14 +109,19 @@
                 return Err(ReadError(failure=ReadFailure.REFUSED, detail=RETURNED_MEANWHILE))
             try:
                 page = answer.ok_value.body
-                head_revision = head_revision or position(era, _store_revision(page))
+                page_revision = position(era, _store_revision(page))
+                if page_revision < head_revision:
+                    return _malformed(OLDER_PAGE)
+                head_revision = head_revision or page_revision
                 items = page["items"]
                 changes += self._changes(keyspace, items, era)
-                if not page["HasMore"] or not items:
+                if not page["HasMore"]:
                     break
                 last_key = _last_key(items)
             except (*DECODE_ERRORS, StopIteration) as error:
-                return Err(ReadError(failure=ReadFailure.MALFORMED, detail=repr(error)))
+                return _malformed(repr(error))
+        else:
+            return _malformed(f"the listing has more than {MAX_PAGES} pages")
         listed = tuple(change for change in changes if change.revision <= head_revision)
         return Ok(Page(changes=listed, head_revision=head_revision))
 
@@ -205,6 +211,10 @@
         return Err(ReadError(failure=ReadFailure.TOO_LONG, detail=detail))
 
 
+def _malformed(detail: str) -> Err[ReadError]:
+    return Err(ReadError(failure=ReadFailure.MALFORMED, detail=detail))
+
+
 def _last_key(items: Sequence[Any]) -> str:
     """Return the last key of a page; items of other writers may have no key."""
     return next(item["Key"] for item in reversed(items) if _is_keyed(item))
--- a/src/pomelobarrow/relay/answer.py
+++ b/src/pomelobarrow/relay/answer.py
@@ -40,8 +40,7 @@
 
     async def pass_on(self, answer: WholeAnswer) -> None:
         """Send a backend server's complete answer."""
-        head, parts = answer.head, answer.body_parts
-        size_bytes = sum(map(len, parts))
+        head, parts, size_bytes = answer.head, answer.body_parts, answer.size_bytes
         if size_bytes <= MAX_JOINED_BYTES:
             await self.send_complete(head.status, head.headers, b"".join(parts))
         else:
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -122,6 +122,10 @@
         finally:
             self._cancel_timer()
 
+    def give_up(self) -> AttemptReport:
+        """Report an attempt that was cancelled."""
+        return self._report(self.record.end, "given up")
+
     def _start_timer(self) -> None:
         if self.first_answer_timeout is not None:
             loop = asyncio.get_running_loop()
@@ -220,15 +224,22 @@
         self, response: ResponseHead, head: ServerAnswerHead
     ) -> AttemptReport:
         splitter = EventSplitter()
+        # An attempt before may have ended within a large event.
+        was_large = True
         while data := await response.content.readany():
             events: Sequence[bytes] = splitter.feed(data)
-            if not self.position.is_join_checked:
+            if events and not self.position.is_join_checked:
+                self._keep_waiting()
                 events = self.position.select_new(events)
             if events:
                 await self._pass_on(events, head)
+            is_large = splitter.held_bytes > UNRESERVED_ANSWER_BYTES
             # Until there is memory for more of a large event, its server is held back.
-            if splitter.held_bytes > UNRESERVED_ANSWER_BYTES:
+            if is_large:
                 await self.buffer.reserve(splitter.held_bytes)
+            elif was_large:
+                self.buffer.release()
+            was_large = is_large
         if not splitter.is_between_events:
             return self._lost("the stream ended in the middle of an event", is_closed=True)
         if not self.sink.is_started and not self.position.last_id:
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -163,6 +163,11 @@
     head: ServerAnswerHead
     body_parts: tuple[bytes, ...] = field(default=(), repr=False)
 
+    @property
+    def size_bytes(self) -> int:
+        """Return the size of the body."""
+        return sum(map(len, self.body_parts))
+
 
 @frozen(kw_only=True)
 class AttemptReport:
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -159,6 +159,8 @@
                 self.joins.note_complete(progress)
                 return Step.DONE
             if should_retry(progress.history, report) and self._may_retry(progress, report):
+                # Its answer may be large.
+                del report
                 continue
             if self._may_pass_on(progress, report):
                 assert report.answer is not None
@@ -369,10 +371,7 @@
         try:
             report = await attempt.run()
         except BaseException:
-            given_up = AttemptReport(
-                end=record.end, detail="given up", stream=progress.position.run
-            )
-            self.log.attempt(progress, target, given_up, started_unix_s)
+            self.log.attempt(progress, target, attempt.give_up(), started_unix_s)
             raise
         progress.history.note(report)
         self.log.attempt(progress, target, report, started_unix_s)
--- a/tests/test_join_check.py
+++ b/tests/test_join_check.py
@@ -26,6 +26,8 @@
         ("a", ["b"], Join.CONTINUES),
         ("a", ["a"], Join.GOES_BACK),
         ("7", ["a"], Join.CONTINUES),
+        ("1700000000000000002", ["1700000000000000001"], Join.GOES_BACK),
+        ("18446744073709551614", ["18446744073709551615"], Join.CONTINUES),
         ("2" * 40, ["1" * 40], Join.CONTINUES),
     ],
 )
--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -7,10 +7,10 @@
 from callers import wait_until
 from endless_answer import SOCKET_BYTES, STOP_BYTES, EndlessAnswer, chunk, head, raw
 from relay_harness import HOST, POOL, Answer, RelayVm, ask, relay_fleet, route
-from scripted_server import Exchange, answers, event, hangs
+from scripted_server import Exchange, answers, event, hangs, resets
 
 from pomelobarrow.backends.answer_buffers import AnswerBuffer
-from pomelobarrow.backends.answer_limits import MAX_WHOLE_ANSWER_BYTES
+from pomelobarrow.backends.answer_limits import MAX_WHOLE_ANSWER_BYTES, UNRESERVED_ANSWER_BYTES
 from pomelobarrow.backends.sessions import MAX_ERROR_CHARACTERS
 from pomelobarrow.decision.published.routing import RouteKind
 from pomelobarrow.decision.streams.server_sent_events import MAX_EVENT_BYTES
@@ -218,3 +218,71 @@
         await wait_until(is_memory_free)
         assert [end for _, end, _ in attempts(vm)][:1] == ["answered"]
         writer.close()
+
+
+async def test_stream_keeps_no_memory_for_an_event_that_it_has_sent() -> None:
+    """A long stream kept it to its end, so that few of them held all other large answers back."""
+    has_large, is_checked = asyncio.Event(), asyncio.Event()
+    large, small = b"data: %s\n\n" % (b"x" * 4 * UNRESERVED_ANSWER_BYTES), b"data: x\n\n"
+
+    async def script(exchange: Exchange) -> None:
+        exchange.write_head(200, Transfer_Encoding="chunked")
+        exchange.write_chunk(large)
+        await has_large.wait()
+        exchange.write_chunk(small)
+        await is_checked.wait()
+        exchange.writer.write(b"0\r\n\r\n")
+
+    fields = {"Host": HOST, "Pomelobarrow-Request-Id": "r1"}
+    async with (
+        relay_fleet((route(RouteKind.STREAM),), {"a": {"s1": script}}) as fleet,
+        aiohttp.ClientSession() as session,
+        session.post(f"{fleet.vms['a'].url}/stream/", headers=fields) as response,
+    ):
+        await response.content.readexactly(len(large))
+        has_large.set()
+        await response.content.readexactly(len(small))
+        assert fleet.vms["a"].relay.sessions.buffers.reserved_bytes == 0
+        is_checked.set()
+
+
+@pytest.mark.parametrize(("servers", "status"), [(1, 500), (2, 502)])
+async def test_large_failed_answer_is_passed_on_unless_another_server_is_tried(
+    servers: int, status: int
+) -> None:
+    """Requests that kept one while they read the next one waited for each other."""
+    body = b"x" * 16 * UNRESERVED_ANSWER_BYTES
+    scripts = iter([answers(500, body), resets()])
+
+    async def run_next(exchange: Exchange) -> None:
+        await next(scripts)(exchange)
+
+    names = [f"s{number}" for number in range(servers)]
+    async with relay_fleet((IDEMPOTENT,), {"a": dict.fromkeys(names, run_next)}) as fleet:
+        answer = await ask_patiently(fleet.vms["a"], "/idempotent/")
+        assert sum(len(each.received) for each in fleet.servers.values()) == servers
+    assert (answer.status, answer.body == body) == (status, servers == 1)
+
+
+async def test_clients_that_do_not_read_hold_no_other_large_answer_back() -> None:
+    """Two of them, with answers of the largest size, take all memory for large answers."""
+    largest, medium = b"x" * (MAX_WHOLE_ANSWER_BYTES - 1), b"x" * 16 * UNRESERVED_ANSWER_BYTES
+
+    async def script(exchange: Exchange) -> None:
+        is_largest = exchange.received.headers["x-size"] == "largest"
+        await answers(body=largest if is_largest else medium)(exchange)
+
+    async with relay_fleet((ONCE,), {"a": {"s1": script}}) as fleet:
+        vm = fleet.vms["a"]
+        buffers, writers = vm.relay.sessions.buffers, []
+        for number in (1, 2):
+            _, writer = await asyncio.open_connection(vm.host, vm.front_port, limit=1)
+            fields = f"Host: {HOST}\r\nPomelobarrow-Request-Id: r{number}\r\nX-Size: largest\r\n"
+            writer.write(f"GET /non_idempotent/ HTTP/1.1\r\n{fields}\r\n".encode())
+            writers.append(writer)
+            while buffers.reserved_bytes < number * MAX_WHOLE_ANSWER_BYTES:
+                await asyncio.sleep(0)
+        answer = await ask(vm, "/non_idempotent/", headers={"X-Size": "medium"})
+        for writer in writers:
+            writer.transport.abort()
+    assert (answer.status, answer.body == medium) == (200, True)
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -21,7 +21,7 @@
 from pomelobarrow.operators.event_fields import event_fields
 from pomelobarrow.operators.redaction import redact
 from pomelobarrow.relay.attempt import RelayAttempt
-from pomelobarrow.relay.events import RelayAttemptEnded, RelayEnded
+from pomelobarrow.relay.events import RelayAttemptEnded, RelayEnded, ServerEjected
 from pomelobarrow.relay.messages import ServerAnswerHead
 from pomelobarrow.relay.relay import NO_PLACE_TO_RESUME
 
@@ -131,6 +131,25 @@
         assert received == (events(*range(1, last + 1)), True)
 
 
+async def test_rejected_joins_eject_no_server() -> None:
+    """A client that names an event which no server knows would take all servers out of service."""
+    resumable = route(RouteKind.STREAM, is_resumable=True, max_attempts=2)
+    again = writes(events(1, 2))
+    async with relay_fleet((resumable,), {"a": {"s1": again, "s2": again}}) as fleet:
+        vm = fleet.vms["a"]
+        for _ in range(10):
+            answer = await ask(vm, "/stream/", headers={"Last-Event-Id": "9"})
+            assert answer.status == 502
+        assert len(fleet.servers["s1"].received) == len(fleet.servers["s2"].received) == 10
+        assert not any(isinstance(each, ServerEjected) for each in vm.events)
+
+
+async def test_run_that_ends_without_an_id_is_passed_on() -> None:
+    """Events without an id wait for the first id of a run, which may have none."""
+    received = await receive(writes(events(1, 2), is_whole=False), writes(note(2), COMMENT))
+    assert received == (events(1, 2) + note(2) + COMMENT, True)
+
+
 async def test_run_that_goes_back_behind_the_clients_last_event_is_not_passed_on() -> None:
     """A client that takes up a stream got it from its beginning."""
     again, headers = writes(events(1, 2, 3, 4)), {"Last-Event-Id": "2"}
@@ -255,3 +274,21 @@
     assert [redact(None, "info", event_fields(end)) for end in ends] == list(
         map(event_fields, ends)
     )
+
+
+async def test_log_shows_what_a_stream_brought_until_its_deadline() -> None:
+    """The line of an attempt that the deadline ends said neither when nor how it was answered."""
+
+    async def one_then_silence(exchange: Exchange) -> None:
+        exchange.write_head(200, Transfer_Encoding="chunked")
+        exchange.write_chunk(event(1))
+        await exchange.reader.read()
+
+    async with relay_fleet((route(RouteKind.STREAM),), {"a": {"s1": one_then_silence}}) as fleet:
+        vm = fleet.vms["a"]
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await ask(vm, "/stream/", headers={"Pomelobarrow-Request-Deadline": "500"})
+        [end] = [each for each in vm.events if isinstance(each, RelayAttemptEnded)]
+    assert (end.end, end.detail, end.answer_end) == ("cancelled", "given up", "chunks")
+    assert (end.events, end.last_event_id) == (1, "1")
+    assert end.first_answer_s is not None
--- a/tests/test_stream_position.py
+++ b/tests/test_stream_position.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from pomelobarrow.decision.streams.stream_position import (
-    MAX_HELD_EVENTS,
+    MAX_HELD_BYTES,
     MAX_UNIDENTIFIED_EVENTS,
     JoinError,
     StreamPosition,
@@ -73,6 +73,45 @@
     ]
 
 
+@given(
+    st.lists(st.sampled_from([COMMENT, note(1), note(2), event(1), event(2), event(3)])),
+    st.data(),
+)
+def test_events_of_a_run_that_are_new_are_the_same_however_they_are_read(
+    run: list[bytes], data: st.DataObject
+) -> None:
+    """Events without an id went out if the id that shows a wrong join came in a later read."""
+    reads = []
+    rest = run
+    while rest:
+        size = data.draw(st.integers(1, len(rest)))
+        reads.append(rest[:size])
+        rest = rest[size:]
+    assert select_all(reads) == select_all([run])
+
+
+def select_all(reads: list[list[bytes]]) -> tuple[list[bytes], bool]:
+    """Return the new events with data of a run, and whether it was rejected."""
+    position = position_after(event(1), event(2), note(1))
+    passed: list[bytes] = []
+    try:
+        for each in reads:
+            passed += each if position.is_join_checked else position.select_new(each)
+        passed += position.release_held()
+    except JoinError:
+        return [each for each in passed if each != COMMENT], True
+    return [each for each in passed if each != COMMENT], False
+
+
+def test_run_without_any_id_is_rejected_beyond_a_limit() -> None:
+    """Without a bound, events that wait for an id would fill the memory."""
+    position = position_after(event(1))
+    large = b"data: %s\n\n" % (b"x" * (MAX_HELD_BYTES // 2))
+    assert position.select_new([large]) == []
+    with pytest.raises(JoinError):
+        position.select_new([large])
+
+
 def test_events_that_a_server_does_not_repeat_are_new() -> None:
     """One that sends its notes once only goes on with other events."""
     position = position_after(event(1), note(1), note(2))
@@ -130,8 +169,8 @@
 def test_no_more_than_a_few_events_are_held_back() -> None:
     """A server that sends one id and then notes only would be held back until its end."""
     position = position_after(event(7))
-    notes = [note(number) for number in range(MAX_HELD_EVENTS)]
-    assert position.select_new([event(14), *notes]) == [event(14), *notes]
+    large = b"data: %s\n\n" % (b"x" * MAX_HELD_BYTES)
+    assert position.select_new([event(14), large]) == [event(14), large]
 
 
 def test_first_run_of_a_stream_may_begin_with_any_id() -> None:
@@ -146,3 +185,10 @@
     position.select_new([event(14)])
     position.begin_run()
     assert position.select_new([event(8)]) == [event(8)]
+
+
+def test_ids_within_a_run_are_the_servers_own() -> None:
+    """Only the first ids of a run are compared: an answer is passed on as its server sends it."""
+    position = position_after(event(2))
+    run = [event(3), event(1), event(3)]
+    assert position.select_new(run) == run
