Keep a whole answer whose idle connection is reset

What callers saw: on the product's own interface, an answer to a repeatable request that broke off although its server had sent all of it, if the server reset the connection before the caller had taken the answer, as a slow caller may. Not seen on running daemons.

Cause: a reset failed the body that was being read, also one that had arrived with its end: by length or chunks, an idle connection is kept for the next request.

test_reset_after_a_whole_answer_leaves_it_whole failed before (ClientPayloadError) and passes.

--- a/src/pomelobarrow/backends/answer_handler.py
+++ b/src/pomelobarrow/backends/answer_handler.py
@@ -84,8 +84,9 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the body that is being read if the connection was reset."""
-        if exc is not None and self._payload is not None:
-            self._payload.set_exception(aiohttp.ClientPayloadError("the connection was reset"))
+        body = self._payload
+        if exc is not None and body is not None and not body.is_eof():
+            body.set_exception(aiohttp.ClientPayloadError("the connection was reset"))
         super().connection_lost(self._limit_error or exc)
 
     def _fail(self, part: str) -> None:
--- a/tests/test_answer_handler.py
+++ b/tests/test_answer_handler.py
@@ -1,5 +1,6 @@
 """Bytes of no content that a server sends without end, on both kinds of connections to servers."""
 
+import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
@@ -130,3 +131,27 @@
     size = 300_000
     async with serving(sends(CHUNKED + size * b"1\r\nx\r\n" + b"0\r\n\r\n")) as address:
         assert await client(address) == size * b"x"
+
+
+async def test_reset_after_a_whole_answer_leaves_it_whole() -> None:
+    """An answer was lost if its idle connection was reset before all of it had been read."""
+    is_read = asyncio.Event()
+
+    async def answer_then_reset(exchange: Exchange) -> None:
+        exchange.writer.write(OK + b"Content-Length: 5\r\n\r\nwhole")
+        await is_read.wait()
+        exchange.reset()
+
+    sessions = BackendSessions({})
+    async with (
+        serving(answer_then_reset) as address,
+        sessions.pooled.get(sessions.url(address, "/")) as response,
+    ):
+        assert sessions.pooled.connector is not None
+        [[(idle, _)]] = sessions.pooled.connector._conns.values()
+        is_read.set()
+        async with asyncio.timeout(5.0):
+            while idle.transport is not None:
+                await asyncio.sleep(0)
+        assert await response.read() == b"whole"
+    await sessions.close()
