Accept runs that begin past the next number again

The check of rejected sound streams: ids only have to grow, and where an event may hold several tokens they grow in uneven steps. Two equal steps by chance looked like a count by them, at every server and at each take-up. A sound stream that can never go on is worse for callers than a server that leaves out a piece.

Events without an id are still held back until the first id.

--- a/src/pomelobarrow/decision/streams/stream_position.py
+++ b/src/pomelobarrow/decision/streams/stream_position.py
@@ -6,16 +6,18 @@
 import xxhash
 from attrs import define, field
 
-from pomelobarrow.decision.streams.join_check import Join, judge_join
 from pomelobarrow.decision.streams.server_sent_events import event_data, event_id
 
 # Longer ids may be rejected by servers as a header.
 MAX_ID_BYTES = 256
+# Numbers of 64 bits, such as times in nanoseconds, are compared as numbers; longer ones are random
+# and compared as text.
+MAX_ID_DIGITS = 20
 # Events without an id are remembered until the next id. With more of them, the stream can't be
 # resumed, since its server would repeat them.
 MAX_UNIDENTIFIED_EVENTS = 256
-# The events of a further run that are held back until its ids show where it begins. One that brings
-# more before its first id is rejected.
+# Events without an id are held back until the first id of a further run. A run that brings more of
+# them is rejected, since nothing shows where it begins.
 MAX_HELD_BYTES = 64 << 10
 
 
@@ -38,10 +40,9 @@
 
     last_id: bytes = b""
     run: StreamRun = field(factory=StreamRun, init=False)
-    # False until the ids of the run show that it continues the stream, if there is one to continue.
+    # False until the run has an id that is beyond the last one, if there is one to compare.
     is_join_checked: bool = field(default=False, init=False)
-    # The ids of the run and the events that are held back until they show that.
-    _first_ids: list[str] = field(factory=list, init=False)
+    # The events without an id that the run brought until then.
     _held: list[bytes] = field(factory=list, init=False)
     _held_bytes: int = field(default=0, init=False)
     _has_events: bool = field(default=False, init=False)
@@ -67,32 +68,33 @@
         self.run = StreamRun()
         self._repeatable = deque(self._unidentified)
         self.is_join_checked = not self.last_id
-        self._first_ids = []
         self._held, self._held_bytes = [], 0
 
     def select_new(self, events: Iterable[bytes]) -> Sequence[bytes]:
         """Return the events of a run whose join isn't checked that may be passed on.
 
-        Events that the client has are left out. Events with data are held back until the ids of the
-        run show whether it continues the stream; raises `JoinError` if it doesn't.
+        Events that the client has are left out. Those without an id are held back, since they may
+        be of a run that goes back. Raises `JoinError` if the first id of the run is not beyond the
+        last one of the stream.
         """
         passed: list[bytes] = []
         for event in events:
             id_ = event_id(event)
-            if id_ is not None:
-                self._first_ids.append(header_value(id_))
-            elif not self._first_ids and self._is_repeated(event):
+            if self.is_join_checked:
+                passed.append(event)
+            elif id_ is not None:
+                self._check_join(header_value(id_))
+                passed += [*self.release_held(), event]
+            elif self._is_repeated(event):
                 continue
-            if self._held or id_ is not None or event_data(event) is not None:
+            elif self._held or event_data(event) is not None:
                 self._hold(event)
             else:
                 passed.append(event)
-        if self._first_ids and self._continues():
-            return [*passed, *self.release_held()]
         return passed
 
     def release_held(self) -> Sequence[bytes]:
-        """Return the events that were held back; no further ones decide about them."""
+        """Return the events held back of a run that is complete or whose join is checked."""
         self.is_join_checked = True
         held, self._held = self._held, []
         return held
@@ -124,17 +126,12 @@
     def _hold(self, event: bytes) -> None:
         self._held.append(event)
         self._held_bytes += len(event)
-        if self._held_bytes > MAX_HELD_BYTES and not self._first_ids:
+        if self._held_bytes > MAX_HELD_BYTES:
             raise JoinError(f"the run has no id in its first {MAX_HELD_BYTES} bytes")
 
-    def _continues(self) -> bool:
-        ids = self._first_ids
-        join = judge_join(self.last_event_id, ids)
-        if join in (Join.GOES_BACK, Join.LEAVES_OUT):
-            raise JoinError(
-                f"the run {join.value}: events {', '.join(ids)} after {self.last_event_id}"
-            )
-        return join is Join.CONTINUES or self._held_bytes > MAX_HELD_BYTES
+    def _check_join(self, first_id: str) -> None:
+        if not is_beyond(first_id, self.last_event_id):
+            raise JoinError(f"the run goes on with event {first_id} after {self.last_event_id}")
 
     def _is_repeated(self, event: bytes) -> bool:
         if not self._repeatable or event_data(event) is None:
@@ -145,6 +142,22 @@
         return False
 
 
+def is_beyond(first_id: str, last_id: str) -> bool:
+    """Return whether an id may come after another; ids that aren't numbers only have to differ.
+
+    How far the next id is from the last one depends on the server, which may count tokens.
+    """
+    first, last = _number(first_id), _number(last_id)
+    if first is None or last is None:
+        return first_id != last_id
+    return first > last
+
+
+def _number(id_: str) -> int | None:
+    is_number = id_.isascii() and id_.isdecimal() and len(id_) <= MAX_ID_DIGITS
+    return int(id_) if is_number else None
+
+
 def _first_id(events: Iterable[bytes]) -> bytes:
     return next((id_ for id_ in map(event_id, events) if id_), b"")
 
