--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -240,6 +240,12 @@
             elif was_large:
                 self.buffer.release()
             was_large = is_large
+        return await self._end_stream(response, head, splitter)
+
+    async def _end_stream(
+        self, response: ResponseHead, head: ServerAnswerHead, splitter: EventSplitter
+    ) -> AttemptReport:
+        """Complete the client's answer if the connection ended behind the last event."""
         if not splitter.is_between_events:
             return self._lost("the stream ended in the middle of an event", is_closed=True)
         if not self.sink.is_started and not self.position.last_id:
