Judge the log line of an attempt cut off by one that was sent

Traced: its route allows 0.3 s, which may end before the request is sent; with 0.5 ms in place of them, the test as it was fails with the same words. It now repeats the request until the server has got one, and demands 'cancelled' of that attempt, and of all others one of the two.

--- a/tests/test_relay_request_time.py
+++ b/tests/test_relay_request_time.py
@@ -84,9 +84,12 @@
         await exchange.reader.read()
 
     async with relay_fleet((QUICK,), {"a": {"s1": runs_on}}) as fleet:
-        await ask(fleet.vms["a"], "/non_idempotent/")
+        # On a busy machine the time may end before the request is sent.
+        while not fleet.servers["s1"].received:
+            await ask(fleet.vms["a"], "/non_idempotent/")
         ends = [e.end for e in fleet.vms["a"].events if isinstance(e, RelayAttemptEnded)]
-    assert ends == ["cancelled"]
+    assert ends[-1] == "cancelled"
+    assert set(ends) <= {"cancelled", "cancelled unsent"}
 
 
 async def send_half_a_body(vm: RelayVm, deadline_ms: str) -> bytes:
