Test that sound streams with uneven ids go on, and list the proofs of streams

What callers saw on: streams whose ids grow in uneven steps (1, 5, 7, 9, 10, 11, 14, ...) could not go on after a server had broken off. Ids only have to increase, and an event may hold several tokens. Cause: the check for runs that leave events out took two equal steps that are smaller than the join's for a proof, at each server with the same ids and at each attempt of the client.

--- a/tests/test_proof_streams.py
+++ b/tests/test_proof_streams.py
@@ -9,7 +9,7 @@
 
 SEED = 1
 SENDING_S = 10.0
-ID_FORMS = ("plain", "data first", "no space", "text id", "uneven ids", "lines")
+ID_FORMS = ("plain", "data first", "no space", "text id", "lines")
 OTHER_FORMS = ("comment", "extra", "empty id", "no id", "bytes after the end")
 OTHER_LINE_ENDS = ("crlf", "cr")
 
@@ -25,6 +25,13 @@
     assert servers.streams
 
 
+async def test_streams_whose_ids_grow_in_uneven_steps_go_on() -> None:
+    """Sound runs were taken for ones that leave events out, and no server could go on."""
+    servers, found = await play(SEED, SENDING_S, ("uneven ids",))
+    assert found == []
+    assert servers.streams
+
+
 @pytest.mark.parametrize("forms", [OTHER_FORMS, OTHER_LINE_ENDS], ids=["ids", "line ends"])
 async def test_streams_of_any_form_lack_and_repeat_nothing(
     forms: tuple[str, ...], record_property: Figure
