Show why repeatable requests failed beside endless answers

The proof failed once for a body and once for interim answers, with 502 for repeatable requests, in a run of two workers at a load of 34. The statuses don't tell the cause; the log lines of the failed requests now stand in the message of the assertion.

--- a/tests/test_proof_endless_answers.py
+++ b/tests/test_proof_endless_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import json
 import random
 import resource
 from collections import Counter
@@ -43,6 +44,18 @@
     raise AssertionError("no peak memory in the status of the process")
 
 
+def unanswered(fleet: SoakFleet, daemon: Daemon) -> list[tuple[str, int, str]]:
+    """Return status and reason of the repeatable requests of the waves that failed."""
+    lines = [json.loads(line) for line in fleet.processes.log(daemon.vm).splitlines()]
+    return [
+        (line["request_id"], line["status"], line["detail"])
+        for line in lines
+        if line["event"] in ("relay ended", "relay attempt ended")
+        and line["request_id"].startswith("plain-")
+        and line["status"] != 200
+    ]
+
+
 def limit_memory(fleet: SoakFleet, daemon: Daemon) -> None:
     pid = fleet.processes.running[daemon.vm].pid
     resource.prlimit(pid, resource.RLIMIT_DATA, (DATA_LIMIT_BYTES, DATA_LIMIT_BYTES))
@@ -112,10 +125,11 @@
     async with daemon_with({"s1": endless, "s2": answers(), "s3": answers()}) as (fleet, daemon):
         waves = [await send_wave(fleet, daemon, number) for number in range(WAVES)]
         ended, peak_bytes = fleet.ended_daemons(), peak_memory_bytes(fleet, daemon)
+        reasons = unanswered(fleet, daemon)
     figure("peak of a daemon, MiB", peak_bytes >> 20)
     figure("statuses", Counter(status for each in waves for status in each.repeatable + each.once))
     assert ended == []
-    assert {status for wave in waves for status in wave.repeatable} == {200}
+    assert {status for wave in waves for status in wave.repeatable} == {200}, reasons
     assert {status for wave in waves for status in wave.once} <= {200, 502}
     assert peak_bytes < MAX_DAEMON_BYTES
 
