Break off stalled clients whose large answers others wait for

What callers saw: two clients that didn't read their answers of 16 MiB held the memory for large answers, so that a sound answer of 1 MiB ended with 504 at its deadline.

Cause: the memory of an answer is reserved until its client has read it, and a client may read nothing until its deadline.

Change: while other answers wait for memory, sending ends if the client has read nothing for a second. Its connection is closed, so that the answer is visibly incomplete.

Why it works: memory that others wait for is held only by clients that make progress. Where none waits, slow clients keep the time that they had.

--- a/src/pomelobarrow/backends/answer_buffers.py
+++ b/src/pomelobarrow/backends/answer_buffers.py
@@ -46,6 +46,10 @@
         """Return the memory reserved for large answers."""
         return sum(self._reserved_bytes.values())
 
+    def is_short(self) -> bool:
+        """Return whether answers wait for memory."""
+        return self.waiting > 0
+
     async def reserve(self, buffer: "AnswerBuffer", size_bytes: int) -> None:
         """Wait until a buffer may have this size."""
         self.waiting += 1
--- a/src/pomelobarrow/relay/answer.py
+++ b/src/pomelobarrow/relay/answer.py
@@ -1,6 +1,7 @@
 """Write the answer to one relayed request to its client."""
 
 import asyncio
+from collections.abc import Callable
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -13,6 +14,8 @@
 MAX_JOINED_BYTES = 64 << 10
 # An answer may be sent after its deadline. Its memory is free for other answers again after this.
 MAX_SENDING_S = 30.0
+# A client that reads nothing for this long has stalled.
+STALLED_S = 1.0
 CALLER_GONE = "the client closed its connection"
 CALLER_SLOW = "the client has not read its answer"
 
@@ -38,29 +41,52 @@
         await self._prepare(response)
         await self._checked(response.write_eof())
 
-    async def pass_on(self, answer: WholeAnswer) -> None:
-        """Send a backend server's complete answer."""
+    async def pass_on(
+        self, answer: WholeAnswer, is_memory_short: Callable[[], bool] = lambda: False
+    ) -> None:
+        """Send a backend server's complete answer.
+
+        A large one is broken off if its client reads nothing while others wait for its memory.
+        """
         head, parts, size_bytes = answer.head, answer.body_parts, answer.size_bytes
         if size_bytes <= MAX_JOINED_BYTES:
             await self.send_complete(head.status, head.headers, b"".join(parts))
         else:
-            await self._send_parts(head.status, head.headers, parts, size_bytes)
+            await self._send_parts(head.status, head.headers, parts, size_bytes, is_memory_short)
 
     async def _send_parts(
-        self, status: int, headers: Headers, parts: tuple[bytes, ...], size_bytes: int
+        self,
+        status: int,
+        headers: Headers,
+        parts: tuple[bytes, ...],
+        size_bytes: int,
+        is_memory_short: Callable[[], bool],
     ) -> None:
+        loop, sent_parts = asyncio.get_running_loop(), 0
+        timer = loop.call_later(STALLED_S, lambda: end_if_stalled(0))
+
+        def end_if_stalled(sent_before: int) -> None:
+            nonlocal timer
+            if sent_parts == sent_before and is_memory_short():
+                scope.reschedule(loop.time())
+            else:
+                timer = loop.call_later(STALLED_S, end_if_stalled, sent_parts)
+
         # The transport copies what the client has not read yet.
         response = LateHeadResponse(status=status, headers=CIMultiDict(headers))
         response.content_length = size_bytes
         try:
-            async with asyncio.timeout(MAX_SENDING_S):
+            async with asyncio.timeout(MAX_SENDING_S) as scope:
                 await self._prepare(response)
                 for part in parts:
                     await self.send(part)
+                    sent_parts += 1
                 await self.finish()
         except TimeoutError as error:
             self.break_off()
             raise CallerGoneError(CALLER_SLOW) from error
+        finally:
+            timer.cancel()
 
     async def open(self, status: int, headers: Headers) -> None:
         """Begin a stream; its head is sent together with the first events."""
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -164,7 +164,7 @@
                 continue
             if self._may_pass_on(progress, report):
                 assert report.answer is not None
-                await progress.sink.pass_on(report.answer)
+                await progress.sink.pass_on(report.answer, self.sessions.buffers.is_short)
                 return Step.DONE
             return last_step(progress.history, progress.sink.is_started)
 
@@ -386,7 +386,7 @@
             return "broken off"
         if step is Step.PASS_ON:
             assert progress.history.failure is not None
-            await progress.sink.pass_on(progress.history.failure)
+            await progress.sink.pass_on(progress.history.failure, self.sessions.buffers.is_short)
             return "answered"
         refusal = self.refusals.refusal(progress, step)
         request_id = progress.request.work.request_id
