Give up answers whose stated length is too large before they are read

Change: a stated length over the limit ends the attempt at its head and doesn't count, as the size is the client's choice. A body without a stated length that never ends counts as before.

--- a/src/pomelobarrow/backends/answer_buffers.py
+++ b/src/pomelobarrow/backends/answer_buffers.py
@@ -16,6 +16,7 @@
 )
 
 BODY = "body"
+STATED_LENGTH = "stated length"
 
 
 async def read_limited(
@@ -84,11 +85,13 @@
     buffers: AnswerBuffers
     _reserved_bytes: int = field(default=0, init=False)
 
-    async def read(self, content: aiohttp.StreamReader) -> tuple[bytes, ...]:
+    async def read(self, content: aiohttp.StreamReader, stated_bytes: int = 0) -> tuple[bytes, ...]:
         """Return the parts of a whole body; it is not read on while the memory for it is taken.
 
-        Raises `AnswerTooLargeError`.
+        Raises `AnswerTooLargeError`, for a size that its server states before anything is read.
         """
+        if stated_bytes > self.buffers.max_answer_bytes:
+            raise AnswerTooLargeError(STATED_LENGTH, f"{self.buffers.max_answer_bytes} bytes")
         # A request that kept a large answer while it reads another one could wait for one that
         # does the same.
         self.release()
--- a/src/pomelobarrow/backends/single_use.py
+++ b/src/pomelobarrow/backends/single_use.py
@@ -85,6 +85,11 @@
     content: aiohttp.StreamReader
     body_end: BodyEnd
 
+    @property
+    def stated_bytes(self) -> int:
+        """Return the size of the body that the server states; 0 if it states none."""
+        return int(self.headers["Content-Length"]) if self.body_end is BodyEnd.LENGTH else 0
+
 
 @define(kw_only=True)
 class SingleExchange:
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -211,7 +211,7 @@
         return ""
 
     async def _read_complete(self, response: ResponseHead, head: ServerAnswerHead) -> AttemptReport:
-        body_parts = await self.buffer.read(response.content)
+        body_parts = await self.buffer.read(response.content, response.stated_bytes)
         if await self._is_cut_by_its_end(response):
             return self._lost(CUT_BY_ITS_END, is_closed=True)
         self._note_first_answer(head)
--- a/src/pomelobarrow/relay/health_monitor.py
+++ b/src/pomelobarrow/relay/health_monitor.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from pomelobarrow.backends.answer_buffers import STATED_LENGTH
 from pomelobarrow.decision.requests.attempt_states import AttemptEnd
 from pomelobarrow.decision.requests.work import BackendServer
 from pomelobarrow.decision.servers.load_table import LoadTable
@@ -44,8 +45,10 @@
         sent_unix_s: float,
     ) -> None:
         """Record how an attempt ended; what a server rejects does not count against it."""
-        # Clients choose the event after which a stream is to go on.
-        if report.end in BLAMELESS_ENDS or report.is_join_rejected:
+        # Clients choose the event after which a stream is to go on, and how large an answer they
+        # ask for.
+        is_clients_choice = report.is_join_rejected or report.over_limit == STATED_LENGTH
+        if report.end in BLAMELESS_ENDS or is_clients_choice:
             return
         # If that incarnation was replaced, the failure must not count against its successor.
         if not self.table.is_current_incarnation(server):
