--- a/src/pomelobarrow/peers/member_updates.py
+++ b/src/pomelobarrow/peers/member_updates.py
@@ -178,7 +178,7 @@
         return [_summary(each, self.view.last_seen_unix_s(each.vm)) for each in members if each]
 
     def note_incarnation(self, sender: Member) -> None:
-        """Note whether a sender started again with its clock set back; it is told so then."""
+        """Note whether a sender started again with its clock set back, to describe it to itself."""
         known = self.view.get(sender.vm)
         if known is not None and sender.incarnation < known.incarnation:
             self._outdated_vms.add(sender.vm)
--- a/tests/test_peers_incarnations.py
+++ b/tests/test_peers_incarnations.py
@@ -70,7 +70,7 @@
 
 
 def test_all_parts_of_a_vm_use_the_raised_incarnation() -> None:
-    """Guards against a peer that is told "unknown" or "not run" of a forward under two numbers."""
+    """Guards against a peer that gets "unknown" or "not run" for a forward under two numbers."""
     peer, again = started(PEER), started(VM, SET_BACK_S)
     exchange(started(VM), peer)
     exchange(again, peer)
--- a/tests/test_published_watcher.py
+++ b/tests/test_published_watcher.py
@@ -71,7 +71,7 @@
 
 @define
 class BusyStore:
-    """Answer a watch only once it is told to, with a change that the VM hasn't seen."""
+    """Answer a watch on request only, with a change that the VM hasn't seen."""
 
     answers: asyncio.Event = field(factory=asyncio.Event)
     poll_started: asyncio.Event = field(factory=asyncio.Event)
--- a/tests/test_soak_streams.py
+++ b/tests/test_soak_streams.py
@@ -82,7 +82,7 @@
 def test_check_finds_answers_that_look_complete_too_early(
     last_item: int, status: int, is_whole: bool, is_cut_short: bool
 ) -> None:
-    """An answer that ends as complete before its last event tells its client that it has all."""
+    """A client takes an answer that ends as complete before its last event for the whole."""
     stream = Stream(id="s", form="plain", framing="chunked", padding_bytes=0, writes="cut anywhere")
     received = list(range(1, last_item + 1))
     answer = Answer(request_id="s-0", after="", status=status, items=received, is_whole=is_whole)
