Log for how long a VM has known the list of servers when a stream is taken up

Callers of a system like this one got streams of two software versions after all VMs had been killed at once. The lines of streams that are taken up name how the version is known and how many versions are listed; they can't tell a pool that has run one version for minutes from a list that is a tenth of a second old. list_known_for_s does. No change of what is decided.

--- a/src/pomelobarrow/decision/streams/stream_software.py
+++ b/src/pomelobarrow/decision/streams/stream_software.py
@@ -92,13 +92,21 @@
 
     # By pool and software: when it was listed for the last time.
     _listed_unix_s: dict[str, dict[int, float]] = field(factory=dict)
+    # When this VM received its first list.
+    _first_list_unix_s: float | None = field(default=None, init=False)
 
     def observe(self, servers: Mapping[str, BackendServer], now_unix_s: float) -> None:
         """Record the present list."""
+        if self._first_list_unix_s is None:
+            self._first_list_unix_s = now_unix_s
         for server in servers.values():
             listed = self._listed_unix_s.setdefault(server.pool, {})
             listed[software_key(server)] = now_unix_s
 
+    def known_for_s(self, now_unix_s: float) -> float:
+        """Return for how long this VM has known which servers are listed."""
+        return 0.0 if self._first_list_unix_s is None else now_unix_s - self._first_list_unix_s
+
     def recent(self, pool: str, now_unix_s: float) -> frozenset[int]:
         """Return the versions whose streams may still be taken up."""
         oldest_unix_s = now_unix_s - STREAM_RETENTION_S
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -101,6 +101,8 @@
     resume_after: str
     # The software versions that the pool's servers have run lately, as this VM knows.
     versions_listed: int
+    # For how long this VM has known the list of servers.
+    list_known_for_s: float
     source: str
 
 
--- a/src/pomelobarrow/relay/stream_joins.py
+++ b/src/pomelobarrow/relay/stream_joins.py
@@ -88,7 +88,8 @@
         if not route.is_stream or not head.last_event_id:
             return Ok((pool, None))
         software, source = await self._software(head, route, pool, stated)
-        listed = self.streams.history.recent(pool, now_unix_s())
+        history, now = self.streams.history, now_unix_s()
+        listed = history.recent(pool, now)
         self.observe(
             StreamTakenUp(
                 request_id=head.request_id,
@@ -97,6 +98,7 @@
                 resumes=head.resumes,
                 resume_after=head.last_event_id,
                 versions_listed=len(listed),
+                list_known_for_s=history.known_for_s(now),
                 source=source.value,
             )
         )
--- a/tests/test_relay_software_versions.py
+++ b/tests/test_relay_software_versions.py
@@ -14,6 +14,8 @@
 LAST = 4
 WHOLE = b"".join(event(number) for number in range(1, LAST + 1))
 BREAKS = streams(LAST, breaks_after=2)
+# The servers are listed when the fleet starts.
+LISTED_FOR_AT_MOST_S = 60.0
 
 
 def _received(fleet: RelayFleet, name: str) -> int:
@@ -111,6 +113,7 @@
         assert _received(fleet, "s1") + _received(fleet, "s2") == 0
         [event] = [each for each in fleet.vms["a"].events if isinstance(each, StreamTakenUp)]
     assert (event.resumes, event.versions_listed, event.source) == (resumes, 2, "unknown")
+    assert 0.0 <= event.list_known_for_s < LISTED_FOR_AT_MOST_S
     assert answer.status == 503
     assert b'"kind":"not_resumable"' in answer.body
     assert "Retry-After" not in answer.headers
