Show that streams go on at another version after all VMs restarted: one failing test

A client whose stream broke off with its VM took it up at a VM that had just started. That VM listed one version, the next one, took it for the only version of the last two minutes, and the client got 200 with the rest of another version's text.

The test fails on this code: the server of v2 got the request (1 == 0).

--- a/tests/test_relay_software_versions.py
+++ b/tests/test_relay_software_versions.py
@@ -186,3 +186,15 @@
         vm = fleet.vms["a"]
         await _begun(vm.url)
         assert vm.relay.joins.streams.software_of(stream_key("r1")) is None
+
+
+async def test_stream_from_before_all_vms_restarted_does_not_go_on_at_another_version() -> None:
+    """VMs that all restarted after the last server of a version took its streams for the next's."""
+    async with relay_fleet((RESUMABLE,), {"a": {"s1": BREAKS}}, versions={"s1": "v1"}) as fleet:
+        assert await _begun(fleet.vms["a"].url) == event(1) + event(2)
+    servers = {"a": {"s2": streams(LAST)}}
+    async with relay_fleet((RESUMABLE,), servers, versions={"s2": "v2"}) as fleet:
+        answer = await _take_up(fleet, "a")
+        assert _received(fleet, "s2") == 0
+    assert (answer.status, "Retry-After" in answer.headers) == (503, False)
+    assert b'"kind":"not_resumable"' in answer.body
