Count a software version as listed until the list changes

Two faults of one cause: the time at which a version was last listed was recorded only when the list of servers changed.

What callers saw: two minutes after the last change of the list, each stream that was taken up got 503 not_ready, "this VM lists no server". And where all servers of a version left in one change, long after the change before, their streams went on at the next version, as if it had served all the while.

The history keeps what is listed now, and marks it as gone when the next list arrives. A version that is listed counts however old its list is.

Evidence: the two new tests fail on the code before (an empty set of versions; the key of v2 assumed for a stream of v1) and pass now.

--- a/src/pomelobarrow/decision/streams/stream_software.py
+++ b/src/pomelobarrow/decision/streams/stream_software.py
@@ -90,18 +90,23 @@
 class SoftwareHistory:
     """The software versions that servers of each pool have run recently, by the list of servers."""
 
-    # By pool and software: when it was listed for the last time.
-    _listed_unix_s: dict[str, dict[int, float]] = field(factory=dict)
+    # By pool and software: until when it was listed, if it no longer is.
+    _gone_unix_s: dict[str, dict[int, float]] = field(factory=dict, init=False)
+    # The software of the servers that are listed, by pool.
+    _listed: dict[str, set[int]] = field(factory=dict, init=False)
     # When this VM received its first list.
     _first_list_unix_s: float | None = field(default=None, init=False)
 
     def observe(self, servers: Mapping[str, BackendServer], now_unix_s: float) -> None:
-        """Record the present list."""
+        """Record the present list; the one before was valid until now."""
         if self._first_list_unix_s is None:
             self._first_list_unix_s = now_unix_s
+        for pool, keys in self._listed.items():
+            self._gone_unix_s.setdefault(pool, {}).update(dict.fromkeys(keys, now_unix_s))
+        self._listed = {}
         for server in servers.values():
-            listed = self._listed_unix_s.setdefault(server.pool, {})
-            listed[software_key(server)] = now_unix_s
+            self._listed.setdefault(server.pool, set()).add(software_key(server))
+        self._forget_old(now_unix_s)
 
     def known_for_s(self, now_unix_s: float) -> float:
         """Return for how long this VM has known which servers are listed."""
@@ -110,12 +115,13 @@
     def recent(self, pool: str, now_unix_s: float) -> frozenset[int]:
         """Return the versions whose streams may still be taken up."""
         oldest_unix_s = now_unix_s - STREAM_RETENTION_S
-        listed = self._listed_unix_s.get(pool, {})
-        return frozenset(key for key, unix_s in listed.items() if unix_s >= oldest_unix_s)
+        gone = self._gone_unix_s.get(pool, {})
+        left = (key for key, until_unix_s in gone.items() if until_unix_s > oldest_unix_s)
+        return frozenset(self._listed.get(pool, ())).union(left)
 
     def recent_by_pool(self, now_unix_s: float) -> dict[str, frozenset[int]]:
         """Return the same for each pool."""
-        return {pool: self.recent(pool, now_unix_s) for pool in self._listed_unix_s}
+        return {pool: self.recent(pool, now_unix_s) for pool in {*self._listed, *self._gone_unix_s}}
 
     def assumed(self, pool: str, now_unix_s: float) -> int | None:
         """Return the software of a stream of which there is no record, None if it isn't certain.
@@ -125,6 +131,15 @@
         recent = self.recent(pool, now_unix_s)
         return next(iter(recent)) if len(recent) == 1 else None
 
+    def _forget_old(self, now_unix_s: float) -> None:
+        oldest_unix_s = now_unix_s - STREAM_RETENTION_S
+        for pool, gone in list(self._gone_unix_s.items()):
+            kept = {key: unix_s for key, unix_s in gone.items() if unix_s > oldest_unix_s}
+            if kept:
+                self._gone_unix_s[pool] = kept
+            else:
+                del self._gone_unix_s[pool]
+
 
 @define(kw_only=True)
 class StreamSoftware:
--- a/tests/test_stream_software.py
+++ b/tests/test_stream_software.py
@@ -78,6 +78,26 @@
     assert history.recent(POOL, NOW + STREAM_RETENTION_S + 1.0) == {SECOND}
 
 
+def test_pool_whose_list_does_not_change_keeps_its_version() -> None:
+    """Two minutes after the last change of the list, no stream was taken up any more."""
+    history = SoftwareHistory()
+    history.observe(listed(V1), NOW)
+    later = NOW + 2 * STREAM_RETENTION_S
+    assert history.recent(POOL, later) == {FIRST}
+    assert history.assumed(POOL, later) == FIRST
+
+
+def test_version_that_is_replaced_at_once_counts_from_then_on() -> None:
+    """Its last server left the list long after it had appeared, and the next one came at once."""
+    history = SoftwareHistory()
+    history.observe(listed(V1), NOW)
+    replaced = NOW + 2 * STREAM_RETENTION_S
+    history.observe({}, replaced)
+    history.observe(listed(V2), replaced + 1.0)
+    assert history.assumed(POOL, replaced + 1.0) is None
+    assert history.recent(POOL, replaced + 1.0) == {FIRST, SECOND}
+
+
 def test_unlisted_pool_has_no_version() -> None:
     assert SoftwareHistory().assumed(POOL, NOW) is None
 
