Assume no version of a stream on the word of a list that has just been read

What callers saw: all VMs were killed at once while a release went on, or just after it. Clients took up the streams that had broken off, got 200 and the rest of another version's text.

Cause: a VM took the absence of a record for a proof that the pool had run one version for two minutes. It had looked for some milliseconds; the records were gone with the VMs that had kept them, and so was the version that had left.

Change: a version is assumed only by a VM that has known the list of servers for the whole time in which a stream may still be taken up. Until then, records of streams are published to their keepers as if there were two versions, so that streams that begin after the restart go on although their VM ends. Streams from before are refused at once, as of unknown version.

The two new unit tests fail without the condition. The harness of relays now states for how long its VMs have known their list; tests of joins run on VMs that have known it for two minutes, as their long-running fleets do, with the same assertions.

--- a/src/pomelobarrow/decision/streams/stream_software.py
+++ b/src/pomelobarrow/decision/streams/stream_software.py
@@ -126,8 +126,10 @@
     def assumed(self, pool: str, now_unix_s: float) -> int | None:
         """Return the software of a stream of which there is no record, None if it isn't certain.
 
-        VMs publish records of streams only while a pool has several versions.
+        A VM that has just started can't know which versions have left before.
         """
+        if self.known_for_s(now_unix_s) < STREAM_RETENTION_S:
+            return None
         recent = self.recent(pool, now_unix_s)
         return next(iter(recent)) if len(recent) == 1 else None
 
@@ -152,8 +154,6 @@
     _of_peers: StreamRecords = field(factory=StreamRecords)
     # Pools whose streams may be of several versions.
     mixed_pools: frozenset[str] = frozenset()
-    # The software of the pools that have run a single version.
-    _single: frozenset[int] = frozenset()
 
     @property
     def kept_records(self) -> int:
@@ -168,22 +168,16 @@
         for pool in mixed - self.mixed_pools:
             self.publish(self._own.of_software(by_pool[pool]))
         self.mixed_pools = mixed
-        self._single = frozenset(
-            software for pool, recent in by_pool.items() if pool not in mixed for software in recent
-        )
 
-    def is_mixed(self, pool: str) -> bool:
-        """Return whether a pool's streams may be of several versions."""
-        return pool in self.mixed_pools
-
-    def note_began(self, request_id: str, software: int, now_unix_s: float) -> None:
+    def note_began(self, request_id: str, pool: str, software: int, now_unix_s: float) -> None:
         """Record the software that begins a stream of this VM, before its client gets an event.
 
-        A peer's server may run a version that this VM's list of servers doesn't have yet.
+        Other VMs need the record unless they assume this software without one. A peer's server may
+        run a version that this VM's list of servers doesn't have yet.
         """
         began = StreamBegan(stream_key=stream_key(request_id), software_key=software)
         self._own.note(began, now_unix_s)
-        if software not in self._single:
+        if self.history.assumed(pool, now_unix_s) != software:
             self.publish((began,))
 
     def note_complete(self, request_id: str) -> None:
--- a/src/pomelobarrow/relay/stream_joins.py
+++ b/src/pomelobarrow/relay/stream_joins.py
@@ -59,7 +59,9 @@
         request = progress.request
         is_taken_up_here = request.route.is_resumable and not request.forwarded_by
         if is_taken_up_here and software != UNKNOWN_SOFTWARE:
-            self.streams.note_began(request.work.request_id, software, now_unix_s())
+            self.streams.note_began(
+                request.work.request_id, request.work.pool, software, now_unix_s()
+            )
 
     def note_complete(self, progress: RequestProgress) -> None:
         """Forget a stream that the client has received whole."""
@@ -74,7 +76,7 @@
     streams: StreamSoftware = field(factory=StreamSoftware)
     servers: Callable[[], Mapping[str, BackendServer]] = dict
     # Asks peers for the software of the stream of a request id; the second argument states whether
-    # its pool has several versions.
+    # it may be of several versions.
     ask_peers: Callable[[str, bool], Awaitable[int | None]] | None = None
     observe: Callable[[object], None] = lambda event: None
 
@@ -126,8 +128,9 @@
             return None
         if self.ask_peers is None:
             return self.streams.software_of(stream_key(head.resumes))
-        is_mixed = any(self.streams.is_mixed(share.pool) for share in route.pools)
-        return await self.ask_peers(head.resumes, is_mixed)
+        history, now = self.streams.history, now_unix_s()
+        is_certain = all(history.assumed(share.pool, now) is not None for share in route.pools)
+        return await self.ask_peers(head.resumes, not is_certain)
 
     def _pool_of(self, software: int, route: Route) -> str:
         """Return the route's pool that has servers of this software; empty if none has."""
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -27,7 +27,7 @@
 from pomelobarrow.decision.requests.work import BackendServer
 from pomelobarrow.decision.servers.cold_start import ColdLimiter
 from pomelobarrow.decision.servers.load_table import LoadTable
-from pomelobarrow.decision.streams.stream_software import StreamSoftware
+from pomelobarrow.decision.streams.stream_software import STREAM_RETENTION_S, StreamSoftware
 from pomelobarrow.dispatch.crash_guard import CrashGuard
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.platform.wire import platform_wire
@@ -134,10 +134,12 @@
     slots: int = 8,
     versions: Mapping[str, str] | None = None,
     pools: tuple[RelayPool, ...] = (),
+    list_known_for_s: float = STREAM_RETENTION_S,
 ) -> AsyncIterator[RelayFleet]:
     """Run the VMs, each on its own loopback address; accounts make keys necessary.
 
-    Versions are those of the servers' software; servers that aren't named have none.
+    Versions are those of the servers' software; servers that aren't named have none. The VMs have
+    known the list of servers for the given time.
     """
     async with AsyncExitStack() as stack:
         front_port, hop_port = free_ports(2)
@@ -161,6 +163,9 @@
         for key, place in places.items():
             options = access_of(place.region)
             vm = _vm(place, places, front_port, hop_port, routing, listed, bound, options)
+            vm.relay.joins.streams.observe_servers(
+                {server.name: server for server in listed}, now_unix_s() - list_known_for_s
+            )
             await vm.listeners.start()
             stack.push_async_callback(vm.listeners.stop)
             stack.push_async_callback(vm.relay.sessions.close)
@@ -218,7 +223,6 @@
     table.set_servers(listed)
     by_name = {server.name: server for server in listed}
     streams = StreamSoftware()
-    streams.observe_servers(by_name, now_unix_s())
     events: list[object] = []
     access = RelayAccess(**{"routing": lambda: routing, "observe": events.append, **access_options})
     view, stop = _view(place, places.values()), PlannedStop()
--- a/tests/test_relay_software_versions.py
+++ b/tests/test_relay_software_versions.py
@@ -6,7 +6,7 @@
 from scripted_server import event, resets, streams
 
 from pomelobarrow.decision.published.routing import RouteKind
-from pomelobarrow.decision.streams.stream_software import stream_key
+from pomelobarrow.decision.streams.stream_software import STREAM_RETENTION_S, stream_key
 from pomelobarrow.relay import relay as relay_module
 from pomelobarrow.relay.events import StreamTakenUp
 
@@ -14,8 +14,7 @@
 LAST = 4
 WHOLE = b"".join(event(number) for number in range(1, LAST + 1))
 BREAKS = streams(LAST, breaks_after=2)
-# The servers are listed when the fleet starts.
-LISTED_FOR_AT_MOST_S = 60.0
+TEST_TAKES_AT_MOST_S = 60.0
 
 
 def _received(fleet: RelayFleet, name: str) -> int:
@@ -108,12 +107,16 @@
 async def test_stream_of_unknown_version_is_refused_at_once(resumes: str) -> None:
     """It went on at any server. No retry time is stated, since no later attempt could go on."""
     servers = {"a": {"s1": streams(LAST), "s2": streams(LAST)}}
-    async with relay_fleet((RESUMABLE,), servers, versions={"s1": "v1", "s2": "v2"}) as fleet:
+    versions = {"s1": "v1", "s2": "v2"}
+    known_for_s = STREAM_RETENTION_S
+    async with relay_fleet(
+        (RESUMABLE,), servers, versions=versions, list_known_for_s=known_for_s
+    ) as fleet:
         answer = await _take_up(fleet, "a", resumes)
         assert _received(fleet, "s1") + _received(fleet, "s2") == 0
         [event] = [each for each in fleet.vms["a"].events if isinstance(each, StreamTakenUp)]
     assert (event.resumes, event.versions_listed, event.source) == (resumes, 2, "unknown")
-    assert 0.0 <= event.list_known_for_s < LISTED_FOR_AT_MOST_S
+    assert known_for_s <= event.list_known_for_s < known_for_s + TEST_TAKES_AT_MOST_S
     assert answer.status == 503
     assert b'"kind":"not_resumable"' in answer.body
     assert "Retry-After" not in answer.headers
@@ -190,10 +193,13 @@
 
 async def test_stream_from_before_all_vms_restarted_does_not_go_on_at_another_version() -> None:
     """VMs that all restarted after the last server of a version took its streams for the next's."""
-    async with relay_fleet((RESUMABLE,), {"a": {"s1": BREAKS}}, versions={"s1": "v1"}) as fleet:
+    begun = {"a": {"s1": BREAKS}}
+    async with relay_fleet((RESUMABLE,), begun, versions={"s1": "v1"}) as fleet:
         assert await _begun(fleet.vms["a"].url) == event(1) + event(2)
     servers = {"a": {"s2": streams(LAST)}}
-    async with relay_fleet((RESUMABLE,), servers, versions={"s2": "v2"}) as fleet:
+    async with relay_fleet(
+        (RESUMABLE,), servers, versions={"s2": "v2"}, list_known_for_s=0.0
+    ) as fleet:
         answer = await _take_up(fleet, "a")
         assert _received(fleet, "s2") == 0
     assert (answer.status, "Retry-After" in answer.headers) == (503, False)
--- a/tests/test_stream_software.py
+++ b/tests/test_stream_software.py
@@ -17,6 +17,8 @@
 )
 
 NOW = 1_000.0
+# A VM that started then knows all versions whose streams are still taken up.
+LONG_AGO = NOW - 2 * STREAM_RETENTION_S
 POOL = "drafters"
 V1 = BackendServer(
     name="s1",
@@ -50,21 +52,30 @@
 
 def test_unrecorded_stream_is_of_the_only_version() -> None:
     history = SoftwareHistory()
-    history.observe(listed(V1), NOW)
+    history.observe(listed(V1), LONG_AGO)
     assert history.assumed(POOL, NOW) == FIRST
 
 
+def test_vm_that_has_just_started_assumes_no_version() -> None:
+    """The servers of another version may have left before, so that none of them is listed."""
+    history = SoftwareHistory()
+    history.observe(listed(V2), NOW)
+    assert history.assumed(POOL, NOW) is None
+    assert history.assumed(POOL, NOW + STREAM_RETENTION_S - 1.0) is None
+    assert history.assumed(POOL, NOW + STREAM_RETENTION_S) == SECOND
+
+
 def test_unrecorded_stream_is_of_no_version_once_another_has_appeared() -> None:
     """Its record may be lost, so that a stream of the new version went on at the one before."""
     history = SoftwareHistory()
-    history.observe(listed(V1), NOW)
+    history.observe(listed(V1), LONG_AGO)
     history.observe(listed(V1, V2), NOW + 1.0)
     assert history.assumed(POOL, NOW + 1.0) is None
 
 
 def test_unrecorded_stream_is_of_no_version_if_two_serve() -> None:
     history = SoftwareHistory()
-    history.observe(listed(V1, V2), NOW)
+    history.observe(listed(V1, V2), LONG_AGO)
     assert history.assumed(POOL, NOW) is None
 
 
@@ -128,14 +139,14 @@
 def test_streams_are_published_while_a_pool_has_two_versions() -> None:
     published: list[StreamBegan] = []
     streams = StreamSoftware(publish=published.extend)
-    streams.observe_servers(listed(V1), NOW)
-    streams.note_began("r1", FIRST, NOW)
-    streams.note_began("r2", FIRST, NOW)
+    streams.observe_servers(listed(V1), LONG_AGO)
+    streams.note_began("r1", POOL, FIRST, NOW)
+    streams.note_began("r2", POOL, FIRST, NOW)
     streams.note_complete("r2")
     assert published == []
     # Those that go on when the second version appears are published then.
     streams.observe_servers(listed(V1, V2), NOW + 1.0)
-    streams.note_began("r3", SECOND, NOW + 2.0)
+    streams.note_began("r3", POOL, SECOND, NOW + 2.0)
     keys = [stream_key("r1"), stream_key("r3")]
     assert [each.stream_key for each in published] == keys
     assert [streams.software_of(key) for key in keys] == [FIRST, SECOND]
@@ -145,8 +156,8 @@
     published: list[StreamBegan] = []
     streams = StreamSoftware(publish=published.extend)
     other = evolve(V1, name="s8", pool="other")
-    streams.observe_servers(listed(V1, V2, other), NOW)
-    streams.note_began("r1", software_key(other), NOW)
+    streams.observe_servers(listed(V1, V2, other), LONG_AGO)
+    streams.note_began("r1", other.pool, software_key(other), NOW)
     assert published == []
 
 
@@ -154,11 +165,21 @@
     """A VM with an old list of servers gets the answer of a new one from a peer."""
     published: list[StreamBegan] = []
     streams = StreamSoftware(publish=published.extend)
-    streams.observe_servers(listed(V1), NOW)
-    streams.note_began("r1", SECOND, NOW)
+    streams.observe_servers(listed(V1), LONG_AGO)
+    streams.note_began("r1", POOL, SECOND, NOW)
     assert [each.software_key for each in published] == [SECOND]
 
 
+def test_streams_of_a_vm_that_has_just_started_are_published() -> None:
+    """No VM may assume their version if all started at the same time, and this one may end."""
+    published: list[StreamBegan] = []
+    streams = StreamSoftware(publish=published.extend)
+    streams.observe_servers(listed(V1), NOW)
+    streams.note_began("r1", POOL, FIRST, NOW + STREAM_RETENTION_S - 1.0)
+    streams.note_began("r2", POOL, FIRST, NOW + STREAM_RETENTION_S)
+    assert [each.stream_key for each in published] == [stream_key("r1")]
+
+
 def test_servers_of_other_software_and_regions_without_it_are_excluded() -> None:
     tried = ExcludedTargets(servers={"s9"}, regions={"c"})
     there = evolve(V2, name="s4", region="b")
