Don't let a stream go on at the pool that its route has moved to

What callers saw: a configuration moved a route to another service while streams ran. A client whose stream broke off took it up at another VM, got 200 and the rest from the new service. The same for a split route, and for a path that a longer prefix took over.

Cause: as where no version is known, today's state stood for that of the moment at which the stream began: the pool without a record was that of the route in force. Records weren't published, since each pool had a single version.

Change: a VM keeps the pools that each path was routed to for as long as streams may be taken up, and assumes the software of a stream only if all of them have run a single one. If routes move, own unfinished streams are published to their keepers; later ones of such a route are, too.

Evidence: test_stream_of_a_route_that_moved_does_not_go_on_at_its_new_pool failed on the commit before (the server of the new pool got the request) and passes.

--- /dev/null
+++ b/src/pomelobarrow/decision/streams/software_history.py
@@ -0,0 +1,161 @@
+"""Know which software may have begun a stream of which there is no record.
+
+Load pattern: the servers of a version leave, or a route moves to another pool, while streams run.
+Clients take up their streams some milliseconds later, at VMs that may have just started.
+"""
+
+import functools
+from collections import deque
+from collections.abc import Iterable, Mapping
+
+from attrs import define, field, frozen
+
+from pomelobarrow.decision.published.routing import Routing
+from pomelobarrow.decision.requests.short_key import short_key
+from pomelobarrow.decision.requests.work import BackendServer
+
+# Clients take up a stream within the time that they grant the request; few grant more than this.
+STREAM_RETENTION_S = 120.0
+# Former versions of the routes that are remembered; operators change pools of routes rarely.
+MAX_FORMER_ROUTES = 64
+MAX_CACHED_KEYS = 1_024
+
+
+def software_key(server: BackendServer) -> int:
+    """Return the key of a server's software; servers whose entries name no version share one."""
+    return _software_key(server.pool, server.software_version)
+
+
+@functools.lru_cache(MAX_CACHED_KEYS)
+def _software_key(pool: str, version: str) -> int:
+    return short_key(f"{pool}\0{version}")
+
+
+@frozen
+class StreamTarget:
+    """The host and the path of a stream's request, which determine its route."""
+
+    host: str
+    path: str
+
+
+@frozen
+class RoutePools:
+    """The pools that one version of the configuration gives to streams."""
+
+    # By host: prefixes, the longest first, and their pools; none where a route has no streams.
+    _by_host: Mapping[str, tuple[tuple[str, frozenset[str]], ...]]
+
+    def of_target(self, target: StreamTarget) -> frozenset[str]:
+        """Return the pools that may begin a stream of this target."""
+        routes = self._by_host.get(target.host.lower(), ())
+        matching = (pools for prefix, pools in routes if target.path.startswith(prefix))
+        return next(matching, frozenset())
+
+
+def route_pools(routing: Routing) -> RoutePools:
+    """Return the pools of all routes."""
+    hosts = {route.host.lower() for route in routing.routes}
+    return RoutePools(
+        {
+            host: tuple(
+                (
+                    route.path_prefix,
+                    frozenset(share.pool for share in route.pools if route.is_stream),
+                )
+                for route in routing.routes_of_host(host)
+            )
+            for host in hosts
+        }
+    )
+
+
+@define(kw_only=True)
+class SoftwareHistory:
+    """The software that recent streams may be of, by the list of servers and the routes."""
+
+    # By pool and software: until when it was listed, if it no longer is.
+    _gone_unix_s: dict[str, dict[int, float]] = field(factory=dict, init=False)
+    # The software of the servers that are listed, by pool.
+    _listed: dict[str, set[int]] = field(factory=dict, init=False)
+    _routes: RoutePools | None = field(default=None, init=False)
+    # Routes that were in force before, and until when.
+    _former_routes: deque[tuple[RoutePools, float]] = field(factory=deque, init=False)
+    # From when on this VM knows the servers, and from when on it knows the routes.
+    _servers_known_unix_s: float = field(default=float("inf"), init=False)
+    _routes_known_unix_s: float = field(default=float("inf"), init=False)
+
+    def observe(self, servers: Mapping[str, BackendServer], now_unix_s: float) -> None:
+        """Record the present list; the one before was valid until now."""
+        self._servers_known_unix_s = min(self._servers_known_unix_s, now_unix_s)
+        for pool, keys in self._listed.items():
+            self._gone_unix_s.setdefault(pool, {}).update(dict.fromkeys(keys, now_unix_s))
+        self._listed = {}
+        for server in servers.values():
+            self._listed.setdefault(server.pool, set()).add(software_key(server))
+        self._forget_old(now_unix_s)
+
+    def observe_routing(self, routing: Routing, now_unix_s: float) -> bool:
+        """Record the routes in force; return whether others were in force before."""
+        former, self._routes = self._routes, route_pools(routing)
+        if former is None:
+            self._routes_known_unix_s = now_unix_s
+            return False
+        if former == self._routes:
+            return False
+        self._former_routes.append((former, now_unix_s))
+        if len(self._former_routes) > MAX_FORMER_ROUTES:
+            _, self._routes_known_unix_s = self._former_routes.popleft()
+        return True
+
+    def known_for_s(self, now_unix_s: float) -> float:
+        """Return for how long this VM has known which servers and routes there are."""
+        known_unix_s = max(self._servers_known_unix_s, self._routes_known_unix_s)
+        return max(0.0, now_unix_s - known_unix_s)
+
+    def recent(self, pool: str, now_unix_s: float) -> frozenset[int]:
+        """Return the versions of a pool whose streams may still be taken up."""
+        oldest_unix_s = now_unix_s - STREAM_RETENTION_S
+        gone = self._gone_unix_s.get(pool, {})
+        left = (key for key, until_unix_s in gone.items() if until_unix_s > oldest_unix_s)
+        return frozenset(self._listed.get(pool, ())).union(left)
+
+    def recent_by_pool(self, now_unix_s: float) -> dict[str, frozenset[int]]:
+        """Return the same for each pool."""
+        return {pool: self.recent(pool, now_unix_s) for pool in {*self._listed, *self._gone_unix_s}}
+
+    def recent_of_target(self, target: StreamTarget, now_unix_s: float) -> frozenset[int]:
+        """Return the software that may have begun a stream of a target that is taken up now."""
+        oldest_unix_s = now_unix_s - STREAM_RETENTION_S
+        routes = [
+            former for former, until_unix_s in self._former_routes if until_unix_s > oldest_unix_s
+        ]
+        if self._routes is not None:
+            routes.append(self._routes)
+        pools = frozenset[str]().union(*(each.of_target(target) for each in routes))
+        return self._of_pools(pools, now_unix_s)
+
+    def assumed(self, target: StreamTarget, now_unix_s: float) -> int | None:
+        """Return the software of a stream of which there is no record, None if it isn't certain."""
+        return self._only(self.recent_of_target(target, now_unix_s), now_unix_s)
+
+    def only_version(self, pool: str, now_unix_s: float) -> int | None:
+        """Return the software that a pool's servers have run lately, None if it isn't certain."""
+        return self._only(self.recent(pool, now_unix_s), now_unix_s)
+
+    def _only(self, recent: frozenset[int], now_unix_s: float) -> int | None:
+        # A VM that has just started can't know which versions and routes there were before.
+        is_known = self.known_for_s(now_unix_s) >= STREAM_RETENTION_S
+        return next(iter(recent)) if is_known and len(recent) == 1 else None
+
+    def _of_pools(self, pools: Iterable[str], now_unix_s: float) -> frozenset[int]:
+        return frozenset[int]().union(*(self.recent(pool, now_unix_s) for pool in pools))
+
+    def _forget_old(self, now_unix_s: float) -> None:
+        oldest_unix_s = now_unix_s - STREAM_RETENTION_S
+        for pool, gone in list(self._gone_unix_s.items()):
+            kept = {key: unix_s for key, unix_s in gone.items() if unix_s > oldest_unix_s}
+            if kept:
+                self._gone_unix_s[pool] = kept
+            else:
+                del self._gone_unix_s[pool]
--- a/src/pomelobarrow/decision/streams/stream_software.py
+++ b/src/pomelobarrow/decision/streams/stream_software.py
@@ -5,21 +5,23 @@
 later. What two versions write doesn't fit together.
 """
 
-import functools
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
 import xxhash
 from attrs import define, evolve, field, frozen
 
+from pomelobarrow.decision.published.routing import Routing
 from pomelobarrow.decision.requests.placement_request import ExcludedTargets
-from pomelobarrow.decision.requests.short_key import short_key
 from pomelobarrow.decision.requests.work import BackendServer
+from pomelobarrow.decision.streams.software_history import (
+    STREAM_RETENTION_S,
+    SoftwareHistory,
+    StreamTarget,
+    software_key,
+)
 
-# Clients take up a stream within the time that they grant the request; few grant more than this.
-STREAM_RETENTION_S = 120.0
 MAX_STREAMS = 16_384
-MAX_CACHED_KEYS = 1_024
 # The software of a stream whose server is unknown. No server has this key.
 UNKNOWN_SOFTWARE = -1
 
@@ -29,16 +31,6 @@
     return xxhash.xxh64_intdigest(request_id.encode())
 
 
-def software_key(server: BackendServer) -> int:
-    """Return the key of a server's software; servers whose entries name no version share one."""
-    return _software_key(server.pool, server.software_version)
-
-
-@functools.lru_cache(MAX_CACHED_KEYS)
-def _software_key(pool: str, version: str) -> int:
-    return short_key(f"{pool}\0{version}")
-
-
 @frozen(kw_only=True)
 class StreamBegan:
     """The software of the server that sent a stream's first event."""
@@ -70,12 +62,15 @@
         record = self._records.get(key)
         return record[0] if record else None
 
+    def all(self) -> Iterator[StreamBegan]:
+        """Yield all recorded streams."""
+        for key, (software, _) in self._records.items():
+            yield StreamBegan(stream_key=key, software_key=software)
+
     def of_software(self, keys: Iterable[int]) -> Iterator[StreamBegan]:
         """Yield the recorded streams of any of these software versions."""
         wanted = set(keys)
-        for key, (software, _) in self._records.items():
-            if software in wanted:
-                yield StreamBegan(stream_key=key, software_key=software)
+        return (began for began in self.all() if began.software_key in wanted)
 
     def _drop_old(self, now_unix_s: float) -> None:
         while self._records:
@@ -86,63 +81,6 @@
             self._records.popitem(last=False)
 
 
-@define(kw_only=True)
-class SoftwareHistory:
-    """The software versions that servers of each pool have run recently, by the list of servers."""
-
-    # By pool and software: until when it was listed, if it no longer is.
-    _gone_unix_s: dict[str, dict[int, float]] = field(factory=dict, init=False)
-    # The software of the servers that are listed, by pool.
-    _listed: dict[str, set[int]] = field(factory=dict, init=False)
-    # When this VM received its first list.
-    _first_list_unix_s: float | None = field(default=None, init=False)
-
-    def observe(self, servers: Mapping[str, BackendServer], now_unix_s: float) -> None:
-        """Record the present list; the one before was valid until now."""
-        if self._first_list_unix_s is None:
-            self._first_list_unix_s = now_unix_s
-        for pool, keys in self._listed.items():
-            self._gone_unix_s.setdefault(pool, {}).update(dict.fromkeys(keys, now_unix_s))
-        self._listed = {}
-        for server in servers.values():
-            self._listed.setdefault(server.pool, set()).add(software_key(server))
-        self._forget_old(now_unix_s)
-
-    def known_for_s(self, now_unix_s: float) -> float:
-        """Return for how long this VM has known which servers are listed."""
-        return 0.0 if self._first_list_unix_s is None else now_unix_s - self._first_list_unix_s
-
-    def recent(self, pool: str, now_unix_s: float) -> frozenset[int]:
-        """Return the versions whose streams may still be taken up."""
-        oldest_unix_s = now_unix_s - STREAM_RETENTION_S
-        gone = self._gone_unix_s.get(pool, {})
-        left = (key for key, until_unix_s in gone.items() if until_unix_s > oldest_unix_s)
-        return frozenset(self._listed.get(pool, ())).union(left)
-
-    def recent_by_pool(self, now_unix_s: float) -> dict[str, frozenset[int]]:
-        """Return the same for each pool."""
-        return {pool: self.recent(pool, now_unix_s) for pool in {*self._listed, *self._gone_unix_s}}
-
-    def assumed(self, pool: str, now_unix_s: float) -> int | None:
-        """Return the software of a stream of which there is no record, None if it isn't certain.
-
-        A VM that has just started can't know which versions have left before.
-        """
-        if self.known_for_s(now_unix_s) < STREAM_RETENTION_S:
-            return None
-        recent = self.recent(pool, now_unix_s)
-        return next(iter(recent)) if len(recent) == 1 else None
-
-    def _forget_old(self, now_unix_s: float) -> None:
-        oldest_unix_s = now_unix_s - STREAM_RETENTION_S
-        for pool, gone in list(self._gone_unix_s.items()):
-            kept = {key: unix_s for key, unix_s in gone.items() if unix_s > oldest_unix_s}
-            if kept:
-                self._gone_unix_s[pool] = kept
-            else:
-                del self._gone_unix_s[pool]
-
-
 @define(kw_only=True)
 class StreamSoftware:
     """What this VM knows of the software of streams: its own ones and those of peers."""
@@ -169,7 +107,14 @@
             self.publish(self._own.of_software(by_pool[pool]))
         self.mixed_pools = mixed
 
-    def note_began(self, request_id: str, pool: str, software: int, now_unix_s: float) -> None:
+    def observe_routing(self, routing: Routing, now_unix_s: float) -> None:
+        """Record the routes; publish own streams if any may be of another pool than its route's."""
+        if self.history.observe_routing(routing, now_unix_s):
+            self.publish(self._own.all())
+
+    def note_began(
+        self, request_id: str, target: StreamTarget, software: int, now_unix_s: float
+    ) -> None:
         """Record the software that begins a stream of this VM, before its client gets an event.
 
         Other VMs need the record unless they assume this software without one. A peer's server may
@@ -177,7 +122,7 @@
         """
         began = StreamBegan(stream_key=stream_key(request_id), software_key=software)
         self._own.note(began, now_unix_s)
-        if self.history.assumed(pool, now_unix_s) != software:
+        if self.history.assumed(target, now_unix_s) != software:
             self.publish((began,))
 
     def note_complete(self, request_id: str) -> None:
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -101,7 +101,7 @@
     ]
     if context.settings.relay is None:
         return started
-    _follow_servers(context)
+    _follow_published(context)
     of_relay = (PeerDatagrams, ConfigProofs, TokenGrants)
     return started + [PhasedService(StartPhase.PEERS, context.get(each)) for each in of_relay]
 
@@ -225,13 +225,15 @@
     )
 
 
-def _follow_servers(context: Context) -> None:
-    """Let each new list of servers update which software versions serve."""
+def _follow_published(context: Context) -> None:
+    """Let new lists of servers and new routes update which software may begin streams."""
     published, streams = context.get(PublishedState), context.get(StreamSoftware)
 
     def on_applied(name: str, source: str) -> None:
         if name == VMS:
             streams.observe_servers(published.backend_servers, now_unix_s())
+        elif published.routing is not None:
+            streams.observe_routing(published.routing, now_unix_s())
 
     published.listeners.append(on_applied)
 
--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -15,6 +15,7 @@
 from pomelobarrow.decision.published.accounts import Rank
 from pomelobarrow.decision.published.routing import Route, Routing
 from pomelobarrow.decision.requests.work import Work
+from pomelobarrow.decision.streams.software_history import StreamTarget
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
@@ -27,7 +28,7 @@
     read_key_sha256,
     read_software_key,
 )
-from pomelobarrow.relay.messages import RelayRequest, RequestHead
+from pomelobarrow.relay.messages import RelayRequest, RequestHead, path_of
 from pomelobarrow.relay.planned_stop import PlannedStop
 from pomelobarrow.relay.prompts import shared_blocks
 from pomelobarrow.relay.refusal_answer import send_refusal
@@ -110,7 +111,8 @@
             return body
         pool = checked.ok_value.route.choose_pool(self.relay.rng)
         stated = read_software_key(incoming.headers) if forwarded_by else None
-        bound = await self.resumed.bind(head, route, pool, stated)
+        target = StreamTarget(incoming.headers["Host"], path_of(incoming.raw_path))
+        bound = await self.resumed.bind(head, target, route, pool, stated)
         if isinstance(bound, Err):
             return bound
         pool, software = bound.ok_value
@@ -157,7 +159,7 @@
             return checked
         if not incoming.raw_path.startswith("/"):
             return Err(_malformed("the request target does not begin with a slash"))
-        route = routing.find(incoming.headers.get("Host", ""), _path(incoming.raw_path))
+        route = routing.find(incoming.headers.get("Host", ""), path_of(incoming.raw_path))
         if route is None:
             return Err(_no_route(forwarded_by))
         head = self.wire.read_request(incoming.headers)
@@ -233,10 +235,6 @@
     return route.timeout_s if stated_s is None else min(stated_s, route.timeout_s)
 
 
-def _path(target: str) -> str:
-    return target.partition("?")[0]
-
-
 def _malformed(detail: str) -> Refusal:
     return refuse(ErrorKind.MALFORMED_REQUEST, RunStatus.NO, detail, remedy=REMEDY_REQUEST)
 
--- a/src/pomelobarrow/relay/hop.py
+++ b/src/pomelobarrow/relay/hop.py
@@ -9,7 +9,7 @@
 from pomelobarrow.decision.members.member import Member
 from pomelobarrow.decision.requests.short_key import server_key
 from pomelobarrow.decision.requests.work import BackendServer
-from pomelobarrow.decision.streams.stream_software import software_key
+from pomelobarrow.decision.streams.software_history import software_key
 from pomelobarrow.relay.attempt import Target
 from pomelobarrow.relay.messages import Headers, RelayRequest, ServerAnswerHead
 from pomelobarrow.relay.wire import RelayWire
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -12,11 +12,17 @@
 from pomelobarrow.decision.requests.fingerprint import fingerprint, part_fingerprint
 from pomelobarrow.decision.requests.placement_request import PlacementRequest
 from pomelobarrow.decision.requests.work import Work
+from pomelobarrow.decision.streams.software_history import StreamTarget
 from pomelobarrow.decision.streams.stream_position import StreamRun
 
 Headers = tuple[tuple[str, str], ...]
 
 
+def path_of(target: str) -> str:
+    """Return a request target without its query."""
+    return target.partition("?")[0]
+
+
 @frozen(kw_only=True)
 class PromptPart:
     """Identify a part of a prompt; its id is the same in all prompts that share the part."""
@@ -82,6 +88,11 @@
     # The software that began the stream that the client takes up, as a key; None for a new request.
     software_key: int | None = None
 
+    @property
+    def stream_target(self) -> StreamTarget:
+        """Return what determines the route of a client that takes up this stream."""
+        return StreamTarget(self.host, path_of(self.target))
+
     @cached_property
     def fingerprint(self) -> int:
         """Return a hash that is equal for requests with the same method, host, target and body."""
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -22,7 +22,7 @@
     PeerPlacement,
 )
 from pomelobarrow.decision.requests.work import BackendServer, Placement
-from pomelobarrow.decision.streams.stream_software import software_key
+from pomelobarrow.decision.streams.software_history import software_key
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.dispatch.crash_guard import CrashGuard
 from pomelobarrow.kernel.clock import now_unix_s
--- a/src/pomelobarrow/relay/stream_joins.py
+++ b/src/pomelobarrow/relay/stream_joins.py
@@ -9,10 +9,10 @@
 from pomelobarrow.decision.common.errors import ErrorKind, Refusal, RunStatus
 from pomelobarrow.decision.published.routing import Route
 from pomelobarrow.decision.requests.work import BackendServer
+from pomelobarrow.decision.streams.software_history import StreamTarget, software_key
 from pomelobarrow.decision.streams.stream_software import (
     UNKNOWN_SOFTWARE,
     StreamSoftware,
-    software_key,
     stream_key,
 )
 from pomelobarrow.dispatch.refusals import refuse
@@ -45,8 +45,8 @@
         """Return the software of a peer's server; peers of an earlier release don't state it."""
         if head.software_key is not None:
             return head.software_key
-        assumed = self.streams.history.assumed(pool, now_unix_s())
-        return UNKNOWN_SOFTWARE if assumed is None else assumed
+        only = self.streams.history.only_version(pool, now_unix_s())
+        return UNKNOWN_SOFTWARE if only is None else only
 
     def fault(self, progress: RequestProgress, software: int) -> str:
         """Return why a server's events don't fit the stream; empty if they do."""
@@ -60,7 +60,7 @@
         is_taken_up_here = request.route.is_resumable and not request.forwarded_by
         if is_taken_up_here and software != UNKNOWN_SOFTWARE:
             self.streams.note_began(
-                request.work.request_id, request.work.pool, software, now_unix_s()
+                request.work.request_id, request.stream_target, software, now_unix_s()
             )
 
     def note_complete(self, progress: RequestProgress) -> None:
@@ -81,7 +81,7 @@
     observe: Callable[[object], None] = lambda event: None
 
     async def bind(
-        self, head: RequestHead, route: Route, pool: str, stated: int | None
+        self, head: RequestHead, target: StreamTarget, route: Route, pool: str, stated: int | None
     ) -> Result[tuple[str, int | None], Refusal]:
         """Return the pool and the software for a request, or a refusal if they aren't certain.
 
@@ -89,7 +89,7 @@
         """
         if not route.is_stream or not head.last_event_id:
             return Ok((pool, None))
-        software, source = await self._software(head, route, pool, stated)
+        software, source = await self._software(head, target, stated)
         history, now = self.streams.history, now_unix_s()
         listed = history.recent(pool, now)
         self.observe(
@@ -111,25 +111,24 @@
         return Err(refuse(ErrorKind.NOT_READY, RunStatus.NO, NO_SERVER_LISTED))
 
     async def _software(
-        self, head: RequestHead, route: Route, pool: str, stated: int | None
+        self, head: RequestHead, target: StreamTarget, stated: int | None
     ) -> tuple[int | None, SoftwareSource]:
         if stated is not None:
             return stated, SoftwareSource.STATED
-        found = await self._find(head, route)
+        found = await self._find(head, target)
         if found is not None:
             return found, SoftwareSource.RECORDED
-        assumed = self.streams.history.assumed(pool, now_unix_s())
+        assumed = self.streams.history.assumed(target, now_unix_s())
         if assumed is not None:
             return assumed, SoftwareSource.ASSUMED
         return None, SoftwareSource.UNKNOWN
 
-    async def _find(self, head: RequestHead, route: Route) -> int | None:
+    async def _find(self, head: RequestHead, target: StreamTarget) -> int | None:
         if not head.resumes:
             return None
         if self.ask_peers is None:
             return self.streams.software_of(stream_key(head.resumes))
-        history, now = self.streams.history, now_unix_s()
-        is_certain = all(history.assumed(share.pool, now) is not None for share in route.pools)
+        is_certain = self.streams.history.assumed(target, now_unix_s()) is not None
         return await self.ask_peers(head.resumes, not is_certain)
 
     def _pool_of(self, software: int, route: Route) -> str:
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -27,7 +27,8 @@
 from pomelobarrow.decision.requests.work import BackendServer
 from pomelobarrow.decision.servers.cold_start import ColdLimiter
 from pomelobarrow.decision.servers.load_table import LoadTable
-from pomelobarrow.decision.streams.stream_software import STREAM_RETENTION_S, StreamSoftware
+from pomelobarrow.decision.streams.software_history import STREAM_RETENTION_S
+from pomelobarrow.decision.streams.stream_software import StreamSoftware
 from pomelobarrow.dispatch.crash_guard import CrashGuard
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.platform.wire import platform_wire
@@ -135,11 +136,13 @@
     versions: Mapping[str, str] | None = None,
     pools: tuple[RelayPool, ...] = (),
     list_known_for_s: float = STREAM_RETENTION_S,
+    pool_by_server: Mapping[str, str] | None = None,
 ) -> AsyncIterator[RelayFleet]:
     """Run the VMs, each on its own loopback address; accounts make keys necessary.
 
     Versions are those of the servers' software; servers that aren't named have none. The VMs have
-    known the list of servers for the given time.
+    known the list of servers and the routes for the given time. Servers that are named with no pool
+    are of the routes' one.
     """
     async with AsyncExitStack() as stack:
         front_port, hop_port = free_ports(2)
@@ -151,7 +154,8 @@
                 server = ScriptedServer(name=name, host=places[region].host, script=script)
                 servers[name] = await stack.enter_async_context(server)
                 version = (versions or {}).get(name, "")
-                listed.append(_listed(name, region, server.address, slots, version))
+                pool = (pool_by_server or {}).get(name, POOL)
+                listed.append(_listed(name, region, server.address, slots, version, pool))
         routing = Routing(
             version=1,
             routes=routes,
@@ -163,9 +167,11 @@
         for key, place in places.items():
             options = access_of(place.region)
             vm = _vm(place, places, front_port, hop_port, routing, listed, bound, options)
+            known_unix_s = now_unix_s() - list_known_for_s
             vm.relay.joins.streams.observe_servers(
-                {server.name: server for server in listed}, now_unix_s() - list_known_for_s
+                {each.name: each for each in listed}, known_unix_s
             )
+            vm.relay.joins.streams.observe_routing(routing, known_unix_s)
             await vm.listeners.start()
             stack.push_async_callback(vm.listeners.stop)
             stack.push_async_callback(vm.relay.sessions.close)
@@ -195,13 +201,15 @@
     }
 
 
-def _listed(name: str, region: str, address: str, slots: int, version: str) -> BackendServer:
+def _listed(
+    name: str, region: str, address: str, slots: int, version: str, pool: str
+) -> BackendServer:
     return BackendServer(
         name=name,
         region=region,
         failure_domain=f"{region}-a",
         address=address,
-        pool=POOL,
+        pool=pool,
         slots=slots,
         kv_capacity_tokens=100_000,
         software_version=version,
--- a/tests/test_relay_software_versions.py
+++ b/tests/test_relay_software_versions.py
@@ -2,11 +2,14 @@
 
 import aiohttp
 import pytest
+from attrs import evolve
 from relay_harness import HOST, Answer, RelayFleet, ask, relay_fleet, route
 from scripted_server import event, resets, streams
 
-from pomelobarrow.decision.published.routing import RouteKind
-from pomelobarrow.decision.streams.stream_software import STREAM_RETENTION_S, stream_key
+from pomelobarrow.decision.published.routing import PoolShare, RouteKind, Routing
+from pomelobarrow.decision.streams.software_history import STREAM_RETENTION_S
+from pomelobarrow.decision.streams.stream_software import stream_key
+from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay import relay as relay_module
 from pomelobarrow.relay.events import StreamTakenUp
 
@@ -204,3 +207,19 @@
         assert _received(fleet, "s2") == 0
     assert (answer.status, "Retry-After" in answer.headers) == (503, False)
     assert b'"kind":"not_resumable"' in answer.body
+
+
+async def test_stream_of_a_route_that_moved_does_not_go_on_at_its_new_pool() -> None:
+    """A VM without its record took it for one of the pool that the route names now."""
+    moved = evolve(RESUMABLE, pools=(PoolShare(pool="others"),))
+    servers = {"a": {"s1": BREAKS, "s2": streams(LAST)}}
+    async with relay_fleet(
+        (RESUMABLE,), servers, vms_per_region=2, pool_by_server={"s2": "others"}
+    ) as fleet:
+        assert await _begun(fleet.vms["a"].url) == event(1) + event(2)
+        other = fleet.vms["a-2"]
+        other.front.routing = lambda: Routing(version=2, routes=(moved,))
+        other.relay.joins.streams.observe_routing(Routing(version=2, routes=(moved,)), now_unix_s())
+        answer = await _take_up(fleet, "a-2")
+        assert _received(fleet, "s2") == 0
+    assert (answer.status, "Retry-After" in answer.headers) == (503, False)
--- a/tests/test_stream_software_updates.py
+++ b/tests/test_stream_software_updates.py
@@ -6,7 +6,7 @@
 import pytest
 from attrs import evolve
 from datagram_vms import HOST_BY_VM, KEY, REGION_BY_VM, member, view_of
-from test_stream_software import FIRST, POOL, SECOND, V1, V2, listed
+from test_software_history import FIRST, SECOND, TARGET, V1, V2, listed
 
 from harness.processes import free_ports
 from pomelobarrow.decision.members.member import Phase
@@ -41,7 +41,7 @@
 
 def begin(vm: StreamSoftwareUpdates, software: int = FIRST) -> None:
     for request_id in STREAMS:
-        vm.streams.note_began(request_id, POOL, software, now_unix_s())
+        vm.streams.note_began(request_id, TARGET, software, now_unix_s())
 
 
 @pytest.mark.parametrize("asking", ["a-1", "a-2", "a-3", "b-1"])
