Let peers that have run for longer state the only version of a pool

What callers saw, since a list that has just been read proves nothing: a VM that had restarted alone refused all streams without a record for two minutes, though its peers knew that the pool had run one version all the while.

Change: a query for a stream names its host and path, and a VM without a record of it answers with its history: the software that may have begun such a stream, and for how long it has known servers and routes. Asked are the keepers and the three VMs that started first. One of them has to have known for two minutes and to know the route; a version that any of them has seen counts against the rest, which also covers a VM whose own list is out of date. An earlier release answers without these fields, which makes nothing certain.

--- a/src/pomelobarrow/decision/streams/software_history.py
+++ b/src/pomelobarrow/decision/streams/software_history.py
@@ -70,6 +70,26 @@
     )
 
 
+@frozen(kw_only=True)
+class HistoryStatement:
+    """The software that may have begun a stream, and for how long the VM that says so has known."""
+
+    software_keys: frozenset[int]
+    known_for_s: float
+
+
+def only_software(statements: Iterable[HistoryStatement]) -> int | None:
+    """Return the software of a stream of which there is no record, None if it isn't certain.
+
+    One VM that knows the route has to know all that was before; what any other has seen counts,
+    too, since the list of that one may be out of date.
+    """
+    stated = tuple(statements)
+    keys = frozenset[int]().union(*(each.software_keys for each in stated))
+    is_known = any(each.software_keys and each.known_for_s >= STREAM_RETENTION_S for each in stated)
+    return next(iter(keys)) if is_known and len(keys) == 1 else None
+
+
 @define(kw_only=True)
 class SoftwareHistory:
     """The software that recent streams may be of, by the list of servers and the routes."""
@@ -135,18 +155,22 @@
         pools = frozenset[str]().union(*(each.of_target(target) for each in routes))
         return self._of_pools(pools, now_unix_s)
 
+    def statement(self, target: StreamTarget, now_unix_s: float) -> HistoryStatement:
+        """Return what this VM knows of streams of a target."""
+        recent = self.recent_of_target(target, now_unix_s)
+        return self._statement(recent, now_unix_s)
+
     def assumed(self, target: StreamTarget, now_unix_s: float) -> int | None:
         """Return the software of a stream of which there is no record, None if it isn't certain."""
-        return self._only(self.recent_of_target(target, now_unix_s), now_unix_s)
+        return only_software((self.statement(target, now_unix_s),))
 
     def only_version(self, pool: str, now_unix_s: float) -> int | None:
         """Return the software that a pool's servers have run lately, None if it isn't certain."""
-        return self._only(self.recent(pool, now_unix_s), now_unix_s)
+        recent = self.recent(pool, now_unix_s)
+        return only_software((self._statement(recent, now_unix_s),))
 
-    def _only(self, recent: frozenset[int], now_unix_s: float) -> int | None:
-        # A VM that has just started can't know which versions and routes there were before.
-        is_known = self.known_for_s(now_unix_s) >= STREAM_RETENTION_S
-        return next(iter(recent)) if is_known and len(recent) == 1 else None
+    def _statement(self, recent: frozenset[int], now_unix_s: float) -> HistoryStatement:
+        return HistoryStatement(software_keys=recent, known_for_s=self.known_for_s(now_unix_s))
 
     def _of_pools(self, pools: Iterable[str], now_unix_s: float) -> frozenset[int]:
         return frozenset[int]().union(*(self.recent(pool, now_unix_s) for pool in pools))
--- a/src/pomelobarrow/peers/stream_software.py
+++ b/src/pomelobarrow/peers/stream_software.py
@@ -3,19 +3,21 @@
 A client takes up its stream at any VM, and the VM that began it may be gone by then. While a pool
 has several software versions, a VM sends the record of a stream to one VM per region before the
 client gets the first event; which VM keeps it follows from the stream's key. The VM that a client
-comes back to asks the keepers.
+comes back to asks the keepers. One that has just started asks VMs that have run for longer, too.
 """
 
 import asyncio
+import heapq
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from itertools import islice
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from pomelobarrow.decision.common.rendezvous import rendezvous
 from pomelobarrow.decision.members.member import READY, Member, name_of
 from pomelobarrow.decision.members.membership import MembershipView
+from pomelobarrow.decision.streams.software_history import HistoryStatement, StreamTarget
 from pomelobarrow.decision.streams.stream_software import StreamBegan, StreamSoftware, stream_key
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
@@ -34,6 +36,20 @@
 NEARBY_ANSWER_TIMEOUT_S = 0.05
 # A record takes 14 bytes, and a datagram must fit into one packet.
 RECORDS_PER_DATAGRAM = 64
+MAX_TARGET_BYTES = 1_000
+MAX_RECENT_KEYS = 64
+# The VMs that have run for the longest time; two of them may be cut off.
+ASKED_FOR_HISTORY = 3
+MS_PER_S = 1_000.0
+MAX_KNOWN_FOR_MS = (1 << 32) - 1
+
+
+@frozen(kw_only=True)
+class PeersKnowledge:
+    """What peers know of a stream: its software, if recorded, and else their histories."""
+
+    software_key: int | None = None
+    histories: tuple[HistoryStatement, ...] = ()
 
 
 @define(kw_only=True)
@@ -62,35 +78,48 @@
         for vm, kept in by_keeper.items():
             self._send_to(members[vm], kept)
 
-    async def find(self, request_id: str, is_mixed: bool) -> int | None:
-        """Return the software that began a stream, None if no VM that was asked knows it.
+    async def find(self, request_id: str, target: StreamTarget, is_certain: bool) -> PeersKnowledge:
+        """Return the software that began a stream, or what peers know without a record of it.
 
-        Where all servers run one version, other regions aren't asked: a VM of the own region knows
-        of another version if this VM's list is out of date.
+        Where this VM is certain of the software without a record, other regions aren't asked: a VM
+        of the own region knows of another version if this VM's list is out of date.
         """
         key = stream_key(request_id)
         known = self.streams.software_of(key)
         if known is not None:
-            return known
-        asked = self._asked(key, is_mixed)
-        timeout_s = ANSWER_TIMEOUT_S if is_mixed else NEARBY_ANSWER_TIMEOUT_S
-        queries = [asyncio.create_task(self._query(member, key, timeout_s)) for member in asked]
+            return PeersKnowledge(software_key=known)
+        asked = self._asked(key, is_certain)
+        timeout_s = NEARBY_ANSWER_TIMEOUT_S if is_certain else ANSWER_TIMEOUT_S
+        query = _query_of(key, target)
+        queries = [asyncio.create_task(self._query(each, query, timeout_s)) for each in asked]
+        histories: list[HistoryStatement] = []
         try:
             for answer in asyncio.as_completed(queries):
-                if (found := await answer) is not None:
+                found = await answer
+                if found.software_key is not None:
                     return found
+                histories += found.histories
         finally:
-            for query in queries:
-                query.cancel()
-        return None
+            for each in queries:
+                each.cancel()
+        return PeersKnowledge(histories=tuple(histories))
 
-    def _asked(self, key: int, is_mixed: bool) -> list[Member]:
+    def _asked(self, key: int, is_certain: bool) -> list[Member]:
         asked = self._keepers(key, self.view.own_region, ASKED_IN_REGION)
-        if is_mixed:
-            for region in self.regions:
-                if region != self.view.own_region:
-                    asked += self._keepers(key, region, 1)
-        return asked
+        if is_certain:
+            return asked
+        for region in self.regions:
+            if region != self.view.own_region:
+                asked += self._keepers(key, region, 1)
+        by_vm = {member.vm: member for member in (*asked, *self._longest_running())}
+        return list(by_vm.values())
+
+    def _longest_running(self) -> list[Member]:
+        """Return the VMs of all regions that started first, by their incarnations."""
+        now = now_unix_s()
+        live = (member for region in self.regions for member in self.view.live(region, now))
+        staying = (member for member in live if self._is_staying(member))
+        return heapq.nsmallest(ASKED_FOR_HISTORY, staying, key=lambda member: member.incarnation)
 
     def _keepers(self, key: int, region: str, count: int) -> list[Member]:
         """Return the other VMs of a region that keep a stream's record, the first in charge.
@@ -122,11 +151,20 @@
             )
             self.datagrams.send(self._address(member), pb.Datagram(streams_began=began))
 
-    async def _query(self, member: Member, key: int, timeout_s: float) -> int | None:
-        query = pb.Datagram(stream_query=pb.StreamQuery(stream_key=key))
-        answer = await self.datagrams.query(self._address(member), query, timeout_s)
-        is_known = isinstance(answer, pb.StreamAnswer) and answer.is_known
-        return int(answer.software_key) if is_known else None
+    async def _query(
+        self, member: Member, query: pb.StreamQuery, timeout_s: float
+    ) -> PeersKnowledge:
+        message = pb.Datagram(stream_query=query)
+        answer = await self.datagrams.query(self._address(member), message, timeout_s)
+        if not isinstance(answer, pb.StreamAnswer):
+            return PeersKnowledge()
+        if answer.is_known:
+            return PeersKnowledge(software_key=answer.software_key)
+        stated = HistoryStatement(
+            software_keys=frozenset(answer.recent_software_keys),
+            known_for_s=answer.known_for_ms / MS_PER_S,
+        )
+        return PeersKnowledge(histories=(stated,))
 
     def _address(self, member: Member) -> tuple[str, int]:
         return member.host, self.datagrams.port
@@ -138,7 +176,27 @@
 
     def _on_query(self, query: pb.StreamQuery, reply: Reply) -> None:
         software = self.streams.software_of(query.stream_key)
-        answer = pb.StreamAnswer(
-            number=query.number, is_known=software is not None, software_key=software or 0
-        )
+        if software is None:
+            answer = self._history_answer(query)
+        else:
+            answer = pb.StreamAnswer(number=query.number, is_known=True, software_key=software)
         reply(pb.Datagram(stream_answer=answer))
+
+    def _history_answer(self, query: pb.StreamQuery) -> pb.StreamAnswer:
+        """Return what this VM's history says; nothing if it doesn't fit into a datagram."""
+        target = StreamTarget(query.host, query.path)
+        stated = self.streams.history.statement(target, now_unix_s())
+        if not query.path or len(stated.software_keys) > MAX_RECENT_KEYS:
+            return pb.StreamAnswer(number=query.number)
+        return pb.StreamAnswer(
+            number=query.number,
+            recent_software_keys=sorted(stated.software_keys),
+            known_for_ms=min(int(stated.known_for_s * MS_PER_S), MAX_KNOWN_FOR_MS),
+        )
+
+
+def _query_of(key: int, target: StreamTarget) -> pb.StreamQuery:
+    target_bytes = len(target.host.encode()) + len(target.path.encode())
+    if target_bytes > MAX_TARGET_BYTES:
+        return pb.StreamQuery(stream_key=key)
+    return pb.StreamQuery(stream_key=key, host=target.host, path=target.path)
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -101,7 +101,7 @@
     resume_after: str
     # The software versions that the pool's servers have run lately, as this VM knows.
     versions_listed: int
-    # For how long this VM has known the list of servers.
+    # For how long this VM has known the list of servers and the routes.
     list_known_for_s: float
     source: str
 
--- a/src/pomelobarrow/relay/stream_joins.py
+++ b/src/pomelobarrow/relay/stream_joins.py
@@ -9,7 +9,11 @@
 from pomelobarrow.decision.common.errors import ErrorKind, Refusal, RunStatus
 from pomelobarrow.decision.published.routing import Route
 from pomelobarrow.decision.requests.work import BackendServer
-from pomelobarrow.decision.streams.software_history import StreamTarget, software_key
+from pomelobarrow.decision.streams.software_history import (
+    StreamTarget,
+    only_software,
+    software_key,
+)
 from pomelobarrow.decision.streams.stream_software import (
     UNKNOWN_SOFTWARE,
     StreamSoftware,
@@ -17,6 +21,7 @@
 )
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.peers.stream_software import PeersKnowledge
 from pomelobarrow.relay.events import StreamTakenUp
 from pomelobarrow.relay.messages import RequestHead, ServerAnswerHead
 from pomelobarrow.relay.progress import RequestProgress
@@ -32,6 +37,7 @@
     STATED = "the VM that forwards the request"
     RECORDED = "a record of the stream"
     ASSUMED = "the only version at that time"
+    ASSUMED_BY_PEERS = "the only version at that time, as peers know"
     UNKNOWN = "unknown"
 
 
@@ -58,7 +64,9 @@
         progress.software_key = software
         request = progress.request
         is_taken_up_here = request.route.is_resumable and not request.forwarded_by
-        if is_taken_up_here and software != UNKNOWN_SOFTWARE:
+        # Nobody can name a request without an id.
+        is_named = bool(request.work.request_id)
+        if is_taken_up_here and is_named and software != UNKNOWN_SOFTWARE:
             self.streams.note_began(
                 request.work.request_id, request.stream_target, software, now_unix_s()
             )
@@ -75,9 +83,9 @@
 
     streams: StreamSoftware = field(factory=StreamSoftware)
     servers: Callable[[], Mapping[str, BackendServer]] = dict
-    # Asks peers for the software of the stream of a request id; the second argument states whether
-    # it may be of several versions.
-    ask_peers: Callable[[str, bool], Awaitable[int | None]] | None = None
+    # Asks peers for the software of the stream of a request id and target; the last argument states
+    # whether it is certain without a record.
+    ask_peers: Callable[[str, StreamTarget, bool], Awaitable[PeersKnowledge]] | None = None
     observe: Callable[[object], None] = lambda event: None
 
     async def bind(
@@ -115,21 +123,24 @@
     ) -> tuple[int | None, SoftwareSource]:
         if stated is not None:
             return stated, SoftwareSource.STATED
-        found = await self._find(head, target)
-        if found is not None:
-            return found, SoftwareSource.RECORDED
-        assumed = self.streams.history.assumed(target, now_unix_s())
-        if assumed is not None:
-            return assumed, SoftwareSource.ASSUMED
-        return None, SoftwareSource.UNKNOWN
-
-    async def _find(self, head: RequestHead, target: StreamTarget) -> int | None:
+        own = self.streams.history.statement(target, now_unix_s())
+        is_certain = only_software((own,)) is not None
+        found = await self._find(head, target, is_certain)
+        if found.software_key is not None:
+            return found.software_key, SoftwareSource.RECORDED
+        assumed = only_software((own, *found.histories))
+        if assumed is None:
+            return None, SoftwareSource.UNKNOWN
+        return assumed, SoftwareSource.ASSUMED if is_certain else SoftwareSource.ASSUMED_BY_PEERS
+
+    async def _find(
+        self, head: RequestHead, target: StreamTarget, is_certain: bool
+    ) -> PeersKnowledge:
+        if self.ask_peers is not None and (head.resumes or not is_certain):
+            return await self.ask_peers(head.resumes, target, is_certain)
         if not head.resumes:
-            return None
-        if self.ask_peers is None:
-            return self.streams.software_of(stream_key(head.resumes))
-        is_certain = self.streams.history.assumed(target, now_unix_s()) is not None
-        return await self.ask_peers(head.resumes, not is_certain)
+            return PeersKnowledge()
+        return PeersKnowledge(software_key=self.streams.software_of(stream_key(head.resumes)))
 
     def _pool_of(self, software: int, route: Route) -> str:
         """Return the route's pool that has servers of this software; empty if none has."""
--- a/tests/datagram_vms.py
+++ b/tests/datagram_vms.py
@@ -1,5 +1,7 @@
 """VMs of two regions, each on its own loopback address, for tests with real datagrams."""
 
+from collections.abc import Mapping
+
 from pomelobarrow.decision.members.member import Member
 from pomelobarrow.decision.members.membership import MembershipView
 from pomelobarrow.kernel.clock import now_unix_s
@@ -21,11 +23,11 @@
     )
 
 
-def view_of(vm: str) -> MembershipView:
-    """Return the view of a VM to which all others are live."""
+def view_of(vm: str, described: Mapping[str, Member] | None = None) -> MembershipView:
+    """Return the view of a VM to which all others are live, some of them as described."""
     view = MembershipView(vm, REGION_BY_VM[vm])
     view.observe_own(member(vm))
     for other in REGION_BY_VM:
         if other != vm:
-            view.observe_heartbeat(member(other), now_unix_s())
+            view.observe_heartbeat((described or {}).get(other, member(other)), now_unix_s())
     return view
--- a/tests/test_relay_software_versions.py
+++ b/tests/test_relay_software_versions.py
@@ -7,9 +7,15 @@
 from scripted_server import event, resets, streams
 
 from pomelobarrow.decision.published.routing import PoolShare, RouteKind, Routing
-from pomelobarrow.decision.streams.software_history import STREAM_RETENTION_S
+from pomelobarrow.decision.streams.software_history import (
+    STREAM_RETENTION_S,
+    HistoryStatement,
+    StreamTarget,
+    software_key,
+)
 from pomelobarrow.decision.streams.stream_software import stream_key
 from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.peers.stream_software import PeersKnowledge
 from pomelobarrow.relay import relay as relay_module
 from pomelobarrow.relay.events import StreamTakenUp
 
@@ -223,3 +229,26 @@
         answer = await _take_up(fleet, "a-2")
         assert _received(fleet, "s2") == 0
     assert (answer.status, "Retry-After" in answer.headers) == (503, False)
+
+
+async def test_stream_goes_on_at_a_vm_that_restarted_alone() -> None:
+    """Its peers know that the pool has run one version for as long as the stream may be old."""
+    servers = {"a": {"s1": streams(LAST)}}
+    async with relay_fleet((RESUMABLE,), servers, list_known_for_s=0.0) as fleet:
+        vm = fleet.vms["a"]
+        peer = HistoryStatement(
+            software_keys=frozenset(map(software_key, vm.relay.placer.servers().values())),
+            known_for_s=STREAM_RETENTION_S,
+        )
+
+        async def ask_peers(
+            request_id: str, target: StreamTarget, is_certain: bool
+        ) -> PeersKnowledge:
+            assert (request_id, target, is_certain) == ("r1", StreamTarget(HOST, "/stream/"), False)
+            return PeersKnowledge(histories=(peer,))
+
+        vm.front.resumed.ask_peers = ask_peers
+        answer = await _take_up(fleet, "a")
+        [taken_up] = [each for each in vm.events if isinstance(each, StreamTakenUp)]
+    assert (answer.status, answer.body) == (200, event(3) + event(4))
+    assert taken_up.source == "the only version at that time, as peers know"
--- a/tests/test_software_history.py
+++ b/tests/test_software_history.py
@@ -7,8 +7,10 @@
 from pomelobarrow.decision.streams.software_history import (
     MAX_FORMER_ROUTES,
     STREAM_RETENTION_S,
+    HistoryStatement,
     SoftwareHistory,
     StreamTarget,
+    only_software,
     software_key,
 )
 
@@ -193,3 +195,32 @@
     for number in range(MAX_FORMER_ROUTES + 2):
         history.observe_routing(routes(POOL, f"empty-{number}"), NOW + number)
     assert history.known_for_s(NOW + 100.0) == 99.0
+
+
+def test_peer_that_has_known_for_long_makes_a_software_certain() -> None:
+    """A VM that had restarted alone refused sound streams."""
+    own = known_since(NOW, V1).statement(TARGET, NOW)
+    peer = known_since(LONG_AGO, V1).statement(TARGET, NOW)
+    assert only_software((own,)) is None
+    assert only_software((own, peer)) == FIRST
+
+
+def test_peers_that_have_just_started_make_no_software_certain() -> None:
+    started = known_since(NOW, V1).statement(TARGET, NOW + 1.0)
+    assert only_software((started, started)) is None
+
+
+def test_version_that_only_one_peer_has_seen_counts() -> None:
+    """The list of the VM that has known for long may be out of date."""
+    own = known_since(LONG_AGO, V1).statement(TARGET, NOW)
+    peer = known_since(NOW, V1, V2).statement(TARGET, NOW)
+    assert only_software((own, peer)) is None
+
+
+def test_peer_that_does_not_know_the_route_makes_no_software_certain() -> None:
+    """Its configuration may be out of date, so that it doesn't count the pool's former versions."""
+    own = known_since(NOW, V2).statement(TARGET, NOW)
+    elsewhere = StreamTarget(HOST, "/unknown/")
+    peer = known_since(LONG_AGO, V1).statement(elsewhere, NOW)
+    assert peer == HistoryStatement(software_keys=frozenset(), known_for_s=NOW - LONG_AGO)
+    assert only_software((own, peer)) is None
--- a/tests/test_stream_software_updates.py
+++ b/tests/test_stream_software_updates.py
@@ -1,34 +1,51 @@
 """VMs of two regions keep records of each other's streams, over real datagrams."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 
 import pytest
 from attrs import evolve
 from datagram_vms import HOST_BY_VM, KEY, REGION_BY_VM, member, view_of
-from test_software_history import FIRST, SECOND, TARGET, V1, V2, listed
+from test_software_history import FIRST, HOST, ROUTES, SECOND, TARGET, V1, V2, listed
 
 from harness.processes import free_ports
 from pomelobarrow.decision.members.member import Phase
+from pomelobarrow.decision.requests.work import BackendServer
+from pomelobarrow.decision.streams.software_history import (
+    STREAM_RETENTION_S,
+    StreamTarget,
+    only_software,
+)
 from pomelobarrow.decision.streams.stream_software import StreamSoftware
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import stream_software
 from pomelobarrow.peers.datagrams import PeerDatagrams
-from pomelobarrow.peers.stream_software import RECORDS_PER_DATAGRAM, StreamSoftwareUpdates
+from pomelobarrow.peers.stream_software import (
+    MAX_TARGET_BYTES,
+    RECORDS_PER_DATAGRAM,
+    StreamSoftwareUpdates,
+)
 
 STREAMS = [f"r{number}" for number in range(40)]
 
 
 @asynccontextmanager
-async def fleet() -> AsyncIterator[dict[str, StreamSoftwareUpdates]]:
-    """Run VMs that list servers of both versions."""
+async def fleet(
+    servers: Mapping[str, BackendServer] | None = None, started_s: Mapping[str, float] | None = None
+) -> AsyncIterator[dict[str, StreamSoftwareUpdates]]:
+    """Run VMs that list servers, of both versions if none are given.
+
+    Each has known its list for a time in seconds; those that aren't named have just started.
+    """
     [port] = free_ports(1)
     vms = {}
     for vm in REGION_BY_VM:
         datagrams = PeerDatagrams((KEY,), HOST_BY_VM[vm], port)
         await datagrams.start()
         streams = StreamSoftware()
-        streams.observe_servers(listed(V1, V2), now_unix_s())
+        since_unix_s = now_unix_s() - (started_s or {}).get(vm, 0.0)
+        streams.observe_routing(ROUTES, since_unix_s)
+        streams.observe_servers(listed(V1, V2) if servers is None else servers, since_unix_s)
         vms[vm] = StreamSoftwareUpdates(
             view=view_of(vm), regions=("a", "b"), datagrams=datagrams, streams=streams
         )
@@ -44,11 +61,17 @@
         vm.streams.note_began(request_id, TARGET, software, now_unix_s())
 
 
+async def recorded(
+    vm: StreamSoftwareUpdates, request_id: str, is_certain: bool = False
+) -> int | None:
+    return (await vm.find(request_id, TARGET, is_certain)).software_key
+
+
 @pytest.mark.parametrize("asking", ["a-1", "a-2", "a-3", "b-1"])
 async def test_any_vm_finds_the_software_of_a_stream(asking: str) -> None:
     async with fleet() as vms:
         begin(vms["a-1"])
-        found = [await vms[asking].find(request_id, is_mixed=True) for request_id in STREAMS]
+        found = [await recorded(vms[asking], request_id) for request_id in STREAMS]
     assert found == [FIRST] * len(STREAMS)
 
 
@@ -56,9 +79,9 @@
     async with fleet() as vms:
         begin(vms["a-1"], SECOND)
         # The datagrams are in the sockets' buffers; a query behind them is answered after them.
-        await vms["a-2"].find("r0", is_mixed=True)
+        await recorded(vms["a-2"], "r0")
         await vms["a-1"].datagrams.stop()
-        found = [await vms["a-2"].find(request_id, is_mixed=True) for request_id in STREAMS]
+        found = [await recorded(vms["a-2"], request_id) for request_id in STREAMS]
     assert found == [SECOND] * len(STREAMS)
 
 
@@ -66,10 +89,10 @@
     """A region of which the VM that began a stream was the keeper itself forgot it with that VM."""
     async with fleet() as vms:
         begin(vms["a-1"])
-        await vms["a-2"].find("r0", is_mixed=True)
+        await recorded(vms["a-2"], "r0")
         for vm in ("a-1", "b-1"):
             await vms[vm].datagrams.stop()
-        found = [await vms["a-3"].find(request_id, is_mixed=True) for request_id in STREAMS]
+        found = [await recorded(vms["a-3"], request_id) for request_id in STREAMS]
     assert found == [FIRST] * len(STREAMS)
 
 
@@ -80,7 +103,7 @@
         leaving = evolve(member("a-2"), phase=Phase.LEAVING.value, sequence=2)
         view.observe_heartbeat(leaving, now_unix_s())
         begin(vms["a-1"])
-        await vms["a-1"].find("never sent", is_mixed=True)
+        await recorded(vms["a-1"], "never sent")
         kept = {vm: updates.streams.kept_records for vm, updates in vms.items()}
     assert (kept["a-2"], kept["a-3"]) == (0, len(STREAMS))
 
@@ -89,13 +112,13 @@
     """It lists one version, so that only VMs of its own region are asked."""
     async with fleet() as vms:
         begin(vms["a-1"], SECOND)
-        found = [await vms["a-3"].find(request_id, is_mixed=False) for request_id in STREAMS]
+        found = [await recorded(vms["a-3"], request_id, is_certain=True) for request_id in STREAMS]
     assert found == [SECOND] * len(STREAMS)
 
 
 async def test_stream_that_no_vm_knows_is_not_found() -> None:
     async with fleet() as vms:
-        assert await vms["a-1"].find("never sent", is_mixed=True) is None
+        assert await recorded(vms["a-1"], "never sent") is None
 
 
 async def test_silent_vms_hold_a_request_up_for_a_moment_only(
@@ -105,7 +128,7 @@
     async with fleet() as vms:
         for vm in ("a-2", "a-3", "b-1"):
             await vms[vm].datagrams.stop()
-        assert await vms["a-1"].find("r1", is_mixed=True) is None
+        assert await recorded(vms["a-1"], "r1") is None
 
 
 async def test_many_records_are_sent_in_several_datagrams() -> None:
@@ -115,8 +138,44 @@
                 stream_software.StreamBegan(stream_key=number, software_key=FIRST), now_unix_s()
             )
         vms["a-1"].send(vms["a-1"].streams._own.of_software([FIRST]))
-        await vms["a-1"].find("never sent", is_mixed=True)
+        await recorded(vms["a-1"], "never sent")
         kept = {vm: updates.streams.kept_records for vm, updates in vms.items()}
     # One VM per region keeps each record, but not the one that began the stream.
     assert (kept["a-1"], kept["b-1"]) == (0, 4 * RECORDS_PER_DATAGRAM)
     assert kept["a-2"] + kept["a-3"] == 4 * RECORDS_PER_DATAGRAM
+
+
+async def assumed_by_peers(vm: StreamSoftwareUpdates, target: StreamTarget = TARGET) -> int | None:
+    found = await vm.find("never sent", target, is_certain=False)
+    assert found.software_key is None
+    return only_software(found.histories)
+
+
+async def test_vm_that_restarted_alone_learns_the_only_version_from_its_peers() -> None:
+    """It refused to let sound streams go on, since it had known its list for a moment only."""
+    known_s = dict.fromkeys(("a-2", "a-3", "b-1"), STREAM_RETENTION_S)
+    async with fleet(listed(V1), known_s) as vms:
+        assert await assumed_by_peers(vms["a-1"]) == FIRST
+
+
+@pytest.mark.parametrize("first", ["a-1", "a-2", "a-3"])
+async def test_vm_that_started_first_is_asked(first: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """All others restarted together, the keepers of the stream among them."""
+    monkeypatch.setattr(stream_software, "ASKED_FOR_HISTORY", 1)
+    async with fleet(listed(V1), {first: STREAM_RETENTION_S}) as vms:
+        earlier = evolve(member(first), incarnation=0)
+        vms["b-1"].view = view_of("b-1", {first: earlier})
+        assert await assumed_by_peers(vms["b-1"]) == FIRST
+
+
+async def test_no_version_is_learned_where_all_vms_restarted() -> None:
+    async with fleet(listed(V2)) as vms:
+        assert await assumed_by_peers(vms["a-1"]) is None
+
+
+async def test_peers_are_not_asked_about_a_path_that_fits_into_no_datagram() -> None:
+    """What they know of an empty path isn't what they know of this one."""
+    known_s = dict.fromkeys(("a-2", "a-3", "b-1"), STREAM_RETENTION_S)
+    long = StreamTarget(HOST, f"/drafts/{'x' * MAX_TARGET_BYTES}")
+    async with fleet(listed(V1), known_s) as vms:
+        assert await assumed_by_peers(vms["a-1"], long) is None
