Don't count a departure before the first list as a list of servers

What callers could see: a VM that starts while the store doesn't answer may learn of a server's departure from a peer. It took that notification for a list of servers without entries. Two minutes later, its first real list counted as known for two minutes: a stream without a record went on at the only version of that list, whatever had begun it.

Cause: listeners of the published state are also notified of what changes without a list, and the time since which the servers are known was set by any of them.

Now only a list that is in force counts. The function that connects the published state and the history has moved from the plug-in to the module of the updates, so that a test can call it.

Evidence: the test fails without the condition (120.0 == 0.0) and passes with it. Found by reading; not seen in a run.

--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -37,11 +37,11 @@
 from pomelobarrow.peers.links import PeerLink, StreamFactory
 from pomelobarrow.peers.region_loads import RegionLoads
 from pomelobarrow.peers.server import PeerHandlers, PeerServer
-from pomelobarrow.peers.stream_software import StreamSoftwareUpdates
+from pomelobarrow.peers.stream_software import StreamSoftwareUpdates, follow_published
 from pomelobarrow.peers.streams import AcceptedStreams, PeerStream
 from pomelobarrow.peers.table import PeerTable
 from pomelobarrow.peers.token_grants import Accounts, TokenGrants
-from pomelobarrow.published.keyspaces import VMS, PublishedState
+from pomelobarrow.published.keyspaces import PublishedState
 from pomelobarrow.published.watcher import PlatformWatcher
 
 # The rest covers what the regions' meters don't know of each other yet.
@@ -101,7 +101,7 @@
     ]
     if context.settings.relay is None:
         return started
-    _follow_published(context)
+    follow_published(context.get(PublishedState), context.get(StreamSoftware))
     of_relay = (PeerDatagrams, ConfigProofs, TokenGrants)
     return started + [PhasedService(StartPhase.PEERS, context.get(each)) for each in of_relay]
 
@@ -225,19 +225,6 @@
     )
 
 
-def _follow_published(context: Context) -> None:
-    """Let new lists of servers and new routes update which software may begin streams."""
-    published, streams = context.get(PublishedState), context.get(StreamSoftware)
-
-    def on_applied(name: str, source: str) -> None:
-        if name == VMS:
-            streams.observe_servers(published.backend_servers, now_unix_s())
-        elif published.routing is not None:
-            streams.observe_routing(published.routing, now_unix_s())
-
-    published.listeners.append(on_applied)
-
-
 def _view(context: Context) -> MembershipView:
     settings = context.settings
     view = MembershipView(settings.vm, settings.region)
--- a/src/pomelobarrow/peers/stream_software.py
+++ b/src/pomelobarrow/peers/stream_software.py
@@ -22,6 +22,7 @@
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.datagrams import PeerDatagrams, Reply
+from pomelobarrow.published.keyspaces import CONFIG, VMS, PublishedState
 
 # Streams are spread over the VMs by groups, since ranking all VMs for each stream is slow.
 GROUPS = 256
@@ -200,3 +201,16 @@
     if target_bytes > MAX_TARGET_BYTES:
         return pb.StreamQuery(stream_key=key)
     return pb.StreamQuery(stream_key=key, host=target.host, path=target.path)
+
+
+def follow_published(published: PublishedState, streams: StreamSoftware) -> None:
+    """Let new lists of servers and new routes update which software may begin streams."""
+
+    def on_applied(name: str, source: str) -> None:
+        # A departure may become known before the first list.
+        if name == VMS and published.copies[VMS].revision:
+            streams.observe_servers(published.backend_servers, now_unix_s())
+        if name == CONFIG and published.routing is not None:
+            streams.observe_routing(published.routing, now_unix_s())
+
+    published.listeners.append(on_applied)
--- a/tests/test_stream_software_updates.py
+++ b/tests/test_stream_software_updates.py
@@ -10,7 +10,9 @@
 
 from harness.processes import free_ports
 from pomelobarrow.decision.members.member import Phase
+from pomelobarrow.decision.requests.short_key import server_key
 from pomelobarrow.decision.requests.work import BackendServer
+from pomelobarrow.decision.servers.departures import DepartureSource
 from pomelobarrow.decision.streams.software_history import (
     STREAM_RETENTION_S,
     StreamTarget,
@@ -24,7 +26,9 @@
     MAX_TARGET_BYTES,
     RECORDS_PER_DATAGRAM,
     StreamSoftwareUpdates,
+    follow_published,
 )
+from pomelobarrow.published.keyspaces import VMS, PublishedState
 
 STREAMS = [f"r{number}" for number in range(40)]
 
@@ -179,3 +183,15 @@
     long = StreamTarget(HOST, f"/drafts/{'x' * MAX_TARGET_BYTES}")
     async with fleet(listed(V1), known_s) as vms:
         assert await assumed_by_peers(vms["a-1"], long) is None
+
+
+def test_servers_are_not_known_before_the_first_list() -> None:
+    """A departure that a peer stated counted as an empty list while the store didn't answer."""
+    published, streams = PublishedState(observe=lambda event: None), StreamSoftware()
+    follow_published(published, streams)
+    streams.observe_routing(ROUTES, now_unix_s() - STREAM_RETENTION_S)
+    published.departures.observe(server_key(V1), DepartureSource.PEER, now_unix_s())
+    later_unix_s = now_unix_s() + STREAM_RETENTION_S
+    assert streams.history.known_for_s(later_unix_s) == 0.0
+    published.apply(VMS, [], 1, after_revision=0, source="platform")
+    assert streams.history.known_for_s(now_unix_s() + STREAM_RETENTION_S) >= STREAM_RETENTION_S
