Count a list that arrives while peers are asked about a stream

What callers could see: a VM whose list lags behind by a moment asks its peers for up to a quarter of a second. If the list with the next version arrived in that time, the stream still went on at the version that had been the only one before.

Cause: the VM's own history was read before it asked.

It is read again after the answers. A version that has appeared meanwhile makes the assumption uncertain, and the request is refused unsent.

Evidence: test_list_that_arrives_while_peers_are_asked_counts fails on the code before (a server got the request: (1 + 0) == 0) and passes now; the file's other tests pass.

--- a/src/pomelobarrow/relay/stream_joins.py
+++ b/src/pomelobarrow/relay/stream_joins.py
@@ -123,15 +123,17 @@
     ) -> tuple[int | None, SoftwareSource]:
         if stated is not None:
             return stated, SoftwareSource.STATED
-        own = self.streams.history.statement(target, now_unix_s())
-        is_certain = only_software((own,)) is not None
+        is_certain = self.streams.history.assumed(target, now_unix_s()) is not None
         found = await self._find(head, target, is_certain)
         if found.software_key is not None:
             return found.software_key, SoftwareSource.RECORDED
+        # A list that has arrived in the meantime counts.
+        own = self.streams.history.statement(target, now_unix_s())
         assumed = only_software((own, *found.histories))
         if assumed is None:
             return None, SoftwareSource.UNKNOWN
-        return assumed, SoftwareSource.ASSUMED if is_certain else SoftwareSource.ASSUMED_BY_PEERS
+        is_own = only_software((own,)) is not None
+        return assumed, SoftwareSource.ASSUMED if is_own else SoftwareSource.ASSUMED_BY_PEERS
 
     async def _find(
         self, head: RequestHead, target: StreamTarget, is_certain: bool
--- a/tests/test_relay_software_versions.py
+++ b/tests/test_relay_software_versions.py
@@ -13,7 +13,7 @@
     StreamTarget,
     software_key,
 )
-from pomelobarrow.decision.streams.stream_software import stream_key
+from pomelobarrow.decision.streams.stream_software import StreamSoftware, stream_key
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers.stream_software import PeersKnowledge
 from pomelobarrow.relay import relay as relay_module
@@ -252,3 +252,27 @@
         [taken_up] = [each for each in vm.events if isinstance(each, StreamTakenUp)]
     assert (answer.status, answer.body) == (200, event(3) + event(4))
     assert taken_up.source == "the only version at that time, as peers know"
+
+
+async def test_list_that_arrives_while_peers_are_asked_counts() -> None:
+    """The version was assumed by the list from before, which had only one."""
+    servers = {"a": {"s1": streams(LAST), "s2": streams(LAST)}}
+    async with relay_fleet((RESUMABLE,), servers, versions={"s1": "v1", "s2": "v2"}) as fleet:
+        vm = fleet.vms["a"]
+        both = vm.relay.placer.servers()
+        known = StreamSoftware()
+        known.observe_servers({"s1": both["s1"]}, now_unix_s() - STREAM_RETENTION_S)
+        known.observe_routing(Routing(routes=(RESUMABLE,)), now_unix_s() - STREAM_RETENTION_S)
+        vm.front.resumed.streams = known
+
+        async def ask_peers(
+            request_id: str, target: StreamTarget, is_certain: bool
+        ) -> PeersKnowledge:
+            assert is_certain
+            known.observe_servers(both, now_unix_s())
+            return PeersKnowledge()
+
+        vm.front.resumed.ask_peers = ask_peers
+        answer = await _take_up(fleet, "a")
+        assert _received(fleet, "s1") + _received(fleet, "s2") == 0
+    assert (answer.status, "Retry-After" in answer.headers) == (503, False)
