Ask peers for their histories also where a client names no request

What callers could see: a client that takes its stream up with Last-Event-Id alone, at a VM whose list of servers is out of date, got events of another version. Its neighbours had listed both versions and would have said so.

Cause: peers were asked for the record of the named request only, so that a VM which was certain of a version asked nobody if no request was named. What peers answer has had a second part since, their histories.

They are asked in each case. A client that names no request waits for its region's answers, as others do (0.05 s at most where the VM is certain).

Evidence: test_peer_that_has_seen_another_version_is_asked fails on the code before without a named request (the server got it: 1 == 0) and passes now. Found by reading; not seen in a run.

--- a/src/pomelobarrow/relay/stream_joins.py
+++ b/src/pomelobarrow/relay/stream_joins.py
@@ -138,10 +138,9 @@
     async def _find(
         self, head: RequestHead, target: StreamTarget, is_certain: bool
     ) -> PeersKnowledge:
-        if self.ask_peers is not None and (head.resumes or not is_certain):
+        # Peers also state which versions they have listed, if the client names no request.
+        if self.ask_peers is not None:
             return await self.ask_peers(head.resumes, target, is_certain)
-        if not head.resumes:
-            return PeersKnowledge()
         return PeersKnowledge(software_key=self.streams.software_of(stream_key(head.resumes)))
 
     def _pool_of(self, software: int, route: Route) -> str:
--- a/tests/test_relay_software_versions.py
+++ b/tests/test_relay_software_versions.py
@@ -276,3 +276,25 @@
         answer = await _take_up(fleet, "a")
         assert _received(fleet, "s1") + _received(fleet, "s2") == 0
     assert (answer.status, "Retry-After" in answer.headers) == (503, False)
+
+
+@pytest.mark.parametrize("resumes", ["unknown", ""])
+async def test_peer_that_has_seen_another_version_is_asked(resumes: str) -> None:
+    """A client that names no request got events of the version of a list that was out of date."""
+    servers = {"a": {"s1": streams(LAST)}}
+    async with relay_fleet((RESUMABLE,), servers, versions={"s1": "v1"}) as fleet:
+        vm = fleet.vms["a"]
+        listed = vm.relay.placer.servers()["s1"]
+        newer = software_key(evolve(listed, software_version="v2"))
+        peer = HistoryStatement(software_keys=frozenset({newer}), known_for_s=0.0)
+
+        async def ask_peers(
+            request_id: str, target: StreamTarget, is_certain: bool
+        ) -> PeersKnowledge:
+            assert (request_id, is_certain) == (resumes, True)
+            return PeersKnowledge(histories=(peer,))
+
+        vm.front.resumed.ask_peers = ask_peers
+        answer = await _take_up(fleet, "a", resumes)
+        assert _received(fleet, "s1") == 0
+    assert (answer.status, "Retry-After" in answer.headers) == (503, False)
