State two versions where a peer has seen very many

What callers could see: peers that had seen more than 64 versions of a pool stated none of them, so that a VM whose list of servers is out of date assumed the only version of that list.

Cause: an answer that didn't fit was left empty, and an empty answer counts as one that knows of no other version.

Two keys are stated: they already make the software uncertain, as any number does, and the answer has a bounded size.

Evidence: test_peers_that_have_seen_very_many_versions_make_none_certain fails on the code before ( is None) and passes now.

--- a/src/pomelobarrow/peers/stream_software.py
+++ b/src/pomelobarrow/peers/stream_software.py
@@ -7,9 +7,9 @@
 """
 
 import asyncio
-import heapq
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
+from heapq import nsmallest
 from itertools import islice
 
 from attrs import define, field, frozen
@@ -38,7 +38,8 @@
 # A record takes 14 bytes, and a datagram must fit into one packet.
 RECORDS_PER_DATAGRAM = 64
 MAX_TARGET_BYTES = 1_000
-MAX_RECENT_KEYS = 64
+# Two keys already make the software of a stream uncertain, as any number does.
+MAX_STATED_KEYS = 2
 # The VMs that have run for the longest time; two of them may be cut off.
 ASKED_FOR_HISTORY = 3
 MS_PER_S = 1_000.0
@@ -139,7 +140,7 @@
         now = now_unix_s()
         live = (member for region in self.regions for member in self.view.live(region, now))
         staying = (member for member in live if self._is_staying(member))
-        return heapq.nsmallest(ASKED_FOR_HISTORY, staying, key=lambda member: member.incarnation)
+        return nsmallest(ASKED_FOR_HISTORY, staying, key=lambda member: member.incarnation)
 
     def _keepers(self, key: int, region: str, count: int) -> list[Member]:
         """Return the other VMs of a region that keep a stream's record, the first in charge.
@@ -203,14 +204,14 @@
         reply(pb.Datagram(stream_answer=answer))
 
     def _history_answer(self, query: pb.StreamQuery) -> pb.StreamAnswer:
-        """Return what this VM's history says; nothing if it doesn't fit into a datagram."""
+        """Return what this VM's history says; nothing if the query names no path."""
+        if not query.path:
+            return pb.StreamAnswer(number=query.number)
         target = StreamTarget(query.host, query.path)
         stated = self.streams.history.statement(target, now_unix_s())
-        if not query.path or len(stated.software_keys) > MAX_RECENT_KEYS:
-            return pb.StreamAnswer(number=query.number)
         return pb.StreamAnswer(
             number=query.number,
-            recent_software_keys=sorted(stated.software_keys),
+            recent_software_keys=nsmallest(MAX_STATED_KEYS, stated.software_keys),
             known_for_ms=min(int(stated.known_for_s * MS_PER_S), MAX_KNOWN_FOR_MS),
         )
 
--- a/tests/test_stream_software_updates.py
+++ b/tests/test_stream_software_updates.py
@@ -15,6 +15,7 @@
 from pomelobarrow.decision.servers.departures import DepartureSource
 from pomelobarrow.decision.streams.software_history import (
     STREAM_RETENTION_S,
+    HistoryStatement,
     StreamTarget,
     only_software,
 )
@@ -188,6 +189,16 @@
         assert await assumed_by_peers(vms["a-1"]) is None
 
 
+async def test_peers_that_have_seen_very_many_versions_make_none_certain() -> None:
+    """They stated none, so that a VM with an old list of servers assumed the one that it listed."""
+    many = [evolve(V1, name=f"s{n}", software_version=f"v{n}") for n in range(1_000)]
+    async with fleet(listed(*many), dict.fromkeys(REGION_BY_VM, STREAM_RETENTION_S)) as vms:
+        found = await vms["a-1"].find("never sent", TARGET, is_certain=True)
+        own = HistoryStatement(software_keys=frozenset({FIRST}), known_for_s=STREAM_RETENTION_S)
+        assert only_software((own,)) == FIRST
+        assert only_software((own, *found.histories)) is None
+
+
 async def test_peers_are_not_asked_about_a_path_that_fits_into_no_datagram() -> None:
     """What they know of an empty path isn't what they know of this one."""
     known_s = dict.fromkeys(("a-2", "a-3", "b-1"), STREAM_RETENTION_S)
