Remember versions for as long as the longest stream may be taken up

What callers would see: on a route whose streams may last for longer than two minutes, a stream that had begun before its version left the list went on at the next version when it broke off, and its keeper had forgotten it. Found in the review, by reading.

Cause: a fixed time stood for that of the longest stream. A server that leaves the list goes on with its streams, for as long as their route allows.

Change: histories and records are kept for the longest time limit of a stream route and a minute more, two minutes at least.

Evidence: test_version_of_long_streams_counts_until_they_are_taken_up and test_records_of_long_streams_are_kept_until_they_are_taken_up failed on the code before (the key of v2 assumed; None instead of the record) and pass.

--- a/src/pomelobarrow/decision/streams/software_history.py
+++ b/src/pomelobarrow/decision/streams/software_history.py
@@ -16,6 +16,8 @@
 
 # Clients take up a stream within the time that they grant the request; few grant more than this.
 STREAM_RETENTION_S = 120.0
+# After the end of the longest stream that its route allows, a client takes it up within this time.
+TAKE_UP_S = 60.0
 # Former versions of the routes that are remembered; operators change pools of routes rarely.
 MAX_FORMER_ROUTES = 64
 MAX_CACHED_KEYS = 1_024
@@ -45,6 +47,8 @@
 
     # By host: prefixes, the longest first, and their pools; none where a route has no streams.
     _by_host: Mapping[str, tuple[tuple[str, frozenset[str]], ...]]
+    # The time limit of the stream that may last longest.
+    longest_stream_s: float = field(default=0.0, kw_only=True, eq=False)
 
     def of_target(self, target: StreamTarget) -> frozenset[str]:
         """Return the pools that may begin a stream of this target."""
@@ -66,7 +70,8 @@
                 for route in routing.routes_of_host(host)
             )
             for host in hosts
-        }
+        },
+        longest_stream_s=max((r.timeout_s for r in routing.routes if r.is_stream), default=0.0),
     )
 
 
@@ -78,7 +83,9 @@
     known_for_s: float
 
 
-def only_software(statements: Iterable[HistoryStatement]) -> int | None:
+def only_software(
+    statements: Iterable[HistoryStatement], retention_s: float = STREAM_RETENTION_S
+) -> int | None:
     """Return the software of a stream of which there is no record, None if it isn't certain.
 
     One VM that knows the route has to know all that was before; what any other has seen counts,
@@ -86,7 +93,7 @@
     """
     stated = tuple(statements)
     keys = frozenset[int]().union(*(each.software_keys for each in stated))
-    is_known = any(each.software_keys and each.known_for_s >= STREAM_RETENTION_S for each in stated)
+    is_known = any(each.software_keys and each.known_for_s >= retention_s for each in stated)
     return next(iter(keys)) if is_known and len(keys) == 1 else None
 
 
@@ -99,6 +106,8 @@
     # The software of the servers that are listed, by pool.
     _listed: dict[str, set[int]] = field(factory=dict, init=False)
     _routes: RoutePools | None = field(default=None, init=False)
+    # For how long a stream may still be taken up after it has begun.
+    retention_s: float = field(default=STREAM_RETENTION_S, init=False)
     # Routes that were in force before, and until when.
     _former_routes: deque[tuple[RoutePools, float]] = field(factory=deque, init=False)
     # From when on this VM knows the servers, and from when on it knows the routes.
@@ -118,6 +127,8 @@
     def observe_routing(self, routing: Routing, now_unix_s: float) -> bool:
         """Record the routes in force; return whether others were in force before."""
         former, self._routes = self._routes, route_pools(routing)
+        # Streams of former routes go on, so that the time never shrinks.
+        self.retention_s = max(self.retention_s, self._routes.longest_stream_s + TAKE_UP_S)
         if former is None:
             self._routes_known_unix_s = now_unix_s
             return False
@@ -135,7 +146,7 @@
 
     def recent(self, pool: str, now_unix_s: float) -> frozenset[int]:
         """Return the versions of a pool whose streams may still be taken up."""
-        oldest_unix_s = now_unix_s - STREAM_RETENTION_S
+        oldest_unix_s = now_unix_s - self.retention_s
         gone = self._gone_unix_s.get(pool, {})
         left = (key for key, until_unix_s in gone.items() if until_unix_s > oldest_unix_s)
         return frozenset(self._listed.get(pool, ())).union(left)
@@ -146,7 +157,7 @@
 
     def recent_of_target(self, target: StreamTarget, now_unix_s: float) -> frozenset[int]:
         """Return the software that may have begun a stream of a target that is taken up now."""
-        oldest_unix_s = now_unix_s - STREAM_RETENTION_S
+        oldest_unix_s = now_unix_s - self.retention_s
         routes = [
             former for former, until_unix_s in self._former_routes if until_unix_s > oldest_unix_s
         ]
@@ -162,12 +173,12 @@
 
     def assumed(self, target: StreamTarget, now_unix_s: float) -> int | None:
         """Return the software of a stream of which there is no record, None if it isn't certain."""
-        return only_software((self.statement(target, now_unix_s),))
+        return only_software((self.statement(target, now_unix_s),), self.retention_s)
 
     def only_version(self, pool: str, now_unix_s: float) -> int | None:
         """Return the software that a pool's servers have run lately, None if it isn't certain."""
         recent = self.recent(pool, now_unix_s)
-        return only_software((self._statement(recent, now_unix_s),))
+        return only_software((self._statement(recent, now_unix_s),), self.retention_s)
 
     def _statement(self, recent: frozenset[int], now_unix_s: float) -> HistoryStatement:
         return HistoryStatement(software_keys=recent, known_for_s=self.known_for_s(now_unix_s))
@@ -176,7 +187,7 @@
         return frozenset[int]().union(*(self.recent(pool, now_unix_s) for pool in pools))
 
     def _forget_old(self, now_unix_s: float) -> None:
-        oldest_unix_s = now_unix_s - STREAM_RETENTION_S
+        oldest_unix_s = now_unix_s - self.retention_s
         for pool, gone in list(self._gone_unix_s.items()):
             kept = {key: unix_s for key, unix_s in gone.items() if unix_s > oldest_unix_s}
             if kept:
--- a/src/pomelobarrow/decision/streams/stream_software.py
+++ b/src/pomelobarrow/decision/streams/stream_software.py
@@ -43,6 +43,7 @@
 class StreamRecords:
     """The software of recent streams; the oldest records are dropped first."""
 
+    retention_s: float = STREAM_RETENTION_S
     _records: "OrderedDict[int, tuple[int, float]]" = field(factory=OrderedDict)
 
     def __len__(self) -> int:
@@ -75,7 +76,7 @@
     def _drop_old(self, now_unix_s: float) -> None:
         while self._records:
             _, noted_unix_s = next(iter(self._records.values()))
-            is_old = noted_unix_s < now_unix_s - STREAM_RETENTION_S
+            is_old = noted_unix_s < now_unix_s - self.retention_s
             if not is_old and len(self._records) < MAX_STREAMS:
                 return
             self._records.popitem(last=False)
@@ -109,7 +110,9 @@
 
     def observe_routing(self, routing: Routing, now_unix_s: float) -> None:
         """Record the routes; publish own streams if any may be of another pool than its route's."""
-        if self.history.observe_routing(routing, now_unix_s):
+        has_changed = self.history.observe_routing(routing, now_unix_s)
+        self._own.retention_s = self._of_peers.retention_s = self.history.retention_s
+        if has_changed:
             self.publish(self._own.all())
 
     def note_began(
--- a/src/pomelobarrow/relay/stream_joins.py
+++ b/src/pomelobarrow/relay/stream_joins.py
@@ -128,11 +128,12 @@
         if found.software_key is not None:
             return found.software_key, SoftwareSource.RECORDED
         # A list that has arrived in the meantime counts.
-        own = self.streams.history.statement(target, now_unix_s())
-        assumed = only_software((own, *found.histories))
+        history = self.streams.history
+        own = history.statement(target, now_unix_s())
+        assumed = only_software((own, *found.histories), history.retention_s)
         if assumed is None:
             return None, SoftwareSource.UNKNOWN
-        is_own = only_software((own,)) is not None
+        is_own = only_software((own,), history.retention_s) is not None
         return assumed, SoftwareSource.ASSUMED if is_own else SoftwareSource.ASSUMED_BY_PEERS
 
     async def _find(
--- a/tests/test_software_history.py
+++ b/tests/test_software_history.py
@@ -7,6 +7,7 @@
 from pomelobarrow.decision.streams.software_history import (
     MAX_FORMER_ROUTES,
     STREAM_RETENTION_S,
+    TAKE_UP_S,
     HistoryStatement,
     SoftwareHistory,
     StreamTarget,
@@ -41,14 +42,16 @@
     return {server.name: server for server in servers}
 
 
-def stream_route(prefix: str, *pools: str, kind: RouteKind = RouteKind.STREAM) -> Route:
+def stream_route(
+    prefix: str, *pools: str, kind: RouteKind = RouteKind.STREAM, timeout_s: float = 5.0
+) -> Route:
     return Route(
         name=prefix,
         host=HOST,
         path_prefix=prefix,
         kind=kind,
         pools=tuple(PoolShare(pool=pool) for pool in pools),
-        timeout_s=5.0,
+        timeout_s=timeout_s,
         first_answer_target_s=1.0,
     )
 
@@ -224,3 +227,26 @@
     peer = known_since(LONG_AGO, V1).statement(elsewhere, NOW)
     assert peer == HistoryStatement(software_keys=frozenset(), known_for_s=NOW - LONG_AGO)
     assert only_software((own, peer)) is None
+
+
+def test_version_of_long_streams_counts_until_they_are_taken_up() -> None:
+    """A stream that had run for longer than two minutes went on at the version after its own."""
+    long_s = 2 * STREAM_RETENTION_S
+    history = SoftwareHistory()
+    long = Routing(routes=(stream_route("/drafts/", POOL, timeout_s=long_s),))
+    history.observe_routing(long, NOW - 2 * long_s)
+    history.observe(listed(V1), NOW - 2 * long_s)
+    history.observe(listed(V2), NOW)
+    assert history.assumed(TARGET, NOW + long_s) is None
+    assert history.assumed(TARGET, NOW + long_s + TAKE_UP_S) == SECOND
+
+
+def test_history_that_is_shorter_than_a_stream_makes_no_software_certain() -> None:
+    long_s = 2 * STREAM_RETENTION_S
+    history = SoftwareHistory()
+    history.observe_routing(
+        Routing(routes=(stream_route("/drafts/", POOL, timeout_s=long_s),)), NOW
+    )
+    history.observe(listed(V1), NOW)
+    assert history.assumed(TARGET, NOW + long_s) is None
+    assert history.assumed(TARGET, NOW + long_s + TAKE_UP_S) == FIRST
--- a/tests/test_stream_software.py
+++ b/tests/test_stream_software.py
@@ -6,6 +6,7 @@
     LONG_AGO,
     NOW,
     OTHER_TARGET,
+    POOL,
     ROUTES,
     SECOND,
     TARGET,
@@ -14,8 +15,10 @@
     V_OTHER,
     listed,
     routes,
+    stream_route,
 )
 
+from pomelobarrow.decision.published.routing import Routing
 from pomelobarrow.decision.requests.placement_request import ExcludedTargets
 from pomelobarrow.decision.streams.software_history import STREAM_RETENTION_S, software_key
 from pomelobarrow.decision.streams.stream_software import (
@@ -45,6 +48,17 @@
     assert (records.software_of(1), records.software_of(2)) == (None, FIRST)
 
 
+def test_records_of_long_streams_are_kept_until_they_are_taken_up() -> None:
+    """The keeper of a stream that had run for longer than two minutes had forgotten it."""
+    streams, long_s = StreamSoftware(), 2 * STREAM_RETENTION_S
+    streams.observe_routing(
+        Routing(routes=(stream_route("/drafts/", POOL, timeout_s=long_s),)), LONG_AGO
+    )
+    streams.note_of_peer(StreamBegan(stream_key=1, software_key=FIRST), NOW)
+    streams.note_of_peer(StreamBegan(stream_key=2, software_key=FIRST), NOW + long_s)
+    assert streams.software_of(1) == FIRST
+
+
 def test_records_are_bounded() -> None:
     records = StreamRecords()
     for key in range(MAX_STREAMS + 5):
