Let only VMs that have run for long confirm an old list of servers

What callers could see: a VM missed a version that came and went, and its neighbours restarted in between, so that their records of that version's streams were lost. It let such a stream go on at the version that it listed, although another region had the record.

Cause: where a VM is certain of a version, any answer of its region counted as a confirmation. A neighbour that has just started knows no more than the present list.

An answer confirms only if the neighbours alone would be certain, too.

Evidence: test_neighbours_that_have_just_started_do_not_confirm_an_old_list fails on the code before (None instead of the recorded software) and passes now.

--- a/src/pomelobarrow/peers/stream_software.py
+++ b/src/pomelobarrow/peers/stream_software.py
@@ -12,12 +12,16 @@
 from heapq import nsmallest
 from itertools import islice
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from pomelobarrow.decision.common.rendezvous import rendezvous
 from pomelobarrow.decision.members.member import READY, Member, name_of
 from pomelobarrow.decision.members.membership import MembershipView
-from pomelobarrow.decision.streams.software_history import HistoryStatement, StreamTarget
+from pomelobarrow.decision.streams.software_history import (
+    HistoryStatement,
+    StreamTarget,
+    only_software,
+)
 from pomelobarrow.decision.streams.stream_software import StreamBegan, StreamSoftware, stream_key
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
@@ -53,11 +57,6 @@
     software_key: int | None = None
     histories: tuple[HistoryStatement, ...] = ()
 
-    @property
-    def is_answered(self) -> bool:
-        """Return whether any peer has answered."""
-        return self.software_key is not None or bool(self.histories)
-
 
 @define(kw_only=True)
 class StreamSoftwareUpdates:
@@ -88,8 +87,8 @@
     async def find(self, request_id: str, target: StreamTarget, is_certain: bool) -> PeersKnowledge:
         """Return the software that began a stream, or what peers know without a record of it.
 
-        Where this VM is certain of the software without a record, an answer of its own region is
-        enough: a VM there knows of another version if this VM's list is out of date.
+        Where this VM is certain of the software without a record, it is enough that VMs of its own
+        region are, too: they know of another version if this VM's list is out of date.
         """
         key = stream_key(request_id)
         known = self.streams.software_of(key)
@@ -99,9 +98,10 @@
         if not is_certain:
             return await self._ask([*nearby, *self._farther(key, nearby)], query, ANSWER_TIMEOUT_S)
         found = await self._ask(nearby, query, NEARBY_ANSWER_TIMEOUT_S)
-        if found.is_answered:
+        if found.software_key is not None or only_software(found.histories) is not None:
             return found
-        return await self._ask(self._farther(key, nearby), query, ANSWER_TIMEOUT_S)
+        farther = await self._ask(self._farther(key, nearby), query, ANSWER_TIMEOUT_S)
+        return evolve(farther, histories=found.histories + farther.histories)
 
     async def _ask(
         self, members: Iterable[Member], query: pb.StreamQuery, timeout_s: float
--- a/tests/test_stream_software_updates.py
+++ b/tests/test_stream_software_updates.py
@@ -19,7 +19,7 @@
     StreamTarget,
     only_software,
 )
-from pomelobarrow.decision.streams.stream_software import StreamSoftware
+from pomelobarrow.decision.streams.stream_software import StreamBegan, StreamSoftware, stream_key
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import stream_software
 from pomelobarrow.peers.datagrams import PeerDatagrams
@@ -132,6 +132,16 @@
     assert found == [SECOND] * len(STREAMS)
 
 
+async def test_neighbours_that_have_just_started_do_not_confirm_an_old_list() -> None:
+    """They list the version that is left, and lost the record of the other one when they ended."""
+    known_s = {"a-1": STREAM_RETENTION_S, "b-1": STREAM_RETENTION_S}
+    async with fleet(listed(V1), known_s) as vms:
+        vms["b-1"].streams.note_of_peer(
+            StreamBegan(stream_key=stream_key("r0"), software_key=SECOND), now_unix_s()
+        )
+        assert await recorded(vms["a-1"], "r0", is_certain=True) == SECOND
+
+
 async def test_stream_that_no_vm_knows_is_not_found() -> None:
     async with fleet() as vms:
         assert await recorded(vms["a-1"], "never sent") is None
