--- a/src/pomelobarrow/peers/stream_software.py
+++ b/src/pomelobarrow/peers/stream_software.py
@@ -98,11 +98,14 @@
         if not is_certain:
             return await self._ask([*nearby, *self._farther(key, nearby)], query, ANSWER_TIMEOUT_S)
         found = await self._ask(nearby, query, NEARBY_ANSWER_TIMEOUT_S)
-        if found.software_key is not None or only_software(found.histories) is not None:
+        if found.software_key is not None or self._is_certain(found.histories):
             return found
         farther = await self._ask(self._farther(key, nearby), query, ANSWER_TIMEOUT_S)
         return evolve(farther, histories=found.histories + farther.histories)
 
+    def _is_certain(self, histories: Iterable[HistoryStatement]) -> bool:
+        return only_software(histories, self.streams.history.retention_s) is not None
+
     async def _ask(
         self, members: Iterable[Member], query: pb.StreamQuery, timeout_s: float
     ) -> PeersKnowledge:
