Drop a truncated head before the parser completes it

Callers of a system like this one got a 200 with an empty or short body, framed as whole, when a server stopped in the middle of its answer's head. That was not reproduced here: callers saw nothing of it.

aiohttp's two parsers complete a truncated head when they are told that the connection has ended: a head without its Content-Length, or with the first digit of it, is a message for them. Only the class of the connection kept it from being an answer, by putting it into the error, and from there into log lines. Its own blank line was no condition anywhere in this code.

When a connection ends and no body is being read, all that a parser can hold is a part of a head. The handler takes the parser away then, so that nothing is left that could complete it, in this version of the library or another one.

--- a/src/pomelobarrow/backends/answer_handler.py
+++ b/src/pomelobarrow/backends/answer_handler.py
@@ -102,9 +102,14 @@
         )
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail the body that is being read if the connection was reset."""
+        """Fail the body that is being read if the connection was reset, and drop a part of a head.
+
+        Asked for the rest at the end of a connection, aiohttp's parser completes a truncated head.
+        """
         body = self._payload
-        if exc is not None and body is not None and not body.is_eof():
+        if body is None or body.is_eof():
+            self._parser = None
+        elif exc is not None:
             body.set_exception(aiohttp.ClientPayloadError("the connection was reset"))
         super().connection_lost(self._limit_error or exc)
 
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -66,10 +66,11 @@
     # True if it resets the next connection and stops listening then.
     is_ending: bool = False
     _server: asyncio.Server | None = None
+    _port: int = 0
     _writers: set[asyncio.StreamWriter] = field(factory=set)
 
     async def __aenter__(self) -> Self:
-        self._server = await asyncio.start_server(self._serve, self.host, 0)
+        await self.listen()
         return self
 
     async def __aexit__(self, *error: object) -> None:
@@ -79,8 +80,14 @@
     @property
     def address(self) -> str:
         """Return the listening address."""
-        assert self._server is not None
-        return f"{self.host}:{self._server.sockets[0].getsockname()[1]}"
+        assert self._port
+        return f"{self.host}:{self._port}"
+
+    async def listen(self) -> None:
+        """Accept connections, at the same address as before if it has listened already."""
+        self._server = await asyncio.start_server(self._serve, self.host, self._port)
+        self._port = self._server.sockets[0].getsockname()[1]
+        self.has_ended = False
 
     def stop_listening(self) -> None:
         """Refuse new connections."""
