--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -9,6 +9,8 @@
 from attrs import define, field, frozen
 
 SEAL = "seal-of-the-server"
+# Tests send hundreds of requests at a time.
+BACKLOG = 1_024
 
 
 @frozen(kw_only=True)
@@ -66,10 +68,11 @@
     # True if it resets the next connection and stops listening then.
     is_ending: bool = False
     _server: asyncio.Server | None = None
+    _port: int = 0
     _writers: set[asyncio.StreamWriter] = field(factory=set)
 
     async def __aenter__(self) -> Self:
-        self._server = await asyncio.start_server(self._serve, self.host, 0)
+        await self.listen()
         return self
 
     async def __aexit__(self, *error: object) -> None:
@@ -79,8 +82,16 @@
     @property
     def address(self) -> str:
         """Return the listening address."""
-        assert self._server is not None
-        return f"{self.host}:{self._server.sockets[0].getsockname()[1]}"
+        assert self._port
+        return f"{self.host}:{self._port}"
+
+    async def listen(self) -> None:
+        """Accept connections, at the same address as before if it has listened already."""
+        self._server = await asyncio.start_server(
+            self._serve, self.host, self._port, backlog=BACKLOG
+        )
+        self._port = self._server.sockets[0].getsockname()[1]
+        self.has_ended = False
 
     def stop_listening(self) -> None:
         """Refuse new connections."""
@@ -100,7 +111,12 @@
             writer.transport.abort()
             return
         self._writers.add(writer)
-        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        except asyncio.IncompleteReadError:
+            # The relay connects to see whether a server accepts connections.
+            writer.close()
+            return
         line, *fields = head.strip().split("\r\n")
         headers = {name.lower(): value for name, value in (each.split(": ", 1) for each in fields)}
         body = await reader.readexactly(int(headers.get("content-length", "0")))
