Compare ways to notice a run that leaves an event out, and keep none

The question was whether a VM can learn from runs in which steps a software version counts, and reject the others.

Why no way is built: (1) Ids may count tokens and an event may hold several. A sound server whose first event after a join holds two tokens sends the ids of one that leaves an event out. (2) If the last event is left out, the resumed run is empty, like that of a stream whose client has everything.

--- a/bench/decisions/jobs.py
+++ b/bench/decisions/jobs.py
@@ -14,6 +14,7 @@
     retry_after,
     retry_budget,
     server_ways,
+    stream_joins,
     stream_records,
     token_limits,
 )
@@ -96,6 +97,16 @@
     ]
 
 
+def _stream_joins() -> list[Job]:
+    return [
+        Job(stream_joins.run, (servers, has_seen_streams, way, seed))
+        for servers in stream_joins.SERVER_KINDS
+        for has_seen_streams in (False, True)
+        for way in stream_joins.WAYS
+        for seed in range(1, 51)
+    ]
+
+
 GROUPS: dict[str, Callable[[], list[Job]]] = {
     "servers-small": lambda: _server_variants(
         (("draft", 2, 5, 90.0), ("draft", 20, 5, 90.0)), SEEDS
@@ -134,6 +145,7 @@
     "limits": _limits,
     "token-limits": _token_limits,
     "brittle-places": _brittle_places,
+    "stream-joins": _stream_joins,
     "stream-records": _stream_records,
     "retry-budget": lambda: [
         Job(retry_budget.run, (variant, seed))
