Test that a resumed run that begins with several tokens goes on

Ids may count tokens, and the first event of a resumed run may hold two. By the steps of all runs before, its first id is one too far, as if an event were missing. A check of joins that learns from these steps would break off such streams at each server and each attempt.

--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -123,6 +123,28 @@
     assert await receive(first, writes(rest)) == (events(1, 2) + rest, True)
 
 
+async def test_resumed_run_that_begins_with_several_tokens_is_joined_after_even_runs() -> None:
+    """Its first id is one too far by the steps of all runs before, and no stream could go on."""
+
+    breaks = False
+
+    async def counts_tokens(exchange: Exchange) -> None:
+        after = int(exchange.received.headers.get("last-event-id", "0"))
+        # The first event of a resumed run holds two tokens, and the last number of them is its id.
+        first = after + 2 if after else 1
+        is_whole = bool(after) or not breaks
+        await writes(events(*range(first, first + LAST)), is_whole=is_whole)(exchange)
+
+    resumable = route(RouteKind.STREAM, is_resumable=True, max_attempts=2)
+    scripts = {"a": {"s1": counts_tokens, "s2": counts_tokens}}
+    async with relay_fleet((resumable,), scripts) as fleet:
+        for _ in range(30):
+            assert (await ask(fleet.vms["a"], "/stream/")).body == events(1, 2, 3, 4)
+        breaks = True
+        answer = await ask(fleet.vms["a"], "/stream/")
+    assert answer.body == events(1, 2, 3, 4, 6, 7, 8, 9)
+
+
 async def test_rejected_joins_eject_no_server() -> None:
     """A client that names an event which no server knows would take all servers out of service."""
     resumable = route(RouteKind.STREAM, is_resumable=True, max_attempts=2)
