Leave out members that a peer describes without a finite time

What others saw: a member that one peer described with a time of last contact that is no number, or in a heartbeat that states no time when it was sent, was seen at no time at all. No later report of it is newer than that, and no silence is longer than allowed, so a VM that only hears of it kept it as live.

Cause: doubles in peers' messages were compared and subtracted as they came. Peers of this release send none that isn't finite, as far as reading shows; one of another release, or with damaged memory, may.

Change: such a description counts as not stated, and the loads of a heartbeat without a time of sending are left out, since they come with ages. Findings of crashes without one were ignored already.

Evidence: test_member_described_without_a_finite_time_is_seen_when_reported_again failed before in 3 of 6 cases (NaN as either time, minus infinity as the time of sending: the member was last seen at NaN after a sound report) and passes.

--- a/src/pomelobarrow/peers/heartbeats.py
+++ b/src/pomelobarrow/peers/heartbeats.py
@@ -1,6 +1,7 @@
 """Build heartbeats and apply those of peers."""
 
 import itertools
+import math
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
 from attrs import define, field
@@ -322,8 +323,9 @@
 
         If both VMs have dialed, a peer sends on two connections. A heartbeat without loads on one
         may overtake one with loads on the other; dropped as outdated, its loads would be lost.
+        Without a time of sending, the ages in the heartbeat say nothing.
         """
-        if not heartbeat.has_loads:
+        if not heartbeat.has_loads or not math.isfinite(heartbeat.sent_unix_s):
             return False
         order = (heartbeat.incarnation, heartbeat.sequence)
         if order <= self._last_full.get(heartbeat.vm, (0, 0)):
--- a/src/pomelobarrow/peers/member_updates.py
+++ b/src/pomelobarrow/peers/member_updates.py
@@ -1,5 +1,6 @@
 """Exchange member descriptions with peers, and when each member was last seen."""
 
+import math
 from collections.abc import Iterable, Sequence
 
 from attrs import define, field
@@ -135,11 +136,17 @@
         now_unix_s: float,
         clock_ahead_s: float,
     ) -> None:
-        """Apply descriptions whose times are given by a clock that is ahead of this VM's."""
+        """Apply descriptions whose times are given by a clock that is ahead of this VM's.
+
+        Those without a finite time are left out: no later report would be newer.
+        """
         has_any = False
         for summary in summaries:
+            heard_unix_s = summary.heard_unix_s - clock_ahead_s
+            if not math.isfinite(heard_unix_s):
+                continue
             has_any = True
-            member = _member(summary, summary.heard_unix_s - clock_ahead_s)
+            member = _member(summary, heard_unix_s)
             # A VM that has a more recent report of a member continues to pass that one on.
             is_fresher = self.view.last_seen_unix_s(member.vm) < member.last_seen_unix_s
             self.view.observe_summary(member, now_unix_s, reported_by)
--- a/tests/test_stated_numbers.py
+++ b/tests/test_stated_numbers.py
@@ -28,6 +28,7 @@
 from pomelobarrow.decision.requests.orders import OrderBook
 from pomelobarrow.decision.servers.load_table import LoadTable
 from pomelobarrow.dispatch.events import ServerLoadInvalid
+from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.heartbeats import Heartbeats, SentUpdates
@@ -209,6 +210,24 @@
     assert context.get(RegionLoads).for_pool("plain") == {}
 
 
+@pytest.mark.parametrize("value", [math.nan, math.inf, -math.inf])
+@pytest.mark.parametrize("field", ["sent_unix_s", "heard_unix_s"])
+def test_member_described_without_a_finite_time_is_seen_when_reported_again(
+    field: str, value: float
+) -> None:
+    """No later report of such a member counted, so that its silence was never noticed."""
+    heartbeats, heard_unix_s = daemon_parts().get(Heartbeats), now_unix_s() - 1.0
+    sound = {"sent_unix_s": now_unix_s(), "heard_unix_s": heard_unix_s}
+    for sequence, times in enumerate((sound | {field: value}, sound), 1):
+        told = pb.Heartbeat(vm="turin-1", incarnation=1, region="turin", has_loads=True)
+        told.sequence, told.sent_unix_s = sequence, times["sent_unix_s"]
+        told.members.add(
+            vm="rome-1", incarnation=1, region="rome", heard_unix_s=times["heard_unix_s"]
+        )
+        heartbeats.apply(told)
+    assert heard_unix_s <= heartbeats.view.last_seen_unix_s("rome-1") <= now_unix_s()
+
+
 @pytest.mark.parametrize("text", ["", "-1", "+1", "1.0", "1e3", "x", "²", "٣", "11", "9" * 5_000])
 def test_text_that_is_no_count_in_range_is_none(text: str) -> None:
     assert parse_count(text, most=10) is None
