Refuse forwarded requests without a finite deadline

What others saw: a peer that forwards a request with a deadline that is no number or infinite had it queued here. No deadline ends such a request, and where it is compared with those of others, their order is spoiled. A cancellation without a finite deadline put a block first among those that expire, so that none of the later ones expired, up to the limit from which forwards can't be blocked.

Cause: the deadline was used as it came; NaN is neither earlier nor later than now.

Change: such a request is refused as not run (unknown, where an issued id may have run before), and such a cancellation blocks nothing and is answered as unknown, which promises nothing.

Evidence: test_forward_without_a_finite_deadline_is_refused (6 cases) and test_cancel_without_a_finite_deadline_blocks_nothing (3) failed before and pass. Of these, minus infinity was refused before, but as a deadline that had passed in transit.

--- a/src/pomelobarrow/peers/forward_server.py
+++ b/src/pomelobarrow/peers/forward_server.py
@@ -1,6 +1,7 @@
 """Run the requests that peers forward, or refuse them; none is forwarded again."""
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -137,6 +138,9 @@
             running.sink.is_taken_over = request.keeps_work
             return await running.cancel()
         deadline_unix_s = self.offsets.to_local(vm, request.deadline_unix_s)
+        # The block of this forward would keep those of all later ones from expiring.
+        if not math.isfinite(deadline_unix_s):
+            return UNKNOWN
         is_certain = self.registry.cancel(key, deadline_unix_s, now_unix_s())
         return NOT_RUN if is_certain else UNKNOWN
 
@@ -229,6 +233,12 @@
                 ErrorKind.BAD_HOME_REGION, RunStatus.NO, "the account's home is another region"
             )
         deadline_unix_s = self.offsets.to_local(vm, message.deadline_unix_s) - self._one_way_s(vm)
+        if not math.isfinite(deadline_unix_s):
+            return refuse(
+                ErrorKind.BAD_DEADLINE,
+                _run_before_ledger_check(message),
+                "the entry VM stated no time as the deadline",
+            )
         if deadline_unix_s <= now_unix_s() and not message.is_claim:
             return refuse(ErrorKind.DEADLINE_PASSED, RunStatus.NO, "the deadline passed in transit")
         return GatewayRequest(
--- a/tests/test_forward_server.py
+++ b/tests/test_forward_server.py
@@ -1,5 +1,7 @@
 """Deadlines of forwarded requests between VMs whose clocks differ."""
 
+import math
+
 import pytest
 
 from harness.deployments import RONDINELLA, configuration_values
@@ -54,7 +56,7 @@
     return offsets
 
 
-async def forward(ahead_s, left_s):
+async def forward(ahead_s, left_s, is_claim=False):
     """Forward a request whose deadline by the entry VM's clock is left_s ahead."""
     entry = Entry()
     server = ForwardServer(
@@ -71,6 +73,7 @@
             account="paying-milan",
             home_region="milan",
             deadline_unix_s=now_unix_s() + ahead_s + left_s,
+            is_claim=is_claim,
         )
     )
     await server.forward(stream, ENTRY)
@@ -98,6 +101,27 @@
     assert events[0].refusal.run == "no"
 
 
+@pytest.mark.parametrize("left_s", [math.nan, math.inf, -math.inf])
+@pytest.mark.parametrize("is_claim", [False, True])
+async def test_forward_without_a_finite_deadline_is_refused(left_s, is_claim):
+    """Guards against requests that no deadline ends and that spoil the order of a queue."""
+    requests, events = await forward(0.0, left_s, is_claim)
+    assert requests == []
+    assert events[0].refusal.kind == ErrorKind.BAD_DEADLINE.label
+    assert events[0].refusal.run == ("unknown" if is_claim else "no")
+
+
+@pytest.mark.parametrize("deadline_unix_s", [math.nan, math.inf, -math.inf])
+async def test_cancel_without_a_finite_deadline_blocks_nothing(deadline_unix_s):
+    """Blocks of cancelled forwards no longer expired, until no further one could be added."""
+    server = ForwardServer(
+        incarnation=1, configuration=lambda: CONFIGURATION, entry=Entry(), offsets=ClockOffsets()
+    )
+    cancel = pb.CancelRequest(executor_incarnation=1, serial=1, deadline_unix_s=deadline_unix_s)
+    assert await server.cancel(cancel, ENTRY) == "unknown"
+    assert len(server.registry) == 0
+
+
 async def test_last_events_come_before_the_end_in_a_message_of_their_own() -> None:
     """Peers of an earlier release read no bytes from the message that confirms the end."""
     stream = Stream(None)
