Pass on a peer's refusal whose retry time is impossible, without that time

What callers saw: if the refusal of a peer states an infinite time for the next attempt, or none that is a number, the entry VM fails while it writes the Retry-After header, and the caller gets an error of the web server (500, as read in its code; the exception was run) in place of the refusal. With 1e300 it gets a header of 301 digits.

Cause: the time was used as it came.

Change: a time that is no number, or later than callers can wait for, counts as not stated.

Evidence: test_refusal_of_a_peer_with_no_possible_retry_time_reaches_the_caller failed before (4 cases: OverflowError, ValueError, 301 digits) and passes.

--- a/src/pomelobarrow/peers/forward_client.py
+++ b/src/pomelobarrow/peers/forward_client.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 from grpclib.client import Channel
 
+from pomelobarrow.decision.common.bounded import number_or_none
 from pomelobarrow.decision.common.errors import KIND_BY_LABEL, ErrorKind, Refusal, RunStatus
 from pomelobarrow.decision.members.member import Member
 from pomelobarrow.decision.members.membership import MembershipView
@@ -36,6 +37,8 @@
 # Past the deadline, the caller waits at most this long for the peer to confirm a cancellation: two
 # round trips between regions.
 LATE_CANCEL_TIMEOUT_S = 0.3
+# Callers grant a request seven days at most.
+MAX_RETRY_AHEAD_S = 7 * 86_400.0
 
 
 @define(kw_only=True)
@@ -298,13 +301,15 @@
 
     def _refusal(self, message: pb.Refusal) -> Refusal:
         offset_s = self.forwarder.table.clock_offset_s(self.member.vm)
-        retry_at_unix_s = message.retry_at_unix_s - offset_s if message.retry_at_unix_s else None
+        retry_at_unix_s = number_or_none(
+            message.retry_at_unix_s - offset_s, now_unix_s() + MAX_RETRY_AHEAD_S
+        )
         return Refusal(
             kind=KIND_BY_LABEL.get(message.kind, ErrorKind.OUTCOME_UNKNOWN),
             run=RunStatus(message.run),
             detail=message.detail,
             remedy=message.remedy,
-            retry_at_unix_s=retry_at_unix_s,
+            retry_at_unix_s=retry_at_unix_s if message.retry_at_unix_s else None,
         )
 
     def _message(self) -> pb.ForwardRequest:
--- a/tests/test_forward_client.py
+++ b/tests/test_forward_client.py
@@ -1,6 +1,7 @@
 """Forwards whose connection is lost at the end of the answer."""
 
 import asyncio
+import math
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager, nullcontext
 from itertools import repeat
@@ -16,6 +17,7 @@
 
 from harness.peer_handlers import PeerHandlersStub
 from harness.processes import free_ports
+from pomelobarrow.callers.problems import problem_response
 from pomelobarrow.decision.common.errors import ErrorKind, RunStatus
 from pomelobarrow.decision.members.member import Member
 from pomelobarrow.decision.requests.attempt import Attempt, AttemptState
@@ -182,6 +184,23 @@
     assert result.refusal.detail == "no room"
 
 
+@pytest.mark.parametrize("retry_at_unix_s", [math.nan, math.inf, -math.inf, 1e300])
+async def test_refusal_of_a_peer_with_no_possible_retry_time_reaches_the_caller(
+    retry_at_unix_s: float,
+) -> None:
+    """The caller got 500, or a header with 301 digits."""
+    refused = pb.ForwardEvent()
+    refused.CopyFrom(REFUSED[0])
+    refused.refusal.retry_at_unix_s = retry_at_unix_s
+    async with forward_to(ConnectionLosingPeer((refused,)), Sink()) as forward:
+        result = await forward.run()
+
+    assert result.refusal is not None
+    response = problem_response(result.refusal)
+    assert response.status == ErrorKind.OVERLOADED.status
+    assert "Retry-After" not in response.headers
+
+
 async def test_incomplete_answer_stays_incomplete_when_its_connection_is_lost_at_once() -> None:
     """A peer reports an incomplete answer and closes the connection."""
     async with forward_to(ConnectionLosingPeer(INCOMPLETE), Sink()) as forward:
