Adopt request ids only if their times and ids fit

What callers could see: a request with an id that had run and expired ran again at the successor of its VM, if the hand-over states no number up to which ids have expired and the successor's clock is behind. An entry without a finite expiry kept the ids of the successor's ledger from expiring, and one with a wrong id made the claim fail that came when it expired.

Cause: the times and ids of the message were used as they came.

Change: an entry's id states its issuer and expiry, and both have to fit the message. If one doesn't, or the time of expired ids is no number or infinite, nothing is adopted: the ids stay retired at their VM, and retries get "unknown".

Evidence: test_hand_over_without_the_time_of_expired_ids_is_rejected (2 cases) and test_hand_over_of_an_id_that_does_not_fit_its_entry_is_rejected (4) failed before and pass. By hand on the code before: NaN as the time of expired ids gave a claim of kind FRESH for an id that had run; the id "r1" raised UnwrapError in one claim.

--- a/src/pomelobarrow/peers/hand_over.py
+++ b/src/pomelobarrow/peers/hand_over.py
@@ -1,10 +1,13 @@
 """Transfer the request ids of a stopping VM to one successor."""
 
 import asyncio
+import math
 
 import structlog
+from result import Ok
 
 from pomelobarrow.decision.members.member import Member
+from pomelobarrow.decision.requests.issued_id import Issuer, parse_issuer
 from pomelobarrow.decision.requests.request_ids import (
     AlreadyExportedError,
     EntryState,
@@ -44,7 +47,15 @@
 
 
 def adopt_message(ledger: RequestIdLedger, message: pb.HandOverRequest) -> bool:
-    """Adopt another VM's ids; return False if the ledger can't take them."""
+    """Adopt another VM's ids; return False if the ledger can't take them.
+
+    Without the time up to which ids have expired, one that has run could run again.
+    """
+    # Also false for NaN.
+    has_expiry = message.expired_through_unix_s < math.inf
+    if not (has_expiry and all(_fits_id(each, message) for each in message.entries)):
+        log.warning("request ids not adopted", issuer=message.vm, reason="times or ids don't fit")
+        return False
     export = LedgerExport(
         secret=message.secret,
         entries=tuple(_entry(each) for each in message.entries),
@@ -53,6 +64,12 @@
     return ledger.adopt(message.vm, message.incarnation, export)
 
 
+def _fits_id(entry: pb.LedgerEntry, message: pb.HandOverRequest) -> bool:
+    """Return whether an entry has the issuer and the expiry that its id states."""
+    stated = Issuer(message.vm, message.incarnation, entry.expires_unix_s)
+    return parse_issuer(entry.request_id) == Ok(stated)
+
+
 async def _send(message: pb.HandOverRequest, own_vm: str, link: PeerLink, keys: PeerKeys) -> bool:
     channel = link.open_channel()
     try:
--- a/tests/test_peers_hand_over.py
+++ b/tests/test_peers_hand_over.py
@@ -1,12 +1,19 @@
 import asyncio
+import math
 from collections.abc import Callable
 from types import SimpleNamespace
+from typing import Any
 
 import pytest
 from grpclib.client import Channel
 
 from pomelobarrow.decision.members.member import Member
-from pomelobarrow.decision.requests.request_ids import ClaimKind, Outcome, RequestIdLedger
+from pomelobarrow.decision.requests.request_ids import (
+    ID_LIFETIME_S,
+    ClaimKind,
+    Outcome,
+    RequestIdLedger,
+)
 from pomelobarrow.kernel.settings import PeerKey
 from pomelobarrow.peers import hand_over as module
 from pomelobarrow.peers import peers_pb2 as pb
@@ -86,6 +93,45 @@
     assert claim.outcome.run == "unknown"
 
 
+@pytest.mark.parametrize("expired_through_unix_s", [math.nan, math.inf])
+async def test_hand_over_without_the_time_of_expired_ids_is_rejected(
+    monkeypatch: pytest.MonkeyPatch, expired_through_unix_s: float
+) -> None:
+    """An id that had run and expired at its issuer ran again at a VM whose clock is behind."""
+    ledger, ids = stopping_ledger()
+    ledger.expire(NOW_UNIX_S + ID_LIFETIME_S + 1.0)
+    message = await captured_message(monkeypatch, ledger)
+    message.expired_through_unix_s = expired_through_unix_s
+    successor = RequestIdLedger("milan-2", 1, b"t" * 32)
+    successor.expire(NOW_UNIX_S)
+    assert not adopt_message(successor, message)
+    assert successor.claim(ids["finished"], "shop", NOW_UNIX_S).kind is ClaimKind.NOT_MINE
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"expires_unix_s": math.nan},
+        {"expires_unix_s": math.inf},
+        {"expires_unix_s": NOW_UNIX_S},
+        {"request_id": "r1"},
+    ],
+    ids=str,
+)
+async def test_hand_over_of_an_id_that_does_not_fit_its_entry_is_rejected(
+    monkeypatch: pytest.MonkeyPatch, wrong: dict[str, Any]
+) -> None:
+    """The claim of a caller failed when the id expired, or the ledger's ids no longer expired."""
+    ledger, _ = stopping_ledger()
+    message = await captured_message(monkeypatch, ledger)
+    for name, value in wrong.items():
+        setattr(message.entries[0], name, value)
+    successor = RequestIdLedger("milan-2", 1, b"t" * 32)
+    assert not adopt_message(successor, message)
+    assert len(successor) == 0
+    assert successor.expire(NOW_UNIX_S + 2 * ID_LIFETIME_S) == 0
+
+
 @pytest.mark.parametrize("is_listening", [True, False])
 async def test_after_an_unconfirmed_hand_over_no_id_is_usable_here(
     monkeypatch: pytest.MonkeyPatch, is_listening: bool
