Take no unframed stream for complete if no probe of its server is answered

What callers saw: a stream without a length and without chunks looked complete before its last event, if its server was killed behind a proxy or load balancer (status 200, regular end).

Cause: such an answer ends with its connection, also if the process is killed. The check of the server counted it as running unless its address refused connections. A proxy accepts them and resets them or keeps them silent.

Change: the check has three results. Running needs an answer; an address that refuses connections has ended; all else is unknown. A stream that may be resumed goes on at another server where the result is unknown.

Why it works: completeness needs a positive mark, an answer to the probe. If nothing was missing, the other server adds nothing, so that a full server that resets connections costs one retry of the budget and no event. Whole answers and streams that may not be resumed are passed on as before, since no other server could add what is missing.

The assertions of tests/test_end_check.py distinguish the three results; none is weaker.

--- a/src/pomelobarrow/backends/end_check.py
+++ b/src/pomelobarrow/backends/end_check.py
@@ -1,6 +1,7 @@
 """Find out whether the process of a backend server has ended."""
 
 import asyncio
+import enum
 from collections.abc import Mapping
 
 import aiohttp
@@ -15,13 +16,19 @@
 CHECK_DELAYS_S = (0.0, 0.05)
 
 
-async def has_ended(
-    sessions: BackendSessions, server: BackendServer, path: str, headers: Mapping[str, str]
-) -> bool:
-    """Return whether a server refuses connections; any answer shows that it is running.
+class ServerState(enum.Enum):
+    """Enumerate what a probe shows of a server's process."""
 
-    A server that resets them, and doesn't refuse them soon, may have too many.
-    """
+    RUNNING = "running"
+    ENDED = "ended"
+    # It has too many connections or is busy, or has ended behind a proxy that accepts them.
+    UNKNOWN = "unknown"
+
+
+async def check_server(
+    sessions: BackendSessions, server: BackendServer, path: str, headers: Mapping[str, str]
+) -> ServerState:
+    """Probe a server: any answer shows that it is running, a refused connection that it isn't."""
     url = sessions.url(server.address, path)
     for delay_s in CHECK_DELAYS_S:
         await asyncio.sleep(delay_s)
@@ -29,10 +36,17 @@
             async with sessions.fresh.get(
                 url, headers=headers, timeout=CHECK_TIMEOUT, allow_redirects=False
             ):
-                return False
+                return ServerState.RUNNING
         except TimeoutError:
-            return False
+            return ServerState.UNKNOWN
         except (aiohttp.ClientError, OSError) as error:
             if is_connection_refused(error):
-                return True
-    return False
+                return ServerState.ENDED
+    return ServerState.UNKNOWN
+
+
+async def has_ended(
+    sessions: BackendSessions, server: BackendServer, path: str, headers: Mapping[str, str]
+) -> bool:
+    """Return whether a server is known to have ended."""
+    return await check_server(sessions, server, path, headers) is ServerState.ENDED
--- a/src/pomelobarrow/backends/reach_monitor.py
+++ b/src/pomelobarrow/backends/reach_monitor.py
@@ -7,7 +7,7 @@
 import aiohttp
 from attrs import define, field
 
-from pomelobarrow.backends.end_check import has_ended
+from pomelobarrow.backends.end_check import ServerState, check_server
 from pomelobarrow.backends.engine import CONNECTION_ERRORS
 from pomelobarrow.backends.sessions import BackendSessions, describe_error
 from pomelobarrow.decision.requests.short_key import short_key
@@ -76,8 +76,12 @@
             await asyncio.wait({self._rounds[pool]})
 
     async def has_ended(self, server: BackendServer) -> bool:
-        """Return whether the process of a server has ended."""
-        return await has_ended(self.sessions, server, self.probe_path, self.probe_headers)
+        """Return whether the process of a server is known to have ended."""
+        return await self.check_server(server) is ServerState.ENDED
+
+    async def check_server(self, server: BackendServer) -> ServerState:
+        """Return what a probe shows of the process of a server."""
+        return await check_server(self.sessions, server, self.probe_path, self.probe_headers)
 
     def _start_probes(self, pool: str) -> None:
         if pool not in self._probes:
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -7,6 +7,7 @@
 
 from pomelobarrow.backends.answer_buffers import AnswerBuffer
 from pomelobarrow.backends.answer_limits import UNRESERVED_ANSWER_BYTES, AnswerTooLargeError
+from pomelobarrow.backends.end_check import ServerState
 from pomelobarrow.backends.engine import CONNECTION_ERRORS
 from pomelobarrow.backends.sessions import (
     BackendSessions,
@@ -38,6 +39,7 @@
 
 STATUS_OK = 200
 EVENT = "event"
+END_UNCONFIRMED = "the answer has no mark of its end, and its server did not answer a probe"
 
 
 @frozen(kw_only=True)
@@ -85,8 +87,8 @@
     on_first_event: Callable[[ServerAnswerHead], None] = lambda head: None
     # Returns whether the target still takes requests, asked when the connection is open.
     may_send: Callable[[], bool] = lambda: True
-    # Returns whether the target's process has ended; None if only a complete answer ends that way.
-    has_ended: Callable[[], Awaitable[bool]] | None = None
+    # Probes the target's process; None if only a complete answer ends like one of an ended process.
+    check_server: Callable[[], Awaitable[ServerState]] | None = None
     first_answer_unix_s: float | None = None
     # The longest time between two events; for logs.
     longest_pause_s: float = 0.0
@@ -212,7 +214,7 @@
 
     async def _read_complete(self, response: ResponseHead, head: ServerAnswerHead) -> AttemptReport:
         body_parts = await self.buffer.read(response.content, response.stated_bytes)
-        if await self._is_cut_by_its_end(response):
+        if await self._server_state(response) is ServerState.ENDED:
             return self._lost(CUT_BY_ITS_END, is_closed=True)
         self._note_first_answer(head)
         self.record.progress.apply(AttemptEvent.END)
@@ -250,8 +252,12 @@
             return self._lost("the stream ended in the middle of an event", is_closed=True)
         if not self.sink.is_started and not self.position.last_id:
             return self._lost("the stream ended before its first event", is_closed=True)
-        if await self._is_cut_by_its_end(response):
+        state = await self._server_state(response)
+        if state is ServerState.ENDED:
             return self._lost(CUT_BY_ITS_END, is_closed=True)
+        # If nothing was missing, another server adds nothing.
+        if state is ServerState.UNKNOWN and self._may_be_resumed():
+            return self._lost(END_UNCONFIRMED)
         if held := self.position.release_held():
             await self._pass_on(held, head)
         # The client had all events before it took the stream up.
@@ -275,13 +281,18 @@
         self.position.note_sent(events)
         await self.sink.send(events[0] if len(events) == 1 else b"".join(events))
 
-    async def _is_cut_by_its_end(self, response: ResponseHead) -> bool:
-        """Return whether the server has ended, which may have ended the answer too early.
+    def _may_be_resumed(self) -> bool:
+        return self.request.route.is_resumable and self.position.is_resumable
+
+    async def _server_state(self, response: ResponseHead) -> ServerState:
+        """Probe the server if its answer may have ended too early.
 
         The connections of a process that is killed close like that of a complete answer.
         """
         is_marked = response.body_end is not BodyEnd.CONNECTION
-        return not is_marked and self.has_ended is not None and await self.has_ended()
+        if is_marked or self.check_server is None:
+            return ServerState.RUNNING
+        return await self.check_server()
 
     def _note_first_answer(self, head: ServerAnswerHead) -> None:
         if self.first_answer_unix_s is None:
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from pomelobarrow.backends.answer_buffers import AnswerBuffer
+from pomelobarrow.backends.end_check import ServerState
 from pomelobarrow.backends.reach_monitor import SERVER_CONNECT_TIMEOUT_S, ReachMonitor
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.admission.retry_share import RetryShare
@@ -243,7 +244,7 @@
                 on_head=on_head,
                 on_first_answer=lambda: self.placer.record_first_answer(work, server, now_unix_s()),
                 may_send=lambda: table.takes_requests(server, now_unix_s()),
-                has_ended=lambda: self.reach.has_ended(server),
+                check_server=lambda: self.reach.check_server(server),
             )
         finally:
             table.release(work.request_id, now_unix_s())
@@ -338,7 +339,7 @@
         on_pause: Callable[[float], None] = lambda pause_s: None,
         on_head: Callable[[ServerAnswerHead], None] = lambda head: None,
         may_send: Callable[[], bool] = lambda: True,
-        has_ended: Callable[[], Awaitable[bool]] | None = None,
+        check_server: Callable[[], Awaitable[ServerState]] | None = None,
         on_first_answer: Callable[[], None] = lambda: None,
     ) -> AttemptReport:
         started_unix_s = now_unix_s()
@@ -366,7 +367,7 @@
             on_first_event=lambda head: self.joins.bind(progress, software_of(head)),
             first_answer_timeout=first_answer_timeout,
             may_send=may_send,
-            has_ended=has_ended,
+            check_server=check_server,
         )
         try:
             report = await attempt.run()
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -65,6 +65,8 @@
     has_ended: bool = False
     # True if it resets the next connection and stops listening then.
     is_ending: bool = False
+    # Treats all further connections in place of answering, as a proxy of an ended server does.
+    on_connection: Callable[[asyncio.StreamWriter], None] | None = None
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(factory=set)
 
@@ -100,6 +102,9 @@
             writer.transport.abort()
             return
         self._writers.add(writer)
+        if self.on_connection is not None:
+            self.on_connection(writer)
+            return
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
         line, *fields = head.strip().split("\r\n")
         headers = {name.lower(): value for name, value in (each.split(": ", 1) for each in fields)}
@@ -225,6 +230,30 @@
     return script
 
 
+def is_killed_behind_a_proxy(
+    body: bytes, on_connection: Callable[[asyncio.StreamWriter], None]
+) -> Script:
+    """Answer without length and chunks, and end; a proxy still accepts connections."""
+
+    async def script(exchange: Exchange) -> None:
+        exchange.write_head(200, Content_Type="text/event-stream", Connection="close")
+        exchange.writer.write(body)
+        await exchange.writer.drain()
+        exchange.server.on_connection = on_connection
+        exchange.writer.close()
+
+    return script
+
+
+def resets_connection(writer: asyncio.StreamWriter) -> None:
+    """Treat a connection like a proxy that reaches no server."""
+    writer.transport.abort()
+
+
+def keeps_connection_silent(writer: asyncio.StreamWriter) -> None:
+    """Treat a connection like a proxy whose server has vanished."""
+
+
 def event(number: int) -> bytes:
     """Return an event of a stream."""
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
--- a/tests/test_end_check.py
+++ b/tests/test_end_check.py
@@ -2,10 +2,12 @@
 
 import asyncio
 
+import aiohttp
 import pytest
 from aiohttp import web
 
-from pomelobarrow.backends.end_check import has_ended
+from pomelobarrow.backends import end_check
+from pomelobarrow.backends.end_check import ServerState, check_server, has_ended
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.requests.work import BackendServer
 
@@ -22,16 +24,19 @@
     )
 
 
-async def _check(port: int) -> bool:
+async def _check(port: int) -> ServerState:
     sessions = BackendSessions({})
     try:
-        return await has_ended(sessions, _server(port), "/", {})
+        state = await check_server(sessions, _server(port), "/", {})
+        is_ended = await has_ended(sessions, _server(port), "/", {})
+        assert is_ended is (state is ServerState.ENDED)
+        return state
     finally:
         await sessions.close()
 
 
 async def test_server_that_refuses_connections_has_ended(unused_tcp_port: int) -> None:
-    assert await _check(unused_tcp_port)
+    assert await _check(unused_tcp_port) is ServerState.ENDED
 
 
 @pytest.mark.parametrize("status", [200, 421, 503])
@@ -43,7 +48,7 @@
     await runner.setup()
     site = web.TCPSite(runner, "127.0.0.1", 0)
     await site.start()
-    assert not await _check(runner.addresses[0][1])
+    assert await _check(runner.addresses[0][1]) is ServerState.RUNNING
     await runner.cleanup()
 
 
@@ -51,7 +56,10 @@
 async def test_server_that_resets_a_connection_has_ended_if_it_refuses_the_next(
     stops: bool,
 ) -> None:
-    """A process that ends may accept a connection; one that has too many resets them all."""
+    """A process that ends may accept a connection.
+
+    One that has too many resets them all, and so does a proxy whose server has ended.
+    """
 
     async def reset(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if stops:
@@ -60,4 +68,20 @@
 
     async with await asyncio.start_server(reset, "127.0.0.1", 0) as listening:
         port = listening.sockets[0].getsockname()[1]
-        assert await _check(port) is stops
+        expected = ServerState.ENDED if stops else ServerState.UNKNOWN
+        assert await _check(port) is expected
+
+
+async def test_server_that_does_not_answer_may_have_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A proxy accepts the connections of a server that has vanished."""
+    monkeypatch.setattr(end_check, "CHECK_TIMEOUT", aiohttp.ClientTimeout(total=0.02))
+    accepted = []
+
+    async def keep(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        accepted.append(writer)
+
+    async with await asyncio.start_server(keep, "127.0.0.1", 0) as listening:
+        port = listening.sockets[0].getsockname()[1]
+        assert await _check(port) is ServerState.UNKNOWN
+        for writer in accepted:
+            writer.close()
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -11,7 +11,10 @@
     Script,
     event,
     is_killed_after,
+    is_killed_behind_a_proxy,
     is_killed_slowly_after,
+    keeps_connection_silent,
+    resets_connection,
     streams,
     writes,
     writes_unframed,
@@ -193,6 +196,30 @@
     assert await receive(killed) == (events(*range(1, pieces + 1)), False)
 
 
+@pytest.mark.parametrize("on_connection", [resets_connection, keeps_connection_silent])
+@pytest.mark.parametrize("pieces", [2, LAST])
+async def test_unframed_stream_of_a_server_killed_behind_a_proxy_is_not_taken_for_complete(
+    pieces: int, on_connection: Callable[[asyncio.StreamWriter], None]
+) -> None:
+    """A proxy accepts connections for a server that has ended, and none of them is refused."""
+    killed = is_killed_behind_a_proxy(events(*range(1, pieces + 1)), on_connection)
+    log: list[object] = []
+    assert await receive(killed, streams(LAST), log=log) == (events(1, 2, 3, 4), True)
+    ends = [each for each in log if isinstance(each, RelayAttemptEnded)]
+    assert [end.end for end in ends] == ["lost", "passed on"]
+    assert await receive(killed) == (events(*range(1, pieces + 1)), False)
+
+
+async def test_unframed_stream_that_may_not_be_resumed_is_complete_if_no_probe_is_answered() -> (
+    None
+):
+    """No other server could add what is missing, and a full server resets connections, too."""
+    full = is_killed_behind_a_proxy(events(1, 2), resets_connection)
+    async with relay_fleet((route(RouteKind.STREAM),), {"a": {"s1": full}}) as fleet:
+        answer = await ask(fleet.vms["a"], "/stream/")
+    assert (answer.status, answer.body) == (200, events(1, 2))
+
+
 async def test_other_transfer_codings_than_chunks_mark_no_end() -> None:
     """An answer with any transfer coding counted as one whose end is marked."""
     killed = is_killed_after(events(1, 2), Transfer_Encoding="identity")
