--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,6 +1,7 @@
 """Start the daemons, store and servers of one soak, the latter two behind a proxy."""
 
 import asyncio
+import signal
 from collections import Counter
 from collections.abc import Mapping
 from contextlib import AsyncExitStack
@@ -43,6 +44,7 @@
 APPLY_S, REVOCATION_S, LIMIT_WINDOW_S = 5.0, 2.0, 8.0
 TIMEOUT_MS = 3_000
 READY_TIMEOUT_S, READY_CHECK_S = 30.0, 0.05
+EXIT_TIMEOUT_S = 5.0
 REQUEST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
 
 
@@ -77,6 +79,8 @@
     starts: Counter[str] = field(factory=Counter)
     # The accounts of the configuration.
     tenants: list[dict[str, Any]] = field(factory=list)
+    # Unset while no daemon is ready since all were killed at once.
+    has_daemons: asyncio.Event = field(factory=asyncio.Event)
     _ports: Mapping[str, int] = field(factory=dict)
     _stack: AsyncExitStack = field(factory=AsyncExitStack)
     _control: str = ""
@@ -91,6 +95,7 @@
         await self._start_store_and_servers()
         for daemon in self.daemons:
             self.start_daemon(daemon)
+        self.has_daemons.set()
         return self
 
     async def __aexit__(self, *error: object) -> None:
@@ -122,6 +127,24 @@
         arguments = ("harness.serve", str(path), str(self._ports["metrics"]))
         self.processes.start(daemon.vm, arguments, announces=False)
 
+    def kill_all_daemons(self) -> None:
+        """Kill all daemons at once."""
+        self.has_daemons.clear()
+        for daemon in self.daemons:
+            self.processes.signal(daemon.vm, signal.SIGKILL)
+        for daemon in self.daemons:
+            self.processes.wait(daemon.vm, EXIT_TIMEOUT_S)
+
+    async def start_all_daemons(self) -> None:
+        """Start all daemons and wait until each is ready."""
+        for daemon in self.daemons:
+            self.start_daemon(daemon)
+        await asyncio.gather(*(self._wait_started(daemon) for daemon in self.daemons))
+
+    async def _wait_started(self, daemon: Daemon) -> None:
+        await self.wait_ready(daemon)
+        self.has_daemons.set()
+
     def ended_daemons(self) -> list[str]:
         """Return a line for each daemon that exited unexpectedly."""
         codes = {each.vm: self.processes.running[each.vm].poll() for each in self.daemons}
