Wait for the peers of a VM that has just started before a stream is refused

Cause: "unknown" was the verdict of a VM that hadn't asked anybody yet.

Change: where the version isn't certain, a VM that hasn't joined waits until it has, half a second at most. If it still hasn't, the refusal is not_ready with a Retry-After, since another VM may know the stream.

--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -22,6 +22,7 @@
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
 from pomelobarrow.kernel.settings import RelaySettings
 from pomelobarrow.peers.config_proofs import ConfigProofs
+from pomelobarrow.peers.joining import Joining
 from pomelobarrow.peers.region_loads import RegionLoads
 from pomelobarrow.peers.stream_software import StreamSoftwareUpdates
 from pomelobarrow.peers.token_grants import TokenGrants
@@ -208,6 +209,7 @@
         streams=context.get(StreamSoftware),
         servers=lambda: published.backend_servers,
         ask_peers=context.get(StreamSoftwareUpdates).find,
+        is_joined=lambda: context.get(Joining).is_joined,
         observe=context.observe,
     )
 
--- a/src/pomelobarrow/relay/stream_joins.py
+++ b/src/pomelobarrow/relay/stream_joins.py
@@ -1,5 +1,6 @@
 """Bind each stream to the software that began it, and determine that of streams taken up again."""
 
+import asyncio
 import enum
 from collections.abc import Awaitable, Callable, Mapping
 
@@ -28,8 +29,14 @@
 
 SOFTWARE_UNKNOWN = "no VM knows which software version began the stream"
 NO_SERVER_LISTED = "this VM lists no server that the stream could go on at"
+NOT_JOINED = "this VM has just started and has not reached its peers, which may know the stream"
 OTHER_SOFTWARE = "a server of another software version than the one that began the stream answered"
 
+# A VM that has just started reaches its peers within some hundred milliseconds. After a power loss,
+# clients take up their streams before that.
+JOINING_WAIT_S = 0.5
+CHECK_EVERY_S = 0.02
+
 
 class SoftwareSource(enum.Enum):
     """Enumerate how the software of a stream that a client takes up is known."""
@@ -86,6 +93,8 @@
     # Asks peers for the software of the stream of a request id and target; the last argument states
     # whether it is certain without a record.
     ask_peers: Callable[[str, StreamTarget, bool], Awaitable[PeersKnowledge]] | None = None
+    # Returns whether this VM has reached the peers that it can reach.
+    is_joined: Callable[[], bool] = lambda: True
     observe: Callable[[object], None] = lambda event: None
 
     async def bind(
@@ -114,9 +123,11 @@
         )
         if software is not None:
             return Ok((self._pool_of(software, route) or pool, software))
-        if listed:
-            return Err(refuse(ErrorKind.NOT_RESUMABLE, RunStatus.NO, SOFTWARE_UNKNOWN))
-        return Err(refuse(ErrorKind.NOT_READY, RunStatus.NO, NO_SERVER_LISTED))
+        if not listed:
+            return Err(refuse(ErrorKind.NOT_READY, RunStatus.NO, NO_SERVER_LISTED))
+        if not self.is_joined():
+            return Err(refuse(ErrorKind.NOT_READY, RunStatus.NO, NOT_JOINED))
+        return Err(refuse(ErrorKind.NOT_RESUMABLE, RunStatus.NO, SOFTWARE_UNKNOWN))
 
     async def _software(
         self, head: RequestHead, target: StreamTarget, stated: int | None
@@ -124,6 +135,8 @@
         if stated is not None:
             return stated, SoftwareSource.STATED
         is_certain = self.streams.history.assumed(target, now_unix_s()) is not None
+        if not is_certain:
+            await self._wait_until_joined()
         found = await self._find(head, target, is_certain)
         if found.software_key is not None:
             return found.software_key, SoftwareSource.RECORDED
@@ -136,6 +149,12 @@
         is_own = only_software((own,), history.retention_s) is not None
         return assumed, SoftwareSource.ASSUMED if is_own else SoftwareSource.ASSUMED_BY_PEERS
 
+    async def _wait_until_joined(self) -> None:
+        """Wait for the peers of a VM that has just started, which may know the stream."""
+        give_up_unix_s = now_unix_s() + JOINING_WAIT_S
+        while not self.is_joined() and now_unix_s() < give_up_unix_s:
+            await asyncio.sleep(CHECK_EVERY_S)
+
     async def _find(
         self, head: RequestHead, target: StreamTarget, is_certain: bool
     ) -> PeersKnowledge:
--- a/tests/test_relay_software_versions.py
+++ b/tests/test_relay_software_versions.py
@@ -17,6 +17,7 @@
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers.stream_software import PeersKnowledge
 from pomelobarrow.relay import relay as relay_module
+from pomelobarrow.relay import stream_joins
 from pomelobarrow.relay.events import StreamTakenUp
 
 RESUMABLE = route(RouteKind.STREAM, is_resumable=True, max_attempts=4)
@@ -298,3 +299,37 @@
         answer = await _take_up(fleet, "a", resumes)
         assert _received(fleet, "s1") == 0
     assert (answer.status, "Retry-After" in answer.headers) == (503, False)
+
+
+async def test_stream_taken_up_before_a_vm_has_joined_waits_for_its_peers() -> None:
+    """It was refused for good some milliseconds before a peer could state its version."""
+    servers = {"a": {"s1": streams(LAST)}}
+    async with relay_fleet((RESUMABLE,), servers, list_known_for_s=0.0) as fleet:
+        vm = fleet.vms["a"]
+        [software] = map(software_key, vm.relay.placer.servers().values())
+        checks = iter((False, False, True))
+        vm.front.resumed.is_joined = lambda: next(checks, True)
+
+        async def ask_peers(
+            request_id: str, target: StreamTarget, is_certain: bool
+        ) -> PeersKnowledge:
+            is_joined = next(checks, None) is None
+            return PeersKnowledge(software_key=software if is_joined else None)
+
+        vm.front.resumed.ask_peers = ask_peers
+        answer = await _take_up(fleet, "a")
+    assert (answer.status, answer.body) == (200, event(3) + event(4))
+
+
+async def test_stream_taken_up_at_a_vm_that_does_not_join_in_time_may_come_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its client must not begin anew, since another VM may know the stream."""
+    monkeypatch.setattr(stream_joins, "JOINING_WAIT_S", 0.0)
+    servers = {"a": {"s1": streams(LAST)}}
+    async with relay_fleet((RESUMABLE,), servers, list_known_for_s=0.0) as fleet:
+        fleet.vms["a"].front.resumed.is_joined = lambda: False
+        answer = await _take_up(fleet, "a")
+        assert _received(fleet, "s1") == 0
+    assert (answer.status, "Retry-After" in answer.headers) == (503, True)
+    assert b'"kind":"not_ready"' in answer.body
