Check whether an engine's refusal ended together with the engine

On the product's own interface, callers could get a part of an engine's 4xx answer, framed as whole: one that has neither a length nor chunks ends with its connection, and a killed engine closes its connections as well. The answer was buffered, and passed on with a length of its own.

Relayed routes and plain services already ask in that case whether the server refuses connections; engines were left out, since the end of their streams is an event. That holds for status 200 only. The check is one function for engines and services now, and such an answer is an unknown outcome. Answers with a length or chunks are not checked.

Same cause elsewhere: an engine's statement that it did not run a request, loads, cache events and answers to orders are JSON objects, which are not valid in parts.

--- a/src/pomelobarrow/backends/end_check.py
+++ b/src/pomelobarrow/backends/end_check.py
@@ -1,11 +1,12 @@
-"""Find out whether the process of a backend server has ended."""
+"""Find out whether the process of a backend server has ended, and its answer with it."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 import aiohttp
 
 from pomelobarrow.backends.sessions import BackendSessions, is_connection_refused
+from pomelobarrow.backends.single_use import BodyEnd, body_end
 from pomelobarrow.decision.requests.work import BackendServer
 
 # An ended process refuses or resets connections within one round trip. An answer that may be
@@ -14,6 +15,8 @@
 # A process that ends closes its listening socket last, and resets what connected meanwhile.
 CHECK_DELAYS_S = (0.0, 0.05)
 
+EndCheck = Callable[[BackendServer], Awaitable[bool]]
+
 
 async def has_ended(
     sessions: BackendSessions, server: BackendServer, path: str, headers: Mapping[str, str]
@@ -36,3 +39,11 @@
             if is_connection_refused(error):
                 return True
     return False
+
+
+async def is_cut_by_its_end(
+    response: aiohttp.ClientResponse, server: BackendServer, check: EndCheck
+) -> bool:
+    """Return whether an answer may be incomplete: its end has no mark and its server has ended."""
+    mark = body_end(response.method, response.status, response.headers)
+    return mark is BodyEnd.CONNECTION and await check(server)
--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -9,12 +9,14 @@
 
 from pomelobarrow.backends.answer_buffers import AnswerBuffer, read_limited
 from pomelobarrow.backends.answer_limits import AnswerTooLargeError
+from pomelobarrow.backends.end_check import EndCheck, is_cut_by_its_end
 from pomelobarrow.backends.sessions import (
     CONNECT_TIMEOUT_S,
     BackendSessions,
     WithheldError,
     describe_error,
 )
+from pomelobarrow.backends.single_use import CUT_BY_ITS_END
 from pomelobarrow.backends.whole_answer import WholeAnswer
 from pomelobarrow.decision.published.configuration import Rank
 from pomelobarrow.decision.requests.attempt import Attempt, AttemptEvent, AttemptState
@@ -67,6 +69,8 @@
     on_head: Callable[[int, Mapping[str, str]], None] = lambda status, headers: None
     # Returns whether the server still takes requests, asked when the connection is open.
     may_send: Callable[[], bool] = lambda: True
+    # Returns whether the process of a server has ended; None if only a whole answer ends that way.
+    has_ended: EndCheck | None = None
     counter: EventCounter = field(factory=EventCounter)
     whole: WholeAnswer | None = None
     head_passed: bool = False
@@ -154,12 +158,14 @@
         if states_not_run(response.status, body):
             self.attempt.apply(AttemptEvent.REFUSE_UNRUN)
             return self._result(f"refused with {response.status}")
-        if 400 <= response.status < 500:
-            self.attempt.apply(AttemptEvent.FIRST_BYTE)
-            await self._pass_head(response.status, JSON_HEADERS)
-            await self.sink.chunk(body)
-            return await self._finish()
-        return self._unknown_result(f"answered {response.status}")
+        if not 400 <= response.status < 500:
+            return self._unknown_result(f"answered {response.status}")
+        if self.has_ended and await is_cut_by_its_end(response, self.server, self.has_ended):
+            return self._unknown_result(CUT_BY_ITS_END)
+        self.attempt.apply(AttemptEvent.FIRST_BYTE)
+        await self._pass_head(response.status, JSON_HEADERS)
+        await self.sink.chunk(body)
+        return await self._finish()
 
     async def _relay(self, chunks: AsyncIterator[bytes]) -> None:
         counter = self.counter
--- a/src/pomelobarrow/backends/service.py
+++ b/src/pomelobarrow/backends/service.py
@@ -1,12 +1,13 @@
 """Run one attempt on a plain service."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Callable, Mapping
 
 import aiohttp
 from attrs import define
 
 from pomelobarrow.backends.answer_buffers import read_limited
+from pomelobarrow.backends.end_check import EndCheck, is_cut_by_its_end
 from pomelobarrow.backends.engine import CONNECTION_ERRORS, states_not_run
 from pomelobarrow.backends.sessions import (
     CONNECT_TIMEOUT_S,
@@ -15,7 +16,7 @@
     WithheldError,
     describe_error,
 )
-from pomelobarrow.backends.single_use import CUT_BY_ITS_END, BodyEnd, body_end
+from pomelobarrow.backends.single_use import CUT_BY_ITS_END
 from pomelobarrow.decision.requests.attempt import Attempt, AttemptEvent, AttemptState
 from pomelobarrow.decision.requests.work import BackendServer
 from pomelobarrow.dispatch.answers import AnswerHead, AnswerSink, AttemptResult
@@ -43,7 +44,7 @@
     # Returns whether the server still takes requests, asked when the connection is open.
     may_send: Callable[[], bool] = lambda: True
     # Returns whether the process of a server has ended; None if only a whole answer ends that way.
-    has_ended: Callable[[BackendServer], Awaitable[bool]] | None = None
+    has_ended: EndCheck | None = None
     head_passed: bool = False
 
     async def run(self) -> AttemptResult:
@@ -96,17 +97,10 @@
         else:
             async for data in response.content.iter_any():
                 await self.sink.chunk(data)
-        if await self._is_cut_by_its_end(response):
+        if self.has_ended and await is_cut_by_its_end(response, self.server, self.has_ended):
             raise aiohttp.ClientPayloadError(CUT_BY_ITS_END)
         await self.sink.end()
 
-    async def _is_cut_by_its_end(self, response: aiohttp.ClientResponse) -> bool:
-        """Return whether the server has ended, which may have ended the answer too early."""
-        mark = body_end(response.method, response.status, response.headers)
-        if mark is not BodyEnd.CONNECTION or self.has_ended is None:
-            return False
-        return await self.has_ended(self.server)
-
     def _headers(self) -> list[tuple[str, str]]:
         headers = [each for each in self.request.headers if each[0].lower() not in HOP_BY_HOP]
         headers.append(("X-Request-Id", self.request.work.request_id))
