Test answers cut at each byte, on the product's own interface

Guards engines and plain services against an empty or short answer that looks whole where their server stops at any byte. It was not reproduced; no change of the product.

32 cases: engine or service; a length, chunks, neither, after an interim answer; a regular end or a reset; a running or a killed server; each cut at every byte up to the last one of the content (of a running service without framing, up to its blank line, where the answer is whole by definition), half of them on pooled connections. The caller's answer is never complete and the attempt not finished. A second answer on a kept connection is cut at every byte as well, with both parsers.

--- a/tests/test_backends_cut_answers.py
+++ b/tests/test_backends_cut_answers.py
@@ -1,9 +1,11 @@
 """What the product's own interface makes of answers whose server stops or ends within them."""
 
 import asyncio
+import itertools
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from functools import partial
+from socket import SO_LINGER, SOL_SOCKET
 from typing import Any
 
 import pytest
@@ -12,7 +14,9 @@
 
 from pomelobarrow.backends.end_check import has_ended
 from pomelobarrow.backends.engine import EngineAttempt
+from pomelobarrow.backends.service import ServiceAttempt
 from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.callers.sinks import RESET_ON_CLOSE
 from pomelobarrow.decision.requests.attempt import Attempt
 from pomelobarrow.decision.requests.work import BackendServer
 from pomelobarrow.dispatch.answers import AttemptResult
@@ -29,10 +33,14 @@
 
 @define(kw_only=True)
 class RawServer:
-    """Answer each request with the same bytes, and close the connection."""
+    """Answer a POST with these bytes, and end the connection and maybe the process.
+
+    Other requests are those of an engine for the rest of a stream, which it refuses.
+    """
 
     answer: bytes
     is_killed: bool
+    is_reset: bool = False
     _listening: asyncio.Server | None = field(default=None, init=False)
 
     @asynccontextmanager
@@ -52,17 +60,19 @@
         self._listening.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await reader.readuntil(b"\r\n\r\n")
+        head = await reader.readuntil(b"\r\n\r\n")
         assert self._listening is not None
-        writer.write(self.answer)
+        writer.write(self.answer if head.startswith(b"POST") else LENGTH)
         await writer.drain()
         if self.is_killed:
             self._listening.close()
+        if self.is_reset:
+            writer.get_extra_info("socket").setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
         writer.close()
 
 
 async def attempt_at(
-    server: RawServer, attempt_class: Callable[..., Any]
+    server: RawServer, attempt_class: Callable[..., Any], repeatable: bool = False
 ) -> tuple[AttemptResult, Sink]:
     """Run one attempt and return its result with what the caller got."""
     sessions, sink = BackendSessions({}), Sink()
@@ -70,7 +80,7 @@
     async with server.running() as entry:
         result = await attempt_class(
             sessions=sessions,
-            request=request_for("POST", is_chat=is_chat, repeatable=False, deadline_s=5.0),
+            request=request_for("POST", is_chat=is_chat, repeatable=repeatable, deadline_s=20.0),
             server=entry,
             attempt=Attempt(),
             number=1,
@@ -99,3 +109,38 @@
     result, sink = await attempt_at(RawServer(answer=answer, is_killed=is_killed), EngineAttempt)
     assert (sink.is_whole, result.is_finished) == (is_whole, is_whole)
     assert sink.body == (REFUSAL if is_whole else b"")
+
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+EVENTS = b'data: {"choices": []}\n\ndata: [DONE]\n\n'
+# Answers up to the last byte of their content.
+CONTENT = {
+    "length": OK + b"Content-Length: %d\r\n\r\n%b" % (len(EVENTS), EVENTS),
+    "chunks": OK + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b" % (len(EVENTS), EVENTS),
+    "no framing": OK + b"Connection: close\r\n\r\n" + EVENTS,
+    "interim answer": b"HTTP/1.1 103 Early Hints\r\n\r\n"
+    + OK
+    + b"Content-Length: %d\r\n\r\n%b" % (len(EVENTS), EVENTS),
+}
+
+
+@pytest.mark.parametrize(("is_reset", "is_killed"), [*itertools.product((False, True), repeat=2)])
+@pytest.mark.parametrize("name", CONTENT)
+@pytest.mark.parametrize("attempt_class", [EngineAttempt, ServiceAttempt])
+async def test_answer_cut_at_any_byte_is_incomplete(
+    attempt_class: Callable[..., Any], name: str, is_reset: bool, is_killed: bool
+) -> None:
+    """Guards against an empty or short answer that looks whole to the caller."""
+    answer = CONTENT[name]
+    # What a running service sends without framing is whole at the end of its connection.
+    is_whole_once_begun = (name, is_reset, is_killed) == ("no framing", False, False)
+    is_service = attempt_class is ServiceAttempt
+    end = answer.rindex(b"\r\n\r\n") + 4 if is_service and is_whole_once_begun else len(answer)
+
+    async def attempt_cut_at(size: int) -> None:
+        server = RawServer(answer=answer[:size], is_killed=is_killed, is_reset=is_reset)
+        result, sink = await attempt_at(server, attempt_class, repeatable=size % 2 == 0)
+        assert not sink.is_whole
+        assert not result.is_finished
+
+    await asyncio.gather(*(attempt_cut_at(size) for size in range(end)))
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -8,9 +8,10 @@
 import pytest
 from aiohttp import client_proto
 from aiohttp.http_exceptions import HttpProcessingError
-from cut_answer import HEADS, INTERIM, PARSERS, STATUS_LINE
+from cut_answer import BODY, HEADS, INTERIM, PARSERS, STATUS_LINE
 
 from pomelobarrow.backends.answer_handler import AnswerHandler
+from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.backends.single_use import BodyEnd, body_end
 
 RESET = ConnectionResetError(104, "Connection reset by peer")
@@ -94,3 +95,28 @@
                 message.headers["Content-Length"]
             )
             assert is_whole or mark is BodyEnd.CONNECTION, fields
+
+
+@pytest.mark.usefixtures("parser")
+async def test_second_answer_of_a_connection_is_incomplete_if_its_head_is_cut() -> None:
+    """Guards against parts of an answer on a connection that brought a whole one before."""
+    whole = HEADS["length first"] + BODY
+    waiting: list[bytes] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while waiting:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(waiting.pop(0))
+        writer.close()
+
+    async with await asyncio.start_server(serve, "127.0.0.1", 0) as listening:
+        url = f"http://127.0.0.1:{listening.sockets[0].getsockname()[1]}/"
+        for size in range(len(whole)):
+            waiting += [whole, whole[:size]]
+            sessions = BackendSessions({})
+            async with sessions.pooled.get(url) as response:
+                assert await response.read() == BODY
+            with pytest.raises(aiohttp.ClientError):
+                async with sessions.pooled.get(url) as response:
+                    await response.read()
+            await sessions.close()
