--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -89,6 +89,8 @@
 
     async def listen(self) -> None:
         """Accept connections, at the same address as before if it has listened already."""
+        if self._server is not None:
+            self._server.close()
         self._server = await asyncio.start_server(
             self._serve, self.host, self._port, backlog=BACKLOG
         )
