Keep a peer in use while the test cuts its answers

At a load of 16 to 21 the test got 503 from the entry VM instead of 502: no VM sends heartbeats in the harness, so that the peer counted as silent after some seconds and got no further requests (attempts 0 in the log).

--- a/tests/test_relay_cut_heads.py
+++ b/tests/test_relay_cut_heads.py
@@ -11,6 +11,7 @@
 from scripted_server import Exchange, Script, ScriptedServer, answers, streams
 
 from pomelobarrow.backends.reach_monitor import ReachMonitor
+from pomelobarrow.decision.members.live_members import LiveMembers
 from pomelobarrow.decision.published.routing import Route, RouteKind
 
 LENGTH = "length first"
@@ -125,7 +126,11 @@
     ids=["whole answer", "stream"],
 )
 async def test_answer_of_a_peer_cut_at_any_byte_is_incomplete(
-    kind: RouteKind, answer: Script, is_reset: bool, is_killed: bool
+    kind: RouteKind,
+    answer: Script,
+    is_reset: bool,
+    is_killed: bool,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a 200 that looks whole where a peer or its link is lost."""
     bound = route(kind, home_regions=("b",))
@@ -136,6 +141,8 @@
         async with ScriptedServer(name="", host=peer.host, script=recorded) as hop:
             entry.dial[recorded.address] = hop.address
             assert await status_if_whole(entry, bound) == 200
+            # No heartbeats are sent here, and a silent peer would get no further requests.
+            monkeypatch.setattr(LiveMembers, "refresh", lambda members, now_unix_s: None)
             for size in range(len(recorded.answer)):
                 hop.script = CutAnswer(
                     answer=recorded.answer,
