State no longer knowledge of versions than they are remembered for

What callers could see: a VM that has just started, and knows a route of streams longer than two minutes, took a stream for one of the only version that a peer stated. That peer didn't have the route yet: it had forgotten the stream's version two minutes after the last server of it had left.

Cause: a peer stated for how long it has known the list of servers, which may be longer than it remembers versions that are gone.

The stated time ends at the time of remembrance. It is rounded up to milliseconds there, so that peers with the same routes still vouch for each other.

Evidence: test_peers_state_no_longer_time_than_they_remember fails on the code before ( is None) and passes now.

--- a/src/pomelobarrow/peers/stream_software.py
+++ b/src/pomelobarrow/peers/stream_software.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from heapq import nsmallest
@@ -211,11 +212,14 @@
         if not query.path:
             return pb.StreamAnswer(number=query.number)
         target = StreamTarget(query.host, query.path)
-        stated = self.streams.history.statement(target, now_unix_s())
+        history = self.streams.history
+        stated = history.statement(target, now_unix_s())
+        # Versions that have been gone for longer are forgotten here.
+        remembered_ms = math.ceil(history.retention_s * MS_PER_S)
         return pb.StreamAnswer(
             number=query.number,
             recent_software_keys=nsmallest(MAX_STATED_KEYS, stated.software_keys),
-            known_for_ms=min(int(stated.known_for_s * MS_PER_S), MAX_KNOWN_FOR_MS),
+            known_for_ms=min(int(stated.known_for_s * MS_PER_S), remembered_ms, MAX_KNOWN_FOR_MS),
         )
 
 
--- a/tests/test_stream_software_updates.py
+++ b/tests/test_stream_software_updates.py
@@ -199,6 +199,15 @@
         assert await assumed_by_peers(vms["a-1"]) is None
 
 
+async def test_peers_state_no_longer_time_than_they_remember() -> None:
+    """A peer without the route of long streams had forgotten a version that such a stream is of."""
+    known_s = dict.fromkeys(REGION_BY_VM, 10 * STREAM_RETENTION_S)
+    async with fleet(listed(V2), known_s) as vms:
+        found = await vms["a-1"].find("never sent", TARGET, is_certain=False)
+    assert only_software(found.histories, STREAM_RETENTION_S) == SECOND
+    assert only_software(found.histories, 2 * STREAM_RETENTION_S) is None
+
+
 async def test_peers_that_have_seen_very_many_versions_make_none_certain() -> None:
     """They stated none, so that a VM with an old list of servers assumed the one that it listed."""
     many = [evolve(V1, name=f"s{n}", software_version=f"v{n}") for n in range(1_000)]
