Spare cold servers before a VM has joined

What callers could see: after all VMs of a region had restarted, a cold server got more requests in a second than it bears, and could crash under them.

Cause: the VMs that send to a cold server, and their parts of its rate, follow from the live VMs of the region. One that has just started has heard from no other and takes the whole rate, and that part is kept for half a second.

Until it has joined, a VM leaves cold servers out where the pool has another server that it may use. Where all are cold, it sends as before: nobody would serve otherwise.

Left: pools whose servers are all cold, and large regions of which a VM has heard from a part only when it joins.

--- a/src/pomelobarrow/decision/placement/local_choice.py
+++ b/src/pomelobarrow/decision/placement/local_choice.py
@@ -188,6 +188,9 @@
         cold = [server for server in servers if server.cold_until_unix_s > now_unix_s]
         if not cold or not rate_per_s:
             return set()
+        # A VM that has yet to join doesn't know which VMs share the rate.
+        if not self.members.are_known and self._has_warm_server(pool, now_unix_s):
+            return {server.name for server in cold}
         vms = [member.vm for member in self.members.live if member.region == self.own_region]
         return {
             server.name
@@ -195,6 +198,10 @@
             if not self.cold.allows(server, rate_per_s, vms, now_unix_s)
         }
 
+    def _has_warm_server(self, pool: str, now_unix_s: float) -> bool:
+        usable = self.table.usable_servers(pool, now_unix_s)
+        return any(server.cold_until_unix_s <= now_unix_s for server in usable)
+
     def record_copy(
         self, placement: Placement, work: Work, routing: Routing, now_unix_s: float
     ) -> None:
