Let streams go on in the first minutes of a system that starts for the first time

Cause: a VM can't tell the first start of the whole system from a restart of all VMs, although the platform states it.

Change: the platform's statement becomes a setting; with it a VM's history covers everything before its start. It is false whenever a process starts again.

Evidence: the new unit tests (can't be built on the code before).

--- a/src/pomelobarrow/decision/streams/software_history.py
+++ b/src/pomelobarrow/decision/streams/software_history.py
@@ -101,6 +101,8 @@
 class SoftwareHistory:
     """The software that recent streams may be of, by the list of servers and the routes."""
 
+    # Whether there was nothing before the first lists, since all VMs start for the first time.
+    is_first_start: bool = False
     # By pool and software: until when it was listed, if it no longer is.
     _gone_unix_s: dict[str, dict[int, float]] = field(factory=dict, init=False)
     # The software of the servers that are listed, by pool.
@@ -116,7 +118,8 @@
 
     def observe(self, servers: Mapping[str, BackendServer], now_unix_s: float) -> None:
         """Record the present list; the one before was valid until now."""
-        self._servers_known_unix_s = min(self._servers_known_unix_s, now_unix_s)
+        known_unix_s = 0.0 if self.is_first_start else now_unix_s
+        self._servers_known_unix_s = min(self._servers_known_unix_s, known_unix_s)
         for pool, keys in self._listed.items():
             self._gone_unix_s.setdefault(pool, {}).update(dict.fromkeys(keys, now_unix_s))
         self._listed = {}
@@ -130,7 +133,7 @@
         # Streams of former routes go on, so that the time never shrinks.
         self.retention_s = max(self.retention_s, self._routes.longest_stream_s + TAKE_UP_S)
         if former is None:
-            self._routes_known_unix_s = now_unix_s
+            self._routes_known_unix_s = 0.0 if self.is_first_start else now_unix_s
             return False
         if former == self._routes:
             return False
--- a/src/pomelobarrow/kernel/settings.py
+++ b/src/pomelobarrow/kernel/settings.py
@@ -111,6 +111,8 @@
     is_revocation_strict: bool = False
     # The time in which a new configuration takes effect on all VMs.
     config_apply_s: float = 0.0
+    # Whether the whole system starts for the first time, so that no stream is older than this VM.
+    is_first_start: bool = False
     # By how much all VMs together may exceed an account's limit in a burst, in the limit's unit.
     limit_tolerance: float = 0.0
 
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -12,6 +12,7 @@
 from pomelobarrow.decision.requests.request_ids import RequestIdLedger
 from pomelobarrow.decision.servers.crash_suspects import CrashSuspects
 from pomelobarrow.decision.servers.reachability import PeerReachability
+from pomelobarrow.decision.streams.software_history import SoftwareHistory
 from pomelobarrow.decision.streams.stream_software import StreamSoftware
 from pomelobarrow.dispatch.claims import ClaimedDispatch
 from pomelobarrow.dispatch.entry import EntryDispatch
@@ -87,7 +88,7 @@
     context.provide(PeerDatagrams, _datagrams)
     context.provide(ConfigProofs, _config_proofs)
     context.provide(TokenGrants, _token_grants)
-    context.provide(StreamSoftware, lambda _: StreamSoftware())
+    context.provide(StreamSoftware, _streams)
     context.provide(StreamSoftwareUpdates, _stream_software)
 
 
@@ -214,6 +215,12 @@
     )
 
 
+def _streams(context: Context) -> StreamSoftware:
+    relay = context.settings.relay
+    is_first_start = relay is not None and relay.is_first_start
+    return StreamSoftware(history=SoftwareHistory(is_first_start=is_first_start))
+
+
 def _stream_software(context: Context) -> StreamSoftwareUpdates:
     relay = context.settings.relay
     assert relay is not None
--- a/src/pomelobarrow/platform/settings.py
+++ b/src/pomelobarrow/platform/settings.py
@@ -84,6 +84,7 @@
             is_revocation_strict=bool(bounds.get("StrictRevoke")),
             config_apply_s=float(bounds.get("ApplyMs") or 0.0) / MS_PER_S,
             limit_tolerance=float(bounds.get("QuotaSlack") or 0.0),
+            is_first_start=decoded.get("Bootstrap") is True,
         ),
     )
 
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -72,3 +72,16 @@
     monkeypatch.delenv("POMELOBARROW_SETTINGS", raising=False)
     [fault] = load_settings().err_value or ()
     assert str(fault).startswith("environment: found no POMELOBARROW_SETTINGS; set it")
+
+
+@pytest.mark.parametrize(
+    ("stated", "is_first_start"),
+    [({}, False), ({"Bootstrap": False}, False), ({"Bootstrap": True}, True)],
+)
+def test_first_start_of_the_whole_system_is_translated(
+    stated: dict[str, bool], is_first_start: bool
+) -> None:
+    """A VM that took a restart for the first start would assume versions that it can't know."""
+    relay = translate_settings(SETTINGS | stated).unwrap().relay
+    assert relay is not None
+    assert relay.is_first_start is is_first_start
--- a/tests/test_software_history.py
+++ b/tests/test_software_history.py
@@ -250,3 +250,13 @@
     history.observe(listed(V1), NOW)
     assert history.assumed(TARGET, NOW + long_s) is None
     assert history.assumed(TARGET, NOW + long_s + TAKE_UP_S) == FIRST
+
+
+def test_system_that_starts_for_the_first_time_has_no_earlier_versions() -> None:
+    """Streams that clients took up without naming a request were refused for two minutes."""
+    history = SoftwareHistory(is_first_start=True)
+    history.observe_routing(ROUTES, NOW)
+    history.observe(listed(V1), NOW)
+    assert history.assumed(TARGET, NOW) == FIRST
+    history.observe(listed(V1, V2), NOW + 1.0)
+    assert history.assumed(TARGET, NOW + 1.0) is None
