Prove with real daemons that streams of a split route stay at their service

A split route shows it without any change, release or restart, as soon as a client takes up its stream at another VM.

The soak of streams can split its route over two services, whose servers mark their events, and counts an answer as wrong if it holds events of another service than the one that began the stream.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -41,6 +41,8 @@
     PROMPTED: ("stream", 3, True),
     STREAMED: ("stream", 3, True),
 }
+# The second service of the route of streams, if that is split.
+STREAMED_TOO = "streamed-too"
 APPLY_S, REVOCATION_S, LIMIT_WINDOW_S = 5.0, 2.0, 8.0
 TIMEOUT_MS = 3_000
 READY_TIMEOUT_S, READY_CHECK_S = 30.0, 0.05
@@ -77,6 +79,7 @@
     version: int = 0
     # How often each server has started.
     starts: Counter[str] = field(factory=Counter)
+    is_stream_route_split: bool = False
     # The accounts of the configuration.
     tenants: list[dict[str, Any]] = field(factory=list)
     # Unset while no daemon is ready since all were killed at once.
@@ -168,7 +171,14 @@
             }
             for name, (kind, attempts, resumable) in (KINDS | DEDICATED_POOLS).items()
         ]
-        services = [{"Name": name, "MaxConnections": 500} for name in (POOL, *DEDICATED_POOLS)]
+        pools = [POOL, *DEDICATED_POOLS]
+        if self.is_stream_route_split:
+            pools.append(STREAMED_TOO)
+            [streamed] = [route for route in routes if route["Name"] == STREAMED]
+            streamed["Split"] = [
+                {"Service": name, "Weight": 1.0} for name in (streamed.pop("Service"), STREAMED_TOO)
+            ]
+        services = [{"Name": name, "MaxConnections": 500} for name in pools]
         config = {"Version": self.version, "Routes": routes, "Services": services, "Limits": {}}
         self.store.put("op/config", config | {"Tenants": self.tenants})
 
--- a/soak/stream_records.py
+++ b/soak/stream_records.py
@@ -14,6 +14,8 @@
     status: int = 0
     # The numbers of its events.
     items: list[int] = field(factory=list)
+    # The services of the servers that sent them.
+    services: set[str] = field(factory=set)
     last_event_id: str = ""
     is_whole: bool = False
     sent_s: float = 0.0
@@ -33,6 +35,8 @@
     writes: str
     answers: list[Answer] = field(factory=list)
     last_item: int = 0
+    # The service that sent the first event.
+    service: str = ""
     last_event_id: str = ""
     first_attempt: str = ""
 
@@ -56,11 +60,15 @@
         first = first_item(self.form, answer.after)
         expected = list(range(first, first + len(answer.items)))
         if answer.stray or answer.items == expected:
-            return answer.stray
+            return answer.stray or self._joint(answer)
         if len(set(answer.items)) < len(answer.items) or min(answer.items) < first:
             return "comes twice"
         return "out of order" if sorted(answer.items) == expected else "missing"
 
+    def _joint(self, answer: Answer) -> str:
+        is_joined = len(answer.services) > 1 or (answer.after and answer.services - {self.service})
+        return "is joined from two services" if is_joined else ""
+
     def is_cut_short(self, answer: Answer) -> bool:
         """Return whether an answer looks complete before the last event."""
         return answer.is_whole and answer.status == 200 and answer.items[-1:] != [self.items]
--- a/soak/stream_server.py
+++ b/soak/stream_server.py
@@ -114,6 +114,7 @@
     """Answer requests that name this server with the stream that their body describes."""
 
     name: str
+    service: str
     random: Random
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -137,7 +138,8 @@
         plan, rng = json.loads(body), self.random
         is_chunked = plan["framing"] == CHUNKED
         last_event_id = headers.get("last-event-id", "")
-        pieces = content(plan["form"], plan["stream"], plan["padding_bytes"], last_event_id)
+        label = f"{plan['stream']}@{self.service}"
+        pieces = content(plan["form"], label, plan["padding_bytes"], last_event_id)
         writes = _writes(pieces, plan["writes"], is_chunked, rng)
         if is_chunked:
             writes.append(TAILS.get(plan["form"], b""))
@@ -178,8 +180,8 @@
     return list(cut(data, 1 if mode == BYTE_BY_BYTE else 1 + len(data) // SLICES, rng)) + end
 
 
-async def _main(name: str, port: int, seed: str) -> None:
-    server = StreamServer(name=name, random=Random(seed))
+async def _main(name: str, service: str, port: int, seed: str) -> None:
+    server = StreamServer(name=name, service=service, random=Random(seed))
     listening = await asyncio.start_server(server.serve, "127.0.0.1", port, reuse_address=True)
     print(json.dumps({"port": listening.sockets[0].getsockname()[1]}), flush=True)
     await listening.serve_forever()
@@ -188,7 +190,8 @@
 if __name__ == "__main__":
     parser = argparse.ArgumentParser()
     parser.add_argument("name")
+    parser.add_argument("service")
     parser.add_argument("port", type=int)
     parser.add_argument("seed")
     options = parser.parse_args()
-    asyncio.run(_main(options.name, options.port, options.seed))
+    asyncio.run(_main(options.name, options.service, options.port, options.seed))
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -15,7 +15,16 @@
 
 from soak.event_client import EventParser, read_body, read_head
 from soak.faults import Faults
-from soak.fleet import HOST, REGIONS, ROOT_HOST, STREAMED, TIMEOUT_MS, Daemon, SoakFleet
+from soak.fleet import (
+    HOST,
+    REGIONS,
+    ROOT_HOST,
+    STREAMED,
+    STREAMED_TOO,
+    TIMEOUT_MS,
+    Daemon,
+    SoakFleet,
+)
 from soak.servers import REQUEST_ID
 from soak.stream_records import Answer, Stream
 from soak.stream_server import (
@@ -60,8 +69,8 @@
     forms: tuple[str, ...] = tuple(FORMS)
     unframed_share: float = UNFRAMED_SHARE
     streams: list[Stream] = field(factory=list)
-    # The region and the port of each server that runs.
-    _running: dict[str, tuple[str, int]] = field(factory=dict)
+    # The region, the service and the port of each server that runs.
+    _running: dict[str, tuple[str, str, int]] = field(factory=dict)
     # When each server that was killed got the signal.
     _killed_s: dict[str, float] = field(factory=dict)
     _idle: dict[str, list[Connection]] = field(factory=dict)
@@ -69,8 +78,9 @@
 
     async def start(self) -> None:
         """Start and list all servers."""
-        names = REGIONS * SERVERS_PER_REGION
-        await asyncio.gather(*(self._start_one(region, 0) for region in names))
+        services = (STREAMED, STREAMED_TOO) if self.fleet.is_stream_route_split else (STREAMED,)
+        places = itertools.product(REGIONS * SERVERS_PER_REGION, services)
+        await asyncio.gather(*(self._start_one(region, service, 0) for region, service in places))
 
     async def send_until(self, until_s: float) -> None:
         """Send streams at random daemons while servers are killed and replaced."""
@@ -144,6 +154,7 @@
             if best.items:
                 stream.last_item, stream.last_event_id = best.items[-1], best.last_event_id
                 stream.first_attempt = stream.first_attempt or best.request_id
+                stream.service = stream.service or min(best.services)
             if best.is_whole or stream.fault(best) or not stream.may_go_on():
                 return
 
@@ -210,7 +221,7 @@
                 replacing.add(asyncio.create_task(self._replace(name, self._running.pop(name))))
         await asyncio.gather(*replacing)
 
-    async def _replace(self, name: str, place: tuple[str, int]) -> None:
+    async def _replace(self, name: str, place: tuple[str, str, int]) -> None:
         """Kill a server; start another one at its address before or after its entry lapses."""
         self._killed_s[name] = time.monotonic()
         self.fleet.processes.kill(name)
@@ -224,12 +235,12 @@
         await asyncio.sleep(UNLISTED_AFTER_S)
         self.fleet.store.put(f"servers/{name}", None)
 
-    async def _start_one(self, region: str, port: int) -> None:
+    async def _start_one(self, region: str, service: str, port: int) -> None:
         name, seed = f"streaming-{region}-{next(self._serial)}", str(self.random.random())
-        self.fleet.processes.start(name, ("soak.stream_server", name, str(port), seed))
+        self.fleet.processes.start(name, ("soak.stream_server", name, service, str(port), seed))
         announced = await asyncio.to_thread(self.fleet.processes.announcement, name)
-        self._running[name] = (region, announced["port"])
-        self.fleet.list_address(name, region, f"{ROOT_HOST}:{announced['port']}", STREAMED)
+        self._running[name] = (region, service, announced["port"])
+        self.fleet.list_address(name, region, f"{ROOT_HOST}:{announced['port']}", service)
 
 
 def _below(form: str, name: str, outcomes: list[bool], min_share: float) -> list[str]:
@@ -248,10 +259,12 @@
     answer.status = head.status
     async for data in read_body(reader, head, SLOW_READ_BYTES if is_slow else READ_BYTES):
         for event in parser.feed(data) if head.status == 200 else ():
-            item, stream_id, _ = event.data.split()
+            item, label, _ = event.data.split()
+            stream_id, _, service = label.partition("@")
             if stream_id != stream.id:
                 raise ValueError(f"an event belongs to {stream_id}")
             answer.items.append(int(item))
+            answer.services.add(service)
             answer.last_event_id = event.last_event_id
         if leaves_after < stream.items and answer.items[-1:] >= [leaves_after]:
             return
@@ -288,11 +301,15 @@
     forms: Iterable[str] = FORMS,
     is_disrupted: bool = False,
     unframed_share: float = UNFRAMED_SHARE,
+    is_split: bool = False,
 ) -> tuple[StreamingServers, list[str]]:
     """Play streams of some forms; return them and a line for each violated guarantee."""
     rng = Random(seed)
     fleet = SoakFleet(
-        random=Random(rng.random()), daemons_per_region=DAEMONS_PER_REGION, servers_per_region=0
+        random=Random(rng.random()),
+        daemons_per_region=DAEMONS_PER_REGION,
+        servers_per_region=0,
+        is_stream_route_split=is_split,
     )
     async with fleet:
         await asyncio.gather(*(fleet.wait_ready(daemon) for daemon in fleet.daemons))
@@ -319,13 +336,16 @@
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
     parser.add_argument("--first", type=int, default=None, help="first seed; fresh ones without")
     parser.add_argument("--seconds", type=float, default=20.0, help="how long streams are sent")
+    parser.add_argument("--split", action="store_true", help="split the route over two services")
     parser.add_argument("--disrupt", action="store_true", help="kill, pause and stop daemons")
     options = parser.parse_args()
     first = random.SystemRandom().randrange(10**6) if options.first is None else options.first
     failed = 0
     for seed in range(first, first + options.seeds):
         forms = options.form or FORMS
-        servers, found = asyncio.run(play(seed, options.seconds, forms, options.disrupt))
+        servers, found = asyncio.run(
+            play(seed, options.seconds, forms, options.disrupt, is_split=options.split)
+        )
         failed += bool(found)
         print(
             f"seed {seed}: {len(servers.streams)} streams, {len(found)} violations, "
--- a/tests/test_proof_streams.py
+++ b/tests/test_proof_streams.py
@@ -3,6 +3,7 @@
 import pytest
 from proof_report import Figure
 
+from soak.fleet import STREAMED, STREAMED_TOO
 from soak.streams import play
 
 pytestmark = pytest.mark.proof
@@ -25,6 +26,14 @@
     assert servers.streams
 
 
+async def test_streams_of_a_split_route_stay_at_their_service(record_property: Figure) -> None:
+    """VMs other than the one that began a stream let it go on at either service of its route."""
+    servers, found = await play(SEED, SENDING_S, ("plain",), is_split=True)
+    record_property("streams", len(servers.streams))
+    assert found == []
+    assert {stream.service for stream in servers.streams} >= {STREAMED, STREAMED_TOO}
+
+
 async def test_streams_whose_ids_grow_in_uneven_steps_go_on() -> None:
     """Sound runs were taken for ones that leave events out, and no server could go on."""
     servers, found = await play(SEED, SENDING_S, ("uneven ids",))
