Don't pay off what a meter granted before this one started

What callers could see: an account far below its limit was refused for as long as its limit takes to refill all that a VM of another region had ever granted.

Cause: meters announce the sum of their grants, and the first announcement of a meter counted as granted since, as if the missing record were one of zero. A VM that granted much earlier and now stands in for its region's meter announces that sum to a meter which started in the meantime.

The first announcement counts up to the burst and what a meter may grant without acknowledgement; other regions have acknowledged the rest before.

--- a/src/pomelobarrow/decision/accounts/account_meter.py
+++ b/src/pomelobarrow/decision/accounts/account_meter.py
@@ -79,9 +79,16 @@
         last_unix_s = min(self.announced_unix_s, self.acknowledged_unix_s)
         return now_unix_s - last_unix_s > SILENT_AFTER_S
 
-    def note_announcement(self, meter: int, granted: float, now_unix_s: float) -> float:
-        """Return the tokens granted since the meter's last announcement."""
-        new = granted - self.granted_by_meter.get(meter, 0.0)
+    def note_announcement(
+        self, meter: int, granted: float, most_at_first: float, now_unix_s: float
+    ) -> float:
+        """Return the tokens granted since the meter's last announcement.
+
+        The first one that arrives here may include what was granted long before, so that it counts
+        up to a given amount.
+        """
+        known = self.granted_by_meter.get(meter)
+        new = min(granted, most_at_first) if known is None else granted - known
         # A later announcement has overtaken this one.
         if new < 0.0:
             return 0.0
@@ -156,7 +163,8 @@
         limit = self._limit_in_force(limit, now_unix_s)
         balance = self._refill(limit, now_unix_s)
         is_parted = self._is_parted(now_unix_s)
-        new = other.note_announcement(meter, granted, now_unix_s)
+        most_at_first = limit.burst + self._most_unacknowledged(limit)
+        new = other.note_announcement(meter, granted, most_at_first, now_unix_s)
         # What a region granted while others were silent was its own part of the limit.
         if not is_parted:
             self._rates.add(region, new, now_unix_s)
--- a/tests/test_account_meter.py
+++ b/tests/test_account_meter.py
@@ -124,6 +124,18 @@
     assert full.take(900.0, LIMIT, 106.0).is_ok()
 
 
+def test_grants_from_before_a_meter_started_are_not_paid_off() -> None:
+    """A VM that meters for another one announces all that it has ever granted."""
+    own = AccountMeter(other_regions=("b",))
+    for second in range(60):
+        own.observe("b", 1, 0.0, LIMIT, float(second))
+        own.acknowledge("b", own.granted, float(second))
+    own.observe("b", 2, 60_000.0, LIMIT, 60.0)
+    own.observe("b", 1, 0.0, LIMIT, 62.0)
+    own.acknowledge("b", own.granted, 62.0)
+    assert own.take(10.0, LIMIT, 62.0).is_ok()
+
+
 @define
 class Fleet:
     """The meters of all regions, with messages that take a time or are cut off."""
