Describe when records of streams are sent, and who is asked

The module's description named pools of several versions only; records are also sent after a start and while routes move, and the longest-running VMs are asked by any VM that isn't certain.

--- a/src/pomelobarrow/peers/stream_software.py
+++ b/src/pomelobarrow/peers/stream_software.py
@@ -1,9 +1,10 @@
 """Share which software began each stream with a few VMs of every region, over datagrams.
 
-A client takes up its stream at any VM, and the VM that began it may be gone by then. While a pool
-has several software versions, a VM sends the record of a stream to one VM per region before the
-client gets the first event; which VM keeps it follows from the stream's key. The VM that a client
-comes back to asks the keepers. One that has just started asks VMs that have run for longer, too.
+A client takes up its stream at any VM, and the VM that began it may be gone by then. Unless the
+software follows from the histories of all VMs, a VM sends the record of a stream to one VM per
+region before the client gets the first event; which VM keeps it follows from the stream's key. The
+VM that a client comes back to asks the keepers. One that isn't certain without a record also asks
+the VMs that have run for the longest time.
 """
 
 import asyncio
