Know what was before on a first start only if the lists arrive soon

What callers could see: on the first start of the whole system, a VM that couldn't read the store for a while took the versions of its first list for all that there had been, and told its peers so. A stream of a version that other VMs had served before went on at the next one.

Cause: with the platform's statement, the history covered all time whenever the first lists arrived, and so the time from the start to the lists, too.

Lists that arrive within three seconds of the start count so; with later ones the history begins as after a restart. No server leaves within that time of its start other than by a crash, after which its entry stays for longer.

Evidence: test_late_first_list_does_not_show_what_was_before fails with the condition of the code before and passes now.

--- a/src/pomelobarrow/decision/streams/software_history.py
+++ b/src/pomelobarrow/decision/streams/software_history.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import math
 from collections import deque
 from collections.abc import Iterable, Mapping
 
@@ -21,6 +22,8 @@
 # Former versions of the routes that are remembered; operators change pools of routes rarely.
 MAX_FORMER_ROUTES = 64
 MAX_CACHED_KEYS = 1_024
+# No version comes and goes within this time after the first start of all VMs.
+FIRST_LISTS_S = 3.0
 
 
 def software_key(server: BackendServer) -> int:
@@ -101,8 +104,8 @@
 class SoftwareHistory:
     """The software that recent streams may be of, by the list of servers and the routes."""
 
-    # Whether there was nothing before the first lists, since all VMs start for the first time.
-    is_first_start: bool = False
+    # Nothing was before lists that arrive until then, since all VMs start for the first time.
+    first_lists_until_unix_s: float = -math.inf
     # By pool and software: until when it was listed, if it no longer is.
     _gone_unix_s: dict[str, dict[int, float]] = field(factory=dict, init=False)
     # The software of the servers that are listed, by pool.
@@ -118,7 +121,7 @@
 
     def observe(self, servers: Mapping[str, BackendServer], now_unix_s: float) -> None:
         """Record the present list; the one before was valid until now."""
-        known_unix_s = 0.0 if self.is_first_start else now_unix_s
+        known_unix_s = self._known_from_unix_s(now_unix_s)
         self._servers_known_unix_s = min(self._servers_known_unix_s, known_unix_s)
         for pool, keys in self._listed.items():
             self._gone_unix_s.setdefault(pool, {}).update(dict.fromkeys(keys, now_unix_s))
@@ -133,7 +136,7 @@
         # Streams of former routes go on, so that the time never shrinks.
         self.retention_s = max(self.retention_s, self._routes.longest_stream_s + TAKE_UP_S)
         if former is None:
-            self._routes_known_unix_s = 0.0 if self.is_first_start else now_unix_s
+            self._routes_known_unix_s = self._known_from_unix_s(now_unix_s)
             return False
         if former == self._routes:
             return False
@@ -186,6 +189,10 @@
     def _statement(self, recent: frozenset[int], now_unix_s: float) -> HistoryStatement:
         return HistoryStatement(software_keys=recent, known_for_s=self.known_for_s(now_unix_s))
 
+    def _known_from_unix_s(self, received_unix_s: float) -> float:
+        """Return from when on the first list shows all that there was."""
+        return 0.0 if received_unix_s <= self.first_lists_until_unix_s else received_unix_s
+
     def _of_pools(self, pools: Iterable[str], now_unix_s: float) -> frozenset[int]:
         return frozenset[int]().union(*(self.recent(pool, now_unix_s) for pool in pools))
 
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -12,7 +12,7 @@
 from pomelobarrow.decision.requests.request_ids import RequestIdLedger
 from pomelobarrow.decision.servers.crash_suspects import CrashSuspects
 from pomelobarrow.decision.servers.reachability import PeerReachability
-from pomelobarrow.decision.streams.software_history import SoftwareHistory
+from pomelobarrow.decision.streams.software_history import FIRST_LISTS_S, SoftwareHistory
 from pomelobarrow.decision.streams.stream_software import StreamSoftware
 from pomelobarrow.dispatch.claims import ClaimedDispatch
 from pomelobarrow.dispatch.entry import EntryDispatch
@@ -217,8 +217,10 @@
 
 def _streams(context: Context) -> StreamSoftware:
     relay = context.settings.relay
-    is_first_start = relay is not None and relay.is_first_start
-    return StreamSoftware(history=SoftwareHistory(is_first_start=is_first_start))
+    if relay is None or not relay.is_first_start:
+        return StreamSoftware()
+    until_unix_s = now_unix_s() + FIRST_LISTS_S
+    return StreamSoftware(history=SoftwareHistory(first_lists_until_unix_s=until_unix_s))
 
 
 def _stream_software(context: Context) -> StreamSoftwareUpdates:
--- a/tests/test_software_history.py
+++ b/tests/test_software_history.py
@@ -254,9 +254,20 @@
 
 def test_system_that_starts_for_the_first_time_has_no_earlier_versions() -> None:
     """Streams that clients took up without naming a request were refused for two minutes."""
-    history = SoftwareHistory(is_first_start=True)
+    history = SoftwareHistory(first_lists_until_unix_s=NOW)
     history.observe_routing(ROUTES, NOW)
     history.observe(listed(V1), NOW)
     assert history.assumed(TARGET, NOW) == FIRST
     history.observe(listed(V1, V2), NOW + 1.0)
     assert history.assumed(TARGET, NOW + 1.0) is None
+
+
+def test_late_first_list_does_not_show_what_was_before() -> None:
+    """A VM vouched for the time up to its first list, in which a version came and went."""
+    late_routes, late_servers = (SoftwareHistory(first_lists_until_unix_s=NOW) for _ in range(2))
+    late_servers.observe_routing(ROUTES, NOW)
+    late_routes.observe(listed(V2), NOW)
+    late_servers.observe(listed(V2), NOW + 1.0)
+    late_routes.observe_routing(ROUTES, NOW + 1.0)
+    assert late_routes.known_for_s(NOW + 1.0) == late_servers.known_for_s(NOW + 1.0) == 0.0
+    assert late_routes.assumed(TARGET, NOW + 1.0) is late_servers.assumed(TARGET, NOW + 1.0) is None
