--- a/src/pomelobarrow/decision/streams/software_history.py
+++ b/src/pomelobarrow/decision/streams/software_history.py
@@ -22,8 +22,9 @@
 # Former versions of the routes that are remembered; operators change pools of routes rarely.
 MAX_FORMER_ROUTES = 64
 MAX_CACHED_KEYS = 1_024
-# No version comes and goes within this time after the first start of all VMs.
-FIRST_LISTS_S = 3.0
+# No version comes and goes within this time after the first start of all VMs. Operators may publish
+# the first configuration some seconds after that.
+FIRST_LISTS_S = 15.0
 
 
 def software_key(server: BackendServer) -> int:
