Kill all daemons at once at the end of a soak

The soak kept one daemon running at any time, so that records of streams were never all lost. At the end of a run all daemons are now killed at once for 8 s, again and again, and mostly all servers of one version come back with the other one meanwhile; servers go on crashing and being upgraded one by one. The checks of streams are the same, and new and resumed streams have to go on in the 4 s after it. The share of resumed streams that go on after the other faults is judged before that phase: streams from before a restart of all daemons are refused for good, rightly.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,10 +28,12 @@
 SETTLE_S = 8.0
 CALM_RUN_S = 3.0
 CUT_RUN_S = 5.0
+RESTARTS_RUN_S, RESTARTED_RUN_S = 8.0, 4.0
 # The published bound on crashing prompts holds for VMs that have run for this long.
 STABLE_S = 5.0
 # Eight pools get requests at once, and four daemons share the machine with their clients.
 PAUSE_BESIDE_OTHERS_S = (0.04, 0.12)
+PAUSE_ALONE_S = (0.01, 0.05)
 # Servers of the soak always fail, refuse or truncate a part of their answers, so that not all
 # requests can be served.
 MIN_SERVED_SHARE = 0.8
@@ -74,6 +76,7 @@
             pause_s=PAUSE_BESIDE_OTHERS_S,
             crashing_after_s=STABLE_S,
         )
+        restarts_random = random.Random(rng.random())
         pools = (fragile, limited, keyed, announcing, brittle, versioned, prompted)
         await asyncio.gather(*(each.start() for each in pools))
         sending = asyncio.create_task(clients.run(time.monotonic() + duration_s))
@@ -97,15 +100,17 @@
         await clients.run(calm_until_s)
         cut_vms = await _run_with_cut_links(clients, faults, links_random)
         await sending_more
+        violations = versioned.find_lost(calm_started_s)
+        violations += await _run_with_restarts(versioned, faults, restarts_random)
         await asyncio.gather(*(each.stop() for each in pools))
-        violations = find_violations(clients, faults)
+        violations += find_violations(clients, faults)
         served = served_share(clients, calm_started_s, calm_until_s)
         violations += fragile.find_violations() + limited.find_violations()
         violations += keyed.find_violations() + fleet.ended_daemons()
         violations += announcing.find_violations(faults)
         violations += brittle.find_violations(faults)
         violations += prompted.find_violations()
-        violations += versioned.find_violations() + versioned.find_lost(calm_started_s)
+        violations += versioned.find_violations()
         violations += find_unserved_at_cut_vms(clients, cut_vms, MIN_SERVED_SHARE)
         violations += keyed.find_unserved(calm_started_s, MIN_SERVED_SHARE)
         if fragile.served_share(calm_started_s) < MIN_SERVED_SHARE:
@@ -147,6 +152,20 @@
     return tuple(found)
 
 
+async def _run_with_restarts(
+    versioned: VersionedServers, faults: Faults, rng: random.Random
+) -> list[str]:
+    """Kill all VMs at once while streams run; return a line if too few go on afterwards."""
+    versioned.pause_s = PAUSE_ALONE_S
+    await asyncio.gather(
+        faults.restart_all_at_times(RESTARTS_RUN_S, rng, versioned.replace_version),
+        versioned.send_until(time.monotonic() + RESTARTS_RUN_S),
+    )
+    restarted_s = time.monotonic()
+    await versioned.send_until(restarted_s + RESTARTED_RUN_S)
+    return versioned.find_lost(restarted_s)
+
+
 async def wait_ready(fleet: SoakFleet) -> None:
     """Wait until each daemon reports that it is ready."""
     for daemon in fleet.daemons:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,8 @@
 STOP_TIMEOUT_S = 8.0
 # A daemon that is ready has received what its peers know after this time.
 JOIN_S = 2.0
+# How often something changes while all daemons are down.
+CHANGE_SHARE = 0.7
 DRAINING = "draining"
 
 
@@ -209,5 +211,24 @@
         for vm, mode in tuple(self.cut_links.items()):
             await self.fleet.fault(link_route(vm, "*"), mode)
 
+    async def restart_all_at_times(
+        self, duration_s: float, random: Random, change: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Kill all daemons at once, again and again; mostly something changes before they start.
+
+        Has random choices of its own, so that those of the other faults depend on the seed alone.
+        """
+        until_s = time.monotonic() + duration_s
+        while time.monotonic() < until_s:
+            await asyncio.sleep(random.uniform(0.5, 2.0))
+            started_s = time.monotonic()
+            self.fleet.kill_all_daemons()
+            if random.random() < CHANGE_SHARE:
+                await change()
+            await asyncio.sleep(random.uniform(0.0, 1.0))
+            await self.fleet.start_all_daemons()
+            for daemon in self.fleet.daemons:
+                self._record("daemon", daemon.vm, started_s)
+
     async def _publish(self) -> None:
         self.fleet.publish_configuration()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -79,7 +79,7 @@
     starts: Counter[str] = field(factory=Counter)
     # The accounts of the configuration.
     tenants: list[dict[str, Any]] = field(factory=list)
-    # Unset while no daemon is ready since all were killed at once.
+    # Unset from when all daemons were killed at once until all are ready again.
     has_daemons: asyncio.Event = field(factory=asyncio.Event)
     _ports: Mapping[str, int] = field(factory=dict)
     _stack: AsyncExitStack = field(factory=AsyncExitStack)
@@ -139,10 +139,7 @@
         """Start all daemons and wait until each is ready."""
         for daemon in self.daemons:
             self.start_daemon(daemon)
-        await asyncio.gather(*(self._wait_started(daemon) for daemon in self.daemons))
-
-    async def _wait_started(self, daemon: Daemon) -> None:
-        await self.wait_ready(daemon)
+        await asyncio.gather(*(self.wait_ready(daemon) for daemon in self.daemons))
         self.has_daemons.set()
 
     def ended_daemons(self) -> list[str]:
--- a/soak/versioned.py
+++ b/soak/versioned.py
@@ -133,6 +133,21 @@
             f"{went_on:.0%} of {resumes} resumed streams went on, {began:.0%} of new ones began"
         ]
 
+    async def replace_version(self) -> None:
+        """Let all servers of one version come back at once with the other one."""
+        versions = sorted({version for _, version in self._running.values()})
+        if not versions:
+            return
+        old = self.random.choice(versions)
+        new = next(version for version in VERSIONS if version != old)
+        leaving = [(name, region) for name, (region, v) in self._running.items() if v == old]
+        for name, _ in leaving:
+            del self._running[name]
+        for name, region in leaving:
+            port = await self._servers.crash(name)
+            self.fleet.store.put(f"servers/{name}", None)
+            await self._start_one(region, new, port or 0)
+
     async def _receive(self, session: aiohttp.ClientSession) -> None:
         """Send a stream's request, and take the stream up again where it ends early."""
         stream = Stream(id=f"v{next(self._serial)}")
@@ -141,6 +156,7 @@
         for number in range(MAX_RESUMES):
             if stream.is_complete or not stream.events:
                 return
+            await self.fleet.has_daemons.wait()
             sent_s, received, version = time.monotonic(), len(stream.events), stream.events[0][1]
             had_servers = self._serving(version) >= 2
             await self._attempt(session, stream, f"{stream.id}-{number}")
