Reset answers to HTTP/1.0 clients that end early when the daemon is killed

A client of HTTP/1.0 gets a stream, or an answer of a plain service, without a length and without chunks: the end of the connection is the end of the answer. An attempt that fails resets the connection, but when the daemon was killed in the middle, the kernel closed it regularly, and the part looked whole.

The socket lingers for no time from the head of such an answer on, so that whatever closes it resets it. That is undone once the answer is complete and the socket has taken all of it, which it delivers even if the process ends then. Clients of HTTP/1.1, which get a length or chunks, see no change.

--- a/src/pomelobarrow/callers/sinks.py
+++ b/src/pomelobarrow/callers/sinks.py
@@ -1,5 +1,6 @@
 """Write an answer to the caller's connection."""
 
+import asyncio
 import socket
 import struct
 
@@ -7,6 +8,7 @@
 from multidict import CIMultiDict
 
 from pomelobarrow.callers.problems import problem_event
+from pomelobarrow.callers.server import flush
 from pomelobarrow.decision.common.errors import Refusal
 from pomelobarrow.dispatch.answers import (
     SERVER_SENT_EVENTS,
@@ -19,6 +21,7 @@
 SERVER_HEADER = "Pomelobarrow-Backend-Server"
 # Linger for no time.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+FLUSH_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
 class LateHeadResponse(web.StreamResponse):
@@ -44,11 +47,39 @@
     if request.version >= HttpVersion11:
         transport.close()
         return
-    connected = transport.get_extra_info("socket")
-    connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    _set_linger(transport, RESET_ON_CLOSE)
     transport.abort()
 
 
+def begin_answer(request: web.BaseRequest, response: web.StreamResponse) -> None:
+    """Have the connection reset when it closes, if only its close is to mark the answer's end.
+
+    If this process is killed, the connection closes in the middle of the answer.
+    """
+    transport = request.transport
+    if transport is not None and _ends_by_close(request, response):
+        _set_linger(transport, RESET_ON_CLOSE)
+
+
+async def end_answer(request: web.BaseRequest, response: web.StreamResponse) -> None:
+    """Let the connection close regularly once its socket has taken the complete answer."""
+    if request.transport is None or not _ends_by_close(request, response):
+        return
+    await flush([request.transport])
+    transport = request.transport
+    if transport is not None and not transport.get_write_buffer_size():
+        _set_linger(transport, FLUSH_ON_CLOSE)
+
+
+def _ends_by_close(request: web.BaseRequest, response: web.StreamResponse) -> bool:
+    return request.version < HttpVersion11 and response.content_length is None
+
+
+def _set_linger(transport: asyncio.Transport, option: bytes) -> None:
+    connected = transport.get_extra_info("socket")
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
+
 class HttpSink:
     """Write an answer to one caller and record its timing."""
 
@@ -69,6 +100,7 @@
         response.headers[REQUEST_ID_HEADER] = self._request_id
         response.headers[SERVER_HEADER] = head.server
         self.response = response
+        begin_answer(self._request, response)
         try:
             await response.prepare(self._request)
         except (ConnectionError, RuntimeError) as error:
@@ -92,6 +124,7 @@
             await self.response.write_eof(last)
         except (ConnectionError, RuntimeError) as error:
             raise CallerGoneError("the caller closed its connection") from error
+        await end_answer(self._request, self.response)
 
     async def abort(self, refusal: Refusal) -> None:
         """Send an error event, then close the connection without the end marker.
--- a/src/pomelobarrow/relay/answer.py
+++ b/src/pomelobarrow/relay/answer.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from pomelobarrow.callers.sinks import LateHeadResponse, close_incomplete
+from pomelobarrow.callers.sinks import LateHeadResponse, begin_answer, close_incomplete, end_answer
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.relay.messages import Headers, WholeAnswer
 
@@ -104,6 +104,7 @@
         """End a complete stream with the bytes after its last event."""
         assert self.response is not None
         await self._checked(self.response.write_eof(rest))
+        await end_answer(self._incoming, self.response)
 
     def break_off(self) -> None:
         """Close the connection so that the answer is visibly incomplete."""
@@ -114,6 +115,7 @@
         if self._closes:
             response.force_close()
         self.response = response
+        begin_answer(self._incoming, response)
         await self._checked(response.prepare(self._incoming))
 
     async def _checked(self, step) -> None:  # type: ignore[no-untyped-def]
