Keep tests of killed servers away from the servers of other tests

test_home_bound_requests_of_a_vm_without_links_run_in_their_home_region counted 13 requests for 12, once in a run of 530 tests and once in 200 plays beside test_backends_cut_answers.py. The trace of the second: the thirteenth was GET /v1/requests/id-1/events?offset=0, by which an engine's attempt of that other test asked its killed server for the rest of a stream, at a port that another worker's server had got meanwhile.

The servers of test_backends_cut_answers.py listen on an address of their own.

--- a/tests/test_backends_cut_answers.py
+++ b/tests/test_backends_cut_answers.py
@@ -21,6 +21,9 @@
 from pomelobarrow.decision.requests.work import BackendServer
 from pomelobarrow.dispatch.answers import AttemptResult
 
+# No other test listens here. An attempt asks a killed engine for the rest of its answer, which
+# would reach the next server on its port.
+HOST = "127.0.0.99"
 REFUSAL = b'{"error": "no such model"}'
 NO_FRAMING = b"HTTP/1.1 404 Not Found\r\n\r\n" + REFUSAL
 OTHER_CODING = b"HTTP/1.1 404 Not Found\r\nTransfer-Encoding: identity\r\n\r\n" + REFUSAL
@@ -46,7 +49,7 @@
     @asynccontextmanager
     async def running(self) -> AsyncIterator[BackendServer]:
         """Run the server and yield its entry."""
-        self._listening = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._listening = await asyncio.start_server(self._serve, HOST, 0)
         host, port = self._listening.sockets[0].getsockname()
         yield BackendServer(
             name="s",
--- a/tests/test_relay_cut_heads.py
+++ b/tests/test_relay_cut_heads.py
@@ -54,7 +54,9 @@
 ) -> None:
     """Guards against a 200 with an empty or short body that looks whole."""
     head, asked = HEADS[name], route(kind)
-    async with relay_fleet((asked,), {"a": {"s1": answers()}}) as fleet:
+    # The second region's address is no source of connections, which could take the server's port
+    # while it doesn't listen.
+    async with relay_fleet((asked,), {"b": {}, "a": {"s1": answers()}}) as fleet:
         server = fleet.servers["s1"]
         for size in range(len(head)):
             server.script = CutAnswer(
