--- a/src/pomelobarrow/decision/members/live_members.py
+++ b/src/pomelobarrow/decision/members/live_members.py
@@ -26,7 +26,7 @@
 
     @property
     def are_known(self) -> bool:
-        """Return whether this VM has joined; before, it may have heard from no other VM yet."""
+        """Return whether this VM has joined; before, it may have received no heartbeat yet."""
         return self.view.own.phase != Phase.STARTING.value
 
     def refresh(self, now_unix_s: float) -> None:
--- a/tests/test_stated_numbers.py
+++ b/tests/test_stated_numbers.py
@@ -219,12 +219,12 @@
     heartbeats, heard_unix_s = daemon_parts().get(Heartbeats), now_unix_s() - 1.0
     sound = {"sent_unix_s": now_unix_s(), "heard_unix_s": heard_unix_s}
     for sequence, times in enumerate((sound | {field: value}, sound), 1):
-        told = pb.Heartbeat(vm="turin-1", incarnation=1, region="turin", has_loads=True)
-        told.sequence, told.sent_unix_s = sequence, times["sent_unix_s"]
-        told.members.add(
+        heartbeat = pb.Heartbeat(vm="turin-1", incarnation=1, region="turin", has_loads=True)
+        heartbeat.sequence, heartbeat.sent_unix_s = sequence, times["sent_unix_s"]
+        heartbeat.members.add(
             vm="rome-1", incarnation=1, region="rome", heard_unix_s=times["heard_unix_s"]
         )
-        heartbeats.apply(told)
+        heartbeats.apply(heartbeat)
     assert heard_unix_s <= heartbeats.view.last_seen_unix_s("rome-1") <= now_unix_s()
 
 
