Log how old the evidence is that a VM's list of servers is the newest

Whether a stream was joined by a VM with an old list can't be seen: `stream taken up` says for how long the list has been known, not whether a newer one could have arrived.

`ListEvidence` holds the last read of the store that the list contains, and the time up to which a VM of each other region was seen. `list_age_s` of `stream taken up` is its age. No decision depends on it yet.

--- a/src/pomelobarrow/published/plugin.py
+++ b/src/pomelobarrow/published/plugin.py
@@ -4,9 +4,11 @@
 
 from mode import Service
 
+from pomelobarrow.decision.members.membership import MembershipView
 from pomelobarrow.decision.published.config_proof import ConfigProof
 from pomelobarrow.decision.published.store_position import era_of, revision_of
 from pomelobarrow.decision.servers.departures import Departures
+from pomelobarrow.decision.streams.list_evidence import ListEvidence
 from pomelobarrow.kernel.background import background_task
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
@@ -50,6 +52,7 @@
     context.provide(PublishedState, _state)
     context.provide(PlatformWatcher, _watcher)
     context.provide(ConfigProof, _proof)
+    context.provide(ListEvidence, _list_evidence)
 
 
 @hookimpl
@@ -97,6 +100,12 @@
     return proof
 
 
+def _list_evidence(context: Context) -> ListEvidence:
+    relay = context.settings.relay
+    regions = relay.region_by_failure_domain.values() if relay else ()
+    return ListEvidence(view=context.get(MembershipView), regions=tuple(sorted({*regions})))
+
+
 def _watcher(context: Context) -> PlatformWatcher:
     table = context.get(PeerTable)
     watcher = PlatformWatcher(
@@ -106,5 +115,6 @@
         table.is_watcher,
         context.get(ConfigProof),
     )
+    watcher.list_read_listeners.append(context.get(ListEvidence).note_read)
     table.review_listeners.append(watcher.on_role_review)
     return watcher
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -103,6 +103,8 @@
     versions_listed: int
     # For how long this VM has known the list of servers and the routes.
     list_known_for_s: float
+    # The age of the evidence that no other list exists; infinity without any.
+    list_age_s: float
     source: str
 
 
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -15,6 +15,7 @@
 from pomelobarrow.decision.servers.cold_start import ColdLimiter
 from pomelobarrow.decision.servers.load_table import LoadTable
 from pomelobarrow.decision.servers.reachability import PeerReachability
+from pomelobarrow.decision.streams.list_evidence import ListEvidence
 from pomelobarrow.decision.streams.stream_software import StreamSoftware
 from pomelobarrow.dispatch.crash_guard import CrashGuard
 from pomelobarrow.kernel.clock import now_unix_s
@@ -210,6 +211,7 @@
         servers=lambda: published.backend_servers,
         ask_peers=context.get(StreamSoftwareUpdates).find,
         is_joined=lambda: context.get(Joining).is_joined,
+        list_age_s=context.get(ListEvidence).age_s,
         observe=context.observe,
     )
 
--- a/src/pomelobarrow/relay/stream_joins.py
+++ b/src/pomelobarrow/relay/stream_joins.py
@@ -95,6 +95,8 @@
     ask_peers: Callable[[str, StreamTarget, bool], Awaitable[PeersKnowledge]] | None = None
     # Returns whether this VM has reached the peers that it can reach.
     is_joined: Callable[[], bool] = lambda: True
+    # Returns the age of the evidence that this VM's list of servers is the newest one.
+    list_age_s: Callable[[float], float] = lambda now_unix_s: 0.0
     observe: Callable[[object], None] = lambda event: None
 
     async def bind(
@@ -118,6 +120,7 @@
                 resume_after=head.last_event_id,
                 versions_listed=len(listed),
                 list_known_for_s=history.known_for_s(now),
+                list_age_s=self.list_age_s(now),
                 source=source.value,
             )
         )
--- /dev/null
+++ b/tests/test_list_evidence.py
@@ -0,0 +1,52 @@
+"""Whether this VM's list of servers may lack what was listed elsewhere."""
+
+from attrs import evolve
+from datagram_vms import member, view_of
+
+from pomelobarrow.decision.members.membership import MembershipView
+from pomelobarrow.decision.streams.list_evidence import MAX_LIST_AGE_S, REFRESH_S, ListEvidence
+from pomelobarrow.kernel.clock import now_unix_s
+
+# In the region a beside a-1: a-2 and a-3; in the region b: b-1.
+OWN_VM = "a-1"
+STEP_S = MAX_LIST_AGE_S + REFRESH_S
+
+
+def evidence_of(view: MembershipView, *regions: str) -> ListEvidence:
+    return ListEvidence(view=view, regions=regions)
+
+
+def test_list_is_current_while_vms_of_all_other_regions_are_seen() -> None:
+    now = now_unix_s()
+    evidence = evidence_of(view_of(OWN_VM), "a", "b")
+    assert evidence.is_current(now)
+    assert not evidence.is_current(now + STEP_S)
+
+
+def test_list_is_current_while_the_store_is_read() -> None:
+    now = now_unix_s()
+    evidence = evidence_of(view_of(OWN_VM), "a", "b", "c")
+    assert not evidence.is_current(now)
+    evidence.note_read(now)
+    assert evidence.is_current(now + MAX_LIST_AGE_S)
+    assert not evidence.is_current(now + STEP_S)
+
+
+def test_vms_of_a_region_that_is_cut_off_do_not_confirm_each_other() -> None:
+    """The VMs of a cut-off region agreed on an old list, by which a stream was joined."""
+    now, view = now_unix_s(), view_of(OWN_VM)
+    evidence = evidence_of(view, "a", "b")
+    view.observe_heartbeat(evolve(member("a-2"), sequence=2), now + STEP_S)
+    assert not evidence.is_current(now + STEP_S)
+
+
+def test_other_vms_count_where_there_is_one_region() -> None:
+    now = now_unix_s()
+    evidence = evidence_of(view_of(OWN_VM), "a")
+    assert evidence.is_current(now)
+    assert not evidence.is_current(now + STEP_S)
+
+
+def test_vm_without_peers_needs_the_store() -> None:
+    evidence = evidence_of(MembershipView("c-1", "c"), "c")
+    assert not evidence.is_current(now_unix_s())
