Don't assume a stream's software while this VM's list may be out of date

Callers could get a stream joined from two software versions at a VM of a region that is cut off from the store and the other regions: servers of another version start elsewhere, a stream begins at one of them, breaks off, and is taken up at the cut-off VM. Its list has one version, and the VMs of its region that it asks confirm it, since they were cut off with it. The same holds for one VM that is cut off alone: nobody answers, and its own list decided.

Cause: agreement of VMs that know equally little was taken for evidence. While a list may be old, records of all streams are sent to their keepers, as after a start, so that sound streams go on; the region's readers of the store are asked, too, since they know most when another region is lost.

Test: TestStreamsInACutOffRegion, a model whose VMs of one region miss changes and datagrams of the others. Not played with real daemons: no harness here can cut datagrams between two regions.

--- a/src/pomelobarrow/decision/streams/software_history.py
+++ b/src/pomelobarrow/decision/streams/software_history.py
@@ -7,7 +7,7 @@
 import functools
 import math
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from attrs import define, field, frozen
 
@@ -107,6 +107,8 @@
 
     # Nothing was before lists that arrive until then, since all VMs start for the first time.
     first_lists_until_unix_s: float = -math.inf
+    # Returns whether what another VM has listed by a time would have arrived here.
+    is_current: Callable[[float], bool] = lambda now_unix_s: True
     # By pool and software: until when it was listed, if it no longer is.
     _gone_unix_s: dict[str, dict[int, float]] = field(factory=dict, init=False)
     # The software of the servers that are listed, by pool.
@@ -147,7 +149,12 @@
         return True
 
     def known_for_s(self, now_unix_s: float) -> float:
-        """Return for how long this VM has known which servers and routes there are."""
+        """Return for how long this VM has known which servers and routes there are.
+
+        A VM that may be cut off from the store and other regions doesn't know.
+        """
+        if not self.is_current(now_unix_s):
+            return 0.0
         known_unix_s = max(self._servers_known_unix_s, self._routes_known_unix_s)
         return max(0.0, now_unix_s - known_unix_s)
 
--- a/src/pomelobarrow/decision/streams/stream_software.py
+++ b/src/pomelobarrow/decision/streams/stream_software.py
@@ -93,6 +93,8 @@
     _of_peers: StreamRecords = field(factory=StreamRecords)
     # Pools whose streams may be of several versions.
     mixed_pools: frozenset[str] = frozenset()
+    # Whether the lists of servers were current at the last review.
+    _was_current: bool = field(default=True, init=False)
 
     @property
     def kept_records(self) -> int:
@@ -108,6 +110,13 @@
             self.publish(self._own.of_software(by_pool[pool]))
         self.mixed_pools = mixed
 
+    def review(self, now_unix_s: float) -> None:
+        """Publish own streams once this VM's list may be out of date, as those of its peers may."""
+        is_current = self.history.is_current(now_unix_s)
+        if self._was_current and not is_current:
+            self.publish(self._own.all())
+        self._was_current = is_current
+
     def observe_routing(self, routing: Routing, now_unix_s: float) -> None:
         """Record the routes; publish own streams if any may be of another pool than its route's."""
         has_changed = self.history.observe_routing(routing, now_unix_s)
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -12,6 +12,7 @@
 from pomelobarrow.decision.requests.request_ids import RequestIdLedger
 from pomelobarrow.decision.servers.crash_suspects import CrashSuspects
 from pomelobarrow.decision.servers.reachability import PeerReachability
+from pomelobarrow.decision.streams.list_evidence import ListEvidence
 from pomelobarrow.decision.streams.software_history import FIRST_LISTS_S, SoftwareHistory
 from pomelobarrow.decision.streams.stream_software import StreamSoftware
 from pomelobarrow.dispatch.claims import ClaimedDispatch
@@ -102,7 +103,9 @@
     ]
     if context.settings.relay is None:
         return started
-    follow_published(context.get(PublishedState), context.get(StreamSoftware))
+    streams = context.get(StreamSoftware)
+    follow_published(context.get(PublishedState), streams)
+    context.get(PeerTable).review_listeners.append(lambda: streams.review(now_unix_s()))
     of_relay = (PeerDatagrams, ConfigProofs, TokenGrants)
     return started + [PhasedService(StartPhase.PEERS, context.get(each)) for each in of_relay]
 
@@ -217,10 +220,10 @@
 
 def _streams(context: Context) -> StreamSoftware:
     relay = context.settings.relay
-    if relay is None or not relay.is_first_start:
-        return StreamSoftware()
-    until_unix_s = now_unix_s() + FIRST_LISTS_S
-    return StreamSoftware(history=SoftwareHistory(first_lists_until_unix_s=until_unix_s))
+    history = SoftwareHistory(is_current=context.get(ListEvidence).is_current)
+    if relay is not None and relay.is_first_start:
+        history.first_lists_until_unix_s = now_unix_s() + FIRST_LISTS_S
+    return StreamSoftware(history=history)
 
 
 def _stream_software(context: Context) -> StreamSoftwareUpdates:
--- a/src/pomelobarrow/peers/stream_software.py
+++ b/src/pomelobarrow/peers/stream_software.py
@@ -18,6 +18,7 @@
 
 from pomelobarrow.decision.common.rendezvous import rendezvous
 from pomelobarrow.decision.members.member import READY, Member, name_of
+from pomelobarrow.decision.members.member_roles import watchers
 from pomelobarrow.decision.members.membership import MembershipView
 from pomelobarrow.decision.streams.software_history import (
     HistoryStatement,
@@ -129,23 +130,25 @@
         return self._keepers(key, self.view.own_region, ASKED_IN_REGION)
 
     def _farther(self, key: int, asked: Iterable[Member]) -> list[Member]:
-        """Return the keepers of the other regions and the VMs that have run for the longest time.
+        """Return the keepers of the other regions and the VMs that know the history best.
 
         Those that have been asked aren't among them.
         """
         others = (region for region in self.regions if region != self.view.own_region)
         keepers = [member for region in others for member in self._keepers(key, region, 1)]
-        by_vm = {member.vm: member for member in (*keepers, *self._longest_running())}
+        by_vm = {member.vm: member for member in (*keepers, *self._historians())}
         for member in asked:
             by_vm.pop(member.vm, None)
         return list(by_vm.values())
 
-    def _longest_running(self) -> list[Member]:
-        """Return the VMs of all regions that started first, by their incarnations."""
+    def _historians(self) -> list[Member]:
+        """Return the VMs of all regions that started first, and the readers of the store here."""
         now = now_unix_s()
         live = (member for region in self.regions for member in self.view.live(region, now))
         staying = (member for member in live if self._is_staying(member))
-        return nsmallest(ASKED_FOR_HISTORY, staying, key=lambda member: member.incarnation)
+        first = nsmallest(ASKED_FOR_HISTORY, staying, key=lambda member: member.incarnation)
+        readers = watchers(self.view, self.view.own_region, now_unix_s=now)
+        return [*first, *(member for member in readers if self._is_staying(member))]
 
     def _keepers(self, key: int, region: str, count: int) -> list[Member]:
         """Return the other VMs of a region that keep a stream's record, the first in charge.
--- a/tests/test_stream_software.py
+++ b/tests/test_stream_software.py
@@ -67,6 +67,25 @@
     assert records.software_of(0) is None
 
 
+def test_streams_are_published_once_the_list_may_be_old() -> None:
+    """A stream without a record was refused, or joined, at a VM of a region that was cut off."""
+    published: list[StreamBegan] = []
+    streams = StreamSoftware(publish=published.extend)
+    streams.observe_routing(ROUTES, LONG_AGO)
+    streams.observe_servers(listed(V1), LONG_AGO)
+    streams.note_began("r1", TARGET, FIRST, NOW)
+    streams.review(NOW)
+    assert published == []
+    streams.history.is_current = lambda now_unix_s: False
+    streams.review(NOW + 1.0)
+    streams.review(NOW + 2.0)
+    streams.note_began("r2", TARGET, FIRST, NOW + 2.0)
+    expected = [
+        StreamBegan(stream_key=stream_key(each), software_key=FIRST) for each in ("r1", "r2")
+    ]
+    assert published == expected
+
+
 def test_streams_are_published_while_a_pool_has_two_versions() -> None:
     published: list[StreamBegan] = []
     streams = StreamSoftware(publish=published.extend)
--- a/tests/test_stream_software_model.py
+++ b/tests/test_stream_software_model.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import math
 from collections.abc import Callable, Iterable
 from typing import Any
 from unittest.mock import patch
@@ -14,6 +15,7 @@
 
 from pomelobarrow.decision.members.member import Member
 from pomelobarrow.decision.requests.work import BackendServer
+from pomelobarrow.decision.streams.list_evidence import ListEvidence
 from pomelobarrow.decision.streams.software_history import STREAM_RETENTION_S, software_key
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers import stream_software as updates_module
@@ -25,6 +27,7 @@
 REGION_BY_VM = {"a-1": "a", "a-2": "a", "a-3": "a", "b-1": "b", "b-2": "b"}
 VERSIONS = ("v1", "v2")
 OLD_VM = "a-1"
+CUT_OFF_REGION = "b"
 START_UNIX_S = 1_000_000.0
 OTHER_POOL = V_OTHER.pool
 
@@ -41,6 +44,8 @@
 
 vms = st.sampled_from(sorted(REGION_BY_VM))
 other_vms = st.sampled_from(sorted(REGION_BY_VM.keys() - {OLD_VM}))
+vms_cut_off = st.sampled_from([vm for vm in REGION_BY_VM if REGION_BY_VM[vm] == CUT_OFF_REGION])
+vms_of_others = st.sampled_from([vm for vm in REGION_BY_VM if REGION_BY_VM[vm] != CUT_OFF_REGION])
 pools = st.sampled_from((POOL, OTHER_POOL))
 versions = st.sampled_from(VERSIONS)
 offsets_s = st.sampled_from((0.0, -300.0, 300.0))
@@ -61,6 +66,13 @@
             vm=vm, region=REGION_BY_VM[vm], incarnation=started_ms, peer_address=f"{vm}:1"
         )
 
+    def known(self) -> tuple[Member, ...]:
+        return tuple(self.get(vm) for vm in REGION_BY_VM if vm != self.own_vm)
+
+    def last_seen_unix_s(self, vm: str) -> float:
+        is_cut = CUT_OFF_REGION in (REGION_BY_VM[vm], self.own_region)
+        return START_UNIX_S if is_cut else math.inf
+
     def live(self, region: str, now_unix_s: float) -> tuple[Member, ...]:
         return tuple(self.get(vm) for vm in REGION_BY_VM if REGION_BY_VM[vm] == region)
 
@@ -75,8 +87,14 @@
     clock: "Clock"
     vms: "dict[str, Datagrams]" = field(factory=dict)
     loss: Loss = Loss.NONE
+    # No datagram of another region reaches this one or leaves it.
+    cut_off_region: str = ""
     _sent: int = 0
 
+    def is_cut(self, sender: str, receiver: str) -> bool:
+        regions = {REGION_BY_VM[sender], REGION_BY_VM[receiver]}
+        return len(regions) > 1 and self.cut_off_region in regions
+
     def is_lost(self) -> bool:
         self._sent += 1
         return self.loss is Loss.ALL or (self.loss is Loss.EACH_SECOND and self._sent % 2 == 0)
@@ -94,15 +112,18 @@
     """The part of `PeerDatagrams` that updates of streams use."""
 
     network: Network
+    vm: str
     port: int = 1
     handlers: dict[str, Any] = field(factory=dict)
 
     def send(self, address: tuple[str, int], message: pb.Datagram) -> None:
-        self.network.deliver(address[0], message, lambda answer: None)
+        if not self.network.is_cut(self.vm, address[0]):
+            self.network.deliver(address[0], message, lambda answer: None)
 
     async def query(self, address: tuple[str, int], message: pb.Datagram, timeout_s: float) -> Any:
         answers: list[pb.Datagram] = []
-        self.network.deliver(address[0], message, answers.append)
+        if not self.network.is_cut(self.vm, address[0]):
+            self.network.deliver(address[0], message, answers.append)
         if not answers or self.network.is_lost():
             return None
         return answers[0].stream_answer
@@ -282,7 +303,7 @@
     def _start_vm(self, vm: str, offset_s: float) -> None:
         self.clock.offset_s[vm] = offset_s
         self.started_unix_s[vm] = self.clock.unix_s
-        datagrams = self.network.vms[vm] = Datagrams(network=self.network)
+        datagrams = self.network.vms[vm] = Datagrams(network=self.network, vm=vm)
         view = View(own_vm=vm, own_region=REGION_BY_VM[vm], started_unix_s=self.started_unix_s)
         self.updates[vm] = StreamSoftwareUpdates(
             view=view,  # type: ignore[arg-type]
@@ -337,8 +358,43 @@
         self._take_up(OLD_VM, is_named)
 
 
+class StreamsInACutOffRegion(StreamsOfOneSoftware):
+    """The VMs of a region miss changes of the list, and no datagram reaches another region."""
+
+    restart = take_up_sound = route = None  # type: ignore[assignment]
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.network.cut_off_region = CUT_OFF_REGION
+        for vm in REGION_BY_VM:
+            view = self.updates[vm].view
+            evidence = ListEvidence(view=view, regions=("a", "b"))
+            if REGION_BY_VM[vm] != CUT_OFF_REGION:
+                evidence.note_read(math.inf)
+            self.updates[vm].streams.history.is_current = evidence.is_current
+
+    def _current(self) -> Iterable[str]:
+        return (vm for vm, region in REGION_BY_VM.items() if region != CUT_OFF_REGION)
+
+    @rule(vm=vms_of_others, index=st.integers(0, 5))
+    def begin(self, vm: str, index: int) -> None:
+        self._begin(vm, index)
+
+    @rule(vm=vms_of_others, pool=pools, version=versions)
+    def release(self, vm: str, pool: str, version: str) -> None:
+        """Replace all servers of a pool while a stream runs."""
+        self._begin(vm, 0)
+        self._replace_servers(pool, version)
+
+    @rule(vm=vms_cut_off, is_named=st.booleans())
+    def take_up(self, vm: str, is_named: bool) -> None:
+        self._take_up(vm, is_named)
+
+
 SETTINGS = settings(deadline=None, max_examples=MAX_EXAMPLES, stateful_step_count=12)
 TestStreamsOfOneSoftware = StreamsOfOneSoftware.TestCase
 TestStreamsOfOneSoftware.settings = SETTINGS
 TestStreamsWithAnOldList = StreamsWithAnOldList.TestCase
 TestStreamsWithAnOldList.settings = SETTINGS
+TestStreamsInACutOffRegion = StreamsInACutOffRegion.TestCase
+TestStreamsInACutOffRegion.settings = SETTINGS
