Decide what clients may make a process hold, from its VM's memory and descriptors

Callers lose a VM whose process runs out of memory or descriptors for clients that misbehave. No one place knew what these hold: bodies, heads, requests sent ahead, unread answers, connections.

--- a/src/pomelobarrow/kernel/settings.py
+++ b/src/pomelobarrow/kernel/settings.py
@@ -9,6 +9,7 @@
 from attrs import Factory, field, frozen
 from result import Err, Ok, Result
 
+from pomelobarrow.decision.admission.budget_limits import VmResources
 from pomelobarrow.decision.admission.retry_share import RetryBound
 from pomelobarrow.decision.published.checks import (
     Fault,
@@ -28,6 +29,8 @@
 DEFAULT_REVOCATION_S = 5.0
 MIN_SECRET_CHARACTERS = 16
 MAX_PORT = 65_535
+MIN_MEMORY_BYTES = 100_000_000
+MIN_DESCRIPTORS = 256
 
 _HOST_PORT_PATTERN = re.compile(r"(?P<host>[A-Za-z0-9.-]+|\[[0-9A-Fa-f:.]+\]):(?P<port>[0-9]{1,5})")
 _HOST_PORT_REMEDY = "give host:port with a port from 1 to 65535, such as 10.0.1.4:8080"
@@ -141,6 +144,8 @@
     peers: PeerSettings
     platform: PlatformSettings
     operators: OperatorSettings = Factory(OperatorSettings)
+    # Bounds what clients may make this process hold.
+    resources: VmResources = Factory(VmResources)
     # None if no relay runs; requests then arrive only through the callers' HTTP server.
     relay: RelaySettings | None = None
     # Maps an advertised address to the address to dial instead, such as a proxy's in a test.
@@ -335,6 +340,14 @@
         build=OperatorSettings,
         required=False,
     ),
+    "resources": _Section(
+        specs={
+            "memory_bytes": FieldSpec(reader=integer(least=MIN_MEMORY_BYTES, most=1 << 40)),
+            "descriptors": FieldSpec(reader=integer(least=MIN_DESCRIPTORS, most=1 << 30)),
+        },
+        build=VmResources,
+        required=False,
+    ),
 }
 _TOP_SPECS = {
     "vm": FieldSpec(reader=name, required=True),
--- a/src/pomelobarrow/platform/settings.py
+++ b/src/pomelobarrow/platform/settings.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from pomelobarrow.decision.admission.budget_limits import VmResources
 from pomelobarrow.decision.admission.retry_share import RetryBound
 from pomelobarrow.decision.published.checks import Fault
 from pomelobarrow.kernel.settings import (
@@ -25,6 +26,7 @@
 # This one is on the Prometheus project's list of exporter ports.
 METRICS_PORT = 9464
 MS_PER_S = 1_000.0
+BYTES_PER_MB = 1_000_000
 PEER_KEY_ID = "platform"
 
 _REMEDY = "provide the settings file that the platform's documentation describes"
@@ -67,6 +69,7 @@
             seeds=tuple(seed for seed in decoded["Seeds"] if seed != listen["Control"]),
         ),
         platform=PlatformSettings(addresses=(f"http://{store_address}",)),
+        resources=_resources(decoded.get("Limits") or {}),
         relay=RelaySettings(
             front_listen=listen["Front"],
             readiness_listen=listen["Ready"],
@@ -89,6 +92,15 @@
     )
 
 
+def _resources(limits: Mapping[str, Any]) -> VmResources:
+    default = VmResources()
+    memory_mb = limits.get("MemoryMb")
+    return VmResources(
+        memory_bytes=int(memory_mb * BYTES_PER_MB) if memory_mb else default.memory_bytes,
+        descriptors=int(limits.get("FileDescriptors") or default.descriptors),
+    )
+
+
 def _revocation_s(bounds: Mapping[str, Any]) -> float:
     revocation_ms = bounds.get("RevokeMs")
     return float(revocation_ms) / MS_PER_S if revocation_ms else DEFAULT_REVOCATION_S
