Share one budget among the clients of all HTTP listeners

Callers' VMs ended, out of memory, when clients sent many large bodies at once or stopped a byte short of their end, and when they sent requests ahead and read no answers. aiohttp buffered twice the largest body while one was read, 512 KiB of each body that waits, 32 requests a connection, and heads of two megabytes without a bound on all of them; it accepted up to 1,024 connections in one step, and idle ones took all descriptors.

Each listener's connections now count what they hold and apply the decisions of `ClientBudget`: bodies are read in steps and counted, two requests at most are parsed ahead, receiving stops at 64 KiB in one step (8 KiB of small chunks), unread answers count beyond 16 KiB, 16 connections are accepted in one step. A body without room gets 503, a stalled one 408, both before anything was sent to a server; a connection without a request is closed for a new one.

Tests, crowds and bounds fixed before: one daemon with the settings of a VM of 152 MB and 400 descriptors. They run one at a time after all other tests.

--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -38,6 +38,7 @@
     config.stash[KNOWN_RED] = read_known_red(config.rootpath / LIST_NAME)
 
 
+@pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     """Deselect the listed tests by their exact ids."""
     listed = {known.test_id for known in config.stash[KNOWN_RED]}
--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,12 @@
 .DEFAULT_GOAL := test
 .PHONY: losses replay test lint demo proofs proofs-page bench bench-check profile proto clean
 
+# Tests with crowds of clients run one at a time, apart from the others. pytest ends with 5 where the
+# arguments select no test.
 test: $(STAMP)
-	@$(BIN)/python -m pytest -n $(PYTEST_WORKERS) --dist worksteal $(PYTEST_ARGS)
+	@$(BIN)/python -m pytest -n $(PYTEST_WORKERS) --dist worksteal -m "not crowd" $(PYTEST_ARGS) \
+		|| [ $$? -eq 5 ]
+	@$(BIN)/python -m pytest -m crowd $(PYTEST_ARGS) || [ $$? -eq 5 ]
 
 lint: $(STAMP)
 	@$(BIN)/black --check --quiet . || { $(BIN)/black --check .; exit 1; }
--- a/src/pomelobarrow/callers/bodies.py
+++ b/src/pomelobarrow/callers/bodies.py
@@ -1,10 +1,13 @@
 """Read request bodies with limits on size and time."""
 
 import asyncio
+from collections.abc import Callable
 
 from aiohttp import web
 from result import Err, Ok, Result
 
+from pomelobarrow.callers.client_connection import ClientConnection, ClientStalledError
+from pomelobarrow.decision.admission.client_budget import UNCOUNTED_BYTES
 from pomelobarrow.decision.common.errors import ErrorKind, Refusal, RunStatus
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
@@ -16,15 +19,19 @@
 
 async def read_body(request: web.BaseRequest, deadline_unix_s: float) -> Result[bytes, Refusal]:
     """Return the body as it was sent, without decompressing it."""
-    if (request.content_length or 0) > request.client_max_size:
+    stated_bytes = request.content_length or 0
+    if stated_bytes > request.client_max_size:
         return Err(_too_large(request))
     try:
         # Most bodies arrive together with their heads.
-        if request.content.is_eof():
+        if request.content.is_eof() and stated_bytes <= UNCOUNTED_BYTES:
             return Ok(await request.read())
         timeout_s = min(BODY_TIMEOUT_S, deadline_unix_s - now_unix_s())
         async with asyncio.timeout(max(0.0, timeout_s)):
-            return Ok(await request.read())
+            return await _read_counted(request, stated_bytes)
+    except ClientStalledError:
+        detail = "the body made no progress, and its memory was needed for other requests"
+        return _refusal(ErrorKind.BODY_TOO_SLOW, detail, "send the body without pauses")
     except web.HTTPRequestEntityTooLarge:
         return Err(_too_large(request))
     except web.RequestPayloadError:
@@ -38,6 +45,31 @@
         )
 
 
+async def _read_counted(request: web.BaseRequest, stated_bytes: int) -> Result[bytes, Refusal]:
+    """Return the body if there is memory for it beside what other clients have sent."""
+    hold = _holder(request)
+    if stated_bytes > UNCOUNTED_BYTES and not hold(stated_bytes):
+        return Err(_no_room())
+    parts, size_bytes = [], 0
+    while data := await request.content.readany():
+        size_bytes += len(data)
+        if size_bytes > request.client_max_size:
+            return Err(_too_large(request))
+        if size_bytes > max(stated_bytes, UNCOUNTED_BYTES) and not hold(size_bytes):
+            return Err(_no_room())
+        parts.append(data)
+    return Ok(b"".join(parts))
+
+
+def _holder(request: web.BaseRequest) -> Callable[[int], bool]:
+    connection = request.protocol
+    return connection.hold_body if isinstance(connection, ClientConnection) else _hold_any
+
+
+def _hold_any(size_bytes: int) -> bool:
+    return True
+
+
 def check_uncompressed(request: web.Request) -> Result[None, Refusal]:
     """Refuse a compressed body that the gateway would have to read.
 
@@ -61,5 +93,10 @@
     )
 
 
+def _no_room() -> Refusal:
+    detail = "this VM holds as much of other requests as it has memory for"
+    return refuse(ErrorKind.OVERLOADED, RunStatus.NO, detail)
+
+
 def _refusal(kind: ErrorKind, detail: str, remedy: str) -> Err[Refusal]:
     return Err(refuse(kind, RunStatus.NO, detail, remedy=remedy))
--- a/src/pomelobarrow/callers/plugin.py
+++ b/src/pomelobarrow/callers/plugin.py
@@ -6,11 +6,13 @@
 from result import Err
 
 from pomelobarrow.callers import parsing
+from pomelobarrow.callers.client_budgets import ClientBudgets
 from pomelobarrow.callers.entries import EntryDirectory
 from pomelobarrow.callers.gateway import CallerGateway
 from pomelobarrow.callers.operations import Operations, json_response
 from pomelobarrow.callers.problems import problem_response
 from pomelobarrow.callers.server import CallerServer
+from pomelobarrow.decision.admission.budget_limits import MAX_PUBLISHED_BODY_BYTES, ListenerGroup
 from pomelobarrow.decision.common.errors import ErrorKind, RunStatus
 from pomelobarrow.decision.members.membership import MembershipView
 from pomelobarrow.decision.requests.request_ids import RequestIdLedger
@@ -31,6 +33,7 @@
     context.provide(CallerGateway, _gateway)
     context.provide(EntryDirectory, _directory)
     context.provide(CallerServer, CallerServer)
+    context.provide(ClientBudgets, _budgets)
 
 
 @hookimpl
@@ -45,6 +48,12 @@
     return context.get(CallerServer).close()
 
 
+@hookimpl
+def reloaded(context: Context) -> None:
+    """Use the resources of the reloaded settings."""
+    context.get(ClientBudgets).refresh()
+
+
 @hookimpl
 def routes(context: Context) -> list[web.RouteDef]:
     """Return the routes for callers and operators."""
@@ -90,6 +99,24 @@
     return entries
 
 
+def _budgets(context: Context) -> ClientBudgets:
+    published = context.get(PublishedState)
+
+    def max_body_bytes(group: ListenerGroup) -> int:
+        if group is ListenerGroup.OPERATIONS:
+            return 0
+        routing = published.routing
+        routed_bytes = routing.limits.body_bytes if routing is not None else 0
+        own_bytes = context.settings.callers.max_body_bytes
+        return max(own_bytes, min(routed_bytes, MAX_PUBLISHED_BODY_BYTES))
+
+    budgets = ClientBudgets(
+        resources=lambda: context.settings.resources, max_body_bytes=max_body_bytes
+    )
+    published.listeners.append(lambda name, source: budgets.refresh())
+    return budgets
+
+
 def _operations(context: Context) -> Operations:
     return Operations(
         context=context,
--- a/src/pomelobarrow/callers/server.py
+++ b/src/pomelobarrow/callers/server.py
@@ -2,11 +2,16 @@
 
 import asyncio
 from collections.abc import Iterable
+from typing import Any
 
 import structlog
 from aiohttp import web
 from mode import Service
 
+from pomelobarrow.callers.client_budgets import ClientBudgets
+from pomelobarrow.callers.client_connection import ClientConnection, ClientGate
+from pomelobarrow.callers.listening import ACCEPTED_AT_ONCE, listen, listening_socket
+from pomelobarrow.decision.admission.budget_limits import ListenerGroup
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
 
@@ -21,6 +26,41 @@
 log = structlog.get_logger(__name__)
 
 
+class _Server(web.Server):
+    """Create a connection within the budget for each connection of a caller."""
+
+    def __init__(self, made: web.Server, gate: ClientGate) -> None:
+        super().__init__(
+            made.request_handler,
+            request_factory=made.request_factory,
+            handler_cancellation=made.handler_cancellation,
+            loop=made._loop,
+            **made._kwargs,
+        )
+        self._gate = gate
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the handler of a new connection."""
+        return ClientConnection(
+            self,
+            loop=self._loop,
+            gate=self._gate,
+            max_line_bytes=MAX_HEADER_BYTES,
+            **self._kwargs,
+        )
+
+
+class _Runner(web.AppRunner):
+    """Run an application whose connections share a budget."""
+
+    def __init__(self, app: web.Application, gate: ClientGate, **options: Any) -> None:
+        super().__init__(app, **options)
+        self._gate = gate
+
+    async def _make_server(self) -> web.Server:
+        return _Server(await super()._make_server(), self._gate)
+
+
 class CallerServer(Service):
     """Run the HTTP server for callers."""
 
@@ -38,19 +78,25 @@
             app.add_routes(routes)
         # Without handler_cancellation, the answer to a disconnected caller continues and occupies
         # an engine's slot.
-        self._runner = web.AppRunner(
+        gate = ClientGate(
+            listener="callers",
+            budget=self._context.get(ClientBudgets).of(ListenerGroup.REQUESTS),
+            observe=self._context.observe,
+        )
+        self._runner = _Runner(
             app,
+            gate,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_S,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-            max_field_size=MAX_HEADER_BYTES,
             # Bodies are forwarded unchanged. Decompressed here, a small one could fill the memory.
             auto_decompress=False,
         )
         await self._runner.setup()
-        host, _, port = settings.listen.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port), reuse_address=True).start()
+        opened = listening_socket(settings.listen, bounds_unread=True)
+        await web.SockSite(self._runner, opened, backlog=ACCEPTED_AT_ONCE).start()
+        listen(opened)
 
     async def close(self) -> None:
         """Stop accepting connections and return once every answer is sent."""
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from pomelobarrow.backends.server_watch import ServerEnded
+from pomelobarrow.callers.client_connection import ClientLimited
 from pomelobarrow.decision.published.configuration import Rank
 from pomelobarrow.dispatch.crash_guard import RequestBlocked
 from pomelobarrow.dispatch.events import (
@@ -27,6 +28,7 @@
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.kernel.hooks import hookimpl
 from pomelobarrow.operators.event_fields import event_fields
+from pomelobarrow.operators.line_limiter import LineLimiter
 from pomelobarrow.operators.metrics import Metrics
 from pomelobarrow.operators.traces import Traces
 from pomelobarrow.peers.events import MemberLivenessChanged, PeerRefused, ProcessPauseDetected
@@ -54,6 +56,9 @@
     StreamTakenUp,
 )
 
+# Clients that misbehave do so thousands of times a second.
+LIMITED_LINE_EVERY_S = 1.0
+
 log = structlog.get_logger(__name__)
 
 
@@ -64,6 +69,7 @@
         self._metrics = metrics
         # Bound once, because the lazy logger would create a bound logger for each event.
         self._log = log.bind()
+        self._limited_lines = LineLimiter(interval_s=LIMITED_LINE_EVERY_S)
         self._handlers: dict[type, Callable[[Any], None]] = {
             RequestEnded: self._request_ended,
             AttemptEnded: self._attempt_ended,
@@ -80,6 +86,7 @@
             RelayNotPlaced: self._relay_not_placed,
             RelayDenied: self._relay_denied,
             RequestTooLong: self._request_too_long,
+            ClientLimited: self._client_limited,
             StreamTakenUp: self._stream_taken_up,
             RelayAttemptEnded: self._relay_attempt_ended,
             RelayEnded: self._relay_ended,
@@ -202,6 +209,13 @@
         self._metrics.inputs_too_long.inc(event.listener)
         self._log.warning("request too long", **event_fields(event))
 
+    def _client_limited(self, event: ClientLimited) -> None:
+        key = (event.listener, event.limit, event.action)
+        self._metrics.clients_limited.inc(*key)
+        suppressed = self._limited_lines.admit(key, now_unix_s())
+        if suppressed is not None:
+            self._log.warning("client limited", suppressed=suppressed, **event_fields(event))
+
     def _stream_taken_up(self, event: StreamTakenUp) -> None:
         self._metrics.streams_taken_up.inc(event.source)
         self._log.info("stream taken up", **event_fields(event))
--- a/src/pomelobarrow/relay/http_server.py
+++ b/src/pomelobarrow/relay/http_server.py
@@ -10,11 +10,16 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from attrs import frozen
 
+from pomelobarrow.callers.client_connection import (
+    MAX_HEADER_LINES,
+    ClientConnection,
+    ClientGate,
+)
+
 log = structlog.get_logger(__name__)
 
 # A chunk of one byte takes six bytes.
 MAX_FRAMING_FACTOR = 8
-MAX_HEADER_LINES = 128
 
 
 @frozen(kw_only=True)
@@ -32,7 +37,7 @@
         return head_bytes + MAX_FRAMING_FACTOR * self.body_bytes
 
 
-class _RequestHandler(web.RequestHandler):
+class _RequestHandler(ClientConnection):
     """Reject requests that can't be parsed without a quote of them, and those without end.
 
     aiohttp logs the line that it could not parse and sends it back. That line may be the header
@@ -46,15 +51,15 @@
         *,
         limits: ConnectionLimits,
         on_too_long: Callable[[], None],
+        gate: ClientGate,
         loop: asyncio.AbstractEventLoop,
         **options: Any,
     ) -> None:
         super().__init__(
             manager,
             loop=loop,
-            max_headers=MAX_HEADER_LINES,
-            max_field_size=limits.field_bytes,
-            max_line_size=limits.field_bytes,
+            gate=gate,
+            max_line_bytes=limits.field_bytes,
             keepalive_timeout=limits.idle_s,
             **options,
         )
@@ -104,10 +109,12 @@
         *,
         limits: Callable[[], ConnectionLimits],
         on_too_long: Callable[[], None],
+        gate: ClientGate,
         **options: Any,
     ) -> None:
         super().__init__(handler, **options)
         self._limits = limits
+        self._gate = gate
         self._on_too_long = on_too_long
 
     def __call__(self) -> web.RequestHandler:
@@ -117,5 +124,6 @@
             loop=self._loop,
             limits=self._limits(),
             on_too_long=self._on_too_long,
+            gate=self._gate,
             **self._kwargs,
         )
--- a/src/pomelobarrow/relay/listeners.py
+++ b/src/pomelobarrow/relay/listeners.py
@@ -9,7 +9,11 @@
 from attrs import define, frozen
 from mode import Service
 
+from pomelobarrow.callers.client_budgets import ClientBudgets
+from pomelobarrow.callers.client_connection import ClientGate
+from pomelobarrow.callers.listening import ACCEPTED_AT_ONCE, listen, listening_socket
 from pomelobarrow.callers.server import flush
+from pomelobarrow.decision.admission.budget_limits import MAX_PUBLISHED_BODY_BYTES, ListenerGroup
 from pomelobarrow.decision.published.routing import CallerLimits
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.events import RequestTooLong
@@ -21,9 +25,7 @@
 KEEPALIVE_S = 75.0
 # Published limits count up to these: a VM has 300 MB.
 MAX_PUBLISHED_FIELD_BYTES = 256 << 10
-MAX_PUBLISHED_BODY_BYTES = 64 << 20
 NONE_PUBLISHED = CallerLimits(header_bytes=0, body_bytes=0, idle_s=0.0)
-BACKLOG = 1_024
 IN_TRANSIT_WAIT_S = 0.25
 IDLE_CHECK_EVERY_S = 0.05
 
@@ -39,6 +41,7 @@
     name: str
     address: str
     handler: Handler
+    group: ListenerGroup = ListenerGroup.REQUESTS
     max_body_bytes: int = 1 << 16
     # Returns the published limits, which hold for requests of routes only.
     published: Callable[[], CallerLimits] = lambda: NONE_PUBLISHED
@@ -68,9 +71,11 @@
         listeners: tuple[Listener, ...],
         in_progress: Callable[[], int],
         observe: Callable[[object], None] = lambda event: None,
+        budgets: ClientBudgets | None = None,
     ) -> None:
         super().__init__()
         self._observe = observe
+        self._budgets = budgets or ClientBudgets()
         self._listeners = listeners
         self._in_progress = in_progress
         self._opened: list[_OpenListener] = []
@@ -85,15 +90,21 @@
                 listener.handler,
                 limits=listener.limits,
                 on_too_long=partial(self._observe, RequestTooLong(listener=listener.name)),
+                gate=ClientGate(
+                    listener=listener.name,
+                    budget=self._budgets.of(listener.group),
+                    observe=self._observe,
+                ),
                 handler_cancellation=True,
                 access_log=None,
                 # Bodies are forwarded unchanged.
                 auto_decompress=False,
             )
-            host, _, port = listener.address.rpartition(":")
-            socket = await loop.create_server(
-                server, host, int(port), backlog=BACKLOG, reuse_address=True
+            opened = listening_socket(
+                listener.address, bounds_unread=listener.group is not ListenerGroup.PEERS
             )
+            socket = await loop.create_server(server, sock=opened, backlog=ACCEPTED_AT_ONCE)
+            listen(opened)
             self._opened.append(_OpenListener(server, socket))
             log.info("listening", purpose=listener.name, address=listener.address)
 
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -6,7 +6,9 @@
 from pomelobarrow.backends.reach_monitor import ReachMonitor
 from pomelobarrow.backends.reports import LOAD_PATH
 from pomelobarrow.backends.sessions import BackendSessions
+from pomelobarrow.callers.client_budgets import ClientBudgets
 from pomelobarrow.callers.operations import Operations
+from pomelobarrow.decision.admission.budget_limits import ListenerGroup
 from pomelobarrow.decision.admission.retry_share import RetryShare
 from pomelobarrow.decision.members.live_members import LiveMembers
 from pomelobarrow.decision.members.membership import MembershipView
@@ -247,14 +249,24 @@
                 name="peers",
                 address=settings.hop_listen,
                 handler=front.from_peer,
+                group=ListenerGroup.PEERS,
                 max_body_bytes=MAX_BODY_BYTES,
                 published=limits,
             ),
             Listener(
-                name="readiness", address=settings.readiness_listen, handler=directory.readiness
+                name="readiness",
+                address=settings.readiness_listen,
+                handler=directory.readiness,
+                group=ListenerGroup.OPERATIONS,
+            ),
+            Listener(
+                name="directory",
+                address=settings.directory_listen,
+                handler=directory.answer,
+                group=ListenerGroup.OPERATIONS,
             ),
-            Listener(name="directory", address=settings.directory_listen, handler=directory.answer),
         ),
         in_progress=lambda: context.get(Relay).in_progress,
         observe=context.observe,
+        budgets=context.get(ClientBudgets),
     )
