Count the connections to the control listener

Callers depend on VMs that reach each other; open connections to the control listener took all descriptors, which any client can do. They are counted now, and one whose caller has not shown a peer's key is closed when its place is needed.

--- a/src/pomelobarrow/peers/message_size.py
+++ b/src/pomelobarrow/peers/message_size.py
@@ -1,4 +1,4 @@
-"""Bound the length of the messages that a peer sends on a stream.
+"""Bound the length of the messages that a peer sends on a stream, and its connections.
 
 grpclib reads a message of any stated length, up to 4 GiB, into memory.
 """
@@ -11,7 +11,10 @@
 from grpclib.protocol import Connection, H2Protocol, Stream
 from grpclib.server import Server
 
+from pomelobarrow.callers.client_connection import ClientGate
+from pomelobarrow.decision.admission.client_budget import Holding, Phase
 from pomelobarrow.kernel.background import failure_observer
+from pomelobarrow.kernel.clock import now_unix_s
 
 # The longest message is a hand-over: all kept answers, and the most request ids at 256 bytes each.
 MAX_MESSAGE_BYTES = 48 << 20
@@ -56,6 +59,34 @@
         self.connection.create_stream = create  # type: ignore[method-assign]
 
 
+class _AcceptedProtocol(_BoundedProtocol):
+    """Count a connection; one whose caller has shown no key is closed if others need its place."""
+
+    gate: ClientGate
+
+    def connection_made(self, transport: Any) -> None:
+        super().connection_made(transport)
+        self._holding = Holding(on_evicted=transport.abort)
+        if not self.gate.open(self._holding):
+            transport.abort()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self.gate.budget.close(self._holding)
+        super().connection_lost(exc)
+
+    def keep(self) -> None:
+        """Keep the connection, which is a peer's."""
+        if self._holding.phase is not Phase.RUNNING:
+            self.gate.budget.move(self._holding, Phase.RUNNING, now_unix_s())
+
+
+def keep_connection(transport: Any) -> None:
+    """Keep the connection of a peer that has shown its key."""
+    protocol = transport.get_protocol() if transport is not None else None
+    if isinstance(protocol, _AcceptedProtocol):
+        protocol.keep()
+
+
 def _create_stream(connection: Connection, max_message_bytes: int, **options: Any) -> Stream:
     stream = _BoundedStream(connection, connection._connection, connection._transport, **options)
     stream.max_message_bytes = max_message_bytes
@@ -70,12 +101,19 @@
 
 
 class BoundedServer(Server):
-    """Close the connection of a peer that states too long a message."""
+    """Close the connection of a peer that states too long a message, and bound all of them."""
 
     max_message_bytes: int = MAX_MESSAGE_BYTES
+    # None if the connections aren't counted.
+    gate: ClientGate | None = None
 
     def _protocol_factory(self) -> H2Protocol:
-        return _bounded(super()._protocol_factory(), self.max_message_bytes)
+        made = super()._protocol_factory()
+        if self.gate is None:
+            return _bounded(made, self.max_message_bytes)
+        accepted = _AcceptedProtocol(made.handler, made.config, made.h2_config)
+        accepted.max_message_bytes, accepted.gate = self.max_message_bytes, self.gate
+        return accepted
 
 
 class BoundedChannel(Channel):
--- a/src/pomelobarrow/peers/server.py
+++ b/src/pomelobarrow/peers/server.py
@@ -1,7 +1,7 @@
 """Serve the calls of the other entry VMs."""
 
 import asyncio
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Any
 
@@ -11,6 +11,10 @@
 from grpclib.server import Stream
 from mode import Service
 
+from pomelobarrow.callers.client_budgets import ClientBudgets
+from pomelobarrow.callers.client_connection import ClientGate
+from pomelobarrow.callers.listening import ACCEPTED_AT_ONCE, listen, listening_socket
+from pomelobarrow.decision.admission.budget_limits import ListenerGroup
 from pomelobarrow.decision.members.member import ListedVm
 from pomelobarrow.decision.requests.request_ids import RequestIdLedger
 from pomelobarrow.kernel.clock import now_unix_s
@@ -26,6 +30,7 @@
     MAX_FORWARD_OVERHEAD_BYTES,
     MAX_MESSAGE_BYTES,
     BoundedServer,
+    keep_connection,
 )
 from pomelobarrow.peers.peers_grpc import PeerBase
 from pomelobarrow.peers.streams import AcceptedStreams
@@ -69,7 +74,7 @@
 
     async def Exchange(self, stream: Stream[pb.PeerMessage, pb.PeerMessage]) -> None:  # noqa: N802
         """Exchange messages with a peer until its stream ends."""
-        vm = self._authenticated_vm(stream.metadata, "Exchange")
+        vm = self._authenticated_vm(stream, "Exchange")
         open_stream = self._make_stream(ListedVm(vm=vm))
         self._accepted.add(open_stream)
         try:
@@ -83,21 +88,21 @@
         self, stream: Stream[pb.ForwardRequest, pb.ForwardEvent]
     ) -> None:
         """Run a request here or refuse it."""
-        vm = self._authenticated_vm(stream.metadata, "Forward")
+        vm = self._authenticated_vm(stream, "Forward")
         with self._count_call():
             await self._forwards.forward(stream, vm)
             await _flush(stream)
 
     async def Resume(self, stream: Stream[pb.ResumeRequest, pb.ForwardEvent]) -> None:  # noqa: N802
         """Relay the rest of a forwarded stream."""
-        vm = self._authenticated_vm(stream.metadata, "Resume")
+        vm = self._authenticated_vm(stream, "Resume")
         with self._count_call():
             await self._forwards.resume(stream, vm)
             await _flush(stream)
 
     async def Cancel(self, stream: Stream[pb.CancelRequest, pb.CancelReply]) -> None:  # noqa: N802
         """Cancel a forwarded request."""
-        vm = self._authenticated_vm(stream.metadata, "Cancel")
+        vm = self._authenticated_vm(stream, "Cancel")
         with self._count_call():
             message = await stream.recv_message()
             if message is not None:
@@ -108,7 +113,7 @@
         self, stream: Stream[pb.HandOverRequest, pb.HandOverReply]
     ) -> None:
         """Adopt the request ids of a stopping VM."""
-        self._authenticated_vm(stream.metadata, "HandOver")
+        self._authenticated_vm(stream, "HandOver")
         message = await stream.recv_message()
         if message is not None:
             accepted = not self._context.is_draining and adopt_message(self._ledger, message)
@@ -122,15 +127,16 @@
         finally:
             self._open_calls -= 1
 
-    def _authenticated_vm(self, metadata: Mapping[str, object] | None, method: str) -> str:
+    def _authenticated_vm(self, stream: Stream[Any, Any], method: str) -> str:
         path = SERVICE_PATH + method
-        vm = self._keys.caller_vm(metadata or {}, path)
+        vm = self._keys.caller_vm(stream.metadata or {}, path)
         if vm is None:
             self._context.observe(PeerRefused(path))
             raise GRPCError(
                 Status.UNAUTHENTICATED,
                 "not a peer: put the same peers.keys into both VMs' settings",
             )
+        keep_connection(_transport_of(stream))
         return vm
 
 
@@ -145,11 +151,17 @@
         # Forwarded requests may be as long as those of callers.
         longest_bytes = context.settings.callers.max_body_bytes + MAX_FORWARD_OVERHEAD_BYTES
         self._server.max_message_bytes = max(MAX_MESSAGE_BYTES, longest_bytes)
+        self._server.gate = ClientGate(
+            listener="control",
+            budget=context.get(ClientBudgets).of(ListenerGroup.PEERS),
+            observe=context.observe,
+        )
 
     async def on_start(self) -> None:
         """Open the listening socket."""
-        host, _, port = self._listen.rpartition(":")
-        await self._server.start(host, int(port))
+        opened = listening_socket(self._listen, bounds_unread=False)
+        await self._server.start(sock=opened, backlog=ACCEPTED_AT_ONCE)
+        listen(opened)
 
     async def close(self) -> None:
         """Refuse the requests in transit, and wait until every answer has left this process."""
@@ -162,9 +174,13 @@
         await self._server.wait_closed()
 
 
+def _transport_of(stream: Stream[Any, Any]) -> Any:
+    # grpclib has no public way to the transport.
+    return stream.peer._transport if stream.peer else None
+
+
 async def _flush(stream: Stream[Any, pb.ForwardEvent]) -> None:
     """Wait until the transport's buffer is empty; its content is lost when the process ends."""
-    # grpclib has no public way to the transport.
-    transport = stream.peer._transport if stream.peer else None
+    transport = _transport_of(stream)
     while transport and transport.get_write_buffer_size() and not transport.is_closing():
         await asyncio.sleep(CLOSE_POLL_S)
