Send large bodies to servers in parts

Callers' bodies were held twice while a server did not read: as received, and as the copy that the transport makes of what its socket does not take. They are given to the transport in parts of 64 KiB, each once the one before has left.

--- a/src/pomelobarrow/backends/single_use.py
+++ b/src/pomelobarrow/backends/single_use.py
@@ -37,6 +37,7 @@
 # Requests of other methods state the length of their body even if they have none.
 METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
 FIRST_FINAL_STATUS = 200
+SEND_STEP_BYTES = 64 << 10
 BODILESS_STATUSES = frozenset({204, 304})
 CUT_BY_ITS_END = "the answer ended together with its server, without a mark of its end"
 BROKEN_CONNECTION_ERRORS = (
@@ -171,7 +172,7 @@
         line = f"{request.method} {request.target} HTTP/1.1"
         await writer.write_headers(line, _sent_headers(request))
         self.on_send()
-        await writer.write_eof(request.body)
+        await _write_body(writer, request.body)
 
     async def _read_head(
         self, protocol: AnswerHandler
@@ -203,6 +204,15 @@
         return RequestInfo(request.url, request.method, headers, request.url)
 
 
+async def _write_body(writer: StreamWriter, body: bytes) -> None:
+    """Send a body in parts, since the transport copies what its socket does not take at once."""
+    view, sent_bytes = memoryview(body), 0
+    while len(body) - sent_bytes > SEND_STEP_BYTES:
+        await writer.write(view[sent_bytes : sent_bytes + SEND_STEP_BYTES])
+        sent_bytes += SEND_STEP_BYTES
+    await writer.write_eof(bytes(view[sent_bytes:]) if sent_bytes else body)
+
+
 def body_end(method: str, status: int, headers: CIMultiDictProxy[str]) -> BodyEnd:
     """Return what marks the end of an answer's body."""
     if method == "HEAD" or status in BODILESS_STATUSES:
