Bound what the clients of all listeners hold together

Callers could still end a VM where 64 MiB are published for a body: clients' listeners and that of peers each had room for one of them, 311 MiB in sum of bounds on a VM of 286 MiB, found by adding them up. All groups share a bound of the process now, and the smallest VMs refuse a body that they can't hold twice, with 503, instead of running out of memory.

--- a/src/pomelobarrow/decision/admission/budget_limits.py
+++ b/src/pomelobarrow/decision/admission/budget_limits.py
@@ -18,6 +18,8 @@
 HELD_SHARE = 0.4
 CONNECTIONS_SHARE = 0.2
 MIN_HELD_BYTES = 16 << 20
+# One body of the largest size has room if that takes no more of the remaining memory than this.
+ONE_BODY_SHARE = 0.45
 # An open connection with its parser, task and buffers, and what it may hold uncounted.
 CONNECTION_BYTES = 16 << 10
 # Descriptors of files, and of links to peers, servers and the store that are open all the time.
@@ -59,15 +61,34 @@
 def budget_limits(
     group: ListenerGroup, resources: VmResources, max_body_bytes: int
 ) -> BudgetLimits:
-    """Return the limits of a group; they always admit one body of the largest size."""
+    """Return the limits of a group, which admit one body of the largest size that fits."""
     share = SHARE_BY_GROUP[group]
-    spare_bytes = max(0, resources.memory_bytes - PROCESS_BYTES)
-    held_bytes = int(share * max(MIN_HELD_BYTES, HELD_SHARE * spare_bytes))
-    one_body_bytes = int((max_body_bytes + SMALL_HOLDING_BYTES) / (1.0 - SMALL_RESERVE_SHARE))
+    spare_bytes = _spare_bytes(resources)
     usable_descriptors = max(0, resources.descriptors - RESERVED_DESCRIPTORS)
     by_descriptors = share * CLIENT_DESCRIPTORS_SHARE * usable_descriptors
     by_memory = share * CONNECTIONS_SHARE * spare_bytes / CONNECTION_BYTES
     return BudgetLimits(
         connections=max(MIN_CONNECTIONS, int(min(by_descriptors, by_memory))),
-        held_bytes=max(held_bytes, one_body_bytes),
+        held_bytes=max(
+            int(share * _base_bytes(resources)), _one_body_bytes(resources, max_body_bytes)
+        ),
     )
+
+
+@functools.cache
+def process_limit_bytes(resources: VmResources, max_body_bytes: int) -> int:
+    """Return what the clients of all groups may hold together."""
+    return max(_base_bytes(resources), _one_body_bytes(resources, max_body_bytes))
+
+
+def _spare_bytes(resources: VmResources) -> int:
+    return max(0, resources.memory_bytes - PROCESS_BYTES)
+
+
+def _base_bytes(resources: VmResources) -> int:
+    return max(MIN_HELD_BYTES, int(HELD_SHARE * _spare_bytes(resources)))
+
+
+def _one_body_bytes(resources: VmResources, max_body_bytes: int) -> int:
+    needed_bytes = int((max_body_bytes + SMALL_HOLDING_BYTES) / (1.0 - SMALL_RESERVE_SHARE))
+    return min(needed_bytes, int(ONE_BODY_SHARE * _spare_bytes(resources)))
--- a/src/pomelobarrow/decision/admission/client_budget.py
+++ b/src/pomelobarrow/decision/admission/client_budget.py
@@ -111,11 +111,20 @@
 REFUSED = Decision(is_granted=False)
 
 
+@define(kw_only=True)
+class ProcessBudget:
+    """The bytes that the clients of all listeners may hold together."""
+
+    limit_bytes: int
+    held_bytes: int = field(default=0, init=False)
+
+
 @define(kw_only=True)
 class ClientBudget:
     """Divide connections and bytes among the clients of some listeners."""
 
     limits: BudgetLimits
+    process: ProcessBudget
     held_bytes: int = field(default=0, init=False)
     connections: int = field(default=0, init=False)
     # Those that have waited for their clients for the longest time come first.
@@ -145,7 +154,7 @@
             return
         holding.is_open = False
         self.connections -= 1
-        self.held_bytes -= holding.held.counted_bytes
+        self._count(-holding.held.counted_bytes)
         holding.held = NOTHING_HELD
         self._unqueue(holding)
 
@@ -202,7 +211,12 @@
         limit_bytes = self.limits.held_bytes
         is_large = size_bytes > SMALL_HOLDING_BYTES
         reserved_bytes = int(SMALL_RESERVE_SHARE * limit_bytes) if is_large else 0
-        return limit_bytes - reserved_bytes - self.held_bytes
+        own_bytes = limit_bytes - reserved_bytes - self.held_bytes
+        return min(own_bytes, self.process.limit_bytes - self.process.held_bytes)
+
+    def _count(self, grown_bytes: int) -> None:
+        self.held_bytes += grown_bytes
+        self.process.held_bytes += grown_bytes
 
     def _least_used(self, now_unix_s: float) -> Holding | None:
         """Return a connection without a request, else with a part of a head, else a stalled one."""
@@ -237,7 +251,7 @@
             self._queues[holding.queue].move_to_end(holding)
 
     def _set_held(self, holding: Holding, held: HeldBytes) -> None:
-        self.held_bytes += held.counted_bytes - holding.held.counted_bytes
+        self._count(held.counted_bytes - holding.held.counted_bytes)
         holding.held = NOTHING_HELD if held == NOTHING_HELD else held
         self._queue(holding)
 
--- a/tests/test_client_budget.py
+++ b/tests/test_client_budget.py
@@ -17,6 +17,7 @@
     HeldBytes,
     Holding,
     Phase,
+    ProcessBudget,
 )
 
 NOW = 1_000.0
@@ -28,7 +29,8 @@
 
 
 def budget_of(limits: BudgetLimits = LIMITS) -> ClientBudget:
-    return ClientBudget(limits=limits)
+    process = ProcessBudget(limit_bytes=10 * limits.held_bytes)
+    return ClientBudget(limits=limits, process=process)
 
 
 def opened(budget: ClientBudget, phase: Phase = Phase.RECEIVING, now: float = NOW) -> Holding:
@@ -162,6 +164,18 @@
     assert (budget.connections, budget.held_bytes) == (0, 0)
 
 
+def test_listeners_together_hold_no_more_than_the_process_may() -> None:
+    """Guards against a largest body at clients' listeners and one of a peer at the same time."""
+    process = ProcessBudget(limit_bytes=HALF.body_bytes)
+    first, second = (ClientBudget(limits=LIMITS, process=process) for _ in range(2))
+    holding = opened(first)
+    assert first.resize(holding, HALF, NOW).is_granted
+    assert not second.resize(opened(second), HALF, NOW).is_granted
+    first.close(holding)
+    assert second.resize(opened(second), HALF, NOW).is_granted
+    assert process.held_bytes == HALF.body_bytes
+
+
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(["open", "close", "move", "resize", "receive", "unread"]),
@@ -199,3 +213,4 @@
         running = [each for each in holdings if each.is_open]
         assert budget.connections == len(running) <= LIMITS.connections
         assert budget.held_bytes == sum(each.held.counted_bytes for each in running)
+        assert budget.process.held_bytes == budget.held_bytes
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -36,7 +36,7 @@
     """A listener whose handler answers with the size of the body."""
 
     port: int = 0
-    budget: ClientBudget = field(factory=lambda: ClientBudget(limits=LIMITS))
+    budget: ClientBudget = field(default=ClientBudgets().of(ListenerGroup.REQUESTS))
     events: list[ClientLimited] = field(factory=list)
     # The sizes of the bodies that were read whole.
     bodies: list[int] = field(factory=list)
