Bound connections by the descriptors that the process may open

Callers could lose a VM whose settings state more descriptors than the process limit allows: accepting would fail before any connection is closed for another. The lower of the two counts.

Test: test_process_may_open_fewer_descriptors_than_stated (can't be built on the code before).

--- a/src/pomelobarrow/callers/client_budgets.py
+++ b/src/pomelobarrow/callers/client_budgets.py
@@ -1,8 +1,9 @@
 """The budgets of the clients of this process, one for each group of listeners."""
 
+import resource
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from pomelobarrow.decision.admission.budget_limits import (
     ListenerGroup,
@@ -21,6 +22,14 @@
     return 0
 
 
+def within_process_limits(stated: VmResources) -> VmResources:
+    """Return the stated resources, with no more descriptors than this process may open."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == resource.RLIM_INFINITY:
+        return stated
+    return evolve(stated, descriptors=min(stated.descriptors, soft_limit))
+
+
 @define(kw_only=True)
 class ClientBudgets:
     """Hold the budget of each group; all of them together fit the resources of the VM."""
--- a/src/pomelobarrow/callers/plugin.py
+++ b/src/pomelobarrow/callers/plugin.py
@@ -6,7 +6,7 @@
 from result import Err
 
 from pomelobarrow.callers import parsing
-from pomelobarrow.callers.client_budgets import ClientBudgets
+from pomelobarrow.callers.client_budgets import ClientBudgets, within_process_limits
 from pomelobarrow.callers.entries import EntryDirectory
 from pomelobarrow.callers.gateway import CallerGateway
 from pomelobarrow.callers.operations import Operations, json_response
@@ -111,7 +111,8 @@
         return max(own_bytes, min(routed_bytes, MAX_PUBLISHED_BODY_BYTES))
 
     budgets = ClientBudgets(
-        resources=lambda: context.settings.resources, max_body_bytes=max_body_bytes
+        resources=lambda: within_process_limits(context.settings.resources),
+        max_body_bytes=max_body_bytes,
     )
     published.listeners.append(lambda name, source: budgets.refresh())
     return budgets
