Close the connection that has waited longest for its client, not a new one

Callers beside a crowd with parts of heads could have a new connection closed for the next one, since a connection without a request went before one with a part of a head, however old that was; their request was in transit.

--- a/src/pomelobarrow/decision/admission/client_budget.py
+++ b/src/pomelobarrow/decision/admission/client_budget.py
@@ -219,10 +219,15 @@
         self.process.held_bytes += grown_bytes
 
     def _least_used(self, now_unix_s: float) -> Holding | None:
-        """Return a connection without a request, else with a part of a head, else a stalled one."""
-        for queue in (Queue.IDLE, Queue.SMALL):
-            if self._queues[queue]:
-                return next(iter(self._queues[queue]))
+        """Return the connection that has waited for a request, or the rest of a small one, longest.
+
+        The first bytes of a new connection may be in transit, so that it comes last. Without such a
+        connection, one whose client has stalled is returned.
+        """
+        queues = (self._queues[Queue.IDLE], self._queues[Queue.SMALL])
+        longest = [next(iter(queue)) for queue in queues if queue]
+        if longest:
+            return min(longest, key=lambda holding: holding.waiting_since_unix_s)
         return self._stalled(now_unix_s)
 
     def _stalled(self, now_unix_s: float, growing: Holding | None = None) -> Holding | None:
--- a/tests/test_client_budget.py
+++ b/tests/test_client_budget.py
@@ -140,6 +140,16 @@
     assert budget.connections == LIMITS.connections
 
 
+def test_new_connection_is_not_closed_for_the_next_one() -> None:
+    """A request in transit was lost beside clients that had sent a part of a head."""
+    budget = budget_of()
+    heads = [opened(budget) for _ in range(LIMITS.connections)]
+    newest, next_one = Holding(), Holding()
+    assert budget.open(newest, LATER).evicted == (heads[0],)
+    assert budget.open(next_one, LATER).evicted == (heads[1],)
+    assert newest.is_open
+
+
 def test_connection_that_was_used_last_is_closed_last() -> None:
     budget = budget_of()
     first, second, *_ = [opened(budget, Phase.IDLE) for _ in range(LIMITS.connections)]
