Keep receiving little at once while a body comes in small chunks

The callers beside a crowd that sends chunks of 64 bytes wait for one step of its parser each. When reading of such a body was resumed without new bytes, the next read took 64 KiB again instead of 8 KiB.

Test for what clients leave: test_memory_of_clients_that_leave_is_freed_at_once, three forms with the garbage collector off. It passes on the code before as well.

--- a/src/pomelobarrow/callers/client_connection.py
+++ b/src/pomelobarrow/callers/client_connection.py
@@ -136,7 +136,7 @@
             max_line_size=max_line_bytes,
             **options,
         )
-        self._limit_queue(loop, max_line_bytes, options.get("auto_decompress", True))
+        self._limit_queue(loop, max_line_bytes)
         self._gate = gate
         self._holding = Holding(unread_bytes=self._unread_bytes, on_evicted=self._on_evicted)
         # The sizes of the heads of requests that have not ended, the one in progress first.
@@ -148,9 +148,7 @@
         self._body: StreamReader | None = None
         self._content_bytes = 0
 
-    def _limit_queue(
-        self, loop: asyncio.AbstractEventLoop, max_line_bytes: int, auto_decompress: bool
-    ) -> None:
+    def _limit_queue(self, loop: asyncio.AbstractEventLoop, max_line_bytes: int) -> None:
         # aiohttp has no option for it.
         self._max_msg_queue_size = MAX_QUEUED_REQUESTS
         self._msg_queue_resume_size = MAX_QUEUED_REQUESTS // 2
@@ -162,16 +160,16 @@
             max_field_size=max_line_bytes,
             max_headers=MAX_HEADER_LINES,
             payload_exception=web.RequestPayloadError,
-            auto_decompress=auto_decompress,
+            # Bodies are forwarded unchanged. Decompressed here, a small one could fill the memory.
+            auto_decompress=False,
             max_msg_queue_size=MAX_QUEUED_REQUESTS,
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection; close it if there is no room for it."""
         super().connection_made(transport)
-        assert isinstance(transport, asyncio.Transport)
         transport.max_size = RECEIVE_BYTES  # type: ignore[attr-defined]
-        transport.set_write_buffer_limits(high=UNCOUNTED_BYTES)
+        transport.set_write_buffer_limits(high=UNCOUNTED_BYTES)  # type: ignore[attr-defined]
         if not self._gate.open(self._holding):
             self._abort()
 
@@ -252,7 +250,8 @@
             # It belongs to a request that waits for the one before it.
             self._head_sizes[-1] += size_bytes
             self._head_bytes += size_bytes
-        self._adapt_receiving(body, size_bytes)
+        if size_bytes:
+            self._adapt_receiving(body, size_bytes)
 
     def _adapt_receiving(self, body: StreamReader, size_bytes: int) -> None:
         """Receive less at once while much of what arrives are the sizes of chunks."""
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -1,6 +1,8 @@
 """Connections of clients within a small budget, over real sockets."""
 
 import asyncio
+import gc
+import tracemalloc
 from collections.abc import AsyncIterator
 
 import pytest
@@ -14,7 +16,11 @@
 from pomelobarrow.callers.client_budgets import ClientBudgets
 from pomelobarrow.callers.client_connection import ClientLimited
 from pomelobarrow.decision.admission.budget_limits import ListenerGroup
-from pomelobarrow.decision.admission.client_budget import STALLED_S, BudgetLimits, ClientBudget
+from pomelobarrow.decision.admission.client_budget import (
+    STALLED_S,
+    BudgetLimits,
+    ClientBudget,
+)
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.listeners import Listener, RelayListeners
 
@@ -26,7 +32,8 @@
 LENGTH = b"Content-Length: %d\r\n\r\n" % MAX_BODY_BYTES
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 SMALL = HEAD + b"Content-Length: 2\r\n\r\nok"
-LONG_LINES = b"".join(b"X-%d: " % n + b"h" * 15_000 + b"\r\n" for n in range(100))
+LINES = [b"X-%d: " % n + b"h" * 15_000 + b"\r\n" for n in range(100)]
+LONG_LINES = b"".join(LINES)
 
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -218,3 +225,38 @@
         while server.budget.connections:
             await asyncio.sleep(0.01)
         assert server.budget.held_bytes == 0
+
+
+async def leave(server: Server, sent: bytes) -> None:
+    """Send something on a new connection, and reset it once that has been counted."""
+    _, writer = await server.connect()
+    writer.write(sent)
+    await writer.drain()
+    while not server.budget.held_bytes:
+        await asyncio.sleep(0.01)
+    writer.transport.abort()
+    while server.budget.connections:
+        await asyncio.sleep(0.01)
+
+
+LEFT = {
+    "part of a head": HEAD + LONG_LINES[:500_000],
+    "part of a body": HEAD + LENGTH + BODY[:-1],
+    "a long head and a part of a body": HEAD + b"".join(LINES[:20]) + CHUNKED + b"1\r\na",
+}
+
+
+@pytest.mark.parametrize("sent", LEFT.values(), ids=LEFT)
+async def test_memory_of_clients_that_leave_is_freed_at_once(server: Server, sent: bytes) -> None:
+    """Guards against memory that is kept until the garbage collector runs, which is seldom."""
+    await leave(server, sent)
+    gc.disable()
+    tracemalloc.start()
+    try:
+        for _ in range(8):
+            await leave(server, sent)
+        left_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+    assert left_bytes < len(sent)
