Name the server in the probe that decides whether its answer is complete

Callers of an answer without length and chunks could take a stream for complete before its last event.

The probe names the server now. Any other process at the address rejects it as misdirected (421), which shows that the server has ended; the named one rejects it as incomplete, since it has no request id, and runs nothing.

Tests: test_unframed_stream_of_a_server_whose_address_was_taken_is_not_taken_for_complete failed before (the client got two events of four, as complete), and test_server_whose_address_another_one_has_taken_has_ended (can't be built on the code before). Stand-ins answer 400 to a request without an id, as the published servers do.

--- a/soak/stream_server.py
+++ b/soak/stream_server.py
@@ -135,6 +135,9 @@
         if headers.get("pomelobarrow-target-instance") != self.name:
             writer.write(b"HTTP/1.1 421 x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
             return
+        if "pomelobarrow-request-id" not in headers:
+            writer.write(b"HTTP/1.1 400 x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+            return
         plan, rng = json.loads(body), self.random
         is_chunked = plan["framing"] == CHUNKED
         last_event_id = headers.get("last-event-id", "")
--- a/soak/versioned.py
+++ b/soak/versioned.py
@@ -221,6 +221,8 @@
         async def answer(request: web.BaseRequest) -> web.StreamResponse:
             if request.headers.get("Pomelobarrow-Target-Instance") != name:
                 return web.Response(status=421)
+            if REQUEST_ID not in request.headers:
+                return web.Response(status=400)
             await request.read()
             return await self._stream(request, name, version)
 
--- a/src/pomelobarrow/backends/end_check.py
+++ b/src/pomelobarrow/backends/end_check.py
@@ -15,6 +15,8 @@
 CHECK_TIMEOUT = aiohttp.ClientTimeout(total=0.3)
 # A process that ends closes its listening socket last, and resets what connected meanwhile.
 CHECK_DELAYS_S = (0.0, 0.05)
+# Sent for a request that names another server than the one that listens.
+MISDIRECTED = 421
 
 EndCheck = Callable[[BackendServer], Awaitable[bool]]
 
@@ -29,17 +31,26 @@
 
 
 async def check_server(
-    sessions: BackendSessions, server: BackendServer, path: str, headers: Mapping[str, str]
+    sessions: BackendSessions,
+    server: BackendServer,
+    path: str,
+    headers: Mapping[str, str],
+    is_named: bool = False,
 ) -> ServerState:
-    """Probe a server: any answer shows that it is running, a refused connection that it isn't."""
+    """Probe a server: an answer shows that it is running, a refused connection that it isn't.
+
+    If the headers name the server, another process that listens at its address rejects the probe,
+    so that it isn't taken for the one that has ended.
+    """
     url = sessions.url(server.address, path)
     for delay_s in CHECK_DELAYS_S:
         await asyncio.sleep(delay_s)
         try:
             async with sessions.fresh.get(
                 url, headers=headers, timeout=CHECK_TIMEOUT, allow_redirects=False
-            ):
-                return ServerState.RUNNING
+            ) as answer:
+                is_other = is_named and answer.status == MISDIRECTED
+                return ServerState.ENDED if is_other else ServerState.RUNNING
         except TimeoutError:
             return ServerState.UNKNOWN
         except (aiohttp.ClientError, OSError) as error:
--- a/src/pomelobarrow/backends/reach_monitor.py
+++ b/src/pomelobarrow/backends/reach_monitor.py
@@ -40,6 +40,9 @@
     # What a probe requests; any answer shows that the server is reached.
     probe_path: str
     probe_headers: Mapping[str, str]
+    # Returns the headers of a probe that only the named server doesn't reject as misdirected; None
+    # if servers can't be named.
+    naming_headers: Callable[[str], Mapping[str, str]] | None = None
     # Drops the failures of servers that this VM can't reach.
     forgive: Callable[[Iterable[BackendServer]], None]
     observe: Callable[[object], None]
@@ -81,7 +84,10 @@
 
     async def check_server(self, server: BackendServer) -> ServerState:
         """Return what a probe shows of the process of a server."""
-        return await check_server(self.sessions, server, self.probe_path, self.probe_headers)
+        if self.naming_headers is None:
+            return await check_server(self.sessions, server, self.probe_path, self.probe_headers)
+        headers = self.naming_headers(server.name)
+        return await check_server(self.sessions, server, self.probe_path, headers, is_named=True)
 
     def _start_probes(self, pool: str) -> None:
         if pool not in self._probes:
--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -137,6 +137,7 @@
         server_headers=server_headers,
         peer_headers=peer_headers,
         probe_headers=((TARGET_SERVER, NO_SERVER),),
+        naming_headers=lambda server: ((TARGET_SERVER, server),),
         read_answer=read_answer,
         read_directory_query=read_directory_query,
         directory_answer=directory_answer,
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -145,11 +145,13 @@
 
 def _reach_monitor(context: Context) -> ReachMonitor:
     is_relay = context.settings.relay is not None
+    wire = context.get(RelayWire) if is_relay else None
     monitor = ReachMonitor(
         reachability=context.get(LoadTable).reachability,
         sessions=context.get(BackendSessions),
         probe_path=RELAY_PROBE_PATH if is_relay else LOAD_PATH,
-        probe_headers=dict(context.get(RelayWire).probe_headers) if is_relay else {},
+        probe_headers=dict(wire.probe_headers) if wire else {},
+        naming_headers=(lambda server: dict(wire.naming_headers(server))) if wire else None,
         forgive=context.get(ServerHealthMonitor).forgive,
         observe=context.observe,
     )
--- a/src/pomelobarrow/relay/wire.py
+++ b/src/pomelobarrow/relay/wire.py
@@ -50,6 +50,9 @@
     peer_headers: Callable[[RelayRequest, str], Headers]
     # Headers of a request that every backend server rejects unrun, and that needs no free slot.
     probe_headers: Headers
+    # Returns the headers of a request that any other server than the named one rejects as
+    # misdirected, and the named one as incomplete.
+    naming_headers: Callable[[str], Headers]
     read_answer: Callable[[ResponseHead], ServerAnswerHead]
     read_directory_query: Callable[[Mapping[str, str]], DirectoryQuery]
     # Takes the addresses and the seconds for which they are valid.
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -258,6 +258,7 @@
             sessions=sessions,
             probe_path="/",
             probe_headers=dict(platform_wire().probe_headers),
+            naming_headers=lambda server: dict(platform_wire().naming_headers(server)),
             forgive=monitor.forgive,
             observe=events.append,
         ),
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -9,6 +9,7 @@
 from attrs import define, field, frozen
 
 SEAL = "seal-of-the-server"
+REQUEST_ID = "pomelobarrow-request-id"
 # Tests send hundreds of requests at a time.
 BACKLOG = 1_024
 
@@ -132,6 +133,11 @@
             writer.write(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
             writer.close()
             return
+        if "pomelobarrow-target-instance" in headers and not headers.get(REQUEST_ID):
+            # A probe that names this server.
+            writer.write(b"HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n")
+            writer.close()
+            return
         self.received.append(received)
         await self.script(Exchange(received=received, reader=reader, writer=writer, server=self))
         self._writers.discard(writer)
@@ -248,6 +254,17 @@
     return script
 
 
+def is_replaced_after(data: bytes) -> Script:
+    """Send an unframed answer that ends with its process; the next one listens at its address."""
+
+    async def script(exchange: Exchange) -> None:
+        exchange.write_head(200)
+        exchange.writer.write(data)
+        exchange.server.name = "next"
+
+    return script
+
+
 def is_killed_behind_a_proxy(
     body: bytes, on_connection: Callable[[asyncio.StreamWriter], None]
 ) -> Script:
--- a/tests/test_end_check.py
+++ b/tests/test_end_check.py
@@ -52,6 +52,28 @@
     await runner.cleanup()
 
 
+@pytest.mark.parametrize(
+    ("status", "state"),
+    [(200, ServerState.RUNNING), (400, ServerState.RUNNING), (421, ServerState.ENDED)],
+)
+async def test_server_whose_address_another_one_has_taken_has_ended(
+    status: int, state: ServerState
+) -> None:
+    """A stream looked complete since the probe was answered by the next process at the address."""
+
+    async def answer(request: web.BaseRequest) -> web.Response:
+        return web.Response(status=status)
+
+    runner = web.ServerRunner(web.Server(answer))
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    sessions = BackendSessions({})
+    server = _server(runner.addresses[0][1])
+    assert await check_server(sessions, server, "/", {"Server": "s"}, is_named=True) is state
+    await sessions.close()
+    await runner.cleanup()
+
+
 @pytest.mark.parametrize("stops", [True, False])
 async def test_server_that_resets_a_connection_has_ended_if_it_refuses_the_next(
     stops: bool,
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -13,6 +13,7 @@
     is_killed_after,
     is_killed_behind_a_proxy,
     is_killed_slowly_after,
+    is_replaced_after,
     keeps_connection_silent,
     resets_connection,
     streams,
@@ -232,6 +233,18 @@
     assert await receive(killed) == (events(*range(1, pieces + 1)), False)
 
 
+@pytest.mark.parametrize("pieces", [2, LAST])
+async def test_unframed_stream_of_a_server_whose_address_was_taken_is_not_taken_for_complete(
+    pieces: int,
+) -> None:
+    """The process that had started at the address answered the probe for the one before."""
+    replaced = is_replaced_after(events(*range(1, pieces + 1)))
+    log: list[object] = []
+    assert await receive(replaced, streams(LAST), log=log) == (events(1, 2, 3, 4), True)
+    ends = [each for each in log if isinstance(each, RelayAttemptEnded)]
+    assert [end.end for end in ends] == ["lost", "passed on"]
+
+
 async def test_unframed_stream_that_may_not_be_resumed_is_complete_if_no_probe_is_answered() -> (
     None
 ):
