Take no answer of a server's next start for one of the start before

What callers would see: a stream or an answer without length and chunks looks complete early, if its server was killed, has started again under its name at its address and answers the probe. The naming probe can't tell the two starts apart; until now the list was not asked, even if it had the new start already.

Change: an answer to the probe shows nothing if a later start of the server is listed; the earlier one has ended then.

--- a/src/pomelobarrow/backends/reach_monitor.py
+++ b/src/pomelobarrow/backends/reach_monitor.py
@@ -42,6 +42,8 @@
     probe_headers: Mapping[str, str]
     # Returns a probe that identifies the server that answers it.
     naming_probe: Callable[[BackendServer], Probe]
+    # Returns whether no later start of a server is listed.
+    is_current: Callable[[BackendServer], bool] = lambda server: True
     # Drops the failures of servers that this VM can't reach.
     forgive: Callable[[Iterable[BackendServer]], None]
     observe: Callable[[object], None]
@@ -83,7 +85,10 @@
 
     async def check_server(self, server: BackendServer) -> ServerState:
         """Return what a probe shows of the process of a server."""
-        return await check_server(self.sessions, server, self.naming_probe(server))
+        state = await check_server(self.sessions, server, self.naming_probe(server))
+        # The process that answered may be the next one under the same name.
+        is_next = state is ServerState.RUNNING and not self.is_current(server)
+        return ServerState.ENDED if is_next else state
 
     def _start_probes(self, pool: str) -> None:
         if pool not in self._probes:
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -152,6 +152,7 @@
         probe_path=RELAY_PROBE_PATH if is_relay else LOAD_PATH,
         probe_headers=dict(wire.probe_headers) if wire else {},
         naming_probe=naming_probe(wire) if wire else load_probe,
+        is_current=table.is_current_incarnation,
         forgive=context.get(ServerHealthMonitor).forgive,
         observe=context.observe,
     )
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -260,6 +260,7 @@
             probe_path="/",
             probe_headers=dict(platform_wire().probe_headers),
             naming_probe=naming_probe(platform_wire()),
+            is_current=table.is_current_incarnation,
             forgive=monitor.forgive,
             observe=events.append,
         ),
