Don't take the load of another server at an address for the polled one's

What callers saw: nothing directly; after a server has ended and another one has got its address, requests were placed by the load of the latter until the list showed the change.

The load states its server's name, which was not compared.

test_load_of_the_next_server_at_an_address_is_not_taken[other-False] failed before.

--- a/src/pomelobarrow/backends/reports.py
+++ b/src/pomelobarrow/backends/reports.py
@@ -13,7 +13,7 @@
 
 from pomelobarrow.backends.answer_buffers import read_limited
 from pomelobarrow.backends.answer_limits import MAX_CACHE_EVENTS_BYTES, MAX_STATEMENT_BYTES
-from pomelobarrow.backends.end_check import Probe, states_other_name
+from pomelobarrow.backends.end_check import Probe, is_load_of_other, states_other_name
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.backends.shares import ServerShare
 from pomelobarrow.decision.common.bounded import UINT64_MAX, count_or_none, number_or_none
@@ -89,8 +89,11 @@
 
     async def _poll(self, server: BackendServer) -> None:
         body = await self._get(server, LOAD_PATH)
+        # The address may have passed to another server.
+        if body is None or is_load_of_other(body, server.name):
+            return
         # The report of an incarnation that was replaced says nothing about its successor.
-        if body is None or not self._table.is_current_incarnation(server):
+        if not self._table.is_current_incarnation(server):
             return
         now = now_unix_s()
         report = _report(server.name, body, now)
