Count a crash of a server that restarted within a second as another one

What callers saw: a request that crashes servers crashed a fourth one, where it is blocked after three.

Cause: VMs see one crash at different moments, so that crashes of a server under one key within a second were one.

Change: a crash keeps when the newest request that it lost was sent, so that the server ran then. If that is a quarter of a second or more after a crash was detected, the server has restarted since, and it is another crash. Peers get that time as running_age_ms; from peers of an earlier release, which state none, crashes within a second stay one.

--- a/src/pomelobarrow/decision/servers/crash_suspects.py
+++ b/src/pomelobarrow/decision/servers/crash_suspects.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import math
 from collections import OrderedDict, deque
 from collections.abc import Iterable
 
@@ -45,9 +46,12 @@
 CRASH_RETENTION_S = 3_600.0
 # The decision does not depend on further crashes.
 MAX_CRASHES = 8
-# VMs detect the same crash at slightly different times. On platforms that report no start time a
-# restarted server has the same key, but a restart takes longer than this.
+# VMs detect the same crash at slightly different times.
 SAME_CRASH_WITHIN_S = 1.0
+# On platforms that report no start time a restarted server has the same key. A request that was
+# sent this long after a crash was detected can't have been lost to it: a reset has arrived by then,
+# also after one retransmission, and VMs agree on the time that well.
+RESTARTED_AFTER_S = 0.25
 # A caller that changes its request body each time adds one entry per server that it crashes.
 # Entries with the fewest crashes are evicted first, in batches, since selection sorts all entries.
 MAX_SUSPECTS = 4_096
@@ -72,6 +76,9 @@
     # Hash of the server's incarnation.
     server_key: int
     ended_unix_s: float
+    # When the newest request that it lost was sent, so that it was running; minus infinity if
+    # unknown.
+    running_unix_s: float = -math.inf
     # Hash of the request's id if the fingerprint is of a part of its prompt, else 0. A request that
     # is tried again beside a crashing one may be on several servers that crash. So crashes count
     # for a part only if different requests with it were on the servers.
@@ -104,6 +111,8 @@
     parts: tuple[int, ...] = ()
     # Hash of the request's id.
     key: int = 0
+    # When it was sent, or a moment before; minus infinity if unknown.
+    sent_unix_s: float = -math.inf
 
 
 @frozen(kw_only=True)
@@ -150,8 +159,11 @@
 
 
 def _is_same(known: Crash, crash: Crash) -> bool:
-    is_same_time = abs(known.ended_unix_s - crash.ended_unix_s) < SAME_CRASH_WITHIN_S
-    return known.server_key == crash.server_key and is_same_time
+    if known.server_key != crash.server_key:
+        return False
+    first, last = sorted((known, crash), key=lambda each: each.ended_unix_s)
+    has_restarted = last.running_unix_s >= first.ended_unix_s + RESTARTED_AFTER_S
+    return not has_restarted and last.ended_unix_s - first.ended_unix_s < SAME_CRASH_WITHIN_S
 
 
 @define(kw_only=True)
--- a/src/pomelobarrow/dispatch/crash_guard.py
+++ b/src/pomelobarrow/dispatch/crash_guard.py
@@ -1,6 +1,8 @@
 """Block requests that crash the servers that run them."""
 
+import math
 from collections.abc import Callable, Iterable, Iterator, Mapping
+from functools import partial
 from types import MappingProxyType
 
 from attrs import define, field, frozen
@@ -144,20 +146,18 @@
     def _crashes(
         self, server_key: int, pool: str, requests: Iterable[RunningRequest]
     ) -> Iterator[Crash]:
-        now, pool_key = now_unix_s(), short_key(pool)
-        yield Crash(
-            fingerprint=ANY_REQUEST, server_key=server_key, ended_unix_s=now, pool_key=pool_key
+        lost, pool_key = tuple(requests), short_key(pool)
+        make_crash = partial(
+            Crash,
+            server_key=server_key,
+            ended_unix_s=now_unix_s(),
+            running_unix_s=max((each.sent_unix_s for each in lost), default=-math.inf),
         )
-        for request in requests:
-            yield Crash(fingerprint=request.fingerprint, server_key=server_key, ended_unix_s=now)
+        yield make_crash(fingerprint=ANY_REQUEST, pool_key=pool_key)
+        for request in lost:
+            yield make_crash(fingerprint=request.fingerprint)
             for part in self._suspect_parts(pool, request):
-                yield Crash(
-                    fingerprint=part,
-                    server_key=server_key,
-                    ended_unix_s=now,
-                    request_key=request.key,
-                    pool_key=pool_key,
-                )
+                yield make_crash(fingerprint=part, request_key=request.key, pool_key=pool_key)
 
     def _suspect_parts(self, pool: str, request: RunningRequest) -> list[int]:
         suspects = self.part_answers.suspects(pool, request.parts)
--- a/src/pomelobarrow/dispatch/local.py
+++ b/src/pomelobarrow/dispatch/local.py
@@ -86,6 +86,7 @@
         try:
             await self._process_pending_cancellations()
             self._refuse_blocked(request)
+            started_unix_s = now_unix_s()
             result = await self.run_attempt(
                 request, placement, attempt, number, sink, lambda: self._started(queued)
             )
@@ -93,7 +94,7 @@
             self.table.release(queued.request_id, now_unix_s())
             self.place_waiting(work.pool)
         self._mark_server(server, result)
-        await self._record_server_end(request, placement, result)
+        await self._record_server_end(request, placement, result, started_unix_s)
         if result.is_finished and result.output_tokens:
             self.output_estimate.observe(work.class_name, result.output_tokens)
         self.observe(
@@ -121,14 +122,18 @@
             await asyncio.sleep(0)
 
     async def _record_server_end(
-        self, request: GatewayRequest, placement: Placement, result: AttemptResult
+        self,
+        request: GatewayRequest,
+        placement: Placement,
+        result: AttemptResult,
+        started_unix_s: float,
     ) -> None:
         """Record whether a server crashed while it ran a request or answered it."""
         if result.is_finished:
             self.guard.note_answered(request.fingerprint)
         # After the deadline there is no retry, so the caller must not wait for the crash check.
         elif result.state is AttemptState.UNKNOWN and now_unix_s() < request.work.deadline_unix_s:
-            running = RunningRequest(fingerprint=request.fingerprint)
+            running = RunningRequest(fingerprint=request.fingerprint, sent_unix_s=started_unix_s)
             await self.guard.note_closed(placement.server, running)
 
     def _refuse_blocked(self, request: GatewayRequest) -> None:
--- a/src/pomelobarrow/peers/crash_updates.py
+++ b/src/pomelobarrow/peers/crash_updates.py
@@ -1,5 +1,6 @@
 """Broadcast which requests crashed servers, and which answers cleared them, to all VMs."""
 
+import math
 from collections.abc import Callable, Iterable, Iterator
 from itertools import islice
 
@@ -54,7 +55,7 @@
             unix_s = unix_s_from_age(each.age_ms, sent_unix_s)
             # Also false for NaN.
             if now - CRASH_RETENTION_S < unix_s <= now:
-                new_findings += self.suspects.note(_finding(each, unix_s))
+                new_findings += self.suspects.note(_finding(each, unix_s, sent_unix_s))
         self.notify_peers(new_findings, peer_vm)
 
 
@@ -79,18 +80,24 @@
         fingerprint=finding.fingerprint,
         server_key=finding.server_key,
         age_ms=age_ms(finding.ended_unix_s, now_unix_s),
+        running_age_ms=age_ms(finding.running_unix_s, now_unix_s),
         request_key=finding.request_key,
         pool_key=finding.pool_key,
     )
 
 
-def _finding(message: pb.CrashFinding, unix_s: float) -> Finding:
+def _finding(message: pb.CrashFinding, unix_s: float, sent_unix_s: float) -> Finding:
     if message.is_answered:
         return Answered(fingerprint=message.fingerprint, answered_unix_s=unix_s)
     return Crash(
         fingerprint=message.fingerprint,
         server_key=message.server_key,
         ended_unix_s=unix_s,
+        running_unix_s=_running_unix_s(message.running_age_ms, sent_unix_s),
         request_key=message.request_key,
         pool_key=message.pool_key,
     )
+
+
+def _running_unix_s(age_ms: int, sent_unix_s: float) -> float:
+    return unix_s_from_age(age_ms, sent_unix_s) if age_ms else -math.inf
--- a/src/pomelobarrow/relay/crash_evidence.py
+++ b/src/pomelobarrow/relay/crash_evidence.py
@@ -1,5 +1,6 @@
 """Collect from relayed requests which of them, or which parts of prompts, crash servers."""
 
+import math
 from collections.abc import Callable, Iterable
 
 from attrs import define
@@ -45,12 +46,16 @@
         return observe
 
     async def note_end(
-        self, progress: RequestProgress, server: BackendServer, report: AttemptReport
+        self,
+        progress: RequestProgress,
+        server: BackendServer,
+        report: AttemptReport,
+        started_unix_s: float,
     ) -> None:
         """Record how an attempt at a server ended; return once a crash is confirmed."""
         request = progress.request
         if report.is_closed:
-            running = running_request(request, _suspect_parts(request, report))
+            running = running_request(request, _suspect_parts(request, report), started_unix_s)
             await self.guard.note_closed(server, running)
             if self.guard.has_ended(server, request.fingerprint):
                 progress.history.ended_server_key = server_key(server)
@@ -69,12 +74,15 @@
             self.guard.note_parts_answered(request.work.pool, request.parts_by_fingerprint)
 
 
-def running_request(request: RelayRequest, parts: Iterable[int]) -> RunningRequest:
+def running_request(
+    request: RelayRequest, parts: Iterable[int], sent_unix_s: float = -math.inf
+) -> RunningRequest:
     """Return a request as evidence of a crash, with its parts that may be at fault."""
     return RunningRequest(
         fingerprint=request.fingerprint,
         parts=tuple(parts),
         key=short_key(request.work.request_id),
+        sent_unix_s=sent_unix_s,
     )
 
 
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -260,7 +260,7 @@
         # Failures of this VM's own links must not count against the servers.
         if table.reachability.is_reachable(work.pool):
             self.monitor.monitor(server, report, placement.expected_wait_s, now)
-        await self.evidence.note_end(progress, server, report)
+        await self.evidence.note_end(progress, server, report, now)
         if report.end is not AttemptEnd.PASSED_ON:
             progress.excluded.servers.add(server.name)
         return report
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -1,5 +1,8 @@
 """Requests that crash servers are blocked, and others are not."""
 
+import math
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -20,8 +23,18 @@
 VMS = tuple(f"vm-{number}" for number in range(7))
 
 
-def crash(server_key: int, ended_unix_s: float, fingerprint: int = 1) -> Crash:
-    return Crash(fingerprint=fingerprint, server_key=server_key, ended_unix_s=ended_unix_s)
+def crash(
+    server_key: int,
+    ended_unix_s: float,
+    fingerprint: int = 1,
+    running_unix_s: float = -math.inf,
+) -> Crash:
+    return Crash(
+        fingerprint=fingerprint,
+        server_key=server_key,
+        ended_unix_s=ended_unix_s,
+        running_unix_s=running_unix_s,
+    )
 
 
 def blocked(own_vm: str = "vm-0", crashes: int = CRASHES_TO_BLOCK) -> CrashSuspects:
@@ -56,6 +69,27 @@
     assert suspects.suspicion(1, 105.0) is Suspicion.BLOCKED
 
 
+def test_crash_of_a_server_that_restarted_within_a_second_counts_again() -> None:
+    """One request crashed four servers, since two crashes of one of them counted as one."""
+    suspects = CrashSuspects()
+    suspects.note(crash(7, 100.0, running_unix_s=99.9))
+    suspects.note(crash(8, 100.1, running_unix_s=100.0))
+    forwarded = suspects.note(crash(7, 100.6, running_unix_s=100.5))
+    assert len(forwarded) == 1
+    assert suspects.suspicion(1, 101.0) is Suspicion.BLOCKED
+
+
+@pytest.mark.parametrize("running_unix_s", [99.0, 100.0, 100.2, -math.inf])
+def test_request_that_was_sent_while_a_crash_was_detected_is_no_second_crash(
+    running_unix_s: float,
+) -> None:
+    """VMs that lose requests to one crash report it within a second of each other."""
+    suspects = CrashSuspects()
+    suspects.note(crash(7, 100.0, running_unix_s=99.9))
+    assert suspects.note(crash(7, 100.6, running_unix_s=running_unix_s)) == ()
+    assert suspects.suspicion(1, 101.0) is Suspicion.NONE
+
+
 def test_other_requests_on_a_crashed_server_are_not_suspected() -> None:
     """Each crashed server was running nineteen other requests, different ones each time."""
     suspects = CrashSuspects()
--- a/tests/test_crash_updates.py
+++ b/tests/test_crash_updates.py
@@ -1,7 +1,9 @@
 """Crashes under requests are propagated to all VMs."""
 
+import math
 from collections import Counter, deque
 
+import pytest
 from attrs import define, evolve, field
 
 from pomelobarrow.decision.servers.crash_suspects import Crash, CrashSuspects, Suspicion
@@ -101,6 +103,32 @@
     assert receiver.suspects.suspicion(1, now_unix_s()) is Suspicion.BLOCKED
 
 
+@pytest.mark.parametrize("has_age", [True, False])
+def test_crash_of_a_restarted_server_counts_at_peers(has_age: bool) -> None:
+    """Peers took two crashes within a second for one, so that a fourth server crashed there."""
+    sender, receiver, now = CrashUpdates(), CrashUpdates(), now_unix_s()
+    for ended_unix_s in (now - 0.8, now - 0.1):
+        found = Crash(
+            fingerprint=1,
+            server_key=7,
+            ended_unix_s=ended_unix_s,
+            running_unix_s=ended_unix_s - 0.1 if has_age else -math.inf,
+        )
+        sender.suspects.note(found)
+    for message in sender.all_messages():
+        receiver.apply(message.crash_findings, "vm-1")
+    suspected = Suspicion.SUSPECTED if has_age else Suspicion.NONE
+    assert receiver.suspects.suspicion(1, now) is suspected
+
+
+def test_crashes_of_peers_that_state_no_age_count_as_one_within_a_second() -> None:
+    """Guards against two crashes made of one, as observed by two VMs of an earlier release."""
+    view, now = CrashUpdates(), now_unix_s()
+    findings = [pb.CrashFinding(fingerprint=1, server_key=7, age_ms=age) for age in (800, 100)]
+    view.apply(pb.CrashFindings(sent_unix_s=now, findings=findings), "vm-1")
+    assert view.suspects.suspicion(1, now) is Suspicion.NONE
+
+
 def test_findings_with_impossible_times_are_ignored() -> None:
     view = CrashUpdates()
     for sent_unix_s in (float("nan"), float("-inf"), 0.0):
--- a/tests/test_dispatch_crashing_request.py
+++ b/tests/test_dispatch_crashing_request.py
@@ -13,10 +13,13 @@
 from pomelobarrow.decision.common.errors import ErrorKind, RunStatus
 from pomelobarrow.decision.placement.region_choice import ShareOutsideHome
 from pomelobarrow.decision.requests.attempt import Attempt, AttemptState
+from pomelobarrow.decision.requests.short_key import server_key
 from pomelobarrow.decision.requests.work import BackendServer, Placement
-from pomelobarrow.decision.servers.crash_suspects import RunningRequest
+from pomelobarrow.decision.servers.crash_suspects import CRASHES_TO_BLOCK, RunningRequest
 from pomelobarrow.decision.servers.load_table import LoadTable
+from pomelobarrow.dispatch import crash_guard
 from pomelobarrow.dispatch import dispatcher as module
+from pomelobarrow.dispatch import local as local_module
 from pomelobarrow.dispatch.answers import AttemptResult
 from pomelobarrow.dispatch.crash_guard import CrashGuard
 from pomelobarrow.dispatch.dispatcher import Dispatcher
@@ -152,5 +155,34 @@
     request = request_of(True)
     placement = Placement(server=table.pool_servers("p")[0], expected_wait_s=0.0)
     late = evolve(request, work=evolve(request.work, deadline_unix_s=time.time() + left_s))
-    await local._record_server_end(late, placement, await lose(late, placement))
+    await local._record_server_end(late, placement, await lose(late, placement), time.time())
     assert seen == checked_servers
+
+
+async def test_engine_that_restarts_at_once_crashes_three_times_at_most(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A request crashed four engines, since two crashes of one that had restarted were one."""
+    now = [1_000.0]
+    for each in (crash_guard, local_module):
+        monkeypatch.setattr(each, "now_unix_s", lambda: now[-1])
+
+    class Guard(CrashGuard):
+        async def note_closed(self, server: BackendServer, request: RunningRequest) -> None:
+            self.note_crash(server_key(server), server.pool, [request])
+
+    guard, table = Guard(), LoadTable("r")
+    table.set_servers([evolve(SERVER, region="r", pool="p")])
+
+    async def lose(request: GatewayRequest, placement: Placement, *rest: Any) -> AttemptResult:
+        now.append(now[-1] + 0.1)
+        return AttemptResult(state=AttemptState.UNKNOWN, server=placement.server.name)
+
+    local = LocalDispatch(table=table, run_attempt=lose, observe=lambda event: None, guard=guard)
+    request = request_of(True)
+    due = evolve(request, work=evolve(request.work, deadline_unix_s=now[-1] + 60.0))
+    for _ in range(CRASHES_TO_BLOCK):
+        await local.run(due, Attempt(), 1, frozenset(), Sink())
+        # The engine restarts.
+        now.append(now[-1] + 0.5)
+    assert guard.refuses(due.fingerprint)
