Bound what callers of control send before they have shown a key

What callers would see: the end of a process. HTTP/2 answers each ping and each settings frame, whether or not the caller reads, so that callers without a key could make a process hold any number of bytes; a call's head without end holds a megabyte a connection. Only the connections were counted.

Change: each byte that a caller sends before it has shown a key counts twice against the budget of the peers, since it may cause an answer as long; a connection that has sent 256 KiB without one is closed. A peer shows its key in the head of its first call, and is not counted from then on. 64 KiB are received in one step until then. `client limited` names the listener `control`, limit `memory`.

Failed before: test_unread_answers_of_a_caller_without_a_key_end_its_connection, 1,054,088 bytes unread and no end.

--- a/src/pomelobarrow/decision/admission/client_budget.py
+++ b/src/pomelobarrow/decision/admission/client_budget.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 from collections import OrderedDict
 from collections.abc import Callable
 
@@ -74,6 +75,8 @@
     unread_bytes: Callable[[], int] = lambda: 0
     # Ends the connection; called by whoever applies a decision that evicts it.
     on_evicted: Callable[[], None] = lambda: None
+    # The most that this connection may hold, however much room there is.
+    max_bytes: float = math.inf
     phase: Phase = Phase.IDLE
     held: HeldBytes = NOTHING_HELD
     waiting_since_unix_s: float = 0.0
@@ -176,9 +179,9 @@
 
     def resize(self, holding: Holding, held: HeldBytes, now_unix_s: float) -> Decision:
         """Let a connection hold this much, if there is room or others have stalled."""
-        if not holding.is_open:
-            return REFUSED
         counted_bytes = held.counted_bytes
+        if not holding.is_open or counted_bytes > holding.max_bytes:
+            return REFUSED
         grown_bytes = counted_bytes - holding.held.counted_bytes
         evicted = self._make_room(holding, counted_bytes, grown_bytes, now_unix_s)
         if grown_bytes > max(0, self._free_bytes(counted_bytes)):
--- a/src/pomelobarrow/peers/message_size.py
+++ b/src/pomelobarrow/peers/message_size.py
@@ -11,8 +11,13 @@
 from grpclib.protocol import Connection, H2Protocol, Stream
 from grpclib.server import Server
 
-from pomelobarrow.callers.client_connection import ClientGate
-from pomelobarrow.decision.admission.client_budget import Holding, Phase
+from pomelobarrow.callers.client_connection import HEAD_FACTOR, RECEIVE_BYTES, ClientGate
+from pomelobarrow.decision.admission.client_budget import (
+    NOTHING_HELD,
+    HeldBytes,
+    Holding,
+    Phase,
+)
 from pomelobarrow.kernel.background import failure_observer
 from pomelobarrow.kernel.clock import now_unix_s
 
@@ -20,6 +25,8 @@
 MAX_MESSAGE_BYTES = 48 << 20
 # What a forwarded request adds to its body.
 MAX_FORWARD_OVERHEAD_BYTES = 1 << 20
+# A peer shows its key in the head of its first call.
+MAX_BYTES_WITHOUT_KEY = 256 << 10
 
 
 class MessageTooLongError(ConnectionError):
@@ -60,13 +67,19 @@
 
 
 class _AcceptedProtocol(_BoundedProtocol):
-    """Count a connection; one whose caller has shown no key is closed if others need its place."""
+    """Count a connection, and what its caller sends before it has shown a key."""
 
     gate: ClientGate
 
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
-        self._holding = Holding(on_evicted=transport.abort)
+        self._transport = transport
+        self._received_bytes = 0
+        self._max_receive_bytes = transport.max_size
+        transport.max_size = RECEIVE_BYTES
+        self._holding = Holding(
+            on_evicted=transport.abort, max_bytes=HEAD_FACTOR * MAX_BYTES_WITHOUT_KEY
+        )
         if not self.gate.open(self._holding):
             transport.abort()
 
@@ -74,10 +87,27 @@
         self.gate.budget.close(self._holding)
         super().connection_lost(exc)
 
+    def data_received(self, data: bytes) -> None:
+        if self._holding.phase is Phase.RUNNING or self._may_hold(len(data)):
+            super().data_received(data)
+        else:
+            self._transport.abort()
+
     def keep(self) -> None:
         """Keep the connection, which is a peer's."""
         if self._holding.phase is not Phase.RUNNING:
+            self.gate.resize(self._holding, NOTHING_HELD)
             self.gate.budget.move(self._holding, Phase.RUNNING, now_unix_s())
+            self._transport.max_size = self._max_receive_bytes
+
+    def _may_hold(self, size_bytes: int) -> bool:
+        """Count bytes of a caller without a key, each of which may cause an answer as long."""
+        self._received_bytes += size_bytes
+        if self._holding.phase is Phase.IDLE:
+            self.gate.budget.move(self._holding, Phase.RECEIVING, now_unix_s())
+        self.gate.budget.note_received(self._holding, size_bytes, now_unix_s())
+        held = HeldBytes(head_bytes=HEAD_FACTOR * self._received_bytes)
+        return self.gate.resize(self._holding, held)
 
 
 def keep_connection(transport: Any) -> None:
--- a/tests/client_crowd.py
+++ b/tests/client_crowd.py
@@ -60,9 +60,7 @@
         )
         daemon = fleet.daemons[0]
         await fleet.wait_ready(daemon)
-        pid = fleet.processes.running[daemon.vm].pid
-        resource.prlimit(pid, resource.RLIMIT_DATA, (DATA_LIMIT_BYTES, DATA_LIMIT_BYTES))
-        resource.prlimit(pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+        limit_process(fleet.processes.running[daemon.vm].pid)
         server = await stack.enter_async_context(
             ScriptedServer(name="s1", host=ROOT_HOST, script=script)
         )
@@ -71,9 +69,14 @@
         yield fleet, daemon
 
 
-def peak_memory_bytes(fleet: SoakFleet, daemon: Daemon) -> int:
-    """Return the most memory that a daemon has had so far."""
-    pid = fleet.processes.running[daemon.vm].pid
+def limit_process(pid: int) -> None:
+    """Bound the memory and the descriptors of a running process."""
+    resource.prlimit(pid, resource.RLIMIT_DATA, (DATA_LIMIT_BYTES, DATA_LIMIT_BYTES))
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+
+
+def peak_memory_bytes(pid: int) -> int:
+    """Return the most memory that a process has had so far."""
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
         if line.startswith("VmHWM:"):
             return int(line.split()[1]) << 10
--- a/tests/test_client_budget.py
+++ b/tests/test_client_budget.py
@@ -158,6 +158,16 @@
     assert budget.open(Holding(), NOW).evicted == (second,)
 
 
+def test_connection_may_be_limited_to_less_than_there_is_room_for() -> None:
+    budget = budget_of()
+    limited = Holding(max_bytes=HALF.body_bytes)
+    budget.open(limited, NOW)
+    assert budget.resize(limited, HALF, NOW).is_granted
+    more = evolve(HALF, head_bytes=1)
+    assert budget.resize(limited, more, NOW) == Decision(is_granted=False)
+    assert budget.held_bytes == HALF.body_bytes
+
+
 def test_connection_is_refused_while_all_others_run_requests() -> None:
     budget = budget_of()
     for _ in range(LIMITS.connections):
--- a/tests/test_peer_message_size.py
+++ b/tests/test_peer_message_size.py
@@ -10,13 +10,18 @@
 from attrs import define, field
 from grpclib.client import Channel
 from grpclib.server import Server
+from http2_frames import OPENING, PING
 
 from harness.peer_handlers import PeerHandlersStub
 from harness.processes import free_ports
+from pomelobarrow.callers.client_budgets import ClientBudgets
+from pomelobarrow.callers.client_connection import ClientGate, ClientLimited
+from pomelobarrow.decision.admission.budget_limits import ListenerGroup
 from pomelobarrow.kernel.background import failure_observer
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.calls import CONNECTION_ERRORS, SingleConnection
 from pomelobarrow.peers.message_size import (
+    MAX_BYTES_WITHOUT_KEY,
     BoundedServer,
     MessageTooLongError,
     PeerMessageTooLong,
@@ -153,3 +158,49 @@
         await stream.send_message(pb.PeerMessage(leave=leave), end=True)
         assert await stream.recv_message() is None
     assert connected.peer.received == [pb.PeerMessage(leave=leave)]
+
+
+@define(slots=False)
+class UnreadTransport(asyncio.Transport):
+    """Keep what is written, as for a client that reads nothing."""
+
+    written_bytes: int = 0
+    is_aborted: bool = False
+    max_size: int = 256 << 10
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        self.written_bytes += len(data)
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+    def close(self) -> None:
+        pass
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return default
+
+
+async def test_unread_answers_of_a_caller_without_a_key_end_its_connection() -> None:
+    """HTTP/2 answers each ping, so that a caller that reads nothing filled the memory."""
+    events: list[object] = []
+    server = BoundedServer([Peer()])
+    server.gate = ClientGate(
+        listener="control",
+        budget=ClientBudgets().of(ListenerGroup.PEERS),
+        observe=events.append,
+    )
+    protocol, transport = server._protocol_factory(), UnreadTransport()
+    protocol.connection_made(transport)
+    received_bytes = 0
+    while not transport.is_aborted and received_bytes < 4 * MAX_BYTES_WITHOUT_KEY:
+        data = (OPENING if not received_bytes else b"") + PING * 1_000
+        protocol.data_received(data)
+        received_bytes += len(data)
+    protocol.connection_lost(None)
+    assert transport.is_aborted
+    assert transport.written_bytes <= 2 * MAX_BYTES_WITHOUT_KEY
+    [event] = events
+    assert isinstance(event, ClientLimited)
+    assert (event.listener, event.limit, event.action) == ("control", "memory", "refused")
+    assert server.gate.budget.held_bytes == 0
--- a/tests/test_proof_client_crowds.py
+++ b/tests/test_proof_client_crowds.py
@@ -22,15 +22,30 @@
     repeated,
     small_daemon,
 )
+from http2_frames import (
+    END_HEADERS,
+    MAX_FRAME_BYTES,
+    OPENING,
+    PING,
+    FrameType,
+    call_headers,
+    frame,
+)
 from proof_report import Figure
 from scripted_server import answers
 
+from pomelobarrow.peers.server import SERVICE_PATH
+
 pytestmark = [pytest.mark.proof, pytest.mark.crowd]
 
 BODY = b"b" * BODY_BYTES
 LONG_LINES = tuple(f"X-{number}: " + "h" * LINE_BYTES for number in range(HEADER_LINES))
 AHEAD_BODY = b"b" * 400_000
 LARGE_ANSWER = b"a" * (1 << 20)
+PINGS_BYTES = 8 << 20
+PINGS_AT_ONCE = 4_096
+CALLS, CALL_BYTES = 60, 64 << 10
+CONTINUATIONS = 60
 LISTENERS = ("Front", "hop", "Directory", "Ready", "metrics")
 
 
@@ -67,6 +82,28 @@
     yield from repeated((head("plain", "Content-Length: 0"),), 2_000)
 
 
+def pings_unread(number: int) -> Iterator[bytes]:
+    yield OPENING
+    yield from repeated((PING * PINGS_AT_ONCE,), PINGS_BYTES // (PINGS_AT_ONCE * len(PING)))
+
+
+def calls_without_key(number: int) -> Iterator[bytes]:
+    yield OPENING
+    fields = call_headers(SERVICE_PATH + "Forward")
+    data = b"d" * MAX_FRAME_BYTES
+    for call in range(CALLS):
+        stream_id = 2 * call + 1
+        yield frame(FrameType.HEADERS, fields, stream_id, END_HEADERS)
+        yield frame(FrameType.DATA, data, stream_id) * (CALL_BYTES // MAX_FRAME_BYTES)
+
+
+def call_head_without_end(number: int) -> Iterator[bytes]:
+    yield OPENING
+    part = b"h" * MAX_FRAME_BYTES
+    yield frame(FrameType.HEADERS, part, stream_id=1)
+    yield from repeated((frame(FrameType.CONTINUATION, part, stream_id=1),), CONTINUATIONS)
+
+
 def nothing(number: int) -> Iterator[bytes]:
     yield from ()
 
@@ -87,10 +124,16 @@
 )
 HEADS = (Case(head_without_end, 60), Case(heads_sent_ahead, 10))
 SMALL = (Case(small_requests_sent_ahead, 60),)
+CALLS_OF_PEERS = (
+    Case(pings_unread, 30),
+    Case(calls_without_key, 30),
+    Case(call_head_without_end, 60),
+)
 CASES = [
     *(pytest.param(case, name) for case in BODIES for name in ("Front", "hop")),
     *(pytest.param(case, name) for case in HEADS for name in LISTENERS),
     *(pytest.param(case, name) for case in SMALL for name in LISTENERS),
+    *(pytest.param(case, "Control") for case in CALLS_OF_PEERS),
 ]
 
 
@@ -107,7 +150,9 @@
         crowd = Crowd(fleet.address(daemon, listener))
         await crowd.send_on_each(case.clients, case.blocks)
         is_answered = await is_ordinary_request_answered(fleet, daemon)
-        ended, peak_bytes = fleet.ended_daemons(), peak_memory_bytes(fleet, daemon)
+        ended, peak_bytes = fleet.ended_daemons(), peak_memory_bytes(
+            fleet.processes.running[daemon.vm].pid
+        )
         crowd.leave()
     figure("peak of a daemon, MB", peak_bytes // 1_000_000)
     assert ended == []
@@ -125,7 +170,9 @@
         await crowd.send_on_each(2 * DESCRIPTORS, nothing)
         opened = open_descriptors(fleet, daemon)
         is_answered = await is_ordinary_request_answered(fleet, daemon)
-        ended, peak_bytes = fleet.ended_daemons(), peak_memory_bytes(fleet, daemon)
+        ended, peak_bytes = fleet.ended_daemons(), peak_memory_bytes(
+            fleet.processes.running[daemon.vm].pid
+        )
         crowd.leave()
     figure("descriptors", opened)
     assert ended == []
@@ -154,7 +201,9 @@
             return open_descriptors(fleet, daemon) < before + DESCRIPTORS // 10
 
         await wait_until(are_closed)
-        ended, peak_bytes = fleet.ended_daemons(), peak_memory_bytes(fleet, daemon)
+        ended, peak_bytes = fleet.ended_daemons(), peak_memory_bytes(
+            fleet.processes.running[daemon.vm].pid
+        )
     figure("peak of a daemon, MB", peak_bytes // 1_000_000)
     assert ended == []
     assert peak_bytes < MEMORY_BYTES
