Start requests that clients send ahead one after the other

What callers saw: beside 60 connections with 2,000 small requests ahead on each, ordinary requests were late or not answered, depending on the machine's speed.

Cause: each connection with requests ahead starts the next one as soon as the one before has ended, so that a client with sixty connections gets sixty times the processor time of one that waits for its answers.

Change: a request that arrived before the answer to the one before it waits for its turn; one of them starts in each step of the event loop at a listener. Requests of clients that wait for their answers are not delayed.

test_requests_sent_ahead_start_one_after_the_other failed before.

--- a/src/pomelobarrow/callers/client_connection.py
+++ b/src/pomelobarrow/callers/client_connection.py
@@ -7,14 +7,15 @@
 import asyncio
 import enum
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp import web
 from aiohttp.http import HttpRequestParser
 from aiohttp.streams import StreamReader
-from attrs import define, frozen
+from attrs import define, field, frozen
 
+from pomelobarrow.callers.request_turns import RequestTurns
 from pomelobarrow.decision.admission.client_budget import (
     GRANTED,
     NOTHING_HELD,
@@ -76,6 +77,7 @@
     listener: str
     budget: ClientBudget
     observe: Callable[[object], None] = lambda event: None
+    turns: RequestTurns = field(factory=RequestTurns, init=False)
 
     def open(self, holding: Holding) -> bool:
         """Return whether a new connection may stay."""
@@ -147,6 +149,8 @@
         # The body of the last request until it has arrived.
         self._body: StreamReader | None = None
         self._content_bytes = 0
+        # True if the next request arrived before the answer to the one before it.
+        self._is_sent_ahead = False
 
     def _limit_queue(self, loop: asyncio.AbstractEventLoop, max_line_bytes: int) -> None:
         # aiohttp has no option for it.
@@ -211,11 +215,23 @@
         self._gate.note_unread(self._holding)
         self._update_phase()
 
+    async def _handle_request(
+        self,
+        request: web.BaseRequest,
+        start_time: float | None,
+        request_handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    ) -> tuple[web.StreamResponse, bool]:
+        """Let a request that was sent ahead wait for its turn."""
+        if self._is_sent_ahead:
+            await self._gate.turns.take()
+        return await super()._handle_request(request, start_time, request_handler)
+
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
         """Give back what the request held once it is answered."""
         result = await super().finish_response(request, resp, start_time)
+        self._is_sent_ahead = bool(self._messages)
         if isinstance(resp, BaseException):
             # Its frames refer to it, and so keep the request until the next garbage collection.
             resp.__traceback__ = None
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -3,12 +3,14 @@
 import asyncio
 import gc
 import tracemalloc
-from collections.abc import AsyncIterator
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
 from aiohttp import web
 from attrs import define, field
 from result import Err
+from test_request_turns import LoopSteps
 
 from harness.processes import free_ports
 from pomelobarrow.callers import client_connection
@@ -34,6 +36,7 @@
 SMALL = HEAD + b"Content-Length: 2\r\n\r\nok"
 LINES = [b"X-%d: " % n + b"h" * 15_000 + b"\r\n" for n in range(100)]
 LONG_LINES = b"".join(LINES)
+REQUESTS_AHEAD = 50
 
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -49,8 +52,12 @@
     bodies: list[int] = field(factory=list)
     answer: bytes = b""
     opened: list[Connection] = field(factory=list)
+    # Treats requests in place of reading their bodies.
+    handle_request: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]] | None = None
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if self.handle_request is not None:
+            return await self.handle_request(request)
         read = await read_body(request, now_unix_s() + 60.0)
         if isinstance(read, Err):
             return web.Response(status=read.err_value.kind.status, text=read.err_value.run.value)
@@ -260,3 +267,26 @@
         tracemalloc.stop()
         gc.enable()
     assert left_bytes < len(sent)
+
+
+async def test_requests_sent_ahead_start_one_after_the_other(server: Server) -> None:
+    """Clients that sent thousands of requests ahead left others no processor time."""
+    steps, started = LoopSteps(), Counter[int]()
+    connections = [await server.connect() for _ in range(LIMITS.connections)]
+
+    async def count(request: web.BaseRequest) -> web.StreamResponse:
+        started[steps.number] += 1
+        return web.Response()
+
+    server.handle_request = count
+    steps.start()
+    for _, writer in connections:
+        writer.write(SMALL * REQUESTS_AHEAD)
+    for connection in connections:
+        for _ in range(REQUESTS_AHEAD):
+            assert await answer_of(connection) == (b"http/1.1 200 ok", b"")
+    steps.stop()
+    assert sum(started.values()) == LIMITS.connections * REQUESTS_AHEAD
+    # The first ones of all connections were not sent ahead.
+    del started[min(started)]
+    assert max(started.values()) == 1
