Close connections whose next request hasn't started for new ones

What callers saw: beside clients that keep all connections of a listener's group and have thousands of requests ahead on each, every new connection was closed at once, for two minutes and more: none of 40 ordinary requests was answered, each failed within 3 ms.

Cause: a connection with requests ahead counts as one that runs a request all the time, and such a one is never closed for another.

Change: while a request that was sent ahead waits for its turn, nothing of it has run or been sent to a server, and its connection may be closed for a new one, after those without a request and before those whose client has stalled. A request whose connection was closed meanwhile doesn't start.

--- a/src/pomelobarrow/callers/client_connection.py
+++ b/src/pomelobarrow/callers/client_connection.py
@@ -151,6 +151,7 @@
         self._content_bytes = 0
         # True if the next request arrived before the answer to the one before it.
         self._is_sent_ahead = False
+        self._awaits_turn = False
 
     def _limit_queue(self, loop: asyncio.AbstractEventLoop, max_line_bytes: int) -> None:
         # aiohttp has no option for it.
@@ -223,7 +224,7 @@
     ) -> tuple[web.StreamResponse, bool]:
         """Let a request that was sent ahead wait for its turn."""
         if self._is_sent_ahead:
-            await self._gate.turns.take()
+            await self._take_turn()
         return await super()._handle_request(request, start_time, request_handler)
 
     async def finish_response(
@@ -253,6 +254,17 @@
         self._lingering_time = LINGER_S
         return False
 
+    async def _take_turn(self) -> None:
+        self._awaits_turn = True
+        self._update_phase()
+        try:
+            await self._gate.turns.take()
+        finally:
+            self._awaits_turn = False
+        if not self._holding.is_open:
+            raise ConnectionResetError("the connection was closed before the request started")
+        self._update_phase()
+
     def _count_requests(self, requests: int, size_bytes: int) -> None:
         # What arrives together is divided among the requests.
         share_bytes = (self._partial_bytes + size_bytes) // requests
@@ -311,6 +323,8 @@
             self._body = None
         if self._paused:
             return Phase.SENDING
+        if self._awaits_turn:
+            return Phase.QUEUED
         if self._head_sizes:
             # A body that waits behind a request in progress isn't read on.
             is_receiving = self._body is not None and not self._messages_wait()
--- a/src/pomelobarrow/decision/admission/client_budget.py
+++ b/src/pomelobarrow/decision/admission/client_budget.py
@@ -8,7 +8,7 @@
 import enum
 import math
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from attrs import define, evolve, field, frozen
 
@@ -31,6 +31,8 @@
     IDLE = "idle"
     # The rest of a request.
     RECEIVING = "receiving"
+    # The start of a request that was sent ahead of an answer.
+    QUEUED = "queued"
     # This process or a backend server.
     RUNNING = "running"
     # The client to read an answer.
@@ -43,6 +45,8 @@
     IDLE = "idle"
     # A part of a head.
     SMALL = "small"
+    # Requests that haven't started.
+    QUEUED = "queued"
     # A part of a request or of an answer that takes memory.
     LARGE = "large"
 
@@ -65,6 +69,12 @@
 
 
 NOTHING_HELD = HeldBytes()
+# Where connections belong whatever they hold.
+QUEUE_BY_PHASE: Mapping[Phase, Queue | None] = {
+    Phase.IDLE: Queue.IDLE,
+    Phase.QUEUED: Queue.QUEUED,
+    Phase.RUNNING: None,
+}
 
 
 @define(kw_only=True, eq=False)
@@ -87,10 +97,8 @@
 
     def queue_by_state(self) -> Queue | None:
         """Return where the connection belongs; None while it waits for no client."""
-        if self.phase is Phase.RUNNING:
-            return None
-        if self.phase is Phase.IDLE:
-            return Queue.IDLE
+        if self.phase in QUEUE_BY_PHASE:
+            return QUEUE_BY_PHASE[self.phase]
         return Queue.LARGE if self.held.counted_bytes else Queue.SMALL
 
 
@@ -225,13 +233,13 @@
         """Return the connection that has waited for a request, or the rest of a small one, longest.
 
         The first bytes of a new connection may be in transit, so that it comes last. Without such a
-        connection, one whose client has stalled is returned.
+        connection, one is returned whose requests haven't started or whose client has stalled.
         """
         queues = (self._queues[Queue.IDLE], self._queues[Queue.SMALL])
         longest = [next(iter(queue)) for queue in queues if queue]
         if longest:
             return min(longest, key=lambda holding: holding.waiting_since_unix_s)
-        return self._stalled(now_unix_s)
+        return next(iter(self._queues[Queue.QUEUED]), None) or self._stalled(now_unix_s)
 
     def _stalled(self, now_unix_s: float, growing: Holding | None = None) -> Holding | None:
         """Return the connection that takes memory and whose client has stalled for the longest."""
--- a/tests/test_client_budget.py
+++ b/tests/test_client_budget.py
@@ -158,6 +158,21 @@
     assert budget.open(Holding(), NOW).evicted == (second,)
 
 
+def test_new_connection_takes_the_place_of_one_whose_requests_have_not_started() -> None:
+    """Clients with thousands of requests ahead kept all connections, so that others were closed."""
+    budget = budget_of()
+    running, first, second = (
+        opened(budget, phase) for phase in (Phase.RUNNING, Phase.QUEUED, Phase.QUEUED)
+    )
+    idle = opened(budget, Phase.IDLE)
+    for victim in (idle, first, second):
+        new = Holding()
+        assert budget.open(new, LATER) == Decision(is_granted=True, evicted=(victim,))
+        budget.move(new, Phase.RUNNING, LATER)
+    assert budget.open(Holding(), LATER) == Decision(is_granted=False)
+    assert running.is_open
+
+
 def test_connection_may_be_limited_to_less_than_there_is_room_for() -> None:
     budget = budget_of()
     limited = Holding(max_bytes=HALF.body_bytes)
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -17,6 +17,7 @@
 from pomelobarrow.callers.bodies import read_body
 from pomelobarrow.callers.client_budgets import ClientBudgets
 from pomelobarrow.callers.client_connection import ClientLimited
+from pomelobarrow.callers.request_turns import RequestTurns
 from pomelobarrow.decision.admission.budget_limits import ListenerGroup
 from pomelobarrow.decision.admission.client_budget import (
     STALLED_S,
@@ -269,6 +270,31 @@
     assert left_bytes < len(sent)
 
 
+async def test_requests_sent_ahead_leave_connections_to_others(
+    server: Server, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Clients with thousands of requests ahead kept all connections, so that others were closed."""
+    may_start, waiting = asyncio.Event(), Counter[str]()
+
+    async def take(turns: RequestTurns) -> None:
+        waiting["requests"] += 1
+        await may_start.wait()
+
+    monkeypatch.setattr(RequestTurns, "take", take)
+    for _ in range(LIMITS.connections):
+        _, writer = await server.connect()
+        writer.write(2 * SMALL)
+    while waiting["requests"] < LIMITS.connections:
+        await asyncio.sleep(0.01)
+    assert await ask(await server.connect(), SMALL) == (b"http/1.1 200 ok", b"2")
+    assert server.actions() == [("connections", "closed", "queued")]
+    may_start.set()
+    while server.budget.held_bytes or len(server.bodies) < 2 * LIMITS.connections:
+        await asyncio.sleep(0.01)
+    # The second request of the closed connection has not run.
+    assert len(server.bodies) == 2 * LIMITS.connections
+
+
 async def test_requests_sent_ahead_start_one_after_the_other(server: Server) -> None:
     """Clients that sent thousands of requests ahead left others no processor time."""
     steps, started = LoopSteps(), Counter[int]()
