--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import tracemalloc
+import weakref
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -53,10 +54,13 @@
     bodies: list[int] = field(factory=list)
     answer: bytes = b""
     opened: list[Connection] = field(factory=list)
+    # The request that arrived last, also if its body has not arrived.
+    latest: "weakref.ref[web.BaseRequest] | None" = None
     # Treats requests in place of reading their bodies.
     handle_request: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]] | None = None
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.latest = weakref.ref(request)
         if self.handle_request is not None:
             return await self.handle_request(request)
         read = await read_body(request, now_unix_s() + 60.0)
@@ -71,15 +75,20 @@
         self.opened.append(connection)
         return connection
 
-    async def begin_body(self, sent: bytes = HEAD + LENGTH + BODY[:-1]) -> Connection:
-        """Send a request that stops a byte short of its end."""
+    async def begin_body(self) -> Connection:
+        """Send a request that stops a byte short of its end; wait until all of it is received."""
         reader, writer = await self.connect()
-        before_bytes = self.budget.held_bytes
-        writer.write(sent)
-        while self.budget.held_bytes - before_bytes < MAX_BODY_BYTES:
+        before_bytes, latest = self.budget.held_bytes, self.latest
+        writer.write(HEAD + LENGTH + BODY[:-1])
+        while self.latest is latest or not self._is_latest_received():
             await asyncio.sleep(0.01)
+        assert self.budget.held_bytes - before_bytes >= MAX_BODY_BYTES
         return reader, writer
 
+    def _is_latest_received(self) -> bool:
+        request = self.latest and self.latest()
+        return request is not None and request.content.total_bytes == MAX_BODY_BYTES - 1
+
     def actions(self) -> list[tuple[str, str, str]]:
         return [(each.limit, each.action, each.phase) for each in self.events]
 
