--- a/tests/client_crowd.py
+++ b/tests/client_crowd.py
@@ -75,7 +75,12 @@
     resource.prlimit(pid, resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
 
 
-def peak_memory_bytes(pid: int) -> int:
+def peak_memory_bytes(fleet: SoakFleet, daemon: Daemon) -> int:
+    """Return the most memory that a daemon has had so far."""
+    return peak_process_bytes(fleet.processes.running[daemon.vm].pid)
+
+
+def peak_process_bytes(pid: int) -> int:
     """Return the most memory that a process has had so far."""
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
         if line.startswith("VmHWM:"):
--- a/tests/test_proof_caller_crowds.py
+++ b/tests/test_proof_caller_crowds.py
@@ -21,7 +21,7 @@
     Crowd,
     in_blocks,
     limit_process,
-    peak_memory_bytes,
+    peak_process_bytes,
     repeated,
 )
 from proof_report import Figure
@@ -148,7 +148,7 @@
         await crowd.send_on_each(case.callers, case.blocks)
         is_answered = await is_chat_answered(fleet, vm)
         assert process.poll() is None
-        peak_bytes = peak_memory_bytes(process.pid)
+        peak_bytes = peak_process_bytes(process.pid)
         crowd.leave()
     figure("peak of a daemon, MB", peak_bytes // 1_000_000)
     assert peak_bytes < MEMORY_BYTES
--- a/tests/test_proof_client_crowds.py
+++ b/tests/test_proof_client_crowds.py
@@ -150,9 +150,7 @@
         crowd = Crowd(fleet.address(daemon, listener))
         await crowd.send_on_each(case.clients, case.blocks)
         is_answered = await is_ordinary_request_answered(fleet, daemon)
-        ended, peak_bytes = fleet.ended_daemons(), peak_memory_bytes(
-            fleet.processes.running[daemon.vm].pid
-        )
+        ended, peak_bytes = fleet.ended_daemons(), peak_memory_bytes(fleet, daemon)
         crowd.leave()
     figure("peak of a daemon, MB", peak_bytes // 1_000_000)
     assert ended == []
@@ -170,9 +168,7 @@
         await crowd.send_on_each(2 * DESCRIPTORS, nothing)
         opened = open_descriptors(fleet, daemon)
         is_answered = await is_ordinary_request_answered(fleet, daemon)
-        ended, peak_bytes = fleet.ended_daemons(), peak_memory_bytes(
-            fleet.processes.running[daemon.vm].pid
-        )
+        ended, peak_bytes = fleet.ended_daemons(), peak_memory_bytes(fleet, daemon)
         crowd.leave()
     figure("descriptors", opened)
     assert ended == []
@@ -201,9 +197,7 @@
             return open_descriptors(fleet, daemon) < before + DESCRIPTORS // 10
 
         await wait_until(are_closed)
-        ended, peak_bytes = fleet.ended_daemons(), peak_memory_bytes(
-            fleet.processes.running[daemon.vm].pid
-        )
+        ended, peak_bytes = fleet.ended_daemons(), peak_memory_bytes(fleet, daemon)
     figure("peak of a daemon, MB", peak_bytes // 1_000_000)
     assert ended == []
     assert peak_bytes < MEMORY_BYTES
