--- a/src/pomelobarrow/backends/end_check.py
+++ b/src/pomelobarrow/backends/end_check.py
@@ -71,7 +71,7 @@
 
 
 def states_other_name(name: str) -> Callable[[aiohttp.ClientResponse], Awaitable[bool]]:
-    """Return a function that tells whether the body of an answer states another server's name."""
+    """Return a function that checks whether the body of an answer names another server."""
 
     async def is_of_other(answer: aiohttp.ClientResponse) -> bool:
         try:
