Let daemons of a test remember software for as long as its clients take streams up

Traced: the test shortens the time for which daemons remember software to 3 s, but its clients try to take up a stream for 10 s. If the killed daemon is not ready within 3 s, its peers have forgotten the version before, which is allowed.

--- a/tests/test_proof_restarted_fleet.py
+++ b/tests/test_proof_restarted_fleet.py
@@ -9,7 +9,7 @@
 import pytest
 from attrs import frozen
 from proof_report import Figure
-from restarted_fleet import ChangingServers, move_route
+from restarted_fleet import EVENTS, GIVE_UP_AFTER_S, PACE_S, ChangingServers, move_route
 
 from harness.serve import RETENTION_VARIABLE
 from soak.__main__ import wait_ready
@@ -22,8 +22,9 @@
 RUN_S = 1.8
 # Old servers have left for this long when the daemons are killed.
 LEFT_FOR_S = 0.3
-# For how long streams may be taken up where one daemon restarts.
-RETENTION_S = 3.0
+# For how long streams may be taken up where one daemon restarts: clients try to for so long after
+# the longest stream.
+RETENTION_S = 1.5 * EVENTS * PACE_S + GIVE_UP_AFTER_S
 
 Step = Callable[[ChangingServers, int], Awaitable[None]]
 
