--- a/review/common2/stage.py
+++ b/review/common2/stage.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import random
@@ -19,11 +20,27 @@
 ROOT = Path(__file__).resolve().parents[2]
 FRONT, READY, CONTROL, DIRECTORY, STORE, WORKER = 8144, 8140, 8146, 8143, 8142, 8101
 BOUNDS = {
-    "SeedLagS": 3, "ReuseAfterS": 2, "StableMs": 5000, "AckMs": 6000, "CatchUpS": 4,
-    "DrainMs": 3000, "GraceS": 8, "LossSlackMs": 200, "ApplyMs": 3000, "DowngradeMs": 250,
-    "StretchMaxMs": 8000, "BudgetRatio": 0.2, "BudgetWindowS": 10, "BudgetSlack": 54,
-    "ColdOver": 1.5, "ColdSlack": 3, "EvacuationMs": 5000, "RecoverS": 12, "PassMs": 600,
-    "ReuseWindowS": 10, "ttl_max_s": 5,
+    "SeedLagS": 3,
+    "ReuseAfterS": 2,
+    "StableMs": 5000,
+    "AckMs": 6000,
+    "CatchUpS": 4,
+    "DrainMs": 3000,
+    "GraceS": 8,
+    "LossSlackMs": 200,
+    "ApplyMs": 3000,
+    "DowngradeMs": 250,
+    "StretchMaxMs": 8000,
+    "BudgetRatio": 0.2,
+    "BudgetWindowS": 10,
+    "BudgetSlack": 54,
+    "ColdOver": 1.5,
+    "ColdSlack": 3,
+    "EvacuationMs": 5000,
+    "RecoverS": 12,
+    "PassMs": 600,
+    "ReuseWindowS": 10,
+    "ttl_max_s": 5,
 }
 LIMITS = {"HeaderBytes": 16384, "BodyBytes": 4194304, "HeaderMs": 3000, "IdleMs": 15000}
 HOST = "desk.example"
@@ -35,7 +52,7 @@
     """Write what happens, with the seconds since the start, to record.txt of a case."""
 
     def __init__(self, folder):
-        self._file = open(Path(folder) / "record.txt", "w", encoding="utf-8")
+        self._file = Path(folder, "record.txt").open("w", encoding="utf-8")  # noqa: SIM115
         self._started = time.monotonic()
 
     def __call__(self, text):
@@ -95,8 +112,13 @@
         self.revision += 1
         text = base64.b64encode(json.dumps(value).encode()).decode()
         created = self.items[key]["Created"] if key in self.items else self.revision
-        item = {"Key": key, "Value": text, "Revision": self.revision, "Created": created,
-                "Lease": 0}
+        item = {
+            "Key": key,
+            "Value": text,
+            "Revision": self.revision,
+            "Created": created,
+            "Lease": 0,
+        }
         self.items[key] = item
         self._append(item)
 
@@ -151,10 +173,8 @@
             left = until - time.monotonic()
             if events or left <= 0:
                 return {"events": events, "StoreRevision": self.revision}
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), left)
-            except TimeoutError:
-                pass
 
 
 class Worker:
@@ -174,10 +194,19 @@
         self._server = await asyncio.start_server(self._serve, host, int(port))
 
     def entry(self, state="ready", **more):
-        return {"Service": self.service, "Address": self.address, "Zone": self.zone,
-                "Version": self.version, "Slots": self.slots, "State": state, "ColdLeftMs": 0,
-                "Sequence": 1, "Stage": "combined", "born": 1700000000000,
-                "Models": [{"Name": "m", "Version": 1, "Adapters": []}]} | more
+        return {
+            "Service": self.service,
+            "Address": self.address,
+            "Zone": self.zone,
+            "Version": self.version,
+            "Slots": self.slots,
+            "State": state,
+            "ColdLeftMs": 0,
+            "Sequence": 1,
+            "Stage": "combined",
+            "born": 1700000000000,
+            "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
+        } | more
 
     def stop(self):
         if self._server:
@@ -211,12 +240,21 @@
             writer.write(response(421, (own,)))
             return True
         if method == "GET" and target == "/report":
-            report = {"Stage": "combined", "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
-                      "Busy": False, "Sequence": 0, "Waiting": 0, "Running": self.running,
-                      "KvUsed": 1000 * self.running, "KvTotal": 400000, "Handles": 0,
-                      "born": 1700000000000}
-            writer.write(response(200, ("Content-Type: application/json",),
-                                  json.dumps(report).encode()))
+            report = {
+                "Stage": "combined",
+                "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
+                "Busy": False,
+                "Sequence": 0,
+                "Waiting": 0,
+                "Running": self.running,
+                "KvUsed": 1000 * self.running,
+                "KvTotal": 400000,
+                "Handles": 0,
+                "born": 1700000000000,
+            }
+            writer.write(
+                response(200, ("Content-Type: application/json",), json.dumps(report).encode())
+            )
             return True
         if method == "GET" and target == "/health":
             writer.write(response(200, (own, load)))
@@ -224,20 +262,32 @@
         if method == "GET" and target.startswith("/kv-"):
             empty = {"epoch": 1, "Next": 0, "lost": False, "events": [], "held": []}
             await asyncio.sleep(0.5)
-            writer.write(response(200, ("Content-Type: application/json",),
-                                  json.dumps(empty).encode()))
+            writer.write(
+                response(200, ("Content-Type: application/json",), json.dumps(empty).encode())
+            )
             return True
         id_ = headers.get("pomelobarrow-request-id")
         if not id_:
             writer.write(response(400, (own, "Pomelobarrow-Not-Executed: 1")))
             return True
         if self.running >= self.slots:
-            writer.write(response(503, (own, "Pomelobarrow-Not-Executed: 1",
-                                        f"Pomelobarrow-Request-Id: {id_}")))
+            writer.write(
+                response(
+                    503, (own, "Pomelobarrow-Not-Executed: 1", f"Pomelobarrow-Request-Id: {id_}")
+                )
+            )
             return True
         self.running += 1
-        run = {"id": id_, "from": time.monotonic(), "until": None, "end": "at work",
-               "target": target, "body": body, "headers": headers, "worker": self.id}
+        run = {
+            "id": id_,
+            "from": time.monotonic(),
+            "until": None,
+            "end": "at work",
+            "target": target,
+            "body": body,
+            "headers": headers,
+            "worker": self.id,
+        }
         self.runs.append(run)
         self.record(f"{self.id} runs {id_}: {method} {target}, body {len(body)} B")
         work = asyncio.ensure_future(self.handler(self, run, headers, body, writer))
@@ -260,9 +310,11 @@
         return run["end"] == "answered"
 
     def head_lines(self, id_, seal="s"):
-        return (f"Pomelobarrow-Request-Id: {id_}",
-                f"Pomelobarrow-Response-Seal: {self.id}.{seal}",
-                f"Pomelobarrow-Server-Load: {self.running},0,{self.slots}")
+        return (
+            f"Pomelobarrow-Request-Id: {id_}",
+            f"Pomelobarrow-Response-Seal: {self.id}.{seal}",
+            f"Pomelobarrow-Server-Load: {self.running},0,{self.slots}",
+        )
 
 
 def answer_after(work_s):
@@ -281,8 +333,12 @@
     """Return a handler that sends numbered events, the last one named end."""
 
     async def handle(worker, run, headers, body, writer):
-        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream",
-                 "Transfer-Encoding: chunked", *worker.head_lines(run["id"])]
+        lines = [
+            "HTTP/1.1 200 OK",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+            *worker.head_lines(run["id"]),
+        ]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
         first = int(headers.get("last-event-id") or 0) + 1
         for number in range(first, events + 1):
@@ -302,29 +358,66 @@
     def __init__(self, stage, name, ip, zone):
         self.stage, self.name, self.ip, self.zone = stage, name, ip, zone
         self.process = None
+        # True for the first start of the whole system.
+        self.is_first_start = True
         self.path = Path(stage.folder) / f"{name}.yaml"
 
     def settings(self):
         stage = self.stage
         return {
-            "Node": self.name, "Role": "gateway", "MachineClass": "front",
-            "Serves": ["front", "control", "directory"], "Ip": self.ip, "Zone": self.zone,
-            "Region": stage.zones[self.zone], "Zones": stage.zones,
-            "Listen": {"Front": f"{self.ip}:{FRONT}", "Ready": f"{self.ip}:{READY}",
-                       "Control": f"{self.ip}:{CONTROL}", "Directory": f"{self.ip}:{DIRECTORY}"},
+            "Node": self.name,
+            "Role": "gateway",
+            "MachineClass": "front",
+            "Serves": ["front", "control", "directory"],
+            "Ip": self.ip,
+            "Zone": self.zone,
+            "Region": stage.zones[self.zone],
+            "Zones": stage.zones,
+            "Listen": {
+                "Front": f"{self.ip}:{FRONT}",
+                "Ready": f"{self.ip}:{READY}",
+                "Control": f"{self.ip}:{CONTROL}",
+                "Directory": f"{self.ip}:{DIRECTORY}",
+            },
             "InternalPorts": [7660, 7675],
             "Seeds": [f"{m.ip}:{CONTROL}" for m in stage.machines[:3]],
-            "Bootstrap": True, "CountsAsLoss": False,
-            "Limits": {"CpuShare": 0.537, "Cores": 2, "MemoryMb": 300, "FileDescriptors": 4100,
-                       "LinkMbps": 1000.0, "DiskMb": 0},
-            "DataDir": None, "Discovery": "platform", "Entry": "directory", "HeartbeatMs": 1200,
-            "Contracts": ["base", "drain", "config", "cost", "retry", "recover", "engine",
-                          "stream", "places", "platform"],
+            "Bootstrap": self.is_first_start,
+            "CountsAsLoss": False,
+            "Limits": {
+                "CpuShare": 0.537,
+                "Cores": 2,
+                "MemoryMb": 300,
+                "FileDescriptors": 4100,
+                "LinkMbps": 1000.0,
+                "DiskMb": 0,
+            },
+            "DataDir": None,
+            "Discovery": "platform",
+            "Entry": "directory",
+            "HeartbeatMs": 1200,
+            "Contracts": [
+                "base",
+                "drain",
+                "config",
+                "cost",
+                "retry",
+                "recover",
+                "engine",
+                "stream",
+                "places",
+                "platform",
+            ],
             "FaultTolerance": {"Machines": 2, "Zones": 1, "Regions": 1},
             "Bounds": stage.bounds,
-            "Platform": {"Address": stage.store_address(self), "form": "read", "WritesPerS": 400,
-                         "ReadsPerS": 2000, "HistoryS": 20, "ValueBytes": 1048576,
-                         "TtlMinMs": 1000},
+            "Platform": {
+                "Address": stage.store_address(self),
+                "form": "read",
+                "WritesPerS": 400,
+                "ReadsPerS": 2000,
+                "HistoryS": 20,
+                "ValueBytes": 1048576,
+                "TtlMinMs": 1000,
+            },
         }
 
     def write_settings(self):
@@ -338,19 +431,32 @@
         self.write_settings()
         env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         env |= {"POMELOBARROW_SETTINGS": str(self.path), "PYTHONPATH": str(ROOT / "target/deps")}
-        log = open(Path(self.stage.folder) / f"{self.name}.log", "ab")
-        self.process = subprocess.Popen(words, cwd=ROOT, env=env, stdout=log, stderr=log,
-                                        stdin=subprocess.DEVNULL)
+        with Path(self.stage.folder, f"{self.name}.log").open("ab") as log:
+            self.process = subprocess.Popen(
+                words, cwd=ROOT, env=env, stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
         self.stage.record(f"{self.name} started ({self.ip}, {self.zone})")
 
     def signal(self, number):
         self.stage.record(f"{self.name} gets {signal.Signals(number).name}")
         self.process.send_signal(number)
 
+    async def lose_power(self, for_s):
+        """Stay dark for a while and start again.
+
+        A stopped process answers nothing, as a machine without power; a killed one would reset
+        its connections.
+        """
+        self.signal(signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        self.signal(signal.SIGKILL)
+        self.process.wait()
+        self.is_first_start = False
+        self.start()
+
     async def is_ready(self):
         try:
-            reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(self.ip, READY), 0.5)
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(self.ip, READY), 0.5)
             writer.write(b"GET /readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
             line = await asyncio.wait_for(reader.readline(), 0.5)
             writer.close()
@@ -375,32 +481,66 @@
         self.routes, self.services, self.version, self.extra = [], [], 3, {}
 
     def machine(self, zone):
-        number = len(self.machines) + 1
-        machine = Machine(self, f"front-{zone}-{number}", f"{self.net}.{number}", zone)
+        in_zone = 1 + sum(machine.zone == zone for machine in self.machines)
+        ip = f"{self.net}.{len(self.machines) + 1}"
+        machine = Machine(self, f"front-{zone}-{in_zone}", ip, zone)
         self.machines.append(machine)
         return machine
 
     def worker(self, service, zone, handler, **options):
         number = 100 + len(self.workers)
-        worker = Worker(f"i-{number:04x}", f"{self.net}.{number}:{WORKER}", service, zone,
-                        self.record, **options)
+        worker = Worker(
+            f"i-{number:04x}",
+            f"{self.net}.{number}:{WORKER}",
+            service,
+            zone,
+            self.record,
+            **options,
+        )
         worker.handler = handler
         self.workers.append(worker)
         return worker
 
     def service(self, name, **more):
-        self.services.append({"Name": name, "HealthPath": "/health", "MaxConnections": 360,
-                              "ColdPerS": 0, "ColdS": 0} | more)
+        self.services.append(
+            {
+                "Name": name,
+                "HealthPath": "/health",
+                "MaxConnections": 360,
+                "ColdPerS": 0,
+                "ColdS": 0,
+            }
+            | more
+        )
 
     def route(self, name, prefix, kind, service, timeout_ms=6000, goal_ms=1000, **more):
-        self.routes.append({"Name": name, "Host": HOST, "Prefix": prefix, "Kind": kind,
-                            "Service": service, "Attempts": 3, "TimeoutMs": timeout_ms,
-                            "GoalMs": goal_ms, "Priority": 1} | more)
+        self.routes.append(
+            {
+                "Name": name,
+                "Host": HOST,
+                "Prefix": prefix,
+                "Kind": kind,
+                "Service": service,
+                "Attempts": 3,
+                "TimeoutMs": timeout_ms,
+                "GoalMs": goal_ms,
+                "Priority": 1,
+            }
+            | more
+        )
 
     def publish(self):
         self.version += 4
-        self.store.put("op/config", {"Version": self.version, "Routes": self.routes,
-                                     "Services": self.services, "Limits": LIMITS} | self.extra)
+        self.store.put(
+            "op/config",
+            {
+                "Version": self.version,
+                "Routes": self.routes,
+                "Services": self.services,
+                "Limits": LIMITS,
+            }
+            | self.extra,
+        )
         self.record(f"the store acknowledges configuration {self.version}")
 
     async def start(self, timeout_s=25):
@@ -427,6 +567,7 @@
                 machine.process.wait()
         if os.environ.get("KEEP_LOGS"):
             import shutil
+
             shutil.copytree(self.folder, os.environ["KEEP_LOGS"], dirs_exist_ok=True)
         self._temporary.cleanup()
 
@@ -436,8 +577,13 @@
 
 
 def request_head(method, path, id_, deadline_ms, body_bytes=None, more=()):
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"Pomelobarrow-Request-Id: {id_}",
-             f"Pomelobarrow-Request-Deadline: {deadline_ms}", *more]
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Pomelobarrow-Request-Id: {id_}",
+        f"Pomelobarrow-Request-Deadline: {deadline_ms}",
+        *more,
+    ]
     if body_bytes is not None:
         lines.append(f"Content-Length: {body_bytes}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
@@ -471,6 +617,7 @@
                 return await scenario.run(stage)
         except Exception as error:
             import traceback
+
             if stage:
                 stage.record("could not run: " + traceback.format_exc())
             print(repr(error), file=sys.stderr)
