--- a/review/common2/stage.py
+++ b/review/common2/stage.py
@@ -4,8 +4,6 @@
 """
 
 import asyncio
-import base64
-import contextlib
 import json
 import os
 import random
@@ -17,6 +15,21 @@
 import tomllib
 from pathlib import Path
 
+from messages import HOST, new_id, read_answer, request_head
+from store import Store
+from worker import Worker, answer_after, stream_of
+
+__all__ = [
+    "Stage",
+    "Worker",
+    "answer_after",
+    "new_id",
+    "play",
+    "read_answer",
+    "request_head",
+    "stream_of",
+]
+
 ROOT = Path(__file__).resolve().parents[2]
 FRONT, READY, CONTROL, DIRECTORY, STORE, WORKER = 8144, 8140, 8146, 8143, 8142, 8101
 BOUNDS = {
@@ -43,7 +56,6 @@
     "ttl_max_s": 5,
 }
 LIMITS = {"HeaderBytes": 16384, "BodyBytes": 4194304, "HeaderMs": 3000, "IdleMs": 15000}
-HOST = "desk.example"
 DISRUPTED = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
@@ -60,298 +72,6 @@
         print(line, file=self._file, flush=True)
 
 
-async def read_head(reader):
-    """Return the first line and the headers (lower case) of a message; None at the end."""
-    raw = await reader.readuntil(b"\r\n\r\n")
-    first, *lines = raw.decode("latin-1").split("\r\n")
-    headers = {}
-    for line in lines:
-        name, colon, value = line.partition(":")
-        if colon:
-            headers[name.strip().lower()] = value.strip()
-    return first, headers
-
-
-async def read_chunks(reader):
-    """Yield the chunks of a chunked body; IncompleteReadError if it is cut."""
-    while True:
-        size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
-        data = await reader.readexactly(size + 2)
-        if size == 0:
-            return
-        yield data[:-2]
-
-
-async def read_body(reader, headers):
-    """Return the whole body of a request."""
-    if "chunked" in headers.get("transfer-encoding", ""):
-        return b"".join([chunk async for chunk in read_chunks(reader)])
-    return await reader.readexactly(int(headers.get("content-length", "0")))
-
-
-def response(status, headers=(), body=b""):
-    """Return the bytes of a complete answer."""
-    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *headers]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
-
-
-class Store:
-    """The platform's store: items with revisions, ranges and watches."""
-
-    def __init__(self, address, record):
-        self.address, self.record = address, record
-        self.revision, self.items, self.log = 7, {}, []
-        self._changed = asyncio.Event()
-        self._server = None
-
-    async def start(self):
-        host, port = self.address.split(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
-
-    def put(self, key, value):
-        self.revision += 1
-        text = base64.b64encode(json.dumps(value).encode()).decode()
-        created = self.items[key]["Created"] if key in self.items else self.revision
-        item = {
-            "Key": key,
-            "Value": text,
-            "Revision": self.revision,
-            "Created": created,
-            "Lease": 0,
-        }
-        self.items[key] = item
-        self._append(item)
-
-    def delete(self, key):
-        self.revision += 1
-        self.items.pop(key, None)
-        self._append({"Key": key, "Revision": self.revision, "Tombstone": True})
-
-    def _append(self, event):
-        self.log.append(event)
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
-
-    async def _serve(self, reader, writer):
-        try:
-            while True:
-                first, headers = await read_head(reader)
-                await read_body(reader, headers)
-                status, body = await self._answer(first.split(" ")[1])
-                data = json.dumps(body).encode()
-                writer.write(response(status, ("Content-Type: application/json",), data))
-                await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        finally:
-            writer.close()
-
-    async def _answer(self, target):
-        from urllib.parse import parse_qs, urlsplit
-
-        parts = urlsplit(target)
-        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
-        if parts.path == "/kv-key":
-            item = self.items.get(query["Key"])
-            if item is None:
-                return 404, {"StoreRevision": self.revision}
-            return 200, item | {"StoreRevision": self.revision}
-        if parts.path == "/kv-range":
-            prefix, after = query.get("Prefix", ""), query.get("after", "")
-            keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
-            items = [self.items[k] for k in keys]
-            return 200, {"items": items, "HasMore": False, "StoreRevision": self.revision}
-        if parts.path == "/kv-watch":
-            return 200, await self._watch(query)
-        return 404, {}
-
-    async def _watch(self, query):
-        prefix, after = query.get("Prefix", ""), int(query.get("after", "0"))
-        until = time.monotonic() + min(30000, int(query.get("WaitMs", "0"))) / 1000
-        while True:
-            events = [e for e in self.log if e["Revision"] > after and e["Key"].startswith(prefix)]
-            left = until - time.monotonic()
-            if events or left <= 0:
-                return {"events": events, "StoreRevision": self.revision}
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._changed.wait(), left)
-
-
-class Worker:
-    """A worker of a service; `run` is called for each request that it runs."""
-
-    def __init__(self, id_, address, service, zone, record, slots=16, version="1"):
-        self.id, self.address, self.service, self.zone = id_, address, service, zone
-        self.record, self.slots, self.version = record, slots, version
-        self.running, self.runs, self.arrivals = 0, [], []
-        self.handler = None
-        self.streams = False
-        self._server = None
-        self.writers = set()
-
-    async def start(self):
-        host, port = self.address.split(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port))
-
-    def entry(self, state="ready", **more):
-        return {
-            "Service": self.service,
-            "Address": self.address,
-            "Zone": self.zone,
-            "Version": self.version,
-            "Slots": self.slots,
-            "State": state,
-            "ColdLeftMs": 0,
-            "Sequence": 1,
-            "Stage": "combined",
-            "born": 1700000000000,
-            "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
-        } | more
-
-    def stop(self):
-        if self._server:
-            self._server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
-
-    async def _serve(self, reader, writer):
-        self.writers.add(writer)
-        try:
-            while True:
-                first, headers = await read_head(reader)
-                body = await read_body(reader, headers)
-                method, target, _ = first.split(" ")
-                if not await self._handle(method, target, headers, body, reader, writer):
-                    return
-                await writer.drain()
-                if headers.get("connection", "").lower() == "close":
-                    return
-        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
-            pass
-        finally:
-            self.writers.discard(writer)
-            writer.close()
-
-    async def _handle(self, method, target, headers, body, reader, writer):
-        own = f"Pomelobarrow-Instance-Id: {self.id}"
-        load = f"Pomelobarrow-Server-Load: {self.running},0,{self.slots}"
-        expected = headers.get("pomelobarrow-target-instance")
-        if expected not in (None, self.id):
-            writer.write(response(421, (own,)))
-            return True
-        if method == "GET" and target == "/report":
-            report = {
-                "Stage": "combined",
-                "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
-                "Busy": False,
-                "Sequence": 0,
-                "Waiting": 0,
-                "Running": self.running,
-                "KvUsed": 1000 * self.running,
-                "KvTotal": 400000,
-                "Handles": 0,
-                "born": 1700000000000,
-            }
-            writer.write(
-                response(200, ("Content-Type: application/json",), json.dumps(report).encode())
-            )
-            return True
-        if method == "GET" and target == "/health":
-            writer.write(response(200, (own, load)))
-            return True
-        if method == "GET" and target.startswith("/kv-"):
-            empty = {"epoch": 1, "Next": 0, "lost": False, "events": [], "held": []}
-            await asyncio.sleep(0.5)
-            writer.write(
-                response(200, ("Content-Type: application/json",), json.dumps(empty).encode())
-            )
-            return True
-        id_ = headers.get("pomelobarrow-request-id")
-        if not id_:
-            writer.write(response(400, (own, "Pomelobarrow-Not-Executed: 1")))
-            return True
-        if self.running >= self.slots:
-            writer.write(
-                response(
-                    503, (own, "Pomelobarrow-Not-Executed: 1", f"Pomelobarrow-Request-Id: {id_}")
-                )
-            )
-            return True
-        self.running += 1
-        run = {
-            "id": id_,
-            "from": time.monotonic(),
-            "until": None,
-            "end": "at work",
-            "target": target,
-            "body": body,
-            "headers": headers,
-            "worker": self.id,
-        }
-        self.runs.append(run)
-        self.record(f"{self.id} runs {id_}: {method} {target}, body {len(body)} B")
-        work = asyncio.ensure_future(self.handler(self, run, headers, body, writer))
-        gone = asyncio.ensure_future(reader.read(1))
-        try:
-            await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
-            if not work.done():
-                # Workers drop a request when its connection closes.
-                work.cancel()
-                run["end"] = "dropped: its connection closed"
-            else:
-                run["end"] = work.result() or "answered"
-        except Exception as error:
-            run["end"] = f"failed: {error!r}"
-        finally:
-            gone.cancel()
-            self.running -= 1
-            run["until"] = time.monotonic()
-            self.record(f"{self.id} ends {id_}: {run['end']}")
-        return run["end"] == "answered"
-
-    def head_lines(self, id_, seal="s"):
-        return (
-            f"Pomelobarrow-Request-Id: {id_}",
-            f"Pomelobarrow-Response-Seal: {self.id}.{seal}",
-            f"Pomelobarrow-Server-Load: {self.running},0,{self.slots}",
-        )
-
-
-def answer_after(work_s):
-    """Return a handler that works for a time and answers with its id."""
-
-    async def handle(worker, run, headers, body, writer):
-        await asyncio.sleep(work_s)
-        text = f"{worker.id}:{run['id']}:{len(body)}".encode()
-        writer.write(response(200, worker.head_lines(run["id"]), text))
-        await writer.drain()
-
-    return handle
-
-
-def stream_of(events, gap_s):
-    """Return a handler that sends numbered events, the last one named end."""
-
-    async def handle(worker, run, headers, body, writer):
-        lines = [
-            "HTTP/1.1 200 OK",
-            "Content-Type: text/event-stream",
-            "Transfer-Encoding: chunked",
-            *worker.head_lines(run["id"]),
-        ]
-        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
-        first = int(headers.get("last-event-id") or 0) + 1
-        for number in range(first, events + 1):
-            await asyncio.sleep(gap_s)
-            event = f"id: {number}\ndata: token {number}\n\n".encode()
-            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-            await writer.drain()
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
-
-    return handle
-
-
 class Machine:
     """A front machine and its daemon."""
 
@@ -572,39 +292,6 @@
         self._temporary.cleanup()
 
 
-def new_id():
-    return f"{random.getrandbits(64):016x}"
-
-
-def request_head(method, path, id_, deadline_ms, body_bytes=None, more=()):
-    lines = [
-        f"{method} {path} HTTP/1.1",
-        f"Host: {HOST}",
-        f"Pomelobarrow-Request-Id: {id_}",
-        f"Pomelobarrow-Request-Deadline: {deadline_ms}",
-        *more,
-    ]
-    if body_bytes is not None:
-        lines.append(f"Content-Length: {body_bytes}")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode()
-
-
-async def read_answer(reader):
-    """Return the status, headers and body of an answer; the body is None if it was cut."""
-    first, headers = await read_head(reader)
-    status = int(first.split(" ")[1])
-    body = b""
-    try:
-        if "chunked" in headers.get("transfer-encoding", ""):
-            async for chunk in read_chunks(reader):
-                body += chunk
-        else:
-            body = await reader.readexactly(int(headers.get("content-length", "0")))
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return status, headers, None
-    return status, headers, body
-
-
 def play(folder, scenario, limit_s=110):
     """Run a scenario; exit with its result."""
 
