--- a/review/7/case.py
+++ b/review/7/case.py
@@ -29,6 +29,9 @@
     stage.service(SERVICE)
     stage.worker(SERVICE, "rtm-hall-b", st.answer_after(WORK_S))
     stage.worker(SERVICE, "tln-hall-d", st.answer_after(WORK_S))
+    # With these one of four workers is taken away at a time.
+    for zone in ("rtm-hall-b", "waw-hall-c"):
+        stage.worker(SERVICE, zone, st.answer_after(WORK_S))
     stage.route(
         "lot-order",
         ROUTE,
