Log how many VMs were asked for the software of a stream and how many answered

`stream taken up` said "the only version at that time" and how old the list was, but not whether peers had confirmed it or had been silent, so that two hypotheses of the incident looked alike: silence taken for agreement, and VMs that were cut off together and agreed.

`vms_asked` and `histories_stated` tell them apart. No decision changes. The tests of both fields can't be built on the code before.

--- a/src/pomelobarrow/peers/stream_software.py
+++ b/src/pomelobarrow/peers/stream_software.py
@@ -59,6 +59,8 @@
 
     software_key: int | None = None
     histories: tuple[HistoryStatement, ...] = ()
+    # How many VMs were asked. A VM that answers states its history if it has no record.
+    asked: int = 0
 
 
 @define(kw_only=True)
@@ -104,7 +106,11 @@
         if found.software_key is not None or self._is_certain(found.histories):
             return found
         farther = await self._ask(self._farther(key, nearby), query, ANSWER_TIMEOUT_S)
-        return evolve(farther, histories=found.histories + farther.histories)
+        return evolve(
+            farther,
+            histories=found.histories + farther.histories,
+            asked=found.asked + farther.asked,
+        )
 
     def _is_certain(self, histories: Iterable[HistoryStatement]) -> bool:
         return only_software(histories, self.streams.history.retention_s) is not None
@@ -119,12 +125,12 @@
             for answer in asyncio.as_completed(queries):
                 found = await answer
                 if found.software_key is not None:
-                    return found
+                    return evolve(found, asked=len(queries))
                 histories += found.histories
         finally:
             for each in queries:
                 each.cancel()
-        return PeersKnowledge(histories=tuple(histories))
+        return PeersKnowledge(histories=tuple(histories), asked=len(queries))
 
     def _keepers_nearby(self, key: int) -> list[Member]:
         return self._keepers(key, self.view.own_region, ASKED_IN_REGION)
--- a/src/pomelobarrow/relay/events.py
+++ b/src/pomelobarrow/relay/events.py
@@ -105,6 +105,9 @@
     list_known_for_s: float
     # The age of the evidence that no other list exists; infinity without any.
     list_age_s: float
+    # The VMs that were asked for the software, and the histories of those without a record.
+    vms_asked: int
+    histories_stated: int
     source: str
 
 
--- a/src/pomelobarrow/relay/stream_joins.py
+++ b/src/pomelobarrow/relay/stream_joins.py
@@ -108,7 +108,7 @@
         """
         if not route.is_stream or not head.last_event_id:
             return Ok((pool, None))
-        software, source = await self._software(head, target, stated)
+        software, source, found = await self._software(head, target, stated)
         history, now = self.streams.history, now_unix_s()
         listed = history.recent(pool, now)
         self.observe(
@@ -121,6 +121,8 @@
                 versions_listed=len(listed),
                 list_known_for_s=history.known_for_s(now),
                 list_age_s=self.list_age_s(now),
+                vms_asked=found.asked,
+                histories_stated=len(found.histories),
                 source=source.value,
             )
         )
@@ -134,23 +136,24 @@
 
     async def _software(
         self, head: RequestHead, target: StreamTarget, stated: int | None
-    ) -> tuple[int | None, SoftwareSource]:
+    ) -> tuple[int | None, SoftwareSource, PeersKnowledge]:
         if stated is not None:
-            return stated, SoftwareSource.STATED
+            return stated, SoftwareSource.STATED, PeersKnowledge()
         is_certain = self.streams.history.assumed(target, now_unix_s()) is not None
         if not is_certain:
             await self._wait_until_joined()
         found = await self._find(head, target, is_certain)
         if found.software_key is not None:
-            return found.software_key, SoftwareSource.RECORDED
+            return found.software_key, SoftwareSource.RECORDED, found
         # A list that has arrived in the meantime counts.
         history = self.streams.history
         own = history.statement(target, now_unix_s())
         assumed = only_software((own, *found.histories), history.retention_s)
         if assumed is None:
-            return None, SoftwareSource.UNKNOWN
+            return None, SoftwareSource.UNKNOWN, found
         is_own = only_software((own,), history.retention_s) is not None
-        return assumed, SoftwareSource.ASSUMED if is_own else SoftwareSource.ASSUMED_BY_PEERS
+        source = SoftwareSource.ASSUMED if is_own else SoftwareSource.ASSUMED_BY_PEERS
+        return assumed, source, found
 
     async def _wait_until_joined(self) -> None:
         """Wait for the peers of a VM that has just started, which may know the stream."""
--- a/tests/test_relay_software_versions.py
+++ b/tests/test_relay_software_versions.py
@@ -246,13 +246,14 @@
             request_id: str, target: StreamTarget, is_certain: bool
         ) -> PeersKnowledge:
             assert (request_id, target, is_certain) == ("r1", StreamTarget(HOST, "/stream/"), False)
-            return PeersKnowledge(histories=(peer,))
+            return PeersKnowledge(histories=(peer,), asked=3)
 
         vm.front.resumed.ask_peers = ask_peers
         answer = await _take_up(fleet, "a")
         [taken_up] = [each for each in vm.events if isinstance(each, StreamTakenUp)]
     assert (answer.status, answer.body) == (200, event(3) + event(4))
     assert taken_up.source == "the only version at that time, as peers know"
+    assert (taken_up.vms_asked, taken_up.histories_stated) == (3, 1)
 
 
 async def test_list_that_arrives_while_peers_are_asked_counts() -> None:
--- a/tests/test_stream_software_model.py
+++ b/tests/test_stream_software_model.py
@@ -289,7 +289,7 @@
         resumed = ResumedStreams(streams=updates.streams, ask_peers=updates.find)
         head = RequestHead(request_id="next", headers=(), last_event_id="2", resumes=request_id)
         with self.clock.of(vm):
-            software, _ = asyncio.run(resumed._software(head, TARGET, None))
+            software, *_ = asyncio.run(resumed._software(head, TARGET, None))
         return software
 
     def _add(self, pool: str, version: str) -> None:
--- a/tests/test_stream_software_updates.py
+++ b/tests/test_stream_software_updates.py
@@ -147,6 +147,17 @@
         assert await recorded(vms["a-1"], "never sent") is None
 
 
+async def test_vms_that_are_asked_and_answer_are_counted() -> None:
+    """Silence and agreement of peers looked alike in the log."""
+    async with fleet() as vms:
+        answered = await vms["a-1"].find("never sent", TARGET, is_certain=False)
+        for vm in ("a-2", "a-3", "b-1"):
+            await vms[vm].datagrams.stop()
+        silent = await vms["a-1"].find("never sent", TARGET, is_certain=False)
+    assert (answered.asked, len(answered.histories)) == (3, 3)
+    assert (silent.asked, silent.histories) == (3, ())
+
+
 async def test_silent_vms_hold_a_request_up_for_a_moment_only(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
