--- a/tests/test_stream_software_model.py
+++ b/tests/test_stream_software_model.py
@@ -89,11 +89,14 @@
     loss: Loss = Loss.NONE
     # No datagram of another region reaches this one or leaves it.
     cut_off_region: str = ""
+    # Pairs of senders and receivers between which all datagrams are lost.
+    cut_pairs: frozenset[tuple[str, str]] = frozenset()
     _sent: int = 0
 
     def is_cut(self, sender: str, receiver: str) -> bool:
         regions = {REGION_BY_VM[sender], REGION_BY_VM[receiver]}
-        return len(regions) > 1 and self.cut_off_region in regions
+        is_across = len(regions) > 1 and self.cut_off_region in regions
+        return is_across or (sender, receiver) in self.cut_pairs
 
     def is_lost(self) -> bool:
         self._sent += 1
@@ -124,7 +127,7 @@
         answers: list[pb.Datagram] = []
         if not self.network.is_cut(self.vm, address[0]):
             self.network.deliver(address[0], message, answers.append)
-        if not answers or self.network.is_lost():
+        if not answers or self.network.is_cut(address[0], self.vm) or self.network.is_lost():
             return None
         return answers[0].stream_answer
 
@@ -391,6 +394,94 @@
         self._take_up(vm, is_named)
 
 
+class Way(enum.Enum):
+    """Which way a cut acts, as seen by the VMs that are cut off."""
+
+    BOTH = "both"
+    INCOMING = "incoming"
+    OUTGOING = "outgoing"
+
+
+class StreamsAtVmsThatAreCutOff(StreamsOfOneSoftware):
+    """Some VMs miss changes of list and routes for a while, and datagrams of all others.
+
+    They have read the store just before. Among each other, all their datagrams arrive.
+    """
+
+    restart = take_up_sound = None  # type: ignore[assignment]
+
+    def __init__(self) -> None:
+        self.cut_off: frozenset[str] = frozenset()
+        super().__init__()
+        self.evidence: dict[str, ListEvidence] = {}
+        for vm in REGION_BY_VM:
+            evidence = ListEvidence(view=self.updates[vm].view, regions=("a", "b"))
+            self.evidence[vm] = evidence
+            self.updates[vm].streams.history.is_current = evidence.is_current
+        self._read_all()
+
+    def _current(self) -> Iterable[str]:
+        return REGION_BY_VM.keys() - self.cut_off
+
+    def _read_all(self) -> None:
+        for vm in self._current():
+            self.evidence[vm].note_read(self.clock.unix_s)
+
+    @rule(cut_off=st.sets(vms, min_size=1, max_size=3), way=st.sampled_from(Way))
+    def cut(self, cut_off: set[str], way: Way) -> None:
+        self.heal()
+        self.cut_off = frozenset(cut_off)
+        others = REGION_BY_VM.keys() - cut_off
+        incoming = {(other, vm) for vm in cut_off for other in others}
+        outgoing = {(vm, other) for vm in cut_off for other in others}
+        by_way = {Way.BOTH: incoming | outgoing, Way.INCOMING: incoming, Way.OUTGOING: outgoing}
+        self.network.cut_pairs = frozenset(by_way[way])
+
+    @rule()
+    def heal(self) -> None:
+        self.cut_off = self.network.cut_pairs = frozenset()
+        for vm in REGION_BY_VM:
+            self._deliver_routes(vm)
+            self._deliver_list(vm)
+        self._read_all()
+
+    @rule(time_s=st.sampled_from((0.2, 1.0, 3.0, 5.0)), is_read=st.booleans())
+    def pass_time(self, time_s: float, is_read: bool) -> None:
+        self.clock.unix_s += time_s
+        if is_read:
+            self._read_all()
+
+    @rule(vm=vms, index=st.integers(0, 5), loss=losses)
+    def begin(self, vm: str, index: int, loss: Loss) -> None:
+        """Begin a stream at a VM that has the present list."""
+        if vm not in self.cut_off:
+            self.network.loss = loss
+            self._begin(vm, index)
+
+    @rule(vm=vms, pool=pools, version=versions)
+    def release(self, vm: str, pool: str, version: str) -> None:
+        """Replace all servers of a pool while a stream runs."""
+        self.begin(vm, 0, Loss.NONE)
+        self._replace_servers(pool, version)
+
+    @rule(
+        vm=vms,
+        pool=pools,
+        version=versions,
+        after_s=st.sampled_from((0.2, 1.0, 3.0, 5.0)),
+        is_named=st.booleans(),
+    )
+    def take_up_beside_a_release(
+        self, vm: str, pool: str, version: str, after_s: float, is_named: bool
+    ) -> None:
+        """A stream of a version that has just been listed is taken up where it isn't known."""
+        self._replace_servers(pool, version)
+        self.begin(vm, 0, Loss.NONE)
+        self.clock.unix_s += after_s
+        for each in sorted(self.cut_off):
+            self._take_up(each, is_named)
+
+
 SETTINGS = settings(deadline=None, max_examples=MAX_EXAMPLES, stateful_step_count=12)
 TestStreamsOfOneSoftware = StreamsOfOneSoftware.TestCase
 TestStreamsOfOneSoftware.settings = SETTINGS
@@ -398,3 +489,5 @@
 TestStreamsWithAnOldList.settings = SETTINGS
 TestStreamsInACutOffRegion = StreamsInACutOffRegion.TestCase
 TestStreamsInACutOffRegion.settings = SETTINGS
+TestStreamsAtVmsThatAreCutOff = StreamsAtVmsThatAreCutOff.TestCase
+TestStreamsAtVmsThatAreCutOff.settings = SETTINGS
