Let the harness cut a VM off from its peers and the store inside its process

No fleet of real daemons could be partitioned: the proxy cuts servers and the store, and the links between VMs and their datagrams go directly from one loopback address to the other. What a VM does that is cut off during a release was so far only shown by models.

A daemon of a cuttable fleet replaces its selector and its class of sockets. Orders come by a file and a socket that wakes the loop. They name the addresses that nothing arrives from, that nothing is sent to, that no connection is established with, and whose datagrams are lost, so that each way can be cut by itself, and the store too. What is sent on open connections stays in the receiving kernel and is read after the cut; resets and ends are hidden as long; a connection that is dialled during a cut is established after it. Sockets to other VMs are bound to the own address, by which the other end tells them apart. Clients and backend servers have other addresses and are never cut.

Not as behind a real partition: the kernel still answers TCP's probes and acknowledges what it receives, so that a long cut doesn't close connections by itself.

--- a/harness/serve.py
+++ b/harness/serve.py
@@ -8,8 +8,11 @@
 from pathlib import Path
 from typing import Any
 
+import yaml
 from attrs import evolve
 
+from harness.partition import CutOrders, make_cuttable
+
 # For how long software is remembered, in seconds; tests can't wait for the usual time.
 RETENTION_VARIABLE = "STREAM_RETENTION_S"
 PROGRAM = Path(__file__).parent.parent / "deploy" / "serve.py"
@@ -24,6 +27,7 @@
     os.environ[settings.SETTINGS_VARIABLE] = settings_path
     settings.METRICS_PORT = metrics_port
     settings.translate_settings = _reading_dial(settings.translate_settings)
+    _follow_cuts(yaml.safe_load(Path(settings_path).read_text()))
     retention_s = os.environ.get(RETENTION_VARIABLE)
     if retention_s:
         observe = _remembering_for(float(retention_s), SoftwareHistory.observe_routing)
@@ -31,6 +35,13 @@
     return _profiled(serve, profile_path) if profile_path else serve()
 
 
+def _follow_cuts(decoded: Any) -> None:
+    """Let the daemon be cut off from VMs, if its settings name a folder of orders."""
+    if "CutOrders" in decoded:
+        orders = CutOrders(Path(decoded["CutOrders"]), decoded["Node"])
+        make_cuttable(decoded["Ip"], decoded["VmIps"], orders)
+
+
 def _reading_dial(translate: Callable[[Any], Any]) -> Callable[[Any], Any]:
     """Return a translation that also reads which addresses to dial in place of others."""
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -13,7 +13,9 @@
 from aiohttp import web
 from attrs import define, field
 
+from harness.partition import CutOrders
 from harness.processes import Processes, free_ports
+from soak.partitions import Partition, cut_of
 from soak.servers import REQUEST_ID, Runs, SoakServer
 from soak.store import SoakStore
 
@@ -80,6 +82,11 @@
     # How often each server has started.
     starts: Counter[str] = field(factory=Counter)
     is_stream_route_split: bool = False
+    # The daemons are told so when the fleet starts, not when they start again.
+    is_first_start: bool = False
+    # Daemons follow orders about what they are cut off from.
+    is_cuttable: bool = False
+    partitions: list[Partition] = field(factory=list)
     # The accounts of the configuration.
     tenants: list[dict[str, Any]] = field(factory=list)
     # Unset from when all daemons were killed at once until all are ready again.
@@ -98,6 +105,7 @@
         await self._start_store_and_servers()
         for daemon in self.daemons:
             self.start_daemon(daemon)
+        self.is_first_start = False
         self.has_daemons.set()
         return self
 
@@ -145,6 +153,23 @@
         await asyncio.gather(*(self.wait_ready(daemon) for daemon in self.daemons))
         self.has_daemons.set()
 
+    def begin_partition(self, partition: Partition) -> None:
+        """Cut VMs off from all others, and maybe from the store."""
+        assert self.is_cuttable
+        self.partitions.append(partition)
+        self._order_cuts()
+
+    def end_partition(self, partition: Partition) -> None:
+        """End a partition; what others cut stays cut."""
+        self.partitions.remove(partition)
+        self._order_cuts()
+
+    def _order_cuts(self) -> None:
+        ips = {daemon.vm: daemon.ip for daemon in self.daemons}
+        for vm in ips:
+            cut = cut_of(vm, self.partitions, ips, self._store_address)
+            CutOrders(self.processes.folder, vm).give(cut)
+
     def ended_daemons(self) -> list[str]:
         """Return a line for each daemon that exited unexpectedly."""
         codes = {each.vm: self.processes.running[each.vm].poll() for each in self.daemons}
@@ -308,8 +333,14 @@
             },
             "Platform": {"Address": self._store_address},
             "Dial": self._dial.get(daemon.vm, {}),
+            "Bootstrap": self.is_first_start,
+            **(self._cut_orders() if self.is_cuttable else {}),
         }
 
+    def _cut_orders(self) -> dict[str, Any]:
+        vm_ips = [daemon.ip for daemon in self.daemons]
+        return {"CutOrders": str(self.processes.folder), "VmIps": vm_ips}
+
 
 async def _is_ready(session: aiohttp.ClientSession, url: str) -> bool:
     try:
