--- a/tests/restarted_fleet.py
+++ b/tests/restarted_fleet.py
@@ -85,14 +85,23 @@
         pools = (VERSIONED, STREAMED)
         self._servers = {pool: CrashingServers(fleet=self.fleet, pool=pool) for pool in pools}
 
-    async def start(self, pool: str, version: str) -> None:
+    async def start(self, pool: str, version: str, per_region: int = SERVERS_PER_REGION) -> None:
         """Start and list servers in each region."""
         names = self._names[pool, version] = []
-        for region in REGIONS * SERVERS_PER_REGION:
+        for region in REGIONS * per_region:
             name = f"{pool}-{version}-{region}-{next(self._serial)}"
             await self._start_one(name, region, pool, version)
             names.append(name)
 
+    def drain(self, pool: str, version: str) -> None:
+        """List servers as draining."""
+        servers = self._servers[pool]
+        for name in self._names[pool, version]:
+            region = name.split("-")[2]
+            self.fleet.list_address(
+                name, region, servers.address(name), pool, "draining", version=version
+            )
+
     def unlist(self, pool: str, version: str) -> None:
         """Delete the entries of servers, whose running streams go on."""
         for name in self._names[pool, version]:
@@ -163,9 +172,11 @@
             daemon = self.take_up_at or daemon
         url = f"http://{self.fleet.front(daemon)}/{VERSIONED}/x"
         try:
-            async with session.post(url, headers=_headers(stream, id_), data=b"x") as response:
+            async with session.post(
+                url, headers=request_headers(stream, id_), data=b"x"
+            ) as response:
                 if response.status == 200:
-                    await _read_events(response, stream, id_)
+                    await read_events(response, stream, id_)
                 else:
                     stream.is_refused = REFUSED_FOR_GOOD in await response.read()
         except REQUEST_ERRORS:
@@ -202,8 +213,10 @@
         return response
 
 
-async def _read_events(response: aiohttp.ClientResponse, stream: Stream, id_: str) -> None:
-    """Record the events of an answer until it ends."""
+async def read_events(
+    response: aiohttp.ClientResponse, stream: Stream, id_: str, leaves_after: int = EVENTS
+) -> None:
+    """Record the events of an answer until it ends or there are as many as the client wants."""
     splitter = EventSplitter()
     async for data in response.content.iter_any():
         for event in splitter.feed(data):
@@ -212,10 +225,13 @@
             if software is not None:
                 stream.first_attempt = stream.first_attempt or id_
                 stream.events.append((int(event_id(event) or b""), software.decode()))
+        if leaves_after <= len(stream.events) < EVENTS:
+            return
     stream.looks_complete = True
 
 
-def _headers(stream: Stream, id_: str) -> dict[str, str]:
+def request_headers(stream: Stream, id_: str) -> dict[str, str]:
+    """Return the headers with which a client begins a stream or takes it up."""
     headers = {
         "Host": HOST,
         REQUEST_ID: id_,
