Show that a VM which has stood still counts answers that have arrived as missing, as known red

A query waits for a time on the clock. If the loop stands still or is behind for as long, the timer and the answer are due in the same turn. The selector skips polls while callbacks are ready, and asyncio reads one datagram a turn, so that the timer comes first; and where the answer was read in that turn, the timeout still cancels the query that has it. The test sends answers while the loop stands still, each before the time has passed: "assert 1 == 0" and "assert 100 == 0" queries end without one. It depends on no share and on no other process.

--- a/tests/test_datagrams.py
+++ b/tests/test_datagrams.py
@@ -1,18 +1,23 @@
 """Datagrams reach VMs of the same fleet only, and a query ends with or without an answer."""
 
 import asyncio
+import socket
+import time
 from collections.abc import AsyncIterator
 
 import pytest
 
 from harness.processes import free_ports
 from pomelobarrow.kernel.settings import PeerKey
+from pomelobarrow.kernel.sparing_selector import sparing_loop
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.datagrams import DatagramCodec, PeerDatagrams, Reply
 
 KEY = PeerKey(id="k1", secret="a secret of the fleet")
 OTHER_KEY = PeerKey(id="k2", secret="a secret of another fleet")
 QUERY = pb.Datagram(proof_query=pb.ProofQuery(number=3))
+ANSWER_TIMEOUT_S = 0.05
+WAIT_S = 10.0
 
 
 def test_message_of_a_peer_is_decoded() -> None:
@@ -70,6 +75,42 @@
     assert await asking.query(("127.0.0.3", answering.port), query, 0.05) is None
 
 
+@pytest.mark.parametrize("count", [1, 100])
+def test_answers_that_arrive_while_the_loop_stands_still_count(count: int) -> None:
+    """Queries of a VM that had stood still timed out, though their answers were in its socket."""
+
+    async def play() -> list[object]:
+        [port] = free_ports(1)
+        asking, codec = PeerDatagrams((KEY,), "127.0.0.1", port), DatagramCodec(keys=(KEY,))
+        await asking.start()
+        with socket.socket(type=socket.SOCK_DGRAM) as answering:
+            answering.bind(("127.0.0.2", port))
+            answering.settimeout(WAIT_S)
+            queries = [
+                asyncio.create_task(_query(asking, answering, ANSWER_TIMEOUT_S))
+                for _ in range(count)
+            ]
+            await asyncio.sleep(0)
+            for _ in queries:
+                data, address = answering.recvfrom(1 << 16)
+                asked = codec.decode(data)
+                assert asked is not None
+                answer = pb.ProofAnswer(number=asked.proof_query.number, age_ms=1)
+                answering.sendto(codec.encode(pb.Datagram(proof_answer=answer)), address)
+            time.sleep(2 * ANSWER_TIMEOUT_S)
+            answers = await asyncio.gather(*queries)
+        await asking.stop()
+        return answers
+
+    with asyncio.Runner(loop_factory=sparing_loop) as runner:
+        assert runner.run(play()).count(None) == 0
+
+
+async def _query(asking: PeerDatagrams, answering: socket.socket, timeout_s: float) -> object:
+    query = pb.Datagram(proof_query=pb.ProofQuery())
+    return await asking.query(answering.getsockname(), query, timeout_s)
+
+
 async def test_closed_socket_sends_nothing() -> None:
     [port] = free_ports(1)
     end = PeerDatagrams((KEY,), "127.0.0.1", port)
