Read the store before a stream without a record goes on

Cause: silence and agreement were taken for evidence. A VM that was asked to go on with a stream of which it found no record assumed the only version that it listed, if that list was at most five seconds old or VMs of all regions had been seen so lately. A stream may begin at any moment until it is taken up, at a VM that knows more, so that no list from before excludes another version, and VMs that were cut off together confirm each other. The same held for routes that had just moved.

Now a version is assumed only with a read of the store, of servers and of routes, that was sent after the take-up arrived: by the VM itself or by one that it asks. Whoever began the stream had its version from the store, so such a read has it as well. What VMs state has an age now, and statements add up only without a gap. Questions that wait for a VM share its reads. A peer of an earlier release that states no software is of unknown software, where it was taken for the own list's. One of an earlier release, asked, confirms nothing.

The models of old lists let a moment pass after each read.

--- a/src/pomelobarrow/decision/streams/software_history.py
+++ b/src/pomelobarrow/decision/streams/software_history.py
@@ -9,7 +9,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from pomelobarrow.decision.published.routing import Routing
 from pomelobarrow.decision.requests.short_key import short_key
@@ -81,10 +81,14 @@
 
 @frozen(kw_only=True)
 class HistoryStatement:
-    """The software that may have begun a stream, and for how long the VM that says so has known."""
+    """The software that may have begun a stream, as a VM that is asked knows."""
 
     software_keys: frozenset[int]
+    # For how long that VM has known the servers and routes.
     known_for_s: float
+    # How long before the question its lists were last known to be complete; 0 if they were read
+    # after it, infinity if that isn't known.
+    list_age_s: float
 
 
 def only_software(
@@ -92,13 +96,23 @@
 ) -> int | None:
     """Return the software of a stream of which there is no record, None if it isn't certain.
 
-    One VM that knows the route has to know all that was before; what any other has seen counts,
-    too, since the list of that one may be out of date.
+    The stream may have begun at any time until it was taken up. VMs that know the route have to
+    know, together, all that was listed until then; what any other has seen counts, too.
     """
     stated = tuple(statements)
     keys = frozenset[int]().union(*(each.software_keys for each in stated))
-    is_known = any(each.software_keys and each.known_for_s >= retention_s for each in stated)
-    return next(iter(keys)) if is_known and len(keys) == 1 else None
+    known_s = _known_without_gap_s(each for each in stated if each.software_keys)
+    return next(iter(keys)) if known_s >= retention_s and len(keys) == 1 else None
+
+
+def _known_without_gap_s(statements: Iterable[HistoryStatement]) -> float:
+    """Return for how long before the question all that was listed is known."""
+    known_s = 0.0
+    for each in sorted(statements, key=lambda each: each.list_age_s):
+        if each.list_age_s > known_s:
+            break
+        known_s = max(known_s, each.known_for_s)
+    return known_s
 
 
 @define(kw_only=True)
@@ -107,8 +121,8 @@
 
     # Nothing was before lists that arrive until then, since all VMs start for the first time.
     first_lists_until_unix_s: float = -math.inf
-    # Returns whether what another VM has listed by a time would have arrived here.
-    is_current: Callable[[float], bool] = lambda now_unix_s: True
+    # Returns the time up to which the lists observed here are known to be complete.
+    proven_unix_s: Callable[[], float] = lambda: math.inf
     # By pool and software: until when it was listed, if it no longer is.
     _gone_unix_s: dict[str, dict[int, float]] = field(factory=dict, init=False)
     # The software of the servers that are listed, by pool.
@@ -149,12 +163,7 @@
         return True
 
     def known_for_s(self, now_unix_s: float) -> float:
-        """Return for how long this VM has known which servers and routes there are.
-
-        A VM that may be cut off from the store and other regions doesn't know.
-        """
-        if not self.is_current(now_unix_s):
-            return 0.0
+        """Return for how long this VM has known which servers and routes there are."""
         known_unix_s = max(self._servers_known_unix_s, self._routes_known_unix_s)
         return max(0.0, now_unix_s - known_unix_s)
 
@@ -180,22 +189,23 @@
         pools = frozenset[str]().union(*(each.of_target(target) for each in routes))
         return self._of_pools(pools, now_unix_s)
 
-    def statement(self, target: StreamTarget, now_unix_s: float) -> HistoryStatement:
-        """Return what this VM knows of streams of a target."""
-        recent = self.recent_of_target(target, now_unix_s)
-        return self._statement(recent, now_unix_s)
+    def statement(
+        self, target: StreamTarget, now_unix_s: float, asked_unix_s: float
+    ) -> HistoryStatement:
+        """Return what this VM knows of streams of a target, for a question of the given time."""
+        return HistoryStatement(
+            software_keys=self.recent_of_target(target, now_unix_s),
+            known_for_s=self.known_for_s(now_unix_s),
+            list_age_s=max(0.0, asked_unix_s - self.proven_unix_s()),
+        )
 
     def assumed(self, target: StreamTarget, now_unix_s: float) -> int | None:
-        """Return the software of a stream of which there is no record, None if it isn't certain."""
-        return only_software((self.statement(target, now_unix_s),), self.retention_s)
-
-    def only_version(self, pool: str, now_unix_s: float) -> int | None:
-        """Return the software that a pool's servers have run lately, None if it isn't certain."""
-        recent = self.recent(pool, now_unix_s)
-        return only_software((self._statement(recent, now_unix_s),), self.retention_s)
+        """Return the only software that recent streams can be of if the present list is complete.
 
-    def _statement(self, recent: frozenset[int], now_unix_s: float) -> HistoryStatement:
-        return HistoryStatement(software_keys=recent, known_for_s=self.known_for_s(now_unix_s))
+        None if this VM knows of several, or hasn't known the lists for long enough.
+        """
+        stated = evolve(self.statement(target, now_unix_s, now_unix_s), list_age_s=0.0)
+        return only_software((stated,), self.retention_s)
 
     def _known_from_unix_s(self, received_unix_s: float) -> float:
         """Return from when on the first list shows all that there was."""
--- a/src/pomelobarrow/decision/streams/stream_software.py
+++ b/src/pomelobarrow/decision/streams/stream_software.py
@@ -87,6 +87,8 @@
     """What this VM knows of the software of streams: its own ones and those of peers."""
 
     history: SoftwareHistory = field(factory=SoftwareHistory)
+    # Returns whether other VMs can probably find out what is published; else they need records.
+    is_current: Callable[[float], bool] = lambda now_unix_s: True
     # Sends records to the VMs that keep them.
     publish: Callable[[Iterable[StreamBegan]], None] = lambda records: None
     _own: StreamRecords = field(factory=StreamRecords)
@@ -112,7 +114,7 @@
 
     def review(self, now_unix_s: float) -> None:
         """Publish own streams once this VM's list may be out of date, as those of its peers may."""
-        is_current = self.history.is_current(now_unix_s)
+        is_current = self.is_current(now_unix_s)
         if self._was_current and not is_current:
             self.publish(self._own.all())
         self._was_current = is_current
@@ -129,12 +131,13 @@
     ) -> None:
         """Record the software that begins a stream of this VM, before its client gets an event.
 
-        Other VMs need the record unless they assume this software without one. A peer's server may
-        run a version that this VM's list of servers doesn't have yet.
+        Other VMs need the record unless they find out that no other software is listed. A peer's
+        server may run a version that this VM's list of servers doesn't have yet.
         """
         began = StreamBegan(stream_key=stream_key(request_id), software_key=software)
         self._own.note(began, now_unix_s)
-        if self.history.assumed(target, now_unix_s) != software:
+        is_only = self.history.assumed(target, now_unix_s) == software
+        if not is_only or not self.is_current(now_unix_s):
             self.publish((began,))
 
     def note_complete(self, request_id: str) -> None:
--- a/src/pomelobarrow/peers/plugin.py
+++ b/src/pomelobarrow/peers/plugin.py
@@ -44,6 +44,7 @@
 from pomelobarrow.peers.table import PeerTable
 from pomelobarrow.peers.token_grants import Accounts, TokenGrants
 from pomelobarrow.published.keyspaces import PublishedState
+from pomelobarrow.published.shared_read import SharedRead
 from pomelobarrow.published.watcher import PlatformWatcher
 
 # The rest covers what the regions' meters don't know of each other yet.
@@ -220,10 +221,11 @@
 
 def _streams(context: Context) -> StreamSoftware:
     relay = context.settings.relay
-    history = SoftwareHistory(is_current=context.get(ListEvidence).is_current)
+    evidence = context.get(ListEvidence)
+    history = SoftwareHistory(proven_unix_s=lambda: evidence.proven_unix_s)
     if relay is not None and relay.is_first_start:
         history.first_lists_until_unix_s = now_unix_s() + FIRST_LISTS_S
-    return StreamSoftware(history=history)
+    return StreamSoftware(history=history, is_current=evidence.is_current)
 
 
 def _stream_software(context: Context) -> StreamSoftwareUpdates:
@@ -234,6 +236,7 @@
         regions=tuple(sorted({*relay.region_by_failure_domain.values(), context.settings.region})),
         datagrams=context.get(PeerDatagrams),
         streams=context.get(StreamSoftware),
+        read_lists=context.get(SharedRead),
     )
 
 
--- a/src/pomelobarrow/peers/stream_software.py
+++ b/src/pomelobarrow/peers/stream_software.py
@@ -3,18 +3,20 @@
 A client takes up its stream at any VM, and the VM that began it may be gone by then. Unless the
 software follows from the histories of all VMs, a VM sends the record of a stream to one VM per
 region before the client gets the first event; which VM keeps it follows from the stream's key. The
-VM that a client comes back to asks the keepers. One that isn't certain without a record also asks
-the VMs that have run for the longest time.
+VM that a client comes back to asks the keepers. Without a record it needs a read of the store that
+began after the client had come back: no list from before shows what may have begun the stream.
 """
 
 import asyncio
+import contextlib
 import math
 from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+from functools import partial
 from heapq import nsmallest
 from itertools import islice
 
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 
 from pomelobarrow.decision.common.rendezvous import rendezvous
 from pomelobarrow.decision.members.member import READY, Member, name_of
@@ -29,6 +31,7 @@
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.datagrams import PeerDatagrams, Reply
+from pomelobarrow.peers.peers_knowledge import Ask, PeersKnowledge, gather_knowledge
 from pomelobarrow.published.keyspaces import CONFIG, VMS, PublishedState
 
 # Streams are spread over the VMs by groups, since ranking all VMs for each stream is slow.
@@ -40,8 +43,13 @@
 ASKED_IN_REGION = 2
 # A round trip between the farthest regions, and one in which the answering VM is busy.
 ANSWER_TIMEOUT_S = 0.25
-# The same inside a region. Where one version serves, an answer is hardly ever needed.
-NEARBY_ANSWER_TIMEOUT_S = 0.05
+# A round trip to the store of another region, and one in which it is busy.
+READ_TIMEOUT_S = 0.25
+READ_ANSWER_TIMEOUT_S = 0.4
+# After this time, farther VMs are asked as well.
+STAGE_TIMEOUT_S = 0.25
+# Queries that wait for a read at a time; any more are answered without one.
+MAX_READING = 1_024
 # A record takes 14 bytes, and a datagram must fit into one packet.
 RECORDS_PER_DATAGRAM = 64
 MAX_TARGET_BYTES = 1_000
@@ -50,17 +58,20 @@
 # The VMs that have run for the longest time; two of them may be cut off.
 ASKED_FOR_HISTORY = 3
 MS_PER_S = 1_000.0
-MAX_KNOWN_FOR_MS = (1 << 32) - 1
+MAX_AGE_MS = (1 << 32) - 1
+
+
+async def no_read() -> None:
+    """Read nothing, so that the lists stay as old as they are."""
 
 
 @frozen(kw_only=True)
-class PeersKnowledge:
-    """What peers know of a stream: its software, if recorded, and else their histories."""
+class _Question:
+    """What is asked about a stream that a client has taken up, and when."""
 
-    software_key: int | None = None
-    histories: tuple[HistoryStatement, ...] = ()
-    # How many VMs were asked. A VM that answers states its history if it has no record.
-    asked: int = 0
+    query: pb.StreamQuery
+    asked_unix_s: float
+    needs_read: bool
 
 
 @define(kw_only=True)
@@ -71,6 +82,10 @@
     regions: Sequence[str]
     datagrams: PeerDatagrams
     streams: StreamSoftware = field(factory=StreamSoftware)
+    # Returns once a read of the store has ended that began after the call.
+    read_lists: Callable[[], Awaitable[None]] = no_read
+    # Queries that are answered after a read.
+    _reading: set[asyncio.Task[None]] = field(factory=set, init=False)
 
     def __attrs_post_init__(self) -> None:
         self.streams.publish = self.send
@@ -92,69 +107,76 @@
     async def find(self, request_id: str, target: StreamTarget, is_certain: bool) -> PeersKnowledge:
         """Return the software that began a stream, or what peers know without a record of it.
 
-        Where this VM is certain of the software without a record, it is enough that VMs of its own
-        region are, too: they know of another version if this VM's list is out of date.
+        Where this VM would be certain if its list were complete, VMs of its own region can show
+        that: they read the store. Others are asked as well if none of them does in time.
         """
         key = stream_key(request_id)
         known = self.streams.software_of(key)
         if known is not None:
             return PeersKnowledge(software_key=known)
-        query, nearby = _query_of(key, target), self._keepers_nearby(key)
-        if not is_certain:
-            return await self._ask([*nearby, *self._farther(key, nearby)], query, ANSWER_TIMEOUT_S)
-        found = await self._ask(nearby, query, NEARBY_ANSWER_TIMEOUT_S)
-        if found.software_key is not None or self._is_certain(found.histories):
-            return found
-        farther = await self._ask(self._farther(key, nearby), query, ANSWER_TIMEOUT_S)
-        return evolve(
-            farther,
-            histories=found.histories + farther.histories,
-            asked=found.asked + farther.asked,
+        question, history = self._question(key, target), self.streams.history
+
+        def is_settled(found: PeersKnowledge) -> bool:
+            own = history.statement(target, now_unix_s(), question.asked_unix_s)
+            stated = (own, *found.histories)
+            only = only_software(stated, history.retention_s)
+            return found.software_key is not None or only is not None
+
+        nearby, farther = self._nearby(key, question), self._farther(key, question)
+        stages = [nearby, {vm: each for vm, each in farther.items() if vm not in nearby}]
+        if not is_certain or not self.streams.is_current(now_unix_s()):
+            stages = [nearby | farther]
+        return await gather_knowledge(
+            [[*each.values()] for each in stages], is_settled, STAGE_TIMEOUT_S
         )
 
-    def _is_certain(self, histories: Iterable[HistoryStatement]) -> bool:
-        return only_software(histories, self.streams.history.retention_s) is not None
+    def _question(self, key: int, target: StreamTarget) -> "_Question":
+        now = now_unix_s()
+        recent = self.streams.history.recent_of_target(target, now)
+        # Where several versions serve, only a record can tell which one began the stream.
+        return _Question(
+            query=_query_of(key, target), asked_unix_s=now, needs_read=len(recent) <= 1
+        )
 
-    async def _ask(
-        self, members: Iterable[Member], query: pb.StreamQuery, timeout_s: float
-    ) -> PeersKnowledge:
-        """Return the first record that any of these VMs has, or else all their histories."""
-        queries = [asyncio.create_task(self._query(each, query, timeout_s)) for each in members]
-        histories: list[HistoryStatement] = []
-        try:
-            for answer in asyncio.as_completed(queries):
-                found = await answer
-                if found.software_key is not None:
-                    return evolve(found, asked=len(queries))
-                histories += found.histories
-        finally:
-            for each in queries:
-                each.cancel()
-        return PeersKnowledge(histories=tuple(histories), asked=len(queries))
-
-    def _keepers_nearby(self, key: int) -> list[Member]:
-        return self._keepers(key, self.view.own_region, ASKED_IN_REGION)
-
-    def _farther(self, key: int, asked: Iterable[Member]) -> list[Member]:
-        """Return the keepers of the other regions and the VMs that know the history best.
-
-        Those that have been asked aren't among them.
-        """
-        others = (region for region in self.regions if region != self.view.own_region)
+    def _nearby(self, key: int, question: "_Question") -> dict[str, Ask]:
+        """Return how to ask the own region's keepers and its readers of the store."""
+        asks = self._asks(self._keepers(key, self.view.own_region, ASKED_IN_REGION), question)
+        if not question.needs_read:
+            return asks
+        readers = watchers(self.view, self.view.own_region, now_unix_s=now_unix_s())
+        if any(each.vm == self.view.own_vm for each in readers):
+            asks[self.view.own_vm] = self._read
+        return asks | self._asks(readers, question, reads_store=True)
+
+    def _farther(self, key: int, question: "_Question") -> dict[str, Ask]:
+        """Return how to ask the keepers of the other regions and the VMs that know most."""
+        others = [region for region in self.regions if region != self.view.own_region]
         keepers = [member for region in others for member in self._keepers(key, region, 1)]
-        by_vm = {member.vm: member for member in (*keepers, *self._historians())}
-        for member in asked:
-            by_vm.pop(member.vm, None)
-        return list(by_vm.values())
+        asks = self._asks(keepers, question)
+        if not question.needs_read:
+            return asks | self._asks(self._historians(), question)
+        now = now_unix_s()
+        readers = [
+            each for region in others for each in watchers(self.view, region, now_unix_s=now)
+        ]
+        asks |= self._asks([*self._historians(), *readers], question, reads_store=True)
+        return asks | {self.view.own_vm: self._read}
+
+    def _asks(
+        self, members: Iterable[Member], question: "_Question", reads_store: bool = False
+    ) -> dict[str, Ask]:
+        return {
+            member.vm: partial(self._query, member, question, reads_store)
+            for member in members
+            if self._is_staying(member)
+        }
 
     def _historians(self) -> list[Member]:
-        """Return the VMs of all regions that started first, and the readers of the store here."""
+        """Return the VMs of all regions that started first."""
         now = now_unix_s()
         live = (member for region in self.regions for member in self.view.live(region, now))
         staying = (member for member in live if self._is_staying(member))
-        first = nsmallest(ASKED_FOR_HISTORY, staying, key=lambda member: member.incarnation)
-        readers = watchers(self.view, self.view.own_region, now_unix_s=now)
-        return [*first, *(member for member in readers if self._is_staying(member))]
+        return nsmallest(ASKED_FOR_HISTORY, staying, key=lambda member: member.incarnation)
 
     def _keepers(self, key: int, region: str, count: int) -> list[Member]:
         """Return the other VMs of a region that keep a stream's record, the first in charge.
@@ -186,20 +208,33 @@
             )
             self.datagrams.send(self._address(member), pb.Datagram(streams_began=began))
 
+    async def _read(self) -> PeersKnowledge:
+        """Read the store here, which counts as a part of this VM's own history."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                await self.read_lists()
+        return PeersKnowledge()
+
     async def _query(
-        self, member: Member, query: pb.StreamQuery, timeout_s: float
+        self, member: Member, question: "_Question", reads_store: bool
     ) -> PeersKnowledge:
+        query = pb.StreamQuery()
+        query.CopyFrom(question.query)
+        query.reads_store = reads_store
+        timeout_s = READ_ANSWER_TIMEOUT_S if reads_store else ANSWER_TIMEOUT_S
         message = pb.Datagram(stream_query=query)
         answer = await self.datagrams.query(self._address(member), message, timeout_s)
         if not isinstance(answer, pb.StreamAnswer):
-            return PeersKnowledge()
+            return PeersKnowledge(asked=1)
         if answer.is_known:
-            return PeersKnowledge(software_key=answer.software_key)
+            return PeersKnowledge(software_key=answer.software_key, asked=1)
+        has_age = answer.HasField("list_age_ms")
         stated = HistoryStatement(
             software_keys=frozenset(answer.recent_software_keys),
             known_for_s=answer.known_for_ms / MS_PER_S,
+            list_age_s=answer.list_age_ms / MS_PER_S if has_age else math.inf,
         )
-        return PeersKnowledge(histories=(stated,))
+        return PeersKnowledge(histories=(stated,), asked=1)
 
     def _address(self, member: Member) -> tuple[str, int]:
         return member.host, self.datagrams.port
@@ -210,27 +245,46 @@
             self.streams.note_of_peer(StreamBegan(stream_key=key, software_key=software), now)
 
     def _on_query(self, query: pb.StreamQuery, reply: Reply) -> None:
+        is_known = self.streams.software_of(query.stream_key) is not None
+        if is_known or not query.reads_store or len(self._reading) >= MAX_READING:
+            reply(self._answer(query, now_unix_s()))
+            return
+        task = asyncio.create_task(self._answer_after_read(query, reply, now_unix_s()))
+        self._reading.add(task)
+        task.add_done_callback(self._reading.discard)
+
+    async def _answer_after_read(
+        self, query: pb.StreamQuery, reply: Reply, asked_unix_s: float
+    ) -> None:
+        await self._read()
+        reply(self._answer(query, asked_unix_s))
+
+    def _answer(self, query: pb.StreamQuery, asked_unix_s: float) -> pb.Datagram:
+        """Return the record of a stream, or what this VM's history says."""
         software = self.streams.software_of(query.stream_key)
-        if software is None:
-            answer = self._history_answer(query)
-        else:
-            answer = pb.StreamAnswer(number=query.number, is_known=True, software_key=software)
-        reply(pb.Datagram(stream_answer=answer))
-
-    def _history_answer(self, query: pb.StreamQuery) -> pb.StreamAnswer:
-        """Return what this VM's history says; nothing if the query names no path."""
+        if software is not None:
+            known = pb.StreamAnswer(number=query.number, is_known=True, software_key=software)
+            return pb.Datagram(stream_answer=known)
+        # A query that names no path asks for a record only.
         if not query.path:
-            return pb.StreamAnswer(number=query.number)
+            return pb.Datagram(stream_answer=pb.StreamAnswer(number=query.number))
         target = StreamTarget(query.host, query.path)
         history = self.streams.history
-        stated = history.statement(target, now_unix_s())
-        # Versions that have been gone for longer are forgotten here.
-        remembered_ms = math.ceil(history.retention_s * MS_PER_S)
-        return pb.StreamAnswer(
-            number=query.number,
-            recent_software_keys=nsmallest(MAX_STATED_KEYS, stated.software_keys),
-            known_for_ms=min(int(stated.known_for_s * MS_PER_S), remembered_ms, MAX_KNOWN_FOR_MS),
-        )
+        stated = history.statement(target, now_unix_s(), asked_unix_s)
+        return pb.Datagram(stream_answer=_history_answer(query.number, stated, history.retention_s))
+
+
+def _history_answer(number: int, stated: HistoryStatement, remembered_s: float) -> pb.StreamAnswer:
+    # Versions that have been gone for longer are forgotten here.
+    known_for_s = min(stated.known_for_s, remembered_s)
+    answer = pb.StreamAnswer(
+        number=number,
+        recent_software_keys=nsmallest(MAX_STATED_KEYS, stated.software_keys),
+        known_for_ms=min(int(known_for_s * MS_PER_S), MAX_AGE_MS),
+    )
+    if stated.list_age_s * MS_PER_S < MAX_AGE_MS:
+        answer.list_age_ms = math.ceil(stated.list_age_s * MS_PER_S)
+    return answer
 
 
 def _query_of(key: int, target: StreamTarget) -> pb.StreamQuery:
--- a/src/pomelobarrow/published/plugin.py
+++ b/src/pomelobarrow/published/plugin.py
@@ -14,7 +14,8 @@
 from pomelobarrow.kernel.hooks import PhasedService, StartPhase, StatusSection, hookimpl
 from pomelobarrow.kernel.settings import DEFAULT_REVOCATION_S
 from pomelobarrow.peers.table import PeerTable
-from pomelobarrow.published.keyspaces import PublishedState
+from pomelobarrow.published.keyspaces import CONFIG, VMS, PublishedState
+from pomelobarrow.published.shared_read import SharedRead
 from pomelobarrow.published.store_reader import StoreReader
 from pomelobarrow.published.watcher import PlatformWatcher
 
@@ -53,6 +54,7 @@
     context.provide(PlatformWatcher, _watcher)
     context.provide(ConfigProof, _proof)
     context.provide(ListEvidence, _list_evidence)
+    context.provide(SharedRead, _shared_read)
 
 
 @hookimpl
@@ -103,7 +105,18 @@
 def _list_evidence(context: Context) -> ListEvidence:
     relay = context.settings.relay
     regions = relay.region_by_failure_domain.values() if relay else ()
-    return ListEvidence(view=context.get(MembershipView), regions=tuple(sorted({*regions})))
+    evidence = ListEvidence(
+        view=context.get(MembershipView),
+        regions=tuple(sorted({*regions})),
+        keyspaces=(CONFIG, VMS),
+        reads_store=lambda: context.get(PeerTable).is_watcher(),
+    )
+    context.get(PublishedState).era_listeners.append(evidence.observe_era)
+    return evidence
+
+
+def _shared_read(context: Context) -> SharedRead:
+    return SharedRead(read=context.get(PlatformWatcher).read_all_now)
 
 
 def _watcher(context: Context) -> PlatformWatcher:
@@ -115,6 +128,6 @@
         table.is_watcher,
         context.get(ConfigProof),
     )
-    watcher.list_read_listeners.append(context.get(ListEvidence).note_read)
+    watcher.read_listeners.append(context.get(ListEvidence).note_read)
     table.review_listeners.append(watcher.on_role_review)
     return watcher
--- a/src/pomelobarrow/published/watcher.py
+++ b/src/pomelobarrow/published/watcher.py
@@ -19,7 +19,7 @@
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.published.events import PlatformReachable, PlatformUnreachable
-from pomelobarrow.published.keyspaces import CONFIG, VMS, PublishedState
+from pomelobarrow.published.keyspaces import CONFIG, PublishedState
 from pomelobarrow.published.store_reader import Page, ReadError, ReadFailure, StoreReader
 
 # The network may drop a poll's connection without notice to either end; it then stays silent for
@@ -69,8 +69,8 @@
         self._reader = reader
         self._is_watcher = is_watcher
         self._proof = proof
-        # Called with the time at which a read was sent whose answer the list of VMs contains.
-        self.list_read_listeners: list[Callable[[float], None]] = []
+        # Called with a keyspace and the time at which a read was sent whose answer it contains.
+        self.read_listeners: list[Callable[[str, float], None]] = []
         self._context = context
         self._random = random.Random()
         self._is_reachable: bool | None = None
@@ -135,6 +135,10 @@
         """Read a keyspace's changes at once."""
         await self._read(name, 0.0)
 
+    async def read_all_now(self) -> None:
+        """Read the changes of all keyspaces at once."""
+        await asyncio.gather(*(self.read_now(name) for name in self._state.copies))
+
     async def _wait_for_idle_read(self) -> None:
         """Wait until the next idle read is due or this VM becomes a watcher."""
         self._became_watcher.clear()
@@ -148,9 +152,9 @@
         if name == CONFIG and result is not ReadResult.FAILED:
             revision = self._state.copies[CONFIG].revision_observed(ROUTING_KEY)
             self._proof.observe(Proof(sent_unix_s, revision))
-        if name == VMS and result is not ReadResult.FAILED:
-            for listener in self.list_read_listeners:
-                listener(sent_unix_s)
+        if result is not ReadResult.FAILED:
+            for listener in self.read_listeners:
+                listener(name, sent_unix_s)
         return result
 
     async def _read_changes(self, name: str, wait_s: float) -> ReadResult:
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -286,7 +286,7 @@
             progress,
             record,
             target,
-            software_of=lambda head: self.joins.software_of_peer(head, pool),
+            software_of=self.joins.software_of_peer,
             on_head=lambda head: self.records.of_peer(progress.request, head),
         )
         self.evidence.note_answer(progress.request, report)
--- a/src/pomelobarrow/relay/stream_joins.py
+++ b/src/pomelobarrow/relay/stream_joins.py
@@ -22,7 +22,7 @@
 )
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
-from pomelobarrow.peers.stream_software import PeersKnowledge
+from pomelobarrow.peers.peers_knowledge import PeersKnowledge
 from pomelobarrow.relay.events import StreamTakenUp
 from pomelobarrow.relay.messages import RequestHead, ServerAnswerHead
 from pomelobarrow.relay.progress import RequestProgress
@@ -54,12 +54,9 @@
 
     streams: StreamSoftware = field(factory=StreamSoftware)
 
-    def software_of_peer(self, head: ServerAnswerHead, pool: str) -> int:
+    def software_of_peer(self, head: ServerAnswerHead) -> int:
         """Return the software of a peer's server; peers of an earlier release don't state it."""
-        if head.software_key is not None:
-            return head.software_key
-        only = self.streams.history.only_version(pool, now_unix_s())
-        return UNKNOWN_SOFTWARE if only is None else only
+        return UNKNOWN_SOFTWARE if head.software_key is None else head.software_key
 
     def fault(self, progress: RequestProgress, software: int) -> str:
         """Return why a server's events don't fit the stream; empty if they do."""
@@ -139,7 +136,9 @@
     ) -> tuple[int | None, SoftwareSource, PeersKnowledge]:
         if stated is not None:
             return stated, SoftwareSource.STATED, PeersKnowledge()
-        is_certain = self.streams.history.assumed(target, now_unix_s()) is not None
+        # The stream began before that, with any version that was listed until then.
+        asked_unix_s = now_unix_s()
+        is_certain = self.streams.history.assumed(target, asked_unix_s) is not None
         if not is_certain:
             await self._wait_until_joined()
         found = await self._find(head, target, is_certain)
@@ -147,7 +146,7 @@
             return found.software_key, SoftwareSource.RECORDED, found
         # A list that has arrived in the meantime counts.
         history = self.streams.history
-        own = history.statement(target, now_unix_s())
+        own = history.statement(target, now_unix_s(), asked_unix_s)
         assumed = only_software((own, *found.histories), history.retention_s)
         if assumed is None:
             return None, SoftwareSource.UNKNOWN, found
--- a/tests/test_relay_software_versions.py
+++ b/tests/test_relay_software_versions.py
@@ -15,7 +15,7 @@
 )
 from pomelobarrow.decision.streams.stream_software import StreamSoftware, stream_key
 from pomelobarrow.kernel.clock import now_unix_s
-from pomelobarrow.peers.stream_software import PeersKnowledge
+from pomelobarrow.peers.peers_knowledge import PeersKnowledge
 from pomelobarrow.relay import relay as relay_module
 from pomelobarrow.relay import stream_joins
 from pomelobarrow.relay.events import StreamTakenUp
@@ -240,6 +240,7 @@
         peer = HistoryStatement(
             software_keys=frozenset(map(software_key, vm.relay.placer.servers().values())),
             known_for_s=STREAM_RETENTION_S,
+            list_age_s=0.0,
         )
 
         async def ask_peers(
@@ -288,7 +289,7 @@
         vm = fleet.vms["a"]
         listed = vm.relay.placer.servers()["s1"]
         newer = software_key(evolve(listed, software_version="v2"))
-        peer = HistoryStatement(software_keys=frozenset({newer}), known_for_s=0.0)
+        peer = HistoryStatement(software_keys=frozenset({newer}), known_for_s=0.0, list_age_s=0.0)
 
         async def ask_peers(
             request_id: str, target: StreamTarget, is_certain: bool
--- a/tests/test_software_history.py
+++ b/tests/test_software_history.py
@@ -1,5 +1,8 @@
 """Which software may have begun a stream of which no VM has a record."""
 
+import math
+
+import pytest
 from attrs import evolve
 
 from pomelobarrow.decision.published.routing import PoolShare, Route, RouteKind, Routing
@@ -64,6 +67,12 @@
 ROUTES = routes(POOL)
 
 
+def stated(*keys: int, known_for_s: float, list_age_s: float = 0.0) -> HistoryStatement:
+    return HistoryStatement(
+        software_keys=frozenset(keys), known_for_s=known_for_s, list_age_s=list_age_s
+    )
+
+
 def known_since(unix_s: float, *servers: BackendServer) -> SoftwareHistory:
     """Return the history of a VM that received its lists at a time."""
     history = SoftwareHistory()
@@ -202,33 +211,56 @@
 
 def test_peer_that_has_known_for_long_makes_a_software_certain() -> None:
     """A VM that had restarted alone refused sound streams."""
-    own = known_since(NOW, V1).statement(TARGET, NOW)
-    peer = known_since(LONG_AGO, V1).statement(TARGET, NOW)
+    own = known_since(NOW, V1).statement(TARGET, NOW, NOW)
+    peer = known_since(LONG_AGO, V1).statement(TARGET, NOW, NOW)
     assert only_software((own,)) is None
     assert only_software((own, peer)) == FIRST
 
 
 def test_peers_that_have_just_started_make_no_software_certain() -> None:
-    started = known_since(NOW, V1).statement(TARGET, NOW + 1.0)
+    started = known_since(NOW, V1).statement(TARGET, NOW + 1.0, NOW + 1.0)
     assert only_software((started, started)) is None
 
 
 def test_version_that_only_one_peer_has_seen_counts() -> None:
     """The list of the VM that has known for long may be out of date."""
-    own = known_since(LONG_AGO, V1).statement(TARGET, NOW)
-    peer = known_since(NOW, V1, V2).statement(TARGET, NOW)
+    own = known_since(LONG_AGO, V1).statement(TARGET, NOW, NOW)
+    peer = known_since(NOW, V1, V2).statement(TARGET, NOW, NOW)
     assert only_software((own, peer)) is None
 
 
 def test_peer_that_does_not_know_the_route_makes_no_software_certain() -> None:
     """Its configuration may be out of date, so that it doesn't count the pool's former versions."""
-    own = known_since(NOW, V2).statement(TARGET, NOW)
+    own = known_since(NOW, V2).statement(TARGET, NOW, NOW)
     elsewhere = StreamTarget(HOST, "/unknown/")
-    peer = known_since(LONG_AGO, V1).statement(elsewhere, NOW)
-    assert peer == HistoryStatement(software_keys=frozenset(), known_for_s=NOW - LONG_AGO)
+    peer = known_since(LONG_AGO, V1).statement(elsewhere, NOW, NOW)
+    assert peer == stated(known_for_s=NOW - LONG_AGO)
     assert only_software((own, peer)) is None
 
 
+@pytest.mark.parametrize("list_age_s", [0.01, 4.0, math.inf])
+def test_list_from_before_the_question_makes_no_software_certain(list_age_s: float) -> None:
+    """A stream of a version that a VM had missed for less than five seconds was joined there."""
+    old = stated(FIRST, known_for_s=2 * STREAM_RETENTION_S, list_age_s=list_age_s)
+    assert only_software((old, old)) is None
+
+
+def test_lists_that_follow_on_each_other_make_a_software_certain() -> None:
+    """The VM that has just read the list has started lately."""
+    reader = stated(FIRST, known_for_s=10.0)
+    older = stated(FIRST, known_for_s=2 * STREAM_RETENTION_S, list_age_s=9.0)
+    assert only_software((older, reader)) == FIRST
+    assert only_software((evolve(older, list_age_s=11.0), reader)) is None
+
+
+def test_list_counts_from_the_read_that_it_contains() -> None:
+    history = known_since(LONG_AGO, V1)
+    history.proven_unix_s = lambda: NOW - 2.0
+    assert history.statement(TARGET, NOW + 1.0, NOW).list_age_s == 2.0
+    history.proven_unix_s = lambda: NOW + 0.5
+    assert history.statement(TARGET, NOW + 1.0, NOW).list_age_s == 0.0
+
+
 def test_version_of_long_streams_counts_until_they_are_taken_up() -> None:
     """A stream that had run for longer than two minutes went on at the version after its own."""
     long_s = 2 * STREAM_RETENTION_S
--- a/tests/test_stream_software.py
+++ b/tests/test_stream_software.py
@@ -76,7 +76,7 @@
     streams.note_began("r1", TARGET, FIRST, NOW)
     streams.review(NOW)
     assert published == []
-    streams.history.is_current = lambda now_unix_s: False
+    streams.is_current = lambda now_unix_s: False
     streams.review(NOW + 1.0)
     streams.review(NOW + 2.0)
     streams.note_began("r2", TARGET, FIRST, NOW + 2.0)
--- a/tests/test_stream_software_model.py
+++ b/tests/test_stream_software_model.py
@@ -1,47 +1,43 @@
 """Streams are taken up at VMs that restart, lose datagrams and have clocks of their own."""
 
 import asyncio
-import enum
 import math
-from collections.abc import Callable, Iterable
-from typing import Any
+from collections.abc import Iterable
 from unittest.mock import patch
 
-from attrs import define, evolve, field
+from attrs import define, evolve
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
+from model_vms import (
+    CUT_OFF_REGION,
+    REGION_BY_VM,
+    REGIONS,
+    START_UNIX_S,
+    Clock,
+    Datagrams,
+    Loss,
+    Network,
+    View,
+    evidence_of,
+    note_reads,
+)
 from test_software_history import POOL, TARGET, V1, V_OTHER, routes
 
-from pomelobarrow.decision.members.member import Member
 from pomelobarrow.decision.requests.work import BackendServer
-from pomelobarrow.decision.streams.list_evidence import ListEvidence
 from pomelobarrow.decision.streams.software_history import STREAM_RETENTION_S, software_key
-from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers import stream_software as updates_module
 from pomelobarrow.peers.stream_software import StreamSoftwareUpdates
 from pomelobarrow.relay import stream_joins as joins_module
 from pomelobarrow.relay.messages import RequestHead
 from pomelobarrow.relay.stream_joins import ResumedStreams
 
-REGION_BY_VM = {"a-1": "a", "a-2": "a", "a-3": "a", "b-1": "b", "b-2": "b"}
 VERSIONS = ("v1", "v2")
 OLD_VM = "a-1"
-CUT_OFF_REGION = "b"
-START_UNIX_S = 1_000_000.0
 OTHER_POOL = V_OTHER.pool
-
+MOMENT_S = 0.01
 MAX_EXAMPLES = 600
 
-
-class Loss(enum.Enum):
-    """Which datagrams are lost."""
-
-    NONE = "none"
-    EACH_SECOND = "each second"
-    ALL = "all"
-
-
 vms = st.sampled_from(sorted(REGION_BY_VM))
 other_vms = st.sampled_from(sorted(REGION_BY_VM.keys() - {OLD_VM}))
 vms_cut_off = st.sampled_from([vm for vm in REGION_BY_VM if REGION_BY_VM[vm] == CUT_OFF_REGION])
@@ -52,116 +48,6 @@
 losses = st.sampled_from(Loss)
 
 
-@define(kw_only=True)
-class View:
-    """The members as a VM sees them: all others, each with its newest incarnation."""
-
-    own_vm: str
-    own_region: str
-    started_unix_s: dict[str, float]
-
-    def get(self, vm: str) -> Member:
-        started_ms = int(self.started_unix_s[vm] * 1_000)
-        return Member(
-            vm=vm, region=REGION_BY_VM[vm], incarnation=started_ms, peer_address=f"{vm}:1"
-        )
-
-    def known(self) -> tuple[Member, ...]:
-        return tuple(self.get(vm) for vm in REGION_BY_VM if vm != self.own_vm)
-
-    def last_seen_unix_s(self, vm: str) -> float:
-        is_cut = CUT_OFF_REGION in (REGION_BY_VM[vm], self.own_region)
-        return START_UNIX_S if is_cut else math.inf
-
-    def live(self, region: str, now_unix_s: float) -> tuple[Member, ...]:
-        return tuple(self.get(vm) for vm in REGION_BY_VM if REGION_BY_VM[vm] == region)
-
-    def memoized(self, key: str, compute: Callable[[], Any], now_unix_s: float) -> Any:
-        return compute()
-
-
-@define(kw_only=True)
-class Network:
-    """Deliver datagrams at once, or lose them."""
-
-    clock: "Clock"
-    vms: "dict[str, Datagrams]" = field(factory=dict)
-    loss: Loss = Loss.NONE
-    # No datagram of another region reaches this one or leaves it.
-    cut_off_region: str = ""
-    # Pairs of senders and receivers between which all datagrams are lost.
-    cut_pairs: frozenset[tuple[str, str]] = frozenset()
-    _sent: int = 0
-
-    def is_cut(self, sender: str, receiver: str) -> bool:
-        regions = {REGION_BY_VM[sender], REGION_BY_VM[receiver]}
-        is_across = len(regions) > 1 and self.cut_off_region in regions
-        return is_across or (sender, receiver) in self.cut_pairs
-
-    def is_lost(self) -> bool:
-        self._sent += 1
-        return self.loss is Loss.ALL or (self.loss is Loss.EACH_SECOND and self._sent % 2 == 0)
-
-    def deliver(self, to: str, message: pb.Datagram, reply: Callable[[pb.Datagram], None]) -> None:
-        if self.is_lost():
-            return
-        kind = message.WhichOneof("kind")
-        with self.clock.of(to):
-            self.vms[to].handlers[kind](getattr(message, kind), reply)
-
-
-@define(kw_only=True)
-class Datagrams:
-    """The part of `PeerDatagrams` that updates of streams use."""
-
-    network: Network
-    vm: str
-    port: int = 1
-    handlers: dict[str, Any] = field(factory=dict)
-
-    def send(self, address: tuple[str, int], message: pb.Datagram) -> None:
-        if not self.network.is_cut(self.vm, address[0]):
-            self.network.deliver(address[0], message, lambda answer: None)
-
-    async def query(self, address: tuple[str, int], message: pb.Datagram, timeout_s: float) -> Any:
-        answers: list[pb.Datagram] = []
-        if not self.network.is_cut(self.vm, address[0]):
-            self.network.deliver(address[0], message, answers.append)
-        if not answers or self.network.is_cut(address[0], self.vm) or self.network.is_lost():
-            return None
-        return answers[0].stream_answer
-
-
-@define
-class Clock:
-    """The time, which each VM reads with an offset of its own."""
-
-    unix_s: float = START_UNIX_S
-    offset_s: dict[str, float] = field(factory=dict)
-    reader: str = ""
-
-    def now(self) -> float:
-        return self.unix_s + self.offset_s.get(self.reader, 0.0)
-
-    def of(self, vm: str) -> "ClockReader":
-        return ClockReader(self, vm)
-
-
-@define
-class ClockReader:
-    """Let a VM read the clock."""
-
-    clock: Clock
-    vm: str
-    before: str = ""
-
-    def __enter__(self) -> None:
-        self.before, self.clock.reader = self.clock.reader, self.vm
-
-    def __exit__(self, *error: object) -> None:
-        self.clock.reader = self.before
-
-
 @define(kw_only=True)
 class Begun:
     """A stream that has broken off, and the software that it is of."""
@@ -310,7 +196,7 @@
         view = View(own_vm=vm, own_region=REGION_BY_VM[vm], started_unix_s=self.started_unix_s)
         self.updates[vm] = StreamSoftwareUpdates(
             view=view,  # type: ignore[arg-type]
-            regions=("a", "b"),
+            regions=REGIONS,
             datagrams=datagrams,  # type: ignore[arg-type]
         )
         self._deliver_routes(vm)
@@ -338,6 +224,11 @@
 
     restart = take_up_sound = None  # type: ignore[assignment]
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.proven_unix_s = self._time_after_a_read()
+        self.updates[OLD_VM].streams.history.proven_unix_s = lambda: self.proven_unix_s
+
     def _current(self) -> Iterable[str]:
         return REGION_BY_VM.keys() - {OLD_VM}
 
@@ -345,6 +236,13 @@
     def catch_up(self) -> None:
         self._deliver_list(OLD_VM)
         self._deliver_routes(OLD_VM)
+        self.proven_unix_s = self._time_after_a_read()
+
+    def _time_after_a_read(self) -> float:
+        """Return the present time, and let some pass, since nothing comes at the same moment."""
+        read_unix_s = self.clock.unix_s
+        self.clock.unix_s += MOMENT_S
+        return read_unix_s
 
     @rule(vm=other_vms, index=st.integers(0, 5))
     def begin(self, vm: str, index: int) -> None:
@@ -370,11 +268,9 @@
         super().__init__()
         self.network.cut_off_region = CUT_OFF_REGION
         for vm in REGION_BY_VM:
-            view = self.updates[vm].view
-            evidence = ListEvidence(view=view, regions=("a", "b"))
+            evidence = evidence_of(self.updates[vm])
             if REGION_BY_VM[vm] != CUT_OFF_REGION:
-                evidence.note_read(math.inf)
-            self.updates[vm].streams.history.is_current = evidence.is_current
+                note_reads(evidence, math.inf)
 
     def _current(self) -> Iterable[str]:
         return (vm for vm, region in REGION_BY_VM.items() if region != CUT_OFF_REGION)
@@ -394,94 +290,6 @@
         self._take_up(vm, is_named)
 
 
-class Way(enum.Enum):
-    """Which way a cut acts, as seen by the VMs that are cut off."""
-
-    BOTH = "both"
-    INCOMING = "incoming"
-    OUTGOING = "outgoing"
-
-
-class StreamsAtVmsThatAreCutOff(StreamsOfOneSoftware):
-    """Some VMs miss changes of list and routes for a while, and datagrams of all others.
-
-    They have read the store just before. Among each other, all their datagrams arrive.
-    """
-
-    restart = take_up_sound = None  # type: ignore[assignment]
-
-    def __init__(self) -> None:
-        self.cut_off: frozenset[str] = frozenset()
-        super().__init__()
-        self.evidence: dict[str, ListEvidence] = {}
-        for vm in REGION_BY_VM:
-            evidence = ListEvidence(view=self.updates[vm].view, regions=("a", "b"))
-            self.evidence[vm] = evidence
-            self.updates[vm].streams.history.is_current = evidence.is_current
-        self._read_all()
-
-    def _current(self) -> Iterable[str]:
-        return REGION_BY_VM.keys() - self.cut_off
-
-    def _read_all(self) -> None:
-        for vm in self._current():
-            self.evidence[vm].note_read(self.clock.unix_s)
-
-    @rule(cut_off=st.sets(vms, min_size=1, max_size=3), way=st.sampled_from(Way))
-    def cut(self, cut_off: set[str], way: Way) -> None:
-        self.heal()
-        self.cut_off = frozenset(cut_off)
-        others = REGION_BY_VM.keys() - cut_off
-        incoming = {(other, vm) for vm in cut_off for other in others}
-        outgoing = {(vm, other) for vm in cut_off for other in others}
-        by_way = {Way.BOTH: incoming | outgoing, Way.INCOMING: incoming, Way.OUTGOING: outgoing}
-        self.network.cut_pairs = frozenset(by_way[way])
-
-    @rule()
-    def heal(self) -> None:
-        self.cut_off = self.network.cut_pairs = frozenset()
-        for vm in REGION_BY_VM:
-            self._deliver_routes(vm)
-            self._deliver_list(vm)
-        self._read_all()
-
-    @rule(time_s=st.sampled_from((0.2, 1.0, 3.0, 5.0)), is_read=st.booleans())
-    def pass_time(self, time_s: float, is_read: bool) -> None:
-        self.clock.unix_s += time_s
-        if is_read:
-            self._read_all()
-
-    @rule(vm=vms, index=st.integers(0, 5), loss=losses)
-    def begin(self, vm: str, index: int, loss: Loss) -> None:
-        """Begin a stream at a VM that has the present list."""
-        if vm not in self.cut_off:
-            self.network.loss = loss
-            self._begin(vm, index)
-
-    @rule(vm=vms, pool=pools, version=versions)
-    def release(self, vm: str, pool: str, version: str) -> None:
-        """Replace all servers of a pool while a stream runs."""
-        self.begin(vm, 0, Loss.NONE)
-        self._replace_servers(pool, version)
-
-    @rule(
-        vm=vms,
-        pool=pools,
-        version=versions,
-        after_s=st.sampled_from((0.2, 1.0, 3.0, 5.0)),
-        is_named=st.booleans(),
-    )
-    def take_up_beside_a_release(
-        self, vm: str, pool: str, version: str, after_s: float, is_named: bool
-    ) -> None:
-        """A stream of a version that has just been listed is taken up where it isn't known."""
-        self._replace_servers(pool, version)
-        self.begin(vm, 0, Loss.NONE)
-        self.clock.unix_s += after_s
-        for each in sorted(self.cut_off):
-            self._take_up(each, is_named)
-
-
 SETTINGS = settings(deadline=None, max_examples=MAX_EXAMPLES, stateful_step_count=12)
 TestStreamsOfOneSoftware = StreamsOfOneSoftware.TestCase
 TestStreamsOfOneSoftware.settings = SETTINGS
@@ -489,5 +297,3 @@
 TestStreamsWithAnOldList.settings = SETTINGS
 TestStreamsInACutOffRegion = StreamsInACutOffRegion.TestCase
 TestStreamsInACutOffRegion.settings = SETTINGS
-TestStreamsAtVmsThatAreCutOff = StreamsAtVmsThatAreCutOff.TestCase
-TestStreamsAtVmsThatAreCutOff.settings = SETTINGS
--- a/tests/test_stream_software_updates.py
+++ b/tests/test_stream_software_updates.py
@@ -1,12 +1,14 @@
 """VMs of two regions keep records of each other's streams, over real datagrams."""
 
+import math
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
+from typing import Any
 
 import pytest
 from attrs import evolve
 from datagram_vms import HOST_BY_VM, KEY, REGION_BY_VM, member, view_of
-from test_software_history import FIRST, HOST, ROUTES, SECOND, TARGET, V1, V2, listed
+from test_software_history import FIRST, HOST, ROUTES, SECOND, TARGET, V1, V2, listed, stated
 
 from harness.processes import free_ports
 from pomelobarrow.decision.members.member import Phase
@@ -15,14 +17,14 @@
 from pomelobarrow.decision.servers.departures import DepartureSource
 from pomelobarrow.decision.streams.software_history import (
     STREAM_RETENTION_S,
-    HistoryStatement,
     StreamTarget,
     only_software,
 )
 from pomelobarrow.decision.streams.stream_software import StreamBegan, StreamSoftware, stream_key
 from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers import stream_software
-from pomelobarrow.peers.datagrams import PeerDatagrams
+from pomelobarrow.peers.datagrams import PeerDatagrams, Reply
 from pomelobarrow.peers.stream_software import (
     MAX_TARGET_BYTES,
     RECORDS_PER_DATAGRAM,
@@ -61,6 +63,99 @@
             await each.datagrams.stop()
 
 
+def prove(vm: StreamSoftwareUpdates, unix_s: float) -> None:
+    """Let the lists of a VM be complete up to a time only."""
+    vm.streams.history.proven_unix_s = lambda: unix_s
+
+
+def let_read(vm: StreamSoftwareUpdates) -> None:
+    """Let a VM reach the store, which lists what the VM lists."""
+
+    async def read() -> None:
+        prove(vm, now_unix_s())
+
+    vm.read_lists = read
+
+
+async def assumed_at(vm: StreamSoftwareUpdates) -> int | None:
+    """Return the software that a VM takes an unrecorded stream for."""
+    history, asked_unix_s = vm.streams.history, now_unix_s()
+    found = await vm.find("never sent", TARGET, is_certain=True)
+    own = history.statement(TARGET, now_unix_s(), asked_unix_s)
+    return only_software((own, *found.histories))
+
+
+KNOWN_FOR_LONG = dict.fromkeys(REGION_BY_VM, STREAM_RETENTION_S)
+
+
+async def test_vm_reads_the_store_for_a_stream_without_record() -> None:
+    """Its list was a moment old when servers of another version began streams elsewhere."""
+    async with fleet(listed(V1), KNOWN_FOR_LONG) as vms:
+        for vm in vms.values():
+            prove(vm, now_unix_s() - 1.0)
+        assert await assumed_at(vms["a-1"]) is None
+        let_read(vms["a-1"])
+        assert await assumed_at(vms["a-1"]) == FIRST
+
+
+@pytest.mark.parametrize("reader", ["a-2", "b-1"])
+async def test_peers_read_the_store_for_a_vm_that_does_not_reach_it(reader: str) -> None:
+    async with fleet(listed(V1), KNOWN_FOR_LONG) as vms:
+        for vm in vms.values():
+            prove(vm, now_unix_s() - 1.0)
+        let_read(vms[reader])
+        assert await assumed_at(vms["a-1"]) == FIRST
+
+
+async def test_vms_that_are_cut_off_together_do_not_confirm_each_other() -> None:
+    """Their lists of a moment before agreed, and a stream of a newer version was joined."""
+    async with fleet(listed(V1), KNOWN_FOR_LONG) as vms:
+        for vm in vms.values():
+            prove(vm, now_unix_s() - 1.0)
+        found = await vms["a-1"].find("never sent", TARGET, is_certain=True)
+        assert len(found.histories) == 3
+        assert await assumed_at(vms["a-1"]) is None
+
+
+async def test_peer_whose_read_shows_another_version_makes_none_certain() -> None:
+    async with fleet(listed(V1), KNOWN_FOR_LONG) as vms:
+        for vm in vms.values():
+            prove(vm, now_unix_s() - 1.0)
+
+        async def read() -> None:
+            vms["b-1"].streams.observe_servers(listed(V1, V2), now_unix_s())
+            prove(vms["b-1"], now_unix_s())
+
+        vms["b-1"].read_lists = read
+        assert await assumed_at(vms["a-1"]) is None
+
+
+async def test_store_is_not_read_where_only_a_record_can_tell() -> None:
+    async with fleet(listed(V1, V2), KNOWN_FOR_LONG) as vms:
+        for vm in vms.values():
+            prove(vm, now_unix_s() - 1.0)
+            let_read(vm)
+        assert await recorded(vms["a-1"], "never sent") is None
+        proven = [vm.streams.history.proven_unix_s() for vm in vms.values()]
+    assert max(proven) < now_unix_s() - 0.5
+
+
+async def test_peer_of_an_earlier_release_does_not_confirm_a_list() -> None:
+    """It doesn't state how old its lists are."""
+    async with fleet(listed(V1), KNOWN_FOR_LONG) as vms:
+        prove(vms["a-1"], -math.inf)
+        for vm in ("a-2", "a-3", "b-1"):
+            updates = vms[vm]
+
+            def answer(query: pb.StreamQuery, reply: Reply, updates: Any = updates) -> None:
+                message = updates._answer(query, now_unix_s())
+                message.stream_answer.ClearField("list_age_ms")
+                reply(message)
+
+            updates.datagrams.handlers["stream_query"] = answer
+        assert await assumed_at(vms["a-1"]) is None
+
+
 def begin(vm: StreamSoftwareUpdates, software: int = FIRST) -> None:
     for request_id in STREAMS:
         vm.streams.note_began(request_id, TARGET, software, now_unix_s())
@@ -136,6 +231,7 @@
     """They list the version that is left, and lost the record of the other one when they ended."""
     known_s = {"a-1": STREAM_RETENTION_S, "b-1": STREAM_RETENTION_S}
     async with fleet(listed(V1), known_s) as vms:
+        prove(vms["a-1"], -math.inf)
         vms["b-1"].streams.note_of_peer(
             StreamBegan(stream_key=stream_key("r0"), software_key=SECOND), now_unix_s()
         )
@@ -214,6 +310,7 @@
     """A peer without the route of long streams had forgotten a version that such a stream is of."""
     known_s = dict.fromkeys(REGION_BY_VM, 10 * STREAM_RETENTION_S)
     async with fleet(listed(V2), known_s) as vms:
+        prove(vms["a-1"], -math.inf)
         found = await vms["a-1"].find("never sent", TARGET, is_certain=False)
     assert only_software(found.histories, STREAM_RETENTION_S) == SECOND
     assert only_software(found.histories, 2 * STREAM_RETENTION_S) is None
@@ -224,7 +321,7 @@
     many = [evolve(V1, name=f"s{n}", software_version=f"v{n}") for n in range(1_000)]
     async with fleet(listed(*many), dict.fromkeys(REGION_BY_VM, STREAM_RETENTION_S)) as vms:
         found = await vms["a-1"].find("never sent", TARGET, is_certain=True)
-        own = HistoryStatement(software_keys=frozenset({FIRST}), known_for_s=STREAM_RETENTION_S)
+        own = stated(FIRST, known_for_s=STREAM_RETENTION_S)
         assert only_software((own,)) == FIRST
         assert only_software((own, *found.histories)) is None
 
