Count answers of peers that have arrived when a query's time passes

Cause: the time limit of a query cancelled it before the socket was looked at.

All datagrams that have arrived are received in one turn now, and a query whose time has passed looks once more before it gives up.

--- a/src/pomelobarrow/peers/datagrams.py
+++ b/src/pomelobarrow/peers/datagrams.py
@@ -9,6 +9,7 @@
 import hmac
 import itertools
 import secrets
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -22,6 +23,9 @@
 
 MAC_BYTES = 8
 MAX_WAITING = 4_096
+MAX_DATAGRAM_BYTES = 1 << 16
+# Others' work waits for so many handlers at most.
+RECEIVED_AT_ONCE = 256
 NUMBER_BITS = 62
 
 Address = tuple[str, int]
@@ -59,18 +63,6 @@
             return None
 
 
-@define(slots=False)
-class _Protocol(asyncio.DatagramProtocol):
-    receive: Callable[[bytes, Address], None]
-
-    def datagram_received(self, data: bytes, addr: Address) -> None:
-        self.receive(data, addr)
-
-    def error_received(self, exc: Exception) -> None:
-        # The destination is unreachable. Its answer is missing, like a lost one.
-        log.debug("datagram not delivered", error=repr(exc))
-
-
 class PeerDatagrams(Service):
     """Send and receive datagrams on one port, and match answers to queries."""
 
@@ -84,19 +76,38 @@
         # elsewhere, must not pass for the answer to a newer query.
         self._numbers = itertools.count(secrets.randbits(NUMBER_BITS))
         self._waiting: dict[int, asyncio.Future[Any]] = {}
-        self._transport: asyncio.DatagramTransport | None = None
+        self._socket: socket.socket | None = None
 
     async def on_start(self) -> None:
         """Open the socket."""
-        loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _Protocol(self._receive), local_addr=(self._host, self.port)
-        )
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        opened.setblocking(False)
+        opened.bind((self._host, self.port))
+        self._socket = opened
+        asyncio.get_running_loop().add_reader(opened, self._receive_arrived)
 
     async def on_stop(self) -> None:
         """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
+        opened, self._socket = self._socket, None
+        if opened is not None:
+            asyncio.get_running_loop().remove_reader(opened)
+            opened.close()
+
+    def _receive_arrived(self) -> None:
+        """Receive what has arrived, up to a limit."""
+        for _ in range(RECEIVED_AT_ONCE):
+            # A handler may stop this service.
+            if self._socket is None:
+                return
+            try:
+                data, address = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # A destination is unreachable. Its answer is missing, like a lost one.
+                log.debug("datagram not delivered", error=repr(error))
+                return
+            self._receive(data, address)
 
     def _receive(self, data: bytes, addr: Address) -> None:
         """Pass a message on to its handler, or an answer to the query that waits for it."""
@@ -116,8 +127,12 @@
 
     def send(self, address: Address, message: pb.Datagram) -> None:
         """Send a message; it may be lost."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(self._codec.encode(message), address)
+        if self._socket is None:
+            return
+        try:
+            self._socket.sendto(self._codec.encode(message), address)
+        except OSError as error:
+            log.debug("datagram not sent", error=repr(error))
 
     def next_number(self) -> int:
         """Return a number that no other message of this process has, nor one of another VM."""
@@ -133,10 +148,11 @@
         waiting = self._waiting[number] = asyncio.get_running_loop().create_future()
         self.send(address, message)
         try:
-            async with asyncio.timeout(timeout_s):
-                return await waiting
-        except TimeoutError:
-            return None
+            await asyncio.wait((waiting,), timeout=timeout_s)
+            if not waiting.done():
+                # In a loop that is behind, the time passes before the socket is looked at.
+                self._receive_arrived()
+            return waiting.result() if waiting.done() else None
         finally:
             self._waiting.pop(number, None)
 
