Let a peer that is behind read the routes under which a request was forwarded

Cause: the VM that takes a forwarded request chooses route and pool by its own copy of the configuration, however old.

A forwarded request now names the version of the routes under which it was admitted. A peer with an older one reads the store, shared with other readers, and refuses the request unsent if that doesn't help within 0.3 s, so that another VM gets it.

--- a/src/pomelobarrow/peers/stream_software.py
+++ b/src/pomelobarrow/peers/stream_software.py
@@ -33,6 +33,7 @@
 from pomelobarrow.peers.datagrams import PeerDatagrams, Reply
 from pomelobarrow.peers.peers_knowledge import Ask, PeersKnowledge, gather_knowledge
 from pomelobarrow.published.keyspaces import CONFIG, VMS, PublishedState
+from pomelobarrow.published.shared_read import no_read
 
 # Streams are spread over the VMs by groups, since ranking all VMs for each stream is slow.
 GROUPS = 256
@@ -61,10 +62,6 @@
 MAX_AGE_MS = (1 << 32) - 1
 
 
-async def no_read() -> None:
-    """Read nothing, so that the lists stay as old as they are."""
-
-
 @frozen(kw_only=True)
 class _Question:
     """What is asked about a stream that a client has taken up, and when."""
--- a/src/pomelobarrow/published/shared_read.py
+++ b/src/pomelobarrow/published/shared_read.py
@@ -6,6 +6,10 @@
 from attrs import define, field
 
 
+async def no_read() -> None:
+    """Read nothing, so that the lists stay as old as they are."""
+
+
 @define(kw_only=True)
 class SharedRead:
     """Serve callers that wait at the same time with one read each time."""
--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -1,7 +1,8 @@
 """Read and validate requests of clients and peers and hand them to the relay."""
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from attrs import define, evolve, field
@@ -20,12 +21,14 @@
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers.token_grants import Refund
+from pomelobarrow.published.shared_read import no_read
 from pomelobarrow.relay.access import RelayAccess
 from pomelobarrow.relay.answer import ClientAnswer
 from pomelobarrow.relay.hop import (
     ATTEMPTS_OF_PEER,
     read_forwarder,
     read_key_sha256,
+    read_routing_version,
     read_software_key,
 )
 from pomelobarrow.relay.messages import RelayRequest, RequestHead, path_of
@@ -42,6 +45,8 @@
 # than this.
 STARTUP_WAIT_S = 0.3
 CHECK_EVERY_S = 0.02
+# Some round trips to the store of another region. The forwarding VM tries others after that.
+CATCH_UP_WAIT_S = 0.3
 REMEDY_REQUEST = "correct the request as the interface specification describes"
 
 
@@ -59,6 +64,8 @@
     resumed: ResumedStreams = field(factory=ResumedStreams)
     # Returns whether this VM has received the list of backend servers.
     has_server_list: Callable[[], bool] = lambda: True
+    # Returns once a read of the store has ended that began after the call.
+    read_lists: Callable[[], Awaitable[None]] = no_read
 
     async def from_client(self, incoming: web.BaseRequest) -> web.StreamResponse:
         """Answer a client's request."""
@@ -79,6 +86,10 @@
         if routing is None:
             refusal = refuse(ErrorKind.NOT_READY, RunStatus.NO, "no configuration yet")
             return await self._refuse(incoming, refusal)
+        if forwarded_by:
+            routing = await self._catch_up(routing, read_routing_version(incoming.headers))
+            if routing is None:
+                return await self._refuse(incoming, _routes_too_old())
         admitted = await self._admit(incoming, routing, forwarded_by, accepted_unix_s)
         if isinstance(admitted, Err):
             return await self._refuse(incoming, admitted.err_value)
@@ -125,6 +136,7 @@
             body.ok_value,
             pool,
             software,
+            routing.version,
         )
         if not self.planned_stop.can_finish(request.work, accepted_unix_s):
             return Err(_stops_too_soon(accepted_unix_s))
@@ -151,6 +163,16 @@
             await asyncio.sleep(CHECK_EVERY_S)
         return self.routing()
 
+    async def _catch_up(self, routing: Routing, stated_version: int) -> Routing | None:
+        """Return routes that are as new as a peer's, None if they can't be read in time."""
+        if routing.version >= stated_version:
+            return routing
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CATCH_UP_WAIT_S):
+                await self.read_lists()
+        newest = self.routing()
+        return newest if newest is not None and newest.version >= stated_version else None
+
     def _read(
         self, incoming: web.BaseRequest, routing: Routing, forwarded_by: str
     ) -> Result[tuple[RequestHead, Route], Refusal]:
@@ -180,6 +202,7 @@
         body: bytes,
         pool: str,
         software_key: int | None,
+        routing_version: int,
     ) -> RelayRequest:
         route, account = admission.route, admission.account
         account_name = account.name if account else ""
@@ -193,6 +216,7 @@
             target=incoming.raw_path,
             body=body,
             forwarded_by=forwarded_by,
+            routing_version=routing_version,
             attempts_left=ATTEMPTS_OF_PEER if forwarded_by else route.max_attempts,
             software_key=software_key,
         )
@@ -253,6 +277,11 @@
     )
 
 
+def _routes_too_old() -> Refusal:
+    detail = "this VM has not received the routes under which the request was forwarded yet"
+    return refuse(ErrorKind.NOT_READY, RunStatus.NO, detail)
+
+
 def _stops_too_soon(now_unix_s: float) -> Refusal:
     detail = "this VM is stopping and might not finish the request in time"
     return refuse(ErrorKind.DRAINING, RunStatus.NO, detail, now_unix_s + MIN_RETRY_AFTER_S)
--- a/src/pomelobarrow/relay/hop.py
+++ b/src/pomelobarrow/relay/hop.py
@@ -5,6 +5,7 @@
 from attrs import evolve
 
 from pomelobarrow.backends.single_use import ResponseHead
+from pomelobarrow.decision.common.bounded import parse_count
 from pomelobarrow.decision.common.errors import ErrorKind, Refusal, RunStatus
 from pomelobarrow.decision.members.member import Member
 from pomelobarrow.decision.requests.short_key import server_key
@@ -32,6 +33,9 @@
 LEAVING_HEADER = "Pomelobarrow-Peer-Server-Leaving"
 # The software that began the stream, of which alone a server may go on with it.
 STREAM_SOFTWARE_HEADER = "Pomelobarrow-Peer-Stream-Software"
+# The version of the routes under which the forwarding VM admitted the request. A peer with an older
+# one would run it as these no longer allow.
+ROUTING_VERSION_HEADER = "Pomelobarrow-Peer-Routing-Version"
 # The software of the server that answers a peer's request.
 SERVER_SOFTWARE_HEADER = "Pomelobarrow-Peer-Server-Software"
 # Sent with a refusal by a peer that reaches no server of the request's pool, so that the refusal
@@ -40,6 +44,7 @@
 # Allows for two round trips between the farthest regions and one lost packet.
 CONNECT_TIMEOUT_S = 0.6
 KEY_MASK = 0xFFFFFFFF
+MAX_ROUTING_VERSION = 2**63
 
 AnswerReader = Callable[[ResponseHead], ServerAnswerHead]
 
@@ -63,6 +68,11 @@
     return _read_key(headers.get(STREAM_SOFTWARE_HEADER, ""))
 
 
+def read_routing_version(headers: Mapping[str, str]) -> int:
+    """Return the version of the routes of a forwarded request; 0 if the peer doesn't state it."""
+    return parse_count(headers.get(ROUTING_VERSION_HEADER, ""), MAX_ROUTING_VERSION) or 0
+
+
 def refusal_headers(
     refusal: Refusal,
     was_sent: bool,
@@ -108,7 +118,8 @@
     """Return the target that sends a request to a peer, with the software that it may run on."""
 
     def headers() -> Headers:
-        hop_headers: Headers = ((FROM_HEADER, own_vm),)
+        version = str(request.routing_version)
+        hop_headers: Headers = ((FROM_HEADER, own_vm), (ROUTING_VERSION_HEADER, version))
         if request.head.key_sha256:
             hop_headers += ((KEY_HEADER, request.head.key_sha256),)
         if software is not None:
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -30,6 +30,7 @@
 from pomelobarrow.peers.stream_software import StreamSoftwareUpdates
 from pomelobarrow.peers.token_grants import TokenGrants
 from pomelobarrow.published.keyspaces import VMS, PublishedState
+from pomelobarrow.published.shared_read import SharedRead
 from pomelobarrow.relay.access import RelayAccess
 from pomelobarrow.relay.directory import ANSWER_VALID_S, RelayDirectory
 from pomelobarrow.relay.front import RelayFront
@@ -206,6 +207,7 @@
         access=context.get(RelayAccess),
         resumed=_resumed(context),
         has_server_list=lambda: context.get(PublishedState).copies[VMS].observed_revision > 0,
+        read_lists=context.get(SharedRead),
     )
 
 
--- a/tests/test_relay_peers.py
+++ b/tests/test_relay_peers.py
@@ -4,11 +4,12 @@
 from typing import Any
 
 import pytest
-from relay_harness import ask, relay_fleet, route
+from attrs import evolve
+from relay_harness import RelayFleet, ask, relay_fleet, route
 from scripted_server import Exchange, Script, answers, event, hangs, refuses, resets, streams
 
 from pomelobarrow.decision.admission.retry_share import RetryBound
-from pomelobarrow.decision.published.routing import RouteKind
+from pomelobarrow.decision.published.routing import PoolShare, RouteKind, Routing
 from pomelobarrow.kernel.clock import now_unix_s
 
 
@@ -114,3 +115,43 @@
         await streams(4, breaks_after=2 if is_first else None)(exchange)
 
     return script
+
+
+BOUND = route(RouteKind.NON_IDEMPOTENT, home_regions=("b",))
+MOVED = Routing(version=2, routes=(evolve(BOUND, pools=(PoolShare(pool="others"),)),))
+OLD_AND_NEW = {"a": {}, "b": {"old": answers(), "new": answers()}}
+
+
+def runs(fleet: RelayFleet) -> dict[str, int]:
+    return {name: len(server.received) for name, server in fleet.servers.items()}
+
+
+async def test_forwarded_request_is_not_run_by_the_routes_of_before() -> None:
+    """A VM that was behind ran it at the old service, after the new one had run others."""
+    async with relay_fleet((BOUND,), OLD_AND_NEW, pool_by_server={"new": "others"}) as fleet:
+        fleet.vms["a"].front.routing = lambda: MOVED
+        answer = await ask(fleet.vms["a"], "/non_idempotent/")
+        assert runs(fleet) == {"old": 0, "new": 0}
+    assert answer.status == 503
+
+
+async def test_peer_that_is_behind_reads_the_routes_of_a_forwarded_request() -> None:
+    async with relay_fleet((BOUND,), OLD_AND_NEW, pool_by_server={"new": "others"}) as fleet:
+        fleet.vms["a"].front.routing = lambda: MOVED
+        behind = fleet.vms["b"].front
+
+        async def read() -> None:
+            behind.routing = lambda: MOVED
+
+        behind.read_lists = read
+        answer = await ask(fleet.vms["a"], "/non_idempotent/")
+        assert runs(fleet) == {"old": 0, "new": 1}
+    assert answer.status == 200
+
+
+async def test_peer_that_is_ahead_runs_a_forwarded_request_by_its_own_routes() -> None:
+    async with relay_fleet((BOUND,), OLD_AND_NEW, pool_by_server={"new": "others"}) as fleet:
+        fleet.vms["b"].front.routing = lambda: MOVED
+        answer = await ask(fleet.vms["a"], "/non_idempotent/")
+        assert runs(fleet) == {"old": 0, "new": 1}
+    assert answer.status == 200
