Treat an answer with a status outside 100 to 599 as a failed one

Callers saw: the answer of a server in trouble with the status 600 or 999 as their answer, relayed and over the hop between VMs; on the product's own interface 000 and 099 too. Cause: aiohttp's parsers take any three digits, and its session any status but 1xx for a final one. Nothing behind them checked the range. A relayed 000 or 099 was lost only because it was read as an interim answer. Fix: the protocol class that all connections to servers, peers and the store share fails such an answer, so that it counts as a lost one: tried again where that is allowed, otherwise 502.

--- a/src/pomelobarrow/backends/answer_handler.py
+++ b/src/pomelobarrow/backends/answer_handler.py
@@ -17,6 +17,7 @@
 )
 
 HEAD_END = b"\r\n\r\n"
+STATUSES = range(100, 600)
 HEAD = "head"
 FRAMING = "framing"
 
@@ -79,17 +80,24 @@
     def feed_data(
         self, data: tuple[RawResponseMessage, aiohttp.StreamReader], size: int = 0
     ) -> None:
-        """Add an answer; fail one that has a length but, for aiohttp's parser, no body.
+        """Add an answer; fail one that HTTP does not have, which aiohttp's parser lets pass."""
+        if fault := self._fault(*data):
+            self._fail(aiohttp.ClientPayloadError(fault))
+        else:
+            super().feed_data(data, size)
+
+    def _fault(self, message: RawResponseMessage, content: aiohttp.StreamReader) -> str:
+        """Return why an answer can't be one; empty if it can.
 
         The parser in C takes 2**64 - 1 for no length. Servers state that if they print -1 unsigned.
         """
-        message, content = data
+        if message.code not in STATUSES:
+            return f"the answer has the status {message.code}"
         is_bodiless = self._skip_payload or message.code in EMPTY_BODY_STATUS_CODES
         stated = "" if is_bodiless else message.headers.get("Content-Length", "")
         if content is EMPTY_PAYLOAD and stated.strip("0"):
-            self._fail(aiohttp.ClientPayloadError("the answer states a length that can't be"))
-        else:
-            super().feed_data(data, size)
+            return "the answer states a length that can't be"
+        return ""
 
     def _parse_heads(self, data: bytes) -> bytes:
         """Parse bytes up to the end of the head of the final answer; return the others."""
--- a/tests/test_answer_handler.py
+++ b/tests/test_answer_handler.py
@@ -120,6 +120,16 @@
         assert await endless.is_closed_within(MAX_FRAMING_BYTES)
 
 
+@both_clients
+@pytest.mark.parametrize("status", [0, 99, 100, 199, 600, 999])
+async def test_status_that_http_does_not_have_is_no_answer(status: int, client: Client) -> None:
+    """Guards against a client that gets the status of a server in trouble as an answer."""
+    head = b"HTTP/1.1 %03d X\r\nContent-Length: 4\r\n\r\nbody" % status
+    async with serving(sends(head)) as address:
+        with pytest.raises(aiohttp.ClientError):
+            await client(address)
+
+
 SOUND = {
     "many interim answers": MAX_INTERIM_ANSWERS * INTERIM + OK + b"Content-Length: 4\r\n\r\nbody",
     "large head": OK
--- a/tests/test_backends_cut_answers.py
+++ b/tests/test_backends_cut_answers.py
@@ -174,3 +174,12 @@
         assert not result.is_finished
 
     await asyncio.gather(*(attempt_cut_at(size) for size in range(end)))
+@pytest.mark.parametrize("status", [0, 99, 600, 999])
+@pytest.mark.parametrize("attempt_class", [EngineAttempt, ServiceAttempt])
+async def test_answer_with_an_impossible_status_does_not_reach_the_caller(
+    attempt_class: Callable[..., Any], status: int
+) -> None:
+    """A service in trouble answered with such a status, and its caller got it."""
+    answer = b"HTTP/1.1 %03d X\r\nContent-Length: 4\r\n\r\nbody" % status
+    result, sink = await attempt_at(RawServer(answer=answer, is_killed=False), attempt_class)
+    assert (sink.is_whole, sink.body, result.is_finished) == (False, b"", False)
