Fail an unframed answer that ends before its request has been received

Callers saw: a 200 with half of the server's body as a complete answer. The server had answered a long upload at once without a length, sent half and ended the connection with FIN, its receive buffer full. Cause: whether the client's end of the connection counted as reset or as ended was left to the send buffers. If they held the rest of the upload, asyncio closed the connection without an error, and the end of the connection was taken for the end of the answer; if not, the pending write failed (502). `test_answer_that_ends_while_its_request_is_sent_is_not_whole` failed before for the relay, for its connections and for the sessions of the product's own interface: `assert b'a who' is None`. Fix: at the end of a connection, a body that has not ended by itself fails if bytes of the request are unsent or unacknowledged. The segment with FIN acknowledges all that the server had received when it sent it, so that this does not depend on buffers or timing. Answers with a length or in chunks are whole as before.

--- a/src/pomelobarrow/backends/answer_handler.py
+++ b/src/pomelobarrow/backends/answer_handler.py
@@ -1,6 +1,9 @@
 """Parse answers, and end the connection of those that have no end."""
 
 import asyncio
+import fcntl
+import struct
+import termios
 from typing import Any
 
 import aiohttp
@@ -18,6 +21,7 @@
 
 HEAD_END = b"\r\n\r\n"
 STATUSES = range(100, 600)
+INT = struct.Struct("i")
 HEAD = "head"
 FRAMING = "framing"
 
@@ -132,6 +136,26 @@
             exc if is_known else aiohttp.ClientPayloadError("the framing of the body is malformed")
         )
 
+    def eof_received(self) -> None:
+        """Fail a body that ends before the server has received the whole request.
+
+        A server that gives up on the rest of a request ends the connection like one that has sent
+        its whole answer.
+        """
+        super().eof_received()
+        body = self._payload
+        if body is not None and not body.is_eof() and self._has_unreceived_bytes():
+            self._fail(aiohttp.ClientPayloadError("the answer ended before its request was sent"))
+
+    def _has_unreceived_bytes(self) -> bool:
+        """Return whether bytes of the request are unsent or unacknowledged."""
+        assert self.transport is not None
+        if self.transport.get_write_buffer_size():
+            return True
+        opened = self.transport.get_extra_info("socket")
+        queued = fcntl.ioctl(opened.fileno(), termios.TIOCOUTQ, bytes(INT.size))
+        return bool(INT.unpack(queued)[0])
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail the body that is being read if the connection was reset, and drop a part of a head.
 
