Pass an unframed answer on only if its server is known to run

Callers saw: a 200 with half of the server's body as a complete answer, on each route and over the hop, where the peer even gave the half a length. The answer had neither a length nor chunks, and its server had crashed and started again under its id before the answer's connection ended, or no probe was answered; then a stream that may not be resumed also ended as complete before its last event. Cause: an answer whose end is inferred counted as whole unless the probe at its end was refused or answered by another id. The next start has the same id, and the list shows it only later; a probe that was reset, or not answered in time, counted as a running server. Fix: the probe of a server that is listed with a start time asks for its report, and the process runs only if the report states the same start. What isn't known to run completes no unframed answer: a request that may be repeated is tried again, any other gets 502 (which promises nothing), a stream that may not be resumed breaks off. The product's own interface does the same by the engine's load. A peer marks the end of each answer, so that an unframed one on the hop was cut.

--- a/src/pomelobarrow/backends/end_check.py
+++ b/src/pomelobarrow/backends/end_check.py
@@ -1,7 +1,6 @@
 """Find out whether the process of a backend server has ended, and its answer with it."""
 
 import asyncio
-import enum
 from collections.abc import Awaitable, Callable, Mapping
 
 import aiohttp
@@ -13,25 +12,20 @@
 from pomelobarrow.backends.sessions import BackendSessions, is_connection_refused
 from pomelobarrow.backends.single_use import BodyEnd, body_end
 from pomelobarrow.decision.requests.work import BackendServer
-
-# An ended process refuses or resets connections within one round trip. An answer that may be
-# complete waits for the result.
-CHECK_TIMEOUT = aiohttp.ClientTimeout(total=0.3)
-# A process that ends closes its listening socket last, and resets what connected meanwhile.
-CHECK_DELAYS_S = (0.0, 0.05)
+from pomelobarrow.decision.servers.process_state import ProbeAnswer, ProcessState, process_state
+
+# An ended process refuses or resets connections within one round trip, and a busy one reads a
+# request late. An answer that may be complete waits for the result.
+PROBE_TIMEOUT_S = 0.6
+CHECK_TIMEOUT_S = 1.2
+# A process that ends closes its listening socket last, and resets what connected meanwhile. One
+# that has too many connections resets them, too.
+CHECK_DELAYS_S = (0.0, 0.05, 0.1, 0.2, 0.4)
 # Sent for a request that names another server than the one that listens.
 MISDIRECTED = 421
 
-EndCheck = Callable[[BackendServer], Awaitable[bool]]
-
-
-class ServerState(enum.Enum):
-    """Enumerate what a probe shows of a server's process."""
-
-    RUNNING = "running"
-    ENDED = "ended"
-    # It has too many connections or is busy, or has ended behind a proxy that accepts them.
-    UNKNOWN = "unknown"
+RunningCheck = Callable[[BackendServer], Awaitable[bool]]
+AnswerReader = Callable[[aiohttp.ClientResponse], Awaitable[ProbeAnswer]]
 
 
 @frozen(kw_only=True)
@@ -40,47 +34,50 @@
 
     path: str
     headers: Mapping[str, str] = field(factory=dict)
-    # Returns whether an answer is of another server than the probed one, which then has ended.
-    is_of_other: Callable[[aiohttp.ClientResponse], Awaitable[bool]]
+    read_answer: AnswerReader
 
 
 async def check_server(
     sessions: BackendSessions, server: BackendServer, probe: Probe
-) -> ServerState:
-    """Probe a server: its answer shows that it is running, a refused connection that it isn't."""
+) -> ProcessState:
+    """Probe a server: its answer shows which process runs, a refused connection that none does."""
     url = sessions.url(server.address, probe.path)
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + CHECK_TIMEOUT_S
     for delay_s in CHECK_DELAYS_S:
         await asyncio.sleep(delay_s)
+        if (left_s := give_up_at - loop.time()) <= 0.0:
+            break
+        timeout = aiohttp.ClientTimeout(total=min(PROBE_TIMEOUT_S, left_s))
         try:
             async with sessions.fresh.get(
-                url, headers=probe.headers, timeout=CHECK_TIMEOUT, allow_redirects=False
+                url, headers=probe.headers, timeout=timeout, allow_redirects=False
             ) as answer:
-                is_of_other = await probe.is_of_other(answer)
-                return ServerState.ENDED if is_of_other else ServerState.RUNNING
-        except TimeoutError:
-            return ServerState.UNKNOWN
-        except (aiohttp.ClientError, OSError) as error:
+                return process_state(server, await probe.read_answer(answer))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
             if is_connection_refused(error):
-                return ServerState.ENDED
-    return ServerState.UNKNOWN
+                return ProcessState.ENDED
+    return ProcessState.UNKNOWN
 
 
-async def is_misdirected(answer: aiohttp.ClientResponse) -> bool:
-    """Return whether a process rejects a request since it names another one."""
-    return answer.status == MISDIRECTED
+def answer_by_name(read_born: Callable[[Mapping[str, object]], int | None]) -> AnswerReader:
+    """Return a reader of the answers to requests that other servers than the named one reject."""
 
+    async def read_answer(answer: aiohttp.ClientResponse) -> ProbeAnswer:
+        if answer.status == MISDIRECTED:
+            return ProbeAnswer(is_other=True)
+        return ProbeAnswer(born_unix_ms=read_born(await read_statement(answer)))
 
-def states_other_name(name: str) -> Callable[[aiohttp.ClientResponse], Awaitable[bool]]:
-    """Return a function that checks whether the body of an answer names another server."""
+    return read_answer
 
-    async def is_of_other(answer: aiohttp.ClientResponse) -> bool:
-        try:
-            body = orjson.loads(await read_limited(answer.content))
-        except (AnswerTooLargeError, ValueError):
-            return False
-        return isinstance(body, dict) and is_load_of_other(body, name)
 
-    return is_of_other
+async def read_statement(answer: aiohttp.ClientResponse) -> Mapping[str, object]:
+    """Return the fields that a server states of itself; none if its answer is no JSON object."""
+    try:
+        body = orjson.loads(await read_limited(answer.content))
+    except (AnswerTooLargeError, ValueError):
+        return {}
+    return body if isinstance(body, dict) else {}
 
 
 def is_load_of_other(body: Mapping[str, object], name: str) -> bool:
@@ -88,9 +85,9 @@
     return body.get("server", name) != name
 
 
-async def is_cut_by_its_end(
-    response: aiohttp.ClientResponse, server: BackendServer, check: EndCheck
+async def is_maybe_cut(
+    response: aiohttp.ClientResponse, server: BackendServer, is_running: RunningCheck
 ) -> bool:
-    """Return whether an answer may be incomplete: its end has no mark and its server has ended."""
+    """Return whether an answer may be cut: its end has no mark, and its server may be gone."""
     mark = body_end(response.method, response.status, response.headers)
-    return mark is BodyEnd.CONNECTION and await check(server)
+    return mark is BodyEnd.CONNECTION and not await is_running(server)
--- a/src/pomelobarrow/backends/engine.py
+++ b/src/pomelobarrow/backends/engine.py
@@ -9,14 +9,14 @@
 
 from pomelobarrow.backends.answer_buffers import AnswerBuffer, read_limited
 from pomelobarrow.backends.answer_limits import AnswerTooLargeError
-from pomelobarrow.backends.end_check import EndCheck, is_cut_by_its_end
+from pomelobarrow.backends.end_check import RunningCheck, is_maybe_cut
 from pomelobarrow.backends.sessions import (
     CONNECT_TIMEOUT_S,
     BackendSessions,
     WithheldError,
     describe_error,
 )
-from pomelobarrow.backends.single_use import CUT_BY_ITS_END
+from pomelobarrow.backends.single_use import END_UNCONFIRMED
 from pomelobarrow.backends.whole_answer import WholeAnswer
 from pomelobarrow.decision.published.configuration import Rank
 from pomelobarrow.decision.requests.attempt import Attempt, AttemptEvent, AttemptState
@@ -69,8 +69,8 @@
     on_head: Callable[[int, Mapping[str, str]], None] = lambda status, headers: None
     # Returns whether the server still takes requests, asked when the connection is open.
     may_send: Callable[[], bool] = lambda: True
-    # Returns whether the process of a server has ended; None if only a whole answer ends that way.
-    has_ended: EndCheck | None = None
+    # Returns whether the process of a server runs; None if only a whole answer ends unmarked.
+    is_running: RunningCheck | None = None
     counter: EventCounter = field(factory=EventCounter)
     whole: WholeAnswer | None = None
     head_passed: bool = False
@@ -160,8 +160,8 @@
             return self._result(f"refused with {response.status}")
         if not 400 <= response.status < 500:
             return self._unknown_result(f"answered {response.status}")
-        if self.has_ended and await is_cut_by_its_end(response, self.server, self.has_ended):
-            return self._unknown_result(CUT_BY_ITS_END)
+        if self.is_running and await is_maybe_cut(response, self.server, self.is_running):
+            return self._unknown_result(END_UNCONFIRMED)
         self.attempt.apply(AttemptEvent.FIRST_BYTE)
         await self._pass_head(response.status, JSON_HEADERS)
         await self.sink.chunk(body)
--- a/src/pomelobarrow/backends/plugin.py
+++ b/src/pomelobarrow/backends/plugin.py
@@ -112,8 +112,8 @@
     sessions, traces = context.get(BackendSessions), context.get(Traces)
     table, reach = context.get(LoadTable), context.get(ReachMonitor)
     attempt_by_is_chat: dict[bool, Callable[..., EngineAttempt | ServiceAttempt]] = {
-        True: partial(EngineAttempt, has_ended=reach.has_ended),
-        False: partial(ServiceAttempt, has_ended=reach.has_ended),
+        True: partial(EngineAttempt, is_running=reach.is_running),
+        False: partial(ServiceAttempt, is_running=reach.is_running),
     }
 
     async def run(
--- a/src/pomelobarrow/backends/reach_monitor.py
+++ b/src/pomelobarrow/backends/reach_monitor.py
@@ -7,11 +7,12 @@
 import aiohttp
 from attrs import define, field
 
-from pomelobarrow.backends.end_check import Probe, ServerState, check_server
+from pomelobarrow.backends.end_check import Probe, check_server
 from pomelobarrow.backends.engine import CONNECTION_ERRORS
 from pomelobarrow.backends.sessions import BackendSessions, describe_error
 from pomelobarrow.decision.requests.short_key import short_key
 from pomelobarrow.decision.requests.work import BackendServer
+from pomelobarrow.decision.servers.process_state import ProcessState
 from pomelobarrow.decision.servers.reachability import ServerReachability
 from pomelobarrow.dispatch.events import PoolReachable, PoolUnreachable
 from pomelobarrow.kernel.clock import now_unix_s
@@ -79,16 +80,15 @@
         if pool in self._rounds:
             await asyncio.wait({self._rounds[pool]})
 
-    async def has_ended(self, server: BackendServer) -> bool:
-        """Return whether the process of a server is known to have ended."""
-        return await self.check_server(server) is ServerState.ENDED
+    async def is_running(self, server: BackendServer) -> bool:
+        """Return whether the process of a server is known to run."""
+        return await self.check_server(server) is ProcessState.RUNNING
 
-    async def check_server(self, server: BackendServer) -> ServerState:
+    async def check_server(self, server: BackendServer) -> ProcessState:
         """Return what a probe shows of the process of a server."""
         state = await check_server(self.sessions, server, self.naming_probe(server))
-        # The process that answered may be the next one under the same name.
-        is_next = state is ServerState.RUNNING and not self.is_current(server)
-        return ServerState.ENDED if is_next else state
+        # The list may show the next start of a server that didn't answer.
+        return state if self.is_current(server) else ProcessState.ENDED
 
     def _start_probes(self, pool: str) -> None:
         if pool not in self._probes:
--- a/src/pomelobarrow/backends/reports.py
+++ b/src/pomelobarrow/backends/reports.py
@@ -13,16 +13,18 @@
 
 from pomelobarrow.backends.answer_buffers import read_limited
 from pomelobarrow.backends.answer_limits import MAX_CACHE_EVENTS_BYTES, MAX_STATEMENT_BYTES
-from pomelobarrow.backends.end_check import Probe, is_load_of_other, states_other_name
+from pomelobarrow.backends.end_check import Probe, is_load_of_other, read_statement
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.backends.shares import ServerShare
 from pomelobarrow.decision.common.bounded import UINT64_MAX, count_or_none, number_or_none
 from pomelobarrow.decision.published.announcements import MAX_STATED_REQUESTS, MAX_STATED_TOKENS
 from pomelobarrow.decision.requests.work import BackendServer, LoadReport
 from pomelobarrow.decision.servers.load_table import LoadTable
+from pomelobarrow.decision.servers.process_state import ProbeAnswer
 from pomelobarrow.dispatch.events import ServerLoadInvalid
 from pomelobarrow.kernel.background import background_task
 from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.published.vms import MAX_BORN_UNIX_MS
 
 LOAD_PATH = "/v1/load"
 POLL_EVERY_S = 1.0
@@ -160,8 +162,16 @@
 
 
 def load_probe(server: BackendServer) -> Probe:
-    """Return a request for a server's load, whose answer names the server."""
-    return Probe(path=LOAD_PATH, is_of_other=states_other_name(server.name))
+    """Return a request for a server's load, whose answer names the server and its start."""
+
+    async def read_answer(answer: aiohttp.ClientResponse) -> ProbeAnswer:
+        body = await read_statement(answer)
+        return ProbeAnswer(
+            is_other=is_load_of_other(body, server.name),
+            born_unix_ms=count_or_none(body.get("born_unix_ms"), MAX_BORN_UNIX_MS),
+        )
+
+    return Probe(path=LOAD_PATH, read_answer=read_answer)
 
 
 def _report(name: str, body: dict[str, Any], received_unix_s: float) -> LoadReport | None:
--- a/src/pomelobarrow/backends/service.py
+++ b/src/pomelobarrow/backends/service.py
@@ -7,7 +7,7 @@
 from attrs import define
 
 from pomelobarrow.backends.answer_buffers import read_limited
-from pomelobarrow.backends.end_check import EndCheck, is_cut_by_its_end
+from pomelobarrow.backends.end_check import RunningCheck, is_maybe_cut
 from pomelobarrow.backends.engine import CONNECTION_ERRORS, states_not_run
 from pomelobarrow.backends.sessions import (
     CONNECT_TIMEOUT_S,
@@ -16,7 +16,7 @@
     WithheldError,
     describe_error,
 )
-from pomelobarrow.backends.single_use import CUT_BY_ITS_END
+from pomelobarrow.backends.single_use import END_UNCONFIRMED
 from pomelobarrow.decision.requests.attempt import Attempt, AttemptEvent, AttemptState
 from pomelobarrow.decision.requests.work import BackendServer
 from pomelobarrow.dispatch.answers import AnswerHead, AnswerSink, AttemptResult
@@ -43,8 +43,8 @@
     on_head: Callable[[int, Mapping[str, str]], None] = lambda status, headers: None
     # Returns whether the server still takes requests, asked when the connection is open.
     may_send: Callable[[], bool] = lambda: True
-    # Returns whether the process of a server has ended; None if only a whole answer ends that way.
-    has_ended: EndCheck | None = None
+    # Returns whether the process of a server runs; None if only a whole answer ends unmarked.
+    is_running: RunningCheck | None = None
     head_passed: bool = False
 
     async def run(self) -> AttemptResult:
@@ -97,8 +97,8 @@
         else:
             async for data in response.content.iter_any():
                 await self.sink.chunk(data)
-        if self.has_ended and await is_cut_by_its_end(response, self.server, self.has_ended):
-            raise aiohttp.ClientPayloadError(CUT_BY_ITS_END)
+        if self.is_running and await is_maybe_cut(response, self.server, self.is_running):
+            raise aiohttp.ClientPayloadError(END_UNCONFIRMED)
         await self.sink.end()
 
     def _headers(self) -> list[tuple[str, str]]:
--- a/src/pomelobarrow/backends/single_use.py
+++ b/src/pomelobarrow/backends/single_use.py
@@ -40,6 +40,7 @@
 SEND_STEP_BYTES = 64 << 10
 BODILESS_STATUSES = frozenset({204, 304})
 CUT_BY_ITS_END = "the answer ended together with its server, without a mark of its end"
+END_UNCONFIRMED = "the answer has no mark of its end, and its server was not confirmed to run"
 BROKEN_CONNECTION_ERRORS = (
     aiohttp.ClientOSError,
     aiohttp.ClientConnectionResetError,
--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from pomelobarrow.backends.single_use import ResponseHead
-from pomelobarrow.decision.common.bounded import parse_count
+from pomelobarrow.decision.common.bounded import count_or_none, parse_count
 from pomelobarrow.decision.published.accounts import key_sha256
 from pomelobarrow.decision.published.announcements import (
     MAX_STATED_REQUESTS,
@@ -17,6 +17,7 @@
     parse_decimal,
 )
 from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.published.vms import MAX_BORN_UNIX_MS
 from pomelobarrow.relay.messages import (
     Headers,
     PromptPart,
@@ -30,6 +31,8 @@
 
 READINESS_PATH = "/readiness"
 DIRECTORY_PATH = "/resolution"
+# What a backend server states of itself, without a slot for it.
+SERVER_REPORT_PATH = "/report"
 
 REQUEST_ID = "Pomelobarrow-Request-Id"
 # The milliseconds for which the sender still waits.
@@ -138,6 +141,8 @@
         peer_headers=peer_headers,
         probe_headers=((TARGET_SERVER, NO_SERVER),),
         naming_headers=lambda server: ((TARGET_SERVER, server),),
+        statement_path=SERVER_REPORT_PATH,
+        read_born_unix_ms=lambda report: count_or_none(report.get("born"), MAX_BORN_UNIX_MS),
         read_answer=read_answer,
         read_directory_query=read_directory_query,
         directory_answer=directory_answer,
--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -7,7 +7,6 @@
 
 from pomelobarrow.backends.answer_buffers import AnswerBuffer
 from pomelobarrow.backends.answer_limits import UNRESERVED_ANSWER_BYTES, AnswerTooLargeError
-from pomelobarrow.backends.end_check import ServerState
 from pomelobarrow.backends.engine import CONNECTION_ERRORS
 from pomelobarrow.backends.sessions import (
     BackendSessions,
@@ -17,6 +16,7 @@
 )
 from pomelobarrow.backends.single_use import (
     CUT_BY_ITS_END,
+    END_UNCONFIRMED,
     BodyEnd,
     ResponseHead,
     SingleExchange,
@@ -25,6 +25,7 @@
 from pomelobarrow.decision.published.announcements import ServerAnnouncement
 from pomelobarrow.decision.requests.attempt import AttemptEvent, AttemptState
 from pomelobarrow.decision.requests.attempt_states import AttemptEnd, AttemptRecord
+from pomelobarrow.decision.servers.process_state import ProcessState
 from pomelobarrow.decision.streams.server_sent_events import EventSplitter, EventTooLargeError
 from pomelobarrow.decision.streams.stream_position import JoinError, StreamPosition
 from pomelobarrow.kernel.clock import now_unix_s
@@ -39,7 +40,6 @@
 
 STATUS_OK = 200
 EVENT = "event"
-END_UNCONFIRMED = "the answer has no mark of its end, and its server did not answer a probe"
 
 
 @frozen(kw_only=True)
@@ -87,8 +87,8 @@
     on_first_event: Callable[[ServerAnswerHead], None] = lambda head: None
     # Returns whether the target still takes requests, asked when the connection is open.
     may_send: Callable[[], bool] = lambda: True
-    # Probes the target's process; None if only a complete answer ends like one of an ended process.
-    check_server: Callable[[], Awaitable[ServerState]] | None = None
+    # Probes the target's process; None if the target marks the end of each answer.
+    check_server: Callable[[], Awaitable[ProcessState]] | None = None
     first_answer_unix_s: float | None = None
     # The longest time between two events; for logs.
     longest_pause_s: float = 0.0
@@ -214,8 +214,8 @@
 
     async def _read_complete(self, response: ResponseHead, head: ServerAnswerHead) -> AttemptReport:
         body_parts = await self.buffer.read(response.content, response.stated_bytes)
-        if await self._server_state(response) is ServerState.ENDED:
-            return self._lost(CUT_BY_ITS_END, is_closed=True)
+        if cut := await self._cut(response):
+            return cut
         self._note_first_answer(head)
         self.record.progress.apply(AttemptEvent.END)
         return self._report(
@@ -252,12 +252,9 @@
             return self._lost("the stream ended in the middle of an event", is_closed=True)
         if not self.sink.is_started and not self.position.last_id:
             return self._lost("the stream ended before its first event", is_closed=True)
-        state = await self._server_state(response)
-        if state is ServerState.ENDED:
-            return self._lost(CUT_BY_ITS_END, is_closed=True)
-        # If nothing was missing, another server adds nothing.
-        if state is ServerState.UNKNOWN and self._may_be_resumed():
-            return self._lost(END_UNCONFIRMED)
+        # If nothing was missing, the server that the stream goes on at adds nothing.
+        if cut := await self._cut(response):
+            return cut
         if held := self.position.release_held():
             await self._pass_on(held, head)
         # The client had all events before it took the stream up.
@@ -281,18 +278,19 @@
         self.position.note_sent(events)
         await self.sink.send(events[0] if len(events) == 1 else b"".join(events))
 
-    def _may_be_resumed(self) -> bool:
-        return self.request.route.is_resumable and self.position.is_resumable
-
-    async def _server_state(self, response: ResponseHead) -> ServerState:
-        """Probe the server if its answer may have ended too early.
+    async def _cut(self, response: ResponseHead) -> AttemptReport | None:
+        """Report an answer as lost unless its end is marked or its server is known to run.
 
         The connections of a process that is killed close like that of a complete answer.
         """
-        is_marked = response.body_end is not BodyEnd.CONNECTION
-        if is_marked or self.check_server is None:
-            return ServerState.RUNNING
-        return await self.check_server()
+        if response.body_end is not BodyEnd.CONNECTION:
+            return None
+        state = await self.check_server() if self.check_server else ProcessState.UNKNOWN
+        if state is ProcessState.RUNNING:
+            return None
+        if state is ProcessState.ENDED:
+            return self._lost(CUT_BY_ITS_END, is_closed=True)
+        return self._lost(END_UNCONFIRMED)
 
     def _note_first_answer(self, head: ServerAnswerHead) -> None:
         if self.first_answer_unix_s is None:
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -7,7 +7,6 @@
 from attrs import define, field
 
 from pomelobarrow.backends.answer_buffers import AnswerBuffer
-from pomelobarrow.backends.end_check import ServerState
 from pomelobarrow.backends.reach_monitor import SERVER_CONNECT_TIMEOUT_S, ReachMonitor
 from pomelobarrow.backends.sessions import BackendSessions
 from pomelobarrow.decision.admission.retry_share import RetryShare
@@ -23,6 +22,7 @@
     PeerPlacement,
 )
 from pomelobarrow.decision.requests.work import BackendServer, Placement
+from pomelobarrow.decision.servers.process_state import ProcessState
 from pomelobarrow.decision.streams.software_history import software_key
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.dispatch.crash_guard import CrashGuard
@@ -340,7 +340,7 @@
         on_pause: Callable[[float], None] = lambda pause_s: None,
         on_head: Callable[[ServerAnswerHead], None] = lambda head: None,
         may_send: Callable[[], bool] = lambda: True,
-        check_server: Callable[[], Awaitable[ServerState]] | None = None,
+        check_server: Callable[[], Awaitable[ProcessState]] | None = None,
         on_first_answer: Callable[[], None] = lambda: None,
     ) -> AttemptReport:
         started_unix_s = now_unix_s()
--- a/src/pomelobarrow/relay/wire.py
+++ b/src/pomelobarrow/relay/wire.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 from result import Result
 
-from pomelobarrow.backends.end_check import Probe, is_misdirected
+from pomelobarrow.backends.end_check import Probe, answer_by_name
 from pomelobarrow.backends.single_use import ResponseHead
 from pomelobarrow.decision.requests.work import BackendServer
 from pomelobarrow.relay.messages import (
@@ -57,6 +57,9 @@
     # Returns the headers of a request that any other server than the named one rejects as
     # misdirected, and the named one as incomplete.
     naming_headers: Callable[[str], Headers]
+    # What a server is asked for its start time, and the reader of the answer's fields.
+    statement_path: str
+    read_born_unix_ms: Callable[[Mapping[str, object]], int | None]
     read_answer: Callable[[ResponseHead], ServerAnswerHead]
     read_directory_query: Callable[[Mapping[str, str]], DirectoryQuery]
     # Takes the addresses and the seconds for which they are valid.
@@ -65,9 +68,12 @@
 
 def naming_probe(wire: RelayWire) -> Callable[[BackendServer], Probe]:
     """Return a function that makes requests which only the server that they name accepts."""
+    read_answer = answer_by_name(wire.read_born_unix_ms)
 
     def probe(server: BackendServer) -> Probe:
+        # Servers without a start time never start again under their name.
+        path = wire.statement_path if server.born_unix_ms else RELAY_PROBE_PATH
         headers = dict(wire.naming_headers(server.name))
-        return Probe(path=RELAY_PROBE_PATH, headers=headers, is_of_other=is_misdirected)
+        return Probe(path=path, headers=headers, read_answer=read_answer)
 
     return probe
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import aiohttp
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 from scripted_server import Script, ScriptedServer
 
 from harness.processes import free_ports
@@ -138,12 +138,13 @@
     pools: tuple[RelayPool, ...] = (),
     list_known_for_s: float = STREAM_RETENTION_S,
     pool_by_server: Mapping[str, str] | None = None,
+    born_unix_ms: int = 0,
 ) -> AsyncIterator[RelayFleet]:
     """Run the VMs, each on its own loopback address; accounts make keys necessary.
 
     Versions are those of the servers' software; servers that aren't named have none. The VMs have
     known the list of servers and the routes for the given time. Servers that are named with no pool
-    are of the routes' one.
+    are of the routes' one. All servers are listed with the given start time, if it isn't 0.
     """
     async with AsyncExitStack() as stack:
         front_port, hop_port = free_ports(2)
@@ -152,11 +153,17 @@
         listed: list[BackendServer] = []
         for region, scripts in servers_by_region.items():
             for name, script in scripts.items():
-                server = ScriptedServer(name=name, host=places[region].host, script=script)
+                server = ScriptedServer(
+                    name=name,
+                    host=places[region].host,
+                    script=script,
+                    born_unix_ms=born_unix_ms,
+                )
                 servers[name] = await stack.enter_async_context(server)
                 version = (versions or {}).get(name, "")
                 pool = (pool_by_server or {}).get(name, POOL)
-                listed.append(_listed(name, region, server.address, slots, version, pool))
+                entry = _listed(name, region, server.address, slots, version, pool)
+                listed.append(evolve(entry, born_unix_ms=born_unix_ms))
         routing = Routing(
             version=1,
             routes=routes,
--- a/tests/scripted_server.py
+++ b/tests/scripted_server.py
@@ -70,6 +70,9 @@
     is_ending: bool = False
     # Treats all further connections in place of answering, as a proxy of an ended server does.
     on_connection: Callable[[asyncio.StreamWriter], None] | None = None
+    # The start of its process, which its report states; 0 if it starts only once.
+    born_unix_ms: int = 0
+    states_born: bool = True
     _server: asyncio.Server | None = None
     _port: int = 0
     _writers: set[asyncio.StreamWriter] = field(factory=set)
@@ -135,6 +138,12 @@
             return
         if "pomelobarrow-target-instance" in headers and not headers.get(REQUEST_ID):
             # A probe that names this server.
+            if line.startswith("GET /report ") and self.states_born:
+                report = b'{"Busy": false, "born": %d}' % self.born_unix_ms
+                writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(report))
+                writer.write(report)
+                writer.close()
+                return
             writer.write(b"HTTP/1.1 400 X\r\nContent-Length: 0\r\n\r\n")
             writer.close()
             return
@@ -265,6 +274,17 @@
     return script
 
 
+def starts_again_after(data: bytes) -> Script:
+    """Send an unframed answer that ends with its process; the next one has the same name."""
+
+    async def script(exchange: Exchange) -> None:
+        exchange.write_head(200)
+        exchange.writer.write(data)
+        exchange.server.born_unix_ms += 60_000
+
+    return script
+
+
 def is_killed_behind_a_proxy(
     body: bytes, on_connection: Callable[[asyncio.StreamWriter], None]
 ) -> Script:
--- a/tests/test_backends_attempts.py
+++ b/tests/test_backends_attempts.py
@@ -8,7 +8,7 @@
 import pytest
 from aiohttp import web
 from attrs import define, field
-from test_end_check import ANY_ANSWER, has_ended
+from test_end_check import ANY_ANSWER, is_running
 
 from pomelobarrow.backends.engine import EngineAttempt
 from pomelobarrow.backends.service import ServiceAttempt
@@ -300,8 +300,8 @@
     async with await asyncio.start_server(serve, "127.0.0.1", 0) as listening:
         backend.address = f"127.0.0.1:{listening.sockets[0].getsockname()[1]}"
         sessions = BackendSessions({})
-        is_ended = partial(has_ended, sessions, probe=ANY_ANSWER)
-        result, sink = await attempt(backend, partial(ServiceAttempt, has_ended=is_ended), "GET")
+        is_found = partial(is_running, sessions, probe=ANY_ANSWER)
+        result, sink = await attempt(backend, partial(ServiceAttempt, is_running=is_found), "GET")
         await sessions.close()
     assert sink.body == b"half"
     assert sink.is_whole is not ends
--- a/tests/test_backends_cut_answers.py
+++ b/tests/test_backends_cut_answers.py
@@ -11,7 +11,7 @@
 import pytest
 from attrs import define, field
 from test_backends_attempts import Sink, request_for
-from test_end_check import has_ended
+from test_end_check import is_running
 
 from pomelobarrow.backends.engine import EngineAttempt
 from pomelobarrow.backends.reports import load_probe
@@ -87,8 +87,8 @@
         writer.close()
 
 
-async def _has_ended(sessions: BackendSessions, server: BackendServer) -> bool:
-    return await has_ended(sessions, server, load_probe(server))
+async def _is_running(sessions: BackendSessions, server: BackendServer) -> bool:
+    return await is_running(sessions, server, load_probe(server))
 
 
 async def attempt_at(
@@ -106,7 +106,7 @@
             number=1,
             sink=sink,
             on_first_byte=lambda: None,
-            has_ended=partial(_has_ended, sessions),
+            is_running=partial(_is_running, sessions),
         ).run()
         await sessions.close()
     return result, sink
@@ -174,6 +174,8 @@
         assert not result.is_finished
 
     await asyncio.gather(*(attempt_cut_at(size) for size in range(end)))
+
+
 @pytest.mark.parametrize("status", [0, 99, 600, 999])
 @pytest.mark.parametrize("attempt_class", [EngineAttempt, ServiceAttempt])
 async def test_answer_with_an_impossible_status_does_not_reach_the_caller(
--- a/tests/test_backends_service.py
+++ b/tests/test_backends_service.py
@@ -5,7 +5,7 @@
 
 import pytest
 from test_backends_attempts import Sink, request_for
-from test_end_check import ANY_ANSWER, has_ended
+from test_end_check import ANY_ANSWER, is_running
 
 from pomelobarrow.backends.service import ServiceAttempt
 from pomelobarrow.backends.sessions import BackendSessions
@@ -69,7 +69,7 @@
         number=1,
         sink=sink,
         on_first_byte=lambda: None,
-        has_ended=partial(has_ended, sessions, probe=ANY_ANSWER),
+        is_running=partial(is_running, sessions, probe=ANY_ANSWER),
     ).run()
     await sessions.close()
     listening.close()
--- a/tests/test_relay_stream_joins.py
+++ b/tests/test_relay_stream_joins.py
@@ -245,14 +245,15 @@
     assert [end.end for end in ends] == ["lost", "passed on"]
 
 
-async def test_unframed_stream_that_may_not_be_resumed_is_complete_if_no_probe_is_answered() -> (
-    None
-):
-    """No other server could add what is missing, and a full server resets connections, too."""
-    full = is_killed_behind_a_proxy(events(1, 2), resets_connection)
-    async with relay_fleet((route(RouteKind.STREAM),), {"a": {"s1": full}}) as fleet:
-        answer = await ask(fleet.vms["a"], "/stream/")
-    assert (answer.status, answer.body) == (200, events(1, 2))
+@pytest.mark.parametrize("on_connection", [resets_connection, keeps_connection_silent])
+async def test_unframed_stream_that_may_not_be_resumed_breaks_off_if_no_probe_is_answered(
+    on_connection: Callable[[asyncio.StreamWriter], None],
+) -> None:
+    """It passed for complete, though its server may have ended before its last event."""
+    killed = is_killed_behind_a_proxy(events(1, 2), on_connection)
+    async with relay_fleet((route(RouteKind.STREAM),), {"a": {"s1": killed}}) as fleet:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await ask(fleet.vms["a"], "/stream/")
 
 
 async def test_other_transfer_codings_than_chunks_mark_no_end() -> None:
