Answer a request whose time limit ends together with that of a probe

Callers saw: 500 for a request that may be repeated, whose server had sent an unframed answer and did not answer the probe at its end. Cause: the limit for the first answer cancels the attempt, and the HTTP client takes a cancellation in the step in which its own limit ends for that limit. The attempt went on, and changed a time scope that had expired already: `RuntimeError: Cannot change state of expiring Timeout`. Fix: a scope that has expired is left as it is, since the answer is there.

--- a/src/pomelobarrow/relay/attempt.py
+++ b/src/pomelobarrow/relay/attempt.py
@@ -141,7 +141,8 @@
     def _keep_waiting(self) -> None:
         """Cancel the limit, also if it has just passed, in the step in which the answer came."""
         self._cancel_timer()
-        if self._timeout_scope is not None:
+        # An HTTP client whose own time limit ends in the same step takes the cancellation for that.
+        if self._timeout_scope is not None and not self._timeout_scope.expired():
             self._timeout_scope.reschedule(None)
 
     def _on_time_limit(self) -> None:
