Answer the requests that still run when a planned stop ends

Callers of a VM that stopped saw their connections end without an answer if their requests had been taken early in the stop and had a deadline beyond its end: the only end of a request was its deadline, and the platform kills the process first. A request that still waited for a place had not run, and its client wasn't told so.

Cause: the stop waited for these requests without a bound of its own. The limit is one of each request (asyncio.timeout at its deadline) that the stop could not move.

Relay keeps the timeouts of the requests in progress (relay/timeouts.py). What ends then goes the way of a passed deadline: 503 `draining` with Retry-After if no server has it, 502 if one may have run it, and a begun stream is broken off visibly.

Test: test_request_still_in_progress_at_the_end_of_a_planned_stop_gets_an_answer.

relay_harness.py only follows the interfaces: the count of requests comes from the timeouts.

--- a/src/pomelobarrow/dispatch/refusals.py
+++ b/src/pomelobarrow/dispatch/refusals.py
@@ -1,5 +1,6 @@
 """Build typed refusals, each with a remedy."""
 
+from pomelobarrow.decision.admission.stream_admission import MIN_RETRY_AFTER_S
 from pomelobarrow.decision.common.errors import ErrorKind, Refusal, RunStatus
 from pomelobarrow.kernel.clock import now_unix_s
 
@@ -58,6 +59,11 @@
     )
 
 
+def refuse_stopping(detail: str) -> Refusal:
+    """Return the refusal of a request that another VM may serve at once, as this one stops."""
+    return refuse(ErrorKind.DRAINING, RunStatus.NO, detail, now_unix_s() + MIN_RETRY_AFTER_S)
+
+
 class RefusedError(Exception):
     """Carry a refusal to the code that answers the request."""
 
--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -11,14 +11,14 @@
 from pomelobarrow.callers.bodies import read_body
 from pomelobarrow.callers.headers import check_text
 from pomelobarrow.decision.accounts.access import Admission
-from pomelobarrow.decision.admission.stream_admission import MIN_RETRY_AFTER_S
 from pomelobarrow.decision.common.errors import ErrorKind, Refusal, RunStatus
 from pomelobarrow.decision.published.accounts import Rank
 from pomelobarrow.decision.published.routing import Route, Routing
+from pomelobarrow.decision.requests.planned_stop import PlannedStop
 from pomelobarrow.decision.requests.work import Work
 from pomelobarrow.decision.streams.software_history import StreamTarget
 from pomelobarrow.dispatch.answers import CallerGoneError
-from pomelobarrow.dispatch.refusals import refuse
+from pomelobarrow.dispatch.refusals import refuse, refuse_stopping
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers.token_grants import Refund
 from pomelobarrow.published.shared_read import no_read
@@ -32,7 +32,6 @@
     read_software_key,
 )
 from pomelobarrow.relay.messages import RelayRequest, RequestHead, path_of
-from pomelobarrow.relay.planned_stop import PlannedStop
 from pomelobarrow.relay.prompts import shared_blocks
 from pomelobarrow.relay.refusal_answer import send_refusal
 from pomelobarrow.relay.relay import Relay
@@ -47,6 +46,7 @@
 CHECK_EVERY_S = 0.02
 # Some round trips to the store of another region. The forwarding VM tries others after that.
 CATCH_UP_WAIT_S = 0.3
+STOPS_TOO_SOON = "this VM is stopping and might not finish the request in time"
 REMEDY_REQUEST = "correct the request as the interface specification describes"
 
 
@@ -138,8 +138,8 @@
             software,
             routing.version,
         )
-        if not self.planned_stop.can_finish(request.work, accepted_unix_s):
-            return Err(_stops_too_soon(accepted_unix_s))
+        if not self.planned_stop.can_finish(request.work.deadline_unix_s, accepted_unix_s):
+            return Err(refuse_stopping(STOPS_TOO_SOON))
         return Ok(request)
 
     async def _answer(
@@ -282,11 +282,6 @@
     return refuse(ErrorKind.NOT_READY, RunStatus.NO, detail)
 
 
-def _stops_too_soon(now_unix_s: float) -> Refusal:
-    detail = "this VM is stopping and might not finish the request in time"
-    return refuse(ErrorKind.DRAINING, RunStatus.NO, detail, now_unix_s + MIN_RETRY_AFTER_S)
-
-
 def _closed(incoming: web.BaseRequest) -> web.StreamResponse:
     """Close the connection of a client that has left; return the response that aiohttp requires."""
     if incoming.transport is not None:
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -14,6 +14,7 @@
 from pomelobarrow.decision.members.membership import MembershipView
 from pomelobarrow.decision.placement.placement import Placer
 from pomelobarrow.decision.published.routing import CallerLimits, Routing
+from pomelobarrow.decision.requests.planned_stop import PlannedStop
 from pomelobarrow.decision.servers.cold_start import ColdLimiter
 from pomelobarrow.decision.servers.load_table import LoadTable
 from pomelobarrow.decision.servers.reachability import PeerReachability
@@ -36,7 +37,6 @@
 from pomelobarrow.relay.front import RelayFront
 from pomelobarrow.relay.health_monitor import ServerHealthMonitor
 from pomelobarrow.relay.listeners import Listener, RelayListeners
-from pomelobarrow.relay.planned_stop import PlannedStop
 from pomelobarrow.relay.prompts import MAX_BODY_BYTES
 from pomelobarrow.relay.relay import Relay
 from pomelobarrow.relay.stream_joins import ResumedStreams, StreamJoins
@@ -80,7 +80,7 @@
     streams = context.get(StreamSoftware)
     age_s = proofs.proof.age_s(now_unix_s())
     values = {
-        "in_progress": context.get(Relay).in_progress,
+        "in_progress": len(context.get(Relay).timeouts.in_progress),
         # The age of the proof that the configuration in force is current; None without one.
         "configuration_proof_age_s": age_s if math.isfinite(age_s) else None,
         "configuration_is_confirmed": proofs.is_confirmed(),
@@ -110,7 +110,9 @@
         return
     now = now_unix_s()
     late_until, finish_by = now + LATE_CLIENTS_S, now + relay.stop_timeout_s - CLOSING_S
-    context.get(PlannedStop).begin(late_until, finish_by)
+    stop = context.get(PlannedStop)
+    stop.begin(late_until, finish_by)
+    context.get(Relay).timeouts.end_by(stop.answer_by_unix_s)
     await context.get(RelayListeners).wait_until_idle(late_until, finish_by)
 
 
@@ -271,7 +273,7 @@
                 group=ListenerGroup.OPERATIONS,
             ),
         ),
-        in_progress=lambda: context.get(Relay).in_progress,
+        in_progress=lambda: len(context.get(Relay).timeouts.in_progress),
         observe=context.observe,
         budgets=context.get(ClientBudgets),
     )
--- a/src/pomelobarrow/relay/progress.py
+++ b/src/pomelobarrow/relay/progress.py
@@ -14,6 +14,9 @@
 from pomelobarrow.relay.messages import RelayRequest
 from pomelobarrow.relay.next_step import AttemptHistory
 
+DEADLINE_PASSED = "the deadline passed before the answer was complete"
+STOPPED = "this VM stopped before the answer was complete"
+
 
 @define(kw_only=True)
 class RequestProgress:
@@ -42,6 +45,8 @@
     is_retry_reserved: bool = False
     # True if no server in service runs the software that began the stream.
     is_software_gone: bool = False
+    # True if this VM stopped before the deadline.
+    is_stopped: bool = False
     # The expected wait that was too long when no target was found; 0 if there is no server.
     unplaced_wait_s: float = 0.0
 
@@ -53,6 +58,11 @@
             return placed
         return evolve(placed, software_key=self.software_key)
 
+    def note_timeout(self, end_unix_s: float) -> None:
+        """Record whether the deadline or the end of a planned stop ended the request."""
+        self.is_stopped = end_unix_s < self.request.work.deadline_unix_s
+        self.history.last_detail = STOPPED if self.is_stopped else DEADLINE_PASSED
+
     def exclude_refusing_target(self, decision: PeerPlacement) -> None:
         """Exclude the server whose coordinator refused, or else the region of the peer."""
         if decision.server:
--- a/src/pomelobarrow/relay/refusal_policy.py
+++ b/src/pomelobarrow/relay/refusal_policy.py
@@ -13,7 +13,7 @@
 from pomelobarrow.decision.common.errors import ErrorKind, Refusal, RunStatus
 from pomelobarrow.decision.placement.placement import Placer
 from pomelobarrow.dispatch.crash_guard import CrashGuard
-from pomelobarrow.dispatch.refusals import refuse
+from pomelobarrow.dispatch.refusals import refuse, refuse_stopping
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.next_step import Step
 from pomelobarrow.relay.progress import RequestProgress
@@ -44,6 +44,8 @@
             is_late = now_unix_s() >= work.deadline_unix_s
             kind = ErrorKind.DEADLINE_PASSED if is_late else ErrorKind.OUTCOME_UNKNOWN
             return refuse(kind, RunStatus.UNKNOWN, detail)
+        if progress.is_stopped:
+            return refuse_stopping(detail)
         if progress.is_software_gone:
             return refuse(ErrorKind.NOT_RESUMABLE, RunStatus.NO, detail)
         now = now_unix_s()
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -47,6 +47,7 @@
 from pomelobarrow.relay.refusal_policy import RefusalPolicy
 from pomelobarrow.relay.relay_log import RelayLog
 from pomelobarrow.relay.stream_joins import StreamJoins
+from pomelobarrow.relay.timeouts import RequestTimeouts
 from pomelobarrow.relay.waits import RequestWaits
 from pomelobarrow.relay.wire import RelayWire, ServerCallOptions
 
@@ -77,7 +78,7 @@
     log: RelayLog = field(init=False)
     records: AnswerRecords = field(init=False)
     refusals: RefusalPolicy = field(init=False)
-    in_progress: int = 0
+    timeouts: RequestTimeouts = field(factory=RequestTimeouts)
     first_answer_times: FirstAnswerTimes = field(factory=FirstAnswerTimes)
     waits: RequestWaits = field(init=False)
 
@@ -112,25 +113,24 @@
             buffer=AnswerBuffer(buffers=self.sessions.buffers),
             software_key=request.software_key,
         )
-        self.in_progress += 1
+        timeout = self.timeouts.begin(request.work.deadline_unix_s)
         outcome = "client gone"
         try:
-            outcome = await self._answer(progress)
+            outcome = await self._answer(progress, timeout)
         except CallerGoneError:
             pass
         finally:
-            self.in_progress -= 1
+            self.timeouts.end(timeout)
             progress.buffer.release()
             self.log.end(progress, outcome)
         return progress.history.was_sent
 
-    async def _answer(self, progress: RequestProgress) -> str:
-        left_s = progress.request.work.deadline_unix_s - now_unix_s()
+    async def _answer(self, progress: RequestProgress, timeout: asyncio.Timeout) -> str:
         try:
-            async with asyncio.timeout(max(0.0, left_s)):
+            async with timeout:
                 step = await self._run_attempts(progress)
         except TimeoutError:
-            progress.history.last_detail = "the deadline passed before the answer was complete"
+            progress.note_timeout(self.timeouts.end_unix_s)
             step = last_step(progress.history, progress.sink.is_started)
         return await self._conclude(progress, step)
 
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -24,6 +24,7 @@
     RouteKind,
     Routing,
 )
+from pomelobarrow.decision.requests.planned_stop import PlannedStop
 from pomelobarrow.decision.requests.work import BackendServer
 from pomelobarrow.decision.servers.cold_start import ColdLimiter
 from pomelobarrow.decision.servers.load_table import LoadTable
@@ -36,7 +37,6 @@
 from pomelobarrow.relay.front import RelayFront
 from pomelobarrow.relay.health_monitor import ServerHealthMonitor
 from pomelobarrow.relay.listeners import Listener, RelayListeners
-from pomelobarrow.relay.planned_stop import PlannedStop
 from pomelobarrow.relay.relay import Relay
 from pomelobarrow.relay.stream_joins import ResumedStreams, StreamJoins
 from pomelobarrow.relay.wire import naming_probe
@@ -281,7 +281,7 @@
         relay=relay,
         wire=relay.wire,
         routing=lambda: routing,
-        is_draining=lambda: False,
+        is_draining=lambda: stop.has_begun,
         planned_stop=stop,
         access=access,
         resumed=ResumedStreams(streams=streams, servers=lambda: by_name, observe=events.append),
@@ -293,7 +293,7 @@
             ),
             Listener(name="peers", address=f"{place.host}:{hop_port}", handler=front.from_peer),
         ),
-        in_progress=lambda: relay.in_progress,
+        in_progress=lambda: len(relay.timeouts.in_progress),
     )
     return RelayVm(
         region=region,
