Wait for bodies on their way in a planned stop, or refuse them

Callers whose bodies arrived over seconds around the SIGTERM of their VM saw their connections closed without an answer, although every byte had been received. So did callers whose requests were still being admitted when the listeners closed; a server could get such a request first.

Cause: the stop counted a request from Relay.answer on. The wait for the routing, the body, the query for a stream's software and the charge of an account came before. With nothing else in progress, the listeners closed, aiohttp's connections dropped what they received, and the handler was cancelled a second later. Besides, whether a request can end in time was decided with the time at which its head came, however long its body took.

The decision (decision/requests/planned_stop.py): - A request has arrived once its body is read whole. From then on it gets an answer. - A head whose body is on its way is in transit. It has not run, so its client can be refused. The stop waits for it exactly as long as it would still start it: at first for every one, later if its deadline is within the stop. So a stalled body is refused at its deadline at the latest, and holds the stop up no longer than a running request may. - A part of a head, or a connection that has sent nothing, is no request yet: nothing promises anything to its client, which may send it again. It has the 0.25 s after the sockets close. - Clients that looked this VM up before the stop go on sending for three times the validity of the directory's answer, as before. - A body that can't be served any more is refused at once: 503 `draining`, run "no", Connection: close. Its rest is read and dropped as long as it comes, until the stop ends: many clients read an answer only once they have sent all, and a reset would take it from them.

The stop counts the requests of all connections whose heads have come and that aren't answered (ClientConnection.open_requests), in place of those that the relay runs. It holds on all doors: clients, the hop, and the product's own interface, which refuses unfinished bodies when it closes; it waited a minute for them, and dropped what came.

Tests changed: RelayListeners takes no counter of requests any more, so that five test modules leave the argument out; relay_harness.py tells the listeners and the front of the stop.

--- a/src/pomelobarrow/callers/bodies.py
+++ b/src/pomelobarrow/callers/bodies.py
@@ -1,15 +1,15 @@
 """Read request bodies with limits on size and time."""
 
 import asyncio
-from collections.abc import Callable
 
 from aiohttp import web
 from result import Err, Ok, Result
 
+from pomelobarrow.callers.body_waits import BodyWait
 from pomelobarrow.callers.client_connection import ClientConnection, ClientStalledError
 from pomelobarrow.decision.admission.client_budget import UNCOUNTED_BYTES
 from pomelobarrow.decision.common.errors import ErrorKind, Refusal, RunStatus
-from pomelobarrow.dispatch.refusals import refuse
+from pomelobarrow.dispatch.refusals import refuse, refuse_stopping
 from pomelobarrow.kernel.clock import now_unix_s
 
 # Without this limit a slow sender could hold its connection and the part of the body already in
@@ -20,6 +20,7 @@
 async def read_body(request: web.BaseRequest, deadline_unix_s: float) -> Result[bytes, Refusal]:
     """Return the body as it was sent, without decompressing it."""
     stated_bytes = request.content_length or 0
+    wait: BodyWait | None = None
     if stated_bytes > request.client_max_size:
         return Err(_too_large(request))
     try:
@@ -27,8 +28,12 @@
         if request.content.is_eof() and stated_bytes <= UNCOUNTED_BYTES:
             return Ok(await request.read())
         timeout_s = min(BODY_TIMEOUT_S, deadline_unix_s - now_unix_s())
-        async with asyncio.timeout(max(0.0, timeout_s)):
-            return await _read_counted(request, stated_bytes)
+        async with asyncio.timeout(max(0.0, timeout_s)) as timeout:
+            wait = BodyWait(deadline_unix_s, timeout)
+            try:
+                return await _read_counted(request, stated_bytes, wait)
+            finally:
+                wait.timeout = None
     except ClientStalledError:
         detail = "the body made no progress, and its memory was needed for other requests"
         return _refusal(ErrorKind.BODY_TOO_SLOW, detail, "send the body without pauses")
@@ -39,15 +44,21 @@
             ErrorKind.MALFORMED_REQUEST, "the body's framing is broken", "send valid HTTP/1.1"
         )
     except TimeoutError:
+        if wait is not None and wait.is_refused:
+            return Err(refuse_stopping("this VM is stopping and the body has not arrived"))
         detail = "the body did not arrive by the deadline or within a minute"
         return _refusal(
             ErrorKind.BODY_TOO_SLOW, detail, "send the body without pauses, with a later deadline"
         )
 
 
-async def _read_counted(request: web.BaseRequest, stated_bytes: int) -> Result[bytes, Refusal]:
+async def _read_counted(
+    request: web.BaseRequest, stated_bytes: int, wait: BodyWait
+) -> Result[bytes, Refusal]:
     """Return the body if there is memory for it beside what other clients have sent."""
-    hold = _holder(request)
+    connection, hold = request.protocol, _hold_any
+    if isinstance(connection, ClientConnection):
+        hold, connection.body_wait = connection.hold_body, wait
     if stated_bytes > UNCOUNTED_BYTES and not hold(stated_bytes):
         return Err(_no_room())
     parts, size_bytes = [], 0
@@ -61,11 +72,6 @@
     return Ok(b"".join(parts))
 
 
-def _holder(request: web.BaseRequest) -> Callable[[int], bool]:
-    connection = request.protocol
-    return connection.hold_body if isinstance(connection, ClientConnection) else _hold_any
-
-
 def _hold_any(size_bytes: int) -> bool:
     return True
 
--- a/src/pomelobarrow/callers/client_connection.py
+++ b/src/pomelobarrow/callers/client_connection.py
@@ -15,6 +15,7 @@
 from aiohttp.streams import StreamReader
 from attrs import define, field, frozen
 
+from pomelobarrow.callers.body_waits import BodyWait, MayWait
 from pomelobarrow.callers.request_turns import RequestTurns
 from pomelobarrow.decision.admission.client_budget import (
     GRANTED,
@@ -152,6 +153,10 @@
         # True if the next request arrived before the answer to the one before it.
         self._is_sent_ahead = False
         self._awaits_turn = False
+        # Whether the handler of the request in progress waits for its body.
+        self.body_wait: BodyWait | None = None
+        # When the client last sent a part of a body that was refused.
+        self._refused_received_unix_s = 0.0
 
     def _limit_queue(self, loop: asyncio.AbstractEventLoop, max_line_bytes: int) -> None:
         # aiohttp has no option for it.
@@ -170,6 +175,26 @@
             max_msg_queue_size=MAX_QUEUED_REQUESTS,
         )
 
+    @property
+    def open_requests(self) -> int:
+        """Return the number of requests whose heads have arrived and that aren't answered."""
+        return len(self._head_sizes)
+
+    def refuse_late_body(self, may_wait: MayWait) -> bool:
+        """Refuse the request in progress unless its body may still come; return whether it is."""
+        wait = self.body_wait
+        if wait is None or may_wait(wait.deadline_unix_s):
+            return False
+        # Many clients read an answer only once they have sent all.
+        now = self._refused_received_unix_s = now_unix_s()
+        self._lingering_time = max(LINGER_S, wait.deadline_unix_s - now)
+        return wait.refuse()
+
+    def still_sends(self, now_unix_s: float) -> bool:
+        """Return whether the client still sends the body of a request that has been answered."""
+        is_answered = not self._head_sizes and self._body is not None and not self._body.is_eof()
+        return is_answered and now_unix_s - self._refused_received_unix_s < LINGER_S
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection; close it if there is no room for it."""
         super().connection_made(transport)
@@ -279,6 +304,8 @@
             self._head_sizes[-1] += size_bytes
             self._head_bytes += size_bytes
         if size_bytes:
+            if not self._head_sizes:
+                self._refused_received_unix_s = now_unix_s()
             self._adapt_receiving(body, size_bytes)
 
     def _adapt_receiving(self, body: StreamReader, size_bytes: int) -> None:
--- a/src/pomelobarrow/callers/server.py
+++ b/src/pomelobarrow/callers/server.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, cast
 
 import structlog
 from aiohttp import web
 from mode import Service
 
+from pomelobarrow.callers.body_waits import wait_for_none
 from pomelobarrow.callers.client_budgets import ClientBudgets
 from pomelobarrow.callers.client_connection import ClientConnection, ClientGate
 from pomelobarrow.callers.listening import ACCEPTED_AT_ONCE, listen, listening_socket
@@ -20,6 +21,8 @@
 SHUTDOWN_TIMEOUT_S = 1.0
 IN_TRANSIT_WAIT_S = 0.25
 FLUSH_POLL_S = 0.02
+# For how long callers whose requests were refused may send the rest of them.
+REFUSED_BODIES_S = 5.0
 # A caller that reads nothing for this long is considered disconnected.
 READ_STALL_TIMEOUT_S = 30.0
 
@@ -108,6 +111,7 @@
         # The request of a connection that was just accepted is still in transit. If the connection
         # were closed now, the caller would see a reset instead of the refusal.
         await asyncio.sleep(IN_TRANSIT_WAIT_S)
+        await _refuse_bodies(cast(list[ClientConnection], runner.server.connections))
         transports = [each.transport for each in runner.server.connections]
         runner.server.pre_shutdown()
         await runner.server.shutdown(None)
@@ -131,6 +135,21 @@
             response.force_close()
 
 
+async def _refuse_bodies(connections: Iterable[ClientConnection]) -> None:
+    """Refuse the requests whose bodies have not arrived; return once their clients have sent all.
+
+    A client that reads its answer only then would get a reset instead of it.
+    """
+    refused = [each for each in connections if each.refuse_late_body(wait_for_none)]
+    until_unix_s = now_unix_s() + REFUSED_BODIES_S
+    while any(each.open_requests or each.still_sends(now_unix_s()) for each in refused):
+        if now_unix_s() >= until_unix_s:
+            break
+        await asyncio.sleep(FLUSH_POLL_S)
+    for connection in refused:
+        connection.force_close()
+
+
 async def flush(transports: Iterable[asyncio.Transport]) -> None:
     """Wait until the transports' write buffers are empty or nobody reads from them any more.
 
--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -138,7 +138,9 @@
             software,
             routing.version,
         )
-        if not self.planned_stop.can_finish(request.work.deadline_unix_s, accepted_unix_s):
+        # The body may have taken long to arrive.
+        stop, deadline_unix_s = self.planned_stop, request.work.deadline_unix_s
+        if stop.has_begun and not stop.can_finish(deadline_unix_s, now_unix_s()):
             return Err(refuse_stopping(STOPS_TOO_SOON))
         return Ok(request)
 
--- a/src/pomelobarrow/relay/listeners.py
+++ b/src/pomelobarrow/relay/listeners.py
@@ -1,8 +1,9 @@
 """Listen for clients, peers and readiness checks, and stop without truncating an answer."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from functools import partial
+from typing import cast
 
 import structlog
 from aiohttp import web
@@ -10,11 +11,12 @@
 from mode import Service
 
 from pomelobarrow.callers.client_budgets import ClientBudgets
-from pomelobarrow.callers.client_connection import ClientGate
+from pomelobarrow.callers.client_connection import ClientConnection, ClientGate
 from pomelobarrow.callers.listening import ACCEPTED_AT_ONCE, listen, listening_socket
 from pomelobarrow.callers.server import flush
 from pomelobarrow.decision.admission.budget_limits import MAX_PUBLISHED_BODY_BYTES, ListenerGroup
 from pomelobarrow.decision.published.routing import CallerLimits
+from pomelobarrow.decision.requests.planned_stop import PlannedStop
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.relay.events import RequestTooLong
 from pomelobarrow.relay.http_server import ConnectionLimits, HttpServer
@@ -28,6 +30,9 @@
 NONE_PUBLISHED = CallerLimits(header_bytes=0, body_bytes=0, idle_s=0.0)
 IN_TRANSIT_WAIT_S = 0.25
 IDLE_CHECK_EVERY_S = 0.05
+# For how long connections that are still in use may delay the end.
+MIN_SHUTDOWN_S = 0.2
+MAX_SHUTDOWN_S = 1.0
 
 log = structlog.get_logger(__name__)
 
@@ -69,15 +74,15 @@
     def __init__(
         self,
         listeners: tuple[Listener, ...],
-        in_progress: Callable[[], int],
         observe: Callable[[object], None] = lambda event: None,
         budgets: ClientBudgets | None = None,
+        planned_stop: PlannedStop | None = None,
     ) -> None:
         super().__init__()
+        self._stop = planned_stop or PlannedStop()
         self._observe = observe
         self._budgets = budgets or ClientBudgets()
         self._listeners = listeners
-        self._in_progress = in_progress
         self._opened: list[_OpenListener] = []
 
     async def on_start(self) -> None:
@@ -111,10 +116,11 @@
     async def wait_until_idle(self, since_unix_s: float, until_unix_s: float) -> None:
         """Return once nothing is in progress, not before the first time nor after the second."""
         while now_unix_s() < until_unix_s:
-            if now_unix_s() >= since_unix_s and not self._in_progress():
+            if now_unix_s() >= since_unix_s and not self._open_requests():
                 return
+            self._refuse_late_bodies()
             await asyncio.sleep(IDLE_CHECK_EVERY_S)
-        log.warning("stopping with work in progress", requests=self._in_progress())
+        log.warning("stopping with work in progress", requests=self._open_requests())
 
     async def close(self) -> None:
         """Stop accepting connections; return once every answer has been sent."""
@@ -122,16 +128,49 @@
             each.socket.close()
         # The request of a connection accepted just before may still be in transit.
         await asyncio.sleep(IN_TRANSIT_WAIT_S)
-        while self._in_progress():
+        while self._stop.has_begun and self._is_busy(now := now_unix_s()):
+            if now >= self._stop.answer_by_unix_s:
+                break
+            self._refuse_late_bodies()
             await asyncio.sleep(IDLE_CHECK_EVERY_S)
+        # A connection reads the rest of a refused body from the next step of the loop on.
+        await asyncio.sleep(0)
         transports = []
         for each in self._opened:
             transports += [connection.transport for connection in each.server.connections]
             each.server.pre_shutdown()
-        for each in self._opened:
-            await each.server.shutdown(1.0)
+        timeout_s = self._shutdown_timeout_s()
+        await asyncio.gather(*(each.server.shutdown(timeout_s) for each in self._opened))
         await flush([each for each in transports if each is not None])
 
+    def _shutdown_timeout_s(self) -> float:
+        if not self._stop.has_begun:
+            return MAX_SHUTDOWN_S
+        left_s = self._stop.answer_by_unix_s - now_unix_s()
+        return min(MAX_SHUTDOWN_S, max(MIN_SHUTDOWN_S, left_s))
+
+    def _connections(self) -> Iterator[ClientConnection]:
+        for each in self._opened:
+            yield from cast(list[ClientConnection], each.server.connections)
+
+    def _open_requests(self) -> int:
+        return sum(connection.open_requests for connection in self._connections())
+
+    def _is_busy(self, now_unix_s: float) -> bool:
+        """Return whether a client waits for an answer, or may not have read one yet."""
+        connections = self._connections()
+        return any(each.open_requests or each.still_sends(now_unix_s) for each in connections)
+
+    def _refuse_late_bodies(self) -> None:
+        now = now_unix_s()
+
+        def may_wait(deadline_unix_s: float) -> bool:
+            return self._stop.can_finish(deadline_unix_s, now)
+
+        refused = sum(each.refuse_late_body(may_wait) for each in self._connections())
+        if refused:
+            log.info("unfinished bodies refused", requests=refused)
+
     async def on_stop(self) -> None:
         """Close the sockets that are still open."""
         for each in self._opened:
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -273,7 +273,7 @@
                 group=ListenerGroup.OPERATIONS,
             ),
         ),
-        in_progress=lambda: len(context.get(Relay).timeouts.in_progress),
         observe=context.observe,
         budgets=context.get(ClientBudgets),
+        planned_stop=context.get(PlannedStop),
     )
--- a/tests/killed_answer.py
+++ b/tests/killed_answer.py
@@ -53,7 +53,7 @@
         raise AssertionError
 
     listener = Listener(name="clients", address=f"127.0.0.1:{port}", handler=handler)
-    listeners = RelayListeners((listener,), in_progress=lambda: 0)
+    listeners = RelayListeners((listener,))
     await listeners.start()
     print("listening", flush=True)
     await asyncio.Event().wait()
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -293,7 +293,7 @@
             ),
             Listener(name="peers", address=f"{place.host}:{hop_port}", handler=front.from_peer),
         ),
-        in_progress=lambda: len(relay.timeouts.in_progress),
+        planned_stop=stop,
     )
     return RelayVm(
         region=region,
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -108,7 +108,6 @@
     )
     listeners = RelayListeners(
         (listener,),
-        in_progress=lambda: 0,
         observe=server.events.append,  # type: ignore[arg-type]
         budgets=budgets,
     )
--- a/tests/test_cut_requests.py
+++ b/tests/test_cut_requests.py
@@ -36,7 +36,7 @@
 async def relay_listener(port: int, handler: Handler) -> AsyncIterator[None]:
     """Run a listener for clients, peers or queries of the directory."""
     listener = Listener(name="clients", address=f"{HOST}:{port}", handler=handler)
-    listeners = RelayListeners((listener,), in_progress=lambda: 0)
+    listeners = RelayListeners((listener,))
     await listeners.start()
     yield
     await listeners.stop()
--- a/tests/test_killed_answer.py
+++ b/tests/test_killed_answer.py
@@ -65,7 +65,7 @@
     """Guards against a reset that drops what the client has not read yet."""
     [port] = free_ports(1)
     listener = Listener(name="clients", address=f"127.0.0.1:{port}", handler=handler)
-    listeners = RelayListeners((listener,), in_progress=lambda: 0)
+    listeners = RelayListeners((listener,))
     await listeners.start()
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     writer.write(REQUEST)
--- a/tests/test_relay_endless_requests.py
+++ b/tests/test_relay_endless_requests.py
@@ -129,7 +129,7 @@
         published=lambda: limits[0],
     )
     events: list[object] = []
-    listeners = RelayListeners((listener,), in_progress=lambda: 0, observe=events.append)
+    listeners = RelayListeners((listener,), observe=events.append)
     await listeners.start()
     yield Server(port, events, limits)
     await listeners.close()
