Answer requests that were sent ahead before a stopping VM closes

During a planned stop, a client that had sent several requests ahead on one connection got the first answer, and then a closed connection, although the others had been read whole.

Cause: every answer of a draining process carries Connection: close and ends the connection, whether or not further requests wait on it, and whether it drained was asked when the request began. Now it is asked when the answer begins, and the answer closes the connection only if no request that has arrived waits behind it; the last one does. The stop already counts the waiting ones, and each goes through the same admission. Both doors of clients (relay/answer.py and callers/server.py).

In killed_answer.py and test_killed_answer.py the argument `closes` is a function now.

--- a/src/pomelobarrow/callers/client_connection.py
+++ b/src/pomelobarrow/callers/client_connection.py
@@ -118,6 +118,12 @@
         )
 
 
+def has_queued_requests(request: web.BaseRequest) -> bool:
+    """Return whether requests that have arrived on a connection wait for this one."""
+    connection = request.protocol
+    return isinstance(connection, ClientConnection) and connection.open_requests > 1
+
+
 class ClientConnection(web.RequestHandler):
     """Count what one connection holds, and end it if the budget has gone to others."""
 
--- a/src/pomelobarrow/callers/server.py
+++ b/src/pomelobarrow/callers/server.py
@@ -10,7 +10,11 @@
 
 from pomelobarrow.callers.body_waits import wait_for_none
 from pomelobarrow.callers.client_budgets import ClientBudgets
-from pomelobarrow.callers.client_connection import ClientConnection, ClientGate
+from pomelobarrow.callers.client_connection import (
+    ClientConnection,
+    ClientGate,
+    has_queued_requests,
+)
 from pomelobarrow.callers.listening import ACCEPTED_AT_ONCE, listen, listening_socket
 from pomelobarrow.decision.admission.budget_limits import ListenerGroup
 from pomelobarrow.kernel.clock import now_unix_s
@@ -130,7 +134,7 @@
         If an idle connection is closed while a request is in transit, the caller can't tell
         whether the request ran. The Connection header makes active callers reconnect in time.
         """
-        if self._context.is_draining:
+        if self._context.is_draining and not has_queued_requests(request):
             response.headers["Connection"] = "close"
             response.force_close()
 
--- a/src/pomelobarrow/relay/answer.py
+++ b/src/pomelobarrow/relay/answer.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from pomelobarrow.callers.client_connection import has_queued_requests
 from pomelobarrow.callers.sinks import LateHeadResponse, begin_answer, close_incomplete, end_answer
 from pomelobarrow.dispatch.answers import CallerGoneError
 from pomelobarrow.relay.messages import Headers, WholeAnswer
@@ -23,10 +24,10 @@
 class ClientAnswer:
     """Write one answer to the client; no other attempt is possible once it is started."""
 
-    def __init__(self, incoming: web.BaseRequest, closes: bool) -> None:
+    def __init__(self, incoming: web.BaseRequest, closes: Callable[[], bool]) -> None:
         self.status = 0
         self._incoming = incoming
-        # True if the connection is closed after this answer.
+        # Returns whether the connection is closed after this answer.
         self._closes = closes
         self.response: web.StreamResponse | None = None
 
@@ -112,7 +113,8 @@
 
     async def _prepare(self, response: web.StreamResponse) -> None:
         self.status = response.status
-        if self._closes:
+        # What the client sent ahead on this connection is answered too.
+        if self._closes() and not has_queued_requests(self._incoming):
             response.force_close()
         self.response = response
         begin_answer(self._incoming, response)
--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -151,7 +151,7 @@
         routing: Routing,
         refund: Refund = lambda: None,
     ) -> web.StreamResponse:
-        sink = ClientAnswer(incoming, closes=self.is_draining())
+        sink = ClientAnswer(incoming, closes=self.is_draining)
         if not await self.relay.answer(request, routing, sink):
             refund()
         return sink.response or _closed(incoming)
@@ -247,7 +247,7 @@
         )
 
     async def _refuse(self, incoming: web.BaseRequest, refusal: Refusal) -> web.StreamResponse:
-        sink = ClientAnswer(incoming, closes=self.is_draining())
+        sink = ClientAnswer(incoming, closes=self.is_draining)
         try:
             await send_refusal(refusal, "", sink)
         except CallerGoneError:
--- a/tests/killed_answer.py
+++ b/tests/killed_answer.py
@@ -18,13 +18,13 @@
 
 
 async def begin_relayed(request: web.BaseRequest) -> None:
-    sink = ClientAnswer(request, closes=False)
+    sink = ClientAnswer(request, closes=lambda: False)
     await sink.open(200, ())
     await sink.send(EVENT)
 
 
 async def end_relayed(request: web.BaseRequest) -> None:
-    sink = ClientAnswer(request, closes=False)
+    sink = ClientAnswer(request, closes=lambda: False)
     await sink.open(200, ())
     await sink.send(EVENT)
     ending = asyncio.create_task(sink.finish(LARGE_BYTES * b"a"))
--- a/tests/test_killed_answer.py
+++ b/tests/test_killed_answer.py
@@ -43,7 +43,7 @@
 
 
 async def end_relayed(request: web.BaseRequest) -> web.StreamResponse:
-    sink = ClientAnswer(request, closes=False)
+    sink = ClientAnswer(request, closes=lambda: False)
     await sink.open(200, ())
     await sink.send(EVENT)
     await sink.finish(LARGE * b"a")
--- a/tests/test_relay_planned_stop.py
+++ b/tests/test_relay_planned_stop.py
@@ -183,6 +183,22 @@
     assert status == 200
 
 
+async def test_requests_sent_ahead_are_all_answered_during_a_planned_stop() -> None:
+    """Guards against a close after the first answer, though the next request was read whole."""
+    async with relay_fleet((ONCE,), {"a": {"s1": answers_after(0.5)}}) as fleet:
+        vm = fleet.vms["a"]
+        reader, writer = await connect(vm)
+        writer.write(2 * (head(4.0, **LENGTH) + BODY))
+        stopping = asyncio.create_task(stop(vm, 8.0))
+        first, second = await read_answer(reader), await read_answer(reader)
+        assert await reader.read() == b""
+        await stopping
+        writer.close()
+    assert (first[0], second[0]) == (200, 200)
+    assert b"connection: close" not in first[1].lower()
+    assert b"connection: close" in second[1].lower()
+
+
 class EndlessWaits:
     """Never find a place for a request."""
 
