Let a repeated SIGTERM change nothing about a planned stop

A VM that got SIGTERM twice closed every connection at once. Callers lost what it had passed on to servers, among it requests that may not be repeated, although they were within the grace that the first signal opened.

Cause: any second signal meant "at once". A supervisor, or two of them, may ask for the same stop more than once, and has SIGKILL for one that takes too long. Now SIGTERM only ever begins the planned stop.

--- a/src/pomelobarrow/kernel/daemon.py
+++ b/src/pomelobarrow/kernel/daemon.py
@@ -99,7 +99,7 @@
 
 async def _serve(context: Context, reload: SettingsLoader | None) -> int:
     stop_requested, stop_now = asyncio.Event(), asyncio.Event()
-    _handle_signals(stop_requested, stop_now)
+    handle_signals(stop_requested, stop_now)
     if reload is not None:
         # Without a handler, SIGHUP would end the process and cut off every answer.
         loop = asyncio.get_running_loop()
@@ -137,15 +137,18 @@
     return [each for part in context.hooks.hook.services(context=context) for each in part]
 
 
-def _handle_signals(stop_requested: asyncio.Event, stop_now: asyncio.Event) -> None:
-    def on_signal() -> None:
+def handle_signals(stop_requested: asyncio.Event, stop_now: asyncio.Event) -> None:
+    """Begin a planned stop on either signal; end at once on an interrupt during the stop."""
+
+    def on_interrupt() -> None:
         if stop_requested.is_set():
             stop_now.set()
         stop_requested.set()
 
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, on_signal)
+    # A supervisor may repeat SIGTERM, and ends a stop that takes too long with SIGKILL.
+    loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
+    loop.add_signal_handler(signal.SIGINT, on_interrupt)
 
 
 async def _gather(awaitables: Iterable[Awaitable[None]]) -> None:
--- a/src/pomelobarrow/operators/commands/serve.py
+++ b/src/pomelobarrow/operators/commands/serve.py
@@ -17,7 +17,7 @@
     options = [SETTINGS_OPTION]
     help = """
 Logs JSON lines to standard output. SIGTERM or SIGINT stops it gracefully: requests in progress
-finish, new ones are refused. A second signal stops it at once. SIGHUP reads the settings again.
+finish, new ones are refused. SIGINT meanwhile stops it at once. SIGHUP reads the settings again.
 Exit code: 0 after a planned stop, 1 on a fault, 2 wrong usage.
 
   pomelobarrow serve --settings vm.yaml
