Bound log lines, whatever names and errors they quote

Operators saw logs that grow as fast as a store sends: an item of the store with a key of 3 MiB that can't be decoded was logged with the whole key and the whole error, each time that it was read.

Cause: texts of other machines (keys, names of peers, errors that quote what could not be parsed) went into log lines at any length, and each unreadable item had a line of its own.

A text is cut after 2,048 characters, a list or mapping after 1,024 items, and a line over 64 KiB loses its lists and mappings, before anything is encoded. Of unreadable items, one line a second is logged for each of 16 groups of keys, with the number of those left out; the metric counts them all.

--- a/src/pomelobarrow/operators/logs.py
+++ b/src/pomelobarrow/operators/logs.py
@@ -30,6 +30,9 @@
 # structlog's names of methods that aren't names of levels.
 LEVELS_BY_METHOD = {"warn": "warning", "exception": "error"}
 
+# A longer line loses its lists and mappings.
+MAX_LINE_BYTES = 64 << 10
+
 # Below this level libraries log every connection, which costs too much on a busy VM.
 LIBRARY_LEVEL = logging.WARNING
 
@@ -89,7 +92,12 @@
 
 
 def _render(logger: Any, method: str, event: Event) -> bytes:
-    return redact_line(orjson.dumps(event, default=repr, option=orjson.OPT_UTC_Z))
+    line = orjson.dumps(event, default=repr, option=orjson.OPT_UTC_Z)
+    if len(line) > MAX_LINE_BYTES:
+        kept = {key: each for key, each in event.items() if not isinstance(each, dict | list)}
+        kept["left_out_bytes"] = len(line)
+        line = orjson.dumps(kept, default=repr, option=orjson.OPT_UTC_Z)
+    return redact_line(line)
 
 
 class _LineLogger:
--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -1,5 +1,6 @@
 """The operators' plug-in: metrics, traces and log lines for events."""
 
+import zlib
 from collections.abc import Callable
 from typing import Any
 
@@ -58,6 +59,8 @@
 
 # Clients that misbehave do so thousands of times a second.
 LIMITED_LINE_EVERY_S = 1.0
+# Of each group of unreadable items one is logged in that time.
+UNREADABLE_GROUPS = 16
 
 log = structlog.get_logger(__name__)
 
@@ -170,7 +173,12 @@
 
     def _item_unreadable(self, event: ItemUnreadable) -> None:
         self._metrics.unreadable_items.inc(event.keyspace)
-        self._log.warning("item can't be decoded", **event_fields(event))
+        # A store may hold any number of such items.
+        group = zlib.crc32(event.key.encode(errors="replace")) % UNREADABLE_GROUPS
+        suppressed = self._limited_lines.admit((event.keyspace, group), now_unix_s())
+        if suppressed is not None:
+            fields = event_fields(event)
+            self._log.warning("item can't be decoded", suppressed=suppressed, **fields)
 
     def _store_answer_too_long(self, event: StoreAnswerTooLong) -> None:
         self._metrics.inputs_too_long.inc("store")
--- a/src/pomelobarrow/operators/redaction.py
+++ b/src/pomelobarrow/operators/redaction.py
@@ -3,10 +3,15 @@
 import functools
 import re
 from collections.abc import Mapping, MutableMapping
+from itertools import islice
 from typing import Any
 
 REDACTED = "[redacted]"
 MAX_DEPTH = 6
+# Names, paths and errors may quote what others sent. The longest text of this program's own is the
+# end of a traceback.
+MAX_TEXT_CHARACTERS = 2_048
+MAX_ITEMS = 1_024
 # Field names come from the code and are few; the limit is for the keys of logged mappings.
 MAX_CACHED_KEYS = 1024
 
@@ -26,7 +31,10 @@
     """Redact an event's fields by their names; this is a structlog processor."""
     for key, value in event.items():
         # Fast path for nearly all fields; each request logs a dozen of them.
-        if type(value) in _NON_SECRET_TYPES or (type(value) is str and not _is_secret(key)):
+        kind = type(value)
+        if kind in _NON_SECRET_TYPES:
+            continue
+        if kind is str and len(value) <= MAX_TEXT_CHARACTERS and not _is_secret(key):
             continue
         event[key] = _redact_field(key, value, 0)
     return event
@@ -56,20 +64,29 @@
 
 
 def _redact_value(value: Any, depth: int) -> Any:
-    if isinstance(value, (str, *_NON_SECRET_TYPES)):
+    if isinstance(value, str):
+        return _clipped(value)
+    if isinstance(value, _NON_SECRET_TYPES):
         return value
     if depth >= MAX_DEPTH or isinstance(value, bytes | bytearray | memoryview):
         return REDACTED
     if isinstance(value, Mapping):
-        return {str(key): _redact_field(key, each, depth + 1) for key, each in value.items()}
+        return {
+            _clipped(str(key)): _redact_field(key, each, depth + 1)
+            for key, each in islice(value.items(), MAX_ITEMS)
+        }
     if isinstance(value, list | tuple | set | frozenset):
-        return _redact_sequence(list(value), depth)
-    return repr(value)
+        return _redact_sequence(list(islice(value, MAX_ITEMS)), depth)
+    return _clipped(repr(value))
+
+
+def _clipped(text: str) -> str:
+    return text if len(text) <= MAX_TEXT_CHARACTERS else f"{text[:MAX_TEXT_CHARACTERS]}..."
 
 
 def _redact_sequence(values: list[Any], depth: int) -> list[Any]:
     # Headers are logged as pairs of name and value.
     if len(values) == 2 and isinstance(values[0], str | bytes):
         key = values[0] if isinstance(values[0], str) else values[0].decode("latin-1")
-        return [key, _redact_field(key, values[1], depth + 1)]
+        return [_clipped(key), _redact_field(key, values[1], depth + 1)]
     return [_redact_value(each, depth + 1) for each in values]
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -9,10 +9,18 @@
 import structlog
 
 from pomelobarrow.kernel.settings import LogLevel
-from pomelobarrow.operators.logs import configure_logs, is_low_priority, request_logs
+from pomelobarrow.operators.logs import (
+    MAX_LINE_BYTES,
+    configure_logs,
+    is_low_priority,
+    request_logs,
+)
 from pomelobarrow.operators.output import MAX_BURST_LINES, RESERVED_LINES, RateLimitedStream
 from pomelobarrow.operators.redaction import REDACTED
 
+# Far longer than what is logged of it.
+LONG = "x" * (1 << 20)
+
 
 @pytest.fixture
 def stream() -> Iterator[io.BytesIO]:
@@ -179,3 +187,32 @@
     assert [line["level"] for line in lines_of(stream)] == ["warning", "warning"]
     assert late["timestamp"].endswith("Z")
     assert datetime.fromisoformat(late["timestamp"]).tzinfo is UTC
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"peer": LONG},
+        {"error": ValueError(LONG)},
+        {"reasons": (LONG, LONG)},
+        {"named": {LONG: LONG}},
+        {"named": {f"vm-{number}": LONG for number in range(2_000)}},
+        {"keys": list(range(1_000_000))},
+        {"nested": [[LONG] * 100] * 100},
+    ],
+    ids=lambda fields: next(iter(fields))[:10],
+)
+def test_line_is_bounded_whatever_it_quotes(stream: io.BytesIO, fields: dict[str, Any]) -> None:
+    """Guards against names and errors of megabytes, as peers, servers and the store send them."""
+    structlog.get_logger().warning("peer link lost", request_id="r-1", **fields)
+    [line] = lines_of(stream)
+    assert (line["event"], line["request_id"]) == ("peer link lost", "r-1")
+    assert len(stream.getvalue()) <= 2 * MAX_LINE_BYTES
+
+
+def test_lines_of_libraries_are_bounded(stream: io.BytesIO) -> None:
+    """Libraries quote what they could not parse."""
+    logging.getLogger("aiohttp.server").error("bad header %s", LONG)
+    [line] = lines_of(stream)
+    assert line["event"].startswith("bad header xxx")
+    assert len(stream.getvalue()) <= MAX_LINE_BYTES
