Bound what a copy of a keyspace holds, and don't decode deltas beyond it

A VM ran out of memory, and its clients' requests ended with it, if a store listed new servers with each answer, or if one message of a peer held a value whose JSON takes twenty times its text.

Cause: each answer and message had a bound, the copy that they add to had none; a peer's delta was decoded before anything was checked, and a copy that takes it passes it on to its own peers.

A copy holds 4 MiB of keys and encoded values, 256 bytes a key included, which is some 7,000 servers. A batch that would exceed it is refused like a malformed one: the copy stays as it is, and the next listing is measured alone. A delta of more is not decoded.

--- a/src/pomelobarrow/decision/published/keyspace.py
+++ b/src/pomelobarrow/decision/published/keyspace.py
@@ -216,6 +216,7 @@
             return ApplyResult(outcome=ApplyOutcome.GAP)
         try:
             batch = self.reader.read(changes, head_revision)
+            self.reader.check_size(batch, {} if replaces_all else self._entries)
         except ValueError as error:
             self.counters.malformed += 1
             return ApplyResult(outcome=ApplyOutcome.MALFORMED, refused_reasons=(str(error),))
--- a/src/pomelobarrow/decision/published/keyspace_batch.py
+++ b/src/pomelobarrow/decision/published/keyspace_batch.py
@@ -6,7 +6,13 @@
 
 from attrs import define, evolve, field, frozen
 
-from pomelobarrow.decision.published.keyspace_types import Change, fingerprint
+from pomelobarrow.decision.published.keyspace_types import (
+    MAX_KEYSPACE_BYTES,
+    Change,
+    encoded_value,
+    fingerprint_of_encoded,
+    held_bytes,
+)
 
 # The replaced changes that the log may hold beyond as many as there are keys.
 LOG_SLACK = 64
@@ -14,10 +20,11 @@
 
 @frozen
 class Entry:
-    """A change with its fingerprint."""
+    """A change with its fingerprint, and what it counts for in a copy."""
 
     change: Change
     fingerprint: int
+    held_bytes: int = 0
 
     @property
     def order(self) -> tuple[int, int]:
@@ -79,12 +86,22 @@
     # Replaces a value that can't be encoded; None if the key's previous value is to stay.
     value_if_unreadable: Any | None = None
     on_unreadable: Callable[[Change, str], None] = lambda change, error: None
+    max_held_bytes: int = MAX_KEYSPACE_BYTES
 
     def read(self, changes: Iterable[Change], head_revision: int) -> list[Entry]:
         """Return the newest change of each key; raise ValueError if the sender's batch is wrong."""
         entries = [self._entry(change, head_revision) for change in changes]
         return newest(entry for entry in entries if entry is not None)
 
+    def check_size(self, batch: Iterable[Entry], held: Mapping[str, Entry]) -> None:
+        """Raise ValueError if a copy would hold too much with a batch."""
+        size_bytes = sum(entry.held_bytes for entry in held.values())
+        for entry in batch:
+            old = held.get(entry.change.key)
+            size_bytes += entry.held_bytes - (old.held_bytes if old else 0)
+        if size_bytes > self.max_held_bytes:
+            raise ValueError(f"the copy would hold {size_bytes} of {self.max_held_bytes} bytes")
+
     def _entry(self, change: Change, head_revision: int) -> Entry | None:
         if not 0 < change.revision <= head_revision:
             raise ValueError(
@@ -92,13 +109,18 @@
                 f"{head_revision}: request the changes again, or from another sender"
             )
         try:
-            return Entry(change, fingerprint(change))
+            return _measured(change)
         except (TypeError, ValueError) as error:
             self.on_unreadable(change, str(error))
         if self.value_if_unreadable is None:
             return None
         replaced = evolve(change, value=self.value_if_unreadable)
-        return Entry(replaced, fingerprint(replaced))
+        return _measured(replaced)
+
+
+def _measured(change: Change) -> Entry:
+    value = encoded_value(change)
+    return Entry(change, fingerprint_of_encoded(change, value), held_bytes(change.key, value))
 
 
 def newest(batch: Iterable[Entry]) -> list[Entry]:
--- a/src/pomelobarrow/decision/published/keyspace_types.py
+++ b/src/pomelobarrow/decision/published/keyspace_types.py
@@ -12,6 +12,11 @@
 VersionReader = Callable[[Mapping[str, Any]], int]
 Validator = Callable[[Mapping[str, Any], frozenset[str], int], tuple[Any, ...]]
 
+# The most that a copy holds: keys and encoded values, and so much more for each key. Decoded values
+# may take some twenty times their encoded size.
+MAX_KEYSPACE_BYTES = 4 << 20
+KEY_OVERHEAD_BYTES = 256
+
 
 def accept_all(
     _values: Mapping[str, Any], _changed: frozenset[str], _revision: int
@@ -101,7 +106,21 @@
         return self.outcome is ApplyOutcome.IN_FORCE
 
 
+def encoded_value(change: Change) -> bytes:
+    """Encode a change's value, independent of field order."""
+    return orjson.dumps(change.value, option=orjson.OPT_SORT_KEYS)
+
+
 def fingerprint(change: Change) -> int:
     """Hash a change, independent of field order and spaces in the value's encoding."""
-    value = orjson.dumps(change.value, option=orjson.OPT_SORT_KEYS)
+    return fingerprint_of_encoded(change, encoded_value(change))
+
+
+def fingerprint_of_encoded(change: Change, value: bytes) -> int:
+    """Hash a change whose value is encoded."""
     return xxhash.xxh64_intdigest(f"{change.revision}\0{change.key}\0".encode() + value)
+
+
+def held_bytes(key: str, value: bytes) -> int:
+    """Return what a change counts for in a copy."""
+    return KEY_OVERHEAD_BYTES + len(key) + len(value)
--- a/src/pomelobarrow/peers/exchange.py
+++ b/src/pomelobarrow/peers/exchange.py
@@ -16,6 +16,7 @@
 from pomelobarrow.peers.crash_updates import CrashUpdates
 from pomelobarrow.peers.heartbeats import Heartbeats, SentUpdates
 from pomelobarrow.peers.keyspace_messages import (
+    DeltaTooLargeError,
     keyspace_delta,
     keyspace_request,
     read_after_revision,
@@ -69,7 +70,7 @@
         # again.
         try:
             handler(getattr(message, kind), peer_vm, reply)
-        except orjson.JSONDecodeError as error:
+        except (orjson.JSONDecodeError, DeltaTooLargeError) as error:
             log.warning("malformed peer message ignored", peer=peer_vm, kind=kind, error=str(error))
         except Exception as error:
             report_failure(f"{kind} of a peer", error)
--- a/src/pomelobarrow/peers/keyspace_messages.py
+++ b/src/pomelobarrow/peers/keyspace_messages.py
@@ -3,6 +3,7 @@
 import orjson
 
 from pomelobarrow.decision.published.keyspace import Change, Delta, KeyspaceCopy, KeyspaceSummary
+from pomelobarrow.decision.published.keyspace_types import MAX_KEYSPACE_BYTES, held_bytes
 from pomelobarrow.decision.published.store_position import (
     MAX_ERA,
     MAX_REVISION,
@@ -13,6 +14,10 @@
 from pomelobarrow.peers import peers_pb2 as pb
 
 
+class DeltaTooLargeError(ValueError):
+    """Raised instead of decoding a delta that no copy could hold."""
+
+
 def keyspace_state(copy: KeyspaceCopy) -> pb.KeyspaceState:
     """Return the summary of a copy for heartbeats."""
     era, era_in_force = era_of(copy.observed_revision), era_of(copy.revision)
@@ -73,7 +78,9 @@
 
 
 def read_delta(message: pb.KeyspaceDelta, copy: KeyspaceCopy) -> Delta:
-    """Read a peer's delta for this VM's copy."""
+    """Read a peer's delta for this VM's copy; raise DeltaTooLargeError if no copy could hold it."""
+    if sum(held_bytes(each.key, each.value) for each in message.changes) > MAX_KEYSPACE_BYTES:
+        raise DeltaTooLargeError(f"it holds more than {MAX_KEYSPACE_BYTES} bytes")
     era = message.era or copy.default_era
     after = message.after_revision
     return Delta(
--- a/tests/test_keyspace.py
+++ b/tests/test_keyspace.py
@@ -7,7 +7,11 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from pomelobarrow.decision.published.keyspace import ApplyOutcome, Change, KeyspaceCopy
-from pomelobarrow.decision.published.keyspace_types import fingerprint
+from pomelobarrow.decision.published.keyspace_types import (
+    KEY_OVERHEAD_BYTES,
+    MAX_KEYSPACE_BYTES,
+    fingerprint,
+)
 from pomelobarrow.peers.keyspace_messages import keyspace_delta, read_delta
 
 KEYS = ("a", "b", "c", "d")
@@ -362,3 +366,33 @@
         copy.apply([gone], revision + 1, after_revision=revision)
     assert len(copy.changes_after(0).changes) <= 2 + 4
     assert copy.changes_after(10).after_revision > 10
+
+
+def test_values_without_end_are_refused_and_the_copy_stays():
+    """Guards against a store or a peer that lists ever more servers, which all VMs pass on."""
+    copy = KeyspaceCopy("vms")
+    copy.apply([Change(1, "a", "first")], 1, after_revision=0)
+    value, revision = "x" * 1_000, 1
+    results = []
+    for _ in range(2 * MAX_KEYSPACE_BYTES // len(value)):
+        change = Change(revision + 1, f"key-{revision}", value)
+        results.append(copy.apply([change], revision + 1, after_revision=revision).outcome)
+        revision = copy.observed_revision
+    held = sum(KEY_OVERHEAD_BYTES + len(key) + len(text) for key, text in copy.values.items())
+    assert held <= MAX_KEYSPACE_BYTES
+    assert results[-1] is ApplyOutcome.MALFORMED
+    assert copy.values["a"] == "first"
+    deletions = [Change(revision + 1, f"key-{number}", None) for number in range(1, 1_000)]
+    assert copy.apply(deletions, revision + 1, after_revision=revision).applied
+    change = Change(revision + 2, "b", "later")
+    assert copy.apply([change], revision + 2, after_revision=revision + 1).applied
+
+
+def test_listing_that_replaces_a_full_copy_is_measured_alone():
+    """Guards against a copy that stays full once its store has recovered."""
+    copy = KeyspaceCopy("vms")
+    half = "x" * (MAX_KEYSPACE_BYTES * 2 // 3)
+    assert copy.apply([Change(1, "a", half)], 1, after_revision=0).applied
+    copy.await_all()
+    assert copy.apply([Change(2, "b", half)], 2, after_revision=0).applied
+    assert set(copy.values) == {"b"}
--- a/tests/test_peers_exchange.py
+++ b/tests/test_peers_exchange.py
@@ -8,6 +8,7 @@
 
 from pomelobarrow.decision.published.configuration_check import ROUTING_KEY
 from pomelobarrow.decision.published.keyspace import Change, KeyspaceCopy
+from pomelobarrow.decision.published.keyspace_types import MAX_KEYSPACE_BYTES
 from pomelobarrow.decision.published.store_position import position
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.peers import peers_pb2 as pb
@@ -150,3 +151,12 @@
     context, at = daemon_with_list(position(1, 9), "a"), position(2, 5)
     context.get(PublishedState).apply(VMS, [], at, after_revision=0, source="platform")
     assert not context.get(PublishedState).backend_servers
+
+
+def test_delta_that_no_copy_could_hold_is_not_decoded() -> None:
+    """Guards against a value of a peer that takes twenty times its size, and is passed on."""
+    context = daemon_with_list(99, "a")
+    value = b"[" + b"[]," * (MAX_KEYSPACE_BYTES // 3) + b"[]]"
+    change = pb.Change(revision=100, key="vms/large", value=value)
+    assert handle(context, delta(after_revision=99, head_revision=100, changes=[change])) == []
+    assert vm_list(context).observed_revision == 99
