Bound answers of the store by what they decode to

Clients waited for seconds, and VMs took more memory than they have, while the store answered with many small items or long listings.

Cause: an answer of 16 MiB was decoded whole, which takes some 20 times as much for nested lists; two pages of a listing were held at a time; each unreadable item was reported, however many there were.

An answer has 4 MiB, a listing 16 MiB, and an answer 16,384 items; the published page has about 1 MB and 500 items. A watch beyond that is replaced by a listing or tried again, as before. A page is dropped before the next one is decoded.

--- a/src/pomelobarrow/platform/store.py
+++ b/src/pomelobarrow/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import random
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 import aiohttp
@@ -35,11 +35,14 @@
 # The store answers within milliseconds; after this time, an answer counts as lost.
 ANSWER_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 1.0
-# A listing's page has about 1 MB. A watch answers with all changes since a revision; if its answer
-# is longer, a listing replaces it.
-MAX_ANSWER_BYTES = 16 << 20
-# All pages of a listing. A VM has 300 MB, and decoded items take several times their bytes.
-MAX_LISTING_BYTES = 32 << 20
+# A listing's page has about 1 MB, and one item more. A watch answers with all changes since a
+# revision; if its answer is longer, a listing replaces it. A VM has 300 MB, and the decoded answer
+# may take over twenty times its bytes.
+MAX_ANSWER_BYTES = 4 << 20
+# All pages of a listing.
+MAX_LISTING_BYTES = 16 << 20
+# A page has about 500 items. Each unreadable one is reported.
+MAX_ITEMS_PER_ANSWER = 16_384
 # A thousand pages are far more than any keyspace has; the limit stops an endless listing.
 MAX_PAGES = 1_000
 OLDER_PAGE = "a page of the listing is older than its first one"
@@ -120,6 +123,8 @@
                 last_key = _last_key(items)
             except (*DECODE_ERRORS, StopIteration) as error:
                 return _malformed(repr(error))
+            # The next page is decoded before these names are bound again.
+            del answer, page, items
         else:
             return _malformed(f"the listing has more than {MAX_PAGES} pages")
         listed = tuple(change for change in changes if change.revision <= head_revision)
@@ -151,13 +156,15 @@
             return Err(ReadError(failure=ReadFailure.MALFORMED, detail=repr(error)))
         return Ok(Page(changes=changes, head_revision=head))
 
-    def _changes(self, keyspace: str, items: Iterable[Any], era: int) -> list[Change]:
+    def _changes(self, keyspace: str, items: Sequence[Any], era: int) -> list[Change]:
         """Return the changes that items hold, each item read by itself."""
 
         def on_unreadable(key: str, error: str) -> None:
             self.observe(ItemUnreadable(keyspace=keyspace, key=key, error=error))
 
         source = self.sources[keyspace]
+        if len(items) > MAX_ITEMS_PER_ANSWER:
+            raise ValueError(f"the answer has more than {MAX_ITEMS_PER_ANSWER} items")
         read = [_change(source, item, era, on_unreadable) for item in items]
         return [change for change in read if change is not None]
 
--- a/tests/test_store_endless.py
+++ b/tests/test_store_endless.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable, Iterator
+from typing import Any
 
 import orjson
 import pytest
@@ -11,12 +12,20 @@
 from result import Err
 
 from pomelobarrow.kernel.clock import now_unix_s
-from pomelobarrow.platform.store import KeyspaceSource, Store
+from pomelobarrow.platform.store import (
+    MAX_ANSWER_BYTES,
+    MAX_ITEMS_PER_ANSWER,
+    KeyspaceSource,
+    Store,
+)
 from pomelobarrow.published.events import StoreAnswerTooLong
 from pomelobarrow.published.store_reader import ReadFailure
 
 KEYSPACE = "things"
 BOUND_BYTES = 1 << 20
+# The memory of a VM, and how much more an answer of nested lists takes once it is decoded.
+VM_BYTES = 300_000_000
+MAX_DECODED_FACTOR = 22
 # What the sockets of both ends hold beyond what was read.
 SOCKETS_BYTES = 16 << 20
 ENOUGH_BYTES = 256 << 20
@@ -192,3 +201,48 @@
     result = await store.read_all(KEYSPACE)
     assert result.unwrap_err().failure is ReadFailure.TOO_LONG
     assert [type(each) for each in events] == [StoreAnswerTooLong]
+
+
+@pytest.fixture
+async def answering() -> AsyncIterator[tuple[Store, dict[str, Any], list[object]]]:
+    """Answer each call with the body that the test sets."""
+    body: dict[str, Any] = {"StoreRevision": 2, "HasMore": False}
+
+    async def answer(request: web.Request) -> web.Response:
+        return web.Response(body=orjson.dumps(body), content_type="application/json")
+
+    app, events = web.Application(), list[object]()
+    app.add_routes([web.get("/kv-range", answer), web.get("/kv-watch", answer)])
+    source = KeyspaceSource(prefix="", key_of=str, value_of=lambda key, value: value)
+    async with TestServer(app) as server:
+        address = f"http://127.0.0.1:{server.port}"
+        store = Store(addresses=(address,), sources={KEYSPACE: source}, observe=events.append)
+        yield store, body, events
+        await store.close()
+
+
+@pytest.mark.parametrize("item", [[], {}, {"Key": "a", "Revision": 0}])
+async def test_answer_of_many_small_items_is_given_up(
+    answering: tuple[Store, dict[str, Any], list[object]], item: Any
+) -> None:
+    """Each unreadable item was reported, so that one answer took the loop for half a minute."""
+    store, body, events = answering
+    body["items"] = body["events"] = [item] * (MAX_ITEMS_PER_ANSWER + 1)
+    for result in (
+        await store.read_all(KEYSPACE),
+        await store.read_changes(KEYSPACE, 1, now_unix_s()),
+    ):
+        assert result.unwrap_err().failure is ReadFailure.MALFORMED
+    assert events == []
+
+
+async def test_nested_answer_is_bounded_by_what_it_decodes_to(
+    answering: tuple[Store, dict[str, Any], list[object]],
+) -> None:
+    """Guards against an answer that takes some twenty times its bytes once it is decoded."""
+    store, body, events = answering
+    body["items"] = [[]] * (MAX_ANSWER_BYTES // 3)
+    result = await store.read_all(KEYSPACE)
+    assert result.unwrap_err().failure is ReadFailure.TOO_LONG
+    assert [type(each) for each in events] == [StoreAnswerTooLong]
+    assert MAX_DECODED_FACTOR * MAX_ANSWER_BYTES <= VM_BYTES / 3
