Bound the tables that heartbeats fill

One faulty VM ended a VM that it sent heartbeats to, or took all of its time: heartbeats that name pools, regions, servers, accounts or departures that don't exist, without end.

Cause: each heartbeat's content was kept under the names and keys that it states. A queue and a metric were made for each pool named, and departures are passed on by every VM to all others. For each departure the list of servers was built again, whether or not it has that server.

Tables have a number of entries: loads of regions, counts and rates of a peer, pools that peers state, departures that only peers state. Those of unknown pools are left out. Departures that a server's own answer, report or listing shows are recorded in any case. A departure of a server that isn't listed changes nothing until it is, so that nobody is notified.

--- a/src/pomelobarrow/decision/servers/brittle_servers.py
+++ b/src/pomelobarrow/decision/servers/brittle_servers.py
@@ -14,6 +14,7 @@
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable, Mapping
 from functools import lru_cache
+from itertools import islice
 
 from attrs import define, field
 
@@ -35,6 +36,8 @@
 PLACE_CHECK_S = 0.25
 # More than a region has servers.
 MAX_CACHED_SERVERS = 1_024
+# Pools that peers state at a time.
+MAX_STATED_BY_PEERS = 4_096
 
 
 @define
@@ -86,7 +89,8 @@
             oldest_unix_s = now_unix_s - STATEMENT_VALID_S
             valid = {k: at for k, at in self._stated_by_peers.items() if at > oldest_unix_s}
             self._stated_by_peers = valid
-        self._stated_by_peers.update(dict.fromkeys(pool_keys, now_unix_s))
+        stated = islice(pool_keys, max(0, MAX_STATED_BY_PEERS - len(self._stated_by_peers)))
+        self._stated_by_peers.update(dict.fromkeys(stated, now_unix_s))
 
     def observe(self, pool: str, is_brittle: bool, now_unix_s: float) -> bool:
         """Record what an answer states; return whether the pool has become brittle."""
--- a/src/pomelobarrow/decision/servers/departures.py
+++ b/src/pomelobarrow/decision/servers/departures.py
@@ -17,6 +17,8 @@
 # A server that has left the list may return to it with an old copy of the list, or as one whose
 # lease is renewed late.
 UNLISTED_RETENTION_S = 600.0
+# Incarnations that only peers have stated to leave; each VM passes them on to all others.
+MAX_STATED_BY_PEERS = 8_192
 
 
 class DepartureSource(enum.Enum):
@@ -54,6 +56,9 @@
 
     def observe(self, key: int, source: DepartureSource, now_unix_s: float) -> None:
         """Record that an incarnation leaves, and notify the listeners if this is new."""
+        is_of_peer = source is DepartureSource.PEER
+        if is_of_peer and len(self._last_known_unix_s) >= MAX_STATED_BY_PEERS:
+            return
         if not self.record(key, now_unix_s):
             return
         for listener in self.listeners:
--- a/src/pomelobarrow/decision/servers/reachability.py
+++ b/src/pomelobarrow/decision/servers/reachability.py
@@ -12,6 +12,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable, Sequence
+from itertools import islice
 from random import Random
 
 from attrs import define, field
@@ -29,6 +30,8 @@
 STATEMENT_VALID_S = 3.0
 # After a refusal a peer that sends this VM no heartbeats is tried again.
 REFUSAL_VALID_S = 2.0
+# Pools that one peer states at a time.
+MAX_STATED_POOLS = 4_096
 NO_VMS: frozenset[str] = frozenset()
 
 
@@ -150,7 +153,8 @@
         is_same_region: bool = True,
     ) -> None:
         """Replace what a peer stated before."""
-        until_by_key = dict.fromkeys(pool_keys, now_unix_s + STATEMENT_VALID_S)
+        stated = islice(pool_keys, MAX_STATED_POOLS)
+        until_by_key = dict.fromkeys(stated, now_unix_s + STATEMENT_VALID_S)
         if not until_by_key:
             self.forget(vm)
             return
--- a/src/pomelobarrow/peers/demand_updates.py
+++ b/src/pomelobarrow/peers/demand_updates.py
@@ -17,6 +17,8 @@
 MIN_SENT_PER_S = 0.02
 # In a large region each demand update carries the rates of whole rows, so fewer are sent.
 SPARSE_EVERY_HEARTBEATS = 5
+# The accounts for which the rates of one peer are kept.
+MAX_RATED_ACCOUNTS = 65_536
 # What the heartbeats of one round share.
 OWN_RATES = "own rates"
 
@@ -72,7 +74,8 @@
         if heartbeat.is_whole:
             rates.clear()
         for key, rate in zip(heartbeat.account_keys, heartbeat.account_rates, strict=False):
-            rates[key] = rate if are_amounts([rate]) else 0.0
+            if key in rates or len(rates) < MAX_RATED_ACCOUNTS:
+                rates[key] = rate if are_amounts([rate]) else 0.0
         names = self._names()
         by_name = {names[key]: rate for key, rate in rates.items() if key in names and rate}
         if kind is LinkKind.OTHER_REGION:
--- a/src/pomelobarrow/peers/pool_updates.py
+++ b/src/pomelobarrow/peers/pool_updates.py
@@ -99,6 +99,10 @@
                 self._apply_waiting(heartbeat.vm, each, now_unix_s)
 
     def _apply_waiting(self, vm: str, each: pb.PoolLoad, now_unix_s: float) -> None:
+        # A queue is kept for each pool that it was asked for.
+        is_known = each.pool in self.local.queues or self.local.table.pool_servers(each.pool)
+        if not is_known:
+            return
         paying, trial = each.waiting_paying, each.waiting_trial
         self._waiting[vm, each.pool] = _Waiting(paying, trial, now_unix_s)
         self.local.queue(each.pool).observe_peer_waiting(vm, paying, now_unix_s, trial)
--- a/src/pomelobarrow/peers/region_loads.py
+++ b/src/pomelobarrow/peers/region_loads.py
@@ -8,6 +8,9 @@
 # A region without updates for this long counts as lost; when it returns, its load is ramped up
 # slowly.
 LOST_AFTER_S = 10.0
+# A pool in a region that isn't known yet is left out beyond so many.
+MAX_LOADS = 4_096
+MAX_NAME_CHARACTERS = 256
 
 
 @define
@@ -26,6 +29,8 @@
         old = self._loads.get(key)
         if old is not None and load.measured_unix_s <= old.measured_unix_s:
             return
+        if old is None and not self._has_room_for(load, now_unix_s):
+            return
         self._sources[key] = source
         # A region that was partitioned before this VM received anything from it has caches as cold
         # as one that was lost later. Treated as new, it would get all its work back at once.
@@ -42,6 +47,15 @@
             round_trip_s=load.round_trip_s or last.round_trip_s,
         )
 
+    def _has_room_for(self, load: RegionLoad, now_unix_s: float) -> bool:
+        if max(len(load.region), len(load.pool)) > MAX_NAME_CHARACTERS:
+            return False
+        if len(self._loads) >= MAX_LOADS:
+            old = [key for key, each in self._loads.items() if not each.is_fresh(now_unix_s)]
+            for key in old:
+                del self._loads[key], self._sources[key]
+        return len(self._loads) < MAX_LOADS
+
     def for_pool(self, pool: str) -> dict[str, RegionLoad]:
         """Return each region's last known load of a pool."""
         return {region: load for (region, name), load in self._loads.items() if name == pool}
--- a/src/pomelobarrow/peers/server_updates.py
+++ b/src/pomelobarrow/peers/server_updates.py
@@ -18,6 +18,8 @@
 # Limits above this value are ignored.
 MAX_LIMIT_PER_S = 1e9
 NEVER_SENT = -1.0
+# The servers for which the counts of one peer are kept.
+MAX_COUNTED_SERVERS = 16_384
 # What the heartbeats of one round share.
 OWN_COUNTS = "own counts"
 OWN_REPORTS = "own reports"
@@ -98,7 +100,7 @@
             strict=False,
         )
         for key, requests, tokens in changed:
-            if requests:
+            if requests and (key in counts or len(counts) < MAX_COUNTED_SERVERS):
                 counts[key] = InFlight(requests=requests, tokens=tokens)
             else:
                 counts.pop(key, None)
--- a/src/pomelobarrow/published/keyspaces.py
+++ b/src/pomelobarrow/published/keyspaces.py
@@ -200,12 +200,13 @@
         self._notify_listeners(name, source)
 
     def _on_departure(self, key: int, source: DepartureSource) -> None:
+        leaving = [each for each in self.backend_servers.values() if server_key(each) == key]
+        # One that isn't listed yet is marked when it is.
+        if not leaving:
+            return
         self._vms.rebuild()
-        for server in self.backend_servers.values():
-            if server_key(server) == key:
-                self.observe(
-                    ServerLeaving(server=server.name, pool=server.pool, source=source.value)
-                )
+        for server in leaving:
+            self.observe(ServerLeaving(server=server.name, pool=server.pool, source=source.value))
         self._notify_listeners(VMS, SOURCE_DEPARTURE)
 
     def _notify_listeners(self, name: str, source: str) -> None:
--- a/tests/test_brittle_servers.py
+++ b/tests/test_brittle_servers.py
@@ -14,6 +14,7 @@
 from pomelobarrow.decision.requests.short_key import short_key
 from pomelobarrow.decision.servers.brittle_servers import (
     ENDS_AFTER_S,
+    MAX_STATED_BY_PEERS,
     REGAIN_PLACE_S,
     RETENTION_S,
     STATEMENT_VALID_S,
@@ -201,3 +202,11 @@
     assert brittle.next_unix_s(SERVER, NOW) == NOW
     brittle.observe(POOL, False, NOW)
     assert brittle.is_empty
+
+
+def test_brittle_pools_that_peers_state_without_end_are_left_out() -> None:
+    """Guards against a faulty VM that states pools that don't exist."""
+    brittle = BrittleServers()
+    for first in range(0, 3 * MAX_STATED_BY_PEERS, MAX_STATED_BY_PEERS):
+        brittle.observe_of_peer(range(first, first + MAX_STATED_BY_PEERS), NOW)
+    assert len(brittle._stated_by_peers) == MAX_STATED_BY_PEERS
--- a/tests/test_demand_updates.py
+++ b/tests/test_demand_updates.py
@@ -3,7 +3,11 @@
 from pomelobarrow.decision.admission.limits import AccountLimits
 from pomelobarrow.decision.published.configuration import Account, Configuration
 from pomelobarrow.peers import peers_pb2 as pb
-from pomelobarrow.peers.demand_updates import DemandUpdates, SentDemand
+from pomelobarrow.peers.demand_updates import (
+    MAX_RATED_ACCOUNTS,
+    DemandUpdates,
+    SentDemand,
+)
 from pomelobarrow.peers.grid import LinkKind, Neighbours, neighbours
 
 LIMIT_PER_S = 10.0
@@ -80,3 +84,13 @@
     own.updates.write(alone, SentDemand(), LinkKind.ROW, own.neighbours, now_unix_s)
     assert heartbeat.account_rates[0] > 1.5 * alone.account_rates[0]
     assert far.name not in own.neighbours.all
+
+
+def test_rates_of_accounts_without_end_are_left_out() -> None:
+    """Guards against a faulty VM that states the demand of accounts that don't exist."""
+    vm = Vm("a", "milan", ("a", "b"))
+    for first in range(0, 3 * MAX_RATED_ACCOUNTS, MAX_RATED_ACCOUNTS):
+        keys = range(first, first + MAX_RATED_ACCOUNTS)
+        heartbeat = pb.Heartbeat(vm="b", account_keys=keys, account_rates=[1.0] * len(keys))
+        vm.updates.apply(heartbeat, LinkKind.ROW, 1_000.0)
+    assert len(vm.updates._rates["b"]) == MAX_RATED_ACCOUNTS
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -7,6 +7,7 @@
 from pomelobarrow.decision.requests.short_key import server_key
 from pomelobarrow.decision.requests.work import BackendServer, LoadReport
 from pomelobarrow.decision.servers.departures import (
+    MAX_STATED_BY_PEERS,
     UNLISTED_RETENTION_S,
     Departures,
     DepartureSource,
@@ -137,3 +138,26 @@
     DepartureUpdates(table.departures).apply(heartbeat, 1.0)
     table.set_servers([SERVER, OTHER])
     assert usable_names(table) == ["other"]
+
+
+def test_departures_that_peers_state_without_end_are_left_out() -> None:
+    """Guards against one faulty VM that fills the memory of all, which pass departures on."""
+    departures = Departures()
+    updates = DepartureUpdates(departures)
+    for first in range(0, 4 * MAX_STATED_BY_PEERS, MAX_STATED_BY_PEERS):
+        keys = range(first, first + MAX_STATED_BY_PEERS)
+        updates.apply(pb.Heartbeat(vm="faulty", leaving_keys=keys), 1.0)
+    assert len(departures.keys) == MAX_STATED_BY_PEERS
+    departures.observe(server_key(SERVER), ANSWER, 2.0)
+    assert departures.is_leaving(SERVER)
+
+
+def test_departure_of_a_server_that_is_not_listed_wakes_nobody() -> None:
+    """Guards against a list that is built again for each of thousands of unknown servers."""
+    notified: list[str] = []
+    state = PublishedState(observe=lambda event: None)
+    state.listeners.append(lambda name, source: notified.append(name))
+    state.departures.observe(server_key(LISTED), DepartureSource.PEER, 1.0)
+    assert notified == []
+    state.apply(VMS, [Change(1, "vms/s1", READY)], 1, after_revision=0, source="test")
+    assert state.backend_servers["s1"].leaving
--- a/tests/test_peers_exchange.py
+++ b/tests/test_peers_exchange.py
@@ -10,6 +10,8 @@
 from pomelobarrow.decision.published.keyspace import Change, KeyspaceCopy
 from pomelobarrow.decision.published.keyspace_types import MAX_KEYSPACE_BYTES
 from pomelobarrow.decision.published.store_position import position
+from pomelobarrow.dispatch.local import LocalDispatch
+from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.kernel.context import Context
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.exchange import Exchange
@@ -160,3 +162,15 @@
     change = pb.Change(revision=100, key="vms/large", value=value)
     assert handle(context, delta(after_revision=99, head_revision=100, changes=[change])) == []
     assert vm_list(context).observed_revision == 99
+
+
+def test_waiting_work_of_pools_that_do_not_exist_is_left_out() -> None:
+    """Guards against a queue, and a series of its depth, for each pool that a peer names."""
+    context = daemon_with_list(99, "a")
+    pools = [pb.PoolLoad(pool=name, waiting_paying=1) for name in ("plain", "none", "x" * 10_000)]
+    heartbeat = pb.Heartbeat(
+        vm=PEER, incarnation=1, region="milan", sent_unix_s=now_unix_s(), has_loads=True
+    )
+    heartbeat.pools.extend(pools)
+    handle(context, pb.PeerMessage(heartbeat=heartbeat))
+    assert set(context.get(LocalDispatch).queues) <= {"plain"}
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -10,6 +10,7 @@
 from pomelobarrow.decision.requests.short_key import short_key
 from pomelobarrow.decision.servers.reachability import (
     FAILURE_RETENTION_S,
+    MAX_STATED_POOLS,
     RECENT_CONNECTION_S,
     REFUSAL_VALID_S,
     STATEMENT_VALID_S,
@@ -164,3 +165,10 @@
     peers.observe("vm-2", [], 13.0)
     peers.observe("vm-2", [1], 14.0)
     assert stated == [{1}, {2}, {1}]
+
+
+def test_unreachable_pools_of_a_peer_without_end_are_left_out() -> None:
+    """Guards against a faulty VM that states pools that don't exist."""
+    peers = PeerReachability()
+    peers.observe("b", range(2 * MAX_STATED_POOLS), 10.0)
+    assert len(peers._unreachable["b"]) == MAX_STATED_POOLS
--- a/tests/test_region_loads.py
+++ b/tests/test_region_loads.py
@@ -1,9 +1,15 @@
 """A region that was lost is recorded as returned when its loads arrive again."""
 
 import pytest
+from attrs import evolve
 
 from pomelobarrow.decision.placement.region_choice import RegionLoad
-from pomelobarrow.peers.region_loads import LOST_AFTER_S, RegionLoads
+from pomelobarrow.peers.region_loads import (
+    LOST_AFTER_S,
+    MAX_LOADS,
+    MAX_NAME_CHARACTERS,
+    RegionLoads,
+)
 
 POOL = "drafting"
 REGION = "milan"
@@ -53,3 +59,25 @@
     for second in range(30):
         loads.observe(load(CUT_UNIX_S + second), CUT_UNIX_S + second)
     assert returned_unix_s(loads) == float("-inf")
+
+
+def test_loads_of_regions_that_do_not_exist_are_left_out() -> None:
+    """Guards against a faulty VM that states the loads of regions without end."""
+    loads = RegionLoads(started_unix_s=CUT_UNIX_S)
+    loads.observe(load(CUT_UNIX_S), CUT_UNIX_S)
+    for number in range(2 * MAX_LOADS):
+        other = evolve(load(CUT_UNIX_S), region=f"region-{number}")
+        loads.observe(other, CUT_UNIX_S)
+    loads.observe(evolve(load(CUT_UNIX_S), region="r" * (MAX_NAME_CHARACTERS + 1)), CUT_UNIX_S)
+    assert len(loads.for_pool(POOL)) == MAX_LOADS
+    loads.observe(load(CUT_UNIX_S + 1.0), CUT_UNIX_S + 1.0)
+    assert loads.for_pool(POOL)[REGION].measured_unix_s == CUT_UNIX_S + 1.0
+
+
+def test_new_region_replaces_those_without_recent_loads() -> None:
+    """Guards against a region that is never known since others filled the table once."""
+    loads = RegionLoads(started_unix_s=CUT_UNIX_S)
+    for number in range(MAX_LOADS):
+        loads.observe(evolve(load(CUT_UNIX_S), region=f"region-{number}"), CUT_UNIX_S)
+    loads.observe(load(HEALED_UNIX_S), HEALED_UNIX_S)
+    assert set(loads.for_pool(POOL)) == {REGION}
