Bound the members that other VMs describe

One faulty VM filled the memory of the VMs that it sent to, and, as descriptions are passed on, of all: VMs that don't exist, heartbeats in ever new names, starts without end, and keys of descriptions that nobody holds.

Cause: neither the members that are known nor the keys named on a stream had a bound, nor the texts of a description; a heartbeat of a VM that isn't a member left records behind.

A VM knows 2,048 members with texts of 256 characters; those that are known are still updated. Sets of keys hold eight keys a member, successors are 1,024 at any time.

--- a/src/pomelobarrow/decision/members/membership.py
+++ b/src/pomelobarrow/decision/members/membership.py
@@ -21,6 +21,9 @@
 FORGET_AFTER_S = 600.0
 SUCCESSOR_KEPT_S = 3_600.0
 SUCCESSORS_KEPT = 1_024
+# Members beyond so many aren't added: reports of members are passed on through the whole fleet.
+MAX_MEMBERS = 2_048
+MAX_TEXT_CHARACTERS = 256
 
 T = TypeVar("T")
 
@@ -90,6 +93,8 @@
             return False
         last_seen_unix_s = self._resolve_unix_s(now_unix_s)
         record = self._records.get(member.vm)
+        if not self._has_room_for(member):
+            return False
         if record is None or member.incarnation > record.member.incarnation:
             record = MemberRecord(member, HeartbeatTimer(), last_seen_unix_s)
             self._records[member.vm] = record
@@ -109,7 +114,7 @@
             return False
         last_seen_unix_s = min(member.last_seen_unix_s, self._resolve_unix_s(now_unix_s))
         # An old update about a forgotten VM would make daemons re-add it from one another.
-        if now_unix_s - last_seen_unix_s > self.forget_after_s:
+        if now_unix_s - last_seen_unix_s > self.forget_after_s or not self._has_room_for(member):
             return False
         self._note_successor(member, now_unix_s)
         record = self._records.get(member.vm)
@@ -165,12 +170,11 @@
         self, vm: str, incarnation: int, successor: str, now_unix_s: float | None = None
     ) -> None:
         """Record a planned stop: the member gets no new work, the successor takes over its ids."""
-        if successor:
-            self._handovers[(vm, incarnation)] = _Handover(
-                successor, self._resolve_unix_s(now_unix_s)
-            )
+        if successor and _are_short((vm, successor)):
+            self._note_handover((vm, incarnation), successor, self._resolve_unix_s(now_unix_s))
         record = self._records.get(vm)
-        if record is not None and record.member.incarnation == incarnation:
+        is_known = record is not None and record.member.incarnation == incarnation
+        if record is not None and is_known and _are_short((successor,)):
             record.member = evolve(record.member, phase=LEFT, successor=successor)
             self._live.invalidate()
 
@@ -345,4 +349,30 @@
     def _note_successor(self, member: Member, now_unix_s: float) -> None:
         key = (member.vm, member.incarnation)
         if member.successor and key not in self._handovers:
-            self._handovers[key] = _Handover(member.successor, now_unix_s)
+            self._note_handover(key, member.successor, now_unix_s)
+
+    def _note_handover(self, key: tuple[str, int], successor: str, learned_unix_s: float) -> None:
+        self._handovers.pop(key, None)
+        self._handovers[key] = _Handover(successor, learned_unix_s)
+        if len(self._handovers) > SUCCESSORS_KEPT:
+            # The one that was learned first.
+            del self._handovers[next(iter(self._handovers))]
+
+    def _has_room_for(self, member: Member) -> bool:
+        """Return whether a member may be added or described anew."""
+        is_known = member.vm in self._records
+        return (is_known or len(self._records) < MAX_MEMBERS) and _are_short(
+            (
+                member.vm,
+                member.region,
+                member.failure_domain,
+                member.caller_address,
+                member.peer_address,
+                member.phase,
+                member.successor,
+            )
+        )
+
+
+def _are_short(texts: Iterable[str]) -> bool:
+    return all(len(text) <= MAX_TEXT_CHARACTERS for text in texts)
--- a/src/pomelobarrow/peers/heartbeats.py
+++ b/src/pomelobarrow/peers/heartbeats.py
@@ -199,6 +199,8 @@
         kind = self.neighbours.kind(heartbeat.vm, member.region == self.view.own_region)
         self._departures.apply(heartbeat, now)
         is_newest = self.view.observe_heartbeat(member, now)
+        if self.view.get(member.vm) is None:
+            return False
         self._members.note_incarnation(member)
         if is_newest:
             self._echoes[heartbeat.vm] = (heartbeat.sent_unix_s, now)
--- a/src/pomelobarrow/peers/member_updates.py
+++ b/src/pomelobarrow/peers/member_updates.py
@@ -2,11 +2,12 @@
 
 import math
 from collections.abc import Iterable, Sequence
+from itertools import islice
 
 from attrs import define, field
 
 from pomelobarrow.decision.members.member import Member
-from pomelobarrow.decision.members.membership import MembershipView
+from pomelobarrow.decision.members.membership import MAX_MEMBERS, MembershipView
 from pomelobarrow.decision.requests.short_key import short_key
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.grid import LinkKind, Neighbours, passes_on
@@ -19,6 +20,10 @@
 # names the member is asked.
 REQUEST_TIMEOUT_S = 1.5
 LAST_SEEN_PER_HEARTBEAT = 64
+# Keys of descriptions that are kept for one peer, and of all descriptions: those of each member
+# through several starts.
+MAX_KEYS_OF_PEER = 8 * MAX_MEMBERS
+MAX_DESCRIPTIONS = 8 * MAX_MEMBERS
 # A member's last-seen time is sent again once it is newer by this much than the one sent before:
 # about neighbours in a sparse region, inside the region about other regions' members, to another
 # region about own members, and to another region about third regions' members. The last one only
@@ -123,7 +128,8 @@
         sent_unix_s: float,
     ) -> None:
         """Apply the descriptions and last-seen times in a peer's heartbeat."""
-        sent.known_keys.update(heartbeat.member_keys)
+        room = max(0, MAX_KEYS_OF_PEER - len(sent.known_keys))
+        sent.known_keys.update(islice(heartbeat.member_keys, room))
         behind_s = heartbeat.sent_unix_s - sent_unix_s
         self.receive_descriptions(heartbeat.members, heartbeat.vm, kind, now_unix_s, behind_s)
         self._apply_last_seen(heartbeat, sent, kind, is_sparse, now_unix_s, sent_unix_s)
@@ -160,7 +166,7 @@
         A peer sends each key once, so that it is kept until that peer or another has answered.
         """
         awaited, known = sent.awaited_keys, self._vm_by_description
-        awaited.update(dict.fromkeys(keys))
+        awaited.update(dict.fromkeys(islice(keys, max(0, MAX_KEYS_OF_PEER - len(awaited)))))
         for key in [key for key in awaited if key in known]:
             del awaited[key]
         asked = self._asked_until_unix_s
@@ -275,6 +281,9 @@
         key = short_key(text)
         self._description_key_by_vm[member.vm] = key
         self._vm_by_description[key] = member.vm
+        if len(self._vm_by_description) > MAX_DESCRIPTIONS:
+            current = {key: vm for vm, key in self._description_key_by_vm.items()}
+            self._vm_by_description = current
         self._asked_until_unix_s.pop(key, None)
 
     def _write_description_keys(self, heartbeat: pb.Heartbeat, sent: SentMembers) -> None:
--- a/tests/test_member_updates.py
+++ b/tests/test_member_updates.py
@@ -10,6 +10,8 @@
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.grid import LinkKind, Neighbours, neighbours
 from pomelobarrow.peers.member_updates import (
+    MAX_DESCRIPTIONS,
+    MAX_KEYS_OF_PEER,
     NEIGHBOUR_REPORT_INTERVAL_S,
     REPORT_INTERVAL_S,
     MemberUpdates,
@@ -232,3 +234,26 @@
         if every_s is not None and newer_s >= every_s and member.vm != peer:
             found.add(member.vm)
     return found
+
+
+def test_keys_of_descriptions_without_end_are_left_out() -> None:
+    """Guards against a faulty VM that names descriptions without end."""
+    receiver, sent = Peer("milan-1", 0), SentMembers()
+    for first in range(0, 4 * MAX_KEYS_OF_PEER, MAX_KEYS_OF_PEER):
+        keys = range(first, first + MAX_KEYS_OF_PEER)
+        heartbeat = pb.Heartbeat(vm="faulty", sent_unix_s=NOW_UNIX_S, member_keys=keys)
+        receiver.updates.apply(heartbeat, sent, LinkKind.COLUMN, False, NOW_UNIX_S, NOW_UNIX_S)
+        receiver.updates.missing_keys(sent, heartbeat.member_keys, NOW_UNIX_S)
+    assert len(sent.known_keys) == len(sent.awaited_keys) == MAX_KEYS_OF_PEER
+
+
+def test_descriptions_of_a_vm_that_starts_without_end_are_forgotten() -> None:
+    """Guards against a VM each of whose starts leaves a description behind."""
+    receiver = Peer("milan-1", 0)
+    for incarnation in range(1, MAX_DESCRIPTIONS + 10):
+        member = Member(vm="vm-b", incarnation=incarnation, region="milan")
+        receiver.updates.view.observe_heartbeat(member, NOW_UNIX_S)
+        receiver.updates._refresh(NOW_UNIX_S, at_once=True)
+    held = receiver.updates._vm_by_description
+    assert len(held) <= MAX_DESCRIPTIONS
+    assert receiver.updates._description_key_by_vm["vm-b"] in held
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -16,7 +16,12 @@
 )
 from pomelobarrow.decision.members.member import ListedVm, Member, Phase
 from pomelobarrow.decision.members.member_roles import relays, watchers
-from pomelobarrow.decision.members.membership import MembershipView
+from pomelobarrow.decision.members.membership import (
+    MAX_MEMBERS,
+    MAX_TEXT_CHARACTERS,
+    SUCCESSORS_KEPT,
+    MembershipView,
+)
 
 VMS = ("vm-b", "vm-c")
 vms = st.sampled_from(VMS)
@@ -332,3 +337,37 @@
     view.observe_link_closed("vm-b", 106.0)
 
     assert view.suspects(106.0) == {"vm-b"}
+
+
+@pytest.mark.parametrize("way", ["heartbeat", "summary"])
+def test_members_without_end_are_left_out(way):
+    """Guards against a faulty VM that describes VMs without end, which all VMs pass on."""
+    view = view_of(member("vm-b"))
+    observe = view.observe_heartbeat if way == "heartbeat" else view.observe_summary
+    for number in range(2 * MAX_MEMBERS):
+        observe(member(f"new-{number}", last_seen_unix_s=100.0), 100.0)
+    assert len(view.known()) == MAX_MEMBERS
+    assert view.observe_heartbeat(member("vm-b", sequence=2), 101.0)
+    assert view.observe_heartbeat(member("vm-b", incarnation=2), 101.0)
+
+
+@pytest.mark.parametrize("field", ["vm", "region", "peer_address", "phase", "successor"])
+def test_member_with_a_long_description_is_left_out(field):
+    """Guards against a description of megabytes, which all VMs pass on."""
+    view = view_of()
+    fields = {"vm": "vm-b", field: "x" * (MAX_TEXT_CHARACTERS + 1)}
+    assert not view.observe_heartbeat(member(**fields), 100.0)
+    assert not view.observe_summary(member(**fields, last_seen_unix_s=100.0), 100.0)
+    assert view.known() == ()
+
+
+def test_successors_without_end_replace_those_that_were_learned_first():
+    """Guards against a faulty VM that tells of stops without end."""
+    view = view_of()
+    for number in range(2 * SUCCESSORS_KEPT):
+        view.observe_leave(f"vm-{number}", 1, "vm-c", 100.0)
+    view.observe_leave("vm-b", 1, "x" * (MAX_TEXT_CHARACTERS + 1), 100.0)
+    assert len(view._handovers) == SUCCESSORS_KEPT
+    assert view.successor_of("vm-0", 1) is None
+    assert view.successor_of(f"vm-{2 * SUCCESSORS_KEPT - 1}", 1) == "vm-c"
+    assert view.successor_of("vm-b", 1) is None
