Hold a peer back that doesn't read its answers, and give others turns

A peer that asked for listings and read none of them filled the memory of the VM that it asked. One that sent faster than its messages are handled kept all clients of that VM waiting.

Cause: answers were queued without a bound while more requests were read, and the task that reads a stream went on as long as anything had arrived, without a turn for others.

Beyond 8 MiB of queued answers nothing more is read from the stream, so that flow control holds the peer back; beyond 24 MiB, this VM's own updates included, the stream ends. After each message the stream rests for as long as that took. Of a message of crash findings four times as many are read as any VM sends.

--- a/src/pomelobarrow/peers/crash_updates.py
+++ b/src/pomelobarrow/peers/crash_updates.py
@@ -19,6 +19,8 @@
 from pomelobarrow.peers.ages import age_ms, unix_s_from_age
 
 FINDINGS_PER_MESSAGE = 500
+# What is read of a message, more than any peer sends in one.
+MAX_FINDINGS_READ = 2_000
 
 # Sends a message to every peer except the named one.
 Broadcast = Callable[[pb.PeerMessage, str], None]
@@ -51,7 +53,7 @@
         now = now_unix_s()
         sent_unix_s = self.offsets.sent_unix_s(peer_vm, message.sent_unix_s, now)
         new_findings: list[Finding] = []
-        for each in message.findings:
+        for each in islice(message.findings, MAX_FINDINGS_READ):
             unix_s = unix_s_from_age(each.age_ms, sent_unix_s)
             # Also false for NaN.
             if now - CRASH_RETENTION_S < unix_s <= now:
--- a/src/pomelobarrow/peers/streams.py
+++ b/src/pomelobarrow/peers/streams.py
@@ -13,11 +13,17 @@
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.exchange import Exchange
 from pomelobarrow.peers.heartbeats import Heartbeats, SentUpdates
+from pomelobarrow.peers.peer_limits import MAX_OUTBOX_BYTES, MAX_QUEUED_BYTES
 
 # Both ends send a heartbeat each second. If three are missing, either the network dropped the
 # connection or the peer is gone; a new connection shows which.
 SILENT_AFTER_S = 3.2
 FLUSH_CHECK_EVERY_S = 0.01
+# After a message the stream rests for as long as it took. Without it, a peer that sends without end
+# would take all time of the loop, since what has arrived is read without waiting.
+REST_FACTOR = 1.0
+# How often it is checked whether a peer has read its answers.
+OUTBOX_CHECK_EVERY_S = 0.01
 RESET_TIMEOUT_S = 0.2
 # Closing blocks the review of all streams; without this limit, a peer that doesn't read would block
 # it for longer.
@@ -47,11 +53,13 @@
     _sent: SentUpdates = field(factory=SentUpdates)
     _outbox: "asyncio.Queue[pb.PeerMessage]" = field(factory=asyncio.Queue)
     _unsent: int = 0
+    _unsent_bytes: int = 0
 
     def send(self, message: pb.PeerMessage) -> None:
         """Queue a message; it is lost if the connection is lost."""
         if self._is_open:
             self._unsent += 1
+            self._unsent_bytes += message.ByteSize()
             self._outbox.put_nowait(message)
 
     def send_heartbeat(self) -> None:
@@ -118,9 +126,12 @@
     async def _send_all(self, stream: Any) -> None:
         while True:
             message = await self._outbox.get()
+            if self._unsent_bytes > MAX_QUEUED_BYTES:
+                raise ConnectionError("the peer reads more slowly than it is sent to")
             async with asyncio.timeout(SILENT_AFTER_S):
                 await stream.send_message(message)
             self._unsent -= 1
+            self._unsent_bytes -= message.ByteSize()
 
     async def _receive_all(self, stream: Any) -> None:
         while True:
@@ -128,7 +139,12 @@
                 message = await stream.recv_message()
             if message is None:
                 return
+            started_unix_s = now_unix_s()
             self._handle(message)
+            await asyncio.sleep(REST_FACTOR * max(0.0, now_unix_s() - started_unix_s))
+            # The peer is held back until it has read what it asked for.
+            while self._unsent_bytes > MAX_OUTBOX_BYTES:
+                await asyncio.sleep(OUTBOX_CHECK_EVERY_S)
 
     def _handle(self, message: pb.PeerMessage) -> None:
         self.last_seen_unix_s = now_unix_s()
