Close connections of peers that read none of HTTP/2's own answers

A peer, or what answers at a peer's address, that sends pings and settings and reads nothing filled the memory of a VM: HTTP/2 answers each of them, and they are written whether or not there is room.

Cause: what waits to be read was bounded for callers without a key only, by what they may send. A peer that had shown its key, and connections that this VM opens itself, had no bound.

Evidence: `test_unread_answers_of_a_peer_end_its_connection` on, accepted and dialed: 16 MiB unread after 16 MiB of pings, and the connection open, `assert False ... .is_aborted`.

A connection whose unread answers exceed 4 MiB is closed and reported. The test's transport now states its buffer, as a real one does.

--- a/src/pomelobarrow/peers/message_size.py
+++ b/src/pomelobarrow/peers/message_size.py
@@ -20,13 +20,11 @@
 )
 from pomelobarrow.kernel.background import failure_observer
 from pomelobarrow.kernel.clock import now_unix_s
-
-# The longest message is a hand-over: all kept answers, and the most request ids at 256 bytes each.
-MAX_MESSAGE_BYTES = 48 << 20
-# What a forwarded request adds to its body.
-MAX_FORWARD_OVERHEAD_BYTES = 1 << 20
-# A peer shows its key in the head of its first call.
-MAX_BYTES_WITHOUT_KEY = 256 << 10
+from pomelobarrow.peers.peer_limits import (
+    MAX_BYTES_WITHOUT_KEY,
+    MAX_MESSAGE_BYTES,
+    MAX_UNREAD_BYTES,
+)
 
 
 class MessageTooLongError(ConnectionError):
@@ -42,6 +40,15 @@
     max_bytes: int
 
 
+@frozen(kw_only=True)
+class PeerNotReading:
+    """Report that a peer's connection was closed, as the peer reads none of its answers."""
+
+    address: str
+    unread_bytes: int
+    max_bytes: int
+
+
 class _BoundedStream(Stream):
     max_message_bytes: int = MAX_MESSAGE_BYTES
 
@@ -64,6 +71,19 @@
         super().connection_made(transport)
         create = partial(_create_stream, self.connection, self.max_message_bytes)
         self.connection.create_stream = create  # type: ignore[method-assign]
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        # Answers to pings and settings are written whether or not the peer reads them.
+        unread_bytes = self._transport.get_write_buffer_size()
+        if unread_bytes > MAX_UNREAD_BYTES:
+            address = str(self._transport.get_extra_info("peername"))
+            event = PeerNotReading(
+                address=address, unread_bytes=unread_bytes, max_bytes=MAX_UNREAD_BYTES
+            )
+            failure_observer.get()(event)
+            self._transport.abort()
 
 
 class _AcceptedProtocol(_BoundedProtocol):
@@ -73,7 +93,6 @@
 
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
-        self._transport = transport
         self._received_bytes = 0
         self._max_receive_bytes = transport.max_size
         transport.max_size = RECEIVE_BYTES
--- a/src/pomelobarrow/peers/server.py
+++ b/src/pomelobarrow/peers/server.py
@@ -26,12 +26,8 @@
 from pomelobarrow.peers.hand_over import adopt_message
 from pomelobarrow.peers.keys import PeerKeys
 from pomelobarrow.peers.links import StreamFactory
-from pomelobarrow.peers.message_size import (
-    MAX_FORWARD_OVERHEAD_BYTES,
-    MAX_MESSAGE_BYTES,
-    BoundedServer,
-    keep_connection,
-)
+from pomelobarrow.peers.message_size import BoundedServer, keep_connection
+from pomelobarrow.peers.peer_limits import MAX_FORWARD_OVERHEAD_BYTES, MAX_MESSAGE_BYTES
 from pomelobarrow.peers.peers_grpc import PeerBase
 from pomelobarrow.peers.streams import AcceptedStreams
 
--- a/tests/test_peer_message_size.py
+++ b/tests/test_peer_message_size.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import struct
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import suppress
 from typing import Any
 
@@ -10,7 +10,7 @@
 from attrs import define, field
 from grpclib.client import Channel
 from grpclib.server import Server
-from http2_frames import OPENING, PING
+from http2_frames import OPENING, PING, FrameType, frame
 
 from harness.peer_handlers import PeerHandlersStub
 from harness.processes import free_ports
@@ -21,11 +21,13 @@
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.calls import CONNECTION_ERRORS, SingleConnection
 from pomelobarrow.peers.message_size import (
-    MAX_BYTES_WITHOUT_KEY,
     BoundedServer,
     MessageTooLongError,
     PeerMessageTooLong,
+    PeerNotReading,
+    keep_connection,
 )
+from pomelobarrow.peers.peer_limits import MAX_BYTES_WITHOUT_KEY, MAX_UNREAD_BYTES
 from pomelobarrow.peers.peers_grpc import PeerStub
 
 HOST = "127.0.0.1"
@@ -167,6 +169,13 @@
     written_bytes: int = 0
     is_aborted: bool = False
     max_size: int = 256 << 10
+    protocol: Any = None
+
+    def get_protocol(self) -> Any:
+        return self.protocol
+
+    def get_write_buffer_size(self) -> int:
+        return self.written_bytes
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
         self.written_bytes += len(data)
@@ -204,3 +213,44 @@
     assert isinstance(event, ClientLimited)
     assert (event.listener, event.limit, event.action) == ("control", "memory", "refused")
     assert server.gate.budget.held_bytes == 0
+
+
+def accepted_connection() -> UnreadTransport:
+    """Return a connection of a caller that has shown its key."""
+    server = BoundedServer([Peer()])
+    server.gate = ClientGate(listener="control", budget=ClientBudgets().of(ListenerGroup.PEERS))
+    transport = UnreadTransport()
+    transport.protocol = server._protocol_factory()
+    transport.protocol.connection_made(transport)
+    keep_connection(transport)
+    return transport
+
+
+def dialed_connection() -> UnreadTransport:
+    """Return a connection that was opened to a peer."""
+    transport = UnreadTransport()
+    transport.protocol = SingleConnection(HOST, 1)._protocol_factory()
+    transport.protocol.connection_made(transport)
+    return transport
+
+
+@pytest.mark.parametrize(
+    ("connect", "opening"),
+    [(accepted_connection, OPENING), (dialed_connection, frame(FrameType.SETTINGS))],
+    ids=["accepted", "dialed"],
+)
+async def test_unread_answers_of_a_peer_end_its_connection(
+    connect: Callable[[], UnreadTransport], opening: bytes
+) -> None:
+    """The same of a peer that has shown its key, and of what answers at a peer's address."""
+    events: list[object] = []
+    failure_observer.set(events.append)
+    transport = connect()
+    transport.protocol.data_received(opening)
+    while not transport.is_aborted and transport.written_bytes < 4 * MAX_UNREAD_BYTES:
+        transport.protocol.data_received(PING * 4_000)
+    transport.protocol.connection_lost(None)
+    assert transport.is_aborted
+    assert transport.written_bytes <= 2 * MAX_UNREAD_BYTES
+    [event] = events
+    assert isinstance(event, PeerNotReading)
