Bound the long messages of all peers together, and what they decode to

A faulty VM took the memory of a VM that it sent to with messages that are within their bound each: many long ones at a time, a byte short; or messages of empty items, two bytes each.

Cause: a bound of 48 MiB a message without one for all of them, on any number of streams; a message was decoded whatever its type should hold; the bodies of forwarded requests that run had no bound together. Bytes that are no message ended the task that read them with an error of the decoder.

Messages over 64 KiB share 64 MiB, of which one connection has 48 at most; the senders of others are held back, and what has begun must arrive within 10 s. Before it is decoded, a message is measured by its type (an update 1 MiB, a delta 6 MiB) and its items are counted. Running forwarded bodies have 64 MiB together; a request without room is refused as not run.

--- a/src/pomelobarrow/operators/plugin.py
+++ b/src/pomelobarrow/operators/plugin.py
@@ -33,6 +33,7 @@
 from pomelobarrow.operators.metrics import Metrics
 from pomelobarrow.operators.traces import Traces
 from pomelobarrow.peers.events import MemberLivenessChanged, PeerRefused, ProcessPauseDetected
+from pomelobarrow.peers.message_codec import PeerMessageRefused
 from pomelobarrow.peers.message_size import PeerMessageTooLong, PeerNotReading
 from pomelobarrow.published.events import (
     ItemUnreadable,
@@ -108,6 +109,7 @@
             PeerRefused: self._peer_refused,
             PeerMessageTooLong: self._peer_message_too_long,
             PeerNotReading: self._peer_not_reading,
+            PeerMessageRefused: self._peer_message_refused,
             MemberLivenessChanged: self._member_liveness_changed,
             DirectoryChanged: self._directory_changed,
             StepFailed: self._step_failed,
@@ -312,6 +314,10 @@
         self._metrics.inputs_too_long.inc("peer stream")
         self._log.warning("peer message too long", **event_fields(event))
 
+    def _peer_message_refused(self, event: PeerMessageRefused) -> None:
+        self._metrics.inputs_too_long.inc("peer message")
+        self._log.warning("peer message refused", **event_fields(event))
+
     def _peer_not_reading(self, event: PeerNotReading) -> None:
         self._metrics.inputs_too_long.inc("peer connection")
         self._log.warning("peer doesn't read its answers", **event_fields(event))
--- a/src/pomelobarrow/peers/forward_server.py
+++ b/src/pomelobarrow/peers/forward_server.py
@@ -20,6 +20,7 @@
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.forward_registry import ForwardKey, ForwardRegistry
+from pomelobarrow.peers.peer_limits import MAX_RUNNING_BODY_BYTES
 
 NOT_RUN = "not_run"
 UNKNOWN = "unknown"
@@ -157,6 +158,12 @@
         request = self._request(message, vm)
         if isinstance(request, Refusal):
             return request
+        if not self._has_room(request):
+            return refuse(
+                ErrorKind.NO_CAPACITY,
+                _run_before_ledger_check(message),
+                "the bodies of running requests take all memory for forwarded ones",
+            )
         request = evolve(request, is_link_lost=sink.is_lost)
         answer = self.entry.dispatch_forwarded(request, sink)
         try:
@@ -164,6 +171,10 @@
         finally:
             self._note_if_unrun(key, request)
 
+    def _has_room(self, request: GatewayRequest) -> bool:
+        running_bytes = sum(len(each.request.body) for each in self._running.values())
+        return not running_bytes or running_bytes + len(request.body) <= MAX_RUNNING_BODY_BYTES
+
     def _note_if_unrun(self, key: ForwardKey, request: GatewayRequest) -> None:
         # A claimed request continues without its stream.
         if request.is_claimed or key in self._running:
--- a/src/pomelobarrow/peers/message_size.py
+++ b/src/pomelobarrow/peers/message_size.py
@@ -3,6 +3,8 @@
 grpclib reads a message of any stated length, up to 4 GiB, into memory.
 """
 
+import asyncio
+from collections.abc import Sequence
 from functools import partial
 from typing import Any
 
@@ -20,12 +22,20 @@
 )
 from pomelobarrow.kernel.background import failure_observer
 from pomelobarrow.kernel.clock import now_unix_s
+from pomelobarrow.peers.message_codec import BoundedCodec, MessageRefusedError
+from pomelobarrow.peers.message_memory import MessageMemory
 from pomelobarrow.peers.peer_limits import (
     MAX_BYTES_WITHOUT_KEY,
     MAX_MESSAGE_BYTES,
     MAX_UNREAD_BYTES,
+    MESSAGE_TIMEOUT_S,
+    SMALL_MESSAGE_BYTES,
 )
 
+UNCOMPRESSED = b"\x00"
+# The memory for the long messages of all connections of this process.
+PROCESS_MEMORY = MessageMemory()
+
 
 class MessageTooLongError(ConnectionError):
     """Raised when a peer states a message that is longer than what is read."""
@@ -50,11 +60,46 @@
 
 
 class _BoundedStream(Stream):
+    """Read the lengths and the messages of a stream in turns, as grpclib asks for them."""
+
     max_message_bytes: int = MAX_MESSAGE_BYTES
+    memory: MessageMemory = PROCESS_MEMORY
+    _is_message_next = False
 
     async def recv_data(self, size: int) -> bytes:
-        if size <= self.max_message_bytes:
+        if self._is_message_next:
+            self._is_message_next = False
+            return await self._recv_message_data(size)
+        length = await self._recv(size)
+        if length[:1] not in (b"", UNCOMPRESSED):
+            raise MessageRefusedError("messages are sent uncompressed")
+        self._is_message_next = bool(length)
+        return length
+
+    async def _recv_message_data(self, size: int) -> bytes:
+        if size <= SMALL_MESSAGE_BYTES:
+            return await self._recv(size)
+        if size > self.max_message_bytes:
+            self._refuse(size)
+        try:
+            async with asyncio.timeout(MESSAGE_TIMEOUT_S):
+                await self.memory.hold(self, self.connection, size)
+                return await self._recv(size)
+        except TimeoutError as error:
+            reason = f"{size} bytes did not arrive within {MESSAGE_TIMEOUT_S} s"
+            raise MessageRefusedError(reason) from error
+        finally:
+            # The message is decoded in this step of the loop.
+            asyncio.get_running_loop().call_soon(self.memory.give_back, self)
+
+    async def _recv(self, size: int) -> bytes:
+        try:
             return await super().recv_data(size)
+        except AssertionError as error:
+            # grpclib takes an empty frame for the end of the stream.
+            raise MessageRefusedError("the stream ended in the middle of a message") from error
+
+    def _refuse(self, size: int) -> None:
         address = str(self._transport.get_extra_info("peername"))
         event = PeerMessageTooLong(
             address=address, stated_bytes=size, max_bytes=self.max_message_bytes
@@ -156,6 +201,9 @@
     # None if the connections aren't counted.
     gate: ClientGate | None = None
 
+    def __init__(self, handlers: Sequence[Any]) -> None:
+        super().__init__(handlers, codec=BoundedCodec())
+
     def _protocol_factory(self) -> H2Protocol:
         made = super()._protocol_factory()
         if self.gate is None:
@@ -170,5 +218,8 @@
 
     max_message_bytes: int = MAX_MESSAGE_BYTES
 
+    def __init__(self, host: str, port: int) -> None:
+        super().__init__(host, port, codec=BoundedCodec())
+
     def _protocol_factory(self) -> H2Protocol:
         return _bounded(super()._protocol_factory(), self.max_message_bytes)
--- a/src/pomelobarrow/peers/peer_limits.py
+++ b/src/pomelobarrow/peers/peer_limits.py
@@ -17,3 +17,20 @@
 MAX_OUTBOX_BYTES = 8 << 20
 # Queued messages, this VM's own updates included, beyond which the stream ends.
 MAX_QUEUED_BYTES = 24 << 20
+# Messages up to this size are read and decoded without further checks.
+SMALL_MESSAGE_BYTES = 64 << 10
+# All longer messages that are read at a time.
+MESSAGES_BYTES = MAX_MESSAGE_BYTES + (16 << 20)
+# A message that has begun must arrive within this time, the wait for memory included.
+MESSAGE_TIMEOUT_S = 10.0
+# An exchanged message: the delta of a whole keyspace, or any other update.
+MAX_EXCHANGE_BYTES = 6 << 20
+MAX_UPDATE_BYTES = 1 << 20
+# Calls and answers that hold a few names and numbers.
+MAX_CALL_BYTES = 1 << 20
+# Messages inside a message: a hand-over has an entry for each request id, with headers.
+MAX_ITEMS = 400_000
+# The same of an exchanged message.
+MAX_UPDATE_ITEMS = 32_768
+# The bodies of all forwarded requests that run here.
+MAX_RUNNING_BODY_BYTES = 64 << 20
--- a/tests/test_forward_server.py
+++ b/tests/test_forward_server.py
@@ -1,5 +1,6 @@
 """Deadlines of forwarded requests between VMs whose clocks differ."""
 
+import asyncio
 import math
 
 import pytest
@@ -11,6 +12,7 @@
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.forward_server import ForwardServer, ForwardSink
+from pomelobarrow.peers.peer_limits import MAX_RUNNING_BODY_BYTES
 
 ENTRY = "milan-1"
 ROUND_TRIP_S = 0.110
@@ -128,3 +130,54 @@
     await ForwardSink(stream).end(b"data: [DONE]\n\n")
     assert [event.WhichOneof("kind") for event in stream.events] == ["chunk", "end"]
     assert stream.events[0].chunk == b"data: [DONE]\n\n"
+
+
+class WaitingEntry:
+    """Run requests that don't end."""
+
+    def __init__(self):
+        self.requests = []
+
+    async def dispatch_forwarded(self, request, sink):
+        self.requests.append(request)
+        await asyncio.Event().wait()
+
+
+def forward_of(serial, body):
+    return pb.ForwardRequest(
+        request_id=f"r{serial}",
+        forwarded_by=ENTRY,
+        class_name="status-check",
+        account="paying-milan",
+        home_region="milan",
+        deadline_unix_s=now_unix_s() + LEFT_S,
+        serial=serial,
+        body=body,
+    )
+
+
+async def test_request_without_room_for_its_body_is_refused_unrun():
+    """Guards against forwarded bodies that are bounded each, and not all together."""
+    entry = WaitingEntry()
+    server = ForwardServer(
+        incarnation=1, configuration=lambda: CONFIGURATION, entry=entry, offsets=ClockOffsets()
+    )
+    body = bytes(MAX_RUNNING_BODY_BYTES // 4)
+    running = [
+        asyncio.create_task(server.forward(Stream(forward_of(serial, body)), ENTRY))
+        for serial in range(4)
+    ]
+    while len(entry.requests) < 4:
+        await asyncio.sleep(0)
+    stream = Stream(forward_of(4, b"one byte more"))
+    await server.forward(stream, ENTRY)
+    assert stream.events[0].refusal.kind == ErrorKind.NO_CAPACITY.label
+    assert stream.events[0].refusal.run == "no"
+    running[0].cancel()
+    await asyncio.wait([running[0]])
+    running.append(asyncio.create_task(server.forward(Stream(forward_of(5, body)), ENTRY)))
+    while len(entry.requests) < 5:
+        await asyncio.sleep(0)
+    for task in running:
+        task.cancel()
+    await asyncio.wait(running)
--- a/tests/test_peer_message_size.py
+++ b/tests/test_peer_message_size.py
@@ -17,14 +17,19 @@
 from pomelobarrow.callers.client_budgets import ClientBudgets
 from pomelobarrow.callers.client_connection import ClientGate, ClientLimited
 from pomelobarrow.decision.admission.budget_limits import ListenerGroup
+from pomelobarrow.decision.common.byte_budget import ByteBudget
 from pomelobarrow.kernel.background import failure_observer
+from pomelobarrow.peers import message_size
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.calls import CONNECTION_ERRORS, SingleConnection
+from pomelobarrow.peers.message_codec import MessageRefusedError
+from pomelobarrow.peers.message_memory import MessageMemory
 from pomelobarrow.peers.message_size import (
     BoundedServer,
     MessageTooLongError,
     PeerMessageTooLong,
     PeerNotReading,
+    _BoundedStream,
     keep_connection,
 )
 from pomelobarrow.peers.peer_limits import MAX_BYTES_WITHOUT_KEY, MAX_UNREAD_BYTES
@@ -254,3 +259,55 @@
     assert transport.written_bytes <= 2 * MAX_UNREAD_BYTES
     [event] = events
     assert isinstance(event, PeerNotReading)
+
+
+async def begin_call(channel: Channel, data: bytes) -> Any:
+    """Send bytes on a stream of their own, and leave it open."""
+    stream = PeerStub(channel).Exchange.open()
+    await stream.__aenter__()
+    await stream.send_request()
+    await stream._stream.send_data(data)
+    return stream
+
+
+async def begin_message(channel: Channel, size_bytes: int) -> Any:
+    """Send a long message without its last byte."""
+    head = struct.pack("?", False) + struct.pack(">I", size_bytes)
+    return await begin_call(channel, head + bytes(size_bytes - 1))
+
+
+async def test_long_messages_on_many_streams_are_not_held_all_at_a_time(
+    connected: Connected, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a bound for a message without a bound for all of them."""
+    budget = ByteBudget(limit_bytes=BOUND_BYTES, connection_limit_bytes=BOUND_BYTES)
+    monkeypatch.setattr(_BoundedStream, "memory", MessageMemory(budget=budget))
+    for _ in range(8):
+        await begin_message(connected.channel, BOUND_BYTES // 2)
+    async with PeerStub(connected.channel).Exchange.open() as stream:
+        # It is answered once the messages before it have arrived.
+        await stream.send_message(pb.PeerMessage(closing=pb.Closing()), end=True)
+        assert await stream.recv_message() is None
+    assert connected.peer.received == [pb.PeerMessage(closing=pb.Closing())]
+    assert budget.held_bytes <= BOUND_BYTES
+
+
+async def test_message_that_never_ends_is_given_up(
+    connected: Connected, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against memory that a message of a byte a second keeps for good."""
+    monkeypatch.setattr(message_size, "MESSAGE_TIMEOUT_S", 0.05)
+    stream = await begin_message(connected.channel, BOUND_BYTES // 2)
+    assert await stream.recv_message() is None
+    assert [type(error) for error in connected.peer.errors] == [MessageRefusedError]
+    assert message_size.PROCESS_MEMORY.budget.held_bytes == 0
+
+
+@pytest.mark.parametrize(
+    "data", [b"\x01" + bytes(4), struct.pack("?", False) + struct.pack(">I", 3) + b"\xff" * 3]
+)
+async def test_bytes_that_are_no_message_end_the_call(connected: Connected, data: bytes) -> None:
+    """Guards against a task that ends with an error of the library or of the decoder."""
+    stream = await begin_call(connected.channel, data)
+    assert await stream.recv_message() is None
+    assert [type(error) for error in connected.peer.errors] == [MessageRefusedError]
