Test endless answers of a peer itself on the hop

No fault: what a VM reads of another one on the hop has the bounds of a server's answer. Ten forms of answers without end (bodies, heads, interim answers, chunk extensions, trailers, no answer) were played against the relay with a scripted peer; each is closed within the bounds, the client gets 502, and the attempt counts as lost.

--- a/tests/test_relay_endless_answers.py
+++ b/tests/test_relay_endless_answers.py
@@ -7,7 +7,7 @@
 from callers import wait_until
 from endless_answer import SOCKET_BYTES, STOP_BYTES, EndlessAnswer, chunk, head, raw
 from relay_harness import HOST, POOL, Answer, RelayVm, ask, relay_fleet, route
-from scripted_server import Exchange, answers, event, hangs, resets
+from scripted_server import Exchange, ScriptedServer, answers, event, hangs, resets
 
 from pomelobarrow.backends.answer_buffers import AnswerBuffer
 from pomelobarrow.backends.answer_limits import MAX_WHOLE_ANSWER_BYTES, UNRESERVED_ANSWER_BYTES
@@ -25,6 +25,7 @@
 ONCE = route(RouteKind.NON_IDEMPOTENT, timeout_s=TIMEOUT_S)
 IDEMPOTENT = route(RouteKind.IDEMPOTENT, timeout_s=TIMEOUT_S, max_attempts=2)
 STREAM = route(RouteKind.STREAM, timeout_s=TIMEOUT_S, max_attempts=2, is_resumable=True)
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 ENDLESS_BODIES = {
     "until the connection ends": (head(), b"x" * 1_000),
     "in chunks": (head(Transfer_Encoding="chunked"), chunk(b"x" * 1_000)),
@@ -298,3 +299,32 @@
         for writer in writers:
             writer.transport.abort()
     assert (answer.status, answer.body == medium) == (200, True)
+
+
+ENDLESS_PEERS = ENDLESS_BODIES | {
+    "interim answers": (raw(b""), b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "header lines": (raw(b"HTTP/1.1 200 OK\r\n"), b"X-H: 1\r\n"),
+    "header line": (raw(b"HTTP/1.1 200 OK\r\nX-H: "), b"x" * 1_000),
+    "chunk extension": (head(Transfer_Encoding="chunked"), b"1;" + b"e" * 1_000),
+    "trailers": (raw(CHUNKED_HEAD + b"0\r\n"), b"X-T: 1\r\n"),
+    "no answer": (raw(b""), b"x" * 1_000),
+}
+
+
+@pytest.mark.parametrize("name", ENDLESS_PEERS)
+async def test_answer_without_end_of_a_peer_itself_is_given_up(name: str) -> None:
+    """Guards against a faulty VM, or what answers at its address, on the hop between two VMs."""
+    start, repeated = ENDLESS_PEERS[name]
+    endless = EndlessAnswer(start=start, repeated=repeated)
+    only_b = route(RouteKind.NON_IDEMPOTENT, timeout_s=TIMEOUT_S, home_regions=("b",))
+    async with (
+        relay_fleet((only_b,), {"a": {}, "b": {}}) as fleet,
+        ScriptedServer(name="peer", host="127.0.0.2", script=endless) as peer,
+    ):
+        vm, to_b = fleet.vms["a"], fleet.vms["b"]
+        vm.dial[f"{to_b.host}:{to_b.relay.hop_port}"] = peer.address
+        answer = await ask_patiently(vm, "/non_idempotent/")
+    assert await endless.is_closed_within(MAX_WHOLE_ANSWER_BYTES)
+    assert (answer.status, len(endless.written_bytes)) == (502, 1)
+    [(target, end, _)] = attempts(vm)
+    assert (target, end) == ("vm-b", "lost")
