Remove a server at once whose entry alone is removed from a store that is up

Cause: leases expire while the store is down, so that a removed server is kept for two seconds, counted from when this VM hears of the removal, whether the store was down or not.

A removed server is kept only if the store was seen to be down in the last two seconds (a read failed or was answered late, or the store came back from an older copy), or if its pool loses most of its servers at a time: VMs that don't read the store see an outage by that.

--- a/src/pomelobarrow/published/keyspaces.py
+++ b/src/pomelobarrow/published/keyspaces.py
@@ -115,6 +115,10 @@
         times = (self._vms.next_expiry_unix_s, self._settled_unix_s)
         return min((each for each in times if each is not None), default=None)
 
+    def note_outage(self) -> None:
+        """Record that the store was down until now, so that leases may have expired."""
+        self._vms.note_outage(now_unix_s())
+
     def apply_due(self) -> None:
         """Apply what is due: servers whose leases weren't renewed, a configuration held back."""
         now = now_unix_s()
--- a/src/pomelobarrow/published/vms.py
+++ b/src/pomelobarrow/published/vms.py
@@ -1,6 +1,8 @@
 """Parse the platform's list of VMs, each entry by itself."""
 
-from collections.abc import Callable, Mapping
+import math
+from collections import Counter
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 from typing import Any
 
 from attrs import define, evolve, field, frozen
@@ -76,14 +78,18 @@
     # Until when servers are left out that an older copy of the list has brought back.
     _revived: dict[str, float] = field(factory=dict, init=False, repr=False)
     _era: int = field(default=0, init=False)
+    # The last time at which the store was seen to be down.
+    _outage_unix_s: float = field(default=-math.inf, init=False)
 
     def update(self, values: Mapping[str, Any], now_unix_s: float, era: int = 0) -> None:
         """Replace the list by a checked one of the given era of the store."""
         is_return = 0 < self._era < era
         self._era = max(era, self._era)
         self._forget_removed(now_unix_s)
-        for key in self._parsed.keys() - values.keys():
-            self._keep_if_lease_expired(key, now_unix_s)
+        removed = self._parsed.keys() - values.keys()
+        expired_pools = self._pools_of_expired_leases(removed, now_unix_s, is_return)
+        for key in removed:
+            self._keep_if_lease_expired(key, now_unix_s, expired_pools)
             self._note_removed(key, now_unix_s)
             del self._parsed[key], self._values[key]
         for key, value in values.items():
@@ -124,7 +130,27 @@
             self.rebuild()
         return bool(due or alive)
 
-    def _keep_if_lease_expired(self, key: str, now_unix_s: float) -> None:
+    def note_outage(self, now_unix_s: float) -> None:
+        """Record that the store was down until now, as seen from here."""
+        self._outage_unix_s = max(self._outage_unix_s, now_unix_s)
+
+    def _pools_of_expired_leases(
+        self, removed: Collection[str], now_unix_s: float, is_return: bool
+    ) -> frozenset[str]:
+        """Return the pools of which servers were removed because the store was down.
+
+        Where it wasn't seen to be down, that is so if a pool loses most of its servers at a time.
+        A single one has left, perhaps some time ago: this VM may hear of it late.
+        """
+        by_pool = Counter(_pools(self._parsed.values()))
+        if is_return or now_unix_s <= self._outage_unix_s + LEASE_GRACE_S:
+            return frozenset(by_pool)
+        lost = Counter(_pools(self._parsed[key] for key in removed))
+        return frozenset(pool for pool, count in lost.items() if 2 * count > by_pool[pool])
+
+    def _keep_if_lease_expired(
+        self, key: str, now_unix_s: float, expired_pools: Collection[str]
+    ) -> None:
         """Keep a server for a grace period after its lease expired.
 
         Leases also expire while the store is down. If servers were removed at once, a pool would
@@ -133,6 +159,8 @@
         server = self._parsed[key]
         if not isinstance(server, BackendServer) or server.leaving or key in self._revived:
             return
+        if server.pool not in expired_pools:
+            return
         if self._values[key].get("leased"):
             until_unix_s = now_unix_s + LEASE_GRACE_S
             self._expired[key] = _ExpiredLease(evolve(server, is_lease_expired=True), until_unix_s)
@@ -215,6 +243,10 @@
     )
 
 
+def _pools(parsed: "Iterable[Parsed]") -> Iterator[str]:
+    return (each.pool for each in parsed if isinstance(each, BackendServer))
+
+
 def _nothing(name: str, value: Mapping[str, Any], now_unix_s: float) -> None:
     return None
 
--- a/src/pomelobarrow/published/watcher.py
+++ b/src/pomelobarrow/published/watcher.py
@@ -38,6 +38,8 @@
 # After an outage, the store must be read before the time limits for configuration changes and
 # draining apply again.
 MAX_RETRY_DELAY_S = 1.0
+# A watch that is answered so late may have waited until the store was up again.
+LATE_S = 0.5
 SOURCE_PLATFORM = "platform"
 # The copy may lack changes that the read contained.
 UNUSABLE_OUTCOMES = (ApplyOutcome.GAP, ApplyOutcome.MALFORMED)
@@ -161,7 +163,10 @@
         after = self._state.copies[name].observed_revision
         if after == 0:
             return await self._read_all(name)
-        result = await self._reader.read_changes(name, after, now_unix_s() + wait_s)
+        due_unix_s = now_unix_s() + wait_s
+        result = await self._reader.read_changes(name, after, due_unix_s)
+        if now_unix_s() > due_unix_s + LATE_S:
+            self._state.note_outage()
         if isinstance(result, Err) and result.err_value.failure is ReadFailure.HISTORY_GONE:
             log.info(
                 "history gone, listing again", keyspace=name, after_revision=revision_of(after)
@@ -210,10 +215,12 @@
             reason = f"{error.failure.value}: {error.detail}"
             self._context.observe(PlatformUnreachable(reason))
         self._is_reachable = False
+        self._state.note_outage()
 
     def _record_success(self) -> None:
         if self._is_reachable is False:
             self._context.observe(PlatformReachable())
+            self._state.note_outage()
         self._is_reachable = True
 
 
--- a/tests/test_vm_list.py
+++ b/tests/test_vm_list.py
@@ -36,6 +36,37 @@
     assert vms.servers == {}
 
 
+def pool_of(*names: str) -> dict[str, Any]:
+    return {f"vms/{name}": dict(VALUE) for name in names}
+
+
+def test_server_that_is_removed_from_a_store_that_is_up_is_not_kept() -> None:
+    """A VM that heard of the removal two seconds late sent it requests until it exited."""
+    vms = VmList()
+    vms.update(pool_of("s1", "s2", "s3"), 100.0)
+    vms.update(pool_of("s2", "s3"), 101.0)
+    assert vms.servers.keys() == {"s2", "s3"}
+
+
+def test_server_that_is_removed_after_an_outage_stays_for_grace_period() -> None:
+    vms = VmList()
+    vms.update(pool_of("s1", "s2", "s3"), 100.0)
+    vms.note_outage(110.0)
+    vms.update(pool_of("s2", "s3"), 110.0 + LEASE_GRACE_S)
+    assert vms.servers["s1"].is_lease_expired
+    vms.update(pool_of("s3"), 110.1 + LEASE_GRACE_S)
+    assert vms.servers.keys() == {"s1", "s3"}
+
+
+def test_pool_that_loses_most_of_its_servers_at_a_time_keeps_them() -> None:
+    """A VM that doesn't read the store can't see that it was down."""
+    vms = VmList()
+    others = {"vms/o1": {**VALUE, "pool": "other"}, "vms/o2": {**VALUE, "pool": "other"}}
+    vms.update(pool_of("s1", "s2", "s3") | others, 100.0)
+    vms.update(pool_of("s3") | others, 101.0)
+    assert vms.servers.keys() == {"s1", "s2", "s3", "o1", "o2"}
+
+
 def test_server_that_registers_again_is_listed_without_expiry() -> None:
     vms = VmList()
     vms.update({"vms/s1": VALUE}, 100.0)
