Soak: cut VMs off from their peers and the store beside releases

Three pools run one version until servers of the next one start, mostly just after a VM was cut off, and half of the streams are taken up at VMs that are cut off. No stream of these pools may hold events of two versions. A draining server's late requests and brittle servers' falls aren't counted against VMs that are cut off, as they aren't for VMs that are down; without partitions all checks are as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,7 @@
-"""Run seeds: `python -m soak --seeds 50 --seconds 12`; exit code 1 if a guarantee was violated."""
+"""Run seeds: `python -m soak --seeds 50 --seconds 12`; exit code 1 if a guarantee was violated.
+
+With `--partitions`, VMs are also cut off from the others beside releases.
+"""
 
 import argparse
 import asyncio
@@ -18,12 +21,12 @@
     served_share,
 )
 from soak.faults import LINK_CUTS, Faults
-from soak.fleet import DAEMONS_PER_REGION, REGIONS, SoakFleet
+from soak.fleet import DAEMONS_PER_REGION, REGIONS, RELEASED, SoakFleet
 from soak.fragile import FragileServers
 from soak.keyed import KeyedServers
 from soak.limited import LimitedServers
 from soak.prompted import PromptedServers
-from soak.versioned import VersionedServers
+from soak.versioned import VERSIONS, VersionedServers
 
 SETTLE_S = 8.0
 CALM_RUN_S = 3.0
@@ -34,6 +37,7 @@
 # Eight pools get requests at once, and four daemons share the machine with their clients.
 PAUSE_BESIDE_OTHERS_S = (0.04, 0.12)
 PAUSE_ALONE_S = (0.01, 0.05)
+PAUSE_RELEASED_S = (0.05, 0.2)
 # Servers of the soak always fail, refuse or truncate a part of their answers, so that not all
 # requests can be served.
 MIN_SERVED_SHARE = 0.8
@@ -51,12 +55,20 @@
 
 
 async def run_seed(
-    seed: int, duration_s: float, daemons_per_region: int = DAEMONS_PER_REGION
+    seed: int,
+    duration_s: float,
+    daemons_per_region: int = DAEMONS_PER_REGION,
+    has_partitions: bool = False,
 ) -> Result:
     """Run one seed: a period with faults, then one without."""
     rng = random.Random(seed)
     fleet_random = random.Random(rng.random())
-    async with SoakFleet(random=fleet_random, daemons_per_region=daemons_per_region) as fleet:
+    async with SoakFleet(
+        random=fleet_random,
+        daemons_per_region=daemons_per_region,
+        is_first_start=has_partitions,
+        is_cuttable=has_partitions,
+    ) as fleet:
         await wait_ready(fleet)
         faults = Faults(fleet=fleet, random=random.Random(rng.random()))
         clients = Clients(fleet=fleet, random=random.Random(rng.random()))
@@ -77,7 +89,9 @@
             crashing_after_s=STABLE_S,
         )
         restarts_random = random.Random(rng.random())
-        pools = (fragile, limited, keyed, announcing, brittle, versioned, prompted)
+        partitions_random = random.Random(rng.random())
+        released = _released_servers(fleet, rng) if has_partitions else ()
+        pools = (fragile, limited, keyed, announcing, brittle, versioned, prompted, *released)
         await asyncio.gather(*(each.start() for each in pools))
         sending = asyncio.create_task(clients.run(time.monotonic() + duration_s))
         until_s = time.monotonic() + duration_s + SETTLE_S
@@ -87,6 +101,7 @@
             faults.run(duration_s),
             faults.return_store(duration_s, returns_random),
             faults.cut_links_at_times(duration_s, links_random),
+            _run_with_partitions(faults, duration_s, partitions_random, released),
         )
         await announced
         await sending
@@ -110,7 +125,8 @@
         violations += announcing.find_violations(faults)
         violations += brittle.find_violations(faults)
         violations += prompted.find_violations()
-        violations += versioned.find_violations()
+        for each in (versioned, *released):
+            violations += each.find_violations()
         violations += find_unserved_at_cut_vms(clients, cut_vms, MIN_SERVED_SHARE)
         violations += keyed.find_unserved(calm_started_s, MIN_SERVED_SHARE)
         if fragile.served_share(calm_started_s) < MIN_SERVED_SHARE:
@@ -135,6 +151,40 @@
         )
 
 
+def _released_servers(fleet: SoakFleet, rng: random.Random) -> tuple[VersionedServers, ...]:
+    """Return pools of the first version, of whose streams none may hold events of two."""
+    return tuple(
+        VersionedServers(
+            fleet=fleet,
+            random=random.Random(rng.random()),
+            take_up_random=random.Random(rng.random()),
+            pool=pool,
+            versions=VERSIONS[:1],
+            upgrade_share=0.0,
+            max_mixed=0,
+            pause_s=PAUSE_RELEASED_S,
+        )
+        for pool in RELEASED
+    )
+
+
+async def _run_with_partitions(
+    faults: Faults,
+    duration_s: float,
+    rng: random.Random,
+    released: tuple[VersionedServers, ...],
+) -> None:
+    """Cut VMs off while one pool after the other gets servers of another version."""
+    waiting = iter(released)
+
+    async def release_next() -> None:
+        if pool := next(waiting, None):
+            await pool.release()
+
+    if released:
+        await faults.partition_at_times(duration_s, rng, release_next)
+
+
 async def _run_with_cut_links(
     clients: Clients, faults: Faults, rng: random.Random
 ) -> tuple[CutVms, ...]:
@@ -181,11 +231,12 @@
     parser.add_argument(
         "--daemons", type=int, default=DAEMONS_PER_REGION, help="how many daemons a region"
     )
+    parser.add_argument("--partitions", action="store_true", help="cut VMs off from the others")
     options = parser.parse_args()
     first = random.SystemRandom().randrange(10**6) if options.first is None else options.first
     failed = 0
     for seed in range(first, first + options.seeds):
-        result = asyncio.run(run_seed(seed, options.seconds, options.daemons))
+        result = asyncio.run(run_seed(seed, options.seconds, options.daemons, options.partitions))
         failed += bool(result.violations)
         print(
             f"seed {seed}: {result.requests} requests, {result.faults} faults, "
--- a/soak/brittle.py
+++ b/soak/brittle.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from attrs import define, field
 
-from soak.faults import Faults
+from soak.faults import PARTITION, Faults
 from soak.fleet import BRITTLE, REGIONS, ROOT_HOST, SoakFleet
 from soak.servers import REQUEST_ID, whole_body
 
@@ -28,7 +28,7 @@
 MAX_FALLS = 2 + len(REGIONS) * SERVERS_PER_REGION // 10
 # The servers can't run more than a share of the calls; the rest is refused.
 MIN_SERVED_SHARE = 0.5
-DAEMON_FAULTS = ("daemon", "planned stop")
+DAEMON_FAULTS = ("daemon", "planned stop", PARTITION)
 RECOVERY_S = 5.0
 
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,7 +9,7 @@
 import aiohttp
 from attrs import define, field, frozen
 
-from soak.faults import DRAINING, Faults, Span
+from soak.faults import DRAINING, PARTITION, Faults, Span
 from soak.fleet import HOST, KINDS, TIMEOUT_MS, SoakFleet
 from soak.servers import REQUEST_ID, events_after, whole_body
 
@@ -182,7 +182,7 @@
 def _overlaps_other_fault(faults: Faults, span: Span) -> bool:
     """Return whether a fault hit the store or a daemon during a span or shortly before."""
     return any(
-        other.kind in ("store", "daemon", "planned stop")
+        other.kind in ("store", "daemon", "planned stop", PARTITION)
         and other.from_s < span.until_s
         and other.until_s > span.from_s - CALM_S
         for other in faults.spans
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 from attrs import define, field, frozen
 
 from soak.fleet import Daemon, SoakFleet, link_route
+from soak.partitions import DURATION_S, draw_partition
 
 CONNECTION_FAULTS = ("silent", "close", "cut", "cut_to_client", "cut_to_target", "refuse")
 # Connections are accepted and stay silent, or are reset.
@@ -21,6 +22,7 @@
 # How often something changes while all daemons are down.
 CHANGE_SHARE = 0.7
 DRAINING = "draining"
+PARTITION = "partition"
 
 
 @frozen
@@ -211,6 +213,37 @@
         for vm, mode in tuple(self.cut_links.items()):
             await self.fleet.fault(link_route(vm, "*"), mode)
 
+    async def partition_at_times(
+        self, duration_s: float, random: Random, release: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Cut VMs off from the others and mostly from the store; several cuts may overlap.
+
+        Servers of other software often start just after that. Has random choices of its own, so
+        that those of the other faults depend on the seed alone.
+        """
+        until_s = time.monotonic() + duration_s
+        running: set[asyncio.Task[None]] = set()
+        while time.monotonic() < until_s:
+            await asyncio.sleep(random.uniform(0.2, 2.0))
+            cut = {vm for each in self.fleet.partitions for vm in each.vms}
+            free = [daemon.vm for daemon in self.fleet.daemons if daemon.vm not in cut]
+            # A VM that isn't cut off begins the streams.
+            if len(free) > 1:
+                vms = random.sample(free, 1 if len(free) == 2 else random.choice((1, 1, 2)))
+                running.add(asyncio.create_task(self._partition(vms, Random(random.random()))))
+                await asyncio.sleep(random.uniform(0.0, 0.5))
+                if random.random() < CHANGE_SHARE:
+                    await release()
+        await asyncio.gather(*running)
+
+    async def _partition(self, vms: list[str], random: Random) -> None:
+        started_s, partition = time.monotonic(), draw_partition(vms, random)
+        self.fleet.begin_partition(partition)
+        await asyncio.sleep(random.uniform(*DURATION_S))
+        self.fleet.end_partition(partition)
+        for vm in vms:
+            self._record(PARTITION, vm, started_s)
+
     async def restart_all_at_times(
         self, duration_s: float, random: Random, change: Callable[[], Awaitable[None]]
     ) -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -33,6 +33,8 @@
 # Kept out of KINDS, so that the random choices among those stay the same for a given seed.
 FRAGILE, LIMITED, KEYED, ANNOUNCING = "fragile", "limited", "keyed", "announcing"
 BRITTLE, VERSIONED, PROMPTED, STREAMED = "brittle", "versioned", "prompted", "streamed"
+# Pools whose servers run one software version until its next release.
+RELEASED = ("released-1", "released-2", "released-3")
 DEDICATED_POOLS = {
     FRAGILE: ("idempotent", 2, False),
     LIMITED: ("idempotent", 2, False),
@@ -42,6 +44,7 @@
     VERSIONED: ("stream", 3, True),
     PROMPTED: ("stream", 3, True),
     STREAMED: ("stream", 3, True),
+    **dict.fromkeys(RELEASED, ("stream", 3, True)),
 }
 # The second service of the route of streams, if that is split.
 STREAMED_TOO = "streamed-too"
--- a/soak/partitions.py
+++ b/soak/partitions.py
@@ -1,6 +1,7 @@
 """Cut VMs off from all others and from the store, and say what each daemon is then cut off from."""
 
 from collections.abc import Iterable, Mapping
+from random import Random
 
 from attrs import field, frozen
 
@@ -19,6 +20,25 @@
     cuts_store: bool = True
 
 
+# Shorter than the time within which a configuration has to apply.
+DURATION_S = (0.3, 4.5)
+# Whether what arrives is cut, and what is sent.
+WAYS = ((True, True), (True, True), (True, False), (False, True))
+STORE_SHARE, DATAGRAMS_ALONE_SHARE = 0.8, 0.1
+
+
+def draw_partition(vms: Iterable[str], rng: Random) -> Partition:
+    """Return a partition of these VMs, with random ways."""
+    cuts_incoming, cuts_outgoing = rng.choice(WAYS)
+    return Partition(
+        vms=vms,
+        cuts_incoming=cuts_incoming,
+        cuts_outgoing=cuts_outgoing,
+        cuts_connections=rng.random() >= DATAGRAMS_ALONE_SHARE,
+        cuts_store=rng.random() < STORE_SHARE,
+    )
+
+
 def cut_of(
     vm: str, partitions: Iterable[Partition], ips: Mapping[str, str], store_address: str
 ) -> Cut:
--- a/soak/versioned.py
+++ b/soak/versioned.py
@@ -21,6 +21,8 @@
 # How often clients leave a stream that goes on, and how often they take one up.
 LEAVE_SHARE = 0.3
 MAX_RESUMES = 3
+# How often streams are taken up at VMs that are cut off, while there are any.
+AT_CUT_OFF_SHARE = 0.5
 # How often servers crash, or leave to come back with the next version.
 CRASH_EVERY_S = 1.2
 UPGRADE_SHARE = 0.3
@@ -58,6 +60,13 @@
 
     fleet: SoakFleet
     random: Random
+    pool: str = VERSIONED
+    # The versions at first; without an upgrade share the others come with a release.
+    versions: tuple[str, ...] = VERSIONS
+    upgrade_share: float = UPGRADE_SHARE
+    max_mixed: int = MAX_MIXED
+    # Chooses VMs that are cut off for streams that are taken up.
+    take_up_random: Random = field(factory=lambda: Random(0))
     # Between two new streams.
     pause_s: tuple[float, float] = (0.01, 0.05)
     # When each stream was first sent, and its record.
@@ -70,14 +79,23 @@
     _upgrades: int = 0
 
     def __attrs_post_init__(self) -> None:
-        self._servers = CrashingServers(fleet=self.fleet, pool=VERSIONED)
+        self._servers = CrashingServers(fleet=self.fleet, pool=self.pool)
 
     async def start(self) -> None:
         """Start and list all servers."""
         for region in REGIONS:
-            for version in VERSIONS * SERVERS_PER_VERSION:
+            for version in self.versions * SERVERS_PER_VERSION:
                 await self._start_one(region, version)
 
+    async def release(self) -> None:
+        """Start servers of the next version beside those of the present one."""
+        present = self.versions
+        self.versions, self.upgrade_share = VERSIONS, UPGRADE_SHARE
+        for region in REGIONS:
+            for version in set(VERSIONS).difference(present):
+                for _ in range(SERVERS_PER_VERSION):
+                    await self._start_one(region, version)
+
     async def stop(self) -> None:
         """Stop the servers and cancel pending restarts."""
         for task in self._tasks:
@@ -110,10 +128,10 @@
             if [n for n, _ in stream.events] != list(range(1, len(stream.events) + 1))
         ]
         mixed = self.mixed_streams()
-        if len(mixed) > MAX_MIXED:
+        if len(mixed) > self.max_mixed:
             found.append(
-                f"{len(mixed)} of {len(self.streams)} streams hold events of two versions, "
-                f"such as {mixed[0].id}: {mixed[0].events}"
+                f"{self.pool}: {len(mixed)} of {len(self.streams)} streams hold events of two "
+                f"versions, such as {mixed[0].id}: {mixed[0].events}"
             )
         return found
 
@@ -164,7 +182,7 @@
                 stream.resumes.append((sent_s, version, len(stream.events) > received))
 
     async def _attempt(self, session: aiohttp.ClientSession, stream: Stream, id_: str) -> None:
-        daemon = self.random.choice(self.fleet.daemons)
+        daemon = self._choose_daemon(is_resumed=bool(stream.events))
         leaves_after = EVENTS
         if self.random.random() < LEAVE_SHARE:
             leaves_after = len(stream.events) + self.random.randint(1, 3)
@@ -181,8 +199,15 @@
             if stream.events and not stream.first_attempt:
                 stream.first_attempt = id_
 
+    def _choose_daemon(self, is_resumed: bool) -> Daemon:
+        daemon, rng = self.random.choice(self.fleet.daemons), self.take_up_random
+        cut = {vm for each in self.fleet.partitions for vm in each.vms}
+        cut_off = [each for each in self.fleet.daemons if each.vm in cut]
+        is_moved = is_resumed and cut_off and rng.random() < AT_CUT_OFF_SHARE
+        return rng.choice(cut_off) if is_moved else daemon
+
     def _url(self, daemon: Daemon) -> str:
-        return f"http://{self.fleet.front(daemon)}/{VERSIONED}/x"
+        return f"http://{self.fleet.front(daemon)}/{self.pool}/x"
 
     def _serving(self, version: str) -> int:
         return sum(each == version for _, each in self._running.values())
@@ -193,7 +218,7 @@
             if not self._running:
                 continue
             name = self.random.choice(sorted(self._running))
-            is_upgrade = self.random.random() < UPGRADE_SHARE
+            is_upgrade = self.random.random() < self.upgrade_share
             replace = self._upgrade if is_upgrade else self._crash
             self._tasks.add(asyncio.create_task(replace(name)))
 
@@ -207,7 +232,7 @@
         """Let a server leave and come back; the versions of such servers take turns."""
         region, version = self._running.pop(name)
         address = self._servers.address(name)
-        self.fleet.list_address(name, region, address, VERSIONED, "draining", version=version)
+        self.fleet.list_address(name, region, address, self.pool, "draining", version=version)
         await asyncio.sleep(DRAIN_S)
         port = await self._servers.crash(name)
         await self._servers.wait_until_unlisted(name)
@@ -216,7 +241,7 @@
         await self._start_one(region, next_version, port or 0)
 
     async def _start_one(self, region: str, version: str, port: int = 0) -> None:
-        name = f"versioned-{region}-{next(self._serial)}"
+        name = f"{self.pool}-{region}-{next(self._serial)}"
 
         async def answer(request: web.BaseRequest) -> web.StreamResponse:
             if request.headers.get("Pomelobarrow-Target-Instance") != name:
--- a/tests/test_proof_soak.py
+++ b/tests/test_proof_soak.py
@@ -13,6 +13,8 @@
 START_AFTER_RETURN = (1013, 1037)
 # A list of the store's older copy made a daemon forget a server's pause.
 PAUSE_FORGOTTEN = (1043,)
+# A VM that was cut off joined a stream of two software versions.
+PARTITIONED = 7501
 REPRODUCED = (*SIGNAL_DURING_START, *START_AFTER_RETURN, *PAUSE_FORGOTTEN)
 
 
@@ -28,3 +30,10 @@
     result = await run_seed(seed, faults_for_s)
     assert result.violations == []
     assert result.requests > 0
+
+
+async def test_promises_hold_while_vms_are_cut_off_beside_releases() -> None:
+    """A VM that was cut off went on with streams of a new version at servers of the old one."""
+    result = await run_seed(PARTITIONED, 12.0, has_partitions=True)
+    assert result.violations == []
+    assert result.requests > 0
