Let no caller cancel the read of the store that others wait for, and let records overrule it

Callers whose streams were taken up while the store answered slowly were refused: the caller whose turn it was owned the shared read, its time limit cancelled it, and the next one began anew with what was left of its own. A read is a task of its own now, and reads follow each other at 20 ms at least.

Reads of a configuration that is held back prove nothing. A VM with an old list states no time to an earlier release, which wouldn't see how old it is. A store that refuses one VM's calls isn't down, so that removed servers aren't kept for that. A VM that gets a forwarded request of newer routes waits 0.1 s for its peers' push before it reads the store. Farther VMs are looked up only if they are asked.

test_record_overrules_a_read_that_ends_first and test_caller_that_gives_up_does_not_cancel_the_read_of_others failed before; the latter replaces a test that expected the cancelled read to begin anew.

--- a/src/pomelobarrow/peers/stream_software.py
+++ b/src/pomelobarrow/peers/stream_software.py
@@ -22,6 +22,7 @@
 from pomelobarrow.decision.members.member import READY, Member, name_of
 from pomelobarrow.decision.members.member_roles import watchers
 from pomelobarrow.decision.members.membership import MembershipView
+from pomelobarrow.decision.streams.list_evidence import MAX_LIST_AGE_S
 from pomelobarrow.decision.streams.software_history import (
     HistoryStatement,
     StreamTarget,
@@ -31,7 +32,7 @@
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers import peers_pb2 as pb
 from pomelobarrow.peers.datagrams import PeerDatagrams, Reply
-from pomelobarrow.peers.peers_knowledge import Ask, PeersKnowledge, gather_knowledge
+from pomelobarrow.peers.peers_knowledge import Ask, PeersKnowledge, Stage, gather_knowledge
 from pomelobarrow.published.keyspaces import CONFIG, VMS, PublishedState
 from pomelobarrow.published.shared_read import no_read
 
@@ -44,9 +45,11 @@
 ASKED_IN_REGION = 2
 # A round trip between the farthest regions, and one in which the answering VM is busy.
 ANSWER_TIMEOUT_S = 0.25
-# A round trip to the store of another region, and one in which it is busy.
-READ_TIMEOUT_S = 0.25
-READ_ANSWER_TIMEOUT_S = 0.4
+# Some round trips to the store of another region, which may be busy.
+READ_TIMEOUT_S = 0.4
+READ_ANSWER_TIMEOUT_S = 0.55
+# Answers that hold a record may come later than this VM's own read, by a round trip in the region.
+RECORD_WAIT_S = 0.05
 # After this time, farther VMs are asked as well.
 STAGE_TIMEOUT_S = 0.25
 # Queries that wait for a read at a time; any more are answered without one.
@@ -119,13 +122,11 @@
             only = only_software(stated, history.retention_s)
             return found.software_key is not None or only is not None
 
-        nearby, farther = self._nearby(key, question), self._farther(key, question)
-        stages = [nearby, {vm: each for vm, each in farther.items() if vm not in nearby}]
+        nearby = self._nearby(key, question)
+        stages: list[Stage] = [lambda: nearby, lambda: self._farther(key, question)]
         if not is_certain or not self.streams.is_current(now_unix_s()):
-            stages = [nearby | farther]
-        return await gather_knowledge(
-            [[*each.values()] for each in stages], is_settled, STAGE_TIMEOUT_S
-        )
+            stages = [lambda: nearby | self._farther(key, question)]
+        return await gather_knowledge(stages, is_settled, STAGE_TIMEOUT_S, RECORD_WAIT_S)
 
     def _question(self, key: int, target: StreamTarget) -> "_Question":
         now = now_unix_s()
@@ -222,16 +223,16 @@
         message = pb.Datagram(stream_query=query)
         answer = await self.datagrams.query(self._address(member), message, timeout_s)
         if not isinstance(answer, pb.StreamAnswer):
-            return PeersKnowledge(asked=1)
+            return PeersKnowledge()
         if answer.is_known:
-            return PeersKnowledge(software_key=answer.software_key, asked=1)
+            return PeersKnowledge(software_key=answer.software_key)
         has_age = answer.HasField("list_age_ms")
         stated = HistoryStatement(
             software_keys=frozenset(answer.recent_software_keys),
             known_for_s=answer.known_for_ms / MS_PER_S,
             list_age_s=answer.list_age_ms / MS_PER_S if has_age else math.inf,
         )
-        return PeersKnowledge(histories=(stated,), asked=1)
+        return PeersKnowledge(histories=(stated,))
 
     def _address(self, member: Member) -> tuple[str, int]:
         return member.host, self.datagrams.port
@@ -272,8 +273,10 @@
 
 
 def _history_answer(number: int, stated: HistoryStatement, remembered_s: float) -> pb.StreamAnswer:
-    # Versions that have been gone for longer are forgotten here.
-    known_for_s = min(stated.known_for_s, remembered_s)
+    # Versions that have been gone for longer are forgotten here. VMs of an earlier release don't see
+    # how old the lists are.
+    is_old = stated.list_age_s > MAX_LIST_AGE_S
+    known_for_s = 0.0 if is_old else min(stated.known_for_s, remembered_s)
     answer = pb.StreamAnswer(
         number=number,
         recent_software_keys=nsmallest(MAX_STATED_KEYS, stated.software_keys),
--- a/src/pomelobarrow/published/shared_read.py
+++ b/src/pomelobarrow/published/shared_read.py
@@ -5,6 +5,11 @@
 
 from attrs import define, field
 
+from pomelobarrow.kernel.background import report_failure
+
+# The store's calls are limited, for all VMs together.
+MIN_INTERVAL_S = 0.02
+
 
 async def no_read() -> None:
     """Read nothing, so that the lists stay as old as they are."""
@@ -12,21 +17,25 @@
 
 @define(kw_only=True)
 class SharedRead:
-    """Serve callers that wait at the same time with one read each time."""
+    """Serve callers that wait at the same time with one read, which none of them cancels."""
 
     read: Callable[[], Awaitable[None]]
-    _turn: asyncio.Lock = field(factory=asyncio.Lock, init=False)
-    _started: int = field(default=0, init=False)
-    # The last read that has ended; a cancelled one serves nobody.
-    _ended: int = field(default=0, init=False)
+    _running: asyncio.Task[None] | None = field(default=None, init=False)
+    # Begins once the running one has ended.
+    _next: asyncio.Task[None] | None = field(default=None, init=False)
 
     async def __call__(self) -> None:
         """Return once a read has ended, well or not, that began after this call."""
-        before = self._started
-        async with self._turn:
-            if self._ended > before:
-                return
-            self._started += 1
-            number = self._started
+        if self._next is None:
+            self._next = asyncio.create_task(self._read_after(self._running))
+        await asyncio.shield(self._next)
+
+    async def _read_after(self, before: asyncio.Task[None] | None) -> None:
+        if before is not None and not before.done():
+            await asyncio.wait((before,))
+            await asyncio.sleep(MIN_INTERVAL_S)
+        self._running, self._next = self._next, None
+        try:
             await self.read()
-            self._ended = number
+        except Exception as error:
+            report_failure("read of the platform", error)
--- a/src/pomelobarrow/published/watcher.py
+++ b/src/pomelobarrow/published/watcher.py
@@ -76,6 +76,7 @@
         self._context = context
         self._random = random.Random()
         self._is_reachable: bool | None = None
+        self._is_silent = False
         self._became_watcher = asyncio.Event()
         self.first_read_done = asyncio.Event()
 
@@ -154,7 +155,8 @@
         if name == CONFIG and result is not ReadResult.FAILED:
             revision = self._state.copies[CONFIG].revision_observed(ROUTING_KEY)
             self._proof.observe(Proof(sent_unix_s, revision))
-        if result is not ReadResult.FAILED:
+        # What is held back isn't in force yet.
+        if result is not ReadResult.FAILED and not self._state.copies[name].is_held:
             for listener in self.read_listeners:
                 listener(name, sent_unix_s)
         return result
@@ -215,13 +217,17 @@
             reason = f"{error.failure.value}: {error.detail}"
             self._context.observe(PlatformUnreachable(reason))
         self._is_reachable = False
-        self._state.note_outage()
+        # A store that refuses this VM's calls may serve all others.
+        self._is_silent = error.failure is ReadFailure.UNREACHABLE
+        if self._is_silent:
+            self._state.note_outage()
 
     def _record_success(self) -> None:
         if self._is_reachable is False:
             self._context.observe(PlatformReachable())
+        if self._is_silent:
             self._state.note_outage()
-        self._is_reachable = True
+        self._is_reachable, self._is_silent = True, False
 
 
 def _may_read_at_once(result: ReadResult, took_s: float, wait_s: float) -> bool:
--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -44,6 +44,8 @@
 # than this.
 STARTUP_WAIT_S = 0.3
 CHECK_EVERY_S = 0.02
+# Peers push changes within some milliseconds, without a call to the store.
+DELTA_WAIT_S = 0.1
 # Some round trips to the store of another region. The forwarding VM tries others after that.
 CATCH_UP_WAIT_S = 0.3
 STOPS_TOO_SOON = "this VM is stopping and might not finish the request in time"
@@ -167,13 +169,16 @@
 
     async def _catch_up(self, routing: Routing, stated_version: int) -> Routing | None:
         """Return routes that are as new as a peer's, None if they can't be read in time."""
-        if routing.version >= stated_version:
-            return routing
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(CATCH_UP_WAIT_S):
-                await self.read_lists()
-        newest = self.routing()
-        return newest if newest is not None and newest.version >= stated_version else None
+        wait_until_unix_s = now_unix_s() + DELTA_WAIT_S
+        while routing.version < stated_version and now_unix_s() < wait_until_unix_s:
+            await asyncio.sleep(CHECK_EVERY_S)
+            routing = self.routing() or routing
+        if routing.version < stated_version:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CATCH_UP_WAIT_S):
+                    await self.read_lists()
+            routing = self.routing() or routing
+        return routing if routing.version >= stated_version else None
 
     def _read(
         self, incoming: web.BaseRequest, routing: Routing, forwarded_by: str
--- a/tests/test_shared_read.py
+++ b/tests/test_shared_read.py
@@ -51,16 +51,33 @@
     assert platform.begun == 2
 
 
-async def test_caller_that_gives_up_does_not_leave_the_others_without_a_read() -> None:
+async def test_caller_that_gives_up_does_not_cancel_the_read_of_others() -> None:
+    """Reads that took longer than their callers waited were begun again and never ended."""
     platform = Platform()
     shared = SharedRead(read=platform.read)
-    leaving = asyncio.create_task(shared())
+    first = asyncio.create_task(shared())
     await settle()
-    staying = [asyncio.create_task(shared()) for _ in range(2)]
+    callers = [asyncio.create_task(shared()) for _ in range(3)]
     await settle()
-    leaving.cancel()
+    first.cancel()
+    callers[0].cancel()
     await settle()
+    assert platform.begun == 1
+    for _ in range(2):
+        platform.may_end.release()
+    await asyncio.gather(*callers[1:])
     assert platform.begun == 2
-    platform.may_end.release()
-    await asyncio.gather(*staying)
-    assert platform.begun == 2
+
+
+async def test_read_that_raises_serves_its_callers() -> None:
+    reads = 0
+
+    async def read() -> None:
+        nonlocal reads
+        reads += 1
+        raise ValueError("unexpected")
+
+    shared = SharedRead(read=read)
+    await asyncio.gather(shared(), shared())
+    await shared()
+    assert reads == 2
--- a/tests/test_stream_software_updates.py
+++ b/tests/test_stream_software_updates.py
@@ -15,6 +15,7 @@
 from pomelobarrow.decision.requests.short_key import server_key
 from pomelobarrow.decision.requests.work import BackendServer
 from pomelobarrow.decision.servers.departures import DepartureSource
+from pomelobarrow.decision.streams.list_evidence import MAX_LIST_AGE_S
 from pomelobarrow.decision.streams.software_history import (
     STREAM_RETENTION_S,
     StreamTarget,
@@ -130,6 +131,26 @@
         assert await assumed_at(vms["a-1"]) is None
 
 
+async def test_record_overrules_a_read_that_ends_first() -> None:
+    """A read of this VM's own was done before the answers of the VMs that kept the record."""
+    async with fleet(listed(V1), KNOWN_FOR_LONG) as vms:
+        prove(vms["a-1"], -math.inf)
+        let_read(vms["a-1"])
+        for vm in ("a-2", "a-3", "b-1"):
+            began = StreamBegan(stream_key=stream_key("r0"), software_key=SECOND)
+            vms[vm].streams.note_of_peer(began, now_unix_s())
+        assert await recorded(vms["a-1"], "r0", is_certain=True) == SECOND
+
+
+async def test_peers_with_old_lists_state_no_time_to_an_earlier_release() -> None:
+    """It doesn't read how old they are, and would be certain."""
+    async with fleet(listed(V1), KNOWN_FOR_LONG) as vms:
+        prove(vms["a-2"], now_unix_s() - 2 * MAX_LIST_AGE_S)
+        query = pb.StreamQuery(number=1, host=TARGET.host, path=TARGET.path)
+        answer = vms["a-2"]._answer(query, now_unix_s()).stream_answer
+    assert (len(answer.recent_software_keys), answer.known_for_ms) == (1, 0)
+
+
 async def test_store_is_not_read_where_only_a_record_can_tell() -> None:
     async with fleet(listed(V1, V2), KNOWN_FOR_LONG) as vms:
         for vm in vms.values():
