Read the lists before a stream is refused whose software isn't listed yet

The VM reads the store first now, with the others that do.

test_recorded_software_that_is_not_listed_yet_is_looked_up can't be built on the code before (AttributeError: read_lists). Datagrams are received on IPv6 again, as before, by reading.

--- a/src/pomelobarrow/peers/datagrams.py
+++ b/src/pomelobarrow/peers/datagrams.py
@@ -80,7 +80,8 @@
 
     async def on_start(self) -> None:
         """Open the socket."""
-        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
+        opened = socket.socket(family, socket.SOCK_DGRAM)
         opened.setblocking(False)
         opened.bind((self._host, self.port))
         self._socket = opened
--- a/src/pomelobarrow/peers/stream_software.py
+++ b/src/pomelobarrow/peers/stream_software.py
@@ -206,11 +206,15 @@
             )
             self.datagrams.send(self._address(member), pb.Datagram(streams_began=began))
 
-    async def _read(self) -> PeersKnowledge:
-        """Read the store here, which counts as a part of this VM's own history."""
+    async def read_in_time(self) -> None:
+        """Read the store; return without a result if that takes long."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(READ_TIMEOUT_S):
                 await self.read_lists()
+
+    async def _read(self) -> PeersKnowledge:
+        """Read the store here, which counts as a part of this VM's own history."""
+        await self.read_in_time()
         return PeersKnowledge()
 
     async def _query(
@@ -254,7 +258,7 @@
     async def _answer_after_read(
         self, query: pb.StreamQuery, reply: Reply, asked_unix_s: float
     ) -> None:
-        await self._read()
+        await self.read_in_time()
         reply(self._answer(query, asked_unix_s))
 
     def _answer(self, query: pb.StreamQuery, asked_unix_s: float) -> pb.Datagram:
@@ -273,8 +277,8 @@
 
 
 def _history_answer(number: int, stated: HistoryStatement, remembered_s: float) -> pb.StreamAnswer:
-    # Versions that have been gone for longer are forgotten here. VMs of an earlier release don't see
-    # how old the lists are.
+    # Versions that have been gone for longer are forgotten here. VMs of an earlier release don't
+    # see how old the lists are.
     is_old = stated.list_age_s > MAX_LIST_AGE_S
     known_for_s = 0.0 if is_old else min(stated.known_for_s, remembered_s)
     answer = pb.StreamAnswer(
--- a/src/pomelobarrow/relay/plugin.py
+++ b/src/pomelobarrow/relay/plugin.py
@@ -221,6 +221,7 @@
         ask_peers=context.get(StreamSoftwareUpdates).find,
         is_joined=lambda: context.get(Joining).is_joined,
         list_age_s=context.get(ListEvidence).age_s,
+        read_lists=context.get(StreamSoftwareUpdates).read_in_time,
         observe=context.observe,
     )
 
--- a/src/pomelobarrow/relay/stream_joins.py
+++ b/src/pomelobarrow/relay/stream_joins.py
@@ -23,6 +23,7 @@
 from pomelobarrow.dispatch.refusals import refuse
 from pomelobarrow.kernel.clock import now_unix_s
 from pomelobarrow.peers.peers_knowledge import PeersKnowledge
+from pomelobarrow.published.shared_read import no_read
 from pomelobarrow.relay.events import StreamTakenUp
 from pomelobarrow.relay.messages import RequestHead, ServerAnswerHead
 from pomelobarrow.relay.progress import RequestProgress
@@ -94,6 +95,8 @@
     is_joined: Callable[[], bool] = lambda: True
     # Returns the age of the evidence that this VM's list of servers is the newest one.
     list_age_s: Callable[[float], float] = lambda now_unix_s: 0.0
+    # Returns once a read of the store has ended that began after the call, or its time has passed.
+    read_lists: Callable[[], Awaitable[None]] = no_read
     observe: Callable[[object], None] = lambda event: None
 
     async def bind(
@@ -124,7 +127,7 @@
             )
         )
         if software is not None:
-            return Ok((self._pool_of(software, route) or pool, software))
+            return Ok((await self._listed_pool(software, route) or pool, software))
         if not listed:
             return Err(refuse(ErrorKind.NOT_READY, RunStatus.NO, NO_SERVER_LISTED))
         if not self.is_joined():
@@ -168,6 +171,12 @@
             return await self.ask_peers(head.resumes, target, is_certain)
         return PeersKnowledge(software_key=self.streams.software_of(stream_key(head.resumes)))
 
+    async def _listed_pool(self, software: int, route: Route) -> str:
+        """Return the pool of a software, which this VM may not have listed yet."""
+        if not self._pool_of(software, route):
+            await self.read_lists()
+        return self._pool_of(software, route)
+
     def _pool_of(self, software: int, route: Route) -> str:
         """Return the route's pool that has servers of this software; empty if none has."""
         pools = {share.pool for share in route.pools}
--- a/tests/test_relay_software_versions.py
+++ b/tests/test_relay_software_versions.py
@@ -154,6 +154,25 @@
     assert [answer.status for answer in answers] == [200, 200]
 
 
+async def test_recorded_software_that_is_not_listed_yet_is_looked_up() -> None:
+    """A VM that had stood still knew the record some milliseconds before the list of servers."""
+    servers = {"a": {"s1": BREAKS, "s2": BREAKS}}
+    async with relay_fleet((RESUMABLE,), servers, versions={"s1": "v1", "s2": "v2"}) as fleet:
+        vm = fleet.vms["a"]
+        listed = vm.relay.placer.servers()
+        while _received(fleet, "s1") == 0:
+            await _begun(vm.url)
+        fleet.servers["s1"].script = streams(LAST)
+        hidden = listed.pop("s1")  # type: ignore[attr-defined]
+
+        async def read() -> None:
+            listed["s1"] = hidden  # type: ignore[index]
+
+        vm.front.resumed.read_lists = read
+        answer = await _take_up(fleet, "a")
+    assert (answer.status, answer.body) == (200, event(3) + event(4))
+
+
 async def test_events_of_a_peer_of_an_earlier_release_do_not_join_a_stream(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
