Show that a version which comes and goes during a cut can be forgotten, as known red

Callers could get a stream of two versions: a version is listed and removed again while a VM is cut off, a client takes up a stream of it there afterwards, and the read of the store shows the version from before only (found by the review of the fix).

--- a/tests/test_cut_off_vms_model.py
+++ b/tests/test_cut_off_vms_model.py
@@ -4,10 +4,11 @@
 from collections.abc import Iterable
 from functools import partial
 
+import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import rule
 from model_vms import REGION_BY_VM, Loss, evidence_of, note_reads
-from test_software_history import TARGET
+from test_software_history import POOL, TARGET
 from test_stream_software_model import (
     MOMENT_S,
     SETTINGS,
@@ -122,3 +123,20 @@
 
 TestStreamsAtVmsThatAreCutOff = StreamsAtVmsThatAreCutOff.TestCase
 TestStreamsAtVmsThatAreCutOff.settings = SETTINGS
+
+
+@pytest.mark.parametrize("loss", [Loss.NONE, Loss.ALL])
+def test_version_that_comes_and_goes_during_a_cut_is_not_forgotten(loss: Loss) -> None:
+    """A read after the cut shows the version from before only, at which a stream of it goes on."""
+    state = StreamsAtVmsThatAreCutOff()
+    try:
+        state.cut(cut_off={"a-1"}, way=Way.BOTH)
+        state._replace_servers(POOL, "v2")
+        state.begin(vm="a-2", index=0, loss=Loss.NONE)
+        state.clock.unix_s += 12.0
+        state._replace_servers(POOL, "v1")
+        state.heal()
+        state.network.loss = loss
+        state._take_up("a-1", False)
+    finally:
+        state.teardown()
