--- a/src/pomelobarrow/backends/answer_handler.py
+++ b/src/pomelobarrow/backends/answer_handler.py
@@ -98,10 +98,10 @@
         if message.code not in STATUSES:
             return f"the answer has the status {message.code}"
         is_bodiless = self._skip_payload or message.code in EMPTY_BODY_STATUS_CODES
-        stated = "" if is_bodiless else message.headers.get("Content-Length", "")
-        if content is EMPTY_PAYLOAD and stated.strip("0"):
-            return "the answer states a length that can't be"
-        return ""
+        if is_bodiless or content is not EMPTY_PAYLOAD:
+            return ""
+        is_length_wrong = message.headers.get("Content-Length", "").strip("0")
+        return "the answer states a length that can't be" if is_length_wrong else ""
 
     def _parse_heads(self, data: bytes) -> bytes:
         """Parse bytes up to the end of the head of the final answer; return the others."""
--- a/src/pomelobarrow/decision/published/routing.py
+++ b/src/pomelobarrow/decision/published/routing.py
@@ -122,6 +122,11 @@
     # earlier release has read: that release passed on no accounts.
     needs_account: bool | None = None
 
+    @cached_property
+    def version_text(self) -> str:
+        """Return the version as a header carries it."""
+        return str(self.version)
+
     @cached_property
     def account_by_key_sha256(self) -> Mapping[str, Account]:
         """Return the accounts by the hashes of their keys."""
--- a/src/pomelobarrow/relay/front.py
+++ b/src/pomelobarrow/relay/front.py
@@ -30,6 +30,7 @@
     read_key_sha256,
     read_routing_version,
     read_software_key,
+    states_other_routes,
 )
 from pomelobarrow.relay.messages import RelayRequest, RequestHead, path_of
 from pomelobarrow.relay.prompts import shared_blocks
@@ -88,7 +89,7 @@
         if routing is None:
             refusal = refuse(ErrorKind.NOT_READY, RunStatus.NO, "no configuration yet")
             return await self._refuse(incoming, refusal)
-        if forwarded_by:
+        if forwarded_by and states_other_routes(incoming.headers, routing):
             routing = await self._catch_up(routing, read_routing_version(incoming.headers))
             if routing is None:
                 return await self._refuse(incoming, _routes_too_old())
@@ -138,7 +139,7 @@
             body.ok_value,
             pool,
             software,
-            routing.version,
+            routing.version_text,
         )
         # The body may have taken long to arrive.
         stop, deadline_unix_s = self.planned_stop, request.work.deadline_unix_s
@@ -209,7 +210,7 @@
         body: bytes,
         pool: str,
         software_key: int | None,
-        routing_version: int,
+        routing_version: str,
     ) -> RelayRequest:
         route, account = admission.route, admission.account
         account_name = account.name if account else ""
--- a/src/pomelobarrow/relay/hop.py
+++ b/src/pomelobarrow/relay/hop.py
@@ -8,6 +8,7 @@
 from pomelobarrow.decision.common.bounded import parse_count
 from pomelobarrow.decision.common.errors import ErrorKind, Refusal, RunStatus
 from pomelobarrow.decision.members.member import Member
+from pomelobarrow.decision.published.routing import Routing
 from pomelobarrow.decision.requests.short_key import server_key
 from pomelobarrow.decision.requests.work import BackendServer
 from pomelobarrow.decision.streams.software_history import software_key
@@ -65,7 +66,13 @@
 
 def read_software_key(headers: Mapping[str, str]) -> int | None:
     """Return the software that began a forwarded stream; None if the peer doesn't state it."""
-    return _read_key(headers.get(STREAM_SOFTWARE_HEADER, ""))
+    text = headers.get(STREAM_SOFTWARE_HEADER)
+    return _read_key(text) if text else None
+
+
+def states_other_routes(headers: Mapping[str, str], routing: Routing) -> bool:
+    """Return whether a request was forwarded under other routes than these."""
+    return headers.get(ROUTING_VERSION_HEADER) != routing.version_text
 
 
 def read_routing_version(headers: Mapping[str, str]) -> int:
@@ -118,8 +125,10 @@
     """Return the target that sends a request to a peer, with the software that it may run on."""
 
     def headers() -> Headers:
-        version = str(request.routing_version)
-        hop_headers: Headers = ((FROM_HEADER, own_vm), (ROUTING_VERSION_HEADER, version))
+        hop_headers: Headers = (
+            (FROM_HEADER, own_vm),
+            (ROUTING_VERSION_HEADER, request.routing_version),
+        )
         if request.head.key_sha256:
             hop_headers += ((KEY_HEADER, request.head.key_sha256),)
         if software is not None:
@@ -138,7 +147,8 @@
 def _peer_answer_reader(read_answer: AnswerReader) -> AnswerReader:
     def read(response: ResponseHead) -> ServerAnswerHead:
         headers = response.headers
-        leaving_key = _read_key(headers.get(LEAVING_HEADER, ""))
+        leaving = headers.get(LEAVING_HEADER)
+        leaving_key = _read_key(leaving) if leaving else None
         software = _read_key(headers.get(SERVER_SOFTWARE_HEADER, ""))
         run = headers.get(RUN_HEADER)
         if run is None:
--- a/src/pomelobarrow/relay/messages.py
+++ b/src/pomelobarrow/relay/messages.py
@@ -87,8 +87,8 @@
     attempts_left: int = 1
     # The software that began the stream that the client takes up, as a key; None for a new request.
     software_key: int | None = None
-    # The version of the routes under which the request was admitted.
-    routing_version: int = 0
+    # The version of the routes under which the request was admitted, as a header carries it.
+    routing_version: str = "0"
 
     @property
     def stream_target(self) -> StreamTarget:
--- a/src/pomelobarrow/relay/relay.py
+++ b/src/pomelobarrow/relay/relay.py
@@ -120,7 +120,7 @@
         except CallerGoneError:
             pass
         finally:
-            self.timeouts.end(timeout)
+            del self.timeouts.in_progress[timeout]
             progress.buffer.release()
             self.log.end(progress, outcome)
         return progress.history.was_sent
--- a/src/pomelobarrow/relay/timeouts.py
+++ b/src/pomelobarrow/relay/timeouts.py
@@ -11,7 +11,10 @@
 
 @define
 class RequestTimeouts:
-    """Hold the timeouts of the requests in progress, in the order in which they began."""
+    """Hold the timeouts of the requests in progress, in the order in which they began.
+
+    Whoever answers a request removes its timeout.
+    """
 
     end_unix_s: float = math.inf
     in_progress: dict[asyncio.Timeout, None] = field(factory=dict, init=False)
@@ -23,10 +26,6 @@
         self.in_progress[timeout] = None
         return timeout
 
-    def end(self, timeout: asyncio.Timeout) -> None:
-        """Forget a request that is answered."""
-        del self.in_progress[timeout]
-
     def end_by(self, end_unix_s: float) -> None:
         """Limit the requests in progress and all later ones to this time."""
         self.end_unix_s = end_unix_s
--- a/tests/test_relay_timeouts.py
+++ b/tests/test_relay_timeouts.py
@@ -19,7 +19,7 @@
                 has_begun.set()
             await asyncio.Event().wait()
     finally:
-        timeouts.end(timeout)
+        del timeouts.in_progress[timeout]
 
 
 async def test_deadline_ends_a_request() -> None:
@@ -54,4 +54,4 @@
     async with timeout:
         pass
     timeouts.end_by(now_unix_s())
-    timeouts.end(timeout)
+    del timeouts.in_progress[timeout]
