--- a/src/pomelobarrow/published/vms.py
+++ b/src/pomelobarrow/published/vms.py
@@ -140,7 +140,7 @@
         """Return the pools of which servers were removed because the store was down.
 
         Where it wasn't seen to be down, that is so if a pool loses most of its servers at a time.
-        A single one has left, perhaps some time ago: this VM may hear of it late.
+        A single one has left, perhaps some time ago: this VM may learn of it late.
         """
         by_pool = Counter(_pools(self._parsed.values()))
         if is_return or now_unix_s <= self._outage_unix_s + LEASE_GRACE_S:
--- a/tests/faulty_peer.py
+++ b/tests/faulty_peer.py
@@ -172,7 +172,7 @@
 
 
 def new_members(peer: FaultyPeer) -> Iterator[pb.PeerMessage]:
-    """Describe VMs that nobody has heard of."""
+    """Describe VMs that are unknown to all others."""
     while True:
         members = [_summary(_name(key)) for key in peer.next_keys(1_000)]
         descriptions = pb.MemberDescriptions(members=members, sent_unix_s=time.time())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -362,7 +362,7 @@
 
 
 def test_successors_without_end_replace_those_that_were_learned_first():
-    """Guards against a faulty VM that tells of stops without end."""
+    """Guards against a faulty VM that announces stops without end."""
     view = view_of()
     for number in range(2 * SUCCESSORS_KEPT):
         view.observe_leave(f"vm-{number}", 1, "vm-c", 100.0)
--- a/tests/test_partition.py
+++ b/tests/test_partition.py
@@ -92,15 +92,15 @@
 
 def test_bytes_arrive_after_the_cut(process: _Process) -> None:
     async def play() -> None:
-        cut, heard, _ = await process.accepted(THERE)
+        cut, received, _ = await process.accepted(THERE)
         other, heard_too, _ = await process.accepted(ELSEWHERE)
         await process.cut(Cut(unheard={THERE}))
         cut.sendall(b"cut")
         other.sendall(b"other")
         await wait_until(lambda: heard_too.data == b"other")
-        assert heard.data == b""
+        assert received.data == b""
         await process.cut(NONE)
-        await wait_until(lambda: heard.data == b"cut")
+        await wait_until(lambda: received.data == b"cut")
 
     process.run(play)
 
@@ -153,7 +153,7 @@
 
 def test_reset_arrives_after_the_cut(process: _Process) -> None:
     async def play() -> None:
-        cut, heard, transport = await process.accepted(THERE)
+        cut, received, transport = await process.accepted(THERE)
         other, heard_too, _ = await process.accepted(ELSEWHERE)
         await process.cut(Cut(unheard={THERE}))
         cut.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
@@ -162,9 +162,9 @@
             transport.write(b"lost")
         other.close()
         await wait_until(lambda: bool(heard_too.ends))
-        assert heard.ends == []
+        assert received.ends == []
         await process.cut(NONE)
-        await wait_until(lambda: bool(heard.ends))
+        await wait_until(lambda: bool(received.ends))
 
     process.run(play)
 
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -21,7 +21,7 @@
         """Send signals to this process; return whether a stop is requested, and at once."""
         for number in numbers:
             os.kill(os.getpid(), number)
-            # The loop hears of a signal by its own pipe.
+            # A signal wakes the loop through its own pipe.
             await asyncio.sleep(0.05)
         return self.requested.is_set(), self.now.is_set()
 
--- a/tests/test_vm_list.py
+++ b/tests/test_vm_list.py
@@ -41,7 +41,7 @@
 
 
 def test_server_that_is_removed_from_a_store_that_is_up_is_not_kept() -> None:
-    """A VM that heard of the removal two seconds late sent it requests until it exited."""
+    """A VM that learned of the removal two seconds late sent it requests until it exited."""
     vms = VmList()
     vms.update(pool_of("s1", "s2", "s3"), 100.0)
     vms.update(pool_of("s2", "s3"), 101.0)
