Search a full table of regions' loads once a second, not for each load

One message of another VM, 460 kB with 32,000 loads of regions that don't exist, stopped the VM that read it: no client and no peer was served for 24 and 25 s, by the second message too.

Cause: once the table of other regions' loads was full, each load that found no room searched all of it for stale ones.

--- a/src/pomelobarrow/peers/region_loads.py
+++ b/src/pomelobarrow/peers/region_loads.py
@@ -1,5 +1,7 @@
 """Store the loads of other regions' pools that peers report."""
 
+import math
+
 from attrs import define, evolve, field
 
 from pomelobarrow.decision.placement.region_choice import RegionLoad
@@ -11,6 +13,8 @@
 # A pool in a region that isn't known yet is left out beyond so many.
 MAX_LOADS = 4_096
 MAX_NAME_CHARACTERS = 256
+# A message may name thousands of loads for which a full table has no room.
+PURGE_EVERY_S = 1.0
 
 
 @define
@@ -20,6 +24,7 @@
     started_unix_s: float
     _loads: dict[tuple[str, str], RegionLoad] = field(factory=dict)
     _sources: dict[tuple[str, str], LinkKind] = field(factory=dict)
+    _purged_unix_s: float = field(default=-math.inf, init=False)
 
     def observe(
         self, load: RegionLoad, now_unix_s: float, source: LinkKind = LinkKind.OTHER_REGION
@@ -50,12 +55,16 @@
     def _has_room_for(self, load: RegionLoad, now_unix_s: float) -> bool:
         if max(len(load.region), len(load.pool)) > MAX_NAME_CHARACTERS:
             return False
-        if len(self._loads) >= MAX_LOADS:
-            old = [key for key, each in self._loads.items() if not each.is_fresh(now_unix_s)]
-            for key in old:
-                del self._loads[key], self._sources[key]
+        is_full = len(self._loads) >= MAX_LOADS
+        if is_full and abs(now_unix_s - self._purged_unix_s) >= PURGE_EVERY_S:
+            self._purge(now_unix_s)
         return len(self._loads) < MAX_LOADS
 
+    def _purge(self, now_unix_s: float) -> None:
+        self._purged_unix_s = now_unix_s
+        for key in [key for key, each in self._loads.items() if not each.is_fresh(now_unix_s)]:
+            del self._loads[key], self._sources[key]
+
     def for_pool(self, pool: str) -> dict[str, RegionLoad]:
         """Return each region's last known load of a pool."""
         return {region: load for (region, name), load in self._loads.items() if name == pool}
--- a/tests/test_region_loads.py
+++ b/tests/test_region_loads.py
@@ -1,5 +1,7 @@
 """A region that was lost is recorded as returned when its loads arrive again."""
 
+from collections import Counter
+
 import pytest
 from attrs import evolve
 
@@ -81,3 +83,21 @@
         loads.observe(evolve(load(CUT_UNIX_S), region=f"region-{number}"), CUT_UNIX_S)
     loads.observe(load(HEALED_UNIX_S), HEALED_UNIX_S)
     assert set(loads.for_pool(POOL)) == {REGION}
+
+
+def test_full_table_is_not_searched_for_each_load(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One heartbeat that named 32,768 regions stopped a VM for seconds."""
+    loads = RegionLoads(started_unix_s=CUT_UNIX_S)
+    for number in range(MAX_LOADS):
+        loads.observe(evolve(load(CUT_UNIX_S), region=f"region-{number}"), CUT_UNIX_S)
+    searched: Counter[str] = Counter()
+    is_fresh = RegionLoad.is_fresh
+
+    def count(each: RegionLoad, now_unix_s: float) -> bool:
+        searched[each.region] += 1
+        return is_fresh(each, now_unix_s)
+
+    monkeypatch.setattr(RegionLoad, "is_fresh", count)
+    for number in range(100):
+        loads.observe(evolve(load(CUT_UNIX_S), region=f"other-{number}"), CUT_UNIX_S)
+    assert searched.total() == MAX_LOADS
