Keep nothing of VMs that find no room, and bound the descriptions that are asked for

A peer that describes ever new VMs filled the memory of the VM that it sends to.

Cause: VMs beyond 2,048 were left out, but the kind of the peer that named them was noted under each name. Keys of descriptions that were asked for in the last 1.5 s had a bound for each stream only.

The form that lists servers sent revisions that no store has, so that nothing was applied; it sends possible ones.

--- a/src/pomelobarrow/peers/member_updates.py
+++ b/src/pomelobarrow/peers/member_updates.py
@@ -156,7 +156,7 @@
             # A VM that has a more recent report of a member continues to pass that one on.
             is_fresher = self.view.last_seen_unix_s(member.vm) < member.last_seen_unix_s
             self.view.observe_summary(member, now_unix_s, reported_by)
-            if is_fresher:
+            if is_fresher and self.view.get(member.vm) is not None:
                 self._note_source(member.vm, kind)
         self._refresh(now_unix_s, at_once=has_any)
 
@@ -173,6 +173,7 @@
         missing_keys = [key for key in awaited if asked.get(key, 0.0) <= now_unix_s]
         if missing_keys:
             asked = {key: until for key, until in asked.items() if until > now_unix_s}
+            missing_keys = missing_keys[: max(0, MAX_DESCRIPTIONS - len(asked))]
             asked.update(dict.fromkeys(missing_keys, now_unix_s + REQUEST_TIMEOUT_S))
             self._asked_until_unix_s = asked
             sent.asked_keys.update(missing_keys)
--- a/tests/faulty_peer.py
+++ b/tests/faulty_peer.py
@@ -84,6 +84,28 @@
         # Sending waits only once the receiver holds back; ordinary clients share this loop.
         await asyncio.sleep(0)
 
+    async def send_encoded(self, message: bytes) -> None:
+        """Send one message again and again; encoding it each time would stop this process."""
+        framed = struct.pack(">?I", False, len(message)) + message
+        while not self.is_done:
+            with contextlib.suppress(*SEND_ERRORS):
+                await self._send_framed(framed)
+            await asyncio.sleep(0.05)
+
+    async def _send_framed(self, framed: bytes) -> None:
+        channel = Channel(*self.address)
+        metadata = PeerKeys((self.key,)).metadata(VM, EXCHANGE_PATH)
+        try:
+            async with PeerStub(channel).Exchange.open(metadata=metadata) as stream:
+                await stream.send_message(pb.PeerMessage(heartbeat=self.heartbeat()))
+                while not self.is_done:
+                    self.sent_bytes += len(framed)
+                    async with asyncio.timeout(max(0.0, self.until_unix_s - time.time())):
+                        await stream._stream.send_data(framed)
+                channel.close()
+        finally:
+            channel.close()
+
     async def send_pings(self) -> None:
         """Send pings, and read none of the answers."""
         channel = Channel(*self.address)
@@ -253,7 +275,7 @@
 
 def listed_servers(peer: FaultyPeer) -> Iterator[pb.PeerMessage]:
     """List more and more servers at ever later revisions."""
-    revision, after = 1 << 40, 0
+    revision, after = 1 << 30, 0
     while True:
         entry = {"kind": "server", "text": "x" * 500}
         changes = [
@@ -272,19 +294,18 @@
 def nested_value(peer: FaultyPeer) -> Iterator[pb.PeerMessage]:
     """List a server whose value takes far more memory than its text."""
     value = b"[" + b"[]," * (12 << 20) + b"[]]"
-    for number in itertools.count(1 << 40):
+    for number in itertools.count(1 << 30):
         change = pb.Change(revision=number, key="large", value=value)
         yield pb.PeerMessage(
             delta=pb.KeyspaceDelta(name=VMS, head_revision=number, changes=[change], era=1)
         )
 
 
-def empty_items(peer: FaultyPeer) -> Iterator[pb.PeerMessage]:
-    """Send messages of two bytes an item, each of which is an object once it is decoded."""
-    reports = [pb.ServerReport()] * (4 << 20)
-    message = pb.PeerMessage(heartbeat=peer.heartbeat(reports=reports))
-    while True:
-        yield message
+def empty_items(peer: FaultyPeer) -> bytes:
+    """Return a message of items that take three bytes each, and are objects once decoded."""
+    item = pb.Heartbeat(reports=[pb.ServerReport()]).SerializeToString()
+    heartbeat = peer.heartbeat().SerializeToString() + item * (4 << 20)
+    return pb.PeerMessage(heartbeat=pb.Heartbeat.FromString(heartbeat)).SerializeToString()
 
 
 def leaves(peer: FaultyPeer) -> Iterator[pb.PeerMessage]:
@@ -325,7 +346,6 @@
     pools_of_regions,
     listed_servers,
     nested_value,
-    empty_items,
     leaves,
     findings,
 )
--- a/tests/test_proof_endless_peers.py
+++ b/tests/test_proof_endless_peers.py
@@ -12,7 +12,7 @@
 import aiohttp
 import pytest
 from client_crowd import is_ordinary_request_answered, peak_memory_bytes
-from faulty_peer import FORMS, FaultyPeer, Messages, listings
+from faulty_peer import FORMS, FaultyPeer, Messages, empty_items, listings
 from proof_report import Figure
 
 from pomelobarrow.platform.settings import _peer_key
@@ -103,6 +103,11 @@
     await play(lambda peer: peer.send_all(form), figure)
 
 
+async def test_empty_items_do_not_fill_the_memory(figure: Figure) -> None:
+    """Guards against messages that take fifty times as much memory once they are decoded."""
+    await play(lambda peer: peer.send_encoded(empty_items(peer)), figure)
+
+
 async def test_unread_listings_do_not_fill_the_memory(figure: Figure) -> None:
     """Guards against answers that are made faster than their peer reads them."""
     await play(lambda peer: peer.send_all(listings, is_reading=False), figure, LISTED_SERVERS)
