Rest after several short messages of a peer, not with a timer after each

An idle VM woke more than half as often again since the streams of peers leave turns to others: each heartbeat set a timer of some 100 microseconds.

The rests still add up to the time that the messages took, from 5 ms on; test_messages_without_end_leave_turns_of_the_loop_to_others holds as before. The new test can't run on the old code; the timer for each message is what it forbids.

--- a/src/pomelobarrow/peers/streams.py
+++ b/src/pomelobarrow/peers/streams.py
@@ -22,6 +22,8 @@
 # After a message the stream rests for as long as it took. Without it, a peer that sends without end
 # would take all time of the loop, since what has arrived is read without waiting.
 REST_FACTOR = 1.0
+# Shorter rests add up to one of this length, as each one wakes the process once more.
+MIN_REST_S = 0.005
 # How often it is checked whether a peer has read its answers.
 OUTBOX_CHECK_EVERY_S = 0.01
 RESET_TIMEOUT_S = 0.2
@@ -54,6 +56,7 @@
     _outbox: "asyncio.Queue[pb.PeerMessage]" = field(factory=asyncio.Queue)
     _unsent: int = 0
     _unsent_bytes: int = 0
+    _rest_s: float = 0.0
 
     def send(self, message: pb.PeerMessage) -> None:
         """Queue a message; it is lost if the connection is lost."""
@@ -141,11 +144,18 @@
                 return
             started_unix_s = now_unix_s()
             self._handle(message)
-            await asyncio.sleep(REST_FACTOR * max(0.0, now_unix_s() - started_unix_s))
+            await self._rest(now_unix_s() - started_unix_s)
             # The peer is held back until it has read what it asked for.
             while self._unsent_bytes > MAX_OUTBOX_BYTES:
                 await asyncio.sleep(OUTBOX_CHECK_EVERY_S)
 
+    async def _rest(self, handled_s: float) -> None:
+        """Leave the loop to others, after a message that took some time."""
+        self._rest_s += REST_FACTOR * max(0.0, handled_s)
+        rest_s = self._rest_s if self._rest_s >= MIN_REST_S else 0.0
+        self._rest_s -= rest_s
+        await asyncio.sleep(rest_s)
+
     def _handle(self, message: pb.PeerMessage) -> None:
         self.last_seen_unix_s = now_unix_s()
         is_first = not self.is_up
--- a/tests/test_peer_streams.py
+++ b/tests/test_peer_streams.py
@@ -13,7 +13,7 @@
 from pomelobarrow.peers.exchange import Exchange
 from pomelobarrow.peers.heartbeats import Heartbeats, SentUpdates
 from pomelobarrow.peers.peer_limits import MAX_OUTBOX_BYTES, MAX_QUEUED_BYTES
-from pomelobarrow.peers.streams import PeerStream
+from pomelobarrow.peers.streams import MIN_REST_S, REST_FACTOR, PeerStream
 
 ANSWER = pb.PeerMessage(
     delta=pb.KeyspaceDelta(name="vms", changes=[pb.Change(value=bytes(1 << 20))])
@@ -102,3 +102,19 @@
         turns += 1
     assert exchange.answered == 1_000
     assert turns >= 1_000
+
+
+async def test_short_messages_do_not_wake_the_process_for_each(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each heartbeat of a peer set a timer: an idle VM woke more than half as often again."""
+    handled_s, stream, rests_s = MIN_REST_S / 8, peer_stream(AnsweringExchange()), list[float]()
+
+    async def note_rest(delay_s: float) -> None:
+        rests_s.append(delay_s)
+
+    monkeypatch.setattr(streams.asyncio, "sleep", note_rest)
+    for _ in range(64):
+        await stream._rest(handled_s)
+    assert sum(rests_s) == pytest.approx(REST_FACTOR * 64 * handled_s)
+    assert sum(rest_s > 0.0 for rest_s in rests_s) == 8
