--- a/src/pomelobarrow/platform/wire.py
+++ b/src/pomelobarrow/platform/wire.py
@@ -277,13 +277,13 @@
     if resume_after:
         replacements.append((LAST_EVENT_ID, resume_after))
     names = {name.lower() for name, _ in replacements}
-    kept = tuple(each for each in request.head.headers if _lower(each[0]) not in names)
-    return tuple(replacements) + kept
+    kept = [each for each in request.head.headers if _lower(each[0]) not in names]
+    return (*replacements, *kept)
 
 
 def _end_to_end_headers(headers: Mapping[str, str]) -> Headers:
     """Return the headers that are neither hop-by-hop nor set by the system or by peers."""
-    kept = tuple(each for each in headers.items() if not _is_system_header(each[0]))
+    kept = tuple([each for each in headers.items() if not _is_system_header(each[0])])
     options = headers.get("Connection")
     if not options:
         return kept
