Receive 16 KiB of a peer at a time, so that pings leave turns to others

A VM whose peer sends pings without end served next to nobody: 2 requests in 8 s, and a third got 502.

Cause: a connection of a peer receives 256 KiB at a time, fifteen thousand pings, and HTTP/2 answers them all in one step of half a second.

--- a/src/pomelobarrow/peers/message_size.py
+++ b/src/pomelobarrow/peers/message_size.py
@@ -13,7 +13,7 @@
 from grpclib.protocol import Connection, H2Protocol, Stream
 from grpclib.server import Server
 
-from pomelobarrow.callers.client_connection import HEAD_FACTOR, RECEIVE_BYTES, ClientGate
+from pomelobarrow.callers.client_connection import HEAD_FACTOR, ClientGate
 from pomelobarrow.decision.admission.client_budget import (
     NOTHING_HELD,
     HeldBytes,
@@ -29,6 +29,7 @@
     MAX_MESSAGE_BYTES,
     MAX_UNREAD_BYTES,
     MESSAGE_TIMEOUT_S,
+    RECEIVE_BYTES,
     SMALL_MESSAGE_BYTES,
 )
 
@@ -114,6 +115,7 @@
 
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
+        transport.max_size = RECEIVE_BYTES
         create = partial(_create_stream, self.connection, self.max_message_bytes)
         self.connection.create_stream = create  # type: ignore[method-assign]
         self._transport = transport
@@ -139,8 +141,6 @@
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
         self._received_bytes = 0
-        self._max_receive_bytes = transport.max_size
-        transport.max_size = RECEIVE_BYTES
         self._holding = Holding(
             on_evicted=transport.abort, max_bytes=HEAD_FACTOR * MAX_BYTES_WITHOUT_KEY
         )
@@ -162,7 +162,6 @@
         if self._holding.phase is not Phase.RUNNING:
             self.gate.resize(self._holding, NOTHING_HELD)
             self.gate.budget.move(self._holding, Phase.RUNNING, now_unix_s())
-            self._transport.max_size = self._max_receive_bytes
 
     def _may_hold(self, size_bytes: int) -> bool:
         """Count bytes of a caller without a key, each of which may cause an answer as long."""
--- a/src/pomelobarrow/peers/peer_limits.py
+++ b/src/pomelobarrow/peers/peer_limits.py
@@ -9,6 +9,8 @@
 MAX_FORWARD_OVERHEAD_BYTES = 1 << 20
 # A peer shows its key in the head of its first call.
 MAX_BYTES_WITHOUT_KEY = 256 << 10
+# The most that is received and handled at once: a thousand pings, which take some 30 ms.
+RECEIVE_BYTES = 16 << 10
 # Answers of HTTP/2 itself, to pings and settings, that a peer has not read. Calls write no more
 # while their connection isn't read.
 MAX_UNREAD_BYTES = 4 << 20
--- a/tests/test_peer_message_size.py
+++ b/tests/test_peer_message_size.py
@@ -32,7 +32,11 @@
     _BoundedStream,
     keep_connection,
 )
-from pomelobarrow.peers.peer_limits import MAX_BYTES_WITHOUT_KEY, MAX_UNREAD_BYTES
+from pomelobarrow.peers.peer_limits import (
+    MAX_BYTES_WITHOUT_KEY,
+    MAX_UNREAD_BYTES,
+    RECEIVE_BYTES,
+)
 from pomelobarrow.peers.peers_grpc import PeerStub
 
 HOST = "127.0.0.1"
@@ -311,3 +315,11 @@
     stream = await begin_call(connected.channel, data)
     assert await stream.recv_message() is None
     assert [type(error) for error in connected.peer.errors] == [MessageRefusedError]
+
+
+@pytest.mark.parametrize("connect", [accepted_connection, dialed_connection])
+async def test_little_is_received_of_a_peer_at_once(
+    connect: Callable[[], UnreadTransport],
+) -> None:
+    """Pings that arrived together were handled for half a second, without a turn for clients."""
+    assert connect().max_size == RECEIVE_BYTES
